--- /dev/null
+++ b/src/main/java/saltdale/Main.java
@@ -0,0 +1,37 @@
+package saltdale;
+
+import java.io.IOException;
+import saltdale.sim.MalformedInput;
+import saltdale.sim.SimHost;
+
+/** The command line: one subcommand for each way in which the decisions are served. */
+public final class Main {
+    private static final String USAGE = """
+            usage: saltdale simhost
+
+              simhost   host dispatchers on the simulator's wire: batches on standard input, replies on
+                        standard output""";
+
+    private Main() {
+    }
+
+    public static void main(String[] args) {
+        System.exit(run(args));
+    }
+
+    private static int run(String[] args) {
+        if (args.length != 1 || !args[0].equals("simhost")) {
+            System.err.println(USAGE);
+            return 2;
+        }
+        try {
+            new SimHost(System.in, System.out).run();
+            return 0;
+        } catch (MalformedInput e) {
+            System.err.println("saltdale: " + e.getMessage());
+        } catch (IOException e) {
+            System.err.println("saltdale: standard input or output failed: " + e.getMessage());
+        }
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/saltdale/model/Assignment.java
@@ -0,0 +1,54 @@
+package saltdale.model;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A client's request, from its arrival to its final answer. */
+public final class Assignment {
+    /** The final answers that a dispatcher can give itself. */
+    public enum Answer { SHED, GIVEN_UP }
+
+    public final Workload workload;
+    public final Duration arrivedAt;
+    /** When the client's patience with this try ends. */
+    public final Duration deadline;
+    /** The client's tenant; null where there are none. */
+    public String tenant;
+    /** The hinted running time at speed 1; null where there is none. */
+    public Duration hint;
+    public double slots = 1;
+    public double memory;
+    /** True for a client's repeat, where clients mark them. */
+    public boolean repeated;
+
+    public final List<Dispatch> dispatches = new ArrayList<>(2);
+    /** The runners probed in the present search, and the load found at each. */
+    public final List<Runner> probed = new ArrayList<>(4);
+    public final List<Double> loads = new ArrayList<>(4);
+    /** The runner whose probe is awaited, and since when. */
+    public Runner asked;
+    public Duration askedAt;
+    /** True once the final answer is out, whoever gave it. */
+    public boolean closed;
+    /** The answer has begun to stream: it belongs to the client. */
+    public boolean streaming;
+
+    // What is wanted and not yet done; the dispatcher's settle() compares it with the above.
+    public Runner wantedProbe;
+    public Runner wantedRunner;
+    public double wantedLoad;
+    public Answer wantedAnswer;
+    public Duration wantedPause;
+    public Duration wantedLook;
+    public Duration timerAt;
+    /** A search made beside a dispatch that is out. */
+    public boolean secondLook;
+    public Duration lookGap;
+
+    public Assignment(Workload workload, Duration arrivedAt, Duration patience) {
+        this.workload = workload;
+        this.arrivedAt = arrivedAt;
+        this.deadline = arrivedAt.plus(patience);
+    }
+}
--- /dev/null
+++ b/src/main/java/saltdale/model/Dispatch.java
@@ -0,0 +1,29 @@
+package saltdale.model;
+
+import java.time.Duration;
+
+/** One sending of an assignment to a runner. */
+public final class Dispatch {
+    public final Assignment assignment;
+    public final Runner runner;
+    public final Duration sentAt;
+    /** The load of the runner when it was chosen. */
+    public double load;
+    /** Null until the runner says that the work has begun. */
+    public Duration startedAt;
+    /** When the runner was last heard to be working on it. */
+    public Duration heardAt;
+    /** The share done, where the runner tells it. */
+    public double done;
+    /** Null while it is out. */
+    public Outcome outcome;
+    public boolean cancelWanted;
+    public boolean cancelSent;
+
+    public Dispatch(Assignment assignment, Runner runner, Duration sentAt) {
+        this.assignment = assignment;
+        this.runner = runner;
+        this.sentAt = sentAt;
+        this.heardAt = sentAt;
+    }
+}
--- /dev/null
+++ b/src/main/java/saltdale/model/LoadReport.java
@@ -0,0 +1,8 @@
+package saltdale.model;
+
+/** A runner's load report; NaN for a value that it does not carry. */
+public record LoadReport(double queue, double inFlight, double freeSlots, double busy, double errors,
+                         double freeMemory) {
+    public static final LoadReport NONE =
+            new LoadReport(Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
+}
--- /dev/null
+++ b/src/main/java/saltdale/model/StandingOrders.java
@@ -0,0 +1,48 @@
+package saltdale.model;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What a dispatcher is told once, at its start. */
+public final class StandingOrders {
+    public final List<Workload> workloads = new ArrayList<>();
+    public final List<Tenant> tenants = new ArrayList<>();
+    /** This dispatcher's number and how many there are. */
+    public int index;
+    public int dispatchers = 1;
+    public String zone = "";
+    /** The least time between two rounds of events. */
+    public Duration round = Duration.ZERO;
+
+    // The list.
+    public boolean mustSubscribe;
+    public Duration askWithin = Duration.ofSeconds(10);
+
+    // What is permitted.
+    public boolean probes = true;
+    public boolean cancels = true;
+    public boolean parallel;
+    public boolean messages;
+    public boolean pauses;
+    public int mostDispatches = Integer.MAX_VALUE;
+    public Duration longestPause = Duration.ZERO;
+    public Duration connectTime = Duration.ZERO;
+
+    // What runners tell.
+    public boolean tellsStart;
+    public Duration progressEvery = Duration.ZERO;
+
+    // The rules in figures.
+    public double coldFrom = 1;
+    public Duration warmWithin = Duration.ZERO;
+    public double tipMultiple = 1;
+    public Duration fall = Duration.ZERO;
+
+    // How service is counted.
+    public boolean importanceByWork;
+    public double beyondShare = 1;
+    public double crossZonePrice;
+    public double probePrice;
+    public double wastePrice;
+}
--- /dev/null
+++ b/src/test/java/saltdale/decision/DispatcherTest.java
@@ -0,0 +1,255 @@
+package saltdale.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import saltdale.model.Assignment;
+import saltdale.model.Dispatch;
+import saltdale.model.LoadReport;
+import saltdale.model.Outcome;
+import saltdale.model.Runner;
+import saltdale.model.Workload;
+
+class DispatcherTest {
+    private final Scene scene = new Scene();
+
+    // The design's arithmetic, by hand.
+
+    @Test
+    void payoffOfASecondProbe() {
+        // d = 1: s(i) = 0.5^i, so p(0) = 0.5, p(1) = 0.25, p(2) = 0.125; B = 2·0.5 + 1·0.25 + 0.
+        assertEquals(1.25, Dispatcher.payoff(2, 0.5, 1), 1e-9);
+    }
+
+    @Test
+    void payoffOfAThirdProbe() {
+        // d = 2: s = 1, 0.5, 0.125, 0.0078125; p(0) = 0.5, p(1) = 0.375; B = 2·0.5 + 1·0.375.
+        assertEquals(1.375, Dispatcher.payoff(2, 0.5, 2), 1e-9);
+    }
+
+    @Test
+    void anEmptyQueueLeavesNothingToGain() {
+        assertEquals(0, Dispatcher.payoff(0, 0.5, 1), 1e-9);
+    }
+
+    @Test
+    void lambdaGrowsWithTheProbesAndStaysBelowOne() {
+        assertEquals(0.5 / (1 - 2 * Dispatcher.C * 3), Dispatcher.lambda(0.5, 3), 1e-12);
+        assertTrue(Dispatcher.lambda(1, 1) < 1);
+        assertTrue(Dispatcher.lambda(0.5, (int) Math.ceil(1 / (2 * Dispatcher.C)) + 1) < 1);
+    }
+
+    @Test
+    void costIsNothingUntilAJobHasEnded() {
+        Dispatcher dispatcher = scene.with(2);
+        dispatcher.roundTrip = 0.01;
+        assertEquals(0, dispatcher.cost(), 1e-9);
+        dispatcher.runningTime = 0.5;
+        dispatcher.meanQueue = 2;
+        assertEquals(0.02 + 2 * Dispatcher.C, dispatcher.cost(), 1e-9);
+    }
+
+    // The search.
+
+    @Test
+    void anIdleRunnerTakesTheJob() {
+        Dispatcher dispatcher = scene.with(3);
+        dispatcher.arrived(Scene.at(0), scene.assignment());
+        dispatcher.settle(Scene.at(0));
+        dispatcher.probed(Scene.at(5), scene.probes.get(0), true, Scene.at(5), Scene.queue(0));
+        dispatcher.settle(Scene.at(5));
+        assertEquals(List.of("probe", "dispatch"), scene.acts);
+        assertSame(scene.probes.get(0), scene.dispatches.get(0).runner);
+    }
+
+    @Test
+    void aBusyRunnerIsFollowedByAnotherAndTheShortestQueueTakesTheJob() {
+        scene.workload.lateImportance = 0.5;
+        Dispatcher dispatcher = scene.with(2);
+        dispatcher.arrived(Scene.at(0), scene.assignment());
+        dispatcher.settle(Scene.at(0));
+        dispatcher.probed(Scene.at(5), scene.probes.get(0), true, Scene.at(5), Scene.queue(2));
+        dispatcher.settle(Scene.at(5));
+        dispatcher.probed(Scene.at(10), scene.probes.get(1), true, Scene.at(5), Scene.queue(3));
+        dispatcher.settle(Scene.at(10));
+        assertNotSame(scene.probes.get(0), scene.probes.get(1));
+        assertSame(scene.probes.get(0), scene.dispatches.get(0).runner);
+    }
+
+    @Test
+    void idleNeedsEnoughFreeSlots() {
+        Dispatcher dispatcher = scene.with(1);
+        Runner runner = dispatcher.runners.get(0);
+        runner.report = new LoadReport(0, 5, 2, Double.NaN, Double.NaN, Double.NaN);
+        assertTrue(dispatcher.idle(runner, 2));
+        assertFalse(dispatcher.idle(runner, 4));
+    }
+
+    @Test
+    void loadFallsBackToInFlightThenToWhatWeSent() {
+        Dispatcher dispatcher = scene.with(1);
+        Runner runner = dispatcher.runners.get(0);
+        runner.report = new LoadReport(Double.NaN, 5, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
+        assertEquals(5, dispatcher.load(runner));
+        runner.report = null;
+        runner.everSent = true;
+        scene.sentTo(runner);
+        assertEquals(1, dispatcher.load(runner));
+    }
+
+    @Test
+    void aSilentProbeDoesNotHoldTheJobUp() {
+        Dispatcher dispatcher = scene.with(2);
+        Assignment a = scene.assignment();
+        dispatcher.arrived(Scene.at(0), a);
+        dispatcher.settle(Scene.at(0));
+        Duration later = scene.workload.promised.dividedBy(2);
+        dispatcher.woken(later, a);
+        dispatcher.settle(later);
+        assertEquals(List.of("probe", "probe"), scene.acts);
+    }
+
+    @Test
+    void anEmptyListEndsInAnAnswerBeforePatienceDoes() {
+        Dispatcher dispatcher = scene.with(0);
+        Assignment a = scene.assignment();
+        dispatcher.arrived(Scene.at(0), a);
+        dispatcher.settle(Scene.at(0));
+        dispatcher.woken(Scene.at(5990), a);
+        dispatcher.settle(Scene.at(5990));
+        assertEquals(List.of("shed"), scene.acts);
+    }
+
+    // The rules.
+
+    @Test
+    void aTimeOutAtPatienceEndsInOneAnswer() {
+        Dispatcher dispatcher = scene.with(1);
+        Assignment a = scene.sentTo(dispatcher.runners.get(0));
+        dispatcher.ended(Scene.at(6000), a.dispatches.get(0), Outcome.TIMED_OUT, false, null);
+        dispatcher.settle(Scene.at(6000));
+        dispatcher.clientGone(Scene.at(6001), a);
+        dispatcher.settle(Scene.at(6001));
+        assertEquals(List.of("shed"), scene.acts);
+    }
+
+    @Test
+    void anEffectfulJobThatMayHaveRunIsGivenUp() {
+        scene.workload.repeat = Workload.Repeat.EFFECTFUL;
+        Dispatcher dispatcher = scene.with(2);
+        Runner runner = dispatcher.runners.get(0);
+        Assignment a = scene.sentTo(runner);
+        Dispatch d = a.dispatches.get(0);
+        d.outcome = Outcome.BROKEN;
+        assertFalse(dispatcher.repeatable(Scene.at(1), a, runner));
+        assertFalse(dispatcher.mayShed(a));
+        d.outcome = Outcome.NOT_CONNECTED;
+        assertTrue(dispatcher.repeatable(Scene.at(1), a, runner));
+        assertTrue(dispatcher.mayShed(a));
+    }
+
+    @Test
+    void aReceiptedJobGoesAgainOnlyWithinItsCellAndWindow() {
+        scene.workload.repeat = Workload.Repeat.RECEIPTED;
+        scene.workload.group = Workload.Group.CELL;
+        scene.workload.window = Duration.ofSeconds(5);
+        Dispatcher dispatcher = scene.with(2);
+        Runner near = dispatcher.runners.get(0);
+        Runner far = dispatcher.runners.get(1);
+        far.cell = 7;
+        Assignment a = scene.sentTo(near);
+        a.dispatches.get(0).outcome = Outcome.CANCELLED;
+        assertTrue(dispatcher.repeatable(Scene.at(1000), a, near));
+        assertFalse(dispatcher.repeatable(Scene.at(1000), a, far));
+        assertFalse(dispatcher.repeatable(Scene.at(5000), a, near));
+        assertFalse(dispatcher.mayShed(a));
+    }
+
+    @Test
+    void nothingGoesToARunnerThatBeganToDrainWhileItWasProbed() {
+        Dispatcher dispatcher = scene.with(1);
+        Runner runner = dispatcher.runners.get(0);
+        dispatcher.arrived(Scene.at(0), scene.assignment());
+        dispatcher.settle(Scene.at(0));
+        dispatcher.listed(Scene.at(1), List.of(Scene.sighting(runner, Runner.Mode.DRAINING, null)), false, false);
+        dispatcher.probed(Scene.at(5), runner, true, Scene.at(5), Scene.queue(0));
+        dispatcher.settle(Scene.at(5));
+        assertEquals(List.of("probe"), scene.acts);
+    }
+
+    @Test
+    void aRunnerMissingFromAWholeListIsGone() {
+        Dispatcher dispatcher = scene.with(1);
+        dispatcher.listed(Scene.at(1), List.of(), true, false);
+        assertEquals(Runner.Mode.GONE, dispatcher.runners.get(0).mode);
+    }
+
+    @Test
+    void aFailedSubscriptionIsAskedAgainWithinTheTimeAllowed() {
+        scene.orders.mustSubscribe = true;
+        Dispatcher dispatcher = scene.with(1);
+        dispatcher.began(Scene.at(0));
+        dispatcher.settle(Scene.at(0));
+        dispatcher.listFailed(Scene.at(500));
+        dispatcher.settle(Scene.at(500));
+        dispatcher.settle(Scene.at(500).plus(scene.orders.askWithin));
+        assertEquals(List.of("subscribe", "subscribe"), scene.acts);
+    }
+
+    @Test
+    void aColdRunnerGetsNoMoreThanItsBudget() {
+        Dispatcher dispatcher = scene.with(2);
+        Runner cold = dispatcher.runners.get(1);
+        cold.startedAt = Scene.at(0);
+        for (int i = 0; i < 40; i++) {
+            Assignment a = scene.assignment();
+            dispatcher.arrived(Scene.at(10), a);
+            dispatcher.settle(Scene.at(10));
+            if (a.asked != null) {
+                dispatcher.probed(Scene.at(10), a.asked, true, Scene.at(1), Scene.queue(0));
+                dispatcher.settle(Scene.at(10));
+            }
+        }
+        long toCold = scene.dispatches.stream().filter(d -> d.runner == cold).count();
+        long toWarm = scene.dispatches.size() - toCold;
+        assertTrue(toCold <= 2.5 * 0.3 * toWarm / 8 * 2 + 1, toCold + " to the cold, " + toWarm + " to the warm");
+    }
+
+    // Failures.
+
+    @Test
+    void aRunnerThatErrsIsSetAsideAndComesBackByATrickle() {
+        Dispatcher dispatcher = scene.with(4);
+        Runner runner = dispatcher.runners.get(0);
+        for (int i = 0; i < 2; i++) {
+            Assignment a = scene.sentTo(runner);
+            dispatcher.ended(Scene.at(10), a.dispatches.get(0), Outcome.ERROR, false, null);
+        }
+        assertTrue(runner.trickle != null && runner.trickleAt.compareTo(Scene.at(10)) > 0);
+        for (int i = 0; i < 8 && runner.trickle != null; i++) {
+            Assignment a = scene.sentTo(runner);
+            dispatcher.ended(Scene.at(20), a.dispatches.get(0), Outcome.FULFILLED, true, null);
+        }
+        assertEquals(null, runner.trickle);
+    }
+
+    @Test
+    void whatCannotBeInTimeIsShedAtOnce() {
+        Dispatcher dispatcher = scene.with(1);
+        Assignment waited = scene.sentTo(dispatcher.runners.get(0));
+        waited.dispatches.get(0).load = 0.5;
+        dispatcher.started(Scene.at(60000), waited.dispatches.get(0));
+        Assignment a = scene.assignment();
+        dispatcher.arrived(Scene.at(0), a);
+        dispatcher.settle(Scene.at(0));
+        dispatcher.probed(Scene.at(5), scene.probes.get(0), true, Scene.at(5), Scene.queue(3));
+        dispatcher.settle(Scene.at(5));
+        assertEquals(List.of("probe", "shed"), scene.acts);
+    }
+}
