--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -1,27 +1,13 @@
-// All decisions of one dispatcher. A protocol adapter builds it with the standing orders, a Door to act through
-// (its interface: saltdale.model.Door) and the chance of its seed; for each event it calls one of the event
-// methods below (began ... woken), and after a round's last event settle(), the only one that acts.
+// All decisions of one dispatcher. A protocol's adapter builds it with the standing orders, a Door to act
+// through (its interface: saltdale.model.Door) and chance from its seed. The adapter calls a method for each
+// event, from began to woken, and settle after a round's last event: only settle acts.
 package saltdale.decision;
 
+import static saltdale.model.Spans.*;
+
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.SplittableRandom;
-import saltdale.model.Assignment;
-import saltdale.model.Dispatch;
-import saltdale.model.Door;
-import saltdale.model.LoadReport;
-import saltdale.model.Outcome;
-import saltdale.model.Runner;
-import saltdale.model.Sighting;
-import saltdale.model.StandingOrders;
-import saltdale.model.Workload;
+import java.util.*;
+import saltdale.model.*;
 
 public final class Dispatcher {
     // The design's figures, under its own names.
@@ -29,216 +15,167 @@
     static final double ALPHA = 0.9;
     static final int PROBE_CAP = 4;
     static final double LAMBDA_MOST = 0.999;
+    /** The part of a cold runner's guessed budget that is used. */
+    static final double COLD_CAUTION = 0.6;
+    /** A runner whose recent dispatches fail more than this share is set aside. */
+    static final double POOR = 0.3;
 
-    /** One row a workload: what is seen of its assignments. */
-    static final class Row {
-        /** Smoothed running time in seconds; over the hint, where hints come. 0 until one has ended. */
-        double run;
+    static final class Row {  // one a workload
+        double run;  // smoothed running time in seconds, 0 until one has ended
         double runPerHint;
-        /** The longest patience a client has come with: what a first try brings. */
-        Duration patience = Duration.ZERO;
+        Duration patience = Duration.ZERO;  // the longest a client has come with: that of a first try
     }
 
-    final StandingOrders orders;
+    private final StandingOrders orders;
     private final Door door;
     private final SplittableRandom chance;
     final List<Runner> runners = new ArrayList<>();
     private final Map<Workload, Row> rows = new HashMap<>();
     private final Set<Assignment> touched = new LinkedHashSet<>();
     private final Set<Assignment> held = new LinkedHashSet<>();
-
-    // Smoothed figures of the design: λ', L̄, the probe round trip and the running time whose ratio is CT.
+    // Smoothed, for the design: λ', L̄, and the probe round trip and running time whose ratio is CT.
     double lambdaSeen;
     double meanQueue;
     double roundTrip;
     double runningTime;
-
-    private double waitPerLoad;
-    private double furtherTried;
-    private double furtherGood;
+    double waitPerLoad;
+    private final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
     private double workSent;
     private Duration workSentAt = Duration.ZERO;
-    private boolean subscribed;
-    private Duration askAt;
+    private Duration surveyedAt;
+    private double warmRate;
+    private double meanOut;
+    private boolean mostAside;
+    private Duration askAt;  // when to ask for the list; null while subscribed
     private Duration askGap;
-    private final Map<Runner, Deque<double[]>> coldSends = new HashMap<>();
-    private final Duration base;
+    private final Duration spell;  // the unit of setting aside
 
     public Dispatcher(StandingOrders orders, Door door, SplittableRandom chance) {
         this.orders = orders;
         this.door = door;
         this.chance = chance;
-        Duration shortest = Duration.ofDays(1);
+        Duration shortest = orders.askWithin;
         for (Workload workload : orders.workloads) {
             rows.put(workload, new Row());
-            shortest = workload.patience.compareTo(shortest) < 0 ? workload.patience : shortest;
+            shortest = least(shortest, workload.patience);
         }
-        base = shortest.dividedBy(4);
+        spell = shortest.dividedBy(4);
     }
 
-    // ---- Events. None of these acts: they note what was seen and change what is wanted.
+    // ---- Events. None of these acts: they note what is seen and change what is wanted.
 
     public void began(Duration now) {
-        if (orders.mustSubscribe) {
-            askAt = now;
-            askGap = orders.askWithin.dividedBy(20);
-        }
+        askAt = orders.mustSubscribe ? now : null;
+        askGap = orders.askWithin.dividedBy(20);
     }
 
     public void listed(Duration now, List<Sighting> sightings, boolean whole, boolean cached) {
         Set<Runner> seen = new LinkedHashSet<>();
         for (Sighting s : sightings) {
-            Runner r = s.runner();
-            seen.add(r);
-            if (!runners.contains(r)) {
-                runners.add(r);
-            }
-            if (s.startedAt() != null && !s.startedAt().equals(r.startedAt)) {
-                r.good = r.bad = r.slowness = r.slownessSeen = 0;  // a fresh process has no record
-                r.trickle = null;
-            }
-            r.kind = s.kind();
-            r.zone = s.zone();
-            r.power = s.power();
-            r.cell = s.cell();
-            r.startedAt = s.startedAt();
-            r.mode = s.mode();
+            seen.add(s.runner());
+            s.runner().sighted(s);
         }
         for (Runner r : runners) {
-            if (whole && !seen.contains(r)) {
-                r.mode = Runner.Mode.GONE;
-            }
-            if (r.mode == Runner.Mode.GONE) {
-                for (Dispatch d : r.out) {
-                    touched.add(d.assignment);
-                }
-            }
+            r.mode = whole && !seen.contains(r) ? Runner.Mode.GONE : r.mode;
         }
+        seen.removeAll(runners);
+        runners.addAll(seen);
         if (!cached && orders.mustSubscribe) {
-            subscribed = true;
             askAt = null;
             askGap = orders.askWithin.dividedBy(20);
         }
-        for (Assignment a : held) {
-            consider(now, a);
-        }
+        surveyedAt = null;
+        List.copyOf(held).forEach(a -> consider(now, a));
     }
 
     public void listFailed(Duration now) {
         // Jitter, and a gap that doubles: the list service has a fixed capacity for all of us.
-        subscribed = false;
-        askAt = now.plus(scaled(askGap, 0.5 + chance.nextDouble()));
-        Duration most = orders.askWithin.dividedBy(2);
-        askGap = askGap.multipliedBy(2).compareTo(most) < 0 ? askGap.multipliedBy(2) : most;
+        askAt = now.plus(ofSecs(secs(askGap) * (0.5 + chance.nextDouble())));
+        askGap = least(askGap.multipliedBy(2), orders.askWithin.dividedBy(2));
     }
 
     public void arrived(Duration now, Assignment a) {
         Row row = rows.get(a.workload);
-        Duration budget = a.deadline.minus(a.arrivedAt);
-        row.patience = budget.compareTo(row.patience) > 0 ? budget : row.patience;
+        row.patience = most(row.patience, a.patience());
         consider(now, a);
     }
 
     public void started(Duration now, Dispatch d) {
         d.startedAt = now;
         d.heardAt = now;
-        if (d.load >= 0.5) {
-            waitPerLoad = smooth(waitPerLoad, secs(now.minus(d.sentAt)) / d.load);
-        }
-        touch(d.assignment);
+        waitPerLoad = d.load < 0.5 ? waitPerLoad : smooth(waitPerLoad, secs(now.minus(d.sentAt)) / d.load);
+        consider(now, d.assignment);
     }
 
-    public void progressed(Duration now, Dispatch d, double done) {
+    public void progressed(Duration now, Dispatch d) {
         d.heardAt = now;
-        d.done = done;
     }
 
     public void streaming(Duration now, Dispatch d) {
         d.assignment.streaming = true;
-        for (Dispatch other : d.assignment.dispatches) {
-            other.cancelWanted |= other != d && other.outcome == null;
-        }
-        touch(d.assignment);
+        cancelAll(d.assignment, d);
     }
 
     public void ended(Duration now, Dispatch d, Outcome outcome, boolean over, LoadReport report) {
         Assignment a = d.assignment;
-        Runner r = d.runner;
         d.outcome = outcome;
-        r.out.remove(d);
-        if (report != null) {
-            r.report = report;
-        }
+        d.runner.out.remove(d);
+        d.runner.report = report == null ? d.runner.report : report;
         learn(now, d);
-        touch(a);
         if (over) {
-            a.closed = true;
-            held.remove(a);
-        } else if (!a.closed && pending(a) == null && a.wantedRunner == null) {
-            a.secondLook = false;
+            close(a);
+        } else if (!a.closed && a.pending() == null && a.wantedRunner == null) {
             furtherOrAnswer(now, a);
         }
+        touched.add(a);
     }
 
     public void probed(Duration now, Runner r, boolean answered, Duration took, LoadReport report) {
-        Assignment a = null;
-        while (a == null && !r.asking.isEmpty()) {
+        Assignment a = r.asking.poll();
+        while (a != null && a.asked != r) {  // it no longer waited
             a = r.asking.poll();
-            a = a.asked == r ? a : null;
         }
         double load = Double.POSITIVE_INFINITY;
         if (answered) {
-            roundTrip = smooth(roundTrip, secs(took));
             r.report = report;
-            r.everSent = true;
+            r.known = true;
             load = load(r);
+            roundTrip = smooth(roundTrip, secs(took));
             meanQueue = smooth(meanQueue, load);
             lambdaSeen = smooth(lambdaSeen, idle(r, a == null ? 1 : a.slots) ? 0 : 1);
         }
-        if (a == null) {
-            return;
-        }
-        a.asked = null;
-        touch(a);
-        if (a.closed) {
-            return;
-        }
-        if (answered && idle(r, a.slots) && sendable(now, a, r)) {
-            take(now, a, r, 0);
-        } else {
-            a.probed.add(r);
-            a.loads.add(load);
-            search(now, a);
+        if (a != null) {
+            a.asked = null;
+            if (!a.closed && answered && idle(r, a.slots) && sendable(now, a, r)) {
+                take(now, a, r, 0);
+            } else if (!a.closed) {
+                a.found(r, load);
+                search(now, a);
+            }
         }
     }
 
     public void clientGone(Duration now, Assignment a) {
-        a.closed = true;
-        held.remove(a);
-        touch(a);
-    }
-
-    public void told(Duration now, int dispatcher, String message) {
-        // Messages between dispatchers carry nothing yet.
+        close(a);
     }
 
     public void woken(Duration now, Object what) {
-        if (what instanceof Assignment a && !a.closed) {
+        if (what instanceof Assignment a) {
             a.timerAt = null;
             consider(now, a);
         }
     }
 
-    // ---- The search: probe ready runners one by one, as the design has it.
-
     /** One look at an assignment: what should be done about it now. */
-    void consider(Duration now, Assignment a) {
-        touch(a);
-        a.wantedLook = lastCall(a);
-        Dispatch out = pending(a);
+    private void consider(Duration now, Assignment a) {
+        Dispatch out = a.pending();
+        Duration lastCall = a.deadline.minus(orders.round.multipliedBy(4));  // for an answer of our own
+        a.wantedLook = null;
         if (a.streaming || a.closed) {
-            a.wantedLook = null;
-        } else if (now.compareTo(lastCall(a)) >= 0) {
+            return;
+        }
+        look(a, lastCall);
+        if (reached(now, lastCall)) {
             answer(a, null);
         } else if (a.asked != null || out == null && a.wantedRunner == null) {
             search(now, a);
@@ -247,62 +184,50 @@
         }
     }
 
-    /** The last moment for an answer of our own, safely before patience ends. */
-    private Duration lastCall(Assignment a) {
-        return a.deadline.minus(orders.round.multipliedBy(4));
-    }
+    // ---- The search, as the design has it: probe ready runners one by one while that pays.
 
     private void search(Duration now, Assignment a) {
         if (a.asked != null) {
             Duration limit = a.askedAt.plus(probeLimit(a));
-            if (now.compareTo(limit) < 0) {
+            if (!reached(now, limit)) {
                 look(a, limit);
                 return;
             }
             // Guards against silent or busy runners holding an assignment up: the answer no longer counts.
-            a.probed.add(a.asked);
-            a.loads.add(2 * meanQueue + 1);
+            a.found(a.asked, 2 * meanQueue + 1);
             a.asked = null;
         }
         while (a.probed.isEmpty() || worthAnother(a)) {
             Runner next = pick(now, a);
             if (next == null) {
                 break;
-            }
-            if (orders.probes) {
+            } else if (orders.probes) {
                 a.wantedProbe = next;
                 look(a, now.plus(probeLimit(a)));
                 return;
-            }
-            if (next.out.isEmpty()) {
+            } else if (idle(next, a.slots)) {
                 take(now, a, next, 0);
                 return;
             }
-            a.probed.add(next);
-            a.loads.add(load(next));
+            a.found(next, load(next));
         }
-        Runner best = null;
-        double least = Double.POSITIVE_INFINITY;
+        int best = -1;
         int ties = 0;
         for (int i = 0; i < a.probed.size(); i++) {
-            double load = a.loads.get(i);
-            if (load > least || load == Double.POSITIVE_INFINITY || !sendable(now, a, a.probed.get(i))) {
-                continue;
+            double gap = best < 0 ? -1 : a.loads.get(i) - a.loads.get(best);
+            if (a.loads.get(i) < Double.POSITIVE_INFINITY && gap <= 0 && sendable(now, a, a.probed.get(i))) {
+                ties = gap < 0 ? 1 : ties + 1;
+                best = chance.nextInt(ties) == 0 ? i : best;
             }
-            ties = load < least ? 1 : ties + 1;
-            if (chance.nextInt(ties) == 0) {
-                best = a.probed.get(i);
-            }
-            least = load;
         }
         if (a.secondLook) {
-            endSecondLook(now, a);
-        } else if (best != null) {
-            take(now, a, best, least);
+            a.secondLook = false;
+            look(a, now.plus(a.lookGap));
+        } else if (best >= 0) {
+            take(now, a, a.probed.get(best), a.loads.get(best));
         } else {
             // Nobody may be sent to just now: hold it, and begin again before long.
-            a.probed.clear();
-            a.loads.clear();
+            a.forgetSearch();
             held.add(a);
             look(a, now.plus(a.workload.promised.dividedBy(4)));
         }
@@ -311,11 +236,7 @@
     /** Whether the payoff B of another probe beats its cost CT + L̄·C. */
     boolean worthAnother(Assignment a) {
         int d = a.probed.size();
-        double qMin = Double.POSITIVE_INFINITY;
-        for (double load : a.loads) {
-            qMin = Math.min(qMin, load);
-        }
-        return d < PROBE_CAP && payoff(qMin, lambda(lambdaSeen, d), d) > cost();
+        return d < PROBE_CAP && payoff(Collections.min(a.loads), lambda(lambdaSeen, d), d) > cost();
     }
 
     double cost() {
@@ -343,40 +264,20 @@
         return Math.pow(lambda, d == 1 ? i : (Math.pow(d, i) - 1) / (d - 1));
     }
 
-    /** The runner's load: its reported queue, else its jobs in flight, else what we sent it, else the mean. */
+    /** The runner's load: its reported queue, else its jobs in flight, else what we sent, else the mean. */
     double load(Runner r) {
-        int waiting = 0;
-        for (Dispatch d : r.out) {
-            waiting += orders.tellsStart && d.startedAt == null ? 1 : 0;
-        }
         if (r.report != null && !Double.isNaN(r.report.queue())) {
-            return Math.max(r.report.queue(), waiting);
-        }
-        if (r.report != null && !Double.isNaN(r.report.inFlight())) {
+            return Math.max(r.report.queue(), orders.tellsStart ? r.waiting() : 0);
+        } else if (r.report != null && !Double.isNaN(r.report.inFlight())) {
             return Math.max(r.report.inFlight(), r.out.size());
         }
-        return r.everSent ? r.out.size() : meanSent();
-    }
-
-    private double meanSent() {
-        double sum = 0;
-        int n = 0;
-        for (Runner r : runners) {
-            if (r.everSent && r.mode == Runner.Mode.READY) {
-                sum += r.out.size();
-                n++;
-            }
-        }
-        return n == 0 ? 0 : sum / n;
+        return r.known ? r.out.size() : meanOut;
     }
 
     /** Idle: nothing queued, and enough free slots for this job where they are reported. */
     boolean idle(Runner r, double slots) {
-        double ours = 0;
-        for (Dispatch d : r.out) {
-            // A report is older than our last sends: what has not started yet waits there, seen or not.
-            ours += orders.tellsStart && d.startedAt == null ? d.assignment.slots : 0;
-        }
+        // A report is older than our last sends: what has not started yet waits there, seen or not.
+        double ours = orders.tellsStart ? r.slotsWaiting() : 0;
         LoadReport report = r.report;
         boolean queueKnown = report != null && !Double.isNaN(report.queue());
         if (report != null && !Double.isNaN(report.freeSlots())) {
@@ -385,26 +286,16 @@
         return queueKnown ? report.queue() + ours < 0.5 : load(r) < 0.5;
     }
 
+    /** A random runner to probe next: one in good standing, new to this assignment; else, at first, any. */
     private Runner pick(Duration now, Assignment a) {
-        int ready = 0;
-        int aside = 0;
-        for (Runner r : runners) {
-            ready += r.mode == Runner.Mode.READY ? 1 : 0;
-            aside += r.mode == Runner.Mode.READY && r.trickle != null ? 1 : 0;
-        }
-        boolean panic = 2 * aside > ready;  // when most do badly, it is not them: nobody is set aside
+        survey(now);
         List<Runner> good = new ArrayList<>();
         List<Runner> rest = new ArrayList<>();
         for (Runner r : runners) {
-            if (!sendable(now, a, r) || a.probed.contains(r)) {
-                continue;
-            }
-            boolean trusted = r.trickle == null || panic || now.compareTo(r.trickleAt) >= 0;
-            boolean fresh = true;
-            for (Dispatch d : a.dispatches) {
-                fresh &= d.runner != r;
+            if (!a.probed.contains(r) && sendable(now, a, r)) {
+                boolean trusted = r.trickle == null || mostAside || reached(now, r.trickleAt);
+                (trusted && !a.sentTo(r) ? good : rest).add(r);
             }
-            (trusted && fresh ? good : rest).add(r);
         }
         List<Runner> from = good.isEmpty() && a.probed.isEmpty() && !a.secondLook ? rest : good;
         return from.isEmpty() ? null : from.get(chance.nextInt(from.size()));
@@ -412,62 +303,45 @@
 
     /** Whether this assignment may go to this runner now: the list, its kind, rule 2 and the cold budget. */
     private boolean sendable(Duration now, Assignment a, Runner r) {
-        return r.mode == Runner.Mode.READY && (a.workload.kind == null || a.workload.kind.equals(r.kind))
-                && repeatable(now, a, r) && coldBudget(now, a, r);
+        return r.ready() && (a.workload.kind == null || a.workload.kind.equals(r.kind))
+                && repeatable(now, a, r) && withinColdBudget(now, a, r);
     }
 
     /** Rule 2: what may have run goes again only where a repeat is harmless. */
     boolean repeatable(Duration now, Assignment a, Runner r) {
         Workload w = a.workload;
+        if (w.repeat == Workload.Repeat.PURE || !a.mayHaveRun()) {
+            return true;
+        }
         for (Dispatch d : a.dispatches) {
-            boolean ran = d.outcome == null || !d.outcome.neverRan();
-            if (!ran || w.repeat == Workload.Repeat.PURE) {
-                continue;
-            }
-            boolean inGroup = w.group == Workload.Group.ALL
-                    || w.group == Workload.Group.ZONE && r.zone.equals(d.runner.zone)
-                    || w.group == Workload.Group.CELL && r.cell == d.runner.cell;
             Duration remembered = d.sentAt.plus(w.window).minus(orders.round.multipliedBy(4));
-            if (w.repeat == Workload.Repeat.EFFECTFUL || !inGroup || now.compareTo(remembered) >= 0) {
+            if (d.mayHaveRun() && (!w.sameGroup(r, d.runner) || reached(now, remembered))) {
                 return false;
             }
         }
-        return true;
+        return w.repeat == Workload.Repeat.RECEIPTED;
     }
 
     /** Rule 2: a shed reply says that trying again is harmless. */
     boolean mayShed(Assignment a) {
         Workload w = a.workload;
-        if (w.repeat == Workload.Repeat.PURE
-                || w.repeat == Workload.Repeat.RECEIPTED && w.group == Workload.Group.ALL) {
-            return true;
-        }
-        for (Dispatch d : a.dispatches) {
-            if (d.outcome == null || !d.outcome.neverRan()) {
-                return false;
-            }
-        }
-        return true;
+        return w.repeat == Workload.Repeat.PURE || !a.mayHaveRun()
+                || w.repeat == Workload.Repeat.RECEIPTED && w.group == Workload.Group.ALL;
     }
 
-    // ---- Taking a runner, or shedding.
+    // ---- Taking a runner, shedding, and going again.
 
     private void take(Duration now, Assignment a, Runner r, double load) {
-        Dispatch out = pending(a);
+        Dispatch out = a.pending();
+        touched.add(a);
         if (a.secondLook && out != null) {
-            // The first dispatch still waits or is silent; this one has an idle runner.
-            out.cancelWanted |= out.startedAt == null || !orders.parallel;
-            if (out.cancelWanted && !orders.cancels) {
-                endSecondLook(now, a);
-                return;
-            }
-            furtherTried++;
+            // The first dispatch still waits or is silent, and this runner is idle: move it, or copy it.
+            out.cancelWanted = out.startedAt == null || !orders.parallel;
         } else if (a.workload.lateImportance == 0 && mayShed(a)) {
-            // Guards against an overload in which all are served late: a shed now is worth more than a late answer.
-            double over = secs(elapsed(now, a)) + load * waitPerLoad - slack(a);
-            if (over > 0) {
-                Duration pause = orders.pauses ? ofSecs(load * waitPerLoad) : null;
-                answer(a, pause);
+            // Guards against an overload in which all end late: a shed now is worth more than a late answer.
+            double wait = load * waitPerLoad;
+            if (secs(elapsed(now, a)) + wait > slack(a)) {
+                answer(a, ofSecs(wait));
                 return;
             }
         }
@@ -478,14 +352,12 @@
 
     /** The time this client has been waiting over all its tries. */
     private Duration elapsed(Duration now, Assignment a) {
-        Duration budget = a.deadline.minus(a.arrivedAt);
-        return now.minus(a.arrivedAt).plus(rows.get(a.workload).patience.minus(budget));
+        return now.minus(a.arrivedAt).plus(rows.get(a.workload).patience.minus(a.patience()));
     }
 
     /** How long it may wait, in seconds, and still end in the promised time. */
     private double slack(Assignment a) {
-        double run = expectedRun(a);
-        return secs(a.workload.promised) + Math.max(-run, (a.workload.stretch - 1) * run);
+        return secs(a.workload.promised) + (a.workload.stretch - 1) * expectedRun(a);
     }
 
     private double expectedRun(Assignment a) {
@@ -495,320 +367,229 @@
 
     private void answer(Assignment a, Duration pause) {
         a.wantedAnswer = mayShed(a) ? Assignment.Answer.SHED : Assignment.Answer.GIVEN_UP;
-        a.wantedPause = pause;
-        a.wantedRunner = null;
-        a.wantedProbe = null;
+        a.wantedPause = orders.pauses && pause != null ? least(pause, orders.longestPause) : null;
+        touched.add(a);
     }
 
+    /** After a failure: again, rationed by how many recent further dispatches succeeded; else the answer. */
     private void furtherOrAnswer(Duration now, Assignment a) {
-        double success = (furtherGood + 1) / (furtherTried + 1);
-        boolean rationed = chance.nextDouble() > Math.max(0.125, success * 2);
-        if (a.dispatches.size() >= orders.mostDispatches || rationed || now.compareTo(lastCall(a)) >= 0) {
+        double ration = Math.max(0.125, 2 * (further.last() + 1) / (further.count() + 1));
+        if (a.dispatches.size() >= orders.mostDispatches || chance.nextDouble() > ration) {
             answer(a, null);
             return;
         }
-        furtherTried++;
-        a.probed.clear();
-        a.loads.clear();
+        a.secondLook = false;
+        a.forgetSearch();
         consider(now, a);
     }
 
-    // ---- Watching what is out.
-
+    /** Looks after a dispatch that is out: waiting too long, or silent, it is searched for anew beside it. */
     private void watch(Duration now, Assignment a, Dispatch out) {
-        boolean waiting = orders.tellsStart && out.startedAt == null;
-        Duration limit;
-        if (waiting) {
-            Duration wait = ofSecs(2 * out.load * waitPerLoad);
-            Duration half = a.workload.promised.dividedBy(2);
-            limit = out.sentAt.plus(wait.compareTo(half) > 0 ? wait : half);
-        } else if (orders.progressEvery.isZero()) {
-            return;
-        } else {
-            limit = out.heardAt.plus(orders.progressEvery.multipliedBy(3));
-        }
-        if (a.lookGap != null) {
-            limit = limit.plus(a.lookGap);
-        }
-        boolean may = a.dispatches.size() < orders.mostDispatches && !out.cancelWanted && out == lastOf(a)
-                && a.workload.repeat != Workload.Repeat.EFFECTFUL;
-        if (!may) {
+        boolean waiting = out.startedAt == null;
+        if (a.dispatches.size() >= orders.mostDispatches || out.cancelWanted || out != a.last()
+                || a.workload.repeat == Workload.Repeat.EFFECTFUL || !orders.cancels
+                || (waiting ? !orders.tellsStart : orders.progressEvery.isZero())) {
             return;
         }
-        if (now.compareTo(limit) < 0) {
+        Duration limit = waiting
+                ? out.sentAt.plus(most(ofSecs(2 * out.load * waitPerLoad), a.workload.promised.dividedBy(2)))
+                : out.heardAt.plus(orders.progressEvery.multipliedBy(3));
+        limit = a.lookGap == null ? limit : limit.plus(a.lookGap);
+        if (!reached(now, limit)) {
             look(a, limit);
             return;
         }
         if (!waiting) {
-            bad(now, out.runner, 1);
+            mark(now, out.runner, true);
         }
         a.lookGap = now.minus(out.sentAt);
         a.secondLook = true;
-        a.probed.clear();
-        a.loads.clear();
+        a.forgetSearch();
         search(now, a);
     }
 
-    private void endSecondLook(Duration now, Assignment a) {
-        a.secondLook = false;
-        look(a, now.plus(a.lookGap));
-    }
-
-    private static Dispatch lastOf(Assignment a) {
-        return a.dispatches.get(a.dispatches.size() - 1);
-    }
-
-    static Dispatch pending(Assignment a) {
-        for (Dispatch d : a.dispatches) {
-            if (d.outcome == null) {
-                return d;
-            }
-        }
-        return null;
-    }
-
     // ---- Learning: running times, and each runner's standing.
 
     private void learn(Duration now, Dispatch d) {
-        Runner r = d.runner;
         Assignment a = d.assignment;
+        if (d != a.dispatches.get(0)) {
+            further.add(d.outcome == Outcome.FULFILLED);
+        }
         switch (d.outcome) {
             case FULFILLED -> {
                 double run = secs(now.minus(d.startedAt == null ? d.sentAt : d.startedAt));
-                double usual = expectedRun(a);
                 Row row = rows.get(a.workload);
                 row.run = smooth(row.run, run);
+                row.runPerHint = a.hint == null ? 0 : smooth(row.runPerHint, run / secs(a.hint));
                 runningTime = smooth(runningTime, run);
-                if (a.hint != null) {
-                    row.runPerHint = smooth(row.runPerHint, run / secs(a.hint));
-                }
-                if (usual > 0) {
-                    r.slowness = 0.8 * r.slowness + 0.2 * Math.log(Math.max(run, 1e-4) / usual);
-                    r.slownessSeen++;
-                }
-                good(now, r);
-                furtherGood += a.dispatches.size() > 1 ? 1 : 0;
-                if (furtherTried > 32) {
-                    furtherTried /= 2;
-                    furtherGood /= 2;
-                }
+                mark(now, d.runner, false);
             }
-            case ERROR -> bad(now, r, 1);
-            case BROKEN, NOT_CONNECTED, TIMED_OUT -> bad(now, r, 2);
+            case ERROR, BROKEN, NOT_CONNECTED, TIMED_OUT -> mark(now, d.runner, true);
             default -> { }
         }
     }
 
-    private void good(Duration now, Runner r) {
-        r.good++;
-        if (r.good + r.bad > 16) {
-            r.good /= 2;
-            r.bad /= 2;
-        }
-        if (r.trickle != null) {
+    /** Notes how a dispatch went; a runner that fails often is set aside, with a trickle that doubles. */
+    private void mark(Duration now, Runner r, boolean failed) {
+        r.failures.add(failed);
+        if (r.trickle == null) {
+            boolean poor = r.failures.last() >= 2 && r.failures.last() > POOR * r.failures.count();
+            r.trickle = poor ? spell : null;
+        } else if (failed) {
+            r.trickle = least(r.trickle.multipliedBy(2), spell.multipliedBy(4));
+        } else if (r.trickle.compareTo(spell.dividedBy(8)) > 0) {
             r.trickle = r.trickle.dividedBy(2);
-            if (r.trickle.compareTo(base.dividedBy(16)) < 0) {
-                r.trickle = null;
-                r.bad = 0;
-            }
-        }
-    }
-
-    /** A failure counts; a runner with a poor share of them is set aside, and gets a trickle. */
-    private void bad(Duration now, Runner r, double weight) {
-        r.bad += weight;
-        if (r.trickle != null) {
-            Duration twice = r.trickle.multipliedBy(2);
-            r.trickle = twice.compareTo(base.multipliedBy(4)) < 0 ? twice : base.multipliedBy(4);
-            r.trickleAt = now.plus(r.trickle);
-        } else if (r.bad >= 2 && r.bad > 0.3 * (r.good + r.bad)) {
-            r.trickle = base;
-            r.trickleAt = now.plus(base);
+        } else {
+            r.trickle = null;
+            r.failures.clear();
         }
+        r.trickleAt = failed && r.trickle != null ? now.plus(r.trickle) : r.trickleAt;
     }
 
     // ---- Cold runners (rule 4).
 
     private double coldShare(Duration now, Runner r) {
-        if (r.startedAt == null || now.compareTo(r.startedAt.plus(orders.warmWithin)) >= 0) {
+        if (r.startedAt == null || reached(now, r.startedAt.plus(orders.warmWithin))) {
             return 1;
         }
         double age = Math.max(0, secs(now.minus(r.startedAt)) / secs(orders.warmWithin));
         return orders.coldFrom + (1 - orders.coldFrom) * age;
     }
 
-    /**
-     * Within the budget of a cold runner. What we send an average warm runner stands for our part of its
-     * capacity: if every dispatcher keeps its sends within multiple x share of that, all together keep the rule.
-     */
-    private boolean coldBudget(Duration now, Assignment a, Runner r) {
+    // What we send an average warm runner stands for our part of its capacity: if each dispatcher keeps its
+    // sends within multiple x cold share of that in every window, all of them together keep the rule.
+    private boolean withinColdBudget(Duration now, Assignment a, Runner r) {
         double share = coldShare(now, r);
         if (share >= 1) {
             return true;
         }
-        int warm = 0;
-        for (Runner other : runners) {
-            warm += other.mode == Runner.Mode.READY && coldShare(now, other) >= 1 ? 1 : 0;
-        }
-        if (warm == 0) {
+        survey(now);
+        if (warmRate == 0) {
             return r.out.isEmpty();
         }
-        double rate = workSent * fade(now) / secs(orders.warmWithin) / warm;
-        double budget = 0.6 * orders.tipMultiple * share * rate * secs(orders.fall);
-        Deque<double[]> sends = coldSends.computeIfAbsent(r, x -> new ArrayDeque<>());
-        while (!sends.isEmpty() && sends.peek()[0] < secs(now) - secs(orders.fall)) {
-            sends.poll();
-        }
-        double spent = work(a);
-        for (double[] send : sends) {
-            spent += send[1];
+        double budget = COLD_CAUTION * orders.tipMultiple * share * warmRate * secs(orders.fall);
+        return r.coldWork(now.minus(orders.fall)) + work(a) <= budget;
+    }
+
+    /** Once a round: the work a second that goes to a warm runner, and whether most are set aside. */
+    private void survey(Duration now) {
+        if (now.equals(surveyedAt)) {
+            return;
         }
-        return spent <= budget;
+        surveyedAt = now;
+        List<Runner> ready = runners.stream().filter(Runner::ready).toList();
+        long aside = ready.stream().filter(r -> r.trickle != null).count();
+        long warm = ready.stream().filter(r -> coldShare(now, r) >= 1).count();
+        warmRate = warm == 0 ? 0 : workSent * fade(now) / secs(orders.warmWithin) / warm;
+        meanOut = ready.stream().filter(r -> r.known).mapToInt(r -> r.out.size()).average().orElse(0);
+        mostAside = 2 * aside > ready.size();  // when most do badly it is not them: then nobody is set aside
     }
 
     private double work(Assignment a) {
-        double run = expectedRun(a);
-        return (run == 0 ? 1 : run) * a.slots;
+        return a.slots * (runningTime == 0 ? 1 : expectedRun(a));
     }
 
     private double fade(Duration now) {
         return Math.exp(-secs(now.minus(workSentAt)) / secs(orders.warmWithin));
     }
 
-    private void countSend(Duration now, Assignment a, Runner r) {
-        if (coldShare(now, r) < 1) {
-            coldSends.computeIfAbsent(r, x -> new ArrayDeque<>()).add(new double[] {secs(now), work(a)});
-        } else if (!orders.warmWithin.isZero()) {
-            workSent = workSent * fade(now) + work(a);
-            workSentAt = now;
-        }
-    }
-
     // ---- The one place that acts: the difference between what is wanted and what is.
 
     public void settle(Duration now) {
         if (askAt != null) {
-            if (now.compareTo(askAt) >= 0 && !subscribed) {
+            if (reached(now, askAt)) {
                 door.subscribe(true);
                 askAt = now.plus(orders.askWithin.dividedBy(2));  // asked again should no answer come
             }
             door.wake(askAt.minus(now), this);
         }
-        for (Assignment a : List.copyOf(touched)) {
-            settle(now, a);
-        }
+        List.copyOf(touched).forEach(a -> settle(now, a));
         touched.clear();
     }
 
     private void settle(Duration now, Assignment a) {
         if (!a.closed && a.wantedAnswer != null) {
-            a.closed = true;
-            held.remove(a);
-            cancelAll(a);
+            close(a);
             if (a.wantedAnswer == Assignment.Answer.SHED) {
                 door.shed(a, a.wantedPause);
             } else {
                 door.giveUp(a);
             }
-            return;
+        }
+        for (Dispatch d : a.dispatches) {
+            if (d.cancelWanted && !d.cancelSent && d.outcome == null && orders.cancels) {
+                d.cancelSent = true;
+                door.cancel(d);
+            }
         }
         if (a.closed) {
-            cancelAll(a);
             return;
         }
-        for (Dispatch d : a.dispatches) {
-            cancel(d);
-        }
-        if (a.wantedRunner != null && (orders.parallel || pending(a) == null)) {
+        if (a.wantedRunner != null && (orders.parallel || a.pending() == null)) {
             Runner r = a.wantedRunner;
             a.wantedRunner = null;
-            if (sendable(now, a, r)) {  // re-checked: the list, the window or the budget may have changed since
+            if (sendable(now, a, r)) {  // re-checked: list, window or budget may have changed since
                 dispatch(now, a, r);
             } else {
-                a.probed.clear();
-                a.loads.clear();
+                a.forgetSearch();
                 consider(now, a);
             }
         }
         if (a.wantedProbe != null) {
-            Runner r = a.wantedProbe;
-            a.wantedProbe = null;
-            a.asked = r;
+            a.asked = a.wantedProbe;
             a.askedAt = now;
-            r.asking.add(a);
-            door.probe(r);
+            a.wantedProbe = null;
+            a.asked.asking.add(a);
+            door.probe(a.asked);
         }
         if (a.wantedLook != null && (a.timerAt == null || a.wantedLook.compareTo(a.timerAt) < 0)) {
             a.timerAt = a.wantedLook;
-            Duration after = a.wantedLook.minus(now);
-            door.wake(after.isNegative() ? Duration.ZERO : after, a);
+            door.wake(most(Duration.ZERO, a.wantedLook.minus(now)), a);
         }
     }
 
     private void dispatch(Duration now, Assignment a, Runner r) {
-        countSend(now, a, r);
-        Dispatch d = new Dispatch(a, r, now);
-        d.load = a.wantedLoad;
+        Dispatch d = new Dispatch(a, r, now, work(a), a.wantedLoad);
+        if (coldShare(now, r) < 1) {
+            r.coldSends.add(d);
+        } else if (!orders.warmWithin.isZero()) {
+            workSent = workSent * fade(now) + d.work;
+            workSentAt = now;
+        }
         a.dispatches.add(d);
         r.out.add(d);
-        r.everSent = true;
-        held.remove(a);
-        if (r.trickle != null) {
-            r.trickleAt = now.plus(r.trickle);
-        }
-        a.wantedLook = lastCall(a);
+        r.known = true;
+        r.trickleAt = r.trickle == null ? r.trickleAt : now.plus(r.trickle);
         a.lookGap = null;
+        held.remove(a);
         door.dispatch(d, null);
-        watch(now, a, d);
+        consider(now, a);
     }
 
-    private void cancelAll(Assignment a) {
-        for (Dispatch d : a.dispatches) {
-            d.cancelWanted |= d.outcome == null && !(a.streaming && d == lastOf(a));
-            cancel(d);
-        }
+    /** The assignment is over: nothing more goes out for it, and what is out is called off. */
+    private void close(Assignment a) {
+        a.closed = true;
+        held.remove(a);
+        cancelAll(a, a.streaming ? a.last() : null);
     }
 
-    private void cancel(Dispatch d) {
-        if (d.cancelWanted && !d.cancelSent && d.outcome == null && orders.cancels) {
-            d.cancelSent = true;
-            door.cancel(d);
-        }
+    private void cancelAll(Assignment a, Dispatch but) {
+        a.dispatches.forEach(d -> d.cancelWanted |= d != but && d.outcome == null);
+        touched.add(a);
     }
 
-    // ---- Small helpers.
-
+    /** How long a probe may hold an assignment: a few usual round trips, a part of the promised time. */
     private Duration probeLimit(Assignment a) {
         Duration most = a.workload.promised.dividedBy(4);
-        if (roundTrip == 0) {
-            return most;
-        }
-        Duration usual = ofSecs(3 * roundTrip).plus(orders.round.multipliedBy(2));
-        return usual.compareTo(most) < 0 ? usual : most;
+        return roundTrip == 0 ? most : least(most, ofSecs(3 * roundTrip).plus(orders.round.multipliedBy(2)));
     }
 
     private void look(Assignment a, Duration at) {
-        touch(a);
-        a.wantedLook = a.wantedLook == null || at.compareTo(a.wantedLook) < 0 ? at : a.wantedLook;
-    }
-
-    private void touch(Assignment a) {
         touched.add(a);
+        a.wantedLook = a.wantedLook == null ? at : least(at, a.wantedLook);
     }
 
     static double smooth(double old, double sample) {
         return ALPHA * old + (1 - ALPHA) * sample;
     }
-
-    static double secs(Duration span) {
-        return span.toNanos() / 1e9;
-    }
-
-    static Duration ofSecs(double seconds) {
-        return Duration.ofNanos((long) (seconds * 1e9));
-    }
-
-    private static Duration scaled(Duration span, double by) {
-        return ofSecs(secs(span) * by);
-    }
 }
--- a/src/main/java/saltdale/model/Assignment.java
+++ b/src/main/java/saltdale/model/Assignment.java
@@ -51,4 +51,53 @@
         this.arrivedAt = arrivedAt;
         this.deadline = arrivedAt.plus(patience);
     }
+
+    /** The first dispatch that is still out; null where none is. */
+    public Dispatch pending() {
+        for (Dispatch d : dispatches) {
+            if (d.outcome == null) {
+                return d;
+            }
+        }
+        return null;
+    }
+
+    public Dispatch last() {
+        return dispatches.get(dispatches.size() - 1);
+    }
+
+    public boolean sentTo(Runner runner) {
+        for (Dispatch d : dispatches) {
+            if (d.runner == runner) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** True where some dispatch may have run, for all that is known. */
+    public boolean mayHaveRun() {
+        for (Dispatch d : dispatches) {
+            if (d.mayHaveRun()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    public void found(Runner runner, double load) {
+        probed.add(runner);
+        loads.add(load);
+    }
+
+    public void forgetSearch() {
+        probed.clear();
+        loads.clear();
+        wantedRunner = null;
+    }
+
+    /** The client's patience with this try. */
+    public Duration patience() {
+        return deadline.minus(arrivedAt);
+    }
 }
--- a/src/main/java/saltdale/model/Dispatch.java
+++ b/src/main/java/saltdale/model/Dispatch.java
@@ -7,23 +7,29 @@
     public final Assignment assignment;
     public final Runner runner;
     public final Duration sentAt;
+    /** The work expected of it, in slot seconds. */
+    public final double work;
     /** The load of the runner when it was chosen. */
-    public double load;
+    public final double load;
     /** Null until the runner says that the work has begun. */
     public Duration startedAt;
     /** When the runner was last heard to be working on it. */
     public Duration heardAt;
-    /** The share done, where the runner tells it. */
-    public double done;
     /** Null while it is out. */
     public Outcome outcome;
     public boolean cancelWanted;
     public boolean cancelSent;
 
-    public Dispatch(Assignment assignment, Runner runner, Duration sentAt) {
+    public Dispatch(Assignment assignment, Runner runner, Duration sentAt, double work, double load) {
         this.assignment = assignment;
         this.runner = runner;
         this.sentAt = sentAt;
+        this.work = work;
+        this.load = load;
         this.heardAt = sentAt;
     }
+
+    public boolean mayHaveRun() {
+        return outcome == null || !outcome.neverRan();
+    }
 }
--- a/src/main/java/saltdale/model/Histogram.java
+++ b/src/main/java/saltdale/model/Histogram.java
@@ -2,15 +2,25 @@
 
 /** Counts in a few bins whose bounds double; halved once it has seen enough, so that old figures fade. */
 public final class Histogram {
-    private static final double ENOUGH = 256;
     private final double first;
     private final double[] bins;
+    private final double enough;
     private double total;
 
     /** The first bin holds all below {@code first}; each further one reaches twice as far; the last is open. */
-    public Histogram(double first, int size) {
+    public Histogram(double first, int size, double enough) {
         this.first = first;
         this.bins = new double[size];
+        this.enough = enough;
+    }
+
+    /** A histogram of yes and no: two bins, for {@link #add(boolean)}. */
+    public static Histogram ofOdds(double enough) {
+        return new Histogram(1, 2, enough);
+    }
+
+    public void add(boolean yes) {
+        add(yes ? 1 : 0);
     }
 
     public void add(double value) {
@@ -20,7 +30,7 @@
         }
         bins[i]++;
         total++;
-        if (total >= ENOUGH) {
+        if (total >= enough) {
             total = 0;
             for (int j = 0; j < bins.length; j++) {
                 bins[j] /= 2;
@@ -29,23 +39,17 @@
         }
     }
 
+    public void clear() {
+        java.util.Arrays.fill(bins, 0);
+        total = 0;
+    }
+
     public double count() {
         return total;
     }
 
-    /** The value below which this share of the counts lies, read evenly within its bin; 0 while empty. */
-    public double quantile(double share) {
-        double left = share * total;
-        double from = 0;
-        double to = first;
-        for (int i = 0; i < bins.length; i++) {
-            if (bins[i] > 0 && left <= bins[i]) {
-                return from + (to - from) * left / bins[i];
-            }
-            left -= bins[i];
-            from = to;
-            to *= 2;
-        }
-        return total == 0 ? 0 : from;
+    /** The count of the last bin: the yes of a histogram of odds. */
+    public double last() {
+        return bins[bins.length - 1];
     }
 }
--- a/src/main/java/saltdale/model/Runner.java
+++ b/src/main/java/saltdale/model/Runner.java
@@ -25,17 +25,61 @@
     /** The last load report; null where none has come. */
     public LoadReport report;
     public Duration reportAt;
-    public boolean everSent;
-    /** Recent dispatches that went well and badly, halved now and then. */
-    public double good;
-    public double bad;
+    /** It has been sent to or has answered a probe. */
+    public boolean known;
+    /** Whether its recent dispatches failed. */
+    public final Histogram failures = Histogram.ofOdds(16);
     /** The gap of the trickle to a runner set aside; null for a runner in good standing. */
     public Duration trickle;
     public Duration trickleAt = Duration.ZERO;
-    /** The smoothed logarithm of its running times over those usual for the workload. */
-    public double slowness;
-    public double slownessSeen;
-    /** What the cold budget still allows, and when that was last reckoned. */
-    public double coldTokens;
-    public Duration coldAt;
+    /** What was sent to it while it was cold. */
+    public final Deque<Dispatch> coldSends = new ArrayDeque<>();
+
+    /** Takes over what the list says; a fresh process has no record. */
+    public void sighted(Sighting s) {
+        if (s.startedAt() != null && !s.startedAt().equals(startedAt)) {
+            failures.clear();
+            trickle = null;
+        }
+        kind = s.kind();
+        zone = s.zone();
+        power = s.power();
+        cell = s.cell();
+        startedAt = s.startedAt();
+        mode = s.mode();
+    }
+
+    public boolean ready() {
+        return mode == Mode.READY;
+    }
+
+    /** The slots of our dispatches that it has not said to have begun. */
+    public double slotsWaiting() {
+        double slots = 0;
+        for (Dispatch d : out) {
+            slots += d.startedAt == null ? d.assignment.slots : 0;
+        }
+        return slots;
+    }
+
+    /** Our dispatches that it has not said to have begun. */
+    public int waiting() {
+        int waiting = 0;
+        for (Dispatch d : out) {
+            waiting += d.startedAt == null ? 1 : 0;
+        }
+        return waiting;
+    }
+
+    /** The work sent to it while cold since then; what is older is dropped. */
+    public double coldWork(Duration since) {
+        while (!coldSends.isEmpty() && coldSends.peek().sentAt.compareTo(since) <= 0) {
+            coldSends.poll();
+        }
+        double work = 0;
+        for (Dispatch d : coldSends) {
+            work += d.work;
+        }
+        return work;
+    }
 }
--- a/src/main/java/saltdale/model/Workload.java
+++ b/src/main/java/saltdale/model/Workload.java
@@ -25,4 +25,13 @@
     public boolean streamed;
     /** The machine kind it needs; null for any. */
     public String kind;
+
+    /** Whether the one recognises a receipt that the other has seen. */
+    public boolean sameGroup(Runner one, Runner other) {
+        return switch (group) {
+            case ALL -> true;
+            case ZONE -> one.zone.equals(other.zone);
+            case CELL -> one.cell == other.cell;
+        };
+    }
 }
--- a/src/main/java/saltdale/sim/Instance.java
+++ b/src/main/java/saltdale/sim/Instance.java
@@ -100,7 +100,10 @@
                     dispatcher.woken(now, what);
                 }
             }
-            case "Peer" -> dispatcher.told(now, (int) event.whole(2, "Author"), event.text(3, "Bytes", ""));
+            case "Peer" -> {
+                event.whole(2, "Author");
+                event.text(3, "Bytes", "");  // messages between dispatchers carry nothing yet
+            }
             default -> throw new IllegalStateException(name);
         }
     }
@@ -186,7 +189,7 @@
         if (sort == 1) {
             dispatcher.started(now, dispatch);
         } else if (sort == 2) {
-            dispatcher.progressed(now, dispatch, event.number(6, "Value", 0));
+            dispatcher.progressed(now, dispatch);
         }
     }
 
--- a/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/src/test/java/saltdale/decision/DispatcherTest.java
@@ -98,7 +98,7 @@
         runner.report = new LoadReport(Double.NaN, 5, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
         assertEquals(5, dispatcher.load(runner));
         runner.report = null;
-        runner.everSent = true;
+        runner.known = true;
         scene.sentTo(runner);
         assertEquals(1, dispatcher.load(runner));
     }
@@ -242,9 +242,7 @@
     @Test
     void whatCannotBeInTimeIsShedAtOnce() {
         Dispatcher dispatcher = scene.with(1);
-        Assignment waited = scene.sentTo(dispatcher.runners.get(0));
-        waited.dispatches.get(0).load = 0.5;
-        dispatcher.started(Scene.at(60000), waited.dispatches.get(0));
+        dispatcher.waitPerLoad = 0.5;
         Assignment a = scene.assignment();
         dispatcher.arrived(Scene.at(0), a);
         dispatcher.settle(Scene.at(0));
--- a/src/test/java/saltdale/decision/Scene.java
+++ b/src/test/java/saltdale/decision/Scene.java
@@ -66,7 +66,7 @@
     /** An assignment that has been dispatched to this runner and not heard of since. */
     Assignment sentTo(Runner runner) {
         Assignment a = assignment();
-        Dispatch d = new Dispatch(a, runner, at(0));
+        Dispatch d = new Dispatch(a, runner, at(0), 1, 0);
         a.dispatches.add(d);
         runner.out.add(d);
         return a;
