Probe our own zone first while crossing zones has a price

Cause: half the dispatches crossed zones, at 1 to 2 points of 100 and a longer way, where an idle runner stood near. Change: the first half of the probes is drawn at random from the ready runners of our own zone.

--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -286,7 +286,10 @@
         return queueKnown ? report.queue() + ours < 0.5 : load(r) < 0.5;
     }
 
-    /** A random runner to probe next: one in good standing, new to this assignment; else, at first, any. */
+    /**
+     * A random runner to probe next: one in good standing, new to this assignment; else, at first, any. While
+     * crossing zones has a price, the first half of the probes goes to our own zone, if it has one to give.
+     */
     private Runner pick(Duration now, Assignment a) {
         survey(now);
         List<Runner> good = new ArrayList<>();
@@ -297,6 +300,10 @@
                 (trusted && !a.sentTo(r) ? good : rest).add(r);
             }
         }
+        if (orders.crossZonePrice > 0 && 2 * a.probed.size() < PROBE_CAP) {
+            List<Runner> near = good.stream().filter(r -> r.zone.equals(orders.zone)).toList();
+            good = near.isEmpty() ? good : near;
+        }
         List<Runner> from = good.isEmpty() && a.probed.isEmpty() && !a.secondLook ? rest : good;
         return from.isEmpty() ? null : from.get(chance.nextInt(from.size()));
     }
