--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -13,7 +13,7 @@
     // The design's figures, under its own names.
     static final double C = 0.003;
     static final double ALPHA = 0.9;
-    static final int PROBE_CAP = 2;
+    static final int PROBE_CAP = 4;
     static final double LAMBDA_MOST = 0.999;
     /** The part of a cold runner's guessed budget that is used. */
     static final double COLD_CAUTION = 0.6;
