--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -267,7 +267,8 @@
     /** The runner's load: its reported queue, else its jobs in flight, else what we sent, else the mean. */
     double load(Runner r) {
         if (r.report != null && !Double.isNaN(r.report.queue())) {
-            return Math.max(r.report.queue(), orders.tellsStart ? r.waiting() : 0);
+            // Guards against late reports: as many of each other dispatcher's jobs may wait there as of ours.
+            return Math.max(r.report.queue(), orders.tellsStart ? r.waiting() * orders.dispatchers : 0);
         } else if (r.report != null && !Double.isNaN(r.report.inFlight())) {
             return Math.max(r.report.inFlight(), r.out.size());
         }
