--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -400,7 +400,7 @@
             return;
         }
         Duration limit = waiting
-                ? out.sentAt.plus(most(ofSecs(2 * out.load * waitPerLoad), ofSecs(slack(a) / 2)))
+                ? out.sentAt.plus(most(ofSecs(2 * out.load * waitPerLoad), a.workload.promised.dividedBy(2)))
                 : out.heardAt.plus(orders.progressEvery.multipliedBy(3));
         limit = a.lookGap == null ? limit : limit.plus(a.lookGap);
         if (!reached(now, limit)) {
