--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -197,7 +197,7 @@
             a.found(a.asked, 2 * meanQueue + 1);
             a.asked = null;
         }
-        while (a.probed.isEmpty() || worthAnother(a) && (!a.secondLook || a.probed.size() < PROBE_CAP / 2)) {
+        while (a.probed.isEmpty() || worthAnother(a)) {
             Runner next = pick(now, a);
             if (next == null) {
                 break;
