Shed at once what still waits at a runner when its promised time is out of reach

Change: where a late answer earns nothing and a shed reply is harmless, a dispatch that has not started by then is called off and shed.

--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -393,10 +393,19 @@
 
     /** Looks after a dispatch that is out: waiting too long, or silent, it is searched for anew beside it. */
     private void watch(Duration now, Assignment a, Dispatch out) {
-        boolean waiting = out.startedAt == null;
+        boolean waiting = orders.tellsStart && out.startedAt == null;
+        double left = slack(a) - secs(elapsed(now, a));
+        if (waiting && a.workload.lateImportance == 0 && mayShed(a)) {
+            // Guards against runners spending an overload on what waited too long to be worth anything.
+            if (left <= 0) {
+                answer(a, null);
+                return;
+            }
+            look(a, now.plus(ofSecs(left)));
+        }
         if (a.dispatches.size() >= orders.mostDispatches || out.cancelWanted || out != a.last()
                 || a.workload.repeat == Workload.Repeat.EFFECTFUL || !orders.cancels
-                || (waiting ? !orders.tellsStart : orders.progressEvery.isZero())) {
+                || !waiting && orders.progressEvery.isZero()) {
             return;
         }
         Duration limit = waiting
