--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -23,7 +23,7 @@
     static final class Row {  // one a workload
         double run;  // smoothed running time in seconds, 0 until one has ended
         double runPerHint;
-        Duration patience = Duration.ZERO;  // what a first try comes with
+        Duration patience = Duration.ZERO;  // the longest a client has come with: that of a first try
     }
 
     private final StandingOrders orders;
@@ -96,12 +96,7 @@
 
     public void arrived(Duration now, Assignment a) {
         Row row = rows.get(a.workload);
-        if (!orders.repeatsMarked) {
-            row.patience = most(row.patience, a.patience());
-        } else if (!a.repeated) {
-            // Guards against taking impatient clients' first tries for late repeats: the shortest of late counts.
-            row.patience = least(a.patience(), row.patience.multipliedBy(17).dividedBy(16).plus(orders.round));
-        }
+        row.patience = most(row.patience, a.patience());
         consider(now, a);
     }
 
@@ -365,9 +360,7 @@
 
     /** The time this client has been waiting over all its tries. */
     private Duration elapsed(Duration now, Assignment a) {
-        Duration before = rows.get(a.workload).patience.minus(a.patience());
-        boolean first = orders.repeatsMarked && !a.repeated || before.isNegative();
-        return now.minus(a.arrivedAt).plus(first ? Duration.ZERO : before);
+        return now.minus(a.arrivedAt).plus(rows.get(a.workload).patience.minus(a.patience()));
     }
 
     /** How long it may wait, in seconds, and still end in the promised time. */
--- a/src/main/java/saltdale/model/StandingOrders.java
+++ b/src/main/java/saltdale/model/StandingOrders.java
@@ -19,9 +19,6 @@
     public boolean mustSubscribe;
     public Duration askWithin = Duration.ofSeconds(10);
 
-    /** Whether clients mark their repeats. */
-    public boolean repeatsMarked;
-
     // What is permitted.
     public boolean probes = true;
     public boolean cancels = true;
--- a/src/main/java/saltdale/sim/OrdersReader.java
+++ b/src/main/java/saltdale/sim/OrdersReader.java
@@ -21,8 +21,6 @@
         orders.importanceByWork = options.text("ImportanceBasis", "request").equals("work");
         orders.beyondShare = options.number("BeyondShareImportance", 1);
 
-        orders.repeatsMarked = options.object("Callers").flag("MarksRetry", false);
-
         Fields limits = options.object("Limits");
         orders.probes = limits.flag("Probes", false);
         orders.cancels = limits.flag("MayCancel", false);
