Bear less waiting while jobs run longer than they usually do

Seen from: every kind of runner and both zones late alike, no change in the list, so neither single runners nor a zone. Change: the slack takes the stretch of the usual running time and takes off the present one; one job counts at most four times the usual, so that a heavy tail does not look like a slowdown.

--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -22,6 +22,7 @@
 
     static final class Row {  // one a workload
         double run;  // smoothed running time in seconds, 0 until one has ended
+        double usual;  // the same over a much longer time
         double runPerHint;
         Duration patience = Duration.ZERO;  // the longest a client has come with: that of a first try
     }
@@ -363,9 +364,11 @@
         return now.minus(a.arrivedAt).plus(rows.get(a.workload).patience.minus(a.patience()));
     }
 
-    /** How long it may wait, in seconds, and still end in the promised time. */
+    /** How long it may wait, in seconds, and still end in the promised time; less while all run slowly. */
     private double slack(Assignment a) {
-        return secs(a.workload.promised) + (a.workload.stretch - 1) * expectedRun(a);
+        Row row = rows.get(a.workload);
+        double slowed = row.usual == 0 ? 1 : Math.max(1, row.run / row.usual);
+        return secs(a.workload.promised) + (a.workload.stretch / slowed - 1) * expectedRun(a);
     }
 
     private double expectedRun(Assignment a) {
@@ -436,7 +439,9 @@
             case FULFILLED -> {
                 double run = secs(now.minus(d.startedAt == null ? d.sentAt : d.startedAt));
                 Row row = rows.get(a.workload);
-                row.run = smooth(row.run, run);
+                double tame = row.usual == 0 ? run : Math.min(run, 4 * row.usual);  // tails mislead means
+                row.run = row.usual == 0 ? run : row.run + 0.03 * (tame - row.run);
+                row.usual = row.usual == 0 ? run : row.usual + 0.003 * (tame - row.usual);
                 row.runPerHint = a.hint == null ? 0 : smooth(row.runPerHint, run / secs(a.hint));
                 runningTime = smooth(runningTime, run);
                 mark(now, d.runner, false);
@@ -465,27 +470,16 @@
 
     // ---- Cold runners (rule 4).
 
-    private double coldShare(Duration now, Runner r) {
-        if (r.startedAt == null || reached(now, r.startedAt.plus(orders.warmWithin))) {
-            return 1;
-        }
-        double age = Math.max(0, secs(now.minus(r.startedAt)) / secs(orders.warmWithin));
-        return orders.coldFrom + (1 - orders.coldFrom) * age;
-    }
-
     // What we send an average warm runner stands for our part of its capacity: if each dispatcher keeps its
     // sends within multiple x cold share of that in every window, all of them together keep the rule.
     private boolean withinColdBudget(Duration now, Assignment a, Runner r) {
-        double share = coldShare(now, r);
+        double share = orders.warmth(now, r);
         if (share >= 1) {
             return true;
         }
         survey(now);
-        if (warmRate == 0) {
-            return r.out.isEmpty();
-        }
         double budget = COLD_CAUTION * orders.tipMultiple * share * warmRate * secs(orders.fall);
-        return r.coldWork(now.minus(orders.fall)) + work(a) <= budget;
+        return r.coldWork(now.minus(orders.fall)) + work(a) <= budget || warmRate == 0 && r.out.isEmpty();
     }
 
     /** Once a round: the work a second that goes to a warm runner, and whether most are set aside. */
@@ -496,7 +490,7 @@
         surveyedAt = now;
         List<Runner> ready = runners.stream().filter(Runner::ready).toList();
         long aside = ready.stream().filter(r -> r.trickle != null).count();
-        long warm = ready.stream().filter(r -> coldShare(now, r) >= 1).count();
+        long warm = ready.stream().filter(r -> orders.warmth(now, r) >= 1).count();
         warmRate = warm == 0 ? 0 : workSent * fade(now) / secs(orders.warmWithin) / warm;
         meanOut = ready.stream().filter(r -> r.known).mapToInt(r -> r.out.size()).average().orElse(0);
         mostAside = 2 * aside > ready.size();  // when most do badly it is not them: then nobody is set aside
@@ -567,7 +561,7 @@
 
     private void dispatch(Duration now, Assignment a, Runner r) {
         Dispatch d = new Dispatch(a, r, now, work(a), a.wantedLoad);
-        if (coldShare(now, r) < 1) {
+        if (orders.warmth(now, r) < 1) {
             r.coldSends.add(d);
         } else if (!orders.warmWithin.isZero()) {
             workSent = workSent * fade(now) + d.work;
--- a/src/main/java/saltdale/model/StandingOrders.java
+++ b/src/main/java/saltdale/model/StandingOrders.java
@@ -45,4 +45,13 @@
     public double crossZonePrice;
     public double probePrice;
     public double wastePrice;
+
+    /** The least share of its full capacity that a runner can have by now: 1 once it must be warm. */
+    public double warmth(Duration now, Runner runner) {
+        if (runner.startedAt == null || Spans.reached(now, runner.startedAt.plus(warmWithin))) {
+            return 1;
+        }
+        double age = Math.max(0, Spans.secs(now.minus(runner.startedAt)) / Spans.secs(warmWithin));
+        return coldFrom + (1 - coldFrom) * age;
+    }
 }
