--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -11,7 +11,7 @@
 
 public final class Dispatcher {
     // The design's figures, under its own names.
-    static final double C = 0.05;
+    static final double C = 0.003;
     static final double ALPHA = 0.9;
     static final int PROBE_CAP = 4;
     static final double LAMBDA_MOST = 0.999;
