Count a busy runner with an empty queue as half a job waiting

Cause: a runner with all slots taken and nothing queued counts as a load of 0, at which the payoff of another probe is nothing, so the search stopped before an idle runner.

--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -150,7 +150,8 @@
             if (!a.closed && answered && idle(r, a.slots) && sendable(now, a, r)) {
                 take(now, a, r, 0);
             } else if (!a.closed) {
-                a.found(r, load);
+                // Guards against an empty queue before full slots being taken for the best there is.
+                a.found(r, Math.max(load, 0.5));
                 search(now, a);
             }
         }
