--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -33,7 +33,6 @@
     final List<Runner> runners = new ArrayList<>();
     private final Map<Workload, Row> rows = new HashMap<>();
     private final Set<Assignment> touched = new LinkedHashSet<>();
-    private final Set<Assignment> held = new LinkedHashSet<>();
     // Smoothed, for the design: λ', L̄, and the probe round trip and running time whose ratio is CT.
     double lambdaSeen;
     double meanQueue;
@@ -86,7 +85,6 @@
             askGap = orders.askWithin.dividedBy(20);
         }
         surveyedAt = null;
-        List.copyOf(held).forEach(a -> consider(now, a));
     }
 
     public void listFailed(Duration now) {
@@ -230,7 +228,6 @@
         } else {
             // Nobody may be sent to just now: hold it, and begin again before long.
             a.forgetSearch();
-            held.add(a);
             look(a, now.plus(a.workload.promised.dividedBy(4)));
         }
     }
@@ -385,7 +382,7 @@
 
     /** After a failure: again, rationed by how many recent further dispatches succeeded; else the answer. */
     private void furtherOrAnswer(Duration now, Assignment a) {
-        double ration = Math.max(0.125, 2 * (further.last() + 1) / (further.count() + 1));
+        double ration = (further.last() + 1) / (further.count() + 1);
         if (a.dispatches.size() >= orders.mostDispatches || chance.nextDouble() > ration) {
             answer(a, null);
             return;
@@ -573,7 +570,6 @@
         r.known = true;
         r.trickleAt = r.trickle == null ? r.trickleAt : now.plus(r.trickle);
         a.lookGap = null;
-        held.remove(a);
         door.dispatch(d, null);
         consider(now, a);
     }
@@ -581,7 +577,6 @@
     /** The assignment is over: nothing more goes out for it, and what is out is called off. */
     private void close(Assignment a) {
         a.closed = true;
-        held.remove(a);
         cancelAll(a, a.streaming ? a.last() : null);
     }
 
