--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -344,12 +344,10 @@
         if (a.secondLook && out != null) {
             // The first dispatch still waits or is silent, and this runner is idle: move it, or copy it.
             out.cancelWanted = out.startedAt == null || !orders.parallel;
-        } else if (mayShed(a)) {
-            // Guards against an overload in which all end late: a shed now is worth more than a late answer. Where
-            // a late answer earns a part, that part of the patience is borne besides.
+        } else if (a.workload.lateImportance == 0 && mayShed(a)) {
+            // Guards against an overload in which all end late: a shed now is worth more than a late answer.
             double wait = load * waitPerLoad;
-            double borne = a.workload.lateImportance * secs(a.workload.patience);
-            if (secs(elapsed(now, a)) + wait > slack(a) + borne) {
+            if (secs(elapsed(now, a)) + wait > slack(a)) {
                 answer(a, ofSecs(wait));
                 return;
             }
