--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -15,10 +15,9 @@
     static final double ALPHA = 0.9;
     static final int PROBE_CAP = 4;
     static final double LAMBDA_MOST = 0.999;
-    /** The part of a cold runner's guessed budget that is used. */
-    static final double COLD_CAUTION = 0.6;
-    /** A runner whose recent dispatches fail more than this share is set aside. */
-    static final double POOR = 0.3;
+    static final double COLD_CAUTION = 0.6;  // the part of a cold runner's guessed budget that is used
+    static final double SCARCE = 0.95;  // busy share above which a second look costs more than it finds
+    static final double POOR = 0.3;  // a runner whose recent dispatches fail more than this share is set aside
 
     static final class Row {  // one a workload
         double run;  // smoothed running time in seconds, 0 until one has ended
@@ -421,6 +420,10 @@
             mark(now, out.runner, true);
         }
         a.lookGap = now.minus(out.sentAt);
+        if (lambdaSeen > SCARCE) {  // guards against an overload spending itself on probes
+            look(a, now.plus(a.lookGap));
+            return;
+        }
         a.secondLook = true;
         a.forgetSearch();
         search(now, a);
