--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -17,7 +17,7 @@
     static final double LAMBDA_MOST = 0.999;
     static final double COLD_CAUTION = 0.6;  // the part of a cold runner's guessed budget that is used
     static final double SCARCE = 0.95;  // busy share above which a second look costs more than it finds
-    static final double POOR = 0.3;  // a runner failing more than this share of late is set aside
+    static final double POOR = 0.3;  // a runner whose recent dispatches fail more than this share is set aside
 
     static final class Row {  // one a workload
         double run;  // smoothed running time in seconds, 0 until one has ended
@@ -37,7 +37,7 @@
     double meanQueue;
     double roundTrip;
     double runningTime;
-    double waitPerPlace;
+    double waitPerLoad;
     private final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
     private double workSent;
     private Duration workSentAt = Duration.ZERO;
@@ -101,7 +101,7 @@
     public void started(Duration now, Dispatch d) {
         d.startedAt = now;
         d.heardAt = now;
-        waitPerPlace = d.load == 0 ? waitPerPlace : smooth(waitPerPlace, secs(now.minus(d.sentAt)) / places(d.load));
+        waitPerLoad = d.load < 0.5 ? waitPerLoad : smooth(waitPerLoad, secs(now.minus(d.sentAt)) / d.load);
         consider(now, d.assignment);
     }
 
@@ -345,7 +345,7 @@
             out.cancelWanted = out.startedAt == null || !orders.parallel;
         } else if (a.workload.lateImportance == 0 && mayShed(a)) {
             // Guards against an overload in which all end late: a shed now is worth more than a late answer.
-            double wait = places(load) * waitPerPlace;
+            double wait = load * waitPerLoad;
             if (secs(elapsed(now, a)) + wait > slack(a)) {
                 answer(a, ofSecs(wait));
                 return;
@@ -373,11 +373,6 @@
         return a.hint != null && row.runPerHint > 0 ? secs(a.hint) * row.runPerHint : row.run;
     }
 
-    /** How many jobs must begin there for ours to have its turn, itself included; none at an idle runner. */
-    private static double places(double load) {
-        return load == 0 ? 0 : Math.floor(load) + 1;
-    }
-
     private void answer(Assignment a, Duration pause) {
         a.wantedAnswer = mayShed(a) ? Assignment.Answer.SHED : Assignment.Answer.GIVEN_UP;
         a.wantedPause = orders.pauses && pause != null ? least(pause, orders.longestPause) : null;
@@ -414,7 +409,7 @@
             return;
         }
         Duration limit = waiting
-                ? out.sentAt.plus(most(ofSecs(2 * places(out.load) * waitPerPlace), a.workload.promised.dividedBy(2)))
+                ? out.sentAt.plus(most(ofSecs(2 * out.load * waitPerLoad), a.workload.promised.dividedBy(2)))
                 : out.heardAt.plus(orders.progressEvery.multipliedBy(3));
         limit = a.lookGap == null ? limit : limit.plus(a.lookGap);
         if (!reached(now, limit)) {
--- a/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/src/test/java/saltdale/decision/DispatcherTest.java
@@ -242,7 +242,7 @@
     @Test
     void whatCannotBeInTimeIsShedAtOnce() {
         Dispatcher dispatcher = scene.with(1);
-        dispatcher.waitPerPlace = 0.5;
+        dispatcher.waitPerLoad = 0.5;
         Assignment a = scene.assignment();
         dispatcher.arrived(Scene.at(0), a);
         dispatcher.settle(Scene.at(0));
