--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -17,8 +17,7 @@
     static final double LAMBDA_MOST = 0.999;
     static final double COLD_CAUTION = 0.6;  // the part of a cold runner's guessed budget that is used
     static final double SCARCE = 0.95;  // busy share above which a second look costs more than it finds
-    static final double HOPE = 0.95;  // what each shed leaves of the wait that is expected
-    static final double POOR = 0.3;  // a runner failing more than this share of late is set aside
+    static final double POOR = 0.3;  // a runner whose recent dispatches fail more than this share is set aside
 
     static final class Row {  // one a workload
         double run;  // smoothed running time in seconds, 0 until one has ended
@@ -348,7 +347,6 @@
             // Guards against an overload in which all end late: a shed now is worth more than a late answer.
             double wait = load * waitPerLoad;
             if (secs(elapsed(now, a)) + wait > slack(a)) {
-                waitPerLoad *= HOPE;  // guards against shedding for ever by an estimate that is never tried again
                 answer(a, ofSecs(wait));
                 return;
             }
