--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -15,9 +15,10 @@
     static final double ALPHA = 0.9;
     static final int PROBE_CAP = 4;
     static final double LAMBDA_MOST = 0.999;
+    static final double FULL = Double.MAX_VALUE;  // the load of a runner that would turn us away
     static final double COLD_CAUTION = 0.6;  // the part of a cold runner's guessed budget that is used
     static final double SCARCE = 0.95;  // busy share above which a second look costs more than it finds
-    static final double POOR = 0.3;  // a runner whose recent dispatches fail more than this share is set aside
+    static final double POOR = 0.3;  // a runner failing more than this share of late is set aside
 
     static final class Row {  // one a workload
         double run;  // smoothed running time in seconds, 0 until one has ended
@@ -101,6 +102,7 @@
     public void started(Duration now, Dispatch d) {
         d.startedAt = now;
         d.heardAt = now;
+        d.runner.fullAt = d.load < d.runner.fullAt ? d.runner.fullAt : Double.POSITIVE_INFINITY;
         waitPerLoad = d.load < 0.5 ? waitPerLoad : smooth(waitPerLoad, secs(now.minus(d.sentAt)) / d.load);
         consider(now, d.assignment);
     }
@@ -147,8 +149,9 @@
             if (!a.closed && answered && idle(r, a.slots) && sendable(now, a, r)) {
                 take(now, a, r, 0);
             } else if (!a.closed) {
-                // Guards against an empty queue before full slots being taken for the best there is.
-                a.found(r, Math.max(load, 0.5));
+                // Guards against taking an empty queue before full slots, or a full room that is the shortest
+                // of unlike rooms, for the best there is.
+                a.found(r, load >= r.fullAt && answered ? FULL : Math.max(load, 0.5));
                 search(now, a);
             }
         }
@@ -248,11 +251,8 @@
 
     /** B = Σ (Qmin − i)·p(i), with p(i) = s(i) − s(i+1). */
     static double payoff(double qMin, double lambda, int d) {
-        if (qMin == Double.POSITIVE_INFINITY) {
-            return qMin;
-        }
-        double b = 0;
-        for (int i = 0; i <= qMin; i++) {
+        double b = qMin >= FULL ? FULL : 0;
+        for (int i = 0; i <= qMin && qMin < FULL; i++) {
             b += (qMin - i) * (s(i, lambda, d) - s(i + 1, lambda, d));
         }
         return b;
@@ -343,10 +343,11 @@
         if (a.secondLook && out != null) {
             // The first dispatch still waits or is silent, and this runner is idle: move it, or copy it.
             out.cancelWanted = out.startedAt == null || !orders.parallel;
-        } else if (a.workload.lateImportance == 0 && mayShed(a)) {
+        } else if (mayShed(a)) {
             // Guards against an overload in which all end late: a shed now is worth more than a late answer.
             double wait = load * waitPerLoad;
-            if (secs(elapsed(now, a)) + wait > slack(a)) {
+            boolean late = a.workload.lateImportance == 0 && secs(elapsed(now, a)) + wait > slack(a);
+            if (late || load == FULL) {
                 answer(a, ofSecs(wait));
                 return;
             }
@@ -447,6 +448,7 @@
                 runningTime = smooth(runningTime, run);
                 mark(now, d.runner, false);
             }
+            case TURNED_AWAY -> d.runner.fullAt = d.load < 1 ? d.runner.fullAt : d.load;
             case ERROR, BROKEN, NOT_CONNECTED, TIMED_OUT -> mark(now, d.runner, true);
             default -> { }
         }
--- a/src/main/java/saltdale/model/Runner.java
+++ b/src/main/java/saltdale/model/Runner.java
@@ -29,6 +29,8 @@
     public boolean known;
     /** Whether its recent dispatches failed. */
     public final Histogram failures = Histogram.ofOdds(16);
+    /** The load at which it last turned us away. */
+    public double fullAt = Double.POSITIVE_INFINITY;
     /** The gap of the trickle to a runner set aside; null for a runner in good standing. */
     public Duration trickle;
     public Duration trickleAt = Duration.ZERO;
--- a/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/src/test/java/saltdale/decision/DispatcherTest.java
@@ -250,4 +250,59 @@
         dispatcher.settle(Scene.at(5));
         assertEquals(List.of("probe", "shed"), scene.acts);
     }
+
+    @Test
+    void aRunnerThatTurnsAwayAtSomeLoadIsPassedOverAtThatLoad() {
+        scene.workload.lateImportance = 0.5;
+        Dispatcher dispatcher = scene.with(1);
+        Runner runner = dispatcher.runners.get(0);
+        runner.fullAt = 9;
+        dispatcher.arrived(Scene.at(0), scene.assignment());
+        dispatcher.settle(Scene.at(0));
+        dispatcher.probed(Scene.at(5), runner, true, Scene.at(5), Scene.queue(9));
+        dispatcher.settle(Scene.at(5));
+        assertEquals(List.of("probe", "shed"), scene.acts);
+    }
+
+    @Test
+    void ourOwnWaitingJobsAreTheLeastThatAReportedQueueCountsAs() {
+        scene.orders.dispatchers = 3;
+        Dispatcher dispatcher = scene.with(1);
+        Runner runner = dispatcher.runners.get(0);
+        runner.report = Scene.queue(1);
+        scene.sentTo(runner);
+        assertEquals(3, dispatcher.load(runner));
+    }
+
+    @Test
+    void whatStillWaitsWhenItsPromisedTimeIsOutOfReachIsCalledOffAndShed() {
+        Dispatcher dispatcher = scene.with(1);
+        Assignment a = scene.sentTo(dispatcher.runners.get(0));
+        dispatcher.woken(Scene.at(1000), a);
+        dispatcher.settle(Scene.at(1000));
+        assertEquals(List.of("shed", "cancel"), scene.acts);
+    }
+
+    @Test
+    void ourOwnZoneIsProbedFirstWhileCrossingIsPriced() {
+        scene.orders.crossZonePrice = 0.02;
+        scene.orders.zone = "home";
+        Dispatcher dispatcher = scene.with(9);
+        Runner near = dispatcher.runners.get(4);
+        near.zone = "home";
+        dispatcher.arrived(Scene.at(0), scene.assignment());
+        dispatcher.settle(Scene.at(0));
+        assertSame(near, scene.probes.get(0));
+    }
+
+    @Test
+    void noSecondLookWhileNearlyAllAreBusy() {
+        scene.workload.lateImportance = 0.5;
+        Dispatcher dispatcher = scene.with(3);
+        dispatcher.lambdaSeen = 0.99;
+        Assignment a = scene.sentTo(dispatcher.runners.get(0));
+        dispatcher.woken(Scene.at(1000), a);
+        dispatcher.settle(Scene.at(1000));
+        assertEquals(List.of(), scene.acts);
+    }
 }
