--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -23,7 +23,6 @@
     static final class Row {  // one a workload
         double run;  // smoothed running time in seconds, 0 until one has ended
         double usual;  // the same over a much longer time
-        double runPerHint;
         Duration patience = Duration.ZERO;  // the longest a client has come with: that of a first try
     }
 
@@ -366,12 +365,7 @@
     private double slack(Assignment a) {
         Row row = rows.get(a.workload);
         double slowed = row.usual == 0 ? 1 : Math.max(1, row.run / row.usual);
-        return secs(a.workload.promised) + (a.workload.stretch / slowed - 1) * expectedRun(a);
-    }
-
-    private double expectedRun(Assignment a) {
-        Row row = rows.get(a.workload);
-        return a.hint != null && row.runPerHint > 0 ? secs(a.hint) * row.runPerHint : row.run;
+        return secs(a.workload.promised) + (a.workload.stretch / slowed - 1) * row.run;
     }
 
     private void answer(Assignment a, Duration pause) {
@@ -444,7 +438,6 @@
                 double tame = row.usual == 0 ? run : Math.min(run, 4 * row.usual);  // tails mislead means
                 row.run = row.usual == 0 ? run : row.run + 0.03 * (tame - row.run);
                 row.usual = row.usual == 0 ? run : row.usual + 0.003 * (tame - row.usual);
-                row.runPerHint = a.hint == null ? 0 : smooth(row.runPerHint, run / secs(a.hint));
                 runningTime = smooth(runningTime, run);
                 mark(now, d.runner, false);
             }
@@ -500,7 +493,7 @@
     }
 
     private double work(Assignment a) {
-        return a.slots * (runningTime == 0 ? 1 : expectedRun(a));
+        return a.slots * (runningTime == 0 ? 1 : rows.get(a.workload).run);
     }
 
     private double fade(Duration now) {
--- a/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/src/test/java/saltdale/decision/DispatcherTest.java
@@ -278,6 +278,7 @@
     void whatStillWaitsWhenItsPromisedTimeIsOutOfReachIsCalledOffAndShed() {
         Dispatcher dispatcher = scene.with(1);
         Assignment a = scene.sentTo(dispatcher.runners.get(0));
+        dispatcher.arrived(Scene.at(0), a);
         dispatcher.woken(Scene.at(1000), a);
         dispatcher.settle(Scene.at(1000));
         assertEquals(List.of("shed", "cancel"), scene.acts);
