--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -41,6 +41,7 @@
     private final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
     private double workSent;
     private Duration workSentAt = Duration.ZERO;
+    private double tenantsRecent;
     private Duration surveyedAt;
     private double warmRate;
     private double meanOut;
@@ -83,7 +84,6 @@
             askAt = null;
             askGap = orders.askWithin.dividedBy(20);
         }
-        surveyedAt = null;
     }
 
     public void listFailed(Duration now) {
@@ -93,6 +93,13 @@
     }
 
     public void arrived(Duration now, Assignment a) {
+        if (a.tenant != null) {
+            a.tenant.recent++;
+            if (++tenantsRecent >= 128) {
+                tenantsRecent /= 2;
+                orders.tenants.forEach(t -> t.recent /= 2);
+            }
+        }
         Row row = rows.get(a.workload);
         row.patience = most(row.patience, a.patience());
         consider(now, a);
@@ -111,8 +118,8 @@
     }
 
     public void streaming(Duration now, Dispatch d) {
-        d.assignment.streaming = true;
-        cancelAll(d.assignment, d);
+        d.assignment.stream = d;
+        touched.add(d.assignment);
     }
 
     public void ended(Duration now, Dispatch d, Outcome outcome, boolean over, LoadReport report) {
@@ -156,10 +163,6 @@
         }
     }
 
-    public void clientGone(Duration now, Assignment a) {
-        close(a);
-    }
-
     public void woken(Duration now, Object what) {
         if (what instanceof Assignment a) {
             a.timerAt = null;
@@ -172,7 +175,7 @@
         Dispatch out = a.pending();
         Duration lastCall = a.deadline.minus(orders.round.multipliedBy(4));  // for an answer of our own
         a.wantedLook = null;
-        if (a.streaming || a.closed) {
+        if (a.stream != null || a.closed) {
             return;
         }
         look(a, lastCall);
@@ -244,8 +247,7 @@
     }
 
     static double lambda(double lambdaSeen, int d) {
-        double spare = 1 - 2 * C * d;
-        return spare <= 0 ? LAMBDA_MOST : Math.min(LAMBDA_MOST, lambdaSeen / spare);
+        return 2 * C * d >= 1 ? LAMBDA_MOST : Math.min(LAMBDA_MOST, lambdaSeen / (1 - 2 * C * d));
     }
 
     /** B = Σ (Qmin − i)·p(i), with p(i) = s(i) − s(i+1). */
@@ -346,7 +348,7 @@
             // Guards against an overload in which all end late: a shed now is worth more than a late answer.
             double wait = load * waitPerLoad;
             boolean late = a.workload.lateImportance == 0 && secs(elapsed(now, a)) + wait > slack(a);
-            if (late || load == FULL) {
+            if (late || load == FULL || load > 0 && beyondShare(a)) {
                 answer(a, ofSecs(wait));
                 return;
             }
@@ -356,6 +358,12 @@
         a.wantedLoad = load;
     }
 
+    // Guards against one tenant's flood: what goes far beyond its share gets idle runners only.
+    private boolean beyondShare(Assignment a) {
+        return a.tenant != null && orders.beyondShare < 1
+                && chance.nextDouble() * a.tenant.recent > 1.5 * a.tenant.share * tenantsRecent;
+    }
+
     /** The time this client has been waiting over all its tries. */
     private Duration elapsed(Duration now, Assignment a) {
         return now.minus(a.arrivedAt).plus(rows.get(a.workload).patience.minus(a.patience()));
@@ -376,12 +384,11 @@
 
     /** After a failure: again, rationed by how many recent further dispatches succeeded; else the answer. */
     private void furtherOrAnswer(Duration now, Assignment a) {
-        double ration = (further.last() + 1) / (further.count() + 1);
-        if (a.dispatches.size() >= orders.mostDispatches || chance.nextDouble() > ration) {
+        boolean rationed = chance.nextDouble() > (further.last() + 1) / (further.count() + 1);
+        if (a.dispatches.size() >= orders.mostDispatches || rationed) {
             answer(a, null);
             return;
         }
-        a.secondLook = false;
         a.forgetSearch();
         consider(now, a);
     }
@@ -419,8 +426,8 @@
             look(a, now.plus(a.lookGap));
             return;
         }
-        a.secondLook = true;
         a.forgetSearch();
+        a.secondLook = true;
         search(now, a);
     }
 
@@ -524,7 +531,8 @@
             }
         }
         for (Dispatch d : a.dispatches) {
-            if (d.cancelWanted && !d.cancelSent && d.outcome == null && orders.cancels) {
+            boolean wanted = d == a.stream || a.stream == null && !a.closed && !d.cancelWanted;
+            if (!wanted && !d.cancelSent && d.outcome == null && orders.cancels) {
                 d.cancelSent = true;
                 door.cancel(d);
             }
@@ -572,14 +580,9 @@
         consider(now, a);
     }
 
-    /** The assignment is over: nothing more goes out for it, and what is out is called off. */
-    private void close(Assignment a) {
+    /** The assignment is over, as when its client is gone: what is out is called off. */
+    public void close(Assignment a) {
         a.closed = true;
-        cancelAll(a, a.streaming ? a.last() : null);
-    }
-
-    private void cancelAll(Assignment a, Dispatch but) {
-        a.dispatches.forEach(d -> d.cancelWanted |= d != but && d.outcome == null);
         touched.add(a);
     }
 
--- a/src/main/java/saltdale/model/Assignment.java
+++ b/src/main/java/saltdale/model/Assignment.java
@@ -14,7 +14,7 @@
     /** When the client's patience with this try ends. */
     public final Duration deadline;
     /** The client's tenant; null where there are none. */
-    public String tenant;
+    public Tenant tenant;
     /** The hinted running time at speed 1; null where there is none. */
     public Duration hint;
     public double slots = 1;
@@ -31,8 +31,8 @@
     public Duration askedAt;
     /** True once the final answer is out, whoever gave it. */
     public boolean closed;
-    /** The answer has begun to stream: it belongs to the client. */
-    public boolean streaming;
+    /** The dispatch whose answer has begun to stream and so belongs to the client; null while none has. */
+    public Dispatch stream;
 
     // What is wanted and not yet done; the dispatcher's settle() compares it with the above.
     public Runner wantedProbe;
@@ -94,6 +94,7 @@
         probed.clear();
         loads.clear();
         wantedRunner = null;
+        secondLook = false;
     }
 
     /** The client's patience with this try. */
--- a/src/main/java/saltdale/model/Tenant.java
+++ b/src/main/java/saltdale/model/Tenant.java
@@ -1,5 +1,14 @@
 package saltdale.model;
 
-/** A customer and its share of the fleet; the quota is assignments a second over all dispatchers. */
-public record Tenant(String name, double share, double quota) {
+/** A customer and its share of the fleet. */
+public final class Tenant {
+    public final String name;
+    public final double share;
+    /** Assignments it sent us of late. */
+    public double recent;
+
+    public Tenant(String name, double share) {
+        this.name = name;
+        this.share = share;
+    }
 }
--- a/src/main/java/saltdale/sim/Instance.java
+++ b/src/main/java/saltdale/sim/Instance.java
@@ -20,6 +20,7 @@
 import saltdale.model.Runner;
 import saltdale.model.Sighting;
 import saltdale.model.StandingOrders;
+import saltdale.model.Tenant;
 import saltdale.model.Workload;
 
 /** One dispatcher on the wire: turns its events into calls, ids into objects, and its actions into messages. */
@@ -34,6 +35,7 @@
     private final long who;
     private final long origin;
     private final Map<String, Workload> workloads = new HashMap<>();
+    private final Map<String, Tenant> tenants = new HashMap<>();
     private final List<String> columns = new ArrayList<>();
     private final Map<String, Runner> runners = new HashMap<>();
     private final Map<Runner, String> addresses = new HashMap<>();
@@ -53,6 +55,9 @@
         for (Workload workload : orders.workloads) {
             workloads.put(workload.name, workload);
         }
+        for (Tenant tenant : orders.tenants) {
+            tenants.put(tenant.name, tenant);
+        }
         for (JsonNode column : options.object("LoadReport").array("Columns")) {
             columns.add(column.asText());
         }
@@ -90,7 +95,7 @@
             case "TimedOutClient" -> {
                 Assignment assignment = assignments.get(event.text(2, "Tid"));
                 if (assignment != null) {
-                    dispatcher.clientGone(now, assignment);
+                    dispatcher.close(assignment);
                     forgetIfOver(assignment);
                 }
             }
@@ -158,7 +163,7 @@
         }
         Assignment assignment = new Assignment(workload, now, Fields.micros(event.whole(6, "TimeBudget")));
         JsonNode billing = event.raw(4);
-        assignment.tenant = billing != null && billing.isTextual() ? billing.textValue() : null;
+        assignment.tenant = billing != null && billing.isTextual() ? tenants.get(billing.textValue()) : null;
         long flags = event.whole(10, "Opts", 0);
         long hint = event.whole(7, "WeightHint", 0);
         assignment.hint = (flags & HINT_VALID) != 0 && hint > 0 ? Fields.micros(hint) : null;
--- a/src/main/java/saltdale/sim/OrdersReader.java
+++ b/src/main/java/saltdale/sim/OrdersReader.java
@@ -60,8 +60,7 @@
         }
         for (JsonNode entry : options.array("Projects")) {
             Fields row = new Fields("PowerOn.Options.Projects", entry);
-            orders.tenants.add(new Tenant(row.text("Name", ""), row.number("Share", 0),
-                    row.number("QuotaRps", Double.POSITIVE_INFINITY)));
+            orders.tenants.add(new Tenant(row.text("Name", ""), row.number("Share", 1)));
         }
         return orders;
     }
--- a/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/src/test/java/saltdale/decision/DispatcherTest.java
@@ -14,6 +14,7 @@
 import saltdale.model.LoadReport;
 import saltdale.model.Outcome;
 import saltdale.model.Runner;
+import saltdale.model.Tenant;
 import saltdale.model.Workload;
 
 class DispatcherTest {
@@ -134,7 +135,7 @@
         Assignment a = scene.sentTo(dispatcher.runners.get(0));
         dispatcher.ended(Scene.at(6000), a.dispatches.get(0), Outcome.TIMED_OUT, false, null);
         dispatcher.settle(Scene.at(6000));
-        dispatcher.clientGone(Scene.at(6001), a);
+        dispatcher.close(a);
         dispatcher.settle(Scene.at(6001));
         assertEquals(List.of("shed"), scene.acts);
     }
@@ -306,4 +307,22 @@
         dispatcher.settle(Scene.at(1000));
         assertEquals(List.of(), scene.acts);
     }
+
+    @Test
+    void whatATenantSendsFarBeyondItsShareGetsIdleRunnersOnly() {
+        scene.orders.beyondShare = 0.05;
+        Tenant modest = new Tenant("modest", 1);
+        Tenant flooding = new Tenant("flooding", 0);
+        scene.orders.tenants.addAll(List.of(modest, flooding));
+        Dispatcher dispatcher = scene.with(1);
+        for (Tenant tenant : scene.orders.tenants) {
+            Assignment a = scene.assignment();
+            a.tenant = tenant;
+            dispatcher.arrived(Scene.at(0), a);
+            dispatcher.settle(Scene.at(0));
+            dispatcher.probed(Scene.at(5), a.asked, true, Scene.at(5), Scene.queue(1));
+            dispatcher.settle(Scene.at(5));
+        }
+        assertEquals(List.of("probe", "dispatch", "probe", "shed"), scene.acts);
+    }
 }
