--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -281,9 +281,7 @@
         LoadReport report = r.report;
         boolean queueKnown = report != null && !Double.isNaN(report.queue());
         if (report != null && !Double.isNaN(report.freeSlots())) {
-            double held = Double.isNaN(report.inFlight()) ? 0 : r.out.size() - report.inFlight();  // late reports
-            return (!queueKnown || report.queue() < 0.5)
-                    && report.freeSlots() - Math.max(ours, held) >= slots - 0.25;
+            return (!queueKnown || report.queue() < 0.5) && report.freeSlots() - ours >= slots - 0.25;
         }
         return queueKnown ? report.queue() + ours < 0.5 : load(r) < 0.5;
     }
