--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -18,7 +18,6 @@
     static final double FULL = Double.MAX_VALUE;  // the load of a runner that would turn us away
     static final double COLD_CAUTION = 0.6;  // the part of a cold runner's guessed budget that is used
     static final double SCARCE = 0.95;  // busy share above which a second look costs more than it finds
-    static final double SLOW = 4;  // a run that takes so many times the smoothed one counts as a failure
     static final double POOR = 0.3;  // a runner failing more than this share of late is set aside
 
     static final class Row {  // one a workload
@@ -447,7 +446,7 @@
                 row.run = row.usual == 0 ? run : row.run + 0.03 * (tame - row.run);
                 row.usual = row.usual == 0 ? run : row.usual + 0.003 * (tame - row.usual);
                 runningTime = smooth(runningTime, run);
-                mark(now, d.runner, run > SLOW * row.run);
+                mark(now, d.runner, false);
             }
             case TURNED_AWAY -> d.runner.fullAt = d.load < 1 ? d.runner.fullAt : d.load;
             case ERROR, BROKEN, NOT_CONNECTED, TIMED_OUT -> mark(now, d.runner, true);
