--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -32,6 +32,7 @@
     final List<Runner> runners = new ArrayList<>();
     private final Map<Workload, Row> rows = new HashMap<>();
     private final Set<Assignment> touched = new LinkedHashSet<>();
+    private final Set<Runner> broken = new LinkedHashSet<>();  // their idle connections are not to be trusted
     // Smoothed, for the design: λ', L̄, and the probe round trip and running time whose ratio is CT.
     double lambdaSeen;
     double meanQueue;
@@ -435,6 +436,9 @@
 
     private void learn(Duration now, Dispatch d) {
         Assignment a = d.assignment;
+        if (d.outcome == Outcome.BROKEN) {
+            broken.add(d.runner);
+        }
         if (d != a.dispatches.get(0)) {
             further.add(d.outcome == Outcome.FULFILLED);
         }
@@ -449,7 +453,8 @@
                 mark(now, d.runner, false);
             }
             case TURNED_AWAY -> d.runner.fullAt = d.load < 1 ? d.runner.fullAt : d.load;
-            case ERROR, BROKEN, NOT_CONNECTED, TIMED_OUT -> mark(now, d.runner, true);
+            case BROKEN -> mark(now, d.runner, reached(now, d.sentAt.plus(orders.round.multipliedBy(2))));
+            case ERROR, NOT_CONNECTED, TIMED_OUT -> mark(now, d.runner, true);
             default -> { }
         }
     }
@@ -517,6 +522,8 @@
             }
             door.wake(askAt.minus(now), this);
         }
+        broken.forEach(door::closeIdle);
+        broken.clear();
         List.copyOf(touched).forEach(a -> settle(now, a));
         touched.clear();
     }
