--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -32,7 +32,6 @@
     final List<Runner> runners = new ArrayList<>();
     private final Map<Workload, Row> rows = new HashMap<>();
     private final Set<Assignment> touched = new LinkedHashSet<>();
-    private final Set<Runner> broken = new LinkedHashSet<>();  // their idle connections are not to be trusted
     // Smoothed, for the design: λ', L̄, and the probe round trip and running time whose ratio is CT.
     double lambdaSeen;
     double meanQueue;
@@ -164,6 +163,12 @@
         }
     }
 
+    /** The assignment is over, as when its client is gone: what is out is called off. */
+    public void close(Assignment a) {
+        a.closed = true;
+        touched.add(a);
+    }
+
     public void woken(Duration now, Object what) {
         if (what instanceof Assignment a) {
             a.timerAt = null;
@@ -436,9 +441,6 @@
 
     private void learn(Duration now, Dispatch d) {
         Assignment a = d.assignment;
-        if (d.outcome == Outcome.BROKEN) {
-            broken.add(d.runner);
-        }
         if (d != a.dispatches.get(0)) {
             further.add(d.outcome == Outcome.FULFILLED);
         }
@@ -453,8 +455,7 @@
                 mark(now, d.runner, false);
             }
             case TURNED_AWAY -> d.runner.fullAt = d.load < 1 ? d.runner.fullAt : d.load;
-            case BROKEN -> mark(now, d.runner, reached(now, d.sentAt.plus(orders.round.multipliedBy(2))));
-            case ERROR, NOT_CONNECTED, TIMED_OUT -> mark(now, d.runner, true);
+            case ERROR, BROKEN, NOT_CONNECTED, TIMED_OUT -> mark(now, d.runner, true);
             default -> { }
         }
     }
@@ -522,8 +523,6 @@
             }
             door.wake(askAt.minus(now), this);
         }
-        broken.forEach(door::closeIdle);
-        broken.clear();
         List.copyOf(touched).forEach(a -> settle(now, a));
         touched.clear();
     }
@@ -587,12 +586,6 @@
         consider(now, a);
     }
 
-    /** The assignment is over, as when its client is gone: what is out is called off. */
-    public void close(Assignment a) {
-        a.closed = true;
-        touched.add(a);
-    }
-
     /** How long a probe may hold an assignment: a few usual round trips, a part of the promised time. */
     private Duration probeLimit(Assignment a) {
         Duration most = a.workload.promised.dividedBy(4);
