--- a/src/main/java/saltdale/sim/SimHost.java
+++ b/src/main/java/saltdale/sim/SimHost.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
@@ -23,6 +24,7 @@
 public final class SimHost {
     private final BufferedReader in;
     private final OutputStream out;
+    private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
     private final ObjectMapper mapper = new ObjectMapper();
     private final JsonFactory factory = mapper.getFactory();
     private final Map<Long, Instance> instances = new LinkedHashMap<>();
@@ -53,8 +55,8 @@
         if (now == null || !now.isIntegralNumber() || events == null || !events.isArray()) {
             throw new MalformedInput("a line is no batch: it needs a whole number Now and an array in");
         }
-        try (JsonGenerator reply = factory.createGenerator(out)) {
-            reply.disable(JsonGenerator.Feature.AUTO_CLOSE_TARGET);
+        buffer.reset();  // a reply goes out whole or, after malformed input, not at all
+        try (JsonGenerator reply = factory.createGenerator(buffer)) {
             reply.writeStartObject();
             reply.writeArrayFieldStart("output");
             Set<Instance> touched = new LinkedHashSet<>();
@@ -68,6 +70,7 @@
             reply.writeEndObject();
             reply.writeRaw('\n');
         }
+        buffer.writeTo(out);
         out.flush();
     }
 
--- a/src/test/java/saltdale/sim/SimHostTest.java
+++ b/src/test/java/saltdale/sim/SimHostTest.java
@@ -64,4 +64,12 @@
         assertTrue(complaint(START + "{\"Now\":9,\"in\":[[\"NewRequest\",3,\"rq\",\"v\",null,null,1]]}\n")
                 .contains("NewRequest: TierClass"));
     }
+
+    @Test
+    void malformedInputGetsNoReply() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        byte[] input = "{\"Now\":9,\"in\":[[\"Ring\",4,1]]}\n".getBytes(StandardCharsets.UTF_8);
+        assertThrows(MalformedInput.class, () -> new SimHost(new ByteArrayInputStream(input), out).run());
+        assertEquals(0, out.size());
+    }
 }
