--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -142,17 +142,19 @@
             a = r.asking.poll();
         }
         double load = Double.POSITIVE_INFINITY;
+        boolean idle = false;
         if (answered) {
             r.report = report;
             r.known = true;
             load = load(r);
+            idle = idle(r, a == null ? 1 : a.slots);
             roundTrip = smooth(roundTrip, secs(took));
             meanQueue = smooth(meanQueue, load);
-            lambdaSeen = smooth(lambdaSeen, idle(r, a == null ? 1 : a.slots) ? 0 : 1);
+            lambdaSeen = smooth(lambdaSeen, idle ? 0 : 1);
         }
         if (a != null) {
             a.asked = null;
-            if (!a.closed && answered && idle(r, a.slots) && sendable(now, a, r)) {
+            if (!a.closed && idle && sendable(now, a, r)) {
                 take(now, a, r, 0);
             } else if (!a.closed) {
                 // Guards against taking an empty queue before full slots, or a full room that is the shortest
--- a/src/main/java/saltdale/model/Histogram.java
+++ b/src/main/java/saltdale/model/Histogram.java
@@ -1,5 +1,7 @@
 package saltdale.model;
 
+import java.util.Arrays;
+
 /** Counts in a few bins whose bounds double; halved once it has seen enough, so that old figures fade. */
 public final class Histogram {
     private final double first;
@@ -40,7 +42,7 @@
     }
 
     public void clear() {
-        java.util.Arrays.fill(bins, 0);
+        Arrays.fill(bins, 0);
         total = 0;
     }
 
--- a/src/main/java/saltdale/model/Runner.java
+++ b/src/main/java/saltdale/model/Runner.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /** A worker machine: what the list says of it, and what this dispatcher has seen. */
 public final class Runner {
@@ -24,7 +25,6 @@
     public final Deque<Assignment> asking = new ArrayDeque<>();
     /** The last load report; null where none has come. */
     public LoadReport report;
-    public Duration reportAt;
     /** It has been sent to or has answered a probe. */
     public boolean known;
     /** Whether its recent dispatches failed. */
@@ -55,22 +55,18 @@
         return mode == Mode.READY;
     }
 
+    /** How many of our dispatches it has not said to have begun. */
+    public long waiting() {
+        return notBegun().count();
+    }
+
     /** The slots of our dispatches that it has not said to have begun. */
     public double slotsWaiting() {
-        double slots = 0;
-        for (Dispatch d : out) {
-            slots += d.startedAt == null ? d.assignment.slots : 0;
-        }
-        return slots;
+        return notBegun().mapToDouble(d -> d.assignment.slots).sum();
     }
 
-    /** Our dispatches that it has not said to have begun. */
-    public int waiting() {
-        int waiting = 0;
-        for (Dispatch d : out) {
-            waiting += d.startedAt == null ? 1 : 0;
-        }
-        return waiting;
+    private Stream<Dispatch> notBegun() {
+        return out.stream().filter(d -> d.startedAt == null);
     }
 
     /** The work sent to it while cold since then; what is older is dropped. */
--- a/src/main/java/saltdale/sim/Fields.java
+++ b/src/main/java/saltdale/sim/Fields.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.time.Duration;
 import java.time.temporal.ChronoUnit;
+import java.util.function.Predicate;
 
 /** The values of one wire message or settings object; a value of the wrong type is named in the complaint. */
 final class Fields {
@@ -23,148 +24,112 @@
         return new MalformedInput(owner + ": " + field + " is not " + wanted);
     }
 
-    private JsonNode present(JsonNode value) {
+    private static JsonNode present(JsonNode value) {
         return value == null || value.isNull() ? null : value;
     }
 
-    // By position, for messages and entries.
+    /** The value, or null where absent; complains of one that is there and not of this type. */
+    private JsonNode checked(JsonNode value, String field, Predicate<JsonNode> type, String wanted) {
+        JsonNode present = present(value);
+        if (present != null && !type.test(present)) {
+            throw wrong(field, wanted);
+        }
+        return present;
+    }
 
-    private JsonNode at(int i) {
-        return present(node.get(i));
+    private String text(JsonNode value, String field, String absent) {
+        JsonNode text = checked(value, field, JsonNode::isTextual, "a text");
+        return text == null ? absent : text.textValue();
     }
 
-    /** The value as it came; null where absent. */
-    JsonNode raw(int i) {
-        return at(i);
+    private double number(JsonNode value, String field, double absent) {
+        JsonNode number = checked(value, field, JsonNode::isNumber, "a number");
+        return number == null ? absent : number.doubleValue();
     }
 
-    String text(int i, String field) {
-        String value = text(i, field, null);
+    private boolean flag(JsonNode value, String field, boolean absent) {
+        JsonNode flag = checked(value, field, JsonNode::isBoolean, "true or false");
+        return flag == null ? absent : flag.booleanValue();
+    }
+
+    private JsonNode whole(JsonNode value, String field, Predicate<JsonNode> type) {
+        return required(checked(value, field, type, "a whole number"), field, "a whole number");
+    }
+
+    private <T> T required(T value, String field, String wanted) {
         if (value == null) {
-            throw wrong(field, "a text");
+            throw wrong(field, wanted);
         }
         return value;
     }
 
+    // By position, for messages and entries.
+
+    /** The value as it came; null where absent. */
+    JsonNode raw(int i) {
+        return present(node.get(i));
+    }
+
+    String text(int i, String field) {
+        return required(text(i, field, null), field, "a text");
+    }
+
     String text(int i, String field, String absent) {
-        JsonNode value = at(i);
-        if (value == null) {
-            return absent;
-        }
-        if (!value.isTextual()) {
-            throw wrong(field, "a text");
-        }
-        return value.textValue();
+        return text(node.get(i), field, absent);
     }
 
     long whole(int i, String field) {
-        JsonNode value = at(i);
-        if (value == null || !value.isIntegralNumber() || !value.canConvertToLong()) {
-            throw wrong(field, "a whole number");
-        }
-        return value.longValue();
+        return whole(node.get(i), field, v -> v.isIntegralNumber() && v.canConvertToLong()).longValue();
     }
 
     /** A whole number of any size, cut to its low 64 bits. */
     long bits(int i, String field) {
-        JsonNode value = at(i);
-        if (value == null || !value.isIntegralNumber()) {
-            throw wrong(field, "a whole number");
-        }
-        return value.bigIntegerValue().longValue();
+        return whole(node.get(i), field, JsonNode::isIntegralNumber).bigIntegerValue().longValue();
     }
 
     long whole(int i, String field, long absent) {
-        return at(i) == null ? absent : whole(i, field);
+        return raw(i) == null ? absent : whole(i, field);
     }
 
     double number(int i, String field, double absent) {
-        JsonNode value = at(i);
-        if (value == null) {
-            return absent;
-        }
-        if (!value.isNumber()) {
-            throw wrong(field, "a number");
-        }
-        return value.doubleValue();
+        return number(node.get(i), field, absent);
     }
 
     boolean flag(int i, String field) {
-        JsonNode value = at(i);
-        if (value == null) {
-            return false;
-        }
-        if (!value.isBoolean()) {
-            throw wrong(field, "true or false");
-        }
-        return value.booleanValue();
+        return flag(node.get(i), field, false);
     }
 
     JsonNode array(int i, String field) {
-        JsonNode value = at(i);
-        if (value != null && !value.isArray()) {
-            throw wrong(field, "an array");
-        }
-        return value;
+        return checked(node.get(i), field, JsonNode::isArray, "an array");
     }
 
     Fields object(int i, String field) {
-        JsonNode value = at(i);
-        if (value == null || !value.isObject()) {
-            throw wrong(field, "an object");
-        }
-        return new Fields(owner + "." + field, value);
+        JsonNode value = checked(node.get(i), field, JsonNode::isObject, "an object");
+        return new Fields(owner + "." + field, required(value, field, "an object"));
     }
 
     // By key, for settings; every key may be absent.
 
     Fields object(String key) {
-        JsonNode value = present(node.get(key));
-        if (value != null && !value.isObject()) {
-            throw wrong(key, "an object");
-        }
+        JsonNode value = checked(node.get(key), key, JsonNode::isObject, "an object");
         return new Fields(owner + "." + key, value == null ? JsonNodeFactory.instance.objectNode() : value);
     }
 
     JsonNode array(String key) {
-        JsonNode value = present(node.get(key));
-        if (value != null && !value.isArray()) {
-            throw wrong(key, "an array");
-        }
+        JsonNode value = checked(node.get(key), key, JsonNode::isArray, "an array");
         return value == null ? JsonNodeFactory.instance.arrayNode() : value;
     }
 
     String text(String key, String absent) {
-        JsonNode value = present(node.get(key));
-        if (value == null) {
-            return absent;
-        }
-        if (!value.isTextual()) {
-            throw wrong(key, "a text");
-        }
-        return value.textValue();
+        return text(node.get(key), key, absent);
     }
 
     boolean flag(String key, boolean absent) {
-        JsonNode value = present(node.get(key));
-        if (value == null) {
-            return absent;
-        }
-        if (!value.isBoolean()) {
-            throw wrong(key, "true or false");
-        }
-        return value.booleanValue();
+        return flag(node.get(key), key, absent);
     }
 
     double number(String key, double absent) {
-        JsonNode value = present(node.get(key));
-        if (value == null) {
-            return absent;
-        }
-        if (!value.isNumber()) {
-            throw wrong(key, "a number");
-        }
-        return value.doubleValue();
+        return number(node.get(key), key, absent);
     }
 
     int whole(String key, int absent) {
@@ -172,7 +137,6 @@
     }
 
     Duration span(String key, Duration absent) {
-        JsonNode value = present(node.get(key));
-        return value == null ? absent : micros((long) number(key, 0));
+        return present(node.get(key)) == null ? absent : micros((long) number(key, 0));
     }
 }
--- a/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/src/test/java/saltdale/decision/DispatcherTest.java
@@ -61,10 +61,8 @@
     @Test
     void anIdleRunnerTakesTheJob() {
         Dispatcher dispatcher = scene.with(3);
-        dispatcher.arrived(Scene.at(0), scene.assignment());
-        dispatcher.settle(Scene.at(0));
-        dispatcher.probed(Scene.at(5), scene.probes.get(0), true, Scene.at(5), Scene.queue(0));
-        dispatcher.settle(Scene.at(5));
+        scene.arrives(scene.assignment());
+        scene.finds(0);
         assertEquals(List.of("probe", "dispatch"), scene.acts);
         assertSame(scene.probes.get(0), scene.dispatches.get(0).runner);
     }
@@ -73,10 +71,8 @@
     void aBusyRunnerIsFollowedByAnotherAndTheShortestQueueTakesTheJob() {
         scene.workload.lateImportance = 0.5;
         Dispatcher dispatcher = scene.with(2);
-        dispatcher.arrived(Scene.at(0), scene.assignment());
-        dispatcher.settle(Scene.at(0));
-        dispatcher.probed(Scene.at(5), scene.probes.get(0), true, Scene.at(5), Scene.queue(2));
-        dispatcher.settle(Scene.at(5));
+        scene.arrives(scene.assignment());
+        scene.finds(2);
         dispatcher.probed(Scene.at(10), scene.probes.get(1), true, Scene.at(5), Scene.queue(3));
         dispatcher.settle(Scene.at(10));
         assertNotSame(scene.probes.get(0), scene.probes.get(1));
@@ -108,8 +104,7 @@
     void aSilentProbeDoesNotHoldTheJobUp() {
         Dispatcher dispatcher = scene.with(2);
         Assignment a = scene.assignment();
-        dispatcher.arrived(Scene.at(0), a);
-        dispatcher.settle(Scene.at(0));
+        scene.arrives(a);
         Duration later = scene.workload.promised.dividedBy(2);
         dispatcher.woken(later, a);
         dispatcher.settle(later);
@@ -120,8 +115,7 @@
     void anEmptyListEndsInAnAnswerBeforePatienceDoes() {
         Dispatcher dispatcher = scene.with(0);
         Assignment a = scene.assignment();
-        dispatcher.arrived(Scene.at(0), a);
-        dispatcher.settle(Scene.at(0));
+        scene.arrives(a);
         dispatcher.woken(Scene.at(5990), a);
         dispatcher.settle(Scene.at(5990));
         assertEquals(List.of("shed"), scene.acts);
@@ -176,11 +170,9 @@
     void nothingGoesToARunnerThatBeganToDrainWhileItWasProbed() {
         Dispatcher dispatcher = scene.with(1);
         Runner runner = dispatcher.runners.get(0);
-        dispatcher.arrived(Scene.at(0), scene.assignment());
-        dispatcher.settle(Scene.at(0));
+        scene.arrives(scene.assignment());
         dispatcher.listed(Scene.at(1), List.of(Scene.sighting(runner, Runner.Mode.DRAINING, null)), false, false);
-        dispatcher.probed(Scene.at(5), runner, true, Scene.at(5), Scene.queue(0));
-        dispatcher.settle(Scene.at(5));
+        scene.finds(0);
         assertEquals(List.of("probe"), scene.acts);
     }
 
@@ -245,10 +237,8 @@
         Dispatcher dispatcher = scene.with(1);
         dispatcher.waitPerLoad = 0.5;
         Assignment a = scene.assignment();
-        dispatcher.arrived(Scene.at(0), a);
-        dispatcher.settle(Scene.at(0));
-        dispatcher.probed(Scene.at(5), scene.probes.get(0), true, Scene.at(5), Scene.queue(3));
-        dispatcher.settle(Scene.at(5));
+        scene.arrives(a);
+        scene.finds(3);
         assertEquals(List.of("probe", "shed"), scene.acts);
     }
 
@@ -258,10 +248,8 @@
         Dispatcher dispatcher = scene.with(1);
         Runner runner = dispatcher.runners.get(0);
         runner.fullAt = 9;
-        dispatcher.arrived(Scene.at(0), scene.assignment());
-        dispatcher.settle(Scene.at(0));
-        dispatcher.probed(Scene.at(5), runner, true, Scene.at(5), Scene.queue(9));
-        dispatcher.settle(Scene.at(5));
+        scene.arrives(scene.assignment());
+        scene.finds(9);
         assertEquals(List.of("probe", "shed"), scene.acts);
     }
 
@@ -292,8 +280,7 @@
         Dispatcher dispatcher = scene.with(9);
         Runner near = dispatcher.runners.get(4);
         near.zone = "home";
-        dispatcher.arrived(Scene.at(0), scene.assignment());
-        dispatcher.settle(Scene.at(0));
+        scene.arrives(scene.assignment());
         assertSame(near, scene.probes.get(0));
     }
 
@@ -318,10 +305,8 @@
         for (Tenant tenant : scene.orders.tenants) {
             Assignment a = scene.assignment();
             a.tenant = tenant;
-            dispatcher.arrived(Scene.at(0), a);
-            dispatcher.settle(Scene.at(0));
-            dispatcher.probed(Scene.at(5), a.asked, true, Scene.at(5), Scene.queue(1));
-            dispatcher.settle(Scene.at(5));
+            scene.arrives(a);
+            scene.finds(1);
         }
         assertEquals(List.of("probe", "dispatch", "probe", "shed"), scene.acts);
     }
--- a/src/test/java/saltdale/decision/Scene.java
+++ b/src/test/java/saltdale/decision/Scene.java
@@ -72,6 +72,18 @@
         return a;
     }
 
+    /** The assignment arrives, and the round ends. */
+    void arrives(Assignment a) {
+        dispatcher.arrived(at(0), a);
+        dispatcher.settle(at(0));
+    }
+
+    /** The last probe is answered at 5 ms with this queue, and the round ends. */
+    void finds(double queue) {
+        dispatcher.probed(at(5), probes.get(probes.size() - 1), true, at(5), queue(queue));
+        dispatcher.settle(at(5));
+    }
+
     @Override
     public void dispatch(Dispatch dispatch, Duration timeOut) {
         acts.add("dispatch");
