Probe runners first that are quick enough for the job, by their learned pace

The first idle runner took whatever came. Told from others by the wait between sending and start: 5 ms nearly everywhere. Change: each run is set beside the hint (else the workload's mean); of the runners to probe, those at whose pace the job would end in time come first. A runner's own runs outweigh its kind's from four on, and fade over the warm-up time. The same pace says how long a job may wait at a runner, in place of the smoothed running times, whose long-run figure hung on the first job that ended.

--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -18,11 +18,12 @@
     static final double FULL = Double.MAX_VALUE;  // the load of a runner that would turn us away
     static final double COLD_CAUTION = 0.6;  // the part of a cold runner's guessed budget that is used
     static final double SCARCE = 0.95;  // busy share above which a second look costs more than it finds
+    static final double BELIEF = 4;  // runs that a runner needs of its own to outweigh its kind's
     static final double POOR = 0.3;  // a runner failing more than this share of late is set aside
 
     static final class Row {  // one a workload
-        double run;  // smoothed running time in seconds, 0 until one has ended
-        double usual;  // the same over a much longer time
+        double usual;  // mean running time in seconds, 0 until one has ended
+        double ended;  // how many have
         Duration patience = Duration.ZERO;  // the longest a client has come with: that of a first try
     }
 
@@ -31,20 +32,18 @@
     private final SplittableRandom chance;
     final List<Runner> runners = new ArrayList<>();
     private final Map<Workload, Row> rows = new HashMap<>();
+    private final Pace pace = new Pace(64);  // of all runners, and of each kind
+    private final Map<String, Pace> kinds = new HashMap<>();
     private final Set<Assignment> touched = new LinkedHashSet<>();
     // Smoothed, for the design: λ', L̄, and the probe round trip and running time whose ratio is CT.
-    double lambdaSeen;
-    double meanQueue;
-    double roundTrip;
-    double runningTime;
+    double lambdaSeen, meanQueue, roundTrip, runningTime;
     double waitPerLoad;
     private final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
-    private double workSent;
+    private double workSent;  // to warm runners, fading
     private Duration workSentAt = Duration.ZERO;
     private double tenantsRecent;
     private Duration surveyedAt;
-    private double warmRate;
-    private double meanOut;
+    private double warmRate, meanOut;
     private boolean mostAside;
     private Duration askAt;  // when to ask for the list; null while subscribed
     private Duration askGap;
@@ -60,13 +59,13 @@
             shortest = least(shortest, workload.patience);
         }
         spell = shortest.dividedBy(4);
+        askGap = orders.askWithin.dividedBy(20);
     }
 
     // ---- Events. None of these acts: they note what is seen and change what is wanted.
 
     public void began(Duration now) {
         askAt = orders.mustSubscribe ? now : null;
-        askGap = orders.askWithin.dividedBy(20);
     }
 
     public void listed(Duration now, List<Sighting> sightings, boolean whole, boolean cached) {
@@ -74,20 +73,20 @@
         for (Sighting s : sightings) {
             seen.add(s.runner());
             s.runner().sighted(s);
+            s.runner().kindPace = kinds.computeIfAbsent(s.kind(), k -> new Pace(64));
         }
-        for (Runner r : runners) {
-            r.mode = whole && !seen.contains(r) ? Runner.Mode.GONE : r.mode;
-        }
-        seen.removeAll(runners);
+        runners.stream().filter(r -> whole && !seen.contains(r)).forEach(r -> r.mode = Runner.Mode.GONE);
+        seen.addAll(runners);
+        runners.clear();
         runners.addAll(seen);
+        runners.removeIf(r -> r.mode == Runner.Mode.GONE);
         if (!cached && orders.mustSubscribe) {
             askAt = null;
             askGap = orders.askWithin.dividedBy(20);
         }
     }
 
-    public void listFailed(Duration now) {
-        // Jitter, and a gap that doubles: the list service has a fixed capacity for all of us.
+    public void listFailed(Duration now) {  // jitter, and a gap that doubles, spare the small list service
         askAt = now.plus(ofSecs(secs(askGap) * (0.5 + chance.nextDouble())));
         askGap = least(askGap.multipliedBy(2), orders.askWithin.dividedBy(2));
     }
@@ -144,7 +143,7 @@
         double load = Double.POSITIVE_INFINITY;
         boolean idle = false;
         if (answered) {
-            r.report = report;
+            r.report = report == null ? LoadReport.NONE : report;
             r.known = true;
             load = load(r);
             idle = idle(r, a == null ? 1 : a.slots);
@@ -205,8 +204,7 @@
                 look(a, limit);
                 return;
             }
-            // Guards against silent or busy runners holding an assignment up: the answer no longer counts.
-            a.found(a.asked, 2 * meanQueue + 1);
+            a.found(a.asked, 2 * meanQueue + 1);  // guards against silent or busy runners holding it up
             a.asked = null;
         }
         while (a.probed.isEmpty() || worthAnother(a)) {
@@ -260,11 +258,11 @@
 
     /** B = Σ (Qmin − i)·p(i), with p(i) = s(i) − s(i+1). */
     static double payoff(double qMin, double lambda, int d) {
-        double b = qMin >= FULL ? FULL : 0;
+        double b = 0;
         for (int i = 0; i <= qMin && qMin < FULL; i++) {
             b += (qMin - i) * (s(i, lambda, d) - s(i + 1, lambda, d));
         }
-        return b;
+        return qMin < FULL ? b : FULL;
     }
 
     static double s(int i, double lambda, int d) {
@@ -273,47 +271,46 @@
 
     /** The runner's load: its reported queue, else its jobs in flight, else what we sent, else the mean. */
     double load(Runner r) {
-        if (r.report != null && !Double.isNaN(r.report.queue())) {
+        if (!Double.isNaN(r.report.queue())) {
             // Guards against late reports: as many of each other dispatcher's jobs may wait there as of ours.
             return Math.max(r.report.queue(), orders.tellsStart ? r.waiting() * orders.dispatchers : 0);
-        } else if (r.report != null && !Double.isNaN(r.report.inFlight())) {
-            return Math.max(r.report.inFlight(), r.out.size());
         }
-        return r.known ? r.out.size() : meanOut;
+        return Double.isNaN(r.report.inFlight()) ? r.known ? r.out.size() : meanOut
+                : Math.max(r.report.inFlight(), r.out.size());
     }
 
     /** Idle: nothing queued, and enough free slots for this job where they are reported. */
     boolean idle(Runner r, double slots) {
         // A report is older than our last sends: what has not started yet waits there, seen or not.
         double ours = orders.tellsStart ? r.slotsWaiting() : 0;
-        LoadReport report = r.report;
-        boolean queueKnown = report != null && !Double.isNaN(report.queue());
-        if (report != null && !Double.isNaN(report.freeSlots())) {
-            return (!queueKnown || report.queue() < 0.5) && report.freeSlots() - ours >= slots - 0.25;
+        if (Double.isNaN(r.report.freeSlots())) {
+            return Double.isNaN(r.report.queue()) ? load(r) < 0.5 : r.report.queue() + ours < 0.5;
         }
-        return queueKnown ? report.queue() + ours < 0.5 : load(r) < 0.5;
+        return !(r.report.queue() >= 0.5) && r.report.freeSlots() - ours >= slots - 0.25;
     }
 
     /**
-     * A random runner to probe next: one in good standing, new to this assignment; else, at first, any. While
-     * crossing zones has a price, the first half of the probes goes to our own zone, if it has one to give.
+     * A random runner to probe next, new to this assignment: before all, one in good standing (at first, any
+     * will do); then one quick enough to run it in time; then, for the first half of the probes while crossing
+     * zones has a price, one of our own zone.
      */
     private Runner pick(Duration now, Assignment a) {
         survey(now);
-        List<Runner> good = new ArrayList<>();
-        List<Runner> rest = new ArrayList<>();
-        for (Runner r : runners) {
+        boolean home = orders.crossZonePrice > 0 && 2 * a.probed.size() < PROBE_CAP;
+        Runner best = null;
+        int leastRank = a.probed.isEmpty() && !a.secondLook ? 8 : 4;
+        for (int i = 0; i < runners.size() && leastRank > 0; i++) {
+            Collections.swap(runners, i, i + chance.nextInt(runners.size() - i));  // draws without lists
+            Runner r = runners.get(i);
             if (!a.probed.contains(r) && sendable(now, a, r)) {
                 boolean trusted = r.trickle == null || mostAside || reached(now, r.trickleAt);
-                (trusted && !a.sentTo(r) ? good : rest).add(r);
+                int rank = (trusted && !a.sentTo(r) ? 0 : 4) + (slack(now, a, r) >= 0 ? 0 : 2)
+                        + (home && !r.zone.equals(orders.zone) ? 1 : 0);
+                best = rank < leastRank ? r : best;
+                leastRank = Math.min(rank, leastRank);
             }
         }
-        if (orders.crossZonePrice > 0 && 2 * a.probed.size() < PROBE_CAP) {
-            List<Runner> near = good.stream().filter(r -> r.zone.equals(orders.zone)).toList();
-            good = near.isEmpty() ? good : near;
-        }
-        List<Runner> from = good.isEmpty() && a.probed.isEmpty() && !a.secondLook ? rest : good;
-        return from.isEmpty() ? null : from.get(chance.nextInt(from.size()));
+        return best;
     }
 
     /** Whether this assignment may go to this runner now: the list, its kind, rule 2 and the cold budget. */
@@ -328,13 +325,9 @@
         if (w.repeat == Workload.Repeat.PURE || !a.mayHaveRun()) {
             return true;
         }
-        for (Dispatch d : a.dispatches) {
-            Duration remembered = d.sentAt.plus(w.window).minus(orders.round.multipliedBy(4));
-            if (d.mayHaveRun() && (!w.sameGroup(r, d.runner) || reached(now, remembered))) {
-                return false;
-            }
-        }
-        return w.repeat == Workload.Repeat.RECEIPTED;
+        Duration forgotten = now.minus(w.window).plus(orders.round.multipliedBy(4));
+        return w.repeat == Workload.Repeat.RECEIPTED && a.dispatches.stream().filter(Dispatch::mayHaveRun)
+                .allMatch(d -> w.sameGroup(r, d.runner) && !reached(forgotten, d.sentAt));
     }
 
     /** Rule 2: a shed reply says that trying again is harmless. */
@@ -349,13 +342,11 @@
     private void take(Duration now, Assignment a, Runner r, double load) {
         Dispatch out = a.pending();
         touched.add(a);
-        if (a.secondLook && out != null) {
-            // The first dispatch still waits or is silent, and this runner is idle: move it, or copy it.
+        if (a.secondLook && out != null) {  // it waits or is silent, and this runner is idle: move or copy it
             out.cancelWanted = out.startedAt == null || !orders.parallel;
-        } else if (mayShed(a)) {
-            // Guards against an overload in which all end late: a shed now is worth more than a late answer.
+        } else if (mayShed(a)) {  // guards against an overload in which all end late
             double wait = load * waitPerLoad;
-            boolean late = a.workload.lateImportance == 0 && secs(elapsed(now, a)) + wait > slack(a);
+            boolean late = a.workload.lateImportance == 0 && secs(elapsed(now, a)) + wait > slack(now, a, r);
             if (late || load == FULL || load > 0 && beyondShare(a)) {
                 answer(a, ofSecs(wait));
                 return;
@@ -366,7 +357,7 @@
         a.wantedLoad = load;
     }
 
-    // Guards against one tenant's flood: what goes far beyond its share gets idle runners only.
+    /** Guards against one tenant's flood: what goes far beyond its share gets idle runners only. */
     private boolean beyondShare(Assignment a) {
         return a.tenant != null && orders.beyondShare < 1
                 && chance.nextDouble() * a.tenant.recent > 1.5 * a.tenant.share * tenantsRecent;
@@ -377,11 +368,20 @@
         return now.minus(a.arrivedAt).plus(rows.get(a.workload).patience.minus(a.patience()));
     }
 
-    /** How long it may wait, in seconds, and still end in the promised time; less while all run slowly. */
-    private double slack(Assignment a) {
-        Row row = rows.get(a.workload);
-        double slowed = row.usual == 0 ? 1 : Math.max(1, row.run / row.usual);
-        return secs(a.workload.promised) + (a.workload.stretch / slowed - 1) * row.run;
+    /** How long it may wait, in seconds, and still end in the promised time at this runner's pace. */
+    private double slack(Duration now, Assignment a, Runner r) {
+        return secs(a.workload.promised) + (a.workload.stretch - pace(now, r)) * size(a);
+    }
+
+    /** How long runs take at this runner beside what is expected: its own, else its kind's, else all. */
+    double pace(Duration now, Runner r) {
+        double fresh = Math.exp(-secs(now.minus(r.pacedAt)) / secs(most(spell, orders.warmWithin)));
+        return r.pace.over(r.kindPace.over(pace.over(1, BELIEF, 1), BELIEF, 1), BELIEF, fresh);
+    }
+
+    /** The running time to expect at speed 1: as hinted, else the workload's mean. */
+    private double size(Assignment a) {
+        return a.hint == null ? rows.get(a.workload).usual : secs(a.hint);
     }
 
     private void answer(Assignment a, Duration pause) {
@@ -395,23 +395,22 @@
         boolean rationed = chance.nextDouble() > (further.last() + 1) / (further.count() + 1);
         if (a.dispatches.size() >= orders.mostDispatches || rationed) {
             answer(a, null);
-            return;
+        } else {
+            a.forgetSearch();
+            consider(now, a);
         }
-        a.forgetSearch();
-        consider(now, a);
     }
 
     /** Looks after a dispatch that is out: waiting too long, or silent, it is searched for anew beside it. */
     private void watch(Duration now, Assignment a, Dispatch out) {
         boolean waiting = orders.tellsStart && out.startedAt == null;
-        double left = slack(a) - secs(elapsed(now, a));
+        double left = slack(now, a, out.runner) - secs(elapsed(now, a));
         if (waiting && a.workload.lateImportance == 0 && mayShed(a)) {
-            // Guards against runners spending an overload on what waited too long to be worth anything.
-            if (left <= 0) {
+            look(a, now.plus(ofSecs(Math.max(0, left))));
+            if (left <= 0) {  // guards against spending an overload on what is worth nothing any more
                 answer(a, null);
                 return;
             }
-            look(a, now.plus(ofSecs(left)));
         }
         if (a.dispatches.size() >= orders.mostDispatches || out.cancelWanted || out != a.last()
                 || a.workload.repeat == Workload.Repeat.EFFECTFUL || !orders.cancels
@@ -451,8 +450,11 @@
                 double run = secs(now.minus(d.startedAt == null ? d.sentAt : d.startedAt));
                 Row row = rows.get(a.workload);
                 double tame = row.usual == 0 ? run : Math.min(run, 4 * row.usual);  // tails mislead means
-                row.run = row.usual == 0 ? run : row.run + 0.03 * (tame - row.run);
-                row.usual = row.usual == 0 ? run : row.usual + 0.003 * (tame - row.usual);
+                row.usual += (tame - row.usual) / Math.min(++row.ended, 256);
+                for (Pace p : List.of(pace, d.runner.kindPace, d.runner.pace)) {
+                    p.add(Math.min(run, 4 * size(a)), size(a));
+                }
+                d.runner.pacedAt = now;
                 runningTime = smooth(runningTime, run);
                 mark(now, d.runner, false);
             }
@@ -508,7 +510,7 @@
     }
 
     private double work(Assignment a) {
-        return a.slots * (runningTime == 0 ? 1 : rows.get(a.workload).run);
+        return a.slots * (runningTime == 0 ? 1 : rows.get(a.workload).usual);
     }
 
     private double fade(Duration now) {
--- a/src/main/java/saltdale/model/Runner.java
+++ b/src/main/java/saltdale/model/Runner.java
@@ -23,12 +23,16 @@
     // Seen by this dispatcher.
     public final Set<Dispatch> out = new LinkedHashSet<>();
     public final Deque<Assignment> asking = new ArrayDeque<>();
-    /** The last load report; null where none has come. */
-    public LoadReport report;
+    public LoadReport report = LoadReport.NONE;
     /** It has been sent to or has answered a probe. */
     public boolean known;
     /** Whether its recent dispatches failed. */
     public final Histogram failures = Histogram.ofOdds(16);
+    /** How long our assignments ran on it beside what was expected, and when the last of them ended. */
+    public final Pace pace = new Pace(16);
+    public Duration pacedAt = Duration.ZERO;
+    /** The same for all runners of its kind together. */
+    public Pace kindPace = new Pace(64);
     /** The load at which it last turned us away. */
     public double fullAt = Double.POSITIVE_INFINITY;
     /** The gap of the trickle to a runner set aside; null for a runner in good standing. */
@@ -41,6 +45,7 @@
     public void sighted(Sighting s) {
         if (s.startedAt() != null && !s.startedAt().equals(startedAt)) {
             failures.clear();
+            pace.clear();
             trickle = null;
         }
         kind = s.kind();
--- a/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/src/test/java/saltdale/decision/DispatcherTest.java
@@ -94,7 +94,7 @@
         Runner runner = dispatcher.runners.get(0);
         runner.report = new LoadReport(Double.NaN, 5, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
         assertEquals(5, dispatcher.load(runner));
-        runner.report = null;
+        runner.report = LoadReport.NONE;
         runner.known = true;
         scene.sentTo(runner);
         assertEquals(1, dispatcher.load(runner));
@@ -179,8 +179,9 @@
     @Test
     void aRunnerMissingFromAWholeListIsGone() {
         Dispatcher dispatcher = scene.with(1);
+        Runner runner = dispatcher.runners.get(0);
         dispatcher.listed(Scene.at(1), List.of(), true, false);
-        assertEquals(Runner.Mode.GONE, dispatcher.runners.get(0).mode);
+        assertEquals(Runner.Mode.GONE, runner.mode);
     }
 
     @Test
@@ -273,6 +274,21 @@
         assertEquals(List.of("shed", "cancel"), scene.acts);
     }
 
+    @Test
+    void aRunnerTooSlowForTheJobIsProbedOnlyWhenNoOtherIsLeft() {
+        Dispatcher dispatcher = scene.with(6);
+        Runner slow = dispatcher.runners.get(2);
+        for (int i = 0; i < 12; i++) {
+            slow.pace.add(4, 1);
+        }
+        for (int i = 0; i < 20; i++) {
+            Assignment a = scene.assignment();
+            a.hint = Duration.ofSeconds(1);
+            scene.arrives(a);
+        }
+        assertFalse(scene.probes.contains(slow));
+    }
+
     @Test
     void ourOwnZoneIsProbedFirstWhileCrossingIsPriced() {
         scene.orders.crossZonePrice = 0.02;
