--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -158,7 +158,7 @@
             } else if (!a.closed) {
                 // Guards against taking an empty queue before full slots, or a full room that is the shortest
                 // of unlike rooms, for the best there is.
-                a.found(r, load >= r.fullAt && answered ? FULL : Math.max(load, 0.5));
+                a.found(r, load >= r.fullAt && answered ? FULL : Math.max(load, 0.5) * pace(now, r) / pace.over(1, BELIEF, 1));
                 search(now, a);
             }
         }
