Learn a runner's pace beside its kind's and the fleet's; a rough hint counts half

Told from others by: no list change, no errors, waits of 0.1 s against runs of 1.9 s, all kinds and halls. Change: pace = the fleet's (16 runs) x its kind's beside it (64) x its own beside both. Hints are rough (quartiles of run/hint 0.7 and 2.0): the geometric mean of hint and workload's mean hint stands for the size.

--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -18,12 +18,11 @@
     static final double FULL = Double.MAX_VALUE;  // the load of a runner that would turn us away
     static final double COLD_CAUTION = 0.6;  // the part of a cold runner's guessed budget that is used
     static final double SCARCE = 0.95;  // busy share above which a second look costs more than it finds
-    static final double BELIEF = 4;  // runs that a runner needs of its own to outweigh its kind's
+    static final double BELIEF = 4;  // so many runs at the usual pace are believed before any is seen
     static final double POOR = 0.3;  // a runner failing more than this share of late is set aside
 
     static final class Row {  // one a workload
-        double usual;  // mean running time in seconds, 0 until one has ended
-        double ended;  // how many have
+        double usual, ended;  // mean size in seconds, as hinted, else as run, over how many that have ended
         Duration patience = Duration.ZERO;  // the longest a client has come with: that of a first try
     }
 
@@ -32,12 +31,11 @@
     private final SplittableRandom chance;
     final List<Runner> runners = new ArrayList<>();
     private final Map<Workload, Row> rows = new HashMap<>();
-    private final Pace pace = new Pace(64);  // of all runners, and of each kind
+    private final Pace pace = new Pace(16);  // of all runners; those of a kind beside them
     private final Map<String, Pace> kinds = new HashMap<>();
     private final Set<Assignment> touched = new LinkedHashSet<>();
-    // Smoothed, for the design: λ', L̄, and the probe round trip and running time whose ratio is CT.
-    double lambdaSeen, meanQueue, roundTrip, runningTime;
-    double waitPerLoad;
+    // Smoothed: the design's λ', L̄, round trip and running time (CT); then the wait that a load of 1 brings.
+    double lambdaSeen, meanQueue, roundTrip, runningTime, waitPerLoad;
     private final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
     private double workSent;  // to warm runners, fading
     private Duration workSentAt = Duration.ZERO;
@@ -156,9 +154,9 @@
             if (!a.closed && idle && sendable(now, a, r)) {
                 take(now, a, r, 0);
             } else if (!a.closed) {
-                // Guards against taking an empty queue before full slots, or a full room that is the shortest
-                // of unlike rooms, for the best there is.
-                a.found(r, load >= r.fullAt && answered ? FULL : Math.max(load, 0.5) * pace(now, r) / pace.over(1, BELIEF, 1));
+                // Guards against an empty queue before full slots, unlike rooms and runners of unlike speed.
+                double weighed = Math.max(load, 0.5) * pace(now, r) / pace.ratio(BELIEF);
+                a.found(r, load >= r.fullAt && answered ? FULL : weighed);
                 search(now, a);
             }
         }
@@ -291,8 +289,8 @@
 
     /**
      * A random runner to probe next, new to this assignment: before all, one in good standing (at first, any
-     * will do); then one quick enough to run it in time; then, for the first half of the probes while crossing
-     * zones has a price, one of our own zone.
+     * will do); then one quick enough to run it in time; then, for the first half of the probes while
+     * crossing zones has a price, one of our own zone.
      */
     private Runner pick(Duration now, Assignment a) {
         survey(now);
@@ -373,15 +371,16 @@
         return secs(a.workload.promised) + (a.workload.stretch - pace(now, r)) * size(a);
     }
 
-    /** How long runs take at this runner beside what is expected: its own, else its kind's, else all. */
+    /** How long runs take there beside what is expected: the fleet's, its kind's in that, its own in that. */
     double pace(Duration now, Runner r) {
         double fresh = Math.exp(-secs(now.minus(r.pacedAt)) / secs(most(spell, orders.warmWithin)));
-        return r.pace.over(r.kindPace.over(pace.over(1, BELIEF, 1), BELIEF, 1), BELIEF, fresh);
+        return pace.ratio(BELIEF) * r.kindPace.ratio(BELIEF) * r.pace.ratio(BELIEF / fresh);
     }
 
-    /** The running time to expect at speed 1: as hinted, else the workload's mean. */
+    /** The running time to expect at speed 1: the workload's mean; beside it a rough hint counts half. */
     private double size(Assignment a) {
-        return a.hint == null ? rows.get(a.workload).usual : secs(a.hint);
+        double usual = rows.get(a.workload).usual;
+        return a.hint == null ? usual : Math.sqrt(usual * secs(a.hint));
     }
 
     private void answer(Assignment a, Duration pause) {
@@ -392,8 +391,8 @@
 
     /** After a failure: again, rationed by how many recent further dispatches succeeded; else the answer. */
     private void furtherOrAnswer(Duration now, Assignment a) {
-        boolean rationed = chance.nextDouble() > (further.last() + 1) / (further.count() + 1);
-        if (a.dispatches.size() >= orders.mostDispatches || rationed) {
+        double odds = (further.last() + 1) / (further.count() + 1);
+        if (a.dispatches.size() >= orders.mostDispatches || chance.nextDouble() > odds) {
             answer(a, null);
         } else {
             a.forgetSearch();
@@ -401,7 +400,7 @@
         }
     }
 
-    /** Looks after a dispatch that is out: waiting too long, or silent, it is searched for anew beside it. */
+    /** Looks after a dispatch that is out: waiting too long, or silent, it is searched for anew. */
     private void watch(Duration now, Assignment a, Dispatch out) {
         boolean waiting = orders.tellsStart && out.startedAt == null;
         double left = slack(now, a, out.runner) - secs(elapsed(now, a));
@@ -449,13 +448,14 @@
             case FULFILLED -> {
                 double run = secs(now.minus(d.startedAt == null ? d.sentAt : d.startedAt));
                 Row row = rows.get(a.workload);
-                double tame = row.usual == 0 ? run : Math.min(run, 4 * row.usual);  // tails mislead means
-                row.usual += (tame - row.usual) / Math.min(++row.ended, 256);
-                for (Pace p : List.of(pace, d.runner.kindPace, d.runner.pace)) {
-                    p.add(Math.min(run, 4 * size(a)), size(a));
-                }
-                d.runner.pacedAt = now;
+                double seen = row.ended == 0 ? run : Math.min(run, 4 * row.usual);  // tails mislead means
+                row.usual += ((a.hint == null ? seen : secs(a.hint)) - row.usual) / Math.min(++row.ended, 99);
                 runningTime = smooth(runningTime, run);
+                run = Math.min(run, 4 * size(a) * pace(now, d.runner));
+                d.runner.pace.add(run, size(a) * pace.ratio(BELIEF) * d.runner.kindPace.ratio(BELIEF));
+                d.runner.kindPace.add(run, size(a) * pace.ratio(BELIEF));
+                pace.add(run, size(a));
+                d.runner.pacedAt = now;
                 mark(now, d.runner, false);
             }
             case TURNED_AWAY -> d.runner.fullAt = d.load < 1 ? d.runner.fullAt : d.load;
@@ -483,8 +483,8 @@
 
     // ---- Cold runners (rule 4).
 
-    // What we send an average warm runner stands for our part of its capacity: if each dispatcher keeps its
-    // sends within multiple x cold share of that in every window, all of them together keep the rule.
+    // What we send a warm runner stands for our part of its capacity: if each dispatcher keeps its sends
+    // within multiple x cold share of that in every window, all of them together keep the rule.
     private boolean withinColdBudget(Duration now, Assignment a, Runner r) {
         double share = orders.warmth(now, r);
         if (share >= 1) {
@@ -510,7 +510,7 @@
     }
 
     private double work(Assignment a) {
-        return a.slots * (runningTime == 0 ? 1 : rows.get(a.workload).usual);
+        return a.slots * (rows.get(a.workload).ended == 0 ? 1 : rows.get(a.workload).usual);
     }
 
     private double fade(Duration now) {
@@ -592,8 +592,8 @@
 
     /** How long a probe may hold an assignment: a few usual round trips, a part of the promised time. */
     private Duration probeLimit(Assignment a) {
-        Duration most = a.workload.promised.dividedBy(4);
-        return roundTrip == 0 ? most : least(most, ofSecs(3 * roundTrip).plus(orders.round.multipliedBy(2)));
+        Duration usual = ofSecs(roundTrip == 0 ? 1e6 : 3 * roundTrip).plus(orders.round.multipliedBy(2));
+        return least(a.workload.promised.dividedBy(4), usual);
     }
 
     private void look(Assignment a, Duration at) {
--- a/src/main/java/saltdale/model/Pace.java
+++ b/src/main/java/saltdale/model/Pace.java
@@ -27,9 +27,8 @@
         count = 0;
     }
 
-    /** The ratio, as far as its runs outweigh so many of an earlier belief. */
-    public double over(double belief, double weight, double freshness) {
-        double runs = count * freshness;
-        return runs == 0 ? belief : (taken / expected * runs + belief * weight) / (runs + weight);
+    /** Taken over expected, among so many further runs that took what was expected. */
+    public double ratio(double believed) {
+        return count == 0 ? 1 : (taken / expected * count + believed) / (count + believed);
     }
 }
--- a/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/src/test/java/saltdale/decision/DispatcherTest.java
@@ -278,17 +278,27 @@
     void aRunnerTooSlowForTheJobIsProbedOnlyWhenNoOtherIsLeft() {
         Dispatcher dispatcher = scene.with(6);
         Runner slow = dispatcher.runners.get(2);
+        Assignment done = scene.sentTo(dispatcher.runners.get(0));
+        dispatcher.ended(Scene.at(1000), done.dispatches.get(0), Outcome.FULFILLED, true, null);
         for (int i = 0; i < 12; i++) {
             slow.pace.add(4, 1);
         }
         for (int i = 0; i < 20; i++) {
-            Assignment a = scene.assignment();
-            a.hint = Duration.ofSeconds(1);
-            scene.arrives(a);
+            scene.arrives(scene.assignment());
         }
         assertFalse(scene.probes.contains(slow));
     }
 
+    @Test
+    void aSharedSlowdownTellsOfRunnersNotHeardOfSince() {
+        Dispatcher dispatcher = scene.with(2);
+        for (int i = 0; i < 40; i++) {
+            Assignment a = scene.sentTo(dispatcher.runners.get(i < 20 ? 0 : 1));
+            dispatcher.ended(Scene.at(i < 20 ? 400 : 1200), a.dispatches.get(0), Outcome.FULFILLED, true, null);
+        }
+        assertTrue(dispatcher.pace(Scene.at(1200), dispatcher.runners.get(0)) > 1.3);
+    }
+
     @Test
     void ourOwnZoneIsProbedFirstWhileCrossingIsPriced() {
         scene.orders.crossZonePrice = 0.02;
