Guess a cold runner's budget from work that warm runners finished

Change: finished work counts instead; with no warm runner left the last figure holds; with nothing to go by yet, one dispatcher of all may try.

--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -37,8 +37,8 @@
     // Smoothed: the design's λ', L̄, round trip and running time (CT); then the wait that a load of 1 brings.
     double lambdaSeen, meanQueue, roundTrip, runningTime, waitPerLoad;
     private final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
-    private double workSent;  // to warm runners, fading
-    private Duration workSentAt = Duration.ZERO;
+    private double workDone;  // by warm runners, fading
+    private Duration workDoneAt = Duration.ZERO;
     private double tenantsRecent;
     private Duration surveyedAt;
     private double warmRate, meanOut;
@@ -456,6 +456,10 @@
                 d.runner.kindPace.add(run, size(a) * pace.ratio(BELIEF));
                 pace.add(run, size(a));
                 d.runner.pacedAt = now;
+                if (orders.warmth(now, d.runner) >= 1 && !orders.warmWithin.isZero()) {
+                    workDone = workDone * fade(now) + d.work;
+                    workDoneAt = now;
+                }
                 mark(now, d.runner, false);
             }
             case TURNED_AWAY -> d.runner.fullAt = d.load < 1 ? d.runner.fullAt : d.load;
@@ -483,7 +487,7 @@
 
     // ---- Cold runners (rule 4).
 
-    // What we send a warm runner stands for our part of its capacity: if each dispatcher keeps its sends
+    // What a warm runner does for us stands for our part of its capacity: if each dispatcher keeps its sends
     // within multiple x cold share of that in every window, all of them together keep the rule.
     private boolean withinColdBudget(Duration now, Assignment a, Runner r) {
         double share = orders.warmth(now, r);
@@ -492,7 +496,8 @@
         }
         survey(now);
         double budget = COLD_CAUTION * orders.tipMultiple * share * warmRate * secs(orders.fall);
-        return r.coldWork(now.minus(orders.fall)) + work(a) <= budget || warmRate == 0 && r.out.isEmpty();
+        return r.coldWork(now.minus(orders.fall)) + work(a) <= budget || warmRate == 0 && r.out.isEmpty()
+                && chance.nextInt(orders.dispatchers) == 0;  // nothing to go by yet: one of us all
     }
 
     /** Once a round: the work a second that goes to a warm runner, and whether most are set aside. */
@@ -504,7 +509,7 @@
         List<Runner> ready = runners.stream().filter(Runner::ready).toList();
         long aside = ready.stream().filter(r -> r.trickle != null).count();
         long warm = ready.stream().filter(r -> orders.warmth(now, r) >= 1).count();
-        warmRate = warm == 0 ? 0 : workSent * fade(now) / secs(orders.warmWithin) / warm;
+        warmRate = warm == 0 ? warmRate : workDone * fade(now) / secs(orders.warmWithin) / warm;
         meanOut = ready.stream().filter(r -> r.known).mapToInt(r -> r.out.size()).average().orElse(0);
         mostAside = 2 * aside > ready.size();  // when most do badly it is not them: then nobody is set aside
     }
@@ -514,7 +519,7 @@
     }
 
     private double fade(Duration now) {
-        return Math.exp(-secs(now.minus(workSentAt)) / secs(orders.warmWithin));
+        return Math.exp(-secs(now.minus(workDoneAt)) / secs(orders.warmWithin));
     }
 
     // ---- The one place that acts: the difference between what is wanted and what is.
@@ -577,9 +582,6 @@
         Dispatch d = new Dispatch(a, r, now, work(a), a.wantedLoad);
         if (orders.warmth(now, r) < 1) {
             r.coldSends.add(d);
-        } else if (!orders.warmWithin.isZero()) {
-            workSent = workSent * fade(now) + d.work;
-            workSentAt = now;
         }
         a.dispatches.add(d);
         r.out.add(d);
