Draw slower runners less often; mend the endless probing after a run of no length

Its first job's start was told in the round of its end, so the mean size was 0, the pace no number, and no queue ever the shortest. A run now lasts a round at least. Found by: the asks counted by dispatcher, one alone stood out. Cause 2: stopping at the first idle runner gives slow ones more than their part; the draw now passes a runner over by its pace.

--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -31,7 +31,7 @@
     private final SplittableRandom chance;
     final List<Runner> runners = new ArrayList<>();
     private final Map<Workload, Row> rows = new HashMap<>();
-    private final Pace pace = new Pace(16);  // of all runners; those of a kind beside them
+    private final Pace pace = new Pace(16, null);  // of all runners; within it those of each kind
     private final Map<String, Pace> kinds = new HashMap<>();
     private final Set<Assignment> touched = new LinkedHashSet<>();
     // Smoothed: the design's λ', L̄, round trip and running time (CT); then the wait that a load of 1 brings.
@@ -45,7 +45,7 @@
     private boolean mostAside;
     private Duration askAt;  // when to ask for the list; null while subscribed
     private Duration askGap;
-    private final Duration spell;  // the unit of setting aside
+    private final Duration spell, memory;  // the unit of setting aside; how long what was measured counts
 
     public Dispatcher(StandingOrders orders, Door door, SplittableRandom chance) {
         this.orders = orders;
@@ -57,6 +57,7 @@
             shortest = least(shortest, workload.patience);
         }
         spell = shortest.dividedBy(4);
+        memory = most(spell, orders.warmWithin);
         askGap = orders.askWithin.dividedBy(20);
     }
 
@@ -71,7 +72,7 @@
         for (Sighting s : sightings) {
             seen.add(s.runner());
             s.runner().sighted(s);
-            s.runner().kindPace = kinds.computeIfAbsent(s.kind(), k -> new Pace(64));
+            s.runner().pace.within = kinds.computeIfAbsent(s.kind(), k -> new Pace(64, pace));
         }
         runners.stream().filter(r -> whole && !seen.contains(r)).forEach(r -> r.mode = Runner.Mode.GONE);
         seen.addAll(runners);
@@ -155,7 +156,7 @@
                 take(now, a, r, 0);
             } else if (!a.closed) {
                 // Guards against an empty queue before full slots, unlike rooms and runners of unlike speed.
-                double weighed = Math.max(load, 0.5) * pace(now, r) / pace.ratio(BELIEF);
+                double weighed = Math.max(load, 0.5) * pace(now, r) / pace.of(BELIEF, BELIEF);
                 a.found(r, load >= r.fullAt && answered ? FULL : weighed);
                 search(now, a);
             }
@@ -296,14 +297,15 @@
         survey(now);
         boolean home = orders.crossZonePrice > 0 && 2 * a.probed.size() < PROBE_CAP;
         Runner best = null;
-        int leastRank = a.probed.isEmpty() && !a.secondLook ? 8 : 4;
+        int leastRank = a.probed.isEmpty() && !a.secondLook ? 16 : 8;
         for (int i = 0; i < runners.size() && leastRank > 0; i++) {
             Collections.swap(runners, i, i + chance.nextInt(runners.size() - i));  // draws without lists
             Runner r = runners.get(i);
             if (!a.probed.contains(r) && sendable(now, a, r)) {
                 boolean trusted = r.trickle == null || mostAside || reached(now, r.trickleAt);
-                int rank = (trusted && !a.sentTo(r) ? 0 : 4) + (slack(now, a, r) >= 0 ? 0 : 2)
-                        + (home && !r.zone.equals(orders.zone) ? 1 : 0);
+                int rank = (trusted && !a.sentTo(r) ? 0 : 8) + (slack(now, a, r) >= 0 ? 0 : 4)
+                        + (home && !r.zone.equals(orders.zone) ? 2 : 0)
+                        + (chance.nextDouble() * pace(now, r) > pace.of(BELIEF, BELIEF) ? 1 : 0);
                 best = rank < leastRank ? r : best;
                 leastRank = Math.min(rank, leastRank);
             }
@@ -373,8 +375,7 @@
 
     /** How long runs take there beside what is expected: the fleet's, its kind's in that, its own in that. */
     double pace(Duration now, Runner r) {
-        double fresh = Math.exp(-secs(now.minus(r.pacedAt)) / secs(most(spell, orders.warmWithin)));
-        return pace.ratio(BELIEF) * r.kindPace.ratio(BELIEF) * r.pace.ratio(BELIEF / fresh);
+        return r.pace.of(BELIEF / fade(now, r.pacedAt), BELIEF);
     }
 
     /** The running time to expect at speed 1: the workload's mean; beside it a rough hint counts half. */
@@ -446,25 +447,22 @@
         }
         switch (d.outcome) {
             case FULFILLED -> {
-                double run = secs(now.minus(d.startedAt == null ? d.sentAt : d.startedAt));
+                Duration span = now.minus(d.startedAt == null ? d.sentAt : d.startedAt);
+                double run = secs(most(span, orders.round));  // its start may be told late, with its end
                 Row row = rows.get(a.workload);
                 double seen = row.ended == 0 ? run : Math.min(run, 4 * row.usual);  // tails mislead means
                 row.usual += ((a.hint == null ? seen : secs(a.hint)) - row.usual) / Math.min(++row.ended, 99);
                 runningTime = smooth(runningTime, run);
-                run = Math.min(run, 4 * size(a) * pace(now, d.runner));
-                d.runner.pace.add(run, size(a) * pace.ratio(BELIEF) * d.runner.kindPace.ratio(BELIEF));
-                d.runner.kindPace.add(run, size(a) * pace.ratio(BELIEF));
-                pace.add(run, size(a));
+                d.runner.pace.add(Math.min(run, 4 * size(a) * pace(now, d.runner)), size(a), BELIEF);
                 d.runner.pacedAt = now;
-                if (orders.warmth(now, d.runner) >= 1 && !orders.warmWithin.isZero()) {
-                    workDone = workDone * fade(now) + d.work;
+                if (orders.warmth(now, d.runner) >= 1) {
+                    workDone = workDone * fade(now, workDoneAt) + d.work;
                     workDoneAt = now;
                 }
                 mark(now, d.runner, false);
             }
             case TURNED_AWAY -> d.runner.fullAt = d.load < 1 ? d.runner.fullAt : d.load;
             case ERROR, BROKEN, NOT_CONNECTED, TIMED_OUT -> mark(now, d.runner, true);
-            default -> { }
         }
     }
 
@@ -509,7 +507,7 @@
         List<Runner> ready = runners.stream().filter(Runner::ready).toList();
         long aside = ready.stream().filter(r -> r.trickle != null).count();
         long warm = ready.stream().filter(r -> orders.warmth(now, r) >= 1).count();
-        warmRate = warm == 0 ? warmRate : workDone * fade(now) / secs(orders.warmWithin) / warm;
+        warmRate = warm == 0 ? warmRate : workDone * fade(now, workDoneAt) / secs(memory) / warm;
         meanOut = ready.stream().filter(r -> r.known).mapToInt(r -> r.out.size()).average().orElse(0);
         mostAside = 2 * aside > ready.size();  // when most do badly it is not them: then nobody is set aside
     }
@@ -518,8 +516,8 @@
         return a.slots * (rows.get(a.workload).ended == 0 ? 1 : rows.get(a.workload).usual);
     }
 
-    private double fade(Duration now) {
-        return Math.exp(-secs(now.minus(workDoneAt)) / secs(orders.warmWithin));
+    private double fade(Duration now, Duration since) {
+        return Math.exp(-secs(now.minus(since)) / secs(memory));
     }
 
     // ---- The one place that acts: the difference between what is wanted and what is.
--- a/src/main/java/saltdale/model/Runner.java
+++ b/src/main/java/saltdale/model/Runner.java
@@ -29,10 +29,8 @@
     /** Whether its recent dispatches failed. */
     public final Histogram failures = Histogram.ofOdds(16);
     /** How long our assignments ran on it beside what was expected, and when the last of them ended. */
-    public final Pace pace = new Pace(16);
+    public final Pace pace = new Pace(16, null);
     public Duration pacedAt = Duration.ZERO;
-    /** The same for all runners of its kind together. */
-    public Pace kindPace = new Pace(64);
     /** The load at which it last turned us away. */
     public double fullAt = Double.POSITIVE_INFINITY;
     /** The gap of the trickle to a runner set aside; null for a runner in good standing. */
--- a/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/src/test/java/saltdale/decision/DispatcherTest.java
@@ -281,7 +281,7 @@
         Assignment done = scene.sentTo(dispatcher.runners.get(0));
         dispatcher.ended(Scene.at(1000), done.dispatches.get(0), Outcome.FULFILLED, true, null);
         for (int i = 0; i < 12; i++) {
-            slow.pace.add(4, 1);
+            dispatcher.runners.forEach(r -> r.pace.add(r == slow ? 4 : 1, 1, 4));
         }
         for (int i = 0; i < 20; i++) {
             scene.arrives(scene.assignment());
@@ -299,6 +299,15 @@
         assertTrue(dispatcher.pace(Scene.at(1200), dispatcher.runners.get(0)) > 1.3);
     }
 
+    @Test
+    void aStartToldTogetherWithTheEndLeavesAFinitePace() {
+        Dispatcher dispatcher = scene.with(1);
+        Dispatch d = scene.sentTo(dispatcher.runners.get(0)).dispatches.get(0);
+        dispatcher.started(Scene.at(900), d);
+        dispatcher.ended(Scene.at(900), d, Outcome.FULFILLED, true, null);
+        assertEquals(1, dispatcher.pace(Scene.at(900), d.runner), 0.01);
+    }
+
     @Test
     void ourOwnZoneIsProbedFirstWhileCrossingIsPriced() {
         scene.orders.crossZonePrice = 0.02;
