Let the less important bear less waiting, so that overloads shed it first

Change: the wait that an assignment may bear is multiplied by the root of its importance over the greatest one.

--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -38,10 +38,8 @@
     double lambdaSeen, meanQueue, roundTrip, runningTime, waitPerLoad;
     private final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
     private double workDone;  // by warm runners, fading
-    private Duration workDoneAt = Duration.ZERO;
-    private double tenantsRecent;
-    private Duration surveyedAt;
-    private double warmRate, meanOut;
+    private Duration workDoneAt = Duration.ZERO, surveyedAt;
+    private double tenantsRecent, mostImportant, warmRate, meanOut;
     private boolean mostAside;
     private Duration askAt;  // when to ask for the list; null while subscribed
     private Duration askGap;
@@ -55,6 +53,7 @@
         for (Workload workload : orders.workloads) {
             rows.put(workload, new Row());
             shortest = least(shortest, workload.patience);
+            mostImportant = Math.max(mostImportant, workload.importance);
         }
         spell = shortest.dividedBy(4);
         memory = most(spell, orders.warmWithin);
@@ -368,9 +367,10 @@
         return now.minus(a.arrivedAt).plus(rows.get(a.workload).patience.minus(a.patience()));
     }
 
-    /** How long it may wait, in seconds, and still end in the promised time at this runner's pace. */
+    /** How long it may wait, in seconds, to end there in time; less while others are more important. */
     private double slack(Duration now, Assignment a, Runner r) {
-        return secs(a.workload.promised) + (a.workload.stretch - pace(now, r)) * size(a);
+        double left = secs(a.workload.promised) + (a.workload.stretch - pace(now, r)) * size(a);
+        return left * Math.sqrt(a.workload.importance / mostImportant);
     }
 
     /** How long runs take there beside what is expected: the fleet's, its kind's in that, its own in that. */
@@ -505,11 +505,11 @@
         }
         surveyedAt = now;
         List<Runner> ready = runners.stream().filter(Runner::ready).toList();
-        long aside = ready.stream().filter(r -> r.trickle != null).count();
         long warm = ready.stream().filter(r -> orders.warmth(now, r) >= 1).count();
         warmRate = warm == 0 ? warmRate : workDone * fade(now, workDoneAt) / secs(memory) / warm;
         meanOut = ready.stream().filter(r -> r.known).mapToInt(r -> r.out.size()).average().orElse(0);
-        mostAside = 2 * aside > ready.size();  // when most do badly it is not them: then nobody is set aside
+        // When most do badly it is not them: then nobody is set aside.
+        mostAside = 2 * ready.stream().filter(r -> r.trickle != null).count() > ready.size();
     }
 
     private double work(Assignment a) {
--- a/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/src/test/java/saltdale/decision/DispatcherTest.java
@@ -299,6 +299,18 @@
         assertTrue(dispatcher.pace(Scene.at(1200), dispatcher.runners.get(0)) > 1.3);
     }
 
+    @Test
+    void theLessImportantBearsLessWaiting() {
+        Workload vital = new Workload();
+        vital.importance = 16 * scene.workload.importance;
+        scene.orders.workloads.add(vital);
+        Dispatcher dispatcher = scene.with(1);
+        dispatcher.waitPerLoad = 0.2;
+        scene.arrives(scene.assignment());
+        scene.finds(1);  // 0.2 s to wait; all of 0.4 s could be borne, but only a quarter is
+        assertEquals(List.of("probe", "shed"), scene.acts);
+    }
+
     @Test
     void aStartToldTogetherWithTheEndLeavesAFinitePace() {
         Dispatcher dispatcher = scene.with(1);
