Prefer our own zone only while it is not crowded; drop the limit on tenants

Found by: idle share of the probes by zone. In the way there: about 25 of 137 runners are new and stay unused until warm, as one dispatcher's part of their budget is under one job.

--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -36,10 +36,11 @@
     private final Set<Assignment> touched = new LinkedHashSet<>();
     // Smoothed: the design's λ', L̄, round trip and running time (CT); then the wait that a load of 1 brings.
     double lambdaSeen, meanQueue, roundTrip, runningTime, waitPerLoad;
+    private final double[] busy = new double[2];  // λ' of our own zone, and of the others
     private final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
     private double workDone;  // by warm runners, fading
     private Duration workDoneAt = Duration.ZERO, surveyedAt;
-    private double tenantsRecent, mostImportant, warmRate, meanOut;
+    private double mostImportant, warmRate, meanOut;
     private boolean mostAside;
     private Duration askAt;  // when to ask for the list; null while subscribed
     private Duration askGap;
@@ -90,13 +91,6 @@
     }
 
     public void arrived(Duration now, Assignment a) {
-        if (a.tenant != null) {
-            a.tenant.recent++;
-            if (++tenantsRecent >= 128) {
-                tenantsRecent /= 2;
-                orders.tenants.forEach(t -> t.recent /= 2);
-            }
-        }
         Row row = rows.get(a.workload);
         row.patience = most(row.patience, a.patience());
         consider(now, a);
@@ -148,6 +142,8 @@
             roundTrip = smooth(roundTrip, secs(took));
             meanQueue = smooth(meanQueue, load);
             lambdaSeen = smooth(lambdaSeen, idle ? 0 : 1);
+            int where = r.zone.equals(orders.zone) ? 0 : 1;
+            busy[where] = smooth(busy[where], idle ? 0 : 1);
         }
         if (a != null) {
             a.asked = null;
@@ -294,7 +290,8 @@
      */
     private Runner pick(Duration now, Assignment a) {
         survey(now);
-        boolean home = orders.crossZonePrice > 0 && 2 * a.probed.size() < PROBE_CAP;
+        boolean home = orders.crossZonePrice > 0 && 2 * a.probed.size() < PROBE_CAP
+                && 2 * (1 - busy[0]) >= 1 - busy[1];  // guards against a zone that is crowded beside the others
         Runner best = null;
         int leastRank = a.probed.isEmpty() && !a.secondLook ? 16 : 8;
         for (int i = 0; i < runners.size() && leastRank > 0; i++) {
@@ -346,7 +343,7 @@
         } else if (mayShed(a)) {  // guards against an overload in which all end late
             double wait = load * waitPerLoad;
             boolean late = a.workload.lateImportance == 0 && secs(elapsed(now, a)) + wait > slack(now, a, r);
-            if (late || load == FULL || load > 0 && beyondShare(a)) {
+            if (late || load == FULL) {
                 answer(a, ofSecs(wait));
                 return;
             }
@@ -356,12 +353,6 @@
         a.wantedLoad = load;
     }
 
-    /** Guards against one tenant's flood: what goes far beyond its share gets idle runners only. */
-    private boolean beyondShare(Assignment a) {
-        return a.tenant != null && orders.beyondShare < 1
-                && chance.nextDouble() * a.tenant.recent > 1.5 * a.tenant.share * tenantsRecent;
-    }
-
     /** The time this client has been waiting over all its tries. */
     private Duration elapsed(Duration now, Assignment a) {
         return now.minus(a.arrivedAt).plus(rows.get(a.workload).patience.minus(a.patience()));
