Send a cold runner a job by chance where a dispatcher's part is under one

Change: such a part is sent by chance, the ratio of finished work to work that runners were picked for standing for it; only jobs that the parts of all together have room for.

--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -39,7 +39,8 @@
     private final double[] busy = new double[2];  // λ' of our own zone, and of the others
     private final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
     private double workDone;  // by warm runners, fading
-    private Duration workDoneAt = Duration.ZERO, surveyedAt;
+    private double workSought;  // that runners were picked for, fading
+    private Duration workDoneAt = Duration.ZERO, workSoughtAt = Duration.ZERO, surveyedAt;
     private double mostImportant, warmRate, meanOut;
     private boolean mostAside;
     private Duration askAt;  // when to ask for the list; null while subscribed
@@ -93,6 +94,7 @@
     public void arrived(Duration now, Assignment a) {
         Row row = rows.get(a.workload);
         row.patience = most(row.patience, a.patience());
+        a.luck = chance.nextDouble();
         consider(now, a);
     }
 
@@ -290,6 +292,8 @@
      */
     private Runner pick(Duration now, Assignment a) {
         survey(now);
+        workSought = workSought * fade(now, workSoughtAt) + work(a);
+        workSoughtAt = now;
         boolean home = orders.crossZonePrice > 0 && 2 * a.probed.size() < PROBE_CAP
                 && 2 * (1 - busy[0]) >= 1 - busy[1];  // guards against a zone that is crowded beside the others
         Runner best = null;
@@ -485,7 +489,11 @@
         }
         survey(now);
         double budget = COLD_CAUTION * orders.tipMultiple * share * warmRate * secs(orders.fall);
-        return r.coldWork(now.minus(orders.fall)) + work(a) <= budget || warmRate == 0 && r.out.isEmpty()
+        double sent = r.coldWork(now.minus(orders.fall));
+        // Guards against idle cold runners where our part is under one job: then it is sent by chance.
+        double part = COLD_CAUTION * orders.tipMultiple * share * workDone * fade(now, workDoneAt) / workSought;
+        boolean lucky = sent == 0 && work(a) <= budget * orders.dispatchers && a.luck < part;
+        return sent + work(a) <= budget || lucky || warmRate == 0 && r.out.isEmpty()
                 && chance.nextInt(orders.dispatchers) == 0;  // nothing to go by yet: one of us all
     }
 
--- a/src/main/java/saltdale/model/Assignment.java
+++ b/src/main/java/saltdale/model/Assignment.java
@@ -45,6 +45,8 @@
     /** A search made beside a dispatch that is out. */
     public boolean secondLook;
     public Duration lookGap;
+    /** Drawn between 0 and 1 at its arrival. */
+    public double luck;
 
     public Assignment(Workload workload, Duration arrivedAt, Duration patience) {
         this.workload = workload;
--- a/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/src/test/java/saltdale/decision/DispatcherTest.java
@@ -214,6 +214,24 @@
         assertTrue(toCold <= 2.5 * 0.3 * toWarm / 8 * 2 + 1, toCold + " to the cold, " + toWarm + " to the warm");
     }
 
+    @Test
+    void aPartUnderOneJobOfAColdRunnersBudgetIsSentByChance() {
+        scene.orders.dispatchers = 100;
+        Dispatcher dispatcher = scene.with(40);
+        Runner cold = dispatcher.runners.get(7);
+        cold.startedAt = Scene.at(0);
+        for (int i = 0; i < 200; i++) {
+            Assignment a = new Assignment(scene.workload, Scene.at(8 * i), scene.workload.patience);
+            dispatcher.arrived(Scene.at(8 * i), a);
+            dispatcher.settle(Scene.at(8 * i));
+            dispatcher.probed(Scene.at(8 * i), a.asked, true, Scene.at(1), Scene.queue(0));
+            dispatcher.settle(Scene.at(8 * i));
+            dispatcher.ended(Scene.at(8 * i + 4), a.dispatches.get(0), Outcome.FULFILLED, true, null);
+        }
+        long toCold = scene.dispatches.stream().filter(d -> d.runner == cold).count();
+        assertTrue(toCold >= 1 && toCold <= 4, toCold + " to the cold runner, of 5 to an average one");
+    }
+
     // Failures.
 
     @Test
