--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -288,14 +288,14 @@
     /**
      * A random runner to probe next, new to this assignment: before all, one in good standing (at first, any
      * will do); then one quick enough to run it in time; then, for the first half of the probes while
-     * crossing zones has a price, one of our own zone.
+     * crossing zones has a price, one of our own zone; last, slower ones are passed over by their pace.
      */
     private Runner pick(Duration now, Assignment a) {
         survey(now);
         workSought = workSought * fade(now, workSoughtAt) + work(a);
         workSoughtAt = now;
         boolean home = orders.crossZonePrice > 0 && 2 * a.probed.size() < PROBE_CAP
-                && 2 * (1 - busy[0]) >= 1 - busy[1];  // guards against a zone that is crowded beside the others
+                && 2 * (1 - busy[0]) >= 1 - busy[1];  // guards against a zone more crowded than the others
         Runner best = null;
         int leastRank = a.probed.isEmpty() && !a.secondLook ? 16 : 8;
         for (int i = 0; i < runners.size() && leastRank > 0; i++) {
@@ -491,13 +491,13 @@
         double budget = COLD_CAUTION * orders.tipMultiple * share * warmRate * secs(orders.fall);
         double sent = r.coldWork(now.minus(orders.fall));
         // Guards against idle cold runners where our part is under one job: then it is sent by chance.
-        double part = COLD_CAUTION * orders.tipMultiple * share * workDone * fade(now, workDoneAt) / workSought;
-        boolean lucky = sent == 0 && work(a) <= budget * orders.dispatchers && a.luck < part;
+        double part = COLD_CAUTION * orders.tipMultiple * share * workDone * fade(now, workDoneAt);
+        boolean lucky = sent == 0 && work(a) <= budget * orders.dispatchers && a.luck < part / workSought;
         return sent + work(a) <= budget || lucky || warmRate == 0 && r.out.isEmpty()
                 && chance.nextInt(orders.dispatchers) == 0;  // nothing to go by yet: one of us all
     }
 
-    /** Once a round: the work a second that goes to a warm runner, and whether most are set aside. */
+    /** Once a round: the work a second that a warm runner does for us, and whether most are set aside. */
     private void survey(Duration now) {
         if (now.equals(surveyedAt)) {
             return;
@@ -591,8 +591,8 @@
 
     /** How long a probe may hold an assignment: a few usual round trips, a part of the promised time. */
     private Duration probeLimit(Assignment a) {
-        Duration usual = ofSecs(roundTrip == 0 ? 1e6 : 3 * roundTrip).plus(orders.round.multipliedBy(2));
-        return least(a.workload.promised.dividedBy(4), usual);
+        Duration most = a.workload.promised.dividedBy(4);
+        return roundTrip == 0 ? most : least(most, ofSecs(3 * roundTrip).plus(orders.round.multipliedBy(2)));
     }
 
     private void look(Assignment a, Duration at) {
