Serve on sockets: transport, protocol, routing and program round the module

The first real dispatcher: one thread over NIO selectors, parsers of our own, the module untouched but for one method made public (answer, for assignments held when the process is to end). What the simulator's adapter and serve both need (OrdersReader, Fields, MalformedInput, the names of a load report) moved to saltdale.orders.

--- a/src/main/java/saltdale/Main.java
+++ b/src/main/java/saltdale/Main.java
@@ -1,14 +1,18 @@
 package saltdale;
 
 import java.io.IOException;
-import saltdale.sim.MalformedInput;
+import saltdale.orders.MalformedInput;
+import saltdale.program.Serve;
 import saltdale.sim.SimHost;
 
 /** The command line: one subcommand for each way in which the decisions are served. */
 public final class Main {
     private static final String USAGE = """
-            usage: saltdale simhost
+            usage: saltdale serve
+                   saltdale simhost
 
+              serve     serve as one dispatcher on sockets, as EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and
+                        EDGE_CONFIG say
               simhost   host dispatchers on the simulator's wire: batches on standard input, replies on
                         standard output""";
 
@@ -20,6 +24,9 @@
     }
 
     private static int run(String[] args) {
+        if (args.length == 1 && args[0].equals("serve")) {
+            return Serve.run(System.getenv(), System.err);
+        }
         if (args.length != 1 || !args[0].equals("simhost")) {
             System.err.println(USAGE);
             return 2;
--- a/src/main/java/saltdale/decision/Dispatcher.java
+++ b/src/main/java/saltdale/decision/Dispatcher.java
@@ -379,7 +379,7 @@
         return a.hint == null ? usual : Math.sqrt(usual * secs(a.hint));
     }
 
-    private void answer(Assignment a, Duration pause) {
+    public void answer(Assignment a, Duration pause) {  // from outside: when the process is to end
         a.wantedAnswer = mayShed(a) ? Assignment.Answer.SHED : Assignment.Answer.GIVEN_UP;
         a.wantedPause = orders.pauses && pause != null ? least(pause, orders.longestPause) : null;
         touched.add(a);
--- a/src/main/java/saltdale/sim/Fields.java
+++ b/src/main/java/saltdale/orders/Fields.java
@@ -1,4 +1,4 @@
-package saltdale.sim;
+package saltdale.orders;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -7,20 +7,20 @@
 import java.util.function.Predicate;
 
 /** The values of one wire message or settings object; a value of the wrong type is named in the complaint. */
-final class Fields {
+public final class Fields {
     private final String owner;
     private final JsonNode node;
 
-    Fields(String owner, JsonNode node) {
+    public Fields(String owner, JsonNode node) {
         this.owner = owner;
         this.node = node;
     }
 
-    static Duration micros(long value) {
+    public static Duration micros(long value) {
         return Duration.of(value, ChronoUnit.MICROS);
     }
 
-    MalformedInput wrong(String field, String wanted) {
+    public MalformedInput wrong(String field, String wanted) {
         return new MalformedInput(owner + ": " + field + " is not " + wanted);
     }
 
@@ -66,77 +66,77 @@
     // By position, for messages and entries.
 
     /** The value as it came; null where absent. */
-    JsonNode raw(int i) {
+    public JsonNode raw(int i) {
         return present(node.get(i));
     }
 
-    String text(int i, String field) {
+    public String text(int i, String field) {
         return required(text(i, field, null), field, "a text");
     }
 
-    String text(int i, String field, String absent) {
+    public String text(int i, String field, String absent) {
         return text(node.get(i), field, absent);
     }
 
-    long whole(int i, String field) {
+    public long whole(int i, String field) {
         return whole(node.get(i), field, v -> v.isIntegralNumber() && v.canConvertToLong()).longValue();
     }
 
     /** A whole number of any size, cut to its low 64 bits. */
-    long bits(int i, String field) {
+    public long bits(int i, String field) {
         return whole(node.get(i), field, JsonNode::isIntegralNumber).bigIntegerValue().longValue();
     }
 
-    long whole(int i, String field, long absent) {
+    public long whole(int i, String field, long absent) {
         return raw(i) == null ? absent : whole(i, field);
     }
 
-    double number(int i, String field, double absent) {
+    public double number(int i, String field, double absent) {
         return number(node.get(i), field, absent);
     }
 
-    boolean flag(int i, String field) {
+    public boolean flag(int i, String field) {
         return flag(node.get(i), field, false);
     }
 
-    JsonNode array(int i, String field) {
+    public JsonNode array(int i, String field) {
         return checked(node.get(i), field, JsonNode::isArray, "an array");
     }
 
-    Fields object(int i, String field) {
+    public Fields object(int i, String field) {
         JsonNode value = checked(node.get(i), field, JsonNode::isObject, "an object");
         return new Fields(owner + "." + field, required(value, field, "an object"));
     }
 
     // By key, for settings; every key may be absent.
 
-    Fields object(String key) {
+    public Fields object(String key) {
         JsonNode value = checked(node.get(key), key, JsonNode::isObject, "an object");
         return new Fields(owner + "." + key, value == null ? JsonNodeFactory.instance.objectNode() : value);
     }
 
-    JsonNode array(String key) {
+    public JsonNode array(String key) {
         JsonNode value = checked(node.get(key), key, JsonNode::isArray, "an array");
         return value == null ? JsonNodeFactory.instance.arrayNode() : value;
     }
 
-    String text(String key, String absent) {
+    public String text(String key, String absent) {
         return text(node.get(key), key, absent);
     }
 
-    boolean flag(String key, boolean absent) {
+    public boolean flag(String key, boolean absent) {
         return flag(node.get(key), key, absent);
     }
 
-    double number(String key, double absent) {
+    public double number(String key, double absent) {
         return number(node.get(key), key, absent);
     }
 
-    int whole(String key, int absent) {
+    public int whole(String key, int absent) {
         return (int) number(key, absent);
     }
 
-    Duration span(String key, Duration absent) {
+    public Duration span(String key, Duration absent) {
         return present(node.get(key)) == null ? absent : micros((long) number(key, 0));
     }
 }
--- a/src/main/java/saltdale/sim/MalformedInput.java
+++ b/src/main/java/saltdale/orders/MalformedInput.java
@@ -1,10 +1,10 @@
-package saltdale.sim;
+package saltdale.orders;
 
-/** A line that does not follow the wire; its message names the event and the field. */
+/** Input that does not follow its page; the message names the field. */
 public final class MalformedInput extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    MalformedInput(String message) {
+    public MalformedInput(String message) {
         super(message);
     }
 }
--- a/src/main/java/saltdale/sim/OrdersReader.java
+++ b/src/main/java/saltdale/orders/OrdersReader.java
@@ -1,4 +1,4 @@
-package saltdale.sim;
+package saltdale.orders;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
@@ -7,11 +7,11 @@
 import saltdale.model.Workload;
 
 /** Reads the settings of the wire into standing orders; keys it does not know are skipped. */
-final class OrdersReader {
+public final class OrdersReader {
     private OrdersReader() {
     }
 
-    static StandingOrders read(Fields options) {
+    public static StandingOrders read(Fields options) {
         StandingOrders orders = new StandingOrders();
         orders.index = options.whole("Index", 0);
         orders.dispatchers = Math.max(1, options.whole("NInstances", 1));
--- /dev/null
+++ b/src/main/java/saltdale/program/Posting.java
@@ -0,0 +1,89 @@
+package saltdale.program;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+import saltdale.model.StandingOrders;
+import saltdale.orders.Fields;
+import saltdale.orders.MalformedInput;
+import saltdale.orders.OrdersReader;
+import saltdale.protocol.HostList;
+import saltdale.transport.Address;
+
+/** Where a dispatcher is posted, and what it is told there: from its environment and EDGE_CONFIG. */
+final class Posting {
+    final String name;
+    final InetSocketAddress listen;
+    final InetSocketAddress discovery;
+    final long seed;
+    final int sockets;
+    final StandingOrders orders;
+    final Duration idleClose;
+    /** Null where no list was known. */
+    final HostList known;
+
+    private Posting(Map<String, String> environment, Fields config, HostList known) {
+        this.name = required(environment, "EDGE_NAME");
+        this.listen = address(environment, "EDGE_LISTEN");
+        this.discovery = address(environment, "EDGE_DISCOVERY");
+        String bits = config.text("seed", "");
+        if (!bits.matches("[0-9a-fA-F]{1,16}")) {
+            throw config.wrong("seed", "a hexadecimal number of 64 bits");
+        }
+        this.seed = Long.parseUnsignedLong(bits, 16);
+        this.sockets = config.object("limits").whole("sockets", 1024);
+        Fields settings = config.object("settings");
+        this.orders = OrdersReader.read(settings);
+        if (orders.workloads.isEmpty()) {
+            throw settings.wrong("Workloads", "a list of workloads");
+        }
+        this.idleClose = settings.object("Limits").span("IdleClose", Duration.ofSeconds(30));
+        this.known = known;
+    }
+
+    static Posting read(Map<String, String> environment) {
+        String file = required(environment, "EDGE_CONFIG");
+        ObjectMapper mapper = new ObjectMapper();
+        JsonNode root;
+        HostList known = null;
+        try {
+            root = mapper.readTree(Files.readAllBytes(Path.of(file)));
+            if (root == null || !root.isObject()) {
+                throw new MalformedInput("EDGE_CONFIG is no JSON object: " + file);
+            }
+            if (root.hasNonNull("known")) {
+                known = HostList.read(mapper.writeValueAsBytes(root.get("known")));
+                if (known == null) {
+                    throw new MalformedInput("EDGE_CONFIG: known is not a list of runners");
+                }
+            }
+        } catch (JsonProcessingException e) {
+            throw new MalformedInput("EDGE_CONFIG is no JSON: " + file);
+        } catch (IOException e) {
+            throw new MalformedInput("EDGE_CONFIG can't be read: " + file);
+        }
+        return new Posting(environment, new Fields("EDGE_CONFIG", root), known);
+    }
+
+    private static String required(Map<String, String> environment, String variable) {
+        String value = environment.get(variable);
+        if (value == null || value.isEmpty()) {
+            throw new MalformedInput(variable + " is not set");
+        }
+        return value;
+    }
+
+    private static InetSocketAddress address(Map<String, String> environment, String variable) {
+        InetSocketAddress address = Address.parse(required(environment, variable));
+        if (address == null) {
+            throw new MalformedInput(variable + " is not a numeric address and port");
+        }
+        return address;
+    }
+}
--- /dev/null
+++ b/src/main/java/saltdale/program/Serve.java
@@ -0,0 +1,50 @@
+package saltdale.program;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.logging.Logger;
+import saltdale.orders.MalformedInput;
+import saltdale.routing.Router;
+import saltdale.transport.Listener;
+import saltdale.transport.Loop;
+import saltdale.transport.Sockets;
+import sun.misc.Signal;
+
+/** One real dispatcher, from its start to its end. */
+public final class Serve {
+    private static final Logger LOG = Logger.getLogger(Serve.class.getName());
+    private static final int OTHER_DESCRIPTORS = 48;  // of the process itself: jars, selector, log
+
+    private Serve() {
+    }
+
+    /** Serves until told to end; the process's exit status. */
+    public static int run(Map<String, String> environment, PrintStream errors) {
+        Log.begin();
+        Posting posting;
+        try {
+            posting = Posting.read(environment);
+        } catch (MalformedInput e) {
+            errors.println("saltdale: " + e.getMessage());
+            return 2;
+        }
+        try {
+            Loop loop = new Loop();
+            Sockets sockets = new Sockets(Math.max(16, posting.sockets - OTHER_DESCRIPTORS));
+            Router router = new Router(loop, sockets, posting.orders, posting.idleClose, posting.discovery,
+                    System.currentTimeMillis() - loop.clock().toMillis(), new SplittableRandom(posting.seed));
+            new Listener(loop, sockets, posting.listen, router::accepted);
+            Signal.handle(new Signal("TERM"), signal -> loop.fromOutside(router::end));
+            router.begin(posting.known);
+            LOG.info(() -> posting.name + " serves at " + posting.listen);
+            loop.run(router::turnEnd);
+            LOG.info(() -> posting.name + " ends; " + router.counted().strip().replace('\n', ','));
+            return 0;
+        } catch (IOException e) {
+            errors.println("saltdale: " + posting.listen + " can't be served: " + e.getMessage());
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/saltdale/routing/Discovery.java
@@ -0,0 +1,207 @@
+package saltdale.routing;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import saltdale.protocol.Head;
+import saltdale.protocol.HostList;
+import saltdale.protocol.HttpParser;
+import saltdale.protocol.HttpWriter;
+import saltdale.protocol.Lines;
+import saltdale.transport.Connection;
+import saltdale.transport.Loop;
+import saltdale.transport.Pool;
+import saltdale.transport.Reach;
+import saltdale.transport.Sockets;
+import saltdale.transport.Timer;
+
+/** Reads the list of runners and watches it; a watch that breaks or falls silent is begun anew, with jitter. */
+final class Discovery {
+    private static final String PATH = "/discovery/hosts";
+    private static final Duration SILENCE = Duration.ofMillis(5000);  // between two empty lines lie 2 s
+    private static final Duration PATIENCE = Duration.ofSeconds(2);
+    private static final Duration LEAST_PAUSE = Duration.ofMillis(100);
+    private static final Duration MOST_PAUSE = Duration.ofSeconds(2);
+
+    private final Loop loop;
+    private final Sockets sockets;
+    private final InetSocketAddress address;
+    private final Counters counters;
+    private final SplittableRandom chance;
+    private final Consumer<HostList> taker;
+    /** Where set, a broken watch is told and not begun anew. */
+    private final Runnable onBreak;
+    private final Pool pool;
+    private long seq;
+    private Watch watch;
+    private Duration pause = LEAST_PAUSE;
+
+    Discovery(Loop loop, Sockets sockets, InetSocketAddress address, Counters counters, SplittableRandom chance,
+              Consumer<HostList> taker, Runnable onBreak) {
+        this.loop = loop;
+        this.sockets = sockets;
+        this.address = address;
+        this.counters = counters;
+        this.chance = chance;
+        this.taker = taker;
+        this.onBreak = onBreak;
+        this.pool = new Pool(loop, sockets, address, PATIENCE, PATIENCE);
+    }
+
+    /** The list that is known already ends with this version. */
+    void knows(long version) {
+        seq = version;
+    }
+
+    /** Reads the whole list once; {@code after} is told whether it came. */
+    void read(Consumer<Boolean> after) {
+        boolean[] over = {false};
+        Call[] call = new Call[1];
+        Timer limit = loop.after(PATIENCE, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                call[0].abandon();
+                after.accept(false);
+            }
+        });
+        call[0] = Call.begin(pool, HttpWriter.request("GET", PATH, host()), new Call.Back() {
+            @Override
+            public void answered(Head head, byte[] body) {
+                finish(head.status() == 200 && take(body));
+            }
+
+            @Override
+            public void broke(Reach reach, boolean malformed) {
+                counters.badLists += malformed ? 1 : 0;
+                finish(false);
+            }
+
+            private void finish(boolean came) {
+                limit.cancel();
+                if (!over[0]) {
+                    over[0] = true;
+                    after.accept(came);
+                }
+            }
+        });
+        if (call[0] == null) {
+            limit.cancel();
+            loop.soon(() -> after.accept(false));
+        }
+    }
+
+    /** The whole list, then the watch; begun anew until they hold. */
+    void follow() {
+        read(came -> {
+            if (came) {
+                watch();
+            } else {
+                again(this::follow);
+            }
+        });
+    }
+
+    /** Watches from the last version on. */
+    void watch() {
+        unwatch();
+        watch = new Watch();
+        watch.connection = Connection.dial(loop, sockets, address, PATIENCE, watch);
+        if (watch.connection == null) {
+            loop.soon(() -> broken(false));
+        } else {
+            watch.connection.send(ByteBuffer.wrap(
+                    HttpWriter.request("GET", PATH + "?watch=1&from=" + seq, host())));
+            watch.heard();
+        }
+    }
+
+    void unwatch() {
+        if (watch != null) {
+            watch.close();
+            watch = null;
+        }
+    }
+
+    private String host() {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    private boolean take(byte[] text) {
+        HostList list = HostList.read(text);
+        if (list == null) {
+            counters.badLists++;
+            return false;
+        }
+        counters.lists++;
+        seq = list.seq;
+        pause = LEAST_PAUSE;
+        taker.accept(list);
+        return true;
+    }
+
+    private void broken(boolean malformed) {
+        unwatch();
+        counters.watchesBroken++;
+        counters.badLists += malformed ? 1 : 0;
+        if (onBreak != null) {
+            onBreak.run();
+        } else {
+            again(this::watch);
+        }
+    }
+
+    private void again(Runnable what) {
+        loop.after(Duration.ofNanos((long) (pause.toNanos() * (0.5 + chance.nextDouble()))), what);
+        pause = pause.multipliedBy(2).compareTo(MOST_PAUSE) < 0 ? pause.multipliedBy(2) : MOST_PAUSE;
+    }
+
+    private final class Watch implements Connection.Owner {
+        Connection connection;
+        private Timer silence;
+        private boolean malformed;
+        private final Lines lines = new Lines(HttpParser.MOST_BODY, this::line);
+        private final HttpParser parser = new HttpParser(HttpParser.Kind.ANSWER, lines);
+
+        private void line(byte[] text) {
+            if (!malformed && text.length > 0 && !(text.length == 1 && text[0] == '\r')) {
+                malformed = !take(text);
+            }
+        }
+
+        void heard() {
+            if (silence != null) {
+                silence.cancel();
+            }
+            // Guards against a machine that was cut off: its connection stays open and says nothing.
+            silence = loop.after(SILENCE, () -> broken(false));
+        }
+
+        void close() {
+            if (silence != null) {
+                silence.cancel();
+            }
+            if (connection != null) {
+                connection.close();
+            }
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            parser.take(bytes);
+            if (parser.bad() || lines.tooLong() || malformed) {
+                broken(true);
+            } else if (parser.whole() || parser.head() != null && parser.head().status() != 200) {
+                broken(false);
+            } else {
+                heard();
+            }
+        }
+
+        @Override
+        public void ended(String cause) {
+            broken(false);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/saltdale/routing/Fleet.java
@@ -0,0 +1,105 @@
+package saltdale.routing;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import saltdale.model.Runner;
+import saltdale.model.Sighting;
+import saltdale.protocol.HostList;
+import saltdale.transport.Address;
+import saltdale.transport.Pool;
+
+/** The runners by their names in the list, and the pools to them. */
+final class Fleet {
+    private final Map<String, Target> targets = new HashMap<>();
+    private final Map<Runner, Target> byRunner = new HashMap<>();
+    private final Function<InetSocketAddress, Pool> pools;
+    /** Unix time at the start of the clock that everything else runs on. */
+    private final long startMillis;
+    /** How long a runner that no list holds is remembered. */
+    private final Duration memory;
+
+    Fleet(Function<InetSocketAddress, Pool> pools, long startMillis, Duration memory) {
+        this.pools = pools;
+        this.startMillis = startMillis;
+        this.memory = memory;
+    }
+
+    Target of(Runner runner) {
+        return byRunner.get(runner);
+    }
+
+    Target named(String host) {
+        return targets.get(host);
+    }
+
+    int size() {
+        return targets.size();
+    }
+
+    /** Takes over what discovery says; entries without a usable address are passed over. */
+    List<Sighting> sightings(Duration now, HostList list) {
+        List<Sighting> sightings = new ArrayList<>();
+        Set<Target> seen = new HashSet<>();
+        for (HostList.Host each : list.hosts) {
+            Target target = targets.get(each.host());
+            boolean removed = each.health() == HostList.Health.REMOVED;
+            InetSocketAddress address = Address.parse(each.dial());
+            if (target == null && (removed || address == null)) {
+                continue;
+            }
+            if (target == null) {
+                target = new Target(each.host());
+                targets.put(target.host, target);
+                byRunner.put(target.runner, target);
+            }
+            if (address != null && !each.dial().equals(target.dial)) {
+                closeIdle(target);
+                target.dial = each.dial();
+                target.pool = pools.apply(address);
+            }
+            target.goneAt = removed ? now : null;
+            seen.add(target);
+            Runner.Mode mode = switch (each.health()) {
+                case UP -> Runner.Mode.READY;
+                case DRAINING -> Runner.Mode.DRAINING;
+                case REMOVED -> Runner.Mode.GONE;
+            };
+            Duration startedAt = each.bornMillis() == 0 ? null
+                    : Duration.ofMillis(each.bornMillis() - startMillis);
+            sightings.add(new Sighting(target.runner, each.kind(), each.site(), each.share(), mode, each.block(),
+                    startedAt));
+        }
+        for (Target target : targets.values()) {
+            if (list.whole && !seen.contains(target) && target.goneAt == null) {
+                target.goneAt = now;
+            }
+        }
+        forget(now);
+        return sightings;
+    }
+
+    private void forget(Duration now) {
+        targets.values().removeIf(target -> {
+            boolean over = target.goneAt != null && target.runner.out.isEmpty()
+                    && now.compareTo(target.goneAt.plus(memory)) > 0;
+            if (over) {
+                closeIdle(target);
+                byRunner.remove(target.runner);
+            }
+            return over;
+        });
+    }
+
+    private static void closeIdle(Target target) {
+        if (target.pool != null) {
+            target.pool.closeIdle();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/saltdale/routing/Probe.java
@@ -0,0 +1,55 @@
+package saltdale.routing;
+
+import java.time.Duration;
+import java.util.Map;
+import saltdale.protocol.Head;
+import saltdale.protocol.HttpWriter;
+import saltdale.protocol.Load;
+import saltdale.transport.Reach;
+import saltdale.transport.Timer;
+
+/** One question to a runner for its load. */
+final class Probe implements Call.Back {
+    private final Router router;
+    private final Target target;
+    private final Duration askedAt;
+    private Timer limit;
+
+    Probe(Router router, Target target) {
+        this.router = router;
+        this.target = target;
+        this.askedAt = router.loop().now();
+    }
+
+    void begin() {
+        Call call = target.pool == null ? null
+                : Call.begin(target.pool, HttpWriter.request("GET", "/metrics/load", target.dial), this);
+        if (call == null) {
+            finish(null);
+            return;
+        }
+        // As long as a connection may take to come up, and as long again for the answer.
+        limit = router.loop().after(router.answerLimit().multipliedBy(2), () -> {
+            call.abandon();
+            finish(null);
+        });
+    }
+
+    private void finish(Map<String, Double> values) {
+        if (limit != null) {
+            limit.cancel();
+        }
+        router.probed(target, values, router.loop().now().minus(askedAt));
+    }
+
+    @Override
+    public void answered(Head head, byte[] body) {
+        finish(head.status() == 200 ? Load.read(body) : null);
+    }
+
+    @Override
+    public void broke(Reach reach, boolean malformed) {
+        router.counters().badAnswers += malformed ? 1 : 0;
+        finish(null);
+    }
+}
--- /dev/null
+++ b/src/main/java/saltdale/routing/Router.java
@@ -0,0 +1,454 @@
+package saltdale.routing;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.logging.Logger;
+import saltdale.decision.Dispatcher;
+import saltdale.model.Assignment;
+import saltdale.model.Dispatch;
+import saltdale.model.Door;
+import saltdale.model.LoadReport;
+import saltdale.model.Outcome;
+import saltdale.model.Runner;
+import saltdale.model.Spans;
+import saltdale.model.StandingOrders;
+import saltdale.model.Workload;
+import saltdale.orders.Reports;
+import saltdale.protocol.Head;
+import saltdale.protocol.HostList;
+import saltdale.protocol.HttpWriter;
+import saltdale.protocol.Load;
+import saltdale.protocol.News;
+import saltdale.transport.Connection;
+import saltdale.transport.Loop;
+import saltdale.transport.Pool;
+import saltdale.transport.Reach;
+import saltdale.transport.Sockets;
+import saltdale.transport.Timer;
+
+/** Stands between the decisions and the sockets: ids become objects, events calls, and actions messages. */
+public final class Router implements Door {
+    private static final Logger LOG = Logger.getLogger(Router.class.getName());
+    private static final double IDLE_PART = 0.8;  // of the idle time after which a runner closes a connection
+    // After the word to end: how long new connections come, when the last answers go, and how long those may take.
+    private static final Duration NEW_ONES_COME = Duration.ofMillis(500);
+    private static final Duration LONGEST_END = Duration.ofSeconds(3);
+    private static final Duration LAST_WORDS = Duration.ofMillis(400);
+    private static final byte[] NOTHING = new byte[0];
+
+    private final Loop loop;
+    private final Sockets sockets;
+    private final StandingOrders orders;
+    private final Counters counters = new Counters();
+    private final Fleet fleet;
+    private final Discovery discovery;
+    private final Dispatcher dispatcher;
+    private final Map<String, Workload> workloads = new HashMap<>();
+    private final Map<String, Held> heldById = new HashMap<>();
+    private final Map<Assignment, Held> held = new HashMap<>();
+    private final Map<Dispatch, Sending> sendings = new HashMap<>();
+    private final Set<Client> clients = new HashSet<>();
+    private final List<Runnable> acts = new ArrayList<>();
+    private boolean eventful;
+    private boolean ready;
+    private boolean ending;
+    private boolean closingIdle;
+
+    public Router(Loop loop, Sockets sockets, StandingOrders orders, Duration idleClose, InetSocketAddress lists,
+                  long startMillis, SplittableRandom chance) {
+        this.loop = loop;
+        this.sockets = sockets;
+        this.orders = orders;
+        Duration memory = orders.warmWithin;
+        for (Workload workload : orders.workloads) {
+            workloads.put(workload.name, workload);
+            memory = Spans.most(memory, workload.patience);
+        }
+        Duration idleLimit = Spans.ofSecs(Spans.secs(idleClose) * IDLE_PART);
+        fleet = new Fleet(to -> new Pool(loop, sockets, to, orders.connectTime, idleLimit), startMillis, memory);
+        discovery = new Discovery(loop, sockets, lists, counters, chance.split(), list -> listed(list, false),
+                orders.mustSubscribe ? this::listFailed : null);
+        dispatcher = new Dispatcher(orders, this, chance);
+    }
+
+    /** Begins with the list as it was last known; null where there is none. */
+    public void begin(HostList known) {
+        dispatcher.began(loop.now());
+        if (known != null) {
+            discovery.knows(known.seq);
+            listed(known, true);
+        }
+        if (!orders.mustSubscribe) {
+            discovery.follow();
+        }
+        ready = true;
+        eventful();
+    }
+
+    Loop loop() {
+        return loop;
+    }
+
+    Sockets sockets() {
+        return sockets;
+    }
+
+    Counters counters() {
+        return counters;
+    }
+
+    /** How long a runner may take to answer what it answers at once. */
+    Duration answerLimit() {
+        return orders.connectTime;
+    }
+
+    boolean ending() {
+        return ending;
+    }
+
+    public String counted() {
+        return counters.lines(heldById.size(), sockets.open(), loop.exceptions());
+    }
+
+    // ---- The turn.
+
+    private void eventful() {
+        eventful = true;
+    }
+
+    /** All that was ready has been gathered: the dispatcher decides once, then its wishes are carried out. */
+    public void turnEnd() {
+        if (eventful) {
+            eventful = false;
+            try {
+                dispatcher.settle(loop.now());
+            } finally {
+                List<Runnable> wished = List.copyOf(acts);
+                acts.clear();
+                wished.forEach(Runnable::run);
+            }
+            if (eventful) {
+                loop.soon(() -> { });
+            }
+        }
+        stopIfDone();
+    }
+
+    // ---- From clients.
+
+    public void accepted(Connection connection) {
+        clients.add(new Client(this, connection));
+    }
+
+    void left(Client client) {
+        clients.remove(client);
+    }
+
+    void badRequest() {
+        counters.badRequests++;
+    }
+
+    void requested(Client client, Head head, byte[] body) {
+        String path = head.path();
+        switch (path) {
+            case "/up" -> own(client, head, "GET", () -> client.answer(ready && !ending ? 200 : 503, "", NOTHING));
+            case "/counters" -> own(client, head, "GET", () -> client.answer(200, "", counted().strip()));
+            case "/_jobs/news" -> own(client, head, "POST", () -> news(client, body));
+            default -> assignment(client, head, body, path);
+        }
+    }
+
+    private void own(Client client, Head head, String method, Runnable what) {
+        if (head.method().equals(method)) {
+            what.run();
+        } else {
+            turnDown(client, 405, "Allow: " + method + "\r\n", "only " + method);
+        }
+    }
+
+    private void turnDown(Client client, int status, String more, String why) {
+        badRequest();
+        client.answer(status, more, why);
+    }
+
+    private void assignment(Client client, Head head, byte[] body, String path) {
+        int end = path.indexOf('/', 1);
+        Workload workload = workloads.get(path.substring(1, end < 0 ? path.length() : end));
+        String id = head.header("Request-Id");
+        String patience = head.header("Request-Timeout-Ms");
+        if (workload == null) {
+            turnDown(client, 404, "", "no such workload");
+        } else if (!head.method().equals("POST")) {
+            turnDown(client, 405, "Allow: POST\r\n", "only POST");
+        } else if (id == null || !id.matches("[A-Za-z0-9._~-]{1,128}")) {
+            turnDown(client, 400, "", "Request-Id is missing or malformed");
+        } else if (patience == null || !patience.matches("[0-9]{1,9}") || Long.parseLong(patience) == 0) {
+            turnDown(client, 400, "", "Request-Timeout-Ms is missing or malformed");
+        } else if (workload.repeat == Workload.Repeat.RECEIPTED && head.header("Idempotency-Key") == null) {
+            turnDown(client, 400, "", "Idempotency-Key is missing");
+        } else if (heldById.containsKey(id)) {
+            turnDown(client, 409, "", "this Request-Id is held already");
+        } else {
+            take(client, id, workload, Duration.ofMillis(Long.parseLong(patience)), head, body);
+        }
+    }
+
+    private void take(Client client, String id, Workload workload, Duration patience, Head head, byte[] body) {
+        Assignment a = new Assignment(workload, loop.now(), patience);
+        a.repeated = "1".equals(head.header("Client-Retry"));
+        String info = head.header("Request-Info");
+        Map<String, Double> figures = info == null ? null : Load.pairs(info);
+        if (figures != null) {
+            a.slots = figures.getOrDefault("slots", 1.0);
+            a.memory = figures.getOrDefault("memory", 0.0);
+        }
+        Held taken = new Held(id, a, head, body, client);
+        heldById.put(id, taken);
+        held.put(a, taken);
+        client.serves(taken);
+        counters.taken++;
+        taken.patience = loop.after(patience, () -> outOfTime(taken));
+        dispatcher.arrived(loop.now(), a);
+        eventful();
+    }
+
+    private void outOfTime(Held late) {
+        for (Sending sending : List.copyOf(late.sendings)) {
+            sending.stop(Outcome.TIMED_OUT);
+        }
+    }
+
+    void clientGone(Held left) {
+        counters.clientsGone++;
+        left.client = null;
+        dispatcher.close(left.assignment);
+        eventful();
+        forgetIfOver(left);
+    }
+
+    private void answer(Held to, int status, String more, byte[] body) {
+        Client client = to.client;
+        to.client = null;
+        if (client != null) {
+            client.answer(status, more, body);
+        }
+        forgetIfOver(to);
+    }
+
+    private void forgetIfOver(Held done) {
+        if (done.isOver() && done.client == null && held.remove(done.assignment) != null) {
+            heldById.remove(done.id);
+            done.patience.cancel();
+            done.sendings.forEach(sending -> sendings.remove(sending.dispatch));
+        }
+    }
+
+    // ---- The end: serve on, answer all that is held in time, then stop.
+
+    /** Told to end: what is held is answered before the process can be killed outright. */
+    public void end() {
+        if (ending) {
+            return;
+        }
+        ending = true;
+        LOG.info(() -> "told to end; " + heldById.size() + " assignments held");
+        Duration longest = Duration.ZERO;
+        for (Workload workload : orders.workloads) {
+            longest = Spans.most(longest, workload.patience);
+        }
+        loop.after(NEW_ONES_COME, () -> {
+            closingIdle = true;
+            List.copyOf(clients).forEach(Client::dropIdle);
+        });
+        loop.after(Spans.least(longest, LONGEST_END), this::answerAll);
+    }
+
+    private void answerAll() {
+        for (Held each : List.copyOf(held.values())) {
+            if (!each.assignment.closed) {
+                dispatcher.answer(each.assignment, null);
+            }
+        }
+        eventful();
+        loop.after(LAST_WORDS, loop::stop);
+    }
+
+    private void stopIfDone() {
+        if (closingIdle && held.isEmpty() && clients.isEmpty()) {
+            loop.stop();
+        }
+    }
+
+    // ---- From runners.
+
+    private void news(Client client, byte[] body) {
+        News news = News.read(body);
+        if (news == null) {
+            counters.badCallBacks++;
+            client.answer(400, "", "no job's news");
+            return;
+        }
+        counters.callBacks++;
+        client.answer(204, "", NOTHING);
+        Target target = fleet.named(news.from);
+        Held about = heldById.get(news.id);
+        Sending sending = target == null || about == null ? null : about.outAt(target);
+        if (sending == null) {
+            counters.callBacksUnmatched++;
+            return;
+        }
+        LoadReport report = news.load == null ? null : report(news.load);
+        switch (news.state) {
+            case STARTED -> dispatcher.started(loop.now(), sending.dispatch);
+            case RUNNING -> dispatcher.progressed(loop.now(), sending.dispatch);
+            case FAILED -> sending.end(Outcome.ERROR, report);
+            case RETURNED -> sending.end(Outcome.TURNED_AWAY, report);
+            case LOST -> sending.end(Outcome.BROKEN, report);
+            case DONE -> {
+                sending.result = news.result;
+                sending.end(Outcome.FULFILLED, report);
+            }
+        }
+        eventful();
+    }
+
+    /** A dispatch has ended, however it did. */
+    void ended(Sending sending, Outcome outcome, LoadReport report) {
+        Held of = sending.held();
+        counters.ended(outcome);
+        boolean served = outcome == Outcome.FULFILLED && !of.assignment.closed;
+        dispatcher.ended(loop.now(), sending.dispatch, outcome, of.assignment.closed || served, report);
+        eventful();
+        if (served) {
+            counters.fulfilled++;
+            answer(of, 200, "", sending.result);
+        } else {
+            forgetIfOver(of);
+        }
+    }
+
+    LoadReport loadOf(String pairs) {
+        Map<String, Double> values = pairs == null ? null : Load.pairs(pairs);
+        return values == null ? null : report(values);
+    }
+
+    private static LoadReport report(Map<String, Double> values) {
+        return Reports.of(name -> values.getOrDefault(name, Double.NaN));
+    }
+
+    // ---- From discovery.
+
+    private void listed(HostList list, boolean cached) {
+        dispatcher.listed(loop.now(), fleet.sightings(loop.now(), list), list.whole, cached);
+        eventful();
+    }
+
+    private void listFailed() {
+        dispatcher.listFailed(loop.now());
+        eventful();
+    }
+
+    // ---- The door: what is wished is noted, and carried out when the dispatcher has settled.
+
+    @Override
+    public void dispatch(Dispatch dispatch, Duration timeOut) {
+        Held of = held.get(dispatch.assignment);
+        Sending sending = new Sending(this, of, dispatch, fleet.of(dispatch.runner));
+        of.sendings.add(sending);
+        sendings.put(dispatch, sending);
+        counters.dispatches++;
+        acts.add(() -> sending.begin(
+                Math.max(1, dispatch.assignment.deadline.minus(loop.now()).toMillis()), timeOut));
+    }
+
+    @Override
+    public void cancel(Dispatch dispatch) {
+        Sending sending = sendings.get(dispatch);
+        counters.cancels++;
+        acts.add(() -> {
+            if (sending != null) {
+                sending.stop(Outcome.CANCELLED);
+            }
+        });
+    }
+
+    @Override
+    public void shed(Assignment assignment, Duration pause) {
+        Held of = held.get(assignment);
+        counters.shed++;
+        String advice = pause == null || pause.isZero() ? ""
+                : String.format(Locale.ROOT, "Retry-After: %.3f\r\n", Spans.secs(pause));
+        acts.add(() -> answer(of, 503, advice, NOTHING));
+    }
+
+    @Override
+    public void giveUp(Assignment assignment) {
+        Held of = held.get(assignment);
+        counters.givenUp++;
+        acts.add(() -> answer(of, 502, "", NOTHING));
+    }
+
+    @Override
+    public void probe(Runner runner) {
+        counters.probes++;
+        Target target = fleet.of(runner);
+        acts.add(() -> new Probe(this, target).begin());
+    }
+
+    void probed(Target target, Map<String, Double> values, Duration took) {
+        counters.probesUnanswered += values == null ? 1 : 0;
+        dispatcher.probed(loop.now(), target.runner, values != null, took,
+                values == null || values.isEmpty() ? null : report(values));
+        eventful();
+    }
+
+    @Override
+    public void wake(Duration after, Object what) {
+        loop.after(after, () -> {
+            dispatcher.woken(loop.now(), what);
+            eventful();
+        });
+    }
+
+    @Override
+    public void subscribe(boolean on) {
+        acts.add(on ? discovery::watch : discovery::unwatch);
+    }
+
+    @Override
+    public void readList() {
+        acts.add(() -> discovery.read(came -> {
+            if (!came) {
+                listFailed();
+            }
+        }));
+    }
+
+    @Override
+    public void closeIdle(Runner runner) {
+        acts.add(() -> {
+            Target target = fleet.of(runner);
+            if (target != null && target.pool != null) {
+                target.pool.closeIdle();
+            }
+        });
+    }
+
+    @Override
+    public void tell(int number, String message) {
+        // The protocol on sockets carries no messages between dispatchers.
+    }
+
+    @Override
+    public void report(String line) {
+        LOG.info(line);
+    }
+}
--- /dev/null
+++ b/src/main/java/saltdale/routing/Sending.java
@@ -0,0 +1,139 @@
+package saltdale.routing;
+
+import java.time.Duration;
+import saltdale.model.Dispatch;
+import saltdale.model.LoadReport;
+import saltdale.model.Outcome;
+import saltdale.protocol.Head;
+import saltdale.protocol.HttpWriter;
+import saltdale.transport.Reach;
+import saltdale.transport.Timer;
+
+/** One dispatch on its way: it ends once for the dispatcher, whatever comes later. */
+final class Sending implements Call.Back {
+    private final Router router;
+    private final Held held;
+    final Dispatch dispatch;
+    final Target target;
+    private Call call;
+    private Reach reach = Reach.UNSENT;
+    private boolean over;
+    private boolean calledOff;
+    private Timer limit;
+    /** The body for the client, where the runner has made one. */
+    byte[] result;
+
+    Sending(Router router, Held held, Dispatch dispatch, Target target) {
+        this.router = router;
+        this.held = held;
+        this.dispatch = dispatch;
+        this.target = target;
+    }
+
+    boolean isOver() {
+        return over;
+    }
+
+    Held held() {
+        return held;
+    }
+
+    void begin(long patienceMillis, Duration timeOut) {
+        if (timeOut != null) {
+            limit = router.loop().after(timeOut, () -> stop(Outcome.TIMED_OUT));
+        }
+        call = target.pool == null ? null
+                : Call.begin(target.pool, HttpWriter.passedOn(held.head, held.body, patienceMillis), this);
+        if (call == null) {
+            end(Outcome.NOT_CONNECTED, null);
+        }
+    }
+
+    /** Ends it for the dispatcher; what comes of it later is passed over. */
+    void end(Outcome outcome, LoadReport report) {
+        if (over) {
+            return;
+        }
+        over = true;
+        if (limit != null) {
+            limit.cancel();
+        }
+        router.ended(this, outcome, report);
+    }
+
+    /**
+     * Gives it up at the runner. Before the 202 that is closing the connection; after it the job is taken back
+     * by name, and the dispatch ends when that has been answered, so that no other is out before.
+     */
+    void stop(Outcome outcome) {
+        if (over || calledOff) {
+            return;
+        }
+        calledOff = true;
+        if (reach != Reach.TAKEN) {
+            reach = call.reach();
+            call.abandon();
+            if (reach.incomplete()) {
+                end(Outcome.NEVER_SENT, null);
+                return;
+            }
+            takeBack(() -> { });  // guards against a 202 that crosses the closing
+            end(outcome, null);
+        } else {
+            takeBack(() -> end(outcome, null));
+        }
+    }
+
+    private void takeBack(Runnable after) {
+        boolean[] told = {false};
+        Runnable once = () -> {
+            if (!told[0]) {
+                told[0] = true;
+                after.run();
+            }
+        };
+        Call back = Call.begin(target.pool, HttpWriter.request("DELETE", "/jobs/" + held.id, target.dial),
+                new Call.Back() {
+                    @Override
+                    public void answered(Head head, byte[] body) {
+                        once.run();
+                    }
+
+                    @Override
+                    public void broke(Reach so, boolean malformed) {
+                        once.run();
+                    }
+                });
+        if (back == null) {
+            once.run();
+            return;
+        }
+        // Guards against a machine that has vanished and says nothing.
+        router.loop().after(router.answerLimit(), () -> {
+            if (!told[0]) {
+                back.abandon();
+                once.run();
+            }
+        });
+    }
+
+    @Override
+    public void answered(Head head, byte[] body) {
+        LoadReport report = router.loadOf(head.header("Server-Load"));
+        boolean unstarted = "1".equals(head.header("Not-Started"));
+        if (head.status() == 202) {
+            reach = Reach.TAKEN;
+        } else if ((head.status() == 503 || head.status() == 504) && unstarted) {
+            end(Outcome.TURNED_AWAY, report);
+        } else {
+            end(Outcome.ERROR, report);
+        }
+    }
+
+    @Override
+    public void broke(Reach so, boolean malformed) {
+        reach = so;
+        router.counters().badAnswers += malformed ? 1 : 0;
+        end(so.incomplete() ? Outcome.NOT_CONNECTED : Outcome.BROKEN, null);
+    }
+}
--- a/src/main/java/saltdale/sim/Instance.java
+++ b/src/main/java/saltdale/sim/Instance.java
@@ -22,6 +22,9 @@
 import saltdale.model.StandingOrders;
 import saltdale.model.Tenant;
 import saltdale.model.Workload;
+import saltdale.orders.Fields;
+import saltdale.orders.OrdersReader;
+import saltdale.orders.Reports;
 
 /** One dispatcher on the wire: turns its events into calls, ids into objects, and its actions into messages. */
 final class Instance implements Door {
@@ -231,8 +234,7 @@
         if (row == null) {
             return null;
         }
-        return new LoadReport(value(event, row, "depth"), value(event, row, "concurrent"), value(event, row, "x0"),
-                value(event, row, "load_share"), value(event, row, "err_ps"), value(event, row, "x1"));
+        return Reports.of(column -> value(event, row, column));
     }
 
     private double value(Fields event, JsonNode row, String column) {
--- a/src/main/java/saltdale/sim/SimHost.java
+++ b/src/main/java/saltdale/sim/SimHost.java
@@ -16,6 +16,8 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import saltdale.orders.Fields;
+import saltdale.orders.MalformedInput;
 
 /**
  * Hosts many dispatchers on the simulator's wire (lichen-4646): one batch a line on the input, one reply a
--- /dev/null
+++ b/src/main/java/saltdale/transport/Loop.java
@@ -0,0 +1,139 @@
+package saltdale.transport;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * The one thread: waits for sockets and timers, lets each one's owner take what is ready, and calls the turn's
+ * end once when all has been gathered.
+ */
+public final class Loop {
+    /** What a registered channel wants to be told. */
+    interface Ready {
+        void ready(SelectionKey key) throws IOException;
+
+        /** Its code has thrown: only this one is to end. */
+        void failed(Exception cause);
+    }
+
+    private static final Logger LOG = Logger.getLogger(Loop.class.getName());
+    private final Selector selector;
+    private final long origin = System.nanoTime();
+    private final Timers timers = new Timers();
+    private final Queue<Runnable> soon = new ArrayDeque<>();
+    private final Queue<Runnable> fromOutside = new ConcurrentLinkedQueue<>();
+    /** Shared by all connections: what is read is taken out of it before the next read. */
+    final ByteBuffer incoming = ByteBuffer.allocateDirect(1 << 16);
+    private long now;
+    private boolean running = true;
+    private long exceptions;
+
+    public Loop() throws IOException {
+        selector = Selector.open();
+    }
+
+    /** The time of this turn, since the start. */
+    public Duration now() {
+        return Duration.ofNanos(now);
+    }
+
+    /** The time by now, which may be within a turn. */
+    public Duration clock() {
+        return Duration.ofNanos(System.nanoTime() - origin);
+    }
+
+    /** How many times a part's code threw; each time only that part ended. */
+    public long exceptions() {
+        return exceptions;
+    }
+
+    public Timer after(Duration span, Runnable what) {
+        return timers.add(now + Math.max(0, span.toNanos()), what);
+    }
+
+    /** Does this in the next turn. */
+    public void soon(Runnable what) {
+        soon.add(what);
+    }
+
+    /** Does this in the next turn; the one call for other threads. */
+    public void fromOutside(Runnable what) {
+        fromOutside.add(what);
+        selector.wakeup();
+    }
+
+    public void stop() {
+        running = false;
+    }
+
+    SelectionKey register(SelectableChannel channel, int interest, Ready ready) throws IOException {
+        channel.configureBlocking(false);
+        return channel.register(selector, interest, ready);
+    }
+
+    /** Turns until stopped. */
+    public void run(Runnable turnEnd) throws IOException {
+        while (running) {
+            await();
+            now = System.nanoTime() - origin;
+            for (SelectionKey key : selector.selectedKeys()) {
+                serve(key);
+            }
+            selector.selectedKeys().clear();
+            for (int i = soon.size(); i > 0; i--) {
+                guarded(soon.poll());
+            }
+            for (Runnable what = fromOutside.poll(); what != null; what = fromOutside.poll()) {
+                guarded(what);
+            }
+            for (Timer due = timers.due(now); due != null; due = timers.due(now)) {
+                guarded(due.what);
+            }
+            guarded(turnEnd);
+        }
+    }
+
+    private void await() throws IOException {
+        long left = timers.nextAt() == Long.MAX_VALUE ? Long.MAX_VALUE
+                : timers.nextAt() - (System.nanoTime() - origin);
+        if (!soon.isEmpty() || left <= 0) {
+            selector.selectNow();
+        } else {
+            selector.select(left == Long.MAX_VALUE ? 0 : (left + 999_999) / 1_000_000);
+        }
+    }
+
+    private void serve(SelectionKey key) {
+        Ready ready = (Ready) key.attachment();
+        try {
+            if (key.isValid()) {
+                ready.ready(key);
+            }
+        } catch (Exception e) {
+            count(e);
+            guarded(() -> ready.failed(e));
+        }
+    }
+
+    private void guarded(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException e) {
+            count(e);
+        }
+    }
+
+    private void count(Exception e) {
+        exceptions++;
+        LOG.log(Level.SEVERE, "an exception ended one part", e);
+    }
+}
--- a/src/test/java/saltdale/sim/SimHostTest.java
+++ b/src/test/java/saltdale/sim/SimHostTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
+import saltdale.orders.MalformedInput;
 
 class SimHostTest {
     private static final String START = """
