--- a/src/main/java/saltdale/routing/Router.java
+++ b/src/main/java/saltdale/routing/Router.java
@@ -210,6 +210,9 @@
     private void take(Client client, String id, Workload workload, Duration patience, Head head, byte[] body) {
         Assignment a = new Assignment(workload, loop.now(), patience);
         a.repeated = "1".equals(head.header("Client-Retry"));
+        String hint = head.header("Work-Hint");  // microseconds, where clients know
+        a.hint = hint == null || !hint.matches("[1-9][0-9]{0,11}") ? null
+                : Duration.ofNanos(1000 * Long.parseLong(hint));
         String info = head.header("Request-Info");
         Map<String, Double> figures = info == null ? null : Load.pairs(info);
         if (figures != null) {
