--- a/src/main/java/saltdale/protocol/Load.java
+++ b/src/main/java/saltdale/protocol/Load.java
@@ -49,7 +49,7 @@
             try {
                 values.put(pair.substring(0, equals).strip(), Double.valueOf(pair.substring(equals + 1).strip()));
             } catch (NumberFormatException e) {
-                return null;
+                // a value that is no number is none of those that are known
             }
         }
         return values;
