--- a/src/main/java/saltdale/program/Serve.java
+++ b/src/main/java/saltdale/program/Serve.java
@@ -36,7 +36,9 @@
             Router router = new Router(loop, sockets, posting.orders, posting.idleClose, posting.discovery,
                     System.currentTimeMillis() - loop.clock().toMillis(), new SplittableRandom(posting.seed));
             new Listener(loop, sockets, posting.listen, router::accepted);
-            Signal.handle(new Signal("TERM"), signal -> loop.fromOutside(router::end));
+            for (String signal : new String[] {"TERM", "INT"}) {
+                Signal.handle(new Signal(signal), which -> loop.fromOutside(router::end));
+            }
             router.begin(posting.known);
             LOG.info(() -> posting.name + " serves at " + posting.listen);
             loop.run(router::turnEnd);
--- /dev/null
+++ b/src/test/java/saltdale/program/PostingTest.java
@@ -0,0 +1,68 @@
+package saltdale.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class PostingTest {
+    private static final String CONFIG = """
+            {"seed":"8c1f30d27a5be964","limits":{"sockets":512},"settings":{"Limits":{"IdleClose":2000000},
+             "Workloads":[{"Name":"w","Repeat":"pure"}]}}""";
+
+    @TempDir
+    Path folder;
+    private final Map<String, String> environment = new HashMap<>(Map.of("EDGE_NAME", "n3", "EDGE_LISTEN",
+            "127.0.0.1:7070", "EDGE_DISCOVERY", "127.0.0.1:8500"));
+
+    private Map<String, String> with(String config) throws IOException {
+        environment.put("EDGE_CONFIG", Files.writeString(folder.resolve("config.json"), config).toString());
+        return environment;
+    }
+
+    /** What serve says of this, with exit status 2. */
+    private static String complaint(Map<String, String> environment) {
+        ByteArrayOutputStream errors = new ByteArrayOutputStream();
+        assertEquals(2, Serve.run(environment, new PrintStream(errors, true, StandardCharsets.UTF_8)));
+        String said = errors.toString(StandardCharsets.UTF_8);
+        assertEquals(1, said.lines().count(), said);
+        return said;
+    }
+
+    @Test
+    void whatItIsToldIsRead() throws IOException {
+        Posting posting = Posting.read(with(CONFIG));
+        assertEquals("n3", posting.name);
+        assertEquals(0x8c1f30d27a5be964L, posting.seed);
+        assertEquals(512, posting.sockets);
+        assertEquals(2, posting.idleClose.toSeconds());
+        assertEquals("w", posting.orders.workloads.get(0).name);
+        assertNull(posting.known);
+    }
+
+    @Test
+    void whatIsMissingOrWrongIsNamed() throws IOException {
+        assertTrue(complaint(environment).contains("EDGE_CONFIG is not set"));
+        assertTrue(complaint(with("nonsense")).contains("EDGE_CONFIG"));
+        assertTrue(complaint(with("[]")).contains("EDGE_CONFIG"));
+        assertTrue(complaint(with(CONFIG.replace("8c1f", "xyz"))).contains("seed"));
+        assertTrue(complaint(with("{\"seed\":\"1\"}")).contains("Workloads"));
+        assertTrue(complaint(with(CONFIG.replace("\"pure\"", "7"))).contains("Repeat"));
+        assertTrue(complaint(with(CONFIG.replace("{\"seed\"", "{\"known\":{},\"seed\""))).contains("known"));
+        with(CONFIG);
+        environment.put("EDGE_LISTEN", "localhost:7070");
+        assertTrue(complaint(environment).contains("EDGE_LISTEN"));
+        environment.remove("EDGE_NAME");
+        assertTrue(complaint(environment).contains("EDGE_NAME"));
+    }
+}
