--- /dev/null
+++ b/src/main/java/saltdale/routing/Intake.java
@@ -0,0 +1,83 @@
+package saltdale.routing;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Predicate;
+import saltdale.model.Assignment;
+import saltdale.model.StandingOrders;
+import saltdale.model.Workload;
+import saltdale.protocol.Head;
+import saltdale.protocol.Load;
+
+/** Checks what clients hand in, and takes out the fields that decisions need. */
+final class Intake {
+    /** Why a request is not taken. */
+    record Refusal(int status, String header, String why) {
+        static Refusal method(String allowed) {
+            return new Refusal(405, "Allow: " + allowed + "\r\n", "only " + allowed);
+        }
+
+        private static Refusal malformed(String field) {
+            return new Refusal(400, "", field + " is missing or malformed");
+        }
+    }
+
+    private final Map<String, Workload> workloads = new HashMap<>();
+
+    Intake(StandingOrders orders) {
+        for (Workload workload : orders.workloads) {
+            workloads.put(workload.name, workload);
+        }
+    }
+
+    /** What is wrong with the request; null where it can be taken. */
+    Refusal refusal(Head head, Predicate<String> held) {
+        Workload workload = workload(head);
+        if (workload == null) {
+            return new Refusal(404, "", "no such workload");
+        } else if (!head.method().equals("POST")) {
+            return Refusal.method("POST");
+        } else if (!matches(id(head), "[A-Za-z0-9._~-]{1,128}")) {
+            return Refusal.malformed("Request-Id");
+        } else if (!matches(head.header("Request-Timeout-Ms"), "0*[1-9][0-9]{0,8}")) {
+            return Refusal.malformed("Request-Timeout-Ms");
+        } else if (workload.repeat == Workload.Repeat.RECEIPTED && head.header("Idempotency-Key") == null) {
+            return Refusal.malformed("Idempotency-Key");
+        } else if (held.test(id(head))) {
+            return new Refusal(409, "", "this Request-Id is held already");
+        }
+        return null;
+    }
+
+    static String id(Head head) {
+        return head.header("Request-Id");
+    }
+
+    /** The assignment that a request with nothing wrong with it hands in. */
+    Assignment assignment(Head head, Duration now) {
+        Assignment a = new Assignment(workload(head), now,
+                Duration.ofMillis(Long.parseLong(head.header("Request-Timeout-Ms"))));
+        a.repeated = "1".equals(head.header("Client-Retry"));
+        String hint = head.header("Work-Hint");  // microseconds, where clients know
+        a.hint = matches(hint, "[1-9][0-9]{0,11}") ? Duration.ofNanos(1000 * Long.parseLong(hint)) : null;
+        String info = head.header("Request-Info");
+        Map<String, Double> figures = info == null ? null : Load.pairs(info);
+        if (figures != null) {
+            a.slots = figures.getOrDefault("slots", 1.0);
+            a.memory = figures.getOrDefault("memory", 0.0);
+        }
+        return a;
+    }
+
+    /** By the first part of the path. */
+    private Workload workload(Head head) {
+        String path = head.path();
+        int end = path.indexOf('/', 1);
+        return workloads.get(path.substring(1, end < 0 ? path.length() : end));
+    }
+
+    private static boolean matches(String value, String pattern) {
+        return value != null && value.matches(pattern);
+    }
+}
--- a/src/main/java/saltdale/routing/Router.java
+++ b/src/main/java/saltdale/routing/Router.java
@@ -38,20 +38,17 @@
 public final class Router implements Door {
     private static final Logger LOG = Logger.getLogger(Router.class.getName());
     private static final double IDLE_PART = 0.8;  // of the idle time after which a runner closes a connection
-    // After the word to end: how long new connections come, when the last answers go, and how long those may take.
-    private static final Duration NEW_ONES_COME = Duration.ofMillis(500);
-    private static final Duration LONGEST_END = Duration.ofSeconds(3);
-    private static final Duration LAST_WORDS = Duration.ofMillis(400);
     private static final byte[] NOTHING = new byte[0];
 
     private final Loop loop;
     private final Sockets sockets;
     private final StandingOrders orders;
+    private final Intake intake;
+    private final Ending ending;
     private final Counters counters = new Counters();
     private final Fleet fleet;
     private final Discovery discovery;
     private final Dispatcher dispatcher;
-    private final Map<String, Workload> workloads = new HashMap<>();
     private final Map<String, Held> heldById = new HashMap<>();
     private final Map<Assignment, Held> held = new HashMap<>();
     private final Map<Dispatch, Sending> sendings = new HashMap<>();
@@ -59,18 +56,16 @@
     private final List<Runnable> acts = new ArrayList<>();
     private boolean eventful;
     private boolean ready;
-    private boolean ending;
-    private boolean closingIdle;
-    private boolean answeringAll;
 
     public Router(Loop loop, Sockets sockets, StandingOrders orders, Duration idleClose, InetSocketAddress lists,
                   long startMillis, SplittableRandom chance) {
         this.loop = loop;
         this.sockets = sockets;
         this.orders = orders;
+        this.intake = new Intake(orders);
+        this.ending = new Ending(loop, sockets, orders);
         Duration memory = orders.warmWithin;
         for (Workload workload : orders.workloads) {
-            workloads.put(workload.name, workload);
             memory = Spans.most(memory, workload.patience);
         }
         Duration idleLimit = Spans.ofSecs(Spans.secs(idleClose) * IDLE_PART);
@@ -117,7 +112,7 @@
     }
 
     boolean ending() {
-        return ending;
+        return ending.hasBegun();
     }
 
     public String counted() {
@@ -145,7 +140,7 @@
                 loop.soon(() -> { });
             }
         }
-        stopIfDone();
+        ending.look(clients, held.isEmpty());
     }
 
     // ---- From clients.
@@ -163,12 +158,11 @@
     }
 
     void requested(Client client, Head head, byte[] body) {
-        String path = head.path();
-        switch (path) {
-            case "/up" -> own(client, head, "GET", () -> client.answer(ready && !ending ? 200 : 503, "", NOTHING));
+        switch (head.path()) {
+            case "/up" -> own(client, head, "GET", () -> client.answer(ready && !ending() ? 200 : 503, "", NOTHING));
             case "/counters" -> own(client, head, "GET", () -> client.answer(200, "", counted().strip()));
             case "/_jobs/news" -> own(client, head, "POST", () -> news(client, body));
-            default -> assignment(client, head, body, path);
+            default -> assignment(client, head, body);
         }
     }
 
@@ -176,58 +170,31 @@
         if (head.method().equals(method)) {
             what.run();
         } else {
-            turnDown(client, 405, "Allow: " + method + "\r\n", "only " + method);
+            turnDown(client, Intake.Refusal.method(method));
         }
     }
 
-    private void turnDown(Client client, int status, String more, String why) {
+    private void turnDown(Client client, Intake.Refusal refusal) {
         badRequest();
-        client.answer(status, more, why);
-    }
-
-    private void assignment(Client client, Head head, byte[] body, String path) {
-        int end = path.indexOf('/', 1);
-        Workload workload = workloads.get(path.substring(1, end < 0 ? path.length() : end));
-        String id = head.header("Request-Id");
-        String patience = head.header("Request-Timeout-Ms");
-        if (workload == null) {
-            turnDown(client, 404, "", "no such workload");
-        } else if (!head.method().equals("POST")) {
-            turnDown(client, 405, "Allow: POST\r\n", "only POST");
-        } else if (id == null || !id.matches("[A-Za-z0-9._~-]{1,128}")) {
-            turnDown(client, 400, "", "Request-Id is missing or malformed");
-        } else if (patience == null || !patience.matches("[0-9]{1,9}") || Long.parseLong(patience) == 0) {
-            turnDown(client, 400, "", "Request-Timeout-Ms is missing or malformed");
-        } else if (workload.repeat == Workload.Repeat.RECEIPTED && head.header("Idempotency-Key") == null) {
-            turnDown(client, 400, "", "Idempotency-Key is missing");
-        } else if (heldById.containsKey(id)) {
-            turnDown(client, 409, "", "this Request-Id is held already");
-        } else {
-            take(client, id, workload, Duration.ofMillis(Long.parseLong(patience)), head, body);
-        }
+        client.answer(refusal.status(), refusal.header(), refusal.why());
     }
 
-    private void take(Client client, String id, Workload workload, Duration patience, Head head, byte[] body) {
-        Assignment a = new Assignment(workload, loop.now(), patience);
-        a.repeated = "1".equals(head.header("Client-Retry"));
-        String hint = head.header("Work-Hint");  // microseconds, where clients know
-        a.hint = hint == null || !hint.matches("[1-9][0-9]{0,11}") ? null
-                : Duration.ofNanos(1000 * Long.parseLong(hint));
-        String info = head.header("Request-Info");
-        Map<String, Double> figures = info == null ? null : Load.pairs(info);
-        if (figures != null) {
-            a.slots = figures.getOrDefault("slots", 1.0);
-            a.memory = figures.getOrDefault("memory", 0.0);
+    private void assignment(Client client, Head head, byte[] body) {
+        Intake.Refusal refusal = intake.refusal(head, heldById::containsKey);
+        if (refusal != null) {
+            turnDown(client, refusal);
+            return;
         }
-        Held taken = new Held(id, a, head, body, client);
-        heldById.put(id, taken);
+        Assignment a = intake.assignment(head, loop.now());
+        Held taken = new Held(Intake.id(head), a, head, body, client);
+        heldById.put(taken.id, taken);
         held.put(a, taken);
         client.serves(taken);
         counters.taken++;
-        taken.patience = loop.after(patience, () -> outOfTime(taken));
+        taken.patience = loop.after(a.patience(), () -> outOfTime(taken));
         dispatcher.arrived(loop.now(), a);
         eventful();
-        if (answeringAll) {
+        if (ending.isAnswering()) {
             answerNow(a);
         }
     }
@@ -263,28 +230,14 @@
         }
     }
 
-    // ---- The end: serve on, answer all that is held in time, then stop.
+    // ---- The end.
 
     /** Told to end: what is held is answered before the process can be killed outright. */
     public void end() {
-        if (ending) {
-            return;
-        }
-        ending = true;
-        LOG.info(() -> "told to end; " + heldById.size() + " assignments held");
-        Duration longest = Duration.ZERO;
-        for (Workload workload : orders.workloads) {
-            longest = Spans.most(longest, workload.patience);
+        if (!ending.hasBegun()) {
+            LOG.info(() -> "told to end; " + heldById.size() + " assignments held");
+            ending.begin(() -> held.keySet().forEach(this::answerNow));
         }
-        loop.after(NEW_ONES_COME, () -> {
-            closingIdle = true;
-            List.copyOf(clients).forEach(Client::dropIdle);
-        });
-        loop.after(Spans.least(longest, LONGEST_END), () -> {
-            answeringAll = true;
-            held.keySet().forEach(this::answerNow);
-            loop.after(LAST_WORDS, loop::stop);
-        });
     }
 
     private void answerNow(Assignment a) {
@@ -294,15 +247,6 @@
         }
     }
 
-    private void stopIfDone() {
-        if (closingIdle && held.isEmpty() && clients.stream().allMatch(Client::isIdle)) {
-            List.copyOf(clients).forEach(Client::dropIdle);
-            if (sockets.finishing() == 0) {
-                loop.stop();
-            }
-        }
-    }
-
     // ---- From runners.
 
     private void news(Client client, byte[] body) {
