Answer pipelined requests in a loop; let half-come requests give way for descriptors

A dispatch whose start failed could not be stopped (Sending.stop). Configuration without a DialTimeout is now refused: every connection would have failed.

--- a/src/main/java/saltdale/program/Posting.java
+++ b/src/main/java/saltdale/program/Posting.java
@@ -43,7 +43,11 @@
         if (orders.workloads.isEmpty()) {
             throw settings.wrong("Workloads", "a list of workloads");
         }
-        this.idleClose = settings.object("Limits").span("IdleClose", Duration.ofSeconds(30));
+        Fields limits = settings.object("Limits");
+        if (orders.connectTime.isZero()) {
+            throw limits.wrong("DialTimeout", "a span over 0");
+        }
+        this.idleClose = limits.span("IdleClose", Duration.ofSeconds(30));
         this.known = known;
     }
 
--- a/src/main/java/saltdale/routing/Client.java
+++ b/src/main/java/saltdale/routing/Client.java
@@ -14,8 +14,9 @@
     private final Router router;
     private final Connection connection;
     private final HttpParser parser = new HttpParser(HttpParser.Kind.REQUEST);
-    private final Runnable dropIdle = this::dropIdle;
-    private ByteBuffer ahead = ByteBuffer.allocate(0);  // what came behind the request being served
+    private final Runnable drop = this::drop;
+    private ByteBuffer ahead = ByteBuffer.allocate(0);  // what has come and is not yet parsed
+    private boolean going;
     private boolean serving;
     private boolean keepsAlive;
     private boolean told;  // that the body may come
@@ -26,7 +27,7 @@
         this.router = router;
         this.connection = connection;
         connection.owner(this);
-        idle();
+        goOn();
     }
 
     void serves(Held assignment) {
@@ -38,8 +39,9 @@
         return !serving && parser.untouched();
     }
 
-    void dropIdle() {
-        if (isIdle()) {
+    /** Closes the connection unless a request is being served. One that has not wholly come was not taken. */
+    void drop() {
+        if (!serving) {
             leave();
             connection.close();
         }
@@ -47,24 +49,32 @@
 
     @Override
     public void received(ByteBuffer bytes) {
-        if (serving) {
-            keepAhead(bytes);
-        } else {
-            parse(bytes);
-        }
-    }
-
-    private void keepAhead(ByteBuffer bytes) {
         ByteBuffer both = ByteBuffer.allocate(ahead.remaining() + bytes.remaining());
         ahead = both.put(ahead).put(bytes).flip();
-        if (ahead.remaining() > HttpParser.MOST_BODY) {
+        if (serving && ahead.remaining() > HttpParser.MOST_BODY) {
             connection.reading(false);
         }
+        goOn();
+    }
+
+    /** Takes what has come, a request at a time. A loop: many requests behind one another must not nest. */
+    private void goOn() {
+        if (going) {
+            return;
+        }
+        going = true;
+        while (!serving && ahead.hasRemaining()) {
+            parse();
+        }
+        going = false;
+        if (!serving) {
+            router.sockets().idle(drop);
+        }
     }
 
-    private void parse(ByteBuffer bytes) {
-        router.sockets().busy(dropIdle);
-        parser.take(bytes);
+    private void parse() {
+        router.sockets().busy(drop);
+        parser.take(ahead);
         if (parser.bad()) {
             router.badRequest();
             keepsAlive = false;
@@ -72,15 +82,12 @@
             answer(parser.faultStatus(), "", parser.fault());
         } else if (parser.whole()) {
             serving = true;
-            keepAhead(bytes);
             Head head = parser.head();
             keepsAlive = head.keepsAlive() && head.isCurrent();
             byte[] body = parser.body();
             parser.next();
             told = false;
             router.requested(this, head, body);
-        } else if (parser.untouched()) {
-            idle();
         } else if (parser.head() != null && parser.head().expectsContinue() && !told) {
             told = true;
             connection.send(HttpWriter.goOn());
@@ -104,21 +111,11 @@
         }
         serving = false;
         connection.reading(true);
-        if (ahead.hasRemaining()) {
-            ByteBuffer next = ahead;
-            ahead = ByteBuffer.allocate(0);
-            parse(next);
-        } else {
-            idle();
-        }
-    }
-
-    private void idle() {
-        router.sockets().idle(dropIdle);
+        goOn();
     }
 
     private void leave() {
-        router.sockets().busy(dropIdle);
+        router.sockets().busy(drop);
         router.left(this);
     }
 
--- a/src/main/java/saltdale/routing/Ending.java
+++ b/src/main/java/saltdale/routing/Ending.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Collection;
-import java.util.List;
 import saltdale.model.Spans;
 import saltdale.model.StandingOrders;
 import saltdale.model.Workload;
@@ -57,7 +56,7 @@
     /** Once no new connections come: closes idle ones, and stops when nothing is held and all has been read. */
     void look(Collection<Client> clients, boolean nothingHeld) {
         if (closingIdle) {
-            List.copyOf(clients).forEach(Client::dropIdle);
+            clients.stream().filter(Client::isIdle).toList().forEach(Client::drop);
             if (nothingHeld && clients.isEmpty() && sockets.finishing() == 0) {
                 loop.stop();
             }
--- a/src/main/java/saltdale/routing/Sending.java
+++ b/src/main/java/saltdale/routing/Sending.java
@@ -77,7 +77,9 @@
             return;
         }
         calledOff = true;
-        if (reach != Reach.TAKEN) {
+        if (call == null) {
+            end(Outcome.NEVER_SENT, null);
+        } else if (reach != Reach.TAKEN) {
             reach = call.reach();
             call.abandon();
             if (reach.incomplete()) {
--- a/src/main/java/saltdale/transport/Connection.java
+++ b/src/main/java/saltdale/transport/Connection.java
@@ -145,6 +145,7 @@
         }
         finishing = true;
         sockets.finishing(1);
+        loop.after(LINGER.multipliedBy(10), this::close);  // for a peer that never reads
         reading = true;
         interest();
         shutIfWritten();
--- a/src/test/java/saltdale/program/PostingTest.java
+++ b/src/test/java/saltdale/program/PostingTest.java
@@ -17,7 +17,7 @@
 
 class PostingTest {
     private static final String CONFIG = """
-            {"seed":"8c1f30d27a5be964","limits":{"sockets":512},"settings":{"Limits":{"IdleClose":2000000},
+            {"seed":"8c1f30d27a5be964","limits":{"sockets":512},"settings":{"Limits":{"IdleClose":2000000,"DialTimeout":250000},
              "Workloads":[{"Name":"w","Repeat":"pure"}]}}""";
 
     @TempDir
@@ -59,6 +59,7 @@
         assertTrue(complaint(with("{\"seed\":\"1\"}")).contains("Workloads"));
         assertTrue(complaint(with(CONFIG.replace("\"pure\"", "7"))).contains("Repeat"));
         assertTrue(complaint(with(CONFIG.replace("{\"seed\"", "{\"known\":{},\"seed\""))).contains("known"));
+        assertTrue(complaint(with(CONFIG.replace("250000", "0"))).contains("DialTimeout"));
         with(CONFIG);
         environment.put("EDGE_LISTEN", "localhost:7070");
         assertTrue(complaint(environment).contains("EDGE_LISTEN"));
--- a/src/test/java/saltdale/routing/RouterTest.java
+++ b/src/test/java/saltdale/routing/RouterTest.java
@@ -382,6 +382,14 @@
         assertTrue(router.counted().contains("bad_requests " + cases.length), router.counted());
     }
 
+    @Test
+    void manyRequestsBehindOneAnotherAreAnsweredInTurn() throws IOException {
+        begin();
+        Peer client = client().says("GET /up HTTP/1.1\r\n\r\n".repeat(2000) + "GET /last HTTP/1.1\r\n\r\n");
+        String all = client.hears(" 404 ");
+        assertEquals(2000, all.split(" 200 ", -1).length - 1);
+    }
+
     @Test
     void anIdThatIsHeldIsNotTakenTwice() throws IOException {
         begin();
