Hold a request's bytes once; bound heads at 16 KiB; a heap that holds a client on every socket

Seen with a small probe on loopback: 1,200 clients handing in bodies of 65 KB each ended the process, java.lang.OutOfMemoryError with a heap of 80 MB. Cause: each request stood up to four times: in the parser's growing buffer, which it kept for the connection's life, in what was read ahead, in its body, and in the message to the runner (HttpParser.body, HttpParser.next, HttpWriter.passedOn). Now the body is filled in place and sent from there.

--- a/src/main/java/saltdale/protocol/HttpParser.java
+++ b/src/main/java/saltdale/protocol/HttpParser.java
@@ -10,9 +10,11 @@
     public enum Kind { REQUEST, ANSWER }
 
     public static final int MOST_BODY = 64 * 1024;
-    public static final int MOST_HEAD = 64 * 1024;
+    public static final int MOST_HEAD = 16 * 1024;
     private static final int MOST_LINE = 1024;  // of a chunk's size
 
+    private static final byte[] NOTHING = new byte[0];
+
     private enum State { HEAD, COUNTED, TO_THE_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, WHOLE, BAD }
 
     /** Takes the parts of a body that is not to be gathered. */
@@ -25,7 +27,8 @@
     private State state = State.HEAD;
     private byte[] gathered = new byte[512];
     private int count;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private byte[] body = NOTHING;
+    private int bodyCount;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(0);
     private int trailerBytes;
     private long left;
@@ -80,7 +83,7 @@
     }
 
     public byte[] body() {
-        return body.toByteArray();
+        return bodyCount == body.length ? body : Arrays.copyOf(body, bodyCount);
     }
 
     /** What is wrong with it, and the status that tells a client so. */
@@ -96,8 +99,9 @@
     public void next() {
         state = State.HEAD;
         count = 0;
-        gathered = gathered.length > 4096 ? new byte[512] : gathered;
-        body.reset();
+        gathered = gathered.length > 512 ? new byte[512] : gathered;  // guards against idle connections that hold much
+        body = NOTHING;
+        bodyCount = 0;
         line.reset();
         trailerBytes = 0;
         head = null;
@@ -194,14 +198,16 @@
         } else {
             left = length == null || none ? 0 : Long.parseLong(length);
             state = left == 0 ? State.WHOLE : State.COUNTED;
-            tooLong(left);
+            if (!tooLong(left) && sink == null) {
+                body = new byte[(int) left];
+            }
         }
     }
 
     // The body.
 
     private boolean tooLong(long more) {
-        if (sink == null && body.size() + more > MOST_BODY) {
+        if (sink == null && bodyCount + more > MOST_BODY) {
             bad(413, "the body is too long");
             return true;
         }
@@ -218,9 +224,11 @@
         if (sink != null) {
             sink.part(part);
         } else {
-            byte[] copy = new byte[size];
-            part.get(copy);
-            body.write(copy, 0, size);
+            if (bodyCount + size > body.length) {
+                body = Arrays.copyOf(body, Math.max(bodyCount + size, 2 * body.length));
+            }
+            part.get(body, bodyCount, size);
+            bodyCount += size;
         }
         if (state != State.TO_THE_END) {
             left -= size;
--- a/src/main/java/saltdale/protocol/HttpWriter.java
+++ b/src/main/java/saltdale/protocol/HttpWriter.java
@@ -14,9 +14,9 @@
     private HttpWriter() {
     }
 
-    /** A client's request as it goes on to a runner: what came, but for this hop's own headers. */
-    public static byte[] passedOn(Head head, byte[] body, long patienceMillis) {
-        ByteArrayOutputStream out = new ByteArrayOutputStream(512 + body.length);
+    /** A client's request as it goes on to a runner, up to its body: what came, but for this hop's own headers. */
+    public static byte[] passedOn(Head head, int bodyLength, long patienceMillis) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(512);
         text(out, head.method() + " " + head.target() + " HTTP/1.1\r\n");
         for (Head.Line line : head.lines) {
             String name = line.name().toLowerCase(Locale.ROOT);
@@ -26,8 +26,7 @@
                 text(out, "\r\n");
             }
         }
-        text(out, "Request-Timeout-Ms: " + patienceMillis + "\r\nContent-Length: " + body.length + "\r\n\r\n");
-        out.write(body, 0, body.length);
+        text(out, "Request-Timeout-Ms: " + patienceMillis + "\r\nContent-Length: " + bodyLength + "\r\n\r\n");
         return out.toByteArray();
     }
 
--- a/src/main/java/saltdale/routing/Call.java
+++ b/src/main/java/saltdale/routing/Call.java
@@ -29,14 +29,18 @@
     }
 
     /** Begins it; null where no socket is to be had. */
-    static Call begin(Pool pool, byte[] request, Back back) {
+    static Call begin(Pool pool, Back back, byte[]... request) {
         Call call = new Call(pool, back);
         call.connection = pool.take(call);
         if (call.connection == null) {
             return null;
         }
         call.connection.beginMessage();
-        call.connection.send(ByteBuffer.wrap(request));
+        ByteBuffer[] parts = new ByteBuffer[request.length];
+        for (int i = 0; i < parts.length; i++) {
+            parts[i] = ByteBuffer.wrap(request[i]);
+        }
+        call.connection.send(parts);
         return call;
     }
 
--- a/src/main/java/saltdale/routing/Client.java
+++ b/src/main/java/saltdale/routing/Client.java
@@ -10,12 +10,13 @@
 /** A connection that was accepted: requests come on it one after the other. */
 final class Client implements Connection.Owner {
     private static final byte[] NOTHING = new byte[0];
+    private static final ByteBuffer NOTHING_AHEAD = ByteBuffer.allocate(0);
 
     private final Router router;
     private final Connection connection;
     private final HttpParser parser = new HttpParser(HttpParser.Kind.REQUEST);
     private final Runnable drop = this::drop;
-    private ByteBuffer ahead = ByteBuffer.allocate(0);  // what has come and is not yet parsed
+    private ByteBuffer ahead = NOTHING_AHEAD;  // what has come and is not yet parsed
     private boolean going;
     private boolean serving;
     private boolean keepsAlive;
@@ -66,6 +67,7 @@
         while (!serving && ahead.hasRemaining()) {
             parse();
         }
+        ahead = ahead.hasRemaining() ? ahead : NOTHING_AHEAD;
         going = false;
         if (!serving) {
             router.sockets().idle(drop);
--- a/src/main/java/saltdale/routing/Discovery.java
+++ b/src/main/java/saltdale/routing/Discovery.java
@@ -66,7 +66,7 @@
                 after.accept(false);
             }
         });
-        call[0] = Call.begin(pool, HttpWriter.request("GET", PATH, host()), new Call.Back() {
+        call[0] = Call.begin(pool, new Call.Back() {
             @Override
             public void answered(Head head, byte[] body) {
                 finish(head.status() == 200 && take(body));
@@ -85,7 +85,7 @@
                     after.accept(came);
                 }
             }
-        });
+        }, HttpWriter.request("GET", PATH, host()));
         if (call[0] == null) {
             limit.cancel();
             loop.soon(() -> after.accept(false));
--- a/src/main/java/saltdale/routing/Probe.java
+++ b/src/main/java/saltdale/routing/Probe.java
@@ -23,7 +23,7 @@
 
     void begin() {
         Call call = target.pool == null ? null
-                : Call.begin(target.pool, HttpWriter.request("GET", "/metrics/load", target.dial), this);
+                : Call.begin(target.pool, this, HttpWriter.request("GET", "/metrics/load", target.dial));
         if (call == null) {
             finish(null);
             return;
--- a/src/main/java/saltdale/routing/Sending.java
+++ b/src/main/java/saltdale/routing/Sending.java
@@ -47,7 +47,8 @@
             limit = router.loop().after(timeOut, () -> stop(Outcome.TIMED_OUT));
         }
         call = target.pool == null ? null
-                : Call.begin(target.pool, HttpWriter.passedOn(held.head, held.body, patienceMillis), this);
+                : Call.begin(target.pool, this,
+                        HttpWriter.passedOn(held.head, held.body.length, patienceMillis), held.body);
         if (call == null) {
             end(Outcome.NOT_CONNECTED, null);
         }
@@ -101,18 +102,17 @@
                 after.run();
             }
         };
-        Call back = Call.begin(target.pool, HttpWriter.request("DELETE", "/jobs/" + held.id, target.dial),
-                new Call.Back() {
-                    @Override
-                    public void answered(Head head, byte[] body) {
-                        once.run();
-                    }
+        Call back = Call.begin(target.pool, new Call.Back() {
+            @Override
+            public void answered(Head head, byte[] body) {
+                once.run();
+            }
 
-                    @Override
-                    public void broke(Reach so, boolean malformed) {
-                        once.run();
-                    }
-                });
+            @Override
+            public void broke(Reach so, boolean malformed) {
+                once.run();
+            }
+        }, HttpWriter.request("DELETE", "/jobs/" + held.id, target.dial));
         if (back == null) {
             once.run();
             return;
--- a/src/main/java/saltdale/transport/Connection.java
+++ b/src/main/java/saltdale/transport/Connection.java
@@ -101,12 +101,14 @@
         return written <= messageStart ? Reach.UNSENT : written < handed ? Reach.PARTLY_WRITTEN : Reach.WRITTEN;
     }
 
-    public void send(ByteBuffer bytes) {
+    public void send(ByteBuffer... parts) {
         if (closed || finishing) {
             return;
         }
-        handed += bytes.remaining();
-        outgoing.add(bytes);
+        for (ByteBuffer part : parts) {
+            handed += part.remaining();
+            outgoing.add(part);
+        }
         if (!connecting) {
             write();
         }
@@ -220,11 +222,8 @@
             return;
         }
         try {
-            while (!outgoing.isEmpty()) {
-                written += channel.write(outgoing.peek());
-                if (outgoing.peek().hasRemaining()) {
-                    break;
-                }
+            written += channel.write(outgoing.toArray(new ByteBuffer[0]));
+            while (!outgoing.isEmpty() && !outgoing.peek().hasRemaining()) {
                 outgoing.poll();
             }
         } catch (IOException e) {
