--- a/src/main/java/saltdale/program/Serve.java
+++ b/src/main/java/saltdale/program/Serve.java
@@ -32,7 +32,7 @@
         }
         try {
             Loop loop = new Loop();
-            Sockets sockets = new Sockets(Math.max(16, posting.sockets - OTHER_DESCRIPTORS));
+            Sockets sockets = new Sockets(loop, Math.max(16, posting.sockets - OTHER_DESCRIPTORS));
             Router router = new Router(loop, sockets, posting.orders, posting.idleClose, posting.discovery,
                     System.currentTimeMillis() - loop.clock().toMillis(), new SplittableRandom(posting.seed));
             new Listener(loop, sockets, posting.listen, router::accepted);
--- a/src/main/java/saltdale/routing/Client.java
+++ b/src/main/java/saltdale/routing/Client.java
@@ -14,6 +14,7 @@
 
     private final Router router;
     private final Connection connection;
+    private final boolean oneTooMany;
     private final HttpParser parser = new HttpParser(HttpParser.Kind.REQUEST);
     private final Runnable drop = this::drop;
     private ByteBuffer ahead = NOTHING_AHEAD;  // what has come and is not yet parsed
@@ -24,9 +25,10 @@
     /** The assignment being served; null where there is none. */
     private Held held;
 
-    Client(Router router, Connection connection) {
+    Client(Router router, Connection connection, boolean oneTooMany) {
         this.router = router;
         this.connection = connection;
+        this.oneTooMany = oneTooMany;
         connection.owner(this);
         goOn();
     }
@@ -35,6 +37,11 @@
         held = assignment;
     }
 
+    /** True where there was no room for it but to turn it away. */
+    boolean isOneTooMany() {
+        return oneTooMany;
+    }
+
     /** True where no request has begun to come. */
     boolean isIdle() {
         return !serving && parser.untouched();
@@ -104,7 +111,7 @@
     /** Answers the request being served and goes on to the next one. */
     void answer(int status, String more, byte[] body) {
         held = null;
-        boolean close = !keepsAlive || router.ending();
+        boolean close = !keepsAlive || oneTooMany || router.ending();
         connection.send(HttpWriter.answer(status, more, body, close));
         if (close) {
             leave();
--- a/src/main/java/saltdale/routing/Counters.java
+++ b/src/main/java/saltdale/routing/Counters.java
@@ -13,6 +13,7 @@
     long givenUp;
     long clientsGone;
     long badRequests;
+    long turnedAway;
     long callBacks;
     long callBacksUnmatched;
     long badCallBacks;
@@ -36,7 +37,8 @@
         lines.add("assignments_taken " + taken).add("assignments_held " + held)
                 .add("answered_fulfilled " + fulfilled).add("answered_shed " + shed)
                 .add("answered_given_up " + givenUp).add("clients_gone " + clientsGone)
-                .add("bad_requests " + badRequests).add("dispatches " + dispatches).add("cancels " + cancels);
+                .add("bad_requests " + badRequests)
+                .add("turned_away_without_sockets " + turnedAway).add("dispatches " + dispatches).add("cancels " + cancels);
         outcomes.forEach((outcome, count) -> lines.add("ended_" + outcome.name().toLowerCase() + " " + count));
         return lines.add("probes " + probes).add("probes_unanswered " + probesUnanswered)
                 .add("call_backs " + callBacks).add("call_backs_unmatched " + callBacksUnmatched)
--- a/src/main/java/saltdale/routing/Router.java
+++ b/src/main/java/saltdale/routing/Router.java
@@ -145,8 +145,8 @@
 
     // ---- From clients.
 
-    public void accepted(Connection connection) {
-        clients.add(new Client(this, connection));
+    public void accepted(Connection connection, boolean full) {
+        clients.add(new Client(this, connection, full));
     }
 
     void left(Client client) {
@@ -184,6 +184,11 @@
         if (refusal != null) {
             turnDown(client, refusal);
             return;
+        } else if (client.isOneTooMany()) {
+            // Guards against requests that wait unread in the kernel until their clients give up. Nothing has run.
+            counters.turnedAway++;
+            client.answer(503, "", NOTHING);
+            return;
         }
         Assignment a = intake.assignment(head, loop.now());
         Held taken = new Held(Intake.id(head), a, head, body, client);
--- a/src/main/java/saltdale/transport/Listener.java
+++ b/src/main/java/saltdale/transport/Listener.java
@@ -7,10 +7,14 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
-import java.util.function.Consumer;
 
 /** Takes in connections at one address. */
 public final class Listener implements Loop.Ready {
+    /** Who a new connection is handed to; {@code full} where there is only room to turn it away. */
+    public interface Taker {
+        void take(Connection connection, boolean full);
+    }
+
     private static final int BACKLOG = 1024;
     private static final Duration PAUSE = Duration.ofMillis(100);
 
@@ -18,9 +22,9 @@
     private final Sockets sockets;
     private final ServerSocketChannel channel;
     private final SelectionKey key;
-    private final Consumer<Connection> taker;
+    private final Taker taker;
 
-    public Listener(Loop loop, Sockets sockets, InetSocketAddress at, Consumer<Connection> taker)
+    public Listener(Loop loop, Sockets sockets, InetSocketAddress at, Taker taker)
             throws IOException {
         this.loop = loop;
         this.sockets = sockets;
@@ -33,34 +37,34 @@
     }
 
     @Override
-    public void ready(SelectionKey ready) {
-        while (true) {
-            if (!sockets.takeForClient()) {
-                key.interestOps(0);  // until one is given back; guards against a spinning accept
+    public void ready(SelectionKey ready) throws IOException {
+        while (sockets.couldTurnAway()) {
+            SocketChannel accepted = channel.accept();
+            if (accepted == null) {
                 return;
             }
-            SocketChannel accepted = null;
+            boolean full = !sockets.takeForClient();
+            if (full) {
+                sockets.takeToTurnAway();
+            }
             try {
-                accepted = channel.accept();
-                if (accepted != null) {
-                    taker.accept(Connection.accepted(loop, sockets, accepted));
-                    continue;
-                }
-                sockets.gaveBack();
-                return;
+                taker.take(Connection.accepted(loop, sockets, accepted), full);
             } catch (IOException e) {
-                sockets.gaveBack();
-                failed(e);
-                if (accepted == null) {
-                    return;
-                }
+                sockets.gaveBack();  // it ended before it was ours
+                accepted.close();
             }
         }
+        rest();
     }
 
     /** Guards against an accept that fails again and again, as without descriptors: it rests a little. */
     @Override
     public void failed(Exception cause) {
+        rest();
+    }
+
+    /** Until a descriptor is given back, or others have become idle; guards against a spinning accept. */
+    private void rest() {
         key.interestOps(0);
         loop.after(PAUSE, this::resume);
     }
