A start told twice counts once; a time-out at the end of patience ends at once

A runner that tells a start again, because our answer to its call-back was lost, moved the start and was counted twice in the expected wait (Router.news). A dispatch out at the very end of patience waited up to DialTimeout for the answer to its DELETE before the module was told (Router.outOfTime).

--- a/src/main/java/saltdale/routing/Router.java
+++ b/src/main/java/saltdale/routing/Router.java
@@ -55,7 +55,6 @@
     private final Set<Client> clients = new HashSet<>();
     private final List<Runnable> acts = new ArrayList<>();
     private boolean eventful;
-    private boolean ready;
 
     public Router(Loop loop, Sockets sockets, StandingOrders orders, Duration idleClose, InetSocketAddress lists,
                   long startMillis, SplittableRandom chance) {
@@ -85,7 +84,6 @@
         if (!orders.mustSubscribe) {
             discovery.follow();
         }
-        ready = true;
         eventful();
     }
 
@@ -159,7 +157,7 @@
 
     void requested(Client client, Head head, byte[] body) {
         switch (head.path()) {
-            case "/up" -> own(client, head, "GET", () -> client.answer(ready && !ending() ? 200 : 503, "", NOTHING));
+            case "/up" -> own(client, head, "GET", () -> client.answer(!ending() ? 200 : 503, "", NOTHING));
             case "/counters" -> own(client, head, "GET", () -> client.answer(200, "", counted().strip()));
             case "/_jobs/news" -> own(client, head, "POST", () -> news(client, body));
             default -> assignment(client, head, body);
@@ -207,6 +205,7 @@
     private void outOfTime(Held late) {
         for (Sending sending : List.copyOf(late.sendings)) {
             sending.stop(Outcome.TIMED_OUT);
+            sending.end(Outcome.TIMED_OUT, null);  // nothing follows that the runner's word should be awaited for
         }
     }
 
@@ -272,7 +271,11 @@
         }
         LoadReport report = news.load == null ? null : report(news.load);
         switch (news.state) {
-            case STARTED -> dispatcher.started(loop.now(), sending.dispatch);
+            case STARTED -> {
+                if (sending.dispatch.startedAt == null) {  // a runner tells again what we did not seem to hear
+                    dispatcher.started(loop.now(), sending.dispatch);
+                }
+            }
             case RUNNING -> dispatcher.progressed(loop.now(), sending.dispatch);
             case FAILED -> sending.end(Outcome.ERROR, report);
             case RETURNED -> sending.end(Outcome.TURNED_AWAY, report);
--- a/src/test/java/saltdale/routing/RouterTest.java
+++ b/src/test/java/saltdale/routing/RouterTest.java
@@ -298,6 +298,18 @@
         assertEquals("", client.heard);
     }
 
+    @Test
+    void aStartThatIsToldTwiceStandsAsItWasFirstTold() throws IOException {
+        begin();
+        client().says(job("a"));
+        accepts(runner).hears("\r\n\r\nbody");
+        Peer caller = client();
+        caller.says(news("a", "s-1", "started")).hears("204");
+        Duration told = router.held("a").sendings.get(0).dispatch.startedAt;
+        caller.says(news("a", "s-1", "started")).hears("204");
+        assertEquals(told, router.held("a").sendings.get(0).dispatch.startedAt);
+    }
+
     @Test
     void malformedCallBacksAreTurnedDown() throws IOException {
         begin();
