Take back by name what a runner has begun before its 202; the standing on sockets

Found by reading: a call-back may come before the 202. Calling off such a dispatch closed the connection, ended it at once and sent the DELETE behind (Sending.stop); the runner has sent its 202 by then, so another dispatch could have gone out beside the first. Now the word of a start counts as taken.

--- a/src/main/java/saltdale/program/Serve.java
+++ b/src/main/java/saltdale/program/Serve.java
@@ -15,7 +15,7 @@
 /** One real dispatcher, from its start to its end. */
 public final class Serve {
     private static final Logger LOG = Logger.getLogger(Serve.class.getName());
-    private static final int OTHER_DESCRIPTORS = 48;  // of the process itself: jars, selector, log
+    private static final int OTHER_DESCRIPTORS = 24;  // of the process itself: jars, selector, log; 10 were seen
 
     private Serve() {
     }
--- a/src/main/java/saltdale/routing/Fleet.java
+++ b/src/main/java/saltdale/routing/Fleet.java
@@ -39,10 +39,6 @@
         return targets.get(host);
     }
 
-    int size() {
-        return targets.size();
-    }
-
     /** Takes over what discovery says; entries without a usable address are passed over. */
     List<Sighting> sightings(Duration now, HostList list) {
         List<Sighting> sightings = new ArrayList<>();
--- a/src/main/java/saltdale/routing/Sending.java
+++ b/src/main/java/saltdale/routing/Sending.java
@@ -70,8 +70,9 @@
     }
 
     /**
-     * Gives it up at the runner. Before the 202 that is closing the connection; after it the job is taken back
-     * by name, and the dispatch ends when that has been answered, so that no other is out before.
+     * Gives it up at the runner. Before the 202 that is closing the connection. After it, or after a call-back
+     * that has overtaken it, the job is taken back by name, and the dispatch ends when that has been answered, so
+     * that no other is out before.
      */
     void stop(Outcome outcome) {
         if (over || calledOff) {
@@ -80,7 +81,9 @@
         calledOff = true;
         if (call == null) {
             end(Outcome.NEVER_SENT, null);
-        } else if (reach != Reach.TAKEN) {
+        } else if (reach == Reach.TAKEN || dispatch.startedAt != null) {
+            takeBack(() -> end(outcome, null));
+        } else {
             reach = call.reach();
             call.abandon();
             if (reach.incomplete()) {
@@ -89,8 +92,6 @@
             }
             takeBack(() -> { });  // guards against a 202 that crosses the closing
             end(outcome, null);
-        } else {
-            takeBack(() -> end(outcome, null));
         }
     }
 
--- a/src/main/java/saltdale/transport/Pool.java
+++ b/src/main/java/saltdale/transport/Pool.java
@@ -25,10 +25,6 @@
         this.idleLimit = idleLimit;
     }
 
-    public InetSocketAddress address() {
-        return address;
-    }
-
     public long dialled() {
         return dialled;
     }
--- a/src/test/java/saltdale/routing/RouterTest.java
+++ b/src/test/java/saltdale/routing/RouterTest.java
@@ -368,6 +368,22 @@
         assertEquals(Outcome.CANCELLED, sending.dispatch.outcome);
     }
 
+    @Test
+    void aStartThatOvertookThe202IsTakenBackByName() throws IOException {
+        begin();
+        client().says(job("a"));
+        Peer dispatched = accepts(runner);
+        dispatched.hears("\r\n\r\nbody");
+        client().says(news("a", "s-1", "started")).hears("204");
+        Sending sending = router.held("a").sendings.get(0);
+        sending.stop(Outcome.CANCELLED);
+        Peer second = accepts(runner);
+        second.hears("DELETE /jobs/a");
+        assertFalse(sending.isOver(), "closing the connection may come too late to give it up");
+        second.says(OK);
+        until(sending::isOver);
+    }
+
     @Test
     void aVanishedRunnerDoesNotHoldUpTheRest() throws IOException {
         begin();
