--- a/src/main/java/saltdale/program/Posting.java
+++ b/src/main/java/saltdale/program/Posting.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Map;
+import saltdale.model.Spans;
 import saltdale.model.StandingOrders;
 import saltdale.orders.Fields;
 import saltdale.orders.MalformedInput;
@@ -18,6 +19,9 @@
 
 /** Where a dispatcher is posted, and what it is told there: from its environment and EDGE_CONFIG. */
 final class Posting {
+    /** How closely timers keep their time: rounds of events lie no closer. */
+    private static final Duration TIMERS = Duration.ofMillis(1);
+
     final String name;
     final InetSocketAddress listen;
     final InetSocketAddress discovery;
@@ -48,6 +52,7 @@
             throw limits.wrong("DialTimeout", "a span over 0");
         }
         this.idleClose = limits.span("IdleClose", Duration.ofSeconds(30));
+        orders.round = Spans.most(orders.round, TIMERS);
         this.known = known;
     }
 
--- a/src/main/java/saltdale/program/Serve.java
+++ b/src/main/java/saltdale/program/Serve.java
@@ -40,12 +40,13 @@
                 Signal.handle(new Signal(signal), which -> loop.fromOutside(router::end));
             }
             router.begin(posting.known);
-            LOG.info(() -> posting.name + " serves at " + posting.listen);
+            LOG.info(() -> posting.name + " serves at " + environment.get("EDGE_LISTEN"));
             loop.run(router::turnEnd);
             LOG.info(() -> posting.name + " ends; " + router.counted().strip().replace('\n', ','));
             return 0;
         } catch (IOException e) {
-            errors.println("saltdale: " + posting.listen + " can't be served: " + e.getMessage());
+            errors.println("saltdale: EDGE_LISTEN " + environment.get("EDGE_LISTEN") + " can't be served: "
+                    + e.getMessage());
             return 1;
         }
     }
--- a/src/test/java/saltdale/program/PostingTest.java
+++ b/src/test/java/saltdale/program/PostingTest.java
@@ -50,6 +50,15 @@
         assertNull(posting.known);
     }
 
+    @Test
+    void anAddressThatCannotBeBoundIsNamed() throws IOException {
+        with(CONFIG);
+        environment.put("EDGE_LISTEN", "192.0.2.1:7070");  // for documentation; no machine has it
+        ByteArrayOutputStream errors = new ByteArrayOutputStream();
+        assertEquals(1, Serve.run(environment, new PrintStream(errors, true, StandardCharsets.UTF_8)));
+        assertTrue(errors.toString(StandardCharsets.UTF_8).contains("192.0.2.1:7070"));
+    }
+
     @Test
     void whatIsMissingOrWrongIsNamed() throws IOException {
         assertTrue(complaint(environment).contains("EDGE_CONFIG is not set"));
--- a/src/test/java/saltdale/transport/TransportTest.java
+++ b/src/test/java/saltdale/transport/TransportTest.java
@@ -17,6 +17,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -24,6 +26,7 @@
 
 @Timeout(20)
 class TransportTest {
+    private static final Logger LOG = Logger.getLogger(Loop.class.getName());
     private static final Duration LONG = Duration.ofSeconds(30);
 
     private final List<String> events = new ArrayList<>();
@@ -209,6 +212,7 @@
 
     @Test
     void anExceptionEndsItsConnectionAndNothingElse() throws IOException {
+        LOG.setLevel(Level.OFF);  // two traces that say nothing
         Connection connection = pool(LONG).take(new Connection.Owner() {
             @Override
             public void received(ByteBuffer bytes) {
