--- a/src/main/java/saltdale/protocol/HttpParser.java
+++ b/src/main/java/saltdale/protocol/HttpParser.java
@@ -301,7 +301,7 @@
     }
 
     private static boolean token(String text) {
-        return !text.isEmpty() && text.chars().allMatch(c -> c > ' ' && c < 127 && "\"(),/:;<=>?@[\\]{}".indexOf(c) < 0);
+        return !text.isEmpty() && printable(text) && text.chars().noneMatch(c -> "\"(),/:;<=>?@[\\]{}".indexOf(c) >= 0);
     }
 
     private static boolean printable(String text) {
--- a/src/main/java/saltdale/routing/Counters.java
+++ b/src/main/java/saltdale/routing/Counters.java
@@ -1,6 +1,7 @@
 package saltdale.routing;
 
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.StringJoiner;
 import saltdale.model.Outcome;
@@ -37,9 +38,9 @@
         lines.add("assignments_taken " + taken).add("assignments_held " + held)
                 .add("answered_fulfilled " + fulfilled).add("answered_shed " + shed)
                 .add("answered_given_up " + givenUp).add("clients_gone " + clientsGone)
-                .add("bad_requests " + badRequests)
-                .add("turned_away_without_sockets " + turnedAway).add("dispatches " + dispatches).add("cancels " + cancels);
-        outcomes.forEach((outcome, count) -> lines.add("ended_" + outcome.name().toLowerCase() + " " + count));
+                .add("bad_requests " + badRequests).add("turned_away_without_sockets " + turnedAway)
+                .add("dispatches " + dispatches).add("cancels " + cancels);
+        outcomes.forEach((outcome, count) -> lines.add("ended_" + outcome.name().toLowerCase(Locale.ROOT) + " " + count));
         return lines.add("probes " + probes).add("probes_unanswered " + probesUnanswered)
                 .add("call_backs " + callBacks).add("call_backs_unmatched " + callBacksUnmatched)
                 .add("bad_call_backs " + badCallBacks).add("bad_answers " + badAnswers).add("lists " + lists)
--- a/src/test/java/saltdale/routing/RouterTest.java
+++ b/src/test/java/saltdale/routing/RouterTest.java
@@ -174,6 +174,13 @@
         return new Peer(accepted[0]);
     }
 
+    /** The connection on which the runner gets the next job, all of which has come. */
+    private Peer dispatched() throws IOException {
+        Peer peer = accepts(runner);
+        peer.hears("\r\n\r\nbody");
+        return peer;
+    }
+
     private static String post(String path, String id, String more, String body) {
         return "POST " + path + " HTTP/1.1\r\nRequest-Id: " + id + "\r\nRequest-Timeout-Ms: 50000\r\n" + more
                 + "Content-Length: " + body.length() + "\r\n\r\n" + body;
@@ -191,8 +198,7 @@
     /** What a client is answered where the runner answers so to the dispatch, and calls back so after its 202. */
     private String answered(String toDispatch, String state) throws IOException {
         Peer client = client().says(job("a"));
-        Peer dispatched = accepts(runner);
-        dispatched.hears("\r\n\r\nbody");
+        Peer dispatched = dispatched();
         if (toDispatch.equals(NO_ANSWER)) {
             dispatched.channel.close();
         } else {
@@ -285,8 +291,7 @@
     void callBacksAreMatchedByTheirRunnerAndActedOnOnce() throws IOException {
         begin();
         Peer client = client().says(job("a"));
-        Peer dispatched = accepts(runner);
-        dispatched.hears("\r\n\r\nbody");
+        Peer dispatched = dispatched();
         Peer caller = client();
         caller.says(news("a", "s-2", "done")).hears("204");
         caller.says(news("unknown", "s-1", "done")).hears("204");
@@ -302,7 +307,7 @@
     void aStartThatIsToldTwiceStandsAsItWasFirstTold() throws IOException {
         begin();
         client().says(job("a"));
-        accepts(runner).hears("\r\n\r\nbody");
+        dispatched();
         Peer caller = client();
         caller.says(news("a", "s-1", "started")).hears("204");
         Duration told = router.held("a").sendings.get(0).dispatch.startedAt;
@@ -323,8 +328,7 @@
     void aJobWhoseClientHasGoneIsTakenBack() throws IOException {
         begin();
         Peer client = client().says(job("a"));
-        Peer dispatched = accepts(runner);
-        dispatched.hears("\r\n\r\nbody");
+        Peer dispatched = dispatched();
         dispatched.says(ACCEPTED);
         client().says(news("a", "s-1", "started")).hears("204");
         client.channel.close();
@@ -337,8 +341,7 @@
     void beforeThe202TheConnectionIsClosed() throws IOException {
         begin();
         Peer client = client().says(job("a"));
-        Peer dispatched = accepts(runner);
-        dispatched.hears("\r\n\r\nbody");
+        Peer dispatched = dispatched();
         client.channel.close();
         dispatched.hearsTheEnd();
         until(() -> router.counted().contains("ended_cancelled 1"));
@@ -347,8 +350,7 @@
     /** A dispatch that this runner's connection has taken, and has been told to take back. */
     private Sending takenBack(Peer client, Peer[] dispatched) throws IOException {
         client.says(job("a"));
-        dispatched[0] = accepts(runner);
-        dispatched[0].hears("\r\n\r\nbody");
+        dispatched[0] = dispatched();
         dispatched[0].says(ACCEPTED);
         Sending sending = router.held("a").sendings.get(0);
         until(sending::isTaken);
@@ -372,8 +374,7 @@
     void aStartThatOvertookThe202IsTakenBackByName() throws IOException {
         begin();
         client().says(job("a"));
-        Peer dispatched = accepts(runner);
-        dispatched.hears("\r\n\r\nbody");
+        Peer dispatched = dispatched();
         client().says(news("a", "s-1", "started")).hears("204");
         Sending sending = router.held("a").sendings.get(0);
         sending.stop(Outcome.CANCELLED);
@@ -423,7 +424,7 @@
     void anIdThatIsHeldIsNotTakenTwice() throws IOException {
         begin();
         client().says(job("a"));
-        accepts(runner).hears("\r\n\r\nbody");
+        dispatched();
         assertEquals("409", client().says(job("a")).hears("\r\n\r\n").substring(9, 12));
     }
 
@@ -448,7 +449,7 @@
         Peer client = client().says(job("a"));
         Peer idle = client().says("GET /up HTTP/1.1\r\n\r\n");
         idle.hears("\r\n\r\n");
-        accepts(runner).hears("\r\n\r\nbody");
+        dispatched();
         router.end();
         assertTrue(client().says("GET /up HTTP/1.1\r\n\r\n").hears("\r\n\r\n").contains(" 503 "));
         assertTrue(client().says(job("b")).hears("Connection: close").contains(" 503 "));
@@ -486,6 +487,6 @@
         lists.says("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
         until(() -> router.counted().contains("bad_lists 1"));
         client().says(job("a"));
-        accepts(runner).hears("\r\n\r\nbody");
+        dispatched();
     }
 }
