--- a/src/main/java/saltdale/transport/Connection.java
+++ b/src/main/java/saltdale/transport/Connection.java
@@ -30,6 +30,7 @@
     private final Sockets sockets;
     private final SocketChannel channel;
     private SelectionKey key;
+    private Timer limit;  // of connecting, later of closing
     private final Deque<ByteBuffer> outgoing = new ArrayDeque<>();
     private Owner owner;
     private boolean connecting;
@@ -70,7 +71,7 @@
             if (channel.connect(to)) {
                 loop.soon(connection, connection::connected);
             }
-            loop.after(limit, () -> {
+            connection.limit = loop.after(limit, () -> {
                 if (connection.connecting) {
                     connection.end("not connected in time");
                 }
@@ -147,7 +148,7 @@
         }
         finishing = true;
         sockets.finishing(1);
-        loop.after(LINGER.multipliedBy(10), this::close);  // for a peer that never reads
+        limit = loop.after(LINGER.multipliedBy(10), this::close);  // for a peer that never reads
         reading = true;
         interest();
         shutIfWritten();
@@ -158,6 +159,9 @@
             closed = true;
             connecting = false;
             outgoing.clear();
+            if (limit != null) {
+                limit.cancel();  // guards against closed connections that timers keep in memory
+            }
             sockets.finishing(finishing ? -1 : 0);
             quietly(channel);
             sockets.gaveBack();
@@ -245,7 +249,8 @@
         }
         try {
             channel.shutdownOutput();
-            loop.after(LINGER, this::close);
+            limit.cancel();
+            limit = loop.after(LINGER, this::close);
         } catch (IOException e) {
             close();
         }
