--- a/src/main/java/saltdale/routing/Counters.java
+++ b/src/main/java/saltdale/routing/Counters.java
@@ -40,7 +40,8 @@
                 .add("answered_given_up " + givenUp).add("clients_gone " + clientsGone)
                 .add("bad_requests " + badRequests).add("turned_away_without_sockets " + turnedAway)
                 .add("dispatches " + dispatches).add("cancels " + cancels);
-        outcomes.forEach((outcome, count) -> lines.add("ended_" + outcome.name().toLowerCase(Locale.ROOT) + " " + count));
+        outcomes.forEach((outcome, count) ->
+                lines.add("ended_" + outcome.name().toLowerCase(Locale.ROOT) + " " + count));
         return lines.add("probes " + probes).add("probes_unanswered " + probesUnanswered)
                 .add("call_backs " + callBacks).add("call_backs_unmatched " + callBacksUnmatched)
                 .add("bad_call_backs " + badCallBacks).add("bad_answers " + badAnswers).add("lists " + lists)
