Let a call keep its own time limit; three callers each had one of their own

Probe, Discovery.read and Sending.takeBack each set a timer, gave the call up and kept a mark so as to be told once. Call is over once already; it now has the limit too (Call.within) and breaks at its end, which all three treated as a break. Behaviour as before.

--- a/src/main/java/saltdale/routing/Call.java
+++ b/src/main/java/saltdale/routing/Call.java
@@ -1,11 +1,15 @@
 package saltdale.routing;
 
 import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Arrays;
 import saltdale.protocol.Head;
 import saltdale.protocol.HttpParser;
 import saltdale.transport.Connection;
+import saltdale.transport.Loop;
 import saltdale.transport.Pool;
 import saltdale.transport.Reach;
+import saltdale.transport.Timer;
 
 /** One request of ours on a pooled connection, until its answer or its end. */
 final class Call implements Connection.Owner {
@@ -21,6 +25,7 @@
     private final Back back;
     private final HttpParser parser = new HttpParser(HttpParser.Kind.ANSWER);
     private Connection connection;
+    private Timer limit;
     private boolean over;
 
     private Call(Pool pool, Back back) {
@@ -36,14 +41,18 @@
             return null;
         }
         call.connection.beginMessage();
-        ByteBuffer[] parts = new ByteBuffer[request.length];
-        for (int i = 0; i < parts.length; i++) {
-            parts[i] = ByteBuffer.wrap(request[i]);
-        }
-        call.connection.send(parts);
+        call.connection.send(Arrays.stream(request).map(ByteBuffer::wrap).toArray(ByteBuffer[]::new));
         return call;
     }
 
+    /** Where no answer has come by then, it is given up and has broken. */
+    void within(Loop loop, Duration span) {
+        limit = loop.after(span, () -> {
+            abandon();
+            back.broke(connection.reach(), false);
+        });
+    }
+
     Reach reach() {
         return connection.reach();
     }
@@ -51,20 +60,27 @@
     /** Gives it up by closing its connection, if it is still out; nobody is called. */
     void abandon() {
         if (!over) {
-            over = true;
+            finish();
             connection.close();
         }
     }
 
+    private void finish() {
+        over = true;
+        if (limit != null) {
+            limit.cancel();
+        }
+    }
+
     @Override
     public void received(ByteBuffer bytes) {
         parser.take(bytes);
         if (parser.bad()) {
-            over = true;
+            finish();
             connection.close();
             back.broke(connection.reach(), true);
         } else if (parser.whole()) {
-            over = true;
+            finish();
             // Whatever else has come belongs to no request of ours.
             if (parser.head().keepsAlive() && !bytes.hasRemaining() && connection.reach() == Reach.WRITTEN) {
                 pool.rest(connection);
@@ -77,7 +93,7 @@
 
     @Override
     public void ended(String cause) {
-        over = true;
+        finish();
         parser.end();
         if (parser.whole()) {
             back.answered(parser.head(), parser.body());
--- a/src/main/java/saltdale/routing/Discovery.java
+++ b/src/main/java/saltdale/routing/Discovery.java
@@ -57,38 +57,22 @@
 
     /** Reads the whole list once; {@code after} is told whether it came. */
     void read(Consumer<Boolean> after) {
-        boolean[] over = {false};
-        Call[] call = new Call[1];
-        Timer limit = loop.after(PATIENCE, () -> {
-            if (!over[0]) {
-                over[0] = true;
-                call[0].abandon();
-                after.accept(false);
-            }
-        });
-        call[0] = Call.begin(pool, new Call.Back() {
+        Call call = Call.begin(pool, new Call.Back() {
             @Override
             public void answered(Head head, byte[] body) {
-                finish(head.status() == 200 && take(body));
+                after.accept(head.status() == 200 && take(body));
             }
 
             @Override
             public void broke(Reach reach, boolean malformed) {
                 counters.badLists += malformed ? 1 : 0;
-                finish(false);
-            }
-
-            private void finish(boolean came) {
-                limit.cancel();
-                if (!over[0]) {
-                    over[0] = true;
-                    after.accept(came);
-                }
+                after.accept(false);
             }
         }, HttpWriter.request("GET", PATH, host()));
-        if (call[0] == null) {
-            limit.cancel();
+        if (call == null) {
             loop.soon(() -> after.accept(false));
+        } else {
+            call.within(loop, PATIENCE);
         }
     }
 
--- a/src/main/java/saltdale/routing/Probe.java
+++ b/src/main/java/saltdale/routing/Probe.java
@@ -6,14 +6,12 @@
 import saltdale.protocol.HttpWriter;
 import saltdale.protocol.Load;
 import saltdale.transport.Reach;
-import saltdale.transport.Timer;
 
 /** One question to a runner for its load. */
 final class Probe implements Call.Back {
     private final Router router;
     private final Target target;
     private final Duration askedAt;
-    private Timer limit;
 
     Probe(Router router, Target target) {
         this.router = router;
@@ -29,16 +27,10 @@
             return;
         }
         // As long as a connection may take to come up, and as long again for the answer.
-        limit = router.loop().after(router.answerLimit().multipliedBy(2), () -> {
-            call.abandon();
-            finish(null);
-        });
+        call.within(router.loop(), router.answerLimit().multipliedBy(2));
     }
 
     private void finish(Map<String, Double> values) {
-        if (limit != null) {
-            limit.cancel();
-        }
         router.probed(target, values, router.loop().now().minus(askedAt));
     }
 
--- a/src/main/java/saltdale/routing/Sending.java
+++ b/src/main/java/saltdale/routing/Sending.java
@@ -96,35 +96,22 @@
     }
 
     private void takeBack(Runnable after) {
-        boolean[] told = {false};
-        Runnable once = () -> {
-            if (!told[0]) {
-                told[0] = true;
-                after.run();
-            }
-        };
         Call back = Call.begin(target.pool, new Call.Back() {
             @Override
             public void answered(Head head, byte[] body) {
-                once.run();
+                after.run();
             }
 
             @Override
             public void broke(Reach so, boolean malformed) {
-                once.run();
+                after.run();
             }
         }, HttpWriter.request("DELETE", "/jobs/" + held.id, target.dial));
         if (back == null) {
-            once.run();
-            return;
+            after.run();
+        } else {
+            back.within(router.loop(), router.answerLimit());  // guards against a machine that has vanished
         }
-        // Guards against a machine that has vanished and says nothing.
-        router.loop().after(router.answerLimit(), () -> {
-            if (!told[0]) {
-                back.abandon();
-                once.run();
-            }
-        });
     }
 
     @Override
