Count a malformed change of the list once

Discovery.take counted it, and Watch.received again by way of broken(true). The counter bad_lists is the one thing that differs; what breaks a watch is as before. The new test saw 2 before the change.

--- a/src/main/java/saltdale/routing/Discovery.java
+++ b/src/main/java/saltdale/routing/Discovery.java
@@ -93,7 +93,7 @@
         watch = new Watch();
         watch.connection = Connection.dial(loop, sockets, address, PATIENCE, watch);
         if (watch.connection == null) {
-            loop.soon(() -> broken(false));
+            loop.soon(this::broken);
         } else {
             watch.connection.send(ByteBuffer.wrap(
                     HttpWriter.request("GET", PATH + "?watch=1&from=" + seq, host())));
@@ -125,10 +125,9 @@
         return true;
     }
 
-    private void broken(boolean malformed) {
+    private void broken() {
         unwatch();
         counters.watchesBroken++;
-        counters.badLists += malformed ? 1 : 0;
         if (onBreak != null) {
             onBreak.run();
         } else {
@@ -159,7 +158,7 @@
                 silence.cancel();
             }
             // Guards against a machine that was cut off: its connection stays open and says nothing.
-            silence = loop.after(SILENCE, () -> broken(false));
+            silence = loop.after(SILENCE, Discovery.this::broken);
         }
 
         void close() {
@@ -174,10 +173,10 @@
         @Override
         public void received(ByteBuffer bytes) {
             parser.take(bytes);
-            if (parser.bad() || lines.tooLong() || malformed) {
-                broken(true);
-            } else if (parser.whole() || parser.head() != null && parser.head().status() != 200) {
-                broken(false);
+            boolean unreadable = parser.bad() || lines.tooLong();
+            counters.badLists += unreadable ? 1 : 0;
+            if (unreadable || malformed || parser.whole() || parser.head() != null && parser.head().status() != 200) {
+                broken();
             } else {
                 heard();
             }
@@ -185,7 +184,7 @@
 
         @Override
         public void ended(String cause) {
-            broken(false);
+            broken();
         }
     }
 }
--- a/src/test/java/saltdale/routing/RouterTest.java
+++ b/src/test/java/saltdale/routing/RouterTest.java
@@ -479,6 +479,20 @@
         assertTrue(accepts(discovery).hears("\r\n\r\n").contains("from=43 "));
     }
 
+    @Test
+    void aMalformedChangeIsCountedOnceAndTheWatchBegunAnew() throws IOException {
+        begin();
+        Peer lists = accepts(discovery);
+        lists.hears("\r\n\r\n");
+        String whole = text(41, true);
+        lists.says("HTTP/1.1 200 OK\r\nContent-Length: " + whole.length() + "\r\n\r\n" + whole);
+        Peer watch = accepts(discovery);
+        watch.hears("\r\n\r\n");
+        watch.says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{}\n\r\n");
+        assertTrue(accepts(discovery).hears("\r\n\r\n").contains("from=41 "));
+        assertTrue(router.counted().contains("bad_lists 1\nwatches_broken 1"), router.counted());
+    }
+
     @Test
     void aMalformedListLeavesTheOldOne() throws IOException {
         begin();
