Derive what was kept or worked out twice in routing and the simulator's adapter

Whether an assignment is over: Instance and Held each looked through the dispatches, now Assignment.isOver. A sending's own mark of being over said what its dispatch's outcome says; the map from dispatch to sending said what Held knows by order. The longest patience was worked out in Router and Ending, now StandingOrders.longestPatience. A target has its pool from the start, so four checks for none are gone. Without a caller and gone: JsonReader.raw, Head.toString. Behaviour as before.

--- a/src/main/java/saltdale/model/Assignment.java
+++ b/src/main/java/saltdale/model/Assignment.java
@@ -64,6 +64,11 @@
         return null;
     }
 
+    /** True once its answer is out and so is the outcome of each dispatch. */
+    public boolean isOver() {
+        return closed && pending() == null;
+    }
+
     public Dispatch last() {
         return dispatches.get(dispatches.size() - 1);
     }
--- a/src/main/java/saltdale/model/StandingOrders.java
+++ b/src/main/java/saltdale/model/StandingOrders.java
@@ -46,6 +46,11 @@
     public double probePrice;
     public double wastePrice;
 
+    /** How long a client of any workload waits, at the most. */
+    public Duration longestPatience() {
+        return workloads.stream().map(w -> w.patience).reduce(Duration.ZERO, Spans::most);
+    }
+
     /** The least share of its full capacity that a runner can have by now: 1 once it must be warm. */
     public double warmth(Duration now, Runner runner) {
         if (runner.startedAt == null || Spans.reached(now, runner.startedAt.plus(warmWithin))) {
--- a/src/main/java/saltdale/protocol/Head.java
+++ b/src/main/java/saltdale/protocol/Head.java
@@ -1,6 +1,5 @@
 package saltdale.protocol;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -12,9 +11,9 @@
     }
 
     /** Requests: method, target and version; answers: version, status and reason. */
-    public final String first;
-    public final String second;
-    public final String third;
+    private final String first;
+    private final String second;
+    private final String third;
     private final byte[] came;
     final List<Line> lines = new ArrayList<>();
 
@@ -89,9 +88,4 @@
     byte[] bytes(Line line) {
         return Arrays.copyOfRange(came, line.from, line.to);
     }
-
-    @Override
-    public String toString() {
-        return new String(came, StandardCharsets.ISO_8859_1);
-    }
 }
--- a/src/main/java/saltdale/protocol/JsonReader.java
+++ b/src/main/java/saltdale/protocol/JsonReader.java
@@ -165,14 +165,6 @@
         }
     }
 
-    /** The value that comes next, as it stands. */
-    byte[] raw() throws Malformed {
-        next();
-        int from = at;
-        skip();
-        return Arrays.copyOfRange(text, from, at);
-    }
-
     /** Nothing but white space is left. */
     void end() throws Malformed {
         while (at < text.length) {
--- a/src/main/java/saltdale/protocol/Load.java
+++ b/src/main/java/saltdale/protocol/Load.java
@@ -35,8 +35,11 @@
         return values;
     }
 
-    /** Values written as name=value,name=value; null where they are not. */
+    /** Values written as name=value,name=value; null where they are not, or where there is no text. */
     public static Map<String, Double> pairs(String text) {
+        if (text == null) {
+            return null;
+        }
         Map<String, Double> values = new HashMap<>();
         if (text.isBlank()) {
             return values;
--- a/src/main/java/saltdale/routing/Ending.java
+++ b/src/main/java/saltdale/routing/Ending.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import saltdale.model.Spans;
 import saltdale.model.StandingOrders;
-import saltdale.model.Workload;
 import saltdale.transport.Loop;
 import saltdale.transport.Sockets;
 
@@ -32,12 +31,8 @@
     /** Begins it; {@code answerAll} answers at once whatever is held. */
     void begin(Runnable answerAll) {
         begun = true;
-        Duration longest = Duration.ZERO;
-        for (Workload workload : orders.workloads) {
-            longest = Spans.most(longest, workload.patience);
-        }
         loop.after(NEW_ONES_COME, () -> closingIdle = true);
-        loop.after(Spans.least(longest, LONGEST), () -> {
+        loop.after(Spans.least(orders.longestPatience(), LONGEST), () -> {
             answering = true;
             answerAll.run();
             loop.after(LAST_ANSWERS, loop::stop);
--- a/src/main/java/saltdale/routing/Fleet.java
+++ b/src/main/java/saltdale/routing/Fleet.java
@@ -51,14 +51,11 @@
                 continue;
             }
             if (target == null) {
-                target = new Target(each.host());
+                target = new Target(each.host(), each.dial(), pools.apply(address));
                 targets.put(target.host, target);
                 byRunner.put(target.runner, target);
-            }
-            if (address != null && !each.dial().equals(target.dial)) {
-                closeIdle(target);
-                target.dial = each.dial();
-                target.pool = pools.apply(address);
+            } else if (address != null && !each.dial().equals(target.dial)) {
+                target.moveTo(each.dial(), pools.apply(address));
             }
             target.goneAt = removed ? now : null;
             seen.add(target);
@@ -86,16 +83,10 @@
             boolean over = target.goneAt != null && target.runner.out.isEmpty()
                     && now.compareTo(target.goneAt.plus(memory)) > 0;
             if (over) {
-                closeIdle(target);
+                target.pool.closeIdle();
                 byRunner.remove(target.runner);
             }
             return over;
         });
     }
-
-    private static void closeIdle(Target target) {
-        if (target.pool != null) {
-            target.pool.closeIdle();
-        }
-    }
 }
--- a/src/main/java/saltdale/routing/Held.java
+++ b/src/main/java/saltdale/routing/Held.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import saltdale.model.Assignment;
+import saltdale.model.Dispatch;
 import saltdale.protocol.Head;
 import saltdale.transport.Timer;
 
@@ -35,7 +36,8 @@
         return null;
     }
 
-    boolean isOver() {
-        return assignment.closed && sendings.stream().allMatch(Sending::isOver);
+    /** How this dispatch is on its way. */
+    Sending of(Dispatch dispatch) {
+        return sendings.get(assignment.dispatches.indexOf(dispatch));
     }
 }
--- a/src/main/java/saltdale/routing/Intake.java
+++ b/src/main/java/saltdale/routing/Intake.java
@@ -61,8 +61,7 @@
         a.repeated = "1".equals(head.header("Client-Retry"));
         String hint = head.header("Work-Hint");  // microseconds, where clients know
         a.hint = matches(hint, "[1-9][0-9]{0,11}") ? Duration.ofNanos(1000 * Long.parseLong(hint)) : null;
-        String info = head.header("Request-Info");
-        Map<String, Double> figures = info == null ? null : Load.pairs(info);
+        Map<String, Double> figures = Load.pairs(head.header("Request-Info"));
         if (figures != null) {
             a.slots = figures.getOrDefault("slots", 1.0);
             a.memory = figures.getOrDefault("memory", 0.0);
--- a/src/main/java/saltdale/routing/Probe.java
+++ b/src/main/java/saltdale/routing/Probe.java
@@ -20,8 +20,7 @@
     }
 
     void begin() {
-        Call call = target.pool == null ? null
-                : Call.begin(target.pool, this, HttpWriter.request("GET", "/metrics/load", target.dial));
+        Call call = Call.begin(target.pool, this, HttpWriter.request("GET", "/metrics/load", target.dial));
         if (call == null) {
             finish(null);
             return;
--- a/src/main/java/saltdale/routing/Router.java
+++ b/src/main/java/saltdale/routing/Router.java
@@ -20,12 +20,10 @@
 import saltdale.model.Runner;
 import saltdale.model.Spans;
 import saltdale.model.StandingOrders;
-import saltdale.model.Workload;
 import saltdale.orders.Reports;
 import saltdale.protocol.Head;
 import saltdale.protocol.HostList;
 import saltdale.protocol.HttpWriter;
-import saltdale.protocol.Load;
 import saltdale.protocol.News;
 import saltdale.transport.Connection;
 import saltdale.transport.Loop;
@@ -51,7 +49,6 @@
     private final Dispatcher dispatcher;
     private final Map<String, Held> heldById = new HashMap<>();
     private final Map<Assignment, Held> held = new HashMap<>();
-    private final Map<Dispatch, Sending> sendings = new HashMap<>();
     private final Set<Client> clients = new HashSet<>();
     private final List<Runnable> acts = new ArrayList<>();
     private boolean eventful;
@@ -63,12 +60,9 @@
         this.orders = orders;
         this.intake = new Intake(orders);
         this.ending = new Ending(loop, sockets, orders);
-        Duration memory = orders.warmWithin;
-        for (Workload workload : orders.workloads) {
-            memory = Spans.most(memory, workload.patience);
-        }
         Duration idleLimit = Spans.ofSecs(Spans.secs(idleClose) * IDLE_PART);
-        fleet = new Fleet(to -> new Pool(loop, sockets, to, orders.connectTime, idleLimit), startMillis, memory);
+        fleet = new Fleet(to -> new Pool(loop, sockets, to, orders.connectTime, idleLimit), startMillis,
+                Spans.most(orders.warmWithin, orders.longestPatience()));
         discovery = new Discovery(loop, sockets, lists, counters, chance.split(), list -> listed(list, false),
                 orders.mustSubscribe ? this::listFailed : null);
         dispatcher = new Dispatcher(orders, this, chance);
@@ -227,10 +221,9 @@
     }
 
     private void forgetIfOver(Held done) {
-        if (done.isOver() && done.client == null && held.remove(done.assignment) != null) {
+        if (done.assignment.isOver() && done.client == null && held.remove(done.assignment) != null) {
             heldById.remove(done.id);
             done.patience.cancel();
-            done.sendings.forEach(sending -> sendings.remove(sending.dispatch));
         }
     }
 
@@ -269,7 +262,7 @@
             counters.callBacksUnmatched++;
             return;
         }
-        LoadReport report = news.load == null ? null : report(news.load);
+        LoadReport report = report(news.load);
         switch (news.state) {
             case STARTED -> {
                 if (sending.dispatch.startedAt == null) {  // a runner tells again what we did not seem to hear
@@ -303,13 +296,9 @@
         }
     }
 
-    LoadReport loadOf(String pairs) {
-        Map<String, Double> values = pairs == null ? null : Load.pairs(pairs);
-        return values == null ? null : report(values);
-    }
-
-    private static LoadReport report(Map<String, Double> values) {
-        return Reports.of(name -> values.getOrDefault(name, Double.NaN));
+    /** The report of these values; null where there are none. */
+    static LoadReport report(Map<String, Double> values) {
+        return values == null ? null : Reports.of(name -> values.getOrDefault(name, Double.NaN));
     }
 
     // ---- From discovery.
@@ -331,7 +320,6 @@
         Held of = held.get(dispatch.assignment);
         Sending sending = new Sending(this, of, dispatch, fleet.of(dispatch.runner));
         of.sendings.add(sending);
-        sendings.put(dispatch, sending);
         counters.dispatches++;
         acts.add(() -> sending.begin(
                 Math.max(1, dispatch.assignment.deadline.minus(loop.now()).toMillis()), timeOut));
@@ -339,13 +327,9 @@
 
     @Override
     public void cancel(Dispatch dispatch) {
-        Sending sending = sendings.get(dispatch);
+        Sending sending = held.get(dispatch.assignment).of(dispatch);
         counters.cancels++;
-        acts.add(() -> {
-            if (sending != null) {
-                sending.stop(Outcome.CANCELLED);
-            }
-        });
+        acts.add(() -> sending.stop(Outcome.CANCELLED));
     }
 
     @Override
@@ -373,8 +357,7 @@
 
     void probed(Target target, Map<String, Double> values, Duration took) {
         counters.probesUnanswered += values == null ? 1 : 0;
-        dispatcher.probed(loop.now(), target.runner, values != null, took,
-                values == null || values.isEmpty() ? null : report(values));
+        dispatcher.probed(loop.now(), target.runner, values != null, took, report(values));
         eventful();
     }
 
@@ -404,7 +387,7 @@
     public void closeIdle(Runner runner) {
         acts.add(() -> {
             Target target = fleet.of(runner);
-            if (target != null && target.pool != null) {
+            if (target != null) {
                 target.pool.closeIdle();
             }
         });
--- a/src/main/java/saltdale/routing/Sending.java
+++ b/src/main/java/saltdale/routing/Sending.java
@@ -6,6 +6,7 @@
 import saltdale.model.Outcome;
 import saltdale.protocol.Head;
 import saltdale.protocol.HttpWriter;
+import saltdale.protocol.Load;
 import saltdale.transport.Reach;
 import saltdale.transport.Timer;
 
@@ -17,7 +18,6 @@
     final Target target;
     private Call call;
     private Reach reach = Reach.UNSENT;
-    private boolean over;
     private boolean calledOff;
     private Timer limit;
     /** The body for the client, where the runner has made one. */
@@ -31,7 +31,7 @@
     }
 
     boolean isOver() {
-        return over;
+        return dispatch.outcome != null;
     }
 
     boolean isTaken() {
@@ -46,9 +46,8 @@
         if (timeOut != null) {
             limit = router.loop().after(timeOut, () -> stop(Outcome.TIMED_OUT));
         }
-        call = target.pool == null ? null
-                : Call.begin(target.pool, this,
-                        HttpWriter.passedOn(held.head, held.body.length, patienceMillis), held.body);
+        call = Call.begin(target.pool, this,
+                HttpWriter.passedOn(held.head, held.body.length, patienceMillis), held.body);
         if (call == null) {
             end(Outcome.NOT_CONNECTED, null);
         }
@@ -56,10 +55,9 @@
 
     /** Ends it for the dispatcher; what comes of it later is passed over. */
     void end(Outcome outcome, LoadReport report) {
-        if (over) {
+        if (isOver()) {
             return;
         }
-        over = true;
         if (limit != null) {
             limit.cancel();
         }
@@ -75,7 +73,7 @@
      * that no other is out before.
      */
     void stop(Outcome outcome) {
-        if (over || calledOff) {
+        if (isOver() || calledOff) {
             return;
         }
         calledOff = true;
@@ -116,7 +114,7 @@
 
     @Override
     public void answered(Head head, byte[] body) {
-        LoadReport report = router.loadOf(head.header("Server-Load"));
+        LoadReport report = Router.report(Load.pairs(head.header("Server-Load")));
         boolean unstarted = "1".equals(head.header("Not-Started"));
         if (head.status() == 202) {
             reach = Reach.TAKEN;
--- a/src/main/java/saltdale/routing/Target.java
+++ b/src/main/java/saltdale/routing/Target.java
@@ -8,13 +8,21 @@
 final class Target {
     final String host;
     final Runner runner = new Runner();
-    /** Null until its address is known. */
+    String dial;
     Pool pool;
-    String dial = "";
     /** Since when no list has held it; null while one does. */
     Duration goneAt;
 
-    Target(String host) {
+    Target(String host, String dial, Pool pool) {
         this.host = host;
+        this.dial = dial;
+        this.pool = pool;
+    }
+
+    /** It listens at another address now. */
+    void moveTo(String newDial, Pool newPool) {
+        pool.closeIdle();
+        dial = newDial;
+        pool = newPool;
     }
 }
--- a/src/main/java/saltdale/sim/Instance.java
+++ b/src/main/java/saltdale/sim/Instance.java
@@ -250,14 +250,9 @@
     }
 
     private void forgetIfOver(Assignment assignment) {
-        if (!assignment.closed) {
+        if (!assignment.isOver()) {
             return;
         }
-        for (Dispatch dispatch : assignment.dispatches) {
-            if (dispatch.outcome == null) {
-                return;
-            }
-        }
         String id = ids.remove(assignment);
         if (id != null) {
             assignments.remove(id);
--- a/src/main/java/saltdale/transport/Connection.java
+++ b/src/main/java/saltdale/transport/Connection.java
@@ -238,9 +238,7 @@
             return;
         }
         interest();
-        if (outgoing.isEmpty()) {
-            shutIfWritten();
-        }
+        shutIfWritten();
     }
 
     private void shutIfWritten() {
