Name settings by where they were read: rows know their owner

OrdersReader gave rows the simulator's name for the settings, PowerOn.Options, written out twice; since serve reads them too, a wrong workload in EDGE_CONFIG was complained of under that name. Fields.rows derives it, as Fields.object does. The wire's complaints read as before; the test asks for the whole name now.

--- a/src/main/java/saltdale/orders/Fields.java
+++ b/src/main/java/saltdale/orders/Fields.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.time.Duration;
 import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Predicate;
 
 /** The values of one wire message or settings object; a value of the wrong type is named in the complaint. */
@@ -120,6 +122,13 @@
         return value == null ? JsonNodeFactory.instance.arrayNode() : value;
     }
 
+    /** The objects of an array. */
+    public List<Fields> rows(String key) {
+        List<Fields> rows = new ArrayList<>();
+        array(key).forEach(entry -> rows.add(new Fields(owner + "." + key, entry)));
+        return rows;
+    }
+
     public String text(String key, String absent) {
         return text(node.get(key), key, absent);
     }
--- a/src/main/java/saltdale/orders/OrdersReader.java
+++ b/src/main/java/saltdale/orders/OrdersReader.java
@@ -49,8 +49,7 @@
 
         JsonNode kinds = options.array("MachineTypes");
         int i = 0;
-        for (JsonNode entry : options.array("Workloads")) {
-            Fields row = new Fields("PowerOn.Options.Workloads", entry);
+        for (Fields row : options.rows("Workloads")) {
             Workload workload = workload(row);
             workload.stretch = row.number("AimStretch", element(family.array("ClassStretch"), i, 0));
             int kind = (int) element(family.array("ClassKind"), i, -1);
@@ -58,8 +57,7 @@
             orders.workloads.add(workload);
             i++;
         }
-        for (JsonNode entry : options.array("Projects")) {
-            Fields row = new Fields("PowerOn.Options.Projects", entry);
+        for (Fields row : options.rows("Projects")) {
             orders.tenants.add(new Tenant(row.text("Name", ""), row.number("Share", 1)));
         }
         return orders;
--- a/src/test/java/saltdale/program/PostingTest.java
+++ b/src/test/java/saltdale/program/PostingTest.java
@@ -66,7 +66,8 @@
         assertTrue(complaint(with("[]")).contains("EDGE_CONFIG"));
         assertTrue(complaint(with(CONFIG.replace("8c1f", "xyz"))).contains("seed"));
         assertTrue(complaint(with("{\"seed\":\"1\"}")).contains("Workloads"));
-        assertTrue(complaint(with(CONFIG.replace("\"pure\"", "7"))).contains("Repeat"));
+        assertTrue(complaint(with(CONFIG.replace("\"pure\"", "7")))
+                .contains("EDGE_CONFIG.settings.Workloads: Repeat"));
         assertTrue(complaint(with(CONFIG.replace("{\"seed\"", "{\"known\":{},\"seed\""))).contains("known"));
         assertTrue(complaint(with(CONFIG.replace("250000", "0"))).contains("DialTimeout"));
         with(CONFIG);
