--- a/src/test/java/saltdale/transport/TransportTest.java
+++ b/src/test/java/saltdale/transport/TransportTest.java
@@ -73,6 +73,14 @@
         return new Pool(loop, sockets, (InetSocketAddress) server.getLocalAddress(), LONG, idle);
     }
 
+    /** A connection that is up and has gone back to its pool. */
+    private Connection rested(Pool pool) throws IOException {
+        Connection connection = pool.take(owner);
+        until(() -> events.contains("opened"));
+        pool.rest(connection);
+        return connection;
+    }
+
     private static ByteBuffer bytes(int count) {
         return ByteBuffer.allocate(count);
     }
@@ -111,10 +119,8 @@
     @Test
     void aConnectionIsUsedAgainUnlessItsPeerHasClosedIt() throws IOException {
         Pool pool = pool(LONG);
-        Connection first = pool.take(owner);
+        Connection first = rested(pool);
         SocketChannel peer = server.accept();
-        until(() -> events.contains("opened"));
-        pool.rest(first);
         assertSame(first, pool.take(owner));
         pool.rest(first);
         peer.close();  // the loop has not seen it yet
@@ -126,9 +132,7 @@
     @Test
     void aConnectionThatStoodIdleTooLongIsClosed() throws IOException {
         Pool pool = pool(Duration.ofMillis(1));
-        Connection first = pool.take(owner);
-        until(() -> events.contains("opened"));
-        pool.rest(first);
+        Connection first = rested(pool);
         until(() -> !first.isOpen());
         assertNotSame(first, pool.take(owner));
     }
@@ -136,10 +140,8 @@
     @Test
     void bytesThatNobodyAskedForCloseAnIdleConnection() throws IOException {
         Pool pool = pool(LONG);
-        Connection first = pool.take(owner);
+        Connection first = rested(pool);
         SocketChannel peer = server.accept();
-        until(() -> events.contains("opened"));
-        pool.rest(first);
         peer.write(bytes(1));
         until(() -> !first.isOpen());
     }
