Compile patterns once; send an answer's head and body without copying them together

Intake, HttpParser and JsonReader compiled up to five patterns a request. Answers go out in parts now, as dispatches do. The patterns and the bytes on the wire are as before.

--- a/src/main/java/saltdale/protocol/HttpParser.java
+++ b/src/main/java/saltdale/protocol/HttpParser.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.regex.Pattern;
 
 /** Reads HTTP/1.1 messages of one direction from bytes that come in any pieces. */
 public final class HttpParser {
@@ -14,6 +15,10 @@
     private static final int MOST_LINE = 1024;  // of a chunk's size
 
     private static final byte[] NOTHING = new byte[0];
+    private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
+    private static final Pattern STATUS = Pattern.compile("[1-5]\\d\\d");
+    private static final Pattern LENGTH = Pattern.compile("\\d{1,18}");
+    private static final Pattern CHUNK_LENGTH = Pattern.compile("[0-9a-fA-F]{1,8}");
 
     private enum State { HEAD, COUNTED, TO_THE_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, WHOLE, BAD }
 
@@ -143,11 +148,12 @@
         String[] parts = text(came, 0, end).split(" ", kind == Kind.REQUEST ? -1 : 3);
         if (kind == Kind.REQUEST) {
             if (parts.length != 3 || !token(parts[0]) || !parts[1].startsWith("/")
-                    || !printable(parts[1]) || !parts[2].matches("HTTP/1\\.[01]")) {
+                    || !printable(parts[1]) || !VERSION.matcher(parts[2]).matches()) {
                 bad(400, "the request line is malformed");
                 return;
             }
-        } else if (parts.length < 2 || !parts[0].matches("HTTP/1\\.[01]") || !parts[1].matches("[1-5]\\d\\d")) {
+        } else if (parts.length < 2 || !VERSION.matcher(parts[0]).matches()
+                || !STATUS.matcher(parts[1]).matches()) {
             bad(400, "the status line is malformed");
             return;
         }
@@ -174,7 +180,7 @@
             if (each.name().equalsIgnoreCase("Transfer-Encoding")) {
                 coding = coding == null ? each.value() : coding + "," + each.value();
             } else if (each.name().equalsIgnoreCase("Content-Length")) {
-                if (length != null && !length.equals(each.value()) || !each.value().matches("\\d{1,18}")) {
+                if (length != null && !length.equals(each.value()) || !LENGTH.matcher(each.value()).matches()) {
                     bad(400, "the length is malformed");
                     return;
                 }
@@ -276,7 +282,7 @@
         } else {
             int extension = text.indexOf(';');
             String size = (extension < 0 ? text : text.substring(0, extension)).stripTrailing();
-            if (!size.matches("[0-9a-fA-F]{1,8}")) {
+            if (!CHUNK_LENGTH.matcher(size).matches()) {
                 bad(400, "a chunk's size is malformed");
                 return;
             }
--- a/src/main/java/saltdale/protocol/HttpWriter.java
+++ b/src/main/java/saltdale/protocol/HttpWriter.java
@@ -37,16 +37,15 @@
         return head.getBytes(StandardCharsets.ISO_8859_1);
     }
 
-    /** An answer; {@code more} holds whole header lines or nothing. */
-    public static ByteBuffer answer(int status, String more, byte[] body, boolean close) {
-        ByteArrayOutputStream out = new ByteArrayOutputStream(160 + body.length);
+    /** An answer up to its body; {@code more} holds whole header lines or nothing. */
+    public static byte[] answer(int status, String more, int bodyLength, boolean close) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(160);
         text(out, "HTTP/1.1 " + status + " " + reason(status) + "\r\n" + more);
         if (status != 204) {
-            text(out, "Content-Length: " + body.length + "\r\n");
+            text(out, "Content-Length: " + bodyLength + "\r\n");
         }
         text(out, close ? "Connection: close\r\n\r\n" : "\r\n");
-        out.write(body, 0, body.length);
-        return ByteBuffer.wrap(out.toByteArray());
+        return out.toByteArray();
     }
 
     public static ByteBuffer goOn() {
--- a/src/main/java/saltdale/protocol/JsonReader.java
+++ b/src/main/java/saltdale/protocol/JsonReader.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.regex.Pattern;
 
 /** Takes single values out of one JSON text; what is not asked for is checked and skipped. */
 final class JsonReader {
@@ -26,6 +27,7 @@
     }
 
     private static final int DEEPEST = 32;
+    private static final Pattern NUMBER = Pattern.compile("-?(0|[1-9]\\d*)(\\.\\d+)?([eE][+-]?\\d+)?");
 
     private final byte[] text;
     private int at;
@@ -133,7 +135,7 @@
             at++;
         }
         String number = new String(text, from, at - from, StandardCharsets.ISO_8859_1);
-        if (!number.matches("-?(0|[1-9]\\d*)(\\.\\d+)?([eE][+-]?\\d+)?")) {
+        if (!NUMBER.matcher(number).matches()) {
             throw new Malformed("not a number");
         }
         return Double.parseDouble(number);
--- a/src/main/java/saltdale/routing/Client.java
+++ b/src/main/java/saltdale/routing/Client.java
@@ -104,15 +104,14 @@
     }
 
     void answer(int status, String more, String text) {
-        answer(status, more, text.isEmpty() ? NOTHING : (text + "\n").getBytes(
-                StandardCharsets.UTF_8));
+        answer(status, more, text.isEmpty() ? NOTHING : (text + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
     /** Answers the request being served and goes on to the next one. */
     void answer(int status, String more, byte[] body) {
         held = null;
         boolean close = !keepsAlive || oneTooMany || router.ending();
-        connection.send(HttpWriter.answer(status, more, body, close));
+        connection.send(ByteBuffer.wrap(HttpWriter.answer(status, more, body.length, close)), ByteBuffer.wrap(body));
         if (close) {
             leave();
             connection.finish();
--- a/src/main/java/saltdale/routing/Intake.java
+++ b/src/main/java/saltdale/routing/Intake.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Predicate;
+import java.util.regex.Pattern;
 import saltdale.model.Assignment;
 import saltdale.model.StandingOrders;
 import saltdale.model.Workload;
@@ -23,6 +24,10 @@
         }
     }
 
+    private static final Pattern ID = Pattern.compile("[A-Za-z0-9._~-]{1,128}");
+    private static final Pattern PATIENCE = Pattern.compile("0*[1-9][0-9]{0,8}");
+    private static final Pattern HINT = Pattern.compile("[1-9][0-9]{0,11}");
+
     private final Map<String, Workload> workloads = new HashMap<>();
 
     Intake(StandingOrders orders) {
@@ -38,9 +43,9 @@
             return new Refusal(404, "", "no such workload");
         } else if (!head.method().equals("POST")) {
             return Refusal.method("POST");
-        } else if (!matches(id(head), "[A-Za-z0-9._~-]{1,128}")) {
+        } else if (!matches(id(head), ID)) {
             return Refusal.malformed("Request-Id");
-        } else if (!matches(head.header("Request-Timeout-Ms"), "0*[1-9][0-9]{0,8}")) {
+        } else if (!matches(head.header("Request-Timeout-Ms"), PATIENCE)) {
             return Refusal.malformed("Request-Timeout-Ms");
         } else if (workload.repeat == Workload.Repeat.RECEIPTED && head.header("Idempotency-Key") == null) {
             return Refusal.malformed("Idempotency-Key");
@@ -60,7 +65,7 @@
                 Duration.ofMillis(Long.parseLong(head.header("Request-Timeout-Ms"))));
         a.repeated = "1".equals(head.header("Client-Retry"));
         String hint = head.header("Work-Hint");  // microseconds, where clients know
-        a.hint = matches(hint, "[1-9][0-9]{0,11}") ? Duration.ofNanos(1000 * Long.parseLong(hint)) : null;
+        a.hint = matches(hint, HINT) ? Duration.ofNanos(1000 * Long.parseLong(hint)) : null;
         Map<String, Double> figures = Load.pairs(head.header("Request-Info"));
         if (figures != null) {
             a.slots = figures.getOrDefault("slots", 1.0);
@@ -76,7 +81,7 @@
         return workloads.get(path.substring(1, end < 0 ? path.length() : end));
     }
 
-    private static boolean matches(String value, String pattern) {
-        return value != null && value.matches(pattern);
+    private static boolean matches(String value, Pattern pattern) {
+        return value != null && pattern.matcher(value).matches();
     }
 }
