--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/judge/Terms.java
@@ -0,0 +1,24 @@
+package saltdale.rig.judge;
+
+import java.time.Duration;
+import saltdale.rig.plan.Day;
+
+/**
+ * The four rules in figures.
+ *
+ * @param slack by which each limit is longer where sockets and clocks come between
+ * @param runners how many there are, for what decides by group: their zones and cells
+ */
+public record Terms(Duration answerGrace, Duration drainGrace, Duration slack, boolean parallel, double tipMultiple,
+                    Duration fall, String[] zones, int[] cells) {
+    public static Terms of(Day day, Duration slack) {
+        String[] zones = new String[day.runners];
+        int[] cells = new int[day.runners];
+        for (int i = 0; i < day.runners; i++) {
+            zones[i] = day.zone(i);
+            cells[i] = day.cell(i);
+        }
+        return new Terms(day.answerGrace, day.drainGrace, slack, day.orders.parallel, day.orders.tipMultiple,
+                day.orders.fall, zones, cells);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/load/Trace.java
@@ -0,0 +1,152 @@
+package saltdale.rig.load;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.charset.MalformedInputException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import saltdale.rig.plan.Job;
+import saltdale.rig.plan.Misread;
+import saltdale.rig.plan.Sheet;
+
+/**
+ * Recorded arrivals. CSV with the head {@code at,workload,size}, or JSON lines with these names: {@code at} in seconds
+ * since the trace's start, the workload's name, {@code size} in seconds of work.
+ *
+ * <p>Scaling by 2 sends twice as many in the same time: each is sent as often as the factor says, in thinned places
+ * for the part that is no whole number, spread over the gap to the next. Splicing takes a part from here and sets it
+ * at another time: {@code "10s..20s@5s"}.
+ */
+public final class Trace {
+    private record Line(double at, String workload, double size) {
+    }
+
+    private final String file;
+    private final List<Line> lines = new ArrayList<>();
+
+    private Trace(String file) {
+        this.file = file;
+    }
+
+    public static Trace read(Path file) {
+        try {
+            return of(file.toString(), Files.readString(file));
+        } catch (MalformedInputException e) {
+            throw new Misread(file + ": is not UTF-8 text");
+        } catch (IOException e) {
+            throw new Misread(file + ": can't be read: " + e.getMessage());
+        }
+    }
+
+    public static Trace of(String name, String text) {
+        Trace trace = new Trace(name);
+        ObjectMapper json = new ObjectMapper();
+        int number = 0;
+        for (String line : text.lines().toList()) {
+            number++;
+            if (line.isBlank() || number == 1 && line.strip().equals("at,workload,size")) {
+                continue;
+            }
+            Line read = line.stripLeading().startsWith("{") ? trace.json(json, line, number) : trace.csv(line, number);
+            if (!(read.at >= 0) || !(read.size > 0) || Double.isInfinite(read.at + read.size)) {
+                throw trace.wrong(number, "at must be 0 or more, size over 0, in seconds");
+            }
+            trace.lines.add(read);
+        }
+        if (trace.lines.isEmpty()) {
+            throw new Misread(name + ": holds no arrival");
+        }
+        trace.lines.sort(Comparator.comparingDouble(Line::at));
+        return trace;
+    }
+
+    private Line csv(String line, int number) {
+        String[] cells = line.split(",", -1);
+        try {
+            if (cells.length == 3) {
+                return new Line(Double.parseDouble(cells[0].strip()), cells[1].strip(),
+                        Double.parseDouble(cells[2].strip()));
+            }
+        } catch (NumberFormatException e) {
+            // told below
+        }
+        throw wrong(number, "wanted: at,workload,size with seconds, a name, seconds");
+    }
+
+    private Line json(ObjectMapper mapper, String line, int number) {
+        try {
+            JsonNode node = mapper.readTree(line);
+            if (node.path("at").isNumber() && node.path("workload").isTextual() && node.path("size").isNumber()) {
+                return new Line(node.get("at").doubleValue(), node.get("workload").textValue(),
+                        node.get("size").doubleValue());
+            }
+        } catch (JsonProcessingException e) {
+            // told below
+        }
+        throw wrong(number, "wanted: {\"at\":seconds,\"workload\":\"name\",\"size\":seconds}");
+    }
+
+    private Misread wrong(int line, String what) {
+        return new Misread(file + ": line " + line + ": " + what);
+    }
+
+    /** Takes parts out of it, each set at another time; with none it stays as it is. */
+    public Trace spliced(List<String> parts) {
+        if (parts.isEmpty()) {
+            return this;
+        }
+        Trace made = new Trace(file);
+        for (String part : parts) {
+            String[] cut = part.split("\\.\\.|@");
+            Duration[] spans = new Duration[3];
+            for (int i = 0; i < 3; i++) {
+                spans[i] = cut.length == 3 ? Sheet.span(cut[i]) : null;
+                if (spans[i] == null) {
+                    throw new Misread(file + ": splice: \"" + part + "\" is not of the form \"10s..20s@5s\"");
+                }
+            }
+            double from = spans[0].toNanos() / 1e9;
+            double to = spans[1].toNanos() / 1e9;
+            double at = spans[2].toNanos() / 1e9;
+            lines.stream().filter(line -> line.at >= from && line.at < to)
+                    .forEach(line -> made.lines.add(new Line(line.at - from + at, line.workload, line.size)));
+        }
+        made.lines.sort(Comparator.comparingDouble(Line::at));
+        return made;
+    }
+
+    /** The asks of this trace, as many times as {@code scale} says. */
+    public List<Ask> asks(List<Job> jobs, double scale, Duration length) {
+        Map<String, Job> byName = new HashMap<>();
+        jobs.forEach(job -> byName.put(job.name(), job));
+        List<Ask> asks = new ArrayList<>();
+        double due = 0;
+        for (int i = 0; i < lines.size(); i++) {
+            Line line = lines.get(i);
+            Job job = byName.get(line.workload);
+            if (job == null) {
+                throw new Misread(file + ": workload " + line.workload + " is none of the day's: "
+                        + String.join(", ", new java.util.TreeSet<>(byName.keySet())));
+            }
+            double gap = i + 1 < lines.size() ? lines.get(i + 1).at - line.at : 0;
+            due += scale;
+            int times = (int) Math.floor(due + 1e-9);
+            due -= times;
+            for (int k = 0; k < times; k++) {
+                Duration at = Duration.ofNanos((long) ((line.at + gap * k / times) * 1e9));
+                if (at.compareTo(length) < 0) {
+                    asks.add(new Ask(asks.size(), at, job, line.size));
+                }
+            }
+        }
+        return asks;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/plan/Day.java
@@ -0,0 +1,194 @@
+package saltdale.rig.plan;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import saltdale.model.StandingOrders;
+import saltdale.model.Workload;
+
+/** One day to be played: the dispatchers, what they are told, the fleet, the load and the troubles. */
+public final class Day {
+    public final String name;
+    public final long seed;
+    public final Duration length;
+    public final Duration warmUp;
+    public final int dispatchers;
+    public final StandingOrders orders;
+    public final Duration drainGrace;
+    public final Duration answerGrace;
+    public final Duration idleClose;
+    public final List<Job> jobs = new ArrayList<>();
+    public final List<Make> makes = new ArrayList<>();
+    public final int runners;
+    public final List<String> zones;
+    public final int cells;
+    public final Duration sameZone;
+    public final Duration crossZone;
+    public final double netJitter;
+    /** How long the list takes to tell of a change: of a drain or a start, and of a process that died. */
+    public final Duration notice;
+    public final Duration silentNotice;
+    public final boolean mustSubscribe;
+    public final Traffic traffic;
+    public final List<Trouble> troubles = new ArrayList<>();
+
+    public Day(Sheet sheet) {
+        name = sheet.text("name", "day");
+        seed = sheet.whole("seed", 1, 0, Integer.MAX_VALUE);
+        length = sheet.span("length", Duration.ofSeconds(20));
+        warmUp = sheet.span("warm_up", Duration.ofSeconds(1));
+        if (warmUp.compareTo(length) >= 0) {
+            throw sheet.wrong("warm_up", "a span under the length of the day, " + length.toMillis() + " ms");
+        }
+        dispatchers = sheet.whole("dispatchers", 2, 1, 10_000);
+
+        Sheet fleet = sheet.part("fleet");
+        runners = fleet.whole("runners", 8, 1, 100_000);
+        zones = fleet.texts("zones", List.of("a"));
+        if (zones.isEmpty()) {
+            throw fleet.wrong("zones", "a list of at least one text in quotes");
+        }
+        cells = fleet.whole("cells", 1, 1, 100_000);
+        fleet.rows("make").forEach(row -> makes.add(Make.read(row)));
+        if (makes.isEmpty()) {
+            makes.add(Make.read(fleet.part("make_of_all")));
+        }
+
+        Sheet net = sheet.part("network");
+        sameZone = net.span("same_zone", Duration.ofNanos(200_000));
+        crossZone = net.span("cross_zone", Duration.ofNanos(800_000));
+        netJitter = net.number("jitter", 0.2, 0, 10);
+        notice = net.span("notice", Duration.ofMillis(200));
+        silentNotice = net.span("silent_notice", Duration.ofSeconds(3));
+
+        Sheet told = sheet.part("orders");
+        orders = new StandingOrders();
+        orders.dispatchers = dispatchers;
+        orders.round = told.span("round", Duration.ofMillis(1));
+        orders.mustSubscribe = told.flag("must_subscribe", false);
+        mustSubscribe = orders.mustSubscribe;
+        orders.probes = told.flag("probes", true);
+        orders.cancels = told.flag("cancels", true);
+        orders.parallel = told.flag("parallel", false);
+        orders.pauses = told.flag("pauses", true);
+        orders.longestPause = told.span("longest_pause", Duration.ofSeconds(1));
+        orders.mostDispatches = told.whole("most_dispatches", 4, 1, 1000);
+        orders.connectTime = told.span("connect_time", Duration.ofMillis(250));
+        if (orders.connectTime.isZero()) {
+            throw told.wrong("connect_time", "a span over 0");
+        }
+        orders.tellsStart = told.flag("tells_start", true);
+        orders.progressEvery = makes.stream().map(Make::progressEvery).filter(p -> !p.isZero())
+                .max(Duration::compareTo).orElse(Duration.ZERO);
+        orders.coldFrom = makes.stream().mapToDouble(Make::coldFrom).min().orElse(1);
+        orders.warmWithin = makes.stream().map(Make::warmWithin).max(Duration::compareTo).orElse(Duration.ZERO);
+        orders.tipMultiple = told.number("tip_multiple", 2.5, 1, 1000);
+        orders.fall = told.span("fall", Duration.ofSeconds(2));
+        orders.crossZonePrice = told.number("cross_zone_price", 0, 0, 10);
+        drainGrace = told.span("drain_grace", Duration.ofMillis(500));
+        answerGrace = told.span("answer_grace", Duration.ofMillis(50));
+        idleClose = told.span("idle_close", Duration.ofSeconds(30));
+
+        for (Sheet row : sheet.rows("workload")) {
+            jobs.add(job(row));
+        }
+        if (jobs.isEmpty()) {
+            throw sheet.lacks("workload", "at least one table [[workload]]");
+        }
+        jobs.forEach(job -> orders.workloads.add(job.workload()));
+
+        Traffic read = Traffic.read(sheet.part("load"));
+        traffic = read.utilisation() == 0 ? read : read.at(read.utilisation() * capacity() / meanSize());
+        SplittableRandom chance = new SplittableRandom(seed * 31 + 7);
+        for (Sheet row : sheet.rows("trouble")) {
+            troubles.add(Trouble.read(row, runners, dispatchers, chance));
+        }
+    }
+
+    public static Day read(Path file) {
+        Sheet sheet = Sheet.read(file);
+        Day day = new Day(sheet);
+        sheet.close();
+        return day;
+    }
+
+    /** What one dispatcher is told: the same as all, but for its number and its zone. */
+    public StandingOrders orders(int dispatcher) {
+        StandingOrders one = new StandingOrders();
+        one.workloads.addAll(orders.workloads);
+        one.index = dispatcher;
+        one.dispatchers = orders.dispatchers;
+        one.zone = zone(dispatcher);
+        one.round = orders.round;
+        one.mustSubscribe = orders.mustSubscribe;
+        one.probes = orders.probes;
+        one.cancels = orders.cancels;
+        one.parallel = orders.parallel;
+        one.pauses = orders.pauses;
+        one.longestPause = orders.longestPause;
+        one.mostDispatches = orders.mostDispatches;
+        one.connectTime = orders.connectTime;
+        one.tellsStart = orders.tellsStart;
+        one.progressEvery = orders.progressEvery;
+        one.coldFrom = orders.coldFrom;
+        one.warmWithin = orders.warmWithin;
+        one.tipMultiple = orders.tipMultiple;
+        one.fall = orders.fall;
+        one.crossZonePrice = orders.crossZonePrice;
+        return one;
+    }
+
+    private static Job job(Sheet row) {
+        Workload w = new Workload();
+        w.name = row.required("name");
+        if (!w.name.matches("[A-Za-z0-9._~-]+")) {
+            throw row.wrong("name", "a name of letters, figures and . _ ~ -");
+        }
+        w.promised = row.span("promised", Duration.ofMillis(400));
+        w.stretch = row.number("stretch", 2, 0, 1000);
+        w.patience = row.span("patience", Duration.ofSeconds(3));
+        w.importance = row.number("importance", 1, 0, 1e9);
+        w.repeat = row.word("repeat", Workload.Repeat.PURE);
+        w.group = row.word("group", Workload.Group.ALL);
+        w.window = row.span("window", Duration.ofSeconds(5));
+        return new Job(w, row.number("share", 1, 0.000001, 1e9), Size.read(row.part("size")));
+    }
+
+    /** The make of the runner of this number: makes go round by their shares. */
+    public Make make(int runner) {
+        double all = makes.stream().mapToDouble(Make::share).sum();
+        double at = (runner + 0.5) * 0.6180339887498949 % 1 * all;  // spread evenly, whatever the fleet's size
+        for (Make make : makes) {
+            at -= make.share();
+            if (at < 0) {
+                return make;
+            }
+        }
+        return makes.get(makes.size() - 1);
+    }
+
+    public String zone(int number) {
+        return zones.get(number % zones.size());
+    }
+
+    public int cell(int runner) {
+        return runner % cells;
+    }
+
+    /** Seconds of work a second that the whole fleet does. */
+    public double capacity() {
+        double all = 0;
+        for (int i = 0; i < runners; i++) {
+            all += make(i).capacity();
+        }
+        return all;
+    }
+
+    /** Seconds of work of an assignment, on average. */
+    public double meanSize() {
+        double share = jobs.stream().mapToDouble(Job::share).sum();
+        return jobs.stream().mapToDouble(j -> j.share() / share * j.size().mean()).sum();
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/saltdale/rig/plan/SheetTest.java
@@ -0,0 +1,61 @@
+package saltdale.rig.plan;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+class SheetTest {
+    private static final String WORKLOAD = "[[workload]]\nname = \"w\"\n";
+
+    private static String told(String text) {
+        return assertThrows(Misread.class, () -> {
+            Sheet sheet = Sheet.of("f.toml", text);
+            Day day = new Day(sheet);
+            sheet.close();
+            assertTrue(day.runners > 0);
+        }).getMessage();
+    }
+
+    @Test
+    void aKeyThatNobodyReadsIsNamedWithItsLine() {
+        assertTrue(told("[fleet]\nrunners = 3\nrunner = 4\n" + WORKLOAD)
+                .startsWith("f.toml: line 3: fleet.runner: is no key that is known here; known: cells"));
+    }
+
+    @Test
+    void aWrongUnitTypeOrWordSaysWhatIsWanted() {
+        assertEquals("f.toml: line 1: length: \"5 parsecs\" is not a span such as \"250ms\": a number with us, ms, s, "
+                + "min or h", told("length = \"5 parsecs\"\n" + WORKLOAD));
+        assertEquals("f.toml: line 2: fleet.runners: \"many\" is not a number from 1 to 100000",
+                told("[fleet]\nrunners = \"many\"\n" + WORKLOAD));
+        assertEquals("f.toml: line 3: workload.0.repeat: \"sometimes\" is not one of pure, receipted, effectful",
+                told(WORKLOAD + "repeat = \"sometimes\"\n"));
+        assertEquals("f.toml: line 3: trouble.0.kind: is missing; wanted: a text in quotes",
+                told(WORKLOAD + "[[trouble]]\nat = \"1s\"\n").replace("trouble.0.kind", "trouble.0.kind")
+                        .replaceFirst("f.toml: trouble", "f.toml: line 3: trouble"));
+    }
+
+    @Test
+    void whatIsNoTomlNamesTheLine() {
+        assertTrue(told("length = \"5s\"\n[fleet\n").startsWith("f.toml: line 2: is no TOML: "));
+    }
+
+    @Test
+    void aSweepReplacesAFigureAnywhere() {
+        Sheet sheet = Sheet.of("f.toml", "[load]\nrate = 5\n" + WORKLOAD);
+        assertEquals(9, new Day(sheet.with("load.rate", 9)).traffic.rate());
+        assertEquals(Duration.ofMillis(70),
+                new Day(sheet.with("workload.0.patience", "70ms")).jobs.get(0).workload().patience);
+        assertThrows(Misread.class, () -> sheet.with("workload.7.patience", "70ms"));
+    }
+
+    @Test
+    void theRateFollowsFromTheUtilisation() {
+        Day day = new Day(Sheet.of("f.toml", "[fleet]\nrunners = 4\n[[fleet.make]]\ncores = 2\n[load]\n"
+                + "utilisation = 0.5\n" + WORKLOAD + "size = {mean = \"20ms\"}\n"));
+        assertEquals(200, day.traffic.rate(), 1e-9);
+    }
+}
