--- a/net/src/main/java/saltdale/transport/Listener.java
+++ b/net/src/main/java/saltdale/transport/Listener.java
@@ -23,15 +23,22 @@
     private final ServerSocketChannel channel;
     private final SelectionKey key;
     private final Taker taker;
+    private boolean held;
 
     public Listener(Loop loop, Sockets sockets, InetSocketAddress at, Taker taker)
             throws IOException {
+        this(loop, sockets, at, BACKLOG, taker);
+    }
+
+    /** {@code backlog}: connections that the kernel may hold ready before they are taken in. */
+    public Listener(Loop loop, Sockets sockets, InetSocketAddress at, int backlog, Taker taker)
+            throws IOException {
         this.loop = loop;
         this.sockets = sockets;
         this.taker = taker;
         channel = ServerSocketChannel.open();
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-        channel.bind(at, BACKLOG);
+        channel.bind(at, backlog);
         key = loop.register(channel, SelectionKey.OP_ACCEPT, this);
         sockets.onGiveBack(this::resume);
     }
@@ -70,11 +77,27 @@
     }
 
     private void resume() {
-        if (key.isValid()) {
+        if (key.isValid() && !held) {
             key.interestOps(SelectionKey.OP_ACCEPT);
         }
     }
 
+    /** Takes in nobody until told to go on: what comes waits in the kernel. */
+    public void hold(boolean wanted) {
+        held = wanted;
+        if (held && key.isValid()) {
+            key.interestOps(0);
+        } else {
+            resume();
+        }
+    }
+
+    /** Listens no more; what was taken in stays open. */
+    public void close() throws IOException {
+        key.cancel();
+        channel.close();
+    }
+
     /** Where it listens. */
     public InetSocketAddress address() throws IOException {
         return (InetSocketAddress) channel.getLocalAddress();
--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/experiment/Crew.java
@@ -0,0 +1,288 @@
+package saltdale.rig.experiment;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import saltdale.model.StandingOrders;
+import saltdale.model.Workload;
+import saltdale.rig.judge.Witness;
+import saltdale.rig.plan.Day;
+import saltdale.rig.plan.Make;
+import saltdale.rig.standin.Origin;
+import saltdale.rig.standin.Places;
+
+/** The dispatchers of a run: child processes of one build, each with its configuration and its log. */
+public final class Crew implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Crew.class);
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Duration TO_COME_UP = Duration.ofSeconds(30);
+    private static final double TICKS = 100;  // of /proc, a second
+
+    private static final class Member {
+        Process process;
+        double cpuBefore;
+        double cpuOfEarlierLives;
+    }
+
+    private final Day day;
+    private final Version version;
+    private final Places places;
+    private final Path folder;
+    private final Origin origin;
+    private final Witness witness;
+    private final String cpus;
+    private final List<Member> members = new ArrayList<>();
+    private volatile boolean ending;
+
+    /** {@code cpus}: the cores that they share, as taskset names them; null for all. */
+    public Crew(Day day, Version version, Places places, Path folder, Origin origin, Witness witness, String cpus) {
+        this.day = day;
+        this.version = version;
+        this.places = places;
+        this.folder = folder;
+        this.origin = origin;
+        this.witness = witness;
+        this.cpus = cpus;
+        for (int i = 0; i < day.dispatchers; i++) {
+            members.add(new Member());
+        }
+    }
+
+    public List<InetSocketAddress> addresses() {
+        List<InetSocketAddress> all = new ArrayList<>();
+        for (int i = 0; i < members.size(); i++) {
+            all.add(places.dispatcher(i));
+        }
+        return all;
+    }
+
+    /** Starts all of them, and returns when each answers that it is up. */
+    public void begin() throws IOException {
+        for (int i = 0; i < members.size(); i++) {
+            Files.writeString(folder.resolve("config-" + i + ".json"), configuration(day, i));
+            start(i);
+        }
+        long end = System.nanoTime() + TO_COME_UP.toNanos();
+        for (int i = 0; i < members.size(); i++) {
+            while (!isUp(i)) {
+                if (!members.get(i).process.isAlive()) {
+                    throw new IOException("dispatcher " + i + " of " + version.name() + " ended at its start, with "
+                            + members.get(i).process.exitValue() + ": " + lastLine(i));
+                } else if (System.nanoTime() > end) {
+                    throw new IOException("dispatcher " + i + " of " + version.name() + " did not come up within "
+                            + TO_COME_UP.toSeconds() + " s: " + lastLine(i));
+                }
+                pause(20);
+            }
+        }
+    }
+
+    private String lastLine(int i) {
+        try {
+            List<String> lines = Files.readAllLines(folder.resolve("dispatcher-" + i + ".log"));
+            return lines.isEmpty() ? "it said nothing" : lines.get(lines.size() - 1);
+        } catch (IOException e) {
+            return "its log can't be read";
+        }
+    }
+
+    private void start(int i) throws IOException {
+        List<String> command = new ArrayList<>();
+        if (cpus != null) {
+            command.addAll(List.of("taskset", "-c", cpus));
+        }
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(version.flags());
+        command.addAll(version.program());
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("dispatcher-" + i + ".log").toFile()));
+        builder.environment().putAll(Map.of("EDGE_NAME", "d" + i,
+                "EDGE_LISTEN", Places.text(places.dispatcher(i)), "EDGE_DISCOVERY", Places.text(places.list(i)),
+                "EDGE_CONFIG", folder.resolve("config-" + i + ".json").toString()));
+        members.get(i).process = builder.start();
+    }
+
+    private boolean isUp(int i) {
+        return get(i, "/up").startsWith("HTTP/1.1 200");
+    }
+
+    /** What it answers to this; nothing where it does not. */
+    public String get(int i, String path) {
+        InetSocketAddress at = places.dispatcher(i);
+        try (Socket socket = new Socket()) {
+            socket.connect(at, 500);
+            socket.setSoTimeout(1000);
+            OutputStream out = socket.getOutputStream();
+            out.write(("GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            InputStream in = socket.getInputStream();
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Kills one outright. */
+    public void kill(int i) {
+        Member member = members.get(i);
+        member.cpuOfEarlierLives += cpu(member.process);
+        witness.killed(origin.now(), i);
+        member.process.destroyForcibly();
+        try {
+            member.process.waitFor(5, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        witness.killed(origin.now(), i);  // what it took between the two is its clients' too
+    }
+
+    public void revive(int i) {
+        try {
+            if (!ending) {
+                start(i);
+            }
+        } catch (IOException e) {
+            LOG.error("dispatcher {} can't be started again: {}", i, e.getMessage());
+        }
+    }
+
+    /** From now on the CPU counts. */
+    public void countCpu() {
+        for (Member member : members) {
+            member.cpuBefore = cpu(member.process);
+            member.cpuOfEarlierLives = 0;
+        }
+    }
+
+    /** Seconds of CPU that all of them have used since. */
+    public double cpu() {
+        double all = 0;
+        for (Member member : members) {
+            all += member.cpuOfEarlierLives + cpu(member.process)
+                    - (member.cpuOfEarlierLives == 0 ? member.cpuBefore : 0);
+        }
+        return all;
+    }
+
+    private static double cpu(Process process) {
+        try {
+            String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+            String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+            return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / TICKS;
+        } catch (IOException e) {
+            return 0;  // it has ended
+        }
+    }
+
+    /** The most memory that any of them held, MiB. */
+    public double memory() {
+        double most = 0;
+        for (Member member : members) {
+            try {
+                for (String line : Files.readAllLines(Path.of("/proc/" + member.process.pid() + "/status"))) {
+                    if (line.startsWith("VmHWM:")) {
+                        most = Math.max(most, Double.parseDouble(line.replaceAll("[^0-9]", "")) / 1024);
+                    }
+                }
+            } catch (IOException e) {
+                // it has ended
+            }
+        }
+        return most;
+    }
+
+    public long pid(int i) {
+        return members.get(i).process.pid();
+    }
+
+    /** Those that have ended and were not told to. */
+    public List<Integer> crashed() {
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < members.size(); i++) {
+            if (!members.get(i).process.isAlive()) {
+                all.add(i);
+            }
+        }
+        return all;
+    }
+
+    @Override
+    public void close() {
+        ending = true;
+        members.stream().filter(m -> m.process != null).forEach(m -> m.process.destroy());
+        for (Member member : members) {
+            try {
+                if (member.process != null && !member.process.waitFor(6, TimeUnit.SECONDS)) {
+                    member.process.destroyForcibly();
+                }
+            } catch (InterruptedException e) {
+                member.process.destroyForcibly();
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    /** What a dispatcher of this day is told, in the words of the platform. */
+    public static String configuration(Day day, int i) throws IOException {
+        StandingOrders o = day.orders(i);
+        ObjectNode root = JSON.createObjectNode();
+        root.put("name", "d" + i).put("seed", Long.toHexString(day.seed * 1000 + i + 1));
+        root.putObject("limits").put("sockets", 4096).put("memory_mb", 192).put("cores", 1.0);
+        ObjectNode settings = root.putObject("settings");
+        settings.put("Index", i).put("NInstances", o.dispatchers).put("Locality", o.zone)
+                .put("Round", us(o.round)).put("MembershipMode", o.mustSubscribe ? "ask" : "push");
+        settings.putObject("Limits").put("Probes", o.probes).put("MayCancel", o.cancels)
+                .put("ParallelTries", o.parallel).put("RetryAfter", o.pauses)
+                .put("MostDispatches", o.mostDispatches).put("MaxRetryAfter", us(o.longestPause))
+                .put("DialTimeout", us(o.connectTime)).put("IdleClose", us(day.idleClose));
+        settings.putObject("Contract").put("ColdFrom", o.coldFrom).put("WarmWithin", us(o.warmWithin))
+                .put("TipMultiple", o.tipMultiple).put("Fall", us(o.fall)).put("DrainGrace", us(day.drainGrace));
+        settings.putObject("Tariffs").put("CrossZone", o.crossZonePrice);
+        ObjectNode family = settings.putObject("FamilyInfo").put("TellsStart", o.tellsStart)
+                .put("Progress", us(o.progressEvery));
+        settings.putObject("LoadReport").put("How", "piggyback").putArray("Columns").add("concurrent").add("depth")
+                .add("x0");
+        family.put("ReportX0", "free slots");
+        ArrayNode kinds = settings.putArray("MachineTypes");
+        day.makes.stream().map(Make::name).forEach(kinds::add);
+        ArrayNode workloads = settings.putArray("Workloads");
+        for (Workload w : o.workloads) {
+            workloads.addObject().put("Name", w.name).put("PromisedTime", us(w.promised))
+                    .put("Patience", us(w.patience)).put("Importance", w.importance).put("AimStretch", w.stretch)
+                    .put("TardyImportance", w.lateImportance).put("Window", us(w.window))
+                    .put("Repeat", switch (w.repeat) {
+                        case PURE -> "pure";
+                        case RECEIPTED -> "token";
+                        case EFFECTFUL -> "side_effect";
+                    }).put("DedupScope", w.group.name().toLowerCase());
+        }
+        return JSON.writerWithDefaultPrettyPrinter().writeValueAsString(root);
+    }
+
+    private static long us(Duration span) {
+        return span.toNanos() / 1000;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/experiment/Expectation.java
@@ -0,0 +1,55 @@
+package saltdale.rig.experiment;
+
+import java.util.Locale;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import saltdale.rig.plan.Misread;
+
+/** One line that turns figures into a verdict, such as {@code now.service >= before.service - 0.02}. */
+public final class Expectation {
+    private static final Pattern LINE = Pattern.compile(
+            "\\s*([A-Za-z][\\w.%-]*)\\s*(<=|>=|==|!=|<|>)\\s*([A-Za-z][\\w.%-]*|-?[\\d.]+)\\s*(?:([*+-])\\s*([\\d.]+))?\\s*");
+
+    /** What came of it, in words. */
+    public record Verdict(boolean kept, String words) {
+    }
+
+    private final String line;
+    private final Matcher parts;
+
+    public Expectation(String file, String line) {
+        this.line = line;
+        parts = LINE.matcher(line);
+        if (!parts.matches()) {
+            throw new Misread(file + ": expect: \"" + line + "\" is not of the form \"figure >= number\" or "
+                    + "\"figure <= other.figure * 1.1\"");
+        }
+    }
+
+    public Verdict judge(Map<String, Double> figures) {
+        Double left = figures.get(parts.group(1));
+        boolean plain = parts.group(3).matches("-?[\\d.]+");
+        Double right = plain ? Double.valueOf(parts.group(3)) : figures.get(parts.group(3));
+        if (left == null || right == null) {
+            return new Verdict(false, line + ": there is no figure " + (left == null ? parts.group(1) : parts.group(3)));
+        }
+        if (parts.group(4) != null) {
+            double by = Double.parseDouble(parts.group(5));
+            right = switch (parts.group(4)) {
+                case "*" -> right * by;
+                case "+" -> right + by;
+                default -> right - by;
+            };
+        }
+        boolean kept = switch (parts.group(2)) {
+            case "<=" -> left <= right;
+            case ">=" -> left >= right;
+            case "<" -> left < right;
+            case ">" -> left > right;
+            case "==" -> left.doubleValue() == right;
+            default -> left.doubleValue() != right;
+        };
+        return new Verdict(kept, String.format(Locale.ROOT, "%s: %.4g against %.4g", line, left, right));
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/experiment/Run.java
@@ -0,0 +1,164 @@
+package saltdale.rig.experiment;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import saltdale.rig.fleet.Weather;
+import saltdale.rig.judge.Judge;
+import saltdale.rig.judge.Notes;
+import saltdale.rig.judge.Terms;
+import saltdale.rig.load.Arrivals;
+import saltdale.rig.load.Ask;
+import saltdale.rig.load.Generator;
+import saltdale.rig.load.Trace;
+import saltdale.rig.plan.Day;
+import saltdale.rig.plan.Trouble;
+import saltdale.rig.simulate.ModuleMind;
+import saltdale.rig.simulate.Simulation;
+import saltdale.rig.standin.ListKeeper;
+import saltdale.rig.standin.Origin;
+import saltdale.rig.standin.Places;
+import saltdale.rig.standin.StandInFleet;
+import saltdale.rig.standin.Turner;
+
+/** One day played once: on sockets with real dispatchers, or in simulated time. */
+public final class Run {
+    private static final Duration SLACK = Duration.ofMillis(50);  // on sockets each limit is longer by this
+
+    private Run() {
+    }
+
+    /** The asks of a day: its shape's, or those of its trace. */
+    public static Iterator<Ask> asks(Day day, Path beside) {
+        return day.traffic.trace() == null ? new Arrivals(day.traffic, day.jobs, day.length, day.seed * 7919 + 1)
+                : Trace.read(beside.resolve(day.traffic.trace())).spliced(day.traffic.splice())
+                        .asks(day.jobs, day.traffic.scale(), day.length).iterator();
+    }
+
+    /** The same, counted from when the clients begin. */
+    public static Iterator<Ask> asks(Day day, Path beside, Duration start) {
+        return new Shifted(asks(day, beside), start);
+    }
+
+    public static Outcome simulated(Day day, String version, String point, int repeat, Iterator<Ask> asks,
+                                    Simulation.Minds minds) {
+        Simulation sim = new Simulation(day, minds == null ? ModuleMind::new : minds, asks).run();
+        Judge judge = sim.judge();
+        Map<String, Double> figures = Outcome.figures(sim.tally(), judge.broken(), judge.asked(), judge.answered(),
+                judge.dispatches());
+        figures.put("events", (double) sim.events());
+        return new Outcome(version, point, repeat, figures, judge.breaches(), null, sim.tally(), sim.fleet().watch());
+    }
+
+    /**
+     * On sockets.
+     *
+     * @param folder for the logs and configurations of the dispatchers
+     * @param progress is told now and then how far it is, 0 to 1
+     */
+    public static Outcome onSockets(Day day, Version version, String point, int repeat, Iterator<Ask> asks,
+                                    Path folder, String cpus, Consumer<Double> progress) throws IOException {
+        if (day.dispatchers > Places.MOST_DISPATCHERS) {
+            throw new IOException("on sockets a day has at most " + Places.MOST_DISPATCHERS + " dispatchers");
+        }
+        Files.createDirectories(folder);
+        Notes notes = new Notes();
+        Origin origin = new Origin();
+        Places places = new Places(freePort());
+        AtomicReference<StandInFleet> fleet = new AtomicReference<>();
+        try (Turner runners = new Turner("runners"); Turner clients = new Turner("clients")) {
+            ListKeeper list = new ListKeeper(runners, day, places, origin, notes);
+            fleet.set(new StandInFleet(runners, day, places, origin, notes, list, day.seed));
+            runners.start();
+            clients.start();
+            try (Crew crew = new Crew(day, version, places, folder, origin, notes, cpus)) {
+                crew.begin();
+                Duration start = origin.now();
+                Shifted shifted = new Shifted(asks, start);
+                Generator generator = new Generator(clients, day, crew.addresses(), origin, notes, day.seed + 3,
+                        "n" + repeat, start);
+                runners.inside(() -> fleet.get().begin(start));
+                clients.inside(() -> generator.begin(shifted));
+                crew.countCpu();
+                Thread weather = new Thread(() -> killings(day, crew, origin, start), "killings");
+                weather.setDaemon(true);
+                weather.start();
+                Duration end = start.plus(day.length);
+                Duration last = end.plus(day.orders.longestPatience()).plusSeconds(5);
+                while (origin.now().compareTo(end) < 0
+                        || !generator.isOver() && origin.now().compareTo(last) < 0) {
+                    Thread.sleep(100);
+                    progress.accept(Math.min(1, (double) origin.now().minus(start).toNanos()
+                            / day.length.toNanos()));
+                }
+                double cpu = crew.cpu();
+                double memory = crew.memory();
+                boolean died = !crew.crashed().isEmpty() && day.troubles.stream()
+                        .noneMatch(t -> t.kind() == Trouble.Kind.DISPATCHER_KILL);
+                Files.writeString(folder.resolve("counters.txt"), crew.get(0, "/counters"));
+                Thread.sleep(300);  // for what is still on its way to the stand-ins
+                Judge judge = new Judge(Terms.of(day, SLACK), Duration.ofSeconds(5));
+                clients.inside(() -> { });
+                notes.tell(judge);
+                judge.end();
+                Map<String, Double> figures = Outcome.figures(generator.tally(), judge.broken(), judge.asked(),
+                        judge.answered(), judge.dispatches());
+                figures.put("cpu_us_per_job", cpu * 1e6 / Math.max(1, judge.asked()));
+                figures.put("memory_mb", memory);
+                figures.put("generator_lag_p99_ms", generator.lag().getValueAtPercentile(99) / 1e3);
+                figures.put("generator_lag_max_ms", generator.lag().getMaxValue() / 1e3);
+                figures.put("runner_requests_per_job", fleet.get().requests() / (double) Math.max(1, judge.asked()));
+                figures.put("first_1000_answers_s", generator.thousandthAt() == null ? Double.NaN
+                        : generator.thousandthAt().minus(start).toNanos() / 1e9);
+                figures.put("dispatchers_died", died ? 1.0 : 0.0);
+                return new Outcome(version.name(), point, repeat, figures, judge.breaches(), generator.isVoid(),
+                        generator.tally(), fleet.get().watch());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new IOException("interrupted");
+            }
+        }
+    }
+
+    /** Kills dispatchers and starts them again, as the day says; on a thread of its own, since it waits for them. */
+    private static void killings(Day day, Crew crew, Origin origin, Duration start) {
+        for (Weather.Turn turn : new Weather(day.troubles).turns()) {
+            if (turn.act() != Weather.Act.KILL && turn.act() != Weather.Act.REVIVE) {
+                continue;
+            }
+            try {
+                Thread.sleep(Math.max(0, turn.at().plus(start).minus(origin.now()).toMillis()));
+            } catch (InterruptedException e) {
+                return;
+            }
+            turn.trouble().runners().forEach(turn.act() == Weather.Act.KILL ? crew::kill : crew::revive);
+        }
+    }
+
+    /** A port that is free by now on loopback. */
+    static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** The asks, counted from when the clients begin. */
+    private record Shifted(Iterator<Ask> asks, Duration start) implements Iterator<Ask> {
+        @Override
+        public boolean hasNext() {
+            return asks.hasNext();
+        }
+
+        @Override
+        public Ask next() {
+            Ask ask = asks.next();
+            return new Ask(ask.number(), ask.at().plus(start), ask.job(), ask.size());
+        }
+    }
+}
--- a/rig/src/main/java/saltdale/rig/fleet/RunnerModel.java
+++ b/rig/src/main/java/saltdale/rig/fleet/RunnerModel.java
@@ -54,6 +54,7 @@
     private boolean up = true;
     private boolean draining;
     private boolean fallen;
+    private boolean telling;
     private double rate;  // of each running job, seconds of work a second
 
     /**
@@ -123,12 +124,20 @@
 
     /** Lives until this time; what happens by then is told in its order. */
     public void advance(Duration to) {
+        if (telling) {
+            return;  // guards against a face that asks for a report while it is told: each end is told once
+        }
         long until = to.toNanos();
-        for (long next = nextNanos(); next <= until && next != NEVER; next = nextNanos()) {
-            pass(next);
-            step();
+        telling = true;
+        try {
+            for (long next = nextNanos(); next <= until && next != NEVER; next = nextNanos()) {
+                pass(next);
+                step();
+            }
+            pass(until);
+        } finally {
+            telling = false;
         }
-        pass(until);
     }
 
     private void pass(long to) {
--- a/rig/src/main/java/saltdale/rig/judge/Judge.java
+++ b/rig/src/main/java/saltdale/rig/judge/Judge.java
@@ -44,6 +44,7 @@
         Duration endedAt;
         boolean answered;
         boolean excused;
+        boolean cut;
         int effects;
 
         Case(String id, Workload workload, int dispatcher, Duration deadline) {
@@ -191,9 +192,9 @@
     @Override
     public void cut(Duration at, String id) {
         Case about = cases.get(id);
-        if (about != null && !about.answered && about.endedAt == null && !about.excused) {
-            breach(Breach.Kind.LOST, at, id, "its connection ended with no whole answer");
+        if (about != null && about.endedAt == null) {
             about.endedAt = at;
+            about.cut = true;  // told at the end, since that its dispatcher was killed may be heard later
         }
     }
 
@@ -387,8 +388,9 @@
     }
 
     private void over(Case each) {
-        if (!each.answered && !each.excused && each.endedAt == null) {
-            breach(Breach.Kind.LOST, each.deadline, each.id, "no final answer at dispatcher " + each.dispatcher);
+        if (!each.answered && !each.excused && (each.cut || each.endedAt == null)) {
+            breach(Breach.Kind.LOST, each.cut ? each.endedAt : each.deadline, each.id, "dispatcher " + each.dispatcher
+                    + (each.cut ? " ended its connection with no whole answer" : " gave no final answer"));
         }
         cases.remove(each.id, each);
     }
--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/load/Generator.java
@@ -0,0 +1,301 @@
+package saltdale.rig.load;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.HdrHistogram.Histogram;
+import saltdale.protocol.Head;
+import saltdale.protocol.HttpParser;
+import saltdale.rig.judge.Witness;
+import saltdale.rig.judge.Witness.Final;
+import saltdale.rig.plan.Day;
+import saltdale.rig.standin.Origin;
+import saltdale.rig.standin.Places;
+import saltdale.rig.standin.StandInFleet;
+import saltdale.rig.standin.Turner;
+import saltdale.transport.Connection;
+import saltdale.transport.Pool;
+import saltdale.transport.Timer;
+
+/**
+ * An open loop on sockets: each ask is sent at the time that was fixed for it, whatever became of those before. How far
+ * it falls behind its own times is measured, and voids a run.
+ */
+public final class Generator {
+    private static final Duration CONNECT_LIMIT = Duration.ofSeconds(1);
+    private static final Duration IDLE_LIMIT = Duration.ofSeconds(20);
+    private static final Duration FRONT_NOTICES = Duration.ofSeconds(1);
+    // Beyond these the figures would be the generator's own.
+    private static final long MOST_LAG_P99_US = 10_000;
+    private static final long MOST_LAG_US = 100_000;
+
+    private final Turner turner;
+    private final Day day;
+    private final Origin origin;
+    private final Witness witness;
+    private final Tally tally;
+    private final Persistence persistence;
+    private final Pool[] pools;
+    private final InetSocketAddress[] addresses;
+    private final Set<Integer> avoided = new HashSet<>();
+    private final Histogram lag = new Histogram(3_600_000_000L, 3);
+    private final String run;
+    private int next;
+    private long open;
+    private boolean allSent;
+    private long answers;
+    private Duration thousandthAt;
+
+    /**
+     * {@code run}: makes the ids of this run differ from those of any other; {@code start}: when the day begins, on the
+     * clock of the run, by which the asks' times are given.
+     */
+    public Generator(Turner turner, Day day, List<InetSocketAddress> dispatchers, Origin origin, Witness witness,
+                     long seed, String run, Duration start) {
+        this.turner = turner;
+        this.day = day;
+        this.origin = origin;
+        this.witness = witness;
+        this.run = run;
+        tally = new Tally(day.jobs, day.warmUp, start);
+        persistence = new Persistence(day.traffic, new SplittableRandom(seed));
+        addresses = dispatchers.toArray(new InetSocketAddress[0]);
+        pools = new Pool[addresses.length];
+        for (int i = 0; i < pools.length; i++) {
+            pools[i] = new Pool(turner.loop, turner.sockets, addresses[i], CONNECT_LIMIT, IDLE_LIMIT);
+        }
+    }
+
+    /** Begins to send; called on the loop. */
+    public void begin(Iterator<Ask> asks) {
+        if (!asks.hasNext()) {
+            allSent = true;
+            return;
+        }
+        Ask ask = asks.next();
+        turner.loop.after(ask.at().minus(origin.now()).minus(drift()), () -> {
+            long late = Math.max(0, origin.now().minus(ask.at()).toNanos() / 1000);
+            lag.recordValue(Math.min(late, 3_600_000_000L));
+            new Customer(ask).sendTry();
+            begin(asks);
+        });
+    }
+
+    private Duration drift() {
+        return turner.loop.now().minus(turner.loop.clock());
+    }
+
+    public boolean isOver() {
+        return allSent && open == 0;
+    }
+
+    public Tally tally() {
+        return tally;
+    }
+
+    /** True send against intended send, us. */
+    public Histogram lag() {
+        return lag;
+    }
+
+    /** Why the run is void; null where it counts. */
+    public String isVoid() {
+        long p99 = lag.getValueAtPercentile(99);
+        if (p99 <= MOST_LAG_P99_US && lag.getMaxValue() <= MOST_LAG_US) {
+            return null;
+        }
+        return String.format(java.util.Locale.ROOT, "the load fell behind its intended times: by %.1f ms at the 99th "
+                + "percentile, %.1f ms at the most (allowed: %d and %d ms)", p99 / 1e3, lag.getMaxValue() / 1e3,
+                MOST_LAG_P99_US / 1000, MOST_LAG_US / 1000);
+    }
+
+    /** When the thousandth answer had come, on the run's clock; null before. */
+    public Duration thousandthAt() {
+        return thousandthAt;
+    }
+
+    private int choose() {
+        for (int i = 0; i < pools.length; i++) {
+            next = (next + 1) % pools.length;
+            if (!avoided.contains(next)) {
+                break;
+            }
+        }
+        return next;
+    }
+
+    /** A front takes no notice at once, and gives it another chance after a while. */
+    private void unreachable(int dispatcher) {
+        if (avoided.add(dispatcher)) {
+            turner.loop.after(FRONT_NOTICES, () -> avoided.remove(dispatcher));
+        }
+    }
+
+    /** The client of one ask, over all its tries. */
+    private final class Customer {
+        private final Ask ask;
+        private int tries;
+        private Try current;
+        private boolean finished;
+
+        Customer(Ask ask) {
+            this.ask = ask;
+            open++;
+        }
+
+        void sendTry() {
+            if (tries++ == 0) {
+                persistence.firstTry();
+            }
+            current = new Try(this, run + "-" + ask.number() + "." + tries, choose());
+            current.send(false);
+            if (tries == 1 && persistence.leaves()) {
+                Try first = current;
+                turner.loop.after(ask.job().workload().patience.dividedBy(2), () -> {
+                    if (current == first && !finished) {
+                        witness.left(origin.now(), first.id);
+                        first.drop();
+                        finish(null, true);
+                    }
+                });
+            }
+        }
+
+        void over(Final how, Duration pause, boolean unreachable) {
+            current = null;
+            Duration wait = persistence.next(ask.job().workload(), tries, unreachable ? Final.SHED : how, pause,
+                    origin.now(), ask.at());
+            if (wait == null) {
+                finish(how, false);
+            } else {
+                turner.loop.after(wait, this::sendTry);
+            }
+        }
+
+        private void finish(Final how, boolean left) {
+            finished = true;
+            open--;
+            tally.over(ask, how, origin.now(), tries, left);
+        }
+    }
+
+    /** One request and its answer. */
+    private final class Try implements Connection.Owner {
+        private final Customer customer;
+        private final String id;
+        private final int dispatcher;
+        private HttpParser parser = new HttpParser(HttpParser.Kind.ANSWER);
+        private Connection connection;
+        private Timer limit;
+        private boolean reused;
+        private boolean over;
+
+        Try(Customer customer, String id, int dispatcher) {
+            this.customer = customer;
+            this.id = id;
+            this.dispatcher = dispatcher;
+        }
+
+        void send(boolean again) {
+            Ask ask = customer.ask;
+            connection = pools[dispatcher].take(this);
+            if (connection == null) {
+                turner.loop.soon(() -> end(null, null, true));
+                return;
+            }
+            connection.beginMessage();
+            reused = connection.isReused();
+            Duration patience = ask.job().workload().patience;
+            connection.send(ByteBuffer.wrap(("POST /" + ask.job().name() + "/" + ask.number() + " HTTP/1.1\r\nHost: "
+                    + Places.text(addresses[dispatcher]) + "\r\nRequest-Id: " + id + "\r\nRequest-Timeout-Ms: "
+                    + patience.toMillis() + "\r\nIdempotency-Key: " + run + "-" + ask.number() + "\r\n"
+                    + StandInFleet.WORK + ": " + Math.max(1, Math.round(ask.size() * 1e6))
+                    + "\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII)));
+            if (!again) {
+                witness.asked(origin.now(), id, ask.job().workload(), dispatcher, patience);
+                limit = turner.loop.after(patience.plus(day.answerGrace).plusMillis(60), () -> {
+                    drop();
+                    end(null, null, false);
+                });
+            }
+        }
+
+        void drop() {
+            over = true;
+            limit.cancel();
+            if (connection != null) {
+                connection.close();
+            }
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            parser.take(bytes);
+            if (parser.bad()) {
+                connection.close();
+                ended("no answer that can be read");
+            } else if (parser.whole()) {
+                Head head = parser.head();
+                String body = new String(parser.body(), StandardCharsets.UTF_8);
+                if (head.keepsAlive() && !bytes.hasRemaining()) {
+                    pools[dispatcher].rest(connection);
+                } else {
+                    connection.close();
+                }
+                Final how = switch (head.status()) {
+                    case 200 -> Final.FULFILLED;
+                    case 429, 503 -> Final.SHED;
+                    default -> Final.GIVEN_UP;
+                };
+                witness.answered(origin.now(), id, how, body);
+                if (++answers == 1000) {
+                    thousandthAt = origin.now();
+                }
+                end(how, pause(head), false);
+            }
+        }
+
+        private Duration pause(Head head) {
+            String text = head.header("Retry-After");
+            try {
+                return text == null ? null : Duration.ofNanos((long) (Double.parseDouble(text) * 1e9));
+            } catch (NumberFormatException e) {
+                return null;  // a date, which nobody here sends
+            }
+        }
+
+        @Override
+        public void ended(String cause) {
+            if (over) {
+                return;
+            }
+            if (reused && parser.untouched()) {  // it crossed the closing of an idle connection: once more
+                reused = false;
+                send(true);
+                return;
+            }
+            boolean unsent = connection.reach().incomplete();
+            if (unsent) {
+                witness.left(origin.now(), id);  // no dispatcher has taken it
+                unreachable(dispatcher);
+            } else {
+                witness.cut(origin.now(), id);
+            }
+            end(null, null, unsent);
+        }
+
+        private void end(Final how, Duration pause, boolean unreachable) {
+            over = true;
+            if (limit != null) {
+                limit.cancel();
+            }
+            customer.over(how, pause, unreachable);
+        }
+    }
+}
--- a/rig/src/main/java/saltdale/rig/load/Tally.java
+++ b/rig/src/main/java/saltdale/rig/load/Tally.java
@@ -42,6 +42,7 @@
     }
 
     private final Duration warmUp;
+    private final Duration start;
     private final Map<Workload, Row> rows = new LinkedHashMap<>();
     private final List<Second> seconds = new ArrayList<>();
     private double importance;
@@ -49,7 +50,13 @@
     private long firstTries;
 
     public Tally(List<Job> jobs, Duration warmUp) {
+        this(jobs, warmUp, Duration.ZERO);
+    }
+
+    /** {@code start}: when the day begins, on the clock by which the asks' times are given. */
+    public Tally(List<Job> jobs, Duration warmUp, Duration start) {
         this.warmUp = warmUp;
+        this.start = start;
         jobs.forEach(job -> rows.put(job.workload(), new Row()));
     }
 
@@ -77,7 +84,7 @@
         Duration took = at.minus(ask.at());
         boolean inTime = how == Final.FULFILLED && took.compareTo(promised(ask)) <= 0;
         long us = Math.max(0, Math.min(LONGEST, took.toNanos() / 1000));
-        Second second = second((int) ask.at().toSeconds());
+        Second second = second((int) ask.at().minus(start).toSeconds());
         if (!left) {
             long[] of = second.byWorkload.computeIfAbsent(ask.job().name(), k -> new long[2]);
             second.offered++;
@@ -88,7 +95,7 @@
                 second.latency.recordValue(us);
             }
         }
-        if (ask.at().compareTo(warmUp) < 0) {
+        if (ask.at().minus(start).compareTo(warmUp) < 0) {
             return;
         }
         Row row = rows.get(ask.job().workload());
--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/standin/Turner.java
@@ -0,0 +1,60 @@
+package saltdale.rig.standin;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.CountDownLatch;
+import saltdale.transport.Loop;
+import saltdale.transport.Sockets;
+
+/** A loop on a thread of its own. */
+public final class Turner implements AutoCloseable {
+    private static final int MOST_SOCKETS = 200_000;
+
+    public final Loop loop;
+    public final Sockets sockets;
+    private final Thread thread;
+
+    public Turner(String name) throws IOException {
+        loop = new Loop();
+        sockets = new Sockets(loop, MOST_SOCKETS);
+        thread = new Thread(() -> {
+            try {
+                loop.run(() -> { });
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }, name);
+        thread.setDaemon(true);
+    }
+
+    public void start() {
+        thread.start();
+    }
+
+    /** Does this on the loop's thread, and waits until it is done. */
+    public void inside(Runnable what) {
+        CountDownLatch done = new CountDownLatch(1);
+        loop.fromOutside(() -> {
+            try {
+                what.run();
+            } finally {
+                done.countDown();
+            }
+        });
+        try {
+            done.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() {
+        loop.fromOutside(loop::stop);
+        try {
+            thread.join(5000);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/rig/src/test/java/saltdale/rig/fleet/RunnerModelTest.java
+++ b/rig/src/test/java/saltdale/rig/fleet/RunnerModelTest.java
@@ -200,6 +200,31 @@
         assertEquals(1, runner.report(ms(250)).queue());
     }
 
+    @Test
+    void aReportAskedForWhileItTellsMakesNoEndCountTwice() {
+        List<String> ends = new ArrayList<>();
+        RunnerModel[] runner = new RunnerModel[1];
+        runner[0] = new RunnerModel(Make.plain(2, 4), null, 0, Duration.ZERO, new SplittableRandom(1), new RunnerModel.Told() {
+            @Override
+            public void started(Duration at, Work work) {
+            }
+
+            @Override
+            public void running(Duration at, Work work, double share) {
+            }
+
+            @Override
+            public void ended(Duration at, Work work, RunnerModel.End how) {
+                runner[0].report(ms(5000));
+                ends.add(work.id);
+            }
+        });
+        runner[0].offer(ms(0), work("a", 1));
+        runner[0].offer(ms(0), work("b", 1));
+        runner[0].advance(ms(2000));
+        assertEquals(List.of("a", "b"), ends);
+    }
+
     @Test
     void takenBackItGivesItsCoreToTheNext() {
         RunnerModel runner = runner(Make.plain(1, 4));
--- /dev/null
+++ b/tools/src/main/java/saltdale/tools/Cost.java
@@ -0,0 +1,110 @@
+package saltdale.tools;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import saltdale.rig.cost.Relay;
+import saltdale.rig.experiment.Outcome;
+import saltdale.rig.experiment.Run;
+import saltdale.rig.experiment.Version;
+import saltdale.rig.plan.Day;
+import saltdale.rig.plan.Sheet;
+
+@Command(name = "cost", mixinStandardHelpOptions = true,
+        description = "CPU of the dispatcher a job, on one core, beside a bare relay of the same exchanges.")
+final class Cost implements Callable<Integer> {
+    private static final String DAY = """
+            length = "12s"
+            warm_up = "4s"
+            dispatchers = 1
+            [fleet]
+            runners = 10
+            [[fleet.make]]
+            cores = 64
+            slots = 64
+            queue = 1000
+            [orders]
+            tells_start = false
+            [load]
+            rate = 500
+            [[workload]]
+            name = "w"
+            promised = "100ms"
+            size = {kind = "constant", mean = "2ms"}
+            """;
+
+    @Option(names = "--core", defaultValue = "1", description = "The dispatcher's core (default: ${DEFAULT-VALUE}).")
+    private String core;
+
+    @Option(names = "--rates", split = ",", defaultValue = "500,2000", description = "Jobs a second.")
+    private List<Integer> rates;
+
+    @Option(names = "--repeats", defaultValue = "2", description = "Of each (default: ${DEFAULT-VALUE}).")
+    private int repeats;
+
+    @Option(names = "--ceiling", description = "Also looks for the most jobs a second that keep the promised time.")
+    private boolean ceiling;
+
+    @Option(names = "--out", defaultValue = "out/cost")
+    private Path out;
+
+    private final Version relay = new Version("relay", flags(),
+            List.of("-cp", System.getProperty("java.class.path"), Relay.class.getName()));
+
+    private static List<String> flags() {
+        return List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xms24m", "-Xmx112m");
+    }
+
+    @Override
+    public Integer call() throws IOException {
+        Version own = Version.own("dispatcher", Main.home());
+        System.out.printf("%-12s %8s %10s %10s %10s %10s%n", "", "jobs/s", "us/job", "p50 ms", "p99 ms", "1000 in s");
+        for (int rate : rates) {
+            List<Double> ratios = new ArrayList<>();
+            for (int i = 0; i < repeats; i++) {
+                double price = play(own, rate, i).get("cpu_us_per_job");
+                ratios.add(price / play(relay, rate, i).get("cpu_us_per_job"));
+            }
+            System.out.printf(Locale.ROOT, "at %d jobs/s a job costs %.2f times the relay's (%s)%n", rate,
+                    ratios.stream().mapToDouble(r -> r).average().orElse(0), ratios.stream()
+                            .map(r -> String.format(Locale.ROOT, "%.2f", r)).toList());
+        }
+        if (ceiling) {
+            for (Version version : List.of(own, relay)) {
+                System.out.printf(Locale.ROOT, "%s: %d jobs/s at the most%n", version.name(), most(version));
+            }
+        }
+        return 0;
+    }
+
+    private int most(Version version) throws IOException {
+        int kept = 0;
+        for (int rate = 2000; rate < 100_000; rate = rate * 5 / 4) {
+            Map<String, Double> f = play(version, rate, 0);
+            if (f.get("service") < 0.99) {
+                return kept;
+            }
+            kept = rate;
+        }
+        return kept;
+    }
+
+    private Map<String, Double> play(Version version, int rate, int repeat) throws IOException {
+        Day day = new Day(Sheet.of("cost", DAY).with("load.rate", rate).with("seed", repeat + 1));
+        Path folder = out.resolve(version.name() + "-" + rate + "-" + repeat);
+        Files.createDirectories(folder);
+        Outcome outcome = Run.onSockets(day, version, "", repeat, Run.asks(day, Path.of(".")), folder, core, s -> { });
+        Map<String, Double> f = outcome.figures();
+        System.out.printf(Locale.ROOT, "%-12s %8d %10.0f %10.2f %10.2f %10.2f%s%n", version.name(), rate,
+                f.get("cpu_us_per_job"), f.get("p50_ms"), f.get("p99_ms"), f.get("first_1000_answers_s"),
+                outcome.isVoid() == null ? "" : "  void: " + outcome.isVoid());
+        return f;
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/saltdale/tools/Load.java
@@ -0,0 +1,63 @@
+package saltdale.tools;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import saltdale.rig.experiment.Run;
+import saltdale.rig.judge.Witness;
+import saltdale.rig.load.Generator;
+import saltdale.rig.plan.Day;
+import saltdale.rig.plan.Misread;
+import saltdale.rig.standin.Origin;
+import saltdale.rig.standin.Turner;
+import saltdale.transport.Address;
+
+@Command(name = "load", mixinStandardHelpOptions = true,
+        description = "Sends a day's load to dispatchers that run already, in an open loop, and prints what came back.")
+final class Load implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "The day, TOML.")
+    private Path file;
+
+    @Option(names = "--to", required = true, split = ",", paramLabel = "ADDRESS:PORT",
+            description = "The dispatchers; numbers on loopback only.")
+    private List<String> to;
+
+    @Override
+    public Integer call() throws Exception {
+        Day day = Day.read(file);
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (String each : to) {
+            InetSocketAddress address = Address.parse(each);
+            if (address == null || !address.getAddress().isLoopbackAddress()) {
+                throw new Misread("--to: " + each + " is no numeric loopback address with a port");
+            }
+            addresses.add(address);
+        }
+        Origin origin = new Origin();
+        try (Turner turner = new Turner("clients")) {
+            turner.start();
+            Duration start = origin.now();
+            Generator generator = new Generator(turner, day, addresses, origin, Witness.NOBODY, day.seed + 3,
+                    "l" + origin.unixMillis, start);
+            turner.inside(() -> generator.begin(Run.asks(day, file.toAbsolutePath().getParent(), start)));
+            Duration last = start.plus(day.length).plus(day.orders.longestPatience()).plusSeconds(5);
+            while (origin.now().compareTo(last) < 0 && !generator.isOver()) {
+                Thread.sleep(50);
+            }
+            turner.inside(() -> generator.tally().figures().forEach((name, value) ->
+                    System.out.printf(Locale.ROOT, "%-34s %.6g%n", name, value)));
+            if (generator.isVoid() != null) {
+                System.err.println("saltdale: void: " + generator.isVoid());
+                return 1;
+            }
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/saltdale/tools/Main.java
@@ -0,0 +1,59 @@
+package saltdale.tools;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.AutoComplete;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ScopeType;
+import saltdale.rig.plan.Misread;
+
+/** The command line of the tools. Exit status: 0 done, 1 a verdict failed, 2 wrong usage or a file that can't be used. */
+@Command(name = "saltdale", mixinStandardHelpOptions = true, version = "saltdale 0.1.0-SNAPSHOT",
+        description = "A dispatcher, and the rig that it is measured on.",
+        footer = {"", "serve and simhost are the dispatcher itself: see README.md."},
+        subcommands = {Try.class, Experimenting.class, Simulate.class, StandIn.class, Load.class, Prove.class,
+                Cost.class, Check.class, Reporting.class, AutoComplete.GenerateCompletion.class})
+public final class Main implements Callable<Integer> {
+    @Option(names = "--log", scope = ScopeType.INHERIT, defaultValue = "text", paramLabel = "text|json",
+            description = "How log lines are written to standard error (default: text).")
+    void log(String form) {
+        if (!form.equals("text") && !form.equals("json")) {
+            throw new CommandLine.ParameterException(new CommandLine(this), "--log: wanted text or json");
+        }
+        Logging.form(form);
+    }
+
+    /** The checkout whose build is played. */
+    static Path home() {
+        return Path.of(System.getProperty("saltdale.home", "")).toAbsolutePath();
+    }
+
+    public static void main(String[] args) {
+        System.exit(commandLine().execute(args));
+    }
+
+    static CommandLine commandLine() {
+        CommandLine line = new CommandLine(new Main());
+        line.setExecutionExceptionHandler((failure, command, parsed) -> {
+            if (failure instanceof Misread) {
+                command.getErr().println("saltdale: " + failure.getMessage());
+                return 2;
+            } else if (failure instanceof IOException || failure instanceof UncheckedIOException) {
+                command.getErr().println("saltdale: " + failure.getMessage());
+                return 1;
+            }
+            throw failure;
+        });
+        return line;
+    }
+
+    @Override
+    public Integer call() {
+        CommandLine.usage(this, System.err);
+        return 2;
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/saltdale/tools/Simulate.java
@@ -0,0 +1,73 @@
+package saltdale.tools;
+
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import saltdale.rig.experiment.Outcome;
+import saltdale.rig.experiment.Run;
+import saltdale.rig.plan.Day;
+import saltdale.rig.plan.Misread;
+import saltdale.rig.plan.Sheet;
+import saltdale.rig.simulate.PlainMind;
+import saltdale.rig.simulate.Simulation;
+
+@Command(name = "simulate", mixinStandardHelpOptions = true,
+        description = "Plays a day in simulated time, with the decision module or a baseline, and prints its figures.")
+final class Simulate implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "The day, TOML.")
+    private Path file;
+
+    @Option(names = "--baseline", paramLabel = "random|round-robin|least-out",
+            description = "Decides in place of the module.")
+    private String baseline;
+
+    @Option(names = "--set", paramLabel = "FIGURE=VALUE", description = "Replaces a figure of the file.")
+    private Map<String, String> set = Map.of();
+
+    @Override
+    public Integer call() {
+        Sheet sheet = Sheet.read(file);
+        for (Map.Entry<String, String> each : set.entrySet()) {
+            sheet = sheet.with(each.getKey(), value(each.getValue()));
+        }
+        Day day = new Day(sheet);
+        Simulation.Minds minds = null;
+        if (baseline != null) {
+            PlainMind.Choice choice = choice(baseline);
+            minds = (orders, door, chance) -> new PlainMind(orders, door, chance, choice, PlainMind.Slip.NONE);
+        }
+        long began = System.nanoTime();
+        Path beside = file.toAbsolutePath().getParent();
+        Outcome outcome = Run.simulated(day, "now", "", 0, Run.asks(day, beside), minds);
+        double took = (System.nanoTime() - began) / 1e9;
+        outcome.figures().forEach((name, value) -> System.out.printf(Locale.ROOT, "%-34s %.6g%n", name, value));
+        outcome.breaches().stream().limit(20).forEach(System.out::println);
+        // Apart, on standard error: the figures above are the same for the same day and seed, these are not.
+        System.err.printf(Locale.ROOT, "%.2f s, %.0f events/s, %d MiB of heap in use%n", took,
+                outcome.figures().get("events") / took,
+                (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) >> 20);
+        return outcome.breaches().isEmpty() ? 0 : 1;
+    }
+
+    private static Object value(String text) {
+        if (text.matches("-?\\d+")) {
+            return Long.parseLong(text);
+        } else if (text.matches("-?\\d*\\.\\d+")) {
+            return Double.parseDouble(text);
+        }
+        return text.equals("true") || text.equals("false") ? (Object) Boolean.parseBoolean(text) : text;
+    }
+
+    private static PlainMind.Choice choice(String name) {
+        for (PlainMind.Choice each : PlainMind.Choice.values()) {
+            if (each.name().toLowerCase(Locale.ROOT).replace('_', '-').equals(name)) {
+                return each;
+            }
+        }
+        throw new Misread("--baseline: wanted random, round-robin or least-out");
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/saltdale/tools/StandIn.java
@@ -0,0 +1,116 @@
+package saltdale.tools;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import saltdale.rig.experiment.Crew;
+import saltdale.rig.fleet.Weather;
+import saltdale.rig.judge.Witness;
+import saltdale.rig.plan.Day;
+import saltdale.rig.plan.Misread;
+import saltdale.rig.plan.Sheet;
+import saltdale.rig.standin.ListKeeper;
+import saltdale.rig.standin.ListWord;
+import saltdale.rig.standin.Origin;
+import saltdale.rig.standin.Places;
+import saltdale.rig.standin.StandInFleet;
+import saltdale.rig.standin.Turner;
+
+@Command(name = "stand-in", mixinStandardHelpOptions = true,
+        description = "Stands in for the runners of a day, for their list, or for both, on loopback addresses.")
+final class StandIn implements Callable<Integer> {
+    enum Part { runners, discovery, all }
+
+    @Parameters(index = "0", paramLabel = "runners|discovery|all", description = "What to stand in for.")
+    private Part part;
+
+    @Parameters(index = "1", paramLabel = "FILE", description = "The day, TOML.")
+    private Path file;
+
+    @Option(names = "--port", defaultValue = "7400", description = "Of all addresses (default: ${DEFAULT-VALUE}).")
+    private int port;
+
+    @Option(names = "--out", defaultValue = "out/stand-in",
+            description = "Where the dispatchers' configurations are written (default: ${DEFAULT-VALUE}).")
+    private Path out;
+
+    @Option(names = "--for", paramLabel = "SPAN", defaultValue = "1h",
+            description = "Ends by itself after this long (default: ${DEFAULT-VALUE}).")
+    private String length;
+
+    @Override
+    public Integer call() throws Exception {
+        Day day = Day.read(file);
+        Duration span = Sheet.span(length);
+        if (span == null) {
+            throw new Misread("--for: wanted a span such as 90s or 1h");
+        }
+        Origin origin = new Origin();
+        Places places = new Places(port);
+        Witness nobody = Witness.NOBODY;
+        Files.createDirectories(out);
+        try (Turner turner = new Turner("stand-in")) {
+            ListWord list = part == Part.runners ? new Unheard()
+                    : new ListKeeper(turner, day, places, origin, nobody);
+            StandInFleet fleet = part == Part.discovery ? null
+                    : new StandInFleet(turner, day, places, origin, nobody, list, day.seed);
+            turner.start();
+            turner.inside(() -> {
+                if (fleet != null) {
+                    fleet.begin(origin.now());
+                } else {
+                    tell(turner, day, origin, list);
+                }
+            });
+            for (int i = 0; i < day.dispatchers; i++) {
+                Path config = out.resolve("config-" + i + ".json");
+                Files.writeString(config, Crew.configuration(day, i));
+                System.out.println("EDGE_NAME=d" + i + " EDGE_LISTEN=" + Places.text(places.dispatcher(i))
+                        + " EDGE_DISCOVERY=" + Places.text(places.list(i)) + " EDGE_CONFIG=" + config
+                        + " ./saltdale serve");
+            }
+            Thread.sleep(span.toMillis());
+        } catch (IOException e) {
+            throw new IOException("an address at port " + port + " can't be listened at: " + e.getMessage(), e);
+        }
+        return 0;
+    }
+
+    /** Without runners of its own, the list tells what the day's troubles would make it tell. */
+    private static void tell(Turner turner, Day day, Origin origin, ListWord list) {
+        for (Weather.Turn turn : new Weather(day.troubles).turns()) {
+            boolean silent = turn.act() == Weather.Act.CRASH || turn.act() == Weather.Act.VANISH;
+            Witness.Health health = switch (turn.act()) {
+                case CRASH, VANISH, REMOVE -> Witness.Health.GONE;
+                case DRAIN, HAND_BACK -> Witness.Health.DRAINING;
+                case START -> Witness.Health.UP;
+                default -> null;
+            };
+            if (turn.act() == Weather.Act.MUTE || turn.act() == Weather.Act.UNMUTE) {
+                turner.loop.after(turn.at(), () -> list.mute(turn.act() == Weather.Act.MUTE));
+            } else if (health != null) {
+                turner.loop.after(turn.at().plus(silent ? day.silentNotice : day.notice), () ->
+                        turn.trouble().runners().forEach(i -> list.changed(i, health,
+                                health == Witness.Health.UP ? turn.at() : origin.now())));
+            }
+        }
+    }
+
+    /** Nobody wants to know what the list would. */
+    private static final class Unheard implements ListWord {
+        @Override
+        public void changed(int runner, Witness.Health health, Duration bornAt) {
+            // The list is kept elsewhere.
+        }
+
+        @Override
+        public void mute(boolean wanted) {
+            // The list is kept elsewhere.
+        }
+    }
+}
--- /dev/null
+++ b/tools/src/test/java/saltdale/tools/LayersTest.java
@@ -0,0 +1,52 @@
+package saltdale.tools;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.importer.ImportOption.DoNotIncludeTests;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** The layers of docs/architecture.md. */
+@AnalyzeClasses(packages = "saltdale", importOptions = DoNotIncludeTests.class)
+class LayersTest {
+    @ArchTest
+    static final ArchRule LAYERS = layeredArchitecture().consideringOnlyDependenciesInLayers()
+            .layer("model").definedBy("saltdale.model")
+            .layer("orders").definedBy("saltdale.orders")
+            .layer("decision").definedBy("saltdale.decision")
+            .layer("transport").definedBy("saltdale.transport")
+            .layer("protocol").definedBy("saltdale.protocol")
+            .layer("routing").definedBy("saltdale.routing")
+            .layer("program").definedBy("saltdale.program")
+            .layer("sim").definedBy("saltdale.sim")
+            .layer("rig").definedBy("saltdale.rig..")
+            .layer("tools").definedBy("saltdale.tools")
+            .layer("main").definedBy("saltdale")
+            .whereLayer("tools").mayNotBeAccessedByAnyLayer()
+            .whereLayer("rig").mayOnlyBeAccessedByLayers("tools")
+            .whereLayer("main").mayNotBeAccessedByAnyLayer()
+            .whereLayer("program").mayOnlyBeAccessedByLayers("main")
+            .whereLayer("sim").mayOnlyBeAccessedByLayers("main")
+            .whereLayer("routing").mayOnlyBeAccessedByLayers("program")
+            .whereLayer("protocol").mayOnlyBeAccessedByLayers("routing", "program", "rig")
+            .whereLayer("transport").mayOnlyBeAccessedByLayers("routing", "program", "rig", "tools")
+            .whereLayer("decision").mayOnlyBeAccessedByLayers("routing", "sim", "rig")
+            .whereLayer("orders").mayOnlyBeAccessedByLayers("routing", "program", "sim", "main");
+
+    @ArchTest
+    static final ArchRule DECISIONS_KNOW_NO_IO = noClasses().that()
+            .resideInAnyPackage("saltdale.decision", "saltdale.model", "saltdale.rig.fleet", "saltdale.rig.judge")
+            .should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.nio..", "java.io..",
+                    "saltdale.transport", "saltdale.protocol");
+
+    @ArchTest
+    static final ArchRule PROTOCOL_DOES_NO_IO = noClasses().that().resideInAPackage("saltdale.protocol")
+            .should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.nio.channels..",
+                    "saltdale.transport");
+
+    @ArchTest
+    static final ArchRule NO_RINGS = slices().matching("saltdale.(*)").should().beFreeOfCycles();
+}
