--- a/rig/src/main/java/saltdale/rig/cost/Relay.java
+++ b/rig/src/main/java/saltdale/rig/cost/Relay.java
@@ -141,6 +141,9 @@
         private void fromClient(String message, String body) throws IOException {
             if (message.startsWith("GET")) {
                 write(OK);
+                if (message.contains("Connection: close")) {
+                    channel.close();
+                }
             } else if (message.startsWith("POST /_jobs/news")) {
                 write(NO_CONTENT);
                 if (body.contains("\"state\":\"done\"")) {
--- a/rig/src/main/java/saltdale/rig/experiment/Experiment.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Experiment.java
@@ -26,7 +26,7 @@
  */
 public final class Experiment {
     /** Where a day is played. */
-    public enum Face { SOCKETS, SIMULATED }
+    public enum Face { SOCKETS, SIMULATED, BOTH }
 
     private record Point(String name, Sheet sheet) {
     }
@@ -51,7 +51,12 @@
         quickRepeats = sheet.whole("quick_repeats", 1, 1, 1000);
         cpus = sheet.text("cpus", null);
         sheet.rows("version").forEach(row -> versions.add(Version.read(row, home, beside())));
-        if (versions.isEmpty()) {
+        if (face != Face.SOCKETS && !versions.isEmpty()) {
+            throw sheet.wrong("version", "wanted where a day is played in simulated time, with this build's module");
+        } else if (face == Face.BOTH) {  // the same day on both, paired as two builds are
+            versions.add(Version.own("sockets", home));
+            versions.add(new Version("simulated", List.of(), List.of()));
+        } else if (versions.isEmpty()) {
             versions.add(face == Face.SIMULATED ? new Version("now", List.of(), List.of()) : Version.own("now", home));
         }
         for (String line : sheet.texts("expect", List.of())) {
@@ -134,7 +139,7 @@
         if (!live) {
             say.println(label + " ...");
         }
-        Outcome outcome = face == Face.SIMULATED
+        Outcome outcome = version.program().isEmpty()
                 ? Run.simulated(day, version.name(), point.name, repeat, Run.asks(day, beside()), null)
                 : Run.onSockets(day, version, point.name, repeat, Run.asks(day, beside()), folder, cpus, share -> {
                     if (live) {
--- a/rig/src/main/java/saltdale/rig/load/Generator.java
+++ b/rig/src/main/java/saltdale/rig/load/Generator.java
@@ -46,9 +46,10 @@
     private final Set<Integer> avoided = new HashSet<>();
     private final Histogram lag = new Histogram(3_600_000_000L, 3);
     private final String run;
+    private final Duration start;
     private int next;
-    private long open;
-    private boolean allSent;
+    private volatile long open;
+    private volatile boolean allSent;
     private long answers;
     private Duration thousandthAt;
 
@@ -63,6 +64,7 @@
         this.origin = origin;
         this.witness = witness;
         this.run = run;
+        this.start = start;
         tally = new Tally(day.jobs, day.warmUp, start);
         persistence = new Persistence(day.traffic, new SplittableRandom(seed));
         addresses = dispatchers.toArray(new InetSocketAddress[0]);
@@ -81,7 +83,9 @@
         Ask ask = asks.next();
         turner.loop.after(ask.at().minus(origin.now()).minus(drift()), () -> {
             long late = Math.max(0, origin.now().minus(ask.at()).toNanos() / 1000);
-            lag.recordValue(Math.min(late, 3_600_000_000L));
+            if (ask.at().minus(start).compareTo(day.warmUp) >= 0) {  // as the figures do that it might spoil
+                lag.recordValue(Math.min(late, 3_600_000_000L));
+            }
             new Customer(ask).sendTry();
             begin(asks);
         });
--- a/rig/src/main/java/saltdale/rig/report/Report.java
+++ b/rig/src/main/java/saltdale/rig/report/Report.java
@@ -117,6 +117,8 @@
                 line.get(1).add((double) of[1] / Math.max(1, of[0]));
             });
         }
+        chart.getStyler().setYAxisMin(0.0);
+        chart.getStyler().setYAxisMax(1.0);
         lines.forEach((workload, line) -> add(chart, workload, line.get(0), line.get(1)));
         draw(page, chart);
     }
--- /dev/null
+++ b/rig/src/test/java/saltdale/rig/standin/StandInFleetTest.java
@@ -0,0 +1,234 @@
+package saltdale.rig.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import saltdale.rig.judge.Witness;
+import saltdale.rig.plan.Day;
+import saltdale.rig.plan.Sheet;
+
+@Timeout(20)
+class StandInFleetTest {
+    private static final String DAY = """
+            dispatchers = 1
+            [fleet]
+            runners = 2
+            [[workload]]
+            name = "w"
+            """;
+
+    private final BlockingQueue<String> news = new LinkedBlockingQueue<>();
+    private Turner turner;
+    private Places places;
+    private Socket call;
+    private ServerSocket dispatcher;
+
+    /** A fleet with this trouble from the beginning on, and a dispatcher that writes down what it is told. */
+    private void fleet(String kind, String more) throws IOException {
+        try (ServerSocket free = new ServerSocket(0)) {
+            places = new Places(free.getLocalPort());
+        }
+        String text = kind == null ? DAY : DAY + "[[trouble]]\nkind = \"" + kind + "\"\nlength = \"1h\"\nrunners = [0]\n"
+                + more;
+        Day day = new Day(Sheet.of("day", text));
+        turner = new Turner("test");
+        Origin origin = new Origin();
+        ListKeeper list = new ListKeeper(turner, day, places, origin, Witness.NOBODY);
+        StandInFleet fleet = new StandInFleet(turner, day, places, origin, Witness.NOBODY, list, 1);
+        turner.start();
+        InetSocketAddress at = places.dispatcher(0);
+        dispatcher = new ServerSocket(at.getPort(), 50, at.getAddress());
+        Thread thread = new Thread(this::hear);
+        thread.setDaemon(true);
+        thread.start();
+        turner.inside(() -> fleet.begin(origin.now()));
+        for (int i = 0; i < 4; i++) {
+            turner.inside(() -> { });  // what is due at once has come a turn later, and closed two after that
+        }
+    }
+
+    private void hear() {
+        try {
+            while (true) {
+                Socket from = dispatcher.accept();
+                Thread thread = new Thread(() -> {
+                    try {
+                        while (true) {
+                            news.add(read(from.getInputStream()));
+                            from.getOutputStream().write("HTTP/1.1 204 No Content\r\n\r\n".getBytes(
+                                    StandardCharsets.US_ASCII));
+                        }
+                    } catch (IOException e) {
+                        // the test is over
+                    }
+                });
+                thread.setDaemon(true);
+                thread.start();
+            }
+        } catch (IOException e) {
+            // the test is over
+        }
+    }
+
+    /** One message: its head and as much body as that says. */
+    private static String read(InputStream in) throws IOException {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        int left = -1;
+        while (left != 0) {
+            int b = in.read();
+            if (b < 0) {
+                throw new IOException("ended after: " + all);
+            }
+            all.write(b);
+            left--;
+            String text = all.toString(StandardCharsets.US_ASCII);
+            if (left < 0 && text.endsWith("\r\n\r\n")) {
+                int at = text.indexOf("Content-Length: ");
+                left = at < 0 ? 0 : Integer.parseInt(text.substring(at + 16, text.indexOf("\r\n", at)));
+            }
+        }
+        return all.toString(StandardCharsets.UTF_8);
+    }
+
+    private Socket send(int runner, String request) throws IOException {
+        call = new Socket();
+        call.connect(places.runner(runner, 0), 1000);
+        call.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        return call;
+    }
+
+    private static String job(String id) {
+        return "POST /w/7 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id + "\r\nRig-Work-Us: 2000\r\n"
+                + "Content-Length: 0\r\n\r\n";
+    }
+
+    /** The states that were told of a job, until one that ends it. */
+    private List<String> told() throws InterruptedException {
+        List<String> states = new ArrayList<>();
+        for (String each = ""; !each.contains("done");) {
+            each = news.poll(10, TimeUnit.SECONDS);
+            states.add(each.replaceAll("(?s).*\"state\":\"(\\w+)\".*", "$1"));
+        }
+        return states;
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        if (call != null) {
+            call.close();
+        }
+        dispatcher.close();
+        turner.close();
+    }
+
+    @Test
+    void aJobIsTakenAndItsStartAndEndAreTold() throws Exception {
+        fleet(null, "");
+        assertTrue(read(send(0, job("a")).getInputStream()).startsWith("HTTP/1.1 202"));
+        assertEquals(List.of("started", "done"), told());
+    }
+
+    @Test
+    void whatIsNoJobIsTurnedDown() throws Exception {
+        fleet(null, "");
+        assertTrue(read(send(0, "POST /w/7 HTTP/1.1\r\nContent-Length: 0\r\n\r\n").getInputStream())
+                .startsWith("HTTP/1.1 404"));
+        assertTrue(read(send(0, "GET /metrics/load HTTP/1.1\r\n\r\n").getInputStream()).contains("\"depth\":0"));
+    }
+
+    @Test
+    void anAnswerIsCutAtItsByte() throws Exception {
+        fleet("cut-answers", "size = 11");
+        assertEquals("HTTP/1.1 20", new String(send(0, job("a")).getInputStream().readAllBytes(),
+                StandardCharsets.US_ASCII));
+    }
+
+    @Test
+    void anAnswerDripsAndIsWholeAtLast() throws Exception {
+        fleet("drip-answers", "size = 3");
+        long began = System.nanoTime();
+        String answer = read(send(0, job("a")).getInputStream());
+        assertTrue(answer.startsWith("HTTP/1.1 202"), answer);
+        assertTrue(System.nanoTime() - began >= (answer.length() - 1) * 3_000_000L * 9 / 10);
+    }
+
+    @Test
+    void callBacksComeBeforeTheAnswer() throws Exception {
+        fleet("early-news", "");
+        send(0, job("a"));
+        assertTrue(news.poll(10, TimeUnit.SECONDS).contains("started"));
+        assertTrue(read(call.getInputStream()).startsWith("HTTP/1.1 202"));
+    }
+
+    @Test
+    void callBacksComeTwice() throws Exception {
+        fleet("twice-news", "");
+        send(0, job("a"));
+        assertEquals(List.of("started", "started", "done"), told());
+    }
+
+    @Test
+    void callBacksComeInTheWrongOrder() throws Exception {
+        fleet("shuffled-news", "");
+        send(0, job("a"));
+        assertEquals(List.of("done"), told());
+        assertTrue(news.poll(10, TimeUnit.SECONDS).contains("started"));
+    }
+
+    @Test
+    void callBacksNeverCome() throws Exception {
+        fleet("no-news", "");
+        assertTrue(read(send(0, job("a")).getInputStream()).startsWith("HTTP/1.1 202"));
+        send(1, job("b"));
+        assertEquals(List.of("started", "done"), told());
+        assertEquals(0, news.size());
+    }
+
+    @Test
+    void aDeadProcessRefusesAndAVanishedMachineSaysNothing() throws Exception {
+        fleet("crash", "");
+        assertThrows(ConnectException.class, () -> send(0, job("a")));
+        assertTrue(read(send(1, job("a")).getInputStream()).startsWith("HTTP/1.1 202"));
+        end();
+        fleet("vanish", "");
+        assertThrows(SocketTimeoutException.class, () -> {
+            Socket socket = send(0, job("a"));
+            socket.setSoTimeout(200);
+            read(socket.getInputStream());
+        });
+    }
+
+    @Test
+    void aDrainIsToldOnTheWatch() throws Exception {
+        fleet("drain", "");
+        Socket watch = new Socket();
+        watch.connect(places.list(0), 1000);
+        watch.getOutputStream().write("GET /discovery/hosts?watch=1&from=1 HTTP/1.1\r\n\r\n".getBytes(
+                StandardCharsets.US_ASCII));
+        StringBuilder all = new StringBuilder();
+        while (all.indexOf("draining") < 0) {
+            all.append((char) watch.getInputStream().read());
+        }
+        watch.close();
+        assertTrue(all.indexOf("\"host\":\"r0\"") > 0, all.toString());
+        assertTrue(read(send(0, job("a")).getInputStream()).startsWith("HTTP/1.1 503"));
+    }
+}
