End a trouble on sockets by the hour it was set for

Cause: seen in experiments/stall.toml: half the jobs shed for ever after a stall of 2 s; the timer came a moment before its time, the weather then still said stalled, and no further turn followed. Change: conditions are taken by the turn's own time.

--- a/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
+++ b/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
@@ -143,7 +143,7 @@
             case MUTE -> list.mute(true);
             case UNMUTE -> list.mute(false);
             case KILL, REVIVE, WIRE -> { }  // the dispatchers' own; what is on the wire is looked up at each answer
-            default -> trouble.runners().forEach(i -> boxes.get(i).act(turn.act()));
+            default -> trouble.runners().forEach(i -> boxes.get(i).act(turn.act(), turn.at()));
         }
     }
 
@@ -193,10 +193,11 @@
             return origin.now().minus(turner.loop.clock());
         }
 
-        void act(Act act) {
+        void act(Act act, Duration at) {
             Duration now = origin.now();
             switch (act) {
-                case CONDITION -> model.condition(now, weather.condition(number, now.minus(start)));
+                // By the hour that it was set for: a timer may come a little before its time, and none would follow.
+                case CONDITION -> model.condition(now, weather.condition(number, at));
                 case CRASH -> {
                     gates.forEach(Gate::shut);
                     model.stop(now);
