--- a/rig/src/main/java/saltdale/rig/plan/Day.java
+++ b/rig/src/main/java/saltdale/rig/plan/Day.java
@@ -110,6 +110,7 @@
     public static Day read(Path file) {
         Sheet sheet = Sheet.read(file);
         Day day = new Day(sheet);
+        sheet.leave("face", "repeats", "quick_repeats", "cpus", "expect", "version", "sweep");  // an experiment's
         sheet.close();
         return day;
     }
--- a/rig/src/main/java/saltdale/rig/plan/Sheet.java
+++ b/rig/src/main/java/saltdale/rig/plan/Sheet.java
@@ -12,9 +12,13 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -215,8 +219,8 @@
     }
 
     /** The keys of this table, each with its list of plain values. */
-    public java.util.Map<String, List<Object>> lists() {
-        java.util.Map<String, List<Object>> all = new java.util.TreeMap<>();
+    public Map<String, List<Object>> lists() {
+        Map<String, List<Object>> all = new TreeMap<>();
         node.fieldNames().forEachRemaining(key -> {
             JsonNode found = take(key);
             if (!found.isArray() || found.isEmpty()) {
@@ -247,12 +251,17 @@
         return Duration.ofNanos(Math.round(Double.parseDouble(m.group(1)) * nanos));
     }
 
+    /** These keys are somebody else's: neither read nor unknown. */
+    public void leave(String... keys) {
+        read.addAll(List.of(keys));
+    }
+
     /** All has been read: guards against a key that is misspelt and so silently has no effect. */
     public void close() {
         node.fieldNames().forEachRemaining(key -> {
             if (!read.contains(key)) {
                 throw new Misread(place(key) + ": is no key that is known here"
-                        + (read.isEmpty() ? "" : "; known: " + String.join(", ", new java.util.TreeSet<>(read))));
+                        + (read.isEmpty() ? "" : "; known: " + String.join(", ", new TreeSet<>(read))));
             }
         });
         parts.forEach(Sheet::close);
@@ -285,7 +294,7 @@
         String[] steps = path.isEmpty() ? new String[0] : path.substring(0, path.length() - 1).split("\\.");
         int row = steps.length > 0 && steps[steps.length - 1].matches("\\d+")
                 ? Integer.parseInt(steps[steps.length - 1]) : 0;
-        String table = String.join(".", java.util.Arrays.stream(steps).filter(s -> !s.matches("\\d+")).toList());
+        String table = String.join(".", Arrays.stream(steps).filter(s -> !s.matches("\\d+")).toList());
         String open = "";
         int seen = -1;
         Pattern here = Pattern.compile("\\s*" + Pattern.quote(key) + "\\s*=.*");
