Begin ephemeral nodes: codec, tree with watches, membership, all without I/O

Need: other installations keep their boxes as ephemeral nodes; the dispatcher knows one kind of discovery.

--- /dev/null
+++ b/nodes/src/main/java/saltdale/nodes/membership/Box.java
@@ -0,0 +1,63 @@
+package saltdale.nodes.membership;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.function.Predicate;
+
+/**
+ * What a box says of itself in its node.
+ *
+ * @param dial numeric address and port
+ * @param kind of machine ({@code class} in the node)
+ * @param bornMillis when its process started, Unix time; 0 for long ago
+ */
+public record Box(String dial, String site, String kind, int block, double share, long bornMillis, boolean draining) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int MOST = 4096;  // bytes
+
+    /** Reads a node's data; null where it is none. A field that is not there has its least meaning. */
+    public static Box read(byte[] data) {
+        if (data == null || data.length == 0 || data.length > MOST) {
+            return null;
+        }
+        JsonNode node;
+        try {
+            node = JSON.readTree(data);
+        } catch (IOException e) {
+            return null;
+        }
+        if (node == null || !node.isObject() || !node.path("dial").isTextual()
+                || !node.path("dial").textValue().matches("[0-9a-fA-F.:\\[\\]]+:\\d{1,5}")
+                || !isOr(node, "site", JsonNode::isTextual) || !isOr(node, "class", JsonNode::isTextual)
+                || !isOr(node, "block", JsonNode::canConvertToInt) || !isOr(node, "share", JsonNode::isNumber)
+                || !isOr(node, "born_ms", JsonNode::canConvertToLong) || !isOr(node, "draining", JsonNode::isBoolean)) {
+            return null;
+        }
+        double share = node.path("share").asDouble(1);
+        long born = node.path("born_ms").asLong(0);
+        if (!(share > 0) || Double.isInfinite(share) || born < 0) {
+            return null;
+        }
+        return new Box(node.path("dial").textValue(), node.path("site").asText(""), node.path("class").asText(""),
+                node.path("block").asInt(0), share, born, node.path("draining").asBoolean(false));
+    }
+
+    private static boolean isOr(JsonNode node, String name, Predicate<JsonNode> wanted) {
+        return !node.has(name) || wanted.test(node.get(name));
+    }
+
+    /** The data of its node. */
+    public byte[] data() {
+        ObjectNode node = JSON.createObjectNode();
+        node.put("dial", dial).put("site", site).put("class", kind).put("block", block).put("share", share)
+                .put("born_ms", bornMillis).put("draining", draining);
+        try {
+            return JSON.writeValueAsBytes(node);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);  // plain fields can always be written
+        }
+    }
+}
--- /dev/null
+++ b/nodes/src/main/java/saltdale/nodes/tree/Tree.java
@@ -0,0 +1,307 @@
+package saltdale.nodes.tree;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import saltdale.nodes.wire.Event;
+import saltdale.nodes.wire.Fault;
+import saltdale.nodes.wire.Paths;
+import saltdale.nodes.wire.Stat;
+
+/**
+ * The nodes of a coordination service, without I/O or a clock. Each change has its number, the zxid, and either happens
+ * whole or not at all; what it is that happens is told as plain {@link Change}s, by which the same tree can be made again.
+ */
+public final class Tree {
+    /** One node's change, as a log keeps it. */
+    public record Change(long zxid, Kind kind, String path, byte[] data, long owner, long atMillis) {
+        public enum Kind { CREATE, DELETE, SET }
+    }
+
+    /** One step of a request that changes something; several are taken together or not at all. */
+    public record Step(Kind kind, String path, byte[] data, int version, boolean ephemeral, boolean sequential) {
+        public enum Kind { CREATE, DELETE, SET, CHECK }
+
+        public static Step create(String path, byte[] data, boolean ephemeral, boolean sequential) {
+            return new Step(Kind.CREATE, path, data, -1, ephemeral, sequential);
+        }
+
+        public static Step delete(String path, int version) {
+            return new Step(Kind.DELETE, path, null, version, false, false);
+        }
+
+        public static Step set(String path, byte[] data, int version) {
+            return new Step(Kind.SET, path, data, version, false, false);
+        }
+
+        public static Step check(String path, int version) {
+            return new Step(Kind.CHECK, path, null, version, false, false);
+        }
+    }
+
+    /** What became of a step: its fault, or the path that was created or the node as it is now. */
+    public record Result(Fault fault, String path, Stat stat) {
+    }
+
+    /** What became of all of them, and the events that follow. */
+    public record Taken(boolean done, List<Result> results, List<Change> changes, List<Event> events) {
+    }
+
+    private static final class Node {
+        byte[] data;
+        final long created;
+        final long createdAt;
+        final long owner;
+        long modified;
+        long modifiedAt;
+        long childrenChanged;
+        int version;
+        int childVersion;
+        final Set<String> children = new TreeSet<>();
+
+        Node(byte[] data, long zxid, long atMillis, long owner) {
+            this.data = data;
+            this.created = zxid;
+            this.createdAt = atMillis;
+            this.owner = owner;
+            modified = zxid;
+            modifiedAt = atMillis;
+            childrenChanged = zxid;
+        }
+
+        Stat stat() {
+            return new Stat(created, modified, createdAt, modifiedAt, version, childVersion, 0, owner,
+                    data == null ? 0 : data.length, children.size(), childrenChanged);
+        }
+    }
+
+    private final Map<String, Node> nodes = new HashMap<>();
+    private final Map<Long, Set<String>> ephemerals = new TreeMap<>();
+    private final int mostData;
+    private long zxid;
+
+    /** {@code mostData}: bytes that a node may hold. */
+    public Tree(int mostData) {
+        this.mostData = mostData;
+        nodes.put("/", new Node(new byte[0], 0, 0, 0));
+    }
+
+    public long zxid() {
+        return zxid;
+    }
+
+    public int size() {
+        return nodes.size();
+    }
+
+    // ---- Reading.
+
+    /** Null where there is no such node. */
+    public Stat stat(String path) {
+        Node node = nodes.get(path);
+        return node == null ? null : node.stat();
+    }
+
+    public byte[] data(String path) {
+        return nodes.get(path).data;
+    }
+
+    public List<String> children(String path) {
+        return List.copyOf(nodes.get(path).children);
+    }
+
+    /** The nodes that go with this session. */
+    public List<String> ephemerals(long session) {
+        return List.copyOf(ephemerals.getOrDefault(session, Set.of()));
+    }
+
+    // ---- Changing.
+
+    /** Takes all these steps as one change with one zxid, or none of them. */
+    public Taken take(List<Step> steps, long session, long atMillis) {
+        List<Result> results = new ArrayList<>();
+        List<Change> done = new ArrayList<>();
+        List<Event> events = new ArrayList<>();
+        List<Runnable> undo = new ArrayList<>();
+        long next = zxid + 1;
+        for (Step step : steps) {
+            Result result = one(step, session, next, atMillis, done, events, undo);
+            if (result.fault() != Fault.OK) {
+                for (int i = undo.size() - 1; i >= 0; i--) {
+                    undo.get(i).run();
+                }
+                int failed = results.size();
+                results.clear();
+                for (int i = 0; i < steps.size(); i++) {  // as the protocol tells it: those after it were not looked at
+                    results.add(i == failed ? result
+                            : new Result(i < failed ? Fault.OK : Fault.RUNTIME_INCONSISTENCY, null, null));
+                }
+                return new Taken(false, results, List.of(), List.of());
+            }
+            results.add(result);
+        }
+        zxid = done.isEmpty() ? zxid : next;
+        return new Taken(true, results, done, events);
+    }
+
+    private Result one(Step step, long session, long next, long atMillis, List<Change> done, List<Event> events,
+                       List<Runnable> undo) {
+        Fault fault = fault(step);
+        if (fault != Fault.OK) {
+            return new Result(fault, null, null);
+        }
+        switch (step.kind()) {
+            case CREATE -> {
+                Node parent = nodes.get(Paths.parent(step.path()));
+                String path = step.sequential() ? step.path() + String.format("%010d", parent.childVersion) : step.path();
+                if (nodes.containsKey(path)) {
+                    return new Result(Fault.NODE_EXISTS, null, null);
+                }
+                Change change = new Change(next, Change.Kind.CREATE, path, step.data(), step.ephemeral() ? session : 0,
+                        atMillis);
+                undo.add(create(change));
+                done.add(change);
+                events.add(new Event(Event.Kind.CREATED, path));
+                events.add(new Event(Event.Kind.CHILDREN_CHANGED, Paths.parent(path)));
+                return new Result(Fault.OK, path, nodes.get(path).stat());
+            }
+            case DELETE -> {
+                Change change = new Change(next, Change.Kind.DELETE, step.path(), null, 0, atMillis);
+                undo.add(delete(change));
+                done.add(change);
+                events.add(new Event(Event.Kind.DELETED, step.path()));
+                events.add(new Event(Event.Kind.CHILDREN_CHANGED, Paths.parent(step.path())));
+                return new Result(Fault.OK, step.path(), null);
+            }
+            case SET -> {
+                Change change = new Change(next, Change.Kind.SET, step.path(), step.data(), 0, atMillis);
+                undo.add(set(change));
+                done.add(change);
+                events.add(new Event(Event.Kind.DATA_CHANGED, step.path()));
+                return new Result(Fault.OK, step.path(), nodes.get(step.path()).stat());
+            }
+            default -> {
+                return new Result(Fault.OK, step.path(), null);
+            }
+        }
+    }
+
+    private Fault fault(Step step) {
+        if (Paths.fault(step.path()) != null && !step.sequential() || step.data() != null
+                && step.data().length > mostData) {
+            return Fault.BAD_ARGUMENTS;
+        }
+        if (step.kind() == Step.Kind.CREATE) {
+            if (Paths.fault(step.path() + (step.sequential() ? "0" : "")) != null || step.path().equals("/")) {
+                return Fault.BAD_ARGUMENTS;
+            }
+            Node parent = nodes.get(Paths.parent(step.path()));
+            return parent == null ? Fault.NO_NODE : parent.owner != 0 ? Fault.NO_CHILDREN_FOR_EPHEMERALS : Fault.OK;
+        }
+        Node node = nodes.get(step.path());
+        if (node == null) {
+            return Fault.NO_NODE;
+        } else if (step.version() != -1 && step.version() != node.version) {
+            return Fault.BAD_VERSION;
+        } else if (step.kind() == Step.Kind.DELETE) {
+            return step.path().equals("/") ? Fault.BAD_ARGUMENTS : node.children.isEmpty() ? Fault.OK : Fault.NOT_EMPTY;
+        }
+        return Fault.OK;
+    }
+
+    /** A session is over: its nodes go with it, as one change. */
+    public Taken end(long session, long atMillis) {
+        List<Step> steps = new ArrayList<>();
+        ephemerals(session).forEach(path -> steps.add(Step.delete(path, -1)));
+        return take(steps, session, atMillis);
+    }
+
+    /** Makes a change again, as a log has it. */
+    public void again(Change change) {
+        switch (change.kind()) {
+            case CREATE -> create(change);
+            case DELETE -> delete(change);
+            case SET -> set(change);
+        }
+        zxid = Math.max(zxid, change.zxid());
+    }
+
+    private Runnable create(Change c) {
+        Node parent = nodes.get(Paths.parent(c.path()));
+        long childrenChanged = parent.childrenChanged;
+        nodes.put(c.path(), new Node(c.data(), c.zxid(), c.atMillis(), c.owner()));
+        parent.children.add(Paths.name(c.path()));
+        parent.childVersion++;
+        parent.childrenChanged = c.zxid();
+        if (c.owner() != 0) {
+            ephemerals.computeIfAbsent(c.owner(), k -> new TreeSet<>()).add(c.path());
+        }
+        return () -> {
+            remove(c.path(), c.owner());
+            parent.childVersion--;
+            parent.childrenChanged = childrenChanged;
+        };
+    }
+
+    private void remove(String path, long owner) {
+        nodes.remove(path);
+        nodes.get(Paths.parent(path)).children.remove(Paths.name(path));
+        if (owner != 0) {
+            Set<String> its = ephemerals.get(owner);
+            its.remove(path);
+            if (its.isEmpty()) {
+                ephemerals.remove(owner);
+            }
+        }
+    }
+
+    private Runnable delete(Change c) {
+        Node node = nodes.get(c.path());
+        Node parent = nodes.get(Paths.parent(c.path()));
+        long childrenChanged = parent.childrenChanged;
+        remove(c.path(), node.owner);
+        parent.childVersion++;
+        parent.childrenChanged = c.zxid();
+        return () -> {
+            nodes.put(c.path(), node);
+            parent.children.add(Paths.name(c.path()));
+            parent.childVersion--;
+            parent.childrenChanged = childrenChanged;
+            if (node.owner != 0) {
+                ephemerals.computeIfAbsent(node.owner, k -> new TreeSet<>()).add(c.path());
+            }
+        };
+    }
+
+    private Runnable set(Change c) {
+        Node node = nodes.get(c.path());
+        byte[] data = node.data;
+        long modified = node.modified;
+        long modifiedAt = node.modifiedAt;
+        node.data = c.data();
+        node.modified = c.zxid();
+        node.modifiedAt = c.atMillis();
+        node.version++;
+        return () -> {
+            node.data = data;
+            node.modified = modified;
+            node.modifiedAt = modifiedAt;
+            node.version--;
+        };
+    }
+
+    /** All that can be read of it, for comparing two trees. */
+    @Override
+    public String toString() {
+        StringBuilder all = new StringBuilder();
+        new TreeMap<>(nodes).forEach((path, node) -> all.append(path).append(' ').append(Arrays.toString(node.data))
+                .append(' ').append(node.stat()).append('\n'));
+        return all.append(new HashSet<>(ephemerals.entrySet())).append(' ').append(zxid).toString();
+    }
+}
--- /dev/null
+++ b/nodes/src/main/java/saltdale/nodes/wire/Fault.java
@@ -0,0 +1,24 @@
+package saltdale.nodes.wire;
+
+/** The protocol's error codes, as values. */
+public enum Fault {
+    OK(0), SYSTEM_ERROR(-1), CONNECTION_LOSS(-4), MARSHALLING_ERROR(-5), UNIMPLEMENTED(-6), OPERATION_TIMEOUT(-7),
+    BAD_ARGUMENTS(-8), RUNTIME_INCONSISTENCY(-2), NO_NODE(-101), NO_AUTH(-102), BAD_VERSION(-103),
+    NO_CHILDREN_FOR_EPHEMERALS(-108), NODE_EXISTS(-110), NOT_EMPTY(-111), SESSION_EXPIRED(-112), INVALID_ACL(-114),
+    AUTH_FAILED(-115), SESSION_MOVED(-118), UNKNOWN(Integer.MIN_VALUE);
+
+    public final int code;
+
+    Fault(int code) {
+        this.code = code;
+    }
+
+    public static Fault of(int code) {
+        for (Fault each : values()) {
+            if (each.code == code) {
+                return each;
+            }
+        }
+        return UNKNOWN;
+    }
+}
--- /dev/null
+++ b/nodes/src/main/java/saltdale/nodes/wire/Paths.java
@@ -0,0 +1,45 @@
+package saltdale.nodes.wire;
+
+/** Paths of nodes: absolute, with no empty, "." or ".." part, no end in a slash, no control characters. */
+public final class Paths {
+    private Paths() {
+    }
+
+    /** What is wrong with a path; null where it is one. */
+    public static String fault(String path) {
+        if (path == null || path.isEmpty()) {
+            return "is empty";
+        } else if (path.charAt(0) != '/') {
+            return "does not begin with a slash";
+        } else if (path.length() == 1) {
+            return null;
+        } else if (path.endsWith("/")) {
+            return "ends in a slash";
+        }
+        for (String part : path.substring(1).split("/", -1)) {
+            if (part.isEmpty() || part.equals(".") || part.equals("..")) {
+                return "has the part \"" + part + "\"";
+            }
+        }
+        for (int i = 0; i < path.length(); i++) {
+            char c = path.charAt(i);
+            if (c < 0x20 || c >= 0x7f && c <= 0x9f || c >= 0xd800 && c <= 0xf8ff || c >= 0xfff0) {
+                return "holds a character that no path may hold";
+            }
+        }
+        return null;
+    }
+
+    public static String parent(String path) {
+        int slash = path.lastIndexOf('/');
+        return slash <= 0 ? "/" : path.substring(0, slash);
+    }
+
+    public static String name(String path) {
+        return path.substring(path.lastIndexOf('/') + 1);
+    }
+
+    public static String child(String parent, String name) {
+        return parent.equals("/") ? "/" + name : parent + "/" + name;
+    }
+}
--- /dev/null
+++ b/nodes/src/test/java/saltdale/nodes/WireTest.java
@@ -0,0 +1,111 @@
+package saltdale.nodes;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import saltdale.nodes.wire.Event;
+import saltdale.nodes.wire.Frames;
+import saltdale.nodes.wire.Malformed;
+import saltdale.nodes.wire.Paths;
+import saltdale.nodes.wire.RecordReader;
+import saltdale.nodes.wire.RecordWriter;
+import saltdale.nodes.wire.Stat;
+
+class WireTest {
+    // By hand: length 18; xid 5, getData (4), path of length 5 "/a/bc", no watch.
+    private static final byte[] GET_DATA = HexFormat.of().parseHex("00000012" + "00000005" + "00000004" + "00000005"
+            + "2f612f6263" + "00");
+
+    @Test
+    void aRequestIsWrittenAsTheProtocolHasIt() {
+        ByteBuffer framed = new RecordWriter().number(5).number(4).text("/a/bc").flag(false).framed();
+        assertArrayEquals(GET_DATA, framed.array());
+    }
+
+    @Test
+    void itIsReadFromEachSplitOfItsBytes() throws Malformed {
+        for (int split = 0; split <= GET_DATA.length; split++) {
+            List<byte[]> records = new ArrayList<>();
+            Frames frames = new Frames(1 << 20, records::add);
+            frames.take(ByteBuffer.wrap(GET_DATA, 0, split));
+            frames.take(ByteBuffer.wrap(GET_DATA, split, GET_DATA.length - split));
+            assertEquals(1, records.size());
+            RecordReader record = new RecordReader(records.get(0));
+            assertEquals(5, record.number());
+            assertEquals(4, record.number());
+            assertEquals("/a/bc", record.path());
+            assertEquals(false, record.flag());
+            record.end();
+        }
+    }
+
+    @Test
+    void aLengthBeyondTheBoundIsAFaultAndAllocatesNothing() {
+        Frames frames = new Frames(1 << 20, r -> { });
+        frames.take(ByteBuffer.wrap(HexFormat.of().parseHex("7fffffff00")));
+        assertNotNull(frames.fault());
+        Frames negative = new Frames(1 << 20, r -> { });
+        negative.take(ByteBuffer.wrap(HexFormat.of().parseHex("ffffffff")));
+        assertNotNull(negative.fault());
+        byte[] vector = HexFormat.of().parseHex("7fffffff");
+        assertThrows(Malformed.class, () -> new RecordReader(vector).texts());
+        assertThrows(Malformed.class, () -> new RecordReader(vector).buffer());
+    }
+
+    @Test
+    void aStatAndAnEventComeBackAsTheyWere() throws Malformed {
+        Stat stat = new Stat(1, 2, 3, 4, 5, 6, 7, -8, 9, 10, 11);
+        RecordWriter out = new RecordWriter();
+        stat.write(out);
+        Event event = new Event(Event.Kind.DELETED, "/x");
+        event.write(out);
+        RecordReader in = new RecordReader(out.record());
+        assertEquals(stat, Stat.read(in));
+        assertEquals(event, Event.read(in));
+        in.end();
+    }
+
+    @Test
+    void pathsAreCheckedAsTheProtocolHasThem() {
+        assertNull(Paths.fault("/"));
+        assertNull(Paths.fault("/a/b-0000000001"));
+        for (String bad : List.of("", "a", "/a/", "//", "/a/../b", "/.", "/a\u0000", "/a//b")) {
+            assertNotNull(Paths.fault(bad), bad);
+        }
+        assertEquals("/", Paths.parent("/a"));
+        assertEquals("/a", Paths.parent("/a/b"));
+    }
+
+    /** Whatever bytes come, in whatever pieces: nothing but a fault or a value, and no more held than came. */
+    @Property(tries = 2000, seed = "5")
+    void noBytesMakeItThrowOrHang(@ForAll @Size(max = 64) byte[] bytes, @ForAll int cut) {
+        List<byte[]> records = new ArrayList<>();
+        Frames frames = new Frames(4096, records::add);
+        int at = bytes.length == 0 ? 0 : Math.floorMod(cut, bytes.length);
+        frames.take(ByteBuffer.wrap(bytes, 0, at));
+        frames.take(ByteBuffer.wrap(bytes, at, bytes.length - at));
+        int held = records.stream().mapToInt(r -> r.length + 4).sum();
+        assertTrue(held <= bytes.length);
+        try {
+            RecordReader reader = new RecordReader(bytes);
+            reader.texts();
+            Stat.read(reader);
+            Event.read(reader);
+            reader.path();
+        } catch (Malformed e) {
+            assertNotNull(e.getMessage());
+        }
+    }
+}
--- a/rig/src/main/java/saltdale/rig/load/Trace.java
+++ b/rig/src/main/java/saltdale/rig/load/Trace.java
@@ -3,9 +3,6 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.IOException;
-import java.nio.charset.MalformedInputException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -37,13 +34,7 @@
     }
 
     public static Trace read(Path file) {
-        try {
-            return of(file.toString(), Files.readString(file));
-        } catch (MalformedInputException e) {
-            throw new Misread(file + ": is not UTF-8 text");
-        } catch (IOException e) {
-            throw new Misread(file + ": can't be read: " + e.getMessage());
-        }
+        return of(file.toString(), Sheet.text(file));
     }
 
     public static Trace of(String name, String text) {
--- a/rig/src/main/java/saltdale/rig/plan/Sheet.java
+++ b/rig/src/main/java/saltdale/rig/plan/Sheet.java
@@ -42,8 +42,13 @@
     }
 
     public static Sheet read(Path file) {
+        return of(file.toString(), text(file));
+    }
+
+    /** The text of a file that a user has named. */
+    public static String text(Path file) {
         try {
-            return of(file.toString(), Files.readString(file));
+            return Files.readString(file);
         } catch (MalformedInputException e) {
             throw new Misread(file + ": is not UTF-8 text");
         } catch (IOException e) {
