--- /dev/null
+++ b/nodes/src/main/java/saltdale/nodes/standin/Journal.java
@@ -0,0 +1,174 @@
+package saltdale.nodes.standin;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.CRC32C;
+import saltdale.nodes.tree.Tree.Change;
+import saltdale.nodes.wire.Malformed;
+import saltdale.nodes.wire.RecordReader;
+import saltdale.nodes.wire.RecordWriter;
+
+/**
+ * What a stand-in must still know after it was killed: each record with its length and CRC32C before it, synced before
+ * anything is acknowledged. Reading stops at the first record that is not whole: what comes after it was never told.
+ */
+public final class Journal implements AutoCloseable {
+    /** One acknowledged thing: changes that belong together, or a session's opening or end. */
+    public record Entry(Kind kind, List<Change> changes, long session, byte[] password, int timeoutMillis) {
+        public enum Kind { CHANGES, SESSION_OPENED, SESSION_CLOSED }
+
+        public static Entry changes(List<Change> changes) {
+            return new Entry(Kind.CHANGES, changes, 0, null, 0);
+        }
+
+        public static Entry opened(long session, byte[] password, int timeoutMillis) {
+            return new Entry(Kind.SESSION_OPENED, List.of(), session, password, timeoutMillis);
+        }
+
+        /** The end of a session, and of its nodes with it. */
+        public static Entry closed(long session, List<Change> changes) {
+            return new Entry(Kind.SESSION_CLOSED, changes, session, null, 0);
+        }
+
+        private byte[] record() {
+            RecordWriter out = new RecordWriter().number(kind.ordinal()).longNumber(session).buffer(password)
+                    .number(timeoutMillis).number(changes.size());
+            for (Change c : changes) {
+                out.longNumber(c.zxid()).number(c.kind().ordinal()).text(c.path()).buffer(c.data())
+                        .longNumber(c.owner()).longNumber(c.atMillis());
+            }
+            return out.record();
+        }
+
+        private static Entry read(byte[] record) throws Malformed {
+            RecordReader in = new RecordReader(record);
+            int kind = in.number();
+            if (kind < 0 || kind >= Kind.values().length) {
+                throw new Malformed("an entry of kind " + kind);
+            }
+            long session = in.longNumber();
+            byte[] password = in.buffer();
+            int timeout = in.number();
+            int count = in.count(36);
+            List<Change> changes = new ArrayList<>();
+            for (int i = 0; i < count; i++) {
+                long zxid = in.longNumber();
+                int what = in.number();
+                if (what < 0 || what >= Change.Kind.values().length) {
+                    throw new Malformed("a change of kind " + what);
+                }
+                changes.add(new Change(zxid, Change.Kind.values()[what], in.path(), in.buffer(), in.longNumber(),
+                        in.longNumber()));
+            }
+            in.end();
+            return new Entry(Kind.values()[kind], changes, session, password, timeout);
+        }
+    }
+
+    private static final int HEAD = 8;
+    private static final int MOST = 16 << 20;  // bytes of a record
+
+    private final Path file;
+    private FileChannel channel;
+    private long length;
+
+    private Journal(Path file, FileChannel channel, long length) {
+        this.file = file;
+        this.channel = channel;
+        this.length = length;
+    }
+
+    /** Opens it, or begins one; what was acknowledged is added to {@code entries}, what was not is cut off. */
+    public static Journal open(Path file, List<Entry> entries) throws IOException {
+        byte[] all = Files.exists(file) ? Files.readAllBytes(file) : new byte[0];
+        int good = read(all, entries);
+        FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        channel.truncate(good);
+        channel.position(good);
+        channel.force(true);
+        return new Journal(file, channel, good);
+    }
+
+    /** Reads all whole records; how many bytes they take. */
+    public static int read(byte[] all, List<Entry> entries) {
+        ByteBuffer in = ByteBuffer.wrap(all);
+        while (in.remaining() >= HEAD) {
+            int start = in.position();
+            int size = in.getInt();
+            int sum = in.getInt();
+            if (size < 0 || size > MOST || size > in.remaining()) {
+                return start;
+            }
+            byte[] record = new byte[size];
+            in.get(record);
+            try {
+                if (sum(record) != sum) {
+                    return start;
+                }
+                entries.add(Entry.read(record));
+            } catch (Malformed e) {
+                return start;
+            }
+        }
+        return in.position();
+    }
+
+    private static int sum(byte[] record) {
+        CRC32C crc = new CRC32C();
+        crc.update(record);
+        return (int) crc.getValue();
+    }
+
+    private static ByteBuffer framed(Entry entry) {
+        byte[] record = entry.record();
+        return ByteBuffer.allocate(HEAD + record.length).putInt(record.length).putInt(sum(record)).put(record).flip();
+    }
+
+    /** Once this has returned, the entry outlives a kill. */
+    public void add(Entry entry) throws IOException {
+        ByteBuffer bytes = framed(entry);
+        length += bytes.remaining();
+        while (bytes.hasRemaining()) {
+            channel.write(bytes);
+        }
+        channel.force(false);
+    }
+
+    public long length() {
+        return length;
+    }
+
+    /** Begins it anew with these entries alone, as a snapshot; killed at any moment, one of the two files is whole. */
+    public void replace(List<Entry> entries) throws IOException {
+        Path next = file.resolveSibling(file.getFileName() + ".next");
+        long size = 0;
+        try (FileChannel out = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+                StandardOpenOption.TRUNCATE_EXISTING)) {
+            for (Entry each : entries) {
+                ByteBuffer bytes = framed(each);
+                size += bytes.remaining();
+                while (bytes.hasRemaining()) {
+                    out.write(bytes);
+                }
+            }
+            out.force(true);
+        }
+        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        channel.close();
+        channel = FileChannel.open(file, StandardOpenOption.WRITE);
+        channel.position(size);
+        length = size;
+    }
+
+    @Override
+    public void close() throws IOException {
+        channel.close();
+    }
+}
