--- a/nodes/src/main/java/saltdale/nodes/standin/Sessions.java
+++ b/nodes/src/main/java/saltdale/nodes/standin/Sessions.java
@@ -91,6 +91,13 @@
         return live.size();
     }
 
+    /** All of them, as a snapshot keeps them. */
+    List<Journal.Entry> entries() {
+        List<Journal.Entry> all = new ArrayList<>();
+        live.values().forEach(s -> all.add(Journal.Entry.opened(s.id, s.password, (int) s.timeout.toMillis())));
+        return all;
+    }
+
     /** Those that have not been heard for their time-out, rounded up to whole ticks; they are over. */
     public List<Long> expired(Duration now) {
         List<Long> over = new ArrayList<>();
--- a/nodes/src/main/java/saltdale/nodes/tree/Tree.java
+++ b/nodes/src/main/java/saltdale/nodes/tree/Tree.java
@@ -222,6 +222,20 @@
         return take(steps, session, atMillis);
     }
 
+    /** Changes that make this tree's nodes and data, parents first; versions begin anew with them. */
+    public List<Change> changes() {
+        List<Change> all = new ArrayList<>();
+        new TreeMap<>(nodes).forEach((path, node) -> {
+            if (!path.equals("/")) {
+                all.add(new Change(node.created, Change.Kind.CREATE, path, node.data, node.owner, node.createdAt));
+            }
+        });
+        if (zxid > 0) {  // so that no number comes twice
+            all.add(new Change(zxid, Change.Kind.SET, "/", nodes.get("/").data, 0, 0));
+        }
+        return all;
+    }
+
     /** Makes a change again, as a log has it. */
     public void again(Change change) {
         switch (change.kind()) {
--- a/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
+++ b/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
@@ -372,10 +372,14 @@
             muted = false;
         }
 
+        /** It is back: what was open through its silence is reset, and it listens again if it had ceased to. */
         void renew() {
-            shut();
+            List.copyOf(open).forEach(Served::drop);
+            open.clear();
             try {
-                listen();
+                if (listener == null) {
+                    listen();
+                }
             } catch (IOException e) {
                 LOG.error("{} can't be listened at again: {}", at, e.getMessage());
             }
