Let receipts be known by each workload's own group; end dispatchers with their rig

Change: each runner has a memory with all, with its zone, with its cell; a crew ends at the exit of its process.

--- a/rig/src/main/java/saltdale/rig/experiment/Crew.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Crew.java
@@ -48,6 +48,8 @@
     private final String cpus;
     private final List<Member> members = new ArrayList<>();
     private volatile boolean ending;
+    // Guards against dispatchers that outlive a rig which was told to end.
+    private final Thread atExit = new Thread(this::destroy, "end of the crew");
 
     /** {@code cpus}: the cores that they share, as taskset names them; null for all. */
     public Crew(Day day, Version version, Places places, Path folder, Origin origin, Witness witness, String cpus) {
@@ -73,6 +75,7 @@
 
     /** Starts all of them, and returns when each answers that it is up. */
     public void begin() throws IOException {
+        Runtime.getRuntime().addShutdownHook(atExit);
         for (int i = 0; i < members.size(); i++) {
             Files.writeString(folder.resolve("config-" + i + ".json"), configuration(day, i));
             start(i);
@@ -229,10 +232,14 @@
         return all;
     }
 
-    @Override
-    public void close() {
+    private void destroy() {
         ending = true;
         members.stream().filter(m -> m.process != null).forEach(m -> m.process.destroy());
+    }
+
+    @Override
+    public void close() {
+        destroy();
         for (Member member : members) {
             try {
                 if (member.process != null && !member.process.waitFor(6, TimeUnit.SECONDS)) {
@@ -243,6 +250,11 @@
                 Thread.currentThread().interrupt();
             }
         }
+        try {
+            Runtime.getRuntime().removeShutdownHook(atExit);
+        } catch (IllegalStateException e) {
+            // it is on its way
+        }
     }
 
     /** What a dispatcher of this day is told, in the words of the platform. */
--- a/rig/src/main/java/saltdale/rig/fleet/RunnerModel.java
+++ b/rig/src/main/java/saltdale/rig/fleet/RunnerModel.java
@@ -42,7 +42,7 @@
     public final Make make;
     private final Told told;
     private final SplittableRandom chance;
-    private final Receipts receipts;
+    private final Receipts.Shared receipts;
     private final ColdBudget cold;
     private final List<Work> running = new ArrayList<>();
     private final List<Work> waiting = new ArrayList<>();
@@ -58,10 +58,11 @@
     private double rate;  // of each running job, seconds of work a second
 
     /**
+     * @param receipts null where it remembers none
      * @param tipMultiple what it is sent over {@code fall}, beyond this multiple of what it can do in that time, pushes
      *     it over while it is cold; 0 where nothing does
      */
-    public RunnerModel(Make make, Receipts receipts, double tipMultiple, Duration fall, SplittableRandom chance,
+    public RunnerModel(Make make, Receipts.Shared receipts, double tipMultiple, Duration fall, SplittableRandom chance,
                        Told told) {
         this.make = make;
         this.receipts = receipts;
@@ -200,7 +201,7 @@
             next.startedAt = now;
             next.tellAt = make.progressEvery().isZero() ? NEVER : now + make.progressEvery().toNanos();
             if (next.receipt != null && receipts != null
-                    && !receipts.isNew(next.receipt, next.workload.window, now)) {
+                    && !receipts.of(next.workload).isNew(next.receipt, next.workload.window, now)) {
                 next.repeat = true;
                 next.left = Math.min(next.left, QUICK_ERROR / 1e9);
             }
--- a/rig/src/main/java/saltdale/rig/simulate/Fleet.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Fleet.java
@@ -2,12 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import saltdale.model.LoadReport;
-import saltdale.model.Workload;
 import saltdale.rig.fleet.Receipts;
 import saltdale.rig.fleet.RunnerModel;
 import saltdale.rig.fleet.Weather.Act;
@@ -42,23 +39,13 @@
         this.sim = sim;
         Day day = sim.day;
         watch = new Watch(day.runners);
-        Map<String, Receipts> byGroup = new HashMap<>();
+        List<Receipts.Shared> receipts = Receipts.of(day);
         for (int i = 0; i < day.runners; i++) {
-            int number = i;
-            // One memory of receipts a cell; wider groups share theirs, as the widest that any workload names.
-            Receipts receipts = byGroup.computeIfAbsent(group(day, i), k -> new Receipts());
-            slots.add(new Slot(i, new RunnerModel(day.make(i), receipts, day.orders.tipMultiple, day.orders.fall,
-                    chance.split(), new News(number))));
+            slots.add(new Slot(i, new RunnerModel(day.make(i), receipts.get(i), day.orders.tipMultiple, day.orders.fall,
+                    chance.split(), new News(i))));
         }
     }
 
-    /** The runners that know each other's receipts: by the widest group that a workload of the day has. */
-    public static String group(Day day, int runner) {
-        boolean all = day.jobs.stream().anyMatch(j -> j.workload().group == Workload.Group.ALL);
-        boolean zone = day.jobs.stream().anyMatch(j -> j.workload().group == Workload.Group.ZONE);
-        return all ? "all" : zone ? day.zone(runner) : day.zone(runner) + day.cell(runner);
-    }
-
     public Watch watch() {
         return watch;
     }
--- a/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
+++ b/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
@@ -38,7 +38,6 @@
 import saltdale.rig.plan.Job;
 import saltdale.rig.plan.Trouble;
 import saltdale.rig.plan.Trouble.Kind;
-import saltdale.rig.simulate.Fleet;
 import saltdale.transport.Connection;
 import saltdale.transport.Listener;
 import saltdale.transport.Pool;
@@ -92,9 +91,9 @@
             callBacks.put(j, new Pool(turner.loop, turner.sockets, places.dispatcher(j), NEWS_LIMIT,
                     Duration.ofSeconds(2)));
         }
-        Map<String, Receipts> receipts = new HashMap<>();
+        List<Receipts.Shared> receipts = Receipts.of(day);
         for (int i = 0; i < day.runners; i++) {
-            boxes.add(new Box(i, receipts.computeIfAbsent(Fleet.group(day, i), k -> new Receipts())));
+            boxes.add(new Box(i, receipts.get(i)));
         }
     }
 
@@ -158,7 +157,7 @@
         private Timer wake;
         private Duration wakeAt;
 
-        Box(int number, Receipts receipts) throws IOException {
+        Box(int number, Receipts.Shared receipts) throws IOException {
             this.number = number;
             model = new RunnerModel(day.make(number), receipts, day.orders.tipMultiple, day.orders.fall,
                     chance.split(), this);
--- a/rig/src/test/java/saltdale/rig/fleet/RunnerModelProperties.java
+++ b/rig/src/test/java/saltdale/rig/fleet/RunnerModelProperties.java
@@ -24,7 +24,7 @@
         Map<String, Integer> ends = new HashMap<>();
         Set<String> back = new HashSet<>();
         Duration[] last = {Duration.ZERO};
-        RunnerModel runner = new RunnerModel(Make.plain(cores, 3).warming(0.3, Duration.ofSeconds(2)), new Receipts(),
+        RunnerModel runner = new RunnerModel(Make.plain(cores, 3).warming(0.3, Duration.ofSeconds(2)), new Receipts.Shared(new Receipts(), new Receipts(), new Receipts()),
                 2, Duration.ofSeconds(1), new SplittableRandom(1), new RunnerModel.Told() {
                     @Override
                     public void started(Duration at, Work work) {
--- a/rig/src/test/java/saltdale/rig/fleet/RunnerModelTest.java
+++ b/rig/src/test/java/saltdale/rig/fleet/RunnerModelTest.java
@@ -16,6 +16,8 @@
 class RunnerModelTest implements RunnerModel.Told {
     private final List<String> told = new ArrayList<>();
     private final Workload workload = new Workload();
+    private final Receipts all = new Receipts();
+    private Receipts.Shared receipts = new Receipts.Shared(all, new Receipts(), new Receipts());
 
     @Override
     public void started(Duration at, Work work) {
@@ -33,7 +35,7 @@
     }
 
     private RunnerModel runner(Make make) {
-        return new RunnerModel(make, new Receipts(), 2, Duration.ofSeconds(1), new SplittableRandom(1), this);
+        return new RunnerModel(make, receipts, 2, Duration.ofSeconds(1), new SplittableRandom(1), this);
     }
 
     private Work work(String id, double size) {
@@ -191,6 +193,24 @@
         assertFalse(late.isRepeat());
     }
 
+    @Test
+    void aReceiptIsKnownWithinItsWorkloadsGroupOnly() {
+        workload.window = Duration.ofSeconds(2);
+        workload.group = Workload.Group.CELL;
+        Work first = new Work("a", "r", workload, 0.1, 0);
+        Work elsewhere = new Work("a", "r", workload, 0.1, 0);
+        runner(Make.plain(1, 4)).offer(ms(0), first);
+        receipts = new Receipts.Shared(all, new Receipts(), new Receipts());
+        runner(Make.plain(1, 4)).offer(ms(200), elsewhere);
+        assertFalse(elsewhere.isRepeat());
+        workload.group = Workload.Group.ALL;
+        runner(Make.plain(1, 4)).offer(ms(0), new Work("b", "s", workload, 0.1, 0));
+        receipts = new Receipts.Shared(all, new Receipts(), new Receipts());
+        Work again = new Work("b", "s", workload, 0.1, 0);
+        runner(Make.plain(1, 4)).offer(ms(200), again);
+        assertTrue(again.isRepeat());
+    }
+
     @Test
     void aReportIsAsOldAsItsDelay() {
         RunnerModel runner = runner(Make.plain(1, 9).reporting(ms(100), ms(50)));
