--- a/nodes/src/test/java/saltdale/nodes/SessionTest.java
+++ b/nodes/src/test/java/saltdale/nodes/SessionTest.java
@@ -17,6 +17,9 @@
 import org.junit.jupiter.api.io.TempDir;
 import saltdale.nodes.client.NodeClient;
 import saltdale.nodes.client.NodeClient.State;
+import saltdale.nodes.list.Registration;
+import saltdale.nodes.membership.Box;
+import saltdale.nodes.list.NodeList;
 import saltdale.nodes.standin.NodeServer;
 import saltdale.nodes.tree.Tree.Step;
 import saltdale.nodes.wire.Event;
@@ -203,4 +206,65 @@
         untilSaid("later");
         assertEquals(State.SUSPENDED, client.state());
     }
+
+    private Registration box(int number) {
+        Registration box = new Registration(loop, sockets, at, Duration.ofMillis(600), new SplittableRandom(number),
+                "/live/boxes/b" + number, new Box("127.0.0.1:" + (7000 + number), "a", "m", 0, 1, 1000, false));
+        box.begin();
+        return box;
+    }
+
+    @Test
+    void aBoxHoldsOneNodeThroughAnExpiryOfItsSession() throws IOException {
+        serve();
+        Registration box = box(1);
+        until(box::isHeld);
+        long first = box.session();
+        server.expire(first);
+        until(() -> box.isHeld() && box.session() != first);
+        assertEquals(List.of("b1"), server.tree().children("/live/boxes"));
+        assertEquals(box.session(), server.tree().stat("/live/boxes/b1").owner());
+        assertEquals(2, box.made());
+    }
+
+    @Test
+    void aSecondProcessOfTheSameBoxWaitsForTheFirstOnesSessionToEnd() throws IOException {
+        serve();
+        Registration old = box(1);
+        until(old::isHeld);
+        Registration next = box(1);
+        until(() -> next.trouble() != null);
+        assertEquals(old.session(), server.tree().stat("/live/boxes/b1").owner());
+        server.expire(old.session());
+        old.close(() -> { });
+        until(next::isHeld);
+        assertEquals(next.session(), server.tree().stat("/live/boxes/b1").owner());
+    }
+
+    @Test
+    void theListHearsOfBoxesAsTheyComeDrainAndGoAndThroughARestart() throws IOException {
+        serve();
+        Registration one = box(1);
+        Registration two = box(2);
+        until(() -> one.isHeld() && two.isHeld());
+        NodeList list = new NodeList(loop, sockets, at, Duration.ofMillis(600), Duration.ofMillis(50), "/live/boxes",
+                new SplittableRandom(9), changes -> changes.forEach(c -> said.add(c.name() + " " + c.health())));
+        list.begin();
+        untilSaid("b1 UP");
+        untilSaid("b2 UP");
+        Registration three = box(3);
+        untilSaid("b3 UP");
+        three.says(new Box("127.0.0.1:7003", "a", "m", 0, 1, 1000, true));
+        untilSaid("b3 DRAINING");
+        two.close(() -> { });
+        untilSaid("b2 GONE");
+        closed();
+        int told = said.size();
+        serve();
+        until(() -> one.state() == State.CONNECTED && list.membership().trust(loop.now()) == 1);
+        Registration four = box(4);
+        untilSaid("b4 UP");
+        until(four::isHeld);
+        assertEquals(List.of("b4 UP"), said.subList(told, said.size()));  // the restart took nobody for gone
+    }
 }
--- /dev/null
+++ b/tools/src/main/java/saltdale/tools/Register.java
@@ -0,0 +1,85 @@
+package saltdale.tools;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import saltdale.nodes.list.Registration;
+import saltdale.nodes.membership.Box;
+import saltdale.nodes.wire.Paths;
+import saltdale.rig.plan.Misread;
+import saltdale.transport.Address;
+import saltdale.transport.Loop;
+import saltdale.transport.Sockets;
+import sun.misc.Signal;
+
+@Command(name = "register", mixinStandardHelpOptions = true,
+        description = {"Holds the ephemeral node of a box that can't itself, through expiries of its session.",
+            "SIGTERM takes the node away; SIGUSR2 marks it as draining."})
+final class Register implements Callable<Integer> {
+    private static final Logger LOG = LoggerFactory.getLogger(Register.class);
+
+    @Option(names = "--to", required = true, split = ",", paramLabel = "ADDRESS:PORT", description = "The service.")
+    private List<String> to;
+
+    @Option(names = "--node", required = true, paramLabel = "PATH", description = "Such as /boxes/b1.")
+    private String node;
+
+    @Option(names = "--dial", required = true, paramLabel = "ADDRESS:PORT", description = "Where the box listens.")
+    private String dial;
+
+    @Option(names = "--site", defaultValue = "")
+    private String site;
+
+    @Option(names = "--class", defaultValue = "", description = "Its kind of machine.")
+    private String kind;
+
+    @Option(names = "--block", defaultValue = "0")
+    private int block;
+
+    @Option(names = "--born", defaultValue = "0", description = "When its process started, Unix time in ms (0: long ago).")
+    private long born;
+
+    @Option(names = "--session", defaultValue = "6s", description = "Time-out to ask for (default: ${DEFAULT-VALUE}).")
+    private String session;
+
+    @Override
+    public Integer call() throws Exception {
+        if (Address.parse(dial) == null) {
+            throw new Misread("--dial: " + dial + " is no numeric address with a port");
+        } else if (Paths.fault(node) != null) {
+            throw new Misread("--node: a path that " + Paths.fault(node));
+        }
+        List<InetSocketAddress> servers = new ArrayList<>();
+        to.forEach(each -> servers.add(StandInNodes.loopback("--to", each)));
+        Loop loop = new Loop();
+        Box box = new Box(dial, site, kind, block, 1, born, false);
+        Registration registration = new Registration(loop, new Sockets(loop, 64), servers,
+                StandInNodes.span("--session", session), new SplittableRandom(System.nanoTime()), node, box);
+        registration.begin();
+        Signal.handle(new Signal("USR2"), s -> loop.fromOutside(() -> registration.says(
+                new Box(dial, site, kind, block, 1, born, true))));
+        for (String signal : List.of("TERM", "INT")) {
+            Signal.handle(new Signal(signal), s -> loop.fromOutside(() -> registration.close(loop::stop)));
+        }
+        say(loop, registration, null);
+        loop.run(() -> { });
+        return 0;
+    }
+
+    /** A line whenever it holds its node or does no more. */
+    private static void say(Loop loop, Registration registration, String last) {
+        String now = registration.isHeld() ? "its node is there" : registration.trouble() == null
+                ? "no node; the service is " + registration.state().name().toLowerCase() : registration.trouble();
+        if (!now.equals(last)) {
+            LOG.info("{}", now);
+        }
+        loop.after(Duration.ofMillis(100), () -> say(loop, registration, now));
+    }
+}
