--- a/tools/src/main/java/saltdale/tools/Main.java
+++ b/tools/src/main/java/saltdale/tools/Main.java
@@ -15,7 +15,7 @@
 @Command(name = "saltdale", mixinStandardHelpOptions = true, version = "saltdale 0.1.0-SNAPSHOT",
         description = "A dispatcher, and the rig that it is measured on.",
         footer = {"", "serve and simhost are the dispatcher itself: see README.md."},
-        subcommands = {Try.class, Experimenting.class, Simulate.class, StandIn.class, StandInNodes.class, Register.class, Load.class, Prove.class,
+        subcommands = {Try.class, Experimenting.class, Simulate.class, StandIn.class, StandInNodes.class, Register.class, MeasureNodes.class, Load.class, Prove.class,
                 Cost.class, Ceiling.class, Check.class, Reporting.class, AutoComplete.GenerateCompletion.class})
 public final class Main implements Callable<Integer> {
     @Option(names = "--log", scope = ScopeType.INHERIT, defaultValue = "text", paramLabel = "text|json",
--- /dev/null
+++ b/tools/src/main/java/saltdale/tools/MeasureNodes.java
@@ -0,0 +1,188 @@
+package saltdale.tools;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.function.BooleanSupplier;
+import org.HdrHistogram.Histogram;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import saltdale.nodes.client.NodeClient;
+import saltdale.nodes.list.NodeList;
+import saltdale.nodes.membership.Box;
+import saltdale.nodes.membership.Membership.Health;
+import saltdale.nodes.standin.NodeServer;
+import saltdale.nodes.wire.Event;
+import saltdale.nodes.wire.Fault;
+import saltdale.transport.Loop;
+import saltdale.transport.Sockets;
+
+@Command(name = "measure-nodes", mixinStandardHelpOptions = true,
+        description = "Boxes' goings, reads after a return, time and memory of the list from ephemeral nodes.")
+final class MeasureNodes implements Callable<Integer> {
+    private static final String PATH = "/boxes";
+    private static final Duration SESSION = Duration.ofSeconds(4);
+
+    @Option(names = "--nodes", defaultValue = "2000")
+    private int nodes;
+
+    @Option(names = "--lists", defaultValue = "20", description = "Dispatchers that follow them.")
+    private int lists;
+
+    @Option(names = "--goings", defaultValue = "10000")
+    private int goings;
+
+    @Option(names = "--port", defaultValue = "7420")
+    private int port;
+
+    private Loop loop;
+    private Sockets sockets;
+    private final Map<String, Long> goneAt = new HashMap<>();
+    private final Histogram late = new Histogram(60_000_000L, 3);
+    private final List<Integer> up = new ArrayList<>();
+    private long unexpected;
+
+    @Override
+    public Integer call() throws IOException {
+        loop = new Loop();
+        sockets = new Sockets(loop, 100_000);
+        InetSocketAddress at = new InetSocketAddress("127.0.0.1", port);
+        NodeServer server = new NodeServer(loop, sockets, Duration.ofMillis(200), null, System::currentTimeMillis, 1);
+        server.listen(at);
+        NodeClient boxes = client(at);
+        make(boxes, PATH, new byte[0], false);
+        for (int i = 0; i < nodes; i++) {
+            make(boxes, PATH + "/b" + i, data(i), true);
+        }
+        until(() -> pending == 0);
+        long began = System.nanoTime();
+        long heap = heap();
+        List<NodeList> all = new ArrayList<>();
+        for (int i = 0; i < lists; i++) {
+            int list = i;
+            up.add(0);
+            NodeList each = new NodeList(loop, sockets, List.of(at), SESSION, Duration.ofSeconds(1), PATH,
+                    new SplittableRandom(i), changes -> changes.forEach(c -> told(list, c.name(), c.health())));
+            all.add(each);
+            each.begin();
+        }
+        until(() -> up.stream().allMatch(n -> n == nodes));
+        System.out.printf(Locale.ROOT, "%d nodes known to %d lists after %.2f s; %.0f bytes of heap a node and list%n",
+                nodes, lists, (System.nanoTime() - began) / 1e9, (heap() - heap) / (double) nodes / lists);
+
+        long readsBefore = server.reads();
+        server.cut(at);
+        until(() -> all.stream().noneMatch(l -> l.membership().trust(loop.now()) == 1));
+        turn();
+        turn();
+        server.listen(at);
+        long returned = System.nanoTime();
+        until(() -> all.stream().allMatch(l -> l.membership().trust(loop.now()) == 1));
+        Histogram rate = new Histogram(10_000_000L, 3);
+        long[] last = {server.reads(), System.nanoTime()};
+        until(() -> {
+            if (System.nanoTime() - last[1] > 100_000_000L) {
+                rate.recordValue(Math.max(0, (server.reads() - last[0]) * 10));
+                last[0] = server.reads();
+                last[1] = System.nanoTime();
+            }
+            return server.reads() - readsBefore >= (long) nodes * lists;
+        });
+        System.out.printf(Locale.ROOT, "after a return: %.3f reads a node and list, %.1f s, at most %d reads/s, %d told "
+                + "gone%n", (server.reads() - readsBefore) / (double) nodes / lists,
+                (System.nanoTime() - returned) / 1e9, rate.getMaxValue(), unexpected);
+
+        until(() -> boxes.state() == NodeClient.State.CONNECTED);
+        for (int i = 0; i < goings; i++) {
+            String name = "b" + i % nodes;
+            long begin = System.nanoTime();
+            goneAt.put(name, begin);
+            pending++;
+            boxes.delete(PATH + "/" + name, -1, (fault, nothing) -> pending--);
+            until(() -> pending == 0 && up.get(lists - 1) == nodes - 1 && up.stream().allMatch(n -> n == nodes - 1));
+            goneAt.remove(name);
+            make(boxes, PATH + "/" + name, data(i % nodes), true);
+            until(() -> up.stream().allMatch(n -> n == nodes));
+        }
+        System.out.printf(Locale.ROOT, "%d goings to %d lists: told after %.2f ms at the median, %.2f ms at p99.9, %.2f ms "
+                + "at the most%n", goings, lists, late.getValueAtPercentile(50) / 1e3,
+                late.getValueAtPercentile(99.9) / 1e3, late.getMaxValue() / 1e3);
+        server.close();
+        return late.getMaxValue() <= 550_000 ? 0 : 1;
+    }
+
+    private int pending;
+
+    private void told(int list, String name, Health health) {
+        if (health == Health.UP) {
+            up.set(list, up.get(list) + 1);
+            return;
+        }
+        up.set(list, up.get(list) - 1);
+        Long began = goneAt.get(name);
+        if (began == null) {
+            unexpected++;
+        } else {
+            late.recordValue(Math.min(60_000_000L, (System.nanoTime() - began) / 1000));
+        }
+    }
+
+    private NodeClient client(InetSocketAddress at) throws IOException {
+        NodeClient client = new NodeClient(loop, sockets, List.of(at), SESSION, new SplittableRandom(5),
+                new NodeClient.Owner() {
+                    @Override
+                    public void state(NodeClient.State state) {
+                        // asked for below
+                    }
+
+                    @Override
+                    public void event(Event event) {
+                        // it watches nothing
+                    }
+                });
+        client.begin();
+        until(() -> client.state() == NodeClient.State.CONNECTED);
+        return client;
+    }
+
+    private void make(NodeClient client, String path, byte[] data, boolean ephemeral) {
+        pending++;
+        client.create(path, data, ephemeral, false, (fault, name) -> {
+            if (fault != Fault.OK) {
+                throw new IllegalStateException(path + ": " + fault);
+            }
+            pending--;
+        });
+    }
+
+    private static byte[] data(int number) {
+        return new Box("127.0.0.1:" + (1024 + number % 60_000), "a", "m", number % 8, 1, 1000, false).data();
+    }
+
+    private void turn() throws IOException {
+        loop.after(Duration.ofMillis(5), () -> { });
+        loop.turn(() -> { });
+    }
+
+    private void until(BooleanSupplier come) throws IOException {
+        long end = System.nanoTime() + 60_000_000_000L;
+        while (!come.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new IOException("what was waited for has not come within 60 s; up: " + up);
+            }
+            turn();
+        }
+    }
+
+    private static long heap() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+}
