--- a/daemon/src/main/java/saltdale/program/Log.java
+++ b/daemon/src/main/java/saltdale/program/Log.java
@@ -10,7 +10,10 @@
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
-/** The log: one line a record on standard error, with the trace of what was thrown; or an object of JSON a line. */
+/**
+ * The log: one line a record on standard error, with the trace of what was thrown; or an object of JSON a
+ * line.
+ */
 final class Log extends Formatter {
     private final boolean json;
 
@@ -47,7 +50,8 @@
     }
 
     private String object(LogRecord entry, String name) {
-        StringBuilder line = new StringBuilder().append("{\"at\":\"").append(Instant.ofEpochMilli(entry.getMillis()))
+        StringBuilder line =
+                new StringBuilder().append("{\"at\":\"").append(Instant.ofEpochMilli(entry.getMillis()))
                 .append("\",\"level\":\"").append(entry.getLevel()).append("\",\"from\":");
         quoted(line, name);
         quoted(line.append(",\"message\":"), formatMessage(entry));
--- a/nodes/src/main/java/saltdale/nodes/client/NodeClient.java
+++ b/nodes/src/main/java/saltdale/nodes/client/NodeClient.java
@@ -27,9 +27,9 @@
 import saltdale.transport.Timer;
 
 /**
- * A session with a coordination service, on the project's loop: no thread of its own and no call that waits. Answers come
- * strictly in the order of the requests. A request whose connection broke ends with a lost connection: it may have
- * happened.
+ * A session with a coordination service, on the project's loop: no thread of its own and no call that waits.
+ * Answers come strictly in the order of the requests. A request whose connection broke ends with a lost
+ * connection: it may have happened.
  */
 public final class NodeClient {
     /** How the service stands to us; SUSPENDED: not heard, and the session may yet live. */
@@ -148,11 +148,15 @@
             again();
             return;
         }
-        link.connection.send(new Opening.Asked(lastZxid, (int) asked.toMillis(), session, password, false).write().framed());
+        link.connection.send(new Opening.Asked(lastZxid, (int) asked.toMillis(), session, password,
+                false).write().framed());
         link.heard();
     }
 
-    /** Waits grow with each round of all servers, and are drawn, so that clients do not come back at one moment. */
+    /**
+     * Waits grow with each round of all servers, and are drawn, so that clients do not come back at one
+     * moment.
+     */
     private void again() {
         failures++;
         long most = LEAST_WAIT.toNanos() << Math.min(8, failures / servers.size());
@@ -185,7 +189,10 @@
         }
     }
 
-    /** Ends the session, and its nodes with it; {@code after} is called once the service has said so, or can't. */
+    /**
+     * Ends the session, and its nodes with it; {@code after} is called once the service has said so, or
+     * can't.
+     */
     public void close(Runnable after) {
         if (state != State.CONNECTED) {
             shut();
@@ -212,7 +219,8 @@
     // ---- Requests.
 
     public void create(String path, byte[] data, boolean ephemeral, boolean sequential, Back<String> back) {
-        RecordWriter body = new RecordWriter().text(path).buffer(data).number(1).number(ALL_RIGHTS).text("world")
+        RecordWriter body =
+                new RecordWriter().text(path).buffer(data).number(1).number(ALL_RIGHTS).text("world")
                 .text("anyone").number((ephemeral ? 1 : 0) | (sequential ? 2 : 0));
         send(Op.CREATE, body, RecordReader::text, back);
     }
@@ -236,7 +244,8 @@
     }
 
     public void data(String path, boolean watch, Back<Data> back) {
-        send(Op.GET_DATA, new RecordWriter().text(path).flag(watch), in -> new Data(in.buffer(), Stat.read(in)),
+        send(Op.GET_DATA, new RecordWriter().text(path).flag(watch), in -> new Data(in.buffer(),
+                Stat.read(in)),
                 watched(watch ? dataWatches : null, path, back));
     }
 
@@ -267,7 +276,8 @@
 
     private <T> void send(Op op, RecordWriter body, Decoder<T> decoder, Back<T> back) {
         if (state != State.CONNECTED) {
-            loop.soon(() -> back.done(state == State.EXPIRED ? Fault.SESSION_EXPIRED : Fault.CONNECTION_LOSS, null));
+            loop.soon(() -> back.done(state == State.EXPIRED ? Fault.SESSION_EXPIRED : Fault.CONNECTION_LOSS,
+                    null));
             return;
         }
         int xid = nextXid++;
@@ -291,7 +301,10 @@
             connection.send(all.putInt(8 + rest.length).putInt(xid).putInt(op.code).put(rest).flip());
         }
 
-        /** A service that says nothing for two thirds of the time-out is left for the next, while the session lives. */
+        /**
+         * A service that says nothing for two thirds of the time-out is left for the next, while the session
+         * lives.
+         */
         void heard() {
             if (silence != null) {
                 silence.cancel();
@@ -366,12 +379,14 @@
         }
 
         private void watchAgain() {
-            if (dataWatches.isEmpty() && existWatches.isEmpty() && childWatches.isEmpty() && persistent.isEmpty()
+            if (dataWatches.isEmpty() && existWatches.isEmpty() && childWatches.isEmpty()
+                    && persistent.isEmpty()
                     && recursive.isEmpty()) {
                 return;
             }
             RecordWriter body = new RecordWriter();
-            new Watching(lastZxid, List.copyOf(dataWatches), List.copyOf(existWatches), List.copyOf(childWatches),
+            new Watching(lastZxid, List.copyOf(dataWatches), List.copyOf(existWatches),
+                    List.copyOf(childWatches),
                     List.copyOf(persistent), List.copyOf(recursive)).write(body);
             send(Op.XID_SET_WATCHES, Op.SET_WATCHES2, body);
         }
--- a/nodes/src/main/java/saltdale/nodes/list/NodeList.java
+++ b/nodes/src/main/java/saltdale/nodes/list/NodeList.java
@@ -17,7 +17,10 @@
 import saltdale.transport.Loop;
 import saltdale.transport.Sockets;
 
-/** Reads the boxes' nodes below one path and follows them: what Membership decides of it is handed on as it comes. */
+/**
+ * Reads the boxes' nodes below one path and follows them: what Membership decides of it is handed on as it
+ * comes.
+ */
 public final class NodeList implements NodeClient.Owner {
     private static final Logger LOG = Logger.getLogger(NodeList.class.getName());
     private static final int READS_IN_FLIGHT = 32;
@@ -37,7 +40,8 @@
     private long reads;
 
     /** {@code spread}: over which dispatchers begin to read again after a reconnect. */
-    public NodeList(Loop loop, Sockets sockets, List<InetSocketAddress> servers, Duration timeout, Duration spread,
+    public NodeList(Loop loop, Sockets sockets, List<InetSocketAddress> servers, Duration timeout,
+            Duration spread,
                     String path, SplittableRandom chance, Consumer<List<Membership.Change>> taker) {
         this.loop = loop;
         this.path = path;
@@ -183,7 +187,8 @@
                     }
                     if (!membership.seen(loop.now(), name, data.data())
                             && membership.worthLogging(name, data.data())) {
-                        LOG.warning(() -> "node " + event.path() + " holds no box; what was known of it stands");
+                        LOG.warning(() -> "node " + event.path()
+                                + " holds no box; what was known of it stands");
                     }
                     hand();
                 }
--- a/nodes/src/main/java/saltdale/nodes/list/Registration.java
+++ b/nodes/src/main/java/saltdale/nodes/list/Registration.java
@@ -14,8 +14,8 @@
 import saltdale.transport.Sockets;
 
 /**
- * Holds a box's ephemeral node for as long as it runs: made again after each expiry, and never beside one that is there
- * already, whose session must be over first.
+ * Holds a box's ephemeral node for as long as it runs: made again after each expiry, and never beside one
+ * that is there already, whose session must be over first.
  */
 public final class Registration implements NodeClient.Owner {
     private static final Duration AGAIN = Duration.ofMillis(200);
@@ -118,7 +118,10 @@
         });
     }
 
-    /** A node is there: ours, if a create was answered into a broken connection; else its session must end first. */
+    /**
+     * A node is there: ours, if a create was answered into a broken connection; else its session must end
+     * first.
+     */
     private void look() {
         client.exists(path, true, (fault, stat) -> {
             if (fault == Fault.OK && stat.owner() == client.session()) {
--- a/nodes/src/main/java/saltdale/nodes/membership/Box.java
+++ b/nodes/src/main/java/saltdale/nodes/membership/Box.java
@@ -14,7 +14,8 @@
  * @param kind of machine ({@code class} in the node)
  * @param bornMillis when its process started, Unix time; 0 for long ago
  */
-public record Box(String dial, String site, String kind, int block, double share, long bornMillis, boolean draining) {
+public record Box(String dial, String site, String kind, int block, double share, long bornMillis,
+        boolean draining) {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MOST = 4096;  // bytes
 
@@ -33,7 +34,8 @@
                 || !node.path("dial").textValue().matches("[0-9a-fA-F.:\\[\\]]+:\\d{1,5}")
                 || !isOr(node, "site", JsonNode::isTextual) || !isOr(node, "class", JsonNode::isTextual)
                 || !isOr(node, "block", JsonNode::canConvertToInt) || !isOr(node, "share", JsonNode::isNumber)
-                || !isOr(node, "born_ms", JsonNode::canConvertToLong) || !isOr(node, "draining", JsonNode::isBoolean)) {
+                || !isOr(node, "born_ms", JsonNode::canConvertToLong) || !isOr(node, "draining",
+                        JsonNode::isBoolean)) {
             return null;
         }
         double share = node.path("share").asDouble(1);
@@ -41,7 +43,8 @@
         if (!(share > 0) || Double.isInfinite(share) || born < 0) {
             return null;
         }
-        return new Box(node.path("dial").textValue(), node.path("site").asText(""), node.path("class").asText(""),
+        return new Box(node.path("dial").textValue(), node.path("site").asText(""),
+                node.path("class").asText(""),
                 node.path("block").asInt(0), share, born, node.path("draining").asBoolean(false));
     }
 
--- a/nodes/src/main/java/saltdale/nodes/membership/Membership.java
+++ b/nodes/src/main/java/saltdale/nodes/membership/Membership.java
@@ -13,12 +13,13 @@
 import java.util.Set;
 
 /**
- * Turns what is seen of nodes into what a dispatcher is told of runners. No I/O, no clock, no sockets: it is told each
- * thing with its time, and hands out the changes that follow.
+ * Turns what is seen of nodes into what a dispatcher is told of runners. No I/O, no clock, no sockets: it is
+ * told each thing with its time, and hands out the changes that follow.
  *
- * <p>A vanished node is a runner gone, at once. One exception: where more than {@link Rules#massShare} of the nodes
- * vanish within one session time-out, that is taken for the service's own trouble: what vanishes then is held, while
- * probes say that it answers, for at most {@link Rules#hold}. A drain mark always counts at once.
+ * <p>A vanished node is a runner gone, at once. One exception: where more than {@link Rules#massShare} of the
+ * nodes vanish within one session time-out, that is taken for the service's own trouble: what vanishes then
+ * is held, while probes say that it answers, for at most {@link Rules#hold}. A drain mark always counts at
+ * once.
  */
 public final class Membership {
     /** What a dispatcher is to be told of a runner. */
@@ -33,15 +34,18 @@
 
     /**
      * @param sessionTimeout as negotiated with the service
-     * @param massShare of the nodes, over which their vanishing is the service's trouble; 1 switches the hold off
+     * @param massShare of the nodes, over which their vanishing is the service's trouble; 1 switches the hold
+     *     off
      * @param massLeast so few nodes are never a mass
      * @param hold how long a held runner is kept without its node, at the most
      * @param fade how long the list stands unheard until nothing of its trust is left
      */
-    public record Rules(Duration sessionTimeout, double massShare, int massLeast, Duration hold, Duration fade) {
+    public record Rules(Duration sessionTimeout, double massShare, int massLeast, Duration hold,
+            Duration fade) {
         /** Ratios to the session's time-out. */
         public static Rules of(Duration sessionTimeout) {
-            return new Rules(sessionTimeout, 0.3, 3, sessionTimeout.multipliedBy(3), sessionTimeout.multipliedBy(20));
+            return new Rules(sessionTimeout, 0.3, 3, sessionTimeout.multipliedBy(3),
+                    sessionTimeout.multipliedBy(20));
         }
     }
 
@@ -76,7 +80,8 @@
     // ---- What is seen.
 
     public void link(Duration now, Link next) {
-        // Silence says nothing about any box: neither a suspended link nor an expired session changes an entry.
+        // Silence says nothing about any box: neither a suspended link nor an expired session changes an
+        // entry.
         if (link == Link.CONNECTED && next != Link.CONNECTED) {
             heardAt = now;
         }
@@ -141,7 +146,8 @@
             masses++;
             // Those of the same wave that were told gone are held with the rest, unless they were draining.
             entries.forEach((each, e) -> {
-                if (e != entry && !e.present && e.heldSince == null && e.toldHealth == Health.GONE && !e.box.draining()) {
+                if (e != entry && !e.present && e.heldSince == null && e.toldHealth == Health.GONE
+                        && !e.box.draining()) {
                     hold(now, each, e);
                 }
             });
@@ -187,7 +193,8 @@
     // ---- What follows.
 
     private boolean isMass() {
-        long known = entries.values().stream().filter(e -> e.present || e.heldSince != null).count() + goings.size();
+        long known = entries.values().stream().filter(e -> e.present || e.heldSince != null).count()
+                + goings.size();
         return goings.size() >= rules.massLeast && goings.size() > rules.massShare * known;
     }
 
@@ -225,7 +232,10 @@
         return all;
     }
 
-    /** The held runners that are to be probed, since no answer of theirs is known yet or it is to be asked again. */
+    /**
+     * The held runners that are to be probed, since no answer of theirs is known yet or it is to be asked
+     * again.
+     */
     public List<String> toProbe() {
         List<String> all = new ArrayList<>();
         entries.forEach((name, entry) -> {
--- a/nodes/src/main/java/saltdale/nodes/standin/Journal.java
+++ b/nodes/src/main/java/saltdale/nodes/standin/Journal.java
@@ -16,8 +16,9 @@
 import saltdale.nodes.wire.RecordWriter;
 
 /**
- * What a stand-in must still know after it was killed: each record with its length and CRC32C before it, synced before
- * anything is acknowledged. Reading stops at the first record that is not whole: what comes after it was never told.
+ * What a stand-in must still know after it was killed: each record with its length and CRC32C before it,
+ * synced before anything is acknowledged. Reading stops at the first record that is not whole: what comes
+ * after it was never told.
  */
 public final class Journal implements AutoCloseable {
     /** One acknowledged thing: changes that belong together, or a session's opening or end. */
@@ -64,7 +65,8 @@
                 if (what < 0 || what >= Change.Kind.values().length) {
                     throw new Malformed("a change of kind " + what);
                 }
-                changes.add(new Change(zxid, Change.Kind.values()[what], in.path(), in.buffer(), in.longNumber(),
+                changes.add(new Change(zxid, Change.Kind.values()[what], in.path(), in.buffer(),
+                        in.longNumber(),
                         in.longNumber()));
             }
             in.end();
@@ -85,7 +87,9 @@
         this.length = length;
     }
 
-    /** Opens it, or begins one; what was acknowledged is added to {@code entries}, what was not is cut off. */
+    /**
+     * Opens it, or begins one; what was acknowledged is added to {@code entries}, what was not is cut off.
+     */
     public static Journal open(Path file, List<Entry> entries) throws IOException {
         byte[] all = Files.exists(file) ? Files.readAllBytes(file) : new byte[0];
         int good = read(all, entries);
@@ -128,7 +132,8 @@
 
     private static ByteBuffer framed(Entry entry) {
         byte[] record = entry.record();
-        return ByteBuffer.allocate(HEAD + record.length).putInt(record.length).putInt(sum(record)).put(record).flip();
+        return ByteBuffer.allocate(HEAD
+                + record.length).putInt(record.length).putInt(sum(record)).put(record).flip();
     }
 
     /** Once this has returned, the entry outlives a kill. */
@@ -145,7 +150,10 @@
         return length;
     }
 
-    /** Begins it anew with these entries alone, as a snapshot; killed at any moment, one of the two files is whole. */
+    /**
+     * Begins it anew with these entries alone, as a snapshot; killed at any moment, one of the two files is
+     * whole.
+     */
     public void replace(List<Entry> entries) throws IOException {
         Path next = file.resolveSibling(file.getFileName() + ".next");
         long size = 0;
--- a/nodes/src/main/java/saltdale/nodes/standin/NodeServer.java
+++ b/nodes/src/main/java/saltdale/nodes/standin/NodeServer.java
@@ -34,8 +34,9 @@
 import saltdale.transport.Sockets;
 
 /**
- * A stand-in for a coordination service, on the project's loop: one tree behind one or several addresses, so that a
- * client can move between them. There is no consensus: it is one process, and what it says it keeps, it keeps in one log.
+ * A stand-in for a coordination service, on the project's loop: one tree behind one or several addresses, so
+ * that a client can move between them. There is no consensus: it is one process, and what it says it keeps,
+ * it keeps in one log.
  */
 public final class NodeServer {
     private static final int MOST_RECORD = 1 << 20;
@@ -305,7 +306,8 @@
                     if (mode == 0 || mode == 1) {
                         watches.add(mode == 0 ? Watches.Kind.PERSISTENT : Watches.Kind.RECURSIVE, path, this);
                     }
-                    send(reply(xid, tree.zxid(), mode == 0 || mode == 1 ? Fault.OK : Fault.BAD_ARGUMENTS).number(0));
+                    send(reply(xid, tree.zxid(), mode == 0 || mode == 1 ? Fault.OK
+                            : Fault.BAD_ARGUMENTS).number(0));
                 }
                 default -> send(reply(xid, tree.zxid(), Fault.UNIMPLEMENTED));
             }
@@ -403,7 +405,8 @@
             reads++;
             Stat stat = tree.stat(path);
             if (watch && (stat != null || op == Op.EXISTS)) {
-                watches.add(op == Op.EXISTS || op == Op.GET_DATA ? Watches.Kind.DATA : Watches.Kind.CHILDREN, path, this);
+                watches.add(op == Op.EXISTS || op == Op.GET_DATA ? Watches.Kind.DATA : Watches.Kind.CHILDREN,
+                        path, this);
             }
             if (stat == null) {
                 send(reply(xid, tree.zxid(), Fault.NO_NODE));
--- a/nodes/src/main/java/saltdale/nodes/standin/Sessions.java
+++ b/nodes/src/main/java/saltdale/nodes/standin/Sessions.java
@@ -8,7 +8,9 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 
-/** The sessions of a stand-in: who has one, until when it lives unheard. Told the time; time-outs go by ticks. */
+/**
+ * The sessions of a stand-in: who has one, until when it lives unheard. Told the time; time-outs go by ticks.
+ */
 public final class Sessions {
     /** One session; {@code heardAt} is when its client last said anything. */
     public static final class Session {
@@ -94,7 +96,8 @@
     /** All of them, as a snapshot keeps them. */
     List<Journal.Entry> entries() {
         List<Journal.Entry> all = new ArrayList<>();
-        live.values().forEach(s -> all.add(Journal.Entry.opened(s.id, s.password, (int) s.timeout.toMillis())));
+        live.values().forEach(s -> all.add(Journal.Entry.opened(s.id, s.password,
+                (int) s.timeout.toMillis())));
         return all;
     }
 
--- a/nodes/src/main/java/saltdale/nodes/tree/Tree.java
+++ b/nodes/src/main/java/saltdale/nodes/tree/Tree.java
@@ -15,8 +15,9 @@
 import saltdale.nodes.wire.Stat;
 
 /**
- * The nodes of a coordination service, without I/O or a clock. Each change has its number, the zxid, and either happens
- * whole or not at all; what it is that happens is told as plain {@link Change}s, by which the same tree can be made again.
+ * The nodes of a coordination service, without I/O or a clock. Each change has its number, the zxid, and
+ * either happens whole or not at all; what it is that happens is told as plain {@link Change}s, by which the
+ * same tree can be made again.
  */
 public final class Tree {
     /** One node's change, as a log keeps it. */
@@ -25,7 +26,8 @@
     }
 
     /** One step of a request that changes something; several are taken together or not at all. */
-    public record Step(Kind kind, String path, byte[] data, int version, boolean ephemeral, boolean sequential) {
+    public record Step(Kind kind, String path, byte[] data, int version, boolean ephemeral,
+            boolean sequential) {
         public enum Kind { CREATE, DELETE, SET, CHECK }
 
         public static Step create(String path, byte[] data, boolean ephemeral, boolean sequential) {
@@ -138,7 +140,8 @@
                 }
                 int failed = results.size();
                 results.clear();
-                for (int i = 0; i < steps.size(); i++) {  // as the protocol tells it: those after it were not looked at
+                // as the protocol tells it: those after it were not looked at
+                for (int i = 0; i < steps.size(); i++) {
                     results.add(i == failed ? result
                             : new Result(i < failed ? Fault.OK : Fault.RUNTIME_INCONSISTENCY, null, null));
                 }
@@ -150,7 +153,8 @@
         return new Taken(true, results, done, events);
     }
 
-    private Result one(Step step, long session, long next, long atMillis, List<Change> done, List<Event> events,
+    private Result one(Step step, long session, long next, long atMillis, List<Change> done,
+            List<Event> events,
                        List<Runnable> undo) {
         Fault fault = fault(step);
         if (fault != Fault.OK) {
@@ -159,11 +163,13 @@
         switch (step.kind()) {
             case CREATE -> {
                 Node parent = nodes.get(Paths.parent(step.path()));
-                String path = step.sequential() ? step.path() + String.format("%010d", parent.childVersion) : step.path();
+                String path = step.sequential() ? step.path() + String.format("%010d", parent.childVersion)
+                        : step.path();
                 if (nodes.containsKey(path)) {
                     return new Result(Fault.NODE_EXISTS, null, null);
                 }
-                Change change = new Change(next, Change.Kind.CREATE, path, step.data(), step.ephemeral() ? session : 0,
+                Change change = new Change(next, Change.Kind.CREATE, path, step.data(), step.ephemeral()
+                        ? session : 0,
                         atMillis);
                 undo.add(create(change));
                 done.add(change);
@@ -198,11 +204,13 @@
             return Fault.BAD_ARGUMENTS;
         }
         if (step.kind() == Step.Kind.CREATE) {
-            if (Paths.fault(step.path() + (step.sequential() ? "0" : "")) != null || step.path().equals("/")) {
+            if (Paths.fault(step.path() + (step.sequential() ? "0" : "")) != null
+                    || step.path().equals("/")) {
                 return Fault.BAD_ARGUMENTS;
             }
             Node parent = nodes.get(Paths.parent(step.path()));
-            return parent == null ? Fault.NO_NODE : parent.owner != 0 ? Fault.NO_CHILDREN_FOR_EPHEMERALS : Fault.OK;
+            return parent == null ? Fault.NO_NODE : parent.owner != 0 ? Fault.NO_CHILDREN_FOR_EPHEMERALS
+                    : Fault.OK;
         }
         Node node = nodes.get(step.path());
         if (node == null) {
@@ -210,7 +218,8 @@
         } else if (step.version() != -1 && step.version() != node.version) {
             return Fault.BAD_VERSION;
         } else if (step.kind() == Step.Kind.DELETE) {
-            return step.path().equals("/") ? Fault.BAD_ARGUMENTS : node.children.isEmpty() ? Fault.OK : Fault.NOT_EMPTY;
+            return step.path().equals("/") ? Fault.BAD_ARGUMENTS : node.children.isEmpty() ? Fault.OK
+                    : Fault.NOT_EMPTY;
         }
         return Fault.OK;
     }
@@ -227,7 +236,8 @@
         List<Change> all = new ArrayList<>();
         new TreeMap<>(nodes).forEach((path, node) -> {
             if (!path.equals("/")) {
-                all.add(new Change(node.created, Change.Kind.CREATE, path, node.data, node.owner, node.createdAt));
+                all.add(new Change(node.created, Change.Kind.CREATE, path, node.data, node.owner,
+                        node.createdAt));
             }
         });
         if (zxid > 0) {  // so that no number comes twice
@@ -314,7 +324,8 @@
     @Override
     public String toString() {
         StringBuilder all = new StringBuilder();
-        new TreeMap<>(nodes).forEach((path, node) -> all.append(path).append(' ').append(Arrays.toString(node.data))
+        new TreeMap<>(nodes).forEach((path,
+                node) -> all.append(path).append(' ').append(Arrays.toString(node.data))
                 .append(' ').append(node.stat()).append('\n'));
         return all.append(new HashSet<>(ephemerals.entrySet())).append(' ').append(zxid).toString();
     }
--- a/nodes/src/main/java/saltdale/nodes/tree/Watches.java
+++ b/nodes/src/main/java/saltdale/nodes/tree/Watches.java
@@ -11,9 +11,9 @@
 import saltdale.nodes.wire.Paths;
 
 /**
- * Who is to be told of what. A watch on a node's data or its being there is told of its creation, change and end; one on
- * its children of theirs and of its end. One-time watches are told once; persistent ones stay, recursive ones hear of all
- * below, but not of children's changing as such.
+ * Who is to be told of what. A watch on a node's data or its being there is told of its creation, change and
+ * end; one on its children of theirs and of its end. One-time watches are told once; persistent ones stay,
+ * recursive ones hear of all below, but not of children's changing as such.
  */
 public final class Watches<W> {
     /** What a watch is on. */
--- a/nodes/src/main/java/saltdale/nodes/wire/Opening.java
+++ b/nodes/src/main/java/saltdale/nodes/wire/Opening.java
@@ -2,7 +2,9 @@
 
 /** The first record of each side: asking for a session, new or to be resumed, and what was granted. */
 public final class Opening {
-    /** {@code session} 0 asks for a new one; {@code lastZxid} is the newest change that the client has seen. */
+    /**
+     * {@code session} 0 asks for a new one; {@code lastZxid} is the newest change that the client has seen.
+     */
     public record Asked(long lastZxid, int timeoutMillis, long session, byte[] password, boolean readOnly) {
         public RecordWriter write() {
             return new RecordWriter().number(0).longNumber(lastZxid).number(timeoutMillis).longNumber(session)
--- a/nodes/src/main/java/saltdale/nodes/wire/RecordReader.java
+++ b/nodes/src/main/java/saltdale/nodes/wire/RecordReader.java
@@ -9,8 +9,8 @@
 import java.util.List;
 
 /**
- * Reads the fields of one record: big-endian numbers, and texts, buffers and vectors with their length before them.
- * Nothing is allocated by a length that the record cannot hold.
+ * Reads the fields of one record: big-endian numbers, and texts, buffers and vectors with their length before
+ * them. Nothing is allocated by a length that the record cannot hold.
  */
 public final class RecordReader {
     private final ByteBuffer bytes;
--- a/nodes/src/main/java/saltdale/nodes/wire/Watching.java
+++ b/nodes/src/main/java/saltdale/nodes/wire/Watching.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 
-/** The watches that a client asks for again after a reconnect: what has changed since {@code zxid} is told at once. */
+/**
+ * The watches that a client asks for again after a reconnect: what has changed since {@code zxid} is told at
+ * once.
+ */
 public record Watching(long zxid, List<String> data, List<String> exist, List<String> children,
                        List<String> persistent, List<String> recursive) {
     public void write(RecordWriter to) {
--- a/nodes/src/test/java/saltdale/nodes/JournalTest.java
+++ b/nodes/src/test/java/saltdale/nodes/JournalTest.java
@@ -33,7 +33,8 @@
         try (Journal journal = Journal.open(file, new ArrayList<>())) {
             for (int i = 0; i < 30; i++) {
                 Tree.Taken taken = tree.take(i % 7 == 6 ? List.of(Step.set("/n" + (i - 1), new byte[i], -1),
-                        Step.delete("/n" + (i - 2), -1)) : List.of(Step.create("/n" + i, new byte[i], i % 2 == 0, false)), 5, i);
+                        Step.delete("/n" + (i - 2), -1))
+                                : List.of(Step.create("/n" + i, new byte[i], i % 2 == 0, false)), 5, i);
                 assertTrue(taken.done());
                 journal.add(Entry.changes(taken.changes()));
                 after.add(tree.toString());
--- a/nodes/src/test/java/saltdale/nodes/MembershipTest.java
+++ b/nodes/src/test/java/saltdale/nodes/MembershipTest.java
@@ -90,7 +90,8 @@
         known(10);
         IntStream.range(0, 5).forEach(i -> membership.vanished(at(100 + i), "n" + i));
         assertTrue(membership.isMassVanishing());
-        // The first ones went before it could be told for a mass; all of the wave stand as draining until probed.
+        // The first ones went before it could be told for a mass; all of the wave stand as draining until
+        // probed.
         assertEquals(List.of("n0 GONE", "n1 GONE", "n2 GONE", "n0 DRAINING", "n1 DRAINING", "n2 DRAINING",
                 "n3 DRAINING", "n4 DRAINING"), told());
         assertEquals(List.of("n0", "n1", "n2", "n3", "n4"), membership.toProbe());
@@ -124,13 +125,17 @@
         assertEquals(1, membership.bad());
         assertTrue(membership.worthLogging("n1", bad));
         assertFalse(membership.worthLogging("n1", bad));
-        for (String each : List.of("", "[]", "{}", "{\"dial\":\"host:1\"}", "{\"dial\":\"1.2.3.4:5\",\"share\":-1}",
+        for (String each : List.of("", "[]", "{}", "{\"dial\":\"host:1\"}",
+                "{\"dial\":\"1.2.3.4:5\",\"share\":-1}",
                 "{\"dial\":\"1.2.3.4:5\",\"born_ms\":\"x\"}", "{\"dial\":\"1.2.3.4:5\",\"draining\":1}")) {
             assertNull(Box.read(each.getBytes(StandardCharsets.UTF_8)), each);
         }
     }
 
-    /** Whatever comes in whatever order: what was told last of a node agrees with it, and a drain is never told as up. */
+    /**
+     * Whatever comes in whatever order: what was told last of a node agrees with it, and a drain is never
+     * told as up.
+     */
     @Property(tries = 500, seed = "3")
     void whatIsToldAgreesWithTheNodes(@ForAll @Size(max = 200) int[] deeds) {
         Membership each = new Membership(Rules.of(Duration.ofSeconds(2)));
--- a/nodes/src/test/java/saltdale/nodes/SessionTest.java
+++ b/nodes/src/test/java/saltdale/nodes/SessionTest.java
@@ -126,7 +126,8 @@
         List<Integer> order = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
             int number = i;
-            client.set("/a", new byte[] {(byte) i}, i, (fault, stat) -> order.add(stat.version() - 1 == number ? number : -1));
+            client.set("/a", new byte[] {(byte) i}, i, (fault, stat) -> order.add(stat.version() - 1 == number
+                    ? number : -1));
         }
         until(() -> order.size() == 200);
         for (int i = 0; i < 200; i++) {
@@ -208,8 +209,10 @@
     }
 
     private Registration box(int number) {
-        Registration box = new Registration(loop, sockets, at, Duration.ofMillis(600), new SplittableRandom(number),
-                "/live/boxes/b" + number, new Box("127.0.0.1:" + (7000 + number), "a", "m", 0, 1, 1000, false));
+        Registration box = new Registration(loop, sockets, at, Duration.ofMillis(600),
+                new SplittableRandom(number),
+                "/live/boxes/b" + number, new Box("127.0.0.1:" + (7000 + number), "a", "m", 0, 1, 1000,
+                        false));
         box.begin();
         return box;
     }
@@ -247,8 +250,10 @@
         Registration one = box(1);
         Registration two = box(2);
         until(() -> one.isHeld() && two.isHeld());
-        NodeList list = new NodeList(loop, sockets, at, Duration.ofMillis(600), Duration.ofMillis(50), "/live/boxes",
-                new SplittableRandom(9), changes -> changes.forEach(c -> said.add(c.name() + " " + c.health())));
+        NodeList list = new NodeList(loop, sockets, at, Duration.ofMillis(600), Duration.ofMillis(50),
+                "/live/boxes",
+                new SplittableRandom(9), changes -> changes.forEach(c -> said.add(c.name() + " "
+                        + c.health())));
         list.begin();
         untilSaid("b1 UP");
         untilSaid("b2 UP");
--- a/nodes/src/test/java/saltdale/nodes/TreeTest.java
+++ b/nodes/src/test/java/saltdale/nodes/TreeTest.java
@@ -47,7 +47,8 @@
         take(Step.create("/a", null, false, false));
         assertEquals("/a/n-0000000000", take(Step.create("/a/n-", null, true, true)).results().get(0).path());
         assertEquals("/a/n-0000000001", take(Step.create("/a/n-", null, true, true)).results().get(0).path());
-        assertEquals(Fault.NO_CHILDREN_FOR_EPHEMERALS, fault(Step.create("/a/n-0000000000/x", null, false, false)));
+        assertEquals(Fault.NO_CHILDREN_FOR_EPHEMERALS,
+                fault(Step.create("/a/n-0000000000/x", null, false, false)));
         Tree.Taken end = tree.end(7, 2000);
         assertEquals(2, end.changes().size());
         assertEquals(List.of(), tree.children("/a"));
@@ -67,7 +68,9 @@
         assertEquals(List.of(), taken.events());
     }
 
-    /** Whatever is asked: a change that fails leaves no trace, and the changes alone make the same tree again. */
+    /**
+     * Whatever is asked: a change that fails leaves no trace, and the changes alone make the same tree again.
+     */
     @Property(tries = 300, seed = "11")
     void theChangesMakeTheSameTree(@ForAll @Size(max = 150) int[] deeds) {
         Tree one = new Tree(100);
@@ -86,7 +89,8 @@
                 });
             }
             String before = one.toString();
-            Tree.Taken taken = deed % 17 == 0 ? one.end(deed % 3, deed) : one.take(steps, 1 + Math.floorMod(deed, 2), deed);
+            Tree.Taken taken = deed % 17 == 0 ? one.end(deed % 3, deed) : one.take(steps, 1
+                    + Math.floorMod(deed, 2), deed);
             if (!taken.done()) {
                 assertEquals(before, one.toString());
             }
--- a/nodes/src/test/java/saltdale/nodes/WireTest.java
+++ b/nodes/src/test/java/saltdale/nodes/WireTest.java
@@ -25,7 +25,8 @@
 
 class WireTest {
     // By hand: length 18; xid 5, getData (4), path of length 5 "/a/bc", no watch.
-    private static final byte[] GET_DATA = HexFormat.of().parseHex("00000012" + "00000005" + "00000004" + "00000005"
+    private static final byte[] GET_DATA = HexFormat.of().parseHex("00000012" + "00000005" + "00000004"
+            + "00000005"
             + "2f612f6263" + "00");
 
     @Test
@@ -88,7 +89,9 @@
         assertEquals("/a", Paths.parent("/a/b"));
     }
 
-    /** Whatever bytes come, in whatever pieces: nothing but a fault or a value, and no more held than came. */
+    /**
+     * Whatever bytes come, in whatever pieces: nothing but a fault or a value, and no more held than came.
+     */
     @Property(tries = 2000, seed = "5")
     void noBytesMakeItThrowOrHang(@ForAll @Size(max = 64) byte[] bytes, @ForAll int cut) {
         List<byte[]> records = new ArrayList<>();
--- a/rig/src/main/java/saltdale/rig/cost/Relay.java
+++ b/rig/src/main/java/saltdale/rig/cost/Relay.java
@@ -20,13 +20,16 @@
 import java.util.regex.Pattern;
 
 /**
- * The least that a relay between the same sockets can do: for each job one probe, one dispatch and the runner's calls,
- * in turn over the runners, with nothing decided, checked, timed or counted. The dispatcher's price is told beside its.
+ * The least that a relay between the same sockets can do: for each job one probe, one dispatch and the
+ * runner's calls, in turn over the runners, with nothing decided, checked, timed or counted. The dispatcher's
+ * price is told beside its.
  */
 public final class Relay {
     private static final Pattern DIAL = Pattern.compile("\"dial\":\"([0-9.]+):(\\d+)\"");
-    private static final byte[] NO_CONTENT = "HTTP/1.1 204 No Content\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
-    private static final byte[] OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] NO_CONTENT =
+            "HTTP/1.1 204 No Content\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] OK =
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final Selector selector = Selector.open();
     private final List<Deque<Wire>> idle = new ArrayList<>();
@@ -152,7 +155,8 @@
                     if (to != null) {
                         int from = body.indexOf("\"result\":\"") + 10;
                         String result = body.substring(from, body.indexOf('"', from));
-                        to.write(("HTTP/1.1 200 OK\r\nContent-Length: " + result.length() + "\r\n\r\n" + result)
+                        to.write(("HTTP/1.1 200 OK\r\nContent-Length: " + result.length() + "\r\n\r\n"
+                                + result)
                                 .getBytes(StandardCharsets.US_ASCII));
                     }
                 }
--- a/rig/src/main/java/saltdale/rig/experiment/Crew.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Crew.java
@@ -52,7 +52,8 @@
     private final Thread atExit = new Thread(this::destroy, "end of the crew");
 
     /** {@code cpus}: the cores that they share, as taskset names them; null for all. */
-    public Crew(Day day, Version version, Places places, Path folder, Origin origin, Witness witness, String cpus) {
+    public Crew(Day day, Version version, Places places, Path folder, Origin origin, Witness witness,
+            String cpus) {
         this.day = day;
         this.version = version;
         this.places = places;
@@ -84,10 +85,12 @@
         for (int i = 0; i < members.size(); i++) {
             while (!isUp(i)) {
                 if (!members.get(i).process.isAlive()) {
-                    throw new IOException("dispatcher " + i + " of " + version.name() + " ended at its start, with "
+                    throw new IOException("dispatcher " + i + " of " + version.name()
+                            + " ended at its start, with "
                             + members.get(i).process.exitValue() + ": " + lastLine(i));
                 } else if (System.nanoTime() > end) {
-                    throw new IOException("dispatcher " + i + " of " + version.name() + " did not come up within "
+                    throw new IOException("dispatcher " + i + " of " + version.name()
+                            + " did not come up within "
                             + TO_COME_UP.toSeconds() + " s: " + lastLine(i));
                 }
                 pause(20);
@@ -113,9 +116,11 @@
         command.addAll(version.flags());
         command.addAll(version.program());
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("dispatcher-" + i + ".log").toFile()));
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("dispatcher-" + i
+                        + ".log").toFile()));
         builder.environment().putAll(Map.of("EDGE_NAME", "d" + i,
-                "EDGE_LISTEN", Places.text(places.dispatcher(i)), "EDGE_DISCOVERY", Places.text(places.list(i)),
+                "EDGE_LISTEN", Places.text(places.dispatcher(i)), "EDGE_DISCOVERY",
+                        Places.text(places.list(i)),
                 "EDGE_CONFIG", folder.resolve("config-" + i + ".json").toString()));
         members.get(i).process = builder.start();
     }
@@ -271,11 +276,13 @@
                 .put("MostDispatches", o.mostDispatches).put("MaxRetryAfter", us(o.longestPause))
                 .put("DialTimeout", us(o.connectTime)).put("IdleClose", us(day.idleClose));
         settings.putObject("Contract").put("ColdFrom", o.coldFrom).put("WarmWithin", us(o.warmWithin))
-                .put("TipMultiple", o.tipMultiple).put("Fall", us(o.fall)).put("DrainGrace", us(day.drainGrace));
+                .put("TipMultiple", o.tipMultiple).put("Fall", us(o.fall)).put("DrainGrace",
+                        us(day.drainGrace));
         settings.putObject("Tariffs").put("CrossZone", o.crossZonePrice);
         ObjectNode family = settings.putObject("FamilyInfo").put("TellsStart", o.tellsStart)
                 .put("Progress", us(o.progressEvery));
-        settings.putObject("LoadReport").put("How", "piggyback").putArray("Columns").add("concurrent").add("depth")
+        settings.putObject("LoadReport").put("How",
+                "piggyback").putArray("Columns").add("concurrent").add("depth")
                 .add("x0");
         family.put("ReportX0", "free slots");
         ArrayNode kinds = settings.putArray("MachineTypes");
@@ -283,7 +290,8 @@
         ArrayNode workloads = settings.putArray("Workloads");
         for (Workload w : o.workloads) {
             workloads.addObject().put("Name", w.name).put("PromisedTime", us(w.promised))
-                    .put("Patience", us(w.patience)).put("Importance", w.importance).put("AimStretch", w.stretch)
+                    .put("Patience", us(w.patience)).put("Importance", w.importance).put("AimStretch",
+                            w.stretch)
                     .put("TardyImportance", w.lateImportance).put("Window", us(w.window))
                     .put("Repeat", switch (w.repeat) {
                         case PURE -> "pure";
--- a/rig/src/main/java/saltdale/rig/experiment/Expectation.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Expectation.java
@@ -32,7 +32,8 @@
         boolean plain = parts.group(3).matches("-?[\\d.]+");
         Double right = plain ? Double.valueOf(parts.group(3)) : figures.get(parts.group(3));
         if (left == null || right == null) {
-            return new Verdict(false, line + ": there is no figure " + (left == null ? parts.group(1) : parts.group(3)));
+            return new Verdict(false, line + ": there is no figure " + (left == null ? parts.group(1)
+                    : parts.group(3)));
         }
         if (parts.group(4) != null) {
             double by = Double.parseDouble(parts.group(5));
--- a/rig/src/main/java/saltdale/rig/experiment/Experiment.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Experiment.java
@@ -21,8 +21,8 @@
 import saltdale.rig.report.Report;
 
 /**
- * An experiment as its file has it: a day, the builds that play it, what is swept, how often, and what is expected.
- * Builds play in turn, A B A B, so that what drifts meanwhile meets both.
+ * An experiment as its file has it: a day, the builds that play it, what is swept, how often, and what is
+ * expected. Builds play in turn, A B A B, so that what drifts meanwhile meets both.
  */
 public final class Experiment {
     /** Where a day is played. */
@@ -52,12 +52,14 @@
         cpus = sheet.text("cpus", null);
         sheet.rows("version").forEach(row -> versions.add(Version.read(row, home, beside())));
         if (face != Face.SOCKETS && !versions.isEmpty()) {
-            throw sheet.wrong("version", "wanted where a day is played in simulated time, with this build's module");
+            throw sheet.wrong("version",
+                    "wanted where a day is played in simulated time, with this build's module");
         } else if (face == Face.BOTH) {  // the same day on both, paired as two builds are
             versions.add(Version.own("sockets", home));
             versions.add(new Version("simulated", List.of(), List.of()));
         } else if (versions.isEmpty()) {
-            versions.add(face == Face.SIMULATED ? new Version("now", List.of(), List.of()) : Version.own("now", home));
+            versions.add(face == Face.SIMULATED ? new Version("now", List.of(), List.of())
+                    : Version.own("now", home));
         }
         for (String line : sheet.texts("expect", List.of())) {
             expectations.add(new Expectation(sheet.file(), line));
@@ -141,7 +143,8 @@
         }
         Outcome outcome = version.program().isEmpty()
                 ? Run.simulated(day, version.name(), point.name, repeat, Run.asks(day, beside()), null)
-                : Run.onSockets(day, version, point.name, repeat, Run.asks(day, beside()), folder, cpus, (share, crew) -> {
+                : Run.onSockets(day, version, point.name, repeat, Run.asks(day, beside()), folder, cpus,
+                        (share, crew) -> {
                     if (live) {
                         say.printf(Locale.ROOT, "\r%s %3.0f%%", label, share * 100);
                         say.flush();
@@ -157,18 +160,23 @@
     }
 
     private static void table(List<Outcome> outcomes, PrintStream say) {
-        say.printf("%-28s %8s %8s %8s %8s %8s %8s %7s%n", "run", "service", "p50 ms", "p99 ms", "shed", "given up",
+        say.printf("%-28s %8s %8s %8s %8s %8s %8s %7s%n", "run", "service", "p50 ms", "p99 ms", "shed",
+                "given up",
                 "us/job", "broken");
         for (Outcome o : outcomes) {
             Map<String, Double> f = o.figures();
             say.printf(Locale.ROOT, "%-28s %8.4f %8.1f %8.1f %7.2f%% %7.2f%% %8.0f %7.0f%n",
                     (o.version() + " " + o.point()).strip() + " #" + (o.repeat() + 1), f.get("service"),
-                    f.get("p50_ms"), f.get("p99_ms"), 100 * f.get("shed_share"), 100 * f.get("given_up_share"),
+                    f.get("p50_ms"), f.get("p99_ms"), 100 * f.get("shed_share"),
+                            100 * f.get("given_up_share"),
                     f.getOrDefault("cpu_us_per_job", 0.0), f.get("rules_broken"));
         }
     }
 
-    /** Means over the runs of each build, the worst run, and paired differences of the first build to the second. */
+    /**
+     * Means over the runs of each build, the worst run, and paired differences of the first build to the
+     * second.
+     */
     Map<String, Double> gathered(List<Outcome> outcomes) {
         Map<String, Double> all = new LinkedHashMap<>();
         for (String figure : outcomes.get(0).figures().keySet()) {
@@ -176,7 +184,8 @@
             all.put("least." + figure, outcomes.stream().mapToDouble(o -> at(o, figure)).min().orElse(0));
             all.put("most." + figure, outcomes.stream().mapToDouble(o -> at(o, figure)).max().orElse(0));
             for (Version version : versions) {
-                List<Outcome> its = outcomes.stream().filter(o -> o.version().equals(version.name())).toList();
+                List<Outcome> its = outcomes.stream().filter(o ->
+                        o.version().equals(version.name())).toList();
                 all.put(version.name() + "." + figure, mean(its, figure));
             }
             if (versions.size() > 1) {
@@ -201,7 +210,8 @@
         return outcomes.stream().filter(o -> o.version().equals(versions.get(0).name())).mapToDouble(one ->
                 outcomes.stream().filter(o -> o.version().equals(versions.get(1).name())
                         && o.repeat() == one.repeat() && o.point().equals(one.point()))
-                        .mapToDouble(other -> at(one, figure) - at(other, figure)).findFirst().orElse(0)).toArray();
+                        .mapToDouble(other -> at(one, figure) - at(other,
+                                figure)).findFirst().orElse(0)).toArray();
     }
 
     private boolean verdict(List<Outcome> outcomes, PrintStream say) {
@@ -209,7 +219,8 @@
         if (versions.size() > 1) {
             for (String figure : List.of("service", "p50_ms", "p99_ms", "cpu_us_per_job")) {
                 if (gathered.containsKey("difference." + figure + ".mean")) {
-                    say.printf(Locale.ROOT, "%s, %s less %s: %.4f (95%%: %.4f to %.4f)%n", figure, versions.get(0).name(),
+                    say.printf(Locale.ROOT, "%s, %s less %s: %.4f (95%%: %.4f to %.4f)%n", figure,
+                            versions.get(0).name(),
                             versions.get(1).name(), gathered.get("difference." + figure + ".mean"),
                             gathered.get("difference." + figure + ".low"),
                             gathered.get("difference." + figure + ".high"));
@@ -239,14 +250,16 @@
         ArrayNode runs = root.putArray("runs");
         for (Outcome o : outcomes) {
             ObjectNode run = runs.addObject();
-            run.put("version", o.version()).put("point", o.point()).put("repeat", o.repeat()).put("void", o.isVoid());
+            run.put("version", o.version()).put("point", o.point()).put("repeat", o.repeat()).put("void",
+                    o.isVoid());
             ObjectNode figures = run.putObject("figures");
             o.figures().forEach(figures::put);
             ArrayNode breaches = run.putArray("breaches");
             o.breaches().forEach(b -> breaches.add(b.toString()));
             Series.write(run.putObject("series"), o);
         }
-        Files.writeString(out.resolve("results.json"), json.writerWithDefaultPrettyPrinter().writeValueAsString(root));
+        Files.writeString(out.resolve("results.json"),
+                json.writerWithDefaultPrettyPrinter().writeValueAsString(root));
         try (PrintStream log = new PrintStream(Files.newOutputStream(out.resolve("latency.hlog")))) {
             HistogramLogWriter writer = new HistogramLogWriter(log);
             writer.outputLogFormatVersion();
--- a/rig/src/main/java/saltdale/rig/experiment/Run.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Run.java
@@ -40,7 +40,8 @@
 
     /** The asks of a day: its shape's, or those of its trace. */
     public static Iterator<Ask> asks(Day day, Path beside) {
-        return day.traffic.trace() == null ? new Arrivals(day.traffic, day.jobs, day.length, day.seed * 7919 + 1)
+        return day.traffic.trace() == null ? new Arrivals(day.traffic, day.jobs, day.length, day.seed * 7919
+                + 1)
                 : Trace.read(beside.resolve(day.traffic.trace())).spliced(day.traffic.splice())
                         .asks(day.jobs, day.traffic.scale(), day.length).iterator();
     }
@@ -54,10 +55,12 @@
                                     Simulation.Minds minds) {
         Simulation sim = new Simulation(day, minds == null ? ModuleMind::new : minds, asks).run();
         Judge judge = sim.judge();
-        Map<String, Double> figures = Outcome.figures(sim.tally(), judge.broken(), judge.asked(), judge.answered(),
+        Map<String, Double> figures = Outcome.figures(sim.tally(), judge.broken(), judge.asked(),
+                judge.answered(),
                 judge.dispatches());
         figures.put("events", (double) sim.events());
-        return new Outcome(version, point, repeat, figures, judge.breaches(), null, sim.tally(), sim.fleet().watch());
+        return new Outcome(version, point, repeat, figures, judge.breaches(), null, sim.tally(),
+                sim.fleet().watch());
     }
 
     /**
@@ -84,7 +87,8 @@
                 crew.begin();
                 Duration start = origin.now();
                 Shifted shifted = new Shifted(asks, start);
-                Generator generator = new Generator(clients, day, crew.addresses(), origin, notes, day.seed + 3,
+                Generator generator = new Generator(clients, day, crew.addresses(), origin, notes, day.seed
+                        + 3,
                         "n" + repeat, start);
                 runners.inside(() -> fleet.get().begin(start));
                 clients.inside(() -> generator.begin(shifted));
@@ -110,17 +114,20 @@
                 clients.inside(() -> { });
                 notes.tell(judge);
                 judge.end();
-                Map<String, Double> figures = Outcome.figures(generator.tally(), judge.broken(), judge.asked(),
+                Map<String, Double> figures = Outcome.figures(generator.tally(), judge.broken(),
+                        judge.asked(),
                         judge.answered(), judge.dispatches());
                 figures.put("cpu_us_per_job", cpu * 1e6 / Math.max(1, judge.asked()));
                 figures.put("memory_mb", memory);
                 figures.put("generator_lag_p99_ms", generator.lag().getValueAtPercentile(99) / 1e3);
                 figures.put("generator_lag_max_ms", generator.lag().getMaxValue() / 1e3);
-                figures.put("runner_requests_per_job", fleet.get().requests() / (double) Math.max(1, judge.asked()));
+                figures.put("runner_requests_per_job", fleet.get().requests() / (double) Math.max(1,
+                        judge.asked()));
                 figures.put("first_1000_answers_s", generator.thousandthAt() == null ? Double.NaN
                         : generator.thousandthAt().minus(start).toNanos() / 1e9);
                 figures.put("dispatchers_died", died ? 1.0 : 0.0);
-                return new Outcome(version.name(), point, repeat, figures, judge.breaches(), generator.isVoid(),
+                return new Outcome(version.name(), point, repeat, figures, judge.breaches(),
+                        generator.isVoid(),
                         generator.tally(), fleet.get().watch());
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
@@ -129,7 +136,10 @@
         }
     }
 
-    /** Kills dispatchers and starts them again, as the day says; on a thread of its own, since it waits for them. */
+    /**
+     * Kills dispatchers and starts them again, as the day says; on a thread of its own, since it waits for
+     * them.
+     */
     private static void killings(Day day, Crew crew, Origin origin, Duration start) {
         for (Weather.Turn turn : new Weather(day.troubles).turns()) {
             if (turn.act() != Weather.Act.KILL && turn.act() != Weather.Act.REVIVE) {
--- a/rig/src/main/java/saltdale/rig/experiment/Series.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Series.java
@@ -27,7 +27,8 @@
         }
         for (int i = 0; i < seconds.size(); i++) {
             int second = i;
-            seconds.get(i).byWorkload.forEach((workload, of) -> to.withObject("/service").withArray(workload).addArray()
+            seconds.get(i).byWorkload.forEach((workload,
+                    of) -> to.withObject("/service").withArray(workload).addArray()
                     .add(second).add((double) of[1] / Math.max(1, of[0])));
         }
         ArrayNode runners = to.putArray("runners");
--- a/rig/src/main/java/saltdale/rig/experiment/Version.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Version.java
@@ -14,7 +14,8 @@
  */
 public record Version(String name, List<String> flags, List<String> program) {
     /** As the platform runs it, but for what its archive of classes adds. */
-    static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData",
+    static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+            "-XX:-UsePerfData",
             "-Xms24m", "-Xmx112m", "-Xss512k");
 
     static Version read(Sheet row, Path home, Path beside) {
--- a/rig/src/main/java/saltdale/rig/fleet/RunnerModel.java
+++ b/rig/src/main/java/saltdale/rig/fleet/RunnerModel.java
@@ -11,8 +11,9 @@
 import saltdale.rig.plan.Make;
 
 /**
- * What a runner does with the work that it gets, without I/O or a clock: it is told the time, and tells its face what
- * has come of each job. Running jobs share the cores; what disturbs it changes their rate from that moment on.
+ * What a runner does with the work that it gets, without I/O or a clock: it is told the time, and tells its
+ * face what has come of each job. Running jobs share the cores; what disturbs it changes their rate from that
+ * moment on.
  *
  * Between two changes all rates stand still, so that the next end is known; warming up goes in small steps.
  */
@@ -59,10 +60,11 @@
 
     /**
      * @param receipts null where it remembers none
-     * @param tipMultiple what it is sent over {@code fall}, beyond this multiple of what it can do in that time, pushes
-     *     it over while it is cold; 0 where nothing does
+     * @param tipMultiple what it is sent over {@code fall}, beyond this multiple of what it can do in that
+     *     time, pushes it over while it is cold; 0 where nothing does
      */
-    public RunnerModel(Make make, Receipts.Shared receipts, double tipMultiple, Duration fall, SplittableRandom chance,
+    public RunnerModel(Make make, Receipts.Shared receipts, double tipMultiple, Duration fall,
+            SplittableRandom chance,
                        Told told) {
         this.make = make;
         this.receipts = receipts;
--- a/rig/src/main/java/saltdale/rig/fleet/Weather.java
+++ b/rig/src/main/java/saltdale/rig/fleet/Weather.java
@@ -7,10 +7,13 @@
 import saltdale.rig.plan.Trouble;
 import saltdale.rig.plan.Trouble.Kind;
 
-/** The troubles of a day over time: what is to be done at which moment, and what disturbs a runner by then. */
+/**
+ * The troubles of a day over time: what is to be done at which moment, and what disturbs a runner by then.
+ */
 public final class Weather {
     /** One thing that happens to runners, dispatchers or links. */
-    public enum Act { CONDITION, CRASH, VANISH, START, DRAIN, HAND_BACK, REMOVE, CUT, HEAL, WIRE, KILL, REVIVE, MUTE, UNMUTE }
+    public enum Act { CONDITION, CRASH, VANISH, START, DRAIN, HAND_BACK, REMOVE, CUT, HEAL, WIRE, KILL,
+            REVIVE, MUTE, UNMUTE }
 
     /** It happens to each of the trouble's runners (or dispatchers) then. */
     public record Turn(Duration at, Act act, Trouble trouble) {
@@ -41,7 +44,8 @@
                 case NEIGHBOUR -> {
                     both(turns, t, Act.CONDITION, Act.CONDITION);
                     Duration half = Duration.ofNanos((long) (t.extra() * 1e9));
-                    for (Duration at = t.at(); !half.isZero() && at.compareTo(t.end()) < 0; at = at.plus(half)) {
+                    for (Duration at = t.at(); !half.isZero()
+                            && at.compareTo(t.end()) < 0; at = at.plus(half)) {
                         turns.add(new Turn(at, Act.CONDITION, t));
                     }
                 }
--- a/rig/src/main/java/saltdale/rig/judge/Judge.java
+++ b/rig/src/main/java/saltdale/rig/judge/Judge.java
@@ -15,8 +15,8 @@
 import saltdale.rig.plan.Make;
 
 /**
- * Judges the four rules by what was seen from outside. It is told in the order of time; a request is forgotten once
- * nothing about it can matter any more.
+ * Judges the four rules by what was seen from outside. It is told in the order of time; a request is
+ * forgotten once nothing about it can matter any more.
  */
 public final class Judge implements Witness {
     private static final int KEPT = 200;  // breaches told one by one; beyond that they are counted
@@ -171,7 +171,9 @@
                 || w.repeat == Workload.Repeat.RECEIPTED && w.group == Workload.Group.ALL;
     }
 
-    /** What has been given up is answered at once: here nothing more could follow since its dispatch ended. */
+    /**
+     * What has been given up is answered at once: here nothing more could follow since its dispatch ended.
+     */
     private void heldBack(Duration at, Case about) {
         if (about.workload.repeat != Workload.Repeat.EFFECTFUL || !about.mayHaveRun()) {
             return;
@@ -185,7 +187,8 @@
         }
         Duration most = terms.slack().plus(Duration.ofMillis(250));
         if (at.minus(over).compareTo(most) > 0 && at.compareTo(about.deadline) <= 0) {
-            breach(Breach.Kind.HELD_BACK, at, about.id, "given up " + ms(at.minus(over)) + " after nothing could follow");
+            breach(Breach.Kind.HELD_BACK, at, about.id, "given up " + ms(at.minus(over))
+                    + " after nothing could follow");
         }
     }
 
@@ -231,7 +234,8 @@
         Duration late = about.endedAt == null ? null : about.endedAt.plus(terms.slack());
         Duration last = about.deadline.plus(terms.answerGrace()).plus(terms.slack());
         if (late != null && firstByte.compareTo(late) > 0 || firstByte.compareTo(last) > 0) {
-            breach(Breach.Kind.SENT_AFTER_END, at, id, "dispatched to runner " + runner + " when it was over");
+            breach(Breach.Kind.SENT_AFTER_END, at, id, "dispatched to runner " + runner
+                    + " when it was over");
         }
         repeated(at, about, runner);
         about.seen.add(new Seen(runner, at));
@@ -241,14 +245,16 @@
         Workload w = about.workload;
         for (Seen earlier : about.seen) {
             if (earlier.overAt == null && !earlier.unstarted && !terms.parallel()) {
-                breach(Breach.Kind.TWO_OUT, at, about.id, "dispatched to runner " + runner + " while one is out at "
+                breach(Breach.Kind.TWO_OUT, at, about.id, "dispatched to runner " + runner
+                        + " while one is out at "
                         + earlier.runner);
             }
             if (earlier.unstarted || w.repeat == Workload.Repeat.PURE) {
                 continue;
             }
             if (w.repeat == Workload.Repeat.EFFECTFUL) {
-                breach(Breach.Kind.REPEATED_EFFECTFUL, at, about.id, "it may have run at runner " + earlier.runner);
+                breach(Breach.Kind.REPEATED_EFFECTFUL, at, about.id, "it may have run at runner "
+                        + earlier.runner);
             } else if (!sameGroup(w, earlier.runner, runner)) {
                 breach(Breach.Kind.OUTSIDE_GROUP, at, about.id, "it may have run at runner " + earlier.runner
                         + ", whose receipts runner " + runner + " does not know");
@@ -272,8 +278,10 @@
                 || firstByte.compareTo(word.at.plus(terms.drainGrace()).plus(terms.slack())) <= 0) {
             return;
         }
-        breach(word.health == Health.GONE ? Breach.Kind.SENT_TO_GONE : Breach.Kind.SENT_TO_DRAINING, firstByte, id,
-                "dispatcher " + dispatcher + " was told of runner " + runner + " " + ms(firstByte.minus(word.at))
+        breach(word.health == Health.GONE ? Breach.Kind.SENT_TO_GONE : Breach.Kind.SENT_TO_DRAINING,
+                firstByte, id,
+                "dispatcher " + dispatcher + " was told of runner " + runner + " "
+                        + ms(firstByte.minus(word.at))
                         + " before");
     }
 
@@ -389,7 +397,8 @@
 
     private void over(Case each) {
         if (!each.answered && !each.excused && (each.cut || each.endedAt == null)) {
-            breach(Breach.Kind.LOST, each.cut ? each.endedAt : each.deadline, each.id, "dispatcher " + each.dispatcher
+            breach(Breach.Kind.LOST, each.cut ? each.endedAt : each.deadline, each.id, "dispatcher "
+                    + each.dispatcher
                     + (each.cut ? " ended its connection with no whole answer" : " gave no final answer"));
         }
         cases.remove(each.id, each);
--- a/rig/src/main/java/saltdale/rig/judge/Notes.java
+++ b/rig/src/main/java/saltdale/rig/judge/Notes.java
@@ -10,7 +10,9 @@
 import saltdale.model.Workload;
 import saltdale.rig.plan.Make;
 
-/** Writes down what several threads see, each with its time, to be told to a judge in order once all is over. */
+/**
+ * Writes down what several threads see, each with its time, to be told to a judge in order once all is over.
+ */
 public final class Notes implements Witness {
     private record Note(Duration at, Consumer<Witness> what) {
     }
@@ -21,7 +23,10 @@
         notes.add(new Note(at, what));
     }
 
-    /** Tells all of it, in the order of time; what bears one time keeps the order in which it was written down. */
+    /**
+     * Tells all of it, in the order of time; what bears one time keeps the order in which it was written
+     * down.
+     */
     public void tell(Witness to) {
         List<Note> all = new ArrayList<>(notes);
         all.sort(Comparator.comparing(Note::at));
--- a/rig/src/main/java/saltdale/rig/judge/Terms.java
+++ b/rig/src/main/java/saltdale/rig/judge/Terms.java
@@ -9,7 +9,8 @@
  * @param slack by which each limit is longer where sockets and clocks come between
  * @param runners how many there are, for what decides by group: their zones and cells
  */
-public record Terms(Duration answerGrace, Duration drainGrace, Duration slack, boolean parallel, double tipMultiple,
+public record Terms(Duration answerGrace, Duration drainGrace, Duration slack, boolean parallel,
+        double tipMultiple,
                     Duration fall, String[] zones, int[] cells) {
     public static Terms of(Day day, Duration slack) {
         String[] zones = new String[day.runners];
--- a/rig/src/main/java/saltdale/rig/judge/Witness.java
+++ b/rig/src/main/java/saltdale/rig/judge/Witness.java
@@ -5,9 +5,9 @@
 import saltdale.rig.plan.Make;
 
 /**
- * What clients, runners and the list have seen, in the order of time. None of it is a dispatcher's word. Dispatchers
- * and runners go by their numbers, requests by their ids.
- * What a witness does not care for it need not hear.
+ * What clients, runners and the list have seen, in the order of time. None of it is a dispatcher's word.
+ * Dispatchers and runners go by their numbers, requests by their ids. What a witness does not care for it
+ * need not hear.
  */
 public interface Witness {
     /** Hears nothing. */
@@ -35,7 +35,8 @@
     }
 
     /** A runner has the whole of a dispatch, whose first byte came then. */
-    default void reached(Duration firstByte, Duration at, String id, int runner, int dispatcher, double work) {
+    default void reached(Duration firstByte, Duration at, String id, int runner, int dispatcher,
+            double work) {
     }
 
     /** A runner has said that a dispatch has not run and will not. */
--- a/rig/src/main/java/saltdale/rig/load/Arrivals.java
+++ b/rig/src/main/java/saltdale/rig/load/Arrivals.java
@@ -9,8 +9,8 @@
 import saltdale.rig.plan.Traffic;
 
 /**
- * The asks of a day by their intended times, fixed beforehand: a Poisson process whose rate follows the shape, made by
- * thinning. Nothing that happens later moves one of them.
+ * The asks of a day by their intended times, fixed beforehand: a Poisson process whose rate follows the
+ * shape, made by thinning. Nothing that happens later moves one of them.
  */
 public final class Arrivals implements Iterator<Ask> {
     private final Traffic traffic;
@@ -55,7 +55,8 @@
             case BURST -> phase % 1 < 0.2 ? 1 + swing : 1 - swing / 4;  // a fifth of the time
             case SWELL -> 1 + swing * Math.sin(2 * Math.PI * phase);
             case STEP -> phase < 1 ? 1 - swing : 1 + swing;
-            case DAY -> 1 - swing * Math.cos(2 * Math.PI * time / end);  // from its least, over noon, to its least
+            // from its least, over noon, to its least
+            case DAY -> 1 - swing * Math.cos(2 * Math.PI * time / end);
         };
     }
 
--- a/rig/src/main/java/saltdale/rig/load/Ask.java
+++ b/rig/src/main/java/saltdale/rig/load/Ask.java
@@ -4,7 +4,8 @@
 import saltdale.rig.plan.Job;
 
 /**
- * One thing that a client wants: when it means to send its first try, of which job, how much work it is in seconds.
+ * One thing that a client wants: when it means to send its first try, of which job, how much work it is in
+ * seconds.
  *
  * @param number in the order of intended times, from 0
  */
--- a/rig/src/main/java/saltdale/rig/load/Generator.java
+++ b/rig/src/main/java/saltdale/rig/load/Generator.java
@@ -24,8 +24,8 @@
 import saltdale.transport.Timer;
 
 /**
- * An open loop on sockets: each ask is sent at the time that was fixed for it, whatever became of those before. How far
- * it falls behind its own times is measured, and voids a run.
+ * An open loop on sockets: each ask is sent at the time that was fixed for it, whatever became of those
+ * before. How far it falls behind its own times is measured, and voids a run.
  */
 public final class Generator {
     private static final Duration CONNECT_LIMIT = Duration.ofSeconds(1);
@@ -54,10 +54,11 @@
     private Duration thousandthAt;
 
     /**
-     * {@code run}: makes the ids of this run differ from those of any other; {@code start}: when the day begins, on the
-     * clock of the run, by which the asks' times are given.
+     * {@code run}: makes the ids of this run differ from those of any other; {@code start}: when the day
+     * begins, on the clock of the run, by which the asks' times are given.
      */
-    public Generator(Turner turner, Day day, List<InetSocketAddress> dispatchers, Origin origin, Witness witness,
+    public Generator(Turner turner, Day day, List<InetSocketAddress> dispatchers, Origin origin,
+            Witness witness,
                      long seed, String run, Duration start) {
         this.turner = turner;
         this.day = day;
@@ -114,8 +115,10 @@
         if (p99 <= MOST_LAG_P99_US && lag.getMaxValue() <= MOST_LAG_US) {
             return null;
         }
-        return String.format(java.util.Locale.ROOT, "the load fell behind its intended times: by %.1f ms at the 99th "
-                + "percentile, %.1f ms at the most (allowed: %d and %d ms)", p99 / 1e3, lag.getMaxValue() / 1e3,
+        return String.format(java.util.Locale.ROOT,
+                "the load fell behind its intended times: by %.1f ms at the 99th "
+                + "percentile, %.1f ms at the most (allowed: %d and %d ms)", p99 / 1e3,
+                        lag.getMaxValue() / 1e3,
                 MOST_LAG_P99_US / 1000, MOST_LAG_US / 1000);
     }
 
@@ -173,7 +176,8 @@
 
         void over(Final how, Duration pause, boolean unreachable) {
             current = null;
-            Duration wait = persistence.next(ask.job().workload(), tries, unreachable ? Final.SHED : how, pause,
+            Duration wait = persistence.next(ask.job().workload(), tries, unreachable ? Final.SHED : how,
+                    pause,
                     origin.now(), ask.at());
             if (wait == null) {
                 finish(how, false);
@@ -216,8 +220,10 @@
             connection.beginMessage();
             reused = connection.isReused();
             Duration patience = ask.job().workload().patience;
-            connection.send(ByteBuffer.wrap(("POST /" + ask.job().name() + "/" + ask.number() + " HTTP/1.1\r\nHost: "
-                    + Places.text(addresses[dispatcher]) + "\r\nRequest-Id: " + id + "\r\nRequest-Timeout-Ms: "
+            connection.send(ByteBuffer.wrap(("POST /" + ask.job().name() + "/" + ask.number()
+                    + " HTTP/1.1\r\nHost: "
+                    + Places.text(addresses[dispatcher]) + "\r\nRequest-Id: " + id
+                            + "\r\nRequest-Timeout-Ms: "
                     + patience.toMillis() + "\r\nIdempotency-Key: " + run + "-" + ask.number() + "\r\n"
                     + StandInFleet.WORK + ": " + Math.max(1, Math.round(ask.size() * 1e6))
                     + "\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII)));
--- a/rig/src/main/java/saltdale/rig/load/Persistence.java
+++ b/rig/src/main/java/saltdale/rig/load/Persistence.java
@@ -37,7 +37,8 @@
      * @param pause that the answer asked for; null for none
      * @param firstAt when the first try was sent, for the window of receipts
      */
-    public Duration next(Workload workload, int tries, Final how, Duration pause, Duration now, Duration firstAt) {
+    public Duration next(Workload workload, int tries, Final how, Duration pause, Duration now,
+            Duration firstAt) {
         if (how == Final.FULFILLED || tries > traffic.retries() || !mayRepeat(workload, how, now, firstAt)) {
             return null;
         }
--- a/rig/src/main/java/saltdale/rig/load/Tally.java
+++ b/rig/src/main/java/saltdale/rig/load/Tally.java
@@ -161,7 +161,8 @@
         all.put("shed_share", rows.values().stream().mapToLong(r -> r.shed).sum() / (double) offered);
         all.put("given_up_share", rows.values().stream().mapToLong(r -> r.givenUp).sum() / (double) offered);
         all.put("unanswered", (double) rows.values().stream().mapToLong(r -> r.unanswered).sum());
-        all.put("tries", rows.values().stream().mapToLong(r -> r.tries).sum() / (double) Math.max(1, firstTries));
+        all.put("tries", rows.values().stream().mapToLong(r -> r.tries).sum() / (double) Math.max(1,
+                firstTries));
         put(all, "", latency());
         rows.forEach((workload, row) -> {
             all.put("service." + workload.name, row.service());
--- a/rig/src/main/java/saltdale/rig/load/Trace.java
+++ b/rig/src/main/java/saltdale/rig/load/Trace.java
@@ -15,12 +15,12 @@
 import saltdale.rig.plan.Sheet;
 
 /**
- * Recorded arrivals. CSV with the head {@code at,workload,size}, or JSON lines with these names: {@code at} in seconds
- * since the trace's start, the workload's name, {@code size} in seconds of work.
+ * Recorded arrivals. CSV with the head {@code at,workload,size}, or JSON lines with these names: {@code at}
+ * in seconds since the trace's start, the workload's name, {@code size} in seconds of work.
  *
- * <p>Scaling by 2 sends twice as many in the same time: each is sent as often as the factor says, in thinned places
- * for the part that is no whole number, spread over the gap to the next. Splicing takes a part from here and sets it
- * at another time: {@code "10s..20s@5s"}.
+ * <p>Scaling by 2 sends twice as many in the same time: each is sent as often as the factor says, in thinned
+ * places for the part that is no whole number, spread over the gap to the next. Splicing takes a part from
+ * here and sets it at another time: {@code "10s..20s@5s"}.
  */
 public final class Trace {
     private record Line(double at, String workload, double size) {
@@ -46,7 +46,8 @@
             if (line.isBlank() || number == 1 && line.strip().equals("at,workload,size")) {
                 continue;
             }
-            Line read = line.stripLeading().startsWith("{") ? trace.json(json, line, number) : trace.csv(line, number);
+            Line read = line.stripLeading().startsWith("{") ? trace.json(json, line, number) : trace.csv(line,
+                    number);
             if (!(read.at >= 0) || !(read.size > 0) || Double.isInfinite(read.at + read.size)) {
                 throw trace.wrong(number, "at must be 0 or more, size over 0, in seconds");
             }
@@ -75,7 +76,8 @@
     private Line json(ObjectMapper mapper, String line, int number) {
         try {
             JsonNode node = mapper.readTree(line);
-            if (node.path("at").isNumber() && node.path("workload").isTextual() && node.path("size").isNumber()) {
+            if (node.path("at").isNumber() && node.path("workload").isTextual()
+                    && node.path("size").isNumber()) {
                 return new Line(node.get("at").doubleValue(), node.get("workload").textValue(),
                         node.get("size").doubleValue());
             }
--- a/rig/src/main/java/saltdale/rig/plan/Day.java
+++ b/rig/src/main/java/saltdale/rig/plan/Day.java
@@ -83,7 +83,8 @@
         orders.progressEvery = makes.stream().map(Make::progressEvery).filter(p -> !p.isZero())
                 .max(Duration::compareTo).orElse(Duration.ZERO);
         orders.coldFrom = makes.stream().mapToDouble(Make::coldFrom).min().orElse(1);
-        orders.warmWithin = makes.stream().map(Make::warmWithin).max(Duration::compareTo).orElse(Duration.ZERO);
+        orders.warmWithin =
+                makes.stream().map(Make::warmWithin).max(Duration::compareTo).orElse(Duration.ZERO);
         orders.tipMultiple = told.number("tip_multiple", 2.5, 1, 1000);
         orders.fall = told.span("fall", Duration.ofSeconds(2));
         orders.crossZonePrice = told.number("cross_zone_price", 0, 0, 10);
@@ -110,7 +111,8 @@
     public static Day read(Path file) {
         Sheet sheet = Sheet.read(file);
         Day day = new Day(sheet);
-        sheet.leave("face", "repeats", "quick_repeats", "cpus", "expect", "version", "sweep");  // an experiment's
+        // an experiment's
+        sheet.leave("face", "repeats", "quick_repeats", "cpus", "expect", "version", "sweep");
         sheet.close();
         return day;
     }
@@ -160,7 +162,8 @@
     /** The make of the runner of this number: makes go round by their shares. */
     public Make make(int runner) {
         double all = makes.stream().mapToDouble(Make::share).sum();
-        double at = (runner + 0.5) * 0.6180339887498949 % 1 * all;  // spread evenly, whatever the fleet's size
+        // spread evenly, whatever the fleet's size
+        double at = (runner + 0.5) * 0.6180339887498949 % 1 * all;
         for (Make make : makes) {
             at -= make.share();
             if (at < 0) {
--- a/rig/src/main/java/saltdale/rig/plan/Job.java
+++ b/rig/src/main/java/saltdale/rig/plan/Job.java
@@ -2,7 +2,9 @@
 
 import saltdale.model.Workload;
 
-/** A workload of a day: what the dispatchers are told of it, how much of it comes, and what they are not told. */
+/**
+ * A workload of a day: what the dispatchers are told of it, how much of it comes, and what they are not told.
+ */
 public record Job(Workload workload, double share, Size size) {
     public String name() {
         return workload.name;
--- a/rig/src/main/java/saltdale/rig/plan/Make.java
+++ b/rig/src/main/java/saltdale/rig/plan/Make.java
@@ -42,12 +42,14 @@
     }
 
     public Make warming(double from, Duration within) {
-        return new Make(name, share, cores, speed, slots, queue, order, thrash, thrashAt, from, within, reportEvery,
+        return new Make(name, share, cores, speed, slots, queue, order, thrash, thrashAt, from, within,
+                reportEvery,
                 reportDelay, progressEvery, cancelStops);
     }
 
     public Make reporting(Duration every, Duration delay) {
-        return new Make(name, share, cores, speed, slots, queue, order, thrash, thrashAt, coldFrom, warmWithin,
+        return new Make(name, share, cores, speed, slots, queue, order, thrash, thrashAt, coldFrom,
+                warmWithin,
                 every, delay, progressEvery, cancelStops);
     }
 
--- a/rig/src/main/java/saltdale/rig/plan/Sheet.java
+++ b/rig/src/main/java/saltdale/rig/plan/Sheet.java
@@ -66,13 +66,16 @@
         }
     }
 
-    /** The same file with one figure replaced, by its dotted path; rows of tables go by their number from 0. */
+    /**
+     * The same file with one figure replaced, by its dotted path; rows of tables go by their number from 0.
+     */
     public Sheet with(String figure, Object value) {
         ObjectNode root = node.deepCopy();
         JsonNode at = root;
         String[] steps = figure.split("\\.");
         for (int i = 0; i < steps.length - 1; i++) {
-            JsonNode next = at instanceof ArrayNode && steps[i].matches("\\d+") ? at.get(Integer.parseInt(steps[i]))
+            JsonNode next = at instanceof ArrayNode && steps[i].matches("\\d+")
+                    ? at.get(Integer.parseInt(steps[i]))
                     : at.get(steps[i]);
             if (next == null && at instanceof ObjectNode table) {
                 next = table.putObject(steps[i]);
--- a/rig/src/main/java/saltdale/rig/plan/Size.java
+++ b/rig/src/main/java/saltdale/rig/plan/Size.java
@@ -26,7 +26,8 @@
         spread = switch (kind) {
             case CONSTANT -> null;
             case EXPONENTIAL -> new ExponentialDistribution(null, this.mean);
-            case LOGNORMAL -> new LogNormalDistribution(null, Math.log(this.mean) - square / 2, Math.sqrt(square));
+            case LOGNORMAL -> new LogNormalDistribution(null, Math.log(this.mean) - square / 2,
+                    Math.sqrt(square));
             case PARETO -> new ParetoDistribution(null, this.mean * (tail - 1) / tail, tail);
         };
     }
--- a/rig/src/main/java/saltdale/rig/plan/Traffic.java
+++ b/rig/src/main/java/saltdale/rig/plan/Traffic.java
@@ -13,12 +13,15 @@
  * @param retries further tries of a client after a failure
  * @param firstWait before the first further try; doubles with each
  * @param jitter share of the wait that is drawn at random
- * @param budget further tries may be this share of first tries at the most, over all clients; 1 means no bound
+ * @param budget further tries may be this share of first tries at the most, over all clients; 1 means no
+ *     bound
  * @param leave share of tries whose client goes away halfway through its patience
  * @param clients connections that stay open where there is nothing to do; 0: as many as needed
  */
-public record Traffic(Shape shape, double rate, double utilisation, double swing, Duration period, String trace,
-                      double scale, List<String> splice, int retries, Duration firstWait, double jitter, double budget,
+public record Traffic(Shape shape, double rate, double utilisation, double swing, Duration period,
+        String trace,
+                      double scale, List<String> splice, int retries, Duration firstWait, double jitter,
+                              double budget,
                       boolean honoursPause, double leave, int clients) {
     /** How the rate goes over time. */
     public enum Shape { STEADY, BURST, SWELL, STEP, DAY }
@@ -33,7 +36,8 @@
                 sheet.number("scale", 1, 0.0001, 10000), sheet.texts("splice", List.of()),
                 sheet.whole("retries", 0, 0, 100), sheet.span("wait", Duration.ofMillis(50)),
                 sheet.number("jitter", 0.5, 0, 1), sheet.number("budget", 1, 0, 1),
-                sheet.flag("honours_pause", true), sheet.number("leave", 0, 0, 1), sheet.whole("clients", 0, 0, 1_000_000));
+                sheet.flag("honours_pause", true), sheet.number("leave", 0, 0, 1), sheet.whole("clients", 0,
+                        0, 1_000_000));
     }
 
     public static Traffic steady(double rate) {
@@ -42,17 +46,20 @@
     }
 
     public Traffic at(double newRate) {
-        return new Traffic(shape, newRate, 0, swing, period, trace, scale, splice, retries, firstWait, jitter, budget,
+        return new Traffic(shape, newRate, 0, swing, period, trace, scale, splice, retries, firstWait, jitter,
+                budget,
                 honoursPause, leave, clients);
     }
 
     public Traffic shaped(Shape how, double swings, Duration each) {
-        return new Traffic(how, rate, utilisation, swings, each, trace, scale, splice, retries, firstWait, jitter, budget,
+        return new Traffic(how, rate, utilisation, swings, each, trace, scale, splice, retries, firstWait,
+                jitter, budget,
                 honoursPause, leave, clients);
     }
 
     public Traffic retrying(int most, Duration first, double share) {
-        return new Traffic(shape, rate, utilisation, swing, period, trace, scale, splice, most, first, jitter, share,
+        return new Traffic(shape, rate, utilisation, swing, period, trace, scale, splice, most, first, jitter,
+                share,
                 honoursPause, leave, clients);
     }
 }
--- a/rig/src/main/java/saltdale/rig/plan/Trouble.java
+++ b/rig/src/main/java/saltdale/rig/plan/Trouble.java
@@ -13,7 +13,8 @@
  * @param size what the kind says it is
  * @param extra likewise
  */
-public record Trouble(Kind kind, Duration at, Duration length, List<Integer> runners, double size, double extra) {
+public record Trouble(Kind kind, Duration at, Duration length, List<Integer> runners, double size,
+        double extra) {
     /** The kinds, and what {@code size} and {@code extra} are for each. */
     public enum Kind {
         /** So many times slower. */
--- a/rig/src/main/java/saltdale/rig/report/Report.java
+++ b/rig/src/main/java/saltdale/rig/report/Report.java
@@ -45,7 +45,8 @@
                 + "<th>shed</th><th>given up</th><th>CPU us/job</th><th>rules broken</th></tr>");
         for (JsonNode run : runs) {
             JsonNode f = run.path("figures");
-            page.append("<tr><td>").append(escape(title(run))).append(run.path("void").isNull() ? "" : " (void)")
+            page.append("<tr><td>").append(escape(title(run))).append(run.path("void").isNull() ? ""
+                    : " (void)")
                     .append("</td>");
             cell(page, "%.4f", f.path("service").asDouble());
             cell(page, "%.1f", f.path("p50_ms").asDouble());
@@ -84,7 +85,8 @@
         JsonNode series = run.path("series");
         XYChart latency = chart("Latency from the intended time", "s", "ms");
         latency.getStyler().setYAxisLogarithmic(true);
-        series.path("latency_ms").fields().forEachRemaining(e -> add(latency, e.getKey(), e.getValue(), 1, 0.01));
+        series.path("latency_ms").fields().forEachRemaining(e -> add(latency, e.getKey(), e.getValue(), 1,
+                0.01));
         draw(page, latency);
         XYChart service = chart("Service by workload", "s", "share in the promised time");
         service.getStyler().setYAxisMin(0.0);
@@ -118,7 +120,8 @@
             }
         }
         if (worst >= 0) {
-            XYChart chart = chart("What r" + worst + " held, beside what it had last told", "s", "assignments");
+            XYChart chart = chart("What r" + worst + " held, beside what it had last told", "s",
+                    "assignments");
             add(chart, "held", runners.get(worst), 1, 0);
             add(chart, "told", runners.get(worst), 2, 0);
             draw(page, chart);
@@ -146,7 +149,8 @@
     }
 
     private static XYChart chart(String title, String x, String y) {
-        XYChart chart = new XYChartBuilder().width(900).height(320).title(title).xAxisTitle(x).yAxisTitle(y).build();
+        XYChart chart =
+                new XYChartBuilder().width(900).height(320).title(title).xAxisTitle(x).yAxisTitle(y).build();
         chart.getStyler().setLegendPosition(LegendPosition.OutsideE);
         return chart;
     }
--- a/rig/src/main/java/saltdale/rig/simulate/Fleet.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Fleet.java
@@ -15,7 +15,10 @@
 import saltdale.rig.plan.Make;
 import saltdale.rig.plan.Make;
 
-/** The runners of a simulated day, each a model with the timeline for its clock, and what the list says of them. */
+/**
+ * The runners of a simulated day, each a model with the timeline for its clock, and what the list says of
+ * them.
+ */
 public final class Fleet {
     private static final class Slot {
         final int number;
@@ -41,7 +44,8 @@
         watch = new Watch(day.runners);
         List<Receipts.Shared> receipts = Receipts.of(day);
         for (int i = 0; i < day.runners; i++) {
-            slots.add(new Slot(i, new RunnerModel(day.make(i), receipts.get(i), day.orders.tipMultiple, day.orders.fall,
+            slots.add(new Slot(i, new RunnerModel(day.make(i), receipts.get(i), day.orders.tipMultiple,
+                    day.orders.fall,
                     chance.split(), new News(i))));
         }
     }
--- a/rig/src/main/java/saltdale/rig/simulate/Node.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Node.java
@@ -276,7 +276,8 @@
             }
             String id = of.of.id;
             Workload workload = of.assignment.workload;
-            Work work = new Work(id, workload.repeat == Workload.Repeat.RECEIPTED ? of.of.receipt() : null, workload,
+            Work work = new Work(id, workload.repeat == Workload.Repeat.RECEIPTED ? of.of.receipt() : null,
+                    workload,
                     of.of.ask().size(), number);
             work.mark = this;
             sim.judge.reached(sentAt, now(), id, runner, number, work.size);
@@ -377,7 +378,8 @@
     public void dispatch(Dispatch dispatch, Duration timeOut) {
         Held of = held.get(dispatch.assignment);
         if (of == null) {
-            return;  // over already, and forgotten; what decides is at fault, and the judge has seen the answer
+            // over already, and forgotten; what decides is at fault, and the judge has seen the answer
+            return;
         }
         Flight flight = new Flight(of, dispatch, numbers.get(dispatch.runner));
         of.flights.put(dispatch, flight);
@@ -440,7 +442,8 @@
 
     @Override
     public void wake(Duration after, Object what) {
-        // A wake comes a round later at the soonest: where time stands still in a turn, one at once could go on for ever.
+        // A wake comes a round later at the soonest: where time stands still in a turn, one at once could go
+        // on for ever.
         after(after.compareTo(orders.round) > 0 ? after : orders.round, () -> {
             mind.woken(now(), what);
             eventful();
--- a/rig/src/main/java/saltdale/rig/simulate/PlainMind.java
+++ b/rig/src/main/java/saltdale/rig/simulate/PlainMind.java
@@ -19,8 +19,8 @@
 import saltdale.model.Workload;
 
 /**
- * A simple dispatcher that keeps the rules: a baseline to measure against. With a slip it breaks one of them on
- * purpose, in one way: so the judge is proven. Nothing of this decides in a real dispatcher.
+ * A simple dispatcher that keeps the rules: a baseline to measure against. With a slip it breaks one of them
+ * on purpose, in one way: so the judge is proven. Nothing of this decides in a real dispatcher.
  */
 public final class PlainMind implements Mind {
     /** How the next runner is chosen. */
@@ -76,12 +76,14 @@
 
     @Override
     public void arrived(Duration now, Assignment a) {
-        wishes.add(() -> door.wake(a.deadline.minus(now).minusMillis(slip == Slip.ANSWERS_LATE ? -400 : 5), a));
+        wishes.add(() -> door.wake(a.deadline.minus(now).minusMillis(slip == Slip.ANSWERS_LATE ? -400 : 5),
+                a));
         if (slip == Slip.FORGETS && chance.nextInt(20) == 0) {
             return;
         }
         go(now, a);
-        if (slip == Slip.SENDS_AFTER_END && !a.dispatches.isEmpty()) {  // given up while it is out, then sent again
+        // given up while it is out, then sent again
+        if (slip == Slip.SENDS_AFTER_END && !a.dispatches.isEmpty()) {
             wishes.add(() -> door.wake(Duration.ofMillis(5), a.last()));
         }
     }
--- a/rig/src/main/java/saltdale/rig/simulate/Proof.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Proof.java
@@ -12,7 +12,10 @@
 import saltdale.rig.simulate.PlainMind.Choice;
 import saltdale.rig.simulate.PlainMind.Slip;
 
-/** Proves the judge: small dispatchers, each wrong in one way, on a day that brings out all of them, and a right one. */
+/**
+ * Proves the judge: small dispatchers, each wrong in one way, on a day that brings out all of them, and a
+ * right one.
+ */
 public final class Proof {
     private static final String DAY = """
             name = "proof"
@@ -121,9 +124,11 @@
 
     private static Case play(String name, Breach.Kind expected, Simulation.Minds minds) {
         Day day = new Day(Sheet.of("proof", DAY));
-        Simulation sim = new Simulation(day, minds, new Arrivals(day.traffic, day.jobs, day.length, day.seed)).run();
+        Simulation sim = new Simulation(day, minds, new Arrivals(day.traffic, day.jobs, day.length,
+                day.seed)).run();
         return new Case(name, expected, sim.judge().counts(),
-                sim.judge().breaches().stream().filter(b -> expected == null || b.kind() == expected).findFirst()
+                sim.judge().breaches().stream().filter(b -> expected == null
+                        || b.kind() == expected).findFirst()
                         .map(Breach::toString).orElse(""));
     }
 }
--- a/rig/src/main/java/saltdale/rig/simulate/Simulation.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Simulation.java
@@ -20,8 +20,8 @@
 import saltdale.rig.plan.Day;
 
 /**
- * A day in simulated time: clients, dispatchers, the network, the list and the fleet. One thread and one source of
- * chance for each part, so that the same day with the same seed goes the same way to the last byte.
+ * A day in simulated time: clients, dispatchers, the network, the list and the fleet. One thread and one
+ * source of chance for each part, so that the same day with the same seed goes the same way to the last byte.
  */
 public final class Simulation {
     /** Makes what decides for a dispatcher. */
--- a/rig/src/main/java/saltdale/rig/simulate/Timeline.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Timeline.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.PriorityQueue;
 
-/** What happens when, in simulated time; what is due at one moment happens in the order in which it was set. */
+/**
+ * What happens when, in simulated time; what is due at one moment happens in the order in which it was set.
+ */
 public final class Timeline {
     private record Due(long at, long number, Runnable what) implements Comparable<Due> {
         @Override
--- a/rig/src/main/java/saltdale/rig/standin/ListKeeper.java
+++ b/rig/src/main/java/saltdale/rig/standin/ListKeeper.java
@@ -43,7 +43,8 @@
     private long version = 1;
     private boolean mute;
 
-    public ListKeeper(Turner turner, Day day, Places places, Origin origin, Witness witness) throws IOException {
+    public ListKeeper(Turner turner, Day day, Places places, Origin origin, Witness witness)
+            throws IOException {
         this.turner = turner;
         this.day = day;
         this.places = places;
@@ -55,7 +56,8 @@
         for (int j = 0; j < day.dispatchers; j++) {
             int dispatcher = j;
             InetSocketAddress at = places.list(j);
-            new Listener(turner.loop, turner.sockets, at, (connection, full) -> new Asked(connection, dispatcher));
+            new Listener(turner.loop, turner.sockets, at, (connection, full) -> new Asked(connection,
+                    dispatcher));
         }
         beat();
     }
--- a/rig/src/main/java/saltdale/rig/standin/Places.java
+++ b/rig/src/main/java/saltdale/rig/standin/Places.java
@@ -5,8 +5,8 @@
 import java.net.UnknownHostException;
 
 /**
- * Who listens where: all on loopback, each runner and the list at an address of its own for each dispatcher, so that
- * a runner knows by the address who has sent it a job.
+ * Who listens where: all on loopback, each runner and the list at an address of its own for each dispatcher,
+ * so that a runner knows by the address who has sent it a job.
  */
 public final class Places {
     /** So many dispatchers have room in the third figure of an address. */
--- a/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
+++ b/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
@@ -50,7 +50,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(StandInFleet.class);
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final int BACKLOG = 8;  // small, so that a machine that is cut off can be told by a full one
+    // small, so that a machine that is cut off can be told by a full one
+    private static final int BACKLOG = 8;
     private static final int MOST_TRIES = 10;
     private static final Duration NEWS_LIMIT = Duration.ofSeconds(2);
     private static final Duration NEWS_PAUSE = Duration.ofMillis(100);
@@ -141,7 +142,8 @@
             }
             case MUTE -> list.mute(true);
             case UNMUTE -> list.mute(false);
-            case KILL, REVIVE, WIRE -> { }  // the dispatchers' own; what is on the wire is looked up at each answer
+            // the dispatchers' own; what is on the wire is looked up at each answer
+            case KILL, REVIVE, WIRE -> { }
             default -> trouble.runners().forEach(i -> boxes.get(i).act(turn.act(), turn.at()));
         }
     }
@@ -195,7 +197,8 @@
         void act(Act act, Duration at) {
             Duration now = origin.now();
             switch (act) {
-                // By the hour that it was set for: a timer may come a little before its time, and none would follow.
+                // By the hour that it was set for: a timer may come a little before its time, and none would
+                // follow.
                 case CONDITION -> model.condition(now, weather.condition(number, at));
                 case CRASH -> {
                     gates.forEach(Gate::shut);
@@ -371,7 +374,9 @@
             muted = false;
         }
 
-        /** It is back: what was open through its silence is reset, and it listens again if it had ceased to. */
+        /**
+         * It is back: what was open through its silence is reset, and it listens again if it had ceased to.
+         */
         void renew() {
             List.copyOf(open).forEach(Served::drop);
             open.clear();
@@ -463,7 +468,8 @@
                 return;
             }
             Duration now = origin.now();
-            Work work = new Work(id, workload.repeat == Workload.Repeat.PURE ? null : head.single("Idempotency-Key"),
+            Work work = new Work(id, workload.repeat == Workload.Repeat.PURE ? null
+                    : head.single("Idempotency-Key"),
                     workload, Long.parseLong(size) / 1e6, gate.dispatcher);
             witness.reached(first, now, id, box.number, gate.dispatcher, work.size);
             if (!box.model.isUp()) {
@@ -498,7 +504,8 @@
 
         private String header() {
             LoadReport r = report();
-            return String.format(Locale.ROOT, "Server-Load: concurrent=%.0f,depth=%.0f,x0=%.0f\r\n", r.inFlight(),
+            return String.format(Locale.ROOT, "Server-Load: concurrent=%.0f,depth=%.0f,x0=%.0f\r\n",
+                    r.inFlight(),
                     r.queue(), r.freeSlots());
         }
 
@@ -542,7 +549,8 @@
     }
 
     private static String load(LoadReport r) {
-        return String.format(Locale.ROOT, "{\"concurrent\":%.0f,\"depth\":%.0f,\"x0\":%.0f}", r.inFlight(), r.queue(),
+        return String.format(Locale.ROOT, "{\"concurrent\":%.0f,\"depth\":%.0f,\"x0\":%.0f}", r.inFlight(),
+                r.queue(),
                 r.freeSlots());
     }
 
@@ -574,7 +582,8 @@
             }
             if (!state.equals("started") && !state.equals("running")) {
                 LoadReport r = box.model.report(origin.now());
-                object.putObject("load").put("concurrent", r.inFlight()).put("depth", r.queue()).put("x0", r.freeSlots());
+                object.putObject("load").put("concurrent", r.inFlight()).put("depth", r.queue()).put("x0",
+                        r.freeSlots());
             }
             byte[] body = object.toString().getBytes(StandardCharsets.UTF_8);
             byte[] head = ("POST /_jobs/news HTTP/1.1\r\nHost: " + Places.text(places.dispatcher(work.from))
@@ -592,7 +601,8 @@
                 waiting.addLast(call);
             }
             // Out of order: held a little, so that there is another to pass it.
-            turner.loop.after(box.has(Kind.SHUFFLED_NEWS) ? Duration.ofMillis(20) : Duration.ZERO, this::next);
+            turner.loop.after(box.has(Kind.SHUFFLED_NEWS) ? Duration.ofMillis(20) : Duration.ZERO,
+                    this::next);
         }
 
         private void next() {
--- a/rig/src/test/java/saltdale/rig/fleet/RunnerModelProperties.java
+++ b/rig/src/test/java/saltdale/rig/fleet/RunnerModelProperties.java
@@ -18,13 +18,17 @@
 import saltdale.rig.plan.Make;
 
 class RunnerModelProperties {
-    /** Whatever happens to a runner, each job that it took ends once or was taken back, and time goes forward. */
+    /**
+     * Whatever happens to a runner, each job that it took ends once or was taken back, and time goes forward.
+     */
     @Property(tries = 300, seed = "7")
-    void eachJobEndsOnce(@ForAll @Size(max = 120) int[] deeds, @ForAll @IntRange(min = 1, max = 4) int cores) {
+    void eachJobEndsOnce(@ForAll @Size(max = 120) int[] deeds, @ForAll @IntRange(min = 1,
+            max = 4) int cores) {
         Map<String, Integer> ends = new HashMap<>();
         Set<String> back = new HashSet<>();
         Duration[] last = {Duration.ZERO};
-        RunnerModel runner = new RunnerModel(Make.plain(cores, 3).warming(0.3, Duration.ofSeconds(2)), new Receipts.Shared(new Receipts(), new Receipts(), new Receipts()),
+        RunnerModel runner = new RunnerModel(Make.plain(cores, 3).warming(0.3, Duration.ofSeconds(2)),
+                new Receipts.Shared(new Receipts(), new Receipts(), new Receipts()),
                 2, Duration.ofSeconds(1), new SplittableRandom(1), new RunnerModel.Told() {
                     @Override
                     public void started(Duration at, Work work) {
@@ -53,7 +57,8 @@
             int deed = Math.floorMod(deeds[i], 16);
             now = now.plusMillis(Math.floorMod(deeds[i] / 16, 400));
             if (deed < 9 && runner.isUp()) {
-                Offer offer = runner.offer(now, new Work("j" + i, null, new Workload(), 0.01 + deed * 0.06, 0));
+                Offer offer = runner.offer(now, new Work("j" + i, null, new Workload(), 0.01 + deed * 0.06,
+                        0));
                 if (offer == Offer.TAKEN) {
                     taken.add("j" + i);
                 }
--- a/rig/src/test/java/saltdale/rig/fleet/RunnerModelTest.java
+++ b/rig/src/test/java/saltdale/rig/fleet/RunnerModelTest.java
@@ -46,7 +46,9 @@
         return Duration.ofMillis(millis);
     }
 
-    /** Mean time from arrival to end, in units of the mean size, over so many arrivals at this utilisation. */
+    /**
+     * Mean time from arrival to end, in units of the mean size, over so many arrivals at this utilisation.
+     */
     private double meanTime(int cores, double utilisation, int arrivals) {
         double[] sum = {0};
         int[] ended = {0};
@@ -224,7 +226,8 @@
     void aReportAskedForWhileItTellsMakesNoEndCountTwice() {
         List<String> ends = new ArrayList<>();
         RunnerModel[] runner = new RunnerModel[1];
-        runner[0] = new RunnerModel(Make.plain(2, 4), null, 0, Duration.ZERO, new SplittableRandom(1), new RunnerModel.Told() {
+        runner[0] = new RunnerModel(Make.plain(2, 4), null, 0, Duration.ZERO, new SplittableRandom(1),
+                new RunnerModel.Told() {
             @Override
             public void started(Duration at, Work work) {
             }
--- a/rig/src/test/java/saltdale/rig/load/LoadTest.java
+++ b/rig/src/test/java/saltdale/rig/load/LoadTest.java
@@ -55,7 +55,8 @@
     @Test
     void eachShapeKeepsTheMeanRateOfItsDay() {
         for (Shape shape : Shape.values()) {
-            List<Ask> all = asks(Traffic.steady(100).shaped(shape, 0.8, Duration.ofSeconds(shape == Shape.STEP ? 50 : 10)));
+            List<Ask> all = asks(Traffic.steady(100).shaped(shape, 0.8, Duration.ofSeconds(shape == Shape.STEP
+                    ? 50 : 10)));
             assertEquals(10_000, all.size(), 400, shape.name());
         }
     }
@@ -77,7 +78,8 @@
                 csv.asks(jobs, 2, ms(9000)).stream().map(Ask::at).toList());
         assertEquals(1, csv.asks(jobs, 0.4, ms(9000)).size());
         assertEquals(List.of(ms(500), ms(5500)),
-                csv.spliced(List.of("0s..1s@0s", "1s..2s@5s")).asks(jobs, 1, ms(9000)).stream().map(Ask::at).toList());
+                csv.spliced(List.of("0s..1s@0s", "1s..2s@5s")).asks(jobs, 1,
+                        ms(9000)).stream().map(Ask::at).toList());
     }
 
     @Test
@@ -92,7 +94,8 @@
 
     @Test
     void clientsTryAgainOnlyWhereItIsHarmlessAndWithinTheirBudget() {
-        Persistence persistence = new Persistence(Traffic.steady(1).retrying(2, ms(50), 1), new SplittableRandom(1));
+        Persistence persistence = new Persistence(Traffic.steady(1).retrying(2, ms(50), 1),
+                new SplittableRandom(1));
         assertNull(persistence.next(workload, 1, Final.FULFILLED, null, ms(0), ms(0)));
         Duration first = persistence.next(workload, 1, Final.GIVEN_UP, null, ms(0), ms(0));
         Duration second = persistence.next(workload, 2, null, null, ms(0), ms(0));
@@ -111,7 +114,8 @@
 
     @Test
     void theBudgetBoundsFurtherTriesOverAllClients() {
-        Persistence persistence = new Persistence(Traffic.steady(1).retrying(9, ms(5), 0.1), new SplittableRandom(1));
+        Persistence persistence = new Persistence(Traffic.steady(1).retrying(9, ms(5), 0.1),
+                new SplittableRandom(1));
         int further = 0;
         for (int i = 0; i < 1000; i++) {
             persistence.firstTry();
@@ -123,11 +127,13 @@
     @Test
     void aStallIsCountedFromIntendedTimes() {
         Tally tally = new Tally(jobs, Duration.ZERO);
-        // One ask each 10 ms, each served in 1 ms, but for a stall from 1 s to 2 s: all of it is answered at 2 s.
+        // One ask each 10 ms, each served in 1 ms, but for a stall from 1 s to 2 s: all of it is answered at
+        // 2 s.
         for (int i = 0; i < 300; i++) {
             Duration at = ms(10L * i);
             boolean stalled = at.compareTo(ms(1000)) >= 0 && at.compareTo(ms(2000)) < 0;
-            tally.over(new Ask(i, at, jobs.get(0), 0.001), Final.FULFILLED, stalled ? ms(2000) : at.plusMillis(1), 1, false);
+            tally.over(new Ask(i, at, jobs.get(0), 0.001), Final.FULFILLED, stalled ? ms(2000)
+                    : at.plusMillis(1), 1, false);
         }
         // By hand: a third waits 10, 20, ... 1000 ms; 200 take 1 ms.
         assertEquals(1000, tally.figures().get("max_ms"), 1);
--- a/rig/src/test/java/saltdale/rig/simulate/SimulationTest.java
+++ b/rig/src/test/java/saltdale/rig/simulate/SimulationTest.java
@@ -27,7 +27,8 @@
 
     private static Simulation play(String text) {
         Day day = new Day(Sheet.of("day", text));
-        return new Simulation(day, ModuleMind::new, new Arrivals(day.traffic, day.jobs, day.length, day.seed)).run();
+        return new Simulation(day, ModuleMind::new, new Arrivals(day.traffic, day.jobs, day.length,
+                day.seed)).run();
     }
 
     private static String trouble(String kind, String more) {
--- a/rig/src/test/java/saltdale/rig/standin/StandInFleetTest.java
+++ b/rig/src/test/java/saltdale/rig/standin/StandInFleetTest.java
@@ -46,7 +46,8 @@
         try (ServerSocket free = new ServerSocket(0)) {
             places = new Places(free.getLocalPort());
         }
-        String text = kind == null ? DAY : DAY + "[[trouble]]\nkind = \"" + kind + "\"\nlength = \"1h\"\nrunners = [0]\n"
+        String text = kind == null ? DAY : DAY + "[[trouble]]\nkind = \"" + kind
+                + "\"\nlength = \"1h\"\nrunners = [0]\n"
                 + more;
         Day day = new Day(Sheet.of("day", text));
         turner = new Turner("test");
@@ -151,7 +152,8 @@
         fleet(null, "");
         assertTrue(read(send(0, "POST /w/7 HTTP/1.1\r\nContent-Length: 0\r\n\r\n").getInputStream())
                 .startsWith("HTTP/1.1 404"));
-        assertTrue(read(send(0, "GET /metrics/load HTTP/1.1\r\n\r\n").getInputStream()).contains("\"depth\":0"));
+        assertTrue(read(send(0,
+                "GET /metrics/load HTTP/1.1\r\n\r\n").getInputStream()).contains("\"depth\":0"));
     }
 
     @Test
--- a/tools/src/main/java/saltdale/tools/Ceiling.java
+++ b/tools/src/main/java/saltdale/tools/Ceiling.java
@@ -23,9 +23,11 @@
 import saltdale.transport.Listener;
 
 @Command(name = "ceiling", mixinStandardHelpOptions = true,
-        description = "How many jobs a second the load can send on time, against a stand-in that answers at once.")
+        description =
+                "How many jobs a second the load can send on time, against a stand-in that answers at once.")
 final class Ceiling implements Callable<Integer> {
-    private static final byte[] ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] ANSWER =
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".getBytes(StandardCharsets.US_ASCII);
 
     @Override
     public Integer call() throws IOException, InterruptedException {
@@ -53,7 +55,8 @@
             server.start();
             clients.start();
             Duration start = origin.now();
-            Generator generator = new Generator(clients, day, List.of(places.dispatcher(0)), origin, Witness.NOBODY, 1,
+            Generator generator = new Generator(clients, day, List.of(places.dispatcher(0)), origin,
+                    Witness.NOBODY, 1,
                     "c" + rate, start);
             clients.inside(() -> generator.begin(Run.asks(day, Path.of("."), start)));
             Duration last = start.plus(day.length).plusSeconds(4);
--- a/tools/src/main/java/saltdale/tools/Cost.java
+++ b/tools/src/main/java/saltdale/tools/Cost.java
@@ -42,7 +42,8 @@
             size = {kind = "constant", mean = "2ms"}
             """;
 
-    @Option(names = "--core", defaultValue = "1", description = "The dispatcher's core (default: ${DEFAULT-VALUE}).")
+    @Option(names = "--core", defaultValue = "1",
+            description = "The dispatcher's core (default: ${DEFAULT-VALUE}).")
     private String core;
 
     @Option(names = "--rates", split = ",", defaultValue = "500,2000", description = "Jobs a second.")
@@ -51,10 +52,12 @@
     @Option(names = "--repeats", defaultValue = "2", description = "Of each (default: ${DEFAULT-VALUE}).")
     private int repeats;
 
-    @Option(names = "--ceiling", description = "Also looks for the most jobs a second that keep the promised time.")
+    @Option(names = "--ceiling",
+            description = "Also looks for the most jobs a second that keep the promised time.")
     private boolean ceiling;
 
-    @Option(names = "--system-calls", description = "Also counts system calls a job at the first rate; wants strace.")
+    @Option(names = "--system-calls",
+            description = "Also counts system calls a job at the first rate; wants strace.")
     private boolean systemCalls;
 
     @Option(names = "--out", defaultValue = "out/cost")
@@ -64,13 +67,15 @@
             List.of("-cp", System.getProperty("java.class.path"), Relay.class.getName()));
 
     private static List<String> flags() {
-        return List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xms24m", "-Xmx112m");
+        return List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xms24m",
+                "-Xmx112m");
     }
 
     @Override
     public Integer call() throws IOException {
         Version own = Version.own("dispatcher", Main.home());
-        System.out.printf("%-12s %8s %10s %10s %10s %10s%n", "", "jobs/s", "us/job", "p50 ms", "p99 ms", "1000 in s");
+        System.out.printf("%-12s %8s %10s %10s %10s %10s%n", "", "jobs/s", "us/job", "p50 ms", "p99 ms",
+                "1000 in s");
         for (int rate : rates) {
             List<Double> ratios = new ArrayList<>();
             for (int i = 0; i < repeats; i++) {
@@ -93,16 +98,21 @@
         return 0;
     }
 
-    /** System calls a job, counted from outside over some seconds; being watched slows the run, so no time is taken. */
+    /**
+     * System calls a job, counted from outside over some seconds; being watched slows the run, so no time is
+     * taken.
+     */
     private void systemCalls(Version version, int rate) throws IOException {
         Day day = day(rate, 0);
         Path counts = out.resolve("system-calls-" + version.name() + "-" + rate + ".txt");
         Files.createDirectories(out);
         Process[] watching = new Process[1];
-        Run.onSockets(day, version, "", 0, Run.asks(day, Path.of(".")), out.resolve("watched"), core, (share, crew) -> {
+        Run.onSockets(day, version, "", 0, Run.asks(day, Path.of(".")), out.resolve("watched"), core, (share,
+                crew) -> {
             if (share > 0.4 && watching[0] == null) {
                 try {
-                    watching[0] = new ProcessBuilder("timeout", "-s", "INT", String.valueOf(WATCHED_S), "strace", "-c",
+                    watching[0] = new ProcessBuilder("timeout", "-s", "INT", String.valueOf(WATCHED_S),
+                            "strace", "-c",
                             "-f", "-o", counts.toString(), "-p", String.valueOf(crew.pid(0))).start();
                 } catch (IOException e) {
                     throw new UncheckedIOException("strace can't be started: " + e.getMessage(), e);
@@ -117,7 +127,8 @@
         System.out.printf("%s at %d jobs/s, system calls a job:%n", version.name(), rate);
         for (String line : Files.readAllLines(counts)) {
             String[] cells = line.strip().split("\\s+");
-            if (cells.length >= 5 && cells[3].matches("\\d+") && Long.parseLong(cells[3]) > rate * WATCHED_S / 50) {
+            if (cells.length >= 5 && cells[3].matches("\\d+")
+                    && Long.parseLong(cells[3]) > rate * WATCHED_S / 50) {
                 System.out.printf(Locale.ROOT, "  %-16s %.2f%n", cells[cells.length - 1],
                         Long.parseLong(cells[3]) / (double) (rate * WATCHED_S));
             }
--- a/tools/src/main/java/saltdale/tools/Load.java
+++ b/tools/src/main/java/saltdale/tools/Load.java
@@ -20,7 +20,8 @@
 import saltdale.transport.Address;
 
 @Command(name = "load", mixinStandardHelpOptions = true,
-        description = "Sends a day's load to dispatchers that run already, in an open loop, and prints what came back.")
+        description =
+                "Sends a day's load to dispatchers that run already, in an open loop, and prints what came back.")
 final class Load implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "The day, TOML.")
     private Path file;
--- a/tools/src/main/java/saltdale/tools/MeasureNodes.java
+++ b/tools/src/main/java/saltdale/tools/MeasureNodes.java
@@ -25,7 +25,8 @@
 import saltdale.transport.Sockets;
 
 @Command(name = "measure-nodes", mixinStandardHelpOptions = true,
-        description = "Boxes' goings, reads after a return, time and memory of the list from ephemeral nodes.")
+        description =
+                "Boxes' goings, reads after a return, time and memory of the list from ephemeral nodes.")
 final class MeasureNodes implements Callable<Integer> {
     private static final String PATH = "/boxes";
     private static final Duration SESSION = Duration.ofSeconds(4);
@@ -54,7 +55,8 @@
         loop = new Loop();
         sockets = new Sockets(loop, 100_000);
         InetSocketAddress at = new InetSocketAddress("127.0.0.1", port);
-        NodeServer server = new NodeServer(loop, sockets, Duration.ofMillis(200), null, System::currentTimeMillis, 1);
+        NodeServer server = new NodeServer(loop, sockets, Duration.ofMillis(200), null,
+                System::currentTimeMillis, 1);
         server.listen(at);
         NodeClient boxes = client(at);
         make(boxes, PATH, new byte[0], false);
@@ -69,12 +71,14 @@
             int list = i;
             up.add(0);
             NodeList each = new NodeList(loop, sockets, List.of(at), SESSION, Duration.ofSeconds(1), PATH,
-                    new SplittableRandom(i), changes -> changes.forEach(c -> told(list, c.name(), c.health())));
+                    new SplittableRandom(i), changes -> changes.forEach(c -> told(list, c.name(),
+                            c.health())));
             all.add(each);
             each.begin();
         }
         until(() -> up.stream().allMatch(n -> n == nodes));
-        System.out.printf(Locale.ROOT, "%d nodes known to %d lists after %.2f s; %.0f bytes of heap a node and list%n",
+        System.out.printf(Locale.ROOT,
+                "%d nodes known to %d lists after %.2f s; %.0f bytes of heap a node and list%n",
                 nodes, lists, (System.nanoTime() - began) / 1e9, (heap() - heap) / (double) nodes / lists);
 
         long readsBefore = server.reads();
@@ -95,7 +99,8 @@
             }
             return server.reads() - readsBefore >= (long) nodes * lists;
         });
-        System.out.printf(Locale.ROOT, "after a return: %.3f reads a node and list, %.1f s, at most %d reads/s, %d told "
+        System.out.printf(Locale.ROOT,
+                "after a return: %.3f reads a node and list, %.1f s, at most %d reads/s, %d told "
                 + "gone%n", (server.reads() - readsBefore) / (double) nodes / lists,
                 (System.nanoTime() - returned) / 1e9, rate.getMaxValue(), unexpected);
 
@@ -106,12 +111,14 @@
             goneAt.put(name, begin);
             pending++;
             boxes.delete(PATH + "/" + name, -1, (fault, nothing) -> pending--);
-            until(() -> pending == 0 && up.get(lists - 1) == nodes - 1 && up.stream().allMatch(n -> n == nodes - 1));
+            until(() -> pending == 0 && up.get(lists - 1) == nodes - 1
+                    && up.stream().allMatch(n -> n == nodes - 1));
             goneAt.remove(name);
             make(boxes, PATH + "/" + name, data(i % nodes), true);
             until(() -> up.stream().allMatch(n -> n == nodes));
         }
-        System.out.printf(Locale.ROOT, "%d goings to %d lists: told after %.2f ms at the median, %.2f ms at p99.9, %.2f ms "
+        System.out.printf(Locale.ROOT,
+                "%d goings to %d lists: told after %.2f ms at the median, %.2f ms at p99.9, %.2f ms "
                 + "at the most%n", goings, lists, late.getValueAtPercentile(50) / 1e3,
                 late.getValueAtPercentile(99.9) / 1e3, late.getMaxValue() / 1e3);
         server.close();
--- a/tools/src/main/java/saltdale/tools/Prove.java
+++ b/tools/src/main/java/saltdale/tools/Prove.java
@@ -6,14 +6,16 @@
 import saltdale.rig.simulate.Proof;
 
 @Command(name = "prove", mixinStandardHelpOptions = true,
-        description = "Proves the judge: dispatchers that are wrong in one way each are caught, right ones pass.")
+        description =
+                "Proves the judge: dispatchers that are wrong in one way each are caught, right ones pass.")
 final class Prove implements Callable<Integer> {
     @Override
     public Integer call() {
         List<Proof.Case> cases = Proof.run();
         for (Proof.Case each : cases) {
             System.out.printf("%-6s %-22s %-20s %s%n", each.asExpected() ? "ok" : "WRONG", each.name(),
-                    each.expected() == null ? "passes" : each.expected().name().toLowerCase().replace('_', ' '),
+                    each.expected() == null ? "passes" : each.expected().name().toLowerCase().replace('_',
+                            ' '),
                     each.first());
         }
         return cases.stream().allMatch(Proof.Case::asExpected) ? 0 : 1;
--- a/tools/src/main/java/saltdale/tools/StandIn.java
+++ b/tools/src/main/java/saltdale/tools/StandIn.java
@@ -22,7 +22,8 @@
 import saltdale.rig.standin.Turner;
 
 @Command(name = "stand-in", mixinStandardHelpOptions = true,
-        description = "Stands in for the runners of a day, for their list, or for both, on loopback addresses.")
+        description =
+                "Stands in for the runners of a day, for their list, or for both, on loopback addresses.")
 final class StandIn implements Callable<Integer> {
     enum Part { runners, discovery, all }
 
@@ -32,7 +33,8 @@
     @Parameters(index = "1", paramLabel = "FILE", description = "The day, TOML.")
     private Path file;
 
-    @Option(names = "--port", defaultValue = "7400", description = "Of all addresses (default: ${DEFAULT-VALUE}).")
+    @Option(names = "--port", defaultValue = "7400",
+            description = "Of all addresses (default: ${DEFAULT-VALUE}).")
     private int port;
 
     @Option(names = "--out", defaultValue = "out/stand-in",
@@ -76,7 +78,8 @@
             }
             Thread.sleep(span.toMillis());
         } catch (IOException e) {
-            throw new IOException("an address at port " + port + " can't be listened at: " + e.getMessage(), e);
+            throw new IOException("an address at port " + port + " can't be listened at: " + e.getMessage(),
+                    e);
         }
         return 0;
     }
--- a/tools/src/main/java/saltdale/tools/StandInNodes.java
+++ b/tools/src/main/java/saltdale/tools/StandInNodes.java
@@ -15,19 +15,23 @@
 import saltdale.transport.Sockets;
 
 @Command(name = "stand-in-nodes", mixinStandardHelpOptions = true,
-        description = "Stands in for a coordination service with ephemeral nodes: one tree, one process, no consensus.")
+        description =
+                "Stands in for a coordination service with ephemeral nodes: one tree, one process, no consensus.")
 final class StandInNodes implements Callable<Integer> {
-    @Option(names = "--listen", required = true, paramLabel = "ADDRESS:PORT", description = "Numbers, on loopback.")
+    @Option(names = "--listen", required = true, paramLabel = "ADDRESS:PORT",
+            description = "Numbers, on loopback.")
     private String listen;
 
     @Option(names = "--servers", defaultValue = "1",
             description = "So many addresses, at ports one after the other (default: ${DEFAULT-VALUE}).")
     private int servers;
 
-    @Option(names = "--state", paramLabel = "FILE", description = "The log that a restart reads; none: nothing is kept.")
+    @Option(names = "--state", paramLabel = "FILE",
+            description = "The log that a restart reads; none: nothing is kept.")
     private Path state;
 
-    @Option(names = "--tick", defaultValue = "2s", description = "Sessions last 2 to 20 ticks (default: ${DEFAULT-VALUE}).")
+    @Option(names = "--tick", defaultValue = "2s",
+            description = "Sessions last 2 to 20 ticks (default: ${DEFAULT-VALUE}).")
     private String tick;
 
     @Option(names = "--for", paramLabel = "SPAN", defaultValue = "1h",
--- a/tools/src/test/java/saltdale/tools/LayersTest.java
+++ b/tools/src/test/java/saltdale/tools/LayersTest.java
@@ -40,7 +40,8 @@
 
     @ArchTest
     static final ArchRule DECISIONS_KNOW_NO_IO = noClasses().that()
-            .resideInAnyPackage("saltdale.decision", "saltdale.model", "saltdale.rig.fleet", "saltdale.rig.judge")
+            .resideInAnyPackage("saltdale.decision", "saltdale.model", "saltdale.rig.fleet",
+                    "saltdale.rig.judge")
             .should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.nio..", "java.io..",
                     "saltdale.transport", "saltdale.protocol");
 
@@ -53,7 +54,8 @@
     static final ArchRule MEMBERSHIP_KNOWS_NO_SOCKETS = noClasses().that()
             .resideInAnyPackage("saltdale.nodes.membership", "saltdale.nodes.tree", "saltdale.nodes.wire")
             .should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.nio.channels..",
-                    "saltdale.transport", "saltdale.nodes.client", "saltdale.nodes.list", "saltdale.nodes.standin");
+                    "saltdale.transport", "saltdale.nodes.client", "saltdale.nodes.list",
+                            "saltdale.nodes.standin");
 
     @ArchTest
     static final ArchRule NO_RINGS = slices().matching("saltdale.(*)").should().beFreeOfCycles();
