Say where results could not be written, after the figures

Cause: seen with a limit on files: one line, 'File too large', and no table. Change: the table comes first, the line names the folder.

--- a/rig/src/main/java/saltdale/rig/experiment/Experiment.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Experiment.java
@@ -127,10 +127,14 @@
                 }
             }
         } finally {
-            // Guards against losing what was measured when a later run can't be played.
-            write(out, outcomes);
+            // Guards against losing what was measured when a later run can't be played, or when the disk is full.
+            table(outcomes, say);
+            try {
+                write(out, outcomes);
+            } catch (IOException e) {
+                throw new IOException("results can't be written to " + out + ": " + e.getMessage(), e);
+            }
         }
-        table(outcomes, say);
         return verdict(outcomes, say);
     }
 
