Read spans and addresses of the command line in one place; drop two unused fields

Cause: reread: StandIn and Load wrote again what StandInNodes had, and a dispatch in the runner's model kept two times that nobody read. Change: one reading of each.

--- a/rig/src/main/java/saltdale/rig/fleet/RunnerModel.java
+++ b/rig/src/main/java/saltdale/rig/fleet/RunnerModel.java
@@ -177,7 +177,6 @@
         if (!isUp()) {
             throw new IllegalStateException("a runner that is down takes no calls");
         }
-        work.arrivedAt = now;
         if (cold != null && warmth(now) < 1 && cold.over(now, work.size, warmth(now) * make.capacity())) {
             fall();
             return Offer.FELL;
@@ -200,7 +199,6 @@
         while (running.size() < make.slots() && !waiting.isEmpty() && !condition.stalled()) {
             Work next = next();
             waiting.remove(next);
-            next.startedAt = now;
             next.tellAt = make.progressEvery().isZero() ? NEVER : now + make.progressEvery().toNanos();
             if (next.receipt != null && receipts != null
                     && !receipts.of(next.workload).isNew(next.receipt, next.workload.window, now)) {
--- a/rig/src/main/java/saltdale/rig/fleet/Work.java
+++ b/rig/src/main/java/saltdale/rig/fleet/Work.java
@@ -18,8 +18,6 @@
 
     double left;
     double whole;
-    long arrivedAt;
-    long startedAt = -1;
     long tellAt = Long.MAX_VALUE;
     boolean fails;
     /** Dropped as a repeat: it ends with the first one's result and has no effect of its own. */
--- a/tools/src/main/java/saltdale/tools/Load.java
+++ b/tools/src/main/java/saltdale/tools/Load.java
@@ -14,10 +14,8 @@
 import saltdale.rig.judge.Witness;
 import saltdale.rig.load.Generator;
 import saltdale.rig.plan.Day;
-import saltdale.rig.plan.Misread;
 import saltdale.rig.standin.Origin;
 import saltdale.rig.standin.Turner;
-import saltdale.transport.Address;
 
 @Command(name = "load", mixinStandardHelpOptions = true,
         description =
@@ -34,13 +32,7 @@
     public Integer call() throws Exception {
         Day day = Day.read(file);
         List<InetSocketAddress> addresses = new ArrayList<>();
-        for (String each : to) {
-            InetSocketAddress address = Address.parse(each);
-            if (address == null || !address.getAddress().isLoopbackAddress()) {
-                throw new Misread("--to: " + each + " is no numeric loopback address with a port");
-            }
-            addresses.add(address);
-        }
+        to.forEach(each -> addresses.add(StandInNodes.loopback("--to", each)));
         Origin origin = new Origin();
         try (Turner turner = new Turner("clients")) {
             turner.start();
--- a/tools/src/main/java/saltdale/tools/StandIn.java
+++ b/tools/src/main/java/saltdale/tools/StandIn.java
@@ -12,8 +12,6 @@
 import saltdale.rig.fleet.Weather;
 import saltdale.rig.judge.Witness;
 import saltdale.rig.plan.Day;
-import saltdale.rig.plan.Misread;
-import saltdale.rig.plan.Sheet;
 import saltdale.rig.standin.ListKeeper;
 import saltdale.rig.standin.ListWord;
 import saltdale.rig.standin.Origin;
@@ -48,10 +46,7 @@
     @Override
     public Integer call() throws Exception {
         Day day = Day.read(file);
-        Duration span = Sheet.span(length);
-        if (span == null) {
-            throw new Misread("--for: wanted a span such as 90s or 1h");
-        }
+        Duration span = StandInNodes.span("--for", length);
         Origin origin = new Origin();
         Places places = new Places(port);
         Witness nobody = Witness.NOBODY;
