Take a job back on the connection that took it, until the word has arrived

Traced over all dispatchers: of the DELETEs to silent machines those written on an open connection were never held against us; the one at fault had none, since probes to the silent machine had used up what rested in the pool, and no new connection came up: the word was never written, and Sending.takeBack ended the dispatch all the same (broke() -> after.run()). Ruled out: a call-back that overtook, and a retry by the client (its ids are its own).

A single dispatcher that meets 60 runners seldom has no second connection to most of them; with few runners it has.

Change: the connection of a dispatch stays with it until it ends (Kept; it can be spared like those that rest).

Tests: the word after a reset, and the kept connection.

--- a/daemon/src/main/java/saltdale/routing/Call.java
+++ b/daemon/src/main/java/saltdale/routing/Call.java
@@ -17,6 +17,11 @@
     interface Back {
         void answered(Head head, byte[] body);
 
+        /** Takes over the connection of an answer, which would else rest in the pool; false to leave it there. */
+        default boolean keeps(Head head, Connection connection) {
+            return false;
+        }
+
         /** It ended without an answer, having come so far; {@code malformed} where what came was no answer. */
         void broke(Reach reach, boolean malformed);
     }
@@ -36,13 +41,22 @@
     /** Begins it; null where no socket is to be had. */
     static Call begin(Pool pool, Back back, byte[]... request) {
         Call call = new Call(pool, back);
-        call.connection = pool.take(call);
-        if (call.connection == null) {
-            return null;
-        }
-        call.connection.beginMessage();
-        call.connection.send(Arrays.stream(request).map(ByteBuffer::wrap).toArray(ByteBuffer[]::new));
-        return call;
+        Connection connection = pool.take(call);
+        return connection == null ? null : call.on(connection, request);
+    }
+
+    /** Begins it on a connection that stands open and quiet. */
+    static Call begin(Pool pool, Connection connection, Back back, byte[]... request) {
+        Call call = new Call(pool, back);
+        connection.owner(call);
+        return call.on(connection, request);
+    }
+
+    private Call on(Connection open, byte[]... request) {
+        connection = open;
+        connection.beginMessage();
+        connection.send(Arrays.stream(request).map(ByteBuffer::wrap).toArray(ByteBuffer[]::new));
+        return this;
     }
 
     /** Where no answer has come by then, it is given up and has broken. */
@@ -61,12 +75,14 @@
         return connection.reach();
     }
 
-    /** Gives it up by closing its connection, if it is still out; nobody is called. */
-    void abandon() {
-        if (!over) {
+    /** Gives it up by closing its connection, if it is still out; nobody is called. Whether it was. */
+    boolean abandon() {
+        boolean out = !over;
+        if (out) {
             finish();
             connection.close();
         }
+        return out;
     }
 
     private void finish() {
@@ -86,10 +102,10 @@
         } else if (parser.whole()) {
             finish();
             // Whatever else has come belongs to no request of ours.
-            if (parser.head().keepsAlive() && !bytes.hasRemaining() && connection.reach() == Reach.WRITTEN) {
-                pool.rest(connection);
-            } else {
+            if (!parser.head().keepsAlive() || bytes.hasRemaining() || connection.reach() != Reach.WRITTEN) {
                 connection.close();
+            } else if (!back.keeps(parser.head(), connection)) {
+                pool.rest(connection);
             }
             back.answered(parser.head(), parser.body());
         }
--- a/daemon/src/main/java/saltdale/routing/Sending.java
+++ b/daemon/src/main/java/saltdale/routing/Sending.java
@@ -7,6 +7,7 @@
 import saltdale.protocol.Head;
 import saltdale.protocol.HttpWriter;
 import saltdale.protocol.Load;
+import saltdale.transport.Connection;
 import saltdale.transport.Reach;
 import saltdale.transport.Timer;
 
@@ -20,6 +21,7 @@
     private Reach reach = Reach.UNSENT;
     private boolean calledOff;
     private Timer limit;
+    private Kept kept;  // null while its call is out, and where the runner has not taken it
     /** The body for the client, where the runner has made one. */
     byte[] result;
 
@@ -61,6 +63,9 @@
         if (limit != null) {
             limit.cancel();
         }
+        if (kept != null) {
+            kept.rest();
+        }
         if (call != null && reach != Reach.TAKEN) {
             router.loop().after(router.answerLimit(), call::abandon);  // its answer may still be on the way
         }
@@ -80,7 +85,7 @@
         if (call == null) {
             end(Outcome.NEVER_SENT, null);
         } else if (reach == Reach.TAKEN || dispatch.startedAt != null) {
-            takeBack(() -> end(outcome, null));
+            takeBack(router.answerLimit().dividedBy(8), () -> end(outcome, null));
         } else {
             reach = call.reach();
             call.abandon();
@@ -88,13 +93,18 @@
                 end(Outcome.NEVER_SENT, null);
                 return;
             }
-            takeBack(() -> { });  // guards against a 202 that crosses the closing
+            takeBack(null, () -> { });  // guards against a 202 that crosses the closing
             end(outcome, null);
         }
     }
 
-    private void takeBack(Runnable after) {
-        Call back = Call.begin(target.pool, new Call.Back() {
+    /**
+     * Where a pause is given, the job is out until the word has been answered, or written to a machine that says
+     * nothing: a word that could not be written, or met a reset, may never have come and is sent again.
+     */
+    private void takeBack(Duration pause, Runnable after) {
+        byte[] text = HttpWriter.request("DELETE", "/jobs/" + held.id, target.dial);
+        Call.Back back = new Call.Back() {
             @Override
             public void answered(Head head, byte[] body) {
                 after.run();
@@ -102,14 +112,47 @@
 
             @Override
             public void broke(Reach so, boolean malformed) {
+                again(pause, after);
+            }
+        };
+        Connection open = kept == null ? null : kept.take();
+        Call word = open != null ? Call.begin(target.pool, open, back, text) : Call.begin(target.pool, back, text);
+        if (word == null) {
+            again(pause, after);
+            return;
+        }
+        router.loop().after(router.answerLimit(), () -> {  // guards against a machine that has vanished
+            Reach so = word.reach();
+            if (!word.abandon()) {
+                return;
+            } else if (so == Reach.WRITTEN) {
                 after.run();
+            } else {
+                again(pause, after);
             }
-        }, HttpWriter.request("DELETE", "/jobs/" + held.id, target.dial));
-        if (back == null) {
+        });
+    }
+
+    /** Guards against a second copy of what a machine that can't be reached may still be running. */
+    private void again(Duration pause, Runnable after) {
+        if (pause == null) {
             after.run();
-        } else {
-            back.within(router.loop(), router.answerLimit());  // guards against a machine that has vanished
+            return;
+        }
+        router.loop().after(pause, () -> {
+            if (!isOver()) {
+                takeBack(pause.multipliedBy(2), after);
+            }
+        });
+    }
+
+    @Override
+    public boolean keeps(Head head, Connection connection) {
+        if (head.status() != 202 || isOver()) {
+            return false;
         }
+        kept = new Kept(router.sockets(), target.pool, connection);
+        return true;
     }
 
     @Override
--- a/daemon/src/test/java/saltdale/routing/RouterTest.java
+++ b/daemon/src/test/java/saltdale/routing/RouterTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -385,6 +386,35 @@
         assertEquals(Outcome.CANCELLED, sending.dispatch.outcome);
     }
 
+    @Test
+    void aWordThatMetAResetIsSentAgainBeforeTheDispatchEnds() throws IOException {
+        begin();
+        Peer[] dispatched = new Peer[1];
+        Sending sending = takenBack(client(), dispatched);
+        dispatched[0].hears("DELETE /jobs/a");
+        dispatched[0].channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+        dispatched[0].channel.close();
+        Peer second = accepts(runner);
+        second.hears("DELETE /jobs/a");
+        assertFalse(sending.isOver(), "the first word may never have come");
+        second.says(OK);
+        until(sending::isOver);
+    }
+
+    @Test
+    void theConnectionOfAJobIsKeptForTakingItBack() throws IOException {
+        begin();
+        orders.mostDispatches = 2;
+        client().says(job("a"));
+        Peer first = dispatched();
+        first.says(ACCEPTED);
+        until(router.held("a").sendings.get(0)::isTaken);
+        client().says(job("b"));
+        dispatched();
+        router.held("a").sendings.get(0).stop(Outcome.CANCELLED);
+        first.hears("DELETE /jobs/a");
+    }
+
     @Test
     void aStartThatOvertookThe202IsTakenBackByName() throws IOException {
         begin();
--- a/net/src/main/java/saltdale/transport/Connection.java
+++ b/net/src/main/java/saltdale/transport/Connection.java
@@ -136,7 +136,7 @@
      * Looks whether the peer has closed it or sent something unasked; it is then closed. Guards against writing
      * a request to a connection that the peer has ended while it stood idle.
      */
-    boolean stillQuiet() {
+    public boolean stillQuiet() {
         if (closed) {
             return false;
         }
