Give cold runners their whole part, pass over silent ones, take lost work back

At fault was the chance in withinColdBudget: part / workSought. The work sought counted all workloads, though only small work may go by chance, and the warm runners' work stood for all ready ones: together 8 times too little. With few dispatchers a part is over one job, and the chance does not matter. - 45% of the probes from 8 to 12 s went to the lost zone unanswered (about 700 in all): probed() taught nothing. And 9 to 16 dispatches a second went there, to end as not connected: a runner silent past probeLimit counts as 2 L + 1, which beats a real queue once L is high. - What ran on a machine that died was looked for anew only after gaps that double, up to 22 s later, although the list had told of the new process at 13.8 to 15.4 s (listed() looked at no dispatch).

Change: the chance is our part of a runner's budget beside the work sought that is small enough for it, over all ready runners. A runner that did not answer, or to which no way led, is passed over for a spell, then for gaps that double, until it is heard. Dispatches sent before the process began that the list now tells of are taken back.

--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -22,6 +22,8 @@
 
     static final class Row {  // one a workload
         double usual, ended;  // mean size in seconds, as hinted, else as run, over how many that have ended
+        double sought;  // work that runners were picked for, fading
+        Duration soughtAt = Duration.ZERO;
         Duration patience = Duration.ZERO;  // the longest a client has come with: that of a first try
     }
 
@@ -38,9 +40,8 @@
     private final double[] busy = new double[2];  // λ' of our own zone, and of the others
     final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
     private double workDone;  // by warm runners, fading
-    private double workSought;  // that runners were picked for, fading
-    private Duration workDoneAt = Duration.ZERO, workSoughtAt = Duration.ZERO, surveyedAt;
-    private double mostImportant, warmRate, meanOut;
+    private Duration workDoneAt = Duration.ZERO, surveyedAt;
+    private double mostImportant, warmRate, meanOut, ready;
     private boolean mostAside;
     private Duration askAt, askGap;  // when to ask for the list (null while subscribed), and again
     private final Duration spell, memory;  // the unit of setting aside; how long what was measured counts
@@ -72,6 +73,9 @@
             seen.add(s.runner());
             s.runner().sighted(s);
             s.runner().pace.within = kinds.computeIfAbsent(s.kind(), k -> new Pace(64, pace));
+            // Guards against waiting for work that a process took with it: the one that runs there now has none.
+            s.runner().out.stream().filter(d -> s.startedAt() != null && d.sentAt.compareTo(s.startedAt()) < 0)
+                    .forEach(this::takeBack);
         }
         runners.stream().filter(r -> whole && !seen.contains(r)).forEach(r -> r.mode = Runner.Mode.GONE);
         seen.addAll(runners);
@@ -84,6 +88,11 @@
         }
     }
 
+    private void takeBack(Dispatch d) {
+        d.cancelWanted = true;
+        touched.add(d.assignment);
+    }
+
     public void listFailed(Duration now) {  // jitter, and a gap that doubles, spare the small list service
         askAt = now.plus(ofSecs(secs(askGap) * (0.5 + chance.nextDouble())));
         askGap = least(askGap.multipliedBy(2), orders.askWithin.dividedBy(2));
@@ -98,7 +107,7 @@
 
     public void started(Duration now, Dispatch d) {
         d.startedAt = now;
-        d.heardAt = now;
+        progressed(now, d);
         d.runner.fullAt = d.load < d.runner.fullAt ? d.runner.fullAt : Double.POSITIVE_INFINITY;
         waitPerLoad = d.load < 0.5 ? waitPerLoad : smooth(waitPerLoad, secs(now.minus(d.sentAt)) / d.load);
         consider(now, d.assignment);
@@ -106,6 +115,7 @@
 
     public void progressed(Duration now, Dispatch d) {
         d.heardAt = now;
+        d.runner.heard();
     }
 
     public void streaming(Duration now, Dispatch d) {
@@ -134,7 +144,10 @@
         }
         double load = Double.POSITIVE_INFINITY;
         boolean idle = false;
-        if (answered) {
+        if (!answered) {
+            r.unheard(now, spell);
+        } else {
+            r.heard();
             r.report = report == null ? LoadReport.NONE : report;
             r.known = true;
             load = load(r);
@@ -199,6 +212,7 @@
                 return;
             }
             a.found(a.asked, 2 * meanQueue + 1);  // guards against silent or busy runners holding it up
+            a.asked.unheard(now, spell);
             a.asked = null;
         }
         while (a.probed.isEmpty() || worthAnother(a)) {
@@ -292,8 +306,9 @@
      */
     private Runner pick(Duration now, Assignment a) {
         survey(now);
-        workSought = workSought * fade(now, workSoughtAt) + work(a);
-        workSoughtAt = now;
+        Row row = rows.get(a.workload);
+        row.sought = row.sought * fade(now, row.soughtAt) + work(a);
+        row.soughtAt = now;
         boolean home = orders.crossZonePrice > 0 && 2 * a.probed.size() < PROBE_CAP
                 && 2 * (1 - busy[0]) >= 1 - busy[1];  // guards against a zone more crowded than the others
         Runner best = null;
@@ -303,7 +318,7 @@
             Runner r = runners.get(i);
             if (!a.probed.contains(r) && sendable(now, a, r)) {
                 boolean trusted = (r.trickle == null || mostAside || reached(now, r.trickleAt))
-                        && !r.refuses(now, a.workload);
+                        && !r.refuses(now, a.workload) && !r.isSilent(now);
                 int rank = (trusted && !a.sentTo(r) ? 0 : 8) + (slack(now, a, r) >= 0 ? 0 : 4)
                         + (home && !r.zone.equals(orders.zone) ? 2 : 0)
                         + (chance.nextDouble() * pace(now, r) > pace.of(BELIEF, BELIEF) ? 1 : 0);
@@ -460,7 +475,11 @@
                 mark(now, d.runner, false);
             }
             case TURNED_AWAY -> d.runner.turnedAway(now, d, spell);
-            case ERROR, BROKEN, NOT_CONNECTED, TIMED_OUT -> mark(now, d.runner, true);
+            case ERROR, BROKEN, TIMED_OUT -> mark(now, d.runner, true);
+            case NOT_CONNECTED -> {
+                mark(now, d.runner, true);
+                d.runner.unheard(now, spell);
+            }
         }
     }
 
@@ -493,9 +512,12 @@
         survey(now);
         double budget = COLD_CAUTION * orders.tipMultiple * share * warmRate * secs(orders.fall);
         double sent = r.coldWork(now.minus(orders.fall));
-        // Guards against idle cold runners where our part is under one job: then it is sent by chance.
-        double part = COLD_CAUTION * orders.tipMultiple * share * workDone * fade(now, workDoneAt);
-        boolean lucky = sent == 0 && work(a) <= budget * orders.dispatchers && a.luck < part / workSought;
+        // Guards against idle cold runners where our part is under one job: then it is sent by chance, so that all
+        // of us keep to our parts on average; among the work small enough for one job to keep within all parts.
+        double all = budget * orders.dispatchers;
+        double sought = rows.values().stream().filter(row -> unit(row) <= all)
+                .mapToDouble(row -> row.sought * fade(now, row.soughtAt)).sum() / secs(memory);
+        boolean lucky = sent == 0 && work(a) <= all && a.luck * sought < budget / secs(orders.fall) * ready;
         return sent + work(a) <= budget || lucky || warmRate == 0 && r.out.isEmpty()
                 && chance.nextInt(orders.dispatchers) == 0;  // nothing to go by yet: one of us all
     }
@@ -507,6 +529,7 @@
         }
         surveyedAt = now;
         List<Runner> ready = runners.stream().filter(Runner::ready).toList();
+        this.ready = ready.size();
         long warm = ready.stream().filter(r -> orders.warmth(now, r) >= 1).count();
         warmRate = warm == 0 ? warmRate : workDone * fade(now, workDoneAt) / secs(memory) / warm;
         meanOut = ready.stream().filter(r -> r.known).mapToInt(r -> r.out.size()).average().orElse(0);
@@ -515,7 +538,11 @@
     }
 
     private double work(Assignment a) {
-        return a.slots * (rows.get(a.workload).ended == 0 ? 1 : rows.get(a.workload).usual);
+        return a.slots * unit(rows.get(a.workload));
+    }
+
+    private static double unit(Row row) {
+        return row.ended == 0 ? 1 : row.usual;
     }
 
     private double fade(Duration now, Duration since) {
--- a/core/src/main/java/saltdale/model/Runner.java
+++ b/core/src/main/java/saltdale/model/Runner.java
@@ -44,6 +44,8 @@
     /** The gap of the trickle to a runner set aside; null for a runner in good standing. */
     public Duration trickle;
     public Duration trickleAt = Duration.ZERO;
+    /** Since it last was silent: until when it is passed over, and for how long that was; null once it is heard. */
+    private Refusal silence;
     /** What was sent to it while it was cold. */
     public final Deque<Dispatch> coldSends = new ArrayDeque<>();
 
@@ -54,6 +56,7 @@
             pace.clear();
             trickle = null;
             refused.clear();
+            silence = null;
         }
         kind = s.kind();
         zone = s.zone();
@@ -88,6 +91,23 @@
         return refusal != null && !Spans.reached(now, refusal.until);
     }
 
+    /** It has not answered in time, or no way led to it: passed over for the spell, then for gaps that double. */
+    public void unheard(Duration now, Duration spell) {
+        if (silence == null || Spans.reached(now, silence.until)) {
+            Duration gap = silence == null ? spell : Spans.least(silence.gap.multipliedBy(2), spell.multipliedBy(4));
+            silence = new Refusal(now.plus(gap), gap);
+        }
+    }
+
+    public void heard() {
+        silence = null;
+    }
+
+    /** Whether it was silent so short a time ago that it need not be asked again. */
+    public boolean isSilent(Duration now) {
+        return silence != null && !Spans.reached(now, silence.until);
+    }
+
     /** How many of our dispatches it has not said to have begun. */
     public long waiting() {
         return notBegun().count();
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -14,6 +14,7 @@
 import saltdale.model.LoadReport;
 import saltdale.model.Outcome;
 import saltdale.model.Runner;
+import saltdale.model.Sighting;
 import saltdale.model.Workload;
 
 class DispatcherTest {
@@ -244,6 +245,37 @@
 
     // Failures.
 
+    @Test
+    void whatAProcessTookWithItIsTakenBackOnceTheListTellsOfTheNext() {
+        Dispatcher dispatcher = scene.with(2);
+        Runner runner = dispatcher.runners.get(0);
+        Dispatch before = scene.sentTo(runner).dispatches.get(0);
+        Dispatch after = new Dispatch(scene.assignment(), runner, Scene.at(600), 1, 0);
+        runner.out.add(after);
+        Sighting back = Scene.sighting(runner, Runner.Mode.READY, Scene.at(500));
+        dispatcher.listed(Scene.at(900), List.of(back), false, false);
+        dispatcher.settle(Scene.at(900));
+        assertEquals(List.of("cancel"), scene.acts);
+        assertTrue(before.cancelWanted && !after.cancelWanted);
+    }
+
+    @Test
+    void aRunnerThatWasSilentIsPassedOverUntilItIsHeard() {
+        Dispatcher dispatcher = scene.with(2);
+        Assignment first = scene.assignment();
+        scene.arrives(first);
+        Runner silent = scene.probes.get(0);
+        dispatcher.probed(Scene.at(500), silent, false, Scene.at(500), null);
+        for (int i = 0; i < 8; i++) {
+            Assignment a = new Assignment(scene.workload, Scene.at(500 + i), scene.workload.patience);
+            dispatcher.arrived(a.arrivedAt, a);
+            dispatcher.settle(a.arrivedAt);
+            assertTrue(a.asked != silent);
+        }
+        dispatcher.progressed(Scene.at(520), scene.sentTo(silent).dispatches.get(0));
+        assertFalse(silent.isSilent(Scene.at(520)));
+    }
+
     @Test
     void aRunnerThatErrsIsSetAsideAndComesBackByATrickle() {
         Dispatcher dispatcher = scene.with(4);
