Pass over runners found busy so short a time ago that they likely are still

Change: a runner found busy is passed over by chance, exp(-age / mean running time), where others can be asked; it counts as new again when it ends a dispatch of ours. With all busy the draw is as before.

--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -73,9 +73,10 @@
             seen.add(s.runner());
             s.runner().sighted(s);
             s.runner().pace.within = kinds.computeIfAbsent(s.kind(), k -> new Pace(64, pace));
-            // Guards against waiting for work that a process took with it: the one that runs there now has none.
-            s.runner().out.stream().filter(d -> s.startedAt() != null && d.sentAt.compareTo(s.startedAt()) < 0)
-                    .forEach(this::takeBack);
+            // Guards against waiting for work that a process took with it: the one there now has none.
+            if (s.startedAt() != null) {
+                s.runner().out.stream().filter(d -> d.sentAt.compareTo(s.startedAt()) < 0).forEach(this::takeBack);
+            }
         }
         runners.stream().filter(r -> whole && !seen.contains(r)).forEach(r -> r.mode = Runner.Mode.GONE);
         seen.addAll(runners);
@@ -157,6 +158,7 @@
             lambdaSeen = smooth(lambdaSeen, idle ? 0 : 1);
             int where = r.zone.equals(orders.zone) ? 0 : 1;
             busy[where] = smooth(busy[where], idle ? 0 : 1);
+            r.busyAt = idle ? null : now;
         }
         if (a != null) {
             a.asked = null;
@@ -301,8 +303,9 @@
 
     /**
      * A random runner to probe next, new to this assignment: before all, one in good standing (at first, any
-     * will do); then one quick enough to run it in time; then, for the first half of the probes while
-     * crossing zones has a price, one of our own zone; last, slower ones are passed over by their pace.
+     * will do); then one quick enough to run it in time; then one that is not likely busy still; then, for the first
+     * half of the probes while crossing zones has a price, one of our own zone; last, slower ones are passed over
+     * by their pace.
      */
     private Runner pick(Duration now, Assignment a) {
         survey(now);
@@ -312,15 +315,18 @@
         boolean home = orders.crossZonePrice > 0 && 2 * a.probed.size() < PROBE_CAP
                 && 2 * (1 - busy[0]) >= 1 - busy[1];  // guards against a zone more crowded than the others
         Runner best = null;
-        int leastRank = a.probed.isEmpty() && !a.secondLook ? 16 : 8;
+        int leastRank = a.probed.isEmpty() && !a.secondLook ? 32 : 16;
         for (int i = 0; i < runners.size() && leastRank > 0; i++) {
             Collections.swap(runners, i, i + chance.nextInt(runners.size() - i));  // draws without lists
             Runner r = runners.get(i);
             if (!a.probed.contains(r) && sendable(now, a, r)) {
                 boolean trusted = (r.trickle == null || mostAside || reached(now, r.trickleAt))
                         && !r.refuses(now, a.workload) && !r.isSilent(now);
-                int rank = (trusted && !a.sentTo(r) ? 0 : 8) + (slack(now, a, r) >= 0 ? 0 : 4)
-                        + (home && !r.zone.equals(orders.zone) ? 2 : 0)
+                // Guards against asking again what is busy still, where one of many runners is met twice.
+                boolean busyStill = r.busyAt != null && runningTime > 0
+                        && chance.nextDouble() < Math.exp(-secs(now.minus(r.busyAt)) / runningTime);
+                int rank = (trusted && !a.sentTo(r) ? 0 : 16) + (slack(now, a, r) >= 0 ? 0 : 8)
+                        + (busyStill ? 4 : 0) + (home && !r.zone.equals(orders.zone) ? 2 : 0)
                         + (chance.nextDouble() * pace(now, r) > pace.of(BELIEF, BELIEF) ? 1 : 0);
                 best = rank < leastRank ? r : best;
                 leastRank = Math.min(rank, leastRank);
@@ -472,6 +478,7 @@
                     workDoneAt = now;
                 }
                 d.runner.refused.remove(a.workload);
+                d.runner.busyAt = null;
                 mark(now, d.runner, false);
             }
             case TURNED_AWAY -> d.runner.turnedAway(now, d, spell);
@@ -512,8 +519,8 @@
         survey(now);
         double budget = COLD_CAUTION * orders.tipMultiple * share * warmRate * secs(orders.fall);
         double sent = r.coldWork(now.minus(orders.fall));
-        // Guards against idle cold runners where our part is under one job: then it is sent by chance, so that all
-        // of us keep to our parts on average; among the work small enough for one job to keep within all parts.
+        // Guards against idle cold runners where our part is under one job: then it is sent by chance, so that
+        // we keep to our part on average; among the work small enough for one job to keep within all parts.
         double all = budget * orders.dispatchers;
         double sought = rows.values().stream().filter(row -> unit(row) <= all)
                 .mapToDouble(row -> row.sought * fade(now, row.soughtAt)).sum() / secs(memory);
--- a/core/src/main/java/saltdale/model/Runner.java
+++ b/core/src/main/java/saltdale/model/Runner.java
@@ -37,6 +37,8 @@
     /** How long our assignments ran on it beside what was expected, and when the last of them ended. */
     public final Pace pace = new Pace(16, null);
     public Duration pacedAt = Duration.ZERO;
+    /** When a probe last found it busy; null once it was idle or ended a dispatch of ours. */
+    public Duration busyAt;
     /** The load at which it last turned us away. */
     public double fullAt = Double.POSITIVE_INFINITY;
     /** The workloads that it turned away while it was all but idle. */
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -259,6 +259,18 @@
         assertTrue(before.cancelWanted && !after.cancelWanted);
     }
 
+    @Test
+    void runnersJustFoundBusyArePassedOverForOthers() {
+        Dispatcher dispatcher = scene.with(8);
+        dispatcher.runningTime = 1;
+        dispatcher.runners.subList(1, 8).forEach(r -> r.busyAt = Scene.at(0));
+        Runner other = dispatcher.runners.get(0);
+        scene.arrives(scene.assignment());
+        assertEquals(List.of(other), scene.probes);
+        scene.finds(3);
+        assertEquals(Scene.at(5), other.busyAt);
+    }
+
     @Test
     void aRunnerThatWasSilentIsPassedOverUntilItIsHeard() {
         Dispatcher dispatcher = scene.with(2);
