--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -75,7 +75,8 @@
             s.runner().pace.within = kinds.computeIfAbsent(s.kind(), k -> new Pace(64, pace));
             // Guards against waiting for work that a process took with it: the one there now has none.
             if (s.startedAt() != null) {
-                s.runner().out.stream().filter(d -> d.sentAt.compareTo(s.startedAt()) < 0).forEach(this::takeBack);
+                s.runner().out.stream().filter(d -> d.sentAt.compareTo(s.startedAt()) < 0)
+                        .forEach(this::takeBack);
             }
         }
         runners.stream().filter(r -> whole && !seen.contains(r)).forEach(r -> r.mode = Runner.Mode.GONE);
@@ -303,9 +304,9 @@
 
     /**
      * A random runner to probe next, new to this assignment: before all, one in good standing (at first, any
-     * will do); then one quick enough to run it in time; then one that is not likely busy still; then, for the first
-     * half of the probes while crossing zones has a price, one of our own zone; last, slower ones are passed over
-     * by their pace.
+     * will do); then one quick enough to run it in time; then one that is not likely busy still; then, for the
+     * first half of the probes while crossing zones has a price, one of our own zone; last, slower ones are
+     * passed over by their pace.
      */
     private Runner pick(Duration now, Assignment a) {
         survey(now);
@@ -408,7 +409,7 @@
         touched.add(a);
     }
 
-    /** After a failure: again, rationed once under half of the recent further ones succeeded; or the answer. */
+    /** After a failure: again, rationed once under half of the recent further ones succeeded; or answered. */
     private void furtherOrAnswer(Duration now, Assignment a) {
         double odds = (further.last() + 1) / (further.count() + 1);
         if (a.dispatches.size() >= orders.mostDispatches || chance.nextDouble() > 2 * odds) {
@@ -519,8 +520,8 @@
         survey(now);
         double budget = COLD_CAUTION * orders.tipMultiple * share * warmRate * secs(orders.fall);
         double sent = r.coldWork(now.minus(orders.fall));
-        // Guards against idle cold runners where our part is under one job: then it is sent by chance, so that
-        // we keep to our part on average; among the work small enough for one job to keep within all parts.
+        // Guards against idle cold runners where our part is under one job: then it is sent by chance, so
+        // that we keep to our part on average; among the work small enough for one job to keep within all parts.
         double all = budget * orders.dispatchers;
         double sought = rows.values().stream().filter(row -> unit(row) <= all)
                 .mapToDouble(row -> row.sought * fade(now, row.soughtAt)).sum() / secs(memory);
