Hold silence against a zone, move without ration, try runners set aside by first sendings

Taken back from a process that died, rebuilds were given up in the same millisecond: furtherOrAnswer rationed them (odds of further dispatches were low for the errors elsewhere), though to be moved is no failure. Further dispatches of jobs that had failed already were the trickle to runners set aside: not connected, error, error, error, given up. 233 errors at 94 pairs of dispatcher and runner, 2 at the start, the rest trickles. - Pure jobs at silent runners waited for an idle runner elsewhere, in an overload until 12 s (begun at 5 s). - About 750 probes went unanswered into the lost zone: 420 pairs of dispatcher and runner each learnt it alone. - A silent runner still counted as 2 L + 1 and got dispatches that ended as not connected, two in a row. - Receipted work taken back in a cell that is cold as a whole stayed unlucky for 6 s, its luck drawn once.

Change: what was cancelled goes again without ration; a runner set aside is tried only by first sendings of pure work, where there is any; a pure job leaves a runner that answers nothing after three periods without progress; luck is drawn anew after holding; unanswered probes count for the zone, which is passed over with up to 0.7 of that share until one of it is heard; a silent runner is not taken as the shortest queue.

--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -19,6 +19,7 @@
     static final double SCARCE = 0.95;  // busy share above which a second look costs more than it finds
     static final double BELIEF = 4;  // so many runs at the usual pace are believed before any is seen
     static final double POOR = 0.3;  // a runner failing more than this share of late is set aside
+    static final double DOUBT = 0.7;  // the most that a runner is passed over for the silence of its zone
 
     static final class Row {  // one a workload
         double usual, ended;  // mean size in seconds, as hinted, else as run, over how many that have ended
@@ -38,6 +39,7 @@
     // Smoothed: the design's λ', L̄, round trip and running time (CT); then the wait that a load of 1 brings.
     double lambdaSeen, meanQueue, roundTrip, runningTime, waitPerLoad;
     private final double[] busy = new double[2];  // λ' of our own zone, and of the others
+    private final Map<String, Double> silent = new HashMap<>();  // by zone, how much of late went unanswered
     final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
     private double workDone;  // by warm runners, fading
     private Duration workDoneAt = Duration.ZERO, surveyedAt;
@@ -90,6 +92,12 @@
         }
     }
 
+    /** Learnt of one, held against its zone too: each of us meets a runner seldom, but a lost zone often. */
+    private void unheard(Duration now, Runner r) {
+        r.unheard(now, spell);
+        silent.merge(r.zone, smooth(0, 1), (share, first) -> smooth(share, 1));
+    }
+
     private void takeBack(Dispatch d) {
         d.cancelWanted = true;
         touched.add(d.assignment);
@@ -147,9 +155,10 @@
         double load = Double.POSITIVE_INFINITY;
         boolean idle = false;
         if (!answered) {
-            r.unheard(now, spell);
+            unheard(now, r);
         } else {
             r.heard();
+            silent.remove(r.zone);  // it is not cut off, whatever holds for others in it
             r.report = report == null ? LoadReport.NONE : report;
             r.known = true;
             load = load(r);
@@ -215,7 +224,7 @@
                 return;
             }
             a.found(a.asked, 2 * meanQueue + 1);  // guards against silent or busy runners holding it up
-            a.asked.unheard(now, spell);
+            unheard(now, a.asked);
             a.asked = null;
         }
         while (a.probed.isEmpty() || worthAnother(a)) {
@@ -235,7 +244,9 @@
         int best = -1, ties = 0;
         for (int i = 0; i < a.probed.size(); i++) {
             double gap = best < 0 ? -1 : a.loads.get(i) - a.loads.get(best);
-            if (a.loads.get(i) < Double.POSITIVE_INFINITY && gap <= 0 && sendable(now, a, a.probed.get(i))) {
+            Runner r = a.probed.get(i);
+            if (a.loads.get(i) < Double.POSITIVE_INFINITY && gap <= 0 && sendable(now, a, r)
+                    && !r.isSilent(now)) {
                 ties = gap < 0 ? 1 : ties + 1;
                 best = chance.nextInt(ties) == 0 ? i : best;
             }
@@ -251,6 +262,7 @@
         } else {
             // Nobody may be sent to just now: hold it, and begin again before long.
             a.forgetSearch();
+            a.luck = chance.nextDouble();
             look(a, now.plus(a.workload.promised.dividedBy(4)));
         }
     }
@@ -304,7 +316,7 @@
 
     /**
      * A random runner to probe next, new to this assignment: before all, one in good standing (at first, any
-     * will do); then one quick enough to run it in time; then one that is not likely busy still; then, for the
+     * will do); then one quick enough to run it in time; then one not likely busy still or silent; then, for the
      * first half of the probes while crossing zones has a price, one of our own zone; last, slower ones are
      * passed over by their pace.
      */
@@ -321,13 +333,13 @@
             Collections.swap(runners, i, i + chance.nextInt(runners.size() - i));  // draws without lists
             Runner r = runners.get(i);
             if (!a.probed.contains(r) && sendable(now, a, r)) {
-                boolean trusted = (r.trickle == null || mostAside || reached(now, r.trickleAt))
+                boolean trusted = (r.trickle == null || mostAside || mayTry(a) && reached(now, r.trickleAt))
                         && !r.refuses(now, a.workload) && !r.isSilent(now);
                 // Guards against asking again what is busy still, where one of many runners is met twice.
-                boolean busyStill = r.busyAt != null && runningTime > 0
-                        && chance.nextDouble() < Math.exp(-secs(now.minus(r.busyAt)) / runningTime);
+                boolean unlikely = chance.nextDouble() < DOUBT * silent.getOrDefault(r.zone, 0.0)
+                        || r.busyAt != null && runningTime > 0 && chance.nextDouble() < Math.exp(-secs(now.minus(r.busyAt)) / runningTime);
                 int rank = (trusted && !a.sentTo(r) ? 0 : 16) + (slack(now, a, r) >= 0 ? 0 : 8)
-                        + (busyStill ? 4 : 0) + (home && !r.zone.equals(orders.zone) ? 2 : 0)
+                        + (unlikely ? 4 : 0) + (home && !r.zone.equals(orders.zone) ? 2 : 0)
                         + (chance.nextDouble() * pace(now, r) > pace.of(BELIEF, BELIEF) ? 1 : 0);
                 best = rank < leastRank ? r : best;
                 leastRank = Math.min(rank, leastRank);
@@ -336,6 +348,12 @@
         return best;
     }
 
+    /** Guards against trickles that end jobs: a failure costs least at a first sending of what may run twice. */
+    private boolean mayTry(Assignment a) {
+        return a.dispatches.isEmpty() && (a.workload.repeat == Workload.Repeat.PURE
+                || orders.workloads.stream().noneMatch(w -> w.repeat == Workload.Repeat.PURE));
+    }
+
     /** Whether this assignment may go to this runner now: the list, its kind, rule 2 and the cold budget. */
     private boolean sendable(Duration now, Assignment a, Runner r) {
         return r.ready() && (a.workload.kind == null || a.workload.kind.equals(r.kind))
@@ -412,7 +430,8 @@
     /** After a failure: again, rationed once under half of the recent further ones succeeded; or answered. */
     private void furtherOrAnswer(Duration now, Assignment a) {
         double odds = (further.last() + 1) / (further.count() + 1);
-        if (a.dispatches.size() >= orders.mostDispatches || chance.nextDouble() > 2 * odds) {
+        boolean moved = a.last().outcome == Outcome.CANCELLED;  // that is no failure, and no load more
+        if (a.dispatches.size() >= orders.mostDispatches || !moved && chance.nextDouble() > 2 * odds) {
             answer(a, null);
         } else {
             a.forgetSearch();
@@ -447,6 +466,10 @@
         if (!waiting) {
             mark(now, out.runner, true);
         }
+        if (out.runner.isUnheard() && a.workload.repeat == Workload.Repeat.PURE) {
+            takeBack(out);  // guards against waiting for an idle runner while the one it is at says nothing
+            return;
+        }
         a.lookGap = now.minus(out.sentAt);
         if (lambdaSeen > SCARCE) {  // guards against an overload spending itself on probes
             look(a, now.plus(a.lookGap));
@@ -486,7 +509,7 @@
             case ERROR, BROKEN, TIMED_OUT -> mark(now, d.runner, true);
             case NOT_CONNECTED -> {
                 mark(now, d.runner, true);
-                d.runner.unheard(now, spell);
+                unheard(now, d.runner);
             }
         }
     }
@@ -521,7 +544,7 @@
         double budget = COLD_CAUTION * orders.tipMultiple * share * warmRate * secs(orders.fall);
         double sent = r.coldWork(now.minus(orders.fall));
         // Guards against idle cold runners where our part is under one job: then it is sent by chance, so
-        // that we keep to our part on average; among the work small enough for one job to keep within all parts.
+        // that we keep to our part on average; among work small enough for one job to keep within all parts.
         double all = budget * orders.dispatchers;
         double sought = rows.values().stream().filter(row -> unit(row) <= all)
                 .mapToDouble(row -> row.sought * fade(now, row.soughtAt)).sum() / secs(memory);
--- a/core/src/main/java/saltdale/model/Assignment.java
+++ b/core/src/main/java/saltdale/model/Assignment.java
@@ -45,7 +45,7 @@
     /** A search made beside a dispatch that is out. */
     public boolean secondLook;
     public Duration lookGap;
-    /** Drawn between 0 and 1 at its arrival. */
+    /** Drawn between 0 and 1 at its arrival, and anew when it has been held. */
     public double luck;
 
     public Assignment(Workload workload, Duration arrivedAt, Duration patience) {
--- a/core/src/main/java/saltdale/model/Runner.java
+++ b/core/src/main/java/saltdale/model/Runner.java
@@ -110,6 +110,11 @@
         return silence != null && !Spans.reached(now, silence.until);
     }
 
+    /** Whether the last that was asked of it went unanswered. */
+    public boolean isUnheard() {
+        return silence != null;
+    }
+
     /** How many of our dispatches it has not said to have begun. */
     public long waiting() {
         return notBegun().count();
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -271,6 +271,68 @@
         assertEquals(Scene.at(5), other.busyAt);
     }
 
+    @Test
+    void theSilenceOfSomeIsHeldAgainstTheirZoneUntilOneOfItIsHeard() {
+        Dispatcher dispatcher = scene.with(40);
+        List<Runner> lost = List.copyOf(dispatcher.runners.subList(0, 20));
+        lost.forEach(r -> r.zone = "lost");
+        lost.subList(0, 15).forEach(r -> dispatcher.probed(Scene.at(500), r, false, Scene.at(500), null));
+        assertTrue(drawnOf(lost) <= 10, "5 of 25 that are not silent, beside 20 elsewhere");
+        dispatcher.probed(Scene.at(600), lost.get(15), true, Scene.at(5), Scene.queue(0));
+        assertTrue(drawnOf(lost) > 10);
+    }
+
+    /** How many of 100 assignments ask one of these first. */
+    private long drawnOf(List<Runner> these) {
+        int before = scene.probes.size();
+        for (int i = 0; i < 100; i++) {
+            scene.arrives(new Assignment(scene.workload, Scene.at(0), scene.workload.patience));
+        }
+        return scene.probes.subList(before, scene.probes.size()).stream().filter(these::contains).count();
+    }
+
+    @Test
+    void whatIsMovedIsNoFailureAndIsNotRationed() {
+        Dispatcher dispatcher = scene.with(4);
+        for (int i = 0; i < 40; i++) {
+            dispatcher.further.add(false);
+        }
+        Assignment a = scene.sentTo(dispatcher.runners.get(0));
+        dispatcher.ended(Scene.at(10), a.dispatches.get(0), Outcome.CANCELLED, false, null);
+        dispatcher.settle(Scene.at(10));
+        assertEquals(List.of("probe"), scene.acts);
+    }
+
+    @Test
+    void onlyAFirstSendingOfWhatMayRunTwiceTriesARunnerSetAside() {
+        Workload receipted = new Workload();
+        receipted.repeat = Workload.Repeat.RECEIPTED;
+        receipted.promised = scene.workload.promised;
+        receipted.patience = scene.workload.patience;
+        scene.orders.workloads.add(receipted);
+        Dispatcher dispatcher = scene.with(3);
+        Runner aside = dispatcher.runners.get(0);
+        aside.trickle = Scene.at(1);
+        for (int i = 0; i < 20; i++) {
+            scene.arrives(new Assignment(receipted, Scene.at(0), receipted.patience));
+        }
+        assertFalse(scene.probes.contains(aside));
+        assertTrue(drawnOf(List.of(aside)) > 0);
+    }
+
+    @Test
+    void aPureJobLeavesARunnerThatAnswersNothingThoughNoneIsIdle() {
+        scene.orders.progressEvery = Duration.ofSeconds(1);
+        Dispatcher dispatcher = scene.with(2);
+        Dispatch d = scene.sentTo(dispatcher.runners.get(0)).dispatches.get(0);
+        dispatcher.started(Scene.at(0), d);
+        dispatcher.probed(Scene.at(500), d.runner, false, Scene.at(500), null);
+        dispatcher.lambdaSeen = 1;
+        dispatcher.woken(Scene.at(3000), d.assignment);
+        dispatcher.settle(Scene.at(3000));
+        assertEquals(List.of("cancel"), scene.acts);
+    }
+
     @Test
     void aRunnerThatWasSilentIsPassedOverUntilItIsHeard() {
         Dispatcher dispatcher = scene.with(2);
