Keep receipted work to runners that did well of late, while some are set aside

Traced: met an erring runner three times of its four sendings and was given up 2.5 s after it came; after its first error a receipted job may go only within its cell.

Change: while some runner is set aside, work that may not run twice anywhere is kept, where it can be, to runners that have ended some of our work and failed at little of it of late. Pure work finds out about the others.

--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -44,7 +44,7 @@
     private double workDone;  // by warm runners, fading
     private Duration workDoneAt = Duration.ZERO, surveyedAt;
     private double mostImportant, warmRate, meanOut, ready;
-    private boolean mostAside;
+    private boolean mostAside, someAside;
     private Duration askAt, askGap;  // when to ask for the list (null while subscribed), and again
     private final Duration spell, memory;  // the unit of setting aside; how long what was measured counts
 
@@ -316,7 +316,7 @@
 
     /**
      * A random runner to probe next, new to this assignment: before all, one in good standing (at first, any
-     * will do); then one quick enough to run it in time; then one not likely busy still or silent; then, for the
+     * will do); then one quick enough to run it in time; then one not likely busy or silent; then, for the
      * first half of the probes while crossing zones has a price, one of our own zone; last, slower ones are
      * passed over by their pace.
      */
@@ -337,7 +337,11 @@
                         && !r.refuses(now, a.workload) && !r.isSilent(now);
                 // Guards against asking again what is busy still, where one of many runners is met twice.
                 boolean unlikely = chance.nextDouble() < DOUBT * silent.getOrDefault(r.zone, 0.0)
-                        || r.busyAt != null && runningTime > 0 && chance.nextDouble() < Math.exp(-secs(now.minus(r.busyAt)) / runningTime);
+                        || r.busyAt != null && runningTime > 0
+                        && chance.nextDouble() < Math.exp(-secs(now.minus(r.busyAt)) / runningTime);
+                // Guards against finding out who errs by what may then go to few others: pure work does it.
+                unlikely |= someAside && a.workload.repeat != Workload.Repeat.PURE
+                        && (r.failures.count() == 0 || r.failures.last() > POOR);
                 int rank = (trusted && !a.sentTo(r) ? 0 : 16) + (slack(now, a, r) >= 0 ? 0 : 8)
                         + (unlikely ? 4 : 0) + (home && !r.zone.equals(orders.zone) ? 2 : 0)
                         + (chance.nextDouble() * pace(now, r) > pace.of(BELIEF, BELIEF) ? 1 : 0);
@@ -348,7 +352,7 @@
         return best;
     }
 
-    /** Guards against trickles that end jobs: a failure costs least at a first sending of what may run twice. */
+    /** Guards against trickles that end jobs: failures cost least at first sendings of what may run twice. */
     private boolean mayTry(Assignment a) {
         return a.dispatches.isEmpty() && (a.workload.repeat == Workload.Repeat.PURE
                 || orders.workloads.stream().noneMatch(w -> w.repeat == Workload.Repeat.PURE));
@@ -565,7 +569,9 @@
         warmRate = warm == 0 ? warmRate : workDone * fade(now, workDoneAt) / secs(memory) / warm;
         meanOut = ready.stream().filter(r -> r.known).mapToInt(r -> r.out.size()).average().orElse(0);
         // When most do badly it is not them: then nobody is set aside.
-        mostAside = 2 * ready.stream().filter(r -> r.trickle != null).count() > ready.size();
+        long aside = ready.stream().filter(r -> r.trickle != null).count();
+        someAside = aside > 0;
+        mostAside = 2 * aside > ready.size();
     }
 
     private double work(Assignment a) {
