Pass over runners found busy only while not nearly all are

At fault was the last: with 95% busy to know one to be busy tells nothing, and those asked before are the ones whose queues were short (pick).

Change: they are passed over only up to a busy share of SCARCE.

--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -335,9 +335,10 @@
             if (!a.probed.contains(r) && sendable(now, a, r)) {
                 boolean trusted = (r.trickle == null || mostAside || mayTry(a) && reached(now, r.trickleAt))
                         && !r.refuses(now, a.workload) && !r.isSilent(now);
-                // Guards against asking again what is busy still, where one of many runners is met twice.
+                // Guards against asking again what is busy still, where one of many runners is met twice. Not where
+                // nearly all are busy: the shortest queue is then sought, and was found among those asked.
                 boolean unlikely = chance.nextDouble() < DOUBT * silent.getOrDefault(r.zone, 0.0)
-                        || r.busyAt != null && runningTime > 0
+                        || r.busyAt != null && runningTime > 0 && lambdaSeen <= SCARCE
                         && chance.nextDouble() < Math.exp(-secs(now.minus(r.busyAt)) / runningTime);
                 // Guards against finding out who errs by what may then go to few others: pure work does it.
                 unlikely |= someAside && a.workload.repeat != Workload.Repeat.PURE
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -269,6 +269,8 @@
         assertEquals(List.of(other), scene.probes);
         scene.finds(3);
         assertEquals(Scene.at(5), other.busyAt);
+        dispatcher.lambdaSeen = 1;
+        assertTrue(drawnOf(List.of(other)) < 50, "with nearly all busy the draw is as before");
     }
 
     @Test
