--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -177,7 +177,9 @@
             } else if (!a.closed) {
                 // Guards against an empty queue before full slots, unlike rooms and runners of unlike speed.
                 double weighed = Math.max(load, 0.5) * pace(now, r) / pace.of(BELIEF, BELIEF);
-                a.found(r, load >= r.fullAt && answered ? FULL : weighed);
+                // Guards against chance sends that gather in a cold queue: those go to an idle runner alone.
+                boolean over = orders.warmth(now, r) < 1 && coldWork(now, r) + work(a) > coldPart(now, r);
+                a.found(r, over ? Double.POSITIVE_INFINITY : load >= r.fullAt && answered ? FULL : weighed);
                 search(now, a);
             }
         }
@@ -335,8 +337,8 @@
             if (!a.probed.contains(r) && sendable(now, a, r)) {
                 boolean trusted = (r.trickle == null || mostAside || mayTry(a) && reached(now, r.trickleAt))
                         && !r.refuses(now, a.workload) && !r.isSilent(now);
-                // Guards against asking again what is busy still, where one of many runners is met twice. Not where
-                // nearly all are busy: the shortest queue is then sought, and was found among those asked.
+                // Guards against asking again what is busy still, where one of many runners is met twice. Not
+                // where nearly all are busy: the shortest queue is then sought, and was among those asked.
                 boolean unlikely = chance.nextDouble() < DOUBT * silent.getOrDefault(r.zone, 0.0)
                         || r.busyAt != null && runningTime > 0 && lambdaSeen <= SCARCE
                         && chance.nextDouble() < Math.exp(-secs(now.minus(r.busyAt)) / runningTime);
@@ -546,8 +548,8 @@
             return true;
         }
         survey(now);
-        double budget = COLD_CAUTION * orders.tipMultiple * share * warmRate * secs(orders.fall);
-        double sent = r.coldWork(now.minus(orders.fall));
+        double budget = coldPart(now, r);
+        double sent = coldWork(now, r);
         // Guards against idle cold runners where our part is under one job: then it is sent by chance, so
         // that we keep to our part on average; among work small enough for one job to keep within all parts.
         double all = budget * orders.dispatchers;
@@ -558,6 +560,15 @@
                 && chance.nextInt(orders.dispatchers) == 0;  // nothing to go by yet: one of us all
     }
 
+    /** Our part of what a cold runner may be sent within any window, and what of that was sent. */
+    private double coldPart(Duration now, Runner r) {
+        return COLD_CAUTION * orders.tipMultiple * orders.warmth(now, r) * warmRate * secs(orders.fall);
+    }
+
+    private double coldWork(Duration now, Runner r) {
+        return r.coldWork(now.minus(orders.fall));
+    }
+
     /** Once a round: the work a second that a warm runner does for us, and whether most are set aside. */
     private void survey(Duration now) {
         if (now.equals(surveyedAt)) {
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -243,6 +243,21 @@
         assertTrue(toCold >= 1 && toCold <= 4, toCold + " to the cold runner, of 5 to an average one");
     }
 
+    @Test
+    void whatGoesToAColdRunnerByChanceGoesThereOnlyWhileItIsIdle() {
+        scene.orders.dispatchers = 100;
+        Dispatcher dispatcher = scene.with(2);
+        Assignment first = scene.sentTo(dispatcher.runners.get(0));
+        dispatcher.ended(Scene.at(100), first.dispatches.get(0), Outcome.FULFILLED, true, null);
+        Runner cold = dispatcher.runners.get(1);
+        cold.startedAt = Scene.at(0);
+        Assignment a = scene.assignment();
+        cold.asking.add(a);
+        a.asked = cold;
+        dispatcher.probed(Scene.at(200), cold, true, Scene.at(5), Scene.queue(1));
+        assertEquals(List.of(Double.POSITIVE_INFINITY), a.loads);
+    }
+
     // Failures.
 
     @Test
