--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -371,12 +371,7 @@
         scene.arrives(first);
         Runner silent = scene.probes.get(0);
         dispatcher.probed(Scene.at(500), silent, false, Scene.at(500), null);
-        for (int i = 0; i < 8; i++) {
-            Assignment a = new Assignment(scene.workload, Scene.at(500 + i), scene.workload.patience);
-            dispatcher.arrived(a.arrivedAt, a);
-            dispatcher.settle(a.arrivedAt);
-            assertTrue(a.asked != silent);
-        }
+        assertEquals(0, drawnOf(List.of(silent)));
         dispatcher.progressed(Scene.at(520), scene.sentTo(silent).dispatches.get(0));
         assertFalse(silent.isSilent(Scene.at(520)));
     }
--- a/daemon/src/main/java/saltdale/routing/Kept.java
+++ b/daemon/src/main/java/saltdale/routing/Kept.java
@@ -42,7 +42,9 @@
     }
 
     private void drop() {
-        Connection dropped = take();
+        Connection dropped = connection;
+        connection = null;
+        sockets.busy(drop);
         if (dropped != null) {
             dropped.close();
         }
