--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -73,7 +73,12 @@
         Set<Runner> seen = new LinkedHashSet<>();
         for (Sighting s : sightings) {
             seen.add(s.runner());
+            if (s.mode() == Runner.Mode.GONE) {
+                removed(now, s.runner());
+                continue;
+            }
             s.runner().sighted(s);
+            s.runner().unlistedAt = null;
             s.runner().pace.within = kinds.computeIfAbsent(s.kind(), k -> new Pace(64, pace));
             // Guards against waiting for work that a process took with it: the one there now has none.
             if (s.startedAt() != null) {
@@ -81,17 +86,37 @@
                         .forEach(this::takeBack);
             }
         }
-        runners.stream().filter(r -> whole && !seen.contains(r)).forEach(r -> r.mode = Runner.Mode.GONE);
+        runners.stream().filter(r -> whole && !seen.contains(r)).forEach(r -> removed(now, r));
         seen.addAll(runners);
         runners.clear();
         runners.addAll(seen);
-        runners.removeIf(r -> r.mode == Runner.Mode.GONE);
+        forget(now);
         if (!cached && orders.mustSubscribe) {
             askAt = null;
             askGap = orders.askWithin.dividedBy(20);
         }
     }
 
+    /** Guards against a list that is wrong: where it alone proves nothing, one that did not drain stays in use. */
+    private void removed(Duration now, Runner r) {
+        if (orders.removalBinds || r.mode != Runner.Mode.READY) {
+            r.mode = Runner.Mode.GONE;
+        } else if (r.unlistedAt == null) {
+            r.unlistedAt = now;
+        }
+    }
+
+    /** The bound on memory: what no list holds is forgotten once nothing of it was heard for that long. */
+    private void forget(Duration now) {
+        for (Runner r : runners) {
+            boolean bygone = r.unlistedAt != null
+                    && reached(now, most(r.unlistedAt, r.heardAt).plus(memory.multipliedBy(4)));
+            r.mode = bygone ? Runner.Mode.GONE : r.mode;
+            r.kept = r.mode != Runner.Mode.GONE;
+        }
+        runners.removeIf(r -> !r.kept);
+    }
+
     /** Learnt of one, held against its zone too: each of us meets a runner seldom, but a lost zone often. */
     private void unheard(Duration now, Runner r) {
         r.unheard(now, spell);
@@ -125,7 +150,7 @@
 
     public void progressed(Duration now, Dispatch d) {
         d.heardAt = now;
-        d.runner.heard();
+        d.runner.heard(now);
     }
 
     public void streaming(Duration now, Dispatch d) {
@@ -157,7 +182,7 @@
         if (!answered) {
             unheard(now, r);
         } else {
-            r.heard();
+            r.heard(now);
             silent.remove(r.zone);  // it is not cut off, whatever holds for others in it
             r.report = report == null ? LoadReport.NONE : report;
             r.known = true;
@@ -510,6 +535,7 @@
                 }
                 d.runner.refused.remove(a.workload);
                 d.runner.busyAt = null;
+                d.runner.heard(now);
                 mark(now, d.runner, false);
             }
             case TURNED_AWAY -> d.runner.turnedAway(now, d, spell);
@@ -575,6 +601,7 @@
             return;
         }
         surveyedAt = now;
+        forget(now);
         List<Runner> ready = runners.stream().filter(Runner::ready).toList();
         this.ready = ready.size();
         long warm = ready.stream().filter(r -> orders.warmth(now, r) >= 1).count();
--- a/core/src/main/java/saltdale/model/Runner.java
+++ b/core/src/main/java/saltdale/model/Runner.java
@@ -27,6 +27,12 @@
     public Duration startedAt;
 
     // Seen by this dispatcher.
+    /** Since when no list has named it, though it was not seen draining; null while one does. */
+    public Duration unlistedAt;
+    /** When it last answered anything. */
+    public Duration heardAt = Duration.ZERO;
+    /** Whether the dispatcher still counts on it: it may be sent to. */
+    public boolean kept;
     public final Set<Dispatch> out = new LinkedHashSet<>();
     public final Deque<Assignment> asking = new ArrayDeque<>();
     public LoadReport report = LoadReport.NONE;
@@ -101,8 +107,9 @@
         }
     }
 
-    public void heard() {
+    public void heard(Duration now) {
         silence = null;
+        heardAt = now;
     }
 
     /** Whether it was silent so short a time ago that it need not be asked again. */
--- a/core/src/main/java/saltdale/model/StandingOrders.java
+++ b/core/src/main/java/saltdale/model/StandingOrders.java
@@ -22,6 +22,9 @@
     public boolean mustSubscribe;
     public Duration askWithin = Duration.ofSeconds(10);
 
+    /** False: only what this dispatcher saw draining is barred; gone or left out of the list is a hint. */
+    public boolean removalBinds = true;
+
     // What is permitted.
     public boolean probes = true;
     public boolean cancels = true;
--- a/core/src/main/java/saltdale/orders/OrdersReader.java
+++ b/core/src/main/java/saltdale/orders/OrdersReader.java
@@ -37,6 +37,7 @@
         orders.warmWithin = contract.span("WarmWithin", Duration.ZERO);
         orders.tipMultiple = contract.number("TipMultiple", 1);
         orders.fall = contract.span("Fall", Duration.ZERO);
+        orders.removalBinds = !contract.flag("RemovalNotBinding", false);
 
         Fields tariffs = options.object("Tariffs");
         orders.crossZonePrice = tariffs.number("CrossZone", 0);
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -194,6 +194,33 @@
         assertEquals(Runner.Mode.GONE, runner.mode);
     }
 
+    @Test
+    void whereRemovalDoesNotBindTheListIsNoProof() {
+        scene.orders.removalBinds = false;
+        Dispatcher dispatcher = scene.with(2);
+        Runner drained = dispatcher.runners.get(0);
+        Runner missed = dispatcher.runners.get(1);
+        dispatcher.listed(Scene.at(1), List.of(Scene.sighting(drained, Runner.Mode.DRAINING, null)), false, false);
+        dispatcher.listed(Scene.at(2), List.of(), true, false);
+        assertEquals(Runner.Mode.GONE, drained.mode);
+        scene.arrives(scene.assignment());
+        assertEquals(List.of(missed), scene.probes);
+    }
+
+    @Test
+    void whatNoListHoldsIsForgottenSomeTimeAfterItsLastWord() {
+        scene.orders.removalBinds = false;
+        Dispatcher dispatcher = scene.with(1);
+        Runner runner = dispatcher.runners.get(0);
+        dispatcher.listed(Scene.at(0), List.of(), true, false);
+        dispatcher.probed(Scene.at(30_000), runner, true, Scene.at(5), LoadReport.NONE);
+        dispatcher.listed(Scene.at(61_999), List.of(), true, false);
+        assertTrue(runner.kept);
+        dispatcher.listed(Scene.at(62_000), List.of(), true, false);  // four warm-ups of 8 s later
+        assertFalse(runner.kept);
+        assertEquals(Runner.Mode.GONE, runner.mode);
+    }
+
     @Test
     void aFailedSubscriptionIsAskedAgainWithinTheTimeAllowed() {
         scene.orders.mustSubscribe = true;
--- a/daemon/src/main/java/saltdale/routing/Fleet.java
+++ b/daemon/src/main/java/saltdale/routing/Fleet.java
@@ -22,7 +22,7 @@
     private final Function<InetSocketAddress, Pool> pools;
     /** Unix time at the start of the clock that everything else runs on. */
     private final long startMillis;
-    /** How long a runner that no list holds is remembered. */
+    /** How long a runner is remembered that no list holds and the dispatcher does not count on. */
     private final Duration memory;
 
     Fleet(Function<InetSocketAddress, Pool> pools, long startMillis, Duration memory) {
@@ -80,7 +80,7 @@
 
     private void forget(Duration now) {
         targets.values().removeIf(target -> {
-            boolean over = target.goneAt != null && target.runner.out.isEmpty()
+            boolean over = target.goneAt != null && !target.runner.kept && target.runner.out.isEmpty()
                     && now.compareTo(target.goneAt.plus(memory)) > 0;
             if (over) {
                 target.pool.closeIdle();
--- a/daemon/src/test/java/saltdale/routing/FleetTest.java
+++ b/daemon/src/test/java/saltdale/routing/FleetTest.java
@@ -61,6 +61,15 @@
         assertNull(fleet.of(removed.get(0).runner()));
     }
 
+    @Test
+    void whatTheDispatcherCountsOnIsNotForgotten() {
+        Runner runner = fleet.sightings(START, list(true, host("s-1", "10.0.0.1:1", "up", 0))).get(0).runner();
+        runner.kept = true;
+        fleet.sightings(START, list(true, ""));
+        fleet.sightings(Duration.ofSeconds(60), list(false, ""));
+        assertSame(runner, fleet.named("s-1").runner);
+    }
+
     @Test
     void aRunnerWithoutAnAddressIsPassedOver() {
         assertTrue(fleet.sightings(START, list(true, host("s-1", "a-name:1", "up", 0))).isEmpty());
