--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -431,14 +431,18 @@
         a.wantedLoad = load;
     }
 
-    /** The time this client has been waiting over all its tries. */
+    /** The time this client has been waiting over all its tries: what a later one lacks, but not a first one. */
     private Duration elapsed(Duration now, Assignment a) {
-        return now.minus(a.arrivedAt).plus(rows.get(a.workload).patience.minus(a.patience()));
+        boolean first = orders.repeatsMarked && !a.repeated;
+        return now.minus(first ? a.arrivedAt : a.deadline.minus(rows.get(a.workload).patience));
     }
 
     /** How long it may wait, in seconds, to end there in time; less while others are more important. */
     private double slack(Duration now, Assignment a, Runner r) {
-        double left = secs(a.workload.promised) + (a.workload.stretch - pace(now, r)) * size(a);
+        // Guards against work for clients who wait less than the promised time, by habit or on one bad day.
+        double aim = Math.min(secs(a.workload.promised) + a.workload.stretch * size(a),
+                secs(elapsed(a.deadline, a).minus(orders.round)));
+        double left = aim - pace(now, r) * size(a);
         return left * Math.sqrt(a.workload.importance / mostImportant);
     }
 
--- a/core/src/main/java/saltdale/model/StandingOrders.java
+++ b/core/src/main/java/saltdale/model/StandingOrders.java
@@ -35,6 +35,9 @@
     public Duration longestPause = Duration.ZERO;
     public Duration connectTime = Duration.ZERO;
 
+    /** Whether clients mark their repeats. */
+    public boolean repeatsMarked;
+
     // What runners tell.
     public boolean tellsStart;
     public Duration progressEvery = Duration.ZERO;
--- a/core/src/main/java/saltdale/orders/OrdersReader.java
+++ b/core/src/main/java/saltdale/orders/OrdersReader.java
@@ -31,6 +31,8 @@
         orders.longestPause = limits.span("MaxRetryAfter", Duration.ZERO);
         orders.connectTime = limits.span("DialTimeout", Duration.ZERO);
 
+        orders.repeatsMarked = options.object("Callers").flag("MarksRetry", false);
+
         Fields contract = options.object("Contract");
         orders.askWithin = contract.span("AskWithin", orders.askWithin);
         orders.coldFrom = contract.number("ColdFrom", 1);
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -457,6 +457,22 @@
         assertEquals(List.of("probe", "shed"), scene.acts);
     }
 
+    @Test
+    void aFirstTryOfAnImpatientClientIsNotTakenForALateOne() {
+        scene.orders.repeatsMarked = true;
+        scene.orders.tellsStart = false;  // so that what the test sends does not count as waiting
+        scene.with(1).waitPerLoad = 0.35;
+        scene.arrives(scene.assignment());  // this one waits 6 s
+        scene.finds(1);
+        assertEquals(List.of("probe", "dispatch"), scene.acts);
+        scene.arrives(new Assignment(scene.workload, Scene.at(0), Scene.at(300)));
+        scene.finds(0);
+        assertEquals("dispatch", scene.acts.get(scene.acts.size() - 1));
+        scene.arrives(new Assignment(scene.workload, Scene.at(0), Scene.at(300)));
+        scene.finds(1);  // 0.35 s to wait are too long for it, though not for the promised time
+        assertEquals("shed", scene.acts.get(scene.acts.size() - 1));
+    }
+
     @Test
     void whatWouldRunOnWhenTheDispatcherEndsIsShedBeforeItBegins() {
         scene.workload.lateImportance = 0.5;
