--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -17,6 +17,7 @@
     static final double FULL = Double.MAX_VALUE;  // the load of a runner that would turn us away
     static final double COLD_CAUTION = 0.6;  // the part of a cold runner's guessed budget that is used
     static final double SCARCE = 0.95;  // busy share above which a second look costs more than it finds
+    static final double HALF = 0.5;  // busy share up to which work that waits is likely to be moved with gain
     static final double BELIEF = 4;  // so many runs at the usual pace are believed before any is seen
     static final double POOR = 0.3;  // a runner failing more than this share of late is set aside
     static final double DOUBT = 0.7;  // the most that a runner is passed over for the silence of its zone
@@ -41,6 +42,8 @@
     private final double[] busy = new double[2];  // λ' of our own zone, and of the others
     private final Map<String, Double> silent = new HashMap<>();  // by zone, how much of late went unanswered
     final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
+    private final Set<String> bound = new HashSet<>();  // kinds that some workload needs
+    double busyUnbound;  // λ' of all other kinds
     private double workDone;  // by warm runners, fading
     private Duration workDoneAt = Duration.ZERO, surveyedAt;
     private double mostImportant, warmRate, meanOut, ready;
@@ -56,6 +59,7 @@
         for (Workload workload : orders.workloads) {
             rows.put(workload, new Row());
             shortest = least(shortest, workload.patience);
+            bound.add(workload.kind);
             mostImportant = Math.max(mostImportant, workload.importance);
         }
         spell = shortest.dividedBy(4);
@@ -193,6 +197,7 @@
             lambdaSeen = smooth(lambdaSeen, idle ? 0 : 1);
             int where = r.zone.equals(orders.zone) ? 0 : 1;
             busy[where] = smooth(busy[where], idle ? 0 : 1);
+            busyUnbound = bound.contains(r.kind) ? busyUnbound : smooth(busyUnbound, idle ? 0 : 1);
             r.busyAt = idle ? null : now;
         }
         if (a != null) {
@@ -371,7 +376,7 @@
                 unlikely |= someAside && a.workload.repeat != Workload.Repeat.PURE
                         && (r.failures.count() == 0 || r.failures.last() > POOR);
                 int rank = (trusted && !a.sentTo(r) ? 0 : 16) + (slack(now, a, r) >= 0 ? 0 : 8)
-                        + (unlikely ? 4 : 0) + (home && !r.zone.equals(orders.zone) ? 2 : 0)
+                        + (unlikely || yields(a, r) ? 4 : 0) + (home && !r.zone.equals(orders.zone) ? 2 : 0)
                         + (chance.nextDouble() * pace(now, r) > pace.of(BELIEF, BELIEF) ? 1 : 0);
                 best = rank < leastRank ? r : best;
                 leastRank = Math.min(rank, leastRank);
@@ -380,6 +385,11 @@
         return best;
     }
 
+    /** Guards against filling the one kind that other work is bound to while the rest of the fleet has room. */
+    private boolean yields(Assignment a, Runner r) {
+        return a.workload.kind == null && bound.contains(r.kind) && busyUnbound < SCARCE;
+    }
+
     /** Guards against trickles that end jobs: failures cost least at first sendings of what may run twice. */
     private boolean mayTry(Assignment a) {
         return a.dispatches.isEmpty() && (a.workload.repeat == Workload.Repeat.PURE
@@ -507,7 +517,7 @@
             return;
         }
         a.lookGap = now.minus(out.sentAt);
-        if (lambdaSeen > SCARCE) {  // guards against an overload spending itself on probes
+        if (lambdaSeen > HALF) {  // guards against running twice what goes on where it was called off
             look(a, now.plus(a.lookGap));
             return;
         }
