--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -375,6 +375,10 @@
                 // Guards against finding out who errs by what may then go to few others: pure work does it.
                 unlikely |= someAside && a.workload.repeat != Workload.Repeat.PURE
                         && (r.failures.count() == 0 || r.failures.last() > POOR);
+                // Guards against runners that fail and recover by turns, which take work down with them: what
+                // may not run twice goes elsewhere for a time, in which pure work finds out; not in a squeeze.
+                unlikely |= a.workload.repeat != Workload.Repeat.PURE && lambdaSeen <= SCARCE
+                        && r.lapsedAt != null && !reached(now, r.lapsedAt.plus(memory));
                 int rank = (trusted && !a.sentTo(r) ? 0 : 16) + (slack(now, a, r) >= 0 ? 0 : 8)
                         + (unlikely || yields(a, r) ? 4 : 0) + (home && !r.zone.equals(orders.zone) ? 2 : 0)
                         + (chance.nextDouble() * pace(now, r) > pace.of(BELIEF, BELIEF) ? 1 : 0);
--- a/core/src/main/java/saltdale/model/Runner.java
+++ b/core/src/main/java/saltdale/model/Runner.java
@@ -54,6 +54,8 @@
     public Duration trickleAt = Duration.ZERO;
     /** Since it last was silent: until when it is passed over, and for how long that was; null once it is heard. */
     private Refusal silence;
+    /** When it last was silent twice with no word between; kept though it is heard again. */
+    public Duration lapsedAt;
     /** What was sent to it while it was cold. */
     public final Deque<Dispatch> coldSends = new ArrayDeque<>();
 
@@ -101,6 +103,7 @@
 
     /** It has not answered in time, or no way led to it: passed over for the spell, then for gaps that double. */
     public void unheard(Duration now, Duration spell) {
+        lapsedAt = silence == null ? lapsedAt : now;
         if (silence == null || Spans.reached(now, silence.until)) {
             Duration gap = silence == null ? spell : Spans.least(silence.gap.multipliedBy(2), spell.multipliedBy(4));
             silence = new Refusal(now.plus(gap), gap);
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -379,6 +379,23 @@
         assertTrue(drawnOf(List.copyOf(scene.dispatcher.runners.subList(2, 4))) < 60, "none errs: all alike");
     }
 
+    @Test
+    void workThatMayNotRunTwiceKeepsOffARunnerThatWasSilentTwiceOnEnd() {
+        scene.workload.repeat = Workload.Repeat.EFFECTFUL;
+        Dispatcher dispatcher = scene.with(2);
+        Runner lapsed = dispatcher.runners.get(0);
+        Runner steady = dispatcher.runners.get(1);
+        dispatcher.probed(Scene.at(0), lapsed, false, Scene.at(0), null);
+        dispatcher.probed(Scene.at(1), lapsed, true, Scene.at(1), Scene.queue(0));
+        assertEquals(null, lapsed.lapsedAt, "one lost probe is no lapse");
+        dispatcher.probed(Scene.at(0), lapsed, false, Scene.at(0), null);
+        dispatcher.probed(Scene.at(0), lapsed, false, Scene.at(0), null);
+        dispatcher.probed(Scene.at(1), lapsed, true, Scene.at(1), Scene.queue(0));
+        assertEquals(100, drawnOf(List.of(steady)));
+        dispatcher.lambdaSeen = 1;
+        assertTrue(drawnOf(List.of(steady)) < 100, "in a squeeze all are needed");
+    }
+
     @Test
     void aPureJobLeavesARunnerThatAnswersNothingThoughNoneIsIdle() {
         scene.orders.progressEvery = Duration.ofSeconds(1);
