--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -191,7 +191,7 @@
             r.report = report == null ? LoadReport.NONE : report;
             r.known = true;
             load = load(r);
-            idle = idle(r, a == null ? 1 : a.slots);
+            idle = idle(r, a == null ? 1 : a.slots, a == null ? 0 : a.memory);
             roundTrip = smooth(roundTrip, secs(took));
             meanQueue = smooth(meanQueue, load);
             lambdaSeen = smooth(lambdaSeen, idle ? 0 : 1);
@@ -267,7 +267,7 @@
                 a.wantedProbe = next;
                 look(a, now.plus(probeLimit(a)));
                 return;
-            } else if (idle(next, a.slots)) {
+            } else if (idle(next, a.slots, a.memory)) {
                 take(now, a, next, 0);
                 return;
             }
@@ -336,8 +336,11 @@
                 : Math.max(r.report.inFlight(), r.out.size());
     }
 
-    /** Idle: nothing queued, and enough free slots for this job where they are reported. */
-    boolean idle(Runner r, double slots) {
+    /** Idle: nothing queued, and enough free slots and memory for this job where they are reported. */
+    boolean idle(Runner r, double slots, double memory) {
+        if (r.report.freeMemory() < memory) {  // guards against a job that makes a whole queue wait for it
+            return false;
+        }
         // A report is older than our last sends: what has not started yet waits there, seen or not.
         double ours = orders.tellsStart ? r.slotsWaiting() : 0;
         if (Double.isNaN(r.report.freeSlots())) {
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -85,8 +85,11 @@
         Dispatcher dispatcher = scene.with(1);
         Runner runner = dispatcher.runners.get(0);
         runner.report = new LoadReport(0, 5, 2, Double.NaN, Double.NaN, Double.NaN);
-        assertTrue(dispatcher.idle(runner, 2));
-        assertFalse(dispatcher.idle(runner, 4));
+        assertTrue(dispatcher.idle(runner, 2, 0));
+        assertFalse(dispatcher.idle(runner, 4, 0));
+        runner.report = new LoadReport(0, 5, 2, Double.NaN, Double.NaN, 0.4);
+        assertTrue(dispatcher.idle(runner, 2, 0.3));
+        assertFalse(dispatcher.idle(runner, 2, 0.5));
     }
 
     @Test
