--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -191,7 +191,7 @@
             r.report = report == null ? LoadReport.NONE : report;
             r.known = true;
             load = load(r);
-            idle = idle(r, a == null ? 1 : a.slots, a == null ? 0 : a.memory);
+            idle = idle(now, r, a == null ? 1 : a.slots, a == null ? 0 : a.memory);
             roundTrip = smooth(roundTrip, secs(took));
             meanQueue = smooth(meanQueue, load);
             lambdaSeen = smooth(lambdaSeen, idle ? 0 : 1);
@@ -267,7 +267,7 @@
                 a.wantedProbe = next;
                 look(a, now.plus(probeLimit(a)));
                 return;
-            } else if (idle(next, a.slots, a.memory)) {
+            } else if (idle(now, next, a.slots, a.memory)) {
                 take(now, a, next, 0);
                 return;
             }
@@ -337,8 +337,11 @@
     }
 
     /** Idle: nothing queued, and enough free slots and memory for this job where they are reported. */
-    boolean idle(Runner r, double slots, double memory) {
-        if (r.report.freeMemory() < memory) {  // guards against a job that makes a whole queue wait for it
+    boolean idle(Duration now, Runner r, double slots, double memory) {
+        // Guards against a job that makes a whole queue wait for memory; and against reports that are not so: where
+        // work of ours has waited for longer than the word of its start takes, none is idle whatever it reports.
+        Duration told = now.minus(ofSecs(3 * roundTrip)).minus(orders.round.multipliedBy(2));
+        if (r.report.freeMemory() < memory || orders.tellsStart && r.waitsSince(told)) {
             return false;
         }
         // A report is older than our last sends: what has not started yet waits there, seen or not.
--- a/core/src/main/java/saltdale/model/Runner.java
+++ b/core/src/main/java/saltdale/model/Runner.java
@@ -135,6 +135,11 @@
         return notBegun().mapToDouble(d -> d.assignment.slots).sum();
     }
 
+    /** Whether something of ours that was sent before then has not been said to have begun. */
+    public boolean waitsSince(Duration then) {
+        return notBegun().anyMatch(d -> d.sentAt.compareTo(then) < 0);
+    }
+
     private Stream<Dispatch> notBegun() {
         return out.stream().filter(d -> d.startedAt == null);
     }
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -85,11 +85,24 @@
         Dispatcher dispatcher = scene.with(1);
         Runner runner = dispatcher.runners.get(0);
         runner.report = new LoadReport(0, 5, 2, Double.NaN, Double.NaN, Double.NaN);
-        assertTrue(dispatcher.idle(runner, 2, 0));
-        assertFalse(dispatcher.idle(runner, 4, 0));
+        assertTrue(dispatcher.idle(Scene.at(0), runner, 2, 0));
+        assertFalse(dispatcher.idle(Scene.at(0), runner, 4, 0));
         runner.report = new LoadReport(0, 5, 2, Double.NaN, Double.NaN, 0.4);
-        assertTrue(dispatcher.idle(runner, 2, 0.3));
-        assertFalse(dispatcher.idle(runner, 2, 0.5));
+        assertTrue(dispatcher.idle(Scene.at(0), runner, 2, 0.3));
+        assertFalse(dispatcher.idle(Scene.at(0), runner, 2, 0.5));
+    }
+
+    @Test
+    void aRunnerWhereOursWaitsIsNotIdleWhateverItReports() {
+        Dispatcher dispatcher = scene.with(1);
+        Runner runner = dispatcher.runners.get(0);
+        dispatcher.roundTrip = 0.01;
+        runner.report = new LoadReport(Double.NaN, 0, 4, Double.NaN, Double.NaN, Double.NaN);
+        Dispatch d = scene.sentTo(runner).last();
+        assertTrue(dispatcher.idle(Scene.at(30), runner, 1, 0));
+        assertFalse(dispatcher.idle(Scene.at(50), runner, 1, 0));
+        dispatcher.started(Scene.at(50), d);
+        assertTrue(dispatcher.idle(Scene.at(50), runner, 1, 0));
     }
 
     @Test
