--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -338,8 +338,8 @@
 
     /** Idle: nothing queued, and enough free slots and memory for this job where they are reported. */
     boolean idle(Duration now, Runner r, double slots, double memory) {
-        // Guards against a job that makes a whole queue wait for memory; and against reports that are not so: where
-        // work of ours has waited for longer than the word of its start takes, none is idle whatever it reports.
+        // Guards against a job that makes a whole queue wait for memory, and against reports that are not so:
+        // where work of ours has waited for longer than the word of its start takes, nothing is idle.
         Duration told = now.minus(ofSecs(3 * roundTrip)).minus(orders.round.multipliedBy(2));
         if (r.report.freeMemory() < memory || orders.tellsStart && r.waitsSince(told)) {
             return false;
