--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -101,7 +101,7 @@
         }
     }
 
-    /** Guards against a list that is wrong: where it alone proves nothing, one that did not drain stays in use. */
+    /** Guards against a wrong list: where it alone proves nothing, one that did not drain stays in use. */
     private void removed(Duration now, Runner r) {
         if (orders.removalBinds || r.mode != Runner.Mode.READY) {
             r.mode = Runner.Mode.GONE;
@@ -381,8 +381,8 @@
                 // Guards against finding out who errs by what may then go to few others: pure work does it.
                 unlikely |= someAside && a.workload.repeat != Workload.Repeat.PURE
                         && (r.failures.count() == 0 || r.failures.last() > POOR);
-                // Guards against runners that fail and recover by turns, which take work down with them: what
-                // may not run twice goes elsewhere for a time, in which pure work finds out; not in a squeeze.
+                // Guards against runners that fail and recover by turns and take work down with them: what
+                // may not run twice goes elsewhere for a time, while pure work finds out; not in a squeeze.
                 unlikely |= a.workload.repeat != Workload.Repeat.PURE && lambdaSeen <= SCARCE
                         && r.lapsedAt != null && !reached(now, r.lapsedAt.plus(memory));
                 int rank = (trusted && !a.sentTo(r) ? 0 : 16) + (slack(now, a, r) >= 0 ? 0 : 8)
@@ -395,7 +395,7 @@
         return best;
     }
 
-    /** Guards against filling the one kind that other work is bound to while the rest of the fleet has room. */
+    /** Guards against filling a kind that other work is bound to while the rest of the fleet has room. */
     private boolean yields(Assignment a, Runner r) {
         return a.workload.kind == null && bound.contains(r.kind) && busyUnbound < SCARCE;
     }
@@ -451,7 +451,7 @@
         a.wantedLoad = load;
     }
 
-    /** The time this client has been waiting over all its tries: what a later one lacks, but not a first one. */
+    /** How long this client has waited over all its tries: what a later try lacks, but not a first one. */
     private Duration elapsed(Duration now, Assignment a) {
         boolean first = orders.repeatsMarked && !a.repeated;
         return now.minus(first ? a.arrivedAt : a.deadline.minus(rows.get(a.workload).patience));
