--- a/rig/src/test/java/saltdale/rig/standin/StandInFleetTest.java
+++ b/rig/src/test/java/saltdale/rig/standin/StandInFleetTest.java
@@ -13,9 +13,11 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -61,8 +63,16 @@
         thread.setDaemon(true);
         thread.start();
         turner.inside(() -> fleet.begin(origin.now()));
+        // What begins with the day stands in the loop's timers before this one, and has closed two turns after it.
+        CountDownLatch begun = new CountDownLatch(1);
+        turner.inside(() -> turner.loop.after(Duration.ofMillis(20), begun::countDown));
+        try {
+            assertTrue(begun.await(10, TimeUnit.SECONDS));
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
         for (int i = 0; i < 4; i++) {
-            turner.inside(() -> { });  // what is due at once has come a turn later, and closed two after that
+            turner.inside(() -> { });
         }
     }
 
