--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -16,8 +16,8 @@
     static final double LAMBDA_MOST = 0.999;
     static final double FULL = Double.MAX_VALUE;  // the load of a runner that would turn us away
     static final double COLD_CAUTION = 0.6;  // the part of a cold runner's guessed budget that is used
-    static final double SCARCE = 0.95;  // busy share above which a second look costs more than it finds
-    static final double HALF = 0.5;  // busy share up to which work that waits is likely to be moved with gain
+    static final double SCARCE = 0.95;  // busy share above which the busy and unsteady are needed too
+    static final double MOVABLE = 0.5;  // busy share up to which work that waits is moved
     static final double BELIEF = 4;  // so many runs at the usual pace are believed before any is seen
     static final double POOR = 0.3;  // a runner failing more than this share of late is set aside
     static final double DOUBT = 0.7;  // the most that a runner is passed over for the silence of its zone
@@ -82,7 +82,6 @@
                 continue;
             }
             s.runner().sighted(s);
-            s.runner().unlistedAt = null;
             s.runner().pace.within = kinds.computeIfAbsent(s.kind(), k -> new Pace(64, pace));
             // Guards against waiting for work that a process took with it: the one there now has none.
             if (s.startedAt() != null) {
@@ -112,13 +111,10 @@
 
     /** The bound on memory: what no list holds is forgotten once nothing of it was heard for that long. */
     private void forget(Duration now) {
-        for (Runner r : runners) {
-            boolean bygone = r.unlistedAt != null
-                    && reached(now, most(r.unlistedAt, r.heardAt).plus(memory.multipliedBy(4)));
-            r.mode = bygone ? Runner.Mode.GONE : r.mode;
-            r.kept = r.mode != Runner.Mode.GONE;
-        }
-        runners.removeIf(r -> !r.kept);
+        runners.stream().filter(r -> r.unlistedAt != null
+                        && reached(now, most(r.unlistedAt, r.heardAt).plus(memory.multipliedBy(4))))
+                .forEach(r -> r.mode = Runner.Mode.GONE);
+        runners.removeIf(r -> r.mode == Runner.Mode.GONE);
     }
 
     /** Learnt of one, held against its zone too: each of us meets a runner seldom, but a lost zone often. */
@@ -338,10 +334,9 @@
 
     /** Idle: nothing queued, and enough free slots and memory for this job where they are reported. */
     boolean idle(Duration now, Runner r, double slots, double memory) {
-        // Guards against a job that makes a whole queue wait for memory, and against reports that are not so:
+        // Guards against a job that makes a whole queue wait for memory, and against late or untrue reports:
         // where work of ours has waited for longer than the word of its start takes, nothing is idle.
-        Duration told = now.minus(ofSecs(3 * roundTrip)).minus(orders.round.multipliedBy(2));
-        if (r.report.freeMemory() < memory || orders.tellsStart && r.waitsSince(told)) {
+        if (r.report.freeMemory() < memory || orders.tellsStart && r.waitsSince(now.minus(fewRoundTrips()))) {
             return false;
         }
         // A report is older than our last sends: what has not started yet waits there, seen or not.
@@ -365,6 +360,10 @@
         row.soughtAt = now;
         boolean home = orders.crossZonePrice > 0 && 2 * a.probed.size() < PROBE_CAP
                 && 2 * (1 - busy[0]) >= 1 - busy[1];  // guards against a zone more crowded than the others
+        boolean once = a.workload.repeat != Workload.Repeat.PURE;
+        // Guards against filling a kind that other work is bound to while the rest of the fleet has room.
+        boolean yields = a.workload.kind == null && busyUnbound < SCARCE;
+        double aim = aim(a), size = size(a);
         Runner best = null;
         int leastRank = a.probed.isEmpty() && !a.secondLook ? 32 : 16;
         for (int i = 0; i < runners.size() && leastRank > 0; i++) {
@@ -379,15 +378,16 @@
                         || r.busyAt != null && runningTime > 0 && lambdaSeen <= SCARCE
                         && chance.nextDouble() < Math.exp(-secs(now.minus(r.busyAt)) / runningTime);
                 // Guards against finding out who errs by what may then go to few others: pure work does it.
-                unlikely |= someAside && a.workload.repeat != Workload.Repeat.PURE
-                        && (r.failures.count() == 0 || r.failures.last() > POOR);
+                unlikely |= someAside && once && (r.failures.count() == 0 || r.failures.last() > POOR);
                 // Guards against runners that fail and recover by turns and take work down with them: what
                 // may not run twice goes elsewhere for a time, while pure work finds out; not in a squeeze.
-                unlikely |= a.workload.repeat != Workload.Repeat.PURE && lambdaSeen <= SCARCE
-                        && r.lapsedAt != null && !reached(now, r.lapsedAt.plus(memory));
-                int rank = (trusted && !a.sentTo(r) ? 0 : 16) + (slack(now, a, r) >= 0 ? 0 : 8)
-                        + (unlikely || yields(a, r) ? 4 : 0) + (home && !r.zone.equals(orders.zone) ? 2 : 0)
-                        + (chance.nextDouble() * pace(now, r) > pace.of(BELIEF, BELIEF) ? 1 : 0);
+                unlikely |= once && lambdaSeen <= SCARCE && r.lapsedAt != null
+                        && !reached(now, r.lapsedAt.plus(memory));
+                unlikely |= yields && bound.contains(r.kind);
+                double takes = pace(now, r);
+                int rank = (trusted && !a.sentTo(r) ? 0 : 16) + (aim >= takes * size ? 0 : 8)
+                        + (unlikely ? 4 : 0) + (home && !r.zone.equals(orders.zone) ? 2 : 0)
+                        + (chance.nextDouble() * takes > pace.of(BELIEF, BELIEF) ? 1 : 0);
                 best = rank < leastRank ? r : best;
                 leastRank = Math.min(rank, leastRank);
             }
@@ -395,11 +395,6 @@
         return best;
     }
 
-    /** Guards against filling a kind that other work is bound to while the rest of the fleet has room. */
-    private boolean yields(Assignment a, Runner r) {
-        return a.workload.kind == null && bound.contains(r.kind) && busyUnbound < SCARCE;
-    }
-
     /** Guards against trickles that end jobs: failures cost least at first sendings of what may run twice. */
     private boolean mayTry(Assignment a) {
         return a.dispatches.isEmpty() && (a.workload.repeat == Workload.Repeat.PURE
@@ -459,11 +454,14 @@
 
     /** How long it may wait, in seconds, to end there in time; less while others are more important. */
     private double slack(Duration now, Assignment a, Runner r) {
+        return (aim(a) - pace(now, r) * size(a)) * Math.sqrt(a.workload.importance / mostImportant);
+    }
+
+    /** How long, in seconds, an answer may take to be in time for a client that waits for it. */
+    private double aim(Assignment a) {
         // Guards against work for clients who wait less than the promised time, by habit or on one bad day.
-        double aim = Math.min(secs(a.workload.promised) + a.workload.stretch * size(a),
+        return Math.min(secs(a.workload.promised) + a.workload.stretch * size(a),
                 secs(elapsed(a.deadline, a).minus(orders.round)));
-        double left = aim - pace(now, r) * size(a);
-        return left * Math.sqrt(a.workload.importance / mostImportant);
     }
 
     /** How long runs take there beside what is expected: the fleet's, its kind's in that, its own in that. */
@@ -527,7 +525,7 @@
             return;
         }
         a.lookGap = now.minus(out.sentAt);
-        if (lambdaSeen > HALF) {  // guards against running twice what goes on where it was called off
+        if (lambdaSeen > MOVABLE) {  // guards against running twice what goes on where it was called off
             look(a, now.plus(a.lookGap));
             return;
         }
@@ -722,7 +720,11 @@
     /** How long a probe may hold an assignment: a few usual round trips, a part of the promised time. */
     private Duration probeLimit(Assignment a) {
         Duration most = a.workload.promised.dividedBy(4);
-        return roundTrip == 0 ? most : least(most, ofSecs(3 * roundTrip).plus(orders.round.multipliedBy(2)));
+        return roundTrip == 0 ? most : least(most, fewRoundTrips());
+    }
+
+    private Duration fewRoundTrips() {
+        return ofSecs(3 * roundTrip).plus(orders.round.multipliedBy(2));
     }
 
     private void look(Assignment a, Duration at) {
--- a/core/src/main/java/saltdale/model/Runner.java
+++ b/core/src/main/java/saltdale/model/Runner.java
@@ -21,7 +21,8 @@
     public String kind = "";
     public String zone = "";
     public double power = 1;
-    public Mode mode = Mode.READY;
+    /** Gone until a list names it; what the dispatcher has forgotten is gone as well. */
+    public Mode mode = Mode.GONE;
     public int cell;
     /** Null: long ago. */
     public Duration startedAt;
@@ -31,8 +32,6 @@
     public Duration unlistedAt;
     /** When it last answered anything. */
     public Duration heardAt = Duration.ZERO;
-    /** Whether the dispatcher still counts on it: it may be sent to. */
-    public boolean kept;
     public final Set<Dispatch> out = new LinkedHashSet<>();
     public final Deque<Assignment> asking = new ArrayDeque<>();
     public LoadReport report = LoadReport.NONE;
@@ -74,6 +73,7 @@
         cell = s.cell();
         startedAt = s.startedAt();
         mode = s.mode();
+        unlistedAt = null;
     }
 
     public boolean ready() {
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -8,7 +8,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Set;
 import org.junit.jupiter.api.Test;
 import saltdale.model.Assignment;
 import saltdale.model.Dispatch;
@@ -81,26 +80,17 @@
     }
 
     @Test
-    void idleNeedsEnoughFreeSlots() {
+    void idleNeedsRoomForTheJobAndNothingOfOursThatWaits() {
         Dispatcher dispatcher = scene.with(1);
         Runner runner = dispatcher.runners.get(0);
-        runner.report = new LoadReport(0, 5, 2, Double.NaN, Double.NaN, Double.NaN);
-        assertTrue(dispatcher.idle(Scene.at(0), runner, 2, 0));
-        assertFalse(dispatcher.idle(Scene.at(0), runner, 4, 0));
+        dispatcher.roundTrip = 0.01;
         runner.report = new LoadReport(0, 5, 2, Double.NaN, Double.NaN, 0.4);
         assertTrue(dispatcher.idle(Scene.at(0), runner, 2, 0.3));
-        assertFalse(dispatcher.idle(Scene.at(0), runner, 2, 0.5));
-    }
-
-    @Test
-    void aRunnerWhereOursWaitsIsNotIdleWhateverItReports() {
-        Dispatcher dispatcher = scene.with(1);
-        Runner runner = dispatcher.runners.get(0);
-        dispatcher.roundTrip = 0.01;
-        runner.report = new LoadReport(Double.NaN, 0, 4, Double.NaN, Double.NaN, Double.NaN);
+        assertFalse(dispatcher.idle(Scene.at(0), runner, 4, 0.3));
+        assertFalse(dispatcher.idle(Scene.at(0), runner, 2, 0.5), "too little memory");
         Dispatch d = scene.sentTo(runner).last();
         assertTrue(dispatcher.idle(Scene.at(30), runner, 1, 0));
-        assertFalse(dispatcher.idle(Scene.at(50), runner, 1, 0));
+        assertFalse(dispatcher.idle(Scene.at(50), runner, 1, 0), "ours waits there");
         dispatcher.started(Scene.at(50), d);
         assertTrue(dispatcher.idle(Scene.at(50), runner, 1, 0));
     }
@@ -212,30 +202,23 @@
     }
 
     @Test
-    void whereRemovalDoesNotBindTheListIsNoProof() {
+    void whereRemovalDoesNotBindWhatDidNotDrainIsForgottenSomeTimeAfterItsLastWord() {
         scene.orders.removalBinds = false;
         Dispatcher dispatcher = scene.with(2);
         Runner drained = dispatcher.runners.get(0);
         Runner missed = dispatcher.runners.get(1);
-        dispatcher.listed(Scene.at(1), List.of(Scene.sighting(drained, Runner.Mode.DRAINING, null)), false, false);
-        dispatcher.listed(Scene.at(2), List.of(), true, false);
-        assertEquals(Runner.Mode.GONE, drained.mode);
+        Runner never = new Runner();
+        dispatcher.listed(Scene.at(0), List.of(Scene.sighting(drained, Runner.Mode.DRAINING, null),
+                Scene.sighting(never, Runner.Mode.GONE, null)), false, false);
+        dispatcher.listed(Scene.at(0), List.of(), true, false);
+        assertEquals(List.of(missed), dispatcher.runners);
         scene.arrives(scene.assignment());
         assertEquals(List.of(missed), scene.probes);
-    }
-
-    @Test
-    void whatNoListHoldsIsForgottenSomeTimeAfterItsLastWord() {
-        scene.orders.removalBinds = false;
-        Dispatcher dispatcher = scene.with(1);
-        Runner runner = dispatcher.runners.get(0);
-        dispatcher.listed(Scene.at(0), List.of(), true, false);
-        dispatcher.probed(Scene.at(30_000), runner, true, Scene.at(5), LoadReport.NONE);
+        dispatcher.probed(Scene.at(30_000), missed, true, Scene.at(5), LoadReport.NONE);
         dispatcher.listed(Scene.at(61_999), List.of(), true, false);
-        assertTrue(runner.kept);
+        assertTrue(missed.ready());
         dispatcher.listed(Scene.at(62_000), List.of(), true, false);  // four warm-ups of 8 s later
-        assertFalse(runner.kept);
-        assertEquals(Runner.Mode.GONE, runner.mode);
+        assertEquals(Runner.Mode.GONE, missed.mode);
     }
 
     @Test
@@ -400,16 +383,14 @@
         scene.workload.repeat = Workload.Repeat.EFFECTFUL;
         Dispatcher dispatcher = scene.with(2);
         Runner lapsed = dispatcher.runners.get(0);
-        Runner steady = dispatcher.runners.get(1);
-        dispatcher.probed(Scene.at(0), lapsed, false, Scene.at(0), null);
-        dispatcher.probed(Scene.at(1), lapsed, true, Scene.at(1), Scene.queue(0));
+        List.of(false, true).forEach(answered ->
+                dispatcher.probed(Scene.at(0), lapsed, answered, Scene.at(1), Scene.queue(0)));
         assertEquals(null, lapsed.lapsedAt, "one lost probe is no lapse");
-        dispatcher.probed(Scene.at(0), lapsed, false, Scene.at(0), null);
-        dispatcher.probed(Scene.at(0), lapsed, false, Scene.at(0), null);
-        dispatcher.probed(Scene.at(1), lapsed, true, Scene.at(1), Scene.queue(0));
-        assertEquals(100, drawnOf(List.of(steady)));
+        List.of(false, false, true).forEach(answered ->
+                dispatcher.probed(Scene.at(0), lapsed, answered, Scene.at(1), Scene.queue(0)));
+        assertEquals(0, drawnOf(List.of(lapsed)));
         dispatcher.lambdaSeen = 1;
-        assertTrue(drawnOf(List.of(steady)) < 100, "in a squeeze all are needed");
+        assertTrue(drawnOf(List.of(lapsed)) > 0, "in a squeeze all are needed");
     }
 
     @Test
@@ -498,13 +479,11 @@
         scene.with(1).waitPerLoad = 0.35;
         scene.arrives(scene.assignment());  // this one waits 6 s
         scene.finds(1);
-        assertEquals(List.of("probe", "dispatch"), scene.acts);
-        scene.arrives(new Assignment(scene.workload, Scene.at(0), Scene.at(300)));
-        scene.finds(0);
-        assertEquals("dispatch", scene.acts.get(scene.acts.size() - 1));
-        scene.arrives(new Assignment(scene.workload, Scene.at(0), Scene.at(300)));
-        scene.finds(1);  // 0.35 s to wait are too long for it, though not for the promised time
-        assertEquals("shed", scene.acts.get(scene.acts.size() - 1));
+        for (double queue : new double[] {0, 1}) {  // 0.35 s to wait are too long for these, not for the promised time
+            scene.arrives(new Assignment(scene.workload, Scene.at(0), Scene.at(300)));
+            scene.finds(queue);
+        }
+        assertEquals(List.of("probe", "dispatch", "probe", "dispatch", "probe", "shed"), scene.acts);
     }
 
     @Test
@@ -605,18 +584,11 @@
         vital.kind = "rare";
         scene.orders.workloads.add(vital);
         Dispatcher dispatcher = scene.with(9);
-        dispatcher.runners.forEach(r -> r.kind = "rare");
-        Runner common = dispatcher.runners.get(4);
-        common.kind = "any";
-        for (int i = 0; i < 20; i++) {
-            scene.arrives(scene.assignment());
-        }
-        assertEquals(Set.of(common), Set.copyOf(scene.probes));
+        List<Runner> rare = List.copyOf(dispatcher.runners.subList(1, 9));
+        rare.forEach(r -> r.kind = "rare");
+        assertEquals(0, drawnOf(rare));
         dispatcher.busyUnbound = 0.99;
-        for (int i = 0; i < 20; i++) {
-            scene.arrives(scene.assignment());
-        }
-        assertTrue(Set.copyOf(scene.probes).size() > 3);
+        assertTrue(drawnOf(rare) > 30);
     }
 
     @Test
--- a/daemon/src/main/java/saltdale/routing/Fleet.java
+++ b/daemon/src/main/java/saltdale/routing/Fleet.java
@@ -80,7 +80,8 @@
 
     private void forget(Duration now) {
         targets.values().removeIf(target -> {
-            boolean over = target.goneAt != null && !target.runner.kept && target.runner.out.isEmpty()
+            boolean over = target.goneAt != null && target.runner.mode == Runner.Mode.GONE
+                    && target.runner.out.isEmpty()
                     && now.compareTo(target.goneAt.plus(memory)) > 0;
             if (over) {
                 target.pool.closeIdle();
--- a/daemon/src/test/java/saltdale/routing/FleetTest.java
+++ b/daemon/src/test/java/saltdale/routing/FleetTest.java
@@ -56,20 +56,15 @@
         assertEquals(Runner.Mode.GONE, removed.get(0).mode());
         fleet.sightings(Duration.ofSeconds(10), list(false, ""));
         assertSame(removed.get(0).runner(), fleet.named("s-1").runner);
+        removed.get(0).runner().mode = Runner.Mode.READY;
+        fleet.sightings(Duration.ofSeconds(60), list(false, ""));
+        assertSame(removed.get(0).runner(), fleet.named("s-1").runner, "the dispatcher counts on it");
+        removed.get(0).runner().mode = Runner.Mode.GONE;
         fleet.sightings(Duration.ofSeconds(11), list(false, ""));
         assertNull(fleet.named("s-1"));
         assertNull(fleet.of(removed.get(0).runner()));
     }
 
-    @Test
-    void whatTheDispatcherCountsOnIsNotForgotten() {
-        Runner runner = fleet.sightings(START, list(true, host("s-1", "10.0.0.1:1", "up", 0))).get(0).runner();
-        runner.kept = true;
-        fleet.sightings(START, list(true, ""));
-        fleet.sightings(Duration.ofSeconds(60), list(false, ""));
-        assertSame(runner, fleet.named("s-1").runner);
-    }
-
     @Test
     void aRunnerWithoutAnAddressIsPassedOver() {
         assertTrue(fleet.sightings(START, list(true, host("s-1", "a-name:1", "up", 0))).isEmpty());
--- a/rig/src/test/java/saltdale/rig/standin/StandInFleetTest.java
+++ b/rig/src/test/java/saltdale/rig/standin/StandInFleetTest.java
@@ -17,7 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -64,13 +64,9 @@
         thread.start();
         turner.inside(() -> fleet.begin(origin.now()));
         // What begins with the day stands in the loop's timers before this one, and has closed two turns after it.
-        CountDownLatch begun = new CountDownLatch(1);
-        turner.inside(() -> turner.loop.after(Duration.ofMillis(20), begun::countDown));
-        try {
-            assertTrue(begun.await(10, TimeUnit.SECONDS));
-        } catch (InterruptedException e) {
-            throw new IOException(e);
-        }
+        CompletableFuture<Void> begun = new CompletableFuture<>();
+        turner.inside(() -> turner.loop.after(Duration.ofMillis(20), () -> begun.complete(null)));
+        begun.orTimeout(10, TimeUnit.SECONDS).join();
         for (int i = 0; i < 4; i++) {
             turner.inside(() -> { });
         }
