Read live weights and slots into the load; take a start from the first progress

Ruled out: weights that differ within a kind (6.5 and 11.5 for all of each); probes that fail (2 of 39,900). Change: load() is what is held beyond the kind's slots, from jobs in flight or else from the live weight; the first progress dates the start at most one period back; work not begun is not taken for silent (watch()).

--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -35,7 +35,7 @@
     final List<Runner> runners = new ArrayList<>();
     private final Map<Workload, Row> rows = new HashMap<>();
     private final Pace pace = new Pace(16, null);  // of all runners; within it those of each kind
-    private final Map<String, Pace> kinds = new HashMap<>();
+    private final Map<String, Kind> kinds = new HashMap<>();
     private final Set<Assignment> touched = new LinkedHashSet<>();
     // Smoothed: the design's λ', L̄, round trip and running time (CT); then the wait that a load of 1 brings.
     double lambdaSeen, meanQueue, roundTrip, runningTime, waitPerLoad;
@@ -82,7 +82,9 @@
                 continue;
             }
             s.runner().sighted(s);
-            s.runner().pace.within = kinds.computeIfAbsent(s.kind(), k -> new Pace(64, pace));
+            s.runner().of = kinds.computeIfAbsent(s.kind(), k -> new Kind(new Pace(64, pace)));
+            s.runner().pace.within = s.runner().of.pace;
+            s.runner().of.size = Math.max(s.runner().of.size, s.power());
             // Guards against waiting for work that a process took with it: the one there now has none.
             if (s.startedAt() != null) {
                 s.runner().out.stream().filter(d -> d.sentAt.compareTo(s.startedAt()) < 0)
@@ -141,18 +143,25 @@
     }
 
     public void started(Duration now, Dispatch d) {
-        d.startedAt = now;
+        begun(now, d);
         progressed(now, d);
-        d.runner.fullAt = d.load < d.runner.fullAt ? d.runner.fullAt : Double.POSITIVE_INFINITY;
-        waitPerLoad = d.load < 0.5 ? waitPerLoad : smooth(waitPerLoad, secs(now.minus(d.sentAt)) / d.load);
         consider(now, d.assignment);
     }
 
     public void progressed(Duration now, Dispatch d) {
+        if (d.startedAt == null) {  // no start is told: it was at most one period ago
+            begun(most(d.sentAt, now.minus(orders.progressEvery)), d);
+        }
         d.heardAt = now;
         d.runner.heard(now);
     }
 
+    private void begun(Duration at, Dispatch d) {
+        d.startedAt = at;
+        d.runner.fullAt = d.load < d.runner.fullAt ? d.runner.fullAt : Double.POSITIVE_INFINITY;
+        waitPerLoad = d.load < 0.5 ? waitPerLoad : smooth(waitPerLoad, secs(at.minus(d.sentAt)) / d.load);
+    }
+
     public void streaming(Duration now, Dispatch d) {
         d.assignment.stream = d;
         touched.add(d.assignment);
@@ -185,6 +194,7 @@
             r.heard(now);
             silent.remove(r.zone);  // it is not cut off, whatever holds for others in it
             r.report = report == null ? LoadReport.NONE : report;
+            r.of.sawFree(r.report);
             r.known = true;
             load = load(r);
             idle = idle(now, r, a == null ? 1 : a.slots, a == null ? 0 : a.memory);
@@ -322,14 +332,21 @@
         return Math.pow(lambda, d == 1 ? i : (Math.pow(d, i) - 1) / (d - 1));
     }
 
-    /** The runner's load: its reported queue, else its jobs in flight, else what we sent, else the mean. */
+    /**
+     * The runner's load: its reported queue, else its jobs in flight beyond its slots, else what the list's weight tells
+     * of those (its size over 1 + what it holds for each core), else what we sent, else the mean.
+     */
     double load(Runner r) {
         if (!Double.isNaN(r.report.queue())) {
             // Guards against late reports: as many of each other dispatcher's jobs may wait there as of ours.
             return Math.max(r.report.queue(), orders.tellsStart ? r.waiting() * orders.dispatchers : 0);
         }
-        return Double.isNaN(r.report.inFlight()) ? r.known ? r.out.size() : meanOut
-                : Math.max(r.report.inFlight(), r.out.size());
+        double held = r.report.inFlight();
+        if (Double.isNaN(held) && orders.liveWeights && r.of.slots > 0 && r.power > 0) {
+            held = (r.of.size / r.power - 1) * r.of.slots;
+        }
+        return Double.isNaN(held) ? r.known ? r.out.size() : meanOut
+                : Math.max(Math.max(held, r.out.size()) - r.of.slots, 0);
     }
 
     /** Idle: nothing queued, and enough free slots and memory for this job where they are reported. */
@@ -495,8 +512,9 @@
 
     /** Looks after a dispatch that is out: waiting too long, or silent, it is searched for anew. */
     private void watch(Duration now, Assignment a, Dispatch out) {
-        boolean waiting = orders.tellsStart && out.startedAt == null;
-        double left = slack(now, a, out.runner) - secs(elapsed(now, a));
+        boolean waiting = out.startedAt == null;
+        // Where no start is told it may run by now, and is in vain for certain only once its time is over.
+        double left = (orders.tellsStart ? slack(now, a, out.runner) : aim(a)) - secs(elapsed(now, a));
         if (waiting && a.workload.lateImportance == 0 && mayShed(a)) {
             look(a, now.plus(ofSecs(Math.max(0, left))));
             if (left <= 0) {  // guards against spending an overload on what is worth nothing any more
@@ -511,7 +529,8 @@
         }
         Duration limit = waiting
                 ? out.sentAt.plus(most(ofSecs(2 * out.load * waitPerLoad), a.workload.promised.dividedBy(2)))
-                : out.heardAt.plus(orders.progressEvery.multipliedBy(3));
+                : out.heardAt;
+        limit = waiting && orders.tellsStart ? limit : limit.plus(orders.progressEvery.multipliedBy(3));
         limit = a.lookGap == null ? limit : limit.plus(a.lookGap);
         if (!reached(now, limit)) {
             look(a, limit);
@@ -543,14 +562,19 @@
         }
         switch (d.outcome) {
             case FULFILLED -> {
-                Duration span = now.minus(d.startedAt == null ? d.sentAt : d.startedAt);
+                // Where its start was not told, the wait that was foreseen for it is taken off.
+                boolean guessed = d.startedAt == null && d.load >= 0.5;
+                Duration span = now.minus(d.startedAt != null ? d.startedAt
+                        : d.sentAt.plus(ofSecs(guessed ? d.load * waitPerLoad : 0)));
                 double run = secs(most(span, orders.round));  // its start may be told late, with its end
                 Row row = rows.get(a.workload);
                 double seen = row.ended == 0 ? run : Math.min(run, 4 * row.usual);  // tails mislead means
                 row.usual += ((a.hint == null ? seen : secs(a.hint)) - row.usual) / Math.min(++row.ended, 99);
                 runningTime = smooth(runningTime, run);
-                d.runner.pace.add(Math.min(run, 4 * size(a) * pace(now, d.runner)), size(a), BELIEF);
-                d.runner.pacedAt = now;
+                if (!guessed) {
+                    d.runner.pace.add(Math.min(run, 4 * size(a) * pace(now, d.runner)), size(a), BELIEF);
+                    d.runner.pacedAt = now;
+                }
                 if (orders.warmth(now, d.runner) >= 1) {
                     workDone = workDone * fade(now, workDoneAt) + d.work;
                     workDoneAt = now;
--- a/core/src/main/java/saltdale/model/Runner.java
+++ b/core/src/main/java/saltdale/model/Runner.java
@@ -19,6 +19,8 @@
 
     // From the list.
     public String kind = "";
+    /** What is known of its kind; set when a list first tells of it. */
+    public Kind of = new Kind(null);
     public String zone = "";
     public double power = 1;
     /** Gone until a list names it; what the dispatcher has forgotten is gone as well. */
--- a/core/src/main/java/saltdale/model/StandingOrders.java
+++ b/core/src/main/java/saltdale/model/StandingOrders.java
@@ -25,6 +25,9 @@
     /** False: only what this dispatcher saw draining is barred; gone or left out of the list is a hint. */
     public boolean removalBinds = true;
 
+    /** The list's weights fall with load: size over 1 + jobs held for each core. */
+    public boolean liveWeights;
+
     // What is permitted.
     public boolean probes = true;
     public boolean cancels = true;
--- a/core/src/main/java/saltdale/orders/Fields.java
+++ b/core/src/main/java/saltdale/orders/Fields.java
@@ -133,6 +133,15 @@
         return text(node.get(key), key, absent);
     }
 
+    /** One of these words. */
+    public String word(String key, String absent, List<String> words) {
+        String word = text(key, absent);
+        if (!words.contains(word)) {
+            throw wrong(key, "one of " + String.join(", ", words));
+        }
+        return word;
+    }
+
     public boolean flag(String key, boolean absent) {
         return flag(node.get(key), key, absent);
     }
--- a/core/src/main/java/saltdale/orders/OrdersReader.java
+++ b/core/src/main/java/saltdale/orders/OrdersReader.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
+import java.util.List;
 import saltdale.model.StandingOrders;
 import saltdale.model.Tenant;
 import saltdale.model.Workload;
@@ -21,6 +22,9 @@
         orders.importanceByWork = options.text("ImportanceBasis", "request").equals("work");
         orders.beyondShare = options.number("BeyondShareImportance", 1);
 
+        orders.liveWeights = options.word("Weights", "nominal", List.of("silent", "nominal", "rough", "live"))
+                .equals("live");
+
         Fields limits = options.object("Limits");
         orders.probes = limits.flag("Probes", false);
         orders.cancels = limits.flag("MayCancel", false);
