--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -24,6 +24,8 @@
 
     static final class Row {  // one a workload
         double usual, ended;  // mean size in seconds, as hinted, else as run, over how many that have ended
+        double arrived;
+        final Histogram missed = Histogram.ofOdds(32);  // whether the last were not answered in time
         double sought;  // work that runners were picked for, fading
         Duration soughtAt = Duration.ZERO;
         Duration patience = Duration.ZERO;  // the longest a client has come with: that of a first try
@@ -46,7 +48,7 @@
     double busyUnbound;  // λ' of all other kinds
     private double workDone;  // by warm runners, fading
     private Duration workDoneAt = Duration.ZERO, surveyedAt;
-    private double mostImportant, warmRate, meanOut, ready;
+    private double warmRate, meanOut, ready;
     private boolean mostAside, someAside;
     private Duration askAt, askGap;  // when to ask for the list (null while subscribed), and again
     private final Duration spell, memory;  // the unit of setting aside; how long what was measured counts
@@ -60,7 +62,6 @@
             rows.put(workload, new Row());
             shortest = least(shortest, workload.patience);
             bound.add(workload.kind);
-            mostImportant = Math.max(mostImportant, workload.importance);
         }
         spell = shortest.dividedBy(4);
         memory = most(spell, orders.warmWithin);
@@ -138,6 +139,7 @@
     public void arrived(Duration now, Assignment a) {
         Row row = rows.get(a.workload);
         row.patience = most(row.patience, a.patience());
+        row.arrived++;
         a.luck = chance.nextDouble();
         consider(now, a);
     }
@@ -173,6 +175,9 @@
         d.runner.out.remove(d);
         d.runner.report = report == null ? d.runner.report : report;
         learn(now, d);
+        if (over && !a.closed && outcome == Outcome.FULFILLED) {
+            rows.get(a.workload).missed.add(secs(elapsed(now, a)) > aim(a));
+        }
         if (over) {
             close(a);
         } else if (!a.closed && a.pending() == null && a.wantedRunner == null) {
@@ -471,7 +476,32 @@
 
     /** How long it may wait, in seconds, to end there in time; less while others are more important. */
     private double slack(Duration now, Assignment a, Runner r) {
-        return (aim(a) - pace(now, r) * size(a)) * Math.sqrt(a.workload.importance / mostImportant);
+        double most = orders.workloads.stream().mapToDouble(w -> worth(w) / unit(rows.get(w))).max().orElse(1);
+        double ours = worth(a.workload) / unit(rows.get(a.workload));
+        return (aim(a) - pace(now, r) * size(a)) * Math.sqrt(ours / most);
+    }
+
+    /** What a usual assignment of this workload adds to the goal, where a mean one of all adds 1 to its whole. */
+    private double worth(Workload w) {
+        double all = 0, arrived = 0, misses = 0;
+        for (Workload each : orders.workloads) {
+            Row row = rows.get(each);
+            all += row.arrived * importance(each);
+            arrived += row.arrived;
+            misses += misses(row);
+        }
+        Row row = rows.get(w);
+        return orders.whole * importance(w) * arrived / all
+                + orders.worstClass * misses(row) / misses * arrived / Math.max(1, row.arrived);
+    }
+
+    private double importance(Workload w) {
+        return w.importance * (orders.importanceByWork ? unit(rows.get(w)) : 1);
+    }
+
+    /** How much of late this workload lags: the worst served one counts by itself where the goal says so. */
+    private static double misses(Row row) {
+        return Math.pow((row.missed.last() + 1) / (row.missed.count() + 1), 2);
     }
 
     /** How long, in seconds, an answer may take to be in time for a client that waits for it. */
@@ -494,6 +524,7 @@
 
     private void answer(Assignment a, Duration pause) {
         a.wantedAnswer = mayShed(a) ? Assignment.Answer.SHED : Assignment.Answer.GIVEN_UP;
+        rows.get(a.workload).missed.add(true);
         a.wantedPause = orders.pauses && pause != null ? least(pause, orders.longestPause) : null;
         touched.add(a);
     }
--- a/core/src/main/java/saltdale/model/StandingOrders.java
+++ b/core/src/main/java/saltdale/model/StandingOrders.java
@@ -54,6 +54,9 @@
     // How service is counted.
     public boolean importanceByWork;
     public double beyondShare = 1;
+    /** The weights of the goal's parts: the whole, and the worst served workload. */
+    public double whole = 1;
+    public double worstClass;
     public double crossZonePrice;
     public double probePrice;
     public double wastePrice;
--- a/core/src/main/java/saltdale/orders/Fields.java
+++ b/core/src/main/java/saltdale/orders/Fields.java
@@ -150,6 +150,15 @@
         return number(node.get(key), key, absent);
     }
 
+    /** A number that is no less than this one. */
+    public double least(String key, double absent, double least) {
+        double number = number(key, absent);
+        if (number < least || Double.isNaN(number)) {
+            throw wrong(key, "a number of at least " + least);
+        }
+        return number;
+    }
+
     public int whole(String key, int absent) {
         return (int) number(key, absent);
     }
--- a/core/src/main/java/saltdale/orders/OrdersReader.java
+++ b/core/src/main/java/saltdale/orders/OrdersReader.java
@@ -45,6 +45,10 @@
         orders.fall = contract.span("Fall", Duration.ZERO);
         orders.removalBinds = !contract.flag("RemovalNotBinding", false);
 
+        Fields goal = options.object("Goal");
+        orders.whole = goal.least("Whole", 1, 0);
+        orders.worstClass = goal.least("WorstClass", 0, 0);
+
         Fields tariffs = options.object("Tariffs");
         orders.crossZonePrice = tariffs.number("CrossZone", 0);
         orders.probePrice = tariffs.number("Probe", 0);
