--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -476,9 +476,16 @@
 
     /** How long it may wait, in seconds, to end there in time; less while others are more important. */
     private double slack(Duration now, Assignment a, Runner r) {
-        double most = orders.workloads.stream().mapToDouble(w -> worth(w) / unit(rows.get(w))).max().orElse(1);
-        double ours = worth(a.workload) / unit(rows.get(a.workload));
-        return (aim(a) - pace(now, r) * size(a)) * Math.sqrt(ours / most);
+        // Guards against long work that may wait long and fills the queues where the rest may not: what gains less
+        // for its length bears a part of the shortest wait of any, so that it is shed while all else is in time.
+        double most = 0, least = Double.POSITIVE_INFINITY;
+        for (Workload w : orders.workloads) {
+            double size = unit(rows.get(w));
+            most = Math.max(most, worth(w) / size);
+            least = Math.min(least, secs(w.promised) + w.stretch * size - pace(now, r) * size);
+        }
+        double part = worth(a.workload) / unit(rows.get(a.workload)) / most;
+        return Math.min(aim(a) - pace(now, r) * size(a), part < 1 ? Math.max(0, least) * part / (1 - part) : 1e9);
     }
 
     /** What a usual assignment of this workload adds to the goal, where a mean one of all adds 1 to its whole. */
