--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -456,7 +456,8 @@
             out.cancelWanted = out.startedAt == null || !orders.parallel;
         } else if (mayShed(a)) {  // guards against an overload in which all end late
             double wait = load * waitPerLoad;
-            boolean late = a.workload.lateImportance == 0 && secs(elapsed(now, a)) + wait > slack(now, a, r)
+            boolean late = a.workload.lateImportance == 0
+                    && (secs(elapsed(now, a)) + wait > slack(now, a, r) || load > 0 && crowded(a))
                     || secs(orders.endsAt.minus(now)) < wait + pace(now, r) * size(a);  // we end before it
             if (late || load == FULL) {
                 answer(a, ofSecs(wait));
@@ -476,16 +477,23 @@
 
     /** How long it may wait, in seconds, to end there in time; less while others are more important. */
     private double slack(Duration now, Assignment a, Runner r) {
-        // Guards against long work that may wait long and fills the queues where the rest may not: what gains less
-        // for its length bears a part of the shortest wait of any, so that it is shed while all else is in time.
+        return aim(a) - pace(now, r) * size(a);
+    }
+
+    /**
+     * Whether the mean wait met of late is more than this work may add to. Guards against long work that may wait
+     * long and fills the queues where the rest may not: what gains less for its length bears a part of the shortest
+     * wait of any. By the mean, not by the queue found: what is under a bound draws all until the next reports come.
+     */
+    private boolean crowded(Assignment a) {
         double most = 0, least = Double.POSITIVE_INFINITY;
         for (Workload w : orders.workloads) {
             double size = unit(rows.get(w));
             most = Math.max(most, worth(w) / size);
-            least = Math.min(least, secs(w.promised) + w.stretch * size - pace(now, r) * size);
+            least = Math.min(least, secs(w.promised) + (w.stretch - 1) * size);
         }
         double part = worth(a.workload) / unit(rows.get(a.workload)) / most;
-        return Math.min(aim(a) - pace(now, r) * size(a), part < 1 ? Math.max(0, least) * part / (1 - part) : 1e9);
+        return part < 1 && meanQueue * waitPerLoad > Math.max(0, least) * part / (1 - part);
     }
 
     /** What a usual assignment of this workload adds to the goal, where a mean one of all adds 1 to its whole. */
