--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -20,6 +20,7 @@
     static final double MOVABLE = 0.5;  // busy share up to which work that waits is moved
     static final double BELIEF = 4;  // so many runs at the usual pace are believed before any is seen
     static final double POOR = 0.3;  // a runner failing more than this share of late is set aside
+    static final double NOTICED = 0.05;  // misses up to this share make no workload the worst served
     static final double DOUBT = 0.7;  // the most that a runner is passed over for the silence of its zone
 
     static final class Row {  // one a workload
@@ -516,7 +517,7 @@
 
     /** How much of late this workload lags: the worst served one counts by itself where the goal says so. */
     private static double misses(Row row) {
-        return Math.pow((row.missed.last() + 1) / (row.missed.count() + 1), 2);
+        return Math.max(NOTICED, row.missed.last() / (row.missed.count() + 8));
     }
 
     /** How long, in seconds, an answer may take to be in time for a client that waits for it. */
