--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -535,7 +535,7 @@
     /** The running time to expect at speed 1: the workload's mean; beside it a rough hint counts half. */
     private double size(Assignment a) {
         double usual = rows.get(a.workload).usual;
-        return a.hint == null ? usual : Math.sqrt(usual * secs(a.hint));
+        return a.hint == null ? usual : usual == 0 ? secs(a.hint) : Math.sqrt(usual * secs(a.hint));
     }
 
     private void answer(Assignment a, Duration pause) {
@@ -560,9 +560,8 @@
     /** Looks after a dispatch that is out: waiting too long, or silent, it is searched for anew. */
     private void watch(Duration now, Assignment a, Dispatch out) {
         boolean waiting = out.startedAt == null;
-        // Where no start is told it may run by now, and is in vain for certain only once its time is over.
-        double left = (orders.tellsStart ? slack(now, a, out.runner) : aim(a)) - secs(elapsed(now, a));
-        if (waiting && a.workload.lateImportance == 0 && mayShed(a)) {
+        double left = slack(now, a, out.runner) - secs(elapsed(now, a));
+        if (waiting && orders.tellsStart && a.workload.lateImportance == 0 && mayShed(a)) {
             look(a, now.plus(ofSecs(Math.max(0, left))));
             if (left <= 0) {  // guards against spending an overload on what is worth nothing any more
                 answer(a, null);
