--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -24,12 +24,16 @@
     static final double DOUBT = 0.7;  // the most that a runner is passed over for the silence of its zone
 
     static final class Row {  // one a workload
-        double usual, ended;  // mean size in seconds, as hinted, else as run, over how many that have ended
+        double usual, ended;  // mean size in seconds, over how many that were hinted, else have ended
         double arrived;
         final Histogram missed = Histogram.ofOdds(32);  // whether the last were not answered in time
         double sought;  // work that runners were picked for, fading
         Duration soughtAt = Duration.ZERO;
         Duration patience = Duration.ZERO;  // the longest a client has come with: that of a first try
+
+        void saw(double size) {
+            usual += (size - usual) / Math.min(++ended, 99);
+        }
     }
 
     private final StandingOrders orders;
@@ -42,6 +46,7 @@
     private final Set<Assignment> touched = new LinkedHashSet<>();
     // Smoothed: the design's λ', L̄, round trip and running time (CT); then the wait that a load of 1 brings.
     double lambdaSeen, meanQueue, roundTrip, runningTime, waitPerLoad;
+    private double meanSize, arrivals;
     private final double[] busy = new double[2];  // λ' of our own zone, and of the others
     private final Map<String, Double> silent = new HashMap<>();  // by zone, how much of late went unanswered
     final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
@@ -141,6 +146,10 @@
         Row row = rows.get(a.workload);
         row.patience = most(row.patience, a.patience());
         row.arrived++;
+        if (a.hint != null) {
+            row.saw(secs(a.hint));
+        }
+        meanSize += (size(a) - meanSize) / Math.min(++arrivals, 99);
         a.luck = chance.nextDouble();
         consider(now, a);
     }
@@ -159,10 +168,15 @@
         d.runner.heard(now);
     }
 
+    /** The wait that a load of 1 brings: as seen, before that as the slots of its kind and the mean size tell. */
+    private double waitPerLoad(Runner r) {
+        return waitPerLoad > 0 || r.of.slots == 0 ? waitPerLoad : meanSize / r.of.slots;
+    }
+
     private void begun(Duration at, Dispatch d) {
         d.startedAt = at;
         d.runner.fullAt = d.load < d.runner.fullAt ? d.runner.fullAt : Double.POSITIVE_INFINITY;
-        waitPerLoad = d.load < 0.5 ? waitPerLoad : smooth(waitPerLoad, secs(at.minus(d.sentAt)) / d.load);
+        waitPerLoad = d.load < 0.5 ? waitPerLoad : smooth(waitPerLoad(d.runner), secs(at.minus(d.sentAt)) / d.load);
     }
 
     public void streaming(Duration now, Dispatch d) {
@@ -456,7 +470,7 @@
         if (a.secondLook && out != null) {  // it waits or is silent, and this runner is idle: move or copy it
             out.cancelWanted = out.startedAt == null || !orders.parallel;
         } else if (mayShed(a)) {  // guards against an overload in which all end late
-            double wait = load * waitPerLoad;
+            double wait = load * waitPerLoad(r);
             boolean late = a.workload.lateImportance == 0
                     && (secs(elapsed(now, a)) + wait > slack(now, a, r) || load > 0 && crowded(a))
                     || secs(orders.endsAt.minus(now)) < wait + pace(now, r) * size(a);  // we end before it
@@ -535,7 +549,7 @@
     /** The running time to expect at speed 1: the workload's mean; beside it a rough hint counts half. */
     private double size(Assignment a) {
         double usual = rows.get(a.workload).usual;
-        return a.hint == null ? usual : usual == 0 ? secs(a.hint) : Math.sqrt(usual * secs(a.hint));
+        return a.hint == null ? usual : Math.sqrt(usual * secs(a.hint));
     }
 
     private void answer(Assignment a, Duration pause) {
@@ -611,11 +625,13 @@
                 // Where its start was not told, the wait that was foreseen for it is taken off.
                 boolean guessed = d.startedAt == null && d.load >= 0.5;
                 Duration span = now.minus(d.startedAt != null ? d.startedAt
-                        : d.sentAt.plus(ofSecs(guessed ? d.load * waitPerLoad : 0)));
+                        : d.sentAt.plus(ofSecs(guessed ? d.load * waitPerLoad(d.runner) : 0)));
                 double run = secs(most(span, orders.round));  // its start may be told late, with its end
                 Row row = rows.get(a.workload);
                 double seen = row.ended == 0 ? run : Math.min(run, 4 * row.usual);  // tails mislead means
-                row.usual += ((a.hint == null ? seen : secs(a.hint)) - row.usual) / Math.min(++row.ended, 99);
+                if (a.hint == null) {
+                    row.saw(seen);
+                }
                 runningTime = smooth(runningTime, run);
                 if (!guessed) {
                     d.runner.pace.add(Math.min(run, 4 * size(a) * pace(now, d.runner)), size(a), BELIEF);
