--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -47,7 +47,6 @@
     // Smoothed: the design's λ', L̄, round trip and running time (CT); then the wait that a load of 1 brings.
     double lambdaSeen, meanQueue, roundTrip, runningTime, waitPerLoad;
     private double meanSize, arrivals;
-    private final double[] busy = new double[2];  // λ' of our own zone, and of the others
     private final Map<String, Double> silent = new HashMap<>();  // by zone, how much of late went unanswered
     final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
     private final Set<String> bound = new HashSet<>();  // kinds that some workload needs
@@ -221,18 +220,16 @@
             roundTrip = smooth(roundTrip, secs(took));
             meanQueue = smooth(meanQueue, load);
             lambdaSeen = smooth(lambdaSeen, idle ? 0 : 1);
-            int where = r.zone.equals(orders.zone) ? 0 : 1;
-            busy[where] = smooth(busy[where], idle ? 0 : 1);
             busyUnbound = bound.contains(r.kind) ? busyUnbound : smooth(busyUnbound, idle ? 0 : 1);
             r.busyAt = idle ? null : now;
         }
         if (a != null) {
             a.asked = null;
-            if (!a.closed && idle && sendable(now, a, r)) {
+            if (!a.closed && idle && sendable(now, a, r) && toll(now, a, r) <= leastCost(now, a)) {
                 take(now, a, r, 0);
             } else if (!a.closed) {
                 // Guards against an empty queue before full slots, unlike rooms and runners of unlike speed.
-                double weighed = Math.max(load, 0.5) * pace(now, r) / pace.of(BELIEF, BELIEF);
+                double weighed = Math.max(load, idle ? 0 : 0.5) * pace(now, r) / pace.of(BELIEF, BELIEF);
                 // Guards against chance sends that gather in a cold queue: those go to an idle runner alone.
                 boolean over = orders.warmth(now, r) < 1 && coldWork(now, r) + work(a) > coldPart(now, r);
                 a.found(r, over ? Double.POSITIVE_INFINITY : load >= r.fullAt && answered ? FULL : weighed);
@@ -300,12 +297,13 @@
             a.found(next, load(next));
         }
         int best = -1, ties = 0;
+        double least = Double.POSITIVE_INFINITY;
         for (int i = 0; i < a.probed.size(); i++) {
-            double gap = best < 0 ? -1 : a.loads.get(i) - a.loads.get(best);
             Runner r = a.probed.get(i);
-            if (a.loads.get(i) < Double.POSITIVE_INFINITY && gap <= 0 && sendable(now, a, r)
-                    && !r.isSilent(now)) {
-                ties = gap < 0 ? 1 : ties + 1;
+            double cost = a.loads.get(i) + toll(now, a, r);
+            if (cost < Double.POSITIVE_INFINITY && cost <= least && sendable(now, a, r) && !r.isSilent(now)) {
+                ties = cost < least ? 1 : ties + 1;
+                least = cost;
                 best = chance.nextInt(ties) == 0 ? i : best;
             }
         }
@@ -395,8 +393,7 @@
         Row row = rows.get(a.workload);
         row.sought = row.sought * fade(now, row.soughtAt) + work(a);
         row.soughtAt = now;
-        boolean home = orders.crossZonePrice > 0 && 2 * a.probed.size() < PROBE_CAP
-                && 2 * (1 - busy[0]) >= 1 - busy[1];  // guards against a zone more crowded than the others
+        double found = leastCost(now, a);
         boolean once = a.workload.repeat != Workload.Repeat.PURE;
         // Guards against filling a kind that other work is bound to while the rest of the fleet has room.
         boolean yields = a.workload.kind == null && busyUnbound < SCARCE;
@@ -423,7 +420,8 @@
                 unlikely |= yields && bound.contains(r.kind);
                 double takes = pace(now, r);
                 int rank = (trusted && !a.sentTo(r) ? 0 : 16) + (aim >= takes * size ? 0 : 8)
-                        + (unlikely ? 4 : 0) + (home && !r.zone.equals(orders.zone) ? 2 : 0)
+                        + (unlikely ? 4 : 0)
+                        + (a.probed.isEmpty() && toll(now, a, r) > 0 || toll(now, a, r) > found ? 2 : 0)
                         + (chance.nextDouble() * takes > pace.of(BELIEF, BELIEF) ? 1 : 0);
                 best = rank < leastRank ? r : best;
                 leastRank = Math.min(rank, leastRank);
@@ -432,6 +430,28 @@
         return best;
     }
 
+    /**
+     * The load that a crossing to another zone counts as: the wait whose risk of being late costs as much as the
+     * crossing does, in the tariffs' own units. So long work crosses before short work of the same workload does.
+     */
+    private double toll(Duration now, Assignment a, Runner r) {
+        double perLoad = waitPerLoad(r);
+        if (orders.crossZonePrice == 0 || perLoad == 0 || r.zone.equals(orders.zone)) {
+            return 0;
+        }
+        double lost = worth(a.workload) * (1 - a.workload.lateImportance)
+                * (orders.importanceByWork ? size(a) / unit(rows.get(a.workload)) : 1);
+        return orders.crossZonePrice / lost * Math.max(0, slack(now, a, r)) / perLoad;
+    }
+
+    private double leastCost(Duration now, Assignment a) {
+        double least = Double.POSITIVE_INFINITY;
+        for (int i = 0; i < a.probed.size(); i++) {
+            least = Math.min(least, a.loads.get(i) + toll(now, a, a.probed.get(i)));
+        }
+        return least;
+    }
+
     /** Guards against trickles that end jobs: failures cost least at first sendings of what may run twice. */
     private boolean mayTry(Assignment a) {
         return a.dispatches.isEmpty() && (a.workload.repeat == Workload.Repeat.PURE
@@ -470,7 +490,7 @@
         if (a.secondLook && out != null) {  // it waits or is silent, and this runner is idle: move or copy it
             out.cancelWanted = out.startedAt == null || !orders.parallel;
         } else if (mayShed(a)) {  // guards against an overload in which all end late
-            double wait = load * waitPerLoad(r);
+            double wait = (load + toll(now, a, r)) * waitPerLoad(r);
             boolean late = a.workload.lateImportance == 0
                     && (secs(elapsed(now, a)) + wait > slack(now, a, r) || load > 0 && crowded(a))
                     || secs(orders.endsAt.minus(now)) < wait + pace(now, r) * size(a);  // we end before it
