--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -27,8 +27,7 @@
         double usual, ended;  // mean size in seconds, over how many that were hinted, else have ended
         double arrived;
         final Histogram missed = Histogram.ofOdds(32);  // whether the last were not answered in time
-        double sought;  // work that runners were picked for, fading
-        Duration soughtAt = Duration.ZERO;
+        final Fading sought = new Fading();  // work that runners were picked for
         Duration patience = Duration.ZERO;  // the longest a client has come with: that of a first try
 
         void saw(double size) {
@@ -51,8 +50,10 @@
     final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
     private final Set<String> bound = new HashSet<>();  // kinds that some workload needs
     double busyUnbound;  // λ' of all other kinds
-    private double workDone;  // by warm runners, fading
-    private Duration workDoneAt = Duration.ZERO, surveyedAt;
+    private final Fading workDone = new Fading();  // by warm runners
+    private final Fading tries = new Fading();
+    private final Map<Tenant, Fading> triesBy = new HashMap<>();
+    private Duration surveyedAt;
     private double warmRate, meanOut, ready;
     private boolean mostAside, someAside;
     private Duration askAt, askGap;  // when to ask for the list (null while subscribed), and again
@@ -145,6 +146,10 @@
         Row row = rows.get(a.workload);
         row.patience = most(row.patience, a.patience());
         row.arrived++;
+        tries.add(now, 1, memory);
+        if (a.tenant != null) {
+            triesBy.computeIfAbsent(a.tenant, t -> new Fading()).add(now, 1, memory);
+        }
         if (a.hint != null) {
             row.saw(secs(a.hint));
         }
@@ -391,8 +396,7 @@
     private Runner pick(Duration now, Assignment a) {
         survey(now);
         Row row = rows.get(a.workload);
-        row.sought = row.sought * fade(now, row.soughtAt) + work(a);
-        row.soughtAt = now;
+        row.sought.add(now, work(a), memory);
         double found = leastCost(now, a);
         boolean once = a.workload.repeat != Workload.Repeat.PURE;
         // Guards against filling a kind that other work is bound to while the rest of the fleet has room.
@@ -439,7 +443,7 @@
         if (orders.crossZonePrice == 0 || perLoad == 0 || r.zone.equals(orders.zone)) {
             return 0;
         }
-        double lost = worth(a.workload) * (1 - a.workload.lateImportance)
+        double lost = worth(a.workload) * (1 - a.workload.lateImportance) * withinShare(now, a)
                 * (orders.importanceByWork ? size(a) / unit(rows.get(a.workload)) : 1);
         return orders.crossZonePrice / lost * Math.max(0, slack(now, a, r)) / perLoad;
     }
@@ -492,7 +496,7 @@
         } else if (mayShed(a)) {  // guards against an overload in which all end late
             double wait = (load + toll(now, a, r)) * waitPerLoad(r);
             boolean late = a.workload.lateImportance == 0
-                    && (secs(elapsed(now, a)) + wait > slack(now, a, r) || load > 0 && crowded(a))
+                    && (secs(elapsed(now, a)) + wait > slack(now, a, r) || load > 0 && crowded(now, a))
                     || secs(orders.endsAt.minus(now)) < wait + pace(now, r) * size(a);  // we end before it
             if (late || load == FULL) {
                 answer(a, ofSecs(wait));
@@ -520,14 +524,14 @@
      * long and fills the queues where the rest may not: what gains less for its length bears a part of the shortest
      * wait of any. By the mean, not by the queue found: what is under a bound draws all until the next reports come.
      */
-    private boolean crowded(Assignment a) {
+    private boolean crowded(Duration now, Assignment a) {
         double most = 0, least = Double.POSITIVE_INFINITY;
         for (Workload w : orders.workloads) {
             double size = unit(rows.get(w));
             most = Math.max(most, worth(w) / size);
             least = Math.min(least, secs(w.promised) + (w.stretch - 1) * size);
         }
-        double part = worth(a.workload) / unit(rows.get(a.workload)) / most;
+        double part = worth(a.workload) / unit(rows.get(a.workload)) / most * withinShare(now, a);
         return part < 1 && meanQueue * waitPerLoad > Math.max(0, least) * part / (1 - part);
     }
 
@@ -545,6 +549,17 @@
                 + orders.worstClass * misses(row) / misses * arrived / Math.max(1, row.arrived);
     }
 
+    /** The part of its worth that it likely has: its tenant's tries of late beside the share that it holds. */
+    private double withinShare(Duration now, Assignment a) {
+        if (a.tenant == null || orders.beyondShare >= 1) {
+            return 1;
+        }
+        double share = a.tenant.share, believed = 10;
+        double within = share * (tries.at(now, memory) + believed)
+                / (triesBy.get(a.tenant).at(now, memory) + share * believed);
+        return orders.beyondShare + (1 - orders.beyondShare) * Math.min(1, within);
+    }
+
     private double importance(Workload w) {
         return w.importance * (orders.importanceByWork ? unit(rows.get(w)) : 1);
     }
@@ -563,7 +578,7 @@
 
     /** How long runs take there beside what is expected: the fleet's, its kind's in that, its own in that. */
     double pace(Duration now, Runner r) {
-        return r.pace.of(BELIEF / fade(now, r.pacedAt), BELIEF);
+        return r.pace.of(BELIEF / Fading.part(now, r.pacedAt, memory), BELIEF);
     }
 
     /** The running time to expect at speed 1: the workload's mean; beside it a rough hint counts half. */
@@ -658,8 +673,7 @@
                     d.runner.pacedAt = now;
                 }
                 if (orders.warmth(now, d.runner) >= 1) {
-                    workDone = workDone * fade(now, workDoneAt) + d.work;
-                    workDoneAt = now;
+                    workDone.add(now, d.work, memory);
                 }
                 d.runner.refused.remove(a.workload);
                 d.runner.busyAt = null;
@@ -708,7 +722,7 @@
         // that we keep to our part on average; among work small enough for one job to keep within all parts.
         double all = budget * orders.dispatchers;
         double sought = rows.values().stream().filter(row -> unit(row) <= all)
-                .mapToDouble(row -> row.sought * fade(now, row.soughtAt)).sum() / secs(memory);
+                .mapToDouble(row -> row.sought.at(now, memory)).sum() / secs(memory);
         boolean lucky = sent == 0 && work(a) <= all && a.luck * sought < budget / secs(orders.fall) * ready;
         return sent + work(a) <= budget || lucky || warmRate == 0 && r.out.isEmpty()
                 && chance.nextInt(orders.dispatchers) == 0;  // nothing to go by yet: one of us all
@@ -733,7 +747,7 @@
         List<Runner> ready = runners.stream().filter(Runner::ready).toList();
         this.ready = ready.size();
         long warm = ready.stream().filter(r -> orders.warmth(now, r) >= 1).count();
-        warmRate = warm == 0 ? warmRate : workDone * fade(now, workDoneAt) / secs(memory) / warm;
+        warmRate = warm == 0 ? warmRate : workDone.at(now, memory) / secs(memory) / warm;
         meanOut = ready.stream().filter(r -> r.known).mapToInt(r -> r.out.size()).average().orElse(0);
         // When most do badly it is not them: then nobody is set aside.
         long aside = ready.stream().filter(r -> r.trickle != null).count();
@@ -749,10 +763,6 @@
         return row.ended == 0 ? 1 : row.usual;
     }
 
-    private double fade(Duration now, Duration since) {
-        return Math.exp(-secs(now.minus(since)) / secs(memory));
-    }
-
     // ---- The one place that acts: the difference between what is wanted and what is.
 
     public void settle(Duration now) {
