Shed by the mean wait also at runners that report free slots: overload 0.20 to 0.39, the rest falls

Seen with a print of each start on overload: 95% of what was sent went to runners found idle and waited 1.2 to 2.8 s there (median of each 5 s): free slots are told 0.6 to 1.9 s late and draw all dispatchers until then.

--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -496,7 +496,7 @@
         } else if (mayShed(a)) {  // guards against an overload in which all end late
             double wait = (load + toll(now, a, r)) * waitPerLoad(r);
             boolean late = a.workload.lateImportance == 0
-                    && (secs(elapsed(now, a)) + wait > slack(now, a, r) || load > 0 && crowded(now, a))
+                    && (secs(elapsed(now, a)) + wait > slack(now, a, r) || crowded(now, a))
                     || secs(orders.endsAt.minus(now)) < wait + pace(now, r) * size(a);  // we end before it
             if (late || load == FULL) {
                 answer(a, ofSecs(wait));
