--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -46,6 +46,7 @@
     // Smoothed: the design's λ', L̄, round trip and running time (CT); then the wait that a load of 1 brings.
     double lambdaSeen, meanQueue, roundTrip, runningTime, waitPerLoad;
     private double meanSize, arrivals;
+    double unseen;  // jobs that likely reached a runner since the report that it answers with
     private final Map<String, Double> silent = new HashMap<>();  // by zone, how much of late went unanswered
     final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
     private final Set<String> bound = new HashSet<>();  // kinds that some workload needs
@@ -179,6 +180,11 @@
 
     private void begun(Duration at, Dispatch d) {
         d.startedAt = at;
+        if (d.load == 0) {  // it was found idle: what it waited for had come since the report, or was on its way
+            double waited = secs(at.minus(d.sentAt)) - (orders.tellsStart ? 0 : secs(orders.progressEvery) / 2);
+            double ahead = waitPerLoad(d.runner) == 0 ? 0 : Math.max(0, waited) / waitPerLoad(d.runner);
+            unseen += 0.5 * Math.min(4, ahead);
+        }
         d.runner.fullAt = d.load < d.runner.fullAt ? d.runner.fullAt : Double.POSITIVE_INFINITY;
         waitPerLoad = d.load < 0.5 ? waitPerLoad : smooth(waitPerLoad(d.runner), secs(at.minus(d.sentAt)) / d.load);
     }
@@ -220,6 +226,7 @@
             r.report = report == null ? LoadReport.NONE : report;
             r.of.sawFree(r.report);
             r.known = true;
+            unseen *= 0.99;
             load = load(r);
             idle = idle(now, r, a == null ? 1 : a.slots, a == null ? 0 : a.memory);
             roundTrip = smooth(roundTrip, secs(took));
@@ -360,6 +367,11 @@
      * of those (its size over 1 + what it holds for each core), else what we sent, else the mean.
      */
     double load(Runner r) {
+        double free = Double.isNaN(r.report.freeSlots()) ? unseen : r.report.freeSlots();
+        return Math.max(0, queue(r) + Math.max(0, unseen - free));
+    }
+
+    private double queue(Runner r) {
         if (!Double.isNaN(r.report.queue())) {
             // Guards against late reports: as many of each other dispatcher's jobs may wait there as of ours.
             return Math.max(r.report.queue(), orders.tellsStart ? r.waiting() * orders.dispatchers : 0);
@@ -384,7 +396,7 @@
         if (Double.isNaN(r.report.freeSlots())) {
             return Double.isNaN(r.report.queue()) ? load(r) < 0.5 : r.report.queue() + ours < 0.5;
         }
-        return !(r.report.queue() >= 0.5) && r.report.freeSlots() - ours >= slots - 0.25;
+        return !(r.report.queue() >= 0.5) && r.report.freeSlots() - ours - unseen >= slots - 0.25;
     }
 
     /**
@@ -496,7 +508,7 @@
         } else if (mayShed(a)) {  // guards against an overload in which all end late
             double wait = (load + toll(now, a, r)) * waitPerLoad(r);
             boolean late = a.workload.lateImportance == 0
-                    && (secs(elapsed(now, a)) + wait > slack(now, a, r) || crowded(now, a))
+                    && (secs(elapsed(now, a)) + wait > slack(now, a, r) || load > 0 && crowded(now, a))
                     || secs(orders.endsAt.minus(now)) < wait + pace(now, r) * size(a);  // we end before it
             if (late || load == FULL) {
                 answer(a, ofSecs(wait));
