--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -180,10 +180,10 @@
 
     private void begun(Duration at, Dispatch d) {
         d.startedAt = at;
-        if (d.load == 0) {  // it was found idle: what it waited for had come since the report, or was on its way
+        if (d.load == 0 && Double.isNaN(d.runner.report.queue())) {  // it was found idle: what it waited for had come since the report, or was on its way
             double waited = secs(at.minus(d.sentAt)) - (orders.tellsStart ? 0 : secs(orders.progressEvery) / 2);
             double ahead = waitPerLoad(d.runner) == 0 ? 0 : Math.max(0, waited) / waitPerLoad(d.runner);
-            unseen += 0.5 * Math.min(4, ahead);
+            unseen += 0.25 * Math.min(4, ahead);
         }
         d.runner.fullAt = d.load < d.runner.fullAt ? d.runner.fullAt : Double.POSITIVE_INFINITY;
         waitPerLoad = d.load < 0.5 ? waitPerLoad : smooth(waitPerLoad(d.runner), secs(at.minus(d.sentAt)) / d.load);
