--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -20,13 +20,10 @@
     static final double MOVABLE = 0.5;  // busy share up to which work that waits is moved
     static final double BELIEF = 4;  // so many runs at the usual pace are believed before any is seen
     static final double POOR = 0.3;  // a runner failing more than this share of late is set aside
-    static final double NOTICED = 0.05;  // misses up to this share make no workload the worst served
     static final double DOUBT = 0.7;  // the most that a runner is passed over for the silence of its zone
 
     static final class Row {  // one a workload
         double usual, ended;  // mean size in seconds, over how many that were hinted, else have ended
-        double arrived;
-        final Histogram missed = Histogram.ofOdds(32);  // whether the last were not answered in time
         final Fading sought = new Fading();  // work that runners were picked for
         Duration patience = Duration.ZERO;  // the longest a client has come with: that of a first try
 
@@ -45,15 +42,11 @@
     private final Set<Assignment> touched = new LinkedHashSet<>();
     // Smoothed: the design's λ', L̄, round trip and running time (CT); then the wait that a load of 1 brings.
     double lambdaSeen, meanQueue, roundTrip, runningTime, waitPerLoad;
-    private double meanSize, arrivals;
+    private double meanSize, meanWorth, arrivals;  // of all that arrived
     double unseen;  // jobs that likely reached a runner since the report that it answers with
     private final Map<String, Double> silent = new HashMap<>();  // by zone, how much of late went unanswered
     final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
-    private final Set<String> bound = new HashSet<>();  // kinds that some workload needs
-    double busyUnbound;  // λ' of all other kinds
     private final Fading workDone = new Fading();  // by warm runners
-    private final Fading tries = new Fading();
-    private final Map<Tenant, Fading> triesBy = new HashMap<>();
     private Duration surveyedAt;
     private double warmRate, meanOut, ready;
     private boolean mostAside, someAside;
@@ -68,7 +61,6 @@
         for (Workload workload : orders.workloads) {
             rows.put(workload, new Row());
             shortest = least(shortest, workload.patience);
-            bound.add(workload.kind);
         }
         spell = shortest.dividedBy(4);
         memory = most(spell, orders.warmWithin);
@@ -86,7 +78,7 @@
         for (Sighting s : sightings) {
             seen.add(s.runner());
             if (s.mode() == Runner.Mode.GONE) {
-                removed(now, s.runner());
+                s.runner().mode = Runner.Mode.GONE;
                 continue;
             }
             s.runner().sighted(s);
@@ -99,34 +91,17 @@
                         .forEach(this::takeBack);
             }
         }
-        runners.stream().filter(r -> whole && !seen.contains(r)).forEach(r -> removed(now, r));
+        runners.stream().filter(r -> whole && !seen.contains(r)).forEach(r -> r.mode = Runner.Mode.GONE);
         seen.addAll(runners);
         runners.clear();
         runners.addAll(seen);
-        forget(now);
+        runners.removeIf(r -> r.mode == Runner.Mode.GONE);
         if (!cached && orders.mustSubscribe) {
             askAt = null;
             askGap = orders.askWithin.dividedBy(20);
         }
     }
 
-    /** Guards against a wrong list: where it alone proves nothing, one that did not drain stays in use. */
-    private void removed(Duration now, Runner r) {
-        if (orders.removalBinds || r.mode != Runner.Mode.READY) {
-            r.mode = Runner.Mode.GONE;
-        } else if (r.unlistedAt == null) {
-            r.unlistedAt = now;
-        }
-    }
-
-    /** The bound on memory: what no list holds is forgotten once nothing of it was heard for that long. */
-    private void forget(Duration now) {
-        runners.stream().filter(r -> r.unlistedAt != null
-                        && reached(now, most(r.unlistedAt, r.heardAt).plus(memory.multipliedBy(4))))
-                .forEach(r -> r.mode = Runner.Mode.GONE);
-        runners.removeIf(r -> r.mode == Runner.Mode.GONE);
-    }
-
     /** Learnt of one, held against its zone too: each of us meets a runner seldom, but a lost zone often. */
     private void unheard(Duration now, Runner r) {
         r.unheard(now, spell);
@@ -146,15 +121,11 @@
     public void arrived(Duration now, Assignment a) {
         Row row = rows.get(a.workload);
         row.patience = most(row.patience, a.patience());
-        row.arrived++;
-        tries.add(now, 1, memory);
-        if (a.tenant != null) {
-            triesBy.computeIfAbsent(a.tenant, t -> new Fading()).add(now, 1, memory);
-        }
         if (a.hint != null) {
             row.saw(secs(a.hint));
         }
         meanSize += (size(a) - meanSize) / Math.min(++arrivals, 99);
+        meanWorth += (worth(a) - meanWorth) / Math.min(arrivals, 99);
         a.luck = chance.nextDouble();
         consider(now, a);
     }
@@ -173,20 +144,22 @@
         d.runner.heard(now);
     }
 
-    /** The wait that a load of 1 brings: as seen, before that as the slots of its kind and the mean size tell. */
+    /** The wait that a load of 1 brings: as seen, until then as slots and the mean size tell. */
     private double waitPerLoad(Runner r) {
         return waitPerLoad > 0 || r.of.slots == 0 ? waitPerLoad : meanSize / r.of.slots;
     }
 
     private void begun(Duration at, Dispatch d) {
         d.startedAt = at;
-        if (d.load == 0 && Double.isNaN(d.runner.report.queue())) {  // it was found idle: what it waited for had come since the report, or was on its way
-            double waited = secs(at.minus(d.sentAt)) - (orders.tellsStart ? 0 : secs(orders.progressEvery) / 2);
-            double ahead = waitPerLoad(d.runner) == 0 ? 0 : Math.max(0, waited) / waitPerLoad(d.runner);
-            unseen += 0.25 * Math.min(4, ahead);
+        double perLoad = waitPerLoad(d.runner), waited = secs(at.minus(d.sentAt));
+        if (d.load == 0 && perLoad > 0 && Double.isNaN(d.runner.report.queue())) {
+            // Guards against reports so old that each draws all dispatchers: what a job waited for where it was
+            // found idle had come unseen. A start known by progress alone is off by half a period.
+            double ahead = waited - (orders.tellsStart ? 0 : secs(orders.progressEvery) / 2);
+            unseen += Math.min(1, Math.max(0, ahead / perLoad / 4));
         }
         d.runner.fullAt = d.load < d.runner.fullAt ? d.runner.fullAt : Double.POSITIVE_INFINITY;
-        waitPerLoad = d.load < 0.5 ? waitPerLoad : smooth(waitPerLoad(d.runner), secs(at.minus(d.sentAt)) / d.load);
+        waitPerLoad = d.load < 0.5 ? waitPerLoad : smooth(perLoad, waited / d.load);
     }
 
     public void streaming(Duration now, Dispatch d) {
@@ -200,9 +173,6 @@
         d.runner.out.remove(d);
         d.runner.report = report == null ? d.runner.report : report;
         learn(now, d);
-        if (over && !a.closed && outcome == Outcome.FULFILLED) {
-            rows.get(a.workload).missed.add(secs(elapsed(now, a)) > aim(a));
-        }
         if (over) {
             close(a);
         } else if (!a.closed && a.pending() == null && a.wantedRunner == null) {
@@ -228,11 +198,10 @@
             r.known = true;
             unseen *= 0.99;
             load = load(r);
-            idle = idle(now, r, a == null ? 1 : a.slots, a == null ? 0 : a.memory);
+            idle = idle(now, r, a == null ? 1 : a.slots);
             roundTrip = smooth(roundTrip, secs(took));
             meanQueue = smooth(meanQueue, load);
             lambdaSeen = smooth(lambdaSeen, idle ? 0 : 1);
-            busyUnbound = bound.contains(r.kind) ? busyUnbound : smooth(busyUnbound, idle ? 0 : 1);
             r.busyAt = idle ? null : now;
         }
         if (a != null) {
@@ -302,7 +271,7 @@
                 a.wantedProbe = next;
                 look(a, now.plus(probeLimit(a)));
                 return;
-            } else if (idle(now, next, a.slots, a.memory)) {
+            } else if (idle(now, next, a.slots)) {
                 take(now, a, next, 0);
                 return;
             }
@@ -363,33 +332,27 @@
     }
 
     /**
-     * The runner's load: its reported queue, else its jobs in flight beyond its slots, else what the list's weight tells
-     * of those (its size over 1 + what it holds for each core), else what we sent, else the mean.
+     * The runner's load: its reported queue, else its jobs in flight beyond its slots, else what the list's live
+     * weight tells of those, else what we sent, else the mean; beside a report without a queue, what came unseen.
      */
     double load(Runner r) {
-        double free = Double.isNaN(r.report.freeSlots()) ? unseen : r.report.freeSlots();
-        return Math.max(0, queue(r) + Math.max(0, unseen - free));
-    }
-
-    private double queue(Runner r) {
         if (!Double.isNaN(r.report.queue())) {
             // Guards against late reports: as many of each other dispatcher's jobs may wait there as of ours.
             return Math.max(r.report.queue(), orders.tellsStart ? r.waiting() * orders.dispatchers : 0);
         }
+        double came = Math.max(0, unseen - (Double.isNaN(r.report.freeSlots()) ? unseen : r.report.freeSlots()));
         double held = r.report.inFlight();
         if (Double.isNaN(held) && orders.liveWeights && r.of.slots > 0 && r.power > 0) {
             held = (r.of.size / r.power - 1) * r.of.slots;
         }
-        return Double.isNaN(held) ? r.known ? r.out.size() : meanOut
-                : Math.max(Math.max(held, r.out.size()) - r.of.slots, 0);
+        return came + (Double.isNaN(held) ? r.known ? r.out.size() : meanOut
+                : Math.max(Math.max(held, r.out.size()) - r.of.slots, 0));
     }
 
-    /** Idle: nothing queued, and enough free slots and memory for this job where they are reported. */
-    boolean idle(Duration now, Runner r, double slots, double memory) {
-        // Guards against a job that makes a whole queue wait for memory, and against late or untrue reports:
-        // where work of ours has waited for longer than the word of its start takes, nothing is idle.
-        if (r.report.freeMemory() < memory || orders.tellsStart && r.waitsSince(now.minus(fewRoundTrips()))) {
-            return false;
+    /** Idle: nothing queued, and enough free slots for this job where they are reported. */
+    boolean idle(Duration now, Runner r, double slots) {
+        if (orders.tellsStart && r.waitsSince(now.minus(fewRoundTrips()))) {
+            return false;  // guards against late or untrue reports: the word of a start takes no longer
         }
         // A report is older than our last sends: what has not started yet waits there, seen or not.
         double ours = orders.tellsStart ? r.slotsWaiting() : 0;
@@ -400,10 +363,9 @@
     }
 
     /**
-     * A random runner to probe next, new to this assignment: before all, one in good standing (at first, any
-     * will do); then one quick enough to run it in time; then one not likely busy or silent; then, for the
-     * first half of the probes while crossing zones has a price, one of our own zone; last, slower ones are
-     * passed over by their pace.
+     * A random runner to probe next, new to this assignment: before all one in good standing (at first, any will
+     * do); then one quick enough to run it in time; then one not likely busy or silent; then one of our own zone,
+     * until a crossing counts less than the least load found; last, slower ones are passed over by their pace.
      */
     private Runner pick(Duration now, Assignment a) {
         survey(now);
@@ -411,8 +373,6 @@
         row.sought.add(now, work(a), memory);
         double found = leastCost(now, a);
         boolean once = a.workload.repeat != Workload.Repeat.PURE;
-        // Guards against filling a kind that other work is bound to while the rest of the fleet has room.
-        boolean yields = a.workload.kind == null && busyUnbound < SCARCE;
         double aim = aim(a), size = size(a);
         Runner best = null;
         int leastRank = a.probed.isEmpty() && !a.secondLook ? 32 : 16;
@@ -429,15 +389,9 @@
                         && chance.nextDouble() < Math.exp(-secs(now.minus(r.busyAt)) / runningTime);
                 // Guards against finding out who errs by what may then go to few others: pure work does it.
                 unlikely |= someAside && once && (r.failures.count() == 0 || r.failures.last() > POOR);
-                // Guards against runners that fail and recover by turns and take work down with them: what
-                // may not run twice goes elsewhere for a time, while pure work finds out; not in a squeeze.
-                unlikely |= once && lambdaSeen <= SCARCE && r.lapsedAt != null
-                        && !reached(now, r.lapsedAt.plus(memory));
-                unlikely |= yields && bound.contains(r.kind);
-                double takes = pace(now, r);
+                double takes = pace(now, r), toll = toll(now, a, r);
                 int rank = (trusted && !a.sentTo(r) ? 0 : 16) + (aim >= takes * size ? 0 : 8)
-                        + (unlikely ? 4 : 0)
-                        + (a.probed.isEmpty() && toll(now, a, r) > 0 || toll(now, a, r) > found ? 2 : 0)
+                        + (unlikely ? 4 : 0) + (toll > 0 && (a.probed.isEmpty() || toll > found) ? 2 : 0)
                         + (chance.nextDouble() * takes > pace.of(BELIEF, BELIEF) ? 1 : 0);
                 best = rank < leastRank ? r : best;
                 leastRank = Math.min(rank, leastRank);
@@ -447,16 +401,15 @@
     }
 
     /**
-     * The load that a crossing to another zone counts as: the wait whose risk of being late costs as much as the
-     * crossing does, in the tariffs' own units. So long work crosses before short work of the same workload does.
+     * The load that a crossing to another zone counts as: the wait whose risk of being late costs as much as it
+     * does, in the tariffs' own units. So long work crosses before short work of the same workload does.
      */
     private double toll(Duration now, Assignment a, Runner r) {
         double perLoad = waitPerLoad(r);
         if (orders.crossZonePrice == 0 || perLoad == 0 || r.zone.equals(orders.zone)) {
             return 0;
         }
-        double lost = worth(a.workload) * (1 - a.workload.lateImportance) * withinShare(now, a)
-                * (orders.importanceByWork ? size(a) / unit(rows.get(a.workload)) : 1);
+        double lost = orders.whole * (1 - a.workload.lateImportance) * worth(a) / meanWorth;
         return orders.crossZonePrice / lost * Math.max(0, slack(now, a, r)) / perLoad;
     }
 
@@ -508,7 +461,7 @@
         } else if (mayShed(a)) {  // guards against an overload in which all end late
             double wait = (load + toll(now, a, r)) * waitPerLoad(r);
             boolean late = a.workload.lateImportance == 0
-                    && (secs(elapsed(now, a)) + wait > slack(now, a, r) || load > 0 && crowded(now, a))
+                    && (secs(elapsed(now, a)) + wait > slack(now, a, r))
                     || secs(orders.endsAt.minus(now)) < wait + pace(now, r) * size(a);  // we end before it
             if (late || load == FULL) {
                 answer(a, ofSecs(wait));
@@ -526,59 +479,13 @@
         return now.minus(first ? a.arrivedAt : a.deadline.minus(rows.get(a.workload).patience));
     }
 
-    /** How long it may wait, in seconds, to end there in time; less while others are more important. */
+    /** How long it may wait, in seconds, to end there in time. */
     private double slack(Duration now, Assignment a, Runner r) {
         return aim(a) - pace(now, r) * size(a);
     }
 
-    /**
-     * Whether the mean wait met of late is more than this work may add to. Guards against long work that may wait
-     * long and fills the queues where the rest may not: what gains less for its length bears a part of the shortest
-     * wait of any. By the mean, not by the queue found: what is under a bound draws all until the next reports come.
-     */
-    private boolean crowded(Duration now, Assignment a) {
-        double most = 0, least = Double.POSITIVE_INFINITY;
-        for (Workload w : orders.workloads) {
-            double size = unit(rows.get(w));
-            most = Math.max(most, worth(w) / size);
-            least = Math.min(least, secs(w.promised) + (w.stretch - 1) * size);
-        }
-        double part = worth(a.workload) / unit(rows.get(a.workload)) / most * withinShare(now, a);
-        return part < 1 && meanQueue * waitPerLoad > Math.max(0, least) * part / (1 - part);
-    }
-
-    /** What a usual assignment of this workload adds to the goal, where a mean one of all adds 1 to its whole. */
-    private double worth(Workload w) {
-        double all = 0, arrived = 0, misses = 0;
-        for (Workload each : orders.workloads) {
-            Row row = rows.get(each);
-            all += row.arrived * importance(each);
-            arrived += row.arrived;
-            misses += misses(row);
-        }
-        Row row = rows.get(w);
-        return orders.whole * importance(w) * arrived / all
-                + orders.worstClass * misses(row) / misses * arrived / Math.max(1, row.arrived);
-    }
-
-    /** The part of its worth that it likely has: its tenant's tries of late beside the share that it holds. */
-    private double withinShare(Duration now, Assignment a) {
-        if (a.tenant == null || orders.beyondShare >= 1) {
-            return 1;
-        }
-        double share = a.tenant.share, believed = 10;
-        double within = share * (tries.at(now, memory) + believed)
-                / (triesBy.get(a.tenant).at(now, memory) + share * believed);
-        return orders.beyondShare + (1 - orders.beyondShare) * Math.min(1, within);
-    }
-
-    private double importance(Workload w) {
-        return w.importance * (orders.importanceByWork ? unit(rows.get(w)) : 1);
-    }
-
-    /** How much of late this workload lags: the worst served one counts by itself where the goal says so. */
-    private static double misses(Row row) {
-        return Math.max(NOTICED, row.missed.last() / (row.missed.count() + 8));
+    private double worth(Assignment a) {
+        return a.workload.importance * (orders.importanceByWork ? size(a) : 1);
     }
 
     /** How long, in seconds, an answer may take to be in time for a client that waits for it. */
@@ -601,7 +508,6 @@
 
     private void answer(Assignment a, Duration pause) {
         a.wantedAnswer = mayShed(a) ? Assignment.Answer.SHED : Assignment.Answer.GIVEN_UP;
-        rows.get(a.workload).missed.add(true);
         a.wantedPause = orders.pauses && pause != null ? least(pause, orders.longestPause) : null;
         touched.add(a);
     }
@@ -755,7 +661,6 @@
             return;
         }
         surveyedAt = now;
-        forget(now);
         List<Runner> ready = runners.stream().filter(Runner::ready).toList();
         this.ready = ready.size();
         long warm = ready.stream().filter(r -> orders.warmth(now, r) >= 1).count();
