--- a/daemon/src/test/java/saltdale/routing/RouterTest.java
+++ b/daemon/src/test/java/saltdale/routing/RouterTest.java
@@ -229,6 +229,14 @@
         assertTrue(dispatched.hears("\r\n\r\nbody").contains("Request-Id: b"), "the connection is used again");
     }
 
+    @Test
+    void aPreviewIsCountedBesideTheRestWhereOneIsSet() throws IOException {
+        begin();
+        assertFalse(router.counted().contains("preview_"), router.counted());
+        router.preview(new StandingOrders());
+        assertTrue(client().says("GET /counters HTTP/1.1\r\n\r\n").hears("preview_shed_differs 0").contains("exceptions 0"));
+    }
+
     @Test
     void theFiguresOfARequestReachTheDecisions() throws IOException {
         workload.stretch = 1;  // what is hinted to run beyond its promised time would be shed at once
