--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -49,7 +49,7 @@
     private final Fading workDone = new Fading();  // by warm runners
     private Duration surveyedAt;
     private double warmRate, meanOut, ready;
-    private boolean mostAside, noPure;
+    private boolean mostAside, someAside, noPure;
     private Duration askAt, askGap;  // when to ask for the list (null while subscribed), and again
     private final Duration spell, memory;  // the unit of setting aside; how long what was measured counts
 
@@ -65,8 +65,6 @@
         askGap = orders.askWithin.dividedBy(20);
     }
 
-    // ---- Events. None of these acts: they note what is seen and change what is wanted.
-
     public void began(Duration now) {
         askAt = orders.mustSubscribe ? now : null;
     }
@@ -320,7 +318,6 @@
         return Math.pow(lambda, d == 1 ? i : (Math.pow(d, i) - 1) / (d - 1));
     }
 
-    /** What waits there: its reported queue, else what it holds beyond its slots, else what we sent. */
     double load(Runner r) {
         if (!Double.isNaN(r.report.queue())) {
             // Guards against late reports: as many of each other dispatcher's jobs may wait there as of ours.
@@ -365,6 +362,9 @@
                 boolean unlikely = chance.nextDouble() < DOUBT * silent.getOrDefault(r.zone, 0.0)
                         || r.busyAt != null && runningTime > 0 && lambdaSeen <= SCARCE
                         && chance.nextDouble() < Math.exp(-secs(now.minus(r.busyAt)) / runningTime);
+                // Guards against finding out who errs by what may then go to few others: pure work does it.
+                unlikely |= someAside && a.workload.repeat != Workload.Repeat.PURE
+                        && (r.failures.count() == 0 || r.failures.last() > POOR);
                 double takes = pace(now, r), toll = toll(now, a, r);
                 int rank = (trusted ? 0 : 16) + (aim >= takes * size ? 0 : 8)
                         + (unlikely ? 4 : 0) + (toll > (a.probed.isEmpty() ? 0 : a.leastCost()) ? 2 : 0)
@@ -392,7 +392,6 @@
         return a.dispatches.isEmpty() && (a.workload.repeat == Workload.Repeat.PURE || noPure);
     }
 
-    /** Whether this assignment may go to this runner now: the list, its kind, rule 2 and the cold budget. */
     private boolean sendable(Duration now, Assignment a, Runner r) {
         return r.ready() && (a.workload.kind == null || a.workload.kind.equals(r.kind))
                 && repeatable(now, a, r) && withinColdBudget(now, a, r);
@@ -604,7 +603,6 @@
         return COLD_CAUTION * orders.tipMultiple * orders.warmth(now, r) * warmRate * secs(orders.fall);
     }
 
-    /** Once a round: the work a second that a warm runner does for us, and whether most are set aside. */
     private void survey(Duration now) {
         if (now.equals(surveyedAt)) {
             return;
@@ -616,6 +614,7 @@
         warmRate = warm == 0 ? warmRate : workDone.at(now, memory) / secs(memory) / warm;
         meanOut = ready.stream().filter(r -> r.known).mapToInt(r -> r.out.size()).average().orElse(0);
         long aside = ready.stream().filter(r -> r.trickle != null).count();
+        someAside = aside > 0;
         mostAside = 2 * aside > ready.size();  // then it is not them, and nobody is passed over
     }
 
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -343,6 +343,20 @@
         assertTrue(drawnOf(List.of(aside)) > 0);
     }
 
+    @Test
+    void whereSomeErrReceiptedWorkGoesToRunnersThatHaveDoneWellOfLate() {
+        scene.workload.repeat = Workload.Repeat.RECEIPTED;
+        Dispatcher dispatcher = scene.with(6);
+        List<Runner> runners = List.copyOf(dispatcher.runners);
+        runners.get(0).trickle = Scene.at(100_000);
+        runners.get(0).trickleAt = Scene.at(100_000);
+        runners.get(1).failures.add(true);
+        List.of(2, 3).forEach(i -> runners.get(i).failures.add(false));
+        assertEquals(100, drawnOf(runners.subList(2, 4)));
+        scene.with(6);
+        assertTrue(drawnOf(List.copyOf(scene.dispatcher.runners.subList(2, 4))) < 60, "none errs: all alike");
+    }
+
     @Test
     void aPureJobLeavesARunnerThatAnswersNothingThoughNoneIsIdle() {
         scene.orders.progressEvery = Duration.ofSeconds(1);
