--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -185,19 +185,18 @@
             unseen *= 0.99;
             load = load(r);
             idle = idle(now, r, a == null ? 1 : a.slots);
+            preview.probed(now, a, r);
             roundTrip = smooth(roundTrip, secs(took));
             meanQueue = smooth(meanQueue, load);
             lambdaSeen = smooth(lambdaSeen, idle ? 0 : 1);
             r.busyAt = idle ? null : now;
         }
         if (a != null) {
-            preview.probed(now, a, r);
             a.asked = null;
             double toll = toll(now, a, r);
             if (!a.closed && idle && sendable(now, a, r) && toll <= a.leastCost()) {
                 take(now, a, r, 0);
             } else if (!a.closed) {
-                // Guards against an empty queue before full slots, unlike rooms and runners of unlike speed.
                 // Guards against chance sends that gather in a cold queue: those go to an idle runner alone.
                 boolean over = orders.warmth(now, r) < 1 && coldRoom(now, r) < work(a);
                 a.found(r, over ? Double.POSITIVE_INFINITY : weighed(now, r, load, idle), toll);
@@ -207,7 +206,7 @@
     }
 
     double weighed(Duration now, Runner r, double load, boolean idle) {
-        return Math.max(load, idle ? 0 : 0.5) * pace(now, r) / pace.of(BELIEF, BELIEF);
+        return Math.max(load, idle ? 0 : 0.5) * pace(now, r) / pace.of(BELIEF, BELIEF);  // slots may be full
     }
 
     public void close(Assignment a) {
@@ -239,8 +238,6 @@
         }
     }
 
-    // ---- The search, as the design has it: probe ready runners one by one while that pays.
-
     private void search(Duration now, Assignment a) {
         if (a.asked != null) {
             Duration limit = a.askedAt.plus(probeLimit(a));
@@ -350,6 +347,7 @@
         survey(now);
         rows.get(a.workload).sought.add(now, work(a), memory);
         double aim = aim(a), size = size(a);
+        double least = a.probed.isEmpty() ? 0 : a.leastCost();
         Runner best = null;
         int leastRank = a.probed.isEmpty() && !a.secondLook ? 32 : 16;
         for (int i = 0; i < runners.size() && leastRank > 0; i++) {
@@ -367,7 +365,7 @@
                         && (r.failures.count() == 0 || r.failures.last() > POOR);
                 double takes = pace(now, r), toll = toll(now, a, r);
                 int rank = (trusted ? 0 : 16) + (aim >= takes * size ? 0 : 8)
-                        + (unlikely ? 4 : 0) + (toll > (a.probed.isEmpty() ? 0 : a.leastCost()) ? 2 : 0)
+                        + (unlikely ? 4 : 0) + (toll > least ? 2 : 0)
                         + (chance.nextDouble() * takes > pace.of(BELIEF, BELIEF) ? 1 : 0);
                 best = rank < leastRank ? r : best;
                 leastRank = Math.min(rank, leastRank);
@@ -449,7 +447,8 @@
     }
 
     private double worth(Assignment a) {
-        return a.workload.importance * (orders.importanceByWork ? size(a) : 1);
+        double size = a.hint == null ? unit(rows.get(a.workload)) : size(a);
+        return Math.max(1e-9, a.workload.importance * (orders.importanceByWork ? size : 1));
     }
 
     private double aim(Assignment a) {
--- a/core/src/main/java/saltdale/decision/Preview.java
+++ b/core/src/main/java/saltdale/decision/Preview.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.StringJoiner;
+import java.util.function.Supplier;
 import saltdale.model.Assignment;
 import saltdale.model.Runner;
 import saltdale.model.StandingOrders;
@@ -39,23 +40,20 @@
         this.other = null;
     }
 
-    /** A question to the dispatcher that changes nothing. */
-    private interface Question<T> {
-        T ask();
-    }
-
-    private <T> T under(StandingOrders orders, Question<T> question) {
+    private <T> T under(StandingOrders orders, Supplier<T> question) {
         StandingOrders own = dispatcher.orders;
+        orders.round = own.round;
+        orders.endsAt = own.endsAt;  // neither is a matter of the shape
         dispatcher.orders = orders;
         try {
-            return question.ask();
+            return question.get();
         } finally {
             dispatcher.orders = own;
         }
     }
 
-    private void compare(Kind kind, Question<Boolean> question) {
-        count(kind, !question.ask().equals(under(other, question)));
+    private void compare(Kind kind, Supplier<Boolean> question) {
+        count(kind, !question.get().equals(under(other, question)));
     }
 
     private void count(Kind kind, boolean differs) {
@@ -64,7 +62,7 @@
     }
 
     void probed(Duration now, Assignment a, Runner r) {
-        if (other != null) {
+        if (other != null && a != null) {
             compare(Kind.IDLE, () -> dispatcher.idle(now, r, a.slots));
         }
     }
@@ -74,8 +72,8 @@
         if (other == null) {
             return;
         }
-        Question<Runner> question = () -> best(now, a);
-        Runner own = question.ask(), others = under(other, question);
+        Supplier<Runner> question = () -> best(now, a);
+        Runner own = question.get(), others = under(other, question);
         count(Kind.RUNNER, under(other, () -> cost(now, a, own) > cost(now, a, others)));
         count(Kind.CROSSING, crosses(own) != under(other, () -> crosses(others)));
     }
--- a/core/src/main/java/saltdale/model/Runner.java
+++ b/core/src/main/java/saltdale/model/Runner.java
@@ -54,6 +54,10 @@
 
     /** Takes over what the list says; a fresh process has no record. */
     public void sighted(Sighting s, Kind named) {
+        if (s.mode() == Mode.GONE) {
+            mode = Mode.GONE;  // guards against entries that tell no more than this: its zone and cell still count
+            return;
+        }
         if (s.startedAt() != null && !s.startedAt().equals(startedAt)) {
             failures.clear();
             pace.clear();
