--- a/rig/src/main/java/saltdale/rig/experiment/Run.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Run.java
@@ -97,7 +97,7 @@
                 weather.setDaemon(true);
                 weather.start();
                 Duration end = start.plus(day.length);
-                Duration last = end.plus(day.orders.longestPatience()).plusSeconds(5);
+                Duration last = end.plus(day.longestStay()).plusSeconds(5);
                 while (origin.now().compareTo(end) < 0
                         || !generator.isOver() && origin.now().compareTo(last) < 0) {
                     Thread.sleep(100);
--- a/rig/src/main/java/saltdale/rig/judge/Judge.java
+++ b/rig/src/main/java/saltdale/rig/judge/Judge.java
@@ -225,7 +225,7 @@
     @Override
     public void reached(Duration firstByte, Duration at, String id, int runner, int dispatcher, double work) {
         dispatches++;
-        reachedCold(at, runner, dispatcher, work);
+        reachedCold(at, runner, dispatcher);
         drained(firstByte, id, runner, dispatcher);
         Case about = cases.get(id);
         if (about == null) {
@@ -285,7 +285,7 @@
                         + " before");
     }
 
-    private void reachedCold(Duration at, int runner, int dispatcher, double work) {
+    private void reachedCold(Duration at, int runner, int dispatcher) {
         Life life = lives.get(runner);
         if (life == null || life.budget == null) {
             return;
@@ -299,7 +299,7 @@
         double share = life.make.coldFrom() + (1 - life.make.coldFrom()) * age.toNanos() / within.toNanos();
         Word word = words.get(key(dispatcher, runner));
         boolean told = word != null && word.bornAt != null && word.bornAt.compareTo(life.startedAt) >= 0;
-        boolean over = life.budget.over(at.toNanos(), work, share * life.make.capacity(), told);
+        boolean over = life.budget.over(at.toNanos(), share * life.make.capacity(), told);
         if (over && life.budget.toldShare() >= 2.0 / 3 && !life.told) {
             life.told = true;
             breach(Breach.Kind.COLD_PUSHED_OVER, at, "runner " + runner, "sent more than "
@@ -364,7 +364,7 @@
         Life life = new Life();
         life.make = make;
         life.startedAt = at;
-        life.budget = new ColdBudget(terms.tipMultiple(), terms.fall());
+        life.budget = new ColdBudget(terms.tipMultiple(), terms.fall(), terms.meanWork());
         lives.put(runner, life);
     }
 
--- a/rig/src/main/java/saltdale/rig/judge/Terms.java
+++ b/rig/src/main/java/saltdale/rig/judge/Terms.java
@@ -7,11 +7,11 @@
  * The four rules in figures.
  *
  * @param slack by which each limit is longer where sockets and clocks come between
- * @param runners how many there are, for what decides by group: their zones and cells
+ * @param meanWork of an assignment, seconds
+ * @param zones of each runner, for what decides by group; likewise cells
  */
 public record Terms(Duration answerGrace, Duration drainGrace, Duration slack, boolean parallel,
-        double tipMultiple,
-                    Duration fall, String[] zones, int[] cells) {
+        double tipMultiple, Duration fall, double meanWork, String[] zones, int[] cells) {
     public static Terms of(Day day, Duration slack) {
         String[] zones = new String[day.runners];
         int[] cells = new int[day.runners];
@@ -20,6 +20,6 @@
             cells[i] = day.cell(i);
         }
         return new Terms(day.answerGrace, day.drainGrace, slack, day.orders.parallel, day.orders.tipMultiple,
-                day.orders.fall, zones, cells);
+                day.orders.fall, day.meanSize(), zones, cells);
     }
 }
--- a/rig/src/main/java/saltdale/rig/plan/Day.java
+++ b/rig/src/main/java/saltdale/rig/plan/Day.java
@@ -181,6 +181,17 @@
         return runner % cells;
     }
 
+    /**
+     * How long a client may stay at the most: all its tries, each with its patience, and the waits between. Before
+     * that a request without an answer is not lost.
+     */
+    public Duration longestStay() {
+        int tries = traffic.retries() + 1;
+        Duration each = orders.longestPatience().plus(answerGrace)
+                .plus(traffic.honoursPause() ? orders.longestPause : Duration.ZERO);
+        return each.multipliedBy(tries).plus(traffic.firstWait().multipliedBy(1L << Math.min(20, tries)));
+    }
+
     /** Seconds of work a second that the whole fleet does. */
     public double capacity() {
         double all = 0;
--- a/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
+++ b/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
@@ -162,7 +162,7 @@
         Box(int number, Receipts.Shared receipts) throws IOException {
             this.number = number;
             model = new RunnerModel(day.make(number), receipts, day.orders.tipMultiple, day.orders.fall,
-                    chance.split(), this);
+                    day.meanSize(), chance.split(), this);
             for (int j = 0; j < day.dispatchers; j++) {
                 gates.add(new Gate(this, j));
             }
