Rig: faults of processes and ways; a standstill of our own is no silence of the runners

Cause, Loop.turn: the JDK's select returns no key when the signal to go on interrupts it and its time is over, so all timers ran before a single waiting answer was read; requests that came meanwhile had their patience counted from when they were read. Ruled out: the stand-ins (the other dispatcher's probes were answered throughout), a full backlog (nothing was refused). Now the loop knows when it stood still (it comes round every 100 ms while there is traffic), takes all that came before any timer or decision, and patience counts from the earliest moment a request can have come.

--- a/daemon/src/main/java/saltdale/routing/Intake.java
+++ b/daemon/src/main/java/saltdale/routing/Intake.java
@@ -63,12 +63,12 @@
         return head.single("Request-Id");
     }
 
-    /** The assignment that a request with nothing wrong with it hands in. */
-    Assignment assignment(Head head, Duration now) {
+    /** The assignment that a request with nothing wrong with it hands in; it came at this time, at the earliest. */
+    Assignment assignment(Head head, Duration came) {
         Workload workload = workload(head);
         // Guards against a patience beyond all measure: where the workload has one, no client waits longer.
         Duration most = workload.patience.isZero() ? Duration.ofDays(1) : workload.patience;
-        Assignment a = new Assignment(workload, now,
+        Assignment a = new Assignment(workload, came,
                 Spans.least(Duration.ofMillis(Long.parseLong(head.header("Request-Timeout-Ms"))), most));
         a.repeated = "1".equals(head.header("Client-Retry"));
         String hint = head.header("Work-Hint");  // microseconds, where clients know
--- a/daemon/src/main/java/saltdale/routing/Router.java
+++ b/daemon/src/main/java/saltdale/routing/Router.java
@@ -186,13 +186,13 @@
             client.answer(503, "", NOTHING);
             return;
         }
-        Assignment a = intake.assignment(head, loop.now());
+        Assignment a = intake.assignment(head, loop.now().minus(loop.stood()));
         Held taken = new Held(Intake.id(head), a, head, body, client);
         heldById.put(taken.id, taken);
         held.put(a, taken);
         client.serves(taken);
         counters.taken++;
-        taken.patience = loop.after(a.patience(), () -> outOfTime(taken));
+        taken.patience = loop.after(a.deadline.minus(loop.now()), () -> outOfTime(taken));
         dispatcher.arrived(loop.now(), a);
         eventful();
     }
--- a/net/src/main/java/saltdale/transport/Connection.java
+++ b/net/src/main/java/saltdale/transport/Connection.java
@@ -165,6 +165,16 @@
         shutIfWritten();
     }
 
+    /** Closes it with a reset: what was not sent is lost, and the peer is told so at once. */
+    public void reset() {
+        try {
+            channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+        } catch (IOException e) {
+            // it is closed already, or can only be closed in order
+        }
+        close();
+    }
+
     public void close() {
         if (!closed) {
             closed = true;
--- a/net/src/main/java/saltdale/transport/Loop.java
+++ b/net/src/main/java/saltdale/transport/Loop.java
@@ -26,6 +26,10 @@
     }
 
     private static final Logger LOG = Logger.getLogger(Loop.class.getName());
+    private static final long BEAT = 100_000_000;  // ns: it comes round so often at least while there is traffic
+    private static final long TRAFFIC = 1_000_000_000;  // ns: so long after something last came
+    private static final long LATE = 50_000_000;  // ns: later than this it stood still, which no wait explains
+    private static final int MOST_ROUNDS = 32;
     private final Selector selector;
     private final long origin = System.nanoTime();
     private final Timers timers = new Timers();
@@ -34,6 +38,8 @@
     /** Shared by all connections: what is read is taken out of it before the next read. */
     final ByteBuffer incoming = ByteBuffer.allocateDirect(1 << 16);
     private long now;
+    private long cameAt;  // when something was last ready
+    private long stood;
     private boolean running = true;
     private long exceptions;
 
@@ -46,6 +52,14 @@
         return Duration.ofNanos(now);
     }
 
+    /**
+     * For how long the process stood still before this turn: stopped, or kept from its processor. Zero in an ordinary
+     * turn. What is taken in such a turn may have come at any time of it.
+     */
+    public Duration stood() {
+        return Duration.ofNanos(stood);
+    }
+
     /** The time by now, which may be within a turn. */
     public Duration clock() {
         return Duration.ofNanos(System.nanoTime() - origin);
@@ -98,37 +112,56 @@
 
     /** Waits until something is ready, and serves all that is. */
     public void turn(Runnable turnEnd) throws IOException {
-        await();
+        long due = await();
+        long before = now;
         now = System.nanoTime() - origin;
-        for (SelectionKey key : selector.selectedKeys()) {
-            Ready part = (Ready) key.attachment();
-            run(part, () -> {
-                if (key.isValid()) {
-                    part.ready(key);
-                }
-            });
+        stood = now - due > LATE ? now - before : 0;
+        gather();
+        // Guards against reading our own standstill as the others' silence, and against serving clients that have left
+        // meanwhile: all that came is taken before any timer and any decision.
+        for (int i = 0; stood > 0 && i < MOST_ROUNDS && selector.selectNow() > 0; i++) {
+            gather();
         }
-        selector.selectedKeys().clear();
         for (int i = soon.size(); i > 0; i--) {
             guarded(soon.poll());
         }
         for (Runnable what = fromOutside.poll(); what != null; what = fromOutside.poll()) {
             guarded(what);
         }
-        for (Timer due = timers.due(now); due != null; due = timers.due(now)) {
-            guarded(due.what);
+        for (Timer next = timers.due(now); next != null; next = timers.due(now)) {
+            guarded(next.what);
         }
         guarded(turnEnd);
     }
 
-    private void await() throws IOException {
-        long left = timers.nextAt() == Long.MAX_VALUE ? Long.MAX_VALUE
-                : timers.nextAt() - (System.nanoTime() - origin);
+    /** Lets each part take what is ready for it. */
+    private void gather() {
+        cameAt = selector.selectedKeys().isEmpty() ? cameAt : now;
+        for (SelectionKey key : selector.selectedKeys()) {
+            Ready part = (Ready) key.attachment();
+            run(part, () -> {
+                if (key.isValid()) {
+                    part.ready(key);
+                }
+            });
+        }
+        selector.selectedKeys().clear();
+    }
+
+    /** Waits, and returns by when at the latest it was to be awake again; Long.MAX_VALUE where for no time. */
+    private long await() throws IOException {
+        long from = System.nanoTime() - origin;
+        long left = timers.nextAt() == Long.MAX_VALUE ? Long.MAX_VALUE : timers.nextAt() - from;
+        if (from - cameAt < TRAFFIC) {
+            left = Math.min(left, BEAT);
+        }
         if (!soon.isEmpty() || left <= 0) {
+            left = 0;
             selector.selectNow();
         } else {
             selector.select(left == Long.MAX_VALUE ? 0 : (left + 999_999) / 1_000_000);
         }
+        return left == Long.MAX_VALUE ? left : Math.min(from, now + BEAT) + left;
     }
 
     /** What a part does when it is its turn; sockets may fail in it. */
--- a/rig/src/main/java/saltdale/rig/fleet/Weather.java
+++ b/rig/src/main/java/saltdale/rig/fleet/Weather.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import saltdale.rig.plan.Trouble;
 import saltdale.rig.plan.Trouble.Kind;
 
@@ -13,7 +15,7 @@
 public final class Weather {
     /** One thing that happens to runners, dispatchers or links. */
     public enum Act { CONDITION, CRASH, VANISH, START, DRAIN, HAND_BACK, REMOVE, CUT, HEAL, WIRE, KILL,
-            REVIVE, MUTE, UNMUTE }
+            REVIVE, MUTE, UNMUTE, STOP, GO_ON, END, WAY }
 
     /** It happens to each of the trouble's runners (or dispatchers) then. */
     public record Turn(Duration at, Act act, Trouble trouble) {
@@ -41,6 +43,17 @@
                         turns.add(new Turn(t.end().plus(t.length()), Act.START, t));
                     }
                 }
+                case DISPATCHER_STOP -> both(turns, t, Act.STOP, Act.GO_ON);
+                case DISPATCHER_RESTART -> both(turns, t, Act.END, Act.REVIVE);
+                case DISPATCHER_SLOW -> inTurns(t, (from, to) -> {
+                    turns.add(new Turn(from, Act.STOP, t));
+                    turns.add(new Turn(to, Act.GO_ON, t));
+                });
+                case WAY_FLAPS -> inTurns(t, (from, to) -> {
+                    turns.add(new Turn(from, Act.WAY, t));
+                    turns.add(new Turn(to, Act.WAY, t));
+                });
+                case WAY_RESET, WAY_SILENT, WAY_ONE_SIDED, WAY_LATE, WAY_SLOW -> both(turns, t, Act.WAY, Act.WAY);
                 case NEIGHBOUR -> {
                     both(turns, t, Act.CONDITION, Act.CONDITION);
                     Duration half = Duration.ofNanos((long) (t.extra() * 1e9));
@@ -62,6 +75,50 @@
         turns.add(new Turn(t.end(), last, t));
     }
 
+    private static void inTurns(Trouble t, BiConsumer<Duration, Duration> each) {
+        Duration turn = Duration.ofNanos((long) (t.extra() * 1e9));
+        Duration bad = Duration.ofNanos((long) (t.extra() * 1e9 * t.size()));
+        for (Duration at = t.at(); at.compareTo(t.end()) < 0; at = at.plus(turn)) {
+            each.accept(at, at.plus(bad));
+        }
+    }
+
+    /** How the way between these two is at this time. */
+    public Passage way(int runner, int dispatcher, Duration at) {
+        return passage(at, t -> t.befalls(runner, dispatcher));
+    }
+
+    /** How the way from this dispatcher to the list is at this time. */
+    public Passage listWay(int dispatcher, Duration at) {
+        return passage(at, t -> t.list() && t.dispatchers().contains(dispatcher));
+    }
+
+    private Passage passage(Duration at, Predicate<Trouble> which) {
+        Passage all = Passage.FREE;
+        for (Trouble t : troubles) {
+            if (t.onWay() && at.compareTo(t.at()) >= 0 && at.compareTo(t.end()) < 0 && which.test(t)) {
+                all = all.and(passage(t, at));
+            }
+        }
+        return all;
+    }
+
+    private static Passage passage(Trouble t, Duration at) {
+        return switch (t.kind()) {
+            case WAY_RESET -> new Passage(true, true, true, 0, 0, 0);
+            case WAY_SILENT -> new Passage(false, true, true, 0, 0, 0);
+            case WAY_ONE_SIDED -> new Passage(false, t.size() < 0.5, t.size() >= 0.5, 0, 0, 0);
+            case WAY_LATE -> new Passage(false, false, false, t.size() / 1e3, t.extra(), 0);
+            case WAY_SLOW -> new Passage(false, false, false, 0, 0, t.size());
+            case WAY_FLAPS -> {
+                double into = at.minus(t.at()).toNanos() / 1e9 % t.extra();
+                boolean cut = into < t.size() * t.extra() - 1e-6;  // by the hour that a turn was set for
+                yield new Passage(false, cut, cut, 0, 0, 0);
+            }
+            default -> Passage.FREE;
+        };
+    }
+
     /** What disturbs this runner at this time. */
     public Condition condition(int runner, Duration at) {
         Condition all = Condition.GOOD;
--- a/rig/src/main/java/saltdale/rig/judge/Notes.java
+++ b/rig/src/main/java/saltdale/rig/judge/Notes.java
@@ -58,6 +58,21 @@
         note(at, w -> w.killed(at, dispatcher));
     }
 
+    @Override
+    public void stopped(Duration at, int dispatcher) {
+        note(at, w -> w.stopped(at, dispatcher));
+    }
+
+    @Override
+    public void wentOn(Duration at, int dispatcher) {
+        note(at, w -> w.wentOn(at, dispatcher));
+    }
+
+    @Override
+    public void way(Duration at, int runner, int dispatcher, boolean free) {
+        note(at, w -> w.way(at, runner, dispatcher, free));
+    }
+
     @Override
     public void reached(Duration firstByte, Duration at, String id, int runner, int dispatcher, double work) {
         note(at, w -> w.reached(firstByte, at, id, runner, dispatcher, work));
--- a/rig/src/main/java/saltdale/rig/judge/Witness.java
+++ b/rig/src/main/java/saltdale/rig/judge/Witness.java
@@ -34,6 +34,18 @@
     default void killed(Duration at, int dispatcher) {
     }
 
+    /** This dispatcher's process was stopped: until it goes on it can do and be told nothing. */
+    default void stopped(Duration at, int dispatcher) {
+    }
+
+    /** It goes on. */
+    default void wentOn(Duration at, int dispatcher) {
+    }
+
+    /** Something befell the way between these two, or it is free again. */
+    default void way(Duration at, int runner, int dispatcher, boolean free) {
+    }
+
     /** A runner has the whole of a dispatch, whose first byte came then. */
     default void reached(Duration firstByte, Duration at, String id, int runner, int dispatcher,
             double work) {
--- a/rig/src/main/java/saltdale/rig/plan/Day.java
+++ b/rig/src/main/java/saltdale/rig/plan/Day.java
@@ -104,7 +104,15 @@
         traffic = read.utilisation() == 0 ? read : read.at(read.utilisation() * capacity() / meanSize());
         SplittableRandom chance = new SplittableRandom(seed * 31 + 7);
         for (Sheet row : sheet.rows("trouble")) {
-            troubles.add(Trouble.read(row, runners, dispatchers, chance));
+            Trouble next = Trouble.read(row, runners, dispatchers, zones, chance);
+            for (Trouble other : troubles) {
+                if (next.onProcess() && other.onProcess() && next.at().compareTo(other.end()) <= 0
+                        && other.at().compareTo(next.end()) <= 0
+                        && next.runners().stream().anyMatch(other.runners()::contains)) {
+                    throw row.wrong("at", "possible: it befalls a dispatcher that another trouble holds by then");
+                }
+            }
+            troubles.add(next);
         }
     }
 
@@ -117,6 +125,14 @@
         return day;
     }
 
+    /** Guards against a day whose faults nothing would cause: there are no processes in simulated time. */
+    public void mustBeSimulated(String file) {
+        troubles.stream().filter(Trouble::socketsOnly).findFirst().ifPresent(t -> {
+            throw new Misread(file + ": trouble.kind: " + t.kind().name().toLowerCase().replace('_', '-')
+                    + " can't be played in simulated time: it needs processes and sockets");
+        });
+    }
+
     /** What one dispatcher is told: the same as all, but for its number and its zone. */
     public StandingOrders orders(int dispatcher) {
         StandingOrders one = new StandingOrders();
--- a/rig/src/main/java/saltdale/rig/standin/ListWord.java
+++ b/rig/src/main/java/saltdale/rig/standin/ListWord.java
@@ -1,6 +1,7 @@
 package saltdale.rig.standin;
 
 import java.time.Duration;
+import saltdale.rig.fleet.Passage;
 import saltdale.rig.judge.Witness.Health;
 
 /** Who comes to know of changes among the runners; called on the loop. */
@@ -8,6 +9,9 @@
     /** {@code bornAt} null: it has run for long. */
     void changed(int runner, Health health, Duration bornAt);
 
+    /** This is how its way to this dispatcher is from now on. */
+    void way(int dispatcher, Passage next);
+
     /** It falls silent, or speaks again. */
     void mute(boolean wanted);
 }
--- a/rig/src/main/java/saltdale/rig/standin/Places.java
+++ b/rig/src/main/java/saltdale/rig/standin/Places.java
@@ -22,6 +22,16 @@
         return at(40 + runner / 250, dispatcher + 1, runner % 250 + 1);
     }
 
+    /** Where a runner itself listens for a dispatcher whose way to it is a relay's. */
+    InetSocketAddress behind(int runner, int dispatcher) {
+        return at(70 + runner / 250, dispatcher + 1, runner % 250 + 1);
+    }
+
+    /** Where such a runner's calls to the dispatcher go. */
+    InetSocketAddress back(int runner, int dispatcher) {
+        return at(100 + runner / 250, dispatcher + 1, runner % 250 + 1);
+    }
+
     public InetSocketAddress list(int dispatcher) {
         return at(30, dispatcher + 1, 1);
     }
--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/standin/Telling.java
@@ -0,0 +1,96 @@
+package saltdale.rig.standin;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import saltdale.model.LoadReport;
+import saltdale.rig.fleet.Work;
+import saltdale.rig.plan.Trouble.Kind;
+
+/** What a runner tells of a job: in order, each until it is answered. */
+final class Telling {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int MOST_TRIES = 10;
+    private static final Duration PAUSE = Duration.ofMillis(100);
+
+    private final StandInFleet fleet;
+    private final Box box;
+    private final Work work;
+    private final Deque<byte[]> waiting = new ArrayDeque<>();
+    private boolean busy;
+    private int tries;
+
+    Telling(Box box, Work work) {
+        this.fleet = box.fleet;
+        this.box = box;
+        this.work = work;
+    }
+
+    void add(String state, double share, String result) {
+        if (box.has(Kind.NO_NEWS)) {
+            return;
+        }
+        ObjectNode object = JSON.createObjectNode();
+        object.put("id", work.id).put("from", "r" + box.number).put("state", state);
+        if (share >= 0) {
+            object.put("share", share);
+        }
+        if (result != null) {
+            object.put("result", result);
+        }
+        if (!state.equals("started") && !state.equals("running")) {
+            LoadReport r = box.model.report(fleet.origin.now());
+            object.putObject("load").put("concurrent", r.inFlight()).put("depth", r.queue()).put("x0",
+                    r.freeSlots());
+        }
+        byte[] body = object.toString().getBytes(StandardCharsets.UTF_8);
+        byte[] head = ("POST /_jobs/news HTTP/1.1\r\nHost: " + Places.text(fleet.places.dispatcher(work.from))
+                + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII);
+        byte[] call = new byte[head.length + body.length];
+        System.arraycopy(head, 0, call, 0, head.length);
+        System.arraycopy(body, 0, call, head.length, body.length);
+        if (box.has(Kind.SHUFFLED_NEWS) && !waiting.isEmpty()) {
+            waiting.addFirst(call);
+        } else {
+            waiting.addLast(call);
+        }
+        if (box.has(Kind.TWICE_NEWS)) {
+            waiting.addLast(call);
+        }
+        // Out of order: held a little, so that there is another to pass it.
+        fleet.turner.loop.after(box.has(Kind.SHUFFLED_NEWS) ? Duration.ofMillis(20) : Duration.ZERO,
+                this::next);
+    }
+
+    private void next() {
+        if (busy || waiting.isEmpty()) {
+            return;
+        }
+        if (box.silent) {
+            waiting.clear();
+            return;
+        }
+        if (box.gates.get(work.from).isMuted()) {
+            fleet.turner.loop.after(PAUSE, this::next);  // the link is cut: until it is back
+            return;
+        }
+        busy = true;
+        new NewsCall(fleet.turner, fleet.callBack(box.number, work.from), waiting.peek(), this::told).begin();
+    }
+
+    private void told(boolean heard) {
+        busy = false;
+        if (heard || ++tries >= MOST_TRIES) {
+            fleet.newsLost += heard ? 0 : 1;
+            tries = 0;
+            waiting.poll();
+            next();
+        } else {
+            fleet.turner.loop.after(PAUSE, this::next);
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/ways/Way.java
@@ -0,0 +1,201 @@
+package saltdale.rig.ways;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import saltdale.rig.fleet.Passage;
+import saltdale.rig.standin.Turner;
+import saltdale.transport.Connection;
+import saltdale.transport.Timer;
+
+/**
+ * A relay between an address and the one behind it, through which as much passes as is set. What is cut off stays
+ * with the sender's kernel, as on a network that loses packets, and comes when the way is whole again. Used on
+ * the loop; what it holds is bounded.
+ */
+public final class Way {
+    private static final Duration CONNECT_LIMIT = Duration.ofSeconds(2);
+    private static final Duration STEP = Duration.ofMillis(20);  // of a slow way
+    private static final int MOST_HELD = 1 << 18;  // bytes a lane, then the sender waits
+
+    private final Turner turner;
+    private final InetSocketAddress behind;
+    private final boolean outward;
+    private final SplittableRandom chance;
+    private final Mouth mouth;
+    private final Set<Strand> strands = new LinkedHashSet<>();
+    private Passage passage = Passage.FREE;
+
+    /** {@code outward}: whether who connects is the dispatcher, so that its bytes go to the runner. */
+    public Way(Turner turner, InetSocketAddress at, InetSocketAddress behind, boolean outward,
+            SplittableRandom chance) throws IOException {
+        this.turner = turner;
+        this.behind = behind;
+        this.outward = outward;
+        this.chance = chance;
+        mouth = new Mouth(turner, at, (connection, full) -> new Strand(connection));
+    }
+
+    public Passage passage() {
+        return passage;
+    }
+
+    /** From now on this passes. */
+    public void set(Passage next) {
+        passage = next;
+        if (next.reset()) {
+            mouth.shut();
+            List.copyOf(strands).forEach(Strand::reset);
+        } else {
+            mouth.open();
+            mouth.silent(next.isSilent());
+            List.copyOf(strands).forEach(Strand::renew);
+        }
+    }
+
+    /** One connection and the one behind it. */
+    private final class Strand {
+        private final Connection near;
+        private final Connection far;
+        private final Lane there;
+        private final Lane back;
+
+        Strand(Connection near) {
+            this.near = near;
+            there = new Lane(outward);
+            back = new Lane(!outward);
+            far = Connection.dial(turner.loop, turner.sockets, behind, CONNECT_LIMIT, back);
+            if (far == null) {
+                near.owner(there);
+                near.reset();
+                return;
+            }
+            there.between(near, far);
+            back.between(far, near);
+            near.owner(there);
+            strands.add(this);
+            renew();
+        }
+
+        void reset() {
+            strands.remove(this);
+            near.reset();
+            far.reset();
+        }
+
+        void renew() {
+            there.renew();
+            back.renew();
+        }
+
+        private record Part(Duration due, ByteBuffer bytes) {
+        }
+
+        /** What goes one way. */
+        private final class Lane implements Connection.Owner {
+            private final boolean toRunner;
+            private final Deque<Part> parts = new ArrayDeque<>();
+            private Connection from;
+            private Connection to;
+            private Timer timer;
+            private Duration lastDue = Duration.ZERO;
+            private int held;
+            private boolean opened;
+            private boolean over;
+
+            Lane(boolean toRunner) {
+                this.toRunner = toRunner;
+            }
+
+            void between(Connection one, Connection other) {
+                from = one;
+                to = other;
+            }
+
+            private boolean isCut() {
+                return toRunner ? passage.cutThere() : passage.cutBack();
+            }
+
+            @Override
+            public void opened() {
+                opened = true;
+            }
+
+            @Override
+            public void received(ByteBuffer bytes) {
+                ByteBuffer copy = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
+                double late = passage.late() * (1 + passage.jitter() * chance.nextDouble());
+                Duration due = turner.loop.now().plusNanos((long) (late * 1e9));
+                lastDue = due.compareTo(lastDue) > 0 ? due : lastDue;  // in order, as TCP has it
+                parts.add(new Part(lastDue, copy));
+                held += copy.remaining();
+                renew();
+            }
+
+            @Override
+            public void ended(String cause) {
+                over = true;
+                if (this == back && !opened) {  // nobody is there: what connected is told so
+                    Strand.this.reset();
+                    return;
+                }
+                pump();
+            }
+
+            void renew() {
+                if (!over) {
+                    from.reading(!isCut() && held < MOST_HELD);
+                }
+                pump();
+            }
+
+            private void pump() {
+                if (timer != null) {
+                    timer.cancel();
+                    timer = null;
+                }
+                Duration now = turner.loop.now();
+                while (!isCut() && !parts.isEmpty()) {
+                    Part next = parts.peek();
+                    if (next.due.compareTo(now) > 0) {
+                        timer = turner.loop.after(next.due.minus(now), this::pump);
+                        return;
+                    } else if (passage.pace() > 0) {
+                        trickle(next);
+                        return;
+                    }
+                    parts.poll();
+                    send(next.bytes);
+                }
+                if (parts.isEmpty() && over) {
+                    strands.remove(Strand.this);
+                    to.finish();
+                }
+            }
+
+            private void trickle(Part next) {
+                double gap = Math.max(STEP.toNanos() / 1e9, 1 / passage.pace());
+                int many = Math.min(next.bytes.remaining(), Math.max(1, (int) (passage.pace() * gap)));
+                byte[] some = new byte[many];
+                next.bytes.get(some);
+                if (!next.bytes.hasRemaining()) {
+                    parts.poll();
+                }
+                send(ByteBuffer.wrap(some));
+                timer = turner.loop.after(Duration.ofNanos((long) (gap * 1e9)), this::renew);
+            }
+
+            private void send(ByteBuffer bytes) {
+                held -= bytes.remaining();
+                to.send(bytes);
+            }
+        }
+    }
+}
--- a/tools/src/main/java/saltdale/tools/Simulate.java
+++ b/tools/src/main/java/saltdale/tools/Simulate.java
@@ -36,6 +36,7 @@
             sheet = sheet.with(each.getKey(), value(each.getValue()));
         }
         Day day = new Day(sheet);
+        day.mustBeSimulated(sheet.file());
         Simulation.Minds minds = null;
         if (baseline != null) {
             PlainMind.Choice choice = choice(baseline);
--- a/tools/src/main/java/saltdale/tools/StandIn.java
+++ b/tools/src/main/java/saltdale/tools/StandIn.java
@@ -9,6 +9,7 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import saltdale.rig.experiment.Crew;
+import saltdale.rig.fleet.Passage;
 import saltdale.rig.fleet.Weather;
 import saltdale.rig.judge.Witness;
 import saltdale.rig.plan.Day;
@@ -106,6 +107,11 @@
             // The list is kept elsewhere.
         }
 
+        @Override
+        public void way(int dispatcher, Passage next) {
+            // The list is kept elsewhere.
+        }
+
         @Override
         public void mute(boolean wanted) {
             // The list is kept elsewhere.
