--- a/rig/src/main/java/saltdale/rig/judge/Notes.java
+++ b/rig/src/main/java/saltdale/rig/judge/Notes.java
@@ -48,6 +48,11 @@
         note(at, w -> w.cut(at, id));
     }
 
+    @Override
+    public void turnedOff(Duration at, String id) {
+        note(at, w -> w.turnedOff(at, id));
+    }
+
     @Override
     public void left(Duration at, String id) {
         note(at, w -> w.left(at, id));
--- a/rig/src/main/java/saltdale/rig/judge/Witness.java
+++ b/rig/src/main/java/saltdale/rig/judge/Witness.java
@@ -26,6 +26,10 @@
     default void cut(Duration at, String id) {
     }
 
+    /** The same of a new connection: nothing shows that the dispatcher ever had the request. */
+    default void turnedOff(Duration at, String id) {
+    }
+
     /** The client went away by itself. */
     default void left(Duration at, String id) {
     }
--- a/rig/src/main/java/saltdale/rig/load/Generator.java
+++ b/rig/src/main/java/saltdale/rig/load/Generator.java
@@ -297,6 +297,8 @@
             if (unsent) {
                 witness.left(origin.now(), id);  // no dispatcher has taken it
                 unreachable(dispatcher);
+            } else if (!connection.isReused() && parser.untouched()) {
+                witness.turnedOff(origin.now(), id);
             } else {
                 witness.cut(origin.now(), id);
             }
--- /dev/null
+++ b/rig/src/test/java/saltdale/rig/judge/JudgeTest.java
@@ -0,0 +1,87 @@
+package saltdale.rig.judge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import saltdale.model.Workload;
+
+/** What is no fault of a dispatcher that was stopped, or whose way was disturbed; and what still is. */
+class JudgeTest {
+    private final Workload pure = new Workload();
+    private final Judge judge = new Judge(new Terms(ms(0), ms(500), ms(50), false, 2, ms(1000), 1,
+            new String[] {"a", "b"}, new int[] {0, 0}), ms(5000));
+
+    private static Duration ms(long ms) {
+        return Duration.ofMillis(ms);
+    }
+
+    private void asked(long at, String id) {
+        judge.asked(ms(at), id, pure, 0, ms(1000));
+    }
+
+    private void reached(long at, String id, int runner) {
+        judge.reached(ms(at), ms(at), id, runner, 0, 1);
+    }
+
+    private void found(Map<Breach.Kind, Long> wanted) {
+        judge.end();
+        assertEquals(wanted, judge.counts());
+    }
+
+    @Test
+    void whatEndedWhileItWasStoppedIsExcusedAndWhatCameLaterIsNot() {
+        asked(0, "a");
+        judge.stopped(ms(500), 0);
+        asked(600, "b");
+        judge.wentOn(ms(3000), 0);
+        asked(3000, "c");
+        found(Map.of(Breach.Kind.LOST, 1L));
+    }
+
+    @Test
+    void whatAStoppedOneWasToldCountsFromWhenItGoesOn() {
+        judge.stopped(ms(0), 0);
+        judge.told(ms(100), 0, 1, Witness.Health.DRAINING, null);
+        judge.wentOn(ms(3000), 0);
+        asked(3100, "a");
+        reached(3200, "a", 1);
+        judge.answered(ms(3300), "a", Witness.Final.SHED, null);
+        asked(3600, "b");
+        reached(3700, "b", 1);
+        judge.answered(ms(3800), "b", Witness.Final.SHED, null);
+        found(Map.of(Breach.Kind.SENT_TO_DRAINING, 1L));
+    }
+
+    @Test
+    void aCopyIsNoFaultOnlyOnADisturbedWay() {
+        asked(0, "a");
+        reached(10, "a", 0);
+        judge.way(ms(20), 0, 0, false);  // it can't be called off there
+        reached(30, "a", 1);
+        judge.answered(ms(40), "a", Witness.Final.SHED, null);
+        judge.way(ms(50), 0, 0, true);
+        asked(3000, "b");
+        reached(3010, "b", 0);
+        reached(3020, "b", 1);
+        judge.answered(ms(3040), "b", Witness.Final.SHED, null);
+        found(Map.of(Breach.Kind.TWO_OUT, 1L));
+    }
+
+    @Test
+    void newConnectionsClosedWithNoAnswerAreBorneOnceInTwoHundred() {
+        for (int i = 0; i < 400; i++) {
+            asked(i, "a" + i);
+            if (i < 2) {
+                judge.turnedOff(ms(i), "a" + i);
+            } else {
+                judge.answered(ms(i), "a" + i, Witness.Final.SHED, null);
+            }
+        }
+        found(Map.of());
+        asked(1000, "b");
+        judge.turnedOff(ms(1000), "b");
+        found(Map.of(Breach.Kind.LOST, 1L));
+    }
+}
--- a/rig/src/test/java/saltdale/rig/plan/SheetTest.java
+++ b/rig/src/test/java/saltdale/rig/plan/SheetTest.java
@@ -38,6 +38,23 @@
                         .replaceFirst("f.toml: trouble", "f.toml: line 3: trouble"));
     }
 
+    @Test
+    void faultsThatCannotBeAreNamedWithFileAndKey() {
+        String stop = "[[trouble]]\nkind = \"dispatcher-stop\"\nat = \"1s\"\nlength = \"2s\"\nrunners = [0]\n";
+        assertEquals("f.toml: line 11: trouble.1.at: \"3s\" is not possible: it befalls a dispatcher that another "
+                + "trouble holds by then", told(WORKLOAD + stop + "[[trouble]]\nkind = \"dispatcher-kill\"\n"
+                + "runners = [0]\nat = \"3s\"\n").replaceFirst("line \\d+", "line 11"));
+        String way = "[[trouble]]\nkind = \"way-late\"\n";
+        assertTrue(told(WORKLOAD + way + "list = true\n").endsWith(
+                "trouble.0.list: true is not possible with this kind; way-reset, way-silent and way-flaps are"));
+        assertTrue(told(WORKLOAD + way + "zone = \"z\"\n").endsWith("is not one of the fleet's zones, a"));
+        assertTrue(told(WORKLOAD + way + "zone = \"a\"\nrunners = [0]\n").endsWith("give one of them"));
+        assertTrue(told(WORKLOAD + way + "dispatchers = [2]\n").endsWith("a list of numbers from 0 to 1"));
+        assertEquals("f.toml: trouble.kind: dispatcher-stop can't be played in simulated time: it needs processes and "
+                + "sockets", assertThrows(Misread.class, () -> new Day(Sheet.of("f.toml", WORKLOAD + stop))
+                        .mustBeSimulated("f.toml")).getMessage());
+    }
+
     @Test
     void whatIsNoTomlNamesTheLine() {
         assertTrue(told("length = \"5s\"\n[fleet\n").startsWith("f.toml: line 2: is no TOML: "));
--- /dev/null
+++ b/tools/src/test/java/saltdale/tools/FaultsTest.java
@@ -0,0 +1,101 @@
+package saltdale.tools;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import saltdale.rig.experiment.Outcome;
+import saltdale.rig.experiment.Run;
+import saltdale.rig.experiment.Version;
+import saltdale.rig.judge.Breach;
+import saltdale.rig.plan.Day;
+import saltdale.rig.plan.Sheet;
+
+/**
+ * Real processes of the dispatcher before stand-in runners, with faults of the processes and of the ways between. The
+ * judge goes by what clients, runners and the list have seen. Invariants only: how well it is done is for experiments.
+ */
+@Timeout(120)
+class FaultsTest {
+    private static final String DAY = """
+            seed = 3
+            length = "8s"
+            dispatchers = 3
+            [fleet]
+            runners = 6
+            zones = ["a", "b"]
+            [[fleet.make]]
+            cores = 2
+            queue = 16
+            cold_from = 0.3
+            warm_within = "3s"
+            [load]
+            rate = 90
+            retries = 2
+            [[workload]]
+            name = "view"
+            share = 4
+            promised = "200ms"
+            patience = "1500ms"
+            size = {kind = "exponential", mean = "20ms"}
+            [[workload]]
+            name = "rebuild"
+            promised = "400ms"
+            patience = "2500ms"
+            repeat = "receipted"
+            size = {kind = "exponential", mean = "60ms"}
+            [[workload]]
+            name = "order"
+            promised = "400ms"
+            patience = "2500ms"
+            repeat = "effectful"
+            size = {kind = "exponential", mean = "40ms"}
+            """;
+
+    @TempDir
+    Path folder;
+
+    private Map<String, Double> played(String more) throws IOException {
+        Day day = new Day(Sheet.of("faults", DAY + more));
+        Outcome outcome = Run.onSockets(day, Version.own("now", Path.of("..")), "", 0, Run.asks(day, folder),
+                folder, null, (share, crew) -> { });
+        assertEquals(List.<Breach>of(), outcome.breaches());
+        assertEquals(0, outcome.figures().get("dispatchers_died"));
+        return outcome.figures();
+    }
+
+    private static String trouble(String kind, String more) {
+        return "[[trouble]]\nkind = \"" + kind + "\"\n" + more.replace("; ", "\n") + "\n";
+    }
+
+    @Test
+    void processesStoppedSlowedKilledAndStartedAgainInTheMidst() throws IOException {
+        Map<String, Double> figures = played(
+                trouble("dispatcher-stop", "at = \"2s\"; length = \"2s\"; runners = [0]")
+                + trouble("dispatcher-slow", "at = \"1s\"; length = \"3s\"; runners = [1]; size = 0.6")
+                + trouble("dispatcher-restart", "at = \"1s\"; length = \"1s\"; runners = [2]")
+                + trouble("dispatcher-kill", "at = \"5s\"; length = \"1s\"; runners = [1]"));
+        assertTrue(figures.get("requests_answered") < figures.get("requests"), "a stop of 2 s outlasts some patience");
+    }
+
+    @Test
+    void waysResetSilentOneSidedLateSlowAndFlapping() throws IOException {
+        Map<String, Double> figures = played(
+                trouble("way-silent", "at = \"1s\"; length = \"2s\"; zone = \"a\"; dispatchers = [0]")
+                + trouble("way-reset", "at = \"1500ms\"; length = \"2s\"; runners = [1, 2]; dispatchers = [1]")
+                + trouble("way-one-sided", "at = \"2s\"; length = \"2s\"; runners = [3]; size = 1")
+                + trouble("way-one-sided", "at = \"4s\"; length = \"1s\"; runners = [5]")
+                + trouble("way-late", "at = \"3s\"; length = \"2s\"; runners = [4]; size = 100")
+                + trouble("way-slow", "at = \"2s\"; length = \"3s\"; runners = [0]; dispatchers = [2]; size = 1")
+                + trouble("way-flaps", "at = \"4s\"; length = \"2s\"; zone = \"b\"; dispatchers = [2]; extra = 0.4")
+                + trouble("way-reset", "at = \"2s\"; length = \"1s\"; list = true; dispatchers = [0]")
+                + trouble("way-silent", "at = \"3s\"; length = \"2s\"; list = true; dispatchers = [1]"));
+        assertEquals(figures.get("requests"), figures.get("requests_answered"), "no dispatcher was at fault");
+    }
+}
