--- a/rig/src/main/java/saltdale/rig/experiment/Experiment.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Experiment.java
@@ -19,6 +19,8 @@
 import saltdale.rig.plan.Misread;
 import saltdale.rig.plan.Sheet;
 import saltdale.rig.report.Report;
+import saltdale.rig.simulate.PlainMind;
+import saltdale.rig.simulate.Simulation;
 
 /**
  * An experiment as its file has it: a day, the builds that play it, what is swept, how often, and what is
@@ -29,6 +31,10 @@
     public enum Face { SOCKETS, SIMULATED, BOTH }
 
     private record Point(String name, Sheet sheet) {
+        /** What an expectation says behind a figure of this point alone: .at. and the values that are swept. */
+        String suffix() {
+            return ".at." + name.replaceAll("\\S+=", "").replace(' ', '.');
+        }
     }
 
     private final Sheet sheet;
@@ -50,10 +56,10 @@
         repeats = sheet.whole("repeats", 1, 1, 1000);
         quickRepeats = sheet.whole("quick_repeats", 1, 1, 1000);
         cpus = sheet.text("cpus", null);
-        sheet.rows("version").forEach(row -> versions.add(Version.read(row, home, beside())));
-        if (face != Face.SOCKETS && !versions.isEmpty()) {
-            throw sheet.wrong("version",
-                    "wanted where a day is played in simulated time, with this build's module");
+        sheet.rows("version").forEach(row -> versions.add(face == Face.SOCKETS ? Version.read(row, home, beside())
+                : Version.simulated(row)));
+        if (face == Face.BOTH && !versions.isEmpty()) {
+            throw sheet.wrong("version", "wanted where a day is played on both faces, with this build's module");
         } else if (face == Face.BOTH) {  // the same day on both, paired as two builds are
             versions.add(Version.own("sockets", home));
             versions.add(new Version("simulated", List.of(), List.of()));
@@ -99,6 +105,15 @@
         return new Day(fresh.with("seed", seed + repeat));
     }
 
+    private Outcome simulated(Day day, Version version, Point point, int repeat) {
+        if (!version.levels()) {
+            day.orders.relief = null;
+        }
+        Simulation.Minds minds = version.choice() == null ? null : (orders, door, chance) ->
+                new PlainMind(orders, door, chance, version.choice(), PlainMind.Slip.NONE);
+        return Run.simulated(day, version.name(), point.name, repeat, Run.asks(day, beside()), minds);
+    }
+
     public String name() {
         return name;
     }
@@ -147,7 +162,7 @@
             say.println(label + " ...");
         }
         Outcome outcome = version.program().isEmpty()
-                ? Run.simulated(day, version.name(), point.name, repeat, Run.asks(day, beside()), null)
+                ? simulated(day, version, point, repeat)
                 : Run.onSockets(day, version, point.name, repeat, Run.asks(day, beside()), folder, cpus,
                         (share, crew) -> {
                     if (live) {
@@ -192,6 +207,10 @@
                 List<Outcome> its = outcomes.stream().filter(o ->
                         o.version().equals(version.name())).toList();
                 all.put(version.name() + "." + figure, mean(its, figure));
+                if (points.size() > 1) {
+                    points.forEach(point -> all.put(version.name() + "." + figure + point.suffix(), mean(its.stream()
+                            .filter(o -> o.point().equals(point.name)).toList(), figure)));
+                }
             }
             if (versions.size() > 1) {
                 Bootstrap b = Bootstrap.of(differences(outcomes, figure), 1);
--- a/rig/src/main/java/saltdale/rig/experiment/Run.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Run.java
@@ -16,6 +16,7 @@
 import saltdale.rig.load.Arrivals;
 import saltdale.rig.load.Ask;
 import saltdale.rig.load.Generator;
+import saltdale.rig.load.Overloads;
 import saltdale.rig.load.Trace;
 import saltdale.rig.plan.Day;
 import saltdale.rig.simulate.ModuleMind;
@@ -59,6 +60,8 @@
                 judge.answered(),
                 judge.dispatches());
         figures.put("events", (double) sim.events());
+        figures.put("probes_per_request", sim.probes() / (double) Math.max(1, judge.asked()));
+        figures.putAll(Overloads.figures(day, sim.tally(), sim.spread()));
         return new Outcome(version, point, repeat, figures, judge.breaches(), null, sim.tally(),
                 sim.fleet().watch());
     }
@@ -116,6 +119,7 @@
                 Map<String, Double> figures = Outcome.figures(generator.tally(), judge.broken(),
                         judge.asked(),
                         judge.answered(), judge.dispatches());
+                figures.putAll(Overloads.figures(day, generator.tally(), generator.spread()));
                 figures.put("cpu_us_per_job", cpu * 1e6 / Math.max(1, judge.asked()));
                 figures.put("memory_mb", memory);
                 figures.put("generator_lag_p99_ms", generator.lag().getValueAtPercentile(99) / 1e3);
--- a/rig/src/main/java/saltdale/rig/experiment/Version.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Version.java
@@ -5,24 +5,43 @@
 import java.util.List;
 import saltdale.rig.plan.Misread;
 import saltdale.rig.plan.Sheet;
+import saltdale.rig.simulate.PlainMind;
 
 /**
  * A build of the dispatcher that is played.
  *
  * @param flags of its JVM
- * @param program what follows them on its command line
+ * @param program what follows them on its command line; none in simulated time
+ * @param choice in simulated time, the baseline that decides; null for the module
+ * @param levels whether it meets overloads as the day's table says; else as if there was none
  */
-public record Version(String name, List<String> flags, List<String> program) {
+public record Version(String name, List<String> flags, List<String> program, PlainMind.Choice choice, boolean levels) {
+    public Version(String name, List<String> flags, List<String> program) {
+        this(name, flags, program, null, true);
+    }
+
     /** As the platform runs it, but for what its archive of classes adds. */
     static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
             "-XX:-UsePerfData",
             "-Xms24m", "-Xmx112m", "-Xss512k");
 
-    static Version read(Sheet row, Path home, Path beside) {
+    private static String name(Sheet row) {
         String name = row.required("name");
         if (!name.matches("[A-Za-z0-9_-]+") || name.equals("difference")) {
             throw row.wrong("name", "a name of letters, figures, _ and -");
         }
+        return name;
+    }
+
+    /** One that is played in simulated time: this build's module, or a baseline. */
+    static Version simulated(Sheet row) {
+        String name = name(row);
+        PlainMind.Choice choice = row.has("baseline") ? row.word("baseline", PlainMind.Choice.RANDOM) : null;
+        return new Version(name, List.of(), List.of(), choice, row.flag("levels", true));
+    }
+
+    static Version read(Sheet row, Path home, Path beside) {
+        String name = name(row);
         String jar = row.text("jar", null);
         Path at = jar == null ? own(home) : beside.resolve(jar);
         if (!Files.isReadable(at)) {
--- a/rig/src/main/java/saltdale/rig/load/Arrivals.java
+++ b/rig/src/main/java/saltdale/rig/load/Arrivals.java
@@ -32,7 +32,8 @@
     }
 
     private void advance() {
-        double most = traffic.rate() * (1 + traffic.swing());
+        double most = traffic.rate() * (1 + traffic.swing())
+                * (traffic.peak() == null ? 1 : traffic.peak().times());
         next = null;
         while (next == null) {
             at -= Math.log(1 - chance.nextDouble()) / most;
@@ -50,7 +51,8 @@
     double rate(double time) {
         double phase = time / (traffic.period().toNanos() / 1e9);
         double swing = traffic.swing();
-        return traffic.rate() * switch (traffic.shape()) {
+        double peak = traffic.peak() == null ? 1 : traffic.peak().times(time);
+        return peak * traffic.rate() * switch (traffic.shape()) {
             case STEADY -> 1;
             case BURST -> phase % 1 < 0.2 ? 1 + swing : 1 - swing / 4;  // a fifth of the time
             case SWELL -> 1 + swing * Math.sin(2 * Math.PI * phase);
--- a/rig/src/main/java/saltdale/rig/load/Generator.java
+++ b/rig/src/main/java/saltdale/rig/load/Generator.java
@@ -49,6 +49,8 @@
     private final Duration start;
     private int next;
     private volatile long open;
+    private final Spread spread;
+    private long heavies;
     private volatile boolean allSent;
     private long answers;
     private Duration thousandthAt;
@@ -68,6 +70,7 @@
         this.start = start;
         tally = new Tally(day.jobs, day.warmUp, start);
         persistence = new Persistence(day.traffic, new SplittableRandom(seed));
+        spread = new Spread(dispatchers.size());
         addresses = dispatchers.toArray(new InetSocketAddress[0]);
         pools = new Pool[addresses.length];
         for (int i = 0; i < pools.length; i++) {
@@ -134,7 +137,15 @@
         return thousandthAt;
     }
 
+    public Spread spread() {
+        return spread;
+    }
+
     private int choose() {
+        if (day.traffic.heavy() > 1 && avoided.isEmpty() && heavies++ % (pools.length - 1 + day.traffic.heavy())
+                >= pools.length) {
+            return 0;
+        }
         for (int i = 0; i < pools.length; i++) {
             next = (next + 1) % pools.length;
             if (!avoided.contains(next)) {
@@ -317,6 +328,7 @@
             if (limit != null) {
                 limit.cancel();
             }
+            spread.ended(dispatcher, customer.ask.job().workload().importance, how == Final.SHED);
             customer.over(how, pause, unreachable);
         }
     }
--- a/rig/src/main/java/saltdale/rig/load/Tally.java
+++ b/rig/src/main/java/saltdale/rig/load/Tally.java
@@ -17,6 +17,8 @@
     /** One workload's figures, of all asks whose intended time lies after the warming up. */
     public static final class Row {
         public long offered;
+        /** Seconds of work that were asked for. */
+        public double work;
         public long fulfilled;
         public long inTime;
         public long shed;
@@ -37,6 +39,9 @@
     public static final class Second {
         public long offered;
         public long inTime;
+        /** Importance asked for, and fulfilled in the promised time. */
+        public double worth;
+        public double earned;
         public final Histogram latency = new Histogram(LONGEST, 2);
         public final Map<String, long[]> byWorkload = new LinkedHashMap<>();  // offered, in time
     }
@@ -90,6 +95,8 @@
             second.offered++;
             of[0]++;
             second.inTime += inTime ? 1 : 0;
+            second.worth += ask.job().workload().importance;
+            second.earned += inTime ? ask.job().workload().importance : 0;
             of[1] += inTime ? 1 : 0;
             if (how == Final.FULFILLED) {
                 second.latency.recordValue(us);
@@ -106,6 +113,7 @@
             return;
         }
         row.offered++;
+        row.work += ask.size();
         importance += ask.job().workload().importance;
         if (how == null) {
             row.unanswered++;
--- a/rig/src/main/java/saltdale/rig/simulate/Node.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Node.java
@@ -23,7 +23,7 @@
 import saltdale.rig.judge.Witness.Health;
 
 /** One simulated dispatcher: the Door of what decides, with the timeline and the network behind it. */
-final class Node implements Door {
+final class Node implements Door, Sight {
     private final Simulation sim;
     final int number;
     private final SplittableRandom chance;
@@ -372,6 +372,12 @@
         }
     }
 
+    @Override
+    public double held(Runner runner) {
+        return sim.fleet.isUp(numbers.get(runner)) ? sim.fleet.report(numbers.get(runner)).inFlight()
+                : Double.POSITIVE_INFINITY;
+    }
+
     // ---- The door.
 
     @Override
@@ -422,6 +428,7 @@
     @Override
     public void probe(Runner runner) {
         int asked = numbers.get(runner);
+        sim.probed();
         Duration sentAt = now();
         Duration there = sim.hop(sim.zoneOf(number), sim.zoneOf(asked));
         after(there, () -> {
--- a/rig/src/main/java/saltdale/rig/simulate/PlainMind.java
+++ b/rig/src/main/java/saltdale/rig/simulate/PlainMind.java
@@ -24,7 +24,13 @@
  */
 public final class PlainMind implements Mind {
     /** How the next runner is chosen. */
-    public enum Choice { RANDOM, ROUND_ROBIN, LEAST_OUT }
+    public enum Choice {
+        RANDOM, ROUND_ROBIN, LEAST_OUT,
+        /** Least outstanding, and each dispatcher sheds beyond a fixed number of its own. */
+        FIXED_LIMIT,
+        /** The least held of all runners, of which it sees the true state, late. */
+        SEES_LATE
+    }
 
     /** One rule broken in one way. */
     public enum Slip {
@@ -32,6 +38,8 @@
         SHEDS_WHAT_RAN, LEAVES_GROUP, OUTLASTS_WINDOW, COPIES, IGNORES_DRAIN, IGNORES_GONE, FLOODS_COLD
     }
 
+    private static final int HELD = 4;  // for each runner, over all dispatchers: the fixed limit
+
     private final StandingOrders orders;
     private final Door door;
     private final SplittableRandom chance;
@@ -89,7 +97,9 @@
     }
 
     private void go(Duration now, Assignment a) {
-        Runner runner = choose(now, a);
+        boolean over = choice == Choice.FIXED_LIMIT && a.dispatches.isEmpty()
+                && runners.stream().mapToInt(r -> r.out.size()).sum() * orders.dispatchers >= HELD * runners.size();
+        Runner runner = over ? null : choose(now, a);
         if (runner == null) {
             answer(a);
         } else {
@@ -130,11 +140,11 @@
         return switch (choice) {
             case RANDOM -> fit.get(chance.nextInt(fit.size()));
             case ROUND_ROBIN -> fit.get(turn++ % fit.size());
-            case LEAST_OUT -> {
+            case LEAST_OUT, FIXED_LIMIT, SEES_LATE -> {
                 Runner best = null;
                 int ties = 0;
                 for (Runner r : fit) {
-                    int gap = best == null ? -1 : r.out.size() - best.out.size();
+                    int gap = best == null ? -1 : Double.compare(load(r), load(best));
                     ties = gap < 0 ? 1 : gap == 0 ? ties + 1 : ties;
                     best = gap < 0 || gap == 0 && chance.nextInt(ties) == 0 ? r : best;
                 }
@@ -143,6 +153,10 @@
         };
     }
 
+    private double load(Runner r) {
+        return choice == Choice.SEES_LATE ? Math.max(((Sight) door).held(r), r.out.size()) : r.out.size();
+    }
+
     /** Sends to a cold runner are spread so thin that all dispatchers together stay far under its budget. */
     private boolean cold(Duration now, Runner r) {
         if (now.compareTo(coldUntil.getOrDefault(r, Duration.ZERO)) >= 0) {
--- a/rig/src/main/java/saltdale/rig/simulate/Simulation.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Simulation.java
@@ -16,6 +16,7 @@
 import saltdale.rig.judge.Witness.Health;
 import saltdale.rig.load.Ask;
 import saltdale.rig.load.Persistence;
+import saltdale.rig.load.Spread;
 import saltdale.rig.load.Tally;
 import saltdale.rig.plan.Day;
 
@@ -48,6 +49,9 @@
     private int cutZone = -1;
     private boolean listMute;
     private long open;
+    private long heavies;
+    private long probes;
+    private final Spread spread;
 
     public Simulation(Day day, Minds minds, Iterator<Ask> asks) {
         this.day = day;
@@ -59,6 +63,7 @@
         fleet = new Fleet(this, seeds.split());
         tally = new Tally(day.jobs, day.warmUp);
         persistence = new Persistence(day.traffic, seeds.split());
+        spread = new Spread(day.dispatchers);
         for (int i = 0; i < day.dispatchers; i++) {
             Node node = new Node(this, i, seeds.split());
             nodes.add(node);
@@ -102,6 +107,19 @@
         return tally;
     }
 
+    public Spread spread() {
+        return spread;
+    }
+
+    /** How many probes were sent. */
+    public long probes() {
+        return probes;
+    }
+
+    void probed() {
+        probes++;
+    }
+
     public Judge judge() {
         return judge;
     }
@@ -169,6 +187,10 @@
     }
 
     private Node next() {
+        if (day.traffic.heavy() > 1 && knownDead.isEmpty() && heavies++ % (nodes.size() - 1 + day.traffic.heavy())
+                >= nodes.size()) {
+            return nodes.get(0);
+        }
         for (int i = 0; i < nodes.size(); i++) {
             nextNode = (nextNode + 1) % nodes.size();
             if (!knownDead.contains(nextNode)) {
@@ -217,6 +239,7 @@
                 }
                 judge.asked(time.now(), next.id, ask.job().workload(), node.number, next.patience());
                 node.take(next);
+                next.node = node.number;
                 time.after(next.patience().plus(day.answerGrace).plusMillis(5), () ->
                         answered(next, Outcome.NOTHING, null, null));
             });
@@ -227,6 +250,9 @@
                 return;
             }
             current = null;
+            if (which.node >= 0) {
+                spread.ended(which.node, ask.job().workload().importance, outcome == Outcome.SHED);
+            }
             Duration wait = persistence.next(ask.job().workload(), tries,
                     outcome == Outcome.UNREACHABLE ? Final.SHED : outcome.how, pause,
                     time.now(), ask.at());
@@ -261,6 +287,7 @@
         final Customer customer;
         final String id;
         final int number;
+        int node = -1;
 
         Try(Customer customer, int number) {
             this.customer = customer;
