--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -133,11 +133,18 @@
     private boolean crowdedOut(Duration now, Assignment a, Row row) {
         Workload w = a.workload;
         double earns = w.importance * (orders.importanceByWork ? 1 : 1 / unit(row));
-        levels.offered(now, row.kind, size(a), earns, secs(w.promised) + (w.stretch - 1) * row.usual, row.ended);
+        double slack = secs(w.promised) + (w.stretch - 1) * row.usual;
+        levels.offered(now, row.kind, size(a), earns, slack, row.ended);
         return levels.turnsAway(now, row.kind, a.luck);
     }
 
-    /** When what is shed in an overload may come back: spread over the time in which it can still be served. */
+    private void judged(Duration now, Assignment a, boolean missed) {
+        if (levels != null) {
+            levels.judged(now, rows.get(a.workload).kind, missed);
+        }
+    }
+
+    /** When what is shed may come back: spread over the time in which it can still be served. */
     private Duration soon(Assignment a) {
         return ofSecs(aim(a) * a.luck / 4);
     }
@@ -454,6 +461,7 @@
         } else if (mayShed(a)) {  // guards against an overload in which all end late
             preview.taking(now, a, r);
             if (late(now, a, r, load)) {
+                judged(now, a, true);
                 answer(a, levels == null ? ofSecs(load * waitPerLoad(r)) : soon(a));
                 return;
             }
@@ -466,7 +474,8 @@
     boolean late(Duration now, Assignment a, Runner r, double load) {
         double wait = (load + toll(now, a, r)) * waitPerLoad(r);
         double slack = slack(now, a, r);
-        double bears = levels == null ? slack : levels.bears(rows.get(a.workload).kind, slack, orders.repeatsMarked);
+        double bears = levels == null ? slack
+                : levels.bears(rows.get(a.workload).kind, slack, orders.repeatsMarked);
         return a.workload.lateImportance == 0 && secs(elapsed(now, a)) + wait > bears
                 || secs(orders.endsAt.minus(now)) < wait + pace(now, r) * size(a);  // we end before it
     }
@@ -586,6 +595,7 @@
                     workDone.add(now, d.work, memory);
                 }
                 d.runner.fulfilled(a.workload);
+                judged(now, a, secs(now.minus(a.arrivedAt)) > aim(a));
                 mark(now, d.runner, false);
             }
             case TURNED_AWAY -> d.runner.turnedAway(now, d, spell);
--- a/core/src/main/java/saltdale/model/Relief.java
+++ b/core/src/main/java/saltdale/model/Relief.java
@@ -10,10 +10,11 @@
  * @param high likewise, from which none is let in that earns less
  * @param borne the part of its slack that a try's wait may take where later tries are not marked as such: what is left
  *     stands for what its client's earlier tries took
+ * @param missed the part of the dearer work that must lately have missed its promise before more is turned away
  * @param step the least time between two changes of the level
  * @param known so many assignments of a workload must have ended before it is weighed against others
  */
-public record Relief(double low, double high, double borne, Duration step, int known) {
+public record Relief(double low, double high, double borne, double missed, Duration step, int known) {
     /** Measured in {@code docs/overload.md}. */
-    public static final Relief USUAL = new Relief(0.2, 0.5, 0.5, Duration.ofMillis(100), 8);
+    public static final Relief USUAL = new Relief(0.2, 0.5, 0.5, 0.05, Duration.ofMillis(100), 8);
 }
--- a/core/src/main/java/saltdale/overload/Levels.java
+++ b/core/src/main/java/saltdale/overload/Levels.java
@@ -27,6 +27,8 @@
         private double earns = Double.POSITIVE_INFINITY;  // importance for a second of work
         private double slack;  // seconds that it can wait
         private boolean dear = true;
+        private final Fading judged = new Fading();  // how many of it were let in and came to an end
+        private final Fading missed = new Fading();  // how many of those not in time
 
         /** Until so many of it have ended, nobody knows what it earns: it is then held to be the dearest. */
         private boolean isUnknown() {
@@ -64,6 +66,12 @@
         kind.slack = slack;
     }
 
+    /** One that was let in has come to its end, or is shed because it would be late. */
+    public void judged(Duration now, Kind kind, boolean missed) {
+        kind.judged.add(now, 1, memory);
+        kind.missed.add(now, missed ? 1 : 0, memory);
+    }
+
     /** The wait that was found of late over all runners probed, in seconds. */
     public void waits(Duration now, double seconds) {
         wait = seconds;
@@ -78,12 +86,16 @@
         double borne = 0;
         double below = 0;
         double all = 0;
+        double judged = 0;
+        double missed = 0;
         for (Kind each : kinds) {
             double work = each.offered.at(now, memory);
             if (isDear(each, dearest)) {
                 double weight = each.isUnknown() || dearest == Double.POSITIVE_INFINITY ? work : work * each.earns;
                 worth += weight;
                 borne += weight * each.slack;
+                judged += each.judged.at(now, memory);
+                missed += each.missed.at(now, memory);
             } else {
                 all += work;
                 below += each.earns < kind.earns ? work : each == kind ? luck * work : 0;
@@ -91,7 +103,7 @@
         }
         bearable = worth == 0 ? 0 : borne / worth;
         kind.dear = isDear(kind, dearest);
-        move(now, all > 0);
+        move(now, all > 0, missed > relief.missed() * judged);
         boolean away = !kind.dear && below * MOST < level * all;
         turnedAway += away ? 1 : 0;
         return away;
@@ -103,16 +115,17 @@
 
     /**
      * Towards what the wait asks for: by bounded steps, and down only once that lies two steps lower, so that a wait that
-     * hovers changes nothing. What was found fades where nothing is probed any more, or no one would ever be let in.
+     * hovers changes nothing; up only while dearer work misses its promise, or waits that all can bear would turn work
+     * away. What was found fades where nothing is probed any more, or no one would ever be let in.
      */
-    private void move(Duration now, boolean some) {
+    private void move(Duration now, boolean some, boolean needed) {
         if (now.compareTo(changedAt.plus(relief.step())) < 0) {
             return;
         }
         double found = bearable <= 0 ? 0 : wait * Math.exp(-Spans.secs(now.minus(waitAt)) / bearable);
         double part = bearable <= 0 || !some ? 0 : found / bearable;
         double asked = MOST * Math.max(0, Math.min(1, (part - relief.low()) / (relief.high() - relief.low())));
-        int next = asked > level + 0.5 ? Math.min(level + MOST_UP, (int) Math.round(asked))
+        int next = asked > level + 0.5 ? needed ? Math.min(level + MOST_UP, (int) Math.round(asked)) : level
                 : asked <= level - 2 || asked == 0 ? Math.max(0, level - 1) : level;
         if (next != level) {
             reason = String.format(Locale.ROOT, "level %d to %d: a wait of %.3f s, the dearer work can bear %.3f s",
--- a/core/src/test/java/saltdale/overload/LevelsTest.java
+++ b/core/src/test/java/saltdale/overload/LevelsTest.java
@@ -11,10 +11,12 @@
 
 /** The dear work earns 5 for a second and can bear 1 s, the cheap one earns 3 and can bear 4 s. */
 class LevelsTest {
-    private final Levels levels = new Levels(new Relief(0.2, 0.5, 0.5, Duration.ofMillis(100), 8), Duration.ofSeconds(5));
+    private final Levels levels = new Levels(new Relief(0.2, 0.5, 0.5, 0.05, Duration.ofMillis(100), 8), Duration.ofSeconds(5));
     private final Levels.Kind dear = levels.add();
     private final Levels.Kind cheap = levels.add();
 
+    private boolean missing = true;
+
     private static Duration ms(long ms) {
         return Duration.ofMillis(ms);
     }
@@ -22,6 +24,7 @@
     /** Both arrive, with this wait found; whether the cheap one, of this luck, is turned away. */
     private boolean away(long at, double wait, double luck, double ended) {
         levels.waits(ms(at), wait);
+        levels.judged(ms(at), dear, missing);
         levels.offered(ms(at), dear, 0.2, 5, 1, ended);
         levels.offered(ms(at), cheap, 1.2, 3, 4, ended);
         assertFalse(levels.turnsAway(ms(at), dear, 0), "the dearest is never turned away");
@@ -81,6 +84,14 @@
         assertEquals(0, levels.level());
     }
 
+    @Test
+    void itDoesNotRiseWhileTheDearWorkIsInTime() {
+        missing = false;
+        assertEquals(0, after(9, 20, 1000), "guards against turning away what would have been in time as well");
+        missing = true;
+        assertEquals(10, after(9, 5, 3000));
+    }
+
     @Test
     void whatWasFoundFadesWhereNothingIsProbed() {
         after(1, 5, 1000);
--- a/daemon/src/main/java/saltdale/program/Posting.java
+++ b/daemon/src/main/java/saltdale/program/Posting.java
@@ -67,9 +67,9 @@
     /** How an overload is met, where the file has a table for it, be it an empty one. */
     private static Relief relief(Fields table) {
         Relief usual = Relief.USUAL;
-        table.only("low", "high", "borne", "step", "known");
+        table.only("low", "high", "borne", "missed", "step", "known");
         Relief relief = new Relief(table.least("low", usual.low(), 0), table.least("high", usual.high(), 0),
-                table.least("borne", usual.borne(), 0), table.span("step", usual.step()),
+                table.least("borne", usual.borne(), 0), table.least("missed", usual.missed(), 0), table.span("step", usual.step()),
                 (int) table.least("known", usual.known(), 1));
         if (relief.high() <= relief.low()) {
             throw table.wrong("high", "over low");
--- a/daemon/src/test/java/saltdale/program/PostingTest.java
+++ b/daemon/src/test/java/saltdale/program/PostingTest.java
@@ -64,7 +64,7 @@
         String on = CONFIG.replace("\"settings\"", "\"overload\":{%s},\"settings\"");
         assertEquals(Relief.USUAL, Posting.read(with(on.formatted(""))).orders.relief);
         assertEquals(Duration.ofMillis(250), Posting.read(with(on.formatted("\"step\":250000"))).orders.relief.step());
-        assertEquals("EDGE_CONFIG.overload: hihg is not a key that is known here; known: low, high, borne, step, known",
+        assertEquals("EDGE_CONFIG.overload: hihg is not a key that is known here; known: low, high, borne, missed, step, known",
                 complaint(with(on.formatted("\"hihg\":1"))).strip().replaceFirst("^saltdale: ", ""));
         assertTrue(complaint(with(on.formatted("\"low\":0.5"))).contains("EDGE_CONFIG.overload: high is not over low"));
         assertTrue(complaint(with(on.formatted("\"borne\":2"))).contains("borne is not over 0 and at most 1"));
--- a/rig/src/main/java/saltdale/rig/experiment/Crew.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Crew.java
@@ -334,7 +334,7 @@
         root.putObject("limits").put("sockets", 4096).put("memory_mb", 192).put("cores", 1.0);
         if (o.relief != null) {
             root.putObject("overload").put("low", o.relief.low()).put("high", o.relief.high())
-                    .put("borne", o.relief.borne()).put("step", us(o.relief.step())).put("known", o.relief.known());
+                    .put("borne", o.relief.borne()).put("missed", o.relief.missed()).put("step", us(o.relief.step())).put("known", o.relief.known());
         }
         ObjectNode settings = root.putObject("settings");
         settings.put("Index", i).put("NInstances", o.dispatchers).put("Locality", o.zone)
--- a/rig/src/main/java/saltdale/rig/experiment/Experiment.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Experiment.java
@@ -207,6 +207,10 @@
                 List<Outcome> its = outcomes.stream().filter(o ->
                         o.version().equals(version.name())).toList();
                 all.put(version.name() + "." + figure, mean(its, figure));
+                all.put("least." + version.name() + "." + figure, its.stream().mapToDouble(o -> at(o, figure)).min()
+                        .orElse(0));
+                all.put("most." + version.name() + "." + figure, its.stream().mapToDouble(o -> at(o, figure)).max()
+                        .orElse(0));
                 if (points.size() > 1) {
                     points.forEach(point -> all.put(version.name() + "." + figure + point.suffix(), mean(its.stream()
                             .filter(o -> o.point().equals(point.name)).toList(), figure)));
--- a/rig/src/main/java/saltdale/rig/plan/Day.java
+++ b/rig/src/main/java/saltdale/rig/plan/Day.java
@@ -166,7 +166,7 @@
     private static Relief relief(Sheet sheet) {
         Relief usual = Relief.USUAL;
         Relief relief = new Relief(sheet.number("low", usual.low(), 0, 10), sheet.number("high", usual.high(), 0, 10),
-                sheet.number("borne", usual.borne(), 0.01, 1), sheet.span("step", usual.step()),
+                sheet.number("borne", usual.borne(), 0.01, 1), sheet.number("missed", usual.missed(), 0, 1), sheet.span("step", usual.step()),
                 sheet.whole("known", usual.known(), 1, 1_000_000));
         if (relief.high() <= relief.low()) {
             throw sheet.wrong("high", "over low");
