--- a/rig/src/main/java/saltdale/rig/experiment/Run.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Run.java
@@ -61,6 +61,8 @@
                 judge.dispatches());
         figures.put("events", (double) sim.events());
         figures.put("probes_per_request", sim.probes() / (double) Math.max(1, judge.asked()));
+        figures.put("probe_share", sim.probes() * (day.probeCost.toNanos() / 1e9)
+                / (day.capacity() * day.length.toNanos() / 1e9));
         figures.putAll(Overloads.figures(day, sim.tally(), sim.spread()));
         return new Outcome(version, point, repeat, figures, judge.breaches(), null, sim.tally(),
                 sim.fleet().watch());
--- a/rig/src/main/java/saltdale/rig/plan/Day.java
+++ b/rig/src/main/java/saltdale/rig/plan/Day.java
@@ -31,6 +31,8 @@
     /** How long the list takes to tell of a change: of a drain or a start, and of a process that died. */
     public final Duration notice;
     public final Duration silentNotice;
+    /** What a probe costs its runner: counted, not charged. */
+    public final Duration probeCost;
     public final boolean mustSubscribe;
     public final Traffic traffic;
     public final List<Trouble> troubles = new ArrayList<>();
@@ -64,6 +66,8 @@
         notice = net.span("notice", Duration.ofMillis(200));
         silentNotice = net.span("silent_notice", Duration.ofSeconds(3));
 
+        probeCost = net.span("probe_cost", Duration.ofNanos(300_000));
+
         Sheet told = sheet.part("orders");
         orders = new StandingOrders();
         orders.dispatchers = dispatchers;
--- a/rig/src/main/java/saltdale/rig/simulate/ModuleMind.java
+++ b/rig/src/main/java/saltdale/rig/simulate/ModuleMind.java
@@ -21,6 +21,10 @@
         module = new Dispatcher(orders, door, chance);
     }
 
+    Dispatcher module() {
+        return module;
+    }
+
     @Override
     public void began(Duration now) {
         module.began(now);
--- a/rig/src/test/java/saltdale/rig/simulate/SimulationTest.java
+++ b/rig/src/test/java/saltdale/rig/simulate/SimulationTest.java
@@ -36,6 +36,13 @@
         return ROUGH + "[[trouble]]\nkind = \"" + kind + "\"\nat = \"2s\"\nlength = \"2s\"\n" + more;
     }
 
+    @Test
+    void whoIsWrongInAnOverloadIsCaughtByTheLawThatItBreaks() {
+        for (OverloadProof.Case each : OverloadProof.run()) {
+            assertTrue(each.asExpected(), each.toString());
+        }
+    }
+
     @Test
     void inTheCalmLevelsChangeNothingAndInAnOverloadTheyServeMore() {
         String day = """
--- a/tools/src/main/java/saltdale/tools/Prove.java
+++ b/tools/src/main/java/saltdale/tools/Prove.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import saltdale.rig.simulate.OverloadProof;
 import saltdale.rig.simulate.Proof;
 
 @Command(name = "prove", mixinStandardHelpOptions = true,
@@ -18,6 +19,12 @@
                             ' '),
                     each.first());
         }
-        return cases.stream().allMatch(Proof.Case::asExpected) ? 0 : 1;
+        List<OverloadProof.Case> overloads = OverloadProof.run();
+        for (OverloadProof.Case each : overloads) {
+            System.out.printf("%-6s %-26s %s%n", each.asExpected() ? "ok" : "WRONG", each.name(), each.broken().isEmpty()
+                    ? "keeps all laws of an overload" : each.broken());
+        }
+        return cases.stream().allMatch(Proof.Case::asExpected)
+                && overloads.stream().allMatch(OverloadProof.Case::asExpected) ? 0 : 1;
     }
 }
