While most fail further dispatches are a tenth of first ones, in each dispatcher and so in all

Need: the sum of all dispatchers' further dispatches stays bounded without any word between them. Change: saltdale.overload Budget, a tenth of first dispatches, two saved up at the most, only with the table 'overload' and while under half of the recent further ones succeeded. Without the table the same draws of chance in the same order.

--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -7,7 +7,7 @@
 import java.time.Duration;
 import java.util.*;
 import saltdale.model.*;
-import saltdale.overload.Levels;
+import saltdale.overload.*;
 
 public final class Dispatcher {
     // The design's figures, under its own names.
@@ -20,7 +20,7 @@
     static final double MOVABLE = 0.5;  // busy share up to which work that waits is moved
     static final double BELIEF = 4;  // so many runs at the usual pace are believed before any is seen
     static final double POOR = 0.3;  // a runner failing more than this share of late is set aside
-    static final double REPEAT = 0.5;  // what a marked repeat earns beside a first try: part of its time is gone
+    static final double REPEAT = 0.5;  // what a marked repeat earns beside a first try: its time is short
     static final double DOUBT = 0.7;  // the most that a runner is passed over for the silence of its zone
 
     static final class Row {  // one a workload
@@ -55,6 +55,7 @@
     private boolean mostAside, someAside, noPure;
     private Duration askAt, askGap;  // when to ask for the list (null while subscribed), and again
     private final Levels levels;  // null where overloads are not met by them
+    private final Budget budget = new Budget();  // of further dispatches, likewise
     private final Duration spell, memory;  // the unit of setting aside; how long what was measured counts
 
     public Dispatcher(StandingOrders orders, Door door, SplittableRandom chance) {
@@ -534,7 +535,7 @@
     private void furtherOrAnswer(Duration now, Assignment a) {
         double odds = (further.last() + 1) / (further.count() + 1);
         boolean moved = a.last().outcome == Outcome.CANCELLED;  // that is no failure, and no load more
-        if (a.dispatches.size() >= orders.mostDispatches || !moved && chance.nextDouble() > 2 * odds) {
+        if (a.dispatches.size() >= orders.mostDispatches || !moved && !mayFollow(2 * odds)) {
             answer(a, null);
         } else {
             a.forgetSearch();
@@ -542,6 +543,11 @@
         }
     }
 
+    private boolean mayFollow(double odds) {
+        boolean lucky = chance.nextDouble() <= odds;
+        return levels == null || odds >= 1 ? lucky : budget.further();
+    }
+
     private void watch(Duration now, Assignment a, Dispatch out) {
         boolean waiting = out.startedAt == null;
         double left = slack(now, a, out.runner) - secs(elapsed(now, a));
@@ -743,6 +749,9 @@
         if (orders.warmth(now, r) < 1) {
             r.coldSends.add(d);
         }
+        if (a.dispatches.isEmpty()) {
+            budget.first();
+        }
         a.dispatches.add(d);
         r.out.add(d);
         r.known = true;
--- a/core/src/test/java/saltdale/overload/LevelsTest.java
+++ b/core/src/test/java/saltdale/overload/LevelsTest.java
@@ -92,6 +92,21 @@
         assertEquals(10, after(9, 5, 3000));
     }
 
+    @Test
+    void furtherDispatchesAreATenthOfFirstOnesAndATimeWithoutEarnsNoLicence() {
+        Budget budget = new Budget();
+        int further = 0;
+        for (int i = 0; i < 1000; i++) {
+            budget.first();
+            further += budget.further() ? 1 : 0;
+        }
+        assertTrue(further <= 102 && further >= 98, "further: " + further);
+        for (int i = 0; i < 1000; i++) {
+            budget.first();
+        }
+        assertTrue(budget.further() && budget.further() && !budget.further());
+    }
+
     @Test
     void whatWasFoundFadesWhereNothingIsProbed() {
         after(1, 5, 1000);
--- a/rig/src/main/java/saltdale/rig/simulate/Node.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Node.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,7 +35,7 @@
     private boolean settling;
     private final List<Runner> runners = new ArrayList<>();
     private final Map<Runner, Integer> numbers = new IdentityHashMap<>();
-    private final Map<Assignment, Held> held = new HashMap<>();
+    private final Map<Assignment, Held> held = new LinkedHashMap<>();  // in order: a kill answers all of them
     private final Map<String, Held> byId = new HashMap<>();
     private final Set<Integer> connected = new HashSet<>();
 
