Test: what came while the process stood still is taken before any timer or decision

Need: the mend of our own standstill had only tests with whole processes. One turn of the loop after 300 ms of nothing: bytes, the peer's end, the timer, the decision, in this order, and the length of the standstill.

--- a/daemon/src/main/java/saltdale/program/Posting.java
+++ b/daemon/src/main/java/saltdale/program/Posting.java
@@ -69,8 +69,8 @@
         Relief usual = Relief.USUAL;
         table.only("low", "high", "borne", "missed", "step", "known");
         Relief relief = new Relief(table.least("low", usual.low(), 0), table.least("high", usual.high(), 0),
-                table.least("borne", usual.borne(), 0), table.least("missed", usual.missed(), 0), table.span("step", usual.step()),
-                (int) table.least("known", usual.known(), 1));
+                table.least("borne", usual.borne(), 0), table.least("missed", usual.missed(), 0),
+                table.span("step", usual.step()), (int) table.least("known", usual.known(), 1));
         if (relief.high() <= relief.low()) {
             throw table.wrong("high", "over low");
         } else if (relief.borne() == 0 || relief.borne() > 1) {
--- a/net/src/test/java/saltdale/transport/TransportTest.java
+++ b/net/src/test/java/saltdale/transport/TransportTest.java
@@ -85,6 +85,27 @@
         return ByteBuffer.allocate(count);
     }
 
+    // A standstill of our own.
+
+    @Test
+    void whatCameWhileTheProcessStoodStillIsTakenBeforeAnyTimerOrDecision() throws IOException {
+        pool(LONG).take(owner);
+        until(() -> events.contains("opened"));
+        try (SocketChannel peer = server.accept()) {
+            loop.after(Duration.ofMillis(20), () -> events.add("timer"));
+            peer.write(bytes(10));
+        }
+        for (long from = System.nanoTime(); System.nanoTime() - from < 300_000_000;) {
+            Thread.onSpinWait();  // as a process does that is stopped: nothing of its own
+        }
+        events.clear();
+        loop.turn(() -> events.add("decided"));
+        assertEquals(List.of("received", "ended", "timer", "decided"), events);
+        assertTrue(loop.stood().toMillis() >= 300, "stood: " + loop.stood());
+        loop.turn(() -> { });
+        assertEquals(Duration.ZERO, loop.stood());
+    }
+
     // How far a message had come.
 
     @Test
