--- a/rig/src/main/java/saltdale/rig/plan/Trouble.java
+++ b/rig/src/main/java/saltdale/rig/plan/Trouble.java
@@ -90,6 +90,16 @@
             this.most = most;
             this.extra = extra;
         }
+
+        /** Whether it befalls dispatchers' processes. */
+        boolean isOfProcesses() {
+            return this == DISPATCHER_KILL || compareTo(DISPATCHER_STOP) >= 0 && compareTo(DISPATCHER_RESTART) <= 0;
+        }
+
+        /** Whether it befalls ways between dispatchers and runners, or the list. */
+        boolean isOfWays() {
+            return compareTo(WAY_RESET) >= 0;
+        }
     }
 
     public Duration end() {
@@ -101,15 +111,12 @@
         return kind.compareTo(Kind.CUT_ANSWERS) >= 0 && kind.compareTo(Kind.NO_NEWS) <= 0;
     }
 
-    /** Whether it befalls dispatchers' processes. */
     public boolean onProcess() {
-        return kind == Kind.DISPATCHER_KILL
-                || kind.compareTo(Kind.DISPATCHER_STOP) >= 0 && kind.compareTo(Kind.DISPATCHER_RESTART) <= 0;
+        return kind.isOfProcesses();
     }
 
-    /** Whether it befalls ways between dispatchers and runners, or the list. */
     public boolean onWay() {
-        return kind.compareTo(Kind.WAY_RESET) >= 0;
+        return kind.isOfWays();
     }
 
     /** Whether it can be played only where there are processes and sockets. */
@@ -125,10 +132,8 @@
     static Trouble read(Sheet sheet, int fleet, int dispatchers, List<String> zones, SplittableRandom chance) {
         sheet.required("kind");
         Kind kind = sheet.word("kind", Kind.SLOW);
-        boolean way = kind.compareTo(Kind.WAY_RESET) >= 0;
-        boolean process = kind == Kind.DISPATCHER_KILL
-                || kind.compareTo(Kind.DISPATCHER_STOP) >= 0 && !way;
-        int most = process ? dispatchers : fleet;
+        boolean way = kind.isOfWays();
+        int most = kind.isOfProcesses() ? dispatchers : fleet;
         List<Integer> runners = sheet.wholes("runners");
         for (int each : runners) {
             if (each >= most) {
