Report: the overload's table and its plot of worth in time by load

Now a table beside what could be had and one plot by version and load stand first; plots of their own have the first six runs.

--- a/rig/src/main/java/saltdale/rig/report/Report.java
+++ b/rig/src/main/java/saltdale/rig/report/Report.java
@@ -5,8 +5,13 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.knowm.xchart.VectorGraphicsEncoder;
 import org.knowm.xchart.VectorGraphicsEncoder.VectorGraphicsFormat;
 import org.knowm.xchart.XYChart;
@@ -18,6 +23,9 @@
 /** One page of HTML with its plots inside, to be opened without a network. */
 public final class Report {
     private static final int MOST_RUNNERS = 12;  // drawn one by one
+    private static final int MOST_DRAWN = 6;  // runs with plots of their own: a sweep's page would not open
+    private static final double NEARLY_ALL = 0.99;
+    private static final Pattern LOAD = Pattern.compile("load\\.utilisation=([0-9.]+)");
 
     private Report() {
     }
@@ -32,11 +40,16 @@
                         + "td:first-child,th:first-child{text-align:left}.bad{color:#b00}svg{max-width:100%;"
                         + "height:auto}</style></head><body><h1>").append(escape(name)).append("</h1>");
         table(page, results.path("runs"));
+        overload(page, results.path("runs"));
+        int drawn = 0;
         for (JsonNode run : results.path("runs")) {
-            if (run.path("repeat").asInt() == 0) {
+            if (run.path("repeat").asInt() == 0 && drawn++ < MOST_DRAWN) {
                 run(page, run);
             }
         }
+        if (drawn > MOST_DRAWN) {
+            page.append("<p>").append(drawn - MOST_DRAWN).append(" more runs stand in results.json.</p>");
+        }
         return page.append("</body></html>\n").toString();
     }
 
@@ -61,6 +74,54 @@
         page.append("</table>");
     }
 
+    /** Where more was asked for than could be had, or a peak was played: what that did. */
+    private static void overload(StringBuilder page, JsonNode runs) throws IOException {
+        boolean any = false;
+        Map<String, Map<Double, List<Double>>> byLoad = new LinkedHashMap<>();  // worth in time, by version and load
+        for (JsonNode run : runs) {
+            JsonNode f = run.path("figures");
+            any |= f.path("could_be_had").asDouble(1) < NEARLY_ALL || f.has("in_peak");
+            Matcher load = LOAD.matcher(run.path("point").asText());
+            if (load.find()) {
+                double times = Double.parseDouble(load.group(1));
+                byLoad.computeIfAbsent(run.path("version").asText(), k -> new TreeMap<>())
+                        .computeIfAbsent(times, k -> new ArrayList<>()).add(f.path("service").asDouble());
+                byLoad.computeIfAbsent("could be had", k -> new TreeMap<>())
+                        .computeIfAbsent(times, k -> new ArrayList<>()).add(f.path("could_be_had").asDouble());
+            }
+        }
+        if (!any) {
+            return;
+        }
+        page.append("<h2>Overload</h2><table><tr><th>run</th><th>service</th><th>could be had</th><th>of it</th>"
+                + "<th>spread of shed worth</th><th>dispatches a request</th><th>probes' share</th><th>before the peak"
+                + "</th><th>in it</th><th>after 5 s</th><th>back after s</th></tr>");
+        for (JsonNode run : runs) {
+            JsonNode f = run.path("figures");
+            page.append("<tr><td>").append(escape(title(run))).append("</td>");
+            for (String figure : List.of("service", "could_be_had", "of_could_be_had", "shed_spread",
+                    "dispatches_per_request", "probe_share", "before_peak", "in_peak", "after_5s", "back_after_s")) {
+                if (f.path(figure).isNumber()) {
+                    cell(page, figure.equals("probe_share") ? "%.4f" : "%.3f", f.path(figure).asDouble());
+                } else {
+                    page.append("<td></td>");
+                }
+            }
+            page.append("</tr>");
+        }
+        page.append("</table>");
+        if (!byLoad.isEmpty()) {
+            XYChart chart = chart("Worth in time by load", "load beside the fleet", "share of the worth asked for");
+            chart.getStyler().setYAxisMin(0.0);
+            chart.getStyler().setYAxisMax(1.0);
+            byLoad.forEach((name, points) -> chart.addSeries(name,
+                    points.keySet().stream().mapToDouble(x -> x).toArray(),
+                    points.values().stream().mapToDouble(all -> all.stream().mapToDouble(y -> y).average().orElse(0))
+                            .toArray()));
+            draw(page, chart);
+        }
+    }
+
     private static void cell(StringBuilder page, String format, double value) {
         page.append("<td>").append(String.format(Locale.ROOT, format, value)).append("</td>");
     }
