--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -138,7 +138,8 @@
         Row row = rows.get(w);
         double earns = w.importance * (orders.importanceByWork ? 1 : 1 / unit(row));
         double slack = secs(w.promised) + (w.stretch - 1) * row.usual;
-        levels.offered(now, kind(a), size(a), isRepeat(a) ? REPEAT * earns : earns, slack, row.ended);
+        double work = row.ended == 0 ? unit(row) : size(a);
+        levels.offered(now, kind(a), work, isRepeat(a) ? REPEAT * earns : earns, slack, row.ended);
         return levels.turnsAway(now, kind(a), a.luck);
     }
 
@@ -183,7 +184,9 @@
 
     /** The wait that a load of 1 brings: as seen, until then as slots and the mean size tell. */
     private double waitPerLoad(Runner r) {
-        return waitPerLoad > 0 || r.of.slots == 0 ? waitPerLoad : meanSize / r.of.slots;
+        double likely = waitPerLoad > 0 || r.of.slots == 0 ? waitPerLoad : meanSize / r.of.slots;
+        // Guards against a start in an overload: with no wait known nothing is ever late, and queues fill at once.
+        return likely == 0 && levels != null ? secs(spell) / 2 / Math.max(1, r.of.slots) : likely;
     }
 
     private void begun(Duration at, Dispatch d) {
--- a/core/src/main/java/saltdale/overload/Levels.java
+++ b/core/src/main/java/saltdale/overload/Levels.java
@@ -26,11 +26,15 @@
         private final Fading offered = new Fading();
         private double earns = Double.POSITIVE_INFINITY;  // importance for a second of work
         private double slack;  // seconds that it can wait
-        private boolean dear = true;
+        private boolean isDear = true;
         private final Fading judged = new Fading();  // how many of it were let in and came to an end
         private final Fading missed = new Fading();  // how many of those not in time
 
-        /** Until so many of it have ended, nobody knows what it earns: it is then held to be the dearest. */
+        /**
+         * Until so many of it have ended, nobody knows what it earns: it is then never turned away, and goes before what can
+         * wait longer, as that is likely larger; but it waits no longer than leaves dear work its place. Guards against a
+         * start in the midst of an overload: the first guesses would shed the dear, or fill all queues with the cheap.
+         */
         private boolean isUnknown() {
             return earns == Double.POSITIVE_INFINITY;
         }
@@ -80,18 +84,25 @@
 
     /** Whether it is to be turned away at its arrival; {@code luck} from 0 to 1 places it among its own. */
     public boolean turnsAway(Duration now, Kind kind, double luck) {
-        double dearest = kinds.stream().filter(k -> k.offered.at(now, memory) > 0).mapToDouble(k -> k.earns).max()
+        kinds.forEach(each -> each.isDear = each.offered.at(now, memory) > 0);
+        double dearest = kinds.stream().filter(k -> k.isDear && !k.isUnknown()).mapToDouble(k -> k.earns).max()
                 .orElse(0);
+        double unknown = kinds.stream().filter(k -> k.isDear && k.isUnknown()).mapToDouble(k -> k.slack).min()
+                .orElse(Double.POSITIVE_INFINITY);
+        kinds.forEach(each -> each.isDear &= each.isUnknown()
+                || each.earns * ALIKE >= dearest && each.slack <= unknown);
         double worth = 0;
         double borne = 0;
         double below = 0;
         double all = 0;
+        double least = Double.POSITIVE_INFINITY;
         double judged = 0;
         double missed = 0;
         for (Kind each : kinds) {
             double work = each.offered.at(now, memory);
-            if (isDear(each, dearest)) {
-                double weight = each.isUnknown() || dearest == Double.POSITIVE_INFINITY ? work : work * each.earns;
+            if (each.isDear) {
+                least = Math.min(least, each.slack);
+                double weight = work * Math.min(each.earns, dearest == 0 ? 1 : dearest);
                 worth += weight;
                 borne += weight * each.slack;
                 judged += each.judged.at(now, memory);
@@ -101,18 +112,14 @@
                 below += each.earns < kind.earns ? work : each == kind ? luck * work : 0;
             }
         }
-        bearable = worth == 0 ? 0 : borne / worth;
-        kind.dear = isDear(kind, dearest);
+        // While some work can't be weighed yet, it is the least that any dear work can wait.
+        bearable = worth == 0 ? 0 : unknown < Double.POSITIVE_INFINITY ? least : borne / worth;
         move(now, all > 0, missed > relief.missed() * judged);
-        boolean away = !kind.dear && below * MOST < level * all;
+        boolean away = !kind.isDear && below * MOST < level * all;
         turnedAway += away ? 1 : 0;
         return away;
     }
 
-    private static boolean isDear(Kind kind, double dearest) {
-        return kind.isUnknown() || dearest < Double.POSITIVE_INFINITY && kind.earns * ALIKE >= dearest;
-    }
-
     /**
      * Towards what the wait asks for: by bounded steps, and down only once that lies two steps lower, so that a wait that
      * hovers changes nothing; up only while dearer work misses its promise, or waits that all can bear would turn work
@@ -138,11 +145,12 @@
 
     /**
      * The wait that an assignment may meet where it is sent, of this slack: a part of it where nothing tells how many
-     * tries came before; for cheaper work in an overload no more than leaves the dearer its place behind it.
+     * tries came before; for cheaper work in an overload, and for what can't be weighed yet, no more than leaves the dear
+     * its place behind it.
      */
     public double bears(Kind kind, double slack, boolean marked) {
         double own = marked ? slack : relief.borne() * slack;
-        return level == 0 || kind.dear ? own : Math.min(own, relief.high() * bearable);
+        return bearable > 0 && (kind.isUnknown() || level > 0 && !kind.isDear) ? Math.min(own, relief.high() * bearable) : own;
     }
 
     public int level() {
