Placement and 'full' that proves nothing: settings, rule at every dispatch, judge and rig

Workloads[].ServedOn and ZonesOpen are read and checked (a name that MachineTypes or Zones does not tell: one line, exit status 2), kept in Workload.mayRunOn, asked in Dispatcher.sendable, by which every probe, dispatch, second look, move and trickle goes, and once more when a wish is carried out: so it can't come back by another way. Contract.LateShedding: Dispatch.unproven, which mayHaveRun tells; a turned-away effectful job is then given up at once. Without the settings nothing changes (tests).

Repeated under load with the same id, half cut from half: it is one of the first requests, sent in the clients' first turn, whose limits were set by the turn's time, as long before as that cold turn took (over 100 ms), 110 ms after patience; the dispatcher's answer came after the client had hung up. Limits now go by the clock; a client stays half a second longer, so that what is late is told as late with its figure; slack also counts how late the clients' own thread was. And a second one: 7 to 12 new connections closed with no answer at a restart under load, all within 0.2 s of the old process's end: it left while connections waited in the kernel.

--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -209,6 +209,7 @@
     public void ended(Duration now, Dispatch d, Outcome outcome, boolean over, LoadReport report) {
         Assignment a = d.assignment;
         d.outcome = outcome;
+        d.unproven = outcome == Outcome.TURNED_AWAY && orders.fullProvesNothing;
         d.runner.out.remove(d);
         d.runner.report = report == null ? d.runner.report : report;
         learn(now, d);
@@ -447,7 +448,7 @@
     }
 
     private boolean sendable(Duration now, Assignment a, Runner r) {
-        return r.ready() && (a.workload.kind == null || a.workload.kind.equals(r.kind))
+        return r.ready() && a.workload.mayRunOn(r)
                 && repeatable(now, a, r) && withinColdBudget(now, a, r);
     }
 
--- a/core/src/main/java/saltdale/model/Dispatch.java
+++ b/core/src/main/java/saltdale/model/Dispatch.java
@@ -17,6 +17,8 @@
     public Duration heardAt;
     /** Null while it is out. */
     public Outcome outcome;
+    /** It was turned away where that is no proof: such a runner may have begun it first. */
+    public boolean unproven;
     public boolean cancelWanted;
     public boolean cancelSent;
 
@@ -30,6 +32,6 @@
     }
 
     public boolean mayHaveRun() {
-        return outcome == null || !outcome.neverRan();
+        return outcome == null || unproven || !outcome.neverRan();
     }
 }
--- a/core/src/main/java/saltdale/model/StandingOrders.java
+++ b/core/src/main/java/saltdale/model/StandingOrders.java
@@ -47,6 +47,8 @@
     public Duration warmWithin = Duration.ZERO;
     public double tipMultiple = 1;
     public Duration fall = Duration.ZERO;
+    /** Whether a runner may turn away what it had begun, so that this proves nothing. */
+    public boolean fullProvesNothing;
 
     /** How an overload is met by what it turns away first; null where that is left as it is. */
     public Relief relief;
--- a/core/src/main/java/saltdale/model/Workload.java
+++ b/core/src/main/java/saltdale/model/Workload.java
@@ -1,6 +1,8 @@
 package saltdale.model;
 
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
 
 /** One kind of work, as the standing orders describe it. */
 public final class Workload {
@@ -23,8 +25,14 @@
     /** How long a group remembers a receipt. */
     public Duration window = Duration.ZERO;
     public boolean streamed;
-    /** The machine kind it needs; null for any. */
-    public String kind;
+    /** The only machine kinds and the only zones that it may run on; empty for any. */
+    public final Set<String> kinds = new HashSet<>();
+    public final Set<String> zones = new HashSet<>();
+
+    /** Whether it may run there at all: a rule at every dispatch, also while all that it names are down or full. */
+    public boolean mayRunOn(Runner runner) {
+        return (kinds.isEmpty() || kinds.contains(runner.kind)) && (zones.isEmpty() || zones.contains(runner.zone));
+    }
 
     /** Whether the one recognises a receipt that the other has seen. */
     public boolean sameGroup(Runner one, Runner other) {
--- a/core/src/main/java/saltdale/orders/Fields.java
+++ b/core/src/main/java/saltdale/orders/Fields.java
@@ -162,6 +162,19 @@
         return text(node.get(key), key, absent);
     }
 
+    /** The texts of an array; complains of one that is not among these, where there are any. */
+    public List<String> texts(String key, List<String> known) {
+        List<String> texts = new ArrayList<>();
+        for (JsonNode each : array(key)) {
+            String text = text(each, key + " entry", null);
+            if (text == null || !known.isEmpty() && !known.contains(text)) {
+                throw wrong(key, "a list of names" + (known.isEmpty() ? "" : " among " + String.join(", ", known)));
+            }
+            texts.add(text);
+        }
+        return texts;
+    }
+
     /** One of these words. */
     public String word(String key, String absent, List<String> words) {
         String word = text(key, absent);
--- a/core/src/main/java/saltdale/orders/OrdersReader.java
+++ b/core/src/main/java/saltdale/orders/OrdersReader.java
@@ -43,6 +43,7 @@
         orders.warmWithin = contract.span("WarmWithin", Duration.ZERO);
         orders.tipMultiple = contract.number("TipMultiple", 1);
         orders.fall = contract.span("Fall", Duration.ZERO);
+        orders.fullProvesNothing = contract.flag("LateShedding", false);
 
         orders.whole = options.object("Goal").least("Whole", 1, 0);
 
@@ -55,13 +56,23 @@
         orders.tellsStart = family.flag("TellsStart", false);
         orders.progressEvery = family.span("Progress", Duration.ZERO);
 
-        JsonNode kinds = options.array("MachineTypes");
+        List<String> kinds = options.texts("MachineTypes", List.of());
+        List<String> zones = options.texts("Zones", List.of());
         int i = 0;
         for (Fields row : options.rows("Workloads")) {
             Workload workload = workload(row);
             workload.stretch = row.number("AimStretch", element(family.array("ClassStretch"), i, 0));
             int kind = (int) element(family.array("ClassKind"), i, -1);
-            workload.kind = kind >= 0 && kind < kinds.size() ? kinds.get(kind).asText() : null;
+            workload.kinds.addAll(row.texts("ServedOn", kinds));
+            workload.zones.addAll(row.texts("ZonesOpen", zones));
+            if (kind >= 0 && kind < kinds.size()) {
+                String needed = kinds.get(kind);
+                if (!workload.kinds.isEmpty() && !workload.kinds.contains(needed)) {
+                    throw row.wrong("ServedOn", "a list with the kind that it needs, " + needed);
+                }
+                workload.kinds.clear();
+                workload.kinds.add(needed);
+            }
             orders.workloads.add(workload);
             i++;
         }
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -189,6 +189,36 @@
         assertFalse(dispatcher.mayShed(a));
     }
 
+    /** As reported on quiet at budapest-gyor-ut: at 0.2 s a first dispatch left the only zone that was open to it. */
+    @Test
+    void aBoundWorkloadGoesNowhereElseNotWhenAllThatItNamesAreGone() {
+        scene.workload.zones.add("there");
+        scene.workload.kinds.add("big");
+        scene.with(2);
+        scene.arrives(scene.assignment());
+        assertEquals(List.of(), scene.acts);
+        Runner open = new Runner();
+        scene.dispatcher.listed(Scene.at(1), List.of(new Sighting(open, "big", "there", 1, Runner.Mode.READY, 0, null),
+                new Sighting(new Runner(), "big", "here", 1, Runner.Mode.READY, 0, null),
+                new Sighting(new Runner(), "any", "there", 1, Runner.Mode.READY, 0, null)), false, false);
+        for (int i = 0; i < 8; i++) {
+            scene.arrives(scene.assignment());
+        }
+        assertEquals(List.of(open), scene.probes.stream().distinct().toList());
+    }
+
+    /** As reported on calm at tamebridge-main: a second dispatch followed 'full', where that is no proof. */
+    @Test
+    void fullProvesNothingWhereThatIsSaid() {
+        scene.orders.fullProvesNothing = true;
+        scene.workload.repeat = Workload.Repeat.EFFECTFUL;
+        scene.with(3);
+        Assignment a = scene.sentTo(scene.dispatcher.runners.get(0));
+        scene.dispatcher.ended(Scene.at(9), a.last(), Outcome.TURNED_AWAY, false, null);
+        scene.dispatcher.settle(Scene.at(9));
+        assertEquals(List.of("give up"), scene.acts);
+    }
+
     @Test
     void nothingGoesToARunnerThatBeganToDrainWhileItWasProbed() {
         Dispatcher dispatcher = scene.with(1);
--- a/daemon/src/main/java/saltdale/program/Serve.java
+++ b/daemon/src/main/java/saltdale/program/Serve.java
@@ -38,7 +38,8 @@
             if (posting.preview != null) {
                 router.preview(posting.preview);
             }
-            new Listener(loop, sockets, posting.listen, router::accepted);
+            Listener listener = new Listener(loop, sockets, posting.listen, router::accepted);
+            router.listening(listener::finish);
             for (String signal : new String[] {"TERM", "INT"}) {
                 Signal.handle(new Signal(signal), which -> loop.fromOutside(router::end));
             }
--- a/daemon/src/main/java/saltdale/routing/Ending.java
+++ b/daemon/src/main/java/saltdale/routing/Ending.java
@@ -23,6 +23,7 @@
     private boolean begun;
     private boolean quiet;  // no new connections come
     private boolean answering;
+    private Runnable listening = () -> { };  // ends it; done once
 
     Ending(Loop loop, Sockets sockets, StandingOrders orders) {
         this.loop = loop;
@@ -38,6 +39,7 @@
         loop.after(NEW_ONES_COME, () -> quiet = true);
         loop.after(left, () -> {
             answering = true;
+            loop.after(READ.dividedBy(2), this::listenNoMore);
             loop.after(READ, loop::stop);
         });
     }
@@ -60,7 +62,25 @@
             clients.stream().filter(Client::isIdle).toList().forEach(Client::drop);
         }
         if (quiet && nothingHeld && clients.isEmpty() && sockets.finishing() == 0) {
-            loop.stop();
+            listenNoMore();
+            if (clients.isEmpty()) {
+                loop.stop();
+            }
         }
     }
+
+    /**
+     * Takes in what has come and then refuses. Guards against clients whose new connections wait in the kernel when the
+     * process ends: those would be closed with no answer, and their clients not know whether anything has run.
+     */
+    private void listenNoMore() {
+        Runnable ends = listening;
+        listening = () -> { };
+        ends.run();
+    }
+
+    /** What ends the listening, all that has come by then taken in. */
+    void listening(Runnable end) {
+        listening = end;
+    }
 }
--- a/daemon/src/main/java/saltdale/routing/Router.java
+++ b/daemon/src/main/java/saltdale/routing/Router.java
@@ -72,6 +72,11 @@
         dispatcher = new Dispatcher(orders, this, chance);
     }
 
+    /** Where clients come in: what ends that, all that has come by then taken in. */
+    public void listening(Runnable end) {
+        ending.listening(end);
+    }
+
     /** Begins with the list as it was last known; null where there is none. */
     public void begin(HostList known) {
         dispatcher.began(loop.now());
--- a/daemon/src/test/java/saltdale/program/PostingTest.java
+++ b/daemon/src/test/java/saltdale/program/PostingTest.java
@@ -15,11 +15,13 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import saltdale.model.Relief;
+import saltdale.model.StandingOrders;
 import sun.misc.Signal;
 
 class PostingTest {
@@ -85,6 +87,26 @@
         assertTrue(complaint(with(previewing("{\"Workloads\":[]}"))).contains("Workloads"));
     }
 
+    @Test
+    void whereAWorkloadMayRunIsRead() throws IOException {
+        String settings = "\"Zones\":[\"a\",\"b\"],\"MachineTypes\":[\"big\",\"small\"],"
+                + "\"Contract\":{\"LateShedding\":true},\"Workloads\"";
+        String bound = CONFIG.replace("\"Workloads\"", settings)
+                .replace("\"pure\"", "\"pure\",\"ZonesOpen\":[\"a\"],\"ServedOn\":[\"big\"]");
+        StandingOrders orders = Posting.read(with(bound)).orders;
+        assertEquals(Set.of("a"), orders.workloads.get(0).zones);
+        assertEquals(Set.of("big"), orders.workloads.get(0).kinds);
+        assertTrue(orders.fullProvesNothing);
+        for (String[] wrong : new String[][] {{"[\"a\"],", "[\"c\"],", "ZonesOpen"}, {"[\"a\"],", "\"a\",", "ZonesOpen"},
+            {"[\"big\"]}", "[\"vast\"]}", "ServedOn"}, {"[\"big\"]}", "[1]}", "ServedOn"},
+            {"\"LateShedding\":true", "\"LateShedding\":2", "LateShedding"}}) {
+            assertTrue(complaint(with(bound.replace(wrong[0], wrong[1]))).contains(wrong[2]), wrong[1]);
+        }
+        StandingOrders without = Posting.read(with(CONFIG)).orders;
+        assertTrue(without.workloads.get(0).zones.isEmpty() && without.workloads.get(0).kinds.isEmpty()
+                && !without.fullProvesNothing);
+    }
+
     private static String previewing(String settings) {
         return CONFIG.replace("{\"seed\"", "{\"preview\":" + settings + ",\"seed\"");
     }
--- a/net/src/main/java/saltdale/transport/Listener.java
+++ b/net/src/main/java/saltdale/transport/Listener.java
@@ -92,6 +92,16 @@
         }
     }
 
+    /** Takes in all that has come, then listens no more. */
+    public void finish() {
+        try {
+            ready(key);
+            close();
+        } catch (IOException e) {
+            key.cancel();  // the process ends, and the kernel closes what it holds
+        }
+    }
+
     /** Listens no more; what was taken in stays open. */
     public void close() throws IOException {
         key.cancel();
--- a/rig/src/main/java/saltdale/rig/experiment/Crew.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Crew.java
@@ -345,7 +345,7 @@
                 .put("DialTimeout", us(o.connectTime)).put("IdleClose", us(day.idleClose));
         settings.putObject("Contract").put("ColdFrom", o.coldFrom).put("WarmWithin", us(o.warmWithin))
                 .put("TipMultiple", o.tipMultiple).put("Fall", us(o.fall)).put("DrainGrace",
-                        us(day.drainGrace));
+                        us(day.drainGrace)).put("LateShedding", o.fullProvesNothing);
         settings.putObject("Callers").put("MarksRetry", o.repeatsMarked);
         settings.putObject("Tariffs").put("CrossZone", o.crossZonePrice);
         ObjectNode family = settings.putObject("FamilyInfo").put("TellsStart", o.tellsStart)
@@ -356,9 +356,13 @@
         family.put("ReportX0", "free slots");
         ArrayNode kinds = settings.putArray("MachineTypes");
         day.makes.stream().map(Make::name).forEach(kinds::add);
+        day.zones.forEach(settings.putArray("Zones")::add);
         ArrayNode workloads = settings.putArray("Workloads");
         for (Workload w : o.workloads) {
-            workloads.addObject().put("Name", w.name).put("PromisedTime", us(w.promised))
+            ObjectNode row = workloads.addObject();
+            w.zones.forEach(row.withArray("/ZonesOpen")::add);
+            w.kinds.forEach(row.withArray("/ServedOn")::add);
+            row.put("Name", w.name).put("PromisedTime", us(w.promised))
                     .put("Patience", us(w.patience)).put("Importance", w.importance).put("AimStretch",
                             w.stretch)
                     .put("TardyImportance", w.lateImportance).put("Window", us(w.window))
--- a/rig/src/main/java/saltdale/rig/experiment/Run.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Run.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
+import saltdale.model.Spans;
 import saltdale.rig.fleet.Weather;
 import saltdale.rig.judge.Judge;
 import saltdale.rig.judge.Notes;
@@ -95,6 +96,8 @@
                 Generator generator = new Generator(clients, day, crew.addresses(), origin, notes, day.seed
                         + 3,
                         "n" + repeat, start);
+                runners.inside(runners::watchItself);
+                clients.inside(clients::watchItself);
                 runners.inside(() -> fleet.get().begin(start));
                 clients.inside(() -> generator.begin(shifted));
                 crew.countCpu();
@@ -114,7 +117,8 @@
                 boolean died = !crew.crashed().isEmpty();
                 Files.writeString(folder.resolve("counters.txt"), crew.get(0, "/counters"));
                 Thread.sleep(300);  // for what is still on its way to the stand-ins
-                Judge judge = new Judge(Terms.of(day, SLACK.plus(fleet.get().mostLate())), Duration.ofSeconds(5));
+                Duration late = Spans.most(runners.mostLate(), clients.mostLate());
+                Judge judge = new Judge(Terms.of(day, SLACK.plus(late)), Duration.ofSeconds(5));
                 clients.inside(generator::hangUp);
                 notes.tell(judge);
                 judge.end();
@@ -124,7 +128,7 @@
                 figures.putAll(Overloads.figures(day, generator.tally(), generator.spread()));
                 figures.put("cpu_us_per_job", cpu * 1e6 / Math.max(1, judge.asked()));
                 figures.put("memory_mb", memory);
-                figures.put("runners_late_most_ms", fleet.get().mostLate().toNanos() / 1e6);
+                figures.put("runners_late_most_ms", runners.mostLate().toNanos() / 1e6);
                 figures.put("generator_lag_p99_ms", generator.lag().getValueAtPercentile(99) / 1e3);
                 figures.put("generator_lag_max_ms", generator.lag().getMaxValue() / 1e3);
                 figures.put("runner_requests_per_job", fleet.get().requests() / (double) Math.max(1,
--- a/rig/src/main/java/saltdale/rig/fleet/RunnerModel.java
+++ b/rig/src/main/java/saltdale/rig/fleet/RunnerModel.java
@@ -21,8 +21,8 @@
     /** How a runner meets a job that is handed to it. */
     public enum Offer { TAKEN, FULL, DRAINING, ERROR, FELL }
 
-    /** How a job that was taken ends, unless it is taken back. */
-    public enum End { DONE, FAILED, RETURNED, LOST }
+    /** How a job that was taken ends, unless it is taken back; shed: done, and told as returned. */
+    public enum End { DONE, SHED, FAILED, RETURNED, LOST }
 
     /** Whom it tells what has come of the jobs that it took. */
     public interface Told {
@@ -161,7 +161,8 @@
         for (Work each : List.copyOf(running)) {
             if (each.left <= 1e-9) {
                 running.remove(each);
-                told.ended(time(), each, each.fails ? End.FAILED : End.DONE);
+                boolean shed = condition.lateSheds() > 0 && chance.nextDouble() < condition.lateSheds();
+                told.ended(time(), each, each.fails ? End.FAILED : shed ? End.SHED : End.DONE);
             } else if (each.tellAt <= now) {
                 each.tellAt = now + make.progressEvery().toNanos();
                 told.running(time(), each, Math.min(1, 1 - each.left / each.whole));
--- a/rig/src/main/java/saltdale/rig/fleet/Weather.java
+++ b/rig/src/main/java/saltdale/rig/fleet/Weather.java
@@ -143,16 +143,17 @@
         Condition good = Condition.GOOD;
         double size = t.size();
         return switch (t.kind()) {
-            case SLOW -> new Condition(size, false, 0, 0, 1, 0, 0, 1);
-            case STALL -> new Condition(1, true, 0, 0, 1, 0, 0, 1);
-            case ERRORS -> new Condition(1, false, size, 0, 1, 0, 0, 1);
-            case DEARER -> new Condition(1, false, 0, t.extra(), size, 0, 0, 1);
-            case LATE_REPORTS -> new Condition(1, false, 0, 0, 1, 0, size, 1);
-            case WRONG_REPORTS -> new Condition(1, false, 0, 0, 1, 0, 0, size);
+            case SLOW -> new Condition(size, false, 0, 0, 0, 1, 0, 0, 1);
+            case STALL -> new Condition(1, true, 0, 0, 0, 1, 0, 0, 1);
+            case ERRORS -> new Condition(1, false, size, 0, 0, 1, 0, 0, 1);
+            case LATE_SHED -> new Condition(1, false, 0, size, 0, 1, 0, 0, 1);
+            case DEARER -> new Condition(1, false, 0, 0, t.extra(), size, 0, 0, 1);
+            case LATE_REPORTS -> new Condition(1, false, 0, 0, 0, 1, 0, size, 1);
+            case WRONG_REPORTS -> new Condition(1, false, 0, 0, 0, 1, 0, 0, size);
             case NEIGHBOUR -> {
                 boolean taken = t.extra() == 0
                         || (long) (at.minus(t.at()).toNanos() / (t.extra() * 1e9)) % 2 == 0;
-                yield taken ? new Condition(1, false, 0, 0, 1, Math.min(0.99, size), 0, 1) : good;
+                yield taken ? new Condition(1, false, 0, 0, 0, 1, Math.min(0.99, size), 0, 1) : good;
             }
             default -> good;
         };
--- a/rig/src/main/java/saltdale/rig/judge/Judge.java
+++ b/rig/src/main/java/saltdale/rig/judge/Judge.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import saltdale.model.Workload;
 import saltdale.rig.fleet.ColdBudget;
 import saltdale.rig.plan.Make;
@@ -98,6 +99,7 @@
     private long answered;
     private long dispatches;
     private long turnedOff;
+    private final Map<String, Integer> turnedOffBy = new TreeMap<>();  // dispatcher and tenth of a second
     private Duration wentOn = Duration.ZERO;  // the last of those that were stopped
 
     /** {@code memory}: how long after its deadline something about a request may still come. */
@@ -300,6 +302,12 @@
         if (about == null) {
             return;  // asked at a moment that a client's clock gives later, or long over
         }
+        Workload w = about.workload;
+        if (!w.zones.isEmpty() && !w.zones.contains(terms.zones()[runner])
+                || !w.kinds.isEmpty() && !w.kinds.contains(terms.kinds()[runner])) {
+            breach(Breach.Kind.MISPLACED, at, id, "dispatched to runner " + runner + " of zone " + terms.zones()[runner]
+                    + " and kind " + terms.kinds()[runner] + ", where " + w.name + " may not run");
+        }
         Duration over = about.endedAt == null ? null : about.endedAt.plus(terms.slack());
         Duration last = about.deadline.plus(terms.answerGrace()).plus(terms.slack());
         if (!late && (over != null && firstByte.compareTo(over) > 0 || firstByte.compareTo(last) > 0)) {
@@ -384,7 +392,7 @@
     public void unstarted(Duration at, String id, int runner) {
         Seen seen = seen(id, runner);
         if (seen != null) {
-            seen.unstarted = true;
+            seen.unstarted = !terms.fullProvesNothing();
             seen.overAt = at;
         }
     }
@@ -471,13 +479,17 @@
             over(inOrder.poll());
         }
         if (turnedOff * MOST_TURNED_OFF > asked) {
-            breach(Breach.Kind.LOST, wentOn, turnedOff + " requests", "their new connections were closed with no answer");
+            breach(Breach.Kind.LOST, wentOn, turnedOff + " requests", "their new connections were closed with no answer: dispatcher "
+                    + turnedOffBy);
         }
     }
 
     private void over(Case each) {
         if (each.turnedOff) {
-            turnedOff += each.excused ? 0 : 1;
+            if (!each.excused) {
+                turnedOff++;
+                turnedOffBy.merge(each.dispatcher + " at " + each.endedAt.toMillis() / 100 / 10.0 + " s", 1, Integer::sum);
+            }
         } else if (!each.answered && !each.excused && !stopped.containsKey(each.dispatcher)
                 && (each.cut || each.endedAt == null)) {
             breach(Breach.Kind.LOST, each.cut ? each.endedAt : each.deadline, each.id, "dispatcher "
--- a/rig/src/main/java/saltdale/rig/load/Generator.java
+++ b/rig/src/main/java/saltdale/rig/load/Generator.java
@@ -29,6 +29,7 @@
  */
 public final class Generator {
     private static final Duration CONNECT_LIMIT = Duration.ofSeconds(1);
+    private static final Duration LATE_SEEN = Duration.ofMillis(500);  // so late an answer is seen, and judged as late
     private static final Duration IDLE_LIMIT = Duration.ofSeconds(20);
     private static final Duration FRONT_NOTICES = Duration.ofSeconds(1);
     // Beyond these the figures would be the generator's own.
@@ -95,6 +96,7 @@
         });
     }
 
+    /** The turn's time beside the clock: at most nothing. */
     private Duration drift() {
         return turner.loop.now().minus(turner.loop.clock());
     }
@@ -251,7 +253,8 @@
                     + StandInFleet.WORK + ": " + Math.max(1, Math.round(ask.size() * 1e6))
                     + "\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII)));
             if (!again) {
-                limit = turner.loop.after(patience.plus(day.answerGrace).plusMillis(60), () -> {
+                // By the clock, not the turn's time: a first turn is long, and its limits would come before they are due.
+                limit = turner.loop.after(patience.plus(day.answerGrace).plus(LATE_SEEN).minus(drift()), () -> {
                     drop();
                     end(null, null, false);
                 });
--- a/rig/src/main/java/saltdale/rig/plan/Day.java
+++ b/rig/src/main/java/saltdale/rig/plan/Day.java
@@ -92,6 +92,7 @@
                 makes.stream().map(Make::warmWithin).max(Duration::compareTo).orElse(Duration.ZERO);
         orders.tipMultiple = told.number("tip_multiple", 2.5, 1, 1000);
         orders.fall = told.span("fall", Duration.ofSeconds(2));
+        orders.fullProvesNothing = told.flag("full_proves_nothing", false);
         orders.crossZonePrice = told.number("cross_zone_price", 0, 0, 10);
         orders.relief = sheet.has("overload") ? relief(sheet.part("overload")) : null;
         drainGrace = told.span("drain_grace", Duration.ofMillis(500));
@@ -112,6 +113,9 @@
         SplittableRandom chance = new SplittableRandom(seed * 31 + 7);
         for (Sheet row : sheet.rows("trouble")) {
             Trouble next = Trouble.read(row, runners, dispatchers, zones, chance);
+            if (next.kind() == Trouble.Kind.LATE_SHED && !orders.fullProvesNothing) {
+                throw row.wrong("kind", "possible: orders.full_proves_nothing is not true");
+            }
             for (Trouble other : troubles) {
                 if (next.onProcess() && other.onProcess() && next.at().compareTo(other.end()) <= 0
                         && other.at().compareTo(next.end()) <= 0
@@ -162,6 +166,7 @@
         one.warmWithin = orders.warmWithin;
         one.tipMultiple = orders.tipMultiple;
         one.fall = orders.fall;
+        one.fullProvesNothing = orders.fullProvesNothing;
         one.crossZonePrice = orders.crossZonePrice;
         one.relief = orders.relief;
         one.repeatsMarked = orders.repeatsMarked;
@@ -180,7 +185,7 @@
         return relief;
     }
 
-    private static Job job(Sheet row) {
+    private Job job(Sheet row) {
         Workload w = new Workload();
         w.name = row.required("name");
         if (!w.name.matches("[A-Za-z0-9._~-]+")) {
@@ -193,9 +198,19 @@
         w.repeat = row.word("repeat", Workload.Repeat.PURE);
         w.group = row.word("group", Workload.Group.ALL);
         w.window = row.span("window", Duration.ofSeconds(5));
+        w.zones.addAll(among(row, "zones", zones));
+        w.kinds.addAll(among(row, "kinds", makes.stream().map(Make::name).toList()));
         return new Job(w, row.number("share", 1, 0.000001, 1e9), Size.read(row.part("size")));
     }
 
+    private static List<String> among(Sheet row, String key, List<String> known) {
+        List<String> names = row.texts(key, List.of());
+        if (!known.containsAll(names)) {
+            throw row.wrong(key, "a list of names among " + String.join(", ", known));
+        }
+        return names;
+    }
+
     /** The make of the runner of this number: makes go round by their shares. */
     public Make make(int runner) {
         double all = makes.stream().mapToDouble(Make::share).sum();
--- a/rig/src/main/java/saltdale/rig/plan/Trouble.java
+++ b/rig/src/main/java/saltdale/rig/plan/Trouble.java
@@ -26,6 +26,8 @@
         STALL(0, 0, 0, 0),
         /** Fails this share quickly. */
         ERRORS(1, 0, 1, 0),
+        /** This share runs, and is told as turned away; only where that proves nothing. */
+        LATE_SHED(0.2, 0, 1, 0),
         /** Jobs cost so many times the work; extra: the share of jobs. */
         DEARER(10, 1, 1000, 0.02),
         /** The process dies, its connections are reset; it comes back cold when the time is over. */
--- a/rig/src/main/java/saltdale/rig/simulate/Fleet.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Fleet.java
@@ -186,7 +186,7 @@
         public void ended(Duration at, Work work, RunnerModel.End how) {
             String result = work.id + "@" + runner;
             switch (how) {
-                case DONE -> {
+                case DONE, SHED -> {
                     if (work.isRepeat()) {
                         sim.judge.made(at, work.id, result);
                     } else {
--- a/rig/src/main/java/saltdale/rig/simulate/Node.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Node.java
@@ -339,7 +339,7 @@
             Outcome outcome = switch (how) {
                 case DONE -> Outcome.FULFILLED;
                 case FAILED -> Outcome.ERROR;
-                case RETURNED -> Outcome.TURNED_AWAY;
+                case RETURNED, SHED -> Outcome.TURNED_AWAY;
                 case LOST -> Outcome.BROKEN;
             };
             word(() -> ended(of, this, outcome, report, result));
--- a/rig/src/main/java/saltdale/rig/simulate/PlainMind.java
+++ b/rig/src/main/java/saltdale/rig/simulate/PlainMind.java
@@ -35,7 +35,8 @@
     /** One rule broken in one way. */
     public enum Slip {
         NONE, FORGETS, ANSWERS_TWICE, ANSWERS_LATE, SENDS_AFTER_END, HOLDS_BACK, REPEATS_EFFECTFUL,
-        SHEDS_WHAT_RAN, LEAVES_GROUP, OUTLASTS_WINDOW, COPIES, IGNORES_DRAIN, IGNORES_GONE, FLOODS_COLD
+        SHEDS_WHAT_RAN, LEAVES_GROUP, OUTLASTS_WINDOW, COPIES, IGNORES_DRAIN, IGNORES_GONE, FLOODS_COLD,
+        MISPLACES, TRUSTS_FULL
     }
 
     private static final int HELD = 4;  // for each runner, over all dispatchers: the fixed limit
@@ -173,7 +174,9 @@
 
     private boolean mayGo(Assignment a, Runner r) {
         Workload w = a.workload;
-        if (w.repeat == Workload.Repeat.PURE || !a.mayHaveRun()) {
+        if (slip != Slip.MISPLACES && !w.mayRunOn(r)) {
+            return false;
+        } else if (w.repeat == Workload.Repeat.PURE || !a.mayHaveRun()) {
             return true;
         } else if (w.repeat == Workload.Repeat.EFFECTFUL) {
             return slip == Slip.REPEATS_EFFECTFUL;
@@ -215,6 +218,7 @@
     public void ended(Duration now, Dispatch d, Outcome outcome, boolean over, LoadReport report) {
         Assignment a = d.assignment;
         d.outcome = outcome;
+        d.unproven = outcome == Outcome.TURNED_AWAY && orders.fullProvesNothing && slip != Slip.TRUSTS_FULL;
         d.runner.out.remove(d);
         if (over) {
             a.closed = true;
--- a/rig/src/main/java/saltdale/rig/simulate/Proof.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Proof.java
@@ -34,10 +34,12 @@
             [orders]
             most_dispatches = 3
             drain_grace = "300ms"
+            full_proves_nothing = true
             [load]
             rate = 150
             [[workload]]
             name = "pure"
+            zones = ["a"]
             patience = "1500ms"
             size = {kind = "exponential", mean = "30ms"}
             [[workload]]
@@ -79,6 +81,12 @@
             at = "10s"
             length = "1s"
             runners = [5]
+            [[trouble]]
+            kind = "late-shed"
+            at = "14s"
+            length = "4s"
+            part = 1.0
+            size = 0.2
             """;
 
     /** What each wrong one is to be caught at; one kind of breach may bring others along. */
@@ -95,6 +103,8 @@
             Map.entry(Slip.COPIES, Breach.Kind.TWO_OUT),
             Map.entry(Slip.IGNORES_DRAIN, Breach.Kind.SENT_TO_DRAINING),
             Map.entry(Slip.IGNORES_GONE, Breach.Kind.SENT_TO_GONE),
+            Map.entry(Slip.MISPLACES, Breach.Kind.MISPLACED),
+            Map.entry(Slip.TRUSTS_FULL, Breach.Kind.REPEATED_EFFECTFUL),
             Map.entry(Slip.FLOODS_COLD, Breach.Kind.COLD_PUSHED_OVER)));
 
     /** What the judge said of one dispatcher: {@code expected} null for the right ones. */
--- a/rig/src/main/java/saltdale/rig/standin/Box.java
+++ b/rig/src/main/java/saltdale/rig/standin/Box.java
@@ -145,7 +145,7 @@
         String result = work.id + "@" + number;
         Duration now = fleet.origin.now();
         switch (how) {
-            case DONE -> {
+            case DONE, SHED -> {
                 if (work.isRepeat()) {
                     fleet.witness.made(now, work.id, result);
                 } else {
@@ -159,7 +159,7 @@
         if (silent) {
             return;  // the machine has vanished with its agent
         }
-        telling(work).add(how.name().toLowerCase(Locale.ROOT), -1, how == End.DONE ? result : null);
+        telling(work).add((how == End.SHED ? End.RETURNED : how).name().toLowerCase(Locale.ROOT), -1, how == End.DONE ? result : null);
         tellings.remove(work);
     }
 
--- a/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
+++ b/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
@@ -26,7 +26,6 @@
     /** The header in which the load tells a runner how much work a job is, in microseconds. */
     public static final String WORK = "Rig-Work-Us";
 
-    private static final Duration TICK = Duration.ofMillis(10);
     private static final Duration SAMPLE = Duration.ofMillis(250);
 
     private record Pair(int runner, int dispatcher) {
@@ -52,7 +51,6 @@
     Duration start = Duration.ZERO;
     private int cutZone = -1;
     long newsLost;
-    private volatile Duration mostLate = Duration.ZERO;
     long requests;
 
     public StandInFleet(Turner turner, Day day, Places places, Origin origin, Witness witness, ListWord list,
@@ -120,20 +118,6 @@
             turner.loop.after(turn.at().plus(start).minus(origin.now()), () -> act(turn));
         }
         sample();
-        tick(origin.now());
-    }
-
-    /** Notes how late this thread comes to what is due: so late it may also have read what came in time. */
-    private void tick(Duration due) {
-        Duration now = origin.now();
-        Duration late = now.minus(due);
-        mostLate = late.compareTo(mostLate) > 0 ? late : mostLate;
-        turner.loop.after(TICK, () -> tick(now.plus(TICK)));
-    }
-
-    /** The most that the stand-ins themselves were late. */
-    public Duration mostLate() {
-        return mostLate;
     }
 
     /** How many calls to dispatchers were never answered, of all tries of each. */
--- a/rig/src/main/java/saltdale/rig/standin/Turner.java
+++ b/rig/src/main/java/saltdale/rig/standin/Turner.java
@@ -2,17 +2,20 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import saltdale.transport.Loop;
 import saltdale.transport.Sockets;
 
 /** A loop on a thread of its own. */
 public final class Turner implements AutoCloseable {
+    private static final Duration TICK = Duration.ofMillis(10);
     private static final int MOST_SOCKETS = 200_000;
 
     public final Loop loop;
     public final Sockets sockets;
     private final Thread thread;
+    private volatile long mostLate;  // ns
 
     public Turner(String name) throws IOException {
         loop = new Loop();
@@ -31,6 +34,23 @@
         thread.start();
     }
 
+    /** Counts from now on how late it is; called on the loop. */
+    public void watchItself() {
+        tick(loop.clock());
+    }
+
+    /** Notes how late this thread comes to what is due: so late it may also have read what came in time. */
+    private void tick(Duration due) {
+        Duration now = loop.clock();
+        mostLate = Math.max(mostLate, now.minus(due).toNanos());
+        loop.after(TICK, () -> tick(now.plus(TICK)));
+    }
+
+    /** The most that this thread was late. */
+    public Duration mostLate() {
+        return Duration.ofNanos(mostLate);
+    }
+
     /** Does this on the loop's thread, and waits until it is done. */
     public void inside(Runnable what) {
         CountDownLatch done = new CountDownLatch(1);
--- a/rig/src/test/java/saltdale/rig/fleet/RunnerModelProperties.java
+++ b/rig/src/test/java/saltdale/rig/fleet/RunnerModelProperties.java
@@ -75,8 +75,8 @@
             } else if (deed == 12) {
                 runner.drain(now, true);
             } else {
-                runner.condition(now, deed == 13 ? new Condition(5, false, 0.2, 0.5, 3, 0.5, 0.1, 2)
-                        : deed == 14 ? new Condition(1, true, 0, 0, 1, 0, 0, 1) : Condition.GOOD);
+                runner.condition(now, deed == 13 ? new Condition(5, false, 0.2, 0, 0.5, 3, 0.5, 0.1, 2)
+                        : deed == 14 ? new Condition(1, true, 0, 0, 0, 1, 0, 0, 1) : Condition.GOOD);
             }
         }
         runner.condition(now, Condition.GOOD);
--- a/rig/src/test/java/saltdale/rig/fleet/RunnerModelTest.java
+++ b/rig/src/test/java/saltdale/rig/fleet/RunnerModelTest.java
@@ -155,7 +155,7 @@
     void slowedInTheMiddleItEndsLaterByThatMuch() {
         RunnerModel runner = runner(Make.plain(1, 4));
         runner.offer(ms(0), work("a", 1));
-        runner.condition(ms(500), new Condition(4, false, 0, 0, 1, 0, 0, 1));
+        runner.condition(ms(500), new Condition(4, false, 0, 0, 0, 1, 0, 0, 1));
         runner.advance(ms(5000));
         assertEquals("a DONE 2500", told.get(1));
     }
@@ -164,7 +164,7 @@
     void stalledItDoesNothingUntilItIsOver() {
         RunnerModel runner = runner(Make.plain(1, 4));
         runner.offer(ms(0), work("a", 1));
-        runner.condition(ms(500), new Condition(1, true, 0, 0, 1, 0, 0, 1));
+        runner.condition(ms(500), new Condition(1, true, 0, 0, 0, 1, 0, 0, 1));
         runner.offer(ms(600), work("b", 1));
         runner.condition(ms(3000), Condition.GOOD);
         runner.advance(ms(9000));
--- a/rig/src/test/java/saltdale/rig/judge/JudgeTest.java
+++ b/rig/src/test/java/saltdale/rig/judge/JudgeTest.java
@@ -10,8 +10,8 @@
 /** What is no fault of a dispatcher that was stopped, or whose way was disturbed; and what still is. */
 class JudgeTest {
     private final Workload pure = new Workload();
-    private final Judge judge = new Judge(new Terms(ms(0), ms(500), ms(50), false, 2, ms(1000), 1,
-            new String[] {"a", "b"}, new int[] {0, 0}), ms(5000));
+    private final Judge judge = new Judge(new Terms(ms(0), ms(500), ms(50), false, false, 2, ms(1000), 1,
+            new String[] {"a", "b"}, new String[] {"any", "any"}, new int[] {0, 0}), ms(5000));
 
     private static Duration ms(long ms) {
         return Duration.ofMillis(ms);
--- a/tools/src/test/java/saltdale/tools/FaultsTest.java
+++ b/tools/src/test/java/saltdale/tools/FaultsTest.java
@@ -62,7 +62,11 @@
     Path folder;
 
     private Map<String, Double> played(String more) throws IOException {
-        Day day = new Day(Sheet.of("faults", DAY + more));
+        return played(DAY, more);
+    }
+
+    private Map<String, Double> played(String text, String more) throws IOException {
+        Day day = new Day(Sheet.of("faults", text + more));
         Outcome outcome = Run.onSockets(day, Version.own("now", Path.of("..")), "", 0, Run.asks(day, folder),
                 folder, null, (share, crew) -> { });
         assertEquals(List.<Breach>of(), outcome.breaches());
@@ -70,6 +74,18 @@
         return outcome.figures();
     }
 
+    /** Bound work stays where it may run, also while all of that is down; what was turned away may have run. */
+    @Test
+    void placementAndFullThatProvesNothing() throws IOException {
+        Map<String, Double> figures = played(DAY.replace("name = \"view\"", "name = \"view\"\nzones = [\"a\"]")
+                .replace("name = \"rebuild\"", "name = \"rebuild\"\nkinds = [\"wide\"]")
+                .replace("[load]", "[[fleet.make]]\nname = \"wide\"\ncores = 3\n[orders]\nfull_proves_nothing = true\n[load]"),
+                trouble("late-shed", "at = \"1s\"; length = \"6s\"; part = 1.0; size = 0.3")
+                + trouble("crash", "at = \"3s\"; length = \"2s\"; runners = [0, 2, 4]")
+                + trouble("way-reset", "at = \"5s\"; length = \"1s\"; runners = [1, 3]; dispatchers = [0]"));
+        assertTrue(figures.get("given_up_share") > 0, "effectful work that was turned away can't be answered otherwise");
+    }
+
     private static String trouble(String kind, String more) {
         return "[[trouble]]\nkind = \"" + kind + "\"\n" + more.replace("; ", "\n") + "\n";
     }
