--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -49,6 +49,8 @@
     double unseen;  // jobs that likely reached a runner since the report that it answers with
     private final Map<String, Double> silent = new HashMap<>();  // by zone, how much of late went unanswered
     final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
+    private Duration dropped, droppedAt;  // the rest after which a connection was found dropped, and when that was
+    final Histogram connects = Histogram.ofOdds(32);  // whether recent new connections came up
     private final Fading workDone = new Fading();  // by warm runners
     private Duration surveyedAt;
     private double warmRate, meanOut, ready;
@@ -431,15 +433,29 @@
         return best;
     }
 
-    // The load that a crossing to another zone counts as: the wait whose risk of being late costs as much, in
-    // the tariffs' own units. So long work crosses before short work of the same workload does.
+    // The load that a crossing to another zone and a new connection count as: the wait whose risk of being late
+    // costs as much, in the tariffs' own units. So long work crosses before short work of the same workload does.
+    // While connections often fail to come up, one counts as the wait for those that would fail first as well.
     double toll(Duration now, Assignment a, Runner r) {
         double perLoad = waitPerLoad(r);
-        if (orders.crossZonePrice == 0 || perLoad == 0 || r.zone.equals(orders.zone)) {
+        boolean opens = !r.isConnected(now, keeps(now));
+        double price = (r.zone.equals(orders.zone) ? 0 : orders.crossZonePrice) + (opens ? orders.handshakePrice : 0);
+        double fails = opens ? (connects.count() - connects.last()) / (connects.last() + 1) : 0;
+        if (perLoad == 0 || price == 0 && fails == 0) {
             return 0;
         }
         double lost = Math.max(1e-9, orders.whole * (1 - a.workload.lateImportance) * worth(a) / meanWorth);
-        return orders.crossZonePrice / lost * Math.max(0, slack(now, a, r)) / perLoad;
+        double bears = price / lost * Math.max(0, slack(now, a, r));
+        return (bears + fails * secs(orders.connectTime)) / perLoad;
+    }
+
+    /**
+     * How long a connection is kept that rests. Guards against ones that are dropped unseen: what is sent on one is
+     * reset, and may have run for all that is known. Once it has been seen we close earlier, by less as time goes on.
+     */
+    private Duration keeps(Duration now) {
+        return dropped == null ? orders.idleClose
+                : least(orders.idleClose, ofSecs(secs(dropped) / Fading.part(now, droppedAt, memory)));
     }
 
     /** Guards against trickles that end jobs: failures cost least at first sendings of what may run twice. */
@@ -597,6 +613,17 @@
         if (d != a.dispatches.get(0) && d.outcome != Outcome.CANCELLED) {  // to be moved is no failure
             further.add(d.outcome == Outcome.FULFILLED);
         }
+        if (d.outcome == Outcome.FULFILLED || d.outcome == Outcome.ERROR || d.outcome == Outcome.TURNED_AWAY) {
+            d.runner.rests(now, orders.idleClose);
+        }
+        if (d.rested == null && d.outcome != Outcome.CANCELLED && d.outcome != Outcome.NEVER_SENT) {
+            connects.add(d.outcome != Outcome.NOT_CONNECTED);
+        }
+        if (d.outcome == Outcome.BROKEN && d.rested != null && d.startedAt == null
+                && !reached(now, d.sentAt.plus(fewRoundTrips()))) {
+            dropped = most(d.rested, orders.round);
+            droppedAt = now;
+        }
         switch (d.outcome) {
             case FULFILLED -> {
                 // Where its start was not told, the wait that was foreseen for it is taken off.
@@ -623,8 +650,11 @@
             case TURNED_AWAY -> d.runner.turnedAway(now, d, spell);
             case ERROR, BROKEN, TIMED_OUT -> mark(now, d.runner, true);
             case NOT_CONNECTED -> {
-                mark(now, d.runner, true);
-                unheard(now, d.runner);
+                // Guards against setting aside all while no connection comes up: then it is not that runner.
+                if (connects.count() - connects.last() <= POOR * (connects.count() + BELIEF)) {
+                    mark(now, d.runner, true);
+                    unheard(now, d.runner);
+                }
             }
         }
     }
@@ -753,6 +783,13 @@
         if (orders.warmth(now, r) < 1) {
             r.coldSends.add(d);
         }
+        if (r.isConnected(now, keeps(now))) {
+            d.rested = r.rested(now);
+            r.takesConnection();
+        } else if (r.isConnected(now, orders.idleClose)) {
+            r.closes();
+            door.closeIdle(r);
+        }
         if (a.dispatches.isEmpty()) {
             budget.first();
         }
--- a/core/src/main/java/saltdale/model/Dispatch.java
+++ b/core/src/main/java/saltdale/model/Dispatch.java
@@ -15,6 +15,8 @@
     public Duration startedAt;
     /** When the runner was last heard to be working on it. */
     public Duration heardAt;
+    /** For how long the connection that it took had rested; null where one had to be opened. */
+    public Duration rested;
     /** Null while it is out. */
     public Outcome outcome;
     /** It was turned away where that is no proof: such a runner may have begun it first. */
--- a/core/src/main/java/saltdale/model/Runner.java
+++ b/core/src/main/java/saltdale/model/Runner.java
@@ -52,6 +52,37 @@
     /** What was sent to it while it was cold. */
     public final Deque<Dispatch> coldSends = new ArrayDeque<>();
 
+    /** When each of our connections to it that rest, for all we know, was last used. */
+    private final Deque<Duration> resting = new ArrayDeque<>();
+
+    /** For how long the connection that was used last has rested; null where none rests. */
+    public Duration rested(Duration now) {
+        return resting.isEmpty() ? null : now.minus(resting.peekLast());
+    }
+
+    /** Whether a connection of ours has rested for less than this, so that a dispatch need not open one. */
+    public boolean isConnected(Duration now, Duration keeps) {
+        return !resting.isEmpty() && rested(now).compareTo(keeps) < 0;
+    }
+
+    /** A dispatch takes the connection that was used last. */
+    public void takesConnection() {
+        resting.pollLast();
+    }
+
+    /** All that rest are closed, or taken to be. */
+    public void closes() {
+        resting.clear();
+    }
+
+    /** The connection of a dispatch rests again. */
+    public void rests(Duration now, Duration idleClose) {
+        while (!resting.isEmpty() && Spans.reached(now, resting.peekFirst().plus(idleClose))) {
+            resting.pollFirst();
+        }
+        resting.addLast(now);
+    }
+
     /** Takes over what the list says; a fresh process has no record. */
     public void sighted(Sighting s, Kind named) {
         if (s.mode() == Mode.GONE) {
@@ -64,6 +95,7 @@
             trickle = null;
             refused.clear();
             silence = null;
+            resting.clear();
         }
         of = named;
         of.size = Math.max(of.size, s.power());
--- a/core/src/main/java/saltdale/model/StandingOrders.java
+++ b/core/src/main/java/saltdale/model/StandingOrders.java
@@ -34,6 +34,8 @@
     public int mostDispatches = Integer.MAX_VALUE;
     public Duration longestPause = Duration.ZERO;
     public Duration connectTime = Duration.ZERO;
+    /** How long a connection may rest unused. */
+    public Duration idleClose = Duration.ZERO;
 
     /** Whether clients mark their repeats. */
     public boolean repeatsMarked;
@@ -59,6 +61,7 @@
     /** The weight of the whole run's service in the goal, beside which the tariffs stand. */
     public double whole = 1;
     public double crossZonePrice;
+    public double handshakePrice;
     public double probePrice;
     public double wastePrice;
 
--- a/core/src/main/java/saltdale/orders/OrdersReader.java
+++ b/core/src/main/java/saltdale/orders/OrdersReader.java
@@ -33,6 +33,7 @@
         orders.pauses = limits.flag("RetryAfter", false);
         orders.mostDispatches = limits.whole("MostDispatches", 1);
         orders.longestPause = limits.span("MaxRetryAfter", Duration.ZERO);
+        orders.idleClose = limits.span("IdleClose", Duration.ZERO);
         orders.connectTime = limits.span("DialTimeout", Duration.ZERO);
 
         orders.repeatsMarked = options.object("Callers").flag("MarksRetry", false);
@@ -49,6 +50,7 @@
 
         Fields tariffs = options.object("Tariffs");
         orders.crossZonePrice = tariffs.least("CrossZone", 0, 0);
+        orders.handshakePrice = tariffs.least("Handshake", 0, 0);
         orders.probePrice = tariffs.number("Probe", 0);
         orders.wastePrice = tariffs.number("Waste", 0);
 
