--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -509,7 +509,11 @@
         double slack = slack(now, a, r);
         double bears = levels == null ? slack
                 : levels.bears(kind(a), slack, orders.repeatsMarked && !a.repeated);
-        return a.workload.lateImportance == 0 && secs(elapsed(now, a)) + wait > bears
+        // Guards against an overload that lasts, in which all is late: what late work takes would earn more in time,
+        // so of it that part is shed which it would not earn.
+        double earns = a.workload.lateImportance;
+        boolean keepsTime = earns == 0 || lambdaSeen > SCARCE && a.luck >= earns;
+        return keepsTime && secs(elapsed(now, a)) + wait > bears
                 || secs(orders.endsAt.minus(now)) < wait + pace(now, r) * size(a);  // we end before it
     }
 
