Work that may run anywhere yields the only places of bound work that earns more

Change: while the runners where no bound work may run are not nearly all busy, free work probes the others last, if bound work that earns more for its work may run there. May hurt where the other runners are slow or far.

--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -49,6 +49,7 @@
     double unseen;  // jobs that likely reached a runner since the report that it answers with
     private final Map<String, Double> silent = new HashMap<>();  // by zone, how much of late went unanswered
     final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
+    double busyElsewhere;  // λ' of the runners where no bound work may run
     private Duration dropped, droppedAt;  // the rest after which a connection was found dropped, and when that was
     final Histogram connects = Histogram.ofOdds(32);  // whether recent new connections came up
     private final Fading workDone = new Fading();  // by warm runners
@@ -138,7 +139,7 @@
     private boolean crowdedOut(Duration now, Assignment a) {
         Workload w = a.workload;
         Row row = rows.get(w);
-        double earns = w.importance * (orders.importanceByWork ? 1 : 1 / unit(row));
+        double earns = earns(w);
         double slack = secs(w.promised) + (w.stretch - 1) * row.usual;
         double work = row.ended == 0 ? unit(row) : size(a);
         levels.offered(now, kind(a), work, isRepeat(a) ? REPEAT * earns : earns, slack, row.ended);
@@ -248,6 +249,8 @@
                 levels.waits(now, meanQueue * waitPerLoad);
             }
             lambdaSeen = smooth(lambdaSeen, idle ? 0 : 1);
+            boolean wanted = orders.workloads.stream().anyMatch(w -> w.isBound() && w.mayRunOn(r));
+            busyElsewhere = wanted ? busyElsewhere : smooth(busyElsewhere, idle ? 0 : 1);
             r.busyAt = idle ? null : now;
         }
         if (a != null) {
@@ -420,7 +423,7 @@
                         || r.busyAt != null && runningTime > 0 && lambdaSeen <= SCARCE
                         && chance.nextDouble() < Math.exp(-secs(now.minus(r.busyAt)) / runningTime);
                 // Guards against finding out who errs by what may then go to few others: pure work does it.
-                unlikely |= someAside && a.workload.repeat != Workload.Repeat.PURE
+                unlikely |= yields(a, r) || someAside && a.workload.repeat != Workload.Repeat.PURE
                         && (r.failures.count() == 0 || r.failures.last() > POOR);
                 double takes = pace(now, r), toll = toll(now, a, r);
                 int rank = (trusted ? 0 : 16) + (aim >= takes * size ? 0 : 8)
@@ -433,6 +436,17 @@
         return best;
     }
 
+    /** Guards against filling the only places where work that earns more may run, while the rest of the fleet has room. */
+    private boolean yields(Assignment a, Runner r) {
+        return !a.workload.isBound() && busyElsewhere < SCARCE && orders.workloads.stream()
+                .anyMatch(w -> w.isBound() && w.mayRunOn(r) && earns(w) > earns(a.workload));
+    }
+
+    /** What a second of its work earns in time. */
+    private double earns(Workload w) {
+        return w.importance * (orders.importanceByWork ? 1 : 1 / unit(rows.get(w)));
+    }
+
     // The load that a crossing to another zone and a new connection count as: the wait whose risk of being late
     // costs as much, in the tariffs' own units. So long work crosses before short work of the same workload does.
     // While connections often fail to come up, one counts as the wait for those that would fail first as well.
--- a/core/src/main/java/saltdale/model/Workload.java
+++ b/core/src/main/java/saltdale/model/Workload.java
@@ -29,6 +29,10 @@
     public final Set<String> kinds = new HashSet<>();
     public final Set<String> zones = new HashSet<>();
 
+    public boolean isBound() {
+        return !kinds.isEmpty() || !zones.isEmpty();
+    }
+
     /** Whether it may run there at all: a rule at every dispatch, also while all that it names are down or full. */
     public boolean mayRunOn(Runner runner) {
         return (kinds.isEmpty() || kinds.contains(runner.kind)) && (zones.isEmpty() || zones.contains(runner.zone));
