Work that concerns a key is sought at its homes, by hash, alike at all dispatchers; tests

Events written down: about 600 keys, the first one 16% of all; the module did not read PathKey. Change: Keys (counted with the module): a runner is home to a key by a hash of both (rendezvous: Thaler and Ravishankar 1998), so that all dispatchers agree with no word; homes are three and three times the key's share of all runners (bounded loads: Mirrokni et al. 2016) and are probed first; the search goes on as the design has it. Without a key nothing changes. May hurt where keys are told and runners keep nothing: then popular keys meet at fewer runners.

--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -20,6 +20,7 @@
     static final double MOVABLE = 0.5;  // busy share up to which work that waits is moved
     static final double BELIEF = 4;  // so many runs at the usual pace are believed before any is seen
     static final double POOR = 0.3;  // a runner failing more than this share of late is set aside
+    static final double HOMES = 3;  // runners that are home to a key, and so many times its share of all
     static final double REPEAT = 0.5;  // what a marked repeat earns beside a first try: its time is short
     static final double DOUBT = 0.7;  // the most that a runner is passed over for the silence of its zone
 
@@ -50,6 +51,7 @@
     private final Map<String, Double> silent = new HashMap<>();  // by zone, how much of late went unanswered
     final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
     double busyElsewhere;  // λ' of the runners where no bound work may run
+    private final Keys keys = new Keys();
     private Duration dropped, droppedAt;  // the rest after which a connection was found dropped, and when that was
     final Histogram connects = Histogram.ofOdds(32);  // whether recent new connections came up
     private final Fading workDone = new Fading();  // by warm runners
@@ -128,6 +130,9 @@
         meanSize += (size(a) - meanSize) / Math.min(++arrivals, 99);
         meanWorth += (worth(a) - meanWorth) / Math.min(arrivals, 99);
         a.luck = chance.nextDouble();
+        if (a.key != 0) {
+            keys.add(a.key);
+        }
         if (levels != null && a.workload.lateImportance == 0 && crowdedOut(now, a)) {
             answer(a, soon(a));
         } else {
@@ -408,10 +413,12 @@
     private Runner pick(Duration now, Assignment a) {
         survey(now);
         rows.get(a.workload).sought.add(now, work(a), memory);
+        // Homes of what it concerns are probed first: where all of us send it, what it needs is likely kept.
+        double homes = a.key == 0 ? 1 : HOMES * (1 / ready + keys.share(a.key));
         double aim = aim(a), size = size(a);
         double least = a.probed.isEmpty() ? 0 : a.leastCost();
         Runner best = null;
-        int leastRank = a.probed.isEmpty() && !a.secondLook ? 32 : 16;
+        int leastRank = a.probed.isEmpty() && !a.secondLook ? 64 : 32;
         for (int i = 0; i < runners.size() && leastRank > 0; i++) {
             Collections.swap(runners, i, i + chance.nextInt(runners.size() - i));  // draws without lists
             Runner r = runners.get(i);
@@ -426,8 +433,8 @@
                 unlikely |= yields(a, r) || someAside && a.workload.repeat != Workload.Repeat.PURE
                         && (r.failures.count() == 0 || r.failures.last() > POOR);
                 double takes = pace(now, r), toll = toll(now, a, r);
-                int rank = (trusted ? 0 : 16) + (aim >= takes * size ? 0 : 8)
-                        + (unlikely ? 4 : 0) + (toll > least ? 2 : 0)
+                int rank = (trusted ? 0 : 32) + (aim >= takes * size ? 0 : 16)
+                        + (Keys.isHome(a.key, r.hash, homes) ? 0 : 8) + (unlikely ? 4 : 0) + (toll > least ? 2 : 0)
                         + (chance.nextDouble() * takes > pace.of(BELIEF, BELIEF) ? 1 : 0);
                 best = rank < leastRank ? r : best;
                 leastRank = Math.min(rank, leastRank);
--- a/core/src/main/java/saltdale/model/Assignment.java
+++ b/core/src/main/java/saltdale/model/Assignment.java
@@ -19,6 +19,8 @@
     public Duration hint;
     public double slots = 1;
     public double memory;
+    /** What it concerns, as a hash: runners may keep what such work needs. 0 where it is not told. */
+    public long key;
     /** True for a client's repeat, where clients mark them. */
     public boolean repeated;
 
--- /dev/null
+++ b/core/src/main/java/saltdale/model/Keys.java
@@ -0,0 +1,50 @@
+package saltdale.model;
+
+/** How much of late concerned each key, in bounded memory, and which runners are the home of a key. */
+public final class Keys {
+    private static final int BUCKETS = 1024;  // keys that share one count as one
+    private static final int ENOUGH = 8192;
+    private final int[] counts = new int[BUCKETS];
+    private int total;
+
+    public void add(long key) {
+        counts[bucket(key)]++;
+        if (++total >= ENOUGH) {
+            total = 0;
+            for (int i = 0; i < BUCKETS; i++) {
+                counts[i] /= 2;
+                total += counts[i];
+            }
+        }
+    }
+
+    /** The share that this key has had of late. */
+    public double share(long key) {
+        return total == 0 ? 0 : (double) counts[bucket(key)] / total;
+    }
+
+    /** Whether the runner belongs to the homes of this key, which are this part of all runners: alike at all dispatchers. */
+    public static boolean isHome(long key, long runner, double part) {
+        return (mix(key ^ mix(runner)) >>> 11) * 0x1.0p-53 < part;
+    }
+
+    private static int bucket(long key) {
+        return (int) (mix(key) >>> 54);
+    }
+
+    /** A hash of a text: FNV-1a, 64 bits; never 0. */
+    public static long of(String text) {
+        long hash = 0xcbf29ce484222325L;
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
+        }
+        return hash == 0 ? 1 : hash;
+    }
+
+    /** The finaliser of MurmurHash3. */
+    private static long mix(long z) {
+        z = (z ^ z >>> 33) * 0xff51afd7ed558ccdL;
+        z = (z ^ z >>> 33) * 0xc4ceb9fe1a85ec53L;
+        return z ^ z >>> 33;
+    }
+}
--- a/core/src/main/java/saltdale/model/Runner.java
+++ b/core/src/main/java/saltdale/model/Runner.java
@@ -17,6 +17,9 @@
     record Refusal(Duration until, Duration gap) {
     }
 
+    /** A hash of its name, alike at all dispatchers. */
+    public long hash;
+
     // From the list.
     public String kind = "";
     /** What is known of its kind; set when a list first tells of it. */
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import saltdale.model.Assignment;
 import saltdale.model.Dispatch;
+import saltdale.model.Keys;
 import saltdale.model.LoadReport;
 import saltdale.model.Outcome;
 import saltdale.model.Runner;
@@ -605,6 +606,88 @@
         }
     }
 
+    @Test
+    void aRunnerToWhichAConnectionRestsGoesFirst() {
+        scene.orders.handshakePrice = 0.02;
+        scene.orders.importanceByWork = true;
+        scene.orders.idleClose = Scene.at(60_000);
+        scene.with(9).waitPerLoad = 0.1;
+        Runner kept = scene.dispatcher.runners.get(4);
+        kept.rests(Scene.at(0), scene.orders.idleClose);
+        scene.arrives(scene.assignment());
+        assertSame(kept, scene.probes.get(0));
+    }
+
+    /** As seen at valle-alto-subs: connections at rest were dropped unseen, and effectful work sent on one was lost. */
+    @Test
+    void aConnectionThatRestsLongerThanOneFoundDroppedIsClosedFirst() {
+        scene.orders.idleClose = Scene.at(60_000);
+        Dispatcher dispatcher = scene.with(1);
+        Runner runner = dispatcher.runners.get(0);
+        runner.rests(Scene.at(0), scene.orders.idleClose);
+        scene.arrives(scene.assignment());
+        scene.finds(0);
+        dispatcher.ended(Scene.at(6), scene.dispatches.get(0), Outcome.BROKEN, true, null);
+        runner.rests(Scene.at(10), scene.orders.idleClose);
+        dispatcher.arrived(Scene.at(1000), new Assignment(scene.workload, Scene.at(1000), scene.workload.patience));
+        dispatcher.settle(Scene.at(1000));
+        dispatcher.probed(Scene.at(1005), runner, true, Scene.at(5), Scene.queue(0));
+        dispatcher.settle(Scene.at(1005));
+        assertEquals(List.of("probe", "dispatch", "probe", "close", "dispatch"), scene.acts);
+    }
+
+    /** As seen at tamebridge-main: handshakes were slow everywhere, and most of the fleet was set aside for it. */
+    @Test
+    void noRunnerIsAtFaultWhileConnectionsFailWithMany() {
+        scene.with(9);
+        for (Runner r : List.copyOf(scene.dispatcher.runners)) {
+            for (int i = 0; i < 2; i++) {
+                Assignment a = scene.sentTo(r);
+                scene.dispatcher.ended(Scene.at(9), a.last(), Outcome.NOT_CONNECTED, false, null);
+            }
+        }
+        assertTrue(scene.dispatcher.runners.stream().filter(r -> r.trickle == null && !r.isSilent(Scene.at(10))).count() > 4);
+    }
+
+    @Test
+    void inALastingOverloadLateWorkIsShedByThePartThatItWouldNotEarn() {
+        scene.workload.lateImportance = 0.3;
+        Dispatcher dispatcher = scene.with(2);
+        dispatcher.waitPerLoad = 1;
+        Assignment a = scene.assignment();
+        for (double luck : new double[] {0.2, 0.4}) {
+            a.luck = luck;
+            dispatcher.lambdaSeen = 0.9;
+            assertFalse(dispatcher.late(Scene.at(0), a, dispatcher.runners.get(0), 9));
+            dispatcher.lambdaSeen = 0.99;
+            assertEquals(luck > 0.3, dispatcher.late(Scene.at(0), a, dispatcher.runners.get(0), 9));
+        }
+    }
+
+    @Test
+    void freeWorkYieldsToBoundWorkThatEarnsMoreAndAKeyIsSoughtAtItsHomes() {
+        Workload bound = new Workload();
+        bound.importance = 3;
+        bound.kinds.add("any");
+        scene.orders.workloads.add(bound);
+        scene.orders.importanceByWork = true;
+        scene.with(9);
+        Runner other = new Runner();
+        Runner home = new Runner();
+        for (home.hash = 1; !Keys.isHome(7, home.hash, 0.01); home.hash++) {
+            assertFalse(Keys.isHome(7, home.hash, 0));
+        }
+        scene.dispatcher.listed(Scene.at(1), List.of(new Sighting(other, "other", "here", 1, Runner.Mode.READY, 0, null),
+                new Sighting(home, "any", "here", 1, Runner.Mode.READY, 0, null)), false, false);
+        scene.arrives(scene.assignment());
+        assertSame(other, scene.probes.get(0));
+        bound.importance = 0.5;
+        Assignment a = scene.assignment();
+        a.key = 7;
+        scene.arrives(a);
+        assertTrue(Keys.isHome(7, scene.probes.get(1).hash, 0.6));
+    }
+
     private static LoadReport report(double inFlight, double free) {
         return new LoadReport(Double.NaN, inFlight, free, Double.NaN, Double.NaN);
     }
--- a/daemon/src/main/java/saltdale/sim/Instance.java
+++ b/daemon/src/main/java/saltdale/sim/Instance.java
@@ -15,6 +15,7 @@
 import saltdale.model.Assignment;
 import saltdale.model.Dispatch;
 import saltdale.model.Door;
+import saltdale.model.Keys;
 import saltdale.model.LoadReport;
 import saltdale.model.Outcome;
 import saltdale.model.Runner;
@@ -143,6 +144,7 @@
         Runner runner = runners.get(address);
         if (runner == null) {
             runner = new Runner();
+            runner.hash = Keys.of(address);
             runners.put(address, runner);
             addresses.put(runner, address);
         }
@@ -172,6 +174,8 @@
         assignment.hint = (flags & HINT_VALID) != 0 && hint > 0 ? Fields.micros(hint) : null;
         assignment.slots = event.number(8, "Slots", 1);
         assignment.memory = event.number(9, "Mem", 0);
+        JsonNode key = event.raw(5);
+        assignment.key = key != null && key.isTextual() ? Keys.of(key.textValue()) : 0;
         assignment.repeated = (flags & REPEATED) != 0;
         assignments.put(id, assignment);
         ids.put(assignment, id);
