The draw of a runner costs less: bound work and the kept time once a draw, pace once a runner

The draw asked for each runner whether bound work wants it (streams), how long connections keep and the pace a second time (exponentials each).

--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -6,6 +6,7 @@
 
 import java.time.Duration;
 import java.util.*;
+import java.util.stream.Stream;
 import saltdale.model.*;
 import saltdale.overload.*;
 
@@ -52,7 +53,9 @@
     final Histogram further = Histogram.ofOdds(32);  // whether recent further dispatches succeeded
     double busyElsewhere;  // λ' of the runners where no bound work may run
     private final Keys keys = new Keys();
-    private Duration dropped, droppedAt;  // the rest after which a connection was found dropped, and when that was
+    private final Workload[] bound;  // those that may not run everywhere
+    private static final Workload[] NONE = {};
+    private Duration dropped, droppedAt;  // after which rest a connection was found dropped, and when
     final Histogram connects = Histogram.ofOdds(32);  // whether recent new connections came up
     private final Fading workDone = new Fading();  // by warm runners
     private Duration surveyedAt;
@@ -77,6 +80,7 @@
             row.again = levels == null ? null : levels.add();
             rows.put(w, row);
         }
+        bound = orders.workloads.stream().filter(Workload::isBound).toArray(Workload[]::new);
         noPure = orders.workloads.stream().noneMatch(w -> w.repeat == Workload.Repeat.PURE);
         askGap = orders.askWithin.dividedBy(20);
     }
@@ -193,7 +197,7 @@
     /** The wait that a load of 1 brings: as seen, until then as slots and the mean size tell. */
     private double waitPerLoad(Runner r) {
         double likely = waitPerLoad > 0 || r.of.slots == 0 ? waitPerLoad : meanSize / r.of.slots;
-        // Guards against a start in an overload: with no wait known nothing is ever late, and queues fill at once.
+        // Guards against a start in an overload: with no wait known nothing is late, and queues fill at once.
         return likely == 0 && levels != null ? secs(spell) / 2 / Math.max(1, r.of.slots) : likely;
     }
 
@@ -254,8 +258,7 @@
                 levels.waits(now, meanQueue * waitPerLoad);
             }
             lambdaSeen = smooth(lambdaSeen, idle ? 0 : 1);
-            boolean wanted = orders.workloads.stream().anyMatch(w -> w.isBound() && w.mayRunOn(r));
-            busyElsewhere = wanted ? busyElsewhere : smooth(busyElsewhere, idle ? 0 : 1);
+            busyElsewhere = mayRunOn(bound, r) ? busyElsewhere : smooth(busyElsewhere, idle ? 0 : 1);
             r.busyAt = idle ? null : now;
         }
         if (a != null) {
@@ -414,6 +417,8 @@
         survey(now);
         rows.get(a.workload).sought.add(now, work(a), memory);
         // Homes of what it concerns are probed first: where all of us send it, what it needs is likely kept.
+        Workload[] before = yieldsTo(a);
+        Duration keeps = keeps(now);
         double homes = a.key == 0 ? 1 : HOMES * (1 / ready + keys.share(a.key));
         double aim = aim(a), size = size(a);
         double least = a.probed.isEmpty() ? 0 : a.leastCost();
@@ -430,11 +435,12 @@
                         || r.busyAt != null && runningTime > 0 && lambdaSeen <= SCARCE
                         && chance.nextDouble() < Math.exp(-secs(now.minus(r.busyAt)) / runningTime);
                 // Guards against finding out who errs by what may then go to few others: pure work does it.
-                unlikely |= yields(a, r) || someAside && a.workload.repeat != Workload.Repeat.PURE
+                unlikely |= mayRunOn(before, r) || someAside && a.workload.repeat != Workload.Repeat.PURE
                         && (r.failures.count() == 0 || r.failures.last() > POOR);
-                double takes = pace(now, r), toll = toll(now, a, r);
+                double takes = pace(now, r), toll = toll(a, r, aim - takes * size, keeps, now);
                 int rank = (trusted ? 0 : 32) + (aim >= takes * size ? 0 : 16)
-                        + (Keys.isHome(a.key, r.hash, homes) ? 0 : 8) + (unlikely ? 4 : 0) + (toll > least ? 2 : 0)
+                        + (a.key == 0 || Keys.isHome(a.key, r.hash, homes) ? 0 : 8)
+                        + (unlikely ? 4 : 0) + (toll > least ? 2 : 0)
                         + (chance.nextDouble() * takes > pace.of(BELIEF, BELIEF) ? 1 : 0);
                 best = rank < leastRank ? r : best;
                 leastRank = Math.min(rank, leastRank);
@@ -443,10 +449,19 @@
         return best;
     }
 
-    /** Guards against filling the only places where work that earns more may run, while the rest of the fleet has room. */
-    private boolean yields(Assignment a, Runner r) {
-        return !a.workload.isBound() && busyElsewhere < SCARCE && orders.workloads.stream()
-                .anyMatch(w -> w.isBound() && w.mayRunOn(r) && earns(w) > earns(a.workload));
+    /** Guards against filling the only places of bound work that earns more, while the rest has room. */
+    private Workload[] yieldsTo(Assignment a) {
+        return a.workload.isBound() || bound.length == 0 || busyElsewhere >= SCARCE ? NONE
+                : Stream.of(bound).filter(w -> earns(w) > earns(a.workload)).toArray(Workload[]::new);
+    }
+
+    private static boolean mayRunOn(Workload[] some, Runner r) {
+        for (Workload w : some) {
+            if (w.mayRunOn(r)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** What a second of its work earns in time. */
@@ -454,26 +469,28 @@
         return w.importance * (orders.importanceByWork ? 1 : 1 / unit(rows.get(w)));
     }
 
-    // The load that a crossing to another zone and a new connection count as: the wait whose risk of being late
-    // costs as much, in the tariffs' own units. So long work crosses before short work of the same workload does.
-    // While connections often fail to come up, one counts as the wait for those that would fail first as well.
+    // The load that a crossing to another zone and a new connection count as: the wait whose risk of being
+    // late costs as much, in the tariffs' own units, so that long work crosses before short work of the same
+    // workload does; and the wait for connections that fail first, by the share that failed of late.
     double toll(Duration now, Assignment a, Runner r) {
+        return toll(a, r, slack(now, a, r), keeps(now), now);
+    }
+
+    private double toll(Assignment a, Runner r, double slack, Duration keeps, Duration now) {
         double perLoad = waitPerLoad(r);
-        boolean opens = !r.isConnected(now, keeps(now));
-        double price = (r.zone.equals(orders.zone) ? 0 : orders.crossZonePrice) + (opens ? orders.handshakePrice : 0);
+        boolean opens = !r.isConnected(now, keeps);
+        double price = (r.zone.equals(orders.zone) ? 0 : orders.crossZonePrice)
+                + (opens ? orders.handshakePrice : 0);
         double fails = opens ? (connects.count() - connects.last()) / (connects.last() + 1) : 0;
         if (perLoad == 0 || price == 0 && fails == 0) {
             return 0;
         }
         double lost = Math.max(1e-9, orders.whole * (1 - a.workload.lateImportance) * worth(a) / meanWorth);
-        double bears = price / lost * Math.max(0, slack(now, a, r));
-        return (bears + fails * secs(orders.connectTime)) / perLoad;
+        return (price / lost * Math.max(0, slack) + fails * secs(orders.connectTime)) / perLoad;
     }
 
-    /**
-     * How long a connection is kept that rests. Guards against ones that are dropped unseen: what is sent on one is
-     * reset, and may have run for all that is known. Once it has been seen we close earlier, by less as time goes on.
-     */
+    // How long a connection that rests is kept. Guards against ones dropped unseen: what is sent on one
+    // is reset, and may have run. Once that was seen we close earlier, by less as time goes on.
     private Duration keeps(Duration now) {
         return dropped == null ? orders.idleClose
                 : least(orders.idleClose, ofSecs(secs(dropped) / Fading.part(now, droppedAt, memory)));
@@ -530,8 +547,8 @@
         double slack = slack(now, a, r);
         double bears = levels == null ? slack
                 : levels.bears(kind(a), slack, orders.repeatsMarked && !a.repeated);
-        // Guards against an overload that lasts, in which all is late: what late work takes would earn more in time,
-        // so of it that part is shed which it would not earn.
+        // Guards against an overload that lasts, in which all is late: what late work takes earns more in
+        // time, so of it that part is shed which it would not earn.
         double earns = a.workload.lateImportance;
         boolean keepsTime = earns == 0 || lambdaSeen > SCARCE && a.luck >= earns;
         return keepsTime && secs(elapsed(now, a)) + wait > bears
@@ -638,7 +655,7 @@
         if (d != a.dispatches.get(0) && d.outcome != Outcome.CANCELLED) {  // to be moved is no failure
             further.add(d.outcome == Outcome.FULFILLED);
         }
-        if (d.outcome == Outcome.FULFILLED || d.outcome == Outcome.ERROR || d.outcome == Outcome.TURNED_AWAY) {
+        if (EnumSet.of(Outcome.FULFILLED, Outcome.ERROR, Outcome.TURNED_AWAY).contains(d.outcome)) {
             d.runner.rests(now, orders.idleClose);
         }
         if (d.rested == null && d.outcome != Outcome.CANCELLED && d.outcome != Outcome.NEVER_SENT) {
--- a/core/src/main/java/saltdale/model/Keys.java
+++ b/core/src/main/java/saltdale/model/Keys.java
@@ -23,7 +23,7 @@
         return total == 0 ? 0 : (double) counts[bucket(key)] / total;
     }
 
-    /** Whether the runner belongs to the homes of this key, which are this part of all runners: alike at all dispatchers. */
+    /** Whether the runner is a home of this key, as this part of all runners is: alike at all of us. */
     public static boolean isHome(long key, long runner, double part) {
         return (mix(key ^ mix(runner)) >>> 11) * 0x1.0p-53 < part;
     }
