Rig: a call-back passed by another while it is told is no longer dropped in its place

Telling peeked the queue to send and polled it once that was answered; out of order the 'done' had been put first meanwhile, was polled in its place, and 'started' went out twice. The call that is out now stands beside the queue; one that is to be passed is held 250 ms in place of 20, or until another passes it.

--- a/rig/src/main/java/saltdale/rig/standin/Telling.java
+++ b/rig/src/main/java/saltdale/rig/standin/Telling.java
@@ -14,12 +14,14 @@
 final class Telling {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MOST_TRIES = 10;
+    private static final Duration HELD = Duration.ofMillis(250);
     private static final Duration PAUSE = Duration.ofMillis(100);
 
     private final StandInFleet fleet;
     private final Box box;
     private final Work work;
     private final Deque<byte[]> waiting = new ArrayDeque<>();
+    private byte[] sending;  // what is told just now, or to be told again
     private boolean busy;
     private int tries;
 
@@ -53,7 +55,8 @@
         byte[] call = new byte[head.length + body.length];
         System.arraycopy(head, 0, call, 0, head.length);
         System.arraycopy(body, 0, call, head.length, body.length);
-        if (box.has(Kind.SHUFFLED_NEWS) && !waiting.isEmpty()) {
+        boolean passes = box.has(Kind.SHUFFLED_NEWS) && !waiting.isEmpty();
+        if (passes) {
             waiting.addFirst(call);
         } else {
             waiting.addLast(call);
@@ -62,15 +65,15 @@
             waiting.addLast(call);
         }
         // Out of order: held a little, so that there is another to pass it.
-        fleet.turner.loop.after(box.has(Kind.SHUFFLED_NEWS) ? Duration.ofMillis(20) : Duration.ZERO,
-                this::next);
+        fleet.turner.loop.after(box.has(Kind.SHUFFLED_NEWS) && !passes ? HELD : Duration.ZERO, this::next);
     }
 
     private void next() {
-        if (busy || waiting.isEmpty()) {
+        if (busy || sending == null && waiting.isEmpty()) {
             return;
         }
         if (box.silent) {
+            sending = null;
             waiting.clear();
             return;
         }
@@ -79,7 +82,9 @@
             return;
         }
         busy = true;
-        new NewsCall(fleet.turner, fleet.callBack(box.number, work.from), waiting.peek(), this::told).begin();
+        // Out of the queue: guards against another that passes it meanwhile and would be dropped in its place.
+        sending = sending == null ? waiting.poll() : sending;
+        new NewsCall(fleet.turner, fleet.callBack(box.number, work.from), sending, this::told).begin();
     }
 
     private void told(boolean heard) {
@@ -87,7 +92,7 @@
         if (heard || ++tries >= MOST_TRIES) {
             fleet.newsLost += heard ? 0 : 1;
             tries = 0;
-            waiting.poll();
+            sending = null;
             next();
         } else {
             fleet.turner.loop.after(PAUSE, this::next);
