--- a/core/src/main/java/saltdale/model/StandingOrders.java
+++ b/core/src/main/java/saltdale/model/StandingOrders.java
@@ -35,7 +35,7 @@
     public Duration longestPause = Duration.ZERO;
     public Duration connectTime = Duration.ZERO;
     /** How long a connection may rest unused. */
-    public Duration idleClose = Duration.ZERO;
+    public Duration idleClose = Duration.ofSeconds(30);
 
     /** Whether clients mark their repeats. */
     public boolean repeatsMarked;
--- a/core/src/main/java/saltdale/orders/OrdersReader.java
+++ b/core/src/main/java/saltdale/orders/OrdersReader.java
@@ -33,7 +33,7 @@
         orders.pauses = limits.flag("RetryAfter", false);
         orders.mostDispatches = limits.whole("MostDispatches", 1);
         orders.longestPause = limits.span("MaxRetryAfter", Duration.ZERO);
-        orders.idleClose = limits.span("IdleClose", Duration.ZERO);
+        orders.idleClose = limits.span("IdleClose", orders.idleClose);
         orders.connectTime = limits.span("DialTimeout", Duration.ZERO);
 
         orders.repeatsMarked = options.object("Callers").flag("MarksRetry", false);
--- a/daemon/src/main/java/saltdale/program/Posting.java
+++ b/daemon/src/main/java/saltdale/program/Posting.java
@@ -57,7 +57,7 @@
         if (orders.connectTime.isZero()) {
             throw limits.wrong("DialTimeout", "a span over 0");
         }
-        this.idleClose = limits.span("IdleClose", Duration.ofSeconds(30));
+        this.idleClose = orders.idleClose;
         orders.relief = config.has("overload") ? relief(config.object("overload")) : null;
         orders.round = Spans.most(orders.round, TIMERS);
         this.preview = config.has("preview") ? preview(settings, config.object("preview")) : null;
