--- /dev/null
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Acceptor.java
@@ -0,0 +1,121 @@
+package saltdale.lighthouse;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * What a keeper promised and accepted in ballots. Nothing is told of either before it is synced; what could not be
+ * written is not told at all, and the ballot goes on without this keeper.
+ */
+final class Acceptor {
+    static final String RECORD = "acceptor";
+    static final String TEXT = "text:";
+
+    private final Outside outside;
+    private Ballot promised = Ballot.NONE;
+    private Ballot accepted = Ballot.NONE;
+    private State state;  // null until one was accepted
+    private byte[] text;  // of state.textKey; null where it names none
+    private String synced = "";  // the text that is on disk for certain
+    private final Set<String> written = new HashSet<>();  // those that may be
+
+    Acceptor(Outside outside) {
+        this.outside = outside;
+    }
+
+    /** Takes over what was synced before. */
+    void restore(Map<String, byte[]> records) throws MalformedMessage {
+        byte[] record = records.get(RECORD);
+        if (record == null) {
+            return;
+        }
+        Fields from = new Fields(Trees.fromCbor(record));
+        promised = Ballot.of(from, "p");
+        accepted = Ballot.of(from, "a");
+        state = from.has("s") ? State.of(from.object("s")) : null;
+        if (state != null && !state.textKey().isEmpty()) {
+            text = records.get(TEXT + state.textKey());
+            if (text == null) {
+                throw new MalformedMessage("the text " + state.textKey() + " is missing on disk");
+            }
+            synced = state.textKey();
+        }
+        records.keySet().stream().filter(name -> name.startsWith(TEXT))
+                .forEach(name -> written.add(name.substring(TEXT.length())));
+    }
+
+    State state() {
+        return state;
+    }
+
+    byte[] text() {
+        return text;
+    }
+
+    Ballot promised() {
+        return promised;
+    }
+
+    /** Answers a ballot's first question, once what it promises is synced. */
+    void prepare(Ballot ballot, String knownKey, Consumer<Map<String, Object>> reply) {
+        if (ballot.compareTo(promised) < 0) {
+            reply.accept(Fields.tree("t", "nack", "b", ballot.tree(), "p", promised.tree()));
+            return;
+        }
+        promised = ballot;
+        Ballot of = accepted;
+        State told = state;
+        byte[] toldText = told == null || told.textKey().equals(knownKey) ? null : text;
+        persist(done -> {
+            if (done) {
+                reply.accept(Fields.tree("t", "promise", "b", ballot.tree(), "a", of.tree(),
+                        "s", told == null ? null : told.tree(), "x", toldText));
+            }
+        });
+    }
+
+    /** Accepts what a ballot puts forward, unless another was promised; {@code newText} is null where we may have it. */
+    void accept(Ballot ballot, State next, byte[] newText, Consumer<Map<String, Object>> reply) {
+        if (ballot.compareTo(promised) < 0) {
+            reply.accept(Fields.tree("t", "nack", "b", ballot.tree(), "p", promised.tree()));
+            return;
+        }
+        boolean have = next.textKey().isEmpty() || state != null && next.textKey().equals(state.textKey());
+        if (!have && newText == null) {
+            reply.accept(Fields.tree("t", "need", "b", ballot.tree()));
+            return;
+        }
+        promised = ballot;
+        accepted = ballot;
+        text = next.textKey().isEmpty() ? null : have ? text : newText;
+        state = next;
+        persist(done -> {
+            if (done) {
+                reply.accept(Fields.tree("t", "accepted", "b", ballot.tree()));
+            }
+        });
+    }
+
+    private void persist(Consumer<Boolean> done) {
+        Map<String, byte[]> records = new LinkedHashMap<>();
+        records.put(RECORD, Trees.cbor(Fields.tree("p", promised.tree(), "a", accepted.tree(),
+                "s", state == null ? null : state.tree())));
+        String key = state == null ? "" : state.textKey();
+        // Guards against a text whose own write failed while a later one goes through: it goes along until one is synced.
+        if (!key.isEmpty() && !key.equals(synced)) {
+            records.put(TEXT + key, text);
+            written.add(key);
+        }
+        written.stream().filter(each -> !each.equals(key)).forEach(each -> records.put(TEXT + each, null));
+        outside.persist(records, whole -> {
+            if (whole) {
+                synced = key;
+                written.removeIf(each -> !each.equals(key) && !each.equals(state.textKey()));
+            }
+            done.accept(whole);
+        });
+    }
+}
--- /dev/null
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Ballot.java
@@ -0,0 +1,25 @@
+package saltdale.lighthouse;
+
+import java.util.List;
+
+/** The number of a ballot: no two processes, and no two lives of one, ever use the same. */
+public record Ballot(long round, String life) implements Comparable<Ballot> {
+    public static final Ballot NONE = new Ballot(0, "");
+
+    @Override
+    public int compareTo(Ballot other) {
+        return round != other.round ? Long.compare(round, other.round) : life.compareTo(other.life);
+    }
+
+    public List<Object> tree() {
+        return List.of(round, life);
+    }
+
+    static Ballot of(Fields fields, String name) throws MalformedMessage {
+        List<Object> list = fields.list(name);
+        if (list.size() == 2 && list.get(0) instanceof Long round && list.get(1) instanceof String life) {
+            return new Ballot(round, life);
+        }
+        throw new MalformedMessage(name + " is no ballot");
+    }
+}
--- /dev/null
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Charts.java
@@ -0,0 +1,101 @@
+package saltdale.lighthouse;
+
+import io.avaje.jsonb.JsonException;
+import io.avaje.jsonb.Jsonb;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What operators send, as text: read, amended by named items, written. Items keep all fields that they came with. */
+final class Charts {
+    private static final Jsonb JSONB = Jsonb.builder().build();
+
+    private Charts() {
+    }
+
+    @SuppressWarnings("unchecked")
+    static Map<String, Object> read(byte[] text) throws InvalidChart {
+        try {
+            if (JSONB.type(Object.class).fromJson(text) instanceof Map<?, ?> map) {
+                return (Map<String, Object>) whole(map);
+            }
+        } catch (JsonException | IllegalStateException | IndexOutOfBoundsException e) {
+            throw new InvalidChart("not whole JSON: " + e.getMessage());
+        }
+        throw new InvalidChart("not a JSON object");
+    }
+
+    /** Numbers without a fraction become whole ones, whatever the reader made of them. */
+    private static Object whole(Object tree) {
+        if (tree instanceof Map<?, ?> map) {
+            Map<Object, Object> copy = new LinkedHashMap<>();
+            map.forEach((name, value) -> copy.put(name, whole(value)));
+            return copy;
+        } else if (tree instanceof List<?> list) {
+            return new ArrayList<>(list.stream().map(Charts::whole).toList());
+        } else if (tree instanceof Number number) {
+            double value = number.doubleValue();
+            return value == Math.rint(value) && Math.abs(value) < 1e15 ? (Object) (long) value : (Object) value;
+        }
+        return tree;
+    }
+
+    static byte[] write(Map<String, Object> tree) {
+        return JSONB.type(Object.class).toJson(tree).getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** The configuration with items set and removed by name, and a new revision. */
+    static Map<String, Object> amended(Map<String, Object> present, Fields change) throws InvalidChart {
+        Map<String, Object> next = new LinkedHashMap<>(present);
+        try {
+            next.put("revision", change.whole("revision"));
+            Fields removed = change.has("remove_names") ? change.object("remove_names") : new Fields(Map.of());
+            for (String list : removed.map().keySet()) {
+                List<String> names = removed.texts(list);
+                List<Object> items = new Fields(next).list(list);
+                items.removeIf(item -> item instanceof Map<?, ?> map && names.contains(map.get("name")));
+                next.put(list, items);
+            }
+            Fields set = change.has("set_items") ? change.object("set_items") : new Fields(Map.of());
+            for (String list : set.map().keySet()) {
+                List<Object> items = new Fields(next).list(list);
+                for (Fields item : set.objects(list)) {
+                    put(items, item);
+                }
+                next.put(list, items);
+            }
+        } catch (MalformedMessage e) {
+            throw new InvalidChart(e.getMessage());
+        }
+        return next;
+    }
+
+    private static void put(List<Object> items, Fields item) throws MalformedMessage {
+        String name = item.text("name");
+        for (int i = 0; i < items.size(); i++) {
+            if (items.get(i) instanceof Map<?, ?> map && name.equals(map.get("name"))) {
+                items.set(i, item.map());
+                return;
+            }
+        }
+        items.add(item.map());
+    }
+
+    static String digest(byte[]... parts) {
+        try {
+            MessageDigest sha = MessageDigest.getInstance("SHA-256");
+            for (byte[] part : parts) {
+                sha.update(part);
+                sha.update((byte) 0);
+            }
+            return HexFormat.of().formatHex(sha.digest(), 0, 12);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Homes.java
@@ -0,0 +1,31 @@
+package saltdale.lighthouse;
+
+import java.util.Collection;
+
+/** Which member of a zone is home to a service: alike at all who know the same members, and few move with one of them. */
+public final class Homes {
+    private Homes() {
+    }
+
+    /** The home among these members in the zone; null where the zone has none. */
+    public static Member of(String service, String zone, Collection<Member> members) {
+        Member best = null;
+        long most = 0;
+        for (Member each : members) {
+            if (each.zone().equals(zone) && !each.leaving()) {
+                long weight = mixed(service.hashCode() * 0x9E3779B97F4A7C15L ^ each.name().hashCode());
+                if (best == null || weight > most || weight == most && each.name().compareTo(best.name()) < 0) {
+                    best = each;
+                    most = weight;
+                }
+            }
+        }
+        return best;
+    }
+
+    private static long mixed(long z) {
+        long a = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
+        long b = (a ^ a >>> 27) * 0x94D049BB133111EBL;
+        return b ^ b >>> 31;
+    }
+}
--- /dev/null
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
@@ -0,0 +1,568 @@
+package saltdale.lighthouse;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * One machine of the core: takes part in what is agreed, keeps the leases of dispatchers, hands them the news they
+ * need, and, while it holds the duty, starts and stops runners. No I/O and no clock of its own.
+ */
+public final class Keeper {
+    /** An answer to an operator. */
+    public record Reply(int status, String why, byte[] body) {
+    }
+
+    private static final class Peer {
+        final String host;
+        String id;  // null until heard
+        String name;
+        String life;
+        boolean leaving;
+        long heardAt;
+        long ackedSentAt = Long.MIN_VALUE / 2;
+        final Map<Long, Long> sentAt = new LinkedHashMap<>();
+
+        Peer(String host) {
+            this.host = host;
+        }
+    }
+
+    /** A dispatcher that takes its news here. */
+    private static final class Subscriber {
+        final String host;
+        final String session;
+        Member member;
+        long heardAt;
+        long sent;  // messages of this session
+        long revision = -1;
+        long crew = -1;
+        long runners = -1;
+        long homesOf = -1;
+        final Map<String, Runner.Phase> told = new HashMap<>();
+
+        Subscriber(String host, String session) {
+            this.host = host;
+            this.session = session;
+        }
+    }
+
+    static final String STARTING = "starting";
+    private static final String IDENTITY = "identity";
+
+    private final Outside outside;
+    private final Landfall landfall;
+    private final String id;
+    private final String life;
+    private final Register register;
+    private final Starter starter;
+    private final Members members;
+    private final Runners runners;
+    private final Demand demand;
+    private final Map<String, Peer> peers = new LinkedHashMap<>();  // by host
+    private final Map<String, Subscriber> subscribers = new LinkedHashMap<>();  // by life
+    private final long startedAt;
+    private long beats;
+    private boolean proposing;
+    private boolean ending;
+    private Chart chart;
+    private Map<String, Object> chartTree;
+
+    /** {@code records} are those on disk; where there are none the keeper is new, or has lost them. */
+    public Keeper(Outside outside, Landfall landfall, Platform platform, Map<String, byte[]> records)
+            throws MalformedMessage {
+        this.outside = outside;
+        this.landfall = landfall;
+        startedAt = outside.now();
+        life = Long.toHexString(outside.chance().nextLong());
+        boolean first = landfall.firstStart() && records.isEmpty() && landfall.seeds().contains(landfall.host());
+        id = records.containsKey(IDENTITY) ? new String(records.get(IDENTITY), StandardCharsets.UTF_8)
+                : first ? Voter.firstId(landfall.host()) : Long.toHexString(outside.chance().nextLong());
+        register = new Register(outside, id, life, this::chosen);
+        members = new Members(landfall.beat() * 2 + landfall.beat() / 2);
+        runners = new Runners(8 * landfall.beat(), 40 * landfall.beat());
+        demand = new Demand(3 * landfall.beat());
+        starter = new Starter(outside, this, platform, landfall);
+        register.restore(records);
+        if (landfall.firstStart()) {
+            register.first(State.first(landfall.seeds().stream().sorted()
+                    .map(host -> new Voter(Voter.firstId(host), host, host)).toList()));
+        }
+        landfall.seeds().stream().filter(host -> !host.equals(landfall.host())).forEach(this::peer);
+        if (!records.containsKey(IDENTITY)) {
+            outside.persist(Map.of(IDENTITY, id.getBytes(StandardCharsets.UTF_8)), done -> { });
+        }
+    }
+
+    public void begin() {
+        beat();
+        tick();
+        starter.begin();
+    }
+
+    // What others of the program see.
+
+    String id() {
+        return id;
+    }
+
+    String name() {
+        return landfall.name();
+    }
+
+    Register register() {
+        return register;
+    }
+
+    Runners runners() {
+        return runners;
+    }
+
+    Demand demand() {
+        return demand;
+    }
+
+    Chart chart() {
+        return chart;
+    }
+
+    int keepers() {
+        return register.basis() == null ? 1 : register.basis().voters().size();
+    }
+
+    /** Who holds the duty is named with its life: one that began anew has forgotten what it was about. */
+    String holder() {
+        return id + "/" + life;
+    }
+
+    /** Whether this keeper holds the duty and knows that nobody can have taken it over. */
+    boolean holds() {
+        State state = register.chosen();
+        return state != null && holder().equals(state.duty(STARTING).holder()) && hasMajority();
+    }
+
+    long fence() {
+        return register.chosen().duty(STARTING).fence();
+    }
+
+    /** Whether a majority of voters answered what was sent within the lease; a process that stood still has none. */
+    public boolean hasMajority() {
+        State basis = register.basis();
+        if (basis == null) {
+            return false;
+        }
+        long since = outside.now() - landfall.lease();
+        for (List<Voter> set : basis.quorums()) {
+            long near = set.stream().filter(v -> v.id().equals(id) || peers.values().stream()
+                    .anyMatch(p -> v.id().equals(p.id) && p.ackedSentAt > since)).count();
+            if (near <= set.size() / 2) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private Peer peer(String host) {
+        return peers.computeIfAbsent(host, Peer::new);
+    }
+
+    // Beats.
+
+    private void beat() {
+        beats++;
+        State basis = register.basis();
+        Set<String> to = new LinkedHashSet<>(peers.keySet());
+        if (basis != null) {
+            basis.quorums().forEach(set -> set.forEach(v -> to.add(v.host())));
+        }
+        to.remove(landfall.host());
+        List<Object> news = members.news();
+        long now = outside.now();
+        for (String host : to) {
+            Peer peer = peer(host);
+            peer.sentAt.put(beats, now);
+            peer.sentAt.values().removeIf(at -> now - at > 4 * landfall.beat());
+            outside.send(host, Fields.tree("t", "beat", "id", id, "n", landfall.name(), "h", landfall.host(),
+                    "l", life, "i", beats, "v", version(), "e", ending ? true : null, "m", news.isEmpty() ? null : news));
+        }
+        peers.values().removeIf(p -> !landfall.seeds().contains(p.host) && now - p.heardAt > 60 * landfall.beat()
+                && (basis == null || basis.quorums().stream().flatMap(List::stream)
+                        .noneMatch(v -> v.host().equals(p.host))));
+        outside.after(landfall.beat() / 3, this::beat);
+    }
+
+    private long version() {
+        return register.chosen() == null ? -1 : register.chosen().version();
+    }
+
+    private void beaten(Fields message) throws MalformedMessage {
+        Peer peer = heard(message);
+        members.merge(message.list("m"), outside.now());
+        peer.leaving = message.flag("e");
+        outside.send(peer.host, Fields.tree("t", "beaten", "id", id, "n", landfall.name(), "h", landfall.host(), "l", life,
+                "i", message.whole("i"), "v", version()));
+    }
+
+    private Peer heard(Fields message) throws MalformedMessage {
+        Peer peer = peer(message.text("h"));
+        peer.id = message.text("id");
+        peer.name = message.text("n");
+        peer.life = message.text("l");
+        peer.heardAt = outside.now();
+        if (message.whole("v") > version()) {
+            register.fetch(peer.host);  // the sweep: whoever is behind fetches what it missed
+        }
+        return peer;
+    }
+
+    // Messages from other processes.
+
+    /** Takes a message; {@code fromHost} is where its sender can be reached. */
+    public void message(String fromHost, Fields message) throws MalformedMessage {
+        switch (message.text("t")) {
+            case "beat" -> beaten(message);
+            case "beaten" -> {
+                Peer peer = heard(message);
+                Long sent = peer.sentAt.remove(message.whole("i"));
+                peer.ackedSentAt = sent == null ? peer.ackedSentAt : Math.max(peer.ackedSentAt, sent);
+            }
+            case "renew" -> renewed(fromHost, message);
+            case "want" -> wanted(message);
+            case "up" -> {
+                Runner r = runners.get(message.text("r"));
+                if (r != null && r.phase() == Runner.Phase.BOOTING) {
+                    changed(List.of(r.at(Runner.Phase.READY)), true);
+                }
+            }
+            case "runners" -> {
+                List<Runner> copies = new ArrayList<>();
+                for (Object each : message.list("l")) {
+                    copies.add(Runner.of(each));
+                }
+                changed(copies, false);
+            }
+            case "intents" -> starter.told(message);
+            default -> {
+                Peer peer = peers.get(fromHost);
+                register.message(message.text("f", peer == null ? null : peer.id), fromHost, message);
+            }
+        }
+    }
+
+    /** Sends to all other keepers. */
+    void tellKeepers(Map<String, Object> message) {
+        peers.keySet().forEach(host -> outside.send(host, message));
+    }
+
+    /** Merges copies of runners; news of our own goes to the other keepers too. */
+    void changed(List<Runner> copies, boolean tell) {
+        List<Object> fresh = new ArrayList<>();
+        for (Runner copy : copies) {
+            if (runners.merge(copy, outside.now())) {
+                fresh.add(copy.tree());
+            }
+        }
+        if (!fresh.isEmpty()) {
+            if (tell) {
+                tellKeepers(Fields.tree("t", "runners", "l", fresh));
+            }
+            publish();
+        }
+    }
+
+    private void wanted(Fields message) throws MalformedMessage {
+        String from = message.text("l");
+        demand.said(from, message.list("w"), outside.now());
+        if (!message.flag("fwd")) {
+            State state = register.chosen();
+            String holder = state == null ? null : state.duty(STARTING).holder();
+            for (Peer peer : peers.values()) {
+                if (holder != null && holder.equals(peer.id + "/" + peer.life)) {
+                    outside.send(peer.host, Fields.tree("t", "want", "l", from, "w", message.list("w"), "fwd", true));
+                }
+            }
+        }
+        starter.look();
+    }
+
+    // Dispatchers: leases and news.
+
+    private void renewed(String fromHost, Fields message) throws MalformedMessage {
+        Member member = Member.of(message.list("m"));
+        long now = outside.now();
+        members.renewed(member, message.whole("i"), now, true);
+        boolean over = members.of(member.life()) == null;
+        Subscriber subscriber = subscribers.get(member.life());
+        if (over) {
+            subscribers.remove(member.life());
+            outside.send(fromHost, Fields.tree("t", "lease", "i", message.whole("i"), "over", true));
+            return;
+        }
+        if (subscriber == null || !subscriber.session.equals(message.text("s"))) {
+            subscriber = new Subscriber(fromHost, message.text("s"));
+            subscriber.revision = message.whole("r");
+            subscribers.put(member.life(), subscriber);
+        }
+        subscriber.member = member;
+        subscriber.heardAt = now;
+        publish(subscriber);
+        outside.send(fromHost, Fields.tree("t", "lease", "i", message.whole("i"), "maj", hasMajority(),
+                "s", subscriber.session, "c", subscriber.sent, "k", keeperHosts()));
+    }
+
+    /** Where dispatchers find keepers. */
+    private List<Object> keeperHosts() {
+        State basis = register.basis();
+        return basis == null ? List.of(landfall.host())
+                : new ArrayList<>(basis.voters().stream().map(Voter::host).toList());
+    }
+
+    void publish() {
+        subscribers.values().removeIf(s -> outside.now() - s.heardAt > 4 * landfall.beat());
+        subscribers.values().forEach(this::publish);
+    }
+
+    private void publish(Subscriber to) {
+        if (chart == null) {
+            return;
+        }
+        if (to.revision < chart.revision()) {
+            to.revision = chart.revision();
+            tell(to, Fields.tree("t", "chart", "c", chartTree));
+        }
+        if (to.crew != members.edition()) {
+            to.crew = members.edition();
+            tell(to, Fields.tree("t", "crew", "m", new ArrayList<>(members.all().stream().map(Member::tree).toList())));
+        }
+        if (to.runners != runners.edition() || to.homesOf != members.edition()) {
+            publishRunners(to);
+        }
+    }
+
+    /** Of the runners, a dispatcher is told those of services that it is home to. */
+    private void publishRunners(Subscriber to) {
+        boolean moved = to.homesOf != members.edition();
+        List<Runner> look = moved ? new ArrayList<>(runners.all()) : runners.since(to.runners);
+        List<Object> news = new ArrayList<>();
+        Map<String, Boolean> homes = new HashMap<>();
+        for (Runner r : look) {
+            boolean home = homes.computeIfAbsent(r.service(), service -> {
+                Member it = Homes.of(service, to.member.zone(), members.all());
+                return it != null && it.life().equals(to.member.life());
+            });
+            Runner.Phase told = to.told.get(r.id());
+            if (home && r.phase() != told && (told != null || r.phase() != Runner.Phase.GONE)) {
+                to.told.put(r.id(), r.phase());
+                news.add(r.tree());
+            } else if (!home && told != null) {
+                to.told.remove(r.id());  // its next home is told; this one forgets it with its homes
+            }
+        }
+        to.runners = runners.edition();
+        to.homesOf = members.edition();
+        if (!news.isEmpty()) {
+            tell(to, Fields.tree("t", "runners", "l", news));
+        }
+    }
+
+    private void tell(Subscriber to, Map<String, Object> message) {
+        message.put("s", to.session);
+        message.put("c", ++to.sent);
+        outside.send(to.host, message);
+    }
+
+    // The configuration.
+
+    private void chosen(State state, byte[] text) {
+        if (text != null && (chart == null || state.revision() > chart.revision())) {
+            try {
+                Map<String, Object> tree = Charts.read(text);
+                chart = new Chart(new Fields(tree));
+                chartTree = tree;
+            } catch (InvalidChart e) {
+                outside.note("revision " + state.revision() + " cannot be read: " + e.getMessage());
+            }
+        }
+        publish();
+        starter.look();
+    }
+
+    /** Replaces the whole configuration, or amends it. */
+    public void change(boolean amends, String basedOn, byte[] body, Consumer<Reply> answer) {
+        long base;
+        Map<String, Object> tree;
+        try {
+            base = Long.parseLong(basedOn == null ? "" : basedOn.strip());
+            tree = Charts.read(body);
+            if (!amends) {
+                new Chart(new Fields(tree));
+            }
+        } catch (NumberFormatException e) {
+            answer.accept(new Reply(400, "X-Saltdale-Based-On-Version is missing or no number", null));
+            return;
+        } catch (InvalidChart e) {
+            answer.accept(new Reply(400, e.getMessage(), null));
+            return;
+        }
+        String digest = Charts.digest(new byte[] {(byte) (amends ? 1 : 0)}, Long.toString(base).getBytes(StandardCharsets.UTF_8),
+                body);
+        register.propose((newest, text) -> change(newest, text, amends, base, tree, digest), patience(),
+                reply -> answer.accept(reply == null ? unsettled() : (Reply) reply));
+    }
+
+    private static Proposer.Step change(State newest, byte[] text, boolean amends, long base, Map<String, Object> tree,
+                                        String digest) {
+        if (newest.taken().contains(digest)) {
+            return Proposer.Step.stay(new Reply(200, "taken", null));
+        } else if (base != newest.revision()) {
+            return Proposer.Step.stay(new Reply(412, "revision " + newest.revision() + " is in place", null));
+        }
+        try {
+            Map<String, Object> whole = !amends ? tree
+                    : Charts.amended(text == null ? Map.of() : Charts.read(text), new Fields(tree));
+            Chart next = new Chart(new Fields(whole));
+            if (next.revision() <= newest.revision()) {
+                throw new InvalidChart("revision is not above " + newest.revision());
+            }
+            byte[] newText = Charts.write(whole);
+            String key = next.revision() + "-" + Charts.digest(newText);
+            return new Proposer.Step(newest.withText(next.revision(), key, digest), newText,
+                    new Reply(200, "taken", null));
+        } catch (InvalidChart e) {
+            return Proposer.Step.stay(new Reply(400, e.getMessage(), null));
+        }
+    }
+
+    /** Tells the newest configuration, as a majority knows it. */
+    public void read(Consumer<Reply> answer) {
+        register.propose((newest, text) -> Proposer.Step.stay(new Reply(200, "", text == null
+                ? "{\"revision\":0,\"routes\":[],\"services\":[]}".getBytes(StandardCharsets.UTF_8) : text)),
+                patience(), reply -> answer.accept(reply == null ? unsettled() : (Reply) reply));
+    }
+
+    /** Who has no majority says so soon, so that the caller goes to another. */
+    private long patience() {
+        return hasMajority() ? landfall.acknowledge() * 3 / 5 : landfall.acknowledge() / 5;
+    }
+
+    private static Reply unsettled() {
+        return new Reply(503, "no majority of the core answered in time", null);
+    }
+
+    // Duties and voters.
+
+    private void tick() {
+        outside.after(landfall.beat() / 6, this::tick);
+        long now = outside.now();
+        long edition = members.edition();
+        members.expire(now);
+        if (members.edition() != edition) {
+            publish();
+        }
+        if (proposing || register.basis() == null) {
+            return;
+        }
+        if (register.chosen() == null) {
+            // After a start: what is chosen is known only once a majority was asked.
+            propose((newest, text) -> Proposer.Step.stay(Boolean.TRUE));
+        } else if (hasMajority() && !ending) {
+            State state = register.chosen();
+            if (landfall.rates().duties().contains(STARTING) && vacant(state)) {
+                Tenure seen = state.duty(STARTING);
+                propose((newest, text) -> newest.duty(STARTING).fence() != seen.fence() ? Proposer.Step.stay(null)
+                        : new Proposer.Step(newest.withDuty(STARTING,
+                                new Tenure(holder(), landfall.name(), seen.fence() + 1)), null, Boolean.TRUE));
+            } else if (!state.isJoint() && (holds() || vacant(state))) {
+                List<Voter> next = votersNext(state, now);
+                if (!next.equals(state.voters())) {
+                    propose((newest, text) -> newest.isJoint() || !newest.voters().equals(state.voters())
+                            ? Proposer.Step.stay(null)
+                            : new Proposer.Step(newest.withVoters(next), null, Boolean.TRUE));
+                }
+            }
+        }
+    }
+
+    private void propose(Proposer.Change change) {
+        proposing = true;
+        // Guards against all keepers at once: the first one's ballot spares the others theirs.
+        outside.after((long) (landfall.beat() / 8 * outside.chance().nextDouble()),
+                () -> register.propose(change, landfall.beat(), done -> proposing = false));
+    }
+
+    private boolean vacant(State state) {
+        String holder = state.duty(STARTING).holder();
+        if (holder == null) {
+            return true;
+        } else if (holder.startsWith(id + "/")) {
+            return !holder.equals(holder());
+        }
+        for (Peer peer : peers.values()) {
+            if (peer.id != null && holder.startsWith(peer.id + "/")) {
+                return !holder.equals(peer.id + "/" + peer.life) || unheard(peer.heardAt);
+            }
+        }
+        return unheard(startedAt);
+    }
+
+    private boolean unheard(long heardAt) {
+        return outside.now() - Math.max(heardAt, startedAt) > landfall.vacancy();
+    }
+
+    /** The voters to have: one whose disk was lost, or that is gone, gives its place to a new keeper; pairs are added. */
+    private List<Voter> votersNext(State state, long now) {
+        List<Peer> candidates = new ArrayList<>(peers.values().stream().filter(p -> p.id != null && !p.leaving
+                && now - p.heardAt < landfall.lease() && !state.isVoter(p.id)).toList());
+        List<Voter> voters = new ArrayList<>(state.voters());
+        for (int i = 0; i < voters.size(); i++) {
+            Voter old = voters.get(i);
+            Peer same = candidates.stream().filter(p -> p.host.equals(old.host())).findAny().orElse(null);
+            if (same != null) {
+                voters.set(i, voter(same));
+                candidates.remove(same);
+            }
+        }
+        for (int i = 0; i < voters.size() && !candidates.isEmpty(); i++) {
+            Voter old = voters.get(i);
+            Peer its = peers.get(old.host());
+            boolean gone = !old.id().equals(id)
+                    && (its == null || its.leaving || unheard(its.id != null && its.id.equals(old.id()) ? its.heardAt : 0));
+            if (gone) {
+                voters.set(i, voter(candidates.remove(0)));
+            }
+        }
+        if (candidates.size() >= 2 && voters.size() + 2 <= MOST_VOTERS) {
+            voters.add(voter(candidates.get(0)));
+            voters.add(voter(candidates.get(1)));
+        }
+        return voters;
+    }
+
+    /** More voters than this make each ballot dearer and bear no more losses than a deployment asks for. */
+    private static final int MOST_VOTERS = 7;
+
+    private static Voter voter(Peer peer) {
+        return new Voter(peer.id, peer.name, peer.host);
+    }
+
+    /** Ends in order: others may take over its duties and its place at once. */
+    public void end(Runnable done) {
+        ending = true;
+        beat();
+        State state = register.chosen();
+        if (state != null && holder().equals(state.duty(STARTING).holder())) {
+            Tenure mine = state.duty(STARTING);
+            register.propose((newest, text) -> !mine.equals(newest.duty(STARTING)) ? Proposer.Step.stay(null)
+                    : new Proposer.Step(newest.withDuty(STARTING, new Tenure(null, null, mine.fence())), null,
+                            Boolean.TRUE), landfall.beat(), answer -> done.run());
+        } else {
+            done.run();
+        }
+    }
+}
--- /dev/null
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Landfall.java
@@ -0,0 +1,17 @@
+package saltdale.lighthouse;
+
+import java.util.List;
+
+/** What a keeper is told of its machine and of the deployment; spans in nanoseconds. */
+public record Landfall(String name, String host, String zone, List<String> seeds, boolean firstStart, long beat,
+                       long acknowledge, long drain, Platform.Rates rates) {
+    /** A keeper that heard of no majority for so long answers nothing, and a duty's holder does nothing. */
+    long lease() {
+        return beat + beat / 4;
+    }
+
+    /** A keeper unheard for so long has lost its duties; longer than the lease, however late its last word came. */
+    long vacancy() {
+        return lease() + beat / 2;
+    }
+}
--- /dev/null
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Members.java
@@ -0,0 +1,104 @@
+package saltdale.lighthouse;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The leases of members, merged from what all keepers hear: each renewal counts up, and the highest count is the newest. */
+final class Members {
+    private static final class Lease {
+        Member member;
+        long count;
+        long heardAt;
+        boolean untold;  // to the other keepers
+    }
+
+    private final long length;
+    private final Map<String, Lease> leases = new TreeMap<>();  // by life
+    private final Map<String, Long> ended = new LinkedHashMap<>();  // lives that are over, and since when
+    private long edition;
+
+    Members(long length) {
+        this.length = length;
+    }
+
+    /** Changes whenever who is a member does. */
+    long edition() {
+        return edition;
+    }
+
+    Collection<Member> all() {
+        return leases.values().stream().map(lease -> lease.member).toList();
+    }
+
+    Member of(String life) {
+        Lease lease = leases.get(life);
+        return lease == null ? null : lease.member;
+    }
+
+    /** A renewal, heard from the member itself or of another keeper. */
+    void renewed(Member member, long count, long now, boolean itself) {
+        if (ended.containsKey(member.life())) {
+            return;
+        }
+        Lease lease = leases.get(member.life());
+        if (lease == null) {
+            // Another life of the same name is over: a machine runs one at a time, and the later one is heard anew.
+            leases.values().removeIf(other -> other.member.name().equals(member.name()) && end(other, now));
+            lease = new Lease();
+            lease.member = member;
+            lease.count = -1;
+            leases.put(member.life(), lease);
+            edition++;
+        }
+        if (count > lease.count) {
+            edition += lease.member.equals(member) ? 0 : 1;
+            lease.member = member;
+            lease.count = count;
+            lease.heardAt = now;
+            lease.untold |= itself;
+        }
+    }
+
+    private boolean end(Lease lease, long now) {
+        ended.put(lease.member.life(), now);
+        return true;
+    }
+
+    /** Ends the leases that were not renewed. */
+    void expire(long now) {
+        int before = leases.size();
+        leases.values().removeIf(lease -> now - lease.heardAt > length && end(lease, now));
+        edition += before == leases.size() ? 0 : 1;
+        for (Iterator<Long> i = ended.values().iterator(); i.hasNext() && now - i.next() > 20 * length; ) {
+            i.remove();
+        }
+    }
+
+    /** What has been heard from members themselves since the last time this was asked. */
+    List<Object> news() {
+        List<Object> all = new ArrayList<>();
+        for (Lease lease : leases.values()) {
+            if (lease.untold) {
+                lease.untold = false;
+                List<Object> one = new ArrayList<>(lease.member.tree());
+                one.add(lease.count);
+                all.add(one);
+            }
+        }
+        return all;
+    }
+
+    void merge(List<Object> news, long now) throws MalformedMessage {
+        for (Object each : news) {
+            if (!(each instanceof List<?> list) || list.size() != 6 || !(list.get(5) instanceof Long count)) {
+                throw new MalformedMessage("no renewal");
+            }
+            renewed(Member.of(each), count, now, false);
+        }
+    }
+}
--- /dev/null
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Proposer.java
@@ -0,0 +1,299 @@
+package saltdale.lighthouse;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/**
+ * Runs ballots: each asks a majority for the newest state that any of them accepted, makes the next one of it, and has
+ * a majority accept that. There is no standing leader; whoever has a change to make runs a ballot of its own.
+ */
+final class Proposer {
+    /** Makes the next state of the newest one; may refuse, and may find that there is nothing to be done. */
+    interface Change {
+        Step on(State newest, byte[] text);
+    }
+
+    /** What a change comes to: the next state (null: stays as it is), with its text where that is new, and the answer. */
+    record Step(State next, byte[] text, Object answer) {
+        static Step stay(Object answer) {
+            return new Step(null, null, answer);
+        }
+    }
+
+    /** Told of each state that is chosen for certain. */
+    interface Chosen {
+        void chosen(Ballot ballot, State state, byte[] text);
+    }
+
+    private record Waiting(Change change, long until, Consumer<Object> answer) {
+    }
+
+    private static final long TRY = Outside.millis(400);  // for both questions of a ballot, disks and crossings included
+    private static final long PAUSE = Outside.millis(12);  // doubled with each try that another ballot overtook
+
+    private final Outside outside;
+    private final String life;
+    private final Acceptor own;
+    private final Function<String, Boolean> isSelf;
+    private final Chosen chosen;
+    private final Queue<Waiting> waiting = new ArrayDeque<>();
+    private Waiting current;
+    private Round round;
+    private long highest;
+    private int overtaken;
+    /** The newest state known to be chosen, from which the voters are known; null where nothing is known yet. */
+    private State known;
+    private byte[] knownText;
+    private boolean knownIsChosen;
+
+    Proposer(Outside outside, String life, Acceptor own, Function<String, Boolean> isSelf, Chosen chosen) {
+        this.outside = outside;
+        this.life = life;
+        this.own = own;
+        this.isSelf = isSelf;
+        this.chosen = chosen;
+    }
+
+    /** {@code certain}: it is chosen; else it may be, and serves only to find voters until something is certain. */
+    void knows(State state, byte[] text, boolean certain) {
+        if (known == null || certain && !knownIsChosen || certain && state.version() > known.version()) {
+            known = state;
+            knownText = text;
+            knownIsChosen = certain;
+        }
+    }
+
+    State basis() {
+        return known;
+    }
+
+    /** The answer is null where no majority could be had in time: what was asked for may come to be or may not. */
+    void propose(Change change, long within, Consumer<Object> answer) {
+        waiting.add(new Waiting(change, outside.now() + within, answer));
+        next();
+    }
+
+    private void next() {
+        if (current == null && !waiting.isEmpty()) {
+            current = waiting.poll();
+            overtaken = 0;
+            begin();
+        }
+    }
+
+    private void begin() {
+        if (outside.now() >= current.until || known == null) {
+            finish(null);
+            return;
+        }
+        round = new Round(new Ballot(++highest, life));
+        round.prepare();
+    }
+
+    private void again(Round which) {
+        if (round != which) {
+            return;
+        }
+        which.over();
+        round = null;
+        overtaken = Math.min(overtaken + 1, 5);
+        // Guards against two that overtake each other for ever.
+        long pause = (long) (PAUSE * (1 << overtaken) * (0.3 + outside.chance().nextDouble()));
+        outside.after(pause, () -> {
+            if (round == null && current != null) {
+                begin();
+            }
+        });
+    }
+
+    private void finish(Object answer) {
+        Waiting done = current;
+        if (round != null) {
+            round.over();
+            round = null;
+        }
+        current = null;
+        done.answer.accept(answer);
+        next();
+    }
+
+    /** A voter's reply; those to ballots that are over mean nothing any more. */
+    void reply(String voter, Fields message) throws MalformedMessage {
+        Ballot ballot = Ballot.of(message, "b");
+        if (message.text("t").equals("nack")) {
+            highest = Math.max(highest, Ballot.of(message, "p").round());
+        }
+        if (round != null && round.ballot.equals(ballot)) {
+            round.reply(voter, message);
+        }
+    }
+
+    private final class Round {
+        final Ballot ballot;
+        private final Set<String> asked = new HashSet<>();
+        private final Map<String, Ballot> promises = new HashMap<>();
+        private final Set<String> accepts = new HashSet<>();
+        private Ballot newestBallot = Ballot.NONE;
+        private State newest = known;
+        private byte[] newestText = knownText;
+        private final State base = known;
+        private final byte[] baseText = knownText;
+        private State put;
+        private byte[] putText;
+        private Object answer;
+        private boolean settles;
+        private final Runnable limit;
+
+        Round(Ballot ballot) {
+            this.ballot = ballot;
+            limit = outside.after(TRY, () -> again(this));
+        }
+
+        void over() {
+            limit.run();
+        }
+
+        void prepare() {
+            for (List<Voter> set : newest.quorums()) {
+                for (Voter voter : set) {
+                    if (round == this && put == null && asked.add(voter.id())) {
+                        ask(voter);
+                    }
+                }
+            }
+        }
+
+        private void ask(Voter voter) {
+            String key = base.textKey();
+            if (isSelf.apply(voter.id())) {
+                own.prepare(ballot, key, message -> replyOfOwn(voter.id(), message));
+            } else {
+                outside.send(voter.host(), Fields.tree("t", "prepare", "b", ballot.tree(), "k", key, "to", voter.id()));
+            }
+        }
+
+        private void replyOfOwn(String id, Map<String, Object> message) {
+            try {
+                Proposer.this.reply(id, new Fields(message));
+            } catch (MalformedMessage e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        void reply(String voter, Fields message) throws MalformedMessage {
+            switch (message.text("t")) {
+                case "nack" -> again(this);
+                case "promise" -> promised(voter, message);
+                case "accepted" -> {
+                    accepts.add(voter);
+                    acceptedBy();
+                }
+                case "need" -> {
+                    Voter which = voterOf(voter);
+                    if (put != null && which != null) {
+                        send(which, putText);
+                    }
+                }
+                default -> throw new MalformedMessage("no reply to a ballot");
+            }
+        }
+
+        private void promised(String voter, Fields message) throws MalformedMessage {
+            Ballot of = Ballot.of(message, "a");
+            if (put != null || promises.put(voter, of) != null) {
+                return;
+            }
+            if (message.has("s") && of.compareTo(newestBallot) > 0) {
+                State state = State.of(message.object("s"));
+                newestBallot = of;
+                newest = state;
+                newestText = state.textKey().isEmpty() ? null : message.has("x") ? message.bytes("x") : baseText;
+            }
+            prepare();  // of voters that only the newest state names
+            // Guards against old copies that name voters of their own: what is known to be chosen must be seen as well.
+            if (round == this && put == null && majority(promises.keySet(), base)
+                    && majority(promises.keySet(), newest)) {
+                put();
+            }
+        }
+
+        private void put() {
+            boolean certain = newest.quorums().stream().allMatch(set -> set.stream()
+                    .filter(v -> newestBallot.equals(promises.get(v.id()))).count() > set.size() / 2);
+            Step step = current.change.on(newest, newestText);
+            answer = step.answer();
+            if (step.next() == null && certain) {
+                chosen.chosen(newestBallot, newest, newestText);
+                settle(newest);
+                finish(answer);
+                return;
+            }
+            put = step.next() == null ? newest : step.next();
+            putText = step.next() != null && step.text() != null ? step.text() : newestText;
+            for (List<Voter> set : quorumsOfPut()) {
+                for (Voter voter : set) {
+                    if (round == this && asked.add("put " + voter.id())) {
+                        // Who may have the text is not sent it again: it asks where it does not.
+                        send(voter, put.textKey().equals(newest.textKey()) ? null : putText);
+                    }
+                }
+            }
+        }
+
+        private List<List<Voter>> quorumsOfPut() {
+            return put.equals(newest) || put.quorums().equals(newest.quorums()) ? put.quorums()
+                    : List.of(newest.before(), newest.voters(), put.voters());
+        }
+
+        private Voter voterOf(String id) {
+            return quorumsOfPut().stream().flatMap(List::stream).filter(v -> v.id().equals(id)).findAny().orElse(null);
+        }
+
+        private void send(Voter voter, byte[] text) {
+            if (isSelf.apply(voter.id())) {
+                own.accept(ballot, put, putText, message -> replyOfOwn(voter.id(), message));
+            } else {
+                outside.send(voter.host(), Fields.tree("t", "accept", "b", ballot.tree(), "s", put.tree(), "x", text,
+                        "to", voter.id()));
+            }
+        }
+
+        private void acceptedBy() {
+            for (List<Voter> set : quorumsOfPut()) {
+                if (set.stream().filter(v -> accepts.contains(v.id())).count() <= set.size() / 2) {
+                    return;
+                }
+            }
+            chosen.chosen(ballot, put, putText);
+            settle(put);
+            finish(answer);
+        }
+
+        /** Once a joint state is known to be chosen, by majorities of both, the old voters are needed no longer. */
+        private void settle(State joint) {
+            if (joint.isJoint()) {
+                waiting.add(new Waiting(new Settling(joint), outside.now() + 4 * TRY, done -> { }));
+            }
+        }
+
+        private boolean majority(Set<String> who, State of) {
+            return of.quorums().stream()
+                    .allMatch(set -> set.stream().filter(v -> who.contains(v.id())).count() > set.size() / 2);
+        }
+    }
+
+    /** Ends a change of voters whose joint state was seen to be chosen. */
+    private record Settling(State joint) implements Change {
+        @Override
+        public Step on(State newest, byte[] text) {
+            return newest.equals(joint) ? new Step(newest.settled(), null, Boolean.TRUE) : Step.stay(null);
+        }
+    }
+}
--- /dev/null
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Runners.java
@@ -0,0 +1,105 @@
+package saltdale.lighthouse;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The runners known, merged from the platform's list, from what starting them answered, and from other keepers: by
+ * identifier the latest phase holds, so that copies merged in any order come out alike.
+ */
+final class Runners {
+    private static final class Entry {
+        Runner runner;
+        boolean listed;  // the platform's list has shown it
+        long since;  // when it came into its phase, as far as we know
+        long edition;
+    }
+
+    /** So long what is gone is remembered, so that late news does not bring it back. */
+    private final long forget;
+    /** So long a runner that was started may take to be listed. */
+    private final long patience;
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final Map<String, Set<String>> byService = new HashMap<>();
+    private long edition;
+
+    Runners(long patience, long forget) {
+        this.patience = patience;
+        this.forget = forget;
+    }
+
+    /** Grows with each change of any runner. */
+    long edition() {
+        return edition;
+    }
+
+    /** Those that have changed since that edition. */
+    List<Runner> since(long then) {
+        return entries.values().stream().filter(e -> e.edition > then).map(e -> e.runner).toList();
+    }
+
+    Collection<Runner> of(String service) {
+        return byService.getOrDefault(service, Set.of()).stream().map(id -> entries.get(id).runner).toList();
+    }
+
+    Runner get(String id) {
+        Entry entry = entries.get(id);
+        return entry == null ? null : entry.runner;
+    }
+
+    long since(String id) {
+        return entries.get(id).since;
+    }
+
+    Collection<Runner> all() {
+        return entries.values().stream().map(e -> e.runner).toList();
+    }
+
+    /** Takes over what is newer in this copy; whether anything was. */
+    boolean merge(Runner copy, long now) {
+        Entry entry = entries.get(copy.id());
+        if (entry == null) {
+            entry = new Entry();
+            entries.put(copy.id(), entry);
+            byService.computeIfAbsent(copy.service(), s -> new HashSet<>()).add(copy.id());
+        } else if (copy.phase().compareTo(entry.runner.phase()) <= 0) {
+            return false;
+        }
+        entry.runner = copy;
+        entry.since = now;
+        entry.edition = ++edition;
+        return true;
+    }
+
+    /** The platform's whole list, as asked for at {@code askedAt}; what it does not show any more is gone. */
+    List<Runner> listed(List<Runner> list, long askedAt, long now) {
+        List<Runner> changed = new ArrayList<>();
+        Set<String> seen = new HashSet<>();
+        for (Runner each : list) {
+            seen.add(each.id());
+            if (merge(each, now)) {
+                changed.add(each);
+            }
+            entries.get(each.id()).listed = true;
+        }
+        for (Entry entry : List.copyOf(entries.values())) {
+            Runner r = entry.runner;
+            boolean overdue = entry.listed || now - entry.since > patience;
+            if (r.phase() != Runner.Phase.GONE && !seen.contains(r.id()) && overdue && entry.since < askedAt) {
+                Runner gone = r.at(Runner.Phase.GONE);
+                merge(gone, now);
+                changed.add(gone);
+            } else if (r.phase() == Runner.Phase.GONE && now - entry.since > forget && !seen.contains(r.id())) {
+                entries.remove(r.id());
+                byService.get(r.service()).remove(r.id());
+            }
+        }
+        return changed;
+    }
+}
--- /dev/null
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Scaler.java
@@ -0,0 +1,193 @@
+package saltdale.lighthouse;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * How many runners each service wants in each zone, and on which workers: from measured arrivals and running times. It
+ * grows by what waits, and shrinks only after what was wanted has been less for as long as holding one costs a start.
+ */
+final class Scaler {
+    /** A worker machine as the platform tells; {@code room} is what is free after the starts that it may not show yet. */
+    static final class Worker {
+        final String name;
+        final String zone;
+        final boolean ready;
+        final double memory;
+        double room;
+
+        Worker(String name, String zone, boolean ready, double memory, double room) {
+            this.name = name;
+            this.zone = zone;
+            this.ready = ready;
+            this.memory = memory;
+            this.room = room;
+        }
+    }
+
+    record Start(String service, String worker, String zone) {
+    }
+
+    record Plan(List<Start> starts, List<Runner> stops) {
+    }
+
+    // Ratios, none of any deployment: see docs/platform.md.
+    static final double OWN_ZONE = 0.15;  // of a runner's slots busy: from here a zone has runners of its own
+    static final double SPREAD = 1.5;  // spare slots, in square roots of the slots busy on average
+    static final double WARM_MEMORY = 0.1;  // of all workers' memory that may be held warm before any call
+    /** A runner not wanted is kept as long as the memory held costs about what a start does. */
+    private final long hold;
+
+    /** By service and zone: counts that were wanted, each until its time. */
+    private final Map<String, TreeMap<Integer, Long>> held = new HashMap<>();
+
+    Scaler(long hold) {
+        this.hold = hold;
+    }
+
+    Plan plan(long now, Chart chart, Map<String, List<Demand.Need>> demand, Runners runners,
+              List<Worker> workers, Map<String, Integer> beginning) {
+        Plan plan = new Plan(new ArrayList<>(), new ArrayList<>());
+        double allMemory = workers.stream().mapToDouble(w -> w.memory).sum();
+        double warm = 0;
+        List<Chart.Service> services = chart.services().values().stream().filter(Chart.Service::isFunction)
+                .sorted(Comparator.comparing(Chart.Service::name)).toList();
+        Map<String, Long> targets = targets(chart);
+        for (Chart.Service service : services) {
+            Map<String, Integer> wanted = wanted(service, demand.getOrDefault(service.name(), List.of()), runners);
+            // What a start takes longer than callers bear is kept warm, within a part of all the memory.
+            boolean slow = service.bootMs() > targets.getOrDefault(service.name(), Long.MAX_VALUE);
+            if (slow && warm + service.memoryMb() <= WARM_MEMORY * allMemory) {
+                warm += service.memoryMb();
+                if (wanted.values().stream().mapToInt(n -> n).sum() == 0) {
+                    String zone = placeOfWarm(service, runners, workers);
+                    if (zone != null) {
+                        wanted.put(zone, 1);
+                    }
+                }
+            }
+            fit(now, service, wanted, runners, workers, beginning, plan);
+        }
+        return plan;
+    }
+
+    /** The shortest target of the routes to each service. */
+    private static Map<String, Long> targets(Chart chart) {
+        Map<String, Long> targets = new HashMap<>();
+        for (Chart.Route route : chart.routes().values()) {
+            for (String service : route.services()) {
+                targets.merge(service, route.targetMs(), Math::min);
+            }
+        }
+        return targets;
+    }
+
+    private static String placeOfWarm(Chart.Service service, Runners runners, List<Worker> workers) {
+        for (Runner r : runners.of(service.name())) {
+            if (r.phase().compareTo(Runner.Phase.LEAVING) < 0) {
+                return r.zone();
+            }
+        }
+        return workers.stream().filter(w -> w.ready && w.room >= service.memoryMb())
+                .max(Comparator.comparingDouble(w -> w.room)).map(w -> w.zone).orElse(null);
+    }
+
+    /** By zone, how many runners the calls want now. */
+    Map<String, Integer> wanted(Chart.Service service, List<Demand.Need> needs, Runners runners) {
+        Map<String, double[]> byZone = new TreeMap<>();  // average of slots busy, slots busy now, waiting
+        int slots = service.maxConcurrency();
+        for (Demand.Need need : needs) {
+            double[] sum = byZone.computeIfAbsent(need.zone(), zone -> new double[3]);
+            sum[0] += need.rate() * need.run();
+            sum[1] += need.busy();
+            sum[2] += need.waiting();
+        }
+        // Guards against runners that move to and fro: a zone that has some is left only for one with twice its calls.
+        Map<String, Double> weights = new TreeMap<>();
+        byZone.forEach((zone, its) -> weights.put(zone, its[0] + 0.01 * (its[1] + its[2])));
+        runners.of(service.name()).stream().filter(r -> r.phase().compareTo(Runner.Phase.LEAVING) < 0)
+                .map(Runner::zone).distinct().forEach(zone -> weights.computeIfPresent(zone, (z, w) -> 2 * w));
+        String main = weights.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey).orElse(null);
+        Map<String, Integer> wanted = new TreeMap<>();
+        if (main == null) {
+            return wanted;
+        }
+        double[] pooled = byZone.get(main).clone();
+        for (Map.Entry<String, double[]> zone : byZone.entrySet()) {
+            double[] its = zone.getValue();
+            if (zone.getKey().equals(main)) {
+                continue;
+            } else if (its[0] >= OWN_ZONE * slots) {
+                wanted.put(zone.getKey(), count(its, slots));
+            } else {
+                for (int i = 0; i < pooled.length; i++) {
+                    pooled[i] += its[i];
+                }
+            }
+        }
+        double rate = needs.stream().mapToDouble(Demand.Need::rate).sum();
+        // Between calls so rare that holding costs more than starting again, nothing is kept.
+        if (rate * hold / 1e9 < 1) {
+            pooled[0] = 0;
+        }
+        wanted.put(main, count(pooled, slots));
+        return wanted;
+    }
+
+    private static int count(double[] need, int slots) {
+        double average = need[0];
+        double room = average < 0.05 ? Math.min(1, average + need[2]) : average + SPREAD * Math.sqrt(average);
+        return (int) Math.max(Math.ceil(room / slots), Math.ceil((need[1] + need[2]) / slots));
+    }
+
+    /** Starts what is missing and stops what has been too much for long enough. */
+    private void fit(long now, Chart.Service service, Map<String, Integer> wanted, Runners runners,
+                     List<Worker> workers, Map<String, Integer> beginning, Plan plan) {
+        Map<String, List<Runner>> have = new TreeMap<>();
+        for (Runner r : runners.of(service.name())) {
+            if (r.phase().compareTo(Runner.Phase.LEAVING) < 0) {
+                have.computeIfAbsent(r.zone(), zone -> new ArrayList<>()).add(r);
+            }
+        }
+        for (String zone : wanted.keySet()) {
+            have.computeIfAbsent(zone, z -> new ArrayList<>());
+        }
+        for (Map.Entry<String, List<Runner>> each : have.entrySet()) {
+            String zone = each.getKey();
+            int want = wanted.getOrDefault(zone, 0);
+            TreeMap<Integer, Long> counts = held.computeIfAbsent(service.name() + "@" + zone, k -> new TreeMap<>());
+            counts.put(want, now + hold);
+            counts.values().removeIf(until -> until <= now);
+            int keep = counts.lastKey();
+            int are = each.getValue().size() + beginning.getOrDefault(service.name() + "@" + zone, 0);
+            for (int i = are; i < want; i++) {
+                Worker worker = place(service, zone, runners, workers);
+                if (worker == null) {
+                    break;
+                }
+                worker.room -= service.memoryMb();
+                plan.starts.add(new Start(service.name(), worker.name, worker.zone));
+            }
+            if (are > keep) {
+                // The youngest first: those that are ready serve on.
+                each.getValue().stream().sorted(Comparator.comparing((Runner r) -> r.phase())
+                        .thenComparing(r -> -runners.since(r.id()))).limit(are - keep).forEach(plan.stops::add);
+            }
+        }
+    }
+
+    /** Where the fewest runners of the service are, then where the most room is: a lost worker takes few of one service. */
+    private static Worker place(Chart.Service service, String zone, Runners runners, List<Worker> workers) {
+        Map<String, Integer> there = new HashMap<>();
+        runners.of(service.name()).stream().filter(r -> r.phase().compareTo(Runner.Phase.LEAVING) < 0)
+                .forEach(r -> there.merge(r.worker(), 1, Integer::sum));
+        return workers.stream().filter(w -> w.ready && w.room >= service.memoryMb())
+                .min(Comparator.comparing((Worker w) -> !w.zone.equals(zone))
+                        .thenComparing(w -> there.getOrDefault(w.name, 0))
+                        .thenComparing(w -> -w.room)).orElse(null);
+    }
+}
--- /dev/null
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Starter.java
@@ -0,0 +1,308 @@
+package saltdale.lighthouse;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * A keeper's dealings with the platform: every keeper reads the list of runners; the holder of the duty reads the
+ * workers too, and starts and stops. A start is told to the other keepers before it is asked for, with its nonce, so that
+ * whoever takes over asks again for what may have been begun and learns of it.
+ */
+final class Starter {
+    private static final class Intent {
+        final String nonce;
+        final String service;
+        final String worker;
+        final String zone;
+        final int slots;
+        final int memory;
+        long at;  // when it was told or asked for
+        boolean asked;  // a call of ours is under way
+        int tries;
+
+        Intent(String nonce, String service, String worker, String zone, int slots, int memory, long at) {
+            this.nonce = nonce;
+            this.service = service;
+            this.worker = worker;
+            this.zone = zone;
+            this.slots = slots;
+            this.memory = memory;
+            this.at = at;
+        }
+    }
+
+    private final Outside outside;
+    private final Keeper keeper;
+    private final Platform platform;
+    private final Landfall landfall;
+    private final Scaler scaler;
+    private final Map<String, Intent> intents = new LinkedHashMap<>();  // by nonce
+    private final Map<String, Long> leaving = new LinkedHashMap<>();  // runners we told to get nothing new, and when
+    private final Set<String> drained = new HashSet<>();  // runners that the platform itself takes away
+    private final Deque<Long> duties = new ArrayDeque<>();  // calls of the last second
+    private List<Scaler.Worker> workers = List.of();
+    private final Map<String, Double> told = new HashMap<>();  // the platform's word on free memory
+    private long workersAt = Long.MIN_VALUE / 2;
+    private boolean asking;
+    private boolean looking;
+    private long fence = -1;
+    private long nonces;
+    private int pages = 1;
+    private int refused;
+
+    Starter(Outside outside, Keeper keeper, Platform platform, Landfall landfall) {
+        this.outside = outside;
+        this.keeper = keeper;
+        this.platform = platform;
+        this.landfall = landfall;
+        scaler = new Scaler(landfall.beat() * 7 / 2);
+    }
+
+    void begin() {
+        list();
+        turn();
+    }
+
+    // The list of runners.
+
+    private void list() {
+        list(null, new ArrayList<>(), outside.now());
+        // All keepers together stay under half of the platform's rate, whatever number of pages the list has.
+        double atLeast = keeper.keepers() * (pages + 1) / (0.5 * landfall.rates().listsPerSecond());
+        outside.after(Math.max(landfall.beat() / 2, (long) (atLeast * 1e9)), this::list);
+    }
+
+    private void list(String token, List<Runner> so, long askedAt) {
+        platform.runners(token, answer -> {
+            if (answer == null || answer.status() != 200 || answer.body() == null) {
+                return;
+            }
+            try {
+                Fields page = new Fields(answer.body());
+                for (Fields each : page.objects("instances")) {
+                    boolean ready = each.text("state").equals("ready");
+                    if (!ready) {
+                        drained.add(each.text("identifier"));
+                    }
+                    so.add(new Runner(each.text("identifier"), each.text("service"), each.text("address"),
+                            each.text("zone"), each.text("worker_machine", ""),
+                            ready ? Runner.Phase.READY : Runner.Phase.LEAVING, slots(each)));
+                }
+                if (page.has("next_page_token")) {
+                    list(page.text("next_page_token"), so, askedAt);
+                    return;
+                }
+            } catch (MalformedMessage e) {
+                outside.note("the platform's list cannot be read: " + e.getMessage());
+                return;
+            }
+            pages = Math.max(1, (so.size() + 199) / 200);
+            List<Runner> news = keeper.runners().listed(so, askedAt, outside.now());
+            if (!news.isEmpty()) {
+                keeper.publish();
+                look();
+            }
+        });
+    }
+
+    private static int slots(Fields runner) throws MalformedMessage {
+        return (int) Math.max(1, runner.whole("concurrency_slots", 1));
+    }
+
+    // Starting and stopping.
+
+    /** Something was heard that may want a start at once. */
+    void look() {
+        if (!looking) {
+            looking = true;
+            outside.after(0, () -> {
+                looking = false;
+                act();
+            });
+        }
+    }
+
+    private void turn() {
+        act();
+        outside.after(landfall.beat() / 12, this::turn);
+    }
+
+    private void act() {
+        if (!keeper.holds()) {
+            fence = -1;
+            return;
+        }
+        long now = outside.now();
+        if (fence != keeper.fence()) {  // newly won: what another had begun is asked for again, and so learnt
+            fence = keeper.fence();
+            intents.values().forEach(i -> i.asked = false);
+            workersAt = Long.MIN_VALUE / 2;
+            keeper.runners().all().stream()
+                    .filter(r -> r.phase() == Runner.Phase.LEAVING && !drained.contains(r.id()))
+                    .forEach(r -> leaving.putIfAbsent(r.id(), now));
+        }
+        drained.removeIf(id -> keeper.runners().get(id) == null);
+        leaving.keySet().removeIf(id -> keeper.runners().get(id) == null
+                || keeper.runners().get(id).phase() == Runner.Phase.GONE);
+        intents.values().removeIf(i -> !i.asked && now - i.at > 20 * landfall.beat());
+        if (now - workersAt > (keeper.chart() == null ? 2 : 1) * landfall.beat()) {
+            workersAt = now;
+            askForWorkers();
+        }
+        for (Intent intent : List.copyOf(intents.values())) {
+            if (!intent.asked && (intent.tries == 0 || now - intent.at > landfall.beat() / 4) && mayCall(now)) {
+                ask(intent, now);
+            }
+        }
+        if (keeper.chart() != null && !workers.isEmpty()) {
+            plan(now);
+        }
+        for (Map.Entry<String, Long> each : List.copyOf(leaving.entrySet())) {
+            // Homes have had the time to send nothing more there.
+            if (now - each.getValue() > landfall.beat() / 2 && mayCall(now)) {
+                leaving.put(each.getKey(), now);
+                stop(each.getKey());
+            }
+        }
+    }
+
+    private boolean mayCall(long now) {
+        while (!duties.isEmpty() && now - duties.peek() > 1_000_000_000L) {
+            duties.poll();
+        }
+        boolean may = duties.size() < Math.max(1, landfall.rates().dutiesPerSecond() * 0.8);
+        if (may) {
+            duties.add(now);
+        }
+        return may;
+    }
+
+    private void askForWorkers() {
+        platform.workers(answer -> {
+            if (answer == null || answer.status() != 200 || answer.body() == null) {
+                return;
+            }
+            try {
+                List<Scaler.Worker> all = new ArrayList<>();
+                for (Fields each : new Fields(answer.body()).objects("worker_machines")) {
+                    double free = each.number("free_memory_mb");
+                    all.add(new Scaler.Worker(each.text("name"), each.text("zone"),
+                            each.text("state").equals("ready"), each.number("memory_mb"), free));
+                }
+                workers = all;
+                told.clear();
+                all.forEach(w -> told.put(w.name, w.room));
+            } catch (MalformedMessage e) {
+                outside.note("the platform's workers cannot be read: " + e.getMessage());
+            }
+        });
+    }
+
+    /** What is free on each worker: the least of what the platform told and of what our own starts leave. */
+    private void reckon() {
+        Map<String, Double> used = new HashMap<>();
+        for (Runner r : keeper.runners().all()) {
+            Chart.Service service = keeper.chart().services().get(r.service());
+            if (r.phase() != Runner.Phase.GONE && service != null) {
+                used.merge(r.worker(), (double) service.memoryMb(), Double::sum);
+            }
+        }
+        intents.values().forEach(i -> used.merge(i.worker, (double) i.memory, Double::sum));
+        for (Scaler.Worker w : workers) {
+            double room = w.memory - used.getOrDefault(w.name, 0.0);
+            w.room = refused > 0 ? Math.min(room, told.getOrDefault(w.name, 0.0)) : room;
+        }
+    }
+
+    private void plan(long now) {
+        reckon();
+        Map<String, Integer> beginning = new HashMap<>();
+        intents.values().forEach(i -> beginning.merge(i.service + "@" + i.zone, 1, Integer::sum));
+        Scaler.Plan plan = scaler.plan(now, keeper.chart(), keeper.demand().all(now), keeper.runners(), workers,
+                beginning);
+        List<Object> news = new ArrayList<>();
+        for (Scaler.Start start : plan.starts()) {
+            Chart.Service service = keeper.chart().services().get(start.service());
+            Intent intent = new Intent(fence + "-" + Long.toString(++nonces, 36), start.service(), start.worker(),
+                    start.zone(), service.maxConcurrency(), service.memoryMb(), now);
+            intents.put(intent.nonce, intent);
+            news.add(tree(intent));
+        }
+        if (!news.isEmpty()) {
+            keeper.tellKeepers(Fields.tree("t", "intents", "l", news));
+            for (Intent intent : List.copyOf(intents.values())) {
+                if (!intent.asked && intent.tries == 0 && mayCall(now)) {
+                    ask(intent, now);
+                }
+            }
+        }
+        for (Runner r : plan.stops()) {
+            leaving.put(r.id(), now);
+            keeper.changed(List.of(r.at(Runner.Phase.LEAVING)), true);
+        }
+    }
+
+    private void ask(Intent intent, long now) {
+        intent.asked = true;
+        intent.at = now;
+        intent.tries++;
+        platform.begin(keeper.name(), fence, intent.service, intent.worker, intent.nonce, answer -> {
+            intent.asked = false;
+            intent.at = outside.now();
+            if (answer == null || answer.status() == 429 || answer.status() >= 500) {
+                if (intent.tries > 8) {
+                    over(intent);
+                }
+                return;  // it may have been done: asked again under the same nonce
+            }
+            over(intent);
+            if (answer.status() != 200 || answer.body() == null) {
+                refused = 10;
+                workersAt = Long.MIN_VALUE / 2;  // no room there after all: look again
+                outside.note("start of " + intent.service + " on " + intent.worker + ": " + answer.status());
+                return;
+            }
+            refused = Math.max(0, refused - 1);
+            try {
+                Fields body = new Fields(answer.body());
+                keeper.changed(List.of(new Runner(body.text("identifier"), intent.service, body.text("address"),
+                        intent.zone, intent.worker, Runner.Phase.BOOTING, intent.slots)), true);
+            } catch (MalformedMessage e) {
+                outside.note("an answer to a start cannot be read: " + e.getMessage());
+            }
+        });
+    }
+
+    private void over(Intent intent) {
+        intents.remove(intent.nonce);
+        keeper.tellKeepers(Fields.tree("t", "intents", "o", List.of(intent.nonce)));
+    }
+
+    private void stop(String id) {
+        platform.stop(keeper.name(), fence, id, answer -> {
+            if (answer != null && (answer.status() == 200 || answer.status() == 404)) {
+                leaving.remove(id);
+            }
+        });
+    }
+
+    /** Another keeper's intents: those it has told of, and those that are over. */
+    void told(Fields message) throws MalformedMessage {
+        for (Fields each : message.objects("l")) {
+            intents.putIfAbsent(each.text("n"), new Intent(each.text("n"), each.text("s"), each.text("w"),
+                    each.text("z"), (int) each.whole("c"), (int) each.whole("m"), outside.now()));
+        }
+        message.texts("o").forEach(intents::remove);
+    }
+
+    private static Map<String, Object> tree(Intent i) {
+        return Fields.tree("n", i.nonce, "s", i.service, "w", i.worker, "z", i.zone, "c", i.slots, "m", i.memory);
+    }
+}
--- /dev/null
+++ b/lighthouse/src/main/java/saltdale/lighthouse/State.java
@@ -0,0 +1,92 @@
+package saltdale.lighthouse;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What is agreed, whole but for the text of the configuration, which {@code textKey} names. Chosen states form one line,
+ * numbered by {@code version}. While {@code before} differs from {@code voters} a change of voters is under way, and
+ * ballots need a majority of both.
+ */
+public record State(long version, List<Voter> before, List<Voter> voters, Map<String, Tenure> duties, long revision,
+                    String textKey, List<String> taken) {
+    /** So many changes of the configuration are remembered, for operators who repeat theirs. */
+    private static final int REMEMBERED = 64;
+
+    /** The state from which all begin who are told that this is the first start. */
+    public static State first(List<Voter> voters) {
+        return new State(0, voters, voters, Map.of(), 0, "", List.of());
+    }
+
+    public boolean isJoint() {
+        return !before.equals(voters);
+    }
+
+    /** The sets of which a majority each is needed. */
+    public List<List<Voter>> quorums() {
+        return isJoint() ? List.of(before, voters) : List.of(voters);
+    }
+
+    public boolean isVoter(String id) {
+        return voters.stream().anyMatch(v -> v.id().equals(id));
+    }
+
+    public Tenure duty(String name) {
+        return duties.getOrDefault(name, Tenure.NONE);
+    }
+
+    public State withVoters(List<Voter> next) {
+        return new State(version + 1, voters, next, duties, revision, textKey, taken);
+    }
+
+    /** The change of voters is over: all later ballots need the new ones alone. */
+    public State settled() {
+        return new State(version + 1, voters, voters, duties, revision, textKey, taken);
+    }
+
+    public State withDuty(String name, Tenure tenure) {
+        Map<String, Tenure> all = new TreeMap<>(duties);
+        all.put(name, tenure);
+        return new State(version + 1, before, voters, all, revision, textKey, taken);
+    }
+
+    public State withText(long newRevision, String key, String change) {
+        List<String> all = new ArrayList<>(taken);
+        all.add(change);
+        return new State(version + 1, before, voters, duties, newRevision, key,
+                all.subList(Math.max(0, all.size() - REMEMBERED), all.size()));
+    }
+
+    public Map<String, Object> tree() {
+        Map<String, Object> duty = new LinkedHashMap<>();
+        duties.forEach((name, t) -> duty.put(name, Fields.tree("h", t.holder(), "n", t.name(), "f", t.fence())));
+        return Fields.tree("v", version, "b", isJoint() ? before.stream().map(Voter::tree).toList() : null,
+                "m", voters.stream().map(Voter::tree).toList(), "d", duty, "r", revision, "k", textKey, "c", taken);
+    }
+
+    static State of(Fields from) throws MalformedMessage {
+        List<Voter> voters = voters(from, "m");
+        Map<String, Tenure> duties = new TreeMap<>();
+        Fields all = from.object("d");
+        for (String name : all.map().keySet()) {
+            Fields one = all.object(name);
+            duties.put(name, new Tenure(one.text("h", null), one.text("n", null), one.whole("f")));
+        }
+        return new State(from.whole("v"), from.has("b") ? voters(from, "b") : voters, voters, duties,
+                from.whole("r"), from.text("k"), from.texts("c"));
+    }
+
+    private static List<Voter> voters(Fields from, String name) throws MalformedMessage {
+        List<Voter> all = new ArrayList<>();
+        for (Object each : from.list(name)) {
+            all.add(Voter.of(each));
+        }
+        if (all.isEmpty()) {
+            throw new MalformedMessage("no voters");
+        }
+        return all;
+    }
+}
--- a/net/src/main/java/saltdale/protocol/HttpParser.java
+++ b/net/src/main/java/saltdale/protocol/HttpParser.java
@@ -31,8 +31,13 @@
         void part(ByteBuffer bytes);
     }
 
+    /** How long what is gathered may be, in bytes. */
+    public record Limits(int head, int body) {
+    }
+
     private final Kind kind;
     private final Sink sink;
+    private Limits limits;
     private State state = State.HEAD;
     private byte[] gathered = new byte[512];
     private int count;
@@ -44,6 +49,7 @@
     private int trailerBytes;
     private long left;
     private Head head;
+    private boolean toTheEnd;
     private int faultStatus;
     private String fault;
 
@@ -55,6 +61,12 @@
     public HttpParser(Kind kind, Sink sink) {
         this.kind = kind;
         this.sink = sink;
+        limits = new Limits(MOST_HEAD, kind == Kind.REQUEST ? MOST_BODY : MOST_ANSWER);
+    }
+
+    /** Other limits hold from the next message on. */
+    public void limits(Limits next) {
+        limits = next;
     }
 
     /** Takes bytes until the message is whole or bad; what comes after stays in the buffer. */
@@ -83,6 +95,11 @@
         return state == State.BAD;
     }
 
+    /** Whether the end of the body is told, so that a whole one is told from one that was cut short. */
+    public boolean framed() {
+        return !toTheEnd;
+    }
+
     /** Nothing of a message has come yet. */
     public boolean untouched() {
         return state == State.HEAD && count + empty == 0;
@@ -117,6 +134,7 @@
         bodyCount = 0;
         line.reset();
         trailerBytes = 0;
+        toTheEnd = false;
         head = null;
     }
 
@@ -144,7 +162,7 @@
                 }
                 continue;
             }
-            if (count == MOST_HEAD) {
+            if (count >= limits.head) {
                 bad(431, "the head is too long");
                 return;
             }
@@ -221,11 +239,12 @@
             state = State.CHUNK_SIZE;
         } else if (length == null && kind == Kind.ANSWER && !none) {
             state = State.TO_THE_END;
+            toTheEnd = true;
         } else {
             left = length == null || none ? 0 : Long.parseLong(length);
             state = left == 0 ? State.WHOLE : State.COUNTED;
             if (!tooLong(left) && sink == null) {
-                body = new byte[(int) Math.min(left, MOST_BODY)];  // more only as it comes
+                body = new byte[(int) Math.min(left, Math.min(limits.body, MOST_BODY))];  // more only as it comes
             }
         }
     }
@@ -233,7 +252,7 @@
     // The body.
 
     private boolean tooLong(long more) {
-        if (sink == null && bodyCount + more > (kind == Kind.REQUEST ? MOST_BODY : MOST_ANSWER)) {
+        if (sink == null && bodyCount + more > limits.body) {
             bad(413, "the body is too long");
             return true;
         }
--- a/net/src/main/java/saltdale/protocol/HttpWriter.java
+++ b/net/src/main/java/saltdale/protocol/HttpWriter.java
@@ -3,34 +3,69 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 
 /** The bytes of the messages that a dispatcher sends. */
 public final class HttpWriter {
-    private static final Set<String> NOT_PASSED_ON = Set.of("connection", "keep-alive", "proxy-connection", "te",
-            "trailer", "transfer-encoding", "upgrade", "content-length", "expect", "request-timeout-ms");
+    /** Headers that concern one connection, or the framing on it, in lower case. */
+    public static final Set<String> HOP = Set.of("connection", "keep-alive", "proxy-connection", "te",
+            "trailer", "transfer-encoding", "upgrade", "content-length", "expect");
+    private static final Set<String> NOT_PASSED_ON = and(HOP, "request-timeout-ms");
     private static final Set<String> ALWAYS_PASSED_ON = Set.of("request-id", "idempotency-key");
 
     private HttpWriter() {
     }
 
+    /** These names and those. */
+    public static Set<String> and(Set<String> names, String... more) {
+        Set<String> all = new HashSet<>(names);
+        all.addAll(List.of(more));
+        return Set.copyOf(all);
+    }
+
     /** A client's request as it goes on to a runner, up to its body: what came, but for this hop's own headers. */
     public static byte[] passedOn(Head head, int bodyLength, long patienceMillis) {
+        return passedOn(head, NOT_PASSED_ON, ALWAYS_PASSED_ON,
+                "Request-Timeout-Ms: " + patienceMillis + "\r\nContent-Length: " + bodyLength + "\r\n");
+    }
+
+    /**
+     * The same with names (in lower case) and lines of the caller's: those dropped, those kept whatever the Connection
+     * header names, and whole header lines to be added.
+     */
+    public static byte[] passedOn(Head head, Set<String> dropped, Set<String> always, String more) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(512);
         text(out, head.method() + " " + head.target() + " HTTP/1.1\r\n");
+        lines(out, head, dropped, always);
+        text(out, more + "\r\n");
+        return out.toByteArray();
+    }
+
+    /** A runner's answer as it goes back to a client, up to its body. */
+    public static byte[] passedBack(Head head, int bodyLength, boolean close) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(512);
+        text(out, "HTTP/1.1 " + head.status() + " " + reason(head.status()) + "\r\n");
+        lines(out, head, HOP, Set.of());
+        if (head.status() != 204 && head.status() != 304) {
+            text(out, "Content-Length: " + bodyLength + "\r\n");
+        }
+        text(out, close ? "Connection: close\r\n\r\n" : "\r\n");
+        return out.toByteArray();
+    }
+
+    private static void lines(ByteArrayOutputStream out, Head head, Set<String> dropped, Set<String> always) {
         for (Head.Line line : head.lines) {
             String name = line.name().toLowerCase(Locale.ROOT);
             // Guards against a client whose Connection header names what tells a runner one job from another.
-            if (!NOT_PASSED_ON.contains(name)
-                    && (ALWAYS_PASSED_ON.contains(name) || !head.lists("Connection", name))) {
+            if (!dropped.contains(name) && (always.contains(name) || !head.lists("Connection", name))) {
                 byte[] came = head.bytes(line);
                 out.write(came, 0, came.length);
                 text(out, "\r\n");
             }
         }
-        text(out, "Request-Timeout-Ms: " + patienceMillis + "\r\nContent-Length: " + bodyLength + "\r\n\r\n");
-        return out.toByteArray();
     }
 
     /** A request of our own, without a body. */
@@ -51,6 +86,13 @@
         return out.toByteArray();
     }
 
+    /** A request of our own with a body; {@code more} holds whole header lines or nothing. */
+    public static byte[] request(String method, String target, String host, String more, int bodyLength) {
+        return (method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n" + more
+                + (method.equals("GET") ? "" : "Content-Length: " + bodyLength + "\r\n") + "\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
+    }
+
     public static ByteBuffer goOn() {
         return ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
     }
@@ -69,10 +111,12 @@
             case 405 -> "Method Not Allowed";
             case 408 -> "Request Timeout";
             case 409 -> "Conflict";
+            case 412 -> "Precondition Failed";
             case 413 -> "Content Too Large";
             case 431 -> "Request Header Fields Too Large";
             case 502 -> "Bad Gateway";
             case 503 -> "Service Unavailable";
+            case 504 -> "Gateway Timeout";
             default -> "Status";
         };
     }
--- a/net/src/main/java/saltdale/transport/Pool.java
+++ b/net/src/main/java/saltdale/transport/Pool.java
@@ -44,8 +44,15 @@
 
     /** Takes back a connection whose exchange is over. */
     public void rest(Connection connection) {
-        if (connection.isOpen()) {
-            resting.addFirst(new Resting(connection));
+        rest(connection, idleLimit);
+    }
+
+    /** The same, for so long where the peer has said how long it keeps one. */
+    public void rest(Connection connection, Duration limit) {
+        if (connection.isOpen() && !limit.isNegative()) {
+            resting.addFirst(new Resting(connection, limit.compareTo(idleLimit) < 0 ? limit : idleLimit));
+        } else {
+            connection.close();
         }
     }
 
@@ -60,11 +67,11 @@
         private final Timer limit;
         private final Runnable drop = this::drop;
 
-        Resting(Connection connection) {
+        Resting(Connection connection, Duration span) {
             this.connection = connection;
             connection.owner(this);
             // Guards against a request that crosses the peer's closing of an idle connection.
-            limit = loop.after(idleLimit, drop);
+            limit = loop.after(span, drop);
             sockets.idle(Sockets.Rank.RUNNER, drop);
         }
 
--- /dev/null
+++ b/pilot/src/main/java/saltdale/pilot/Berth.java
@@ -0,0 +1,50 @@
+package saltdale.pilot;
+
+import java.util.HashMap;
+import java.util.Map;
+import saltdale.lighthouse.Runner;
+
+/** A runner as its home sees it: which of its slots are lent, and how it has done of late. */
+final class Berth {
+    /** A slot that is lent: to whom, since when, and until when it comes back if nobody says so. */
+    record Loan(String life, long at, long until) {
+    }
+
+    static final double POOR = 0.3;  // a runner failing more than this share of late is passed over
+
+    Runner runner;
+    final Map<String, Loan> loans = new HashMap<>();  // by who asked and the number of the question
+    long notBefore;  // it turned work away, or could not be reached, and rests until then
+    long rest;
+    double failing;
+    boolean used;  // something was sent there
+    boolean trying;
+    long since;
+
+    Berth(Runner runner, long since) {
+        this.runner = runner;
+        this.since = since;
+    }
+
+    boolean isUp() {
+        return runner.phase() == Runner.Phase.READY;
+    }
+
+    int free() {
+        return runner.slots() - loans.size();
+    }
+
+    boolean mayTake(long now) {
+        return isUp() && free() > 0 && now >= notBefore;
+    }
+
+    void ended(boolean failed) {
+        failing = 0.8 * failing + (failed ? 0.2 : 0);
+    }
+
+    /** It rests, longer each time until something goes well there. */
+    void rests(long now, long least, long most) {
+        rest = Math.min(most, Math.max(least, 2 * rest));
+        notBefore = now + rest;
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/saltdale/pilot/Call.java
@@ -0,0 +1,41 @@
+package saltdale.pilot;
+
+import java.util.HashSet;
+import java.util.Set;
+import saltdale.lighthouse.Chart;
+import saltdale.lighthouse.Member;
+
+/** One request of a client, from when it was read to its one final answer. */
+public final class Call {
+    public final String id;
+    public final Chart.Route route;
+    public final String service;
+    /** What the carrier keeps with it: the client and the bytes. */
+    public final Object load;
+    final long arrivedAt;
+    final long until;  // when it is given up at the latest
+    final Set<String> avoided = new HashSet<>();  // runners that turned it away or broke off
+    final Set<String> unreached = new HashSet<>();  // zones whose homes did not answer
+    Verdict verdict = Verdict.NOT_RUN;
+    int attempts;
+    long ask;  // the number of the present question for a slot; 0 while there is none
+    Member home;  // whom it went to
+    boolean awaited;  // the home has said that it waits there
+    Runnable timer;
+    Runnable limit;
+    Attempt attempt;
+    boolean over;
+
+    Call(String id, Chart.Route route, String service, Object load, long arrivedAt, long until) {
+        this.id = id;
+        this.route = route;
+        this.service = service;
+        this.load = load;
+        this.arrivedAt = arrivedAt;
+        this.until = until;
+    }
+
+    public boolean isOver() {
+        return over;
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/saltdale/pilot/Carrier.java
@@ -0,0 +1,22 @@
+package saltdale.pilot;
+
+/** What carries bytes for a pilot: connections to runners and to clients. */
+public interface Carrier {
+    /** Sends the call there; tells the pilot by {@link Pilot#ended}. */
+    void carry(Attempt attempt);
+
+    /** Breaks the attempt off; nothing of it is told any more. */
+    void abandon(Attempt attempt);
+
+    /** Hands the runner's whole answer to the client. */
+    void deliver(Attempt attempt);
+
+    /** Answers with a status of our own; {@code pauseMillis} (0: none) says when to come back. */
+    void refuse(Call call, int status, long pauseMillis, String why);
+
+    /** Tries whether a runner that is starting takes connections; tells by {@link Pilot#tried}. */
+    void tryRunner(String id, String address);
+
+    /** Nothing goes to this runner any more. */
+    void forget(String id);
+}
--- /dev/null
+++ b/pilot/src/main/java/saltdale/pilot/Home.java
@@ -0,0 +1,351 @@
+package saltdale.pilot;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import saltdale.lighthouse.Chart;
+import saltdale.lighthouse.Runner;
+import saltdale.probing.ProbeLoop;
+
+/**
+ * The home of one service in a zone: it lends the slots of the zone's runners, one to each call, so that no more are at
+ * work than a runner takes, whoever asks. Which runner it is the design decides: probes of randomly drawn ones, the
+ * first idle one, further only while that pays.
+ */
+final class Home {
+    /** A call that asks for a slot. */
+    static final class Ask {
+        final String key;
+        final String life;
+        final String host;  // null: our own
+        final long number;
+        final String zone;
+        final long until;
+        final int priority;
+        final Set<String> avoided;
+        final long at;
+        long toldAt;  // that it waits; 0: not yet
+
+        Ask(String key, String life, String host, long number, String zone, long until, int priority,
+            Set<String> avoided, long at) {
+            this.key = key;
+            this.life = life;
+            this.host = host;
+            this.number = number;
+            this.zone = zone;
+            this.until = until;
+            this.priority = priority;
+            this.avoided = avoided;
+            this.at = at;
+        }
+    }
+
+    /** What becomes of an ask. */
+    interface Lender {
+        void lend(Ask ask, Runner runner);
+
+        /** It waits here for a slot. */
+        void waits(Ask ask);
+
+        /** There are runners, in another zone. */
+        void elsewhere(Ask ask, String zone);
+
+        /** It can't be in time: it may come back after so many milliseconds. */
+        void none(Ask ask, long pauseMillis);
+    }
+
+    private static final double TAU = 2e9;  // over which arrivals are averaged
+    private final String service;
+    private final String zone;
+    private final ProbeLoop probes;
+    private final SplittableRandom chance;
+    private final Lender lender;
+    private final Map<String, Berth> berths = new LinkedHashMap<>();  // of our zone
+    private final Map<String, Runner> others = new LinkedHashMap<>();  // of the other zones
+    private final TreeMap<String, Ask> queue = new TreeMap<>();
+    private long queued;
+    private double rate;  // calls a second that come from our zone
+    private long rateAt;
+    private double run;  // seconds that a call runs, on average
+    private long busyAt;
+    /** From when on it lends: those who lent before have ended by then, or said what is out. */
+    long opensAt;
+
+    Home(String service, String zone, ProbeLoop probes, SplittableRandom chance, Lender lender, long opensAt) {
+        this.service = service;
+        this.zone = zone;
+        this.probes = probes;
+        this.chance = chance;
+        this.lender = lender;
+        this.opensAt = opensAt;
+    }
+
+    // What is known of runners.
+
+    /** News of a runner; those that are not known any more are dropped. */
+    void heard(Runner runner, long now) {
+        if (!runner.zone().equals(zone)) {
+            if (runner.phase().compareTo(Runner.Phase.LEAVING) < 0) {
+                others.put(runner.id(), runner);
+            } else {
+                others.remove(runner.id());
+            }
+            return;
+        }
+        Berth berth = berths.get(runner.id());
+        if (runner.phase() == Runner.Phase.GONE) {
+            berths.remove(runner.id());
+        } else if (berth == null) {
+            berths.put(runner.id(), new Berth(runner, now));
+        } else if (runner.phase().compareTo(berth.runner.phase()) > 0) {
+            berth.runner = runner;
+        }
+        serve(now);
+    }
+
+    String service() {
+        return service;
+    }
+
+    /** Says again to those who wait that they do: else they ask elsewhere. */
+    void sayWaits(long now, long every) {
+        for (Ask ask : queue.values()) {
+            if (now - ask.toldAt >= every) {
+                ask.toldAt = now;
+                lender.waits(ask);
+            }
+        }
+    }
+
+    Berth berth(String id) {
+        return berths.get(id);
+    }
+
+    List<Berth> booting() {
+        return berths.values().stream().filter(b -> b.runner.phase() == Runner.Phase.BOOTING).toList();
+    }
+
+    boolean isIdle() {
+        return queue.isEmpty() && berths.isEmpty() && others.isEmpty() && rate == 0;
+    }
+
+    // Asks.
+
+    void ask(Ask ask, boolean counts, Chart.Service kind, boolean stays, long now) {
+        if (counts) {
+            decay(now);
+            rate += 1e9 / TAU;
+        }
+        queue.put(String.format("%04d %016x", Math.min(9999, ask.priority), ++queued), ask);
+        serve(now);
+        if (!queue.containsValue(ask)) {
+            return;
+        }
+        // Where runners of ours are up or coming it waits for them; else for those of another zone.
+        String there = berths.values().stream().anyMatch(b -> b.runner.phase().compareTo(Runner.Phase.LEAVING) < 0)
+                || stays ? null : elsewhere();
+        if (there != null) {
+            remove(ask);
+            lender.elsewhere(ask, there);
+            return;
+        }
+        long wait = wait(kind, now);
+        if (now + wait > ask.until) {
+            remove(ask);
+            lender.none(ask, Math.max(100, wait / 2_000_000));
+            return;
+        }
+        ask.toldAt = now;
+        lender.waits(ask);
+    }
+
+    private String elsewhere() {
+        return others.values().stream().min(Comparator.comparing(Runner::phase).reversed()
+                .thenComparing(Runner::zone)).map(Runner::zone).orElse(null);
+    }
+
+    /** How long the last one in the queue is likely to wait. */
+    private long wait(Chart.Service kind, long now) {
+        int slots = berths.values().stream().filter(Berth::isUp).mapToInt(b -> b.runner.slots()).sum();
+        double boot = kind == null ? 0 : kind.bootMs() * 1e6;
+        if (slots == 0) {
+            long since = booting().stream().mapToLong(b -> b.since).min().orElse(now);
+            return (long) Math.max(0.1 * boot, boot - (now - since));
+        }
+        double turns = queue.size() * run * 1e9 / slots;
+        return (long) Math.min(turns, boot == 0 ? turns : boot + run * 1e9);
+    }
+
+    private void remove(Ask ask) {
+        queue.values().remove(ask);
+    }
+
+    /** It asks no longer. */
+    void drop(String key, long now) {
+        queue.values().removeIf(ask -> ask.key.equals(key));
+        for (Berth berth : berths.values()) {
+            if (berth.loans.remove(key) != null) {
+                serve(now);
+                return;
+            }
+        }
+    }
+
+    /** A lent slot comes back. */
+    void back(String key, String id, Attempt.End end, long ranNanos, long now) {
+        Berth berth = berths.get(id);
+        if (berth == null) {
+            return;
+        }
+        berth.loans.remove(key);
+        switch (end) {
+            case ANSWERED -> {
+                berth.ended(false);
+                berth.rest = 0;
+                double seconds = ranNanos / 1e9;
+                run = run == 0 ? seconds : 0.95 * run + 0.05 * Math.min(seconds, 4 * run);
+                probes.ended(seconds);
+            }
+            case TURNED_AWAY -> berth.rests(now, 30_000_000L, 500_000_000L);  // another's work still holds its slots
+            case NOT_CONNECTED -> berth.rests(now, 50_000_000L, 1_000_000_000L);
+            case MISDIRECTED -> berths.remove(id);
+            case BROKEN -> berth.ended(true);
+            default -> { }
+        }
+        serve(now);
+    }
+
+    /** A slot that another home lent before us, or that we are told of again. */
+    void held(String key, String life, String id, long until, long now) {
+        Berth berth = berths.get(id);
+        if (berth != null) {
+            berth.loans.put(key, new Berth.Loan(life, now, until));
+        }
+    }
+
+    /** Whoever asked is gone: what it was lent comes back after a moment, as runners see its connections end. */
+    void gone(String life, long until) {
+        queue.values().removeIf(ask -> ask.life.equals(life));
+        for (Berth berth : berths.values()) {
+            berth.loans.replaceAll((key, loan) -> loan.life().equals(life)
+                    ? new Berth.Loan(life, loan.at(), Math.min(loan.until(), until)) : loan);
+        }
+    }
+
+    /** Looks whether anything is due: asks that are over, loans that never came back. */
+    void turn(long now) {
+        queue.values().removeIf(ask -> ask.until <= now);
+        for (Berth berth : berths.values()) {
+            berth.loans.values().removeIf(loan -> loan.until() <= now);
+        }
+        serve(now);
+    }
+
+    /** Lends what is free to those who wait, in their order. */
+    private void serve(long now) {
+        if (now < opensAt) {
+            return;
+        }
+        while (!queue.isEmpty()) {
+            Ask next = null;
+            Berth berth = null;
+            for (Ask ask : queue.values()) {
+                berth = pick(ask, now);
+                if (berth != null) {
+                    next = ask;
+                    break;
+                }
+            }
+            if (next == null) {
+                return;
+            }
+            remove(next);
+            berth.loans.put(next.key, new Berth.Loan(next.life, now, next.until));
+            berth.used = true;
+            busyAt = now;
+            lender.lend(next, berth.runner);
+        }
+    }
+
+    // The design's draw: here all probes are of our own knowledge, which holds all that is lent.
+    private Berth pick(Ask ask, long now) {
+        List<Berth> ready = new ArrayList<>();
+        int poor = 0;
+        for (Berth berth : berths.values()) {
+            if (berth.isUp() && !ask.avoided.contains(berth.runner.id())) {
+                ready.add(berth);
+                poor += berth.failing > Berth.POOR ? 1 : 0;
+            }
+        }
+        // Guards against runners that fail often, unless most do: then it is not them.
+        if (poor > 0 && 2 * poor <= ready.size()) {
+            ready.removeIf(b -> b.failing > Berth.POOR && chance.nextDouble() > 0.05);
+        }
+        double shortest = Double.POSITIVE_INFINITY;
+        int probed = 0;
+        Set<Berth> seen = new HashSet<>();
+        for (int i = 0; i < ready.size() && (probed == 0 || probes.worthAnother(probed, shortest)); i++) {
+            java.util.Collections.swap(ready, i, i + chance.nextInt(ready.size() - i));
+            Berth berth = ready.get(i);
+            seen.add(berth);
+            probed++;
+            boolean idle = berth.mayTake(now);
+            double load = load(berth, ready);
+            probes.sawProbe(idle, load, 0);
+            if (idle) {
+                return berth;
+            }
+            shortest = Math.min(shortest, load);
+        }
+        // No probed runner has a free slot: any other that has, else the call waits here.
+        return ready.stream().filter(b -> !seen.contains(b) && b.mayTake(now)).findFirst().orElse(null);
+    }
+
+    /** The calls waiting for it and in flight to it; one not yet sent to counts as the mean of the others. */
+    private static double load(Berth berth, List<Berth> ready) {
+        return berth.used ? berth.loans.size()
+                : ready.stream().filter(b -> b.used).mapToInt(b -> b.loans.size()).average().orElse(0);
+    }
+
+    // What is told to the keepers.
+
+    private void decay(long now) {
+        rate *= Math.exp(-(now - rateAt) / TAU);
+        rateAt = now;
+        if (rate < 0.01) {
+            rate = 0;
+        }
+    }
+
+    /** Service, zone, calls a second, seconds a call, slots lent, asks waiting, seconds since it last lent. */
+    List<Object> need(long now) {
+        decay(now);
+        int busy = berths.values().stream().mapToInt(b -> b.loans.size()).sum();
+        return rate == 0 && busy == 0 && queue.isEmpty() ? null
+                : List.of(service, zone, rate, run, busy, queue.size(), (now - busyAt) / 1e9);
+    }
+
+    int waiting() {
+        return queue.size();
+    }
+
+    boolean hasRunners() {
+        return berths.values().stream().anyMatch(b -> b.runner.phase().compareTo(Runner.Phase.LEAVING) < 0);
+    }
+
+    /** All loans, for a home that takes over. */
+    List<Object> loans(long now) {
+        List<Object> all = new ArrayList<>();
+        for (Berth berth : berths.values()) {
+            berth.loans.forEach((key, loan) -> all.add(List.of(service, berth.runner.id(), key, loan.life(),
+                    Math.max(0, (loan.until() - now) / 1_000_000))));
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/saltdale/pilot/Pilot.java
@@ -0,0 +1,658 @@
+package saltdale.pilot;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import saltdale.lighthouse.Chart;
+import saltdale.lighthouse.Fields;
+import saltdale.lighthouse.Homes;
+import saltdale.lighthouse.InvalidChart;
+import saltdale.lighthouse.MalformedMessage;
+import saltdale.lighthouse.Member;
+import saltdale.lighthouse.Outside;
+import saltdale.lighthouse.Runner;
+import saltdale.probing.ProbeLoop;
+
+/**
+ * A dispatcher that carries calls: it finds the route, asks the service's home in its zone for a slot, sends the call to
+ * the runner that it is lent, and answers. It is itself home to some services of its zone. No I/O and no clock of its own.
+ */
+public final class Pilot {
+    private static final long MARGIN = Outside.millis(15);  // before a client's deadline, for the way back
+    private static final int MOST_MOVES = 6;  // of a call that no runner began, from one runner to another
+
+    private final Outside outside;
+    private final Bearings bearings;
+    private final Carrier carrier;
+    private final Tender tender;
+    private final RetryBudget budget;
+    private final ProbeLoop probes = new ProbeLoop();
+    private final Map<String, Home> homes = new HashMap<>();  // by service, those that we are
+    private final Map<Long, Call> asking = new HashMap<>();
+    private final Set<Attempt> carried = new HashSet<>();
+    private final Map<String, Long> silent = new HashMap<>();  // members that did not answer, until when they are passed by
+    private final Map<String, Runner> told = new LinkedHashMap<>();  // runners of services that we are home to
+    private Collection<Member> crew = List.of();
+    private Chart chart;
+    private long asks;
+    private boolean needed;  // something, when it was last told
+    private boolean ending;
+
+    public Pilot(Outside outside, Bearings bearings, Carrier carrier) {
+        this.outside = outside;
+        this.bearings = bearings;
+        this.carrier = carrier;
+        budget = new RetryBudget(bearings.retryRatio(), bearings.retryWindow(), bearings.retrySlack());
+        tender = new Tender(outside, bearings, new Tender.Reader() {
+            @Override
+            public void news(Fields message) throws MalformedMessage {
+                Pilot.this.news(message);
+            }
+
+            @Override
+            public void begins() {
+                told.clear();
+            }
+
+            @Override
+            public void over() {
+                homes.clear();
+            }
+
+            @Override
+            public long revision() {
+                return chart == null ? -1 : chart.revision();
+            }
+        });
+    }
+
+    public void begin() {
+        tender.begin();
+        turn();
+    }
+
+    /** It can serve: it knows a configuration, and the crew that it is one of. */
+    public boolean isReady() {
+        return chart != null && !ending && crew.stream().anyMatch(m -> m.life().equals(tender.life()));
+    }
+
+    public boolean knowsChart() {
+        return chart != null;
+    }
+
+    public Chart chart() {
+        return chart;
+    }
+
+    /** Calls that have no final answer yet. */
+    public int open() {
+        return asking.size() + carried.size();
+    }
+
+    /** Nothing new is to come; what is here is carried on. */
+    public void end() {
+        ending = true;
+        tender.leave();
+    }
+
+    // News of the core.
+
+    private void news(Fields message) throws MalformedMessage {
+        switch (message.text("t")) {
+            case "chart" -> {
+                try {
+                    Chart next = new Chart(message.object("c"));
+                    // Never back within one life, whoever tells.
+                    chart = chart == null || next.revision() > chart.revision() ? next : chart;
+                } catch (InvalidChart e) {
+                    outside.note("a configuration cannot be read: " + e.getMessage());
+                }
+            }
+            case "crew" -> {
+                List<Member> all = new ArrayList<>();
+                for (Object each : message.list("m")) {
+                    all.add(Member.of(each));
+                }
+                crew(all);
+            }
+            case "runners" -> {
+                for (Object each : message.list("l")) {
+                    runner(Runner.of(each));
+                }
+            }
+            default -> throw new MalformedMessage("no such news");
+        }
+    }
+
+    private void runner(Runner r) {
+        told.put(r.id(), r);
+        Home home = isHome(r.service()) ? home(r.service()) : null;
+        if (home != null) {
+            home.heard(r, outside.now());
+            tryBooting(home);
+        }
+        if (r.phase() == Runner.Phase.GONE) {
+            told.remove(r.id());
+            carrier.forget(r.id());
+        }
+    }
+
+    /** Homes move with the crew: who is one no longer says what it has lent, and who becomes one waits for that. */
+    private void crew(List<Member> next) {
+        Collection<Member> before = crew;
+        crew = next;
+        long now = outside.now();
+        for (String service : List.copyOf(homes.keySet())) {
+            if (!isHome(service)) {
+                Member heir = Homes.of(service, bearings.zone(), crew);
+                List<Object> loans = homes.remove(service).loans(now);
+                told.values().removeIf(r -> r.service().equals(service));
+                if (heir != null && !loans.isEmpty()) {
+                    outside.send(heir.host(), Fields.tree("t", "held", "l", loans));
+                }
+            }
+        }
+        // What we hold is told to the new homes.
+        Map<String, List<Object>> held = new LinkedHashMap<>();
+        for (Attempt a : carried) {
+            Member was = Homes.of(a.call.service, bearings.zone(), before);
+            Member is = Homes.of(a.call.service, bearings.zone(), crew);
+            if (is != null && (was == null || !was.life().equals(is.life())) && !is.life().equals(tender.life())) {
+                held.computeIfAbsent(is.host(), host -> new ArrayList<>()).add(List.of(a.call.service, a.runner,
+                        key(tender.life(), a.slot), tender.life(), Math.max(0, (a.until - now) / 1_000_000)));
+            }
+        }
+        held.forEach((host, list) -> outside.send(host, Fields.tree("t", "held", "l", list)));
+        Set<String> lives = new HashSet<>();
+        crew.forEach(m -> lives.add(m.life()));
+        for (Member m : before) {
+            if (!lives.contains(m.life())) {
+                homes.values().forEach(home -> home.gone(m.life(), now + bearings.beat() / 3));
+                silent.remove(m.life());
+                for (Call call : List.copyOf(asking.values())) {
+                    if (call.home != null && call.home.life().equals(m.life())) {
+                        askAgain(call);
+                    }
+                }
+            }
+        }
+    }
+
+    private boolean isHome(String service) {
+        Member home = Homes.of(service, bearings.zone(), crew);
+        return home != null && home.life().equals(tender.life());
+    }
+
+    private Home home(String service) {
+        return homes.computeIfAbsent(service, s -> {
+            long opensAt = outside.now() + (told.values().stream().anyMatch(r -> r.service().equals(s))
+                    ? bearings.beat() / 8 : 0);
+            Home home = new Home(s, bearings.zone(), probes, outside.chance(), new Lending(s), opensAt);
+            told.values().stream().filter(r -> r.service().equals(s)).toList()
+                    .forEach(r -> home.heard(r, outside.now()));
+            outside.after(Math.max(0, opensAt - outside.now()), () -> home.turn(outside.now()));
+            return home;
+        });
+    }
+
+    private void tryBooting(Home home) {
+        Chart.Service kind = chart == null ? null : chart.services().get(home.service());
+        for (Berth berth : home.booting()) {
+            if (!berth.trying) {
+                berth.trying = true;
+                // From the earliest that it may be up; each refusal is soon followed by another try.
+                outside.after(kind == null ? 0 : kind.bootMs() * 400_000, () -> tryOne(home, berth));
+            }
+        }
+    }
+
+    private void tryOne(Home home, Berth berth) {
+        boolean still = homes.get(home.service()) == home && home.berth(berth.runner.id()) == berth
+                && berth.runner.phase() == Runner.Phase.BOOTING;
+        if (still) {
+            carrier.tryRunner(berth.runner.id(), berth.runner.address());
+        } else {
+            berth.trying = false;
+        }
+    }
+
+    /** What came of a try whether a runner that is starting takes connections. */
+    public void tried(String id, boolean up) {
+        for (Home home : homes.values()) {
+            Berth berth = home.berth(id);
+            if (berth != null && berth.runner.phase() == Runner.Phase.BOOTING) {
+                if (up) {
+                    berth.trying = false;
+                    home.heard(berth.runner.at(Runner.Phase.READY), outside.now());
+                    if (tender.keeper() != null) {
+                        outside.send(tender.keeper(), Fields.tree("t", "up", "r", id));
+                    }
+                } else {
+                    outside.after(bearings.beat() / 24, () -> tryOne(home, berth));
+                }
+            }
+        }
+    }
+
+    // Calls.
+
+    /** Takes a call in; {@code leftNanos} is how long its client waits. */
+    public Call arrived(String id, Chart.Route route, long leftNanos, Object load) {
+        long now = outside.now();
+        long until = now + Math.min(leftNanos - MARGIN, route.timeoutMs() * 1_000_000);
+        Call call = new Call(id, route, service(route), load, now, until);
+        budget.first(call.service, now);
+        call.limit = outside.after(Math.max(0, until - now), () -> overdue(call));
+        ask(call);
+        return call;
+    }
+
+    private String service(Chart.Route route) {
+        if (route.services().size() == 1) {
+            return route.services().get(0);
+        }
+        double draw = outside.chance().nextDouble() * route.weights().stream().mapToDouble(w -> w).sum();
+        for (int i = 0; i < route.services().size(); i++) {
+            draw -= route.weights().get(i);
+            if (draw < 0) {
+                return route.services().get(i);
+            }
+        }
+        return route.services().get(route.services().size() - 1);
+    }
+
+    /** The client has gone: nothing more is done for it. */
+    public void left(Call call) {
+        if (!call.over) {
+            finish(call);
+        }
+    }
+
+    private void overdue(Call call) {
+        if (!call.over) {
+            boolean unsent = call.verdict == Verdict.NOT_RUN && call.attempt == null;
+            giveUp(call, unsent ? 503 : 504, 0, "not done in time");
+        }
+    }
+
+    private void giveUp(Call call, int status, long pauseMillis, String why) {
+        finish(call);
+        carrier.refuse(call, status, pauseMillis, why);
+    }
+
+    private void finish(Call call) {
+        call.over = true;
+        call.limit.run();
+        stopAsking(call);
+        if (call.attempt != null) {
+            Attempt attempt = call.attempt;
+            call.attempt = null;
+            carrier.abandon(attempt);
+            giveBack(attempt, Attempt.End.ABANDONED);
+        }
+    }
+
+    private void stopAsking(Call call) {
+        if (call.ask != 0) {
+            asking.remove(call.ask);
+            call.timer.run();
+            String key = key(tender.life(), call.ask);
+            if (call.home != null && call.home.life().equals(tender.life())) {
+                Home home = homes.get(call.service);
+                if (home != null) {
+                    home.drop(key, outside.now());
+                }
+            } else if (call.home != null) {
+                outside.send(call.home.host(), Fields.tree("t", "drop", "s", call.service, "k", key));
+            }
+            call.ask = 0;
+        }
+    }
+
+    private static String key(String life, long ask) {
+        return life + "." + ask;
+    }
+
+    /** Asks a home for a slot: our zone's, or another's where ours does not answer. */
+    private void ask(Call call) {
+        Member home = homeFor(call);
+        call.home = home;
+        if (home == null) {
+            giveUp(call, call.verdict == Verdict.NOT_RUN ? 503 : 502, 500, "nobody lends slots for this service");
+            return;
+        }
+        call.ask = ++asks;
+        call.awaited = false;
+        asking.put(call.ask, call);
+        long number = call.ask;
+        // A home answers at once, if only that the call waits; that is said again while it does.
+        call.timer = outside.after(bearings.beat() / 6, () -> unanswered(call, number));
+        long now = outside.now();
+        boolean away = !home.zone().equals(bearings.zone());
+        boolean counts = call.attempts == 0 && call.unreached.isEmpty() && !away || away && !call.unreached.isEmpty();
+        if (home.life().equals(tender.life())) {
+            lend(new Home.Ask(key(tender.life(), number), tender.life(), null, number, bearings.zone(), call.until,
+                    call.route.priority(), call.avoided, now), call.service, counts, new ArrayList<>(call.unreached));
+        } else {
+            outside.send(home.host(), Fields.tree("t", "ask", "i", number, "s", call.service, "l", tender.life(), "z",
+                    bearings.zone(), "u", (call.until - now) / 1_000_000, "p", call.route.priority(), "n", counts,
+                    "x", call.avoided.isEmpty() ? null : new ArrayList<>(call.avoided),
+                    "o", call.unreached.isEmpty() ? null : new ArrayList<>(call.unreached)));
+        }
+    }
+
+    private Member homeFor(Call call) {
+        long now = outside.now();
+        Member own = Homes.of(call.service, bearings.zone(), crew);
+        if (usable(own, call, now)) {
+            return own;
+        }
+        List<Member> far = new ArrayList<>();
+        for (String zone : crew.stream().map(Member::zone).distinct().toList()) {
+            Member each = Homes.of(call.service, zone, crew);
+            if (usable(each, call, now)) {
+                far.add(each);
+            }
+        }
+        return far.isEmpty() ? own : far.get(outside.chance().nextInt(far.size()));
+    }
+
+    private boolean usable(Member home, Call call, long now) {
+        return home != null && !call.unreached.contains(home.zone())
+                && (home.life().equals(tender.life()) ? tender.hasLease() : silent.getOrDefault(home.life(), 0L) <= now);
+    }
+
+    private void unanswered(Call call, long number) {
+        if (call.ask == number) {
+            if (call.home != null) {
+                if (!call.home.life().equals(tender.life())) {
+                    silent.put(call.home.life(), outside.now() + bearings.beat() / 2);
+                }
+                call.unreached.add(call.home.zone());
+            }
+            askAgain(call);
+        }
+    }
+
+    private void askAgain(Call call) {
+        stopAsking(call);
+        ask(call);
+    }
+
+    /** A connection to another process has ended: what was asked there is asked elsewhere. */
+    public void unreachable(String host) {
+        for (Call call : List.copyOf(asking.values())) {
+            if (call.home != null && call.home.host().equals(host) && !call.home.life().equals(tender.life())) {
+                unanswered(call, call.ask);
+            }
+        }
+    }
+
+    // What homes answer.
+
+    private void lent(long number, Runner r) {
+        Call call = asking.remove(number);
+        if (call == null) {
+            return;
+        }
+        call.timer.run();
+        call.ask = 0;
+        Attempt attempt = new Attempt(call, r.id(), r.address(), call.home, number, outside.now());
+        call.attempt = attempt;
+        call.attempts++;
+        carried.add(attempt);
+        carrier.carry(attempt);
+    }
+
+    private void waits(long number) {
+        Call call = asking.get(number);
+        if (call != null) {
+            call.awaited = true;
+            call.timer.run();
+            call.timer = outside.after(bearings.beat(), () -> unanswered(call, number));
+        }
+    }
+
+    private void elsewhere(long number, String zone) {
+        Call call = asking.get(number);
+        if (call == null) {
+            return;
+        }
+        Member there = Homes.of(call.service, zone, crew);
+        if (there == null || call.unreached.contains(zone)) {
+            call.unreached.add(zone);
+            askAgain(call);
+            return;
+        }
+        asking.remove(number);
+        call.timer.run();
+        call.ask = ++asks;
+        call.home = there;
+        asking.put(call.ask, call);
+        long now = outside.now();
+        long next = call.ask;
+        call.timer = outside.after(bearings.beat() / 6, () -> unanswered(call, next));
+        if (there.life().equals(tender.life())) {
+            lend(new Home.Ask(key(tender.life(), next), tender.life(), null, next, bearings.zone(), call.until,
+                    call.route.priority(), call.avoided, now), call.service, false, List.of());
+            return;
+        }
+        outside.send(there.host(), Fields.tree("t", "ask", "i", next, "s", call.service, "l", tender.life(), "z",
+                bearings.zone(), "u", (call.until - now) / 1_000_000, "p", call.route.priority(), "n", false,
+                "x", call.avoided.isEmpty() ? null : new ArrayList<>(call.avoided), "e", true));
+    }
+
+    private void none(long number, long pauseMillis) {
+        Call call = asking.get(number);
+        if (call != null) {
+            giveUp(call, call.verdict == Verdict.NOT_RUN ? 503 : 502, pauseMillis, "no runner can take it in time");
+        }
+    }
+
+    /** An attempt has ended, in whatever way; only one that we abandoned is not told here. */
+    public void ended(Attempt attempt, Attempt.End end) {
+        if (attempt.over) {
+            return;
+        }
+        giveBack(attempt, end);
+        Call call = attempt.call;
+        if (call.over) {
+            return;
+        }
+        call.attempt = null;
+        call.verdict = call.verdict.and(end.verdict());
+        if (end == Attempt.End.ANSWERED) {
+            call.over = true;
+            call.limit.run();
+            carrier.deliver(attempt);
+            return;
+        }
+        call.avoided.add(attempt.runner);
+        boolean arrived = end == Attempt.End.TURNED_AWAY || end == Attempt.End.BROKEN || end == Attempt.End.MISDIRECTED;
+        boolean again = call.verdict.allowsAnother(call.route.idempotent())
+                && (end.verdict() == Verdict.NOT_RUN ? call.attempts < MOST_MOVES : call.attempts < call.route.maxAttempts())
+                && (!arrived || budget.further(call.service, outside.now(), crew.size()));
+        if (again) {
+            ask(call);
+        } else if (call.verdict == Verdict.NOT_RUN) {
+            giveUp(call, 503, 100, "no runner took it");
+        } else {
+            giveUp(call, 502, 0, "the runner's answer is lost");
+        }
+    }
+
+    private void giveBack(Attempt attempt, Attempt.End end) {
+        attempt.over = true;
+        carried.remove(attempt);
+        long ran = outside.now() - attempt.sentAt;
+        String key = key(tender.life(), attempt.slot);
+        if (attempt.home.life().equals(tender.life())) {
+            Home home = homes.get(attempt.call.service);
+            if (home != null) {
+                home.back(key, attempt.runner, end, ran, outside.now());
+            }
+        } else {
+            outside.send(attempt.home.host(), Fields.tree("t", "back", "s", attempt.call.service, "k", key, "r",
+                    attempt.runner, "e", end.ordinal(), "d", ran / 1000));
+        }
+    }
+
+    // Lending.
+
+    private void lend(Home.Ask ask, String service, boolean counts, List<String> unreached) {
+        if (!isHome(service) || !tender.hasLease() || chart == null) {
+            if (ask.host == null) {
+                Call call = asking.get(ask.number);
+                if (call != null) {
+                    call.unreached.add(bearings.zone());
+                    outside.after(Outside.millis(20), () -> {
+                        if (call.ask == ask.number) {
+                            askAgain(call);
+                        }
+                    });
+                }
+            }
+            return;  // another asks elsewhere when it hears nothing
+        }
+        boolean stays = !unreached.isEmpty();
+        Home home = home(service);
+        home.ask(ask, counts, chart.services().get(service), stays, outside.now());
+        if (home.waiting() > 0 && !home.hasRunners()) {
+            tellNeeds();
+        }
+    }
+
+    private final class Lending implements Home.Lender {
+        private final String service;
+
+        Lending(String service) {
+            this.service = service;
+        }
+
+        @Override
+        public void lend(Home.Ask ask, Runner r) {
+            if (ask.host == null) {
+                outside.after(0, () -> lentHere(ask, r));
+            } else {
+                outside.send(ask.host, Fields.tree("t", "lent", "i", ask.number, "r", r.tree()));
+            }
+        }
+
+        private void lentHere(Home.Ask ask, Runner r) {
+            if (asking.containsKey(ask.number)) {
+                lent(ask.number, r);
+            }
+        }
+
+        @Override
+        public void waits(Home.Ask ask) {
+            if (ask.host == null) {
+                Pilot.this.waits(ask.number);
+            } else {
+                outside.send(ask.host, Fields.tree("t", "waits", "i", ask.number));
+            }
+        }
+
+        @Override
+        public void elsewhere(Home.Ask ask, String zone) {
+            if (ask.host == null) {
+                outside.after(0, () -> Pilot.this.elsewhere(ask.number, zone));
+            } else {
+                outside.send(ask.host, Fields.tree("t", "elsewhere", "i", ask.number, "z", zone));
+            }
+        }
+
+        @Override
+        public void none(Home.Ask ask, long pauseMillis) {
+            if (ask.host == null) {
+                outside.after(0, () -> Pilot.this.none(ask.number, pauseMillis));
+            } else {
+                outside.send(ask.host, Fields.tree("t", "none", "i", ask.number, "p", pauseMillis));
+            }
+        }
+    }
+
+    // Messages of other processes.
+
+    public void message(String from, Fields message) throws MalformedMessage {
+        switch (message.text("t")) {
+            case "ask" -> {
+                long number = message.whole("i");
+                String life = message.text("l");
+                long now = outside.now();
+                lend(new Home.Ask(key(life, number), life, from, number, message.text("z"),
+                        now + message.whole("u") * 1_000_000, (int) message.whole("p"),
+                        new HashSet<>(message.texts("x")), now), message.text("s"), message.flag("n"),
+                        message.flag("e") ? List.of("") : message.texts("o"));
+            }
+            case "lent" -> lent(message.whole("i"), Runner.of(message.list("r")));
+            case "waits" -> waits(message.whole("i"));
+            case "elsewhere" -> elsewhere(message.whole("i"), message.text("z"));
+            case "none" -> none(message.whole("i"), message.whole("p"));
+            case "drop" -> {
+                Home home = homes.get(message.text("s"));
+                if (home != null) {
+                    home.drop(message.text("k"), outside.now());
+                }
+            }
+            case "back" -> {
+                Home home = homes.get(message.text("s"));
+                long end = message.whole("e");
+                if (home != null && end >= 0 && end < Attempt.End.values().length) {
+                    home.back(message.text("k"), message.text("r"), Attempt.End.values()[(int) end],
+                            message.whole("d") * 1000, outside.now());
+                }
+            }
+            case "held" -> held(message);
+            default -> tender.message(from, message);
+        }
+    }
+
+    private void held(Fields message) throws MalformedMessage {
+        for (Object each : message.list("l")) {
+            if (!(each instanceof List<?> loan) || loan.size() != 5 || !(loan.get(0) instanceof String service)
+                    || !(loan.get(1) instanceof String id) || !(loan.get(2) instanceof String key)
+                    || !(loan.get(3) instanceof String life) || !(loan.get(4) instanceof Long left)) {
+                throw new MalformedMessage("no loan");
+            }
+            if (isHome(service)) {
+                home(service).held(key, life, id, outside.now() + left * 1_000_000, outside.now());
+            }
+        }
+    }
+
+    // The turn.
+
+    private void turn() {
+        outside.after(bearings.beat() / 6, this::turn);
+        long now = outside.now();
+        homes.values().forEach(home -> {
+            home.turn(now);
+            tryBooting(home);
+        });
+        homes.values().removeIf(Home::isIdle);
+        for (Home home : homes.values()) {
+            home.sayWaits(now, bearings.beat() / 3);
+        }
+        tellNeeds();
+    }
+
+    private void tellNeeds() {
+        List<Object> needs = new ArrayList<>();
+        for (Home home : homes.values()) {
+            List<Object> need = home.need(outside.now());
+            if (need != null) {
+                needs.add(need);
+            }
+        }
+        if ((needed || !needs.isEmpty()) && tender.keeper() != null) {
+            outside.send(tender.keeper(), Fields.tree("t", "want", "l", tender.life(), "w", needs));
+        }
+        needed = !needs.isEmpty();
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/saltdale/pilot/Tender.java
@@ -0,0 +1,161 @@
+package saltdale.pilot;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import saltdale.lighthouse.Fields;
+import saltdale.lighthouse.MalformedMessage;
+import saltdale.lighthouse.Member;
+import saltdale.lighthouse.Outside;
+
+/**
+ * A pilot's tie to the core: it renews its lease at one keeper and takes its news there, and goes on to another when
+ * that one is silent or has lost the majority.
+ */
+final class Tender {
+    /** News, in the order in which the keeper sent it. */
+    interface Reader {
+        void news(Fields message) throws MalformedMessage;
+
+        /** A session begins: what was told before about runners is told again. */
+        void begins();
+
+        /** Our lease is over: we are another member now. */
+        void over();
+
+        long revision();
+    }
+
+    private final Outside outside;
+    private final Bearings bearings;
+    private final Reader reader;
+    private final Set<String> keepers = new LinkedHashSet<>();
+    private final Map<Long, Long> sentAt = new LinkedHashMap<>();
+    private String life;
+    private String keeper;
+    private String session = "";
+    private long count;
+    private long news;  // of this session, so many came
+    private long heardAt;
+    private long confirmedAt = Long.MIN_VALUE / 2;  // when that was sent which a keeper with a majority answered last
+    private boolean leaving;
+
+    Tender(Outside outside, Bearings bearings, Reader reader) {
+        this.outside = outside;
+        this.bearings = bearings;
+        this.reader = reader;
+        keepers.addAll(bearings.seeds());
+        life = fresh();
+    }
+
+    private String fresh() {
+        return Long.toString(outside.chance().nextLong() >>> 1, 36);
+    }
+
+    String life() {
+        return life;
+    }
+
+    String keeper() {
+        return keeper;
+    }
+
+    boolean hasLease() {
+        return outside.now() - confirmedAt < bearings.lease();
+    }
+
+    void begin() {
+        move();
+        turn();
+    }
+
+    private void turn() {
+        long now = outside.now();
+        if (now - heardAt > bearings.beat()) {
+            move();
+        }
+        renew();
+        // Until the first word has come it asks more often: a keeper may start later than we do.
+        outside.after(news == 0 ? bearings.beat() / 6 : bearings.beat() / 2, this::turn);
+    }
+
+    /** Another keeper, another session. */
+    private void move() {
+        List<String> all = new ArrayList<>(keepers);
+        all.remove(keeper);
+        if (!all.isEmpty()) {
+            keeper = all.get(outside.chance().nextInt(all.size()));
+        }
+        resume();
+    }
+
+    /** A new session: all news that matters is told anew. */
+    private void resume() {
+        session = fresh();
+        news = 0;
+        heardAt = outside.now();
+        sentAt.clear();
+        reader.begins();
+    }
+
+    private void renew() {
+        if (keeper == null) {
+            return;
+        }
+        long now = outside.now();
+        sentAt.put(++count, now);
+        sentAt.values().removeIf(at -> now - at > 4 * bearings.beat());
+        outside.send(keeper, Fields.tree("t", "renew", "m", new Member(life, bearings.name(), bearings.zone(),
+                bearings.host(), leaving).tree(), "i", count, "s", session, "r", reader.revision()));
+    }
+
+    /** Tells at once that nothing new is to come here. */
+    void leave() {
+        leaving = true;
+        renew();
+    }
+
+    void message(String from, Fields message) throws MalformedMessage {
+        if (message.text("t").equals("lease")) {
+            lease(from, message);
+        } else if (message.text("s").equals(session) && from.equals(keeper)) {
+            if (message.whole("c") != news + 1) {
+                resume();  // something was lost on the way
+                renew();
+                return;
+            }
+            news++;
+            heardAt = outside.now();
+            reader.news(message);
+        }
+    }
+
+    private void lease(String from, Fields message) throws MalformedMessage {
+        Long sent = sentAt.remove(message.whole("i"));
+        if (!from.equals(keeper) || sent == null) {
+            return;
+        }
+        if (message.flag("over")) {
+            life = fresh();
+            reader.over();
+            resume();
+            renew();
+            return;
+        }
+        if (!message.flag("maj")) {
+            return;  // it may not know what is in force: after a beat of this we go on to another
+        }
+        heardAt = outside.now();
+        confirmedAt = Math.max(confirmedAt, sent);
+        for (String each : message.texts("k")) {
+            keepers.add(each);
+        }
+        if (message.text("s").equals(session) && message.whole("c") != news) {
+            resume();
+            renew();
+        }
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/saltdale/pilot/Verdict.java
@@ -0,0 +1,21 @@
+package saltdale.pilot;
+
+/** How far an attempt came: what may be said of the request, and what may be done next, follows from this alone. */
+public enum Verdict {
+    /** No runner has begun work on it, and none will. */
+    NOT_RUN,
+    /** It was sent, and nothing says whether it ran. */
+    MAY_HAVE_RUN,
+    /** A runner's own answer says that it ran. */
+    RAN;
+
+    /** Whether the request may go to a runner again. */
+    public boolean allowsAnother(boolean idempotent) {
+        return this == NOT_RUN || idempotent && this == MAY_HAVE_RUN;
+    }
+
+    /** Of two attempts at one request, what holds for the request. */
+    public Verdict and(Verdict other) {
+        return compareTo(other) >= 0 ? this : other;
+    }
+}
--- /dev/null
+++ b/station/src/main/java/saltdale/station/Harbor.java
@@ -0,0 +1,97 @@
+package saltdale.station;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Consumer;
+import saltdale.lighthouse.Outside;
+import saltdale.transport.Address;
+import saltdale.transport.Loop;
+import saltdale.transport.Sockets;
+import saltdale.transport.Timer;
+
+/** The world of one process: its loop, its sockets, its links to the other processes and, where there is one, its disk. */
+final class Harbor implements Outside {
+    /** Writes records to disk, all or none; throws where that cannot be done. */
+    interface Disk {
+        void write(Map<String, byte[]> records) throws Exception;
+    }
+
+    private static final int OTHER_DESCRIPTORS = 260;  // 200 are kept by the platform, the rest are jars, logs, the disk
+
+    final Loop loop;
+    final Sockets sockets;
+    final Links links;
+    final Ring ring;
+    private final SplittableRandom chance = new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << 40);
+    private final Disk disk;
+    private final ExecutorService writer;
+
+    Harbor(Settings settings, Disk disk, Links.Reader reader) throws IOException {
+        loop = new Loop();
+        ring = new Ring(() -> loop.clock().toMillis());
+        sockets = new Sockets(loop, Math.max(64, settings.descriptors - OTHER_DESCRIPTORS));
+        links = new Links(loop, sockets, settings.host, settings.port, Duration.ofNanos(settings.beat * 2 / 3), reader);
+        this.disk = disk;
+        writer = disk == null ? null : Executors.newSingleThreadExecutor(task -> {
+            Thread thread = new Thread(task, "disk");
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
+    @Override
+    public long now() {
+        return loop.clock().toNanos();
+    }
+
+    @Override
+    public SplittableRandom chance() {
+        return chance;
+    }
+
+    @Override
+    public Runnable after(long nanos, Runnable what) {
+        Timer timer = loop.after(loop.clock().minus(loop.now()).plusNanos(Math.max(0, nanos)), what);
+        return timer::cancel;
+    }
+
+    @Override
+    public void send(String host, Map<String, Object> message) {
+        links.send(host, message);
+    }
+
+    /** The loop never waits for the disk: a thread of its own writes, in order. */
+    @Override
+    public void persist(Map<String, byte[]> records, Consumer<Boolean> done) {
+        writer.execute(() -> {
+            boolean written;
+            try {
+                disk.write(records);
+                written = true;
+            } catch (Exception e) {
+                written = false;
+                ring.note("the disk refused a write: " + e.getMessage());
+            }
+            boolean whole = written;
+            loop.fromOutside(() -> done.accept(whole));
+        });
+    }
+
+    @Override
+    public void note(String what) {
+        ring.note(what);
+    }
+
+    static InetSocketAddress address(String text, String key) throws Settings.Wrong {
+        InetSocketAddress at = Address.parse(text);
+        if (at == null) {
+            throw new Settings.Wrong(key + ": " + text + " is no numeric address with a port");
+        }
+        return at;
+    }
+}
--- /dev/null
+++ b/station/src/main/java/saltdale/station/KeeperStation.java
@@ -0,0 +1,164 @@
+package saltdale.station;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import saltdale.lighthouse.Fields;
+import saltdale.lighthouse.Keeper;
+import saltdale.lighthouse.Landfall;
+import saltdale.lighthouse.MalformedMessage;
+import saltdale.protocol.Head;
+import saltdale.protocol.HttpParser;
+import saltdale.serving.Visit;
+import saltdale.transport.Listener;
+import saltdale.transport.Loop;
+import saltdale.transport.Sockets;
+import saltdale.vault.Vault;
+import saltdale.vault.VaultException;
+
+/** A keeper as a process: its disk, its links, and the calls of operators. */
+final class KeeperStation implements Links.Reader, Visit.Host {
+    private static final int MOST_BODY = 8 << 20;  // of a configuration, in bytes
+    private static final byte[] NOTHING = new byte[0];
+
+    private final Settings settings;
+    private final Harbor harbor;
+    private final Keeper keeper;
+    private boolean ending;
+
+    KeeperStation(Settings settings) throws IOException, Settings.Wrong {
+        this.settings = settings;
+        Map<String, byte[]> records = new HashMap<>();
+        Vault vault = null;
+        if (settings.data != null) {
+            vault = open(settings, records);
+        }
+        Vault on = vault;
+        harbor = new Harbor(settings, on == null ? all -> { } : on::write, this);
+        Landfall landfall = new Landfall(settings.name, settings.host, settings.zone, settings.seeds,
+                settings.firstStart, settings.beat, settings.acknowledge, settings.drain, settings.rates);
+        Keeper made;
+        try {
+            made = new Keeper(harbor, landfall, new PlatformClient(harbor, settings.platform), records);
+        } catch (MalformedMessage e) {
+            // What cannot be read back whole is as good as lost: another voter, who knows nothing, begins.
+            harbor.ring.wrong("the records on disk cannot be used, beginning as a new keeper: " + e.getMessage());
+            Map<String, byte[]> none = new HashMap<>();
+            records.keySet().forEach(name -> none.put(name, null));
+            harbor.persist(none, done -> { });
+            try {
+                made = new Keeper(harbor, landfall, new PlatformClient(harbor, settings.platform), Map.of());
+            } catch (MalformedMessage never) {
+                throw new IllegalStateException(never);
+            }
+        }
+        keeper = made;
+        if (settings.control != null) {
+            new Listener(harbor.loop, harbor.sockets, Harbor.address(settings.control, "listen_addresses.control"),
+                    (connection, full) -> new Visit(this, connection, full));
+        }
+    }
+
+    /** The vault and its records; one that cannot be read is set aside, as a lost disk would be. */
+    private static Vault open(Settings settings, Map<String, byte[]> records) throws Settings.Wrong {
+        try {
+            Vault vault = Vault.open(settings.data);
+            records.putAll(vault.read());
+            return vault;
+        } catch (VaultException e) {
+            throw new Settings.Wrong("data_directory " + settings.data + ": " + e.getMessage());
+        }
+    }
+
+    void run() throws IOException {
+        keeper.begin();
+        harbor.loop.run(() -> { });
+    }
+
+    /** Told to end: duties are handed on, then it is over. */
+    void end() {
+        harbor.loop.fromOutside(() -> {
+            if (!ending) {
+                ending = true;
+                harbor.loop.after(Duration.ofNanos(settings.beat), harbor.loop::stop);
+                keeper.end(() -> harbor.loop.after(Duration.ofMillis(50), harbor.loop::stop));
+            }
+        });
+    }
+
+    // Other processes.
+
+    @Override
+    public void message(String fromHost, Fields message) throws MalformedMessage {
+        if (keeper != null) {
+            keeper.message(fromHost, message);
+        }
+    }
+
+    @Override
+    public void broken(String host) {
+        // What was lost is asked for again.
+    }
+
+    // Operators: one dispatch on method and path.
+
+    @Override
+    public void requested(Visit visit, Head head, byte[] body) {
+        switch (head.method() + " " + head.path()) {
+            case "POST /Configuration.Replace" ->
+                    keeper.change(false, head.single("X-Saltdale-Based-On-Version"), body, reply -> tell(visit, reply));
+            case "POST /Configuration.Amend" ->
+                    keeper.change(true, head.single("X-Saltdale-Based-On-Version"), body, reply -> tell(visit, reply));
+            case "GET /Configuration.Read" -> keeper.read(reply -> tell(visit, reply));
+            case "GET /readiness" -> visit.answer(keeper.hasMajority() ? 200 : 503, "", NOTHING);
+            default -> visit.answer(404, "", "no such call");
+        }
+    }
+
+    private void tell(Visit visit, Keeper.Reply reply) {
+        if (reply.body() != null) {
+            visit.answer(reply.status(), "Content-Type: application/json\r\n", reply.body());
+        } else if (reply.status() == 200) {
+            visit.answer(200, "", NOTHING);
+        } else {
+            harbor.note("refused a call: " + reply.status() + " " + reply.why());
+            visit.answer(reply.status(), reply.status() == 503 ? "Retry-After: 0.2\r\n" : "", reply.why());
+        }
+    }
+
+    @Override
+    public Loop loop() {
+        return harbor.loop;
+    }
+
+    @Override
+    public Sockets sockets() {
+        return harbor.sockets;
+    }
+
+    @Override
+    public void left(Visit visit) {
+        // Nothing is kept of it.
+    }
+
+    @Override
+    public void abandoned(Visit visit) {
+        // A change that was asked for goes on without its caller.
+    }
+
+    @Override
+    public boolean closes(int status) {
+        return ending;
+    }
+
+    @Override
+    public HttpParser.Limits limits() {
+        return new HttpParser.Limits(HttpParser.MOST_HEAD, MOST_BODY);
+    }
+
+    @Override
+    public Duration wholeWithin() {
+        return Duration.ofNanos(settings.acknowledge);
+    }
+}
--- /dev/null
+++ b/station/src/main/java/saltdale/station/Links.java
@@ -0,0 +1,216 @@
+package saltdale.station;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import saltdale.lighthouse.Fields;
+import saltdale.lighthouse.MalformedMessage;
+import saltdale.lighthouse.Trees;
+import saltdale.transport.Connection;
+import saltdale.transport.Listener;
+import saltdale.transport.Loop;
+import saltdale.transport.Sockets;
+
+/**
+ * Messages between the system's own processes: CBOR behind its length, over one connection each way between two hosts.
+ * What cannot be sent soon is dropped; whoever needs an answer asks again.
+ */
+final class Links {
+    interface Reader {
+        void message(String fromHost, Fields message) throws MalformedMessage;
+
+        /** What was sent to this host of late may be lost. */
+        void broken(String host);
+    }
+
+    private static final System.Logger LOG = System.getLogger(Links.class.getName());
+    private static final int MOST = 64 << 20;
+    private static final int MOST_WAITING = 8 << 20;  // bytes for a host that is not connected or does not read
+    private static final Duration DIAL = Duration.ofMillis(400);
+    /** What is answered at once where the other side is well. */
+    private static final Set<String> ANSWERED = Set.of("ask", "renew", "beat", "prepare", "accept", "fetch");
+
+    private final Loop loop;
+    private final Sockets sockets;
+    private final String host;
+    private final int port;
+    private final Duration patience;
+    private final Reader reader;
+    private final Map<String, Out> outs = new HashMap<>();
+    long bytesOut;
+    long messagesOut;
+
+    /** A host that owes an answer for longer than {@code patience} and says nothing is dialled anew. */
+    Links(Loop loop, Sockets sockets, String host, int port, Duration patience, Reader reader) throws IOException {
+        this.loop = loop;
+        this.sockets = sockets;
+        this.host = host;
+        this.port = port;
+        this.patience = patience;
+        this.reader = reader;
+        new Listener(loop, sockets, new InetSocketAddress(host, port), (connection, full) -> new In(connection));
+    }
+
+    void send(String to, Map<String, Object> message) {
+        if (to.equals(host)) {
+            loop.soon(() -> take(host, message));
+            return;
+        }
+        byte[] body = Trees.cbor(message);
+        messagesOut++;
+        bytesOut += body.length + 4;
+        outs.computeIfAbsent(to, Out::new).send(body, ANSWERED.contains(message.get("t")));
+    }
+
+    private void take(String from, Map<String, Object> message) {
+        try {
+            reader.message(from, new Fields(message));
+        } catch (MalformedMessage e) {
+            LOG.log(System.Logger.Level.WARNING, "a message of " + from + " is malformed: " + e.getMessage());
+        }
+    }
+
+    private void heard(String from) {
+        Out out = outs.get(from);
+        if (out != null) {
+            out.owedSince = null;
+        }
+    }
+
+    /** What goes to one host. */
+    private final class Out implements Connection.Owner {
+        private final String to;
+        private Connection connection;
+        private Duration owedSince;
+        private Duration dialledAt;
+        private long waiting;
+        private boolean open;
+
+        Out(String to) {
+            this.to = to;
+        }
+
+        void send(byte[] body, boolean answered) {
+            Duration now = loop.now();
+            if (connection != null && owedSince != null && now.minus(owedSince).compareTo(patience) > 0) {
+                // Guards against a machine without power or behind a cut, to which connections hang for long.
+                Connection hung = connection;
+                connection = null;
+                hung.reset();
+                lost();
+            }
+            if (connection == null) {
+                if (dialledAt != null && now.minus(dialledAt).toMillis() < 100) {
+                    return;  // it refused a moment ago
+                }
+                dialledAt = now;
+                open = false;
+                waiting = 0;
+                owedSince = null;
+                connection = Connection.dial(loop, sockets, new InetSocketAddress(to, port), DIAL, this);
+                if (connection == null) {
+                    return;
+                }
+                frame(Trees.cbor(Fields.tree("t", "hello", "h", host)));
+            }
+            if (!open && waiting > MOST_WAITING) {
+                return;
+            }
+            owedSince = answered && owedSince == null ? now : owedSince;
+            frame(body);
+        }
+
+        private void frame(byte[] body) {
+            waiting += body.length;
+            ByteBuffer bytes = ByteBuffer.allocate(4 + body.length);
+            connection.send(bytes.putInt(body.length).put(body).flip());
+        }
+
+        @Override
+        public void opened() {
+            open = true;
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            // Nothing comes this way.
+        }
+
+        @Override
+        public void ended(String cause) {
+            connection = null;
+            lost();
+        }
+
+        private void lost() {
+            owedSince = null;
+            reader.broken(to);
+        }
+    }
+
+    /** What comes from one host. */
+    private final class In implements Connection.Owner {
+        private final Connection connection;
+        private String from;
+        private byte[] gathered = new byte[512];
+        private int count;
+
+        In(Connection connection) {
+            this.connection = connection;
+            connection.owner(this);
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            int more = bytes.remaining();
+            if (count + more > gathered.length) {
+                gathered = Arrays.copyOf(gathered, Math.max(count + more, 2 * gathered.length));
+            }
+            bytes.get(gathered, count, more);
+            count += more;
+            int at = 0;
+            while (count - at >= 4 && connection.isOpen()) {
+                int length = ByteBuffer.wrap(gathered, at, 4).getInt();
+                if (length < 1 || length > MOST) {
+                    LOG.log(System.Logger.Level.WARNING, "a message of " + from + " has an impossible length");
+                    connection.close();
+                    return;
+                } else if (count - at - 4 < length) {
+                    break;
+                }
+                whole(Arrays.copyOfRange(gathered, at + 4, at + 4 + length));
+                at += 4 + length;
+            }
+            System.arraycopy(gathered, at, gathered, 0, count - at);
+            count -= at;
+            if (count == 0 && gathered.length > 65_536) {
+                gathered = new byte[512];
+            }
+        }
+
+        private void whole(byte[] body) {
+            try {
+                Map<String, Object> message = Trees.fromCbor(body);
+                if (from == null) {
+                    from = new Fields(message).text("h");
+                } else {
+                    heard(from);
+                    take(from, message);
+                }
+            } catch (MalformedMessage e) {
+                LOG.log(System.Logger.Level.WARNING, "a message of " + from + " is malformed: " + e.getMessage());
+                connection.close();
+            }
+        }
+
+        @Override
+        public void ended(String cause) {
+            // The other side dials again when it has something to say.
+        }
+    }
+}
--- /dev/null
+++ b/station/src/main/java/saltdale/station/Main.java
@@ -0,0 +1,87 @@
+package saltdale.station;
+
+import java.io.IOException;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import sun.misc.Signal;
+
+/** The one program of the platform: {@code pilot} carries calls, {@code keeper} holds the state. */
+public final class Main {
+    private Main() {
+    }
+
+    private interface Station {
+        void run() throws IOException;
+
+        void end();
+    }
+
+    public static void main(String[] args) {
+        System.exit(run(args));
+    }
+
+    /** The exit status: 0 after an end in order, 2 for a wrong command line or setting, 1 for anything else. */
+    static int run(String[] args) {
+        ArgumentParser parser = ArgumentParsers.newFor("saltdale").build()
+                .description("The front for functions and their scaler. Settings: the JSON file that "
+                        + Settings.VARIABLE + " names.");
+        parser.addArgument("role").choices("pilot", "keeper")
+                .help("pilot: carries calls; keeper: holds the state, takes the operators' calls, starts and stops runners");
+        Namespace words;
+        try {
+            words = parser.parseArgs(args);
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            return args.length == 1 && args[0].matches("-h|--help") ? 0 : 2;
+        }
+        try {
+            Settings settings = Settings.read(System.getenv(Settings.VARIABLE));
+            Station station = words.getString("role").equals("pilot") ? pilot(settings) : keeper(settings);
+            for (String signal : new String[] {"TERM", "INT"}) {
+                Signal.handle(new Signal(signal), which -> station.end());
+            }
+            // What may change while a process runs (the seeds) is learnt from the core itself: nothing is read again.
+            Signal.handle(new Signal("HUP"), which -> { });
+            station.run();
+            return 0;
+        } catch (Settings.Wrong e) {
+            System.err.println("saltdale: " + e.getMessage());
+            return 2;
+        } catch (IOException e) {
+            System.err.println("saltdale: " + e.getMessage());
+            return 1;
+        }
+    }
+
+    private static Station pilot(Settings settings) throws IOException, Settings.Wrong {
+        PilotStation station = new PilotStation(settings);
+        return new Station() {
+            @Override
+            public void run() throws IOException {
+                station.run();
+            }
+
+            @Override
+            public void end() {
+                station.end();
+            }
+        };
+    }
+
+    private static Station keeper(Settings settings) throws IOException, Settings.Wrong {
+        KeeperStation station = new KeeperStation(settings);
+        return new Station() {
+            @Override
+            public void run() throws IOException {
+                station.run();
+            }
+
+            @Override
+            public void end() {
+                station.end();
+            }
+        };
+    }
+}
--- /dev/null
+++ b/station/src/main/java/saltdale/station/PilotStation.java
@@ -0,0 +1,329 @@
+package saltdale.station;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import saltdale.lighthouse.Chart;
+import saltdale.lighthouse.Fields;
+import saltdale.lighthouse.MalformedMessage;
+import saltdale.pilot.Attempt;
+import saltdale.pilot.Bearings;
+import saltdale.pilot.Call;
+import saltdale.pilot.Carrier;
+import saltdale.pilot.Pilot;
+import saltdale.protocol.Head;
+import saltdale.protocol.HttpParser;
+import saltdale.serving.Visit;
+import saltdale.transport.Address;
+import saltdale.transport.Connection;
+import saltdale.transport.Listener;
+import saltdale.transport.Loop;
+import saltdale.transport.Pool;
+import saltdale.transport.Sockets;
+
+/** A pilot as a process: clients' connections, runners' connections, links to the other processes. */
+final class PilotStation implements Links.Reader, Visit.Host, Carrier {
+    /** A client's request, as long as its call is open. */
+    private record Request(Visit visit, Head head, byte[] body) {
+    }
+
+    private static final Duration DIAL = Duration.ofMillis(300);
+    private static final Duration RESTS = Duration.ofSeconds(4);
+    private static final int MOST_DIGITS = 9;
+
+    private final Settings settings;
+    private final Harbor harbor;
+    private final Pilot pilot;
+    private final Map<String, Pool> pools = new HashMap<>();  // by runner
+    private final Map<Attempt, Exchange> exchanges = new HashMap<>();
+    private final Set<Visit> visits = new LinkedHashSet<>();
+    private final Listener listener;
+    private HttpParser.Limits limits = new HttpParser.Limits(16_384, 262_144);
+    private boolean ending;
+
+    PilotStation(Settings settings) throws IOException, Settings.Wrong {
+        this.settings = settings;
+        harbor = new Harbor(settings, null, this);
+        pilot = new Pilot(harbor, new Bearings(settings.name, settings.host, settings.zone, settings.seeds,
+                settings.beat, settings.retryRatio, settings.retryWindow, settings.retrySlack), this);
+        if (settings.front == null || settings.readiness == null) {
+            throw new Settings.Wrong("listen_addresses: a pilot needs front and readiness");
+        }
+        listener = new Listener(harbor.loop, harbor.sockets, Harbor.address(settings.front, "listen_addresses.front"),
+                (connection, full) -> visits.add(new Visit(this, connection, full)));
+        new Listener(harbor.loop, harbor.sockets, Harbor.address(settings.readiness, "listen_addresses.readiness"),
+                (connection, full) -> new Visit(new Readiness(), connection, full));
+    }
+
+    void run() throws IOException {
+        pilot.begin();
+        harbor.loop.run(() -> { });
+    }
+
+    /** Told to end: no longer ready, it answers all that it took and ends before it is killed. */
+    void end() {
+        harbor.loop.fromOutside(() -> {
+            if (!ending) {
+                ending = true;
+                pilot.end();
+                // New connections still come until whoever hands them out has missed us twice.
+                harbor.loop.after(Duration.ofMillis(2300), this::close);
+                harbor.loop.after(Duration.ofNanos(settings.grace * 9 / 10), harbor.loop::stop);
+            }
+        });
+    }
+
+    private void close() {
+        listener.finish();
+        for (Visit visit : List.copyOf(visits)) {
+            if (visit.isIdle()) {
+                visit.drop();
+            }
+        }
+        if (visits.isEmpty() && pilot.open() == 0) {
+            harbor.loop.stop();
+        } else {
+            harbor.loop.after(Duration.ofMillis(50), this::closeIdle);
+        }
+    }
+
+    private void closeIdle() {
+        visits.stream().filter(Visit::isIdle).toList().forEach(Visit::drop);
+        if (visits.isEmpty() && pilot.open() == 0 && harbor.sockets.finishing() == 0) {
+            harbor.loop.stop();
+        } else {
+            harbor.loop.after(Duration.ofMillis(50), this::closeIdle);
+        }
+    }
+
+    // Other processes.
+
+    @Override
+    public void message(String fromHost, Fields message) throws MalformedMessage {
+        pilot.message(fromHost, message);
+    }
+
+    @Override
+    public void broken(String host) {
+        pilot.unreachable(host);
+    }
+
+    // Clients.
+
+    @Override
+    public void requested(Visit visit, Head head, byte[] body) {
+        Chart chart = pilot.chart();
+        if (chart == null) {
+            visit.answer(503, "Retry-After: 0.3\r\n", "no configuration yet");
+            return;
+        }
+        String id = head.single("X-Saltdale-Attempt-Id");
+        String left = head.single("X-Saltdale-Deadline-Remaining");
+        String hostname = head.single("Host");
+        if (hostname == null) {
+            visit.answer(400, "", "Host is missing or stands twice");
+            return;
+        }
+        int colon = hostname.indexOf(':');
+        Chart.Route route = chart.route(colon < 0 ? hostname : hostname.substring(0, colon), head.path());
+        if (route == null) {
+            visit.answer(404, "", "no such route");
+        } else if (id == null || id.isEmpty()) {
+            visit.answer(400, "", "X-Saltdale-Attempt-Id is missing or stands twice");
+        } else if (left != null && (left.isEmpty() || left.length() > MOST_DIGITS || !left.chars().allMatch(Character::isDigit))
+                || left == null && head.header("X-Saltdale-Deadline-Remaining") != null) {
+            visit.answer(400, "", "X-Saltdale-Deadline-Remaining is malformed");
+        } else {
+            long millis = left == null ? route.timeoutMs() : Long.parseLong(left);
+            Request request = new Request(visit, head, body);
+            visit.held = request;
+            Call call = pilot.arrived(id, route, millis * 1_000_000, request);
+            if (!call.isOver()) {
+                visit.held = call;
+            }
+        }
+    }
+
+    @Override
+    public void abandoned(Visit visit) {
+        if (visit.held instanceof Call call) {
+            pilot.left(call);
+        }
+    }
+
+    @Override
+    public void left(Visit visit) {
+        visits.remove(visit);
+    }
+
+    @Override
+    public Loop loop() {
+        return harbor.loop;
+    }
+
+    @Override
+    public Sockets sockets() {
+        return harbor.sockets;
+    }
+
+    @Override
+    public boolean closes(int status) {
+        return ending;
+    }
+
+    @Override
+    public HttpParser.Limits limits() {
+        Chart chart = pilot.chart();
+        if (chart != null && (chart.limits().headerBytes() != limits.head() || chart.limits().bodyBytes() != limits.body())) {
+            limits = new HttpParser.Limits(chart.limits().headerBytes(), chart.limits().bodyBytes());
+        }
+        return limits;
+    }
+
+    @Override
+    public Duration wholeWithin() {
+        return Duration.ofMillis(pilot.chart() == null ? 3_000 : pilot.chart().limits().headerMs());
+    }
+
+    @Override
+    public Duration restsWithin() {
+        return Duration.ofMillis(pilot.chart() == null ? 15_000 : pilot.chart().limits().idleMs());
+    }
+
+    /** Who asks whether we take new connections. */
+    private final class Readiness implements Visit.Host {
+        @Override
+        public void requested(Visit visit, Head head, byte[] body) {
+            visit.answer(!head.path().equals("/readiness") ? 404 : pilot.isReady() ? 200 : 503, "", "");
+        }
+
+        @Override
+        public Loop loop() {
+            return harbor.loop;
+        }
+
+        @Override
+        public Sockets sockets() {
+            return harbor.sockets;
+        }
+
+        @Override
+        public void left(Visit visit) {
+            // Nothing is kept of it.
+        }
+
+        @Override
+        public void abandoned(Visit visit) {
+            // It was answered at once.
+        }
+
+        @Override
+        public boolean closes(int status) {
+            return false;
+        }
+
+        @Override
+        public HttpParser.Limits limits() {
+            return new HttpParser.Limits(HttpParser.MOST_HEAD, 0);
+        }
+
+        @Override
+        public Duration wholeWithin() {
+            return Duration.ofSeconds(3);
+        }
+    }
+
+    // Runners.
+
+    private Pool pool(String id, String address) {
+        return pools.computeIfAbsent(id, i -> new Pool(harbor.loop, harbor.sockets, Address.parse(address), DIAL, RESTS));
+    }
+
+    @Override
+    public void carry(Attempt attempt) {
+        Request request = (Request) attempt.call.load;
+        if (Address.parse(attempt.address) == null) {
+            harbor.loop.soon(() -> pilot.ended(attempt, Attempt.End.NOT_CONNECTED));
+            return;
+        }
+        Exchange exchange = new Exchange(attempt, pool(attempt.runner, attempt.address), (which, end) -> {
+            if (end != Attempt.End.ANSWERED) {
+                exchanges.remove(attempt);
+            }
+            pilot.ended(attempt, end);
+        });
+        exchanges.put(attempt, exchange);
+        long left = Math.max(1, (attempt.until - harbor.now()) / 1_000_000);
+        if (!exchange.begin(request.head, request.body, left)) {
+            exchanges.remove(attempt);
+            harbor.loop.soon(() -> pilot.ended(attempt, Attempt.End.NOT_CONNECTED));
+        }
+    }
+
+    @Override
+    public void abandon(Attempt attempt) {
+        Exchange exchange = exchanges.remove(attempt);
+        if (exchange != null) {
+            exchange.abandon();
+        }
+    }
+
+    @Override
+    public void deliver(Attempt attempt) {
+        Exchange exchange = exchanges.remove(attempt);
+        ((Request) attempt.call.load).visit.passBack(exchange.head, exchange.body);
+    }
+
+    @Override
+    public void refuse(Call call, int status, long pauseMillis, String why) {
+        String more = pauseMillis == 0 ? "" : "Retry-After: " + pauseMillis / 1000 + "."
+                + Long.toString(1000 + pauseMillis % 1000).substring(1) + "\r\n";
+        harbor.note("gave up " + call.id + " of " + call.service + ": " + status + " " + why);
+        ((Request) call.load).visit.answer(status, more, why);
+    }
+
+    @Override
+    public void tryRunner(String id, String address) {
+        Pool pool = Address.parse(address) == null ? null : pool(id, address);
+        if (pool == null) {
+            return;
+        }
+        List<Connection> made = new ArrayList<>();
+        Connection connection = pool.take(new Connection.Owner() {
+            @Override
+            public void opened() {
+                pool.rest(made.get(0));
+                pilot.tried(id, true);
+            }
+
+            @Override
+            public void received(ByteBuffer bytes) {
+                made.get(0).close();  // nobody asked for it
+            }
+
+            @Override
+            public void ended(String cause) {
+                pilot.tried(id, false);
+            }
+        });
+        if (connection == null) {
+            harbor.loop.after(DIAL, () -> pilot.tried(id, false));
+        } else {
+            made.add(connection);
+        }
+    }
+
+    @Override
+    public void forget(String id) {
+        Pool pool = pools.remove(id);
+        if (pool != null) {
+            pool.closeIdle();
+        }
+    }
+}
--- /dev/null
+++ b/station/src/main/java/saltdale/station/PlatformClient.java
@@ -0,0 +1,81 @@
+package saltdale.station;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.function.Consumer;
+import saltdale.lighthouse.Fields;
+import saltdale.lighthouse.MalformedMessage;
+import saltdale.lighthouse.Platform;
+import saltdale.lighthouse.Trees;
+import saltdale.protocol.HttpWriter;
+import saltdale.transport.Pool;
+
+/** The platform's interface over HTTP. */
+final class PlatformClient implements Platform {
+    private static final byte[] NOTHING = new byte[0];
+    private static final Duration WITHIN = Duration.ofMillis(1200);
+
+    private final Harbor harbor;
+    private final Pool pool;
+    private final String host;
+
+    PlatformClient(Harbor harbor, String address) throws Settings.Wrong {
+        this.harbor = harbor;
+        host = address;
+        pool = new Pool(harbor.loop, harbor.sockets, Harbor.address(address, "platform_api.address"),
+                Duration.ofMillis(500), Duration.ofSeconds(2));
+    }
+
+    @Override
+    public void runners(String token, Consumer<Answer> answer) {
+        get(token == null ? "/runners" : "/runners?page_token=" + token, answer);
+    }
+
+    @Override
+    public void workers(Consumer<Answer> answer) {
+        get("/workers", answer);
+    }
+
+    @Override
+    public void begin(String holder, long fence, String service, String worker, String nonce, Consumer<Answer> answer) {
+        post("/begin", holder, fence, Fields.tree("service", service, "worker_machine", worker, "request_nonce", nonce),
+                answer);
+    }
+
+    @Override
+    public void stop(String holder, long fence, String id, Consumer<Answer> answer) {
+        post("/stop", holder, fence, Fields.tree("identifier", id), answer);
+    }
+
+    private void get(String target, Consumer<Answer> answer) {
+        ask(HttpWriter.request("GET", target, host), NOTHING, answer);
+    }
+
+    private void post(String target, String holder, long fence, Map<String, Object> tree, Consumer<Answer> answer) {
+        byte[] body = Trees.json(tree);
+        ask(HttpWriter.request("POST", target, host, "X-Saltdale-Duty-Holder: " + holder
+                + "\r\nX-Saltdale-Fence-Number: " + fence + "\r\nContent-Type: application/json\r\n", body.length),
+                body, answer);
+    }
+
+    private void ask(byte[] head, byte[] body, Consumer<Answer> answer) {
+        Asked.begin(harbor.loop, pool, WITHIN, head, body, whole -> {
+            if (whole == null) {
+                answer.accept(null);
+                return;
+            }
+            Map<String, Object> tree = null;
+            byte[] text = whole.body();
+            if (text.length > 0) {
+                try {
+                    tree = Trees.fromJson(text);
+                } catch (MalformedMessage e) {
+                    harbor.note("an answer of the platform is no JSON: "
+                            + new String(text, 0, Math.min(80, text.length), StandardCharsets.UTF_8));
+                }
+            }
+            answer.accept(new Answer(whole.head().status(), tree));
+        });
+    }
+}
