--- /dev/null
+++ b/vault/src/main/java/saltdale/vault/VaultException.java
@@ -0,0 +1,10 @@
+package saltdale.vault;
+
+/** The vault could not be read or written; what was synced before still stands on the disk. */
+public class VaultException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    public VaultException(String message, Throwable cause) {
+        super(message, cause);
+    }
+}
