--- a/lighthouse/src/main/java/saltdale/lighthouse/Charts.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Charts.java
@@ -1,6 +1,6 @@
 package saltdale.lighthouse;
 
-import io.avaje.jsonb.JsonException;
+import io.avaje.json.JsonException;
 import io.avaje.jsonb.Jsonb;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
