--- a/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
@@ -373,7 +373,7 @@
 
     private void tell(Subscriber to, Map<String, Object> message) {
         message.put("s", to.session);
-        message.put("c", ++to.sent);
+        message.put("#", ++to.sent);
         outside.send(to.host, message);
     }
 
--- a/pilot/src/main/java/saltdale/pilot/Tender.java
+++ b/pilot/src/main/java/saltdale/pilot/Tender.java
@@ -122,7 +122,7 @@
         if (message.text("t").equals("lease")) {
             lease(from, message);
         } else if (message.text("s").equals(session) && from.equals(keeper)) {
-            if (message.whole("c") != news + 1) {
+            if (message.whole("#") != news + 1) {
                 resume();  // something was lost on the way
                 renew();
                 return;
