--- a/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
@@ -71,6 +71,7 @@
     private long beats;
     private boolean proposing;
     private boolean ending;
+    private boolean hadMajority;
     private Chart chart;
     private Map<String, Object> chartTree;
 
@@ -380,6 +381,9 @@
     // The configuration.
 
     private void chosen(State state, byte[] text) {
+        outside.note("chosen " + state.version() + ": revision " + state.revision() + ", voters "
+                + state.voters().stream().map(Voter::host).toList() + (state.isJoint() ? " (joint)" : "") + ", "
+                + state.duties());
         if (text != null && (chart == null || state.revision() > chart.revision())) {
             try {
                 Map<String, Object> tree = Charts.read(text);
@@ -465,6 +469,11 @@
         if (members.edition() != edition) {
             publish();
         }
+        boolean had = hadMajority;
+        hadMajority = hasMajority();
+        if (had && !hadMajority) {
+            subscribers.values().forEach(s -> outside.send(s.host, Fields.tree("t", "alone")));
+        }
         if (proposing || register.basis() == null) {
             return;
         }
--- a/lighthouse/src/main/java/saltdale/lighthouse/Starter.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Starter.java
@@ -243,6 +243,10 @@
                 }
             }
         }
+        if (!plan.starts().isEmpty() || !plan.stops().isEmpty()) {
+            outside.note("starts " + plan.starts().stream().map(s -> s.service() + "@" + s.zone()).toList() + ", stops "
+                    + plan.stops().stream().map(r -> r.service() + "@" + r.zone()).toList());
+        }
         for (Runner r : plan.stops()) {
             leaving.put(r.id(), now);
             keeper.changed(List.of(r.at(Runner.Phase.LEAVING)), true);
--- a/net/src/main/java/saltdale/serving/Visit.java
+++ b/net/src/main/java/saltdale/serving/Visit.java
@@ -77,6 +77,11 @@
         host.sockets().idle(Sockets.Rank.STRANGER, drop);
     }
 
+    /** Who is at the other end: an address in numbers, or null. */
+    public String peer() {
+        return connection.peer();
+    }
+
     /** True where there was no room for it but to turn it away. */
     public boolean isOneTooMany() {
         return oneTooMany;
--- a/net/src/main/java/saltdale/transport/Connection.java
+++ b/net/src/main/java/saltdale/transport/Connection.java
@@ -94,6 +94,15 @@
         owner = next;
     }
 
+    /** The other side's address in numbers; null where it cannot be told any more. */
+    public String peer() {
+        try {
+            return channel.getRemoteAddress() instanceof InetSocketAddress at ? at.getAddress().getHostAddress() : null;
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
     public boolean isOpen() {
         return !closed;
     }
--- a/pilot/src/main/java/saltdale/pilot/Call.java
+++ b/pilot/src/main/java/saltdale/pilot/Call.java
@@ -14,10 +14,13 @@
     public final Object load;
     final long arrivedAt;
     final long until;  // when it is given up at the latest
+    final int priority;  // the lowest first
+    final long target;  // when its answer is late
     final Set<String> avoided = new HashSet<>();  // runners that turned it away or broke off
     final Set<String> unreached = new HashSet<>();  // zones whose homes did not answer
     Verdict verdict = Verdict.NOT_RUN;
     int attempts;
+    int hops;  // from home to home, for the present question
     long ask;  // the number of the present question for a slot; 0 while there is none
     Member home;  // whom it went to
     boolean awaited;  // the home has said that it waits there
@@ -26,13 +29,15 @@
     Attempt attempt;
     boolean over;
 
-    Call(String id, Chart.Route route, String service, Object load, long arrivedAt, long until) {
+    Call(String id, Chart.Route route, String service, Object load, int priority, long arrivedAt, long until) {
         this.id = id;
         this.route = route;
         this.service = service;
         this.load = load;
         this.arrivedAt = arrivedAt;
         this.until = until;
+        this.priority = priority;
+        this.target = arrivedAt + route.targetMs() * 1_000_000;
     }
 
     public boolean isOver() {
--- a/pilot/src/main/java/saltdale/pilot/Home.java
+++ b/pilot/src/main/java/saltdale/pilot/Home.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import saltdale.lighthouse.Chart;
 import saltdale.lighthouse.Runner;
 import saltdale.probing.ProbeLoop;
@@ -27,21 +26,25 @@
         final long number;
         final String zone;
         final long until;
+        final long target;
         final int priority;
         final Set<String> avoided;
+        final int hops;  // so often it was sent from zone to zone
         final long at;
         long toldAt;  // that it waits; 0: not yet
 
-        Ask(String key, String life, String host, long number, String zone, long until, int priority,
-            Set<String> avoided, long at) {
+        Ask(String key, String life, String host, long number, String zone, long until, long target, int priority,
+            Set<String> avoided, int hops, long at) {
             this.key = key;
             this.life = life;
             this.host = host;
             this.number = number;
             this.zone = zone;
             this.until = until;
+            this.target = target;
             this.priority = priority;
             this.avoided = avoided;
+            this.hops = hops;
             this.at = at;
         }
     }
@@ -60,6 +63,7 @@
         void none(Ask ask, long pauseMillis);
     }
 
+    static final int MOST_HOPS = 3;
     private static final double TAU = 2e9;  // over which arrivals are averaged
     private final String service;
     private final String zone;
@@ -68,8 +72,7 @@
     private final Lender lender;
     private final Map<String, Berth> berths = new LinkedHashMap<>();  // of our zone
     private final Map<String, Runner> others = new LinkedHashMap<>();  // of the other zones
-    private final TreeMap<String, Ask> queue = new TreeMap<>();
-    private long queued;
+    private final List<Ask> queue = new ArrayList<>();  // as they came
     private double rate;  // calls a second that come from our zone
     private long rateAt;
     private double run;  // seconds that a call runs, on average
@@ -115,7 +118,7 @@
 
     /** Says again to those who wait that they do: else they ask elsewhere. */
     void sayWaits(long now, long every) {
-        for (Ask ask : queue.values()) {
+        for (Ask ask : queue) {
             if (now - ask.toldAt >= every) {
                 ask.toldAt = now;
                 lender.waits(ask);
@@ -137,27 +140,19 @@
 
     // Asks.
 
-    void ask(Ask ask, boolean counts, Chart.Service kind, boolean stays, long now) {
+    void ask(Ask ask, boolean counts, Chart.Service kind, long now) {
         if (counts) {
             decay(now);
             rate += 1e9 / TAU;
         }
-        queue.put(String.format("%04d %016x", Math.min(9999, ask.priority), ++queued), ask);
+        queue.add(ask);
         serve(now);
-        if (!queue.containsValue(ask)) {
-            return;
-        }
-        // Where runners of ours are up or coming it waits for them; else for those of another zone.
-        String there = berths.values().stream().anyMatch(b -> b.runner.phase().compareTo(Runner.Phase.LEAVING) < 0)
-                || stays ? null : elsewhere();
-        if (there != null) {
-            remove(ask);
-            lender.elsewhere(ask, there);
+        if (!queue.contains(ask)) {
             return;
         }
         long wait = wait(kind, now);
         if (now + wait > ask.until) {
-            remove(ask);
+            queue.remove(ask);
             lender.none(ask, Math.max(100, wait / 2_000_000));
             return;
         }
@@ -182,13 +177,9 @@
         return (long) Math.min(turns, boot == 0 ? turns : boot + run * 1e9);
     }
 
-    private void remove(Ask ask) {
-        queue.values().remove(ask);
-    }
-
     /** It asks no longer. */
     void drop(String key, long now) {
-        queue.values().removeIf(ask -> ask.key.equals(key));
+        queue.removeIf(ask -> ask.key.equals(key));
         for (Berth berth : berths.values()) {
             if (berth.loans.remove(key) != null) {
                 serve(now);
@@ -231,7 +222,7 @@
 
     /** Whoever asked is gone: what it was lent comes back after a moment, as runners see its connections end. */
     void gone(String life, long until) {
-        queue.values().removeIf(ask -> ask.life.equals(life));
+        queue.removeIf(ask -> ask.life.equals(life));
         for (Berth berth : berths.values()) {
             berth.loans.replaceAll((key, loan) -> loan.life().equals(life)
                     ? new Berth.Loan(life, loan.at(), Math.min(loan.until(), until)) : loan);
@@ -240,36 +231,45 @@
 
     /** Looks whether anything is due: asks that are over, loans that never came back. */
     void turn(long now) {
-        queue.values().removeIf(ask -> ask.until <= now);
+        queue.removeIf(ask -> ask.until <= now);
         for (Berth berth : berths.values()) {
             berth.loans.values().removeIf(loan -> loan.until() <= now);
         }
         serve(now);
     }
 
-    /** Lends what is free to those who wait, in their order. */
+    /** Lends what is free to those who wait, in their order; where no runner of ours will come, they go elsewhere. */
     private void serve(long now) {
-        if (now < opensAt) {
+        if (now < opensAt || queue.isEmpty()) {
             return;
         }
-        while (!queue.isEmpty()) {
-            Ask next = null;
-            Berth berth = null;
-            for (Ask ask : queue.values()) {
-                berth = pick(ask, now);
-                if (berth != null) {
-                    next = ask;
-                    break;
-                }
+        if (!hasRunners()) {
+            String there = elsewhere();
+            for (Ask ask : there == null ? List.<Ask>of() : queue.stream().filter(a -> a.hops < MOST_HOPS).toList()) {
+                queue.remove(ask);
+                lender.elsewhere(ask, there);
             }
-            if (next == null) {
-                return;
+            return;
+        }
+        if (berths.values().stream().noneMatch(b -> b.mayTake(now))) {
+            return;
+        }
+        // Who can still be in time goes before who is late; calls of runners at work before all, since those hold slots.
+        List<Ask> order = new ArrayList<>(queue);
+        long soon = now + (long) (run * 1e9);
+        order.sort(Comparator.comparing((Ask a) -> a.priority >= 0 && a.target < soon).thenComparing(a -> a.priority));
+        for (Ask ask : order) {
+            Berth berth = pick(ask, now);
+            if (berth != null) {
+                queue.remove(ask);
+                berth.loans.put(ask.key, new Berth.Loan(ask.life, now, ask.until));
+                berth.used = true;
+                busyAt = now;
+                lender.lend(ask, berth.runner);
+                if (berths.values().stream().noneMatch(b -> b.mayTake(now))) {
+                    return;
+                }
             }
-            remove(next);
-            berth.loans.put(next.key, new Berth.Loan(next.life, now, next.until));
-            berth.used = true;
-            busyAt = now;
-            lender.lend(next, berth.runner);
         }
     }
 
--- a/pilot/src/main/java/saltdale/pilot/Pilot.java
+++ b/pilot/src/main/java/saltdale/pilot/Pilot.java
@@ -24,6 +24,7 @@
  */
 public final class Pilot {
     private static final long MARGIN = Outside.millis(15);  // before a client's deadline, for the way back
+    private static final int NESTED = -1;  // the priority of calls that runners make while they hold a slot
     private static final int MOST_MOVES = 6;  // of a call that no runner began, from one runner to another
 
     private final Outside outside;
@@ -37,6 +38,7 @@
     private final Set<Attempt> carried = new HashSet<>();
     private final Map<String, Long> silent = new HashMap<>();  // members that did not answer, until when they are passed by
     private final Map<String, Runner> told = new LinkedHashMap<>();  // runners of services that we are home to
+    private final Set<String> runnerHosts = new HashSet<>();  // where runners have been: calls from there are nested
     private Collection<Member> crew = List.of();
     private Chart chart;
     private long asks;
@@ -109,6 +111,7 @@
                     Chart next = new Chart(message.object("c"));
                     // Never back within one life, whoever tells.
                     chart = chart == null || next.revision() > chart.revision() ? next : chart;
+                    outside.note("configuration " + chart.revision() + " in force");
                 } catch (InvalidChart e) {
                     outside.note("a configuration cannot be read: " + e.getMessage());
                 }
@@ -131,6 +134,7 @@
 
     private void runner(Runner r) {
         told.put(r.id(), r);
+        runnerHosts.add(host(r));
         Home home = isHome(r.service()) ? home(r.service()) : null;
         if (home != null) {
             home.heard(r, outside.now());
@@ -146,6 +150,7 @@
     private void crew(List<Member> next) {
         Collection<Member> before = crew;
         crew = next;
+        outside.note("crew of " + crew.size() + ": " + crew.stream().map(m -> m.name() + (m.leaving() ? "-" : "")).toList());
         long now = outside.now();
         for (String service : List.copyOf(homes.keySet())) {
             if (!isHome(service)) {
@@ -183,6 +188,10 @@
         }
     }
 
+    private static String host(Runner r) {
+        return r.address().substring(0, Math.max(0, r.address().lastIndexOf(':')));
+    }
+
     private boolean isHome(String service) {
         Member home = Homes.of(service, bearings.zone(), crew);
         return home != null && home.life().equals(tender.life());
@@ -241,11 +250,12 @@
 
     // Calls.
 
-    /** Takes a call in; {@code leftNanos} is how long its client waits. */
-    public Call arrived(String id, Chart.Route route, long leftNanos, Object load) {
+    /** Takes a call in; {@code leftNanos} is how long its client waits, {@code peer} where it comes from. */
+    public Call arrived(String id, Chart.Route route, long leftNanos, String peer, Object load) {
         long now = outside.now();
+        boolean nested = runnerHosts.contains(peer);
         long until = now + Math.min(leftNanos - MARGIN, route.timeoutMs() * 1_000_000);
-        Call call = new Call(id, route, service(route), load, now, until);
+        Call call = new Call(id, route, service(route), load, nested ? NESTED : route.priority(), now, until);
         budget.first(call.service, now);
         call.limit = outside.after(Math.max(0, until - now), () -> overdue(call));
         ask(call);
@@ -332,17 +342,22 @@
         long number = call.ask;
         // A home answers at once, if only that the call waits; that is said again while it does.
         call.timer = outside.after(bearings.beat() / 6, () -> unanswered(call, number));
-        long now = outside.now();
         boolean away = !home.zone().equals(bearings.zone());
         boolean counts = call.attempts == 0 && call.unreached.isEmpty() && !away || away && !call.unreached.isEmpty();
-        if (home.life().equals(tender.life())) {
-            lend(new Home.Ask(key(tender.life(), number), tender.life(), null, number, bearings.zone(), call.until,
-                    call.route.priority(), call.avoided, now), call.service, counts, new ArrayList<>(call.unreached));
+        call.hops = call.unreached.isEmpty() ? 0 : Home.MOST_HOPS;
+        sendAsk(call, counts);
+    }
+
+    private void sendAsk(Call call, boolean counts) {
+        long now = outside.now();
+        if (call.home.life().equals(tender.life())) {
+            lend(new Home.Ask(key(tender.life(), call.ask), tender.life(), null, call.ask, bearings.zone(), call.until,
+                    call.target, call.priority, call.avoided, call.hops, now), call.service, counts);
         } else {
-            outside.send(home.host(), Fields.tree("t", "ask", "i", number, "s", call.service, "l", tender.life(), "z",
-                    bearings.zone(), "u", (call.until - now) / 1_000_000, "p", call.route.priority(), "n", counts,
-                    "x", call.avoided.isEmpty() ? null : new ArrayList<>(call.avoided),
-                    "o", call.unreached.isEmpty() ? null : new ArrayList<>(call.unreached)));
+            outside.send(call.home.host(), Fields.tree("t", "ask", "i", call.ask, "s", call.service, "l", tender.life(),
+                    "z", bearings.zone(), "u", (call.until - now) / 1_000_000, "g", (call.target - now) / 1_000_000,
+                    "p", call.priority, "n", counts, "e", call.hops,
+                    "x", call.avoided.isEmpty() ? null : new ArrayList<>(call.avoided)));
         }
     }
 
@@ -402,6 +417,7 @@
         }
         call.timer.run();
         call.ask = 0;
+        runnerHosts.add(host(r));
         Attempt attempt = new Attempt(call, r.id(), r.address(), call.home, number, outside.now());
         call.attempt = attempt;
         call.attempts++;
@@ -434,17 +450,10 @@
         call.ask = ++asks;
         call.home = there;
         asking.put(call.ask, call);
-        long now = outside.now();
         long next = call.ask;
         call.timer = outside.after(bearings.beat() / 6, () -> unanswered(call, next));
-        if (there.life().equals(tender.life())) {
-            lend(new Home.Ask(key(tender.life(), next), tender.life(), null, next, bearings.zone(), call.until,
-                    call.route.priority(), call.avoided, now), call.service, false, List.of());
-            return;
-        }
-        outside.send(there.host(), Fields.tree("t", "ask", "i", next, "s", call.service, "l", tender.life(), "z",
-                bearings.zone(), "u", (call.until - now) / 1_000_000, "p", call.route.priority(), "n", false,
-                "x", call.avoided.isEmpty() ? null : new ArrayList<>(call.avoided), "e", true));
+        call.hops++;
+        sendAsk(call, false);
     }
 
     private void none(long number, long pauseMillis) {
@@ -504,7 +513,7 @@
 
     // Lending.
 
-    private void lend(Home.Ask ask, String service, boolean counts, List<String> unreached) {
+    private void lend(Home.Ask ask, String service, boolean counts) {
         if (!isHome(service) || !tender.hasLease() || chart == null) {
             if (ask.host == null) {
                 Call call = asking.get(ask.number);
@@ -519,9 +528,8 @@
             }
             return;  // another asks elsewhere when it hears nothing
         }
-        boolean stays = !unreached.isEmpty();
         Home home = home(service);
-        home.ask(ask, counts, chart.services().get(service), stays, outside.now());
+        home.ask(ask, counts, chart.services().get(service), outside.now());
         if (home.waiting() > 0 && !home.hasRunners()) {
             tellNeeds();
         }
@@ -586,9 +594,9 @@
                 String life = message.text("l");
                 long now = outside.now();
                 lend(new Home.Ask(key(life, number), life, from, number, message.text("z"),
-                        now + message.whole("u") * 1_000_000, (int) message.whole("p"),
-                        new HashSet<>(message.texts("x")), now), message.text("s"), message.flag("n"),
-                        message.flag("e") ? List.of("") : message.texts("o"));
+                        now + message.whole("u") * 1_000_000, now + message.whole("g") * 1_000_000,
+                        (int) message.whole("p"), new HashSet<>(message.texts("x")), (int) message.whole("e"), now),
+                        message.text("s"), message.flag("n"));
             }
             case "lent" -> lent(message.whole("i"), Runner.of(message.list("r")));
             case "waits" -> waits(message.whole("i"));
--- a/pilot/src/main/java/saltdale/pilot/Tender.java
+++ b/pilot/src/main/java/saltdale/pilot/Tender.java
@@ -40,7 +40,9 @@
     private long count;
     private long news;  // of this session, so many came
     private long heardAt;
+    private long renewedAt;
     private long confirmedAt = Long.MIN_VALUE / 2;  // when that was sent which a keeper with a majority answered last
+    private int alone;  // so often in a row it had no majority
     private boolean leaving;
 
     Tender(Outside outside, Bearings bearings, Reader reader) {
@@ -77,9 +79,11 @@
         if (now - heardAt > bearings.beat()) {
             move();
         }
-        renew();
         // Until the first word has come it asks more often: a keeper may start later than we do.
-        outside.after(news == 0 ? bearings.beat() / 6 : bearings.beat() / 2, this::turn);
+        if (news == 0 || now - renewedAt >= bearings.beat() / 2 - bearings.beat() / 12) {
+            renew();
+        }
+        outside.after(bearings.beat() / 6, this::turn);
     }
 
     /** Another keeper, another session. */
@@ -88,7 +92,9 @@
         all.remove(keeper);
         if (!all.isEmpty()) {
             keeper = all.get(outside.chance().nextInt(all.size()));
+            outside.note("goes to keeper " + keeper);
         }
+        alone = 0;
         resume();
     }
 
@@ -106,6 +112,7 @@
             return;
         }
         long now = outside.now();
+        renewedAt = now;
         sentAt.put(++count, now);
         sentAt.values().removeIf(at -> now - at > 4 * bearings.beat());
         outside.send(keeper, Fields.tree("t", "renew", "m", new Member(life, bearings.name(), bearings.zone(),
@@ -119,16 +126,22 @@
     }
 
     void message(String from, Fields message) throws MalformedMessage {
-        if (message.text("t").equals("lease")) {
+        if (message.text("t").equals("alone")) {
+            // The keeper has just lost its majority: another may know of newer versions.
+            if (from.equals(keeper)) {
+                move();
+                renew();
+            }
+        } else if (message.text("t").equals("lease")) {
             lease(from, message);
         } else if (message.text("s").equals(session) && from.equals(keeper)) {
             if (message.whole("#") != news + 1) {
+                outside.note("news " + message.whole("#") + " came after " + news);
                 resume();  // something was lost on the way
                 renew();
                 return;
             }
             news++;
-            heardAt = outside.now();
             reader.news(message);
         }
     }
@@ -140,14 +153,21 @@
         }
         if (message.flag("over")) {
             life = fresh();
+            outside.note("the lease is over; a new life: " + life);
             reader.over();
             resume();
             renew();
             return;
         }
         if (!message.flag("maj")) {
-            return;  // it may not know what is in force: after a beat of this we go on to another
+            alone++;
+            if (alone > 1) {  // it may not know what is in force
+                move();
+                renew();
+            }
+            return;
         }
+        alone = 0;
         heardAt = outside.now();
         confirmedAt = Math.max(confirmedAt, sent);
         for (String each : message.texts("k")) {
--- a/station/src/main/java/saltdale/station/Harbor.java
+++ b/station/src/main/java/saltdale/station/Harbor.java
@@ -44,6 +44,17 @@
         });
     }
 
+    /** Notes from time to time what was sent to the other processes, by kind: messages/bytes. */
+    void noteTraffic(Duration every) {
+        loop.after(every, () -> {
+            StringBuilder all = new StringBuilder("sent:");
+            links.sent.forEach((kind, count) -> all.append(' ').append(kind).append(' ').append(count[0]).append('/')
+                    .append(count[1]));
+            note(all.toString());
+            noteTraffic(every);
+        });
+    }
+
     @Override
     public long now() {
         return loop.clock().toNanos();
--- a/station/src/main/java/saltdale/station/KeeperStation.java
+++ b/station/src/main/java/saltdale/station/KeeperStation.java
@@ -73,6 +73,7 @@
 
     void run() throws IOException {
         keeper.begin();
+        harbor.noteTraffic(Duration.ofSeconds(10));
         harbor.loop.run(() -> { });
     }
 
--- a/station/src/main/java/saltdale/station/Links.java
+++ b/station/src/main/java/saltdale/station/Links.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import saltdale.lighthouse.Fields;
 import saltdale.lighthouse.MalformedMessage;
 import saltdale.lighthouse.Trees;
@@ -42,8 +43,8 @@
     private final Duration patience;
     private final Reader reader;
     private final Map<String, Out> outs = new HashMap<>();
-    long bytesOut;
-    long messagesOut;
+    /** By kind of message: how many were sent, and their bytes. */
+    final Map<String, long[]> sent = new TreeMap<>();
 
     /** A host that owes an answer for longer than {@code patience} and says nothing is dialled anew. */
     Links(Loop loop, Sockets sockets, String host, int port, Duration patience, Reader reader) throws IOException {
@@ -62,8 +63,9 @@
             return;
         }
         byte[] body = Trees.cbor(message);
-        messagesOut++;
-        bytesOut += body.length + 4;
+        long[] count = sent.computeIfAbsent((String) message.get("t"), kind -> new long[2]);
+        count[0]++;
+        count[1] += body.length + 4;
         outs.computeIfAbsent(to, Out::new).send(body, ANSWERED.contains(message.get("t")));
     }
 
--- a/station/src/main/java/saltdale/station/Main.java
+++ b/station/src/main/java/saltdale/station/Main.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -29,6 +30,8 @@
                         + Settings.VARIABLE + " names.");
         parser.addArgument("role").choices("pilot", "keeper")
                 .help("pilot: carries calls; keeper: holds the state, takes the operators' calls, starts and stops runners");
+        parser.addArgument("--trace").action(Arguments.storeTrue())
+                .help("write every note on standard error at once, not only when something goes wrong");
         Namespace words;
         try {
             words = parser.parseArgs(args);
@@ -36,6 +39,9 @@
             parser.handleError(e);
             return args.length == 1 && args[0].matches("-h|--help") ? 0 : 2;
         }
+        if (words.getBoolean("trace")) {
+            Ring.traced();
+        }
         try {
             Settings settings = Settings.read(System.getenv(Settings.VARIABLE));
             Station station = words.getString("role").equals("pilot") ? pilot(settings) : keeper(settings);
--- a/station/src/main/java/saltdale/station/PilotStation.java
+++ b/station/src/main/java/saltdale/station/PilotStation.java
@@ -63,6 +63,7 @@
 
     void run() throws IOException {
         pilot.begin();
+        harbor.noteTraffic(Duration.ofSeconds(10));
         harbor.loop.run(() -> { });
     }
 
@@ -143,7 +144,7 @@
             long millis = left == null ? route.timeoutMs() : Long.parseLong(left);
             Request request = new Request(visit, head, body);
             visit.held = request;
-            Call call = pilot.arrived(id, route, millis * 1_000_000, request);
+            Call call = pilot.arrived(id, route, millis * 1_000_000, visit.peer(), request);
             if (!call.isOver()) {
                 visit.held = call;
             }
--- a/station/src/main/java/saltdale/station/Ring.java
+++ b/station/src/main/java/saltdale/station/Ring.java
@@ -9,6 +9,7 @@
     private static final System.Logger LOG = System.getLogger(Ring.class.getName());
     private static final int MOST = 256;
 
+    private static volatile boolean traced;
     private final Deque<String> notes = new ArrayDeque<>();
     private final LongSupplier millis;
 
@@ -16,7 +17,16 @@
         this.millis = millis;
     }
 
+    /** Each note is written at once, not only when something goes wrong. */
+    static void traced() {
+        traced = true;
+    }
+
     synchronized void note(String what) {
+        if (traced) {
+            System.err.println(millis.getAsLong() + " " + what);
+            return;
+        }
         if (notes.size() == MOST) {
             notes.poll();
         }
