--- a/lighthouse/src/main/java/saltdale/lighthouse/Homes.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Homes.java
@@ -7,12 +7,17 @@
     private Homes() {
     }
 
-    /** The home among these members in the zone; null where the zone has none. */
+    /** The home of the service's runners in this zone; where the zone has no member, one of another adopts them. */
     public static Member of(String service, String zone, Collection<Member> members) {
+        Member own = heaviest(service, zone, members);
+        return own == null ? heaviest(service, null, members) : own;
+    }
+
+    private static Member heaviest(String service, String zone, Collection<Member> members) {
         Member best = null;
         long most = 0;
         for (Member each : members) {
-            if (each.zone().equals(zone) && !each.leaving()) {
+            if (!each.leaving() && (zone == null || each.zone().equals(zone))) {
                 long weight = mixed(service.hashCode() * 0x9E3779B97F4A7C15L ^ each.name().hashCode());
                 if (best == null || weight > most || weight == most && each.name().compareTo(best.name()) < 0) {
                     best = each;
--- a/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
@@ -353,10 +353,8 @@
         List<Object> news = new ArrayList<>();
         Map<String, Boolean> homes = new HashMap<>();
         for (Runner r : look) {
-            boolean home = homes.computeIfAbsent(r.service(), service -> {
-                Member it = Homes.of(service, to.member.zone(), members.all());
-                return it != null && it.life().equals(to.member.life());
-            });
+            boolean home = homes.computeIfAbsent(r.service(), s -> isHome(s, to.member.zone(), to))
+                    || homes.computeIfAbsent(r.service() + "@" + r.zone(), s -> isHome(r.service(), r.zone(), to));
             Runner.Phase told = to.told.get(r.id());
             if (home && r.phase() != told && (told != null || r.phase() != Runner.Phase.GONE)) {
                 to.told.put(r.id(), r.phase());
@@ -372,6 +370,11 @@
         }
     }
 
+    private boolean isHome(String service, String zone, Subscriber who) {
+        Member home = Homes.of(service, zone, members.all());
+        return home != null && home.life().equals(who.member.life());
+    }
+
     private void tell(Subscriber to, Map<String, Object> message) {
         message.put("s", to.session);
         message.put("#", ++to.sent);
--- a/lighthouse/src/main/java/saltdale/lighthouse/Scaler.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Scaler.java
@@ -41,12 +41,14 @@
     static final double WARM_MEMORY = 0.1;  // of all workers' memory that may be held warm before any call
     /** A runner not wanted is kept as long as the memory held costs about what a start does. */
     private final long hold;
+    private final long begunAt;
 
     /** By service and zone: counts that were wanted, each until its time. */
     private final Map<String, TreeMap<Integer, Long>> held = new HashMap<>();
 
-    Scaler(long hold) {
+    Scaler(long hold, long begunAt) {
         this.hold = hold;
+        this.begunAt = begunAt;
     }
 
     Plan plan(long now, Chart chart, Map<String, List<Demand.Need>> demand, Runners runners,
@@ -58,7 +60,8 @@
                 .sorted(Comparator.comparing(Chart.Service::name)).toList();
         Map<String, Long> targets = targets(chart);
         for (Chart.Service service : services) {
-            Map<String, Integer> wanted = wanted(service, demand.getOrDefault(service.name(), List.of()), runners);
+            Map<String, Integer> wanted = wanted(service, targets.getOrDefault(service.name(), 1000L) / 1000.0,
+                    demand.getOrDefault(service.name(), List.of()), runners);
             // What a start takes longer than callers bear is kept warm, within a part of all the memory.
             boolean slow = service.bootMs() > targets.getOrDefault(service.name(), Long.MAX_VALUE);
             if (slow && warm + service.memoryMb() <= WARM_MEMORY * allMemory) {
@@ -97,14 +100,20 @@
     }
 
     /** By zone, how many runners the calls want now. */
-    Map<String, Integer> wanted(Chart.Service service, List<Demand.Need> needs, Runners runners) {
-        Map<String, double[]> byZone = new TreeMap<>();  // average of slots busy, slots busy now, waiting
+    Map<String, Integer> wanted(Chart.Service service, double target, List<Demand.Need> needs, Runners runners) {
+        Map<String, double[]> byZone = new TreeMap<>();  // average of slots busy, slots busy now, slots for what waits
         int slots = service.maxConcurrency();
+        // One running time for all zones: a zone whose calls go elsewhere has seen none of its own.
+        double seen = needs.stream().filter(n -> n.run() > 0).mapToDouble(n -> n.rate() + 0.01).sum();
+        double run = seen == 0 ? target / 4
+                : needs.stream().mapToDouble(n -> n.run() * (n.rate() + 0.01)).sum() / seen;
+        // Slots that clear what waits in about the time that a start takes: more would come up when all is over.
+        double clears = Math.max(service.bootMs() / 1000.0, run) / 2;
         for (Demand.Need need : needs) {
             double[] sum = byZone.computeIfAbsent(need.zone(), zone -> new double[3]);
-            sum[0] += need.rate() * need.run();
+            sum[0] += need.rate() * run;
             sum[1] += need.busy();
-            sum[2] += need.waiting();
+            sum[2] += need.waiting() * run / clears;
         }
         // Guards against runners that move to and fro: a zone that has some is left only for one with twice its calls.
         Map<String, Double> weights = new TreeMap<>();
@@ -140,8 +149,8 @@
 
     private static int count(double[] need, int slots) {
         double average = need[0];
-        double room = average < 0.05 ? Math.min(1, average + need[2]) : average + SPREAD * Math.sqrt(average);
-        return (int) Math.max(Math.ceil(room / slots), Math.ceil((need[1] + need[2]) / slots));
+        double room = average < 0.05 ? Math.min(1, average) : average + SPREAD * Math.sqrt(average);
+        return (int) Math.ceil(Math.max(room + need[2], need[1]) / slots);
     }
 
     /** Starts what is missing and stops what has been too much for long enough. */
@@ -156,6 +165,9 @@
         for (String zone : wanted.keySet()) {
             have.computeIfAbsent(zone, z -> new ArrayList<>());
         }
+        int allWanted = wanted.values().stream().mapToInt(n -> n).sum();
+        int all = have.values().stream().mapToInt(List::size).sum() + beginning.entrySet().stream()
+                .filter(b -> b.getKey().startsWith(service.name() + "@")).mapToInt(Map.Entry::getValue).sum();
         for (Map.Entry<String, List<Runner>> each : have.entrySet()) {
             String zone = each.getKey();
             int want = wanted.getOrDefault(zone, 0);
@@ -166,13 +178,16 @@
             int are = each.getValue().size() + beginning.getOrDefault(service.name() + "@" + zone, 0);
             for (int i = are; i < want; i++) {
                 Worker worker = place(service, zone, runners, workers);
-                if (worker == null) {
+                // Where the zone has no room another's serves, but not more of those than are wanted in all.
+                if (worker == null || !worker.zone.equals(zone) && all >= allWanted) {
                     break;
                 }
+                all++;
                 worker.room -= service.memoryMb();
                 plan.starts.add(new Start(service.name(), worker.name, worker.zone));
             }
-            if (are > keep) {
+            // Who has just won the duty has not heard all homes: for as long as it holds anything it stops nothing.
+            if (are > keep && now - begunAt > hold) {
                 // The youngest first: those that are ready serve on.
                 each.getValue().stream().sorted(Comparator.comparing((Runner r) -> r.phase())
                         .thenComparing(r -> -runners.since(r.id()))).limit(are - keep).forEach(plan.stops::add);
--- a/lighthouse/src/main/java/saltdale/lighthouse/Starter.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Starter.java
@@ -42,7 +42,7 @@
     private final Keeper keeper;
     private final Platform platform;
     private final Landfall landfall;
-    private final Scaler scaler;
+    private Scaler scaler;
     private final Map<String, Intent> intents = new LinkedHashMap<>();  // by nonce
     private final Map<String, Long> leaving = new LinkedHashMap<>();  // runners we told to get nothing new, and when
     private final Set<String> drained = new HashSet<>();  // runners that the platform itself takes away
@@ -62,7 +62,6 @@
         this.keeper = keeper;
         this.platform = platform;
         this.landfall = landfall;
-        scaler = new Scaler(landfall.beat() * 7 / 2);
     }
 
     void begin() {
@@ -142,6 +141,7 @@
         long now = outside.now();
         if (fence != keeper.fence()) {  // newly won: what another had begun is asked for again, and so learnt
             fence = keeper.fence();
+            scaler = new Scaler(landfall.beat() * 7 / 2, now);
             intents.values().forEach(i -> i.asked = false);
             workersAt = Long.MIN_VALUE / 2;
             keeper.runners().all().stream()
--- a/pilot/src/main/java/saltdale/pilot/Attempt.java
+++ b/pilot/src/main/java/saltdale/pilot/Attempt.java
@@ -1,6 +1,7 @@
 package saltdale.pilot;
 
 import saltdale.lighthouse.Member;
+import saltdale.lighthouse.Runner;
 
 /** One sending of a call to a runner, in a slot that a home has lent for it. */
 public final class Attempt {
@@ -33,15 +34,17 @@
     public final String runner;
     public final String address;
     public final long until;
+    final String zone;  // the runner's
     final Member home;
     final long slot;  // the number of the question by which it was lent
     final long sentAt;
     boolean over;
 
-    Attempt(Call call, String runner, String address, Member home, long slot, long sentAt) {
+    Attempt(Call call, Runner lent, Member home, long slot, long sentAt) {
         this.call = call;
-        this.runner = runner;
-        this.address = address;
+        runner = lent.id();
+        address = lent.address();
+        zone = lent.zone();
         this.home = home;
         this.slot = slot;
         this.sentAt = sentAt;
--- a/pilot/src/main/java/saltdale/pilot/Home.java
+++ b/pilot/src/main/java/saltdale/pilot/Home.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 import saltdale.lighthouse.Chart;
 import saltdale.lighthouse.Runner;
 import saltdale.probing.ProbeLoop;
@@ -70,8 +71,9 @@
     private final ProbeLoop probes;
     private final SplittableRandom chance;
     private final Lender lender;
-    private final Map<String, Berth> berths = new LinkedHashMap<>();  // of our zone
-    private final Map<String, Runner> others = new LinkedHashMap<>();  // of the other zones
+    private final Predicate<Runner> ours;  // of our zone, or of one without members that we adopted
+    private final Map<String, Berth> berths = new LinkedHashMap<>();  // of those that are ours
+    private final Map<String, Runner> others = new LinkedHashMap<>();  // those with other homes
     private final List<Ask> queue = new ArrayList<>();  // as they came
     private double rate;  // calls a second that come from our zone
     private long rateAt;
@@ -80,11 +82,13 @@
     /** From when on it lends: those who lent before have ended by then, or said what is out. */
     long opensAt;
 
-    Home(String service, String zone, ProbeLoop probes, SplittableRandom chance, Lender lender, long opensAt) {
+    Home(String service, String zone, ProbeLoop probes, SplittableRandom chance, Predicate<Runner> ours,
+         Lender lender, long opensAt) {
         this.service = service;
         this.zone = zone;
         this.probes = probes;
         this.chance = chance;
+        this.ours = ours;
         this.lender = lender;
         this.opensAt = opensAt;
     }
@@ -93,7 +97,7 @@
 
     /** News of a runner; those that are not known any more are dropped. */
     void heard(Runner runner, long now) {
-        if (!runner.zone().equals(zone)) {
+        if (!ours.test(runner)) {
             if (runner.phase().compareTo(Runner.Phase.LEAVING) < 0) {
                 others.put(runner.id(), runner);
             } else {
@@ -126,6 +130,28 @@
         }
     }
 
+    /** The crew has changed: what is no longer ours goes with its loans, what is ours now waits a moment for others'. */
+    List<Object> recrewed(long now, long opens) {
+        List<Object> lost = new ArrayList<>();
+        for (Berth berth : List.copyOf(berths.values())) {
+            if (!ours.test(berth.runner)) {
+                berths.remove(berth.runner.id());
+                lost.addAll(loans(berth, now));
+                others.put(berth.runner.id(), berth.runner);
+            }
+        }
+        for (Runner r : List.copyOf(others.values())) {
+            if (ours.test(r)) {
+                others.remove(r.id());
+                Berth berth = new Berth(r, now);
+                berth.notBefore = now + opens;
+                berths.put(r.id(), berth);
+            }
+        }
+        serve(now);
+        return lost;
+    }
+
     Berth berth(String id) {
         return berths.get(id);
     }
@@ -151,7 +177,7 @@
             return;
         }
         long wait = wait(kind, now);
-        if (now + wait > ask.until) {
+        if (ask.priority >= 0 && now + wait > ask.until) {
             queue.remove(ask);
             lender.none(ask, Math.max(100, wait / 2_000_000));
             return;
@@ -173,8 +199,9 @@
             long since = booting().stream().mapToLong(b -> b.since).min().orElse(now);
             return (long) Math.max(0.1 * boot, boot - (now - since));
         }
+        // What is started for a longer queue takes part of it over, once it is up.
         double turns = queue.size() * run * 1e9 / slots;
-        return (long) Math.min(turns, boot == 0 ? turns : boot + run * 1e9);
+        return (long) (boot == 0 || turns < boot ? turns : boot + (turns - boot) / 2);
     }
 
     /** It asks no longer. */
@@ -342,10 +369,14 @@
     /** All loans, for a home that takes over. */
     List<Object> loans(long now) {
         List<Object> all = new ArrayList<>();
-        for (Berth berth : berths.values()) {
-            berth.loans.forEach((key, loan) -> all.add(List.of(service, berth.runner.id(), key, loan.life(),
-                    Math.max(0, (loan.until() - now) / 1_000_000))));
-        }
+        berths.values().forEach(berth -> all.addAll(loans(berth, now)));
+        return all;
+    }
+
+    private List<Object> loans(Berth berth, long now) {
+        List<Object> all = new ArrayList<>();
+        berth.loans.forEach((key, loan) -> all.add(List.of(service, berth.runner.id(), key, loan.life(),
+                Math.max(0, (loan.until() - now) / 1_000_000))));
         return all;
     }
 }
--- a/pilot/src/main/java/saltdale/pilot/Pilot.java
+++ b/pilot/src/main/java/saltdale/pilot/Pilot.java
@@ -152,21 +152,28 @@
         crew = next;
         outside.note("crew of " + crew.size() + ": " + crew.stream().map(m -> m.name() + (m.leaving() ? "-" : "")).toList());
         long now = outside.now();
-        for (String service : List.copyOf(homes.keySet())) {
-            if (!isHome(service)) {
-                Member heir = Homes.of(service, bearings.zone(), crew);
-                List<Object> loans = homes.remove(service).loans(now);
-                told.values().removeIf(r -> r.service().equals(service));
-                if (heir != null && !loans.isEmpty()) {
-                    outside.send(heir.host(), Fields.tree("t", "held", "l", loans));
+        for (Home home : List.copyOf(homes.values())) {
+            List<Object> loans = home.recrewed(now, bearings.beat() / 8);
+            if (!isHome(home.service())) {
+                loans = home.loans(now);
+                homes.remove(home.service());
+                told.values().removeIf(r -> r.service().equals(home.service()));
+            }
+            Map<String, List<Object>> heirs = new LinkedHashMap<>();
+            for (Object loan : loans) {
+                Runner r = (Runner) told.get(((List<?>) loan).get(1));
+                Member heir = Homes.of(home.service(), r == null ? bearings.zone() : r.zone(), crew);
+                if (heir != null) {
+                    heirs.computeIfAbsent(heir.host(), host -> new ArrayList<>()).add(loan);
                 }
             }
+            heirs.forEach((host, list) -> outside.send(host, Fields.tree("t", "held", "l", list)));
         }
         // What we hold is told to the new homes.
         Map<String, List<Object>> held = new LinkedHashMap<>();
         for (Attempt a : carried) {
-            Member was = Homes.of(a.call.service, bearings.zone(), before);
-            Member is = Homes.of(a.call.service, bearings.zone(), crew);
+            Member was = Homes.of(a.call.service, a.zone, before);
+            Member is = Homes.of(a.call.service, a.zone, crew);
             if (is != null && (was == null || !was.life().equals(is.life())) && !is.life().equals(tender.life())) {
                 held.computeIfAbsent(is.host(), host -> new ArrayList<>()).add(List.of(a.call.service, a.runner,
                         key(tender.life(), a.slot), tender.life(), Math.max(0, (a.until - now) / 1_000_000)));
@@ -193,7 +200,12 @@
     }
 
     private boolean isHome(String service) {
-        Member home = Homes.of(service, bearings.zone(), crew);
+        return isHome(service, bearings.zone())
+                || told.values().stream().anyMatch(r -> r.service().equals(service) && isHome(service, r.zone()));
+    }
+
+    private boolean isHome(String service, String zone) {
+        Member home = Homes.of(service, zone, crew);
         return home != null && home.life().equals(tender.life());
     }
 
@@ -201,7 +213,8 @@
         return homes.computeIfAbsent(service, s -> {
             long opensAt = outside.now() + (told.values().stream().anyMatch(r -> r.service().equals(s))
                     ? bearings.beat() / 8 : 0);
-            Home home = new Home(s, bearings.zone(), probes, outside.chance(), new Lending(s), opensAt);
+            Home home = new Home(s, bearings.zone(), probes, outside.chance(),
+                    r -> isHome(s, r.zone()), new Lending(s), opensAt);
             told.values().stream().filter(r -> r.service().equals(s)).toList()
                     .forEach(r -> home.heard(r, outside.now()));
             outside.after(Math.max(0, opensAt - outside.now()), () -> home.turn(outside.now()));
@@ -418,7 +431,7 @@
         call.timer.run();
         call.ask = 0;
         runnerHosts.add(host(r));
-        Attempt attempt = new Attempt(call, r.id(), r.address(), call.home, number, outside.now());
+        Attempt attempt = new Attempt(call, r, call.home, number, outside.now());
         call.attempt = attempt;
         call.attempts++;
         carried.add(attempt);
