Scaler: runners stay in the zone that has some; slots by what calls may wait; shorter leases

Cause: a rare function's calls from another zone started a second runner there (481 of 972 never got a request); the lease of a dead home held its runners back for 4.2 s.

--- a/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
@@ -86,7 +86,7 @@
         id = records.containsKey(IDENTITY) ? new String(records.get(IDENTITY), StandardCharsets.UTF_8)
                 : first ? Voter.firstId(landfall.host()) : Long.toHexString(outside.chance().nextLong());
         register = new Register(outside, id, life, this::chosen);
-        members = new Members(landfall.beat() * 2 + landfall.beat() / 2);
+        members = new Members(landfall.beat() * 9 / 5);
         runners = new Runners(8 * landfall.beat(), 40 * landfall.beat());
         demand = new Demand(3 * landfall.beat());
         starter = new Starter(outside, this, platform, landfall);
@@ -154,19 +154,23 @@
 
     /** Whether a majority of voters answered what was sent within the lease; a process that stood still has none. */
     public boolean hasMajority() {
+        return majorityAt() > outside.now() - landfall.lease();
+    }
+
+    /** When that was sent which a majority of voters has answered. */
+    private long majorityAt() {
         State basis = register.basis();
-        if (basis == null) {
-            return false;
-        }
-        long since = outside.now() - landfall.lease();
-        for (List<Voter> set : basis.quorums()) {
-            long near = set.stream().filter(v -> v.id().equals(id) || peers.values().stream()
-                    .anyMatch(p -> v.id().equals(p.id) && p.ackedSentAt > since)).count();
-            if (near <= set.size() / 2) {
-                return false;
+        long at = basis == null ? Long.MIN_VALUE / 2 : outside.now();
+        for (List<Voter> set : basis == null ? List.<List<Voter>>of() : basis.quorums()) {
+            List<Long> heard = new ArrayList<>();
+            for (Voter v : set) {
+                heard.add(v.id().equals(id) ? outside.now() : peers.values().stream().filter(p -> v.id().equals(p.id))
+                        .mapToLong(p -> p.ackedSentAt).max().orElse(Long.MIN_VALUE / 2));
             }
+            heard.sort(null);
+            at = Math.min(at, heard.get((heard.size() - 1) / 2));
         }
-        return true;
+        return at;
     }
 
     private Peer peer(String host) {
@@ -314,7 +318,7 @@
         subscriber.heardAt = now;
         publish(subscriber);
         outside.send(fromHost, Fields.tree("t", "lease", "i", message.whole("i"), "maj", hasMajority(),
-                "s", subscriber.session, "c", subscriber.sent, "k", keeperHosts()));
+                "v", Math.max(0, (majorityAt() - now + landfall.memberLease()) / 1_000_000), "s", subscriber.session, "c", subscriber.sent, "k", keeperHosts()));
     }
 
     /** Where dispatchers find keepers. */
--- a/lighthouse/src/main/java/saltdale/lighthouse/Scaler.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Scaler.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * How many runners each service wants in each zone, and on which workers: from measured arrivals and running times. It
@@ -36,18 +38,22 @@
     }
 
     // Ratios, none of any deployment: see docs/platform.md.
-    static final double OWN_ZONE = 0.15;  // of a runner's slots busy: from here a zone has runners of its own
-    static final double SPREAD = 1.5;  // spare slots, in square roots of the slots busy on average
+    static final double OWN_ZONE = 0.35;  // of a runner's slots busy: from here a zone has runners of its own
+    static final double KEEPS_ZONE = 0.6;  // of that: down to here it keeps them
+    static final double SPREAD = 1.5;  // spare slots at most, in square roots of the slots busy on average
+    static final double SELDOM = 4.6;  // as a logarithm: one call in a hundred waits longer than it may
+    static final double HARMLESS = 2;  // starts: so long a runner is held idle where a start makes no call late
+    static final double HARMFUL = 4;  // the same where it does
     static final double WARM_MEMORY = 0.1;  // of all workers' memory that may be held warm before any call
-    /** A runner not wanted is kept as long as the memory held costs about what a start does. */
-    private final long hold;
+    /** For so long after it has begun nothing is stopped: not all homes have been heard. */
+    private final long quiet;
     private final long begunAt;
 
     /** By service and zone: counts that were wanted, each until its time. */
     private final Map<String, TreeMap<Integer, Long>> held = new HashMap<>();
 
-    Scaler(long hold, long begunAt) {
-        this.hold = hold;
+    Scaler(long quiet, long begunAt) {
+        this.quiet = quiet;
         this.begunAt = begunAt;
     }
 
@@ -60,10 +66,13 @@
                 .sorted(Comparator.comparing(Chart.Service::name)).toList();
         Map<String, Long> targets = targets(chart);
         for (Chart.Service service : services) {
-            Map<String, Integer> wanted = wanted(service, targets.getOrDefault(service.name(), 1000L) / 1000.0,
+            double target = targets.getOrDefault(service.name(), 1000L) / 1000.0;
+            boolean slow = service.bootMs() / 1000.0 > target;
+            // A start is paid for with memory while it lasts: idle runners are held for a few times that.
+            long hold = (long) ((slow ? HARMFUL : HARMLESS) * service.bootMs() * 1e6);
+            Map<String, Integer> wanted = wanted(service, target, hold,
                     demand.getOrDefault(service.name(), List.of()), runners);
             // What a start takes longer than callers bear is kept warm, within a part of all the memory.
-            boolean slow = service.bootMs() > targets.getOrDefault(service.name(), Long.MAX_VALUE);
             if (slow && warm + service.memoryMb() <= WARM_MEMORY * allMemory) {
                 warm += service.memoryMb();
                 if (wanted.values().stream().mapToInt(n -> n).sum() == 0) {
@@ -73,7 +82,7 @@
                     }
                 }
             }
-            fit(now, service, wanted, runners, workers, beginning, plan);
+            fit(now, service, hold, wanted, runners, workers, beginning, plan);
         }
         return plan;
     }
@@ -100,7 +109,8 @@
     }
 
     /** By zone, how many runners the calls want now. */
-    Map<String, Integer> wanted(Chart.Service service, double target, List<Demand.Need> needs, Runners runners) {
+    Map<String, Integer> wanted(Chart.Service service, double target, long hold, List<Demand.Need> needs,
+                                Runners runners) {
         Map<String, double[]> byZone = new TreeMap<>();  // average of slots busy, slots busy now, slots for what waits
         int slots = service.maxConcurrency();
         // One running time for all zones: a zone whose calls go elsewhere has seen none of its own.
@@ -109,18 +119,22 @@
                 : needs.stream().mapToDouble(n -> n.run() * (n.rate() + 0.01)).sum() / seen;
         // Slots that clear what waits in about the time that a start takes: more would come up when all is over.
         double clears = Math.max(service.bootMs() / 1000.0, run) / 2;
+        if (!needs.isEmpty()) {
+            runners.of(service.name()).stream().filter(r -> r.phase().compareTo(Runner.Phase.LEAVING) < 0)
+                    .forEach(r -> byZone.put(r.zone(), new double[3]));
+        }
         for (Demand.Need need : needs) {
             double[] sum = byZone.computeIfAbsent(need.zone(), zone -> new double[3]);
             sum[0] += need.rate() * run;
             sum[1] += need.busy();
             sum[2] += need.waiting() * run / clears;
         }
-        // Guards against runners that move to and fro: a zone that has some is left only for one with twice its calls.
-        Map<String, Double> weights = new TreeMap<>();
-        byZone.forEach((zone, its) -> weights.put(zone, its[0] + 0.01 * (its[1] + its[2])));
-        runners.of(service.name()).stream().filter(r -> r.phase().compareTo(Runner.Phase.LEAVING) < 0)
-                .map(Runner::zone).distinct().forEach(zone -> weights.computeIfPresent(zone, (z, w) -> 2 * w));
-        String main = weights.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey).orElse(null);
+        Set<String> have = runners.of(service.name()).stream()
+                .filter(r -> r.phase().compareTo(Runner.Phase.LEAVING) < 0).map(Runner::zone).collect(Collectors.toSet());
+        // Guards against runners that move to and fro: where there are some, the rest of the zones goes there.
+        String main = byZone.keySet().stream().max(Comparator.comparing((String zone) -> have.contains(zone))
+                .thenComparing(zone -> byZone.get(zone)[0] + 0.01 * (byZone.get(zone)[1] + byZone.get(zone)[2])))
+                .orElse(null);
         Map<String, Integer> wanted = new TreeMap<>();
         if (main == null) {
             return wanted;
@@ -130,8 +144,8 @@
             double[] its = zone.getValue();
             if (zone.getKey().equals(main)) {
                 continue;
-            } else if (its[0] >= OWN_ZONE * slots) {
-                wanted.put(zone.getKey(), count(its, slots));
+            } else if (its[0] >= OWN_ZONE * slots * (have.contains(zone.getKey()) ? KEEPS_ZONE : 1)) {
+                wanted.put(zone.getKey(), count(its, slots, run, target));
             } else {
                 for (int i = 0; i < pooled.length; i++) {
                     pooled[i] += its[i];
@@ -143,18 +157,20 @@
         if (rate * hold / 1e9 < 1) {
             pooled[0] = 0;
         }
-        wanted.put(main, count(pooled, slots));
+        wanted.put(main, count(pooled, slots, run, target));
         return wanted;
     }
 
-    private static int count(double[] need, int slots) {
+    /** Spare slots are few where calls may wait a while: the chance of a longer wait falls by e with each run of it. */
+    private static int count(double[] need, int slots, double run, double target) {
         double average = need[0];
-        double room = average < 0.05 ? Math.min(1, average) : average + SPREAD * Math.sqrt(average);
+        double spare = Math.min(SPREAD * Math.sqrt(average), SELDOM * run / Math.max(run, target - run));
+        double room = average < 0.05 ? Math.min(1, average) : average + spare;
         return (int) Math.ceil(Math.max(room + need[2], need[1]) / slots);
     }
 
     /** Starts what is missing and stops what has been too much for long enough. */
-    private void fit(long now, Chart.Service service, Map<String, Integer> wanted, Runners runners,
+    private void fit(long now, Chart.Service service, long hold, Map<String, Integer> wanted, Runners runners,
                      List<Worker> workers, Map<String, Integer> beginning, Plan plan) {
         Map<String, List<Runner>> have = new TreeMap<>();
         for (Runner r : runners.of(service.name())) {
@@ -187,7 +203,7 @@
                 plan.starts.add(new Start(service.name(), worker.name, worker.zone));
             }
             // Who has just won the duty has not heard all homes: for as long as it holds anything it stops nothing.
-            if (are > keep && now - begunAt > hold) {
+            if (are > keep && now - begunAt > quiet) {
                 // The youngest first: those that are ready serve on.
                 each.getValue().stream().sorted(Comparator.comparing((Runner r) -> r.phase())
                         .thenComparing(r -> -runners.since(r.id()))).limit(are - keep).forEach(plan.stops::add);
--- a/pilot/src/main/java/saltdale/pilot/Bearings.java
+++ b/pilot/src/main/java/saltdale/pilot/Bearings.java
@@ -5,8 +5,4 @@
 /** What a pilot is told of its machine and of the deployment; spans in nanoseconds. */
 public record Bearings(String name, String host, String zone, List<String> seeds, long beat, double retryRatio,
                        long retryWindow, double retrySlack) {
-    /** A home that was not confirmed for so long lends nothing; the keepers give its place away only later. */
-    long lease() {
-        return 2 * beat;
-    }
 }
--- a/pilot/src/main/java/saltdale/pilot/Home.java
+++ b/pilot/src/main/java/saltdale/pilot/Home.java
@@ -66,6 +66,8 @@
 
     static final int MOST_HOPS = 3;
     private static final double TAU = 2e9;  // over which arrivals are averaged
+    private static final double QUICK = 0.5e9;  // the same, to see a burst at once
+    private static final double LEAST = 0.4e9;  // so long at least a home has counted before it believes its counts
     private final String service;
     private final String zone;
     private final ProbeLoop probes;
@@ -76,7 +78,10 @@
     private final Map<String, Runner> others = new LinkedHashMap<>();  // those with other homes
     private final List<Ask> queue = new ArrayList<>();  // as they came
     private double rate;  // calls a second that come from our zone
+    private double quick;  // the same over a shorter time
     private long rateAt;
+    private long ratedFrom = -1;  // since when it counts; it begins anew after a long rest
+    private long counted;
     private double run;  // seconds that a call runs, on average
     private long busyAt;
     /** From when on it lends: those who lent before have ended by then, or said what is out. */
@@ -169,7 +174,10 @@
     void ask(Ask ask, boolean counts, Chart.Service kind, long now) {
         if (counts) {
             decay(now);
+            ratedFrom = ratedFrom < 0 ? now : ratedFrom;
+            counted++;
             rate += 1e9 / TAU;
+            quick += 1e9 / QUICK;
         }
         queue.add(ask);
         serve(now);
@@ -344,18 +352,28 @@
 
     private void decay(long now) {
         rate *= Math.exp(-(now - rateAt) / TAU);
+        quick *= Math.exp(-(now - rateAt) / QUICK);
         rateAt = now;
         if (rate < 0.01) {
             rate = 0;
+            ratedFrom = -1;
+            counted = 0;
         }
     }
 
+    /** Calls a second: the average, or the last half second's where that is more than chance would have it. */
+    private double rate(long now) {
+        double lately = quick - 2 * Math.sqrt(quick);
+        double young = now - ratedFrom < TAU ? (counted - 2 * Math.sqrt(counted)) * 1e9 / Math.max(LEAST, now - ratedFrom) : 0;
+        return Math.max(rate, Math.max(lately, young));
+    }
+
     /** Service, zone, calls a second, seconds a call, slots lent, asks waiting, seconds since it last lent. */
     List<Object> need(long now) {
         decay(now);
         int busy = berths.values().stream().mapToInt(b -> b.loans.size()).sum();
         return rate == 0 && busy == 0 && queue.isEmpty() ? null
-                : List.of(service, zone, rate, run, busy, queue.size(), (now - busyAt) / 1e9);
+                : List.of(service, zone, rate(now), run, busy, queue.size(), (now - busyAt) / 1e9);
     }
 
     int waiting() {
--- a/pilot/src/main/java/saltdale/pilot/Pilot.java
+++ b/pilot/src/main/java/saltdale/pilot/Pilot.java
@@ -354,7 +354,7 @@
         asking.put(call.ask, call);
         long number = call.ask;
         // A home answers at once, if only that the call waits; that is said again while it does.
-        call.timer = outside.after(bearings.beat() / 6, () -> unanswered(call, number));
+        call.timer = outside.after(bearings.beat() / 10, () -> unanswered(call, number));
         boolean away = !home.zone().equals(bearings.zone());
         boolean counts = call.attempts == 0 && call.unreached.isEmpty() && !away || away && !call.unreached.isEmpty();
         call.hops = call.unreached.isEmpty() ? 0 : Home.MOST_HOPS;
@@ -464,7 +464,7 @@
         call.home = there;
         asking.put(call.ask, call);
         long next = call.ask;
-        call.timer = outside.after(bearings.beat() / 6, () -> unanswered(call, next));
+        call.timer = outside.after(bearings.beat() / 10, () -> unanswered(call, next));
         call.hops++;
         sendAsk(call, false);
     }
--- a/pilot/src/main/java/saltdale/pilot/Tender.java
+++ b/pilot/src/main/java/saltdale/pilot/Tender.java
@@ -41,7 +41,7 @@
     private long news;  // of this session, so many came
     private long heardAt;
     private long renewedAt;
-    private long confirmedAt = Long.MIN_VALUE / 2;  // when that was sent which a keeper with a majority answered last
+    private long leaseUntil = Long.MIN_VALUE / 2;  // counted from when that was sent which a keeper answered
     private int alone;  // so often in a row it had no majority
     private boolean leaving;
 
@@ -66,7 +66,7 @@
     }
 
     boolean hasLease() {
-        return outside.now() - confirmedAt < bearings.lease();
+        return outside.now() < leaseUntil;
     }
 
     void begin() {
@@ -76,14 +76,14 @@
 
     private void turn() {
         long now = outside.now();
-        if (now - heardAt > bearings.beat()) {
+        if (now - heardAt > bearings.beat() * 2 / 3) {
             move();
         }
         // Until the first word has come it asks more often: a keeper may start later than we do.
-        if (news == 0 || now - renewedAt >= bearings.beat() / 2 - bearings.beat() / 12) {
+        if (news == 0 || now - renewedAt >= bearings.beat() / 4) {
             renew();
         }
-        outside.after(bearings.beat() / 6, this::turn);
+        outside.after(bearings.beat() / 8, this::turn);
     }
 
     /** Another keeper, another session. */
@@ -153,6 +153,7 @@
         }
         if (message.flag("over")) {
             life = fresh();
+            leaseUntil = Long.MIN_VALUE / 2;
             outside.note("the lease is over; a new life: " + life);
             reader.over();
             resume();
@@ -169,7 +170,7 @@
         }
         alone = 0;
         heardAt = outside.now();
-        confirmedAt = Math.max(confirmedAt, sent);
+        leaseUntil = Math.max(leaseUntil, sent + message.whole("v") * 1_000_000);
         for (String each : message.texts("k")) {
             keepers.add(each);
         }
