--- a/vault/src/main/java/saltdale/vault/Copy.java
+++ b/vault/src/main/java/saltdale/vault/Copy.java
@@ -23,17 +23,23 @@
     /** The name of the seal among the records. */
     static final String SEAL = "";
     private static final String MAP = "records";
+    private static final int PIECE = 1 << 19;
     private static final int HEAD = Long.BYTES + Integer.BYTES;
 
     /** The turn in which a record was written, and the checksum and size of what was. */
     private record Stamp(long turn, int sum, int size) { }
 
-    /** Guards against a second sync after every other write, for a shorter file; {@link StoreVault} holds it short. */
-    private static final class Unshrunk extends SingleFileStore {
-        Unshrunk() {
-            super(Map.of("cacheSize", 0, "autoCommitBufferSize", 0));
+    /** The file of the store. */
+    private static final class Chunks extends SingleFileStore {
+        /**
+         * With the smallest cache. Guards against all records in one page, which each write would write anew: MVStore
+         * bounds its pages by the cache, and without one by nothing.
+         */
+        Chunks() {
+            super(Map.of("cacheSize", 1, "autoCommitBufferSize", 0));
         }
 
+        /** Guards against a second sync after every other write; {@link StoreVault} keeps the file short enough. */
         @Override
         protected void shrinkStoreIfPossible(int leastPercent) { }
     }
@@ -73,11 +79,20 @@
         } catch (RuntimeException | StackOverflowError e) {
             flawed(e);
         } catch (OutOfMemoryError e) {
-            // Torn lengths ask for absurd sizes; where there is no room for the file itself it is no fault of its own.
-            if (new byte[(int) Math.min(file.size(), Integer.MAX_VALUE / 4)].length < file.size()) {
-                throw e;
+            // Torn lengths ask for absurd sizes; where there is hardly room for anything it is no fault of the copy.
+            if (roomFor(file.size())) {
+                flawed(e);
+            } else {
+                throw new IOException("no memory for " + file, e);
             }
-            flawed(e);
+        }
+    }
+
+    private static boolean roomFor(long size) {
+        try {
+            return new byte[(int) Math.min(size, Integer.MAX_VALUE / 4)].length > 0;
+        } catch (OutOfMemoryError e) {
+            return false;
         }
     }
 
@@ -96,16 +111,17 @@
 
     private void start(boolean readOnly) {
         found = readOnly;
-        Unshrunk unshrunk = new Unshrunk();
-        MVStore.Builder builder = new MVStore.Builder().adoptFileStore(unshrunk).autoCommitDisabled();
+        Chunks chunks = new Chunks();
+        MVStore.Builder builder = new MVStore.Builder().adoptFileStore(chunks).autoCommitDisabled()
+                .autoCommitBufferSize(0);
         boolean open = false;
         try {
-            unshrunk.open(file.toString(), readOnly, null);
+            chunks.open(file.toString(), readOnly, null);
             store = readOnly ? builder.readOnly().open() : builder.open();
             open = true;
         } finally {
             if (!open) {
-                unshrunk.close();
+                chunks.close();
             }
         }
         store.setVersionsToKeep(0);
@@ -173,8 +189,8 @@
     }
 
     /**
-     * Begins anew with an empty file. Guards against a write that was cut and found torn, yet whose bytes lie in the file
-     * still and would be whole again once a later one is torn elsewhere: they are gone for good before that begins.
+     * Begins anew with an empty file. Guards against a write that was cut and found torn, yet whose bytes lie in the
+     * file still and would be whole again once a later one is torn elsewhere: they are gone before that begins.
      */
     void clear() throws IOException {
         close();
@@ -187,7 +203,7 @@
         start(false);
     }
 
-    /** Takes over what the other one holds, null for nothing, puts these records, null values for removed ones, and syncs. */
+    /** Takes over what the other one holds (null: nothing), puts these records (null value removes), and syncs. */
     void follow(Copy from, Map<String, byte[]> changes) {
         long next = from == null ? 0 : from.turn + 1;
         Map<String, Stamp> target = new TreeMap<>(from == null ? Map.of() : from.stamps);
@@ -197,11 +213,19 @@
                 records.remove(name);
             }
         }
-        target.forEach((name, stamp) -> {
-            if (!stamp.equals(stamps.get(name)) && !changes.containsKey(name)) {
+        long unsaved = 0;
+        for (Map.Entry<String, Stamp> entry : target.entrySet()) {
+            String name = entry.getKey();
+            if (!entry.getValue().equals(stamps.get(name)) && !changes.containsKey(name)) {
                 records.put(name, from.records.get(name));
+                unsaved += entry.getValue().size;
             }
-        });
+            if (unsaved > PIECE) {
+                // Guards against all records in memory at once; without a new seal this is no copy yet.
+                store.commit();
+                unsaved = 0;
+            }
+        }
         changes.forEach((name, bytes) -> {
             if (bytes == null) {
                 target.remove(name);
--- a/vault/src/main/java/saltdale/vault/StoreVault.java
+++ b/vault/src/main/java/saltdale/vault/StoreVault.java
@@ -20,7 +20,7 @@
     /** As MVStore names it. */
     private final String folder;
     private final Runnable syncFolder;
-    /** The copy that holds the last write, and the other, which is written next; null while they must be opened anew. */
+    /** The copy that holds the last write, and the one that is written next; null while they must be opened anew. */
     private Copy current;
     private Copy other;
     private boolean closed;
--- a/vault/src/test/java/saltdale/vault/MapDbVault.java
+++ b/vault/src/test/java/saltdale/vault/MapDbVault.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.TreeMap;
 import org.mapdb.BTreeMap;
@@ -18,8 +19,8 @@
 import org.mapdb.volume.VolumeFactory;
 
 /**
- * A vault in MapDB with its log, as {@code DBMaker.fileDB(...).fileChannelEnable().transactionEnable()} makes it, on files
- * whose every call is told to a {@link CutDisk}; see {@link PowerCutTest} for what it loses.
+ * A vault in MapDB with its log, as {@code DBMaker.fileDB(...).fileChannelEnable().transactionEnable()} makes it, on
+ * files whose every call is told to a {@link CutDisk}; see {@link PowerCutTest} for what it loses.
  */
 final class MapDbVault implements Vault {
     private final Path folder;
@@ -35,8 +36,8 @@
         }
         boolean made = !disk.exists("vault");
         // As DBMaker calls it, with the checksum of the header.
-        StoreWAL store = StoreWAL.make(folder.resolve("vault").toString(), new Told(), 0L, true, 3, 0L, 0L, false, false,
-                false, true, false);
+        StoreWAL store = StoreWAL.make(folder.resolve("vault").toString(), new Told(), 0L, true, 3, 0L, 0L, false,
+                false, false, true, false);
         db = new DB(store, !made, false, MapDbVault.class.getClassLoader(), 0);
         records = db.treeMap("records", Serializer.STRING, Serializer.BYTE_ARRAY).createOrOpen();
         db.commit();
@@ -89,10 +90,12 @@
 
     private final class Told extends VolumeFactory {
         @Override
-        public Volume makeVolume(String file, boolean readOnly, long lockWait, int sliceShift, long initSize, boolean fixed) {
+        public Volume makeVolume(String file, boolean readOnly, long lockWait, int sliceShift, long initSize,
+                boolean fixed) {
             seeDeleted();
             try {
-                return new Recorder(FileChannelVol.FACTORY.makeVolume(file, readOnly, lockWait, sliceShift, initSize, fixed),
+                return new Recorder(
+                        FileChannelVol.FACTORY.makeVolume(file, readOnly, lockWait, sliceShift, initSize, fixed),
                         disk.open(new File(file).getName()));
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
@@ -168,7 +171,7 @@
 
         @Override
         public void putData(long position, byte[] from, int offset, int count) {
-            told(position, java.util.Arrays.copyOfRange(from, offset, offset + count));
+            told(position, Arrays.copyOfRange(from, offset, offset + count));
         }
 
         @Override
--- a/vault/src/test/java/saltdale/vault/SingleStoreVault.java
+++ b/vault/src/test/java/saltdale/vault/SingleStoreVault.java
@@ -105,7 +105,7 @@
 
     private static MVStore store(String file) {
         return new MVStore.Builder().fileName(file).autoCommitDisabled().autoCommitBufferSize(0)
-                .cacheSize(0).open();
+                .cacheSize(1).open();
     }
 
     private static MVMap<String, byte[]> records(MVStore store) {
--- a/vault/src/test/java/saltdale/vault/VaultTest.java
+++ b/vault/src/test/java/saltdale/vault/VaultTest.java
@@ -197,7 +197,8 @@
             for (int i = 0; i < 2000; i++) {
                 Map<String, byte[]> changes = new TreeMap<>();
                 for (int j = random.nextInt(3); j >= 0; j--) {
-                    changes.put("r" + random.nextInt(30), bytes(random, random.nextInt(random.nextInt(8) == 0 ? 300_000 : 3000)));
+                    int size = random.nextInt(random.nextInt(8) == 0 ? 300_000 : 3000);
+                    changes.put("r" + random.nextInt(30), bytes(random, size));
                 }
                 vault.write(changes);
                 all.putAll(changes);
@@ -205,7 +206,7 @@
             }
             assertThat(PowerCuts.state(vault.read()), is(PowerCuts.state(all)));
         }
-        System.out.println("most " + most + " bytes of records, " + disk.peak + " on the disk, " + disk.syncs + " syncs");
+        System.out.println(most + " bytes of records, " + disk.peak + " on the disk, " + disk.syncs + " syncs");
         assertThat(disk.peak, is(lessThan(6 * most + 3_000_000)));
         assertThat(disk.syncs, is(lessThan(2000 * 11 / 10)));
     }
