--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/platform/Clock.java
@@ -0,0 +1,10 @@
+package saltdale.rig.platform;
+
+import java.time.Duration;
+
+/** Time and what is to happen later, real or simulated. */
+public interface Clock {
+    Duration now();
+
+    void after(Duration span, Runnable what);
+}
--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/platform/live/HttpCall.java
@@ -0,0 +1,66 @@
+package saltdale.rig.platform.live;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.function.Consumer;
+import saltdale.protocol.Head;
+import saltdale.protocol.HttpParser;
+import saltdale.rig.standin.Places;
+import saltdale.rig.standin.Turner;
+import saltdale.transport.Connection;
+import saltdale.transport.Timer;
+
+/** One request on a connection of its own; used on the loop. */
+final class HttpCall implements Connection.Owner {
+    record Answer(Head head, byte[] body) {
+        int status() {
+            return head.status();
+        }
+    }
+
+    private final HttpParser parser = new HttpParser(HttpParser.Kind.ANSWER);
+    private final Consumer<Answer> then;
+    private Connection connection;
+    private Timer limit;
+
+    private HttpCall(Consumer<Answer> then) {
+        this.then = then;
+    }
+
+    /** {@code headers}: whole lines; {@code then} is told null where no whole answer came within the limit. */
+    static void send(Turner turner, InetSocketAddress at, String method, String target, String headers, byte[] body,
+                     Duration limit, Consumer<Answer> then) {
+        HttpCall call = new HttpCall(then);
+        call.connection = Connection.dial(turner.loop, turner.sockets, at, limit, call);
+        if (call.connection == null) {
+            turner.loop.soon(() -> then.accept(null));
+            return;
+        }
+        call.limit = turner.loop.after(limit, () -> call.over(null));
+        call.connection.send(ByteBuffer.wrap((method + " " + target + " HTTP/1.1\r\nHost: " + Places.text(at) + "\r\n"
+                + headers + "Content-Length: " + body.length + "\r\nConnection: close\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII)), ByteBuffer.wrap(body));
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+        parser.take(bytes);
+        if (parser.bad() || parser.whole()) {
+            over(parser.whole() ? new Answer(parser.head(), parser.body()) : null);
+        }
+    }
+
+    @Override
+    public void ended(String cause) {
+        parser.end();
+        over(parser.whole() ? new Answer(parser.head(), parser.body()) : null);
+    }
+
+    private void over(Answer answer) {
+        limit.cancel();
+        connection.close();
+        then.accept(answer);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/platform/live/PlatformServer.java
@@ -0,0 +1,99 @@
+package saltdale.rig.platform.live;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.io.IOException;
+import java.net.URLDecoder;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import saltdale.protocol.Head;
+import saltdale.rig.platform.Platform;
+import saltdale.rig.platform.Platform.Reply;
+import saltdale.rig.platform.Site;
+import saltdale.rig.standin.Exchange;
+import saltdale.rig.standin.Origin;
+import saltdale.rig.standin.Turner;
+import saltdale.transport.Address;
+import saltdale.transport.Connection;
+import saltdale.transport.Listener;
+
+/** The platform's calls on HTTP; used on the loop. */
+final class PlatformServer {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Origin origin;
+    private final Platform platform;
+
+    PlatformServer(Turner turner, Origin origin, Site site, Platform platform) throws IOException {
+        this.origin = origin;
+        this.platform = platform;
+        new Listener(turner.loop, turner.sockets, Address.parse(site.platform()),
+                (connection, full) -> new Called(connection));
+    }
+
+    private final class Called extends Exchange {
+        Called(Connection connection) {
+            super(connection, origin);
+        }
+
+        @Override
+        public void ended(String cause) {
+            // It answers at once: nothing is under way.
+        }
+
+        @Override
+        protected void requested(Head head, byte[] body, Duration first) {
+            Reply reply = reply(head, body);
+            connection.send(ByteBuffer.wrap(answer(reply.status(), "Content-Type: application/json\r\n",
+                    reply.body().toString())));
+            answered();
+            if (!head.keepsAlive()) {
+                connection.finish();
+            }
+        }
+    }
+
+    private Reply reply(Head head, byte[] body) {
+        String fence = head.header("X-Saltdale-Fence-Number");
+        if (fence != null && !fence.matches("\\d{1,18}")) {
+            return new Reply(400, JSON.createObjectNode());
+        }
+        Long number = fence == null ? null : Long.valueOf(fence);
+        JsonNode asked = json(body);
+        return switch (head.method() + " " + head.path()) {
+            case "GET /runners" -> platform.runners(query(head.target(), "zone"), query(head.target(), "page_token"));
+            case "GET /workers" -> platform.workers();
+            case "POST /begin" -> platform.begin(number, text(asked, "service"), text(asked, "worker_machine"),
+                    text(asked, "request_nonce"));
+            case "POST /stop" -> platform.stop(number, text(asked, "identifier"));
+            default -> new Reply(404, JSON.createObjectNode());
+        };
+    }
+
+    private static JsonNode json(byte[] body) {
+        try {
+            return JSON.readTree(body);
+        } catch (JsonProcessingException e) {
+            return MissingNode.getInstance();  // whose members are all missing
+        } catch (IOException e) {
+            throw new IllegalStateException(e);  // bytes in memory can be read
+        }
+    }
+
+    private static String text(JsonNode from, String name) {
+        return from.path(name).isTextual() ? from.path(name).textValue() : null;
+    }
+
+    private static String query(String target, String name) {
+        int at = target.indexOf('?');
+        for (String each : at < 0 ? new String[0] : target.substring(at + 1).split("&")) {
+            if (each.startsWith(name + "=")) {
+                return URLDecoder.decode(each.substring(name.length() + 1), StandardCharsets.UTF_8);
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/platform/live/Processes.java
@@ -0,0 +1,148 @@
+package saltdale.rig.platform.live;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import saltdale.rig.platform.Machine;
+import saltdale.rig.platform.Site;
+
+/** The processes of the system: child processes of one build, each with its settings file, disk and log. */
+public final class Processes implements AutoCloseable {
+    private static final List<String> FLAGS = List.of("-Xmx192m", "-Xss256k", "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1");
+    private static final Set<String> PASSED_ON = Set.of("PATH", "HOME", "JAVA_HOME", "LANG");
+
+    private final Site site;
+    private final Path jar;
+    private final Path folder;
+    private final Map<Machine, Process> running = new LinkedHashMap<>();
+    private final Map<Machine, Integer> ended = new LinkedHashMap<>();
+    // Guards against processes that outlive a rig which was told to end.
+    private final Thread atExit = new Thread(() -> running.values().forEach(Process::destroyForcibly), "end of all");
+
+    public Processes(Site site, Path jar, Path folder) {
+        this.site = site;
+        this.jar = jar.toAbsolutePath();
+        this.folder = folder.toAbsolutePath();
+    }
+
+    /** Writes the settings files of a first start, with empty disks, and returns them. */
+    public Map<Machine, Path> settings() throws IOException {
+        Map<Machine, Path> all = new LinkedHashMap<>();
+        for (Machine machine : site.machines()) {
+            Path own = folder.resolve(machine.name());
+            if (Files.isDirectory(own)) {
+                try (Stream<Path> old = Files.walk(own)) {
+                    for (Path each : old.sorted((a, b) -> b.compareTo(a)).toList()) {
+                        Files.delete(each);
+                    }
+                }
+            }
+            all.put(machine, settings(machine, true));
+        }
+        return all;
+    }
+
+    private Path settings(Machine machine, boolean firstStart) throws IOException {
+        Path own = folder.resolve(machine.name());
+        Files.createDirectories(own.resolve("data"));
+        Path file = own.resolve("local.json");
+        Files.writeString(file, site.settings(machine, firstStart,
+                machine.isPilot() ? null : own.resolve("data").toString()).toPrettyString());
+        return file;
+    }
+
+    /** The command that starts a machine's process, its settings file aside. */
+    public List<String> command(Machine machine) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(FLAGS);
+        command.addAll(List.of("-jar", jar.toString(), machine.role()));
+        return command;
+    }
+
+    void startAll() throws IOException {
+        Runtime.getRuntime().addShutdownHook(atExit);
+        for (Map.Entry<Machine, Path> each : settings().entrySet()) {
+            start(each.getKey(), each.getValue());
+        }
+    }
+
+    private void start(Machine machine, Path settings) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(command(machine)).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log(machine).toFile()));
+        builder.environment().keySet().retainAll(PASSED_ON);
+        builder.environment().put("SALTDALE_BOOT", settings.toString());
+        running.put(machine, builder.start());
+    }
+
+    Path log(Machine machine) {
+        return folder.resolve(machine.name()).resolve("log");
+    }
+
+    /** The last line that it wrote. */
+    String lastLine(Machine machine) {
+        try {
+            List<String> lines = Files.readAllLines(log(machine), StandardCharsets.UTF_8);
+            return lines.isEmpty() ? "it said nothing" : lines.get(lines.size() - 1);
+        } catch (IOException e) {
+            return "its log can't be read";
+        }
+    }
+
+    /** Kills one outright, and returns once it is gone. */
+    void kill(Machine machine) throws InterruptedException {
+        Process process = running.remove(machine);
+        process.destroyForcibly();
+        process.waitFor(5, TimeUnit.SECONDS);
+    }
+
+    void restart(Machine machine) throws IOException {
+        start(machine, settings(machine, false));
+    }
+
+    /** Those that have ended by themselves, with their exit status. */
+    Map<Machine, Integer> ended() {
+        running.forEach((machine, process) -> {
+            if (!process.isAlive()) {
+                ended.put(machine, process.exitValue());
+            }
+        });
+        return ended;
+    }
+
+    /** Tells all to end in order, and kills what is left after the grace; returns those that had to be killed. */
+    List<Machine> endAll(Duration grace) throws InterruptedException {
+        ended();
+        running.values().forEach(Process::destroy);
+        long end = System.nanoTime() + grace.toNanos();
+        List<Machine> left = new ArrayList<>();
+        for (Map.Entry<Machine, Process> each : running.entrySet()) {
+            if (!each.getValue().waitFor(Math.max(0, end - System.nanoTime()), TimeUnit.NANOSECONDS)) {
+                left.add(each.getKey());
+                each.getValue().destroyForcibly().waitFor(5, TimeUnit.SECONDS);
+            }
+        }
+        running.clear();
+        return left;
+    }
+
+    @Override
+    public void close() {
+        running.values().forEach(Process::destroyForcibly);
+        try {
+            Runtime.getRuntime().removeShutdownHook(atExit);
+        } catch (IllegalStateException e) {
+            // it is on its way
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/platform/live/StandIn.java
@@ -0,0 +1,53 @@
+package saltdale.rig.platform.live;
+
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.IntConsumer;
+import saltdale.rig.platform.Judge;
+import saltdale.rig.platform.Platform;
+import saltdale.rig.platform.Site;
+import saltdale.rig.standin.Origin;
+import saltdale.rig.standin.Turner;
+
+/** The platform and its runners on loopback. */
+public final class StandIn implements AutoCloseable {
+    final Turner turner;
+    final Origin origin = new Origin();
+    final Site site;
+    final Judge judge;
+    final Faults faults;
+    Platform platform;
+
+    public StandIn(Site site, Faults faults, long seed) throws IOException {
+        this.site = site;
+        this.faults = faults;
+        judge = new Judge(site.bounds());
+        turner = new Turner("platform");
+        AtomicReference<IOException> failure = new AtomicReference<>();
+        turner.start();
+        turner.inside(() -> {
+            try {
+                platform = new Platform(site, new TurnerClock(turner, origin),
+                        new Runners(turner, origin, judge, faults, seed), seed);
+                new PlatformServer(turner, origin, site, platform);
+            } catch (IOException e) {
+                failure.set(e);
+            }
+        });
+        if (failure.get() != null) {
+            turner.close();
+            throw new IOException(site.platform() + " can't be listened at: " + failure.get().getMessage());
+        }
+    }
+
+    /** Sends the first configuration, again and again until there is a clear answer. */
+    public void operate(IntConsumer then) {
+        turner.loop.fromOutside(() -> new Operator(turner, site).change("Replace", 0, site.replacement(1),
+                answer -> then.accept(answer.status())));
+    }
+
+    @Override
+    public void close() {
+        turner.close();
+    }
+}
--- a/rig/src/main/java/saltdale/rig/standin/Exchange.java
+++ b/rig/src/main/java/saltdale/rig/standin/Exchange.java
@@ -9,7 +9,7 @@
 import saltdale.transport.Connection;
 
 /** A connection that a stand-in serves: one request after another. */
-abstract class Exchange implements Connection.Owner {
+public abstract class Exchange implements Connection.Owner {
     protected final Connection connection;
     private final Origin clock;
     private final HttpParser parser = new HttpParser(HttpParser.Kind.REQUEST);
@@ -17,17 +17,17 @@
     private Duration firstByte;
     private boolean answering;
 
-    Exchange(Connection connection, Origin clock) {
+    protected Exchange(Connection connection, Origin clock) {
         this.connection = connection;
         this.clock = clock;
         connection.owner(this);
     }
 
     /** A whole request has come; {@link #answered} is to be called once its answer is out. */
-    abstract void requested(Head head, byte[] body, Duration first);
+    protected abstract void requested(Head head, byte[] body, Duration first);
 
     /** It can't be read, and is closed. */
-    void unreadable() {
+    protected void unreadable() {
         connection.close();
     }
 
@@ -53,16 +53,16 @@
         }
     }
 
-    void answered() {
+    protected void answered() {
         answering = false;
     }
 
-    boolean isAnswering() {
+    protected boolean isAnswering() {
         return answering;
     }
 
     /** An answer as its bytes. */
-    static byte[] answer(int status, String more, String body) {
+    public static byte[] answer(int status, String more, String body) {
         byte[] text = body.getBytes(StandardCharsets.UTF_8);
         byte[] head = HttpWriter.answer(status, more, text.length, false);
         byte[] all = new byte[head.length + text.length];
--- a/rig/src/main/java/saltdale/rig/standin/ListKeeper.java
+++ b/rig/src/main/java/saltdale/rig/standin/ListKeeper.java
@@ -158,7 +158,7 @@
         }
 
         @Override
-        void requested(Head head, byte[] body, Duration first) {
+        protected void requested(Head head, byte[] body, Duration first) {
             if (ways.getOrDefault(dispatcher, Passage.FREE).reset()) {
                 reset();
                 return;
--- a/rig/src/main/java/saltdale/rig/standin/Served.java
+++ b/rig/src/main/java/saltdale/rig/standin/Served.java
@@ -45,7 +45,7 @@
     }
 
     @Override
-    void requested(Head head, byte[] body, Duration first) {
+    protected void requested(Head head, byte[] body, Duration first) {
         fleet.requests++;
         String path = head.path();
         if (head.method().equals("POST")) {
--- a/tools/src/main/java/saltdale/tools/Main.java
+++ b/tools/src/main/java/saltdale/tools/Main.java
@@ -20,7 +20,7 @@
         footer = {"", "serve and simhost are the dispatcher itself: see README.md."},
         subcommands = {Try.class, Experimenting.class, Simulate.class, StandIn.class, StandInNodes.class,
                 Register.class, MeasureNodes.class, Load.class, Prove.class,
-                Cost.class, Ceiling.class, Check.class, Reporting.class,
+                Cost.class, Ceiling.class, Check.class, Reporting.class, Platform.class,
                         AutoComplete.GenerateCompletion.class})
 public final class Main implements Callable<Integer> {
     @Option(names = "--log", scope = ScopeType.INHERIT, defaultValue = "text", paramLabel = "text|json",
--- /dev/null
+++ b/tools/src/main/java/saltdale/tools/Platform.java
@@ -0,0 +1,172 @@
+package saltdale.tools;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import saltdale.rig.plan.Misread;
+import saltdale.rig.platform.Machine;
+import saltdale.rig.platform.Site;
+import saltdale.rig.platform.live.Faults;
+import saltdale.rig.platform.live.Processes;
+import saltdale.rig.platform.live.StandIn;
+import saltdale.rig.platform.live.Trial;
+
+@Command(name = "platform", mixinStandardHelpOptions = true,
+        description = "The platform front and function scaler, on loopback against a stand-in of the platform.",
+        subcommands = {Platform.TryOut.class, Platform.Standing.class, Platform.Settings.class})
+final class Platform implements Callable<Integer> {
+    @Override
+    public Integer call() {
+        CommandLine.usage(this, System.err);
+        return 2;
+    }
+
+    /** The site, of whatever is done with it. */
+    static final class Size {
+        @Option(names = "--keepers", defaultValue = "3",
+                description = "Machines that hold the state (default: ${DEFAULT-VALUE}).")
+        private int keepers;
+
+        @Option(names = "--pilots", defaultValue = "3",
+                description = "Machines that carry calls (default: ${DEFAULT-VALUE}).")
+        private int pilots;
+
+        @Option(names = "--net", defaultValue = "77", paramLabel = "N",
+                description = "Machines at 127.N.zone.number, runners at 127.N+1 (default: ${DEFAULT-VALUE}).")
+        private int net;
+
+        Site site() {
+            try {
+                return Site.small(net, pilots, keepers);
+            } catch (IllegalArgumentException e) {
+                throw new Misread(e.getMessage());
+            }
+        }
+    }
+
+    /** The build that is played, and where its files go. */
+    static final class Build {
+        static final String DEFAULT = "station/target/saltdale-station.jar";
+
+        @Option(names = "--jar", paramLabel = "FILE",
+                description = "The program (default: " + DEFAULT + ").")
+        private Path jar;
+
+        @Option(names = "--out", defaultValue = "out/platform",
+                description = "Where settings, disks and logs go (default: ${DEFAULT-VALUE}).")
+        private Path out;
+
+        Path jar() {
+            Path file = jar == null ? Main.home().resolve(DEFAULT) : jar;
+            if (!Files.isReadable(file)) {
+                throw new Misread("--jar: there is no " + file + "; build it or name another");
+            }
+            return file;
+        }
+    }
+
+    @Command(name = "try", mixinStandardHelpOptions = true, description =
+            "Starts the stand-in and the real processes, sends calls, kills a pilot, and judges from outside.")
+    static final class TryOut implements Callable<Integer> {
+        @Mixin
+        private Size size;
+
+        @Mixin
+        private Build build;
+
+        @Option(names = "--seconds", defaultValue = "15", description = "Of traffic (default: ${DEFAULT-VALUE}).")
+        private int seconds;
+
+        @Option(names = "--rate", defaultValue = "60", description = "Calls a second (default: ${DEFAULT-VALUE}).")
+        private double rate;
+
+        @Option(names = "--fault", paramLabel = "lost|garbled|cut|extra=SHARE",
+                description = "Share of the answers that runners spoil in the second half; may be repeated.")
+        private Map<String, Double> faults = Map.of();
+
+        @Option(names = "--drain-worker", description = "A worker is emptied half-way.")
+        private boolean drain;
+
+        @Option(names = "--crash-worker", description = "A worker crashes half-way, and comes back empty.")
+        private boolean crash;
+
+        @Option(names = "--seed", defaultValue = "1", description = "Of all chance (default: ${DEFAULT-VALUE}).")
+        private long seed;
+
+        @Override
+        public Integer call() throws Exception {
+            if (seconds < 1 || !(rate > 0)) {
+                throw new Misread("--seconds and --rate: wanted over 0");
+            }
+            Path jar = build.jar();
+            Trial.Day day = new Trial.Day(seconds, rate, drain, crash);
+            return Trial.play(size.site(), day, jar, build.out, new Faults(kinds(), seed), seed, System.out) ? 0 : 1;
+        }
+
+        private Map<Faults.Kind, Double> kinds() {
+            Map<Faults.Kind, Double> kinds = new EnumMap<>(Faults.Kind.class);
+            faults.forEach((name, share) -> {
+                try {
+                    kinds.put(Faults.Kind.valueOf(name.toUpperCase(java.util.Locale.ROOT)), share);
+                } catch (IllegalArgumentException e) {
+                    throw new Misread("--fault: there is no " + name);
+                }
+            });
+            return kinds;
+        }
+    }
+
+    @Command(name = "stand-in", mixinStandardHelpOptions = true,
+            description = "Stands in for the platform and its runners until it is told to end.")
+    static final class Standing implements Callable<Integer> {
+        @Mixin
+        private Size size;
+
+        @Option(names = "--configure", description = "Sends the first configuration to the keepers until it is taken.")
+        private boolean configure;
+
+        @Option(names = "--for", paramLabel = "SPAN", defaultValue = "1h",
+                description = "Ends by itself after this long (default: ${DEFAULT-VALUE}).")
+        private String length;
+
+        @Override
+        public Integer call() throws Exception {
+            Site site = size.site();
+            try (StandIn standIn = new StandIn(site, new Faults(Map.of(), 1), 1)) {
+                System.out.println("platform at " + site.platform());
+                if (configure) {
+                    standIn.operate(status -> System.out.println("configuration answered with " + status));
+                }
+                Thread.sleep(StandInNodes.span("--for", length).toMillis());
+            }
+            return 0;
+        }
+    }
+
+    @Command(name = "settings", mixinStandardHelpOptions = true,
+            description = "Writes the settings files of a first start, and prints the commands that use them.")
+    static final class Settings implements Callable<Integer> {
+        @Mixin
+        private Size size;
+
+        @Mixin
+        private Build build;
+
+        @Override
+        public Integer call() throws Exception {
+            Path jar = build.jar == null ? Main.home().resolve(Build.DEFAULT) : build.jar;
+            Processes processes = new Processes(size.site(), jar, build.out);
+            for (Map.Entry<Machine, Path> each : processes.settings().entrySet()) {
+                System.out.println("SALTDALE_BOOT=" + each.getValue() + " "
+                        + String.join(" ", processes.command(each.getKey())));
+            }
+            return 0;
+        }
+    }
+}
--- a/tools/src/test/java/saltdale/tools/LayersTest.java
+++ b/tools/src/test/java/saltdale/tools/LayersTest.java
@@ -43,7 +43,7 @@
     @ArchTest
     static final ArchRule DECISIONS_KNOW_NO_IO = noClasses().that()
             .resideInAnyPackage("saltdale.decision", "saltdale.overload", "saltdale.model", "saltdale.rig.fleet",
-                    "saltdale.rig.judge")
+                    "saltdale.rig.judge", "saltdale.rig.platform")
             .should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.nio..", "java.io..",
                     "saltdale.transport", "saltdale.protocol");
 
