Rig: platform trials keep a log of calls, copy the jar they play, tell how unserved calls ended

A jar built anew while a trial ran ended a keeper with NoClassDefFoundError: a copy is played now. Runners and the operator are tested on sockets; a test closes its runner and waits a round of the loop, else the next one met the old listener (seen: three failures of 5 s each).

--- a/rig/src/main/java/saltdale/rig/platform/Judge.java
+++ b/rig/src/main/java/saltdale/rig/platform/Judge.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -57,6 +58,7 @@
     private final Map<String, Deque<Duration>> turnedAway = new HashMap<>();
     private final Map<String, Duration> outOfTouch = new HashMap<>();
     private final Map<Rule, Integer> broken = new EnumMap<>(Rule.class);
+    private final Map<String, Map<String, Integer>> unserved = new TreeMap<>();
     private final List<String> told = new ArrayList<>();
     private final Histogram latency = new Histogram(3_600_000_000L, 3);
     private Duration troubledUntil = Duration.ofNanos(Long.MIN_VALUE);
@@ -175,16 +177,24 @@
         }
     }
 
-    /** All is over with what a client wanted; {@code took} null where it was not served. */
-    public void over(Route route, Duration took) {
+    /** All is over with what a client wanted; {@code status} of its last try, 0 where no answer came. */
+    public void over(Route route, Duration took, int status) {
         asked++;
-        if (took != null) {
+        if (status / 100 == 2) {
             served++;
             inTime += took.compareTo(route.aim()) <= 0 ? 1 : 0;
             latency.recordValue(took.toNanos() / 1000);
+        } else {
+            String how = took.compareTo(route.deadline()) >= 0 ? "deadline" : status == 0 ? "cut" : "" + status;
+            unserved.computeIfAbsent(route.service(), k -> new TreeMap<>()).merge(how, 1, Integer::sum);
         }
     }
 
+    /** What became of those that were not served: how often the last try ended how, by service. */
+    public Map<String, Map<String, Integer>> unserved() {
+        return unserved;
+    }
+
     // Runners.
 
     /** A runner begins to work on a request. */
--- a/rig/src/main/java/saltdale/rig/platform/live/Callers.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Callers.java
@@ -151,7 +151,7 @@
                 turner.loop.after(wait, this::sendTry);
             } else {
                 open--;
-                judge.over(route, status / 100 == 2 ? origin.now().minus(firstAt) : null);
+                judge.over(route, origin.now().minus(firstAt), status);
             }
         }
     }
--- a/rig/src/main/java/saltdale/rig/platform/live/PlatformServer.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/PlatformServer.java
@@ -5,10 +5,12 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.IOException;
+import java.io.PrintWriter;
 import java.net.URLDecoder;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Locale;
 import saltdale.protocol.Head;
 import saltdale.rig.platform.Platform;
 import saltdale.rig.platform.Platform.Reply;
@@ -26,10 +28,13 @@
 
     private final Origin origin;
     private final Platform platform;
+    private final PrintWriter log;
 
-    PlatformServer(Turner turner, Origin origin, Site site, Platform platform) throws IOException {
+    /** {@code log}: takes a line for each call; null for none. */
+    PlatformServer(Turner turner, Origin origin, Site site, Platform platform, PrintWriter log) throws IOException {
         this.origin = origin;
         this.platform = platform;
+        this.log = log;
         new Listener(turner.loop, turner.sockets, Address.parse(site.platform()),
                 (connection, full) -> new Called(connection));
     }
@@ -47,6 +52,11 @@
         @Override
         protected void requested(Head head, byte[] body, Duration first) {
             Reply reply = reply(head, body);
+            if (log != null) {
+                log.printf(Locale.ROOT, "%.3f %s %s %d %s%n", origin.now().toMillis() / 1e3, head.method(),
+                        head.target(), reply.status(), head.method().equals("POST") ? holder(head) + " "
+                        + new String(body, StandardCharsets.UTF_8) + " " + reply.body() : "");
+            }
             connection.send(ByteBuffer.wrap(answer(reply.status(), "Content-Type: application/json\r\n",
                     reply.body().toString())));
             answered();
@@ -73,6 +83,10 @@
         };
     }
 
+    private static String holder(Head head) {
+        return head.header("X-Saltdale-Duty-Holder") + " " + head.header("X-Saltdale-Fence-Number");
+    }
+
     private static JsonNode json(byte[] body) {
         try {
             return JSON.readTree(body);
--- a/rig/src/main/java/saltdale/rig/platform/live/Processes.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Processes.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -19,10 +20,11 @@
 public final class Processes implements AutoCloseable {
     private static final List<String> FLAGS = List.of("-Xmx192m", "-Xss256k", "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=1");
+    private static final String COPY = "saltdale.jar";
     private static final Set<String> PASSED_ON = Set.of("PATH", "HOME", "JAVA_HOME", "LANG");
 
     private final Site site;
-    private final Path jar;
+    private Path jar;
     private final Path folder;
     private final Map<Machine, Process> running = new LinkedHashMap<>();
     private final Map<Machine, Integer> ended = new LinkedHashMap<>();
@@ -71,6 +73,10 @@
     }
 
     void startAll() throws IOException {
+        // Guards against a build that writes over the jar while processes load from it.
+        Files.createDirectories(folder);
+        Files.copy(jar, folder.resolve(COPY), StandardCopyOption.REPLACE_EXISTING);
+        jar = folder.resolve(COPY);
         Runtime.getRuntime().addShutdownHook(atExit);
         for (Map.Entry<Machine, Path> each : settings().entrySet()) {
             start(each.getKey(), each.getValue());
--- a/rig/src/main/java/saltdale/rig/platform/live/StandIn.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/StandIn.java
@@ -1,6 +1,9 @@
 package saltdale.rig.platform.live;
 
 import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.IntConsumer;
 import saltdale.rig.platform.Judge;
@@ -16,12 +19,18 @@
     final Site site;
     final Judge judge;
     final Faults faults;
+    private final PrintWriter log;
     Platform platform;
 
-    public StandIn(Site site, Faults faults, long seed) throws IOException {
+    /** {@code calls}: a file that takes a line for each call of the platform; null for none. */
+    public StandIn(Site site, Faults faults, long seed, Path calls) throws IOException {
         this.site = site;
         this.faults = faults;
         judge = new Judge(site.bounds());
+        if (calls != null) {
+            Files.createDirectories(calls.toAbsolutePath().getParent());
+        }
+        log = calls == null ? null : new PrintWriter(Files.newBufferedWriter(calls));
         turner = new Turner("platform");
         AtomicReference<IOException> failure = new AtomicReference<>();
         turner.start();
@@ -29,7 +38,8 @@
             try {
                 platform = new Platform(site, new TurnerClock(turner, origin),
                         new Runners(turner, origin, judge, faults, seed), seed);
-                new PlatformServer(turner, origin, site, platform);
+                turner.watchItself();
+                new PlatformServer(turner, origin, site, platform, log);
             } catch (IOException e) {
                 failure.set(e);
             }
@@ -49,5 +59,8 @@
     @Override
     public void close() {
         turner.close();
+        if (log != null) {
+            log.close();
+        }
     }
 }
--- a/rig/src/main/java/saltdale/rig/platform/live/Trial.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Trial.java
@@ -29,6 +29,7 @@
     private static final Duration TO_COME_BACK = Duration.ofMillis(500);
     private static final Duration WORKER_DOWN = Duration.ofSeconds(3);
     private static final Duration TO_READ_BACK = Duration.ofSeconds(2);
+    private static final Duration MOST_LATE = Duration.ofMillis(50);
     private static final Duration POLL = Duration.ofMillis(20);
     private static final int FIRST = 1;
     private static final int SECOND = 3;  // versions rise by uneven steps
@@ -54,7 +55,8 @@
     /** Plays it and prints the verdict in one line; returns whether nothing failed. */
     public static boolean play(Site site, Day day, Path jar, Path folder, Faults faults, long seed, PrintStream out)
             throws IOException, InterruptedException {
-        try (StandIn standIn = new StandIn(site, faults, seed); Processes processes = new Processes(site, jar, folder)) {
+        try (StandIn standIn = new StandIn(site, faults, seed, folder.resolve("platform.log"));
+                Processes processes = new Processes(site, jar, folder)) {
             return new Trial(standIn, processes, out).play(day, seed);
         }
     }
@@ -211,6 +213,13 @@
             Judge judge = standIn.judge;
             judge.told().forEach(line -> out.println("  " + line));
             failures.forEach(line -> out.println("  failed: " + line));
+            if (!judge.unserved().isEmpty()) {
+                out.println("  not served, by how the last try ended: " + judge.unserved());
+            }
+            Duration late = standIn.turner.mostLate();
+            if (late.compareTo(MOST_LATE) > 0) {
+                out.println("  the rig itself was up to " + late.toMillis() + " ms late: times are this machine's own");
+            }
             good[0] = failures.isEmpty() && judge.broken() == 0 && judge.served() > 0;
             out.println((good[0] ? "passed: " : "FAILED: ") + judge.verdict() + "; " + standIn.platform.figures());
         });
--- /dev/null
+++ b/rig/src/test/java/saltdale/rig/platform/live/LiveTest.java
@@ -0,0 +1,205 @@
+package saltdale.rig.platform.live;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
+import static org.hamcrest.Matchers.nullValue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import saltdale.protocol.Head;
+import saltdale.rig.platform.Clock;
+import saltdale.rig.platform.Instance;
+import saltdale.rig.platform.Judge;
+import saltdale.rig.platform.Machine;
+import saltdale.rig.platform.Platform;
+import saltdale.rig.platform.Route;
+import saltdale.rig.platform.Site;
+import saltdale.rig.simulate.Timeline;
+import saltdale.rig.standin.Exchange;
+import saltdale.rig.standin.Origin;
+import saltdale.rig.standin.Turner;
+import saltdale.transport.Address;
+import saltdale.transport.Connection;
+import saltdale.transport.Listener;
+
+/** Runners and the operator on sockets; what starts when is simulated. */
+@Timeout(20)
+class LiveTest {
+    private final Site site = Site.small(91, 1, 3);
+    private final Judge judge = new Judge(site.bounds());
+    private final Route route = site.routes().get(2);  // to press-1
+    private final Origin origin = new Origin();
+    private final Timeline starts = new Timeline();
+    private Turner turner;
+    private Platform platform;
+    private String identifier;
+    private String address;
+
+    @BeforeEach
+    void turns() throws IOException {
+        turner = new Turner("test");
+        turner.start();
+    }
+
+    @AfterEach
+    void ends() {
+        if (platform != null) {
+            // Its address is free for the next test once the loop has waited again.
+            CompletableFuture<Void> round = new CompletableFuture<>();
+            turner.inside(() -> {
+                platform.crash("w-north", Duration.ZERO);
+                turner.loop.soon(() -> round.complete(null));
+            });
+            round.orTimeout(10, TimeUnit.SECONDS).join();
+        }
+        turner.close();
+    }
+
+    private void runner(Faults.Kind fault) {
+        Faults faults = new Faults(fault == null ? Map.of() : Map.of(fault, 1.0), 1);
+        faults.on(true);
+        turner.inside(() -> {
+            platform = new Platform(site, new Clock() {
+                @Override
+                public Duration now() {
+                    return starts.now();
+                }
+
+                @Override
+                public void after(Duration span, Runnable what) {
+                    starts.after(span, what);
+                }
+            }, new Runners(turner, origin, judge, faults, 1), 1);
+            judge.offered(site.routes());
+            ObjectNode begun = platform.begin(null, "press-1", "w-north", "n").body();
+            identifier = begun.path("identifier").asText();
+            address = begun.path("address").asText();
+            starts.run(Duration.ofSeconds(2));
+        });
+    }
+
+    private CompletableFuture<HttpCall.Answer> call(String id, String more) {
+        CompletableFuture<HttpCall.Answer> answer = new CompletableFuture<>();
+        turner.inside(() -> {
+            judge.sent(origin.now(), id, route, "GET /press1/x ", "p");
+            HttpCall.send(turner, Address.parse(address), "GET", "/press1/x", "X-Saltdale-Attempt-Id: " + id + "\r\n"
+                    + more, new byte[0], Duration.ofSeconds(5), answer::complete);
+        });
+        return answer.orTimeout(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void aRunnerRunsOneRequestAndTurnsAwayWhatIsOverOrForAnother() {
+        runner(null);
+        Instance instance = platform.alive().get(0);
+        turner.inside(() -> instance.admit("b", null, null));
+        HttpCall.Answer full = call("a", "").join();
+        assertThat(full.status(), is(503));
+        assertThat(full.head().header("X-Saltdale-Not-Executed"), notNullValue());
+        turner.inside(instance::worked);
+        HttpCall.Answer whole = call("a", "X-Saltdale-Expected-Runner: " + identifier + "\r\n").join();
+        assertThat(whole.status(), is(200));
+        assertThat(whole.head().header("X-Saltdale-Attempt-Id"), equalTo("a"));
+        String seal = whole.head().header("X-Saltdale-Runner-Seal");
+        assertThat(whole.body(), equalTo(Judge.body(seal)));
+        assertThat(call("c", "X-Saltdale-Expected-Runner: i-other\r\n").join().status(), is(421));
+        assertThat(call("d", "X-Saltdale-Deadline-Remaining: 1\r\n").join().status(), is(504));
+        turner.inside(() -> {
+            judge.answered(origin.now(), "a", 200, seal, "a", whole.body());
+            platform.stop(null, identifier);
+        });
+        assertThat(judge.told().toString(), judge.broken(), is(0));
+        assertThat(call("e", "").join(), nullValue());
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Faults.Kind.class, names = {"LOST", "GARBLED", "CUT"})
+    void aSpoiltAnswerIsNoAnswer(Faults.Kind kind) {
+        runner(kind);
+        assertThat(call("a", "").join(), nullValue());
+        turner.inside(() -> judge.garbage(origin.now(), "a"));  // as the runner broke it off
+        assertThat(judge.told().toString(), judge.broken(), is(0));
+    }
+
+    @Test
+    void theOperatorFollowsToTheOneThatTakesItAndMovesOnAfterAFailure() {
+        List<String> calls = new ArrayList<>();
+        List<Machine> keepers = site.keepers();
+        String last = keepers.get(2).at(Machine.CONTROL);
+        control(keepers.get(0), calls, 503, "");
+        control(keepers.get(1), calls, 307, "Location: http://" + last + "/elsewhere\r\n");
+        control(keepers.get(2), calls, 200, "");
+        CompletableFuture<HttpCall.Answer> answer = new CompletableFuture<>();
+        turner.inside(() -> new Operator(turner, site).change("Replace", 0, site.replacement(1), answer::complete));
+        assertThat(answer.orTimeout(10, TimeUnit.SECONDS).join().status(), is(200));
+        turner.inside(() -> { });  // guards against reading what the loop has not written yet
+        assertThat(calls, equalTo(List.of("503 /Configuration.Replace 0", "307 /Configuration.Replace 0",
+                "200 /elsewhere 0")));
+    }
+
+    private void control(Machine keeper, List<String> calls, int status, String headers) {
+        turner.inside(() -> {
+            try {
+                new Listener(turner.loop, turner.sockets, Address.parse(keeper.at(Machine.CONTROL)),
+                        (connection, full) -> new Control(connection, calls, status, headers));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+    }
+
+    private final class Control extends Exchange {
+        private final List<String> calls;
+        private final int status;
+        private final String headers;
+
+        Control(Connection connection, List<String> calls, int status, String headers) {
+            super(connection, origin);
+            this.calls = calls;
+            this.status = status;
+            this.headers = headers;
+        }
+
+        @Override
+        protected void requested(Head head, byte[] body, Duration first) {
+            calls.add(status + " " + head.target() + " " + head.header("X-Saltdale-Based-On-Version"));
+            connection.send(ByteBuffer.wrap(answer(status, headers, "")));
+            answered();
+        }
+
+        @Override
+        public void ended(String cause) {
+            // It has its answer.
+        }
+    }
+
+    @Test
+    void whatIsReadBackMayBeInAnotherOrderAndNothingElse() {
+        ObjectNode sent = site.configuration(3, site.amended());
+        ObjectNode read = site.configuration(3, site.amended());
+        read.withArray("/routes").add(read.withArray("/routes").remove(0));
+        assertThat(Trial.differs(sent, read), nullValue());
+        read.withArray("/routes").remove(0);
+        assertThat(Trial.differs(sent, read), containsString("has other routes"));
+        assertThat(Trial.differs(sent, site.configuration(4, site.amended())), containsString("revision"));
+        assertThat(Trial.differs(site.replacement(3), site.configuration(3, List.of())), containsString("routes"));
+        assertThat(Trial.differs(site.configuration(3, List.of()), site.replacement(3)), containsString("more routes"));
+    }
+}
--- a/tools/src/main/java/saltdale/tools/Platform.java
+++ b/tools/src/main/java/saltdale/tools/Platform.java
@@ -131,6 +131,9 @@
         @Option(names = "--configure", description = "Sends the first configuration to the keepers until it is taken.")
         private boolean configure;
 
+        @Option(names = "--calls", paramLabel = "FILE", description = "Takes a line for each call of the platform.")
+        private Path calls;
+
         @Option(names = "--for", paramLabel = "SPAN", defaultValue = "1h",
                 description = "Ends by itself after this long (default: ${DEFAULT-VALUE}).")
         private String length;
@@ -138,7 +141,7 @@
         @Override
         public Integer call() throws Exception {
             Site site = size.site();
-            try (StandIn standIn = new StandIn(site, new Faults(Map.of(), 1), 1)) {
+            try (StandIn standIn = new StandIn(site, new Faults(Map.of(), 1), 1, calls)) {
                 System.out.println("platform at " + site.platform());
                 if (configure) {
                     standIn.operate(status -> System.out.println("configuration answered with " + status));
