--- a/rig/src/main/java/saltdale/rig/platform/live/Callers.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Callers.java
@@ -88,7 +88,7 @@
     void begin(double rate) {
         perSecond = rate;
         sending = true;
-        next();
+        next(origin.now());
     }
 
     void end() {
@@ -100,11 +100,13 @@
         routes = those;
     }
 
-    private void next() {
-        turner.loop.after(Duration.ofNanos((long) (-Math.log(1 - chance.nextDouble()) / perSecond * 1e9)), () -> {
+    /** Guards against a load that falls behind: a call's time is fixed by the one before, not by its sending. */
+    private void next(Duration before) {
+        Duration at = before.plusNanos((long) (-Math.log(1 - chance.nextDouble()) / perSecond * 1e9));
+        turner.loop.after(at.minus(origin.now()), () -> {
             if (sending) {
-                new Customer(draw()).sendTry();
-                next();
+                new Customer(draw(), at).sendTry();
+                next(at);
             }
         });
     }
@@ -123,14 +125,15 @@
     /** One thing that a client wants, over all its tries. */
     private final class Customer {
         final Route route;
-        final Duration firstAt = origin.now();
+        final Duration firstAt;
         private final String zone = Site.ZONES.get(chance.nextInt(Site.ZONES.size()));
         private final int hash = chance.nextInt(CLIENTS);
         private final long wanted = number++;
         private int tries;
 
-        Customer(Route route) {
+        Customer(Route route, Duration at) {
             this.route = route;
+            firstAt = at;
             open++;
         }
 
