The payoff and the probe loop leave the dispatcher: package probing, for any dispatcher

Cause: a second dispatcher, quite another one, is to be written beside this one and decides by the same payoff; all of it sat in one file, as private fields and functions beside the queues and wishes.

Payoff is the arithmetic alone, ProbeLoop the smoothed figures and whether another probe pays; both know no other package, which the layer test now holds.

--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -3,19 +3,16 @@
 package saltdale.decision;
 
 import static saltdale.model.Spans.*;
+import static saltdale.probing.Payoff.smooth;
 
 import java.time.Duration;
 import java.util.*;
 import java.util.stream.Stream;
 import saltdale.model.*;
 import saltdale.overload.*;
+import saltdale.probing.ProbeLoop;
 
 public final class Dispatcher {
-    // The design's figures, under its own names.
-    static final double C = 0.003;
-    static final double ALPHA = 0.9;
-    static final int PROBE_CAP = 4;
-    static final double LAMBDA_MOST = 0.999;
     static final double COLD_CAUTION = 0.6;  // the part of a cold runner's guessed budget that is used
     static final double SCARCE = 0.95;  // busy share above which the busy and unsteady are needed too
     static final double MOVABLE = 0.5;  // busy share up to which work that waits is moved
@@ -25,28 +22,17 @@
     static final double REPEAT = 0.5;  // what a marked repeat earns beside a first try: its time is short
     static final double DOUBT = 0.7;  // the most that a runner is passed over for the silence of its zone
 
-    static final class Row {  // one a workload
-        double usual, ended;  // mean size in seconds, over how many that were hinted, else have ended
-        final Fading sought = new Fading();  // work that runners were picked for
-        Duration patience = Duration.ZERO;  // the longest a client has come with: that of a first try
-        Levels.Kind kind, again;  // among the others, where overloads are met by levels; its marked repeats
-
-        void saw(double size) {
-            usual += (size - usual) / Math.min(++ended, 99);
-        }
-    }
-
     StandingOrders orders;  // replaced for the length of a question by a preview alone
     Preview preview = Preview.NONE;
     private final Door door;
     private final SplittableRandom chance;
     final List<Runner> runners = new ArrayList<>();
-    private final Map<Workload, Row> rows = new HashMap<>();
+    private final Map<Workload, WorkloadStats> stats = new HashMap<>();
     private final Pace pace = new Pace(16, null);  // of all runners; within it those of each kind
     private final Map<String, Kind> kinds = new HashMap<>();
     private final Set<Assignment> touched = new LinkedHashSet<>();
-    // Smoothed: the design's λ', L̄, round trip and running time (CT); then the wait that a load of 1 brings.
-    double lambdaSeen, meanQueue, roundTrip, runningTime, waitPerLoad;
+    final ProbeLoop probing = new ProbeLoop();
+    double waitPerLoad;  // smoothed: the wait that a load of 1 brings
     private double meanSize, meanWorth, arrivals;  // of all that arrived
     double unseen;  // jobs that likely reached a runner since the report that it answers with
     private final Map<String, Double> silent = new HashMap<>();  // by zone, how much of late went unanswered
@@ -74,12 +60,7 @@
                 .dividedBy(4);
         memory = most(spell, orders.warmWithin);
         levels = orders.relief == null ? null : new Levels(orders.relief, memory);
-        for (Workload w : orders.workloads) {
-            Row row = new Row();
-            row.kind = levels == null ? null : levels.add();
-            row.again = levels == null ? null : levels.add();
-            rows.put(w, row);
-        }
+        orders.workloads.forEach(w -> stats.put(w, new WorkloadStats(levels)));
         bound = orders.workloads.stream().filter(Workload::isBound).toArray(Workload[]::new);
         noPure = orders.workloads.stream().noneMatch(w -> w.repeat == Workload.Repeat.PURE);
         askGap = orders.askWithin.dividedBy(20);
@@ -126,10 +107,10 @@
     }
 
     public void arrived(Duration now, Assignment a) {
-        Row row = rows.get(a.workload);
-        row.patience = most(row.patience, a.patience());
+        WorkloadStats seen = stats.get(a.workload);
+        seen.patience = most(seen.patience, a.patience());
         if (a.hint != null) {
-            row.saw(secs(a.hint));
+            seen.saw(secs(a.hint));
         }
         meanSize += (size(a) - meanSize) / Math.min(++arrivals, 99);
         meanWorth += (worth(a) - meanWorth) / Math.min(arrivals, 99);
@@ -147,11 +128,11 @@
     // Guards against an overload in which what earns least for its work keeps out all that earns more.
     private boolean crowdedOut(Duration now, Assignment a) {
         Workload w = a.workload;
-        Row row = rows.get(w);
+        WorkloadStats seen = stats.get(w);
         double earns = earns(w);
-        double slack = secs(w.promised) + (w.stretch - 1) * row.usual;
-        double work = row.ended == 0 ? unit(row) : size(a);
-        levels.offered(now, kind(a), work, isRepeat(a) ? REPEAT * earns : earns, slack, row.ended);
+        double slack = secs(w.promised) + (w.stretch - 1) * seen.usual;
+        double work = seen.ended == 0 ? seen.unit() : size(a);
+        levels.offered(now, kind(a), work, isRepeat(a) ? REPEAT * earns : earns, slack, seen.ended);
         return levels.turnsAway(now, kind(a), a.luck);
     }
 
@@ -160,8 +141,7 @@
     }
 
     private Levels.Kind kind(Assignment a) {
-        Row row = rows.get(a.workload);
-        return isRepeat(a) ? row.again : row.kind;
+        return isRepeat(a) ? stats.get(a.workload).again : stats.get(a.workload).kind;
     }
 
     private void judged(Duration now, Assignment a, boolean missed) {
@@ -252,13 +232,11 @@
             load = load(r);
             idle = idle(now, r, a == null ? 1 : a.slots);
             preview.probed(now, a, r);
-            roundTrip = smooth(roundTrip, secs(took));
-            meanQueue = smooth(meanQueue, load);
+            probing.sawProbe(idle, load, secs(took));
             if (levels != null) {
-                levels.waits(now, meanQueue * waitPerLoad);
+                levels.waits(now, probing.meanQueue * waitPerLoad);
             }
-            lambdaSeen = smooth(lambdaSeen, idle ? 0 : 1);
-            busyElsewhere = mayRunOn(bound, r) ? busyElsewhere : smooth(busyElsewhere, idle ? 0 : 1);
+            busyElsewhere = r.takesAny(bound) ? busyElsewhere : smooth(busyElsewhere, idle ? 0 : 1);
             r.busyAt = idle ? null : now;
         }
         if (a != null) {
@@ -315,11 +293,11 @@
                 look(a, limit);
                 return;
             }
-            a.found(a.asked, 2 * meanQueue + 1, toll(now, a, a.asked));  // guards against being held up
+            a.found(a.asked, 2 * probing.meanQueue + 1, toll(now, a, a.asked));  // guards against a halt here
             unheard(now, a.asked);
             a.asked = null;
         }
-        while (a.probed.isEmpty() || worthAnother(a)) {
+        while (a.probed.isEmpty() || probing.worthAnother(a.probed.size(), Collections.min(a.loads))) {
             Runner next = pick(now, a);
             if (next == null) {
                 break;
@@ -358,33 +336,6 @@
         }
     }
 
-    /** Whether the payoff B of another probe beats its cost CT + L̄·C. */
-    boolean worthAnother(Assignment a) {
-        int d = a.probed.size();
-        return d < PROBE_CAP && payoff(Collections.min(a.loads), lambda(lambdaSeen, d), d) > cost();
-    }
-
-    double cost() {
-        return runningTime == 0 ? 0 : roundTrip / runningTime + meanQueue * C;
-    }
-
-    static double lambda(double lambdaSeen, int d) {
-        return 2 * C * d >= 1 ? LAMBDA_MOST : Math.min(LAMBDA_MOST, lambdaSeen / (1 - 2 * C * d));
-    }
-
-    /** B = Σ (Qmin − i)·p(i), with p(i) = s(i) − s(i+1). */
-    static double payoff(double qMin, double lambda, int d) {
-        double b = 0;
-        for (int i = 0; i <= qMin && qMin < Double.POSITIVE_INFINITY; i++) {
-            b += (qMin - i) * (s(i, lambda, d) - s(i + 1, lambda, d));
-        }
-        return qMin < Double.POSITIVE_INFINITY ? b : qMin;
-    }
-
-    static double s(int i, double lambda, int d) {
-        return Math.pow(lambda, d == 1 ? i : (Math.pow(d, i) - 1) / (d - 1));
-    }
-
     double load(Runner r) {
         if (!Double.isNaN(r.report.queue())) {
             // Guards against late reports: as many of each other dispatcher's jobs may wait there as of ours.
@@ -415,7 +366,7 @@
     // less than the least found; last, slower ones are passed over by their pace.
     private Runner pick(Duration now, Assignment a) {
         survey(now);
-        rows.get(a.workload).sought.add(now, work(a), memory);
+        stats.get(a.workload).sought.add(now, work(a), memory);
         // Homes of what it concerns are probed first: where all of us send it, what it needs is likely kept.
         Workload[] before = yieldsTo(a);
         Duration keeps = keeps(now);
@@ -432,10 +383,10 @@
                         && !r.refuses(now, a.workload) && !r.isSilent(now) && !a.sentTo(r);
                 // Guards against asking again what is busy still, unless nearly all are.
                 boolean unlikely = chance.nextDouble() < DOUBT * silent.getOrDefault(r.zone, 0.0)
-                        || r.busyAt != null && runningTime > 0 && lambdaSeen <= SCARCE
-                        && chance.nextDouble() < Math.exp(-secs(now.minus(r.busyAt)) / runningTime);
+                        || r.busyAt != null && probing.runningTime > 0 && probing.lambdaSeen <= SCARCE
+                        && chance.nextDouble() < Math.exp(-secs(now.minus(r.busyAt)) / probing.runningTime);
                 // Guards against finding out who errs by what may then go to few others: pure work does it.
-                unlikely |= mayRunOn(before, r) || someAside && a.workload.repeat != Workload.Repeat.PURE
+                unlikely |= r.takesAny(before) || someAside && a.workload.repeat != Workload.Repeat.PURE
                         && (r.failures.count() == 0 || r.failures.last() > POOR);
                 double takes = pace(now, r), toll = toll(a, r, aim - takes * size, keeps, now);
                 int rank = (trusted ? 0 : 32) + (aim >= takes * size ? 0 : 16)
@@ -455,18 +406,9 @@
                 : Stream.of(bound).filter(w -> earns(w) > earns(a.workload)).toArray(Workload[]::new);
     }
 
-    private static boolean mayRunOn(Workload[] some, Runner r) {
-        for (Workload w : some) {
-            if (w.mayRunOn(r)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** What a second of its work earns in time. */
     private double earns(Workload w) {
-        return w.importance * (orders.importanceByWork ? 1 : 1 / unit(rows.get(w)));
+        return w.importance * (orders.importanceByWork ? 1 : 1 / stats.get(w).unit());
     }
 
     // The load that a crossing to another zone and a new connection count as: the wait whose risk of being
@@ -550,7 +492,7 @@
         // Guards against an overload that lasts, in which all is late: what late work takes earns more in
         // time, so of it that part is shed which it would not earn.
         double earns = a.workload.lateImportance;
-        boolean keepsTime = earns == 0 || lambdaSeen > SCARCE && a.luck >= earns;
+        boolean keepsTime = earns == 0 || probing.lambdaSeen > SCARCE && a.luck >= earns;
         return keepsTime && secs(elapsed(now, a)) + wait > bears
                 || secs(orders.endsAt.minus(now)) < wait + pace(now, r) * size(a);  // we end before it
     }
@@ -558,7 +500,7 @@
     /** How long this client has waited over all its tries: what a later try lacks, but not a first one. */
     private Duration elapsed(Duration now, Assignment a) {
         boolean first = orders.repeatsMarked && !a.repeated;
-        return now.minus(first ? a.arrivedAt : a.deadline.minus(rows.get(a.workload).patience));
+        return now.minus(first ? a.arrivedAt : a.deadline.minus(stats.get(a.workload).patience));
     }
 
     private double slack(Duration now, Assignment a, Runner r) {
@@ -566,7 +508,7 @@
     }
 
     private double worth(Assignment a) {
-        double size = a.hint == null ? unit(rows.get(a.workload)) : size(a);
+        double size = a.hint == null ? stats.get(a.workload).unit() : size(a);
         return Math.max(1e-9, a.workload.importance * (orders.importanceByWork ? size : 1));
     }
 
@@ -583,7 +525,7 @@
 
     /** The running time to expect at speed 1: the workload's mean; beside it a rough hint counts half. */
     private double size(Assignment a) {
-        double usual = rows.get(a.workload).usual;
+        double usual = stats.get(a.workload).usual;
         return a.hint == null ? usual : Math.sqrt(usual * secs(a.hint));
     }
 
@@ -641,7 +583,7 @@
             return;
         }
         a.lookGap = now.minus(out.sentAt);
-        if (lambdaSeen > MOVABLE) {  // guards against running twice what goes on where it was called off
+        if (probing.lambdaSeen > MOVABLE) {  // guards against running twice what goes on where called off
             look(a, now.plus(a.lookGap));
             return;
         }
@@ -673,11 +615,11 @@
                 Duration from = guessed ? d.sentAt.plus(ofSecs(d.load * waitPerLoad(d.runner)))
                         : d.startedAt == null ? d.sentAt : d.startedAt;
                 double run = secs(most(now.minus(from), orders.round));  // a start may be told with the end
-                Row row = rows.get(a.workload);
+                WorkloadStats seen = stats.get(a.workload);
                 if (a.hint == null) {
-                    row.saw(row.ended == 0 ? run : Math.min(run, 4 * row.usual));  // tails mislead means
+                    seen.saw(seen.ended == 0 ? run : Math.min(run, 4 * seen.usual));  // tails mislead means
                 }
-                runningTime = smooth(runningTime, run);
+                probing.ended(run);
                 if (!guessed) {
                     d.runner.pace.add(Math.min(run, 4 * size(a) * pace(now, d.runner)), size(a), BELIEF);
                     d.runner.pacedAt = now;
@@ -725,8 +667,8 @@
         // Guards against idle cold runners where our part is under one job: then it is sent by chance, so
         // that we keep to our part on average; among work small enough for one job to keep within all parts.
         double all = budget * orders.dispatchers;
-        double sought = rows.values().stream().filter(row -> unit(row) <= all)
-                .mapToDouble(row -> row.sought.at(now, memory)).sum() / secs(memory);
+        double sought = stats.values().stream().filter(seen -> seen.unit() <= all)
+                .mapToDouble(seen -> seen.sought.at(now, memory)).sum() / secs(memory);
         boolean lucky = room == budget && work(a) <= all
                 && a.luck * sought < budget / secs(orders.fall) * ready;
         return work(a) <= room || lucky || warmRate == 0 && r.out.isEmpty()
@@ -757,11 +699,7 @@
     }
 
     private double work(Assignment a) {
-        return a.slots * unit(rows.get(a.workload));
-    }
-
-    private static double unit(Row row) {
-        return row.ended == 0 ? 1 : row.usual;
+        return a.slots * stats.get(a.workload).unit();
     }
 
     // ---- The one place that acts: the difference between what is wanted and what is.
@@ -846,19 +784,15 @@
 
     private Duration probeLimit(Assignment a) {
         Duration part = a.workload.promised.dividedBy(4);
-        return roundTrip == 0 ? part : least(part, fewRoundTrips());
+        return probing.roundTrip == 0 ? part : least(part, fewRoundTrips());
     }
 
     private Duration fewRoundTrips() {
-        return ofSecs(3 * roundTrip).plus(orders.round.multipliedBy(2));
+        return ofSecs(3 * probing.roundTrip).plus(orders.round.multipliedBy(2));
     }
 
     private void look(Assignment a, Duration at) {
         touched.add(a);
         a.wantedLook = a.wantedLook == null ? at : least(at, a.wantedLook);
     }
-
-    static double smooth(double old, double sample) {
-        return ALPHA * old + (1 - ALPHA) * sample;
-    }
 }
--- a/core/src/main/java/saltdale/model/Runner.java
+++ b/core/src/main/java/saltdale/model/Runner.java
@@ -115,6 +115,16 @@
         return mode == Mode.READY;
     }
 
+    /** Whether any of these may run on it. */
+    public boolean takesAny(Workload[] some) {
+        for (Workload w : some) {
+            if (w.mayRunOn(this)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * It turned this dispatch away: so it is full at that load or, all but idle, takes no such workload for now. That is
      * tried again after the spell, then after gaps that double, up to four spells.
--- /dev/null
+++ b/core/src/main/java/saltdale/probing/Payoff.java
@@ -0,0 +1,35 @@
+package saltdale.probing;
+
+/** The arithmetic of the design, under its own names: what another probe may save. It keeps nothing. */
+public final class Payoff {
+    public static final double C = 0.003;
+    public static final double ALPHA = 0.9;
+    public static final int PROBE_CAP = 4;
+    public static final double LAMBDA_MOST = 0.999;
+
+    private Payoff() {
+    }
+
+    /** λ = λ'/(1 − 2C·d) after d probes, kept below 1. */
+    public static double lambda(double seen, int d) {
+        return 2 * C * d >= 1 ? LAMBDA_MOST : Math.min(LAMBDA_MOST, seen / (1 - 2 * C * d));
+    }
+
+    /** B = Σ (Qmin − i)·p(i), with p(i) = s(i) − s(i+1). */
+    public static double payoff(double qMin, double lambda, int d) {
+        double b = 0;
+        for (int i = 0; i <= qMin && qMin < Double.POSITIVE_INFINITY; i++) {
+            b += (qMin - i) * (s(i, lambda, d) - s(i + 1, lambda, d));
+        }
+        return qMin < Double.POSITIVE_INFINITY ? b : qMin;
+    }
+
+    /** The share of runners with at least i jobs. */
+    public static double s(int i, double lambda, int d) {
+        return Math.pow(lambda, d == 1 ? i : (Math.pow(d, i) - 1) / (d - 1));
+    }
+
+    public static double smooth(double old, double sample) {
+        return ALPHA * old + (1 - ALPHA) * sample;
+    }
+}
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -17,6 +17,7 @@
 import saltdale.model.Runner;
 import saltdale.model.Sighting;
 import saltdale.model.Workload;
+import saltdale.probing.Payoff;
 
 class DispatcherTest {
     private final Scene scene = new Scene();
@@ -26,35 +27,35 @@
     @Test
     void payoffOfASecondProbe() {
         // d = 1: s(i) = 0.5^i, so p(0) = 0.5, p(1) = 0.25, p(2) = 0.125; B = 2·0.5 + 1·0.25 + 0.
-        assertEquals(1.25, Dispatcher.payoff(2, 0.5, 1), 1e-9);
+        assertEquals(1.25, Payoff.payoff(2, 0.5, 1), 1e-9);
     }
 
     @Test
     void payoffOfAThirdProbe() {
         // d = 2: s = 1, 0.5, 0.125, 0.0078125; p(0) = 0.5, p(1) = 0.375; B = 2·0.5 + 1·0.375.
-        assertEquals(1.375, Dispatcher.payoff(2, 0.5, 2), 1e-9);
+        assertEquals(1.375, Payoff.payoff(2, 0.5, 2), 1e-9);
     }
 
     @Test
     void anEmptyQueueLeavesNothingToGain() {
-        assertEquals(0, Dispatcher.payoff(0, 0.5, 1), 1e-9);
+        assertEquals(0, Payoff.payoff(0, 0.5, 1), 1e-9);
     }
 
     @Test
     void lambdaGrowsWithTheProbesAndStaysBelowOne() {
-        assertEquals(0.5 / (1 - 2 * Dispatcher.C * 3), Dispatcher.lambda(0.5, 3), 1e-12);
-        assertTrue(Dispatcher.lambda(1, 1) < 1);
-        assertTrue(Dispatcher.lambda(0.5, (int) Math.ceil(1 / (2 * Dispatcher.C)) + 1) < 1);
+        assertEquals(0.5 / (1 - 2 * Payoff.C * 3), Payoff.lambda(0.5, 3), 1e-12);
+        assertTrue(Payoff.lambda(1, 1) < 1);
+        assertTrue(Payoff.lambda(0.5, (int) Math.ceil(1 / (2 * Payoff.C)) + 1) < 1);
     }
 
     @Test
     void costIsNothingUntilAJobHasEnded() {
         Dispatcher dispatcher = scene.with(2);
-        dispatcher.roundTrip = 0.01;
-        assertEquals(0, dispatcher.cost(), 1e-9);
-        dispatcher.runningTime = 0.5;
-        dispatcher.meanQueue = 2;
-        assertEquals(0.02 + 2 * Dispatcher.C, dispatcher.cost(), 1e-9);
+        dispatcher.probing.roundTrip = 0.01;
+        assertEquals(0, dispatcher.probing.cost(), 1e-9);
+        dispatcher.probing.runningTime = 0.5;
+        dispatcher.probing.meanQueue = 2;
+        assertEquals(0.02 + 2 * Payoff.C, dispatcher.probing.cost(), 1e-9);
     }
 
     // The search.
@@ -84,7 +85,7 @@
     void idleNeedsRoomForTheJobAndNothingOfOursThatWaits() {
         Dispatcher dispatcher = scene.with(1);
         Runner runner = dispatcher.runners.get(0);
-        dispatcher.roundTrip = 0.01;
+        dispatcher.probing.roundTrip = 0.01;
         runner.report = new LoadReport(0, 5, 2, Double.NaN, Double.NaN);
         assertTrue(dispatcher.idle(Scene.at(0), runner, 2));
         assertFalse(dispatcher.idle(Scene.at(0), runner, 4));
@@ -323,14 +324,14 @@
     @Test
     void runnersJustFoundBusyArePassedOverForOthers() {
         Dispatcher dispatcher = scene.with(8);
-        dispatcher.runningTime = 1;
+        dispatcher.probing.runningTime = 1;
         dispatcher.runners.subList(1, 8).forEach(r -> r.busyAt = Scene.at(0));
         Runner other = dispatcher.runners.get(0);
         scene.arrives(scene.assignment());
         assertEquals(List.of(other), scene.probes);
         scene.finds(3);
         assertEquals(Scene.at(5), other.busyAt);
-        dispatcher.lambdaSeen = 1;
+        dispatcher.probing.lambdaSeen = 1;
         assertTrue(drawnOf(List.of(other)) < 50, "with nearly all busy the draw is as before");
     }
 
@@ -404,7 +405,7 @@
         Dispatch d = scene.sentTo(dispatcher.runners.get(0)).dispatches.get(0);
         dispatcher.started(Scene.at(0), d);
         dispatcher.probed(Scene.at(500), d.runner, false, Scene.at(500), null);
-        dispatcher.lambdaSeen = 1;
+        dispatcher.probing.lambdaSeen = 1;
         dispatcher.woken(Scene.at(3000), d.assignment);
         dispatcher.settle(Scene.at(3000));
         assertEquals(List.of("cancel"), scene.acts);
@@ -563,7 +564,7 @@
     void noSecondLookWhileMostAreBusy() {
         scene.workload.lateImportance = 0.5;
         Dispatcher dispatcher = scene.with(3);
-        dispatcher.lambdaSeen = 0.6;
+        dispatcher.probing.lambdaSeen = 0.6;
         Assignment a = scene.sentTo(dispatcher.runners.get(0));
         dispatcher.woken(Scene.at(1000), a);
         dispatcher.settle(Scene.at(1000));
@@ -595,7 +596,7 @@
             scene.orders.importanceByWork = true;
             scene.orders.zone = "home";
             scene.with(9).waitPerLoad = 0.1;
-            scene.dispatcher.lambdaSeen = 0.9;
+            scene.dispatcher.probing.lambdaSeen = 0.9;
             Runner near = scene.dispatcher.runners.get(4);
             near.zone = "home";
             scene.arrives(scene.assignment());
@@ -657,9 +658,9 @@
         Assignment a = scene.assignment();
         for (double luck : new double[] {0.2, 0.4}) {
             a.luck = luck;
-            dispatcher.lambdaSeen = 0.9;
+            dispatcher.probing.lambdaSeen = 0.9;
             assertFalse(dispatcher.late(Scene.at(0), a, dispatcher.runners.get(0), 9));
-            dispatcher.lambdaSeen = 0.99;
+            dispatcher.probing.lambdaSeen = 0.99;
             assertEquals(luck > 0.3, dispatcher.late(Scene.at(0), a, dispatcher.runners.get(0), 9));
         }
     }
--- a/core/src/test/java/saltdale/decision/PreviewTest.java
+++ b/core/src/test/java/saltdale/decision/PreviewTest.java
@@ -77,6 +77,6 @@
             scene.finds(i % 3);
         }
         return List.of(scene.acts, scene.probes.stream().map(r -> r == full).toList(),
-                scene.dispatches.stream().map(d -> d.runner == full).toList(), scene.dispatcher.meanQueue);
+                scene.dispatches.stream().map(d -> d.runner == full).toList(), scene.dispatcher.probing.meanQueue);
     }
 }
--- a/tools/src/test/java/saltdale/tools/LayersTest.java
+++ b/tools/src/test/java/saltdale/tools/LayersTest.java
@@ -17,6 +17,7 @@
             .layer("model").definedBy("saltdale.model")
             .layer("orders").definedBy("saltdale.orders")
             .layer("overload").definedBy("saltdale.overload")
+            .layer("probing").definedBy("saltdale.probing")
             .layer("decision").definedBy("saltdale.decision")
             .layer("transport").definedBy("saltdale.transport")
             .layer("protocol").definedBy("saltdale.protocol")
@@ -38,12 +39,14 @@
             .whereLayer("transport").mayOnlyBeAccessedByLayers("routing", "program", "nodes", "rig", "tools")
             .whereLayer("decision").mayOnlyBeAccessedByLayers("routing", "sim", "rig")
             .whereLayer("overload").mayOnlyBeAccessedByLayers("decision", "routing", "rig")
+            .whereLayer("probing").mayOnlyBeAccessedByLayers("decision")
+            .whereLayer("probing").mayNotAccessAnyLayer()
             .whereLayer("orders").mayOnlyBeAccessedByLayers("routing", "program", "sim", "main");
 
     @ArchTest
     static final ArchRule DECISIONS_KNOW_NO_IO = noClasses().that()
-            .resideInAnyPackage("saltdale.decision", "saltdale.overload", "saltdale.model", "saltdale.rig.fleet",
-                    "saltdale.rig.judge")
+            .resideInAnyPackage("saltdale.decision", "saltdale.overload", "saltdale.probing", "saltdale.model",
+                    "saltdale.rig.fleet", "saltdale.rig.judge")
             .should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.nio..", "java.io..",
                     "saltdale.transport", "saltdale.protocol");
 
