--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -13,7 +13,6 @@
 import saltdale.probing.ProbeLoop;
 
 public final class Dispatcher {
-    static final double COLD_CAUTION = 0.6;  // the part of a cold runner's guessed budget that is used
     static final double SCARCE = 0.95;  // busy share above which the busy and unsteady are needed too
     static final double MOVABLE = 0.5;  // busy share up to which work that waits is moved
     static final double BELIEF = 4;  // so many runs at the usual pace are believed before any is seen
@@ -43,10 +42,9 @@
     private static final Workload[] NONE = {};
     private Duration dropped, droppedAt;  // after which rest a connection was found dropped, and when
     final Histogram connects = Histogram.ofOdds(32);  // whether recent new connections came up
-    private final Fading workDone = new Fading();  // by warm runners
-    private Duration surveyedAt;
-    private double warmRate, meanOut, ready;
-    private boolean mostAside, someAside, noPure;
+    private final FleetSurvey fleet;
+    private final ColdBudget cold;
+    private final boolean noPure;
     private Duration askAt, askGap;  // when to ask for the list (null while subscribed), and again
     private final Levels levels;  // null where overloads are not met by them
     private final Budget budget = new Budget();  // of further dispatches, likewise
@@ -59,6 +57,8 @@
         spell = orders.workloads.stream().map(w -> w.patience).reduce(orders.askWithin, Spans::least)
                 .dividedBy(4);
         memory = most(spell, orders.warmWithin);
+        fleet = new FleetSurvey(orders, runners, memory);
+        cold = new ColdBudget(orders, fleet, stats.values(), memory, chance);
         levels = orders.relief == null ? null : new Levels(orders.relief, memory);
         orders.workloads.forEach(w -> stats.put(w, new WorkloadStats(levels)));
         bound = orders.workloads.stream().filter(Workload::isBound).toArray(Workload[]::new);
@@ -246,7 +246,7 @@
                 take(now, a, r, 0);
             } else if (!a.closed) {
                 // Guards against chance sends that gather in a cold queue: those go to an idle runner alone.
-                boolean over = orders.warmth(now, r) < 1 && coldRoom(now, r) < work(a);
+                boolean over = orders.warmth(now, r) < 1 && cold.room(now, r) < work(a);
                 a.found(r, over ? Double.POSITIVE_INFINITY : weighed(now, r, load, idle), toll);
                 search(now, a);
             }
@@ -345,7 +345,8 @@
         if (Double.isNaN(held) && orders.liveWeights && r.of.slots > 0 && r.power > 0) {
             held = (r.of.size / r.power - 1) * r.of.slots;
         }
-        return (free < unseen ? unseen - free : 0) + (Double.isNaN(held) ? r.known ? r.out.size() : meanOut
+        return (free < unseen ? unseen - free : 0)
+                + (Double.isNaN(held) ? r.known ? r.out.size() : fleet.meanOut
                 : Math.max(Math.max(held, r.out.size()) - r.of.slots, 0));
     }
 
@@ -365,12 +366,13 @@
     // do), quick enough to run it in time, not likely busy or silent, of our own zone until a crossing counts
     // less than the least found; last, slower ones are passed over by their pace.
     private Runner pick(Duration now, Assignment a) {
-        survey(now);
+        fleet.take(now);
+        boolean mostAside = 2 * fleet.aside > fleet.ready;  // then it is not them, and nobody is passed over
         stats.get(a.workload).sought.add(now, work(a), memory);
         // Homes of what it concerns are probed first: where all of us send it, what it needs is likely kept.
         Workload[] before = yieldsTo(a);
         Duration keeps = keeps(now);
-        double homes = a.key == 0 ? 1 : HOMES * (1 / ready + keys.share(a.key));
+        double homes = a.key == 0 ? 1 : HOMES * (1 / fleet.ready + keys.share(a.key));
         double aim = aim(a), size = size(a);
         double least = a.probed.isEmpty() ? 0 : a.leastCost();
         Runner best = null;
@@ -386,7 +388,7 @@
                         || r.busyAt != null && probing.runningTime > 0 && probing.lambdaSeen <= SCARCE
                         && chance.nextDouble() < Math.exp(-secs(now.minus(r.busyAt)) / probing.runningTime);
                 // Guards against finding out who errs by what may then go to few others: pure work does it.
-                unlikely |= r.takesAny(before) || someAside && a.workload.repeat != Workload.Repeat.PURE
+                unlikely |= r.takesAny(before) || fleet.aside > 0 && a.workload.repeat != Workload.Repeat.PURE
                         && (r.failures.count() == 0 || r.failures.last() > POOR);
                 double takes = pace(now, r), toll = toll(a, r, aim - takes * size, keeps, now);
                 int rank = (trusted ? 0 : 32) + (aim >= takes * size ? 0 : 16)
@@ -445,7 +447,7 @@
 
     private boolean sendable(Duration now, Assignment a, Runner r) {
         return r.ready() && a.workload.mayRunOn(r)
-                && repeatable(now, a, r) && withinColdBudget(now, a, r);
+                && repeatable(now, a, r) && cold.allows(now, r, work(a), a.luck);
     }
 
     /** Rule 2: what may have run goes again only where a repeat is harmless. */
@@ -625,7 +627,7 @@
                     d.runner.pacedAt = now;
                 }
                 if (orders.warmth(now, d.runner) >= 1) {
-                    workDone.add(now, d.work, memory);
+                    fleet.workDone.add(now, d.work, memory);
                 }
                 d.runner.fulfilled(a.workload);
                 judged(now, a, secs(now.minus(a.arrivedAt)) > aim(a));
@@ -656,48 +658,6 @@
         r.trickleAt = failed && r.trickle != null ? now.plus(r.trickle) : r.trickleAt;
     }
 
-    // Rule 4. What a warm runner does for us stands for our part of its capacity: if each dispatcher keeps
-    // within multiple x cold share of that in every window, all of them together keep the rule.
-    private boolean withinColdBudget(Duration now, Assignment a, Runner r) {
-        if (orders.warmth(now, r) >= 1) {
-            return true;
-        }
-        survey(now);
-        double room = coldRoom(now, r), budget = coldPart(now, r);
-        // Guards against idle cold runners where our part is under one job: then it is sent by chance, so
-        // that we keep to our part on average; among work small enough for one job to keep within all parts.
-        double all = budget * orders.dispatchers;
-        double sought = stats.values().stream().filter(seen -> seen.unit() <= all)
-                .mapToDouble(seen -> seen.sought.at(now, memory)).sum() / secs(memory);
-        boolean lucky = room == budget && work(a) <= all
-                && a.luck * sought < budget / secs(orders.fall) * ready;
-        return work(a) <= room || lucky || warmRate == 0 && r.out.isEmpty()
-                && chance.nextInt(orders.dispatchers) == 0;  // nothing to go by yet: one of us all
-    }
-
-    private double coldRoom(Duration now, Runner r) {
-        return coldPart(now, r) - r.coldWork(now.minus(orders.fall));
-    }
-
-    private double coldPart(Duration now, Runner r) {
-        return COLD_CAUTION * orders.tipMultiple * orders.warmth(now, r) * warmRate * secs(orders.fall);
-    }
-
-    private void survey(Duration now) {
-        if (now.equals(surveyedAt)) {
-            return;
-        }
-        surveyedAt = now;
-        List<Runner> ready = runners.stream().filter(Runner::ready).toList();
-        this.ready = ready.size();
-        long warm = ready.stream().filter(r -> orders.warmth(now, r) >= 1).count();
-        warmRate = warm == 0 ? warmRate : workDone.at(now, memory) / secs(memory) / warm;
-        meanOut = ready.stream().filter(r -> r.known).mapToInt(r -> r.out.size()).average().orElse(0);
-        long aside = ready.stream().filter(r -> r.trickle != null).count();
-        someAside = aside > 0;
-        mostAside = 2 * aside > ready.size();  // then it is not them, and nobody is passed over
-    }
-
     private double work(Assignment a) {
         return a.slots * stats.get(a.workload).unit();
     }
