--- a/daemon/src/main/java/saltdale/routing/Ending.java
+++ b/daemon/src/main/java/saltdale/routing/Ending.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import saltdale.model.Spans;
 import saltdale.model.StandingOrders;
+import saltdale.serving.Visit;
 import saltdale.transport.Loop;
 import saltdale.transport.Sockets;
 
@@ -57,9 +58,9 @@
     }
 
     /** Once all must be answered: closes idle connections; stops when nothing is held and all has been read. */
-    void look(Collection<Client> clients, boolean nothingHeld) {
+    void look(Collection<Visit> clients, boolean nothingHeld) {
         if (answering) {
-            clients.stream().filter(Client::isIdle).toList().forEach(Client::drop);
+            clients.stream().filter(Visit::isIdle).toList().forEach(Visit::drop);
         }
         if (quiet && nothingHeld && clients.isEmpty() && sockets.finishing() == 0) {
             listenNoMore();
--- a/daemon/src/main/java/saltdale/routing/Router.java
+++ b/daemon/src/main/java/saltdale/routing/Router.java
@@ -25,8 +25,10 @@
 import saltdale.overload.Levels;
 import saltdale.protocol.Head;
 import saltdale.protocol.HostList;
+import saltdale.protocol.HttpParser;
 import saltdale.protocol.HttpWriter;
 import saltdale.protocol.News;
+import saltdale.serving.Visit;
 import saltdale.transport.Connection;
 import saltdale.transport.Loop;
 import saltdale.transport.Pool;
@@ -35,10 +37,12 @@
 import saltdale.transport.Timer;
 
 /** Stands between the decisions and the sockets: ids become objects, events calls, and actions messages. */
-public final class Router implements Door {
+public final class Router implements Door, Visit.Host {
     private static final Logger LOG = Logger.getLogger(Router.class.getName());
     private static final double IDLE_PART = 0.8;  // of the idle time after which a runner closes a connection
     private static final byte[] NOTHING = new byte[0];
+    private static final HttpParser.Limits REQUESTS = new HttpParser.Limits(HttpParser.MOST_HEAD, HttpParser.MOST_BODY);
+    private static final Duration WHOLE_WITHIN = Duration.ofMillis(2500);  // for a request to come
 
     private final Loop loop;
     private final Sockets sockets;
@@ -51,7 +55,7 @@
     private final Dispatcher dispatcher;
     private final Map<String, Held> heldById = new HashMap<>();
     private final Map<Assignment, Held> held = new HashMap<>();
-    private final Set<Client> clients = new HashSet<>();
+    private final Set<Visit> clients = new HashSet<>();
     private final List<Runnable> acts = new ArrayList<>();
     private boolean eventful;
     private Preview preview;
@@ -90,11 +94,13 @@
         eventful();
     }
 
-    Loop loop() {
+    @Override
+    public Loop loop() {
         return loop;
     }
 
-    Sockets sockets() {
+    @Override
+    public Sockets sockets() {
         return sockets;
     }
 
@@ -112,10 +118,30 @@
         return orders.connectTime;
     }
 
-    boolean closes(int status) {
+    @Override
+    public boolean closes(int status) {
         return ending.closes(status);
     }
 
+    @Override
+    public HttpParser.Limits limits() {
+        return REQUESTS;
+    }
+
+    @Override
+    public Duration wholeWithin() {
+        return WHOLE_WITHIN;
+    }
+
+    @Override
+    public void refused(boolean tooSlow) {
+        if (tooSlow) {
+            counters.tooSlow++;
+        } else {
+            counters.badRequests++;
+        }
+    }
+
     public String counted() {
         Levels levels = dispatcher.levels();
         return counters.lines(heldById.size(), sockets.open(), loop.exceptions())
@@ -166,14 +192,16 @@
     // ---- From clients.
 
     public void accepted(Connection connection, boolean full) {
-        clients.add(new Client(this, connection, full));
+        clients.add(new Visit(this, connection, full));
     }
 
-    void left(Client client) {
+    @Override
+    public void left(Visit client) {
         clients.remove(client);
     }
 
-    void requested(Client client, Head head, byte[] body) {
+    @Override
+    public void requested(Visit client, Head head, byte[] body) {
         switch (head.path()) {
             case "/up" -> own(client, head, "GET", () -> client.answer(!ending.hasBegun() ? 200 : 503, "", NOTHING));
             case "/counters" -> own(client, head, "GET", () -> client.answer(200, "", counted().strip()));
@@ -182,7 +210,7 @@
         }
     }
 
-    private void own(Client client, Head head, String method, Runnable what) {
+    private void own(Visit client, Head head, String method, Runnable what) {
         if (head.method().equals(method)) {
             what.run();
         } else {
@@ -190,12 +218,12 @@
         }
     }
 
-    private void turnDown(Client client, Intake.Refusal refusal) {
+    private void turnDown(Visit client, Intake.Refusal refusal) {
         counters.badRequests++;
         client.answer(refusal.status(), refusal.header(), refusal.why());
     }
 
-    private void assignment(Client client, Head head, byte[] body) {
+    private void assignment(Visit client, Head head, byte[] body) {
         Intake.Refusal refusal = intake.refusal(head, heldById::containsKey);
         if (refusal != null) {
             turnDown(client, refusal);
@@ -210,7 +238,7 @@
         Held taken = new Held(Intake.id(head), a, head, body, client);
         heldById.put(taken.id, taken);
         held.put(a, taken);
-        client.serves(taken);
+        client.held = taken;
         counters.taken++;
         taken.patience = loop.after(a.deadline.minus(loop.now()), () -> outOfTime(taken));
         dispatcher.arrived(loop.now(), a);
@@ -224,7 +252,14 @@
         }
     }
 
-    void clientGone(Held left) {
+    @Override
+    public void abandoned(Visit client) {
+        if (client.held instanceof Held served) {
+            clientGone(served);
+        }
+    }
+
+    private void clientGone(Held left) {
         counters.clientsGone++;
         left.client = null;
         dispatcher.close(left.assignment);
@@ -233,7 +268,7 @@
     }
 
     private void answer(Held to, int status, String more, byte[] body) {
-        Client client = to.client;
+        Visit client = to.client;
         to.client = null;
         if (client != null) {
             client.answer(status, more, body);
@@ -262,7 +297,7 @@
 
     // ---- From runners.
 
-    private void news(Client client, byte[] body) {
+    private void news(Visit client, byte[] body) {
         News news = News.read(body);
         if (news == null) {
             counters.badCallBacks++;
