--- a/lighthouse/src/main/java/saltdale/lighthouse/Charts.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Charts.java
@@ -13,7 +13,7 @@
 
 /** What operators send, as text: read, amended by named items, written. Items keep all fields that they came with. */
 final class Charts {
-    private static final Jsonb JSONB = Jsonb.builder().build();
+    private static final Jsonb JSONB = Jsonb.builder().serializeNulls(true).serializeEmpty(true).build();
 
     private Charts() {
     }
--- a/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
@@ -86,7 +86,7 @@
         id = records.containsKey(IDENTITY) ? new String(records.get(IDENTITY), StandardCharsets.UTF_8)
                 : first ? Voter.firstId(landfall.host()) : Long.toHexString(outside.chance().nextLong());
         register = new Register(outside, id, life, this::chosen);
-        members = new Members(landfall.beat() * 9 / 5);
+        members = new Members(landfall.memberLease() + landfall.beat() / 4);
         runners = new Runners(8 * landfall.beat(), 40 * landfall.beat());
         demand = new Demand(3 * landfall.beat());
         starter = new Starter(outside, this, platform, landfall);
@@ -199,7 +199,7 @@
         peers.values().removeIf(p -> !landfall.seeds().contains(p.host) && now - p.heardAt > 60 * landfall.beat()
                 && (basis == null || basis.quorums().stream().flatMap(List::stream)
                         .noneMatch(v -> v.host().equals(p.host))));
-        outside.after(landfall.beat() / 3, this::beat);
+        outside.after(landfall.beat() / 5, this::beat);
     }
 
     private long version() {
@@ -469,7 +469,7 @@
     // Duties and voters.
 
     private void tick() {
-        outside.after(landfall.beat() / 6, this::tick);
+        outside.after(landfall.beat() / 8, this::tick);
         long now = outside.now();
         long edition = members.edition();
         members.expire(now);
--- a/station/src/main/java/saltdale/station/Harbor.java
+++ b/station/src/main/java/saltdale/station/Harbor.java
@@ -86,7 +86,7 @@
                 written = true;
             } catch (Exception e) {
                 written = false;
-                ring.note("the disk refused a write: " + e.getMessage());
+                ring.note("the disk refused a write: " + e.getMessage() + (e.getCause() == null ? "" : ", " + e.getCause()));
             }
             boolean whole = written;
             loop.fromOutside(() -> done.accept(whole));
--- a/vault/src/main/java/saltdale/vault/Copy.java
+++ b/vault/src/main/java/saltdale/vault/Copy.java
@@ -121,7 +121,7 @@
             open = true;
         } finally {
             if (!open) {
-                chunks.close();
+                closeHalfOpen(chunks);
             }
         }
         store.setVersionsToKeep(0);
@@ -130,6 +130,15 @@
                 .valueType(ByteArrayDataType.INSTANCE));
     }
 
+    /** Guards against a store that fails to close since it was never open: that hides why. */
+    private static void closeHalfOpen(Chunks chunks) {
+        try {
+            chunks.close();
+        } catch (RuntimeException e) {
+            // what is told is why it could not be opened
+        }
+    }
+
     private long check() {
         byte[] seal = null;
         for (Map.Entry<String, byte[]> entry : records.entrySet()) {
--- a/vault/src/main/java/saltdale/vault/StoreVault.java
+++ b/vault/src/main/java/saltdale/vault/StoreVault.java
@@ -37,7 +37,7 @@
         } catch (IOException e) {
             throw new VaultException("can't make " + folder, e);
         }
-        return new StoreVault(folder.toAbsolutePath().toString(), () -> sync(folder));
+        return new StoreVault(UnlockedPath.of(folder.toAbsolutePath().toString()), () -> sync(folder));
     }
 
     private static void sync(Path folder) {
