Vault: MVStore's assertions on a torn file, and errors in a write, are seen as such

An error in a write (no memory, say) left the files open with nothing known of the one that was being written; now both are opened anew.

--- a/vault/src/main/java/saltdale/vault/Copy.java
+++ b/vault/src/main/java/saltdale/vault/Copy.java
@@ -76,7 +76,8 @@
                 throw new IllegalStateException("no match for the seal");
             }
             turn = sealed;
-        } catch (RuntimeException | StackOverflowError e) {
+        } catch (RuntimeException | AssertionError | StackOverflowError e) {
+            // MVStore's own assertions see some of the tears first, where they are enabled.
             flawed(e);
         } catch (OutOfMemoryError e) {
             // Torn lengths ask for absurd sizes; where there is hardly room for anything it is no fault of the copy.
--- a/vault/src/main/java/saltdale/vault/StoreVault.java
+++ b/vault/src/main/java/saltdale/vault/StoreVault.java
@@ -64,6 +64,7 @@
             throw new IllegalArgumentException("a record without a name");
         }
         ready();
+        boolean written = false;
         try {
             boolean anew = !other.writable() || other.size() > 3 * current.live() + SPARE;
             if (anew) {
@@ -73,11 +74,17 @@
             if (anew) {
                 syncFolder.run();
             }
-            Copy written = other;
-            other = current;
-            current = written;
+            Copy older = current;
+            current = other;
+            other = older;
+            written = true;
         } catch (IOException | RuntimeException e) {
             throw failed("can't write", e);
+        } finally {
+            if (!written) {
+                // After an error, too, nothing is known of the file that was being written.
+                drop();
+            }
         }
     }
 
