--- a/vault/src/main/java/saltdale/vault/StoreVault.java
+++ b/vault/src/main/java/saltdale/vault/StoreVault.java
@@ -6,6 +6,8 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.h2.store.fs.FilePath;
 
 /**
@@ -17,6 +19,9 @@
     private static final String[] NAMES = {"vault.a", "vault.b"};
     private static final long SPARE = 1 << 20;
 
+    /** Guards against two vaults in one folder; another process is kept off by the address that the owner listens on. */
+    private static final Set<Path> OPEN = ConcurrentHashMap.newKeySet();
+
     /** As MVStore names it. */
     private final String folder;
     private final Runnable syncFolder;
@@ -24,6 +29,7 @@
     private Copy current;
     private Copy other;
     private boolean closed;
+    private Runnable onClose = () -> { };
 
     StoreVault(String folder, Runnable syncFolder) throws VaultException {
         this.folder = folder;
@@ -37,7 +43,18 @@
         } catch (IOException e) {
             throw new VaultException("can't make " + folder, e);
         }
-        return new StoreVault(UnlockedPath.of(folder.toAbsolutePath().toString()), () -> sync(folder));
+        Path whole = folder.toAbsolutePath().normalize();
+        if (!OPEN.add(whole)) {
+            throw new VaultException(folder + " is open already", null);
+        }
+        try {
+            StoreVault vault = new StoreVault(UnlockedPath.of(whole.toString()), () -> sync(folder));
+            vault.onClose = () -> OPEN.remove(whole);
+            return vault;
+        } catch (VaultException e) {
+            OPEN.remove(whole);
+            throw e;
+        }
     }
 
     private static void sync(Path folder) {
@@ -92,6 +109,7 @@
     public void close() {
         closed = true;
         drop();
+        onClose.run();
     }
 
     /** Opens both copies after a start or a failure, which settles whether the write that failed holds. */
--- a/vault/src/main/java/saltdale/vault/UnlockedPath.java
+++ b/vault/src/main/java/saltdale/vault/UnlockedPath.java
@@ -12,13 +12,17 @@
  * Files of the system without locks. Guards against systems on which two files look alike to the JVM, which then refuses
  * the second lock; that one process alone has the folder its owner sees to, by the address that it listens on.
  */
-final class UnlockedPath extends FilePathWrapper {
+public final class UnlockedPath extends FilePathWrapper {
     private static final String SCHEME = "unlocked";
 
     static {
         FilePath.register(new UnlockedPath());
     }
 
+    /** For the store's library, which makes one for each path. */
+    public UnlockedPath() {
+    }
+
     /** A folder of the system's as a store names it. */
     static String of(String folder) {
         return SCHEME + ":" + folder;
