Keeper: one whose disk was lost takes no duty before it votes again

Ruled out: proposing itself as a candidate, since a keeper that knows nothing would then lead the change.

--- a/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
@@ -489,7 +489,8 @@
             propose((newest, text) -> Proposer.Step.stay(Boolean.TRUE));
         } else if (hasMajority() && !ending) {
             State state = register.chosen();
-            if (landfall.rates().duties().contains(STARTING) && vacant(state)) {
+            // Guards against a holder that nobody makes a voter again: one whose disk was lost leaves the duty to others.
+            if (landfall.rates().duties().contains(STARTING) && state.isVoter(id) && vacant(state)) {
                 Tenure seen = state.duty(STARTING);
                 propose((newest, text) -> newest.duty(STARTING).fence() != seen.fence() ? Proposer.Step.stay(null)
                         : new Proposer.Step(newest.withDuty(STARTING,
