Keeper: a core killed before any state was accepted is back

Cause: with first_start false and no accepted state on any disk no keeper knew whom to ask (simulated: all three killed 20 ms after their first start). The state from which all began is now synced with the identity.

--- a/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
@@ -55,6 +55,7 @@
 
     static final String STARTING = "starting";
     private static final String IDENTITY = "identity";
+    private static final String BEGUN = "begun";  // the state from which all began
 
     private final Outside outside;
     private final Landfall landfall;
@@ -91,13 +92,20 @@
         demand = new Demand(3 * landfall.beat());
         starter = new Starter(outside, this, platform, landfall);
         register.restore(records);
-        if (landfall.firstStart()) {
-            register.first(State.first(landfall.seeds().stream().sorted()
-                    .map(host -> new Voter(Voter.firstId(host), host, host)).toList()));
+        State begun = landfall.firstStart() ? State.first(landfall.seeds().stream().sorted()
+                .map(host -> new Voter(Voter.firstId(host), host, host)).toList())
+                : records.containsKey(BEGUN) ? State.of(new Fields(Trees.fromCbor(records.get(BEGUN)))) : null;
+        if (begun != null) {
+            register.first(begun);
         }
         landfall.seeds().stream().filter(host -> !host.equals(landfall.host())).forEach(this::peer);
         if (!records.containsKey(IDENTITY)) {
-            outside.persist(Map.of(IDENTITY, id.getBytes(StandardCharsets.UTF_8)), done -> { });
+            Map<String, byte[]> own = new HashMap<>(Map.of(IDENTITY, id.getBytes(StandardCharsets.UTF_8)));
+            if (begun != null) {
+                // Guards against all being killed before any has accepted a state: none would know whom to ask.
+                own.put(BEGUN, Trees.cbor(begun.tree()));
+            }
+            outside.persist(own, done -> { });
         }
     }
 
