Tests: a simulated cluster of one seed, and what agreement promises

SimWorld (clock, links, cuts), SimMachine (disk that keeps what was synced, kills, losses of power, wipes, freezes), SimPlatform (workers, runners, a lagging list, rates, nonces, fences, and what pilots carry). AgreementTest: 150 random schedules of 3 keepers and 50 of 5 (two wiped at once), 3 operators each.

--- /dev/null
+++ b/pilot/src/test/java/saltdale/pilot/AgreementTest.java
@@ -0,0 +1,393 @@
+package saltdale.pilot;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.nullValue;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static saltdale.pilot.SimOperator.config;
+import static saltdale.pilot.SimOperator.insists;
+import static saltdale.pilot.SimOperator.read;
+import static saltdale.pilot.SimOperator.replace;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What the core acknowledges it keeps, and there is one line of versions, whatever its machines go through. */
+class AgreementTest {
+    private static SimWorld world(long seed, int keepers) {
+        SimWorld world = new SimWorld(seed).of(keepers, 0).begin();
+        world.run(2500);
+        return world;
+    }
+
+    private static long holding(SimWorld world, long revision) {
+        return world.keepers.stream().filter(k -> k.synced.keySet().stream()
+                .anyMatch(name -> name.startsWith("text:" + revision + "-"))).count();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {3, 5})
+    void acknowledgesOnlyWhatAMajorityHoldsSynced(int keepers) {
+        for (int seed = 0; seed < 10; seed++) {
+            SimWorld world = world(seed, keepers);
+            world.keepers.forEach(k -> k.syncNanos = (1 + world.chance.nextInt(150)) * 1_000_000L);
+            for (int revision = 1; revision <= 5; revision++) {
+                int by = world.chance.nextInt(keepers);
+                assertThat(replace(world, world.keepers.get(by), revision - 1, config(revision)), is(200));
+                assertThat(holding(world, revision), greaterThanOrEqualTo(keepers / 2 + 1L));
+            }
+        }
+    }
+
+    @Test
+    void ofTwoChangesOnOneBaseOneWins() {
+        for (int seed = 0; seed < 20; seed++) {
+            SimWorld world = world(seed, 3);
+            List<Integer> got = new ArrayList<>();
+            replace(world.keepers.get(seed % 3), 0, config(3, 1), reply -> got.add(reply.status()));
+            replace(world.keepers.get((seed + 1) % 3), 0, config(4, 2), reply -> got.add(reply.status()));
+            assertTrue(world.until(5000, () -> got.size() == 2));
+            got.sort(null);
+            assertThat("seed " + seed, got, is(List.of(200, 412)));
+        }
+    }
+
+    @Test
+    void aRepeatedChangeIsAcknowledgedAgainAnywhere() {
+        SimWorld world = world(1, 3);
+        assertThat(replace(world, world.keepers.get(0), 0, config(2)), is(200));
+        assertThat(replace(world, world.keepers.get(1), 0, config(2)), is(200));
+        assertThat(replace(world, world.keepers.get(1), 2, config(5)), is(200));
+        assertThat("after a later one too", replace(world, world.keepers.get(2), 0, config(2)), is(200));
+        assertThat("not another on that base", replace(world, world.keepers.get(2), 0, config(7)), is(412));
+        assertThat(read(world, world.keepers.get(0)), containsString("\"revision\":5"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"3,false", "3,true", "5,false", "5,true"})
+    void whoAcknowledgedMayLoseAllRightAfter(int keepers, boolean withDisk) {
+        for (int seed = 0; seed < 15; seed++) {
+            SimWorld world = world(seed, keepers);
+            assertTrue(insists(world, 0, config(1), 5000));
+            SimMachine by = world.keepers.get(seed % keepers);
+            SimMachine second = world.keepers.get((seed + 1) % keepers);
+            assertThat(replace(world, by, 1, config(2)), is(200));
+            // The others lose power as well at times.
+            if (seed % 2 == 0) {
+                world.keepers.stream().filter(k -> k != by).forEach(SimMachine::powerOff);
+            }
+            for (SimMachine each : keepers == 5 ? List.of(by, second) : List.of(by)) {
+                if (withDisk) {
+                    each.wipe();
+                } else {
+                    each.powerOff();
+                }
+            }
+            world.keepers.forEach(SimMachine::start);
+            world.run(5000);
+            for (SimMachine each : world.keepers) {
+                assertThat("seed " + seed, read(world, each), containsString("\"revision\":2"));
+            }
+            assertThat(world.faults, is(empty()));
+        }
+    }
+
+    @Test
+    void anEmptyDiskDoesNotVoteUntilItIsAVoterAgain() throws Exception {
+        for (int seed = 0; seed < 15; seed++) {
+            SimWorld world = world(seed, 3);
+            assertTrue(insists(world, 0, config(1), 5000));
+            SimMachine lost = world.keepers.get(0);
+            SimMachine off = world.keepers.get(1);
+            String before = lost.id();
+            off.powerOff();
+            lost.wipe();
+            lost.start();
+            world.run(4000);
+            for (SimMachine each : List.of(lost, world.keepers.get(2))) {
+                assertThat("one voter of three is no majority", replace(world, each, 1, config(2)), is(503));
+                assertThat(read(world, each), is(nullValue()));
+            }
+            off.start();
+            world.run(4000);
+            assertThat("by agreement", world.voters(), hasItem((Object) lost.id()));
+            assertThat(lost.id(), is(not(before)));
+            assertThat(world.isJoint(), is(false));
+            world.keepers.get(2).powerOff();
+            world.run(2500);
+            assertTrue(insists(world, 1, config(2), 5000), "its vote counts now");
+            assertThat(world.faults, is(empty()));
+        }
+    }
+
+    @Test
+    void aKeeperAtANewAddressTakesThePlaceOfOneGone() throws Exception {
+        for (int seed = 0; seed < 10; seed++) {
+            SimWorld world = world(seed, 3);
+            assertTrue(insists(world, 0, config(1), 5000));
+            SimMachine gone = world.keepers.get(seed % 3);
+            gone.wipe();
+            SimMachine next = world.keeper("10.0.0.9", world.keepers.get(0).seeds, false);
+            next.start();
+            world.run(6000);
+            assertThat(world.voters(), hasItem((Object) next.id()));
+            assertThat(world.voters(), hasSize(3));
+            SimMachine off = world.keepers.get((seed + 1) % 3);
+            off.powerOff();
+            world.run(2500);
+            assertThat(replace(world, next, 1, config(2)), is(200));
+            off.start();
+            world.run(2000);
+            assertThat(read(world, off), containsString("\"revision\":2"));
+            assertThat(world.faults, is(empty()));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {3, 5})
+    void aMinorityAcknowledgesAndReadsNothing(int keepers) {
+        SimWorld world = world(4, keepers);
+        assertTrue(insists(world, 0, config(1), 5000));
+        List<SimMachine> few = world.keepers.subList(0, keepers / 2);
+        List<SimMachine> most = world.keepers.subList(keepers / 2, keepers);
+        few.forEach(f -> most.forEach(m -> world.cut(f, m)));
+        for (SimMachine each : few) {
+            assertThat(replace(world, each, 1, config(2)), is(503));
+            assertThat(read(world, each), is(nullValue()));
+        }
+        assertThat(replace(world, most.get(0), 1, config(3)), is(200));
+        assertThat(read(world, few.get(0)), is(nullValue()));
+        world.cuts.clear();
+        world.run(3000);
+        assertThat(read(world, few.get(0)), containsString("\"revision\":3"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {3, 5})
+    void aCoreKilledAtOnceIsBack(int keepers) {
+        for (int seed = 0; seed < 20; seed++) {
+            SimWorld world = world(seed, keepers);
+            assertTrue(insists(world, 0, config(1), 5000));
+            List<Integer> got = new ArrayList<>();
+            replace(world.keepers.get(0), 1, config(2), reply -> got.add(reply.status()));
+            world.run(world.chance.nextInt(20));
+            world.keepers.forEach(SimMachine::kill);
+            world.run(900);
+            world.keepers.forEach(SimMachine::start);
+            world.run(4000);
+            String is = read(world, world.keepers.get(seed % keepers));
+            assertThat(is, containsString(got.isEmpty() ? "\"revision\":" : "\"revision\":2"));
+            assertTrue(is.contains("\"revision\":1") ? insists(world, 1, config(2), 5000)
+                    : insists(world, 2, config(3), 5000));
+            assertThat(world.faults, is(empty()));
+        }
+    }
+
+    @Test
+    void aCoreKilledWhileItFirstBeginsIsBack() {
+        for (int ms = 20; ms <= 1500; ms += 100) {
+            SimWorld world = new SimWorld(ms).of(3, 0).begin();
+            world.run(ms);
+            world.keepers.forEach(SimMachine::kill);
+            world.run(500);
+            world.keepers.forEach(SimMachine::start);
+            world.run(2500);
+            assertTrue(insists(world, 0, config(1), 5000), "killed after " + ms + " ms");
+        }
+    }
+
+    /** One operator among several: each builds on what it last read, and repeats until it has a clear answer. */
+    private static final class Operator {
+        final Schedule on;
+        final int number;
+        long base;
+        long revision;
+        String body;
+
+        Operator(Schedule on, int number) {
+            this.on = on;
+            this.number = number;
+        }
+
+        void next() {
+            on.world.at(on.world.chance.nextInt(400) * 1_000_000L, () -> {
+                SimMachine at = on.world.keepers.get(on.world.chance.nextInt(on.world.keepers.size()));
+                if (at.process == null) {
+                    next();
+                } else if (body == null) {
+                    look(at);
+                } else {
+                    send(at);
+                }
+            });
+        }
+
+        private void look(SimMachine at) {
+            long least = on.newest();
+            boolean[] done = new boolean[1];
+            at.process.deliver(() -> at.keeper().read(reply -> {
+                if (reply.status() == 200) {
+                    String is = new String(reply.body());
+                    base = revision(is);
+                    on.seen(base, is, least);
+                    revision = base + 1 + on.world.chance.nextInt(3);
+                    body = config(revision, 1 + number);
+                }
+                done[0] |= again(done);
+            }));
+            on.world.at(1_000_000_000L, () -> done[0] |= again(done));
+        }
+
+        private void send(SimMachine at) {
+            boolean[] done = new boolean[1];
+            long sentOn = base;
+            long sentRevision = revision;
+            String sent = body;
+            replace(at, base, sent, reply -> {
+                if (reply.status() == 200) {
+                    on.acknowledged(sentOn, sentRevision, sent);
+                }
+                body = (reply.status() == 200 || reply.status() == 412) && sent.equals(body) ? null : body;
+                done[0] |= again(done);
+            });
+            on.world.at(1_000_000_000L, () -> done[0] |= again(done));
+        }
+
+        private boolean again(boolean[] done) {
+            if (!done[0] && !on.over) {
+                next();
+            }
+            return true;
+        }
+    }
+
+    static long revision(String text) {
+        String from = text.substring(text.indexOf("\"revision\":") + 11);
+        return Long.parseLong(from.substring(0, from.indexOf(',')));
+    }
+
+    private static final class Schedule {
+        final SimWorld world;
+        final Map<Long, String> acked = new LinkedHashMap<>();  // by revision
+        final Map<Long, Long> builtOn = new HashMap<>();
+        final Map<Long, String> read = new HashMap<>();
+        final int wipes;
+        boolean over;
+
+        Schedule(long seed, int keepers, int wipes) {
+            world = new SimWorld(seed).of(keepers, 0).begin();
+            this.wipes = wipes;
+        }
+
+        long newest() {
+            return acked.keySet().stream().mapToLong(r -> r).max().orElse(0);
+        }
+
+        void acknowledged(long base, long revision, String body) {
+            Long other = builtOn.putIfAbsent(base, revision);
+            String text = acked.putIfAbsent(revision, body);
+            if (other != null && other != revision || text != null && !text.equals(body)) {
+                world.faults.add("two changes on " + base + " are acknowledged: " + other + " and " + revision);
+            }
+        }
+
+        void seen(long revision, String text, long least) {
+            String before = read.putIfAbsent(revision, text);
+            if (revision < least || before != null && !before.equals(text)) {
+                world.faults.add("read " + revision + " though " + least + " was acknowledged, or another text");
+            }
+        }
+
+        private boolean allVote() throws Exception {
+            return world.newest != null && !world.isJoint() && world.voters().size() == world.keepers.size()
+                    && world.keepers.stream().allMatch(k -> voters().contains(k.id()));
+        }
+
+        private List<Object> voters() {
+            try {
+                return world.voters();
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        void trouble() throws Exception {
+            SimMachine one = world.keepers.get(world.chance.nextInt(world.keepers.size()));
+            switch (world.chance.nextInt(9)) {
+                case 0 -> one.kill();
+                case 1 -> one.powerOff();
+                case 2 -> world.keepers.forEach(SimMachine::powerOff);
+                case 3 -> one.freeze();
+                case 4 -> world.cut(one, world.keepers.get(world.chance.nextInt(world.keepers.size())));
+                case 5 -> world.cutOneWay(one, world.keepers.get(world.chance.nextInt(world.keepers.size())));
+                case 6 -> one.syncNanos = (1 + world.chance.nextInt(200)) * 1_000_000L;
+                case 7 -> one.disk = SimMachine.Disk.values()[world.chance.nextInt(3)];
+                default -> {
+                    // No more disks at once than is tolerated: all others are voters that know what their disks say.
+                    if (allVote()) {
+                        for (int i = 0; i < wipes; i++) {
+                            world.keepers.get((world.keepers.indexOf(one) + i) % world.keepers.size()).wipe();
+                        }
+                    }
+                }
+            }
+        }
+
+        void heal() {
+            world.cuts.clear();
+            for (SimMachine each : world.keepers) {
+                each.heals();
+                each.syncNanos = 3_000_000;
+                if (each.frozen) {
+                    each.thaw();
+                }
+                each.start();
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"3,1,0,150", "5,2,1000,50"})
+    void whateverHappensThereIsOneLineAndNothingAcknowledgedIsLost(int keepers, int wipes, int from, int seeds)
+            throws Exception {
+        int acknowledged = 0;
+        for (int seed = from; seed < from + seeds; seed++) {
+            Schedule schedule = new Schedule(seed, keepers, wipes);
+            SimWorld world = schedule.world;
+            for (int i = 0; i < 3; i++) {
+                new Operator(schedule, i).next();
+            }
+            world.run(1500);
+            for (int i = 0; i < 4; i++) {
+                schedule.trouble();
+                world.run(world.chance.nextInt(400));
+                schedule.trouble();
+                world.run(world.chance.nextInt(1500));
+                schedule.heal();
+                world.run(world.chance.nextInt(2000));
+            }
+            schedule.over = true;
+            schedule.heal();
+            world.run(5000);
+            String last = read(world, world.keepers.get(seed % keepers));
+            assertThat("seed " + seed, last, is(not(nullValue())));
+            schedule.seen(revision(last), last, schedule.newest());
+            assertThat("seed " + seed, world.faults, is(empty()));
+            acknowledged += schedule.acked.size();
+        }
+        assertThat("enough came through to tell", acknowledged, greaterThanOrEqualTo(4 * seeds));
+    }
+}
--- /dev/null
+++ b/pilot/src/test/java/saltdale/pilot/SimMachine.java
@@ -0,0 +1,237 @@
+package saltdale.pilot;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import saltdale.lighthouse.Fields;
+import saltdale.lighthouse.Keeper;
+import saltdale.lighthouse.Landfall;
+import saltdale.lighthouse.MalformedMessage;
+import saltdale.lighthouse.Outside;
+
+/** A machine with its disk; at most one process runs on it. */
+final class SimMachine {
+    enum Disk { WELL, FULL, HANGING }
+
+    private record Write(Map<String, byte[]> records, Process of, Consumer<Boolean> done) {
+    }
+
+    private final SimWorld world;
+    final String host;
+    final String zone;
+    List<String> seeds;
+    final boolean keeps;
+    boolean firstStart;
+    Map<String, byte[]> synced = new LinkedHashMap<>();
+    private final List<Write> writes = new ArrayList<>();  // not yet synced
+    private boolean writing;
+    Disk disk = Disk.WELL;
+    long syncNanos = 3_000_000;
+    Process process;
+    boolean frozen;
+    private final List<Runnable> late = new ArrayList<>();
+
+    SimMachine(SimWorld world, String host, String zone, List<String> seeds, boolean keeps, boolean firstStart) {
+        this.world = world;
+        this.host = host;
+        this.zone = zone;
+        this.seeds = seeds;
+        this.keeps = keeps;
+        this.firstStart = firstStart;
+        world.machines.put(host, this);
+    }
+
+    Keeper keeper() {
+        return process == null ? null : process.keeper;
+    }
+
+    Pilot pilot() {
+        return process == null ? null : process.pilot;
+    }
+
+    String id() {
+        return synced.containsKey("identity") ? new String(synced.get("identity")) : "";
+    }
+
+    void start() {
+        if (process == null) {
+            process = new Process();
+            process.begin();
+            firstStart = false;
+        }
+    }
+
+    /** The process ends at once, and others see their connections to it end; its files stay as they were written. */
+    void kill() {
+        end();
+        for (SimMachine other : world.machines.values()) {
+            world.at(world.hop(), () -> {
+                if (other.pilot() != null && !other.frozen) {
+                    other.pilot().unreachable(host);
+                }
+            });
+        }
+    }
+
+    /** No power, and nobody hears of it. */
+    void powerOff() {
+        end();
+    }
+
+    void wipe() {
+        end();
+        synced = new LinkedHashMap<>();
+    }
+
+    /** Of what was not synced some may be there, in order. */
+    private void end() {
+        writes.stream().limit(world.chance.nextInt(writes.size() + 1)).forEach(w -> put(w.records));
+        writes.clear();
+        late.clear();
+        frozen = false;
+        if (process != null) {
+            process.dead = true;
+            world.platform.closed(process);
+        }
+        process = null;
+    }
+
+    private void put(Map<String, byte[]> records) {
+        records.forEach((name, bytes) -> {
+            if (bytes == null) {
+                synced.remove(name);
+            } else {
+                synced.put(name, bytes);
+            }
+        });
+    }
+
+    void sync() {
+        if (writing || writes.isEmpty() || disk == Disk.HANGING) {
+            return;
+        }
+        writing = true;
+        Write next = writes.get(0);
+        world.at((long) (syncNanos * (0.3 + world.chance.nextDouble())), () -> {
+            writing = false;
+            if (disk != Disk.HANGING && writes.remove(next)) {
+                boolean whole = disk == Disk.WELL;
+                // A refused write may be there all the same.
+                if (whole || world.chance.nextInt(4) == 0) {
+                    put(next.records);
+                }
+                next.of.deliver(() -> next.done.accept(whole));
+            }
+            sync();
+        });
+    }
+
+    void heals() {
+        disk = Disk.WELL;
+        sync();
+    }
+
+    void freeze() {
+        frozen = process != null;
+    }
+
+    /** Timers and messages that were due come now. */
+    void thaw() {
+        frozen = false;
+        List<Runnable> due = List.copyOf(late);
+        late.clear();
+        Process of = process;
+        due.forEach(of::deliver);
+    }
+
+    /** One life of a process. */
+    final class Process implements Outside {
+        final SimMachine machine = SimMachine.this;
+        Keeper keeper;
+        Pilot pilot;
+        boolean dead;
+
+        void begin() {
+            String name = "n-" + host;
+            try {
+                if (keeps) {
+                    keeper = new Keeper(this, new Landfall(name, host, zone, seeds,
+                            firstStart, SimWorld.BEAT, Outside.millis(5000), Outside.millis(3000), world.rates), world.platform.of(this),
+                            new LinkedHashMap<>(synced));
+                    keeper.begin();
+                } else {
+                    pilot = new Pilot(this, new Bearings(name, host, zone, seeds, SimWorld.BEAT, 0.2,
+                            Outside.millis(10_000), 52), world.platform.carrier(this));
+                    pilot.begin();
+                }
+            } catch (MalformedMessage e) {
+                world.faults.add("the disk of " + host + " cannot be used: " + e.getMessage());
+            }
+        }
+
+        /** Has this process do it, when it can. */
+        void deliver(Runnable what) {
+            if (dead) {
+                return;
+            }
+            if (frozen) {
+                late.add(what);
+            } else {
+                what.run();
+            }
+        }
+
+        @Override
+        public long now() {
+            return world.now();
+        }
+
+        @Override
+        public SplittableRandom chance() {
+            return world.chance;
+        }
+
+        @Override
+        public Runnable after(long nanos, Runnable what) {
+            boolean[] off = new boolean[1];
+            world.at(nanos, () -> deliver(() -> {
+                if (!off[0]) {
+                    what.run();
+                }
+            }));
+            return () -> off[0] = true;
+        }
+
+        @Override
+        public void send(String to, Map<String, Object> message) {
+            if (!dead) {
+                world.send(host, to, message);
+            }
+        }
+
+        @Override
+        public void persist(Map<String, byte[]> records, Consumer<Boolean> done) {
+            writes.add(new Write(new LinkedHashMap<>(records), this, done));
+            sync();
+        }
+
+        @Override
+        public void note(String what) {
+            if (Boolean.getBoolean("sim.notes")) {
+                System.out.println(world.now() / 1_000_000 - 1_000_000 + " " + host + " " + what);
+            }
+        }
+
+        /** A message that has come; throws where it is malformed. */
+        void take(String from, Map<String, Object> message) throws MalformedMessage {
+            if (keeper != null) {
+                keeper.message(from, new Fields(message));
+            } else {
+                pilot.message(from, new Fields(message));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/pilot/src/test/java/saltdale/pilot/SimOperator.java
@@ -0,0 +1,73 @@
+package saltdale.pilot;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import saltdale.lighthouse.Keeper;
+
+/** What operators send, and how they go about it. */
+final class SimOperator {
+    private SimOperator() {
+    }
+
+    /** A configuration of this revision: one function, two routes to it, and as many further ones. */
+    static String config(long revision, int further) {
+        List<String> routes = new ArrayList<>(List.of(route("r-0", "/a/", "idempotent", "fn"),
+                route("r-1", "/b/", "non_idempotent", "fn")));
+        for (int i = 0; i < further; i++) {
+            routes.add(route("r-x" + i, "/x" + i + "/", "idempotent", "fn"));
+        }
+        return "{\"revision\":" + revision + ",\"routes\":[" + String.join(",", routes) + "],\"services\":["
+                + "{\"name\":\"fn\",\"health_path\":null,\"connection_limit\":20,\"protocol\":\"h1\",\"memory_mb\":128,"
+                + "\"boot_ms\":500,\"max_concurrency\":4}]}";
+    }
+
+    static String config(long revision) {
+        return config(revision, 0);
+    }
+
+    static String route(String name, String prefix, String kind, String service) {
+        return "{\"name\":\"" + name + "\",\"hostname\":\"h.example\",\"path_prefix\":\"" + prefix + "\",\"kind\":\"" + kind
+                + "\",\"timeout_ms\":5000,\"target_latency_ms\":1000,\"priority\":1,\"service\":\"" + service
+                + "\",\"max_attempts\":3}";
+    }
+
+    static void replace(SimMachine at, long base, String body, Consumer<Keeper.Reply> answer) {
+        at.process.deliver(() -> at.keeper().change(false, Long.toString(base), body.getBytes(StandardCharsets.UTF_8),
+                answer));
+    }
+
+    /** The status that comes within five seconds; 0 where none does. */
+    static int replace(SimWorld world, SimMachine at, long base, String body) {
+        return change(world, at, false, Long.toString(base), body);
+    }
+
+    static int change(SimWorld world, SimMachine at, boolean amends, String base, String body) {
+        List<Keeper.Reply> got = new ArrayList<>();
+        at.process.deliver(() -> at.keeper().change(amends, base, body.getBytes(StandardCharsets.UTF_8), got::add));
+        return world.until(5000, () -> !got.isEmpty()) ? got.get(0).status() : 0;
+    }
+
+    /** Repeats the change at all keepers in turn until one acknowledges it. */
+    static boolean insists(SimWorld world, long base, String body, long ms) {
+        long end = world.now() + ms * 1_000_000;
+        while (world.now() < end) {
+            for (SimMachine each : world.keepers) {
+                if (each.process != null && replace(world, each, base, body) == 200) {
+                    return true;
+                }
+            }
+            world.run(100);
+        }
+        return false;
+    }
+
+    /** The configuration as this keeper reads it from a majority; null where it cannot. */
+    static String read(SimWorld world, SimMachine at) {
+        List<Keeper.Reply> got = new ArrayList<>();
+        at.process.deliver(() -> at.keeper().read(got::add));
+        boolean came = world.until(5000, () -> !got.isEmpty()) && got.get(0).status() == 200;
+        return came ? new String(got.get(0).body(), StandardCharsets.UTF_8) : null;
+    }
+}
--- /dev/null
+++ b/pilot/src/test/java/saltdale/pilot/SimPlatform.java
@@ -0,0 +1,390 @@
+package saltdale.pilot;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import saltdale.lighthouse.Chart;
+import saltdale.lighthouse.Fields;
+import saltdale.lighthouse.Outside;
+import saltdale.lighthouse.Platform;
+
+/** The platform of a simulated cluster: workers, runners and their lagging list; and what pilots carry to the runners. */
+final class SimPlatform {
+    /** A start or stop as it reached the platform. */
+    record Duty(long at, String kind, String holder, long fence, String what, int status) {
+    }
+
+    static final class Worker {
+        final String name;
+        final String zone;
+        final long memory;
+        boolean draining;
+
+        Worker(String name, String zone, long memory) {
+            this.name = name;
+            this.zone = zone;
+            this.memory = memory;
+        }
+    }
+
+    final class Runner {
+        final String id = "i-" + ++runnerCount;
+        final String address = "10.64." + runnerCount / 200 + "." + runnerCount % 200 + ":8080";
+        final String service;
+        final Worker worker;
+        final long begunAt = world.now();
+        final long upAt;
+        long drainingAt = Long.MAX_VALUE;
+        long goneAt = Long.MAX_VALUE;
+        int busy;
+        int mostBusy;
+
+        Runner(String service, Worker worker) {
+            this.service = service;
+            this.worker = worker;
+            upAt = begunAt + Outside.millis(bootMs);
+        }
+
+        boolean takes() {
+            return world.now() >= upAt && world.now() < goneAt;
+        }
+
+        void drain() {
+            drainingAt = world.now();
+            goneAt = world.now() + Outside.millis(3500);
+        }
+    }
+
+    /** One call of a client, and all that became of it. */
+    static final class Asked {
+        final boolean idempotent;
+        final List<Integer> answers = new ArrayList<>();
+        final List<Attempt.End> ends = new ArrayList<>();
+        int runs;
+        long answeredAt;
+        boolean lost;  // its pilot is gone
+        Runner last;
+
+        Asked(boolean idempotent) {
+            this.idempotent = idempotent;
+        }
+
+        boolean is(int status) {
+            return answers.equals(List.of(status));
+        }
+    }
+
+    private final class Sending {
+        final Attempt attempt;
+        final SimMachine.Process from;
+        final Runner to;
+        boolean closed;
+        boolean working;
+
+        Sending(Attempt attempt, SimMachine.Process from, Runner to) {
+            this.attempt = attempt;
+            this.from = from;
+            this.to = to;
+        }
+
+        void tell(Attempt.End end) {
+            world.at(world.hop(), () -> from.deliver(() -> {
+                if (!closed) {
+                    asked().ends.add(end);
+                    sendings.remove(attempt);
+                    from.pilot.ended(attempt, end);
+                }
+            }));
+        }
+
+        Asked asked() {
+            return (Asked) attempt.call.load;
+        }
+
+        /** The runner sees its connection end and drops the work. */
+        void close() {
+            closed = true;
+            world.at(world.hop(), this::done);
+        }
+
+        void done() {
+            if (working) {
+                working = false;
+                to.busy--;
+            }
+        }
+    }
+
+    private final SimWorld world;
+    final Map<String, Worker> workers = new LinkedHashMap<>();
+    final Map<String, Runner> runners = new LinkedHashMap<>();
+    final Map<String, Integer> slots = new HashMap<>();  // by service
+    final Map<String, Integer> memory = new HashMap<>();
+    final List<Duty> duties = new ArrayList<>();
+    final List<Asked> all = new ArrayList<>();
+    final List<Long> overLimit = new ArrayList<>();  // when a runner got more than its slots
+    final List<Long> overRate = new ArrayList<>();
+    final List<Long> afterDrain = new ArrayList<>();  // calls that reached a draining runner too late
+    private final Map<String, Runner> byNonce = new HashMap<>();
+    private final Map<Long, SimMachine.Process> holders = new HashMap<>();  // by fence
+    private final Map<Attempt, Sending> sendings = new LinkedHashMap<>();
+    private final Deque<Long> lists = new ArrayDeque<>();
+    private final Deque<Long> changes = new ArrayDeque<>();
+    long highestFence;
+    long bootMs = 500;
+    long lagMs = 800;
+    long workMs = 100;
+    double losesAnswers;
+    boolean silent;
+    double breaks;  // share of calls that a runner breaks off after it has begun
+    double turnsAway;
+    double unsent;
+    private int runnerCount;
+
+    SimPlatform(SimWorld world) {
+        this.world = world;
+    }
+
+    Worker worker(String name, String zone, long megabytes) {
+        Worker made = new Worker(name, zone, megabytes);
+        workers.put(name, made);
+        return made;
+    }
+
+    Platform of(SimMachine.Process process) {
+        return new Platform() {
+            @Override
+            public void runners(String token, Consumer<Answer> answer) {
+                asked(process, lists, world.rates.listsPerSecond(), () -> page(token), answer);
+            }
+
+            @Override
+            public void workers(Consumer<Answer> answer) {
+                asked(process, lists, world.rates.listsPerSecond(), SimPlatform.this::workerList, answer);
+            }
+
+            @Override
+            public void begin(String holder, long fence, String service, String worker, String nonce,
+                              Consumer<Answer> answer) {
+                asked(process, changes, world.rates.dutiesPerSecond(), () -> duty("begin", process, holder, fence,
+                        service + " " + nonce, () -> begun(service, worker, nonce)), answer);
+            }
+
+            @Override
+            public void stop(String holder, long fence, String id, Consumer<Answer> answer) {
+                asked(process, changes, world.rates.dutiesPerSecond(), () -> duty("stop", process, holder, fence, id,
+                        () -> stopped(id)), answer);
+            }
+        };
+    }
+
+    private void asked(SimMachine.Process process, Deque<Long> calls, double rate, Supplier<Platform.Answer> made,
+                       Consumer<Platform.Answer> answer) {
+        world.at(world.hop(), () -> {
+            while (!calls.isEmpty() && world.now() - calls.peek() >= 1_000_000_000L) {
+                calls.poll();
+            }
+            boolean over = calls.size() >= rate;
+            if (over) {
+                overRate.add(world.now());
+            } else {
+                calls.add(world.now());
+            }
+            Platform.Answer reply = silent ? null : over ? new Platform.Answer(429, null) : made.get();
+            boolean lost = reply == null || world.chance.nextDouble() < losesAnswers;
+            world.at(lost ? Outside.millis(1200) : world.hop(), () -> process.deliver(() -> answer.accept(lost ? null
+                    : reply)));
+        });
+    }
+
+    private Platform.Answer page(String token) {
+        long then = world.now() - Outside.millis(lagMs);
+        int from = token == null ? 0 : Integer.parseInt(token);
+        List<Runner> shown = runners.values().stream().filter(r -> r.upAt <= then && r.goneAt > then).toList();
+        List<Object> page = new ArrayList<>();
+        shown.stream().skip(from).limit(50).forEach(r -> page.add(Fields.tree("identifier", r.id, "service", r.service,
+                "address", r.address, "zone", r.worker.zone, "worker_machine", r.worker.name, "concurrency_slots",
+                (long) slots.get(r.service), "state", r.drainingAt <= then ? "draining" : "ready",
+                "cold_remaining_ms", 0L)));
+        return new Platform.Answer(200, Fields.tree("instances", page, "next_page_token",
+                from + 50 < shown.size() ? Integer.toString(from + 50) : null));
+    }
+
+    private Platform.Answer workerList() {
+        long then = world.now() - Outside.millis(lagMs);
+        List<Object> list = new ArrayList<>();
+        workers.values().forEach(w -> list.add(Fields.tree("name", w.name, "zone", w.zone, "memory_mb", w.memory,
+                "free_memory_mb", free(w, then), "state", w.draining ? "draining" : "ready")));
+        return new Platform.Answer(200, Fields.tree("worker_machines", list));
+    }
+
+    private long free(Worker worker, long then) {
+        return worker.memory - runners.values().stream().filter(r -> r.worker == worker && r.begunAt <= then
+                && r.goneAt > then).mapToLong(r -> memory.get(r.service)).sum();
+    }
+
+    private Platform.Answer duty(String kind, SimMachine.Process process, String holder, long fence, String what,
+                                 Supplier<Platform.Answer> does) {
+        SimMachine.Process other = holders.putIfAbsent(fence, process);
+        if (other != null && other != process) {
+            world.faults.add("fence " + fence + " is used by two: " + other.machine.host + ", " + process.machine.host);
+        }
+        Platform.Answer answer = fence < highestFence ? new Platform.Answer(403, null) : does.get();
+        highestFence = Math.max(highestFence, fence);
+        duties.add(new Duty(world.now(), kind, holder, fence, what, answer.status()));
+        return answer;
+    }
+
+    private Platform.Answer begun(String service, String worker, String nonce) {
+        Worker on = workers.get(worker);
+        Runner runner = byNonce.get(service + " " + nonce);
+        if (runner == null) {
+            if (on == null || on.draining || free(on, world.now()) < memory.get(service)) {
+                return new Platform.Answer(409, null);
+            }
+            runner = new Runner(service, on);
+            runners.put(runner.id, runner);
+            byNonce.put(service + " " + nonce, runner);
+        }
+        return new Platform.Answer(200, Fields.tree("identifier", runner.id, "address", runner.address));
+    }
+
+    private Platform.Answer stopped(String id) {
+        Runner runner = runners.get(id);
+        if (runner == null) {
+            return new Platform.Answer(404, null);
+        }
+        runner.goneAt = Math.min(runner.goneAt, world.now());
+        return new Platform.Answer(200, Map.of());
+    }
+
+    List<Runner> live(String service) {
+        return runners.values().stream().filter(r -> r.service.equals(service) && r.goneAt > world.now()).toList();
+    }
+
+    Set<String> workersOf(String service) {
+        Set<String> names = new HashSet<>();
+        live(service).forEach(r -> names.add(r.worker.name));
+        return names;
+    }
+
+    // Calls of clients.
+
+    /** A client's call to this pilot; nothing comes of it where the pilot is gone. */
+    Asked call(SimMachine at, String hostname, String path, long leftMs) {
+        Chart chart = at.pilot() == null ? null : at.pilot().chart();
+        Chart.Route route = chart == null ? null : chart.route(hostname, path);
+        Asked asked = new Asked(route != null && route.idempotent());
+        all.add(asked);
+        if (route == null) {
+            asked.answers.add(at.pilot() == null ? 0 : chart == null ? 503 : 404);
+            return asked;
+        }
+        at.process.deliver(() -> at.pilot().arrived("a-" + all.size(), route, Outside.millis(leftMs), "10.9.9.9", asked));
+        return asked;
+    }
+
+    /** A process has ended: its connections do too. */
+    void closed(SimMachine.Process process) {
+        List.copyOf(sendings.values()).stream().filter(s -> s.from == process).forEach(s -> {
+            s.asked().lost = true;
+            sendings.remove(s.attempt);
+            s.close();
+        });
+    }
+
+    Carrier carrier(SimMachine.Process process) {
+        return new Carrier() {
+            @Override
+            public void carry(Attempt attempt) {
+                Sending sending = new Sending(attempt, process, runners.get(attempt.runner));
+                Asked asked = sending.asked();
+                if (!asked.idempotent && asked.ends.stream().anyMatch(end -> end.verdict() != Verdict.NOT_RUN)) {
+                    world.faults.add(attempt.call.id + " is carried again after " + asked.ends);
+                }
+                sendings.put(attempt, sending);
+                if (world.chance.nextDouble() < unsent) {
+                    sending.tell(Attempt.End.UNSENT);
+                } else {
+                    world.at(world.hop(), () -> reached(sending));
+                }
+            }
+
+            @Override
+            public void abandon(Attempt attempt) {
+                Sending sending = sendings.remove(attempt);
+                if (sending != null) {
+                    sending.asked().ends.add(Attempt.End.ABANDONED);
+                    sending.close();
+                }
+            }
+
+            @Override
+            public void deliver(Attempt attempt) {
+                answered(attempt.call, 200);
+            }
+
+            @Override
+            public void refuse(Call call, int status, long pauseMillis, String why) {
+                answered(call, status);
+            }
+
+            private void answered(Call call, int status) {
+                ((Asked) call.load).answers.add(status);
+                ((Asked) call.load).answeredAt = world.now();
+            }
+
+            @Override
+            public void tryRunner(String id, String address) {
+                world.at(2 * world.hop(), () -> process.deliver(() -> process.pilot.tried(id, runners.get(id).takes())));
+            }
+
+            @Override
+            public void forget(String id) {
+                // No connection is kept here.
+            }
+        };
+    }
+
+    private void reached(Sending sending) {
+        Runner to = sending.to;
+        if (sending.closed) {
+            return;
+        }
+        if (!to.takes()) {
+            sending.tell(Attempt.End.NOT_CONNECTED);
+            return;
+        }
+        // The list has shown it as draining for longer than drain_ms.
+        if (to.drainingAt != Long.MAX_VALUE && world.now() - to.drainingAt > Outside.millis(lagMs + 3000)) {
+            afterDrain.add(world.now());
+        }
+        sending.asked().last = to;
+        if (to.busy >= slots.get(to.service)) {
+            overLimit.add(world.now());
+            sending.tell(Attempt.End.TURNED_AWAY);
+        } else if (world.chance.nextDouble() < turnsAway) {
+            sending.tell(Attempt.End.TURNED_AWAY);
+        } else {
+            to.busy++;
+            sending.working = true;
+            sending.asked().runs++;
+            boolean breaking = world.chance.nextDouble() < breaks;
+            long work = (long) (workMs * 1e6 * (0.5 + world.chance.nextDouble()));
+            world.at(work, () -> {
+                if (sending.working) {
+                    sending.done();
+                    sending.tell(breaking ? Attempt.End.BROKEN : Attempt.End.ANSWERED);
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/pilot/src/test/java/saltdale/pilot/SimWorld.java
@@ -0,0 +1,185 @@
+package saltdale.pilot;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import saltdale.lighthouse.Fields;
+import saltdale.lighthouse.MalformedMessage;
+import saltdale.lighthouse.Outside;
+import saltdale.lighthouse.Platform;
+import saltdale.lighthouse.Trees;
+
+/** A whole cluster in one thread, all of one seed: a steady clock, links, disks, processes; runners by the platform. */
+final class SimWorld {
+    static final long BEAT = Outside.millis(1200);
+    static final String[] ZONES = {"z-a", "z-b", "z-c"};
+
+    private record Event(long at, long order, Runnable what) {
+    }
+
+    final SplittableRandom chance;
+    final SimPlatform platform;
+    final Map<String, SimMachine> machines = new LinkedHashMap<>();  // by host
+    final List<SimMachine> keepers = new ArrayList<>();
+    final List<SimMachine> pilots = new ArrayList<>();
+    final Set<String> cuts = new HashSet<>();  // "from>to"
+    final Map<Long, Object> line = new HashMap<>();  // chosen states told, by version
+    final List<String> faults = new ArrayList<>();  // what must never be, as seen
+    /** Sees each message that is sent. */
+    Consumer<Map<String, Object>> spy = message -> { };
+    Platform.Rates rates = new Platform.Rates(26, 105, List.of("starting"));
+    Fields newest;  // the newest chosen state told
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
+            : Long.compare(a.order, b.order));
+    private final Map<String, Long> arrived = new HashMap<>();
+    private long order;
+    private long now = Outside.millis(1_000_000);
+
+    SimWorld(long seed) {
+        chance = new SplittableRandom(seed);
+        platform = new SimPlatform(this);
+    }
+
+    // Time.
+
+    long now() {
+        return now;
+    }
+
+    void at(long nanos, Runnable what) {
+        events.add(new Event(now + Math.max(0, nanos), order++, what));
+    }
+
+    void run(long ms) {
+        until(ms, () -> false);
+    }
+
+    /** Runs until this holds; whether it did within the time. */
+    boolean until(long ms, BooleanSupplier holds) {
+        long end = now + Outside.millis(ms);
+        while (!holds.getAsBoolean()) {
+            if (events.isEmpty() || events.peek().at > end) {
+                now = end;
+                return holds.getAsBoolean();
+            }
+            Event next = events.poll();
+            now = next.at;
+            next.what.run();
+        }
+        return true;
+    }
+
+    /** The way of a message: mostly short, now and then long. */
+    long hop() {
+        return (long) ((0.2 + chance.nextDouble() * (chance.nextInt(20) == 0 ? 40 : 1.5)) * 1e6);
+    }
+
+    // Machines.
+
+    SimMachine keeper(String host, List<String> seeds, boolean firstStart) {
+        SimMachine made = new SimMachine(this, host, ZONES[keepers.size() % ZONES.length], seeds, true, firstStart);
+        keepers.add(made);
+        return made;
+    }
+
+    SimMachine pilot(String host, String zone) {
+        SimMachine made = new SimMachine(this, host, zone, keepers.stream().limit(3).map(k -> k.host).toList(), false, false);
+        pilots.add(made);
+        return made;
+    }
+
+    /** So many keepers at their first start, and so many pilots spread over the zones, not yet begun. */
+    SimWorld of(int keeping, int carrying) {
+        List<String> hosts = new ArrayList<>();
+        for (int i = 1; i <= keeping; i++) {
+            hosts.add("10.0.0." + i);
+        }
+        hosts.forEach(host -> keeper(host, hosts.subList(0, Math.min(3, keeping)), true));
+        for (int i = 1; i <= carrying; i++) {
+            pilot("10.1.0." + i, ZONES[i % ZONES.length]);
+        }
+        return this;
+    }
+
+    SimWorld begin() {
+        List.copyOf(machines.values()).forEach(SimMachine::start);
+        return this;
+    }
+
+    void cut(SimMachine a, SimMachine b) {
+        cutOneWay(a, b);
+        cutOneWay(b, a);
+    }
+
+    void cutOneWay(SimMachine from, SimMachine to) {
+        cuts.add(from.host + ">" + to.host);
+    }
+
+    /** Cuts it from all other keepers. */
+    void isolate(SimMachine keeper) {
+        keepers.stream().filter(k -> k != keeper).forEach(k -> cut(keeper, k));
+    }
+
+    // Messages.
+
+    void send(String from, String host, Map<String, Object> message) {
+        spy.accept(message);
+        if (message.get("t").equals("chosen")) {
+            chosen(message.get("s"));
+        }
+        String way = from + ">" + host;
+        if (cuts.contains(way)) {
+            return;
+        }
+        byte[] bytes = Trees.cbor(message);
+        // In order between two hosts; between others any.
+        long due = Math.max(now + (host.equals(from) ? 0 : hop()), arrived.getOrDefault(way, 0L));
+        arrived.put(way, due);
+        at(due - now, () -> {
+            SimMachine to = machines.get(host);
+            if (to != null && to.process != null && !cuts.contains(way)) {
+                SimMachine.Process process = to.process;
+                process.deliver(() -> take(process, from, bytes));
+            }
+        });
+    }
+
+    private void take(SimMachine.Process to, String from, byte[] bytes) {
+        try {
+            to.take(from, Trees.fromCbor(bytes));
+        } catch (MalformedMessage e) {
+            faults.add("a message of " + from + " is malformed: " + e.getMessage());
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    private void chosen(Object tree) {
+        Fields state = new Fields((Map<String, Object>) tree);
+        long version = (Long) state.map().get("v");
+        Object before = line.putIfAbsent(version, tree);
+        if (before != null && !before.equals(tree)) {
+            faults.add("version " + version + " is both " + before + " and " + tree);
+        }
+        if (newest == null || version > (Long) newest.map().get("v")) {
+            newest = state;
+        }
+    }
+
+    /** Ids of the voters of the newest state told, and whether a change of them is under way. */
+    List<Object> voters() throws MalformedMessage {
+        return newest == null ? List.of() : newest.list("m").stream().map(v -> ((List<?>) v).get(0)).map(v -> (Object) v)
+                .toList();
+    }
+
+    boolean isJoint() {
+        return newest != null && newest.has("b");
+    }
+}
