Acceptor: a text put again while its removal is being written is written again

Cause: a text counted as synced although a later write, still under way or refused, took it away; with a slow disk and two proposers in turn the record named a text that was not there, and the keeper began as a new one after a loss of power. Test: DiskTest.aTextThatIsPutAgainBeforeTheDiskIsDoneIsThereAfterALossOfPower, red before.

--- a/lighthouse/src/main/java/saltdale/lighthouse/Acceptor.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Acceptor.java
@@ -19,7 +19,9 @@
     private Ballot accepted = Ballot.NONE;
     private State state;  // null until one was accepted
     private byte[] text;  // of state.textKey; null where it names none
-    private String synced = "";  // the text that is on disk for certain
+    private String synced = "";  // the text that is on disk for certain; none while another's write may take it away
+    private String writing = "";  // the text of the newest write
+    private long changes;  // of the text that is written
     private final Set<String> written = new HashSet<>();  // those that may be
 
     Acceptor(Outside outside) {
@@ -42,6 +44,7 @@
                 throw new MalformedMessage("the text " + state.textKey() + " is missing on disk");
             }
             synced = state.textKey();
+            writing = synced;
         }
         records.keySet().stream().filter(name -> name.startsWith(TEXT))
                 .forEach(name -> written.add(name.substring(TEXT.length())));
@@ -104,6 +107,12 @@
         records.put(RECORD, Trees.cbor(Fields.tree("p", promised.tree(), "a", accepted.tree(),
                 "s", state == null ? null : state.tree())));
         String key = state == null ? "" : state.textKey();
+        if (!key.equals(writing)) {
+            writing = key;
+            synced = "";
+            changes++;
+        }
+        long of = changes;
         // Guards against a text whose own write failed while a later one goes through: it goes along until one is synced.
         if (!key.isEmpty() && !key.equals(synced)) {
             records.put(TEXT + key, text);
@@ -111,9 +120,9 @@
         }
         written.stream().filter(each -> !each.equals(key)).forEach(each -> records.put(TEXT + each, null));
         outside.persist(records, whole -> {
-            if (whole) {
+            if (whole && of == changes) {
                 synced = key;
-                written.removeIf(each -> !each.equals(key) && !each.equals(state.textKey()));
+                written.removeIf(each -> !each.equals(key));
             }
             done.accept(whole);
         });
