Keeper: a renewal is read whole before it makes a member

Cause: one malformed behind the member's fields made a member with homes of its own for 2.2 s. Test: InputTest.aMalformedRenewalMakesNoMember, red before.

--- a/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
@@ -308,6 +308,8 @@
 
     private void renewed(String fromHost, Fields message) throws MalformedMessage {
         Member member = Member.of(message.list("m"));
+        String session = message.text("s");
+        long revision = message.whole("r");
         long now = outside.now();
         members.renewed(member, message.whole("i"), now, true);
         boolean over = members.of(member.life()) == null;
@@ -317,9 +319,9 @@
             outside.send(fromHost, Fields.tree("t", "lease", "i", message.whole("i"), "over", true));
             return;
         }
-        if (subscriber == null || !subscriber.session.equals(message.text("s"))) {
-            subscriber = new Subscriber(fromHost, message.text("s"));
-            subscriber.revision = message.whole("r");
+        if (subscriber == null || !subscriber.session.equals(session)) {
+            subscriber = new Subscriber(fromHost, session);
+            subscriber.revision = revision;
             subscribers.put(member.life(), subscriber);
         }
         subscriber.member = member;
