Charts: what stands behind the configuration refuses it; read back with its nulls

Cause: the reader stopped at the end of the first object and the writer left null fields out, so that a configuration followed by anything was acknowledged and one with "health_path":null was read back without it. Trees, strict and in use between processes, reads and writes it now (it refuses a name that stands twice, too); avaje-jsonb had no other user.

--- a/lighthouse/src/main/java/saltdale/lighthouse/Charts.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Charts.java
@@ -1,8 +1,5 @@
 package saltdale.lighthouse;
 
-import io.avaje.json.JsonException;
-import io.avaje.jsonb.Jsonb;
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
@@ -13,21 +10,16 @@
 
 /** What operators send, as text: read, amended by named items, written. Items keep all fields that they came with. */
 final class Charts {
-    private static final Jsonb JSONB = Jsonb.builder().build();
-
     private Charts() {
     }
 
     @SuppressWarnings("unchecked")
     static Map<String, Object> read(byte[] text) throws InvalidChart {
         try {
-            if (JSONB.type(Object.class).fromJson(text) instanceof Map<?, ?> map) {
-                return (Map<String, Object>) whole(map);
-            }
-        } catch (JsonException | IllegalStateException | IndexOutOfBoundsException e) {
+            return (Map<String, Object>) whole(Trees.fromJson(text));
+        } catch (MalformedMessage e) {
             throw new InvalidChart("not whole JSON: " + e.getMessage());
         }
-        throw new InvalidChart("not a JSON object");
     }
 
     /** Numbers without a fraction become whole ones, whatever the reader made of them. */
@@ -46,7 +38,7 @@
     }
 
     static byte[] write(Map<String, Object> tree) {
-        return JSONB.type(Object.class).toJson(tree).getBytes(StandardCharsets.UTF_8);
+        return Trees.json(tree);
     }
 
     /** The configuration with items set and removed by name, and a new revision. */
