Tests: disks in trouble, bad configurations, malformed messages

One disk full, hanging or slow for 2 s: each change acknowledged within 1 s. 35 bad replacements, 13 bad amendments, 5 bad bases: 400 and nothing changes. Every message that a cluster sends, each part in turn of another kind.

--- /dev/null
+++ b/pilot/src/test/java/saltdale/pilot/DiskTest.java
@@ -0,0 +1,76 @@
+package saltdale.pilot;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static saltdale.pilot.SimOperator.config;
+import static saltdale.pilot.SimOperator.insists;
+import static saltdale.pilot.SimOperator.read;
+import static saltdale.pilot.SimOperator.replace;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import saltdale.lighthouse.Ballot;
+import saltdale.lighthouse.Fields;
+import saltdale.lighthouse.State;
+import saltdale.lighthouse.Voter;
+
+/** A keeper whose disk is in trouble is gone round, and what its disk holds can always be used. */
+class DiskTest {
+    @ParameterizedTest
+    @EnumSource(SimMachine.Disk.class)
+    void oneBadDiskHoldsNobodyUp(SimMachine.Disk disk) {
+        for (int seed = 0; seed < 10; seed++) {
+            SimWorld world = new SimWorld(seed).of(3, 0).begin();
+            world.run(2500);
+            assertTrue(insists(world, 0, config(1), 5000));
+            SimMachine bad = world.keepers.get(seed % 3);
+            bad.disk = disk;
+            bad.syncNanos = 2_000_000_000L;  // slow, where it is neither full nor hanging
+            for (int i = 0; i < 4; i++) {
+                long begun = world.now();
+                assertThat(replace(world, world.keepers.get((seed + i) % 3), 1 + i, config(2 + i)), is(200));
+                assertThat("the others answer for it", (world.now() - begun) / 1_000_000, lessThan(1000L));
+            }
+            bad.powerOff();
+            bad.heals();
+            bad.syncNanos = 3_000_000;
+            bad.start();
+            world.keepers.get((seed + 1) % 3).powerOff();
+            world.run(3000);
+            assertThat(read(world, bad), containsString("\"revision\":5"));
+            assertThat(world.faults, is(empty()));
+        }
+    }
+
+    /** Two proposers put different texts forward in turn, faster than the disk syncs. */
+    @Test
+    void aTextThatIsPutAgainBeforeTheDiskIsDoneIsThereAfterALossOfPower() throws Exception {
+        SimWorld world = new SimWorld(1).of(3, 0).begin();
+        world.run(2500);
+        SimMachine keeper = world.keepers.get(0);
+        List<Voter> voters = world.keepers.stream().map(k -> new Voter(k.id(), k.host, k.host)).toList();
+        State first = State.first(voters);
+        State one = first.withText(1, "1-one", "a");
+        State two = one.withText(2, "2-two", "b");
+        accept(keeper, 1000, one, "one");
+        world.run(500);
+        keeper.syncNanos = 100_000_000;
+        accept(keeper, 1001, two, "two");
+        accept(keeper, 1002, one, "one");
+        world.run(1000);
+        keeper.powerOff();
+        keeper.start();
+        assertThat(world.faults, is(empty()));
+    }
+
+    private static void accept(SimMachine keeper, long round, State state, String text) throws Exception {
+        keeper.process.take("10.0.0.2", Fields.tree("t", "accept", "b", new Ballot(round, "x").tree(), "s", state.tree(),
+                "x", text.getBytes(), "to", keeper.id()));
+    }
+}
--- /dev/null
+++ b/pilot/src/test/java/saltdale/pilot/InputTest.java
@@ -0,0 +1,216 @@
+package saltdale.pilot;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static saltdale.pilot.SimOperator.change;
+import static saltdale.pilot.SimOperator.config;
+import static saltdale.pilot.SimOperator.insists;
+import static saltdale.pilot.SimOperator.read;
+import static saltdale.pilot.SimOperator.replace;
+import static saltdale.pilot.SimOperator.route;
+import static saltdale.pilot.SimOperator.serving;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import saltdale.lighthouse.Fields;
+import saltdale.lighthouse.MalformedMessage;
+import saltdale.lighthouse.Trees;
+
+/** What operators and other processes send is checked whole before anything is done. */
+class InputTest {
+    private static String whole(String routes) {
+        return config(2).replace("\"routes\":[", "\"routes\":[" + routes + ",");
+    }
+
+    private static Stream<String> badReplacements() {
+        String good = route("r-9", "/c/", "idempotent", "fn");
+        return Stream.of("", "{", "[]", "null", "7", "\"x\"", config(2).substring(0, 300), config(2) + "x", "{}",
+                "[".repeat(100_000), "{\"a\":".repeat(100_000),
+                config(2).replace("\"revision\":2", "\"revision\":\"2\""),
+                config(2).replace("\"revision\":2", "\"revision\":2.5"),
+                config(2).replace("\"revision\":2", "\"revision\":1e400"),
+                config(2).replace("\"revision\":2", "\"revision\":-2"),
+                config(1), config(0),
+                config(2).replace("\"services\":[{", "\"services\":[7,{"),
+                config(2).replace("\"name\":\"fn\"", "\"name\":\"other\""),
+                whole("\"r\""), whole("null"), whole(good.replace("\"fn\"", "\"nobody\"")), whole(good + "," + good),
+                whole(good.replace("/c/", "/a/")), whole(good.replace("/c/", "c")), whole(good.replace("r-9", "r-0")),
+                whole(good.replace("\"timeout_ms\":5000", "\"timeout_ms\":0")),
+                whole(good.replace("\"timeout_ms\":5000", "\"timeout_ms\":-1")),
+                whole(good.replace("\"hostname\":\"h.example\",", "")),
+                whole(good.replace("idempotent", "sometimes")),
+                whole(good.replace("\"service\":\"fn\"", "\"services\":[]")),
+                whole(good.replace("\"service\":\"fn\"", "\"services\":[{\"service\":\"fn\",\"weight\":0}]")),
+                whole(good.replace("\"service\":\"fn\"",
+                        "\"services\":[{\"service\":\"fn\",\"weight\":0.0},{\"service\":\"fn\",\"weight\":0}]")),
+                whole(good.replace("\"service\":\"fn\"",
+                        "\"services\":[{\"service\":\"fn\",\"weight\":-1},{\"service\":\"fn\",\"weight\":2}]")),
+                whole(good.replace("\"service\":\"fn\"",
+                        "\"services\":[{\"service\":\"fn\",\"weight\":1},{\"service\":\"no\",\"weight\":1}]")));
+    }
+
+    private static Stream<String> badAmendments() {
+        String set = "{\"revision\":2,\"set_items\":{\"routes\":[";
+        return Stream.of("{", "[]", "{}", "{\"revision\":1}", "{\"revision\":2,\"set_items\":7}",
+                "{\"revision\":2,\"set_items\":{\"routes\":{}}}", "{\"revision\":2,\"set_items\":{\"revision\":[]}}",
+                "{\"revision\":2,\"remove_names\":{\"services\":[\"fn\"]}}",
+                "{\"revision\":2,\"remove_names\":{\"routes\":[7]}}",
+                set + route("r-9", "/c/", "idempotent", "nobody") + "]}}",
+                set + route("r-9", "/a/", "idempotent", "fn") + "]}}", set + "{\"hostname\":\"h\"}]}}",
+                set + route("r-0", "/a/", "idempotent", "fn").replace("5000", "0") + "]}}");
+    }
+
+    @Test
+    void aBadConfigurationIsRefusedAndChangesNothing() {
+        SimWorld world = new SimWorld(1).of(3, 0).begin();
+        world.run(2500);
+        assertTrue(insists(world, 0, config(1), 5000));
+        SimMachine at = world.keepers.get(1);
+        String before = read(world, at);
+        badReplacements().forEach(body -> assertThat(brief(body), change(world, at, false, "1", body), is(400)));
+        badAmendments().forEach(body -> assertThat(brief(body), change(world, at, true, "1", body), is(400)));
+        for (String base : new String[] {null, "", "x", "1.0", "99999999999999999999"}) {
+            assertThat("based on " + base, change(world, at, false, base, config(2)), is(400));
+        }
+        assertThat(read(world, at), is(before));
+        assertThat(world.newest.map().get("r"), is((Object) 1L));
+        assertThat(change(world, at, true, "1", "{\"revision\":2,\"remove_names\":{\"routes\":[\"r-1\",\"none\"]},"
+                + "\"set_items\":{\"routes\":[" + route("r-7", "/c/", "idempotent", "fn") + "]}}"), is(200));
+        assertThat(read(world, at), containsString("/c/"));
+        assertThat(read(world, at), not(containsString("/b/")));
+    }
+
+    @Test
+    void whatIsReadBackIsWhatWasSent() throws Exception {
+        SimWorld world = new SimWorld(4).of(3, 0).begin();
+        world.run(2500);
+        String sent = config(1, 5).replace("\"priority\":1", "\"priority\":1,\"more\":[null,1.25,-7,true,{\"\u00e9\":\"\u20ac\"}]");
+        assertTrue(insists(world, 0, sent, 5000));
+        assertThat(Trees.fromJson(read(world, world.keepers.get(2)).getBytes(StandardCharsets.UTF_8)),
+                is(Trees.fromJson(sent.getBytes(StandardCharsets.UTF_8))));
+    }
+
+    private static String brief(String body) {
+        return body.length() < 1000 ? body : body.substring(0, 100);
+    }
+
+    /** Each message that a cluster sends, with one part of it of another kind, is sent to all. */
+    @Test
+    void malformedMessagesChangeNothing() throws Exception {
+        SimWorld world = new SimWorld(2);
+        Map<String, List<Map<String, Object>>> seen = new LinkedHashMap<>();
+        world.spy = m -> {
+            List<Map<String, Object>> kind = seen.computeIfAbsent((String) m.get("t"), t -> new ArrayList<>());
+            if (kind.size() < 3) {
+                kind.add(m);
+            }
+        };
+        serving(world, 3, 4);
+        SimOperator.load(world, 20, 4000);
+        world.run(3000);
+        world.pilots.get(0).powerOff();
+        world.run(3000);
+        world.pilots.get(0).start();
+        world.keepers.get(0).kill();
+        world.keepers.get(0).start();
+        world.run(4000);
+        world.spy = m -> { };
+        String before = read(world, world.keepers.get(0));
+        List<Object> voters = world.voters();
+        int sent = 0;
+        for (List<Map<String, Object>> kind : seen.values()) {
+            for (Map<String, Object> message : kind) {
+                List<Object> bad = new ArrayList<>();
+                spoilt(message, bad);
+                for (Object each : bad) {
+                    for (SimMachine to : List.of(world.keepers.get(1), world.pilots.get(1))) {
+                        sent++;
+                        send(to, each);
+                    }
+                }
+            }
+        }
+        assertTrue(sent > 500, "only " + sent);
+        world.run(5000);
+        assertThat(read(world, world.keepers.get(1)), is(before));
+        assertThat(world.voters(), is(voters));
+        assertThat(replace(world, world.keepers.get(1), 1, config(2)), is(200));
+        world.run(1500);
+        SimPlatform.Asked asked = world.platform.call(world.pilots.get(1), "h.example", "/a/1", 3000);
+        world.run(3000);
+        assertThat(asked.answers, is(List.of(200)));
+        assertThat(world.faults, is(empty()));
+    }
+
+    @SuppressWarnings("unchecked")
+    private static void send(SimMachine to, Object message) {
+        try {
+            // Of whom such messages come, so that answers go where they are understood.
+            boolean ofPilot = List.of("renew", "want", "up").contains(((Map<String, Object>) message).get("t"));
+            to.process.take(ofPilot ? "10.1.0.1" : "10.0.0.3", (Map<String, Object>) message);
+        } catch (MalformedMessage expected) {
+            // It says so, and that is all.
+        } catch (RuntimeException e) {
+            throw new AssertionError("not told as malformed: " + message, e);
+        }
+    }
+
+    /** Copies of the tree in each of which one part is of another kind. */
+    private static void spoilt(Object tree, List<Object> to) {
+        if (tree instanceof Map<?, ?> map) {
+            map.forEach((name, value) -> {
+                List<Object> parts = new ArrayList<>();
+                spoilt(value, parts);
+                if (!name.equals("t")) {
+                    parts.add(value instanceof String ? (Object) 7L : "x");
+                }
+                for (Object part : parts) {
+                    Map<Object, Object> copy = new LinkedHashMap<>(map);
+                    copy.put(name, part);
+                    to.add(copy);
+                }
+            });
+        } else if (tree instanceof List<?> list) {
+            for (int i = 0; i < list.size(); i++) {
+                List<Object> parts = new ArrayList<>();
+                spoilt(list.get(i), parts);
+                parts.add(list.get(i) instanceof String ? (Object) 7L : "x");
+                for (Object part : parts) {
+                    List<Object> copy = new ArrayList<>(list);
+                    copy.set(i, part);
+                    to.add(copy);
+                }
+            }
+        }
+    }
+
+    /** A renewal that cannot be read to its end makes nobody a member. */
+    @Test
+    void aMalformedRenewalMakesNoMember() throws Exception {
+        SimWorld world = serving(3, 3, 2);
+        List<String> crews = new ArrayList<>();
+        world.spy = m -> {
+            if (m.get("t").equals("crew")) {
+                crews.add(m.get("m").toString());
+            }
+        };
+        Map<String, Object> renewal = Fields.tree("t", "renew", "m", List.of("life", "ghost", "z-a", "10.1.0.99", false),
+                "i", 1L, "s", "session", "r", -1L);
+        for (String field : List.of("i", "s", "r")) {
+            Map<String, Object> bad = new LinkedHashMap<>(renewal);
+            bad.put(field, List.of());
+            send(world.keepers.get(0), bad);
+        }
+        world.run(1500);
+        assertThat(crews.stream().filter(c -> c.contains("ghost")).toList(), is(empty()));
+    }
+}
--- a/pilot/src/test/java/saltdale/pilot/SimOperator.java
+++ b/pilot/src/test/java/saltdale/pilot/SimOperator.java
@@ -1,5 +1,7 @@
 package saltdale.pilot;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -63,6 +65,38 @@
         return false;
     }
 
+    /** A cluster whose pilots know the first configuration, with two workers in each zone. */
+    static SimWorld serving(long seed, int keepers, int pilots) {
+        return serving(new SimWorld(seed), keepers, pilots);
+    }
+
+    static SimWorld serving(SimWorld world, int keepers, int pilots) {
+        for (int i = 0; i < 6; i++) {
+            world.platform.worker("w-" + i, SimWorld.ZONES[i % 3], 4096);
+        }
+        world.platform.slots.put("fn", 4);
+        world.platform.memory.put("fn", 128);
+        world.of(keepers, pilots).begin().run(2500);
+        assertTrue(insists(world, 0, config(1), 5000));
+        assertTrue(world.until(3000, () -> world.pilots.stream().allMatch(p -> p.pilot().isReady())));
+        return world;
+    }
+
+    /** So many calls a second for a while, each to any pilot that runs and is ready; returns at once. */
+    static void load(SimWorld world, double perSecond, long ms) {
+        long end = world.now() + ms * 1_000_000;
+        world.at((long) (-Math.log(1 - world.chance.nextDouble()) / perSecond * 1e9), () -> {
+            List<SimMachine> ready = world.pilots.stream().filter(p -> p.pilot() != null && p.pilot().isReady()).toList();
+            if (!ready.isEmpty()) {
+                world.platform.call(ready.get(world.chance.nextInt(ready.size())), "h.example",
+                        world.chance.nextBoolean() ? "/a/1" : "/b/1", 3000);
+            }
+            if (world.now() < end) {
+                load(world, perSecond, (end - world.now()) / 1_000_000);
+            }
+        });
+    }
+
     /** The configuration as this keeper reads it from a majority; null where it cannot. */
     static String read(SimWorld world, SimMachine at) {
         List<Keeper.Reply> got = new ArrayList<>();
