Starter: the list's pages are counted as they come and follow at a share of the rate

Cause: pages were reckoned at 200 runners each; where the platform's hold fewer, three keepers went over its rate (50 a page, 300 runners, 26 calls/s: 22 calls too many in 16 s), and a keeper just begun let lists overlap.

--- a/lighthouse/src/main/java/saltdale/lighthouse/Starter.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Starter.java
@@ -55,6 +55,8 @@
     private long fence = -1;
     private long nonces;
     private int pages = 1;
+    private boolean listing;
+    private long pageAt;  // when the last page was asked for
     private int refused;
 
     Starter(Outside outside, Keeper keeper, Platform platform, Landfall landfall) {
@@ -72,20 +74,27 @@
     // The list of runners.
 
     private void list() {
-        list(null, new ArrayList<>(), outside.now());
+        long now = outside.now();
+        // Guards against lists of many pages that overlap; one of which no answer ever came does not hold up the next.
+        if (!listing || now - pageAt > 3 * landfall.beat()) {
+            listing = true;
+            list(null, new ArrayList<>(), 1, now);
+        }
         // All keepers together stay under half of the platform's rate, whatever number of pages the list has.
         double atLeast = keeper.keepers() * (pages + 1) / (0.5 * landfall.rates().listsPerSecond());
         outside.after(Math.max(landfall.beat() / 2, (long) (atLeast * 1e9)), this::list);
     }
 
-    private void list(String token, List<Runner> so, long askedAt) {
+    private void list(String token, List<Runner> so, int page, long askedAt) {
+        pageAt = outside.now();
         platform.runners(token, answer -> {
+            listing = false;
             if (answer == null || answer.status() != 200 || answer.body() == null) {
                 return;
             }
             try {
-                Fields page = new Fields(answer.body());
-                for (Fields each : page.objects("instances")) {
+                Fields told = new Fields(answer.body());
+                for (Fields each : told.objects("instances")) {
                     boolean ready = each.text("state").equals("ready");
                     if (!ready) {
                         drained.add(each.text("identifier"));
@@ -94,15 +103,21 @@
                             each.text("zone"), each.text("worker_machine", ""),
                             ready ? Runner.Phase.READY : Runner.Phase.LEAVING, slots(each)));
                 }
-                if (page.has("next_page_token")) {
-                    list(page.text("next_page_token"), so, askedAt);
+                // The pages as they come: how many runners one holds the platform does not say.
+                pages = Math.max(pages, page);
+                if (told.has("next_page_token")) {
+                    String next = told.text("next_page_token");
+                    listing = true;
+                    // Guards against bursts: pages follow one another no faster than all keepers together may ask.
+                    outside.after((long) (keeper.keepers() / (0.6 * landfall.rates().listsPerSecond()) * 1e9),
+                            () -> list(next, so, page + 1, askedAt));
                     return;
                 }
             } catch (MalformedMessage e) {
                 outside.note("the platform's list cannot be read: " + e.getMessage());
                 return;
             }
-            pages = Math.max(1, (so.size() + 199) / 200);
+            pages = page;
             List<Runner> news = keeper.runners().listed(so, askedAt, outside.now());
             if (!news.isEmpty()) {
                 keeper.publish();
