--- a/pilot/src/test/java/saltdale/pilot/SimPlatform.java
+++ b/pilot/src/test/java/saltdale/pilot/SimPlatform.java
@@ -131,13 +131,13 @@
     final List<Duty> duties = new ArrayList<>();
     final List<Asked> all = new ArrayList<>();
     final List<Long> overLimit = new ArrayList<>();  // when a runner got more than its slots
-    final List<Long> overRate = new ArrayList<>();
+    final List<String> overRate = new ArrayList<>();  // calls beyond the platform's rates
     final List<Long> afterDrain = new ArrayList<>();  // calls that reached a draining runner too late
     private final Map<String, Runner> byNonce = new HashMap<>();
     private final Map<Long, SimMachine.Process> holders = new HashMap<>();  // by fence
     private final Map<Attempt, Sending> sendings = new LinkedHashMap<>();
-    private final Deque<Long> lists = new ArrayDeque<>();
-    private final Deque<Long> changes = new ArrayDeque<>();
+    private final Deque<String> lists = new ArrayDeque<>();  // of the last second
+    private final Deque<String> changes = new ArrayDeque<>();
     long highestFence;
     long bootMs = 500;
     long lagMs = 800;
@@ -163,40 +163,38 @@
         return new Platform() {
             @Override
             public void runners(String token, Consumer<Answer> answer) {
-                asked(process, lists, world.rates.listsPerSecond(), () -> page(token), answer);
+                asked(process, "list" + (token == null ? "" : token), lists, world.rates.listsPerSecond(), () -> page(token),
+                        answer);
             }
 
             @Override
             public void workers(Consumer<Answer> answer) {
-                asked(process, lists, world.rates.listsPerSecond(), SimPlatform.this::workerList, answer);
+                asked(process, "workers", lists, world.rates.listsPerSecond(), SimPlatform.this::workerList, answer);
             }
 
             @Override
             public void begin(String holder, long fence, String service, String worker, String nonce,
                               Consumer<Answer> answer) {
-                asked(process, changes, world.rates.dutiesPerSecond(), () -> duty("begin", process, holder, fence,
+                asked(process, "begin", changes, world.rates.dutiesPerSecond(), () -> duty("begin", process, holder, fence,
                         service + " " + nonce, () -> begun(service, worker, nonce)), answer);
             }
 
             @Override
             public void stop(String holder, long fence, String id, Consumer<Answer> answer) {
-                asked(process, changes, world.rates.dutiesPerSecond(), () -> duty("stop", process, holder, fence, id,
+                asked(process, "stop", changes, world.rates.dutiesPerSecond(), () -> duty("stop", process, holder, fence, id,
                         () -> stopped(id)), answer);
             }
         };
     }
 
-    private void asked(SimMachine.Process process, Deque<Long> calls, double rate, Supplier<Platform.Answer> made,
+    private void asked(SimMachine.Process process, String what, Deque<String> calls, double rate, Supplier<Platform.Answer> made,
                        Consumer<Platform.Answer> answer) {
         world.at(world.hop(), () -> {
-            while (!calls.isEmpty() && world.now() - calls.peek() >= 1_000_000_000L) {
-                calls.poll();
-            }
+            calls.removeIf(c -> world.now() / 1_000_000 - Long.parseLong(c.substring(0, c.indexOf(' '))) >= 1000);
             boolean over = calls.size() >= rate;
+            calls.add(world.now() / 1_000_000 + " " + process.machine.host + " " + what);
             if (over) {
-                overRate.add(world.now());
-            } else {
-                calls.add(world.now());
+                overRate.add(calls.pollLast() + " after " + calls);
             }
             Platform.Answer reply = silent ? null : over ? new Platform.Answer(429, null) : made.get();
             boolean lost = reply == null || world.chance.nextDouble() < losesAnswers;
