--- a/lighthouse/src/main/java/saltdale/lighthouse/Scaler.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Scaler.java
@@ -193,7 +193,7 @@
             int keep = counts.lastKey();
             int are = each.getValue().size() + beginning.getOrDefault(service.name() + "@" + zone, 0);
             for (int i = are; i < want; i++) {
-                Worker worker = place(service, zone, runners, workers);
+                Worker worker = place(service, zone, runners, workers, beginning, plan);
                 // Where the zone has no room another's serves, but not more of those than are wanted in all.
                 if (worker == null || !worker.zone.equals(zone) && all >= allWanted) {
                     break;
@@ -212,10 +212,15 @@
     }
 
     /** Where the fewest runners of the service are, then where the most room is: a lost worker takes few of one service. */
-    private static Worker place(Chart.Service service, String zone, Runners runners, List<Worker> workers) {
+    private static Worker place(Chart.Service service, String zone, Runners runners, List<Worker> workers,
+                                Map<String, Integer> beginning, Plan plan) {
         Map<String, Integer> there = new HashMap<>();
         runners.of(service.name()).stream().filter(r -> r.phase().compareTo(Runner.Phase.LEAVING) < 0)
                 .forEach(r -> there.merge(r.worker(), 1, Integer::sum));
+        // What is on its way there counts as well.
+        workers.forEach(w -> there.merge(w.name, beginning.getOrDefault(service.name() + "#" + w.name, 0), Integer::sum));
+        plan.starts().stream().filter(s -> s.service().equals(service.name()))
+                .forEach(s -> there.merge(s.worker(), 1, Integer::sum));
         return workers.stream().filter(w -> w.ready && w.room >= service.memoryMb())
                 .min(Comparator.comparing((Worker w) -> !w.zone.equals(zone))
                         .thenComparing(w -> there.getOrDefault(w.name, 0))
--- a/lighthouse/src/main/java/saltdale/lighthouse/Starter.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Starter.java
@@ -239,7 +239,10 @@
     private void plan(long now) {
         reckon();
         Map<String, Integer> beginning = new HashMap<>();
-        intents.values().forEach(i -> beginning.merge(i.service + "@" + i.zone, 1, Integer::sum));
+        intents.values().forEach(i -> {
+            beginning.merge(i.service + "@" + i.zone, 1, Integer::sum);
+            beginning.merge(i.service + "#" + i.worker, 1, Integer::sum);
+        });
         Scaler.Plan plan = scaler.plan(now, keeper.chart(), keeper.demand().all(now), keeper.runners(), workers,
                 beginning);
         List<Object> news = new ArrayList<>();
