Homes: one slot is never lent twice while pilots come and go, or calls are given up

Causes: a call given up freed its slot before the runner saw its connection end; pilots learnt of a changed crew up to 700 ms apart, though a new home waits 150 ms; loans told to a home that did not know the runner, or its own part, yet were dropped; a home lent without a lease to what had waited; what ended went back to the home before.

--- a/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
@@ -54,6 +54,7 @@
     }
 
     static final String STARTING = "starting";
+    private static final long SOON = Outside.millis(5);  // several that come at once are told of once
     private static final String IDENTITY = "identity";
     private static final String BEGUN = "begun";  // the state from which all began
 
@@ -73,6 +74,7 @@
     private boolean proposing;
     private boolean ending;
     private boolean hadMajority;
+    private boolean spreading;
     private Chart chart;
     private Map<String, Object> chartTree;
 
@@ -188,6 +190,23 @@
     // Beats.
 
     private void beat() {
+        sayBeat();
+        outside.after(landfall.beat() / 3, this::beat);
+    }
+
+    /** Others hear soon who has come or gone: homes that know it at different times lend the same slots. */
+    private void crewChanged() {
+        if (!spreading) {
+            spreading = true;
+            outside.after(SOON, () -> {
+                spreading = false;
+                publish();
+                sayBeat();
+            });
+        }
+    }
+
+    private void sayBeat() {
         beats++;
         State basis = register.basis();
         Set<String> to = new LinkedHashSet<>(peers.keySet());
@@ -207,7 +226,6 @@
         peers.values().removeIf(p -> !landfall.seeds().contains(p.host) && now - p.heardAt > 60 * landfall.beat()
                 && (basis == null || basis.quorums().stream().flatMap(List::stream)
                         .noneMatch(v -> v.host().equals(p.host))));
-        outside.after(landfall.beat() / 3, this::beat);
     }
 
     private long version() {
@@ -216,7 +234,11 @@
 
     private void beaten(Fields message) throws MalformedMessage {
         Peer peer = heard(message);
+        long edition = members.edition();
         members.merge(message.list("m"), outside.now());
+        if (members.edition() != edition) {
+            publish();
+        }
         peer.leaving = message.flag("e");
         outside.send(peer.host, Fields.tree("t", "beaten", "id", id, "n", landfall.name(), "h", landfall.host(), "l", life,
                 "i", message.whole("i"), "v", version()));
@@ -311,7 +333,11 @@
         String session = message.text("s");
         long revision = message.whole("r");
         long now = outside.now();
+        long edition = members.edition();
         members.renewed(member, message.whole("i"), now, true);
+        if (members.edition() != edition) {
+            crewChanged();
+        }
         boolean over = members.of(member.life()) == null;
         Subscriber subscriber = subscribers.get(member.life());
         if (over) {
--- a/pilot/src/main/java/saltdale/pilot/Attempt.java
+++ b/pilot/src/main/java/saltdale/pilot/Attempt.java
@@ -35,7 +35,7 @@
     public final String address;
     public final long until;
     final String zone;  // the runner's
-    final Member home;
+    Member home;  // whom the slot goes back to
     final long slot;  // the number of the question by which it was lent
     final long sentAt;
     boolean over;
--- a/pilot/src/main/java/saltdale/pilot/Home.java
+++ b/pilot/src/main/java/saltdale/pilot/Home.java
@@ -54,6 +54,9 @@
     interface Lender {
         void lend(Ask ask, Runner runner);
 
+        /** Whether we are home for certain: who cannot know lends nothing. */
+        boolean mayLend();
+
         /** It waits here for a slot. */
         void waits(Ask ask);
 
@@ -65,6 +68,7 @@
     }
 
     static final int MOST_HOPS = 3;
+    static final long SETTLES = 60_000_000L;
     private static final double TAU = 2e9;  // over which arrivals are averaged
     private static final double QUICK = 0.5e9;  // the same, to see a burst at once
     private static final double LEAST = 0.4e9;  // so long at least a home has counted before it believes its counts
@@ -229,7 +233,11 @@
         if (berth == null) {
             return;
         }
-        berth.loans.remove(key);
+        Berth.Loan loan = berth.loans.remove(key);
+        if (end == Attempt.End.ABANDONED && loan != null) {
+            // Guards against a runner that is sent the next call before it has seen this one's connection end.
+            berth.loans.put(key, new Berth.Loan(loan.life(), loan.at(), now + SETTLES));
+        }
         switch (end) {
             case ANSWERED -> {
                 berth.ended(false);
@@ -275,7 +283,7 @@
 
     /** Lends what is free to those who wait, in their order; where no runner of ours will come, they go elsewhere. */
     private void serve(long now) {
-        if (now < opensAt || queue.isEmpty()) {
+        if (now < opensAt || queue.isEmpty() || !lender.mayLend()) {
             return;
         }
         if (!hasRunners()) {
@@ -297,7 +305,7 @@
             Berth berth = pick(ask, now);
             if (berth != null) {
                 queue.remove(ask);
-                berth.loans.put(ask.key, new Berth.Loan(ask.life, now, ask.until));
+                berth.loans.put(ask.key, new Berth.Loan(ask.life, now, ask.until + SETTLES));
                 berth.used = true;
                 busyAt = now;
                 lender.lend(ask, berth.runner);
--- a/pilot/src/main/java/saltdale/pilot/Pilot.java
+++ b/pilot/src/main/java/saltdale/pilot/Pilot.java
@@ -27,6 +27,9 @@
     private static final int NESTED = -1;  // the priority of calls that runners make while they hold a slot
     private static final int MOST_MOVES = 6;  // of a call that no runner began, from one runner to another
 
+    private record Held(String runner, String life, long until) {
+    }
+
     private final Outside outside;
     private final Bearings bearings;
     private final Carrier carrier;
@@ -39,7 +42,9 @@
     private final Map<String, Long> silent = new HashMap<>();  // members that did not answer, until when they are passed by
     private final Map<String, Runner> told = new LinkedHashMap<>();  // runners of services that we are home to
     private final Set<String> runnerHosts = new HashSet<>();  // where runners have been: calls from there are nested
+    private final Map<String, Held> early = new LinkedHashMap<>();  // by key: loans of runners not known here yet
     private Collection<Member> crew = List.of();
+    private long crewAt;  // when it changed last
     private Chart chart;
     private long asks;
     private boolean needed;  // something, when it was last told
@@ -138,6 +143,7 @@
         Home home = isHome(r.service()) ? home(r.service()) : null;
         if (home != null) {
             home.heard(r, outside.now());
+            tellEarly(home);
             tryBooting(home);
         }
         if (r.phase() == Runner.Phase.GONE) {
@@ -150,6 +156,7 @@
     private void crew(List<Member> next) {
         Collection<Member> before = crew;
         crew = next;
+        crewAt = outside.now();
         outside.note("crew of " + crew.size() + ": " + crew.stream().map(m -> m.name() + (m.leaving() ? "-" : "")).toList());
         long now = outside.now();
         for (Home home : List.copyOf(homes.values())) {
@@ -174,7 +181,8 @@
         for (Attempt a : carried) {
             Member was = Homes.of(a.call.service, a.zone, before);
             Member is = Homes.of(a.call.service, a.zone, crew);
-            if (is != null && (was == null || !was.life().equals(is.life())) && !is.life().equals(tender.life())) {
+            if (is != null && (was == null || !was.life().equals(is.life()))) {
+                a.home = is;
                 held.computeIfAbsent(is.host(), host -> new ArrayList<>()).add(List.of(a.call.service, a.runner,
                         key(tender.life(), a.slot), tender.life(), Math.max(0, (a.until - now) / 1_000_000)));
             }
@@ -211,12 +219,14 @@
 
     private Home home(String service) {
         return homes.computeIfAbsent(service, s -> {
-            long opensAt = outside.now() + (told.values().stream().anyMatch(r -> r.service().equals(s))
-                    ? bearings.beat() / 8 : 0);
+            // Who was home before says what is out; the runners may come to be known only after the crew.
+            long opensAt = Math.max(crewAt + bearings.beat() / 8, outside.now()
+                    + (told.values().stream().anyMatch(r -> r.service().equals(s)) ? bearings.beat() / 8 : 0));
             Home home = new Home(s, bearings.zone(), probes, outside.chance(),
                     r -> isHome(s, r.zone()), new Lending(s), opensAt);
             told.values().stream().filter(r -> r.service().equals(s)).toList()
                     .forEach(r -> home.heard(r, outside.now()));
+            tellEarly(home);
             outside.after(Math.max(0, opensAt - outside.now()), () -> home.turn(outside.now()));
             return home;
         });
@@ -516,7 +526,7 @@
         if (attempt.home.life().equals(tender.life())) {
             Home home = homes.get(attempt.call.service);
             if (home != null) {
-                home.back(key, attempt.runner, end, ran, outside.now());
+                back(home, key, attempt.runner, end, ran);
             }
         } else {
             outside.send(attempt.home.host(), Fields.tree("t", "back", "s", attempt.call.service, "k", key, "r",
@@ -524,6 +534,13 @@
         }
     }
 
+    private void back(Home home, String key, String runner, Attempt.End end, long ran) {
+        home.back(key, runner, end, ran, outside.now());
+        if (end == Attempt.End.ABANDONED) {
+            outside.after(Home.SETTLES + 1, () -> home.turn(outside.now()));
+        }
+    }
+
     // Lending.
 
     private void lend(Home.Ask ask, String service, boolean counts) {
@@ -570,6 +587,11 @@
             }
         }
 
+        @Override
+        public boolean mayLend() {
+            return tender.hasLease();
+        }
+
         @Override
         public void waits(Home.Ask ask) {
             if (ask.host == null) {
@@ -624,9 +646,10 @@
             case "back" -> {
                 Home home = homes.get(message.text("s"));
                 long end = message.whole("e");
+                early.remove(message.text("k"));
                 if (home != null && end >= 0 && end < Attempt.End.values().length) {
-                    home.back(message.text("k"), message.text("r"), Attempt.End.values()[(int) end],
-                            message.whole("d") * 1000, outside.now());
+                    back(home, message.text("k"), message.text("r"), Attempt.End.values()[(int) end],
+                            message.whole("d") * 1000);
                 }
             }
             case "held" -> held(message);
@@ -641,12 +664,26 @@
                     || !(loan.get(3) instanceof String life) || !(loan.get(4) instanceof Long left)) {
                 throw new MalformedMessage("no loan");
             }
-            if (isHome(service)) {
-                home(service).held(key, life, id, outside.now() + left * 1_000_000, outside.now());
+            Held one = new Held(id, life, outside.now() + left * 1_000_000);
+            if (!isHome(service) || !tell(home(service), key, one)) {
+                early.put(key, one);
             }
         }
     }
 
+    private boolean tell(Home home, String key, Held one) {
+        if (home.berth(one.runner) == null) {
+            return false;
+        }
+        home.held(key, one.life, one.runner, one.until, outside.now());
+        return true;
+    }
+
+    /** Loans of which we heard before we knew the runner. */
+    private void tellEarly(Home home) {
+        early.entrySet().removeIf(e -> tell(home, e.getKey(), e.getValue()));
+    }
+
     // The turn.
 
     private void turn() {
@@ -657,6 +694,7 @@
             tryBooting(home);
         });
         homes.values().removeIf(Home::isIdle);
+        early.values().removeIf(one -> one.until <= now);
         for (Home home : homes.values()) {
             home.sayWaits(now, bearings.beat() / 3);
         }
