--- a/pilot/src/test/java/saltdale/pilot/SimOperator.java
+++ b/pilot/src/test/java/saltdale/pilot/SimOperator.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import saltdale.lighthouse.Keeper;
 
 /** What operators send, and how they go about it. */
@@ -84,15 +85,18 @@
 
     /** So many calls a second for a while, each to any pilot that runs and is ready; returns at once. */
     static void load(SimWorld world, double perSecond, long ms) {
+        load(world, perSecond, ms, () -> world.chance.nextBoolean() ? "/a/1" : "/b/1");
+    }
+
+    static void load(SimWorld world, double perSecond, long ms, Supplier<String> path) {
         long end = world.now() + ms * 1_000_000;
         world.at((long) (-Math.log(1 - world.chance.nextDouble()) / perSecond * 1e9), () -> {
             List<SimMachine> ready = world.pilots.stream().filter(p -> p.pilot() != null && p.pilot().isReady()).toList();
             if (!ready.isEmpty()) {
-                world.platform.call(ready.get(world.chance.nextInt(ready.size())), "h.example",
-                        world.chance.nextBoolean() ? "/a/1" : "/b/1", 3000);
+                world.platform.call(ready.get(world.chance.nextInt(ready.size())), "h.example", path.get(), 3000);
             }
             if (world.now() < end) {
-                load(world, perSecond, (end - world.now()) / 1_000_000);
+                load(world, perSecond, (end - world.now()) / 1_000_000, path);
             }
         });
     }
--- a/pilot/src/test/java/saltdale/pilot/SimPlatform.java
+++ b/pilot/src/test/java/saltdale/pilot/SimPlatform.java
@@ -25,7 +25,7 @@
     static final class Worker {
         final String name;
         final String zone;
-        final long memory;
+        long memory;
         boolean draining;
 
         Worker(String name, String zone, long memory) {
@@ -70,13 +70,17 @@
         final List<Attempt.End> ends = new ArrayList<>();
         int runs;
         long answeredAt;
-        boolean lost;  // its pilot is gone
-        Runner last;
+        SimMachine.Process at;
 
         Asked(boolean idempotent) {
             this.idempotent = idempotent;
         }
 
+        /** The process that took it is gone. */
+        boolean isLost() {
+            return at == null || at.dead;
+        }
+
         boolean is(int status) {
             return answers.equals(List.of(status));
         }
@@ -281,6 +285,7 @@
         Chart chart = at.pilot() == null ? null : at.pilot().chart();
         Chart.Route route = chart == null ? null : chart.route(hostname, path);
         Asked asked = new Asked(route != null && route.idempotent());
+        asked.at = at.process;
         all.add(asked);
         if (route == null) {
             asked.answers.add(at.pilot() == null ? 0 : chart == null ? 503 : 404);
@@ -293,7 +298,6 @@
     /** A process has ended: its connections do too. */
     void closed(SimMachine.Process process) {
         List.copyOf(sendings.values()).stream().filter(s -> s.from == process).forEach(s -> {
-            s.asked().lost = true;
             sendings.remove(s.attempt);
             s.close();
         });
@@ -365,7 +369,6 @@
         if (to.drainingAt != Long.MAX_VALUE && world.now() - to.drainingAt > Outside.millis(lagMs + 3000)) {
             afterDrain.add(world.now());
         }
-        sending.asked().last = to;
         if (to.busy >= slots.get(to.service)) {
             overLimit.add(world.now());
             sending.tell(Attempt.End.TURNED_AWAY);
