Starter: after a refused start the workers are asked for sooner, not at once

Cause: each refusal had them asked for again at once; four calls in 100 ms where no worker had room (rate 6: one too many).

--- a/lighthouse/src/main/java/saltdale/lighthouse/Starter.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Starter.java
@@ -50,7 +50,7 @@
     private List<Scaler.Worker> workers = List.of();
     private final Map<String, Double> told = new HashMap<>();  // the platform's word on free memory
     private long workersAt = Long.MIN_VALUE / 2;
-    private boolean asking;
+    private boolean lookAgain;  // for workers, sooner than usual
     private boolean looking;
     private long fence = -1;
     private long nonces;
@@ -167,8 +167,9 @@
         leaving.keySet().removeIf(id -> keeper.runners().get(id) == null
                 || keeper.runners().get(id).phase() == Runner.Phase.GONE);
         intents.values().removeIf(i -> !i.asked && now - i.at > 20 * landfall.beat());
-        if (now - workersAt > (keeper.chart() == null ? 2 : 1) * landfall.beat()) {
+        if (now - workersAt > (lookAgain ? landfall.beat() / 2 : (keeper.chart() == null ? 2 : 1) * landfall.beat())) {
             workersAt = now;
+            lookAgain = false;
             askForWorkers();
         }
         for (Intent intent : List.copyOf(intents.values())) {
@@ -287,7 +288,7 @@
             over(intent);
             if (answer.status() != 200 || answer.body() == null) {
                 refused = 10;
-                workersAt = Long.MIN_VALUE / 2;  // no room there after all: look again
+                lookAgain = true;  // no room there after all
                 outside.note("start of " + intent.service + " on " + intent.worker + ": " + answer.status());
                 return;
             }
