Members: a life that one keeper ends is over at all; a pilot that stood still asks anew

Cause: a pilot frozen for 1.8 to 2.4 s was ended by one keeper and renewed by another, so that two homes lent the same slots until it moved; and what had been lent to it meanwhile it used after it woke. Lives that are over go along with beats now; a keeper ends none before it has had a majority for a beat, as after a freeze of its own all seem over to it.

--- a/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
@@ -74,6 +74,7 @@
     private boolean proposing;
     private boolean ending;
     private boolean hadMajority;
+    private long majoritySince;
     private boolean spreading;
     private Chart chart;
     private Map<String, Object> chartTree;
@@ -216,12 +217,13 @@
         to.remove(landfall.host());
         List<Object> news = members.news();
         long now = outside.now();
+        List<Object> over = members.over(now);
         for (String host : to) {
             Peer peer = peer(host);
             peer.sentAt.put(beats, now);
             peer.sentAt.values().removeIf(at -> now - at > 4 * landfall.beat());
             outside.send(host, Fields.tree("t", "beat", "id", id, "n", landfall.name(), "h", landfall.host(),
-                    "l", life, "i", beats, "v", version(), "e", ending ? true : null, "m", news.isEmpty() ? null : news));
+                    "l", life, "i", beats, "v", version(), "e", ending ? true : null, "m", news.isEmpty() ? null : news, "o", over.isEmpty() ? null : over));
         }
         peers.values().removeIf(p -> !landfall.seeds().contains(p.host) && now - p.heardAt > 60 * landfall.beat()
                 && (basis == null || basis.quorums().stream().flatMap(List::stream)
@@ -236,6 +238,7 @@
         Peer peer = heard(message);
         long edition = members.edition();
         members.merge(message.list("m"), outside.now());
+        members.areOver(message.texts("o"), outside.now());
         if (members.edition() != edition) {
             publish();
         }
@@ -507,13 +510,17 @@
     private void tick() {
         outside.after(landfall.beat() / 6, this::tick);
         long now = outside.now();
+        boolean had = hadMajority;
+        hadMajority = hasMajority();
+        majoritySince = had ? majoritySince : now;
         long edition = members.edition();
-        members.expire(now);
+        // Guards against a keeper that stood still or was cut off: all renewals it missed come to it first.
+        if (hadMajority && now - majoritySince > landfall.beat()) {
+            members.expire(now);
+        }
         if (members.edition() != edition) {
-            publish();
+            crewChanged();
         }
-        boolean had = hadMajority;
-        hadMajority = hasMajority();
         if (had && !hadMajority) {
             subscribers.values().forEach(s -> outside.send(s.host, Fields.tree("t", "alone")));
         }
--- a/lighthouse/src/main/java/saltdale/lighthouse/Members.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Members.java
@@ -79,6 +79,21 @@
         }
     }
 
+    /** The lives that are over of late, by what this keeper knows. */
+    List<Object> over(long now) {
+        return new ArrayList<>(ended.entrySet().stream().filter(e -> now - e.getValue() < length)
+                .map(Map.Entry::getKey).toList());
+    }
+
+    /** Lives that are over by what another keeper knows: two of a mind, or both would have homes of their own. */
+    void areOver(List<String> lives, long now) {
+        for (String life : lives) {
+            if (ended.putIfAbsent(life, now) == null && leases.remove(life) != null) {
+                edition++;
+            }
+        }
+    }
+
     /** What has been heard from members themselves since the last time this was asked. */
     List<Object> news() {
         List<Object> all = new ArrayList<>();
--- a/pilot/src/main/java/saltdale/pilot/Pilot.java
+++ b/pilot/src/main/java/saltdale/pilot/Pilot.java
@@ -44,6 +44,7 @@
     private final Set<String> runnerHosts = new HashSet<>();  // where runners have been: calls from there are nested
     private final Map<String, Held> early = new LinkedHashMap<>();  // by key: loans of runners not known here yet
     private Collection<Member> crew = List.of();
+    private long awakeAt;
     private long crewAt;  // when it changed last
     private Chart chart;
     private long asks;
@@ -107,6 +108,16 @@
         tender.leave();
     }
 
+    /** After it stood still the slots it asked for may have been lent to it and taken back: it asks anew. */
+    private void awake() {
+        long now = outside.now();
+        boolean stood = now - awakeAt > bearings.beat();
+        awakeAt = now;
+        if (stood) {
+            List.copyOf(asking.values()).forEach(this::askAgain);
+        }
+    }
+
     // News of the core.
 
     private void news(Fields message) throws MalformedMessage {
@@ -623,6 +634,7 @@
     // Messages of other processes.
 
     public void message(String from, Fields message) throws MalformedMessage {
+        awake();
         switch (message.text("t")) {
             case "ask" -> {
                 long number = message.whole("i");
@@ -687,6 +699,7 @@
     // The turn.
 
     private void turn() {
+        awake();
         outside.after(bearings.beat() / 6, this::turn);
         long now = outside.now();
         homes.values().forEach(home -> {
