--- a/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
@@ -54,7 +54,9 @@
     }
 
     static final String STARTING = "starting";
+    private static final long SOON = Outside.millis(5);  // several that come at once are told of once
     private static final String IDENTITY = "identity";
+    private static final String BEGUN = "begun";  // the state from which all began
 
     private final Outside outside;
     private final Landfall landfall;
@@ -72,6 +74,8 @@
     private boolean proposing;
     private boolean ending;
     private boolean hadMajority;
+    private long majoritySince;
+    private boolean spreading;
     private Chart chart;
     private Map<String, Object> chartTree;
 
@@ -91,13 +95,20 @@
         demand = new Demand(3 * landfall.beat());
         starter = new Starter(outside, this, platform, landfall);
         register.restore(records);
-        if (landfall.firstStart()) {
-            register.first(State.first(landfall.seeds().stream().sorted()
-                    .map(host -> new Voter(Voter.firstId(host), host, host)).toList()));
+        State begun = landfall.firstStart() ? State.first(landfall.seeds().stream().sorted()
+                .map(host -> new Voter(Voter.firstId(host), host, host)).toList())
+                : records.containsKey(BEGUN) ? State.of(new Fields(Trees.fromCbor(records.get(BEGUN)))) : null;
+        if (begun != null) {
+            register.first(begun);
         }
         landfall.seeds().stream().filter(host -> !host.equals(landfall.host())).forEach(this::peer);
         if (!records.containsKey(IDENTITY)) {
-            outside.persist(Map.of(IDENTITY, id.getBytes(StandardCharsets.UTF_8)), done -> { });
+            Map<String, byte[]> own = new HashMap<>(Map.of(IDENTITY, id.getBytes(StandardCharsets.UTF_8)));
+            if (begun != null) {
+                // Guards against all being killed before any has accepted a state: none would know whom to ask.
+                own.put(BEGUN, Trees.cbor(begun.tree()));
+            }
+            outside.persist(own, done -> { });
         }
     }
 
@@ -180,6 +191,23 @@
     // Beats.
 
     private void beat() {
+        sayBeat();
+        outside.after(landfall.beat() / 5, this::beat);
+    }
+
+    /** Others hear soon who has come or gone: homes that know it at different times lend the same slots. */
+    private void crewChanged() {
+        if (!spreading) {
+            spreading = true;
+            outside.after(SOON, () -> {
+                spreading = false;
+                publish();
+                sayBeat();
+            });
+        }
+    }
+
+    private void sayBeat() {
         beats++;
         State basis = register.basis();
         Set<String> to = new LinkedHashSet<>(peers.keySet());
@@ -189,17 +217,17 @@
         to.remove(landfall.host());
         List<Object> news = members.news();
         long now = outside.now();
+        List<Object> over = members.over(now);
         for (String host : to) {
             Peer peer = peer(host);
             peer.sentAt.put(beats, now);
             peer.sentAt.values().removeIf(at -> now - at > 4 * landfall.beat());
             outside.send(host, Fields.tree("t", "beat", "id", id, "n", landfall.name(), "h", landfall.host(),
-                    "l", life, "i", beats, "v", version(), "e", ending ? true : null, "m", news.isEmpty() ? null : news));
+                    "l", life, "i", beats, "v", version(), "e", ending ? true : null, "m", news.isEmpty() ? null : news, "o", over.isEmpty() ? null : over));
         }
         peers.values().removeIf(p -> !landfall.seeds().contains(p.host) && now - p.heardAt > 60 * landfall.beat()
                 && (basis == null || basis.quorums().stream().flatMap(List::stream)
                         .noneMatch(v -> v.host().equals(p.host))));
-        outside.after(landfall.beat() / 5, this::beat);
     }
 
     private long version() {
@@ -208,7 +236,12 @@
 
     private void beaten(Fields message) throws MalformedMessage {
         Peer peer = heard(message);
+        long edition = members.edition();
         members.merge(message.list("m"), outside.now());
+        members.areOver(message.texts("o"), outside.now());
+        if (members.edition() != edition) {
+            publish();
+        }
         peer.leaving = message.flag("e");
         outside.send(peer.host, Fields.tree("t", "beaten", "id", id, "n", landfall.name(), "h", landfall.host(), "l", life,
                 "i", message.whole("i"), "v", version()));
@@ -300,8 +333,14 @@
 
     private void renewed(String fromHost, Fields message) throws MalformedMessage {
         Member member = Member.of(message.list("m"));
+        String session = message.text("s");
+        long revision = message.whole("r");
         long now = outside.now();
+        long edition = members.edition();
         members.renewed(member, message.whole("i"), now, true);
+        if (members.edition() != edition) {
+            crewChanged();
+        }
         boolean over = members.of(member.life()) == null;
         Subscriber subscriber = subscribers.get(member.life());
         if (over) {
@@ -309,9 +348,9 @@
             outside.send(fromHost, Fields.tree("t", "lease", "i", message.whole("i"), "over", true));
             return;
         }
-        if (subscriber == null || !subscriber.session.equals(message.text("s"))) {
-            subscriber = new Subscriber(fromHost, message.text("s"));
-            subscriber.revision = message.whole("r");
+        if (subscriber == null || !subscriber.session.equals(session)) {
+            subscriber = new Subscriber(fromHost, session);
+            subscriber.revision = revision;
             subscribers.put(member.life(), subscriber);
         }
         subscriber.member = member;
@@ -471,13 +510,17 @@
     private void tick() {
         outside.after(landfall.beat() / 8, this::tick);
         long now = outside.now();
+        boolean had = hadMajority;
+        hadMajority = hasMajority();
+        majoritySince = had ? majoritySince : now;
         long edition = members.edition();
-        members.expire(now);
+        // Guards against a keeper that stood still or was cut off: all renewals it missed come to it first.
+        if (hadMajority && now - majoritySince > landfall.beat()) {
+            members.expire(now);
+        }
         if (members.edition() != edition) {
-            publish();
+            crewChanged();
         }
-        boolean had = hadMajority;
-        hadMajority = hasMajority();
         if (had && !hadMajority) {
             subscribers.values().forEach(s -> outside.send(s.host, Fields.tree("t", "alone")));
         }
@@ -489,7 +532,8 @@
             propose((newest, text) -> Proposer.Step.stay(Boolean.TRUE));
         } else if (hasMajority() && !ending) {
             State state = register.chosen();
-            if (landfall.rates().duties().contains(STARTING) && vacant(state)) {
+            // Guards against a holder that nobody makes a voter again: one whose disk was lost leaves the duty to others.
+            if (landfall.rates().duties().contains(STARTING) && state.isVoter(id) && vacant(state)) {
                 Tenure seen = state.duty(STARTING);
                 propose((newest, text) -> newest.duty(STARTING).fence() != seen.fence() ? Proposer.Step.stay(null)
                         : new Proposer.Step(newest.withDuty(STARTING,
--- a/lighthouse/src/main/java/saltdale/lighthouse/Starter.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Starter.java
@@ -50,11 +50,13 @@
     private List<Scaler.Worker> workers = List.of();
     private final Map<String, Double> told = new HashMap<>();  // the platform's word on free memory
     private long workersAt = Long.MIN_VALUE / 2;
-    private boolean asking;
+    private boolean lookAgain;  // for workers, sooner than usual
     private boolean looking;
     private long fence = -1;
     private long nonces;
     private int pages = 1;
+    private boolean listing;
+    private long pageAt = Long.MIN_VALUE / 2;  // when the last page was asked for
     private int refused;
 
     Starter(Outside outside, Keeper keeper, Platform platform, Landfall landfall) {
@@ -72,20 +74,35 @@
     // The list of runners.
 
     private void list() {
-        list(null, new ArrayList<>(), outside.now());
+        long now = outside.now();
+        if (!listing && now - pageAt < pageGap()) {
+            outside.after(pageAt + pageGap() - now, this::list);  // a first page is a page too
+            return;
+        }
+        // Guards against lists of many pages that overlap; one of which no answer ever came does not hold up the next.
+        if (!listing || now - pageAt > 3 * landfall.beat()) {
+            listing = true;
+            list(null, new ArrayList<>(), 1, now);
+        }
         // All keepers together stay under half of the platform's rate, whatever number of pages the list has.
         double atLeast = keeper.keepers() * (pages + 1) / (0.5 * landfall.rates().listsPerSecond());
         outside.after(Math.max(landfall.beat() / 2, (long) (atLeast * 1e9)), this::list);
     }
 
-    private void list(String token, List<Runner> so, long askedAt) {
+    private long pageGap() {
+        return (long) (keeper.keepers() / (0.6 * landfall.rates().listsPerSecond()) * 1e9);
+    }
+
+    private void list(String token, List<Runner> so, int page, long askedAt) {
+        pageAt = outside.now();
         platform.runners(token, answer -> {
+            listing = false;
             if (answer == null || answer.status() != 200 || answer.body() == null) {
                 return;
             }
             try {
-                Fields page = new Fields(answer.body());
-                for (Fields each : page.objects("instances")) {
+                Fields told = new Fields(answer.body());
+                for (Fields each : told.objects("instances")) {
                     boolean ready = each.text("state").equals("ready");
                     if (!ready) {
                         drained.add(each.text("identifier"));
@@ -94,15 +111,20 @@
                             each.text("zone"), each.text("worker_machine", ""),
                             ready ? Runner.Phase.READY : Runner.Phase.LEAVING, slots(each)));
                 }
-                if (page.has("next_page_token")) {
-                    list(page.text("next_page_token"), so, askedAt);
+                // The pages as they come: how many runners one holds the platform does not say.
+                pages = Math.max(pages, page);
+                if (told.has("next_page_token")) {
+                    String next = told.text("next_page_token");
+                    listing = true;
+                    // Guards against bursts: pages follow one another no faster than all keepers together may ask.
+                    outside.after(pageGap(), () -> list(next, so, page + 1, askedAt));
                     return;
                 }
             } catch (MalformedMessage e) {
                 outside.note("the platform's list cannot be read: " + e.getMessage());
                 return;
             }
-            pages = Math.max(1, (so.size() + 199) / 200);
+            pages = page;
             List<Runner> news = keeper.runners().listed(so, askedAt, outside.now());
             if (!news.isEmpty()) {
                 keeper.publish();
@@ -152,8 +174,9 @@
         leaving.keySet().removeIf(id -> keeper.runners().get(id) == null
                 || keeper.runners().get(id).phase() == Runner.Phase.GONE);
         intents.values().removeIf(i -> !i.asked && now - i.at > 20 * landfall.beat());
-        if (now - workersAt > (keeper.chart() == null ? 2 : 1) * landfall.beat()) {
+        if (now - workersAt > (lookAgain ? landfall.beat() / 2 : (keeper.chart() == null ? 2 : 1) * landfall.beat())) {
             workersAt = now;
+            lookAgain = false;
             askForWorkers();
         }
         for (Intent intent : List.copyOf(intents.values())) {
@@ -224,7 +247,10 @@
     private void plan(long now) {
         reckon();
         Map<String, Integer> beginning = new HashMap<>();
-        intents.values().forEach(i -> beginning.merge(i.service + "@" + i.zone, 1, Integer::sum));
+        intents.values().forEach(i -> {
+            beginning.merge(i.service + "@" + i.zone, 1, Integer::sum);
+            beginning.merge(i.service + "#" + i.worker, 1, Integer::sum);
+        });
         Scaler.Plan plan = scaler.plan(now, keeper.chart(), keeper.demand().all(now), keeper.runners(), workers,
                 beginning);
         List<Object> news = new ArrayList<>();
@@ -269,7 +295,7 @@
             over(intent);
             if (answer.status() != 200 || answer.body() == null) {
                 refused = 10;
-                workersAt = Long.MIN_VALUE / 2;  // no room there after all: look again
+                lookAgain = true;  // no room there after all
                 outside.note("start of " + intent.service + " on " + intent.worker + ": " + answer.status());
                 return;
             }
