--- /dev/null
+++ b/pilot/src/test/java/saltdale/pilot/Slopes.java
@@ -0,0 +1,59 @@
+package saltdale.pilot;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import saltdale.lighthouse.Trees;
+
+/** Not a test: measures the control messages of a simulated cluster by size, for docs/CAPACITY.md. */
+final class Slopes {
+    private static final int SECONDS = 10;
+
+    private Slopes() {
+    }
+
+    public static void main(String[] args) {
+        System.out.println("pilots functions | a second in all, messages/bytes by kind | bytes of one configuration change");
+        for (int[] size : new int[][] {{10, 20}, {30, 20}, {90, 20}, {270, 20}, {30, 100}, {30, 300}, {30, 700}}) {
+            measure(size[0], size[1]);
+        }
+    }
+
+    private static void measure(int pilots, int functions) {
+        SimWorld world = SimOperator.serving(5, 3, pilots);
+        List<String> routes = new ArrayList<>();
+        List<String> services = new ArrayList<>();
+        for (int i = 0; i < functions; i++) {
+            routes.add(SimOperator.route("r-" + i, "/f" + i + "/", "idempotent", "fn" + i));
+            services.add("{\"name\":\"fn" + i + "\",\"health_path\":null,\"connection_limit\":20,\"protocol\":\"h1\","
+                    + "\"memory_mb\":16,\"boot_ms\":500,\"max_concurrency\":4}");
+            world.platform.slots.put("fn" + i, 4);
+            world.platform.memory.put("fn" + i, 16);
+        }
+        Map<String, long[]> sent = new TreeMap<>();
+        world.spy = message -> {
+            long[] count = sent.computeIfAbsent((String) message.get("t"), kind -> new long[2]);
+            count[0]++;
+            count[1] += Trees.cbor(message).length + 4;
+        };
+        SimOperator.insists(world, 1, "{\"revision\":2,\"routes\":[" + String.join(",", routes) + "],\"services\":["
+                + String.join(",", services) + "]}", 8000);
+        world.run(1500);
+        long change = sent.values().stream().mapToLong(c -> c[1]).sum();
+        sent.clear();
+        // One call a second at each pilot, whatever their number.
+        SimOperator.load(world, pilots, SECONDS * 1000, () -> "/f" + world.chance.nextInt(functions) + "/1");
+        world.run(SECONDS * 1000);
+        StringBuilder line = new StringBuilder(pilots + " " + functions + " |");
+        long messages = 0;
+        long bytes = 0;
+        for (Map.Entry<String, long[]> kind : sent.entrySet()) {
+            line.append(' ').append(kind.getKey()).append(' ').append(kind.getValue()[0] / SECONDS).append('/')
+                    .append(kind.getValue()[1] / SECONDS);
+            messages += kind.getValue()[0];
+            bytes += kind.getValue()[1];
+        }
+        System.out.println(line + " | all " + messages / SECONDS + "/" + bytes / SECONDS + " | " + change);
+    }
+}
