Ballots: each reply names its voter, so that a late one is not taken for another's

Cause: a reply was counted for the voter last heard at its host; one sent before that host's disk was lost could have counted for the voter that came after. Found by reading; no schedule showed it.

--- a/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
@@ -90,7 +90,7 @@
         id = records.containsKey(IDENTITY) ? new String(records.get(IDENTITY), StandardCharsets.UTF_8)
                 : first ? Voter.firstId(landfall.host()) : Long.toHexString(outside.chance().nextLong());
         register = new Register(outside, id, life, this::chosen);
-        members = new Members(landfall.memberLease() + landfall.beat() / 4);
+        members = new Members(landfall.memberLease() + landfall.beat() * 3 / 10);
         runners = new Runners(8 * landfall.beat(), 40 * landfall.beat());
         demand = new Demand(3 * landfall.beat());
         starter = new Starter(outside, this, platform, landfall);
@@ -192,7 +192,7 @@
 
     private void beat() {
         sayBeat();
-        outside.after(landfall.beat() / 5, this::beat);
+        outside.after(landfall.beat() / 3, this::beat);
     }
 
     /** Others hear soon who has come or gone: homes that know it at different times lend the same slots. */
@@ -287,8 +287,7 @@
             }
             case "intents" -> starter.told(message);
             default -> {
-                Peer peer = peers.get(fromHost);
-                register.message(message.text("f", peer == null ? null : peer.id), fromHost, message);
+                register.message(message.text("f", ""), fromHost, message);
             }
         }
     }
@@ -508,7 +507,7 @@
     // Duties and voters.
 
     private void tick() {
-        outside.after(landfall.beat() / 8, this::tick);
+        outside.after(landfall.beat() / 6, this::tick);
         long now = outside.now();
         boolean had = hadMajority;
         hadMajority = hasMajority();
--- a/lighthouse/src/main/java/saltdale/lighthouse/Landfall.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Landfall.java
@@ -12,11 +12,11 @@
 
     /** A dispatcher may act as a member for so long after a majority could have heard of it; keepers count a little longer. */
     long memberLease() {
-        return beat;
+        return beat + beat / 2;
     }
 
     /** A keeper unheard for so long has lost its duties; longer than the lease, however late its last word came. */
     long vacancy() {
-        return lease() + beat / 4;
+        return lease() + beat / 2;
     }
 }
--- a/lighthouse/src/main/java/saltdale/lighthouse/Register.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Register.java
@@ -67,13 +67,13 @@
         switch (message.text("t")) {
             case "prepare" -> {
                 if (message.text("to").equals(id)) {
-                    acceptor.prepare(Ballot.of(message, "b"), message.text("k"), reply -> outside.send(fromHost, reply));
+                    acceptor.prepare(Ballot.of(message, "b"), message.text("k"), reply -> outside.send(fromHost, signed(reply)));
                 }
             }
             case "accept" -> {
                 if (message.text("to").equals(id)) {
                     acceptor.accept(Ballot.of(message, "b"), State.of(message.object("s")),
-                            message.has("x") ? message.bytes("x") : null, reply -> outside.send(fromHost, reply));
+                            message.has("x") ? message.bytes("x") : null, reply -> outside.send(fromHost, signed(reply)));
                 }
             }
             case "promise", "nack", "accepted", "need" -> proposer.reply(fromId, message);
@@ -88,6 +88,12 @@
         }
     }
 
+    /** Guards against a reply from before a disk was lost that is taken for one of the voter there now. */
+    private Map<String, Object> signed(Map<String, Object> reply) {
+        reply.put("f", id);
+        return reply;
+    }
+
     private void heard(String fromHost, Fields message) throws MalformedMessage {
         State state = State.of(message.object("s"));
         if (chosen != null && state.version() <= chosen.version()) {
--- a/pilot/src/main/java/saltdale/pilot/Tender.java
+++ b/pilot/src/main/java/saltdale/pilot/Tender.java
@@ -76,14 +76,14 @@
 
     private void turn() {
         long now = outside.now();
-        if (now - heardAt > bearings.beat() / 2) {
+        if (now - heardAt > bearings.beat() * 2 / 3) {
             move();
         }
         // Until the first word has come it asks more often: a keeper may start later than we do.
-        if (news == 0 || now - renewedAt >= bearings.beat() / 6) {
+        if (news == 0 || now - renewedAt >= bearings.beat() / 4) {
             renew();
         }
-        outside.after(bearings.beat() / 12, this::turn);
+        outside.after(bearings.beat() / 8, this::turn);
     }
 
     /** Another keeper, another session. */
