--- a/station/src/main/java/saltdale/station/KeeperStation.java
+++ b/station/src/main/java/saltdale/station/KeeperStation.java
@@ -12,18 +12,15 @@
 import saltdale.protocol.HttpParser;
 import saltdale.serving.Visit;
 import saltdale.transport.Listener;
-import saltdale.transport.Loop;
-import saltdale.transport.Sockets;
 import saltdale.vault.Vault;
 import saltdale.vault.VaultException;
 
 /** A keeper as a process: its disk, its links, and the calls of operators. */
-final class KeeperStation implements Links.Reader, Visit.Host {
+final class KeeperStation extends Callers implements Station, Links.Reader {
     private static final int MOST_BODY = 8 << 20;  // of a configuration, in bytes
     private static final byte[] NOTHING = new byte[0];
 
     private final Settings settings;
-    private final Harbor harbor;
     private final Keeper keeper;
     private boolean ending;
 
@@ -71,14 +68,16 @@
         }
     }
 
-    void run() throws IOException {
+    @Override
+    public void run() throws IOException {
         keeper.begin();
         harbor.noteTraffic(Duration.ofSeconds(10));
         harbor.loop.run(() -> { });
     }
 
     /** Told to end: duties are handed on, then it is over. */
-    void end() {
+    @Override
+    public void end() {
         harbor.loop.fromOutside(() -> {
             if (!ending) {
                 ending = true;
@@ -128,26 +127,6 @@
         }
     }
 
-    @Override
-    public Loop loop() {
-        return harbor.loop;
-    }
-
-    @Override
-    public Sockets sockets() {
-        return harbor.sockets;
-    }
-
-    @Override
-    public void left(Visit visit) {
-        // Nothing is kept of it.
-    }
-
-    @Override
-    public void abandoned(Visit visit) {
-        // A change that was asked for goes on without its caller.
-    }
-
     @Override
     public boolean closes(int status) {
         return ending;
--- a/station/src/main/java/saltdale/station/Main.java
+++ b/station/src/main/java/saltdale/station/Main.java
@@ -13,12 +13,6 @@
     private Main() {
     }
 
-    private interface Station {
-        void run() throws IOException;
-
-        void end();
-    }
-
     public static void main(String[] args) {
         System.exit(run(args));
     }
@@ -44,7 +38,8 @@
         }
         try {
             Settings settings = Settings.read(System.getenv(Settings.VARIABLE));
-            Station station = words.getString("role").equals("pilot") ? pilot(settings) : keeper(settings);
+            Station station = words.getString("role").equals("pilot") ? new PilotStation(settings)
+                    : new KeeperStation(settings);
             for (String signal : new String[] {"TERM", "INT"}) {
                 Signal.handle(new Signal(signal), which -> station.end());
             }
@@ -60,34 +55,4 @@
             return 1;
         }
     }
-
-    private static Station pilot(Settings settings) throws IOException, Settings.Wrong {
-        PilotStation station = new PilotStation(settings);
-        return new Station() {
-            @Override
-            public void run() throws IOException {
-                station.run();
-            }
-
-            @Override
-            public void end() {
-                station.end();
-            }
-        };
-    }
-
-    private static Station keeper(Settings settings) throws IOException, Settings.Wrong {
-        KeeperStation station = new KeeperStation(settings);
-        return new Station() {
-            @Override
-            public void run() throws IOException {
-                station.run();
-            }
-
-            @Override
-            public void end() {
-                station.end();
-            }
-        };
-    }
 }
--- a/station/src/main/java/saltdale/station/PilotStation.java
+++ b/station/src/main/java/saltdale/station/PilotStation.java
@@ -23,12 +23,10 @@
 import saltdale.transport.Address;
 import saltdale.transport.Connection;
 import saltdale.transport.Listener;
-import saltdale.transport.Loop;
 import saltdale.transport.Pool;
-import saltdale.transport.Sockets;
 
 /** A pilot as a process: clients' connections, runners' connections, links to the other processes. */
-final class PilotStation implements Links.Reader, Visit.Host, Carrier {
+final class PilotStation extends Callers implements Station, Links.Reader, Carrier {
     /** A client's request, as long as its call is open. */
     private record Request(Visit visit, Head head, byte[] body) {
     }
@@ -38,7 +36,6 @@
     private static final int MOST_DIGITS = 9;
 
     private final Settings settings;
-    private final Harbor harbor;
     private final Pilot pilot;
     private final Map<String, Pool> pools = new HashMap<>();  // by runner
     private final Map<Attempt, Exchange> exchanges = new HashMap<>();
@@ -58,17 +55,19 @@
         listener = new Listener(harbor.loop, harbor.sockets, Harbor.address(settings.front, "listen_addresses.front"),
                 (connection, full) -> visits.add(new Visit(this, connection, full)));
         new Listener(harbor.loop, harbor.sockets, Harbor.address(settings.readiness, "listen_addresses.readiness"),
-                (connection, full) -> new Visit(new Readiness(), connection, full));
+                (connection, full) -> new Visit(new Readiness(harbor, pilot), connection, full));
     }
 
-    void run() throws IOException {
+    @Override
+    public void run() throws IOException {
         pilot.begin();
         harbor.noteTraffic(Duration.ofSeconds(10));
         harbor.loop.run(() -> { });
     }
 
     /** Told to end: no longer ready, it answers all that it took and ends before it is killed. */
-    void end() {
+    @Override
+    public void end() {
         harbor.loop.fromOutside(() -> {
             if (!ending) {
                 ending = true;
@@ -163,16 +162,6 @@
         visits.remove(visit);
     }
 
-    @Override
-    public Loop loop() {
-        return harbor.loop;
-    }
-
-    @Override
-    public Sockets sockets() {
-        return harbor.sockets;
-    }
-
     @Override
     public boolean closes(int status) {
         return ending;
@@ -198,35 +187,17 @@
     }
 
     /** Who asks whether we take new connections. */
-    private final class Readiness implements Visit.Host {
-        @Override
-        public void requested(Visit visit, Head head, byte[] body) {
-            visit.answer(!head.path().equals("/readiness") ? 404 : pilot.isReady() ? 200 : 503, "", "");
-        }
+    private static final class Readiness extends Callers {
+        private final Pilot pilot;
 
-        @Override
-        public Loop loop() {
-            return harbor.loop;
-        }
-
-        @Override
-        public Sockets sockets() {
-            return harbor.sockets;
-        }
-
-        @Override
-        public void left(Visit visit) {
-            // Nothing is kept of it.
-        }
-
-        @Override
-        public void abandoned(Visit visit) {
-            // It was answered at once.
+        Readiness(Harbor harbor, Pilot pilot) {
+            this.harbor = harbor;
+            this.pilot = pilot;
         }
 
         @Override
-        public boolean closes(int status) {
-            return false;
+        public void requested(Visit visit, Head head, byte[] body) {
+            visit.answer(!head.path().equals("/readiness") ? 404 : pilot.isReady() ? 200 : 503, "", "");
         }
 
         @Override
--- /dev/null
+++ b/station/src/main/java/saltdale/station/Station.java
@@ -0,0 +1,12 @@
+package saltdale.station;
+
+import java.io.IOException;
+
+/** A role as a process. */
+interface Station {
+    /** Serves until it is told to end. */
+    void run() throws IOException;
+
+    /** Told to end, by a signal: it does so in order, on its own loop. */
+    void end();
+}
--- /dev/null
+++ b/station/src/test/java/saltdale/station/ExchangeTest.java
@@ -0,0 +1,116 @@
+package saltdale.station;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import saltdale.pilot.Attempt;
+import saltdale.pilot.Attempts;
+import saltdale.protocol.Head;
+import saltdale.protocol.HttpParser;
+import saltdale.transport.Loop;
+import saltdale.transport.Pool;
+import saltdale.transport.Sockets;
+
+/** What is made of the bytes that a runner sends: nothing reaches a client but the runner's whole answer to its request. */
+@Timeout(20)
+class ExchangeTest {
+    private static final String REQUEST = "POST /a/1 HTTP/1.1\r\nHost: h\r\nX-Saltdale-Attempt-Id: me\r\n"
+            + "X-Saltdale-Deadline-Remaining: 900\r\nX-Saltdale-Expected-Runner: i-9\r\nConnection: x-drop\r\nX-Drop: 1\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+
+    private String sent;  // what the runner read
+    private Exchange exchange;
+
+    /** The end of an exchange with a runner that reads the request, writes this and closes. */
+    private Attempt.End end(String answer) throws Exception {
+        try (ServerSocket runner = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<String> read = CompletableFuture.supplyAsync(() -> serve(runner, answer));
+            Loop loop = new Loop();
+            Pool pool = new Pool(loop, new Sockets(loop, 16), (InetSocketAddress) runner.getLocalSocketAddress(),
+                    Duration.ofSeconds(2), Duration.ofSeconds(2));
+            HttpParser parser = new HttpParser(HttpParser.Kind.REQUEST);
+            parser.take(ByteBuffer.wrap(REQUEST.getBytes(StandardCharsets.ISO_8859_1)));
+            List<Attempt.End> ends = new ArrayList<>();
+            exchange = new Exchange(Attempts.of("me", "127.0.0.1:1"), pool, (which, how) -> ends.add(how));
+            Head head = parser.head();
+            assertThat(exchange.begin(head, parser.body(), 700), is(true));
+            while (ends.isEmpty()) {
+                loop.turn(() -> { });
+            }
+            sent = read.get(10, TimeUnit.SECONDS);
+            assertThat("told once", ends.size(), is(1));
+            return ends.get(0);
+        }
+    }
+
+    private static String serve(ServerSocket runner, String answer) {
+        try (Socket socket = runner.accept()) {
+            StringBuilder got = new StringBuilder();
+            while (!got.toString().endsWith("\r\n\r\nabc")) {
+                got.append((char) socket.getInputStream().read());
+            }
+            OutputStream out = socket.getOutputStream();
+            out.write(answer.replace("|", "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+            return got.toString();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = ';', value = {
+        "ANSWERED; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Runner-Seal: s|Content-Length: 2||ok",
+        "ANSWERED; HTTP/1.1 500 No|X-Saltdale-Attempt-Id: me|Content-Length: 0||",
+        "ANSWERED; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: other|X-Saltdale-Runner-Seal: t|Content-Length: 1||x"
+                + "HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Runner-Seal: s|Content-Length: 2||ok",
+        "BROKEN; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: other|X-Saltdale-Runner-Seal: t|Content-Length: 1||x",
+        "BROKEN; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Runner-Seal: s|Content-Length: 9||cut",
+        "BROKEN; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Runner-Seal: s||no length",
+        "BROKEN; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|Content-Length: 2||ok",
+        "BROKEN; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Runner-Seal: s|Content-Encoding: gzip|Content-Length: 2||ok",
+        "BROKEN; HTTP/1.1 503 Busy|X-Saltdale-Attempt-Id: me|Content-Length: 0||",
+        "BROKEN; rubbish||",
+        "TURNED_AWAY; HTTP/1.1 503 Busy|X-Saltdale-Not-Executed: 1|Content-Length: 0||",
+        "TURNED_AWAY; HTTP/1.1 429 Busy|X-Saltdale-Attempt-Id: me|X-Saltdale-Not-Executed: 1|Content-Length: 0||",
+        "MISDIRECTED; HTTP/1.1 421 Not me|X-Saltdale-Runner-Id: i-2|Content-Length: 0||"})
+    void onlyAWholeAnswerToThisRequestIsOne(Attempt.End expected, String answer) throws Exception {
+        assertThat(end(answer), is(expected));
+        if (expected == Attempt.End.ANSWERED && answer.contains("200")) {
+            assertThat(new String(exchange.body, StandardCharsets.ISO_8859_1), is("ok"));
+        }
+    }
+
+    /** The request goes on as it came, but for what concerns one connection, with the runner and the time left named once. */
+    @Test
+    void theRequestIsPassedOnUnchangedUnderOneFraming() throws Exception {
+        end("HTTP/1.1 500 No|X-Saltdale-Attempt-Id: me|Content-Length: 0||");
+        assertThat(sent, containsString("POST /a/1 HTTP/1.1\r\n"));
+        assertThat(sent, containsString("\r\nX-Saltdale-Expected-Runner: i-1\r\n"));
+        assertThat(sent, not(containsString("i-9")));
+        assertThat(sent, containsString("\r\nX-Saltdale-Deadline-Remaining: 700\r\n"));
+        assertThat(sent, not(containsString("900")));
+        assertThat(sent, containsString("\r\nContent-Length: 3\r\n"));
+        assertThat(sent.toLowerCase(java.util.Locale.ROOT), not(containsString("transfer-encoding")));
+        assertThat(sent, not(containsString("X-Drop")));
+    }
+}
