A pilot that ends answers what waits, and all else before it is gone

Now what waits is turned away after a third of the grace (503, nothing ran), and what still runs at five sixths of it gets a 502. Test: PilotClusterTest.whatWaitsAtAPilotThatEndsIsTurnedAwayInTime.

--- a/pilot/src/main/java/saltdale/pilot/Call.java
+++ b/pilot/src/main/java/saltdale/pilot/Call.java
@@ -23,7 +23,6 @@
     int hops;  // from home to home, for the present question
     long ask;  // the number of the present question for a slot; 0 while there is none
     Member home;  // whom it went to
-    boolean awaited;  // the home has said that it waits there
     Runnable timer;
     Runnable limit;
     Attempt attempt;
--- a/pilot/src/main/java/saltdale/pilot/Pilot.java
+++ b/pilot/src/main/java/saltdale/pilot/Pilot.java
@@ -50,6 +50,7 @@
     private long asks;
     private boolean needed;  // something, when it was last told
     private boolean ending;
+    private boolean turnsAway;  // at its end, what would have to wait
 
     public Pilot(Outside outside, Bearings bearings, Carrier carrier) {
         this.outside = outside;
@@ -102,10 +103,27 @@
         return asking.size() + carried.size();
     }
 
-    /** Nothing new is to come; what is here is carried on. */
-    public void end() {
+    /** Nothing new is to come; what is here is carried on. What still waits for a slot after so long goes elsewhere. */
+    public void end(long waits) {
         ending = true;
         tender.leave();
+        outside.after(waits, () -> {
+            turnsAway = true;
+            List.copyOf(asking.values()).forEach(this::turnAway);
+        });
+    }
+
+    /** The process ends now: who has no answer yet gets one, as true as what is known. */
+    public void endNow() {
+        turnsAway = true;
+        List.copyOf(asking.values()).forEach(this::turnAway);
+        for (Attempt attempt : List.copyOf(carried)) {
+            giveUp(attempt.call, 502, 0, "the dispatcher ends while the runner is at work");
+        }
+    }
+
+    private void turnAway(Call call) {
+        giveUp(call, call.verdict == Verdict.NOT_RUN ? 503 : 502, 50, "the dispatcher ends");
     }
 
     /** After it stood still the slots it asked for may have been lent to it and taken back: it asks anew. */
@@ -371,7 +389,6 @@
             return;
         }
         call.ask = ++asks;
-        call.awaited = false;
         asking.put(call.ask, call);
         long number = call.ask;
         // A home answers at once, if only that the call waits; that is said again while it does.
@@ -462,7 +479,10 @@
     private void waits(long number) {
         Call call = asking.get(number);
         if (call != null) {
-            call.awaited = true;
+            if (turnsAway) {
+                turnAway(call);
+                return;
+            }
             call.timer.run();
             call.timer = outside.after(bearings.beat(), () -> unanswered(call, number));
         }
--- a/pilot/src/test/java/saltdale/pilot/PilotClusterTest.java
+++ b/pilot/src/test/java/saltdale/pilot/PilotClusterTest.java
@@ -158,7 +158,7 @@
                 switch (trouble) {
                     case JOIN -> world.pilot("10.1.0." + (50 + i), SimWorld.ZONES[i]).start();
                     case LEAVE -> {
-                        one.pilot().end();
+                        one.pilot().end(2_000_000_000L);
                         world.at(5_000_000_000L, one::kill);
                     }
                     case KILL -> {
@@ -297,4 +297,24 @@
             assertThat("seed " + seed, (stops.get(0).at() - won) / 1_000_000, greaterThan(4000L));
         }
     }
+
+    /** A pilot told to end holds nothing until it is killed: what waits is turned away, what runs is answered at the last. */
+    @Test
+    void whatWaitsAtAPilotThatEndsIsTurnedAwayInTime() {
+        SimWorld world = serving(3, 3, 3);
+        world.platform.bootMs = 60_000;  // no slot will come
+        SimMachine ending = world.pilots.get(0);
+        SimPlatform.Asked before = world.platform.call(ending, "h.example", "/a/1", 20_000);
+        world.run(500);
+        ending.pilot().end(1_000_000_000L);
+        SimPlatform.Asked meanwhile = world.platform.call(ending, "h.example", "/b/1", 20_000);
+        world.run(900);
+        assertThat(before.answers, is(empty()));
+        world.run(200);
+        assertThat(before.is(503) && meanwhile.is(503), is(true));
+        SimPlatform.Asked late = world.platform.call(ending, "h.example", "/a/1", 20_000);
+        world.run(300);
+        assertThat(late.is(503), is(true));
+        assertThat(ending.pilot().open(), is(0));
+    }
 }
--- a/station/src/main/java/saltdale/station/PilotStation.java
+++ b/station/src/main/java/saltdale/station/PilotStation.java
@@ -71,10 +71,13 @@
         harbor.loop.fromOutside(() -> {
             if (!ending) {
                 ending = true;
-                pilot.end();
+                pilot.end(settings.grace / 3);
                 // New connections still come until whoever hands them out has missed us twice.
                 harbor.loop.after(Duration.ofMillis(2300), this::close);
-                harbor.loop.after(Duration.ofNanos(settings.grace * 9 / 10), harbor.loop::stop);
+                harbor.loop.after(Duration.ofNanos(settings.grace * 5 / 6), () -> {
+                    pilot.endNow();
+                    harbor.loop.after(Duration.ofNanos(settings.grace / 20), harbor.loop::stop);
+                });
             }
         });
     }
