--- a/core/src/main/java/saltdale/decision/Dispatcher.java
+++ b/core/src/main/java/saltdale/decision/Dispatcher.java
@@ -12,6 +12,7 @@
 import saltdale.overload.*;
 import saltdale.probing.ProbeLoop;
 
+/** One dispatcher of jobs: probes runners for each job, stops at the first idle one, and weighs further attempts. */
 public final class Dispatcher {
     static final double SCARCE = 0.95;  // busy share above which the busy and unsteady are needed too
     static final double MOVABLE = 0.5;  // busy share up to which work that waits is moved
--- a/core/src/main/java/saltdale/decision/FleetSurvey.java
+++ b/core/src/main/java/saltdale/decision/FleetSurvey.java
@@ -13,9 +13,14 @@
     /** Work done by warm runners. */
     final Fading workDone = new Fading();
     /** How many are ready, and how many of those are set aside. */
-    double ready, aside;
+    double ready;
+
+    double aside;
     /** What a warm runner does for us, in seconds of work a second, and what of ours each known one holds. */
-    double warmRate, meanOut;
+    double warmRate;
+
+    double meanOut;
+
     private final StandingOrders orders;
     private final List<Runner> runners;
     private final Duration memory;
@@ -36,7 +41,11 @@
         this.ready = ready.size();
         long warm = ready.stream().filter(r -> orders.warmth(now, r) >= 1).count();
         warmRate = warm == 0 ? warmRate : workDone.at(now, memory) / secs(memory) / warm;
-        meanOut = ready.stream().filter(r -> r.known).mapToInt(r -> r.out.size()).average().orElse(0);
+        meanOut = ready.stream()
+                .filter(r -> r.known)
+                .mapToInt(r -> r.out.size())
+                .average()
+                .orElse(0);
         aside = ready.stream().filter(r -> r.trickle != null).count();
     }
 }
--- a/core/src/main/java/saltdale/decision/Preview.java
+++ b/core/src/main/java/saltdale/decision/Preview.java
@@ -19,7 +19,12 @@
     static final Preview NONE = new Preview();
 
     /** What may be decided otherwise; each is counted beside how often it was compared. */
-    public enum Kind { IDLE, RUNNER, CROSSING, SHED }
+    public enum Kind {
+        IDLE,
+        RUNNER,
+        CROSSING,
+        SHED
+    }
 
     private final Dispatcher dispatcher;
     private final StandingOrders other;
@@ -43,7 +48,7 @@
     private <T> T under(StandingOrders orders, Supplier<T> question) {
         StandingOrders own = dispatcher.orders;
         orders.round = own.round;
-        orders.endsAt = own.endsAt;  // neither is a matter of the shape
+        orders.endsAt = own.endsAt; // neither is a matter of the shape
         dispatcher.orders = orders;
         try {
             return question.get();
@@ -73,7 +78,8 @@
             return;
         }
         Supplier<Runner> question = () -> best(now, a);
-        Runner own = question.get(), others = under(other, question);
+        Runner own = question.get();
+        Runner others = under(other, question);
         count(Kind.RUNNER, under(other, () -> cost(now, a, own) > cost(now, a, others)));
         count(Kind.CROSSING, crosses(own) != under(other, () -> crosses(others)));
     }
--- a/core/src/main/java/saltdale/decision/WorkloadStats.java
+++ b/core/src/main/java/saltdale/decision/WorkloadStats.java
@@ -7,13 +7,17 @@
 /** What one dispatcher has seen of one workload. */
 final class WorkloadStats {
     /** The mean size in seconds, over how many that were hinted, else have ended. */
-    double usual, ended;
+    double usual;
+
+    double ended;
     /** Work that runners were picked for. */
     final Fading sought = new Fading();
     /** The longest a client has come with: that of a first try. */
     Duration patience = Duration.ZERO;
     /** Among the others, where overloads are met by levels: its first tries and its marked repeats. */
-    final Levels.Kind kind, again;
+    final Levels.Kind kind;
+
+    final Levels.Kind again;
 
     WorkloadStats(Levels levels) {
         kind = levels == null ? null : levels.add();
--- a/core/src/main/java/saltdale/model/Assignment.java
+++ b/core/src/main/java/saltdale/model/Assignment.java
@@ -7,7 +7,10 @@
 /** A client's request, from its arrival to its final answer. */
 public final class Assignment {
     /** The final answers that a dispatcher can give itself. */
-    public enum Answer { SHED, GIVEN_UP }
+    public enum Answer {
+        SHED,
+        GIVEN_UP
+    }
 
     public final Workload workload;
     public final Duration arrivedAt;
@@ -17,6 +20,7 @@
     public Tenant tenant;
     /** The hinted running time at speed 1; null where there is none. */
     public Duration hint;
+
     public double slots = 1;
     public double memory;
     /** What it concerns, as a hash: runners may keep what such work needs. 0 where it is not told. */
@@ -27,11 +31,13 @@
     public final List<Dispatch> dispatches = new ArrayList<>(2);
     /** The runners probed in the present search, and the load found at each. */
     public final List<Runner> probed = new ArrayList<>(4);
+
     public final List<Double> loads = new ArrayList<>(4);
     /** The loads, each with what a crossing to that runner's zone counts as. */
     public final List<Double> costs = new ArrayList<>(4);
     /** The runner whose probe is awaited, and since when. */
     public Runner asked;
+
     public Duration askedAt;
     /** True once the final answer is out, whoever gave it. */
     public boolean closed;
@@ -48,6 +54,7 @@
     public Duration timerAt;
     /** A search made beside a dispatch that is out. */
     public boolean secondLook;
+
     public Duration lookGap;
     /** Drawn between 0 and 1 at its arrival, and anew when it has been held. */
     public double luck;
--- a/core/src/main/java/saltdale/model/Dispatch.java
+++ b/core/src/main/java/saltdale/model/Dispatch.java
@@ -21,6 +21,7 @@
     public Outcome outcome;
     /** It was turned away where that is no proof: such a runner may have begun it first. */
     public boolean unproven;
+
     public boolean cancelWanted;
     public boolean cancelSent;
 
--- a/core/src/main/java/saltdale/model/Kind.java
+++ b/core/src/main/java/saltdale/model/Kind.java
@@ -12,7 +12,10 @@
         this.pace = pace;
     }
 
-    /** Free slots and jobs in flight add up to its slots; where only the free ones are told, the most seen are a bound. */
+    /**
+     * Free slots and jobs in flight add up to its slots; where only the free ones are told, the most seen are a
+     * bound.
+     */
     public void sawFree(LoadReport report) {
         if (report.freeSlots() >= 1 && !Double.isNaN(report.inFlight())) {
             double seen = report.freeSlots() + report.inFlight();
--- a/core/src/main/java/saltdale/model/Pace.java
+++ b/core/src/main/java/saltdale/model/Pace.java
@@ -7,6 +7,7 @@
 public final class Pace {
     /** The group it is measured within; null for all. */
     public Pace within;
+
     private final double enough;
     private double taken;
     private double expected;
--- a/core/src/main/java/saltdale/model/Runner.java
+++ b/core/src/main/java/saltdale/model/Runner.java
@@ -11,11 +11,15 @@
 
 /** A worker machine: what the list says of it, and what this dispatcher has seen. */
 public final class Runner {
-    public enum Mode { READY, DRAINING, GONE }
+    /** Whether the runner takes requests, as the list says. */
+    public enum Mode {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** Until when a workload is kept from it, and for how long that was. */
-    record Refusal(Duration until, Duration gap) {
-    }
+    record Refusal(Duration until, Duration gap) {}
 
     /** A hash of its name, alike at all dispatchers. */
     public long hash;
@@ -24,10 +28,12 @@
     public String kind = "";
     /** What is known of its kind; set when a list first tells of it. */
     public Kind of = new Kind(null);
+
     public String zone = "";
     public double power = 1;
     /** Gone until a list names it; what the dispatcher has forgotten is gone as well. */
     public Mode mode = Mode.GONE;
+
     public int cell;
     /** Null: long ago. */
     public Duration startedAt;
@@ -42,6 +48,7 @@
     public final Histogram failures = Histogram.ofOdds(16);
     /** How long our assignments ran on it beside what was expected, and when the last of them ended. */
     public final Pace pace = new Pace(16, null);
+
     public Duration pacedAt = Duration.ZERO;
     /** When a probe last found it busy; null once it was idle or ended a dispatch of ours. */
     public Duration busyAt;
@@ -49,6 +56,7 @@
     public final Map<Workload, Refusal> refused = new HashMap<>();
     /** The gap of the trickle to a runner set aside; null for a runner in good standing. */
     public Duration trickle;
+
     public Duration trickleAt = Duration.ZERO;
     /** Since it last was silent: until when it is passed over, and for how long that was; null once it is heard. */
     private Refusal silence;
@@ -89,7 +97,7 @@
     /** Takes over what the list says; a fresh process has no record. */
     public void sighted(Sighting s, Kind named) {
         if (s.mode() == Mode.GONE) {
-            mode = Mode.GONE;  // guards against entries that tell no more than this: its zone and cell still count
+            mode = Mode.GONE; // guards against entries that tell no more than this: its zone and cell still count
             return;
         }
         if (s.startedAt() != null && !s.startedAt().equals(startedAt)) {
@@ -126,7 +134,8 @@
     }
 
     /**
-     * It turned this dispatch away: so it is full at that load or, all but idle, takes no such workload for now. That is
+     * It turned this dispatch away: so it is full at that load or, all but idle, takes no such workload for now.
+     * That is
      * tried again after the spell, then after gaps that double, up to four spells.
      */
     public void turnedAway(Duration now, Dispatch d, Duration spell) {
--- a/core/src/main/java/saltdale/model/Spans.java
+++ b/core/src/main/java/saltdale/model/Spans.java
@@ -4,8 +4,7 @@
 
 /** Arithmetic on spans of time. */
 public final class Spans {
-    private Spans() {
-    }
+    private Spans() {}
 
     public static double secs(Duration span) {
         return span.getSeconds() + span.getNano() / 1e9;
--- a/core/src/main/java/saltdale/model/StandingOrders.java
+++ b/core/src/main/java/saltdale/model/StandingOrders.java
@@ -10,6 +10,7 @@
     public final List<Tenant> tenants = new ArrayList<>();
     /** This dispatcher's number and how many there are. */
     public int index;
+
     public int dispatchers = 1;
     public String zone = "";
     /** The least time between two rounds of events. */
@@ -60,6 +61,7 @@
     public double beyondShare = 1;
     /** The weight of the whole run's service in the goal, beside which the tariffs stand. */
     public double whole = 1;
+
     public double crossZonePrice;
     public double handshakePrice;
     public double probePrice;
--- a/core/src/main/java/saltdale/model/Workload.java
+++ b/core/src/main/java/saltdale/model/Workload.java
@@ -7,26 +7,38 @@
 /** One kind of work, as the standing orders describe it. */
 public final class Workload {
     /** What a repeat of an assignment does. */
-    public enum Repeat { PURE, RECEIPTED, EFFECTFUL }
+    public enum Repeat {
+        PURE,
+        RECEIPTED,
+        EFFECTFUL
+    }
 
     /** The runners that recognise a receipt another of them has seen. */
-    public enum Group { ALL, ZONE, CELL }
+    public enum Group {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     public String name = "";
     public Duration promised = Duration.ZERO;
     public Duration patience = Duration.ZERO;
     /** The promised time grows by this many times the assignment's own running time. */
     public double stretch;
+
     public double importance = 1;
     /** The part of the importance that an answer after the promised time still earns. */
     public double lateImportance;
+
     public Repeat repeat = Repeat.PURE;
     public Group group = Group.ALL;
     /** How long a group remembers a receipt. */
     public Duration window = Duration.ZERO;
+
     public boolean streamed;
     /** The only machine kinds and the only zones that it may run on; empty for any. */
     public final Set<String> kinds = new HashSet<>();
+
     public final Set<String> zones = new HashSet<>();
 
     public boolean isBound() {
--- a/core/src/main/java/saltdale/orders/Fields.java
+++ b/core/src/main/java/saltdale/orders/Fields.java
@@ -82,12 +82,15 @@
     }
 
     public long whole(int i, String field) {
-        return whole(node.get(i), field, v -> v.isIntegralNumber() && v.canConvertToLong()).longValue();
+        return whole(node.get(i), field, v -> v.isIntegralNumber() && v.canConvertToLong())
+                .longValue();
     }
 
     /** A whole number of any size, cut to its low 64 bits. */
     public long bits(int i, String field) {
-        return whole(node.get(i), field, JsonNode::isIntegralNumber).bigIntegerValue().longValue();
+        return whole(node.get(i), field, JsonNode::isIntegralNumber)
+                .bigIntegerValue()
+                .longValue();
     }
 
     public long whole(int i, String field, long absent) {
@@ -146,8 +149,8 @@
             return above;
         }
         ObjectNode both = below.deepCopy();
-        above.fields().forEachRemaining(each ->
-                both.set(each.getKey(), laidOver(below.get(each.getKey()), each.getValue())));
+        above.fields()
+                .forEachRemaining(each -> both.set(each.getKey(), laidOver(below.get(each.getKey()), each.getValue())));
         return both;
     }
 
--- a/core/src/main/java/saltdale/orders/OrdersReader.java
+++ b/core/src/main/java/saltdale/orders/OrdersReader.java
@@ -9,8 +9,7 @@
 
 /** Reads the settings of the wire into standing orders; keys it does not know are skipped. */
 public final class OrdersReader {
-    private OrdersReader() {
-    }
+    private OrdersReader() {}
 
     public static StandingOrders read(Fields options) {
         StandingOrders orders = new StandingOrders();
--- a/core/src/main/java/saltdale/overload/Budget.java
+++ b/core/src/main/java/saltdale/overload/Budget.java
@@ -1,13 +1,14 @@
 package saltdale.overload;
 
 /**
- * Further dispatches as a part of first ones, while most of the further ones fail: each dispatcher keeps to its part, and
+ * Further dispatches as a part of first ones, while most of the further ones fail: each dispatcher keeps to its
+ * part, and
  * so all together do, with no word between them. It may hurt where failures are short and far between: then what
  * would have succeeded waits for its part.
  */
 public final class Budget {
-    private static final double PART = 0.1;  // of first dispatches, as retry budgets have it (SRE book, ch. 21)
-    private static final double MOST = 2;  // saved up at the most, so that a quiet time is no licence
+    private static final double PART = 0.1; // of first dispatches, as retry budgets have it (SRE book, ch. 21)
+    private static final double MOST = 2; // saved up at the most, so that a quiet time is no licence
 
     private double left = MOST;
 
--- a/core/src/main/java/saltdale/overload/Levels.java
+++ b/core/src/main/java/saltdale/overload/Levels.java
@@ -18,21 +18,23 @@
  */
 public final class Levels {
     public static final int MOST = 10;
-    private static final int MOST_UP = 3;  // steps at once; down it goes one by one
-    private static final double ALIKE = 1.1;  // earning within this of the dearest is no less
+    private static final int MOST_UP = 3; // steps at once; down it goes one by one
+    private static final double ALIKE = 1.1; // earning within this of the dearest is no less
 
     /** A workload: what is known of it by now. */
     public static final class Kind {
         private final Fading offered = new Fading();
-        private double earns = Double.POSITIVE_INFINITY;  // importance for a second of work
-        private double slack;  // seconds that it can wait
+        private double earns = Double.POSITIVE_INFINITY; // importance for a second of work
+        private double slack; // seconds that it can wait
         private boolean isDear = true;
-        private final Fading judged = new Fading();  // how many of it were let in and came to an end
-        private final Fading missed = new Fading();  // how many of those not in time
+        private final Fading judged = new Fading(); // how many of it were let in and came to an end
+        private final Fading missed = new Fading(); // how many of those not in time
 
         /**
-         * Until so many of it have ended, nobody knows what it earns: it is then never turned away, and goes before what can
-         * wait longer, as that is likely larger; but it waits no longer than leaves dear work its place. Guards against a
+         * Until so many of it have ended, nobody knows what it earns: it is then never turned away, and goes
+         * before what can
+         * wait longer, as that is likely larger; but it waits no longer than leaves dear work its place. Guards
+         * against a
          * start in the midst of an overload: the first guesses would shed the dear, or fill all queues with the cheap.
          */
         private boolean isUnknown() {
@@ -45,7 +47,7 @@
     private final List<Kind> kinds = new ArrayList<>();
     private Duration waitAt = Duration.ZERO;
     private double wait;
-    private double bearable;  // seconds that the dearer work can wait
+    private double bearable; // seconds that the dearer work can wait
     private Duration changedAt = Duration.ZERO;
     private int level;
     private long changes;
@@ -85,12 +87,18 @@
     /** Whether it is to be turned away at its arrival; {@code luck} from 0 to 1 places it among its own. */
     public boolean turnsAway(Duration now, Kind kind, double luck) {
         kinds.forEach(each -> each.isDear = each.offered.at(now, memory) > 0);
-        double dearest = kinds.stream().filter(k -> k.isDear && !k.isUnknown()).mapToDouble(k -> k.earns).max()
+        double dearest = kinds.stream()
+                .filter(k -> k.isDear && !k.isUnknown())
+                .mapToDouble(k -> k.earns)
+                .max()
                 .orElse(0);
-        double unknown = kinds.stream().filter(k -> k.isDear && k.isUnknown()).mapToDouble(k -> k.slack).min()
+        double unknown = kinds.stream()
+                .filter(k -> k.isDear && k.isUnknown())
+                .mapToDouble(k -> k.slack)
+                .min()
                 .orElse(Double.POSITIVE_INFINITY);
-        kinds.forEach(each -> each.isDear &= each.isUnknown()
-                || each.earns * ALIKE >= dearest && each.slack <= unknown);
+        kinds.forEach(
+                each -> each.isDear &= each.isUnknown() || each.earns * ALIKE >= dearest && each.slack <= unknown);
         double worth = 0;
         double borne = 0;
         double below = 0;
@@ -121,7 +129,8 @@
     }
 
     /**
-     * Towards what the wait asks for: by bounded steps, and down only once that lies two steps lower, so that a wait that
+     * Towards what the wait asks for: by bounded steps, and down only once that lies two steps lower, so that a
+     * wait that
      * hovers changes nothing; up only while dearer work misses its promise, or waits that all can bear would turn work
      * away. What was found fades where nothing is probed any more, or no one would ever be let in.
      */
@@ -132,11 +141,17 @@
         double found = bearable <= 0 ? 0 : wait * Math.exp(-Spans.secs(now.minus(waitAt)) / bearable);
         double part = bearable <= 0 || !some ? 0 : found / bearable;
         double asked = MOST * Math.max(0, Math.min(1, (part - relief.low()) / (relief.high() - relief.low())));
-        int next = asked > level + 0.5 ? needed ? Math.min(level + MOST_UP, (int) Math.round(asked)) : level
+        int next = asked > level + 0.5
+                ? needed ? Math.min(level + MOST_UP, (int) Math.round(asked)) : level
                 : asked <= level - 2 || asked == 0 ? Math.max(0, level - 1) : level;
         if (next != level) {
-            reason = String.format(Locale.ROOT, "level %d to %d: a wait of %.3f s, the dearer work can bear %.3f s",
-                    level, next, found, bearable);
+            reason = String.format(
+                    Locale.ROOT,
+                    "level %d to %d: a wait of %.3f s, the dearer work can bear %.3f s",
+                    level,
+                    next,
+                    found,
+                    bearable);
             level = next;
             changes++;
             changedAt = now;
@@ -145,12 +160,15 @@
 
     /**
      * The wait that an assignment may meet where it is sent, of this slack: a part of it where nothing tells how many
-     * tries came before; for cheaper work in an overload, and for what can't be weighed yet, no more than leaves the dear
+     * tries came before; for cheaper work in an overload, and for what can't be weighed yet, no more than leaves
+     * the dear
      * its place behind it.
      */
     public double bears(Kind kind, double slack, boolean marked) {
         double own = marked ? slack : relief.borne() * slack;
-        return bearable > 0 && (kind.isUnknown() || level > 0 && !kind.isDear) ? Math.min(own, relief.high() * bearable) : own;
+        return bearable > 0 && (kind.isUnknown() || level > 0 && !kind.isDear)
+                ? Math.min(own, relief.high() * bearable)
+                : own;
     }
 
     public int level() {
--- a/core/src/test/java/saltdale/decision/DispatcherTest.java
+++ b/core/src/test/java/saltdale/decision/DispatcherTest.java
@@ -106,12 +106,12 @@
         runner.known = true;
         scene.sentTo(runner);
         assertEquals(1, dispatcher.load(runner));
-        runner.of.sawFree(report(5, 2));  // at one of its kind, which has seven slots then
+        runner.of.sawFree(report(5, 2)); // at one of its kind, which has seven slots then
         runner.report = report(11, 0);
         assertEquals(4, dispatcher.load(runner));
         scene.orders.liveWeights = true;
         runner.report = report(Double.NaN, 0);
-        runner.power = 1 / 3.0;  // of 1: two jobs a core are held
+        runner.power = 1 / 3.0; // of 1: two jobs a core are held
         assertEquals(7, dispatcher.load(runner), 1e-9);
     }
 
@@ -200,9 +200,14 @@
         scene.arrives(scene.assignment());
         assertEquals(List.of(), scene.acts);
         Runner open = new Runner();
-        scene.dispatcher.listed(Scene.at(1), List.of(new Sighting(open, "big", "there", 1, Runner.Mode.READY, 0, null),
-                new Sighting(new Runner(), "big", "here", 1, Runner.Mode.READY, 0, null),
-                new Sighting(new Runner(), "any", "there", 1, Runner.Mode.READY, 0, null)), false, false);
+        scene.dispatcher.listed(
+                Scene.at(1),
+                List.of(
+                        new Sighting(open, "big", "there", 1, Runner.Mode.READY, 0, null),
+                        new Sighting(new Runner(), "big", "here", 1, Runner.Mode.READY, 0, null),
+                        new Sighting(new Runner(), "any", "there", 1, Runner.Mode.READY, 0, null)),
+                false,
+                false);
         for (int i = 0; i < 8; i++) {
             scene.arrives(scene.assignment());
         }
@@ -237,7 +242,8 @@
         Runner runner = dispatcher.runners.get(0);
         dispatcher.listed(Scene.at(1), List.of(), true, false);
         assertEquals(Runner.Mode.GONE, runner.mode);
-        dispatcher.listed(Scene.at(2), List.of(new Sighting(runner, "", "", 1, Runner.Mode.GONE, 9, null)), false, false);
+        dispatcher.listed(
+                Scene.at(2), List.of(new Sighting(runner, "", "", 1, Runner.Mode.GONE, 9, null)), false, false);
         assertEquals("here", runner.zone, "an entry that is gone tells nothing else");
     }
 
@@ -352,7 +358,9 @@
         for (int i = 0; i < 100; i++) {
             scene.arrives(new Assignment(scene.workload, Scene.at(0), scene.workload.patience));
         }
-        return scene.probes.subList(before, scene.probes.size()).stream().filter(these::contains).count();
+        return scene.probes.subList(before, scene.probes.size()).stream()
+                .filter(these::contains)
+                .count();
     }
 
     @Test
@@ -480,11 +488,11 @@
     @Test
     void aFirstTryOfAnImpatientClientIsNotTakenForALateOne() {
         scene.orders.repeatsMarked = true;
-        scene.orders.tellsStart = false;  // so that what the test sends does not count as waiting
+        scene.orders.tellsStart = false; // so that what the test sends does not count as waiting
         scene.with(1).waitPerLoad = 0.35;
-        scene.arrives(scene.assignment());  // this one waits 6 s
+        scene.arrives(scene.assignment()); // this one waits 6 s
         scene.finds(1);
-        for (double queue : new double[] {0, 1}) {  // 0.35 s to wait are too long for these, not for the promised time
+        for (double queue : new double[] {0, 1}) { // 0.35 s to wait are too long for these, not for the promised time
             scene.arrives(new Assignment(scene.workload, Scene.at(0), Scene.at(300)));
             scene.finds(queue);
         }
@@ -577,7 +585,7 @@
         scene.orders.progressEvery = Duration.ofSeconds(1);
         Dispatcher dispatcher = scene.with(1);
         Dispatch d = scene.sentTo(dispatcher.runners.get(0)).dispatches.get(0);
-        dispatcher.woken(Scene.at(3500), d.assignment);  // nothing heard: it may wait there, and is not held silent
+        dispatcher.woken(Scene.at(3500), d.assignment); // nothing heard: it may wait there, and is not held silent
         assertEquals(0, d.runner.failures.count());
         dispatcher.waitPerLoad = 0.1;
         d.runner.report = report(Double.NaN, 1);
@@ -647,7 +655,10 @@
                 scene.dispatcher.ended(Scene.at(9), a.last(), Outcome.NOT_CONNECTED, false, null);
             }
         }
-        assertTrue(scene.dispatcher.runners.stream().filter(r -> r.trickle == null && !r.isSilent(Scene.at(10))).count() > 4);
+        assertTrue(scene.dispatcher.runners.stream()
+                        .filter(r -> r.trickle == null && !r.isSilent(Scene.at(10)))
+                        .count()
+                > 4);
     }
 
     @Test
@@ -678,8 +689,13 @@
         for (home.hash = 1; !Keys.isHome(7, home.hash, 0.01); home.hash++) {
             assertFalse(Keys.isHome(7, home.hash, 0));
         }
-        scene.dispatcher.listed(Scene.at(1), List.of(new Sighting(other, "other", "here", 1, Runner.Mode.READY, 0, null),
-                new Sighting(home, "any", "here", 1, Runner.Mode.READY, 0, null)), false, false);
+        scene.dispatcher.listed(
+                Scene.at(1),
+                List.of(
+                        new Sighting(other, "other", "here", 1, Runner.Mode.READY, 0, null),
+                        new Sighting(home, "any", "here", 1, Runner.Mode.READY, 0, null)),
+                false,
+                false);
         scene.arrives(scene.assignment());
         assertSame(other, scene.probes.get(0));
         bound.importance = 0.5;
--- a/core/src/test/java/saltdale/decision/PreviewTest.java
+++ b/core/src/test/java/saltdale/decision/PreviewTest.java
@@ -14,7 +14,8 @@
     private final Scene scene = new Scene();
     private final StandingOrders other = new StandingOrders();
     private Preview preview = Preview.NONE;
-    private Runner full, free;  // of four slots; by live weights three jobs a core are held, and none
+    private Runner full; // of four slots; by live weights three jobs a core are held, and none
+    private Runner free;
 
     private void begin(boolean watched) {
         scene.orders.tellsStart = false;
@@ -76,7 +77,10 @@
             scene.arrives(scene.assignment());
             scene.finds(i % 3);
         }
-        return List.of(scene.acts, scene.probes.stream().map(r -> r == full).toList(),
-                scene.dispatches.stream().map(d -> d.runner == full).toList(), scene.dispatcher.probing.meanQueue);
+        return List.of(
+                scene.acts,
+                scene.probes.stream().map(r -> r == full).toList(),
+                scene.dispatches.stream().map(d -> d.runner == full).toList(),
+                scene.dispatcher.probing.meanQueue);
     }
 }
--- a/core/src/test/java/saltdale/decision/Scene.java
+++ b/core/src/test/java/saltdale/decision/Scene.java
@@ -112,8 +112,7 @@
     }
 
     @Override
-    public void wake(Duration after, Object what) {
-    }
+    public void wake(Duration after, Object what) {}
 
     @Override
     public void subscribe(boolean on) {
@@ -136,6 +135,5 @@
     }
 
     @Override
-    public void report(String line) {
-    }
+    public void report(String line) {}
 }
--- a/core/src/test/java/saltdale/overload/LevelsProperties.java
+++ b/core/src/test/java/saltdale/overload/LevelsProperties.java
@@ -15,18 +15,19 @@
 
 /** The laws of levels, whatever arrives and whatever waits are found. */
 class LevelsProperties {
-    private record Work(Levels.Kind kind, double earns, double slack) {
-    }
+    private record Work(Levels.Kind kind, double earns, double slack) {}
 
     @Property(tries = 200)
-    void theDearestIsNeverTurnedAwayAndTheCheaperAlwaysBeforeTheDearer(@ForAll long seed,
-            @ForAll @IntRange(min = 2, max = 6) int workloads, @ForAll @DoubleRange(min = 0.01, max = 1) double gap,
+    void theDearestIsNeverTurnedAwayAndTheCheaperAlwaysBeforeTheDearer(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 2, max = 6) int workloads,
+            @ForAll @DoubleRange(min = 0.01, max = 1) double gap,
             @ForAll @IntRange(min = 1, max = 400) int stepMs) {
         SplittableRandom chance = new SplittableRandom(seed);
-        Levels levels = new Levels(new Relief(0.2, 0.2 + gap, 0.5, 0.05, Duration.ofMillis(stepMs), 8),
-                Duration.ofSeconds(5));
+        Levels levels =
+                new Levels(new Relief(0.2, 0.2 + gap, 0.5, 0.05, Duration.ofMillis(stepMs), 8), Duration.ofSeconds(5));
         List<Work> all = new ArrayList<>();
-        for (int i = 0; i < workloads; i++) {  // the first earns most
+        for (int i = 0; i < workloads; i++) { // the first earns most
             all.add(new Work(levels.add(), 100 >> i, 0.2 + chance.nextDouble()));
         }
         Duration now = Duration.ofSeconds(1);
@@ -44,7 +45,10 @@
             assertTrue(levels.level() >= 0 && levels.level() <= Levels.MOST);
             assertTrue(levels.level() - level <= 3 && level - levels.level() <= 1, "by bounded steps");
             if (levels.changes() != changes) {
-                assertTrue(changedAt == null || !now.minus(changedAt).minusMillis(stepMs).isNegative(), "too soon");
+                assertTrue(
+                        changedAt == null
+                                || !now.minus(changedAt).minusMillis(stepMs).isNegative(),
+                        "too soon");
                 changedAt = now;
             }
             changes = levels.changes();
--- a/core/src/test/java/saltdale/overload/LevelsTest.java
+++ b/core/src/test/java/saltdale/overload/LevelsTest.java
@@ -11,7 +11,8 @@
 
 /** The dear work earns 5 for a second and can bear 1 s, the cheap one earns 3 and can bear 4 s. */
 class LevelsTest {
-    private final Levels levels = new Levels(new Relief(0.2, 0.5, 0.5, 0.05, Duration.ofMillis(100), 8), Duration.ofSeconds(5));
+    private final Levels levels =
+            new Levels(new Relief(0.2, 0.5, 0.5, 0.05, Duration.ofMillis(100), 8), Duration.ofSeconds(5));
     private final Levels.Kind dear = levels.add();
     private final Levels.Kind cheap = levels.add();
 
--- a/core/src/test/java/saltdale/probing/ProbeLoopTest.java
+++ b/core/src/test/java/saltdale/probing/ProbeLoopTest.java
@@ -35,7 +35,8 @@
         loop.lambdaSeen = 0.5;
         loop.runningTime = 1;
         // d = 1, Qmin = 2, λ = 0.5/(1 − 0.006): B = 2·(1 − λ) + λ − λ² = 2 − λ − λ².
-        double lambda = 0.5 / 0.994, b = 2 - lambda - lambda * lambda;
+        double lambda = 0.5 / 0.994;
+        double b = 2 - lambda - lambda * lambda;
         loop.roundTrip = b - 1e-9;
         assertThat(loop.worthAnother(1, 2), is(true));
         loop.roundTrip = b + 1e-9;
--- a/daemon/src/main/java/saltdale/Main.java
+++ b/daemon/src/main/java/saltdale/Main.java
@@ -16,8 +16,7 @@
               simhost   host dispatchers on the simulator's wire: batches on standard input, replies on
                         standard output""";
 
-    private Main() {
-    }
+    private Main() {}
 
     public static void main(String[] args) {
         System.exit(run(args));
--- a/daemon/src/main/java/saltdale/program/Log.java
+++ b/daemon/src/main/java/saltdale/program/Log.java
@@ -38,9 +38,15 @@
         if (json) {
             return object(entry, name.substring(name.lastIndexOf('.') + 1));
         }
-        StringBuilder line = new StringBuilder().append(Instant.ofEpochMilli(entry.getMillis())).append(' ')
-                .append(entry.getLevel()).append(' ').append(name.substring(name.lastIndexOf('.') + 1))
-                .append(": ").append(formatMessage(entry)).append('\n');
+        StringBuilder line = new StringBuilder()
+                .append(Instant.ofEpochMilli(entry.getMillis()))
+                .append(' ')
+                .append(entry.getLevel())
+                .append(' ')
+                .append(name.substring(name.lastIndexOf('.') + 1))
+                .append(": ")
+                .append(formatMessage(entry))
+                .append('\n');
         if (entry.getThrown() != null) {
             StringWriter trace = new StringWriter();
             entry.getThrown().printStackTrace(new PrintWriter(trace));
@@ -50,9 +56,12 @@
     }
 
     private String object(LogRecord entry, String name) {
-        StringBuilder line =
-                new StringBuilder().append("{\"at\":\"").append(Instant.ofEpochMilli(entry.getMillis()))
-                .append("\",\"level\":\"").append(entry.getLevel()).append("\",\"from\":");
+        StringBuilder line = new StringBuilder()
+                .append("{\"at\":\"")
+                .append(Instant.ofEpochMilli(entry.getMillis()))
+                .append("\",\"level\":\"")
+                .append(entry.getLevel())
+                .append("\",\"from\":");
         quoted(line, name);
         quoted(line.append(",\"message\":"), formatMessage(entry));
         if (entry.getThrown() != null) {
@@ -64,6 +73,8 @@
     }
 
     private static void quoted(StringBuilder line, String text) {
-        line.append('"').append(JsonStringEncoder.getInstance().quoteAsString(text)).append('"');
+        line.append('"')
+                .append(JsonStringEncoder.getInstance().quoteAsString(text))
+                .append('"');
     }
 }
--- a/daemon/src/main/java/saltdale/program/Posting.java
+++ b/daemon/src/main/java/saltdale/program/Posting.java
@@ -31,6 +31,7 @@
     final StandingOrders orders;
     /** The settings of another shape, to be watched beside these; null where there are none. */
     final StandingOrders preview;
+
     final Duration idleClose;
     /** Null where no list was known. */
     final HostList known;
@@ -40,8 +41,8 @@
         this.listen = address(environment, "EDGE_LISTEN");
         // The file may have been replaced since the start, the environment can't be.
         String moved = config.text("discovery", null);
-        this.discovery = moved == null ? address(environment, "EDGE_DISCOVERY")
-                : address(moved, "EDGE_CONFIG: discovery");
+        this.discovery =
+                moved == null ? address(environment, "EDGE_DISCOVERY") : address(moved, "EDGE_CONFIG: discovery");
         String bits = config.text("seed", "");
         if (!bits.matches("[0-9a-fA-F]{1,16}")) {
             throw config.wrong("seed", "a hexadecimal number of 64 bits");
@@ -68,9 +69,13 @@
     private static Relief relief(Fields table) {
         Relief usual = Relief.USUAL;
         table.only("low", "high", "borne", "missed", "step", "known");
-        Relief relief = new Relief(table.least("low", usual.low(), 0), table.least("high", usual.high(), 0),
-                table.least("borne", usual.borne(), 0), table.least("missed", usual.missed(), 0),
-                table.span("step", usual.step()), (int) table.least("known", usual.known(), 1));
+        Relief relief = new Relief(
+                table.least("low", usual.low(), 0),
+                table.least("high", usual.high(), 0),
+                table.least("borne", usual.borne(), 0),
+                table.least("missed", usual.missed(), 0),
+                table.span("step", usual.step()),
+                (int) table.least("known", usual.known(), 1));
         if (relief.high() <= relief.low()) {
             throw table.wrong("high", "over low");
         } else if (relief.borne() == 0 || relief.borne() > 1) {
--- a/daemon/src/main/java/saltdale/program/Serve.java
+++ b/daemon/src/main/java/saltdale/program/Serve.java
@@ -15,10 +15,9 @@
 /** One real dispatcher, from its start to its end. */
 public final class Serve {
     private static final Logger LOG = Logger.getLogger(Serve.class.getName());
-    private static final int OTHER_DESCRIPTORS = 24;  // of the process itself: jars, selector, log; 10 were seen
+    private static final int OTHER_DESCRIPTORS = 24; // of the process itself: jars, selector, log; 10 were seen
 
-    private Serve() {
-    }
+    private Serve() {}
 
     /** Serves until told to end; the process's exit status. */
     public static int run(Map<String, String> environment, PrintStream errors) {
@@ -33,8 +32,14 @@
         try {
             Loop loop = new Loop();
             Sockets sockets = new Sockets(loop, forConnections(posting));
-            Router router = new Router(loop, sockets, posting.orders, posting.idleClose, posting.discovery,
-                    System.currentTimeMillis() - loop.clock().toMillis(), new SplittableRandom(posting.seed));
+            Router router = new Router(
+                    loop,
+                    sockets,
+                    posting.orders,
+                    posting.idleClose,
+                    posting.discovery,
+                    System.currentTimeMillis() - loop.clock().toMillis(),
+                    new SplittableRandom(posting.seed));
             if (posting.preview != null) {
                 router.preview(posting.preview);
             }
@@ -51,8 +56,8 @@
             LOG.info(() -> posting.name + " ends; " + router.counted().strip().replace('\n', ','));
             return 0;
         } catch (IOException e) {
-            errors.println("saltdale: EDGE_LISTEN " + environment.get("EDGE_LISTEN") + " can't be served: "
-                    + e.getMessage());
+            errors.println(
+                    "saltdale: EDGE_LISTEN " + environment.get("EDGE_LISTEN") + " can't be served: " + e.getMessage());
             return 1;
         }
     }
@@ -65,8 +70,8 @@
      * The configuration was replaced: takes over the address of discovery and the limit on descriptors; the rest
      * holds from the next start. On a thread of its own, since it reads a file; one at a time, so that the last wins.
      */
-    private static synchronized void reload(Map<String, String> environment, Loop loop, Sockets sockets,
-                                            Router router) {
+    private static synchronized void reload(
+            Map<String, String> environment, Loop loop, Sockets sockets, Router router) {
         try {
             Posting next = Posting.read(environment);
             loop.fromOutside(() -> {
--- a/daemon/src/main/java/saltdale/routing/Counters.java
+++ b/daemon/src/main/java/saltdale/routing/Counters.java
@@ -36,18 +36,30 @@
     /** One line a counter: its name and its figure. */
     String lines(long held, long sockets, long exceptions) {
         StringJoiner lines = new StringJoiner("\n", "", "\n");
-        lines.add("assignments_taken " + taken).add("assignments_held " + held)
-                .add("answered_fulfilled " + fulfilled).add("answered_shed " + shed)
-                .add("answered_given_up " + givenUp).add("clients_gone " + clientsGone)
-                .add("bad_requests " + badRequests).add("too_slow " + tooSlow)
+        lines.add("assignments_taken " + taken)
+                .add("assignments_held " + held)
+                .add("answered_fulfilled " + fulfilled)
+                .add("answered_shed " + shed)
+                .add("answered_given_up " + givenUp)
+                .add("clients_gone " + clientsGone)
+                .add("bad_requests " + badRequests)
+                .add("too_slow " + tooSlow)
                 .add("turned_away_without_sockets " + turnedAway)
-                .add("dispatches " + dispatches).add("cancels " + cancels);
-        outcomes.forEach((outcome, count) ->
-                lines.add("ended_" + outcome.name().toLowerCase(Locale.ROOT) + " " + count));
-        return lines.add("probes " + probes).add("probes_unanswered " + probesUnanswered)
-                .add("call_backs " + callBacks).add("call_backs_unmatched " + callBacksUnmatched)
-                .add("bad_call_backs " + badCallBacks).add("bad_answers " + badAnswers).add("lists " + lists)
-                .add("bad_lists " + badLists).add("watches_broken " + watchesBroken)
-                .add("sockets_open " + sockets).add("exceptions " + exceptions).toString();
+                .add("dispatches " + dispatches)
+                .add("cancels " + cancels);
+        outcomes.forEach(
+                (outcome, count) -> lines.add("ended_" + outcome.name().toLowerCase(Locale.ROOT) + " " + count));
+        return lines.add("probes " + probes)
+                .add("probes_unanswered " + probesUnanswered)
+                .add("call_backs " + callBacks)
+                .add("call_backs_unmatched " + callBacksUnmatched)
+                .add("bad_call_backs " + badCallBacks)
+                .add("bad_answers " + badAnswers)
+                .add("lists " + lists)
+                .add("bad_lists " + badLists)
+                .add("watches_broken " + watchesBroken)
+                .add("sockets_open " + sockets)
+                .add("exceptions " + exceptions)
+                .toString();
     }
 }
--- a/daemon/src/main/java/saltdale/routing/Discovery.java
+++ b/daemon/src/main/java/saltdale/routing/Discovery.java
@@ -20,7 +20,7 @@
 /** Reads the list of runners and watches it; a watch that breaks or falls silent is begun anew, with jitter. */
 final class Discovery {
     private static final String PATH = "/discovery/hosts";
-    private static final Duration SILENCE = Duration.ofMillis(5000);  // between two empty lines lie 2 s
+    private static final Duration SILENCE = Duration.ofMillis(5000); // between two empty lines lie 2 s
     private static final Duration PATIENCE = Duration.ofSeconds(2);
     private static final Duration LEAST_PAUSE = Duration.ofMillis(100);
     private static final Duration MOST_PAUSE = Duration.ofSeconds(2);
@@ -33,13 +33,20 @@
     private final Consumer<HostList> taker;
     /** Where set, a broken watch is told and not begun anew. */
     private final Runnable onBreak;
+
     private Pool pool;
     private long seq;
     private Watch watch;
     private Duration pause = LEAST_PAUSE;
 
-    Discovery(Loop loop, Sockets sockets, InetSocketAddress address, Counters counters, SplittableRandom chance,
-              Consumer<HostList> taker, Runnable onBreak) {
+    Discovery(
+            Loop loop,
+            Sockets sockets,
+            InetSocketAddress address,
+            Counters counters,
+            SplittableRandom chance,
+            Consumer<HostList> taker,
+            Runnable onBreak) {
         this.loop = loop;
         this.sockets = sockets;
         this.counters = counters;
@@ -56,18 +63,21 @@
 
     /** Reads the whole list once; {@code after} is told whether it came. */
     void read(Consumer<Boolean> after) {
-        Call call = Call.begin(pool, new Call.Back() {
-            @Override
-            public void answered(Head head, byte[] body) {
-                after.accept(head.status() == 200 && take(body));
-            }
-
-            @Override
-            public void broke(Reach reach, boolean malformed) {
-                counters.badLists += malformed ? 1 : 0;
-                after.accept(false);
-            }
-        }, HttpWriter.request("GET", PATH, host()));
+        Call call = Call.begin(
+                pool,
+                new Call.Back() {
+                    @Override
+                    public void answered(Head head, byte[] body) {
+                        after.accept(head.status() == 200 && take(body));
+                    }
+
+                    @Override
+                    public void broke(Reach reach, boolean malformed) {
+                        counters.badLists += malformed ? 1 : 0;
+                        after.accept(false);
+                    }
+                },
+                HttpWriter.request("GET", PATH, host()));
         if (call == null) {
             loop.soon(() -> after.accept(false));
         } else {
@@ -91,7 +101,10 @@
         pool = new Pool(loop, sockets, where, PATIENCE, PATIENCE);
     }
 
-    /** It is at another address from now on. Where the list was followed, the old watch holds until the new one has it. */
+    /**
+     * It is at another address from now on. Where the list was followed, the old watch holds until the new one
+     * has it.
+     */
     void moveTo(InetSocketAddress next) {
         if (next.equals(address)) {
             return;
@@ -114,8 +127,7 @@
         if (watch.connection == null) {
             loop.soon(this::broken);
         } else {
-            watch.connection.send(ByteBuffer.wrap(
-                    HttpWriter.request("GET", PATH + "?watch=1&from=" + seq, host())));
+            watch.connection.send(ByteBuffer.wrap(HttpWriter.request("GET", PATH + "?watch=1&from=" + seq, host())));
             watch.heard();
         }
     }
@@ -194,7 +206,10 @@
             parser.take(bytes);
             boolean unreadable = parser.bad() || lines.tooLong();
             counters.badLists += unreadable ? 1 : 0;
-            if (unreadable || malformed || parser.whole() || parser.head() != null && parser.head().status() != 200) {
+            if (unreadable
+                    || malformed
+                    || parser.whole()
+                    || parser.head() != null && parser.head().status() != 200) {
                 broken();
             } else {
                 heard();
--- a/daemon/src/main/java/saltdale/routing/Ending.java
+++ b/daemon/src/main/java/saltdale/routing/Ending.java
@@ -16,15 +16,16 @@
     private static final Duration LONGEST = Duration.ofSeconds(3);
     /** What of those 0.7 s is served in, and what is left for the last answers to be read. */
     private static final Duration SERVED = Duration.ofMillis(300);
+
     private static final Duration READ = Duration.ofMillis(250);
 
     private final Loop loop;
     private final Sockets sockets;
     private final StandingOrders orders;
     private boolean begun;
-    private boolean quiet;  // no new connections come
+    private boolean quiet; // no new connections come
     private boolean answering;
-    private Runnable listening = () -> { };  // ends it; done once
+    private Runnable listening = () -> {}; // ends it; done once
 
     Ending(Loop loop, Sockets sockets, StandingOrders orders) {
         this.loop = loop;
@@ -76,7 +77,7 @@
      */
     private void listenNoMore() {
         Runnable ends = listening;
-        listening = () -> { };
+        listening = () -> {};
         ends.run();
     }
 
--- a/daemon/src/main/java/saltdale/routing/Fleet.java
+++ b/daemon/src/main/java/saltdale/routing/Fleet.java
@@ -64,10 +64,9 @@
                 case DRAINING -> Runner.Mode.DRAINING;
                 case REMOVED -> Runner.Mode.GONE;
             };
-            Duration startedAt = each.bornMillis() == 0 ? null
-                    : Duration.ofMillis(each.bornMillis() - startMillis);
-            sightings.add(new Sighting(target.runner, each.kind(), each.site(), each.share(), mode, each.block(),
-                    startedAt));
+            Duration startedAt = each.bornMillis() == 0 ? null : Duration.ofMillis(each.bornMillis() - startMillis);
+            sightings.add(
+                    new Sighting(target.runner, each.kind(), each.site(), each.share(), mode, each.block(), startedAt));
         }
         for (Target target : targets.values()) {
             if (list.whole && !seen.contains(target) && target.goneAt == null) {
@@ -80,7 +79,8 @@
 
     private void forget(Duration now) {
         targets.values().removeIf(target -> {
-            boolean over = target.goneAt != null && target.runner.mode == Runner.Mode.GONE
+            boolean over = target.goneAt != null
+                    && target.runner.mode == Runner.Mode.GONE
                     && target.runner.out.isEmpty()
                     && now.compareTo(target.goneAt.plus(memory)) > 0;
             if (over) {
--- a/daemon/src/main/java/saltdale/routing/Held.java
+++ b/daemon/src/main/java/saltdale/routing/Held.java
@@ -17,6 +17,7 @@
     final List<Sending> sendings = new ArrayList<>(2);
     /** Null once it has been answered or is gone. */
     Visit client;
+
     Timer patience;
 
     Held(String id, Assignment assignment, Head head, byte[] body, Visit client) {
--- a/daemon/src/main/java/saltdale/routing/Intake.java
+++ b/daemon/src/main/java/saltdale/routing/Intake.java
@@ -68,10 +68,12 @@
         Workload workload = workload(head);
         // Guards against a patience beyond all measure: where the workload has one, no client waits longer.
         Duration most = workload.patience.isZero() ? Duration.ofDays(1) : workload.patience;
-        Assignment a = new Assignment(workload, came,
+        Assignment a = new Assignment(
+                workload,
+                came,
                 Spans.least(Duration.ofMillis(Long.parseLong(head.header("Request-Timeout-Ms"))), most));
         a.repeated = "1".equals(head.header("Client-Retry"));
-        String hint = head.header("Work-Hint");  // microseconds, where clients know
+        String hint = head.header("Work-Hint"); // microseconds, where clients know
         a.hint = matches(hint, HINT) ? Spans.least(Duration.ofNanos(1000 * Long.parseLong(hint)), most) : null;
         Map<String, Double> figures = Load.pairs(head.header("Request-Info"));
         if (figures != null) {
--- a/daemon/src/main/java/saltdale/routing/Kept.java
+++ b/daemon/src/main/java/saltdale/routing/Kept.java
@@ -52,7 +52,7 @@
 
     @Override
     public void received(ByteBuffer bytes) {
-        drop();  // nobody asked for it
+        drop(); // nobody asked for it
     }
 
     @Override
--- a/daemon/src/main/java/saltdale/routing/Router.java
+++ b/daemon/src/main/java/saltdale/routing/Router.java
@@ -26,23 +26,20 @@
 import saltdale.protocol.Head;
 import saltdale.protocol.HostList;
 import saltdale.protocol.HttpParser;
-import saltdale.protocol.HttpWriter;
 import saltdale.protocol.News;
 import saltdale.serving.Visit;
 import saltdale.transport.Connection;
 import saltdale.transport.Loop;
 import saltdale.transport.Pool;
-import saltdale.transport.Reach;
 import saltdale.transport.Sockets;
-import saltdale.transport.Timer;
 
 /** Stands between the decisions and the sockets: ids become objects, events calls, and actions messages. */
 public final class Router implements Door, Visit.Host {
     private static final Logger LOG = Logger.getLogger(Router.class.getName());
-    private static final double IDLE_PART = 0.8;  // of the idle time after which a runner closes a connection
+    private static final double IDLE_PART = 0.8; // of the idle time after which a runner closes a connection
     private static final byte[] NOTHING = new byte[0];
     private static final HttpParser.Limits REQUESTS = new HttpParser.Limits(HttpParser.MOST_HEAD, HttpParser.MOST_BODY);
-    private static final Duration WHOLE_WITHIN = Duration.ofMillis(2500);  // for a request to come
+    private static final Duration WHOLE_WITHIN = Duration.ofMillis(2500); // for a request to come
 
     private final Loop loop;
     private final Sockets sockets;
@@ -61,17 +58,31 @@
     private Preview preview;
     private long levelChanges;
 
-    public Router(Loop loop, Sockets sockets, StandingOrders orders, Duration idleClose, InetSocketAddress lists,
-                  long startMillis, SplittableRandom chance) {
+    public Router(
+            Loop loop,
+            Sockets sockets,
+            StandingOrders orders,
+            Duration idleClose,
+            InetSocketAddress lists,
+            long startMillis,
+            SplittableRandom chance) {
         this.loop = loop;
         this.sockets = sockets;
         this.orders = orders;
         this.intake = new Intake(orders);
         this.ending = new Ending(loop, sockets, orders);
         Duration idleLimit = Spans.ofSecs(Spans.secs(idleClose) * IDLE_PART);
-        fleet = new Fleet(to -> new Pool(loop, sockets, to, orders.connectTime, idleLimit), startMillis,
+        fleet = new Fleet(
+                to -> new Pool(loop, sockets, to, orders.connectTime, idleLimit),
+                startMillis,
                 Spans.most(orders.warmWithin, orders.longestPatience()));
-        discovery = new Discovery(loop, sockets, lists, counters, chance.split(), list -> listed(list, false),
+        discovery = new Discovery(
+                loop,
+                sockets,
+                lists,
+                counters,
+                chance.split(),
+                list -> listed(list, false),
                 orders.mustSubscribe ? this::listFailed : null);
         dispatcher = new Dispatcher(orders, this, chance);
     }
@@ -145,8 +156,10 @@
     public String counted() {
         Levels levels = dispatcher.levels();
         return counters.lines(heldById.size(), sockets.open(), loop.exceptions())
-                + (levels == null ? "" : "overload_level " + levels.level() + "\noverload_level_changes "
-                        + levels.changes() + "\noverload_turned_away " + levels.turnedAway() + "\n")
+                + (levels == null
+                        ? ""
+                        : "overload_level " + levels.level() + "\noverload_level_changes " + levels.changes()
+                                + "\noverload_turned_away " + levels.turnedAway() + "\n")
                 + (preview == null ? "" : preview.lines());
     }
 
@@ -174,7 +187,7 @@
                 wished.forEach(loop::guarded);
             }
             if (eventful) {
-                loop.soon(() -> { });
+                loop.soon(() -> {});
             }
         }
         ending.look(clients, held.isEmpty());
@@ -204,7 +217,8 @@
     public void requested(Visit client, Head head, byte[] body) {
         switch (head.path()) {
             case "/up" -> own(client, head, "GET", () -> client.answer(!ending.hasBegun() ? 200 : 503, "", NOTHING));
-            case "/counters" -> own(client, head, "GET", () -> client.answer(200, "", counted().strip()));
+            case "/counters" ->
+                own(client, head, "GET", () -> client.answer(200, "", counted().strip()));
             case "/_jobs/news" -> own(client, head, "POST", () -> news(client, body));
             default -> assignment(client, head, body);
         }
@@ -248,7 +262,7 @@
     private void outOfTime(Held late) {
         for (Sending sending : List.copyOf(late.sendings)) {
             sending.stop(Outcome.TIMED_OUT);
-            sending.end(Outcome.TIMED_OUT, null);  // nothing follows that the runner's word should be awaited for
+            sending.end(Outcome.TIMED_OUT, null); // nothing follows that the runner's word should be awaited for
         }
     }
 
@@ -316,7 +330,7 @@
         LoadReport report = report(news.load);
         switch (news.state) {
             case STARTED -> {
-                if (sending.dispatch.startedAt == null) {  // a runner tells again what we did not seem to hear
+                if (sending.dispatch.startedAt == null) { // a runner tells again what we did not seem to hear
                     dispatcher.started(loop.now(), sending.dispatch);
                 }
             }
@@ -399,7 +413,8 @@
     public void shed(Assignment assignment, Duration pause) {
         Held of = held.get(assignment);
         counters.shed++;
-        String advice = pause == null || pause.isZero() ? ""
+        String advice = pause == null || pause.isZero()
+                ? ""
                 : String.format(Locale.ROOT, "Retry-After: %.3f\r\n", Spans.secs(pause));
         acts.add(() -> answer(of, 503, advice, NOTHING));
     }
--- a/daemon/src/main/java/saltdale/routing/Sending.java
+++ b/daemon/src/main/java/saltdale/routing/Sending.java
@@ -21,7 +21,7 @@
     private Reach reach = Reach.UNSENT;
     private boolean calledOff;
     private Timer limit;
-    private Kept kept;  // null while its call is out, and where the runner has not taken it
+    private Kept kept; // null while its call is out, and where the runner has not taken it
     /** The body for the client, where the runner has made one. */
     byte[] result;
 
@@ -48,10 +48,10 @@
         if (timeOut != null) {
             limit = router.loop().after(timeOut, () -> stop(Outcome.TIMED_OUT));
         }
-        call = Call.begin(target.pool, this,
-                HttpWriter.passedOn(held.head, held.body.length, patienceMillis), held.body);
+        call = Call.begin(
+                target.pool, this, HttpWriter.passedOn(held.head, held.body.length, patienceMillis), held.body);
         if (call == null) {
-            end(Outcome.NEVER_SENT, null);  // for want of a descriptor of ours, which is no fault of the runner's
+            end(Outcome.NEVER_SENT, null); // for want of a descriptor of ours, which is no fault of the runner's
         }
     }
 
@@ -67,7 +67,7 @@
             kept.rest();
         }
         if (call != null && reach != Reach.TAKEN) {
-            router.loop().after(router.answerLimit(), call::abandon);  // its answer may still be on the way
+            router.loop().after(router.answerLimit(), call::abandon); // its answer may still be on the way
         }
         router.ended(this, outcome, report);
     }
@@ -93,7 +93,7 @@
                 end(Outcome.NEVER_SENT, null);
                 return;
             }
-            takeBack(null, () -> { });  // guards against a 202 that crosses the closing
+            takeBack(null, () -> {}); // guards against a 202 that crosses the closing
             end(outcome, null);
         }
     }
@@ -121,16 +121,19 @@
             again(pause, after);
             return;
         }
-        router.loop().after(router.answerLimit(), () -> {  // guards against a machine that has vanished
-            Reach so = word.reach();
-            if (!word.abandon()) {
-                return;
-            } else if (so == Reach.WRITTEN) {
-                after.run();
-            } else {
-                again(pause, after);
-            }
-        });
+        router.loop()
+                .after(
+                        router.answerLimit(),
+                        () -> { // guards against a machine that has vanished
+                            Reach so = word.reach();
+                            if (!word.abandon()) {
+                                return;
+                            } else if (so == Reach.WRITTEN) {
+                                after.run();
+                            } else {
+                                again(pause, after);
+                            }
+                        });
     }
 
     /** Guards against a second copy of what a machine that can't be reached may still be running. */
--- a/daemon/src/main/java/saltdale/sim/Instance.java
+++ b/daemon/src/main/java/saltdale/sim/Instance.java
@@ -29,12 +29,30 @@
 
 /** One dispatcher on the wire: turns its events into calls, ids into objects, and its actions into messages. */
 final class Instance implements Door {
-    static final Set<String> EVENTS = Set.of("PowerOn", "Update", "NewRequest", "PowerOff", "HintUpdate",
-            "TimedOutClient", "Peer", "AttemptEnd", "Streaming", "Ring", "CheckResult");
+    static final Set<String> EVENTS = Set.of(
+            "PowerOn",
+            "Update",
+            "NewRequest",
+            "PowerOff",
+            "HintUpdate",
+            "TimedOutClient",
+            "Peer",
+            "AttemptEnd",
+            "Streaming",
+            "Ring",
+            "CheckResult");
     private static final int HINT_VALID = 1;
     private static final int REPEATED = 2;
-    private static final Outcome[] OUTCOMES = {Outcome.ERROR, Outcome.FULFILLED, Outcome.TURNED_AWAY,
-        Outcome.TIMED_OUT, Outcome.NOT_CONNECTED, Outcome.BROKEN, Outcome.CANCELLED, Outcome.NEVER_SENT};
+    private static final Outcome[] OUTCOMES = {
+        Outcome.ERROR,
+        Outcome.FULFILLED,
+        Outcome.TURNED_AWAY,
+        Outcome.TIMED_OUT,
+        Outcome.NOT_CONNECTED,
+        Outcome.BROKEN,
+        Outcome.CANCELLED,
+        Outcome.NEVER_SENT
+    };
 
     private final long who;
     private final long origin;
@@ -93,8 +111,12 @@
             }
             case "CheckResult" -> {
                 Outcome outcome = outcome(event, 3);
-                dispatcher.probed(now, runner(event, 2), outcome == Outcome.FULFILLED,
-                        Fields.micros(event.whole(4, "DelaySeen", 0)), report(event, 5));
+                dispatcher.probed(
+                        now,
+                        runner(event, 2),
+                        outcome == Outcome.FULFILLED,
+                        Fields.micros(event.whole(4, "DelaySeen", 0)),
+                        report(event, 5));
             }
             case "TimedOutClient" -> {
                 Assignment assignment = assignments.get(event.text(2, "Tid"));
@@ -111,7 +133,7 @@
             }
             case "Peer" -> {
                 event.whole(2, "Author");
-                event.text(3, "Bytes", "");  // messages between dispatchers carry nothing yet
+                event.text(3, "Bytes", ""); // messages between dispatchers carry nothing yet
             }
             default -> throw new IllegalStateException(name);
         }
@@ -155,8 +177,13 @@
             default -> throw entry.wrong("Mode", "one of 0, 2 and 3");
         };
         long startedAt = entry.whole(6, "StartedAt", 0);
-        return new Sighting(runner, entry.text(0, "ClassOfHost", ""), entry.text(1, "Zone", ""),
-                entry.number(2, "PowerHint", 1), mode, (int) entry.whole(5, "Pod", 0),
+        return new Sighting(
+                runner,
+                entry.text(0, "ClassOfHost", ""),
+                entry.text(1, "Zone", ""),
+                entry.number(2, "PowerHint", 1),
+                mode,
+                (int) entry.whole(5, "Pod", 0),
                 startedAt == 0 ? null : Fields.micros(startedAt - origin));
     }
 
@@ -340,7 +367,7 @@
 
     @Override
     public void readList() {
-        write("ReadList", to -> { });
+        write("ReadList", to -> {});
     }
 
     @Override
--- a/daemon/src/main/java/saltdale/sim/SimHost.java
+++ b/daemon/src/main/java/saltdale/sim/SimHost.java
@@ -57,7 +57,7 @@
         if (now == null || !now.isIntegralNumber() || events == null || !events.isArray()) {
             throw new MalformedInput("a line is no batch: it needs a whole number Now and an array in");
         }
-        buffer.reset();  // a reply goes out whole or, after malformed input, not at all
+        buffer.reset(); // a reply goes out whole or, after malformed input, not at all
         try (JsonGenerator reply = factory.createGenerator(buffer)) {
             reply.writeStartObject();
             reply.writeArrayFieldStart("output");
--- a/daemon/src/test/java/saltdale/program/PostingTest.java
+++ b/daemon/src/test/java/saltdale/program/PostingTest.java
@@ -31,11 +31,14 @@
 
     @TempDir
     Path folder;
-    private final Map<String, String> environment = new HashMap<>(Map.of("EDGE_NAME", "n3", "EDGE_LISTEN",
-            "127.0.0.1:7070", "EDGE_DISCOVERY", "127.0.0.1:8500"));
+
+    private final Map<String, String> environment = new HashMap<>(
+            Map.of("EDGE_NAME", "n3", "EDGE_LISTEN", "127.0.0.1:7070", "EDGE_DISCOVERY", "127.0.0.1:8500"));
 
     private Map<String, String> with(String config) throws IOException {
-        environment.put("EDGE_CONFIG", Files.writeString(folder.resolve("config.json"), config).toString());
+        environment.put(
+                "EDGE_CONFIG",
+                Files.writeString(folder.resolve("config.json"), config).toString());
         return environment;
     }
 
@@ -65,8 +68,14 @@
         assertNull(Posting.read(with(CONFIG)).orders.relief);
         String on = CONFIG.replace("\"settings\"", "\"overload\":{%s},\"settings\"");
         assertEquals(Relief.USUAL, Posting.read(with(on.formatted(""))).orders.relief);
-        assertEquals(Duration.ofMillis(250), Posting.read(with(on.formatted("\"step\":250000"))).orders.relief.step());
-        assertEquals("EDGE_CONFIG.overload: hihg is not a key that is known here; known: low, high, borne, missed, step, known",
+        assertEquals(
+                Duration.ofMillis(250),
+                Posting.read(with(on.formatted("\"step\":250000")))
+                        .orders
+                        .relief
+                        .step());
+        assertEquals(
+                "EDGE_CONFIG.overload: hihg is not a key that is known here; known: low, high, borne, missed, step, known",
                 complaint(with(on.formatted("\"hihg\":1"))).strip().replaceFirst("^saltdale: ", ""));
         assertTrue(complaint(with(on.formatted("\"low\":0.5"))).contains("EDGE_CONFIG.overload: high is not over low"));
         assertTrue(complaint(with(on.formatted("\"borne\":2"))).contains("borne is not over 0 and at most 1"));
@@ -78,10 +87,18 @@
         Posting posting = Posting.read(with(previewing("{\"Weights\":\"live\",\"Limits\":{\"Probes\":true}}")));
         assertTrue(posting.preview.liveWeights && posting.preview.probes && !posting.orders.liveWeights);
         assertEquals(posting.orders.connectTime, posting.preview.connectTime);
-        for (String wrong : new String[] {"\"Weights\":\"heavy\"", "\"Weights\":3", "\"Goal\":{\"Whole\":-1}",
-            "\"Goal\":{\"Whole\":\"all\"}", "\"Tariffs\":{\"CrossZone\":-0.1}"}) {
+        for (String wrong : new String[] {
+            "\"Weights\":\"heavy\"",
+            "\"Weights\":3",
+            "\"Goal\":{\"Whole\":-1}",
+            "\"Goal\":{\"Whole\":\"all\"}",
+            "\"Tariffs\":{\"CrossZone\":-0.1}"
+        }) {
             String key = wrong.replaceAll(".*\"(\\w+)\":[^{]*", "$1");
-            assertTrue(complaint(with(CONFIG.replace("\"Limits\"", wrong + ",\"Limits\""))).contains(key), wrong);
+            assertTrue(
+                    complaint(with(CONFIG.replace("\"Limits\"", wrong + ",\"Limits\"")))
+                            .contains(key),
+                    wrong);
             assertTrue(complaint(with(previewing("{" + wrong + "}"))).contains(key), wrong);
         }
         assertTrue(complaint(with(previewing("{\"Workloads\":[]}"))).contains("Workloads"));
@@ -97,13 +114,18 @@
         assertEquals(Set.of("a"), orders.workloads.get(0).zones);
         assertEquals(Set.of("big"), orders.workloads.get(0).kinds);
         assertTrue(orders.fullProvesNothing);
-        for (String[] wrong : new String[][] {{"[\"a\"],", "[\"c\"],", "ZonesOpen"}, {"[\"a\"],", "\"a\",", "ZonesOpen"},
-            {"[\"big\"]}", "[\"vast\"]}", "ServedOn"}, {"[\"big\"]}", "[1]}", "ServedOn"},
-            {"\"LateShedding\":true", "\"LateShedding\":2", "LateShedding"}}) {
+        for (String[] wrong : new String[][] {
+            {"[\"a\"],", "[\"c\"],", "ZonesOpen"},
+            {"[\"a\"],", "\"a\",", "ZonesOpen"},
+            {"[\"big\"]}", "[\"vast\"]}", "ServedOn"},
+            {"[\"big\"]}", "[1]}", "ServedOn"},
+            {"\"LateShedding\":true", "\"LateShedding\":2", "LateShedding"}
+        }) {
             assertTrue(complaint(with(bound.replace(wrong[0], wrong[1]))).contains(wrong[2]), wrong[1]);
         }
         StandingOrders without = Posting.read(with(CONFIG)).orders;
-        assertTrue(without.workloads.get(0).zones.isEmpty() && without.workloads.get(0).kinds.isEmpty()
+        assertTrue(without.workloads.get(0).zones.isEmpty()
+                && without.workloads.get(0).kinds.isEmpty()
                 && !without.fullProvesNothing);
     }
 
@@ -114,10 +136,12 @@
     @Test
     void aNewConfigurationMovesDiscoveryAndEndsNothing() throws Exception {
         InetAddress here = InetAddress.getLoopbackAddress();
-        try (ServerSocket first = new ServerSocket(0, 9, here); ServerSocket next = new ServerSocket(0, 9, here)) {
+        try (ServerSocket first = new ServerSocket(0, 9, here);
+                ServerSocket next = new ServerSocket(0, 9, here)) {
             first.setSoTimeout(20_000);
             next.setSoTimeout(20_000);
-            String moved = CONFIG.replace("{\"seed\"", "{\"discovery\":\"127.0.0.1:" + next.getLocalPort() + "\",\"seed\"");
+            String moved =
+                    CONFIG.replace("{\"seed\"", "{\"discovery\":\"127.0.0.1:" + next.getLocalPort() + "\",\"seed\"");
             environment.put("EDGE_DISCOVERY", "127.0.0.1:" + first.getLocalPort());
             environment.put("EDGE_LISTEN", "127.0.0.1:" + freePort());
             with(CONFIG);
@@ -143,7 +167,7 @@
     @Test
     void anAddressThatCannotBeBoundIsNamed() throws IOException {
         with(CONFIG);
-        environment.put("EDGE_LISTEN", "192.0.2.1:7070");  // for documentation; no machine has it
+        environment.put("EDGE_LISTEN", "192.0.2.1:7070"); // for documentation; no machine has it
         ByteArrayOutputStream errors = new ByteArrayOutputStream();
         assertEquals(1, Serve.run(environment, new PrintStream(errors, true, StandardCharsets.UTF_8)));
         assertTrue(errors.toString(StandardCharsets.UTF_8).contains("192.0.2.1:7070"));
@@ -156,9 +180,9 @@
         assertTrue(complaint(with("[]")).contains("EDGE_CONFIG"));
         assertTrue(complaint(with(CONFIG.replace("8c1f", "xyz"))).contains("seed"));
         assertTrue(complaint(with("{\"seed\":\"1\"}")).contains("Workloads"));
-        assertTrue(complaint(with(CONFIG.replace("\"pure\"", "7")))
-                .contains("EDGE_CONFIG.settings.Workloads: Repeat"));
-        assertTrue(complaint(with(CONFIG.replace("{\"seed\"", "{\"known\":{},\"seed\""))).contains("known"));
+        assertTrue(complaint(with(CONFIG.replace("\"pure\"", "7"))).contains("EDGE_CONFIG.settings.Workloads: Repeat"));
+        assertTrue(complaint(with(CONFIG.replace("{\"seed\"", "{\"known\":{},\"seed\"")))
+                .contains("known"));
         assertTrue(complaint(with(CONFIG.replace("250000", "0"))).contains("DialTimeout"));
         with(CONFIG);
         environment.put("EDGE_LISTEN", "localhost:7070");
--- a/daemon/src/test/java/saltdale/routing/FleetTest.java
+++ b/daemon/src/test/java/saltdale/routing/FleetTest.java
@@ -18,34 +18,39 @@
 class FleetTest {
     private static final Duration START = Duration.ZERO;
 
-    private final Fleet fleet = new Fleet(address -> new Pool(null, null, address, START, START), 1_000_000,
-            Duration.ofSeconds(10));
+    private final Fleet fleet =
+            new Fleet(address -> new Pool(null, null, address, START, START), 1_000_000, Duration.ofSeconds(10));
 
     private static HostList list(boolean whole, String host) {
-        return HostList.read(("{\"seq\":1,\"whole\":" + whole + ",\"hosts\":[" + host + "]}")
-                .getBytes(StandardCharsets.UTF_8));
+        return HostList.read(
+                ("{\"seq\":1,\"whole\":" + whole + ",\"hosts\":[" + host + "]}").getBytes(StandardCharsets.UTF_8));
     }
 
     private static String host(String name, String dial, String health, long born) {
-        return "{\"host\":\"" + name + "\",\"dial\":\"" + dial + "\",\"health\":\"" + health + "\",\"born_ms\":" + born + "}";
+        return "{\"host\":\"" + name + "\",\"dial\":\"" + dial + "\",\"health\":\"" + health + "\",\"born_ms\":" + born
+                + "}";
     }
 
     @Test
     void aRunnerKeepsItsRecordWhenItsAddressChanges() {
-        Sighting first = fleet.sightings(START, list(true, host("s-1", "10.0.0.1:1", "up", 0))).get(0);
+        Sighting first = fleet.sightings(START, list(true, host("s-1", "10.0.0.1:1", "up", 0)))
+                .get(0);
         Pool pool = fleet.of(first.runner()).pool;
         fleet.sightings(START, list(false, host("s-1", "10.0.0.1:1", "draining", 0)));
         assertSame(pool, fleet.named("s-1").pool);
-        Sighting moved = fleet.sightings(START, list(false, host("s-1", "10.0.0.2:1", "up", 0))).get(0);
+        Sighting moved = fleet.sightings(START, list(false, host("s-1", "10.0.0.2:1", "up", 0)))
+                .get(0);
         assertSame(first.runner(), moved.runner());
         assertNotSame(pool, fleet.named("s-1").pool);
     }
 
     @Test
     void birthsAreUnixTimeAndBecomeSpansSinceTheStart() {
-        Sighting old = fleet.sightings(START, list(true, host("s-1", "10.0.0.1:1", "up", 0))).get(0);
+        Sighting old = fleet.sightings(START, list(true, host("s-1", "10.0.0.1:1", "up", 0)))
+                .get(0);
         assertNull(old.startedAt());
-        Sighting born = fleet.sightings(START, list(false, host("s-1", "10.0.0.1:1", "up", 999_000))).get(0);
+        Sighting born = fleet.sightings(START, list(false, host("s-1", "10.0.0.1:1", "up", 999_000)))
+                .get(0);
         assertEquals(Duration.ofSeconds(-1), born.startedAt());
     }
 
@@ -67,7 +72,9 @@
 
     @Test
     void aRunnerWithoutAnAddressIsPassedOver() {
-        assertTrue(fleet.sightings(START, list(true, host("s-1", "a-name:1", "up", 0))).isEmpty());
-        assertTrue(fleet.sightings(START, list(false, host("s-2", "10.0.0.1:1", "removed", 0))).isEmpty());
+        assertTrue(fleet.sightings(START, list(true, host("s-1", "a-name:1", "up", 0)))
+                .isEmpty());
+        assertTrue(fleet.sightings(START, list(false, host("s-2", "10.0.0.1:1", "removed", 0)))
+                .isEmpty());
     }
 }
--- a/daemon/src/test/java/saltdale/routing/RouterTest.java
+++ b/daemon/src/test/java/saltdale/routing/RouterTest.java
@@ -132,10 +132,17 @@
     /** Begins with one runner in the list. */
     private void begin() throws IOException {
         Sockets sockets = new Sockets(loop, mostSockets);
-        router = new Router(loop, sockets, orders, Duration.ofSeconds(30),
-                (InetSocketAddress) discovery.getLocalAddress(), 0, new SplittableRandom(1));
-        address = new Listener(loop, sockets, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                router::accepted).address();
+        router = new Router(
+                loop,
+                sockets,
+                orders,
+                Duration.ofSeconds(30),
+                (InetSocketAddress) discovery.getLocalAddress(),
+                0,
+                new SplittableRandom(1));
+        address = new Listener(
+                        loop, sockets, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), router::accepted)
+                .address();
         router.begin(list(7, true, host("s-1", at(runner), "up")));
     }
 
@@ -153,7 +160,7 @@
 
     private void until(BooleanSupplier reached) throws IOException {
         while (!reached.getAsBoolean()) {
-            loop.after(Duration.ofMillis(2), () -> { });
+            loop.after(Duration.ofMillis(2), () -> {});
             loop.turn(router::turnEnd);
         }
     }
@@ -192,8 +199,11 @@
     }
 
     private static String news(String id, String from, String state) {
-        return post("/_jobs/news", "x", "", "{\"id\":\"" + id + "\",\"from\":\"" + from + "\",\"state\":\"" + state
-                + "\",\"result\":\"made\"}");
+        return post(
+                "/_jobs/news",
+                "x",
+                "",
+                "{\"id\":\"" + id + "\",\"from\":\"" + from + "\",\"state\":\"" + state + "\",\"result\":\"made\"}");
     }
 
     /** What a client is answered where the runner answers so to the dispatch, and calls back so after its 202. */
@@ -222,7 +232,9 @@
         String sent = dispatched.hears("\r\n\r\nbody");
         assertTrue(sent.startsWith("POST /w/k?q=1 HTTP/1.1\r\nRequest-Id: a\r\nIdempotency-Key: i\r\n"), sent);
         dispatched.says(ACCEPTED);
-        client().says(news("a", "s-1", "started")).says(news("a", "s-1", "done")).hears("204");
+        client().says(news("a", "s-1", "started"))
+                .says(news("a", "s-1", "done"))
+                .hears("204");
         assertTrue(client.hears("\r\n\r\nmade").startsWith("HTTP/1.1 200"));
         assertTrue(router.counted().contains("assignments_held 0"), router.counted());
         assertFalse(router.counted().contains("preview_"), router.counted());
@@ -234,7 +246,7 @@
 
     @Test
     void theFiguresOfARequestReachTheDecisions() throws IOException {
-        workload.stretch = 1;  // what is hinted to run beyond its promised time would be shed at once
+        workload.stretch = 1; // what is hinted to run beyond its promised time would be shed at once
         begin();
         client().says(post("/w/k", "a", "Work-Hint: 1500\r\n", "body"));
         accepts(runner);
@@ -267,14 +279,15 @@
         client().says(news("a", "s-1", "done")).hears("204");
         client().says(job("b"));
         probed.hears("\r\n\r\n");
-        probed.channel.close();  // a kept connection that is reset tells nothing of the runner
-        String first = accepts(runner).hears("\r\n\r\n");  // the job itself, where that took longer than a probe may
-        assertTrue((first.startsWith("GET") ? first : accepts(runner).hears("\r\n\r\n")).startsWith("GET /metrics/load"));
+        probed.channel.close(); // a kept connection that is reset tells nothing of the runner
+        String first = accepts(runner).hears("\r\n\r\n"); // the job itself, where that took longer than a probe may
+        assertTrue(
+                (first.startsWith("GET") ? first : accepts(runner).hears("\r\n\r\n")).startsWith("GET /metrics/load"));
     }
 
     @Test
     void outcomesFollowTheTable() throws IOException {
-        workload.repeat = Workload.Repeat.EFFECTFUL;  // shed where it never ran, given up where it may have
+        workload.repeat = Workload.Repeat.EFFECTFUL; // shed where it never ran, given up where it may have
         String accepted = ACCEPTED.replace("Content", "Connection: close\r\nContent");
         begin();
         assertEquals("200", answered(accepted, "done"));
@@ -315,7 +328,7 @@
         Peer caller = client();
         caller.says(news("a", "s-2", "done")).hears("204");
         caller.says(news("unknown", "s-1", "done")).hears("204");
-        caller.says(news("a", "s-1", "done")).hears("204");  // before the 202
+        caller.says(news("a", "s-1", "done")).hears("204"); // before the 202
         client.hears("\r\n\r\nmade");
         dispatched.says(ACCEPTED);
         caller.says(news("a", "s-1", "done")).hears("204");
@@ -338,7 +351,9 @@
     @Test
     void malformedCallBacksAreTurnedDown() throws IOException {
         begin();
-        assertTrue(client().says(post("/_jobs/news", "x", "", "{\"id\":1}")).hears("\r\n\r\n").contains(" 400 "));
+        assertTrue(client().says(post("/_jobs/news", "x", "", "{\"id\":1}"))
+                .hears("\r\n\r\n")
+                .contains(" 400 "));
         assertTrue(router.counted().contains("bad_call_backs 1"));
     }
 
@@ -438,7 +453,7 @@
     void aVanishedRunnerDoesNotHoldUpTheRest() throws IOException {
         begin();
         Sending sending = takenBack(client(), new Peer[1]);
-        until(sending::isOver);  // though nobody answers
+        until(sending::isOver); // though nobody answers
         assertEquals(Outcome.CANCELLED, sending.dispatch.outcome);
     }
 
@@ -448,16 +463,25 @@
     void badRequestsDoNotReachTheDecisions() throws IOException {
         workload.repeat = Workload.Repeat.RECEIPTED;
         begin();
-        String[][] cases = {{"nonsense\r\n\r\n", "400"}, {"POST /w HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", "413"},
-            {"GET /nowhere HTTP/1.1\r\n\r\n", "404"}, {"POST / HTTP/1.1\r\n\r\n", "404"}, {"POST /v/1 HTTP/1.1\r\n\r\n", "404"},
-            {"GET /w/1 HTTP/1.1\r\n\r\n", "405"}, {"POST /up HTTP/1.1\r\n\r\n", "405"},
-            {"GET /_jobs/news HTTP/1.1\r\n\r\n", "405"}, {"POST /w HTTP/1.1\r\nRequest-Timeout-Ms: 9\r\n\r\n", "400"},
-            {"POST /w HTTP/1.1\r\nRequest-Id: a\r\n\r\n", "400"}, {post("/w", "a b", "", ""), "400"},
-            {"POST /w HTTP/1.1\r\nRequest-Id: a\r\nRequest-Timeout-Ms: soon\r\n\r\n", "400"}, {post("/w", "a", "", ""), "400"},
+        String[][] cases = {
+            {"nonsense\r\n\r\n", "400"},
+            {"POST /w HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", "413"},
+            {"GET /nowhere HTTP/1.1\r\n\r\n", "404"},
+            {"POST / HTTP/1.1\r\n\r\n", "404"},
+            {"POST /v/1 HTTP/1.1\r\n\r\n", "404"},
+            {"GET /w/1 HTTP/1.1\r\n\r\n", "405"},
+            {"POST /up HTTP/1.1\r\n\r\n", "405"},
+            {"GET /_jobs/news HTTP/1.1\r\n\r\n", "405"},
+            {"POST /w HTTP/1.1\r\nRequest-Timeout-Ms: 9\r\n\r\n", "400"},
+            {"POST /w HTTP/1.1\r\nRequest-Id: a\r\n\r\n", "400"},
+            {post("/w", "a b", "", ""), "400"},
+            {"POST /w HTTP/1.1\r\nRequest-Id: a\r\nRequest-Timeout-Ms: soon\r\n\r\n", "400"},
+            {post("/w", "a", "", ""), "400"},
             {post("/w", "a", "Idempotency-Key: i\r\nIdempotency-Key: j\r\n", ""), "400"},
             {post("/w", "a", "Idempotency-Key:\r\n", ""), "400"},
             {post("/w", "a", "Request-Id: b\r\nIdempotency-Key: i\r\n", ""), "400"},
-            {post("/w", "a", "Request-Timeout-Ms: 9\r\nIdempotency-Key: i\r\n", ""), "400"}};
+            {post("/w", "a", "Request-Timeout-Ms: 9\r\nIdempotency-Key: i\r\n", ""), "400"}
+        };
         for (String[] each : cases) {
             assertEquals(each[1], client().says(each[0]).hears("\r\n\r\n").substring(9, 12), each[0]);
         }
@@ -474,7 +498,7 @@
         Peer half = client().says(job("a").substring(0, 80));
         Peer bodyless = client().says(post("/w/k", "b", "", "body").replace("Content-Length: 4", "Content-Length: 5"));
         usual.hears("\r\n\r\n");
-        for (int i = 1; i < 24; i++) {  // a byte each 100 ms
+        for (int i = 1; i < 24; i++) { // a byte each 100 ms
             Duration next = Duration.ofMillis(100 * i);
             until(() -> loop.now().compareTo(next) >= 0);
             drips.says("x");
@@ -509,7 +533,7 @@
             clients.add(client().says("GET /up HTTP/1.1\r\n\r\n"));
             clients.get(i).hears(" 200 ");
         }
-        for (int i = 0; i < 4; i++) {  // three descriptors are left for dialling
+        for (int i = 0; i < 4; i++) { // three descriptors are left for dialling
             clients.get(i).says(job("a" + i));
         }
         until(() -> router.counted().contains("ended_never_sent 1"));
@@ -537,7 +561,7 @@
         mostSockets = 16;
         begin();
         accepts(discovery);
-        for (int i = 0; i < 6; i++) {  // two sockets each, beside the one to discovery
+        for (int i = 0; i < 6; i++) { // two sockets each, beside the one to discovery
             client().says(job("held" + i));
             accepts(runner);
         }
@@ -548,7 +572,7 @@
 
     @Test
     void toldToEndItAnswersWhatIsHeldAndStops() throws IOException {
-        workload.patience = Duration.ofMillis(300);  // the longest that a client comes with
+        workload.patience = Duration.ofMillis(300); // the longest that a client comes with
         begin();
         Peer client = client().says(job("a"));
         Peer idle = client().says("GET /up HTTP/1.1\r\n\r\n");
@@ -558,7 +582,7 @@
         assertTrue(client().says("GET /up HTTP/1.1\r\n\r\n").hears("\r\n\r\n").contains(" 503 "));
         Peer late = client().says(job("b"));
         dispatched();
-        idle.says(job("c"));  // on a connection that stands, while new ones don't come any more
+        idle.says(job("c")); // on a connection that stands, while new ones don't come any more
         dispatched().says(ACCEPTED);
         client().says(news("c", "s-1", "done")).hears("204");
         assertFalse(idle.hears("made").contains("Connection: close"));
@@ -577,7 +601,7 @@
         begin();
         Peer lists = accepts(discovery);
         assertTrue(lists.hears("\r\n\r\n").startsWith("GET /discovery/hosts HTTP/1.1"));
-        String[] hosts = new String[2000];  // more than 64 KiB
+        String[] hosts = new String[2000]; // more than 64 KiB
         for (int i = 0; i < hosts.length; i++) {
             hosts[i] = host("s-" + i, at(runner), "up");
         }
--- a/daemon/src/test/java/saltdale/sim/SimHostTest.java
+++ b/daemon/src/test/java/saltdale/sim/SimHostTest.java
@@ -60,7 +60,8 @@
         assertTrue(complaint("nonsense\n").contains("JSON"));
         assertTrue(complaint("{\"Now\":1}\n").contains("batch"));
         assertTrue(complaint("{\"Now\":1,\"in\":[[\"Jump\",3]]}\n").contains("Jump"));
-        assertTrue(complaint(START + "{\"Now\":9,\"in\":[[\"Ring\",3,\"x\"]]}\n").contains("Ring: Token"));
+        assertTrue(
+                complaint(START + "{\"Now\":9,\"in\":[[\"Ring\",3,\"x\"]]}\n").contains("Ring: Token"));
         assertTrue(complaint("{\"Now\":9,\"in\":[[\"Ring\",4,1]]}\n").contains("Ring: Who"));
         assertTrue(complaint(START + "{\"Now\":9,\"in\":[[\"NewRequest\",3,\"rq\",\"v\",null,null,1]]}\n")
                 .contains("NewRequest: TierClass"));
--- a/lighthouse/src/main/java/saltdale/lighthouse/Acceptor.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Acceptor.java
@@ -17,12 +17,12 @@
     private final Outside outside;
     private Ballot promised = Ballot.NONE;
     private Ballot accepted = Ballot.NONE;
-    private State state;  // null until one was accepted
-    private byte[] text;  // of state.textKey; null where it names none
-    private String synced = "";  // the text that is on disk for certain; none while another's write may take it away
-    private String writing = "";  // the text of the newest write
-    private long changes;  // of the text that is written
-    private final Set<String> written = new HashSet<>();  // those that may be
+    private State state; // null until one was accepted
+    private byte[] text; // of state.textKey; null where it names none
+    private String synced = ""; // the text that is on disk for certain; none while another's write may take it away
+    private String writing = ""; // the text of the newest write
+    private long changes; // of the text that is written
+    private final Set<String> written = new HashSet<>(); // those that may be
 
     Acceptor(Outside outside) {
         this.outside = outside;
@@ -46,7 +46,8 @@
             synced = state.textKey();
             writing = synced;
         }
-        records.keySet().stream().filter(name -> name.startsWith(TEXT))
+        records.keySet().stream()
+                .filter(name -> name.startsWith(TEXT))
                 .forEach(name -> written.add(name.substring(TEXT.length())));
     }
 
@@ -74,19 +75,32 @@
         byte[] toldText = told == null || told.textKey().equals(knownKey) ? null : text;
         persist(done -> {
             if (done) {
-                reply.accept(Fields.tree("t", "promise", "b", ballot.tree(), "a", of.tree(),
-                        "s", told == null ? null : told.tree(), "x", toldText));
+                reply.accept(Fields.tree(
+                        "t",
+                        "promise",
+                        "b",
+                        ballot.tree(),
+                        "a",
+                        of.tree(),
+                        "s",
+                        told == null ? null : told.tree(),
+                        "x",
+                        toldText));
             }
         });
     }
 
-    /** Accepts what a ballot puts forward, unless another was promised; {@code newText} is null where we may have it. */
+    /**
+     * Accepts what a ballot puts forward, unless another was promised; {@code newText} is null where we may have
+     * it.
+     */
     void accept(Ballot ballot, State next, byte[] newText, Consumer<Map<String, Object>> reply) {
         if (ballot.compareTo(promised) < 0) {
             reply.accept(Fields.tree("t", "nack", "b", ballot.tree(), "p", promised.tree()));
             return;
         }
-        boolean have = next.textKey().isEmpty() || state != null && next.textKey().equals(state.textKey());
+        boolean have =
+                next.textKey().isEmpty() || state != null && next.textKey().equals(state.textKey());
         if (!have && newText == null) {
             reply.accept(Fields.tree("t", "need", "b", ballot.tree()));
             return;
@@ -104,8 +118,10 @@
 
     private void persist(Consumer<Boolean> done) {
         Map<String, byte[]> records = new LinkedHashMap<>();
-        records.put(RECORD, Trees.cbor(Fields.tree("p", promised.tree(), "a", accepted.tree(),
-                "s", state == null ? null : state.tree())));
+        records.put(
+                RECORD,
+                Trees.cbor(Fields.tree(
+                        "p", promised.tree(), "a", accepted.tree(), "s", state == null ? null : state.tree())));
         String key = state == null ? "" : state.textKey();
         if (!key.equals(writing)) {
             writing = key;
@@ -113,7 +129,8 @@
             changes++;
         }
         long of = changes;
-        // Guards against a text whose own write failed while a later one goes through: it goes along until one is synced.
+        // Guards against a text whose own write failed while a later one goes through: it goes along until one is
+        // synced.
         if (!key.isEmpty() && !key.equals(synced)) {
             records.put(TEXT + key, text);
             written.add(key);
--- a/lighthouse/src/main/java/saltdale/lighthouse/Chart.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Chart.java
@@ -7,10 +7,21 @@
 
 /** The operators' configuration as dispatchers use it: routes, services and limits, checked. */
 public final class Chart {
-    /** Where calls go; {@code shares} holds services and weights in turn where a route is split, else one of weight 1. */
-    public record Route(String name, String hostname, String prefix, boolean idempotent, long timeoutMs, long targetMs,
-                        int priority, int maxAttempts, List<String> services, List<Double> weights) {
-    }
+    /**
+     * Where calls go; {@code shares} holds services and weights in turn where a route is split, else one of
+     * weight 1.
+     */
+    public record Route(
+            String name,
+            String hostname,
+            String prefix,
+            boolean idempotent,
+            long timeoutMs,
+            long targetMs,
+            int priority,
+            int maxAttempts,
+            List<String> services,
+            List<Double> weights) {}
 
     /** What is known of the runners of a service; {@code bootMs} and {@code memoryMb} are 0 where it is no function. */
     public record Service(String name, int connectionLimit, int memoryMb, long bootMs, int maxConcurrency) {
@@ -20,8 +31,7 @@
     }
 
     /** What clients may send, and how long they may take. */
-    public record Limits(int headerBytes, int bodyBytes, long headerMs, long idleMs) {
-    }
+    public record Limits(int headerBytes, int bodyBytes, long headerMs, long idleMs) {}
 
     private static final Limits USUAL = new Limits(16_384, 262_144, 3_000, 15_000);
 
@@ -56,8 +66,11 @@
     private static Service service(Fields from) throws MalformedMessage, InvalidChart {
         String name = from.text("name");
         try {
-            return new Service(name, (int) atLeast(from, "connection_limit", 1, Integer.MAX_VALUE),
-                    (int) atLeast(from, "memory_mb", 0, 0), atLeast(from, "boot_ms", 0, 0),
+            return new Service(
+                    name,
+                    (int) atLeast(from, "connection_limit", 1, Integer.MAX_VALUE),
+                    (int) atLeast(from, "memory_mb", 0, 0),
+                    atLeast(from, "boot_ms", 0, 0),
                     (int) atLeast(from, "max_concurrency", 1, 1));
         } catch (MalformedMessage e) {
             throw new InvalidChart("service " + name + ": " + e.getMessage());
@@ -78,10 +91,17 @@
             if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
                 throw new MalformedMessage("path_prefix must begin and end with a slash");
             }
-            return new Route(name, from.text("hostname").toLowerCase(java.util.Locale.ROOT), prefix,
-                    kind.equals("idempotent"), atLeast(from, "timeout_ms", 1, -1),
-                    atLeast(from, "target_latency_ms", 0, 0), (int) atLeast(from, "priority", 0, 0),
-                    (int) atLeast(from, "max_attempts", 1, 1), to, weights);
+            return new Route(
+                    name,
+                    from.text("hostname").toLowerCase(java.util.Locale.ROOT),
+                    prefix,
+                    kind.equals("idempotent"),
+                    atLeast(from, "timeout_ms", 1, -1),
+                    atLeast(from, "target_latency_ms", 0, 0),
+                    (int) atLeast(from, "priority", 0, 0),
+                    (int) atLeast(from, "max_attempts", 1, 1),
+                    to,
+                    weights);
         } catch (MalformedMessage e) {
             throw new InvalidChart("route " + name + ": " + e.getMessage());
         }
@@ -103,7 +123,8 @@
                 }
             }
         }
-        if (weights.stream().anyMatch(w -> !(w >= 0)) || weights.stream().mapToDouble(w -> w).sum() <= 0) {
+        if (weights.stream().anyMatch(w -> !(w >= 0))
+                || weights.stream().mapToDouble(w -> w).sum() <= 0) {
             throw new MalformedMessage("no service, or weights that sum to 0");
         }
         for (String service : to) {
@@ -114,7 +135,8 @@
     }
 
     private static Limits limits(Fields from) throws MalformedMessage {
-        return new Limits((int) atLeast(from, "header_size_bytes", 1, USUAL.headerBytes),
+        return new Limits(
+                (int) atLeast(from, "header_size_bytes", 1, USUAL.headerBytes),
                 (int) atLeast(from, "body_size_bytes", 0, USUAL.bodyBytes),
                 atLeast(from, "header_timeout_ms", 1, USUAL.headerMs),
                 atLeast(from, "idle_timeout_ms", 1, USUAL.idleMs));
@@ -158,7 +180,8 @@
     public Route route(String hostname, String path) {
         Route best = null;
         for (Route each : byHost.getOrDefault(hostname.toLowerCase(java.util.Locale.ROOT), List.of())) {
-            if (path.startsWith(each.prefix()) && (best == null || each.prefix().length() > best.prefix().length())) {
+            if (path.startsWith(each.prefix())
+                    && (best == null || each.prefix().length() > best.prefix().length())) {
                 best = each;
             }
         }
--- a/lighthouse/src/main/java/saltdale/lighthouse/Charts.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Charts.java
@@ -10,8 +10,7 @@
 
 /** What operators send, as text: read, amended by named items, written. Items keep all fields that they came with. */
 final class Charts {
-    private Charts() {
-    }
+    private Charts() {}
 
     @SuppressWarnings("unchecked")
     static Map<String, Object> read(byte[] text) throws InvalidChart {
--- a/lighthouse/src/main/java/saltdale/lighthouse/Homes.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Homes.java
@@ -2,10 +2,12 @@
 
 import java.util.Collection;
 
-/** Which member of a zone is home to a service: alike at all who know the same members, and few move with one of them. */
+/**
+ * Which member of a zone is home to a service: alike at all who know the same members, and few move with one of
+ * them.
+ */
 public final class Homes {
-    private Homes() {
-    }
+    private Homes() {}
 
     /** The home of the service's runners in this zone; where the zone has no member, one of another adopts them. */
     public static Member of(String service, String zone, Collection<Member> members) {
@@ -18,8 +20,11 @@
         long most = 0;
         for (Member each : members) {
             if (!each.leaving() && (zone == null || each.zone().equals(zone))) {
-                long weight = mixed(service.hashCode() * 0x9E3779B97F4A7C15L ^ each.name().hashCode());
-                if (best == null || weight > most || weight == most && each.name().compareTo(best.name()) < 0) {
+                long weight = mixed(
+                        service.hashCode() * 0x9E3779B97F4A7C15L ^ each.name().hashCode());
+                if (best == null
+                        || weight > most
+                        || weight == most && each.name().compareTo(best.name()) < 0) {
                     best = each;
                     most = weight;
                 }
--- a/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
@@ -16,12 +16,11 @@
  */
 public final class Keeper {
     /** An answer to an operator. */
-    public record Reply(int status, String why, byte[] body) {
-    }
+    public record Reply(int status, String why, byte[] body) {}
 
     private static final class Peer {
         final String host;
-        String id;  // null until heard
+        String id; // null until heard
         String name;
         String life;
         boolean leaving;
@@ -40,7 +39,7 @@
         final String session;
         Member member;
         long heardAt;
-        long sent;  // messages of this session
+        long sent; // messages of this session
         long revision = -1;
         long crew = -1;
         long runners = -1;
@@ -54,9 +53,9 @@
     }
 
     static final String STARTING = "starting";
-    private static final long SOON = Outside.millis(5);  // several that come at once are told of once
+    private static final long SOON = Outside.millis(5); // several that come at once are told of once
     private static final String IDENTITY = "identity";
-    private static final String BEGUN = "begun";  // the state from which all began
+    private static final String BEGUN = "begun"; // the state from which all began
 
     private final Outside outside;
     private final Landfall landfall;
@@ -67,8 +66,8 @@
     private final Members members;
     private final Runners runners;
     private final Demand demand;
-    private final Map<String, Peer> peers = new LinkedHashMap<>();  // by host
-    private final Map<String, Subscriber> subscribers = new LinkedHashMap<>();  // by life
+    private final Map<String, Peer> peers = new LinkedHashMap<>(); // by host
+    private final Map<String, Subscriber> subscribers = new LinkedHashMap<>(); // by life
     private final long startedAt;
     private long beats;
     private boolean proposing;
@@ -86,17 +85,24 @@
         this.landfall = landfall;
         startedAt = outside.now();
         life = Long.toHexString(outside.chance().nextLong());
-        boolean first = landfall.firstStart() && records.isEmpty() && landfall.seeds().contains(landfall.host());
-        id = records.containsKey(IDENTITY) ? new String(records.get(IDENTITY), StandardCharsets.UTF_8)
-                : first ? Voter.firstId(landfall.host()) : Long.toHexString(outside.chance().nextLong());
+        boolean first =
+                landfall.firstStart() && records.isEmpty() && landfall.seeds().contains(landfall.host());
+        id = records.containsKey(IDENTITY)
+                ? new String(records.get(IDENTITY), StandardCharsets.UTF_8)
+                : first
+                        ? Voter.firstId(landfall.host())
+                        : Long.toHexString(outside.chance().nextLong());
         register = new Register(outside, id, life, this::chosen);
         members = new Members(landfall.memberLease() + landfall.beat() * 3 / 10);
         runners = new Runners(8 * landfall.beat(), 40 * landfall.beat());
         demand = new Demand(3 * landfall.beat());
         starter = new Starter(outside, this, platform, landfall);
         register.restore(records);
-        State begun = landfall.firstStart() ? State.first(landfall.seeds().stream().sorted()
-                .map(host -> new Voter(Voter.firstId(host), host, host)).toList())
+        State begun = landfall.firstStart()
+                ? State.first(landfall.seeds().stream()
+                        .sorted()
+                        .map(host -> new Voter(Voter.firstId(host), host, host))
+                        .toList())
                 : records.containsKey(BEGUN) ? State.of(new Fields(Trees.fromCbor(records.get(BEGUN)))) : null;
         if (begun != null) {
             register.first(begun);
@@ -108,7 +114,7 @@
                 // Guards against all being killed before any has accepted a state: none would know whom to ask.
                 own.put(BEGUN, Trees.cbor(begun.tree()));
             }
-            outside.persist(own, done -> { });
+            outside.persist(own, done -> {});
         }
     }
 
@@ -175,8 +181,14 @@
         for (List<Voter> set : basis == null ? List.<List<Voter>>of() : basis.quorums()) {
             List<Long> heard = new ArrayList<>();
             for (Voter v : set) {
-                heard.add(v.id().equals(id) ? outside.now() : peers.values().stream().filter(p -> v.id().equals(p.id))
-                        .mapToLong(p -> p.ackedSentAt).max().orElse(Long.MIN_VALUE / 2));
+                heard.add(
+                        v.id().equals(id)
+                                ? outside.now()
+                                : peers.values().stream()
+                                        .filter(p -> v.id().equals(p.id))
+                                        .mapToLong(p -> p.ackedSentAt)
+                                        .max()
+                                        .orElse(Long.MIN_VALUE / 2));
             }
             heard.sort(null);
             at = Math.min(at, heard.get((heard.size() - 1) / 2));
@@ -222,12 +234,37 @@
             Peer peer = peer(host);
             peer.sentAt.put(beats, now);
             peer.sentAt.values().removeIf(at -> now - at > 4 * landfall.beat());
-            outside.send(host, Fields.tree("t", "beat", "id", id, "n", landfall.name(), "h", landfall.host(),
-                    "l", life, "i", beats, "v", version(), "e", ending ? true : null, "m", news.isEmpty() ? null : news, "o", over.isEmpty() ? null : over));
-        }
-        peers.values().removeIf(p -> !landfall.seeds().contains(p.host) && now - p.heardAt > 60 * landfall.beat()
-                && (basis == null || basis.quorums().stream().flatMap(List::stream)
-                        .noneMatch(v -> v.host().equals(p.host))));
+            outside.send(
+                    host,
+                    Fields.tree(
+                            "t",
+                            "beat",
+                            "id",
+                            id,
+                            "n",
+                            landfall.name(),
+                            "h",
+                            landfall.host(),
+                            "l",
+                            life,
+                            "i",
+                            beats,
+                            "v",
+                            version(),
+                            "e",
+                            ending ? true : null,
+                            "m",
+                            news.isEmpty() ? null : news,
+                            "o",
+                            over.isEmpty() ? null : over));
+        }
+        peers.values()
+                .removeIf(p -> !landfall.seeds().contains(p.host)
+                        && now - p.heardAt > 60 * landfall.beat()
+                        && (basis == null
+                                || basis.quorums().stream()
+                                        .flatMap(List::stream)
+                                        .noneMatch(v -> v.host().equals(p.host))));
     }
 
     private long version() {
@@ -243,8 +280,23 @@
             publish();
         }
         peer.leaving = message.flag("e");
-        outside.send(peer.host, Fields.tree("t", "beaten", "id", id, "n", landfall.name(), "h", landfall.host(), "l", life,
-                "i", message.whole("i"), "v", version()));
+        outside.send(
+                peer.host,
+                Fields.tree(
+                        "t",
+                        "beaten",
+                        "id",
+                        id,
+                        "n",
+                        landfall.name(),
+                        "h",
+                        landfall.host(),
+                        "l",
+                        life,
+                        "i",
+                        message.whole("i"),
+                        "v",
+                        version()));
     }
 
     private Peer heard(Fields message) throws MalformedMessage {
@@ -254,7 +306,7 @@
         peer.life = message.text("l");
         peer.heardAt = outside.now();
         if (message.whole("v") > version()) {
-            register.fetch(peer.host);  // the sweep: whoever is behind fetches what it missed
+            register.fetch(peer.host); // the sweep: whoever is behind fetches what it missed
         }
         return peer;
     }
@@ -355,14 +407,30 @@
         subscriber.member = member;
         subscriber.heardAt = now;
         publish(subscriber);
-        outside.send(fromHost, Fields.tree("t", "lease", "i", message.whole("i"), "maj", hasMajority(),
-                "v", Math.max(0, (majorityAt() - now + landfall.memberLease()) / 1_000_000), "s", subscriber.session, "c", subscriber.sent, "k", keeperHosts()));
+        outside.send(
+                fromHost,
+                Fields.tree(
+                        "t",
+                        "lease",
+                        "i",
+                        message.whole("i"),
+                        "maj",
+                        hasMajority(),
+                        "v",
+                        Math.max(0, (majorityAt() - now + landfall.memberLease()) / 1_000_000),
+                        "s",
+                        subscriber.session,
+                        "c",
+                        subscriber.sent,
+                        "k",
+                        keeperHosts()));
     }
 
     /** Where dispatchers find keepers. */
     private List<Object> keeperHosts() {
         State basis = register.basis();
-        return basis == null ? List.of(landfall.host())
+        return basis == null
+                ? List.of(landfall.host())
                 : new ArrayList<>(basis.voters().stream().map(Voter::host).toList());
     }
 
@@ -381,7 +449,14 @@
         }
         if (to.crew != members.edition()) {
             to.crew = members.edition();
-            tell(to, Fields.tree("t", "crew", "m", new ArrayList<>(members.all().stream().map(Member::tree).toList())));
+            tell(
+                    to,
+                    Fields.tree(
+                            "t",
+                            "crew",
+                            "m",
+                            new ArrayList<>(
+                                    members.all().stream().map(Member::tree).toList())));
         }
         if (to.runners != runners.edition() || to.homesOf != members.edition()) {
             publishRunners(to);
@@ -402,7 +477,7 @@
                 to.told.put(r.id(), r.phase());
                 news.add(r.tree());
             } else if (!home && told != null) {
-                to.told.remove(r.id());  // its next home is told; this one forgets it with its homes
+                to.told.remove(r.id()); // its next home is told; this one forgets it with its homes
             }
         }
         to.runners = runners.edition();
@@ -459,30 +534,32 @@
             answer.accept(new Reply(400, e.getMessage(), null));
             return;
         }
-        String digest = Charts.digest(new byte[] {(byte) (amends ? 1 : 0)}, Long.toString(base).getBytes(StandardCharsets.UTF_8),
-                body);
-        register.propose((newest, text) -> change(newest, text, amends, base, tree, digest), patience(),
+        String digest = Charts.digest(
+                new byte[] {(byte) (amends ? 1 : 0)}, Long.toString(base).getBytes(StandardCharsets.UTF_8), body);
+        register.propose(
+                (newest, text) -> change(newest, text, amends, base, tree, digest),
+                patience(),
                 reply -> answer.accept(reply == null ? unsettled() : (Reply) reply));
     }
 
-    private static Proposer.Step change(State newest, byte[] text, boolean amends, long base, Map<String, Object> tree,
-                                        String digest) {
+    private static Proposer.Step change(
+            State newest, byte[] text, boolean amends, long base, Map<String, Object> tree, String digest) {
         if (newest.taken().contains(digest)) {
             return Proposer.Step.stay(new Reply(200, "taken", null));
         } else if (base != newest.revision()) {
             return Proposer.Step.stay(new Reply(412, "revision " + newest.revision() + " is in place", null));
         }
         try {
-            Map<String, Object> whole = !amends ? tree
-                    : Charts.amended(text == null ? Map.of() : Charts.read(text), new Fields(tree));
+            Map<String, Object> whole =
+                    !amends ? tree : Charts.amended(text == null ? Map.of() : Charts.read(text), new Fields(tree));
             Chart next = new Chart(new Fields(whole));
             if (next.revision() <= newest.revision()) {
                 throw new InvalidChart("revision is not above " + newest.revision());
             }
             byte[] newText = Charts.write(whole);
             String key = next.revision() + "-" + Charts.digest(newText);
-            return new Proposer.Step(newest.withText(next.revision(), key, digest), newText,
-                    new Reply(200, "taken", null));
+            return new Proposer.Step(
+                    newest.withText(next.revision(), key, digest), newText, new Reply(200, "taken", null));
         } catch (InvalidChart e) {
             return Proposer.Step.stay(new Reply(400, e.getMessage(), null));
         }
@@ -490,9 +567,15 @@
 
     /** Tells the newest configuration, as a majority knows it. */
     public void read(Consumer<Reply> answer) {
-        register.propose((newest, text) -> Proposer.Step.stay(new Reply(200, "", text == null
-                ? "{\"revision\":0,\"routes\":[],\"services\":[]}".getBytes(StandardCharsets.UTF_8) : text)),
-                patience(), reply -> answer.accept(reply == null ? unsettled() : (Reply) reply));
+        register.propose(
+                (newest, text) -> Proposer.Step.stay(new Reply(
+                        200,
+                        "",
+                        text == null
+                                ? "{\"revision\":0,\"routes\":[],\"services\":[]}".getBytes(StandardCharsets.UTF_8)
+                                : text)),
+                patience(),
+                reply -> answer.accept(reply == null ? unsettled() : (Reply) reply));
     }
 
     /** Who has no majority says so soon, so that the caller goes to another. */
@@ -531,18 +614,23 @@
             propose((newest, text) -> Proposer.Step.stay(Boolean.TRUE));
         } else if (hasMajority() && !ending) {
             State state = register.chosen();
-            // Guards against a holder that nobody makes a voter again: one whose disk was lost leaves the duty to others.
+            // Guards against a holder that nobody makes a voter again: one whose disk was lost leaves the duty to
+            // others.
             if (landfall.rates().duties().contains(STARTING) && state.isVoter(id) && vacant(state)) {
                 Tenure seen = state.duty(STARTING);
-                propose((newest, text) -> newest.duty(STARTING).fence() != seen.fence() ? Proposer.Step.stay(null)
-                        : new Proposer.Step(newest.withDuty(STARTING,
-                                new Tenure(holder(), landfall.name(), seen.fence() + 1)), null, Boolean.TRUE));
+                propose((newest, text) -> newest.duty(STARTING).fence() != seen.fence()
+                        ? Proposer.Step.stay(null)
+                        : new Proposer.Step(
+                                newest.withDuty(STARTING, new Tenure(holder(), landfall.name(), seen.fence() + 1)),
+                                null,
+                                Boolean.TRUE));
             } else if (!state.isJoint() && (holds() || vacant(state))) {
                 List<Voter> next = votersNext(state, now);
                 if (!next.equals(state.voters())) {
-                    propose((newest, text) -> newest.isJoint() || !newest.voters().equals(state.voters())
-                            ? Proposer.Step.stay(null)
-                            : new Proposer.Step(newest.withVoters(next), null, Boolean.TRUE));
+                    propose((newest, text) ->
+                            newest.isJoint() || !newest.voters().equals(state.voters())
+                                    ? Proposer.Step.stay(null)
+                                    : new Proposer.Step(newest.withVoters(next), null, Boolean.TRUE));
                 }
             }
         }
@@ -551,7 +639,8 @@
     private void propose(Proposer.Change change) {
         proposing = true;
         // Guards against all keepers at once: the first one's ballot spares the others theirs.
-        outside.after((long) (landfall.beat() / 8 * outside.chance().nextDouble()),
+        outside.after(
+                (long) (landfall.beat() / 8 * outside.chance().nextDouble()),
                 () -> register.propose(change, landfall.beat(), done -> proposing = false));
     }
 
@@ -574,14 +663,21 @@
         return outside.now() - Math.max(heardAt, startedAt) > landfall.vacancy();
     }
 
-    /** The voters to have: one whose disk was lost, or that is gone, gives its place to a new keeper; pairs are added. */
+    /**
+     * The voters to have: one whose disk was lost, or that is gone, gives its place to a new keeper; pairs are
+     * added.
+     */
     private List<Voter> votersNext(State state, long now) {
-        List<Peer> candidates = new ArrayList<>(peers.values().stream().filter(p -> p.id != null && !p.leaving
-                && now - p.heardAt < landfall.lease() && !state.isVoter(p.id)).toList());
+        List<Peer> candidates = new ArrayList<>(peers.values().stream()
+                .filter(p -> p.id != null && !p.leaving && now - p.heardAt < landfall.lease() && !state.isVoter(p.id))
+                .toList());
         List<Voter> voters = new ArrayList<>(state.voters());
         for (int i = 0; i < voters.size(); i++) {
             Voter old = voters.get(i);
-            Peer same = candidates.stream().filter(p -> p.host.equals(old.host())).findAny().orElse(null);
+            Peer same = candidates.stream()
+                    .filter(p -> p.host.equals(old.host()))
+                    .findAny()
+                    .orElse(null);
             if (same != null) {
                 voters.set(i, voter(same));
                 candidates.remove(same);
@@ -591,7 +687,9 @@
             Voter old = voters.get(i);
             Peer its = peers.get(old.host());
             boolean gone = !old.id().equals(id)
-                    && (its == null || its.leaving || unheard(its.id != null && its.id.equals(old.id()) ? its.heardAt : 0));
+                    && (its == null
+                            || its.leaving
+                            || unheard(its.id != null && its.id.equals(old.id()) ? its.heardAt : 0));
             if (gone) {
                 voters.set(i, voter(candidates.remove(0)));
             }
@@ -617,9 +715,15 @@
         State state = register.chosen();
         if (state != null && holder().equals(state.duty(STARTING).holder())) {
             Tenure mine = state.duty(STARTING);
-            register.propose((newest, text) -> !mine.equals(newest.duty(STARTING)) ? Proposer.Step.stay(null)
-                    : new Proposer.Step(newest.withDuty(STARTING, new Tenure(null, null, mine.fence())), null,
-                            Boolean.TRUE), landfall.beat(), answer -> done.run());
+            register.propose(
+                    (newest, text) -> !mine.equals(newest.duty(STARTING))
+                            ? Proposer.Step.stay(null)
+                            : new Proposer.Step(
+                                    newest.withDuty(STARTING, new Tenure(null, null, mine.fence())),
+                                    null,
+                                    Boolean.TRUE),
+                    landfall.beat(),
+                    answer -> done.run());
         } else {
             done.run();
         }
--- a/lighthouse/src/main/java/saltdale/lighthouse/Landfall.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Landfall.java
@@ -3,14 +3,25 @@
 import java.util.List;
 
 /** What a keeper is told of its machine and of the deployment; spans in nanoseconds. */
-public record Landfall(String name, String host, String zone, List<String> seeds, boolean firstStart, long beat,
-                       long acknowledge, long drain, Platform.Rates rates) {
+public record Landfall(
+        String name,
+        String host,
+        String zone,
+        List<String> seeds,
+        boolean firstStart,
+        long beat,
+        long acknowledge,
+        long drain,
+        Platform.Rates rates) {
     /** A keeper that heard of no majority for so long answers nothing, and a duty's holder does nothing. */
     long lease() {
         return beat + beat / 4;
     }
 
-    /** A dispatcher may act as a member for so long after a majority could have heard of it; keepers count a little longer. */
+    /**
+     * A dispatcher may act as a member for so long after a majority could have heard of it; keepers count a
+     * little longer.
+     */
     long memberLease() {
         return beat + beat / 2;
     }
--- a/lighthouse/src/main/java/saltdale/lighthouse/Member.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Member.java
@@ -9,9 +9,13 @@
     }
 
     public static Member of(Object tree) throws MalformedMessage {
-        if (tree instanceof List<?> list && list.size() >= 5 && list.get(0) instanceof String life
-                && list.get(1) instanceof String name && list.get(2) instanceof String zone
-                && list.get(3) instanceof String host && list.get(4) instanceof Boolean leaving) {
+        if (tree instanceof List<?> list
+                && list.size() >= 5
+                && list.get(0) instanceof String life
+                && list.get(1) instanceof String name
+                && list.get(2) instanceof String zone
+                && list.get(3) instanceof String host
+                && list.get(4) instanceof Boolean leaving) {
             return new Member(life, name, zone, host, leaving);
         }
         throw new MalformedMessage("no member");
--- a/lighthouse/src/main/java/saltdale/lighthouse/Members.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Members.java
@@ -8,18 +8,21 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** The leases of members, merged from what all keepers hear: each renewal counts up, and the highest count is the newest. */
+/**
+ * The leases of members, merged from what all keepers hear: each renewal counts up, and the highest count is the
+ * newest.
+ */
 final class Members {
     private static final class Lease {
         Member member;
         long count;
         long heardAt;
-        boolean untold;  // to the other keepers
+        boolean untold; // to the other keepers
     }
 
     private final long length;
-    private final Map<String, Lease> leases = new TreeMap<>();  // by life
-    private final Map<String, Long> ended = new LinkedHashMap<>();  // lives that are over, and since when
+    private final Map<String, Lease> leases = new TreeMap<>(); // by life
+    private final Map<String, Long> ended = new LinkedHashMap<>(); // lives that are over, and since when
     private long edition;
 
     Members(long length) {
@@ -81,8 +84,10 @@
 
     /** The lives that are over of late, by what this keeper knows. */
     List<Object> over(long now) {
-        return new ArrayList<>(ended.entrySet().stream().filter(e -> now - e.getValue() < length)
-                .map(Map.Entry::getKey).toList());
+        return new ArrayList<>(ended.entrySet().stream()
+                .filter(e -> now - e.getValue() < length)
+                .map(Map.Entry::getKey)
+                .toList());
     }
 
     /** Lives that are over by what another keeper knows: two of a mind, or both would have homes of their own. */
--- a/lighthouse/src/main/java/saltdale/lighthouse/Outside.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Outside.java
@@ -4,7 +4,10 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
-/** What a role needs of the world; simulated clusters bring their own. All of it is called and calls back in one thread. */
+/**
+ * What a role needs of the world; simulated clusters bring their own. All of it is called and calls back in one
+ * thread.
+ */
 public interface Outside {
     /** The steady clock, in nanoseconds. */
     long now();
--- a/lighthouse/src/main/java/saltdale/lighthouse/Platform.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Platform.java
@@ -7,8 +7,7 @@
 /** The platform that runs workers and runners. Answers are null where none came; they come in the role's own thread. */
 public interface Platform {
     /** An answer: its status and, where there was one, its body. */
-    record Answer(int status, Map<String, Object> body) {
-    }
+    record Answer(int status, Map<String, Object> body) {}
 
     /** A page of the list of runners; {@code token} is null for the first. */
     void runners(String token, Consumer<Answer> answer);
@@ -20,6 +19,5 @@
     void stop(String holder, long fence, String id, Consumer<Answer> answer);
 
     /** How often a call may be made, for all dispatchers together. */
-    record Rates(double listsPerSecond, double dutiesPerSecond, List<String> duties) {
-    }
+    record Rates(double listsPerSecond, double dutiesPerSecond, List<String> duties) {}
 }
--- a/lighthouse/src/main/java/saltdale/lighthouse/Proposer.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Proposer.java
@@ -20,7 +20,10 @@
         Step on(State newest, byte[] text);
     }
 
-    /** What a change comes to: the next state (null: stays as it is), with its text where that is new, and the answer. */
+    /**
+     * What a change comes to: the next state (null: stays as it is), with its text where that is new, and the
+     * answer.
+     */
     record Step(State next, byte[] text, Object answer) {
         static Step stay(Object answer) {
             return new Step(null, null, answer);
@@ -32,11 +35,10 @@
         void chosen(Ballot ballot, State state, byte[] text);
     }
 
-    private record Waiting(Change change, long until, Consumer<Object> answer) {
-    }
+    private record Waiting(Change change, long until, Consumer<Object> answer) {}
 
-    private static final long TRY = Outside.millis(400);  // for both questions of a ballot, disks and crossings included
-    private static final long PAUSE = Outside.millis(12);  // doubled with each try that another ballot overtook
+    private static final long TRY = Outside.millis(400); // for both questions of a ballot, disks and crossings included
+    private static final long PAUSE = Outside.millis(12); // doubled with each try that another ballot overtook
 
     private final Outside outside;
     private final String life;
@@ -50,6 +52,7 @@
     private int overtaken;
     /** The newest state known to be chosen, from which the voters are known; null where nothing is known yet. */
     private State known;
+
     private byte[] knownText;
     private boolean knownIsChosen;
 
@@ -216,17 +219,22 @@
                 newest = state;
                 newestText = state.textKey().isEmpty() ? null : message.has("x") ? message.bytes("x") : baseText;
             }
-            prepare();  // of voters that only the newest state names
+            prepare(); // of voters that only the newest state names
             // Guards against old copies that name voters of their own: what is known to be chosen must be seen as well.
-            if (round == this && put == null && majority(promises.keySet(), base)
+            if (round == this
+                    && put == null
+                    && majority(promises.keySet(), base)
                     && majority(promises.keySet(), newest)) {
                 put();
             }
         }
 
         private void put() {
-            boolean certain = newest.quorums().stream().allMatch(set -> set.stream()
-                    .filter(v -> newestBallot.equals(promises.get(v.id()))).count() > set.size() / 2);
+            boolean certain = newest.quorums().stream()
+                    .allMatch(set -> set.stream()
+                                    .filter(v -> newestBallot.equals(promises.get(v.id())))
+                                    .count()
+                            > set.size() / 2);
             Step step = current.change.on(newest, newestText);
             answer = step.answer();
             if (step.next() == null && certain) {
@@ -248,20 +256,26 @@
         }
 
         private List<List<Voter>> quorumsOfPut() {
-            return put.equals(newest) || put.quorums().equals(newest.quorums()) ? put.quorums()
+            return put.equals(newest) || put.quorums().equals(newest.quorums())
+                    ? put.quorums()
                     : List.of(newest.before(), newest.voters(), put.voters());
         }
 
         private Voter voterOf(String id) {
-            return quorumsOfPut().stream().flatMap(List::stream).filter(v -> v.id().equals(id)).findAny().orElse(null);
+            return quorumsOfPut().stream()
+                    .flatMap(List::stream)
+                    .filter(v -> v.id().equals(id))
+                    .findAny()
+                    .orElse(null);
         }
 
         private void send(Voter voter, byte[] text) {
             if (isSelf.apply(voter.id())) {
                 own.accept(ballot, put, putText, message -> replyOfOwn(voter.id(), message));
             } else {
-                outside.send(voter.host(), Fields.tree("t", "accept", "b", ballot.tree(), "s", put.tree(), "x", text,
-                        "to", voter.id()));
+                outside.send(
+                        voter.host(),
+                        Fields.tree("t", "accept", "b", ballot.tree(), "s", put.tree(), "x", text, "to", voter.id()));
             }
         }
 
@@ -279,13 +293,14 @@
         /** Once a joint state is known to be chosen, by majorities of both, the old voters are needed no longer. */
         private void settle(State joint) {
             if (joint.isJoint()) {
-                waiting.add(new Waiting(new Settling(joint), outside.now() + 4 * TRY, done -> { }));
+                waiting.add(new Waiting(new Settling(joint), outside.now() + 4 * TRY, done -> {}));
             }
         }
 
         private boolean majority(Set<String> who, State of) {
             return of.quorums().stream()
-                    .allMatch(set -> set.stream().filter(v -> who.contains(v.id())).count() > set.size() / 2);
+                    .allMatch(set ->
+                            set.stream().filter(v -> who.contains(v.id())).count() > set.size() / 2);
         }
     }
 
--- a/lighthouse/src/main/java/saltdale/lighthouse/Register.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Register.java
@@ -67,13 +67,17 @@
         switch (message.text("t")) {
             case "prepare" -> {
                 if (message.text("to").equals(id)) {
-                    acceptor.prepare(Ballot.of(message, "b"), message.text("k"), reply -> outside.send(fromHost, signed(reply)));
+                    acceptor.prepare(
+                            Ballot.of(message, "b"), message.text("k"), reply -> outside.send(fromHost, signed(reply)));
                 }
             }
             case "accept" -> {
                 if (message.text("to").equals(id)) {
-                    acceptor.accept(Ballot.of(message, "b"), State.of(message.object("s")),
-                            message.has("x") ? message.bytes("x") : null, reply -> outside.send(fromHost, signed(reply)));
+                    acceptor.accept(
+                            Ballot.of(message, "b"),
+                            State.of(message.object("s")),
+                            message.has("x") ? message.bytes("x") : null,
+                            reply -> outside.send(fromHost, signed(reply)));
                 }
             }
             case "promise", "nack", "accepted", "need" -> proposer.reply(fromId, message);
--- a/lighthouse/src/main/java/saltdale/lighthouse/Runner.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Runner.java
@@ -23,13 +23,18 @@
     }
 
     public static Runner of(Object tree) throws MalformedMessage {
-        if (tree instanceof List<?> list && list.size() >= 7 && list.get(0) instanceof String id
-                && list.get(1) instanceof String service && list.get(2) instanceof String address
-                && list.get(3) instanceof String zone && list.get(4) instanceof String worker
-                && list.get(5) instanceof Long phase && phase >= 0 && phase < Phase.values().length
+        if (tree instanceof List<?> list
+                && list.size() >= 7
+                && list.get(0) instanceof String id
+                && list.get(1) instanceof String service
+                && list.get(2) instanceof String address
+                && list.get(3) instanceof String zone
+                && list.get(4) instanceof String worker
+                && list.get(5) instanceof Long phase
+                && phase >= 0
+                && phase < Phase.values().length
                 && list.get(6) instanceof Long slots) {
-            return new Runner(id, service, address, zone, worker, Phase.values()[phase.intValue()],
-                    slots.intValue());
+            return new Runner(id, service, address, zone, worker, Phase.values()[phase.intValue()], slots.intValue());
         }
         throw new MalformedMessage("no runner");
     }
--- a/lighthouse/src/main/java/saltdale/lighthouse/Runners.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Runners.java
@@ -16,8 +16,8 @@
 final class Runners {
     private static final class Entry {
         Runner runner;
-        boolean listed;  // the platform's list has shown it
-        long since;  // when it came into its phase, as far as we know
+        boolean listed; // the platform's list has shown it
+        long since; // when it came into its phase, as far as we know
         long edition;
     }
 
@@ -25,6 +25,7 @@
     private final long forget;
     /** So long a runner that was started may take to be listed. */
     private final long patience;
+
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final Map<String, Set<String>> byService = new HashMap<>();
     private long edition;
@@ -41,11 +42,16 @@
 
     /** Those that have changed since that edition. */
     List<Runner> since(long then) {
-        return entries.values().stream().filter(e -> e.edition > then).map(e -> e.runner).toList();
+        return entries.values().stream()
+                .filter(e -> e.edition > then)
+                .map(e -> e.runner)
+                .toList();
     }
 
     Collection<Runner> of(String service) {
-        return byService.getOrDefault(service, Set.of()).stream().map(id -> entries.get(id).runner).toList();
+        return byService.getOrDefault(service, Set.of()).stream()
+                .map(id -> entries.get(id).runner)
+                .toList();
     }
 
     Runner get(String id) {
--- a/lighthouse/src/main/java/saltdale/lighthouse/Scaler.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Scaler.java
@@ -14,7 +14,10 @@
  * grows by what waits, and shrinks only after what was wanted has been less for as long as holding one costs a start.
  */
 final class Scaler {
-    /** A worker machine as the platform tells; {@code room} is what is free after the starts that it may not show yet. */
+    /**
+     * A worker machine as the platform tells; {@code room} is what is free after the starts that it may not show
+     * yet.
+     */
     static final class Worker {
         final String name;
         final String zone;
@@ -31,22 +34,21 @@
         }
     }
 
-    record Start(String service, String worker, String zone) {
-    }
+    record Start(String service, String worker, String zone) {}
 
-    record Plan(List<Start> starts, List<Runner> stops) {
-    }
+    record Plan(List<Start> starts, List<Runner> stops) {}
 
     // Ratios, none of any deployment: see docs/platform.md.
-    static final double OWN_ZONE = 0.35;  // of a runner's slots busy: from here a zone has runners of its own
-    static final double KEEPS_ZONE = 0.6;  // of that: down to here it keeps them
-    static final double SPREAD = 1.5;  // spare slots at most, in square roots of the slots busy on average
-    static final double SELDOM = 4.6;  // as a logarithm: one call in a hundred waits longer than it may
-    static final double HARMLESS = 2;  // starts: so long a runner is held idle where a start makes no call late
-    static final double HARMFUL = 4;  // the same where it does
-    static final double WARM_MEMORY = 0.1;  // of all workers' memory that may be held warm before any call
+    static final double OWN_ZONE = 0.35; // of a runner's slots busy: from here a zone has runners of its own
+    static final double KEEPS_ZONE = 0.6; // of that: down to here it keeps them
+    static final double SPREAD = 1.5; // spare slots at most, in square roots of the slots busy on average
+    static final double SELDOM = 4.6; // as a logarithm: one call in a hundred waits longer than it may
+    static final double HARMLESS = 2; // starts: so long a runner is held idle where a start makes no call late
+    static final double HARMFUL = 4; // the same where it does
+    static final double WARM_MEMORY = 0.1; // of all workers' memory that may be held warm before any call
     /** For so long after it has begun nothing is stopped: not all homes have been heard. */
     private final long quiet;
+
     private final long begunAt;
 
     /** By service and zone: counts that were wanted, each until its time. */
@@ -57,21 +59,28 @@
         this.begunAt = begunAt;
     }
 
-    Plan plan(long now, Chart chart, Map<String, List<Demand.Need>> demand, Runners runners,
-              List<Worker> workers, Map<String, Integer> beginning) {
+    Plan plan(
+            long now,
+            Chart chart,
+            Map<String, List<Demand.Need>> demand,
+            Runners runners,
+            List<Worker> workers,
+            Map<String, Integer> beginning) {
         Plan plan = new Plan(new ArrayList<>(), new ArrayList<>());
         double allMemory = workers.stream().mapToDouble(w -> w.memory).sum();
         double warm = 0;
-        List<Chart.Service> services = chart.services().values().stream().filter(Chart.Service::isFunction)
-                .sorted(Comparator.comparing(Chart.Service::name)).toList();
+        List<Chart.Service> services = chart.services().values().stream()
+                .filter(Chart.Service::isFunction)
+                .sorted(Comparator.comparing(Chart.Service::name))
+                .toList();
         Map<String, Long> targets = targets(chart);
         for (Chart.Service service : services) {
             double target = targets.getOrDefault(service.name(), 1000L) / 1000.0;
             boolean slow = service.bootMs() / 1000.0 > target;
             // A start is paid for with memory while it lasts: idle runners are held for a few times that.
             long hold = (long) ((slow ? HARMFUL : HARMLESS) * service.bootMs() * 1e6);
-            Map<String, Integer> wanted = wanted(service, target, hold,
-                    demand.getOrDefault(service.name(), List.of()), runners);
+            Map<String, Integer> wanted =
+                    wanted(service, target, hold, demand.getOrDefault(service.name(), List.of()), runners);
             // What a start takes longer than callers bear is kept warm, within a part of all the memory.
             if (slow && warm + service.memoryMb() <= WARM_MEMORY * allMemory) {
                 warm += service.memoryMb();
@@ -104,23 +113,31 @@
                 return r.zone();
             }
         }
-        return workers.stream().filter(w -> w.ready && w.room >= service.memoryMb())
-                .max(Comparator.comparingDouble(w -> w.room)).map(w -> w.zone).orElse(null);
+        return workers.stream()
+                .filter(w -> w.ready && w.room >= service.memoryMb())
+                .max(Comparator.comparingDouble(w -> w.room))
+                .map(w -> w.zone)
+                .orElse(null);
     }
 
     /** By zone, how many runners the calls want now. */
-    Map<String, Integer> wanted(Chart.Service service, double target, long hold, List<Demand.Need> needs,
-                                Runners runners) {
-        Map<String, double[]> byZone = new TreeMap<>();  // average of slots busy, slots busy now, slots for what waits
+    Map<String, Integer> wanted(
+            Chart.Service service, double target, long hold, List<Demand.Need> needs, Runners runners) {
+        Map<String, double[]> byZone = new TreeMap<>(); // average of slots busy, slots busy now, slots for what waits
         int slots = service.maxConcurrency();
         // One running time for all zones: a zone whose calls go elsewhere has seen none of its own.
-        double seen = needs.stream().filter(n -> n.run() > 0).mapToDouble(n -> n.rate() + 0.01).sum();
-        double run = seen == 0 ? target / 4
+        double seen = needs.stream()
+                .filter(n -> n.run() > 0)
+                .mapToDouble(n -> n.rate() + 0.01)
+                .sum();
+        double run = seen == 0
+                ? target / 4
                 : needs.stream().mapToDouble(n -> n.run() * (n.rate() + 0.01)).sum() / seen;
         // Slots that clear what waits in about the time that a start takes: more would come up when all is over.
         double clears = Math.max(service.bootMs() / 1000.0, run) / 2;
         if (!needs.isEmpty()) {
-            runners.of(service.name()).stream().filter(r -> r.phase().compareTo(Runner.Phase.LEAVING) < 0)
+            runners.of(service.name()).stream()
+                    .filter(r -> r.phase().compareTo(Runner.Phase.LEAVING) < 0)
                     .forEach(r -> byZone.put(r.zone(), new double[3]));
         }
         for (Demand.Need need : needs) {
@@ -130,10 +147,14 @@
             sum[2] += need.waiting() * run / clears;
         }
         Set<String> have = runners.of(service.name()).stream()
-                .filter(r -> r.phase().compareTo(Runner.Phase.LEAVING) < 0).map(Runner::zone).collect(Collectors.toSet());
+                .filter(r -> r.phase().compareTo(Runner.Phase.LEAVING) < 0)
+                .map(Runner::zone)
+                .collect(Collectors.toSet());
         // Guards against runners that move to and fro: where there are some, the rest of the zones goes there.
-        String main = byZone.keySet().stream().max(Comparator.comparing((String zone) -> have.contains(zone))
-                .thenComparing(zone -> byZone.get(zone)[0] + 0.01 * (byZone.get(zone)[1] + byZone.get(zone)[2])))
+        String main = byZone.keySet().stream()
+                .max(Comparator.comparing((String zone) -> have.contains(zone))
+                        .thenComparing(
+                                zone -> byZone.get(zone)[0] + 0.01 * (byZone.get(zone)[1] + byZone.get(zone)[2])))
                 .orElse(null);
         Map<String, Integer> wanted = new TreeMap<>();
         if (main == null) {
@@ -170,8 +191,15 @@
     }
 
     /** Starts what is missing and stops what has been too much for long enough. */
-    private void fit(long now, Chart.Service service, long hold, Map<String, Integer> wanted, Runners runners,
-                     List<Worker> workers, Map<String, Integer> beginning, Plan plan) {
+    private void fit(
+            long now,
+            Chart.Service service,
+            long hold,
+            Map<String, Integer> wanted,
+            Runners runners,
+            List<Worker> workers,
+            Map<String, Integer> beginning,
+            Plan plan) {
         Map<String, List<Runner>> have = new TreeMap<>();
         for (Runner r : runners.of(service.name())) {
             if (r.phase().compareTo(Runner.Phase.LEAVING) < 0) {
@@ -182,8 +210,11 @@
             have.computeIfAbsent(zone, z -> new ArrayList<>());
         }
         int allWanted = wanted.values().stream().mapToInt(n -> n).sum();
-        int all = have.values().stream().mapToInt(List::size).sum() + beginning.entrySet().stream()
-                .filter(b -> b.getKey().startsWith(service.name() + "@")).mapToInt(Map.Entry::getValue).sum();
+        int all = have.values().stream().mapToInt(List::size).sum()
+                + beginning.entrySet().stream()
+                        .filter(b -> b.getKey().startsWith(service.name() + "@"))
+                        .mapToInt(Map.Entry::getValue)
+                        .sum();
         for (Map.Entry<String, List<Runner>> each : have.entrySet()) {
             String zone = each.getKey();
             int want = wanted.getOrDefault(zone, 0);
@@ -205,25 +236,41 @@
             // Who has just won the duty has not heard all homes: for as long as it holds anything it stops nothing.
             if (are > keep && now - begunAt > quiet) {
                 // The youngest first: those that are ready serve on.
-                each.getValue().stream().sorted(Comparator.comparing((Runner r) -> r.phase())
-                        .thenComparing(r -> -runners.since(r.id()))).limit(are - keep).forEach(plan.stops::add);
+                each.getValue().stream()
+                        .sorted(Comparator.comparing((Runner r) -> r.phase())
+                                .thenComparing(r -> -runners.since(r.id())))
+                        .limit(are - keep)
+                        .forEach(plan.stops::add);
             }
         }
     }
 
-    /** Where the fewest runners of the service are, then where the most room is: a lost worker takes few of one service. */
-    private static Worker place(Chart.Service service, String zone, Runners runners, List<Worker> workers,
-                                Map<String, Integer> beginning, Plan plan) {
+    /**
+     * Where the fewest runners of the service are, then where the most room is: a lost worker takes few of one
+     * service.
+     */
+    private static Worker place(
+            Chart.Service service,
+            String zone,
+            Runners runners,
+            List<Worker> workers,
+            Map<String, Integer> beginning,
+            Plan plan) {
         Map<String, Integer> there = new HashMap<>();
-        runners.of(service.name()).stream().filter(r -> r.phase().compareTo(Runner.Phase.LEAVING) < 0)
+        runners.of(service.name()).stream()
+                .filter(r -> r.phase().compareTo(Runner.Phase.LEAVING) < 0)
                 .forEach(r -> there.merge(r.worker(), 1, Integer::sum));
         // What is on its way there counts as well.
-        workers.forEach(w -> there.merge(w.name, beginning.getOrDefault(service.name() + "#" + w.name, 0), Integer::sum));
-        plan.starts().stream().filter(s -> s.service().equals(service.name()))
+        workers.forEach(
+                w -> there.merge(w.name, beginning.getOrDefault(service.name() + "#" + w.name, 0), Integer::sum));
+        plan.starts().stream()
+                .filter(s -> s.service().equals(service.name()))
                 .forEach(s -> there.merge(s.worker(), 1, Integer::sum));
-        return workers.stream().filter(w -> w.ready && w.room >= service.memoryMb())
+        return workers.stream()
+                .filter(w -> w.ready && w.room >= service.memoryMb())
                 .min(Comparator.comparing((Worker w) -> !w.zone.equals(zone))
                         .thenComparing(w -> there.getOrDefault(w.name, 0))
-                        .thenComparing(w -> -w.room)).orElse(null);
+                        .thenComparing(w -> -w.room))
+                .orElse(null);
     }
 }
--- a/lighthouse/src/main/java/saltdale/lighthouse/Starter.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Starter.java
@@ -12,7 +12,8 @@
 
 /**
  * A keeper's dealings with the platform: every keeper reads the list of runners; the holder of the duty reads the
- * workers too, and starts and stops. A start is told to the other keepers before it is asked for, with its nonce, so that
+ * workers too, and starts and stops. A start is told to the other keepers before it is asked for, with its nonce,
+ * so that
  * whoever takes over asks again for what may have been begun and learns of it.
  */
 final class Starter {
@@ -23,8 +24,8 @@
         final String zone;
         final int slots;
         final int memory;
-        long at;  // when it was told or asked for
-        boolean asked;  // a call of ours is under way
+        long at; // when it was told or asked for
+        boolean asked; // a call of ours is under way
         int tries;
 
         Intent(String nonce, String service, String worker, String zone, int slots, int memory, long at) {
@@ -43,20 +44,20 @@
     private final Platform platform;
     private final Landfall landfall;
     private Scaler scaler;
-    private final Map<String, Intent> intents = new LinkedHashMap<>();  // by nonce
-    private final Map<String, Long> leaving = new LinkedHashMap<>();  // runners we told to get nothing new, and when
-    private final Set<String> drained = new HashSet<>();  // runners that the platform itself takes away
-    private final Deque<Long> duties = new ArrayDeque<>();  // calls of the last second
+    private final Map<String, Intent> intents = new LinkedHashMap<>(); // by nonce
+    private final Map<String, Long> leaving = new LinkedHashMap<>(); // runners we told to get nothing new, and when
+    private final Set<String> drained = new HashSet<>(); // runners that the platform itself takes away
+    private final Deque<Long> duties = new ArrayDeque<>(); // calls of the last second
     private List<Scaler.Worker> workers = List.of();
-    private final Map<String, Double> told = new HashMap<>();  // the platform's word on free memory
+    private final Map<String, Double> told = new HashMap<>(); // the platform's word on free memory
     private long workersAt = Long.MIN_VALUE / 2;
-    private boolean lookAgain;  // for workers, sooner than usual
+    private boolean lookAgain; // for workers, sooner than usual
     private boolean looking;
     private long fence = -1;
     private long nonces;
     private int pages = 1;
     private boolean listing;
-    private long pageAt = Long.MIN_VALUE / 2;  // when the last page was asked for
+    private long pageAt = Long.MIN_VALUE / 2; // when the last page was asked for
     private int refused;
 
     Starter(Outside outside, Keeper keeper, Platform platform, Landfall landfall) {
@@ -76,7 +77,7 @@
     private void list() {
         long now = outside.now();
         if (!listing && now - pageAt < pageGap()) {
-            outside.after(pageAt + pageGap() - now, this::list);  // a first page is a page too
+            outside.after(pageAt + pageGap() - now, this::list); // a first page is a page too
             return;
         }
         // Guards against lists of many pages that overlap; one of which no answer ever came does not hold up the next.
@@ -85,7 +86,8 @@
             list(null, new ArrayList<>(), 1, now);
         }
         // All keepers together stay under half of the platform's rate, whatever number of pages the list has.
-        double atLeast = keeper.keepers() * (pages + 1) / (0.5 * landfall.rates().listsPerSecond());
+        double atLeast =
+                keeper.keepers() * (pages + 1) / (0.5 * landfall.rates().listsPerSecond());
         outside.after(Math.max(landfall.beat() / 2, (long) (atLeast * 1e9)), this::list);
     }
 
@@ -107,9 +109,14 @@
                     if (!ready) {
                         drained.add(each.text("identifier"));
                     }
-                    so.add(new Runner(each.text("identifier"), each.text("service"), each.text("address"),
-                            each.text("zone"), each.text("worker_machine", ""),
-                            ready ? Runner.Phase.READY : Runner.Phase.LEAVING, slots(each)));
+                    so.add(new Runner(
+                            each.text("identifier"),
+                            each.text("service"),
+                            each.text("address"),
+                            each.text("zone"),
+                            each.text("worker_machine", ""),
+                            ready ? Runner.Phase.READY : Runner.Phase.LEAVING,
+                            slots(each)));
                 }
                 // The pages as they come: how many runners one holds the platform does not say.
                 pages = Math.max(pages, page);
@@ -161,7 +168,7 @@
             return;
         }
         long now = outside.now();
-        if (fence != keeper.fence()) {  // newly won: what another had begun is asked for again, and so learnt
+        if (fence != keeper.fence()) { // newly won: what another had begun is asked for again, and so learnt
             fence = keeper.fence();
             scaler = new Scaler(landfall.beat() * 7 / 2, now);
             intents.values().forEach(i -> i.asked = false);
@@ -171,8 +178,9 @@
                     .forEach(r -> leaving.putIfAbsent(r.id(), now));
         }
         drained.removeIf(id -> keeper.runners().get(id) == null);
-        leaving.keySet().removeIf(id -> keeper.runners().get(id) == null
-                || keeper.runners().get(id).phase() == Runner.Phase.GONE);
+        leaving.keySet()
+                .removeIf(id -> keeper.runners().get(id) == null
+                        || keeper.runners().get(id).phase() == Runner.Phase.GONE);
         intents.values().removeIf(i -> !i.asked && now - i.at > 20 * landfall.beat());
         if (now - workersAt > (lookAgain ? landfall.beat() / 2 : (keeper.chart() == null ? 2 : 1) * landfall.beat())) {
             workersAt = now;
@@ -216,8 +224,12 @@
                 List<Scaler.Worker> all = new ArrayList<>();
                 for (Fields each : new Fields(answer.body()).objects("worker_machines")) {
                     double free = each.number("free_memory_mb");
-                    all.add(new Scaler.Worker(each.text("name"), each.text("zone"),
-                            each.text("state").equals("ready"), each.number("memory_mb"), free));
+                    all.add(new Scaler.Worker(
+                            each.text("name"),
+                            each.text("zone"),
+                            each.text("state").equals("ready"),
+                            each.number("memory_mb"),
+                            free));
                 }
                 workers = all;
                 told.clear();
@@ -251,13 +263,19 @@
             beginning.merge(i.service + "@" + i.zone, 1, Integer::sum);
             beginning.merge(i.service + "#" + i.worker, 1, Integer::sum);
         });
-        Scaler.Plan plan = scaler.plan(now, keeper.chart(), keeper.demand().all(now), keeper.runners(), workers,
-                beginning);
+        Scaler.Plan plan =
+                scaler.plan(now, keeper.chart(), keeper.demand().all(now), keeper.runners(), workers, beginning);
         List<Object> news = new ArrayList<>();
         for (Scaler.Start start : plan.starts()) {
             Chart.Service service = keeper.chart().services().get(start.service());
-            Intent intent = new Intent(fence + "-" + Long.toString(++nonces, 36), start.service(), start.worker(),
-                    start.zone(), service.maxConcurrency(), service.memoryMb(), now);
+            Intent intent = new Intent(
+                    fence + "-" + Long.toString(++nonces, 36),
+                    start.service(),
+                    start.worker(),
+                    start.zone(),
+                    service.maxConcurrency(),
+                    service.memoryMb(),
+                    now);
             intents.put(intent.nonce, intent);
             news.add(tree(intent));
         }
@@ -270,8 +288,13 @@
             }
         }
         if (!plan.starts().isEmpty() || !plan.stops().isEmpty()) {
-            outside.note("starts " + plan.starts().stream().map(s -> s.service() + "@" + s.zone()).toList() + ", stops "
-                    + plan.stops().stream().map(r -> r.service() + "@" + r.zone()).toList());
+            outside.note("starts "
+                    + plan.starts().stream()
+                            .map(s -> s.service() + "@" + s.zone())
+                            .toList() + ", stops "
+                    + plan.stops().stream()
+                            .map(r -> r.service() + "@" + r.zone())
+                            .toList());
         }
         for (Runner r : plan.stops()) {
             leaving.put(r.id(), now);
@@ -290,20 +313,28 @@
                 if (intent.tries > 8) {
                     over(intent);
                 }
-                return;  // it may have been done: asked again under the same nonce
+                return; // it may have been done: asked again under the same nonce
             }
             over(intent);
             if (answer.status() != 200 || answer.body() == null) {
                 refused = 10;
-                lookAgain = true;  // no room there after all
+                lookAgain = true; // no room there after all
                 outside.note("start of " + intent.service + " on " + intent.worker + ": " + answer.status());
                 return;
             }
             refused = Math.max(0, refused - 1);
             try {
                 Fields body = new Fields(answer.body());
-                keeper.changed(List.of(new Runner(body.text("identifier"), intent.service, body.text("address"),
-                        intent.zone, intent.worker, Runner.Phase.BOOTING, intent.slots)), true);
+                keeper.changed(
+                        List.of(new Runner(
+                                body.text("identifier"),
+                                intent.service,
+                                body.text("address"),
+                                intent.zone,
+                                intent.worker,
+                                Runner.Phase.BOOTING,
+                                intent.slots)),
+                        true);
             } catch (MalformedMessage e) {
                 outside.note("an answer to a start cannot be read: " + e.getMessage());
             }
@@ -326,8 +357,16 @@
     /** Another keeper's intents: those it has told of, and those that are over. */
     void told(Fields message) throws MalformedMessage {
         for (Fields each : message.objects("l")) {
-            intents.putIfAbsent(each.text("n"), new Intent(each.text("n"), each.text("s"), each.text("w"),
-                    each.text("z"), (int) each.whole("c"), (int) each.whole("m"), outside.now()));
+            intents.putIfAbsent(
+                    each.text("n"),
+                    new Intent(
+                            each.text("n"),
+                            each.text("s"),
+                            each.text("w"),
+                            each.text("z"),
+                            (int) each.whole("c"),
+                            (int) each.whole("m"),
+                            outside.now()));
         }
         message.texts("o").forEach(intents::remove);
     }
--- a/lighthouse/src/main/java/saltdale/lighthouse/State.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/State.java
@@ -7,12 +7,19 @@
 import java.util.TreeMap;
 
 /**
- * What is agreed, whole but for the text of the configuration, which {@code textKey} names. Chosen states form one line,
+ * What is agreed, whole but for the text of the configuration, which {@code textKey} names. Chosen states form
+ * one line,
  * numbered by {@code version}. While {@code before} differs from {@code voters} a change of voters is under way, and
  * ballots need a majority of both.
  */
-public record State(long version, List<Voter> before, List<Voter> voters, Map<String, Tenure> duties, long revision,
-                    String textKey, List<String> taken) {
+public record State(
+        long version,
+        List<Voter> before,
+        List<Voter> voters,
+        Map<String, Tenure> duties,
+        long revision,
+        String textKey,
+        List<String> taken) {
     /** So many changes of the configuration are remembered, for operators who repeat theirs. */
     private static final int REMEMBERED = 64;
 
@@ -56,15 +63,34 @@
     public State withText(long newRevision, String key, String change) {
         List<String> all = new ArrayList<>(taken);
         all.add(change);
-        return new State(version + 1, before, voters, duties, newRevision, key,
+        return new State(
+                version + 1,
+                before,
+                voters,
+                duties,
+                newRevision,
+                key,
                 all.subList(Math.max(0, all.size() - REMEMBERED), all.size()));
     }
 
     public Map<String, Object> tree() {
         Map<String, Object> duty = new LinkedHashMap<>();
         duties.forEach((name, t) -> duty.put(name, Fields.tree("h", t.holder(), "n", t.name(), "f", t.fence())));
-        return Fields.tree("v", version, "b", isJoint() ? before.stream().map(Voter::tree).toList() : null,
-                "m", voters.stream().map(Voter::tree).toList(), "d", duty, "r", revision, "k", textKey, "c", taken);
+        return Fields.tree(
+                "v",
+                version,
+                "b",
+                isJoint() ? before.stream().map(Voter::tree).toList() : null,
+                "m",
+                voters.stream().map(Voter::tree).toList(),
+                "d",
+                duty,
+                "r",
+                revision,
+                "k",
+                textKey,
+                "c",
+                taken);
     }
 
     static State of(Fields from) throws MalformedMessage {
@@ -75,8 +101,14 @@
             Fields one = all.object(name);
             duties.put(name, new Tenure(one.text("h", null), one.text("n", null), one.whole("f")));
         }
-        return new State(from.whole("v"), from.has("b") ? voters(from, "b") : voters, voters, duties,
-                from.whole("r"), from.text("k"), from.texts("c"));
+        return new State(
+                from.whole("v"),
+                from.has("b") ? voters(from, "b") : voters,
+                voters,
+                duties,
+                from.whole("r"),
+                from.text("k"),
+                from.texts("c"));
     }
 
     private static List<Voter> voters(Fields from, String name) throws MalformedMessage {
--- a/lighthouse/src/main/java/saltdale/lighthouse/Trees.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Trees.java
@@ -16,8 +16,7 @@
 public final class Trees {
     private static final int DEEPEST = 32;
 
-    private Trees() {
-    }
+    private Trees() {}
 
     private static final class Cbor {
         static final JsonFactory FACTORY = new CBORFactory();
--- a/lighthouse/src/main/java/saltdale/lighthouse/Voter.java
+++ b/lighthouse/src/main/java/saltdale/lighthouse/Voter.java
@@ -9,8 +9,11 @@
     }
 
     static Voter of(Object tree) throws MalformedMessage {
-        if (tree instanceof List<?> list && list.size() == 3 && list.get(0) instanceof String id
-                && list.get(1) instanceof String name && list.get(2) instanceof String host) {
+        if (tree instanceof List<?> list
+                && list.size() == 3
+                && list.get(0) instanceof String id
+                && list.get(1) instanceof String name
+                && list.get(2) instanceof String host) {
             return new Voter(id, name, host);
         }
         throw new MalformedMessage("no voter");
--- a/net/src/main/java/saltdale/protocol/Head.java
+++ b/net/src/main/java/saltdale/protocol/Head.java
@@ -7,11 +7,11 @@
 /** The start line and the headers of a message, over the bytes that came. */
 public final class Head {
     /** One header line: its name and value, and where the line stands in the bytes that came. */
-    record Line(String name, String value, int from, int to) {
-    }
+    record Line(String name, String value, int from, int to) {}
 
     /** Requests: method, target and version; answers: version, status and reason. */
     private final String first;
+
     private final String second;
     private final String third;
     private final byte[] came;
--- a/net/src/main/java/saltdale/protocol/HostList.java
+++ b/net/src/main/java/saltdale/protocol/HostList.java
@@ -5,12 +5,23 @@
 
 /** One message of discovery: the whole list of runners, or the entries that changed. */
 public final class HostList {
-    public enum Health { UP, DRAINING, REMOVED }
+    /** The state of one runner in the list. */
+    public enum Health {
+        UP,
+        DRAINING,
+        REMOVED
+    }
 
     /** One runner; {@code bornMillis} is Unix time, 0 for long ago. */
-    public record Host(String host, String dial, String site, String kind, int block, Health health, double share,
-                       long bornMillis) {
-    }
+    public record Host(
+            String host,
+            String dial,
+            String site,
+            String kind,
+            int block,
+            Health health,
+            double share,
+            long bornMillis) {}
 
     public final long seq;
     public final boolean whole;
@@ -73,7 +84,14 @@
             case "removed" -> Health.REMOVED;
             default -> throw new JsonReader.Malformed("no such health");
         };
-        return new Host(texts[0], texts[1], texts[2] == null ? "" : texts[2], texts[3] == null ? "" : texts[3],
-                (int) numbers[0], health, numbers[1], (long) numbers[2]);
+        return new Host(
+                texts[0],
+                texts[1],
+                texts[2] == null ? "" : texts[2],
+                texts[3] == null ? "" : texts[3],
+                (int) numbers[0],
+                health,
+                numbers[1],
+                (long) numbers[2]);
     }
 }
--- a/net/src/main/java/saltdale/protocol/HttpParser.java
+++ b/net/src/main/java/saltdale/protocol/HttpParser.java
@@ -8,15 +8,20 @@
 
 /** Reads HTTP/1.1 messages of one direction from bytes that come in any pieces. */
 public final class HttpParser {
-    public enum Kind { REQUEST, ANSWER }
+    /** The direction whose messages are read. */
+    public enum Kind {
+        REQUEST,
+        ANSWER
+    }
 
     public static final int MOST_BODY = 64 * 1024;
     /** Of an answer, such as a list of runners, and of a line of discovery's: some thousands of them. */
     public static final int MOST_ANSWER = 1024 * 1024;
+
     public static final int MOST_HEAD = 8 * 1024;
-    private static final int MOST_LINES = 64;  // in a head
-    private static final int MOST_EMPTY = 8;  // bytes of empty lines before a message
-    private static final int MOST_LINE = 1024;  // of a chunk's size
+    private static final int MOST_LINES = 64; // in a head
+    private static final int MOST_EMPTY = 8; // bytes of empty lines before a message
+    private static final int MOST_LINE = 1024; // of a chunk's size
 
     private static final byte[] NOTHING = new byte[0];
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
@@ -24,7 +29,17 @@
     private static final Pattern LENGTH = Pattern.compile("\\d{1,18}");
     private static final Pattern CHUNK_LENGTH = Pattern.compile("[0-9a-fA-F]{1,8}");
 
-    private enum State { HEAD, COUNTED, TO_THE_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, WHOLE, BAD }
+    private enum State {
+        HEAD,
+        COUNTED,
+        TO_THE_END,
+        CHUNK_SIZE,
+        CHUNK,
+        CHUNK_END,
+        TRAILER,
+        WHOLE,
+        BAD
+    }
 
     /** Takes the parts of a body that is not to be gathered. */
     public interface Sink {
@@ -32,8 +47,7 @@
     }
 
     /** How long what is gathered may be, in bytes. */
-    public record Limits(int head, int body) {
-    }
+    public record Limits(int head, int body) {}
 
     private final Kind kind;
     private final Sink sink;
@@ -42,7 +56,7 @@
     private byte[] gathered = new byte[512];
     private int count;
     private int empty;
-    private byte before;  // the byte that came before this one
+    private byte before; // the byte that came before this one
     private byte[] body = NOTHING;
     private int bodyCount;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(0);
@@ -129,7 +143,7 @@
         count = 0;
         empty = 0;
         before = 0;
-        gathered = gathered.length > 512 ? new byte[512] : gathered;  // guards against idle connections that hold much
+        gathered = gathered.length > 512 ? new byte[512] : gathered; // guards against idle connections that hold much
         body = NOTHING;
         bodyCount = 0;
         line.reset();
@@ -156,7 +170,7 @@
             }
             before = b;
             if (count == 0 && (b == '\r' || b == '\n')) {
-                if (++empty > MOST_EMPTY) {  // empty lines before a message mean nothing, but they end
+                if (++empty > MOST_EMPTY) { // empty lines before a message mean nothing, but they end
                     bad(400, "nothing but empty lines");
                     return;
                 }
@@ -170,7 +184,10 @@
                 gathered = Arrays.copyOf(gathered, 2 * count);
             }
             gathered[count++] = b;
-            if (b == '\n' && count >= 4 && gathered[count - 2] == '\r' && gathered[count - 3] == '\n'
+            if (b == '\n'
+                    && count >= 4
+                    && gathered[count - 2] == '\r'
+                    && gathered[count - 3] == '\n'
                     && gathered[count - 4] == '\r') {
                 parseHead();
                 return;
@@ -183,12 +200,16 @@
         int end = lineEnd(came, 0);
         String[] parts = text(came, 0, end).split(" ", kind == Kind.REQUEST ? -1 : 3);
         if (kind == Kind.REQUEST) {
-            if (parts.length != 3 || !token(parts[0]) || !parts[1].startsWith("/")
-                    || !printable(parts[1]) || !VERSION.matcher(parts[2]).matches()) {
+            if (parts.length != 3
+                    || !token(parts[0])
+                    || !parts[1].startsWith("/")
+                    || !printable(parts[1])
+                    || !VERSION.matcher(parts[2]).matches()) {
                 bad(400, "the request line is malformed");
                 return;
             }
-        } else if (parts.length < 2 || !VERSION.matcher(parts[0]).matches()
+        } else if (parts.length < 2
+                || !VERSION.matcher(parts[0]).matches()
                 || !STATUS.matcher(parts[1]).matches()) {
             bad(400, "the status line is malformed");
             return;
@@ -205,7 +226,8 @@
                 bad(431, "the head has too many lines");
                 return;
             }
-            read.lines.add(new Head.Line(whole.substring(0, colon), whole.substring(colon + 1).strip(), from, end));
+            read.lines.add(new Head.Line(
+                    whole.substring(0, colon), whole.substring(colon + 1).strip(), from, end));
         }
         frame(read);
     }
@@ -218,7 +240,8 @@
             if (each.name().equalsIgnoreCase("Transfer-Encoding")) {
                 coding = coding == null ? each.value() : coding + "," + each.value();
             } else if (each.name().equalsIgnoreCase("Content-Length")) {
-                if (length != null && !length.equals(each.value()) || !LENGTH.matcher(each.value()).matches()) {
+                if (length != null && !length.equals(each.value())
+                        || !LENGTH.matcher(each.value()).matches()) {
                     bad(400, "the length is malformed");
                     return;
                 }
@@ -230,7 +253,7 @@
             return;
         }
         if (kind == Kind.ANSWER && read.status() < 200) {
-            next();  // only an interim answer
+            next(); // only an interim answer
             return;
         }
         head = read;
@@ -244,7 +267,7 @@
             left = length == null || none ? 0 : Long.parseLong(length);
             state = left == 0 ? State.WHOLE : State.COUNTED;
             if (!tooLong(left) && sink == null) {
-                body = new byte[(int) Math.min(left, Math.min(limits.body, MOST_BODY))];  // more only as it comes
+                body = new byte[(int) Math.min(left, Math.min(limits.body, MOST_BODY))]; // more only as it comes
             }
         }
     }
--- a/net/src/main/java/saltdale/protocol/HttpWriter.java
+++ b/net/src/main/java/saltdale/protocol/HttpWriter.java
@@ -11,13 +11,21 @@
 /** The bytes of the messages that a dispatcher sends. */
 public final class HttpWriter {
     /** Headers that concern one connection, or the framing on it, in lower case. */
-    public static final Set<String> HOP = Set.of("connection", "keep-alive", "proxy-connection", "te",
-            "trailer", "transfer-encoding", "upgrade", "content-length", "expect");
+    public static final Set<String> HOP = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "content-length",
+            "expect");
+
     private static final Set<String> NOT_PASSED_ON = and(HOP, "request-timeout-ms");
     private static final Set<String> ALWAYS_PASSED_ON = Set.of("request-id", "idempotency-key");
 
-    private HttpWriter() {
-    }
+    private HttpWriter() {}
 
     /** These names and those. */
     public static Set<String> and(Set<String> names, String... more) {
@@ -28,7 +36,10 @@
 
     /** A client's request as it goes on to a runner, up to its body: what came, but for this hop's own headers. */
     public static byte[] passedOn(Head head, int bodyLength, long patienceMillis) {
-        return passedOn(head, NOT_PASSED_ON, ALWAYS_PASSED_ON,
+        return passedOn(
+                head,
+                NOT_PASSED_ON,
+                ALWAYS_PASSED_ON,
                 "Request-Timeout-Ms: " + patienceMillis + "\r\nContent-Length: " + bodyLength + "\r\n");
     }
 
@@ -89,7 +100,7 @@
     /** A request of our own with a body; {@code more} holds whole header lines or nothing. */
     public static byte[] request(String method, String target, String host, String more, int bodyLength) {
         return (method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n" + more
-                + (method.equals("GET") ? "" : "Content-Length: " + bodyLength + "\r\n") + "\r\n")
+                        + (method.equals("GET") ? "" : "Content-Length: " + bodyLength + "\r\n") + "\r\n")
                 .getBytes(StandardCharsets.ISO_8859_1);
     }
 
--- a/net/src/main/java/saltdale/protocol/JsonReader.java
+++ b/net/src/main/java/saltdale/protocol/JsonReader.java
@@ -98,7 +98,9 @@
             case 't' -> out.write('\t');
             case 'u' -> {
                 int code = hex();
-                if (Character.isHighSurrogate((char) code) && at + 1 < text.length && text[at] == '\\'
+                if (Character.isHighSurrogate((char) code)
+                        && at + 1 < text.length
+                        && text[at] == '\\'
                         && text[at + 1] == 'u') {
                     int mark = at;
                     at += 2;
--- a/net/src/main/java/saltdale/protocol/Load.java
+++ b/net/src/main/java/saltdale/protocol/Load.java
@@ -8,8 +8,7 @@
 public final class Load {
     private static final double MOST = 1e9;
 
-    private Load() {
-    }
+    private Load() {}
 
     /** The values of a report; null where the text is none. */
     public static Map<String, Double> read(byte[] text) {
@@ -52,7 +51,9 @@
                 return null;
             }
             try {
-                put(values, pair.substring(0, equals).strip(),
+                put(
+                        values,
+                        pair.substring(0, equals).strip(),
                         Double.parseDouble(pair.substring(equals + 1).strip()));
             } catch (NumberFormatException e) {
                 // a value that is no number is none of those that are known
--- a/net/src/main/java/saltdale/protocol/News.java
+++ b/net/src/main/java/saltdale/protocol/News.java
@@ -4,7 +4,15 @@
 
 /** What a runner tells of a job by calling back. */
 public final class News {
-    public enum State { STARTED, RUNNING, DONE, FAILED, RETURNED, LOST }
+    /** How far the job has come. */
+    public enum State {
+        STARTED,
+        RUNNING,
+        DONE,
+        FAILED,
+        RETURNED,
+        LOST
+    }
 
     public String id;
     public String from;
@@ -14,8 +22,7 @@
     /** The load report that came along; null where none did. */
     public Map<String, Double> load;
 
-    private News() {
-    }
+    private News() {}
 
     /** Reads one; null where it is no JSON or lacks a field. */
     public static News read(byte[] text) {
@@ -27,7 +34,9 @@
         } catch (JsonReader.Malformed e) {
             return null;
         }
-        boolean whole = news.id != null && news.from != null && news.state != null
+        boolean whole = news.id != null
+                && news.from != null
+                && news.state != null
                 && (news.state != State.DONE || news.result != null);
         return whole ? news : null;
     }
--- a/net/src/main/java/saltdale/serving/Visit.java
+++ b/net/src/main/java/saltdale/serving/Visit.java
@@ -43,8 +43,7 @@
         }
 
         /** A request was malformed or too slow. */
-        default void refused(boolean tooSlow) {
-        }
+        default void refused(boolean tooSlow) {}
     }
 
     private static final byte[] NOTHING = new byte[0];
@@ -55,14 +54,14 @@
     private final boolean oneTooMany;
     private final HttpParser parser = new HttpParser(HttpParser.Kind.REQUEST);
     private final Runnable drop = this::drop;
-    private ByteBuffer ahead = NOTHING_AHEAD;  // what has come and is not yet parsed
+    private ByteBuffer ahead = NOTHING_AHEAD; // what has come and is not yet parsed
     private boolean going;
     private boolean serving;
     private boolean keepsAlive;
-    private boolean told;  // that the body may come
-    private boolean stranger = true;  // none of its requests has been taken so far
-    private int refusals;  // in a row
-    private Timer limit;  // of the request that is coming, or of the rest between two
+    private boolean told; // that the body may come
+    private boolean stranger = true; // none of its requests has been taken so far
+    private int refusals; // in a row
+    private Timer limit; // of the request that is coming, or of the rest between two
     private boolean resting;
     /** What is being served; null where nothing is. */
     public Object held;
@@ -225,7 +224,7 @@
         stranger &= status >= 400;
         refusals = refused ? Math.min(refusals + 1, 7) : 0;
         connection.reading(!refused);
-        if (refused) {  // guards against the same again as soon as it is turned away, as fast as it can be sent
+        if (refused) { // guards against the same again as soon as it is turned away, as fast as it can be sent
             host.loop().after(Duration.ofMillis(5L << refusals), () -> connection.reading(true));
         }
         goOn();
--- a/net/src/main/java/saltdale/transport/Address.java
+++ b/net/src/main/java/saltdale/transport/Address.java
@@ -10,8 +10,7 @@
     private static final Pattern IPV4 = Pattern.compile("\\d{1,3}(\\.\\d{1,3}){3}");
     private static final Pattern IPV6 = Pattern.compile("\\[[0-9a-fA-F:.]+]");
 
-    private Address() {
-    }
+    private Address() {}
 
     /** The address, or null where the text is no numeric host with a port. */
     public static InetSocketAddress parse(String text) {
@@ -22,7 +21,9 @@
         String host = text.substring(0, colon);
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
-            if (port < 1 || port > 65535 || !IPV4.matcher(host).matches() && !IPV6.matcher(host).matches()) {
+            if (port < 1
+                    || port > 65535
+                    || !IPV4.matcher(host).matches() && !IPV6.matcher(host).matches()) {
                 return null;
             }
             return new InetSocketAddress(InetAddress.getByName(host), port);
--- a/net/src/main/java/saltdale/transport/Connection.java
+++ b/net/src/main/java/saltdale/transport/Connection.java
@@ -14,8 +14,7 @@
 public final class Connection implements Loop.Ready {
     /** Who a connection belongs to at present. None of these is called after {@link #close}. */
     public interface Owner {
-        default void opened() {
-        }
+        default void opened() {}
 
         /** Bytes have come; those left in the buffer are lost. */
         void received(ByteBuffer bytes);
@@ -24,13 +23,13 @@
         void ended(String cause);
     }
 
-    private static final Duration LINGER = Duration.ofSeconds(1);  // for a peer that is still sending
+    private static final Duration LINGER = Duration.ofSeconds(1); // for a peer that is still sending
 
     private final Loop loop;
     private final Sockets sockets;
     private final SocketChannel channel;
     private SelectionKey key;
-    private Timer limit;  // of connecting, later of closing
+    private Timer limit; // of connecting, later of closing
     private final Runnable drop = this::close;
     private final Deque<ByteBuffer> outgoing = new ArrayDeque<>();
     private Owner owner;
@@ -79,7 +78,7 @@
             if (channel.connect(to)) {
                 loop.soon(connection, connection::connected);
             }
-        } catch (IOException e) {  // there is no way to it: that is not for want of a socket
+        } catch (IOException e) { // there is no way to it: that is not for want of a socket
             loop.soon(connection, () -> connection.end("not connected: " + e.getMessage()));
         }
         connection.limit = loop.after(limit, () -> {
@@ -97,7 +96,9 @@
     /** The other side's address in numbers; null where it cannot be told any more. */
     public String peer() {
         try {
-            return channel.getRemoteAddress() instanceof InetSocketAddress at ? at.getAddress().getHostAddress() : null;
+            return channel.getRemoteAddress() instanceof InetSocketAddress at
+                    ? at.getAddress().getHostAddress()
+                    : null;
         } catch (IOException e) {
             return null;
         }
@@ -168,7 +169,7 @@
         }
         finishing = true;
         sockets.idle(Sockets.Rank.ANSWERED, drop);
-        limit = loop.after(LINGER.multipliedBy(10), this::close);  // for a peer that never reads
+        limit = loop.after(LINGER.multipliedBy(10), this::close); // for a peer that never reads
         reading = true;
         interest();
         shutIfWritten();
@@ -190,7 +191,7 @@
             connecting = false;
             outgoing.clear();
             if (limit != null) {
-                limit.cancel();  // guards against closed connections that timers keep in memory
+                limit.cancel(); // guards against closed connections that timers keep in memory
             }
             sockets.busy(drop);
             quietly(channel);
--- a/net/src/main/java/saltdale/transport/Listener.java
+++ b/net/src/main/java/saltdale/transport/Listener.java
@@ -25,14 +25,12 @@
     private final Taker taker;
     private boolean held;
 
-    public Listener(Loop loop, Sockets sockets, InetSocketAddress at, Taker taker)
-            throws IOException {
+    public Listener(Loop loop, Sockets sockets, InetSocketAddress at, Taker taker) throws IOException {
         this(loop, sockets, at, BACKLOG, taker);
     }
 
     /** {@code backlog}: connections that the kernel may hold ready before they are taken in. */
-    public Listener(Loop loop, Sockets sockets, InetSocketAddress at, int backlog, Taker taker)
-            throws IOException {
+    public Listener(Loop loop, Sockets sockets, InetSocketAddress at, int backlog, Taker taker) throws IOException {
         this.loop = loop;
         this.sockets = sockets;
         this.taker = taker;
@@ -57,7 +55,7 @@
             try {
                 taker.take(Connection.accepted(loop, sockets, accepted), full);
             } catch (IOException e) {
-                sockets.gaveBack();  // it ended before it was ours
+                sockets.gaveBack(); // it ended before it was ours
                 accepted.close();
             }
         }
@@ -98,7 +96,7 @@
             ready(key);
             close();
         } catch (IOException e) {
-            key.cancel();  // the process ends, and the kernel closes what it holds
+            key.cancel(); // the process ends, and the kernel closes what it holds
         }
     }
 
--- a/net/src/main/java/saltdale/transport/Loop.java
+++ b/net/src/main/java/saltdale/transport/Loop.java
@@ -26,9 +26,9 @@
     }
 
     private static final Logger LOG = Logger.getLogger(Loop.class.getName());
-    private static final long BEAT = 100_000_000;  // ns: it comes round so often at least while there is traffic
-    private static final long TRAFFIC = 1_000_000_000;  // ns: so long after something last came
-    private static final long LATE = 50_000_000;  // ns: later than this it stood still, which no wait explains
+    private static final long BEAT = 100_000_000; // ns: it comes round so often at least while there is traffic
+    private static final long TRAFFIC = 1_000_000_000; // ns: so long after something last came
+    private static final long LATE = 50_000_000; // ns: later than this it stood still, which no wait explains
     private static final int MOST_ROUNDS = 32;
     private final Selector selector;
     private final long origin = System.nanoTime();
@@ -37,8 +37,9 @@
     private final Queue<Runnable> fromOutside = new ConcurrentLinkedQueue<>();
     /** Shared by all connections: what is read is taken out of it before the next read. */
     final ByteBuffer incoming = ByteBuffer.allocateDirect(1 << 16);
+
     private long now;
-    private long cameAt;  // when something was last ready
+    private long cameAt; // when something was last ready
     private long stood;
     private boolean running = true;
     private long exceptions;
--- a/net/src/main/java/saltdale/transport/Pool.java
+++ b/net/src/main/java/saltdale/transport/Pool.java
@@ -13,7 +13,7 @@
     private final InetSocketAddress address;
     private final Duration dialLimit;
     private final Duration idleLimit;
-    private final Deque<Resting> resting = new ArrayDeque<>();  // the last used first
+    private final Deque<Resting> resting = new ArrayDeque<>(); // the last used first
     private long dialled;
 
     /** Connections idle for {@code idleLimit} are not used again. */
@@ -88,7 +88,7 @@
 
         @Override
         public void received(ByteBuffer bytes) {
-            drop();  // nobody asked for it
+            drop(); // nobody asked for it
         }
 
         @Override
--- a/net/src/main/java/saltdale/transport/Sockets.java
+++ b/net/src/main/java/saltdale/transport/Sockets.java
@@ -33,7 +33,7 @@
     private int most;
     private int open;
     private final Map<Rank, Map<Runnable, Duration>> idle = new EnumMap<>(Rank.class);
-    private Runnable onGiveBack = () -> { };
+    private Runnable onGiveBack = () -> {};
 
     public Sockets(Loop loop, int most) {
         this.loop = loop;
--- a/net/src/test/java/saltdale/protocol/HttpParserTest.java
+++ b/net/src/test/java/saltdale/protocol/HttpParserTest.java
@@ -12,8 +12,8 @@
 import org.junit.jupiter.api.Test;
 
 class HttpParserTest {
-    private static final String COUNTED = "POST /w/7?a=b HTTP/1.1\r\nHost: x\r\nRequest-Id:  9b \r\n"
-            + "Content-Length: 5\r\n\r\nhello";
+    private static final String COUNTED =
+            "POST /w/7?a=b HTTP/1.1\r\nHost: x\r\nRequest-Id:  9b \r\n" + "Content-Length: 5\r\n\r\nhello";
     private static final String CHUNKED = "POST /w HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
             + "3;x=y\r\nhel\r\n2\r\nlo\r\n0\r\nTrailer: 1\r\n\r\n";
 
@@ -39,8 +39,8 @@
         for (String whole : List.of(COUNTED, CHUNKED)) {
             for (int i = 0; i <= whole.length(); i++) {
                 for (int j = i; j <= whole.length(); j++) {
-                    HttpParser parser = parsed(HttpParser.Kind.REQUEST, whole.substring(0, i), whole.substring(i, j),
-                            whole.substring(j));
+                    HttpParser parser = parsed(
+                            HttpParser.Kind.REQUEST, whole.substring(0, i), whole.substring(i, j), whole.substring(j));
                     assertTrue(parser.whole(), "split at " + i + " and " + j);
                     assertEquals("hello", new String(parser.body(), StandardCharsets.US_ASCII));
                 }
@@ -65,7 +65,8 @@
 
     @Test
     void anAnswerMayRunToTheEndOfItsConnectionAndFollowAnInterimOne() {
-        HttpParser parser = parsed(HttpParser.Kind.ANSWER, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 503 Not Now\r\n\r\nab");
+        HttpParser parser =
+                parsed(HttpParser.Kind.ANSWER, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 503 Not Now\r\n\r\nab");
         assertFalse(parser.whole());
         parser.end();
         assertTrue(parser.whole());
@@ -83,25 +84,44 @@
 
     @Test
     void answersWithoutABodyAreWholeWithTheirHead() {
-        assertTrue(parsed(HttpParser.Kind.ANSWER, "HTTP/1.1 204 No Content\r\n\r\n").whole());
-        assertTrue(parsed(HttpParser.Kind.ANSWER, "HTTP/1.1 202 \r\nContent-Length: 0\r\n\r\n").whole());
+        assertTrue(parsed(HttpParser.Kind.ANSWER, "HTTP/1.1 204 No Content\r\n\r\n")
+                .whole());
+        assertTrue(parsed(HttpParser.Kind.ANSWER, "HTTP/1.1 202 \r\nContent-Length: 0\r\n\r\n")
+                .whole());
     }
 
     @Test
     void malformedOrAmbiguousFramingIsBad() {
         String start = "POST /w HTTP/1.1\r\n";
-        for (String bad : List.of("POST /w\r\n\r\n", "POST w HTTP/1.1\r\n\r\n", "POST /w HTTP/2.0\r\n\r\n",
-                "PO ST /w HTTP/1.1\r\n\r\n", start + "No colon\r\n\r\n", start + "Spaced : 1\r\n\r\n",
-                start + "A: 1\r\n folded\r\n\r\n", start + "A: \0\r\n\r\n",
-                start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n", start + "Content-Length: -1\r\n\r\n",
-                start + "Content-Length: 1, 1\r\n\r\n", start + "Content-Length: +1\r\n\r\n",
+        for (String bad : List.of(
+                "POST /w\r\n\r\n",
+                "POST w HTTP/1.1\r\n\r\n",
+                "POST /w HTTP/2.0\r\n\r\n",
+                "PO ST /w HTTP/1.1\r\n\r\n",
+                start + "No colon\r\n\r\n",
+                start + "Spaced : 1\r\n\r\n",
+                start + "A: 1\r\n folded\r\n\r\n",
+                start + "A: \0\r\n\r\n",
+                start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
+                start + "Content-Length: -1\r\n\r\n",
+                start + "Content-Length: 1, 1\r\n\r\n",
+                start + "Content-Length: +1\r\n\r\n",
                 start + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
-                start + "Transfer-Encoding: gzip\r\n\r\n", start + "Transfer-Encoding: chunked, chunked\r\n\r\n",
-                start + "Transfer-Encoding: chunked\r\n\r\n-1\r\n", start + "Transfer-Encoding: chunked\r\n\r\nx\r\n",
-                start + "Transfer-Encoding: chunked\r\n\r\n\r\n", start + "Transfer-Encoding: chunked\r\n\r\n1\nab",
+                start + "Transfer-Encoding: gzip\r\n\r\n",
+                start + "Transfer-Encoding: chunked, chunked\r\n\r\n",
+                start + "Transfer-Encoding: chunked\r\n\r\n-1\r\n",
+                start + "Transfer-Encoding: chunked\r\n\r\nx\r\n",
+                start + "Transfer-Encoding: chunked\r\n\r\n\r\n",
+                start + "Transfer-Encoding: chunked\r\n\r\n1\nab",
                 start + "Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n",
-                start + "Transfer-Encoding: chunked\r\n\r\n123456789\r\n", "POST /w HTTP/1.1\n", start + "A: 1\n",
-                start + "A: 1\rB", "\n", "\u0016\u0003\u0001", "POST /\u007f", "\r\n".repeat(5))) {
+                start + "Transfer-Encoding: chunked\r\n\r\n123456789\r\n",
+                "POST /w HTTP/1.1\n",
+                start + "A: 1\n",
+                start + "A: 1\rB",
+                "\n",
+                "\u0016\u0003\u0001",
+                "POST /\u007f",
+                "\r\n".repeat(5))) {
             assertEquals(400, status(bad), bad);
         }
     }
@@ -134,11 +154,16 @@
 
     @Test
     void whatGoesOnIsWhatCameButForThisHopsHeaders() {
-        HttpParser parser = parsed(HttpParser.Kind.REQUEST, "POST /w/7?a HTTP/1.1\r\nHost: api\r\n"
-                + "Connection: close, X-Hop, Idempotency-Key\r\nX-Hop: 1\r\nRequest-Timeout-Ms: 480\r\nIdempotency-Key:  k\u00e9 \r\n"
-                + "Transfer-Encoding: chunked\r\n\r\n2\r\n\u00ff\0\r\n0\r\n\r\n");
+        HttpParser parser = parsed(
+                HttpParser.Kind.REQUEST,
+                "POST /w/7?a HTTP/1.1\r\nHost: api\r\n"
+                        + "Connection: close, X-Hop, Idempotency-Key\r\nX-Hop: 1\r\nRequest-Timeout-Ms: 480\r\nIdempotency-Key:  k\u00e9 \r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n2\r\n\u00ff\0\r\n0\r\n\r\n");
         byte[] on = HttpWriter.passedOn(parser.head(), parser.body().length, 470);
-        assertArrayEquals(bytes("POST /w/7?a HTTP/1.1\r\nHost: api\r\nIdempotency-Key:  k\u00e9 \r\n"
-                + "Request-Timeout-Ms: 470\r\nContent-Length: 2\r\n\r\n").array(), on);
+        assertArrayEquals(
+                bytes("POST /w/7?a HTTP/1.1\r\nHost: api\r\nIdempotency-Key:  k\u00e9 \r\n"
+                                + "Request-Timeout-Ms: 470\r\nContent-Length: 2\r\n\r\n")
+                        .array(),
+                on);
     }
 }
--- a/net/src/test/java/saltdale/protocol/JsonTest.java
+++ b/net/src/test/java/saltdale/protocol/JsonTest.java
@@ -34,11 +34,20 @@
     @Test
     void newsThatLackAFieldOrAreNoJsonAreNone() {
         assertNotNull(news("{\"id\":\"9b\",\"from\":\"s-1\",\"state\":\"running\",\"share\":0.4}"));
-        for (String bad : List.of("", "[]", "{", "nonsense", "{\"id\":\"9b\",\"from\":\"s-1\"}",
-                "{\"id\":\"9b\",\"state\":\"lost\"}", "{\"from\":\"s-1\",\"state\":\"lost\"}",
-                "{\"id\":9,\"from\":\"s-1\",\"state\":\"lost\"}", "{\"id\":\"9b\",\"from\":\"s-1\",\"state\":\"won\"}",
-                "{\"id\":\"9b\",\"from\":\"s-1\",\"state\":\"done\"}", "{\"id\":\"9b\",\"from\":\"s-1\",\"state\":\"lost\"}}",
-                "{\"id\":\"9b\",\"from\":\"s-1\",\"state\":\"lost\",}", "{\"id\":\"\\x\",\"from\":\"s-1\",\"state\":\"lost\"}",
+        for (String bad : List.of(
+                "",
+                "[]",
+                "{",
+                "nonsense",
+                "{\"id\":\"9b\",\"from\":\"s-1\"}",
+                "{\"id\":\"9b\",\"state\":\"lost\"}",
+                "{\"from\":\"s-1\",\"state\":\"lost\"}",
+                "{\"id\":9,\"from\":\"s-1\",\"state\":\"lost\"}",
+                "{\"id\":\"9b\",\"from\":\"s-1\",\"state\":\"won\"}",
+                "{\"id\":\"9b\",\"from\":\"s-1\",\"state\":\"done\"}",
+                "{\"id\":\"9b\",\"from\":\"s-1\",\"state\":\"lost\"}}",
+                "{\"id\":\"9b\",\"from\":\"s-1\",\"state\":\"lost\",}",
+                "{\"id\":\"\\x\",\"from\":\"s-1\",\"state\":\"lost\"}",
                 "{\"id\":\"\\u12g4\",\"from\":\"s-1\",\"state\":\"lost\"}",
                 "{\"id\":\"9b\",\"from\":\"s-1\",\"state\":\"lost\",\"x\":01}",
                 "{\"id\":\"9b\",\"from\":\"s-1\",\"state\":\"lost\",\"x\":" + "[".repeat(10_000))) {
@@ -57,8 +66,10 @@
                 "health":"draining","share":1.5,"born_ms":1796123456789,"new":{}}]}""");
         assertEquals(43, list.seq);
         assertTrue(list.whole);
-        assertEquals(List.of(new HostList.Host("s-1", "10.1.0.18:7070", "a", "m2", 3, HostList.Health.DRAINING, 1.5,
-                1796123456789L)), list.hosts);
+        assertEquals(
+                List.of(new HostList.Host(
+                        "s-1", "10.1.0.18:7070", "a", "m2", 3, HostList.Health.DRAINING, 1.5, 1796123456789L)),
+                list.hosts);
     }
 
     @Test
