--- a/net/src/test/java/saltdale/transport/TransportTest.java
+++ b/net/src/test/java/saltdale/transport/TransportTest.java
@@ -64,8 +64,8 @@
 
     private void until(BooleanSupplier reached) throws IOException {
         while (!reached.getAsBoolean()) {
-            loop.after(Duration.ofMillis(2), () -> { });
-            loop.turn(() -> { });
+            loop.after(Duration.ofMillis(2), () -> {});
+            loop.turn(() -> {});
         }
     }
 
@@ -95,14 +95,14 @@
             loop.after(Duration.ofMillis(20), () -> events.add("timer"));
             peer.write(bytes(10));
         }
-        for (long from = System.nanoTime(); System.nanoTime() - from < 300_000_000;) {
-            Thread.onSpinWait();  // as a process does that is stopped: nothing of its own
+        for (long from = System.nanoTime(); System.nanoTime() - from < 300_000_000; ) {
+            Thread.onSpinWait(); // as a process does that is stopped: nothing of its own
         }
         events.clear();
         loop.turn(() -> events.add("decided"));
         assertEquals(List.of("received", "ended", "timer", "decided"), events);
         assertTrue(loop.stood().toMillis() >= 300, "stood: " + loop.stood());
-        loop.turn(() -> { });
+        loop.turn(() -> {});
         assertEquals(Duration.ZERO, loop.stood());
     }
 
@@ -129,7 +129,7 @@
         assertEquals(Reach.WRITTEN, connection.reach());
         connection.beginMessage();
         assertEquals(Reach.UNSENT, connection.reach());
-        connection.send(bytes(64 << 20));  // nobody reads
+        connection.send(bytes(64 << 20)); // nobody reads
         until(() -> connection.reach() == Reach.PARTLY_WRITTEN);
         server.close();
         assertTrue(connection.reach().incomplete());
@@ -144,7 +144,7 @@
         SocketChannel peer = server.accept();
         assertSame(first, pool.take(owner));
         pool.rest(first);
-        peer.close();  // the loop has not seen it yet
+        peer.close(); // the loop has not seen it yet
         assertNotSame(first, pool.take(owner));
         assertFalse(first.isOpen());
         assertEquals(2, pool.dialled());
@@ -176,8 +176,12 @@
         assertTrue(few.takeForDialing());
         assertFalse(few.takeForDialing());
         List<Sockets.Rank> closed = new ArrayList<>();
-        for (Sockets.Rank rank : List.of(Sockets.Rank.RUNNER, Sockets.Rank.CLIENT, Sockets.Rank.STRANGER,
-                Sockets.Rank.STRANGER, Sockets.Rank.ANSWERED)) {
+        for (Sockets.Rank rank : List.of(
+                Sockets.Rank.RUNNER,
+                Sockets.Rank.CLIENT,
+                Sockets.Rank.STRANGER,
+                Sockets.Rank.STRANGER,
+                Sockets.Rank.ANSWERED)) {
             few.idle(rank, () -> {
                 closed.add(rank);
                 few.gaveBack();
@@ -188,8 +192,14 @@
         for (int i = 0; i < 5; i++) {
             assertTrue(few.takeForDialing());
         }
-        assertEquals(List.of(Sockets.Rank.ANSWERED, Sockets.Rank.STRANGER, Sockets.Rank.STRANGER, Sockets.Rank.CLIENT,
-                Sockets.Rank.RUNNER), closed);
+        assertEquals(
+                List.of(
+                        Sockets.Rank.ANSWERED,
+                        Sockets.Rank.STRANGER,
+                        Sockets.Rank.STRANGER,
+                        Sockets.Rank.CLIENT,
+                        Sockets.Rank.RUNNER),
+                closed);
     }
 
     @Test
@@ -209,11 +219,11 @@
     void withoutDescriptorsNewConnectionsWaitUntilOneIsGivenBack() throws IOException {
         Sockets few = new Sockets(loop, 2);
         List<Connection> accepted = new ArrayList<>();
-        Listener listener = new Listener(loop, few, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                (taken, full) -> {
-            taken.owner(owner);
-            accepted.add(taken);
-        });
+        Listener listener =
+                new Listener(loop, few, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), (taken, full) -> {
+                    taken.owner(owner);
+                    accepted.add(taken);
+                });
         SocketChannel one = SocketChannel.open(listener.address());
         SocketChannel two = SocketChannel.open(listener.address());
         until(() -> accepted.size() == 1);
@@ -240,7 +250,7 @@
 
     @Test
     void anExceptionEndsItsConnectionAndNothingElse() throws IOException {
-        LOG.setLevel(Level.OFF);  // two traces that say nothing
+        LOG.setLevel(Level.OFF); // two traces that say nothing
         Connection connection = pool(LONG).take(new Connection.Owner() {
             @Override
             public void received(ByteBuffer bytes) {
@@ -266,7 +276,8 @@
     void addressesAreNumbers() {
         assertEquals(new InetSocketAddress("10.1.0.18", 7070), Address.parse("10.1.0.18:7070"));
         assertEquals(7070, Address.parse("[::1]:7070").getPort());
-        for (String bad : new String[] {null, "", "10.1.0.18", "10.1.0.18:", "10.1.0.18:0", "host:7070", "10.1.0.999:1"}) {
+        for (String bad :
+                new String[] {null, "", "10.1.0.18", "10.1.0.18:", "10.1.0.18:0", "host:7070", "10.1.0.999:1"}) {
             assertNull(Address.parse(bad), bad);
         }
     }
--- a/nodes/src/main/java/saltdale/nodes/client/NodeClient.java
+++ b/nodes/src/main/java/saltdale/nodes/client/NodeClient.java
@@ -33,7 +33,13 @@
  */
 public final class NodeClient {
     /** How the service stands to us; SUSPENDED: not heard, and the session may yet live. */
-    public enum State { CONNECTING, CONNECTED, SUSPENDED, EXPIRED, CLOSED }
+    public enum State {
+        CONNECTING,
+        CONNECTED,
+        SUSPENDED,
+        EXPIRED,
+        CLOSED
+    }
 
     /** Who is told of the session's state and of watches. */
     public interface Owner {
@@ -48,8 +54,7 @@
     }
 
     /** A node's data with what the service tells of it. */
-    public record Data(byte[] data, Stat stat) {
-    }
+    public record Data(byte[] data, Stat stat) {}
 
     private interface Decoder<T> {
         T read(RecordReader in) throws Malformed;
@@ -93,8 +98,13 @@
     private Timer retry;
 
     /** {@code asked}: the time-out that is asked for; what is granted counts. */
-    public NodeClient(Loop loop, Sockets sockets, List<InetSocketAddress> servers, Duration asked,
-                      SplittableRandom chance, Owner owner) {
+    public NodeClient(
+            Loop loop,
+            Sockets sockets,
+            List<InetSocketAddress> servers,
+            Duration asked,
+            SplittableRandom chance,
+            Owner owner) {
         this.loop = loop;
         this.sockets = sockets;
         this.asked = asked;
@@ -102,7 +112,7 @@
         this.chance = chance;
         this.owner = owner;
         this.servers = new ArrayList<>(servers);
-        for (int i = this.servers.size() - 1; i > 0; i--) {  // so that clients do not all go to the first
+        for (int i = this.servers.size() - 1; i > 0; i--) { // so that clients do not all go to the first
             Collections.swap(this.servers, i, chance.nextInt(i + 1));
         }
     }
@@ -148,8 +158,9 @@
             again();
             return;
         }
-        link.connection.send(new Opening.Asked(lastZxid, (int) asked.toMillis(), session, password,
-                false).write().framed());
+        link.connection.send(new Opening.Asked(lastZxid, (int) asked.toMillis(), session, password, false)
+                .write()
+                .framed());
         link.heard();
     }
 
@@ -219,9 +230,14 @@
     // ---- Requests.
 
     public void create(String path, byte[] data, boolean ephemeral, boolean sequential, Back<String> back) {
-        RecordWriter body =
-                new RecordWriter().text(path).buffer(data).number(1).number(ALL_RIGHTS).text("world")
-                .text("anyone").number((ephemeral ? 1 : 0) | (sequential ? 2 : 0));
+        RecordWriter body = new RecordWriter()
+                .text(path)
+                .buffer(data)
+                .number(1)
+                .number(ALL_RIGHTS)
+                .text("world")
+                .text("anyone")
+                .number((ephemeral ? 1 : 0) | (sequential ? 2 : 0));
         send(Op.CREATE, body, RecordReader::text, back);
     }
 
@@ -244,13 +260,18 @@
     }
 
     public void data(String path, boolean watch, Back<Data> back) {
-        send(Op.GET_DATA, new RecordWriter().text(path).flag(watch), in -> new Data(in.buffer(),
-                Stat.read(in)),
+        send(
+                Op.GET_DATA,
+                new RecordWriter().text(path).flag(watch),
+                in -> new Data(in.buffer(), Stat.read(in)),
                 watched(watch ? dataWatches : null, path, back));
     }
 
     public void children(String path, boolean watch, Back<List<String>> back) {
-        send(Op.GET_CHILDREN, new RecordWriter().text(path).flag(watch), RecordReader::texts,
+        send(
+                Op.GET_CHILDREN,
+                new RecordWriter().text(path).flag(watch),
+                RecordReader::texts,
                 watched(watch ? childWatches : null, path, back));
     }
 
@@ -265,7 +286,10 @@
 
     /** A watch that stays; a recursive one hears of all below. */
     public void watch(String path, boolean all, Back<Void> back) {
-        send(Op.ADD_WATCH, new RecordWriter().text(path).number(all ? 1 : 0), in -> null,
+        send(
+                Op.ADD_WATCH,
+                new RecordWriter().text(path).number(all ? 1 : 0),
+                in -> null,
                 watched(all ? recursive : persistent, path, back));
     }
 
@@ -276,8 +300,7 @@
 
     private <T> void send(Op op, RecordWriter body, Decoder<T> decoder, Back<T> back) {
         if (state != State.CONNECTED) {
-            loop.soon(() -> back.done(state == State.EXPIRED ? Fault.SESSION_EXPIRED : Fault.CONNECTION_LOSS,
-                    null));
+            loop.soon(() -> back.done(state == State.EXPIRED ? Fault.SESSION_EXPIRED : Fault.CONNECTION_LOSS, null));
             return;
         }
         int xid = nextXid++;
@@ -298,7 +321,11 @@
         void send(int xid, Op op, RecordWriter body) {
             byte[] rest = body.record();
             ByteBuffer all = ByteBuffer.allocate(12 + rest.length);
-            connection.send(all.putInt(8 + rest.length).putInt(xid).putInt(op.code).put(rest).flip());
+            connection.send(all.putInt(8 + rest.length)
+                    .putInt(xid)
+                    .putInt(op.code)
+                    .put(rest)
+                    .flip());
         }
 
         /**
@@ -379,15 +406,22 @@
         }
 
         private void watchAgain() {
-            if (dataWatches.isEmpty() && existWatches.isEmpty() && childWatches.isEmpty()
+            if (dataWatches.isEmpty()
+                    && existWatches.isEmpty()
+                    && childWatches.isEmpty()
                     && persistent.isEmpty()
                     && recursive.isEmpty()) {
                 return;
             }
             RecordWriter body = new RecordWriter();
-            new Watching(lastZxid, List.copyOf(dataWatches), List.copyOf(existWatches),
-                    List.copyOf(childWatches),
-                    List.copyOf(persistent), List.copyOf(recursive)).write(body);
+            new Watching(
+                            lastZxid,
+                            List.copyOf(dataWatches),
+                            List.copyOf(existWatches),
+                            List.copyOf(childWatches),
+                            List.copyOf(persistent),
+                            List.copyOf(recursive))
+                    .write(body);
             send(Op.XID_SET_WATCHES, Op.SET_WATCHES2, body);
         }
 
--- a/nodes/src/main/java/saltdale/nodes/list/NodeList.java
+++ b/nodes/src/main/java/saltdale/nodes/list/NodeList.java
@@ -37,12 +37,19 @@
     private Map<String, byte[]> pass;
     /** Counts the passes: what an earlier one still gets is not of this one. */
     private int passNumber;
+
     private long reads;
 
     /** {@code spread}: over which dispatchers begin to read again after a reconnect. */
-    public NodeList(Loop loop, Sockets sockets, List<InetSocketAddress> servers, Duration timeout,
+    public NodeList(
+            Loop loop,
+            Sockets sockets,
+            List<InetSocketAddress> servers,
+            Duration timeout,
             Duration spread,
-                    String path, SplittableRandom chance, Consumer<List<Membership.Change>> taker) {
+            String path,
+            SplittableRandom chance,
+            Consumer<List<Membership.Change>> taker) {
         this.loop = loop;
         this.path = path;
         this.chance = chance;
@@ -103,7 +110,7 @@
                 plan = null;
                 client.begin();
             }
-            default -> { }
+            default -> {}
         }
     }
 
@@ -111,8 +118,7 @@
     private void follow() {
         int mine = ++passNumber;
         // The first time there is nothing to go by, and nothing that all have lost at one moment.
-        Duration wait = reads == 0 ? Duration.ZERO
-                : Duration.ofNanos((long) (spread.toNanos() * chance.nextDouble()));
+        Duration wait = reads == 0 ? Duration.ZERO : Duration.ofNanos((long) (spread.toNanos() * chance.nextDouble()));
         client.watch(path, true, (watched, nothing) -> {
             if (watched == Fault.OK) {
                 loop.after(wait, () -> list(mine));
@@ -130,7 +136,7 @@
                 return;
             }
             if (fault == Fault.NO_NODE) {
-                loop.after(TICK.multipliedBy(5), () -> list(mine));  // nobody has made it yet
+                loop.after(TICK.multipliedBy(5), () -> list(mine)); // nobody has made it yet
             } else if (fault == Fault.OK) {
                 pass = new HashMap<>();
                 plan = new ReadPlan(READS_IN_FLIGHT);
@@ -185,10 +191,8 @@
                     if (pass != null) {
                         pass.put(name, data.data());
                     }
-                    if (!membership.seen(loop.now(), name, data.data())
-                            && membership.worthLogging(name, data.data())) {
-                        LOG.warning(() -> "node " + event.path()
-                                + " holds no box; what was known of it stands");
+                    if (!membership.seen(loop.now(), name, data.data()) && membership.worthLogging(name, data.data())) {
+                        LOG.warning(() -> "node " + event.path() + " holds no box; what was known of it stands");
                     }
                     hand();
                 }
--- a/nodes/src/main/java/saltdale/nodes/list/Registration.java
+++ b/nodes/src/main/java/saltdale/nodes/list/Registration.java
@@ -30,8 +30,14 @@
     private long made;
     private String trouble;
 
-    public Registration(Loop loop, Sockets sockets, List<InetSocketAddress> servers, Duration timeout,
-                        SplittableRandom chance, String path, Box box) {
+    public Registration(
+            Loop loop,
+            Sockets sockets,
+            List<InetSocketAddress> servers,
+            Duration timeout,
+            SplittableRandom chance,
+            String path,
+            Box box) {
         this.loop = loop;
         this.path = path;
         this.box = box;
@@ -85,7 +91,7 @@
         if (state == State.CONNECTED) {
             ensure();
         } else if (state == State.EXPIRED && !closed) {
-            held = false;  // it went with its session
+            held = false; // it went with its session
             client.begin();
         }
     }
@@ -112,7 +118,7 @@
                 }
                 case NODE_EXISTS -> look();
                 case NO_NODE -> parent(Paths.parent(path));
-                case CONNECTION_LOSS, SESSION_EXPIRED -> { }  // the next state will bring it here again
+                case CONNECTION_LOSS, SESSION_EXPIRED -> {} // the next state will bring it here again
                 default -> fails("its node can't be made: " + fault);
             }
         });
@@ -128,7 +134,7 @@
                 holds();
                 write();
             } else if (fault == Fault.OK) {
-                trouble = "another session holds its node";  // its going will be told
+                trouble = "another session holds its node"; // its going will be told
             } else if (fault == Fault.NO_NODE) {
                 ensure();
             }
--- a/nodes/src/main/java/saltdale/nodes/membership/Box.java
+++ b/nodes/src/main/java/saltdale/nodes/membership/Box.java
@@ -14,10 +14,9 @@
  * @param kind of machine ({@code class} in the node)
  * @param bornMillis when its process started, Unix time; 0 for long ago
  */
-public record Box(String dial, String site, String kind, int block, double share, long bornMillis,
-        boolean draining) {
+public record Box(String dial, String site, String kind, int block, double share, long bornMillis, boolean draining) {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final int MOST = 4096;  // bytes
+    private static final int MOST = 4096; // bytes
 
     /** Reads a node's data; null where it is none. A field that is not there has its least meaning. */
     public static Box read(byte[] data) {
@@ -30,12 +29,16 @@
         } catch (IOException e) {
             return null;
         }
-        if (node == null || !node.isObject() || !node.path("dial").isTextual()
+        if (node == null
+                || !node.isObject()
+                || !node.path("dial").isTextual()
                 || !node.path("dial").textValue().matches("[0-9a-fA-F.:\\[\\]]+:\\d{1,5}")
-                || !isOr(node, "site", JsonNode::isTextual) || !isOr(node, "class", JsonNode::isTextual)
-                || !isOr(node, "block", JsonNode::canConvertToInt) || !isOr(node, "share", JsonNode::isNumber)
-                || !isOr(node, "born_ms", JsonNode::canConvertToLong) || !isOr(node, "draining",
-                        JsonNode::isBoolean)) {
+                || !isOr(node, "site", JsonNode::isTextual)
+                || !isOr(node, "class", JsonNode::isTextual)
+                || !isOr(node, "block", JsonNode::canConvertToInt)
+                || !isOr(node, "share", JsonNode::isNumber)
+                || !isOr(node, "born_ms", JsonNode::canConvertToLong)
+                || !isOr(node, "draining", JsonNode::isBoolean)) {
             return null;
         }
         double share = node.path("share").asDouble(1);
@@ -43,9 +46,14 @@
         if (!(share > 0) || Double.isInfinite(share) || born < 0) {
             return null;
         }
-        return new Box(node.path("dial").textValue(), node.path("site").asText(""),
+        return new Box(
+                node.path("dial").textValue(),
+                node.path("site").asText(""),
                 node.path("class").asText(""),
-                node.path("block").asInt(0), share, born, node.path("draining").asBoolean(false));
+                node.path("block").asInt(0),
+                share,
+                born,
+                node.path("draining").asBoolean(false));
     }
 
     private static boolean isOr(JsonNode node, String name, Predicate<JsonNode> wanted) {
@@ -55,12 +63,17 @@
     /** The data of its node. */
     public byte[] data() {
         ObjectNode node = JSON.createObjectNode();
-        node.put("dial", dial).put("site", site).put("class", kind).put("block", block).put("share", share)
-                .put("born_ms", bornMillis).put("draining", draining);
+        node.put("dial", dial)
+                .put("site", site)
+                .put("class", kind)
+                .put("block", block)
+                .put("share", share)
+                .put("born_ms", bornMillis)
+                .put("draining", draining);
         try {
             return JSON.writeValueAsBytes(node);
         } catch (JsonProcessingException e) {
-            throw new IllegalStateException(e);  // plain fields can always be written
+            throw new IllegalStateException(e); // plain fields can always be written
         }
     }
 }
--- a/nodes/src/main/java/saltdale/nodes/membership/Membership.java
+++ b/nodes/src/main/java/saltdale/nodes/membership/Membership.java
@@ -23,14 +23,21 @@
  */
 public final class Membership {
     /** What a dispatcher is to be told of a runner. */
-    public enum Health { UP, DRAINING, GONE }
+    public enum Health {
+        UP,
+        DRAINING,
+        GONE
+    }
 
     /** How the service can be heard. */
-    public enum Link { CONNECTED, SUSPENDED, EXPIRED }
+    public enum Link {
+        CONNECTED,
+        SUSPENDED,
+        EXPIRED
+    }
 
     /** One change, to be told once. */
-    public record Change(String name, Box box, Health health) {
-    }
+    public record Change(String name, Box box, Health health) {}
 
     /**
      * @param sessionTimeout as negotiated with the service
@@ -40,12 +47,10 @@
      * @param hold how long a held runner is kept without its node, at the most
      * @param fade how long the list stands unheard until nothing of its trust is left
      */
-    public record Rules(Duration sessionTimeout, double massShare, int massLeast, Duration hold,
-            Duration fade) {
+    public record Rules(Duration sessionTimeout, double massShare, int massLeast, Duration hold, Duration fade) {
         /** Ratios to the session's time-out. */
         public static Rules of(Duration sessionTimeout) {
-            return new Rules(sessionTimeout, 0.3, 3, sessionTimeout.multipliedBy(3),
-                    sessionTimeout.multipliedBy(20));
+            return new Rules(sessionTimeout, 0.3, 3, sessionTimeout.multipliedBy(3), sessionTimeout.multipliedBy(20));
         }
     }
 
@@ -57,6 +62,7 @@
         Duration heldSince;
         /** What was told of it last; null before the first time. */
         Health toldHealth;
+
         Box toldBox;
     }
 
@@ -65,6 +71,7 @@
     private final Deque<Duration> goings = new ArrayDeque<>();
     /** Bad data that was logged already, by node; once is enough. */
     private final Map<String, Integer> badSeen = new HashMap<>();
+
     private final List<Change> changes = new ArrayList<>();
     private Link link = Link.SUSPENDED;
     private Duration heardAt;
@@ -105,7 +112,7 @@
         if (box == null) {
             bad++;
             if (entry != null && entry.box != null) {
-                entry.present = true;  // the node before it stands
+                entry.present = true; // the node before it stands
                 release(name, entry);
             }
             return false;
@@ -146,7 +153,10 @@
             masses++;
             // Those of the same wave that were told gone are held with the rest, unless they were draining.
             entries.forEach((each, e) -> {
-                if (e != entry && !e.present && e.heldSince == null && e.toldHealth == Health.GONE
+                if (e != entry
+                        && !e.present
+                        && e.heldSince == null
+                        && e.toldHealth == Health.GONE
                         && !e.box.draining()) {
                     hold(now, each, e);
                 }
@@ -165,7 +175,7 @@
         if (entry == null || entry.heldSince == null) {
             return;
         }
-        if (!answered) {  // probes agree with the service: it is gone
+        if (!answered) { // probes agree with the service: it is gone
             entry.heldSince = null;
             tell(name, entry, Health.GONE);
         } else {
@@ -186,14 +196,16 @@
             mass = false;
             goings.clear();
         }
-        entries.values().removeIf(e -> !e.present && e.heldSince == null && e.toldHealth == Health.GONE
-                && changes.isEmpty());
+        entries.values()
+                .removeIf(e -> !e.present && e.heldSince == null && e.toldHealth == Health.GONE && changes.isEmpty());
     }
 
     // ---- What follows.
 
     private boolean isMass() {
-        long known = entries.values().stream().filter(e -> e.present || e.heldSince != null).count()
+        long known = entries.values().stream()
+                        .filter(e -> e.present || e.heldSince != null)
+                        .count()
                 + goings.size();
         return goings.size() >= rules.massLeast && goings.size() > rules.massShare * known;
     }
--- a/nodes/src/main/java/saltdale/nodes/membership/ReadPlan.java
+++ b/nodes/src/main/java/saltdale/nodes/membership/ReadPlan.java
@@ -8,7 +8,7 @@
 /** One pass of reading all nodes again, as after a reconnect: each once, at most so many in flight. */
 public final class ReadPlan {
     private final int most;
-    private final Set<String> waiting = new LinkedHashSet<>();  // 10,000 nodes are looked up in it
+    private final Set<String> waiting = new LinkedHashSet<>(); // 10,000 nodes are looked up in it
     private final Set<String> inFlight = new HashSet<>();
     private long reads;
 
--- a/nodes/src/main/java/saltdale/nodes/standin/Journal.java
+++ b/nodes/src/main/java/saltdale/nodes/standin/Journal.java
@@ -23,7 +23,12 @@
 public final class Journal implements AutoCloseable {
     /** One acknowledged thing: changes that belong together, or a session's opening or end. */
     public record Entry(Kind kind, List<Change> changes, long session, byte[] password, int timeoutMillis) {
-        public enum Kind { CHANGES, SESSION_OPENED, SESSION_CLOSED }
+        /** What was acknowledged. */
+        public enum Kind {
+            CHANGES,
+            SESSION_OPENED,
+            SESSION_CLOSED
+        }
 
         public static Entry changes(List<Change> changes) {
             return new Entry(Kind.CHANGES, changes, 0, null, 0);
@@ -39,11 +44,19 @@
         }
 
         private byte[] record() {
-            RecordWriter out = new RecordWriter().number(kind.ordinal()).longNumber(session).buffer(password)
-                    .number(timeoutMillis).number(changes.size());
+            RecordWriter out = new RecordWriter()
+                    .number(kind.ordinal())
+                    .longNumber(session)
+                    .buffer(password)
+                    .number(timeoutMillis)
+                    .number(changes.size());
             for (Change c : changes) {
-                out.longNumber(c.zxid()).number(c.kind().ordinal()).text(c.path()).buffer(c.data())
-                        .longNumber(c.owner()).longNumber(c.atMillis());
+                out.longNumber(c.zxid())
+                        .number(c.kind().ordinal())
+                        .text(c.path())
+                        .buffer(c.data())
+                        .longNumber(c.owner())
+                        .longNumber(c.atMillis());
             }
             return out.record();
         }
@@ -65,9 +78,8 @@
                 if (what < 0 || what >= Change.Kind.values().length) {
                     throw new Malformed("a change of kind " + what);
                 }
-                changes.add(new Change(zxid, Change.Kind.values()[what], in.path(), in.buffer(),
-                        in.longNumber(),
-                        in.longNumber()));
+                changes.add(new Change(
+                        zxid, Change.Kind.values()[what], in.path(), in.buffer(), in.longNumber(), in.longNumber()));
             }
             in.end();
             return new Entry(Kind.values()[kind], changes, session, password, timeout);
@@ -75,7 +87,7 @@
     }
 
     private static final int HEAD = 8;
-    private static final int MOST = 16 << 20;  // bytes of a record
+    private static final int MOST = 16 << 20; // bytes of a record
 
     private final Path file;
     private FileChannel channel;
@@ -132,8 +144,11 @@
 
     private static ByteBuffer framed(Entry entry) {
         byte[] record = entry.record();
-        return ByteBuffer.allocate(HEAD
-                + record.length).putInt(record.length).putInt(sum(record)).put(record).flip();
+        return ByteBuffer.allocate(HEAD + record.length)
+                .putInt(record.length)
+                .putInt(sum(record))
+                .put(record)
+                .flip();
     }
 
     /** Once this has returned, the entry outlives a kill. */
@@ -157,8 +172,8 @@
     public void replace(List<Entry> entries) throws IOException {
         Path next = file.resolveSibling(file.getFileName() + ".next");
         long size = 0;
-        try (FileChannel out = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
+        try (FileChannel out = FileChannel.open(
+                next, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
             for (Entry each : entries) {
                 ByteBuffer bytes = framed(each);
                 size += bytes.remaining();
--- a/nodes/src/main/java/saltdale/nodes/standin/NodeServer.java
+++ b/nodes/src/main/java/saltdale/nodes/standin/NodeServer.java
@@ -41,7 +41,7 @@
 public final class NodeServer {
     private static final int MOST_RECORD = 1 << 20;
     private static final int MOST_DATA = 1 << 19;
-    private static final long SNAPSHOT_AT = 8 << 20;  // bytes of log
+    private static final long SNAPSHOT_AT = 8 << 20; // bytes of log
 
     private final Loop loop;
     private final Sockets sockets;
@@ -70,10 +70,11 @@
         for (Journal.Entry each : entries) {
             each.changes().forEach(tree::again);
             switch (each.kind()) {
-                case SESSION_OPENED -> sessions.restored(loop.now(), each.session(), each.password(),
-                        Duration.ofMillis(each.timeoutMillis()));
+                case SESSION_OPENED ->
+                    sessions.restored(
+                            loop.now(), each.session(), each.password(), Duration.ofMillis(each.timeoutMillis()));
                 case SESSION_CLOSED -> sessions.close(each.session());
-                default -> { }
+                default -> {}
             }
         }
         tick();
@@ -234,13 +235,13 @@
                     request(new RecordReader(record));
                 }
             } catch (Malformed e) {
-                drop();  // as the protocol has it: whoever sends what can't be read is cut off
+                drop(); // as the protocol has it: whoever sends what can't be read is cut off
             }
         }
 
         private void opening(Opening.Asked asked) {
             if (asked.lastZxid() > tree.zxid()) {
-                drop();  // it has seen what we have not: it must go elsewhere
+                drop(); // it has seen what we have not: it must go elsewhere
                 return;
             }
             Duration timeout = Duration.ofMillis(Math.max(0, asked.timeoutMillis()));
@@ -258,7 +259,7 @@
             }
             Peer before = peers.put(granted.id, this);
             if (before != null) {
-                before.drop();  // it has moved
+                before.drop(); // it has moved
                 peers.put(granted.id, this);
             }
             session = granted;
@@ -306,8 +307,8 @@
                     if (mode == 0 || mode == 1) {
                         watches.add(mode == 0 ? Watches.Kind.PERSISTENT : Watches.Kind.RECURSIVE, path, this);
                     }
-                    send(reply(xid, tree.zxid(), mode == 0 || mode == 1 ? Fault.OK
-                            : Fault.BAD_ARGUMENTS).number(0));
+                    send(reply(xid, tree.zxid(), mode == 0 || mode == 1 ? Fault.OK : Fault.BAD_ARGUMENTS)
+                            .number(0));
                 }
                 default -> send(reply(xid, tree.zxid(), Fault.UNIMPLEMENTED));
             }
@@ -378,7 +379,10 @@
                 in.number();
                 if (done) {
                     break;
-                } else if (op != Op.CREATE && op != Op.CREATE2 && op != Op.DELETE && op != Op.SET_DATA
+                } else if (op != Op.CREATE
+                        && op != Op.CREATE2
+                        && op != Op.DELETE
+                        && op != Op.SET_DATA
                         && op != Op.CHECK) {
                     throw new Malformed("a multi with " + op);
                 }
@@ -389,7 +393,8 @@
             RecordWriter out = reply(xid, tree.zxid(), Fault.OK);
             for (int i = 0; i < steps.size(); i++) {
                 Tree.Result result = taken.results().get(i);
-                out.number(taken.done() ? ops.get(i).code : Op.ERROR.code).flag(false)
+                out.number(taken.done() ? ops.get(i).code : Op.ERROR.code)
+                        .flag(false)
                         .number(taken.done() ? 0 : result.fault().code);
                 if (taken.done()) {
                     body(out, ops.get(i), result);
@@ -405,8 +410,8 @@
             reads++;
             Stat stat = tree.stat(path);
             if (watch && (stat != null || op == Op.EXISTS)) {
-                watches.add(op == Op.EXISTS || op == Op.GET_DATA ? Watches.Kind.DATA : Watches.Kind.CHILDREN,
-                        path, this);
+                watches.add(
+                        op == Op.EXISTS || op == Op.GET_DATA ? Watches.Kind.DATA : Watches.Kind.CHILDREN, path, this);
             }
             if (stat == null) {
                 send(reply(xid, tree.zxid(), Fault.NO_NODE));
@@ -416,7 +421,7 @@
             switch (op) {
                 case GET_DATA -> out.buffer(tree.data(path));
                 case GET_CHILDREN, GET_CHILDREN2 -> out.texts(tree.children(path));
-                default -> { }
+                default -> {}
             }
             if (op != Op.GET_CHILDREN) {
                 stat.write(out);
--- a/nodes/src/main/java/saltdale/nodes/standin/Sessions.java
+++ b/nodes/src/main/java/saltdale/nodes/standin/Sessions.java
@@ -96,8 +96,7 @@
     /** All of them, as a snapshot keeps them. */
     List<Journal.Entry> entries() {
         List<Journal.Entry> all = new ArrayList<>();
-        live.values().forEach(s -> all.add(Journal.Entry.opened(s.id, s.password,
-                (int) s.timeout.toMillis())));
+        live.values().forEach(s -> all.add(Journal.Entry.opened(s.id, s.password, (int) s.timeout.toMillis())));
         return all;
     }
 
--- a/nodes/src/main/java/saltdale/nodes/tree/Tree.java
+++ b/nodes/src/main/java/saltdale/nodes/tree/Tree.java
@@ -22,13 +22,23 @@
 public final class Tree {
     /** One node's change, as a log keeps it. */
     public record Change(long zxid, Kind kind, String path, byte[] data, long owner, long atMillis) {
-        public enum Kind { CREATE, DELETE, SET }
+        /** What happened to the node. */
+        public enum Kind {
+            CREATE,
+            DELETE,
+            SET
+        }
     }
 
     /** One step of a request that changes something; several are taken together or not at all. */
-    public record Step(Kind kind, String path, byte[] data, int version, boolean ephemeral,
-            boolean sequential) {
-        public enum Kind { CREATE, DELETE, SET, CHECK }
+    public record Step(Kind kind, String path, byte[] data, int version, boolean ephemeral, boolean sequential) {
+        /** What the step does, or checks. */
+        public enum Kind {
+            CREATE,
+            DELETE,
+            SET,
+            CHECK
+        }
 
         public static Step create(String path, byte[] data, boolean ephemeral, boolean sequential) {
             return new Step(Kind.CREATE, path, data, -1, ephemeral, sequential);
@@ -48,12 +58,10 @@
     }
 
     /** What became of a step: its fault, or the path that was created or the node as it is now. */
-    public record Result(Fault fault, String path, Stat stat) {
-    }
+    public record Result(Fault fault, String path, Stat stat) {}
 
     /** What became of all of them, and the events that follow. */
-    public record Taken(boolean done, List<Result> results, List<Change> changes, List<Event> events) {
-    }
+    public record Taken(boolean done, List<Result> results, List<Change> changes, List<Event> events) {}
 
     private static final class Node {
         byte[] data;
@@ -78,8 +86,18 @@
         }
 
         Stat stat() {
-            return new Stat(created, modified, createdAt, modifiedAt, version, childVersion, 0, owner,
-                    data == null ? 0 : data.length, children.size(), childrenChanged);
+            return new Stat(
+                    created,
+                    modified,
+                    createdAt,
+                    modifiedAt,
+                    version,
+                    childVersion,
+                    0,
+                    owner,
+                    data == null ? 0 : data.length,
+                    children.size(),
+                    childrenChanged);
         }
     }
 
@@ -142,8 +160,10 @@
                 results.clear();
                 // as the protocol tells it: those after it were not looked at
                 for (int i = 0; i < steps.size(); i++) {
-                    results.add(i == failed ? result
-                            : new Result(i < failed ? Fault.OK : Fault.RUNTIME_INCONSISTENCY, null, null));
+                    results.add(
+                            i == failed
+                                    ? result
+                                    : new Result(i < failed ? Fault.OK : Fault.RUNTIME_INCONSISTENCY, null, null));
                 }
                 return new Taken(false, results, List.of(), List.of());
             }
@@ -153,9 +173,14 @@
         return new Taken(true, results, done, events);
     }
 
-    private Result one(Step step, long session, long next, long atMillis, List<Change> done,
+    private Result one(
+            Step step,
+            long session,
+            long next,
+            long atMillis,
+            List<Change> done,
             List<Event> events,
-                       List<Runnable> undo) {
+            List<Runnable> undo) {
         Fault fault = fault(step);
         if (fault != Fault.OK) {
             return new Result(fault, null, null);
@@ -163,14 +188,13 @@
         switch (step.kind()) {
             case CREATE -> {
                 Node parent = nodes.get(Paths.parent(step.path()));
-                String path = step.sequential() ? step.path() + String.format("%010d", parent.childVersion)
-                        : step.path();
+                String path =
+                        step.sequential() ? step.path() + String.format("%010d", parent.childVersion) : step.path();
                 if (nodes.containsKey(path)) {
                     return new Result(Fault.NODE_EXISTS, null, null);
                 }
-                Change change = new Change(next, Change.Kind.CREATE, path, step.data(), step.ephemeral()
-                        ? session : 0,
-                        atMillis);
+                Change change = new Change(
+                        next, Change.Kind.CREATE, path, step.data(), step.ephemeral() ? session : 0, atMillis);
                 undo.add(create(change));
                 done.add(change);
                 events.add(new Event(Event.Kind.CREATED, path));
@@ -199,8 +223,8 @@
     }
 
     private Fault fault(Step step) {
-        if (Paths.fault(step.path()) != null && !step.sequential() || step.data() != null
-                && step.data().length > mostData) {
+        if (Paths.fault(step.path()) != null && !step.sequential()
+                || step.data() != null && step.data().length > mostData) {
             return Fault.BAD_ARGUMENTS;
         }
         if (step.kind() == Step.Kind.CREATE) {
@@ -209,8 +233,7 @@
                 return Fault.BAD_ARGUMENTS;
             }
             Node parent = nodes.get(Paths.parent(step.path()));
-            return parent == null ? Fault.NO_NODE : parent.owner != 0 ? Fault.NO_CHILDREN_FOR_EPHEMERALS
-                    : Fault.OK;
+            return parent == null ? Fault.NO_NODE : parent.owner != 0 ? Fault.NO_CHILDREN_FOR_EPHEMERALS : Fault.OK;
         }
         Node node = nodes.get(step.path());
         if (node == null) {
@@ -218,8 +241,7 @@
         } else if (step.version() != -1 && step.version() != node.version) {
             return Fault.BAD_VERSION;
         } else if (step.kind() == Step.Kind.DELETE) {
-            return step.path().equals("/") ? Fault.BAD_ARGUMENTS : node.children.isEmpty() ? Fault.OK
-                    : Fault.NOT_EMPTY;
+            return step.path().equals("/") ? Fault.BAD_ARGUMENTS : node.children.isEmpty() ? Fault.OK : Fault.NOT_EMPTY;
         }
         return Fault.OK;
     }
@@ -236,11 +258,10 @@
         List<Change> all = new ArrayList<>();
         new TreeMap<>(nodes).forEach((path, node) -> {
             if (!path.equals("/")) {
-                all.add(new Change(node.created, Change.Kind.CREATE, path, node.data, node.owner,
-                        node.createdAt));
+                all.add(new Change(node.created, Change.Kind.CREATE, path, node.data, node.owner, node.createdAt));
             }
         });
-        if (zxid > 0) {  // so that no number comes twice
+        if (zxid > 0) { // so that no number comes twice
             all.add(new Change(zxid, Change.Kind.SET, "/", nodes.get("/").data, 0, 0));
         }
         return all;
@@ -324,9 +345,16 @@
     @Override
     public String toString() {
         StringBuilder all = new StringBuilder();
-        new TreeMap<>(nodes).forEach((path,
-                node) -> all.append(path).append(' ').append(Arrays.toString(node.data))
-                .append(' ').append(node.stat()).append('\n'));
-        return all.append(new HashSet<>(ephemerals.entrySet())).append(' ').append(zxid).toString();
+        new TreeMap<>(nodes)
+                .forEach((path, node) -> all.append(path)
+                        .append(' ')
+                        .append(Arrays.toString(node.data))
+                        .append(' ')
+                        .append(node.stat())
+                        .append('\n'));
+        return all.append(new HashSet<>(ephemerals.entrySet()))
+                .append(' ')
+                .append(zxid)
+                .toString();
     }
 }
--- a/nodes/src/main/java/saltdale/nodes/tree/Watches.java
+++ b/nodes/src/main/java/saltdale/nodes/tree/Watches.java
@@ -17,11 +17,15 @@
  */
 public final class Watches<W> {
     /** What a watch is on. */
-    public enum Kind { DATA, CHILDREN, PERSISTENT, RECURSIVE }
-
-    private record Key(Kind kind, String path) {
+    public enum Kind {
+        DATA,
+        CHILDREN,
+        PERSISTENT,
+        RECURSIVE
     }
 
+    private record Key(Kind kind, String path) {}
+
     private final Map<Key, Set<W>> watchers = new HashMap<>();
 
     public void add(Kind kind, String path, W watcher) {
@@ -50,7 +54,7 @@
             once(Kind.CHILDREN, path, all);
         }
         stays(Kind.PERSISTENT, path, all);
-        for (String at = path;; at = Paths.parent(at)) {
+        for (String at = path; ; at = Paths.parent(at)) {
             stays(Kind.RECURSIVE, at, all);
             if (at.equals("/")) {
                 return new ArrayList<>(all);
--- a/nodes/src/main/java/saltdale/nodes/wire/Event.java
+++ b/nodes/src/main/java/saltdale/nodes/wire/Event.java
@@ -4,7 +4,11 @@
 public record Event(Kind kind, String path) {
     /** The kinds, by the protocol's numbers. */
     public enum Kind {
-        NONE(-1), CREATED(1), DELETED(2), DATA_CHANGED(3), CHILDREN_CHANGED(4);
+        NONE(-1),
+        CREATED(1),
+        DELETED(2),
+        DATA_CHANGED(3),
+        CHILDREN_CHANGED(4);
 
         public final int code;
 
@@ -13,7 +17,7 @@
         }
     }
 
-    private static final int CONNECTED = 3;  // the state that goes with each event of a live session
+    private static final int CONNECTED = 3; // the state that goes with each event of a live session
 
     public void write(RecordWriter to) {
         to.number(kind.code).number(CONNECTED).text(path);
--- a/nodes/src/main/java/saltdale/nodes/wire/Frames.java
+++ b/nodes/src/main/java/saltdale/nodes/wire/Frames.java
@@ -51,7 +51,6 @@
         }
     }
 
-
     private void begin(int told) {
         if (told < 0 || told > most) {
             fault = "a record of " + told + " bytes; at most " + most;
--- a/nodes/src/main/java/saltdale/nodes/wire/Malformed.java
+++ b/nodes/src/main/java/saltdale/nodes/wire/Malformed.java
@@ -5,6 +5,6 @@
     private static final long serialVersionUID = 1;
 
     public Malformed(String message) {
-        super(message, null, false, false);  // a value that says what is wrong; nobody reads its trace
+        super(message, null, false, false); // a value that says what is wrong; nobody reads its trace
     }
 }
--- a/nodes/src/main/java/saltdale/nodes/wire/Op.java
+++ b/nodes/src/main/java/saltdale/nodes/wire/Op.java
@@ -2,10 +2,23 @@
 
 /** The kinds of requests, by the protocol's numbers, and the xids that are not a request's own. */
 public enum Op {
-    CREATE(1), DELETE(2), EXISTS(3), GET_DATA(4), SET_DATA(5), GET_CHILDREN(8), SYNC(9), PING(11),
-            GET_CHILDREN2(12),
-    CHECK(13), MULTI(14), CREATE2(15), AUTH(100), SET_WATCHES(101), SET_WATCHES2(105), ADD_WATCH(106),
-            CLOSE(-11),
+    CREATE(1),
+    DELETE(2),
+    EXISTS(3),
+    GET_DATA(4),
+    SET_DATA(5),
+    GET_CHILDREN(8),
+    SYNC(9),
+    PING(11),
+    GET_CHILDREN2(12),
+    CHECK(13),
+    MULTI(14),
+    CREATE2(15),
+    AUTH(100),
+    SET_WATCHES(101),
+    SET_WATCHES2(105),
+    ADD_WATCH(106),
+    CLOSE(-11),
     ERROR(-1);
 
     public static final int XID_EVENT = -1;
--- a/nodes/src/main/java/saltdale/nodes/wire/Opening.java
+++ b/nodes/src/main/java/saltdale/nodes/wire/Opening.java
@@ -7,15 +7,24 @@
      */
     public record Asked(long lastZxid, int timeoutMillis, long session, byte[] password, boolean readOnly) {
         public RecordWriter write() {
-            return new RecordWriter().number(0).longNumber(lastZxid).number(timeoutMillis).longNumber(session)
-                    .buffer(password).flag(readOnly);
+            return new RecordWriter()
+                    .number(0)
+                    .longNumber(lastZxid)
+                    .number(timeoutMillis)
+                    .longNumber(session)
+                    .buffer(password)
+                    .flag(readOnly);
         }
 
         public static Asked read(byte[] record) throws Malformed {
             RecordReader in = new RecordReader(record);
             in.number();
-            Asked asked = new Asked(in.longNumber(), in.number(), in.longNumber(), in.buffer(),
-                    in.remaining() > 0 && in.flag());  // the oldest clients end before this flag
+            Asked asked = new Asked(
+                    in.longNumber(),
+                    in.number(),
+                    in.longNumber(),
+                    in.buffer(),
+                    in.remaining() > 0 && in.flag()); // the oldest clients end before this flag
             in.end();
             return asked;
         }
@@ -24,7 +33,12 @@
     /** A time-out of 0: the session that was asked for is over. */
     public record Granted(int timeoutMillis, long session, byte[] password) {
         public RecordWriter write() {
-            return new RecordWriter().number(0).number(timeoutMillis).longNumber(session).buffer(password).flag(false);
+            return new RecordWriter()
+                    .number(0)
+                    .number(timeoutMillis)
+                    .longNumber(session)
+                    .buffer(password)
+                    .flag(false);
         }
 
         public static Granted read(byte[] record) throws Malformed {
@@ -39,6 +53,5 @@
         }
     }
 
-    private Opening() {
-    }
+    private Opening() {}
 }
--- a/nodes/src/main/java/saltdale/nodes/wire/Paths.java
+++ b/nodes/src/main/java/saltdale/nodes/wire/Paths.java
@@ -2,8 +2,7 @@
 
 /** Paths of nodes: absolute, with no empty, "." or ".." part, no end in a slash, no control characters. */
 public final class Paths {
-    private Paths() {
-    }
+    private Paths() {}
 
     /** What is wrong with a path; null where it is one. */
     public static String fault(String path) {
--- a/nodes/src/main/java/saltdale/nodes/wire/RecordReader.java
+++ b/nodes/src/main/java/saltdale/nodes/wire/RecordReader.java
@@ -63,8 +63,11 @@
             return null;
         }
         try {
-            CharBuffer chars = StandardCharsets.UTF_8.newDecoder().onMalformedInput(CodingErrorAction.REPORT)
-                    .onUnmappableCharacter(CodingErrorAction.REPORT).decode(ByteBuffer.wrap(value));
+            CharBuffer chars = StandardCharsets.UTF_8
+                    .newDecoder()
+                    .onMalformedInput(CodingErrorAction.REPORT)
+                    .onUnmappableCharacter(CodingErrorAction.REPORT)
+                    .decode(ByteBuffer.wrap(value));
             return chars.toString();
         } catch (CharacterCodingException e) {
             throw new Malformed("a text that is no UTF-8");
--- a/nodes/src/test/java/saltdale/nodes/JournalTest.java
+++ b/nodes/src/test/java/saltdale/nodes/JournalTest.java
@@ -32,9 +32,12 @@
         List<String> after = new ArrayList<>(List.of(tree.toString()));
         try (Journal journal = Journal.open(file, new ArrayList<>())) {
             for (int i = 0; i < 30; i++) {
-                Tree.Taken taken = tree.take(i % 7 == 6 ? List.of(Step.set("/n" + (i - 1), new byte[i], -1),
-                        Step.delete("/n" + (i - 2), -1))
-                                : List.of(Step.create("/n" + i, new byte[i], i % 2 == 0, false)), 5, i);
+                Tree.Taken taken = tree.take(
+                        i % 7 == 6
+                                ? List.of(Step.set("/n" + (i - 1), new byte[i], -1), Step.delete("/n" + (i - 2), -1))
+                                : List.of(Step.create("/n" + i, new byte[i], i % 2 == 0, false)),
+                        5,
+                        i);
                 assertTrue(taken.done());
                 journal.add(Entry.changes(taken.changes()));
                 after.add(tree.toString());
@@ -119,7 +122,8 @@
         }
         List<Entry> entries = new ArrayList<>();
         Journal.open(file, entries).close();
-        assertEquals(List.of(Entry.Kind.SESSION_OPENED, Entry.Kind.SESSION_CLOSED),
+        assertEquals(
+                List.of(Entry.Kind.SESSION_OPENED, Entry.Kind.SESSION_CLOSED),
                 entries.stream().map(Entry::kind).toList());
     }
 
--- a/nodes/src/test/java/saltdale/nodes/MembershipTest.java
+++ b/nodes/src/test/java/saltdale/nodes/MembershipTest.java
@@ -43,7 +43,9 @@
     }
 
     private List<String> told() {
-        return membership.changes().stream().map(c -> c.name() + " " + c.health()).toList();
+        return membership.changes().stream()
+                .map(c -> c.name() + " " + c.health())
+                .toList();
     }
 
     @Test
@@ -67,7 +69,7 @@
         membership.vanished(at(200), "n1");
         membership.seen(at(900), "n1", box(1, 5000, false));
         assertEquals(5000, membership.changes().get(1).box().bornMillis());
-        membership.seen(at(950), "n1", box(1, 1000, false));  // an old tree
+        membership.seen(at(950), "n1", box(1, 1000, false)); // an old tree
         assertEquals(List.of(), told());
     }
 
@@ -92,8 +94,17 @@
         assertTrue(membership.isMassVanishing());
         // The first ones went before it could be told for a mass; all of the wave stand as draining until
         // probed.
-        assertEquals(List.of("n0 GONE", "n1 GONE", "n2 GONE", "n0 DRAINING", "n1 DRAINING", "n2 DRAINING",
-                "n3 DRAINING", "n4 DRAINING"), told());
+        assertEquals(
+                List.of(
+                        "n0 GONE",
+                        "n1 GONE",
+                        "n2 GONE",
+                        "n0 DRAINING",
+                        "n1 DRAINING",
+                        "n2 DRAINING",
+                        "n3 DRAINING",
+                        "n4 DRAINING"),
+                told());
         assertEquals(List.of("n0", "n1", "n2", "n3", "n4"), membership.toProbe());
         membership.probed(at(200), "n0", true);
         membership.probed(at(200), "n1", false);
@@ -125,9 +136,14 @@
         assertEquals(1, membership.bad());
         assertTrue(membership.worthLogging("n1", bad));
         assertFalse(membership.worthLogging("n1", bad));
-        for (String each : List.of("", "[]", "{}", "{\"dial\":\"host:1\"}",
+        for (String each : List.of(
+                "",
+                "[]",
+                "{}",
+                "{\"dial\":\"host:1\"}",
                 "{\"dial\":\"1.2.3.4:5\",\"share\":-1}",
-                "{\"dial\":\"1.2.3.4:5\",\"born_ms\":\"x\"}", "{\"dial\":\"1.2.3.4:5\",\"draining\":1}")) {
+                "{\"dial\":\"1.2.3.4:5\",\"born_ms\":\"x\"}",
+                "{\"dial\":\"1.2.3.4:5\",\"draining\":1}")) {
             assertNull(Box.read(each.getBytes(StandardCharsets.UTF_8)), each);
         }
     }
@@ -185,7 +201,7 @@
                 flying.add(next);
             }
             assertTrue(flying.size() <= 3);
-            plan.add(List.of("n99", flying.peek()));  // told of again meanwhile
+            plan.add(List.of("n99", flying.peek())); // told of again meanwhile
             plan.read(flying.poll());
         }
         assertEquals(100, plan.reads(), 1);
--- a/nodes/src/test/java/saltdale/nodes/SessionTest.java
+++ b/nodes/src/test/java/saltdale/nodes/SessionTest.java
@@ -17,9 +17,9 @@
 import org.junit.jupiter.api.io.TempDir;
 import saltdale.nodes.client.NodeClient;
 import saltdale.nodes.client.NodeClient.State;
+import saltdale.nodes.list.NodeList;
 import saltdale.nodes.list.Registration;
 import saltdale.nodes.membership.Box;
-import saltdale.nodes.list.NodeList;
 import saltdale.nodes.standin.NodeServer;
 import saltdale.nodes.tree.Tree.Step;
 import saltdale.nodes.wire.Event;
@@ -32,6 +32,7 @@
 class SessionTest {
     @TempDir
     Path folder;
+
     private final Loop loop = new Loop();
     private final Sockets sockets = new Sockets(loop, 1000);
     private final List<InetSocketAddress> at = new ArrayList<>();
@@ -54,8 +55,8 @@
     }
 
     private NodeClient client(String name, List<InetSocketAddress> to) {
-        NodeClient client = new NodeClient(loop, sockets, to, Duration.ofMillis(600), new SplittableRandom(3),
-                new NodeClient.Owner() {
+        NodeClient client = new NodeClient(
+                loop, sockets, to, Duration.ofMillis(600), new SplittableRandom(3), new NodeClient.Owner() {
                     @Override
                     public void state(State state) {
                         said.add(name + " " + state);
@@ -82,8 +83,8 @@
     private void until(BooleanSupplier come) {
         try {
             while (!come.getAsBoolean()) {
-                loop.after(Duration.ofMillis(5), () -> { });  // so that each turn ends
-                loop.turn(() -> { });
+                loop.after(Duration.ofMillis(5), () -> {}); // so that each turn ends
+                loop.turn(() -> {});
             }
         } catch (IOException e) {
             throw new AssertionError(e);
@@ -126,8 +127,11 @@
         List<Integer> order = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
             int number = i;
-            client.set("/a", new byte[] {(byte) i}, i, (fault, stat) -> order.add(stat.version() - 1 == number
-                    ? number : -1));
+            client.set(
+                    "/a",
+                    new byte[] {(byte) i},
+                    i,
+                    (fault, stat) -> order.add(stat.version() - 1 == number ? number : -1));
         }
         until(() -> order.size() == 200);
         for (int i = 0; i < 200; i++) {
@@ -148,7 +152,7 @@
         untilSaid("c SUSPENDED");
         server.tree().take(List.of(Step.set("/a", new byte[] {9}, -1)), 99, 0);
         server.listen(at.get(1));
-        untilSaid("c DATA_CHANGED /a");  // changed while nobody could hear it
+        untilSaid("c DATA_CHANGED /a"); // changed while nobody could hear it
         assertEquals(session, client.session());
         assertTrue(!said.contains("c EXPIRED"));
     }
@@ -209,10 +213,14 @@
     }
 
     private Registration box(int number) {
-        Registration box = new Registration(loop, sockets, at, Duration.ofMillis(600),
+        Registration box = new Registration(
+                loop,
+                sockets,
+                at,
+                Duration.ofMillis(600),
                 new SplittableRandom(number),
-                "/live/boxes/b" + number, new Box("127.0.0.1:" + (7000 + number), "a", "m", 0, 1, 1000,
-                        false));
+                "/live/boxes/b" + number,
+                new Box("127.0.0.1:" + (7000 + number), "a", "m", 0, 1, 1000, false));
         box.begin();
         return box;
     }
@@ -239,7 +247,7 @@
         until(() -> next.trouble() != null);
         assertEquals(old.session(), server.tree().stat("/live/boxes/b1").owner());
         server.expire(old.session());
-        old.close(() -> { });
+        old.close(() -> {});
         until(next::isHeld);
         assertEquals(next.session(), server.tree().stat("/live/boxes/b1").owner());
     }
@@ -250,10 +258,15 @@
         Registration one = box(1);
         Registration two = box(2);
         until(() -> one.isHeld() && two.isHeld());
-        NodeList list = new NodeList(loop, sockets, at, Duration.ofMillis(600), Duration.ofMillis(50),
+        NodeList list = new NodeList(
+                loop,
+                sockets,
+                at,
+                Duration.ofMillis(600),
+                Duration.ofMillis(50),
                 "/live/boxes",
-                new SplittableRandom(9), changes -> changes.forEach(c -> said.add(c.name() + " "
-                        + c.health())));
+                new SplittableRandom(9),
+                changes -> changes.forEach(c -> said.add(c.name() + " " + c.health())));
         list.begin();
         untilSaid("b1 UP");
         untilSaid("b2 UP");
@@ -261,7 +274,7 @@
         untilSaid("b3 UP");
         three.says(new Box("127.0.0.1:7003", "a", "m", 0, 1, 1000, true));
         untilSaid("b3 DRAINING");
-        two.close(() -> { });
+        two.close(() -> {});
         untilSaid("b2 GONE");
         closed();
         int told = said.size();
@@ -270,6 +283,6 @@
         Registration four = box(4);
         untilSaid("b4 UP");
         until(four::isHeld);
-        assertEquals(List.of("b4 UP"), said.subList(told, said.size()));  // the restart took nobody for gone
+        assertEquals(List.of("b4 UP"), said.subList(told, said.size())); // the restart took nobody for gone
     }
 }
--- a/nodes/src/test/java/saltdale/nodes/TreeTest.java
+++ b/nodes/src/test/java/saltdale/nodes/TreeTest.java
@@ -45,10 +45,13 @@
     @Test
     void sequentialNodesCountUpAndEphemeralsGoWithTheirSession() {
         take(Step.create("/a", null, false, false));
-        assertEquals("/a/n-0000000000", take(Step.create("/a/n-", null, true, true)).results().get(0).path());
-        assertEquals("/a/n-0000000001", take(Step.create("/a/n-", null, true, true)).results().get(0).path());
-        assertEquals(Fault.NO_CHILDREN_FOR_EPHEMERALS,
-                fault(Step.create("/a/n-0000000000/x", null, false, false)));
+        assertEquals(
+                "/a/n-0000000000",
+                take(Step.create("/a/n-", null, true, true)).results().get(0).path());
+        assertEquals(
+                "/a/n-0000000001",
+                take(Step.create("/a/n-", null, true, true)).results().get(0).path());
+        assertEquals(Fault.NO_CHILDREN_FOR_EPHEMERALS, fault(Step.create("/a/n-0000000000/x", null, false, false)));
         Tree.Taken end = tree.end(7, 2000);
         assertEquals(2, end.changes().size());
         assertEquals(List.of(), tree.children("/a"));
@@ -59,10 +62,14 @@
     void severalStepsHappenTogetherOrNotAtAll() {
         take(Step.create("/a", null, false, false));
         String before = tree.toString();
-        Tree.Taken taken = take(Step.create("/b", null, true, false), Step.set("/a", new byte[] {1}, 0),
-                Step.delete("/a", 9), Step.create("/c", null, false, false));
+        Tree.Taken taken = take(
+                Step.create("/b", null, true, false),
+                Step.set("/a", new byte[] {1}, 0),
+                Step.delete("/a", 9),
+                Step.create("/c", null, false, false));
         assertTrue(!taken.done());
-        assertEquals(List.of(Fault.OK, Fault.OK, Fault.BAD_VERSION, Fault.RUNTIME_INCONSISTENCY),
+        assertEquals(
+                List.of(Fault.OK, Fault.OK, Fault.BAD_VERSION, Fault.RUNTIME_INCONSISTENCY),
                 taken.results().stream().map(Tree.Result::fault).toList());
         assertEquals(before, tree.toString());
         assertEquals(List.of(), taken.events());
@@ -81,16 +88,17 @@
             for (int i = 0; i <= Math.floorMod(deed, 3); i++) {
                 int part = Math.floorMod(deed >> (4 * i), 1 << 12);
                 String path = paths[part % paths.length];
-                steps.add(switch (part / 8 % 5) {
-                    case 0, 1 -> Step.create(path, new byte[] {(byte) part}, part % 2 == 0, part % 16 == 3);
-                    case 2 -> Step.delete(path, part % 4 == 0 ? 0 : -1);
-                    case 3 -> Step.set(path, new byte[part % 120], part % 5 - 1);
-                    default -> Step.check(path, part % 3 - 1);
-                });
+                steps.add(
+                        switch (part / 8 % 5) {
+                            case 0, 1 -> Step.create(path, new byte[] {(byte) part}, part % 2 == 0, part % 16 == 3);
+                            case 2 -> Step.delete(path, part % 4 == 0 ? 0 : -1);
+                            case 3 -> Step.set(path, new byte[part % 120], part % 5 - 1);
+                            default -> Step.check(path, part % 3 - 1);
+                        });
             }
             String before = one.toString();
-            Tree.Taken taken = deed % 17 == 0 ? one.end(deed % 3, deed) : one.take(steps, 1
-                    + Math.floorMod(deed, 2), deed);
+            Tree.Taken taken =
+                    deed % 17 == 0 ? one.end(deed % 3, deed) : one.take(steps, 1 + Math.floorMod(deed, 2), deed);
             if (!taken.done()) {
                 assertEquals(before, one.toString());
             }
@@ -106,8 +114,8 @@
         watches.add(Watches.Kind.CHILDREN, "/a", "children");
         watches.add(Watches.Kind.PERSISTENT, "/a", "stays");
         watches.add(Watches.Kind.RECURSIVE, "/", "all");
-        List<Event> created = List.of(new Event(Event.Kind.CREATED, "/a/x"),
-                new Event(Event.Kind.CHILDREN_CHANGED, "/a"));
+        List<Event> created =
+                List.of(new Event(Event.Kind.CREATED, "/a/x"), new Event(Event.Kind.CHILDREN_CHANGED, "/a"));
         assertEquals(created.subList(0, 1), watches.told(created).get("data"));
         assertEquals(2, watches.size());
         assertEquals(created.subList(1, 2), watches.told(created).get("stays"));
--- a/nodes/src/test/java/saltdale/nodes/WireTest.java
+++ b/nodes/src/test/java/saltdale/nodes/WireTest.java
@@ -25,13 +25,13 @@
 
 class WireTest {
     // By hand: length 18; xid 5, getData (4), path of length 5 "/a/bc", no watch.
-    private static final byte[] GET_DATA = HexFormat.of().parseHex("00000012" + "00000005" + "00000004"
-            + "00000005"
-            + "2f612f6263" + "00");
+    private static final byte[] GET_DATA =
+            HexFormat.of().parseHex("00000012" + "00000005" + "00000004" + "00000005" + "2f612f6263" + "00");
 
     @Test
     void aRequestIsWrittenAsTheProtocolHasIt() {
-        ByteBuffer framed = new RecordWriter().number(5).number(4).text("/a/bc").flag(false).framed();
+        ByteBuffer framed =
+                new RecordWriter().number(5).number(4).text("/a/bc").flag(false).framed();
         assertArrayEquals(GET_DATA, framed.array());
     }
 
@@ -54,10 +54,10 @@
 
     @Test
     void aLengthBeyondTheBoundIsAFaultAndAllocatesNothing() {
-        Frames frames = new Frames(1 << 20, r -> { });
+        Frames frames = new Frames(1 << 20, r -> {});
         frames.take(ByteBuffer.wrap(HexFormat.of().parseHex("7fffffff00")));
         assertNotNull(frames.fault());
-        Frames negative = new Frames(1 << 20, r -> { });
+        Frames negative = new Frames(1 << 20, r -> {});
         negative.take(ByteBuffer.wrap(HexFormat.of().parseHex("ffffffff")));
         assertNotNull(negative.fault());
         byte[] vector = HexFormat.of().parseHex("7fffffff");
--- a/pilot/src/main/java/saltdale/pilot/Attempt.java
+++ b/pilot/src/main/java/saltdale/pilot/Attempt.java
@@ -34,9 +34,9 @@
     public final String runner;
     public final String address;
     public final long until;
-    final String zone;  // the runner's
-    Member home;  // whom the slot goes back to
-    final long slot;  // the number of the question by which it was lent
+    final String zone; // the runner's
+    Member home; // whom the slot goes back to
+    final long slot; // the number of the question by which it was lent
     final long sentAt;
     boolean over;
 
--- a/pilot/src/main/java/saltdale/pilot/Bearings.java
+++ b/pilot/src/main/java/saltdale/pilot/Bearings.java
@@ -3,6 +3,12 @@
 import java.util.List;
 
 /** What a pilot is told of its machine and of the deployment; spans in nanoseconds. */
-public record Bearings(String name, String host, String zone, List<String> seeds, long beat, double retryRatio,
-                       long retryWindow, double retrySlack) {
-}
+public record Bearings(
+        String name,
+        String host,
+        String zone,
+        List<String> seeds,
+        long beat,
+        double retryRatio,
+        long retryWindow,
+        double retrySlack) {}
--- a/pilot/src/main/java/saltdale/pilot/Berth.java
+++ b/pilot/src/main/java/saltdale/pilot/Berth.java
@@ -7,17 +7,16 @@
 /** A runner as its home sees it: which of its slots are lent, and how it has done of late. */
 final class Berth {
     /** A slot that is lent: to whom, since when, and until when it comes back if nobody says so. */
-    record Loan(String life, long at, long until) {
-    }
+    record Loan(String life, long at, long until) {}
 
-    static final double POOR = 0.3;  // a runner failing more than this share of late is passed over
+    static final double POOR = 0.3; // a runner failing more than this share of late is passed over
 
     Runner runner;
-    final Map<String, Loan> loans = new HashMap<>();  // by who asked and the number of the question
-    long notBefore;  // it turned work away, or could not be reached, and rests until then
+    final Map<String, Loan> loans = new HashMap<>(); // by who asked and the number of the question
+    long notBefore; // it turned work away, or could not be reached, and rests until then
     long rest;
     double failing;
-    boolean used;  // something was sent there
+    boolean used; // something was sent there
     boolean trying;
     long since;
 
--- a/pilot/src/main/java/saltdale/pilot/Call.java
+++ b/pilot/src/main/java/saltdale/pilot/Call.java
@@ -12,17 +12,18 @@
     public final String service;
     /** What the carrier keeps with it: the client and the bytes. */
     public final Object load;
+
     final long arrivedAt;
-    final long until;  // when it is given up at the latest
-    final int priority;  // the lowest first
-    final long target;  // when its answer is late
-    final Set<String> avoided = new HashSet<>();  // runners that turned it away or broke off
-    final Set<String> unreached = new HashSet<>();  // zones whose homes did not answer
+    final long until; // when it is given up at the latest
+    final int priority; // the lowest first
+    final long target; // when its answer is late
+    final Set<String> avoided = new HashSet<>(); // runners that turned it away or broke off
+    final Set<String> unreached = new HashSet<>(); // zones whose homes did not answer
     Verdict verdict = Verdict.NOT_RUN;
     int attempts;
-    int hops;  // from home to home, for the present question
-    long ask;  // the number of the present question for a slot; 0 while there is none
-    Member home;  // whom it went to
+    int hops; // from home to home, for the present question
+    long ask; // the number of the present question for a slot; 0 while there is none
+    Member home; // whom it went to
     Runnable timer;
     Runnable limit;
     Attempt attempt;
--- a/pilot/src/main/java/saltdale/pilot/Home.java
+++ b/pilot/src/main/java/saltdale/pilot/Home.java
@@ -23,19 +23,29 @@
     static final class Ask {
         final String key;
         final String life;
-        final String host;  // null: our own
+        final String host; // null: our own
         final long number;
         final String zone;
         final long until;
         final long target;
         final int priority;
         final Set<String> avoided;
-        final int hops;  // so often it was sent from zone to zone
+        final int hops; // so often it was sent from zone to zone
         final long at;
-        long toldAt;  // that it waits; 0: not yet
-
-        Ask(String key, String life, String host, long number, String zone, long until, long target, int priority,
-            Set<String> avoided, int hops, long at) {
+        long toldAt; // that it waits; 0: not yet
+
+        Ask(
+                String key,
+                String life,
+                String host,
+                long number,
+                String zone,
+                long until,
+                long target,
+                int priority,
+                Set<String> avoided,
+                int hops,
+                long at) {
             this.key = key;
             this.life = life;
             this.host = host;
@@ -69,30 +79,36 @@
 
     static final int MOST_HOPS = 3;
     static final long SETTLES = 60_000_000L;
-    private static final double TAU = 2e9;  // over which arrivals are averaged
-    private static final double QUICK = 0.5e9;  // the same, to see a burst at once
-    private static final double LEAST = 0.4e9;  // so long at least a home has counted before it believes its counts
+    private static final double TAU = 2e9; // over which arrivals are averaged
+    private static final double QUICK = 0.5e9; // the same, to see a burst at once
+    private static final double LEAST = 0.4e9; // so long at least a home has counted before it believes its counts
     private final String service;
     private final String zone;
     private final ProbeLoop probes;
     private final SplittableRandom chance;
     private final Lender lender;
-    private final Predicate<Runner> ours;  // of our zone, or of one without members that we adopted
-    private final Map<String, Berth> berths = new LinkedHashMap<>();  // of those that are ours
-    private final Map<String, Runner> others = new LinkedHashMap<>();  // those with other homes
-    private final List<Ask> queue = new ArrayList<>();  // as they came
-    private double rate;  // calls a second that come from our zone
-    private double quick;  // the same over a shorter time
+    private final Predicate<Runner> ours; // of our zone, or of one without members that we adopted
+    private final Map<String, Berth> berths = new LinkedHashMap<>(); // of those that are ours
+    private final Map<String, Runner> others = new LinkedHashMap<>(); // those with other homes
+    private final List<Ask> queue = new ArrayList<>(); // as they came
+    private double rate; // calls a second that come from our zone
+    private double quick; // the same over a shorter time
     private long rateAt;
-    private long ratedFrom = -1;  // since when it counts; it begins anew after a long rest
+    private long ratedFrom = -1; // since when it counts; it begins anew after a long rest
     private long counted;
-    private double run;  // seconds that a call runs, on average
+    private double run; // seconds that a call runs, on average
     private long busyAt;
     /** From when on it lends: those who lent before have ended by then, or said what is out. */
     long opensAt;
 
-    Home(String service, String zone, ProbeLoop probes, SplittableRandom chance, Predicate<Runner> ours,
-         Lender lender, long opensAt) {
+    Home(
+            String service,
+            String zone,
+            ProbeLoop probes,
+            SplittableRandom chance,
+            Predicate<Runner> ours,
+            Lender lender,
+            long opensAt) {
         this.service = service;
         this.zone = zone;
         this.probes = probes;
@@ -139,7 +155,10 @@
         }
     }
 
-    /** The crew has changed: what is no longer ours goes with its loans, what is ours now waits a moment for others'. */
+    /**
+     * The crew has changed: what is no longer ours goes with its loans, what is ours now waits a moment for
+     * others'.
+     */
     List<Object> recrewed(long now, long opens) {
         List<Object> lost = new ArrayList<>();
         for (Berth berth : List.copyOf(berths.values())) {
@@ -166,7 +185,9 @@
     }
 
     List<Berth> booting() {
-        return berths.values().stream().filter(b -> b.runner.phase() == Runner.Phase.BOOTING).toList();
+        return berths.values().stream()
+                .filter(b -> b.runner.phase() == Runner.Phase.BOOTING)
+                .toList();
     }
 
     boolean isIdle() {
@@ -199,13 +220,18 @@
     }
 
     private String elsewhere() {
-        return others.values().stream().min(Comparator.comparing(Runner::phase).reversed()
-                .thenComparing(Runner::zone)).map(Runner::zone).orElse(null);
+        return others.values().stream()
+                .min(Comparator.comparing(Runner::phase).reversed().thenComparing(Runner::zone))
+                .map(Runner::zone)
+                .orElse(null);
     }
 
     /** How long the last one in the queue is likely to wait. */
     private long wait(Chart.Service kind, long now) {
-        int slots = berths.values().stream().filter(Berth::isUp).mapToInt(b -> b.runner.slots()).sum();
+        int slots = berths.values().stream()
+                .filter(Berth::isUp)
+                .mapToInt(b -> b.runner.slots())
+                .sum();
         double boot = kind == null ? 0 : kind.bootMs() * 1e6;
         if (slots == 0) {
             long since = booting().stream().mapToLong(b -> b.since).min().orElse(now);
@@ -246,11 +272,11 @@
                 run = run == 0 ? seconds : 0.95 * run + 0.05 * Math.min(seconds, 4 * run);
                 probes.ended(seconds);
             }
-            case TURNED_AWAY -> berth.rests(now, 30_000_000L, 500_000_000L);  // another's work still holds its slots
+            case TURNED_AWAY -> berth.rests(now, 30_000_000L, 500_000_000L); // another's work still holds its slots
             case NOT_CONNECTED -> berth.rests(now, 50_000_000L, 1_000_000_000L);
             case MISDIRECTED -> berths.remove(id);
             case BROKEN -> berth.ended(true);
-            default -> { }
+            default -> {}
         }
         serve(now);
     }
@@ -267,8 +293,8 @@
     void gone(String life, long until) {
         queue.removeIf(ask -> ask.life.equals(life));
         for (Berth berth : berths.values()) {
-            berth.loans.replaceAll((key, loan) -> loan.life().equals(life)
-                    ? new Berth.Loan(life, loan.at(), Math.min(loan.until(), until)) : loan);
+            berth.loans.replaceAll((key, loan) ->
+                    loan.life().equals(life) ? new Berth.Loan(life, loan.at(), Math.min(loan.until(), until)) : loan);
         }
     }
 
@@ -288,7 +314,9 @@
         }
         if (!hasRunners()) {
             String there = elsewhere();
-            for (Ask ask : there == null ? List.<Ask>of() : queue.stream().filter(a -> a.hops < MOST_HOPS).toList()) {
+            for (Ask ask : there == null
+                    ? List.<Ask>of()
+                    : queue.stream().filter(a -> a.hops < MOST_HOPS).toList()) {
                 queue.remove(ask);
                 lender.elsewhere(ask, there);
             }
@@ -297,10 +325,12 @@
         if (berths.values().stream().noneMatch(b -> b.mayTake(now))) {
             return;
         }
-        // Who can still be in time goes before who is late; calls of runners at work before all, since those hold slots.
+        // Who can still be in time goes before who is late; calls of runners at work before all, since those hold
+        // slots.
         List<Ask> order = new ArrayList<>(queue);
         long soon = now + (long) (run * 1e9);
-        order.sort(Comparator.comparing((Ask a) -> a.priority >= 0 && a.target < soon).thenComparing(a -> a.priority));
+        order.sort(Comparator.comparing((Ask a) -> a.priority >= 0 && a.target < soon)
+                .thenComparing(a -> a.priority));
         for (Ask ask : order) {
             Berth berth = pick(ask, now);
             if (berth != null) {
@@ -347,13 +377,21 @@
             shortest = Math.min(shortest, load);
         }
         // No probed runner has a free slot: any other that has, else the call waits here.
-        return ready.stream().filter(b -> !seen.contains(b) && b.mayTake(now)).findFirst().orElse(null);
+        return ready.stream()
+                .filter(b -> !seen.contains(b) && b.mayTake(now))
+                .findFirst()
+                .orElse(null);
     }
 
     /** The calls waiting for it and in flight to it; one not yet sent to counts as the mean of the others. */
     private static double load(Berth berth, List<Berth> ready) {
-        return berth.used ? berth.loans.size()
-                : ready.stream().filter(b -> b.used).mapToInt(b -> b.loans.size()).average().orElse(0);
+        return berth.used
+                ? berth.loans.size()
+                : ready.stream()
+                        .filter(b -> b.used)
+                        .mapToInt(b -> b.loans.size())
+                        .average()
+                        .orElse(0);
     }
 
     // What is told to the keepers.
@@ -372,7 +410,8 @@
     /** Calls a second: the average, or the last half second's where that is more than chance would have it. */
     private double rate(long now) {
         double lately = quick - 2 * Math.sqrt(quick);
-        double young = now - ratedFrom < TAU ? (counted - 2 * Math.sqrt(counted)) * 1e9 / Math.max(LEAST, now - ratedFrom) : 0;
+        double young =
+                now - ratedFrom < TAU ? (counted - 2 * Math.sqrt(counted)) * 1e9 / Math.max(LEAST, now - ratedFrom) : 0;
         return Math.max(rate, Math.max(lately, young));
     }
 
@@ -380,7 +419,8 @@
     List<Object> need(long now) {
         decay(now);
         int busy = berths.values().stream().mapToInt(b -> b.loans.size()).sum();
-        return rate == 0 && busy == 0 && queue.isEmpty() ? null
+        return rate == 0 && busy == 0 && queue.isEmpty()
+                ? null
                 : List.of(service, zone, rate(now), run, busy, queue.size(), (now - busyAt) / 1e9);
     }
 
@@ -401,8 +441,8 @@
 
     private List<Object> loans(Berth berth, long now) {
         List<Object> all = new ArrayList<>();
-        berth.loans.forEach((key, loan) -> all.add(List.of(service, berth.runner.id(), key, loan.life(),
-                Math.max(0, (loan.until() - now) / 1_000_000))));
+        berth.loans.forEach((key, loan) -> all.add(
+                List.of(service, berth.runner.id(), key, loan.life(), Math.max(0, (loan.until() - now) / 1_000_000))));
         return all;
     }
 }
--- a/pilot/src/main/java/saltdale/pilot/Pilot.java
+++ b/pilot/src/main/java/saltdale/pilot/Pilot.java
@@ -19,16 +19,17 @@
 import saltdale.probing.ProbeLoop;
 
 /**
- * A dispatcher that carries calls: it finds the route, asks the service's home in its zone for a slot, sends the call to
- * the runner that it is lent, and answers. It is itself home to some services of its zone. No I/O and no clock of its own.
+ * A dispatcher that carries calls: it finds the route, asks the service's home in its zone for a slot, sends the
+ * call to
+ * the runner that it is lent, and answers. It is itself home to some services of its zone. No I/O and no clock of
+ * its own.
  */
 public final class Pilot {
-    private static final long MARGIN = Outside.millis(15);  // before a client's deadline, for the way back
-    private static final int NESTED = -1;  // the priority of calls that runners make while they hold a slot
-    private static final int MOST_MOVES = 6;  // of a call that no runner began, from one runner to another
+    private static final long MARGIN = Outside.millis(15); // before a client's deadline, for the way back
+    private static final int NESTED = -1; // the priority of calls that runners make while they hold a slot
+    private static final int MOST_MOVES = 6; // of a call that no runner began, from one runner to another
 
-    private record Held(String runner, String life, long until) {
-    }
+    private record Held(String runner, String life, long until) {}
 
     private final Outside outside;
     private final Bearings bearings;
@@ -36,21 +37,22 @@
     private final Tender tender;
     private final RetryBudget budget;
     private final ProbeLoop probes = new ProbeLoop();
-    private final Map<String, Home> homes = new HashMap<>();  // by service, those that we are
+    private final Map<String, Home> homes = new HashMap<>(); // by service, those that we are
     private final Map<Long, Call> asking = new HashMap<>();
     private final Set<Attempt> carried = new HashSet<>();
-    private final Map<String, Long> silent = new HashMap<>();  // members that did not answer, until when they are passed by
-    private final Map<String, Runner> told = new LinkedHashMap<>();  // runners of services that we are home to
-    private final Set<String> runnerHosts = new HashSet<>();  // where runners have been: calls from there are nested
-    private final Map<String, Held> early = new LinkedHashMap<>();  // by key: loans of runners not known here yet
+    private final Map<String, Long> silent =
+            new HashMap<>(); // members that did not answer, until when they are passed by
+    private final Map<String, Runner> told = new LinkedHashMap<>(); // runners of services that we are home to
+    private final Set<String> runnerHosts = new HashSet<>(); // where runners have been: calls from there are nested
+    private final Map<String, Held> early = new LinkedHashMap<>(); // by key: loans of runners not known here yet
     private Collection<Member> crew = List.of();
     private long awakeAt;
-    private long crewAt;  // when it changed last
+    private long crewAt; // when it changed last
     private Chart chart;
     private long asks;
-    private boolean needed;  // something, when it was last told
+    private boolean needed; // something, when it was last told
     private boolean ending;
-    private boolean turnsAway;  // at its end, what would have to wait
+    private boolean turnsAway; // at its end, what would have to wait
 
     public Pilot(Outside outside, Bearings bearings, Carrier carrier) {
         this.outside = outside;
@@ -186,7 +188,8 @@
         Collection<Member> before = crew;
         crew = next;
         crewAt = outside.now();
-        outside.note("crew of " + crew.size() + ": " + crew.stream().map(m -> m.name() + (m.leaving() ? "-" : "")).toList());
+        outside.note("crew of " + crew.size() + ": "
+                + crew.stream().map(m -> m.name() + (m.leaving() ? "-" : "")).toList());
         long now = outside.now();
         for (Home home : List.copyOf(homes.values())) {
             List<Object> loans = home.recrewed(now, bearings.beat() / 8);
@@ -200,7 +203,8 @@
                 Runner r = (Runner) told.get(((List<?>) loan).get(1));
                 Member heir = Homes.of(home.service(), r == null ? bearings.zone() : r.zone(), crew);
                 if (heir != null) {
-                    heirs.computeIfAbsent(heir.host(), host -> new ArrayList<>()).add(loan);
+                    heirs.computeIfAbsent(heir.host(), host -> new ArrayList<>())
+                            .add(loan);
                 }
             }
             heirs.forEach((host, list) -> outside.send(host, Fields.tree("t", "held", "l", list)));
@@ -212,8 +216,13 @@
             Member is = Homes.of(a.call.service, a.zone, crew);
             if (is != null && (was == null || !was.life().equals(is.life()))) {
                 a.home = is;
-                held.computeIfAbsent(is.host(), host -> new ArrayList<>()).add(List.of(a.call.service, a.runner,
-                        key(tender.life(), a.slot), tender.life(), Math.max(0, (a.until - now) / 1_000_000)));
+                held.computeIfAbsent(is.host(), host -> new ArrayList<>())
+                        .add(List.of(
+                                a.call.service,
+                                a.runner,
+                                key(tender.life(), a.slot),
+                                tender.life(),
+                                Math.max(0, (a.until - now) / 1_000_000)));
             }
         }
         held.forEach((host, list) -> outside.send(host, Fields.tree("t", "held", "l", list)));
@@ -249,11 +258,15 @@
     private Home home(String service) {
         return homes.computeIfAbsent(service, s -> {
             // Who was home before says what is out; the runners may come to be known only after the crew.
-            long opensAt = Math.max(crewAt + bearings.beat() / 8, outside.now()
-                    + (told.values().stream().anyMatch(r -> r.service().equals(s)) ? bearings.beat() / 8 : 0));
-            Home home = new Home(s, bearings.zone(), probes, outside.chance(),
-                    r -> isHome(s, r.zone()), new Lending(s), opensAt);
-            told.values().stream().filter(r -> r.service().equals(s)).toList()
+            long opensAt = Math.max(
+                    crewAt + bearings.beat() / 8,
+                    outside.now()
+                            + (told.values().stream().anyMatch(r -> r.service().equals(s)) ? bearings.beat() / 8 : 0));
+            Home home = new Home(
+                    s, bearings.zone(), probes, outside.chance(), r -> isHome(s, r.zone()), new Lending(s), opensAt);
+            told.values().stream()
+                    .filter(r -> r.service().equals(s))
+                    .toList()
                     .forEach(r -> home.heard(r, outside.now()));
             tellEarly(home);
             outside.after(Math.max(0, opensAt - outside.now()), () -> home.turn(outside.now()));
@@ -273,7 +286,8 @@
     }
 
     private void tryOne(Home home, Berth berth) {
-        boolean still = homes.get(home.service()) == home && home.berth(berth.runner.id()) == berth
+        boolean still = homes.get(home.service()) == home
+                && home.berth(berth.runner.id()) == berth
                 && berth.runner.phase() == Runner.Phase.BOOTING;
         if (still) {
             carrier.tryRunner(berth.runner.id(), berth.runner.address());
@@ -318,7 +332,8 @@
         if (route.services().size() == 1) {
             return route.services().get(0);
         }
-        double draw = outside.chance().nextDouble() * route.weights().stream().mapToDouble(w -> w).sum();
+        double draw = outside.chance().nextDouble()
+                * route.weights().stream().mapToDouble(w -> w).sum();
         for (int i = 0; i < route.services().size(); i++) {
             draw -= route.weights().get(i);
             if (draw < 0) {
@@ -402,13 +417,47 @@
     private void sendAsk(Call call, boolean counts) {
         long now = outside.now();
         if (call.home.life().equals(tender.life())) {
-            lend(new Home.Ask(key(tender.life(), call.ask), tender.life(), null, call.ask, bearings.zone(), call.until,
-                    call.target, call.priority, call.avoided, call.hops, now), call.service, counts);
+            lend(
+                    new Home.Ask(
+                            key(tender.life(), call.ask),
+                            tender.life(),
+                            null,
+                            call.ask,
+                            bearings.zone(),
+                            call.until,
+                            call.target,
+                            call.priority,
+                            call.avoided,
+                            call.hops,
+                            now),
+                    call.service,
+                    counts);
         } else {
-            outside.send(call.home.host(), Fields.tree("t", "ask", "i", call.ask, "s", call.service, "l", tender.life(),
-                    "z", bearings.zone(), "u", (call.until - now) / 1_000_000, "g", (call.target - now) / 1_000_000,
-                    "p", call.priority, "n", counts, "e", call.hops,
-                    "x", call.avoided.isEmpty() ? null : new ArrayList<>(call.avoided)));
+            outside.send(
+                    call.home.host(),
+                    Fields.tree(
+                            "t",
+                            "ask",
+                            "i",
+                            call.ask,
+                            "s",
+                            call.service,
+                            "l",
+                            tender.life(),
+                            "z",
+                            bearings.zone(),
+                            "u",
+                            (call.until - now) / 1_000_000,
+                            "g",
+                            (call.target - now) / 1_000_000,
+                            "p",
+                            call.priority,
+                            "n",
+                            counts,
+                            "e",
+                            call.hops,
+                            "x",
+                            call.avoided.isEmpty() ? null : new ArrayList<>(call.avoided)));
         }
     }
 
@@ -429,8 +478,11 @@
     }
 
     private boolean usable(Member home, Call call, long now) {
-        return home != null && !call.unreached.contains(home.zone())
-                && (home.life().equals(tender.life()) ? tender.hasLease() : silent.getOrDefault(home.life(), 0L) <= now);
+        return home != null
+                && !call.unreached.contains(home.zone())
+                && (home.life().equals(tender.life())
+                        ? tender.hasLease()
+                        : silent.getOrDefault(home.life(), 0L) <= now);
     }
 
     private void unanswered(Call call, long number) {
@@ -453,7 +505,9 @@
     /** A connection to another process has ended: what was asked there is asked elsewhere. */
     public void unreachable(String host) {
         for (Call call : List.copyOf(asking.values())) {
-            if (call.home != null && call.home.host().equals(host) && !call.home.life().equals(tender.life())) {
+            if (call.home != null
+                    && call.home.host().equals(host)
+                    && !call.home.life().equals(tender.life())) {
                 unanswered(call, call.ask);
             }
         }
@@ -538,7 +592,9 @@
         call.avoided.add(attempt.runner);
         boolean arrived = end == Attempt.End.TURNED_AWAY || end == Attempt.End.BROKEN || end == Attempt.End.MISDIRECTED;
         boolean again = call.verdict.allowsAnother(call.route.idempotent())
-                && (end.verdict() == Verdict.NOT_RUN ? call.attempts < MOST_MOVES : call.attempts < call.route.maxAttempts())
+                && (end.verdict() == Verdict.NOT_RUN
+                        ? call.attempts < MOST_MOVES
+                        : call.attempts < call.route.maxAttempts())
                 && (!arrived || budget.further(call.service, outside.now(), crew.size()));
         if (again) {
             ask(call);
@@ -560,8 +616,21 @@
                 back(home, key, attempt.runner, end, ran);
             }
         } else {
-            outside.send(attempt.home.host(), Fields.tree("t", "back", "s", attempt.call.service, "k", key, "r",
-                    attempt.runner, "e", end.ordinal(), "d", ran / 1000));
+            outside.send(
+                    attempt.home.host(),
+                    Fields.tree(
+                            "t",
+                            "back",
+                            "s",
+                            attempt.call.service,
+                            "k",
+                            key,
+                            "r",
+                            attempt.runner,
+                            "e",
+                            end.ordinal(),
+                            "d",
+                            ran / 1000));
         }
     }
 
@@ -587,7 +656,7 @@
                     });
                 }
             }
-            return;  // another asks elsewhere when it hears nothing
+            return; // another asks elsewhere when it hears nothing
         }
         Home home = home(service);
         home.ask(ask, counts, chart.services().get(service), outside.now());
@@ -660,10 +729,21 @@
                 long number = message.whole("i");
                 String life = message.text("l");
                 long now = outside.now();
-                lend(new Home.Ask(key(life, number), life, from, number, message.text("z"),
-                        now + message.whole("u") * 1_000_000, now + message.whole("g") * 1_000_000,
-                        (int) message.whole("p"), new HashSet<>(message.texts("x")), (int) message.whole("e"), now),
-                        message.text("s"), message.flag("n"));
+                lend(
+                        new Home.Ask(
+                                key(life, number),
+                                life,
+                                from,
+                                number,
+                                message.text("z"),
+                                now + message.whole("u") * 1_000_000,
+                                now + message.whole("g") * 1_000_000,
+                                (int) message.whole("p"),
+                                new HashSet<>(message.texts("x")),
+                                (int) message.whole("e"),
+                                now),
+                        message.text("s"),
+                        message.flag("n"));
             }
             case "lent" -> lent(message.whole("i"), Runner.of(message.list("r")));
             case "waits" -> waits(message.whole("i"));
@@ -680,7 +760,11 @@
                 long end = message.whole("e");
                 early.remove(message.text("k"));
                 if (home != null && end >= 0 && end < Attempt.End.values().length) {
-                    back(home, message.text("k"), message.text("r"), Attempt.End.values()[(int) end],
+                    back(
+                            home,
+                            message.text("k"),
+                            message.text("r"),
+                            Attempt.End.values()[(int) end],
                             message.whole("d") * 1000);
                 }
             }
@@ -691,9 +775,13 @@
 
     private void held(Fields message) throws MalformedMessage {
         for (Object each : message.list("l")) {
-            if (!(each instanceof List<?> loan) || loan.size() != 5 || !(loan.get(0) instanceof String service)
-                    || !(loan.get(1) instanceof String id) || !(loan.get(2) instanceof String key)
-                    || !(loan.get(3) instanceof String life) || !(loan.get(4) instanceof Long left)) {
+            if (!(each instanceof List<?> loan)
+                    || loan.size() != 5
+                    || !(loan.get(0) instanceof String service)
+                    || !(loan.get(1) instanceof String id)
+                    || !(loan.get(2) instanceof String key)
+                    || !(loan.get(3) instanceof String life)
+                    || !(loan.get(4) instanceof Long left)) {
                 throw new MalformedMessage("no loan");
             }
             Held one = new Held(id, life, outside.now() + left * 1_000_000);
--- a/pilot/src/main/java/saltdale/pilot/RetryBudget.java
+++ b/pilot/src/main/java/saltdale/pilot/RetryBudget.java
@@ -8,8 +8,8 @@
  * stay within the whole: each takes its ratio of the requests that it has itself seen, and an equal share of the slack.
  */
 final class RetryBudget {
-    private static final int PARTS = 10;  // of the window
-    private static final double CAUTION = 0.7;  // the calls that repeated runs make count too, and are not seen here
+    private static final int PARTS = 10; // of the window
+    private static final double CAUTION = 0.7; // the calls that repeated runs make count too, and are not seen here
 
     private static final class Counts {
         final long[] slot = new long[PARTS + 1];
--- a/pilot/src/main/java/saltdale/pilot/Tender.java
+++ b/pilot/src/main/java/saltdale/pilot/Tender.java
@@ -38,11 +38,11 @@
     private String keeper;
     private String session = "";
     private long count;
-    private long news;  // of this session, so many came
+    private long news; // of this session, so many came
     private long heardAt;
     private long renewedAt;
-    private long leaseUntil = Long.MIN_VALUE / 2;  // counted from when that was sent which a keeper answered
-    private int alone;  // so often in a row it had no majority
+    private long leaseUntil = Long.MIN_VALUE / 2; // counted from when that was sent which a keeper answered
+    private int alone; // so often in a row it had no majority
     private boolean leaving;
 
     Tender(Outside outside, Bearings bearings, Reader reader) {
@@ -115,8 +115,19 @@
         renewedAt = now;
         sentAt.put(++count, now);
         sentAt.values().removeIf(at -> now - at > 4 * bearings.beat());
-        outside.send(keeper, Fields.tree("t", "renew", "m", new Member(life, bearings.name(), bearings.zone(),
-                bearings.host(), leaving).tree(), "i", count, "s", session, "r", reader.revision()));
+        outside.send(
+                keeper,
+                Fields.tree(
+                        "t",
+                        "renew",
+                        "m",
+                        new Member(life, bearings.name(), bearings.zone(), bearings.host(), leaving).tree(),
+                        "i",
+                        count,
+                        "s",
+                        session,
+                        "r",
+                        reader.revision()));
     }
 
     /** Tells at once that nothing new is to come here. */
@@ -137,7 +148,7 @@
         } else if (message.text("s").equals(session) && from.equals(keeper)) {
             if (message.whole("#") != news + 1) {
                 outside.note("news " + message.whole("#") + " came after " + news);
-                resume();  // something was lost on the way
+                resume(); // something was lost on the way
                 renew();
                 return;
             }
@@ -162,7 +173,7 @@
         }
         if (!message.flag("maj")) {
             alone++;
-            if (alone > 1) {  // it may not know what is in force
+            if (alone > 1) { // it may not know what is in force
                 move();
                 renew();
             }
--- a/pilot/src/test/java/saltdale/pilot/AgreementTest.java
+++ b/pilot/src/test/java/saltdale/pilot/AgreementTest.java
@@ -34,8 +34,9 @@
     }
 
     private static long holding(SimWorld world, long revision) {
-        return world.keepers.stream().filter(k -> k.synced.keySet().stream()
-                .anyMatch(name -> name.startsWith("text:" + revision + "-"))).count();
+        return world.keepers.stream()
+                .filter(k -> k.synced.keySet().stream().anyMatch(name -> name.startsWith("text:" + revision + "-")))
+                .count();
     }
 
     @ParameterizedTest
@@ -190,8 +191,10 @@
             world.run(4000);
             String is = read(world, world.keepers.get(seed % keepers));
             assertThat(is, containsString(got.isEmpty() ? "\"revision\":" : "\"revision\":2"));
-            assertTrue(is.contains("\"revision\":1") ? insists(world, 1, config(2), 5000)
-                    : insists(world, 2, config(3), 5000));
+            assertTrue(
+                    is.contains("\"revision\":1")
+                            ? insists(world, 1, config(2), 5000)
+                            : insists(world, 2, config(3), 5000));
             assertThat(world.faults, is(empty()));
         }
     }
@@ -281,7 +284,7 @@
 
     private static final class Schedule {
         final SimWorld world;
-        final Map<Long, String> acked = new LinkedHashMap<>();  // by revision
+        final Map<Long, String> acked = new LinkedHashMap<>(); // by revision
         final Map<Long, Long> builtOn = new HashMap<>();
         final Map<Long, String> read = new HashMap<>();
         final int wipes;
@@ -312,7 +315,9 @@
         }
 
         private boolean allVote() throws Exception {
-            return world.newest != null && !world.isJoint() && world.voters().size() == world.keepers.size()
+            return world.newest != null
+                    && !world.isJoint()
+                    && world.voters().size() == world.keepers.size()
                     && world.keepers.stream().allMatch(k -> voters().contains(k.id()));
         }
 
@@ -339,7 +344,9 @@
                     // No more disks at once than is tolerated: all others are voters that know what their disks say.
                     if (allVote()) {
                         for (int i = 0; i < wipes; i++) {
-                            world.keepers.get((world.keepers.indexOf(one) + i) % world.keepers.size()).wipe();
+                            world.keepers
+                                    .get((world.keepers.indexOf(one) + i) % world.keepers.size())
+                                    .wipe();
                         }
                     }
                 }
--- a/pilot/src/test/java/saltdale/pilot/DiskTest.java
+++ b/pilot/src/test/java/saltdale/pilot/DiskTest.java
@@ -31,7 +31,7 @@
             assertTrue(insists(world, 0, config(1), 5000));
             SimMachine bad = world.keepers.get(seed % 3);
             bad.disk = disk;
-            bad.syncNanos = 2_000_000_000L;  // slow, where it is neither full nor hanging
+            bad.syncNanos = 2_000_000_000L; // slow, where it is neither full nor hanging
             for (int i = 0; i < 4; i++) {
                 long begun = world.now();
                 assertThat(replace(world, world.keepers.get((seed + i) % 3), 1 + i, config(2 + i)), is(200));
@@ -54,7 +54,9 @@
         SimWorld world = new SimWorld(1).of(3, 0).begin();
         world.run(2500);
         SimMachine keeper = world.keepers.get(0);
-        List<Voter> voters = world.keepers.stream().map(k -> new Voter(k.id(), k.host, k.host)).toList();
+        List<Voter> voters = world.keepers.stream()
+                .map(k -> new Voter(k.id(), k.host, k.host))
+                .toList();
         State first = State.first(voters);
         State one = first.withText(1, "1-one", "a");
         State two = one.withText(2, "2-two", "b");
@@ -70,7 +72,18 @@
     }
 
     private static void accept(SimMachine keeper, long round, State state, String text) throws Exception {
-        keeper.process.take("10.0.0.2", Fields.tree("t", "accept", "b", new Ballot(round, "x").tree(), "s", state.tree(),
-                "x", text.getBytes(), "to", keeper.id()));
+        keeper.process.take(
+                "10.0.0.2",
+                Fields.tree(
+                        "t",
+                        "accept",
+                        "b",
+                        new Ballot(round, "x").tree(),
+                        "s",
+                        state.tree(),
+                        "x",
+                        text.getBytes(),
+                        "to",
+                        keeper.id()));
     }
 }
--- a/pilot/src/test/java/saltdale/pilot/DutyTest.java
+++ b/pilot/src/test/java/saltdale/pilot/DutyTest.java
@@ -20,12 +20,18 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import saltdale.lighthouse.Platform;
 
-/** One keeper at a time starts and stops runners, within the platform's rates, and the next one knows what was begun. */
+/**
+ * One keeper at a time starts and stops runners, within the platform's rates, and the next one knows what was
+ * begun.
+ */
 class DutyTest {
     /** The machine of the keeper that holds the duty, as the newest chosen state says. */
     static SimMachine holder(SimWorld world) {
         String name = (String) ((Map<?, ?>) ((Map<?, ?>) world.newest.map().get("d")).get("starting")).get("n");
-        return world.keepers.stream().filter(k -> ("n-" + k.host).equals(name)).findAny().orElseThrow();
+        return world.keepers.stream()
+                .filter(k -> ("n-" + k.host).equals(name))
+                .findAny()
+                .orElseThrow();
     }
 
     static long fence(SimWorld world) {
@@ -101,21 +107,27 @@
     void whoTakesOverLearnsWhatWasBegun() {
         for (int seed = 0; seed < 8; seed++) {
             SimWorld world = serving(seed, 3, 3);
-            world.platform.bootMs = 6000;  // it is not in the list before another has taken over
+            world.platform.bootMs = 6000; // it is not in the list before another has taken over
             SimMachine holder = holder(world);
             world.platform.call(world.pilots.get(0), "h.example", "/a/1", 20_000);
             assertTrue(world.until(1000, () -> !world.platform.runners.isEmpty()));
             holder.powerOff();
             world.run(5000);
             assertThat(holder(world), is(not(holder)));
-            List<String> asked = world.platform.duties.stream().map(SimPlatform.Duty::what).distinct().toList();
+            List<String> asked = world.platform.duties.stream()
+                    .map(SimPlatform.Duty::what)
+                    .distinct()
+                    .toList();
             assertThat("the same nonce", asked, hasSize(1));
             assertThat(world.platform.duties.size(), greaterThan(1));
             assertThat("seed " + seed, world.platform.runners.values(), hasSize(1));
         }
     }
 
-    /** Few calls allowed, a list of many pages, answers lost, holders that change: never more than the platform takes. */
+    /**
+     * Few calls allowed, a list of many pages, answers lost, holders that change: never more than the platform
+     * takes.
+     */
     @ParameterizedTest
     @CsvSource({"26,105,4,60", "26,105,1,300", "26,20,4,60", "5,5,4,20", "12,50,1,150"})
     void thePlatformsRatesAreKept(double lists, double duties, int slots, double perSecond) {
@@ -123,8 +135,13 @@
         world.rates = new Platform.Rates(lists, duties, List.of("starting"));
         serving(world, 3, 6);
         world.platform.slots.put("fn", slots);
-        assertTrue(insists(world, 1, config(2).replace("\"max_concurrency\":4", "\"max_concurrency\":" + slots)
-                .replace("\"memory_mb\":128", "\"memory_mb\":16"), 5000));
+        assertTrue(insists(
+                world,
+                1,
+                config(2)
+                        .replace("\"max_concurrency\":4", "\"max_concurrency\":" + slots)
+                        .replace("\"memory_mb\":128", "\"memory_mb\":16"),
+                5000));
         world.platform.memory.put("fn", 16);
         world.platform.workMs = 600;
         load(world, perSecond, 12_000);
--- a/pilot/src/test/java/saltdale/pilot/InputTest.java
+++ b/pilot/src/test/java/saltdale/pilot/InputTest.java
@@ -33,39 +33,65 @@
 
     private static Stream<String> badReplacements() {
         String good = route("r-9", "/c/", "idempotent", "fn");
-        return Stream.of("", "{", "[]", "null", "7", "\"x\"", config(2).substring(0, 300), config(2) + "x", "{}",
-                "[".repeat(100_000), "{\"a\":".repeat(100_000),
+        return Stream.of(
+                "",
+                "{",
+                "[]",
+                "null",
+                "7",
+                "\"x\"",
+                config(2).substring(0, 300),
+                config(2) + "x",
+                "{}",
+                "[".repeat(100_000),
+                "{\"a\":".repeat(100_000),
                 config(2).replace("\"revision\":2", "\"revision\":\"2\""),
                 config(2).replace("\"revision\":2", "\"revision\":2.5"),
                 config(2).replace("\"revision\":2", "\"revision\":1e400"),
                 config(2).replace("\"revision\":2", "\"revision\":-2"),
-                config(1), config(0),
+                config(1),
+                config(0),
                 config(2).replace("\"services\":[{", "\"services\":[7,{"),
                 config(2).replace("\"name\":\"fn\"", "\"name\":\"other\""),
-                whole("\"r\""), whole("null"), whole(good.replace("\"fn\"", "\"nobody\"")), whole(good + "," + good),
-                whole(good.replace("/c/", "/a/")), whole(good.replace("/c/", "c")), whole(good.replace("r-9", "r-0")),
+                whole("\"r\""),
+                whole("null"),
+                whole(good.replace("\"fn\"", "\"nobody\"")),
+                whole(good + "," + good),
+                whole(good.replace("/c/", "/a/")),
+                whole(good.replace("/c/", "c")),
+                whole(good.replace("r-9", "r-0")),
                 whole(good.replace("\"timeout_ms\":5000", "\"timeout_ms\":0")),
                 whole(good.replace("\"timeout_ms\":5000", "\"timeout_ms\":-1")),
                 whole(good.replace("\"hostname\":\"h.example\",", "")),
                 whole(good.replace("idempotent", "sometimes")),
                 whole(good.replace("\"service\":\"fn\"", "\"services\":[]")),
                 whole(good.replace("\"service\":\"fn\"", "\"services\":[{\"service\":\"fn\",\"weight\":0}]")),
-                whole(good.replace("\"service\":\"fn\"",
+                whole(good.replace(
+                        "\"service\":\"fn\"",
                         "\"services\":[{\"service\":\"fn\",\"weight\":0.0},{\"service\":\"fn\",\"weight\":0}]")),
-                whole(good.replace("\"service\":\"fn\"",
+                whole(good.replace(
+                        "\"service\":\"fn\"",
                         "\"services\":[{\"service\":\"fn\",\"weight\":-1},{\"service\":\"fn\",\"weight\":2}]")),
-                whole(good.replace("\"service\":\"fn\"",
+                whole(good.replace(
+                        "\"service\":\"fn\"",
                         "\"services\":[{\"service\":\"fn\",\"weight\":1},{\"service\":\"no\",\"weight\":1}]")));
     }
 
     private static Stream<String> badAmendments() {
         String set = "{\"revision\":2,\"set_items\":{\"routes\":[";
-        return Stream.of("{", "[]", "{}", "{\"revision\":1}", "{\"revision\":2,\"set_items\":7}",
-                "{\"revision\":2,\"set_items\":{\"routes\":{}}}", "{\"revision\":2,\"set_items\":{\"revision\":[]}}",
+        return Stream.of(
+                "{",
+                "[]",
+                "{}",
+                "{\"revision\":1}",
+                "{\"revision\":2,\"set_items\":7}",
+                "{\"revision\":2,\"set_items\":{\"routes\":{}}}",
+                "{\"revision\":2,\"set_items\":{\"revision\":[]}}",
                 "{\"revision\":2,\"remove_names\":{\"services\":[\"fn\"]}}",
                 "{\"revision\":2,\"remove_names\":{\"routes\":[7]}}",
                 set + route("r-9", "/c/", "idempotent", "nobody") + "]}}",
-                set + route("r-9", "/a/", "idempotent", "fn") + "]}}", set + "{\"hostname\":\"h\"}]}}",
+                set + route("r-9", "/a/", "idempotent", "fn") + "]}}",
+                set + "{\"hostname\":\"h\"}]}}",
                 set + route("r-0", "/a/", "idempotent", "fn").replace("5000", "0") + "]}}");
     }
 
@@ -83,8 +109,15 @@
         }
         assertThat(read(world, at), is(before));
         assertThat(world.newest.map().get("r"), is((Object) 1L));
-        assertThat(change(world, at, true, "1", "{\"revision\":2,\"remove_names\":{\"routes\":[\"r-1\",\"none\"]},"
-                + "\"set_items\":{\"routes\":[" + route("r-7", "/c/", "idempotent", "fn") + "]}}"), is(200));
+        assertThat(
+                change(
+                        world,
+                        at,
+                        true,
+                        "1",
+                        "{\"revision\":2,\"remove_names\":{\"routes\":[\"r-1\",\"none\"]},"
+                                + "\"set_items\":{\"routes\":[" + route("r-7", "/c/", "idempotent", "fn") + "]}}"),
+                is(200));
         assertThat(read(world, at), containsString("/c/"));
         assertThat(read(world, at), not(containsString("/b/")));
     }
@@ -93,9 +126,11 @@
     void whatIsReadBackIsWhatWasSent() throws Exception {
         SimWorld world = new SimWorld(4).of(3, 0).begin();
         world.run(2500);
-        String sent = config(1, 5).replace("\"priority\":1", "\"priority\":1,\"more\":[null,1.25,-7,true,{\"\u00e9\":\"\u20ac\"}]");
+        String sent = config(1, 5)
+                .replace("\"priority\":1", "\"priority\":1,\"more\":[null,1.25,-7,true,{\"\u00e9\":\"\u20ac\"}]");
         assertTrue(insists(world, 0, sent, 5000));
-        assertThat(Trees.fromJson(read(world, world.keepers.get(2)).getBytes(StandardCharsets.UTF_8)),
+        assertThat(
+                Trees.fromJson(read(world, world.keepers.get(2)).getBytes(StandardCharsets.UTF_8)),
                 is(Trees.fromJson(sent.getBytes(StandardCharsets.UTF_8))));
     }
 
@@ -123,7 +158,7 @@
         world.keepers.get(0).kill();
         world.keepers.get(0).start();
         world.run(4000);
-        world.spy = m -> { };
+        world.spy = m -> {};
         String before = read(world, world.keepers.get(0));
         List<Object> voters = world.voters();
         int sent = 0;
@@ -203,8 +238,17 @@
                 crews.add(m.get("m").toString());
             }
         };
-        Map<String, Object> renewal = Fields.tree("t", "renew", "m", List.of("life", "ghost", "z-a", "10.1.0.99", false),
-                "i", 1L, "s", "session", "r", -1L);
+        Map<String, Object> renewal = Fields.tree(
+                "t",
+                "renew",
+                "m",
+                List.of("life", "ghost", "z-a", "10.1.0.99", false),
+                "i",
+                1L,
+                "s",
+                "session",
+                "r",
+                -1L);
         for (String field : List.of("i", "s", "r")) {
             Map<String, Object> bad = new LinkedHashMap<>(renewal);
             bad.put(field, List.of());
--- a/pilot/src/test/java/saltdale/pilot/PilotClusterTest.java
+++ b/pilot/src/test/java/saltdale/pilot/PilotClusterTest.java
@@ -27,10 +27,15 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import saltdale.lighthouse.Fields;
 
-/** What clients and runners see of pilots: configurations, slots, drains, verdicts, and runners when they are needed. */
+/**
+ * What clients and runners see of pilots: configurations, slots, drains, verdicts, and runners when they are
+ * needed.
+ */
 class PilotClusterTest {
     private static long revision(SimMachine pilot) {
-        return pilot.pilot() == null || pilot.pilot().chart() == null ? 0 : pilot.pilot().chart().revision();
+        return pilot.pilot() == null || pilot.pilot().chart() == null
+                ? 0
+                : pilot.pilot().chart().revision();
     }
 
     // Configurations.
@@ -58,8 +63,11 @@
                     long next = acknowledged[0] + 1;
                     SimMachine at = world.keepers.get(world.chance.nextInt(3));
                     if (at.process != null) {
-                        replace(at, acknowledged[0], config(next), reply ->
-                                acknowledged[0] = Math.max(acknowledged[0], reply.status() == 200 ? next : 0));
+                        replace(
+                                at,
+                                acknowledged[0],
+                                config(next),
+                                reply -> acknowledged[0] = Math.max(acknowledged[0], reply.status() == 200 ? next : 0));
                     }
                 }
                 world.run(100);
@@ -100,8 +108,17 @@
         assertThat(revision(pilot), is(2L));
         Object told = last.get(session.get("s"));
         for (SimMachine keeper : world.keepers) {
-            pilot.process.take(keeper.host, Fields.tree("t", "chart", "c", first.get("c"), "s", session.get("s"), "#",
-                    ((Number) told).longValue() + 1));
+            pilot.process.take(
+                    keeper.host,
+                    Fields.tree(
+                            "t",
+                            "chart",
+                            "c",
+                            first.get("c"),
+                            "s",
+                            session.get("s"),
+                            "#",
+                            ((Number) told).longValue() + 1));
         }
         assertThat(revision(pilot), is(2L));
     }
@@ -128,7 +145,15 @@
 
     // Runners.
 
-    enum Trouble { NONE, JOIN, LEAVE, KILL, POWER, FREEZE, CUT }
+    enum Trouble {
+        NONE,
+        JOIN,
+        LEAVE,
+        KILL,
+        POWER,
+        FREEZE,
+        CUT
+    }
 
     @ParameterizedTest
     @EnumSource(Trouble.class)
@@ -144,19 +169,27 @@
             for (int i = 0; i < 6; i++) {
                 world.platform.slots.put("s" + i, 1);
                 world.platform.memory.put("s" + i, 64);
-                services.append(",{\"name\":\"s").append(i)
+                services.append(",{\"name\":\"s")
+                        .append(i)
                         .append("\",\"connection_limit\":20,\"memory_mb\":64,\"boot_ms\":500,\"max_concurrency\":1}");
-                routes.append(',').append(SimOperator.route("r-s" + i, "/s" + i + "/", i % 2 == 0 ? "idempotent"
-                        : "non_idempotent", "s" + i));
+                routes.append(',')
+                        .append(SimOperator.route(
+                                "r-s" + i, "/s" + i + "/", i % 2 == 0 ? "idempotent" : "non_idempotent", "s" + i));
             }
-            assertTrue(insists(world, 1, config(2).replace("}],\"services\"", "}" + routes + "],\"services\"")
-                    .replace("\"max_concurrency\":4}", "\"max_concurrency\":4}" + services), 5000));
+            assertTrue(insists(
+                    world,
+                    1,
+                    config(2)
+                            .replace("}],\"services\"", "}" + routes + "],\"services\"")
+                            .replace("\"max_concurrency\":4}", "\"max_concurrency\":4}" + services),
+                    5000));
             load(world, 240, 8000, () -> "/s" + world.chance.nextInt(6) + "/1");
             world.run(3000);
             for (int i = 0; i < 2; i++) {
                 SimMachine one = world.pilots.get((seed + i) % 6);
                 switch (trouble) {
-                    case JOIN -> world.pilot("10.1.0." + (50 + i), SimWorld.ZONES[i]).start();
+                    case JOIN ->
+                        world.pilot("10.1.0." + (50 + i), SimWorld.ZONES[i]).start();
                     case LEAVE -> {
                         one.pilot().end(2_000_000_000L);
                         world.at(5_000_000_000L, one::kill);
@@ -174,7 +207,7 @@
                         world.machines.values().forEach(m -> world.cut(one, m));
                         world.at(3_000_000_000L, world.cuts::clear);
                     }
-                    default -> { }
+                    default -> {}
                 }
                 world.run(1500);
             }
@@ -261,8 +294,13 @@
             load(world, 250, 1400);
             world.run(1400);
             for (String zone : SimWorld.ZONES) {
-                List<Long> counts = world.platform.workers.values().stream().filter(w -> w.zone.equals(zone))
-                        .map(w -> world.platform.live("fn").stream().filter(r -> r.worker == w).count()).sorted().toList();
+                List<Long> counts = world.platform.workers.values().stream()
+                        .filter(w -> w.zone.equals(zone))
+                        .map(w -> world.platform.live("fn").stream()
+                                .filter(r -> r.worker == w)
+                                .count())
+                        .sorted()
+                        .toList();
                 assertThat(zone, counts.get(1) - counts.get(0), lessThanOrEqualTo(1L));
             }
             assertThat(world.platform.live("fn").size(), greaterThan(5));
@@ -272,13 +310,16 @@
     @Test
     void whoHasJustWonTheDutyStopsNothing() {
         for (int seed = 0; seed < 4; seed++) {
-            Set<Object> leaving = new HashSet<>();  // what the one before it has told to get nothing more
+            Set<Object> leaving = new HashSet<>(); // what the one before it has told to get nothing more
             boolean[] over = new boolean[1];
             SimWorld world = new SimWorld(seed);
             world.spy = m -> {
                 if (m.get("t").equals("runners") && !over[0]) {
-                    ((List<?>) m.get("l")).stream().map(r -> (List<?>) r).filter(r -> r.get(5).equals(2))
-                            .forEach(r -> leaving.add(r.get(0)));
+                    ((List<?>) m.get("l"))
+                            .stream()
+                                    .map(r -> (List<?>) r)
+                                    .filter(r -> r.get(5).equals(2))
+                                    .forEach(r -> leaving.add(r.get(0)));
                 }
             };
             serving(world, 3, 6);
@@ -292,17 +333,21 @@
             over[0] = true;
             world.run(12_000);
             List<SimPlatform.Duty> stops = world.platform.duties.subList(before, world.platform.duties.size()).stream()
-                    .filter(d -> d.kind().equals("stop") && d.fence() > fence && !leaving.contains(d.what())).toList();
+                    .filter(d -> d.kind().equals("stop") && d.fence() > fence && !leaving.contains(d.what()))
+                    .toList();
             assertThat("it stops what is idle in the end", stops, is(not(empty())));
             assertThat("seed " + seed, (stops.get(0).at() - won) / 1_000_000, greaterThan(4000L));
         }
     }
 
-    /** A pilot told to end holds nothing until it is killed: what waits is turned away, what runs is answered at the last. */
+    /**
+     * A pilot told to end holds nothing until it is killed: what waits is turned away, what runs is answered at
+     * the last.
+     */
     @Test
     void whatWaitsAtAPilotThatEndsIsTurnedAwayInTime() {
         SimWorld world = serving(3, 3, 3);
-        world.platform.bootMs = 60_000;  // no slot will come
+        world.platform.bootMs = 60_000; // no slot will come
         SimMachine ending = world.pilots.get(0);
         SimPlatform.Asked before = world.platform.call(ending, "h.example", "/a/1", 20_000);
         world.run(500);
--- a/pilot/src/test/java/saltdale/pilot/SimMachine.java
+++ b/pilot/src/test/java/saltdale/pilot/SimMachine.java
@@ -14,11 +14,14 @@
 
 /** A machine with its disk; at most one process runs on it. */
 final class SimMachine {
-    enum Disk { WELL, FULL, HANGING }
-
-    private record Write(Map<String, byte[]> records, Process of, Consumer<Boolean> done) {
+    enum Disk {
+        WELL,
+        FULL,
+        HANGING
     }
 
+    private record Write(Map<String, byte[]> records, Process of, Consumer<Boolean> done) {}
+
     private final SimWorld world;
     final String host;
     final String zone;
@@ -26,7 +29,7 @@
     final boolean keeps;
     boolean firstStart;
     Map<String, byte[]> synced = new LinkedHashMap<>();
-    private final List<Write> writes = new ArrayList<>();  // not yet synced
+    private final List<Write> writes = new ArrayList<>(); // not yet synced
     private boolean writing;
     Disk disk = Disk.WELL;
     long syncNanos = 3_000_000;
@@ -158,13 +161,26 @@
             String name = "n-" + host;
             try {
                 if (keeps) {
-                    keeper = new Keeper(this, new Landfall(name, host, zone, seeds,
-                            firstStart, SimWorld.BEAT, Outside.millis(5000), Outside.millis(3000), world.rates), world.platform.of(this),
+                    keeper = new Keeper(
+                            this,
+                            new Landfall(
+                                    name,
+                                    host,
+                                    zone,
+                                    seeds,
+                                    firstStart,
+                                    SimWorld.BEAT,
+                                    Outside.millis(5000),
+                                    Outside.millis(3000),
+                                    world.rates),
+                            world.platform.of(this),
                             new LinkedHashMap<>(synced));
                     keeper.begin();
                 } else {
-                    pilot = new Pilot(this, new Bearings(name, host, zone, seeds, SimWorld.BEAT, 0.2,
-                            Outside.millis(10_000), 52), world.platform.carrier(this));
+                    pilot = new Pilot(
+                            this,
+                            new Bearings(name, host, zone, seeds, SimWorld.BEAT, 0.2, Outside.millis(10_000), 52),
+                            world.platform.carrier(this));
                     pilot.begin();
                 }
             } catch (MalformedMessage e) {
@@ -197,11 +213,13 @@
         @Override
         public Runnable after(long nanos, Runnable what) {
             boolean[] off = new boolean[1];
-            world.at(nanos, () -> deliver(() -> {
-                if (!off[0]) {
-                    what.run();
-                }
-            }));
+            world.at(
+                    nanos,
+                    () -> deliver(() -> {
+                        if (!off[0]) {
+                            what.run();
+                        }
+                    }));
             return () -> off[0] = true;
         }
 
--- a/pilot/src/test/java/saltdale/pilot/SimOperator.java
+++ b/pilot/src/test/java/saltdale/pilot/SimOperator.java
@@ -11,13 +11,12 @@
 
 /** What operators send, and how they go about it. */
 final class SimOperator {
-    private SimOperator() {
-    }
+    private SimOperator() {}
 
     /** A configuration of this revision: one function, two routes to it, and as many further ones. */
     static String config(long revision, int further) {
-        List<String> routes = new ArrayList<>(List.of(route("r-0", "/a/", "idempotent", "fn"),
-                route("r-1", "/b/", "non_idempotent", "fn")));
+        List<String> routes = new ArrayList<>(
+                List.of(route("r-0", "/a/", "idempotent", "fn"), route("r-1", "/b/", "non_idempotent", "fn")));
         for (int i = 0; i < further; i++) {
             routes.add(route("r-x" + i, "/x" + i + "/", "idempotent", "fn"));
         }
@@ -31,14 +30,15 @@
     }
 
     static String route(String name, String prefix, String kind, String service) {
-        return "{\"name\":\"" + name + "\",\"hostname\":\"h.example\",\"path_prefix\":\"" + prefix + "\",\"kind\":\"" + kind
+        return "{\"name\":\"" + name + "\",\"hostname\":\"h.example\",\"path_prefix\":\"" + prefix + "\",\"kind\":\""
+                + kind
                 + "\",\"timeout_ms\":5000,\"target_latency_ms\":1000,\"priority\":1,\"service\":\"" + service
                 + "\",\"max_attempts\":3}";
     }
 
     static void replace(SimMachine at, long base, String body, Consumer<Keeper.Reply> answer) {
-        at.process.deliver(() -> at.keeper().change(false, Long.toString(base), body.getBytes(StandardCharsets.UTF_8),
-                answer));
+        at.process.deliver(
+                () -> at.keeper().change(false, Long.toString(base), body.getBytes(StandardCharsets.UTF_8), answer));
     }
 
     /** The status that comes within five seconds; 0 where none does. */
@@ -79,7 +79,8 @@
         world.platform.memory.put("fn", 128);
         world.of(keepers, pilots).begin().run(2500);
         assertTrue(insists(world, 0, config(1), 5000));
-        assertTrue(world.until(3000, () -> world.pilots.stream().allMatch(p -> p.pilot().isReady())));
+        assertTrue(world.until(
+                3000, () -> world.pilots.stream().allMatch(p -> p.pilot().isReady())));
         return world;
     }
 
@@ -91,7 +92,9 @@
     static void load(SimWorld world, double perSecond, long ms, Supplier<String> path) {
         long end = world.now() + ms * 1_000_000;
         world.at((long) (-Math.log(1 - world.chance.nextDouble()) / perSecond * 1e9), () -> {
-            List<SimMachine> ready = world.pilots.stream().filter(p -> p.pilot() != null && p.pilot().isReady()).toList();
+            List<SimMachine> ready = world.pilots.stream()
+                    .filter(p -> p.pilot() != null && p.pilot().isReady())
+                    .toList();
             if (!ready.isEmpty()) {
                 world.platform.call(ready.get(world.chance.nextInt(ready.size())), "h.example", path.get(), 3000);
             }
--- a/pilot/src/test/java/saltdale/pilot/SimPlatform.java
+++ b/pilot/src/test/java/saltdale/pilot/SimPlatform.java
@@ -16,11 +16,13 @@
 import saltdale.lighthouse.Outside;
 import saltdale.lighthouse.Platform;
 
-/** The platform of a simulated cluster: workers, runners and their lagging list; and what pilots carry to the runners. */
+/**
+ * The platform of a simulated cluster: workers, runners and their lagging list; and what pilots carry to the
+ * runners.
+ */
 final class SimPlatform {
     /** A start or stop as it reached the platform. */
-    record Duty(long at, String kind, String holder, long fence, String what, int status) {
-    }
+    record Duty(long at, String kind, String holder, long fence, String what, int status) {}
 
     static final class Worker {
         final String name;
@@ -59,7 +61,7 @@
 
         void drain() {
             drainingAt = world.now();
-            goneAt = world.now() + Outside.millis(lagMs + 4500);  // from when the list shows it, and a little longer
+            goneAt = world.now() + Outside.millis(lagMs + 4500); // from when the list shows it, and a little longer
         }
     }
 
@@ -100,13 +102,15 @@
         }
 
         void tell(Attempt.End end) {
-            world.at(world.hop(), () -> from.deliver(() -> {
-                if (!closed) {
-                    asked().ends.add(end);
-                    sendings.remove(attempt);
-                    from.pilot.ended(attempt, end);
-                }
-            }));
+            world.at(
+                    world.hop(),
+                    () -> from.deliver(() -> {
+                        if (!closed) {
+                            asked().ends.add(end);
+                            sendings.remove(attempt);
+                            from.pilot.ended(attempt, end);
+                        }
+                    }));
         }
 
         Asked asked() {
@@ -130,17 +134,17 @@
     private final SimWorld world;
     final Map<String, Worker> workers = new LinkedHashMap<>();
     final Map<String, Runner> runners = new LinkedHashMap<>();
-    final Map<String, Integer> slots = new HashMap<>();  // by service
+    final Map<String, Integer> slots = new HashMap<>(); // by service
     final Map<String, Integer> memory = new HashMap<>();
     final List<Duty> duties = new ArrayList<>();
     final List<Asked> all = new ArrayList<>();
-    final List<Long> overLimit = new ArrayList<>();  // when a runner got more than its slots
-    final List<String> overRate = new ArrayList<>();  // calls beyond the platform's rates
-    final List<Long> afterDrain = new ArrayList<>();  // calls that reached a draining runner too late
+    final List<Long> overLimit = new ArrayList<>(); // when a runner got more than its slots
+    final List<String> overRate = new ArrayList<>(); // calls beyond the platform's rates
+    final List<Long> afterDrain = new ArrayList<>(); // calls that reached a draining runner too late
     private final Map<String, Runner> byNonce = new HashMap<>();
-    private final Map<Long, SimMachine.Process> holders = new HashMap<>();  // by fence
+    private final Map<Long, SimMachine.Process> holders = new HashMap<>(); // by fence
     private final Map<Attempt, Sending> sendings = new LinkedHashMap<>();
-    private final Deque<String> lists = new ArrayDeque<>();  // of the last second
+    private final Deque<String> lists = new ArrayDeque<>(); // of the last second
     private final Deque<String> changes = new ArrayDeque<>();
     long highestFence;
     long bootMs = 500;
@@ -148,7 +152,7 @@
     long workMs = 100;
     double losesAnswers;
     boolean silent;
-    double breaks;  // share of calls that a runner breaks off after it has begun
+    double breaks; // share of calls that a runner breaks off after it has begun
     double turnsAway;
     double unsent;
     private int runnerCount;
@@ -167,7 +171,12 @@
         return new Platform() {
             @Override
             public void runners(String token, Consumer<Answer> answer) {
-                asked(process, "list" + (token == null ? "" : token), lists, world.rates.listsPerSecond(), () -> page(token),
+                asked(
+                        process,
+                        "list" + (token == null ? "" : token),
+                        lists,
+                        world.rates.listsPerSecond(),
+                        () -> page(token),
                         answer);
             }
 
@@ -177,22 +186,43 @@
             }
 
             @Override
-            public void begin(String holder, long fence, String service, String worker, String nonce,
-                              Consumer<Answer> answer) {
-                asked(process, "begin", changes, world.rates.dutiesPerSecond(), () -> duty("begin", process, holder, fence,
-                        service + " " + nonce, () -> begun(service, worker, nonce)), answer);
+            public void begin(
+                    String holder, long fence, String service, String worker, String nonce, Consumer<Answer> answer) {
+                asked(
+                        process,
+                        "begin",
+                        changes,
+                        world.rates.dutiesPerSecond(),
+                        () -> duty(
+                                "begin",
+                                process,
+                                holder,
+                                fence,
+                                service + " " + nonce,
+                                () -> begun(service, worker, nonce)),
+                        answer);
             }
 
             @Override
             public void stop(String holder, long fence, String id, Consumer<Answer> answer) {
-                asked(process, "stop", changes, world.rates.dutiesPerSecond(), () -> duty("stop", process, holder, fence, id,
-                        () -> stopped(id)), answer);
+                asked(
+                        process,
+                        "stop",
+                        changes,
+                        world.rates.dutiesPerSecond(),
+                        () -> duty("stop", process, holder, fence, id, () -> stopped(id)),
+                        answer);
             }
         };
     }
 
-    private void asked(SimMachine.Process process, String what, Deque<String> calls, double rate, Supplier<Platform.Answer> made,
-                       Consumer<Platform.Answer> answer) {
+    private void asked(
+            SimMachine.Process process,
+            String what,
+            Deque<String> calls,
+            double rate,
+            Supplier<Platform.Answer> made,
+            Consumer<Platform.Answer> answer) {
         world.at(world.hop(), () -> {
             calls.removeIf(c -> world.now() / 1_000_000 - Long.parseLong(c.substring(0, c.indexOf(' '))) >= 1000);
             boolean over = calls.size() >= rate;
@@ -202,39 +232,81 @@
             }
             Platform.Answer reply = silent ? null : over ? new Platform.Answer(429, null) : made.get();
             boolean lost = reply == null || world.chance.nextDouble() < losesAnswers;
-            world.at(lost ? Outside.millis(1200) : world.hop(), () -> process.deliver(() -> answer.accept(lost ? null
-                    : reply)));
+            world.at(
+                    lost ? Outside.millis(1200) : world.hop(),
+                    () -> process.deliver(() -> answer.accept(lost ? null : reply)));
         });
     }
 
     private Platform.Answer page(String token) {
         long then = world.now() - Outside.millis(lagMs);
         int from = token == null ? 0 : Integer.parseInt(token);
-        List<Runner> shown = runners.values().stream().filter(r -> r.upAt <= then && r.goneAt > then).toList();
+        List<Runner> shown = runners.values().stream()
+                .filter(r -> r.upAt <= then && r.goneAt > then)
+                .toList();
         List<Object> page = new ArrayList<>();
-        shown.stream().skip(from).limit(50).forEach(r -> page.add(Fields.tree("identifier", r.id, "service", r.service,
-                "address", r.address, "zone", r.worker.zone, "worker_machine", r.worker.name, "concurrency_slots",
-                (long) slots.get(r.service), "state", r.drainingAt <= then ? "draining" : "ready",
-                "cold_remaining_ms", 0L)));
-        return new Platform.Answer(200, Fields.tree("instances", page, "next_page_token",
-                from + 50 < shown.size() ? Integer.toString(from + 50) : null));
+        shown.stream()
+                .skip(from)
+                .limit(50)
+                .forEach(r -> page.add(Fields.tree(
+                        "identifier",
+                        r.id,
+                        "service",
+                        r.service,
+                        "address",
+                        r.address,
+                        "zone",
+                        r.worker.zone,
+                        "worker_machine",
+                        r.worker.name,
+                        "concurrency_slots",
+                        (long) slots.get(r.service),
+                        "state",
+                        r.drainingAt <= then ? "draining" : "ready",
+                        "cold_remaining_ms",
+                        0L)));
+        return new Platform.Answer(
+                200,
+                Fields.tree(
+                        "instances",
+                        page,
+                        "next_page_token",
+                        from + 50 < shown.size() ? Integer.toString(from + 50) : null));
     }
 
     private Platform.Answer workerList() {
         long then = world.now() - Outside.millis(lagMs);
         List<Object> list = new ArrayList<>();
-        workers.values().forEach(w -> list.add(Fields.tree("name", w.name, "zone", w.zone, "memory_mb", w.memory,
-                "free_memory_mb", free(w, then), "state", w.draining ? "draining" : "ready")));
+        workers.values()
+                .forEach(w -> list.add(Fields.tree(
+                        "name",
+                        w.name,
+                        "zone",
+                        w.zone,
+                        "memory_mb",
+                        w.memory,
+                        "free_memory_mb",
+                        free(w, then),
+                        "state",
+                        w.draining ? "draining" : "ready")));
         return new Platform.Answer(200, Fields.tree("worker_machines", list));
     }
 
     private long free(Worker worker, long then) {
-        return worker.memory - runners.values().stream().filter(r -> r.worker == worker && r.begunAt <= then
-                && r.goneAt > then).mapToLong(r -> memory.get(r.service)).sum();
+        return worker.memory
+                - runners.values().stream()
+                        .filter(r -> r.worker == worker && r.begunAt <= then && r.goneAt > then)
+                        .mapToLong(r -> memory.get(r.service))
+                        .sum();
     }
 
-    private Platform.Answer duty(String kind, SimMachine.Process process, String holder, long fence, String what,
-                                 Supplier<Platform.Answer> does) {
+    private Platform.Answer duty(
+            String kind,
+            SimMachine.Process process,
+            String holder,
+            long fence,
+            String what,
+            Supplier<Platform.Answer> does) {
         SimMachine.Process other = holders.putIfAbsent(fence, process);
         if (other != null && other != process) {
             world.faults.add("fence " + fence + " is used by two: " + other.machine.host + ", " + process.machine.host);
@@ -269,7 +341,9 @@
     }
 
     List<Runner> live(String service) {
-        return runners.values().stream().filter(r -> r.service.equals(service) && r.goneAt > world.now()).toList();
+        return runners.values().stream()
+                .filter(r -> r.service.equals(service) && r.goneAt > world.now())
+                .toList();
     }
 
     Set<String> workersOf(String service) {
@@ -291,7 +365,8 @@
             asked.answers.add(at.pilot() == null ? 0 : chart == null ? 503 : 404);
             return asked;
         }
-        at.process.deliver(() -> at.pilot().arrived("a-" + all.size(), route, Outside.millis(leftMs), "10.9.9.9", asked));
+        at.process.deliver(
+                () -> at.pilot().arrived("a-" + all.size(), route, Outside.millis(leftMs), "10.9.9.9", asked));
         return asked;
     }
 
@@ -346,7 +421,10 @@
 
             @Override
             public void tryRunner(String id, String address) {
-                world.at(2 * world.hop(), () -> process.deliver(() -> process.pilot.tried(id, runners.get(id).takes())));
+                world.at(
+                        2 * world.hop(),
+                        () -> process.deliver(
+                                () -> process.pilot.tried(id, runners.get(id).takes())));
             }
 
             @Override
--- a/pilot/src/test/java/saltdale/pilot/SimWorld.java
+++ b/pilot/src/test/java/saltdale/pilot/SimWorld.java
@@ -22,23 +22,23 @@
     static final long BEAT = Outside.millis(1200);
     static final String[] ZONES = {"z-a", "z-b", "z-c"};
 
-    private record Event(long at, long order, Runnable what) {
-    }
+    private record Event(long at, long order, Runnable what) {}
 
     final SplittableRandom chance;
     final SimPlatform platform;
-    final Map<String, SimMachine> machines = new LinkedHashMap<>();  // by host
+    final Map<String, SimMachine> machines = new LinkedHashMap<>(); // by host
     final List<SimMachine> keepers = new ArrayList<>();
     final List<SimMachine> pilots = new ArrayList<>();
-    final Set<String> cuts = new HashSet<>();  // "from>to"
-    final Map<Long, Object> line = new HashMap<>();  // chosen states told, by version
-    final List<String> faults = new ArrayList<>();  // what must never be, as seen
+    final Set<String> cuts = new HashSet<>(); // "from>to"
+    final Map<Long, Object> line = new HashMap<>(); // chosen states told, by version
+    final List<String> faults = new ArrayList<>(); // what must never be, as seen
     /** Sees each message that is sent. */
-    Consumer<Map<String, Object>> spy = message -> { };
+    Consumer<Map<String, Object>> spy = message -> {};
+
     Platform.Rates rates = new Platform.Rates(26, 105, List.of("starting"));
-    Fields newest;  // the newest chosen state told
-    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
-            : Long.compare(a.order, b.order));
+    Fields newest; // the newest chosen state told
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final Map<String, Long> arrived = new HashMap<>();
     private long order;
     private long now = Outside.millis(1_000_000);
@@ -91,7 +91,8 @@
     }
 
     SimMachine pilot(String host, String zone) {
-        SimMachine made = new SimMachine(this, host, zone, keepers.stream().limit(3).map(k -> k.host).toList(), false, false);
+        SimMachine made = new SimMachine(
+                this, host, zone, keepers.stream().limit(3).map(k -> k.host).toList(), false, false);
         pilots.add(made);
         return made;
     }
@@ -175,8 +176,12 @@
 
     /** Ids of the voters of the newest state told, and whether a change of them is under way. */
     List<Object> voters() throws MalformedMessage {
-        return newest == null ? List.of() : newest.list("m").stream().map(v -> ((List<?>) v).get(0)).map(v -> (Object) v)
-                .toList();
+        return newest == null
+                ? List.of()
+                : newest.list("m").stream()
+                        .map(v -> ((List<?>) v).get(0))
+                        .map(v -> (Object) v)
+                        .toList();
     }
 
     boolean isJoint() {
--- a/pilot/src/test/java/saltdale/pilot/Slopes.java
+++ b/pilot/src/test/java/saltdale/pilot/Slopes.java
@@ -10,11 +10,11 @@
 final class Slopes {
     private static final int SECONDS = 10;
 
-    private Slopes() {
-    }
+    private Slopes() {}
 
     public static void main(String[] args) {
-        System.out.println("pilots functions | a second in all, messages/bytes by kind | bytes of one configuration change");
+        System.out.println(
+                "pilots functions | a second in all, messages/bytes by kind | bytes of one configuration change");
         for (int[] size : new int[][] {{10, 20}, {30, 20}, {90, 20}, {270, 20}, {30, 100}, {30, 300}, {30, 700}}) {
             measure(size[0], size[1]);
         }
@@ -37,8 +37,12 @@
             count[0]++;
             count[1] += Trees.cbor(message).length + 4;
         };
-        SimOperator.insists(world, 1, "{\"revision\":2,\"routes\":[" + String.join(",", routes) + "],\"services\":["
-                + String.join(",", services) + "]}", 8000);
+        SimOperator.insists(
+                world,
+                1,
+                "{\"revision\":2,\"routes\":[" + String.join(",", routes) + "],\"services\":["
+                        + String.join(",", services) + "]}",
+                8000);
         world.run(1500);
         long change = sent.values().stream().mapToLong(c -> c[1]).sum();
         sent.clear();
@@ -49,7 +53,11 @@
         long messages = 0;
         long bytes = 0;
         for (Map.Entry<String, long[]> kind : sent.entrySet()) {
-            line.append(' ').append(kind.getKey()).append(' ').append(kind.getValue()[0] / SECONDS).append('/')
+            line.append(' ')
+                    .append(kind.getKey())
+                    .append(' ')
+                    .append(kind.getValue()[0] / SECONDS)
+                    .append('/')
                     .append(kind.getValue()[1] / SECONDS);
             messages += kind.getValue()[0];
             bytes += kind.getValue()[1];
--- a/rig/src/main/java/saltdale/rig/cost/Relay.java
+++ b/rig/src/main/java/saltdale/rig/cost/Relay.java
@@ -26,10 +26,8 @@
  */
 public final class Relay {
     private static final Pattern DIAL = Pattern.compile("\"dial\":\"([0-9.]+):(\\d+)\"");
-    private static final byte[] NO_CONTENT =
-            "HTTP/1.1 204 No Content\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
-    private static final byte[] OK =
-            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] NO_CONTENT = "HTTP/1.1 204 No Content\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final Selector selector = Selector.open();
     private final List<Deque<Wire>> idle = new ArrayList<>();
@@ -41,8 +39,8 @@
     private Relay(InetSocketAddress list) throws IOException {
         try (Socket socket = new Socket()) {
             socket.connect(list, 2000);
-            socket.getOutputStream().write("GET /discovery/hosts HTTP/1.1\r\nHost: x\r\n\r\n"
-                    .getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream()
+                    .write("GET /discovery/hosts HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             StringBuilder text = new StringBuilder();
             byte[] part = new byte[1 << 16];
             while (text.indexOf("]}") < 0) {
@@ -52,7 +50,7 @@
                 }
                 text.append(new String(part, 0, count, StandardCharsets.UTF_8));
             }
-            for (Matcher m = DIAL.matcher(text); m.find();) {
+            for (Matcher m = DIAL.matcher(text); m.find(); ) {
                 runners.add(new InetSocketAddress(m.group(1), Integer.parseInt(m.group(2))));
                 idle.add(new ArrayDeque<>());
             }
@@ -95,6 +93,7 @@
         private final StringBuilder come = new StringBuilder();
         /** The client's connection that a call to a runner is for, and its request. */
         private Wire client;
+
         private String job;
         private boolean probing;
 
@@ -127,8 +126,7 @@
                 return;
             }
             int at = come.indexOf("Content-Length: ");
-            int length = at < 0 || at > head ? 0
-                    : Integer.parseInt(come.substring(at + 16, come.indexOf("\r\n", at)));
+            int length = at < 0 || at > head ? 0 : Integer.parseInt(come.substring(at + 16, come.indexOf("\r\n", at)));
             if (come.length() < head + 4 + length) {
                 return;
             }
@@ -155,8 +153,7 @@
                     if (to != null) {
                         int from = body.indexOf("\"result\":\"") + 10;
                         String result = body.substring(from, body.indexOf('"', from));
-                        to.write(("HTTP/1.1 200 OK\r\nContent-Length: " + result.length() + "\r\n\r\n"
-                                + result)
+                        to.write(("HTTP/1.1 200 OK\r\nContent-Length: " + result.length() + "\r\n\r\n" + result)
                                 .getBytes(StandardCharsets.US_ASCII));
                     }
                 }
--- a/rig/src/main/java/saltdale/rig/experiment/Crew.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Crew.java
@@ -33,7 +33,7 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final Duration TO_COME_UP = Duration.ofSeconds(30);
     private static final Duration TO_END = Duration.ofSeconds(6);
-    private static final double TICKS = 100;  // of /proc, a second
+    private static final double TICKS = 100; // of /proc, a second
 
     private static final class Member {
         volatile Process process;
@@ -56,8 +56,7 @@
     private final Thread atExit = new Thread(this::destroy, "end of the crew");
 
     /** {@code cpus}: the cores that they share, as taskset names them; null for all. */
-    public Crew(Day day, Version version, Places places, Path folder, Origin origin, Witness witness,
-            String cpus) {
+    public Crew(Day day, Version version, Places places, Path folder, Origin origin, Witness witness, String cpus) {
         this.day = day;
         this.version = version;
         this.places = places;
@@ -119,13 +118,20 @@
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(version.flags());
         command.addAll(version.program());
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("dispatcher-" + i
-                        + ".log").toFile()));
-        builder.environment().putAll(Map.of("EDGE_NAME", "d" + i,
-                "EDGE_LISTEN", Places.text(places.dispatcher(i)), "EDGE_DISCOVERY",
+        ProcessBuilder builder = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                        folder.resolve("dispatcher-" + i + ".log").toFile()));
+        builder.environment()
+                .putAll(Map.of(
+                        "EDGE_NAME",
+                        "d" + i,
+                        "EDGE_LISTEN",
+                        Places.text(places.dispatcher(i)),
+                        "EDGE_DISCOVERY",
                         Places.text(places.list(i)),
-                "EDGE_CONFIG", folder.resolve("config-" + i + ".json").toString()));
+                        "EDGE_CONFIG",
+                        folder.resolve("config-" + i + ".json").toString()));
         members.get(i).process = builder.start();
     }
 
@@ -169,7 +175,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        witness.killed(origin.now(), i);  // what it took between the two is its clients' too
+        witness.killed(origin.now(), i); // what it took between the two is its clients' too
     }
 
     /** Tells one to end in order. */
@@ -199,7 +205,9 @@
     /** A signal to processes of ours, by their ids. */
     private void signal(String name, List<Integer> which) {
         List<String> command = new ArrayList<>(List.of("kill", "-" + name));
-        which.stream().map(i -> members.get(i).process).filter(Process::isAlive)
+        which.stream()
+                .map(i -> members.get(i).process)
+                .filter(Process::isAlive)
                 .forEach(process -> command.add(Long.toString(process.pid())));
         if (command.size() == 2) {
             return;
@@ -247,7 +255,8 @@
     public double cpu() {
         double all = 0;
         for (Member member : members) {
-            all += member.cpuOfEarlierLives + cpu(member.process)
+            all += member.cpuOfEarlierLives
+                    + cpu(member.process)
                     - (member.cpuOfEarlierLives == 0 ? member.cpuBefore : 0);
         }
         return all;
@@ -259,7 +268,7 @@
             String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
             return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / TICKS;
         } catch (IOException e) {
-            return 0;  // it has ended
+            return 0; // it has ended
         }
     }
 
@@ -303,7 +312,12 @@
 
     /** Guards against processes that stay for ever: one that is stopped hears of no signal to end. */
     private void goOnAll() {
-        signal("CONT", IntStream.range(0, members.size()).filter(i -> members.get(i).stopped).boxed().toList());
+        signal(
+                "CONT",
+                IntStream.range(0, members.size())
+                        .filter(i -> members.get(i).stopped)
+                        .boxed()
+                        .toList());
     }
 
     @Override
@@ -333,25 +347,45 @@
         root.put("name", "d" + i).put("seed", Long.toHexString(day.seed * 1000 + i + 1));
         root.putObject("limits").put("sockets", 4096).put("memory_mb", 192).put("cores", 1.0);
         if (o.relief != null) {
-            root.putObject("overload").put("low", o.relief.low()).put("high", o.relief.high())
-                    .put("borne", o.relief.borne()).put("missed", o.relief.missed()).put("step", us(o.relief.step())).put("known", o.relief.known());
+            root.putObject("overload")
+                    .put("low", o.relief.low())
+                    .put("high", o.relief.high())
+                    .put("borne", o.relief.borne())
+                    .put("missed", o.relief.missed())
+                    .put("step", us(o.relief.step()))
+                    .put("known", o.relief.known());
         }
         ObjectNode settings = root.putObject("settings");
-        settings.put("Index", i).put("NInstances", o.dispatchers).put("Locality", o.zone)
-                .put("Round", us(o.round)).put("MembershipMode", o.mustSubscribe ? "ask" : "push");
-        settings.putObject("Limits").put("Probes", o.probes).put("MayCancel", o.cancels)
-                .put("ParallelTries", o.parallel).put("RetryAfter", o.pauses)
-                .put("MostDispatches", o.mostDispatches).put("MaxRetryAfter", us(o.longestPause))
-                .put("DialTimeout", us(o.connectTime)).put("IdleClose", us(day.idleClose));
-        settings.putObject("Contract").put("ColdFrom", o.coldFrom).put("WarmWithin", us(o.warmWithin))
-                .put("TipMultiple", o.tipMultiple).put("Fall", us(o.fall)).put("DrainGrace",
-                        us(day.drainGrace)).put("LateShedding", o.fullProvesNothing);
+        settings.put("Index", i)
+                .put("NInstances", o.dispatchers)
+                .put("Locality", o.zone)
+                .put("Round", us(o.round))
+                .put("MembershipMode", o.mustSubscribe ? "ask" : "push");
+        settings.putObject("Limits")
+                .put("Probes", o.probes)
+                .put("MayCancel", o.cancels)
+                .put("ParallelTries", o.parallel)
+                .put("RetryAfter", o.pauses)
+                .put("MostDispatches", o.mostDispatches)
+                .put("MaxRetryAfter", us(o.longestPause))
+                .put("DialTimeout", us(o.connectTime))
+                .put("IdleClose", us(day.idleClose));
+        settings.putObject("Contract")
+                .put("ColdFrom", o.coldFrom)
+                .put("WarmWithin", us(o.warmWithin))
+                .put("TipMultiple", o.tipMultiple)
+                .put("Fall", us(o.fall))
+                .put("DrainGrace", us(day.drainGrace))
+                .put("LateShedding", o.fullProvesNothing);
         settings.putObject("Callers").put("MarksRetry", o.repeatsMarked);
         settings.putObject("Tariffs").put("CrossZone", o.crossZonePrice);
-        ObjectNode family = settings.putObject("FamilyInfo").put("TellsStart", o.tellsStart)
-                .put("Progress", us(o.progressEvery));
-        settings.putObject("LoadReport").put("How",
-                "piggyback").putArray("Columns").add("concurrent").add("depth")
+        ObjectNode family =
+                settings.putObject("FamilyInfo").put("TellsStart", o.tellsStart).put("Progress", us(o.progressEvery));
+        settings.putObject("LoadReport")
+                .put("How", "piggyback")
+                .putArray("Columns")
+                .add("concurrent")
+                .add("depth")
                 .add("x0");
         family.put("ReportX0", "free slots");
         ArrayNode kinds = settings.putArray("MachineTypes");
@@ -362,15 +396,21 @@
             ObjectNode row = workloads.addObject();
             w.zones.forEach(row.withArray("/ZonesOpen")::add);
             w.kinds.forEach(row.withArray("/ServedOn")::add);
-            row.put("Name", w.name).put("PromisedTime", us(w.promised))
-                    .put("Patience", us(w.patience)).put("Importance", w.importance).put("AimStretch",
-                            w.stretch)
-                    .put("TardyImportance", w.lateImportance).put("Window", us(w.window))
-                    .put("Repeat", switch (w.repeat) {
-                        case PURE -> "pure";
-                        case RECEIPTED -> "token";
-                        case EFFECTFUL -> "side_effect";
-                    }).put("DedupScope", w.group.name().toLowerCase());
+            row.put("Name", w.name)
+                    .put("PromisedTime", us(w.promised))
+                    .put("Patience", us(w.patience))
+                    .put("Importance", w.importance)
+                    .put("AimStretch", w.stretch)
+                    .put("TardyImportance", w.lateImportance)
+                    .put("Window", us(w.window))
+                    .put(
+                            "Repeat",
+                            switch (w.repeat) {
+                                case PURE -> "pure";
+                                case RECEIPTED -> "token";
+                                case EFFECTFUL -> "side_effect";
+                            })
+                    .put("DedupScope", w.group.name().toLowerCase());
         }
         return JSON.writerWithDefaultPrettyPrinter().writeValueAsString(root);
     }
--- a/rig/src/main/java/saltdale/rig/experiment/Expectation.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Expectation.java
@@ -12,8 +12,7 @@
             "\\s*([A-Za-z][\\w.%-]*)\\s*(<=|>=|==|!=|<|>)\\s*([A-Za-z][\\w.%-]*|-?[\\d.]+)\\s*(?:([*+-])\\s*([\\d.]+))?\\s*");
 
     /** What came of it, in words. */
-    public record Verdict(boolean kept, String words) {
-    }
+    public record Verdict(boolean kept, String words) {}
 
     private final String line;
     private final Matcher parts;
@@ -32,8 +31,8 @@
         boolean plain = parts.group(3).matches("-?[\\d.]+");
         Double right = plain ? Double.valueOf(parts.group(3)) : figures.get(parts.group(3));
         if (left == null || right == null) {
-            return new Verdict(false, line + ": there is no figure " + (left == null ? parts.group(1)
-                    : parts.group(3)));
+            return new Verdict(
+                    false, line + ": there is no figure " + (left == null ? parts.group(1) : parts.group(3)));
         }
         if (parts.group(4) != null) {
             double by = Double.parseDouble(parts.group(5));
--- a/rig/src/main/java/saltdale/rig/experiment/Experiment.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Experiment.java
@@ -28,7 +28,11 @@
  */
 public final class Experiment {
     /** Where a day is played. */
-    public enum Face { SOCKETS, SIMULATED, BOTH }
+    public enum Face {
+        SOCKETS,
+        SIMULATED,
+        BOTH
+    }
 
     private record Point(String name, Sheet sheet) {
         /** What an expectation says behind a figure of this point alone: .at. and the values that are swept. */
@@ -56,16 +60,16 @@
         repeats = sheet.whole("repeats", 1, 1, 1000);
         quickRepeats = sheet.whole("quick_repeats", 1, 1, 1000);
         cpus = sheet.text("cpus", null);
-        sheet.rows("version").forEach(row -> versions.add(face == Face.SOCKETS ? Version.read(row, home, beside())
-                : Version.simulated(row)));
+        sheet.rows("version")
+                .forEach(row -> versions.add(
+                        face == Face.SOCKETS ? Version.read(row, home, beside()) : Version.simulated(row)));
         if (face == Face.BOTH && !versions.isEmpty()) {
             throw sheet.wrong("version", "wanted where a day is played on both faces, with this build's module");
-        } else if (face == Face.BOTH) {  // the same day on both, paired as two builds are
+        } else if (face == Face.BOTH) { // the same day on both, paired as two builds are
             versions.add(Version.own("sockets", home));
             versions.add(new Version("simulated", List.of(), List.of()));
         } else if (versions.isEmpty()) {
-            versions.add(face == Face.SIMULATED ? new Version("now", List.of(), List.of())
-                    : Version.own("now", home));
+            versions.add(face == Face.SIMULATED ? new Version("now", List.of(), List.of()) : Version.own("now", home));
         }
         for (String line : sheet.texts("expect", List.of())) {
             expectations.add(new Expectation(sheet.file(), line));
@@ -76,13 +80,16 @@
             points.clear();
             for (Point each : before) {
                 for (Object value : values) {
-                    points.add(new Point((each.name + " " + figure + "=" + value).strip(),
-                            each.sheet.with(figure, value)));
+                    points.add(new Point(
+                            (each.name + " " + figure + "=" + value).strip(), each.sheet.with(figure, value)));
                 }
             }
         });
-        points.stream().map(point -> day(point, 0)).filter(day -> face != Face.SOCKETS)
-                .forEach(day -> day.mustBeSimulated(sheet.file()));  // so that a bad figure is told before anything is started
+        points.stream()
+                .map(point -> day(point, 0))
+                .filter(day -> face != Face.SOCKETS)
+                .forEach(day ->
+                        day.mustBeSimulated(sheet.file())); // so that a bad figure is told before anything is started
     }
 
     /** Reads one with all its days, and checks it; {@code home}: the checkout whose build it plays. */
@@ -109,8 +116,9 @@
         if (!version.levels()) {
             day.orders.relief = null;
         }
-        Simulation.Minds minds = version.choice() == null ? null : (orders, door, chance) ->
-                new PlainMind(orders, door, chance, version.choice(), PlainMind.Slip.NONE);
+        Simulation.Minds minds = version.choice() == null
+                ? null
+                : (orders, door, chance) -> new PlainMind(orders, door, chance, version.choice(), PlainMind.Slip.NONE);
         return Run.simulated(day, version.name(), point.name, repeat, Run.asks(day, beside()), minds);
     }
 
@@ -134,8 +142,12 @@
                 for (Point point : points) {
                     for (Version version : versions) {
                         String label = (version.name() + " " + point.name).strip() + " #" + (repeat + 1);
-                        Outcome outcome = one(point, version, repeat, out.resolve("runs").resolve(
-                                label.replaceAll("[^A-Za-z0-9.=#-]+", "_")), say,
+                        Outcome outcome = one(
+                                point,
+                                version,
+                                repeat,
+                                out.resolve("runs").resolve(label.replaceAll("[^A-Za-z0-9.=#-]+", "_")),
+                                say,
                                 "[" + (outcomes.size() + 1) + "/" + all + "] " + label);
                         outcomes.add(outcome);
                         outcome.breaches().stream().limit(5).forEach(b -> say.println("  " + b));
@@ -163,13 +175,13 @@
         }
         Outcome outcome = version.program().isEmpty()
                 ? simulated(day, version, point, repeat)
-                : Run.onSockets(day, version, point.name, repeat, Run.asks(day, beside()), folder, cpus,
-                        (share, crew) -> {
-                    if (live) {
-                        say.printf(Locale.ROOT, "\r%s %3.0f%%", label, share * 100);
-                        say.flush();
-                    }
-                });
+                : Run.onSockets(
+                        day, version, point.name, repeat, Run.asks(day, beside()), folder, cpus, (share, crew) -> {
+                            if (live) {
+                                say.printf(Locale.ROOT, "\r%s %3.0f%%", label, share * 100);
+                                say.flush();
+                            }
+                        });
         if (live) {
             say.println();
         }
@@ -180,16 +192,22 @@
     }
 
     private static void table(List<Outcome> outcomes, PrintStream say) {
-        say.printf("%-28s %8s %8s %8s %8s %8s %8s %7s%n", "run", "service", "p50 ms", "p99 ms", "shed",
-                "given up",
-                "us/job", "broken");
+        say.printf(
+                "%-28s %8s %8s %8s %8s %8s %8s %7s%n",
+                "run", "service", "p50 ms", "p99 ms", "shed", "given up", "us/job", "broken");
         for (Outcome o : outcomes) {
             Map<String, Double> f = o.figures();
-            say.printf(Locale.ROOT, "%-28s %8.4f %8.1f %8.1f %7.2f%% %7.2f%% %8.0f %7.0f%n",
-                    (o.version() + " " + o.point()).strip() + " #" + (o.repeat() + 1), f.get("service"),
-                    f.get("p50_ms"), f.get("p99_ms"), 100 * f.get("shed_share"),
-                            100 * f.get("given_up_share"),
-                    f.getOrDefault("cpu_us_per_job", 0.0), f.get("rules_broken"));
+            say.printf(
+                    Locale.ROOT,
+                    "%-28s %8.4f %8.1f %8.1f %7.2f%% %7.2f%% %8.0f %7.0f%n",
+                    (o.version() + " " + o.point()).strip() + " #" + (o.repeat() + 1),
+                    f.get("service"),
+                    f.get("p50_ms"),
+                    f.get("p99_ms"),
+                    100 * f.get("shed_share"),
+                    100 * f.get("given_up_share"),
+                    f.getOrDefault("cpu_us_per_job", 0.0),
+                    f.get("rules_broken"));
         }
     }
 
@@ -201,19 +219,31 @@
         Map<String, Double> all = new LinkedHashMap<>();
         for (String figure : outcomes.get(0).figures().keySet()) {
             all.put(figure, mean(outcomes, figure));
-            all.put("least." + figure, outcomes.stream().mapToDouble(o -> at(o, figure)).min().orElse(0));
-            all.put("most." + figure, outcomes.stream().mapToDouble(o -> at(o, figure)).max().orElse(0));
+            all.put(
+                    "least." + figure,
+                    outcomes.stream().mapToDouble(o -> at(o, figure)).min().orElse(0));
+            all.put(
+                    "most." + figure,
+                    outcomes.stream().mapToDouble(o -> at(o, figure)).max().orElse(0));
             for (Version version : versions) {
-                List<Outcome> its = outcomes.stream().filter(o ->
-                        o.version().equals(version.name())).toList();
+                List<Outcome> its = outcomes.stream()
+                        .filter(o -> o.version().equals(version.name()))
+                        .toList();
                 all.put(version.name() + "." + figure, mean(its, figure));
-                all.put("least." + version.name() + "." + figure, its.stream().mapToDouble(o -> at(o, figure)).min()
-                        .orElse(0));
-                all.put("most." + version.name() + "." + figure, its.stream().mapToDouble(o -> at(o, figure)).max()
-                        .orElse(0));
+                all.put(
+                        "least." + version.name() + "." + figure,
+                        its.stream().mapToDouble(o -> at(o, figure)).min().orElse(0));
+                all.put(
+                        "most." + version.name() + "." + figure,
+                        its.stream().mapToDouble(o -> at(o, figure)).max().orElse(0));
                 if (points.size() > 1) {
-                    points.forEach(point -> all.put(version.name() + "." + figure + point.suffix(), mean(its.stream()
-                            .filter(o -> o.point().equals(point.name)).toList(), figure)));
+                    points.forEach(point -> all.put(
+                            version.name() + "." + figure + point.suffix(),
+                            mean(
+                                    its.stream()
+                                            .filter(o -> o.point().equals(point.name))
+                                            .toList(),
+                                    figure)));
                 }
             }
             if (versions.size() > 1) {
@@ -235,11 +265,16 @@
     }
 
     private double[] differences(List<Outcome> outcomes, String figure) {
-        return outcomes.stream().filter(o -> o.version().equals(versions.get(0).name())).mapToDouble(one ->
-                outcomes.stream().filter(o -> o.version().equals(versions.get(1).name())
-                        && o.repeat() == one.repeat() && o.point().equals(one.point()))
-                        .mapToDouble(other -> at(one, figure) - at(other,
-                                figure)).findFirst().orElse(0)).toArray();
+        return outcomes.stream()
+                .filter(o -> o.version().equals(versions.get(0).name()))
+                .mapToDouble(one -> outcomes.stream()
+                        .filter(o -> o.version().equals(versions.get(1).name())
+                                && o.repeat() == one.repeat()
+                                && o.point().equals(one.point()))
+                        .mapToDouble(other -> at(one, figure) - at(other, figure))
+                        .findFirst()
+                        .orElse(0))
+                .toArray();
     }
 
     private boolean verdict(List<Outcome> outcomes, PrintStream say) {
@@ -247,9 +282,13 @@
         if (versions.size() > 1) {
             for (String figure : List.of("service", "p50_ms", "p99_ms", "cpu_us_per_job")) {
                 if (gathered.containsKey("difference." + figure + ".mean")) {
-                    say.printf(Locale.ROOT, "%s, %s less %s: %.4f (95%%: %.4f to %.4f)%n", figure,
+                    say.printf(
+                            Locale.ROOT,
+                            "%s, %s less %s: %.4f (95%%: %.4f to %.4f)%n",
+                            figure,
                             versions.get(0).name(),
-                            versions.get(1).name(), gathered.get("difference." + figure + ".mean"),
+                            versions.get(1).name(),
+                            gathered.get("difference." + figure + ".mean"),
                             gathered.get("difference." + figure + ".low"),
                             gathered.get("difference." + figure + ".high"));
                 }
@@ -264,9 +303,14 @@
             say.println((verdict.kept() ? "kept:   " : "FAILED: ") + verdict.words());
             good &= verdict.kept();
         }
-        double broken = outcomes.stream().mapToDouble(o -> o.figures().get("rules_broken")).sum();
-        double requests = outcomes.stream().mapToDouble(o -> o.figures().get("requests")).sum();
-        double answered = outcomes.stream().mapToDouble(o -> o.figures().get("requests_answered")).sum();
+        double broken = outcomes.stream()
+                .mapToDouble(o -> o.figures().get("rules_broken"))
+                .sum();
+        double requests =
+                outcomes.stream().mapToDouble(o -> o.figures().get("requests")).sum();
+        double answered = outcomes.stream()
+                .mapToDouble(o -> o.figures().get("requests_answered"))
+                .sum();
         say.printf(Locale.ROOT, "rules broken: %.0f, answered %.0f of %.0f%n", broken, answered, requests);
         return good;
     }
@@ -278,15 +322,18 @@
         ArrayNode runs = root.putArray("runs");
         for (Outcome o : outcomes) {
             ObjectNode run = runs.addObject();
-            run.put("version", o.version()).put("point", o.point()).put("repeat", o.repeat()).put("void",
-                    o.isVoid());
+            run.put("version", o.version())
+                    .put("point", o.point())
+                    .put("repeat", o.repeat())
+                    .put("void", o.isVoid());
             ObjectNode figures = run.putObject("figures");
             o.figures().forEach(figures::put);
             ArrayNode breaches = run.putArray("breaches");
             o.breaches().forEach(b -> breaches.add(b.toString()));
             Series.write(run.putObject("series"), o);
         }
-        Files.writeString(out.resolve("results.json"),
+        Files.writeString(
+                out.resolve("results.json"),
                 json.writerWithDefaultPrettyPrinter().writeValueAsString(root));
         try (PrintStream log = new PrintStream(Files.newOutputStream(out.resolve("latency.hlog")))) {
             HistogramLogWriter writer = new HistogramLogWriter(log);
@@ -295,8 +342,8 @@
             for (Outcome o : outcomes) {
                 o.tally().rows().forEach((workload, row) -> {
                     row.latency.setTag((o.version() + "." + workload.name).replaceAll("[ ,]", "_"));
-                    writer.outputIntervalHistogram(0, sheet.span("length", Duration.ofSeconds(20))
-                            .toNanos() / 1e9, row.latency);
+                    writer.outputIntervalHistogram(
+                            0, sheet.span("length", Duration.ofSeconds(20)).toNanos() / 1e9, row.latency);
                 });
             }
         }
@@ -309,7 +356,7 @@
             read(file, home);
         } catch (Misread e) {
             if (!e.getMessage().contains("no jar at")) {
-                throw e;  // a build may be missing where a file is only checked
+                throw e; // a build may be missing where a file is only checked
             }
         }
     }
--- a/rig/src/main/java/saltdale/rig/experiment/Outcome.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Outcome.java
@@ -13,9 +13,15 @@
  * @param figures by name; times in ms
  * @param isVoid why it does not count; null where it does
  */
-public record Outcome(String version, String point, int repeat, Map<String, Double> figures,
+public record Outcome(
+        String version,
+        String point,
+        int repeat,
+        Map<String, Double> figures,
         List<Breach> breaches,
-                      String isVoid, Tally tally, Watch watch) {
+        String isVoid,
+        Tally tally,
+        Watch watch) {
     static Map<String, Double> figures(Tally tally, long broken, long asked, long answered, long dispatches) {
         Map<String, Double> all = new LinkedHashMap<>(tally.figures());
         all.put("rules_broken", (double) broken);
--- a/rig/src/main/java/saltdale/rig/experiment/Run.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Run.java
@@ -35,17 +35,18 @@
         void at(double share, Crew crew);
     }
 
-    private static final Duration SLACK = Duration.ofMillis(50);  // on sockets each limit is longer by this
+    private static final Duration SLACK = Duration.ofMillis(50); // on sockets each limit is longer by this
 
-    private Run() {
-    }
+    private Run() {}
 
     /** The asks of a day: its shape's, or those of its trace. */
     public static Iterator<Ask> asks(Day day, Path beside) {
-        return day.traffic.trace() == null ? new Arrivals(day.traffic, day.jobs, day.length, day.seed * 7919
-                + 1)
-                : Trace.read(beside.resolve(day.traffic.trace())).spliced(day.traffic.splice())
-                        .asks(day.jobs, day.traffic.scale(), day.length).iterator();
+        return day.traffic.trace() == null
+                ? new Arrivals(day.traffic, day.jobs, day.length, day.seed * 7919 + 1)
+                : Trace.read(beside.resolve(day.traffic.trace()))
+                        .spliced(day.traffic.splice())
+                        .asks(day.jobs, day.traffic.scale(), day.length)
+                        .iterator();
     }
 
     /** The same, counted from when the clients begin. */
@@ -53,19 +54,26 @@
         return new Shifted(asks(day, beside), start);
     }
 
-    public static Outcome simulated(Day day, String version, String point, int repeat, Iterator<Ask> asks,
-                                    Simulation.Minds minds) {
+    public static Outcome simulated(
+            Day day, String version, String point, int repeat, Iterator<Ask> asks, Simulation.Minds minds) {
         Simulation sim = new Simulation(day, minds == null ? ModuleMind::new : minds, asks).run();
         Judge judge = sim.judge();
-        Map<String, Double> figures = Outcome.figures(sim.tally(), judge.broken(), judge.asked(),
-                judge.answered(),
-                judge.dispatches());
+        Map<String, Double> figures =
+                Outcome.figures(sim.tally(), judge.broken(), judge.asked(), judge.answered(), judge.dispatches());
         figures.put("events", (double) sim.events());
         figures.put("probes_per_request", sim.probes() / (double) Math.max(1, judge.asked()));
-        figures.put("probe_share", sim.probes() * (day.probeCost.toNanos() / 1e9)
-                / (day.capacity() * day.length.toNanos() / 1e9));
+        figures.put(
+                "probe_share",
+                sim.probes() * (day.probeCost.toNanos() / 1e9) / (day.capacity() * day.length.toNanos() / 1e9));
         figures.putAll(Overloads.figures(day, sim.tally(), sim.spread()));
-        return new Outcome(version, point, repeat, figures, judge.breaches(), null, sim.tally(),
+        return new Outcome(
+                version,
+                point,
+                repeat,
+                figures,
+                judge.breaches(),
+                null,
+                sim.tally(),
                 sim.fleet().watch());
     }
 
@@ -74,8 +82,16 @@
      *
      * @param folder for the logs and configurations of the dispatchers
      */
-    public static Outcome onSockets(Day day, Version version, String point, int repeat, Iterator<Ask> asks,
-                                    Path folder, String cpus, Progress progress) throws IOException {
+    public static Outcome onSockets(
+            Day day,
+            Version version,
+            String point,
+            int repeat,
+            Iterator<Ask> asks,
+            Path folder,
+            String cpus,
+            Progress progress)
+            throws IOException {
         if (day.dispatchers > Places.MOST_DISPATCHERS) {
             throw new IOException("on sockets a day has at most " + Places.MOST_DISPATCHERS + " dispatchers");
         }
@@ -84,7 +100,8 @@
         Origin origin = new Origin();
         Places places = new Places(freePort());
         AtomicReference<StandInFleet> fleet = new AtomicReference<>();
-        try (Turner runners = new Turner("runners"); Turner clients = new Turner("clients")) {
+        try (Turner runners = new Turner("runners");
+                Turner clients = new Turner("clients")) {
             ListKeeper list = new ListKeeper(runners, day, places, origin, notes);
             fleet.set(new StandInFleet(runners, day, places, origin, notes, list, day.seed));
             runners.start();
@@ -93,9 +110,8 @@
                 crew.begin();
                 Duration start = origin.now();
                 Shifted shifted = new Shifted(asks, start);
-                Generator generator = new Generator(clients, day, crew.addresses(), origin, notes, day.seed
-                        + 3,
-                        "n" + repeat, start);
+                Generator generator =
+                        new Generator(clients, day, crew.addresses(), origin, notes, day.seed + 3, "n" + repeat, start);
                 runners.inside(runners::watchItself);
                 clients.inside(clients::watchItself);
                 runners.inside(() -> fleet.get().begin(start));
@@ -109,36 +125,42 @@
                 while (origin.now().compareTo(end) < 0
                         || !generator.isOver() && origin.now().compareTo(last) < 0) {
                     Thread.sleep(100);
-                    progress.at(Math.min(1, (double) origin.now().minus(start).toNanos()
-                            / day.length.toNanos()), crew);
+                    progress.at(Math.min(1, (double) origin.now().minus(start).toNanos() / day.length.toNanos()), crew);
                 }
                 double cpu = crew.cpu();
                 double memory = crew.memory();
                 boolean died = !crew.crashed().isEmpty();
                 Files.writeString(folder.resolve("counters.txt"), crew.get(0, "/counters"));
-                Thread.sleep(300);  // for what is still on its way to the stand-ins
+                Thread.sleep(300); // for what is still on its way to the stand-ins
                 Duration late = Spans.most(runners.mostLate(), clients.mostLate());
                 Judge judge = new Judge(Terms.of(day, SLACK.plus(late)), Duration.ofSeconds(5));
                 clients.inside(generator::hangUp);
                 notes.tell(judge);
                 judge.end();
-                Map<String, Double> figures = Outcome.figures(generator.tally(), judge.broken(),
-                        judge.asked(),
-                        judge.answered(), judge.dispatches());
+                Map<String, Double> figures = Outcome.figures(
+                        generator.tally(), judge.broken(), judge.asked(), judge.answered(), judge.dispatches());
                 figures.putAll(Overloads.figures(day, generator.tally(), generator.spread()));
                 figures.put("cpu_us_per_job", cpu * 1e6 / Math.max(1, judge.asked()));
                 figures.put("memory_mb", memory);
                 figures.put("runners_late_most_ms", runners.mostLate().toNanos() / 1e6);
                 figures.put("generator_lag_p99_ms", generator.lag().getValueAtPercentile(99) / 1e3);
                 figures.put("generator_lag_max_ms", generator.lag().getMaxValue() / 1e3);
-                figures.put("runner_requests_per_job", fleet.get().requests() / (double) Math.max(1,
-                        judge.asked()));
-                figures.put("first_1000_answers_s", generator.thousandthAt() == null ? Double.NaN
-                        : generator.thousandthAt().minus(start).toNanos() / 1e9);
+                figures.put("runner_requests_per_job", fleet.get().requests() / (double) Math.max(1, judge.asked()));
+                figures.put(
+                        "first_1000_answers_s",
+                        generator.thousandthAt() == null
+                                ? Double.NaN
+                                : generator.thousandthAt().minus(start).toNanos() / 1e9);
                 figures.put("dispatchers_died", died ? 1.0 : 0.0);
-                return new Outcome(version.name(), point, repeat, figures, judge.breaches(),
+                return new Outcome(
+                        version.name(),
+                        point,
+                        repeat,
+                        figures,
+                        judge.breaches(),
                         generator.isVoid(),
-                        generator.tally(), fleet.get().watch());
+                        generator.tally(),
+                        fleet.get().watch());
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 throw new IOException("interrupted");
@@ -153,7 +175,8 @@
                 continue;
             }
             try {
-                Thread.sleep(Math.max(0, turn.at().plus(start).minus(origin.now()).toMillis()));
+                Thread.sleep(
+                        Math.max(0, turn.at().plus(start).minus(origin.now()).toMillis()));
             } catch (InterruptedException e) {
                 return;
             }
--- a/rig/src/main/java/saltdale/rig/experiment/Series.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Series.java
@@ -11,14 +11,12 @@
     /** The percentiles of latency that are kept for each second; 100 is the most. */
     private static final double[] PERCENTILES = {50, 90, 99, 100};
 
-    private Series() {
-    }
+    private Series() {}
 
     static void write(ObjectNode to, Outcome o) {
         List<Tally.Second> seconds = o.tally().seconds();
         for (double percentile : PERCENTILES) {
-            ArrayNode line = to.withObject("/latency_ms").putArray(percentile == 100 ? "most"
-                    : "p" + (int) percentile);
+            ArrayNode line = to.withObject("/latency_ms").putArray(percentile == 100 ? "most" : "p" + (int) percentile);
             for (int i = 0; i < seconds.size(); i++) {
                 if (seconds.get(i).latency.getTotalCount() > 0) {
                     line.addArray().add(i).add(seconds.get(i).latency.getValueAtPercentile(percentile) / 1e3);
@@ -27,15 +25,21 @@
         }
         for (int i = 0; i < seconds.size(); i++) {
             int second = i;
-            seconds.get(i).byWorkload.forEach((workload,
-                    of) -> to.withObject("/service").withArray(workload).addArray()
-                    .add(second).add((double) of[1] / Math.max(1, of[0])));
+            seconds.get(i)
+                    .byWorkload
+                    .forEach((workload, of) -> to.withObject("/service")
+                            .withArray(workload)
+                            .addArray()
+                            .add(second)
+                            .add((double) of[1] / Math.max(1, of[0])));
         }
         ArrayNode runners = to.putArray("runners");
         for (List<Watch.Sample> samples : o.watch().samples()) {
             ArrayNode line = runners.addArray();
             for (Watch.Sample each : samples) {
-                line.addArray().add(each.at().minus(samples.get(0).at()).toNanos() / 1e9).add(each.held())
+                line.addArray()
+                        .add(each.at().minus(samples.get(0).at()).toNanos() / 1e9)
+                        .add(each.held())
                         .add(Double.isNaN(each.told()) ? -1 : each.told());
             }
         }
--- a/rig/src/main/java/saltdale/rig/experiment/Version.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Version.java
@@ -21,9 +21,8 @@
     }
 
     /** As the platform runs it, but for what its archive of classes adds. */
-    static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-            "-XX:-UsePerfData",
-            "-Xms24m", "-Xmx112m", "-Xss512k");
+    static final List<String> FLAGS = List.of(
+            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xms24m", "-Xmx112m", "-Xss512k");
 
     private static String name(Sheet row) {
         String name = row.required("name");
--- a/rig/src/main/java/saltdale/rig/fleet/ColdBudget.java
+++ b/rig/src/main/java/saltdale/rig/fleet/ColdBudget.java
@@ -10,8 +10,7 @@
  * true sizes do not count: no dispatcher is told them, and one long assignment alone could break the rule.
  */
 public final class ColdBudget {
-    private record Sent(long at, boolean told) {
-    }
+    private record Sent(long at, boolean told) {}
 
     private final double multiple;
     private final long window;
--- a/rig/src/main/java/saltdale/rig/fleet/Condition.java
+++ b/rig/src/main/java/saltdale/rig/fleet/Condition.java
@@ -12,16 +12,29 @@
  * @param reportLate seconds by which reports are older
  * @param reportTimes the load is told so many times
  */
-public record Condition(double slower, boolean stalled, double errors, double lateSheds, double dearShare, double dearer,
-                        double coresTaken, double reportLate, double reportTimes) {
+public record Condition(
+        double slower,
+        boolean stalled,
+        double errors,
+        double lateSheds,
+        double dearShare,
+        double dearer,
+        double coresTaken,
+        double reportLate,
+        double reportTimes) {
     public static final Condition GOOD = new Condition(1, false, 0, 0, 0, 1, 0, 0, 1);
 
     /** Both at once. */
     public Condition and(Condition other) {
-        return new Condition(slower * other.slower, stalled || other.stalled,
-                1 - (1 - errors) * (1 - other.errors), Math.max(lateSheds, other.lateSheds),
+        return new Condition(
+                slower * other.slower,
+                stalled || other.stalled,
+                1 - (1 - errors) * (1 - other.errors),
+                Math.max(lateSheds, other.lateSheds),
                 Math.max(dearShare, other.dearShare),
-                Math.max(dearer, other.dearer), 1 - (1 - coresTaken) * (1 - other.coresTaken),
-                reportLate + other.reportLate, reportTimes * other.reportTimes);
+                Math.max(dearer, other.dearer),
+                1 - (1 - coresTaken) * (1 - other.coresTaken),
+                reportLate + other.reportLate,
+                reportTimes * other.reportTimes);
     }
 }
--- a/rig/src/main/java/saltdale/rig/fleet/Passage.java
+++ b/rig/src/main/java/saltdale/rig/fleet/Passage.java
@@ -16,8 +16,13 @@
     /** Both at once. */
     public Passage and(Passage other) {
         double slower = pace == 0 ? other.pace : other.pace == 0 ? pace : Math.min(pace, other.pace);
-        return new Passage(reset || other.reset, cutThere || other.cutThere, cutBack || other.cutBack,
-                late + other.late, Math.max(jitter, other.jitter), slower);
+        return new Passage(
+                reset || other.reset,
+                cutThere || other.cutThere,
+                cutBack || other.cutBack,
+                late + other.late,
+                Math.max(jitter, other.jitter),
+                slower);
     }
 
     /** Whether new connections get no answer at all, as where a handshake is lost either way. */
--- a/rig/src/main/java/saltdale/rig/fleet/Receipts.java
+++ b/rig/src/main/java/saltdale/rig/fleet/Receipts.java
@@ -29,14 +29,15 @@
         Map<Integer, Receipts> cells = new HashMap<>();
         List<Shared> shared = new ArrayList<>();
         for (int i = 0; i < day.runners; i++) {
-            shared.add(new Shared(all, zones.computeIfAbsent(day.zone(i), k -> new Receipts()),
+            shared.add(new Shared(
+                    all,
+                    zones.computeIfAbsent(day.zone(i), k -> new Receipts()),
                     cells.computeIfAbsent(day.cell(i), k -> new Receipts())));
         }
         return shared;
     }
 
-    private record Seen(long at, long window) {
-    }
+    private record Seen(long at, long window) {}
 
     private final Map<String, Seen> seen = new LinkedHashMap<>();
 
