--- a/rig/src/main/java/saltdale/rig/fleet/RunnerModel.java
+++ b/rig/src/main/java/saltdale/rig/fleet/RunnerModel.java
@@ -19,10 +19,22 @@
  */
 public final class RunnerModel {
     /** How a runner meets a job that is handed to it. */
-    public enum Offer { TAKEN, FULL, DRAINING, ERROR, FELL }
+    public enum Offer {
+        TAKEN,
+        FULL,
+        DRAINING,
+        ERROR,
+        FELL
+    }
 
     /** How a job that was taken ends, unless it is taken back; shed: done, and told as returned. */
-    public enum End { DONE, SHED, FAILED, RETURNED, LOST }
+    public enum End {
+        DONE,
+        SHED,
+        FAILED,
+        RETURNED,
+        LOST
+    }
 
     /** Whom it tells what has come of the jobs that it took. */
     public interface Told {
@@ -35,10 +47,9 @@
 
     private static final long NEVER = Long.MAX_VALUE;
     private static final int WARM_STEPS = 64;
-    private static final long QUICK_ERROR = 1_000_000;  // ns until a quick error
+    private static final long QUICK_ERROR = 1_000_000; // ns until a quick error
 
-    private record Figures(long at, int waiting, int running) {
-    }
+    private record Figures(long at, int waiting, int running) {}
 
     public final Make make;
     private final Told told;
@@ -56,7 +67,7 @@
     private boolean draining;
     private boolean fallen;
     private boolean telling;
-    private double rate;  // of each running job, seconds of work a second
+    private double rate; // of each running job, seconds of work a second
 
     /**
      * @param receipts null where it remembers none
@@ -64,8 +75,14 @@
      *     time, pushes it over while it is cold; 0 where nothing does
      * @param meanWork of an assignment, by which that is counted
      */
-    public RunnerModel(Make make, Receipts.Shared receipts, double tipMultiple, Duration fall, double meanWork,
-                       SplittableRandom chance, Told told) {
+    public RunnerModel(
+            Make make,
+            Receipts.Shared receipts,
+            double tipMultiple,
+            Duration fall,
+            double meanWork,
+            SplittableRandom chance,
+            Told told) {
         this.make = make;
         this.receipts = receipts;
         this.chance = chance;
@@ -106,7 +123,8 @@
 
     private double warmth(long at) {
         double within = make.warmWithin().toNanos();
-        return bornAt == Long.MIN_VALUE || at - bornAt >= within ? 1
+        return bornAt == Long.MIN_VALUE || at - bornAt >= within
+                ? 1
                 : make.coldFrom() + (1 - make.coldFrom()) * Math.max(0, (at - bornAt) / within);
     }
 
@@ -128,7 +146,7 @@
     /** Lives until this time; what happens by then is told in its order. */
     public void advance(Duration to) {
         if (telling) {
-            return;  // guards against a face that asks for a report while it is told: each end is told once
+            return; // guards against a face that asks for a report while it is told: each end is told once
         }
         long until = to.toNanos();
         telling = true;
@@ -200,8 +218,11 @@
         while (running.size() < make.slots() && !waiting.isEmpty() && !condition.stalled()) {
             Work next = next();
             waiting.remove(next);
-            next.tellAt = make.progressEvery().isZero() ? NEVER : now + make.progressEvery().toNanos();
-            if (next.receipt != null && receipts != null
+            next.tellAt = make.progressEvery().isZero()
+                    ? NEVER
+                    : now + make.progressEvery().toNanos();
+            if (next.receipt != null
+                    && receipts != null
                     && !receipts.of(next.workload).isNew(next.receipt, next.workload.window, now)) {
                 next.repeat = true;
                 next.left = Math.min(next.left, QUICK_ERROR / 1e9);
@@ -215,9 +236,12 @@
         return switch (make.order()) {
             case FIFO -> waiting.get(0);
             case LIFO -> waiting.get(waiting.size() - 1);
-            case SHORTEST -> waiting.stream().min(Comparator.comparingDouble(w -> w.left)).orElseThrow();
-            case PRIORITY -> waiting.stream().min(Comparator.comparingDouble(w -> -w.workload.importance))
-                    .orElseThrow();  // min keeps the first of equals
+            case SHORTEST ->
+                waiting.stream().min(Comparator.comparingDouble(w -> w.left)).orElseThrow();
+            case PRIORITY ->
+                waiting.stream()
+                        .min(Comparator.comparingDouble(w -> -w.workload.importance))
+                        .orElseThrow(); // min keeps the first of equals
         };
     }
 
@@ -296,11 +320,19 @@
         int n = running.size();
         double cores = make.cores() * (1 - condition.coresTaken());
         double crowd = Math.max(0, (n + waiting.size()) / (double) make.cores() - make.thrashAt());
-        rate = n == 0 || condition.stalled() ? 0 : Math.min(1, cores / n) * make.speed() * warmth(now)
-                / condition.slower() / (1 + make.thrash() * crowd);
+        rate = n == 0 || condition.stalled()
+                ? 0
+                : Math.min(1, cores / n)
+                        * make.speed()
+                        * warmth(now)
+                        / condition.slower()
+                        / (1 + make.thrash() * crowd);
         past.addLast(new Figures(now, waiting.size(), n));
-        long old = now - 2 * (make.reportEvery().toNanos() + make.reportDelay().toNanos()
-                + (long) (condition.reportLate() * 1e9));
+        long old = now
+                - 2
+                        * (make.reportEvery().toNanos()
+                                + make.reportDelay().toNanos()
+                                + (long) (condition.reportLate() * 1e9));
         while (past.size() > 1 && second(past).at <= old) {
             past.removeFirst();
         }
@@ -327,8 +359,12 @@
         }
         double queue = figures.waiting * condition.reportTimes();
         double inWork = figures.running * condition.reportTimes();
-        return new LoadReport(queue, inWork + queue, Math.max(0, make.slots() - inWork),
-                Math.min(1, inWork / make.cores()), Double.NaN);
+        return new LoadReport(
+                queue,
+                inWork + queue,
+                Math.max(0, make.slots() - inWork),
+                Math.min(1, inWork / make.cores()),
+                Double.NaN);
     }
 
     private Duration time() {
--- a/rig/src/main/java/saltdale/rig/fleet/Weather.java
+++ b/rig/src/main/java/saltdale/rig/fleet/Weather.java
@@ -14,12 +14,29 @@
  */
 public final class Weather {
     /** One thing that happens to runners, dispatchers or links. */
-    public enum Act { CONDITION, CRASH, VANISH, START, DRAIN, HAND_BACK, REMOVE, CUT, HEAL, WIRE, KILL,
-            REVIVE, MUTE, UNMUTE, STOP, GO_ON, END, WAY }
+    public enum Act {
+        CONDITION,
+        CRASH,
+        VANISH,
+        START,
+        DRAIN,
+        HAND_BACK,
+        REMOVE,
+        CUT,
+        HEAL,
+        WIRE,
+        KILL,
+        REVIVE,
+        MUTE,
+        UNMUTE,
+        STOP,
+        GO_ON,
+        END,
+        WAY
+    }
 
     /** It happens to each of the trouble's runners (or dispatchers) then. */
-    public record Turn(Duration at, Act act, Trouble trouble) {
-    }
+    public record Turn(Duration at, Act act, Trouble trouble) {}
 
     private final List<Trouble> troubles;
 
@@ -45,25 +62,25 @@
                 }
                 case DISPATCHER_STOP -> both(turns, t, Act.STOP, Act.GO_ON);
                 case DISPATCHER_RESTART -> both(turns, t, Act.END, Act.REVIVE);
-                case DISPATCHER_SLOW -> inTurns(t, (from, to) -> {
-                    turns.add(new Turn(from, Act.STOP, t));
-                    turns.add(new Turn(to, Act.GO_ON, t));
-                });
-                case WAY_FLAPS -> inTurns(t, (from, to) -> {
-                    turns.add(new Turn(from, Act.WAY, t));
-                    turns.add(new Turn(to, Act.WAY, t));
-                });
+                case DISPATCHER_SLOW ->
+                    inTurns(t, (from, to) -> {
+                        turns.add(new Turn(from, Act.STOP, t));
+                        turns.add(new Turn(to, Act.GO_ON, t));
+                    });
+                case WAY_FLAPS ->
+                    inTurns(t, (from, to) -> {
+                        turns.add(new Turn(from, Act.WAY, t));
+                        turns.add(new Turn(to, Act.WAY, t));
+                    });
                 case WAY_RESET, WAY_SILENT, WAY_ONE_SIDED, WAY_LATE, WAY_SLOW -> both(turns, t, Act.WAY, Act.WAY);
                 case NEIGHBOUR -> {
                     both(turns, t, Act.CONDITION, Act.CONDITION);
                     Duration half = Duration.ofNanos((long) (t.extra() * 1e9));
-                    for (Duration at = t.at(); !half.isZero()
-                            && at.compareTo(t.end()) < 0; at = at.plus(half)) {
+                    for (Duration at = t.at(); !half.isZero() && at.compareTo(t.end()) < 0; at = at.plus(half)) {
                         turns.add(new Turn(at, Act.CONDITION, t));
                     }
                 }
-                default -> both(turns, t, t.onWire() ? Act.WIRE : Act.CONDITION,
-                        t.onWire() ? Act.WIRE : Act.CONDITION);
+                default -> both(turns, t, t.onWire() ? Act.WIRE : Act.CONDITION, t.onWire() ? Act.WIRE : Act.CONDITION);
             }
         }
         turns.sort(Comparator.comparing(Turn::at));
@@ -112,7 +129,7 @@
             case WAY_SLOW -> new Passage(false, false, false, 0, 0, t.size());
             case WAY_FLAPS -> {
                 double into = at.minus(t.at()).toNanos() / 1e9 % t.extra();
-                boolean cut = into < t.size() * t.extra() - 1e-6;  // by the hour that a turn was set for
+                boolean cut = into < t.size() * t.extra() - 1e-6; // by the hour that a turn was set for
                 yield new Passage(false, cut, cut, 0, 0, 0);
             }
             default -> Passage.FREE;
@@ -151,8 +168,7 @@
             case LATE_REPORTS -> new Condition(1, false, 0, 0, 0, 1, 0, size, 1);
             case WRONG_REPORTS -> new Condition(1, false, 0, 0, 0, 1, 0, 0, size);
             case NEIGHBOUR -> {
-                boolean taken = t.extra() == 0
-                        || (long) (at.minus(t.at()).toNanos() / (t.extra() * 1e9)) % 2 == 0;
+                boolean taken = t.extra() == 0 || (long) (at.minus(t.at()).toNanos() / (t.extra() * 1e9)) % 2 == 0;
                 yield taken ? new Condition(1, false, 0, 0, 0, 1, Math.min(0.99, size), 0, 1) : good;
             }
             default -> good;
--- a/rig/src/main/java/saltdale/rig/fleet/Work.java
+++ b/rig/src/main/java/saltdale/rig/fleet/Work.java
@@ -8,6 +8,7 @@
     public final String id;
     /** The mark that shows a repeat; null where there is none. */
     public final String receipt;
+
     public final Workload workload;
     /** Seconds on one free core of speed 1, before what disturbs the runner. */
     public final double size;
--- a/rig/src/main/java/saltdale/rig/judge/Breach.java
+++ b/rig/src/main/java/saltdale/rig/judge/Breach.java
@@ -10,10 +10,20 @@
 public record Breach(Kind kind, Duration at, String about, String why) {
     /** The ways to break a rule; the figure is the rule's, 5 that on placement. */
     public enum Kind {
-        LOST(1), ANSWERED_TWICE(1), ANSWERED_LATE(1), SENT_AFTER_END(1), ANSWER_NOBODY_MADE(1), HELD_BACK(1),
-        REPEATED_EFFECTFUL(2), EFFECT_TWICE(2), SHED_AFTER_RUN(2), OUTSIDE_GROUP(2), AFTER_WINDOW(2),
-                TWO_OUT(2),
-        SENT_TO_DRAINING(3), SENT_TO_GONE(3),
+        LOST(1),
+        ANSWERED_TWICE(1),
+        ANSWERED_LATE(1),
+        SENT_AFTER_END(1),
+        ANSWER_NOBODY_MADE(1),
+        HELD_BACK(1),
+        REPEATED_EFFECTFUL(2),
+        EFFECT_TWICE(2),
+        SHED_AFTER_RUN(2),
+        OUTSIDE_GROUP(2),
+        AFTER_WINDOW(2),
+        TWO_OUT(2),
+        SENT_TO_DRAINING(3),
+        SENT_TO_GONE(3),
         COLD_PUSHED_OVER(4),
         MISPLACED(5);
 
@@ -26,7 +36,13 @@
 
     @Override
     public String toString() {
-        return String.format(java.util.Locale.ROOT, "rule %d, %s at %.3f s: %s: %s", kind.rule,
-                kind.name().toLowerCase().replace('_', ' '), at.toNanos() / 1e9, about, why);
+        return String.format(
+                java.util.Locale.ROOT,
+                "rule %d, %s at %.3f s: %s: %s",
+                kind.rule,
+                kind.name().toLowerCase().replace('_', ' '),
+                at.toNanos() / 1e9,
+                about,
+                why);
     }
 }
--- a/rig/src/main/java/saltdale/rig/judge/Judge.java
+++ b/rig/src/main/java/saltdale/rig/judge/Judge.java
@@ -20,17 +20,17 @@
  * forgotten once nothing about it can matter any more.
  */
 public final class Judge implements Witness {
-    private static final Duration CATCH_UP = Duration.ofMillis(250);  // for all that came while it stood still
-    private static final Duration SETTLES = Duration.ofSeconds(2);  // until what a way held back has come
-    private static final int MOST_TURNED_OFF = 200;  // one request in so many, as the platform's judge has it
-    private static final int KEPT = 200;  // breaches told one by one; beyond that they are counted
+    private static final Duration CATCH_UP = Duration.ofMillis(250); // for all that came while it stood still
+    private static final Duration SETTLES = Duration.ofSeconds(2); // until what a way held back has come
+    private static final int MOST_TURNED_OFF = 200; // one request in so many, as the platform's judge has it
+    private static final int KEPT = 200; // breaches told one by one; beyond that they are counted
 
     /** A dispatch as its runner saw it. */
     private static final class Seen {
         final int runner;
         final Duration at;
         boolean unstarted;
-        boolean unseen;  // on a disturbed way: when it was over can't be seen
+        boolean unseen; // on a disturbed way: when it was over can't be seen
         Duration overAt;
 
         Seen(int runner, Duration at) {
@@ -74,8 +74,7 @@
         }
     }
 
-    private record Word(Duration at, Health health, Duration bornAt) {
-    }
+    private record Word(Duration at, Health health, Duration bornAt) {}
 
     private static final class Life {
         Make make;
@@ -92,15 +91,15 @@
     private final Map<Integer, Life> lives = new HashMap<>();
     private final List<Breach> breaches = new ArrayList<>();
     private final Map<Breach.Kind, Long> counts = new EnumMap<>(Breach.Kind.class);
-    private final Map<Integer, Duration> stopped = new HashMap<>();  // dispatchers, since when
-    private final Map<Integer, List<Runnable>> untold = new HashMap<>();  // what such a one was told meanwhile
-    private final Map<Long, Duration> disturbed = new HashMap<>();  // ways, until when: the last is not yet over
+    private final Map<Integer, Duration> stopped = new HashMap<>(); // dispatchers, since when
+    private final Map<Integer, List<Runnable>> untold = new HashMap<>(); // what such a one was told meanwhile
+    private final Map<Long, Duration> disturbed = new HashMap<>(); // ways, until when: the last is not yet over
     private long asked;
     private long answered;
     private long dispatches;
     private long turnedOff;
-    private final Map<String, Integer> turnedOffBy = new TreeMap<>();  // dispatcher and tenth of a second
-    private Duration wentOn = Duration.ZERO;  // the last of those that were stopped
+    private final Map<String, Integer> turnedOffBy = new TreeMap<>(); // dispatcher and tenth of a second
+    private Duration wentOn = Duration.ZERO; // the last of those that were stopped
 
     /** {@code memory}: how long after its deadline something about a request may still come. */
     public Judge(Terms terms, Duration memory) {
@@ -179,7 +178,8 @@
     /** Rule 2: a shed reply says that trying again is harmless. */
     private static boolean mayShed(Case about) {
         Workload w = about.workload;
-        return w.repeat == Workload.Repeat.PURE || !about.mayHaveRun()
+        return w.repeat == Workload.Repeat.PURE
+                || !about.mayHaveRun()
                 || w.repeat == Workload.Repeat.RECEIPTED && w.group == Workload.Group.ALL;
     }
 
@@ -199,8 +199,11 @@
         }
         Duration most = terms.slack().plus(Duration.ofMillis(250));
         if (at.minus(over).compareTo(most) > 0 && at.compareTo(about.deadline) <= 0) {
-            breach(Breach.Kind.HELD_BACK, at, about.id, "given up " + ms(at.minus(over))
-                    + " after nothing could follow");
+            breach(
+                    Breach.Kind.HELD_BACK,
+                    at,
+                    about.id,
+                    "given up " + ms(at.minus(over)) + " after nothing could follow");
         }
     }
 
@@ -209,7 +212,7 @@
         Case about = cases.get(id);
         if (about != null && about.endedAt == null) {
             about.endedAt = at;
-            about.cut = true;  // told at the end, since that its dispatcher was killed may be heard later
+            about.cut = true; // told at the end, since that its dispatcher was killed may be heard later
         }
     }
 
@@ -217,7 +220,7 @@
     public void turnedOff(Duration at, String id) {
         Case about = cases.get(id);
         if (about != null && about.endedAt == null) {
-            about.turnedOff = true;  // counted at the end, since that its dispatcher was killed may be heard later
+            about.turnedOff = true; // counted at the end, since that its dispatcher was killed may be heard later
             about.endedAt = at;
         }
     }
@@ -238,7 +241,7 @@
                 each.excused = true;
             }
         }
-        words.keySet().removeIf(key -> (int) (key >> 32) == dispatcher);  // what it was told went with it
+        words.keySet().removeIf(key -> (int) (key >> 32) == dispatcher); // what it was told went with it
     }
 
     @Override
@@ -271,7 +274,7 @@
     @Override
     public void way(Duration at, int runner, int dispatcher, boolean free) {
         disturbed.put(key(dispatcher, runner), free ? at.plus(SETTLES) : Duration.ofSeconds(Long.MAX_VALUE));
-        if (!free) {  // what is called off there can't be seen from now on
+        if (!free) { // what is called off there can't be seen from now on
             for (Case each : cases.values()) {
                 Seen seen = each.dispatcher == dispatcher ? each.at(runner) : null;
                 if (seen != null && seen.overAt == null) {
@@ -282,7 +285,10 @@
         }
     }
 
-    /** Whether what comes at a runner by this way may be late, or can't be called off, without a fault of the sender. */
+    /**
+     * Whether what comes at a runner by this way may be late, or can't be called off, without a fault of the
+     * sender.
+     */
     private boolean isDisturbed(Duration at, int runner, int dispatcher) {
         Duration until = disturbed.get(key(dispatcher, runner));
         return until != null && at.compareTo(until) < 0;
@@ -300,20 +306,28 @@
         }
         Case about = cases.get(id);
         if (about == null) {
-            return;  // asked at a moment that a client's clock gives later, or long over
+            return; // asked at a moment that a client's clock gives later, or long over
         }
         Workload w = about.workload;
         if (!w.zones.isEmpty() && !w.zones.contains(terms.zones()[runner])
                 || !w.kinds.isEmpty() && !w.kinds.contains(terms.kinds()[runner])) {
-            breach(Breach.Kind.MISPLACED, at, id, "dispatched to runner " + runner + " of zone " + terms.zones()[runner]
-                    + " and kind " + terms.kinds()[runner] + ", where " + w.name + " may not run");
+            breach(
+                    Breach.Kind.MISPLACED,
+                    at,
+                    id,
+                    "dispatched to runner " + runner + " of zone " + terms.zones()[runner] + " and kind "
+                            + terms.kinds()[runner] + ", where " + w.name + " may not run");
         }
         Duration over = about.endedAt == null ? null : about.endedAt.plus(terms.slack());
         Duration last = about.deadline.plus(terms.answerGrace()).plus(terms.slack());
         if (!late && (over != null && firstByte.compareTo(over) > 0 || firstByte.compareTo(last) > 0)) {
-            breach(Breach.Kind.SENT_AFTER_END, at, id, "dispatched to runner " + runner + " by dispatcher " + dispatcher
-                    + ", " + ms(firstByte.minus(about.endedAt == null ? about.deadline : about.endedAt))
-                    + " after " + (about.endedAt == null ? "patience ended" : "its end"));
+            breach(
+                    Breach.Kind.SENT_AFTER_END,
+                    at,
+                    id,
+                    "dispatched to runner " + runner + " by dispatcher " + dispatcher
+                            + ", " + ms(firstByte.minus(about.endedAt == null ? about.deadline : about.endedAt))
+                            + " after " + (about.endedAt == null ? "patience ended" : "its end"));
         }
         repeated(at, about, runner, late);
         Seen seen = new Seen(runner, at);
@@ -326,19 +340,24 @@
         Workload w = about.workload;
         for (Seen earlier : about.seen) {
             if (earlier.overAt == null && !earlier.unstarted && !terms.parallel() && !late) {
-                breach(Breach.Kind.TWO_OUT, at, about.id, "dispatched to runner " + runner
-                        + " while one is out at "
-                        + earlier.runner);
+                breach(
+                        Breach.Kind.TWO_OUT,
+                        at,
+                        about.id,
+                        "dispatched to runner " + runner + " while one is out at " + earlier.runner);
             }
             if (earlier.unstarted || w.repeat == Workload.Repeat.PURE) {
                 continue;
             }
             if (w.repeat == Workload.Repeat.EFFECTFUL) {
-                breach(Breach.Kind.REPEATED_EFFECTFUL, at, about.id, "it may have run at runner "
-                        + earlier.runner);
+                breach(Breach.Kind.REPEATED_EFFECTFUL, at, about.id, "it may have run at runner " + earlier.runner);
             } else if (!sameGroup(w, earlier.runner, runner)) {
-                breach(Breach.Kind.OUTSIDE_GROUP, at, about.id, "it may have run at runner " + earlier.runner
-                        + ", whose receipts runner " + runner + " does not know");
+                breach(
+                        Breach.Kind.OUTSIDE_GROUP,
+                        at,
+                        about.id,
+                        "it may have run at runner " + earlier.runner + ", whose receipts runner " + runner
+                                + " does not know");
             } else if (!late && at.compareTo(earlier.at.plus(w.window).plus(terms.slack())) > 0) {
                 breach(Breach.Kind.AFTER_WINDOW, at, about.id, "its receipt was forgotten by then");
             }
@@ -355,12 +374,15 @@
 
     private void drained(Duration firstByte, String id, int runner, int dispatcher) {
         Word word = words.get(key(dispatcher, runner));
-        if (word == null || word.health == Health.UP
+        if (word == null
+                || word.health == Health.UP
                 || firstByte.compareTo(word.at.plus(terms.drainGrace()).plus(terms.slack())) <= 0) {
             return;
         }
-        breach(word.health == Health.GONE ? Breach.Kind.SENT_TO_GONE : Breach.Kind.SENT_TO_DRAINING,
-                firstByte, id,
+        breach(
+                word.health == Health.GONE ? Breach.Kind.SENT_TO_GONE : Breach.Kind.SENT_TO_DRAINING,
+                firstByte,
+                id,
                 "dispatcher " + dispatcher + " was told of runner " + runner + " "
                         + ms(firstByte.minus(word.at))
                         + " before");
@@ -383,8 +405,11 @@
         boolean over = life.budget.over(at.toNanos(), share * life.make.capacity(), told);
         if (over && life.budget.toldShare() >= 2.0 / 3 && !life.told) {
             life.told = true;
-            breach(Breach.Kind.COLD_PUSHED_OVER, at, "runner " + runner, "sent more than "
-                    + terms.tipMultiple() + " times what it can do, " + ms(age) + " after its start");
+            breach(
+                    Breach.Kind.COLD_PUSHED_OVER,
+                    at,
+                    "runner " + runner,
+                    "sent more than " + terms.tipMultiple() + " times what it can do, " + ms(age) + " after its start");
         }
     }
 
@@ -456,9 +481,12 @@
             return;
         }
         // The first word that it is to be left alone counts; a later one of the same kind gives no new grace.
-        words.merge(key(dispatcher, runner), new Word(at, health, bornAt), (old, next) ->
-                old.health != Health.UP && next.health != Health.UP
-                        ? new Word(old.at, next.health, next.bornAt) : next);
+        words.merge(
+                key(dispatcher, runner),
+                new Word(at, health, bornAt),
+                (old, next) -> old.health != Health.UP && next.health != Health.UP
+                        ? new Word(old.at, next.health, next.bornAt)
+                        : next);
     }
 
     private static long key(int dispatcher, int runner) {
@@ -479,8 +507,11 @@
             over(inOrder.poll());
         }
         if (turnedOff * MOST_TURNED_OFF > asked) {
-            breach(Breach.Kind.LOST, wentOn, turnedOff + " requests", "their new connections were closed with no answer: dispatcher "
-                    + turnedOffBy);
+            breach(
+                    Breach.Kind.LOST,
+                    wentOn,
+                    turnedOff + " requests",
+                    "their new connections were closed with no answer: dispatcher " + turnedOffBy);
         }
     }
 
@@ -488,13 +519,20 @@
         if (each.turnedOff) {
             if (!each.excused) {
                 turnedOff++;
-                turnedOffBy.merge(each.dispatcher + " at " + each.endedAt.toMillis() / 100 / 10.0 + " s", 1, Integer::sum);
+                turnedOffBy.merge(
+                        each.dispatcher + " at " + each.endedAt.toMillis() / 100 / 10.0 + " s", 1, Integer::sum);
             }
-        } else if (!each.answered && !each.excused && !stopped.containsKey(each.dispatcher)
+        } else if (!each.answered
+                && !each.excused
+                && !stopped.containsKey(each.dispatcher)
                 && (each.cut || each.endedAt == null)) {
-            breach(Breach.Kind.LOST, each.cut ? each.endedAt : each.deadline, each.id, "dispatcher "
-                    + each.dispatcher
-                    + (each.cut ? " ended its connection with no whole answer" : " gave no final answer"));
+            breach(
+                    Breach.Kind.LOST,
+                    each.cut ? each.endedAt : each.deadline,
+                    each.id,
+                    "dispatcher "
+                            + each.dispatcher
+                            + (each.cut ? " ended its connection with no whole answer" : " gave no final answer"));
         }
         cases.remove(each.id, each);
     }
--- a/rig/src/main/java/saltdale/rig/judge/Notes.java
+++ b/rig/src/main/java/saltdale/rig/judge/Notes.java
@@ -14,8 +14,7 @@
  * Writes down what several threads see, each with its time, to be told to a judge in order once all is over.
  */
 public final class Notes implements Witness {
-    private record Note(Duration at, Consumer<Witness> what) {
-    }
+    private record Note(Duration at, Consumer<Witness> what) {}
 
     private final Queue<Note> notes = new ConcurrentLinkedQueue<>();
 
--- a/rig/src/main/java/saltdale/rig/judge/Terms.java
+++ b/rig/src/main/java/saltdale/rig/judge/Terms.java
@@ -11,8 +11,17 @@
  * @param meanWork of an assignment, seconds
  * @param zones of each runner, for what decides by group or place; likewise kinds and cells
  */
-public record Terms(Duration answerGrace, Duration drainGrace, Duration slack, boolean parallel,
-        boolean fullProvesNothing, double tipMultiple, Duration fall, double meanWork, String[] zones, String[] kinds,
+public record Terms(
+        Duration answerGrace,
+        Duration drainGrace,
+        Duration slack,
+        boolean parallel,
+        boolean fullProvesNothing,
+        double tipMultiple,
+        Duration fall,
+        double meanWork,
+        String[] zones,
+        String[] kinds,
         int[] cells) {
     public static Terms of(Day day, Duration slack) {
         String[] zones = new String[day.runners];
@@ -23,8 +32,17 @@
             kinds[i] = day.make(i).name();
             cells[i] = day.cell(i);
         }
-        return new Terms(day.answerGrace, day.drainGrace, slack, day.orders.parallel,
-                day.orders.fullProvesNothing, day.orders.tipMultiple, day.orders.fall, day.meanSize(), zones, kinds,
+        return new Terms(
+                day.answerGrace,
+                day.drainGrace,
+                slack,
+                day.orders.parallel,
+                day.orders.fullProvesNothing,
+                day.orders.tipMultiple,
+                day.orders.fall,
+                day.meanSize(),
+                zones,
+                kinds,
                 cells);
     }
 }
--- a/rig/src/main/java/saltdale/rig/load/Arrivals.java
+++ b/rig/src/main/java/saltdale/rig/load/Arrivals.java
@@ -32,7 +32,8 @@
     }
 
     private void advance() {
-        double most = traffic.rate() * (1 + traffic.swing())
+        double most = traffic.rate()
+                * (1 + traffic.swing())
                 * (traffic.peak() == null ? 1 : traffic.peak().times());
         next = null;
         while (next == null) {
@@ -42,7 +43,11 @@
             }
             if (chance.nextDouble() * most < rate(at)) {
                 Job job = draw();
-                next = new Ask(number++, Duration.ofNanos((long) (at * 1e9)), job, job.size().draw(chance));
+                next = new Ask(
+                        number++,
+                        Duration.ofNanos((long) (at * 1e9)),
+                        job,
+                        job.size().draw(chance));
             }
         }
     }
@@ -52,14 +57,16 @@
         double phase = time / (traffic.period().toNanos() / 1e9);
         double swing = traffic.swing();
         double peak = traffic.peak() == null ? 1 : traffic.peak().times(time);
-        return peak * traffic.rate() * switch (traffic.shape()) {
-            case STEADY -> 1;
-            case BURST -> phase % 1 < 0.2 ? 1 + swing : 1 - swing / 4;  // a fifth of the time
-            case SWELL -> 1 + swing * Math.sin(2 * Math.PI * phase);
-            case STEP -> phase < 1 ? 1 - swing : 1 + swing;
-            // from its least, over noon, to its least
-            case DAY -> 1 - swing * Math.cos(2 * Math.PI * time / end);
-        };
+        return peak
+                * traffic.rate()
+                * switch (traffic.shape()) {
+                    case STEADY -> 1;
+                    case BURST -> phase % 1 < 0.2 ? 1 + swing : 1 - swing / 4; // a fifth of the time
+                    case SWELL -> 1 + swing * Math.sin(2 * Math.PI * phase);
+                    case STEP -> phase < 1 ? 1 - swing : 1 + swing;
+                    // from its least, over noon, to its least
+                    case DAY -> 1 - swing * Math.cos(2 * Math.PI * time / end);
+                };
     }
 
     private Job draw() {
--- a/rig/src/main/java/saltdale/rig/load/Ask.java
+++ b/rig/src/main/java/saltdale/rig/load/Ask.java
@@ -9,5 +9,4 @@
  *
  * @param number in the order of intended times, from 0
  */
-public record Ask(long number, Duration at, Job job, double size) {
-}
+public record Ask(long number, Duration at, Job job, double size) {}
--- a/rig/src/main/java/saltdale/rig/load/Generator.java
+++ b/rig/src/main/java/saltdale/rig/load/Generator.java
@@ -29,7 +29,7 @@
  */
 public final class Generator {
     private static final Duration CONNECT_LIMIT = Duration.ofSeconds(1);
-    private static final Duration LATE_SEEN = Duration.ofMillis(500);  // so late an answer is seen, and judged as late
+    private static final Duration LATE_SEEN = Duration.ofMillis(500); // so late an answer is seen, and judged as late
     private static final Duration IDLE_LIMIT = Duration.ofSeconds(20);
     private static final Duration FRONT_NOTICES = Duration.ofSeconds(1);
     // Beyond these the figures would be the generator's own.
@@ -60,9 +60,15 @@
      * {@code run}: makes the ids of this run differ from those of any other; {@code start}: when the day
      * begins, on the clock of the run, by which the asks' times are given.
      */
-    public Generator(Turner turner, Day day, List<InetSocketAddress> dispatchers, Origin origin,
+    public Generator(
+            Turner turner,
+            Day day,
+            List<InetSocketAddress> dispatchers,
+            Origin origin,
             Witness witness,
-                     long seed, String run, Duration start) {
+            long seed,
+            String run,
+            Duration start) {
         this.turner = turner;
         this.day = day;
         this.origin = origin;
@@ -88,7 +94,7 @@
         Ask ask = asks.next();
         turner.loop.after(ask.at().minus(origin.now()).minus(drift()), () -> {
             long late = Math.max(0, origin.now().minus(ask.at()).toNanos() / 1000);
-            if (ask.at().minus(start).compareTo(day.warmUp) >= 0) {  // as the figures do that it might spoil
+            if (ask.at().minus(start).compareTo(day.warmUp) >= 0) { // as the figures do that it might spoil
                 lag.recordValue(Math.min(late, 3_600_000_000L));
             }
             new Customer(ask).sendTry();
@@ -127,11 +133,14 @@
         if (p99 <= MOST_LAG_P99_US && lag.getMaxValue() <= MOST_LAG_US) {
             return null;
         }
-        return String.format(java.util.Locale.ROOT,
+        return String.format(
+                java.util.Locale.ROOT,
                 "the load fell behind its intended times: by %.1f ms at the 99th "
-                + "percentile, %.1f ms at the most (allowed: %d and %d ms)", p99 / 1e3,
-                        lag.getMaxValue() / 1e3,
-                MOST_LAG_P99_US / 1000, MOST_LAG_US / 1000);
+                        + "percentile, %.1f ms at the most (allowed: %d and %d ms)",
+                p99 / 1e3,
+                lag.getMaxValue() / 1e3,
+                MOST_LAG_P99_US / 1000,
+                MOST_LAG_US / 1000);
     }
 
     /** When the thousandth answer had come, on the run's clock; null before. */
@@ -144,8 +153,9 @@
     }
 
     private int choose() {
-        if (day.traffic.heavy() > 1 && avoided.isEmpty() && heavies++ % (pools.length - 1 + day.traffic.heavy())
-                >= pools.length) {
+        if (day.traffic.heavy() > 1
+                && avoided.isEmpty()
+                && heavies++ % (pools.length - 1 + day.traffic.heavy()) >= pools.length) {
             return 0;
         }
         for (int i = 0; i < pools.length; i++) {
@@ -196,9 +206,8 @@
 
         void over(Final how, Duration pause, boolean unreachable) {
             current = null;
-            Duration wait = persistence.next(ask.job().workload(), tries, unreachable ? Final.SHED : how,
-                    pause,
-                    origin.now(), ask.at());
+            Duration wait = persistence.next(
+                    ask.job().workload(), tries, unreachable ? Final.SHED : how, pause, origin.now(), ask.at());
             if (wait == null) {
                 finish(how, false);
             } else {
@@ -237,27 +246,34 @@
                 turner.loop.soon(() -> end(null, null, true));
                 return;
             }
-            if (!again) {  // before it is written: the answer may be here before this thread is on again
-                witness.asked(origin.now(), id, customer.ask.job().workload(), dispatcher,
+            if (!again) { // before it is written: the answer may be here before this thread is on again
+                witness.asked(
+                        origin.now(),
+                        id,
+                        customer.ask.job().workload(),
+                        dispatcher,
                         customer.ask.job().workload().patience);
             }
             connection.beginMessage();
             reused = connection.isReused();
             Duration patience = ask.job().workload().patience;
             connection.send(ByteBuffer.wrap(("POST /" + ask.job().name() + "/" + ask.number()
-                    + " HTTP/1.1\r\nHost: "
-                    + Places.text(addresses[dispatcher]) + "\r\nRequest-Id: " + id
+                            + " HTTP/1.1\r\nHost: "
+                            + Places.text(addresses[dispatcher]) + "\r\nRequest-Id: " + id
                             + "\r\nRequest-Timeout-Ms: "
-                    + patience.toMillis() + "\r\nIdempotency-Key: " + run + "-" + ask.number() + "\r\n"
-                    + (day.traffic.marks() && customer.tries > 1 ? "Client-Retry: 1\r\n" : "")
-                    + StandInFleet.WORK + ": " + Math.max(1, Math.round(ask.size() * 1e6))
-                    + "\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII)));
+                            + patience.toMillis() + "\r\nIdempotency-Key: " + run + "-" + ask.number() + "\r\n"
+                            + (day.traffic.marks() && customer.tries > 1 ? "Client-Retry: 1\r\n" : "")
+                            + StandInFleet.WORK + ": " + Math.max(1, Math.round(ask.size() * 1e6))
+                            + "\r\nContent-Length: 0\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII)));
             if (!again) {
-                // By the clock, not the turn's time: a first turn is long, and its limits would come before they are due.
-                limit = turner.loop.after(patience.plus(day.answerGrace).plus(LATE_SEEN).minus(drift()), () -> {
-                    drop();
-                    end(null, null, false);
-                });
+                // By the clock, not the turn's time: a first turn is long, and its limits would come before they are
+                // due.
+                limit = turner.loop.after(
+                        patience.plus(day.answerGrace).plus(LATE_SEEN).minus(drift()), () -> {
+                            drop();
+                            end(null, null, false);
+                        });
             }
         }
 
@@ -301,7 +317,7 @@
             try {
                 return text == null ? null : Duration.ofNanos((long) (Double.parseDouble(text) * 1e9));
             } catch (NumberFormatException e) {
-                return null;  // a date, which nobody here sends
+                return null; // a date, which nobody here sends
             }
         }
 
@@ -310,14 +326,14 @@
             if (over) {
                 return;
             }
-            if (reused && parser.untouched()) {  // it crossed the closing of an idle connection: once more
+            if (reused && parser.untouched()) { // it crossed the closing of an idle connection: once more
                 reused = false;
                 send(true);
                 return;
             }
             boolean unsent = connection.reach().incomplete();
             if (unsent) {
-                witness.left(origin.now(), id);  // no dispatcher has taken it
+                witness.left(origin.now(), id); // no dispatcher has taken it
                 unreachable(dispatcher);
             } else if (!connection.isReused() && parser.untouched()) {
                 witness.turnedOff(origin.now(), id);
--- a/rig/src/main/java/saltdale/rig/load/Overloads.java
+++ b/rig/src/main/java/saltdale/rig/load/Overloads.java
@@ -10,15 +10,15 @@
 
 /** What an overload did to a day: beside what could be had, after its cause's end, and over the dispatchers. */
 public final class Overloads {
-    private static final double BACK = 0.98;  // of what was served before
-    private static final int STEADY = 5;  // seconds that are looked at together: fewer hold too few asks to tell
+    private static final double BACK = 0.98; // of what was served before
+    private static final int STEADY = 5; // seconds that are looked at together: fewer hold too few asks to tell
 
-    private Overloads() {
-    }
+    private Overloads() {}
 
     public static Map<String, Double> figures(Day day, Tally tally, Spread spread) {
         Map<String, Double> all = new LinkedHashMap<>();
-        double could = obtainable(tally, day.capacity() * day.length.minus(day.warmUp).toNanos() / 1e9);
+        double could =
+                obtainable(tally, day.capacity() * day.length.minus(day.warmUp).toNanos() / 1e9);
         all.put("could_be_had", could);
         all.put("of_could_be_had", tally.service() / could);
         all.put("shed_spread", spread.ratio());
@@ -38,7 +38,10 @@
         return all;
     }
 
-    /** The part of the importance that would be served if the dearest work for its size went first and nothing was lost. */
+    /**
+     * The part of the importance that would be served if the dearest work for its size went first and nothing
+     * was lost.
+     */
     static double obtainable(Tally tally, double room) {
         List<Tally.Row> rows = new ArrayList<>();
         Map<Tally.Row, Double> importance = new LinkedHashMap<>();
@@ -46,8 +49,8 @@
             rows.add(row);
             importance.put(row, workload.importance);
         });
-        rows.sort((a, b) -> Double.compare(importance.get(b) * b.offered / b.work, importance.get(a) * a.offered
-                / a.work));
+        rows.sort((a, b) ->
+                Double.compare(importance.get(b) * b.offered / b.work, importance.get(a) * a.offered / a.work));
         double left = room;
         double had = 0;
         double asked = 0;
@@ -75,7 +78,10 @@
         return worth == 0 ? Double.NaN : earned / worth;
     }
 
-    /** Seconds after the cause's end, the peak's and any trouble's, from which on some seconds together are served as well as this; NaN for never. */
+    /**
+     * Seconds after the cause's end, the peak's and any trouble's, from which on some seconds together are
+     * served as well as this; NaN for never.
+     */
     private static double backAfter(List<Tally.Second> seconds, int end, int last, double wanted) {
         for (int from = end; from + STEADY <= last; from++) {
             if (service(seconds, from, from + STEADY) >= wanted) {
--- a/rig/src/main/java/saltdale/rig/load/Persistence.java
+++ b/rig/src/main/java/saltdale/rig/load/Persistence.java
@@ -8,7 +8,7 @@
 
 /** Whether and when clients try again: waits that double, with jitter, and a budget over all of them. */
 public final class Persistence {
-    private static final double FREE_TRIES = 10;  // of the budget, so that a quiet time is no ban
+    private static final double FREE_TRIES = 10; // of the budget, so that a quiet time is no ban
 
     private final Traffic traffic;
     private final SplittableRandom chance;
@@ -37,8 +37,7 @@
      * @param pause that the answer asked for; null for none
      * @param firstAt when the first try was sent, for the window of receipts
      */
-    public Duration next(Workload workload, int tries, Final how, Duration pause, Duration now,
-            Duration firstAt) {
+    public Duration next(Workload workload, int tries, Final how, Duration pause, Duration now, Duration firstAt) {
         if (how == Final.FULFILLED || tries > traffic.retries() || !mayRepeat(workload, how, now, firstAt)) {
             return null;
         }
@@ -58,8 +57,10 @@
 
     /** A shed one did not run; else only what drops repeats anywhere may be asked for again. */
     private boolean mayRepeat(Workload workload, Final how, Duration now, Duration firstAt) {
-        return how == Final.SHED || workload.repeat == Workload.Repeat.PURE
-                || workload.repeat == Workload.Repeat.RECEIPTED && workload.group == Workload.Group.ALL
-                && now.compareTo(firstAt.plus(workload.window)) < 0;
+        return how == Final.SHED
+                || workload.repeat == Workload.Repeat.PURE
+                || workload.repeat == Workload.Repeat.RECEIPTED
+                        && workload.group == Workload.Group.ALL
+                        && now.compareTo(firstAt.plus(workload.window)) < 0;
     }
 }
--- a/rig/src/main/java/saltdale/rig/load/Spread.java
+++ b/rig/src/main/java/saltdale/rig/load/Spread.java
@@ -2,7 +2,7 @@
 
 /** How evenly the dispatchers shed: whose client asks where should not matter. Not safe for more than one thread. */
 public final class Spread {
-    private static final double FEW = 50;  // tries below which a share says nothing
+    private static final double FEW = 50; // tries below which a share says nothing
 
     private final double[] tries;
     private final double[] asked;
@@ -21,7 +21,10 @@
         shed[dispatcher] += wasShed ? importance : 0;
     }
 
-    /** The greatest share of the importance that a dispatcher shed beside the least; 1 where nothing is shed anywhere. */
+    /**
+     * The greatest share of the importance that a dispatcher shed beside the least; 1 where nothing is shed
+     * anywhere.
+     */
     public double ratio() {
         double least = Double.POSITIVE_INFINITY;
         double most = 0;
--- a/rig/src/main/java/saltdale/rig/load/Tally.java
+++ b/rig/src/main/java/saltdale/rig/load/Tally.java
@@ -12,13 +12,14 @@
 
 /** What became of the asks of a day, counted from their intended times. Not safe for more than one thread. */
 public final class Tally {
-    private static final long LONGEST = 3_600_000_000L;  // us
+    private static final long LONGEST = 3_600_000_000L; // us
 
     /** One workload's figures, of all asks whose intended time lies after the warming up. */
     public static final class Row {
         public long offered;
         /** Seconds of work that were asked for. */
         public double work;
+
         public long fulfilled;
         public long inTime;
         public long shed;
@@ -41,9 +42,10 @@
         public long inTime;
         /** Importance asked for, and fulfilled in the promised time. */
         public double worth;
+
         public double earned;
         public final Histogram latency = new Histogram(LONGEST, 2);
-        public final Map<String, long[]> byWorkload = new LinkedHashMap<>();  // offered, in time
+        public final Map<String, long[]> byWorkload = new LinkedHashMap<>(); // offered, in time
     }
 
     private final Duration warmUp;
@@ -148,7 +150,9 @@
     }
 
     public long answered() {
-        return rows.values().stream().mapToLong(row -> row.fulfilled + row.shed + row.givenUp).sum();
+        return rows.values().stream()
+                .mapToLong(row -> row.fulfilled + row.shed + row.givenUp)
+                .sum();
     }
 
     /** All workloads together. */
@@ -165,12 +169,15 @@
         all.put("service", service());
         all.put("offered", (double) offered());
         all.put("answered", (double) answered());
-        all.put("fulfilled", (double) rows.values().stream().mapToLong(r -> r.fulfilled).sum());
+        all.put("fulfilled", (double)
+                rows.values().stream().mapToLong(r -> r.fulfilled).sum());
         all.put("shed_share", rows.values().stream().mapToLong(r -> r.shed).sum() / (double) offered);
-        all.put("given_up_share", rows.values().stream().mapToLong(r -> r.givenUp).sum() / (double) offered);
-        all.put("unanswered", (double) rows.values().stream().mapToLong(r -> r.unanswered).sum());
-        all.put("tries", rows.values().stream().mapToLong(r -> r.tries).sum() / (double) Math.max(1,
-                firstTries));
+        all.put(
+                "given_up_share",
+                rows.values().stream().mapToLong(r -> r.givenUp).sum() / (double) offered);
+        all.put("unanswered", (double)
+                rows.values().stream().mapToLong(r -> r.unanswered).sum());
+        all.put("tries", rows.values().stream().mapToLong(r -> r.tries).sum() / (double) Math.max(1, firstTries));
         put(all, "", latency());
         rows.forEach((workload, row) -> {
             all.put("service." + workload.name, row.service());
--- a/rig/src/main/java/saltdale/rig/load/Trace.java
+++ b/rig/src/main/java/saltdale/rig/load/Trace.java
@@ -23,8 +23,7 @@
  * here and sets it at another time: {@code "10s..20s@5s"}.
  */
 public final class Trace {
-    private record Line(double at, String workload, double size) {
-    }
+    private record Line(double at, String workload, double size) {}
 
     private final String file;
     private final List<Line> lines = new ArrayList<>();
@@ -46,8 +45,7 @@
             if (line.isBlank() || number == 1 && line.strip().equals("at,workload,size")) {
                 continue;
             }
-            Line read = line.stripLeading().startsWith("{") ? trace.json(json, line, number) : trace.csv(line,
-                    number);
+            Line read = line.stripLeading().startsWith("{") ? trace.json(json, line, number) : trace.csv(line, number);
             if (!(read.at >= 0) || !(read.size > 0) || Double.isInfinite(read.at + read.size)) {
                 throw trace.wrong(number, "at must be 0 or more, size over 0, in seconds");
             }
@@ -64,8 +62,8 @@
         String[] cells = line.split(",", -1);
         try {
             if (cells.length == 3) {
-                return new Line(Double.parseDouble(cells[0].strip()), cells[1].strip(),
-                        Double.parseDouble(cells[2].strip()));
+                return new Line(
+                        Double.parseDouble(cells[0].strip()), cells[1].strip(), Double.parseDouble(cells[2].strip()));
             }
         } catch (NumberFormatException e) {
             // told below
@@ -76,9 +74,12 @@
     private Line json(ObjectMapper mapper, String line, int number) {
         try {
             JsonNode node = mapper.readTree(line);
-            if (node.path("at").isNumber() && node.path("workload").isTextual()
+            if (node.path("at").isNumber()
+                    && node.path("workload").isTextual()
                     && node.path("size").isNumber()) {
-                return new Line(node.get("at").doubleValue(), node.get("workload").textValue(),
+                return new Line(
+                        node.get("at").doubleValue(),
+                        node.get("workload").textValue(),
                         node.get("size").doubleValue());
             }
         } catch (JsonProcessingException e) {
@@ -109,7 +110,8 @@
             double from = spans[0].toNanos() / 1e9;
             double to = spans[1].toNanos() / 1e9;
             double at = spans[2].toNanos() / 1e9;
-            lines.stream().filter(line -> line.at >= from && line.at < to)
+            lines.stream()
+                    .filter(line -> line.at >= from && line.at < to)
                     .forEach(line -> made.lines.add(new Line(line.at - from + at, line.workload, line.size)));
         }
         made.lines.sort(Comparator.comparingDouble(Line::at));
--- a/rig/src/main/java/saltdale/rig/load/Watch.java
+++ b/rig/src/main/java/saltdale/rig/load/Watch.java
@@ -11,8 +11,7 @@
      * @param held assignments in work and waiting
      * @param told the same by its last report; NaN before the first
      */
-    public record Sample(Duration at, int held, double told, boolean up) {
-    }
+    public record Sample(Duration at, int held, double told, boolean up) {}
 
     private final List<List<Sample>> samples = new ArrayList<>();
     private final double[] told;
--- a/rig/src/main/java/saltdale/rig/plan/Day.java
+++ b/rig/src/main/java/saltdale/rig/plan/Day.java
@@ -30,9 +30,11 @@
     public final double netJitter;
     /** How long the list takes to tell of a change: of a drain or a start, and of a process that died. */
     public final Duration notice;
+
     public final Duration silentNotice;
     /** What a probe costs its runner: counted, not charged. */
     public final Duration probeCost;
+
     public final boolean mustSubscribe;
     public final Traffic traffic;
     public final List<Trouble> troubles = new ArrayList<>();
@@ -85,8 +87,11 @@
             throw told.wrong("connect_time", "a span over 0");
         }
         orders.tellsStart = told.flag("tells_start", true);
-        orders.progressEvery = makes.stream().map(Make::progressEvery).filter(p -> !p.isZero())
-                .max(Duration::compareTo).orElse(Duration.ZERO);
+        orders.progressEvery = makes.stream()
+                .map(Make::progressEvery)
+                .filter(p -> !p.isZero())
+                .max(Duration::compareTo)
+                .orElse(Duration.ZERO);
         orders.coldFrom = makes.stream().mapToDouble(Make::coldFrom).min().orElse(1);
         orders.warmWithin =
                 makes.stream().map(Make::warmWithin).max(Duration::compareTo).orElse(Duration.ZERO);
@@ -117,7 +122,9 @@
                 throw row.wrong("kind", "possible: orders.full_proves_nothing is not true");
             }
             for (Trouble other : troubles) {
-                if (next.onProcess() && other.onProcess() && next.at().compareTo(other.end()) <= 0
+                if (next.onProcess()
+                        && other.onProcess()
+                        && next.at().compareTo(other.end()) <= 0
                         && other.at().compareTo(next.end()) <= 0
                         && next.runners().stream().anyMatch(other.runners()::contains)) {
                     throw row.wrong("at", "possible: it befalls a dispatcher that another trouble holds by then");
@@ -139,8 +146,9 @@
     /** Guards against a day whose faults nothing would cause: there are no processes in simulated time. */
     public void mustBeSimulated(String file) {
         troubles.stream().filter(Trouble::socketsOnly).findFirst().ifPresent(t -> {
-            throw new Misread(file + ": trouble.kind: " + t.kind().name().toLowerCase().replace('_', '-')
-                    + " can't be played in simulated time: it needs processes and sockets");
+            throw new Misread(
+                    file + ": trouble.kind: " + t.kind().name().toLowerCase().replace('_', '-')
+                            + " can't be played in simulated time: it needs processes and sockets");
         });
     }
 
@@ -176,8 +184,12 @@
     /** As the daemon reads its own table of this name. */
     private static Relief relief(Sheet sheet) {
         Relief usual = Relief.USUAL;
-        Relief relief = new Relief(sheet.number("low", usual.low(), 0, 10), sheet.number("high", usual.high(), 0, 10),
-                sheet.number("borne", usual.borne(), 0.01, 1), sheet.number("missed", usual.missed(), 0, 1), sheet.span("step", usual.step()),
+        Relief relief = new Relief(
+                sheet.number("low", usual.low(), 0, 10),
+                sheet.number("high", usual.high(), 0, 10),
+                sheet.number("borne", usual.borne(), 0.01, 1),
+                sheet.number("missed", usual.missed(), 0, 1),
+                sheet.span("step", usual.step()),
                 sheet.whole("known", usual.known(), 1, 1_000_000));
         if (relief.high() <= relief.low()) {
             throw sheet.wrong("high", "over low");
@@ -239,7 +251,8 @@
      */
     public Duration longestStay() {
         int tries = traffic.retries() + 1;
-        Duration each = orders.longestPatience().plus(answerGrace)
+        Duration each = orders.longestPatience()
+                .plus(answerGrace)
                 .plus(traffic.honoursPause() ? orders.longestPause : Duration.ZERO);
         return each.multipliedBy(tries).plus(traffic.firstWait().multipliedBy(1L << Math.min(20, tries)));
     }
@@ -256,6 +269,8 @@
     /** Seconds of work of an assignment, on average. */
     public double meanSize() {
         double share = jobs.stream().mapToDouble(Job::share).sum();
-        return jobs.stream().mapToDouble(j -> j.share() / share * j.size().mean()).sum();
+        return jobs.stream()
+                .mapToDouble(j -> j.share() / share * j.size().mean())
+                .sum();
     }
 }
--- a/rig/src/main/java/saltdale/rig/plan/Peak.java
+++ b/rig/src/main/java/saltdale/rig/plan/Peak.java
@@ -5,7 +5,9 @@
 /** A time in which so many times more is asked for. */
 public record Peak(Duration at, Duration length, double times) {
     static Peak read(Sheet sheet) {
-        return new Peak(sheet.span("at", Duration.ofSeconds(5)), sheet.span("length", Duration.ofSeconds(5)),
+        return new Peak(
+                sheet.span("at", Duration.ofSeconds(5)),
+                sheet.span("length", Duration.ofSeconds(5)),
                 sheet.number("times", 2, 1, 1000));
     }
 
--- a/rig/src/main/java/saltdale/rig/plan/Sheet.java
+++ b/rig/src/main/java/saltdale/rig/plan/Sheet.java
@@ -103,8 +103,7 @@
         if (found != null && !found.isObject()) {
             throw wrong(key, found, "a table, [" + path + key + "]");
         }
-        Sheet part = new Sheet(file, lines, path + key + ".",
-                found == null ? TOML.createObjectNode() : found);
+        Sheet part = new Sheet(file, lines, path + key + ".", found == null ? TOML.createObjectNode() : found);
         parts.add(part);
         return part;
     }
@@ -235,9 +234,14 @@
                 throw wrong(key, found, "a list of values");
             }
             List<Object> values = new ArrayList<>();
-            found.forEach(each -> values.add(each.isTextual() ? each.textValue() : each.isBoolean()
-                    ? (Object) each.booleanValue() : each.isIntegralNumber() ? (Object) each.longValue()
-                    : (Object) each.doubleValue()));
+            found.forEach(each -> values.add(
+                    each.isTextual()
+                            ? each.textValue()
+                            : each.isBoolean()
+                                    ? (Object) each.booleanValue()
+                                    : each.isIntegralNumber()
+                                            ? (Object) each.longValue()
+                                            : (Object) each.doubleValue()));
             all.put(key, values);
         });
         return all;
@@ -299,10 +303,14 @@
 
     /** The line on which the key stands, by its table's header and its name; 0 where that can't be told. */
     private int line(String key) {
-        String[] steps = path.isEmpty() ? new String[0] : path.substring(0, path.length() - 1).split("\\.");
+        String[] steps = path.isEmpty()
+                ? new String[0]
+                : path.substring(0, path.length() - 1).split("\\.");
         int row = steps.length > 0 && steps[steps.length - 1].matches("\\d+")
-                ? Integer.parseInt(steps[steps.length - 1]) : 0;
-        String table = String.join(".", Arrays.stream(steps).filter(s -> !s.matches("\\d+")).toList());
+                ? Integer.parseInt(steps[steps.length - 1])
+                : 0;
+        String table = String.join(
+                ".", Arrays.stream(steps).filter(s -> !s.matches("\\d+")).toList());
         String open = "";
         int seen = -1;
         Pattern here = Pattern.compile("\\s*" + Pattern.quote(key) + "\\s*=.*");
@@ -313,8 +321,10 @@
                 open = line.replaceAll("[\\[\\]]|#.*", "").strip();
                 seen += open.equals(table) ? 1 : 0;
             } else if (open.equals(table) && here.matcher(line).matches() && (table.isEmpty() || seen == row)
-                    || !table.isEmpty() && !open.equals(table) && table.startsWith(open)
-                    && inline.matcher(line).matches()) {
+                    || !table.isEmpty()
+                            && !open.equals(table)
+                            && table.startsWith(open)
+                            && inline.matcher(line).matches()) {
                 return i + 1;
             }
         }
@@ -322,7 +332,8 @@
     }
 
     private static String plain(double value) {
-        return value == Math.rint(value) && Math.abs(value) < 1e15 ? Long.toString((long) value)
+        return value == Math.rint(value) && Math.abs(value) < 1e15
+                ? Long.toString((long) value)
                 : Double.toString(value);
     }
 }
--- a/rig/src/main/java/saltdale/rig/plan/Size.java
+++ b/rig/src/main/java/saltdale/rig/plan/Size.java
@@ -11,7 +11,12 @@
 /** How sizes are spread: the running time of an assignment on one free core of speed 1, in seconds. */
 public final class Size {
     /** The spreads that can be named. */
-    public enum Kind { CONSTANT, EXPONENTIAL, LOGNORMAL, PARETO }
+    public enum Kind {
+        CONSTANT,
+        EXPONENTIAL,
+        LOGNORMAL,
+        PARETO
+    }
 
     private final Kind kind;
     private final double mean;
@@ -22,12 +27,11 @@
         this.kind = kind;
         this.mean = Spans.secs(mean);
         double square = Math.log(1 + cv * cv);
-        double tail = 1 + Math.sqrt(1 + 1 / (cv * cv));  // gives this cv
+        double tail = 1 + Math.sqrt(1 + 1 / (cv * cv)); // gives this cv
         spread = switch (kind) {
             case CONSTANT -> null;
             case EXPONENTIAL -> new ExponentialDistribution(null, this.mean);
-            case LOGNORMAL -> new LogNormalDistribution(null, Math.log(this.mean) - square / 2,
-                    Math.sqrt(square));
+            case LOGNORMAL -> new LogNormalDistribution(null, Math.log(this.mean) - square / 2, Math.sqrt(square));
             case PARETO -> new ParetoDistribution(null, this.mean * (tail - 1) / tail, tail);
         };
     }
--- a/rig/src/main/java/saltdale/rig/plan/Traffic.java
+++ b/rig/src/main/java/saltdale/rig/plan/Traffic.java
@@ -21,49 +21,144 @@
  * @param heavy of the first dispatcher, so many times as much as of each other
  * @param peak null where there is none
  */
-public record Traffic(Shape shape, double rate, double utilisation, double swing, Duration period,
+public record Traffic(
+        Shape shape,
+        double rate,
+        double utilisation,
+        double swing,
+        Duration period,
         String trace,
-                      double scale, List<String> splice, int retries, Duration firstWait, double jitter,
-                              double budget,
-                      boolean honoursPause, double leave, int clients, boolean marks, int heavy, Peak peak) {
+        double scale,
+        List<String> splice,
+        int retries,
+        Duration firstWait,
+        double jitter,
+        double budget,
+        boolean honoursPause,
+        double leave,
+        int clients,
+        boolean marks,
+        int heavy,
+        Peak peak) {
     /** How the rate goes over time. */
-    public enum Shape { STEADY, BURST, SWELL, STEP, DAY }
+    public enum Shape {
+        STEADY,
+        BURST,
+        SWELL,
+        STEP,
+        DAY
+    }
 
     static Traffic read(Sheet sheet) {
         if (sheet.has("rate") && sheet.has("utilisation")) {
             throw sheet.wrong("rate", "wanted beside utilisation; give one of the two");
         }
-        return new Traffic(sheet.word("shape", Shape.STEADY), sheet.number("rate", 100, 0.001, 1e6),
-                sheet.number("utilisation", 0, 0.001, 10), sheet.number("swing", 0.5, 0, 1),
-                sheet.span("period", Duration.ofSeconds(10)), sheet.text("trace", null),
-                sheet.number("scale", 1, 0.0001, 10000), sheet.texts("splice", List.of()),
-                sheet.whole("retries", 0, 0, 100), sheet.span("wait", Duration.ofMillis(50)),
-                sheet.number("jitter", 0.5, 0, 1), sheet.number("budget", 1, 0, 1),
-                sheet.flag("honours_pause", true), sheet.number("leave", 0, 0, 1), sheet.whole("clients", 0,
-                        0, 1_000_000), sheet.flag("marks", false), sheet.whole("heavy", 1, 1, 100),
+        return new Traffic(
+                sheet.word("shape", Shape.STEADY),
+                sheet.number("rate", 100, 0.001, 1e6),
+                sheet.number("utilisation", 0, 0.001, 10),
+                sheet.number("swing", 0.5, 0, 1),
+                sheet.span("period", Duration.ofSeconds(10)),
+                sheet.text("trace", null),
+                sheet.number("scale", 1, 0.0001, 10000),
+                sheet.texts("splice", List.of()),
+                sheet.whole("retries", 0, 0, 100),
+                sheet.span("wait", Duration.ofMillis(50)),
+                sheet.number("jitter", 0.5, 0, 1),
+                sheet.number("budget", 1, 0, 1),
+                sheet.flag("honours_pause", true),
+                sheet.number("leave", 0, 0, 1),
+                sheet.whole("clients", 0, 0, 1_000_000),
+                sheet.flag("marks", false),
+                sheet.whole("heavy", 1, 1, 100),
                 sheet.has("peak") ? Peak.read(sheet.part("peak")) : null);
     }
 
     public static Traffic steady(double rate) {
-        return new Traffic(Shape.STEADY, rate, 0, 0, Duration.ofSeconds(10), null, 1, List.of(), 0,
-                Duration.ofMillis(50), 0.5, 1, true, 0, 0, false, 1, null);
+        return new Traffic(
+                Shape.STEADY,
+                rate,
+                0,
+                0,
+                Duration.ofSeconds(10),
+                null,
+                1,
+                List.of(),
+                0,
+                Duration.ofMillis(50),
+                0.5,
+                1,
+                true,
+                0,
+                0,
+                false,
+                1,
+                null);
     }
 
     public Traffic at(double newRate) {
-        return new Traffic(shape, newRate, 0, swing, period, trace, scale, splice, retries, firstWait, jitter,
+        return new Traffic(
+                shape,
+                newRate,
+                0,
+                swing,
+                period,
+                trace,
+                scale,
+                splice,
+                retries,
+                firstWait,
+                jitter,
                 budget,
-                honoursPause, leave, clients, marks, heavy, peak);
+                honoursPause,
+                leave,
+                clients,
+                marks,
+                heavy,
+                peak);
     }
 
     public Traffic shaped(Shape how, double swings, Duration each) {
-        return new Traffic(how, rate, utilisation, swings, each, trace, scale, splice, retries, firstWait,
-                jitter, budget,
-                honoursPause, leave, clients, marks, heavy, peak);
+        return new Traffic(
+                how,
+                rate,
+                utilisation,
+                swings,
+                each,
+                trace,
+                scale,
+                splice,
+                retries,
+                firstWait,
+                jitter,
+                budget,
+                honoursPause,
+                leave,
+                clients,
+                marks,
+                heavy,
+                peak);
     }
 
     public Traffic retrying(int most, Duration first, double share) {
-        return new Traffic(shape, rate, utilisation, swing, period, trace, scale, splice, most, first, jitter,
+        return new Traffic(
+                shape,
+                rate,
+                utilisation,
+                swing,
+                period,
+                trace,
+                scale,
+                splice,
+                most,
+                first,
+                jitter,
                 share,
-                honoursPause, leave, clients, marks, heavy, peak);
+                honoursPause,
+                leave,
+                clients,
+                marks,
+                heavy,
+                peak);
     }
 }
--- a/rig/src/main/java/saltdale/rig/plan/Trouble.java
+++ b/rig/src/main/java/saltdale/rig/plan/Trouble.java
@@ -16,8 +16,15 @@
  * @param dispatchers of a way's trouble: whose ways to these runners, or to the list
  * @param list whether the way is that to the list
  */
-public record Trouble(Kind kind, Duration at, Duration length, List<Integer> runners, double size,
-        double extra, List<Integer> dispatchers, boolean list) {
+public record Trouble(
+        Kind kind,
+        Duration at,
+        Duration length,
+        List<Integer> runners,
+        double size,
+        double extra,
+        List<Integer> dispatchers,
+        boolean list) {
     /** The kinds, and what {@code size} and {@code extra} are for each. */
     public enum Kind {
         /** So many times slower. */
@@ -167,7 +174,9 @@
             whose = IntStream.range(0, dispatchers).boxed().toList();
         }
         if (zone != null) {
-            runners = IntStream.range(0, fleet).filter(i -> zones.get(i % zones.size()).equals(zone)).boxed()
+            runners = IntStream.range(0, fleet)
+                    .filter(i -> zones.get(i % zones.size()).equals(zone))
+                    .boxed()
                     .toList();
         }
         if (runners.isEmpty() && kind != Kind.ZONE_CUT && kind != Kind.LIST_SILENT && !list) {
@@ -182,9 +191,17 @@
         }
         double size = kind.most == 0 ? 0 : sheet.number("size", kind.size, kind.least, kind.most);
         boolean turns = kind == Kind.DISPATCHER_SLOW || kind == Kind.WAY_FLAPS;
-        double extra = kind.extra == 0 && kind != Kind.NEIGHBOUR ? 0
+        double extra = kind.extra == 0 && kind != Kind.NEIGHBOUR
+                ? 0
                 : sheet.number("extra", kind.extra, turns ? 0.02 : 0, 1000);
-        return new Trouble(kind, sheet.span("at", Duration.ZERO), sheet.span("length", Duration.ofSeconds(5)),
-                List.copyOf(runners), size, extra, List.copyOf(whose), list);
+        return new Trouble(
+                kind,
+                sheet.span("at", Duration.ZERO),
+                sheet.span("length", Duration.ofSeconds(5)),
+                List.copyOf(runners),
+                size,
+                extra,
+                List.copyOf(whose),
+                list);
     }
 }
--- a/rig/src/main/java/saltdale/rig/platform/Bounds.java
+++ b/rig/src/main/java/saltdale/rig/platform/Bounds.java
@@ -5,18 +5,34 @@
 import java.time.Duration;
 
 /** The figures of the rules in force. */
-public record Bounds(Duration addressReuse, Duration contact, Duration drain, Duration grace, Duration configApply,
-                     int limitSlack) {
-    public static final Bounds USUAL = new Bounds(Duration.ofSeconds(2), Duration.ofSeconds(4), Duration.ofSeconds(3),
-            Duration.ofSeconds(6), Duration.ofSeconds(3), 10);
+public record Bounds(
+        Duration addressReuse, Duration contact, Duration drain, Duration grace, Duration configApply, int limitSlack) {
+    public static final Bounds USUAL = new Bounds(
+            Duration.ofSeconds(2),
+            Duration.ofSeconds(4),
+            Duration.ofSeconds(3),
+            Duration.ofSeconds(6),
+            Duration.ofSeconds(3),
+            10);
 
     ObjectNode json() {
-        return JsonNodeFactory.instance.objectNode().put("seed_lag_s", 3)
-                .put("address_reuse_s", addressReuse.toSeconds()).put("contact_ms", contact.toMillis())
-                .put("acknowledge_ms", 5000).put("catch_up_s", 4).put("drain_ms", drain.toMillis())
-                .put("grace_s", grace.toSeconds()).put("loss_slack_ms", 200)
-                .put("config_apply_ms", configApply.toMillis()).put("downgrade_slack_ms", 250)
-                .put("outer_stretch_ms", 12000).put("retry_budget_ratio", 0.2).put("retry_window_s", 10)
-                .put("retry_budget_slack", 52).put("recovery_s", 12).put("limit_slack", limitSlack);
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("seed_lag_s", 3)
+                .put("address_reuse_s", addressReuse.toSeconds())
+                .put("contact_ms", contact.toMillis())
+                .put("acknowledge_ms", 5000)
+                .put("catch_up_s", 4)
+                .put("drain_ms", drain.toMillis())
+                .put("grace_s", grace.toSeconds())
+                .put("loss_slack_ms", 200)
+                .put("config_apply_ms", configApply.toMillis())
+                .put("downgrade_slack_ms", 250)
+                .put("outer_stretch_ms", 12000)
+                .put("retry_budget_ratio", 0.2)
+                .put("retry_window_s", 10)
+                .put("retry_budget_slack", 52)
+                .put("recovery_s", 12)
+                .put("limit_slack", limitSlack);
     }
 }
--- a/rig/src/main/java/saltdale/rig/platform/Instance.java
+++ b/rig/src/main/java/saltdale/rig/platform/Instance.java
@@ -5,7 +5,13 @@
 /** One life of a runner: how far it has come, and which requests it works on. */
 public final class Instance {
     /** How far a life has come. */
-    public enum State { BOOTING, READY, DRAINING, CEASED, ENDED }
+    public enum State {
+        BOOTING,
+        READY,
+        DRAINING,
+        CEASED,
+        ENDED
+    }
 
     /**
      * What a runner does with a request.
@@ -26,12 +32,19 @@
     public final Site.Worker worker;
     /** Of its work time; runners of one service vary. */
     public final double slowness;
+
     private final Platform platform;
     private State state = State.BOOTING;
     private int atWork;
 
-    Instance(Platform platform, long sequence, String identifier, Service service, String address, Site.Worker worker,
-             double slowness) {
+    Instance(
+            Platform platform,
+            long sequence,
+            String identifier,
+            Service service,
+            String address,
+            Site.Worker worker,
+            double slowness) {
         this.platform = platform;
         this.sequence = sequence;
         this.identifier = identifier;
@@ -68,7 +81,8 @@
             return new Admission(421, false);
         } else if (attemptId == null) {
             return new Admission(400, false);
-        } else if (state == State.CEASED || state == State.ENDED
+        } else if (state == State.CEASED
+                || state == State.ENDED
                 || remaining != null && (remaining.isZero() || remaining.isNegative())) {
             return new Admission(503, false);
         } else if (atWork >= service.maxConcurrency()) {
--- a/rig/src/main/java/saltdale/rig/platform/Judge.java
+++ b/rig/src/main/java/saltdale/rig/platform/Judge.java
@@ -19,10 +19,19 @@
  */
 public final class Judge {
     /** The rules that are judged. */
-    public enum Rule { TWICE, MIXED, ROUTE, LIMIT, REFUSED, CONFIG, UNASKED, DENIED }
+    public enum Rule {
+        TWICE,
+        MIXED,
+        ROUTE,
+        LIMIT,
+        REFUSED,
+        CONFIG,
+        UNASKED,
+        DENIED
+    }
 
     private static final Duration LIMIT_WINDOW = Duration.ofSeconds(5);
-    private static final int KEPT = 20;  // breaches told one by one; beyond that they are counted
+    private static final int KEPT = 20; // breaches told one by one; beyond that they are counted
 
     /** A try of a client. */
     private static final class Try {
@@ -32,7 +41,7 @@
         final String machine;
         int runs;
         boolean refused;
-        boolean spoilt;  // a runner broke its answer off
+        boolean spoilt; // a runner broke its answer off
 
         Try(Duration sentAt, Route route, String request, String machine) {
             this.sentAt = sentAt;
@@ -42,8 +51,7 @@
         }
     }
 
-    private record Run(String attemptId, boolean succeeds) {
-    }
+    private record Run(String attemptId, boolean succeeds) {}
 
     /** A configuration that was sent; in force for certain some time after its acknowledgement. */
     private static final class Version {
@@ -172,8 +180,12 @@
     /** What came was no answer, or came where no request was waiting; {@code attemptId} null for the latter. */
     public void garbage(Duration now, String attemptId) {
         if (attemptId == null || !tries.get(attemptId).spoilt) {
-            breach(now, Rule.MIXED, attemptId == null ? "an answer where no request was waiting"
-                    : attemptId + ": bytes that are no answer");
+            breach(
+                    now,
+                    Rule.MIXED,
+                    attemptId == null
+                            ? "an answer where no request was waiting"
+                            : attemptId + ": bytes that are no answer");
         }
     }
 
@@ -202,8 +214,13 @@
         runs.put(seal, new Run(attemptId, succeeds));
         Try was = tries.get(attemptId);
         if (was == null || !was.request.equals(request)) {
-            breach(now, Rule.UNASKED, attemptId + (was == null ? ": run, and sent by no client"
-                    : ": run as " + request + ", sent as " + was.request));
+            breach(
+                    now,
+                    Rule.UNASKED,
+                    attemptId
+                            + (was == null
+                                    ? ": run, and sent by no client"
+                                    : ": run as " + request + ", sent as " + was.request));
             return;
         }
         was.runs++;
@@ -214,8 +231,8 @@
         String key = key(was.route);
         if (versions.stream().noneMatch(version -> service.equals(version.services.get(key)))) {
             breach(now, Rule.ROUTE, attemptId + " of " + was.route.name() + " was run by " + service);
-        } else if (inTouch(now, was.machine) && allowed(was).stream()
-                .noneMatch(version -> service.equals(version.services.get(key)))) {
+        } else if (inTouch(now, was.machine)
+                && allowed(was).stream().noneMatch(version -> service.equals(version.services.get(key)))) {
             breach(now, Rule.CONFIG, attemptId + " of " + was.route.name() + " was run by the old " + service);
         }
     }
@@ -240,8 +257,10 @@
         }
         times.add(now);
         if (times.size() > bounds.limitSlack()) {
-            breach(now, Rule.LIMIT, service + " turned away " + times.size() + " within "
-                    + LIMIT_WINDOW.toSeconds() + " s");
+            breach(
+                    now,
+                    Rule.LIMIT,
+                    service + " turned away " + times.size() + " within " + LIMIT_WINDOW.toSeconds() + " s");
             times.clear();
         }
     }
@@ -310,9 +329,18 @@
         for (Rule rule : Rule.values()) {
             rules.add(rule + " " + broken(rule));
         }
-        return String.format(Locale.ROOT, "rules broken: %d (%s); served %d of %d (%.3f), in aim %.3f, p50 %.0f ms, "
-                + "p99 %.0f ms; turned away as full %d", broken(), String.join(", ", rules), served, asked,
-                served / (double) Math.max(1, asked), inTime / (double) Math.max(1, asked),
-                latency.getValueAtPercentile(50) / 1e3, latency.getValueAtPercentile(99) / 1e3, full);
+        return String.format(
+                Locale.ROOT,
+                "rules broken: %d (%s); served %d of %d (%.3f), in aim %.3f, p50 %.0f ms, "
+                        + "p99 %.0f ms; turned away as full %d",
+                broken(),
+                String.join(", ", rules),
+                served,
+                asked,
+                served / (double) Math.max(1, asked),
+                inTime / (double) Math.max(1, asked),
+                latency.getValueAtPercentile(50) / 1e3,
+                latency.getValueAtPercentile(99) / 1e3,
+                full);
     }
 }
--- a/rig/src/main/java/saltdale/rig/platform/Lagged.java
+++ b/rig/src/main/java/saltdale/rig/platform/Lagged.java
@@ -8,8 +8,7 @@
 
 /** A table that is seen as it was some time ago. */
 final class Lagged<K extends Comparable<K>, V> {
-    private record Change<K, V>(Duration at, K key, V value) {
-    }
+    private record Change<K, V>(Duration at, K key, V value) {}
 
     private final Duration lag;
     private final SortedMap<K, V> seen = new TreeMap<>();
--- a/rig/src/main/java/saltdale/rig/platform/Platform.java
+++ b/rig/src/main/java/saltdale/rig/platform/Platform.java
@@ -36,7 +36,7 @@
 
     private static final int PAGE = 50;
     private static final int LONGEST_NONCE = 64;
-    private static final Duration AFTER_DRAIN = Duration.ofMillis(500);  // "and a little longer"
+    private static final Duration AFTER_DRAIN = Duration.ofMillis(500); // "and a little longer"
     private static final Duration CRASH_NOTICED = Duration.ofSeconds(3);
 
     private static final class Host {
@@ -51,14 +51,17 @@
         }
 
         ObjectNode json() {
-            return JsonNodeFactory.instance.objectNode().put("name", worker.name()).put("zone", worker.zone())
-                    .put("memory_mb", worker.memoryMb()).put("free_memory_mb", free)
+            return JsonNodeFactory.instance
+                    .objectNode()
+                    .put("name", worker.name())
+                    .put("zone", worker.zone())
+                    .put("memory_mb", worker.memoryMb())
+                    .put("free_memory_mb", free)
                     .put("state", draining ? "draining" : "ready");
         }
     }
 
-    private record Freed(String address, Duration at) {
-    }
+    private record Freed(String address, Duration at) {}
 
     private final Site site;
     private final Clock clock;
@@ -95,7 +98,10 @@
         site.workers().forEach(worker -> {
             hosts.put(worker.name(), new Host(worker));
             // Long there when the day begins.
-            workers.set(clock.now().minus(site.lag()), worker.name(), hosts.get(worker.name()).json());
+            workers.set(
+                    clock.now().minus(site.lag()),
+                    worker.name(),
+                    hosts.get(worker.name()).json());
             freed.putIfAbsent(worker.zone(), new ArrayDeque<>());
         });
     }
@@ -116,7 +122,8 @@
         }
         String next = null;
         long last = after;
-        for (Map.Entry<Long, ObjectNode> each : runners.at(clock.now()).tailMap(after + 1).entrySet()) {
+        for (Map.Entry<Long, ObjectNode> each :
+                runners.at(clock.now()).tailMap(after + 1).entrySet()) {
             if (zone != null && !zone.equals(each.getValue().path("zone").asText())) {
                 continue;
             } else if (list.size() == PAGE) {
@@ -168,8 +175,8 @@
             return Reply.of(409);
         }
         String identifier = String.format("i-%08x", (int) chance.nextLong());
-        Instance instance = new Instance(this, sequence++, identifier, service, address, host.worker,
-                chance.nextDouble(0.8, 1.25));
+        Instance instance =
+                new Instance(this, sequence++, identifier, service, address, host.worker, chance.nextDouble(0.8, 1.25));
         host.free -= service.memoryMb();
         paidFrom.put(instance, clock.now());
         lives.put(identifier, instance);
@@ -319,7 +326,8 @@
 
     private List<Instance> of(String worker) {
         return lives.values().stream()
-                .filter(each -> each.worker.name().equals(worker) && each.state() != State.ENDED).toList();
+                .filter(each -> each.worker.name().equals(worker) && each.state() != State.ENDED)
+                .toList();
     }
 
     private void show(Host host) {
@@ -327,24 +335,36 @@
     }
 
     private void show(Instance instance) {
-        runners.set(clock.now(), instance.sequence, JsonNodeFactory.instance.objectNode()
-                .put("service", instance.service.name()).put("address", instance.address)
-                .put("zone", instance.worker.zone()).put("revision", "v1")
-                .put("concurrency_slots", instance.service.maxConcurrency())
-                .put("state", instance.isLeaving() ? "draining" : "ready").put("cold_remaining_ms", 0)
-                .put("identifier", instance.identifier).put("worker_machine", instance.worker.name()));
+        runners.set(
+                clock.now(),
+                instance.sequence,
+                JsonNodeFactory.instance
+                        .objectNode()
+                        .put("service", instance.service.name())
+                        .put("address", instance.address)
+                        .put("zone", instance.worker.zone())
+                        .put("revision", "v1")
+                        .put("concurrency_slots", instance.service.maxConcurrency())
+                        .put("state", instance.isLeaving() ? "draining" : "ready")
+                        .put("cold_remaining_ms", 0)
+                        .put("identifier", instance.identifier)
+                        .put("worker_machine", instance.worker.name()));
     }
 
     // What was seen.
 
     public List<Instance> alive() {
-        return new ArrayList<>(lives.values().stream().filter(each -> each.state() != State.ENDED).toList());
+        return new ArrayList<>(lives.values().stream()
+                .filter(each -> each.state() != State.ENDED)
+                .toList());
     }
 
     /** Calls, refusals, starts, stops and memory, in one line. */
     public String figures() {
-        double memory = memoryMbSeconds + paidFrom.keySet().stream().mapToDouble(this::paid).sum();
-        return String.format("platform calls %d (429: %d), starts %d, stops %d, memory %.1f GB s", calls, refused,
-                sequence, stops, memory / 1024);
+        double memory = memoryMbSeconds
+                + paidFrom.keySet().stream().mapToDouble(this::paid).sum();
+        return String.format(
+                "platform calls %d (429: %d), starts %d, stops %d, memory %.1f GB s",
+                calls, refused, sequence, stops, memory / 1024);
     }
 }
--- a/rig/src/main/java/saltdale/rig/platform/Retrying.java
+++ b/rig/src/main/java/saltdale/rig/platform/Retrying.java
@@ -10,8 +10,7 @@
     private static final Set<Integer> FINAL = Set.of(400, 401, 404, 413, 431);
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
-    private Retrying() {
-    }
+    private Retrying() {}
 
     public static boolean isPromise(int status) {
         return PROMISES.contains(status);
@@ -24,9 +23,10 @@
      * @param unread whether the front cannot have read the request
      * @param retryAfter what the answer asked for; null for nothing
      */
-    public static Duration next(boolean idempotent, int tries, int status, boolean unread, Duration retryAfter,
-                                Duration remaining) {
-        boolean may = status / 100 != 2 && !FINAL.contains(status)
+    public static Duration next(
+            boolean idempotent, int tries, int status, boolean unread, Duration retryAfter, Duration remaining) {
+        boolean may = status / 100 != 2
+                && !FINAL.contains(status)
                 && (idempotent || isPromise(status) || status == 0 && unread);
         if (!may || tries >= MOST_TRIES) {
             return null;
--- a/rig/src/main/java/saltdale/rig/platform/Route.java
+++ b/rig/src/main/java/saltdale/rig/platform/Route.java
@@ -11,16 +11,30 @@
  * @param deadline how long clients wait
  * @param share of the first tries; 0 for a route that nobody calls
  */
-public record Route(String name, String hostname, String pathPrefix, boolean idempotent, String service, Duration aim,
-                    Duration deadline, double share) {
+public record Route(
+        String name,
+        String hostname,
+        String pathPrefix,
+        boolean idempotent,
+        String service,
+        Duration aim,
+        Duration deadline,
+        double share) {
     Route to(String otherService) {
         return new Route(name, hostname, pathPrefix, idempotent, otherService, aim, deadline, share);
     }
 
     ObjectNode json() {
-        return JsonNodeFactory.instance.objectNode().put("name", name).put("hostname", hostname)
-                .put("path_prefix", pathPrefix).put("kind", idempotent ? "idempotent" : "non_idempotent")
-                .put("timeout_ms", deadline.toMillis()).put("target_latency_ms", aim.toMillis())
-                .put("priority", idempotent ? 2 : 1).put("service", service).put("max_attempts", idempotent ? 2 : 1);
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("name", name)
+                .put("hostname", hostname)
+                .put("path_prefix", pathPrefix)
+                .put("kind", idempotent ? "idempotent" : "non_idempotent")
+                .put("timeout_ms", deadline.toMillis())
+                .put("target_latency_ms", aim.toMillis())
+                .put("priority", idempotent ? 2 : 1)
+                .put("service", service)
+                .put("max_attempts", idempotent ? 2 : 1);
     }
 }
--- a/rig/src/main/java/saltdale/rig/platform/Service.java
+++ b/rig/src/main/java/saltdale/rig/platform/Service.java
@@ -12,9 +12,15 @@
  */
 public record Service(String name, int memoryMb, Duration boot, int maxConcurrency, Duration work) {
     ObjectNode json() {
-        return JsonNodeFactory.instance.objectNode().put("name", name).putNull("health_path")
-                .put("connection_limit", 18 * maxConcurrency + 6).put("protocol", "h1")
-                .put("transport_security", false).put("memory_mb", memoryMb).put("boot_ms", boot.toMillis())
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("name", name)
+                .putNull("health_path")
+                .put("connection_limit", 18 * maxConcurrency + 6)
+                .put("protocol", "h1")
+                .put("transport_security", false)
+                .put("memory_mb", memoryMb)
+                .put("boot_ms", boot.toMillis())
                 .put("max_concurrency", maxConcurrency);
     }
 }
--- a/rig/src/main/java/saltdale/rig/platform/Site.java
+++ b/rig/src/main/java/saltdale/rig/platform/Site.java
@@ -14,22 +14,29 @@
  * @param net the second figure of the machines' addresses, so that several can stand side by side
  * @param lag by which the platform's lists run behind
  */
-public record Site(int net, List<Machine> machines, List<Worker> workers, List<Service> services, List<Route> routes,
-                   Bounds bounds, Duration lag, double ratePerS, double dutyPerS) {
+public record Site(
+        int net,
+        List<Machine> machines,
+        List<Worker> workers,
+        List<Service> services,
+        List<Route> routes,
+        Bounds bounds,
+        Duration lag,
+        double ratePerS,
+        double dutyPerS) {
     public static final List<String> ZONES = List.of("north", "south", "west");
     private static final int MOST_OF_A_ZONE = 80;
     private static final String REGION = "harbour";
     private static final int RARE = 6;
 
     /** A worker machine, as it stands when the day begins. */
-    public record Worker(String name, String zone, int memoryMb) {
-    }
+    public record Worker(String name, String zone, int memoryMb) {}
 
     /** Three zones with a worker each; a busy service that may not be repeated, a busy one that may, six rare ones. */
     public static Site small(int net, int pilots, int keepers) {
         if (net < 1 || net > 254 || pilots < 1 || keepers < 1 || Math.max(pilots, keepers) > 3 * MOST_OF_A_ZONE) {
-            throw new IllegalArgumentException("no such site: net " + net + ", " + pilots + " pilots, " + keepers
-                    + " keepers");
+            throw new IllegalArgumentException(
+                    "no such site: net " + net + ", " + pilots + " pilots, " + keepers + " keepers");
         }
         List<Machine> machines = new ArrayList<>();
         add(machines, net, "pilot", "frontend", pilots, 1);
@@ -40,26 +47,65 @@
         List<Route> routes = new ArrayList<>();
         services.add(new Service("desk-1", 512, Duration.ofMillis(700), 4, Duration.ofMillis(90)));
         services.add(new Service("desk-2", 512, Duration.ofMillis(700), 4, Duration.ofMillis(60)));
-        routes.add(new Route("r-desk-1", "lofi.example", "/desk/swap/", false, "desk-1", Duration.ofMillis(500),
-                Duration.ofMillis(2500), 3));
-        routes.add(new Route("r-desk-2", "lofi.example", "/desk/", true, "desk-2", Duration.ofMillis(400),
-                Duration.ofMillis(2500), 6));
+        routes.add(new Route(
+                "r-desk-1",
+                "lofi.example",
+                "/desk/swap/",
+                false,
+                "desk-1",
+                Duration.ofMillis(500),
+                Duration.ofMillis(2500),
+                3));
+        routes.add(new Route(
+                "r-desk-2",
+                "lofi.example",
+                "/desk/",
+                true,
+                "desk-2",
+                Duration.ofMillis(400),
+                Duration.ofMillis(2500),
+                6));
         for (int i = 1; i <= RARE; i++) {
             services.add(new Service("press-" + i, 128, Duration.ofMillis(500), 1, Duration.ofMillis(60)));
-            routes.add(new Route("r-press-" + i, "dami.example", "/press" + i + "/", true, "press-" + i,
-                    Duration.ofMillis(1000), Duration.ofMillis(5000), 2.0 / i));
+            routes.add(new Route(
+                    "r-press-" + i,
+                    "dami.example",
+                    "/press" + i + "/",
+                    true,
+                    "press-" + i,
+                    Duration.ofMillis(1000),
+                    Duration.ofMillis(5000),
+                    2.0 / i));
         }
-        routes.add(new Route("r-unused", "dami.example", "/unused/", true, "press-1", Duration.ofMillis(1000),
-                Duration.ofMillis(5000), 0));
-        return new Site(net, List.copyOf(machines), List.copyOf(workers), List.copyOf(services), List.copyOf(routes),
-                Bounds.USUAL, Duration.ofMillis(800), 26, 105);
+        routes.add(new Route(
+                "r-unused",
+                "dami.example",
+                "/unused/",
+                true,
+                "press-1",
+                Duration.ofMillis(1000),
+                Duration.ofMillis(5000),
+                0));
+        return new Site(
+                net,
+                List.copyOf(machines),
+                List.copyOf(workers),
+                List.copyOf(services),
+                List.copyOf(routes),
+                Bounds.USUAL,
+                Duration.ofMillis(800),
+                26,
+                105);
     }
 
     private static void add(List<Machine> machines, int net, String role, String kind, int count, int from) {
         for (int i = 0; i < count; i++) {
             int zone = i % ZONES.size();
             int number = i / ZONES.size();
-            machines.add(new Machine(kind + "-" + ZONES.get(zone) + "-" + (number + 1), role, ZONES.get(zone),
+            machines.add(new Machine(
+                    kind + "-" + ZONES.get(zone) + "-" + (number + 1),
+                    role,
+                    ZONES.get(zone),
                     "127." + net + "." + (zone + 1) + "." + (from + number)));
         }
     }
@@ -85,13 +131,24 @@
     /** The routes once the operator has amended them: one is new, one goes to another service, one is gone. */
     public List<Route> amended() {
         Route moved = moved();
-        return Stream.concat(routes.stream().filter(route -> route.share() > 0)
-                .map(route -> route.name().equals(moved.name()) ? moved : route), Stream.of(added())).toList();
+        return Stream.concat(
+                        routes.stream()
+                                .filter(route -> route.share() > 0)
+                                .map(route -> route.name().equals(moved.name()) ? moved : route),
+                        Stream.of(added()))
+                .toList();
     }
 
     private static Route added() {
-        return new Route("r-added", "dami.example", "/added/", true, "press-1", Duration.ofMillis(1000),
-                Duration.ofMillis(5000), 2);
+        return new Route(
+                "r-added",
+                "dami.example",
+                "/added/",
+                true,
+                "press-1",
+                Duration.ofMillis(1000),
+                Duration.ofMillis(5000),
+                2);
     }
 
     private Route moved() {
@@ -110,8 +167,11 @@
         those.forEach(route -> list.add(route.json()));
         ArrayNode functions = root.putArray("services");
         services.forEach(service -> functions.add(service.json()));
-        root.putObject("limits").put("header_size_bytes", 16384).put("body_size_bytes", 262144)
-                .put("header_timeout_ms", 3000).put("idle_timeout_ms", 15000);
+        root.putObject("limits")
+                .put("header_size_bytes", 16384)
+                .put("body_size_bytes", 262144)
+                .put("header_timeout_ms", 3000)
+                .put("idle_timeout_ms", 15000);
         return root;
     }
 
@@ -125,8 +185,11 @@
 
     /** What a process is told; {@code data}: the folder of its disk, null where it has none. */
     public ObjectNode settings(Machine machine, boolean firstStart, String data) {
-        ObjectNode root = JsonNodeFactory.instance.objectNode().put("node_name", machine.name())
-                .put("role", machine.role()).put("machine_class", machine.isPilot() ? "frontend" : "core");
+        ObjectNode root = JsonNodeFactory.instance
+                .objectNode()
+                .put("node_name", machine.name())
+                .put("role", machine.role())
+                .put("machine_class", machine.isPilot() ? "frontend" : "core");
         root.putArray("serves").add(machine.isPilot() ? "frontend" : "control_plane");
         root.put("ip_address", machine.ip()).put("zone", machine.zone()).put("region", REGION);
         ObjectNode zones = root.putObject("zones");
@@ -141,17 +204,27 @@
         ArrayNode seeds = root.putArray("seed_nodes");
         keepers().stream().limit(3).forEach(keeper -> seeds.add(keeper.at(Machine.CONTROL)));
         root.put("first_start", firstStart).put("loss_counted", !machine.isPilot());
-        root.putObject("limits").put("cpu_share", machine.isPilot() ? 0.75 : 1.8).put("cores", 1)
-                .put("memory_mb", 430).put("file_descriptors", 4096).put("link_speed_mbps", 1000.0)
+        root.putObject("limits")
+                .put("cpu_share", machine.isPilot() ? 0.75 : 1.8)
+                .put("cores", 1)
+                .put("memory_mb", 430)
+                .put("file_descriptors", 4096)
+                .put("link_speed_mbps", 1000.0)
                 .put("disk_mb", machine.isPilot() ? 0 : 128);
-        root.put("data_directory", data).put("discovery_source", "platform").put("entry_point", "virtual_address")
+        root.put("data_directory", data)
+                .put("discovery_source", "platform")
+                .put("entry_point", "virtual_address")
                 .put("heartbeat_interval_ms", 1200);
         ArrayNode contracts = root.putArray("contracts");
-        List.of("base", "drain", "config", "cost", "retry", "recover", "functions").forEach(contracts::add);
-        root.putObject("tolerated_losses").put("machines", (keepers().size() - 1) / 2).put("zones", 0)
+        List.of("base", "drain", "config", "cost", "retry", "recover", "functions")
+                .forEach(contracts::add);
+        root.putObject("tolerated_losses")
+                .put("machines", (keepers().size() - 1) / 2)
+                .put("zones", 0)
                 .put("regions", 0);
         root.set("bounds", bounds.json());
-        ObjectNode api = root.putObject("platform_api").put("address", platform()).put("rate_per_s", ratePerS);
+        ObjectNode api =
+                root.putObject("platform_api").put("address", platform()).put("rate_per_s", ratePerS);
         api.putArray("duties").add("starting");
         api.put("lag_ms", lag.toMillis()).put("duty_per_s", dutyPerS);
         return root;
--- a/rig/src/main/java/saltdale/rig/platform/live/Callers.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Callers.java
@@ -31,8 +31,8 @@
     private static final Duration PROBE_EVERY = Duration.ofSeconds(1);
     private static final Duration IDLE_LIMIT = Duration.ofSeconds(4);
     private static final int CLIENTS = 100;
-    private static final double KEEP = 0.8;  // of the tries come on a kept connection, where there is one
-    private static final double CHUNKED = 0.25;  // of the bodies
+    private static final double KEEP = 0.8; // of the tries come on a kept connection, where there is one
+    private static final double CHUNKED = 0.25; // of the bodies
 
     private final Turner turner;
     private final Origin origin;
@@ -74,8 +74,15 @@
     }
 
     private void probe(Machine pilot) {
-        HttpCall.send(turner, Address.parse(pilot.at(Machine.READINESS)), "GET", "/readiness", "", new byte[0],
-                PROBE_EVERY, answer -> {
+        HttpCall.send(
+                turner,
+                Address.parse(pilot.at(Machine.READINESS)),
+                "GET",
+                "/readiness",
+                "",
+                new byte[0],
+                PROBE_EVERY,
+                answer -> {
                     boolean ready = answer != null && answer.status() == 200;
                     entry.probed(pilot, ready);
                     if (ready) {
@@ -112,7 +119,8 @@
     }
 
     private Route draw() {
-        double drawn = chance.nextDouble() * routes.stream().mapToDouble(Route::share).sum();
+        double drawn =
+                chance.nextDouble() * routes.stream().mapToDouble(Route::share).sum();
         for (Route route : routes) {
             drawn -= route.share();
             if (drawn < 0) {
@@ -148,7 +156,8 @@
         /** {@code status}: 0 where no answer came. */
         void over(int status, boolean unread, Duration retryAfter) {
             Duration remaining = remaining();
-            Duration wait = remaining.isNegative() ? null
+            Duration wait = remaining.isNegative()
+                    ? null
                     : Retrying.next(route.idempotent(), tries, status, unread, retryAfter, remaining);
             if (wait != null) {
                 turner.loop.after(wait, this::sendTry);
@@ -215,8 +224,11 @@
 
         void send(long wanted) {
             InetSocketAddress at = Address.parse(machine.at(Machine.FRONT));
-            Kept rested = fresh || chance.nextDouble() > KEEP ? null : kept.get(machine).poll();
-            connection = rested != null ? rested.take(this)
+            Kept rested = fresh || chance.nextDouble() > KEEP
+                    ? null
+                    : kept.get(machine).poll();
+            connection = rested != null
+                    ? rested.take(this)
                     : Connection.dial(turner.loop, turner.sockets, at, CONNECT_LIMIT, this);
             if (connection == null) {
                 turner.loop.soon(() -> customer.over(0, true, null));
@@ -231,8 +243,8 @@
             Duration remaining = customer.remaining();
             connection.beginMessage();
             connection.send(ByteBuffer.wrap((method + " " + target + " HTTP/1.1\r\nHost: " + route.hostname()
-                    + "\r\nX-Saltdale-Attempt-Id: " + id + "\r\nX-Saltdale-Deadline-Remaining: "
-                    + Math.max(1, remaining.toMillis()) + "\r\n" + framed(body, chance.nextDouble() < CHUNKED))
+                            + "\r\nX-Saltdale-Attempt-Id: " + id + "\r\nX-Saltdale-Deadline-Remaining: "
+                            + Math.max(1, remaining.toMillis()) + "\r\n" + framed(body, chance.nextDouble() < CHUNKED))
                     .getBytes(StandardCharsets.US_ASCII)));
             limit = turner.loop.after(remaining, () -> {
                 connection.close();
@@ -265,8 +277,13 @@
             } else {
                 new Kept(machine, connection, rest);
             }
-            judge.answered(origin.now(), id, head.status(), head.header("X-Saltdale-Runner-Seal"),
-                    head.header("X-Saltdale-Attempt-Id"), parser.body());
+            judge.answered(
+                    origin.now(),
+                    id,
+                    head.status(),
+                    head.header("X-Saltdale-Runner-Seal"),
+                    head.header("X-Saltdale-Attempt-Id"),
+                    parser.body());
             customer.over(head.status(), false, seconds(head.header("Retry-After")));
         }
 
@@ -300,7 +317,8 @@
 
     private static Duration seconds(String text) {
         return text != null && text.matches("\\d{1,6}(\\.\\d{1,9})?")
-                ? Duration.ofNanos((long) (Double.parseDouble(text) * 1e9)) : null;
+                ? Duration.ofNanos((long) (Double.parseDouble(text) * 1e9))
+                : null;
     }
 
     /** The rest of a request: how its body is framed, and the body. */
@@ -310,10 +328,12 @@
         } else if (!chunked) {
             return "Content-Length: " + body.length() + "\r\n\r\n" + body;
         }
-        List<String> chunks = new ArrayList<>(List.of(body.substring(0, body.length() / 2),
-                body.substring(body.length() / 2), ""));
+        List<String> chunks =
+                new ArrayList<>(List.of(body.substring(0, body.length() / 2), body.substring(body.length() / 2), ""));
         StringBuilder text = new StringBuilder("Transfer-Encoding: chunked\r\n\r\n");
-        chunks.forEach(chunk -> text.append(Integer.toHexString(chunk.length())).append("\r\n").append(chunk)
+        chunks.forEach(chunk -> text.append(Integer.toHexString(chunk.length()))
+                .append("\r\n")
+                .append(chunk)
                 .append("\r\n"));
         return text.toString();
     }
--- a/rig/src/main/java/saltdale/rig/platform/live/HttpCall.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/HttpCall.java
@@ -30,8 +30,15 @@
     }
 
     /** {@code headers}: whole lines; {@code then} is told null where no whole answer came within the limit. */
-    static void send(Turner turner, InetSocketAddress at, String method, String target, String headers, byte[] body,
-                     Duration limit, Consumer<Answer> then) {
+    static void send(
+            Turner turner,
+            InetSocketAddress at,
+            String method,
+            String target,
+            String headers,
+            byte[] body,
+            Duration limit,
+            Consumer<Answer> then) {
         HttpCall call = new HttpCall(then);
         call.connection = Connection.dial(turner.loop, turner.sockets, at, limit, call);
         if (call.connection == null) {
@@ -39,9 +46,11 @@
             return;
         }
         call.limit = turner.loop.after(limit, () -> call.over(null));
-        call.connection.send(ByteBuffer.wrap((method + " " + target + " HTTP/1.1\r\nHost: " + Places.text(at) + "\r\n"
-                + headers + "Content-Length: " + body.length + "\r\nConnection: close\r\n\r\n")
-                .getBytes(StandardCharsets.US_ASCII)), ByteBuffer.wrap(body));
+        call.connection.send(
+                ByteBuffer.wrap((method + " " + target + " HTTP/1.1\r\nHost: " + Places.text(at) + "\r\n" + headers
+                                + "Content-Length: " + body.length + "\r\nConnection: close\r\n\r\n")
+                        .getBytes(StandardCharsets.US_ASCII)),
+                ByteBuffer.wrap(body));
     }
 
     @Override
--- a/rig/src/main/java/saltdale/rig/platform/live/Operator.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Operator.java
@@ -27,7 +27,9 @@
 
     Operator(Turner turner, Site site) {
         this.turner = turner;
-        control = site.keepers().stream().map(keeper -> Address.parse(keeper.at(Machine.CONTROL))).toList();
+        control = site.keepers().stream()
+                .map(keeper -> Address.parse(keeper.at(Machine.CONTROL)))
+                .toList();
     }
 
     int redirects() {
@@ -36,8 +38,13 @@
 
     /** Repeats the change unchanged until there is a clear answer; {@code then} is told it. */
     void change(String call, int basedOn, ObjectNode body, Consumer<HttpCall.Answer> then) {
-        new Order("POST", "/Configuration." + call, "Content-Type: application/json\r\nX-Saltdale-Based-On-Version: "
-                + basedOn + "\r\n", body.toString().getBytes(StandardCharsets.UTF_8), then).go();
+        new Order(
+                        "POST",
+                        "/Configuration." + call,
+                        "Content-Type: application/json\r\nX-Saltdale-Based-On-Version: " + basedOn + "\r\n",
+                        body.toString().getBytes(StandardCharsets.UTF_8),
+                        then)
+                .go();
     }
 
     void read(Consumer<HttpCall.Answer> then) {
@@ -93,7 +100,7 @@
                 }
                 return at != null;
             } catch (IllegalArgumentException | NullPointerException e) {
-                return false;  // it names no place to go to
+                return false; // it names no place to go to
             }
         }
     }
--- a/rig/src/main/java/saltdale/rig/platform/live/PlatformServer.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/PlatformServer.java
@@ -35,7 +35,10 @@
         this.origin = origin;
         this.platform = platform;
         this.log = log;
-        new Listener(turner.loop, turner.sockets, Address.parse(site.platform()),
+        new Listener(
+                turner.loop,
+                turner.sockets,
+                Address.parse(site.platform()),
                 (connection, full) -> new Called(connection));
     }
 
@@ -53,11 +56,20 @@
         protected void requested(Head head, byte[] body, Duration first) {
             Reply reply = reply(head, body);
             if (log != null) {
-                log.printf(Locale.ROOT, "%.3f %s %s %d %s%n", origin.now().toMillis() / 1e3, head.method(),
-                        head.target(), reply.status(), head.method().equals("POST") ? holder(head) + " "
-                        + new String(body, StandardCharsets.UTF_8) + " " + reply.body() : "");
+                log.printf(
+                        Locale.ROOT,
+                        "%.3f %s %s %d %s%n",
+                        origin.now().toMillis() / 1e3,
+                        head.method(),
+                        head.target(),
+                        reply.status(),
+                        head.method().equals("POST")
+                                ? holder(head) + " " + new String(body, StandardCharsets.UTF_8) + " " + reply.body()
+                                : "");
             }
-            connection.send(ByteBuffer.wrap(answer(reply.status(), "Content-Type: application/json\r\n",
+            connection.send(ByteBuffer.wrap(answer(
+                    reply.status(),
+                    "Content-Type: application/json\r\n",
                     reply.body().toString())));
             answered();
             if (!head.keepsAlive()) {
@@ -76,8 +88,9 @@
         return switch (head.method() + " " + head.path()) {
             case "GET /runners" -> platform.runners(query(head.target(), "zone"), query(head.target(), "page_token"));
             case "GET /workers" -> platform.workers();
-            case "POST /begin" -> platform.begin(number, text(asked, "service"), text(asked, "worker_machine"),
-                    text(asked, "request_nonce"));
+            case "POST /begin" ->
+                platform.begin(
+                        number, text(asked, "service"), text(asked, "worker_machine"), text(asked, "request_nonce"));
             case "POST /stop" -> platform.stop(number, text(asked, "identifier"));
             default -> new Reply(404, JSON.createObjectNode());
         };
@@ -91,9 +104,9 @@
         try {
             return JSON.readTree(body);
         } catch (JsonProcessingException e) {
-            return MissingNode.getInstance();  // whose members are all missing
+            return MissingNode.getInstance(); // whose members are all missing
         } catch (IOException e) {
-            throw new IllegalStateException(e);  // bytes in memory can be read
+            throw new IllegalStateException(e); // bytes in memory can be read
         }
     }
 
--- a/rig/src/main/java/saltdale/rig/platform/live/Processes.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Processes.java
@@ -18,8 +18,8 @@
 
 /** The processes of the system: child processes of one build, each with its settings file, disk and log. */
 public final class Processes implements AutoCloseable {
-    private static final List<String> FLAGS = List.of("-Xmx192m", "-Xss256k", "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1");
+    private static final List<String> FLAGS =
+            List.of("-Xmx192m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
     private static final String COPY = "saltdale.jar";
     private static final Set<String> PASSED_ON = Set.of("PATH", "HOME", "JAVA_HOME", "LANG");
 
@@ -58,8 +58,13 @@
         Path own = folder.resolve(machine.name());
         Files.createDirectories(own.resolve("data"));
         Path file = own.resolve("local.json");
-        Files.writeString(file, site.settings(machine, firstStart,
-                machine.isPilot() ? null : own.resolve("data").toString()).toPrettyString());
+        Files.writeString(
+                file,
+                site.settings(
+                                machine,
+                                firstStart,
+                                machine.isPilot() ? null : own.resolve("data").toString())
+                        .toPrettyString());
         return file;
     }
 
@@ -84,7 +89,8 @@
     }
 
     private void start(Machine machine, Path settings) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(command(machine)).redirectErrorStream(true)
+        ProcessBuilder builder = new ProcessBuilder(command(machine))
+                .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log(machine).toFile()));
         builder.environment().keySet().retainAll(PASSED_ON);
         builder.environment().put("SALTDALE_BOOT", settings.toString());
--- a/rig/src/main/java/saltdale/rig/platform/live/Runners.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Runners.java
@@ -56,8 +56,13 @@
     @Override
     public void listen(Instance instance) {
         try {
-            places.put(instance, new Place(new Listener(turner.loop, turner.sockets, Address.parse(instance.address),
-                    (connection, full) -> places.get(instance).open.add(new Served(connection, instance)))));
+            places.put(
+                    instance,
+                    new Place(new Listener(
+                            turner.loop,
+                            turner.sockets,
+                            Address.parse(instance.address),
+                            (connection, full) -> places.get(instance).open.add(new Served(connection, instance)))));
         } catch (IOException e) {
             throw new UncheckedIOException("a runner can't listen at " + instance.address + ": " + e.getMessage(), e);
         }
@@ -154,25 +159,32 @@
                 say(answer(admission.status(), headers(id) + "X-Saltdale-Not-Executed: 1\r\n", ""));
                 return;
             }
-            String seal = Long.toHexString(++runs) + "." + instance.identifier + "."
-                    + Integer.toHexString(chance.nextInt());
-            Duration takes = Duration.ofNanos((long) (instance.service.work().toNanos() * instance.slowness
-                    * chance.nextDouble(0.5, 1.5)));
+            String seal =
+                    Long.toHexString(++runs) + "." + instance.identifier + "." + Integer.toHexString(chance.nextInt());
+            Duration takes = Duration.ofNanos(
+                    (long) (instance.service.work().toNanos() * instance.slowness * chance.nextDouble(0.5, 1.5)));
             boolean inTime = remaining == null || takes.compareTo(remaining) < 0;
             Faults.Kind fault = faults.draw();
-            judge.ran(now, id, instance.service.name(), seal,
-                    head.method() + " " + head.target() + " " + new String(body, StandardCharsets.UTF_8), inTime);
+            judge.ran(
+                    now,
+                    id,
+                    instance.service.name(),
+                    seal,
+                    head.method() + " " + head.target() + " " + new String(body, StandardCharsets.UTF_8),
+                    inTime);
             if (fault != Faults.Kind.NONE && fault != Faults.Kind.EXTRA) {
                 judge.spoils(id);
             }
             work = turner.loop.after(inTime ? takes : remaining, () -> {
                 work = null;
                 if (inTime) {
-                    byte[] answer = answer(200, headers(id) + "X-Saltdale-Runner-Seal: " + seal + "\r\n",
+                    byte[] answer = answer(
+                            200,
+                            headers(id) + "X-Saltdale-Runner-Seal: " + seal + "\r\n",
                             new String(Judge.body(seal), StandardCharsets.US_ASCII));
                     say(answer, fault);
                 } else {
-                    say(answer(504, headers(id), ""));  // counts as run
+                    say(answer(504, headers(id), "")); // counts as run
                 }
                 instance.worked();
             });
--- a/rig/src/main/java/saltdale/rig/platform/live/StandIn.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/StandIn.java
@@ -36,8 +36,8 @@
         turner.start();
         turner.inside(() -> {
             try {
-                platform = new Platform(site, new TurnerClock(turner, origin),
-                        new Runners(turner, origin, judge, faults, seed), seed);
+                platform = new Platform(
+                        site, new TurnerClock(turner, origin), new Runners(turner, origin, judge, faults, seed), seed);
                 turner.watchItself();
                 new PlatformServer(turner, origin, site, platform, log);
             } catch (IOException e) {
@@ -46,14 +46,15 @@
         });
         if (failure.get() != null) {
             turner.close();
-            throw new IOException(site.platform() + " can't be listened at: " + failure.get().getMessage());
+            throw new IOException(
+                    site.platform() + " can't be listened at: " + failure.get().getMessage());
         }
     }
 
     /** Sends the first configuration, again and again until there is a clear answer. */
     public void operate(IntConsumer then) {
-        turner.loop.fromOutside(() -> new Operator(turner, site).change("Replace", 0, site.replacement(1),
-                answer -> then.accept(answer.status())));
+        turner.loop.fromOutside(() -> new Operator(turner, site)
+                .change("Replace", 0, site.replacement(1), answer -> then.accept(answer.status())));
     }
 
     @Override
--- a/rig/src/main/java/saltdale/rig/platform/live/Trial.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Trial.java
@@ -21,8 +21,7 @@
 /** Plays a short day with real processes: a pilot is killed, the configuration amended, all judged from outside. */
 public final class Trial {
     /** What a day holds beside the kill of a pilot. */
-    public record Day(int seconds, double rate, boolean drainWorker, boolean crashWorker) {
-    }
+    public record Day(int seconds, double rate, boolean drainWorker, boolean crashWorker) {}
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final Duration TO_COME_UP = Duration.ofSeconds(12);
@@ -32,7 +31,7 @@
     private static final Duration MOST_LATE = Duration.ofMillis(50);
     private static final Duration POLL = Duration.ofMillis(20);
     private static final int FIRST = 1;
-    private static final int SECOND = 3;  // versions rise by uneven steps
+    private static final int SECOND = 3; // versions rise by uneven steps
 
     private final StandIn standIn;
     private final Site site;
@@ -67,7 +66,8 @@
         change("Replace", 0, site.replacement(FIRST), site.routes());
         boolean up = until(TO_COME_UP, () -> answered && site.pilots().stream().allMatch(callers::isIn));
         say("configuration " + (answered ? "acknowledged" : "NOT acknowledged") + ", pilots ready "
-                + site.pilots().stream().filter(callers::isIn).count() + " of " + site.pilots().size());
+                + site.pilots().stream().filter(callers::isIn).count() + " of "
+                + site.pilots().size());
         if (up) {
             traffic(day);
             readBack();
@@ -75,10 +75,14 @@
             failures.add("did not come up");
             site.machines().forEach(machine -> out.println("  " + machine.name() + ": " + processes.lastLine(machine)));
         }
-        processes.ended().forEach((machine, status) -> failures.add(machine.name() + " ended by itself with " + status
-                + ": " + processes.lastLine(machine)));
-        processes.endAll(site.bounds().grace()).forEach(machine -> failures.add(machine.name()
-                + " did not end within " + site.bounds().grace().toSeconds() + " s of SIGTERM"));
+        processes
+                .ended()
+                .forEach((machine, status) -> failures.add(
+                        machine.name() + " ended by itself with " + status + ": " + processes.lastLine(machine)));
+        processes
+                .endAll(site.bounds().grace())
+                .forEach(machine -> failures.add(machine.name() + " did not end within "
+                        + site.bounds().grace().toSeconds() + " s of SIGTERM"));
         return verdict();
     }
 
@@ -96,8 +100,13 @@
         processes.restart(victim);
         boolean back = until(TO_COME_UP, () -> callers.isReadySince(victim, killed));
         inside(() -> judge.outOfTrouble(victim.name(), now()));
-        say(victim.name() + (back ? String.format(Locale.ROOT, " ready again after %.1f s",
-                now().minus(killed).toMillis() / 1e3) : " did not come back"));
+        say(victim.name()
+                + (back
+                        ? String.format(
+                                Locale.ROOT,
+                                " ready again after %.1f s",
+                                now().minus(killed).toMillis() / 1e3)
+                        : " did not come back"));
         if (!back) {
             failures.add(victim.name() + " did not come back: " + processes.lastLine(victim));
         }
@@ -124,7 +133,10 @@
         }
         at(from, day, 1);
         inside(callers::end);
-        long longest = site.routes().stream().mapToLong(route -> route.deadline().toMillis()).max().orElse(0);
+        long longest = site.routes().stream()
+                .mapToLong(route -> route.deadline().toMillis())
+                .max()
+                .orElse(0);
         until(Duration.ofMillis(longest + 500), () -> callers.open() == 0);
     }
 
@@ -134,8 +146,8 @@
             failures.add("the amendment was not acknowledged within 5 s");
         }
         say("amendment " + (answered ? "acknowledged" : "NOT acknowledged"));
-        standIn.turner.loop.fromOutside(() -> standIn.turner.loop.after(site.bounds().configApply(),
-                () -> callers.routes(site.amended())));
+        standIn.turner.loop.fromOutside(
+                () -> standIn.turner.loop.after(site.bounds().configApply(), () -> callers.routes(site.amended())));
     }
 
     /** Sends a change; {@link #answered} once it is acknowledged. */
--- a/rig/src/main/java/saltdale/rig/report/Report.java
+++ b/rig/src/main/java/saltdale/rig/report/Report.java
@@ -22,23 +22,25 @@
 
 /** One page of HTML with its plots inside, to be opened without a network. */
 public final class Report {
-    private static final int MOST_RUNNERS = 12;  // drawn one by one
-    private static final int MOST_DRAWN = 6;  // runs with plots of their own: a sweep's page would not open
+    private static final int MOST_RUNNERS = 12; // drawn one by one
+    private static final int MOST_DRAWN = 6; // runs with plots of their own: a sweep's page would not open
     private static final double NEARLY_ALL = 0.99;
     private static final Pattern LOAD = Pattern.compile("load\\.utilisation=([0-9.]+)");
 
-    private Report() {
-    }
+    private Report() {}
 
     /** The page of an experiment's results, as results.json has them. */
     public static String of(JsonNode results) throws IOException {
         String name = results.path("name").asText();
         StringBuilder page = new StringBuilder();
-        page.append("<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>").append(escape(name))
+        page.append("<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>")
+                .append(escape(name))
                 .append("</title><style>body{font:15px sans-serif;margin:2em auto;max-width:62em}table{border-collapse:"
                         + "collapse}td,th{padding:.2em .8em;text-align:right;border-bottom:1px solid #ddd}"
                         + "td:first-child,th:first-child{text-align:left}.bad{color:#b00}svg{max-width:100%;"
-                        + "height:auto}</style></head><body><h1>").append(escape(name)).append("</h1>");
+                        + "height:auto}</style></head><body><h1>")
+                .append(escape(name))
+                .append("</h1>");
         table(page, results.path("runs"));
         overload(page, results.path("runs"));
         int drawn = 0;
@@ -58,8 +60,9 @@
                 + "<th>shed</th><th>given up</th><th>CPU us/job</th><th>rules broken</th></tr>");
         for (JsonNode run : runs) {
             JsonNode f = run.path("figures");
-            page.append("<tr><td>").append(escape(title(run))).append(run.path("void").isNull() ? ""
-                    : " (void)")
+            page.append("<tr><td>")
+                    .append(escape(title(run)))
+                    .append(run.path("void").isNull() ? "" : " (void)")
                     .append("</td>");
             cell(page, "%.4f", f.path("service").asDouble());
             cell(page, "%.1f", f.path("p50_ms").asDouble());
@@ -77,7 +80,7 @@
     /** Where more was asked for than could be had, or a peak was played: what that did. */
     private static void overload(StringBuilder page, JsonNode runs) throws IOException {
         boolean any = false;
-        Map<String, Map<Double, List<Double>>> byLoad = new LinkedHashMap<>();  // worth in time, by version and load
+        Map<String, Map<Double, List<Double>>> byLoad = new LinkedHashMap<>(); // worth in time, by version and load
         for (JsonNode run : runs) {
             JsonNode f = run.path("figures");
             any |= f.path("could_be_had").asDouble(1) < NEARLY_ALL || f.has("in_peak");
@@ -85,9 +88,11 @@
             if (load.find()) {
                 double times = Double.parseDouble(load.group(1));
                 byLoad.computeIfAbsent(run.path("version").asText(), k -> new TreeMap<>())
-                        .computeIfAbsent(times, k -> new ArrayList<>()).add(f.path("service").asDouble());
+                        .computeIfAbsent(times, k -> new ArrayList<>())
+                        .add(f.path("service").asDouble());
                 byLoad.computeIfAbsent("could be had", k -> new TreeMap<>())
-                        .computeIfAbsent(times, k -> new ArrayList<>()).add(f.path("could_be_had").asDouble());
+                        .computeIfAbsent(times, k -> new ArrayList<>())
+                        .add(f.path("could_be_had").asDouble());
             }
         }
         if (!any) {
@@ -99,10 +104,22 @@
         for (JsonNode run : runs) {
             JsonNode f = run.path("figures");
             page.append("<tr><td>").append(escape(title(run))).append("</td>");
-            for (String figure : List.of("service", "could_be_had", "of_could_be_had", "shed_spread",
-                    "dispatches_per_request", "probe_share", "before_peak", "in_peak", "after_5s", "back_after_s")) {
+            for (String figure : List.of(
+                    "service",
+                    "could_be_had",
+                    "of_could_be_had",
+                    "shed_spread",
+                    "dispatches_per_request",
+                    "probe_share",
+                    "before_peak",
+                    "in_peak",
+                    "after_5s",
+                    "back_after_s")) {
                 if (f.path(figure).isNumber()) {
-                    cell(page, figure.equals("probe_share") ? "%.4f" : "%.3f", f.path(figure).asDouble());
+                    cell(
+                            page,
+                            figure.equals("probe_share") ? "%.4f" : "%.3f",
+                            f.path(figure).asDouble());
                 } else {
                     page.append("<td></td>");
                 }
@@ -114,9 +131,12 @@
             XYChart chart = chart("Worth in time by load", "load beside the fleet", "share of the worth asked for");
             chart.getStyler().setYAxisMin(0.0);
             chart.getStyler().setYAxisMax(1.0);
-            byLoad.forEach((name, points) -> chart.addSeries(name,
+            byLoad.forEach((name, points) -> chart.addSeries(
+                    name,
                     points.keySet().stream().mapToDouble(x -> x).toArray(),
-                    points.values().stream().mapToDouble(all -> all.stream().mapToDouble(y -> y).average().orElse(0))
+                    points.values().stream()
+                            .mapToDouble(all ->
+                                    all.stream().mapToDouble(y -> y).average().orElse(0))
                             .toArray()));
             draw(page, chart);
         }
@@ -134,20 +154,23 @@
     private static void run(StringBuilder page, JsonNode run) throws IOException {
         page.append("<h2>").append(escape(title(run))).append("</h2>");
         if (!run.path("void").isNull()) {
-            page.append("<p class=\"bad\">Void: ").append(escape(run.path("void").asText())).append("</p>");
+            page.append("<p class=\"bad\">Void: ")
+                    .append(escape(run.path("void").asText()))
+                    .append("</p>");
         }
         if (!run.path("breaches").isEmpty()) {
             page.append("<ul class=\"bad\">");
             for (int i = 0; i < Math.min(20, run.path("breaches").size()); i++) {
-                page.append("<li>").append(escape(run.path("breaches").get(i).asText())).append("</li>");
+                page.append("<li>")
+                        .append(escape(run.path("breaches").get(i).asText()))
+                        .append("</li>");
             }
             page.append("</ul>");
         }
         JsonNode series = run.path("series");
         XYChart latency = chart("Latency from the intended time", "s", "ms");
         latency.getStyler().setYAxisLogarithmic(true);
-        series.path("latency_ms").fields().forEachRemaining(e -> add(latency, e.getKey(), e.getValue(), 1,
-                0.01));
+        series.path("latency_ms").fields().forEachRemaining(e -> add(latency, e.getKey(), e.getValue(), 1, 0.01));
         draw(page, latency);
         XYChart service = chart("Service by workload", "s", "share in the promised time");
         service.getStyler().setYAxisMin(0.0);
@@ -181,8 +204,7 @@
             }
         }
         if (worst >= 0) {
-            XYChart chart = chart("What r" + worst + " held, beside what it had last told", "s",
-                    "assignments");
+            XYChart chart = chart("What r" + worst + " held, beside what it had last told", "s", "assignments");
             add(chart, "held", runners.get(worst), 1, 0);
             add(chart, "told", runners.get(worst), 2, 0);
             draw(page, chart);
@@ -210,8 +232,13 @@
     }
 
     private static XYChart chart(String title, String x, String y) {
-        XYChart chart =
-                new XYChartBuilder().width(900).height(320).title(title).xAxisTitle(x).yAxisTitle(y).build();
+        XYChart chart = new XYChartBuilder()
+                .width(900)
+                .height(320)
+                .title(title)
+                .xAxisTitle(x)
+                .yAxisTitle(y)
+                .build();
         chart.getStyler().setLegendPosition(LegendPosition.OutsideE);
         return chart;
     }
--- a/rig/src/main/java/saltdale/rig/simulate/Fleet.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Fleet.java
@@ -13,7 +13,6 @@
 import saltdale.rig.load.Watch;
 import saltdale.rig.plan.Day;
 import saltdale.rig.plan.Make;
-import saltdale.rig.plan.Make;
 
 /**
  * The runners of a simulated day, each a model with the timeline for its clock, and what the list says of
@@ -44,8 +43,16 @@
         watch = new Watch(day.runners);
         List<Receipts.Shared> receipts = Receipts.of(day);
         for (int i = 0; i < day.runners; i++) {
-            slots.add(new Slot(i, new RunnerModel(day.make(i), receipts.get(i), day.orders.tipMultiple,
-                    day.orders.fall, day.meanSize(), chance.split(), new News(i))));
+            slots.add(new Slot(
+                    i,
+                    new RunnerModel(
+                            day.make(i),
+                            receipts.get(i),
+                            day.orders.tipMultiple,
+                            day.orders.fall,
+                            day.meanSize(),
+                            chance.split(),
+                            new News(i))));
         }
     }
 
@@ -107,7 +114,7 @@
         }
         slot.wakeAt = next;
         sim.time.at(next, () -> {
-            if (next.equals(slot.wakeAt)) {  // else another wake has taken its place
+            if (next.equals(slot.wakeAt)) { // else another wake has taken its place
                 slot.wakeAt = null;
                 slot.model.advance(sim.time.now());
                 schedule(slot);
@@ -144,7 +151,7 @@
                 sim.judge.started(now, runner, slot.model.make);
                 lists(slot, Health.UP, sim.day.notice);
             }
-            default -> { }  // on the wire only, which has no bytes here
+            default -> {} // on the wire only, which has no bytes here
         }
         schedule(slot);
     }
@@ -154,7 +161,7 @@
         sim.time.after(notice, () -> {
             boolean older = slot.bornAt != null && bornAt != null && bornAt.compareTo(slot.bornAt) < 0
                     || slot.bornAt != null && bornAt == null;
-            if (!older) {  // guards against a late word of an earlier life
+            if (!older) { // guards against a late word of an earlier life
                 slot.health = health;
                 slot.bornAt = bornAt;
                 sim.listChanged(slot.number);
--- a/rig/src/main/java/saltdale/rig/simulate/Node.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Node.java
@@ -4,8 +4,8 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.IdentityHashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -32,10 +32,11 @@
     private Mind mind;
     /** Counts its lives: what was set for an earlier one is not for this one. */
     private int life;
+
     private boolean settling;
     private final List<Runner> runners = new ArrayList<>();
     private final Map<Runner, Integer> numbers = new IdentityHashMap<>();
-    private final Map<Assignment, Held> held = new LinkedHashMap<>();  // in order: a kill answers all of them
+    private final Map<Assignment, Held> held = new LinkedHashMap<>(); // in order: a kill answers all of them
     private final Map<String, Held> byId = new HashMap<>();
     private final Set<Integer> connected = new HashSet<>();
 
@@ -103,12 +104,14 @@
         if (!settling && mind != null) {
             settling = true;
             int mine = life;
-            sim.time.at(now(), () -> {  // after all that is due at this moment
-                settling = false;
-                if (mine == life) {
-                    mind.settle(now());
-                }
-            });
+            sim.time.at(
+                    now(),
+                    () -> { // after all that is due at this moment
+                        settling = false;
+                        if (mine == life) {
+                            mind.settle(now());
+                        }
+                    });
         }
     }
 
@@ -150,8 +153,14 @@
             case DRAINING -> Runner.Mode.DRAINING;
             case GONE -> Runner.Mode.GONE;
         };
-        return new Sighting(runners.get(runner), sim.fleet.make(runner).name(), sim.day.zone(runner), 1, mode,
-                sim.day.cell(runner), sim.fleet.bornAt(runner));
+        return new Sighting(
+                runners.get(runner),
+                sim.fleet.make(runner).name(),
+                sim.day.zone(runner),
+                1,
+                mode,
+                sim.day.cell(runner),
+                sim.fleet.bornAt(runner));
     }
 
     // ---- Clients.
@@ -192,7 +201,7 @@
             to.answered = true;
             client(to.of, how, pause, result);
         } else if (how != Simulation.Outcome.FULFILLED) {
-            client(to.of, how, pause, result);  // what decides has answered twice: so it is seen
+            client(to.of, how, pause, result); // what decides has answered twice: so it is seen
         }
         forgetIfOver(to);
     }
@@ -269,7 +278,7 @@
                 if (fresh) {
                     after(orders.connectTime, () -> ended(of, this, Outcome.NOT_CONNECTED, null, null));
                 }
-                return;  // on an open connection nothing is heard: it times out
+                return; // on an open connection nothing is heard: it times out
             }
             if (!sim.fleet.isUp(runner)) {
                 word(() -> ended(of, this, Outcome.NOT_CONNECTED, null, null));
@@ -277,13 +286,17 @@
             }
             String id = of.of.id;
             Workload workload = of.assignment.workload;
-            Work work = new Work(id, workload.repeat == Workload.Repeat.RECEIPTED ? of.of.receipt() : null,
+            Work work = new Work(
+                    id,
+                    workload.repeat == Workload.Repeat.RECEIPTED ? of.of.receipt() : null,
                     workload,
-                    of.of.ask().size(), number);
+                    of.of.ask().size(),
+                    number);
             work.mark = this;
             sim.judge.reached(sentAt, now(), id, runner, number, work.size);
             RunnerModel.Offer offer = sim.fleet.offer(runner, work);
-            LoadReport report = offer == RunnerModel.Offer.TAKEN || offer == RunnerModel.Offer.FELL ? null
+            LoadReport report = offer == RunnerModel.Offer.TAKEN || offer == RunnerModel.Offer.FELL
+                    ? null
                     : sim.fleet.report(runner);
             switch (offer) {
                 case FULL, DRAINING -> {
@@ -298,7 +311,7 @@
                     sim.judge.over(now(), id, runner);
                     word(() -> ended(of, this, Outcome.BROKEN, null, null));
                 }
-                default -> { }  // its news will tell
+                default -> {} // its news will tell
             }
         }
 
@@ -375,7 +388,8 @@
 
     @Override
     public double held(Runner runner) {
-        return sim.fleet.isUp(numbers.get(runner)) ? sim.fleet.report(numbers.get(runner)).inFlight()
+        return sim.fleet.isUp(numbers.get(runner))
+                ? sim.fleet.report(numbers.get(runner)).inFlight()
                 : Double.POSITIVE_INFINITY;
     }
 
--- a/rig/src/main/java/saltdale/rig/simulate/OverloadProof.java
+++ b/rig/src/main/java/saltdale/rig/simulate/OverloadProof.java
@@ -21,7 +21,8 @@
 import saltdale.rig.plan.Sheet;
 
 /**
- * Proves that the laws of an overload can be seen from outside: dispatchers that are wrong in one way each break the law
+ * Proves that the laws of an overload can be seen from outside: dispatchers that are wrong in one way each break
+ * the law
  * of that way, the right one keeps all.
  */
 public final class OverloadProof {
@@ -63,7 +64,7 @@
             size = 0.9
             part = 0.5
             """;
-    private static final long MOST_CHANGES = 10;  // within a second: the usual step is 100 ms
+    private static final long MOST_CHANGES = 10; // within a second: the usual step is 100 ms
 
     /** What must hold of each dispatcher, or of all together. */
     public enum Law {
@@ -83,9 +84,13 @@
 
     /** The ways of being wrong. */
     private enum Slip {
-        NONE(null), SHEDS_THE_DEAREST_FIRST(Law.DEAREST_FIRST), NO_HYSTERESIS(Law.FEW_CHANGES),
-        PAUSE_WITHOUT_SPREAD(Law.SPREAD_PAUSES), REPEATS_UNBOUNDED(Law.BOUNDED_REPEATS),
-        SHEDS_WHAT_MAY_HAVE_RUN(Law.RULES), SERVES_THE_HOPELESS_FIRST(Law.NOT_THE_HOPELESS);
+        NONE(null),
+        SHEDS_THE_DEAREST_FIRST(Law.DEAREST_FIRST),
+        NO_HYSTERESIS(Law.FEW_CHANGES),
+        PAUSE_WITHOUT_SPREAD(Law.SPREAD_PAUSES),
+        REPEATS_UNBOUNDED(Law.BOUNDED_REPEATS),
+        SHEDS_WHAT_MAY_HAVE_RUN(Law.RULES),
+        SERVES_THE_HOPELESS_FIRST(Law.NOT_THE_HOPELESS);
 
         final Law broken;
 
@@ -101,8 +106,7 @@
         }
     }
 
-    private OverloadProof() {
-    }
+    private OverloadProof() {}
 
     public static List<Case> run() {
         List<Case> cases = new ArrayList<>();
@@ -115,24 +119,59 @@
     private static Map<Law, String> play(Slip slip) {
         Day day = new Day(Sheet.of("overload proof", DAY));
         Seen seen = new Seen();
-        Simulation sim = new Simulation(day, (orders, door, chance) -> mind(slip, orders, door, chance, seen),
-                new Arrivals(day.traffic, day.jobs, day.length, day.seed)).run();
+        Simulation sim = new Simulation(
+                        day,
+                        (orders, door, chance) -> mind(slip, orders, door, chance, seen),
+                        new Arrivals(day.traffic, day.jobs, day.length, day.seed))
+                .run();
         Map<Law, String> broken = new TreeMap<>();
         List<Tally.Row> rows = new ArrayList<>(sim.tally().rows().values());
-        check(broken, Law.DEAREST_FIRST, rows.get(0).service() > 1.5 * rows.get(1).service(),
-                "in time: short %.2f, long %.2f", rows.get(0).service(), rows.get(1).service());
-        check(broken, Law.FEW_CHANGES, seen.mostChanges <= MOST_CHANGES, "%d changes within a second, %d allowed",
-                seen.mostChanges, MOST_CHANGES);
-        check(broken, Law.SPREAD_PAUSES, seen.deviation() > 0.3 * seen.mean(),
-                "pauses of %.3f s deviate by %.3f s", seen.mean(), seen.deviation());
-        check(broken, Law.BOUNDED_REPEATS, seen.dispatches <= 1.1 * seen.first, "%.0f dispatches of %.0f assignments",
-                seen.dispatches, seen.first);
-        check(broken, Law.RULES, sim.judge().broken() == 0, "%s", sim.judge().breaches().stream().findFirst()
-                .map(Breach::toString).orElse(""));
+        check(
+                broken,
+                Law.DEAREST_FIRST,
+                rows.get(0).service() > 1.5 * rows.get(1).service(),
+                "in time: short %.2f, long %.2f",
+                rows.get(0).service(),
+                rows.get(1).service());
+        check(
+                broken,
+                Law.FEW_CHANGES,
+                seen.mostChanges <= MOST_CHANGES,
+                "%d changes within a second, %d allowed",
+                seen.mostChanges,
+                MOST_CHANGES);
+        check(
+                broken,
+                Law.SPREAD_PAUSES,
+                seen.deviation() > 0.3 * seen.mean(),
+                "pauses of %.3f s deviate by %.3f s",
+                seen.mean(),
+                seen.deviation());
+        check(
+                broken,
+                Law.BOUNDED_REPEATS,
+                seen.dispatches <= 1.1 * seen.first,
+                "%.0f dispatches of %.0f assignments",
+                seen.dispatches,
+                seen.first);
+        check(
+                broken,
+                Law.RULES,
+                sim.judge().broken() == 0,
+                "%s",
+                sim.judge().breaches().stream()
+                        .findFirst()
+                        .map(Breach::toString)
+                        .orElse(""));
         Map<String, Double> figures = sim.tally().figures();
         double inTime = rows.stream().mapToDouble(row -> row.inTime).sum() / figures.get("fulfilled");
-        check(broken, Law.NOT_THE_HOPELESS, inTime > 0.7, "%.2f of what is fulfilled is in time, %.2f of what could "
-                + "be had", inTime, Overloads.figures(day, sim.tally(), sim.spread()).get("of_could_be_had"));
+        check(
+                broken,
+                Law.NOT_THE_HOPELESS,
+                inTime > 0.7,
+                "%.2f of what is fulfilled is in time, %.2f of what could " + "be had",
+                inTime,
+                Overloads.figures(day, sim.tally(), sim.spread()).get("of_could_be_had"));
         return broken;
     }
 
@@ -142,14 +181,13 @@
         }
     }
 
-    private static Mind mind(Slip slip, StandingOrders orders, Door door, SplittableRandom chance,
-            Seen seen) {
+    private static Mind mind(Slip slip, StandingOrders orders, Door door, SplittableRandom chance, Seen seen) {
         StandingOrders told = orders;
         switch (slip) {
             case SHEDS_THE_DEAREST_FIRST -> told.workloads.get(0).importance = 0.01;
             case NO_HYSTERESIS -> told.relief = new Relief(0.3, 0.5, 0.5, 0, Duration.ofNanos(1), 8);
             case SERVES_THE_HOPELESS_FIRST -> told.relief = new Relief(8, 9, 9, 0.05, Duration.ofMillis(100), 8);
-            default -> { }
+            default -> {}
         }
         seen.slip = slip;
         Door watched = new Watched(door, seen);
--- a/rig/src/main/java/saltdale/rig/simulate/PlainMind.java
+++ b/rig/src/main/java/saltdale/rig/simulate/PlainMind.java
@@ -25,7 +25,9 @@
 public final class PlainMind implements Mind {
     /** How the next runner is chosen. */
     public enum Choice {
-        RANDOM, ROUND_ROBIN, LEAST_OUT,
+        RANDOM,
+        ROUND_ROBIN,
+        LEAST_OUT,
         /** Least outstanding, and each dispatcher sheds beyond a fixed number of its own. */
         FIXED_LIMIT,
         /** The least held of all runners, of which it sees the true state, late. */
@@ -34,12 +36,25 @@
 
     /** One rule broken in one way. */
     public enum Slip {
-        NONE, FORGETS, ANSWERS_TWICE, ANSWERS_LATE, SENDS_AFTER_END, HOLDS_BACK, REPEATS_EFFECTFUL,
-        SHEDS_WHAT_RAN, LEAVES_GROUP, OUTLASTS_WINDOW, COPIES, IGNORES_DRAIN, IGNORES_GONE, FLOODS_COLD,
-        MISPLACES, TRUSTS_FULL
+        NONE,
+        FORGETS,
+        ANSWERS_TWICE,
+        ANSWERS_LATE,
+        SENDS_AFTER_END,
+        HOLDS_BACK,
+        REPEATS_EFFECTFUL,
+        SHEDS_WHAT_RAN,
+        LEAVES_GROUP,
+        OUTLASTS_WINDOW,
+        COPIES,
+        IGNORES_DRAIN,
+        IGNORES_GONE,
+        FLOODS_COLD,
+        MISPLACES,
+        TRUSTS_FULL
     }
 
-    private static final int HELD = 4;  // for each runner, over all dispatchers: the fixed limit
+    private static final int HELD = 4; // for each runner, over all dispatchers: the fixed limit
 
     private final StandingOrders orders;
     private final Door door;
@@ -85,8 +100,7 @@
 
     @Override
     public void arrived(Duration now, Assignment a) {
-        wishes.add(() -> door.wake(a.deadline.minus(now).minusMillis(slip == Slip.ANSWERS_LATE ? -400 : 5),
-                a));
+        wishes.add(() -> door.wake(a.deadline.minus(now).minusMillis(slip == Slip.ANSWERS_LATE ? -400 : 5), a));
         if (slip == Slip.FORGETS && chance.nextInt(20) == 0) {
             return;
         }
@@ -98,7 +112,8 @@
     }
 
     private void go(Duration now, Assignment a) {
-        boolean over = choice == Choice.FIXED_LIMIT && a.dispatches.isEmpty()
+        boolean over = choice == Choice.FIXED_LIMIT
+                && a.dispatches.isEmpty()
                 && runners.stream().mapToInt(r -> r.out.size()).sum() * orders.dispatchers >= HELD * runners.size();
         Runner runner = over ? null : choose(now, a);
         if (runner == null) {
@@ -181,13 +196,16 @@
         } else if (w.repeat == Workload.Repeat.EFFECTFUL) {
             return slip == Slip.REPEATS_EFFECTFUL;
         }
-        return slip == Slip.LEAVES_GROUP || slip == Slip.OUTLASTS_WINDOW
+        return slip == Slip.LEAVES_GROUP
+                || slip == Slip.OUTLASTS_WINDOW
                 || a.dispatches.stream().allMatch(d -> w.sameGroup(d.runner, r));
     }
 
     private boolean mayShed(Assignment a) {
         Workload w = a.workload;
-        return slip == Slip.SHEDS_WHAT_RAN || w.repeat == Workload.Repeat.PURE || !a.mayHaveRun()
+        return slip == Slip.SHEDS_WHAT_RAN
+                || w.repeat == Workload.Repeat.PURE
+                || !a.mayHaveRun()
                 || w.repeat == Workload.Repeat.RECEIPTED && w.group == Workload.Group.ALL;
     }
 
@@ -228,7 +246,7 @@
             boolean again = a.dispatches.size() < orders.mostDispatches;
             boolean canFollow = again && runners.stream().anyMatch(r -> mayGo(a, r) && !a.sentTo(r));
             if (slip == Slip.HOLDS_BACK && !canFollow) {
-                return;  // until its patience is nearly over
+                return; // until its patience is nearly over
             } else if (slip == Slip.OUTLASTS_WINDOW && a.mayHaveRun()) {
                 wishes.add(() -> door.wake(a.workload.window.plusMillis(100), d));
             } else if (canFollow) {
--- a/rig/src/main/java/saltdale/rig/simulate/Proof.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Proof.java
@@ -114,13 +114,14 @@
         }
     }
 
-    private Proof() {
-    }
+    private Proof() {}
 
     public static List<Case> run() {
         List<Case> cases = new ArrayList<>();
         for (Slip slip : Slip.values()) {
-            cases.add(play(slip.name().toLowerCase().replace('_', ' '), CAUGHT.get(slip),
+            cases.add(play(
+                    slip.name().toLowerCase().replace('_', ' '),
+                    CAUGHT.get(slip),
                     (orders, door, chance) -> new PlainMind(orders, door, chance, Choice.LEAST_OUT, slip)));
         }
         cases.add(play("the decision module", null, ModuleMind::new));
@@ -134,11 +135,15 @@
 
     private static Case play(String name, Breach.Kind expected, Simulation.Minds minds) {
         Day day = new Day(Sheet.of("proof", DAY));
-        Simulation sim = new Simulation(day, minds, new Arrivals(day.traffic, day.jobs, day.length,
-                day.seed)).run();
-        return new Case(name, expected, sim.judge().counts(),
-                sim.judge().breaches().stream().filter(b -> expected == null
-                        || b.kind() == expected).findFirst()
-                        .map(Breach::toString).orElse(""));
+        Simulation sim = new Simulation(day, minds, new Arrivals(day.traffic, day.jobs, day.length, day.seed)).run();
+        return new Case(
+                name,
+                expected,
+                sim.judge().counts(),
+                sim.judge().breaches().stream()
+                        .filter(b -> expected == null || b.kind() == expected)
+                        .findFirst()
+                        .map(Breach::toString)
+                        .orElse(""));
     }
 }
--- a/rig/src/main/java/saltdale/rig/simulate/Simulation.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Simulation.java
@@ -95,7 +95,7 @@
     public Simulation run() {
         time.run(day.length);
         Duration most = day.longestStay().plusSeconds(5);
-        for (Duration end = day.length; open > 0 && end.compareTo(day.length.plus(most)) < 0;) {
+        for (Duration end = day.length; open > 0 && end.compareTo(day.length.plus(most)) < 0; ) {
             end = end.plusMillis(500);
             time.run(end);
         }
@@ -187,8 +187,9 @@
     }
 
     private Node next() {
-        if (day.traffic.heavy() > 1 && knownDead.isEmpty() && heavies++ % (nodes.size() - 1 + day.traffic.heavy())
-                >= nodes.size()) {
+        if (day.traffic.heavy() > 1
+                && knownDead.isEmpty()
+                && heavies++ % (nodes.size() - 1 + day.traffic.heavy()) >= nodes.size()) {
             return nodes.get(0);
         }
         for (int i = 0; i < nodes.size(); i++) {
@@ -240,8 +241,9 @@
                 judge.asked(time.now(), next.id, ask.job().workload(), node.number, next.patience());
                 node.take(next);
                 next.node = node.number;
-                time.after(next.patience().plus(day.answerGrace).plusMillis(5), () ->
-                        answered(next, Outcome.NOTHING, null, null));
+                time.after(
+                        next.patience().plus(day.answerGrace).plusMillis(5),
+                        () -> answered(next, Outcome.NOTHING, null, null));
             });
         }
 
@@ -253,9 +255,13 @@
             if (which.node >= 0) {
                 spread.ended(which.node, ask.job().workload().importance, outcome == Outcome.SHED);
             }
-            Duration wait = persistence.next(ask.job().workload(), tries,
-                    outcome == Outcome.UNREACHABLE ? Final.SHED : outcome.how, pause,
-                    time.now(), ask.at());
+            Duration wait = persistence.next(
+                    ask.job().workload(),
+                    tries,
+                    outcome == Outcome.UNREACHABLE ? Final.SHED : outcome.how,
+                    pause,
+                    time.now(),
+                    ask.at());
             if (wait == null) {
                 finish(outcome.how, false);
             } else {
@@ -272,8 +278,11 @@
 
     /** How a try ends for its client. */
     enum Outcome {
-        FULFILLED(Final.FULFILLED), SHED(Final.SHED),
-        GIVEN_UP(Final.GIVEN_UP), UNREACHABLE(null), NOTHING(null);
+        FULFILLED(Final.FULFILLED),
+        SHED(Final.SHED),
+        GIVEN_UP(Final.GIVEN_UP),
+        UNREACHABLE(null),
+        NOTHING(null);
 
         final Final how;
 
--- a/rig/src/main/java/saltdale/rig/standin/Box.java
+++ b/rig/src/main/java/saltdale/rig/standin/Box.java
@@ -32,8 +32,14 @@
     Box(StandInFleet fleet, int number, Receipts.Shared receipts, SplittableRandom chance) throws IOException {
         this.fleet = fleet;
         this.number = number;
-        model = new RunnerModel(fleet.day.make(number), receipts, fleet.day.orders.tipMultiple, fleet.day.orders.fall,
-                fleet.day.meanSize(), chance, this);
+        model = new RunnerModel(
+                fleet.day.make(number),
+                receipts,
+                fleet.day.orders.tipMultiple,
+                fleet.day.orders.fall,
+                fleet.day.meanSize(),
+                chance,
+                this);
         for (int j = 0; j < fleet.day.dispatchers; j++) {
             gates.add(new Gate(this, j));
         }
@@ -100,7 +106,7 @@
                 gates.forEach(Gate::renew);
                 lists(Health.UP, fleet.day.notice);
             }
-            default -> { }
+            default -> {}
         }
         schedule();
     }
@@ -157,9 +163,13 @@
             default -> fleet.witness.over(now, work.id, number);
         }
         if (silent) {
-            return;  // the machine has vanished with its agent
+            return; // the machine has vanished with its agent
         }
-        telling(work).add((how == End.SHED ? End.RETURNED : how).name().toLowerCase(Locale.ROOT), -1, how == End.DONE ? result : null);
+        telling(work)
+                .add(
+                        (how == End.SHED ? End.RETURNED : how).name().toLowerCase(Locale.ROOT),
+                        -1,
+                        how == End.DONE ? result : null);
         tellings.remove(work);
     }
 
--- a/rig/src/main/java/saltdale/rig/standin/Exchange.java
+++ b/rig/src/main/java/saltdale/rig/standin/Exchange.java
@@ -15,6 +15,7 @@
     private final HttpParser parser = new HttpParser(HttpParser.Kind.REQUEST);
     /** When the first byte of the present request came. */
     private Duration firstByte;
+
     private boolean answering;
 
     protected Exchange(Connection connection, Origin clock) {
@@ -37,7 +38,7 @@
             firstByte = firstByte == null ? clock.now() : firstByte;
             parser.take(bytes);
             if (parser.bad() || answering) {
-                unreadable();  // dispatchers send one request at a time
+                unreadable(); // dispatchers send one request at a time
                 return;
             }
             if (!parser.whole()) {
--- a/rig/src/main/java/saltdale/rig/standin/Gate.java
+++ b/rig/src/main/java/saltdale/rig/standin/Gate.java
@@ -16,7 +16,9 @@
     Gate(Box box, int dispatcher) throws IOException {
         this.box = box;
         this.dispatcher = dispatcher;
-        mouth = new Mouth(box.fleet.turner, box.fleet.gateAt(box.number, dispatcher),
+        mouth = new Mouth(
+                box.fleet.turner,
+                box.fleet.gateAt(box.number, dispatcher),
                 (connection, full) -> open.add(new Served(this, connection)));
     }
 
--- a/rig/src/main/java/saltdale/rig/standin/ListKeeper.java
+++ b/rig/src/main/java/saltdale/rig/standin/ListKeeper.java
@@ -36,6 +36,7 @@
         Health health = Health.UP;
         /** Null: long ago. */
         Duration bornAt;
+
         long version = 1;
     }
 
@@ -51,8 +52,7 @@
     private long version = 1;
     private boolean mute;
 
-    public ListKeeper(Turner turner, Day day, Places places, Origin origin, Witness witness)
-            throws IOException {
+    public ListKeeper(Turner turner, Day day, Places places, Origin origin, Witness witness) throws IOException {
         this.turner = turner;
         this.day = day;
         this.places = places;
@@ -64,8 +64,8 @@
         for (int j = 0; j < day.dispatchers; j++) {
             int dispatcher = j;
             InetSocketAddress at = places.list(j);
-            new Listener(turner.loop, turner.sockets, at, (connection, full) ->
-                    open.add(new Asked(connection, dispatcher)));
+            new Listener(
+                    turner.loop, turner.sockets, at, (connection, full) -> open.add(new Asked(connection, dispatcher)));
         }
         beat();
     }
@@ -81,7 +81,7 @@
     public void changed(int runner, Health health, Duration bornAt) {
         Entry entry = entries.get(runner);
         boolean older = entry.bornAt != null && (bornAt == null || bornAt.compareTo(entry.bornAt) < 0);
-        if (older) {  // guards against a late word of an earlier life
+        if (older) { // guards against a late word of an earlier life
             return;
         }
         entry.health = health;
@@ -101,9 +101,13 @@
         if (next.equals(Objects.requireNonNullElse(ways.put(dispatcher, next), Passage.FREE))) {
             return;
         } else if (next.reset()) {
-            List.copyOf(open).stream().filter(each -> each.dispatcher == dispatcher).forEach(Asked::reset);
+            List.copyOf(open).stream()
+                    .filter(each -> each.dispatcher == dispatcher)
+                    .forEach(Asked::reset);
         } else if (speaks(dispatcher)) {
-            List.copyOf(watches).stream().filter(watch -> watch.dispatcher == dispatcher).forEach(Watch::tell);
+            List.copyOf(watches).stream()
+                    .filter(watch -> watch.dispatcher == dispatcher)
+                    .forEach(Watch::tell);
         }
     }
 
@@ -126,13 +130,20 @@
             if (entry.version <= from || from < 0 && entry.health == Health.GONE) {
                 continue;
             }
-            hosts.addObject().put("host", "r" + i).put("dial", Places.text(places.runner(i, dispatcher)))
-                    .put("site", day.zone(i)).put("class", day.make(i).name()).put("block", day.cell(i))
-                    .put("health", switch (entry.health) {
-                        case UP -> "up";
-                        case DRAINING -> "draining";
-                        case GONE -> "removed";
-                    }).put("share", 1.0)
+            hosts.addObject()
+                    .put("host", "r" + i)
+                    .put("dial", Places.text(places.runner(i, dispatcher)))
+                    .put("site", day.zone(i))
+                    .put("class", day.make(i).name())
+                    .put("block", day.cell(i))
+                    .put(
+                            "health",
+                            switch (entry.health) {
+                                case UP -> "up";
+                                case DRAINING -> "draining";
+                                case GONE -> "removed";
+                            })
+                    .put("share", 1.0)
                     .put("born_ms", entry.bornAt == null ? 0 : origin.unixMillis + entry.bornAt.toMillis());
             witness.told(now, dispatcher, i, entry.health, entry.bornAt);
         }
@@ -163,7 +174,7 @@
                 reset();
                 return;
             } else if (!speaks(dispatcher)) {
-                return;  // silent while discovery is down
+                return; // silent while discovery is down
             }
             if (!head.path().equals("/discovery/hosts") || !head.method().equals("GET")) {
                 connection.send(ByteBuffer.wrap(answer(404, "", "")));
@@ -172,8 +183,8 @@
                 watch = new Watch(connection, dispatcher, from(head.target()));
                 watches.add(watch);
             } else {
-                connection.send(ByteBuffer.wrap(answer(200, "Content-Type: application/json\r\n",
-                        text(dispatcher, -1))));
+                connection.send(
+                        ByteBuffer.wrap(answer(200, "Content-Type: application/json\r\n", text(dispatcher, -1))));
                 answered();
             }
         }
@@ -204,8 +215,9 @@
             this.connection = connection;
             this.dispatcher = dispatcher;
             this.told = from > version ? -1 : from;
-            connection.send(ByteBuffer.wrap(("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                    + "Transfer-Encoding: chunked\r\n\r\n").getBytes(StandardCharsets.US_ASCII)));
+            connection.send(ByteBuffer.wrap(
+                    ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + "Transfer-Encoding: chunked\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII)));
             tell();
         }
 
@@ -217,8 +229,9 @@
 
         void line(String line) {
             byte[] text = line.getBytes(StandardCharsets.UTF_8);
-            connection.send(ByteBuffer.wrap((Integer.toHexString(text.length) + "\r\n")
-                    .getBytes(StandardCharsets.US_ASCII)), ByteBuffer.wrap(text),
+            connection.send(
+                    ByteBuffer.wrap((Integer.toHexString(text.length) + "\r\n").getBytes(StandardCharsets.US_ASCII)),
+                    ByteBuffer.wrap(text),
                     ByteBuffer.wrap("\r\n".getBytes(StandardCharsets.US_ASCII)));
         }
     }
--- a/rig/src/main/java/saltdale/rig/standin/Places.java
+++ b/rig/src/main/java/saltdale/rig/standin/Places.java
@@ -42,10 +42,10 @@
 
     private InetSocketAddress at(int second, int third, int fourth) {
         try {
-            return new InetSocketAddress(InetAddress.getByAddress(
-                    new byte[] {127, (byte) second, (byte) third, (byte) fourth}), port);
+            return new InetSocketAddress(
+                    InetAddress.getByAddress(new byte[] {127, (byte) second, (byte) third, (byte) fourth}), port);
         } catch (UnknownHostException e) {
-            throw new IllegalStateException(e);  // four bytes are always an address
+            throw new IllegalStateException(e); // four bytes are always an address
         }
     }
 
--- a/rig/src/main/java/saltdale/rig/standin/Served.java
+++ b/rig/src/main/java/saltdale/rig/standin/Served.java
@@ -37,7 +37,7 @@
     @Override
     public void ended(String cause) {
         gate.open.remove(this);
-        if (unanswered != null) {  // closed before the 202: given up
+        if (unanswered != null) { // closed before the 202: given up
             box.model.takeBack(fleet.origin.now(), unanswered.id, gate.dispatcher);
             fleet.witness.over(fleet.origin.now(), unanswered.id, box.number);
             box.schedule();
@@ -83,9 +83,12 @@
             return;
         }
         Duration now = fleet.origin.now();
-        Work work = new Work(id, workload.repeat == Workload.Repeat.PURE ? null
-                : head.single("Idempotency-Key"),
-                workload, Long.parseLong(size) / 1e6, gate.dispatcher);
+        Work work = new Work(
+                id,
+                workload.repeat == Workload.Repeat.PURE ? null : head.single("Idempotency-Key"),
+                workload,
+                Long.parseLong(size) / 1e6,
+                gate.dispatcher);
         fleet.witness.reached(first, now, id, box.number, gate.dispatcher, work.size);
         if (!box.model.isUp()) {
             drop();
@@ -119,9 +122,12 @@
 
     private String header() {
         LoadReport r = report();
-        return String.format(Locale.ROOT, "Server-Load: concurrent=%.0f,depth=%.0f,x0=%.0f\r\n",
+        return String.format(
+                Locale.ROOT,
+                "Server-Load: concurrent=%.0f,depth=%.0f,x0=%.0f\r\n",
                 r.inFlight(),
-                r.queue(), r.freeSlots());
+                r.queue(),
+                r.freeSlots());
     }
 
     /** Sends an answer, as whole as the wire lets it be. */
@@ -138,7 +144,7 @@
             connection.finish();
             gate.open.remove(this);
             if (lost != null) {
-                fleet.witness.over(fleet.origin.now(), lost.id, box.number);  // as the dispatcher sees it
+                fleet.witness.over(fleet.origin.now(), lost.id, box.number); // as the dispatcher sees it
             }
         } else if (drip != null) {
             drip(answer, 0, Duration.ofNanos((long) (drip.size() * 1e6)));
@@ -163,7 +169,10 @@
     }
 
     private static String load(LoadReport r) {
-        return String.format(Locale.ROOT, "{\"concurrent\":%.0f,\"depth\":%.0f,\"x0\":%.0f}", r.inFlight(),
+        return String.format(
+                Locale.ROOT,
+                "{\"concurrent\":%.0f,\"depth\":%.0f,\"x0\":%.0f}",
+                r.inFlight(),
                 r.queue(),
                 r.freeSlots());
     }
--- a/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
+++ b/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
@@ -28,12 +28,10 @@
 
     private static final Duration SAMPLE = Duration.ofMillis(250);
 
-    private record Pair(int runner, int dispatcher) {
-    }
+    private record Pair(int runner, int dispatcher) {}
 
     /** Their way for the dispatcher's connections, that for the runner's, and who calls on the latter. */
-    private record Links(Way there, Way back, Pool calls) {
-    }
+    private record Links(Way there, Way back, Pool calls) {}
 
     final Turner turner;
     final Day day;
@@ -53,8 +51,8 @@
     long newsLost;
     long requests;
 
-    public StandInFleet(Turner turner, Day day, Places places, Origin origin, Witness witness, ListWord list,
-                        long seed) throws IOException {
+    public StandInFleet(Turner turner, Day day, Places places, Origin origin, Witness witness, ListWord list, long seed)
+            throws IOException {
         this.turner = turner;
         this.day = day;
         this.places = places;
@@ -75,10 +73,12 @@
                 int runner = i;
                 int dispatcher = j;
                 if (day.troubles.stream().anyMatch(t -> t.befalls(runner, dispatcher))) {
-                    links.put(new Pair(i, j), new Links(
-                            new Way(turner, places.runner(i, j), places.behind(i, j), true, chance.split()),
-                            new Way(turner, places.back(i, j), places.dispatcher(j), false, chance.split()),
-                            pool(places.back(i, j))));
+                    links.put(
+                            new Pair(i, j),
+                            new Links(
+                                    new Way(turner, places.runner(i, j), places.behind(i, j), true, chance.split()),
+                                    new Way(turner, places.back(i, j), places.dispatcher(j), false, chance.split()),
+                                    pool(places.back(i, j))));
                 }
             }
         }
@@ -94,7 +94,8 @@
 
     /** Where a runner itself listens for a dispatcher: behind their way, if something befalls that. */
     InetSocketAddress gateAt(int runner, int dispatcher) {
-        return links.containsKey(new Pair(runner, dispatcher)) ? places.behind(runner, dispatcher)
+        return links.containsKey(new Pair(runner, dispatcher))
+                ? places.behind(runner, dispatcher)
                 : places.runner(runner, dispatcher);
     }
 
@@ -165,7 +166,7 @@
             case MUTE -> list.mute(true);
             case UNMUTE -> list.mute(false);
             // the dispatchers' own; what is on the wire is looked up at each answer
-            case KILL, REVIVE, STOP, GO_ON, END, WIRE -> { }
+            case KILL, REVIVE, STOP, GO_ON, END, WIRE -> {}
             case WAY -> {
                 links.forEach((pair, own) -> passes(pair, own, turn.at()));
                 for (int j = 0; j < day.dispatchers; j++) {
--- a/rig/src/main/java/saltdale/rig/standin/Telling.java
+++ b/rig/src/main/java/saltdale/rig/standin/Telling.java
@@ -21,7 +21,7 @@
     private final Box box;
     private final Work work;
     private final Deque<byte[]> waiting = new ArrayDeque<>();
-    private byte[] sending;  // what is told just now, or to be told again
+    private byte[] sending; // what is told just now, or to be told again
     private boolean busy;
     private int tries;
 
@@ -45,12 +45,14 @@
         }
         if (!state.equals("started") && !state.equals("running")) {
             LoadReport r = box.model.report(fleet.origin.now());
-            object.putObject("load").put("concurrent", r.inFlight()).put("depth", r.queue()).put("x0",
-                    r.freeSlots());
+            object.putObject("load")
+                    .put("concurrent", r.inFlight())
+                    .put("depth", r.queue())
+                    .put("x0", r.freeSlots());
         }
         byte[] body = object.toString().getBytes(StandardCharsets.UTF_8);
         byte[] head = ("POST /_jobs/news HTTP/1.1\r\nHost: " + Places.text(fleet.places.dispatcher(work.from))
-                + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n")
+                        + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n")
                 .getBytes(StandardCharsets.US_ASCII);
         byte[] call = new byte[head.length + body.length];
         System.arraycopy(head, 0, call, 0, head.length);
@@ -78,7 +80,7 @@
             return;
         }
         if (box.gates.get(work.from).isMuted()) {
-            fleet.turner.loop.after(PAUSE, this::next);  // the link is cut: until it is back
+            fleet.turner.loop.after(PAUSE, this::next); // the link is cut: until it is back
             return;
         }
         busy = true;
--- a/rig/src/main/java/saltdale/rig/standin/Turner.java
+++ b/rig/src/main/java/saltdale/rig/standin/Turner.java
@@ -15,18 +15,20 @@
     public final Loop loop;
     public final Sockets sockets;
     private final Thread thread;
-    private volatile long mostLate;  // ns
+    private volatile long mostLate; // ns
 
     public Turner(String name) throws IOException {
         loop = new Loop();
         sockets = new Sockets(loop, MOST_SOCKETS);
-        thread = new Thread(() -> {
-            try {
-                loop.run(() -> { });
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
-        }, name);
+        thread = new Thread(
+                () -> {
+                    try {
+                        loop.run(() -> {});
+                    } catch (IOException e) {
+                        throw new UncheckedIOException(e);
+                    }
+                },
+                name);
         thread.setDaemon(true);
     }
 
--- a/rig/src/main/java/saltdale/rig/ways/Mouth.java
+++ b/rig/src/main/java/saltdale/rig/ways/Mouth.java
@@ -65,7 +65,7 @@
                 channel.connect(at);
                 plugs.add(channel);
             } catch (IOException e) {
-                return;  // it is full already
+                return; // it is full already
             }
         }
     }
--- a/rig/src/main/java/saltdale/rig/ways/Way.java
+++ b/rig/src/main/java/saltdale/rig/ways/Way.java
@@ -22,8 +22,8 @@
  */
 public final class Way {
     private static final Duration CONNECT_LIMIT = Duration.ofSeconds(2);
-    private static final Duration STEP = Duration.ofMillis(20);  // of a slow way
-    private static final int MOST_HELD = 1 << 18;  // bytes a lane, then the sender waits
+    private static final Duration STEP = Duration.ofMillis(20); // of a slow way
+    private static final int MOST_HELD = 1 << 18; // bytes a lane, then the sender waits
 
     private final Turner turner;
     private final InetSocketAddress behind;
@@ -34,8 +34,8 @@
     private Passage passage = Passage.FREE;
 
     /** {@code outward}: whether who connects is the dispatcher, so that its bytes go to the runner. */
-    public Way(Turner turner, InetSocketAddress at, InetSocketAddress behind, boolean outward,
-            SplittableRandom chance) throws IOException {
+    public Way(Turner turner, InetSocketAddress at, InetSocketAddress behind, boolean outward, SplittableRandom chance)
+            throws IOException {
         this.turner = turner;
         this.behind = behind;
         this.outward = outward;
@@ -95,8 +95,7 @@
             back.renew();
         }
 
-        private record Part(Duration due, ByteBuffer bytes) {
-        }
+        private record Part(Duration due, ByteBuffer bytes) {}
 
         /** What goes one way. */
         private final class Lane implements Connection.Owner {
@@ -130,10 +129,11 @@
 
             @Override
             public void received(ByteBuffer bytes) {
-                ByteBuffer copy = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
+                ByteBuffer copy =
+                        ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
                 double late = passage.late() * (1 + passage.jitter() * chance.nextDouble());
                 Duration due = turner.loop.now().plusNanos((long) (late * 1e9));
-                lastDue = due.compareTo(lastDue) > 0 ? due : lastDue;  // in order, as TCP has it
+                lastDue = due.compareTo(lastDue) > 0 ? due : lastDue; // in order, as TCP has it
                 parts.add(new Part(lastDue, copy));
                 held += copy.remaining();
                 renew();
@@ -142,7 +142,7 @@
             @Override
             public void ended(String cause) {
                 over = true;
-                if (this == back && !opened) {  // nobody is there: what connected is told so
+                if (this == back && !opened) { // nobody is there: what connected is told so
                     Strand.this.reset();
                     return;
                 }
@@ -177,7 +177,7 @@
                 if (parts.isEmpty() && over) {
                     strands.remove(Strand.this);
                     if (this == there && !back.opened) {
-                        to.close();  // it has gone before the one behind was reached
+                        to.close(); // it has gone before the one behind was reached
                     } else {
                         to.finish();
                     }
--- a/rig/src/test/java/saltdale/rig/experiment/ExpectationTest.java
+++ b/rig/src/test/java/saltdale/rig/experiment/ExpectationTest.java
@@ -11,8 +11,9 @@
 
 class ExpectationTest {
     private static boolean kept(String line) {
-        return new Expectation("f", line).judge(Map.of("service", 0.9, "now.p99_ms", 55.0, "before.p99_ms",
-                50.0)).kept();
+        return new Expectation("f", line)
+                .judge(Map.of("service", 0.9, "now.p99_ms", 55.0, "before.p99_ms", 50.0))
+                .kept();
     }
 
     @Test
--- a/rig/src/test/java/saltdale/rig/fleet/RunnerModelProperties.java
+++ b/rig/src/test/java/saltdale/rig/fleet/RunnerModelProperties.java
@@ -22,14 +22,18 @@
      * Whatever happens to a runner, each job that it took ends once or was taken back, and time goes forward.
      */
     @Property(tries = 300, seed = "7")
-    void eachJobEndsOnce(@ForAll @Size(max = 120) int[] deeds, @ForAll @IntRange(min = 1,
-            max = 4) int cores) {
+    void eachJobEndsOnce(@ForAll @Size(max = 120) int[] deeds, @ForAll @IntRange(min = 1, max = 4) int cores) {
         Map<String, Integer> ends = new HashMap<>();
         Set<String> back = new HashSet<>();
         Duration[] last = {Duration.ZERO};
-        RunnerModel runner = new RunnerModel(Make.plain(cores, 3).warming(0.3, Duration.ofSeconds(2)),
+        RunnerModel runner = new RunnerModel(
+                Make.plain(cores, 3).warming(0.3, Duration.ofSeconds(2)),
                 new Receipts.Shared(new Receipts(), new Receipts(), new Receipts()),
-                2, Duration.ofSeconds(1), 0.1, new SplittableRandom(1), new RunnerModel.Told() {
+                2,
+                Duration.ofSeconds(1),
+                0.1,
+                new SplittableRandom(1),
+                new RunnerModel.Told() {
                     @Override
                     public void started(Duration at, Work work) {
                         forward(at);
@@ -57,8 +61,7 @@
             int deed = Math.floorMod(deeds[i], 16);
             now = now.plusMillis(Math.floorMod(deeds[i] / 16, 400));
             if (deed < 9 && runner.isUp()) {
-                Offer offer = runner.offer(now, new Work("j" + i, null, new Workload(), 0.01 + deed * 0.06,
-                        0));
+                Offer offer = runner.offer(now, new Work("j" + i, null, new Workload(), 0.01 + deed * 0.06, 0));
                 if (offer == Offer.TAKEN) {
                     taken.add("j" + i);
                 }
@@ -75,8 +78,11 @@
             } else if (deed == 12) {
                 runner.drain(now, true);
             } else {
-                runner.condition(now, deed == 13 ? new Condition(5, false, 0.2, 0, 0.5, 3, 0.5, 0.1, 2)
-                        : deed == 14 ? new Condition(1, true, 0, 0, 0, 1, 0, 0, 1) : Condition.GOOD);
+                runner.condition(
+                        now,
+                        deed == 13
+                                ? new Condition(5, false, 0.2, 0, 0.5, 3, 0.5, 0.1, 2)
+                                : deed == 14 ? new Condition(1, true, 0, 0, 0, 1, 0, 0, 1) : Condition.GOOD);
             }
         }
         runner.condition(now, Condition.GOOD);
--- a/rig/src/test/java/saltdale/rig/fleet/RunnerModelTest.java
+++ b/rig/src/test/java/saltdale/rig/fleet/RunnerModelTest.java
@@ -52,15 +52,13 @@
     private double meanTime(int cores, double utilisation, int arrivals) {
         double[] sum = {0};
         int[] ended = {0};
-        RunnerModel runner = new RunnerModel(Make.plain(cores, 1 << 20), null, 0, Duration.ZERO, 1,
-                new SplittableRandom(1), new RunnerModel.Told() {
+        RunnerModel runner = new RunnerModel(
+                Make.plain(cores, 1 << 20), null, 0, Duration.ZERO, 1, new SplittableRandom(1), new RunnerModel.Told() {
                     @Override
-                    public void started(Duration at, Work work) {
-                    }
+                    public void started(Duration at, Work work) {}
 
                     @Override
-                    public void running(Duration at, Work work, double share) {
-                    }
+                    public void running(Duration at, Work work, double share) {}
 
                     @Override
                     public void ended(Duration at, Work work, RunnerModel.End how) {
@@ -83,7 +81,7 @@
 
     @Test
     void oneCoreWaitsAsTheClosedFormSays() {
-        assertEquals(1 / (1 - 0.7), meanTime(1, 0.7, 200_000), 0.12);  // M/M/1: 1 / (1 - rho)
+        assertEquals(1 / (1 - 0.7), meanTime(1, 0.7, 200_000), 0.12); // M/M/1: 1 / (1 - rho)
     }
 
     @Test
@@ -91,14 +89,20 @@
         double a = 0.8 * 4;
         double all = 1 + a + a * a / 2 + a * a * a / 6;
         double queued = Math.pow(a, 4) / 24 / (1 - 0.8);
-        double wait = queued / (all + queued) / (4 * (1 - 0.8));  // M/M/c, Erlang C
+        double wait = queued / (all + queued) / (4 * (1 - 0.8)); // M/M/c, Erlang C
         assertEquals(1 + wait, meanTime(4, 0.8, 200_000), 0.08);
     }
 
     @Test
     void aColdRunnerIsSlowAndWarmsUpEvenly() {
-        RunnerModel runner = new RunnerModel(Make.plain(1, 4).warming(0.25, Duration.ofSeconds(4)), null, 0,
-                Duration.ZERO, 1, new SplittableRandom(1), this);
+        RunnerModel runner = new RunnerModel(
+                Make.plain(1, 4).warming(0.25, Duration.ofSeconds(4)),
+                null,
+                0,
+                Duration.ZERO,
+                1,
+                new SplittableRandom(1),
+                this);
         runner.start(ms(0));
         runner.offer(ms(0), work("a", 1));
         assertEquals(0.625, runner.warmth(ms(2000)), 1e-9);
@@ -141,14 +145,36 @@
 
     @Test
     void jobsBeyondItsCoresShareThem() {
-        Make make = new Make("m", 1, 1, 1, 2, 4, Make.Order.FIFO, 0, 4, 1, Duration.ZERO, Duration.ZERO,
-                Duration.ZERO, ms(500), true);
+        Make make = new Make(
+                "m",
+                1,
+                1,
+                1,
+                2,
+                4,
+                Make.Order.FIFO,
+                0,
+                4,
+                1,
+                Duration.ZERO,
+                Duration.ZERO,
+                Duration.ZERO,
+                ms(500),
+                true);
         RunnerModel runner = runner(make);
         runner.offer(ms(0), work("a", 0.5));
         runner.offer(ms(0), work("b", 1));
         runner.advance(ms(2000));
-        assertEquals(List.of("a started 0", "b started 0", "a at 50% 500", "b at 25% 500", "a DONE 1000",
-                "b at 50% 1000", "b DONE 1500"), told);
+        assertEquals(
+                List.of(
+                        "a started 0",
+                        "b started 0",
+                        "a at 50% 500",
+                        "b at 25% 500",
+                        "a DONE 1000",
+                        "b at 50% 1000",
+                        "b DONE 1500"),
+                told);
     }
 
     @Test
@@ -229,22 +255,20 @@
     void aReportAskedForWhileItTellsMakesNoEndCountTwice() {
         List<String> ends = new ArrayList<>();
         RunnerModel[] runner = new RunnerModel[1];
-        runner[0] = new RunnerModel(Make.plain(2, 4), null, 0, Duration.ZERO, 1, new SplittableRandom(1),
-                new RunnerModel.Told() {
-            @Override
-            public void started(Duration at, Work work) {
-            }
+        runner[0] = new RunnerModel(
+                Make.plain(2, 4), null, 0, Duration.ZERO, 1, new SplittableRandom(1), new RunnerModel.Told() {
+                    @Override
+                    public void started(Duration at, Work work) {}
 
-            @Override
-            public void running(Duration at, Work work, double share) {
-            }
+                    @Override
+                    public void running(Duration at, Work work, double share) {}
 
-            @Override
-            public void ended(Duration at, Work work, RunnerModel.End how) {
-                runner[0].report(ms(5000));
-                ends.add(work.id);
-            }
-        });
+                    @Override
+                    public void ended(Duration at, Work work, RunnerModel.End how) {
+                        runner[0].report(ms(5000));
+                        ends.add(work.id);
+                    }
+                });
         runner[0].offer(ms(0), work("a", 1));
         runner[0].offer(ms(0), work("b", 1));
         runner[0].advance(ms(2000));
--- a/rig/src/test/java/saltdale/rig/judge/JudgeTest.java
+++ b/rig/src/test/java/saltdale/rig/judge/JudgeTest.java
@@ -10,8 +10,20 @@
 /** What is no fault of a dispatcher that was stopped, or whose way was disturbed; and what still is. */
 class JudgeTest {
     private final Workload pure = new Workload();
-    private final Judge judge = new Judge(new Terms(ms(0), ms(500), ms(50), false, false, 2, ms(1000), 1,
-            new String[] {"a", "b"}, new String[] {"any", "any"}, new int[] {0, 0}), ms(5000));
+    private final Judge judge = new Judge(
+            new Terms(
+                    ms(0),
+                    ms(500),
+                    ms(50),
+                    false,
+                    false,
+                    2,
+                    ms(1000),
+                    1,
+                    new String[] {"a", "b"},
+                    new String[] {"any", "any"},
+                    new int[] {0, 0}),
+            ms(5000));
 
     private static Duration ms(long ms) {
         return Duration.ofMillis(ms);
@@ -58,7 +70,7 @@
     void aCopyIsNoFaultOnlyOnADisturbedWay() {
         asked(0, "a");
         reached(10, "a", 0);
-        judge.way(ms(20), 0, 0, false);  // it can't be called off there
+        judge.way(ms(20), 0, 0, false); // it can't be called off there
         reached(30, "a", 1);
         judge.answered(ms(40), "a", Witness.Final.SHED, null);
         judge.way(ms(50), 0, 0, true);
@@ -81,7 +93,7 @@
         }
         judge.asked(ms(600), "killed", pure, 1, ms(1000));
         judge.turnedOff(ms(600), "killed");
-        judge.killed(ms(601), 1);  // heard after it, as it may be
+        judge.killed(ms(601), 1); // heard after it, as it may be
         found(Map.of());
         asked(1000, "b");
         judge.turnedOff(ms(1000), "b");
--- a/rig/src/test/java/saltdale/rig/load/GeneratorTest.java
+++ b/rig/src/test/java/saltdale/rig/load/GeneratorTest.java
@@ -19,21 +19,23 @@
     @Test
     @Timeout(20)
     void starvedOfItsCoreItVoidsTheRunAndSaysByHowMuch() throws IOException {
-        Day day = new Day(Sheet.of("day", "length = \"400ms\"\nwarm_up = \"0s\"\n[load]\nrate = 100\n"
-                + "[[workload]]\nname = \"w\"\npatience = \"100ms\"\n"));
+        Day day = new Day(Sheet.of(
+                "day",
+                "length = \"400ms\"\nwarm_up = \"0s\"\n[load]\nrate = 100\n"
+                        + "[[workload]]\nname = \"w\"\npatience = \"100ms\"\n"));
         try (Turner turner = new Turner("clients")) {
             turner.start();
             Origin origin = new Origin();
-            Generator generator = new Generator(turner, day, List.of(new Places(9).dispatcher(0)), origin,
-                    Witness.NOBODY, 1, "t", origin.now());
+            Generator generator = new Generator(
+                    turner, day, List.of(new Places(9).dispatcher(0)), origin, Witness.NOBODY, 1, "t", origin.now());
             turner.inside(() -> {
                 generator.begin(new Arrivals(day.traffic, day.jobs, day.length, 1));
                 while (origin.now().compareTo(Duration.ofMillis(500)) < 0) {
-                    Thread.onSpinWait();  // another program has its core until all has been due
+                    Thread.onSpinWait(); // another program has its core until all has been due
                 }
             });
             while (!generator.isOver()) {
-                turner.inside(() -> { });
+                turner.inside(() -> {});
             }
             assertNotNull(generator.isVoid());
             assertTrue(generator.isVoid().contains("fell behind"), generator.isVoid());
--- a/rig/src/test/java/saltdale/rig/load/LoadTest.java
+++ b/rig/src/test/java/saltdale/rig/load/LoadTest.java
@@ -48,15 +48,15 @@
             double gap = all.get(i).at().minus(all.get(i - 1).at()).toNanos() / 1e9 * 200;
             squares += gap * gap;
         }
-        assertEquals(2, squares / all.size(), 0.1);  // E[x^2] of an exponential gap is twice its squared mean
+        assertEquals(2, squares / all.size(), 0.1); // E[x^2] of an exponential gap is twice its squared mean
         assertEquals(0.04, all.stream().mapToDouble(Ask::size).average().orElse(0), 0.002);
     }
 
     @Test
     void eachShapeKeepsTheMeanRateOfItsDay() {
         for (Shape shape : Shape.values()) {
-            List<Ask> all = asks(Traffic.steady(100).shaped(shape, 0.8, Duration.ofSeconds(shape == Shape.STEP
-                    ? 50 : 10)));
+            List<Ask> all =
+                    asks(Traffic.steady(100).shaped(shape, 0.8, Duration.ofSeconds(shape == Shape.STEP ? 50 : 10)));
             assertEquals(10_000, all.size(), 400, shape.name());
         }
     }
@@ -64,28 +64,36 @@
     @Test
     void aBurstComesInItsFifthOfThePeriod() {
         List<Ask> all = asks(Traffic.steady(100).shaped(Shape.BURST, 1, Duration.ofSeconds(10)));
-        long within = all.stream().filter(a -> a.at().toMillis() % 10_000 < 2000).count();
+        long within =
+                all.stream().filter(a -> a.at().toMillis() % 10_000 < 2000).count();
         assertEquals(0.4, (double) within / all.size(), 0.02);
     }
 
     @Test
     void aTraceIsReadInBothFormsScaledAndSpliced() {
         Trace csv = Trace.of("t.csv", "at,workload,size\n0.5,w,0.02\n1.5,w,0.04\n2.5,w,0.01\n");
-        Trace json = Trace.of("t.jsonl", "{\"at\":0.5,\"workload\":\"w\",\"size\":0.02}\n"
-                + "{\"at\":1.5,\"workload\":\"w\",\"size\":0.04}\n{\"at\":2.5,\"workload\":\"w\",\"size\":0.01}\n");
+        Trace json = Trace.of(
+                "t.jsonl",
+                "{\"at\":0.5,\"workload\":\"w\",\"size\":0.02}\n"
+                        + "{\"at\":1.5,\"workload\":\"w\",\"size\":0.04}\n{\"at\":2.5,\"workload\":\"w\",\"size\":0.01}\n");
         assertEquals(csv.asks(jobs, 1, ms(9000)), json.asks(jobs, 1, ms(9000)));
-        assertEquals(List.of(ms(500), ms(1000), ms(1500), ms(2000), ms(2500), ms(2500)),
+        assertEquals(
+                List.of(ms(500), ms(1000), ms(1500), ms(2000), ms(2500), ms(2500)),
                 csv.asks(jobs, 2, ms(9000)).stream().map(Ask::at).toList());
         assertEquals(1, csv.asks(jobs, 0.4, ms(9000)).size());
-        assertEquals(List.of(ms(500), ms(5500)),
-                csv.spliced(List.of("0s..1s@0s", "1s..2s@5s")).asks(jobs, 1,
-                        ms(9000)).stream().map(Ask::at).toList());
+        assertEquals(
+                List.of(ms(500), ms(5500)),
+                csv.spliced(List.of("0s..1s@0s", "1s..2s@5s")).asks(jobs, 1, ms(9000)).stream()
+                        .map(Ask::at)
+                        .toList());
     }
 
     @Test
     void aBadTraceNamesItsLine() {
-        assertEquals("t: line 2: wanted: at,workload,size with seconds, a name, seconds",
-                assertThrows(Misread.class, () -> Trace.of("t", "0.5,w,0.02\n0.6;w\n")).getMessage());
+        assertEquals(
+                "t: line 2: wanted: at,workload,size with seconds, a name, seconds",
+                assertThrows(Misread.class, () -> Trace.of("t", "0.5,w,0.02\n0.6;w\n"))
+                        .getMessage());
         assertThrows(Misread.class, () -> Trace.of("t", "{\"at\":1}\n"));
         assertThrows(Misread.class, () -> Trace.of("t", "NaN,w,1\n"));
         assertThrows(Misread.class, () -> Trace.of("t", "1,other,1\n").asks(jobs, 1, ms(9000)));
@@ -94,8 +102,7 @@
 
     @Test
     void clientsTryAgainOnlyWhereItIsHarmlessAndWithinTheirBudget() {
-        Persistence persistence = new Persistence(Traffic.steady(1).retrying(2, ms(50), 1),
-                new SplittableRandom(1));
+        Persistence persistence = new Persistence(Traffic.steady(1).retrying(2, ms(50), 1), new SplittableRandom(1));
         assertNull(persistence.next(workload, 1, Final.FULFILLED, null, ms(0), ms(0)));
         Duration first = persistence.next(workload, 1, Final.GIVEN_UP, null, ms(0), ms(0));
         Duration second = persistence.next(workload, 2, null, null, ms(0), ms(0));
@@ -114,14 +121,13 @@
 
     @Test
     void theBudgetBoundsFurtherTriesOverAllClients() {
-        Persistence persistence = new Persistence(Traffic.steady(1).retrying(9, ms(5), 0.1),
-                new SplittableRandom(1));
+        Persistence persistence = new Persistence(Traffic.steady(1).retrying(9, ms(5), 0.1), new SplittableRandom(1));
         int further = 0;
         for (int i = 0; i < 1000; i++) {
             persistence.firstTry();
             further += persistence.next(workload, 1, Final.SHED, null, ms(0), ms(0)) == null ? 0 : 1;
         }
-        assertEquals(110, further, 1);  // ten free ones, then one in ten
+        assertEquals(110, further, 1); // ten free ones, then one in ten
     }
 
     @Test
@@ -132,8 +138,12 @@
         for (int i = 0; i < 300; i++) {
             Duration at = ms(10L * i);
             boolean stalled = at.compareTo(ms(1000)) >= 0 && at.compareTo(ms(2000)) < 0;
-            tally.over(new Ask(i, at, jobs.get(0), 0.001), Final.FULFILLED, stalled ? ms(2000)
-                    : at.plusMillis(1), 1, false);
+            tally.over(
+                    new Ask(i, at, jobs.get(0), 0.001),
+                    Final.FULFILLED,
+                    stalled ? ms(2000) : at.plusMillis(1),
+                    1,
+                    false);
         }
         // By hand: a third waits 10, 20, ... 1000 ms; 200 take 1 ms.
         assertEquals(1000, tally.figures().get("max_ms"), 1);
