--- a/station/src/main/java/saltdale/station/PilotStation.java
+++ b/station/src/main/java/saltdale/station/PilotStation.java
@@ -28,7 +28,7 @@
 /** A pilot as a process: clients' connections, runners' connections, links to the other processes. */
 final class PilotStation extends Callers implements Station, Links.Reader, Carrier {
     /** A client's request, as long as its call is open. */
-    private record Request(Visit visit, Head head, byte[] body) {}
+    private record ClientRequest(Visit visit, Head head, byte[] body) {}
 
     private static final Duration DIAL = Duration.ofMillis(300);
     private static final Duration RESTS = Duration.ofSeconds(4);
@@ -162,7 +162,7 @@
             visit.answer(400, "", "X-Saltdale-Deadline-Remaining is malformed");
         } else {
             long millis = left == null ? route.timeoutMs() : Long.parseLong(left);
-            Request request = new Request(visit, head, body);
+            ClientRequest request = new ClientRequest(visit, head, body);
             visit.held = request;
             Call call = pilot.arrived(id, route, millis * 1_000_000, visit.peer(), request);
             if (!call.isOver()) {
@@ -246,7 +246,7 @@
 
     @Override
     public void carry(Attempt attempt) {
-        Request request = (Request) attempt.call.load;
+        ClientRequest request = (ClientRequest) attempt.call.load;
         if (Address.parse(attempt.address) == null) {
             harbor.loop.soon(() -> pilot.ended(attempt, Attempt.End.NOT_CONNECTED));
             return;
@@ -276,7 +276,7 @@
     @Override
     public void deliver(Attempt attempt) {
         Exchange exchange = exchanges.remove(attempt);
-        ((Request) attempt.call.load).visit.passBack(exchange.head, exchange.body);
+        ((ClientRequest) attempt.call.load).visit.passBack(exchange.head, exchange.body);
     }
 
     @Override
@@ -286,7 +286,7 @@
                 : "Retry-After: " + pauseMillis / 1000 + "."
                         + Long.toString(1000 + pauseMillis % 1000).substring(1) + "\r\n";
         harbor.note("gave up " + call.id + " of " + call.service + ": " + status + " " + why);
-        ((Request) call.load).visit.answer(status, more, why);
+        ((ClientRequest) call.load).visit.answer(status, more, why);
     }
 
     @Override
