--- a/station/src/main/java/saltdale/station/KeeperStation.java
+++ b/station/src/main/java/saltdale/station/KeeperStation.java
@@ -12,8 +12,8 @@
 import saltdale.protocol.HttpParser;
 import saltdale.serving.Visit;
 import saltdale.transport.Listener;
-import saltdale.vault.Vault;
-import saltdale.vault.VaultException;
+import saltdale.storage.Vault;
+import saltdale.storage.VaultException;
 
 /** A keeper as a process: its disk, its links, and the calls of operators. */
 final class KeeperStation extends Callers implements Station, Links.Reader {
--- a/vault/src/main/java/saltdale/vault/Copy.java
+++ b/storage/src/main/java/saltdale/storage/Copy.java
@@ -1,4 +1,4 @@
-package saltdale.vault;
+package saltdale.storage;
 
 import java.io.EOFException;
 import java.io.IOException;
--- a/vault/src/main/java/saltdale/vault/StoreVault.java
+++ b/storage/src/main/java/saltdale/storage/StoreVault.java
@@ -1,4 +1,4 @@
-package saltdale.vault;
+package saltdale.storage;
 
 import java.io.IOException;
 import java.nio.channels.FileChannel;
--- a/vault/src/main/java/saltdale/vault/Vault.java
+++ b/storage/src/main/java/saltdale/storage/Vault.java
@@ -1,4 +1,4 @@
-package saltdale.vault;
+package saltdale.storage;
 
 import java.nio.file.Path;
 import java.util.Map;
--- a/vault/src/main/java/saltdale/vault/VaultException.java
+++ b/storage/src/main/java/saltdale/storage/VaultException.java
@@ -1,4 +1,4 @@
-package saltdale.vault;
+package saltdale.storage;
 
 /** The vault could not be read or written; what was synced before still stands on the disk. */
 public class VaultException extends Exception {
--- a/vault/src/test/java/saltdale/vault/PowerCutTest.java
+++ b/storage/src/test/java/saltdale/storage/PowerCutTest.java
@@ -1,4 +1,4 @@
-package saltdale.vault;
+package saltdale.storage;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.anEmptyMap;
--- a/tools/src/test/java/saltdale/tools/LayersTest.java
+++ b/tools/src/test/java/saltdale/tools/LayersTest.java
@@ -39,8 +39,8 @@
             .definedBy("saltdale.nodes..")
             .layer("serving")
             .definedBy("saltdale.serving")
-            .layer("vault")
-            .definedBy("saltdale.vault")
+            .layer("storage")
+            .definedBy("saltdale.storage")
             .layer("lighthouse")
             .definedBy("saltdale.lighthouse")
             .layer("pilot")
@@ -57,7 +57,7 @@
             .mayNotBeAccessedByAnyLayer()
             .whereLayer("nodes")
             .mayOnlyBeAccessedByLayers("tools")
-            .whereLayer("vault")
+            .whereLayer("storage")
             .mayOnlyBeAccessedByLayers("station")
             .whereLayer("lighthouse")
             .mayOnlyBeAccessedByLayers("pilot", "station")
@@ -144,7 +144,7 @@
                     "saltdale.transport",
                     "saltdale.protocol",
                     "saltdale.serving",
-                    "saltdale.vault",
+                    "saltdale.storage",
                     "saltdale.station");
 
     @ArchTest
