--- a/lighthouse/src/main/java/saltdale/lighthouse/Chart.java
+++ b/control/src/main/java/saltdale/control/Chart.java
@@ -1,4 +1,4 @@
-package saltdale.lighthouse;
+package saltdale.control;
 
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/lighthouse/src/main/java/saltdale/lighthouse/InvalidChart.java
+++ b/control/src/main/java/saltdale/control/InvalidChart.java
@@ -1,4 +1,4 @@
-package saltdale.lighthouse;
+package saltdale.control;
 
 /** Why a configuration is not taken. */
 public final class InvalidChart extends Exception {
--- a/lighthouse/src/main/java/saltdale/lighthouse/Keeper.java
+++ b/control/src/main/java/saltdale/control/Keeper.java
@@ -1,4 +1,4 @@
-package saltdale.lighthouse;
+package saltdale.control;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
--- a/lighthouse/src/main/java/saltdale/lighthouse/MalformedMessage.java
+++ b/control/src/main/java/saltdale/control/MalformedMessage.java
@@ -1,4 +1,4 @@
-package saltdale.lighthouse;
+package saltdale.control;
 
 /** A message, a record or a call that is not of the shape that was asked for; nothing was changed by it. */
 public final class MalformedMessage extends Exception {
--- a/lighthouse/src/main/java/saltdale/lighthouse/Outside.java
+++ b/control/src/main/java/saltdale/control/Outside.java
@@ -1,4 +1,4 @@
-package saltdale.lighthouse;
+package saltdale.control;
 
 import java.util.Map;
 import java.util.SplittableRandom;
--- a/lighthouse/src/main/java/saltdale/lighthouse/Tenure.java
+++ b/control/src/main/java/saltdale/control/Tenure.java
@@ -1,4 +1,4 @@
-package saltdale.lighthouse;
+package saltdale.control;
 
 /**
  * Who holds a duty, by the number that fences off whoever held it before; {@code holder} is null while it is
--- a/lighthouse/src/main/java/saltdale/lighthouse/Trees.java
+++ b/control/src/main/java/saltdale/control/Trees.java
@@ -1,4 +1,4 @@
-package saltdale.lighthouse;
+package saltdale.control;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
--- a/pilot/src/main/java/saltdale/pilot/Attempt.java
+++ b/pilot/src/main/java/saltdale/pilot/Attempt.java
@@ -1,7 +1,7 @@
 package saltdale.pilot;
 
-import saltdale.lighthouse.Member;
-import saltdale.lighthouse.Runner;
+import saltdale.control.Member;
+import saltdale.control.Runner;
 
 /** One sending of a call to a runner, in a slot that a home has lent for it. */
 public final class Attempt {
--- a/pilot/src/main/java/saltdale/pilot/Berth.java
+++ b/pilot/src/main/java/saltdale/pilot/Berth.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import saltdale.lighthouse.Runner;
+import saltdale.control.Runner;
 
 /** A runner as its home sees it: which of its slots are lent, and how it has done of late. */
 final class Berth {
--- a/pilot/src/main/java/saltdale/pilot/Call.java
+++ b/pilot/src/main/java/saltdale/pilot/Call.java
@@ -2,8 +2,8 @@
 
 import java.util.HashSet;
 import java.util.Set;
-import saltdale.lighthouse.Chart;
-import saltdale.lighthouse.Member;
+import saltdale.control.Chart;
+import saltdale.control.Member;
 
 /** One request of a client, from when it was read to its one final answer. */
 public final class Call {
--- a/pilot/src/main/java/saltdale/pilot/Home.java
+++ b/pilot/src/main/java/saltdale/pilot/Home.java
@@ -9,8 +9,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
-import saltdale.lighthouse.Chart;
-import saltdale.lighthouse.Runner;
+import saltdale.control.Chart;
+import saltdale.control.Runner;
 import saltdale.probing.ProbeLoop;
 
 /**
--- a/pilot/src/main/java/saltdale/pilot/Pilot.java
+++ b/pilot/src/main/java/saltdale/pilot/Pilot.java
@@ -8,14 +8,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import saltdale.lighthouse.Chart;
-import saltdale.lighthouse.Fields;
-import saltdale.lighthouse.Homes;
-import saltdale.lighthouse.InvalidChart;
-import saltdale.lighthouse.MalformedMessage;
-import saltdale.lighthouse.Member;
-import saltdale.lighthouse.Outside;
-import saltdale.lighthouse.Runner;
+import saltdale.control.Chart;
+import saltdale.control.Fields;
+import saltdale.control.Homes;
+import saltdale.control.InvalidChart;
+import saltdale.control.MalformedMessage;
+import saltdale.control.Member;
+import saltdale.control.Outside;
+import saltdale.control.Runner;
 import saltdale.probing.ProbeLoop;
 
 /**
--- a/pilot/src/main/java/saltdale/pilot/Tender.java
+++ b/pilot/src/main/java/saltdale/pilot/Tender.java
@@ -6,10 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import saltdale.lighthouse.Fields;
-import saltdale.lighthouse.MalformedMessage;
-import saltdale.lighthouse.Member;
-import saltdale.lighthouse.Outside;
+import saltdale.control.Fields;
+import saltdale.control.MalformedMessage;
+import saltdale.control.Member;
+import saltdale.control.Outside;
 
 /**
  * A pilot's tie to the core: it renews its lease at one keeper and takes its news there, and goes on to another when
--- a/pilot/src/test/java/saltdale/pilot/DiskTest.java
+++ b/pilot/src/test/java/saltdale/pilot/DiskTest.java
@@ -15,10 +15,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import saltdale.lighthouse.Ballot;
-import saltdale.lighthouse.Fields;
-import saltdale.lighthouse.State;
-import saltdale.lighthouse.Voter;
+import saltdale.control.Ballot;
+import saltdale.control.Fields;
+import saltdale.control.State;
+import saltdale.control.Voter;
 
 /** A keeper whose disk is in trouble is gone round, and what its disk holds can always be used. */
 class DiskTest {
--- a/pilot/src/test/java/saltdale/pilot/DutyTest.java
+++ b/pilot/src/test/java/saltdale/pilot/DutyTest.java
@@ -18,7 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import saltdale.lighthouse.Platform;
+import saltdale.control.Platform;
 
 /**
  * One keeper at a time starts and stops runners, within the platform's rates, and the next one knows what was
--- a/pilot/src/test/java/saltdale/pilot/InputTest.java
+++ b/pilot/src/test/java/saltdale/pilot/InputTest.java
@@ -21,9 +21,9 @@
 import java.util.Map;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
-import saltdale.lighthouse.Fields;
-import saltdale.lighthouse.MalformedMessage;
-import saltdale.lighthouse.Trees;
+import saltdale.control.Fields;
+import saltdale.control.MalformedMessage;
+import saltdale.control.Trees;
 
 /** What operators and other processes send is checked whole before anything is done. */
 class InputTest {
--- a/pilot/src/test/java/saltdale/pilot/PilotClusterTest.java
+++ b/pilot/src/test/java/saltdale/pilot/PilotClusterTest.java
@@ -25,7 +25,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import saltdale.lighthouse.Fields;
+import saltdale.control.Fields;
 
 /**
  * What clients and runners see of pilots: configurations, slots, drains, verdicts, and runners when they are
--- a/pilot/src/test/java/saltdale/pilot/SimMachine.java
+++ b/pilot/src/test/java/saltdale/pilot/SimMachine.java
@@ -6,11 +6,11 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import saltdale.lighthouse.Fields;
-import saltdale.lighthouse.Keeper;
-import saltdale.lighthouse.Landfall;
-import saltdale.lighthouse.MalformedMessage;
-import saltdale.lighthouse.Outside;
+import saltdale.control.Fields;
+import saltdale.control.Keeper;
+import saltdale.control.Landfall;
+import saltdale.control.MalformedMessage;
+import saltdale.control.Outside;
 
 /** A machine with its disk; at most one process runs on it. */
 final class SimMachine {
--- a/pilot/src/test/java/saltdale/pilot/SimOperator.java
+++ b/pilot/src/test/java/saltdale/pilot/SimOperator.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import saltdale.lighthouse.Keeper;
+import saltdale.control.Keeper;
 
 /** What operators send, and how they go about it. */
 final class SimOperator {
--- a/pilot/src/test/java/saltdale/pilot/SimPlatform.java
+++ b/pilot/src/test/java/saltdale/pilot/SimPlatform.java
@@ -11,10 +11,10 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import saltdale.lighthouse.Chart;
-import saltdale.lighthouse.Fields;
-import saltdale.lighthouse.Outside;
-import saltdale.lighthouse.Platform;
+import saltdale.control.Chart;
+import saltdale.control.Fields;
+import saltdale.control.Outside;
+import saltdale.control.Platform;
 
 /**
  * The platform of a simulated cluster: workers, runners and their lagging list; and what pilots carry to the
--- a/pilot/src/test/java/saltdale/pilot/SimWorld.java
+++ b/pilot/src/test/java/saltdale/pilot/SimWorld.java
@@ -11,11 +11,11 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import saltdale.lighthouse.Fields;
-import saltdale.lighthouse.MalformedMessage;
-import saltdale.lighthouse.Outside;
-import saltdale.lighthouse.Platform;
-import saltdale.lighthouse.Trees;
+import saltdale.control.Fields;
+import saltdale.control.MalformedMessage;
+import saltdale.control.Outside;
+import saltdale.control.Platform;
+import saltdale.control.Trees;
 
 /** A whole cluster in one thread, all of one seed: a steady clock, links, disks, processes; runners by the platform. */
 final class SimWorld {
--- a/pilot/src/test/java/saltdale/pilot/Slopes.java
+++ b/pilot/src/test/java/saltdale/pilot/Slopes.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import saltdale.lighthouse.Trees;
+import saltdale.control.Trees;
 
 /** Not a test: measures the control messages of a simulated cluster by size, for docs/CAPACITY.md. */
 final class Slopes {
--- a/station/src/main/java/saltdale/station/Harbor.java
+++ b/station/src/main/java/saltdale/station/Harbor.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.Consumer;
-import saltdale.lighthouse.Outside;
+import saltdale.control.Outside;
 import saltdale.transport.Address;
 import saltdale.transport.Loop;
 import saltdale.transport.Sockets;
--- a/station/src/main/java/saltdale/station/PlatformClient.java
+++ b/station/src/main/java/saltdale/station/PlatformClient.java
@@ -4,10 +4,10 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.function.Consumer;
-import saltdale.lighthouse.Fields;
-import saltdale.lighthouse.MalformedMessage;
-import saltdale.lighthouse.Platform;
-import saltdale.lighthouse.Trees;
+import saltdale.control.Fields;
+import saltdale.control.MalformedMessage;
+import saltdale.control.Platform;
+import saltdale.control.Trees;
 import saltdale.protocol.HttpWriter;
 import saltdale.transport.Pool;
 
--- a/station/src/main/java/saltdale/station/Settings.java
+++ b/station/src/main/java/saltdale/station/Settings.java
@@ -5,10 +5,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import saltdale.lighthouse.Fields;
-import saltdale.lighthouse.MalformedMessage;
-import saltdale.lighthouse.Platform;
-import saltdale.lighthouse.Trees;
+import saltdale.control.Fields;
+import saltdale.control.MalformedMessage;
+import saltdale.control.Platform;
+import saltdale.control.Trees;
 
 /** What the settings file says; fields that are not known are skipped. Spans in nanoseconds. */
 final class Settings {
--- a/station/src/test/java/saltdale/pilot/Attempts.java
+++ b/station/src/test/java/saltdale/pilot/Attempts.java
@@ -1,9 +1,9 @@
 package saltdale.pilot;
 
 import java.util.List;
-import saltdale.lighthouse.Chart;
-import saltdale.lighthouse.Member;
-import saltdale.lighthouse.Runner;
+import saltdale.control.Chart;
+import saltdale.control.Member;
+import saltdale.control.Runner;
 
 /** Attempts for tests of what carries them. */
 public final class Attempts {
--- a/tools/src/test/java/saltdale/tools/LayersTest.java
+++ b/tools/src/test/java/saltdale/tools/LayersTest.java
@@ -41,8 +41,8 @@
             .definedBy("saltdale.serving")
             .layer("storage")
             .definedBy("saltdale.storage")
-            .layer("lighthouse")
-            .definedBy("saltdale.lighthouse")
+            .layer("control")
+            .definedBy("saltdale.control")
             .layer("pilot")
             .definedBy("saltdale.pilot")
             .layer("station")
@@ -59,7 +59,7 @@
             .mayOnlyBeAccessedByLayers("tools")
             .whereLayer("storage")
             .mayOnlyBeAccessedByLayers("station")
-            .whereLayer("lighthouse")
+            .whereLayer("control")
             .mayOnlyBeAccessedByLayers("pilot", "station")
             .whereLayer("pilot")
             .mayOnlyBeAccessedByLayers("station")
@@ -132,7 +132,7 @@
     @ArchTest
     static final ArchRule ROLES_KNOW_NO_IO_AND_NO_CLOCK = noClasses()
             .that()
-            .resideInAnyPackage("saltdale.lighthouse", "saltdale.pilot")
+            .resideInAnyPackage("saltdale.control", "saltdale.pilot")
             .should()
             .dependOnClassesThat()
             .resideInAnyPackage(
