--- a/pilot/src/main/java/saltdale/pilot/Attempt.java
+++ b/proxy/src/main/java/saltdale/proxy/Attempt.java
@@ -1,4 +1,4 @@
-package saltdale.pilot;
+package saltdale.proxy;
 
 import saltdale.control.Member;
 import saltdale.control.Runner;
--- a/pilot/src/main/java/saltdale/pilot/Carrier.java
+++ b/proxy/src/main/java/saltdale/proxy/Carrier.java
@@ -1,4 +1,4 @@
-package saltdale.pilot;
+package saltdale.proxy;
 
 /** What carries bytes for a pilot: connections to runners and to clients. */
 public interface Carrier {
--- a/pilot/src/main/java/saltdale/pilot/Home.java
+++ b/proxy/src/main/java/saltdale/proxy/Home.java
@@ -1,4 +1,4 @@
-package saltdale.pilot;
+package saltdale.proxy;
 
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/pilot/src/main/java/saltdale/pilot/Verdict.java
+++ b/proxy/src/main/java/saltdale/proxy/Verdict.java
@@ -1,4 +1,4 @@
-package saltdale.pilot;
+package saltdale.proxy;
 
 /** How far an attempt came: what may be said of the request, and what may be done next, follows from this alone. */
 public enum Verdict {
--- a/pilot/src/test/java/saltdale/pilot/AgreementTest.java
+++ b/proxy/src/test/java/saltdale/proxy/AgreementTest.java
@@ -1,4 +1,4 @@
-package saltdale.pilot;
+package saltdale.proxy;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -10,10 +10,10 @@
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.nullValue;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static saltdale.pilot.SimOperator.config;
-import static saltdale.pilot.SimOperator.insists;
-import static saltdale.pilot.SimOperator.read;
-import static saltdale.pilot.SimOperator.replace;
+import static saltdale.proxy.SimOperator.config;
+import static saltdale.proxy.SimOperator.insists;
+import static saltdale.proxy.SimOperator.read;
+import static saltdale.proxy.SimOperator.replace;
 
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/pilot/src/test/java/saltdale/pilot/DutyTest.java
+++ b/proxy/src/test/java/saltdale/proxy/DutyTest.java
@@ -1,4 +1,4 @@
-package saltdale.pilot;
+package saltdale.proxy;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
@@ -8,10 +8,10 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static saltdale.pilot.SimOperator.config;
-import static saltdale.pilot.SimOperator.insists;
-import static saltdale.pilot.SimOperator.load;
-import static saltdale.pilot.SimOperator.serving;
+import static saltdale.proxy.SimOperator.config;
+import static saltdale.proxy.SimOperator.insists;
+import static saltdale.proxy.SimOperator.load;
+import static saltdale.proxy.SimOperator.serving;
 
 import java.util.List;
 import java.util.Map;
--- a/pilot/src/test/java/saltdale/pilot/InputTest.java
+++ b/proxy/src/test/java/saltdale/proxy/InputTest.java
@@ -1,4 +1,4 @@
-package saltdale.pilot;
+package saltdale.proxy;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -6,13 +6,13 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static saltdale.pilot.SimOperator.change;
-import static saltdale.pilot.SimOperator.config;
-import static saltdale.pilot.SimOperator.insists;
-import static saltdale.pilot.SimOperator.read;
-import static saltdale.pilot.SimOperator.replace;
-import static saltdale.pilot.SimOperator.route;
-import static saltdale.pilot.SimOperator.serving;
+import static saltdale.proxy.SimOperator.change;
+import static saltdale.proxy.SimOperator.config;
+import static saltdale.proxy.SimOperator.insists;
+import static saltdale.proxy.SimOperator.read;
+import static saltdale.proxy.SimOperator.replace;
+import static saltdale.proxy.SimOperator.route;
+import static saltdale.proxy.SimOperator.serving;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
--- a/pilot/src/test/java/saltdale/pilot/PilotClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/PilotClusterTest.java
@@ -1,4 +1,4 @@
-package saltdale.pilot;
+package saltdale.proxy;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
@@ -10,11 +10,11 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static saltdale.pilot.SimOperator.config;
-import static saltdale.pilot.SimOperator.insists;
-import static saltdale.pilot.SimOperator.load;
-import static saltdale.pilot.SimOperator.replace;
-import static saltdale.pilot.SimOperator.serving;
+import static saltdale.proxy.SimOperator.config;
+import static saltdale.proxy.SimOperator.insists;
+import static saltdale.proxy.SimOperator.load;
+import static saltdale.proxy.SimOperator.replace;
+import static saltdale.proxy.SimOperator.serving;
 
 import java.util.HashMap;
 import java.util.HashSet;
--- a/pilot/src/test/java/saltdale/pilot/SimOperator.java
+++ b/proxy/src/test/java/saltdale/proxy/SimOperator.java
@@ -1,4 +1,4 @@
-package saltdale.pilot;
+package saltdale.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/station/src/main/java/saltdale/station/Exchange.java
+++ b/station/src/main/java/saltdale/station/Exchange.java
@@ -3,7 +3,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Set;
-import saltdale.pilot.Attempt;
+import saltdale.proxy.Attempt;
 import saltdale.protocol.Head;
 import saltdale.protocol.HttpParser;
 import saltdale.protocol.HttpWriter;
