--- a/station/src/main/java/saltdale/station/Exchange.java
+++ b/node/src/main/java/saltdale/node/Exchange.java
@@ -1,4 +1,4 @@
-package saltdale.station;
+package saltdale.node;
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
--- a/station/src/main/java/saltdale/station/KeeperStation.java
+++ b/node/src/main/java/saltdale/node/KeeperStation.java
@@ -1,4 +1,4 @@
-package saltdale.station;
+package saltdale.node;
 
 import java.io.IOException;
 import java.time.Duration;
--- a/station/src/main/java/saltdale/station/Main.java
+++ b/node/src/main/java/saltdale/node/Main.java
@@ -1,4 +1,4 @@
-package saltdale.station;
+package saltdale.node;
 
 import java.io.IOException;
 import net.sourceforge.argparse4j.ArgumentParsers;
--- a/station/src/main/java/saltdale/station/Ring.java
+++ b/node/src/main/java/saltdale/node/Ring.java
@@ -1,4 +1,4 @@
-package saltdale.station;
+package saltdale.node;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
--- a/station/src/test/java/saltdale/station/SettingsTest.java
+++ b/node/src/test/java/saltdale/node/SettingsTest.java
@@ -1,4 +1,4 @@
-package saltdale.station;
+package saltdale.node;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
--- a/tools/src/main/java/saltdale/tools/Platform.java
+++ b/tools/src/main/java/saltdale/tools/Platform.java
@@ -61,7 +61,7 @@
 
     /** The build that is played, and where its files go. */
     static final class Build {
-        static final String DEFAULT = "station/target/saltdale-station.jar";
+        static final String DEFAULT = "node/target/saltdale-node.jar";
 
         @Option(names = "--jar", paramLabel = "FILE", description = "The program (default: " + DEFAULT + ").")
         private Path jar;
--- a/tools/src/test/java/saltdale/tools/LayersTest.java
+++ b/tools/src/test/java/saltdale/tools/LayersTest.java
@@ -45,8 +45,8 @@
             .definedBy("saltdale.control")
             .layer("proxy")
             .definedBy("saltdale.proxy")
-            .layer("station")
-            .definedBy("saltdale.station")
+            .layer("node")
+            .definedBy("saltdale.node")
             .layer("rig")
             .definedBy("saltdale.rig..")
             .layer("tools")
@@ -58,15 +58,15 @@
             .whereLayer("nodes")
             .mayOnlyBeAccessedByLayers("tools")
             .whereLayer("storage")
-            .mayOnlyBeAccessedByLayers("station")
+            .mayOnlyBeAccessedByLayers("node")
             .whereLayer("control")
-            .mayOnlyBeAccessedByLayers("proxy", "station")
+            .mayOnlyBeAccessedByLayers("proxy", "node")
             .whereLayer("proxy")
-            .mayOnlyBeAccessedByLayers("station")
-            .whereLayer("station")
+            .mayOnlyBeAccessedByLayers("node")
+            .whereLayer("node")
             .mayNotBeAccessedByAnyLayer()
             .whereLayer("serving")
-            .mayOnlyBeAccessedByLayers("routing", "program", "station")
+            .mayOnlyBeAccessedByLayers("routing", "program", "node")
             .whereLayer("rig")
             .mayOnlyBeAccessedByLayers("tools")
             .whereLayer("main")
@@ -78,9 +78,9 @@
             .whereLayer("routing")
             .mayOnlyBeAccessedByLayers("program")
             .whereLayer("protocol")
-            .mayOnlyBeAccessedByLayers("serving", "routing", "program", "station", "rig", "tools")
+            .mayOnlyBeAccessedByLayers("serving", "routing", "program", "node", "rig", "tools")
             .whereLayer("transport")
-            .mayOnlyBeAccessedByLayers("serving", "routing", "program", "station", "nodes", "rig", "tools")
+            .mayOnlyBeAccessedByLayers("serving", "routing", "program", "node", "nodes", "rig", "tools")
             .whereLayer("decision")
             .mayOnlyBeAccessedByLayers("routing", "sim", "rig")
             .whereLayer("overload")
@@ -145,7 +145,7 @@
                     "saltdale.protocol",
                     "saltdale.serving",
                     "saltdale.storage",
-                    "saltdale.station");
+                    "saltdale.node");
 
     @ArchTest
     static final ArchRule NO_RINGS = slices().matching("saltdale.(*)").should().beFreeOfCycles();
