--- a/node/src/main/java/saltdale/node/KeeperStation.java
+++ b/node/src/main/java/saltdale/node/KeeperStation.java
@@ -12,8 +12,8 @@
 import saltdale.protocol.HttpParser;
 import saltdale.serving.Visit;
 import saltdale.transport.Listener;
-import saltdale.storage.Vault;
-import saltdale.storage.VaultException;
+import saltdale.storage.RecordStore;
+import saltdale.storage.RecordStoreException;
 
 /** A keeper as a process: its disk, its links, and the calls of operators. */
 final class KeeperStation extends Callers implements Station, Links.Reader {
@@ -27,11 +27,11 @@
     KeeperStation(Settings settings) throws IOException, Settings.Wrong {
         this.settings = settings;
         Map<String, byte[]> records = new HashMap<>();
-        Vault vault = null;
+        RecordStore vault = null;
         if (settings.data != null) {
             vault = open(settings, records);
         }
-        Vault on = vault;
+        RecordStore on = vault;
         harbor = new Harbor(settings, on == null ? all -> {} : on::write, this);
         Landfall landfall = new Landfall(
                 settings.name,
@@ -69,12 +69,12 @@
     }
 
     /** The vault and its records; one that cannot be read is set aside, as a lost disk would be. */
-    private static Vault open(Settings settings, Map<String, byte[]> records) throws Settings.Wrong {
+    private static RecordStore open(Settings settings, Map<String, byte[]> records) throws Settings.Wrong {
         try {
-            Vault vault = Vault.open(settings.data);
+            RecordStore vault = RecordStore.open(settings.data);
             records.putAll(vault.read());
             return vault;
-        } catch (VaultException e) {
+        } catch (RecordStoreException e) {
             throw new Settings.Wrong("data_directory " + settings.data + ": " + e.getMessage());
         }
     }
--- a/storage/src/main/java/saltdale/storage/StoreVault.java
+++ b/storage/src/main/java/saltdale/storage/MirroredRecordStore.java
@@ -15,7 +15,7 @@
  * written the other is left as it was last synced. MVStore alone does not check what lies inside a chunk of its file,
  * so a loss of power in a write may leave half of it (docs/vault.md).
  */
-final class StoreVault implements Vault {
+final class MirroredRecordStore implements RecordStore {
     private static final String[] NAMES = {"vault.a", "vault.b"};
     private static final long SPARE = 1 << 20;
 
@@ -30,33 +30,33 @@
 
     private final Runnable syncFolder;
     /** The copy that holds the last write, and the one that is written next; null while they must be opened anew. */
-    private Copy current;
+    private StoreFile current;
 
-    private Copy other;
+    private StoreFile other;
     private boolean closed;
     private Runnable onClose = () -> {};
 
-    StoreVault(String folder, Runnable syncFolder) throws VaultException {
+    MirroredRecordStore(String folder, Runnable syncFolder) throws RecordStoreException {
         this.folder = folder;
         this.syncFolder = syncFolder;
         ready();
     }
 
-    static StoreVault open(Path folder) throws VaultException {
+    static MirroredRecordStore open(Path folder) throws RecordStoreException {
         try {
             Files.createDirectories(folder);
         } catch (IOException e) {
-            throw new VaultException("can't make " + folder, e);
+            throw new RecordStoreException("can't make " + folder, e);
         }
         Path whole = folder.toAbsolutePath().normalize();
         if (!OPEN.add(whole)) {
-            throw new VaultException(folder + " is open already", null);
+            throw new RecordStoreException(folder + " is open already", null);
         }
         try {
-            StoreVault vault = new StoreVault(UnlockedPath.of(whole.toString()), () -> sync(folder));
+            MirroredRecordStore vault = new MirroredRecordStore(UnlockedPath.of(whole.toString()), () -> sync(folder));
             vault.onClose = () -> OPEN.remove(whole);
             return vault;
-        } catch (VaultException e) {
+        } catch (RecordStoreException e) {
             OPEN.remove(whole);
             throw e;
         }
@@ -71,7 +71,7 @@
     }
 
     @Override
-    public Map<String, byte[]> read() throws VaultException {
+    public Map<String, byte[]> read() throws RecordStoreException {
         ready();
         try {
             return current.read();
@@ -81,8 +81,8 @@
     }
 
     @Override
-    public void write(Map<String, byte[]> records) throws VaultException {
-        if (records.containsKey(Copy.SEAL)) {
+    public void write(Map<String, byte[]> records) throws RecordStoreException {
+        if (records.containsKey(StoreFile.SEAL)) {
             throw new IllegalArgumentException("a record without a name");
         }
         ready();
@@ -96,7 +96,7 @@
             if (anew) {
                 syncFolder.run();
             }
-            Copy older = current;
+            StoreFile older = current;
             current = other;
             other = older;
             written = true;
@@ -118,7 +118,7 @@
     }
 
     /** Opens both copies after a start or a failure, which settles whether the write that failed holds. */
-    private void ready() throws VaultException {
+    private void ready() throws RecordStoreException {
         if (closed) {
             throw new IllegalStateException("closed");
         }
@@ -131,9 +131,9 @@
             if (!first.exists() && !second.exists()) {
                 make(first);
             }
-            Copy a = new Copy(first);
+            StoreFile a = new StoreFile(first);
             current = a;
-            Copy b = new Copy(second);
+            StoreFile b = new StoreFile(second);
             other = b;
             a.open();
             b.open();
@@ -151,7 +151,7 @@
 
     /** The first copy gets its name when it is whole, so that a disk without it is known to be empty. */
     private void make(FilePath file) throws IOException {
-        Copy young = new Copy(FilePath.get(file + ".new"));
+        StoreFile young = new StoreFile(FilePath.get(file + ".new"));
         try {
             young.clear();
             young.follow(null, Map.of());
@@ -162,9 +162,9 @@
         syncFolder.run();
     }
 
-    private VaultException failed(String what, Exception cause) {
+    private RecordStoreException failed(String what, Exception cause) {
         drop();
-        return new VaultException(what + " " + folder, cause);
+        return new RecordStoreException(what + " " + folder, cause);
     }
 
     /** Lets go of the files as they are: what was synced needs no closing, and closing would write. */
--- a/storage/src/main/java/saltdale/storage/VaultException.java
+++ b/storage/src/main/java/saltdale/storage/RecordStoreException.java
@@ -1,10 +1,10 @@
 package saltdale.storage;
 
 /** The vault could not be read or written; what was synced before still stands on the disk. */
-public class VaultException extends Exception {
+public class RecordStoreException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    public VaultException(String message, Throwable cause) {
+    public RecordStoreException(String message, Throwable cause) {
         super(message, cause);
     }
 }
--- a/storage/src/main/java/saltdale/storage/Copy.java
+++ b/storage/src/main/java/saltdale/storage/StoreFile.java
@@ -20,8 +20,8 @@
 import org.h2.mvstore.type.StringDataType;
 import org.h2.store.fs.FilePath;
 
-/** One of the two files of a {@link StoreVault}: an MVStore of all records, under a seal that is checked on opening. */
-final class Copy {
+/** One of the two files of a {@link MirroredRecordStore}: an MVStore of all records, under a seal that is checked on opening. */
+final class StoreFile {
     /** The name of the seal among the records. */
     static final String SEAL = "";
 
@@ -42,7 +42,7 @@
             super(Map.of("cacheSize", 1, "autoCommitBufferSize", 0));
         }
 
-        /** Guards against a second sync after every other write; {@link StoreVault} keeps the file short enough. */
+        /** Guards against a second sync after every other write; {@link MirroredRecordStore} keeps the file short enough. */
         @Override
         protected void shrinkStoreIfPossible(int leastPercent) {}
     }
@@ -55,7 +55,7 @@
     private long turn = -1;
     private String flaw;
 
-    Copy(FilePath file) {
+    StoreFile(FilePath file) {
         this.file = file;
     }
 
@@ -228,7 +228,7 @@
     }
 
     /** Takes over what the other one holds (null: nothing), puts these records (null value removes), and syncs. */
-    void follow(Copy from, Map<String, byte[]> changes) {
+    void follow(StoreFile from, Map<String, byte[]> changes) {
         long next = from == null ? 0 : from.turn + 1;
         Map<String, Stamp> target = new TreeMap<>(from == null ? Map.of() : from.stamps);
         turn = -1;
--- a/storage/src/test/java/saltdale/storage/MapDbVault.java
+++ b/storage/src/test/java/saltdale/storage/MapDbRecordStore.java
@@ -22,13 +22,13 @@
  * A vault in MapDB with its log, as {@code DBMaker.fileDB(...).fileChannelEnable().transactionEnable()} makes it, on
  * files whose every call is told to a {@link CutDisk}; see {@link PowerCutTest} for what it loses.
  */
-final class MapDbVault implements Vault {
+final class MapDbRecordStore implements RecordStore {
     private final Path folder;
     private final CutDisk disk;
     private final DB db;
     private final BTreeMap<String, byte[]> records;
 
-    MapDbVault(Path folder, CutDisk disk) throws IOException {
+    MapDbRecordStore(Path folder, CutDisk disk) throws IOException {
         this.folder = folder;
         this.disk = disk;
         for (Map.Entry<String, byte[]> entry : disk.live().entrySet()) {
@@ -38,7 +38,7 @@
         // As DBMaker calls it, with the checksum of the header.
         StoreWAL store = StoreWAL.make(
                 folder.resolve("vault").toString(), new Told(), 0L, true, 3, 0L, 0L, false, false, false, true, false);
-        db = new DB(store, !made, false, MapDbVault.class.getClassLoader(), 0);
+        db = new DB(store, !made, false, MapDbRecordStore.class.getClassLoader(), 0);
         records =
                 db.treeMap("records", Serializer.STRING, Serializer.BYTE_ARRAY).createOrOpen();
         db.commit();
--- a/storage/src/test/java/saltdale/storage/PowerCutTest.java
+++ b/storage/src/test/java/saltdale/storage/PowerCutTest.java
@@ -20,16 +20,16 @@
     @TempDir
     Path folder;
 
-    static StoreVault open(CutDisk disk) throws VaultException {
-        return new StoreVault(CutPath.mount(disk), disk::syncFolder);
+    static MirroredRecordStore open(CutDisk disk) throws RecordStoreException {
+        return new MirroredRecordStore(CutPath.mount(disk), disk::syncFolder);
     }
 
-    static SingleStoreVault openSingle(CutDisk disk) throws VaultException {
-        return new SingleStoreVault(CutPath.mount(disk), disk::syncFolder);
+    static SingleStoreRecordStore openSingle(CutDisk disk) throws RecordStoreException {
+        return new SingleStoreRecordStore(CutPath.mount(disk), disk::syncFolder);
     }
 
-    private MapDbVault openMapDb(CutDisk disk) throws Exception {
-        return new MapDbVault(Files.createTempDirectory(folder, "mapdb"), disk);
+    private MapDbRecordStore openMapDb(CutDisk disk) throws Exception {
+        return new MapDbRecordStore(Files.createTempDirectory(folder, "mapdb"), disk);
     }
 
     @Test
--- a/storage/src/test/java/saltdale/storage/PowerCuts.java
+++ b/storage/src/test/java/saltdale/storage/PowerCuts.java
@@ -15,7 +15,7 @@
 /** Runs of writes with the power cut after every call to the disk, and what was seen when the vault was opened anew. */
 final class PowerCuts {
     interface Opener {
-        Vault open(CutDisk disk) throws Exception;
+        RecordStore open(CutDisk disk) throws Exception;
     }
 
     /** From this many calls on, one of these states is to be read. */
@@ -100,7 +100,7 @@
     private boolean play(CutDisk disk, List<Mark> marks, int writes) throws Exception {
         int left = writes;
         while (left > 0) {
-            Vault vault = tried("start", () -> opener.open(disk));
+            RecordStore vault = tried("start", () -> opener.open(disk));
             if (vault == null || !read(vault, disk, marks)) {
                 return false;
             }
@@ -122,7 +122,7 @@
                 try {
                     vault.write(changes);
                     marks.add(new Mark(disk.calls.size(), List.of(after)));
-                } catch (VaultException e) {
+                } catch (RecordStoreException e) {
                     failedWrites++;
                 }
                 disk.failingCall = -1;
@@ -138,7 +138,7 @@
         return true;
     }
 
-    private boolean read(Vault vault, CutDisk disk, List<Mark> marks) {
+    private boolean read(RecordStore vault, CutDisk disk, List<Mark> marks) {
         List<Map<String, ByteBuffer>> states = marks.get(marks.size() - 1).states;
         Map<String, byte[]> records = tried("read", vault::read);
         if (records != null && judge("live", state(records), states)) {
@@ -174,7 +174,7 @@
     private void open(Map<String, byte[]> image, List<Map<String, ByteBuffer>> states, String what) {
         images++;
         Map<String, byte[]> records = tried(what, () -> {
-            try (Vault vault = opener.open(new CutDisk(image))) {
+            try (RecordStore vault = opener.open(new CutDisk(image))) {
                 return vault.read();
             }
         });
--- a/storage/src/test/java/saltdale/storage/VaultTest.java
+++ b/storage/src/test/java/saltdale/storage/RecordStoreTest.java
@@ -28,7 +28,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-class VaultTest {
+class RecordStoreTest {
     @TempDir
     Path folder;
 
@@ -41,7 +41,7 @@
     @Test
     void anEmptyDiskReadsEmpty() throws Exception {
         for (int i = 0; i < 2; i++) {
-            try (Vault vault = Vault.open(folder.resolve("a/b"))) {
+            try (RecordStore vault = RecordStore.open(folder.resolve("a/b"))) {
                 assertThat(vault.read(), is(anEmptyMap()));
             }
         }
@@ -49,7 +49,7 @@
 
     @Test
     void recordsArePutReplacedAndRemoved() throws Exception {
-        try (Vault vault = Vault.open(folder)) {
+        try (RecordStore vault = RecordStore.open(folder)) {
             vault.write(Map.of("a", new byte[] {1}, "b", new byte[300_000], "c", new byte[0]));
             vault.write(Map.of("a", new byte[] {2, 3}));
             vault.write(Collections.singletonMap("b", null));
@@ -58,7 +58,7 @@
             assertThat(vault.read().keySet(), is(Set.of("a", "c")));
         }
         for (int i = 0; i < 3; i++) {
-            try (Vault vault = Vault.open(folder)) {
+            try (RecordStore vault = RecordStore.open(folder)) {
                 assertThat(vault.read().keySet(), is(Set.of("a", "c")));
                 assertThat(vault.read().get("a"), is(new byte[] {2, 3}));
                 assertThat(vault.read().get("c"), is(new byte[0]));
@@ -69,7 +69,7 @@
 
     @Test
     void whatIsReadOrWasWrittenMayBeChangedByItsOwner() throws Exception {
-        try (Vault vault = Vault.open(folder)) {
+        try (RecordStore vault = RecordStore.open(folder)) {
             byte[] mine = {1};
             vault.write(Map.of("a", mine));
             mine[0] = 2;
@@ -80,7 +80,7 @@
 
     @Test
     void aRecordNeedsAName() throws Exception {
-        try (Vault vault = Vault.open(folder)) {
+        try (RecordStore vault = RecordStore.open(folder)) {
             assertThrows(IllegalArgumentException.class, () -> vault.write(Map.of("", new byte[1])));
             assertThat(vault.read(), is(anEmptyMap()));
         }
@@ -89,27 +89,27 @@
     @Test
     void aDiskThatCantBeReadIsNotAnEmptyOne() throws Exception {
         Files.write(folder.resolve("vault.a"), new byte[20_000]);
-        assertThrows(VaultException.class, () -> Vault.open(folder));
+        assertThrows(RecordStoreException.class, () -> RecordStore.open(folder));
         Files.write(folder.resolve("vault.a"), new byte[0]);
-        assertThrows(VaultException.class, () -> Vault.open(folder));
+        assertThrows(RecordStoreException.class, () -> RecordStore.open(folder));
         Files.write(folder.resolve("vault.b"), bytes(new Random(1), 20_000));
-        assertThrows(VaultException.class, () -> Vault.open(folder));
+        assertThrows(RecordStoreException.class, () -> RecordStore.open(folder));
         Path file = Files.createFile(folder.resolve("file"));
-        assertThrows(VaultException.class, () -> Vault.open(file));
+        assertThrows(RecordStoreException.class, () -> RecordStore.open(file));
     }
 
     /** Guards against taking a copy that is only held by another for a torn one. */
     @Test
     void aVaultIsOpenedOnceAtATime() throws Exception {
-        try (Vault vault = Vault.open(folder)) {
+        try (RecordStore vault = RecordStore.open(folder)) {
             vault.write(Map.of("a", new byte[] {1}));
             vault.write(Map.of("a", new byte[] {2}));
             vault.write(Map.of("a", new byte[] {3}));
-            assertThrows(VaultException.class, () -> Vault.open(folder));
+            assertThrows(RecordStoreException.class, () -> RecordStore.open(folder));
             vault.write(Map.of("a", new byte[] {4}));
             assertThat(vault.read().get("a"), is(new byte[] {4}));
         }
-        try (Vault vault = Vault.open(folder)) {
+        try (RecordStore vault = RecordStore.open(folder)) {
             assertThat(vault.read().get("a"), is(new byte[] {4}));
         }
     }
@@ -120,7 +120,7 @@
         CutDisk disk = new CutDisk();
         Map<String, ByteBuffer> last = Map.of();
         List<Map<String, ByteBuffer>> all = new ArrayList<>();
-        try (Vault vault = PowerCutTest.open(disk)) {
+        try (RecordStore vault = PowerCutTest.open(disk)) {
             for (int i = 0; i < 30; i++) {
                 Map<String, byte[]> changes = PowerCuts.changes(random, 20_000);
                 vault.write(changes);
@@ -134,14 +134,14 @@
             for (String name : both ? files.keySet() : Set.of(i % 2 == 0 ? "vault.a" : "vault.b")) {
                 files.put(name, damaged(random, files.get(name)));
             }
-            try (Vault vault = PowerCutTest.open(new CutDisk(files))) {
+            try (RecordStore vault = PowerCutTest.open(new CutDisk(files))) {
                 Map<String, ByteBuffer> found = PowerCuts.state(vault.read());
                 if (both) {
                     assertThat("damage " + i, found, anyOf(equalTo(last), in(all)));
                 } else {
                     assertThat("damage " + i, found, anyOf(equalTo(last), equalTo(all.get(all.size() - 1))));
                 }
-            } catch (VaultException e) {
+            } catch (RecordStoreException e) {
                 assertThat("damage " + i + ": " + e.getCause(), both);
             }
         }
@@ -152,7 +152,7 @@
     void aDamagedNameIsSeen() throws Exception {
         CutDisk disk = new CutDisk();
         Map<String, byte[]> all = new TreeMap<>();
-        try (Vault vault = PowerCutTest.open(disk)) {
+        try (RecordStore vault = PowerCutTest.open(disk)) {
             for (int i = 0; i < 40; i++) {
                 Map<String, byte[]> change = Map.of("record " + (char) ('A' + i % 20), bytes(new Random(i), 5000));
                 all.putAll(change);
@@ -167,7 +167,7 @@
                 for (int bit = 0; bit < 2; bit++) {
                     Map<String, byte[]> files = disk.live();
                     files.get(file)[at + 7] ^= (byte) (1 << bit);
-                    try (Vault vault = PowerCutTest.open(new CutDisk(files))) {
+                    try (RecordStore vault = PowerCutTest.open(new CutDisk(files))) {
                         assertThat(PowerCuts.state(vault.read()), is(PowerCuts.state(all)));
                     }
                 }
@@ -201,11 +201,11 @@
     @Test
     void aFullDiskRefusesAWriteAndNoMore() throws Exception {
         CutDisk disk = new CutDisk();
-        try (Vault vault = PowerCutTest.open(disk)) {
+        try (RecordStore vault = PowerCutTest.open(disk)) {
             vault.write(Map.of("a", new byte[] {1}));
             for (int i = 0; i < 3; i++) {
                 disk.capacity = disk.used() + 100_000;
-                assertThrows(VaultException.class, () -> vault.write(Map.of("b", new byte[300_000])));
+                assertThrows(RecordStoreException.class, () -> vault.write(Map.of("b", new byte[300_000])));
                 assertThat(vault.read().keySet(), is(Set.of("a")));
                 vault.write(Map.of("a", new byte[] {2}));
                 disk.capacity = Long.MAX_VALUE;
@@ -224,7 +224,7 @@
         disk.recording = false;
         Map<String, byte[]> all = new HashMap<>();
         long most = 0;
-        try (Vault vault = PowerCutTest.open(disk)) {
+        try (RecordStore vault = PowerCutTest.open(disk)) {
             for (int i = 0; i < 2000; i++) {
                 Map<String, byte[]> changes = new TreeMap<>();
                 for (int j = random.nextInt(3); j >= 0; j--) {
@@ -249,7 +249,7 @@
         Set<Thread> threads = Thread.getAllStackTraces().keySet();
         long descriptors = descriptors();
         for (int i = 0; i < 20; i++) {
-            try (Vault vault = Vault.open(folder)) {
+            try (RecordStore vault = RecordStore.open(folder)) {
                 vault.write(Map.of("a", bytes(new Random(i), 50_000)));
                 Set<Thread> now = new HashSet<>(Thread.getAllStackTraces().keySet());
                 now.removeAll(threads);
--- a/storage/src/test/java/saltdale/storage/SingleStoreVault.java
+++ b/storage/src/test/java/saltdale/storage/SingleStoreRecordStore.java
@@ -11,7 +11,7 @@
 import org.h2.store.fs.FilePath;
 
 /** A vault as MVStore alone would keep it, in one file; see {@link PowerCutTest} for what it loses. */
-final class SingleStoreVault implements Vault {
+final class SingleStoreRecordStore implements RecordStore {
     private static final String NAME = "vault";
 
     /** As MVStore names it. */
@@ -22,14 +22,14 @@
     private MVMap<String, byte[]> records;
     private boolean closed;
 
-    SingleStoreVault(String folder, Runnable syncFolder) throws VaultException {
+    SingleStoreRecordStore(String folder, Runnable syncFolder) throws RecordStoreException {
         this.folder = folder;
         this.syncFolder = syncFolder;
         opened();
     }
 
     @Override
-    public Map<String, byte[]> read() throws VaultException {
+    public Map<String, byte[]> read() throws RecordStoreException {
         opened();
         try {
             Map<String, byte[]> all = new LinkedHashMap<>();
@@ -41,7 +41,7 @@
     }
 
     @Override
-    public void write(Map<String, byte[]> changes) throws VaultException {
+    public void write(Map<String, byte[]> changes) throws RecordStoreException {
         opened();
         try {
             for (Map.Entry<String, byte[]> change : changes.entrySet()) {
@@ -64,7 +64,7 @@
         drop();
     }
 
-    private void opened() throws VaultException {
+    private void opened() throws RecordStoreException {
         if (closed) {
             throw new IllegalStateException("closed");
         }
@@ -121,9 +121,9 @@
                         .valueType(ByteArrayDataType.INSTANCE));
     }
 
-    private VaultException failed(String what, Exception cause) {
+    private RecordStoreException failed(String what, Exception cause) {
         drop();
-        return new VaultException(what + " " + folder, cause);
+        return new RecordStoreException(what + " " + folder, cause);
     }
 
     /** Lets go of the file as it is: what was synced needs no closing, and closing would write. */
