--- a/control/src/main/java/saltdale/control/Keeper.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -14,7 +14,7 @@
  * One machine of the core: takes part in what is agreed, keeps the leases of dispatchers, hands them the news they
  * need, and, while it holds the duty, starts and stops runners. No I/O and no clock of its own.
  */
-public final class Keeper {
+public final class ControlNode {
     /** An answer to an operator. */
     public record Reply(int status, String why, byte[] body) {}
 
@@ -79,7 +79,7 @@
     private Map<String, Object> chartTree;
 
     /** {@code records} are those on disk; where there are none the keeper is new, or has lost them. */
-    public Keeper(Outside outside, Landfall landfall, Platform platform, Map<String, byte[]> records)
+    public ControlNode(Outside outside, Landfall landfall, Platform platform, Map<String, byte[]> records)
             throws MalformedMessage {
         this.outside = outside;
         this.landfall = landfall;
--- a/control/src/main/java/saltdale/control/Starter.java
+++ b/control/src/main/java/saltdale/control/Starter.java
@@ -40,7 +40,7 @@
     }
 
     private final Outside outside;
-    private final Keeper keeper;
+    private final ControlNode keeper;
     private final Platform platform;
     private final Landfall landfall;
     private Scaler scaler;
@@ -60,7 +60,7 @@
     private long pageAt = Long.MIN_VALUE / 2; // when the last page was asked for
     private int refused;
 
-    Starter(Outside outside, Keeper keeper, Platform platform, Landfall landfall) {
+    Starter(Outside outside, ControlNode keeper, Platform platform, Landfall landfall) {
         this.outside = outside;
         this.keeper = keeper;
         this.platform = platform;
--- a/node/src/main/java/saltdale/node/KeeperStation.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -5,7 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import saltdale.control.Fields;
-import saltdale.control.Keeper;
+import saltdale.control.ControlNode;
 import saltdale.control.Landfall;
 import saltdale.control.MalformedMessage;
 import saltdale.protocol.Head;
@@ -16,15 +16,15 @@
 import saltdale.storage.RecordStoreException;
 
 /** A keeper as a process: its disk, its links, and the calls of operators. */
-final class KeeperStation extends Callers implements Station, Links.Reader {
+final class ControlProcess extends Callers implements Station, Links.Reader {
     private static final int MOST_BODY = 8 << 20; // of a configuration, in bytes
     private static final byte[] NOTHING = new byte[0];
 
     private final Settings settings;
-    private final Keeper keeper;
+    private final ControlNode keeper;
     private boolean ending;
 
-    KeeperStation(Settings settings) throws IOException, Settings.Wrong {
+    ControlProcess(Settings settings) throws IOException, Settings.Wrong {
         this.settings = settings;
         Map<String, byte[]> records = new HashMap<>();
         RecordStore vault = null;
@@ -43,9 +43,9 @@
                 settings.acknowledge,
                 settings.drain,
                 settings.rates);
-        Keeper made;
+        ControlNode made;
         try {
-            made = new Keeper(harbor, landfall, new PlatformClient(harbor, settings.platform), records);
+            made = new ControlNode(harbor, landfall, new PlatformClient(harbor, settings.platform), records);
         } catch (MalformedMessage e) {
             // What cannot be read back whole is as good as lost: another voter, who knows nothing, begins.
             harbor.ring.wrong("the records on disk cannot be used, beginning as a new keeper: " + e.getMessage());
@@ -53,7 +53,7 @@
             records.keySet().forEach(name -> none.put(name, null));
             harbor.persist(none, done -> {});
             try {
-                made = new Keeper(harbor, landfall, new PlatformClient(harbor, settings.platform), Map.of());
+                made = new ControlNode(harbor, landfall, new PlatformClient(harbor, settings.platform), Map.of());
             } catch (MalformedMessage never) {
                 throw new IllegalStateException(never);
             }
@@ -127,7 +127,7 @@
         }
     }
 
-    private void tell(Visit visit, Keeper.Reply reply) {
+    private void tell(Visit visit, ControlNode.Reply reply) {
         if (reply.body() != null) {
             visit.answer(reply.status(), "Content-Type: application/json\r\n", reply.body());
         } else if (reply.status() == 200) {
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -7,7 +7,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import saltdale.control.Fields;
-import saltdale.control.Keeper;
+import saltdale.control.ControlNode;
 import saltdale.control.Landfall;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Outside;
@@ -47,7 +47,7 @@
         world.machines.put(host, this);
     }
 
-    Keeper keeper() {
+    ControlNode keeper() {
         return process == null ? null : process.keeper;
     }
 
@@ -153,7 +153,7 @@
     /** One life of a process. */
     final class Process implements Outside {
         final SimMachine machine = SimMachine.this;
-        Keeper keeper;
+        ControlNode keeper;
         Pilot pilot;
         boolean dead;
 
@@ -161,7 +161,7 @@
             String name = "n-" + host;
             try {
                 if (keeps) {
-                    keeper = new Keeper(
+                    keeper = new ControlNode(
                             this,
                             new Landfall(
                                     name,
--- a/proxy/src/test/java/saltdale/proxy/SimOperator.java
+++ b/proxy/src/test/java/saltdale/proxy/SimOperator.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import saltdale.control.Keeper;
+import saltdale.control.ControlNode;
 
 /** What operators send, and how they go about it. */
 final class SimOperator {
@@ -36,7 +36,7 @@
                 + "\",\"max_attempts\":3}";
     }
 
-    static void replace(SimMachine at, long base, String body, Consumer<Keeper.Reply> answer) {
+    static void replace(SimMachine at, long base, String body, Consumer<ControlNode.Reply> answer) {
         at.process.deliver(
                 () -> at.keeper().change(false, Long.toString(base), body.getBytes(StandardCharsets.UTF_8), answer));
     }
@@ -47,7 +47,7 @@
     }
 
     static int change(SimWorld world, SimMachine at, boolean amends, String base, String body) {
-        List<Keeper.Reply> got = new ArrayList<>();
+        List<ControlNode.Reply> got = new ArrayList<>();
         at.process.deliver(() -> at.keeper().change(amends, base, body.getBytes(StandardCharsets.UTF_8), got::add));
         return world.until(5000, () -> !got.isEmpty()) ? got.get(0).status() : 0;
     }
@@ -106,7 +106,7 @@
 
     /** The configuration as this keeper reads it from a majority; null where it cannot. */
     static String read(SimWorld world, SimMachine at) {
-        List<Keeper.Reply> got = new ArrayList<>();
+        List<ControlNode.Reply> got = new ArrayList<>();
         at.process.deliver(() -> at.keeper().read(got::add));
         boolean came = world.until(5000, () -> !got.isEmpty()) && got.get(0).status() == 200;
         return came ? new String(got.get(0).body(), StandardCharsets.UTF_8) : null;
