--- a/control/src/main/java/saltdale/control/Acceptor.java
+++ b/control/src/main/java/saltdale/control/Acceptor.java
@@ -17,7 +17,7 @@
     private final Outside outside;
     private Ballot promised = Ballot.NONE;
     private Ballot accepted = Ballot.NONE;
-    private State state; // null until one was accepted
+    private ReplicatedState state; // null until one was accepted
     private byte[] text; // of state.textKey; null where it names none
     private String synced = ""; // the text that is on disk for certain; none while another's write may take it away
     private String writing = ""; // the text of the newest write
@@ -37,7 +37,7 @@
         Fields from = new Fields(Trees.fromCbor(record));
         promised = Ballot.of(from, "p");
         accepted = Ballot.of(from, "a");
-        state = from.has("s") ? State.of(from.object("s")) : null;
+        state = from.has("s") ? ReplicatedState.of(from.object("s")) : null;
         if (state != null && !state.textKey().isEmpty()) {
             text = records.get(TEXT + state.textKey());
             if (text == null) {
@@ -51,7 +51,7 @@
                 .forEach(name -> written.add(name.substring(TEXT.length())));
     }
 
-    State state() {
+    ReplicatedState state() {
         return state;
     }
 
@@ -71,7 +71,7 @@
         }
         promised = ballot;
         Ballot of = accepted;
-        State told = state;
+        ReplicatedState told = state;
         byte[] toldText = told == null || told.textKey().equals(knownKey) ? null : text;
         persist(done -> {
             if (done) {
@@ -94,7 +94,7 @@
      * Accepts what a ballot puts forward, unless another was promised; {@code newText} is null where we may have
      * it.
      */
-    void accept(Ballot ballot, State next, byte[] newText, Consumer<Map<String, Object>> reply) {
+    void accept(Ballot ballot, ReplicatedState next, byte[] newText, Consumer<Map<String, Object>> reply) {
         if (ballot.compareTo(promised) < 0) {
             reply.accept(Fields.tree("t", "nack", "b", ballot.tree(), "p", promised.tree()));
             return;
--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -61,7 +61,7 @@
     private final Landfall landfall;
     private final String id;
     private final String life;
-    private final Register register;
+    private final ReplicatedRegister register;
     private final Starter starter;
     private final Members members;
     private final Runners runners;
@@ -92,18 +92,18 @@
                 : first
                         ? Voter.firstId(landfall.host())
                         : Long.toHexString(outside.chance().nextLong());
-        register = new Register(outside, id, life, this::chosen);
+        register = new ReplicatedRegister(outside, id, life, this::chosen);
         members = new Members(landfall.memberLease() + landfall.beat() * 3 / 10);
         runners = new Runners(8 * landfall.beat(), 40 * landfall.beat());
         demand = new Demand(3 * landfall.beat());
         starter = new Starter(outside, this, platform, landfall);
         register.restore(records);
-        State begun = landfall.firstStart()
-                ? State.first(landfall.seeds().stream()
+        ReplicatedState begun = landfall.firstStart()
+                ? ReplicatedState.first(landfall.seeds().stream()
                         .sorted()
                         .map(host -> new Voter(Voter.firstId(host), host, host))
                         .toList())
-                : records.containsKey(BEGUN) ? State.of(new Fields(Trees.fromCbor(records.get(BEGUN)))) : null;
+                : records.containsKey(BEGUN) ? ReplicatedState.of(new Fields(Trees.fromCbor(records.get(BEGUN)))) : null;
         if (begun != null) {
             register.first(begun);
         }
@@ -134,7 +134,7 @@
         return landfall.name();
     }
 
-    Register register() {
+    ReplicatedRegister register() {
         return register;
     }
 
@@ -161,7 +161,7 @@
 
     /** Whether this keeper holds the duty and knows that nobody can have taken it over. */
     boolean holds() {
-        State state = register.chosen();
+        ReplicatedState state = register.chosen();
         return state != null && holder().equals(state.duty(STARTING).holder()) && hasMajority();
     }
 
@@ -176,7 +176,7 @@
 
     /** When that was sent which a majority of voters has answered. */
     private long majorityAt() {
-        State basis = register.basis();
+        ReplicatedState basis = register.basis();
         long at = basis == null ? Long.MIN_VALUE / 2 : outside.now();
         for (List<Voter> set : basis == null ? List.<List<Voter>>of() : basis.quorums()) {
             List<Long> heard = new ArrayList<>();
@@ -221,7 +221,7 @@
 
     private void sayBeat() {
         beats++;
-        State basis = register.basis();
+        ReplicatedState basis = register.basis();
         Set<String> to = new LinkedHashSet<>(peers.keySet());
         if (basis != null) {
             basis.quorums().forEach(set -> set.forEach(v -> to.add(v.host())));
@@ -369,7 +369,7 @@
         String from = message.text("l");
         demand.said(from, message.list("w"), outside.now());
         if (!message.flag("fwd")) {
-            State state = register.chosen();
+            ReplicatedState state = register.chosen();
             String holder = state == null ? null : state.duty(STARTING).holder();
             for (Peer peer : peers.values()) {
                 if (holder != null && holder.equals(peer.id + "/" + peer.life)) {
@@ -428,7 +428,7 @@
 
     /** Where dispatchers find keepers. */
     private List<Object> keeperHosts() {
-        State basis = register.basis();
+        ReplicatedState basis = register.basis();
         return basis == null
                 ? List.of(landfall.host())
                 : new ArrayList<>(basis.voters().stream().map(Voter::host).toList());
@@ -500,7 +500,7 @@
 
     // The configuration.
 
-    private void chosen(State state, byte[] text) {
+    private void chosen(ReplicatedState state, byte[] text) {
         outside.note("chosen " + state.version() + ": revision " + state.revision() + ", voters "
                 + state.voters().stream().map(Voter::host).toList() + (state.isJoint() ? " (joint)" : "") + ", "
                 + state.duties());
@@ -543,7 +543,7 @@
     }
 
     private static Proposer.Step change(
-            State newest, byte[] text, boolean amends, long base, Map<String, Object> tree, String digest) {
+            ReplicatedState newest, byte[] text, boolean amends, long base, Map<String, Object> tree, String digest) {
         if (newest.taken().contains(digest)) {
             return Proposer.Step.stay(new Reply(200, "taken", null));
         } else if (base != newest.revision()) {
@@ -613,7 +613,7 @@
             // After a start: what is chosen is known only once a majority was asked.
             propose((newest, text) -> Proposer.Step.stay(Boolean.TRUE));
         } else if (hasMajority() && !ending) {
-            State state = register.chosen();
+            ReplicatedState state = register.chosen();
             // Guards against a holder that nobody makes a voter again: one whose disk was lost leaves the duty to
             // others.
             if (landfall.rates().duties().contains(STARTING) && state.isVoter(id) && vacant(state)) {
@@ -644,7 +644,7 @@
                 () -> register.propose(change, landfall.beat(), done -> proposing = false));
     }
 
-    private boolean vacant(State state) {
+    private boolean vacant(ReplicatedState state) {
         String holder = state.duty(STARTING).holder();
         if (holder == null) {
             return true;
@@ -667,7 +667,7 @@
      * The voters to have: one whose disk was lost, or that is gone, gives its place to a new keeper; pairs are
      * added.
      */
-    private List<Voter> votersNext(State state, long now) {
+    private List<Voter> votersNext(ReplicatedState state, long now) {
         List<Peer> candidates = new ArrayList<>(peers.values().stream()
                 .filter(p -> p.id != null && !p.leaving && now - p.heardAt < landfall.lease() && !state.isVoter(p.id))
                 .toList());
@@ -712,7 +712,7 @@
     public void end(Runnable done) {
         ending = true;
         beat();
-        State state = register.chosen();
+        ReplicatedState state = register.chosen();
         if (state != null && holder().equals(state.duty(STARTING).holder())) {
             Tenure mine = state.duty(STARTING);
             register.propose(
--- a/control/src/main/java/saltdale/control/Proposer.java
+++ b/control/src/main/java/saltdale/control/Proposer.java
@@ -17,14 +17,14 @@
 final class Proposer {
     /** Makes the next state of the newest one; may refuse, and may find that there is nothing to be done. */
     interface Change {
-        Step on(State newest, byte[] text);
+        Step on(ReplicatedState newest, byte[] text);
     }
 
     /**
      * What a change comes to: the next state (null: stays as it is), with its text where that is new, and the
      * answer.
      */
-    record Step(State next, byte[] text, Object answer) {
+    record Step(ReplicatedState next, byte[] text, Object answer) {
         static Step stay(Object answer) {
             return new Step(null, null, answer);
         }
@@ -32,7 +32,7 @@
 
     /** Told of each state that is chosen for certain. */
     interface Chosen {
-        void chosen(Ballot ballot, State state, byte[] text);
+        void chosen(Ballot ballot, ReplicatedState state, byte[] text);
     }
 
     private record Waiting(Change change, long until, Consumer<Object> answer) {}
@@ -51,7 +51,7 @@
     private long highest;
     private int overtaken;
     /** The newest state known to be chosen, from which the voters are known; null where nothing is known yet. */
-    private State known;
+    private ReplicatedState known;
 
     private byte[] knownText;
     private boolean knownIsChosen;
@@ -65,7 +65,7 @@
     }
 
     /** {@code certain}: it is chosen; else it may be, and serves only to find voters until something is certain. */
-    void knows(State state, byte[] text, boolean certain) {
+    void knows(ReplicatedState state, byte[] text, boolean certain) {
         if (known == null || certain && !knownIsChosen || certain && state.version() > known.version()) {
             known = state;
             knownText = text;
@@ -73,7 +73,7 @@
         }
     }
 
-    State basis() {
+    ReplicatedState basis() {
         return known;
     }
 
@@ -144,11 +144,11 @@
         private final Map<String, Ballot> promises = new HashMap<>();
         private final Set<String> accepts = new HashSet<>();
         private Ballot newestBallot = Ballot.NONE;
-        private State newest = known;
+        private ReplicatedState newest = known;
         private byte[] newestText = knownText;
-        private final State base = known;
+        private final ReplicatedState base = known;
         private final byte[] baseText = knownText;
-        private State put;
+        private ReplicatedState put;
         private byte[] putText;
         private Object answer;
         private boolean settles;
@@ -214,7 +214,7 @@
                 return;
             }
             if (message.has("s") && of.compareTo(newestBallot) > 0) {
-                State state = State.of(message.object("s"));
+                ReplicatedState state = ReplicatedState.of(message.object("s"));
                 newestBallot = of;
                 newest = state;
                 newestText = state.textKey().isEmpty() ? null : message.has("x") ? message.bytes("x") : baseText;
@@ -291,13 +291,13 @@
         }
 
         /** Once a joint state is known to be chosen, by majorities of both, the old voters are needed no longer. */
-        private void settle(State joint) {
+        private void settle(ReplicatedState joint) {
             if (joint.isJoint()) {
                 waiting.add(new Waiting(new Settling(joint), outside.now() + 4 * TRY, done -> {}));
             }
         }
 
-        private boolean majority(Set<String> who, State of) {
+        private boolean majority(Set<String> who, ReplicatedState of) {
             return of.quorums().stream()
                     .allMatch(set ->
                             set.stream().filter(v -> who.contains(v.id())).count() > set.size() / 2);
@@ -305,9 +305,9 @@
     }
 
     /** Ends a change of voters whose joint state was seen to be chosen. */
-    private record Settling(State joint) implements Change {
+    private record Settling(ReplicatedState joint) implements Change {
         @Override
-        public Step on(State newest, byte[] text) {
+        public Step on(ReplicatedState newest, byte[] text) {
             return newest.equals(joint) ? new Step(newest.settled(), null, Boolean.TRUE) : Step.stay(null);
         }
     }
--- a/control/src/main/java/saltdale/control/Register.java
+++ b/control/src/main/java/saltdale/control/ReplicatedRegister.java
@@ -4,10 +4,10 @@
 import java.util.function.Consumer;
 
 /** A keeper's part in what is agreed: it votes, runs ballots, and knows the newest chosen state. */
-public final class Register {
+public final class ReplicatedRegister {
     /** Told whenever a newer state is known to be chosen. */
     interface Listener {
-        void chosen(State state, byte[] text);
+        void chosen(ReplicatedState state, byte[] text);
     }
 
     private final Outside outside;
@@ -15,10 +15,10 @@
     private final Acceptor acceptor;
     private final Proposer proposer;
     private final Listener listener;
-    private State chosen;
+    private ReplicatedState chosen;
     private byte[] text;
 
-    Register(Outside outside, String id, String life, Listener listener) {
+    ReplicatedRegister(Outside outside, String id, String life, Listener listener) {
         this.outside = outside;
         this.id = id;
         this.listener = listener;
@@ -38,14 +38,14 @@
     }
 
     /** The first start of all, whose voters all know. */
-    void first(State state) {
+    void first(ReplicatedState state) {
         if (acceptor.state() == null) {
             proposer.knows(state, null, true);
         }
     }
 
     /** The newest state known to be chosen; null where none is. */
-    public State chosen() {
+    public ReplicatedState chosen() {
         return chosen;
     }
 
@@ -54,7 +54,7 @@
     }
 
     /** The state whose voters are asked: chosen, or the newest that may be. */
-    State basis() {
+    ReplicatedState basis() {
         return chosen != null ? chosen : proposer.basis();
     }
 
@@ -75,7 +75,7 @@
                 if (message.text("to").equals(id)) {
                     acceptor.accept(
                             Ballot.of(message, "b"),
-                            State.of(message.object("s")),
+                            ReplicatedState.of(message.object("s")),
                             message.has("x") ? message.bytes("x") : null,
                             reply -> outside.send(fromHost, signed(reply)));
                 }
@@ -99,7 +99,7 @@
     }
 
     private void heard(String fromHost, Fields message) throws MalformedMessage {
-        State state = State.of(message.object("s"));
+        ReplicatedState state = ReplicatedState.of(message.object("s"));
         if (chosen != null && state.version() <= chosen.version()) {
             return;
         }
@@ -111,7 +111,7 @@
         learnt(state, with);
     }
 
-    private byte[] textOf(State state) {
+    private byte[] textOf(ReplicatedState state) {
         if (chosen != null && chosen.textKey().equals(state.textKey())) {
             return text;
         }
@@ -123,7 +123,7 @@
         outside.send(host, Fields.tree("t", "fetch", "k", key));
     }
 
-    private void learnt(State state, byte[] newText) {
+    private void learnt(ReplicatedState state, byte[] newText) {
         if (chosen != null && state.version() <= chosen.version()) {
             return;
         }
--- a/control/src/main/java/saltdale/control/State.java
+++ b/control/src/main/java/saltdale/control/ReplicatedState.java
@@ -12,7 +12,7 @@
  * numbered by {@code version}. While {@code before} differs from {@code voters} a change of voters is under way, and
  * ballots need a majority of both.
  */
-public record State(
+public record ReplicatedState(
         long version,
         List<Voter> before,
         List<Voter> voters,
@@ -24,8 +24,8 @@
     private static final int REMEMBERED = 64;
 
     /** The state from which all begin who are told that this is the first start. */
-    public static State first(List<Voter> voters) {
-        return new State(0, voters, voters, Map.of(), 0, "", List.of());
+    public static ReplicatedState first(List<Voter> voters) {
+        return new ReplicatedState(0, voters, voters, Map.of(), 0, "", List.of());
     }
 
     public boolean isJoint() {
@@ -45,25 +45,25 @@
         return duties.getOrDefault(name, Tenure.NONE);
     }
 
-    public State withVoters(List<Voter> next) {
-        return new State(version + 1, voters, next, duties, revision, textKey, taken);
+    public ReplicatedState withVoters(List<Voter> next) {
+        return new ReplicatedState(version + 1, voters, next, duties, revision, textKey, taken);
     }
 
     /** The change of voters is over: all later ballots need the new ones alone. */
-    public State settled() {
-        return new State(version + 1, voters, voters, duties, revision, textKey, taken);
+    public ReplicatedState settled() {
+        return new ReplicatedState(version + 1, voters, voters, duties, revision, textKey, taken);
     }
 
-    public State withDuty(String name, Tenure tenure) {
+    public ReplicatedState withDuty(String name, Tenure tenure) {
         Map<String, Tenure> all = new TreeMap<>(duties);
         all.put(name, tenure);
-        return new State(version + 1, before, voters, all, revision, textKey, taken);
+        return new ReplicatedState(version + 1, before, voters, all, revision, textKey, taken);
     }
 
-    public State withText(long newRevision, String key, String change) {
+    public ReplicatedState withText(long newRevision, String key, String change) {
         List<String> all = new ArrayList<>(taken);
         all.add(change);
-        return new State(
+        return new ReplicatedState(
                 version + 1,
                 before,
                 voters,
@@ -93,7 +93,7 @@
                 taken);
     }
 
-    static State of(Fields from) throws MalformedMessage {
+    static ReplicatedState of(Fields from) throws MalformedMessage {
         List<Voter> voters = voters(from, "m");
         Map<String, Tenure> duties = new TreeMap<>();
         Fields all = from.object("d");
@@ -101,7 +101,7 @@
             Fields one = all.object(name);
             duties.put(name, new Tenure(one.text("h", null), one.text("n", null), one.whole("f")));
         }
-        return new State(
+        return new ReplicatedState(
                 from.whole("v"),
                 from.has("b") ? voters(from, "b") : voters,
                 voters,
--- a/proxy/src/test/java/saltdale/proxy/DiskTest.java
+++ b/proxy/src/test/java/saltdale/proxy/DiskTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import saltdale.control.Ballot;
 import saltdale.control.Fields;
-import saltdale.control.State;
+import saltdale.control.ReplicatedState;
 import saltdale.control.Voter;
 
 /** A keeper whose disk is in trouble is gone round, and what its disk holds can always be used. */
@@ -57,9 +57,9 @@
         List<Voter> voters = world.keepers.stream()
                 .map(k -> new Voter(k.id(), k.host, k.host))
                 .toList();
-        State first = State.first(voters);
-        State one = first.withText(1, "1-one", "a");
-        State two = one.withText(2, "2-two", "b");
+        ReplicatedState first = ReplicatedState.first(voters);
+        ReplicatedState one = first.withText(1, "1-one", "a");
+        ReplicatedState two = one.withText(2, "2-two", "b");
         accept(keeper, 1000, one, "one");
         world.run(500);
         keeper.syncNanos = 100_000_000;
@@ -71,7 +71,7 @@
         assertThat(world.faults, is(empty()));
     }
 
-    private static void accept(SimMachine keeper, long round, State state, String text) throws Exception {
+    private static void accept(SimMachine keeper, long round, ReplicatedState state, String text) throws Exception {
         keeper.process.take(
                 "10.0.0.2",
                 Fields.tree(
