--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -58,7 +58,7 @@
     private static final String BEGUN = "begun"; // the state from which all began
 
     private final Outside outside;
-    private final Landfall landfall;
+    private final ControlNodeSettings nodeSettings;
     private final String id;
     private final String life;
     private final ReplicatedRegister register;
@@ -79,27 +79,27 @@
     private Map<String, Object> chartTree;
 
     /** {@code records} are those on disk; where there are none the keeper is new, or has lost them. */
-    public ControlNode(Outside outside, Landfall landfall, Platform platform, Map<String, byte[]> records)
+    public ControlNode(Outside outside, ControlNodeSettings nodeSettings, Platform platform, Map<String, byte[]> records)
             throws MalformedMessage {
         this.outside = outside;
-        this.landfall = landfall;
+        this.nodeSettings = nodeSettings;
         startedAt = outside.now();
         life = Long.toHexString(outside.chance().nextLong());
         boolean first =
-                landfall.firstStart() && records.isEmpty() && landfall.seeds().contains(landfall.host());
+                nodeSettings.firstStart() && records.isEmpty() && nodeSettings.seeds().contains(nodeSettings.host());
         id = records.containsKey(IDENTITY)
                 ? new String(records.get(IDENTITY), StandardCharsets.UTF_8)
                 : first
-                        ? Voter.firstId(landfall.host())
+                        ? Voter.firstId(nodeSettings.host())
                         : Long.toHexString(outside.chance().nextLong());
         register = new ReplicatedRegister(outside, id, life, this::chosen);
-        members = new Members(landfall.memberLease() + landfall.beat() * 3 / 10);
-        runners = new Runners(8 * landfall.beat(), 40 * landfall.beat());
-        demand = new Demand(3 * landfall.beat());
-        starter = new Starter(outside, this, platform, landfall);
+        members = new Members(nodeSettings.memberLease() + nodeSettings.beat() * 3 / 10);
+        runners = new Runners(8 * nodeSettings.beat(), 40 * nodeSettings.beat());
+        demand = new Demand(3 * nodeSettings.beat());
+        starter = new Starter(outside, this, platform, nodeSettings);
         register.restore(records);
-        ReplicatedState begun = landfall.firstStart()
-                ? ReplicatedState.first(landfall.seeds().stream()
+        ReplicatedState begun = nodeSettings.firstStart()
+                ? ReplicatedState.first(nodeSettings.seeds().stream()
                         .sorted()
                         .map(host -> new Voter(Voter.firstId(host), host, host))
                         .toList())
@@ -107,7 +107,7 @@
         if (begun != null) {
             register.first(begun);
         }
-        landfall.seeds().stream().filter(host -> !host.equals(landfall.host())).forEach(this::peer);
+        nodeSettings.seeds().stream().filter(host -> !host.equals(nodeSettings.host())).forEach(this::peer);
         if (!records.containsKey(IDENTITY)) {
             Map<String, byte[]> own = new HashMap<>(Map.of(IDENTITY, id.getBytes(StandardCharsets.UTF_8)));
             if (begun != null) {
@@ -131,7 +131,7 @@
     }
 
     String name() {
-        return landfall.name();
+        return nodeSettings.name();
     }
 
     ReplicatedRegister register() {
@@ -171,7 +171,7 @@
 
     /** Whether a majority of voters answered what was sent within the lease; a process that stood still has none. */
     public boolean hasMajority() {
-        return majorityAt() > outside.now() - landfall.lease();
+        return majorityAt() > outside.now() - nodeSettings.lease();
     }
 
     /** When that was sent which a majority of voters has answered. */
@@ -204,7 +204,7 @@
 
     private void beat() {
         sayBeat();
-        outside.after(landfall.beat() / 3, this::beat);
+        outside.after(nodeSettings.beat() / 3, this::beat);
     }
 
     /** Others hear soon who has come or gone: homes that know it at different times lend the same slots. */
@@ -226,14 +226,14 @@
         if (basis != null) {
             basis.quorums().forEach(set -> set.forEach(v -> to.add(v.host())));
         }
-        to.remove(landfall.host());
+        to.remove(nodeSettings.host());
         List<Object> news = members.news();
         long now = outside.now();
         List<Object> over = members.over(now);
         for (String host : to) {
             Peer peer = peer(host);
             peer.sentAt.put(beats, now);
-            peer.sentAt.values().removeIf(at -> now - at > 4 * landfall.beat());
+            peer.sentAt.values().removeIf(at -> now - at > 4 * nodeSettings.beat());
             outside.send(
                     host,
                     Fields.tree(
@@ -242,9 +242,9 @@
                             "id",
                             id,
                             "n",
-                            landfall.name(),
+                            nodeSettings.name(),
                             "h",
-                            landfall.host(),
+                            nodeSettings.host(),
                             "l",
                             life,
                             "i",
@@ -259,8 +259,8 @@
                             over.isEmpty() ? null : over));
         }
         peers.values()
-                .removeIf(p -> !landfall.seeds().contains(p.host)
-                        && now - p.heardAt > 60 * landfall.beat()
+                .removeIf(p -> !nodeSettings.seeds().contains(p.host)
+                        && now - p.heardAt > 60 * nodeSettings.beat()
                         && (basis == null
                                 || basis.quorums().stream()
                                         .flatMap(List::stream)
@@ -288,9 +288,9 @@
                         "id",
                         id,
                         "n",
-                        landfall.name(),
+                        nodeSettings.name(),
                         "h",
-                        landfall.host(),
+                        nodeSettings.host(),
                         "l",
                         life,
                         "i",
@@ -417,7 +417,7 @@
                         "maj",
                         hasMajority(),
                         "v",
-                        Math.max(0, (majorityAt() - now + landfall.memberLease()) / 1_000_000),
+                        Math.max(0, (majorityAt() - now + nodeSettings.memberLease()) / 1_000_000),
                         "s",
                         subscriber.session,
                         "c",
@@ -430,12 +430,12 @@
     private List<Object> keeperHosts() {
         ReplicatedState basis = register.basis();
         return basis == null
-                ? List.of(landfall.host())
+                ? List.of(nodeSettings.host())
                 : new ArrayList<>(basis.voters().stream().map(Voter::host).toList());
     }
 
     void publish() {
-        subscribers.values().removeIf(s -> outside.now() - s.heardAt > 4 * landfall.beat());
+        subscribers.values().removeIf(s -> outside.now() - s.heardAt > 4 * nodeSettings.beat());
         subscribers.values().forEach(this::publish);
     }
 
@@ -580,7 +580,7 @@
 
     /** Who has no majority says so soon, so that the caller goes to another. */
     private long patience() {
-        return hasMajority() ? landfall.acknowledge() * 3 / 5 : landfall.acknowledge() / 5;
+        return hasMajority() ? nodeSettings.acknowledge() * 3 / 5 : nodeSettings.acknowledge() / 5;
     }
 
     private static Reply unsettled() {
@@ -590,14 +590,14 @@
     // Duties and voters.
 
     private void tick() {
-        outside.after(landfall.beat() / 6, this::tick);
+        outside.after(nodeSettings.beat() / 6, this::tick);
         long now = outside.now();
         boolean had = hadMajority;
         hadMajority = hasMajority();
         majoritySince = had ? majoritySince : now;
         long edition = members.edition();
         // Guards against a keeper that stood still or was cut off: all renewals it missed come to it first.
-        if (hadMajority && now - majoritySince > landfall.beat()) {
+        if (hadMajority && now - majoritySince > nodeSettings.beat()) {
             members.expire(now);
         }
         if (members.edition() != edition) {
@@ -616,12 +616,12 @@
             ReplicatedState state = register.chosen();
             // Guards against a holder that nobody makes a voter again: one whose disk was lost leaves the duty to
             // others.
-            if (landfall.rates().duties().contains(STARTING) && state.isVoter(id) && vacant(state)) {
+            if (nodeSettings.rates().duties().contains(STARTING) && state.isVoter(id) && vacant(state)) {
                 Tenure seen = state.duty(STARTING);
                 propose((newest, text) -> newest.duty(STARTING).fence() != seen.fence()
                         ? Proposer.Step.stay(null)
                         : new Proposer.Step(
-                                newest.withDuty(STARTING, new Tenure(holder(), landfall.name(), seen.fence() + 1)),
+                                newest.withDuty(STARTING, new Tenure(holder(), nodeSettings.name(), seen.fence() + 1)),
                                 null,
                                 Boolean.TRUE));
             } else if (!state.isJoint() && (holds() || vacant(state))) {
@@ -640,8 +640,8 @@
         proposing = true;
         // Guards against all keepers at once: the first one's ballot spares the others theirs.
         outside.after(
-                (long) (landfall.beat() / 8 * outside.chance().nextDouble()),
-                () -> register.propose(change, landfall.beat(), done -> proposing = false));
+                (long) (nodeSettings.beat() / 8 * outside.chance().nextDouble()),
+                () -> register.propose(change, nodeSettings.beat(), done -> proposing = false));
     }
 
     private boolean vacant(ReplicatedState state) {
@@ -660,7 +660,7 @@
     }
 
     private boolean unheard(long heardAt) {
-        return outside.now() - Math.max(heardAt, startedAt) > landfall.vacancy();
+        return outside.now() - Math.max(heardAt, startedAt) > nodeSettings.vacancy();
     }
 
     /**
@@ -669,7 +669,7 @@
      */
     private List<Voter> votersNext(ReplicatedState state, long now) {
         List<Peer> candidates = new ArrayList<>(peers.values().stream()
-                .filter(p -> p.id != null && !p.leaving && now - p.heardAt < landfall.lease() && !state.isVoter(p.id))
+                .filter(p -> p.id != null && !p.leaving && now - p.heardAt < nodeSettings.lease() && !state.isVoter(p.id))
                 .toList());
         List<Voter> voters = new ArrayList<>(state.voters());
         for (int i = 0; i < voters.size(); i++) {
@@ -722,7 +722,7 @@
                                     newest.withDuty(STARTING, new Tenure(null, null, mine.fence())),
                                     null,
                                     Boolean.TRUE),
-                    landfall.beat(),
+                    nodeSettings.beat(),
                     answer -> done.run());
         } else {
             done.run();
--- a/control/src/main/java/saltdale/control/Landfall.java
+++ b/control/src/main/java/saltdale/control/ControlNodeSettings.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /** What a keeper is told of its machine and of the deployment; spans in nanoseconds. */
-public record Landfall(
+public record ControlNodeSettings(
         String name,
         String host,
         String zone,
--- a/control/src/main/java/saltdale/control/Starter.java
+++ b/control/src/main/java/saltdale/control/Starter.java
@@ -42,7 +42,7 @@
     private final Outside outside;
     private final ControlNode keeper;
     private final Platform platform;
-    private final Landfall landfall;
+    private final ControlNodeSettings nodeSettings;
     private Scaler scaler;
     private final Map<String, Intent> intents = new LinkedHashMap<>(); // by nonce
     private final Map<String, Long> leaving = new LinkedHashMap<>(); // runners we told to get nothing new, and when
@@ -60,11 +60,11 @@
     private long pageAt = Long.MIN_VALUE / 2; // when the last page was asked for
     private int refused;
 
-    Starter(Outside outside, ControlNode keeper, Platform platform, Landfall landfall) {
+    Starter(Outside outside, ControlNode keeper, Platform platform, ControlNodeSettings nodeSettings) {
         this.outside = outside;
         this.keeper = keeper;
         this.platform = platform;
-        this.landfall = landfall;
+        this.nodeSettings = nodeSettings;
     }
 
     void begin() {
@@ -81,18 +81,18 @@
             return;
         }
         // Guards against lists of many pages that overlap; one of which no answer ever came does not hold up the next.
-        if (!listing || now - pageAt > 3 * landfall.beat()) {
+        if (!listing || now - pageAt > 3 * nodeSettings.beat()) {
             listing = true;
             list(null, new ArrayList<>(), 1, now);
         }
         // All keepers together stay under half of the platform's rate, whatever number of pages the list has.
         double atLeast =
-                keeper.keepers() * (pages + 1) / (0.5 * landfall.rates().listsPerSecond());
-        outside.after(Math.max(landfall.beat() / 2, (long) (atLeast * 1e9)), this::list);
+                keeper.keepers() * (pages + 1) / (0.5 * nodeSettings.rates().listsPerSecond());
+        outside.after(Math.max(nodeSettings.beat() / 2, (long) (atLeast * 1e9)), this::list);
     }
 
     private long pageGap() {
-        return (long) (keeper.keepers() / (0.6 * landfall.rates().listsPerSecond()) * 1e9);
+        return (long) (keeper.keepers() / (0.6 * nodeSettings.rates().listsPerSecond()) * 1e9);
     }
 
     private void list(String token, List<Runner> so, int page, long askedAt) {
@@ -159,7 +159,7 @@
 
     private void turn() {
         act();
-        outside.after(landfall.beat() / 12, this::turn);
+        outside.after(nodeSettings.beat() / 12, this::turn);
     }
 
     private void act() {
@@ -170,7 +170,7 @@
         long now = outside.now();
         if (fence != keeper.fence()) { // newly won: what another had begun is asked for again, and so learnt
             fence = keeper.fence();
-            scaler = new Scaler(landfall.beat() * 7 / 2, now);
+            scaler = new Scaler(nodeSettings.beat() * 7 / 2, now);
             intents.values().forEach(i -> i.asked = false);
             workersAt = Long.MIN_VALUE / 2;
             keeper.runners().all().stream()
@@ -181,14 +181,14 @@
         leaving.keySet()
                 .removeIf(id -> keeper.runners().get(id) == null
                         || keeper.runners().get(id).phase() == Runner.Phase.GONE);
-        intents.values().removeIf(i -> !i.asked && now - i.at > 20 * landfall.beat());
-        if (now - workersAt > (lookAgain ? landfall.beat() / 2 : (keeper.chart() == null ? 2 : 1) * landfall.beat())) {
+        intents.values().removeIf(i -> !i.asked && now - i.at > 20 * nodeSettings.beat());
+        if (now - workersAt > (lookAgain ? nodeSettings.beat() / 2 : (keeper.chart() == null ? 2 : 1) * nodeSettings.beat())) {
             workersAt = now;
             lookAgain = false;
             askForWorkers();
         }
         for (Intent intent : List.copyOf(intents.values())) {
-            if (!intent.asked && (intent.tries == 0 || now - intent.at > landfall.beat() / 4) && mayCall(now)) {
+            if (!intent.asked && (intent.tries == 0 || now - intent.at > nodeSettings.beat() / 4) && mayCall(now)) {
                 ask(intent, now);
             }
         }
@@ -197,7 +197,7 @@
         }
         for (Map.Entry<String, Long> each : List.copyOf(leaving.entrySet())) {
             // Homes have had the time to send nothing more there.
-            if (now - each.getValue() > landfall.beat() / 2 && mayCall(now)) {
+            if (now - each.getValue() > nodeSettings.beat() / 2 && mayCall(now)) {
                 leaving.put(each.getKey(), now);
                 stop(each.getKey());
             }
@@ -208,7 +208,7 @@
         while (!duties.isEmpty() && now - duties.peek() > 1_000_000_000L) {
             duties.poll();
         }
-        boolean may = duties.size() < Math.max(1, landfall.rates().dutiesPerSecond() * 0.8);
+        boolean may = duties.size() < Math.max(1, nodeSettings.rates().dutiesPerSecond() * 0.8);
         if (may) {
             duties.add(now);
         }
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import saltdale.control.Fields;
 import saltdale.control.ControlNode;
-import saltdale.control.Landfall;
+import saltdale.control.ControlNodeSettings;
 import saltdale.control.MalformedMessage;
 import saltdale.protocol.Head;
 import saltdale.protocol.HttpParser;
@@ -33,7 +33,7 @@
         }
         RecordStore on = vault;
         harbor = new Harbor(settings, on == null ? all -> {} : on::write, this);
-        Landfall landfall = new Landfall(
+        ControlNodeSettings nodeSettings = new ControlNodeSettings(
                 settings.name,
                 settings.host,
                 settings.zone,
@@ -45,7 +45,7 @@
                 settings.rates);
         ControlNode made;
         try {
-            made = new ControlNode(harbor, landfall, new PlatformClient(harbor, settings.platform), records);
+            made = new ControlNode(harbor, nodeSettings, new PlatformClient(harbor, settings.platform), records);
         } catch (MalformedMessage e) {
             // What cannot be read back whole is as good as lost: another voter, who knows nothing, begins.
             harbor.ring.wrong("the records on disk cannot be used, beginning as a new keeper: " + e.getMessage());
@@ -53,7 +53,7 @@
             records.keySet().forEach(name -> none.put(name, null));
             harbor.persist(none, done -> {});
             try {
-                made = new ControlNode(harbor, landfall, new PlatformClient(harbor, settings.platform), Map.of());
+                made = new ControlNode(harbor, nodeSettings, new PlatformClient(harbor, settings.platform), Map.of());
             } catch (MalformedMessage never) {
                 throw new IllegalStateException(never);
             }
--- a/node/src/main/java/saltdale/node/PilotStation.java
+++ b/node/src/main/java/saltdale/node/PilotStation.java
@@ -13,7 +13,7 @@
 import saltdale.control.Fields;
 import saltdale.control.MalformedMessage;
 import saltdale.proxy.Attempt;
-import saltdale.proxy.Bearings;
+import saltdale.proxy.ProxySettings;
 import saltdale.proxy.Call;
 import saltdale.proxy.Carrier;
 import saltdale.proxy.Pilot;
@@ -48,7 +48,7 @@
         harbor = new Harbor(settings, null, this);
         pilot = new Pilot(
                 harbor,
-                new Bearings(
+                new ProxySettings(
                         settings.name,
                         settings.host,
                         settings.zone,
--- a/proxy/src/main/java/saltdale/proxy/Pilot.java
+++ b/proxy/src/main/java/saltdale/proxy/Pilot.java
@@ -32,7 +32,7 @@
     private record Held(String runner, String life, long until) {}
 
     private final Outside outside;
-    private final Bearings bearings;
+    private final ProxySettings proxySettings;
     private final Carrier carrier;
     private final Tender tender;
     private final RetryBudget budget;
@@ -54,12 +54,12 @@
     private boolean ending;
     private boolean turnsAway; // at its end, what would have to wait
 
-    public Pilot(Outside outside, Bearings bearings, Carrier carrier) {
+    public Pilot(Outside outside, ProxySettings proxySettings, Carrier carrier) {
         this.outside = outside;
-        this.bearings = bearings;
+        this.proxySettings = proxySettings;
         this.carrier = carrier;
-        budget = new RetryBudget(bearings.retryRatio(), bearings.retryWindow(), bearings.retrySlack());
-        tender = new Tender(outside, bearings, new Tender.Reader() {
+        budget = new RetryBudget(proxySettings.retryRatio(), proxySettings.retryWindow(), proxySettings.retrySlack());
+        tender = new Tender(outside, proxySettings, new Tender.Reader() {
             @Override
             public void news(Fields message) throws MalformedMessage {
                 Pilot.this.news(message);
@@ -131,7 +131,7 @@
     /** After it stood still the slots it asked for may have been lent to it and taken back: it asks anew. */
     private void awake() {
         long now = outside.now();
-        boolean stood = now - awakeAt > bearings.beat();
+        boolean stood = now - awakeAt > proxySettings.beat();
         awakeAt = now;
         if (stood) {
             List.copyOf(asking.values()).forEach(this::askAgain);
@@ -192,7 +192,7 @@
                 + crew.stream().map(m -> m.name() + (m.leaving() ? "-" : "")).toList());
         long now = outside.now();
         for (Home home : List.copyOf(homes.values())) {
-            List<Object> loans = home.recrewed(now, bearings.beat() / 8);
+            List<Object> loans = home.recrewed(now, proxySettings.beat() / 8);
             if (!isHome(home.service())) {
                 loans = home.loans(now);
                 homes.remove(home.service());
@@ -201,7 +201,7 @@
             Map<String, List<Object>> heirs = new LinkedHashMap<>();
             for (Object loan : loans) {
                 Runner r = (Runner) told.get(((List<?>) loan).get(1));
-                Member heir = Homes.of(home.service(), r == null ? bearings.zone() : r.zone(), crew);
+                Member heir = Homes.of(home.service(), r == null ? proxySettings.zone() : r.zone(), crew);
                 if (heir != null) {
                     heirs.computeIfAbsent(heir.host(), host -> new ArrayList<>())
                             .add(loan);
@@ -230,7 +230,7 @@
         crew.forEach(m -> lives.add(m.life()));
         for (Member m : before) {
             if (!lives.contains(m.life())) {
-                homes.values().forEach(home -> home.gone(m.life(), now + bearings.beat() / 3));
+                homes.values().forEach(home -> home.gone(m.life(), now + proxySettings.beat() / 3));
                 silent.remove(m.life());
                 for (Call call : List.copyOf(asking.values())) {
                     if (call.home != null && call.home.life().equals(m.life())) {
@@ -246,7 +246,7 @@
     }
 
     private boolean isHome(String service) {
-        return isHome(service, bearings.zone())
+        return isHome(service, proxySettings.zone())
                 || told.values().stream().anyMatch(r -> r.service().equals(service) && isHome(service, r.zone()));
     }
 
@@ -259,11 +259,11 @@
         return homes.computeIfAbsent(service, s -> {
             // Who was home before says what is out; the runners may come to be known only after the crew.
             long opensAt = Math.max(
-                    crewAt + bearings.beat() / 8,
+                    crewAt + proxySettings.beat() / 8,
                     outside.now()
-                            + (told.values().stream().anyMatch(r -> r.service().equals(s)) ? bearings.beat() / 8 : 0));
+                            + (told.values().stream().anyMatch(r -> r.service().equals(s)) ? proxySettings.beat() / 8 : 0));
             Home home = new Home(
-                    s, bearings.zone(), probes, outside.chance(), r -> isHome(s, r.zone()), new Lending(s), opensAt);
+                    s, proxySettings.zone(), probes, outside.chance(), r -> isHome(s, r.zone()), new Lending(s), opensAt);
             told.values().stream()
                     .filter(r -> r.service().equals(s))
                     .toList()
@@ -308,7 +308,7 @@
                         outside.send(tender.keeper(), Fields.tree("t", "up", "r", id));
                     }
                 } else {
-                    outside.after(bearings.beat() / 24, () -> tryOne(home, berth));
+                    outside.after(proxySettings.beat() / 24, () -> tryOne(home, berth));
                 }
             }
         }
@@ -407,8 +407,8 @@
         asking.put(call.ask, call);
         long number = call.ask;
         // A home answers at once, if only that the call waits; that is said again while it does.
-        call.timer = outside.after(bearings.beat() / 10, () -> unanswered(call, number));
-        boolean away = !home.zone().equals(bearings.zone());
+        call.timer = outside.after(proxySettings.beat() / 10, () -> unanswered(call, number));
+        boolean away = !home.zone().equals(proxySettings.zone());
         boolean counts = call.attempts == 0 && call.unreached.isEmpty() && !away || away && !call.unreached.isEmpty();
         call.hops = call.unreached.isEmpty() ? 0 : Home.MOST_HOPS;
         sendAsk(call, counts);
@@ -423,7 +423,7 @@
                             tender.life(),
                             null,
                             call.ask,
-                            bearings.zone(),
+                            proxySettings.zone(),
                             call.until,
                             call.target,
                             call.priority,
@@ -445,7 +445,7 @@
                             "l",
                             tender.life(),
                             "z",
-                            bearings.zone(),
+                            proxySettings.zone(),
                             "u",
                             (call.until - now) / 1_000_000,
                             "g",
@@ -463,7 +463,7 @@
 
     private Member homeFor(Call call) {
         long now = outside.now();
-        Member own = Homes.of(call.service, bearings.zone(), crew);
+        Member own = Homes.of(call.service, proxySettings.zone(), crew);
         if (usable(own, call, now)) {
             return own;
         }
@@ -489,7 +489,7 @@
         if (call.ask == number) {
             if (call.home != null) {
                 if (!call.home.life().equals(tender.life())) {
-                    silent.put(call.home.life(), outside.now() + bearings.beat() / 2);
+                    silent.put(call.home.life(), outside.now() + proxySettings.beat() / 2);
                 }
                 call.unreached.add(call.home.zone());
             }
@@ -538,7 +538,7 @@
                 return;
             }
             call.timer.run();
-            call.timer = outside.after(bearings.beat(), () -> unanswered(call, number));
+            call.timer = outside.after(proxySettings.beat(), () -> unanswered(call, number));
         }
     }
 
@@ -559,7 +559,7 @@
         call.home = there;
         asking.put(call.ask, call);
         long next = call.ask;
-        call.timer = outside.after(bearings.beat() / 10, () -> unanswered(call, next));
+        call.timer = outside.after(proxySettings.beat() / 10, () -> unanswered(call, next));
         call.hops++;
         sendAsk(call, false);
     }
@@ -648,7 +648,7 @@
             if (ask.host == null) {
                 Call call = asking.get(ask.number);
                 if (call != null) {
-                    call.unreached.add(bearings.zone());
+                    call.unreached.add(proxySettings.zone());
                     outside.after(Outside.millis(20), () -> {
                         if (call.ask == ask.number) {
                             askAgain(call);
@@ -808,7 +808,7 @@
 
     private void turn() {
         awake();
-        outside.after(bearings.beat() / 6, this::turn);
+        outside.after(proxySettings.beat() / 6, this::turn);
         long now = outside.now();
         homes.values().forEach(home -> {
             home.turn(now);
@@ -817,7 +817,7 @@
         homes.values().removeIf(Home::isIdle);
         early.values().removeIf(one -> one.until <= now);
         for (Home home : homes.values()) {
-            home.sayWaits(now, bearings.beat() / 3);
+            home.sayWaits(now, proxySettings.beat() / 3);
         }
         tellNeeds();
     }
--- a/proxy/src/main/java/saltdale/proxy/Bearings.java
+++ b/proxy/src/main/java/saltdale/proxy/ProxySettings.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /** What a pilot is told of its machine and of the deployment; spans in nanoseconds. */
-public record Bearings(
+public record ProxySettings(
         String name,
         String host,
         String zone,
--- a/proxy/src/main/java/saltdale/proxy/Tender.java
+++ b/proxy/src/main/java/saltdale/proxy/Tender.java
@@ -30,7 +30,7 @@
     }
 
     private final Outside outside;
-    private final Bearings bearings;
+    private final ProxySettings proxySettings;
     private final Reader reader;
     private final Set<String> keepers = new LinkedHashSet<>();
     private final Map<Long, Long> sentAt = new LinkedHashMap<>();
@@ -45,11 +45,11 @@
     private int alone; // so often in a row it had no majority
     private boolean leaving;
 
-    Tender(Outside outside, Bearings bearings, Reader reader) {
+    Tender(Outside outside, ProxySettings proxySettings, Reader reader) {
         this.outside = outside;
-        this.bearings = bearings;
+        this.proxySettings = proxySettings;
         this.reader = reader;
-        keepers.addAll(bearings.seeds());
+        keepers.addAll(proxySettings.seeds());
         life = fresh();
     }
 
@@ -76,14 +76,14 @@
 
     private void turn() {
         long now = outside.now();
-        if (now - heardAt > bearings.beat() * 2 / 3) {
+        if (now - heardAt > proxySettings.beat() * 2 / 3) {
             move();
         }
         // Until the first word has come it asks more often: a keeper may start later than we do.
-        if (news == 0 || now - renewedAt >= bearings.beat() / 4) {
+        if (news == 0 || now - renewedAt >= proxySettings.beat() / 4) {
             renew();
         }
-        outside.after(bearings.beat() / 8, this::turn);
+        outside.after(proxySettings.beat() / 8, this::turn);
     }
 
     /** Another keeper, another session. */
@@ -114,14 +114,14 @@
         long now = outside.now();
         renewedAt = now;
         sentAt.put(++count, now);
-        sentAt.values().removeIf(at -> now - at > 4 * bearings.beat());
+        sentAt.values().removeIf(at -> now - at > 4 * proxySettings.beat());
         outside.send(
                 keeper,
                 Fields.tree(
                         "t",
                         "renew",
                         "m",
-                        new Member(life, bearings.name(), bearings.zone(), bearings.host(), leaving).tree(),
+                        new Member(life, proxySettings.name(), proxySettings.zone(), proxySettings.host(), leaving).tree(),
                         "i",
                         count,
                         "s",
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -8,7 +8,7 @@
 import java.util.function.Consumer;
 import saltdale.control.Fields;
 import saltdale.control.ControlNode;
-import saltdale.control.Landfall;
+import saltdale.control.ControlNodeSettings;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Outside;
 
@@ -163,7 +163,7 @@
                 if (keeps) {
                     keeper = new ControlNode(
                             this,
-                            new Landfall(
+                            new ControlNodeSettings(
                                     name,
                                     host,
                                     zone,
@@ -179,7 +179,7 @@
                 } else {
                     pilot = new Pilot(
                             this,
-                            new Bearings(name, host, zone, seeds, SimWorld.BEAT, 0.2, Outside.millis(10_000), 52),
+                            new ProxySettings(name, host, zone, seeds, SimWorld.BEAT, 0.2, Outside.millis(10_000), 52),
                             world.platform.carrier(this));
                     pilot.begin();
                 }
