--- a/control/src/main/java/saltdale/control/Acceptor.java
+++ b/control/src/main/java/saltdale/control/Acceptor.java
@@ -14,7 +14,7 @@
     static final String RECORD = "acceptor";
     static final String TEXT = "text:";
 
-    private final Outside outside;
+    private final Environment environment;
     private Ballot promised = Ballot.NONE;
     private Ballot accepted = Ballot.NONE;
     private ReplicatedState state; // null until one was accepted
@@ -24,8 +24,8 @@
     private long changes; // of the text that is written
     private final Set<String> written = new HashSet<>(); // those that may be
 
-    Acceptor(Outside outside) {
-        this.outside = outside;
+    Acceptor(Environment environment) {
+        this.environment = environment;
     }
 
     /** Takes over what was synced before. */
@@ -136,7 +136,7 @@
             written.add(key);
         }
         written.stream().filter(each -> !each.equals(key)).forEach(each -> records.put(TEXT + each, null));
-        outside.persist(records, whole -> {
+        environment.persist(records, whole -> {
             if (whole && of == changes) {
                 synced = key;
                 written.removeIf(each -> !each.equals(key));
--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -53,11 +53,11 @@
     }
 
     static final String STARTING = "starting";
-    private static final long SOON = Outside.millis(5); // several that come at once are told of once
+    private static final long SOON = Environment.millis(5); // several that come at once are told of once
     private static final String IDENTITY = "identity";
     private static final String BEGUN = "begun"; // the state from which all began
 
-    private final Outside outside;
+    private final Environment environment;
     private final ControlNodeSettings nodeSettings;
     private final String id;
     private final String life;
@@ -79,24 +79,24 @@
     private Map<String, Object> chartTree;
 
     /** {@code records} are those on disk; where there are none the keeper is new, or has lost them. */
-    public ControlNode(Outside outside, ControlNodeSettings nodeSettings, Platform platform, Map<String, byte[]> records)
+    public ControlNode(Environment environment, ControlNodeSettings nodeSettings, Platform platform, Map<String, byte[]> records)
             throws MalformedMessage {
-        this.outside = outside;
+        this.environment = environment;
         this.nodeSettings = nodeSettings;
-        startedAt = outside.now();
-        life = Long.toHexString(outside.chance().nextLong());
+        startedAt = environment.now();
+        life = Long.toHexString(environment.chance().nextLong());
         boolean first =
                 nodeSettings.firstStart() && records.isEmpty() && nodeSettings.seeds().contains(nodeSettings.host());
         id = records.containsKey(IDENTITY)
                 ? new String(records.get(IDENTITY), StandardCharsets.UTF_8)
                 : first
                         ? Voter.firstId(nodeSettings.host())
-                        : Long.toHexString(outside.chance().nextLong());
-        register = new ReplicatedRegister(outside, id, life, this::chosen);
+                        : Long.toHexString(environment.chance().nextLong());
+        register = new ReplicatedRegister(environment, id, life, this::chosen);
         members = new Members(nodeSettings.memberLease() + nodeSettings.beat() * 3 / 10);
         runners = new Runners(8 * nodeSettings.beat(), 40 * nodeSettings.beat());
         demand = new Demand(3 * nodeSettings.beat());
-        starter = new Starter(outside, this, platform, nodeSettings);
+        starter = new Starter(environment, this, platform, nodeSettings);
         register.restore(records);
         ReplicatedState begun = nodeSettings.firstStart()
                 ? ReplicatedState.first(nodeSettings.seeds().stream()
@@ -114,7 +114,7 @@
                 // Guards against all being killed before any has accepted a state: none would know whom to ask.
                 own.put(BEGUN, Trees.cbor(begun.tree()));
             }
-            outside.persist(own, done -> {});
+            environment.persist(own, done -> {});
         }
     }
 
@@ -171,19 +171,19 @@
 
     /** Whether a majority of voters answered what was sent within the lease; a process that stood still has none. */
     public boolean hasMajority() {
-        return majorityAt() > outside.now() - nodeSettings.lease();
+        return majorityAt() > environment.now() - nodeSettings.lease();
     }
 
     /** When that was sent which a majority of voters has answered. */
     private long majorityAt() {
         ReplicatedState basis = register.basis();
-        long at = basis == null ? Long.MIN_VALUE / 2 : outside.now();
+        long at = basis == null ? Long.MIN_VALUE / 2 : environment.now();
         for (List<Voter> set : basis == null ? List.<List<Voter>>of() : basis.quorums()) {
             List<Long> heard = new ArrayList<>();
             for (Voter v : set) {
                 heard.add(
                         v.id().equals(id)
-                                ? outside.now()
+                                ? environment.now()
                                 : peers.values().stream()
                                         .filter(p -> v.id().equals(p.id))
                                         .mapToLong(p -> p.ackedSentAt)
@@ -204,14 +204,14 @@
 
     private void beat() {
         sayBeat();
-        outside.after(nodeSettings.beat() / 3, this::beat);
+        environment.after(nodeSettings.beat() / 3, this::beat);
     }
 
     /** Others hear soon who has come or gone: homes that know it at different times lend the same slots. */
     private void crewChanged() {
         if (!spreading) {
             spreading = true;
-            outside.after(SOON, () -> {
+            environment.after(SOON, () -> {
                 spreading = false;
                 publish();
                 sayBeat();
@@ -228,13 +228,13 @@
         }
         to.remove(nodeSettings.host());
         List<Object> news = members.news();
-        long now = outside.now();
+        long now = environment.now();
         List<Object> over = members.over(now);
         for (String host : to) {
             Peer peer = peer(host);
             peer.sentAt.put(beats, now);
             peer.sentAt.values().removeIf(at -> now - at > 4 * nodeSettings.beat());
-            outside.send(
+            environment.send(
                     host,
                     Fields.tree(
                             "t",
@@ -274,13 +274,13 @@
     private void beaten(Fields message) throws MalformedMessage {
         Peer peer = heard(message);
         long edition = members.edition();
-        members.merge(message.list("m"), outside.now());
-        members.areOver(message.texts("o"), outside.now());
+        members.merge(message.list("m"), environment.now());
+        members.areOver(message.texts("o"), environment.now());
         if (members.edition() != edition) {
             publish();
         }
         peer.leaving = message.flag("e");
-        outside.send(
+        environment.send(
                 peer.host,
                 Fields.tree(
                         "t",
@@ -304,7 +304,7 @@
         peer.id = message.text("id");
         peer.name = message.text("n");
         peer.life = message.text("l");
-        peer.heardAt = outside.now();
+        peer.heardAt = environment.now();
         if (message.whole("v") > version()) {
             register.fetch(peer.host); // the sweep: whoever is behind fetches what it missed
         }
@@ -346,14 +346,14 @@
 
     /** Sends to all other keepers. */
     void tellKeepers(Map<String, Object> message) {
-        peers.keySet().forEach(host -> outside.send(host, message));
+        peers.keySet().forEach(host -> environment.send(host, message));
     }
 
     /** Merges copies of runners; news of our own goes to the other keepers too. */
     void changed(List<Runner> copies, boolean tell) {
         List<Object> fresh = new ArrayList<>();
         for (Runner copy : copies) {
-            if (runners.merge(copy, outside.now())) {
+            if (runners.merge(copy, environment.now())) {
                 fresh.add(copy.tree());
             }
         }
@@ -367,13 +367,13 @@
 
     private void wanted(Fields message) throws MalformedMessage {
         String from = message.text("l");
-        demand.said(from, message.list("w"), outside.now());
+        demand.said(from, message.list("w"), environment.now());
         if (!message.flag("fwd")) {
             ReplicatedState state = register.chosen();
             String holder = state == null ? null : state.duty(STARTING).holder();
             for (Peer peer : peers.values()) {
                 if (holder != null && holder.equals(peer.id + "/" + peer.life)) {
-                    outside.send(peer.host, Fields.tree("t", "want", "l", from, "w", message.list("w"), "fwd", true));
+                    environment.send(peer.host, Fields.tree("t", "want", "l", from, "w", message.list("w"), "fwd", true));
                 }
             }
         }
@@ -386,7 +386,7 @@
         Member member = Member.of(message.list("m"));
         String session = message.text("s");
         long revision = message.whole("r");
-        long now = outside.now();
+        long now = environment.now();
         long edition = members.edition();
         members.renewed(member, message.whole("i"), now, true);
         if (members.edition() != edition) {
@@ -396,7 +396,7 @@
         Subscriber subscriber = subscribers.get(member.life());
         if (over) {
             subscribers.remove(member.life());
-            outside.send(fromHost, Fields.tree("t", "lease", "i", message.whole("i"), "over", true));
+            environment.send(fromHost, Fields.tree("t", "lease", "i", message.whole("i"), "over", true));
             return;
         }
         if (subscriber == null || !subscriber.session.equals(session)) {
@@ -407,7 +407,7 @@
         subscriber.member = member;
         subscriber.heardAt = now;
         publish(subscriber);
-        outside.send(
+        environment.send(
                 fromHost,
                 Fields.tree(
                         "t",
@@ -435,7 +435,7 @@
     }
 
     void publish() {
-        subscribers.values().removeIf(s -> outside.now() - s.heardAt > 4 * nodeSettings.beat());
+        subscribers.values().removeIf(s -> environment.now() - s.heardAt > 4 * nodeSettings.beat());
         subscribers.values().forEach(this::publish);
     }
 
@@ -495,13 +495,13 @@
     private void tell(Subscriber to, Map<String, Object> message) {
         message.put("s", to.session);
         message.put("#", ++to.sent);
-        outside.send(to.host, message);
+        environment.send(to.host, message);
     }
 
     // The configuration.
 
     private void chosen(ReplicatedState state, byte[] text) {
-        outside.note("chosen " + state.version() + ": revision " + state.revision() + ", voters "
+        environment.note("chosen " + state.version() + ": revision " + state.revision() + ", voters "
                 + state.voters().stream().map(Voter::host).toList() + (state.isJoint() ? " (joint)" : "") + ", "
                 + state.duties());
         if (text != null && (chart == null || state.revision() > chart.revision())) {
@@ -510,7 +510,7 @@
                 chart = new Chart(new Fields(tree));
                 chartTree = tree;
             } catch (InvalidChart e) {
-                outside.note("revision " + state.revision() + " cannot be read: " + e.getMessage());
+                environment.note("revision " + state.revision() + " cannot be read: " + e.getMessage());
             }
         }
         publish();
@@ -590,8 +590,8 @@
     // Duties and voters.
 
     private void tick() {
-        outside.after(nodeSettings.beat() / 6, this::tick);
-        long now = outside.now();
+        environment.after(nodeSettings.beat() / 6, this::tick);
+        long now = environment.now();
         boolean had = hadMajority;
         hadMajority = hasMajority();
         majoritySince = had ? majoritySince : now;
@@ -604,7 +604,7 @@
             crewChanged();
         }
         if (had && !hadMajority) {
-            subscribers.values().forEach(s -> outside.send(s.host, Fields.tree("t", "alone")));
+            subscribers.values().forEach(s -> environment.send(s.host, Fields.tree("t", "alone")));
         }
         if (proposing || register.basis() == null) {
             return;
@@ -639,8 +639,8 @@
     private void propose(Proposer.Change change) {
         proposing = true;
         // Guards against all keepers at once: the first one's ballot spares the others theirs.
-        outside.after(
-                (long) (nodeSettings.beat() / 8 * outside.chance().nextDouble()),
+        environment.after(
+                (long) (nodeSettings.beat() / 8 * environment.chance().nextDouble()),
                 () -> register.propose(change, nodeSettings.beat(), done -> proposing = false));
     }
 
@@ -660,7 +660,7 @@
     }
 
     private boolean unheard(long heardAt) {
-        return outside.now() - Math.max(heardAt, startedAt) > nodeSettings.vacancy();
+        return environment.now() - Math.max(heardAt, startedAt) > nodeSettings.vacancy();
     }
 
     /**
--- a/control/src/main/java/saltdale/control/Outside.java
+++ b/control/src/main/java/saltdale/control/Environment.java
@@ -8,7 +8,7 @@
  * What a role needs of the world; simulated clusters bring their own. All of it is called and calls back in one
  * thread.
  */
-public interface Outside {
+public interface Environment {
     /** The steady clock, in nanoseconds. */
     long now();
 
--- a/control/src/main/java/saltdale/control/Proposer.java
+++ b/control/src/main/java/saltdale/control/Proposer.java
@@ -37,10 +37,10 @@
 
     private record Waiting(Change change, long until, Consumer<Object> answer) {}
 
-    private static final long TRY = Outside.millis(400); // for both questions of a ballot, disks and crossings included
-    private static final long PAUSE = Outside.millis(12); // doubled with each try that another ballot overtook
+    private static final long TRY = Environment.millis(400); // for both questions of a ballot, disks and crossings included
+    private static final long PAUSE = Environment.millis(12); // doubled with each try that another ballot overtook
 
-    private final Outside outside;
+    private final Environment environment;
     private final String life;
     private final Acceptor own;
     private final Function<String, Boolean> isSelf;
@@ -56,8 +56,8 @@
     private byte[] knownText;
     private boolean knownIsChosen;
 
-    Proposer(Outside outside, String life, Acceptor own, Function<String, Boolean> isSelf, Chosen chosen) {
-        this.outside = outside;
+    Proposer(Environment environment, String life, Acceptor own, Function<String, Boolean> isSelf, Chosen chosen) {
+        this.environment = environment;
         this.life = life;
         this.own = own;
         this.isSelf = isSelf;
@@ -79,7 +79,7 @@
 
     /** The answer is null where no majority could be had in time: what was asked for may come to be or may not. */
     void propose(Change change, long within, Consumer<Object> answer) {
-        waiting.add(new Waiting(change, outside.now() + within, answer));
+        waiting.add(new Waiting(change, environment.now() + within, answer));
         next();
     }
 
@@ -92,7 +92,7 @@
     }
 
     private void begin() {
-        if (outside.now() >= current.until || known == null) {
+        if (environment.now() >= current.until || known == null) {
             finish(null);
             return;
         }
@@ -108,8 +108,8 @@
         round = null;
         overtaken = Math.min(overtaken + 1, 5);
         // Guards against two that overtake each other for ever.
-        long pause = (long) (PAUSE * (1 << overtaken) * (0.3 + outside.chance().nextDouble()));
-        outside.after(pause, () -> {
+        long pause = (long) (PAUSE * (1 << overtaken) * (0.3 + environment.chance().nextDouble()));
+        environment.after(pause, () -> {
             if (round == null && current != null) {
                 begin();
             }
@@ -156,7 +156,7 @@
 
         Round(Ballot ballot) {
             this.ballot = ballot;
-            limit = outside.after(TRY, () -> again(this));
+            limit = environment.after(TRY, () -> again(this));
         }
 
         void over() {
@@ -178,7 +178,7 @@
             if (isSelf.apply(voter.id())) {
                 own.prepare(ballot, key, message -> replyOfOwn(voter.id(), message));
             } else {
-                outside.send(voter.host(), Fields.tree("t", "prepare", "b", ballot.tree(), "k", key, "to", voter.id()));
+                environment.send(voter.host(), Fields.tree("t", "prepare", "b", ballot.tree(), "k", key, "to", voter.id()));
             }
         }
 
@@ -273,7 +273,7 @@
             if (isSelf.apply(voter.id())) {
                 own.accept(ballot, put, putText, message -> replyOfOwn(voter.id(), message));
             } else {
-                outside.send(
+                environment.send(
                         voter.host(),
                         Fields.tree("t", "accept", "b", ballot.tree(), "s", put.tree(), "x", text, "to", voter.id()));
             }
@@ -293,7 +293,7 @@
         /** Once a joint state is known to be chosen, by majorities of both, the old voters are needed no longer. */
         private void settle(ReplicatedState joint) {
             if (joint.isJoint()) {
-                waiting.add(new Waiting(new Settling(joint), outside.now() + 4 * TRY, done -> {}));
+                waiting.add(new Waiting(new Settling(joint), environment.now() + 4 * TRY, done -> {}));
             }
         }
 
--- a/control/src/main/java/saltdale/control/ReplicatedRegister.java
+++ b/control/src/main/java/saltdale/control/ReplicatedRegister.java
@@ -10,7 +10,7 @@
         void chosen(ReplicatedState state, byte[] text);
     }
 
-    private final Outside outside;
+    private final Environment environment;
     private final String id;
     private final Acceptor acceptor;
     private final Proposer proposer;
@@ -18,12 +18,12 @@
     private ReplicatedState chosen;
     private byte[] text;
 
-    ReplicatedRegister(Outside outside, String id, String life, Listener listener) {
-        this.outside = outside;
+    ReplicatedRegister(Environment environment, String id, String life, Listener listener) {
+        this.environment = environment;
         this.id = id;
         this.listener = listener;
-        acceptor = new Acceptor(outside);
-        proposer = new Proposer(outside, life, acceptor, id::equals, (ballot, state, newText) -> {
+        acceptor = new Acceptor(environment);
+        proposer = new Proposer(environment, life, acceptor, id::equals, (ballot, state, newText) -> {
             learnt(state, newText);
             tell();
         });
@@ -68,7 +68,7 @@
             case "prepare" -> {
                 if (message.text("to").equals(id)) {
                     acceptor.prepare(
-                            Ballot.of(message, "b"), message.text("k"), reply -> outside.send(fromHost, signed(reply)));
+                            Ballot.of(message, "b"), message.text("k"), reply -> environment.send(fromHost, signed(reply)));
                 }
             }
             case "accept" -> {
@@ -77,7 +77,7 @@
                             Ballot.of(message, "b"),
                             ReplicatedState.of(message.object("s")),
                             message.has("x") ? message.bytes("x") : null,
-                            reply -> outside.send(fromHost, signed(reply)));
+                            reply -> environment.send(fromHost, signed(reply)));
                 }
             }
             case "promise", "nack", "accepted", "need" -> proposer.reply(fromId, message);
@@ -85,7 +85,7 @@
             case "fetch" -> {
                 if (chosen != null) {
                     boolean has = message.text("k").equals(chosen.textKey());
-                    outside.send(fromHost, Fields.tree("t", "chosen", "s", chosen.tree(), "x", has ? null : text));
+                    environment.send(fromHost, Fields.tree("t", "chosen", "s", chosen.tree(), "x", has ? null : text));
                 }
             }
             default -> throw new MalformedMessage("no message of ballots");
@@ -120,7 +120,7 @@
 
     void fetch(String host) {
         String key = chosen == null ? "" : chosen.textKey();
-        outside.send(host, Fields.tree("t", "fetch", "k", key));
+        environment.send(host, Fields.tree("t", "fetch", "k", key));
     }
 
     private void learnt(ReplicatedState state, byte[] newText) {
@@ -136,7 +136,7 @@
     private void tell() {
         for (Voter voter : chosen.voters()) {
             if (!voter.id().equals(id)) {
-                outside.send(voter.host(), Fields.tree("t", "chosen", "s", chosen.tree()));
+                environment.send(voter.host(), Fields.tree("t", "chosen", "s", chosen.tree()));
             }
         }
     }
--- a/control/src/main/java/saltdale/control/Starter.java
+++ b/control/src/main/java/saltdale/control/Starter.java
@@ -39,7 +39,7 @@
         }
     }
 
-    private final Outside outside;
+    private final Environment environment;
     private final ControlNode keeper;
     private final Platform platform;
     private final ControlNodeSettings nodeSettings;
@@ -60,8 +60,8 @@
     private long pageAt = Long.MIN_VALUE / 2; // when the last page was asked for
     private int refused;
 
-    Starter(Outside outside, ControlNode keeper, Platform platform, ControlNodeSettings nodeSettings) {
-        this.outside = outside;
+    Starter(Environment environment, ControlNode keeper, Platform platform, ControlNodeSettings nodeSettings) {
+        this.environment = environment;
         this.keeper = keeper;
         this.platform = platform;
         this.nodeSettings = nodeSettings;
@@ -75,9 +75,9 @@
     // The list of runners.
 
     private void list() {
-        long now = outside.now();
+        long now = environment.now();
         if (!listing && now - pageAt < pageGap()) {
-            outside.after(pageAt + pageGap() - now, this::list); // a first page is a page too
+            environment.after(pageAt + pageGap() - now, this::list); // a first page is a page too
             return;
         }
         // Guards against lists of many pages that overlap; one of which no answer ever came does not hold up the next.
@@ -88,7 +88,7 @@
         // All keepers together stay under half of the platform's rate, whatever number of pages the list has.
         double atLeast =
                 keeper.keepers() * (pages + 1) / (0.5 * nodeSettings.rates().listsPerSecond());
-        outside.after(Math.max(nodeSettings.beat() / 2, (long) (atLeast * 1e9)), this::list);
+        environment.after(Math.max(nodeSettings.beat() / 2, (long) (atLeast * 1e9)), this::list);
     }
 
     private long pageGap() {
@@ -96,7 +96,7 @@
     }
 
     private void list(String token, List<Runner> so, int page, long askedAt) {
-        pageAt = outside.now();
+        pageAt = environment.now();
         platform.runners(token, answer -> {
             listing = false;
             if (answer == null || answer.status() != 200 || answer.body() == null) {
@@ -124,15 +124,15 @@
                     String next = told.text("next_page_token");
                     listing = true;
                     // Guards against bursts: pages follow one another no faster than all keepers together may ask.
-                    outside.after(pageGap(), () -> list(next, so, page + 1, askedAt));
+                    environment.after(pageGap(), () -> list(next, so, page + 1, askedAt));
                     return;
                 }
             } catch (MalformedMessage e) {
-                outside.note("the platform's list cannot be read: " + e.getMessage());
+                environment.note("the platform's list cannot be read: " + e.getMessage());
                 return;
             }
             pages = page;
-            List<Runner> news = keeper.runners().listed(so, askedAt, outside.now());
+            List<Runner> news = keeper.runners().listed(so, askedAt, environment.now());
             if (!news.isEmpty()) {
                 keeper.publish();
                 look();
@@ -150,7 +150,7 @@
     void look() {
         if (!looking) {
             looking = true;
-            outside.after(0, () -> {
+            environment.after(0, () -> {
                 looking = false;
                 act();
             });
@@ -159,7 +159,7 @@
 
     private void turn() {
         act();
-        outside.after(nodeSettings.beat() / 12, this::turn);
+        environment.after(nodeSettings.beat() / 12, this::turn);
     }
 
     private void act() {
@@ -167,7 +167,7 @@
             fence = -1;
             return;
         }
-        long now = outside.now();
+        long now = environment.now();
         if (fence != keeper.fence()) { // newly won: what another had begun is asked for again, and so learnt
             fence = keeper.fence();
             scaler = new Scaler(nodeSettings.beat() * 7 / 2, now);
@@ -235,7 +235,7 @@
                 told.clear();
                 all.forEach(w -> told.put(w.name, w.room));
             } catch (MalformedMessage e) {
-                outside.note("the platform's workers cannot be read: " + e.getMessage());
+                environment.note("the platform's workers cannot be read: " + e.getMessage());
             }
         });
     }
@@ -288,7 +288,7 @@
             }
         }
         if (!plan.starts().isEmpty() || !plan.stops().isEmpty()) {
-            outside.note("starts "
+            environment.note("starts "
                     + plan.starts().stream()
                             .map(s -> s.service() + "@" + s.zone())
                             .toList() + ", stops "
@@ -308,7 +308,7 @@
         intent.tries++;
         platform.begin(keeper.name(), fence, intent.service, intent.worker, intent.nonce, answer -> {
             intent.asked = false;
-            intent.at = outside.now();
+            intent.at = environment.now();
             if (answer == null || answer.status() == 429 || answer.status() >= 500) {
                 if (intent.tries > 8) {
                     over(intent);
@@ -319,7 +319,7 @@
             if (answer.status() != 200 || answer.body() == null) {
                 refused = 10;
                 lookAgain = true; // no room there after all
-                outside.note("start of " + intent.service + " on " + intent.worker + ": " + answer.status());
+                environment.note("start of " + intent.service + " on " + intent.worker + ": " + answer.status());
                 return;
             }
             refused = Math.max(0, refused - 1);
@@ -336,7 +336,7 @@
                                 intent.slots)),
                         true);
             } catch (MalformedMessage e) {
-                outside.note("an answer to a start cannot be read: " + e.getMessage());
+                environment.note("an answer to a start cannot be read: " + e.getMessage());
             }
         });
     }
@@ -366,7 +366,7 @@
                             each.text("z"),
                             (int) each.whole("c"),
                             (int) each.whole("m"),
-                            outside.now()));
+                            environment.now()));
         }
         message.texts("o").forEach(intents::remove);
     }
--- a/node/src/main/java/saltdale/node/Harbor.java
+++ b/node/src/main/java/saltdale/node/Harbor.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.Consumer;
-import saltdale.control.Outside;
+import saltdale.control.Environment;
 import saltdale.transport.Address;
 import saltdale.transport.Loop;
 import saltdale.transport.Sockets;
@@ -18,7 +18,7 @@
  * The world of one process: its loop, its sockets, its links to the other processes and, where there is one, its
  * disk.
  */
-final class Harbor implements Outside {
+final class Harbor implements Environment {
     /** Writes records to disk, all or none; throws where that cannot be done. */
     interface Disk {
         void write(Map<String, byte[]> records) throws Exception;
--- a/proxy/src/main/java/saltdale/proxy/Pilot.java
+++ b/proxy/src/main/java/saltdale/proxy/Pilot.java
@@ -14,7 +14,7 @@
 import saltdale.control.InvalidChart;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
-import saltdale.control.Outside;
+import saltdale.control.Environment;
 import saltdale.control.Runner;
 import saltdale.probing.ProbeLoop;
 
@@ -25,13 +25,13 @@
  * its own.
  */
 public final class Pilot {
-    private static final long MARGIN = Outside.millis(15); // before a client's deadline, for the way back
+    private static final long MARGIN = Environment.millis(15); // before a client's deadline, for the way back
     private static final int NESTED = -1; // the priority of calls that runners make while they hold a slot
     private static final int MOST_MOVES = 6; // of a call that no runner began, from one runner to another
 
     private record Held(String runner, String life, long until) {}
 
-    private final Outside outside;
+    private final Environment environment;
     private final ProxySettings proxySettings;
     private final Carrier carrier;
     private final Tender tender;
@@ -54,12 +54,12 @@
     private boolean ending;
     private boolean turnsAway; // at its end, what would have to wait
 
-    public Pilot(Outside outside, ProxySettings proxySettings, Carrier carrier) {
-        this.outside = outside;
+    public Pilot(Environment environment, ProxySettings proxySettings, Carrier carrier) {
+        this.environment = environment;
         this.proxySettings = proxySettings;
         this.carrier = carrier;
         budget = new RetryBudget(proxySettings.retryRatio(), proxySettings.retryWindow(), proxySettings.retrySlack());
-        tender = new Tender(outside, proxySettings, new Tender.Reader() {
+        tender = new Tender(environment, proxySettings, new Tender.Reader() {
             @Override
             public void news(Fields message) throws MalformedMessage {
                 Pilot.this.news(message);
@@ -109,7 +109,7 @@
     public void end(long waits) {
         ending = true;
         tender.leave();
-        outside.after(waits, () -> {
+        environment.after(waits, () -> {
             turnsAway = true;
             List.copyOf(asking.values()).forEach(this::turnAway);
         });
@@ -130,7 +130,7 @@
 
     /** After it stood still the slots it asked for may have been lent to it and taken back: it asks anew. */
     private void awake() {
-        long now = outside.now();
+        long now = environment.now();
         boolean stood = now - awakeAt > proxySettings.beat();
         awakeAt = now;
         if (stood) {
@@ -147,9 +147,9 @@
                     Chart next = new Chart(message.object("c"));
                     // Never back within one life, whoever tells.
                     chart = chart == null || next.revision() > chart.revision() ? next : chart;
-                    outside.note("configuration " + chart.revision() + " in force");
+                    environment.note("configuration " + chart.revision() + " in force");
                 } catch (InvalidChart e) {
-                    outside.note("a configuration cannot be read: " + e.getMessage());
+                    environment.note("a configuration cannot be read: " + e.getMessage());
                 }
             }
             case "crew" -> {
@@ -173,7 +173,7 @@
         runnerHosts.add(host(r));
         Home home = isHome(r.service()) ? home(r.service()) : null;
         if (home != null) {
-            home.heard(r, outside.now());
+            home.heard(r, environment.now());
             tellEarly(home);
             tryBooting(home);
         }
@@ -187,10 +187,10 @@
     private void crew(List<Member> next) {
         Collection<Member> before = crew;
         crew = next;
-        crewAt = outside.now();
-        outside.note("crew of " + crew.size() + ": "
+        crewAt = environment.now();
+        environment.note("crew of " + crew.size() + ": "
                 + crew.stream().map(m -> m.name() + (m.leaving() ? "-" : "")).toList());
-        long now = outside.now();
+        long now = environment.now();
         for (Home home : List.copyOf(homes.values())) {
             List<Object> loans = home.recrewed(now, proxySettings.beat() / 8);
             if (!isHome(home.service())) {
@@ -207,7 +207,7 @@
                             .add(loan);
                 }
             }
-            heirs.forEach((host, list) -> outside.send(host, Fields.tree("t", "held", "l", list)));
+            heirs.forEach((host, list) -> environment.send(host, Fields.tree("t", "held", "l", list)));
         }
         // What we hold is told to the new homes.
         Map<String, List<Object>> held = new LinkedHashMap<>();
@@ -225,7 +225,7 @@
                                 Math.max(0, (a.until - now) / 1_000_000)));
             }
         }
-        held.forEach((host, list) -> outside.send(host, Fields.tree("t", "held", "l", list)));
+        held.forEach((host, list) -> environment.send(host, Fields.tree("t", "held", "l", list)));
         Set<String> lives = new HashSet<>();
         crew.forEach(m -> lives.add(m.life()));
         for (Member m : before) {
@@ -260,16 +260,16 @@
             // Who was home before says what is out; the runners may come to be known only after the crew.
             long opensAt = Math.max(
                     crewAt + proxySettings.beat() / 8,
-                    outside.now()
+                    environment.now()
                             + (told.values().stream().anyMatch(r -> r.service().equals(s)) ? proxySettings.beat() / 8 : 0));
             Home home = new Home(
-                    s, proxySettings.zone(), probes, outside.chance(), r -> isHome(s, r.zone()), new Lending(s), opensAt);
+                    s, proxySettings.zone(), probes, environment.chance(), r -> isHome(s, r.zone()), new Lending(s), opensAt);
             told.values().stream()
                     .filter(r -> r.service().equals(s))
                     .toList()
-                    .forEach(r -> home.heard(r, outside.now()));
+                    .forEach(r -> home.heard(r, environment.now()));
             tellEarly(home);
-            outside.after(Math.max(0, opensAt - outside.now()), () -> home.turn(outside.now()));
+            environment.after(Math.max(0, opensAt - environment.now()), () -> home.turn(environment.now()));
             return home;
         });
     }
@@ -280,7 +280,7 @@
             if (!berth.trying) {
                 berth.trying = true;
                 // From the earliest that it may be up; each refusal is soon followed by another try.
-                outside.after(kind == null ? 0 : kind.bootMs() * 400_000, () -> tryOne(home, berth));
+                environment.after(kind == null ? 0 : kind.bootMs() * 400_000, () -> tryOne(home, berth));
             }
         }
     }
@@ -303,12 +303,12 @@
             if (berth != null && berth.runner.phase() == Runner.Phase.BOOTING) {
                 if (up) {
                     berth.trying = false;
-                    home.heard(berth.runner.at(Runner.Phase.READY), outside.now());
+                    home.heard(berth.runner.at(Runner.Phase.READY), environment.now());
                     if (tender.keeper() != null) {
-                        outside.send(tender.keeper(), Fields.tree("t", "up", "r", id));
+                        environment.send(tender.keeper(), Fields.tree("t", "up", "r", id));
                     }
                 } else {
-                    outside.after(proxySettings.beat() / 24, () -> tryOne(home, berth));
+                    environment.after(proxySettings.beat() / 24, () -> tryOne(home, berth));
                 }
             }
         }
@@ -318,12 +318,12 @@
 
     /** Takes a call in; {@code leftNanos} is how long its client waits, {@code peer} where it comes from. */
     public Call arrived(String id, Chart.Route route, long leftNanos, String peer, Object load) {
-        long now = outside.now();
+        long now = environment.now();
         boolean nested = runnerHosts.contains(peer);
         long until = now + Math.min(leftNanos - MARGIN, route.timeoutMs() * 1_000_000);
         Call call = new Call(id, route, service(route), load, nested ? NESTED : route.priority(), now, until);
         budget.first(call.service, now);
-        call.limit = outside.after(Math.max(0, until - now), () -> overdue(call));
+        call.limit = environment.after(Math.max(0, until - now), () -> overdue(call));
         ask(call);
         return call;
     }
@@ -332,7 +332,7 @@
         if (route.services().size() == 1) {
             return route.services().get(0);
         }
-        double draw = outside.chance().nextDouble()
+        double draw = environment.chance().nextDouble()
                 * route.weights().stream().mapToDouble(w -> w).sum();
         for (int i = 0; i < route.services().size(); i++) {
             draw -= route.weights().get(i);
@@ -382,10 +382,10 @@
             if (call.home != null && call.home.life().equals(tender.life())) {
                 Home home = homes.get(call.service);
                 if (home != null) {
-                    home.drop(key, outside.now());
+                    home.drop(key, environment.now());
                 }
             } else if (call.home != null) {
-                outside.send(call.home.host(), Fields.tree("t", "drop", "s", call.service, "k", key));
+                environment.send(call.home.host(), Fields.tree("t", "drop", "s", call.service, "k", key));
             }
             call.ask = 0;
         }
@@ -407,7 +407,7 @@
         asking.put(call.ask, call);
         long number = call.ask;
         // A home answers at once, if only that the call waits; that is said again while it does.
-        call.timer = outside.after(proxySettings.beat() / 10, () -> unanswered(call, number));
+        call.timer = environment.after(proxySettings.beat() / 10, () -> unanswered(call, number));
         boolean away = !home.zone().equals(proxySettings.zone());
         boolean counts = call.attempts == 0 && call.unreached.isEmpty() && !away || away && !call.unreached.isEmpty();
         call.hops = call.unreached.isEmpty() ? 0 : Home.MOST_HOPS;
@@ -415,7 +415,7 @@
     }
 
     private void sendAsk(Call call, boolean counts) {
-        long now = outside.now();
+        long now = environment.now();
         if (call.home.life().equals(tender.life())) {
             lend(
                     new Home.Ask(
@@ -433,7 +433,7 @@
                     call.service,
                     counts);
         } else {
-            outside.send(
+            environment.send(
                     call.home.host(),
                     Fields.tree(
                             "t",
@@ -462,7 +462,7 @@
     }
 
     private Member homeFor(Call call) {
-        long now = outside.now();
+        long now = environment.now();
         Member own = Homes.of(call.service, proxySettings.zone(), crew);
         if (usable(own, call, now)) {
             return own;
@@ -474,7 +474,7 @@
                 far.add(each);
             }
         }
-        return far.isEmpty() ? own : far.get(outside.chance().nextInt(far.size()));
+        return far.isEmpty() ? own : far.get(environment.chance().nextInt(far.size()));
     }
 
     private boolean usable(Member home, Call call, long now) {
@@ -489,7 +489,7 @@
         if (call.ask == number) {
             if (call.home != null) {
                 if (!call.home.life().equals(tender.life())) {
-                    silent.put(call.home.life(), outside.now() + proxySettings.beat() / 2);
+                    silent.put(call.home.life(), environment.now() + proxySettings.beat() / 2);
                 }
                 call.unreached.add(call.home.zone());
             }
@@ -523,7 +523,7 @@
         call.timer.run();
         call.ask = 0;
         runnerHosts.add(host(r));
-        Attempt attempt = new Attempt(call, r, call.home, number, outside.now());
+        Attempt attempt = new Attempt(call, r, call.home, number, environment.now());
         call.attempt = attempt;
         call.attempts++;
         carried.add(attempt);
@@ -538,7 +538,7 @@
                 return;
             }
             call.timer.run();
-            call.timer = outside.after(proxySettings.beat(), () -> unanswered(call, number));
+            call.timer = environment.after(proxySettings.beat(), () -> unanswered(call, number));
         }
     }
 
@@ -559,7 +559,7 @@
         call.home = there;
         asking.put(call.ask, call);
         long next = call.ask;
-        call.timer = outside.after(proxySettings.beat() / 10, () -> unanswered(call, next));
+        call.timer = environment.after(proxySettings.beat() / 10, () -> unanswered(call, next));
         call.hops++;
         sendAsk(call, false);
     }
@@ -595,7 +595,7 @@
                 && (end.verdict() == Verdict.NOT_RUN
                         ? call.attempts < MOST_MOVES
                         : call.attempts < call.route.maxAttempts())
-                && (!arrived || budget.further(call.service, outside.now(), crew.size()));
+                && (!arrived || budget.further(call.service, environment.now(), crew.size()));
         if (again) {
             ask(call);
         } else if (call.verdict == Verdict.NOT_RUN) {
@@ -608,7 +608,7 @@
     private void giveBack(Attempt attempt, Attempt.End end) {
         attempt.over = true;
         carried.remove(attempt);
-        long ran = outside.now() - attempt.sentAt;
+        long ran = environment.now() - attempt.sentAt;
         String key = key(tender.life(), attempt.slot);
         if (attempt.home.life().equals(tender.life())) {
             Home home = homes.get(attempt.call.service);
@@ -616,7 +616,7 @@
                 back(home, key, attempt.runner, end, ran);
             }
         } else {
-            outside.send(
+            environment.send(
                     attempt.home.host(),
                     Fields.tree(
                             "t",
@@ -635,9 +635,9 @@
     }
 
     private void back(Home home, String key, String runner, Attempt.End end, long ran) {
-        home.back(key, runner, end, ran, outside.now());
+        home.back(key, runner, end, ran, environment.now());
         if (end == Attempt.End.ABANDONED) {
-            outside.after(Home.SETTLES + 1, () -> home.turn(outside.now()));
+            environment.after(Home.SETTLES + 1, () -> home.turn(environment.now()));
         }
     }
 
@@ -649,7 +649,7 @@
                 Call call = asking.get(ask.number);
                 if (call != null) {
                     call.unreached.add(proxySettings.zone());
-                    outside.after(Outside.millis(20), () -> {
+                    environment.after(Environment.millis(20), () -> {
                         if (call.ask == ask.number) {
                             askAgain(call);
                         }
@@ -659,7 +659,7 @@
             return; // another asks elsewhere when it hears nothing
         }
         Home home = home(service);
-        home.ask(ask, counts, chart.services().get(service), outside.now());
+        home.ask(ask, counts, chart.services().get(service), environment.now());
         if (home.waiting() > 0 && !home.hasRunners()) {
             tellNeeds();
         }
@@ -675,9 +675,9 @@
         @Override
         public void lend(Home.Ask ask, Runner r) {
             if (ask.host == null) {
-                outside.after(0, () -> lentHere(ask, r));
+                environment.after(0, () -> lentHere(ask, r));
             } else {
-                outside.send(ask.host, Fields.tree("t", "lent", "i", ask.number, "r", r.tree()));
+                environment.send(ask.host, Fields.tree("t", "lent", "i", ask.number, "r", r.tree()));
             }
         }
 
@@ -697,25 +697,25 @@
             if (ask.host == null) {
                 Pilot.this.waits(ask.number);
             } else {
-                outside.send(ask.host, Fields.tree("t", "waits", "i", ask.number));
+                environment.send(ask.host, Fields.tree("t", "waits", "i", ask.number));
             }
         }
 
         @Override
         public void elsewhere(Home.Ask ask, String zone) {
             if (ask.host == null) {
-                outside.after(0, () -> Pilot.this.elsewhere(ask.number, zone));
+                environment.after(0, () -> Pilot.this.elsewhere(ask.number, zone));
             } else {
-                outside.send(ask.host, Fields.tree("t", "elsewhere", "i", ask.number, "z", zone));
+                environment.send(ask.host, Fields.tree("t", "elsewhere", "i", ask.number, "z", zone));
             }
         }
 
         @Override
         public void none(Home.Ask ask, long pauseMillis) {
             if (ask.host == null) {
-                outside.after(0, () -> Pilot.this.none(ask.number, pauseMillis));
+                environment.after(0, () -> Pilot.this.none(ask.number, pauseMillis));
             } else {
-                outside.send(ask.host, Fields.tree("t", "none", "i", ask.number, "p", pauseMillis));
+                environment.send(ask.host, Fields.tree("t", "none", "i", ask.number, "p", pauseMillis));
             }
         }
     }
@@ -728,7 +728,7 @@
             case "ask" -> {
                 long number = message.whole("i");
                 String life = message.text("l");
-                long now = outside.now();
+                long now = environment.now();
                 lend(
                         new Home.Ask(
                                 key(life, number),
@@ -752,7 +752,7 @@
             case "drop" -> {
                 Home home = homes.get(message.text("s"));
                 if (home != null) {
-                    home.drop(message.text("k"), outside.now());
+                    home.drop(message.text("k"), environment.now());
                 }
             }
             case "back" -> {
@@ -784,7 +784,7 @@
                     || !(loan.get(4) instanceof Long left)) {
                 throw new MalformedMessage("no loan");
             }
-            Held one = new Held(id, life, outside.now() + left * 1_000_000);
+            Held one = new Held(id, life, environment.now() + left * 1_000_000);
             if (!isHome(service) || !tell(home(service), key, one)) {
                 early.put(key, one);
             }
@@ -795,7 +795,7 @@
         if (home.berth(one.runner) == null) {
             return false;
         }
-        home.held(key, one.life, one.runner, one.until, outside.now());
+        home.held(key, one.life, one.runner, one.until, environment.now());
         return true;
     }
 
@@ -808,8 +808,8 @@
 
     private void turn() {
         awake();
-        outside.after(proxySettings.beat() / 6, this::turn);
-        long now = outside.now();
+        environment.after(proxySettings.beat() / 6, this::turn);
+        long now = environment.now();
         homes.values().forEach(home -> {
             home.turn(now);
             tryBooting(home);
@@ -825,13 +825,13 @@
     private void tellNeeds() {
         List<Object> needs = new ArrayList<>();
         for (Home home : homes.values()) {
-            List<Object> need = home.need(outside.now());
+            List<Object> need = home.need(environment.now());
             if (need != null) {
                 needs.add(need);
             }
         }
         if ((needed || !needs.isEmpty()) && tender.keeper() != null) {
-            outside.send(tender.keeper(), Fields.tree("t", "want", "l", tender.life(), "w", needs));
+            environment.send(tender.keeper(), Fields.tree("t", "want", "l", tender.life(), "w", needs));
         }
         needed = !needs.isEmpty();
     }
--- a/proxy/src/main/java/saltdale/proxy/Tender.java
+++ b/proxy/src/main/java/saltdale/proxy/Tender.java
@@ -9,7 +9,7 @@
 import saltdale.control.Fields;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
-import saltdale.control.Outside;
+import saltdale.control.Environment;
 
 /**
  * A pilot's tie to the core: it renews its lease at one keeper and takes its news there, and goes on to another when
@@ -29,7 +29,7 @@
         long revision();
     }
 
-    private final Outside outside;
+    private final Environment environment;
     private final ProxySettings proxySettings;
     private final Reader reader;
     private final Set<String> keepers = new LinkedHashSet<>();
@@ -45,8 +45,8 @@
     private int alone; // so often in a row it had no majority
     private boolean leaving;
 
-    Tender(Outside outside, ProxySettings proxySettings, Reader reader) {
-        this.outside = outside;
+    Tender(Environment environment, ProxySettings proxySettings, Reader reader) {
+        this.environment = environment;
         this.proxySettings = proxySettings;
         this.reader = reader;
         keepers.addAll(proxySettings.seeds());
@@ -54,7 +54,7 @@
     }
 
     private String fresh() {
-        return Long.toString(outside.chance().nextLong() >>> 1, 36);
+        return Long.toString(environment.chance().nextLong() >>> 1, 36);
     }
 
     String life() {
@@ -66,7 +66,7 @@
     }
 
     boolean hasLease() {
-        return outside.now() < leaseUntil;
+        return environment.now() < leaseUntil;
     }
 
     void begin() {
@@ -75,7 +75,7 @@
     }
 
     private void turn() {
-        long now = outside.now();
+        long now = environment.now();
         if (now - heardAt > proxySettings.beat() * 2 / 3) {
             move();
         }
@@ -83,7 +83,7 @@
         if (news == 0 || now - renewedAt >= proxySettings.beat() / 4) {
             renew();
         }
-        outside.after(proxySettings.beat() / 8, this::turn);
+        environment.after(proxySettings.beat() / 8, this::turn);
     }
 
     /** Another keeper, another session. */
@@ -91,8 +91,8 @@
         List<String> all = new ArrayList<>(keepers);
         all.remove(keeper);
         if (!all.isEmpty()) {
-            keeper = all.get(outside.chance().nextInt(all.size()));
-            outside.note("goes to keeper " + keeper);
+            keeper = all.get(environment.chance().nextInt(all.size()));
+            environment.note("goes to keeper " + keeper);
         }
         alone = 0;
         resume();
@@ -102,7 +102,7 @@
     private void resume() {
         session = fresh();
         news = 0;
-        heardAt = outside.now();
+        heardAt = environment.now();
         sentAt.clear();
         reader.begins();
     }
@@ -111,11 +111,11 @@
         if (keeper == null) {
             return;
         }
-        long now = outside.now();
+        long now = environment.now();
         renewedAt = now;
         sentAt.put(++count, now);
         sentAt.values().removeIf(at -> now - at > 4 * proxySettings.beat());
-        outside.send(
+        environment.send(
                 keeper,
                 Fields.tree(
                         "t",
@@ -147,7 +147,7 @@
             lease(from, message);
         } else if (message.text("s").equals(session) && from.equals(keeper)) {
             if (message.whole("#") != news + 1) {
-                outside.note("news " + message.whole("#") + " came after " + news);
+                environment.note("news " + message.whole("#") + " came after " + news);
                 resume(); // something was lost on the way
                 renew();
                 return;
@@ -165,7 +165,7 @@
         if (message.flag("over")) {
             life = fresh();
             leaseUntil = Long.MIN_VALUE / 2;
-            outside.note("the lease is over; a new life: " + life);
+            environment.note("the lease is over; a new life: " + life);
             reader.over();
             resume();
             renew();
@@ -180,7 +180,7 @@
             return;
         }
         alone = 0;
-        heardAt = outside.now();
+        heardAt = environment.now();
         leaseUntil = Math.max(leaseUntil, sent + message.whole("v") * 1_000_000);
         for (String each : message.texts("k")) {
             keepers.add(each);
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -10,7 +10,7 @@
 import saltdale.control.ControlNode;
 import saltdale.control.ControlNodeSettings;
 import saltdale.control.MalformedMessage;
-import saltdale.control.Outside;
+import saltdale.control.Environment;
 
 /** A machine with its disk; at most one process runs on it. */
 final class SimMachine {
@@ -151,7 +151,7 @@
     }
 
     /** One life of a process. */
-    final class Process implements Outside {
+    final class Process implements Environment {
         final SimMachine machine = SimMachine.this;
         ControlNode keeper;
         Pilot pilot;
@@ -170,8 +170,8 @@
                                     seeds,
                                     firstStart,
                                     SimWorld.BEAT,
-                                    Outside.millis(5000),
-                                    Outside.millis(3000),
+                                    Environment.millis(5000),
+                                    Environment.millis(3000),
                                     world.rates),
                             world.platform.of(this),
                             new LinkedHashMap<>(synced));
@@ -179,7 +179,7 @@
                 } else {
                     pilot = new Pilot(
                             this,
-                            new ProxySettings(name, host, zone, seeds, SimWorld.BEAT, 0.2, Outside.millis(10_000), 52),
+                            new ProxySettings(name, host, zone, seeds, SimWorld.BEAT, 0.2, Environment.millis(10_000), 52),
                             world.platform.carrier(this));
                     pilot.begin();
                 }
--- a/proxy/src/test/java/saltdale/proxy/SimPlatform.java
+++ b/proxy/src/test/java/saltdale/proxy/SimPlatform.java
@@ -13,7 +13,7 @@
 import java.util.function.Supplier;
 import saltdale.control.Chart;
 import saltdale.control.Fields;
-import saltdale.control.Outside;
+import saltdale.control.Environment;
 import saltdale.control.Platform;
 
 /**
@@ -52,7 +52,7 @@
         Runner(String service, Worker worker) {
             this.service = service;
             this.worker = worker;
-            upAt = begunAt + Outside.millis(bootMs);
+            upAt = begunAt + Environment.millis(bootMs);
         }
 
         boolean takes() {
@@ -61,7 +61,7 @@
 
         void drain() {
             drainingAt = world.now();
-            goneAt = world.now() + Outside.millis(lagMs + 4500); // from when the list shows it, and a little longer
+            goneAt = world.now() + Environment.millis(lagMs + 4500); // from when the list shows it, and a little longer
         }
     }
 
@@ -233,13 +233,13 @@
             Platform.Answer reply = silent ? null : over ? new Platform.Answer(429, null) : made.get();
             boolean lost = reply == null || world.chance.nextDouble() < losesAnswers;
             world.at(
-                    lost ? Outside.millis(1200) : world.hop(),
+                    lost ? Environment.millis(1200) : world.hop(),
                     () -> process.deliver(() -> answer.accept(lost ? null : reply)));
         });
     }
 
     private Platform.Answer page(String token) {
-        long then = world.now() - Outside.millis(lagMs);
+        long then = world.now() - Environment.millis(lagMs);
         int from = token == null ? 0 : Integer.parseInt(token);
         List<Runner> shown = runners.values().stream()
                 .filter(r -> r.upAt <= then && r.goneAt > then)
@@ -275,7 +275,7 @@
     }
 
     private Platform.Answer workerList() {
-        long then = world.now() - Outside.millis(lagMs);
+        long then = world.now() - Environment.millis(lagMs);
         List<Object> list = new ArrayList<>();
         workers.values()
                 .forEach(w -> list.add(Fields.tree(
@@ -366,7 +366,7 @@
             return asked;
         }
         at.process.deliver(
-                () -> at.pilot().arrived("a-" + all.size(), route, Outside.millis(leftMs), "10.9.9.9", asked));
+                () -> at.pilot().arrived("a-" + all.size(), route, Environment.millis(leftMs), "10.9.9.9", asked));
         return asked;
     }
 
@@ -444,7 +444,7 @@
             return;
         }
         // The list has shown it as draining for longer than drain_ms.
-        if (to.drainingAt != Long.MAX_VALUE && world.now() - to.drainingAt > Outside.millis(lagMs + 3000)) {
+        if (to.drainingAt != Long.MAX_VALUE && world.now() - to.drainingAt > Environment.millis(lagMs + 3000)) {
             afterDrain.add(world.now());
         }
         if (to.busy >= slots.get(to.service)) {
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -13,13 +13,13 @@
 import java.util.function.Consumer;
 import saltdale.control.Fields;
 import saltdale.control.MalformedMessage;
-import saltdale.control.Outside;
+import saltdale.control.Environment;
 import saltdale.control.Platform;
 import saltdale.control.Trees;
 
 /** A whole cluster in one thread, all of one seed: a steady clock, links, disks, processes; runners by the platform. */
 final class SimWorld {
-    static final long BEAT = Outside.millis(1200);
+    static final long BEAT = Environment.millis(1200);
     static final String[] ZONES = {"z-a", "z-b", "z-c"};
 
     private record Event(long at, long order, Runnable what) {}
@@ -41,7 +41,7 @@
             new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final Map<String, Long> arrived = new HashMap<>();
     private long order;
-    private long now = Outside.millis(1_000_000);
+    private long now = Environment.millis(1_000_000);
 
     SimWorld(long seed) {
         chance = new SplittableRandom(seed);
@@ -64,7 +64,7 @@
 
     /** Runs until this holds; whether it did within the time. */
     boolean until(long ms, BooleanSupplier holds) {
-        long end = now + Outside.millis(ms);
+        long end = now + Environment.millis(ms);
         while (!holds.getAsBoolean()) {
             if (events.isEmpty() || events.peek().at > end) {
                 now = end;
