--- a/control/src/main/java/saltdale/control/Chart.java
+++ b/control/src/main/java/saltdale/control/Configuration.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 
 /** The operators' configuration as dispatchers use it: routes, services and limits, checked. */
-public final class Chart {
+public final class Configuration {
     /**
      * Where calls go; {@code shares} holds services and weights in turn where a route is split, else one of
      * weight 1.
@@ -42,16 +42,16 @@
     private final Limits limits;
 
     /** Reads and checks a configuration, as operators send it or as it is told between processes. */
-    public Chart(Fields from) throws InvalidChart {
+    public Configuration(Fields from) throws InvalidConfiguration {
         try {
             revision = from.whole("revision");
             if (revision <= 0) {
-                throw new InvalidChart("revision must be above 0");
+                throw new InvalidConfiguration("revision must be above 0");
             }
             for (Fields each : from.objects("services")) {
                 Service service = service(each);
                 if (services.put(service.name(), service) != null) {
-                    throw new InvalidChart("services: " + service.name() + " stands twice");
+                    throw new InvalidConfiguration("services: " + service.name() + " stands twice");
                 }
             }
             for (Fields each : from.objects("routes")) {
@@ -59,11 +59,11 @@
             }
             limits = from.has("limits") ? limits(from.object("limits")) : USUAL;
         } catch (MalformedMessage e) {
-            throw new InvalidChart(e.getMessage());
+            throw new InvalidConfiguration(e.getMessage());
         }
     }
 
-    private static Service service(Fields from) throws MalformedMessage, InvalidChart {
+    private static Service service(Fields from) throws MalformedMessage, InvalidConfiguration {
         String name = from.text("name");
         try {
             return new Service(
@@ -73,11 +73,11 @@
                     atLeast(from, "boot_ms", 0, 0),
                     (int) atLeast(from, "max_concurrency", 1, 1));
         } catch (MalformedMessage e) {
-            throw new InvalidChart("service " + name + ": " + e.getMessage());
+            throw new InvalidConfiguration("service " + name + ": " + e.getMessage());
         }
     }
 
-    private Route route(Fields from) throws MalformedMessage, InvalidChart {
+    private Route route(Fields from) throws MalformedMessage, InvalidConfiguration {
         String name = from.text("name");
         try {
             String kind = from.text("kind", "non_idempotent");
@@ -103,13 +103,13 @@
                     to,
                     weights);
         } catch (MalformedMessage e) {
-            throw new InvalidChart("route " + name + ": " + e.getMessage());
+            throw new InvalidConfiguration("route " + name + ": " + e.getMessage());
         }
     }
 
     /** One service, or several with weights in a list whose items have a service and a weight. */
     private void destinations(Fields from, List<String> to, List<Double> weights)
-            throws MalformedMessage, InvalidChart {
+            throws MalformedMessage, InvalidConfiguration {
         if (from.map().get("service") instanceof String one) {
             to.add(one);
             weights.add(1.0);
@@ -150,12 +150,12 @@
         return value;
     }
 
-    private void add(Route route) throws InvalidChart {
+    private void add(Route route) throws InvalidConfiguration {
         List<Route> same = byHost.computeIfAbsent(route.hostname(), host -> new ArrayList<>());
         if (routes.put(route.name(), route) != null) {
-            throw new InvalidChart("routes: " + route.name() + " stands twice");
+            throw new InvalidConfiguration("routes: " + route.name() + " stands twice");
         } else if (same.stream().anyMatch(other -> other.prefix().equals(route.prefix()))) {
-            throw new InvalidChart("route " + route.name() + ": another has the same hostname and path_prefix");
+            throw new InvalidConfiguration("route " + route.name() + ": another has the same hostname and path_prefix");
         }
         same.add(route);
     }
--- a/control/src/main/java/saltdale/control/Charts.java
+++ b/control/src/main/java/saltdale/control/ConfigurationCodec.java
@@ -9,15 +9,15 @@
 import java.util.Map;
 
 /** What operators send, as text: read, amended by named items, written. Items keep all fields that they came with. */
-final class Charts {
-    private Charts() {}
+final class ConfigurationCodec {
+    private ConfigurationCodec() {}
 
     @SuppressWarnings("unchecked")
-    static Map<String, Object> read(byte[] text) throws InvalidChart {
+    static Map<String, Object> read(byte[] text) throws InvalidConfiguration {
         try {
             return (Map<String, Object>) whole(Trees.fromJson(text));
         } catch (MalformedMessage e) {
-            throw new InvalidChart("not whole JSON: " + e.getMessage());
+            throw new InvalidConfiguration("not whole JSON: " + e.getMessage());
         }
     }
 
@@ -28,7 +28,7 @@
             map.forEach((name, value) -> copy.put(name, whole(value)));
             return copy;
         } else if (tree instanceof List<?> list) {
-            return new ArrayList<>(list.stream().map(Charts::whole).toList());
+            return new ArrayList<>(list.stream().map(ConfigurationCodec::whole).toList());
         } else if (tree instanceof Number number) {
             double value = number.doubleValue();
             return value == Math.rint(value) && Math.abs(value) < 1e15 ? (Object) (long) value : (Object) value;
@@ -41,7 +41,7 @@
     }
 
     /** The configuration with items set and removed by name, and a new revision. */
-    static Map<String, Object> amended(Map<String, Object> present, Fields change) throws InvalidChart {
+    static Map<String, Object> amended(Map<String, Object> present, Fields change) throws InvalidConfiguration {
         Map<String, Object> next = new LinkedHashMap<>(present);
         try {
             next.put("revision", change.whole("revision"));
@@ -61,7 +61,7 @@
                 next.put(list, items);
             }
         } catch (MalformedMessage e) {
-            throw new InvalidChart(e.getMessage());
+            throw new InvalidConfiguration(e.getMessage());
         }
         return next;
     }
--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -75,8 +75,8 @@
     private boolean hadMajority;
     private long majoritySince;
     private boolean spreading;
-    private Chart chart;
-    private Map<String, Object> chartTree;
+    private Configuration chart;
+    private Map<String, Object> configurationTree;
 
     /** {@code records} are those on disk; where there are none the keeper is new, or has lost them. */
     public ControlNode(Environment environment, ControlNodeSettings nodeSettings, Platform platform, Map<String, byte[]> records)
@@ -146,7 +146,7 @@
         return demand;
     }
 
-    Chart chart() {
+    Configuration chart() {
         return chart;
     }
 
@@ -445,7 +445,7 @@
         }
         if (to.revision < chart.revision()) {
             to.revision = chart.revision();
-            tell(to, Fields.tree("t", "chart", "c", chartTree));
+            tell(to, Fields.tree("t", "chart", "c", configurationTree));
         }
         if (to.crew != members.edition()) {
             to.crew = members.edition();
@@ -506,10 +506,10 @@
                 + state.duties());
         if (text != null && (chart == null || state.revision() > chart.revision())) {
             try {
-                Map<String, Object> tree = Charts.read(text);
-                chart = new Chart(new Fields(tree));
-                chartTree = tree;
-            } catch (InvalidChart e) {
+                Map<String, Object> tree = ConfigurationCodec.read(text);
+                chart = new Configuration(new Fields(tree));
+                configurationTree = tree;
+            } catch (InvalidConfiguration e) {
                 environment.note("revision " + state.revision() + " cannot be read: " + e.getMessage());
             }
         }
@@ -523,18 +523,18 @@
         Map<String, Object> tree;
         try {
             base = Long.parseLong(basedOn == null ? "" : basedOn.strip());
-            tree = Charts.read(body);
+            tree = ConfigurationCodec.read(body);
             if (!amends) {
-                new Chart(new Fields(tree));
+                new Configuration(new Fields(tree));
             }
         } catch (NumberFormatException e) {
             answer.accept(new Reply(400, "X-Saltdale-Based-On-Version is missing or no number", null));
             return;
-        } catch (InvalidChart e) {
+        } catch (InvalidConfiguration e) {
             answer.accept(new Reply(400, e.getMessage(), null));
             return;
         }
-        String digest = Charts.digest(
+        String digest = ConfigurationCodec.digest(
                 new byte[] {(byte) (amends ? 1 : 0)}, Long.toString(base).getBytes(StandardCharsets.UTF_8), body);
         register.propose(
                 (newest, text) -> change(newest, text, amends, base, tree, digest),
@@ -551,16 +551,16 @@
         }
         try {
             Map<String, Object> whole =
-                    !amends ? tree : Charts.amended(text == null ? Map.of() : Charts.read(text), new Fields(tree));
-            Chart next = new Chart(new Fields(whole));
+                    !amends ? tree : ConfigurationCodec.amended(text == null ? Map.of() : ConfigurationCodec.read(text), new Fields(tree));
+            Configuration next = new Configuration(new Fields(whole));
             if (next.revision() <= newest.revision()) {
-                throw new InvalidChart("revision is not above " + newest.revision());
+                throw new InvalidConfiguration("revision is not above " + newest.revision());
             }
-            byte[] newText = Charts.write(whole);
-            String key = next.revision() + "-" + Charts.digest(newText);
+            byte[] newText = ConfigurationCodec.write(whole);
+            String key = next.revision() + "-" + ConfigurationCodec.digest(newText);
             return new Proposer.Step(
                     newest.withText(next.revision(), key, digest), newText, new Reply(200, "taken", null));
-        } catch (InvalidChart e) {
+        } catch (InvalidConfiguration e) {
             return Proposer.Step.stay(new Reply(400, e.getMessage(), null));
         }
     }
--- a/control/src/main/java/saltdale/control/InvalidChart.java
+++ b/control/src/main/java/saltdale/control/InvalidConfiguration.java
@@ -1,10 +1,10 @@
 package saltdale.control;
 
 /** Why a configuration is not taken. */
-public final class InvalidChart extends Exception {
+public final class InvalidConfiguration extends Exception {
     private static final long serialVersionUID = 1L;
 
-    InvalidChart(String what) {
+    InvalidConfiguration(String what) {
         super(what, null, false, false);
     }
 }
--- a/control/src/main/java/saltdale/control/Scaler.java
+++ b/control/src/main/java/saltdale/control/Scaler.java
@@ -61,7 +61,7 @@
 
     Plan plan(
             long now,
-            Chart chart,
+            Configuration chart,
             Map<String, List<Demand.Need>> demand,
             Runners runners,
             List<Worker> workers,
@@ -69,12 +69,12 @@
         Plan plan = new Plan(new ArrayList<>(), new ArrayList<>());
         double allMemory = workers.stream().mapToDouble(w -> w.memory).sum();
         double warm = 0;
-        List<Chart.Service> services = chart.services().values().stream()
-                .filter(Chart.Service::isFunction)
-                .sorted(Comparator.comparing(Chart.Service::name))
+        List<Configuration.Service> services = chart.services().values().stream()
+                .filter(Configuration.Service::isFunction)
+                .sorted(Comparator.comparing(Configuration.Service::name))
                 .toList();
         Map<String, Long> targets = targets(chart);
-        for (Chart.Service service : services) {
+        for (Configuration.Service service : services) {
             double target = targets.getOrDefault(service.name(), 1000L) / 1000.0;
             boolean slow = service.bootMs() / 1000.0 > target;
             // A start is paid for with memory while it lasts: idle runners are held for a few times that.
@@ -97,9 +97,9 @@
     }
 
     /** The shortest target of the routes to each service. */
-    private static Map<String, Long> targets(Chart chart) {
+    private static Map<String, Long> targets(Configuration chart) {
         Map<String, Long> targets = new HashMap<>();
-        for (Chart.Route route : chart.routes().values()) {
+        for (Configuration.Route route : chart.routes().values()) {
             for (String service : route.services()) {
                 targets.merge(service, route.targetMs(), Math::min);
             }
@@ -107,7 +107,7 @@
         return targets;
     }
 
-    private static String placeOfWarm(Chart.Service service, Runners runners, List<Worker> workers) {
+    private static String placeOfWarm(Configuration.Service service, Runners runners, List<Worker> workers) {
         for (Runner r : runners.of(service.name())) {
             if (r.phase().compareTo(Runner.Phase.LEAVING) < 0) {
                 return r.zone();
@@ -122,7 +122,7 @@
 
     /** By zone, how many runners the calls want now. */
     Map<String, Integer> wanted(
-            Chart.Service service, double target, long hold, List<Demand.Need> needs, Runners runners) {
+            Configuration.Service service, double target, long hold, List<Demand.Need> needs, Runners runners) {
         Map<String, double[]> byZone = new TreeMap<>(); // average of slots busy, slots busy now, slots for what waits
         int slots = service.maxConcurrency();
         // One running time for all zones: a zone whose calls go elsewhere has seen none of its own.
@@ -193,7 +193,7 @@
     /** Starts what is missing and stops what has been too much for long enough. */
     private void fit(
             long now,
-            Chart.Service service,
+            Configuration.Service service,
             long hold,
             Map<String, Integer> wanted,
             Runners runners,
@@ -250,7 +250,7 @@
      * service.
      */
     private static Worker place(
-            Chart.Service service,
+            Configuration.Service service,
             String zone,
             Runners runners,
             List<Worker> workers,
--- a/control/src/main/java/saltdale/control/Starter.java
+++ b/control/src/main/java/saltdale/control/Starter.java
@@ -244,7 +244,7 @@
     private void reckon() {
         Map<String, Double> used = new HashMap<>();
         for (Runner r : keeper.runners().all()) {
-            Chart.Service service = keeper.chart().services().get(r.service());
+            Configuration.Service service = keeper.chart().services().get(r.service());
             if (r.phase() != Runner.Phase.GONE && service != null) {
                 used.merge(r.worker(), (double) service.memoryMb(), Double::sum);
             }
@@ -267,7 +267,7 @@
                 scaler.plan(now, keeper.chart(), keeper.demand().all(now), keeper.runners(), workers, beginning);
         List<Object> news = new ArrayList<>();
         for (Scaler.Start start : plan.starts()) {
-            Chart.Service service = keeper.chart().services().get(start.service());
+            Configuration.Service service = keeper.chart().services().get(start.service());
             Intent intent = new Intent(
                     fence + "-" + Long.toString(++nonces, 36),
                     start.service(),
--- a/node/src/main/java/saltdale/node/PilotStation.java
+++ b/node/src/main/java/saltdale/node/PilotStation.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import saltdale.control.Chart;
+import saltdale.control.Configuration;
 import saltdale.control.Fields;
 import saltdale.control.MalformedMessage;
 import saltdale.proxy.Attempt;
@@ -136,7 +136,7 @@
 
     @Override
     public void requested(Visit visit, Head head, byte[] body) {
-        Chart chart = pilot.chart();
+        Configuration chart = pilot.chart();
         if (chart == null) {
             visit.answer(503, "Retry-After: 0.3\r\n", "no configuration yet");
             return;
@@ -149,7 +149,7 @@
             return;
         }
         int colon = hostname.indexOf(':');
-        Chart.Route route = chart.route(colon < 0 ? hostname : hostname.substring(0, colon), head.path());
+        Configuration.Route route = chart.route(colon < 0 ? hostname : hostname.substring(0, colon), head.path());
         if (route == null) {
             visit.answer(404, "", "no such route");
         } else if (id == null || id.isEmpty()) {
@@ -190,7 +190,7 @@
 
     @Override
     public HttpParser.Limits limits() {
-        Chart chart = pilot.chart();
+        Configuration chart = pilot.chart();
         if (chart != null
                 && (chart.limits().headerBytes() != limits.head()
                         || chart.limits().bodyBytes() != limits.body())) {
--- a/node/src/test/java/saltdale/proxy/Attempts.java
+++ b/node/src/test/java/saltdale/proxy/Attempts.java
@@ -1,7 +1,7 @@
 package saltdale.proxy;
 
 import java.util.List;
-import saltdale.control.Chart;
+import saltdale.control.Configuration;
 import saltdale.control.Member;
 import saltdale.control.Runner;
 
@@ -10,7 +10,7 @@
     private Attempts() {}
 
     public static Attempt of(String id, String address) {
-        Chart.Route route = new Chart.Route("r", "h", "/", true, 1000, 100, 0, 1, List.of("s"), List.of(1.0));
+        Configuration.Route route = new Configuration.Route("r", "h", "/", true, 1000, 100, 0, 1, List.of("s"), List.of(1.0));
         Call call = new Call(id, route, "s", null, 0, 0, Long.MAX_VALUE);
         return new Attempt(
                 call,
--- a/proxy/src/main/java/saltdale/proxy/Call.java
+++ b/proxy/src/main/java/saltdale/proxy/Call.java
@@ -2,13 +2,13 @@
 
 import java.util.HashSet;
 import java.util.Set;
-import saltdale.control.Chart;
+import saltdale.control.Configuration;
 import saltdale.control.Member;
 
 /** One request of a client, from when it was read to its one final answer. */
 public final class Call {
     public final String id;
-    public final Chart.Route route;
+    public final Configuration.Route route;
     public final String service;
     /** What the carrier keeps with it: the client and the bytes. */
     public final Object load;
@@ -29,7 +29,7 @@
     Attempt attempt;
     boolean over;
 
-    Call(String id, Chart.Route route, String service, Object load, int priority, long arrivedAt, long until) {
+    Call(String id, Configuration.Route route, String service, Object load, int priority, long arrivedAt, long until) {
         this.id = id;
         this.route = route;
         this.service = service;
--- a/proxy/src/main/java/saltdale/proxy/Home.java
+++ b/proxy/src/main/java/saltdale/proxy/Home.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
-import saltdale.control.Chart;
+import saltdale.control.Configuration;
 import saltdale.control.Runner;
 import saltdale.probing.ProbeLoop;
 
@@ -196,7 +196,7 @@
 
     // Asks.
 
-    void ask(Ask ask, boolean counts, Chart.Service kind, long now) {
+    void ask(Ask ask, boolean counts, Configuration.Service kind, long now) {
         if (counts) {
             decay(now);
             ratedFrom = ratedFrom < 0 ? now : ratedFrom;
@@ -227,7 +227,7 @@
     }
 
     /** How long the last one in the queue is likely to wait. */
-    private long wait(Chart.Service kind, long now) {
+    private long wait(Configuration.Service kind, long now) {
         int slots = berths.values().stream()
                 .filter(Berth::isUp)
                 .mapToInt(b -> b.runner.slots())
--- a/proxy/src/main/java/saltdale/proxy/Pilot.java
+++ b/proxy/src/main/java/saltdale/proxy/Pilot.java
@@ -8,10 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import saltdale.control.Chart;
+import saltdale.control.Configuration;
 import saltdale.control.Fields;
 import saltdale.control.Homes;
-import saltdale.control.InvalidChart;
+import saltdale.control.InvalidConfiguration;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
 import saltdale.control.Environment;
@@ -48,7 +48,7 @@
     private Collection<Member> crew = List.of();
     private long awakeAt;
     private long crewAt; // when it changed last
-    private Chart chart;
+    private Configuration chart;
     private long asks;
     private boolean needed; // something, when it was last told
     private boolean ending;
@@ -92,11 +92,11 @@
         return chart != null && !ending && crew.stream().anyMatch(m -> m.life().equals(tender.life()));
     }
 
-    public boolean knowsChart() {
+    public boolean knowsConfiguration() {
         return chart != null;
     }
 
-    public Chart chart() {
+    public Configuration chart() {
         return chart;
     }
 
@@ -144,11 +144,11 @@
         switch (message.text("t")) {
             case "chart" -> {
                 try {
-                    Chart next = new Chart(message.object("c"));
+                    Configuration next = new Configuration(message.object("c"));
                     // Never back within one life, whoever tells.
                     chart = chart == null || next.revision() > chart.revision() ? next : chart;
                     environment.note("configuration " + chart.revision() + " in force");
-                } catch (InvalidChart e) {
+                } catch (InvalidConfiguration e) {
                     environment.note("a configuration cannot be read: " + e.getMessage());
                 }
             }
@@ -275,7 +275,7 @@
     }
 
     private void tryBooting(Home home) {
-        Chart.Service kind = chart == null ? null : chart.services().get(home.service());
+        Configuration.Service kind = chart == null ? null : chart.services().get(home.service());
         for (Berth berth : home.booting()) {
             if (!berth.trying) {
                 berth.trying = true;
@@ -317,7 +317,7 @@
     // Calls.
 
     /** Takes a call in; {@code leftNanos} is how long its client waits, {@code peer} where it comes from. */
-    public Call arrived(String id, Chart.Route route, long leftNanos, String peer, Object load) {
+    public Call arrived(String id, Configuration.Route route, long leftNanos, String peer, Object load) {
         long now = environment.now();
         boolean nested = runnerHosts.contains(peer);
         long until = now + Math.min(leftNanos - MARGIN, route.timeoutMs() * 1_000_000);
@@ -328,7 +328,7 @@
         return call;
     }
 
-    private String service(Chart.Route route) {
+    private String service(Configuration.Route route) {
         if (route.services().size() == 1) {
             return route.services().get(0);
         }
--- a/proxy/src/test/java/saltdale/proxy/SimPlatform.java
+++ b/proxy/src/test/java/saltdale/proxy/SimPlatform.java
@@ -11,7 +11,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import saltdale.control.Chart;
+import saltdale.control.Configuration;
 import saltdale.control.Fields;
 import saltdale.control.Environment;
 import saltdale.control.Platform;
@@ -356,8 +356,8 @@
 
     /** A client's call to this pilot; nothing comes of it where the pilot is gone. */
     Asked call(SimMachine at, String hostname, String path, long leftMs) {
-        Chart chart = at.pilot() == null ? null : at.pilot().chart();
-        Chart.Route route = chart == null ? null : chart.route(hostname, path);
+        Configuration chart = at.pilot() == null ? null : at.pilot().chart();
+        Configuration.Route route = chart == null ? null : chart.route(hostname, path);
         Asked asked = new Asked(route != null && route.idempotent());
         asked.at = at.process;
         all.add(asked);
