--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -617,11 +617,11 @@
             // Guards against a holder that nobody makes a voter again: one whose disk was lost leaves the duty to
             // others.
             if (nodeSettings.rates().duties().contains(STARTING) && state.isVoter(id) && vacant(state)) {
-                Tenure seen = state.duty(STARTING);
+                DutyLease seen = state.duty(STARTING);
                 propose((newest, text) -> newest.duty(STARTING).fence() != seen.fence()
                         ? Proposer.Step.stay(null)
                         : new Proposer.Step(
-                                newest.withDuty(STARTING, new Tenure(holder(), nodeSettings.name(), seen.fence() + 1)),
+                                newest.withDuty(STARTING, new DutyLease(holder(), nodeSettings.name(), seen.fence() + 1)),
                                 null,
                                 Boolean.TRUE));
             } else if (!state.isJoint() && (holds() || vacant(state))) {
@@ -714,12 +714,12 @@
         beat();
         ReplicatedState state = register.chosen();
         if (state != null && holder().equals(state.duty(STARTING).holder())) {
-            Tenure mine = state.duty(STARTING);
+            DutyLease mine = state.duty(STARTING);
             register.propose(
                     (newest, text) -> !mine.equals(newest.duty(STARTING))
                             ? Proposer.Step.stay(null)
                             : new Proposer.Step(
-                                    newest.withDuty(STARTING, new Tenure(null, null, mine.fence())),
+                                    newest.withDuty(STARTING, new DutyLease(null, null, mine.fence())),
                                     null,
                                     Boolean.TRUE),
                     nodeSettings.beat(),
--- a/control/src/main/java/saltdale/control/ReplicatedState.java
+++ b/control/src/main/java/saltdale/control/ReplicatedState.java
@@ -16,7 +16,7 @@
         long version,
         List<Voter> before,
         List<Voter> voters,
-        Map<String, Tenure> duties,
+        Map<String, DutyLease> duties,
         long revision,
         String textKey,
         List<String> taken) {
@@ -41,8 +41,8 @@
         return voters.stream().anyMatch(v -> v.id().equals(id));
     }
 
-    public Tenure duty(String name) {
-        return duties.getOrDefault(name, Tenure.NONE);
+    public DutyLease duty(String name) {
+        return duties.getOrDefault(name, DutyLease.NONE);
     }
 
     public ReplicatedState withVoters(List<Voter> next) {
@@ -54,8 +54,8 @@
         return new ReplicatedState(version + 1, voters, voters, duties, revision, textKey, taken);
     }
 
-    public ReplicatedState withDuty(String name, Tenure tenure) {
-        Map<String, Tenure> all = new TreeMap<>(duties);
+    public ReplicatedState withDuty(String name, DutyLease tenure) {
+        Map<String, DutyLease> all = new TreeMap<>(duties);
         all.put(name, tenure);
         return new ReplicatedState(version + 1, before, voters, all, revision, textKey, taken);
     }
@@ -95,11 +95,11 @@
 
     static ReplicatedState of(Fields from) throws MalformedMessage {
         List<Voter> voters = voters(from, "m");
-        Map<String, Tenure> duties = new TreeMap<>();
+        Map<String, DutyLease> duties = new TreeMap<>();
         Fields all = from.object("d");
         for (String name : all.map().keySet()) {
             Fields one = all.object(name);
-            duties.put(name, new Tenure(one.text("h", null), one.text("n", null), one.whole("f")));
+            duties.put(name, new DutyLease(one.text("h", null), one.text("n", null), one.whole("f")));
         }
         return new ReplicatedState(
                 from.whole("v"),
