--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -62,7 +62,7 @@
     private final String id;
     private final String life;
     private final ReplicatedRegister register;
-    private final Starter starter;
+    private final InstanceLifecycle instanceLifecycle;
     private final Members members;
     private final Runners runners;
     private final Demand demand;
@@ -96,7 +96,7 @@
         members = new Members(nodeSettings.memberLease() + nodeSettings.beat() * 3 / 10);
         runners = new Runners(8 * nodeSettings.beat(), 40 * nodeSettings.beat());
         demand = new Demand(3 * nodeSettings.beat());
-        starter = new Starter(environment, this, platform, nodeSettings);
+        instanceLifecycle = new InstanceLifecycle(environment, this, platform, nodeSettings);
         register.restore(records);
         ReplicatedState begun = nodeSettings.firstStart()
                 ? ReplicatedState.first(nodeSettings.seeds().stream()
@@ -121,7 +121,7 @@
     public void begin() {
         beat();
         tick();
-        starter.begin();
+        instanceLifecycle.begin();
     }
 
     // What others of the program see.
@@ -337,7 +337,7 @@
                 }
                 changed(copies, false);
             }
-            case "intents" -> starter.told(message);
+            case "intents" -> instanceLifecycle.told(message);
             default -> {
                 register.message(message.text("f", ""), fromHost, message);
             }
@@ -377,7 +377,7 @@
                 }
             }
         }
-        starter.look();
+        instanceLifecycle.look();
     }
 
     // Dispatchers: leases and news.
@@ -514,7 +514,7 @@
             }
         }
         publish();
-        starter.look();
+        instanceLifecycle.look();
     }
 
     /** Replaces the whole configuration, or amends it. */
--- a/control/src/main/java/saltdale/control/Starter.java
+++ b/control/src/main/java/saltdale/control/InstanceLifecycle.java
@@ -16,7 +16,7 @@
  * so that
  * whoever takes over asks again for what may have been begun and learns of it.
  */
-final class Starter {
+final class InstanceLifecycle {
     private static final class Intent {
         final String nonce;
         final String service;
@@ -60,7 +60,7 @@
     private long pageAt = Long.MIN_VALUE / 2; // when the last page was asked for
     private int refused;
 
-    Starter(Environment environment, ControlNode keeper, Platform platform, ControlNodeSettings nodeSettings) {
+    InstanceLifecycle(Environment environment, ControlNode keeper, Platform platform, ControlNodeSettings nodeSettings) {
         this.environment = environment;
         this.keeper = keeper;
         this.platform = platform;
