--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -44,7 +44,7 @@
         long crew = -1;
         long runners = -1;
         long homesOf = -1;
-        final Map<String, Runner.Phase> told = new HashMap<>();
+        final Map<String, Instance.Phase> told = new HashMap<>();
 
         Subscriber(String host, String session) {
             this.host = host;
@@ -64,7 +64,7 @@
     private final ReplicatedRegister register;
     private final InstanceLifecycle instanceLifecycle;
     private final Members members;
-    private final Runners runners;
+    private final InstanceTable runners;
     private final Demand demand;
     private final Map<String, Peer> peers = new LinkedHashMap<>(); // by host
     private final Map<String, Subscriber> subscribers = new LinkedHashMap<>(); // by life
@@ -94,7 +94,7 @@
                         : Long.toHexString(environment.chance().nextLong());
         register = new ReplicatedRegister(environment, id, life, this::chosen);
         members = new Members(nodeSettings.memberLease() + nodeSettings.beat() * 3 / 10);
-        runners = new Runners(8 * nodeSettings.beat(), 40 * nodeSettings.beat());
+        runners = new InstanceTable(8 * nodeSettings.beat(), 40 * nodeSettings.beat());
         demand = new Demand(3 * nodeSettings.beat());
         instanceLifecycle = new InstanceLifecycle(environment, this, platform, nodeSettings);
         register.restore(records);
@@ -138,7 +138,7 @@
         return register;
     }
 
-    Runners runners() {
+    InstanceTable runners() {
         return runners;
     }
 
@@ -325,15 +325,15 @@
             case "renew" -> renewed(fromHost, message);
             case "want" -> wanted(message);
             case "up" -> {
-                Runner r = runners.get(message.text("r"));
-                if (r != null && r.phase() == Runner.Phase.BOOTING) {
-                    changed(List.of(r.at(Runner.Phase.READY)), true);
+                Instance r = runners.get(message.text("r"));
+                if (r != null && r.phase() == Instance.Phase.BOOTING) {
+                    changed(List.of(r.at(Instance.Phase.READY)), true);
                 }
             }
             case "runners" -> {
-                List<Runner> copies = new ArrayList<>();
+                List<Instance> copies = new ArrayList<>();
                 for (Object each : message.list("l")) {
-                    copies.add(Runner.of(each));
+                    copies.add(Instance.of(each));
                 }
                 changed(copies, false);
             }
@@ -350,9 +350,9 @@
     }
 
     /** Merges copies of runners; news of our own goes to the other keepers too. */
-    void changed(List<Runner> copies, boolean tell) {
+    void changed(List<Instance> copies, boolean tell) {
         List<Object> fresh = new ArrayList<>();
-        for (Runner copy : copies) {
+        for (Instance copy : copies) {
             if (runners.merge(copy, environment.now())) {
                 fresh.add(copy.tree());
             }
@@ -466,14 +466,14 @@
     /** Of the runners, a dispatcher is told those of services that it is home to. */
     private void publishRunners(Subscriber to) {
         boolean moved = to.homesOf != members.edition();
-        List<Runner> look = moved ? new ArrayList<>(runners.all()) : runners.since(to.runners);
+        List<Instance> look = moved ? new ArrayList<>(runners.all()) : runners.since(to.runners);
         List<Object> news = new ArrayList<>();
         Map<String, Boolean> homes = new HashMap<>();
-        for (Runner r : look) {
+        for (Instance r : look) {
             boolean home = homes.computeIfAbsent(r.service(), s -> isHome(s, to.member.zone(), to))
                     || homes.computeIfAbsent(r.service() + "@" + r.zone(), s -> isHome(r.service(), r.zone(), to));
-            Runner.Phase told = to.told.get(r.id());
-            if (home && r.phase() != told && (told != null || r.phase() != Runner.Phase.GONE)) {
+            Instance.Phase told = to.told.get(r.id());
+            if (home && r.phase() != told && (told != null || r.phase() != Instance.Phase.GONE)) {
                 to.told.put(r.id(), r.phase());
                 news.add(r.tree());
             } else if (!home && told != null) {
--- a/control/src/main/java/saltdale/control/Runner.java
+++ b/control/src/main/java/saltdale/control/Instance.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /** One life of a runner, as known; what is known of it only moves forward. */
-public record Runner(String id, String service, String address, String zone, String worker, Phase phase, int slots) {
+public record Instance(String id, String service, String address, String zone, String worker, Phase phase, int slots) {
     /** In the order in which they follow one another; of two copies the later one is right. */
     public enum Phase {
         /** Started, and not yet seen to answer. */
@@ -14,15 +14,15 @@
         GONE
     }
 
-    public Runner at(Phase later) {
-        return new Runner(id, service, address, zone, worker, later, slots);
+    public Instance at(Phase later) {
+        return new Instance(id, service, address, zone, worker, later, slots);
     }
 
     public List<Object> tree() {
         return List.of(id, service, address, zone, worker, phase.ordinal(), slots);
     }
 
-    public static Runner of(Object tree) throws MalformedMessage {
+    public static Instance of(Object tree) throws MalformedMessage {
         if (tree instanceof List<?> list
                 && list.size() >= 7
                 && list.get(0) instanceof String id
@@ -34,7 +34,7 @@
                 && phase >= 0
                 && phase < Phase.values().length
                 && list.get(6) instanceof Long slots) {
-            return new Runner(id, service, address, zone, worker, Phase.values()[phase.intValue()], slots.intValue());
+            return new Instance(id, service, address, zone, worker, Phase.values()[phase.intValue()], slots.intValue());
         }
         throw new MalformedMessage("no runner");
     }
--- a/control/src/main/java/saltdale/control/InstanceLifecycle.java
+++ b/control/src/main/java/saltdale/control/InstanceLifecycle.java
@@ -95,7 +95,7 @@
         return (long) (keeper.keepers() / (0.6 * nodeSettings.rates().listsPerSecond()) * 1e9);
     }
 
-    private void list(String token, List<Runner> so, int page, long askedAt) {
+    private void list(String token, List<Instance> so, int page, long askedAt) {
         pageAt = environment.now();
         platform.runners(token, answer -> {
             listing = false;
@@ -109,13 +109,13 @@
                     if (!ready) {
                         drained.add(each.text("identifier"));
                     }
-                    so.add(new Runner(
+                    so.add(new Instance(
                             each.text("identifier"),
                             each.text("service"),
                             each.text("address"),
                             each.text("zone"),
                             each.text("worker_machine", ""),
-                            ready ? Runner.Phase.READY : Runner.Phase.LEAVING,
+                            ready ? Instance.Phase.READY : Instance.Phase.LEAVING,
                             slots(each)));
                 }
                 // The pages as they come: how many runners one holds the platform does not say.
@@ -132,7 +132,7 @@
                 return;
             }
             pages = page;
-            List<Runner> news = keeper.runners().listed(so, askedAt, environment.now());
+            List<Instance> news = keeper.runners().listed(so, askedAt, environment.now());
             if (!news.isEmpty()) {
                 keeper.publish();
                 look();
@@ -174,13 +174,13 @@
             intents.values().forEach(i -> i.asked = false);
             workersAt = Long.MIN_VALUE / 2;
             keeper.runners().all().stream()
-                    .filter(r -> r.phase() == Runner.Phase.LEAVING && !drained.contains(r.id()))
+                    .filter(r -> r.phase() == Instance.Phase.LEAVING && !drained.contains(r.id()))
                     .forEach(r -> leaving.putIfAbsent(r.id(), now));
         }
         drained.removeIf(id -> keeper.runners().get(id) == null);
         leaving.keySet()
                 .removeIf(id -> keeper.runners().get(id) == null
-                        || keeper.runners().get(id).phase() == Runner.Phase.GONE);
+                        || keeper.runners().get(id).phase() == Instance.Phase.GONE);
         intents.values().removeIf(i -> !i.asked && now - i.at > 20 * nodeSettings.beat());
         if (now - workersAt > (lookAgain ? nodeSettings.beat() / 2 : (keeper.chart() == null ? 2 : 1) * nodeSettings.beat())) {
             workersAt = now;
@@ -243,9 +243,9 @@
     /** What is free on each worker: the least of what the platform told and of what our own starts leave. */
     private void reckon() {
         Map<String, Double> used = new HashMap<>();
-        for (Runner r : keeper.runners().all()) {
+        for (Instance r : keeper.runners().all()) {
             Configuration.Service service = keeper.chart().services().get(r.service());
-            if (r.phase() != Runner.Phase.GONE && service != null) {
+            if (r.phase() != Instance.Phase.GONE && service != null) {
                 used.merge(r.worker(), (double) service.memoryMb(), Double::sum);
             }
         }
@@ -296,9 +296,9 @@
                             .map(r -> r.service() + "@" + r.zone())
                             .toList());
         }
-        for (Runner r : plan.stops()) {
+        for (Instance r : plan.stops()) {
             leaving.put(r.id(), now);
-            keeper.changed(List.of(r.at(Runner.Phase.LEAVING)), true);
+            keeper.changed(List.of(r.at(Instance.Phase.LEAVING)), true);
         }
     }
 
@@ -326,13 +326,13 @@
             try {
                 Fields body = new Fields(answer.body());
                 keeper.changed(
-                        List.of(new Runner(
+                        List.of(new Instance(
                                 body.text("identifier"),
                                 intent.service,
                                 body.text("address"),
                                 intent.zone,
                                 intent.worker,
-                                Runner.Phase.BOOTING,
+                                Instance.Phase.BOOTING,
                                 intent.slots)),
                         true);
             } catch (MalformedMessage e) {
--- a/control/src/main/java/saltdale/control/Runners.java
+++ b/control/src/main/java/saltdale/control/InstanceTable.java
@@ -13,9 +13,9 @@
  * The runners known, merged from the platform's list, from what starting them answered, and from other keepers: by
  * identifier the latest phase holds, so that copies merged in any order come out alike.
  */
-final class Runners {
+final class InstanceTable {
     private static final class Entry {
-        Runner runner;
+        Instance runner;
         boolean listed; // the platform's list has shown it
         long since; // when it came into its phase, as far as we know
         long edition;
@@ -30,7 +30,7 @@
     private final Map<String, Set<String>> byService = new HashMap<>();
     private long edition;
 
-    Runners(long patience, long forget) {
+    InstanceTable(long patience, long forget) {
         this.patience = patience;
         this.forget = forget;
     }
@@ -41,20 +41,20 @@
     }
 
     /** Those that have changed since that edition. */
-    List<Runner> since(long then) {
+    List<Instance> since(long then) {
         return entries.values().stream()
                 .filter(e -> e.edition > then)
                 .map(e -> e.runner)
                 .toList();
     }
 
-    Collection<Runner> of(String service) {
+    Collection<Instance> of(String service) {
         return byService.getOrDefault(service, Set.of()).stream()
                 .map(id -> entries.get(id).runner)
                 .toList();
     }
 
-    Runner get(String id) {
+    Instance get(String id) {
         Entry entry = entries.get(id);
         return entry == null ? null : entry.runner;
     }
@@ -63,12 +63,12 @@
         return entries.get(id).since;
     }
 
-    Collection<Runner> all() {
+    Collection<Instance> all() {
         return entries.values().stream().map(e -> e.runner).toList();
     }
 
     /** Takes over what is newer in this copy; whether anything was. */
-    boolean merge(Runner copy, long now) {
+    boolean merge(Instance copy, long now) {
         Entry entry = entries.get(copy.id());
         if (entry == null) {
             entry = new Entry();
@@ -84,10 +84,10 @@
     }
 
     /** The platform's whole list, as asked for at {@code askedAt}; what it does not show any more is gone. */
-    List<Runner> listed(List<Runner> list, long askedAt, long now) {
-        List<Runner> changed = new ArrayList<>();
+    List<Instance> listed(List<Instance> list, long askedAt, long now) {
+        List<Instance> changed = new ArrayList<>();
         Set<String> seen = new HashSet<>();
-        for (Runner each : list) {
+        for (Instance each : list) {
             seen.add(each.id());
             if (merge(each, now)) {
                 changed.add(each);
@@ -95,13 +95,13 @@
             entries.get(each.id()).listed = true;
         }
         for (Entry entry : List.copyOf(entries.values())) {
-            Runner r = entry.runner;
+            Instance r = entry.runner;
             boolean overdue = entry.listed || now - entry.since > patience;
-            if (r.phase() != Runner.Phase.GONE && !seen.contains(r.id()) && overdue && entry.since < askedAt) {
-                Runner gone = r.at(Runner.Phase.GONE);
+            if (r.phase() != Instance.Phase.GONE && !seen.contains(r.id()) && overdue && entry.since < askedAt) {
+                Instance gone = r.at(Instance.Phase.GONE);
                 merge(gone, now);
                 changed.add(gone);
-            } else if (r.phase() == Runner.Phase.GONE && now - entry.since > forget && !seen.contains(r.id())) {
+            } else if (r.phase() == Instance.Phase.GONE && now - entry.since > forget && !seen.contains(r.id())) {
                 entries.remove(r.id());
                 byService.get(r.service()).remove(r.id());
             }
--- a/control/src/main/java/saltdale/control/Scaler.java
+++ b/control/src/main/java/saltdale/control/Scaler.java
@@ -36,7 +36,7 @@
 
     record Start(String service, String worker, String zone) {}
 
-    record Plan(List<Start> starts, List<Runner> stops) {}
+    record Plan(List<Start> starts, List<Instance> stops) {}
 
     // Ratios, none of any deployment: see docs/platform.md.
     static final double OWN_ZONE = 0.35; // of a runner's slots busy: from here a zone has runners of its own
@@ -63,7 +63,7 @@
             long now,
             Configuration chart,
             Map<String, List<Demand.Need>> demand,
-            Runners runners,
+            InstanceTable runners,
             List<Worker> workers,
             Map<String, Integer> beginning) {
         Plan plan = new Plan(new ArrayList<>(), new ArrayList<>());
@@ -107,9 +107,9 @@
         return targets;
     }
 
-    private static String placeOfWarm(Configuration.Service service, Runners runners, List<Worker> workers) {
-        for (Runner r : runners.of(service.name())) {
-            if (r.phase().compareTo(Runner.Phase.LEAVING) < 0) {
+    private static String placeOfWarm(Configuration.Service service, InstanceTable runners, List<Worker> workers) {
+        for (Instance r : runners.of(service.name())) {
+            if (r.phase().compareTo(Instance.Phase.LEAVING) < 0) {
                 return r.zone();
             }
         }
@@ -122,7 +122,7 @@
 
     /** By zone, how many runners the calls want now. */
     Map<String, Integer> wanted(
-            Configuration.Service service, double target, long hold, List<Demand.Need> needs, Runners runners) {
+            Configuration.Service service, double target, long hold, List<Demand.Need> needs, InstanceTable runners) {
         Map<String, double[]> byZone = new TreeMap<>(); // average of slots busy, slots busy now, slots for what waits
         int slots = service.maxConcurrency();
         // One running time for all zones: a zone whose calls go elsewhere has seen none of its own.
@@ -137,7 +137,7 @@
         double clears = Math.max(service.bootMs() / 1000.0, run) / 2;
         if (!needs.isEmpty()) {
             runners.of(service.name()).stream()
-                    .filter(r -> r.phase().compareTo(Runner.Phase.LEAVING) < 0)
+                    .filter(r -> r.phase().compareTo(Instance.Phase.LEAVING) < 0)
                     .forEach(r -> byZone.put(r.zone(), new double[3]));
         }
         for (Demand.Need need : needs) {
@@ -147,8 +147,8 @@
             sum[2] += need.waiting() * run / clears;
         }
         Set<String> have = runners.of(service.name()).stream()
-                .filter(r -> r.phase().compareTo(Runner.Phase.LEAVING) < 0)
-                .map(Runner::zone)
+                .filter(r -> r.phase().compareTo(Instance.Phase.LEAVING) < 0)
+                .map(Instance::zone)
                 .collect(Collectors.toSet());
         // Guards against runners that move to and fro: where there are some, the rest of the zones goes there.
         String main = byZone.keySet().stream()
@@ -196,13 +196,13 @@
             Configuration.Service service,
             long hold,
             Map<String, Integer> wanted,
-            Runners runners,
+            InstanceTable runners,
             List<Worker> workers,
             Map<String, Integer> beginning,
             Plan plan) {
-        Map<String, List<Runner>> have = new TreeMap<>();
-        for (Runner r : runners.of(service.name())) {
-            if (r.phase().compareTo(Runner.Phase.LEAVING) < 0) {
+        Map<String, List<Instance>> have = new TreeMap<>();
+        for (Instance r : runners.of(service.name())) {
+            if (r.phase().compareTo(Instance.Phase.LEAVING) < 0) {
                 have.computeIfAbsent(r.zone(), zone -> new ArrayList<>()).add(r);
             }
         }
@@ -215,7 +215,7 @@
                         .filter(b -> b.getKey().startsWith(service.name() + "@"))
                         .mapToInt(Map.Entry::getValue)
                         .sum();
-        for (Map.Entry<String, List<Runner>> each : have.entrySet()) {
+        for (Map.Entry<String, List<Instance>> each : have.entrySet()) {
             String zone = each.getKey();
             int want = wanted.getOrDefault(zone, 0);
             TreeMap<Integer, Long> counts = held.computeIfAbsent(service.name() + "@" + zone, k -> new TreeMap<>());
@@ -237,7 +237,7 @@
             if (are > keep && now - begunAt > quiet) {
                 // The youngest first: those that are ready serve on.
                 each.getValue().stream()
-                        .sorted(Comparator.comparing((Runner r) -> r.phase())
+                        .sorted(Comparator.comparing((Instance r) -> r.phase())
                                 .thenComparing(r -> -runners.since(r.id())))
                         .limit(are - keep)
                         .forEach(plan.stops::add);
@@ -252,13 +252,13 @@
     private static Worker place(
             Configuration.Service service,
             String zone,
-            Runners runners,
+            InstanceTable runners,
             List<Worker> workers,
             Map<String, Integer> beginning,
             Plan plan) {
         Map<String, Integer> there = new HashMap<>();
         runners.of(service.name()).stream()
-                .filter(r -> r.phase().compareTo(Runner.Phase.LEAVING) < 0)
+                .filter(r -> r.phase().compareTo(Instance.Phase.LEAVING) < 0)
                 .forEach(r -> there.merge(r.worker(), 1, Integer::sum));
         // What is on its way there counts as well.
         workers.forEach(
--- a/node/src/main/java/saltdale/node/PilotStation.java
+++ b/node/src/main/java/saltdale/node/PilotStation.java
@@ -237,7 +237,7 @@
         }
     }
 
-    // Runners.
+    // InstanceTable.
 
     private Pool pool(String id, String address) {
         return pools.computeIfAbsent(
--- a/node/src/test/java/saltdale/proxy/Attempts.java
+++ b/node/src/test/java/saltdale/proxy/Attempts.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import saltdale.control.Configuration;
 import saltdale.control.Member;
-import saltdale.control.Runner;
+import saltdale.control.Instance;
 
 /** Attempts for tests of what carries them. */
 public final class Attempts {
@@ -14,7 +14,7 @@
         Call call = new Call(id, route, "s", null, 0, 0, Long.MAX_VALUE);
         return new Attempt(
                 call,
-                new Runner("i-1", "s", address, "z", "w", Runner.Phase.READY, 1),
+                new Instance("i-1", "s", address, "z", "w", Instance.Phase.READY, 1),
                 new Member("l", "n", "z", "h", false),
                 1,
                 0);
--- a/proxy/src/main/java/saltdale/proxy/Attempt.java
+++ b/proxy/src/main/java/saltdale/proxy/Attempt.java
@@ -1,7 +1,7 @@
 package saltdale.proxy;
 
 import saltdale.control.Member;
-import saltdale.control.Runner;
+import saltdale.control.Instance;
 
 /** One sending of a call to a runner, in a slot that a home has lent for it. */
 public final class Attempt {
@@ -40,7 +40,7 @@
     final long sentAt;
     boolean over;
 
-    Attempt(Call call, Runner lent, Member home, long slot, long sentAt) {
+    Attempt(Call call, Instance lent, Member home, long slot, long sentAt) {
         this.call = call;
         runner = lent.id();
         address = lent.address();
--- a/proxy/src/main/java/saltdale/proxy/Berth.java
+++ b/proxy/src/main/java/saltdale/proxy/Berth.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import saltdale.control.Runner;
+import saltdale.control.Instance;
 
 /** A runner as its home sees it: which of its slots are lent, and how it has done of late. */
 final class Berth {
@@ -11,7 +11,7 @@
 
     static final double POOR = 0.3; // a runner failing more than this share of late is passed over
 
-    Runner runner;
+    Instance runner;
     final Map<String, Loan> loans = new HashMap<>(); // by who asked and the number of the question
     long notBefore; // it turned work away, or could not be reached, and rests until then
     long rest;
@@ -20,13 +20,13 @@
     boolean trying;
     long since;
 
-    Berth(Runner runner, long since) {
+    Berth(Instance runner, long since) {
         this.runner = runner;
         this.since = since;
     }
 
     boolean isUp() {
-        return runner.phase() == Runner.Phase.READY;
+        return runner.phase() == Instance.Phase.READY;
     }
 
     int free() {
--- a/proxy/src/main/java/saltdale/proxy/Home.java
+++ b/proxy/src/main/java/saltdale/proxy/Home.java
@@ -10,7 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
 import saltdale.control.Configuration;
-import saltdale.control.Runner;
+import saltdale.control.Instance;
 import saltdale.probing.ProbeLoop;
 
 /**
@@ -62,7 +62,7 @@
 
     /** What becomes of an ask. */
     interface Lender {
-        void lend(Ask ask, Runner runner);
+        void lend(Ask ask, Instance runner);
 
         /** Whether we are home for certain: who cannot know lends nothing. */
         boolean mayLend();
@@ -87,9 +87,9 @@
     private final ProbeLoop probes;
     private final SplittableRandom chance;
     private final Lender lender;
-    private final Predicate<Runner> ours; // of our zone, or of one without members that we adopted
+    private final Predicate<Instance> ours; // of our zone, or of one without members that we adopted
     private final Map<String, Berth> berths = new LinkedHashMap<>(); // of those that are ours
-    private final Map<String, Runner> others = new LinkedHashMap<>(); // those with other homes
+    private final Map<String, Instance> others = new LinkedHashMap<>(); // those with other homes
     private final List<Ask> queue = new ArrayList<>(); // as they came
     private double rate; // calls a second that come from our zone
     private double quick; // the same over a shorter time
@@ -106,7 +106,7 @@
             String zone,
             ProbeLoop probes,
             SplittableRandom chance,
-            Predicate<Runner> ours,
+            Predicate<Instance> ours,
             Lender lender,
             long opensAt) {
         this.service = service;
@@ -121,9 +121,9 @@
     // What is known of runners.
 
     /** News of a runner; those that are not known any more are dropped. */
-    void heard(Runner runner, long now) {
+    void heard(Instance runner, long now) {
         if (!ours.test(runner)) {
-            if (runner.phase().compareTo(Runner.Phase.LEAVING) < 0) {
+            if (runner.phase().compareTo(Instance.Phase.LEAVING) < 0) {
                 others.put(runner.id(), runner);
             } else {
                 others.remove(runner.id());
@@ -131,7 +131,7 @@
             return;
         }
         Berth berth = berths.get(runner.id());
-        if (runner.phase() == Runner.Phase.GONE) {
+        if (runner.phase() == Instance.Phase.GONE) {
             berths.remove(runner.id());
         } else if (berth == null) {
             berths.put(runner.id(), new Berth(runner, now));
@@ -168,7 +168,7 @@
                 others.put(berth.runner.id(), berth.runner);
             }
         }
-        for (Runner r : List.copyOf(others.values())) {
+        for (Instance r : List.copyOf(others.values())) {
             if (ours.test(r)) {
                 others.remove(r.id());
                 Berth berth = new Berth(r, now);
@@ -186,7 +186,7 @@
 
     List<Berth> booting() {
         return berths.values().stream()
-                .filter(b -> b.runner.phase() == Runner.Phase.BOOTING)
+                .filter(b -> b.runner.phase() == Instance.Phase.BOOTING)
                 .toList();
     }
 
@@ -221,8 +221,8 @@
 
     private String elsewhere() {
         return others.values().stream()
-                .min(Comparator.comparing(Runner::phase).reversed().thenComparing(Runner::zone))
-                .map(Runner::zone)
+                .min(Comparator.comparing(Instance::phase).reversed().thenComparing(Instance::zone))
+                .map(Instance::zone)
                 .orElse(null);
     }
 
@@ -429,7 +429,7 @@
     }
 
     boolean hasRunners() {
-        return berths.values().stream().anyMatch(b -> b.runner.phase().compareTo(Runner.Phase.LEAVING) < 0);
+        return berths.values().stream().anyMatch(b -> b.runner.phase().compareTo(Instance.Phase.LEAVING) < 0);
     }
 
     /** All loans, for a home that takes over. */
--- a/proxy/src/main/java/saltdale/proxy/Pilot.java
+++ b/proxy/src/main/java/saltdale/proxy/Pilot.java
@@ -15,7 +15,7 @@
 import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
 import saltdale.control.Environment;
-import saltdale.control.Runner;
+import saltdale.control.Instance;
 import saltdale.probing.ProbeLoop;
 
 /**
@@ -42,7 +42,7 @@
     private final Set<Attempt> carried = new HashSet<>();
     private final Map<String, Long> silent =
             new HashMap<>(); // members that did not answer, until when they are passed by
-    private final Map<String, Runner> told = new LinkedHashMap<>(); // runners of services that we are home to
+    private final Map<String, Instance> told = new LinkedHashMap<>(); // runners of services that we are home to
     private final Set<String> runnerHosts = new HashSet<>(); // where runners have been: calls from there are nested
     private final Map<String, Held> early = new LinkedHashMap<>(); // by key: loans of runners not known here yet
     private Collection<Member> crew = List.of();
@@ -161,14 +161,14 @@
             }
             case "runners" -> {
                 for (Object each : message.list("l")) {
-                    runner(Runner.of(each));
+                    runner(Instance.of(each));
                 }
             }
             default -> throw new MalformedMessage("no such news");
         }
     }
 
-    private void runner(Runner r) {
+    private void runner(Instance r) {
         told.put(r.id(), r);
         runnerHosts.add(host(r));
         Home home = isHome(r.service()) ? home(r.service()) : null;
@@ -177,7 +177,7 @@
             tellEarly(home);
             tryBooting(home);
         }
-        if (r.phase() == Runner.Phase.GONE) {
+        if (r.phase() == Instance.Phase.GONE) {
             told.remove(r.id());
             carrier.forget(r.id());
         }
@@ -200,7 +200,7 @@
             }
             Map<String, List<Object>> heirs = new LinkedHashMap<>();
             for (Object loan : loans) {
-                Runner r = (Runner) told.get(((List<?>) loan).get(1));
+                Instance r = (Instance) told.get(((List<?>) loan).get(1));
                 Member heir = Homes.of(home.service(), r == null ? proxySettings.zone() : r.zone(), crew);
                 if (heir != null) {
                     heirs.computeIfAbsent(heir.host(), host -> new ArrayList<>())
@@ -241,7 +241,7 @@
         }
     }
 
-    private static String host(Runner r) {
+    private static String host(Instance r) {
         return r.address().substring(0, Math.max(0, r.address().lastIndexOf(':')));
     }
 
@@ -288,7 +288,7 @@
     private void tryOne(Home home, Berth berth) {
         boolean still = homes.get(home.service()) == home
                 && home.berth(berth.runner.id()) == berth
-                && berth.runner.phase() == Runner.Phase.BOOTING;
+                && berth.runner.phase() == Instance.Phase.BOOTING;
         if (still) {
             carrier.tryRunner(berth.runner.id(), berth.runner.address());
         } else {
@@ -300,10 +300,10 @@
     public void tried(String id, boolean up) {
         for (Home home : homes.values()) {
             Berth berth = home.berth(id);
-            if (berth != null && berth.runner.phase() == Runner.Phase.BOOTING) {
+            if (berth != null && berth.runner.phase() == Instance.Phase.BOOTING) {
                 if (up) {
                     berth.trying = false;
-                    home.heard(berth.runner.at(Runner.Phase.READY), environment.now());
+                    home.heard(berth.runner.at(Instance.Phase.READY), environment.now());
                     if (tender.keeper() != null) {
                         environment.send(tender.keeper(), Fields.tree("t", "up", "r", id));
                     }
@@ -515,7 +515,7 @@
 
     // What homes answer.
 
-    private void lent(long number, Runner r) {
+    private void lent(long number, Instance r) {
         Call call = asking.remove(number);
         if (call == null) {
             return;
@@ -673,7 +673,7 @@
         }
 
         @Override
-        public void lend(Home.Ask ask, Runner r) {
+        public void lend(Home.Ask ask, Instance r) {
             if (ask.host == null) {
                 environment.after(0, () -> lentHere(ask, r));
             } else {
@@ -681,7 +681,7 @@
             }
         }
 
-        private void lentHere(Home.Ask ask, Runner r) {
+        private void lentHere(Home.Ask ask, Instance r) {
             if (asking.containsKey(ask.number)) {
                 lent(ask.number, r);
             }
@@ -745,7 +745,7 @@
                         message.text("s"),
                         message.flag("n"));
             }
-            case "lent" -> lent(message.whole("i"), Runner.of(message.list("r")));
+            case "lent" -> lent(message.whole("i"), Instance.of(message.list("r")));
             case "waits" -> waits(message.whole("i"));
             case "elsewhere" -> elsewhere(message.whole("i"), message.text("z"));
             case "none" -> none(message.whole("i"), message.whole("p"));
--- a/proxy/src/test/java/saltdale/proxy/PilotClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/PilotClusterTest.java
@@ -143,7 +143,7 @@
         }
     }
 
-    // Runners.
+    // InstanceTable.
 
     enum Trouble {
         NONE,
@@ -270,7 +270,7 @@
         assertThat("what may run again does", again, greaterThan(10));
     }
 
-    // Runners when they are needed.
+    // InstanceTable when they are needed.
 
     @Test
     void theFirstCallStartsARunnerAndIsServedByIt() {
--- a/proxy/src/test/java/saltdale/proxy/SimPlatform.java
+++ b/proxy/src/test/java/saltdale/proxy/SimPlatform.java
@@ -37,7 +37,7 @@
         }
     }
 
-    final class Runner {
+    final class Instance {
         final String id = "i-" + ++runnerCount;
         final String address = "10.64." + runnerCount / 200 + "." + runnerCount % 200 + ":8080";
         final String service;
@@ -49,7 +49,7 @@
         int busy;
         int mostBusy;
 
-        Runner(String service, Worker worker) {
+        Instance(String service, Worker worker) {
             this.service = service;
             this.worker = worker;
             upAt = begunAt + Environment.millis(bootMs);
@@ -91,11 +91,11 @@
     private final class Sending {
         final Attempt attempt;
         final SimMachine.Process from;
-        final Runner to;
+        final Instance to;
         boolean closed;
         boolean working;
 
-        Sending(Attempt attempt, SimMachine.Process from, Runner to) {
+        Sending(Attempt attempt, SimMachine.Process from, Instance to) {
             this.attempt = attempt;
             this.from = from;
             this.to = to;
@@ -133,7 +133,7 @@
 
     private final SimWorld world;
     final Map<String, Worker> workers = new LinkedHashMap<>();
-    final Map<String, Runner> runners = new LinkedHashMap<>();
+    final Map<String, Instance> runners = new LinkedHashMap<>();
     final Map<String, Integer> slots = new HashMap<>(); // by service
     final Map<String, Integer> memory = new HashMap<>();
     final List<Duty> duties = new ArrayList<>();
@@ -141,7 +141,7 @@
     final List<Long> overLimit = new ArrayList<>(); // when a runner got more than its slots
     final List<String> overRate = new ArrayList<>(); // calls beyond the platform's rates
     final List<Long> afterDrain = new ArrayList<>(); // calls that reached a draining runner too late
-    private final Map<String, Runner> byNonce = new HashMap<>();
+    private final Map<String, Instance> byNonce = new HashMap<>();
     private final Map<Long, SimMachine.Process> holders = new HashMap<>(); // by fence
     private final Map<Attempt, Sending> sendings = new LinkedHashMap<>();
     private final Deque<String> lists = new ArrayDeque<>(); // of the last second
@@ -241,7 +241,7 @@
     private Platform.Answer page(String token) {
         long then = world.now() - Environment.millis(lagMs);
         int from = token == null ? 0 : Integer.parseInt(token);
-        List<Runner> shown = runners.values().stream()
+        List<Instance> shown = runners.values().stream()
                 .filter(r -> r.upAt <= then && r.goneAt > then)
                 .toList();
         List<Object> page = new ArrayList<>();
@@ -319,12 +319,12 @@
 
     private Platform.Answer begun(String service, String worker, String nonce) {
         Worker on = workers.get(worker);
-        Runner runner = byNonce.get(service + " " + nonce);
+        Instance runner = byNonce.get(service + " " + nonce);
         if (runner == null) {
             if (on == null || on.draining || free(on, world.now()) < memory.get(service)) {
                 return new Platform.Answer(409, null);
             }
-            runner = new Runner(service, on);
+            runner = new Instance(service, on);
             runners.put(runner.id, runner);
             byNonce.put(service + " " + nonce, runner);
         }
@@ -332,7 +332,7 @@
     }
 
     private Platform.Answer stopped(String id) {
-        Runner runner = runners.get(id);
+        Instance runner = runners.get(id);
         if (runner == null) {
             return new Platform.Answer(404, null);
         }
@@ -340,7 +340,7 @@
         return new Platform.Answer(200, Map.of());
     }
 
-    List<Runner> live(String service) {
+    List<Instance> live(String service) {
         return runners.values().stream()
                 .filter(r -> r.service.equals(service) && r.goneAt > world.now())
                 .toList();
@@ -435,7 +435,7 @@
     }
 
     private void reached(Sending sending) {
-        Runner to = sending.to;
+        Instance to = sending.to;
         if (sending.closed) {
             return;
         }
