--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -63,7 +63,7 @@
     private final String life;
     private final ReplicatedRegister register;
     private final InstanceLifecycle instanceLifecycle;
-    private final Members members;
+    private final MembershipTable members;
     private final InstanceTable runners;
     private final Demand demand;
     private final Map<String, Peer> peers = new LinkedHashMap<>(); // by host
@@ -93,7 +93,7 @@
                         ? Voter.firstId(nodeSettings.host())
                         : Long.toHexString(environment.chance().nextLong());
         register = new ReplicatedRegister(environment, id, life, this::chosen);
-        members = new Members(nodeSettings.memberLease() + nodeSettings.beat() * 3 / 10);
+        members = new MembershipTable(nodeSettings.memberLease() + nodeSettings.beat() * 3 / 10);
         runners = new InstanceTable(8 * nodeSettings.beat(), 40 * nodeSettings.beat());
         demand = new Demand(3 * nodeSettings.beat());
         instanceLifecycle = new InstanceLifecycle(environment, this, platform, nodeSettings);
--- a/control/src/main/java/saltdale/control/Members.java
+++ b/control/src/main/java/saltdale/control/MembershipTable.java
@@ -12,7 +12,7 @@
  * The leases of members, merged from what all keepers hear: each renewal counts up, and the highest count is the
  * newest.
  */
-final class Members {
+final class MembershipTable {
     private static final class Lease {
         Member member;
         long count;
@@ -25,7 +25,7 @@
     private final Map<String, Long> ended = new LinkedHashMap<>(); // lives that are over, and since when
     private long edition;
 
-    Members(long length) {
+    MembershipTable(long length) {
         this.length = length;
     }
 
