--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -488,7 +488,7 @@
     }
 
     private boolean isHome(String service, String zone, Subscriber who) {
-        Member home = Homes.of(service, zone, members.all());
+        Member home = ServiceOwnership.of(service, zone, members.all());
         return home != null && home.life().equals(who.member.life());
     }
 
--- a/control/src/main/java/saltdale/control/InstanceLifecycle.java
+++ b/control/src/main/java/saltdale/control/InstanceLifecycle.java
@@ -196,7 +196,7 @@
             plan(now);
         }
         for (Map.Entry<String, Long> each : List.copyOf(leaving.entrySet())) {
-            // Homes have had the time to send nothing more there.
+            // ServiceOwnership have had the time to send nothing more there.
             if (now - each.getValue() > nodeSettings.beat() / 2 && mayCall(now)) {
                 leaving.put(each.getKey(), now);
                 stop(each.getKey());
--- a/control/src/main/java/saltdale/control/Homes.java
+++ b/control/src/main/java/saltdale/control/ServiceOwnership.java
@@ -6,8 +6,8 @@
  * Which member of a zone is home to a service: alike at all who know the same members, and few move with one of
  * them.
  */
-public final class Homes {
-    private Homes() {}
+public final class ServiceOwnership {
+    private ServiceOwnership() {}
 
     /** The home of the service's runners in this zone; where the zone has no member, one of another adopts them. */
     public static Member of(String service, String zone, Collection<Member> members) {
--- a/proxy/src/main/java/saltdale/proxy/Pilot.java
+++ b/proxy/src/main/java/saltdale/proxy/Pilot.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import saltdale.control.Configuration;
 import saltdale.control.Fields;
-import saltdale.control.Homes;
+import saltdale.control.ServiceOwnership;
 import saltdale.control.InvalidConfiguration;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
@@ -183,7 +183,7 @@
         }
     }
 
-    /** Homes move with the crew: who is one no longer says what it has lent, and who becomes one waits for that. */
+    /** ServiceOwnership move with the crew: who is one no longer says what it has lent, and who becomes one waits for that. */
     private void crew(List<Member> next) {
         Collection<Member> before = crew;
         crew = next;
@@ -201,7 +201,7 @@
             Map<String, List<Object>> heirs = new LinkedHashMap<>();
             for (Object loan : loans) {
                 Instance r = (Instance) told.get(((List<?>) loan).get(1));
-                Member heir = Homes.of(home.service(), r == null ? proxySettings.zone() : r.zone(), crew);
+                Member heir = ServiceOwnership.of(home.service(), r == null ? proxySettings.zone() : r.zone(), crew);
                 if (heir != null) {
                     heirs.computeIfAbsent(heir.host(), host -> new ArrayList<>())
                             .add(loan);
@@ -212,8 +212,8 @@
         // What we hold is told to the new homes.
         Map<String, List<Object>> held = new LinkedHashMap<>();
         for (Attempt a : carried) {
-            Member was = Homes.of(a.call.service, a.zone, before);
-            Member is = Homes.of(a.call.service, a.zone, crew);
+            Member was = ServiceOwnership.of(a.call.service, a.zone, before);
+            Member is = ServiceOwnership.of(a.call.service, a.zone, crew);
             if (is != null && (was == null || !was.life().equals(is.life()))) {
                 a.home = is;
                 held.computeIfAbsent(is.host(), host -> new ArrayList<>())
@@ -251,7 +251,7 @@
     }
 
     private boolean isHome(String service, String zone) {
-        Member home = Homes.of(service, zone, crew);
+        Member home = ServiceOwnership.of(service, zone, crew);
         return home != null && home.life().equals(tender.life());
     }
 
@@ -463,13 +463,13 @@
 
     private Member homeFor(Call call) {
         long now = environment.now();
-        Member own = Homes.of(call.service, proxySettings.zone(), crew);
+        Member own = ServiceOwnership.of(call.service, proxySettings.zone(), crew);
         if (usable(own, call, now)) {
             return own;
         }
         List<Member> far = new ArrayList<>();
         for (String zone : crew.stream().map(Member::zone).distinct().toList()) {
-            Member each = Homes.of(call.service, zone, crew);
+            Member each = ServiceOwnership.of(call.service, zone, crew);
             if (usable(each, call, now)) {
                 far.add(each);
             }
@@ -547,7 +547,7 @@
         if (call == null) {
             return;
         }
-        Member there = Homes.of(call.service, zone, crew);
+        Member there = ServiceOwnership.of(call.service, zone, crew);
         if (there == null || call.unreached.contains(zone)) {
             call.unreached.add(zone);
             askAgain(call);
