--- a/proxy/src/main/java/saltdale/proxy/Berth.java
+++ b/proxy/src/main/java/saltdale/proxy/InstanceSlots.java
@@ -5,7 +5,7 @@
 import saltdale.control.Instance;
 
 /** A runner as its home sees it: which of its slots are lent, and how it has done of late. */
-final class Berth {
+final class InstanceSlots {
     /** A slot that is lent: to whom, since when, and until when it comes back if nobody says so. */
     record Loan(String life, long at, long until) {}
 
@@ -20,7 +20,7 @@
     boolean trying;
     long since;
 
-    Berth(Instance runner, long since) {
+    InstanceSlots(Instance runner, long since) {
         this.runner = runner;
         this.since = since;
     }
--- a/proxy/src/main/java/saltdale/proxy/Pilot.java
+++ b/proxy/src/main/java/saltdale/proxy/Pilot.java
@@ -37,7 +37,7 @@
     private final Tender tender;
     private final RetryBudget budget;
     private final ProbeLoop probes = new ProbeLoop();
-    private final Map<String, Home> homes = new HashMap<>(); // by service, those that we are
+    private final Map<String, SlotAllocator> homes = new HashMap<>(); // by service, those that we are
     private final Map<Long, Call> asking = new HashMap<>();
     private final Set<Attempt> carried = new HashSet<>();
     private final Map<String, Long> silent =
@@ -171,7 +171,7 @@
     private void runner(Instance r) {
         told.put(r.id(), r);
         runnerHosts.add(host(r));
-        Home home = isHome(r.service()) ? home(r.service()) : null;
+        SlotAllocator home = isHome(r.service()) ? home(r.service()) : null;
         if (home != null) {
             home.heard(r, environment.now());
             tellEarly(home);
@@ -191,7 +191,7 @@
         environment.note("crew of " + crew.size() + ": "
                 + crew.stream().map(m -> m.name() + (m.leaving() ? "-" : "")).toList());
         long now = environment.now();
-        for (Home home : List.copyOf(homes.values())) {
+        for (SlotAllocator home : List.copyOf(homes.values())) {
             List<Object> loans = home.recrewed(now, proxySettings.beat() / 8);
             if (!isHome(home.service())) {
                 loans = home.loans(now);
@@ -255,14 +255,14 @@
         return home != null && home.life().equals(tender.life());
     }
 
-    private Home home(String service) {
+    private SlotAllocator home(String service) {
         return homes.computeIfAbsent(service, s -> {
             // Who was home before says what is out; the runners may come to be known only after the crew.
             long opensAt = Math.max(
                     crewAt + proxySettings.beat() / 8,
                     environment.now()
                             + (told.values().stream().anyMatch(r -> r.service().equals(s)) ? proxySettings.beat() / 8 : 0));
-            Home home = new Home(
+            SlotAllocator home = new SlotAllocator(
                     s, proxySettings.zone(), probes, environment.chance(), r -> isHome(s, r.zone()), new Lending(s), opensAt);
             told.values().stream()
                     .filter(r -> r.service().equals(s))
@@ -274,9 +274,9 @@
         });
     }
 
-    private void tryBooting(Home home) {
+    private void tryBooting(SlotAllocator home) {
         Configuration.Service kind = chart == null ? null : chart.services().get(home.service());
-        for (Berth berth : home.booting()) {
+        for (InstanceSlots berth : home.booting()) {
             if (!berth.trying) {
                 berth.trying = true;
                 // From the earliest that it may be up; each refusal is soon followed by another try.
@@ -285,7 +285,7 @@
         }
     }
 
-    private void tryOne(Home home, Berth berth) {
+    private void tryOne(SlotAllocator home, InstanceSlots berth) {
         boolean still = homes.get(home.service()) == home
                 && home.berth(berth.runner.id()) == berth
                 && berth.runner.phase() == Instance.Phase.BOOTING;
@@ -298,8 +298,8 @@
 
     /** What came of a try whether a runner that is starting takes connections. */
     public void tried(String id, boolean up) {
-        for (Home home : homes.values()) {
-            Berth berth = home.berth(id);
+        for (SlotAllocator home : homes.values()) {
+            InstanceSlots berth = home.berth(id);
             if (berth != null && berth.runner.phase() == Instance.Phase.BOOTING) {
                 if (up) {
                     berth.trying = false;
@@ -380,7 +380,7 @@
             call.timer.run();
             String key = key(tender.life(), call.ask);
             if (call.home != null && call.home.life().equals(tender.life())) {
-                Home home = homes.get(call.service);
+                SlotAllocator home = homes.get(call.service);
                 if (home != null) {
                     home.drop(key, environment.now());
                 }
@@ -410,7 +410,7 @@
         call.timer = environment.after(proxySettings.beat() / 10, () -> unanswered(call, number));
         boolean away = !home.zone().equals(proxySettings.zone());
         boolean counts = call.attempts == 0 && call.unreached.isEmpty() && !away || away && !call.unreached.isEmpty();
-        call.hops = call.unreached.isEmpty() ? 0 : Home.MOST_HOPS;
+        call.hops = call.unreached.isEmpty() ? 0 : SlotAllocator.MOST_HOPS;
         sendAsk(call, counts);
     }
 
@@ -418,7 +418,7 @@
         long now = environment.now();
         if (call.home.life().equals(tender.life())) {
             lend(
-                    new Home.Ask(
+                    new SlotAllocator.Ask(
                             key(tender.life(), call.ask),
                             tender.life(),
                             null,
@@ -611,7 +611,7 @@
         long ran = environment.now() - attempt.sentAt;
         String key = key(tender.life(), attempt.slot);
         if (attempt.home.life().equals(tender.life())) {
-            Home home = homes.get(attempt.call.service);
+            SlotAllocator home = homes.get(attempt.call.service);
             if (home != null) {
                 back(home, key, attempt.runner, end, ran);
             }
@@ -634,16 +634,16 @@
         }
     }
 
-    private void back(Home home, String key, String runner, Attempt.End end, long ran) {
+    private void back(SlotAllocator home, String key, String runner, Attempt.End end, long ran) {
         home.back(key, runner, end, ran, environment.now());
         if (end == Attempt.End.ABANDONED) {
-            environment.after(Home.SETTLES + 1, () -> home.turn(environment.now()));
+            environment.after(SlotAllocator.SETTLES + 1, () -> home.turn(environment.now()));
         }
     }
 
     // Lending.
 
-    private void lend(Home.Ask ask, String service, boolean counts) {
+    private void lend(SlotAllocator.Ask ask, String service, boolean counts) {
         if (!isHome(service) || !tender.hasLease() || chart == null) {
             if (ask.host == null) {
                 Call call = asking.get(ask.number);
@@ -658,14 +658,14 @@
             }
             return; // another asks elsewhere when it hears nothing
         }
-        Home home = home(service);
+        SlotAllocator home = home(service);
         home.ask(ask, counts, chart.services().get(service), environment.now());
         if (home.waiting() > 0 && !home.hasRunners()) {
             tellNeeds();
         }
     }
 
-    private final class Lending implements Home.Lender {
+    private final class Lending implements SlotAllocator.Lender {
         private final String service;
 
         Lending(String service) {
@@ -673,7 +673,7 @@
         }
 
         @Override
-        public void lend(Home.Ask ask, Instance r) {
+        public void lend(SlotAllocator.Ask ask, Instance r) {
             if (ask.host == null) {
                 environment.after(0, () -> lentHere(ask, r));
             } else {
@@ -681,7 +681,7 @@
             }
         }
 
-        private void lentHere(Home.Ask ask, Instance r) {
+        private void lentHere(SlotAllocator.Ask ask, Instance r) {
             if (asking.containsKey(ask.number)) {
                 lent(ask.number, r);
             }
@@ -693,7 +693,7 @@
         }
 
         @Override
-        public void waits(Home.Ask ask) {
+        public void waits(SlotAllocator.Ask ask) {
             if (ask.host == null) {
                 Pilot.this.waits(ask.number);
             } else {
@@ -702,7 +702,7 @@
         }
 
         @Override
-        public void elsewhere(Home.Ask ask, String zone) {
+        public void elsewhere(SlotAllocator.Ask ask, String zone) {
             if (ask.host == null) {
                 environment.after(0, () -> Pilot.this.elsewhere(ask.number, zone));
             } else {
@@ -711,7 +711,7 @@
         }
 
         @Override
-        public void none(Home.Ask ask, long pauseMillis) {
+        public void none(SlotAllocator.Ask ask, long pauseMillis) {
             if (ask.host == null) {
                 environment.after(0, () -> Pilot.this.none(ask.number, pauseMillis));
             } else {
@@ -730,7 +730,7 @@
                 String life = message.text("l");
                 long now = environment.now();
                 lend(
-                        new Home.Ask(
+                        new SlotAllocator.Ask(
                                 key(life, number),
                                 life,
                                 from,
@@ -750,13 +750,13 @@
             case "elsewhere" -> elsewhere(message.whole("i"), message.text("z"));
             case "none" -> none(message.whole("i"), message.whole("p"));
             case "drop" -> {
-                Home home = homes.get(message.text("s"));
+                SlotAllocator home = homes.get(message.text("s"));
                 if (home != null) {
                     home.drop(message.text("k"), environment.now());
                 }
             }
             case "back" -> {
-                Home home = homes.get(message.text("s"));
+                SlotAllocator home = homes.get(message.text("s"));
                 long end = message.whole("e");
                 early.remove(message.text("k"));
                 if (home != null && end >= 0 && end < Attempt.End.values().length) {
@@ -791,7 +791,7 @@
         }
     }
 
-    private boolean tell(Home home, String key, Held one) {
+    private boolean tell(SlotAllocator home, String key, Held one) {
         if (home.berth(one.runner) == null) {
             return false;
         }
@@ -800,7 +800,7 @@
     }
 
     /** Loans of which we heard before we knew the runner. */
-    private void tellEarly(Home home) {
+    private void tellEarly(SlotAllocator home) {
         early.entrySet().removeIf(e -> tell(home, e.getKey(), e.getValue()));
     }
 
@@ -814,9 +814,9 @@
             home.turn(now);
             tryBooting(home);
         });
-        homes.values().removeIf(Home::isIdle);
+        homes.values().removeIf(SlotAllocator::isIdle);
         early.values().removeIf(one -> one.until <= now);
-        for (Home home : homes.values()) {
+        for (SlotAllocator home : homes.values()) {
             home.sayWaits(now, proxySettings.beat() / 3);
         }
         tellNeeds();
@@ -824,7 +824,7 @@
 
     private void tellNeeds() {
         List<Object> needs = new ArrayList<>();
-        for (Home home : homes.values()) {
+        for (SlotAllocator home : homes.values()) {
             List<Object> need = home.need(environment.now());
             if (need != null) {
                 needs.add(need);
--- a/proxy/src/main/java/saltdale/proxy/Home.java
+++ b/proxy/src/main/java/saltdale/proxy/SlotAllocator.java
@@ -18,7 +18,7 @@
  * work than a runner takes, whoever asks. Which runner it is the design decides: probes of randomly drawn ones, the
  * first idle one, further only while that pays.
  */
-final class Home {
+final class SlotAllocator {
     /** A call that asks for a slot. */
     static final class Ask {
         final String key;
@@ -88,7 +88,7 @@
     private final SplittableRandom chance;
     private final Lender lender;
     private final Predicate<Instance> ours; // of our zone, or of one without members that we adopted
-    private final Map<String, Berth> berths = new LinkedHashMap<>(); // of those that are ours
+    private final Map<String, InstanceSlots> berths = new LinkedHashMap<>(); // of those that are ours
     private final Map<String, Instance> others = new LinkedHashMap<>(); // those with other homes
     private final List<Ask> queue = new ArrayList<>(); // as they came
     private double rate; // calls a second that come from our zone
@@ -101,7 +101,7 @@
     /** From when on it lends: those who lent before have ended by then, or said what is out. */
     long opensAt;
 
-    Home(
+    SlotAllocator(
             String service,
             String zone,
             ProbeLoop probes,
@@ -130,11 +130,11 @@
             }
             return;
         }
-        Berth berth = berths.get(runner.id());
+        InstanceSlots berth = berths.get(runner.id());
         if (runner.phase() == Instance.Phase.GONE) {
             berths.remove(runner.id());
         } else if (berth == null) {
-            berths.put(runner.id(), new Berth(runner, now));
+            berths.put(runner.id(), new InstanceSlots(runner, now));
         } else if (runner.phase().compareTo(berth.runner.phase()) > 0) {
             berth.runner = runner;
         }
@@ -161,7 +161,7 @@
      */
     List<Object> recrewed(long now, long opens) {
         List<Object> lost = new ArrayList<>();
-        for (Berth berth : List.copyOf(berths.values())) {
+        for (InstanceSlots berth : List.copyOf(berths.values())) {
             if (!ours.test(berth.runner)) {
                 berths.remove(berth.runner.id());
                 lost.addAll(loans(berth, now));
@@ -171,7 +171,7 @@
         for (Instance r : List.copyOf(others.values())) {
             if (ours.test(r)) {
                 others.remove(r.id());
-                Berth berth = new Berth(r, now);
+                InstanceSlots berth = new InstanceSlots(r, now);
                 berth.notBefore = now + opens;
                 berths.put(r.id(), berth);
             }
@@ -180,11 +180,11 @@
         return lost;
     }
 
-    Berth berth(String id) {
+    InstanceSlots berth(String id) {
         return berths.get(id);
     }
 
-    List<Berth> booting() {
+    List<InstanceSlots> booting() {
         return berths.values().stream()
                 .filter(b -> b.runner.phase() == Instance.Phase.BOOTING)
                 .toList();
@@ -229,7 +229,7 @@
     /** How long the last one in the queue is likely to wait. */
     private long wait(Configuration.Service kind, long now) {
         int slots = berths.values().stream()
-                .filter(Berth::isUp)
+                .filter(InstanceSlots::isUp)
                 .mapToInt(b -> b.runner.slots())
                 .sum();
         double boot = kind == null ? 0 : kind.bootMs() * 1e6;
@@ -245,7 +245,7 @@
     /** It asks no longer. */
     void drop(String key, long now) {
         queue.removeIf(ask -> ask.key.equals(key));
-        for (Berth berth : berths.values()) {
+        for (InstanceSlots berth : berths.values()) {
             if (berth.loans.remove(key) != null) {
                 serve(now);
                 return;
@@ -255,14 +255,14 @@
 
     /** A lent slot comes back. */
     void back(String key, String id, Attempt.End end, long ranNanos, long now) {
-        Berth berth = berths.get(id);
+        InstanceSlots berth = berths.get(id);
         if (berth == null) {
             return;
         }
-        Berth.Loan loan = berth.loans.remove(key);
+        InstanceSlots.Loan loan = berth.loans.remove(key);
         if (end == Attempt.End.ABANDONED && loan != null) {
             // Guards against a runner that is sent the next call before it has seen this one's connection end.
-            berth.loans.put(key, new Berth.Loan(loan.life(), loan.at(), now + SETTLES));
+            berth.loans.put(key, new InstanceSlots.Loan(loan.life(), loan.at(), now + SETTLES));
         }
         switch (end) {
             case ANSWERED -> {
@@ -283,25 +283,25 @@
 
     /** A slot that another home lent before us, or that we are told of again. */
     void held(String key, String life, String id, long until, long now) {
-        Berth berth = berths.get(id);
+        InstanceSlots berth = berths.get(id);
         if (berth != null) {
-            berth.loans.put(key, new Berth.Loan(life, now, until));
+            berth.loans.put(key, new InstanceSlots.Loan(life, now, until));
         }
     }
 
     /** Whoever asked is gone: what it was lent comes back after a moment, as runners see its connections end. */
     void gone(String life, long until) {
         queue.removeIf(ask -> ask.life.equals(life));
-        for (Berth berth : berths.values()) {
+        for (InstanceSlots berth : berths.values()) {
             berth.loans.replaceAll((key, loan) ->
-                    loan.life().equals(life) ? new Berth.Loan(life, loan.at(), Math.min(loan.until(), until)) : loan);
+                    loan.life().equals(life) ? new InstanceSlots.Loan(life, loan.at(), Math.min(loan.until(), until)) : loan);
         }
     }
 
     /** Looks whether anything is due: asks that are over, loans that never came back. */
     void turn(long now) {
         queue.removeIf(ask -> ask.until <= now);
-        for (Berth berth : berths.values()) {
+        for (InstanceSlots berth : berths.values()) {
             berth.loans.values().removeIf(loan -> loan.until() <= now);
         }
         serve(now);
@@ -332,10 +332,10 @@
         order.sort(Comparator.comparing((Ask a) -> a.priority >= 0 && a.target < soon)
                 .thenComparing(a -> a.priority));
         for (Ask ask : order) {
-            Berth berth = pick(ask, now);
+            InstanceSlots berth = pick(ask, now);
             if (berth != null) {
                 queue.remove(ask);
-                berth.loans.put(ask.key, new Berth.Loan(ask.life, now, ask.until + SETTLES));
+                berth.loans.put(ask.key, new InstanceSlots.Loan(ask.life, now, ask.until + SETTLES));
                 berth.used = true;
                 busyAt = now;
                 lender.lend(ask, berth.runner);
@@ -347,25 +347,25 @@
     }
 
     // The design's draw: here all probes are of our own knowledge, which holds all that is lent.
-    private Berth pick(Ask ask, long now) {
-        List<Berth> ready = new ArrayList<>();
+    private InstanceSlots pick(Ask ask, long now) {
+        List<InstanceSlots> ready = new ArrayList<>();
         int poor = 0;
-        for (Berth berth : berths.values()) {
+        for (InstanceSlots berth : berths.values()) {
             if (berth.isUp() && !ask.avoided.contains(berth.runner.id())) {
                 ready.add(berth);
-                poor += berth.failing > Berth.POOR ? 1 : 0;
+                poor += berth.failing > InstanceSlots.POOR ? 1 : 0;
             }
         }
         // Guards against runners that fail often, unless most do: then it is not them.
         if (poor > 0 && 2 * poor <= ready.size()) {
-            ready.removeIf(b -> b.failing > Berth.POOR && chance.nextDouble() > 0.05);
+            ready.removeIf(b -> b.failing > InstanceSlots.POOR && chance.nextDouble() > 0.05);
         }
         double shortest = Double.POSITIVE_INFINITY;
         int probed = 0;
-        Set<Berth> seen = new HashSet<>();
+        Set<InstanceSlots> seen = new HashSet<>();
         for (int i = 0; i < ready.size() && (probed == 0 || probes.worthAnother(probed, shortest)); i++) {
             java.util.Collections.swap(ready, i, i + chance.nextInt(ready.size() - i));
-            Berth berth = ready.get(i);
+            InstanceSlots berth = ready.get(i);
             seen.add(berth);
             probed++;
             boolean idle = berth.mayTake(now);
@@ -384,7 +384,7 @@
     }
 
     /** The calls waiting for it and in flight to it; one not yet sent to counts as the mean of the others. */
-    private static double load(Berth berth, List<Berth> ready) {
+    private static double load(InstanceSlots berth, List<InstanceSlots> ready) {
         return berth.used
                 ? berth.loans.size()
                 : ready.stream()
@@ -439,7 +439,7 @@
         return all;
     }
 
-    private List<Object> loans(Berth berth, long now) {
+    private List<Object> loans(InstanceSlots berth, long now) {
         List<Object> all = new ArrayList<>();
         berth.loans.forEach((key, loan) -> all.add(
                 List.of(service, berth.runner.id(), key, loan.life(), Math.max(0, (loan.until() - now) / 1_000_000))));
