--- a/proxy/src/main/java/saltdale/proxy/Tender.java
+++ b/proxy/src/main/java/saltdale/proxy/ControlSession.java
@@ -15,7 +15,7 @@
  * A pilot's tie to the core: it renews its lease at one keeper and takes its news there, and goes on to another when
  * that one is silent or has lost the majority.
  */
-final class Tender {
+final class ControlSession {
     /** News, in the order in which the keeper sent it. */
     interface Reader {
         void news(Fields message) throws MalformedMessage;
@@ -45,7 +45,7 @@
     private int alone; // so often in a row it had no majority
     private boolean leaving;
 
-    Tender(Environment environment, ProxySettings proxySettings, Reader reader) {
+    ControlSession(Environment environment, ProxySettings proxySettings, Reader reader) {
         this.environment = environment;
         this.proxySettings = proxySettings;
         this.reader = reader;
--- a/proxy/src/main/java/saltdale/proxy/Pilot.java
+++ b/proxy/src/main/java/saltdale/proxy/Pilot.java
@@ -34,7 +34,7 @@
     private final Environment environment;
     private final ProxySettings proxySettings;
     private final Carrier carrier;
-    private final Tender tender;
+    private final ControlSession controlSession;
     private final RetryBudget budget;
     private final ProbeLoop probes = new ProbeLoop();
     private final Map<String, SlotAllocator> homes = new HashMap<>(); // by service, those that we are
@@ -59,7 +59,7 @@
         this.proxySettings = proxySettings;
         this.carrier = carrier;
         budget = new RetryBudget(proxySettings.retryRatio(), proxySettings.retryWindow(), proxySettings.retrySlack());
-        tender = new Tender(environment, proxySettings, new Tender.Reader() {
+        controlSession = new ControlSession(environment, proxySettings, new ControlSession.Reader() {
             @Override
             public void news(Fields message) throws MalformedMessage {
                 Pilot.this.news(message);
@@ -83,13 +83,13 @@
     }
 
     public void begin() {
-        tender.begin();
+        controlSession.begin();
         turn();
     }
 
     /** It can serve: it knows a configuration, and the crew that it is one of. */
     public boolean isReady() {
-        return chart != null && !ending && crew.stream().anyMatch(m -> m.life().equals(tender.life()));
+        return chart != null && !ending && crew.stream().anyMatch(m -> m.life().equals(controlSession.life()));
     }
 
     public boolean knowsConfiguration() {
@@ -108,7 +108,7 @@
     /** Nothing new is to come; what is here is carried on. What still waits for a slot after so long goes elsewhere. */
     public void end(long waits) {
         ending = true;
-        tender.leave();
+        controlSession.leave();
         environment.after(waits, () -> {
             turnsAway = true;
             List.copyOf(asking.values()).forEach(this::turnAway);
@@ -220,8 +220,8 @@
                         .add(List.of(
                                 a.call.service,
                                 a.runner,
-                                key(tender.life(), a.slot),
-                                tender.life(),
+                                key(controlSession.life(), a.slot),
+                                controlSession.life(),
                                 Math.max(0, (a.until - now) / 1_000_000)));
             }
         }
@@ -252,7 +252,7 @@
 
     private boolean isHome(String service, String zone) {
         Member home = ServiceOwnership.of(service, zone, crew);
-        return home != null && home.life().equals(tender.life());
+        return home != null && home.life().equals(controlSession.life());
     }
 
     private SlotAllocator home(String service) {
@@ -304,8 +304,8 @@
                 if (up) {
                     berth.trying = false;
                     home.heard(berth.runner.at(Instance.Phase.READY), environment.now());
-                    if (tender.keeper() != null) {
-                        environment.send(tender.keeper(), Fields.tree("t", "up", "r", id));
+                    if (controlSession.keeper() != null) {
+                        environment.send(controlSession.keeper(), Fields.tree("t", "up", "r", id));
                     }
                 } else {
                     environment.after(proxySettings.beat() / 24, () -> tryOne(home, berth));
@@ -378,8 +378,8 @@
         if (call.ask != 0) {
             asking.remove(call.ask);
             call.timer.run();
-            String key = key(tender.life(), call.ask);
-            if (call.home != null && call.home.life().equals(tender.life())) {
+            String key = key(controlSession.life(), call.ask);
+            if (call.home != null && call.home.life().equals(controlSession.life())) {
                 SlotAllocator home = homes.get(call.service);
                 if (home != null) {
                     home.drop(key, environment.now());
@@ -416,11 +416,11 @@
 
     private void sendAsk(Call call, boolean counts) {
         long now = environment.now();
-        if (call.home.life().equals(tender.life())) {
+        if (call.home.life().equals(controlSession.life())) {
             lend(
                     new SlotAllocator.Ask(
-                            key(tender.life(), call.ask),
-                            tender.life(),
+                            key(controlSession.life(), call.ask),
+                            controlSession.life(),
                             null,
                             call.ask,
                             proxySettings.zone(),
@@ -443,7 +443,7 @@
                             "s",
                             call.service,
                             "l",
-                            tender.life(),
+                            controlSession.life(),
                             "z",
                             proxySettings.zone(),
                             "u",
@@ -480,15 +480,15 @@
     private boolean usable(Member home, Call call, long now) {
         return home != null
                 && !call.unreached.contains(home.zone())
-                && (home.life().equals(tender.life())
-                        ? tender.hasLease()
+                && (home.life().equals(controlSession.life())
+                        ? controlSession.hasLease()
                         : silent.getOrDefault(home.life(), 0L) <= now);
     }
 
     private void unanswered(Call call, long number) {
         if (call.ask == number) {
             if (call.home != null) {
-                if (!call.home.life().equals(tender.life())) {
+                if (!call.home.life().equals(controlSession.life())) {
                     silent.put(call.home.life(), environment.now() + proxySettings.beat() / 2);
                 }
                 call.unreached.add(call.home.zone());
@@ -507,7 +507,7 @@
         for (Call call : List.copyOf(asking.values())) {
             if (call.home != null
                     && call.home.host().equals(host)
-                    && !call.home.life().equals(tender.life())) {
+                    && !call.home.life().equals(controlSession.life())) {
                 unanswered(call, call.ask);
             }
         }
@@ -609,8 +609,8 @@
         attempt.over = true;
         carried.remove(attempt);
         long ran = environment.now() - attempt.sentAt;
-        String key = key(tender.life(), attempt.slot);
-        if (attempt.home.life().equals(tender.life())) {
+        String key = key(controlSession.life(), attempt.slot);
+        if (attempt.home.life().equals(controlSession.life())) {
             SlotAllocator home = homes.get(attempt.call.service);
             if (home != null) {
                 back(home, key, attempt.runner, end, ran);
@@ -644,7 +644,7 @@
     // Lending.
 
     private void lend(SlotAllocator.Ask ask, String service, boolean counts) {
-        if (!isHome(service) || !tender.hasLease() || chart == null) {
+        if (!isHome(service) || !controlSession.hasLease() || chart == null) {
             if (ask.host == null) {
                 Call call = asking.get(ask.number);
                 if (call != null) {
@@ -689,7 +689,7 @@
 
         @Override
         public boolean mayLend() {
-            return tender.hasLease();
+            return controlSession.hasLease();
         }
 
         @Override
@@ -769,7 +769,7 @@
                 }
             }
             case "held" -> held(message);
-            default -> tender.message(from, message);
+            default -> controlSession.message(from, message);
         }
     }
 
@@ -830,8 +830,8 @@
                 needs.add(need);
             }
         }
-        if ((needed || !needs.isEmpty()) && tender.keeper() != null) {
-            environment.send(tender.keeper(), Fields.tree("t", "want", "l", tender.life(), "w", needs));
+        if ((needed || !needs.isEmpty()) && controlSession.keeper() != null) {
+            environment.send(controlSession.keeper(), Fields.tree("t", "want", "l", controlSession.life(), "w", needs));
         }
         needed = !needs.isEmpty();
     }
