--- a/node/src/main/java/saltdale/node/Main.java
+++ b/node/src/main/java/saltdale/node/Main.java
@@ -42,7 +42,7 @@
         try {
             Settings settings = Settings.read(System.getenv(Settings.VARIABLE));
             Station station =
-                    words.getString("role").equals("pilot") ? new PilotStation(settings) : new ControlProcess(settings);
+                    words.getString("role").equals("pilot") ? new ProxyProcess(settings) : new ControlProcess(settings);
             for (String signal : new String[] {"TERM", "INT"}) {
                 Signal.handle(new Signal(signal), which -> station.end());
             }
--- a/node/src/main/java/saltdale/node/PilotStation.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -16,7 +16,7 @@
 import saltdale.proxy.ProxySettings;
 import saltdale.proxy.Call;
 import saltdale.proxy.Carrier;
-import saltdale.proxy.Pilot;
+import saltdale.proxy.Proxy;
 import saltdale.protocol.Head;
 import saltdale.protocol.HttpParser;
 import saltdale.serving.Visit;
@@ -26,7 +26,7 @@
 import saltdale.transport.Pool;
 
 /** A pilot as a process: clients' connections, runners' connections, links to the other processes. */
-final class PilotStation extends Callers implements Station, Links.Reader, Carrier {
+final class ProxyProcess extends Callers implements Station, Links.Reader, Carrier {
     /** A client's request, as long as its call is open. */
     private record ClientRequest(Visit visit, Head head, byte[] body) {}
 
@@ -35,7 +35,7 @@
     private static final int MOST_DIGITS = 9;
 
     private final Settings settings;
-    private final Pilot pilot;
+    private final Proxy pilot;
     private final Map<String, Pool> pools = new HashMap<>(); // by runner
     private final Map<Attempt, Exchange> exchanges = new HashMap<>();
     private final Set<Visit> visits = new LinkedHashSet<>();
@@ -43,10 +43,10 @@
     private HttpParser.Limits limits = new HttpParser.Limits(16_384, 262_144);
     private boolean ending;
 
-    PilotStation(Settings settings) throws IOException, Settings.Wrong {
+    ProxyProcess(Settings settings) throws IOException, Settings.Wrong {
         this.settings = settings;
         harbor = new Harbor(settings, null, this);
-        pilot = new Pilot(
+        pilot = new Proxy(
                 harbor,
                 new ProxySettings(
                         settings.name,
@@ -214,9 +214,9 @@
 
     /** Who asks whether we take new connections. */
     private static final class Readiness extends Callers {
-        private final Pilot pilot;
+        private final Proxy pilot;
 
-        Readiness(Harbor harbor, Pilot pilot) {
+        Readiness(Harbor harbor, Proxy pilot) {
             this.harbor = harbor;
             this.pilot = pilot;
         }
--- a/proxy/src/main/java/saltdale/proxy/Carrier.java
+++ b/proxy/src/main/java/saltdale/proxy/Carrier.java
@@ -2,7 +2,7 @@
 
 /** What carries bytes for a pilot: connections to runners and to clients. */
 public interface Carrier {
-    /** Sends the call there; tells the pilot by {@link Pilot#ended}. */
+    /** Sends the call there; tells the pilot by {@link Proxy#ended}. */
     void carry(Attempt attempt);
 
     /** Breaks the attempt off; nothing of it is told any more. */
@@ -14,7 +14,7 @@
     /** Answers with a status of our own; {@code pauseMillis} (0: none) says when to come back. */
     void refuse(Call call, int status, long pauseMillis, String why);
 
-    /** Tries whether a runner that is starting takes connections; tells by {@link Pilot#tried}. */
+    /** Tries whether a runner that is starting takes connections; tells by {@link Proxy#tried}. */
     void tryRunner(String id, String address);
 
     /** Nothing goes to this runner any more. */
--- a/proxy/src/main/java/saltdale/proxy/Pilot.java
+++ b/proxy/src/main/java/saltdale/proxy/Proxy.java
@@ -24,7 +24,7 @@
  * the runner that it is lent, and answers. It is itself home to some services of its zone. No I/O and no clock of
  * its own.
  */
-public final class Pilot {
+public final class Proxy {
     private static final long MARGIN = Environment.millis(15); // before a client's deadline, for the way back
     private static final int NESTED = -1; // the priority of calls that runners make while they hold a slot
     private static final int MOST_MOVES = 6; // of a call that no runner began, from one runner to another
@@ -54,7 +54,7 @@
     private boolean ending;
     private boolean turnsAway; // at its end, what would have to wait
 
-    public Pilot(Environment environment, ProxySettings proxySettings, Carrier carrier) {
+    public Proxy(Environment environment, ProxySettings proxySettings, Carrier carrier) {
         this.environment = environment;
         this.proxySettings = proxySettings;
         this.carrier = carrier;
@@ -62,7 +62,7 @@
         controlSession = new ControlSession(environment, proxySettings, new ControlSession.Reader() {
             @Override
             public void news(Fields message) throws MalformedMessage {
-                Pilot.this.news(message);
+                Proxy.this.news(message);
             }
 
             @Override
@@ -695,7 +695,7 @@
         @Override
         public void waits(SlotAllocator.Ask ask) {
             if (ask.host == null) {
-                Pilot.this.waits(ask.number);
+                Proxy.this.waits(ask.number);
             } else {
                 environment.send(ask.host, Fields.tree("t", "waits", "i", ask.number));
             }
@@ -704,7 +704,7 @@
         @Override
         public void elsewhere(SlotAllocator.Ask ask, String zone) {
             if (ask.host == null) {
-                environment.after(0, () -> Pilot.this.elsewhere(ask.number, zone));
+                environment.after(0, () -> Proxy.this.elsewhere(ask.number, zone));
             } else {
                 environment.send(ask.host, Fields.tree("t", "elsewhere", "i", ask.number, "z", zone));
             }
@@ -713,7 +713,7 @@
         @Override
         public void none(SlotAllocator.Ask ask, long pauseMillis) {
             if (ask.host == null) {
-                environment.after(0, () -> Pilot.this.none(ask.number, pauseMillis));
+                environment.after(0, () -> Proxy.this.none(ask.number, pauseMillis));
             } else {
                 environment.send(ask.host, Fields.tree("t", "none", "i", ask.number, "p", pauseMillis));
             }
--- a/proxy/src/test/java/saltdale/proxy/PilotClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
@@ -31,7 +31,7 @@
  * What clients and runners see of pilots: configurations, slots, drains, verdicts, and runners when they are
  * needed.
  */
-class PilotClusterTest {
+class ProxyClusterTest {
     private static long revision(SimMachine pilot) {
         return pilot.pilot() == null || pilot.pilot().chart() == null
                 ? 0
@@ -44,7 +44,7 @@
     void noPilotGoesBackWithinOneLife() {
         for (int seed = 0; seed < 6; seed++) {
             SimWorld world = serving(seed, 3, 4);
-            Map<Pilot, Long> highest = new HashMap<>();
+            Map<Proxy, Long> highest = new HashMap<>();
             long[] acknowledged = {1};
             for (int i = 0; i < 160; i++) {
                 if (i % 8 == 0) {
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -51,7 +51,7 @@
         return process == null ? null : process.keeper;
     }
 
-    Pilot pilot() {
+    Proxy pilot() {
         return process == null ? null : process.pilot;
     }
 
@@ -154,7 +154,7 @@
     final class Process implements Environment {
         final SimMachine machine = SimMachine.this;
         ControlNode keeper;
-        Pilot pilot;
+        Proxy pilot;
         boolean dead;
 
         void begin() {
@@ -177,7 +177,7 @@
                             new LinkedHashMap<>(synced));
                     keeper.begin();
                 } else {
-                    pilot = new Pilot(
+                    pilot = new Proxy(
                             this,
                             new ProxySettings(name, host, zone, seeds, SimWorld.BEAT, 0.2, Environment.millis(10_000), 52),
                             world.platform.carrier(this));
