--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -14,7 +14,7 @@
 import saltdale.control.MalformedMessage;
 import saltdale.proxy.Attempt;
 import saltdale.proxy.ProxySettings;
-import saltdale.proxy.Call;
+import saltdale.proxy.Request;
 import saltdale.proxy.Carrier;
 import saltdale.proxy.Proxy;
 import saltdale.protocol.Head;
@@ -164,7 +164,7 @@
             long millis = left == null ? route.timeoutMs() : Long.parseLong(left);
             ClientRequest request = new ClientRequest(visit, head, body);
             visit.held = request;
-            Call call = pilot.arrived(id, route, millis * 1_000_000, visit.peer(), request);
+            Request call = pilot.arrived(id, route, millis * 1_000_000, visit.peer(), request);
             if (!call.isOver()) {
                 visit.held = call;
             }
@@ -173,7 +173,7 @@
 
     @Override
     public void abandoned(Visit visit) {
-        if (visit.held instanceof Call call) {
+        if (visit.held instanceof Request call) {
             pilot.left(call);
         }
     }
@@ -280,7 +280,7 @@
     }
 
     @Override
-    public void refuse(Call call, int status, long pauseMillis, String why) {
+    public void refuse(Request call, int status, long pauseMillis, String why) {
         String more = pauseMillis == 0
                 ? ""
                 : "Retry-After: " + pauseMillis / 1000 + "."
--- a/node/src/test/java/saltdale/proxy/Attempts.java
+++ b/node/src/test/java/saltdale/proxy/Attempts.java
@@ -11,7 +11,7 @@
 
     public static Attempt of(String id, String address) {
         Configuration.Route route = new Configuration.Route("r", "h", "/", true, 1000, 100, 0, 1, List.of("s"), List.of(1.0));
-        Call call = new Call(id, route, "s", null, 0, 0, Long.MAX_VALUE);
+        Request call = new Request(id, route, "s", null, 0, 0, Long.MAX_VALUE);
         return new Attempt(
                 call,
                 new Instance("i-1", "s", address, "z", "w", Instance.Phase.READY, 1),
--- a/proxy/src/main/java/saltdale/proxy/Attempt.java
+++ b/proxy/src/main/java/saltdale/proxy/Attempt.java
@@ -21,16 +21,16 @@
         /** We broke it off ourselves. */
         ABANDONED;
 
-        public Verdict verdict() {
+        public ExecutionStatus verdict() {
             return switch (this) {
-                case ANSWERED -> Verdict.RAN;
-                case BROKEN, ABANDONED -> Verdict.MAY_HAVE_RUN;
-                default -> Verdict.NOT_RUN;
+                case ANSWERED -> ExecutionStatus.RAN;
+                case BROKEN, ABANDONED -> ExecutionStatus.MAY_HAVE_RUN;
+                default -> ExecutionStatus.NOT_RUN;
             };
         }
     }
 
-    public final Call call;
+    public final Request call;
     public final String runner;
     public final String address;
     public final long until;
@@ -40,7 +40,7 @@
     final long sentAt;
     boolean over;
 
-    Attempt(Call call, Instance lent, Member home, long slot, long sentAt) {
+    Attempt(Request call, Instance lent, Member home, long slot, long sentAt) {
         this.call = call;
         runner = lent.id();
         address = lent.address();
--- a/proxy/src/main/java/saltdale/proxy/Carrier.java
+++ b/proxy/src/main/java/saltdale/proxy/Carrier.java
@@ -12,7 +12,7 @@
     void deliver(Attempt attempt);
 
     /** Answers with a status of our own; {@code pauseMillis} (0: none) says when to come back. */
-    void refuse(Call call, int status, long pauseMillis, String why);
+    void refuse(Request call, int status, long pauseMillis, String why);
 
     /** Tries whether a runner that is starting takes connections; tells by {@link Proxy#tried}. */
     void tryRunner(String id, String address);
--- a/proxy/src/main/java/saltdale/proxy/Verdict.java
+++ b/proxy/src/main/java/saltdale/proxy/ExecutionStatus.java
@@ -1,7 +1,7 @@
 package saltdale.proxy;
 
 /** How far an attempt came: what may be said of the request, and what may be done next, follows from this alone. */
-public enum Verdict {
+public enum ExecutionStatus {
     /** No runner has begun work on it, and none will. */
     NOT_RUN,
     /** It was sent, and nothing says whether it ran. */
@@ -15,7 +15,7 @@
     }
 
     /** Of two attempts at one request, what holds for the request. */
-    public Verdict and(Verdict other) {
+    public ExecutionStatus and(ExecutionStatus other) {
         return compareTo(other) >= 0 ? this : other;
     }
 }
--- a/proxy/src/main/java/saltdale/proxy/Proxy.java
+++ b/proxy/src/main/java/saltdale/proxy/Proxy.java
@@ -38,7 +38,7 @@
     private final RetryBudget budget;
     private final ProbeLoop probes = new ProbeLoop();
     private final Map<String, SlotAllocator> homes = new HashMap<>(); // by service, those that we are
-    private final Map<Long, Call> asking = new HashMap<>();
+    private final Map<Long, Request> asking = new HashMap<>();
     private final Set<Attempt> carried = new HashSet<>();
     private final Map<String, Long> silent =
             new HashMap<>(); // members that did not answer, until when they are passed by
@@ -124,8 +124,8 @@
         }
     }
 
-    private void turnAway(Call call) {
-        giveUp(call, call.verdict == Verdict.NOT_RUN ? 503 : 502, 50, "the dispatcher ends");
+    private void turnAway(Request call) {
+        giveUp(call, call.verdict == ExecutionStatus.NOT_RUN ? 503 : 502, 50, "the dispatcher ends");
     }
 
     /** After it stood still the slots it asked for may have been lent to it and taken back: it asks anew. */
@@ -232,7 +232,7 @@
             if (!lives.contains(m.life())) {
                 homes.values().forEach(home -> home.gone(m.life(), now + proxySettings.beat() / 3));
                 silent.remove(m.life());
-                for (Call call : List.copyOf(asking.values())) {
+                for (Request call : List.copyOf(asking.values())) {
                     if (call.home != null && call.home.life().equals(m.life())) {
                         askAgain(call);
                     }
@@ -317,11 +317,11 @@
     // Calls.
 
     /** Takes a call in; {@code leftNanos} is how long its client waits, {@code peer} where it comes from. */
-    public Call arrived(String id, Configuration.Route route, long leftNanos, String peer, Object load) {
+    public Request arrived(String id, Configuration.Route route, long leftNanos, String peer, Object load) {
         long now = environment.now();
         boolean nested = runnerHosts.contains(peer);
         long until = now + Math.min(leftNanos - MARGIN, route.timeoutMs() * 1_000_000);
-        Call call = new Call(id, route, service(route), load, nested ? NESTED : route.priority(), now, until);
+        Request call = new Request(id, route, service(route), load, nested ? NESTED : route.priority(), now, until);
         budget.first(call.service, now);
         call.limit = environment.after(Math.max(0, until - now), () -> overdue(call));
         ask(call);
@@ -344,25 +344,25 @@
     }
 
     /** The client has gone: nothing more is done for it. */
-    public void left(Call call) {
+    public void left(Request call) {
         if (!call.over) {
             finish(call);
         }
     }
 
-    private void overdue(Call call) {
+    private void overdue(Request call) {
         if (!call.over) {
-            boolean unsent = call.verdict == Verdict.NOT_RUN && call.attempt == null;
+            boolean unsent = call.verdict == ExecutionStatus.NOT_RUN && call.attempt == null;
             giveUp(call, unsent ? 503 : 504, 0, "not done in time");
         }
     }
 
-    private void giveUp(Call call, int status, long pauseMillis, String why) {
+    private void giveUp(Request call, int status, long pauseMillis, String why) {
         finish(call);
         carrier.refuse(call, status, pauseMillis, why);
     }
 
-    private void finish(Call call) {
+    private void finish(Request call) {
         call.over = true;
         call.limit.run();
         stopAsking(call);
@@ -374,7 +374,7 @@
         }
     }
 
-    private void stopAsking(Call call) {
+    private void stopAsking(Request call) {
         if (call.ask != 0) {
             asking.remove(call.ask);
             call.timer.run();
@@ -396,11 +396,11 @@
     }
 
     /** Asks a home for a slot: our zone's, or another's where ours does not answer. */
-    private void ask(Call call) {
+    private void ask(Request call) {
         Member home = homeFor(call);
         call.home = home;
         if (home == null) {
-            giveUp(call, call.verdict == Verdict.NOT_RUN ? 503 : 502, 500, "nobody lends slots for this service");
+            giveUp(call, call.verdict == ExecutionStatus.NOT_RUN ? 503 : 502, 500, "nobody lends slots for this service");
             return;
         }
         call.ask = ++asks;
@@ -414,7 +414,7 @@
         sendAsk(call, counts);
     }
 
-    private void sendAsk(Call call, boolean counts) {
+    private void sendAsk(Request call, boolean counts) {
         long now = environment.now();
         if (call.home.life().equals(controlSession.life())) {
             lend(
@@ -461,7 +461,7 @@
         }
     }
 
-    private Member homeFor(Call call) {
+    private Member homeFor(Request call) {
         long now = environment.now();
         Member own = ServiceOwnership.of(call.service, proxySettings.zone(), crew);
         if (usable(own, call, now)) {
@@ -477,7 +477,7 @@
         return far.isEmpty() ? own : far.get(environment.chance().nextInt(far.size()));
     }
 
-    private boolean usable(Member home, Call call, long now) {
+    private boolean usable(Member home, Request call, long now) {
         return home != null
                 && !call.unreached.contains(home.zone())
                 && (home.life().equals(controlSession.life())
@@ -485,7 +485,7 @@
                         : silent.getOrDefault(home.life(), 0L) <= now);
     }
 
-    private void unanswered(Call call, long number) {
+    private void unanswered(Request call, long number) {
         if (call.ask == number) {
             if (call.home != null) {
                 if (!call.home.life().equals(controlSession.life())) {
@@ -497,14 +497,14 @@
         }
     }
 
-    private void askAgain(Call call) {
+    private void askAgain(Request call) {
         stopAsking(call);
         ask(call);
     }
 
     /** A connection to another process has ended: what was asked there is asked elsewhere. */
     public void unreachable(String host) {
-        for (Call call : List.copyOf(asking.values())) {
+        for (Request call : List.copyOf(asking.values())) {
             if (call.home != null
                     && call.home.host().equals(host)
                     && !call.home.life().equals(controlSession.life())) {
@@ -516,7 +516,7 @@
     // What homes answer.
 
     private void lent(long number, Instance r) {
-        Call call = asking.remove(number);
+        Request call = asking.remove(number);
         if (call == null) {
             return;
         }
@@ -531,7 +531,7 @@
     }
 
     private void waits(long number) {
-        Call call = asking.get(number);
+        Request call = asking.get(number);
         if (call != null) {
             if (turnsAway) {
                 turnAway(call);
@@ -543,7 +543,7 @@
     }
 
     private void elsewhere(long number, String zone) {
-        Call call = asking.get(number);
+        Request call = asking.get(number);
         if (call == null) {
             return;
         }
@@ -565,9 +565,9 @@
     }
 
     private void none(long number, long pauseMillis) {
-        Call call = asking.get(number);
+        Request call = asking.get(number);
         if (call != null) {
-            giveUp(call, call.verdict == Verdict.NOT_RUN ? 503 : 502, pauseMillis, "no runner can take it in time");
+            giveUp(call, call.verdict == ExecutionStatus.NOT_RUN ? 503 : 502, pauseMillis, "no runner can take it in time");
         }
     }
 
@@ -577,7 +577,7 @@
             return;
         }
         giveBack(attempt, end);
-        Call call = attempt.call;
+        Request call = attempt.call;
         if (call.over) {
             return;
         }
@@ -592,13 +592,13 @@
         call.avoided.add(attempt.runner);
         boolean arrived = end == Attempt.End.TURNED_AWAY || end == Attempt.End.BROKEN || end == Attempt.End.MISDIRECTED;
         boolean again = call.verdict.allowsAnother(call.route.idempotent())
-                && (end.verdict() == Verdict.NOT_RUN
+                && (end.verdict() == ExecutionStatus.NOT_RUN
                         ? call.attempts < MOST_MOVES
                         : call.attempts < call.route.maxAttempts())
                 && (!arrived || budget.further(call.service, environment.now(), crew.size()));
         if (again) {
             ask(call);
-        } else if (call.verdict == Verdict.NOT_RUN) {
+        } else if (call.verdict == ExecutionStatus.NOT_RUN) {
             giveUp(call, 503, 100, "no runner took it");
         } else {
             giveUp(call, 502, 0, "the runner's answer is lost");
@@ -646,7 +646,7 @@
     private void lend(SlotAllocator.Ask ask, String service, boolean counts) {
         if (!isHome(service) || !controlSession.hasLease() || chart == null) {
             if (ask.host == null) {
-                Call call = asking.get(ask.number);
+                Request call = asking.get(ask.number);
                 if (call != null) {
                     call.unreached.add(proxySettings.zone());
                     environment.after(Environment.millis(20), () -> {
--- a/proxy/src/main/java/saltdale/proxy/Call.java
+++ b/proxy/src/main/java/saltdale/proxy/Request.java
@@ -6,7 +6,7 @@
 import saltdale.control.Member;
 
 /** One request of a client, from when it was read to its one final answer. */
-public final class Call {
+public final class Request {
     public final String id;
     public final Configuration.Route route;
     public final String service;
@@ -19,7 +19,7 @@
     final long target; // when its answer is late
     final Set<String> avoided = new HashSet<>(); // runners that turned it away or broke off
     final Set<String> unreached = new HashSet<>(); // zones whose homes did not answer
-    Verdict verdict = Verdict.NOT_RUN;
+    ExecutionStatus verdict = ExecutionStatus.NOT_RUN;
     int attempts;
     int hops; // from home to home, for the present question
     long ask; // the number of the present question for a slot; 0 while there is none
@@ -29,7 +29,7 @@
     Attempt attempt;
     boolean over;
 
-    Call(String id, Configuration.Route route, String service, Object load, int priority, long arrivedAt, long until) {
+    Request(String id, Configuration.Route route, String service, Object load, int priority, long arrivedAt, long until) {
         this.id = id;
         this.route = route;
         this.service = service;
--- a/proxy/src/test/java/saltdale/proxy/SimPlatform.java
+++ b/proxy/src/test/java/saltdale/proxy/SimPlatform.java
@@ -384,7 +384,7 @@
             public void carry(Attempt attempt) {
                 Sending sending = new Sending(attempt, process, runners.get(attempt.runner));
                 Asked asked = sending.asked();
-                if (!asked.idempotent && asked.ends.stream().anyMatch(end -> end.verdict() != Verdict.NOT_RUN)) {
+                if (!asked.idempotent && asked.ends.stream().anyMatch(end -> end.verdict() != ExecutionStatus.NOT_RUN)) {
                     world.faults.add(attempt.call.id + " is carried again after " + asked.ends);
                 }
                 sendings.put(attempt, sending);
@@ -410,11 +410,11 @@
             }
 
             @Override
-            public void refuse(Call call, int status, long pauseMillis, String why) {
+            public void refuse(Request call, int status, long pauseMillis, String why) {
                 answered(call, status);
             }
 
-            private void answered(Call call, int status) {
+            private void answered(Request call, int status) {
                 ((Asked) call.load).answers.add(status);
                 ((Asked) call.load).answeredAt = world.now();
             }
--- a/storage/src/test/java/saltdale/storage/CutDisk.java
+++ b/storage/src/test/java/saltdale/storage/CutDisk.java
@@ -28,7 +28,7 @@
     }
 
     /** One call; the file is a number that stays with it under all its names. */
-    record Call(Kind kind, int file, String name, String to, long position, byte[] bytes) {}
+    record Request(Kind kind, int file, String name, String to, long position, byte[] bytes) {}
 
     /** What is left to later writes. */
     enum Later {
@@ -72,7 +72,7 @@
         }
     }
 
-    final List<Call> calls = new ArrayList<>();
+    final List<Request> calls = new ArrayList<>();
     private final Map<String, byte[]> base;
     private final Map<String, Integer> names = new TreeMap<>();
     private final Map<Integer, Contents> files = new HashMap<>();
@@ -128,7 +128,7 @@
             file = nextFile++;
             names.put(name, file);
             files.put(file, new Contents());
-            note(new Call(Kind.CREATE, file, name, null, 0, null));
+            note(new Request(Kind.CREATE, file, name, null, 0, null));
         }
         return file;
     }
@@ -154,7 +154,7 @@
         byte[] part = Arrays.copyOf(bytes, count);
         files.get(file).write(position, part, 0, count);
         peak = Math.max(peak, used());
-        note(new Call(Kind.WRITE, file, null, null, position, part));
+        note(new Request(Kind.WRITE, file, null, null, position, part));
         if (trouble != null) {
             throw trouble;
         }
@@ -163,13 +163,13 @@
     void length(int file, long length) throws IOException {
         mayFail();
         files.get(file).length(length);
-        note(new Call(Kind.LENGTH, file, null, null, length, null));
+        note(new Request(Kind.LENGTH, file, null, null, length, null));
     }
 
     void sync(int file) throws IOException {
         mayFail();
         syncs++;
-        note(new Call(Kind.SYNC, file, null, null, 0, null));
+        note(new Request(Kind.SYNC, file, null, null, 0, null));
     }
 
     void rename(String from, String to) throws IOException {
@@ -179,7 +179,7 @@
             throw new FileNotFoundException(from);
         }
         names.put(to, file);
-        note(new Call(Kind.RENAME, file, from, to, 0, null));
+        note(new Request(Kind.RENAME, file, from, to, 0, null));
     }
 
     void delete(String name) throws IOException {
@@ -188,14 +188,14 @@
         if (file == null) {
             throw new FileNotFoundException(name);
         }
-        note(new Call(Kind.DELETE, file, name, null, 0, null));
+        note(new Request(Kind.DELETE, file, name, null, 0, null));
     }
 
     void syncFolder() {
-        note(new Call(Kind.SYNC_FOLDER, 0, null, null, 0, null));
+        note(new Request(Kind.SYNC_FOLDER, 0, null, null, 0, null));
     }
 
-    private void note(Call call) {
+    private void note(Request call) {
         if (recording) {
             calls.add(call);
         }
@@ -216,9 +216,9 @@
     /** Steps through the calls, and tells at each what a loss of power may leave. */
     final class Replay {
         private final Map<Integer, Contents> synced = new HashMap<>();
-        private final Map<Integer, List<Call>> later = new HashMap<>();
+        private final Map<Integer, List<Request>> later = new HashMap<>();
         private final Map<String, Integer> lasting = new LinkedHashMap<>();
-        private final List<Call> laterNames = new ArrayList<>();
+        private final List<Request> laterNames = new ArrayList<>();
         private int at;
 
         Replay() {
@@ -234,7 +234,7 @@
         }
 
         void step() {
-            Call call = calls.get(at++);
+            Request call = calls.get(at++);
             switch (call.kind) {
                 case WRITE, LENGTH ->
                     later.computeIfAbsent(call.file, file -> new ArrayList<>()).add(call);
@@ -266,7 +266,7 @@
 
         Map<String, byte[]> left(Later what, Random random) {
             Map<String, Integer> found = new LinkedHashMap<>(lasting);
-            for (Call call : laterNames) {
+            for (Request call : laterNames) {
                 if (what == Later.THERE || what == Later.MIXED && random.nextBoolean()) {
                     apply(found, call);
                 }
@@ -275,7 +275,7 @@
             found.forEach((name, file) -> {
                 Contents contents =
                         new Contents(synced.getOrDefault(file, new Contents()).toBytes());
-                for (Call call : later.getOrDefault(file, List.of())) {
+                for (Request call : later.getOrDefault(file, List.of())) {
                     if (what == Later.THERE) {
                         apply(contents, call);
                     } else if (what == Later.MIXED) {
@@ -287,7 +287,7 @@
             return all;
         }
 
-        private static void apply(Map<String, Integer> names, Call call) {
+        private static void apply(Map<String, Integer> names, Request call) {
             if (call.kind == Kind.CREATE) {
                 names.put(call.name, call.file);
             } else {
@@ -299,7 +299,7 @@
             }
         }
 
-        private static void apply(Contents contents, Call call) {
+        private static void apply(Contents contents, Request call) {
             if (call.kind == Kind.WRITE) {
                 contents.write(call.position, call.bytes, 0, call.bytes.length);
             } else {
@@ -307,7 +307,7 @@
             }
         }
 
-        private static void tear(Contents contents, Call call, Random random) {
+        private static void tear(Contents contents, Request call, Random random) {
             int count = call.bytes == null ? 0 : call.bytes.length;
             switch (random.nextInt(8)) {
                 case 0, 1 -> apply(contents, call);
@@ -335,7 +335,7 @@
             }
         }
 
-        private static void part(Contents contents, Call call, int from, int count) {
+        private static void part(Contents contents, Request call, int from, int count) {
             if (count > 0) {
                 contents.write(call.position + from, call.bytes, from, count);
             }
