--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -15,7 +15,7 @@
 import saltdale.proxy.Attempt;
 import saltdale.proxy.ProxySettings;
 import saltdale.proxy.Request;
-import saltdale.proxy.Carrier;
+import saltdale.proxy.Transport;
 import saltdale.proxy.Proxy;
 import saltdale.protocol.Head;
 import saltdale.protocol.HttpParser;
@@ -26,7 +26,7 @@
 import saltdale.transport.Pool;
 
 /** A pilot as a process: clients' connections, runners' connections, links to the other processes. */
-final class ProxyProcess extends Callers implements Station, Links.Reader, Carrier {
+final class ProxyProcess extends Callers implements Station, Links.Reader, Transport {
     /** A client's request, as long as its call is open. */
     private record ClientRequest(Visit visit, Head head, byte[] body) {}
 
@@ -37,7 +37,7 @@
     private final Settings settings;
     private final Proxy pilot;
     private final Map<String, Pool> pools = new HashMap<>(); // by runner
-    private final Map<Attempt, Exchange> exchanges = new HashMap<>();
+    private final Map<Attempt, UpstreamExchange> exchanges = new HashMap<>();
     private final Set<Visit> visits = new LinkedHashSet<>();
     private final Listener listener;
     private HttpParser.Limits limits = new HttpParser.Limits(16_384, 262_144);
@@ -251,7 +251,7 @@
             harbor.loop.soon(() -> pilot.ended(attempt, Attempt.End.NOT_CONNECTED));
             return;
         }
-        Exchange exchange = new Exchange(attempt, pool(attempt.runner, attempt.address), (which, end) -> {
+        UpstreamExchange exchange = new UpstreamExchange(attempt, pool(attempt.runner, attempt.address), (which, end) -> {
             if (end != Attempt.End.ANSWERED) {
                 exchanges.remove(attempt);
             }
@@ -267,7 +267,7 @@
 
     @Override
     public void abandon(Attempt attempt) {
-        Exchange exchange = exchanges.remove(attempt);
+        UpstreamExchange exchange = exchanges.remove(attempt);
         if (exchange != null) {
             exchange.abandon();
         }
@@ -275,7 +275,7 @@
 
     @Override
     public void deliver(Attempt attempt) {
-        Exchange exchange = exchanges.remove(attempt);
+        UpstreamExchange exchange = exchanges.remove(attempt);
         ((ClientRequest) attempt.call.load).visit.passBack(exchange.head, exchange.body);
     }
 
--- a/node/src/main/java/saltdale/node/Exchange.java
+++ b/node/src/main/java/saltdale/node/UpstreamExchange.java
@@ -11,9 +11,9 @@
 import saltdale.transport.Pool;
 
 /** One attempt on its connection: what goes to the runner, and whether what comes back is its whole answer. */
-final class Exchange implements Connection.Owner {
+final class UpstreamExchange implements Connection.Owner {
     interface Ended {
-        void ended(Exchange exchange, Attempt.End end);
+        void ended(UpstreamExchange exchange, Attempt.End end);
     }
 
     private static final Set<String> DROPPED =
@@ -34,7 +34,7 @@
     Head head;
     byte[] body;
 
-    Exchange(Attempt attempt, Pool pool, Ended told) {
+    UpstreamExchange(Attempt attempt, Pool pool, Ended told) {
         this.attempt = attempt;
         this.pool = pool;
         this.told = told;
--- a/node/src/test/java/saltdale/node/ExchangeTest.java
+++ b/node/src/test/java/saltdale/node/UpstreamExchangeTest.java
@@ -35,13 +35,13 @@
  * request.
  */
 @Timeout(20)
-class ExchangeTest {
+class UpstreamExchangeTest {
     private static final String REQUEST = "POST /a/1 HTTP/1.1\r\nHost: h\r\nX-Saltdale-Attempt-Id: me\r\n"
             + "X-Saltdale-Deadline-Remaining: 900\r\nX-Saltdale-Expected-Instance: i-9\r\nConnection: x-drop\r\nX-Drop: 1\r\n"
             + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
 
     private String sent; // what the runner read
-    private Exchange exchange;
+    private UpstreamExchange exchange;
 
     /** The end of an exchange with a runner that reads the request, writes this and closes. */
     private Attempt.End end(String answer) throws Exception {
@@ -57,7 +57,7 @@
             HttpParser parser = new HttpParser(HttpParser.Kind.REQUEST);
             parser.take(ByteBuffer.wrap(REQUEST.getBytes(StandardCharsets.ISO_8859_1)));
             List<Attempt.End> ends = new ArrayList<>();
-            exchange = new Exchange(Attempts.of("me", "127.0.0.1:1"), pool, (which, how) -> ends.add(how));
+            exchange = new UpstreamExchange(Attempts.of("me", "127.0.0.1:1"), pool, (which, how) -> ends.add(how));
             Head head = parser.head();
             assertThat(exchange.begin(head, parser.body(), 700), is(true));
             while (ends.isEmpty()) {
--- a/proxy/src/main/java/saltdale/proxy/Proxy.java
+++ b/proxy/src/main/java/saltdale/proxy/Proxy.java
@@ -33,7 +33,7 @@
 
     private final Environment environment;
     private final ProxySettings proxySettings;
-    private final Carrier carrier;
+    private final Transport transport;
     private final ControlSession controlSession;
     private final RetryBudget budget;
     private final ProbeLoop probes = new ProbeLoop();
@@ -54,10 +54,10 @@
     private boolean ending;
     private boolean turnsAway; // at its end, what would have to wait
 
-    public Proxy(Environment environment, ProxySettings proxySettings, Carrier carrier) {
+    public Proxy(Environment environment, ProxySettings proxySettings, Transport transport) {
         this.environment = environment;
         this.proxySettings = proxySettings;
-        this.carrier = carrier;
+        this.transport = transport;
         budget = new RetryBudget(proxySettings.retryRatio(), proxySettings.retryWindow(), proxySettings.retrySlack());
         controlSession = new ControlSession(environment, proxySettings, new ControlSession.Reader() {
             @Override
@@ -179,7 +179,7 @@
         }
         if (r.phase() == Instance.Phase.GONE) {
             told.remove(r.id());
-            carrier.forget(r.id());
+            transport.forget(r.id());
         }
     }
 
@@ -290,7 +290,7 @@
                 && home.berth(berth.runner.id()) == berth
                 && berth.runner.phase() == Instance.Phase.BOOTING;
         if (still) {
-            carrier.tryRunner(berth.runner.id(), berth.runner.address());
+            transport.tryRunner(berth.runner.id(), berth.runner.address());
         } else {
             berth.trying = false;
         }
@@ -359,7 +359,7 @@
 
     private void giveUp(Request call, int status, long pauseMillis, String why) {
         finish(call);
-        carrier.refuse(call, status, pauseMillis, why);
+        transport.refuse(call, status, pauseMillis, why);
     }
 
     private void finish(Request call) {
@@ -369,7 +369,7 @@
         if (call.attempt != null) {
             Attempt attempt = call.attempt;
             call.attempt = null;
-            carrier.abandon(attempt);
+            transport.abandon(attempt);
             giveBack(attempt, Attempt.End.ABANDONED);
         }
     }
@@ -527,7 +527,7 @@
         call.attempt = attempt;
         call.attempts++;
         carried.add(attempt);
-        carrier.carry(attempt);
+        transport.carry(attempt);
     }
 
     private void waits(long number) {
@@ -586,7 +586,7 @@
         if (end == Attempt.End.ANSWERED) {
             call.over = true;
             call.limit.run();
-            carrier.deliver(attempt);
+            transport.deliver(attempt);
             return;
         }
         call.avoided.add(attempt.runner);
--- a/proxy/src/main/java/saltdale/proxy/Request.java
+++ b/proxy/src/main/java/saltdale/proxy/Request.java
@@ -10,7 +10,7 @@
     public final String id;
     public final Configuration.Route route;
     public final String service;
-    /** What the carrier keeps with it: the client and the bytes. */
+    /** What the transport keeps with it: the client and the bytes. */
     public final Object load;
 
     final long arrivedAt;
--- a/proxy/src/main/java/saltdale/proxy/Carrier.java
+++ b/proxy/src/main/java/saltdale/proxy/Transport.java
@@ -1,7 +1,7 @@
 package saltdale.proxy;
 
 /** What carries bytes for a pilot: connections to runners and to clients. */
-public interface Carrier {
+public interface Transport {
     /** Sends the call there; tells the pilot by {@link Proxy#ended}. */
     void carry(Attempt attempt);
 
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -180,7 +180,7 @@
                     pilot = new Proxy(
                             this,
                             new ProxySettings(name, host, zone, seeds, SimWorld.BEAT, 0.2, Environment.millis(10_000), 52),
-                            world.platform.carrier(this));
+                            world.platform.transport(this));
                     pilot.begin();
                 }
             } catch (MalformedMessage e) {
--- a/proxy/src/test/java/saltdale/proxy/SimPlatform.java
+++ b/proxy/src/test/java/saltdale/proxy/SimPlatform.java
@@ -378,8 +378,8 @@
         });
     }
 
-    Carrier carrier(SimMachine.Process process) {
-        return new Carrier() {
+    Transport transport(SimMachine.Process process) {
+        return new Transport() {
             @Override
             public void carry(Attempt attempt) {
                 Sending sending = new Sending(attempt, process, runners.get(attempt.runner));
