--- a/node/src/main/java/saltdale/node/Callers.java
+++ b/node/src/main/java/saltdale/node/Callers.java
@@ -4,19 +4,19 @@
 import saltdale.transport.Loop;
 import saltdale.transport.Sockets;
 
-/** Whose connections are of a harbor's loop; what is asked is answered whether its caller stays or not. */
+/** Whose connections are of a environment's loop; what is asked is answered whether its caller stays or not. */
 abstract class Callers implements Visit.Host {
     /** Set before anybody can connect. */
-    Harbor harbor;
+    EventLoopEnvironment environment;
 
     @Override
     public Loop loop() {
-        return harbor.loop;
+        return environment.loop;
     }
 
     @Override
     public Sockets sockets() {
-        return harbor.sockets;
+        return environment.sockets;
     }
 
     @Override
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -15,8 +15,8 @@
 import saltdale.storage.RecordStore;
 import saltdale.storage.RecordStoreException;
 
-/** A keeper as a process: its disk, its links, and the calls of operators. */
-final class ControlProcess extends Callers implements Station, Links.Reader {
+/** A keeper as a process: its disk, its peerConnections, and the calls of operators. */
+final class ControlProcess extends Callers implements Station, PeerConnections.Reader {
     private static final int MOST_BODY = 8 << 20; // of a configuration, in bytes
     private static final byte[] NOTHING = new byte[0];
 
@@ -32,7 +32,7 @@
             vault = open(settings, records);
         }
         RecordStore on = vault;
-        harbor = new Harbor(settings, on == null ? all -> {} : on::write, this);
+        environment = new EventLoopEnvironment(settings, on == null ? all -> {} : on::write, this);
         ControlNodeSettings nodeSettings = new ControlNodeSettings(
                 settings.name,
                 settings.host,
@@ -45,15 +45,15 @@
                 settings.rates);
         ControlNode made;
         try {
-            made = new ControlNode(harbor, nodeSettings, new PlatformClient(harbor, settings.platform), records);
+            made = new ControlNode(environment, nodeSettings, new PlatformClient(environment, settings.platform), records);
         } catch (MalformedMessage e) {
             // What cannot be read back whole is as good as lost: another voter, who knows nothing, begins.
-            harbor.ring.wrong("the records on disk cannot be used, beginning as a new keeper: " + e.getMessage());
+            environment.ring.wrong("the records on disk cannot be used, beginning as a new keeper: " + e.getMessage());
             Map<String, byte[]> none = new HashMap<>();
             records.keySet().forEach(name -> none.put(name, null));
-            harbor.persist(none, done -> {});
+            environment.persist(none, done -> {});
             try {
-                made = new ControlNode(harbor, nodeSettings, new PlatformClient(harbor, settings.platform), Map.of());
+                made = new ControlNode(environment, nodeSettings, new PlatformClient(environment, settings.platform), Map.of());
             } catch (MalformedMessage never) {
                 throw new IllegalStateException(never);
             }
@@ -61,9 +61,9 @@
         keeper = made;
         if (settings.control != null) {
             new Listener(
-                    harbor.loop,
-                    harbor.sockets,
-                    Harbor.address(settings.control, "listen_addresses.control"),
+                    environment.loop,
+                    environment.sockets,
+                    EventLoopEnvironment.address(settings.control, "listen_addresses.control"),
                     (connection, full) -> new Visit(this, connection, full));
         }
     }
@@ -82,18 +82,18 @@
     @Override
     public void run() throws IOException {
         keeper.begin();
-        harbor.noteTraffic(Duration.ofSeconds(10));
-        harbor.loop.run(() -> {});
+        environment.noteTraffic(Duration.ofSeconds(10));
+        environment.loop.run(() -> {});
     }
 
     /** Told to end: duties are handed on, then it is over. */
     @Override
     public void end() {
-        harbor.loop.fromOutside(() -> {
+        environment.loop.fromOutside(() -> {
             if (!ending) {
                 ending = true;
-                harbor.loop.after(Duration.ofNanos(settings.beat), harbor.loop::stop);
-                keeper.end(() -> harbor.loop.after(Duration.ofMillis(50), harbor.loop::stop));
+                environment.loop.after(Duration.ofNanos(settings.beat), environment.loop::stop);
+                keeper.end(() -> environment.loop.after(Duration.ofMillis(50), environment.loop::stop));
             }
         });
     }
@@ -133,7 +133,7 @@
         } else if (reply.status() == 200) {
             visit.answer(200, "", NOTHING);
         } else {
-            harbor.note("refused a call: " + reply.status() + " " + reply.why());
+            environment.note("refused a call: " + reply.status() + " " + reply.why());
             visit.answer(reply.status(), reply.status() == 503 ? "Retry-After: 0.2\r\n" : "", reply.why());
         }
     }
--- a/node/src/main/java/saltdale/node/Harbor.java
+++ b/node/src/main/java/saltdale/node/EventLoopEnvironment.java
@@ -15,10 +15,10 @@
 import saltdale.transport.Timer;
 
 /**
- * The world of one process: its loop, its sockets, its links to the other processes and, where there is one, its
+ * The world of one process: its loop, its sockets, its peerConnections to the other processes and, where there is one, its
  * disk.
  */
-final class Harbor implements Environment {
+final class EventLoopEnvironment implements Environment {
     /** Writes records to disk, all or none; throws where that cannot be done. */
     interface Disk {
         void write(Map<String, byte[]> records) throws Exception;
@@ -28,18 +28,18 @@
 
     final Loop loop;
     final Sockets sockets;
-    final Links links;
-    final Ring ring;
+    final PeerConnections peerConnections;
+    final LogRing ring;
     private final SplittableRandom chance =
             new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << 40);
     private final Disk disk;
     private final ExecutorService writer;
 
-    Harbor(Settings settings, Disk disk, Links.Reader reader) throws IOException {
+    EventLoopEnvironment(Settings settings, Disk disk, PeerConnections.Reader reader) throws IOException {
         loop = new Loop();
-        ring = new Ring(() -> loop.clock().toMillis());
+        ring = new LogRing(() -> loop.clock().toMillis());
         sockets = new Sockets(loop, Math.max(64, settings.descriptors - OTHER_DESCRIPTORS));
-        links = new Links(loop, sockets, settings.host, settings.port, Duration.ofNanos(settings.beat * 2 / 3), reader);
+        peerConnections = new PeerConnections(loop, sockets, settings.host, settings.port, Duration.ofNanos(settings.beat * 2 / 3), reader);
         this.disk = disk;
         writer = disk == null
                 ? null
@@ -54,7 +54,7 @@
     void noteTraffic(Duration every) {
         loop.after(every, () -> {
             StringBuilder all = new StringBuilder("sent:");
-            links.sent.forEach((kind, count) -> all.append(' ')
+            peerConnections.sent.forEach((kind, count) -> all.append(' ')
                     .append(kind)
                     .append(' ')
                     .append(count[0])
@@ -83,7 +83,7 @@
 
     @Override
     public void send(String host, Map<String, Object> message) {
-        links.send(host, message);
+        peerConnections.send(host, message);
     }
 
     /** The loop never waits for the disk: a thread of its own writes, in order. */
--- a/node/src/main/java/saltdale/node/Ring.java
+++ b/node/src/main/java/saltdale/node/LogRing.java
@@ -5,15 +5,15 @@
 import java.util.function.LongSupplier;
 
 /** The log: the last notes are kept in memory, and written out when something goes wrong. */
-final class Ring {
-    private static final System.Logger LOG = System.getLogger(Ring.class.getName());
+final class LogRing {
+    private static final System.Logger LOG = System.getLogger(LogRing.class.getName());
     private static final int MOST = 256;
 
     private static volatile boolean traced;
     private final Deque<String> notes = new ArrayDeque<>();
     private final LongSupplier millis;
 
-    Ring(LongSupplier millis) {
+    LogRing(LongSupplier millis) {
         this.millis = millis;
     }
 
--- a/node/src/main/java/saltdale/node/Main.java
+++ b/node/src/main/java/saltdale/node/Main.java
@@ -37,7 +37,7 @@
             return args.length == 1 && args[0].matches("-h|--help") ? 0 : 2;
         }
         if (words.getBoolean("trace")) {
-            Ring.traced();
+            LogRing.traced();
         }
         try {
             Settings settings = Settings.read(System.getenv(Settings.VARIABLE));
--- a/node/src/main/java/saltdale/node/Links.java
+++ b/node/src/main/java/saltdale/node/PeerConnections.java
@@ -21,7 +21,7 @@
  * Messages between the system's own processes: CBOR behind its length, over one connection each way between two hosts.
  * What cannot be sent soon is dropped; whoever needs an answer asks again.
  */
-final class Links {
+final class PeerConnections {
     interface Reader {
         void message(String fromHost, Fields message) throws MalformedMessage;
 
@@ -29,7 +29,7 @@
         void broken(String host);
     }
 
-    private static final System.Logger LOG = System.getLogger(Links.class.getName());
+    private static final System.Logger LOG = System.getLogger(PeerConnections.class.getName());
     private static final int MOST = 64 << 20;
     private static final int MOST_WAITING = 8 << 20; // bytes for a host that is not connected or does not read
     private static final Duration DIAL = Duration.ofMillis(400);
@@ -47,7 +47,7 @@
     final Map<String, long[]> sent = new TreeMap<>();
 
     /** A host that owes an answer for longer than {@code patience} and says nothing is dialled anew. */
-    Links(Loop loop, Sockets sockets, String host, int port, Duration patience, Reader reader) throws IOException {
+    PeerConnections(Loop loop, Sockets sockets, String host, int port, Duration patience, Reader reader) throws IOException {
         this.loop = loop;
         this.sockets = sockets;
         this.host = host;
--- a/node/src/main/java/saltdale/node/PlatformClient.java
+++ b/node/src/main/java/saltdale/node/PlatformClient.java
@@ -16,17 +16,17 @@
     private static final byte[] NOTHING = new byte[0];
     private static final Duration WITHIN = Duration.ofMillis(1200);
 
-    private final Harbor harbor;
+    private final EventLoopEnvironment environment;
     private final Pool pool;
     private final String host;
 
-    PlatformClient(Harbor harbor, String address) throws Settings.Wrong {
-        this.harbor = harbor;
+    PlatformClient(EventLoopEnvironment environment, String address) throws Settings.Wrong {
+        this.environment = environment;
         host = address;
         pool = new Pool(
-                harbor.loop,
-                harbor.sockets,
-                Harbor.address(address, "platform_api.address"),
+                environment.loop,
+                environment.sockets,
+                EventLoopEnvironment.address(address, "platform_api.address"),
                 Duration.ofMillis(500),
                 Duration.ofSeconds(2));
     }
@@ -75,7 +75,7 @@
     }
 
     private void ask(byte[] head, byte[] body, Consumer<Answer> answer) {
-        Asked.begin(harbor.loop, pool, WITHIN, head, body, whole -> {
+        Asked.begin(environment.loop, pool, WITHIN, head, body, whole -> {
             if (whole == null) {
                 answer.accept(null);
                 return;
@@ -86,7 +86,7 @@
                 try {
                     tree = Trees.fromJson(text);
                 } catch (MalformedMessage e) {
-                    harbor.note("an answer of the platform is no JSON: "
+                    environment.note("an answer of the platform is no JSON: "
                             + new String(text, 0, Math.min(80, text.length), StandardCharsets.UTF_8));
                 }
             }
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -25,8 +25,8 @@
 import saltdale.transport.Listener;
 import saltdale.transport.Pool;
 
-/** A pilot as a process: clients' connections, runners' connections, links to the other processes. */
-final class ProxyProcess extends Callers implements Station, Links.Reader, Transport {
+/** A pilot as a process: clients' connections, runners' connections, peerConnections to the other processes. */
+final class ProxyProcess extends Callers implements Station, PeerConnections.Reader, Transport {
     /** A client's request, as long as its call is open. */
     private record ClientRequest(Visit visit, Head head, byte[] body) {}
 
@@ -45,9 +45,9 @@
 
     ProxyProcess(Settings settings) throws IOException, Settings.Wrong {
         this.settings = settings;
-        harbor = new Harbor(settings, null, this);
+        environment = new EventLoopEnvironment(settings, null, this);
         pilot = new Proxy(
-                harbor,
+                environment,
                 new ProxySettings(
                         settings.name,
                         settings.host,
@@ -62,36 +62,36 @@
             throw new Settings.Wrong("listen_addresses: a pilot needs front and readiness");
         }
         listener = new Listener(
-                harbor.loop,
-                harbor.sockets,
-                Harbor.address(settings.front, "listen_addresses.front"),
+                environment.loop,
+                environment.sockets,
+                EventLoopEnvironment.address(settings.front, "listen_addresses.front"),
                 (connection, full) -> visits.add(new Visit(this, connection, full)));
         new Listener(
-                harbor.loop,
-                harbor.sockets,
-                Harbor.address(settings.readiness, "listen_addresses.readiness"),
-                (connection, full) -> new Visit(new Readiness(harbor, pilot), connection, full));
+                environment.loop,
+                environment.sockets,
+                EventLoopEnvironment.address(settings.readiness, "listen_addresses.readiness"),
+                (connection, full) -> new Visit(new Readiness(environment, pilot), connection, full));
     }
 
     @Override
     public void run() throws IOException {
         pilot.begin();
-        harbor.noteTraffic(Duration.ofSeconds(10));
-        harbor.loop.run(() -> {});
+        environment.noteTraffic(Duration.ofSeconds(10));
+        environment.loop.run(() -> {});
     }
 
     /** Told to end: no longer ready, it answers all that it took and ends before it is killed. */
     @Override
     public void end() {
-        harbor.loop.fromOutside(() -> {
+        environment.loop.fromOutside(() -> {
             if (!ending) {
                 ending = true;
                 pilot.end(settings.grace / 3);
                 // New connections still come until whoever hands them out has missed us twice.
-                harbor.loop.after(Duration.ofMillis(2300), this::close);
-                harbor.loop.after(Duration.ofNanos(settings.grace * 5 / 6), () -> {
+                environment.loop.after(Duration.ofMillis(2300), this::close);
+                environment.loop.after(Duration.ofNanos(settings.grace * 5 / 6), () -> {
                     pilot.endNow();
-                    harbor.loop.after(Duration.ofNanos(settings.grace / 20), harbor.loop::stop);
+                    environment.loop.after(Duration.ofNanos(settings.grace / 20), environment.loop::stop);
                 });
             }
         });
@@ -105,18 +105,18 @@
             }
         }
         if (visits.isEmpty() && pilot.open() == 0) {
-            harbor.loop.stop();
+            environment.loop.stop();
         } else {
-            harbor.loop.after(Duration.ofMillis(50), this::closeIdle);
+            environment.loop.after(Duration.ofMillis(50), this::closeIdle);
         }
     }
 
     private void closeIdle() {
         visits.stream().filter(Visit::isIdle).toList().forEach(Visit::drop);
-        if (visits.isEmpty() && pilot.open() == 0 && harbor.sockets.finishing() == 0) {
-            harbor.loop.stop();
+        if (visits.isEmpty() && pilot.open() == 0 && environment.sockets.finishing() == 0) {
+            environment.loop.stop();
         } else {
-            harbor.loop.after(Duration.ofMillis(50), this::closeIdle);
+            environment.loop.after(Duration.ofMillis(50), this::closeIdle);
         }
     }
 
@@ -216,8 +216,8 @@
     private static final class Readiness extends Callers {
         private final Proxy pilot;
 
-        Readiness(Harbor harbor, Proxy pilot) {
-            this.harbor = harbor;
+        Readiness(EventLoopEnvironment environment, Proxy pilot) {
+            this.environment = environment;
             this.pilot = pilot;
         }
 
@@ -241,14 +241,14 @@
 
     private Pool pool(String id, String address) {
         return pools.computeIfAbsent(
-                id, i -> new Pool(harbor.loop, harbor.sockets, Address.parse(address), DIAL, RESTS));
+                id, i -> new Pool(environment.loop, environment.sockets, Address.parse(address), DIAL, RESTS));
     }
 
     @Override
     public void carry(Attempt attempt) {
         ClientRequest request = (ClientRequest) attempt.call.load;
         if (Address.parse(attempt.address) == null) {
-            harbor.loop.soon(() -> pilot.ended(attempt, Attempt.End.NOT_CONNECTED));
+            environment.loop.soon(() -> pilot.ended(attempt, Attempt.End.NOT_CONNECTED));
             return;
         }
         UpstreamExchange exchange = new UpstreamExchange(attempt, pool(attempt.runner, attempt.address), (which, end) -> {
@@ -258,10 +258,10 @@
             pilot.ended(attempt, end);
         });
         exchanges.put(attempt, exchange);
-        long left = Math.max(1, (attempt.until - harbor.now()) / 1_000_000);
+        long left = Math.max(1, (attempt.until - environment.now()) / 1_000_000);
         if (!exchange.begin(request.head, request.body, left)) {
             exchanges.remove(attempt);
-            harbor.loop.soon(() -> pilot.ended(attempt, Attempt.End.NOT_CONNECTED));
+            environment.loop.soon(() -> pilot.ended(attempt, Attempt.End.NOT_CONNECTED));
         }
     }
 
@@ -285,7 +285,7 @@
                 ? ""
                 : "Retry-After: " + pauseMillis / 1000 + "."
                         + Long.toString(1000 + pauseMillis % 1000).substring(1) + "\r\n";
-        harbor.note("gave up " + call.id + " of " + call.service + ": " + status + " " + why);
+        environment.note("gave up " + call.id + " of " + call.service + ": " + status + " " + why);
         ((ClientRequest) call.load).visit.answer(status, more, why);
     }
 
@@ -314,7 +314,7 @@
             }
         });
         if (connection == null) {
-            harbor.loop.after(DIAL, () -> pilot.tried(id, false));
+            environment.loop.after(DIAL, () -> pilot.tried(id, false));
         } else {
             made.add(connection);
         }
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -17,7 +17,7 @@
 import saltdale.control.Platform;
 import saltdale.control.Trees;
 
-/** A whole cluster in one thread, all of one seed: a steady clock, links, disks, processes; runners by the platform. */
+/** A whole cluster in one thread, all of one seed: a steady clock, peerConnections, disks, processes; runners by the platform. */
 final class SimWorld {
     static final long BEAT = Environment.millis(1200);
     static final String[] ZONES = {"z-a", "z-b", "z-c"};
