--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -16,7 +16,7 @@
 import saltdale.storage.RecordStoreException;
 
 /** A keeper as a process: its disk, its peerConnections, and the calls of operators. */
-final class ControlProcess extends Callers implements Station, PeerConnections.Reader {
+final class ControlProcess extends RequestHandler implements NodeProcess, PeerConnections.Reader {
     private static final int MOST_BODY = 8 << 20; // of a configuration, in bytes
     private static final byte[] NOTHING = new byte[0];
 
--- a/node/src/main/java/saltdale/node/Main.java
+++ b/node/src/main/java/saltdale/node/Main.java
@@ -41,7 +41,7 @@
         }
         try {
             Settings settings = Settings.read(System.getenv(Settings.VARIABLE));
-            Station station =
+            NodeProcess station =
                     words.getString("role").equals("pilot") ? new ProxyProcess(settings) : new ControlProcess(settings);
             for (String signal : new String[] {"TERM", "INT"}) {
                 Signal.handle(new Signal(signal), which -> station.end());
--- a/node/src/main/java/saltdale/node/Station.java
+++ b/node/src/main/java/saltdale/node/NodeProcess.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 
 /** A role as a process. */
-interface Station {
+interface NodeProcess {
     /** Serves until it is told to end. */
     void run() throws IOException;
 
--- a/node/src/main/java/saltdale/node/Asked.java
+++ b/node/src/main/java/saltdale/node/OutgoingCall.java
@@ -10,7 +10,7 @@
 import saltdale.transport.Timer;
 
 /** One call of our own over HTTP, with its whole answer. */
-final class Asked implements Connection.Owner {
+final class OutgoingCall implements Connection.Owner {
     private final HttpParser parser = new HttpParser(HttpParser.Kind.ANSWER);
     private final Pool pool;
     private final Consumer<HttpParser> answer;
@@ -18,7 +18,7 @@
     private final Connection connection;
     private boolean over;
 
-    private Asked(Loop loop, Pool pool, Duration within, Consumer<HttpParser> answer) {
+    private OutgoingCall(Loop loop, Pool pool, Duration within, Consumer<HttpParser> answer) {
         this.pool = pool;
         this.answer = answer;
         limit = loop.after(within, () -> end(null));
@@ -27,7 +27,7 @@
 
     /** Tells the whole answer, or null where none came in time. */
     static void begin(Loop loop, Pool pool, Duration within, byte[] head, byte[] body, Consumer<HttpParser> answer) {
-        Asked asked = new Asked(loop, pool, within, answer);
+        OutgoingCall asked = new OutgoingCall(loop, pool, within, answer);
         if (asked.connection == null) {
             loop.soon(() -> asked.end(null));
             return;
--- a/node/src/main/java/saltdale/node/PlatformClient.java
+++ b/node/src/main/java/saltdale/node/PlatformClient.java
@@ -75,7 +75,7 @@
     }
 
     private void ask(byte[] head, byte[] body, Consumer<Answer> answer) {
-        Asked.begin(environment.loop, pool, WITHIN, head, body, whole -> {
+        OutgoingCall.begin(environment.loop, pool, WITHIN, head, body, whole -> {
             if (whole == null) {
                 answer.accept(null);
                 return;
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -26,7 +26,7 @@
 import saltdale.transport.Pool;
 
 /** A pilot as a process: clients' connections, runners' connections, peerConnections to the other processes. */
-final class ProxyProcess extends Callers implements Station, PeerConnections.Reader, Transport {
+final class ProxyProcess extends RequestHandler implements NodeProcess, PeerConnections.Reader, Transport {
     /** A client's request, as long as its call is open. */
     private record ClientRequest(Visit visit, Head head, byte[] body) {}
 
@@ -213,7 +213,7 @@
     }
 
     /** Who asks whether we take new connections. */
-    private static final class Readiness extends Callers {
+    private static final class Readiness extends RequestHandler {
         private final Proxy pilot;
 
         Readiness(EventLoopEnvironment environment, Proxy pilot) {
--- a/node/src/main/java/saltdale/node/Callers.java
+++ b/node/src/main/java/saltdale/node/RequestHandler.java
@@ -5,7 +5,7 @@
 import saltdale.transport.Sockets;
 
 /** Whose connections are of a environment's loop; what is asked is answered whether its caller stays or not. */
-abstract class Callers implements Visit.Host {
+abstract class RequestHandler implements Visit.Host {
     /** Set before anybody can connect. */
     EventLoopEnvironment environment;
 
--- a/proxy/src/test/java/saltdale/proxy/InputTest.java
+++ b/proxy/src/test/java/saltdale/proxy/InputTest.java
@@ -180,7 +180,7 @@
         assertThat(world.voters(), is(voters));
         assertThat(replace(world, world.keepers.get(1), 1, config(2)), is(200));
         world.run(1500);
-        SimPlatform.Asked asked = world.platform.call(world.pilots.get(1), "h.example", "/a/1", 3000);
+        SimPlatform.OutgoingCall asked = world.platform.call(world.pilots.get(1), "h.example", "/a/1", 3000);
         world.run(3000);
         assertThat(asked.answers, is(List.of(200)));
         assertThat(world.faults, is(empty()));
--- a/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
@@ -256,7 +256,7 @@
             world.run(1500);
             world.pilots.get(1).thaw();
             world.run(5000);
-            for (SimPlatform.Asked asked : world.platform.all) {
+            for (SimPlatform.OutgoingCall asked : world.platform.all) {
                 assertThat(asked.answers.size(), lessThanOrEqualTo(1));
                 assertThat("answered, or its pilot is gone", asked.answers.size() == 1 || asked.isLost(), is(true));
                 assertThat(asked.idempotent || asked.runs <= 1, is(true));
@@ -279,7 +279,7 @@
             world.run(2000);
             assertThat(world.platform.runners.values(), is(empty()));
             long begun = world.now();
-            SimPlatform.Asked asked = world.platform.call(world.pilots.get(seed % 6), "h.example", "/b/1", 5000);
+            SimPlatform.OutgoingCall asked = world.platform.call(world.pilots.get(seed % 6), "h.example", "/b/1", 5000);
             world.run(3000);
             assertThat(asked.answers, is(List.of(200)));
             assertThat("a start and a little", (asked.answeredAt - begun) / 1_000_000, lessThan(500L + 150 + 250));
@@ -349,15 +349,15 @@
         SimWorld world = serving(3, 3, 3);
         world.platform.bootMs = 60_000; // no slot will come
         SimMachine ending = world.pilots.get(0);
-        SimPlatform.Asked before = world.platform.call(ending, "h.example", "/a/1", 20_000);
+        SimPlatform.OutgoingCall before = world.platform.call(ending, "h.example", "/a/1", 20_000);
         world.run(500);
         ending.pilot().end(1_000_000_000L);
-        SimPlatform.Asked meanwhile = world.platform.call(ending, "h.example", "/b/1", 20_000);
+        SimPlatform.OutgoingCall meanwhile = world.platform.call(ending, "h.example", "/b/1", 20_000);
         world.run(900);
         assertThat(before.answers, is(empty()));
         world.run(200);
         assertThat(before.is(503) && meanwhile.is(503), is(true));
-        SimPlatform.Asked late = world.platform.call(ending, "h.example", "/a/1", 20_000);
+        SimPlatform.OutgoingCall late = world.platform.call(ending, "h.example", "/a/1", 20_000);
         world.run(300);
         assertThat(late.is(503), is(true));
         assertThat(ending.pilot().open(), is(0));
--- a/proxy/src/test/java/saltdale/proxy/SimPlatform.java
+++ b/proxy/src/test/java/saltdale/proxy/SimPlatform.java
@@ -66,7 +66,7 @@
     }
 
     /** One call of a client, and all that became of it. */
-    static final class Asked {
+    static final class OutgoingCall {
         final boolean idempotent;
         final List<Integer> answers = new ArrayList<>();
         final List<Attempt.End> ends = new ArrayList<>();
@@ -74,7 +74,7 @@
         long answeredAt;
         SimMachine.Process at;
 
-        Asked(boolean idempotent) {
+        OutgoingCall(boolean idempotent) {
             this.idempotent = idempotent;
         }
 
@@ -113,8 +113,8 @@
                     }));
         }
 
-        Asked asked() {
-            return (Asked) attempt.call.load;
+        OutgoingCall asked() {
+            return (OutgoingCall) attempt.call.load;
         }
 
         /** The runner sees its connection end and drops the work. */
@@ -137,7 +137,7 @@
     final Map<String, Integer> slots = new HashMap<>(); // by service
     final Map<String, Integer> memory = new HashMap<>();
     final List<Duty> duties = new ArrayList<>();
-    final List<Asked> all = new ArrayList<>();
+    final List<OutgoingCall> all = new ArrayList<>();
     final List<Long> overLimit = new ArrayList<>(); // when a runner got more than its slots
     final List<String> overRate = new ArrayList<>(); // calls beyond the platform's rates
     final List<Long> afterDrain = new ArrayList<>(); // calls that reached a draining runner too late
@@ -355,10 +355,10 @@
     // Calls of clients.
 
     /** A client's call to this pilot; nothing comes of it where the pilot is gone. */
-    Asked call(SimMachine at, String hostname, String path, long leftMs) {
+    OutgoingCall call(SimMachine at, String hostname, String path, long leftMs) {
         Configuration chart = at.pilot() == null ? null : at.pilot().chart();
         Configuration.Route route = chart == null ? null : chart.route(hostname, path);
-        Asked asked = new Asked(route != null && route.idempotent());
+        OutgoingCall asked = new OutgoingCall(route != null && route.idempotent());
         asked.at = at.process;
         all.add(asked);
         if (route == null) {
@@ -383,7 +383,7 @@
             @Override
             public void carry(Attempt attempt) {
                 Sending sending = new Sending(attempt, process, runners.get(attempt.runner));
-                Asked asked = sending.asked();
+                OutgoingCall asked = sending.asked();
                 if (!asked.idempotent && asked.ends.stream().anyMatch(end -> end.verdict() != ExecutionStatus.NOT_RUN)) {
                     world.faults.add(attempt.call.id + " is carried again after " + asked.ends);
                 }
@@ -415,8 +415,8 @@
             }
 
             private void answered(Request call, int status) {
-                ((Asked) call.load).answers.add(status);
-                ((Asked) call.load).answeredAt = world.now();
+                ((OutgoingCall) call.load).answers.add(status);
+                ((OutgoingCall) call.load).answeredAt = world.now();
             }
 
             @Override
