--- a/control/src/main/java/saltdale/control/Acceptor.java
+++ b/control/src/main/java/saltdale/control/Acceptor.java
@@ -7,8 +7,8 @@
 import java.util.function.Consumer;
 
 /**
- * What a keeper promised and accepted in ballots. Nothing is told of either before it is synced; what could not be
- * written is not told at all, and the ballot goes on without this keeper.
+ * What a control node promised and accepted in ballots. Nothing is told of either before it is synced; what could not be
+ * written is not told at all, and the ballot goes on without this control node.
  */
 final class Acceptor {
     static final String RECORD = "acceptor";
--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -78,7 +78,7 @@
     private Configuration chart;
     private Map<String, Object> configurationTree;
 
-    /** {@code records} are those on disk; where there are none the keeper is new, or has lost them. */
+    /** {@code records} are those on disk; where there are none the control node is new, or has lost them. */
     public ControlNode(Environment environment, ControlNodeSettings nodeSettings, Platform platform, Map<String, byte[]> records)
             throws MalformedMessage {
         this.environment = environment;
@@ -159,7 +159,7 @@
         return id + "/" + life;
     }
 
-    /** Whether this keeper holds the duty and knows that nobody can have taken it over. */
+    /** Whether this control node holds the duty and knows that nobody can have taken it over. */
     boolean holds() {
         ReplicatedState state = register.chosen();
         return state != null && holder().equals(state.duty(STARTING).holder()) && hasMajority();
@@ -344,12 +344,12 @@
         }
     }
 
-    /** Sends to all other keepers. */
+    /** Sends to all other control nodes. */
     void tellKeepers(Map<String, Object> message) {
         peers.keySet().forEach(host -> environment.send(host, message));
     }
 
-    /** Merges copies of runners; news of our own goes to the other keepers too. */
+    /** Merges copies of runners; news of our own goes to the other control nodes too. */
     void changed(List<Instance> copies, boolean tell) {
         List<Object> fresh = new ArrayList<>();
         for (Instance copy : copies) {
@@ -426,7 +426,7 @@
                         keeperHosts()));
     }
 
-    /** Where dispatchers find keepers. */
+    /** Where dispatchers find control nodes. */
     private List<Object> keeperHosts() {
         ReplicatedState basis = register.basis();
         return basis == null
@@ -596,7 +596,7 @@
         hadMajority = hasMajority();
         majoritySince = had ? majoritySince : now;
         long edition = members.edition();
-        // Guards against a keeper that stood still or was cut off: all renewals it missed come to it first.
+        // Guards against a control node that stood still or was cut off: all renewals it missed come to it first.
         if (hadMajority && now - majoritySince > nodeSettings.beat()) {
             members.expire(now);
         }
@@ -638,7 +638,7 @@
 
     private void propose(Proposer.Change change) {
         proposing = true;
-        // Guards against all keepers at once: the first one's ballot spares the others theirs.
+        // Guards against all control nodes at once: the first one's ballot spares the others theirs.
         environment.after(
                 (long) (nodeSettings.beat() / 8 * environment.chance().nextDouble()),
                 () -> register.propose(change, nodeSettings.beat(), done -> proposing = false));
@@ -664,7 +664,7 @@
     }
 
     /**
-     * The voters to have: one whose disk was lost, or that is gone, gives its place to a new keeper; pairs are
+     * The voters to have: one whose disk was lost, or that is gone, gives its place to a new control node; pairs are
      * added.
      */
     private List<Voter> votersNext(ReplicatedState state, long now) {
--- a/control/src/main/java/saltdale/control/ControlNodeSettings.java
+++ b/control/src/main/java/saltdale/control/ControlNodeSettings.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** What a keeper is told of its machine and of the deployment; spans in nanoseconds. */
+/** What a control node is told of its machine and of the deployment; spans in nanoseconds. */
 public record ControlNodeSettings(
         String name,
         String host,
@@ -13,20 +13,20 @@
         long acknowledge,
         long drain,
         Platform.Rates rates) {
-    /** A keeper that heard of no majority for so long answers nothing, and a duty's holder does nothing. */
+    /** A control node that heard of no majority for so long answers nothing, and a duty's holder does nothing. */
     long lease() {
         return beat + beat / 4;
     }
 
     /**
-     * A dispatcher may act as a member for so long after a majority could have heard of it; keepers count a
+     * A dispatcher may act as a member for so long after a majority could have heard of it; control nodes count a
      * little longer.
      */
     long memberLease() {
         return beat + beat / 2;
     }
 
-    /** A keeper unheard for so long has lost its duties; longer than the lease, however late its last word came. */
+    /** A control node unheard for so long has lost its duties; longer than the lease, however late its last word came. */
     long vacancy() {
         return lease() + beat / 2;
     }
--- a/control/src/main/java/saltdale/control/InstanceLifecycle.java
+++ b/control/src/main/java/saltdale/control/InstanceLifecycle.java
@@ -11,8 +11,8 @@
 import java.util.Set;
 
 /**
- * A keeper's dealings with the platform: every keeper reads the list of runners; the holder of the duty reads the
- * workers too, and starts and stops. A start is told to the other keepers before it is asked for, with its nonce,
+ * A control node's dealings with the platform: every control node reads the list of runners; the holder of the duty reads the
+ * workers too, and starts and stops. A start is told to the other control nodes before it is asked for, with its nonce,
  * so that
  * whoever takes over asks again for what may have been begun and learns of it.
  */
@@ -85,7 +85,7 @@
             listing = true;
             list(null, new ArrayList<>(), 1, now);
         }
-        // All keepers together stay under half of the platform's rate, whatever number of pages the list has.
+        // All control nodes together stay under half of the platform's rate, whatever number of pages the list has.
         double atLeast =
                 keeper.keepers() * (pages + 1) / (0.5 * nodeSettings.rates().listsPerSecond());
         environment.after(Math.max(nodeSettings.beat() / 2, (long) (atLeast * 1e9)), this::list);
@@ -123,7 +123,7 @@
                 if (told.has("next_page_token")) {
                     String next = told.text("next_page_token");
                     listing = true;
-                    // Guards against bursts: pages follow one another no faster than all keepers together may ask.
+                    // Guards against bursts: pages follow one another no faster than all control nodes together may ask.
                     environment.after(pageGap(), () -> list(next, so, page + 1, askedAt));
                     return;
                 }
@@ -354,7 +354,7 @@
         });
     }
 
-    /** Another keeper's intents: those it has told of, and those that are over. */
+    /** Another control node's intents: those it has told of, and those that are over. */
     void told(Fields message) throws MalformedMessage {
         for (Fields each : message.objects("l")) {
             intents.putIfAbsent(
--- a/control/src/main/java/saltdale/control/MembershipTable.java
+++ b/control/src/main/java/saltdale/control/MembershipTable.java
@@ -9,7 +9,7 @@
 import java.util.TreeMap;
 
 /**
- * The leases of members, merged from what all keepers hear: each renewal counts up, and the highest count is the
+ * The leases of members, merged from what all control nodes hear: each renewal counts up, and the highest count is the
  * newest.
  */
 final class MembershipTable {
@@ -17,7 +17,7 @@
         Member member;
         long count;
         long heardAt;
-        boolean untold; // to the other keepers
+        boolean untold; // to the other control nodes
     }
 
     private final long length;
@@ -43,7 +43,7 @@
         return lease == null ? null : lease.member;
     }
 
-    /** A renewal, heard from the member itself or of another keeper. */
+    /** A renewal, heard from the member itself or of another control node. */
     void renewed(Member member, long count, long now, boolean itself) {
         if (ended.containsKey(member.life())) {
             return;
@@ -82,7 +82,7 @@
         }
     }
 
-    /** The lives that are over of late, by what this keeper knows. */
+    /** The lives that are over of late, by what this control node knows. */
     List<Object> over(long now) {
         return new ArrayList<>(ended.entrySet().stream()
                 .filter(e -> now - e.getValue() < length)
@@ -90,7 +90,7 @@
                 .toList());
     }
 
-    /** Lives that are over by what another keeper knows: two of a mind, or both would have homes of their own. */
+    /** Lives that are over by what another control node knows: two of a mind, or both would have homes of their own. */
     void areOver(List<String> lives, long now) {
         for (String life : lives) {
             if (ended.putIfAbsent(life, now) == null && leases.remove(life) != null) {
--- a/control/src/main/java/saltdale/control/ReplicatedRegister.java
+++ b/control/src/main/java/saltdale/control/ReplicatedRegister.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
-/** A keeper's part in what is agreed: it votes, runs ballots, and knows the newest chosen state. */
+/** A control node's part in what is agreed: it votes, runs ballots, and knows the newest chosen state. */
 public final class ReplicatedRegister {
     /** Told whenever a newer state is known to be chosen. */
     interface Listener {
--- a/control/src/main/java/saltdale/control/Voter.java
+++ b/control/src/main/java/saltdale/control/Voter.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** A keeper that votes: {@code id} is of its disk, so that one whose disk was lost is another voter. */
+/** A control node that votes: {@code id} is of its disk, so that one whose disk was lost is another voter. */
 public record Voter(String id, String name, String host) {
     List<Object> tree() {
         return List.of(id, name, host);
@@ -19,7 +19,7 @@
         throw new MalformedMessage("no voter");
     }
 
-    /** The id of a keeper of the first start of all, which all can tell from its address. */
+    /** The id of a control node of the first start of all, which all can tell from its address. */
     static String firstId(String host) {
         return "first:" + host;
     }
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -15,7 +15,7 @@
 import saltdale.storage.RecordStore;
 import saltdale.storage.RecordStoreException;
 
-/** A keeper as a process: its disk, its peerConnections, and the calls of operators. */
+/** A control node as a process: its disk, its peerConnections, and the calls of operators. */
 final class ControlProcess extends RequestHandler implements NodeProcess, PeerConnections.Reader {
     private static final int MOST_BODY = 8 << 20; // of a configuration, in bytes
     private static final byte[] NOTHING = new byte[0];
@@ -68,7 +68,7 @@
         }
     }
 
-    /** The vault and its records; one that cannot be read is set aside, as a lost disk would be. */
+    /** The record store and its records; one that cannot be read is set aside, as a lost disk would be. */
     private static RecordStore open(Settings settings, Map<String, byte[]> records) throws Settings.Wrong {
         try {
             RecordStore vault = RecordStore.open(settings.data);
--- a/node/src/main/java/saltdale/node/Main.java
+++ b/node/src/main/java/saltdale/node/Main.java
@@ -8,7 +8,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import sun.misc.Signal;
 
-/** The one program of the platform: {@code pilot} carries calls, {@code keeper} holds the state. */
+/** The one program of the platform: {@code proxy} carries calls, {@code control node} holds the state. */
 public final class Main {
     private Main() {}
 
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -25,7 +25,7 @@
 import saltdale.transport.Listener;
 import saltdale.transport.Pool;
 
-/** A pilot as a process: clients' connections, runners' connections, peerConnections to the other processes. */
+/** A proxy as a process: clients' connections, runners' connections, peerConnections to the other processes. */
 final class ProxyProcess extends RequestHandler implements NodeProcess, PeerConnections.Reader, Transport {
     /** A client's request, as long as its call is open. */
     private record ClientRequest(Visit visit, Head head, byte[] body) {}
--- a/proxy/src/main/java/saltdale/proxy/ControlSession.java
+++ b/proxy/src/main/java/saltdale/proxy/ControlSession.java
@@ -12,11 +12,11 @@
 import saltdale.control.Environment;
 
 /**
- * A pilot's tie to the core: it renews its lease at one keeper and takes its news there, and goes on to another when
+ * A proxy's tie to the core: it renews its lease at one control node and takes its news there, and goes on to another when
  * that one is silent or has lost the majority.
  */
 final class ControlSession {
-    /** News, in the order in which the keeper sent it. */
+    /** News, in the order in which the control node sent it. */
     interface Reader {
         void news(Fields message) throws MalformedMessage;
 
@@ -41,7 +41,7 @@
     private long news; // of this session, so many came
     private long heardAt;
     private long renewedAt;
-    private long leaseUntil = Long.MIN_VALUE / 2; // counted from when that was sent which a keeper answered
+    private long leaseUntil = Long.MIN_VALUE / 2; // counted from when that was sent which a control node answered
     private int alone; // so often in a row it had no majority
     private boolean leaving;
 
@@ -79,14 +79,14 @@
         if (now - heardAt > proxySettings.beat() * 2 / 3) {
             move();
         }
-        // Until the first word has come it asks more often: a keeper may start later than we do.
+        // Until the first word has come it asks more often: a control node may start later than we do.
         if (news == 0 || now - renewedAt >= proxySettings.beat() / 4) {
             renew();
         }
         environment.after(proxySettings.beat() / 8, this::turn);
     }
 
-    /** Another keeper, another session. */
+    /** Another control node, another session. */
     private void move() {
         List<String> all = new ArrayList<>(keepers);
         all.remove(keeper);
@@ -138,7 +138,7 @@
 
     void message(String from, Fields message) throws MalformedMessage {
         if (message.text("t").equals("alone")) {
-            // The keeper has just lost its majority: another may know of newer versions.
+            // The control node has just lost its majority: another may know of newer versions.
             if (from.equals(keeper)) {
                 move();
                 renew();
--- a/proxy/src/main/java/saltdale/proxy/Proxy.java
+++ b/proxy/src/main/java/saltdale/proxy/Proxy.java
@@ -87,7 +87,7 @@
         turn();
     }
 
-    /** It can serve: it knows a configuration, and the crew that it is one of. */
+    /** It can serve: it knows a configuration, and the members that it is one of. */
     public boolean isReady() {
         return chart != null && !ending && crew.stream().anyMatch(m -> m.life().equals(controlSession.life()));
     }
@@ -183,7 +183,7 @@
         }
     }
 
-    /** ServiceOwnership move with the crew: who is one no longer says what it has lent, and who becomes one waits for that. */
+    /** ServiceOwnership move with the members: who is one no longer says what it has lent, and who becomes one waits for that. */
     private void crew(List<Member> next) {
         Collection<Member> before = crew;
         crew = next;
@@ -257,7 +257,7 @@
 
     private SlotAllocator home(String service) {
         return homes.computeIfAbsent(service, s -> {
-            // Who was home before says what is out; the runners may come to be known only after the crew.
+            // Who was home before says what is out; the runners may come to be known only after the members.
             long opensAt = Math.max(
                     crewAt + proxySettings.beat() / 8,
                     environment.now()
--- a/proxy/src/main/java/saltdale/proxy/ProxySettings.java
+++ b/proxy/src/main/java/saltdale/proxy/ProxySettings.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** What a pilot is told of its machine and of the deployment; spans in nanoseconds. */
+/** What a proxy is told of its machine and of the deployment; spans in nanoseconds. */
 public record ProxySettings(
         String name,
         String host,
--- a/proxy/src/main/java/saltdale/proxy/SlotAllocator.java
+++ b/proxy/src/main/java/saltdale/proxy/SlotAllocator.java
@@ -394,7 +394,7 @@
                         .orElse(0);
     }
 
-    // What is told to the keepers.
+    // What is told to the control nodes.
 
     private void decay(long now) {
         rate *= Math.exp(-(now - rateAt) / TAU);
--- a/proxy/src/main/java/saltdale/proxy/Transport.java
+++ b/proxy/src/main/java/saltdale/proxy/Transport.java
@@ -1,8 +1,8 @@
 package saltdale.proxy;
 
-/** What carries bytes for a pilot: connections to runners and to clients. */
+/** What carries bytes for a proxy: connections to runners and to clients. */
 public interface Transport {
-    /** Sends the call there; tells the pilot by {@link Proxy#ended}. */
+    /** Sends the call there; tells the proxy by {@link Proxy#ended}. */
     void carry(Attempt attempt);
 
     /** Breaks the attempt off; nothing of it is told any more. */
--- a/proxy/src/test/java/saltdale/proxy/DiskTest.java
+++ b/proxy/src/test/java/saltdale/proxy/DiskTest.java
@@ -20,7 +20,7 @@
 import saltdale.control.ReplicatedState;
 import saltdale.control.Voter;
 
-/** A keeper whose disk is in trouble is gone round, and what its disk holds can always be used. */
+/** A control node whose disk is in trouble is gone round, and what its disk holds can always be used. */
 class DiskTest {
     @ParameterizedTest
     @EnumSource(SimMachine.Disk.class)
--- a/proxy/src/test/java/saltdale/proxy/DutyTest.java
+++ b/proxy/src/test/java/saltdale/proxy/DutyTest.java
@@ -21,11 +21,11 @@
 import saltdale.control.Platform;
 
 /**
- * One keeper at a time starts and stops runners, within the platform's rates, and the next one knows what was
+ * One control node at a time starts and stops runners, within the platform's rates, and the next one knows what was
  * begun.
  */
 class DutyTest {
-    /** The machine of the keeper that holds the duty, as the newest chosen state says. */
+    /** The machine of the control node that holds the duty, as the newest chosen state says. */
     static SimMachine holder(SimWorld world) {
         String name = (String) ((Map<?, ?>) ((Map<?, ?>) world.newest.map().get("d")).get("starting")).get("n");
         return world.keepers.stream()
--- a/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
@@ -28,7 +28,7 @@
 import saltdale.control.Fields;
 
 /**
- * What clients and runners see of pilots: configurations, slots, drains, verdicts, and runners when they are
+ * What clients and runners see of proxies: configurations, slots, drains, verdicts, and runners when they are
  * needed.
  */
 class ProxyClusterTest {
@@ -84,7 +84,7 @@
         }
     }
 
-    /** Even its own keeper, in the session that is under way, does not bring it back. */
+    /** Even its own control node, in the session that is under way, does not bring it back. */
     @Test
     void anOlderConfigurationIsNotTaken() throws Exception {
         SimWorld world = new SimWorld(1);
@@ -341,7 +341,7 @@
     }
 
     /**
-     * A pilot told to end holds nothing until it is killed: what waits is turned away, what runs is answered at
+     * A proxy told to end holds nothing until it is killed: what waits is turned away, what runs is answered at
      * the last.
      */
     @Test
--- a/proxy/src/test/java/saltdale/proxy/SimOperator.java
+++ b/proxy/src/test/java/saltdale/proxy/SimOperator.java
@@ -52,7 +52,7 @@
         return world.until(5000, () -> !got.isEmpty()) ? got.get(0).status() : 0;
     }
 
-    /** Repeats the change at all keepers in turn until one acknowledges it. */
+    /** Repeats the change at all control nodes in turn until one acknowledges it. */
     static boolean insists(SimWorld world, long base, String body, long ms) {
         long end = world.now() + ms * 1_000_000;
         while (world.now() < end) {
@@ -66,7 +66,7 @@
         return false;
     }
 
-    /** A cluster whose pilots know the first configuration, with two workers in each zone. */
+    /** A cluster whose proxies know the first configuration, with two workers in each zone. */
     static SimWorld serving(long seed, int keepers, int pilots) {
         return serving(new SimWorld(seed), keepers, pilots);
     }
@@ -84,7 +84,7 @@
         return world;
     }
 
-    /** So many calls a second for a while, each to any pilot that runs and is ready; returns at once. */
+    /** So many calls a second for a while, each to any proxy that runs and is ready; returns at once. */
     static void load(SimWorld world, double perSecond, long ms) {
         load(world, perSecond, ms, () -> world.chance.nextBoolean() ? "/a/1" : "/b/1");
     }
@@ -104,7 +104,7 @@
         });
     }
 
-    /** The configuration as this keeper reads it from a majority; null where it cannot. */
+    /** The configuration as this control node reads it from a majority; null where it cannot. */
     static String read(SimWorld world, SimMachine at) {
         List<ControlNode.Reply> got = new ArrayList<>();
         at.process.deliver(() -> at.keeper().read(got::add));
--- a/proxy/src/test/java/saltdale/proxy/SimPlatform.java
+++ b/proxy/src/test/java/saltdale/proxy/SimPlatform.java
@@ -17,7 +17,7 @@
 import saltdale.control.Platform;
 
 /**
- * The platform of a simulated cluster: workers, runners and their lagging list; and what pilots carry to the
+ * The platform of a simulated cluster: workers, runners and their lagging list; and what proxies carry to the
  * runners.
  */
 final class SimPlatform {
@@ -354,7 +354,7 @@
 
     // Calls of clients.
 
-    /** A client's call to this pilot; nothing comes of it where the pilot is gone. */
+    /** A client's call to this proxy; nothing comes of it where the proxy is gone. */
     OutgoingCall call(SimMachine at, String hostname, String path, long leftMs) {
         Configuration chart = at.pilot() == null ? null : at.pilot().chart();
         Configuration.Route route = chart == null ? null : chart.route(hostname, path);
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -97,7 +97,7 @@
         return made;
     }
 
-    /** So many keepers at their first start, and so many pilots spread over the zones, not yet begun. */
+    /** So many control nodes at their first start, and so many proxies spread over the zones, not yet begun. */
     SimWorld of(int keeping, int carrying) {
         List<String> hosts = new ArrayList<>();
         for (int i = 1; i <= keeping; i++) {
@@ -124,7 +124,7 @@
         cuts.add(from.host + ">" + to.host);
     }
 
-    /** Cuts it from all other keepers. */
+    /** Cuts it from all other control nodes. */
     void isolate(SimMachine keeper) {
         keepers.stream().filter(k -> k != keeper).forEach(k -> cut(keeper, k));
     }
--- a/proxy/src/test/java/saltdale/proxy/Slopes.java
+++ b/proxy/src/test/java/saltdale/proxy/Slopes.java
@@ -46,7 +46,7 @@
         world.run(1500);
         long change = sent.values().stream().mapToLong(c -> c[1]).sum();
         sent.clear();
-        // One call a second at each pilot, whatever their number.
+        // One call a second at each proxy, whatever their number.
         SimOperator.load(world, pilots, SECONDS * 1000, () -> "/f" + world.chance.nextInt(functions) + "/1");
         world.run(SECONDS * 1000);
         StringBuilder line = new StringBuilder(pilots + " " + functions + " |");
--- a/storage/src/main/java/saltdale/storage/MirroredRecordStore.java
+++ b/storage/src/main/java/saltdale/storage/MirroredRecordStore.java
@@ -11,16 +11,16 @@
 import org.h2.store.fs.FilePath;
 
 /**
- * A vault in two MVStore files that are written in turn: each holds all records and a seal over them, and while one is
+ * A record store in two MVStore files that are written in turn: each holds all records and a seal over them, and while one is
  * written the other is left as it was last synced. MVStore alone does not check what lies inside a chunk of its file,
- * so a loss of power in a write may leave half of it (docs/vault.md).
+ * so a loss of power in a write may leave half of it (docs/record store.md).
  */
 final class MirroredRecordStore implements RecordStore {
     private static final String[] NAMES = {"vault.a", "vault.b"};
     private static final long SPARE = 1 << 20;
 
     /**
-     * Guards against two vaults in one folder; another process is kept off by the address that the owner listens
+     * Guards against two record stores in one folder; another process is kept off by the address that the owner listens
      * on.
      */
     private static final Set<Path> OPEN = ConcurrentHashMap.newKeySet();
--- a/storage/src/main/java/saltdale/storage/RecordStoreException.java
+++ b/storage/src/main/java/saltdale/storage/RecordStoreException.java
@@ -1,6 +1,6 @@
 package saltdale.storage;
 
-/** The vault could not be read or written; what was synced before still stands on the disk. */
+/** The record store could not be read or written; what was synced before still stands on the disk. */
 public class RecordStoreException extends Exception {
     private static final long serialVersionUID = 1L;
 
--- a/storage/src/test/java/saltdale/storage/PowerCutTest.java
+++ b/storage/src/test/java/saltdale/storage/PowerCutTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** What a loss of power leaves of a vault, and what it leaves of one that is kept by MVStore or by MapDB alone. */
+/** What a loss of power leaves of a record store, and what it leaves of one that is kept by MVStore or by MapDB alone. */
 class PowerCutTest {
     /** How many runs; more by hand, with -Dvault.runs=N. */
     private static final int RUNS = Integer.getInteger("vault.runs", 2);
@@ -49,7 +49,7 @@
         assertThat(cuts + "" + cuts.examples, cuts.faults, is(anEmptyMap()));
     }
 
-    /** Guards against trust in MVStore alone: should this one day fail, docs/vault.md may be reconsidered. */
+    /** Guards against trust in MVStore alone: should this one day fail, docs/record store.md may be reconsidered. */
     @Test
     void mvStoreAloneLosesWrites() throws Exception {
         PowerCuts all = null;
--- a/storage/src/test/java/saltdale/storage/PowerCuts.java
+++ b/storage/src/test/java/saltdale/storage/PowerCuts.java
@@ -12,7 +12,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 
-/** Runs of writes with the power cut after every call to the disk, and what was seen when the vault was opened anew. */
+/** Runs of writes with the power cut after every call to the disk, and what was seen when the record store was opened anew. */
 final class PowerCuts {
     interface Opener {
         RecordStore open(CutDisk disk) throws Exception;
--- a/storage/src/test/java/saltdale/storage/SingleStoreRecordStore.java
+++ b/storage/src/test/java/saltdale/storage/SingleStoreRecordStore.java
@@ -10,7 +10,7 @@
 import org.h2.mvstore.type.StringDataType;
 import org.h2.store.fs.FilePath;
 
-/** A vault as MVStore alone would keep it, in one file; see {@link PowerCutTest} for what it loses. */
+/** A record store as MVStore alone would keep it, in one file; see {@link PowerCutTest} for what it loses. */
 final class SingleStoreRecordStore implements RecordStore {
     private static final String NAME = "vault";
 
@@ -88,7 +88,7 @@
         }
     }
 
-    /** A vault gets its name when it is whole and synced, so that one with this name that can't be read was lost. */
+    /** A record store gets its name when it is whole and synced, so that one with this name that can't be read was lost. */
     private void make(FilePath file) {
         FilePath young = FilePath.get(file + ".new");
         young.delete();
