--- a/control/src/main/java/saltdale/control/Acceptor.java
+++ b/control/src/main/java/saltdale/control/Acceptor.java
@@ -7,7 +7,8 @@
 import java.util.function.Consumer;
 
 /**
- * What a control node promised and accepted in ballots. Nothing is told of either before it is synced; what could not be
+ * What a control node promised and accepted in ballots. Nothing is told of either before it is synced; what could
+ * not be
  * written is not told at all, and the ballot goes on without this control node.
  */
 final class Acceptor {
--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -79,14 +79,16 @@
     private Map<String, Object> configurationTree;
 
     /** {@code records} are those on disk; where there are none the control node is new, or has lost them. */
-    public ControlNode(Environment environment, ControlNodeSettings nodeSettings, Platform platform, Map<String, byte[]> records)
+    public ControlNode(
+            Environment environment, ControlNodeSettings nodeSettings, Platform platform, Map<String, byte[]> records)
             throws MalformedMessage {
         this.environment = environment;
         this.nodeSettings = nodeSettings;
         startedAt = environment.now();
         life = Long.toHexString(environment.chance().nextLong());
-        boolean first =
-                nodeSettings.firstStart() && records.isEmpty() && nodeSettings.seeds().contains(nodeSettings.host());
+        boolean first = nodeSettings.firstStart()
+                && records.isEmpty()
+                && nodeSettings.seeds().contains(nodeSettings.host());
         id = records.containsKey(IDENTITY)
                 ? new String(records.get(IDENTITY), StandardCharsets.UTF_8)
                 : first
@@ -103,11 +105,15 @@
                         .sorted()
                         .map(host -> new Voter(Voter.firstId(host), host, host))
                         .toList())
-                : records.containsKey(BEGUN) ? ReplicatedState.of(new Fields(Trees.fromCbor(records.get(BEGUN)))) : null;
+                : records.containsKey(BEGUN)
+                        ? ReplicatedState.of(new Fields(Trees.fromCbor(records.get(BEGUN))))
+                        : null;
         if (begun != null) {
             register.first(begun);
         }
-        nodeSettings.seeds().stream().filter(host -> !host.equals(nodeSettings.host())).forEach(this::peer);
+        nodeSettings.seeds().stream()
+                .filter(host -> !host.equals(nodeSettings.host()))
+                .forEach(this::peer);
         if (!records.containsKey(IDENTITY)) {
             Map<String, byte[]> own = new HashMap<>(Map.of(IDENTITY, id.getBytes(StandardCharsets.UTF_8)));
             if (begun != null) {
@@ -150,7 +156,7 @@
         return chart;
     }
 
-    int keepers() {
+    int controlNodes() {
         return register.basis() == null ? 1 : register.basis().voters().size();
     }
 
@@ -345,7 +351,7 @@
     }
 
     /** Sends to all other control nodes. */
-    void tellKeepers(Map<String, Object> message) {
+    void tellControlNodes(Map<String, Object> message) {
         peers.keySet().forEach(host -> environment.send(host, message));
     }
 
@@ -359,7 +365,7 @@
         }
         if (!fresh.isEmpty()) {
             if (tell) {
-                tellKeepers(Fields.tree("t", "runners", "l", fresh));
+                tellControlNodes(Fields.tree("t", "runners", "l", fresh));
             }
             publish();
         }
@@ -373,7 +379,8 @@
             String holder = state == null ? null : state.duty(STARTING).holder();
             for (Peer peer : peers.values()) {
                 if (holder != null && holder.equals(peer.id + "/" + peer.life)) {
-                    environment.send(peer.host, Fields.tree("t", "want", "l", from, "w", message.list("w"), "fwd", true));
+                    environment.send(
+                            peer.host, Fields.tree("t", "want", "l", from, "w", message.list("w"), "fwd", true));
                 }
             }
         }
@@ -423,11 +430,11 @@
                         "c",
                         subscriber.sent,
                         "k",
-                        keeperHosts()));
+                        controlNodeHosts()));
     }
 
     /** Where dispatchers find control nodes. */
-    private List<Object> keeperHosts() {
+    private List<Object> controlNodeHosts() {
         ReplicatedState basis = register.basis();
         return basis == null
                 ? List.of(nodeSettings.host())
@@ -550,8 +557,10 @@
             return Proposer.Step.stay(new Reply(412, "revision " + newest.revision() + " is in place", null));
         }
         try {
-            Map<String, Object> whole =
-                    !amends ? tree : ConfigurationCodec.amended(text == null ? Map.of() : ConfigurationCodec.read(text), new Fields(tree));
+            Map<String, Object> whole = !amends
+                    ? tree
+                    : ConfigurationCodec.amended(
+                            text == null ? Map.of() : ConfigurationCodec.read(text), new Fields(tree));
             Configuration next = new Configuration(new Fields(whole));
             if (next.revision() <= newest.revision()) {
                 throw new InvalidConfiguration("revision is not above " + newest.revision());
@@ -621,7 +630,8 @@
                 propose((newest, text) -> newest.duty(STARTING).fence() != seen.fence()
                         ? Proposer.Step.stay(null)
                         : new Proposer.Step(
-                                newest.withDuty(STARTING, new DutyLease(holder(), nodeSettings.name(), seen.fence() + 1)),
+                                newest.withDuty(
+                                        STARTING, new DutyLease(holder(), nodeSettings.name(), seen.fence() + 1)),
                                 null,
                                 Boolean.TRUE));
             } else if (!state.isJoint() && (holds() || vacant(state))) {
@@ -669,7 +679,8 @@
      */
     private List<Voter> votersNext(ReplicatedState state, long now) {
         List<Peer> candidates = new ArrayList<>(peers.values().stream()
-                .filter(p -> p.id != null && !p.leaving && now - p.heardAt < nodeSettings.lease() && !state.isVoter(p.id))
+                .filter(p ->
+                        p.id != null && !p.leaving && now - p.heardAt < nodeSettings.lease() && !state.isVoter(p.id))
                 .toList());
         List<Voter> voters = new ArrayList<>(state.voters());
         for (int i = 0; i < voters.size(); i++) {
--- a/control/src/main/java/saltdale/control/ControlNodeSettings.java
+++ b/control/src/main/java/saltdale/control/ControlNodeSettings.java
@@ -26,7 +26,10 @@
         return beat + beat / 2;
     }
 
-    /** A control node unheard for so long has lost its duties; longer than the lease, however late its last word came. */
+    /**
+     * A control node unheard for so long has lost its duties; longer than the lease, however late its last word
+     * came.
+     */
     long vacancy() {
         return lease() + beat / 2;
     }
--- a/control/src/main/java/saltdale/control/InstanceLifecycle.java
+++ b/control/src/main/java/saltdale/control/InstanceLifecycle.java
@@ -11,7 +11,8 @@
 import java.util.Set;
 
 /**
- * A control node's dealings with the platform: every control node reads the list of runners; the holder of the duty reads the
+ * A control node's dealings with the platform: every control node reads the list of runners; the holder of the
+ * duty reads the
  * workers too, and starts and stops. A start is told to the other control nodes before it is asked for, with its nonce,
  * so that
  * whoever takes over asks again for what may have been begun and learns of it.
@@ -40,7 +41,7 @@
     }
 
     private final Environment environment;
-    private final ControlNode keeper;
+    private final ControlNode controlNode;
     private final Platform platform;
     private final ControlNodeSettings nodeSettings;
     private Scaler scaler;
@@ -60,9 +61,10 @@
     private long pageAt = Long.MIN_VALUE / 2; // when the last page was asked for
     private int refused;
 
-    InstanceLifecycle(Environment environment, ControlNode keeper, Platform platform, ControlNodeSettings nodeSettings) {
+    InstanceLifecycle(
+            Environment environment, ControlNode controlNode, Platform platform, ControlNodeSettings nodeSettings) {
         this.environment = environment;
-        this.keeper = keeper;
+        this.controlNode = controlNode;
         this.platform = platform;
         this.nodeSettings = nodeSettings;
     }
@@ -86,13 +88,14 @@
             list(null, new ArrayList<>(), 1, now);
         }
         // All control nodes together stay under half of the platform's rate, whatever number of pages the list has.
-        double atLeast =
-                keeper.keepers() * (pages + 1) / (0.5 * nodeSettings.rates().listsPerSecond());
+        double atLeast = controlNode.controlNodes()
+                * (pages + 1)
+                / (0.5 * nodeSettings.rates().listsPerSecond());
         environment.after(Math.max(nodeSettings.beat() / 2, (long) (atLeast * 1e9)), this::list);
     }
 
     private long pageGap() {
-        return (long) (keeper.keepers() / (0.6 * nodeSettings.rates().listsPerSecond()) * 1e9);
+        return (long) (controlNode.controlNodes() / (0.6 * nodeSettings.rates().listsPerSecond()) * 1e9);
     }
 
     private void list(String token, List<Instance> so, int page, long askedAt) {
@@ -123,7 +126,8 @@
                 if (told.has("next_page_token")) {
                     String next = told.text("next_page_token");
                     listing = true;
-                    // Guards against bursts: pages follow one another no faster than all control nodes together may ask.
+                    // Guards against bursts: pages follow one another no faster than all control nodes together may
+                    // ask.
                     environment.after(pageGap(), () -> list(next, so, page + 1, askedAt));
                     return;
                 }
@@ -132,9 +136,9 @@
                 return;
             }
             pages = page;
-            List<Instance> news = keeper.runners().listed(so, askedAt, environment.now());
+            List<Instance> news = controlNode.runners().listed(so, askedAt, environment.now());
             if (!news.isEmpty()) {
-                keeper.publish();
+                controlNode.publish();
                 look();
             }
         });
@@ -163,26 +167,27 @@
     }
 
     private void act() {
-        if (!keeper.holds()) {
+        if (!controlNode.holds()) {
             fence = -1;
             return;
         }
         long now = environment.now();
-        if (fence != keeper.fence()) { // newly won: what another had begun is asked for again, and so learnt
-            fence = keeper.fence();
+        if (fence != controlNode.fence()) { // newly won: what another had begun is asked for again, and so learnt
+            fence = controlNode.fence();
             scaler = new Scaler(nodeSettings.beat() * 7 / 2, now);
             intents.values().forEach(i -> i.asked = false);
             workersAt = Long.MIN_VALUE / 2;
-            keeper.runners().all().stream()
+            controlNode.runners().all().stream()
                     .filter(r -> r.phase() == Instance.Phase.LEAVING && !drained.contains(r.id()))
                     .forEach(r -> leaving.putIfAbsent(r.id(), now));
         }
-        drained.removeIf(id -> keeper.runners().get(id) == null);
+        drained.removeIf(id -> controlNode.runners().get(id) == null);
         leaving.keySet()
-                .removeIf(id -> keeper.runners().get(id) == null
-                        || keeper.runners().get(id).phase() == Instance.Phase.GONE);
+                .removeIf(id -> controlNode.runners().get(id) == null
+                        || controlNode.runners().get(id).phase() == Instance.Phase.GONE);
         intents.values().removeIf(i -> !i.asked && now - i.at > 20 * nodeSettings.beat());
-        if (now - workersAt > (lookAgain ? nodeSettings.beat() / 2 : (keeper.chart() == null ? 2 : 1) * nodeSettings.beat())) {
+        if (now - workersAt
+                > (lookAgain ? nodeSettings.beat() / 2 : (controlNode.chart() == null ? 2 : 1) * nodeSettings.beat())) {
             workersAt = now;
             lookAgain = false;
             askForWorkers();
@@ -192,7 +197,7 @@
                 ask(intent, now);
             }
         }
-        if (keeper.chart() != null && !workers.isEmpty()) {
+        if (controlNode.chart() != null && !workers.isEmpty()) {
             plan(now);
         }
         for (Map.Entry<String, Long> each : List.copyOf(leaving.entrySet())) {
@@ -243,8 +248,8 @@
     /** What is free on each worker: the least of what the platform told and of what our own starts leave. */
     private void reckon() {
         Map<String, Double> used = new HashMap<>();
-        for (Instance r : keeper.runners().all()) {
-            Configuration.Service service = keeper.chart().services().get(r.service());
+        for (Instance r : controlNode.runners().all()) {
+            Configuration.Service service = controlNode.chart().services().get(r.service());
             if (r.phase() != Instance.Phase.GONE && service != null) {
                 used.merge(r.worker(), (double) service.memoryMb(), Double::sum);
             }
@@ -263,11 +268,11 @@
             beginning.merge(i.service + "@" + i.zone, 1, Integer::sum);
             beginning.merge(i.service + "#" + i.worker, 1, Integer::sum);
         });
-        Scaler.Plan plan =
-                scaler.plan(now, keeper.chart(), keeper.demand().all(now), keeper.runners(), workers, beginning);
+        Scaler.Plan plan = scaler.plan(
+                now, controlNode.chart(), controlNode.demand().all(now), controlNode.runners(), workers, beginning);
         List<Object> news = new ArrayList<>();
         for (Scaler.Start start : plan.starts()) {
-            Configuration.Service service = keeper.chart().services().get(start.service());
+            Configuration.Service service = controlNode.chart().services().get(start.service());
             Intent intent = new Intent(
                     fence + "-" + Long.toString(++nonces, 36),
                     start.service(),
@@ -280,7 +285,7 @@
             news.add(tree(intent));
         }
         if (!news.isEmpty()) {
-            keeper.tellKeepers(Fields.tree("t", "intents", "l", news));
+            controlNode.tellControlNodes(Fields.tree("t", "intents", "l", news));
             for (Intent intent : List.copyOf(intents.values())) {
                 if (!intent.asked && intent.tries == 0 && mayCall(now)) {
                     ask(intent, now);
@@ -298,7 +303,7 @@
         }
         for (Instance r : plan.stops()) {
             leaving.put(r.id(), now);
-            keeper.changed(List.of(r.at(Instance.Phase.LEAVING)), true);
+            controlNode.changed(List.of(r.at(Instance.Phase.LEAVING)), true);
         }
     }
 
@@ -306,7 +311,7 @@
         intent.asked = true;
         intent.at = now;
         intent.tries++;
-        platform.begin(keeper.name(), fence, intent.service, intent.worker, intent.nonce, answer -> {
+        platform.begin(controlNode.name(), fence, intent.service, intent.worker, intent.nonce, answer -> {
             intent.asked = false;
             intent.at = environment.now();
             if (answer == null || answer.status() == 429 || answer.status() >= 500) {
@@ -325,7 +330,7 @@
             refused = Math.max(0, refused - 1);
             try {
                 Fields body = new Fields(answer.body());
-                keeper.changed(
+                controlNode.changed(
                         List.of(new Instance(
                                 body.text("identifier"),
                                 intent.service,
@@ -343,11 +348,11 @@
 
     private void over(Intent intent) {
         intents.remove(intent.nonce);
-        keeper.tellKeepers(Fields.tree("t", "intents", "o", List.of(intent.nonce)));
+        controlNode.tellControlNodes(Fields.tree("t", "intents", "o", List.of(intent.nonce)));
     }
 
     private void stop(String id) {
-        platform.stop(keeper.name(), fence, id, answer -> {
+        platform.stop(controlNode.name(), fence, id, answer -> {
             if (answer != null && (answer.status() == 200 || answer.status() == 404)) {
                 leaving.remove(id);
             }
--- a/control/src/main/java/saltdale/control/InstanceTable.java
+++ b/control/src/main/java/saltdale/control/InstanceTable.java
@@ -10,7 +10,8 @@
 import java.util.Set;
 
 /**
- * The runners known, merged from the platform's list, from what starting them answered, and from other control nodes: by
+ * The runners known, merged from the platform's list, from what starting them answered, and from other control
+ * nodes: by
  * identifier the latest phase holds, so that copies merged in any order come out alike.
  */
 final class InstanceTable {
--- a/control/src/main/java/saltdale/control/Proposer.java
+++ b/control/src/main/java/saltdale/control/Proposer.java
@@ -37,7 +37,8 @@
 
     private record Waiting(Change change, long until, Consumer<Object> answer) {}
 
-    private static final long TRY = Environment.millis(400); // for both questions of a ballot, disks and crossings included
+    private static final long TRY =
+            Environment.millis(400); // for both questions of a ballot, disks and crossings included
     private static final long PAUSE = Environment.millis(12); // doubled with each try that another ballot overtook
 
     private final Environment environment;
@@ -108,7 +109,8 @@
         round = null;
         overtaken = Math.min(overtaken + 1, 5);
         // Guards against two that overtake each other for ever.
-        long pause = (long) (PAUSE * (1 << overtaken) * (0.3 + environment.chance().nextDouble()));
+        long pause =
+                (long) (PAUSE * (1 << overtaken) * (0.3 + environment.chance().nextDouble()));
         environment.after(pause, () -> {
             if (round == null && current != null) {
                 begin();
@@ -178,7 +180,8 @@
             if (isSelf.apply(voter.id())) {
                 own.prepare(ballot, key, message -> replyOfOwn(voter.id(), message));
             } else {
-                environment.send(voter.host(), Fields.tree("t", "prepare", "b", ballot.tree(), "k", key, "to", voter.id()));
+                environment.send(
+                        voter.host(), Fields.tree("t", "prepare", "b", ballot.tree(), "k", key, "to", voter.id()));
             }
         }
 
--- a/control/src/main/java/saltdale/control/ReplicatedRegister.java
+++ b/control/src/main/java/saltdale/control/ReplicatedRegister.java
@@ -68,7 +68,9 @@
             case "prepare" -> {
                 if (message.text("to").equals(id)) {
                     acceptor.prepare(
-                            Ballot.of(message, "b"), message.text("k"), reply -> environment.send(fromHost, signed(reply)));
+                            Ballot.of(message, "b"),
+                            message.text("k"),
+                            reply -> environment.send(fromHost, signed(reply)));
                 }
             }
             case "accept" -> {
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -4,16 +4,16 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import saltdale.control.Fields;
 import saltdale.control.ControlNode;
 import saltdale.control.ControlNodeSettings;
+import saltdale.control.Fields;
 import saltdale.control.MalformedMessage;
 import saltdale.protocol.Head;
 import saltdale.protocol.HttpParser;
 import saltdale.serving.Visit;
-import saltdale.transport.Listener;
 import saltdale.storage.RecordStore;
 import saltdale.storage.RecordStoreException;
+import saltdale.transport.Listener;
 
 /** A control node as a process: its disk, its peerConnections, and the calls of operators. */
 final class ControlProcess extends RequestHandler implements NodeProcess, PeerConnections.Reader {
@@ -21,17 +21,17 @@
     private static final byte[] NOTHING = new byte[0];
 
     private final Settings settings;
-    private final ControlNode keeper;
+    private final ControlNode controlNode;
     private boolean ending;
 
     ControlProcess(Settings settings) throws IOException, Settings.Wrong {
         this.settings = settings;
         Map<String, byte[]> records = new HashMap<>();
-        RecordStore vault = null;
+        RecordStore recordStore = null;
         if (settings.data != null) {
-            vault = open(settings, records);
+            recordStore = open(settings, records);
         }
-        RecordStore on = vault;
+        RecordStore on = recordStore;
         environment = new EventLoopEnvironment(settings, on == null ? all -> {} : on::write, this);
         ControlNodeSettings nodeSettings = new ControlNodeSettings(
                 settings.name,
@@ -45,20 +45,23 @@
                 settings.rates);
         ControlNode made;
         try {
-            made = new ControlNode(environment, nodeSettings, new PlatformClient(environment, settings.platform), records);
+            made = new ControlNode(
+                    environment, nodeSettings, new PlatformClient(environment, settings.platform), records);
         } catch (MalformedMessage e) {
             // What cannot be read back whole is as good as lost: another voter, who knows nothing, begins.
-            environment.ring.wrong("the records on disk cannot be used, beginning as a new keeper: " + e.getMessage());
+            environment.ring.wrong(
+                    "the records on disk cannot be used, beginning as a new controlNode: " + e.getMessage());
             Map<String, byte[]> none = new HashMap<>();
             records.keySet().forEach(name -> none.put(name, null));
             environment.persist(none, done -> {});
             try {
-                made = new ControlNode(environment, nodeSettings, new PlatformClient(environment, settings.platform), Map.of());
+                made = new ControlNode(
+                        environment, nodeSettings, new PlatformClient(environment, settings.platform), Map.of());
             } catch (MalformedMessage never) {
                 throw new IllegalStateException(never);
             }
         }
-        keeper = made;
+        controlNode = made;
         if (settings.control != null) {
             new Listener(
                     environment.loop,
@@ -71,9 +74,9 @@
     /** The record store and its records; one that cannot be read is set aside, as a lost disk would be. */
     private static RecordStore open(Settings settings, Map<String, byte[]> records) throws Settings.Wrong {
         try {
-            RecordStore vault = RecordStore.open(settings.data);
-            records.putAll(vault.read());
-            return vault;
+            RecordStore recordStore = RecordStore.open(settings.data);
+            records.putAll(recordStore.read());
+            return recordStore;
         } catch (RecordStoreException e) {
             throw new Settings.Wrong("data_directory " + settings.data + ": " + e.getMessage());
         }
@@ -81,7 +84,7 @@
 
     @Override
     public void run() throws IOException {
-        keeper.begin();
+        controlNode.begin();
         environment.noteTraffic(Duration.ofSeconds(10));
         environment.loop.run(() -> {});
     }
@@ -93,7 +96,7 @@
             if (!ending) {
                 ending = true;
                 environment.loop.after(Duration.ofNanos(settings.beat), environment.loop::stop);
-                keeper.end(() -> environment.loop.after(Duration.ofMillis(50), environment.loop::stop));
+                controlNode.end(() -> environment.loop.after(Duration.ofMillis(50), environment.loop::stop));
             }
         });
     }
@@ -102,8 +105,8 @@
 
     @Override
     public void message(String fromHost, Fields message) throws MalformedMessage {
-        if (keeper != null) {
-            keeper.message(fromHost, message);
+        if (controlNode != null) {
+            controlNode.message(fromHost, message);
         }
     }
 
@@ -118,11 +121,12 @@
     public void requested(Visit visit, Head head, byte[] body) {
         switch (head.method() + " " + head.path()) {
             case "POST /Configuration.Replace" ->
-                keeper.change(false, head.single("X-Saltdale-Based-On-Version"), body, reply -> tell(visit, reply));
+                controlNode.change(
+                        false, head.single("X-Saltdale-Based-On-Version"), body, reply -> tell(visit, reply));
             case "POST /Configuration.Amend" ->
-                keeper.change(true, head.single("X-Saltdale-Based-On-Version"), body, reply -> tell(visit, reply));
-            case "GET /Configuration.Read" -> keeper.read(reply -> tell(visit, reply));
-            case "GET /readiness" -> visit.answer(keeper.hasMajority() ? 200 : 503, "", NOTHING);
+                controlNode.change(true, head.single("X-Saltdale-Based-On-Version"), body, reply -> tell(visit, reply));
+            case "GET /Configuration.Read" -> controlNode.read(reply -> tell(visit, reply));
+            case "GET /readiness" -> visit.answer(controlNode.hasMajority() ? 200 : 503, "", NOTHING);
             default -> visit.answer(404, "", "no such call");
         }
     }
--- a/node/src/main/java/saltdale/node/EventLoopEnvironment.java
+++ b/node/src/main/java/saltdale/node/EventLoopEnvironment.java
@@ -15,7 +15,8 @@
 import saltdale.transport.Timer;
 
 /**
- * The world of one process: its loop, its sockets, its peerConnections to the other processes and, where there is one, its
+ * The world of one process: its loop, its sockets, its peerConnections to the other processes and, where there is
+ * one, its
  * disk.
  */
 final class EventLoopEnvironment implements Environment {
@@ -39,7 +40,8 @@
         loop = new Loop();
         ring = new LogRing(() -> loop.clock().toMillis());
         sockets = new Sockets(loop, Math.max(64, settings.descriptors - OTHER_DESCRIPTORS));
-        peerConnections = new PeerConnections(loop, sockets, settings.host, settings.port, Duration.ofNanos(settings.beat * 2 / 3), reader);
+        peerConnections = new PeerConnections(
+                loop, sockets, settings.host, settings.port, Duration.ofNanos(settings.beat * 2 / 3), reader);
         this.disk = disk;
         writer = disk == null
                 ? null
--- a/node/src/main/java/saltdale/node/Main.java
+++ b/node/src/main/java/saltdale/node/Main.java
@@ -23,9 +23,9 @@
                 .description("The front for functions and their scaler. Settings: the JSON file that "
                         + Settings.VARIABLE + " names.");
         parser.addArgument("role")
-                .choices("pilot", "keeper")
+                .choices("proxy", "control")
                 .help(
-                        "pilot: carries calls; keeper: holds the state, takes the operators' calls, starts and stops runners");
+                        "proxy: carries calls; controlNode: holds the state, takes the operators' calls, starts and stops runners");
         parser.addArgument("--trace")
                 .action(Arguments.storeTrue())
                 .help("write every note on standard error at once, not only when something goes wrong");
@@ -42,7 +42,7 @@
         try {
             Settings settings = Settings.read(System.getenv(Settings.VARIABLE));
             NodeProcess station =
-                    words.getString("role").equals("pilot") ? new ProxyProcess(settings) : new ControlProcess(settings);
+                    words.getString("role").equals("proxy") ? new ProxyProcess(settings) : new ControlProcess(settings);
             for (String signal : new String[] {"TERM", "INT"}) {
                 Signal.handle(new Signal(signal), which -> station.end());
             }
--- a/node/src/main/java/saltdale/node/PeerConnections.java
+++ b/node/src/main/java/saltdale/node/PeerConnections.java
@@ -47,7 +47,8 @@
     final Map<String, long[]> sent = new TreeMap<>();
 
     /** A host that owes an answer for longer than {@code patience} and says nothing is dialled anew. */
-    PeerConnections(Loop loop, Sockets sockets, String host, int port, Duration patience, Reader reader) throws IOException {
+    PeerConnections(Loop loop, Sockets sockets, String host, int port, Duration patience, Reader reader)
+            throws IOException {
         this.loop = loop;
         this.sockets = sockets;
         this.host = host;
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -12,13 +12,13 @@
 import saltdale.control.Configuration;
 import saltdale.control.Fields;
 import saltdale.control.MalformedMessage;
+import saltdale.protocol.Head;
+import saltdale.protocol.HttpParser;
 import saltdale.proxy.Attempt;
+import saltdale.proxy.Proxy;
 import saltdale.proxy.ProxySettings;
 import saltdale.proxy.Request;
 import saltdale.proxy.Transport;
-import saltdale.proxy.Proxy;
-import saltdale.protocol.Head;
-import saltdale.protocol.HttpParser;
 import saltdale.serving.Visit;
 import saltdale.transport.Address;
 import saltdale.transport.Connection;
@@ -35,7 +35,7 @@
     private static final int MOST_DIGITS = 9;
 
     private final Settings settings;
-    private final Proxy pilot;
+    private final Proxy proxy;
     private final Map<String, Pool> pools = new HashMap<>(); // by runner
     private final Map<Attempt, UpstreamExchange> exchanges = new HashMap<>();
     private final Set<Visit> visits = new LinkedHashSet<>();
@@ -46,7 +46,7 @@
     ProxyProcess(Settings settings) throws IOException, Settings.Wrong {
         this.settings = settings;
         environment = new EventLoopEnvironment(settings, null, this);
-        pilot = new Proxy(
+        proxy = new Proxy(
                 environment,
                 new ProxySettings(
                         settings.name,
@@ -59,7 +59,7 @@
                         settings.retrySlack),
                 this);
         if (settings.front == null || settings.readiness == null) {
-            throw new Settings.Wrong("listen_addresses: a pilot needs front and readiness");
+            throw new Settings.Wrong("listen_addresses: a proxy needs front and readiness");
         }
         listener = new Listener(
                 environment.loop,
@@ -70,12 +70,12 @@
                 environment.loop,
                 environment.sockets,
                 EventLoopEnvironment.address(settings.readiness, "listen_addresses.readiness"),
-                (connection, full) -> new Visit(new Readiness(environment, pilot), connection, full));
+                (connection, full) -> new Visit(new Readiness(environment, proxy), connection, full));
     }
 
     @Override
     public void run() throws IOException {
-        pilot.begin();
+        proxy.begin();
         environment.noteTraffic(Duration.ofSeconds(10));
         environment.loop.run(() -> {});
     }
@@ -86,11 +86,11 @@
         environment.loop.fromOutside(() -> {
             if (!ending) {
                 ending = true;
-                pilot.end(settings.grace / 3);
+                proxy.end(settings.grace / 3);
                 // New connections still come until whoever hands them out has missed us twice.
                 environment.loop.after(Duration.ofMillis(2300), this::close);
                 environment.loop.after(Duration.ofNanos(settings.grace * 5 / 6), () -> {
-                    pilot.endNow();
+                    proxy.endNow();
                     environment.loop.after(Duration.ofNanos(settings.grace / 20), environment.loop::stop);
                 });
             }
@@ -104,7 +104,7 @@
                 visit.drop();
             }
         }
-        if (visits.isEmpty() && pilot.open() == 0) {
+        if (visits.isEmpty() && proxy.open() == 0) {
             environment.loop.stop();
         } else {
             environment.loop.after(Duration.ofMillis(50), this::closeIdle);
@@ -113,7 +113,7 @@
 
     private void closeIdle() {
         visits.stream().filter(Visit::isIdle).toList().forEach(Visit::drop);
-        if (visits.isEmpty() && pilot.open() == 0 && environment.sockets.finishing() == 0) {
+        if (visits.isEmpty() && proxy.open() == 0 && environment.sockets.finishing() == 0) {
             environment.loop.stop();
         } else {
             environment.loop.after(Duration.ofMillis(50), this::closeIdle);
@@ -124,19 +124,19 @@
 
     @Override
     public void message(String fromHost, Fields message) throws MalformedMessage {
-        pilot.message(fromHost, message);
+        proxy.message(fromHost, message);
     }
 
     @Override
     public void broken(String host) {
-        pilot.unreachable(host);
+        proxy.unreachable(host);
     }
 
     // Clients.
 
     @Override
     public void requested(Visit visit, Head head, byte[] body) {
-        Configuration chart = pilot.chart();
+        Configuration chart = proxy.chart();
         if (chart == null) {
             visit.answer(503, "Retry-After: 0.3\r\n", "no configuration yet");
             return;
@@ -164,7 +164,7 @@
             long millis = left == null ? route.timeoutMs() : Long.parseLong(left);
             ClientRequest request = new ClientRequest(visit, head, body);
             visit.held = request;
-            Request call = pilot.arrived(id, route, millis * 1_000_000, visit.peer(), request);
+            Request call = proxy.arrived(id, route, millis * 1_000_000, visit.peer(), request);
             if (!call.isOver()) {
                 visit.held = call;
             }
@@ -174,7 +174,7 @@
     @Override
     public void abandoned(Visit visit) {
         if (visit.held instanceof Request call) {
-            pilot.left(call);
+            proxy.left(call);
         }
     }
 
@@ -190,7 +190,7 @@
 
     @Override
     public HttpParser.Limits limits() {
-        Configuration chart = pilot.chart();
+        Configuration chart = proxy.chart();
         if (chart != null
                 && (chart.limits().headerBytes() != limits.head()
                         || chart.limits().bodyBytes() != limits.body())) {
@@ -203,27 +203,27 @@
     @Override
     public Duration wholeWithin() {
         return Duration.ofMillis(
-                pilot.chart() == null ? 3_000 : pilot.chart().limits().headerMs());
+                proxy.chart() == null ? 3_000 : proxy.chart().limits().headerMs());
     }
 
     @Override
     public Duration restsWithin() {
         return Duration.ofMillis(
-                pilot.chart() == null ? 15_000 : pilot.chart().limits().idleMs());
+                proxy.chart() == null ? 15_000 : proxy.chart().limits().idleMs());
     }
 
     /** Who asks whether we take new connections. */
     private static final class Readiness extends RequestHandler {
-        private final Proxy pilot;
+        private final Proxy proxy;
 
-        Readiness(EventLoopEnvironment environment, Proxy pilot) {
+        Readiness(EventLoopEnvironment environment, Proxy proxy) {
             this.environment = environment;
-            this.pilot = pilot;
+            this.proxy = proxy;
         }
 
         @Override
         public void requested(Visit visit, Head head, byte[] body) {
-            visit.answer(!head.path().equals("/readiness") ? 404 : pilot.isReady() ? 200 : 503, "", "");
+            visit.answer(!head.path().equals("/readiness") ? 404 : proxy.isReady() ? 200 : 503, "", "");
         }
 
         @Override
@@ -248,20 +248,21 @@
     public void carry(Attempt attempt) {
         ClientRequest request = (ClientRequest) attempt.call.load;
         if (Address.parse(attempt.address) == null) {
-            environment.loop.soon(() -> pilot.ended(attempt, Attempt.End.NOT_CONNECTED));
+            environment.loop.soon(() -> proxy.ended(attempt, Attempt.End.NOT_CONNECTED));
             return;
         }
-        UpstreamExchange exchange = new UpstreamExchange(attempt, pool(attempt.runner, attempt.address), (which, end) -> {
-            if (end != Attempt.End.ANSWERED) {
-                exchanges.remove(attempt);
-            }
-            pilot.ended(attempt, end);
-        });
+        UpstreamExchange exchange =
+                new UpstreamExchange(attempt, pool(attempt.runner, attempt.address), (which, end) -> {
+                    if (end != Attempt.End.ANSWERED) {
+                        exchanges.remove(attempt);
+                    }
+                    proxy.ended(attempt, end);
+                });
         exchanges.put(attempt, exchange);
         long left = Math.max(1, (attempt.until - environment.now()) / 1_000_000);
         if (!exchange.begin(request.head, request.body, left)) {
             exchanges.remove(attempt);
-            environment.loop.soon(() -> pilot.ended(attempt, Attempt.End.NOT_CONNECTED));
+            environment.loop.soon(() -> proxy.ended(attempt, Attempt.End.NOT_CONNECTED));
         }
     }
 
@@ -300,7 +301,7 @@
             @Override
             public void opened() {
                 pool.rest(made.get(0));
-                pilot.tried(id, true);
+                proxy.tried(id, true);
             }
 
             @Override
@@ -310,11 +311,11 @@
 
             @Override
             public void ended(String cause) {
-                pilot.tried(id, false);
+                proxy.tried(id, false);
             }
         });
         if (connection == null) {
-            environment.loop.after(DIAL, () -> pilot.tried(id, false));
+            environment.loop.after(DIAL, () -> proxy.tried(id, false));
         } else {
             made.add(connection);
         }
--- a/node/src/main/java/saltdale/node/UpstreamExchange.java
+++ b/node/src/main/java/saltdale/node/UpstreamExchange.java
@@ -3,10 +3,10 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Set;
-import saltdale.proxy.Attempt;
 import saltdale.protocol.Head;
 import saltdale.protocol.HttpParser;
 import saltdale.protocol.HttpWriter;
+import saltdale.proxy.Attempt;
 import saltdale.transport.Connection;
 import saltdale.transport.Pool;
 
--- a/node/src/test/java/saltdale/proxy/Attempts.java
+++ b/node/src/test/java/saltdale/proxy/Attempts.java
@@ -2,15 +2,16 @@
 
 import java.util.List;
 import saltdale.control.Configuration;
-import saltdale.control.Member;
 import saltdale.control.Instance;
+import saltdale.control.Member;
 
 /** Attempts for tests of what carries them. */
 public final class Attempts {
     private Attempts() {}
 
     public static Attempt of(String id, String address) {
-        Configuration.Route route = new Configuration.Route("r", "h", "/", true, 1000, 100, 0, 1, List.of("s"), List.of(1.0));
+        Configuration.Route route =
+                new Configuration.Route("r", "h", "/", true, 1000, 100, 0, 1, List.of("s"), List.of(1.0));
         Request call = new Request(id, route, "s", null, 0, 0, Long.MAX_VALUE);
         return new Attempt(
                 call,
--- a/proxy/src/main/java/saltdale/proxy/Attempt.java
+++ b/proxy/src/main/java/saltdale/proxy/Attempt.java
@@ -1,7 +1,7 @@
 package saltdale.proxy;
 
-import saltdale.control.Member;
 import saltdale.control.Instance;
+import saltdale.control.Member;
 
 /** One sending of a call to a runner, in a slot that a home has lent for it. */
 public final class Attempt {
--- a/proxy/src/main/java/saltdale/proxy/ControlSession.java
+++ b/proxy/src/main/java/saltdale/proxy/ControlSession.java
@@ -6,13 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import saltdale.control.Environment;
 import saltdale.control.Fields;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
-import saltdale.control.Environment;
 
 /**
- * A proxy's tie to the core: it renews its lease at one control node and takes its news there, and goes on to another when
+ * A proxy's tie to the core: it renews its lease at one control node and takes its news there, and goes on to
+ * another when
  * that one is silent or has lost the majority.
  */
 final class ControlSession {
@@ -32,10 +33,10 @@
     private final Environment environment;
     private final ProxySettings proxySettings;
     private final Reader reader;
-    private final Set<String> keepers = new LinkedHashSet<>();
+    private final Set<String> controlNodes = new LinkedHashSet<>();
     private final Map<Long, Long> sentAt = new LinkedHashMap<>();
     private String life;
-    private String keeper;
+    private String controlNode;
     private String session = "";
     private long count;
     private long news; // of this session, so many came
@@ -49,7 +50,7 @@
         this.environment = environment;
         this.proxySettings = proxySettings;
         this.reader = reader;
-        keepers.addAll(proxySettings.seeds());
+        controlNodes.addAll(proxySettings.seeds());
         life = fresh();
     }
 
@@ -61,8 +62,8 @@
         return life;
     }
 
-    String keeper() {
-        return keeper;
+    String controlNode() {
+        return controlNode;
     }
 
     boolean hasLease() {
@@ -88,11 +89,11 @@
 
     /** Another control node, another session. */
     private void move() {
-        List<String> all = new ArrayList<>(keepers);
-        all.remove(keeper);
+        List<String> all = new ArrayList<>(controlNodes);
+        all.remove(controlNode);
         if (!all.isEmpty()) {
-            keeper = all.get(environment.chance().nextInt(all.size()));
-            environment.note("goes to keeper " + keeper);
+            controlNode = all.get(environment.chance().nextInt(all.size()));
+            environment.note("goes to controlNode " + controlNode);
         }
         alone = 0;
         resume();
@@ -108,7 +109,7 @@
     }
 
     private void renew() {
-        if (keeper == null) {
+        if (controlNode == null) {
             return;
         }
         long now = environment.now();
@@ -116,12 +117,13 @@
         sentAt.put(++count, now);
         sentAt.values().removeIf(at -> now - at > 4 * proxySettings.beat());
         environment.send(
-                keeper,
+                controlNode,
                 Fields.tree(
                         "t",
                         "renew",
                         "m",
-                        new Member(life, proxySettings.name(), proxySettings.zone(), proxySettings.host(), leaving).tree(),
+                        new Member(life, proxySettings.name(), proxySettings.zone(), proxySettings.host(), leaving)
+                                .tree(),
                         "i",
                         count,
                         "s",
@@ -139,13 +141,13 @@
     void message(String from, Fields message) throws MalformedMessage {
         if (message.text("t").equals("alone")) {
             // The control node has just lost its majority: another may know of newer versions.
-            if (from.equals(keeper)) {
+            if (from.equals(controlNode)) {
                 move();
                 renew();
             }
         } else if (message.text("t").equals("lease")) {
             lease(from, message);
-        } else if (message.text("s").equals(session) && from.equals(keeper)) {
+        } else if (message.text("s").equals(session) && from.equals(controlNode)) {
             if (message.whole("#") != news + 1) {
                 environment.note("news " + message.whole("#") + " came after " + news);
                 resume(); // something was lost on the way
@@ -159,7 +161,7 @@
 
     private void lease(String from, Fields message) throws MalformedMessage {
         Long sent = sentAt.remove(message.whole("i"));
-        if (!from.equals(keeper) || sent == null) {
+        if (!from.equals(controlNode) || sent == null) {
             return;
         }
         if (message.flag("over")) {
@@ -183,7 +185,7 @@
         heardAt = environment.now();
         leaseUntil = Math.max(leaseUntil, sent + message.whole("v") * 1_000_000);
         for (String each : message.texts("k")) {
-            keepers.add(each);
+            controlNodes.add(each);
         }
         if (message.text("s").equals(session) && message.whole("c") != news) {
             resume();
--- a/proxy/src/main/java/saltdale/proxy/Proxy.java
+++ b/proxy/src/main/java/saltdale/proxy/Proxy.java
@@ -9,13 +9,13 @@
 import java.util.Map;
 import java.util.Set;
 import saltdale.control.Configuration;
+import saltdale.control.Environment;
 import saltdale.control.Fields;
-import saltdale.control.ServiceOwnership;
+import saltdale.control.Instance;
 import saltdale.control.InvalidConfiguration;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
-import saltdale.control.Environment;
-import saltdale.control.Instance;
+import saltdale.control.ServiceOwnership;
 import saltdale.probing.ProbeLoop;
 
 /**
@@ -183,7 +183,10 @@
         }
     }
 
-    /** ServiceOwnership move with the members: who is one no longer says what it has lent, and who becomes one waits for that. */
+    /**
+     * ServiceOwnership move with the members: who is one no longer says what it has lent, and who becomes one
+     * waits for that.
+     */
     private void crew(List<Member> next) {
         Collection<Member> before = crew;
         crew = next;
@@ -261,9 +264,17 @@
             long opensAt = Math.max(
                     crewAt + proxySettings.beat() / 8,
                     environment.now()
-                            + (told.values().stream().anyMatch(r -> r.service().equals(s)) ? proxySettings.beat() / 8 : 0));
+                            + (told.values().stream().anyMatch(r -> r.service().equals(s))
+                                    ? proxySettings.beat() / 8
+                                    : 0));
             SlotAllocator home = new SlotAllocator(
-                    s, proxySettings.zone(), probes, environment.chance(), r -> isHome(s, r.zone()), new Lending(s), opensAt);
+                    s,
+                    proxySettings.zone(),
+                    probes,
+                    environment.chance(),
+                    r -> isHome(s, r.zone()),
+                    new Lending(s),
+                    opensAt);
             told.values().stream()
                     .filter(r -> r.service().equals(s))
                     .toList()
@@ -304,8 +315,8 @@
                 if (up) {
                     berth.trying = false;
                     home.heard(berth.runner.at(Instance.Phase.READY), environment.now());
-                    if (controlSession.keeper() != null) {
-                        environment.send(controlSession.keeper(), Fields.tree("t", "up", "r", id));
+                    if (controlSession.controlNode() != null) {
+                        environment.send(controlSession.controlNode(), Fields.tree("t", "up", "r", id));
                     }
                 } else {
                     environment.after(proxySettings.beat() / 24, () -> tryOne(home, berth));
@@ -400,7 +411,11 @@
         Member home = homeFor(call);
         call.home = home;
         if (home == null) {
-            giveUp(call, call.verdict == ExecutionStatus.NOT_RUN ? 503 : 502, 500, "nobody lends slots for this service");
+            giveUp(
+                    call,
+                    call.verdict == ExecutionStatus.NOT_RUN ? 503 : 502,
+                    500,
+                    "nobody lends slots for this service");
             return;
         }
         call.ask = ++asks;
@@ -567,7 +582,11 @@
     private void none(long number, long pauseMillis) {
         Request call = asking.get(number);
         if (call != null) {
-            giveUp(call, call.verdict == ExecutionStatus.NOT_RUN ? 503 : 502, pauseMillis, "no runner can take it in time");
+            giveUp(
+                    call,
+                    call.verdict == ExecutionStatus.NOT_RUN ? 503 : 502,
+                    pauseMillis,
+                    "no runner can take it in time");
         }
     }
 
@@ -830,8 +849,9 @@
                 needs.add(need);
             }
         }
-        if ((needed || !needs.isEmpty()) && controlSession.keeper() != null) {
-            environment.send(controlSession.keeper(), Fields.tree("t", "want", "l", controlSession.life(), "w", needs));
+        if ((needed || !needs.isEmpty()) && controlSession.controlNode() != null) {
+            environment.send(
+                    controlSession.controlNode(), Fields.tree("t", "want", "l", controlSession.life(), "w", needs));
         }
         needed = !needs.isEmpty();
     }
--- a/proxy/src/main/java/saltdale/proxy/Request.java
+++ b/proxy/src/main/java/saltdale/proxy/Request.java
@@ -29,7 +29,14 @@
     Attempt attempt;
     boolean over;
 
-    Request(String id, Configuration.Route route, String service, Object load, int priority, long arrivedAt, long until) {
+    Request(
+            String id,
+            Configuration.Route route,
+            String service,
+            Object load,
+            int priority,
+            long arrivedAt,
+            long until) {
         this.id = id;
         this.route = route;
         this.service = service;
--- a/proxy/src/main/java/saltdale/proxy/SlotAllocator.java
+++ b/proxy/src/main/java/saltdale/proxy/SlotAllocator.java
@@ -293,8 +293,9 @@
     void gone(String life, long until) {
         queue.removeIf(ask -> ask.life.equals(life));
         for (InstanceSlots berth : berths.values()) {
-            berth.loans.replaceAll((key, loan) ->
-                    loan.life().equals(life) ? new InstanceSlots.Loan(life, loan.at(), Math.min(loan.until(), until)) : loan);
+            berth.loans.replaceAll((key, loan) -> loan.life().equals(life)
+                    ? new InstanceSlots.Loan(life, loan.at(), Math.min(loan.until(), until))
+                    : loan);
         }
     }
 
--- a/proxy/src/test/java/saltdale/proxy/AgreementTest.java
+++ b/proxy/src/test/java/saltdale/proxy/AgreementTest.java
@@ -27,28 +27,28 @@
 
 /** What the core acknowledges it keeps, and there is one line of versions, whatever its machines go through. */
 class AgreementTest {
-    private static SimWorld world(long seed, int keepers) {
-        SimWorld world = new SimWorld(seed).of(keepers, 0).begin();
+    private static SimWorld world(long seed, int controlNodes) {
+        SimWorld world = new SimWorld(seed).of(controlNodes, 0).begin();
         world.run(2500);
         return world;
     }
 
     private static long holding(SimWorld world, long revision) {
-        return world.keepers.stream()
+        return world.controlNodes.stream()
                 .filter(k -> k.synced.keySet().stream().anyMatch(name -> name.startsWith("text:" + revision + "-")))
                 .count();
     }
 
     @ParameterizedTest
     @ValueSource(ints = {3, 5})
-    void acknowledgesOnlyWhatAMajorityHoldsSynced(int keepers) {
+    void acknowledgesOnlyWhatAMajorityHoldsSynced(int controlNodes) {
         for (int seed = 0; seed < 10; seed++) {
-            SimWorld world = world(seed, keepers);
-            world.keepers.forEach(k -> k.syncNanos = (1 + world.chance.nextInt(150)) * 1_000_000L);
+            SimWorld world = world(seed, controlNodes);
+            world.controlNodes.forEach(k -> k.syncNanos = (1 + world.chance.nextInt(150)) * 1_000_000L);
             for (int revision = 1; revision <= 5; revision++) {
-                int by = world.chance.nextInt(keepers);
-                assertThat(replace(world, world.keepers.get(by), revision - 1, config(revision)), is(200));
-                assertThat(holding(world, revision), greaterThanOrEqualTo(keepers / 2 + 1L));
+                int by = world.chance.nextInt(controlNodes);
+                assertThat(replace(world, world.controlNodes.get(by), revision - 1, config(revision)), is(200));
+                assertThat(holding(world, revision), greaterThanOrEqualTo(controlNodes / 2 + 1L));
             }
         }
     }
@@ -58,8 +58,8 @@
         for (int seed = 0; seed < 10; seed++) {
             SimWorld world = world(seed, 3);
             List<Integer> got = new ArrayList<>();
-            replace(world.keepers.get(seed % 3), 0, config(3, 1), reply -> got.add(reply.status()));
-            replace(world.keepers.get((seed + 1) % 3), 0, config(4, 2), reply -> got.add(reply.status()));
+            replace(world.controlNodes.get(seed % 3), 0, config(3, 1), reply -> got.add(reply.status()));
+            replace(world.controlNodes.get((seed + 1) % 3), 0, config(4, 2), reply -> got.add(reply.status()));
             assertTrue(world.until(5000, () -> got.size() == 2));
             got.sort(null);
             assertThat("seed " + seed, got, is(List.of(200, 412)));
@@ -69,37 +69,37 @@
     @Test
     void aRepeatedChangeIsAcknowledgedAgainAnywhere() {
         SimWorld world = world(1, 3);
-        assertThat(replace(world, world.keepers.get(0), 0, config(2)), is(200));
-        assertThat(replace(world, world.keepers.get(1), 0, config(2)), is(200));
-        assertThat(replace(world, world.keepers.get(1), 2, config(5)), is(200));
-        assertThat("after a later one too", replace(world, world.keepers.get(2), 0, config(2)), is(200));
-        assertThat("not another on that base", replace(world, world.keepers.get(2), 0, config(7)), is(412));
-        assertThat(read(world, world.keepers.get(0)), containsString("\"revision\":5"));
+        assertThat(replace(world, world.controlNodes.get(0), 0, config(2)), is(200));
+        assertThat(replace(world, world.controlNodes.get(1), 0, config(2)), is(200));
+        assertThat(replace(world, world.controlNodes.get(1), 2, config(5)), is(200));
+        assertThat("after a later one too", replace(world, world.controlNodes.get(2), 0, config(2)), is(200));
+        assertThat("not another on that base", replace(world, world.controlNodes.get(2), 0, config(7)), is(412));
+        assertThat(read(world, world.controlNodes.get(0)), containsString("\"revision\":5"));
     }
 
     @ParameterizedTest
     @CsvSource({"3,false", "3,true", "5,false", "5,true"})
-    void whoAcknowledgedMayLoseAllRightAfter(int keepers, boolean withDisk) {
+    void whoAcknowledgedMayLoseAllRightAfter(int controlNodes, boolean withDisk) {
         for (int seed = 0; seed < 10; seed++) {
-            SimWorld world = world(seed, keepers);
+            SimWorld world = world(seed, controlNodes);
             assertTrue(insists(world, 0, config(1), 5000));
-            SimMachine by = world.keepers.get(seed % keepers);
-            SimMachine second = world.keepers.get((seed + 1) % keepers);
+            SimMachine by = world.controlNodes.get(seed % controlNodes);
+            SimMachine second = world.controlNodes.get((seed + 1) % controlNodes);
             assertThat(replace(world, by, 1, config(2)), is(200));
             // The others lose power as well at times.
             if (seed % 2 == 0) {
-                world.keepers.stream().filter(k -> k != by).forEach(SimMachine::powerOff);
+                world.controlNodes.stream().filter(k -> k != by).forEach(SimMachine::powerOff);
             }
-            for (SimMachine each : keepers == 5 ? List.of(by, second) : List.of(by)) {
+            for (SimMachine each : controlNodes == 5 ? List.of(by, second) : List.of(by)) {
                 if (withDisk) {
                     each.wipe();
                 } else {
                     each.powerOff();
                 }
             }
-            world.keepers.forEach(SimMachine::start);
+            world.controlNodes.forEach(SimMachine::start);
             world.run(5000);
-            for (SimMachine each : world.keepers) {
+            for (SimMachine each : world.controlNodes) {
                 assertThat("seed " + seed, read(world, each), containsString("\"revision\":2"));
             }
             assertThat(world.faults, is(empty()));
@@ -111,14 +111,14 @@
         for (int seed = 0; seed < 10; seed++) {
             SimWorld world = world(seed, 3);
             assertTrue(insists(world, 0, config(1), 5000));
-            SimMachine lost = world.keepers.get(0);
-            SimMachine off = world.keepers.get(1);
+            SimMachine lost = world.controlNodes.get(0);
+            SimMachine off = world.controlNodes.get(1);
             String before = lost.id();
             off.powerOff();
             lost.wipe();
             lost.start();
             world.run(4000);
-            for (SimMachine each : List.of(lost, world.keepers.get(2))) {
+            for (SimMachine each : List.of(lost, world.controlNodes.get(2))) {
                 assertThat("one voter of three is no majority", replace(world, each, 1, config(2)), is(503));
                 assertThat(read(world, each), is(nullValue()));
             }
@@ -127,7 +127,7 @@
             assertThat("by agreement", world.voters(), hasItem((Object) lost.id()));
             assertThat(lost.id(), is(not(before)));
             assertThat(world.isJoint(), is(false));
-            world.keepers.get(2).powerOff();
+            world.controlNodes.get(2).powerOff();
             world.run(2500);
             assertTrue(insists(world, 1, config(2), 5000), "its vote counts now");
             assertThat(world.faults, is(empty()));
@@ -139,14 +139,14 @@
         for (int seed = 0; seed < 10; seed++) {
             SimWorld world = world(seed, 3);
             assertTrue(insists(world, 0, config(1), 5000));
-            SimMachine gone = world.keepers.get(seed % 3);
+            SimMachine gone = world.controlNodes.get(seed % 3);
             gone.wipe();
-            SimMachine next = world.keeper("10.0.0.9", world.keepers.get(0).seeds, false);
+            SimMachine next = world.controlNode("10.0.0.9", world.controlNodes.get(0).seeds, false);
             next.start();
             world.run(6000);
             assertThat(world.voters(), hasItem((Object) next.id()));
             assertThat(world.voters(), hasSize(3));
-            SimMachine off = world.keepers.get((seed + 1) % 3);
+            SimMachine off = world.controlNodes.get((seed + 1) % 3);
             off.powerOff();
             world.run(2500);
             assertThat(replace(world, next, 1, config(2)), is(200));
@@ -159,11 +159,11 @@
 
     @ParameterizedTest
     @ValueSource(ints = {3, 5})
-    void aMinorityAcknowledgesAndReadsNothing(int keepers) {
-        SimWorld world = world(4, keepers);
+    void aMinorityAcknowledgesAndReadsNothing(int controlNodes) {
+        SimWorld world = world(4, controlNodes);
         assertTrue(insists(world, 0, config(1), 5000));
-        List<SimMachine> few = world.keepers.subList(0, keepers / 2);
-        List<SimMachine> most = world.keepers.subList(keepers / 2, keepers);
+        List<SimMachine> few = world.controlNodes.subList(0, controlNodes / 2);
+        List<SimMachine> most = world.controlNodes.subList(controlNodes / 2, controlNodes);
         few.forEach(f -> most.forEach(m -> world.cut(f, m)));
         for (SimMachine each : few) {
             assertThat(replace(world, each, 1, config(2)), is(503));
@@ -178,18 +178,18 @@
 
     @ParameterizedTest
     @ValueSource(ints = {3, 5})
-    void aCoreKilledAtOnceIsBack(int keepers) {
+    void aCoreKilledAtOnceIsBack(int controlNodes) {
         for (int seed = 0; seed < 10; seed++) {
-            SimWorld world = world(seed, keepers);
+            SimWorld world = world(seed, controlNodes);
             assertTrue(insists(world, 0, config(1), 5000));
             List<Integer> got = new ArrayList<>();
-            replace(world.keepers.get(0), 1, config(2), reply -> got.add(reply.status()));
+            replace(world.controlNodes.get(0), 1, config(2), reply -> got.add(reply.status()));
             world.run(world.chance.nextInt(20));
-            world.keepers.forEach(SimMachine::kill);
+            world.controlNodes.forEach(SimMachine::kill);
             world.run(900);
-            world.keepers.forEach(SimMachine::start);
+            world.controlNodes.forEach(SimMachine::start);
             world.run(4000);
-            String is = read(world, world.keepers.get(seed % keepers));
+            String is = read(world, world.controlNodes.get(seed % controlNodes));
             assertThat(is, containsString(got.isEmpty() ? "\"revision\":" : "\"revision\":2"));
             assertTrue(
                     is.contains("\"revision\":1")
@@ -204,9 +204,9 @@
         for (int ms = 20; ms <= 1500; ms += 100) {
             SimWorld world = new SimWorld(ms).of(3, 0).begin();
             world.run(ms);
-            world.keepers.forEach(SimMachine::kill);
+            world.controlNodes.forEach(SimMachine::kill);
             world.run(500);
-            world.keepers.forEach(SimMachine::start);
+            world.controlNodes.forEach(SimMachine::start);
             world.run(2500);
             assertTrue(insists(world, 0, config(1), 5000), "killed after " + ms + " ms");
         }
@@ -227,7 +227,7 @@
 
         void next() {
             on.world.at(on.world.chance.nextInt(400) * 1_000_000L, () -> {
-                SimMachine at = on.world.keepers.get(on.world.chance.nextInt(on.world.keepers.size()));
+                SimMachine at = on.world.controlNodes.get(on.world.chance.nextInt(on.world.controlNodes.size()));
                 if (at.process == null) {
                     next();
                 } else if (body == null) {
@@ -241,7 +241,7 @@
         private void look(SimMachine at) {
             long least = on.newest();
             boolean[] done = new boolean[1];
-            at.process.deliver(() -> at.keeper().read(reply -> {
+            at.process.deliver(() -> at.controlNode().read(reply -> {
                 if (reply.status() == 200) {
                     String is = new String(reply.body());
                     base = revision(is);
@@ -290,8 +290,8 @@
         final int wipes;
         boolean over;
 
-        Schedule(long seed, int keepers, int wipes) {
-            world = new SimWorld(seed).of(keepers, 0).begin();
+        Schedule(long seed, int controlNodes, int wipes) {
+            world = new SimWorld(seed).of(controlNodes, 0).begin();
             this.wipes = wipes;
         }
 
@@ -317,8 +317,8 @@
         private boolean allVote() throws Exception {
             return world.newest != null
                     && !world.isJoint()
-                    && world.voters().size() == world.keepers.size()
-                    && world.keepers.stream().allMatch(k -> voters().contains(k.id()));
+                    && world.voters().size() == world.controlNodes.size()
+                    && world.controlNodes.stream().allMatch(k -> voters().contains(k.id()));
         }
 
         private List<Object> voters() {
@@ -330,22 +330,22 @@
         }
 
         void trouble() throws Exception {
-            SimMachine one = world.keepers.get(world.chance.nextInt(world.keepers.size()));
+            SimMachine one = world.controlNodes.get(world.chance.nextInt(world.controlNodes.size()));
             switch (world.chance.nextInt(9)) {
                 case 0 -> one.kill();
                 case 1 -> one.powerOff();
-                case 2 -> world.keepers.forEach(SimMachine::powerOff);
+                case 2 -> world.controlNodes.forEach(SimMachine::powerOff);
                 case 3 -> one.freeze();
-                case 4 -> world.cut(one, world.keepers.get(world.chance.nextInt(world.keepers.size())));
-                case 5 -> world.cutOneWay(one, world.keepers.get(world.chance.nextInt(world.keepers.size())));
+                case 4 -> world.cut(one, world.controlNodes.get(world.chance.nextInt(world.controlNodes.size())));
+                case 5 -> world.cutOneWay(one, world.controlNodes.get(world.chance.nextInt(world.controlNodes.size())));
                 case 6 -> one.syncNanos = (1 + world.chance.nextInt(200)) * 1_000_000L;
                 case 7 -> one.disk = SimMachine.Disk.values()[world.chance.nextInt(3)];
                 default -> {
                     // No more disks at once than is tolerated: all others are voters that know what their disks say.
                     if (allVote()) {
                         for (int i = 0; i < wipes; i++) {
-                            world.keepers
-                                    .get((world.keepers.indexOf(one) + i) % world.keepers.size())
+                            world.controlNodes
+                                    .get((world.controlNodes.indexOf(one) + i) % world.controlNodes.size())
                                     .wipe();
                         }
                     }
@@ -355,7 +355,7 @@
 
         void heal() {
             world.cuts.clear();
-            for (SimMachine each : world.keepers) {
+            for (SimMachine each : world.controlNodes) {
                 each.heals();
                 each.syncNanos = 3_000_000;
                 if (each.frozen) {
@@ -368,11 +368,11 @@
 
     @ParameterizedTest
     @CsvSource({"3,1,0,140", "5,2,1000,60"})
-    void whateverHappensThereIsOneLineAndNothingAcknowledgedIsLost(int keepers, int wipes, int from, int seeds)
+    void whateverHappensThereIsOneLineAndNothingAcknowledgedIsLost(int controlNodes, int wipes, int from, int seeds)
             throws Exception {
         int acknowledged = 0;
         for (int seed = from; seed < from + seeds; seed++) {
-            Schedule schedule = new Schedule(seed, keepers, wipes);
+            Schedule schedule = new Schedule(seed, controlNodes, wipes);
             SimWorld world = schedule.world;
             for (int i = 0; i < 3; i++) {
                 new Operator(schedule, i).next();
@@ -389,7 +389,7 @@
             schedule.over = true;
             schedule.heal();
             world.run(5000);
-            String last = read(world, world.keepers.get(seed % keepers));
+            String last = read(world, world.controlNodes.get(seed % controlNodes));
             assertThat("seed " + seed, last, is(not(nullValue())));
             schedule.seen(revision(last), last, schedule.newest());
             assertThat("seed " + seed, world.faults, is(empty()));
--- a/proxy/src/test/java/saltdale/proxy/DiskTest.java
+++ b/proxy/src/test/java/saltdale/proxy/DiskTest.java
@@ -29,19 +29,19 @@
             SimWorld world = new SimWorld(seed).of(3, 0).begin();
             world.run(2500);
             assertTrue(insists(world, 0, config(1), 5000));
-            SimMachine bad = world.keepers.get(seed % 3);
+            SimMachine bad = world.controlNodes.get(seed % 3);
             bad.disk = disk;
             bad.syncNanos = 2_000_000_000L; // slow, where it is neither full nor hanging
             for (int i = 0; i < 4; i++) {
                 long begun = world.now();
-                assertThat(replace(world, world.keepers.get((seed + i) % 3), 1 + i, config(2 + i)), is(200));
+                assertThat(replace(world, world.controlNodes.get((seed + i) % 3), 1 + i, config(2 + i)), is(200));
                 assertThat("the others answer for it", (world.now() - begun) / 1_000_000, lessThan(1000L));
             }
             bad.powerOff();
             bad.heals();
             bad.syncNanos = 3_000_000;
             bad.start();
-            world.keepers.get((seed + 1) % 3).powerOff();
+            world.controlNodes.get((seed + 1) % 3).powerOff();
             world.run(3000);
             assertThat(read(world, bad), containsString("\"revision\":5"));
             assertThat(world.faults, is(empty()));
@@ -53,26 +53,27 @@
     void aTextThatIsPutAgainBeforeTheDiskIsDoneIsThereAfterALossOfPower() throws Exception {
         SimWorld world = new SimWorld(1).of(3, 0).begin();
         world.run(2500);
-        SimMachine keeper = world.keepers.get(0);
-        List<Voter> voters = world.keepers.stream()
+        SimMachine controlNode = world.controlNodes.get(0);
+        List<Voter> voters = world.controlNodes.stream()
                 .map(k -> new Voter(k.id(), k.host, k.host))
                 .toList();
         ReplicatedState first = ReplicatedState.first(voters);
         ReplicatedState one = first.withText(1, "1-one", "a");
         ReplicatedState two = one.withText(2, "2-two", "b");
-        accept(keeper, 1000, one, "one");
+        accept(controlNode, 1000, one, "one");
         world.run(500);
-        keeper.syncNanos = 100_000_000;
-        accept(keeper, 1001, two, "two");
-        accept(keeper, 1002, one, "one");
+        controlNode.syncNanos = 100_000_000;
+        accept(controlNode, 1001, two, "two");
+        accept(controlNode, 1002, one, "one");
         world.run(1000);
-        keeper.powerOff();
-        keeper.start();
+        controlNode.powerOff();
+        controlNode.start();
         assertThat(world.faults, is(empty()));
     }
 
-    private static void accept(SimMachine keeper, long round, ReplicatedState state, String text) throws Exception {
-        keeper.process.take(
+    private static void accept(SimMachine controlNode, long round, ReplicatedState state, String text)
+            throws Exception {
+        controlNode.process.take(
                 "10.0.0.2",
                 Fields.tree(
                         "t",
@@ -84,6 +85,6 @@
                         "x",
                         text.getBytes(),
                         "to",
-                        keeper.id()));
+                        controlNode.id()));
     }
 }
--- a/proxy/src/test/java/saltdale/proxy/DutyTest.java
+++ b/proxy/src/test/java/saltdale/proxy/DutyTest.java
@@ -28,7 +28,7 @@
     /** The machine of the control node that holds the duty, as the newest chosen state says. */
     static SimMachine holder(SimWorld world) {
         String name = (String) ((Map<?, ?>) ((Map<?, ?>) world.newest.map().get("d")).get("starting")).get("n");
-        return world.keepers.stream()
+        return world.controlNodes.stream()
                 .filter(k -> ("n-" + k.host).equals(name))
                 .findAny()
                 .orElseThrow();
@@ -81,8 +81,9 @@
                     case 0 -> holder.kill();
                     case 1 -> holder.freeze();
                     case 2 -> world.isolate(holder);
-                    case 3 -> world.cut(holder, world.keepers.get((world.keepers.indexOf(holder) + 1) % 3));
-                    default -> world.cutOneWay(holder, world.keepers.get((world.keepers.indexOf(holder) + 1) % 3));
+                    case 3 -> world.cut(holder, world.controlNodes.get((world.controlNodes.indexOf(holder) + 1) % 3));
+                    default ->
+                        world.cutOneWay(holder, world.controlNodes.get((world.controlNodes.indexOf(holder) + 1) % 3));
                 }
                 world.run(world.chance.nextInt(4000));
                 world.cuts.clear();
@@ -109,7 +110,7 @@
             SimWorld world = serving(seed, 3, 3);
             world.platform.bootMs = 6000; // it is not in the list before another has taken over
             SimMachine holder = holder(world);
-            world.platform.call(world.pilots.get(0), "h.example", "/a/1", 20_000);
+            world.platform.call(world.proxies.get(0), "h.example", "/a/1", 20_000);
             assertTrue(world.until(1000, () -> !world.platform.runners.isEmpty()));
             holder.powerOff();
             world.run(5000);
@@ -149,7 +150,7 @@
         int most = world.platform.live("fn").size();
         holder(world).kill();
         world.run(4000);
-        world.keepers.forEach(SimMachine::start);
+        world.controlNodes.forEach(SimMachine::start);
         world.run(3000);
         world.platform.losesAnswers = 0.3;
         world.run(5000);
--- a/proxy/src/test/java/saltdale/proxy/InputTest.java
+++ b/proxy/src/test/java/saltdale/proxy/InputTest.java
@@ -100,7 +100,7 @@
         SimWorld world = new SimWorld(1).of(3, 0).begin();
         world.run(2500);
         assertTrue(insists(world, 0, config(1), 5000));
-        SimMachine at = world.keepers.get(1);
+        SimMachine at = world.controlNodes.get(1);
         String before = read(world, at);
         badReplacements().forEach(body -> assertThat(brief(body), change(world, at, false, "1", body), is(400)));
         badAmendments().forEach(body -> assertThat(brief(body), change(world, at, true, "1", body), is(400)));
@@ -130,7 +130,7 @@
                 .replace("\"priority\":1", "\"priority\":1,\"more\":[null,1.25,-7,true,{\"\u00e9\":\"\u20ac\"}]");
         assertTrue(insists(world, 0, sent, 5000));
         assertThat(
-                Trees.fromJson(read(world, world.keepers.get(2)).getBytes(StandardCharsets.UTF_8)),
+                Trees.fromJson(read(world, world.controlNodes.get(2)).getBytes(StandardCharsets.UTF_8)),
                 is(Trees.fromJson(sent.getBytes(StandardCharsets.UTF_8))));
     }
 
@@ -152,14 +152,14 @@
         serving(world, 3, 4);
         SimOperator.load(world, 20, 4000);
         world.run(3000);
-        world.pilots.get(0).powerOff();
+        world.proxies.get(0).powerOff();
         world.run(3000);
-        world.pilots.get(0).start();
-        world.keepers.get(0).kill();
-        world.keepers.get(0).start();
+        world.proxies.get(0).start();
+        world.controlNodes.get(0).kill();
+        world.controlNodes.get(0).start();
         world.run(4000);
         world.spy = m -> {};
-        String before = read(world, world.keepers.get(0));
+        String before = read(world, world.controlNodes.get(0));
         List<Object> voters = world.voters();
         int sent = 0;
         for (List<Map<String, Object>> kind : seen.values()) {
@@ -167,7 +167,7 @@
                 List<Object> bad = new ArrayList<>();
                 spoilt(message, bad);
                 for (Object each : bad) {
-                    for (SimMachine to : List.of(world.keepers.get(1), world.pilots.get(1))) {
+                    for (SimMachine to : List.of(world.controlNodes.get(1), world.proxies.get(1))) {
                         sent++;
                         send(to, each);
                     }
@@ -176,11 +176,11 @@
         }
         assertTrue(sent > 500, "only " + sent);
         world.run(5000);
-        assertThat(read(world, world.keepers.get(1)), is(before));
+        assertThat(read(world, world.controlNodes.get(1)), is(before));
         assertThat(world.voters(), is(voters));
-        assertThat(replace(world, world.keepers.get(1), 1, config(2)), is(200));
+        assertThat(replace(world, world.controlNodes.get(1), 1, config(2)), is(200));
         world.run(1500);
-        SimPlatform.OutgoingCall asked = world.platform.call(world.pilots.get(1), "h.example", "/a/1", 3000);
+        SimPlatform.OutgoingCall asked = world.platform.call(world.proxies.get(1), "h.example", "/a/1", 3000);
         world.run(3000);
         assertThat(asked.answers, is(List.of(200)));
         assertThat(world.faults, is(empty()));
@@ -252,7 +252,7 @@
         for (String field : List.of("i", "s", "r")) {
             Map<String, Object> bad = new LinkedHashMap<>(renewal);
             bad.put(field, List.of());
-            send(world.keepers.get(0), bad);
+            send(world.controlNodes.get(0), bad);
         }
         world.run(1500);
         assertThat(crews.stream().filter(c -> c.contains("ghost")).toList(), is(empty()));
--- a/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
@@ -32,10 +32,10 @@
  * needed.
  */
 class ProxyClusterTest {
-    private static long revision(SimMachine pilot) {
-        return pilot.pilot() == null || pilot.pilot().chart() == null
+    private static long revision(SimMachine proxy) {
+        return proxy.proxy() == null || proxy.proxy().chart() == null
                 ? 0
-                : pilot.pilot().chart().revision();
+                : proxy.proxy().chart().revision();
     }
 
     // Configurations.
@@ -48,20 +48,20 @@
             long[] acknowledged = {1};
             for (int i = 0; i < 160; i++) {
                 if (i % 8 == 0) {
-                    SimMachine one = world.keepers.get(world.chance.nextInt(3));
+                    SimMachine one = world.controlNodes.get(world.chance.nextInt(3));
                     world.cuts.clear();
-                    world.keepers.forEach(SimMachine::start);
-                    world.keepers.stream().filter(k -> k.frozen).forEach(SimMachine::thaw);
+                    world.controlNodes.forEach(SimMachine::start);
+                    world.controlNodes.stream().filter(k -> k.frozen).forEach(SimMachine::thaw);
                     switch (world.chance.nextInt(5)) {
                         case 0 -> one.kill();
                         case 1 -> one.freeze();
                         case 2 -> world.isolate(one);
-                        case 3 -> world.pilots.forEach(p -> world.cutOneWay(one, p));
-                        default -> world.pilots.get(world.chance.nextInt(4)).kill();
+                        case 3 -> world.proxies.forEach(p -> world.cutOneWay(one, p));
+                        default -> world.proxies.get(world.chance.nextInt(4)).kill();
                     }
-                    world.pilots.forEach(SimMachine::start);
+                    world.proxies.forEach(SimMachine::start);
                     long next = acknowledged[0] + 1;
-                    SimMachine at = world.keepers.get(world.chance.nextInt(3));
+                    SimMachine at = world.controlNodes.get(world.chance.nextInt(3));
                     if (at.process != null) {
                         replace(
                                 at,
@@ -71,11 +71,11 @@
                     }
                 }
                 world.run(100);
-                for (SimMachine each : world.pilots) {
-                    if (each.pilot() != null) {
+                for (SimMachine each : world.proxies) {
+                    if (each.proxy() != null) {
                         long now = revision(each);
-                        assertThat("seed " + seed, now, greaterThanOrEqualTo(highest.getOrDefault(each.pilot(), 0L)));
-                        highest.put(each.pilot(), now);
+                        assertThat("seed " + seed, now, greaterThanOrEqualTo(highest.getOrDefault(each.proxy(), 0L)));
+                        highest.put(each.proxy(), now);
                     }
                 }
             }
@@ -104,12 +104,12 @@
         serving(world, 3, 1);
         assertTrue(insists(world, 1, config(2), 5000));
         world.run(1000);
-        SimMachine pilot = world.pilots.get(0);
-        assertThat(revision(pilot), is(2L));
+        SimMachine proxy = world.proxies.get(0);
+        assertThat(revision(proxy), is(2L));
         Object told = last.get(session.get("s"));
-        for (SimMachine keeper : world.keepers) {
-            pilot.process.take(
-                    keeper.host,
+        for (SimMachine controlNode : world.controlNodes) {
+            proxy.process.take(
+                    controlNode.host,
                     Fields.tree(
                             "t",
                             "chart",
@@ -120,7 +120,7 @@
                             "#",
                             ((Number) told).longValue() + 1));
         }
-        assertThat(revision(pilot), is(2L));
+        assertThat(revision(proxy), is(2L));
     }
 
     @ParameterizedTest
@@ -128,8 +128,8 @@
     void pilotsOfAKeeperThatIsCutOffMoveOn(String way) {
         for (int seed = 0; seed < 6; seed++) {
             SimWorld world = serving(seed, 3, 6);
-            SimMachine off = world.keepers.get(seed % 3);
-            for (SimMachine other : world.keepers) {
+            SimMachine off = world.controlNodes.get(seed % 3);
+            for (SimMachine other : world.controlNodes) {
                 if (other != off && !way.equals("hears")) {
                     world.cutOneWay(other, off);
                 }
@@ -138,8 +138,8 @@
                 }
             }
             world.run(world.chance.nextInt(2000));
-            assertThat(replace(world, world.keepers.get((seed + 1) % 3), 1, config(2)), is(200));
-            assertTrue(world.until(3000, () -> world.pilots.stream().allMatch(p -> revision(p) == 2)), "seed " + seed);
+            assertThat(replace(world, world.controlNodes.get((seed + 1) % 3), 1, config(2)), is(200));
+            assertTrue(world.until(3000, () -> world.proxies.stream().allMatch(p -> revision(p) == 2)), "seed " + seed);
         }
     }
 
@@ -186,12 +186,12 @@
             load(world, 240, 8000, () -> "/s" + world.chance.nextInt(6) + "/1");
             world.run(3000);
             for (int i = 0; i < 2; i++) {
-                SimMachine one = world.pilots.get((seed + i) % 6);
+                SimMachine one = world.proxies.get((seed + i) % 6);
                 switch (trouble) {
                     case JOIN ->
-                        world.pilot("10.1.0." + (50 + i), SimWorld.ZONES[i]).start();
+                        world.proxy("10.1.0." + (50 + i), SimWorld.ZONES[i]).start();
                     case LEAVE -> {
-                        one.pilot().end(2_000_000_000L);
+                        one.proxy().end(2_000_000_000L);
                         world.at(5_000_000_000L, one::kill);
                     }
                     case KILL -> {
@@ -247,18 +247,18 @@
             world.platform.unsent = 0.1;
             load(world, 100, 7000);
             world.run(2500);
-            world.pilots.get(0).kill();
+            world.proxies.get(0).kill();
             world.run(500);
-            world.pilots.get(0).start();
-            world.keepers.get(0).powerOff();
+            world.proxies.get(0).start();
+            world.controlNodes.get(0).powerOff();
             world.run(2000);
-            world.pilots.get(1).freeze();
+            world.proxies.get(1).freeze();
             world.run(1500);
-            world.pilots.get(1).thaw();
+            world.proxies.get(1).thaw();
             world.run(5000);
             for (SimPlatform.OutgoingCall asked : world.platform.all) {
                 assertThat(asked.answers.size(), lessThanOrEqualTo(1));
-                assertThat("answered, or its pilot is gone", asked.answers.size() == 1 || asked.isLost(), is(true));
+                assertThat("answered, or its proxy is gone", asked.answers.size() == 1 || asked.isLost(), is(true));
                 assertThat(asked.idempotent || asked.runs <= 1, is(true));
                 if (!asked.idempotent && (asked.is(503) || asked.is(429))) {
                     assertThat("what is refused has not run", asked.runs, is(0));
@@ -279,7 +279,8 @@
             world.run(2000);
             assertThat(world.platform.runners.values(), is(empty()));
             long begun = world.now();
-            SimPlatform.OutgoingCall asked = world.platform.call(world.pilots.get(seed % 6), "h.example", "/b/1", 5000);
+            SimPlatform.OutgoingCall asked =
+                    world.platform.call(world.proxies.get(seed % 6), "h.example", "/b/1", 5000);
             world.run(3000);
             assertThat(asked.answers, is(List.of(200)));
             assertThat("a start and a little", (asked.answeredAt - begun) / 1_000_000, lessThan(500L + 150 + 250));
@@ -348,10 +349,10 @@
     void whatWaitsAtAPilotThatEndsIsTurnedAwayInTime() {
         SimWorld world = serving(3, 3, 3);
         world.platform.bootMs = 60_000; // no slot will come
-        SimMachine ending = world.pilots.get(0);
+        SimMachine ending = world.proxies.get(0);
         SimPlatform.OutgoingCall before = world.platform.call(ending, "h.example", "/a/1", 20_000);
         world.run(500);
-        ending.pilot().end(1_000_000_000L);
+        ending.proxy().end(1_000_000_000L);
         SimPlatform.OutgoingCall meanwhile = world.platform.call(ending, "h.example", "/b/1", 20_000);
         world.run(900);
         assertThat(before.answers, is(empty()));
@@ -360,6 +361,6 @@
         SimPlatform.OutgoingCall late = world.platform.call(ending, "h.example", "/a/1", 20_000);
         world.run(300);
         assertThat(late.is(503), is(true));
-        assertThat(ending.pilot().open(), is(0));
+        assertThat(ending.proxy().open(), is(0));
     }
 }
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -6,11 +6,11 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import saltdale.control.Fields;
 import saltdale.control.ControlNode;
 import saltdale.control.ControlNodeSettings;
-import saltdale.control.MalformedMessage;
 import saltdale.control.Environment;
+import saltdale.control.Fields;
+import saltdale.control.MalformedMessage;
 
 /** A machine with its disk; at most one process runs on it. */
 final class SimMachine {
@@ -47,12 +47,12 @@
         world.machines.put(host, this);
     }
 
-    ControlNode keeper() {
-        return process == null ? null : process.keeper;
+    ControlNode controlNode() {
+        return process == null ? null : process.controlNode;
     }
 
-    Proxy pilot() {
-        return process == null ? null : process.pilot;
+    Proxy proxy() {
+        return process == null ? null : process.proxy;
     }
 
     String id() {
@@ -72,8 +72,8 @@
         end();
         for (SimMachine other : world.machines.values()) {
             world.at(world.hop(), () -> {
-                if (other.pilot() != null && !other.frozen) {
-                    other.pilot().unreachable(host);
+                if (other.proxy() != null && !other.frozen) {
+                    other.proxy().unreachable(host);
                 }
             });
         }
@@ -153,15 +153,15 @@
     /** One life of a process. */
     final class Process implements Environment {
         final SimMachine machine = SimMachine.this;
-        ControlNode keeper;
-        Proxy pilot;
+        ControlNode controlNode;
+        Proxy proxy;
         boolean dead;
 
         void begin() {
             String name = "n-" + host;
             try {
                 if (keeps) {
-                    keeper = new ControlNode(
+                    controlNode = new ControlNode(
                             this,
                             new ControlNodeSettings(
                                     name,
@@ -175,13 +175,14 @@
                                     world.rates),
                             world.platform.of(this),
                             new LinkedHashMap<>(synced));
-                    keeper.begin();
+                    controlNode.begin();
                 } else {
-                    pilot = new Proxy(
+                    proxy = new Proxy(
                             this,
-                            new ProxySettings(name, host, zone, seeds, SimWorld.BEAT, 0.2, Environment.millis(10_000), 52),
+                            new ProxySettings(
+                                    name, host, zone, seeds, SimWorld.BEAT, 0.2, Environment.millis(10_000), 52),
                             world.platform.transport(this));
-                    pilot.begin();
+                    proxy.begin();
                 }
             } catch (MalformedMessage e) {
                 world.faults.add("the disk of " + host + " cannot be used: " + e.getMessage());
@@ -245,10 +246,10 @@
 
         /** A message that has come; throws where it is malformed. */
         void take(String from, Map<String, Object> message) throws MalformedMessage {
-            if (keeper != null) {
-                keeper.message(from, new Fields(message));
+            if (controlNode != null) {
+                controlNode.message(from, new Fields(message));
             } else {
-                pilot.message(from, new Fields(message));
+                proxy.message(from, new Fields(message));
             }
         }
     }
--- a/proxy/src/test/java/saltdale/proxy/SimOperator.java
+++ b/proxy/src/test/java/saltdale/proxy/SimOperator.java
@@ -37,8 +37,8 @@
     }
 
     static void replace(SimMachine at, long base, String body, Consumer<ControlNode.Reply> answer) {
-        at.process.deliver(
-                () -> at.keeper().change(false, Long.toString(base), body.getBytes(StandardCharsets.UTF_8), answer));
+        at.process.deliver(() ->
+                at.controlNode().change(false, Long.toString(base), body.getBytes(StandardCharsets.UTF_8), answer));
     }
 
     /** The status that comes within five seconds; 0 where none does. */
@@ -48,7 +48,8 @@
 
     static int change(SimWorld world, SimMachine at, boolean amends, String base, String body) {
         List<ControlNode.Reply> got = new ArrayList<>();
-        at.process.deliver(() -> at.keeper().change(amends, base, body.getBytes(StandardCharsets.UTF_8), got::add));
+        at.process.deliver(
+                () -> at.controlNode().change(amends, base, body.getBytes(StandardCharsets.UTF_8), got::add));
         return world.until(5000, () -> !got.isEmpty()) ? got.get(0).status() : 0;
     }
 
@@ -56,7 +57,7 @@
     static boolean insists(SimWorld world, long base, String body, long ms) {
         long end = world.now() + ms * 1_000_000;
         while (world.now() < end) {
-            for (SimMachine each : world.keepers) {
+            for (SimMachine each : world.controlNodes) {
                 if (each.process != null && replace(world, each, base, body) == 200) {
                     return true;
                 }
@@ -67,20 +68,20 @@
     }
 
     /** A cluster whose proxies know the first configuration, with two workers in each zone. */
-    static SimWorld serving(long seed, int keepers, int pilots) {
-        return serving(new SimWorld(seed), keepers, pilots);
+    static SimWorld serving(long seed, int controlNodes, int proxies) {
+        return serving(new SimWorld(seed), controlNodes, proxies);
     }
 
-    static SimWorld serving(SimWorld world, int keepers, int pilots) {
+    static SimWorld serving(SimWorld world, int controlNodes, int proxies) {
         for (int i = 0; i < 6; i++) {
             world.platform.worker("w-" + i, SimWorld.ZONES[i % 3], 4096);
         }
         world.platform.slots.put("fn", 4);
         world.platform.memory.put("fn", 128);
-        world.of(keepers, pilots).begin().run(2500);
+        world.of(controlNodes, proxies).begin().run(2500);
         assertTrue(insists(world, 0, config(1), 5000));
         assertTrue(world.until(
-                3000, () -> world.pilots.stream().allMatch(p -> p.pilot().isReady())));
+                3000, () -> world.proxies.stream().allMatch(p -> p.proxy().isReady())));
         return world;
     }
 
@@ -92,8 +93,8 @@
     static void load(SimWorld world, double perSecond, long ms, Supplier<String> path) {
         long end = world.now() + ms * 1_000_000;
         world.at((long) (-Math.log(1 - world.chance.nextDouble()) / perSecond * 1e9), () -> {
-            List<SimMachine> ready = world.pilots.stream()
-                    .filter(p -> p.pilot() != null && p.pilot().isReady())
+            List<SimMachine> ready = world.proxies.stream()
+                    .filter(p -> p.proxy() != null && p.proxy().isReady())
                     .toList();
             if (!ready.isEmpty()) {
                 world.platform.call(ready.get(world.chance.nextInt(ready.size())), "h.example", path.get(), 3000);
@@ -107,7 +108,7 @@
     /** The configuration as this control node reads it from a majority; null where it cannot. */
     static String read(SimWorld world, SimMachine at) {
         List<ControlNode.Reply> got = new ArrayList<>();
-        at.process.deliver(() -> at.keeper().read(got::add));
+        at.process.deliver(() -> at.controlNode().read(got::add));
         boolean came = world.until(5000, () -> !got.isEmpty()) && got.get(0).status() == 200;
         return came ? new String(got.get(0).body(), StandardCharsets.UTF_8) : null;
     }
--- a/proxy/src/test/java/saltdale/proxy/SimPlatform.java
+++ b/proxy/src/test/java/saltdale/proxy/SimPlatform.java
@@ -12,8 +12,8 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import saltdale.control.Configuration;
-import saltdale.control.Fields;
 import saltdale.control.Environment;
+import saltdale.control.Fields;
 import saltdale.control.Platform;
 
 /**
@@ -108,7 +108,7 @@
                         if (!closed) {
                             asked().ends.add(end);
                             sendings.remove(attempt);
-                            from.pilot.ended(attempt, end);
+                            from.proxy.ended(attempt, end);
                         }
                     }));
         }
@@ -356,17 +356,17 @@
 
     /** A client's call to this proxy; nothing comes of it where the proxy is gone. */
     OutgoingCall call(SimMachine at, String hostname, String path, long leftMs) {
-        Configuration chart = at.pilot() == null ? null : at.pilot().chart();
+        Configuration chart = at.proxy() == null ? null : at.proxy().chart();
         Configuration.Route route = chart == null ? null : chart.route(hostname, path);
         OutgoingCall asked = new OutgoingCall(route != null && route.idempotent());
         asked.at = at.process;
         all.add(asked);
         if (route == null) {
-            asked.answers.add(at.pilot() == null ? 0 : chart == null ? 503 : 404);
+            asked.answers.add(at.proxy() == null ? 0 : chart == null ? 503 : 404);
             return asked;
         }
         at.process.deliver(
-                () -> at.pilot().arrived("a-" + all.size(), route, Environment.millis(leftMs), "10.9.9.9", asked));
+                () -> at.proxy().arrived("a-" + all.size(), route, Environment.millis(leftMs), "10.9.9.9", asked));
         return asked;
     }
 
@@ -384,7 +384,8 @@
             public void carry(Attempt attempt) {
                 Sending sending = new Sending(attempt, process, runners.get(attempt.runner));
                 OutgoingCall asked = sending.asked();
-                if (!asked.idempotent && asked.ends.stream().anyMatch(end -> end.verdict() != ExecutionStatus.NOT_RUN)) {
+                if (!asked.idempotent
+                        && asked.ends.stream().anyMatch(end -> end.verdict() != ExecutionStatus.NOT_RUN)) {
                     world.faults.add(attempt.call.id + " is carried again after " + asked.ends);
                 }
                 sendings.put(attempt, sending);
@@ -424,7 +425,7 @@
                 world.at(
                         2 * world.hop(),
                         () -> process.deliver(
-                                () -> process.pilot.tried(id, runners.get(id).takes())));
+                                () -> process.proxy.tried(id, runners.get(id).takes())));
             }
 
             @Override
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -11,13 +11,16 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import saltdale.control.Environment;
 import saltdale.control.Fields;
 import saltdale.control.MalformedMessage;
-import saltdale.control.Environment;
 import saltdale.control.Platform;
 import saltdale.control.Trees;
 
-/** A whole cluster in one thread, all of one seed: a steady clock, peerConnections, disks, processes; runners by the platform. */
+/**
+ * A whole cluster in one thread, all of one seed: a steady clock, peerConnections, disks, processes; runners by
+ * the platform.
+ */
 final class SimWorld {
     static final long BEAT = Environment.millis(1200);
     static final String[] ZONES = {"z-a", "z-b", "z-c"};
@@ -27,8 +30,8 @@
     final SplittableRandom chance;
     final SimPlatform platform;
     final Map<String, SimMachine> machines = new LinkedHashMap<>(); // by host
-    final List<SimMachine> keepers = new ArrayList<>();
-    final List<SimMachine> pilots = new ArrayList<>();
+    final List<SimMachine> controlNodes = new ArrayList<>();
+    final List<SimMachine> proxies = new ArrayList<>();
     final Set<String> cuts = new HashSet<>(); // "from>to"
     final Map<Long, Object> line = new HashMap<>(); // chosen states told, by version
     final List<String> faults = new ArrayList<>(); // what must never be, as seen
@@ -84,16 +87,22 @@
 
     // Machines.
 
-    SimMachine keeper(String host, List<String> seeds, boolean firstStart) {
-        SimMachine made = new SimMachine(this, host, ZONES[keepers.size() % ZONES.length], seeds, true, firstStart);
-        keepers.add(made);
+    SimMachine controlNode(String host, List<String> seeds, boolean firstStart) {
+        SimMachine made =
+                new SimMachine(this, host, ZONES[controlNodes.size() % ZONES.length], seeds, true, firstStart);
+        controlNodes.add(made);
         return made;
     }
 
-    SimMachine pilot(String host, String zone) {
+    SimMachine proxy(String host, String zone) {
         SimMachine made = new SimMachine(
-                this, host, zone, keepers.stream().limit(3).map(k -> k.host).toList(), false, false);
-        pilots.add(made);
+                this,
+                host,
+                zone,
+                controlNodes.stream().limit(3).map(k -> k.host).toList(),
+                false,
+                false);
+        proxies.add(made);
         return made;
     }
 
@@ -103,9 +112,9 @@
         for (int i = 1; i <= keeping; i++) {
             hosts.add("10.0.0." + i);
         }
-        hosts.forEach(host -> keeper(host, hosts.subList(0, Math.min(3, keeping)), true));
+        hosts.forEach(host -> controlNode(host, hosts.subList(0, Math.min(3, keeping)), true));
         for (int i = 1; i <= carrying; i++) {
-            pilot("10.1.0." + i, ZONES[i % ZONES.length]);
+            proxy("10.1.0." + i, ZONES[i % ZONES.length]);
         }
         return this;
     }
@@ -125,8 +134,8 @@
     }
 
     /** Cuts it from all other control nodes. */
-    void isolate(SimMachine keeper) {
-        keepers.stream().filter(k -> k != keeper).forEach(k -> cut(keeper, k));
+    void isolate(SimMachine controlNode) {
+        controlNodes.stream().filter(k -> k != controlNode).forEach(k -> cut(controlNode, k));
     }
 
     // Messages.
--- a/proxy/src/test/java/saltdale/proxy/Slopes.java
+++ b/proxy/src/test/java/saltdale/proxy/Slopes.java
@@ -20,8 +20,8 @@
         }
     }
 
-    private static void measure(int pilots, int functions) {
-        SimWorld world = SimOperator.serving(5, 3, pilots);
+    private static void measure(int proxies, int functions) {
+        SimWorld world = SimOperator.serving(5, 3, proxies);
         List<String> routes = new ArrayList<>();
         List<String> services = new ArrayList<>();
         for (int i = 0; i < functions; i++) {
@@ -47,9 +47,9 @@
         long change = sent.values().stream().mapToLong(c -> c[1]).sum();
         sent.clear();
         // One call a second at each proxy, whatever their number.
-        SimOperator.load(world, pilots, SECONDS * 1000, () -> "/f" + world.chance.nextInt(functions) + "/1");
+        SimOperator.load(world, proxies, SECONDS * 1000, () -> "/f" + world.chance.nextInt(functions) + "/1");
         world.run(SECONDS * 1000);
-        StringBuilder line = new StringBuilder(pilots + " " + functions + " |");
+        StringBuilder line = new StringBuilder(proxies + " " + functions + " |");
         long messages = 0;
         long bytes = 0;
         for (Map.Entry<String, long[]> kind : sent.entrySet()) {
--- a/rig/src/main/java/saltdale/rig/platform/Machine.java
+++ b/rig/src/main/java/saltdale/rig/platform/Machine.java
@@ -7,7 +7,7 @@
     public static final int CONTROL = 8248;
 
     public boolean isPilot() {
-        return role.equals("pilot");
+        return role.equals("proxy");
     }
 
     public String at(int port) {
--- a/rig/src/main/java/saltdale/rig/platform/Site.java
+++ b/rig/src/main/java/saltdale/rig/platform/Site.java
@@ -33,14 +33,18 @@
     public record Worker(String name, String zone, int memoryMb) {}
 
     /** Three zones with a worker each; a busy service that may not be repeated, a busy one that may, six rare ones. */
-    public static Site small(int net, int pilots, int keepers) {
-        if (net < 1 || net > 254 || pilots < 1 || keepers < 1 || Math.max(pilots, keepers) > 3 * MOST_OF_A_ZONE) {
+    public static Site small(int net, int proxies, int controlNodes) {
+        if (net < 1
+                || net > 254
+                || proxies < 1
+                || controlNodes < 1
+                || Math.max(proxies, controlNodes) > 3 * MOST_OF_A_ZONE) {
             throw new IllegalArgumentException(
-                    "no such site: net " + net + ", " + pilots + " pilots, " + keepers + " keepers");
+                    "no such site: net " + net + ", " + proxies + " proxies, " + controlNodes + " keepers");
         }
         List<Machine> machines = new ArrayList<>();
-        add(machines, net, "pilot", "frontend", pilots, 1);
-        add(machines, net, "keeper", "core", keepers, 101);
+        add(machines, net, "proxy", "frontend", proxies, 1);
+        add(machines, net, "control", "core", controlNodes, 101);
         List<Worker> workers = new ArrayList<>();
         ZONES.forEach(zone -> workers.add(new Worker("w-" + zone, zone, 4096)));
         List<Service> services = new ArrayList<>();
@@ -110,11 +114,11 @@
         }
     }
 
-    public List<Machine> pilots() {
+    public List<Machine> proxies() {
         return machines.stream().filter(Machine::isPilot).toList();
     }
 
-    public List<Machine> keepers() {
+    public List<Machine> controlNodes() {
         return machines.stream().filter(machine -> !machine.isPilot()).toList();
     }
 
@@ -202,7 +206,7 @@
         }
         root.putArray("internal_port_range").add(7400).add(7415);
         ArrayNode seeds = root.putArray("seed_nodes");
-        keepers().stream().limit(3).forEach(keeper -> seeds.add(keeper.at(Machine.CONTROL)));
+        controlNodes().stream().limit(3).forEach(controlNode -> seeds.add(controlNode.at(Machine.CONTROL)));
         root.put("first_start", firstStart).put("loss_counted", !machine.isPilot());
         root.putObject("limits")
                 .put("cpu_share", machine.isPilot() ? 0.75 : 1.8)
@@ -219,7 +223,7 @@
         List.of("base", "drain", "config", "cost", "retry", "recover", "functions")
                 .forEach(contracts::add);
         root.putObject("tolerated_losses")
-                .put("machines", (keepers().size() - 1) / 2)
+                .put("machines", (controlNodes().size() - 1) / 2)
                 .put("zones", 0)
                 .put("regions", 0);
         root.set("bounds", bounds.json());
--- a/rig/src/main/java/saltdale/rig/platform/live/Callers.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Callers.java
@@ -53,30 +53,30 @@
         this.judge = judge;
         routes = site.routes();
         chance = new SplittableRandom(seed);
-        entry = new EntryPoint(site.pilots());
-        for (Machine pilot : site.pilots()) {
-            kept.put(pilot, new ArrayDeque<>());
-            probe(pilot);
+        entry = new EntryPoint(site.proxies());
+        for (Machine proxy : site.proxies()) {
+            kept.put(proxy, new ArrayDeque<>());
+            probe(proxy);
         }
     }
 
-    boolean isIn(Machine pilot) {
-        return entry.isIn(pilot);
+    boolean isIn(Machine proxy) {
+        return entry.isIn(proxy);
     }
 
     /** Whether it has called itself ready since then. */
-    boolean isReadySince(Machine pilot, Duration then) {
-        return readyAt.getOrDefault(pilot, Duration.ZERO).compareTo(then) > 0;
+    boolean isReadySince(Machine proxy, Duration then) {
+        return readyAt.getOrDefault(proxy, Duration.ZERO).compareTo(then) > 0;
     }
 
     long open() {
         return open;
     }
 
-    private void probe(Machine pilot) {
+    private void probe(Machine proxy) {
         HttpCall.send(
                 turner,
-                Address.parse(pilot.at(Machine.READINESS)),
+                Address.parse(proxy.at(Machine.READINESS)),
                 "GET",
                 "/readiness",
                 "",
@@ -84,12 +84,12 @@
                 PROBE_EVERY,
                 answer -> {
                     boolean ready = answer != null && answer.status() == 200;
-                    entry.probed(pilot, ready);
+                    entry.probed(proxy, ready);
                     if (ready) {
-                        readyAt.put(pilot, origin.now());
+                        readyAt.put(proxy, origin.now());
                     }
                 });
-        turner.loop.after(PROBE_EVERY, () -> probe(pilot));
+        turner.loop.after(PROBE_EVERY, () -> probe(proxy));
     }
 
     void begin(double rate) {
--- a/rig/src/main/java/saltdale/rig/platform/live/Operator.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Operator.java
@@ -27,8 +27,8 @@
 
     Operator(Turner turner, Site site) {
         this.turner = turner;
-        control = site.keepers().stream()
-                .map(keeper -> Address.parse(keeper.at(Machine.CONTROL)))
+        control = site.controlNodes().stream()
+                .map(controlNode -> Address.parse(controlNode.at(Machine.CONTROL)))
                 .toList();
     }
 
--- a/rig/src/main/java/saltdale/rig/platform/live/Trial.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Trial.java
@@ -18,9 +18,9 @@
 import saltdale.rig.platform.Route;
 import saltdale.rig.platform.Site;
 
-/** Plays a short day with real processes: a pilot is killed, the configuration amended, all judged from outside. */
+/** Plays a short day with real processes: a proxy is killed, the configuration amended, all judged from outside. */
 public final class Trial {
-    /** What a day holds beside the kill of a pilot. */
+    /** What a day holds beside the kill of a proxy. */
     public record Day(int seconds, double rate, boolean drainWorker, boolean crashWorker) {}
 
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -64,10 +64,10 @@
         processes.startAll();
         inside(() -> callers = new Callers(standIn.turner, standIn.origin, site, standIn.judge, seed + 1));
         change("Replace", 0, site.replacement(FIRST), site.routes());
-        boolean up = until(TO_COME_UP, () -> answered && site.pilots().stream().allMatch(callers::isIn));
-        say("configuration " + (answered ? "acknowledged" : "NOT acknowledged") + ", pilots ready "
-                + site.pilots().stream().filter(callers::isIn).count() + " of "
-                + site.pilots().size());
+        boolean up = until(TO_COME_UP, () -> answered && site.proxies().stream().allMatch(callers::isIn));
+        say("configuration " + (answered ? "acknowledged" : "NOT acknowledged") + ", proxies ready "
+                + site.proxies().stream().filter(callers::isIn).count() + " of "
+                + site.proxies().size());
         if (up) {
             traffic(day);
             readBack();
@@ -89,7 +89,7 @@
     private void traffic(Day day) throws IOException, InterruptedException {
         Duration from = now();
         Judge judge = standIn.judge;
-        Machine victim = site.pilots().get(site.pilots().size() - 1);
+        Machine victim = site.proxies().get(site.proxies().size() - 1);
         inside(() -> callers.begin(day.rate));
         at(from, day, 0.2);
         say("killing " + victim.name());
--- a/rig/src/test/java/saltdale/rig/platform/ClientRulesTest.java
+++ b/rig/src/test/java/saltdale/rig/platform/ClientRulesTest.java
@@ -43,8 +43,8 @@
     @Test
     void aFrontThatMissesTwiceGetsNoConnectionsAndFurtherTriesReachOthers() {
         Site site = Site.small(77, 6, 3);
-        EntryPoint entry = new EntryPoint(site.pilots());
-        site.pilots().forEach(front -> entry.probed(front, true));
+        EntryPoint entry = new EntryPoint(site.proxies());
+        site.proxies().forEach(front -> entry.probed(front, true));
         Machine first = entry.choose("north", 0, 0);
         assertThat(first.zone(), equalTo("north"));
         assertThat(entry.choose("north", 0, 1), not(equalTo(first)));
@@ -53,7 +53,7 @@
         entry.probed(first, false);
         assertThat(entry.choose("north", 0, 0), not(equalTo(first)));
         assertThat(entry.choose("north", 0, 0).zone(), equalTo("north"));
-        site.pilots().stream().filter(front -> front.zone().equals("north")).forEach(front -> {
+        site.proxies().stream().filter(front -> front.zone().equals("north")).forEach(front -> {
             entry.probed(front, false);
             entry.probed(front, false);
         });
--- a/rig/src/test/java/saltdale/rig/platform/live/LiveTest.java
+++ b/rig/src/test/java/saltdale/rig/platform/live/LiveTest.java
@@ -155,11 +155,11 @@
     @Test
     void theOperatorFollowsToTheOneThatTakesItAndMovesOnAfterAFailure() {
         List<String> calls = new ArrayList<>();
-        List<Machine> keepers = site.keepers();
-        String last = keepers.get(2).at(Machine.CONTROL);
-        control(keepers.get(0), calls, 503, "");
-        control(keepers.get(1), calls, 307, "Location: http://" + last + "/elsewhere\r\n");
-        control(keepers.get(2), calls, 200, "");
+        List<Machine> controlNodes = site.controlNodes();
+        String last = controlNodes.get(2).at(Machine.CONTROL);
+        control(controlNodes.get(0), calls, 503, "");
+        control(controlNodes.get(1), calls, 307, "Location: http://" + last + "/elsewhere\r\n");
+        control(controlNodes.get(2), calls, 200, "");
         CompletableFuture<HttpCall.Answer> answer = new CompletableFuture<>();
         turner.inside(() -> new Operator(turner, site).change("Replace", 0, site.replacement(1), answer::complete));
         assertThat(answer.orTimeout(10, TimeUnit.SECONDS).join().status(), is(200));
@@ -169,13 +169,13 @@
                 equalTo(List.of("503 /Configuration.Replace 0", "307 /Configuration.Replace 0", "200 /elsewhere 0")));
     }
 
-    private void control(Machine keeper, List<String> calls, int status, String headers) {
+    private void control(Machine controlNode, List<String> calls, int status, String headers) {
         turner.inside(() -> {
             try {
                 new Listener(
                         turner.loop,
                         turner.sockets,
-                        Address.parse(keeper.at(Machine.CONTROL)),
+                        Address.parse(controlNode.at(Machine.CONTROL)),
                         (connection, full) -> new Control(connection, calls, status, headers));
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
--- a/storage/src/main/java/saltdale/storage/MirroredRecordStore.java
+++ b/storage/src/main/java/saltdale/storage/MirroredRecordStore.java
@@ -11,7 +11,8 @@
 import org.h2.store.fs.FilePath;
 
 /**
- * A record store in two MVStore files that are written in turn: each holds all records and a seal over them, and while one is
+ * A record store in two MVStore files that are written in turn: each holds all records and a seal over them, and
+ * while one is
  * written the other is left as it was last synced. MVStore alone does not check what lies inside a chunk of its file,
  * so a loss of power in a write may leave half of it (docs/record store.md).
  */
@@ -53,9 +54,10 @@
             throw new RecordStoreException(folder + " is open already", null);
         }
         try {
-            MirroredRecordStore vault = new MirroredRecordStore(UnlockedPath.of(whole.toString()), () -> sync(folder));
-            vault.onClose = () -> OPEN.remove(whole);
-            return vault;
+            MirroredRecordStore recordStore =
+                    new MirroredRecordStore(UnlockedPath.of(whole.toString()), () -> sync(folder));
+            recordStore.onClose = () -> OPEN.remove(whole);
+            return recordStore;
         } catch (RecordStoreException e) {
             OPEN.remove(whole);
             throw e;
--- a/storage/src/main/java/saltdale/storage/RecordStore.java
+++ b/storage/src/main/java/saltdale/storage/RecordStore.java
@@ -18,7 +18,8 @@
     void close();
 
     /**
-     * Opens the record store in this folder, made if need be; a copy that was cut, torn or lacks later writes is read back to
+     * Opens the record store in this folder, made if need be; a copy that was cut, torn or lacks later writes is
+     * read back to
      * what was synced. Told apart: an empty disk (read() is empty) and one that can't be read (RecordStoreException).
      */
     static RecordStore open(Path folder) throws RecordStoreException {
--- a/storage/src/main/java/saltdale/storage/StoreFile.java
+++ b/storage/src/main/java/saltdale/storage/StoreFile.java
@@ -20,7 +20,10 @@
 import org.h2.mvstore.type.StringDataType;
 import org.h2.store.fs.FilePath;
 
-/** One of the two files of a {@link MirroredRecordStore}: an MVStore of all records, under a seal that is checked on opening. */
+/**
+ * One of the two files of a {@link MirroredRecordStore}: an MVStore of all records, under a seal that is checked
+ * on opening.
+ */
 final class StoreFile {
     /** The name of the seal among the records. */
     static final String SEAL = "";
@@ -42,7 +45,10 @@
             super(Map.of("cacheSize", 1, "autoCommitBufferSize", 0));
         }
 
-        /** Guards against a second sync after every other write; {@link MirroredRecordStore} keeps the file short enough. */
+        /**
+         * Guards against a second sync after every other write; {@link MirroredRecordStore} keeps the file short
+         * enough.
+         */
         @Override
         protected void shrinkStoreIfPossible(int leastPercent) {}
     }
--- a/storage/src/test/java/saltdale/storage/MapDbRecordStore.java
+++ b/storage/src/test/java/saltdale/storage/MapDbRecordStore.java
@@ -19,7 +19,8 @@
 import org.mapdb.volume.VolumeFactory;
 
 /**
- * A record store in MapDB with its log, as {@code DBMaker.fileDB(...).fileChannelEnable().transactionEnable()} makes it, on
+ * A record store in MapDB with its log, as {@code DBMaker.fileDB(...).fileChannelEnable().transactionEnable()}
+ * makes it, on
  * files whose every call is told to a {@link CutDisk}; see {@link PowerCutTest} for what it loses.
  */
 final class MapDbRecordStore implements RecordStore {
--- a/storage/src/test/java/saltdale/storage/PowerCutTest.java
+++ b/storage/src/test/java/saltdale/storage/PowerCutTest.java
@@ -12,7 +12,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** What a loss of power leaves of a record store, and what it leaves of one that is kept by MVStore or by MapDB alone. */
+/**
+ * What a loss of power leaves of a record store, and what it leaves of one that is kept by MVStore or by MapDB
+ * alone.
+ */
 class PowerCutTest {
     /** How many runs; more by hand, with -Dvault.runs=N. */
     private static final int RUNS = Integer.getInteger("vault.runs", 2);
--- a/storage/src/test/java/saltdale/storage/PowerCuts.java
+++ b/storage/src/test/java/saltdale/storage/PowerCuts.java
@@ -12,7 +12,10 @@
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 
-/** Runs of writes with the power cut after every call to the disk, and what was seen when the record store was opened anew. */
+/**
+ * Runs of writes with the power cut after every call to the disk, and what was seen when the record store was
+ * opened anew.
+ */
 final class PowerCuts {
     interface Opener {
         RecordStore open(CutDisk disk) throws Exception;
@@ -100,8 +103,8 @@
     private boolean play(CutDisk disk, List<Mark> marks, int writes) throws Exception {
         int left = writes;
         while (left > 0) {
-            RecordStore vault = tried("start", () -> opener.open(disk));
-            if (vault == null || !read(vault, disk, marks)) {
+            RecordStore recordStore = tried("start", () -> opener.open(disk));
+            if (recordStore == null || !read(recordStore, disk, marks)) {
                 return false;
             }
             boolean killed = false;
@@ -120,27 +123,27 @@
                 Map<String, ByteBuffer> after = put(before, changes);
                 marks.add(new Mark(disk.calls.size(), List.of(before, after)));
                 try {
-                    vault.write(changes);
+                    recordStore.write(changes);
                     marks.add(new Mark(disk.calls.size(), List.of(after)));
                 } catch (RecordStoreException e) {
                     failedWrites++;
                 }
                 disk.failingCall = -1;
                 disk.capacity = Long.MAX_VALUE;
-                if (!killed && marks.get(marks.size() - 1).states.size() > 1 && !read(vault, disk, marks)) {
+                if (!killed && marks.get(marks.size() - 1).states.size() > 1 && !read(recordStore, disk, marks)) {
                     return false;
                 }
             }
             if (!killed && random.nextBoolean()) {
-                vault.close();
+                recordStore.close();
             }
         }
         return true;
     }
 
-    private boolean read(RecordStore vault, CutDisk disk, List<Mark> marks) {
+    private boolean read(RecordStore recordStore, CutDisk disk, List<Mark> marks) {
         List<Map<String, ByteBuffer>> states = marks.get(marks.size() - 1).states;
-        Map<String, byte[]> records = tried("read", vault::read);
+        Map<String, byte[]> records = tried("read", recordStore::read);
         if (records != null && judge("live", state(records), states)) {
             marks.add(new Mark(disk.calls.size(), List.of(state(records))));
             return true;
@@ -174,8 +177,8 @@
     private void open(Map<String, byte[]> image, List<Map<String, ByteBuffer>> states, String what) {
         images++;
         Map<String, byte[]> records = tried(what, () -> {
-            try (RecordStore vault = opener.open(new CutDisk(image))) {
-                return vault.read();
+            try (RecordStore recordStore = opener.open(new CutDisk(image))) {
+                return recordStore.read();
             }
         });
         if (records != null) {
--- a/storage/src/test/java/saltdale/storage/RecordStoreTest.java
+++ b/storage/src/test/java/saltdale/storage/RecordStoreTest.java
@@ -41,48 +41,48 @@
     @Test
     void anEmptyDiskReadsEmpty() throws Exception {
         for (int i = 0; i < 2; i++) {
-            try (RecordStore vault = RecordStore.open(folder.resolve("a/b"))) {
-                assertThat(vault.read(), is(anEmptyMap()));
+            try (RecordStore recordStore = RecordStore.open(folder.resolve("a/b"))) {
+                assertThat(recordStore.read(), is(anEmptyMap()));
             }
         }
     }
 
     @Test
     void recordsArePutReplacedAndRemoved() throws Exception {
-        try (RecordStore vault = RecordStore.open(folder)) {
-            vault.write(Map.of("a", new byte[] {1}, "b", new byte[300_000], "c", new byte[0]));
-            vault.write(Map.of("a", new byte[] {2, 3}));
-            vault.write(Collections.singletonMap("b", null));
-            vault.write(Collections.singletonMap("never there", null));
-            vault.write(Map.of());
-            assertThat(vault.read().keySet(), is(Set.of("a", "c")));
+        try (RecordStore recordStore = RecordStore.open(folder)) {
+            recordStore.write(Map.of("a", new byte[] {1}, "b", new byte[300_000], "c", new byte[0]));
+            recordStore.write(Map.of("a", new byte[] {2, 3}));
+            recordStore.write(Collections.singletonMap("b", null));
+            recordStore.write(Collections.singletonMap("never there", null));
+            recordStore.write(Map.of());
+            assertThat(recordStore.read().keySet(), is(Set.of("a", "c")));
         }
         for (int i = 0; i < 3; i++) {
-            try (RecordStore vault = RecordStore.open(folder)) {
-                assertThat(vault.read().keySet(), is(Set.of("a", "c")));
-                assertThat(vault.read().get("a"), is(new byte[] {2, 3}));
-                assertThat(vault.read().get("c"), is(new byte[0]));
-                vault.write(Map.of());
+            try (RecordStore recordStore = RecordStore.open(folder)) {
+                assertThat(recordStore.read().keySet(), is(Set.of("a", "c")));
+                assertThat(recordStore.read().get("a"), is(new byte[] {2, 3}));
+                assertThat(recordStore.read().get("c"), is(new byte[0]));
+                recordStore.write(Map.of());
             }
         }
     }
 
     @Test
     void whatIsReadOrWasWrittenMayBeChangedByItsOwner() throws Exception {
-        try (RecordStore vault = RecordStore.open(folder)) {
+        try (RecordStore recordStore = RecordStore.open(folder)) {
             byte[] mine = {1};
-            vault.write(Map.of("a", mine));
+            recordStore.write(Map.of("a", mine));
             mine[0] = 2;
-            vault.read().get("a")[0] = 3;
-            assertThat(vault.read().get("a"), is(new byte[] {1}));
+            recordStore.read().get("a")[0] = 3;
+            assertThat(recordStore.read().get("a"), is(new byte[] {1}));
         }
     }
 
     @Test
     void aRecordNeedsAName() throws Exception {
-        try (RecordStore vault = RecordStore.open(folder)) {
-            assertThrows(IllegalArgumentException.class, () -> vault.write(Map.of("", new byte[1])));
-            assertThat(vault.read(), is(anEmptyMap()));
+        try (RecordStore recordStore = RecordStore.open(folder)) {
+            assertThrows(IllegalArgumentException.class, () -> recordStore.write(Map.of("", new byte[1])));
+            assertThat(recordStore.read(), is(anEmptyMap()));
         }
     }
 
@@ -101,16 +101,16 @@
     /** Guards against taking a copy that is only held by another for a torn one. */
     @Test
     void aVaultIsOpenedOnceAtATime() throws Exception {
-        try (RecordStore vault = RecordStore.open(folder)) {
-            vault.write(Map.of("a", new byte[] {1}));
-            vault.write(Map.of("a", new byte[] {2}));
-            vault.write(Map.of("a", new byte[] {3}));
+        try (RecordStore recordStore = RecordStore.open(folder)) {
+            recordStore.write(Map.of("a", new byte[] {1}));
+            recordStore.write(Map.of("a", new byte[] {2}));
+            recordStore.write(Map.of("a", new byte[] {3}));
             assertThrows(RecordStoreException.class, () -> RecordStore.open(folder));
-            vault.write(Map.of("a", new byte[] {4}));
-            assertThat(vault.read().get("a"), is(new byte[] {4}));
+            recordStore.write(Map.of("a", new byte[] {4}));
+            assertThat(recordStore.read().get("a"), is(new byte[] {4}));
         }
-        try (RecordStore vault = RecordStore.open(folder)) {
-            assertThat(vault.read().get("a"), is(new byte[] {4}));
+        try (RecordStore recordStore = RecordStore.open(folder)) {
+            assertThat(recordStore.read().get("a"), is(new byte[] {4}));
         }
     }
 
@@ -120,10 +120,10 @@
         CutDisk disk = new CutDisk();
         Map<String, ByteBuffer> last = Map.of();
         List<Map<String, ByteBuffer>> all = new ArrayList<>();
-        try (RecordStore vault = PowerCutTest.open(disk)) {
+        try (RecordStore recordStore = PowerCutTest.open(disk)) {
             for (int i = 0; i < 30; i++) {
                 Map<String, byte[]> changes = PowerCuts.changes(random, 20_000);
-                vault.write(changes);
+                recordStore.write(changes);
                 all.add(last);
                 last = PowerCuts.put(last, changes);
             }
@@ -134,8 +134,8 @@
             for (String name : both ? files.keySet() : Set.of(i % 2 == 0 ? "vault.a" : "vault.b")) {
                 files.put(name, damaged(random, files.get(name)));
             }
-            try (RecordStore vault = PowerCutTest.open(new CutDisk(files))) {
-                Map<String, ByteBuffer> found = PowerCuts.state(vault.read());
+            try (RecordStore recordStore = PowerCutTest.open(new CutDisk(files))) {
+                Map<String, ByteBuffer> found = PowerCuts.state(recordStore.read());
                 if (both) {
                     assertThat("damage " + i, found, anyOf(equalTo(last), in(all)));
                 } else {
@@ -152,13 +152,13 @@
     void aDamagedNameIsSeen() throws Exception {
         CutDisk disk = new CutDisk();
         Map<String, byte[]> all = new TreeMap<>();
-        try (RecordStore vault = PowerCutTest.open(disk)) {
+        try (RecordStore recordStore = PowerCutTest.open(disk)) {
             for (int i = 0; i < 40; i++) {
                 Map<String, byte[]> change = Map.of("record " + (char) ('A' + i % 20), bytes(new Random(i), 5000));
                 all.putAll(change);
-                vault.write(change);
+                recordStore.write(change);
             }
-            vault.write(Map.of());
+            recordStore.write(Map.of());
         }
         int names = 0;
         for (String file : Set.of("vault.a", "vault.b")) {
@@ -167,8 +167,8 @@
                 for (int bit = 0; bit < 2; bit++) {
                     Map<String, byte[]> files = disk.live();
                     files.get(file)[at + 7] ^= (byte) (1 << bit);
-                    try (RecordStore vault = PowerCutTest.open(new CutDisk(files))) {
-                        assertThat(PowerCuts.state(vault.read()), is(PowerCuts.state(all)));
+                    try (RecordStore recordStore = PowerCutTest.open(new CutDisk(files))) {
+                        assertThat(PowerCuts.state(recordStore.read()), is(PowerCuts.state(all)));
                     }
                 }
             }
@@ -201,17 +201,17 @@
     @Test
     void aFullDiskRefusesAWriteAndNoMore() throws Exception {
         CutDisk disk = new CutDisk();
-        try (RecordStore vault = PowerCutTest.open(disk)) {
-            vault.write(Map.of("a", new byte[] {1}));
+        try (RecordStore recordStore = PowerCutTest.open(disk)) {
+            recordStore.write(Map.of("a", new byte[] {1}));
             for (int i = 0; i < 3; i++) {
                 disk.capacity = disk.used() + 100_000;
-                assertThrows(RecordStoreException.class, () -> vault.write(Map.of("b", new byte[300_000])));
-                assertThat(vault.read().keySet(), is(Set.of("a")));
-                vault.write(Map.of("a", new byte[] {2}));
+                assertThrows(RecordStoreException.class, () -> recordStore.write(Map.of("b", new byte[300_000])));
+                assertThat(recordStore.read().keySet(), is(Set.of("a")));
+                recordStore.write(Map.of("a", new byte[] {2}));
                 disk.capacity = Long.MAX_VALUE;
-                vault.write(Map.of("a", new byte[] {3}, "c", new byte[300_000]));
-                vault.write(Collections.singletonMap("c", null));
-                assertThat(vault.read().get("a"), is(new byte[] {3}));
+                recordStore.write(Map.of("a", new byte[] {3}, "c", new byte[300_000]));
+                recordStore.write(Collections.singletonMap("c", null));
+                assertThat(recordStore.read().get("a"), is(new byte[] {3}));
             }
         }
     }
@@ -224,20 +224,20 @@
         disk.recording = false;
         Map<String, byte[]> all = new HashMap<>();
         long most = 0;
-        try (RecordStore vault = PowerCutTest.open(disk)) {
+        try (RecordStore recordStore = PowerCutTest.open(disk)) {
             for (int i = 0; i < 2000; i++) {
                 Map<String, byte[]> changes = new TreeMap<>();
                 for (int j = random.nextInt(3); j >= 0; j--) {
                     int size = random.nextInt(random.nextInt(8) == 0 ? 300_000 : 3000);
                     changes.put("r" + random.nextInt(30), bytes(random, size));
                 }
-                vault.write(changes);
+                recordStore.write(changes);
                 all.putAll(changes);
                 most = Math.max(
                         most,
                         all.values().stream().mapToLong(each -> each.length).sum());
             }
-            assertThat(PowerCuts.state(vault.read()), is(PowerCuts.state(all)));
+            assertThat(PowerCuts.state(recordStore.read()), is(PowerCuts.state(all)));
         }
         System.out.println(most + " bytes of records, " + disk.peak + " on the disk, " + disk.syncs + " syncs");
         assertThat(disk.peak, is(lessThan(6 * most + 3_000_000)));
@@ -249,8 +249,8 @@
         Set<Thread> threads = Thread.getAllStackTraces().keySet();
         long descriptors = descriptors();
         for (int i = 0; i < 20; i++) {
-            try (RecordStore vault = RecordStore.open(folder)) {
-                vault.write(Map.of("a", bytes(new Random(i), 50_000)));
+            try (RecordStore recordStore = RecordStore.open(folder)) {
+                recordStore.write(Map.of("a", bytes(new Random(i), 50_000)));
                 Set<Thread> now = new HashSet<>(Thread.getAllStackTraces().keySet());
                 now.removeAll(threads);
                 now.removeIf(each ->
--- a/storage/src/test/java/saltdale/storage/SingleStoreRecordStore.java
+++ b/storage/src/test/java/saltdale/storage/SingleStoreRecordStore.java
@@ -78,7 +78,7 @@
             }
             store = store(file.toString());
             if (!store.hasMap(NAME)) {
-                throw new IOException("no vault: " + file);
+                throw new IOException("no recordStore: " + file);
             }
             records = records(store);
             // Guards against trusting what an earlier process wrote and never synced.
@@ -88,7 +88,10 @@
         }
     }
 
-    /** A record store gets its name when it is whole and synced, so that one with this name that can't be read was lost. */
+    /**
+     * A record store gets its name when it is whole and synced, so that one with this name that can't be read
+     * was lost.
+     */
     private void make(FilePath file) {
         FilePath young = FilePath.get(file + ".new");
         young.delete();
--- a/tools/src/main/java/saltdale/tools/Platform.java
+++ b/tools/src/main/java/saltdale/tools/Platform.java
@@ -32,16 +32,16 @@
     /** The site, of whatever is done with it. */
     static final class Size {
         @Option(
-                names = "--keepers",
+                names = "--control-nodes",
                 defaultValue = "3",
                 description = "Machines that hold the state (default: ${DEFAULT-VALUE}).")
-        private int keepers;
+        private int controlNodes;
 
         @Option(
-                names = "--pilots",
+                names = "--proxies",
                 defaultValue = "3",
                 description = "Machines that carry calls (default: ${DEFAULT-VALUE}).")
-        private int pilots;
+        private int proxies;
 
         @Option(
                 names = "--net",
@@ -52,7 +52,7 @@
 
         Site site() {
             try {
-                return Site.small(net, pilots, keepers);
+                return Site.small(net, proxies, controlNodes);
             } catch (IllegalArgumentException e) {
                 throw new Misread(e.getMessage());
             }
@@ -85,7 +85,7 @@
             name = "try",
             mixinStandardHelpOptions = true,
             description =
-                    "Starts the stand-in and the real processes, sends calls, kills a pilot, and judges from outside.")
+                    "Starts the stand-in and the real processes, sends calls, kills a proxy, and judges from outside.")
     static final class TryOut implements Callable<Integer> {
         @Mixin
         private Size size;
@@ -145,7 +145,9 @@
         @Mixin
         private Size size;
 
-        @Option(names = "--configure", description = "Sends the first configuration to the keepers until it is taken.")
+        @Option(
+                names = "--configure",
+                description = "Sends the first configuration to the controlNodes until it is taken.")
         private boolean configure;
 
         @Option(names = "--calls", paramLabel = "FILE", description = "Takes a line for each call of the platform.")
