--- a/control/src/main/java/saltdale/control/Acceptor.java
+++ b/control/src/main/java/saltdale/control/Acceptor.java
@@ -5,17 +5,22 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import saltdale.control.message.BallotMessage.Accepted;
+import saltdale.control.message.BallotMessage.Promise;
+import saltdale.control.message.BallotMessage.Refusal;
+import saltdale.control.message.BallotMessage.Reply;
+import saltdale.control.message.BallotMessage.TextNeeded;
 
 /**
- * What a control node promised and accepted in ballots. Nothing is told of either before it is synced; what could
- * not be
- * written is not told at all, and the ballot goes on without this control node.
+ * What a control node promised and accepted in ballots. Nothing is told of either before it is synced; what could not
+ * be written is not told at all, and the ballot goes on without this control node.
  */
 final class Acceptor {
     static final String RECORD = "acceptor";
     static final String TEXT = "text:";
 
     private final Environment environment;
+    private final String id;
     private Ballot promised = Ballot.NONE;
     private Ballot accepted = Ballot.NONE;
     private ReplicatedState state; // null until one was accepted
@@ -25,8 +30,9 @@
     private long changes; // of the text that is written
     private final Set<String> written = new HashSet<>(); // those that may be
 
-    Acceptor(Environment environment) {
+    Acceptor(Environment environment, String id) {
         this.environment = environment;
+        this.id = id;
     }
 
     /** Takes over what was synced before. */
@@ -65,59 +71,42 @@
     }
 
     /** Answers a ballot's first question, once what it promises is synced. */
-    void prepare(Ballot ballot, String knownKey, Consumer<Map<String, Object>> reply) {
+    void prepare(Ballot ballot, String knownKey, Consumer<Reply> reply) {
         if (ballot.compareTo(promised) < 0) {
-            reply.accept(Fields.tree("t", "nack", "b", ballot.tree(), "p", promised.tree()));
+            reply.accept(new Refusal(id, ballot, promised));
             return;
         }
         promised = ballot;
         Ballot of = accepted;
         ReplicatedState told = state;
         byte[] toldText = told == null || told.textKey().equals(knownKey) ? null : text;
-        persist(done -> {
-            if (done) {
-                reply.accept(Fields.tree(
-                        "t",
-                        "promise",
-                        "b",
-                        ballot.tree(),
-                        "a",
-                        of.tree(),
-                        "s",
-                        told == null ? null : told.tree(),
-                        "x",
-                        toldText));
-            }
-        });
+        persist(() -> reply.accept(new Promise(id, ballot, of, told, toldText)));
     }
 
     /**
      * Accepts what a ballot puts forward, unless another was promised; {@code newText} is null where we may have
      * it.
      */
-    void accept(Ballot ballot, ReplicatedState next, byte[] newText, Consumer<Map<String, Object>> reply) {
+    void accept(Ballot ballot, ReplicatedState next, byte[] newText, Consumer<Reply> reply) {
         if (ballot.compareTo(promised) < 0) {
-            reply.accept(Fields.tree("t", "nack", "b", ballot.tree(), "p", promised.tree()));
+            reply.accept(new Refusal(id, ballot, promised));
             return;
         }
         boolean have =
                 next.textKey().isEmpty() || state != null && next.textKey().equals(state.textKey());
         if (!have && newText == null) {
-            reply.accept(Fields.tree("t", "need", "b", ballot.tree()));
+            reply.accept(new TextNeeded(id, ballot));
             return;
         }
         promised = ballot;
         accepted = ballot;
         text = next.textKey().isEmpty() ? null : have ? text : newText;
         state = next;
-        persist(done -> {
-            if (done) {
-                reply.accept(Fields.tree("t", "accepted", "b", ballot.tree()));
-            }
-        });
+        persist(() -> reply.accept(new Accepted(id, ballot)));
     }
 
-    private void persist(Consumer<Boolean> done) {
+    /** Writes what is promised and accepted; {@code synced} runs once that outlasts a loss of power, else never. */
+    private void persist(Runnable onSynced) {
         Map<String, byte[]> records = new LinkedHashMap<>();
         records.put(
                 RECORD,
@@ -142,7 +131,9 @@
                 synced = key;
                 written.removeIf(each -> !each.equals(key));
             }
-            done.accept(whole);
+            if (whole) {
+                onSynced.run();
+            }
         });
     }
 }
--- a/control/src/main/java/saltdale/control/Ballot.java
+++ b/control/src/main/java/saltdale/control/Ballot.java
@@ -16,10 +16,16 @@
     }
 
     static Ballot of(Fields fields, String name) throws MalformedMessage {
-        List<Object> list = fields.list(name);
-        if (list.size() == 2 && list.get(0) instanceof Long round && list.get(1) instanceof String life) {
+        return of(fields.list(name));
+    }
+
+    public static Ballot of(Object tree) throws MalformedMessage {
+        if (tree instanceof List<?> list
+                && list.size() == 2
+                && list.get(0) instanceof Long round
+                && list.get(1) instanceof String life) {
             return new Ballot(round, life);
         }
-        throw new MalformedMessage(name + " is no ballot");
+        throw new MalformedMessage("is no ballot");
     }
 }
--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -3,80 +3,56 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
+import saltdale.control.message.BallotMessage;
+import saltdale.control.message.HeartbeatMessage.Heartbeat;
+import saltdale.control.message.HeartbeatMessage.HeartbeatAck;
+import saltdale.control.message.HeartbeatMessage.PeerIdentity;
+import saltdale.control.message.InstanceMessage.DemandReport;
+import saltdale.control.message.InstanceMessage.InstanceReady;
+import saltdale.control.message.InstanceMessage.InstanceUpdates;
+import saltdale.control.message.InstanceMessage.StartIntents;
+import saltdale.control.message.Message;
+import saltdale.control.message.SessionMessage.LeaseGrant;
+import saltdale.control.message.SessionMessage.LeaseOver;
+import saltdale.control.message.SessionMessage.LeaseRenewal;
 
 /**
- * One machine of the core: takes part in what is agreed, keeps the leases of dispatchers, hands them the news they
- * need, and, while it holds the duty, starts and stops runners. No I/O and no clock of its own.
+ * One replica of the control plane: takes part in the consensus, keeps the leases of proxies, sends them their news,
+ * and, while it holds the duty, starts and stops instances. No I/O and no clock of its own.
  */
 public final class ControlNode {
-    /** An answer to an operator. */
-    public record Reply(int status, String why, byte[] body) {}
-
-    private static final class Peer {
-        final String host;
-        String id; // null until heard
-        String name;
-        String life;
-        boolean leaving;
-        long heardAt;
-        long ackedSentAt = Long.MIN_VALUE / 2;
-        final Map<Long, Long> sentAt = new LinkedHashMap<>();
-
-        Peer(String host) {
-            this.host = host;
+    /** An answer to an operator; {@code body} is null where it has none. */
+    public record Reply(int status, String why, byte[] body) {
+        private static Reply of(ConfigurationService.Reply reply) {
+            return new Reply(reply.status(), reply.why(), reply.body());
         }
     }
 
-    /** A dispatcher that takes its news here. */
-    private static final class Subscriber {
-        final String host;
-        final String session;
-        Member member;
-        long heardAt;
-        long sent; // messages of this session
-        long revision = -1;
-        long crew = -1;
-        long runners = -1;
-        long homesOf = -1;
-        final Map<String, Instance.Phase> told = new HashMap<>();
-
-        Subscriber(String host, String session) {
-            this.host = host;
-            this.session = session;
-        }
-    }
-
-    static final String STARTING = "starting";
-    private static final long SOON = Environment.millis(5); // several that come at once are told of once
+    private static final long SOON = Environment.millis(5); // several changes that come at once are told of once
     private static final String IDENTITY = "identity";
     private static final String BEGUN = "begun"; // the state from which all began
 
     private final Environment environment;
     private final ControlNodeSettings nodeSettings;
     private final String id;
-    private final String life;
     private final ReplicatedRegister register;
+    private final PeerContacts peers;
+    private final DutyElection election;
+    private final VoterChanges voterChanges;
+    private final ConfigurationService configurations;
     private final InstanceLifecycle instanceLifecycle;
     private final MembershipTable members;
-    private final InstanceTable runners;
-    private final Demand demand;
-    private final Map<String, Peer> peers = new LinkedHashMap<>(); // by host
-    private final Map<String, Subscriber> subscribers = new LinkedHashMap<>(); // by life
-    private final long startedAt;
-    private long beats;
+    private final InstanceTable instances;
+    private final DemandTable demand;
+    private final Subscriptions subscriptions;
     private boolean proposing;
     private boolean ending;
-    private boolean hadMajority;
-    private long majoritySince;
+    private boolean hadQuorum;
+    private long quorumSince;
     private boolean spreading;
-    private Configuration chart;
-    private Map<String, Object> configurationTree;
 
     /** {@code records} are those on disk; where there are none the control node is new, or has lost them. */
     public ControlNode(
@@ -84,8 +60,7 @@
             throws MalformedMessage {
         this.environment = environment;
         this.nodeSettings = nodeSettings;
-        startedAt = environment.now();
-        life = Long.toHexString(environment.chance().nextLong());
+        String life = Long.toHexString(environment.chance().nextLong());
         boolean first = nodeSettings.firstStart()
                 && records.isEmpty()
                 && nodeSettings.seeds().contains(nodeSettings.host());
@@ -95,10 +70,23 @@
                         ? Voter.firstId(nodeSettings.host())
                         : Long.toHexString(environment.chance().nextLong());
         register = new ReplicatedRegister(environment, id, life, this::chosen);
+        peers = new PeerContacts(
+                environment,
+                nodeSettings,
+                new PeerIdentity(id, nodeSettings.name(), nodeSettings.host(), life),
+                register);
+        election = new DutyElection(environment, nodeSettings, register, peers, id, life);
+        voterChanges = new VoterChanges(environment, nodeSettings, peers, election, id);
+        configurations = new ConfigurationService(environment, nodeSettings, register, peers);
         members = new MembershipTable(nodeSettings.memberLease() + nodeSettings.beat() * 3 / 10);
-        runners = new InstanceTable(8 * nodeSettings.beat(), 40 * nodeSettings.beat());
-        demand = new Demand(3 * nodeSettings.beat());
+        instances = new InstanceTable(8 * nodeSettings.beat(), 40 * nodeSettings.beat());
+        demand = new DemandTable(3 * nodeSettings.beat());
+        subscriptions = new Subscriptions(environment, nodeSettings, configurations, members, instances);
         instanceLifecycle = new InstanceLifecycle(environment, this, platform, nodeSettings);
+        restore(records);
+    }
+
+    private void restore(Map<String, byte[]> records) throws MalformedMessage {
         register.restore(records);
         ReplicatedState begun = nodeSettings.firstStart()
                 ? ReplicatedState.first(nodeSettings.seeds().stream()
@@ -111,9 +99,6 @@
         if (begun != null) {
             register.first(begun);
         }
-        nodeSettings.seeds().stream()
-                .filter(host -> !host.equals(nodeSettings.host()))
-                .forEach(this::peer);
         if (!records.containsKey(IDENTITY)) {
             Map<String, byte[]> own = new HashMap<>(Map.of(IDENTITY, id.getBytes(StandardCharsets.UTF_8)));
             if (begun != null) {
@@ -125,384 +110,172 @@
     }
 
     public void begin() {
-        beat();
+        heartbeat();
         tick();
         instanceLifecycle.begin();
     }
 
     // What others of the program see.
 
-    String id() {
-        return id;
-    }
-
     String name() {
         return nodeSettings.name();
     }
 
-    ReplicatedRegister register() {
-        return register;
-    }
-
-    InstanceTable runners() {
-        return runners;
+    InstanceTable instances() {
+        return instances;
     }
 
-    Demand demand() {
+    DemandTable demand() {
         return demand;
     }
 
-    Configuration chart() {
-        return chart;
+    /** The newest configuration known to be chosen; null where there is none yet. */
+    Configuration configuration() {
+        return configurations.current();
     }
 
-    int controlNodes() {
+    int voters() {
         return register.basis() == null ? 1 : register.basis().voters().size();
     }
 
-    /** Who holds the duty is named with its life: one that began anew has forgotten what it was about. */
-    String holder() {
-        return id + "/" + life;
-    }
-
     /** Whether this control node holds the duty and knows that nobody can have taken it over. */
     boolean holds() {
-        ReplicatedState state = register.chosen();
-        return state != null && holder().equals(state.duty(STARTING).holder()) && hasMajority();
+        return election.holds();
     }
 
     long fence() {
-        return register.chosen().duty(STARTING).fence();
+        return election.fence();
     }
 
     /** Whether a majority of voters answered what was sent within the lease; a process that stood still has none. */
     public boolean hasMajority() {
-        return majorityAt() > environment.now() - nodeSettings.lease();
+        return peers.hasQuorum();
     }
 
-    /** When that was sent which a majority of voters has answered. */
-    private long majorityAt() {
-        ReplicatedState basis = register.basis();
-        long at = basis == null ? Long.MIN_VALUE / 2 : environment.now();
-        for (List<Voter> set : basis == null ? List.<List<Voter>>of() : basis.quorums()) {
-            List<Long> heard = new ArrayList<>();
-            for (Voter v : set) {
-                heard.add(
-                        v.id().equals(id)
-                                ? environment.now()
-                                : peers.values().stream()
-                                        .filter(p -> v.id().equals(p.id))
-                                        .mapToLong(p -> p.ackedSentAt)
-                                        .max()
-                                        .orElse(Long.MIN_VALUE / 2));
-            }
-            heard.sort(null);
-            at = Math.min(at, heard.get((heard.size() - 1) / 2));
-        }
-        return at;
-    }
+    // Heartbeats.
 
-    private Peer peer(String host) {
-        return peers.computeIfAbsent(host, Peer::new);
+    private void heartbeat() {
+        sendHeartbeats();
+        environment.after(nodeSettings.beat() / 3, this::heartbeat);
     }
 
-    // Beats.
-
-    private void beat() {
-        sayBeat();
-        environment.after(nodeSettings.beat() / 3, this::beat);
+    private void sendHeartbeats() {
+        peers.sendHeartbeats(ending, members.news(), members.over(environment.now()));
     }
 
-    /** Others hear soon who has come or gone: homes that know it at different times lend the same slots. */
-    private void crewChanged() {
+    /** Others hear soon who has come or gone: owners that know it at different times grant the same slots. */
+    private void membersChanged() {
         if (!spreading) {
             spreading = true;
             environment.after(SOON, () -> {
                 spreading = false;
                 publish();
-                sayBeat();
+                sendHeartbeats();
             });
         }
     }
 
-    private void sayBeat() {
-        beats++;
-        ReplicatedState basis = register.basis();
-        Set<String> to = new LinkedHashSet<>(peers.keySet());
-        if (basis != null) {
-            basis.quorums().forEach(set -> set.forEach(v -> to.add(v.host())));
-        }
-        to.remove(nodeSettings.host());
-        List<Object> news = members.news();
-        long now = environment.now();
-        List<Object> over = members.over(now);
-        for (String host : to) {
-            Peer peer = peer(host);
-            peer.sentAt.put(beats, now);
-            peer.sentAt.values().removeIf(at -> now - at > 4 * nodeSettings.beat());
-            environment.send(
-                    host,
-                    Fields.tree(
-                            "t",
-                            "beat",
-                            "id",
-                            id,
-                            "n",
-                            nodeSettings.name(),
-                            "h",
-                            nodeSettings.host(),
-                            "l",
-                            life,
-                            "i",
-                            beats,
-                            "v",
-                            version(),
-                            "e",
-                            ending ? true : null,
-                            "m",
-                            news.isEmpty() ? null : news,
-                            "o",
-                            over.isEmpty() ? null : over));
-        }
-        peers.values()
-                .removeIf(p -> !nodeSettings.seeds().contains(p.host)
-                        && now - p.heardAt > 60 * nodeSettings.beat()
-                        && (basis == null
-                                || basis.quorums().stream()
-                                        .flatMap(List::stream)
-                                        .noneMatch(v -> v.host().equals(p.host))));
-    }
-
-    private long version() {
-        return register.chosen() == null ? -1 : register.chosen().version();
-    }
-
-    private void beaten(Fields message) throws MalformedMessage {
-        Peer peer = heard(message);
+    private void heard(Heartbeat heartbeat) {
         long edition = members.edition();
-        members.merge(message.list("m"), environment.now());
-        members.areOver(message.texts("o"), environment.now());
+        members.merge(heartbeat.renewals(), environment.now());
+        members.areOver(heartbeat.ended(), environment.now());
         if (members.edition() != edition) {
             publish();
         }
-        peer.leaving = message.flag("e");
-        environment.send(
-                peer.host,
-                Fields.tree(
-                        "t",
-                        "beaten",
-                        "id",
-                        id,
-                        "n",
-                        nodeSettings.name(),
-                        "h",
-                        nodeSettings.host(),
-                        "l",
-                        life,
-                        "i",
-                        message.whole("i"),
-                        "v",
-                        version()));
-    }
-
-    private Peer heard(Fields message) throws MalformedMessage {
-        Peer peer = peer(message.text("h"));
-        peer.id = message.text("id");
-        peer.name = message.text("n");
-        peer.life = message.text("l");
-        peer.heardAt = environment.now();
-        if (message.whole("v") > version()) {
-            register.fetch(peer.host); // the sweep: whoever is behind fetches what it missed
-        }
-        return peer;
+        peers.heartbeat(heartbeat);
     }
 
     // Messages from other processes.
 
     /** Takes a message; {@code fromHost} is where its sender can be reached. */
-    public void message(String fromHost, Fields message) throws MalformedMessage {
-        switch (message.text("t")) {
-            case "beat" -> beaten(message);
-            case "beaten" -> {
-                Peer peer = heard(message);
-                Long sent = peer.sentAt.remove(message.whole("i"));
-                peer.ackedSentAt = sent == null ? peer.ackedSentAt : Math.max(peer.ackedSentAt, sent);
-            }
-            case "renew" -> renewed(fromHost, message);
-            case "want" -> wanted(message);
-            case "up" -> {
-                Instance r = runners.get(message.text("r"));
-                if (r != null && r.phase() == Instance.Phase.BOOTING) {
-                    changed(List.of(r.at(Instance.Phase.READY)), true);
-                }
-            }
-            case "runners" -> {
-                List<Instance> copies = new ArrayList<>();
-                for (Object each : message.list("l")) {
-                    copies.add(Instance.of(each));
-                }
-                changed(copies, false);
-            }
-            case "intents" -> instanceLifecycle.told(message);
-            default -> {
-                register.message(message.text("f", ""), fromHost, message);
+    public void message(String fromHost, Message message) throws MalformedMessage {
+        if (message instanceof BallotMessage ballot) {
+            register.message(fromHost, ballot);
+        } else if (message instanceof Heartbeat heartbeat) {
+            heard(heartbeat);
+        } else if (message instanceof HeartbeatAck ack) {
+            peers.acknowledged(ack);
+        } else if (message instanceof LeaseRenewal renewal) {
+            renewed(fromHost, renewal);
+        } else if (message instanceof DemandReport report) {
+            demanded(report);
+        } else if (message instanceof InstanceReady ready) {
+            Instance instance = instances.get(ready.instance());
+            if (instance != null && instance.phase() == Instance.Phase.BOOTING) {
+                changed(List.of(instance.at(Instance.Phase.READY)), true);
             }
+        } else if (message instanceof InstanceUpdates updates) {
+            changed(updates.instances(), false);
+        } else if (message instanceof StartIntents intents) {
+            instanceLifecycle.told(intents);
+        } else {
+            throw new MalformedMessage("message " + message.kind() + " is not for a control node");
         }
     }
 
     /** Sends to all other control nodes. */
-    void tellControlNodes(Map<String, Object> message) {
-        peers.keySet().forEach(host -> environment.send(host, message));
+    void tellControlNodes(Message message) {
+        peers.tellAll(message);
     }
 
-    /** Merges copies of runners; news of our own goes to the other control nodes too. */
+    /** Merges copies of instances; news of our own goes to the other control nodes too. */
     void changed(List<Instance> copies, boolean tell) {
-        List<Object> fresh = new ArrayList<>();
+        List<Instance> fresh = new ArrayList<>();
         for (Instance copy : copies) {
-            if (runners.merge(copy, environment.now())) {
-                fresh.add(copy.tree());
+            if (instances.merge(copy, environment.now())) {
+                fresh.add(copy);
             }
         }
         if (!fresh.isEmpty()) {
             if (tell) {
-                tellControlNodes(Fields.tree("t", "runners", "l", fresh));
+                tellControlNodes(new InstanceUpdates(fresh));
             }
             publish();
         }
     }
 
-    private void wanted(Fields message) throws MalformedMessage {
-        String from = message.text("l");
-        demand.said(from, message.list("w"), environment.now());
-        if (!message.flag("fwd")) {
-            ReplicatedState state = register.chosen();
-            String holder = state == null ? null : state.duty(STARTING).holder();
-            for (Peer peer : peers.values()) {
-                if (holder != null && holder.equals(peer.id + "/" + peer.life)) {
-                    environment.send(
-                            peer.host, Fields.tree("t", "want", "l", from, "w", message.list("w"), "fwd", true));
-                }
-            }
+    private void demanded(DemandReport report) {
+        demand.said(report.life(), report.demands(), environment.now());
+        PeerContacts.Peer holder = report.forwarded() ? null : election.holder();
+        if (holder != null) {
+            environment.send(holder.host, new DemandReport(report.life(), report.demands(), true));
         }
         instanceLifecycle.look();
     }
 
-    // Dispatchers: leases and news.
+    // Proxies: leases and news.
 
-    private void renewed(String fromHost, Fields message) throws MalformedMessage {
-        Member member = Member.of(message.list("m"));
-        String session = message.text("s");
-        long revision = message.whole("r");
+    private void renewed(String fromHost, LeaseRenewal renewal) {
+        Member member = renewal.member();
         long now = environment.now();
         long edition = members.edition();
-        members.renewed(member, message.whole("i"), now, true);
+        members.renewed(member, renewal.count(), now, true);
         if (members.edition() != edition) {
-            crewChanged();
+            membersChanged();
         }
-        boolean over = members.of(member.life()) == null;
-        Subscriber subscriber = subscribers.get(member.life());
-        if (over) {
-            subscribers.remove(member.life());
-            environment.send(fromHost, Fields.tree("t", "lease", "i", message.whole("i"), "over", true));
+        if (members.of(member.life()) == null) {
+            subscriptions.end(member.life());
+            environment.send(fromHost, new LeaseOver(renewal.count()));
             return;
         }
-        if (subscriber == null || !subscriber.session.equals(session)) {
-            subscriber = new Subscriber(fromHost, session);
-            subscriber.revision = revision;
-            subscribers.put(member.life(), subscriber);
-        }
-        subscriber.member = member;
-        subscriber.heardAt = now;
-        publish(subscriber);
+        long newsSent = subscriptions.renewed(fromHost, renewal);
+        long validMillis = Math.max(0, (peers.quorumContactAt() - now + nodeSettings.memberLease()) / 1_000_000);
         environment.send(
                 fromHost,
-                Fields.tree(
-                        "t",
-                        "lease",
-                        "i",
-                        message.whole("i"),
-                        "maj",
-                        hasMajority(),
-                        "v",
-                        Math.max(0, (majorityAt() - now + nodeSettings.memberLease()) / 1_000_000),
-                        "s",
-                        subscriber.session,
-                        "c",
-                        subscriber.sent,
-                        "k",
-                        controlNodeHosts()));
+                new LeaseGrant(
+                        renewal.count(), hasMajority(), validMillis, renewal.session(), newsSent, controlHosts()));
     }
 
-    /** Where dispatchers find control nodes. */
-    private List<Object> controlNodeHosts() {
+    /** Where proxies find control nodes. */
+    private List<String> controlHosts() {
         ReplicatedState basis = register.basis();
         return basis == null
                 ? List.of(nodeSettings.host())
-                : new ArrayList<>(basis.voters().stream().map(Voter::host).toList());
+                : basis.voters().stream().map(Voter::host).toList();
     }
 
     void publish() {
-        subscribers.values().removeIf(s -> environment.now() - s.heardAt > 4 * nodeSettings.beat());
-        subscribers.values().forEach(this::publish);
-    }
-
-    private void publish(Subscriber to) {
-        if (chart == null) {
-            return;
-        }
-        if (to.revision < chart.revision()) {
-            to.revision = chart.revision();
-            tell(to, Fields.tree("t", "chart", "c", configurationTree));
-        }
-        if (to.crew != members.edition()) {
-            to.crew = members.edition();
-            tell(
-                    to,
-                    Fields.tree(
-                            "t",
-                            "crew",
-                            "m",
-                            new ArrayList<>(
-                                    members.all().stream().map(Member::tree).toList())));
-        }
-        if (to.runners != runners.edition() || to.homesOf != members.edition()) {
-            publishRunners(to);
-        }
-    }
-
-    /** Of the runners, a dispatcher is told those of services that it is home to. */
-    private void publishRunners(Subscriber to) {
-        boolean moved = to.homesOf != members.edition();
-        List<Instance> look = moved ? new ArrayList<>(runners.all()) : runners.since(to.runners);
-        List<Object> news = new ArrayList<>();
-        Map<String, Boolean> homes = new HashMap<>();
-        for (Instance r : look) {
-            boolean home = homes.computeIfAbsent(r.service(), s -> isHome(s, to.member.zone(), to))
-                    || homes.computeIfAbsent(r.service() + "@" + r.zone(), s -> isHome(r.service(), r.zone(), to));
-            Instance.Phase told = to.told.get(r.id());
-            if (home && r.phase() != told && (told != null || r.phase() != Instance.Phase.GONE)) {
-                to.told.put(r.id(), r.phase());
-                news.add(r.tree());
-            } else if (!home && told != null) {
-                to.told.remove(r.id()); // its next home is told; this one forgets it with its homes
-            }
-        }
-        to.runners = runners.edition();
-        to.homesOf = members.edition();
-        if (!news.isEmpty()) {
-            tell(to, Fields.tree("t", "runners", "l", news));
-        }
-    }
-
-    private boolean isHome(String service, String zone, Subscriber who) {
-        Member home = ServiceOwnership.of(service, zone, members.all());
-        return home != null && home.life().equals(who.member.life());
-    }
-
-    private void tell(Subscriber to, Map<String, Object> message) {
-        message.put("s", to.session);
-        message.put("#", ++to.sent);
-        environment.send(to.host, message);
+        subscriptions.publish();
     }
 
     // The configuration.
@@ -511,89 +284,19 @@
         environment.note("chosen " + state.version() + ": revision " + state.revision() + ", voters "
                 + state.voters().stream().map(Voter::host).toList() + (state.isJoint() ? " (joint)" : "") + ", "
                 + state.duties());
-        if (text != null && (chart == null || state.revision() > chart.revision())) {
-            try {
-                Map<String, Object> tree = ConfigurationCodec.read(text);
-                chart = new Configuration(new Fields(tree));
-                configurationTree = tree;
-            } catch (InvalidConfiguration e) {
-                environment.note("revision " + state.revision() + " cannot be read: " + e.getMessage());
-            }
-        }
+        configurations.chosen(state, text);
         publish();
         instanceLifecycle.look();
     }
 
     /** Replaces the whole configuration, or amends it. */
     public void change(boolean amends, String basedOn, byte[] body, Consumer<Reply> answer) {
-        long base;
-        Map<String, Object> tree;
-        try {
-            base = Long.parseLong(basedOn == null ? "" : basedOn.strip());
-            tree = ConfigurationCodec.read(body);
-            if (!amends) {
-                new Configuration(new Fields(tree));
-            }
-        } catch (NumberFormatException e) {
-            answer.accept(new Reply(400, "X-Saltdale-Based-On-Version is missing or no number", null));
-            return;
-        } catch (InvalidConfiguration e) {
-            answer.accept(new Reply(400, e.getMessage(), null));
-            return;
-        }
-        String digest = ConfigurationCodec.digest(
-                new byte[] {(byte) (amends ? 1 : 0)}, Long.toString(base).getBytes(StandardCharsets.UTF_8), body);
-        register.propose(
-                (newest, text) -> change(newest, text, amends, base, tree, digest),
-                patience(),
-                reply -> answer.accept(reply == null ? unsettled() : (Reply) reply));
-    }
-
-    private static Proposer.Step change(
-            ReplicatedState newest, byte[] text, boolean amends, long base, Map<String, Object> tree, String digest) {
-        if (newest.taken().contains(digest)) {
-            return Proposer.Step.stay(new Reply(200, "taken", null));
-        } else if (base != newest.revision()) {
-            return Proposer.Step.stay(new Reply(412, "revision " + newest.revision() + " is in place", null));
-        }
-        try {
-            Map<String, Object> whole = !amends
-                    ? tree
-                    : ConfigurationCodec.amended(
-                            text == null ? Map.of() : ConfigurationCodec.read(text), new Fields(tree));
-            Configuration next = new Configuration(new Fields(whole));
-            if (next.revision() <= newest.revision()) {
-                throw new InvalidConfiguration("revision is not above " + newest.revision());
-            }
-            byte[] newText = ConfigurationCodec.write(whole);
-            String key = next.revision() + "-" + ConfigurationCodec.digest(newText);
-            return new Proposer.Step(
-                    newest.withText(next.revision(), key, digest), newText, new Reply(200, "taken", null));
-        } catch (InvalidConfiguration e) {
-            return Proposer.Step.stay(new Reply(400, e.getMessage(), null));
-        }
+        configurations.change(amends, basedOn, body, reply -> answer.accept(Reply.of(reply)));
     }
 
     /** Tells the newest configuration, as a majority knows it. */
     public void read(Consumer<Reply> answer) {
-        register.propose(
-                (newest, text) -> Proposer.Step.stay(new Reply(
-                        200,
-                        "",
-                        text == null
-                                ? "{\"revision\":0,\"routes\":[],\"services\":[]}".getBytes(StandardCharsets.UTF_8)
-                                : text)),
-                patience(),
-                reply -> answer.accept(reply == null ? unsettled() : (Reply) reply));
-    }
-
-    /** Who has no majority says so soon, so that the caller goes to another. */
-    private long patience() {
-        return hasMajority() ? nodeSettings.acknowledge() * 3 / 5 : nodeSettings.acknowledge() / 5;
-    }
-
-    private static Reply unsettled() {
-        return new Reply(503, "no majority of the core answered in time", null);
+        configurations.read(reply -> answer.accept(Reply.of(reply)));
     }
 
     // Duties and voters.
@@ -601,46 +304,37 @@
     private void tick() {
         environment.after(nodeSettings.beat() / 6, this::tick);
         long now = environment.now();
-        boolean had = hadMajority;
-        hadMajority = hasMajority();
-        majoritySince = had ? majoritySince : now;
+        boolean had = hadQuorum;
+        hadQuorum = hasMajority();
+        quorumSince = had ? quorumSince : now;
         long edition = members.edition();
         // Guards against a control node that stood still or was cut off: all renewals it missed come to it first.
-        if (hadMajority && now - majoritySince > nodeSettings.beat()) {
+        if (hadQuorum && now - quorumSince > nodeSettings.beat()) {
             members.expire(now);
         }
         if (members.edition() != edition) {
-            crewChanged();
+            membersChanged();
         }
-        if (had && !hadMajority) {
-            subscribers.values().forEach(s -> environment.send(s.host, Fields.tree("t", "alone")));
+        if (had && !hadQuorum) {
+            subscriptions.tellQuorumLost();
         }
-        if (proposing || register.basis() == null) {
-            return;
+        if (!proposing && register.basis() != null) {
+            proposeWhatIsDue();
         }
-        if (register.chosen() == null) {
+    }
+
+    private void proposeWhatIsDue() {
+        ReplicatedState state = register.chosen();
+        if (state == null) {
             // After a start: what is chosen is known only once a majority was asked.
             propose((newest, text) -> Proposer.Step.stay(Boolean.TRUE));
         } else if (hasMajority() && !ending) {
-            ReplicatedState state = register.chosen();
-            // Guards against a holder that nobody makes a voter again: one whose disk was lost leaves the duty to
-            // others.
-            if (nodeSettings.rates().duties().contains(STARTING) && state.isVoter(id) && vacant(state)) {
-                DutyLease seen = state.duty(STARTING);
-                propose((newest, text) -> newest.duty(STARTING).fence() != seen.fence()
-                        ? Proposer.Step.stay(null)
-                        : new Proposer.Step(
-                                newest.withDuty(
-                                        STARTING, new DutyLease(holder(), nodeSettings.name(), seen.fence() + 1)),
-                                null,
-                                Boolean.TRUE));
-            } else if (!state.isJoint() && (holds() || vacant(state))) {
-                List<Voter> next = votersNext(state, now);
+            if (election.mayClaim(state)) {
+                propose(election.claim(state));
+            } else if (!state.isJoint() && (holds() || election.isVacant(state))) {
+                List<Voter> next = voterChanges.next(state);
                 if (!next.equals(state.voters())) {
-                    propose((newest, text) ->
-                            newest.isJoint() || !newest.voters().equals(state.voters())
-                                    ? Proposer.Step.stay(null)
-                                    : new Proposer.Step(newest.withVoters(next), null, Boolean.TRUE));
+                    propose(voterChanges.change(state, next));
                 }
             }
         }
@@ -654,89 +348,10 @@
                 () -> register.propose(change, nodeSettings.beat(), done -> proposing = false));
     }
 
-    private boolean vacant(ReplicatedState state) {
-        String holder = state.duty(STARTING).holder();
-        if (holder == null) {
-            return true;
-        } else if (holder.startsWith(id + "/")) {
-            return !holder.equals(holder());
-        }
-        for (Peer peer : peers.values()) {
-            if (peer.id != null && holder.startsWith(peer.id + "/")) {
-                return !holder.equals(peer.id + "/" + peer.life) || unheard(peer.heardAt);
-            }
-        }
-        return unheard(startedAt);
-    }
-
-    private boolean unheard(long heardAt) {
-        return environment.now() - Math.max(heardAt, startedAt) > nodeSettings.vacancy();
-    }
-
-    /**
-     * The voters to have: one whose disk was lost, or that is gone, gives its place to a new control node; pairs are
-     * added.
-     */
-    private List<Voter> votersNext(ReplicatedState state, long now) {
-        List<Peer> candidates = new ArrayList<>(peers.values().stream()
-                .filter(p ->
-                        p.id != null && !p.leaving && now - p.heardAt < nodeSettings.lease() && !state.isVoter(p.id))
-                .toList());
-        List<Voter> voters = new ArrayList<>(state.voters());
-        for (int i = 0; i < voters.size(); i++) {
-            Voter old = voters.get(i);
-            Peer same = candidates.stream()
-                    .filter(p -> p.host.equals(old.host()))
-                    .findAny()
-                    .orElse(null);
-            if (same != null) {
-                voters.set(i, voter(same));
-                candidates.remove(same);
-            }
-        }
-        for (int i = 0; i < voters.size() && !candidates.isEmpty(); i++) {
-            Voter old = voters.get(i);
-            Peer its = peers.get(old.host());
-            boolean gone = !old.id().equals(id)
-                    && (its == null
-                            || its.leaving
-                            || unheard(its.id != null && its.id.equals(old.id()) ? its.heardAt : 0));
-            if (gone) {
-                voters.set(i, voter(candidates.remove(0)));
-            }
-        }
-        if (candidates.size() >= 2 && voters.size() + 2 <= MOST_VOTERS) {
-            voters.add(voter(candidates.get(0)));
-            voters.add(voter(candidates.get(1)));
-        }
-        return voters;
-    }
-
-    /** More voters than this make each ballot dearer and bear no more losses than a deployment asks for. */
-    private static final int MOST_VOTERS = 7;
-
-    private static Voter voter(Peer peer) {
-        return new Voter(peer.id, peer.name, peer.host);
-    }
-
     /** Ends in order: others may take over its duties and its place at once. */
     public void end(Runnable done) {
         ending = true;
-        beat();
-        ReplicatedState state = register.chosen();
-        if (state != null && holder().equals(state.duty(STARTING).holder())) {
-            DutyLease mine = state.duty(STARTING);
-            register.propose(
-                    (newest, text) -> !mine.equals(newest.duty(STARTING))
-                            ? Proposer.Step.stay(null)
-                            : new Proposer.Step(
-                                    newest.withDuty(STARTING, new DutyLease(null, null, mine.fence())),
-                                    null,
-                                    Boolean.TRUE),
-                    nodeSettings.beat(),
-                    answer -> done.run());
-        } else {
-            done.run();
-        }
+        sendHeartbeats();
+        election.resign(answer -> done.run());
     }
 }
--- a/control/src/main/java/saltdale/control/Environment.java
+++ b/control/src/main/java/saltdale/control/Environment.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import saltdale.control.message.Message;
 
 /**
  * What a role needs of the world; simulated clusters bring their own. All of it is called and calls back in one
@@ -18,7 +19,7 @@
     Runnable after(long nanos, Runnable what);
 
     /** Sends to the process at this host, if it can be reached; nothing tells whether it came. */
-    void send(String host, Map<String, Object> message);
+    void send(String host, Message message);
 
     /** Puts these records on disk, all or none (null removes); tells true once they outlast a loss of power. */
     void persist(Map<String, byte[]> records, Consumer<Boolean> done);
--- a/control/src/main/java/saltdale/control/InstanceLifecycle.java
+++ b/control/src/main/java/saltdale/control/InstanceLifecycle.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import saltdale.control.message.InstanceMessage.StartIntent;
+import saltdale.control.message.InstanceMessage.StartIntents;
 
 /**
  * A control node's dealings with the platform: every control node reads the list of runners; the holder of the
@@ -19,23 +21,13 @@
  */
 final class InstanceLifecycle {
     private static final class Intent {
-        final String nonce;
-        final String service;
-        final String worker;
-        final String zone;
-        final int slots;
-        final int memory;
+        final StartIntent start;
         long at; // when it was told or asked for
         boolean asked; // a call of ours is under way
         int tries;
 
-        Intent(String nonce, String service, String worker, String zone, int slots, int memory, long at) {
-            this.nonce = nonce;
-            this.service = service;
-            this.worker = worker;
-            this.zone = zone;
-            this.slots = slots;
-            this.memory = memory;
+        Intent(StartIntent start, long at) {
+            this.start = start;
             this.at = at;
         }
     }
@@ -88,14 +80,13 @@
             list(null, new ArrayList<>(), 1, now);
         }
         // All control nodes together stay under half of the platform's rate, whatever number of pages the list has.
-        double atLeast = controlNode.controlNodes()
-                * (pages + 1)
-                / (0.5 * nodeSettings.rates().listsPerSecond());
+        double atLeast =
+                controlNode.voters() * (pages + 1) / (0.5 * nodeSettings.rates().listsPerSecond());
         environment.after(Math.max(nodeSettings.beat() / 2, (long) (atLeast * 1e9)), this::list);
     }
 
     private long pageGap() {
-        return (long) (controlNode.controlNodes() / (0.6 * nodeSettings.rates().listsPerSecond()) * 1e9);
+        return (long) (controlNode.voters() / (0.6 * nodeSettings.rates().listsPerSecond()) * 1e9);
     }
 
     private void list(String token, List<Instance> so, int page, long askedAt) {
@@ -136,7 +127,7 @@
                 return;
             }
             pages = page;
-            List<Instance> news = controlNode.runners().listed(so, askedAt, environment.now());
+            List<Instance> news = controlNode.instances().listed(so, askedAt, environment.now());
             if (!news.isEmpty()) {
                 controlNode.publish();
                 look();
@@ -177,17 +168,19 @@
             scaler = new Scaler(nodeSettings.beat() * 7 / 2, now);
             intents.values().forEach(i -> i.asked = false);
             workersAt = Long.MIN_VALUE / 2;
-            controlNode.runners().all().stream()
+            controlNode.instances().all().stream()
                     .filter(r -> r.phase() == Instance.Phase.LEAVING && !drained.contains(r.id()))
                     .forEach(r -> leaving.putIfAbsent(r.id(), now));
         }
-        drained.removeIf(id -> controlNode.runners().get(id) == null);
+        drained.removeIf(id -> controlNode.instances().get(id) == null);
         leaving.keySet()
-                .removeIf(id -> controlNode.runners().get(id) == null
-                        || controlNode.runners().get(id).phase() == Instance.Phase.GONE);
+                .removeIf(id -> controlNode.instances().get(id) == null
+                        || controlNode.instances().get(id).phase() == Instance.Phase.GONE);
         intents.values().removeIf(i -> !i.asked && now - i.at > 20 * nodeSettings.beat());
         if (now - workersAt
-                > (lookAgain ? nodeSettings.beat() / 2 : (controlNode.chart() == null ? 2 : 1) * nodeSettings.beat())) {
+                > (lookAgain
+                        ? nodeSettings.beat() / 2
+                        : (controlNode.configuration() == null ? 2 : 1) * nodeSettings.beat())) {
             workersAt = now;
             lookAgain = false;
             askForWorkers();
@@ -197,7 +190,7 @@
                 ask(intent, now);
             }
         }
-        if (controlNode.chart() != null && !workers.isEmpty()) {
+        if (controlNode.configuration() != null && !workers.isEmpty()) {
             plan(now);
         }
         for (Map.Entry<String, Long> each : List.copyOf(leaving.entrySet())) {
@@ -248,13 +241,14 @@
     /** What is free on each worker: the least of what the platform told and of what our own starts leave. */
     private void reckon() {
         Map<String, Double> used = new HashMap<>();
-        for (Instance r : controlNode.runners().all()) {
-            Configuration.Service service = controlNode.chart().services().get(r.service());
+        for (Instance r : controlNode.instances().all()) {
+            Configuration.Service service =
+                    controlNode.configuration().services().get(r.service());
             if (r.phase() != Instance.Phase.GONE && service != null) {
                 used.merge(r.worker(), (double) service.memoryMb(), Double::sum);
             }
         }
-        intents.values().forEach(i -> used.merge(i.worker, (double) i.memory, Double::sum));
+        intents.values().forEach(i -> used.merge(i.start.worker(), (double) i.start.memoryMb(), Double::sum));
         for (Scaler.Worker w : workers) {
             double room = w.memory - used.getOrDefault(w.name, 0.0);
             w.room = refused > 0 ? Math.min(room, told.getOrDefault(w.name, 0.0)) : room;
@@ -265,27 +259,34 @@
         reckon();
         Map<String, Integer> beginning = new HashMap<>();
         intents.values().forEach(i -> {
-            beginning.merge(i.service + "@" + i.zone, 1, Integer::sum);
-            beginning.merge(i.service + "#" + i.worker, 1, Integer::sum);
+            beginning.merge(i.start.service() + "@" + i.start.zone(), 1, Integer::sum);
+            beginning.merge(i.start.service() + "#" + i.start.worker(), 1, Integer::sum);
         });
         Scaler.Plan plan = scaler.plan(
-                now, controlNode.chart(), controlNode.demand().all(now), controlNode.runners(), workers, beginning);
-        List<Object> news = new ArrayList<>();
+                now,
+                controlNode.configuration(),
+                controlNode.demand().all(now),
+                controlNode.instances(),
+                workers,
+                beginning);
+        List<StartIntent> news = new ArrayList<>();
         for (Scaler.Start start : plan.starts()) {
-            Configuration.Service service = controlNode.chart().services().get(start.service());
+            Configuration.Service service =
+                    controlNode.configuration().services().get(start.service());
             Intent intent = new Intent(
-                    fence + "-" + Long.toString(++nonces, 36),
-                    start.service(),
-                    start.worker(),
-                    start.zone(),
-                    service.maxConcurrency(),
-                    service.memoryMb(),
+                    new StartIntent(
+                            fence + "-" + Long.toString(++nonces, 36),
+                            start.service(),
+                            start.worker(),
+                            start.zone(),
+                            service.maxConcurrency(),
+                            service.memoryMb()),
                     now);
-            intents.put(intent.nonce, intent);
-            news.add(tree(intent));
+            intents.put(intent.start.nonce(), intent);
+            news.add(intent.start);
         }
         if (!news.isEmpty()) {
-            controlNode.tellControlNodes(Fields.tree("t", "intents", "l", news));
+            controlNode.tellControlNodes(new StartIntents(news, List.of()));
             for (Intent intent : List.copyOf(intents.values())) {
                 if (!intent.asked && intent.tries == 0 && mayCall(now)) {
                     ask(intent, now);
@@ -311,44 +312,51 @@
         intent.asked = true;
         intent.at = now;
         intent.tries++;
-        platform.begin(controlNode.name(), fence, intent.service, intent.worker, intent.nonce, answer -> {
-            intent.asked = false;
-            intent.at = environment.now();
-            if (answer == null || answer.status() == 429 || answer.status() >= 500) {
-                if (intent.tries > 8) {
+        platform.begin(
+                controlNode.name(),
+                fence,
+                intent.start.service(),
+                intent.start.worker(),
+                intent.start.nonce(),
+                answer -> {
+                    intent.asked = false;
+                    intent.at = environment.now();
+                    if (answer == null || answer.status() == 429 || answer.status() >= 500) {
+                        if (intent.tries > 8) {
+                            over(intent);
+                        }
+                        return; // it may have been done: asked again under the same nonce
+                    }
                     over(intent);
-                }
-                return; // it may have been done: asked again under the same nonce
-            }
-            over(intent);
-            if (answer.status() != 200 || answer.body() == null) {
-                refused = 10;
-                lookAgain = true; // no room there after all
-                environment.note("start of " + intent.service + " on " + intent.worker + ": " + answer.status());
-                return;
-            }
-            refused = Math.max(0, refused - 1);
-            try {
-                Fields body = new Fields(answer.body());
-                controlNode.changed(
-                        List.of(new Instance(
-                                body.text("identifier"),
-                                intent.service,
-                                body.text("address"),
-                                intent.zone,
-                                intent.worker,
-                                Instance.Phase.BOOTING,
-                                intent.slots)),
-                        true);
-            } catch (MalformedMessage e) {
-                environment.note("an answer to a start cannot be read: " + e.getMessage());
-            }
-        });
+                    if (answer.status() != 200 || answer.body() == null) {
+                        refused = 10;
+                        lookAgain = true; // no room there after all
+                        environment.note("start of " + intent.start.service() + " on " + intent.start.worker() + ": "
+                                + answer.status());
+                        return;
+                    }
+                    refused = Math.max(0, refused - 1);
+                    try {
+                        Fields body = new Fields(answer.body());
+                        controlNode.changed(
+                                List.of(new Instance(
+                                        body.text("identifier"),
+                                        intent.start.service(),
+                                        body.text("address"),
+                                        intent.start.zone(),
+                                        intent.start.worker(),
+                                        Instance.Phase.BOOTING,
+                                        intent.start.slots())),
+                                true);
+                    } catch (MalformedMessage e) {
+                        environment.note("an answer to a start cannot be read: " + e.getMessage());
+                    }
+                });
     }
 
     private void over(Intent intent) {
-        intents.remove(intent.nonce);
-        controlNode.tellControlNodes(Fields.tree("t", "intents", "o", List.of(intent.nonce)));
+        intents.remove(intent.start.nonce());
+        controlNode.tellControlNodes(new StartIntents(List.of(), List.of(intent.start.nonce())));
     }
 
     private void stop(String id) {
@@ -360,23 +368,10 @@
     }
 
     /** Another control node's intents: those it has told of, and those that are over. */
-    void told(Fields message) throws MalformedMessage {
-        for (Fields each : message.objects("l")) {
-            intents.putIfAbsent(
-                    each.text("n"),
-                    new Intent(
-                            each.text("n"),
-                            each.text("s"),
-                            each.text("w"),
-                            each.text("z"),
-                            (int) each.whole("c"),
-                            (int) each.whole("m"),
-                            environment.now()));
+    void told(StartIntents message) {
+        for (StartIntent each : message.intents()) {
+            intents.putIfAbsent(each.nonce(), new Intent(each, environment.now()));
         }
-        message.texts("o").forEach(intents::remove);
-    }
-
-    private static Map<String, Object> tree(Intent i) {
-        return Fields.tree("n", i.nonce, "s", i.service, "w", i.worker, "z", i.zone, "c", i.slots, "m", i.memory);
+        message.ended().forEach(intents::remove);
     }
 }
--- a/control/src/main/java/saltdale/control/MembershipTable.java
+++ b/control/src/main/java/saltdale/control/MembershipTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import saltdale.control.message.HeartbeatMessage.Renewal;
 
 /**
  * The leases of members, merged from what all control nodes hear: each renewal counts up, and the highest count is the
@@ -83,11 +84,11 @@
     }
 
     /** The lives that are over of late, by what this control node knows. */
-    List<Object> over(long now) {
-        return new ArrayList<>(ended.entrySet().stream()
+    List<String> over(long now) {
+        return ended.entrySet().stream()
                 .filter(e -> now - e.getValue() < length)
                 .map(Map.Entry::getKey)
-                .toList());
+                .toList();
     }
 
     /** Lives that are over by what another control node knows: two of a mind, or both would have homes of their own. */
@@ -100,25 +101,18 @@
     }
 
     /** What has been heard from members themselves since the last time this was asked. */
-    List<Object> news() {
-        List<Object> all = new ArrayList<>();
+    List<Renewal> news() {
+        List<Renewal> all = new ArrayList<>();
         for (Lease lease : leases.values()) {
             if (lease.untold) {
                 lease.untold = false;
-                List<Object> one = new ArrayList<>(lease.member.tree());
-                one.add(lease.count);
-                all.add(one);
+                all.add(new Renewal(lease.member, lease.count));
             }
         }
         return all;
     }
 
-    void merge(List<Object> news, long now) throws MalformedMessage {
-        for (Object each : news) {
-            if (!(each instanceof List<?> list) || list.size() != 6 || !(list.get(5) instanceof Long count)) {
-                throw new MalformedMessage("no renewal");
-            }
-            renewed(Member.of(each), count, now, false);
-        }
+    void merge(List<Renewal> renewals, long now) {
+        renewals.forEach(renewal -> renewed(renewal.member(), renewal.count(), now, false));
     }
 }
--- a/control/src/main/java/saltdale/control/Proposer.java
+++ b/control/src/main/java/saltdale/control/Proposer.java
@@ -9,6 +9,13 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import saltdale.control.message.BallotMessage.Accept;
+import saltdale.control.message.BallotMessage.Accepted;
+import saltdale.control.message.BallotMessage.Prepare;
+import saltdale.control.message.BallotMessage.Promise;
+import saltdale.control.message.BallotMessage.Refusal;
+import saltdale.control.message.BallotMessage.Reply;
+import saltdale.control.message.BallotMessage.TextNeeded;
 
 /**
  * Runs ballots: each asks a majority for the newest state that any of them accepted, makes the next one of it, and has
@@ -130,13 +137,12 @@
     }
 
     /** A voter's reply; those to ballots that are over mean nothing any more. */
-    void reply(String voter, Fields message) throws MalformedMessage {
-        Ballot ballot = Ballot.of(message, "b");
-        if (message.text("t").equals("nack")) {
-            highest = Math.max(highest, Ballot.of(message, "p").round());
+    void reply(Reply reply) {
+        if (reply instanceof Refusal refusal) {
+            highest = Math.max(highest, refusal.promised().round());
         }
-        if (round != null && round.ballot.equals(ballot)) {
-            round.reply(voter, message);
+        if (round != null && round.ballot.equals(reply.ballot())) {
+            round.reply(reply);
         }
     }
 
@@ -176,51 +182,38 @@
         }
 
         private void ask(Voter voter) {
-            String key = base.textKey();
             if (isSelf.apply(voter.id())) {
-                own.prepare(ballot, key, message -> replyOfOwn(voter.id(), message));
+                own.prepare(ballot, base.textKey(), Proposer.this::reply);
             } else {
-                environment.send(
-                        voter.host(), Fields.tree("t", "prepare", "b", ballot.tree(), "k", key, "to", voter.id()));
+                environment.send(voter.host(), new Prepare(ballot, base.textKey(), voter.id()));
             }
         }
 
-        private void replyOfOwn(String id, Map<String, Object> message) {
-            try {
-                Proposer.this.reply(id, new Fields(message));
-            } catch (MalformedMessage e) {
-                throw new IllegalStateException(e);
-            }
-        }
-
-        void reply(String voter, Fields message) throws MalformedMessage {
-            switch (message.text("t")) {
-                case "nack" -> again(this);
-                case "promise" -> promised(voter, message);
-                case "accepted" -> {
-                    accepts.add(voter);
-                    acceptedBy();
-                }
-                case "need" -> {
-                    Voter which = voterOf(voter);
-                    if (put != null && which != null) {
-                        send(which, putText);
-                    }
+        void reply(Reply reply) {
+            if (reply instanceof Refusal) {
+                again(this);
+            } else if (reply instanceof Promise promise) {
+                promised(promise);
+            } else if (reply instanceof Accepted accepted) {
+                accepts.add(accepted.voter());
+                acceptedBy();
+            } else if (reply instanceof TextNeeded needed) {
+                Voter which = voterOf(needed.voter());
+                if (put != null && which != null) {
+                    send(which, putText);
                 }
-                default -> throw new MalformedMessage("no reply to a ballot");
             }
         }
 
-        private void promised(String voter, Fields message) throws MalformedMessage {
-            Ballot of = Ballot.of(message, "a");
-            if (put != null || promises.put(voter, of) != null) {
+        private void promised(Promise promise) {
+            Ballot of = promise.accepted();
+            if (put != null || promises.put(promise.voter(), of) != null) {
                 return;
             }
-            if (message.has("s") && of.compareTo(newestBallot) > 0) {
-                ReplicatedState state = ReplicatedState.of(message.object("s"));
+            if (promise.state() != null && of.compareTo(newestBallot) > 0) {
                 newestBallot = of;
-                newest = state;
-                newestText = state.textKey().isEmpty() ? null : message.has("x") ? message.bytes("x") : baseText;
+                newest = promise.state();
+                newestText = newest.textKey().isEmpty() ? null : promise.text() != null ? promise.text() : baseText;
             }
             prepare(); // of voters that only the newest state names
             // Guards against old copies that name voters of their own: what is known to be chosen must be seen as well.
@@ -274,11 +267,9 @@
 
         private void send(Voter voter, byte[] text) {
             if (isSelf.apply(voter.id())) {
-                own.accept(ballot, put, putText, message -> replyOfOwn(voter.id(), message));
+                own.accept(ballot, put, putText, Proposer.this::reply);
             } else {
-                environment.send(
-                        voter.host(),
-                        Fields.tree("t", "accept", "b", ballot.tree(), "s", put.tree(), "x", text, "to", voter.id()));
+                environment.send(voter.host(), new Accept(ballot, put, text, voter.id()));
             }
         }
 
--- a/control/src/main/java/saltdale/control/ReplicatedRegister.java
+++ b/control/src/main/java/saltdale/control/ReplicatedRegister.java
@@ -2,8 +2,13 @@
 
 import java.util.Map;
 import java.util.function.Consumer;
+import saltdale.control.message.BallotMessage;
+import saltdale.control.message.BallotMessage.Accept;
+import saltdale.control.message.BallotMessage.Chosen;
+import saltdale.control.message.BallotMessage.Fetch;
+import saltdale.control.message.BallotMessage.Prepare;
 
-/** A control node's part in what is agreed: it votes, runs ballots, and knows the newest chosen state. */
+/** A control node's part in the consensus: it votes, runs ballots, and knows the newest chosen state. */
 public final class ReplicatedRegister {
     /** Told whenever a newer state is known to be chosen. */
     interface Listener {
@@ -22,7 +27,7 @@
         this.environment = environment;
         this.id = id;
         this.listener = listener;
-        acceptor = new Acceptor(environment);
+        acceptor = new Acceptor(environment, id);
         proposer = new Proposer(environment, life, acceptor, id::equals, (ballot, state, newText) -> {
             learnt(state, newText);
             tell();
@@ -53,6 +58,11 @@
         return text;
     }
 
+    /** The version of the newest state known to be chosen; -1 where none is. */
+    long version() {
+        return chosen == null ? -1 : chosen.version();
+    }
+
     /** The state whose voters are asked: chosen, or the newest that may be. */
     ReplicatedState basis() {
         return chosen != null ? chosen : proposer.basis();
@@ -62,50 +72,33 @@
         proposer.propose(change, within, answer);
     }
 
-    /** Takes part in a ballot, or hears of its end; {@code from} is who sent it. */
-    void message(String fromId, String fromHost, Fields message) throws MalformedMessage {
-        switch (message.text("t")) {
-            case "prepare" -> {
-                if (message.text("to").equals(id)) {
-                    acceptor.prepare(
-                            Ballot.of(message, "b"),
-                            message.text("k"),
-                            reply -> environment.send(fromHost, signed(reply)));
-                }
-            }
-            case "accept" -> {
-                if (message.text("to").equals(id)) {
-                    acceptor.accept(
-                            Ballot.of(message, "b"),
-                            ReplicatedState.of(message.object("s")),
-                            message.has("x") ? message.bytes("x") : null,
-                            reply -> environment.send(fromHost, signed(reply)));
-                }
+    /** Takes part in a ballot, or hears of its end. */
+    void message(String fromHost, BallotMessage message) {
+        if (message instanceof Prepare prepare) {
+            if (prepare.voter().equals(id)) {
+                acceptor.prepare(prepare.ballot(), prepare.knownText(), reply -> environment.send(fromHost, reply));
             }
-            case "promise", "nack", "accepted", "need" -> proposer.reply(fromId, message);
-            case "chosen" -> heard(fromHost, message);
-            case "fetch" -> {
-                if (chosen != null) {
-                    boolean has = message.text("k").equals(chosen.textKey());
-                    environment.send(fromHost, Fields.tree("t", "chosen", "s", chosen.tree(), "x", has ? null : text));
-                }
+        } else if (message instanceof Accept accept) {
+            if (accept.voter().equals(id)) {
+                acceptor.accept(
+                        accept.ballot(), accept.state(), accept.text(), reply -> environment.send(fromHost, reply));
             }
-            default -> throw new MalformedMessage("no message of ballots");
+        } else if (message instanceof BallotMessage.Reply reply) {
+            proposer.reply(reply);
+        } else if (message instanceof Chosen news) {
+            heard(fromHost, news);
+        } else if (message instanceof Fetch fetch && chosen != null) {
+            boolean has = fetch.knownText().equals(chosen.textKey());
+            environment.send(fromHost, new Chosen(chosen, has ? null : text));
         }
     }
 
-    /** Guards against a reply from before a disk was lost that is taken for one of the voter there now. */
-    private Map<String, Object> signed(Map<String, Object> reply) {
-        reply.put("f", id);
-        return reply;
-    }
-
-    private void heard(String fromHost, Fields message) throws MalformedMessage {
-        ReplicatedState state = ReplicatedState.of(message.object("s"));
+    private void heard(String fromHost, Chosen news) {
+        ReplicatedState state = news.state();
         if (chosen != null && state.version() <= chosen.version()) {
             return;
         }
-        byte[] with = message.has("x") ? message.bytes("x") : textOf(state);
+        byte[] with = news.text() != null ? news.text() : textOf(state);
         if (with == null && !state.textKey().isEmpty()) {
             fetch(fromHost);
             return;
@@ -120,9 +113,9 @@
         return acceptor.state() != null && acceptor.state().textKey().equals(state.textKey()) ? acceptor.text() : null;
     }
 
+    /** Asks another control node for the newest chosen state. */
     void fetch(String host) {
-        String key = chosen == null ? "" : chosen.textKey();
-        environment.send(host, Fields.tree("t", "fetch", "k", key));
+        environment.send(host, new Fetch(chosen == null ? "" : chosen.textKey()));
     }
 
     private void learnt(ReplicatedState state, byte[] newText) {
@@ -138,7 +131,7 @@
     private void tell() {
         for (Voter voter : chosen.voters()) {
             if (!voter.id().equals(id)) {
-                environment.send(voter.host(), Fields.tree("t", "chosen", "s", chosen.tree()));
+                environment.send(voter.host(), new Chosen(chosen, null));
             }
         }
     }
--- a/control/src/main/java/saltdale/control/ReplicatedState.java
+++ b/control/src/main/java/saltdale/control/ReplicatedState.java
@@ -19,7 +19,7 @@
         Map<String, DutyLease> duties,
         long revision,
         String textKey,
-        List<String> taken) {
+        List<String> recentChangeDigests) {
     /** So many changes of the configuration are remembered, for operators who repeat theirs. */
     private static final int REMEMBERED = 64;
 
@@ -46,22 +46,22 @@
     }
 
     public ReplicatedState withVoters(List<Voter> next) {
-        return new ReplicatedState(version + 1, voters, next, duties, revision, textKey, taken);
+        return new ReplicatedState(version + 1, voters, next, duties, revision, textKey, recentChangeDigests);
     }
 
     /** The change of voters is over: all later ballots need the new ones alone. */
     public ReplicatedState settled() {
-        return new ReplicatedState(version + 1, voters, voters, duties, revision, textKey, taken);
+        return new ReplicatedState(version + 1, voters, voters, duties, revision, textKey, recentChangeDigests);
     }
 
     public ReplicatedState withDuty(String name, DutyLease tenure) {
         Map<String, DutyLease> all = new TreeMap<>(duties);
         all.put(name, tenure);
-        return new ReplicatedState(version + 1, before, voters, all, revision, textKey, taken);
+        return new ReplicatedState(version + 1, before, voters, all, revision, textKey, recentChangeDigests);
     }
 
     public ReplicatedState withText(long newRevision, String key, String change) {
-        List<String> all = new ArrayList<>(taken);
+        List<String> all = new ArrayList<>(recentChangeDigests);
         all.add(change);
         return new ReplicatedState(
                 version + 1,
@@ -90,7 +90,12 @@
                 "k",
                 textKey,
                 "c",
-                taken);
+                recentChangeDigests);
+    }
+
+    /** Reads a state as another process or the disk tells it. */
+    public static ReplicatedState of(Object tree) throws MalformedMessage {
+        return of(Fields.of(tree));
     }
 
     static ReplicatedState of(Fields from) throws MalformedMessage {
--- a/control/src/main/java/saltdale/control/Scaler.java
+++ b/control/src/main/java/saltdale/control/Scaler.java
@@ -62,7 +62,7 @@
     Plan plan(
             long now,
             Configuration chart,
-            Map<String, List<Demand.Need>> demand,
+            Map<String, List<Demand>> demand,
             InstanceTable runners,
             List<Worker> workers,
             Map<String, Integer> beginning) {
@@ -122,7 +122,7 @@
 
     /** By zone, how many runners the calls want now. */
     Map<String, Integer> wanted(
-            Configuration.Service service, double target, long hold, List<Demand.Need> needs, InstanceTable runners) {
+            Configuration.Service service, double target, long hold, List<Demand> needs, InstanceTable runners) {
         Map<String, double[]> byZone = new TreeMap<>(); // average of slots busy, slots busy now, slots for what waits
         int slots = service.maxConcurrency();
         // One running time for all zones: a zone whose calls go elsewhere has seen none of its own.
@@ -140,7 +140,7 @@
                     .filter(r -> r.phase().compareTo(Instance.Phase.LEAVING) < 0)
                     .forEach(r -> byZone.put(r.zone(), new double[3]));
         }
-        for (Demand.Need need : needs) {
+        for (Demand need : needs) {
             double[] sum = byZone.computeIfAbsent(need.zone(), zone -> new double[3]);
             sum[0] += need.rate() * run;
             sum[1] += need.busy();
@@ -173,7 +173,7 @@
                 }
             }
         }
-        double rate = needs.stream().mapToDouble(Demand.Need::rate).sum();
+        double rate = needs.stream().mapToDouble(Demand::rate).sum();
         // Between calls so rare that holding costs more than starting again, nothing is kept.
         if (rate * hold / 1e9 < 1) {
             pooled[0] = 0;
--- a/control/src/main/java/saltdale/control/Trees.java
+++ b/control/src/main/java/saltdale/control/Trees.java
@@ -34,12 +34,20 @@
         return written(Json.FACTORY, tree);
     }
 
+    @SuppressWarnings("unchecked")
     public static Map<String, Object> fromCbor(byte[] bytes) throws MalformedMessage {
-        return read(Cbor.FACTORY, bytes);
+        return (Map<String, Object>) read(Cbor.FACTORY, bytes, JsonToken.START_OBJECT, "object");
+    }
+
+    /** Reads an array, as messages between processes are written. */
+    @SuppressWarnings("unchecked")
+    public static List<Object> listFromCbor(byte[] bytes) throws MalformedMessage {
+        return (List<Object>) read(Cbor.FACTORY, bytes, JsonToken.START_ARRAY, "array");
     }
 
+    @SuppressWarnings("unchecked")
     public static Map<String, Object> fromJson(byte[] bytes) throws MalformedMessage {
-        return read(Json.FACTORY, bytes);
+        return (Map<String, Object>) read(Json.FACTORY, bytes, JsonToken.START_OBJECT, "object");
     }
 
     private static byte[] written(JsonFactory factory, Object tree) {
@@ -85,17 +93,17 @@
         }
     }
 
-    @SuppressWarnings("unchecked")
-    private static Map<String, Object> read(JsonFactory factory, byte[] bytes) throws MalformedMessage {
+    private static Object read(JsonFactory factory, byte[] bytes, JsonToken begins, String what)
+            throws MalformedMessage {
         try (JsonParser from = factory.createParser(bytes)) {
-            if (from.nextToken() != JsonToken.START_OBJECT) {
-                throw new MalformedMessage("not an object");
+            if (from.nextToken() != begins) {
+                throw new MalformedMessage("not an " + what);
             }
             Object tree = value(from, 0);
             if (from.nextToken() != null) {
-                throw new MalformedMessage("something stands behind the object");
+                throw new MalformedMessage("something stands behind the " + what);
             }
-            return (Map<String, Object>) tree;
+            return tree;
         } catch (IOException | IllegalArgumentException e) {
             throw new MalformedMessage("cannot be read: " + e.getClass().getSimpleName());
         }
--- /dev/null
+++ b/control/src/main/java/saltdale/control/message/MessageKind.java
@@ -0,0 +1,47 @@
+package saltdale.control.message;
+
+import saltdale.control.MalformedMessage;
+
+/** The kinds of messages; on the wire a kind is its place in this list. */
+public enum MessageKind {
+    HELLO(Hello::read),
+    PREPARE(BallotMessage.Prepare::read),
+    PROMISE(BallotMessage.Promise::read),
+    REFUSAL(BallotMessage.Refusal::read),
+    ACCEPT(BallotMessage.Accept::read),
+    ACCEPTED(BallotMessage.Accepted::read),
+    TEXT_NEEDED(BallotMessage.TextNeeded::read),
+    CHOSEN(BallotMessage.Chosen::read),
+    FETCH(BallotMessage.Fetch::read),
+    HEARTBEAT(HeartbeatMessage.Heartbeat::read),
+    HEARTBEAT_ACK(HeartbeatMessage.HeartbeatAck::read),
+    LEASE_RENEWAL(SessionMessage.LeaseRenewal::read),
+    LEASE_GRANT(SessionMessage.LeaseGrant::read),
+    LEASE_OVER(SessionMessage.LeaseOver::read),
+    QUORUM_LOST(SessionMessage.QuorumLost::read),
+    CONFIGURATION_NEWS(SessionMessage.ConfigurationNews::read),
+    MEMBERS_NEWS(SessionMessage.MembersNews::read),
+    INSTANCES_NEWS(SessionMessage.InstancesNews::read),
+    DEMAND_REPORT(InstanceMessage.DemandReport::read),
+    INSTANCE_READY(InstanceMessage.InstanceReady::read),
+    INSTANCE_UPDATES(InstanceMessage.InstanceUpdates::read),
+    START_INTENTS(InstanceMessage.StartIntents::read),
+    SLOT_REQUEST(SlotMessage.SlotRequest::read),
+    SLOT_GRANT(SlotMessage.SlotGrant::read),
+    SLOT_QUEUED(SlotMessage.SlotQueued::read),
+    SLOT_ELSEWHERE(SlotMessage.SlotElsewhere::read),
+    SLOT_REFUSAL(SlotMessage.SlotRefusal::read),
+    SLOT_CANCEL(SlotMessage.SlotCancel::read),
+    SLOT_RETURN(SlotMessage.SlotReturn::read),
+    SLOTS_HELD(SlotMessage.SlotsHeld::read);
+
+    interface Reader {
+        Message read(FieldReader fields) throws MalformedMessage;
+    }
+
+    final Reader reader;
+
+    MessageKind(Reader reader) {
+        this.reader = reader;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/saltdale/control/message/SlotMessage.java
@@ -0,0 +1,205 @@
+package saltdale.control.message;
+
+import java.util.List;
+import saltdale.control.Instance;
+import saltdale.control.MalformedMessage;
+
+/** Messages between a proxy that carries a request and the owner of its service's slots. */
+public sealed interface SlotMessage extends Message {
+    /** Asks for a slot; times are what is left in milliseconds, {@code avoided} are instances that failed it. */
+    record SlotRequest(
+            long number,
+            String service,
+            String life,
+            String zone,
+            long untilMillis,
+            long targetMillis,
+            int priority,
+            boolean counts,
+            int hops,
+            List<String> avoided)
+            implements SlotMessage {
+        @Override
+        public MessageKind kind() {
+            return MessageKind.SLOT_REQUEST;
+        }
+
+        @Override
+        public List<Object> fields() {
+            return List.of(
+                    number,
+                    service,
+                    life,
+                    zone,
+                    untilMillis,
+                    targetMillis,
+                    (long) priority,
+                    counts,
+                    (long) hops,
+                    avoided);
+        }
+
+        @Override
+        public boolean expectsReply() {
+            return true;
+        }
+
+        static SlotRequest read(FieldReader fields) throws MalformedMessage {
+            return new SlotRequest(
+                    fields.whole("number"),
+                    fields.text("service"),
+                    fields.text("life"),
+                    fields.text("zone"),
+                    fields.whole("untilMillis"),
+                    fields.whole("targetMillis"),
+                    fields.within("priority", -1, Integer.MAX_VALUE),
+                    fields.flag("counts"),
+                    fields.within("hops", 0, Integer.MAX_VALUE),
+                    fields.texts("avoided"));
+        }
+    }
+
+    /** The request may go to this instance. */
+    record SlotGrant(long number, Instance instance) implements SlotMessage {
+        @Override
+        public MessageKind kind() {
+            return MessageKind.SLOT_GRANT;
+        }
+
+        @Override
+        public List<Object> fields() {
+            return List.of(number, instance.tree());
+        }
+
+        static SlotGrant read(FieldReader fields) throws MalformedMessage {
+            return new SlotGrant(fields.whole("number"), fields.composed("instance", Instance::of));
+        }
+    }
+
+    /** The request waits for a slot. */
+    record SlotQueued(long number) implements SlotMessage {
+        @Override
+        public MessageKind kind() {
+            return MessageKind.SLOT_QUEUED;
+        }
+
+        @Override
+        public List<Object> fields() {
+            return List.of(number);
+        }
+
+        static SlotQueued read(FieldReader fields) throws MalformedMessage {
+            return new SlotQueued(fields.whole("number"));
+        }
+    }
+
+    /** Another zone has instances. */
+    record SlotElsewhere(long number, String zone) implements SlotMessage {
+        @Override
+        public MessageKind kind() {
+            return MessageKind.SLOT_ELSEWHERE;
+        }
+
+        @Override
+        public List<Object> fields() {
+            return List.of(number, zone);
+        }
+
+        static SlotElsewhere read(FieldReader fields) throws MalformedMessage {
+            return new SlotElsewhere(fields.whole("number"), fields.text("zone"));
+        }
+    }
+
+    /** No slot can be had in time; the client may come back after a pause. */
+    record SlotRefusal(long number, long pauseMillis) implements SlotMessage {
+        @Override
+        public MessageKind kind() {
+            return MessageKind.SLOT_REFUSAL;
+        }
+
+        @Override
+        public List<Object> fields() {
+            return List.of(number, pauseMillis);
+        }
+
+        static SlotRefusal read(FieldReader fields) throws MalformedMessage {
+            return new SlotRefusal(fields.whole("number"), fields.whole("pauseMillis"));
+        }
+    }
+
+    /** The request no longer waits, or gives back what it was granted. */
+    record SlotCancel(String service, String key) implements SlotMessage {
+        @Override
+        public MessageKind kind() {
+            return MessageKind.SLOT_CANCEL;
+        }
+
+        @Override
+        public List<Object> fields() {
+            return List.of(service, key);
+        }
+
+        static SlotCancel read(FieldReader fields) throws MalformedMessage {
+            return new SlotCancel(fields.text("service"), fields.text("key"));
+        }
+    }
+
+    /** The slot is free again; {@code outcome} is how the attempt ended. */
+    record SlotReturn(String service, String key, String instance, int outcome, long ranMicros) implements SlotMessage {
+        @Override
+        public MessageKind kind() {
+            return MessageKind.SLOT_RETURN;
+        }
+
+        @Override
+        public List<Object> fields() {
+            return List.of(service, key, instance, (long) outcome, ranMicros);
+        }
+
+        static SlotReturn read(FieldReader fields) throws MalformedMessage {
+            return new SlotReturn(
+                    fields.text("service"),
+                    fields.text("key"),
+                    fields.text("instance"),
+                    fields.within("outcome", 0, Integer.MAX_VALUE),
+                    fields.whole("ranMicros"));
+        }
+    }
+
+    /** Slots that are in use, told to their new owner. */
+    record SlotsHeld(List<HeldSlot> slots) implements SlotMessage {
+        @Override
+        public MessageKind kind() {
+            return MessageKind.SLOTS_HELD;
+        }
+
+        @Override
+        public List<Object> fields() {
+            return List.of(slots.stream().map(HeldSlot::tree).toList());
+        }
+
+        static SlotsHeld read(FieldReader fields) throws MalformedMessage {
+            return new SlotsHeld(fields.list("slots", HeldSlot::of));
+        }
+    }
+
+    /** A slot in use: the key of its grant and the life of the proxy that holds it. */
+    record HeldSlot(String service, String instance, String key, String life, long leftMillis) {
+        List<Object> tree() {
+            return List.of(service, instance, key, life, leftMillis);
+        }
+
+        static HeldSlot of(Object tree) throws MalformedMessage {
+            if (tree instanceof List<?> list
+                    && list.size() == 5
+                    && list.get(0) instanceof String service
+                    && list.get(1) instanceof String instance
+                    && list.get(2) instanceof String key
+                    && list.get(3) instanceof String life
+                    && list.get(4) instanceof Long leftMillis) {
+                return new HeldSlot(service, instance, key, life, leftMillis);
+            }
+            throw new MalformedMessage("is no held slot");
+        }
+    }
+}
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 import saltdale.control.ControlNode;
 import saltdale.control.ControlNodeSettings;
-import saltdale.control.Fields;
 import saltdale.control.MalformedMessage;
+import saltdale.control.message.Message;
 import saltdale.protocol.Head;
 import saltdale.protocol.HttpParser;
 import saltdale.serving.Visit;
@@ -50,7 +50,7 @@
         } catch (MalformedMessage e) {
             // What cannot be read back whole is as good as lost: another voter, who knows nothing, begins.
             environment.ring.wrong(
-                    "the records on disk cannot be used, beginning as a new controlNode: " + e.getMessage());
+                    "the records on disk cannot be used, beginning as a new control node: " + e.getMessage());
             Map<String, byte[]> none = new HashMap<>();
             records.keySet().forEach(name -> none.put(name, null));
             environment.persist(none, done -> {});
@@ -104,7 +104,7 @@
     // Other processes.
 
     @Override
-    public void message(String fromHost, Fields message) throws MalformedMessage {
+    public void message(String fromHost, Message message) throws MalformedMessage {
         if (controlNode != null) {
             controlNode.message(fromHost, message);
         }
--- a/node/src/main/java/saltdale/node/EventLoopEnvironment.java
+++ b/node/src/main/java/saltdale/node/EventLoopEnvironment.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executors;
 import java.util.function.Consumer;
 import saltdale.control.Environment;
+import saltdale.control.message.Message;
 import saltdale.transport.Address;
 import saltdale.transport.Loop;
 import saltdale.transport.Sockets;
@@ -84,7 +85,7 @@
     }
 
     @Override
-    public void send(String host, Map<String, Object> message) {
+    public void send(String host, Message message) {
         peerConnections.send(host, message);
     }
 
--- a/node/src/main/java/saltdale/node/Main.java
+++ b/node/src/main/java/saltdale/node/Main.java
@@ -8,7 +8,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import sun.misc.Signal;
 
-/** The one program of the platform: {@code proxy} carries calls, {@code control node} holds the state. */
+/** The one program of the platform: {@code proxy} carries calls, {@code control} holds the state. */
 public final class Main {
     private Main() {}
 
@@ -25,7 +25,7 @@
         parser.addArgument("role")
                 .choices("proxy", "control")
                 .help(
-                        "proxy: carries calls; controlNode: holds the state, takes the operators' calls, starts and stops runners");
+                        "proxy: carries calls; control: holds the state, takes the operators' calls, starts and stops runners");
         parser.addArgument("--trace")
                 .action(Arguments.storeTrue())
                 .help("write every note on standard error at once, not only when something goes wrong");
@@ -41,14 +41,14 @@
         }
         try {
             Settings settings = Settings.read(System.getenv(Settings.VARIABLE));
-            NodeProcess station =
+            NodeProcess process =
                     words.getString("role").equals("proxy") ? new ProxyProcess(settings) : new ControlProcess(settings);
             for (String signal : new String[] {"TERM", "INT"}) {
-                Signal.handle(new Signal(signal), which -> station.end());
+                Signal.handle(new Signal(signal), which -> process.end());
             }
             // What may change while a process runs (the seeds) is learnt from the core itself: nothing is read again.
             Signal.handle(new Signal("HUP"), which -> {});
-            station.run();
+            process.run();
             return 0;
         } catch (Settings.Wrong e) {
             System.err.println("saltdale: " + e.getMessage());
--- a/node/src/main/java/saltdale/node/PeerConnections.java
+++ b/node/src/main/java/saltdale/node/PeerConnections.java
@@ -5,13 +5,14 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeMap;
-import saltdale.control.Fields;
 import saltdale.control.MalformedMessage;
-import saltdale.control.Trees;
+import saltdale.control.message.Hello;
+import saltdale.control.message.Message;
+import saltdale.control.message.MessageCodec;
+import saltdale.control.message.MessageKind;
 import saltdale.transport.Connection;
 import saltdale.transport.Listener;
 import saltdale.transport.Loop;
@@ -23,7 +24,7 @@
  */
 final class PeerConnections {
     interface Reader {
-        void message(String fromHost, Fields message) throws MalformedMessage;
+        void message(String fromHost, Message message) throws MalformedMessage;
 
         /** What was sent to this host of late may be lost. */
         void broken(String host);
@@ -33,8 +34,6 @@
     private static final int MOST = 64 << 20;
     private static final int MOST_WAITING = 8 << 20; // bytes for a host that is not connected or does not read
     private static final Duration DIAL = Duration.ofMillis(400);
-    /** What is answered at once where the other side is well. */
-    private static final Set<String> ANSWERED = Set.of("ask", "renew", "beat", "prepare", "accept", "fetch");
 
     private final Loop loop;
     private final Sockets sockets;
@@ -44,7 +43,7 @@
     private final Reader reader;
     private final Map<String, Out> outs = new HashMap<>();
     /** By kind of message: how many were sent, and their bytes. */
-    final Map<String, long[]> sent = new TreeMap<>();
+    final Map<MessageKind, long[]> sent = new EnumMap<>(MessageKind.class);
 
     /** A host that owes an answer for longer than {@code patience} and says nothing is dialled anew. */
     PeerConnections(Loop loop, Sockets sockets, String host, int port, Duration patience, Reader reader)
@@ -58,21 +57,21 @@
         new Listener(loop, sockets, new InetSocketAddress(host, port), (connection, full) -> new In(connection));
     }
 
-    void send(String to, Map<String, Object> message) {
+    void send(String to, Message message) {
         if (to.equals(host)) {
             loop.soon(() -> take(host, message));
             return;
         }
-        byte[] body = Trees.cbor(message);
-        long[] count = sent.computeIfAbsent((String) message.get("t"), kind -> new long[2]);
+        byte[] body = MessageCodec.encode(message);
+        long[] count = sent.computeIfAbsent(message.kind(), kind -> new long[2]);
         count[0]++;
         count[1] += body.length + 4;
-        outs.computeIfAbsent(to, Out::new).send(body, ANSWERED.contains(message.get("t")));
+        outs.computeIfAbsent(to, Out::new).send(body, message.expectsReply());
     }
 
-    private void take(String from, Map<String, Object> message) {
+    private void take(String from, Message message) {
         try {
-            reader.message(from, new Fields(message));
+            reader.message(from, message);
         } catch (MalformedMessage e) {
             LOG.log(System.Logger.Level.WARNING, "a message of " + from + " is malformed: " + e.getMessage());
         }
@@ -119,7 +118,7 @@
                 if (connection == null) {
                     return;
                 }
-                frame(Trees.cbor(Fields.tree("t", "hello", "h", host)));
+                frame(MessageCodec.encode(new Hello(host)));
             }
             if (!open && waiting > MOST_WAITING) {
                 return;
@@ -198,12 +197,14 @@
 
         private void whole(byte[] body) {
             try {
-                Map<String, Object> message = Trees.fromCbor(body);
-                if (from == null) {
-                    from = new Fields(message).text("h");
-                } else {
+                Message message = MessageCodec.decode(body);
+                if (from != null) {
                     heard(from);
                     take(from, message);
+                } else if (message instanceof Hello hello) {
+                    from = hello.host();
+                } else {
+                    throw new MalformedMessage("message " + message.kind() + " before a hello");
                 }
             } catch (MalformedMessage e) {
                 LOG.log(System.Logger.Level.WARNING, "a message of " + from + " is malformed: " + e.getMessage());
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -10,8 +10,8 @@
 import java.util.Map;
 import java.util.Set;
 import saltdale.control.Configuration;
-import saltdale.control.Fields;
 import saltdale.control.MalformedMessage;
+import saltdale.control.message.Message;
 import saltdale.protocol.Head;
 import saltdale.protocol.HttpParser;
 import saltdale.proxy.Attempt;
@@ -123,7 +123,7 @@
     // Other processes.
 
     @Override
-    public void message(String fromHost, Fields message) throws MalformedMessage {
+    public void message(String fromHost, Message message) throws MalformedMessage {
         proxy.message(fromHost, message);
     }
 
--- a/node/src/main/java/saltdale/node/UpstreamExchange.java
+++ b/node/src/main/java/saltdale/node/UpstreamExchange.java
@@ -54,7 +54,7 @@
                         request,
                         DROPPED,
                         KEPT,
-                        "X-Saltdale-Deadline-Remaining: " + leftMillis + "\r\nX-Saltdale-Expected-Instance: "
+                        "X-Saltdale-Deadline-Remaining: " + leftMillis + "\r\nX-Saltdale-Expected-Runner: "
                                 + attempt.runner + "\r\n"
                                 + (bodied ? "Content-Length: " + requestBody.length + "\r\n" : ""))),
                 ByteBuffer.wrap(requestBody));
@@ -89,7 +89,7 @@
         } else if (PROMISES.contains(answer.status())
                 || !parser.framed()
                 || answer.header("Content-Encoding") != null
-                || success && answer.single("X-Saltdale-Instance-Seal") == null) {
+                || success && answer.single("X-Saltdale-Runner-Seal") == null) {
             end(Attempt.End.BROKEN, false);
         } else {
             head = answer;
--- a/node/src/test/java/saltdale/node/UpstreamExchangeTest.java
+++ b/node/src/test/java/saltdale/node/UpstreamExchangeTest.java
@@ -37,7 +37,7 @@
 @Timeout(20)
 class UpstreamExchangeTest {
     private static final String REQUEST = "POST /a/1 HTTP/1.1\r\nHost: h\r\nX-Saltdale-Attempt-Id: me\r\n"
-            + "X-Saltdale-Deadline-Remaining: 900\r\nX-Saltdale-Expected-Instance: i-9\r\nConnection: x-drop\r\nX-Drop: 1\r\n"
+            + "X-Saltdale-Deadline-Remaining: 900\r\nX-Saltdale-Expected-Runner: i-9\r\nConnection: x-drop\r\nX-Drop: 1\r\n"
             + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
 
     private String sent; // what the runner read
@@ -88,20 +88,20 @@
     @CsvSource(
             delimiter = ';',
             value = {
-                "ANSWERED; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Instance-Seal: s|Content-Length: 2||ok",
+                "ANSWERED; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Runner-Seal: s|Content-Length: 2||ok",
                 "ANSWERED; HTTP/1.1 500 No|X-Saltdale-Attempt-Id: me|Content-Length: 0||",
-                "ANSWERED; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: other|X-Saltdale-Instance-Seal: t|Content-Length: 1||x"
-                        + "HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Instance-Seal: s|Content-Length: 2||ok",
-                "BROKEN; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: other|X-Saltdale-Instance-Seal: t|Content-Length: 1||x",
-                "BROKEN; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Instance-Seal: s|Content-Length: 9||cut",
-                "BROKEN; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Instance-Seal: s||no length",
+                "ANSWERED; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: other|X-Saltdale-Runner-Seal: t|Content-Length: 1||x"
+                        + "HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Runner-Seal: s|Content-Length: 2||ok",
+                "BROKEN; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: other|X-Saltdale-Runner-Seal: t|Content-Length: 1||x",
+                "BROKEN; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Runner-Seal: s|Content-Length: 9||cut",
+                "BROKEN; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Runner-Seal: s||no length",
                 "BROKEN; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|Content-Length: 2||ok",
-                "BROKEN; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Instance-Seal: s|Content-Encoding: gzip|Content-Length: 2||ok",
+                "BROKEN; HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Runner-Seal: s|Content-Encoding: gzip|Content-Length: 2||ok",
                 "BROKEN; HTTP/1.1 503 Busy|X-Saltdale-Attempt-Id: me|Content-Length: 0||",
                 "BROKEN; rubbish||",
                 "TURNED_AWAY; HTTP/1.1 503 Busy|X-Saltdale-Not-Executed: 1|Content-Length: 0||",
                 "TURNED_AWAY; HTTP/1.1 429 Busy|X-Saltdale-Attempt-Id: me|X-Saltdale-Not-Executed: 1|Content-Length: 0||",
-                "MISDIRECTED; HTTP/1.1 421 Not me|X-Saltdale-Instance-Id: i-2|Content-Length: 0||"
+                "MISDIRECTED; HTTP/1.1 421 Not me|X-Saltdale-Runner-Id: i-2|Content-Length: 0||"
             })
     void onlyAWholeAnswerToThisRequestIsOne(Attempt.End expected, String answer) throws Exception {
         assertThat(end(answer), is(expected));
@@ -118,7 +118,7 @@
     void theRequestIsPassedOnUnchangedUnderOneFraming() throws Exception {
         end("HTTP/1.1 500 No|X-Saltdale-Attempt-Id: me|Content-Length: 0||");
         assertThat(sent, containsString("POST /a/1 HTTP/1.1\r\n"));
-        assertThat(sent, containsString("\r\nX-Saltdale-Expected-Instance: i-1\r\n"));
+        assertThat(sent, containsString("\r\nX-Saltdale-Expected-Runner: i-1\r\n"));
         assertThat(sent, not(containsString("i-9")));
         assertThat(sent, containsString("\r\nX-Saltdale-Deadline-Remaining: 700\r\n"));
         assertThat(sent, not(containsString("900")));
--- a/proxy/src/main/java/saltdale/proxy/ControlSession.java
+++ b/proxy/src/main/java/saltdale/proxy/ControlSession.java
@@ -7,9 +7,13 @@
 import java.util.Map;
 import java.util.Set;
 import saltdale.control.Environment;
-import saltdale.control.Fields;
-import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
+import saltdale.control.message.SessionMessage;
+import saltdale.control.message.SessionMessage.LeaseGrant;
+import saltdale.control.message.SessionMessage.LeaseOver;
+import saltdale.control.message.SessionMessage.LeaseRenewal;
+import saltdale.control.message.SessionMessage.News;
+import saltdale.control.message.SessionMessage.QuorumLost;
 
 /**
  * A proxy's tie to the core: it renews its lease at one control node and takes its news there, and goes on to
@@ -19,7 +23,7 @@
 final class ControlSession {
     /** News, in the order in which the control node sent it. */
     interface Reader {
-        void news(Fields message) throws MalformedMessage;
+        void news(News news);
 
         /** A session begins: what was told before about runners is told again. */
         void begins();
@@ -93,7 +97,7 @@
         all.remove(controlNode);
         if (!all.isEmpty()) {
             controlNode = all.get(environment.chance().nextInt(all.size()));
-            environment.note("goes to controlNode " + controlNode);
+            environment.note("goes to control node " + controlNode);
         }
         alone = 0;
         resume();
@@ -118,17 +122,10 @@
         sentAt.values().removeIf(at -> now - at > 4 * proxySettings.beat());
         environment.send(
                 controlNode,
-                Fields.tree(
-                        "t",
-                        "renew",
-                        "m",
-                        new Member(life, proxySettings.name(), proxySettings.zone(), proxySettings.host(), leaving)
-                                .tree(),
-                        "i",
+                new LeaseRenewal(
+                        new Member(life, proxySettings.name(), proxySettings.zone(), proxySettings.host(), leaving),
                         count,
-                        "s",
                         session,
-                        "r",
                         reader.revision()));
     }
 
@@ -138,42 +135,51 @@
         renew();
     }
 
-    void message(String from, Fields message) throws MalformedMessage {
-        if (message.text("t").equals("alone")) {
+    /** Takes a message of a control node. */
+    void message(String from, SessionMessage message) {
+        if (message instanceof QuorumLost) {
             // The control node has just lost its majority: another may know of newer versions.
             if (from.equals(controlNode)) {
                 move();
                 renew();
             }
-        } else if (message.text("t").equals("lease")) {
-            lease(from, message);
-        } else if (message.text("s").equals(session) && from.equals(controlNode)) {
-            if (message.whole("#") != news + 1) {
-                environment.note("news " + message.whole("#") + " came after " + news);
-                resume(); // something was lost on the way
-                renew();
-                return;
+        } else if (message instanceof LeaseGrant grant) {
+            granted(from, grant);
+        } else if (message instanceof LeaseOver over) {
+            if (sentAt.remove(over.count()) != null && from.equals(controlNode)) {
+                over();
             }
-            news++;
-            reader.news(message);
+        } else if (message instanceof News news && news.session().equals(session) && from.equals(controlNode)) {
+            told(news);
         }
     }
 
-    private void lease(String from, Fields message) throws MalformedMessage {
-        Long sent = sentAt.remove(message.whole("i"));
-        if (!from.equals(controlNode) || sent == null) {
+    private void told(News message) {
+        if (message.number() != news + 1) {
+            environment.note("news " + message.number() + " came after " + news);
+            resume(); // something was lost on the way
+            renew();
             return;
         }
-        if (message.flag("over")) {
-            life = fresh();
-            leaseUntil = Long.MIN_VALUE / 2;
-            environment.note("the lease is over; a new life: " + life);
-            reader.over();
-            resume();
-            renew();
+        news++;
+        reader.news(message);
+    }
+
+    private void over() {
+        life = fresh();
+        leaseUntil = Long.MIN_VALUE / 2;
+        environment.note("the lease is over; a new life: " + life);
+        reader.over();
+        resume();
+        renew();
+    }
+
+    private void granted(String from, LeaseGrant grant) {
+        Long sent = sentAt.remove(grant.count());
+        if (!from.equals(controlNode) || sent == null) {
             return;
         }
-        if (!message.flag("maj")) {
+        if (!grant.hasQuorum()) {
             alone++;
             if (alone > 1) { // it may not know what is in force
                 move();
@@ -183,11 +189,9 @@
         }
         alone = 0;
         heardAt = environment.now();
-        leaseUntil = Math.max(leaseUntil, sent + message.whole("v") * 1_000_000);
-        for (String each : message.texts("k")) {
-            controlNodes.add(each);
-        }
-        if (message.text("s").equals(session) && message.whole("c") != news) {
+        leaseUntil = Math.max(leaseUntil, sent + grant.validMillis() * 1_000_000);
+        controlNodes.addAll(grant.controlHosts());
+        if (grant.session().equals(session) && grant.newsSent() != news) {
             resume();
             renew();
         }
--- a/proxy/src/main/java/saltdale/proxy/Proxy.java
+++ b/proxy/src/main/java/saltdale/proxy/Proxy.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import saltdale.control.Configuration;
+import saltdale.control.Demand;
 import saltdale.control.Environment;
 import saltdale.control.Fields;
 import saltdale.control.Instance;
@@ -16,6 +17,24 @@
 import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
 import saltdale.control.ServiceOwnership;
+import saltdale.control.message.InstanceMessage.DemandReport;
+import saltdale.control.message.InstanceMessage.InstanceReady;
+import saltdale.control.message.Message;
+import saltdale.control.message.SessionMessage;
+import saltdale.control.message.SessionMessage.ConfigurationNews;
+import saltdale.control.message.SessionMessage.InstancesNews;
+import saltdale.control.message.SessionMessage.MembersNews;
+import saltdale.control.message.SessionMessage.News;
+import saltdale.control.message.SlotMessage;
+import saltdale.control.message.SlotMessage.HeldSlot;
+import saltdale.control.message.SlotMessage.SlotCancel;
+import saltdale.control.message.SlotMessage.SlotElsewhere;
+import saltdale.control.message.SlotMessage.SlotGrant;
+import saltdale.control.message.SlotMessage.SlotQueued;
+import saltdale.control.message.SlotMessage.SlotRefusal;
+import saltdale.control.message.SlotMessage.SlotRequest;
+import saltdale.control.message.SlotMessage.SlotReturn;
+import saltdale.control.message.SlotMessage.SlotsHeld;
 import saltdale.probing.ProbeLoop;
 
 /**
@@ -61,7 +80,7 @@
         budget = new RetryBudget(proxySettings.retryRatio(), proxySettings.retryWindow(), proxySettings.retrySlack());
         controlSession = new ControlSession(environment, proxySettings, new ControlSession.Reader() {
             @Override
-            public void news(Fields message) throws MalformedMessage {
+            public void news(News message) {
                 Proxy.this.news(message);
             }
 
@@ -140,31 +159,24 @@
 
     // News of the core.
 
-    private void news(Fields message) throws MalformedMessage {
-        switch (message.text("t")) {
-            case "chart" -> {
-                try {
-                    Configuration next = new Configuration(message.object("c"));
-                    // Never back within one life, whoever tells.
-                    chart = chart == null || next.revision() > chart.revision() ? next : chart;
-                    environment.note("configuration " + chart.revision() + " in force");
-                } catch (InvalidConfiguration e) {
-                    environment.note("a configuration cannot be read: " + e.getMessage());
-                }
-            }
-            case "crew" -> {
-                List<Member> all = new ArrayList<>();
-                for (Object each : message.list("m")) {
-                    all.add(Member.of(each));
-                }
-                crew(all);
-            }
-            case "runners" -> {
-                for (Object each : message.list("l")) {
-                    runner(Instance.of(each));
-                }
-            }
-            default -> throw new MalformedMessage("no such news");
+    private void news(News news) {
+        if (news instanceof ConfigurationNews told) {
+            configuration(told);
+        } else if (news instanceof MembersNews told) {
+            crew(told.members());
+        } else if (news instanceof InstancesNews told) {
+            told.instances().forEach(this::runner);
+        }
+    }
+
+    private void configuration(ConfigurationNews told) {
+        try {
+            Configuration next = new Configuration(new Fields(told.configuration()));
+            // Never back within one life, whoever tells.
+            chart = chart == null || next.revision() > chart.revision() ? next : chart;
+            environment.note("configuration " + chart.revision() + " in force");
+        } catch (InvalidConfiguration e) {
+            environment.note("a configuration cannot be read: " + e.getMessage());
         }
     }
 
@@ -195,32 +207,32 @@
                 + crew.stream().map(m -> m.name() + (m.leaving() ? "-" : "")).toList());
         long now = environment.now();
         for (SlotAllocator home : List.copyOf(homes.values())) {
-            List<Object> loans = home.recrewed(now, proxySettings.beat() / 8);
+            List<HeldSlot> loans = home.recrewed(now, proxySettings.beat() / 8);
             if (!isHome(home.service())) {
                 loans = home.loans(now);
                 homes.remove(home.service());
                 told.values().removeIf(r -> r.service().equals(home.service()));
             }
-            Map<String, List<Object>> heirs = new LinkedHashMap<>();
-            for (Object loan : loans) {
-                Instance r = (Instance) told.get(((List<?>) loan).get(1));
+            Map<String, List<HeldSlot>> heirs = new LinkedHashMap<>();
+            for (HeldSlot loan : loans) {
+                Instance r = told.get(loan.instance());
                 Member heir = ServiceOwnership.of(home.service(), r == null ? proxySettings.zone() : r.zone(), crew);
                 if (heir != null) {
                     heirs.computeIfAbsent(heir.host(), host -> new ArrayList<>())
                             .add(loan);
                 }
             }
-            heirs.forEach((host, list) -> environment.send(host, Fields.tree("t", "held", "l", list)));
+            heirs.forEach((host, list) -> environment.send(host, new SlotsHeld(list)));
         }
         // What we hold is told to the new homes.
-        Map<String, List<Object>> held = new LinkedHashMap<>();
+        Map<String, List<HeldSlot>> held = new LinkedHashMap<>();
         for (Attempt a : carried) {
             Member was = ServiceOwnership.of(a.call.service, a.zone, before);
             Member is = ServiceOwnership.of(a.call.service, a.zone, crew);
             if (is != null && (was == null || !was.life().equals(is.life()))) {
                 a.home = is;
                 held.computeIfAbsent(is.host(), host -> new ArrayList<>())
-                        .add(List.of(
+                        .add(new HeldSlot(
                                 a.call.service,
                                 a.runner,
                                 key(controlSession.life(), a.slot),
@@ -228,7 +240,7 @@
                                 Math.max(0, (a.until - now) / 1_000_000)));
             }
         }
-        held.forEach((host, list) -> environment.send(host, Fields.tree("t", "held", "l", list)));
+        held.forEach((host, list) -> environment.send(host, new SlotsHeld(list)));
         Set<String> lives = new HashSet<>();
         crew.forEach(m -> lives.add(m.life()));
         for (Member m : before) {
@@ -316,7 +328,7 @@
                     berth.trying = false;
                     home.heard(berth.runner.at(Instance.Phase.READY), environment.now());
                     if (controlSession.controlNode() != null) {
-                        environment.send(controlSession.controlNode(), Fields.tree("t", "up", "r", id));
+                        environment.send(controlSession.controlNode(), new InstanceReady(id));
                     }
                 } else {
                     environment.after(proxySettings.beat() / 24, () -> tryOne(home, berth));
@@ -396,7 +408,7 @@
                     home.drop(key, environment.now());
                 }
             } else if (call.home != null) {
-                environment.send(call.home.host(), Fields.tree("t", "drop", "s", call.service, "k", key));
+                environment.send(call.home.host(), new SlotCancel(call.service, key));
             }
             call.ask = 0;
         }
@@ -450,29 +462,17 @@
         } else {
             environment.send(
                     call.home.host(),
-                    Fields.tree(
-                            "t",
-                            "ask",
-                            "i",
+                    new SlotRequest(
                             call.ask,
-                            "s",
                             call.service,
-                            "l",
                             controlSession.life(),
-                            "z",
                             proxySettings.zone(),
-                            "u",
                             (call.until - now) / 1_000_000,
-                            "g",
                             (call.target - now) / 1_000_000,
-                            "p",
                             call.priority,
-                            "n",
                             counts,
-                            "e",
                             call.hops,
-                            "x",
-                            call.avoided.isEmpty() ? null : new ArrayList<>(call.avoided)));
+                            List.copyOf(call.avoided)));
         }
     }
 
@@ -637,19 +637,7 @@
         } else {
             environment.send(
                     attempt.home.host(),
-                    Fields.tree(
-                            "t",
-                            "back",
-                            "s",
-                            attempt.call.service,
-                            "k",
-                            key,
-                            "r",
-                            attempt.runner,
-                            "e",
-                            end.ordinal(),
-                            "d",
-                            ran / 1000));
+                    new SlotReturn(attempt.call.service, key, attempt.runner, end.ordinal(), ran / 1000));
         }
     }
 
@@ -696,7 +684,7 @@
             if (ask.host == null) {
                 environment.after(0, () -> lentHere(ask, r));
             } else {
-                environment.send(ask.host, Fields.tree("t", "lent", "i", ask.number, "r", r.tree()));
+                environment.send(ask.host, new SlotGrant(ask.number, r));
             }
         }
 
@@ -716,7 +704,7 @@
             if (ask.host == null) {
                 Proxy.this.waits(ask.number);
             } else {
-                environment.send(ask.host, Fields.tree("t", "waits", "i", ask.number));
+                environment.send(ask.host, new SlotQueued(ask.number));
             }
         }
 
@@ -725,7 +713,7 @@
             if (ask.host == null) {
                 environment.after(0, () -> Proxy.this.elsewhere(ask.number, zone));
             } else {
-                environment.send(ask.host, Fields.tree("t", "elsewhere", "i", ask.number, "z", zone));
+                environment.send(ask.host, new SlotElsewhere(ask.number, zone));
             }
         }
 
@@ -734,78 +722,83 @@
             if (ask.host == null) {
                 environment.after(0, () -> Proxy.this.none(ask.number, pauseMillis));
             } else {
-                environment.send(ask.host, Fields.tree("t", "none", "i", ask.number, "p", pauseMillis));
+                environment.send(ask.host, new SlotRefusal(ask.number, pauseMillis));
             }
         }
     }
 
     // Messages of other processes.
 
-    public void message(String from, Fields message) throws MalformedMessage {
+    /** Takes a message; {@code from} is the host of its sender. */
+    public void message(String from, Message message) throws MalformedMessage {
         awake();
-        switch (message.text("t")) {
-            case "ask" -> {
-                long number = message.whole("i");
-                String life = message.text("l");
-                long now = environment.now();
-                lend(
-                        new SlotAllocator.Ask(
-                                key(life, number),
-                                life,
-                                from,
-                                number,
-                                message.text("z"),
-                                now + message.whole("u") * 1_000_000,
-                                now + message.whole("g") * 1_000_000,
-                                (int) message.whole("p"),
-                                new HashSet<>(message.texts("x")),
-                                (int) message.whole("e"),
-                                now),
-                        message.text("s"),
-                        message.flag("n"));
-            }
-            case "lent" -> lent(message.whole("i"), Instance.of(message.list("r")));
-            case "waits" -> waits(message.whole("i"));
-            case "elsewhere" -> elsewhere(message.whole("i"), message.text("z"));
-            case "none" -> none(message.whole("i"), message.whole("p"));
-            case "drop" -> {
-                SlotAllocator home = homes.get(message.text("s"));
-                if (home != null) {
-                    home.drop(message.text("k"), environment.now());
-                }
-            }
-            case "back" -> {
-                SlotAllocator home = homes.get(message.text("s"));
-                long end = message.whole("e");
-                early.remove(message.text("k"));
-                if (home != null && end >= 0 && end < Attempt.End.values().length) {
-                    back(
-                            home,
-                            message.text("k"),
-                            message.text("r"),
-                            Attempt.End.values()[(int) end],
-                            message.whole("d") * 1000);
-                }
+        if (message instanceof SlotMessage slot) {
+            slotMessage(from, slot);
+        } else if (message instanceof SessionMessage session) {
+            controlSession.message(from, session);
+        } else {
+            throw new MalformedMessage("message " + message.kind() + " is not for a proxy");
+        }
+    }
+
+    private void slotMessage(String from, SlotMessage message) {
+        if (message instanceof SlotRequest request) {
+            requested(from, request);
+        } else if (message instanceof SlotGrant grant) {
+            lent(grant.number(), grant.instance());
+        } else if (message instanceof SlotQueued queued) {
+            waits(queued.number());
+        } else if (message instanceof SlotElsewhere elsewhere) {
+            elsewhere(elsewhere.number(), elsewhere.zone());
+        } else if (message instanceof SlotRefusal refusal) {
+            none(refusal.number(), refusal.pauseMillis());
+        } else if (message instanceof SlotCancel cancel) {
+            SlotAllocator home = homes.get(cancel.service());
+            if (home != null) {
+                home.drop(cancel.key(), environment.now());
             }
-            case "held" -> held(message);
-            default -> controlSession.message(from, message);
+        } else if (message instanceof SlotReturn returned) {
+            returned(returned);
+        } else if (message instanceof SlotsHeld held) {
+            held(held);
         }
     }
 
-    private void held(Fields message) throws MalformedMessage {
-        for (Object each : message.list("l")) {
-            if (!(each instanceof List<?> loan)
-                    || loan.size() != 5
-                    || !(loan.get(0) instanceof String service)
-                    || !(loan.get(1) instanceof String id)
-                    || !(loan.get(2) instanceof String key)
-                    || !(loan.get(3) instanceof String life)
-                    || !(loan.get(4) instanceof Long left)) {
-                throw new MalformedMessage("no loan");
-            }
-            Held one = new Held(id, life, environment.now() + left * 1_000_000);
-            if (!isHome(service) || !tell(home(service), key, one)) {
-                early.put(key, one);
+    private void requested(String from, SlotRequest request) {
+        long now = environment.now();
+        SlotAllocator.Ask ask = new SlotAllocator.Ask(
+                key(request.life(), request.number()),
+                request.life(),
+                from,
+                request.number(),
+                request.zone(),
+                now + request.untilMillis() * 1_000_000,
+                now + request.targetMillis() * 1_000_000,
+                request.priority(),
+                new HashSet<>(request.avoided()),
+                request.hops(),
+                now);
+        lend(ask, request.service(), request.counts());
+    }
+
+    private void returned(SlotReturn returned) {
+        SlotAllocator home = homes.get(returned.service());
+        early.remove(returned.key());
+        if (home != null && returned.outcome() < Attempt.End.values().length) {
+            back(
+                    home,
+                    returned.key(),
+                    returned.instance(),
+                    Attempt.End.values()[returned.outcome()],
+                    returned.ranMicros() * 1000);
+        }
+    }
+
+    private void held(SlotsHeld message) {
+        for (HeldSlot slot : message.slots()) {
+            Held one = new Held(slot.instance(), slot.life(), environment.now() + slot.leftMillis() * 1_000_000);
+            if (!isHome(slot.service()) || !tell(home(slot.service()), slot.key(), one)) {
+                early.put(slot.key(), one);
             }
         }
     }
@@ -842,16 +835,15 @@
     }
 
     private void tellNeeds() {
-        List<Object> needs = new ArrayList<>();
+        List<Demand> needs = new ArrayList<>();
         for (SlotAllocator home : homes.values()) {
-            List<Object> need = home.need(environment.now());
+            Demand need = home.need(environment.now());
             if (need != null) {
                 needs.add(need);
             }
         }
         if ((needed || !needs.isEmpty()) && controlSession.controlNode() != null) {
-            environment.send(
-                    controlSession.controlNode(), Fields.tree("t", "want", "l", controlSession.life(), "w", needs));
+            environment.send(controlSession.controlNode(), new DemandReport(controlSession.life(), needs, false));
         }
         needed = !needs.isEmpty();
     }
--- a/proxy/src/main/java/saltdale/proxy/SlotAllocator.java
+++ b/proxy/src/main/java/saltdale/proxy/SlotAllocator.java
@@ -10,7 +10,9 @@
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
 import saltdale.control.Configuration;
+import saltdale.control.Demand;
 import saltdale.control.Instance;
+import saltdale.control.message.SlotMessage.HeldSlot;
 import saltdale.probing.ProbeLoop;
 
 /**
@@ -159,8 +161,8 @@
      * The crew has changed: what is no longer ours goes with its loans, what is ours now waits a moment for
      * others'.
      */
-    List<Object> recrewed(long now, long opens) {
-        List<Object> lost = new ArrayList<>();
+    List<HeldSlot> recrewed(long now, long opens) {
+        List<HeldSlot> lost = new ArrayList<>();
         for (InstanceSlots berth : List.copyOf(berths.values())) {
             if (!ours.test(berth.runner)) {
                 berths.remove(berth.runner.id());
@@ -416,13 +418,13 @@
         return Math.max(rate, Math.max(lately, young));
     }
 
-    /** Service, zone, calls a second, seconds a call, slots lent, asks waiting, seconds since it last lent. */
-    List<Object> need(long now) {
+    /** The demand seen here; null where there is none. */
+    Demand need(long now) {
         decay(now);
         int busy = berths.values().stream().mapToInt(b -> b.loans.size()).sum();
         return rate == 0 && busy == 0 && queue.isEmpty()
                 ? null
-                : List.of(service, zone, rate(now), run, busy, queue.size(), (now - busyAt) / 1e9);
+                : new Demand(service, zone, rate(now), run, busy, queue.size(), (now - busyAt) / 1e9);
     }
 
     int waiting() {
@@ -434,16 +436,16 @@
     }
 
     /** All loans, for a home that takes over. */
-    List<Object> loans(long now) {
-        List<Object> all = new ArrayList<>();
+    List<HeldSlot> loans(long now) {
+        List<HeldSlot> all = new ArrayList<>();
         berths.values().forEach(berth -> all.addAll(loans(berth, now)));
         return all;
     }
 
-    private List<Object> loans(InstanceSlots berth, long now) {
-        List<Object> all = new ArrayList<>();
-        berth.loans.forEach((key, loan) -> all.add(
-                List.of(service, berth.runner.id(), key, loan.life(), Math.max(0, (loan.until() - now) / 1_000_000))));
+    private List<HeldSlot> loans(InstanceSlots berth, long now) {
+        List<HeldSlot> all = new ArrayList<>();
+        berth.loans.forEach((key, loan) -> all.add(new HeldSlot(
+                service, berth.runner.id(), key, loan.life(), Math.max(0, (loan.until() - now) / 1_000_000))));
         return all;
     }
 }
--- a/proxy/src/test/java/saltdale/proxy/AgreementTest.java
+++ b/proxy/src/test/java/saltdale/proxy/AgreementTest.java
@@ -124,7 +124,7 @@
             }
             off.start();
             world.run(4000);
-            assertThat("by agreement", world.voters(), hasItem((Object) lost.id()));
+            assertThat("by agreement", world.voters(), hasItem(lost.id()));
             assertThat(lost.id(), is(not(before)));
             assertThat(world.isJoint(), is(false));
             world.controlNodes.get(2).powerOff();
@@ -144,7 +144,7 @@
             SimMachine next = world.controlNode("10.0.0.9", world.controlNodes.get(0).seeds, false);
             next.start();
             world.run(6000);
-            assertThat(world.voters(), hasItem((Object) next.id()));
+            assertThat(world.voters(), hasItem(next.id()));
             assertThat(world.voters(), hasSize(3));
             SimMachine off = world.controlNodes.get((seed + 1) % 3);
             off.powerOff();
@@ -314,22 +314,14 @@
             }
         }
 
-        private boolean allVote() throws Exception {
+        private boolean allVote() {
             return world.newest != null
                     && !world.isJoint()
                     && world.voters().size() == world.controlNodes.size()
-                    && world.controlNodes.stream().allMatch(k -> voters().contains(k.id()));
+                    && world.controlNodes.stream().allMatch(k -> world.voters().contains(k.id()));
         }
 
-        private List<Object> voters() {
-            try {
-                return world.voters();
-            } catch (Exception e) {
-                throw new IllegalStateException(e);
-            }
-        }
-
-        void trouble() throws Exception {
+        void trouble() {
             SimMachine one = world.controlNodes.get(world.chance.nextInt(world.controlNodes.size()));
             switch (world.chance.nextInt(9)) {
                 case 0 -> one.kill();
--- a/proxy/src/test/java/saltdale/proxy/DiskTest.java
+++ b/proxy/src/test/java/saltdale/proxy/DiskTest.java
@@ -16,9 +16,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import saltdale.control.Ballot;
-import saltdale.control.Fields;
 import saltdale.control.ReplicatedState;
 import saltdale.control.Voter;
+import saltdale.control.message.BallotMessage.Accept;
 
 /** A control node whose disk is in trouble is gone round, and what its disk holds can always be used. */
 class DiskTest {
@@ -74,17 +74,6 @@
     private static void accept(SimMachine controlNode, long round, ReplicatedState state, String text)
             throws Exception {
         controlNode.process.take(
-                "10.0.0.2",
-                Fields.tree(
-                        "t",
-                        "accept",
-                        "b",
-                        new Ballot(round, "x").tree(),
-                        "s",
-                        state.tree(),
-                        "x",
-                        text.getBytes(),
-                        "to",
-                        controlNode.id()));
+                "10.0.0.2", new Accept(new Ballot(round, "x"), state, text.getBytes(), controlNode.id()));
     }
 }
--- a/proxy/src/test/java/saltdale/proxy/DutyTest.java
+++ b/proxy/src/test/java/saltdale/proxy/DutyTest.java
@@ -14,7 +14,6 @@
 import static saltdale.proxy.SimOperator.serving;
 
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -27,7 +26,7 @@
 class DutyTest {
     /** The machine of the control node that holds the duty, as the newest chosen state says. */
     static SimMachine holder(SimWorld world) {
-        String name = (String) ((Map<?, ?>) ((Map<?, ?>) world.newest.map().get("d")).get("starting")).get("n");
+        String name = world.newest.duty("starting").name();
         return world.controlNodes.stream()
                 .filter(k -> ("n-" + k.host).equals(name))
                 .findAny()
@@ -35,7 +34,7 @@
     }
 
     static long fence(SimWorld world) {
-        return (Long) ((Map<?, ?>) ((Map<?, ?>) world.newest.map().get("d")).get("starting")).get("f");
+        return world.newest.duty("starting").fence();
     }
 
     private static List<SimPlatform.Duty> stale(SimWorld world) {
--- a/proxy/src/test/java/saltdale/proxy/InputTest.java
+++ b/proxy/src/test/java/saltdale/proxy/InputTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static saltdale.proxy.SimOperator.change;
 import static saltdale.proxy.SimOperator.config;
@@ -16,14 +17,22 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
-import saltdale.control.Fields;
 import saltdale.control.MalformedMessage;
+import saltdale.control.Member;
 import saltdale.control.Trees;
+import saltdale.control.message.InstanceMessage.DemandReport;
+import saltdale.control.message.InstanceMessage.InstanceReady;
+import saltdale.control.message.Message;
+import saltdale.control.message.MessageCodec;
+import saltdale.control.message.MessageKind;
+import saltdale.control.message.SessionMessage.LeaseRenewal;
+import saltdale.control.message.SessionMessage.MembersNews;
 
 /** What operators and other processes send is checked whole before anything is done. */
 class InputTest {
@@ -108,7 +117,7 @@
             assertThat("based on " + base, change(world, at, false, base, config(2)), is(400));
         }
         assertThat(read(world, at), is(before));
-        assertThat(world.newest.map().get("r"), is((Object) 1L));
+        assertThat(world.newest.revision(), is(1L));
         assertThat(
                 change(
                         world,
@@ -142,9 +151,9 @@
     @Test
     void malformedMessagesChangeNothing() throws Exception {
         SimWorld world = new SimWorld(2);
-        Map<String, List<Map<String, Object>>> seen = new LinkedHashMap<>();
+        Map<MessageKind, List<Message>> seen = new EnumMap<>(MessageKind.class);
         world.spy = m -> {
-            List<Map<String, Object>> kind = seen.computeIfAbsent((String) m.get("t"), t -> new ArrayList<>());
+            List<Message> kind = seen.computeIfAbsent(m.kind(), k -> new ArrayList<>());
             if (kind.size() < 3) {
                 kind.add(m);
             }
@@ -160,12 +169,12 @@
         world.run(4000);
         world.spy = m -> {};
         String before = read(world, world.controlNodes.get(0));
-        List<Object> voters = world.voters();
+        List<String> voters = world.voters();
         int sent = 0;
-        for (List<Map<String, Object>> kind : seen.values()) {
-            for (Map<String, Object> message : kind) {
+        for (List<Message> kind : seen.values()) {
+            for (Message message : kind) {
                 List<Object> bad = new ArrayList<>();
-                spoilt(message, bad);
+                spoilt(MessageCodec.tree(message), bad);
                 for (Object each : bad) {
                     for (SimMachine to : List.of(world.controlNodes.get(1), world.proxies.get(1))) {
                         sent++;
@@ -186,16 +195,18 @@
         assertThat(world.faults, is(empty()));
     }
 
-    @SuppressWarnings("unchecked")
-    private static void send(SimMachine to, Object message) {
+    private static void send(SimMachine to, Object tree) {
         try {
-            // Of whom such messages come, so that answers go where they are understood.
-            boolean ofPilot = List.of("renew", "want", "up").contains(((Map<String, Object>) message).get("t"));
-            to.process.take(ofPilot ? "10.1.0.1" : "10.0.0.3", (Map<String, Object>) message);
+            // As it comes over the wire; of whom such messages come, so that answers go where they are understood.
+            Message message = MessageCodec.decode(Trees.cbor(tree));
+            boolean ofProxy = message instanceof LeaseRenewal
+                    || message instanceof DemandReport
+                    || message instanceof InstanceReady;
+            to.process.take(ofProxy ? "10.1.0.1" : "10.0.0.3", message);
         } catch (MalformedMessage expected) {
             // It says so, and that is all.
         } catch (RuntimeException e) {
-            throw new AssertionError("not told as malformed: " + message, e);
+            throw new AssertionError("not told as malformed: " + tree, e);
         }
     }
 
@@ -205,9 +216,7 @@
             map.forEach((name, value) -> {
                 List<Object> parts = new ArrayList<>();
                 spoilt(value, parts);
-                if (!name.equals("t")) {
-                    parts.add(value instanceof String ? (Object) 7L : "x");
-                }
+                parts.add(value instanceof String ? (Object) 7L : "x");
                 for (Object part : parts) {
                     Map<Object, Object> copy = new LinkedHashMap<>(map);
                     copy.put(name, part);
@@ -232,29 +241,46 @@
     @Test
     void aMalformedRenewalMakesNoMember() throws Exception {
         SimWorld world = serving(3, 3, 2);
-        List<String> crews = new ArrayList<>();
+        List<Member> told = new ArrayList<>();
         world.spy = m -> {
-            if (m.get("t").equals("crew")) {
-                crews.add(m.get("m").toString());
+            if (m instanceof MembersNews news) {
+                told.addAll(news.members());
             }
         };
-        Map<String, Object> renewal = Fields.tree(
-                "t",
-                "renew",
-                "m",
-                List.of("life", "ghost", "z-a", "10.1.0.99", false),
-                "i",
-                1L,
-                "s",
-                "session",
-                "r",
-                -1L);
-        for (String field : List.of("i", "s", "r")) {
-            Map<String, Object> bad = new LinkedHashMap<>(renewal);
-            bad.put(field, List.of());
+        Member ghost = new Member("life", "ghost", "z-a", "10.1.0.99", false);
+        List<Object> renewal = MessageCodec.tree(new LeaseRenewal(ghost, 1, "session", -1));
+        for (int field = 2; field < renewal.size(); field++) {
+            List<Object> bad = new ArrayList<>(renewal);
+            bad.set(field, List.of());
             send(world.controlNodes.get(0), bad);
         }
         world.run(1500);
-        assertThat(crews.stream().filter(c -> c.contains("ghost")).toList(), is(empty()));
+        assertThat(told.contains(ghost), is(false));
+    }
+
+    /** An error names the kind of the message and its field, or what is wrong with the whole. */
+    @Test
+    void anErrorNamesKindAndField() {
+        List<Object> renewal =
+                MessageCodec.tree(new LeaseRenewal(new Member("l", "n", "z", "h", false), 1, "session", -1));
+        List<Object> noNumber = new ArrayList<>(renewal);
+        noNumber.set(2, "x");
+        List<Object> longer = new ArrayList<>(renewal);
+        longer.add(1L);
+        Map<List<Object>, String> why = Map.of(
+                noNumber,
+                "message LEASE_RENEWAL, field count: is no whole number",
+                renewal.subList(0, 4),
+                "message LEASE_RENEWAL, field revision: is missing",
+                longer,
+                "message LEASE_RENEWAL: 1 fields too many",
+                List.of(),
+                "no known kind of message",
+                List.of(99L),
+                "no known kind of message");
+        why.forEach((tree, said) -> assertThat(
+                assertThrows(MalformedMessage.class, () -> MessageCodec.decode(Trees.cbor(tree)))
+                        .getMessage(),
+                is(said)));
     }
 }
--- a/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
@@ -16,6 +16,7 @@
 import static saltdale.proxy.SimOperator.replace;
 import static saltdale.proxy.SimOperator.serving;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -25,7 +26,12 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import saltdale.control.Fields;
+import saltdale.control.Instance;
+import saltdale.control.message.InstanceMessage.InstanceUpdates;
+import saltdale.control.message.SessionMessage.ConfigurationNews;
+import saltdale.control.message.SessionMessage.InstancesNews;
+import saltdale.control.message.SessionMessage.LeaseRenewal;
+import saltdale.control.message.SessionMessage.News;
 
 /**
  * What clients and runners see of proxies: configurations, slots, drains, verdicts, and runners when they are
@@ -88,17 +94,17 @@
     @Test
     void anOlderConfigurationIsNotTaken() throws Exception {
         SimWorld world = new SimWorld(1);
-        Map<String, Object> session = new HashMap<>();
-        Map<Object, Object> last = new HashMap<>();
-        Map<Object, Object> first = new HashMap<>();
+        String[] session = new String[1];
+        Map<String, Long> last = new HashMap<>(); // the number of the newest piece of news, by session
+        List<ConfigurationNews> first = new ArrayList<>();
         world.spy = m -> {
-            if (m.get("t").equals("renew") && ((List<?>) m.get("m")).get(3).equals("10.1.0.1")) {
-                session.put("s", m.get("s"));
-            } else if (m.containsKey("#")) {
-                last.put(m.get("s"), m.get("#"));
+            if (m instanceof LeaseRenewal renewal && renewal.member().host().equals("10.1.0.1")) {
+                session[0] = renewal.session();
+            } else if (m instanceof News news) {
+                last.put(news.session(), news.number());
             }
-            if (m.get("t").equals("chart")) {
-                first.putIfAbsent("c", m.get("c"));
+            if (m instanceof ConfigurationNews news && first.isEmpty()) {
+                first.add(news);
             }
         };
         serving(world, 3, 1);
@@ -106,19 +112,11 @@
         world.run(1000);
         SimMachine proxy = world.proxies.get(0);
         assertThat(revision(proxy), is(2L));
-        Object told = last.get(session.get("s"));
+        long told = last.get(session[0]);
         for (SimMachine controlNode : world.controlNodes) {
             proxy.process.take(
                     controlNode.host,
-                    Fields.tree(
-                            "t",
-                            "chart",
-                            "c",
-                            first.get("c"),
-                            "s",
-                            session.get("s"),
-                            "#",
-                            ((Number) told).longValue() + 1));
+                    new ConfigurationNews(session[0], told + 1, first.get(0).configuration()));
         }
         assertThat(revision(proxy), is(2L));
     }
@@ -315,12 +313,10 @@
             boolean[] over = new boolean[1];
             SimWorld world = new SimWorld(seed);
             world.spy = m -> {
-                if (m.get("t").equals("runners") && !over[0]) {
-                    ((List<?>) m.get("l"))
-                            .stream()
-                                    .map(r -> (List<?>) r)
-                                    .filter(r -> r.get(5).equals(2))
-                                    .forEach(r -> leaving.add(r.get(0)));
+                if (m instanceof InstanceUpdates updates && !over[0]) {
+                    leavingOf(updates.instances(), leaving);
+                } else if (m instanceof InstancesNews news && !over[0]) {
+                    leavingOf(news.instances(), leaving);
                 }
             };
             serving(world, 3, 6);
@@ -341,6 +337,12 @@
         }
     }
 
+    private static void leavingOf(List<Instance> instances, Set<Object> leaving) {
+        instances.stream()
+                .filter(instance -> instance.phase() == Instance.Phase.LEAVING)
+                .forEach(instance -> leaving.add(instance.id()));
+    }
+
     /**
      * A proxy told to end holds nothing until it is killed: what waits is turned away, what runs is answered at
      * the last.
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -9,8 +9,8 @@
 import saltdale.control.ControlNode;
 import saltdale.control.ControlNodeSettings;
 import saltdale.control.Environment;
-import saltdale.control.Fields;
 import saltdale.control.MalformedMessage;
+import saltdale.control.message.Message;
 
 /** A machine with its disk; at most one process runs on it. */
 final class SimMachine {
@@ -225,7 +225,7 @@
         }
 
         @Override
-        public void send(String to, Map<String, Object> message) {
+        public void send(String to, Message message) {
             if (!dead) {
                 world.send(host, to, message);
             }
@@ -245,11 +245,11 @@
         }
 
         /** A message that has come; throws where it is malformed. */
-        void take(String from, Map<String, Object> message) throws MalformedMessage {
+        void take(String from, Message message) throws MalformedMessage {
             if (controlNode != null) {
-                controlNode.message(from, new Fields(message));
+                controlNode.message(from, message);
             } else {
-                proxy.message(from, new Fields(message));
+                proxy.message(from, message);
             }
         }
     }
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -12,10 +12,13 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import saltdale.control.Environment;
-import saltdale.control.Fields;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Platform;
-import saltdale.control.Trees;
+import saltdale.control.ReplicatedState;
+import saltdale.control.Voter;
+import saltdale.control.message.BallotMessage.Chosen;
+import saltdale.control.message.Message;
+import saltdale.control.message.MessageCodec;
 
 /**
  * A whole cluster in one thread, all of one seed: a steady clock, peerConnections, disks, processes; runners by
@@ -33,13 +36,13 @@
     final List<SimMachine> controlNodes = new ArrayList<>();
     final List<SimMachine> proxies = new ArrayList<>();
     final Set<String> cuts = new HashSet<>(); // "from>to"
-    final Map<Long, Object> line = new HashMap<>(); // chosen states told, by version
+    final Map<Long, ReplicatedState> line = new HashMap<>(); // chosen states told, by version
     final List<String> faults = new ArrayList<>(); // what must never be, as seen
     /** Sees each message that is sent. */
-    Consumer<Map<String, Object>> spy = message -> {};
+    Consumer<Message> spy = message -> {};
 
     Platform.Rates rates = new Platform.Rates(26, 105, List.of("starting"));
-    Fields newest; // the newest chosen state told
+    ReplicatedState newest; // the newest chosen state told
     private final PriorityQueue<Event> events =
             new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final Map<String, Long> arrived = new HashMap<>();
@@ -140,16 +143,16 @@
 
     // Messages.
 
-    void send(String from, String host, Map<String, Object> message) {
+    void send(String from, String host, Message message) {
         spy.accept(message);
-        if (message.get("t").equals("chosen")) {
-            chosen(message.get("s"));
+        if (message instanceof Chosen news) {
+            chosen(news.state());
         }
         String way = from + ">" + host;
         if (cuts.contains(way)) {
             return;
         }
-        byte[] bytes = Trees.cbor(message);
+        byte[] bytes = MessageCodec.encode(message);
         // In order between two hosts; between others any.
         long due = Math.max(now + (host.equals(from) ? 0 : hop()), arrived.getOrDefault(way, 0L));
         arrived.put(way, due);
@@ -162,38 +165,33 @@
         });
     }
 
-    private void take(SimMachine.Process to, String from, byte[] bytes) {
+    private void take(SimMachine.Process process, String from, byte[] bytes) {
         try {
-            to.take(from, Trees.fromCbor(bytes));
+            process.take(from, MessageCodec.decode(bytes));
         } catch (MalformedMessage e) {
-            faults.add("a message of " + from + " is malformed: " + e.getMessage());
+            faults.add("malformed, of " + from + ": " + e.getMessage());
         }
     }
 
-    @SuppressWarnings("unchecked")
-    private void chosen(Object tree) {
-        Fields state = new Fields((Map<String, Object>) tree);
-        long version = (Long) state.map().get("v");
-        Object before = line.putIfAbsent(version, tree);
-        if (before != null && !before.equals(tree)) {
-            faults.add("version " + version + " is both " + before + " and " + tree);
+    private void chosen(ReplicatedState state) {
+        ReplicatedState before = line.putIfAbsent(state.version(), state);
+        if (before != null && !before.equals(state)) {
+            faults.add("version " + state.version() + " is both " + before + " and " + state);
         }
-        if (newest == null || version > (Long) newest.map().get("v")) {
+        if (newest == null || state.version() > newest.version()) {
             newest = state;
         }
     }
 
-    /** Ids of the voters of the newest state told, and whether a change of them is under way. */
-    List<Object> voters() throws MalformedMessage {
+    /** Ids of the voters of the newest state told. */
+    List<String> voters() {
         return newest == null
                 ? List.of()
-                : newest.list("m").stream()
-                        .map(v -> ((List<?>) v).get(0))
-                        .map(v -> (Object) v)
-                        .toList();
+                : newest.voters().stream().map(Voter::id).toList();
     }
 
+    /** Whether a change of voters is under way, by the newest state told. */
     boolean isJoint() {
-        return newest != null && newest.has("b");
+        return newest != null && newest.isJoint();
     }
 }
--- a/proxy/src/test/java/saltdale/proxy/Slopes.java
+++ b/proxy/src/test/java/saltdale/proxy/Slopes.java
@@ -1,10 +1,11 @@
 package saltdale.proxy;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
-import saltdale.control.Trees;
+import saltdale.control.message.MessageCodec;
+import saltdale.control.message.MessageKind;
 
 /** Not a test: measures the control messages of a simulated cluster by size, for docs/CAPACITY.md. */
 final class Slopes {
@@ -14,7 +15,7 @@
 
     public static void main(String[] args) {
         System.out.println(
-                "pilots functions | a second in all, messages/bytes by kind | bytes of one configuration change");
+                "proxies functions | a second in all, messages/bytes by kind | bytes of one configuration change");
         for (int[] size : new int[][] {{10, 20}, {30, 20}, {90, 20}, {270, 20}, {30, 100}, {30, 300}, {30, 700}}) {
             measure(size[0], size[1]);
         }
@@ -31,11 +32,11 @@
             world.platform.slots.put("fn" + i, 4);
             world.platform.memory.put("fn" + i, 16);
         }
-        Map<String, long[]> sent = new TreeMap<>();
+        Map<MessageKind, long[]> sent = new EnumMap<>(MessageKind.class);
         world.spy = message -> {
-            long[] count = sent.computeIfAbsent((String) message.get("t"), kind -> new long[2]);
+            long[] count = sent.computeIfAbsent(message.kind(), kind -> new long[2]);
             count[0]++;
-            count[1] += Trees.cbor(message).length + 4;
+            count[1] += MessageCodec.encode(message).length + 4;
         };
         SimOperator.insists(
                 world,
@@ -52,7 +53,7 @@
         StringBuilder line = new StringBuilder(proxies + " " + functions + " |");
         long messages = 0;
         long bytes = 0;
-        for (Map.Entry<String, long[]> kind : sent.entrySet()) {
+        for (Map.Entry<MessageKind, long[]> kind : sent.entrySet()) {
             line.append(' ')
                     .append(kind.getKey())
                     .append(' ')
--- a/storage/src/test/java/saltdale/storage/SingleStoreRecordStore.java
+++ b/storage/src/test/java/saltdale/storage/SingleStoreRecordStore.java
@@ -78,7 +78,7 @@
             }
             store = store(file.toString());
             if (!store.hasMap(NAME)) {
-                throw new IOException("no recordStore: " + file);
+                throw new IOException("no record store: " + file);
             }
             records = records(store);
             // Guards against trusting what an earlier process wrote and never synced.
--- a/tools/src/main/java/saltdale/tools/Platform.java
+++ b/tools/src/main/java/saltdale/tools/Platform.java
@@ -147,7 +147,7 @@
 
         @Option(
                 names = "--configure",
-                description = "Sends the first configuration to the controlNodes until it is taken.")
+                description = "Sends the first configuration to the control nodes until it is taken.")
         private boolean configure;
 
         @Option(names = "--calls", paramLabel = "FILE", description = "Takes a line for each call of the platform.")
--- a/tools/src/test/java/saltdale/tools/LayersTest.java
+++ b/tools/src/test/java/saltdale/tools/LayersTest.java
@@ -42,7 +42,7 @@
             .layer("storage")
             .definedBy("saltdale.storage")
             .layer("control")
-            .definedBy("saltdale.control")
+            .definedBy("saltdale.control", "saltdale.control.message")
             .layer("proxy")
             .definedBy("saltdale.proxy")
             .layer("node")
@@ -132,7 +132,7 @@
     @ArchTest
     static final ArchRule ROLES_KNOW_NO_IO_AND_NO_CLOCK = noClasses()
             .that()
-            .resideInAnyPackage("saltdale.control", "saltdale.proxy")
+            .resideInAnyPackage("saltdale.control", "saltdale.control.message", "saltdale.proxy")
             .should()
             .dependOnClassesThat()
             .resideInAnyPackage(
