Contact with a majority counts only once what the majority accepted is known

Whoever has accepted a state and does not hear within half a heartbeat that it, or another in its place, was chosen now runs a ballot. - One of three is replaced while cut off; then it is cut off together with another that had accepted the new voters and had not heard that they were chosen. An acknowledgement now says what its sender has accepted, and counts only once that version is known to be chosen here; the same for one's own vote. So whatever was chosen before the moment of contact is known here. - Control nodes without a majority handed the old configuration and members to proxies that began anew. They now hand out neither; instances they do (the platform tells of those itself).

Ruled out: clock steps (there is only the steady clock), answers from memory, late bunches of messages after a standstill. Wrong variants that the checks see: AnswersFromMemoryWhenCutOff, KeepsDutyWithoutQuorum, LeaseByTimeOfDay, acknowledgements without what was accepted.

--- a/control/src/main/java/saltdale/control/Acceptor.java
+++ b/control/src/main/java/saltdale/control/Acceptor.java
@@ -24,6 +24,7 @@
     private Ballot promised = Ballot.NONE;
     private Ballot accepted = Ballot.NONE;
     private ReplicatedState state; // null until one was accepted
+    private long versionSince = Long.MIN_VALUE / 2; // when a state of this version was first accepted
     private byte[] text; // of state.textKey; null where it names none
     private String synced = ""; // the text that is on disk for certain; none while another's write may take it away
     private String writing = ""; // the text of the newest write
@@ -62,6 +63,16 @@
         return state;
     }
 
+    /** The version of the state accepted last; -1 where none was. */
+    long version() {
+        return state == null ? -1 : state.version();
+    }
+
+    /** When a state of that version was first accepted in this life. */
+    long versionSince() {
+        return versionSince;
+    }
+
     byte[] text() {
         return text;
     }
@@ -101,6 +112,7 @@
         promised = ballot;
         accepted = ballot;
         text = next.textKey().isEmpty() ? null : have ? text : newText;
+        versionSince = next.version() == version() ? versionSince : environment.now();
         state = next;
         persist(() -> reply.accept(new Accepted(id, ballot)));
     }
--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -50,8 +50,6 @@
     private final Subscriptions subscriptions;
     private boolean proposing;
     private boolean ending;
-    private boolean hadQuorum;
-    private long quorumSince;
     private boolean spreading;
 
     /** {@code records} are those on disk; where there are none the control node is new, or has lost them. */
@@ -81,7 +79,8 @@
         members = new MembershipTable(nodeSettings.memberLease() + nodeSettings.beat() * 3 / 10);
         instances = new InstanceTable(8 * nodeSettings.beat(), 40 * nodeSettings.beat());
         demand = new DemandTable(3 * nodeSettings.beat());
-        subscriptions = new Subscriptions(environment, nodeSettings, configurations, members, instances);
+        subscriptions =
+                new Subscriptions(environment, nodeSettings, configurations, members, instances, peers::hasQuorum);
         instanceLifecycle = new InstanceLifecycle(environment, this, platform, nodeSettings);
         restore(records);
     }
@@ -304,19 +303,19 @@
     private void tick() {
         environment.after(nodeSettings.beat() / 6, this::tick);
         long now = environment.now();
-        boolean had = hadQuorum;
-        hadQuorum = hasMajority();
-        quorumSince = had ? quorumSince : now;
+        boolean had = peers.watchQuorum();
         long edition = members.edition();
         // Guards against a control node that stood still or was cut off: all renewals it missed come to it first.
-        if (hadQuorum && now - quorumSince > nodeSettings.beat()) {
+        if (peers.hasSteadyQuorum()) {
             members.expire(now);
         }
         if (members.edition() != edition) {
             membersChanged();
         }
-        if (had && !hadQuorum) {
+        if (had && !hasMajority()) {
             subscriptions.tellQuorumLost();
+        } else if (!had && hasMajority()) {
+            publish();
         }
         if (!proposing && register.basis() != null) {
             proposeWhatIsDue();
@@ -325,8 +324,9 @@
 
     private void proposeWhatIsDue() {
         ReplicatedState state = register.chosen();
-        if (state == null) {
-            // After a start: what is chosen is known only once a majority was asked.
+        if (state == null || leavesUndecided()) {
+            // What is chosen is known only once a majority was asked: after a start, and where whoever had a state
+            // accepted may have gone before it told that it was chosen.
             propose((newest, text) -> Proposer.Step.stay(Boolean.TRUE));
         } else if (hasMajority() && !ending) {
             if (election.mayClaim(state)) {
@@ -340,6 +340,12 @@
         }
     }
 
+    private boolean leavesUndecided() {
+        return register.isUndecided()
+                && environment.now() - register.undecidedSince() > nodeSettings.beat() / 2
+                && peers.reachesMajority();
+    }
+
     private void propose(Proposer.Change change) {
         proposing = true;
         // Guards against all control nodes at once: the first one's ballot spares the others theirs.
--- a/control/src/main/java/saltdale/control/DutyElection.java
+++ b/control/src/main/java/saltdale/control/DutyElection.java
@@ -110,8 +110,8 @@
         return unheard(startedAt);
     }
 
-    /** Whether so long has passed since then that its lease is over. */
+    /** Whether so long has passed since then that its lease is over, and we could have heard it. */
     boolean unheard(long heardAt) {
-        return environment.now() - Math.max(heardAt, startedAt) > settings.vacancy();
+        return environment.now() - Math.max(heardAt, startedAt) > settings.vacancy() && peers.hasSteadyQuorum();
     }
 }
--- a/control/src/main/java/saltdale/control/ReplicatedRegister.java
+++ b/control/src/main/java/saltdale/control/ReplicatedRegister.java
@@ -63,6 +63,21 @@
         return chosen == null ? -1 : chosen.version();
     }
 
+    /** The version of the newest state accepted here, which may have been chosen unknown to us; -1 where none is. */
+    long acceptedVersion() {
+        return acceptor.version();
+    }
+
+    /** Whether a state was accepted here of which it is not known whether it, or another in its place, was chosen. */
+    boolean isUndecided() {
+        return acceptor.version() > version();
+    }
+
+    /** Since when that is so. */
+    long undecidedSince() {
+        return acceptor.versionSince();
+    }
+
     /** The state whose voters are asked: chosen, or the newest that may be. */
     ReplicatedState basis() {
         return chosen != null ? chosen : proposer.basis();
--- a/control/src/main/java/saltdale/control/Subscriptions.java
+++ b/control/src/main/java/saltdale/control/Subscriptions.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import saltdale.control.message.SessionMessage.ConfigurationNews;
 import saltdale.control.message.SessionMessage.InstancesNews;
 import saltdale.control.message.SessionMessage.LeaseRenewal;
@@ -43,19 +44,23 @@
     private final ConfigurationService configurations;
     private final MembershipTable members;
     private final InstanceTable instances;
+    private final BooleanSupplier isCurrent;
     private final Map<String, Subscriber> subscribers = new LinkedHashMap<>(); // by life
 
+    /** {@code isCurrent}: whether what is known here is the newest, as far as the lease goes. */
     Subscriptions(
             Environment environment,
             ControlNodeSettings settings,
             ConfigurationService configurations,
             MembershipTable members,
-            InstanceTable instances) {
+            InstanceTable instances,
+            BooleanSupplier isCurrent) {
         this.environment = environment;
         this.settings = settings;
         this.configurations = configurations;
         this.members = members;
         this.instances = instances;
+        this.isCurrent = isCurrent;
     }
 
     /** A member has renewed its lease here; returns how many pieces of news its session was sent. */
@@ -94,11 +99,13 @@
         if (configuration == null) {
             return;
         }
-        if (to.revision < configuration.revision()) {
+        // Without a majority nothing old is handed out; instances are: the platform tells of those itself.
+        boolean current = isCurrent.getAsBoolean();
+        if (current && to.revision < configuration.revision()) {
             to.revision = configuration.revision();
             tell(to, number -> new ConfigurationNews(to.session, number, configurations.currentTree()));
         }
-        if (to.members != members.edition()) {
+        if (current && to.members != members.edition()) {
             to.members = members.edition();
             tell(to, number -> new MembersNews(to.session, number, List.copyOf(members.all())));
         }
--- a/control/src/main/java/saltdale/control/message/HeartbeatMessage.java
+++ b/control/src/main/java/saltdale/control/message/HeartbeatMessage.java
@@ -45,8 +45,11 @@
         }
     }
 
-    /** Sent back at once with the number of the heartbeat. */
-    record HeartbeatAck(PeerIdentity from, long number, long version) implements HeartbeatMessage {
+    /**
+     * Sent back at once with the number of the heartbeat; {@code version} is the newest known to be chosen, {@code
+     * accepted} that of the state accepted last, which may have been chosen without the sender's knowledge.
+     */
+    record HeartbeatAck(PeerIdentity from, long number, long version, long accepted) implements HeartbeatMessage {
         @Override
         public MessageKind kind() {
             return MessageKind.HEARTBEAT_ACK;
@@ -54,12 +57,15 @@
 
         @Override
         public List<Object> fields() {
-            return List.of(from.tree(), number, version);
+            return List.of(from.tree(), number, version, accepted);
         }
 
         static HeartbeatAck read(FieldReader fields) throws MalformedMessage {
             return new HeartbeatAck(
-                    fields.composed("from", PeerIdentity::of), fields.whole("number"), fields.whole("version"));
+                    fields.composed("from", PeerIdentity::of),
+                    fields.whole("number"),
+                    fields.whole("version"),
+                    fields.whole("accepted"));
         }
     }
 
--- /dev/null
+++ b/proxy/src/test/java/saltdale/proxy/ContactChecks.java
@@ -0,0 +1,199 @@
+package saltdale.proxy;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import saltdale.control.ControlNode;
+import saltdale.control.Environment;
+import saltdale.control.message.BallotMessage.Chosen;
+import saltdale.control.message.HeartbeatMessage.Heartbeat;
+import saltdale.control.message.Message;
+import saltdale.control.message.SessionMessage.ConfigurationNews;
+import saltdale.control.message.SessionMessage.MembersNews;
+
+/**
+ * An operator who changes the configuration all the time, and what must hold after each event of a simulated world
+ * meanwhile; what does not is added to the faults of the world.
+ */
+final class ContactChecks {
+    /** By which a control node is read; a wrong variant answers itself. */
+    interface Reading {
+        void read(SimMachine at, Consumer<ControlNode.Reply> answer);
+    }
+
+    private static final long APPLY = Environment.millis(3000);
+    private static final long LEASE = SimWorld.BEAT * 5 / 4;
+    private static final long ON_THE_WAY = Environment.millis(60); // the longest way of a message, and a little
+    private static final long TICK = SimWorld.BEAT / 6;
+
+    final SimWorld world;
+    final ContactModel contact;
+    final TreeMap<Long, Long> acknowledged = new TreeMap<>(); // revisions, by when
+    Reading reading = (at, answer) -> at.controlNode().read(answer);
+    /** Sees each acknowledgement at the moment when it is given. */
+    Consumer<SimMachine> onAcknowledgement = at -> {};
+
+    int stepsInTouch;
+    private final Map<String, Long> apartSince = new HashMap<>(); // control nodes without contact, by host
+    private final TreeMap<Long, Long> chosen = new TreeMap<>(); // versions told to be chosen, by when
+    private final Map<Proxy, Long> highest = new HashMap<>();
+    private long revision = 1;
+    private boolean over;
+
+    ContactChecks(SimWorld world) {
+        this.world = world;
+        contact = new ContactModel(world);
+        acknowledged.put(world.now(), revision);
+        world.afterEach = this::check;
+        SimWorld.Rewriting before = world.rewriting;
+        world.rewriting = (from, to, message) -> {
+            Message sent = before.of(from, to, message);
+            if (sent != null) {
+                sent(from, sent);
+            }
+            return sent;
+        };
+    }
+
+    private void fault(String what) {
+        // The first of each kind tells enough.
+        if (world.faults.size() < 5) {
+            world.faults.add(world.now() / 1_000_000 - 1_000_000 + " ms: " + what);
+        }
+    }
+
+    // After each event.
+
+    private void check() {
+        if (contact.observe()) {
+            for (SimMachine each : world.controlNodes) {
+                if (contact.reachesMajority(each)) {
+                    apartSince.remove(each.host);
+                } else {
+                    apartSince.putIfAbsent(each.host, world.now());
+                }
+            }
+        }
+        long due = due();
+        for (SimMachine each : world.proxies) {
+            if (each.proxy() == null) {
+                continue;
+            }
+            long now = each.proxy().chart() == null ? 0 : each.proxy().chart().revision();
+            if (now < highest.getOrDefault(each.proxy(), 0L)) {
+                fault(each.host + " went back to " + now);
+            }
+            highest.put(each.proxy(), now);
+            if (contact.inTouch(each)) {
+                stepsInTouch++;
+                if (now < due) {
+                    fault(each.host + " is in touch with revision " + now + ", " + due + " was due");
+                }
+            }
+        }
+    }
+
+    /** The revision that all in touch must have by now. */
+    private long due() {
+        return newestBy(acknowledged, world.now() - APPLY, 0);
+    }
+
+    private static long newestBy(TreeMap<Long, Long> all, long moment, long none) {
+        Map.Entry<Long, Long> entry = all.floorEntry(moment);
+        return entry == null ? none : entry.getValue();
+    }
+
+    /** Whether a control node has had no contact for so long that it must know. */
+    private boolean isApart(String host, long within) {
+        return world.now() - apartSince.getOrDefault(host, Long.MAX_VALUE / 2) > within;
+    }
+
+    private void sent(String from, Message message) {
+        if (message instanceof Chosen news) {
+            chosen.put(world.now(), Math.max(news.state().version(), newestBy(chosen, world.now(), -1)));
+        } else if (message instanceof Heartbeat heartbeat) {
+            SimMachine by = world.machines.get(from);
+            long least = newestBy(chosen, world.now() - LEASE - ON_THE_WAY, -1);
+            if (by.controlNode() != null && by.controlNode().hasMajority() && heartbeat.version() < least) {
+                fault(from + " believes in its majority and knows version " + heartbeat.version() + " of " + least);
+            }
+        } else if (message instanceof ConfigurationNews || message instanceof MembersNews) {
+            if (isApart(from, LEASE + ON_THE_WAY)) {
+                fault(from + " hands out " + message.kind() + " though it has no contact");
+            }
+        }
+    }
+
+    // The operator: one change at a time, sent again until there is a clear answer.
+
+    void begin() {
+        send(revision, revision + 1 + world.chance.nextInt(3));
+        look();
+    }
+
+    void end() {
+        over = true;
+    }
+
+    private void send(long base, long next) {
+        if (over) {
+            return;
+        }
+        SimMachine at = world.controlNodes.get(world.chance.nextInt(world.controlNodes.size()));
+        boolean[] done = new boolean[1];
+        if (at.process != null) {
+            byte[] body = SimOperator.config(next, 1).getBytes(StandardCharsets.UTF_8);
+            at.process.deliver(() -> at.controlNode()
+                    .change(false, Long.toString(base), body, reply -> answered(at, base, next, reply, done)));
+        }
+        world.at(Environment.millis(1000), () -> {
+            if (!done[0]) {
+                done[0] = true;
+                send(base, next);
+            }
+        });
+    }
+
+    private void answered(SimMachine at, long base, long next, ControlNode.Reply reply, boolean[] done) {
+        if (reply.status() < 500 && isApart(at.host, Environment.millis(500))) {
+            fault(at.host + " answers " + reply.status() + " though it has no contact");
+        } else if (reply.status() >= 400 && reply.status() < 500) {
+            fault(at.host + " refuses " + next + " on " + base + ": " + reply.why());
+        }
+        if (reply.status() == 200 && next > acknowledged.lastEntry().getValue()) {
+            acknowledged.put(world.now(), next);
+            onAcknowledgement.accept(at);
+        }
+        if (!done[0]) {
+            done[0] = true;
+            boolean taken = reply.status() == 200;
+            world.at(
+                    Environment.millis(100 + world.chance.nextInt(600)),
+                    () -> send(taken ? next : base, taken ? next + 1 + world.chance.nextInt(3) : next));
+        }
+    }
+
+    private void look() {
+        if (over) {
+            return;
+        }
+        SimMachine at = world.controlNodes.get(world.chance.nextInt(world.controlNodes.size()));
+        long least = acknowledged.lastEntry().getValue();
+        if (at.process != null) {
+            at.process.deliver(() -> reading.read(at, reply -> {
+                long told = reply.status() == 200 ? AgreementTest.revision(new String(reply.body())) : least;
+                if (told < least) {
+                    fault(at.host + " reads " + told + " though " + least + " was acknowledged");
+                }
+            }));
+        }
+        world.at(TICK, this::look);
+    }
+
+    List<String> faults() {
+        return world.faults;
+    }
+}
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -35,6 +35,10 @@
     long syncNanos = 3_000_000;
     Process process;
     boolean frozen;
+    /** How far its time of day is off; only a wrong variant of the code looks at that. */
+    long timeOfDayStep;
+
+    boolean leasesByTimeOfDay;
     private final List<Runnable> late = new ArrayList<>();
 
     SimMachine(SimWorld world, String host, String zone, List<String> seeds, boolean keeps, boolean firstStart) {
@@ -203,7 +207,7 @@
 
         @Override
         public long now() {
-            return world.now();
+            return world.now() + (leasesByTimeOfDay ? timeOfDayStep : 0);
         }
 
         @Override
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -28,6 +28,11 @@
     static final long BEAT = Environment.millis(1200);
     static final String[] ZONES = {"z-a", "z-b", "z-c"};
 
+    /** Changes what is sent, as a wrong variant of the code would; null where it sends nothing. */
+    interface Rewriting {
+        Message of(String from, String to, Message message);
+    }
+
     private record Event(long at, long order, Runnable what) {}
 
     final SplittableRandom chance;
@@ -41,6 +46,13 @@
     /** Sees each message that is sent. */
     Consumer<Message> spy = message -> {};
 
+    Rewriting rewriting = (from, to, message) -> message;
+    /** Looks at the world after each event. */
+    Runnable afterEach = () -> {};
+
+    final Set<String> stalled = new HashSet<>(); // hosts whose messages leave only once they are released
+    private final List<Runnable> held = new ArrayList<>();
+
     Platform.Rates rates = new Platform.Rates(26, 105, List.of("starting"));
     ReplicatedState newest; // the newest chosen state told
     private final PriorityQueue<Event> events =
@@ -79,6 +91,7 @@
             Event next = events.poll();
             now = next.at;
             next.what.run();
+            afterEach.run();
         }
         return true;
     }
@@ -143,7 +156,26 @@
 
     // Messages.
 
-    void send(String from, String host, Message message) {
+    /** What stalled processes have sent leaves now, late and all at once. */
+    void release() {
+        stalled.clear();
+        List<Runnable> due = List.copyOf(held);
+        held.clear();
+        due.forEach(Runnable::run);
+    }
+
+    void send(String from, String host, Message original) {
+        Message message = rewriting.of(from, host, original);
+        if (message == null) {
+            return;
+        } else if (stalled.contains(from)) {
+            held.add(() -> leaves(from, host, message));
+            return;
+        }
+        leaves(from, host, message);
+    }
+
+    private void leaves(String from, String host, Message message) {
         spy.accept(message);
         if (message instanceof Chosen news) {
             chosen(news.state());
