Proxy split by job: requests, slot requests, owned services, cluster view

Proxy (850 lines) becomes RequestLifecycle (arrival, attempts, the one answer), SlotRequester (asks owners for slots), OwnedServices (grants them; ownership moves with the members), BootingInstances, ClusterView, and Proxy itself, which hands messages and news to them. Words in proxy renamed as agreed: owner, grant, claim, slots, members, configuration, request, execution status.

--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -27,7 +27,7 @@
 
 /** A proxy as a process: clients' connections, runners' connections, peerConnections to the other processes. */
 final class ProxyProcess extends RequestHandler implements NodeProcess, PeerConnections.Reader, Transport {
-    /** A client's request, as long as its call is open. */
+    /** A client's request, as long as its request is open. */
     private record ClientRequest(Visit visit, Head head, byte[] body) {}
 
     private static final Duration DIAL = Duration.ofMillis(300);
@@ -36,7 +36,7 @@
 
     private final Settings settings;
     private final Proxy proxy;
-    private final Map<String, Pool> pools = new HashMap<>(); // by runner
+    private final Map<String, Pool> pools = new HashMap<>(); // by instance
     private final Map<Attempt, UpstreamExchange> exchanges = new HashMap<>();
     private final Set<Visit> visits = new LinkedHashSet<>();
     private final Listener listener;
@@ -136,8 +136,8 @@
 
     @Override
     public void requested(Visit visit, Head head, byte[] body) {
-        Configuration chart = proxy.chart();
-        if (chart == null) {
+        Configuration configuration = proxy.configuration();
+        if (configuration == null) {
             visit.answer(503, "Retry-After: 0.3\r\n", "no configuration yet");
             return;
         }
@@ -149,7 +149,8 @@
             return;
         }
         int colon = hostname.indexOf(':');
-        Configuration.Route route = chart.route(colon < 0 ? hostname : hostname.substring(0, colon), head.path());
+        Configuration.Route route =
+                configuration.route(colon < 0 ? hostname : hostname.substring(0, colon), head.path());
         if (route == null) {
             visit.answer(404, "", "no such route");
         } else if (id == null || id.isEmpty()) {
@@ -162,19 +163,19 @@
             visit.answer(400, "", "X-Saltdale-Deadline-Remaining is malformed");
         } else {
             long millis = left == null ? route.timeoutMs() : Long.parseLong(left);
-            ClientRequest request = new ClientRequest(visit, head, body);
-            visit.held = request;
-            Request call = proxy.arrived(id, route, millis * 1_000_000, visit.peer(), request);
-            if (!call.isOver()) {
-                visit.held = call;
+            ClientRequest client = new ClientRequest(visit, head, body);
+            visit.held = client;
+            Request request = proxy.arrived(id, route, millis * 1_000_000, visit.peer(), client);
+            if (!request.isOver()) {
+                visit.held = request;
             }
         }
     }
 
     @Override
     public void abandoned(Visit visit) {
-        if (visit.held instanceof Request call) {
-            proxy.left(call);
+        if (visit.held instanceof Request request) {
+            proxy.left(request);
         }
     }
 
@@ -190,12 +191,12 @@
 
     @Override
     public HttpParser.Limits limits() {
-        Configuration chart = proxy.chart();
-        if (chart != null
-                && (chart.limits().headerBytes() != limits.head()
-                        || chart.limits().bodyBytes() != limits.body())) {
+        Configuration configuration = proxy.configuration();
+        if (configuration != null
+                && (configuration.limits().headerBytes() != limits.head()
+                        || configuration.limits().bodyBytes() != limits.body())) {
             limits = new HttpParser.Limits(
-                    chart.limits().headerBytes(), chart.limits().bodyBytes());
+                    configuration.limits().headerBytes(), configuration.limits().bodyBytes());
         }
         return limits;
     }
@@ -203,13 +204,17 @@
     @Override
     public Duration wholeWithin() {
         return Duration.ofMillis(
-                proxy.chart() == null ? 3_000 : proxy.chart().limits().headerMs());
+                proxy.configuration() == null
+                        ? 3_000
+                        : proxy.configuration().limits().headerMs());
     }
 
     @Override
     public Duration restsWithin() {
         return Duration.ofMillis(
-                proxy.chart() == null ? 15_000 : proxy.chart().limits().idleMs());
+                proxy.configuration() == null
+                        ? 15_000
+                        : proxy.configuration().limits().idleMs());
     }
 
     /** Who asks whether we take new connections. */
@@ -237,7 +242,7 @@
         }
     }
 
-    // InstanceTable.
+    // Instances.
 
     private Pool pool(String id, String address) {
         return pools.computeIfAbsent(
@@ -246,21 +251,21 @@
 
     @Override
     public void carry(Attempt attempt) {
-        ClientRequest request = (ClientRequest) attempt.call.load;
+        ClientRequest client = (ClientRequest) attempt.request.clientContext;
         if (Address.parse(attempt.address) == null) {
             environment.loop.soon(() -> proxy.ended(attempt, Attempt.End.NOT_CONNECTED));
             return;
         }
         UpstreamExchange exchange =
-                new UpstreamExchange(attempt, pool(attempt.runner, attempt.address), (which, end) -> {
+                new UpstreamExchange(attempt, pool(attempt.instance, attempt.address), (which, end) -> {
                     if (end != Attempt.End.ANSWERED) {
                         exchanges.remove(attempt);
                     }
                     proxy.ended(attempt, end);
                 });
         exchanges.put(attempt, exchange);
-        long left = Math.max(1, (attempt.until - environment.now()) / 1_000_000);
-        if (!exchange.begin(request.head, request.body, left)) {
+        long left = Math.max(1, (attempt.deadline - environment.now()) / 1_000_000);
+        if (!exchange.begin(client.head, client.body, left)) {
             exchanges.remove(attempt);
             environment.loop.soon(() -> proxy.ended(attempt, Attempt.End.NOT_CONNECTED));
         }
@@ -277,17 +282,17 @@
     @Override
     public void deliver(Attempt attempt) {
         UpstreamExchange exchange = exchanges.remove(attempt);
-        ((ClientRequest) attempt.call.load).visit.passBack(exchange.head, exchange.body);
+        ((ClientRequest) attempt.request.clientContext).visit.passBack(exchange.head, exchange.body);
     }
 
     @Override
-    public void refuse(Request call, int status, long pauseMillis, String why) {
+    public void refuse(Request request, int status, long pauseMillis, String why) {
         String more = pauseMillis == 0
                 ? ""
                 : "Retry-After: " + pauseMillis / 1000 + "."
                         + Long.toString(1000 + pauseMillis % 1000).substring(1) + "\r\n";
-        environment.note("gave up " + call.id + " of " + call.service + ": " + status + " " + why);
-        ((ClientRequest) call.load).visit.answer(status, more, why);
+        environment.note("gave up " + request.id + " of " + request.service + ": " + status + " " + why);
+        ((ClientRequest) request.clientContext).visit.answer(status, more, why);
     }
 
     @Override
--- a/node/src/main/java/saltdale/node/UpstreamExchange.java
+++ b/node/src/main/java/saltdale/node/UpstreamExchange.java
@@ -55,7 +55,7 @@
                         DROPPED,
                         KEPT,
                         "X-Saltdale-Deadline-Remaining: " + leftMillis + "\r\nX-Saltdale-Expected-Runner: "
-                                + attempt.runner + "\r\n"
+                                + attempt.instance + "\r\n"
                                 + (bodied ? "Content-Length: " + requestBody.length + "\r\n" : ""))),
                 ByteBuffer.wrap(requestBody));
         return true;
@@ -69,7 +69,8 @@
                 end(Attempt.End.BROKEN, false);
             } else if (!parser.whole()) {
                 return;
-            } else if (attempt.call.id.equals(parser.head().single("X-Saltdale-Attempt-Id")) || turnedAway() != null) {
+            } else if (attempt.request.id.equals(parser.head().single("X-Saltdale-Attempt-Id"))
+                    || turnedAway() != null) {
                 whole(!bytes.hasRemaining());
             } else if (++surplus > MOST_SURPLUS || !parser.framed()) {
                 end(Attempt.End.BROKEN, false);
@@ -102,7 +103,7 @@
     private Attempt.End turnedAway() {
         Head answer = parser.head();
         String id = answer.single("X-Saltdale-Attempt-Id");
-        if (id != null && !id.equals(attempt.call.id)) {
+        if (id != null && !id.equals(attempt.request.id)) {
             return null;
         }
         return answer.status() == 421
--- a/proxy/src/main/java/saltdale/proxy/Attempt.java
+++ b/proxy/src/main/java/saltdale/proxy/Attempt.java
@@ -3,15 +3,15 @@
 import saltdale.control.Instance;
 import saltdale.control.Member;
 
-/** One sending of a call to a runner, in a slot that a home has lent for it. */
+/** One sending of a request to an instance, in a slot that its owner has granted for it. */
 public final class Attempt {
     /** How it ended. */
     public enum End {
-        /** The runner's whole answer is there, and it is the answer to this attempt. */
+        /** The instance's whole answer is there, and it is the answer to this attempt. */
         ANSWERED,
-        /** The runner says that it did not run it: it is full, or the time was over in its queue. */
+        /** The instance says that it did not run it: it is full, or the time was over in its queue. */
         TURNED_AWAY,
-        /** Another runner has the address. */
+        /** Another instance has the address. */
         MISDIRECTED,
         NOT_CONNECTED,
         /** Reset, closed, cut short or garbled, with nothing of it having been written. */
@@ -21,7 +21,7 @@
         /** We broke it off ourselves. */
         ABANDONED;
 
-        public ExecutionStatus verdict() {
+        public ExecutionStatus status() {
             return switch (this) {
                 case ANSWERED -> ExecutionStatus.RAN;
                 case BROKEN, ABANDONED -> ExecutionStatus.MAY_HAVE_RUN;
@@ -30,24 +30,24 @@
         }
     }
 
-    public final Request call;
-    public final String runner;
+    public final Request request;
+    public final String instance;
     public final String address;
-    public final long until;
-    final String zone; // the runner's
-    Member home; // whom the slot goes back to
-    final long slot; // the number of the question by which it was lent
+    public final long deadline;
+    final String zone; // the instance's
+    Member owner; // whom the slot goes back to
+    final long slotNumber; // the number of the question by which it was granted
     final long sentAt;
     boolean over;
 
-    Attempt(Request call, Instance lent, Member home, long slot, long sentAt) {
-        this.call = call;
-        runner = lent.id();
-        address = lent.address();
-        zone = lent.zone();
-        this.home = home;
-        this.slot = slot;
+    Attempt(Request request, Instance granted, Member owner, long slotNumber, long sentAt) {
+        this.request = request;
+        instance = granted.id();
+        address = granted.address();
+        zone = granted.zone();
+        this.owner = owner;
+        this.slotNumber = slotNumber;
         this.sentAt = sentAt;
-        this.until = call.until;
+        this.deadline = request.deadline;
     }
 }
--- /dev/null
+++ b/proxy/src/main/java/saltdale/proxy/ClusterView.java
@@ -0,0 +1,100 @@
+package saltdale.proxy;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import saltdale.control.Configuration;
+import saltdale.control.Environment;
+import saltdale.control.Fields;
+import saltdale.control.InvalidConfiguration;
+import saltdale.control.Member;
+import saltdale.control.ServiceOwnership;
+
+/** What this proxy knows of the deployment: the configuration in force, the members, and its own lease. */
+final class ClusterView {
+    private final Environment environment;
+    private final ProxySettings settings;
+    private ControlSession session;
+    private Collection<Member> members = List.of();
+    private long membersChangedAt;
+    private Configuration configuration;
+
+    ClusterView(Environment environment, ProxySettings settings) {
+        this.environment = environment;
+        this.settings = settings;
+    }
+
+    /** Set once, before anything is asked of this view. */
+    void session(ControlSession own) {
+        session = own;
+    }
+
+    ControlSession session() {
+        return session;
+    }
+
+    String life() {
+        return session.life();
+    }
+
+    boolean hasLease() {
+        return session.hasLease();
+    }
+
+    String zone() {
+        return settings.zone();
+    }
+
+    /** The configuration in force; null before the first one is known. */
+    Configuration configuration() {
+        return configuration;
+    }
+
+    long revision() {
+        return configuration == null ? -1 : configuration.revision();
+    }
+
+    /** Takes a configuration; within one life of the process an older one never replaces a newer one. */
+    void configuration(Map<String, Object> tree) {
+        try {
+            Configuration next = new Configuration(new Fields(tree));
+            configuration = next.revision() > revision() ? next : configuration;
+            environment.note("configuration " + configuration.revision() + " in force");
+        } catch (InvalidConfiguration e) {
+            environment.note("a configuration cannot be read: " + e.getMessage());
+        }
+    }
+
+    Collection<Member> members() {
+        return members;
+    }
+
+    long membersChangedAt() {
+        return membersChangedAt;
+    }
+
+    void members(List<Member> next) {
+        members = next;
+        membersChangedAt = environment.now();
+        environment.note("members " + members.size() + ": "
+                + members.stream().map(m -> m.name() + (m.leaving() ? "-" : "")).toList());
+    }
+
+    boolean isMember() {
+        return members.stream().anyMatch(this::isSelf);
+    }
+
+    boolean isSelf(Member member) {
+        return member.life().equals(life());
+    }
+
+    /** Who grants the slots of this service's instances in this zone; null where nobody does. */
+    Member owner(String service, String zone) {
+        return ServiceOwnership.of(service, zone, members);
+    }
+
+    boolean isOwner(String service, String zone) {
+        Member owner = owner(service, zone);
+        return owner != null && isSelf(owner);
+    }
+}
--- a/proxy/src/main/java/saltdale/proxy/ExecutionStatus.java
+++ b/proxy/src/main/java/saltdale/proxy/ExecutionStatus.java
@@ -2,11 +2,11 @@
 
 /** How far an attempt came: what may be said of the request, and what may be done next, follows from this alone. */
 public enum ExecutionStatus {
-    /** No runner has begun work on it, and none will. */
+    /** No instance has begun work on it, and none will. */
     NOT_RUN,
     /** It was sent, and nothing says whether it ran. */
     MAY_HAVE_RUN,
-    /** A runner's own answer says that it ran. */
+    /** An instance's own answer says that it ran. */
     RAN;
 
     /** Whether the request may go to a runner again. */
--- a/proxy/src/main/java/saltdale/proxy/InstanceSlots.java
+++ b/proxy/src/main/java/saltdale/proxy/InstanceSlots.java
@@ -4,15 +4,15 @@
 import java.util.Map;
 import saltdale.control.Instance;
 
-/** A runner as its home sees it: which of its slots are lent, and how it has done of late. */
+/** An instance as its owner sees it: which of its slots are granted, and how it has done of late. */
 final class InstanceSlots {
-    /** A slot that is lent: to whom, since when, and until when it comes back if nobody says so. */
-    record Loan(String life, long at, long until) {}
+    /** A slot that is granted: to whom, since when, and until when it comes back if nobody says so. */
+    record Grant(String life, long at, long until) {}
 
-    static final double POOR = 0.3; // a runner failing more than this share of late is passed over
+    static final double POOR = 0.3; // an instance failing more than this share of late is passed over
 
-    Instance runner;
-    final Map<String, Loan> loans = new HashMap<>(); // by who asked and the number of the question
+    Instance instance;
+    final Map<String, Grant> grants = new HashMap<>(); // by who asked and the number of the question
     long notBefore; // it turned work away, or could not be reached, and rests until then
     long rest;
     double failing;
@@ -20,17 +20,17 @@
     boolean trying;
     long since;
 
-    InstanceSlots(Instance runner, long since) {
-        this.runner = runner;
+    InstanceSlots(Instance instance, long since) {
+        this.instance = instance;
         this.since = since;
     }
 
     boolean isUp() {
-        return runner.phase() == Instance.Phase.READY;
+        return instance.phase() == Instance.Phase.READY;
     }
 
     int free() {
-        return runner.slots() - loans.size();
+        return instance.slots() - grants.size();
     }
 
     boolean mayTake(long now) {
--- a/proxy/src/main/java/saltdale/proxy/Request.java
+++ b/proxy/src/main/java/saltdale/proxy/Request.java
@@ -11,21 +11,21 @@
     public final Configuration.Route route;
     public final String service;
     /** What the transport keeps with it: the client and the bytes. */
-    public final Object load;
+    public final Object clientContext;
 
     final long arrivedAt;
-    final long until; // when it is given up at the latest
+    final long deadline; // when it is given up at the latest
     final int priority; // the lowest first
-    final long target; // when its answer is late
-    final Set<String> avoided = new HashSet<>(); // runners that turned it away or broke off
-    final Set<String> unreached = new HashSet<>(); // zones whose homes did not answer
-    ExecutionStatus verdict = ExecutionStatus.NOT_RUN;
+    final long targetAt; // when its answer is late
+    final Set<String> avoidedInstances = new HashSet<>(); // instances that turned it away or broke off
+    final Set<String> unreachedZones = new HashSet<>(); // zones whose owners did not answer
+    ExecutionStatus status = ExecutionStatus.NOT_RUN;
     int attempts;
-    int hops; // from home to home, for the present question
-    long ask; // the number of the present question for a slot; 0 while there is none
-    Member home; // whom it went to
-    Runnable timer;
-    Runnable limit;
+    int hops; // from owner to owner, for the present question
+    long slotNumber; // the number of the present question for a slot; 0 while there is none
+    Member owner; // whom it went to
+    Runnable answerTimer;
+    Runnable deadlineTimer;
     Attempt attempt;
     boolean over;
 
@@ -33,18 +33,18 @@
             String id,
             Configuration.Route route,
             String service,
-            Object load,
+            Object clientContext,
             int priority,
             long arrivedAt,
-            long until) {
+            long deadline) {
         this.id = id;
         this.route = route;
         this.service = service;
-        this.load = load;
+        this.clientContext = clientContext;
         this.arrivedAt = arrivedAt;
-        this.until = until;
+        this.deadline = deadline;
         this.priority = priority;
-        this.target = arrivedAt + route.targetMs() * 1_000_000;
+        this.targetAt = arrivedAt + route.targetMs() * 1_000_000;
     }
 
     public boolean isOver() {
--- a/proxy/src/main/java/saltdale/proxy/RetryBudget.java
+++ b/proxy/src/main/java/saltdale/proxy/RetryBudget.java
@@ -9,7 +9,7 @@
  */
 final class RetryBudget {
     private static final int PARTS = 10; // of the window
-    private static final double CAUTION = 0.7; // the calls that repeated runs make count too, and are not seen here
+    private static final double CAUTION = 0.7; // the requests that repeated runs make count too, and are not seen here
 
     private static final class Counts {
         final long[] slot = new long[PARTS + 1];
--- a/proxy/src/main/java/saltdale/proxy/SlotAllocator.java
+++ b/proxy/src/main/java/saltdale/proxy/SlotAllocator.java
@@ -16,91 +16,52 @@
 import saltdale.probing.ProbeLoop;
 
 /**
- * The home of one service in a zone: it lends the slots of the zone's runners, one to each call, so that no more are at
- * work than a runner takes, whoever asks. Which runner it is the design decides: probes of randomly drawn ones, the
+ * The owner of one service in a zone: it grants the slots of the zone's instances, one to each request, so that
+ * no more are at
+ * work than an instance takes, whoever asks. Which instance it is the design decides: probes of randomly drawn
+ * ones, the
  * first idle one, further only while that pays.
  */
 final class SlotAllocator {
-    /** A call that asks for a slot. */
-    static final class Ask {
-        final String key;
-        final String life;
-        final String host; // null: our own
-        final long number;
-        final String zone;
-        final long until;
-        final long target;
-        final int priority;
-        final Set<String> avoided;
-        final int hops; // so often it was sent from zone to zone
-        final long at;
-        long toldAt; // that it waits; 0: not yet
-
-        Ask(
-                String key,
-                String life,
-                String host,
-                long number,
-                String zone,
-                long until,
-                long target,
-                int priority,
-                Set<String> avoided,
-                int hops,
-                long at) {
-            this.key = key;
-            this.life = life;
-            this.host = host;
-            this.number = number;
-            this.zone = zone;
-            this.until = until;
-            this.target = target;
-            this.priority = priority;
-            this.avoided = avoided;
-            this.hops = hops;
-            this.at = at;
-        }
-    }
-
-    /** What becomes of an ask. */
-    interface Lender {
-        void lend(Ask ask, Instance runner);
+    /** What becomes of a claim. */
+    interface Answers {
+        void granted(SlotClaim claim, Instance instance);
 
-        /** Whether we are home for certain: who cannot know lends nothing. */
-        boolean mayLend();
+        /** Whether we are owner for certain: who cannot know grants nothing. */
+        boolean mayGrant();
 
         /** It waits here for a slot. */
-        void waits(Ask ask);
+        void queued(SlotClaim claim);
 
-        /** There are runners, in another zone. */
-        void elsewhere(Ask ask, String zone);
+        /** There are instances, in another zone. */
+        void elsewhere(SlotClaim claim, String zone);
 
         /** It can't be in time: it may come back after so many milliseconds. */
-        void none(Ask ask, long pauseMillis);
+        void refused(SlotClaim claim, long pauseMillis);
     }
 
     static final int MOST_HOPS = 3;
     static final long SETTLES = 60_000_000L;
     private static final double TAU = 2e9; // over which arrivals are averaged
     private static final double QUICK = 0.5e9; // the same, to see a burst at once
-    private static final double LEAST = 0.4e9; // so long at least a home has counted before it believes its counts
+    private static final double LEAST = 0.4e9; // so long at least an owner has counted before it believes its counts
     private final String service;
     private final String zone;
     private final ProbeLoop probes;
     private final SplittableRandom chance;
-    private final Lender lender;
+    private final Answers answers;
     private final Predicate<Instance> ours; // of our zone, or of one without members that we adopted
-    private final Map<String, InstanceSlots> berths = new LinkedHashMap<>(); // of those that are ours
-    private final Map<String, Instance> others = new LinkedHashMap<>(); // those with other homes
-    private final List<Ask> queue = new ArrayList<>(); // as they came
-    private double rate; // calls a second that come from our zone
+    private final Map<String, InstanceSlots> instances = new LinkedHashMap<>(); // of those that are ours
+    private final Map<String, Instance> others = new LinkedHashMap<>(); // those with other owners
+    private final List<SlotClaim> queue = new ArrayList<>(); // as they came
+    private double rate; // requests a second that come from our zone
     private double quick; // the same over a shorter time
     private long rateAt;
     private long ratedFrom = -1; // since when it counts; it begins anew after a long rest
     private long counted;
-    private double run; // seconds that a call runs, on average
+    private double run; // seconds that a request runs, on average
     private long busyAt;
-    /** From when on it lends: those who lent before have ended by then, or said what is out. */
+    /** From when on it grants: those who granted before have ended by then, or said what is out. */
     long opensAt;
 
     SlotAllocator(
@@ -109,36 +70,36 @@
             ProbeLoop probes,
             SplittableRandom chance,
             Predicate<Instance> ours,
-            Lender lender,
+            Answers answers,
             long opensAt) {
         this.service = service;
         this.zone = zone;
         this.probes = probes;
         this.chance = chance;
         this.ours = ours;
-        this.lender = lender;
+        this.answers = answers;
         this.opensAt = opensAt;
     }
 
-    // What is known of runners.
+    // What is known of instances.
 
-    /** News of a runner; those that are not known any more are dropped. */
-    void heard(Instance runner, long now) {
-        if (!ours.test(runner)) {
-            if (runner.phase().compareTo(Instance.Phase.LEAVING) < 0) {
-                others.put(runner.id(), runner);
+    /** News of an instance; those that are not known any more are dropped. */
+    void heard(Instance instance, long now) {
+        if (!ours.test(instance)) {
+            if (instance.phase().compareTo(Instance.Phase.LEAVING) < 0) {
+                others.put(instance.id(), instance);
             } else {
-                others.remove(runner.id());
+                others.remove(instance.id());
             }
             return;
         }
-        InstanceSlots berth = berths.get(runner.id());
-        if (runner.phase() == Instance.Phase.GONE) {
-            berths.remove(runner.id());
-        } else if (berth == null) {
-            berths.put(runner.id(), new InstanceSlots(runner, now));
-        } else if (runner.phase().compareTo(berth.runner.phase()) > 0) {
-            berth.runner = runner;
+        InstanceSlots slots = instances.get(instance.id());
+        if (instance.phase() == Instance.Phase.GONE) {
+            instances.remove(instance.id());
+        } else if (slots == null) {
+            instances.put(instance.id(), new InstanceSlots(instance, now));
+        } else if (instance.phase().compareTo(slots.instance.phase()) > 0) {
+            slots.instance = instance;
         }
         serve(now);
     }
@@ -148,57 +109,57 @@
     }
 
     /** Says again to those who wait that they do: else they ask elsewhere. */
-    void sayWaits(long now, long every) {
-        for (Ask ask : queue) {
-            if (now - ask.toldAt >= every) {
-                ask.toldAt = now;
-                lender.waits(ask);
+    void sayQueued(long now, long every) {
+        for (SlotClaim claim : queue) {
+            if (now - claim.toldAt >= every) {
+                claim.toldAt = now;
+                answers.queued(claim);
             }
         }
     }
 
     /**
-     * The crew has changed: what is no longer ours goes with its loans, what is ours now waits a moment for
+     * The members have changed: what is no longer ours goes with its grants, what is ours now waits a moment for
      * others'.
      */
-    List<HeldSlot> recrewed(long now, long opens) {
+    List<HeldSlot> membersChanged(long now, long opens) {
         List<HeldSlot> lost = new ArrayList<>();
-        for (InstanceSlots berth : List.copyOf(berths.values())) {
-            if (!ours.test(berth.runner)) {
-                berths.remove(berth.runner.id());
-                lost.addAll(loans(berth, now));
-                others.put(berth.runner.id(), berth.runner);
+        for (InstanceSlots slots : List.copyOf(instances.values())) {
+            if (!ours.test(slots.instance)) {
+                instances.remove(slots.instance.id());
+                lost.addAll(inUse(slots, now));
+                others.put(slots.instance.id(), slots.instance);
             }
         }
         for (Instance r : List.copyOf(others.values())) {
             if (ours.test(r)) {
                 others.remove(r.id());
-                InstanceSlots berth = new InstanceSlots(r, now);
-                berth.notBefore = now + opens;
-                berths.put(r.id(), berth);
+                InstanceSlots slots = new InstanceSlots(r, now);
+                slots.notBefore = now + opens;
+                instances.put(r.id(), slots);
             }
         }
         serve(now);
         return lost;
     }
 
-    InstanceSlots berth(String id) {
-        return berths.get(id);
+    InstanceSlots slots(String id) {
+        return instances.get(id);
     }
 
     List<InstanceSlots> booting() {
-        return berths.values().stream()
-                .filter(b -> b.runner.phase() == Instance.Phase.BOOTING)
+        return instances.values().stream()
+                .filter(b -> b.instance.phase() == Instance.Phase.BOOTING)
                 .toList();
     }
 
     boolean isIdle() {
-        return queue.isEmpty() && berths.isEmpty() && others.isEmpty() && rate == 0;
+        return queue.isEmpty() && instances.isEmpty() && others.isEmpty() && rate == 0;
     }
 
-    // Asks.
+    // Claims.
 
-    void ask(Ask ask, boolean counts, Configuration.Service kind, long now) {
+    void request(SlotClaim claim, boolean counts, Configuration.Service kind, long now) {
         if (counts) {
             decay(now);
             ratedFrom = ratedFrom < 0 ? now : ratedFrom;
@@ -206,19 +167,19 @@
             rate += 1e9 / TAU;
             quick += 1e9 / QUICK;
         }
-        queue.add(ask);
+        queue.add(claim);
         serve(now);
-        if (!queue.contains(ask)) {
+        if (!queue.contains(claim)) {
             return;
         }
         long wait = wait(kind, now);
-        if (ask.priority >= 0 && now + wait > ask.until) {
-            queue.remove(ask);
-            lender.none(ask, Math.max(100, wait / 2_000_000));
+        if (claim.priority >= 0 && now + wait > claim.deadline) {
+            queue.remove(claim);
+            answers.refused(claim, Math.max(100, wait / 2_000_000));
             return;
         }
-        ask.toldAt = now;
-        lender.waits(ask);
+        claim.toldAt = now;
+        answers.queued(claim);
     }
 
     private String elsewhere() {
@@ -230,9 +191,9 @@
 
     /** How long the last one in the queue is likely to wait. */
     private long wait(Configuration.Service kind, long now) {
-        int slots = berths.values().stream()
+        int slots = instances.values().stream()
                 .filter(InstanceSlots::isUp)
-                .mapToInt(b -> b.runner.slots())
+                .mapToInt(b -> b.instance.slots())
                 .sum();
         double boot = kind == null ? 0 : kind.bootMs() * 1e6;
         if (slots == 0) {
@@ -245,121 +206,124 @@
     }
 
     /** It asks no longer. */
-    void drop(String key, long now) {
-        queue.removeIf(ask -> ask.key.equals(key));
-        for (InstanceSlots berth : berths.values()) {
-            if (berth.loans.remove(key) != null) {
+    void cancel(String key, long now) {
+        queue.removeIf(claim -> claim.key.equals(key));
+        for (InstanceSlots slots : instances.values()) {
+            if (slots.grants.remove(key) != null) {
                 serve(now);
                 return;
             }
         }
     }
 
-    /** A lent slot comes back. */
-    void back(String key, String id, Attempt.End end, long ranNanos, long now) {
-        InstanceSlots berth = berths.get(id);
-        if (berth == null) {
+    /** A granted slot comes back. */
+    void returned(String key, String id, Attempt.End end, long ranNanos, long now) {
+        InstanceSlots slots = instances.get(id);
+        if (slots == null) {
             return;
         }
-        InstanceSlots.Loan loan = berth.loans.remove(key);
-        if (end == Attempt.End.ABANDONED && loan != null) {
-            // Guards against a runner that is sent the next call before it has seen this one's connection end.
-            berth.loans.put(key, new InstanceSlots.Loan(loan.life(), loan.at(), now + SETTLES));
+        InstanceSlots.Grant grant = slots.grants.remove(key);
+        if (end == Attempt.End.ABANDONED && grant != null) {
+            // Guards against an instance that is sent the next request before it has seen this one's connection end.
+            slots.grants.put(key, new InstanceSlots.Grant(grant.life(), grant.at(), now + SETTLES));
         }
         switch (end) {
             case ANSWERED -> {
-                berth.ended(false);
-                berth.rest = 0;
+                slots.ended(false);
+                slots.rest = 0;
                 double seconds = ranNanos / 1e9;
                 run = run == 0 ? seconds : 0.95 * run + 0.05 * Math.min(seconds, 4 * run);
                 probes.ended(seconds);
             }
-            case TURNED_AWAY -> berth.rests(now, 30_000_000L, 500_000_000L); // another's work still holds its slots
-            case NOT_CONNECTED -> berth.rests(now, 50_000_000L, 1_000_000_000L);
-            case MISDIRECTED -> berths.remove(id);
-            case BROKEN -> berth.ended(true);
+            case TURNED_AWAY -> slots.rests(now, 30_000_000L, 500_000_000L); // another's work still holds its slots
+            case NOT_CONNECTED -> slots.rests(now, 50_000_000L, 1_000_000_000L);
+            case MISDIRECTED -> instances.remove(id);
+            case BROKEN -> slots.ended(true);
             default -> {}
         }
         serve(now);
     }
 
-    /** A slot that another home lent before us, or that we are told of again. */
+    /** A slot that another owner granted before us, or that we are told of again. */
     void held(String key, String life, String id, long until, long now) {
-        InstanceSlots berth = berths.get(id);
-        if (berth != null) {
-            berth.loans.put(key, new InstanceSlots.Loan(life, now, until));
+        InstanceSlots slots = instances.get(id);
+        if (slots != null) {
+            slots.grants.put(key, new InstanceSlots.Grant(life, now, until));
         }
     }
 
-    /** Whoever asked is gone: what it was lent comes back after a moment, as runners see its connections end. */
+    /** Whoever asked is gone: what it was granted comes back after a moment, as instances see its connections end. */
     void gone(String life, long until) {
-        queue.removeIf(ask -> ask.life.equals(life));
-        for (InstanceSlots berth : berths.values()) {
-            berth.loans.replaceAll((key, loan) -> loan.life().equals(life)
-                    ? new InstanceSlots.Loan(life, loan.at(), Math.min(loan.until(), until))
-                    : loan);
+        queue.removeIf(claim -> claim.life.equals(life));
+        for (InstanceSlots slots : instances.values()) {
+            slots.grants.replaceAll((key, grant) -> grant.life().equals(life)
+                    ? new InstanceSlots.Grant(life, grant.at(), Math.min(grant.until(), until))
+                    : grant);
         }
     }
 
-    /** Looks whether anything is due: asks that are over, loans that never came back. */
+    /** Looks whether anything is due: claims that are over, grants that never came back. */
     void turn(long now) {
-        queue.removeIf(ask -> ask.until <= now);
-        for (InstanceSlots berth : berths.values()) {
-            berth.loans.values().removeIf(loan -> loan.until() <= now);
+        queue.removeIf(claim -> claim.deadline <= now);
+        for (InstanceSlots slots : instances.values()) {
+            slots.grants.values().removeIf(grant -> grant.until() <= now);
         }
         serve(now);
     }
 
-    /** Lends what is free to those who wait, in their order; where no runner of ours will come, they go elsewhere. */
+    /**
+     * Grants what is free to those who wait, in their order; where no instance of ours will come, they go
+     * elsewhere.
+     */
     private void serve(long now) {
-        if (now < opensAt || queue.isEmpty() || !lender.mayLend()) {
+        if (now < opensAt || queue.isEmpty() || !answers.mayGrant()) {
             return;
         }
-        if (!hasRunners()) {
+        if (!hasInstances()) {
             String there = elsewhere();
-            for (Ask ask : there == null
-                    ? List.<Ask>of()
+            for (SlotClaim claim : there == null
+                    ? List.<SlotClaim>of()
                     : queue.stream().filter(a -> a.hops < MOST_HOPS).toList()) {
-                queue.remove(ask);
-                lender.elsewhere(ask, there);
+                queue.remove(claim);
+                answers.elsewhere(claim, there);
             }
             return;
         }
-        if (berths.values().stream().noneMatch(b -> b.mayTake(now))) {
+        if (instances.values().stream().noneMatch(b -> b.mayTake(now))) {
             return;
         }
-        // Who can still be in time goes before who is late; calls of runners at work before all, since those hold
+        // Who can still be in time goes before who is late; requests of instances at work before all, since those hold
         // slots.
-        List<Ask> order = new ArrayList<>(queue);
+        List<SlotClaim> order = new ArrayList<>(queue);
         long soon = now + (long) (run * 1e9);
-        order.sort(Comparator.comparing((Ask a) -> a.priority >= 0 && a.target < soon)
+        order.sort(Comparator.comparing((SlotClaim a) -> a.priority >= 0 && a.targetAt < soon)
                 .thenComparing(a -> a.priority));
-        for (Ask ask : order) {
-            InstanceSlots berth = pick(ask, now);
-            if (berth != null) {
-                queue.remove(ask);
-                berth.loans.put(ask.key, new InstanceSlots.Loan(ask.life, now, ask.until + SETTLES));
-                berth.used = true;
+        for (SlotClaim claim : order) {
+            InstanceSlots slots = pick(claim, now);
+            if (slots != null) {
+                queue.remove(claim);
+                slots.grants.put(claim.key, new InstanceSlots.Grant(claim.life, now, claim.deadline + SETTLES));
+                slots.used = true;
                 busyAt = now;
-                lender.lend(ask, berth.runner);
-                if (berths.values().stream().noneMatch(b -> b.mayTake(now))) {
+                answers.granted(claim, slots.instance);
+                if (instances.values().stream().noneMatch(b -> b.mayTake(now))) {
                     return;
                 }
             }
         }
     }
 
-    // The design's draw: here all probes are of our own knowledge, which holds all that is lent.
-    private InstanceSlots pick(Ask ask, long now) {
+    // The design's draw: here all probes are of our own knowledge, which holds all that is granted.
+    private InstanceSlots pick(SlotClaim claim, long now) {
         List<InstanceSlots> ready = new ArrayList<>();
         int poor = 0;
-        for (InstanceSlots berth : berths.values()) {
-            if (berth.isUp() && !ask.avoided.contains(berth.runner.id())) {
-                ready.add(berth);
-                poor += berth.failing > InstanceSlots.POOR ? 1 : 0;
+        for (InstanceSlots slots : instances.values()) {
+            if (slots.isUp() && !claim.avoidedInstances.contains(slots.instance.id())) {
+                ready.add(slots);
+                poor += slots.failing > InstanceSlots.POOR ? 1 : 0;
             }
         }
-        // Guards against runners that fail often, unless most do: then it is not them.
+        // Guards against instances that fail often, unless most do: then it is not them.
         if (poor > 0 && 2 * poor <= ready.size()) {
             ready.removeIf(b -> b.failing > InstanceSlots.POOR && chance.nextDouble() > 0.05);
         }
@@ -368,31 +332,31 @@
         Set<InstanceSlots> seen = new HashSet<>();
         for (int i = 0; i < ready.size() && (probed == 0 || probes.worthAnother(probed, shortest)); i++) {
             java.util.Collections.swap(ready, i, i + chance.nextInt(ready.size() - i));
-            InstanceSlots berth = ready.get(i);
-            seen.add(berth);
+            InstanceSlots slots = ready.get(i);
+            seen.add(slots);
             probed++;
-            boolean idle = berth.mayTake(now);
-            double load = load(berth, ready);
+            boolean idle = slots.mayTake(now);
+            double load = load(slots, ready);
             probes.sawProbe(idle, load, 0);
             if (idle) {
-                return berth;
+                return slots;
             }
             shortest = Math.min(shortest, load);
         }
-        // No probed runner has a free slot: any other that has, else the call waits here.
+        // No probed instance has a free slot: any other that has, else the request waits here.
         return ready.stream()
                 .filter(b -> !seen.contains(b) && b.mayTake(now))
                 .findFirst()
                 .orElse(null);
     }
 
-    /** The calls waiting for it and in flight to it; one not yet sent to counts as the mean of the others. */
-    private static double load(InstanceSlots berth, List<InstanceSlots> ready) {
-        return berth.used
-                ? berth.loans.size()
+    /** The requests waiting for it and in flight to it; one not yet sent to counts as the mean of the others. */
+    private static double load(InstanceSlots slots, List<InstanceSlots> ready) {
+        return slots.used
+                ? slots.grants.size()
                 : ready.stream()
                         .filter(b -> b.used)
-                        .mapToInt(b -> b.loans.size())
+                        .mapToInt(b -> b.grants.size())
                         .average()
                         .orElse(0);
     }
@@ -410,7 +374,7 @@
         }
     }
 
-    /** Calls a second: the average, or the last half second's where that is more than chance would have it. */
+    /** Requests a second: the average, or the last half second's where that is more than chance would have it. */
     private double rate(long now) {
         double lately = quick - 2 * Math.sqrt(quick);
         double young =
@@ -419,9 +383,9 @@
     }
 
     /** The demand seen here; null where there is none. */
-    Demand need(long now) {
+    Demand demand(long now) {
         decay(now);
-        int busy = berths.values().stream().mapToInt(b -> b.loans.size()).sum();
+        int busy = instances.values().stream().mapToInt(b -> b.grants.size()).sum();
         return rate == 0 && busy == 0 && queue.isEmpty()
                 ? null
                 : new Demand(service, zone, rate(now), run, busy, queue.size(), (now - busyAt) / 1e9);
@@ -431,21 +395,21 @@
         return queue.size();
     }
 
-    boolean hasRunners() {
-        return berths.values().stream().anyMatch(b -> b.runner.phase().compareTo(Instance.Phase.LEAVING) < 0);
+    boolean hasInstances() {
+        return instances.values().stream().anyMatch(b -> b.instance.phase().compareTo(Instance.Phase.LEAVING) < 0);
     }
 
-    /** All loans, for a home that takes over. */
-    List<HeldSlot> loans(long now) {
+    /** All grants, for an owner that takes over. */
+    List<HeldSlot> inUse(long now) {
         List<HeldSlot> all = new ArrayList<>();
-        berths.values().forEach(berth -> all.addAll(loans(berth, now)));
+        instances.values().forEach(slots -> all.addAll(inUse(slots, now)));
         return all;
     }
 
-    private List<HeldSlot> loans(InstanceSlots berth, long now) {
+    private List<HeldSlot> inUse(InstanceSlots slots, long now) {
         List<HeldSlot> all = new ArrayList<>();
-        berth.loans.forEach((key, loan) -> all.add(new HeldSlot(
-                service, berth.runner.id(), key, loan.life(), Math.max(0, (loan.until() - now) / 1_000_000))));
+        slots.grants.forEach((key, grant) -> all.add(new HeldSlot(
+                service, slots.instance.id(), key, grant.life(), Math.max(0, (grant.until() - now) / 1_000_000))));
         return all;
     }
 }
--- /dev/null
+++ b/proxy/src/main/java/saltdale/proxy/SlotRequester.java
@@ -0,0 +1,272 @@
+package saltdale.proxy;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import saltdale.control.Environment;
+import saltdale.control.Instance;
+import saltdale.control.Member;
+import saltdale.control.message.SlotMessage.SlotCancel;
+import saltdale.control.message.SlotMessage.SlotRequest;
+
+/**
+ * Asks owners for slots: the owner in this proxy's zone, or one in another zone where ours does not answer. An owner
+ * answers at once, if only that the request waits; one that stays silent is passed by for a while.
+ */
+final class SlotRequester implements SlotAnswers {
+    /** What becomes of a request that asked for a slot. */
+    interface Outcome {
+        void granted(Request request, Instance instance, long number);
+
+        void refused(Request request, long pauseMillis, String why);
+    }
+
+    private static final long NO_OWNER_PAUSE_MILLIS = 500;
+    private static final long NOT_OWNED_PAUSE = Environment.millis(20);
+
+    private final Environment environment;
+    private final ClusterView cluster;
+    private final OwnedServices ownedServices;
+    private final Outcome outcome;
+    private final long heartbeat;
+    private final Map<Long, Request> asking = new HashMap<>(); // by the number of the question
+    private final Map<String, Long> silentUntil = new HashMap<>(); // by the life of a member that did not answer
+    private long asked;
+    private boolean refusesWaiting;
+
+    SlotRequester(
+            Environment environment,
+            ClusterView cluster,
+            OwnedServices ownedServices,
+            Outcome outcome,
+            long heartbeat) {
+        this.environment = environment;
+        this.cluster = cluster;
+        this.ownedServices = ownedServices;
+        this.outcome = outcome;
+        this.heartbeat = heartbeat;
+    }
+
+    int asking() {
+        return asking.size();
+    }
+
+    /** From now on what would have to wait for a slot is refused, and what waits already. */
+    void refuseWaiting() {
+        refusesWaiting = true;
+        List.copyOf(asking.values()).forEach(this::refuseWaiting);
+    }
+
+    private void refuseWaiting(Request request) {
+        outcome.refused(request, 50, "the proxy ends");
+    }
+
+    /** Asks for a slot for this request. */
+    void ask(Request request) {
+        Member owner = ownerFor(request);
+        request.owner = owner;
+        if (owner == null) {
+            outcome.refused(request, NO_OWNER_PAUSE_MILLIS, "nobody grants slots of this service");
+            return;
+        }
+        number(request);
+        boolean away = !owner.zone().equals(cluster.zone());
+        boolean reachesAll = request.unreachedZones.isEmpty();
+        boolean counts = request.attempts == 0 && reachesAll && !away || away && !reachesAll;
+        request.hops = reachesAll ? 0 : SlotAllocator.MOST_HOPS;
+        send(request, counts);
+    }
+
+    private void number(Request request) {
+        long number = ++asked;
+        request.slotNumber = number;
+        asking.put(number, request);
+        request.answerTimer = environment.after(heartbeat / 10, () -> unanswered(request, number));
+    }
+
+    private void send(Request request, boolean counts) {
+        long now = environment.now();
+        if (cluster.isSelf(request.owner)) {
+            ownedServices.request(
+                    new SlotClaim(
+                            SlotClaim.key(cluster.life(), request.slotNumber),
+                            cluster.life(),
+                            null,
+                            request.slotNumber,
+                            cluster.zone(),
+                            request.deadline,
+                            request.targetAt,
+                            request.priority,
+                            request.avoidedInstances,
+                            request.hops),
+                    request.service,
+                    counts);
+        } else {
+            environment.send(
+                    request.owner.host(),
+                    new SlotRequest(
+                            request.slotNumber,
+                            request.service,
+                            cluster.life(),
+                            cluster.zone(),
+                            (request.deadline - now) / 1_000_000,
+                            (request.targetAt - now) / 1_000_000,
+                            request.priority,
+                            counts,
+                            request.hops,
+                            List.copyOf(request.avoidedInstances)));
+        }
+    }
+
+    private Member ownerFor(Request request) {
+        Member own = cluster.owner(request.service, cluster.zone());
+        if (isUsable(own, request)) {
+            return own;
+        }
+        List<Member> far = new ArrayList<>();
+        for (String zone :
+                cluster.members().stream().map(Member::zone).distinct().toList()) {
+            Member each = cluster.owner(request.service, zone);
+            if (isUsable(each, request)) {
+                far.add(each);
+            }
+        }
+        return far.isEmpty() ? own : far.get(environment.chance().nextInt(far.size()));
+    }
+
+    private boolean isUsable(Member owner, Request request) {
+        if (owner == null || request.unreachedZones.contains(owner.zone())) {
+            return false;
+        }
+        return cluster.isSelf(owner)
+                ? cluster.hasLease()
+                : silentUntil.getOrDefault(owner.life(), 0L) <= environment.now();
+    }
+
+    /** The request asks no longer; what it may have been granted meanwhile is given back. */
+    void stop(Request request) {
+        if (request.slotNumber == 0) {
+            return;
+        }
+        asking.remove(request.slotNumber);
+        request.answerTimer.run();
+        String key = SlotClaim.key(cluster.life(), request.slotNumber);
+        if (request.owner != null && cluster.isSelf(request.owner)) {
+            ownedServices.cancel(request.service, key);
+        } else if (request.owner != null) {
+            environment.send(request.owner.host(), new SlotCancel(request.service, key));
+        }
+        request.slotNumber = 0;
+    }
+
+    private void askAgain(Request request) {
+        stop(request);
+        ask(request);
+    }
+
+    /** After this proxy stood still the slots that it asked for may have been granted and taken back. */
+    void askAllAgain() {
+        List.copyOf(asking.values()).forEach(this::askAgain);
+    }
+
+    private void unanswered(Request request, long number) {
+        if (request.slotNumber == number) {
+            if (request.owner != null) {
+                if (!cluster.isSelf(request.owner)) {
+                    silentUntil.put(request.owner.life(), environment.now() + heartbeat / 2);
+                }
+                request.unreachedZones.add(request.owner.zone());
+            }
+            askAgain(request);
+        }
+    }
+
+    /** A connection to another process has ended: what was asked there is asked elsewhere. */
+    void unreachable(String host) {
+        for (Request request : List.copyOf(asking.values())) {
+            if (request.owner != null && request.owner.host().equals(host) && !cluster.isSelf(request.owner)) {
+                unanswered(request, request.slotNumber);
+            }
+        }
+    }
+
+    /** These are members no longer: what was asked of them is asked anew. */
+    void gone(Collection<Member> members) {
+        for (Member member : members) {
+            silentUntil.remove(member.life());
+            for (Request request : List.copyOf(asking.values())) {
+                if (request.owner != null && request.owner.life().equals(member.life())) {
+                    askAgain(request);
+                }
+            }
+        }
+    }
+
+    @Override
+    public void granted(long number, Instance instance) {
+        Request request = asking.remove(number);
+        if (request == null) {
+            return;
+        }
+        request.answerTimer.run();
+        request.slotNumber = 0;
+        outcome.granted(request, instance, number);
+    }
+
+    @Override
+    public void queued(long number) {
+        Request request = asking.get(number);
+        if (request == null) {
+            return;
+        }
+        if (refusesWaiting) {
+            refuseWaiting(request);
+            return;
+        }
+        request.answerTimer.run();
+        request.answerTimer = environment.after(heartbeat, () -> unanswered(request, number));
+    }
+
+    @Override
+    public void elsewhere(long number, String zone) {
+        Request request = asking.get(number);
+        if (request == null) {
+            return;
+        }
+        Member there = cluster.owner(request.service, zone);
+        if (there == null || request.unreachedZones.contains(zone)) {
+            request.unreachedZones.add(zone);
+            askAgain(request);
+            return;
+        }
+        asking.remove(number);
+        request.answerTimer.run();
+        request.owner = there;
+        number(request);
+        request.hops++;
+        send(request, false);
+    }
+
+    @Override
+    public void refused(long number, long pauseMillis) {
+        Request request = asking.get(number);
+        if (request != null) {
+            outcome.refused(request, pauseMillis, "no instance can take it in time");
+        }
+    }
+
+    @Override
+    public void notOwned(long number) {
+        Request request = asking.get(number);
+        if (request != null) {
+            request.unreachedZones.add(cluster.zone());
+            environment.after(NOT_OWNED_PAUSE, () -> {
+                if (request.slotNumber == number) {
+                    askAgain(request);
+                }
+            });
+        }
+    }
+}
--- a/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
@@ -39,9 +39,9 @@
  */
 class ProxyClusterTest {
     private static long revision(SimMachine proxy) {
-        return proxy.proxy() == null || proxy.proxy().chart() == null
+        return proxy.proxy() == null || proxy.proxy().configuration() == null
                 ? 0
-                : proxy.proxy().chart().revision();
+                : proxy.proxy().configuration().revision();
     }
 
     // Configurations.
--- a/proxy/src/test/java/saltdale/proxy/SimPlatform.java
+++ b/proxy/src/test/java/saltdale/proxy/SimPlatform.java
@@ -114,7 +114,7 @@
         }
 
         OutgoingCall asked() {
-            return (OutgoingCall) attempt.call.load;
+            return (OutgoingCall) attempt.request.clientContext;
         }
 
         /** The runner sees its connection end and drops the work. */
@@ -356,7 +356,7 @@
 
     /** A client's call to this proxy; nothing comes of it where the proxy is gone. */
     OutgoingCall call(SimMachine at, String hostname, String path, long leftMs) {
-        Configuration chart = at.proxy() == null ? null : at.proxy().chart();
+        Configuration chart = at.proxy() == null ? null : at.proxy().configuration();
         Configuration.Route route = chart == null ? null : chart.route(hostname, path);
         OutgoingCall asked = new OutgoingCall(route != null && route.idempotent());
         asked.at = at.process;
@@ -382,11 +382,10 @@
         return new Transport() {
             @Override
             public void carry(Attempt attempt) {
-                Sending sending = new Sending(attempt, process, runners.get(attempt.runner));
+                Sending sending = new Sending(attempt, process, runners.get(attempt.instance));
                 OutgoingCall asked = sending.asked();
-                if (!asked.idempotent
-                        && asked.ends.stream().anyMatch(end -> end.verdict() != ExecutionStatus.NOT_RUN)) {
-                    world.faults.add(attempt.call.id + " is carried again after " + asked.ends);
+                if (!asked.idempotent && asked.ends.stream().anyMatch(end -> end.status() != ExecutionStatus.NOT_RUN)) {
+                    world.faults.add(attempt.request.id + " is carried again after " + asked.ends);
                 }
                 sendings.put(attempt, sending);
                 if (world.chance.nextDouble() < unsent) {
@@ -407,17 +406,17 @@
 
             @Override
             public void deliver(Attempt attempt) {
-                answered(attempt.call, 200);
+                answered(attempt.request, 200);
             }
 
             @Override
-            public void refuse(Request call, int status, long pauseMillis, String why) {
-                answered(call, status);
+            public void refuse(Request request, int status, long pauseMillis, String why) {
+                answered(request, status);
             }
 
-            private void answered(Request call, int status) {
-                ((OutgoingCall) call.load).answers.add(status);
-                ((OutgoingCall) call.load).answeredAt = world.now();
+            private void answered(Request request, int status) {
+                ((OutgoingCall) request.clientContext).answers.add(status);
+                ((OutgoingCall) request.clientContext).answeredAt = world.now();
             }
 
             @Override
