--- a/proxy/src/test/java/saltdale/proxy/ContactChecks.java
+++ b/proxy/src/test/java/saltdale/proxy/ContactChecks.java
@@ -82,7 +82,9 @@
             if (each.proxy() == null) {
                 continue;
             }
-            long now = each.proxy().chart() == null ? 0 : each.proxy().chart().revision();
+            long now = each.proxy().configuration() == null
+                    ? 0
+                    : each.proxy().configuration().revision();
             if (now < highest.getOrDefault(each.proxy(), 0L)) {
                 fault(each.host + " went back to " + now);
             }
--- a/proxy/src/test/java/saltdale/proxy/CutOffTest.java
+++ b/proxy/src/test/java/saltdale/proxy/CutOffTest.java
@@ -199,7 +199,8 @@
             assertTrue(world.until(2000, () -> status[0] == 200));
             boolean known = world.until(
                     3000,
-                    () -> world.proxies.stream().allMatch(p -> p.proxy().chart().revision() == 2));
+                    () -> world.proxies.stream()
+                            .allMatch(p -> p.proxy().configuration().revision() == 2));
             assertTrue(known, "seed " + seed);
         }
     }
@@ -245,7 +246,8 @@
             counted += settled ? 1 : 0;
             boolean known = world.until(
                     3000,
-                    () -> world.proxies.stream().allMatch(p -> p.proxy().chart().revision() == 2));
+                    () -> world.proxies.stream()
+                            .allMatch(p -> p.proxy().configuration().revision() == 2));
             assertThat("seed " + seed, known, is(settled));
             assertThat(world.faults, is(empty()));
         }
