Orders: a memory of 512 with a known bound; none that was taken is refused

Only the last 64 orders were remembered, as hex strings without the revision that they were based on. The content was read and checked before the ballot, so a check that grew stricter could refuse an order that had been taken.

Now the state holds the chain of revisions: for each order a digest of 6 bytes and the step from its base, 512 orders. An order on a base older than the memory gets 503, no clear answer; one on a base that the memory covers is known to be taken (200) or not (412). The look-up comes before every other check, and the body is read in the ballot, once. A record of an earlier release is read; its orders count as forgotten, since it tells no bases.

An order is worked out once per base however many ballots it takes, and what it came to is used when it is chosen. A request may take longer to arrive before its 408, as any 4xx but a clear one ends the operator's call at the third try.

Ruled out in reading Proposer.put: a refusal on a state that is not known to be chosen. The state is completed first; the wrong variant that skips this is found by the model.

Tests: ConfigurationOrdersTest (eight operators, troubles of all kinds, five blows at each message of a ballot, 600 changes, 1,500 changes with a member down, wiped and replaced), with four wrong variants in WrongOrders; RecentChangesTest. AgreementTest's troubles moved to SimTroubles, in the same order of draws. DiskTest names its orders by bytes.

--- a/control/src/main/java/saltdale/control/ConfigurationCodec.java
+++ b/control/src/main/java/saltdale/control/ConfigurationCodec.java
@@ -2,7 +2,6 @@
 
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -10,25 +9,27 @@
 
 /** What operators send, as text: read, amended by named items, written. Items keep all fields that they came with. */
 final class ConfigurationCodec {
+    private static final int TEXT_DIGEST_BYTES = 12;
+
     private ConfigurationCodec() {}
 
-    @SuppressWarnings("unchecked")
     static Map<String, Object> read(byte[] text) throws InvalidConfiguration {
         try {
-            return (Map<String, Object>) whole(Trees.fromJson(text));
+            Map<String, Object> tree = Trees.fromJson(text);
+            tree.replaceAll((name, value) -> whole(value));
+            return tree;
         } catch (MalformedMessage e) {
             throw new InvalidConfiguration("not whole JSON: " + e.getMessage());
         }
     }
 
-    /** Numbers without a fraction become whole ones, whatever the reader made of them. */
+    /** Numbers without a fraction become whole ones, whatever the reader made of them; in place. */
+    @SuppressWarnings("unchecked")
     private static Object whole(Object tree) {
         if (tree instanceof Map<?, ?> map) {
-            Map<Object, Object> copy = new LinkedHashMap<>();
-            map.forEach((name, value) -> copy.put(name, whole(value)));
-            return copy;
+            ((Map<String, Object>) map).replaceAll((name, value) -> whole(value));
         } else if (tree instanceof List<?> list) {
-            return new ArrayList<>(list.stream().map(ConfigurationCodec::whole).toList());
+            ((List<Object>) list).replaceAll(ConfigurationCodec::whole);
         } else if (tree instanceof Number number) {
             double value = number.doubleValue();
             return value == Math.rint(value) && Math.abs(value) < 1e15 ? (Object) (long) value : (Object) value;
@@ -77,14 +78,20 @@
         items.add(item.map());
     }
 
-    static String digest(byte[]... parts) {
+    /** Names a text by what it holds. */
+    static String textDigest(byte[] text) {
+        return HexFormat.of().formatHex(digest(text), 0, TEXT_DIGEST_BYTES);
+    }
+
+    /** A digest of these parts, told apart from one another. */
+    static byte[] digest(byte[]... parts) {
         try {
             MessageDigest sha = MessageDigest.getInstance("SHA-256");
             for (byte[] part : parts) {
                 sha.update(part);
                 sha.update((byte) 0);
             }
-            return HexFormat.of().formatHex(sha.digest(), 0, 12);
+            return sha.digest();
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException(e);
         }
--- a/control/src/main/java/saltdale/control/ConfigurationService.java
+++ b/control/src/main/java/saltdale/control/ConfigurationService.java
@@ -5,7 +5,13 @@
 import java.util.function.Consumer;
 
 /** The operators' configuration: changes by agreement, reads of the newest version, and the one in force here. */
-final class ConfigurationService {
+class ConfigurationService {
+    /** Makes the service of a control node. */
+    interface Factory {
+        ConfigurationService of(
+                Environment environment, ControlNodeSettings settings, ReplicatedRegister register, PeerContacts peers);
+    }
+
     /** An answer to an operator; {@code body} is null where it has none. */
     record Reply(int status, String why, byte[] body) {}
 
@@ -18,8 +24,8 @@
     private final ControlNodeSettings settings;
     private final ReplicatedRegister register;
     private final PeerContacts peers;
-    private Configuration current;
-    private Map<String, Object> currentTree;
+    private ConfigurationVersion current; // the newest known to be chosen
+    private ConfigurationVersion proposed; // what the last order here came to, which may be chosen next
 
     ConfigurationService(
             Environment environment, ControlNodeSettings settings, ReplicatedRegister register, PeerContacts peers) {
@@ -31,12 +37,12 @@
 
     /** The newest configuration known to be chosen; null where there is none yet. */
     Configuration current() {
-        return current;
+        return current == null ? null : current.configuration();
     }
 
     /** The same as a tree of names and values. */
     Map<String, Object> currentTree() {
-        return currentTree;
+        return current == null ? null : current.tree();
     }
 
     /** A newer state was chosen. */
@@ -45,58 +51,70 @@
             return;
         }
         try {
-            Map<String, Object> tree = ConfigurationCodec.read(text);
-            current = new Configuration(new Fields(tree));
-            currentTree = tree;
+            current = version(state.textKey(), text);
         } catch (InvalidConfiguration e) {
             environment.note("revision " + state.revision() + " cannot be read: " + e.getMessage());
         }
     }
 
+    /** The version with this key; its text is read only where that was not done before. */
+    private ConfigurationVersion version(String key, byte[] text) throws InvalidConfiguration {
+        if (current != null && current.key().equals(key)) {
+            return current;
+        } else if (proposed != null && proposed.key().equals(key)) {
+            return proposed;
+        }
+        return ConfigurationVersion.read(key, text);
+    }
+
     /** Replaces the whole configuration, or amends it; {@code basedOn} is the version that the change builds on. */
     void change(boolean amends, String basedOn, byte[] body, Consumer<Reply> answer) {
         long base;
-        Map<String, Object> tree;
         try {
             base = Long.parseLong(basedOn == null ? "" : basedOn.strip());
-            tree = ConfigurationCodec.read(body);
-            if (!amends) {
-                new Configuration(new Fields(tree));
-            }
         } catch (NumberFormatException e) {
+            base = -1;
+        }
+        if (base < 0) {
             answer.accept(new Reply(400, "X-Saltdale-Based-On-Version is missing or no number", null));
-            return;
-        } catch (InvalidConfiguration e) {
-            answer.accept(new Reply(400, e.getMessage(), null));
-            return;
+        } else {
+            propose(new ConfigurationOrder(amends, base, body), answer);
         }
-        String digest = ConfigurationCodec.digest(
-                new byte[] {(byte) (amends ? 1 : 0)}, Long.toString(base).getBytes(StandardCharsets.UTF_8), body);
+    }
+
+    void propose(ConfigurationOrder order, Consumer<Reply> answer) {
         register.propose(
-                (newest, text) -> change(newest, text, amends, base, tree, digest),
+                (newest, text) -> step(order, newest, text),
                 timeLimit(),
                 reply -> answer.accept(reply == null ? UNSETTLED : (Reply) reply));
     }
 
-    private static Proposer.Step change(
-            ReplicatedState newest, byte[] text, boolean amends, long base, Map<String, Object> tree, String digest) {
-        if (newest.recentChangeDigests().contains(digest)) {
+    /**
+     * What an order comes to on top of this state. Whether it was taken before is looked up first: no later check, of
+     * its base or its content, may refuse an order that was taken. The proposer gives the answer once the state is
+     * known to be chosen, so that a refusal holds for good.
+     */
+    Proposer.Step step(ConfigurationOrder order, ReplicatedState newest, byte[] text) {
+        RecentChanges.Finding finding = newest.recentChanges().find(order.base(), order.digest());
+        if (finding == RecentChanges.Finding.TAKEN) {
             return Proposer.Step.stay(TAKEN);
-        } else if (base != newest.revision()) {
+        } else if (finding == RecentChanges.Finding.FORGOTTEN) {
+            return Proposer.Step.stay(new Reply(
+                    503,
+                    "orders are remembered from revision "
+                            + newest.recentChanges().coveredFrom() + " on",
+                    null));
+        } else if (order.base() != newest.revision()) {
             return Proposer.Step.stay(new Reply(412, "revision " + newest.revision() + " is in place", null));
         }
         try {
-            Map<String, Object> whole = !amends
-                    ? tree
-                    : ConfigurationCodec.amended(
-                            text == null ? Map.of() : ConfigurationCodec.read(text), new Fields(tree));
-            Configuration next = new Configuration(new Fields(whole));
+            ConfigurationVersion next =
+                    order.appliedTo(order.amends() && text != null ? version(newest.textKey(), text) : null);
             if (next.revision() <= newest.revision()) {
                 throw new InvalidConfiguration("revision is not above " + newest.revision());
             }
-            byte[] newText = ConfigurationCodec.write(whole);
-            String key = next.revision() + "-" + ConfigurationCodec.digest(newText);
-            return new Proposer.Step(newest.withText(next.revision(), key, digest), newText, TAKEN);
+            proposed = next;
+            return new Proposer.Step(newest.withText(next.revision(), next.key(), order.digest()), next.text(), TAKEN);
         } catch (InvalidConfiguration e) {
             return Proposer.Step.stay(new Reply(400, e.getMessage(), null));
         }
--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -58,6 +58,16 @@
     public ControlNode(
             Environment environment, ControlNodeSettings nodeSettings, Platform platform, Map<String, byte[]> records)
             throws MalformedMessage {
+        this(environment, nodeSettings, platform, records, ConfigurationService::new);
+    }
+
+    ControlNode(
+            Environment environment,
+            ControlNodeSettings nodeSettings,
+            Platform platform,
+            Map<String, byte[]> records,
+            ConfigurationService.Factory configurationService)
+            throws MalformedMessage {
         this.environment = environment;
         this.nodeSettings = nodeSettings;
         String life = Long.toHexString(environment.chance().nextLong());
@@ -77,7 +87,7 @@
                 register);
         election = new DutyElection(environment, nodeSettings, register, peers, id, life);
         voterChanges = new VoterChanges(environment, nodeSettings, peers, election, id);
-        configurations = new ConfigurationService(environment, nodeSettings, register, peers);
+        configurations = configurationService.of(environment, nodeSettings, register, peers);
         members = new MembershipTable(nodeSettings.memberLease() + nodeSettings.beat() * 3 / 10);
         instances = new InstanceTable(8 * nodeSettings.beat(), 40 * nodeSettings.beat());
         demand = new DemandTable(3 * nodeSettings.beat());
--- a/control/src/main/java/saltdale/control/ReplicatedState.java
+++ b/control/src/main/java/saltdale/control/ReplicatedState.java
@@ -19,13 +19,10 @@
         Map<String, DutyLease> duties,
         long revision,
         String textKey,
-        List<String> recentChangeDigests) {
-    /** So many changes of the configuration are remembered, for operators who repeat theirs. */
-    private static final int REMEMBERED = 64;
-
+        RecentChanges recentChanges) {
     /** The state from which all begin who are told that this is the first start. */
     public static ReplicatedState first(List<Voter> voters) {
-        return new ReplicatedState(0, voters, voters, Map.of(), 0, "", List.of());
+        return new ReplicatedState(0, voters, voters, Map.of(), 0, "", RecentChanges.from(0));
     }
 
     public boolean isJoint() {
@@ -46,23 +43,22 @@
     }
 
     public ReplicatedState withVoters(List<Voter> next) {
-        return new ReplicatedState(version + 1, voters, next, duties, revision, textKey, recentChangeDigests);
+        return new ReplicatedState(version + 1, voters, next, duties, revision, textKey, recentChanges);
     }
 
     /** The change of voters is over: all later ballots need the new ones alone. */
     public ReplicatedState settled() {
-        return new ReplicatedState(version + 1, voters, voters, duties, revision, textKey, recentChangeDigests);
+        return new ReplicatedState(version + 1, voters, voters, duties, revision, textKey, recentChanges);
     }
 
     public ReplicatedState withDuty(String name, DutyLease tenure) {
         Map<String, DutyLease> all = new TreeMap<>(duties);
         all.put(name, tenure);
-        return new ReplicatedState(version + 1, before, voters, all, revision, textKey, recentChangeDigests);
+        return new ReplicatedState(version + 1, before, voters, all, revision, textKey, recentChanges);
     }
 
-    public ReplicatedState withText(long newRevision, String key, String change) {
-        List<String> all = new ArrayList<>(recentChangeDigests);
-        all.add(change);
+    /** A new revision of the configuration, its text named by this key, made by the order with this digest. */
+    public ReplicatedState withText(long newRevision, String key, byte[] orderDigest) {
         return new ReplicatedState(
                 version + 1,
                 before,
@@ -70,7 +66,7 @@
                 duties,
                 newRevision,
                 key,
-                all.subList(Math.max(0, all.size() - REMEMBERED), all.size()));
+                recentChanges.with(revision, newRevision, orderDigest));
     }
 
     public Map<String, Object> tree() {
@@ -89,8 +85,10 @@
                 revision,
                 "k",
                 textKey,
+                "f",
+                recentChanges.coveredFrom(),
                 "c",
-                recentChangeDigests);
+                recentChanges.entries());
     }
 
     /** Reads a state as another process or the disk tells it. */
@@ -106,14 +104,26 @@
             Fields one = all.object(name);
             duties.put(name, new DutyLease(one.text("h", null), one.text("n", null), one.whole("f")));
         }
+        long revision = from.whole("r");
         return new ReplicatedState(
                 from.whole("v"),
                 from.has("b") ? voters(from, "b") : voters,
                 voters,
                 duties,
-                from.whole("r"),
+                revision,
                 from.text("k"),
-                from.texts("c"));
+                recentChanges(from, revision));
+    }
+
+    /**
+     * Earlier releases wrote a list of digests that does not tell the revisions which the orders were based on: those
+     * orders count as forgotten.
+     */
+    private static RecentChanges recentChanges(Fields from, long revision) throws MalformedMessage {
+        if (!from.has("f")) {
+            return RecentChanges.from(revision);
+        }
+        return RecentChanges.of(from.whole("f"), from.bytes("c"), revision);
     }
 
     private static List<Voter> voters(Fields from, String name) throws MalformedMessage {
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -18,6 +18,10 @@
 /** A control node as a process: its disk, its peerConnections, and the calls of operators. */
 final class ControlProcess extends RequestHandler implements NodeProcess, PeerConnections.Reader {
     private static final int MOST_BODY = 8 << 20; // of a configuration, in bytes
+
+    /** Times the time for an acknowledgement: an operator has gone to another control node long before its 408. */
+    private static final int SLOWEST_REQUEST = 4;
+
     private static final byte[] NOTHING = new byte[0];
 
     private final Settings settings;
@@ -154,6 +158,6 @@
 
     @Override
     public Duration wholeWithin() {
-        return Duration.ofNanos(settings.acknowledge);
+        return Duration.ofNanos(SLOWEST_REQUEST * settings.acknowledge);
     }
 }
--- /dev/null
+++ b/proxy/src/test/java/saltdale/control/OrderMemory.java
@@ -0,0 +1,18 @@
+package saltdale.control;
+
+import java.nio.charset.StandardCharsets;
+
+/** What a state remembers of operators' orders, for tests of other packages. */
+public final class OrderMemory {
+    private OrderMemory() {}
+
+    /** Whether the state knows that this order was taken. */
+    public static boolean holds(ReplicatedState state, boolean amends, long base, String body) {
+        byte[] digest = new ConfigurationOrder(amends, base, body.getBytes(StandardCharsets.UTF_8)).digest();
+        return state.recentChanges().find(base, digest) == RecentChanges.Finding.TAKEN;
+    }
+
+    public static int bytes(ReplicatedState state) {
+        return state.recentChanges().entries().length;
+    }
+}
--- a/proxy/src/test/java/saltdale/proxy/AgreementTest.java
+++ b/proxy/src/test/java/saltdale/proxy/AgreementTest.java
@@ -287,12 +287,12 @@
         final Map<Long, String> acked = new LinkedHashMap<>(); // by revision
         final Map<Long, Long> builtOn = new HashMap<>();
         final Map<Long, String> read = new HashMap<>();
-        final int wipes;
+        final SimTroubles troubles;
         boolean over;
 
         Schedule(long seed, int controlNodes, int wipes) {
             world = new SimWorld(seed).of(controlNodes, 0).begin();
-            this.wipes = wipes;
+            troubles = new SimTroubles(world, wipes);
         }
 
         long newest() {
@@ -313,49 +313,6 @@
                 world.faults.add("read " + revision + " though " + least + " was acknowledged, or another text");
             }
         }
-
-        private boolean allVote() {
-            return world.newest != null
-                    && !world.isJoint()
-                    && world.voters().size() == world.controlNodes.size()
-                    && world.controlNodes.stream().allMatch(k -> world.voters().contains(k.id()));
-        }
-
-        void trouble() {
-            SimMachine one = world.controlNodes.get(world.chance.nextInt(world.controlNodes.size()));
-            switch (world.chance.nextInt(9)) {
-                case 0 -> one.kill();
-                case 1 -> one.powerOff();
-                case 2 -> world.controlNodes.forEach(SimMachine::powerOff);
-                case 3 -> one.freeze();
-                case 4 -> world.cut(one, world.controlNodes.get(world.chance.nextInt(world.controlNodes.size())));
-                case 5 -> world.cutOneWay(one, world.controlNodes.get(world.chance.nextInt(world.controlNodes.size())));
-                case 6 -> one.syncNanos = (1 + world.chance.nextInt(200)) * 1_000_000L;
-                case 7 -> one.disk = SimMachine.Disk.values()[world.chance.nextInt(3)];
-                default -> {
-                    // No more disks at once than is tolerated: all others are voters that know what their disks say.
-                    if (allVote()) {
-                        for (int i = 0; i < wipes; i++) {
-                            world.controlNodes
-                                    .get((world.controlNodes.indexOf(one) + i) % world.controlNodes.size())
-                                    .wipe();
-                        }
-                    }
-                }
-            }
-        }
-
-        void heal() {
-            world.cuts.clear();
-            for (SimMachine each : world.controlNodes) {
-                each.heals();
-                each.syncNanos = 3_000_000;
-                if (each.frozen) {
-                    each.thaw();
-                }
-                each.start();
-            }
-        }
     }
 
     @ParameterizedTest
@@ -371,15 +328,15 @@
             }
             world.run(1500);
             for (int i = 0; i < 4; i++) {
-                schedule.trouble();
+                schedule.troubles.strike();
                 world.run(world.chance.nextInt(400));
-                schedule.trouble();
+                schedule.troubles.strike();
                 world.run(world.chance.nextInt(1500));
-                schedule.heal();
+                schedule.troubles.heal();
                 world.run(world.chance.nextInt(2000));
             }
             schedule.over = true;
-            schedule.heal();
+            schedule.troubles.heal();
             world.run(5000);
             String last = read(world, world.controlNodes.get(seed % controlNodes));
             assertThat("seed " + seed, last, is(not(nullValue())));
--- a/proxy/src/test/java/saltdale/proxy/DiskTest.java
+++ b/proxy/src/test/java/saltdale/proxy/DiskTest.java
@@ -58,8 +58,8 @@
                 .map(k -> new Voter(k.id(), k.host, k.host))
                 .toList();
         ReplicatedState first = ReplicatedState.first(voters);
-        ReplicatedState one = first.withText(1, "1-one", "a");
-        ReplicatedState two = one.withText(2, "2-two", "b");
+        ReplicatedState one = first.withText(1, "1-one", "order1".getBytes());
+        ReplicatedState two = one.withText(2, "2-two", "order2".getBytes());
         accept(controlNode, 1000, one, "one");
         world.run(500);
         controlNode.syncNanos = 100_000_000;
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -161,7 +161,7 @@
             String name = "n-" + host;
             try {
                 if (keeps) {
-                    controlNode = new ControlNode(
+                    controlNode = world.controlNodeFactory.of(
                             this,
                             new ControlNodeSettings(
                                     name,
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -11,6 +11,8 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import saltdale.control.ControlNode;
+import saltdale.control.ControlNodeSettings;
 import saltdale.control.Environment;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Platform;
@@ -28,6 +30,13 @@
     static final long BEAT = Environment.millis(1200);
     static final String[] ZONES = {"z-a", "z-b", "z-c"};
 
+    /** Makes the control node of a process; tests put wrong variants in its place. */
+    interface ControlNodeFactory {
+        ControlNode of(
+                Environment environment, ControlNodeSettings settings, Platform platform, Map<String, byte[]> records)
+                throws MalformedMessage;
+    }
+
     private record Event(long at, long order, Runnable what) {}
 
     final SplittableRandom chance;
@@ -41,6 +50,7 @@
     /** Sees each message that is sent. */
     Consumer<Message> spy = message -> {};
 
+    ControlNodeFactory controlNodeFactory = ControlNode::new;
     Platform.Rates rates = new Platform.Rates(26, 105, List.of("starting"));
     ReplicatedState newest; // the newest chosen state told
     private final PriorityQueue<Event> events =
