--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -11,6 +11,8 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import saltdale.control.ControlNode;
+import saltdale.control.ControlNodeSettings;
 import saltdale.control.Environment;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Platform;
@@ -33,6 +35,13 @@
         Message of(String from, String to, Message message);
     }
 
+    /** Makes the control node of a process; tests put wrong variants in its place. */
+    interface ControlNodeFactory {
+        ControlNode of(
+                Environment environment, ControlNodeSettings settings, Platform platform, Map<String, byte[]> records)
+                throws MalformedMessage;
+    }
+
     private record Event(long at, long order, Runnable what) {}
 
     final SplittableRandom chance;
@@ -52,7 +61,7 @@
 
     final Set<String> stalled = new HashSet<>(); // hosts whose messages leave only once they are released
     private final List<Runnable> held = new ArrayList<>();
-
+    ControlNodeFactory controlNodeFactory = ControlNode::new;
     Platform.Rates rates = new Platform.Rates(26, 105, List.of("starting"));
     ReplicatedState newest; // the newest chosen state told
     private final PriorityQueue<Event> events =
