A late refusal on a reused connection is not taken for ours; runs of one try are counted

UpstreamExchange took a 421 or a 503 'not executed' without an attempt id as the answer to the present attempt. On a connection that carried another attempt it may be a late one: the request then went to a second instance while the first ran it. It is now taken only on a connection that carried no attempt before; elsewhere a request that may be repeated goes on as 'may have run', another waits for its own answer. No connection carries one attempt id twice, so clients that share an id can't get each other's late answers. A connection rests only once the whole request has left it, and never after a refusal without an id. UNSENT needs, besides an unsent last byte, that nothing came back. HEAD answers end with their head.

Requests: max_attempts bounds what may have run, not what was turned away; a grant that comes after the deadline (after a standstill) is given back and refused instead of sent with a millisecond left; who waits at a member that is owner no longer asks the new one at once instead of after a heartbeat; grants are returned under the life in which they were asked for. On SIGTERM the process no longer ends while an answer is still being written.

--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -1,12 +1,9 @@
 package saltdale.node;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import saltdale.control.Configuration;
@@ -21,7 +18,6 @@
 import saltdale.proxy.Transport;
 import saltdale.serving.Visit;
 import saltdale.transport.Address;
-import saltdale.transport.Connection;
 import saltdale.transport.Listener;
 import saltdale.transport.Pool;
 
@@ -36,7 +32,7 @@
 
     private final Settings settings;
     private final Proxy proxy;
-    private final Map<String, Pool> pools = new HashMap<>(); // by instance
+    private final Map<String, PooledConnections> connections = new HashMap<>(); // by instance
     private final Map<Attempt, UpstreamExchange> exchanges = new HashMap<>();
     private final Set<Visit> visits = new LinkedHashSet<>();
     private final Listener listener;
@@ -99,18 +95,10 @@
 
     private void close() {
         listener.finish();
-        for (Visit visit : List.copyOf(visits)) {
-            if (visit.isIdle()) {
-                visit.drop();
-            }
-        }
-        if (visits.isEmpty() && proxy.open() == 0) {
-            environment.loop.stop();
-        } else {
-            environment.loop.after(Duration.ofMillis(50), this::closeIdle);
-        }
+        closeIdle();
     }
 
+    /** Closes what rests, and ends once nothing is under way: no request, and no answer that is still on its way. */
     private void closeIdle() {
         visits.stream().filter(Visit::isIdle).toList().forEach(Visit::drop);
         if (visits.isEmpty() && proxy.open() == 0 && environment.sockets.finishing() == 0) {
@@ -244,9 +232,11 @@
 
     // Instances.
 
-    private Pool pool(String id, String address) {
-        return pools.computeIfAbsent(
-                id, i -> new Pool(environment.loop, environment.sockets, Address.parse(address), DIAL, RESTS));
+    private PooledConnections connections(String id, String address) {
+        return connections.computeIfAbsent(
+                id,
+                i -> new PooledConnections(
+                        new Pool(environment.loop, environment.sockets, Address.parse(address), DIAL, RESTS)));
     }
 
     @Override
@@ -257,7 +247,7 @@
             return;
         }
         UpstreamExchange exchange =
-                new UpstreamExchange(attempt, pool(attempt.instance, attempt.address), (which, end) -> {
+                new UpstreamExchange(attempt, connections(attempt.instance, attempt.address), (which, end) -> {
                     if (end != Attempt.End.ANSWERED) {
                         exchanges.remove(attempt);
                     }
@@ -292,45 +282,26 @@
                 : "Retry-After: " + pauseMillis / 1000 + "."
                         + Long.toString(1000 + pauseMillis % 1000).substring(1) + "\r\n";
         environment.note("gave up " + request.id + " of " + request.service + ": " + status + " " + why);
-        ((ClientRequest) request.clientContext).visit.answer(status, more, why);
+        ClientRequest client = (ClientRequest) request.clientContext;
+        client.visit.answer(status, more, client.head.method().equals("HEAD") ? "" : why);
     }
 
     @Override
     public void tryRunner(String id, String address) {
-        Pool pool = Address.parse(address) == null ? null : pool(id, address);
-        if (pool == null) {
+        if (Address.parse(address) == null) {
             return;
         }
-        List<Connection> made = new ArrayList<>();
-        Connection connection = pool.take(new Connection.Owner() {
-            @Override
-            public void opened() {
-                pool.rest(made.get(0));
-                proxy.tried(id, true);
-            }
-
-            @Override
-            public void received(ByteBuffer bytes) {
-                made.get(0).close(); // nobody asked for it
-            }
-
-            @Override
-            public void ended(String cause) {
-                proxy.tried(id, false);
-            }
-        });
-        if (connection == null) {
+        boolean tries = connections(id, address).probe(takesConnections -> proxy.tried(id, takesConnections));
+        if (!tries) {
             environment.loop.after(DIAL, () -> proxy.tried(id, false));
-        } else {
-            made.add(connection);
         }
     }
 
     @Override
     public void forget(String id) {
-        Pool pool = pools.remove(id);
-        if (pool != null) {
-            pool.closeIdle();
+        PooledConnections toInstance = connections.remove(id);
+        if (toInstance != null) {
+            toInstance.closeIdle();
         }
     }
 }
--- a/node/src/main/java/saltdale/node/UpstreamExchange.java
+++ b/node/src/main/java/saltdale/node/UpstreamExchange.java
@@ -8,10 +8,9 @@
 import saltdale.protocol.HttpWriter;
 import saltdale.proxy.Attempt;
 import saltdale.transport.Connection;
-import saltdale.transport.Pool;
 
 /** One attempt on its connection: what goes to the runner, and whether what comes back is its whole answer. */
-final class UpstreamExchange implements Connection.Owner {
+class UpstreamExchange implements Connection.Owner {
     interface Ended {
         void ended(UpstreamExchange exchange, Attempt.End end);
     }
@@ -19,60 +18,63 @@
     private static final Set<String> DROPPED =
             HttpWriter.and(HttpWriter.HOP, "x-saltdale-deadline-remaining", "x-saltdale-expected-runner");
     private static final Set<String> KEPT = Set.of("x-saltdale-attempt-id");
+    private static final String ATTEMPT_ID = "X-Saltdale-Attempt-Id";
     /** Statuses that promise that nothing ran: only with the runner's word for it are they handed on as that. */
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
+    private static final byte[] NO_BODY = new byte[0];
     private static final int MOST_SURPLUS = 3; // answers to others before ours
 
     final Attempt attempt;
-    private final Pool pool;
+    private final UpstreamConnections connections;
     private final Ended told;
     private final HttpParser parser = new HttpParser(HttpParser.Kind.ANSWER);
-    private Connection connection;
+    private UpstreamConnection connection;
+    private boolean withoutBody; // the answer to a HEAD request has none, whatever its length says
+    private boolean heard; // something came back
     private int surplus;
     private boolean over;
     Head head;
     byte[] body;
 
-    UpstreamExchange(Attempt attempt, Pool pool, Ended told) {
+    UpstreamExchange(Attempt attempt, UpstreamConnections connections, Ended told) {
         this.attempt = attempt;
-        this.pool = pool;
+        this.connections = connections;
         this.told = told;
     }
 
     /** False where there was no socket for it. */
     boolean begin(Head request, byte[] requestBody, long leftMillis) {
-        connection = pool.take(this);
+        connection = connections.take(attempt.request.id, this);
         if (connection == null) {
             return false;
         }
-        connection.beginMessage();
-        boolean bodied = requestBody.length > 0
-                || !request.method().equals("GET") && !request.method().equals("HEAD");
-        connection.send(
-                ByteBuffer.wrap(HttpWriter.passedOn(
-                        request,
-                        DROPPED,
-                        KEPT,
-                        "X-Saltdale-Deadline-Remaining: " + leftMillis + "\r\nX-Saltdale-Expected-Runner: "
-                                + attempt.instance + "\r\n"
-                                + (bodied ? "Content-Length: " + requestBody.length + "\r\n" : ""))),
-                ByteBuffer.wrap(requestBody));
+        withoutBody = request.method().equals("HEAD");
+        boolean bodied = requestBody.length > 0 || !request.method().equals("GET") && !withoutBody;
+        byte[] head = HttpWriter.passedOn(
+                request,
+                DROPPED,
+                KEPT,
+                "X-Saltdale-Deadline-Remaining: " + leftMillis + "\r\nX-Saltdale-Expected-Runner: " + attempt.instance
+                        + "\r\n" + (bodied ? "Content-Length: " + requestBody.length + "\r\n" : ""));
+        connection.send(head, requestBody);
         return true;
     }
 
     @Override
     public void received(ByteBuffer bytes) {
+        heard = true;
         while (!over) {
             parser.take(bytes);
             if (parser.bad()) {
                 end(Attempt.End.BROKEN, false);
+            } else if (withoutBody && parser.head() != null && bearsOurId(parser.head())) {
+                judge(false);
             } else if (!parser.whole()) {
                 return;
-            } else if (attempt.request.id.equals(parser.head().single("X-Saltdale-Attempt-Id"))
-                    || turnedAway() != null) {
-                whole(!bytes.hasRemaining());
-            } else if (++surplus > MOST_SURPLUS || !parser.framed()) {
+            } else if (isOurs(parser.head())) {
+                judge(!bytes.hasRemaining());
+            } else if (++surplus > MOST_SURPLUS || !parser.framed() || isUnclear(parser.head())) {
                 end(Attempt.End.BROKEN, false);
             } else {
                 parser.next(); // a late answer to another attempt: it belongs to nobody here
@@ -80,37 +82,67 @@
         }
     }
 
-    private void whole(boolean clean) {
+    /**
+     * Whether this is the answer to this attempt: it bears its id. A refusal without an id is taken for it only on a
+     * connection that carried no attempt before: on another it may be a late one to an earlier attempt.
+     */
+    boolean isOurs(Head answer) {
+        return bearsOurId(answer) || isRefusal(answer) && bearsNoId(answer) && !connection.isReused() && surplus == 0;
+    }
+
+    /**
+     * A refusal that may be ours or a late one. A request that may be repeated goes elsewhere at once; the answer to
+     * another may still come.
+     */
+    private boolean isUnclear(Head answer) {
+        return attempt.request.route.idempotent() && isRefusal(answer) && bearsNoId(answer);
+    }
+
+    private boolean bearsOurId(Head answer) {
+        return attempt.request.id.equals(answer.single(ATTEMPT_ID));
+    }
+
+    final boolean bearsNoId(Head answer) {
+        return answer.header(ATTEMPT_ID) == null;
+    }
+
+    final boolean isRefusal(Head answer) {
+        return refusal(answer) != null;
+    }
+
+    /** The answer to this attempt is there; {@code clean}: and nothing after it. */
+    private void judge(boolean clean) {
         Head answer = parser.head();
-        Attempt.End turned = turnedAway();
-        boolean rests = clean && surplus == 0 && parser.framed() && answer.keepsAlive();
-        boolean success = answer.status() >= 200 && answer.status() < 300;
-        if (turned != null) {
-            end(turned, rests);
-        } else if (PROMISES.contains(answer.status())
-                || !parser.framed()
-                || answer.header("Content-Encoding") != null
-                || success && answer.single("X-Saltdale-Runner-Seal") == null) {
-            end(Attempt.End.BROKEN, false);
-        } else {
+        Attempt.End refusal = refusal(answer);
+        boolean rests = clean && surplus == 0 && parser.framed() && answer.keepsAlive() && connection.isWritten();
+        if (refusal != null) {
+            end(refusal, rests && !bearsNoId(answer));
+        } else if (isAnswer(answer)) {
             head = answer;
-            body = parser.body();
+            body = withoutBody ? NO_BODY : parser.body();
             end(Attempt.End.ANSWERED, rests);
+        } else {
+            end(Attempt.End.BROKEN, false);
         }
     }
 
-    /** The runner's word that it did not run it; null where it says no such thing. */
-    private Attempt.End turnedAway() {
-        Head answer = parser.head();
-        String id = answer.single("X-Saltdale-Attempt-Id");
-        if (id != null && !id.equals(attempt.request.id)) {
-            return null;
+    /** Whether it may be handed to the client as the instance's whole answer. */
+    private boolean isAnswer(Head answer) {
+        boolean success = answer.status() >= 200 && answer.status() < 300;
+        return !PROMISES.contains(answer.status())
+                && (parser.framed() || withoutBody)
+                && answer.header("Content-Encoding") == null
+                && (!success || answer.single("X-Saltdale-Runner-Seal") != null);
+    }
+
+    /** How the instance says that it did not run the request; null where it says no such thing. */
+    private static Attempt.End refusal(Head answer) {
+        if (answer.status() == 421) {
+            return Attempt.End.MISDIRECTED;
         }
-        return answer.status() == 421
-                ? Attempt.End.MISDIRECTED
-                : answer.header("X-Saltdale-Not-Executed") != null && answer.status() >= 400
-                        ? Attempt.End.TURNED_AWAY
-                        : null;
+        return answer.header("X-Saltdale-Not-Executed") != null && answer.status() >= 400
+                ? Attempt.End.TURNED_AWAY
+                : null;
     }
 
     @Override
@@ -118,10 +150,15 @@
         if (cause.startsWith("not connected")) {
             end(Attempt.End.NOT_CONNECTED, false);
         } else {
-            end(connection.reach().incomplete() ? Attempt.End.UNSENT : Attempt.End.BROKEN, false);
+            end(isUnsent() ? Attempt.End.UNSENT : Attempt.End.BROKEN, false);
         }
     }
 
+    /** Whether the instance cannot have read the whole request: its last byte was never sent, and nothing came back. */
+    boolean isUnsent() {
+        return !connection.isWritten() && !heard;
+    }
+
     /** Breaks it off; nothing more is told of it. */
     void abandon() {
         over = true;
@@ -136,7 +173,7 @@
         }
         over = true;
         if (rests) {
-            pool.rest(connection, keeps());
+            connections.rest(connection, keeps());
         } else {
             connection.close();
         }
--- a/node/src/test/java/saltdale/node/UpstreamExchangeTest.java
+++ b/node/src/test/java/saltdale/node/UpstreamExchangeTest.java
@@ -22,7 +22,6 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import saltdale.protocol.Head;
 import saltdale.protocol.HttpParser;
 import saltdale.proxy.Attempt;
 import saltdale.proxy.Attempts;
@@ -48,42 +47,110 @@
         try (ServerSocket runner = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             CompletableFuture<String> read = CompletableFuture.supplyAsync(() -> serve(runner, answer));
             Loop loop = new Loop();
-            Pool pool = new Pool(
-                    loop,
-                    new Sockets(loop, 16),
-                    (InetSocketAddress) runner.getLocalSocketAddress(),
-                    Duration.ofSeconds(2),
-                    Duration.ofSeconds(2));
-            HttpParser parser = new HttpParser(HttpParser.Kind.REQUEST);
-            parser.take(ByteBuffer.wrap(REQUEST.getBytes(StandardCharsets.ISO_8859_1)));
-            List<Attempt.End> ends = new ArrayList<>();
-            exchange = new UpstreamExchange(Attempts.of("me", "127.0.0.1:1"), pool, (which, how) -> ends.add(how));
-            Head head = parser.head();
-            assertThat(exchange.begin(head, parser.body(), 700), is(true));
-            while (ends.isEmpty()) {
-                loop.turn(() -> {});
-            }
+            Attempt.End end = exchange(loop, connections(loop, runner), Attempts.of("me", "127.0.0.1:1"));
             sent = read.get(10, TimeUnit.SECONDS);
-            assertThat("told once", ends.size(), is(1));
-            return ends.get(0);
+            return end;
         }
     }
 
-    private static String serve(ServerSocket runner, String answer) {
+    private static PooledConnections connections(Loop loop, ServerSocket runner) {
+        return new PooledConnections(new Pool(
+                loop,
+                new Sockets(loop, 16),
+                (InetSocketAddress) runner.getLocalSocketAddress(),
+                Duration.ofSeconds(2),
+                Duration.ofSeconds(2)));
+    }
+
+    private Attempt.End exchange(Loop loop, UpstreamConnections connections, Attempt attempt) throws IOException {
+        HttpParser parser = new HttpParser(HttpParser.Kind.REQUEST);
+        parser.take(ByteBuffer.wrap(REQUEST.getBytes(StandardCharsets.ISO_8859_1)));
+        List<Attempt.End> ends = new ArrayList<>();
+        exchange = new UpstreamExchange(attempt, connections, (which, how) -> ends.add(how));
+        assertThat(exchange.begin(parser.head(), parser.body(), 700), is(true));
+        while (ends.isEmpty()) {
+            loop.turn(() -> {});
+        }
+        assertThat("told once", ends.size(), is(1));
+        return ends.get(0);
+    }
+
+    /** On a connection that carried another attempt, what bears no id may be late: it says nothing of this one. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "BROKEN; false; HTTP/1.1 503 Busy|X-Saltdale-Not-Executed: 1|Content-Length: 0||",
+                "BROKEN; true; HTTP/1.1 503 Busy|X-Saltdale-Not-Executed: 1|Content-Length: 0||",
+                "BROKEN; false; HTTP/1.1 421 Not me|Content-Length: 0||",
+                "BROKEN; false; HTTP/1.1 421 Not me|X-Saltdale-Attempt-Id: first|Content-Length: 0||",
+                "BROKEN; false; HTTP/1.1 421 Not me|X-Saltdale-Attempt-Id: ME|Content-Length: 0||",
+                "TURNED_AWAY; false; HTTP/1.1 503 Busy|X-Saltdale-Attempt-Id: me|X-Saltdale-Not-Executed: 1|Content-Length: 0||",
+                "ANSWERED; false; HTTP/1.1 421 Not me|Content-Length: 0||"
+                        + "HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Runner-Seal: s|Content-Length: 2||ok",
+                "ANSWERED; true; HTTP/1.1 100 Go on||"
+                        + "HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Runner-Seal: s|Content-Length: 2||ok"
+            })
+    void aLateRefusalIsNotTakenForOurs(Attempt.End expected, boolean idempotent, String second) throws Exception {
+        String first = "HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: first|X-Saltdale-Runner-Seal: s|Content-Length: 0||";
+        try (ServerSocket runner = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<String> served = CompletableFuture.supplyAsync(() -> serve(runner, first, second));
+            Loop loop = new Loop();
+            PooledConnections connections = connections(loop, runner);
+            assertThat(exchange(loop, connections, Attempts.of("first", "127.0.0.1:1")), is(Attempt.End.ANSWERED));
+            Attempt attempt = Attempts.of("me", "127.0.0.1:1", idempotent);
+            assertThat(exchange(loop, connections, attempt), is(expected));
+            served.get(10, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Two clients with one id: the second goes on a connection of its own, where no answer to the first can come. */
+    @Test
+    void noConnectionCarriesTheSameIdTwice() throws Exception {
+        String answer = "HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Runner-Seal: s|Content-Length: 0||";
+        try (ServerSocket runner = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<String> served = CompletableFuture.supplyAsync(() -> {
+                serve(runner, answer, "unused");
+                return serve(runner, answer);
+            });
+            Loop loop = new Loop();
+            PooledConnections connections = connections(loop, runner);
+            for (int i = 0; i < 2; i++) {
+                Attempt attempt = Attempts.of("me", "127.0.0.1:1");
+                assertThat(exchange(loop, connections, attempt), is(Attempt.End.ANSWERED));
+            }
+            served.get(10, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Answers so many requests on one connection, then closes it. */
+    private static String serve(ServerSocket runner, String... answers) {
         try (Socket socket = runner.accept()) {
-            StringBuilder got = new StringBuilder();
-            while (!got.toString().endsWith("\r\n\r\nabc")) {
-                got.append((char) socket.getInputStream().read());
+            String got = "";
+            for (String answer : answers) {
+                got = readRequest(socket);
+                OutputStream out = socket.getOutputStream();
+                out.write(answer.replace("|", "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+                out.flush();
             }
-            OutputStream out = socket.getOutputStream();
-            out.write(answer.replace("|", "\r\n").getBytes(StandardCharsets.ISO_8859_1));
-            out.flush();
-            return got.toString();
+            return got;
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
     }
 
+    private static String readRequest(Socket socket) throws IOException {
+        StringBuilder got = new StringBuilder();
+        while (!got.toString().endsWith("\r\n\r\nabc")) {
+            int next = socket.getInputStream().read();
+            if (next < 0) {
+                return got.toString();
+            }
+            got.append((char) next);
+        }
+        return got.toString();
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = ';',
--- a/node/src/test/java/saltdale/proxy/Attempts.java
+++ b/node/src/test/java/saltdale/proxy/Attempts.java
@@ -10,13 +10,18 @@
     private Attempts() {}
 
     public static Attempt of(String id, String address) {
+        return of(id, address, true);
+    }
+
+    public static Attempt of(String id, String address, boolean idempotent) {
         Configuration.Route route =
-                new Configuration.Route("r", "h", "/", true, 1000, 100, 0, 1, List.of("s"), List.of(1.0));
-        Request call = new Request(id, route, "s", null, 0, 0, Long.MAX_VALUE);
+                new Configuration.Route("r", "h", "/", idempotent, 1000, 100, 0, 1, List.of("s"), List.of(1.0));
+        Request request = new Request(id, route, "s", null, 0, 0, Long.MAX_VALUE);
         return new Attempt(
-                call,
+                request,
                 new Instance("i-1", "s", address, "z", "w", Instance.Phase.READY, 1),
                 new Member("l", "n", "z", "h", false),
+                "l",
                 1,
                 0);
     }
--- a/proxy/src/main/java/saltdale/proxy/Attempt.java
+++ b/proxy/src/main/java/saltdale/proxy/Attempt.java
@@ -14,9 +14,9 @@
         /** Another instance has the address. */
         MISDIRECTED,
         NOT_CONNECTED,
-        /** Reset, closed, cut short or garbled, with nothing of it having been written. */
+        /** Reset or closed before its last byte was sent, with nothing having come back. */
         UNSENT,
-        /** The same, after it was written in part or in whole. */
+        /** Reset, closed, cut short or garbled after the whole of it was sent. */
         BROKEN,
         /** We broke it off ourselves. */
         ABANDONED;
@@ -36,17 +36,19 @@
     public final long deadline;
     final String zone; // the instance's
     Member owner; // whom the slot goes back to
-    final long slotNumber; // the number of the question by which it was granted
+    final String slotKey; // names the grant at its owner
+    String life; // of this proxy, as the slot's owner knows it
     final long sentAt;
     boolean over;
 
-    Attempt(Request request, Instance granted, Member owner, long slotNumber, long sentAt) {
+    Attempt(Request request, Instance granted, Member owner, String life, long slotNumber, long sentAt) {
         this.request = request;
         instance = granted.id();
         address = granted.address();
         zone = granted.zone();
         this.owner = owner;
-        this.slotNumber = slotNumber;
+        this.life = life;
+        slotKey = SlotClaim.key(life, slotNumber);
         this.sentAt = sentAt;
         this.deadline = request.deadline;
     }
--- a/proxy/src/main/java/saltdale/proxy/Proxy.java
+++ b/proxy/src/main/java/saltdale/proxy/Proxy.java
@@ -181,6 +181,7 @@
                 .toList();
         ownedServices.gone(gone);
         slotRequester.gone(gone);
+        slotRequester.ownersChanged();
     }
 
     // Messages of other processes.
--- a/proxy/src/main/java/saltdale/proxy/Request.java
+++ b/proxy/src/main/java/saltdale/proxy/Request.java
@@ -21,8 +21,10 @@
     final Set<String> unreachedZones = new HashSet<>(); // zones whose owners did not answer
     ExecutionStatus status = ExecutionStatus.NOT_RUN;
     int attempts;
+    int possibleRuns; // attempts of which nothing proves that they did not run
     int hops; // from owner to owner, for the present question
     long slotNumber; // the number of the present question for a slot; 0 while there is none
+    String slotKey; // names what is granted for it
     Member owner; // whom it went to
     Runnable answerTimer;
     Runnable deadlineTimer;
--- a/proxy/src/main/java/saltdale/proxy/RequestLifecycle.java
+++ b/proxy/src/main/java/saltdale/proxy/RequestLifecycle.java
@@ -18,7 +18,7 @@
 final class RequestLifecycle implements SlotRequester.Outcome {
     private static final long MARGIN = Environment.millis(15); // before a client's deadline, for the way back
     private static final int NESTED = -1; // the priority of requests that instances make while they hold a slot
-    private static final int MOST_MOVES = 6; // of a request that no instance began, from one instance to another
+    private static final int MOST_ATTEMPTS = 6; // of one request, those included that instances turned away
     private static final long NOT_TAKEN_PAUSE_MILLIS = 100;
 
     private final Environment environment;
@@ -114,6 +114,9 @@
     }
 
     private void giveUp(Request request, int status, long pauseMillis, String why) {
+        if (request.over) {
+            return;
+        }
         finish(request);
         transport.refuse(request, status, pauseMillis, why);
     }
@@ -133,7 +136,7 @@
     @Override
     public void granted(Request request, Instance instance, long number) {
         knows(instance);
-        Attempt attempt = new Attempt(request, instance, request.owner, number, environment.now());
+        Attempt attempt = new Attempt(request, instance, request.owner, cluster.life(), number, environment.now());
         request.attempt = attempt;
         request.attempts++;
         attempts.add(attempt);
@@ -151,6 +154,7 @@
         }
         request.attempt = null;
         request.status = request.status.and(end.status());
+        request.possibleRuns += end.status() == ExecutionStatus.NOT_RUN ? 0 : 1;
         if (end == Attempt.End.ANSWERED) {
             request.over = true;
             request.deadlineTimer.run();
@@ -169,9 +173,9 @@
 
     private boolean mayGoAgain(Request request, Attempt.End end) {
         boolean arrived = end == Attempt.End.TURNED_AWAY || end == Attempt.End.BROKEN || end == Attempt.End.MISDIRECTED;
-        int most = end.status() == ExecutionStatus.NOT_RUN ? MOST_MOVES : request.route.maxAttempts();
         return request.status.allowsAnother(request.route.idempotent())
-                && request.attempts < most
+                && request.possibleRuns < request.route.maxAttempts()
+                && request.attempts < Math.max(MOST_ATTEMPTS, request.route.maxAttempts())
                 && (!arrived
                         || retryBudget.further(
                                 request.service,
@@ -184,12 +188,7 @@
         attempts.remove(attempt);
         long ranNanos = environment.now() - attempt.sentAt;
         ownedServices.giveBack(
-                attempt.owner,
-                attempt.request.service,
-                SlotClaim.key(cluster.life(), attempt.slotNumber),
-                attempt.instance,
-                end,
-                ranNanos);
+                attempt.owner, attempt.request.service, attempt.slotKey, attempt.instance, end, ranNanos);
     }
 
     /** The slots in use whose owner has changed are told to the new one. */
@@ -198,8 +197,11 @@
         for (Attempt attempt : attempts) {
             Member was = ServiceOwnership.of(attempt.request.service, attempt.zone, before);
             Member is = cluster.owner(attempt.request.service, attempt.zone);
-            if (is != null && (was == null || !was.life().equals(is.life()))) {
+            boolean moved = was == null || is != null && !was.life().equals(is.life());
+            boolean renewed = !attempt.life.equals(cluster.life());
+            if (is != null && (moved || renewed)) {
                 attempt.owner = is;
+                attempt.life = cluster.life();
                 held.add(is.host(), heldSlot(attempt));
             }
         }
@@ -210,8 +212,8 @@
         return new HeldSlot(
                 attempt.request.service,
                 attempt.instance,
-                SlotClaim.key(cluster.life(), attempt.slotNumber),
-                cluster.life(),
+                attempt.slotKey,
+                attempt.life,
                 Math.max(0, (attempt.deadline - environment.now()) / 1_000_000));
     }
 }
--- a/proxy/src/main/java/saltdale/proxy/SlotRequester.java
+++ b/proxy/src/main/java/saltdale/proxy/SlotRequester.java
@@ -82,6 +82,7 @@
     private void number(Request request) {
         long number = ++asked;
         request.slotNumber = number;
+        request.slotKey = SlotClaim.key(cluster.life(), number);
         asking.put(number, request);
         request.answerTimer = environment.after(heartbeat / 10, () -> unanswered(request, number));
     }
@@ -91,7 +92,7 @@
         if (cluster.isSelf(request.owner)) {
             ownedServices.request(
                     new SlotClaim(
-                            SlotClaim.key(cluster.life(), request.slotNumber),
+                            request.slotKey,
                             cluster.life(),
                             null,
                             request.slotNumber,
@@ -152,11 +153,10 @@
         }
         asking.remove(request.slotNumber);
         request.answerTimer.run();
-        String key = SlotClaim.key(cluster.life(), request.slotNumber);
-        if (request.owner != null && cluster.isSelf(request.owner)) {
-            ownedServices.cancel(request.service, key);
-        } else if (request.owner != null) {
-            environment.send(request.owner.host(), new SlotCancel(request.service, key));
+        if (cluster.isSelf(request.owner)) {
+            ownedServices.cancel(request.service, request.slotKey);
+        } else {
+            environment.send(request.owner.host(), new SlotCancel(request.service, request.slotKey));
         }
         request.slotNumber = 0;
     }
@@ -173,12 +173,10 @@
 
     private void unanswered(Request request, long number) {
         if (request.slotNumber == number) {
-            if (request.owner != null) {
-                if (!cluster.isSelf(request.owner)) {
-                    silentUntil.put(request.owner.life(), environment.now() + heartbeat / 2);
-                }
-                request.unreachedZones.add(request.owner.zone());
+            if (!cluster.isSelf(request.owner)) {
+                silentUntil.put(request.owner.life(), environment.now() + heartbeat / 2);
             }
+            request.unreachedZones.add(request.owner.zone());
             askAgain(request);
         }
     }
@@ -186,30 +184,38 @@
     /** A connection to another process has ended: what was asked there is asked elsewhere. */
     void unreachable(String host) {
         for (Request request : List.copyOf(asking.values())) {
-            if (request.owner != null && request.owner.host().equals(host) && !cluster.isSelf(request.owner)) {
+            if (request.owner.host().equals(host) && !cluster.isSelf(request.owner)) {
                 unanswered(request, request.slotNumber);
             }
         }
     }
 
-    /** These are members no longer: what was asked of them is asked anew. */
-    void gone(Collection<Member> members) {
-        for (Member member : members) {
-            silentUntil.remove(member.life());
-            for (Request request : List.copyOf(asking.values())) {
-                if (request.owner != null && request.owner.life().equals(member.life())) {
-                    askAgain(request);
-                }
+    /** The members have changed: who waits at a member that is owner no longer asks the new one. */
+    void ownersChanged() {
+        for (Request request : List.copyOf(asking.values())) {
+            Member owner = cluster.owner(request.service, request.owner.zone());
+            if (owner == null || !owner.life().equals(request.owner.life())) {
+                askAgain(request);
             }
         }
     }
 
+    /** These are members no longer. */
+    void gone(Collection<Member> members) {
+        members.forEach(member -> silentUntil.remove(member.life()));
+    }
+
     @Override
     public void granted(long number, Instance instance) {
-        Request request = asking.remove(number);
+        Request request = asking.get(number);
         if (request == null) {
+            return; // its owner has been told that it asks no longer
+        }
+        if (environment.now() >= request.deadline) { // after a standstill: nothing is begun that cannot be answered
+            outcome.refused(request, 0, "not done in time");
             return;
         }
+        asking.remove(number);
         request.answerTimer.run();
         request.slotNumber = 0;
         outcome.granted(request, instance, number);
