Proxies are told what changed of configuration and members; a whole one is fetched in parts

On the grown deployments each change went whole to every proxy: 213 KB fill a link of 2 Mbit/s for 0.85 s, grants wait behind it, two thirds of a heartbeat pass in silence, the proxy goes to another control node and all is told anew.

Members go by difference. A new session tells what it has and gets no more than what differs. Owners of services are worked out once for each membership, not for each subscriber; routes are found by prefix in a map; instance changes are kept by edition.

--- a/control/src/main/java/saltdale/control/Configuration.java
+++ b/control/src/main/java/saltdale/control/Configuration.java
@@ -37,7 +37,7 @@
 
     private final long revision;
     private final Map<String, Route> routes = new HashMap<>();
-    private final Map<String, List<Route>> byHost = new HashMap<>();
+    private final Map<String, Map<String, Route>> byHost = new HashMap<>();
     private final Map<String, Service> services = new HashMap<>();
     private final Limits limits;
 
@@ -151,13 +151,12 @@
     }
 
     private void add(Route route) throws InvalidConfiguration {
-        List<Route> same = byHost.computeIfAbsent(route.hostname(), host -> new ArrayList<>());
+        Map<String, Route> same = byHost.computeIfAbsent(route.hostname(), host -> new HashMap<>());
         if (routes.put(route.name(), route) != null) {
             throw new InvalidConfiguration("routes: " + route.name() + " stands twice");
-        } else if (same.stream().anyMatch(other -> other.prefix().equals(route.prefix()))) {
+        } else if (same.putIfAbsent(route.prefix(), route) != null) {
             throw new InvalidConfiguration("route " + route.name() + ": another has the same hostname and path_prefix");
         }
-        same.add(route);
     }
 
     public long revision() {
@@ -178,13 +177,14 @@
 
     /** The route of the longest prefix; null where none is meant. */
     public Route route(String hostname, String path) {
-        Route best = null;
-        for (Route each : byHost.getOrDefault(hostname.toLowerCase(java.util.Locale.ROOT), List.of())) {
-            if (path.startsWith(each.prefix())
-                    && (best == null || each.prefix().length() > best.prefix().length())) {
-                best = each;
+        Map<String, Route> byPrefix = byHost.getOrDefault(hostname.toLowerCase(java.util.Locale.ROOT), Map.of());
+        // Each prefix ends with a slash: those of the path are tried from the longest on.
+        for (int slash = path.lastIndexOf('/'); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
+            Route found = byPrefix.get(path.substring(0, slash + 1));
+            if (found != null) {
+                return found;
             }
         }
-        return best;
+        return null;
     }
 }
--- a/control/src/main/java/saltdale/control/ConfigurationService.java
+++ b/control/src/main/java/saltdale/control/ConfigurationService.java
@@ -19,7 +19,7 @@
     private final ReplicatedRegister register;
     private final PeerContacts peers;
     private Configuration current;
-    private Map<String, Object> currentTree;
+    private final ConfigurationHistory history = new ConfigurationHistory();
 
     ConfigurationService(
             Environment environment, ControlNodeSettings settings, ReplicatedRegister register, PeerContacts peers) {
@@ -34,9 +34,9 @@
         return current;
     }
 
-    /** The same as a tree of names and values. */
-    Map<String, Object> currentTree() {
-        return currentTree;
+    /** The newest configuration and those before it, as they are told to proxies. */
+    ConfigurationHistory history() {
+        return history;
     }
 
     /** A newer state was chosen. */
@@ -47,8 +47,8 @@
         try {
             Map<String, Object> tree = ConfigurationCodec.read(text);
             current = new Configuration(new Fields(tree));
-            currentTree = tree;
-        } catch (InvalidConfiguration e) {
+            history.add(ConfigurationTree.of(tree));
+        } catch (InvalidConfiguration | MalformedMessage e) {
             environment.note("revision " + state.revision() + " cannot be read: " + e.getMessage());
         }
     }
--- /dev/null
+++ b/control/src/main/java/saltdale/control/ConfigurationSnapshot.java
@@ -0,0 +1,57 @@
+package saltdale.control;
+
+import java.io.ByteArrayOutputStream;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+
+/** A whole configuration, compressed, as a proxy without a base fetches it part by part; the digest is of its bytes. */
+public record ConfigurationSnapshot(ConfigurationTree tree, String digest, byte[] bytes) {
+    /** So many bytes a configuration may have, unpacked. */
+    public static final int MOST = 64 << 20;
+
+    private static final int BLOCK = 16_384;
+
+    /** Packs a configuration. */
+    public static ConfigurationSnapshot of(ConfigurationTree tree) {
+        Deflater deflater = new Deflater();
+        try {
+            deflater.setInput(Trees.cbor(tree.whole()));
+            deflater.finish();
+            ByteArrayOutputStream out = new ByteArrayOutputStream(BLOCK);
+            byte[] block = new byte[BLOCK];
+            while (!deflater.finished()) {
+                out.write(block, 0, deflater.deflate(block));
+            }
+            byte[] bytes = out.toByteArray();
+            return new ConfigurationSnapshot(tree, ConfigurationCodec.digest(bytes), bytes);
+        } finally {
+            deflater.end();
+        }
+    }
+
+    /** Unpacks a configuration, after a check of the digest. */
+    public static ConfigurationTree read(byte[] bytes, String digest) throws MalformedMessage {
+        if (!ConfigurationCodec.digest(bytes).equals(digest)) {
+            throw new MalformedMessage("configuration snapshot: the digest differs");
+        }
+        Inflater inflater = new Inflater();
+        try {
+            inflater.setInput(bytes);
+            ByteArrayOutputStream out = new ByteArrayOutputStream(bytes.length * 8);
+            byte[] block = new byte[BLOCK];
+            while (!inflater.finished()) {
+                int count = inflater.inflate(block);
+                if (count == 0 && !inflater.finished() || out.size() + count > MOST) {
+                    throw new MalformedMessage("configuration snapshot: cut short or too large");
+                }
+                out.write(block, 0, count);
+            }
+            return ConfigurationTree.of(Trees.fromCbor(out.toByteArray()));
+        } catch (DataFormatException e) {
+            throw new MalformedMessage("configuration snapshot: " + e.getMessage());
+        } finally {
+            inflater.end();
+        }
+    }
+}
--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -18,6 +18,7 @@
 import saltdale.control.message.SessionMessage.LeaseGrant;
 import saltdale.control.message.SessionMessage.LeaseOver;
 import saltdale.control.message.SessionMessage.LeaseRenewal;
+import saltdale.control.message.SessionMessage.SnapshotRequest;
 
 /**
  * One replica of the control plane: takes part in the consensus, keeps the leases of proxies, sends them their news,
@@ -81,7 +82,7 @@
         members = new MembershipTable(nodeSettings.memberLease() + nodeSettings.beat() * 3 / 10);
         instances = new InstanceTable(8 * nodeSettings.beat(), 40 * nodeSettings.beat());
         demand = new DemandTable(3 * nodeSettings.beat());
-        subscriptions = new Subscriptions(environment, nodeSettings, configurations, members, instances);
+        subscriptions = new Subscriptions(environment, nodeSettings, configurations.history(), members, instances);
         instanceLifecycle = new InstanceLifecycle(environment, this, platform, nodeSettings);
         restore(records);
     }
@@ -197,6 +198,10 @@
             peers.acknowledged(ack);
         } else if (message instanceof LeaseRenewal renewal) {
             renewed(fromHost, renewal);
+        } else if (message instanceof SnapshotRequest request) {
+            if (hasMajority()) { // else it may be old
+                subscriptions.requested(request);
+            }
         } else if (message instanceof DemandReport report) {
             demanded(report);
         } else if (message instanceof InstanceReady ready) {
--- a/control/src/main/java/saltdale/control/InstanceTable.java
+++ b/control/src/main/java/saltdale/control/InstanceTable.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 /**
  * The runners known, merged from the platform's list, from what starting them answered, and from other control
@@ -29,6 +30,7 @@
 
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final Map<String, Set<String>> byService = new HashMap<>();
+    private final TreeMap<Long, Entry> byEdition = new TreeMap<>();
     private long edition;
 
     InstanceTable(long patience, long forget) {
@@ -43,8 +45,7 @@
 
     /** Those that have changed since that edition. */
     List<Instance> since(long then) {
-        return entries.values().stream()
-                .filter(e -> e.edition > then)
+        return byEdition.tailMap(then, false).values().stream()
                 .map(e -> e.runner)
                 .toList();
     }
@@ -80,7 +81,9 @@
         }
         entry.runner = copy;
         entry.since = now;
+        byEdition.remove(entry.edition);
         entry.edition = ++edition;
+        byEdition.put(edition, entry);
         return true;
     }
 
@@ -104,6 +107,7 @@
                 changed.add(gone);
             } else if (r.phase() == Instance.Phase.GONE && now - entry.since > forget && !seen.contains(r.id())) {
                 entries.remove(r.id());
+                byEdition.remove(entry.edition);
                 byService.get(r.service()).remove(r.id());
             }
         }
--- a/control/src/main/java/saltdale/control/MembershipTable.java
+++ b/control/src/main/java/saltdale/control/MembershipTable.java
@@ -13,7 +13,7 @@
  * The leases of members, merged from what all control nodes hear: each renewal counts up, and the highest count is the
  * newest.
  */
-final class MembershipTable {
+public final class MembershipTable {
     private static final class Lease {
         Member member;
         long count;
@@ -21,9 +21,16 @@
         boolean untold; // to the other control nodes
     }
 
+    /** The members at one time; their digest tells whether two know the same. */
+    record View(Map<String, Member> byLife, String digest, long edition) {}
+
+    private static final int MOST_VIEWS = 64;
+
     private final long length;
     private final Map<String, Lease> leases = new TreeMap<>(); // by life
     private final Map<String, Long> ended = new LinkedHashMap<>(); // lives that are over, and since when
+    private final Map<String, View> views = new LinkedHashMap<>(); // those of late, by digest
+    private View view = new View(Map.of(), "", 0);
     private long edition;
 
     MembershipTable(long length) {
@@ -36,7 +43,35 @@
     }
 
     Collection<Member> all() {
-        return leases.values().stream().map(lease -> lease.member).toList();
+        return view().byLife().values();
+    }
+
+    /** The members as they are now; the same object until that changes. */
+    View view() {
+        if (view.edition() != edition) {
+            Map<String, Member> byLife = new TreeMap<>();
+            leases.forEach((life, lease) -> byLife.put(life, lease.member));
+            view = new View(byLife, digest(byLife.values()), edition);
+            views.put(view.digest(), view);
+            if (views.size() > MOST_VIEWS) {
+                views.remove(views.keySet().iterator().next());
+            }
+        }
+        return view;
+    }
+
+    /** Members as they were of late by their digest; null where that is not known. */
+    View known(String digest) {
+        return view().digest().equals(digest) ? view : views.get(digest);
+    }
+
+    /** The digest of members, whatever their order. */
+    public static String digest(Collection<Member> members) {
+        SetDigest digest = SetDigest.EMPTY;
+        for (Member member : members) {
+            digest = digest.plus(member.tree());
+        }
+        return digest.text();
     }
 
     Member of(String life) {
--- a/control/src/main/java/saltdale/control/Subscriptions.java
+++ b/control/src/main/java/saltdale/control/Subscriptions.java
@@ -1,19 +1,31 @@
 package saltdale.control;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import saltdale.control.message.SessionMessage.ConfigurationNews;
+import saltdale.control.message.SessionMessage.ConfigurationChange;
+import saltdale.control.message.SessionMessage.ConfigurationOffer;
 import saltdale.control.message.SessionMessage.InstancesNews;
 import saltdale.control.message.SessionMessage.LeaseRenewal;
-import saltdale.control.message.SessionMessage.MembersNews;
+import saltdale.control.message.SessionMessage.MembersChange;
 import saltdale.control.message.SessionMessage.News;
 import saltdale.control.message.SessionMessage.QuorumLost;
+import saltdale.control.message.SessionMessage.SnapshotPart;
+import saltdale.control.message.SessionMessage.SnapshotRequest;
 
-/** The sessions of the proxies that take their news from this control node: each is sent what it does not have yet. */
+/**
+ * The sessions of the proxies that take their news from this control node: each is sent what it does not have yet. Of
+ * the configuration and the members a proxy tells, when a session begins, what it has; from then on it is told what
+ * differs. Who has no base that is known here is offered a snapshot and fetches it in parts, one at a time, so that
+ * leases and news go between them on the narrowest link.
+ */
 final class Subscriptions {
+    /** So many bytes of a snapshot go at once. */
+    private static final int PART = 8192;
+
     /** Makes one piece of news of a session, given its number. */
     private interface Numbered {
         News of(long number);
@@ -25,30 +37,33 @@
         Member member;
         long heardAt;
         long sent; // pieces of news in this session
-        long revision;
-        long members = -1; // the edition of the membership that it was sent
+        long revision; // of the configuration that it has once it has read all that it was sent
+        String digest;
+        boolean fetches; // it was offered a snapshot, and has not been sent the last part
+        MembershipTable.View members; // that it was told; null where it knows none
         long instances = -1; // the edition of the instances
         long ownedOf = -1; // the edition of the membership by which its instances were chosen
         final Map<String, Instance.Phase> told = new HashMap<>(); // by instance
 
-        Subscriber(String host, String session, long revision) {
+        Subscriber(String host, String session) {
             this.host = host;
             this.session = session;
-            this.revision = revision;
         }
     }
 
     private final Environment environment;
     private final ControlNodeSettings settings;
-    private final ConfigurationService configurations;
+    private final ConfigurationHistory configurations;
     private final MembershipTable members;
     private final InstanceTable instances;
     private final Map<String, Subscriber> subscribers = new LinkedHashMap<>(); // by life
+    private final Map<String, String> owners = new HashMap<>(); // lives, by service and zone
+    private long ownersOf = -1; // the edition of the membership by which these are the owners
 
     Subscriptions(
             Environment environment,
             ControlNodeSettings settings,
-            ConfigurationService configurations,
+            ConfigurationHistory configurations,
             MembershipTable members,
             InstanceTable instances) {
         this.environment = environment;
@@ -63,7 +78,10 @@
         String life = renewal.member().life();
         Subscriber subscriber = subscribers.get(life);
         if (subscriber == null || !subscriber.session.equals(renewal.session())) {
-            subscriber = new Subscriber(fromHost, renewal.session(), renewal.revision());
+            subscriber = new Subscriber(fromHost, renewal.session());
+            subscriber.revision = renewal.revision();
+            subscriber.digest = renewal.digest();
+            subscriber.members = members.known(renewal.membersDigest());
             subscribers.put(life, subscriber);
         }
         subscriber.member = renewal.member();
@@ -72,6 +90,29 @@
         return subscriber.sent;
     }
 
+    /** Sends the part of a snapshot that a proxy asks for, and behind the last part what has changed since. */
+    void requested(SnapshotRequest request) {
+        Subscriber to = subscribers.get(request.life());
+        if (to == null || !to.session.equals(request.session()) || configurations.newest() == null) {
+            return;
+        }
+        ConfigurationSnapshot snapshot = configurations.snapshot(request.digest());
+        byte[] bytes = snapshot.bytes();
+        boolean continues = snapshot.digest().equals(request.digest()) && request.offset() < bytes.length;
+        int offset = continues ? request.offset() : 0;
+        int end = Math.min(bytes.length, offset + PART);
+        environment.send(
+                to.host,
+                new SnapshotPart(
+                        to.session, snapshot.digest(), offset, bytes.length, Arrays.copyOfRange(bytes, offset, end)));
+        if (end == bytes.length && to.fetches) {
+            to.fetches = false;
+            to.revision = snapshot.tree().revision();
+            to.digest = snapshot.tree().digest();
+            publish(to);
+        }
+    }
+
     /** The life is over: it takes no more news. */
     void end(String life) {
         subscribers.remove(life);
@@ -90,33 +131,64 @@
     }
 
     private void publish(Subscriber to) {
-        Configuration configuration = configurations.current();
-        if (configuration == null) {
+        if (configurations.newest() == null) {
             return;
         }
-        if (to.revision < configuration.revision()) {
-            to.revision = configuration.revision();
-            tell(to, number -> new ConfigurationNews(to.session, number, configurations.currentTree()));
-        }
-        if (to.members != members.edition()) {
-            to.members = members.edition();
-            tell(to, number -> new MembersNews(to.session, number, List.copyOf(members.all())));
+        publishConfiguration(to);
+        MembershipTable.View present = members.view();
+        if (to.members != present) {
+            publishMembers(to, present);
         }
         if (to.instances != instances.edition() || to.ownedOf != members.edition()) {
             publishInstances(to);
         }
     }
 
+    private void publishConfiguration(Subscriber to) {
+        ConfigurationTree newest = configurations.newest();
+        boolean current = to.revision == newest.revision() && to.digest.equals(newest.digest());
+        if (current || to.fetches || to.revision > newest.revision()) {
+            return;
+        }
+        long base = to.revision;
+        String baseDigest = to.digest;
+        Map<String, Object> change = configurations.changeSince(base, baseDigest);
+        if (change == null) {
+            to.fetches = true;
+            tell(to, number -> new ConfigurationOffer(to.session, number, newest.revision()));
+            return;
+        }
+        to.revision = newest.revision();
+        to.digest = newest.digest();
+        tell(
+                to,
+                number ->
+                        new ConfigurationChange(to.session, number, base, baseDigest, to.revision, to.digest, change));
+    }
+
+    private void publishMembers(Subscriber to, MembershipTable.View present) {
+        Map<String, Member> before = to.members == null ? Map.of() : to.members.byLife();
+        to.members = present;
+        List<Member> changed = present.byLife().values().stream()
+                .filter(member -> !member.equals(before.get(member.life())))
+                .toList();
+        List<String> gone = before.keySet().stream()
+                .filter(life -> !present.byLife().containsKey(life))
+                .toList();
+        boolean whole = before.isEmpty();
+        if (whole || !changed.isEmpty() || !gone.isEmpty()) {
+            tell(to, number -> new MembersChange(to.session, number, whole, changed, gone, present.digest()));
+        }
+    }
+
     /** Of the instances, a proxy is told those of services that it owns. */
     private void publishInstances(Subscriber to) {
         boolean moved = to.ownedOf != members.edition();
         List<Instance> candidates = moved ? new ArrayList<>(instances.all()) : instances.since(to.instances);
         List<Instance> news = new ArrayList<>();
-        Map<String, Boolean> owned = new HashMap<>();
         for (Instance instance : candidates) {
-            String service = instance.service();
-            boolean owns = owned.computeIfAbsent(service, s -> owns(s, to.member.zone(), to))
-                    || owned.computeIfAbsent(service + "@" + instance.zone(), s -> owns(service, instance.zone(), to));
+            boolean owns =
+                    owns(instance.service(), to.member.zone(), to) || owns(instance.service(), instance.zone(), to);
             Instance.Phase told = to.told.get(instance.id());
             if (owns && instance.phase() != told && (told != null || instance.phase() != Instance.Phase.GONE)) {
                 to.told.put(instance.id(), instance.phase());
@@ -133,8 +205,15 @@
     }
 
     private boolean owns(String service, String zone, Subscriber who) {
-        Member owner = ServiceOwnership.of(service, zone, members.all());
-        return owner != null && owner.life().equals(who.member.life());
+        if (ownersOf != members.edition()) {
+            ownersOf = members.edition();
+            owners.clear();
+        }
+        String owner = owners.computeIfAbsent(service + "@" + zone, key -> {
+            Member found = ServiceOwnership.of(service, zone, members.all());
+            return found == null ? "" : found.life();
+        });
+        return owner.equals(who.member.life());
     }
 
     private void tell(Subscriber to, Numbered news) {
--- a/control/src/main/java/saltdale/control/message/FieldReader.java
+++ b/control/src/main/java/saltdale/control/message/FieldReader.java
@@ -69,6 +69,13 @@
         throw wrong(name, "is neither true nor false");
     }
 
+    byte[] bytes(String name) throws MalformedMessage {
+        if (next(name) instanceof byte[] bytes) {
+            return bytes;
+        }
+        throw wrong(name, "is no bytes");
+    }
+
     byte[] optionalBytes(String name) throws MalformedMessage {
         Object value = next(name);
         if (value == null || value instanceof byte[]) {
--- a/control/src/main/java/saltdale/control/message/SessionMessage.java
+++ b/control/src/main/java/saltdale/control/message/SessionMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import saltdale.control.ConfigurationSnapshot;
 import saltdale.control.Instance;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
@@ -15,8 +16,12 @@
         long number();
     }
 
-    /** A proxy renews its lease; {@code revision} is the configuration that it has, -1 for none. */
-    record LeaseRenewal(Member member, long count, String session, long revision) implements SessionMessage {
+    /**
+     * A proxy renews its lease; {@code revision} is the configuration that it has, -1 for none. While its session has
+     * no grant yet it adds the digests of its configuration and of its members, later empty texts.
+     */
+    record LeaseRenewal(Member member, long count, String session, long revision, String digest, String membersDigest)
+            implements SessionMessage {
         @Override
         public MessageKind kind() {
             return MessageKind.LEASE_RENEWAL;
@@ -24,7 +29,7 @@
 
         @Override
         public List<Object> fields() {
-            return List.of(member.tree(), count, session, revision);
+            return List.of(member.tree(), count, session, revision, digest, membersDigest);
         }
 
         @Override
@@ -37,7 +42,9 @@
                     fields.composed("member", Member::of),
                     fields.whole("count"),
                     fields.text("session"),
-                    fields.whole("revision"));
+                    fields.whole("revision"),
+                    fields.text("digest"),
+                    fields.text("membersDigest"));
         }
     }
 
@@ -100,40 +107,121 @@
         }
     }
 
-    /** The whole configuration. */
-    record ConfigurationNews(String session, long number, Map<String, Object> configuration) implements News {
+    /** What has changed of the configuration, see {@link saltdale.control.ConfigurationTree}. */
+    record ConfigurationChange(
+            String session,
+            long number,
+            long baseRevision,
+            String baseDigest,
+            long revision,
+            String digest,
+            Map<String, Object> change)
+            implements News {
         @Override
         public MessageKind kind() {
-            return MessageKind.CONFIGURATION_NEWS;
+            return MessageKind.CONFIGURATION_CHANGE;
         }
 
         @Override
         public List<Object> fields() {
-            return List.of(session, number, configuration);
+            return List.of(session, number, baseRevision, baseDigest, revision, digest, change);
         }
 
-        static ConfigurationNews read(FieldReader fields) throws MalformedMessage {
-            return new ConfigurationNews(
+        static ConfigurationChange read(FieldReader fields) throws MalformedMessage {
+            return new ConfigurationChange(
                     fields.text("session"),
                     fields.whole("number"),
-                    fields.object("configuration").map());
+                    fields.whole("baseRevision"),
+                    fields.text("baseDigest"),
+                    fields.whole("revision"),
+                    fields.text("digest"),
+                    fields.object("change").map());
+        }
+    }
+
+    /** There is a configuration of this revision, or a newer one, and no change leads to it: the proxy fetches it. */
+    record ConfigurationOffer(String session, long number, long revision) implements News {
+        @Override
+        public MessageKind kind() {
+            return MessageKind.CONFIGURATION_OFFER;
+        }
+
+        @Override
+        public List<Object> fields() {
+            return List.of(session, number, revision);
+        }
+
+        static ConfigurationOffer read(FieldReader fields) throws MalformedMessage {
+            return new ConfigurationOffer(fields.text("session"), fields.whole("number"), fields.whole("revision"));
         }
     }
 
-    /** All members. */
-    record MembersNews(String session, long number, List<Member> members) implements News {
+    /** A proxy asks for the next part of a snapshot; the digest is empty where it has none of it yet. */
+    record SnapshotRequest(String life, String session, String digest, int offset) implements SessionMessage {
         @Override
         public MessageKind kind() {
-            return MessageKind.MEMBERS_NEWS;
+            return MessageKind.SNAPSHOT_REQUEST;
         }
 
         @Override
         public List<Object> fields() {
-            return List.of(session, number, members.stream().map(Member::tree).toList());
+            return List.of(life, session, digest, (long) offset);
+        }
+
+        static SnapshotRequest read(FieldReader fields) throws MalformedMessage {
+            return new SnapshotRequest(
+                    fields.text("life"),
+                    fields.text("session"),
+                    fields.text("digest"),
+                    fields.within("offset", 0, Integer.MAX_VALUE));
+        }
+    }
+
+    /** Bytes of a snapshot, from this offset of so many in total. */
+    record SnapshotPart(String session, String digest, int offset, int total, byte[] bytes) implements SessionMessage {
+        @Override
+        public MessageKind kind() {
+            return MessageKind.SNAPSHOT_PART;
         }
 
-        static MembersNews read(FieldReader fields) throws MalformedMessage {
-            return new MembersNews(fields.text("session"), fields.whole("number"), fields.list("members", Member::of));
+        @Override
+        public List<Object> fields() {
+            return List.of(session, digest, (long) offset, (long) total, bytes);
+        }
+
+        static SnapshotPart read(FieldReader fields) throws MalformedMessage {
+            return new SnapshotPart(
+                    fields.text("session"),
+                    fields.text("digest"),
+                    fields.within("offset", 0, Integer.MAX_VALUE),
+                    fields.within("total", 1, ConfigurationSnapshot.MOST),
+                    fields.bytes("bytes"));
+        }
+    }
+
+    /** Members that are new or changed, all of them where {@code whole}, and lives that are none any more. */
+    record MembersChange(
+            String session, long number, boolean whole, List<Member> changed, List<String> gone, String digest)
+            implements News {
+        @Override
+        public MessageKind kind() {
+            return MessageKind.MEMBERS_CHANGE;
+        }
+
+        @Override
+        public List<Object> fields() {
+            return List.of(
+                    session, number, whole, changed.stream().map(Member::tree).toList(), gone, digest);
+        }
+
+        static MembersChange read(FieldReader fields) throws MalformedMessage {
+            return new MembersChange(
+                    fields.text("session"),
+                    fields.whole("number"),
+                    fields.flag("whole"),
+                    fields.list("changed", Member::of),
+                    fields.texts("gone"),
+                    fields.text("digest"));
         }
     }
 
--- a/proxy/src/main/java/saltdale/proxy/ControlSession.java
+++ b/proxy/src/main/java/saltdale/proxy/ControlSession.java
@@ -7,13 +7,21 @@
 import java.util.Map;
 import java.util.Set;
 import saltdale.control.Environment;
+import saltdale.control.Instance;
+import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
 import saltdale.control.message.SessionMessage;
+import saltdale.control.message.SessionMessage.ConfigurationChange;
+import saltdale.control.message.SessionMessage.ConfigurationOffer;
+import saltdale.control.message.SessionMessage.InstancesNews;
 import saltdale.control.message.SessionMessage.LeaseGrant;
 import saltdale.control.message.SessionMessage.LeaseOver;
 import saltdale.control.message.SessionMessage.LeaseRenewal;
+import saltdale.control.message.SessionMessage.MembersChange;
 import saltdale.control.message.SessionMessage.News;
 import saltdale.control.message.SessionMessage.QuorumLost;
+import saltdale.control.message.SessionMessage.SnapshotPart;
+import saltdale.control.message.SessionMessage.SnapshotRequest;
 
 /**
  * A proxy's tie to the core: it renews its lease at one control node and takes its news there, and goes on to
@@ -21,22 +29,29 @@
  * that one is silent or has lost the majority.
  */
 final class ControlSession {
-    /** News, in the order in which the control node sent it. */
+    /** What control nodes tell, in the order in which they sent it. */
     interface Reader {
-        void news(News news);
+        /** A newer configuration, whole, as fields and lists. */
+        void configuration(Map<String, Object> whole);
 
-        /** A session begins: what was told before about runners is told again. */
+        /** All members as they are now. */
+        void members(List<Member> members);
+
+        /** Instances of services that we own, those that changed. */
+        void instances(List<Instance> instances);
+
+        /** A session begins: what was told before about instances is told again. */
         void begins();
 
         /** Our lease is over: we are another member now. */
         void over();
-
-        long revision();
     }
 
     private final Environment environment;
     private final ProxySettings proxySettings;
     private final Reader reader;
+    private final ConfigurationReplica configuration = new ConfigurationReplica();
+    private final MembersReplica members = new MembersReplica();
     private final Set<String> controlNodes = new LinkedHashSet<>();
     private final Map<Long, Long> sentAt = new LinkedHashMap<>();
     private String life;
@@ -44,6 +59,9 @@
     private String session = "";
     private long count;
     private long news; // of this session, so many came
+    private boolean granted; // in this session
+    private boolean fetches; // the parts of a snapshot
+    private long fetchedAt; // when the last part was asked for
     private long heardAt;
     private long renewedAt;
     private long leaseUntil = Long.MIN_VALUE / 2; // counted from when that was sent which a control node answered
@@ -84,10 +102,13 @@
         if (now - heardAt > proxySettings.beat() * 2 / 3) {
             move();
         }
-        // Until the first word has come it asks more often: a control node may start later than we do.
-        if (news == 0 || now - renewedAt >= proxySettings.beat() / 4) {
+        // Until the first grant has come it asks more often: a control node may start later than we do.
+        if (!granted || now - renewedAt >= proxySettings.beat() / 4) {
             renew();
         }
+        if (fetches && now - fetchedAt >= proxySettings.beat() / 4) {
+            fetch(); // what was asked for, or the answer, is lost
+        }
         environment.after(proxySettings.beat() / 8, this::turn);
     }
 
@@ -103,10 +124,12 @@
         resume();
     }
 
-    /** A new session: all news that matters is told anew. */
+    /** A new session: the control node is told what we have, and tells what differs from that. */
     private void resume() {
         session = fresh();
         news = 0;
+        granted = false;
+        fetches = false;
         heardAt = environment.now();
         sentAt.clear();
         reader.begins();
@@ -126,7 +149,9 @@
                         new Member(life, proxySettings.name(), proxySettings.zone(), proxySettings.host(), leaving),
                         count,
                         session,
-                        reader.revision()));
+                        configuration.revision(),
+                        granted ? "" : configuration.digest(),
+                        granted ? "" : members.digest()));
     }
 
     /** Tells at once that nothing new is to come here. */
@@ -136,7 +161,7 @@
     }
 
     /** Takes a message of a control node. */
-    void message(String from, SessionMessage message) {
+    void message(String from, SessionMessage message) throws MalformedMessage {
         if (message instanceof QuorumLost) {
             // The control node has just lost its majority: another may know of newer versions.
             if (from.equals(controlNode)) {
@@ -151,18 +176,78 @@
             }
         } else if (message instanceof News news && news.session().equals(session) && from.equals(controlNode)) {
             told(news);
+        } else if (message instanceof SnapshotPart part
+                && fetches
+                && part.session().equals(session)
+                && from.equals(controlNode)) {
+            fetched(part);
         }
     }
 
-    private void told(News message) {
+    private void told(News message) throws MalformedMessage {
         if (message.number() != news + 1) {
-            environment.note("news " + message.number() + " came after " + news);
-            resume(); // something was lost on the way
-            renew();
+            begin("news " + message.number() + " came after " + news);
             return;
         }
         news++;
-        reader.news(message);
+        try {
+            take(message);
+        } catch (MalformedMessage e) {
+            begin("news " + message.number() + " cannot be taken");
+            throw e;
+        }
+    }
+
+    private void take(News message) throws MalformedMessage {
+        if (message instanceof ConfigurationChange change) {
+            changed(change);
+        } else if (message instanceof ConfigurationOffer) {
+            fetches = true;
+            fetch();
+        } else if (message instanceof MembersChange change) {
+            if (members.change(change)) {
+                reader.members(members.all());
+            } else {
+                begin("the members told have another digest");
+            }
+        } else if (message instanceof InstancesNews told) {
+            reader.instances(told.instances());
+        }
+    }
+
+    /** A new session at the same control node, since this one has a fault. */
+    private void begin(String fault) {
+        environment.note(fault);
+        resume();
+        renew();
+    }
+
+    private void changed(ConfigurationChange change) throws MalformedMessage {
+        switch (configuration.change(change)) {
+            case TAKEN -> reader.configuration(configuration.tree().whole());
+            case REFUSED ->
+                begin("the change to configuration " + change.revision() + " does not fit " + configuration.revision());
+            default -> {}
+        }
+    }
+
+    /** Asks for the next part of a snapshot; one at a time, so that other messages go between them. */
+    private void fetch() {
+        fetchedAt = environment.now();
+        environment.send(
+                controlNode,
+                new SnapshotRequest(life, session, configuration.snapshotDigest(), configuration.snapshotOffset()));
+    }
+
+    private void fetched(SnapshotPart part) throws MalformedMessage {
+        heardAt = environment.now();
+        int before = configuration.snapshotOffset();
+        if (configuration.part(part)) {
+            fetches = false;
+            reader.configuration(configuration.tree().whole());
+        } else if (configuration.snapshotOffset() != before) {
+            fetch();
+        }
     }
 
     private void over() {
@@ -189,6 +274,7 @@
         }
         alone = 0;
         heardAt = environment.now();
+        granted |= grant.session().equals(session);
         leaseUntil = Math.max(leaseUntil, sent + grant.validMillis() * 1_000_000);
         controlNodes.addAll(grant.controlHosts());
         if (grant.session().equals(session) && grant.newsSent() != news) {
--- a/proxy/src/main/java/saltdale/proxy/Proxy.java
+++ b/proxy/src/main/java/saltdale/proxy/Proxy.java
@@ -21,10 +21,6 @@
 import saltdale.control.message.InstanceMessage.InstanceReady;
 import saltdale.control.message.Message;
 import saltdale.control.message.SessionMessage;
-import saltdale.control.message.SessionMessage.ConfigurationNews;
-import saltdale.control.message.SessionMessage.InstancesNews;
-import saltdale.control.message.SessionMessage.MembersNews;
-import saltdale.control.message.SessionMessage.News;
 import saltdale.control.message.SlotMessage;
 import saltdale.control.message.SlotMessage.HeldSlot;
 import saltdale.control.message.SlotMessage.SlotCancel;
@@ -80,8 +76,18 @@
         budget = new RetryBudget(proxySettings.retryRatio(), proxySettings.retryWindow(), proxySettings.retrySlack());
         controlSession = new ControlSession(environment, proxySettings, new ControlSession.Reader() {
             @Override
-            public void news(News message) {
-                Proxy.this.news(message);
+            public void configuration(Map<String, Object> whole) {
+                Proxy.this.configuration(whole);
+            }
+
+            @Override
+            public void members(List<Member> members) {
+                crew(members);
+            }
+
+            @Override
+            public void instances(List<Instance> instances) {
+                instances.forEach(Proxy.this::runner);
             }
 
             @Override
@@ -93,11 +99,6 @@
             public void over() {
                 homes.clear();
             }
-
-            @Override
-            public long revision() {
-                return chart == null ? -1 : chart.revision();
-            }
         });
     }
 
@@ -159,19 +160,9 @@
 
     // News of the core.
 
-    private void news(News news) {
-        if (news instanceof ConfigurationNews told) {
-            configuration(told);
-        } else if (news instanceof MembersNews told) {
-            crew(told.members());
-        } else if (news instanceof InstancesNews told) {
-            told.instances().forEach(this::runner);
-        }
-    }
-
-    private void configuration(ConfigurationNews told) {
+    private void configuration(Map<String, Object> whole) {
         try {
-            Configuration next = new Configuration(new Fields(told.configuration()));
+            Configuration next = new Configuration(new Fields(whole));
             // Never back within one life, whoever tells.
             chart = chart == null || next.revision() > chart.revision() ? next : chart;
             environment.note("configuration " + chart.revision() + " in force");
--- a/proxy/src/test/java/saltdale/proxy/InputTest.java
+++ b/proxy/src/test/java/saltdale/proxy/InputTest.java
@@ -32,7 +32,7 @@
 import saltdale.control.message.MessageCodec;
 import saltdale.control.message.MessageKind;
 import saltdale.control.message.SessionMessage.LeaseRenewal;
-import saltdale.control.message.SessionMessage.MembersNews;
+import saltdale.control.message.SessionMessage.MembersChange;
 
 /** What operators and other processes send is checked whole before anything is done. */
 class InputTest {
@@ -243,12 +243,12 @@
         SimWorld world = serving(3, 3, 2);
         List<Member> told = new ArrayList<>();
         world.spy = m -> {
-            if (m instanceof MembersNews news) {
-                told.addAll(news.members());
+            if (m instanceof MembersChange news) {
+                told.addAll(news.changed());
             }
         };
         Member ghost = new Member("life", "ghost", "z-a", "10.1.0.99", false);
-        List<Object> renewal = MessageCodec.tree(new LeaseRenewal(ghost, 1, "session", -1));
+        List<Object> renewal = MessageCodec.tree(new LeaseRenewal(ghost, 1, "session", -1, "", ""));
         for (int field = 2; field < renewal.size(); field++) {
             List<Object> bad = new ArrayList<>(renewal);
             bad.set(field, List.of());
@@ -262,7 +262,7 @@
     @Test
     void anErrorNamesKindAndField() {
         List<Object> renewal =
-                MessageCodec.tree(new LeaseRenewal(new Member("l", "n", "z", "h", false), 1, "session", -1));
+                MessageCodec.tree(new LeaseRenewal(new Member("l", "n", "z", "h", false), 1, "session", -1, "", ""));
         List<Object> noNumber = new ArrayList<>(renewal);
         noNumber.set(2, "x");
         List<Object> longer = new ArrayList<>(renewal);
--- a/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
@@ -16,7 +16,7 @@
 import static saltdale.proxy.SimOperator.replace;
 import static saltdale.proxy.SimOperator.serving;
 
-import java.util.ArrayList;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -26,12 +26,17 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import saltdale.control.ConfigurationSnapshot;
+import saltdale.control.ConfigurationTree;
 import saltdale.control.Instance;
+import saltdale.control.Trees;
 import saltdale.control.message.InstanceMessage.InstanceUpdates;
-import saltdale.control.message.SessionMessage.ConfigurationNews;
+import saltdale.control.message.SessionMessage.ConfigurationChange;
+import saltdale.control.message.SessionMessage.ConfigurationOffer;
 import saltdale.control.message.SessionMessage.InstancesNews;
 import saltdale.control.message.SessionMessage.LeaseRenewal;
 import saltdale.control.message.SessionMessage.News;
+import saltdale.control.message.SessionMessage.SnapshotPart;
 
 /**
  * What clients and runners see of proxies: configurations, slots, drains, verdicts, and runners when they are
@@ -96,16 +101,12 @@
         SimWorld world = new SimWorld(1);
         String[] session = new String[1];
         Map<String, Long> last = new HashMap<>(); // the number of the newest piece of news, by session
-        List<ConfigurationNews> first = new ArrayList<>();
         world.spy = m -> {
             if (m instanceof LeaseRenewal renewal && renewal.member().host().equals("10.1.0.1")) {
                 session[0] = renewal.session();
             } else if (m instanceof News news) {
                 last.put(news.session(), news.number());
             }
-            if (m instanceof ConfigurationNews news && first.isEmpty()) {
-                first.add(news);
-            }
         };
         serving(world, 3, 1);
         assertTrue(insists(world, 1, config(2), 5000));
@@ -113,12 +114,25 @@
         SimMachine proxy = world.proxies.get(0);
         assertThat(revision(proxy), is(2L));
         long told = last.get(session[0]);
+        ConfigurationTree older = ConfigurationTree.of(Trees.fromJson(config(1).getBytes(StandardCharsets.UTF_8)));
+        ConfigurationTree newer = ConfigurationTree.of(Trees.fromJson(config(2).getBytes(StandardCharsets.UTF_8)));
         for (SimMachine controlNode : world.controlNodes) {
             proxy.process.take(
                     controlNode.host,
-                    new ConfigurationNews(session[0], told + 1, first.get(0).configuration()));
+                    new ConfigurationChange(
+                            session[0], told + 1, 2, newer.digest(), 1, older.digest(), newer.changeTo(older)));
         }
-        assertThat(revision(proxy), is(2L));
+        assertThat("by a change that leads back", revision(proxy), is(2L));
+        ConfigurationSnapshot snapshot = ConfigurationSnapshot.of(older);
+        byte[] bytes = snapshot.bytes();
+        for (SimMachine controlNode : world.controlNodes) {
+            proxy.process.take(controlNode.host, new ConfigurationOffer(session[0], told + 2, 1));
+            proxy.process.take(
+                    controlNode.host, new SnapshotPart(session[0], snapshot.digest(), 0, bytes.length, bytes));
+        }
+        assertThat("by a snapshot", revision(proxy), is(2L));
+        assertTrue(insists(world, 2, config(3), 5000));
+        assertTrue(world.until(3000, () -> revision(proxy) == 3), "and it goes on from there");
     }
 
     @ParameterizedTest
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.ToLongBiFunction;
 import saltdale.control.Environment;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Platform;
@@ -46,6 +47,12 @@
     private final PriorityQueue<Event> events =
             new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final Map<String, Long> arrived = new HashMap<>();
+    /** Bits a second of all that a machine sends and receives, by host; machines without an entry have no limit. */
+    final Map<String, Long> linkSpeeds = new HashMap<>();
+    /** How many bytes a message takes on the links; a wrong variant makes them more. */
+    ToLongBiFunction<Message, byte[]> wireBytes = (message, bytes) -> withHeaders(bytes.length);
+
+    private final Map<String, Long> linkFreeAt = new HashMap<>(); // by host
     private long order;
     private long now = Environment.millis(1_000_000);
 
@@ -153,10 +160,40 @@
             return;
         }
         byte[] bytes = MessageCodec.encode(message);
-        // In order between two hosts; between others any.
-        long due = Math.max(now + (host.equals(from) ? 0 : hop()), arrived.getOrDefault(way, 0L));
+        if (host.equals(from)) {
+            arrives(way, host, from, bytes);
+            return;
+        }
+        long onWire = wireBytes.applyAsLong(message, bytes);
+        overLink(from, onWire, () -> travels(way, () -> overLink(host, onWire, () -> arrives(way, host, from, bytes))));
+    }
+
+    /** The frame's length and the headers of TCP and IP. */
+    static long withHeaders(long bytes) {
+        return bytes + 4 + 40 * (1 + bytes / 1460);
+    }
+
+    /** Does this once the bytes are through the machine's link, behind all that came before; at once without limit. */
+    private void overLink(String host, long bytes, Runnable then) {
+        Long speed = linkSpeeds.get(host);
+        if (speed == null) {
+            then.run();
+            return;
+        }
+        long free = Math.max(now, linkFreeAt.getOrDefault(host, 0L)) + bytes * 8 * 1_000_000_000L / speed;
+        linkFreeAt.put(host, free);
+        at(free - now, then);
+    }
+
+    /** In order between two hosts; between others any. */
+    private void travels(String way, Runnable then) {
+        long due = Math.max(now + hop(), arrived.getOrDefault(way, 0L));
         arrived.put(way, due);
-        at(due - now, () -> {
+        at(due - now, then);
+    }
+
+    private void arrives(String way, String host, String from, byte[] bytes) {
+        at(0, () -> {
             SimMachine to = machines.get(host);
             if (to != null && to.process != null && !cuts.contains(way)) {
                 SimMachine.Process process = to.process;
