Large messages between processes are compressed; tests of narrow links, changes and frames

Between control nodes each change still goes with its whole text, some 263 KB to each of four: messages above 4 KB are compressed on the wire.

--- a/node/src/main/java/saltdale/node/PeerConnections.java
+++ b/node/src/main/java/saltdale/node/PeerConnections.java
@@ -31,7 +31,6 @@
     }
 
     private static final System.Logger LOG = System.getLogger(PeerConnections.class.getName());
-    private static final int MOST = 64 << 20;
     private static final int MOST_WAITING = 8 << 20; // bytes for a host that is not connected or does not read
     private static final Duration DIAL = Duration.ofMillis(400);
 
@@ -62,11 +61,11 @@
             loop.soon(() -> take(host, message));
             return;
         }
-        byte[] body = MessageCodec.encode(message);
+        ByteBuffer frame = Frame.of(MessageCodec.encode(message));
         long[] count = sent.computeIfAbsent(message.kind(), kind -> new long[2]);
         count[0]++;
-        count[1] += body.length + 4;
-        outs.computeIfAbsent(to, Out::new).send(body, message.expectsReply());
+        count[1] += frame.remaining();
+        outs.computeIfAbsent(to, Out::new).send(frame, message.expectsReply());
     }
 
     private void take(String from, Message message) {
@@ -97,7 +96,7 @@
             this.to = to;
         }
 
-        void send(byte[] body, boolean answered) {
+        void send(ByteBuffer frame, boolean answered) {
             Duration now = loop.now();
             if (connection != null && owedSince != null && now.minus(owedSince).compareTo(patience) > 0) {
                 // Guards against a machine without power or behind a cut, to which connections hang for long.
@@ -118,19 +117,18 @@
                 if (connection == null) {
                     return;
                 }
-                frame(MessageCodec.encode(new Hello(host)));
+                write(Frame.of(MessageCodec.encode(new Hello(host))));
             }
             if (!open && waiting > MOST_WAITING) {
                 return;
             }
             owedSince = answered && owedSince == null ? now : owedSince;
-            frame(body);
+            write(frame);
         }
 
-        private void frame(byte[] body) {
-            waiting += body.length;
-            ByteBuffer bytes = ByteBuffer.allocate(4 + body.length);
-            connection.send(bytes.putInt(body.length).put(body).flip());
+        private void write(ByteBuffer frame) {
+            waiting += frame.remaining();
+            connection.send(frame);
         }
 
         @Override
@@ -176,17 +174,18 @@
             bytes.get(gathered, count, more);
             count += more;
             int at = 0;
-            while (count - at >= 4 && connection.isOpen()) {
-                int length = ByteBuffer.wrap(gathered, at, 4).getInt();
-                if (length < 1 || length > MOST) {
+            while (count - at >= Frame.HEADER && connection.isOpen()) {
+                int header = ByteBuffer.wrap(gathered, at, Frame.HEADER).getInt();
+                int length = Math.abs(header);
+                if (!Frame.isPossible(header)) {
                     LOG.log(System.Logger.Level.WARNING, "a message of " + from + " has an impossible length");
                     connection.close();
                     return;
-                } else if (count - at - 4 < length) {
+                } else if (count - at - Frame.HEADER < length) {
                     break;
                 }
-                whole(Arrays.copyOfRange(gathered, at + 4, at + 4 + length));
-                at += 4 + length;
+                whole(header, Arrays.copyOfRange(gathered, at + Frame.HEADER, at + Frame.HEADER + length));
+                at += Frame.HEADER + length;
             }
             System.arraycopy(gathered, at, gathered, 0, count - at);
             count -= at;
@@ -195,9 +194,9 @@
             }
         }
 
-        private void whole(byte[] body) {
+        private void whole(int header, byte[] sent) {
             try {
-                Message message = MessageCodec.decode(body);
+                Message message = MessageCodec.decode(Frame.body(header, sent));
                 if (from != null) {
                     heard(from);
                     take(from, message);
--- a/proxy/src/test/java/saltdale/proxy/NarrowLinksTest.java
+++ b/proxy/src/test/java/saltdale/proxy/NarrowLinksTest.java
@@ -2,16 +2,25 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static saltdale.proxy.SimOperator.insists;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import saltdale.control.Environment;
+import saltdale.control.MalformedMessage;
+import saltdale.control.Trees;
 import saltdale.control.message.MessageKind;
 import saltdale.control.message.SessionMessage.LeaseRenewal;
 
@@ -20,6 +29,7 @@
     private static final long SPEED = 2_000_000; // bits a second of a proxy's link
     private static final int ROUTES = 721;
     private static final long LEAD_MS = 19_000; // from the start of the machines to that of the traffic
+    private static final int CHANGES = 18;
     private static final long APPLY_MS = 4000; // from the acknowledgement of a change until it is in force everywhere
 
     /** What went over the links, by kind of message, and the sessions of each proxy. */
@@ -42,6 +52,10 @@
             };
         }
 
+        long of(MessageKind kind) {
+            return bytes.getOrDefault(kind, 0L);
+        }
+
         int sessionCount() {
             return sessions.values().stream().mapToInt(Set::size).sum();
         }
@@ -61,6 +75,10 @@
         return "{\"revision\":" + revision + ",\"routes\":[" + routes + "],\"services\":[" + services + "]}";
     }
 
+    private static Map<String, Object> configurationTree(long revision) throws MalformedMessage {
+        return Trees.fromJson(configuration(revision).getBytes(StandardCharsets.UTF_8));
+    }
+
     private static SimWorld world(long seed, int proxies) {
         SimWorld world = new SimWorld(seed).of(5, proxies);
         world.proxies.forEach(proxy -> world.linkSpeeds.put(proxy.host, SPEED));
@@ -71,18 +89,163 @@
         return world.proxies.stream().filter(p -> p.proxy().isReady()).count();
     }
 
+    private static SimWorld ready(long seed, int proxies) {
+        SimWorld world = world(seed, proxies);
+        world.begin().run(4000);
+        assertTrue(insists(world, 0, configuration(1), 5000));
+        assertTrue(world.until(5000, () -> ready(world) == proxies), "seed " + seed);
+        world.run(2000);
+        return world;
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {61, 89})
     void allAreReadyBeforeTheTrafficStarts(int proxies) {
         SimWorld world = world(proxies, proxies);
         Traffic traffic = new Traffic(world);
-        long begun = world.now();
         world.begin().run(4000);
         assertTrue(insists(world, 0, configuration(1), 5000));
-        boolean in = world.until(LEAD_MS - (world.now() - begun) / 1_000_000, () -> ready(world) == proxies);
-        System.out.println(proxies + ": ready " + ready(world) + " after " + (world.now() - begun) / 1_000_000
-                + " ms, sessions " + traffic.sessionCount() + ", bytes " + traffic.bytes);
-        assertThat(in, is(true));
+        long acknowledged = world.now();
+        assertTrue(world.until(LEAD_MS, () -> ready(world) == proxies));
+        assertThat("ms to be ready", (world.now() - acknowledged) / 1_000_000, lessThan(1000L));
+        world.run(LEAD_MS);
+        assertThat("one session each", traffic.sessionCount(), is(proxies));
+        assertThat(traffic.of(MessageKind.SNAPSHOT_PART) / proxies, lessThan(20_000L));
+        assertThat(traffic.of(MessageKind.MEMBERS_CHANGE) / proxies, lessThan(12_000L));
+        assertThat(world.faults, is(empty()));
+    }
+
+    /**
+     * The wrong variant TellsAllWhole: whatever of the configuration or of the members is told takes the bytes of the
+     * whole, as it did before there were changes and snapshots.
+     */
+    @Test
+    void whoTellsAllWholeCollapses() throws Exception {
+        int proxies = 61;
+        SimWorld world = world(1, proxies);
+        Traffic traffic = new Traffic(world);
+        long whole = Trees.cbor(configurationTree(1)).length;
+        var measured = world.wireBytes;
+        world.wireBytes = (message, encoded) -> measured.applyAsLong(
+                message,
+                switch (message.kind()) {
+                    case CONFIGURATION_CHANGE, SNAPSHOT_PART -> new byte[(int) whole];
+                    case MEMBERS_CHANGE -> new byte[70 * proxies];
+                    default -> encoded;
+                });
+        world.begin().run(4000);
+        assertTrue(insists(world, 0, configuration(1), 5000));
+        world.run(LEAD_MS);
+        assertThat("not all are ready", ready(world), lessThan((long) proxies));
+        assertThat(traffic.sessionCount(), greaterThan(5 * proxies));
+    }
+
+    /** A change each third of a second, while requests take half of each link. */
+    @ParameterizedTest
+    @ValueSource(ints = {61, 89})
+    void aStreamOfChangesCostsWhatChanges(int proxies) {
+        SimWorld world = ready(proxies, proxies);
+        Traffic traffic = new Traffic(world);
+        long[] acknowledgedAt = new long[CHANGES + 2];
+        long[] inForceAt = new long[CHANGES + 2];
+        Map<SimMachine, Long> revisions = new HashMap<>();
+        occupyLinks(world, 10_000);
+        changeEachThird(world, 2, acknowledgedAt);
+        long end = world.now() + Environment.millis(CHANGES * 333L + APPLY_MS);
+        while (world.now() < end) {
+            world.run(10);
+            for (SimMachine proxy : world.proxies) {
+                long revision = proxy.proxy().chart().revision();
+                assertThat("never back", revision, greaterThanOrEqualTo(revisions.getOrDefault(proxy, 0L)));
+                revisions.put(proxy, revision);
+            }
+            long everywhere =
+                    revisions.values().stream().mapToLong(r -> r).min().orElse(0);
+            for (int i = 2; i <= everywhere; i++) {
+                inForceAt[i] = inForceAt[i] == 0 ? world.now() : inForceAt[i];
+            }
+        }
+        for (int i = 2; i < CHANGES + 2; i++) {
+            assertThat("change " + i + " is acknowledged and in force", acknowledgedAt[i] * inForceAt[i], is(not(0L)));
+            assertThat(inForceAt[i] - acknowledgedAt[i], lessThan(Environment.millis(APPLY_MS) / 4));
+        }
+        assertThat("no new session", traffic.sessionCount(), is(proxies));
+        assertThat(traffic.of(MessageKind.CONFIGURATION_CHANGE) / proxies / CHANGES, lessThan(700L));
+        assertThat(traffic.of(MessageKind.SNAPSHOT_PART), is(0L));
+        assertThat(traffic.of(MessageKind.MEMBERS_CHANGE), is(0L));
         assertThat(world.faults, is(empty()));
     }
+
+    private static void occupyLinks(SimWorld world, long ms) {
+        long end = world.now() + Environment.millis(ms);
+        long each = SPEED / 8 / 2 / 20;
+        world.at(Environment.millis(50), () -> {
+            world.proxies.forEach(proxy -> world.occupy(proxy.host, each));
+            if (world.now() < end) {
+                occupyLinks(world, (end - world.now()) / 1_000_000);
+            }
+        });
+    }
+
+    private static void changeEachThird(SimWorld world, int revision, long[] acknowledgedAt) {
+        String name = "digest-press-" + Integer.toString(46_656, 36);
+        String body = "{\"revision\":" + revision + ",\"set_items\":{\"routes\":["
+                + SimOperator.route("r-new-" + revision, "/new-" + revision + "/", "idempotent", name) + "]}}";
+        SimMachine at = world.controlNodes.get(revision % world.controlNodes.size());
+        at.controlNode()
+                .change(
+                        true,
+                        Long.toString(revision - 1),
+                        body.getBytes(StandardCharsets.UTF_8),
+                        reply -> acknowledgedAt[revision] = reply.status() == 200 ? world.now() : 0);
+        if (revision <= CHANGES) {
+            world.at(Environment.millis(333), () -> changeEachThird(world, revision + 1, acknowledgedAt));
+        }
+    }
+
+    /** Who goes on to another control node is told nothing that it knows. */
+    @Test
+    void aProxyKeepsWhatItKnowsWhenItsControlNodeIsLost() {
+        SimWorld world = ready(5, 30);
+        Traffic traffic = new Traffic(world);
+        world.controlNodes.get(0).powerOff();
+        world.run(6000);
+        assertThat(traffic.sessionCount(), greaterThan(30));
+        assertThat(ready(world), is(30L));
+        assertThat(traffic.of(MessageKind.SNAPSHOT_PART), is(0L));
+        assertThat(traffic.of(MessageKind.CONFIGURATION_CHANGE), is(0L));
+        assertThat(traffic.of(MessageKind.MEMBERS_CHANGE), is(0L));
+    }
+
+    /** Parts, offers and changes are lost at any moment, and control nodes with them; all proxies catch up in time. */
+    @Test
+    void whatIsLostOnTheWayIsMadeGood() {
+        for (int seed = 0; seed < 8; seed++) {
+            SimWorld world = world(seed, 6);
+            world.begin().run(3000);
+            assertTrue(insists(world, 0, configuration(1), 5000));
+            for (int i = 0; i < 10; i++) {
+                SimMachine controlNode = world.controlNodes.get(world.chance.nextInt(5));
+                SimMachine proxy = world.proxies.get(world.chance.nextInt(6));
+                if (world.chance.nextBoolean()) {
+                    world.cut(controlNode, proxy);
+                } else {
+                    world.cutOneWay(controlNode, proxy);
+                }
+                world.run(world.chance.nextInt(80));
+                world.cuts.clear();
+                world.run(world.chance.nextInt(40));
+            }
+            assertTrue(insists(world, 1, configuration(2), 5000));
+            long revision = 2;
+            assertTrue(
+                    world.until(
+                            APPLY_MS,
+                            () -> world.proxies.stream()
+                                    .allMatch(p -> p.proxy().isReady()
+                                            && p.proxy().chart().revision() == revision)),
+                    "seed " + seed);
+            assertThat(world.faults, is(empty()));
+        }
+    }
 }
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -185,6 +185,11 @@
         at(free - now, then);
     }
 
+    /** Something else goes over a machine's link, requests and answers for instance. */
+    void occupy(String host, long bytes) {
+        overLink(host, bytes, () -> {});
+    }
+
     /** In order between two hosts; between others any. */
     private void travels(String way, Runnable then) {
         long due = Math.max(now + hop(), arrived.getOrDefault(way, 0L));
