--- a/proxy/src/test/java/saltdale/proxy/NarrowLinksTest.java
+++ b/proxy/src/test/java/saltdale/proxy/NarrowLinksTest.java
@@ -155,7 +155,7 @@
         while (world.now() < end) {
             world.run(10);
             for (SimMachine proxy : world.proxies) {
-                long revision = proxy.proxy().chart().revision();
+                long revision = proxy.proxy().configuration().revision();
                 assertThat("never back", revision, greaterThanOrEqualTo(revisions.getOrDefault(proxy, 0L)));
                 revisions.put(proxy, revision);
             }
@@ -243,7 +243,7 @@
                             APPLY_MS,
                             () -> world.proxies.stream()
                                     .allMatch(p -> p.proxy().isReady()
-                                            && p.proxy().chart().revision() == revision)),
+                                            && p.proxy().configuration().revision() == revision)),
                     "seed " + seed);
             assertThat(world.faults, is(empty()));
         }
