--- a/control/src/main/java/saltdale/control/ConfigurationService.java
+++ b/control/src/main/java/saltdale/control/ConfigurationService.java
@@ -1,7 +1,6 @@
 package saltdale.control;
 
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
 import java.util.function.Consumer;
 
 /** The operators' configuration: changes by agreement, reads of the newest version, and the one in force here. */
@@ -24,6 +23,7 @@
     private final ControlNodeSettings settings;
     private final ReplicatedRegister register;
     private final PeerContacts peers;
+    private final ConfigurationHistory history = new ConfigurationHistory();
     private ConfigurationVersion current; // the newest known to be chosen
     private ConfigurationVersion proposed; // what the last order here came to, which may be chosen next
 
@@ -40,9 +40,9 @@
         return current == null ? null : current.configuration();
     }
 
-    /** The same as a tree of names and values. */
-    Map<String, Object> currentTree() {
-        return current == null ? null : current.tree();
+    /** The newest configuration and those before it, as they are told to proxies. */
+    ConfigurationHistory history() {
+        return history;
     }
 
     /** A newer state was chosen. */
@@ -52,7 +52,8 @@
         }
         try {
             current = version(state.textKey(), text);
-        } catch (InvalidConfiguration e) {
+            history.add(ConfigurationTree.of(current.tree()));
+        } catch (InvalidConfiguration | MalformedMessage e) {
             environment.note("revision " + state.revision() + " cannot be read: " + e.getMessage());
         }
     }
--- a/proxy/src/main/java/saltdale/proxy/Proxy.java
+++ b/proxy/src/main/java/saltdale/proxy/Proxy.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import saltdale.control.Configuration;
 import saltdale.control.Environment;
 import saltdale.control.Instance;
@@ -10,10 +11,6 @@
 import saltdale.control.Member;
 import saltdale.control.message.Message;
 import saltdale.control.message.SessionMessage;
-import saltdale.control.message.SessionMessage.ConfigurationNews;
-import saltdale.control.message.SessionMessage.InstancesNews;
-import saltdale.control.message.SessionMessage.MembersNews;
-import saltdale.control.message.SessionMessage.News;
 import saltdale.control.message.SlotMessage;
 import saltdale.control.message.SlotMessage.SlotCancel;
 import saltdale.control.message.SlotMessage.SlotElsewhere;
@@ -137,14 +134,18 @@
 
     private final class NewsReader implements ControlSession.Reader {
         @Override
-        public void news(News news) {
-            if (news instanceof ConfigurationNews configuration) {
-                cluster.configuration(configuration.configuration());
-            } else if (news instanceof MembersNews members) {
-                membersChanged(members.members());
-            } else if (news instanceof InstancesNews instances) {
-                instances.instances().forEach(Proxy.this::heard);
-            }
+        public void configuration(Map<String, Object> whole) {
+            cluster.configuration(whole);
+        }
+
+        @Override
+        public void members(List<Member> members) {
+            membersChanged(members);
+        }
+
+        @Override
+        public void instances(List<Instance> instances) {
+            instances.forEach(Proxy.this::heard);
         }
 
         @Override
@@ -156,11 +157,6 @@
         public void over() {
             ownedServices.forgetAll();
         }
-
-        @Override
-        public long revision() {
-            return cluster.revision();
-        }
     }
 
     private void heard(Instance instance) {
