Voters: no pair added for members that are gone, leavers wait, anyone ends a change

Now as many vote as tolerated_losses needs, more only once a pair was spare for 20 intervals; two that are gone without successors are dropped where more vote than needed. 2. Now it proposes its own successor and votes until that is agreed, at most 0.7 of grace_s; with no successor around it ends at once as before. 3. A joint membership was ended only by a proposer that saw it chosen, for 1.6 s. Now any member that knows it to be chosen ends it.

Ruled out: a killed proposer (the next claim of the duty ended the change), loss of power of all at any message, a second disk of five at any message.

--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -50,14 +50,36 @@
     private final Subscriptions subscriptions;
     private boolean proposing;
     private boolean ending;
+    private Runnable onLeft; // set once this control node is about to end and has given up its duties
+    private boolean left;
     private boolean hadQuorum;
     private long quorumSince;
     private boolean spreading;
 
+    /** Makes the part that changes the voters; tests bring wrong ones. */
+    interface VoterChangesFactory {
+        VoterChanges make(
+                Environment environment,
+                ControlNodeSettings settings,
+                PeerContacts peers,
+                DutyElection election,
+                String id);
+    }
+
     /** {@code records} are those on disk; where there are none the control node is new, or has lost them. */
     public ControlNode(
             Environment environment, ControlNodeSettings nodeSettings, Platform platform, Map<String, byte[]> records)
             throws MalformedMessage {
+        this(environment, nodeSettings, platform, records, VoterChanges::new);
+    }
+
+    ControlNode(
+            Environment environment,
+            ControlNodeSettings nodeSettings,
+            Platform platform,
+            Map<String, byte[]> records,
+            VoterChangesFactory voterChangesFactory)
+            throws MalformedMessage {
         this.environment = environment;
         this.nodeSettings = nodeSettings;
         String life = Long.toHexString(environment.chance().nextLong());
@@ -76,7 +98,7 @@
                 new PeerIdentity(id, nodeSettings.name(), nodeSettings.host(), life),
                 register);
         election = new DutyElection(environment, nodeSettings, register, peers, id, life);
-        voterChanges = new VoterChanges(environment, nodeSettings, peers, election, id);
+        voterChanges = voterChangesFactory.make(environment, nodeSettings, peers, election, id);
         configurations = new ConfigurationService(environment, nodeSettings, register, peers);
         members = new MembershipTable(nodeSettings.memberLease() + nodeSettings.beat() * 3 / 10);
         instances = new InstanceTable(8 * nodeSettings.beat(), 40 * nodeSettings.beat());
@@ -321,6 +343,7 @@
         if (!proposing && register.basis() != null) {
             proposeWhatIsDue();
         }
+        leaveIfDispensable();
     }
 
     private void proposeWhatIsDue() {
@@ -328,14 +351,14 @@
         if (state == null) {
             // After a start: what is chosen is known only once a majority was asked.
             propose((newest, text) -> Proposer.Step.stay(Boolean.TRUE));
-        } else if (hasMajority() && !ending) {
-            if (election.mayClaim(state)) {
+        } else if (hasMajority()) {
+            if (!ending && election.mayClaim(state)) {
                 propose(election.claim(state));
-            } else if (!state.isJoint() && (holds() || election.isVacant(state))) {
-                List<Voter> next = voterChanges.next(state);
-                if (!next.equals(state.voters())) {
-                    propose(voterChanges.change(state, next));
-                }
+                return;
+            }
+            Proposer.Change change = voterChanges.due(state, holds() || election.isVacant(state), ending);
+            if (change != null) {
+                propose(change);
             }
         }
     }
@@ -348,10 +371,31 @@
                 () -> register.propose(change, nodeSettings.beat(), done -> proposing = false));
     }
 
-    /** Ends in order: others may take over its duties and its place at once. */
-    public void end(Runnable done) {
+    /**
+     * Ends in order: others may take over its duties at once. While another control node can take its place among the
+     * voters, this one goes on voting until that has been agreed, but no longer than {@code within}.
+     */
+    public void end(long within, Runnable done) {
         ending = true;
         sendHeartbeats();
-        election.resign(answer -> done.run());
+        environment.after(within, () -> leave(done));
+        election.resign(answer -> {
+            onLeft = done;
+            leaveIfDispensable();
+        });
+    }
+
+    private void leaveIfDispensable() {
+        ReplicatedState state = register.chosen();
+        if (onLeft != null && (state == null || !voterChanges.isAwaitingSuccessor(state))) {
+            leave(onLeft);
+        }
+    }
+
+    private void leave(Runnable done) {
+        if (!left) {
+            left = true;
+            done.run();
+        }
     }
 }
--- a/control/src/main/java/saltdale/control/Proposer.java
+++ b/control/src/main/java/saltdale/control/Proposer.java
@@ -287,7 +287,7 @@
         /** Once a joint state is known to be chosen, by majorities of both, the old voters are needed no longer. */
         private void settle(ReplicatedState joint) {
             if (joint.isJoint()) {
-                waiting.add(new Waiting(new Settling(joint), environment.now() + 4 * TRY, done -> {}));
+                waiting.add(new Waiting(settling(joint), environment.now() + 4 * TRY, done -> {}));
             }
         }
 
@@ -298,11 +298,12 @@
         }
     }
 
-    /** Ends a change of voters whose joint state was seen to be chosen. */
-    private record Settling(ReplicatedState joint) implements Change {
-        @Override
-        public Step on(ReplicatedState newest, byte[] text) {
-            return newest.equals(joint) ? new Step(newest.settled(), null, Boolean.TRUE) : Step.stay(null);
-        }
+    /**
+     * Ends a change of voters; {@code joint} must be known to be chosen. One that was only accepted here and there may
+     * not be ended: a majority of the old voters need not know of it.
+     */
+    static Change settling(ReplicatedState joint) {
+        return (newest, text) ->
+                newest.equals(joint) ? new Step(newest.settled(), null, Boolean.TRUE) : Step.stay(null);
     }
 }
--- a/control/src/main/java/saltdale/control/VoterChanges.java
+++ b/control/src/main/java/saltdale/control/VoterChanges.java
@@ -1,18 +1,24 @@
 package saltdale.control;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
-/** Which control nodes should vote: who gives its place to a new one, and when pairs are added. */
-final class VoterChanges {
+/** Which control nodes should vote: who gives its place to a new one, and when pairs are added or dropped. */
+class VoterChanges {
     /** More voters than this make each ballot dearer and bear no more losses than a deployment asks for. */
     private static final int MOST_VOTERS = 7;
 
+    /** So many heartbeat intervals a pair must have been spare to vote beyond what the tolerated losses need. */
+    private static final int SPARE_FOR = 20;
+
     private final Environment environment;
     private final ControlNodeSettings settings;
     private final PeerContacts peers;
     private final DutyElection election;
     private final String id;
+    private final Map<String, Long> spareSince = new HashMap<>(); // by id of a candidate
 
     VoterChanges(
             Environment environment,
@@ -27,9 +33,39 @@
         this.id = id;
     }
 
-    /** The voters to have: one whose disk was lost, or that is gone, gives its place to a new one; pairs are added. */
-    List<Voter> next(ReplicatedState state) {
+    /**
+     * What is to be put forward now, null where nothing is; {@code elected}: this control node holds the duty, or
+     * nobody
+     * does; {@code leaving}: it is about to end.
+     */
+    Proposer.Change due(ReplicatedState state, boolean elected, boolean leaving) {
+        if (state.isJoint()) {
+            return finishes() ? Proposer.settling(state) : null;
+        }
         List<PeerContacts.Peer> candidates = candidates(state);
+        boolean replacesItself = leaving && state.isVoter(id) && !candidates.isEmpty();
+        if (!elected && !replacesItself) {
+            return null;
+        }
+        List<Voter> next = next(state, candidates, leaving);
+        return next.equals(state.voters()) ? null : change(state, next);
+    }
+
+    /** Whether this control node ends a change of voters that another has begun; any may, whoever holds the duty. */
+    boolean finishes() {
+        return true;
+    }
+
+    /** Whether this control node, about to end, should wait: another can take its place but has not yet done so. */
+    boolean isAwaitingSuccessor(ReplicatedState state) {
+        boolean votes = state.quorums().stream()
+                .flatMap(List::stream)
+                .anyMatch(voter -> voter.id().equals(id));
+        return votes && (state.isJoint() || !candidates(state).isEmpty());
+    }
+
+    /** The voters to have: one whose disk was lost, or that is gone, gives its place to a new one. */
+    private List<Voter> next(ReplicatedState state, List<PeerContacts.Peer> candidates, boolean leaving) {
         List<Voter> voters = new ArrayList<>(state.voters());
         for (int i = 0; i < voters.size(); i++) {
             Voter old = voters.get(i);
@@ -43,37 +79,69 @@
             }
         }
         for (int i = 0; i < voters.size() && !candidates.isEmpty(); i++) {
-            if (isGone(voters.get(i))) {
+            if (isGone(voters.get(i), leaving)) {
                 voters.set(i, candidates.remove(0).voter());
             }
         }
-        if (candidates.size() >= 2 && voters.size() + 2 <= MOST_VOTERS) {
+        if (candidates.size() >= 2 && mayGrow(voters, candidates)) {
             voters.add(candidates.get(0).voter());
             voters.add(candidates.get(1).voter());
+        } else if (candidates.isEmpty()) {
+            dropPair(voters, leaving);
         }
         return voters;
     }
 
+    /**
+     * As many vote as the tolerated losses need; more only if a pair has long been spare. Guards against successors
+     * that come before those whose place they take are known to be gone: voters that never return would stay in the
+     * majority to be had.
+     */
+    private boolean mayGrow(List<Voter> voters, List<PeerContacts.Peer> candidates) {
+        if (voters.size() + 2 <= settings.votersNeeded()) {
+            return true;
+        }
+        long pairSince = Math.max(spareSince(candidates.get(0)), spareSince(candidates.get(1)));
+        return voters.size() + 2 <= MOST_VOTERS && environment.now() - pairSince > SPARE_FOR * settings.beat();
+    }
+
+    /** Of more voters than needed, two that are gone and have no successor vote no longer. */
+    private void dropPair(List<Voter> voters, boolean leaving) {
+        List<Voter> gone =
+                voters.stream().filter(voter -> isGone(voter, leaving)).toList();
+        if (gone.size() >= 2 && voters.size() - 2 >= settings.votersNeeded()) {
+            voters.removeAll(gone.subList(0, 2));
+        }
+    }
+
+    private long spareSince(PeerContacts.Peer candidate) {
+        return spareSince.getOrDefault(candidate.identity.id(), environment.now());
+    }
+
     private List<PeerContacts.Peer> candidates(ReplicatedState state) {
         long now = environment.now();
-        return new ArrayList<>(peers.all().stream()
+        List<PeerContacts.Peer> candidates = new ArrayList<>(peers.all().stream()
                 .filter(peer -> peer.identity != null
                         && !peer.leaving
                         && now - peer.heardAt < settings.lease()
                         && !state.isVoter(peer.identity.id()))
                 .toList());
+        List<String> ids = candidates.stream().map(peer -> peer.identity.id()).toList();
+        spareSince.keySet().retainAll(ids);
+        ids.forEach(each -> spareSince.putIfAbsent(each, now));
+        return candidates;
     }
 
-    private boolean isGone(Voter voter) {
+    private boolean isGone(Voter voter, boolean leaving) {
         if (voter.id().equals(id)) {
-            return false;
+            return leaving;
         }
         PeerContacts.Peer peer = peers.at(voter.host());
         return peer == null || peer.leaving || election.unheard(peer.is(voter.id()) ? peer.heardAt : 0);
     }
 
     /** Puts these voters forward, unless others are by now. */
-    Proposer.Change change(ReplicatedState seen, List<Voter> next) {
+    private static Proposer.Change change(ReplicatedState seen, List<Voter> next) {
         return (newest, text) -> newest.isJoint() || !newest.voters().equals(seen.voters())
                 ? Proposer.Step.stay(null)
                 : new Proposer.Step(newest.withVoters(next), null, Boolean.TRUE);
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -18,6 +18,7 @@
 /** A control node as a process: its disk, its peerConnections, and the calls of operators. */
 final class ControlProcess extends RequestHandler implements NodeProcess, PeerConnections.Reader {
     private static final int MOST_BODY = 8 << 20; // of a configuration, in bytes
+    private static final int LEAVING_TENTHS = 7; // of the grace, for a successor to take the place of this one
     private static final byte[] NOTHING = new byte[0];
 
     private final Settings settings;
@@ -39,6 +40,7 @@
                 settings.zone,
                 settings.seeds,
                 settings.firstStart,
+                settings.toleratedLosses,
                 settings.beat,
                 settings.acknowledge,
                 settings.drain,
@@ -89,14 +91,14 @@
         environment.loop.run(() -> {});
     }
 
-    /** Told to end: duties are handed on, then it is over. */
+    /** Told to end: duties and the place among the voters are handed on, then it is over. */
     @Override
     public void end() {
         environment.loop.fromOutside(() -> {
             if (!ending) {
                 ending = true;
-                environment.loop.after(Duration.ofNanos(settings.beat), environment.loop::stop);
-                controlNode.end(() -> environment.loop.after(Duration.ofMillis(50), environment.loop::stop));
+                long within = settings.grace * LEAVING_TENTHS / 10;
+                controlNode.end(within, () -> environment.loop.after(Duration.ofMillis(50), environment.loop::stop));
             }
         });
     }
--- a/node/src/main/java/saltdale/node/Settings.java
+++ b/node/src/main/java/saltdale/node/Settings.java
@@ -21,6 +21,7 @@
         }
     }
 
+    private static final int MOST_TOLERATED = 1000; // machines
     static final String VARIABLE = "SALTDALE_BOOT";
 
     final String name;
@@ -32,6 +33,7 @@
     final int port;
     final List<String> seeds; // hosts
     final boolean firstStart;
+    final int toleratedLosses; // machines
     final int descriptors;
     final Path data; // null without a disk
     final long beat;
@@ -66,6 +68,9 @@
             seeds.add(seed.substring(0, colon));
         }
         firstStart = from.flag("first_start");
+        Fields tolerated =
+                from.has("tolerated_losses") ? from.object("tolerated_losses") : Fields.of(java.util.Map.of());
+        toleratedLosses = tolerated(tolerated.whole("machines", 1));
         Fields limits = from.has("limits") ? from.object("limits") : Fields.of(java.util.Map.of());
         descriptors = (int) limits.whole("file_descriptors", 1024);
         data = from.has("data_directory") ? Path.of(from.text("data_directory")) : null;
@@ -82,6 +87,13 @@
         rates = new Platform.Rates(api.number("rate_per_s", 5), api.number("duty_per_s", 5), api.texts("duties"));
     }
 
+    private static int tolerated(long machines) throws MalformedMessage {
+        if (machines < 0 || machines > MOST_TOLERATED) {
+            throw new MalformedMessage("tolerated_losses.machines must be 0 to " + MOST_TOLERATED);
+        }
+        return (int) machines;
+    }
+
     private static long millis(Fields from, String name, double otherwise) throws MalformedMessage {
         double value = from.number(name, otherwise);
         if (!(value > 0)) {
--- /dev/null
+++ b/proxy/src/test/java/saltdale/control/WrongVoterChanges.java
@@ -0,0 +1,26 @@
+package saltdale.control;
+
+import java.util.Map;
+
+/** Control nodes that change their voters in a wrong way: tests must find them out. */
+public final class WrongVoterChanges {
+    private WrongVoterChanges() {}
+
+    /** A change of voters is ended by the proposer that saw it chosen, or not at all. */
+    public static ControlNode settledOnlyByItsProposer(
+            Environment environment, ControlNodeSettings settings, Platform platform, Map<String, byte[]> records)
+            throws MalformedMessage {
+        return new ControlNode(
+                environment,
+                settings,
+                platform,
+                records,
+                (itsEnvironment, itsSettings, peers, election, id) ->
+                        new VoterChanges(itsEnvironment, itsSettings, peers, election, id) {
+                            @Override
+                            boolean finishes() {
+                                return false;
+                            }
+                        });
+    }
+}
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -89,6 +89,19 @@
         synced = new LinkedHashMap<>();
     }
 
+    /** SIGTERM, and SIGKILL after the grace; {@code gone} runs once the process has ended. */
+    void terminate(long graceMillis, Runnable gone) {
+        Process of = process;
+        Runnable ends = () -> {
+            if (process == of) {
+                kill();
+                gone.run();
+            }
+        };
+        of.deliver(() -> of.controlNode.end(graceMillis * 700_000, () -> world.at(50_000_000, ends)));
+        world.at(graceMillis * 1_000_000, ends);
+    }
+
     /** Of what was not synced some may be there, in order. */
     private void end() {
         writes.stream().limit(world.chance.nextInt(writes.size() + 1)).forEach(w -> put(w.records));
@@ -161,7 +174,7 @@
             String name = "n-" + host;
             try {
                 if (keeps) {
-                    controlNode = new ControlNode(
+                    controlNode = world.controlNodeFactory.make(
                             this,
                             new ControlNodeSettings(
                                     name,
@@ -169,6 +182,7 @@
                                     zone,
                                     seeds,
                                     firstStart,
+                                    world.toleratedLosses,
                                     SimWorld.BEAT,
                                     Environment.millis(5000),
                                     Environment.millis(3000),
@@ -233,7 +247,12 @@
 
         @Override
         public void persist(Map<String, byte[]> records, Consumer<Boolean> done) {
-            writes.add(new Write(new LinkedHashMap<>(records), this, done));
+            if (world.tellsBeforeSync) {
+                writes.add(new Write(new LinkedHashMap<>(records), this, whole -> {}));
+                deliver(() -> done.accept(true));
+            } else {
+                writes.add(new Write(new LinkedHashMap<>(records), this, done));
+            }
             sync();
         }
 
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -11,6 +11,8 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import saltdale.control.ControlNode;
+import saltdale.control.ControlNodeSettings;
 import saltdale.control.Environment;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Platform;
@@ -41,7 +43,24 @@
     /** Sees each message that is sent. */
     Consumer<Message> spy = message -> {};
 
+    /** Sees each message that is sent, with the hosts of its sender and its receiver. */
+    interface Wire {
+        void sent(String from, String to, Message message);
+    }
+
+    Wire wire = (from, to, message) -> {};
+
     Platform.Rates rates = new Platform.Rates(26, 105, List.of("starting"));
+    boolean tellsBeforeSync; // wrong: what is written is told of at once
+    int toleratedLosses = 1; // machines
+
+    /** Makes a control node of what is on its disk; a test may bring a wrong one. */
+    interface ControlNodeFactory {
+        ControlNode make(Environment of, ControlNodeSettings settings, Platform platform, Map<String, byte[]> records)
+                throws MalformedMessage;
+    }
+
+    ControlNodeFactory controlNodeFactory = ControlNode::new;
     ReplicatedState newest; // the newest chosen state told
     private final PriorityQueue<Event> events =
             new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
@@ -111,6 +130,7 @@
 
     /** So many control nodes at their first start, and so many proxies spread over the zones, not yet begun. */
     SimWorld of(int keeping, int carrying) {
+        toleratedLosses = keeping / 2;
         List<String> hosts = new ArrayList<>();
         for (int i = 1; i <= keeping; i++) {
             hosts.add("10.0.0." + i);
@@ -145,6 +165,7 @@
 
     void send(String from, String host, Message message) {
         spy.accept(message);
+        wire.sent(from, host, message);
         if (message instanceof Chosen news) {
             chosen(news.state());
         }
