--- a/node/src/test/java/saltdale/node/ControlRecordsTest.java
+++ b/node/src/test/java/saltdale/node/ControlRecordsTest.java
@@ -96,6 +96,7 @@
                 "z-a",
                 List.of("10.0.0.1", PEER),
                 true,
+                1,
                 Environment.millis(1200),
                 Environment.millis(5000),
                 Environment.millis(3000),
