--- a/proxy/src/test/java/saltdale/proxy/ConfigurationOrdersTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ConfigurationOrdersTest.java
@@ -177,6 +177,53 @@
         }
     }
 
+    /**
+     * A lost disk brings a change of voters. While it is under way, or right after, one operator's control node is
+     * struck in the middle of an order, and another order of the same number comes to a third one.
+     */
+    @ParameterizedTest
+    @CsvSource({"3,false", "3,true", "5,false", "5,true"})
+    void oneOrderIsTakenWhileVotersChange(int controlNodes, boolean atAnotherAddress) {
+        int joint = 0;
+        for (int seed = 0; seed < 20; seed++) {
+            SimWorld world = world(seed, controlNodes, ControlNode::new);
+            OrdersModel model = new OrdersModel(world);
+            world.run(2500);
+            assertTrue(SimOperator.insists(world, 0, SimOperator.config(1), 5000));
+            List<SimMachine> nodes = world.controlNodes;
+            SimMachine lost = nodes.get(1);
+            lost.wipe();
+            if (atAnotherAddress) {
+                world.controlNode("10.0.0.9", lost.seeds, false).start();
+            } else {
+                lost.start();
+            }
+            world.until(6000, world::isJoint);
+            joint += world.isJoint() ? 1 : 0;
+            world.run(world.chance.nextInt(12));
+            OrdersModel.Order one = OrdersModel.Order.replace(1, 3, 0);
+            OrdersModel.Order other = seed % 4 == 0 ? one : OrdersModel.Order.replace(1, 3, 1);
+            List<Integer> toOne = new ArrayList<>();
+            List<Integer> toOther = new ArrayList<>();
+            send(model, nodes.get(0), one, toOne);
+            world.run(world.chance.nextInt(40));
+            Blow.values()[seed % Blow.values().length].strike(world, nodes.get(0));
+            world.at(world.chance.nextInt(1500) * 1_000_000L, () -> send(model, nodes.get(2), other, toOther));
+            world.run(1000);
+            send(model, nodes.get(nodes.size() - 1), one, toOne);
+            world.run(3000);
+            new SimTroubles(world, 0).heal();
+            world.run(4000);
+            nodes.forEach(each -> send(model, each, one, toOne));
+            nodes.forEach(each -> send(model, each, other, toOther));
+            world.run(3000);
+            model.over();
+            assertThat("seed " + seed, world.faults, is(empty()));
+            assertThat("seed " + seed, toOne.contains(200) || toOther.contains(200), is(true));
+        }
+        assertThat("the change of voters was met", joint, greaterThan(15));
+    }
+
     /** Orders of a long day, numbered one by one; the oldest ones were sent when it began. */
     private static List<OrdersModel.Order> longDay(SimWorld world, OrdersModel model, int changes) {
         List<OrdersModel.Order> orders = new ArrayList<>();
