--- a/node/src/main/java/saltdale/node/PooledConnections.java
+++ b/node/src/main/java/saltdale/node/PooledConnections.java
@@ -3,10 +3,8 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.WeakHashMap;
 import java.util.function.Consumer;
 import saltdale.transport.Connection;
@@ -14,9 +12,6 @@
 
 /** The connections to one instance, over sockets. */
 final class PooledConnections implements UpstreamConnections {
-    /** Of the ids that a connection has carried so many are kept: a late answer comes with one of the next ones. */
-    private static final int REMEMBERED_IDS = 32;
-
     private record Pooled(Connection connection) implements UpstreamConnection {
         @Override
         public boolean isReused() {
@@ -41,7 +36,7 @@
     }
 
     private final Pool pool;
-    private final Map<Connection, Set<String>> carriedIds = new WeakHashMap<>();
+    private final Map<Connection, CarriedIds> carriedIds = new WeakHashMap<>();
 
     PooledConnections(Pool pool) {
         this.pool = pool;
@@ -54,25 +49,13 @@
             if (connection == null) {
                 return null;
             }
-            if (carries(connection, attemptId)) {
+            if (carriedIds.computeIfAbsent(connection, c -> new CarriedIds()).add(attemptId)) {
                 return new Pooled(connection);
             }
             connection.close();
         }
     }
 
-    /** Notes that it carries this id; false where it did before. */
-    private boolean carries(Connection connection, String attemptId) {
-        Set<String> ids = carriedIds.computeIfAbsent(connection, c -> new LinkedHashSet<>());
-        if (!ids.add(attemptId)) {
-            return false;
-        }
-        if (ids.size() > REMEMBERED_IDS) {
-            ids.remove(ids.iterator().next());
-        }
-        return true;
-    }
-
     @Override
     public void rest(UpstreamConnection connection, Duration limit) {
         pool.rest(((Pooled) connection).connection, limit);
--- /dev/null
+++ b/node/src/test/java/saltdale/proxy/SimCluster.java
@@ -0,0 +1,127 @@
+package saltdale.proxy;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
+import saltdale.control.Configuration;
+import saltdale.control.Environment;
+import saltdale.control.message.Message;
+
+/** The simulated cluster of the proxy's tests, for tests of what carries the bytes. */
+public final class SimCluster {
+    private final SimWorld world;
+
+    /** Control nodes and proxies that serve the first configuration; {@code transports} carry the proxies' bytes. */
+    public SimCluster(long seed, int proxies, Function<Environment, Transport> transports) {
+        world = new SimWorld(seed);
+        world.transports = transports::apply;
+        SimOperator.serving(world, 3, proxies);
+    }
+
+    public SplittableRandom chance() {
+        return world.chance;
+    }
+
+    public long now() {
+        return world.now();
+    }
+
+    public void at(long nanos, Runnable what) {
+        world.at(nanos, what);
+    }
+
+    public void run(long millis) {
+        world.run(millis);
+    }
+
+    public long hop() {
+        return world.hop();
+    }
+
+    public List<String> faults() {
+        return world.faults;
+    }
+
+    public void tamper(UnaryOperator<Message> change) {
+        world.tamper = change;
+    }
+
+    /** Has this process do it when it can: after it stands still no more, and never where it is dead. */
+    public void deliver(Environment process, Runnable what) {
+        ((SimMachine.Process) process).deliver(what);
+    }
+
+    public boolean isDead(Environment process) {
+        return ((SimMachine.Process) process).dead;
+    }
+
+    public Proxy proxy(Environment process) {
+        return ((SimMachine.Process) process).proxy;
+    }
+
+    /** The process of one of the proxies; null where it is down or not ready. */
+    public Environment ready(int proxy) {
+        SimMachine machine = machine(proxy);
+        return machine.proxy() == null || !machine.proxy().isReady() || machine.frozen ? null : machine.process;
+    }
+
+    public Configuration.Route route(Environment process, String path) {
+        return proxy(process).configuration().route("h.example", path);
+    }
+
+    private SimMachine machine(int proxy) {
+        return world.proxies.get(proxy);
+    }
+
+    /** It stands still for so long. */
+    public void standsStill(int proxy, long millis) {
+        SimMachine machine = machine(proxy);
+        machine.freeze();
+        world.at(Environment.millis(millis), () -> {
+            if (machine.frozen) {
+                machine.thaw();
+            }
+        });
+    }
+
+    public void restart(int proxy) {
+        machine(proxy).kill();
+        world.at(Environment.millis(300), machine(proxy)::start);
+    }
+
+    /** It is told to end, and starts anew once it has. */
+    public void roll(int proxy) {
+        SimMachine machine = machine(proxy);
+        if (machine.proxy() == null || machine.frozen) {
+            return;
+        }
+        Proxy ending = machine.proxy();
+        ending.end(Environment.millis(700));
+        world.at(Environment.millis(2000), () -> {
+            if (machine.proxy() == ending) {
+                machine.process.deliver(ending::endNow);
+            }
+        });
+        world.at(Environment.millis(2100), () -> {
+            if (machine.proxy() == ending) {
+                restart(proxy);
+            }
+        });
+    }
+
+    public void losePower(int controlNode) {
+        SimMachine machine = world.controlNodes.get(controlNode);
+        machine.powerOff();
+        world.at(Environment.millis(1500), machine::start);
+    }
+
+    public boolean takesConnections(String instance) {
+        SimPlatform.Instance at = world.platform.runners.get(instance);
+        return at != null && at.takes();
+    }
+
+    public int slots(String instance) {
+        return world.platform.slots.get(world.platform.runners.get(instance).service);
+    }
+}
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -181,7 +181,7 @@
                             this,
                             new ProxySettings(
                                     name, host, zone, seeds, SimWorld.BEAT, 0.2, Environment.millis(10_000), 52),
-                            world.platform.transport(this));
+                            world.transports.apply(this));
                     proxy.begin();
                 }
             } catch (MalformedMessage e) {
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -11,6 +11,8 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
 import saltdale.control.Environment;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Platform;
@@ -41,6 +43,12 @@
     /** Sees each message that is sent. */
     Consumer<Message> spy = message -> {};
 
+    /** Changes messages on their way, for wrong variants. */
+    UnaryOperator<Message> tamper = message -> message;
+
+    /** What carries the bytes of a proxy. */
+    Function<SimMachine.Process, Transport> transports;
+
     Platform.Rates rates = new Platform.Rates(26, 105, List.of("starting"));
     ReplicatedState newest; // the newest chosen state told
     private final PriorityQueue<Event> events =
@@ -52,6 +60,7 @@
     SimWorld(long seed) {
         chance = new SplittableRandom(seed);
         platform = new SimPlatform(this);
+        transports = platform::transport;
     }
 
     // Time.
@@ -152,7 +161,7 @@
         if (cuts.contains(way)) {
             return;
         }
-        byte[] bytes = MessageCodec.encode(message);
+        byte[] bytes = MessageCodec.encode(tamper.apply(message));
         // In order between two hosts; between others any.
         long due = Math.max(now + (host.equals(from) ? 0 : hop()), arrived.getOrDefault(way, 0L));
         arrived.put(way, due);
