--- a/node/src/test/java/saltdale/proxy/SimCluster.java
+++ b/node/src/test/java/saltdale/proxy/SimCluster.java
@@ -44,7 +44,7 @@
     }
 
     public void tamper(UnaryOperator<Message> change) {
-        world.tamper = change;
+        world.rewriting = (from, to, message) -> change.apply(message);
     }
 
     /** Has this process do it when it can: after it stands still no more, and never where it is dead. */
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -12,7 +12,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.function.UnaryOperator;
+import saltdale.control.ControlNode;
+import saltdale.control.ControlNodeSettings;
 import saltdale.control.Environment;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Platform;
@@ -30,6 +31,18 @@
     static final long BEAT = Environment.millis(1200);
     static final String[] ZONES = {"z-a", "z-b", "z-c"};
 
+    /** Changes what is sent, as a wrong variant of the code would; null where it sends nothing. */
+    interface Rewriting {
+        Message of(String from, String to, Message message);
+    }
+
+    /** Makes the control node of a process; tests put wrong variants in its place. */
+    interface ControlNodeFactory {
+        ControlNode of(
+                Environment environment, ControlNodeSettings settings, Platform platform, Map<String, byte[]> records)
+                throws MalformedMessage;
+    }
+
     private record Event(long at, long order, Runnable what) {}
 
     final SplittableRandom chance;
@@ -43,12 +56,16 @@
     /** Sees each message that is sent. */
     Consumer<Message> spy = message -> {};
 
-    /** Changes messages on their way, for wrong variants. */
-    UnaryOperator<Message> tamper = message -> message;
-
     /** What carries the bytes of a proxy. */
     Function<SimMachine.Process, Transport> transports;
 
+    Rewriting rewriting = (from, to, message) -> message;
+    /** Looks at the world after each event. */
+    Runnable afterEach = () -> {};
+
+    final Set<String> stalled = new HashSet<>(); // hosts whose messages leave only once they are released
+    private final List<Runnable> held = new ArrayList<>();
+    ControlNodeFactory controlNodeFactory = ControlNode::new;
     Platform.Rates rates = new Platform.Rates(26, 105, List.of("starting"));
     ReplicatedState newest; // the newest chosen state told
     private final PriorityQueue<Event> events =
@@ -88,6 +105,7 @@
             Event next = events.poll();
             now = next.at;
             next.what.run();
+            afterEach.run();
         }
         return true;
     }
@@ -152,7 +170,26 @@
 
     // Messages.
 
-    void send(String from, String host, Message message) {
+    /** What stalled processes have sent leaves now, late and all at once. */
+    void release() {
+        stalled.clear();
+        List<Runnable> due = List.copyOf(held);
+        held.clear();
+        due.forEach(Runnable::run);
+    }
+
+    void send(String from, String host, Message original) {
+        Message message = rewriting.of(from, host, original);
+        if (message == null) {
+            return;
+        } else if (stalled.contains(from)) {
+            held.add(() -> leaves(from, host, message));
+            return;
+        }
+        leaves(from, host, message);
+    }
+
+    private void leaves(String from, String host, Message message) {
         spy.accept(message);
         if (message instanceof Chosen news) {
             chosen(news.state());
@@ -161,7 +198,7 @@
         if (cuts.contains(way)) {
             return;
         }
-        byte[] bytes = MessageCodec.encode(tamper.apply(message));
+        byte[] bytes = MessageCodec.encode(message);
         // In order between two hosts; between others any.
         long due = Math.max(now + (host.equals(from) ? 0 : hop()), arrived.getOrDefault(way, 0L));
         arrived.put(way, due);
