What is given up before its last byte was sent is refused with 503, and its slot is free at once

A request whose connection to its instance was still coming up (or was choked) at its deadline, or as the process ended, got 504 or 502, though no instance can have read it. Transport.abandon now tells that, by the same proof as UNSENT; the status follows in one place: 503 where nothing can have run, else 502 or 504.

--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -262,11 +262,9 @@
     }
 
     @Override
-    public void abandon(Attempt attempt) {
+    public boolean abandon(Attempt attempt) {
         UpstreamExchange exchange = exchanges.remove(attempt);
-        if (exchange != null) {
-            exchange.abandon();
-        }
+        return exchange == null || exchange.abandon(); // there is none where no socket was to be had
     }
 
     @Override
--- a/node/src/main/java/saltdale/node/UpstreamExchange.java
+++ b/node/src/main/java/saltdale/node/UpstreamExchange.java
@@ -159,12 +159,12 @@
         return !connection.isWritten() && !heard;
     }
 
-    /** Breaks it off; nothing more is told of it. */
-    void abandon() {
+    /** Breaks it off, and nothing more is told of it; true where the instance cannot have read the whole request. */
+    boolean abandon() {
         over = true;
-        if (connection != null) {
-            connection.close();
-        }
+        boolean unsent = isUnsent();
+        connection.close();
+        return unsent;
     }
 
     private void end(Attempt.End how, boolean rests) {
--- a/node/src/test/java/saltdale/node/ChainModel.java
+++ b/node/src/test/java/saltdale/node/ChainModel.java
@@ -260,8 +260,8 @@
         }
 
         @Override
-        public void abandon(Attempt attempt) {
-            open.remove(attempt).abandon();
+        public boolean abandon(Attempt attempt) {
+            return open.remove(attempt).abandon();
         }
 
         @Override
--- a/proxy/src/main/java/saltdale/proxy/RequestLifecycle.java
+++ b/proxy/src/main/java/saltdale/proxy/RequestLifecycle.java
@@ -96,28 +96,32 @@
 
     private void overdue(Request request) {
         if (!request.over) {
-            boolean unsent = request.status == ExecutionStatus.NOT_RUN && request.attempt == null;
-            giveUp(request, unsent ? 503 : 504, 0, "not done in time");
+            giveUp(request, 504, 0, "not done in time");
         }
     }
 
     /** Every request under way is answered now, as true as what is known. */
     void endNow() {
         for (Attempt attempt : List.copyOf(attempts)) {
-            giveUp(attempt.request, 502, 0, "the proxy ends while the instance is at work");
+            giveUp(attempt.request, 502, 0, "the proxy ends");
         }
     }
 
     @Override
     public void refused(Request request, long pauseMillis, String why) {
-        giveUp(request, request.status == ExecutionStatus.NOT_RUN ? 503 : 502, pauseMillis, why);
+        giveUp(request, 502, pauseMillis, why);
     }
 
-    private void giveUp(Request request, int status, long pauseMillis, String why) {
+    /**
+     * Answers with 503 where no instance can have run it or will, else with the status given, which promises
+     * nothing.
+     */
+    private void giveUp(Request request, int statusIfItMayHaveRun, long pauseMillis, String why) {
         if (request.over) {
             return;
         }
         finish(request);
+        int status = request.status == ExecutionStatus.NOT_RUN ? 503 : statusIfItMayHaveRun;
         transport.refuse(request, status, pauseMillis, why);
     }
 
@@ -128,8 +132,10 @@
         if (request.attempt != null) {
             Attempt attempt = request.attempt;
             request.attempt = null;
-            transport.abandon(attempt);
-            giveBack(attempt, Attempt.End.ABANDONED);
+            boolean unsent = transport.abandon(attempt);
+            Attempt.End end = unsent ? Attempt.End.UNSENT : Attempt.End.ABANDONED;
+            request.status = request.status.and(end.status());
+            giveBack(attempt, end);
         }
     }
 
@@ -164,10 +170,13 @@
         request.avoidedInstances.add(attempt.instance);
         if (mayGoAgain(request, end)) {
             slotRequester.ask(request);
-        } else if (request.status == ExecutionStatus.NOT_RUN) {
-            giveUp(request, 503, NOT_TAKEN_PAUSE_MILLIS, "no instance took it");
         } else {
-            giveUp(request, 502, 0, "the instance's answer is lost");
+            boolean notRun = request.status == ExecutionStatus.NOT_RUN;
+            giveUp(
+                    request,
+                    502,
+                    notRun ? NOT_TAKEN_PAUSE_MILLIS : 0,
+                    notRun ? "no instance took it" : "its answer is lost");
         }
     }
 
--- a/proxy/src/main/java/saltdale/proxy/Transport.java
+++ b/proxy/src/main/java/saltdale/proxy/Transport.java
@@ -5,8 +5,8 @@
     /** Sends the request there; tells the proxy by {@link Proxy#ended}. */
     void carry(Attempt attempt);
 
-    /** Breaks the attempt off; nothing of it is told any more. */
-    void abandon(Attempt attempt);
+    /** Breaks the attempt off; nothing of it is told any more. Tells whether the instance cannot have read it whole. */
+    boolean abandon(Attempt attempt);
 
     /** Hands the instance's whole answer to the client. */
     void deliver(Attempt attempt);
--- a/proxy/src/test/java/saltdale/proxy/SimPlatform.java
+++ b/proxy/src/test/java/saltdale/proxy/SimPlatform.java
@@ -396,12 +396,13 @@
             }
 
             @Override
-            public void abandon(Attempt attempt) {
+            public boolean abandon(Attempt attempt) {
                 Sending sending = sendings.remove(attempt);
                 if (sending != null) {
                     sending.asked().ends.add(Attempt.End.ABANDONED);
                     sending.close();
                 }
+                return false;
             }
 
             @Override
