--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.ToLongBiFunction;
 import saltdale.control.ControlNode;
 import saltdale.control.ControlNodeSettings;
@@ -56,6 +57,9 @@
     /** Sees each message that is sent. */
     Consumer<Message> spy = message -> {};
 
+    /** What carries the bytes of a proxy. */
+    Function<SimMachine.Process, Transport> transports;
+
     Rewriting rewriting = (from, to, message) -> message;
     /** Looks at the world after each event. */
     Runnable afterEach = () -> {};
@@ -90,6 +94,7 @@
     SimWorld(long seed) {
         chance = new SplittableRandom(seed);
         platform = new SimPlatform(this);
+        transports = platform::transport;
     }
 
     // Time.
