--- a/control/src/main/java/saltdale/control/ConfigurationSnapshot.java
+++ b/control/src/main/java/saltdale/control/ConfigurationSnapshot.java
@@ -24,7 +24,7 @@
                 out.write(block, 0, deflater.deflate(block));
             }
             byte[] bytes = out.toByteArray();
-            return new ConfigurationSnapshot(tree, ConfigurationCodec.digest(bytes), bytes);
+            return new ConfigurationSnapshot(tree, ConfigurationCodec.textDigest(bytes), bytes);
         } finally {
             deflater.end();
         }
@@ -32,7 +32,7 @@
 
     /** Unpacks a configuration, after a check of the digest. */
     public static ConfigurationTree read(byte[] bytes, String digest) throws MalformedMessage {
-        if (!ConfigurationCodec.digest(bytes).equals(digest)) {
+        if (!ConfigurationCodec.textDigest(bytes).equals(digest)) {
             throw new MalformedMessage("configuration snapshot: the digest differs");
         }
         Inflater inflater = new Inflater();
--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -51,14 +51,22 @@
     private final Subscriptions subscriptions;
     private boolean proposing;
     private boolean ending;
-    private boolean hadQuorum;
-    private long quorumSince;
     private boolean spreading;
 
     /** {@code records} are those on disk; where there are none the control node is new, or has lost them. */
     public ControlNode(
             Environment environment, ControlNodeSettings nodeSettings, Platform platform, Map<String, byte[]> records)
             throws MalformedMessage {
+        this(environment, nodeSettings, platform, records, ConfigurationService::new);
+    }
+
+    ControlNode(
+            Environment environment,
+            ControlNodeSettings nodeSettings,
+            Platform platform,
+            Map<String, byte[]> records,
+            ConfigurationService.Factory configurationService)
+            throws MalformedMessage {
         this.environment = environment;
         this.nodeSettings = nodeSettings;
         String life = Long.toHexString(environment.chance().nextLong());
@@ -78,11 +86,12 @@
                 register);
         election = new DutyElection(environment, nodeSettings, register, peers, id, life);
         voterChanges = new VoterChanges(environment, nodeSettings, peers, election, id);
-        configurations = new ConfigurationService(environment, nodeSettings, register, peers);
+        configurations = configurationService.of(environment, nodeSettings, register, peers);
         members = new MembershipTable(nodeSettings.memberLease() + nodeSettings.beat() * 3 / 10);
         instances = new InstanceTable(8 * nodeSettings.beat(), 40 * nodeSettings.beat());
         demand = new DemandTable(3 * nodeSettings.beat());
-        subscriptions = new Subscriptions(environment, nodeSettings, configurations.history(), members, instances);
+        subscriptions = new Subscriptions(
+                environment, nodeSettings, configurations.history(), members, instances, peers::hasQuorum);
         instanceLifecycle = new InstanceLifecycle(environment, this, platform, nodeSettings);
         restore(records);
     }
@@ -309,19 +318,19 @@
     private void tick() {
         environment.after(nodeSettings.beat() / 6, this::tick);
         long now = environment.now();
-        boolean had = hadQuorum;
-        hadQuorum = hasMajority();
-        quorumSince = had ? quorumSince : now;
+        boolean had = peers.watchQuorum();
         long edition = members.edition();
         // Guards against a control node that stood still or was cut off: all renewals it missed come to it first.
-        if (hadQuorum && now - quorumSince > nodeSettings.beat()) {
+        if (peers.hasSteadyQuorum()) {
             members.expire(now);
         }
         if (members.edition() != edition) {
             membersChanged();
         }
-        if (had && !hadQuorum) {
+        if (had && !hasMajority()) {
             subscriptions.tellQuorumLost();
+        } else if (!had && hasMajority()) {
+            publish();
         }
         if (!proposing && register.basis() != null) {
             proposeWhatIsDue();
@@ -330,8 +339,9 @@
 
     private void proposeWhatIsDue() {
         ReplicatedState state = register.chosen();
-        if (state == null) {
-            // After a start: what is chosen is known only once a majority was asked.
+        if (state == null || leavesUndecided()) {
+            // What is chosen is known only once a majority was asked: after a start, and where whoever had a state
+            // accepted may have gone before it told that it was chosen.
             propose((newest, text) -> Proposer.Step.stay(Boolean.TRUE));
         } else if (hasMajority() && !ending) {
             if (election.mayClaim(state)) {
@@ -345,6 +355,12 @@
         }
     }
 
+    private boolean leavesUndecided() {
+        return register.isUndecided()
+                && environment.now() - register.undecidedSince() > nodeSettings.beat() / 2
+                && peers.reachesMajority();
+    }
+
     private void propose(Proposer.Change change) {
         proposing = true;
         // Guards against all control nodes at once: the first one's ballot spares the others theirs.
--- a/control/src/main/java/saltdale/control/Subscriptions.java
+++ b/control/src/main/java/saltdale/control/Subscriptions.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import saltdale.control.message.SessionMessage.ConfigurationChange;
 import saltdale.control.message.SessionMessage.ConfigurationOffer;
 import saltdale.control.message.SessionMessage.InstancesNews;
@@ -56,21 +57,25 @@
     private final ConfigurationHistory configurations;
     private final MembershipTable members;
     private final InstanceTable instances;
+    private final BooleanSupplier isCurrent;
     private final Map<String, Subscriber> subscribers = new LinkedHashMap<>(); // by life
     private final Map<String, String> owners = new HashMap<>(); // lives, by service and zone
     private long ownersOf = -1; // the edition of the membership by which these are the owners
 
+    /** {@code isCurrent}: whether what is known here is the newest, as far as the lease goes. */
     Subscriptions(
             Environment environment,
             ControlNodeSettings settings,
             ConfigurationHistory configurations,
             MembershipTable members,
-            InstanceTable instances) {
+            InstanceTable instances,
+            BooleanSupplier isCurrent) {
         this.environment = environment;
         this.settings = settings;
         this.configurations = configurations;
         this.members = members;
         this.instances = instances;
+        this.isCurrent = isCurrent;
     }
 
     /** A member has renewed its lease here; returns how many pieces of news its session was sent. */
@@ -93,7 +98,9 @@
     /** Sends the part of a snapshot that a proxy asks for, and behind the last part what has changed since. */
     void requested(SnapshotRequest request) {
         Subscriber to = subscribers.get(request.life());
-        if (to == null || !to.session.equals(request.session()) || configurations.newest() == null) {
+        boolean known = to != null && to.session.equals(request.session());
+        // Without a majority nothing old is handed out: the proxy asks again, here or elsewhere.
+        if (!known || configurations.newest() == null || !isCurrent.getAsBoolean()) {
             return;
         }
         ConfigurationSnapshot snapshot = configurations.snapshot(request.digest());
@@ -134,10 +141,13 @@
         if (configurations.newest() == null) {
             return;
         }
-        publishConfiguration(to);
-        MembershipTable.View present = members.view();
-        if (to.members != present) {
-            publishMembers(to, present);
+        // Without a majority nothing old is handed out; instances are: the platform tells of those itself.
+        if (isCurrent.getAsBoolean()) {
+            publishConfiguration(to);
+            MembershipTable.View present = members.view();
+            if (to.members != present) {
+                publishMembers(to, present);
+            }
         }
         if (to.instances != instances.edition() || to.ownedOf != members.edition()) {
             publishInstances(to);
