Voters: repairs go on beside a slow disk, ahead of orders, without a queue of writes

A disk thirty times as slow as a site's (150 ms a sync), needed by the majority while another member was replaced, stopped both the repair and the orders: each ballot's writes queued behind one another, every try ended after 400 ms, and tries overtook each other with pauses made for fast disks. Now an acceptor writes once for all ballots that came meanwhile, a try that no majority answered in time is followed by one twice as long (up to 1.6 s), pauses follow the time that voters take to promise, and claims and changes of voters go ahead of orders.

An identity that a full disk refused at a member's first start is written again.

--- a/control/src/main/java/saltdale/control/Acceptor.java
+++ b/control/src/main/java/saltdale/control/Acceptor.java
@@ -1,7 +1,9 @@
 package saltdale.control;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -30,6 +32,8 @@
     private String writing = ""; // the text of the newest write
     private long changes; // of the text that is written
     private final Set<String> written = new HashSet<>(); // those that may be
+    private final List<Runnable> unwritten = new ArrayList<>(); // replies that wait for the next write
+    private boolean diskBusy;
 
     Acceptor(Environment environment, String id) {
         this.environment = environment;
@@ -117,20 +121,51 @@
         persist(() -> reply.accept(new Accepted(id, ballot)));
     }
 
-    /** Writes what is promised and accepted; {@code synced} runs once that outlasts a loss of power, else never. */
+    /**
+     * Has what is promised and accepted written; {@code onSynced} runs once that outlasts a loss of power, else
+     * never.
+     */
     private void persist(Runnable onSynced) {
+        unwritten.add(onSynced);
+        if (!diskBusy) {
+            write();
+        }
+    }
+
+    /** One write for all that came while the last one was under way: a slow disk holds up no queue of ballots. */
+    private void write() {
+        diskBusy = true;
+        List<Runnable> replies = List.copyOf(unwritten);
+        unwritten.clear();
+        String key = state == null ? "" : state.textKey();
+        Map<String, byte[]> records = records(key);
+        long of = changes;
+        environment.persist(records, whole -> {
+            if (whole && of == changes) {
+                synced = key;
+                written.removeIf(each -> !each.equals(key));
+            }
+            if (whole) {
+                replies.forEach(Runnable::run);
+            }
+            diskBusy = false;
+            if (!unwritten.isEmpty()) {
+                write();
+            }
+        });
+    }
+
+    private Map<String, byte[]> records(String key) {
         Map<String, byte[]> records = new LinkedHashMap<>();
         records.put(
                 RECORD,
                 Trees.cbor(Fields.tree(
                         "p", promised.tree(), "a", accepted.tree(), "s", state == null ? null : state.tree())));
-        String key = state == null ? "" : state.textKey();
         if (!key.equals(writing)) {
             writing = key;
             synced = "";
             changes++;
         }
-        long of = changes;
         // Guards against a text whose own write failed while a later one goes through: it goes along until one is
         // synced.
         if (!key.isEmpty() && !key.equals(synced)) {
@@ -138,14 +173,6 @@
             written.add(key);
         }
         written.stream().filter(each -> !each.equals(key)).forEach(each -> records.put(TEXT + each, null));
-        environment.persist(records, whole -> {
-            if (whole && of == changes) {
-                synced = key;
-                written.removeIf(each -> !each.equals(key));
-            }
-            if (whole) {
-                onSynced.run();
-            }
-        });
+        return records;
     }
 }
--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -122,10 +122,19 @@
                 // Guards against all being killed before any has accepted a state: none would know whom to ask.
                 own.put(BEGUN, Trees.cbor(begun.tree()));
             }
-            environment.persist(own, done -> {});
+            persistIdentity(own);
         }
     }
 
+    /** Guards against a disk that was full at the first start: what is voted later must be found under the same id. */
+    private void persistIdentity(Map<String, byte[]> own) {
+        environment.persist(own, whole -> {
+            if (!whole) {
+                environment.after(nodeSettings.beat(), () -> persistIdentity(own));
+            }
+        });
+    }
+
     public void begin() {
         heartbeat();
         tick();
@@ -374,7 +383,7 @@
         // Guards against all control nodes at once: the first one's ballot spares the others theirs.
         environment.after(
                 (long) (nodeSettings.beat() / 8 * environment.chance().nextDouble()),
-                () -> register.propose(change, nodeSettings.beat(), done -> proposing = false));
+                () -> register.proposeFirst(change, nodeSettings.beat(), done -> proposing = false));
     }
 
     /**
--- a/control/src/main/java/saltdale/control/Proposer.java
+++ b/control/src/main/java/saltdale/control/Proposer.java
@@ -1,11 +1,11 @@
 package saltdale.control;
 
 import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Queue;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -46,18 +46,24 @@
 
     private static final long TRY =
             Environment.millis(400); // for both questions of a ballot, disks and crossings included
-    private static final long PAUSE = Environment.millis(12); // doubled with each try that another ballot overtook
+    private static final int LONGEST_TRY = 4; // times as long, after tries that no majority answered in time
+    /** The least pause after a try that another ballot overtook; doubled with each. */
+    private static final long PAUSE = Environment.millis(12);
+
+    private static final long LONGEST_PAUSE = 32 * PAUSE; // unless the disks are slow
 
     private final Environment environment;
     private final String life;
     private final Acceptor own;
     private final Function<String, Boolean> isSelf;
     private final Chosen chosen;
-    private final Queue<Waiting> waiting = new ArrayDeque<>();
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
     private Waiting current;
     private Round round;
     private long highest;
     private int overtaken;
+    private long tryFor = TRY;
+    private long phase = PAUSE; // how long voters last took to promise, their disks included
     /** The newest state known to be chosen, from which the voters are known; null where nothing is known yet. */
     private ReplicatedState known;
 
@@ -91,6 +97,12 @@
         next();
     }
 
+    /** The same, ahead of all that waits: a repair must not wait for orders. */
+    void proposeFirst(Change change, long within, Consumer<Object> answer) {
+        waiting.addFirst(new Waiting(change, environment.now() + within, answer));
+        next();
+    }
+
     private void next() {
         if (current == null && !waiting.isEmpty()) {
             current = waiting.poll();
@@ -108,6 +120,12 @@
         round.prepare();
     }
 
+    /** Guards against disks so slow that no try is ever long enough. */
+    private void late(Round which) {
+        tryFor = Math.min(2 * tryFor, LONGEST_TRY * TRY);
+        again(which);
+    }
+
     private void again(Round which) {
         if (round != which) {
             return;
@@ -116,8 +134,8 @@
         round = null;
         overtaken = Math.min(overtaken + 1, 5);
         // Guards against two that overtake each other for ever.
-        long pause =
-                (long) (PAUSE * (1 << overtaken) * (0.3 + environment.chance().nextDouble()));
+        long most = Math.min(phase << overtaken, Math.max(LONGEST_PAUSE, 4 * phase));
+        long pause = (long) (most * (0.3 + environment.chance().nextDouble()));
         environment.after(pause, () -> {
             if (round == null && current != null) {
                 begin();
@@ -161,10 +179,11 @@
         private Object answer;
         private boolean settles;
         private final Runnable limit;
+        private final long begunAt = environment.now();
 
         Round(Ballot ballot) {
             this.ballot = ballot;
-            limit = environment.after(TRY, () -> again(this));
+            limit = environment.after(tryFor, () -> late(this));
         }
 
         void over() {
@@ -221,6 +240,7 @@
                     && put == null
                     && majority(promises.keySet(), base)
                     && majority(promises.keySet(), newest)) {
+                phase = Math.max(PAUSE, environment.now() - begunAt);
                 put();
             }
         }
@@ -280,6 +300,7 @@
                 }
             }
             chosen.chosen(ballot, put, putText);
+            tryFor = Math.max(TRY, tryFor / 2);
             settle(put);
             finish(answer);
         }
@@ -287,7 +308,7 @@
         /** Once a joint state is known to be chosen, by majorities of both, the old voters are needed no longer. */
         private void settle(ReplicatedState joint) {
             if (joint.isJoint()) {
-                waiting.add(new Waiting(settling(joint), environment.now() + 4 * TRY, done -> {}));
+                waiting.addFirst(new Waiting(settling(joint), environment.now() + 4 * TRY, done -> {}));
             }
         }
 
--- a/control/src/main/java/saltdale/control/ReplicatedRegister.java
+++ b/control/src/main/java/saltdale/control/ReplicatedRegister.java
@@ -87,6 +87,11 @@
         proposer.propose(change, within, answer);
     }
 
+    /** The same, ahead of all that waits. */
+    void proposeFirst(Proposer.Change change, long within, Consumer<Object> answer) {
+        proposer.proposeFirst(change, within, answer);
+    }
+
     /** Takes part in a ballot, or hears of its end. */
     void message(String fromHost, BallotMessage message) {
         if (message instanceof Prepare prepare) {
--- a/control/src/main/java/saltdale/control/VoterChanges.java
+++ b/control/src/main/java/saltdale/control/VoterChanges.java
@@ -28,6 +28,8 @@
     private final PeerContacts peers;
     private final DutyElection election;
     private final String id;
+    private long jointVersion = -1; // of the newest joint state seen, and since when
+    private long jointSince;
     private final Map<String, Long> spareSince = new HashMap<>(); // by id of a candidate
 
     VoterChanges(
@@ -50,7 +52,7 @@
      */
     Proposer.Change due(ReplicatedState state, boolean elected, boolean leaving) {
         if (state.isJoint()) {
-            return finishes() ? Proposer.settling(state) : null;
+            return finishes(state, elected) ? Proposer.settling(state) : null;
         }
         List<PeerContacts.Peer> candidates = candidates(state);
         boolean replacesItself = leaving && state.isVoter(id) && !candidates.isEmpty();
@@ -61,9 +63,16 @@
         return next.equals(state.voters()) ? null : change(state, next);
     }
 
-    /** Whether this control node ends a change of voters that another has begun; any may, whoever holds the duty. */
-    boolean finishes() {
-        return true;
+    /**
+     * Whether this control node ends a change of voters that is known to be chosen. Any may, whoever holds the duty,
+     * but who proposed it, or holds the duty, goes first: ballots that overtake each other are slow.
+     */
+    boolean finishes(ReplicatedState joint, boolean elected) {
+        if (joint.version() != jointVersion) {
+            jointVersion = joint.version();
+            jointSince = environment.now();
+        }
+        return elected || environment.now() - jointSince > settings.beat() / 2;
     }
 
     /** Whether this control node, about to end, should wait: another can take its place but has not yet done so. */
--- a/proxy/src/test/java/saltdale/control/WrongVoterChanges.java
+++ b/proxy/src/test/java/saltdale/control/WrongVoterChanges.java
@@ -20,7 +20,7 @@
                         (itsEnvironment, itsSettings, peers, election, id) ->
                                 new VoterChanges(itsEnvironment, itsSettings, peers, election, id) {
                                     @Override
-                                    boolean finishes() {
+                                    boolean finishes(ReplicatedState joint, boolean elected) {
                                         return false;
                                     }
                                 }));
--- a/proxy/src/test/java/saltdale/proxy/MembershipChangeTest.java
+++ b/proxy/src/test/java/saltdale/proxy/MembershipChangeTest.java
@@ -203,6 +203,28 @@
         }
     }
 
+    /**
+     * Thirty times as slow as a site's disks; the majority needs it while others are replaced. More than is tolerated,
+     * so the repair has twice the time; it must come to an end while orders go on and the disk stays slow.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 5})
+    void aSlowDiskHoldsUpNoRepair(int controlNodes) {
+        for (int seed = 0; seed < 12; seed++) {
+            SimCore core = new SimCore(seed, controlNodes);
+            core.begin();
+            for (int i = 0; i < core.tolerated; i++) {
+                core.victim(core.tolerated + i).syncNanos = 150_000_000;
+            }
+            core.loseAll(seed % 2 == 0 ? Loss.REPLACE : Loss.WIPE, 0);
+            core.hasLonger(core.catchUp);
+            core.untilCaughtUp();
+            core.world.controlNodes.forEach(each -> each.syncNanos = 3_000_000);
+            core.close(0);
+            assertThat("seed " + seed, core.world.faults, is(empty()));
+        }
+    }
+
     @Test
     void wrongVariantsAreFoundOut() {
         found(new Run(Variant.SETTLED_ONLY_BY_ITS_PROPOSER, 3, Loss.REPLACE, Strike.CUT_SENDER, NEVER, 1), 1);
--- a/proxy/src/test/java/saltdale/proxy/SimCore.java
+++ b/proxy/src/test/java/saltdale/proxy/SimCore.java
@@ -94,6 +94,11 @@
         caughtUpAt = Math.max(caughtUpAt, world.now() + countsFor * 1_000_000);
     }
 
+    /** What is lost now counts as lost for so much longer, in ms. */
+    void hasLonger(long ms) {
+        caughtUpAt += ms * 1_000_000;
+    }
+
     /** As many as are tolerated, at once. */
     void loseAll(Loss loss, int from) {
         List<SimMachine> victims = new ArrayList<>();
