SIGTERM cuts no answer that is still being written; a return may overtake the handing over of its slot

A process told to end dropped connections between two requests, also where the last answer had not wholly left it (a slow client): it now waits for that (Connection.isFlushed, Visit.isFlushed). A slot that came back to its new owner before the old owner's list of slots in use reached it was held until the request's deadline: keys returned of late are remembered for a heartbeat.

--- a/net/src/main/java/saltdale/serving/Visit.java
+++ b/net/src/main/java/saltdale/serving/Visit.java
@@ -91,6 +91,11 @@
         return !serving && parser.untouched();
     }
 
+    /** Whether the last answer has wholly left us: else to drop the connection would cut it short. */
+    public boolean isFlushed() {
+        return connection.isFlushed();
+    }
+
     /** Closes the connection unless a request is being served. One that has not wholly come was not taken. */
     public void drop() {
         if (!serving) {
--- a/net/src/main/java/saltdale/transport/Connection.java
+++ b/net/src/main/java/saltdale/transport/Connection.java
@@ -118,6 +118,11 @@
         return written <= messageStart ? Reach.UNSENT : written < handed ? Reach.PARTLY_WRITTEN : Reach.WRITTEN;
     }
 
+    /** Whether the kernel has taken all that was handed over. */
+    public boolean isFlushed() {
+        return outgoing.isEmpty();
+    }
+
     /** Whether it had carried another message before the present one. */
     public boolean isReused() {
         return messageStart > 0;
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -100,7 +100,10 @@
 
     /** Closes what rests, and ends once nothing is under way: no request, and no answer that is still on its way. */
     private void closeIdle() {
-        visits.stream().filter(Visit::isIdle).toList().forEach(Visit::drop);
+        visits.stream()
+                .filter(visit -> visit.isIdle() && visit.isFlushed())
+                .toList()
+                .forEach(Visit::drop);
         if (visits.isEmpty() && proxy.open() == 0 && environment.sockets.finishing() == 0) {
             environment.loop.stop();
         } else {
--- a/proxy/src/main/java/saltdale/proxy/OwnedServices.java
+++ b/proxy/src/main/java/saltdale/proxy/OwnedServices.java
@@ -35,6 +35,7 @@
     private final Map<String, SlotAllocator> allocators = new HashMap<>(); // by service
     private final Map<String, Instance> instances = new LinkedHashMap<>(); // all that we were told of
     private final Map<String, InUse> unplaced = new LinkedHashMap<>(); // by key: of instances not known here yet
+    private final Map<String, Long> returnedUntil = new HashMap<>(); // by key: slots returned of late
     private final BootingInstances booting;
     private SlotAnswers ownAnswers;
     private boolean reportedDemand; // some, when it was last reported
@@ -188,6 +189,7 @@
     /** A slot that was granted here comes back. */
     void returned(String service, String key, String instance, Attempt.End end, long ranNanos) {
         unplaced.remove(key);
+        returnedUntil.put(key, environment.now() + heartbeat);
         SlotAllocator allocator = allocators.get(service);
         if (allocator == null) {
             return;
@@ -198,9 +200,12 @@
         }
     }
 
-    /** Slots in use, told by those who granted them before us or who hold them. */
+    /** Slots in use, told by those who granted them before us or who hold them; some may have come back since. */
     void held(List<HeldSlot> slots) {
         for (HeldSlot slot : slots) {
+            if (returnedUntil.containsKey(slot.key())) {
+                continue;
+            }
             InUse inUse = new InUse(slot.instance(), slot.life(), environment.now() + slot.leftMillis() * 1_000_000);
             if (!isOwner(slot.service()) || !place(allocator(slot.service()), slot.key(), inUse)) {
                 unplaced.put(slot.key(), inUse);
@@ -230,6 +235,7 @@
         });
         allocators.values().removeIf(SlotAllocator::isIdle);
         unplaced.values().removeIf(inUse -> inUse.until <= now);
+        returnedUntil.values().removeIf(until -> until <= now);
         for (SlotAllocator allocator : allocators.values()) {
             allocator.sayQueued(now, heartbeat / 3);
         }
