--- a/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
@@ -29,6 +29,8 @@
 import saltdale.control.ConfigurationSnapshot;
 import saltdale.control.ConfigurationTree;
 import saltdale.control.Instance;
+import saltdale.control.Member;
+import saltdale.control.ServiceOwnership;
 import saltdale.control.Trees;
 import saltdale.control.message.InstanceMessage.InstanceUpdates;
 import saltdale.control.message.SessionMessage.ConfigurationChange;
@@ -379,4 +381,35 @@
         assertThat(late.is(503), is(true));
         assertThat(ending.proxy().open(), is(0));
     }
+
+    /** Who waits for a slot at a proxy that leaves asks the new owner at once, not when the old one stays silent. */
+    @Test
+    void whoWaitsAtAnOwnerThatLeavesAsksTheNewOne() {
+        for (int seed = 0; seed < 6; seed++) {
+            SimWorld world = serving(seed, 3, 6);
+            world.platform.bootMs = 1500;
+            String zone = SimWorld.ZONES[seed % 3];
+            SimMachine owner = owner(world, zone);
+            SimMachine asks = world.proxies.stream()
+                    .filter(proxy -> proxy.zone.equals(zone) && proxy != owner)
+                    .findFirst()
+                    .orElseThrow();
+            SimPlatform.OutgoingCall waiting = world.platform.call(asks, "h.example", "/b/1", 4000);
+            world.run(1350);
+            owner.proxy().end(2_000_000_000L);
+            assertTrue(world.until(
+                    2000, () -> world.platform.runners.values().stream().anyMatch(SimPlatform.Instance::takes)));
+            assertThat(waiting.answers, is(empty()));
+            world.run(550);
+            assertThat("seed " + seed, waiting.answers, is(List.of(200)));
+        }
+    }
+
+    private static SimMachine owner(SimWorld world, String zone) {
+        List<Member> members = world.proxies.stream()
+                .map(proxy -> new Member(proxy.host, "n-" + proxy.host, proxy.zone, proxy.host, false))
+                .toList();
+        String host = ServiceOwnership.of("fn", zone, members).host();
+        return world.machines.get(host);
+    }
 }
