--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -66,8 +66,18 @@
 
     final Set<String> stalled = new HashSet<>(); // hosts whose messages leave only once they are released
     private final List<Runnable> held = new ArrayList<>();
-    ControlNodeFactory controlNodeFactory = ControlNode::new;
+    /** Sees each message that is sent, with the hosts of its sender and its receiver. */
+    interface Wire {
+        void sent(String from, String to, Message message);
+    }
+
+    Wire wire = (from, to, message) -> {};
+
     Platform.Rates rates = new Platform.Rates(26, 105, List.of("starting"));
+    boolean tellsBeforeSync; // wrong: what is written is told of at once
+    int toleratedLosses = 1; // machines
+
+    ControlNodeFactory controlNodeFactory = ControlNode::new;
     ReplicatedState newest; // the newest chosen state told
     private final PriorityQueue<Event> events =
             new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
@@ -145,6 +155,7 @@
 
     /** So many control nodes at their first start, and so many proxies spread over the zones, not yet begun. */
     SimWorld of(int keeping, int carrying) {
+        toleratedLosses = keeping / 2;
         List<String> hosts = new ArrayList<>();
         for (int i = 1; i <= keeping; i++) {
             hosts.add("10.0.0." + i);
@@ -198,6 +209,7 @@
 
     private void leaves(String from, String host, Message message) {
         spy.accept(message);
+        wire.sent(from, host, message);
         if (message instanceof Chosen news) {
             chosen(news.state());
         }
