--- a/control/src/main/java/saltdale/control/MembershipTable.java
+++ b/control/src/main/java/saltdale/control/MembershipTable.java
@@ -13,7 +13,7 @@
  * The leases of members, merged from what all control nodes hear: each renewal counts up, and the highest count is the
  * newest.
  */
-public final class MembershipTable {
+final class MembershipTable {
     private static final class Lease {
         Member member;
         long count;
@@ -31,6 +31,7 @@
     private final Map<String, Long> ended = new LinkedHashMap<>(); // lives that are over, and since when
     private final Map<String, View> views = new LinkedHashMap<>(); // those of late, by digest
     private View view = new View(Map.of(), "", 0);
+    private SetDigest digest = SetDigest.EMPTY; // of the members of the view
     private long edition;
 
     MembershipTable(long length) {
@@ -51,7 +52,8 @@
         if (view.edition() != edition) {
             Map<String, Member> byLife = new TreeMap<>();
             leases.forEach((life, lease) -> byLife.put(life, lease.member));
-            view = new View(byLife, digest(byLife.values()), edition);
+            digest = digest.changed(view.byLife(), byLife);
+            view = new View(byLife, digest.text(), edition);
             views.put(view.digest(), view);
             if (views.size() > MOST_VIEWS) {
                 views.remove(views.keySet().iterator().next());
@@ -65,15 +67,6 @@
         return view().digest().equals(digest) ? view : views.get(digest);
     }
 
-    /** The digest of members, whatever their order. */
-    public static String digest(Collection<Member> members) {
-        SetDigest digest = SetDigest.EMPTY;
-        for (Member member : members) {
-            digest = digest.plus(member.tree());
-        }
-        return digest.text();
-    }
-
     Member of(String life) {
         Lease lease = leases.get(life);
         return lease == null ? null : lease.member;
--- a/control/src/main/java/saltdale/control/SetDigest.java
+++ b/control/src/main/java/saltdale/control/SetDigest.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.Map;
 
 /**
  * The digest of a set of parts, whatever their order: the sum of the parts' own digests, so that parts are added and
@@ -23,6 +24,18 @@
         return new SetDigest(high - hash.getLong(), low - hash.getLong());
     }
 
+    /** The digest of members, by life, that were these and are those. */
+    public SetDigest changed(Map<String, Member> before, Map<String, Member> after) {
+        SetDigest digest = this;
+        for (Member was : before.values()) {
+            digest = was.equals(after.get(was.life())) ? digest : digest.minus(was.tree());
+        }
+        for (Member is : after.values()) {
+            digest = is.equals(before.get(is.life())) ? digest : digest.plus(is.tree());
+        }
+        return digest;
+    }
+
     /** As it is written in messages. */
     public String text() {
         return Long.toUnsignedString(high, 36) + "-" + Long.toUnsignedString(low, 36);
--- a/proxy/src/main/java/saltdale/proxy/MembersReplica.java
+++ b/proxy/src/main/java/saltdale/proxy/MembersReplica.java
@@ -4,17 +4,18 @@
 import java.util.Map;
 import java.util.TreeMap;
 import saltdale.control.Member;
-import saltdale.control.MembershipTable;
+import saltdale.control.SetDigest;
 import saltdale.control.message.SessionMessage.MembersChange;
 
 /** The members as control nodes have told them; it stays as it is when the session changes. */
 final class MembersReplica {
-    private final Map<String, Member> byLife = new TreeMap<>();
-    private String digest = "";
+    private Map<String, Member> byLife = Map.of();
+    private SetDigest digest = SetDigest.EMPTY; // of these
+    private boolean trusted; // else it is no base for changes
 
     /** Empty where what we have is no base for changes. */
     String digest() {
-        return digest;
+        return trusted ? digest.text() : "";
     }
 
     List<Member> all() {
@@ -23,13 +24,12 @@
 
     /** Whether what comes out has the digest told; else all members must be told anew. */
     boolean change(MembersChange news) {
-        if (news.whole()) {
-            byLife.clear();
-        }
-        news.changed().forEach(member -> byLife.put(member.life(), member));
-        news.gone().forEach(byLife::remove);
-        boolean agrees = MembershipTable.digest(byLife.values()).equals(news.digest());
-        digest = agrees ? news.digest() : "";
-        return agrees;
+        Map<String, Member> next = new TreeMap<>(news.whole() ? Map.of() : byLife);
+        news.changed().forEach(member -> next.put(member.life(), member));
+        news.gone().forEach(next::remove);
+        digest = digest.changed(byLife, next);
+        byLife = next;
+        trusted = digest.text().equals(news.digest());
+        return trusted;
     }
 }
