--- a/control/src/main/java/saltdale/control/InstanceLifecycle.java
+++ b/control/src/main/java/saltdale/control/InstanceLifecycle.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import saltdale.control.message.InstanceMessage.InstanceUpdates;
 import saltdale.control.message.InstanceMessage.StartIntent;
 import saltdale.control.message.InstanceMessage.StartIntents;
 
@@ -52,6 +53,7 @@
     private boolean listing;
     private long pageAt = Long.MIN_VALUE / 2; // when the last page was asked for
     private int refused;
+    private long toldAt = Long.MIN_VALUE / 2; // of what is under way
 
     InstanceLifecycle(
             Environment environment, ControlNode controlNode, Platform platform, ControlNodeSettings nodeSettings) {
@@ -129,12 +131,44 @@
             pages = page;
             List<Instance> news = controlNode.instances().listed(so, askedAt, environment.now());
             if (!news.isEmpty()) {
+                tellOfEnds(news);
                 controlNode.publish();
                 look();
             }
         });
     }
 
+    /**
+     * Whoever sees first that an instance is to get nothing more tells the other control nodes, which may not reach the
+     * platform themselves.
+     */
+    private void tellOfEnds(List<Instance> news) {
+        List<Instance> ends = news.stream()
+                .filter(instance -> instance.phase().compareTo(Instance.Phase.LEAVING) >= 0)
+                .toList();
+        if (!ends.isEmpty()) {
+            controlNode.tellControlNodes(new InstanceUpdates(ends));
+        }
+    }
+
+    /**
+     * Tells the other control nodes again of what is under way and not in the list yet: messages get lost, and whoever
+     * takes over must know of it.
+     */
+    private void tellUnderWay() {
+        List<Instance> underWay = controlNode.instances().all().stream()
+                .filter(instance -> instance.phase() == Instance.Phase.BOOTING || leaving.containsKey(instance.id()))
+                .toList();
+        List<StartIntent> starts =
+                intents.values().stream().map(intent -> intent.start).toList();
+        if (!underWay.isEmpty()) {
+            controlNode.tellControlNodes(new InstanceUpdates(underWay));
+        }
+        if (!starts.isEmpty()) {
+            controlNode.tellControlNodes(new StartIntents(starts, List.of()));
+        }
+    }
+
     private static int slots(Fields runner) throws MalformedMessage {
         return (int) Math.max(1, runner.whole("concurrency_slots", 1));
     }
@@ -172,9 +206,14 @@
                     .filter(r -> r.phase() == Instance.Phase.LEAVING && !drained.contains(r.id()))
                     .forEach(r -> leaving.putIfAbsent(r.id(), now));
         }
+        if (now - toldAt > nodeSettings.beat()) {
+            toldAt = now;
+            tellUnderWay();
+        }
         drained.removeIf(id -> controlNode.instances().get(id) == null);
         leaving.keySet()
                 .removeIf(id -> controlNode.instances().get(id) == null
+                        || drained.contains(id)
                         || controlNode.instances().get(id).phase() == Instance.Phase.GONE);
         intents.values().removeIf(i -> !i.asked && now - i.at > 20 * nodeSettings.beat());
         if (now - workersAt
@@ -312,6 +351,7 @@
         intent.asked = true;
         intent.at = now;
         intent.tries++;
+        long askedWith = fence;
         platform.begin(
                 controlNode.name(),
                 fence,
@@ -321,11 +361,14 @@
                 answer -> {
                     intent.asked = false;
                     intent.at = environment.now();
+                    boolean holds = controlNode.holds() && controlNode.fence() == askedWith;
                     if (answer == null || answer.status() == 429 || answer.status() >= 500) {
-                        if (intent.tries > 8) {
+                        if (intent.tries > 8 && holds) {
                             over(intent);
                         }
                         return; // it may have been done: asked again under the same nonce
+                    } else if (answer.status() != 200 && !holds) {
+                        return; // what is refused to a former holder may be done for the present one
                     }
                     over(intent);
                     if (answer.status() != 200 || answer.body() == null) {
--- a/proxy/src/test/java/saltdale/proxy/SimPlatform.java
+++ b/proxy/src/test/java/saltdale/proxy/SimPlatform.java
@@ -152,6 +152,11 @@
     long workMs = 100;
     double losesAnswers;
     boolean silent;
+    boolean refusesOldFences = true;
+    /** Hosts whose calls to the platform never come, and those whose starts and stops come late, by how much. */
+    final Set<String> unheard = new HashSet<>();
+
+    final Map<String, Long> lateMs = new HashMap<>();
     double breaks; // share of calls that a runner breaks off after it has begun
     double turnsAway;
     double unsent;
@@ -223,14 +228,18 @@
             double rate,
             Supplier<Platform.Answer> made,
             Consumer<Platform.Answer> answer) {
-        world.at(world.hop(), () -> {
+        boolean isDuty = what.equals("begin") || what.equals("stop");
+        long late = isDuty ? Environment.millis(lateMs.getOrDefault(process.machine.host, 0L)) : 0;
+        world.at(world.hop() + late, () -> {
             calls.removeIf(c -> world.now() / 1_000_000 - Long.parseLong(c.substring(0, c.indexOf(' '))) >= 1000);
             boolean over = calls.size() >= rate;
             calls.add(world.now() / 1_000_000 + " " + process.machine.host + " " + what);
             if (over) {
                 overRate.add(calls.pollLast() + " after " + calls);
             }
-            Platform.Answer reply = silent ? null : over ? new Platform.Answer(429, null) : made.get();
+            Platform.Answer reply = silent || unheard.contains(process.machine.host)
+                    ? null
+                    : over ? new Platform.Answer(429, null) : made.get();
             boolean lost = reply == null || world.chance.nextDouble() < losesAnswers;
             world.at(
                     lost ? Environment.millis(1200) : world.hop(),
@@ -311,7 +320,7 @@
         if (other != null && other != process) {
             world.faults.add("fence " + fence + " is used by two: " + other.machine.host + ", " + process.machine.host);
         }
-        Platform.Answer answer = fence < highestFence ? new Platform.Answer(403, null) : does.get();
+        Platform.Answer answer = fence < highestFence && refusesOldFences ? new Platform.Answer(403, null) : does.get();
         highestFence = Math.max(highestFence, fence);
         duties.add(new Duty(world.now(), kind, holder, fence, what, answer.status()));
         return answer;
