--- a/proxy/src/test/java/saltdale/proxy/ContactChecks.java
+++ b/proxy/src/test/java/saltdale/proxy/ContactChecks.java
@@ -11,8 +11,10 @@
 import saltdale.control.message.BallotMessage.Chosen;
 import saltdale.control.message.HeartbeatMessage.Heartbeat;
 import saltdale.control.message.Message;
-import saltdale.control.message.SessionMessage.ConfigurationNews;
-import saltdale.control.message.SessionMessage.MembersNews;
+import saltdale.control.message.SessionMessage.ConfigurationChange;
+import saltdale.control.message.SessionMessage.ConfigurationOffer;
+import saltdale.control.message.SessionMessage.MembersChange;
+import saltdale.control.message.SessionMessage.SnapshotPart;
 
 /**
  * An operator who changes the configuration all the time, and what must hold after each event of a simulated world
@@ -122,7 +124,10 @@
             if (by.controlNode() != null && by.controlNode().hasMajority() && heartbeat.version() < least) {
                 fault(from + " believes in its majority and knows version " + heartbeat.version() + " of " + least);
             }
-        } else if (message instanceof ConfigurationNews || message instanceof MembersNews) {
+        } else if (message instanceof ConfigurationChange
+                || message instanceof ConfigurationOffer
+                || message instanceof SnapshotPart
+                || message instanceof MembersChange) {
             if (isApart(from, LEASE + ON_THE_WAY)) {
                 fault(from + " hands out " + message.kind() + " though it has no contact");
             }
