--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.ToLongBiFunction;
 import saltdale.control.ControlNode;
 import saltdale.control.ControlNodeSettings;
@@ -56,14 +57,27 @@
     /** Sees each message that is sent. */
     Consumer<Message> spy = message -> {};
 
+    /** What carries the bytes of a proxy. */
+    Function<SimMachine.Process, Transport> transports;
+
     Rewriting rewriting = (from, to, message) -> message;
     /** Looks at the world after each event. */
     Runnable afterEach = () -> {};
 
     final Set<String> stalled = new HashSet<>(); // hosts whose messages leave only once they are released
     private final List<Runnable> held = new ArrayList<>();
-    ControlNodeFactory controlNodeFactory = ControlNode::new;
+    /** Sees each message that is sent, with the hosts of its sender and its receiver. */
+    interface Wire {
+        void sent(String from, String to, Message message);
+    }
+
+    Wire wire = (from, to, message) -> {};
+
     Platform.Rates rates = new Platform.Rates(26, 105, List.of("starting"));
+    boolean tellsBeforeSync; // wrong: what is written is told of at once
+    int toleratedLosses = 1; // machines
+
+    ControlNodeFactory controlNodeFactory = ControlNode::new;
     ReplicatedState newest; // the newest chosen state told
     private final PriorityQueue<Event> events =
             new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
@@ -80,6 +94,7 @@
     SimWorld(long seed) {
         chance = new SplittableRandom(seed);
         platform = new SimPlatform(this);
+        transports = platform::transport;
     }
 
     // Time.
@@ -140,6 +155,7 @@
 
     /** So many control nodes at their first start, and so many proxies spread over the zones, not yet begun. */
     SimWorld of(int keeping, int carrying) {
+        toleratedLosses = keeping / 2;
         List<String> hosts = new ArrayList<>();
         for (int i = 1; i <= keeping; i++) {
             hosts.add("10.0.0." + i);
@@ -193,6 +209,7 @@
 
     private void leaves(String from, String host, Message message) {
         spy.accept(message);
+        wire.sent(from, host, message);
         if (message instanceof Chosen news) {
             chosen(news.state());
         }
