--- a/proxy/src/main/java/saltdale/proxy/ClusterView.java
+++ b/proxy/src/main/java/saltdale/proxy/ClusterView.java
@@ -1,6 +1,7 @@
 package saltdale.proxy;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import saltdale.control.Configuration;
@@ -16,6 +17,7 @@
     private final ProxySettings settings;
     private ControlSession session;
     private Collection<Member> members = List.of();
+    private final Map<String, Map<String, Member>> owners = new HashMap<>(); // by zone and service, as asked for
     private long membersChangedAt;
     private Configuration configuration;
 
@@ -74,10 +76,14 @@
     }
 
     void members(List<Member> next) {
+        environment.note("members " + next.size() + ", new or changed: "
+                + next.stream()
+                        .filter(m -> !members.contains(m))
+                        .map(m -> m.name() + (m.leaving() ? "-" : ""))
+                        .toList());
         members = next;
+        owners.clear();
         membersChangedAt = environment.now();
-        environment.note("members " + members.size() + ": "
-                + members.stream().map(m -> m.name() + (m.leaving() ? "-" : "")).toList());
     }
 
     boolean isMember() {
@@ -90,7 +96,8 @@
 
     /** Who grants the slots of this service's instances in this zone; null where nobody does. */
     Member owner(String service, String zone) {
-        return ServiceOwnership.of(service, zone, members);
+        return owners.computeIfAbsent(zone, z -> new HashMap<>())
+                .computeIfAbsent(service, s -> ServiceOwnership.of(s, zone, members));
     }
 
     boolean isOwner(String service, String zone) {
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -11,6 +11,9 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.ToLongBiFunction;
+import saltdale.control.ControlNode;
+import saltdale.control.ControlNodeSettings;
 import saltdale.control.Environment;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Platform;
@@ -28,6 +31,18 @@
     static final long BEAT = Environment.millis(1200);
     static final String[] ZONES = {"z-a", "z-b", "z-c"};
 
+    /** Changes what is sent, as a wrong variant of the code would; null where it sends nothing. */
+    interface Rewriting {
+        Message of(String from, String to, Message message);
+    }
+
+    /** Makes the control node of a process; tests put wrong variants in its place. */
+    interface ControlNodeFactory {
+        ControlNode of(
+                Environment environment, ControlNodeSettings settings, Platform platform, Map<String, byte[]> records)
+                throws MalformedMessage;
+    }
+
     private record Event(long at, long order, Runnable what) {}
 
     final SplittableRandom chance;
@@ -41,11 +56,24 @@
     /** Sees each message that is sent. */
     Consumer<Message> spy = message -> {};
 
+    Rewriting rewriting = (from, to, message) -> message;
+    /** Looks at the world after each event. */
+    Runnable afterEach = () -> {};
+
+    final Set<String> stalled = new HashSet<>(); // hosts whose messages leave only once they are released
+    private final List<Runnable> held = new ArrayList<>();
+    ControlNodeFactory controlNodeFactory = ControlNode::new;
     Platform.Rates rates = new Platform.Rates(26, 105, List.of("starting"));
     ReplicatedState newest; // the newest chosen state told
     private final PriorityQueue<Event> events =
             new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final Map<String, Long> arrived = new HashMap<>();
+    /** Bits a second of all that a machine sends and receives, by host; machines without an entry have no limit. */
+    final Map<String, Long> linkSpeeds = new HashMap<>();
+    /** How many bytes a message takes on the links; a wrong variant makes them more. */
+    ToLongBiFunction<Message, byte[]> wireBytes = (message, bytes) -> withHeaders(bytes.length);
+
+    private final Map<String, Long> linkFreeAt = new HashMap<>(); // by host
     private long order;
     private long now = Environment.millis(1_000_000);
 
@@ -79,6 +107,7 @@
             Event next = events.poll();
             now = next.at;
             next.what.run();
+            afterEach.run();
         }
         return true;
     }
@@ -143,7 +172,26 @@
 
     // Messages.
 
-    void send(String from, String host, Message message) {
+    /** What stalled processes have sent leaves now, late and all at once. */
+    void release() {
+        stalled.clear();
+        List<Runnable> due = List.copyOf(held);
+        held.clear();
+        due.forEach(Runnable::run);
+    }
+
+    void send(String from, String host, Message original) {
+        Message message = rewriting.of(from, host, original);
+        if (message == null) {
+            return;
+        } else if (stalled.contains(from)) {
+            held.add(() -> leaves(from, host, message));
+            return;
+        }
+        leaves(from, host, message);
+    }
+
+    private void leaves(String from, String host, Message message) {
         spy.accept(message);
         if (message instanceof Chosen news) {
             chosen(news.state());
@@ -153,10 +201,45 @@
             return;
         }
         byte[] bytes = MessageCodec.encode(message);
-        // In order between two hosts; between others any.
-        long due = Math.max(now + (host.equals(from) ? 0 : hop()), arrived.getOrDefault(way, 0L));
+        if (host.equals(from)) {
+            arrives(way, host, from, bytes);
+            return;
+        }
+        long onWire = wireBytes.applyAsLong(message, bytes);
+        overLink(from, onWire, () -> travels(way, () -> overLink(host, onWire, () -> arrives(way, host, from, bytes))));
+    }
+
+    /** The frame's length and the headers of TCP and IP. */
+    static long withHeaders(long bytes) {
+        return bytes + 4 + 40 * (1 + bytes / 1460);
+    }
+
+    /** Does this once the bytes are through the machine's link, behind all that came before; at once without limit. */
+    private void overLink(String host, long bytes, Runnable then) {
+        Long speed = linkSpeeds.get(host);
+        if (speed == null) {
+            then.run();
+            return;
+        }
+        long free = Math.max(now, linkFreeAt.getOrDefault(host, 0L)) + bytes * 8 * 1_000_000_000L / speed;
+        linkFreeAt.put(host, free);
+        at(free - now, then);
+    }
+
+    /** Something else goes over a machine's link, requests and answers for instance. */
+    void occupy(String host, long bytes) {
+        overLink(host, bytes, () -> {});
+    }
+
+    /** In order between two hosts; between others any. */
+    private void travels(String way, Runnable then) {
+        long due = Math.max(now + hop(), arrived.getOrDefault(way, 0L));
         arrived.put(way, due);
-        at(due - now, () -> {
+        at(due - now, then);
+    }
+
+    private void arrives(String way, String host, String from, byte[] bytes) {
+        at(0, () -> {
             SimMachine to = machines.get(host);
             if (to != null && to.process != null && !cuts.contains(way)) {
                 SimMachine.Process process = to.process;
