--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -22,6 +22,7 @@
     /** Times the time for an acknowledgement: an operator has gone to another control node long before its 408. */
     private static final int SLOWEST_REQUEST = 4;
 
+    private static final int LEAVING_TENTHS = 7; // of the grace, for a successor to take the place of this one
     private static final byte[] NOTHING = new byte[0];
 
     private final Settings settings;
@@ -43,6 +44,7 @@
                 settings.zone,
                 settings.seeds,
                 settings.firstStart,
+                settings.toleratedLosses,
                 settings.beat,
                 settings.acknowledge,
                 settings.drain,
@@ -93,14 +95,14 @@
         environment.loop.run(() -> {});
     }
 
-    /** Told to end: duties are handed on, then it is over. */
+    /** Told to end: duties and the place among the voters are handed on, then it is over. */
     @Override
     public void end() {
         environment.loop.fromOutside(() -> {
             if (!ending) {
                 ending = true;
-                environment.loop.after(Duration.ofNanos(settings.beat), environment.loop::stop);
-                controlNode.end(() -> environment.loop.after(Duration.ofMillis(50), environment.loop::stop));
+                long within = settings.grace * LEAVING_TENTHS / 10;
+                controlNode.end(within, () -> environment.loop.after(Duration.ofMillis(50), environment.loop::stop));
             }
         });
     }
--- a/proxy/src/test/java/saltdale/control/WrongOrders.java
+++ b/proxy/src/test/java/saltdale/control/WrongOrders.java
@@ -62,7 +62,8 @@
     public ControlNode node(
             Environment environment, ControlNodeSettings settings, Platform platform, Map<String, byte[]> records)
             throws MalformedMessage {
-        return new ControlNode(environment, settings, platform, records, service());
+        return new ControlNode(
+                environment, settings, platform, records, new ControlNode.Parts(service(), VoterChanges::new));
     }
 
     private static Proposer.Step refusal(int status) {
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -93,6 +93,19 @@
         synced = new LinkedHashMap<>();
     }
 
+    /** SIGTERM, and SIGKILL after the grace; {@code gone} runs once the process has ended. */
+    void terminate(long graceMillis, Runnable gone) {
+        Process of = process;
+        Runnable ends = () -> {
+            if (process == of) {
+                kill();
+                gone.run();
+            }
+        };
+        of.deliver(() -> of.controlNode.end(graceMillis * 700_000, () -> world.at(50_000_000, ends)));
+        world.at(graceMillis * 1_000_000, ends);
+    }
+
     /** Of what was not synced some may be there, in order. */
     private void end() {
         writes.stream().limit(world.chance.nextInt(writes.size() + 1)).forEach(w -> put(w.records));
@@ -173,6 +186,7 @@
                                     zone,
                                     seeds,
                                     firstStart,
+                                    world.toleratedLosses,
                                     SimWorld.BEAT,
                                     Environment.millis(5000),
                                     Environment.millis(3000),
@@ -185,7 +199,7 @@
                             this,
                             new ProxySettings(
                                     name, host, zone, seeds, SimWorld.BEAT, 0.2, Environment.millis(10_000), 52),
-                            world.platform.transport(this));
+                            world.transports.apply(this));
                     proxy.begin();
                 }
             } catch (MalformedMessage e) {
@@ -237,7 +251,12 @@
 
         @Override
         public void persist(Map<String, byte[]> records, Consumer<Boolean> done) {
-            writes.add(new Write(new LinkedHashMap<>(records), this, done));
+            if (world.tellsBeforeSync) {
+                writes.add(new Write(new LinkedHashMap<>(records), this, whole -> {}));
+                deliver(() -> done.accept(true));
+            } else {
+                writes.add(new Write(new LinkedHashMap<>(records), this, done));
+            }
             sync();
         }
 
