The id of a control node is written with every vote

A new or wiped control node wrote its id once, apart from its votes. On a disk that was full just then the id was lost; votes synced later were counted, and after a restart the node came up under another id: a vote that a majority relied on was gone without a lost disk. Writing the id again after a beat is not enough: a vote may be synced in between. DiskTest, AgreementTest, MembershipChangeTest and TroublePairsTest green.

--- a/control/src/main/java/saltdale/control/Acceptor.java
+++ b/control/src/main/java/saltdale/control/Acceptor.java
@@ -1,5 +1,6 @@
 package saltdale.control;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -157,6 +158,8 @@
 
     private Map<String, byte[]> records(String key) {
         Map<String, byte[]> records = new LinkedHashMap<>();
+        // Guards against a vote that is synced while the write of its identity was refused: it would be lost with it.
+        records.put(ControlNode.IDENTITY, id.getBytes(StandardCharsets.UTF_8));
         records.put(
                 RECORD,
                 Trees.cbor(Fields.tree(
--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -33,7 +33,7 @@
     }
 
     private static final long SOON = Environment.millis(5); // several changes that come at once are told of once
-    private static final String IDENTITY = "identity";
+    static final String IDENTITY = "identity"; // record of the id, written with every vote too
     private static final String BEGUN = "begun"; // the state from which all began
 
     private final Environment environment;
@@ -126,7 +126,7 @@
         }
     }
 
-    /** Guards against a disk that was full at the first start: what is voted later must be found under the same id. */
+    /** Guards against a disk that is full at the first start: the id and the voters known must be found again. */
     private void persistIdentity(Map<String, byte[]> own) {
         environment.persist(own, whole -> {
             if (!whole) {
--- a/proxy/src/test/java/saltdale/proxy/DiskTest.java
+++ b/proxy/src/test/java/saltdale/proxy/DiskTest.java
@@ -48,6 +48,31 @@
         }
     }
 
+    /** A vote that counts is found again under its id, though the disk was full when the control node began. */
+    @Test
+    void aVoteOnDiskIsNeverWithoutItsIdentity() {
+        for (int seed = 0; seed < 20; seed++) {
+            SimWorld world = new SimWorld(seed).of(3, 0).begin();
+            world.run(2500);
+            assertTrue(insists(world, 0, config(1), 5000));
+            SimMachine wiped = world.controlNodes.get(seed % 3);
+            wiped.wipe();
+            wiped.disk = SimMachine.Disk.FULL;
+            wiped.start();
+            world.run(500 + world.chance.nextInt(3000));
+            wiped.heals();
+            assertTrue(insists(world, 1, config(2), 5000));
+            assertTrue(world.until(5000, () -> wiped.synced.containsKey("acceptor")), "it votes");
+            assertTrue(wiped.synced.containsKey("identity"), "seed " + seed);
+            wiped.powerOff();
+            String before = wiped.id();
+            wiped.start();
+            world.run(5000);
+            assertThat("seed " + seed, wiped.id(), is(before));
+            assertThat(world.faults, is(empty()));
+        }
+    }
+
     /** Two proposers put different texts forward in turn, faster than the disk syncs. */
     @Test
     void aTextThatIsPutAgainBeforeTheDiskIsDoneIsThereAfterALossOfPower() throws Exception {
