Whole numbers of 10^15 and more in a configuration stay whole

A revision that is a time in nanoseconds became a fraction number when the text was read, and the order got 400 however often it was sent: was refused before, taken and acknowledged again after. docs/platform.md tells of the 512 orders that are remembered.

--- a/control/src/main/java/saltdale/control/ConfigurationCodec.java
+++ b/control/src/main/java/saltdale/control/ConfigurationCodec.java
@@ -30,9 +30,8 @@
             ((Map<String, Object>) map).replaceAll((name, value) -> whole(value));
         } else if (tree instanceof List<?> list) {
             ((List<Object>) list).replaceAll(ConfigurationCodec::whole);
-        } else if (tree instanceof Number number) {
-            double value = number.doubleValue();
-            return value == Math.rint(value) && Math.abs(value) < 1e15 ? (Object) (long) value : (Object) value;
+        } else if (tree instanceof Double value) {
+            return value == Math.rint(value) && Math.abs(value) < 1e15 ? (Object) value.longValue() : (Object) value;
         }
         return tree;
     }
--- a/proxy/src/test/java/saltdale/proxy/ConfigurationOrdersTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ConfigurationOrdersTest.java
@@ -270,6 +270,23 @@
         assertThat(OrderMemory.bytes(world.newest), is(7 * remembered));
     }
 
+    @Test
+    void revisionsMayBeTimesInNanoseconds() {
+        SimWorld world = world(1, 3, ControlNode::new);
+        OrdersModel model = new OrdersModel(world);
+        world.run(2500);
+        long base = 0;
+        for (int i = 0; i < 5; i++) {
+            long revision = 1_790_000_000_000_000_001L + i * 333_333_333L;
+            OrdersModel.Order order = OrdersModel.Order.replace(base, revision, 0);
+            assertThat(sendsAgain(world, model, order), is(200));
+            assertThat(sendsAgain(world, model, order), is(200));
+            base = revision;
+        }
+        model.over();
+        assertThat(world.faults, is(empty()));
+    }
+
     @Test
     void theModelFindsAMemoryOf64Orders() {
         SimWorld world = world(1, 3, WrongOrders.FORGETS_AFTER_64::node);
