A request that is over asks for no slot, also while all that wait ask anew

Guards the loops that ask anew for all requests against one that an earlier turn of the loop has answered. ChainTest and ProxyClusterTest: run, none failed.

--- a/proxy/src/main/java/saltdale/proxy/SlotRequester.java
+++ b/proxy/src/main/java/saltdale/proxy/SlotRequester.java
@@ -162,8 +162,10 @@
     }
 
     private void askAgain(Request request) {
-        stop(request);
-        ask(request);
+        if (!request.over) {
+            stop(request);
+            ask(request);
+        }
     }
 
     /** After this proxy stood still the slots that it asked for may have been granted and taken back. */
