A proxy is told of instances that went while it had no session

A new session told instances as they are, but not those that were gone by then: an owner whose session changed at that moment counted on such an instance for as long as the service was in use.

--- a/control/src/main/java/saltdale/control/Subscriptions.java
+++ b/control/src/main/java/saltdale/control/Subscriptions.java
@@ -193,6 +193,7 @@
 
     /** Of the instances, a proxy is told those of services that it owns. */
     private void publishInstances(Subscriber to) {
+        boolean first = to.instances < 0; // what went while it had no session is told too: it may still count on it
         boolean moved = to.ownedOf != members.edition();
         List<Instance> candidates = moved ? new ArrayList<>(instances.all()) : instances.since(to.instances);
         List<Instance> news = new ArrayList<>();
@@ -200,7 +201,8 @@
             boolean owns =
                     owns(instance.service(), to.member.zone(), to) || owns(instance.service(), instance.zone(), to);
             Instance.Phase told = to.told.get(instance.id());
-            if (owns && instance.phase() != told && (told != null || instance.phase() != Instance.Phase.GONE)) {
+            boolean matters = first || told != null || instance.phase() != Instance.Phase.GONE;
+            if (owns && matters && instance.phase() != told) {
                 to.told.put(instance.id(), instance.phase());
                 news.add(instance);
             } else if (!owns && told != null) {
--- a/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
@@ -232,6 +233,26 @@
         assertThat(over, is(0));
     }
 
+    /** An instance that goes while its owner has no session is not counted on for good. */
+    @Test
+    void whatWentWhileAProxyWasCutOffIsToldToIt() {
+        for (int seed = 0; seed < 12; seed++) {
+            SimWorld world = serving(seed, 3, 3);
+            load(world, 60, 11_000);
+            world.run(3000);
+            SimPlatform.Instance lost = world.platform.live("fn").get(0);
+            lost.goneAt = world.now();
+            world.run(400 + world.chance.nextInt(1000));
+            world.controlNodes.forEach(c -> world.proxies.forEach(p -> world.cut(c, p)));
+            world.run(1300);
+            world.cuts.clear();
+            world.run(3000);
+            world.platform.notConnected.clear();
+            world.run(3000);
+            assertThat("seed " + seed, world.platform.notConnected, not(hasItem(lost.id)));
+        }
+    }
+
     @Test
     void nothingIsSentToADrainingRunnerOnceItsTimeIsOver() {
         for (int seed = 0; seed < 4; seed++) {
--- a/proxy/src/test/java/saltdale/proxy/SimPlatform.java
+++ b/proxy/src/test/java/saltdale/proxy/SimPlatform.java
@@ -140,6 +140,7 @@
     final List<OutgoingCall> all = new ArrayList<>();
     final List<Long> overLimit = new ArrayList<>(); // when a runner got more than its slots
     final List<String> overRate = new ArrayList<>(); // calls beyond the platform's rates
+    final List<String> notConnected = new ArrayList<>(); // instances that took no connection, as often
     final List<Long> afterDrain = new ArrayList<>(); // calls that reached a draining runner too late
     private final Map<String, Instance> byNonce = new HashMap<>();
     private final Map<Long, SimMachine.Process> holders = new HashMap<>(); // by fence
@@ -441,6 +442,7 @@
             return;
         }
         if (!to.takes()) {
+            notConnected.add(to.id);
             sending.tell(Attempt.End.NOT_CONNECTED);
             return;
         }
