--- a/control/src/main/java/saltdale/control/Acceptor.java
+++ b/control/src/main/java/saltdale/control/Acceptor.java
@@ -3,7 +3,9 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import saltdale.control.message.BallotMessage.Accepted;
 import saltdale.control.message.BallotMessage.Promise;
@@ -24,7 +26,7 @@
     private Ballot promised = Ballot.NONE;
     private Ballot accepted = Ballot.NONE;
     private ReplicatedState state; // null until one was accepted
-    private long versionSince = Long.MIN_VALUE / 2; // when a state of this version was first accepted
+    private final NavigableMap<Long, Long> firstAccepted = new TreeMap<>(); // by version, when; those unknown yet
     private byte[] text; // of state.textKey; null where it names none
     private String synced = ""; // the text that is on disk for certain; none while another's write may take it away
     private String writing = ""; // the text of the newest write
@@ -46,6 +48,9 @@
         promised = Ballot.of(from, "p");
         accepted = Ballot.of(from, "a");
         state = from.has("s") ? ReplicatedState.of(from.object("s")) : null;
+        if (state != null) {
+            firstAccepted.put(state.version(), Long.MIN_VALUE / 2); // before this life
+        }
         if (state != null && !state.textKey().isEmpty()) {
             text = records.get(TEXT + state.textKey());
             if (text == null) {
@@ -68,9 +73,10 @@
         return state == null ? -1 : state.version();
     }
 
-    /** When a state of that version was first accepted in this life. */
-    long versionSince() {
-        return versionSince;
+    /** When a state of a version above that was first accepted; what was accepted of it and below is forgotten. */
+    long acceptedSince(long known) {
+        firstAccepted.headMap(known, true).clear();
+        return firstAccepted.values().stream().min(Long::compare).orElse(Long.MAX_VALUE);
     }
 
     byte[] text() {
@@ -112,7 +118,8 @@
         promised = ballot;
         accepted = ballot;
         text = next.textKey().isEmpty() ? null : have ? text : newText;
-        versionSince = next.version() == version() ? versionSince : environment.now();
+        firstAccepted.tailMap(next.version(), false).clear(); // a later ballot found that these were not chosen
+        firstAccepted.putIfAbsent(next.version(), environment.now());
         state = next;
         persist(() -> reply.accept(new Accepted(id, ballot)));
     }
--- a/control/src/main/java/saltdale/control/PeerContacts.java
+++ b/control/src/main/java/saltdale/control/PeerContacts.java
@@ -214,7 +214,7 @@
 
     private long agreedAt(Voter voter) {
         if (voter.id().equals(own.id())) {
-            return register.isUndecided() ? register.undecidedSince() : environment.now();
+            return Math.min(register.undecidedSince(), environment.now());
         }
         return latest(voter, this::agreedAt);
     }
--- a/control/src/main/java/saltdale/control/ReplicatedRegister.java
+++ b/control/src/main/java/saltdale/control/ReplicatedRegister.java
@@ -75,7 +75,7 @@
 
     /** Since when that is so. */
     long undecidedSince() {
-        return acceptor.versionSince();
+        return acceptor.acceptedSince(version());
     }
 
     /** The state whose voters are asked: chosen, or the newest that may be. */
