--- a/control/src/main/java/saltdale/control/Scaler.java
+++ b/control/src/main/java/saltdale/control/Scaler.java
@@ -61,7 +61,7 @@
 
     Plan plan(
             long now,
-            Configuration chart,
+            Configuration configuration,
             Map<String, List<Demand>> demand,
             InstanceTable runners,
             List<Worker> workers,
@@ -69,11 +69,11 @@
         Plan plan = new Plan(new ArrayList<>(), new ArrayList<>());
         double allMemory = workers.stream().mapToDouble(w -> w.memory).sum();
         double warm = 0;
-        List<Configuration.Service> services = chart.services().values().stream()
+        List<Configuration.Service> services = configuration.services().values().stream()
                 .filter(Configuration.Service::isFunction)
                 .sorted(Comparator.comparing(Configuration.Service::name))
                 .toList();
-        Map<String, Long> targets = targets(chart);
+        Map<String, Long> targets = targets(configuration);
         for (Configuration.Service service : services) {
             double target = targets.getOrDefault(service.name(), 1000L) / 1000.0;
             boolean slow = service.bootMs() / 1000.0 > target;
@@ -97,9 +97,9 @@
     }
 
     /** The shortest target of the routes to each service. */
-    private static Map<String, Long> targets(Configuration chart) {
+    private static Map<String, Long> targets(Configuration configuration) {
         Map<String, Long> targets = new HashMap<>();
-        for (Configuration.Route route : chart.routes().values()) {
+        for (Configuration.Route route : configuration.routes().values()) {
             for (String service : route.services()) {
                 targets.merge(service, route.targetMs(), Math::min);
             }
--- a/storage/src/test/java/saltdale/storage/PowerCutTest.java
+++ b/storage/src/test/java/saltdale/storage/PowerCutTest.java
@@ -18,7 +18,7 @@
  */
 class PowerCutTest {
     /** How many runs; more by hand, with -Dvault.runs=N. */
-    private static final int RUNS = Integer.getInteger("vault.runs", 2);
+    private static final int RUNS = Integer.getInteger("storage.runs", 2);
 
     @TempDir
     Path folder;
@@ -43,7 +43,7 @@
             assertThat("seed " + seed + ": " + cuts + cuts.examples, cuts.faults, is(anEmptyMap()));
             all = cuts.plus(all);
         }
-        System.out.println("vault: " + all);
+        System.out.println("power cuts: " + all);
     }
 
     @Test
