Reread: comments and test names that the renames had left or garbled; an unused field gone

Cause: whole-word renames had put identifiers into prose (peerConnections, InstanceTable) and left four test names in the old words; Proposer.Round.settles was never read.

--- a/control/src/main/java/saltdale/control/Proposer.java
+++ b/control/src/main/java/saltdale/control/Proposer.java
@@ -177,7 +177,6 @@
         private ReplicatedState put;
         private byte[] putText;
         private Object answer;
-        private boolean settles;
         private final Runnable limit;
         private final long begunAt = environment.now();
 
--- a/control/src/main/java/saltdale/control/VoterChanges.java
+++ b/control/src/main/java/saltdale/control/VoterChanges.java
@@ -47,8 +47,7 @@
 
     /**
      * What is to be put forward now, null where nothing is; {@code elected}: this control node holds the duty, or
-     * nobody
-     * does; {@code leaving}: it is about to end.
+     * nobody does; {@code leaving}: it is about to end.
      */
     Proposer.Change due(ReplicatedState state, boolean elected, boolean leaving) {
         if (state.isJoint()) {
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -15,7 +15,7 @@
 import saltdale.storage.RecordStoreException;
 import saltdale.transport.Listener;
 
-/** A control node as a process: its disk, its peerConnections, and the calls of operators. */
+/** A control node as a process: its disk, its connections, and the calls of operators. */
 final class ControlProcess extends RequestHandler implements NodeProcess, PeerConnections.Reader {
     private static final int MOST_BODY = 8 << 20; // of a configuration, in bytes
 
--- a/node/src/main/java/saltdale/node/EventLoopEnvironment.java
+++ b/node/src/main/java/saltdale/node/EventLoopEnvironment.java
@@ -16,9 +16,8 @@
 import saltdale.transport.Timer;
 
 /**
- * The world of one process: its loop, its sockets, its peerConnections to the other processes and, where there is
- * one, its
- * disk.
+ * The world of one process: its loop, its sockets, its connections to the other processes and, where there is
+ * one, its disk.
  */
 final class EventLoopEnvironment implements Environment {
     /** Writes records to disk, all or none; throws where that cannot be done. */
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -21,7 +21,7 @@
 import saltdale.transport.Listener;
 import saltdale.transport.Pool;
 
-/** A proxy as a process: clients' connections, runners' connections, peerConnections to the other processes. */
+/** A proxy as a process: clients' connections, runners' connections, connections to the other processes. */
 final class ProxyProcess extends RequestHandler implements NodeProcess, PeerConnections.Reader, Transport {
     /** A client's request, as long as its request is open. */
     private record ClientRequest(Visit visit, Head head, byte[] body) {}
--- a/node/src/main/java/saltdale/node/RequestHandler.java
+++ b/node/src/main/java/saltdale/node/RequestHandler.java
@@ -4,7 +4,7 @@
 import saltdale.transport.Loop;
 import saltdale.transport.Sockets;
 
-/** Whose connections are of a environment's loop; what is asked is answered whether its caller stays or not. */
+/** Whose connections are of an environment's loop; what is asked is answered whether its caller stays or not. */
 abstract class RequestHandler implements Visit.Host {
     /** Set before anybody can connect. */
     EventLoopEnvironment environment;
--- a/proxy/src/test/java/saltdale/proxy/AgreementTest.java
+++ b/proxy/src/test/java/saltdale/proxy/AgreementTest.java
@@ -135,7 +135,7 @@
     }
 
     @Test
-    void aKeeperAtANewAddressTakesThePlaceOfOneGone() throws Exception {
+    void aControlNodeAtANewAddressTakesThePlaceOfOneGone() throws Exception {
         for (int seed = 0; seed < 10; seed++) {
             SimWorld world = world(seed, 3);
             assertTrue(insists(world, 0, config(1), 5000));
--- a/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
@@ -55,7 +55,7 @@
     // Configurations.
 
     @Test
-    void noPilotGoesBackWithinOneLife() {
+    void noProxyGoesBackWithinOneLife() {
         for (int seed = 0; seed < 6; seed++) {
             SimWorld world = serving(seed, 3, 4);
             Map<Proxy, Long> highest = new HashMap<>();
@@ -140,7 +140,7 @@
 
     @ParameterizedTest
     @ValueSource(strings = {"both", "hears", "speaks"})
-    void pilotsOfAKeeperThatIsCutOffMoveOn(String way) {
+    void proxiesOfAControlNodeThatIsCutOffMoveOn(String way) {
         for (int seed = 0; seed < 6; seed++) {
             SimWorld world = serving(seed, 3, 6);
             SimMachine off = world.controlNodes.get(seed % 3);
@@ -158,7 +158,7 @@
         }
     }
 
-    // InstanceTable.
+    // Instances.
 
     enum Trouble {
         NONE,
@@ -270,7 +270,7 @@
         }
     }
 
-    // Verdicts.
+    // Execution status.
 
     @Test
     void eachCallHasOneAnswerAndRunsOnceUnlessItMayRunAgain() {
@@ -305,7 +305,7 @@
         assertThat("what may run again does", again, greaterThan(10));
     }
 
-    // InstanceTable when they are needed.
+    // Instances when they are needed.
 
     @Test
     void theFirstCallStartsARunnerAndIsServedByIt() {
@@ -385,7 +385,7 @@
      * the last.
      */
     @Test
-    void whatWaitsAtAPilotThatEndsIsTurnedAwayInTime() {
+    void whatWaitsAtAProxyThatEndsIsTurnedAwayInTime() {
         SimWorld world = serving(3, 3, 3);
         world.platform.bootMs = 60_000; // no slot will come
         SimMachine ending = world.proxies.get(0);
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -25,7 +25,7 @@
 import saltdale.control.message.MessageCodec;
 
 /**
- * A whole cluster in one thread, all of one seed: a steady clock, peerConnections, disks, processes; runners by
+ * A whole cluster in one thread, all of one seed: a steady clock, connections, disks, processes; runners by
  * the platform.
  */
 final class SimWorld {
