Scaler: a plan's cost no longer grows by services times starts under way; plans keep a distance

Cause: for each service a plan looked through all starts under way, joining two strings for each, and a plan was made whenever a demand report came (a simulated cluster of 90 proxies sends some 600 a second to the holder). With full workers the starts that are refused pile up, and the holder's loop stood still for seconds at a time, leases and ballots with it.

Found by sampling a simulated cluster of 90 proxies, 720 functions, 450 requests a second: 68 in 100 samples stood in Scaler.fit. Ruled out: ownership of services and members in the proxies (3 in 100 samples).

StartsUnderWay counts by service, zone and worker in place of a map with joined string keys; services without demand, instances or a warm one are passed over; what is read of a configuration is read once; plans follow each other no sooner than heartbeat/48 (the first at once), so a start waits 25 ms more at most. Scaler is split by job (WantedInstances, WorkerPlacement, Worker), with the standard names; what it decides is unchanged.

--- a/control/src/main/java/saltdale/control/InstanceLifecycle.java
+++ b/control/src/main/java/saltdale/control/InstanceLifecycle.java
@@ -42,11 +42,12 @@
     private final Map<String, Long> leaving = new LinkedHashMap<>(); // runners we told to get nothing new, and when
     private final Set<String> drained = new HashSet<>(); // runners that the platform itself takes away
     private final Deque<Long> duties = new ArrayDeque<>(); // calls of the last second
-    private List<Scaler.Worker> workers = List.of();
+    private List<Worker> workers = List.of();
     private final Map<String, Double> told = new HashMap<>(); // the platform's word on free memory
     private long workersAt = Long.MIN_VALUE / 2;
     private boolean lookAgain; // for workers, sooner than usual
     private boolean looking;
+    private long plannedAt = Long.MIN_VALUE / 2;
     private long fence = -1;
     private long nonces;
     private int pages = 1;
@@ -175,17 +176,24 @@
 
     // Starting and stopping.
 
-    /** Something was heard that may want a start at once. */
+    /**
+     * Something was heard that may want a start at once. A plan costs what all services in use are, and reports come as
+     * often as there are proxies: so plans keep a distance, whatever the size of the deployment.
+     */
     void look() {
         if (!looking) {
             looking = true;
-            environment.after(0, () -> {
+            environment.after(Math.max(0, plannedAt + planGap() - environment.now()), () -> {
                 looking = false;
                 act();
             });
         }
     }
 
+    private long planGap() {
+        return nodeSettings.beat() / 48;
+    }
+
     private void turn() {
         act();
         environment.after(nodeSettings.beat() / 12, this::turn);
@@ -258,10 +266,10 @@
                 return;
             }
             try {
-                List<Scaler.Worker> all = new ArrayList<>();
+                List<Worker> all = new ArrayList<>();
                 for (Fields each : new Fields(answer.body()).objects("worker_machines")) {
                     double free = each.number("free_memory_mb");
-                    all.add(new Scaler.Worker(
+                    all.add(new Worker(
                             each.text("name"),
                             each.text("zone"),
                             each.text("state").equals("ready"),
@@ -270,7 +278,7 @@
                 }
                 workers = all;
                 told.clear();
-                all.forEach(w -> told.put(w.name, w.room));
+                all.forEach(worker -> told.put(worker.name, worker.freeMb));
             } catch (MalformedMessage e) {
                 environment.note("the platform's workers cannot be read: " + e.getMessage());
             }
@@ -288,26 +296,25 @@
             }
         }
         intents.values().forEach(i -> used.merge(i.start.worker(), (double) i.start.memoryMb(), Double::sum));
-        for (Scaler.Worker w : workers) {
-            double room = w.memory - used.getOrDefault(w.name, 0.0);
-            w.room = refused > 0 ? Math.min(room, told.getOrDefault(w.name, 0.0)) : room;
+        for (Worker worker : workers) {
+            double room = worker.memoryMb - used.getOrDefault(worker.name, 0.0);
+            worker.freeMb = refused > 0 ? Math.min(room, told.getOrDefault(worker.name, 0.0)) : room;
         }
     }
 
     private void plan(long now) {
         reckon();
-        Map<String, Integer> beginning = new HashMap<>();
-        intents.values().forEach(i -> {
-            beginning.merge(i.start.service() + "@" + i.start.zone(), 1, Integer::sum);
-            beginning.merge(i.start.service() + "#" + i.start.worker(), 1, Integer::sum);
-        });
+        plannedAt = now;
+        StartsUnderWay underWay = new StartsUnderWay();
+        intents.values()
+                .forEach(intent -> underWay.add(intent.start.service(), intent.start.zone(), intent.start.worker()));
         Scaler.Plan plan = scaler.plan(
                 now,
                 controlNode.configuration(),
                 controlNode.demand().all(now),
                 controlNode.instances(),
                 workers,
-                beginning);
+                underWay);
         List<StartIntent> news = new ArrayList<>();
         for (Scaler.Start start : plan.starts()) {
             Configuration.Service service =
--- a/control/src/main/java/saltdale/control/InstanceTable.java
+++ b/control/src/main/java/saltdale/control/InstanceTable.java
@@ -56,6 +56,10 @@
                 .toList();
     }
 
+    boolean has(String service) {
+        return !byService.getOrDefault(service, Set.of()).isEmpty();
+    }
+
     Instance get(String id) {
         Entry entry = entries.get(id);
         return entry == null ? null : entry.runner;
--- a/control/src/main/java/saltdale/control/Scaler.java
+++ b/control/src/main/java/saltdale/control/Scaler.java
@@ -1,58 +1,69 @@
 package saltdale.control;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
 
 /**
- * How many runners each service wants in each zone, and on which workers: from measured arrivals and running times. It
- * grows by what waits, and shrinks only after what was wanted has been less for as long as holding one costs a start.
+ * Decides which instances to start, on which workers, and which to stop. It grows by what waits, and shrinks only after
+ * what was wanted has been less for as long as holding an instance costs a start.
  */
 final class Scaler {
-    /**
-     * A worker machine as the platform tells; {@code room} is what is free after the starts that it may not show
-     * yet.
-     */
-    static final class Worker {
-        final String name;
-        final String zone;
-        final boolean ready;
-        final double memory;
-        double room;
+    /** An instance to be started. */
+    record Start(String service, String worker, String zone) {}
+
+    /** What is to be done now. */
+    record Plan(List<Start> starts, List<Instance> stops) {}
+
+    private record ServiceZone(String service, String zone) {}
+
+    /** What the scaler reads of a configuration; made once for each. */
+    private static final class Functions {
+        final Configuration configuration;
+        final List<Configuration.Service> byName;
+        final Map<String, Long> shortestTargetMs = new HashMap<>();
+
+        Functions(Configuration configuration) {
+            this.configuration = configuration;
+            byName = configuration.services().values().stream()
+                    .filter(Configuration.Service::isFunction)
+                    .sorted(Comparator.comparing(Configuration.Service::name))
+                    .toList();
+            for (Configuration.Route route : configuration.routes().values()) {
+                for (String service : route.services()) {
+                    shortestTargetMs.merge(service, route.targetMs(), Math::min);
+                }
+            }
+        }
 
-        Worker(String name, String zone, boolean ready, double memory, double room) {
-            this.name = name;
-            this.zone = zone;
-            this.ready = ready;
-            this.memory = memory;
-            this.room = room;
+        double targetSeconds(Configuration.Service service) {
+            return shortestTargetMs.getOrDefault(service.name(), DEFAULT_TARGET_MS) / 1000.0;
         }
     }
 
-    record Start(String service, String worker, String zone) {}
+    // Ratios, none of any deployment: see docs/platform.md.
+    /** Starts: so long an instance is held idle where a start makes no request late. */
+    private static final double HARMLESS = 2;
+    /** The same where it does. */
+    private static final double HARMFUL = 4;
+    /** Of all workers' memory that may be held warm before any request. */
+    private static final double WARM_MEMORY = 0.1;
 
-    record Plan(List<Start> starts, List<Instance> stops) {}
+    private static final long DEFAULT_TARGET_MS = 1000;
 
-    // Ratios, none of any deployment: see docs/platform.md.
-    static final double OWN_ZONE = 0.35; // of a runner's slots busy: from here a zone has runners of its own
-    static final double KEEPS_ZONE = 0.6; // of that: down to here it keeps them
-    static final double SPREAD = 1.5; // spare slots at most, in square roots of the slots busy on average
-    static final double SELDOM = 4.6; // as a logarithm: one call in a hundred waits longer than it may
-    static final double HARMLESS = 2; // starts: so long a runner is held idle where a start makes no call late
-    static final double HARMFUL = 4; // the same where it does
-    static final double WARM_MEMORY = 0.1; // of all workers' memory that may be held warm before any call
-    /** For so long after it has begun nothing is stopped: not all homes have been heard. */
+    /** For so long after it has begun nothing is stopped: not all owners have been heard. */
     private final long quiet;
 
     private final long begunAt;
 
-    /** By service and zone: counts that were wanted, each until its time. */
-    private final Map<String, TreeMap<Integer, Long>> held = new HashMap<>();
+    /** Counts that were wanted, each until its time. */
+    private final Map<ServiceZone, TreeMap<Integer, Long>> held = new HashMap<>();
+
+    private Functions functions;
 
     Scaler(long quiet, long begunAt) {
         this.quiet = quiet;
@@ -63,131 +74,51 @@
             long now,
             Configuration configuration,
             Map<String, List<Demand>> demand,
-            InstanceTable runners,
+            InstanceTable instances,
             List<Worker> workers,
-            Map<String, Integer> beginning) {
+            StartsUnderWay underWay) {
+        if (functions == null || functions.configuration != configuration) {
+            functions = new Functions(configuration);
+        }
         Plan plan = new Plan(new ArrayList<>(), new ArrayList<>());
-        double allMemory = workers.stream().mapToDouble(w -> w.memory).sum();
-        double warm = 0;
-        List<Configuration.Service> services = configuration.services().values().stream()
-                .filter(Configuration.Service::isFunction)
-                .sorted(Comparator.comparing(Configuration.Service::name))
-                .toList();
-        Map<String, Long> targets = targets(configuration);
-        for (Configuration.Service service : services) {
-            double target = targets.getOrDefault(service.name(), 1000L) / 1000.0;
+        double warmMb =
+                WARM_MEMORY * workers.stream().mapToDouble(w -> w.memoryMb).sum();
+        for (Configuration.Service service : functions.byName) {
+            List<Demand> demands = demand.getOrDefault(service.name(), List.of());
+            double target = functions.targetSeconds(service);
             boolean slow = service.bootMs() / 1000.0 > target;
-            // A start is paid for with memory while it lasts: idle runners are held for a few times that.
+            if (!slow && demands.isEmpty() && !instances.has(service.name())) {
+                continue; // as most functions are at most times
+            }
+            List<Instance> live = instances.of(service.name()).stream()
+                    .filter(instance -> instance.phase().compareTo(Instance.Phase.LEAVING) < 0)
+                    .toList();
+            // A start is paid for with memory while it lasts: idle instances are held for a few times that.
             long hold = (long) ((slow ? HARMFUL : HARMLESS) * service.bootMs() * 1e6);
-            Map<String, Integer> wanted =
-                    wanted(service, target, hold, demand.getOrDefault(service.name(), List.of()), runners);
+            Map<String, Integer> wanted = new WantedInstances(service, target, hold).byZone(demands, live);
             // What a start takes longer than callers bear is kept warm, within a part of all the memory.
-            if (slow && warm + service.memoryMb() <= WARM_MEMORY * allMemory) {
-                warm += service.memoryMb();
-                if (wanted.values().stream().mapToInt(n -> n).sum() == 0) {
-                    String zone = placeOfWarm(service, runners, workers);
-                    if (zone != null) {
-                        wanted.put(zone, 1);
-                    }
-                }
+            if (slow && service.memoryMb() <= warmMb) {
+                warmMb -= service.memoryMb();
+                keepOneWarm(service, wanted, live, workers);
             }
-            fit(now, service, hold, wanted, runners, workers, beginning, plan);
+            fit(now, service, hold, wanted, live, instances, workers, underWay, plan);
         }
         return plan;
     }
 
-    /** The shortest target of the routes to each service. */
-    private static Map<String, Long> targets(Configuration configuration) {
-        Map<String, Long> targets = new HashMap<>();
-        for (Configuration.Route route : configuration.routes().values()) {
-            for (String service : route.services()) {
-                targets.merge(service, route.targetMs(), Math::min);
-            }
-        }
-        return targets;
-    }
-
-    private static String placeOfWarm(Configuration.Service service, InstanceTable runners, List<Worker> workers) {
-        for (Instance r : runners.of(service.name())) {
-            if (r.phase().compareTo(Instance.Phase.LEAVING) < 0) {
-                return r.zone();
-            }
-        }
-        return workers.stream()
-                .filter(w -> w.ready && w.room >= service.memoryMb())
-                .max(Comparator.comparingDouble(w -> w.room))
-                .map(w -> w.zone)
-                .orElse(null);
-    }
-
-    /** By zone, how many runners the calls want now. */
-    Map<String, Integer> wanted(
-            Configuration.Service service, double target, long hold, List<Demand> needs, InstanceTable runners) {
-        Map<String, double[]> byZone = new TreeMap<>(); // average of slots busy, slots busy now, slots for what waits
-        int slots = service.maxConcurrency();
-        // One running time for all zones: a zone whose calls go elsewhere has seen none of its own.
-        double seen = needs.stream()
-                .filter(n -> n.run() > 0)
-                .mapToDouble(n -> n.rate() + 0.01)
-                .sum();
-        double run = seen == 0
-                ? target / 4
-                : needs.stream().mapToDouble(n -> n.run() * (n.rate() + 0.01)).sum() / seen;
-        // Slots that clear what waits in about the time that a start takes: more would come up when all is over.
-        double clears = Math.max(service.bootMs() / 1000.0, run) / 2;
-        if (!needs.isEmpty()) {
-            runners.of(service.name()).stream()
-                    .filter(r -> r.phase().compareTo(Instance.Phase.LEAVING) < 0)
-                    .forEach(r -> byZone.put(r.zone(), new double[3]));
-        }
-        for (Demand need : needs) {
-            double[] sum = byZone.computeIfAbsent(need.zone(), zone -> new double[3]);
-            sum[0] += need.rate() * run;
-            sum[1] += need.busy();
-            sum[2] += need.waiting() * run / clears;
+    private static void keepOneWarm(
+            Configuration.Service service, Map<String, Integer> wanted, List<Instance> live, List<Worker> workers) {
+        if (wanted.values().stream().anyMatch(count -> count > 0)) {
+            return;
         }
-        Set<String> have = runners.of(service.name()).stream()
-                .filter(r -> r.phase().compareTo(Instance.Phase.LEAVING) < 0)
-                .map(Instance::zone)
-                .collect(Collectors.toSet());
-        // Guards against runners that move to and fro: where there are some, the rest of the zones goes there.
-        String main = byZone.keySet().stream()
-                .max(Comparator.comparing((String zone) -> have.contains(zone))
-                        .thenComparing(
-                                zone -> byZone.get(zone)[0] + 0.01 * (byZone.get(zone)[1] + byZone.get(zone)[2])))
-                .orElse(null);
-        Map<String, Integer> wanted = new TreeMap<>();
-        if (main == null) {
-            return wanted;
+        if (!live.isEmpty()) {
+            wanted.put(live.get(0).zone(), 1);
+            return;
         }
-        double[] pooled = byZone.get(main).clone();
-        for (Map.Entry<String, double[]> zone : byZone.entrySet()) {
-            double[] its = zone.getValue();
-            if (zone.getKey().equals(main)) {
-                continue;
-            } else if (its[0] >= OWN_ZONE * slots * (have.contains(zone.getKey()) ? KEEPS_ZONE : 1)) {
-                wanted.put(zone.getKey(), count(its, slots, run, target));
-            } else {
-                for (int i = 0; i < pooled.length; i++) {
-                    pooled[i] += its[i];
-                }
-            }
-        }
-        double rate = needs.stream().mapToDouble(Demand::rate).sum();
-        // Between calls so rare that holding costs more than starting again, nothing is kept.
-        if (rate * hold / 1e9 < 1) {
-            pooled[0] = 0;
-        }
-        wanted.put(main, count(pooled, slots, run, target));
-        return wanted;
-    }
-
-    /** Spare slots are few where calls may wait a while: the chance of a longer wait falls by e with each run of it. */
-    private static int count(double[] need, int slots, double run, double target) {
-        double average = need[0];
-        double spare = Math.min(SPREAD * Math.sqrt(average), SELDOM * run / Math.max(run, target - run));
-        double room = average < 0.05 ? Math.min(1, average) : average + spare;
-        return (int) Math.ceil(Math.max(room + need[2], need[1]) / slots);
+        workers.stream()
+                .filter(worker -> worker.hasRoomFor(service))
+                .max(Comparator.comparingDouble(worker -> worker.freeMb))
+                .ifPresent(worker -> wanted.put(worker.zone, 1));
     }
 
     /** Starts what is missing and stops what has been too much for long enough. */
@@ -196,81 +127,55 @@
             Configuration.Service service,
             long hold,
             Map<String, Integer> wanted,
-            InstanceTable runners,
+            Collection<Instance> live,
+            InstanceTable instances,
             List<Worker> workers,
-            Map<String, Integer> beginning,
+            StartsUnderWay underWay,
             Plan plan) {
         Map<String, List<Instance>> have = new TreeMap<>();
-        for (Instance r : runners.of(service.name())) {
-            if (r.phase().compareTo(Instance.Phase.LEAVING) < 0) {
-                have.computeIfAbsent(r.zone(), zone -> new ArrayList<>()).add(r);
-            }
-        }
-        for (String zone : wanted.keySet()) {
-            have.computeIfAbsent(zone, z -> new ArrayList<>());
-        }
-        int allWanted = wanted.values().stream().mapToInt(n -> n).sum();
-        int all = have.values().stream().mapToInt(List::size).sum()
-                + beginning.entrySet().stream()
-                        .filter(b -> b.getKey().startsWith(service.name() + "@"))
-                        .mapToInt(Map.Entry::getValue)
-                        .sum();
+        live.forEach(instance ->
+                have.computeIfAbsent(instance.zone(), zone -> new ArrayList<>()).add(instance));
+        wanted.keySet().forEach(zone -> have.computeIfAbsent(zone, z -> new ArrayList<>()));
+        int allWanted = wanted.values().stream().mapToInt(count -> count).sum();
+        int all = live.size() + underWay.of(service.name());
+        WorkerPlacement placement = null;
         for (Map.Entry<String, List<Instance>> each : have.entrySet()) {
             String zone = each.getKey();
             int want = wanted.getOrDefault(zone, 0);
-            TreeMap<Integer, Long> counts = held.computeIfAbsent(service.name() + "@" + zone, k -> new TreeMap<>());
-            counts.put(want, now + hold);
-            counts.values().removeIf(until -> until <= now);
-            int keep = counts.lastKey();
-            int are = each.getValue().size() + beginning.getOrDefault(service.name() + "@" + zone, 0);
+            int keep = held(new ServiceZone(service.name(), zone), want, now, hold);
+            int are = each.getValue().size() + underWay.inZone(service.name(), zone);
             for (int i = are; i < want; i++) {
-                Worker worker = place(service, zone, runners, workers, beginning, plan);
+                placement = placement == null ? new WorkerPlacement(service, live, workers, underWay) : placement;
+                Worker worker = placement.choose(zone);
                 // Where the zone has no room another's serves, but not more of those than are wanted in all.
                 if (worker == null || !worker.zone.equals(zone) && all >= allWanted) {
                     break;
                 }
                 all++;
-                worker.room -= service.memoryMb();
-                plan.starts.add(new Start(service.name(), worker.name, worker.zone));
+                placement.take(worker);
+                plan.starts().add(new Start(service.name(), worker.name, worker.zone));
             }
-            // Who has just won the duty has not heard all homes: for as long as it holds anything it stops nothing.
+            // Who has just won the duty has not heard all owners: for as long as it holds anything it stops nothing.
             if (are > keep && now - begunAt > quiet) {
-                // The youngest first: those that are ready serve on.
-                each.getValue().stream()
-                        .sorted(Comparator.comparing((Instance r) -> r.phase())
-                                .thenComparing(r -> -runners.since(r.id())))
-                        .limit(are - keep)
-                        .forEach(plan.stops::add);
+                stop(each.getValue(), are - keep, instances, plan);
             }
         }
     }
 
-    /**
-     * Where the fewest runners of the service are, then where the most room is: a lost worker takes few of one
-     * service.
-     */
-    private static Worker place(
-            Configuration.Service service,
-            String zone,
-            InstanceTable runners,
-            List<Worker> workers,
-            Map<String, Integer> beginning,
-            Plan plan) {
-        Map<String, Integer> there = new HashMap<>();
-        runners.of(service.name()).stream()
-                .filter(r -> r.phase().compareTo(Instance.Phase.LEAVING) < 0)
-                .forEach(r -> there.merge(r.worker(), 1, Integer::sum));
-        // What is on its way there counts as well.
-        workers.forEach(
-                w -> there.merge(w.name, beginning.getOrDefault(service.name() + "#" + w.name, 0), Integer::sum));
-        plan.starts().stream()
-                .filter(s -> s.service().equals(service.name()))
-                .forEach(s -> there.merge(s.worker(), 1, Integer::sum));
-        return workers.stream()
-                .filter(w -> w.ready && w.room >= service.memoryMb())
-                .min(Comparator.comparing((Worker w) -> !w.zone.equals(zone))
-                        .thenComparing(w -> there.getOrDefault(w.name, 0))
-                        .thenComparing(w -> -w.room))
-                .orElse(null);
+    /** The most that was wanted of late. */
+    private int held(ServiceZone where, int want, long now, long hold) {
+        TreeMap<Integer, Long> counts = held.computeIfAbsent(where, k -> new TreeMap<>());
+        counts.put(want, now + hold);
+        counts.values().removeIf(until -> until <= now);
+        return counts.lastKey();
+    }
+
+    /** The youngest first: those that are ready serve on. */
+    private static void stop(List<Instance> live, int count, InstanceTable instances, Plan plan) {
+        live.stream()
+                .sorted(Comparator.comparing((Instance instance) -> instance.phase())
+                        .thenComparing(instance -> -instances.since(instance.id())))
+                .limit(count)
+                .forEach(plan.stops()::add);
     }
 }
