--- a/node/src/main/java/saltdale/node/Main.java
+++ b/node/src/main/java/saltdale/node/Main.java
@@ -10,6 +10,8 @@
 
 /** The one program of the platform: {@code proxy} carries calls, {@code control} holds the state. */
 public final class Main {
+    private static final String TRAINING = "train-archive";
+
     private Main() {}
 
     public static void main(String[] args) {
@@ -23,9 +25,10 @@
                 .description("The front for functions and their scaler. Settings: the JSON file that "
                         + Settings.VARIABLE + " names.");
         parser.addArgument("role")
-                .choices("proxy", "control")
-                .help(
-                        "proxy: carries calls; control: holds the state, takes the operators' calls, starts and stops runners");
+                .choices("proxy", "control", TRAINING)
+                .help("proxy: carries requests; control: holds the state, takes the operators' calls, starts and stops "
+                        + "instances; " + TRAINING + ": runs both for a moment on loopback, without settings, for a "
+                        + "class-data archive (-XX:ArchiveClassesAtExit)");
         parser.addArgument("--trace")
                 .action(Arguments.storeTrue())
                 .help("write every note on standard error at once, not only when something goes wrong");
@@ -39,10 +42,14 @@
         if (words.getBoolean("trace")) {
             LogRing.traced();
         }
+        String role = words.getString("role");
         try {
+            if (role.equals(TRAINING)) {
+                ClassArchiveTraining.run();
+                return 0;
+            }
             Settings settings = Settings.read(System.getenv(Settings.VARIABLE));
-            NodeProcess process =
-                    words.getString("role").equals("proxy") ? new ProxyProcess(settings) : new ControlProcess(settings);
+            NodeProcess process = role.equals("proxy") ? new ProxyProcess(settings) : new ControlProcess(settings);
             for (String signal : new String[] {"TERM", "INT"}) {
                 Signal.handle(new Signal(signal), which -> process.end());
             }
