--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -94,9 +94,9 @@
         election = new DutyElection(environment, nodeSettings, register, peers, id, life);
         voterChanges = parts.voterChanges().of(environment, nodeSettings, peers, election, id);
         configurations = parts.configurations().of(environment, nodeSettings, register, peers);
-        members = new MembershipTable(nodeSettings.memberLease() + nodeSettings.beat() * 3 / 10);
-        instances = new InstanceTable(8 * nodeSettings.beat(), 40 * nodeSettings.beat());
-        demand = new DemandTable(3 * nodeSettings.beat());
+        members = new MembershipTable(nodeSettings.memberLease() + nodeSettings.heartbeat() * 3 / 10);
+        instances = new InstanceTable(8 * nodeSettings.heartbeat(), 40 * nodeSettings.heartbeat());
+        demand = new DemandTable(3 * nodeSettings.heartbeat());
         subscriptions = new Subscriptions(
                 environment, nodeSettings, configurations.history(), members, instances, peers::hasQuorum);
         instanceLifecycle = new InstanceLifecycle(environment, this, platform, nodeSettings);
@@ -130,7 +130,7 @@
     private void persistIdentity(Map<String, byte[]> own) {
         environment.persist(own, whole -> {
             if (!whole) {
-                environment.after(nodeSettings.beat(), () -> persistIdentity(own));
+                environment.after(nodeSettings.heartbeat(), () -> persistIdentity(own));
             }
         });
     }
@@ -182,7 +182,7 @@
 
     private void heartbeat() {
         sendHeartbeats();
-        environment.after(nodeSettings.beat() / 3, this::heartbeat);
+        environment.after(nodeSettings.heartbeat() / 3, this::heartbeat);
     }
 
     private void sendHeartbeats() {
@@ -265,7 +265,7 @@
     }
 
     private void demanded(DemandReport report) {
-        demand.said(report.life(), report.demands(), environment.now());
+        demand.reported(report.life(), report.demands(), environment.now());
         PeerContacts.Peer holder = report.forwarded() ? null : election.holder();
         if (holder != null) {
             environment.send(holder.host, new DemandReport(report.life(), report.demands(), true));
@@ -332,7 +332,7 @@
     // Duties and voters.
 
     private void tick() {
-        environment.after(nodeSettings.beat() / 6, this::tick);
+        environment.after(nodeSettings.heartbeat() / 6, this::tick);
         long now = environment.now();
         boolean had = peers.watchQuorum();
         long edition = members.edition();
@@ -374,7 +374,7 @@
 
     private boolean leavesUndecided() {
         return register.isUndecided()
-                && environment.now() - register.undecidedSince() > nodeSettings.beat() / 2
+                && environment.now() - register.undecidedSince() > nodeSettings.heartbeat() / 2
                 && peers.reachesMajority();
     }
 
@@ -382,8 +382,8 @@
         proposing = true;
         // Guards against all control nodes at once: the first one's ballot spares the others theirs.
         environment.after(
-                (long) (nodeSettings.beat() / 8 * environment.chance().nextDouble()),
-                () -> register.proposeFirst(change, nodeSettings.beat(), done -> proposing = false));
+                (long) (nodeSettings.heartbeat() / 8 * environment.chance().nextDouble()),
+                () -> register.proposeFirst(change, nodeSettings.heartbeat(), done -> proposing = false));
     }
 
     /**
--- a/control/src/main/java/saltdale/control/ControlNodeSettings.java
+++ b/control/src/main/java/saltdale/control/ControlNodeSettings.java
@@ -10,7 +10,7 @@
         List<String> seeds,
         boolean firstStart,
         int toleratedLosses,
-        long beat,
+        long heartbeat,
         long acknowledge,
         long drain,
         Platform.Rates rates) {
@@ -21,7 +21,7 @@
 
     /** A control node that heard of no majority for so long answers nothing, and a duty's holder does nothing. */
     long lease() {
-        return beat + beat / 4;
+        return heartbeat + heartbeat / 4;
     }
 
     /**
@@ -29,7 +29,7 @@
      * little longer.
      */
     long memberLease() {
-        return beat + beat / 2;
+        return heartbeat + heartbeat / 2;
     }
 
     /**
@@ -37,6 +37,6 @@
      * came.
      */
     long vacancy() {
-        return lease() + beat / 2;
+        return lease() + heartbeat / 2;
     }
 }
--- a/control/src/main/java/saltdale/control/DemandTable.java
+++ b/control/src/main/java/saltdale/control/DemandTable.java
@@ -5,32 +5,29 @@
 import java.util.List;
 import java.util.Map;
 
-/**
- * What the homes say of the calls for each service in their zones; of each home only its last word counts, for a
- * while.
- */
+/** The demand that owners report for their services; of each owner only the last report counts, for a while. */
 final class DemandTable {
-    private record Word(long at, Map<String, Demand> demands) {}
+    private record Report(long at, Map<String, Demand> demands) {}
 
     private final long counts;
-    private final Map<String, Word> words = new HashMap<>(); // by member's life
+    private final Map<String, Report> reports = new HashMap<>(); // by member's life
 
     DemandTable(long counts) {
         this.counts = counts;
     }
 
-    void said(String life, List<Demand> demands, long now) {
+    void reported(String life, List<Demand> demands, long now) {
         Map<String, Demand> all = new HashMap<>();
         demands.forEach(demand -> all.put(demand.service(), demand));
-        words.put(life, new Word(now, all));
+        reports.put(life, new Report(now, all));
     }
 
-    /** By service, what all homes together say. */
+    /** By service, what all owners together report. */
     Map<String, List<Demand>> all(long now) {
-        words.values().removeIf(word -> now - word.at > counts);
+        reports.values().removeIf(report -> now - report.at > counts);
         Map<String, List<Demand>> all = new HashMap<>();
-        for (Word word : words.values()) {
-            word.demands
+        for (Report report : reports.values()) {
+            report.demands
                     .values()
                     .forEach(n -> all.computeIfAbsent(n.service(), s -> new ArrayList<>())
                             .add(n));
--- a/control/src/main/java/saltdale/control/DutyElection.java
+++ b/control/src/main/java/saltdale/control/DutyElection.java
@@ -90,7 +90,7 @@
                         ? Proposer.Step.stay(null)
                         : new Proposer.Step(
                                 newest.withDuty(STARTING, new DutyLease(null, null, mine.fence())), null, Boolean.TRUE),
-                settings.beat(),
+                settings.heartbeat(),
                 done);
     }
 
--- a/control/src/main/java/saltdale/control/Instance.java
+++ b/control/src/main/java/saltdale/control/Instance.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** One life of a runner, as known; what is known of it only moves forward. */
+/** One life of an instance, as known; what is known of it only moves forward. */
 public record Instance(String id, String service, String address, String zone, String worker, Phase phase, int slots) {
     /** In the order in which they follow one another; of two copies the later one is right. */
     public enum Phase {
@@ -36,6 +36,6 @@
                 && list.get(6) instanceof Long slots) {
             return new Instance(id, service, address, zone, worker, Phase.values()[phase.intValue()], slots.intValue());
         }
-        throw new MalformedMessage("no runner");
+        throw new MalformedMessage("is no instance");
     }
 }
--- a/control/src/main/java/saltdale/control/InstanceLifecycle.java
+++ b/control/src/main/java/saltdale/control/InstanceLifecycle.java
@@ -52,7 +52,7 @@
         this.platform = platform;
         this.nodeSettings = nodeSettings;
         listReader = new InstanceListReader(environment, controlNode, platform, nodeSettings, this::look);
-        workers = new WorkerTable(environment, platform, nodeSettings.beat());
+        workers = new WorkerTable(environment, platform, nodeSettings.heartbeat());
     }
 
     void begin() {
@@ -95,12 +95,12 @@
     }
 
     private long planGap() {
-        return nodeSettings.beat() / 48;
+        return nodeSettings.heartbeat() / 48;
     }
 
     private void turn() {
         act();
-        environment.after(nodeSettings.beat() / 12, this::turn);
+        environment.after(nodeSettings.heartbeat() / 12, this::turn);
     }
 
     private void act() {
@@ -111,14 +111,14 @@
         long now = environment.now();
         if (fence != controlNode.fence()) { // newly won: what another had begun is asked for again, and so learnt
             fence = controlNode.fence();
-            scaler = new Scaler(nodeSettings.beat() * 7 / 2, now);
+            scaler = new Scaler(nodeSettings.heartbeat() * 7 / 2, now);
             intents.values().forEach(i -> i.asked = false);
             workers.expire();
             controlNode.instances().all().stream()
                     .filter(r -> r.phase() == Instance.Phase.LEAVING && !listReader.isDrained(r.id()))
                     .forEach(r -> leaving.putIfAbsent(r.id(), now));
         }
-        if (now - toldAt > nodeSettings.beat()) {
+        if (now - toldAt > nodeSettings.heartbeat()) {
             toldAt = now;
             tellUnderWay();
         }
@@ -127,10 +127,12 @@
                 .removeIf(id -> controlNode.instances().get(id) == null
                         || listReader.isDrained(id)
                         || controlNode.instances().get(id).phase() == Instance.Phase.GONE);
-        intents.values().removeIf(i -> !i.asked && now - i.at > 20 * nodeSettings.beat());
+        intents.values().removeIf(i -> !i.asked && now - i.at > 20 * nodeSettings.heartbeat());
         workers.refresh(now, controlNode.configuration() != null);
         for (Intent intent : List.copyOf(intents.values())) {
-            if (!intent.asked && (intent.tries == 0 || now - intent.at > nodeSettings.beat() / 4) && mayCall(now)) {
+            if (!intent.asked
+                    && (intent.tries == 0 || now - intent.at > nodeSettings.heartbeat() / 4)
+                    && mayCall(now)) {
                 ask(intent, now);
             }
         }
@@ -139,7 +141,7 @@
         }
         for (Map.Entry<String, Long> each : List.copyOf(leaving.entrySet())) {
             // Proxies have had the time to send nothing more there.
-            if (now - each.getValue() > nodeSettings.beat() / 2 && mayCall(now)) {
+            if (now - each.getValue() > nodeSettings.heartbeat() / 2 && mayCall(now)) {
                 leaving.put(each.getKey(), now);
                 stop(each.getKey());
             }
--- a/control/src/main/java/saltdale/control/InstanceListReader.java
+++ b/control/src/main/java/saltdale/control/InstanceListReader.java
@@ -56,14 +56,14 @@
             return;
         }
         // Guards against lists of many pages that overlap; one of which no answer ever came does not hold up the next.
-        if (!reading || now - pageAt > PAGE_LOST * nodeSettings.beat()) {
+        if (!reading || now - pageAt > PAGE_LOST * nodeSettings.heartbeat()) {
             reading = true;
             page(null, new ArrayList<>(), 1, now);
         }
         double atLeast = controlNode.voters()
                 * (pages + 1)
                 / (SHARE_OF_RATE * nodeSettings.rates().listsPerSecond());
-        environment.after(Math.max(nodeSettings.beat() / 2, (long) (atLeast * 1e9)), this::read);
+        environment.after(Math.max(nodeSettings.heartbeat() / 2, (long) (atLeast * 1e9)), this::read);
     }
 
     private long pageGap() {
@@ -73,7 +73,7 @@
 
     private void page(String token, List<Instance> soFar, int page, long askedAt) {
         pageAt = environment.now();
-        platform.runners(token, answer -> {
+        platform.instances(token, answer -> {
             reading = false;
             if (answer == null || answer.status() != 200 || answer.body() == null) {
                 return;
--- a/control/src/main/java/saltdale/control/InstanceTable.java
+++ b/control/src/main/java/saltdale/control/InstanceTable.java
@@ -11,13 +11,12 @@
 import java.util.TreeMap;
 
 /**
- * The runners known, merged from the platform's list, from what starting them answered, and from other control
- * nodes: by
- * identifier the latest phase holds, so that copies merged in any order come out alike.
+ * The instances known, merged from the platform's list, from what starting them answered, and from other control
+ * nodes: by identifier the latest phase holds, so that copies merged in any order come out alike.
  */
 final class InstanceTable {
     private static final class Entry {
-        Instance runner;
+        Instance instance;
         boolean listed; // the platform's list has shown it
         long since; // when it came into its phase, as far as we know
         long edition;
@@ -25,20 +24,20 @@
 
     /** So long what is gone is remembered, so that late news does not bring it back. */
     private final long forget;
-    /** So long a runner that was started may take to be listed. */
-    private final long patience;
+    /** So long an instance that was started may take to be listed. */
+    private final long listedWithin;
 
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final Map<String, Set<String>> byService = new HashMap<>();
     private final TreeMap<Long, Entry> byEdition = new TreeMap<>();
     private long edition;
 
-    InstanceTable(long patience, long forget) {
-        this.patience = patience;
+    InstanceTable(long listedWithin, long forget) {
+        this.listedWithin = listedWithin;
         this.forget = forget;
     }
 
-    /** Grows with each change of any runner. */
+    /** Grows with each change of any instance. */
     long edition() {
         return edition;
     }
@@ -46,13 +45,13 @@
     /** Those that have changed since that edition. */
     List<Instance> since(long then) {
         return byEdition.tailMap(then, false).values().stream()
-                .map(e -> e.runner)
+                .map(e -> e.instance)
                 .toList();
     }
 
     Collection<Instance> of(String service) {
         return byService.getOrDefault(service, Set.of()).stream()
-                .map(id -> entries.get(id).runner)
+                .map(id -> entries.get(id).instance)
                 .toList();
     }
 
@@ -62,7 +61,7 @@
 
     Instance get(String id) {
         Entry entry = entries.get(id);
-        return entry == null ? null : entry.runner;
+        return entry == null ? null : entry.instance;
     }
 
     long since(String id) {
@@ -70,7 +69,7 @@
     }
 
     Collection<Instance> all() {
-        return entries.values().stream().map(e -> e.runner).toList();
+        return entries.values().stream().map(e -> e.instance).toList();
     }
 
     /** Takes over what is newer in this copy; whether anything was. */
@@ -80,10 +79,10 @@
             entry = new Entry();
             entries.put(copy.id(), entry);
             byService.computeIfAbsent(copy.service(), s -> new HashSet<>()).add(copy.id());
-        } else if (copy.phase().compareTo(entry.runner.phase()) <= 0) {
+        } else if (copy.phase().compareTo(entry.instance.phase()) <= 0) {
             return false;
         }
-        entry.runner = copy;
+        entry.instance = copy;
         entry.since = now;
         byEdition.remove(entry.edition);
         entry.edition = ++edition;
@@ -103,16 +102,21 @@
             entries.get(each.id()).listed = true;
         }
         for (Entry entry : List.copyOf(entries.values())) {
-            Instance r = entry.runner;
-            boolean overdue = entry.listed || now - entry.since > patience;
-            if (r.phase() != Instance.Phase.GONE && !seen.contains(r.id()) && overdue && entry.since < askedAt) {
-                Instance gone = r.at(Instance.Phase.GONE);
+            Instance known = entry.instance;
+            boolean overdue = entry.listed || now - entry.since > listedWithin;
+            if (known.phase() != Instance.Phase.GONE
+                    && !seen.contains(known.id())
+                    && overdue
+                    && entry.since < askedAt) {
+                Instance gone = known.at(Instance.Phase.GONE);
                 merge(gone, now);
                 changed.add(gone);
-            } else if (r.phase() == Instance.Phase.GONE && now - entry.since > forget && !seen.contains(r.id())) {
-                entries.remove(r.id());
+            } else if (known.phase() == Instance.Phase.GONE
+                    && now - entry.since > forget
+                    && !seen.contains(known.id())) {
+                entries.remove(known.id());
                 byEdition.remove(entry.edition);
-                byService.get(r.service()).remove(r.id());
+                byService.get(known.service()).remove(known.id());
             }
         }
         return changed;
--- a/control/src/main/java/saltdale/control/MembershipTable.java
+++ b/control/src/main/java/saltdale/control/MembershipTable.java
@@ -119,7 +119,7 @@
                 .toList();
     }
 
-    /** Lives that are over by what another control node knows: two of a mind, or both would have homes of their own. */
+    /** Lives that are over by what another control node knows: agreed, or both would count other owners. */
     void areOver(List<String> lives, long now) {
         for (String life : lives) {
             if (ended.putIfAbsent(life, now) == null && leases.remove(life) != null) {
--- a/control/src/main/java/saltdale/control/PeerContacts.java
+++ b/control/src/main/java/saltdale/control/PeerContacts.java
@@ -110,7 +110,7 @@
         for (String host : to) {
             Peer peer = peer(host);
             peer.sentAt.put(heartbeats, now);
-            peer.sentAt.values().removeIf(at -> now - at > REMEMBERED_HEARTBEATS * settings.beat());
+            peer.sentAt.values().removeIf(at -> now - at > REMEMBERED_HEARTBEATS * settings.heartbeat());
             environment.send(host, new Heartbeat(own, heartbeats, register.version(), leaving, renewals, ended));
         }
         peers.values().removeIf(peer -> isForgotten(peer, basis, now));
@@ -123,7 +123,7 @@
                         .anyMatch(v -> v.host().equals(peer.host));
         return !votes
                 && !settings.seeds().contains(peer.host)
-                && now - peer.heardAt > FORGOTTEN_AFTER * settings.beat();
+                && now - peer.heardAt > FORGOTTEN_AFTER * settings.heartbeat();
     }
 
     /** Takes note of another's heartbeat and acknowledges it. */
@@ -139,7 +139,8 @@
         Long sent = peer.sentAt.remove(ack.number());
         if (sent != null) {
             peer.reachedAt = Math.max(peer.reachedAt, sent);
-            peer.ahead.removeIf(answer -> environment.now() - answer.sentAt > REMEMBERED_HEARTBEATS * settings.beat());
+            peer.ahead.removeIf(
+                    answer -> environment.now() - answer.sentAt > REMEMBERED_HEARTBEATS * settings.heartbeat());
             peer.ahead.add(new Answer(sent, ack.accepted()));
         }
     }
@@ -187,7 +188,7 @@
      * stood still or was cut off takes its own silence for theirs until then.
      */
     boolean hasSteadyQuorum() {
-        return hadQuorum && hasQuorum() && environment.now() - quorumSince > settings.beat();
+        return hadQuorum && hasQuorum() && environment.now() - quorumSince > settings.heartbeat();
     }
 
     /** Whether a majority answers at all, though it may have accepted what is unknown here. */
--- a/control/src/main/java/saltdale/control/Platform.java
+++ b/control/src/main/java/saltdale/control/Platform.java
@@ -4,13 +4,13 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
-/** The platform that runs workers and runners. Answers are null where none came; they come in the role's own thread. */
+/** The platform that runs workers and instances. Answers are null where none came; they come in the role's own thread. */
 public interface Platform {
     /** An answer: its status and, where there was one, its body. */
     record Answer(int status, Map<String, Object> body) {}
 
-    /** A page of the list of runners; {@code token} is null for the first. */
-    void runners(String token, Consumer<Answer> answer);
+    /** A page of the list of instances; {@code token} is null for the first. */
+    void instances(String token, Consumer<Answer> answer);
 
     void workers(Consumer<Answer> answer);
 
--- a/control/src/main/java/saltdale/control/ServiceOwnership.java
+++ b/control/src/main/java/saltdale/control/ServiceOwnership.java
@@ -3,13 +3,13 @@
 import java.util.Collection;
 
 /**
- * Which member of a zone is home to a service: alike at all who know the same members, and few move with one of
- * them.
+ * Which member of a zone owns a service, by rendezvous hashing: alike at all who know the same members, and few services
+ * move with one of them.
  */
 public final class ServiceOwnership {
     private ServiceOwnership() {}
 
-    /** The home of the service's runners in this zone; where the zone has no member, one of another adopts them. */
+    /** The owner of the service's instances in this zone; where the zone has no member, one of another adopts them. */
     public static Member of(String service, String zone, Collection<Member> members) {
         Member own = heaviest(service, zone, members);
         return own == null ? heaviest(service, null, members) : own;
--- a/control/src/main/java/saltdale/control/Subscriptions.java
+++ b/control/src/main/java/saltdale/control/Subscriptions.java
@@ -133,7 +133,7 @@
     /** Sends each what has changed for it. */
     void publish() {
         long now = environment.now();
-        subscribers.values().removeIf(subscriber -> now - subscriber.heardAt > 4 * settings.beat());
+        subscribers.values().removeIf(subscriber -> now - subscriber.heardAt > 4 * settings.heartbeat());
         subscribers.values().forEach(this::publish);
     }
 
--- a/control/src/main/java/saltdale/control/VoterChanges.java
+++ b/control/src/main/java/saltdale/control/VoterChanges.java
@@ -71,7 +71,7 @@
             jointVersion = joint.version();
             jointSince = environment.now();
         }
-        return elected || environment.now() - jointSince > settings.beat() / 2;
+        return elected || environment.now() - jointSince > settings.heartbeat() / 2;
     }
 
     /** Whether this control node, about to end, should wait: another can take its place but has not yet done so. */
@@ -120,7 +120,7 @@
             return true;
         }
         long pairSince = Math.max(spareSince(candidates.get(0)), spareSince(candidates.get(1)));
-        return voters.size() + 2 <= MOST_VOTERS && environment.now() - pairSince > SPARE_FOR * settings.beat();
+        return voters.size() + 2 <= MOST_VOTERS && environment.now() - pairSince > SPARE_FOR * settings.heartbeat();
     }
 
     /** Of more voters than needed, two that are gone and have no successor vote no longer. */
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -45,7 +45,7 @@
                 settings.seeds,
                 settings.firstStart,
                 settings.toleratedLosses,
-                settings.beat,
+                settings.heartbeat,
                 settings.acknowledge,
                 settings.drain,
                 settings.rates);
--- a/node/src/main/java/saltdale/node/EventLoopEnvironment.java
+++ b/node/src/main/java/saltdale/node/EventLoopEnvironment.java
@@ -41,7 +41,7 @@
         ring = new LogRing(() -> loop.clock().toMillis());
         sockets = new Sockets(loop, Math.max(64, settings.descriptors - OTHER_DESCRIPTORS));
         peerConnections = new PeerConnections(
-                loop, sockets, settings.host, settings.port, Duration.ofNanos(settings.beat * 2 / 3), reader);
+                loop, sockets, settings.host, settings.port, Duration.ofNanos(settings.heartbeat * 2 / 3), reader);
         this.disk = disk;
         writer = disk == null
                 ? null
--- a/node/src/main/java/saltdale/node/PlatformClient.java
+++ b/node/src/main/java/saltdale/node/PlatformClient.java
@@ -32,7 +32,7 @@
     }
 
     @Override
-    public void runners(String token, Consumer<Answer> answer) {
+    public void instances(String token, Consumer<Answer> answer) {
         get(token == null ? "/runners" : "/runners?page_token=" + token, answer);
     }
 
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -21,7 +21,7 @@
 import saltdale.transport.Listener;
 import saltdale.transport.Pool;
 
-/** A proxy as a process: clients' connections, runners' connections, connections to the other processes. */
+/** A proxy as a process: clients' connections, instances' connections, connections to the other processes. */
 final class ProxyProcess extends RequestHandler implements NodeProcess, PeerConnections.Reader, Transport {
     /** A client's request, as long as its request is open. */
     private record ClientRequest(Visit visit, Head head, byte[] body) {}
@@ -49,7 +49,7 @@
                         settings.host,
                         settings.zone,
                         settings.seeds,
-                        settings.beat,
+                        settings.heartbeat,
                         settings.retryRatio,
                         settings.retryWindow,
                         settings.retrySlack),
@@ -288,7 +288,7 @@
     }
 
     @Override
-    public void tryRunner(String id, String address) {
+    public void tryConnection(String id, String address) {
         if (Address.parse(address) == null) {
             return;
         }
--- a/node/src/main/java/saltdale/node/Settings.java
+++ b/node/src/main/java/saltdale/node/Settings.java
@@ -36,7 +36,7 @@
     final int toleratedLosses; // machines
     final int descriptors;
     final Path data; // null without a disk
-    final long beat;
+    final long heartbeat;
     final long acknowledge;
     final long drain;
     final long grace;
@@ -74,7 +74,7 @@
         Fields limits = from.has("limits") ? from.object("limits") : Fields.of(java.util.Map.of());
         descriptors = (int) limits.whole("file_descriptors", 1024);
         data = from.has("data_directory") ? Path.of(from.text("data_directory")) : null;
-        beat = millis(from, "heartbeat_interval_ms", 1200);
+        heartbeat = millis(from, "heartbeat_interval_ms", 1200);
         Fields bounds = from.has("bounds") ? from.object("bounds") : Fields.of(java.util.Map.of());
         acknowledge = millis(bounds, "acknowledge_ms", 5000);
         drain = millis(bounds, "drain_ms", 3000);
--- a/node/src/main/java/saltdale/node/UpstreamExchange.java
+++ b/node/src/main/java/saltdale/node/UpstreamExchange.java
@@ -9,7 +9,7 @@
 import saltdale.proxy.Attempt;
 import saltdale.transport.Connection;
 
-/** One attempt on its connection: what goes to the runner, and whether what comes back is its whole answer. */
+/** One attempt on its connection: what goes to the instance, and whether what comes back is its whole answer. */
 class UpstreamExchange implements Connection.Owner {
     interface Ended {
         void ended(UpstreamExchange exchange, Attempt.End end);
@@ -19,7 +19,7 @@
             HttpWriter.and(HttpWriter.HOP, "x-saltdale-deadline-remaining", "x-saltdale-expected-runner");
     private static final Set<String> KEPT = Set.of("x-saltdale-attempt-id");
     private static final String ATTEMPT_ID = "X-Saltdale-Attempt-Id";
-    /** Statuses that promise that nothing ran: only with the runner's word for it are they handed on as that. */
+    /** Statuses that promise that nothing ran: only with the instance's word for it are they handed on as that. */
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
     private static final byte[] NO_BODY = new byte[0];
@@ -180,7 +180,7 @@
         told.ended(this, how);
     }
 
-    /** Less than the runner says that it keeps an idle connection, so that nothing is sent as it closes one. */
+    /** Less than the instance says that it keeps an idle connection, so that nothing is sent as it closes one. */
     private Duration keeps() {
         String said = parser.head().header("Keep-Alive");
         int at = said == null ? -1 : said.indexOf("timeout=");
--- a/node/src/test/java/saltdale/node/ChainModel.java
+++ b/node/src/test/java/saltdale/node/ChainModel.java
@@ -277,7 +277,7 @@
         }
 
         @Override
-        public void tryRunner(String id, String address) {
+        public void tryConnection(String id, String address) {
             cluster.at(
                     2 * cluster.hop(),
                     () -> cluster.deliver(
--- a/node/src/test/java/saltdale/node/SettingsTest.java
+++ b/node/src/test/java/saltdale/node/SettingsTest.java
@@ -34,7 +34,7 @@
         Settings settings = read(WHOLE);
         assertThat(settings.seeds, contains("10.1.0.6", "10.2.0.27"));
         assertThat(settings.port, is(7400));
-        assertThat(settings.beat, is(1_200_000_000L));
+        assertThat(settings.heartbeat, is(1_200_000_000L));
         assertThat(settings.firstStart, is(true));
         assertThat(settings.rates.listsPerSecond(), is(26.0));
     }
--- a/proxy/src/main/java/saltdale/proxy/BootingInstances.java
+++ b/proxy/src/main/java/saltdale/proxy/BootingInstances.java
@@ -48,7 +48,7 @@
                 && allocator.slots(slots.instance.id()) == slots
                 && isBooting(slots);
         if (still) {
-            transport.tryRunner(slots.instance.id(), slots.instance.address());
+            transport.tryConnection(slots.instance.id(), slots.instance.address());
         } else {
             slots.trying = false;
         }
--- a/proxy/src/main/java/saltdale/proxy/ControlSession.java
+++ b/proxy/src/main/java/saltdale/proxy/ControlSession.java
@@ -99,17 +99,17 @@
 
     private void turn() {
         long now = environment.now();
-        if (now - heardAt > proxySettings.beat() * 2 / 3) {
+        if (now - heardAt > proxySettings.heartbeat() * 2 / 3) {
             move();
         }
         // Until the first grant has come it asks more often: a control node may start later than we do.
-        if (!granted || now - renewedAt >= proxySettings.beat() / 4) {
+        if (!granted || now - renewedAt >= proxySettings.heartbeat() / 4) {
             renew();
         }
-        if (fetches && now - fetchedAt >= proxySettings.beat() / 4) {
+        if (fetches && now - fetchedAt >= proxySettings.heartbeat() / 4) {
             fetch(); // what was asked for, or the answer, is lost
         }
-        environment.after(proxySettings.beat() / 8, this::turn);
+        environment.after(proxySettings.heartbeat() / 8, this::turn);
     }
 
     /** Another control node, another session. */
@@ -142,7 +142,7 @@
         long now = environment.now();
         renewedAt = now;
         sentAt.put(++count, now);
-        sentAt.values().removeIf(at -> now - at > 4 * proxySettings.beat());
+        sentAt.values().removeIf(at -> now - at > 4 * proxySettings.heartbeat());
         environment.send(
                 controlNode,
                 new LeaseRenewal(
--- a/proxy/src/main/java/saltdale/proxy/ExecutionStatus.java
+++ b/proxy/src/main/java/saltdale/proxy/ExecutionStatus.java
@@ -9,7 +9,7 @@
     /** An instance's own answer says that it ran. */
     RAN;
 
-    /** Whether the request may go to a runner again. */
+    /** Whether the request may go to an instance again. */
     public boolean allowsAnother(boolean idempotent) {
         return this == NOT_RUN || idempotent && this == MAY_HAVE_RUN;
     }
--- a/proxy/src/main/java/saltdale/proxy/Proxy.java
+++ b/proxy/src/main/java/saltdale/proxy/Proxy.java
@@ -42,7 +42,7 @@
         this.settings = settings;
         this.transport = transport;
         cluster = new ClusterView(environment, settings);
-        ownedServices = new OwnedServices(environment, cluster, transport, settings.beat());
+        ownedServices = new OwnedServices(environment, cluster, transport, settings.heartbeat());
         requests = new RequestLifecycle(environment, settings, cluster, ownedServices, transport);
         slotRequester = requests.slotRequester();
         ownedServices.ownAnswers(slotRequester);
@@ -57,14 +57,14 @@
 
     private void turn() {
         awake();
-        environment.after(settings.beat() / 6, this::turn);
+        environment.after(settings.heartbeat() / 6, this::turn);
         ownedServices.turn();
     }
 
     /** After it stood still the slots it asked for may have been granted and taken back: it asks anew. */
     private void awake() {
         long now = environment.now();
-        boolean stoodStill = now - awakeAt > settings.beat();
+        boolean stoodStill = now - awakeAt > settings.heartbeat();
         awakeAt = now;
         if (stoodStill) {
             slotRequester.askAllAgain();
--- a/proxy/src/main/java/saltdale/proxy/ProxySettings.java
+++ b/proxy/src/main/java/saltdale/proxy/ProxySettings.java
@@ -8,7 +8,7 @@
         String host,
         String zone,
         List<String> seeds,
-        long beat,
+        long heartbeat,
         double retryRatio,
         long retryWindow,
         double retrySlack) {}
--- a/proxy/src/main/java/saltdale/proxy/RequestLifecycle.java
+++ b/proxy/src/main/java/saltdale/proxy/RequestLifecycle.java
@@ -41,7 +41,7 @@
         this.ownedServices = ownedServices;
         this.transport = transport;
         retryBudget = new RetryBudget(settings.retryRatio(), settings.retryWindow(), settings.retrySlack());
-        slotRequester = new SlotRequester(environment, cluster, ownedServices, this, settings.beat());
+        slotRequester = new SlotRequester(environment, cluster, ownedServices, this, settings.heartbeat());
     }
 
     SlotRequester slotRequester() {
--- a/proxy/src/main/java/saltdale/proxy/Transport.java
+++ b/proxy/src/main/java/saltdale/proxy/Transport.java
@@ -15,7 +15,7 @@
     void refuse(Request request, int status, long pauseMillis, String why);
 
     /** Tries whether an instance that is starting takes connections; tells by {@link Proxy#tried}. */
-    void tryRunner(String id, String address);
+    void tryConnection(String id, String address);
 
     /** Nothing goes to this instance any more. */
     void forget(String id);
--- a/proxy/src/test/java/saltdale/proxy/SimPlatform.java
+++ b/proxy/src/test/java/saltdale/proxy/SimPlatform.java
@@ -176,7 +176,7 @@
     Platform of(SimMachine.Process process) {
         return new Platform() {
             @Override
-            public void runners(String token, Consumer<Answer> answer) {
+            public void instances(String token, Consumer<Answer> answer) {
                 asked(
                         process,
                         "list" + (token == null ? "" : token),
@@ -431,7 +431,7 @@
             }
 
             @Override
-            public void tryRunner(String id, String address) {
+            public void tryConnection(String id, String address) {
                 world.at(
                         2 * world.hop(),
                         () -> process.deliver(
