A vote on disk is never without the first voters: full disks at the first start, then a loss of power

Known from rereading, now brought about: all disks are full when the system first starts, heal, and all machines lose power as soon as some have voted. The id went with the vote, the record of the first voters did not; such a node knew nobody to ask, and with two of these no configuration was ever taken again. Both records go with each vote until one is synced whole; later votes write less than before (the id went with every one).

Ruled out: that the node learns its voters by heartbeats (the others are as ignorant as it is).

--- a/control/src/main/java/saltdale/control/Acceptor.java
+++ b/control/src/main/java/saltdale/control/Acceptor.java
@@ -1,6 +1,5 @@
 package saltdale.control;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -26,6 +25,7 @@
 
     private final Environment environment;
     private final String id;
+    private final Map<String, byte[]> origin = new LinkedHashMap<>(); // records without which a vote is of no use
     private Ballot promised = Ballot.NONE;
     private Ballot accepted = Ballot.NONE;
     private ReplicatedState state; // null until one was accepted
@@ -43,6 +43,14 @@
         this.id = id;
     }
 
+    /**
+     * Records that go with each vote until one is synced: the id, and the first voters. Guards against a vote that is
+     * synced while their own write was refused: it would be lost with them.
+     */
+    void writeWithVotes(Map<String, byte[]> records) {
+        origin.putAll(records);
+    }
+
     /** Takes over what was synced before. */
     void restore(Map<String, byte[]> records) throws MalformedMessage {
         byte[] record = records.get(RECORD);
@@ -154,6 +162,7 @@
                 written.removeIf(each -> !each.equals(key));
             }
             if (whole) {
+                origin.clear(); // they are on disk now
                 replies.forEach(Runnable::run);
             }
             diskBusy = false;
@@ -165,8 +174,7 @@
 
     private Map<String, byte[]> records(String key) {
         Map<String, byte[]> records = new LinkedHashMap<>();
-        // Guards against a vote that is synced while the write of its identity was refused: it would be lost with it.
-        records.put(ControlNode.IDENTITY, id.getBytes(StandardCharsets.UTF_8));
+        records.putAll(origin);
         records.put(
                 RECORD,
                 Trees.cbor(Fields.tree(
--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -33,7 +33,7 @@
     }
 
     private static final long SOON = Environment.millis(5); // several changes that come at once are told of once
-    static final String IDENTITY = "identity"; // record of the id, written with every vote too
+    static final String IDENTITY = "identity"; // record of the id
     private static final String BEGUN = "begun"; // the state from which all began
 
     private final Environment environment;
@@ -122,6 +122,7 @@
                 // Guards against all being killed before any has accepted a state: none would know whom to ask.
                 own.put(BEGUN, Trees.cbor(begun.tree()));
             }
+            register.writeWithVotes(own);
             persistIdentity(own);
         }
     }
--- a/control/src/main/java/saltdale/control/ReplicatedRegister.java
+++ b/control/src/main/java/saltdale/control/ReplicatedRegister.java
@@ -42,6 +42,11 @@
         }
     }
 
+    /** See {@link Acceptor#writeWithVotes}. */
+    void writeWithVotes(Map<String, byte[]> records) {
+        acceptor.writeWithVotes(records);
+    }
+
     /** The first start of all, whose voters all know. */
     void first(ReplicatedState state) {
         if (acceptor.state() == null) {
--- a/proxy/src/test/java/saltdale/proxy/DiskTest.java
+++ b/proxy/src/test/java/saltdale/proxy/DiskTest.java
@@ -73,6 +73,31 @@
         }
     }
 
+    /** The disks are full at the first start, heal, and all lose power as soon as they have voted. */
+    @Test
+    void whoVotedKnowsTheFirstVoters() {
+        for (int seed = 0; seed < 20; seed++) {
+            SimWorld world = new SimWorld(seed).of(3, 0);
+            world.controlNodes.forEach(controlNode -> controlNode.disk = SimMachine.Disk.FULL);
+            world.begin().run(1000 + world.chance.nextInt(1000));
+            world.controlNodes.forEach(SimMachine::heals);
+            int votes = 1 + seed % 3;
+            assertTrue(world.until(5000, () -> votedOnDisk(world) >= votes), "seed " + seed);
+            world.controlNodes.forEach(SimMachine::powerOff);
+            world.run(500);
+            world.controlNodes.forEach(SimMachine::start);
+            world.run(2500);
+            assertTrue(insists(world, 0, config(1), 5000), "seed " + seed);
+            assertThat("seed " + seed, world.faults, is(empty()));
+        }
+    }
+
+    private static long votedOnDisk(SimWorld world) {
+        return world.controlNodes.stream()
+                .filter(controlNode -> controlNode.synced.containsKey("acceptor"))
+                .count();
+    }
+
     /** Two proposers put different texts forward in turn, faster than the disk syncs. */
     @Test
     void aTextThatIsPutAgainBeforeTheDiskIsDoneIsThereAfterALossOfPower() throws Exception {
