Simulated clusters: instance in place of runner, names of what their parameters count

Old words in SimPlatform, SimWorld, SimMachine, SimCluster and UpstreamExchangeTest; assertions are the same under the new names.

--- a/node/src/test/java/saltdale/node/UpstreamExchangeTest.java
+++ b/node/src/test/java/saltdale/node/UpstreamExchangeTest.java
@@ -30,7 +30,7 @@
 import saltdale.transport.Sockets;
 
 /**
- * What is made of the bytes that a runner sends: nothing reaches a client but the runner's whole answer to its
+ * What is made of the bytes that an instance sends: nothing reaches a client but the instance's whole answer to its
  * request.
  */
 @Timeout(20)
@@ -39,25 +39,25 @@
             + "X-Saltdale-Deadline-Remaining: 900\r\nX-Saltdale-Expected-Runner: i-9\r\nConnection: x-drop\r\nX-Drop: 1\r\n"
             + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
 
-    private String sent; // what the runner read
+    private String sent; // what the instance read
     private UpstreamExchange exchange;
 
-    /** The end of an exchange with a runner that reads the request, writes this and closes. */
+    /** The end of an exchange with an instance that reads the request, writes this and closes. */
     private Attempt.End end(String answer) throws Exception {
-        try (ServerSocket runner = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            CompletableFuture<String> read = CompletableFuture.supplyAsync(() -> serve(runner, answer));
+        try (ServerSocket instance = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<String> read = CompletableFuture.supplyAsync(() -> serve(instance, answer));
             Loop loop = new Loop();
-            Attempt.End end = exchange(loop, connections(loop, runner), Attempts.of("me", "127.0.0.1:1"));
+            Attempt.End end = exchange(loop, connections(loop, instance), Attempts.of("me", "127.0.0.1:1"));
             sent = read.get(10, TimeUnit.SECONDS);
             return end;
         }
     }
 
-    private static PooledConnections connections(Loop loop, ServerSocket runner) {
+    private static PooledConnections connections(Loop loop, ServerSocket instance) {
         return new PooledConnections(new Pool(
                 loop,
                 new Sockets(loop, 16),
-                (InetSocketAddress) runner.getLocalSocketAddress(),
+                (InetSocketAddress) instance.getLocalSocketAddress(),
                 Duration.ofSeconds(2),
                 Duration.ofSeconds(2)));
     }
@@ -93,10 +93,10 @@
             })
     void aLateRefusalIsNotTakenForOurs(Attempt.End expected, boolean idempotent, String second) throws Exception {
         String first = "HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: first|X-Saltdale-Runner-Seal: s|Content-Length: 0||";
-        try (ServerSocket runner = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            CompletableFuture<String> served = CompletableFuture.supplyAsync(() -> serve(runner, first, second));
+        try (ServerSocket instance = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<String> served = CompletableFuture.supplyAsync(() -> serve(instance, first, second));
             Loop loop = new Loop();
-            PooledConnections connections = connections(loop, runner);
+            PooledConnections connections = connections(loop, instance);
             assertThat(exchange(loop, connections, Attempts.of("first", "127.0.0.1:1")), is(Attempt.End.ANSWERED));
             Attempt attempt = Attempts.of("me", "127.0.0.1:1", idempotent);
             assertThat(exchange(loop, connections, attempt), is(expected));
@@ -108,13 +108,13 @@
     @Test
     void noConnectionCarriesTheSameIdTwice() throws Exception {
         String answer = "HTTP/1.1 200 OK|X-Saltdale-Attempt-Id: me|X-Saltdale-Runner-Seal: s|Content-Length: 0||";
-        try (ServerSocket runner = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
+        try (ServerSocket instance = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
             CompletableFuture<String> served = CompletableFuture.supplyAsync(() -> {
-                serve(runner, answer, "unused");
-                return serve(runner, answer);
+                serve(instance, answer, "unused");
+                return serve(instance, answer);
             });
             Loop loop = new Loop();
-            PooledConnections connections = connections(loop, runner);
+            PooledConnections connections = connections(loop, instance);
             for (int i = 0; i < 2; i++) {
                 Attempt attempt = Attempts.of("me", "127.0.0.1:1");
                 assertThat(exchange(loop, connections, attempt), is(Attempt.End.ANSWERED));
@@ -124,8 +124,8 @@
     }
 
     /** Answers so many requests on one connection, then closes it. */
-    private static String serve(ServerSocket runner, String... answers) {
-        try (Socket socket = runner.accept()) {
+    private static String serve(ServerSocket instance, String... answers) {
+        try (Socket socket = instance.accept()) {
             String got = "";
             for (String answer : answers) {
                 got = readRequest(socket);
@@ -178,7 +178,7 @@
     }
 
     /**
-     * The request goes on as it came, but for what concerns one connection, with the runner and the time left
+     * The request goes on as it came, but for what concerns one connection, with the instance and the time left
      * named once.
      */
     @Test
--- a/node/src/test/java/saltdale/proxy/SimCluster.java
+++ b/node/src/test/java/saltdale/proxy/SimCluster.java
@@ -117,11 +117,11 @@
     }
 
     public boolean takesConnections(String instance) {
-        SimPlatform.Instance at = world.platform.runners.get(instance);
+        SimPlatform.Instance at = world.platform.instances.get(instance);
         return at != null && at.takes();
     }
 
     public int slots(String instance) {
-        return world.platform.slots.get(world.platform.runners.get(instance).service);
+        return world.platform.slots.get(world.platform.instances.get(instance).service);
     }
 }
--- a/proxy/src/test/java/saltdale/proxy/CatchUpTest.java
+++ b/proxy/src/test/java/saltdale/proxy/CatchUpTest.java
@@ -234,7 +234,7 @@
         world.isolate(others.get(0));
         world.run(300);
         world.platform.call(world.proxies.get(0), "h.example", "/a/1", 20_000);
-        assertTrue(world.until(3000, () -> !world.platform.runners.isEmpty()));
+        assertTrue(world.until(3000, () -> !world.platform.instances.isEmpty()));
         world.cuts.clear();
         if (toldOnce) {
             world.rewriting = (from, to, message) ->
@@ -248,7 +248,7 @@
         others.get(1).thaw();
         world.run(4000);
         assertThat(world.faults, is(empty()));
-        return DutyTest.holder(world) == others.get(0) ? world.platform.runners.size() : 0;
+        return DutyTest.holder(world) == others.get(0) ? world.platform.instances.size() : 0;
     }
 
     @Test
--- a/proxy/src/test/java/saltdale/proxy/DutyTest.java
+++ b/proxy/src/test/java/saltdale/proxy/DutyTest.java
@@ -20,7 +20,7 @@
 import saltdale.control.Platform;
 
 /**
- * One control node at a time starts and stops runners, within the platform's rates, and the next one knows what was
+ * One control node at a time starts and stops instances, within the platform's rates, and the next one knows what was
  * begun.
  */
 class DutyTest {
@@ -110,7 +110,7 @@
             world.platform.bootMs = 6000; // it is not in the list before another has taken over
             SimMachine holder = holder(world);
             world.platform.call(world.proxies.get(0), "h.example", "/a/1", 20_000);
-            assertTrue(world.until(1000, () -> !world.platform.runners.isEmpty()));
+            assertTrue(world.until(1000, () -> !world.platform.instances.isEmpty()));
             holder.powerOff();
             world.run(5000);
             assertThat(holder(world), is(not(holder)));
@@ -120,7 +120,7 @@
                     .toList();
             assertThat("the same nonce", asked, hasSize(1));
             assertThat(world.platform.duties.size(), greaterThan(1));
-            assertThat("seed " + seed, world.platform.runners.values(), hasSize(1));
+            assertThat("seed " + seed, world.platform.instances.values(), hasSize(1));
         }
     }
 
--- a/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
@@ -42,7 +42,7 @@
 import saltdale.control.message.SessionMessage.SnapshotPart;
 
 /**
- * What clients and runners see of proxies: configurations, slots, drains, verdicts, and runners when they are
+ * What clients and instances see of proxies: configurations, slots, drains, verdicts, and instances when they are
  * needed.
  */
 class ProxyClusterTest {
@@ -176,7 +176,7 @@
         int over = 0;
         int served = 0;
         for (int seed = 0; seed < 2; seed++) {
-            // Six services, each with a few runners of one slot, all of them busy most of the time.
+            // Six services, each with a few instances of one slot, all of them busy most of the time.
             SimWorld world = serving(seed, 3, 6);
             world.platform.workers.values().forEach(w -> w.memory = 256);
             StringBuilder services = new StringBuilder();
@@ -312,14 +312,14 @@
         for (int seed = 0; seed < 10; seed++) {
             SimWorld world = serving(seed, 3, 6);
             world.run(2000);
-            assertThat(world.platform.runners.values(), is(empty()));
+            assertThat(world.platform.instances.values(), is(empty()));
             long begun = world.now();
             SimPlatform.OutgoingCall asked =
                     world.platform.call(world.proxies.get(seed % 6), "h.example", "/b/1", 5000);
             world.run(3000);
             assertThat(asked.answers, is(List.of(200)));
             assertThat("a start and a little", (asked.answeredAt - begun) / 1_000_000, lessThan(500L + 150 + 250));
-            assertThat(world.platform.runners.values(), hasSize(1));
+            assertThat(world.platform.instances.values(), hasSize(1));
         }
     }
 
@@ -419,7 +419,7 @@
             world.run(1350);
             owner.proxy().end(2_000_000_000L);
             assertTrue(world.until(
-                    2000, () -> world.platform.runners.values().stream().anyMatch(SimPlatform.Instance::takes)));
+                    2000, () -> world.platform.instances.values().stream().anyMatch(SimPlatform.Instance::takes)));
             assertThat(waiting.answers, is(empty()));
             world.run(550);
             assertThat("seed " + seed, waiting.answers, is(List.of(200)));
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -27,7 +27,7 @@
     final String host;
     final String zone;
     List<String> seeds;
-    final boolean keeps;
+    final boolean isControlNode;
     boolean firstStart;
     Map<String, byte[]> synced = new LinkedHashMap<>();
     private final List<Write> writes = new ArrayList<>(); // not yet synced
@@ -42,12 +42,13 @@
     boolean leasesByTimeOfDay;
     private final List<Runnable> late = new ArrayList<>();
 
-    SimMachine(SimWorld world, String host, String zone, List<String> seeds, boolean keeps, boolean firstStart) {
+    SimMachine(
+            SimWorld world, String host, String zone, List<String> seeds, boolean isControlNode, boolean firstStart) {
         this.world = world;
         this.host = host;
         this.zone = zone;
         this.seeds = seeds;
-        this.keeps = keeps;
+        this.isControlNode = isControlNode;
         this.firstStart = firstStart;
         world.machines.put(host, this);
     }
@@ -178,7 +179,7 @@
         void begin() {
             String name = "n-" + host;
             try {
-                if (keeps) {
+                if (isControlNode) {
                     controlNode = world.controlNodeFactory.of(
                             this,
                             new ControlNodeSettings(
--- a/proxy/src/test/java/saltdale/proxy/SimPlatform.java
+++ b/proxy/src/test/java/saltdale/proxy/SimPlatform.java
@@ -17,8 +17,8 @@
 import saltdale.control.Platform;
 
 /**
- * The platform of a simulated cluster: workers, runners and their lagging list; and what proxies carry to the
- * runners.
+ * The platform of a simulated cluster: workers, instances and their lagging list; and what proxies carry to the
+ * instances.
  */
 final class SimPlatform {
     /** A start or stop as it reached the platform. */
@@ -38,8 +38,8 @@
     }
 
     final class Instance {
-        final String id = "i-" + ++runnerCount;
-        final String address = "10.64." + runnerCount / 200 + "." + runnerCount % 200 + ":8080";
+        final String id = "i-" + ++instanceCount;
+        final String address = "10.64." + instanceCount / 200 + "." + instanceCount % 200 + ":8080";
         final String service;
         final Worker worker;
         final long begunAt = world.now();
@@ -117,7 +117,7 @@
             return (OutgoingCall) attempt.request.clientContext;
         }
 
-        /** The runner sees its connection end and drops the work. */
+        /** The instance sees its connection end and drops the work. */
         void close() {
             closed = true;
             world.at(world.hop(), this::done);
@@ -133,15 +133,15 @@
 
     private final SimWorld world;
     final Map<String, Worker> workers = new LinkedHashMap<>();
-    final Map<String, Instance> runners = new LinkedHashMap<>();
+    final Map<String, Instance> instances = new LinkedHashMap<>();
     final Map<String, Integer> slots = new HashMap<>(); // by service
     final Map<String, Integer> memory = new HashMap<>();
     final List<Duty> duties = new ArrayList<>();
     final List<OutgoingCall> all = new ArrayList<>();
-    final List<Long> overLimit = new ArrayList<>(); // when a runner got more than its slots
+    final List<Long> overLimit = new ArrayList<>(); // when an instance got more than its slots
     final List<String> overRate = new ArrayList<>(); // calls beyond the platform's rates
     final List<String> notConnected = new ArrayList<>(); // instances that took no connection, as often
-    final List<Long> afterDrain = new ArrayList<>(); // calls that reached a draining runner too late
+    final List<Long> afterDrain = new ArrayList<>(); // calls that reached a draining instance too late
     private final Map<String, Instance> byNonce = new HashMap<>();
     private final Map<Long, SimMachine.Process> holders = new HashMap<>(); // by fence
     private final Map<Attempt, Sending> sendings = new LinkedHashMap<>();
@@ -158,10 +158,10 @@
     final Set<String> unheard = new HashSet<>();
 
     final Map<String, Long> lateMs = new HashMap<>();
-    double breaks; // share of calls that a runner breaks off after it has begun
+    double breaks; // share of calls that an instance breaks off after it has begun
     double turnsAway;
     double unsent;
-    private int runnerCount;
+    private int instanceCount;
 
     SimPlatform(SimWorld world) {
         this.world = world;
@@ -251,7 +251,7 @@
     private Platform.Answer page(String token) {
         long then = world.now() - Environment.millis(lagMs);
         int from = token == null ? 0 : Integer.parseInt(token);
-        List<Instance> shown = runners.values().stream()
+        List<Instance> shown = instances.values().stream()
                 .filter(r -> r.upAt <= then && r.goneAt > then)
                 .toList();
         List<Object> page = new ArrayList<>();
@@ -304,7 +304,7 @@
 
     private long free(Worker worker, long then) {
         return worker.memory
-                - runners.values().stream()
+                - instances.values().stream()
                         .filter(r -> r.worker == worker && r.begunAt <= then && r.goneAt > then)
                         .mapToLong(r -> memory.get(r.service))
                         .sum();
@@ -329,29 +329,29 @@
 
     private Platform.Answer begun(String service, String worker, String nonce) {
         Worker on = workers.get(worker);
-        Instance runner = byNonce.get(service + " " + nonce);
-        if (runner == null) {
+        Instance instance = byNonce.get(service + " " + nonce);
+        if (instance == null) {
             if (on == null || on.draining || free(on, world.now()) < memory.get(service)) {
                 return new Platform.Answer(409, null);
             }
-            runner = new Instance(service, on);
-            runners.put(runner.id, runner);
-            byNonce.put(service + " " + nonce, runner);
+            instance = new Instance(service, on);
+            instances.put(instance.id, instance);
+            byNonce.put(service + " " + nonce, instance);
         }
-        return new Platform.Answer(200, Fields.tree("identifier", runner.id, "address", runner.address));
+        return new Platform.Answer(200, Fields.tree("identifier", instance.id, "address", instance.address));
     }
 
     private Platform.Answer stopped(String id) {
-        Instance runner = runners.get(id);
-        if (runner == null) {
+        Instance instance = instances.get(id);
+        if (instance == null) {
             return new Platform.Answer(404, null);
         }
-        runner.goneAt = Math.min(runner.goneAt, world.now());
+        instance.goneAt = Math.min(instance.goneAt, world.now());
         return new Platform.Answer(200, Map.of());
     }
 
     List<Instance> live(String service) {
-        return runners.values().stream()
+        return instances.values().stream()
                 .filter(r -> r.service.equals(service) && r.goneAt > world.now())
                 .toList();
     }
@@ -392,7 +392,7 @@
         return new Transport() {
             @Override
             public void carry(Attempt attempt) {
-                Sending sending = new Sending(attempt, process, runners.get(attempt.instance));
+                Sending sending = new Sending(attempt, process, instances.get(attempt.instance));
                 OutgoingCall asked = sending.asked();
                 if (!asked.idempotent && asked.ends.stream().anyMatch(end -> end.status() != ExecutionStatus.NOT_RUN)) {
                     world.faults.add(attempt.request.id + " is carried again after " + asked.ends);
@@ -435,7 +435,7 @@
                 world.at(
                         2 * world.hop(),
                         () -> process.deliver(
-                                () -> process.proxy.tried(id, runners.get(id).takes())));
+                                () -> process.proxy.tried(id, instances.get(id).takes())));
             }
 
             @Override
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -25,7 +25,7 @@
 import saltdale.control.message.MessageCodec;
 
 /**
- * A whole cluster in one thread, all of one seed: a steady clock, connections, disks, processes; runners by
+ * A whole cluster in one thread, all of one seed: a steady clock, connections, disks, processes; instances by
  * the platform.
  */
 final class SimWorld {
@@ -155,14 +155,14 @@
     }
 
     /** So many control nodes at their first start, and so many proxies spread over the zones, not yet begun. */
-    SimWorld of(int keeping, int carrying) {
-        toleratedLosses = keeping / 2;
+    SimWorld of(int controlNodeCount, int proxyCount) {
+        toleratedLosses = controlNodeCount / 2;
         List<String> hosts = new ArrayList<>();
-        for (int i = 1; i <= keeping; i++) {
+        for (int i = 1; i <= controlNodeCount; i++) {
             hosts.add("10.0.0." + i);
         }
-        hosts.forEach(host -> controlNode(host, hosts.subList(0, Math.min(3, keeping)), true));
-        for (int i = 1; i <= carrying; i++) {
+        hosts.forEach(host -> controlNode(host, hosts.subList(0, Math.min(3, controlNodeCount)), true));
+        for (int i = 1; i <= proxyCount; i++) {
             proxy("10.1.0." + i, ZONES[i % ZONES.length]);
         }
         return this;
