--- a/rig/src/main/java/saltdale/rig/experiment/Crew.java
+++ b/rig/src/main/java/saltdale/rig/experiment/DispatcherProcesses.java
@@ -28,8 +28,8 @@
 import saltdale.rig.standin.Places;
 
 /** The dispatchers of a run: child processes of one build, each with its configuration and its log. */
-public final class Crew implements AutoCloseable {
-    private static final Logger LOG = LoggerFactory.getLogger(Crew.class);
+public final class DispatcherProcesses implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(DispatcherProcesses.class);
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final Duration TO_COME_UP = Duration.ofSeconds(30);
     private static final Duration TO_END = Duration.ofSeconds(6);
@@ -53,10 +53,11 @@
     private final List<Member> members = new ArrayList<>();
     private volatile boolean ending;
     // Guards against dispatchers that outlive a rig which was told to end.
-    private final Thread atExit = new Thread(this::destroy, "end of the crew");
+    private final Thread atExit = new Thread(this::destroy, "end of the dispatchers");
 
     /** {@code cpus}: the cores that they share, as taskset names them; null for all. */
-    public Crew(Day day, Version version, Places places, Path folder, Origin origin, Witness witness, String cpus) {
+    public DispatcherProcesses(
+            Day day, Version version, Places places, Path folder, Origin origin, Witness witness, String cpus) {
         this.day = day;
         this.version = version;
         this.places = places;
--- a/rig/src/main/java/saltdale/rig/experiment/Experiment.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Experiment.java
@@ -176,7 +176,14 @@
         Outcome outcome = version.program().isEmpty()
                 ? simulated(day, version, point, repeat)
                 : Run.onSockets(
-                        day, version, point.name, repeat, Run.asks(day, beside()), folder, cpus, (share, crew) -> {
+                        day,
+                        version,
+                        point.name,
+                        repeat,
+                        Run.asks(day, beside()),
+                        folder,
+                        cpus,
+                        (share, dispatchers) -> {
                             if (live) {
                                 say.printf(Locale.ROOT, "\r%s %3.0f%%", label, share * 100);
                                 say.flush();
--- a/rig/src/main/java/saltdale/rig/experiment/Run.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Run.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
 import saltdale.model.Spans;
-import saltdale.rig.fleet.Weather;
+import saltdale.rig.fleet.TroubleSchedule;
 import saltdale.rig.judge.Judge;
 import saltdale.rig.judge.Notes;
 import saltdale.rig.judge.Terms;
@@ -22,17 +22,17 @@
 import saltdale.rig.plan.Day;
 import saltdale.rig.simulate.ModuleMind;
 import saltdale.rig.simulate.Simulation;
-import saltdale.rig.standin.ListKeeper;
+import saltdale.rig.standin.LoopThread;
 import saltdale.rig.standin.Origin;
 import saltdale.rig.standin.Places;
+import saltdale.rig.standin.RunnerListServer;
 import saltdale.rig.standin.StandInFleet;
-import saltdale.rig.standin.Turner;
 
 /** One day played once: on sockets with real dispatchers, or in simulated time. */
 public final class Run {
     /** Is told now and then how far a run is, 0 to 1, and may look at its dispatchers. */
     public interface Progress {
-        void at(double share, Crew crew);
+        void at(double share, DispatcherProcesses dispatchers);
     }
 
     private static final Duration SLACK = Duration.ofMillis(50); // on sockets each limit is longer by this
@@ -100,24 +100,25 @@
         Origin origin = new Origin();
         Places places = new Places(freePort());
         AtomicReference<StandInFleet> fleet = new AtomicReference<>();
-        try (Turner runners = new Turner("runners");
-                Turner clients = new Turner("clients")) {
-            ListKeeper list = new ListKeeper(runners, day, places, origin, notes);
+        try (LoopThread runners = new LoopThread("runners");
+                LoopThread clients = new LoopThread("clients")) {
+            RunnerListServer list = new RunnerListServer(runners, day, places, origin, notes);
             fleet.set(new StandInFleet(runners, day, places, origin, notes, list, day.seed));
             runners.start();
             clients.start();
-            try (Crew crew = new Crew(day, version, places, folder, origin, notes, cpus)) {
-                crew.begin();
+            try (DispatcherProcesses dispatchers =
+                    new DispatcherProcesses(day, version, places, folder, origin, notes, cpus)) {
+                dispatchers.begin();
                 Duration start = origin.now();
                 Shifted shifted = new Shifted(asks, start);
-                Generator generator =
-                        new Generator(clients, day, crew.addresses(), origin, notes, day.seed + 3, "n" + repeat, start);
+                Generator generator = new Generator(
+                        clients, day, dispatchers.addresses(), origin, notes, day.seed + 3, "n" + repeat, start);
                 runners.inside(runners::watchItself);
                 clients.inside(clients::watchItself);
                 runners.inside(() -> fleet.get().begin(start));
                 clients.inside(() -> generator.begin(shifted));
-                crew.countCpu();
-                Thread faults = new Thread(() -> faults(day, crew, origin, start), "faults of dispatchers");
+                dispatchers.countCpu();
+                Thread faults = new Thread(() -> faults(day, dispatchers, origin, start), "faults of dispatchers");
                 faults.setDaemon(true);
                 faults.start();
                 Duration end = start.plus(day.length);
@@ -125,12 +126,14 @@
                 while (origin.now().compareTo(end) < 0
                         || !generator.isOver() && origin.now().compareTo(last) < 0) {
                     Thread.sleep(100);
-                    progress.at(Math.min(1, (double) origin.now().minus(start).toNanos() / day.length.toNanos()), crew);
+                    progress.at(
+                            Math.min(1, (double) origin.now().minus(start).toNanos() / day.length.toNanos()),
+                            dispatchers);
                 }
-                double cpu = crew.cpu();
-                double memory = crew.memory();
-                boolean died = !crew.crashed().isEmpty();
-                Files.writeString(folder.resolve("counters.txt"), crew.get(0, "/counters"));
+                double cpu = dispatchers.cpu();
+                double memory = dispatchers.memory();
+                boolean died = !dispatchers.crashed().isEmpty();
+                Files.writeString(folder.resolve("counters.txt"), dispatchers.get(0, "/counters"));
                 Thread.sleep(300); // for what is still on its way to the stand-ins
                 Duration late = Spans.most(runners.mostLate(), clients.mostLate());
                 Judge judge = new Judge(Terms.of(day, SLACK.plus(late)), Duration.ofSeconds(5));
@@ -169,8 +172,8 @@
     }
 
     /** Does to dispatchers what the day says; on a thread of its own, since it waits for processes. */
-    private static void faults(Day day, Crew crew, Origin origin, Duration start) {
-        for (Weather.Turn turn : new Weather(day.troubles).turns()) {
+    private static void faults(Day day, DispatcherProcesses dispatchers, Origin origin, Duration start) {
+        for (TroubleSchedule.Turn turn : new TroubleSchedule(day.troubles).turns()) {
             if (!turn.trouble().onProcess()) {
                 continue;
             }
@@ -182,11 +185,11 @@
             }
             List<Integer> which = turn.trouble().runners();
             switch (turn.act()) {
-                case KILL -> which.forEach(crew::kill);
-                case END -> which.forEach(crew::end);
-                case STOP -> crew.stop(which);
-                case GO_ON -> crew.goOn(which);
-                default -> which.forEach(crew::revive);
+                case KILL -> which.forEach(dispatchers::kill);
+                case END -> which.forEach(dispatchers::end);
+                case STOP -> dispatchers.stop(which);
+                case GO_ON -> dispatchers.goOn(which);
+                default -> which.forEach(dispatchers::revive);
             }
         }
     }
--- a/rig/src/main/java/saltdale/rig/fleet/Weather.java
+++ b/rig/src/main/java/saltdale/rig/fleet/TroubleSchedule.java
@@ -12,7 +12,7 @@
 /**
  * The troubles of a day over time: what is to be done at which moment, and what disturbs a runner by then.
  */
-public final class Weather {
+public final class TroubleSchedule {
     /** One thing that happens to runners, dispatchers or links. */
     public enum Act {
         CONDITION,
@@ -40,7 +40,7 @@
 
     private final List<Trouble> troubles;
 
-    public Weather(List<Trouble> troubles) {
+    public TroubleSchedule(List<Trouble> troubles) {
         this.troubles = troubles;
     }
 
--- a/rig/src/main/java/saltdale/rig/load/Generator.java
+++ b/rig/src/main/java/saltdale/rig/load/Generator.java
@@ -15,10 +15,10 @@
 import saltdale.rig.judge.Witness;
 import saltdale.rig.judge.Witness.Final;
 import saltdale.rig.plan.Day;
+import saltdale.rig.standin.LoopThread;
 import saltdale.rig.standin.Origin;
 import saltdale.rig.standin.Places;
 import saltdale.rig.standin.StandInFleet;
-import saltdale.rig.standin.Turner;
 import saltdale.transport.Connection;
 import saltdale.transport.Pool;
 import saltdale.transport.Timer;
@@ -36,7 +36,7 @@
     private static final long MOST_LAG_P99_US = 10_000;
     private static final long MOST_LAG_US = 100_000;
 
-    private final Turner turner;
+    private final LoopThread loopThread;
     private final Day day;
     private final Origin origin;
     private final Witness witness;
@@ -61,7 +61,7 @@
      * begins, on the clock of the run, by which the asks' times are given.
      */
     public Generator(
-            Turner turner,
+            LoopThread loopThread,
             Day day,
             List<InetSocketAddress> dispatchers,
             Origin origin,
@@ -69,7 +69,7 @@
             long seed,
             String run,
             Duration start) {
-        this.turner = turner;
+        this.loopThread = loopThread;
         this.day = day;
         this.origin = origin;
         this.witness = witness;
@@ -81,7 +81,7 @@
         addresses = dispatchers.toArray(new InetSocketAddress[0]);
         pools = new Pool[addresses.length];
         for (int i = 0; i < pools.length; i++) {
-            pools[i] = new Pool(turner.loop, turner.sockets, addresses[i], CONNECT_LIMIT, IDLE_LIMIT);
+            pools[i] = new Pool(loopThread.loop, loopThread.sockets, addresses[i], CONNECT_LIMIT, IDLE_LIMIT);
         }
     }
 
@@ -92,7 +92,7 @@
             return;
         }
         Ask ask = asks.next();
-        turner.loop.after(ask.at().minus(origin.now()).minus(drift()), () -> {
+        loopThread.loop.after(ask.at().minus(origin.now()).minus(drift()), () -> {
             long late = Math.max(0, origin.now().minus(ask.at()).toNanos() / 1000);
             if (ask.at().minus(start).compareTo(day.warmUp) >= 0) { // as the figures do that it might spoil
                 lag.recordValue(Math.min(late, 3_600_000_000L));
@@ -104,7 +104,7 @@
 
     /** The turn's time beside the clock: at most nothing. */
     private Duration drift() {
-        return turner.loop.now().minus(turner.loop.clock());
+        return loopThread.loop.now().minus(loopThread.loop.clock());
     }
 
     /** Closes what rests: dispatchers that are told to end wait for clients that might still send. */
@@ -170,7 +170,7 @@
     /** A front takes no notice at once, and gives it another chance after a while. */
     private void unreachable(int dispatcher) {
         if (avoided.add(dispatcher)) {
-            turner.loop.after(FRONT_NOTICES, () -> avoided.remove(dispatcher));
+            loopThread.loop.after(FRONT_NOTICES, () -> avoided.remove(dispatcher));
         }
     }
 
@@ -194,7 +194,7 @@
             current.send(false);
             if (tries == 1 && persistence.leaves()) {
                 Try first = current;
-                turner.loop.after(ask.job().workload().patience.dividedBy(2), () -> {
+                loopThread.loop.after(ask.job().workload().patience.dividedBy(2), () -> {
                     if (current == first && !finished) {
                         witness.left(origin.now(), first.id);
                         first.drop();
@@ -211,7 +211,7 @@
             if (wait == null) {
                 finish(how, false);
             } else {
-                turner.loop.after(wait, this::sendTry);
+                loopThread.loop.after(wait, this::sendTry);
             }
         }
 
@@ -243,7 +243,7 @@
             Ask ask = customer.ask;
             connection = pools[dispatcher].take(this);
             if (connection == null) {
-                turner.loop.soon(() -> end(null, null, true));
+                loopThread.loop.soon(() -> end(null, null, true));
                 return;
             }
             if (!again) { // before it is written: the answer may be here before this thread is on again
@@ -269,7 +269,7 @@
             if (!again) {
                 // By the clock, not the turn's time: a first turn is long, and its limits would come before they are
                 // due.
-                limit = turner.loop.after(
+                limit = loopThread.loop.after(
                         patience.plus(day.answerGrace).plus(LATE_SEEN).minus(drift()), () -> {
                             drop();
                             end(null, null, false);
--- a/rig/src/main/java/saltdale/rig/platform/live/Callers.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Callers.java
@@ -19,8 +19,8 @@
 import saltdale.rig.platform.Retrying;
 import saltdale.rig.platform.Route;
 import saltdale.rig.platform.Site;
+import saltdale.rig.standin.LoopThread;
 import saltdale.rig.standin.Origin;
-import saltdale.rig.standin.Turner;
 import saltdale.transport.Address;
 import saltdale.transport.Connection;
 import saltdale.transport.Timer;
@@ -34,7 +34,7 @@
     private static final double KEEP = 0.8; // of the tries come on a kept connection, where there is one
     private static final double CHUNKED = 0.25; // of the bodies
 
-    private final Turner turner;
+    private final LoopThread loopThread;
     private final Origin origin;
     private final Judge judge;
     private final EntryPoint entry;
@@ -47,8 +47,8 @@
     private long number;
     private long open;
 
-    Callers(Turner turner, Origin origin, Site site, Judge judge, long seed) {
-        this.turner = turner;
+    Callers(LoopThread loopThread, Origin origin, Site site, Judge judge, long seed) {
+        this.loopThread = loopThread;
         this.origin = origin;
         this.judge = judge;
         routes = site.routes();
@@ -75,7 +75,7 @@
 
     private void probe(Machine proxy) {
         HttpCall.send(
-                turner,
+                loopThread,
                 Address.parse(proxy.at(Machine.READINESS)),
                 "GET",
                 "/readiness",
@@ -89,7 +89,7 @@
                         readyAt.put(proxy, origin.now());
                     }
                 });
-        turner.loop.after(PROBE_EVERY, () -> probe(proxy));
+        loopThread.loop.after(PROBE_EVERY, () -> probe(proxy));
     }
 
     void begin(double rate) {
@@ -110,7 +110,7 @@
     /** Guards against a load that falls behind: a call's time is fixed by the one before, not by its sending. */
     private void next(Duration before) {
         Duration at = before.plusNanos((long) (-Math.log(1 - chance.nextDouble()) / perSecond * 1e9));
-        turner.loop.after(at.minus(origin.now()), () -> {
+        loopThread.loop.after(at.minus(origin.now()), () -> {
             if (sending) {
                 new Customer(draw(), at).sendTry();
                 next(at);
@@ -160,7 +160,7 @@
                     ? null
                     : Retrying.next(route.idempotent(), tries, status, unread, retryAfter, remaining);
             if (wait != null) {
-                turner.loop.after(wait, this::sendTry);
+                loopThread.loop.after(wait, this::sendTry);
             } else {
                 open--;
                 judge.over(route, origin.now().minus(firstAt), status);
@@ -178,7 +178,7 @@
             this.machine = machine;
             this.connection = connection;
             connection.owner(this);
-            limit = turner.loop.after(rest, this::drop);
+            limit = loopThread.loop.after(rest, this::drop);
             kept.get(machine).addFirst(this);
         }
 
@@ -229,9 +229,9 @@
                     : kept.get(machine).poll();
             connection = rested != null
                     ? rested.take(this)
-                    : Connection.dial(turner.loop, turner.sockets, at, CONNECT_LIMIT, this);
+                    : Connection.dial(loopThread.loop, loopThread.sockets, at, CONNECT_LIMIT, this);
             if (connection == null) {
-                turner.loop.soon(() -> customer.over(0, true, null));
+                loopThread.loop.soon(() -> customer.over(0, true, null));
                 return;
             }
             Route route = customer.route;
@@ -246,7 +246,7 @@
                             + "\r\nX-Saltdale-Attempt-Id: " + id + "\r\nX-Saltdale-Deadline-Remaining: "
                             + Math.max(1, remaining.toMillis()) + "\r\n" + framed(body, chance.nextDouble() < CHUNKED))
                     .getBytes(StandardCharsets.US_ASCII)));
-            limit = turner.loop.after(remaining, () -> {
+            limit = loopThread.loop.after(remaining, () -> {
                 connection.close();
                 customer.over(0, false, null);
             });
--- a/rig/src/main/java/saltdale/rig/platform/live/HttpCall.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/HttpCall.java
@@ -7,8 +7,8 @@
 import java.util.function.Consumer;
 import saltdale.protocol.Head;
 import saltdale.protocol.HttpParser;
+import saltdale.rig.standin.LoopThread;
 import saltdale.rig.standin.Places;
-import saltdale.rig.standin.Turner;
 import saltdale.transport.Connection;
 import saltdale.transport.Timer;
 
@@ -31,7 +31,7 @@
 
     /** {@code headers}: whole lines; {@code then} is told null where no whole answer came within the limit. */
     static void send(
-            Turner turner,
+            LoopThread loopThread,
             InetSocketAddress at,
             String method,
             String target,
@@ -40,12 +40,12 @@
             Duration limit,
             Consumer<Answer> then) {
         HttpCall call = new HttpCall(then);
-        call.connection = Connection.dial(turner.loop, turner.sockets, at, limit, call);
+        call.connection = Connection.dial(loopThread.loop, loopThread.sockets, at, limit, call);
         if (call.connection == null) {
-            turner.loop.soon(() -> then.accept(null));
+            loopThread.loop.soon(() -> then.accept(null));
             return;
         }
-        call.limit = turner.loop.after(limit, () -> call.over(null));
+        call.limit = loopThread.loop.after(limit, () -> call.over(null));
         call.connection.send(
                 ByteBuffer.wrap((method + " " + target + " HTTP/1.1\r\nHost: " + Places.text(at) + "\r\n" + headers
                                 + "Content-Length: " + body.length + "\r\nConnection: close\r\n\r\n")
--- a/rig/src/main/java/saltdale/rig/platform/live/Operator.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Operator.java
@@ -10,7 +10,7 @@
 import java.util.function.Consumer;
 import saltdale.rig.platform.Machine;
 import saltdale.rig.platform.Site;
-import saltdale.rig.standin.Turner;
+import saltdale.rig.standin.LoopThread;
 import saltdale.transport.Address;
 
 /** Sends configurations to those who serve control, and reads them back; used on the loop. */
@@ -20,13 +20,13 @@
     private static final Set<Integer> ENDS = Set.of(400, 409, 412, 413, 422);
     private static final int MOST_REDIRECTS = 2;
 
-    private final Turner turner;
+    private final LoopThread loopThread;
     private final List<InetSocketAddress> control;
     private int turn;
     private int redirects;
 
-    Operator(Turner turner, Site site) {
-        this.turner = turner;
+    Operator(LoopThread loopThread, Site site) {
+        this.loopThread = loopThread;
         control = site.controlNodes().stream()
                 .map(controlNode -> Address.parse(controlNode.at(Machine.CONTROL)))
                 .toList();
@@ -73,7 +73,7 @@
         }
 
         private void call(InetSocketAddress at, String target, int followed) {
-            HttpCall.send(turner, at, method, target, headers, body, LIMIT, answer -> came(answer, followed));
+            HttpCall.send(loopThread, at, method, target, headers, body, LIMIT, answer -> came(answer, followed));
         }
 
         private void came(HttpCall.Answer answer, int followed) {
@@ -85,7 +85,7 @@
             } else if (status / 100 == 4 && status != 408 && status != 429 && ++otherErrors == 3) {
                 then.accept(answer);
             } else {
-                turner.loop.after(pause, this::go);
+                loopThread.loop.after(pause, this::go);
                 pause = pause.multipliedBy(3).dividedBy(2);
                 pause = pause.compareTo(LONGEST_PAUSE) < 0 ? pause : LONGEST_PAUSE;
             }
--- a/rig/src/main/java/saltdale/rig/platform/live/PlatformServer.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/PlatformServer.java
@@ -16,8 +16,8 @@
 import saltdale.rig.platform.Platform.Reply;
 import saltdale.rig.platform.Site;
 import saltdale.rig.standin.Exchange;
+import saltdale.rig.standin.LoopThread;
 import saltdale.rig.standin.Origin;
-import saltdale.rig.standin.Turner;
 import saltdale.transport.Address;
 import saltdale.transport.Connection;
 import saltdale.transport.Listener;
@@ -31,13 +31,14 @@
     private final PrintWriter log;
 
     /** {@code log}: takes a line for each call; null for none. */
-    PlatformServer(Turner turner, Origin origin, Site site, Platform platform, PrintWriter log) throws IOException {
+    PlatformServer(LoopThread loopThread, Origin origin, Site site, Platform platform, PrintWriter log)
+            throws IOException {
         this.origin = origin;
         this.platform = platform;
         this.log = log;
         new Listener(
-                turner.loop,
-                turner.sockets,
+                loopThread.loop,
+                loopThread.sockets,
                 Address.parse(site.platform()),
                 (connection, full) -> new Called(connection));
     }
--- a/rig/src/main/java/saltdale/rig/platform/live/Runners.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Runners.java
@@ -16,8 +16,8 @@
 import saltdale.rig.platform.Judge;
 import saltdale.rig.platform.Platform;
 import saltdale.rig.standin.Exchange;
+import saltdale.rig.standin.LoopThread;
 import saltdale.rig.standin.Origin;
-import saltdale.rig.standin.Turner;
 import saltdale.transport.Address;
 import saltdale.transport.Connection;
 import saltdale.transport.Listener;
@@ -37,7 +37,7 @@
         }
     }
 
-    private final Turner turner;
+    private final LoopThread loopThread;
     private final Origin origin;
     private final Judge judge;
     private final Faults faults;
@@ -45,8 +45,8 @@
     private final Map<Instance, Place> places = new HashMap<>();
     private long runs;
 
-    Runners(Turner turner, Origin origin, Judge judge, Faults faults, long seed) {
-        this.turner = turner;
+    Runners(LoopThread loopThread, Origin origin, Judge judge, Faults faults, long seed) {
+        this.loopThread = loopThread;
         this.origin = origin;
         this.judge = judge;
         this.faults = faults;
@@ -59,8 +59,8 @@
             places.put(
                     instance,
                     new Place(new Listener(
-                            turner.loop,
-                            turner.sockets,
+                            loopThread.loop,
+                            loopThread.sockets,
                             Address.parse(instance.address),
                             (connection, full) -> places.get(instance).open.add(new Served(connection, instance)))));
         } catch (IOException e) {
@@ -175,7 +175,7 @@
             if (fault != Faults.Kind.NONE && fault != Faults.Kind.EXTRA) {
                 judge.spoils(id);
             }
-            work = turner.loop.after(inTime ? takes : remaining, () -> {
+            work = loopThread.loop.after(inTime ? takes : remaining, () -> {
                 work = null;
                 if (inTime) {
                     byte[] answer = answer(
@@ -203,7 +203,7 @@
                 }
                 case EXTRA -> {
                     say(answer);
-                    turner.loop.after(EXTRA_AFTER, () -> connection.send(ByteBuffer.wrap(answer)));
+                    loopThread.loop.after(EXTRA_AFTER, () -> connection.send(ByteBuffer.wrap(answer)));
                 }
                 default -> say(answer);
             }
--- a/rig/src/main/java/saltdale/rig/platform/live/StandIn.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/StandIn.java
@@ -9,12 +9,12 @@
 import saltdale.rig.platform.Judge;
 import saltdale.rig.platform.Platform;
 import saltdale.rig.platform.Site;
+import saltdale.rig.standin.LoopThread;
 import saltdale.rig.standin.Origin;
-import saltdale.rig.standin.Turner;
 
 /** The platform and its runners on loopback. */
 public final class StandIn implements AutoCloseable {
-    final Turner turner;
+    final LoopThread loopThread;
     final Origin origin = new Origin();
     final Site site;
     final Judge judge;
@@ -31,21 +31,24 @@
             Files.createDirectories(calls.toAbsolutePath().getParent());
         }
         log = calls == null ? null : new PrintWriter(Files.newBufferedWriter(calls));
-        turner = new Turner("platform");
+        loopThread = new LoopThread("platform");
         AtomicReference<IOException> failure = new AtomicReference<>();
-        turner.start();
-        turner.inside(() -> {
+        loopThread.start();
+        loopThread.inside(() -> {
             try {
                 platform = new Platform(
-                        site, new TurnerClock(turner, origin), new Runners(turner, origin, judge, faults, seed), seed);
-                turner.watchItself();
-                new PlatformServer(turner, origin, site, platform, log);
+                        site,
+                        new LoopClock(loopThread, origin),
+                        new Runners(loopThread, origin, judge, faults, seed),
+                        seed);
+                loopThread.watchItself();
+                new PlatformServer(loopThread, origin, site, platform, log);
             } catch (IOException e) {
                 failure.set(e);
             }
         });
         if (failure.get() != null) {
-            turner.close();
+            loopThread.close();
             throw new IOException(
                     site.platform() + " can't be listened at: " + failure.get().getMessage());
         }
@@ -53,13 +56,13 @@
 
     /** Sends the first configuration, again and again until there is a clear answer. */
     public void operate(IntConsumer then) {
-        turner.loop.fromOutside(() -> new Operator(turner, site)
+        loopThread.loop.fromOutside(() -> new Operator(loopThread, site)
                 .change("Replace", 0, site.replacement(1), answer -> then.accept(answer.status())));
     }
 
     @Override
     public void close() {
-        turner.close();
+        loopThread.close();
         if (log != null) {
             log.close();
         }
--- a/rig/src/main/java/saltdale/rig/platform/live/Trial.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Trial.java
@@ -48,7 +48,7 @@
         this.site = standIn.site;
         this.processes = processes;
         this.out = out;
-        operator = new Operator(standIn.turner, site);
+        operator = new Operator(standIn.loopThread, site);
     }
 
     /** Plays it and prints the verdict in one line; returns whether nothing failed. */
@@ -62,7 +62,7 @@
 
     private boolean play(Day day, long seed) throws IOException, InterruptedException {
         processes.startAll();
-        inside(() -> callers = new Callers(standIn.turner, standIn.origin, site, standIn.judge, seed + 1));
+        inside(() -> callers = new Callers(standIn.loopThread, standIn.origin, site, standIn.judge, seed + 1));
         change("Replace", 0, site.replacement(FIRST), site.routes());
         boolean up = until(TO_COME_UP, () -> answered && site.proxies().stream().allMatch(callers::isIn));
         say("configuration " + (answered ? "acknowledged" : "NOT acknowledged") + ", proxies ready "
@@ -146,8 +146,8 @@
             failures.add("the amendment was not acknowledged within 5 s");
         }
         say("amendment " + (answered ? "acknowledged" : "NOT acknowledged"));
-        standIn.turner.loop.fromOutside(
-                () -> standIn.turner.loop.after(site.bounds().configApply(), () -> callers.routes(site.amended())));
+        standIn.loopThread.loop.fromOutside(
+                () -> standIn.loopThread.loop.after(site.bounds().configApply(), () -> callers.routes(site.amended())));
     }
 
     /** Sends a change; {@link #answered} once it is acknowledged. */
@@ -228,7 +228,7 @@
             if (!judge.unserved().isEmpty()) {
                 out.println("  not served, by how the last try ended: " + judge.unserved());
             }
-            Duration late = standIn.turner.mostLate();
+            Duration late = standIn.loopThread.mostLate();
             if (late.compareTo(MOST_LATE) > 0) {
                 out.println("  the rig itself was up to " + late.toMillis() + " ms late: times are this machine's own");
             }
@@ -243,7 +243,7 @@
     }
 
     private void inside(Runnable what) {
-        standIn.turner.inside(what);
+        standIn.loopThread.inside(what);
     }
 
     private void say(String what) {
--- a/rig/src/main/java/saltdale/rig/simulate/Fleet.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Fleet.java
@@ -7,7 +7,7 @@
 import saltdale.model.LoadReport;
 import saltdale.rig.fleet.Receipts;
 import saltdale.rig.fleet.RunnerModel;
-import saltdale.rig.fleet.Weather.Act;
+import saltdale.rig.fleet.TroubleSchedule.Act;
 import saltdale.rig.fleet.Work;
 import saltdale.rig.judge.Witness.Health;
 import saltdale.rig.load.Watch;
@@ -126,7 +126,7 @@
         Slot slot = slots.get(runner);
         Duration now = sim.time.now();
         switch (act) {
-            case CONDITION -> slot.model.condition(now, sim.weather.condition(runner, now));
+            case CONDITION -> slot.model.condition(now, sim.troubles.condition(runner, now));
             case CRASH -> {
                 slot.model.stop(now);
                 lists(slot, Health.GONE, sim.day.silentNotice);
--- a/rig/src/main/java/saltdale/rig/simulate/Simulation.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Simulation.java
@@ -9,7 +9,7 @@
 import java.util.SplittableRandom;
 import saltdale.model.Door;
 import saltdale.model.StandingOrders;
-import saltdale.rig.fleet.Weather;
+import saltdale.rig.fleet.TroubleSchedule;
 import saltdale.rig.judge.Judge;
 import saltdale.rig.judge.Terms;
 import saltdale.rig.judge.Witness.Final;
@@ -36,7 +36,7 @@
     final Day day;
     final Timeline time = new Timeline();
     final Judge judge;
-    final Weather weather;
+    final TroubleSchedule troubles;
     final Fleet fleet;
     private final Tally tally;
     private final List<Node> nodes = new ArrayList<>();
@@ -59,7 +59,7 @@
         seeds = new SplittableRandom(day.seed);
         net = seeds.split();
         judge = new Judge(Terms.of(day, Duration.ofMillis(1)), Duration.ofSeconds(5));
-        weather = new Weather(day.troubles);
+        troubles = new TroubleSchedule(day.troubles);
         fleet = new Fleet(this, seeds.split());
         tally = new Tally(day.jobs, day.warmUp);
         persistence = new Persistence(day.traffic, seeds.split());
@@ -69,7 +69,7 @@
             nodes.add(node);
             time.at(Duration.ZERO, () -> node.start(minds));
         }
-        weather.turns().forEach(turn -> time.at(turn.at(), () -> act(turn)));
+        troubles.turns().forEach(turn -> time.at(turn.at(), () -> act(turn)));
         sample();
         feed(asks);
     }
@@ -148,7 +148,7 @@
 
     // ---- What goes wrong.
 
-    private void act(Weather.Turn turn) {
+    private void act(TroubleSchedule.Turn turn) {
         switch (turn.act()) {
             case CUT -> cutZone = (int) turn.trouble().size();
             case HEAL -> cutZone = -1;
--- a/rig/src/main/java/saltdale/rig/standin/Box.java
+++ b/rig/src/main/java/saltdale/rig/standin/Box.java
@@ -11,7 +11,7 @@
 import saltdale.rig.fleet.Receipts;
 import saltdale.rig.fleet.RunnerModel;
 import saltdale.rig.fleet.RunnerModel.End;
-import saltdale.rig.fleet.Weather.Act;
+import saltdale.rig.fleet.TroubleSchedule.Act;
 import saltdale.rig.fleet.Work;
 import saltdale.rig.judge.Witness.Health;
 import saltdale.rig.plan.Trouble;
@@ -58,17 +58,18 @@
             wake.cancel();
         }
         wakeAt = next;
-        wake = fleet.turner.loop.after(next.minus(fleet.turner.loop.now()).minus(drift()), () -> {
-            wakeAt = null;
-            wake = null;
-            model.advance(fleet.origin.now());
-            schedule();
-        });
+        wake = fleet.loopThread.loop.after(
+                next.minus(fleet.loopThread.loop.now()).minus(drift()), () -> {
+                    wakeAt = null;
+                    wake = null;
+                    model.advance(fleet.origin.now());
+                    schedule();
+                });
     }
 
     /** What lies between the run's clock and the loop's. */
     private Duration drift() {
-        return fleet.origin.now().minus(fleet.turner.loop.clock());
+        return fleet.origin.now().minus(fleet.loopThread.loop.clock());
     }
 
     void act(Act act, Duration at) {
@@ -76,7 +77,7 @@
         switch (act) {
             // By the hour that it was set for: a timer may come a little before its time, and none would
             // follow.
-            case CONDITION -> model.condition(now, fleet.weather.condition(number, at));
+            case CONDITION -> model.condition(now, fleet.troubles.condition(number, at));
             case CRASH -> {
                 gates.forEach(Gate::shut);
                 model.stop(now);
@@ -113,7 +114,7 @@
 
     private void lists(Health health, Duration notice) {
         Duration bornAt = model.bornAt();
-        fleet.turner.loop.after(notice, () -> fleet.list.changed(number, health, bornAt));
+        fleet.loopThread.loop.after(notice, () -> fleet.list.changed(number, health, bornAt));
     }
 
     boolean has(Kind wire) {
@@ -124,7 +125,7 @@
         if (fleet.day.troubles.isEmpty()) {
             return null;
         }
-        for (Trouble each : fleet.weather.wire(number, fleet.origin.now().minus(fleet.start))) {
+        for (Trouble each : fleet.troubles.wire(number, fleet.origin.now().minus(fleet.start))) {
             if (each.kind() == kind) {
                 return each;
             }
--- a/rig/src/main/java/saltdale/rig/standin/Gate.java
+++ b/rig/src/main/java/saltdale/rig/standin/Gate.java
@@ -4,20 +4,20 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import saltdale.rig.ways.Mouth;
+import saltdale.rig.ways.SwitchableListener;
 
 /** Where one dispatcher reaches one runner. */
 final class Gate {
     final Box box;
     final int dispatcher;
-    private final Mouth mouth;
+    private final SwitchableListener mouth;
     final Set<Served> open = new HashSet<>();
 
     Gate(Box box, int dispatcher) throws IOException {
         this.box = box;
         this.dispatcher = dispatcher;
-        mouth = new Mouth(
-                box.fleet.turner,
+        mouth = new SwitchableListener(
+                box.fleet.loopThread,
                 box.fleet.gateAt(box.number, dispatcher),
                 (connection, full) -> open.add(new Served(this, connection)));
     }
--- a/rig/src/main/java/saltdale/rig/standin/Turner.java
+++ b/rig/src/main/java/saltdale/rig/standin/LoopThread.java
@@ -8,7 +8,7 @@
 import saltdale.transport.Sockets;
 
 /** A loop on a thread of its own. */
-public final class Turner implements AutoCloseable {
+public final class LoopThread implements AutoCloseable {
     private static final Duration TICK = Duration.ofMillis(10);
     private static final int MOST_SOCKETS = 200_000;
 
@@ -17,7 +17,7 @@
     private final Thread thread;
     private volatile long mostLate; // ns
 
-    public Turner(String name) throws IOException {
+    public LoopThread(String name) throws IOException {
         loop = new Loop();
         sockets = new Sockets(loop, MOST_SOCKETS);
         thread = new Thread(
--- a/rig/src/main/java/saltdale/rig/standin/NewsCall.java
+++ b/rig/src/main/java/saltdale/rig/standin/NewsCall.java
@@ -13,7 +13,7 @@
     /** A call that has no answer by then has none. */
     static final Duration LIMIT = Duration.ofSeconds(2);
 
-    private final Turner turner;
+    private final LoopThread loopThread;
     private final Pool pool;
     private final byte[] call;
     private final Consumer<Boolean> after;
@@ -21,8 +21,8 @@
     private Connection connection;
     private Timer limit;
 
-    NewsCall(Turner turner, Pool pool, byte[] call, Consumer<Boolean> after) {
-        this.turner = turner;
+    NewsCall(LoopThread loopThread, Pool pool, byte[] call, Consumer<Boolean> after) {
+        this.loopThread = loopThread;
         this.pool = pool;
         this.call = call;
         this.after = after;
@@ -31,11 +31,11 @@
     void begin() {
         connection = pool.take(this);
         if (connection == null) {
-            turner.loop.soon(() -> after.accept(false));
+            loopThread.loop.soon(() -> after.accept(false));
             return;
         }
         connection.send(ByteBuffer.wrap(call));
-        limit = turner.loop.after(LIMIT, () -> {
+        limit = loopThread.loop.after(LIMIT, () -> {
             connection.close();
             after.accept(false);
         });
--- a/rig/src/main/java/saltdale/rig/standin/ListKeeper.java
+++ b/rig/src/main/java/saltdale/rig/standin/RunnerListServer.java
@@ -27,7 +27,7 @@
 import saltdale.transport.Listener;
 
 /** The list of runners by the platform's protocol: the whole of it, and a watch that stays open. */
-public final class ListKeeper implements ListWord {
+public final class RunnerListServer implements ListWord {
     private static final Duration EMPTY_LINE = Duration.ofSeconds(2);
     private static final Pattern FROM = Pattern.compile("[?&]from=(\\d{1,18})");
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -40,7 +40,7 @@
         long version = 1;
     }
 
-    private final Turner turner;
+    private final LoopThread loopThread;
     private final Day day;
     private final Places places;
     private final Origin origin;
@@ -52,8 +52,9 @@
     private long version = 1;
     private boolean mute;
 
-    public ListKeeper(Turner turner, Day day, Places places, Origin origin, Witness witness) throws IOException {
-        this.turner = turner;
+    public RunnerListServer(LoopThread loopThread, Day day, Places places, Origin origin, Witness witness)
+            throws IOException {
+        this.loopThread = loopThread;
         this.day = day;
         this.places = places;
         this.origin = origin;
@@ -65,13 +66,16 @@
             int dispatcher = j;
             InetSocketAddress at = places.list(j);
             new Listener(
-                    turner.loop, turner.sockets, at, (connection, full) -> open.add(new Asked(connection, dispatcher)));
+                    loopThread.loop,
+                    loopThread.sockets,
+                    at,
+                    (connection, full) -> open.add(new Asked(connection, dispatcher)));
         }
         beat();
     }
 
     private void beat() {
-        turner.loop.after(EMPTY_LINE, () -> {
+        loopThread.loop.after(EMPTY_LINE, () -> {
             watches.stream().filter(watch -> speaks(watch.dispatcher)).forEach(watch -> watch.line("\n"));
             beat();
         });
--- a/rig/src/main/java/saltdale/rig/standin/Served.java
+++ b/rig/src/main/java/saltdale/rig/standin/Served.java
@@ -99,7 +99,7 @@
         switch (offer) {
             case TAKEN -> {
                 if (box.has(Kind.EARLY_NEWS)) {
-                    fleet.turner.loop.after(Duration.ofMillis(20), () -> say(answer(202, "", "")));
+                    fleet.loopThread.loop.after(Duration.ofMillis(20), () -> say(answer(202, "", "")));
                 } else {
                     say(answer(202, "", ""));
                 }
@@ -161,7 +161,7 @@
         }
         connection.send(ByteBuffer.wrap(answer, from, 1));
         if (from + 1 < answer.length) {
-            fleet.turner.loop.after(gap, () -> drip(answer, from + 1, gap));
+            fleet.loopThread.loop.after(gap, () -> drip(answer, from + 1, gap));
         } else {
             unanswered = null;
             answered();
--- a/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
+++ b/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
@@ -14,13 +14,13 @@
 import saltdale.model.Workload;
 import saltdale.rig.fleet.Passage;
 import saltdale.rig.fleet.Receipts;
-import saltdale.rig.fleet.Weather;
+import saltdale.rig.fleet.TroubleSchedule;
 import saltdale.rig.judge.Witness;
 import saltdale.rig.load.Watch;
 import saltdale.rig.plan.Day;
 import saltdale.rig.plan.Job;
 import saltdale.rig.plan.Trouble;
-import saltdale.rig.ways.Way;
+import saltdale.rig.ways.LinkRelay;
 import saltdale.transport.Pool;
 
 /** The runners of a day on sockets, by the platform's protocol; each is a model with a loop for its clock. */
@@ -33,15 +33,15 @@
     private record Pair(int runner, int dispatcher) {}
 
     /** Their way for the dispatcher's connections, that for the runner's, and who calls on the latter. */
-    private record Links(Way there, Way back, Pool calls) {}
+    private record Links(LinkRelay there, LinkRelay back, Pool calls) {}
 
-    final Turner turner;
+    final LoopThread loopThread;
     final Day day;
     final Places places;
     final Origin origin;
     final Witness witness;
     final ListWord list;
-    final Weather weather;
+    final TroubleSchedule troubles;
     final Watch watch;
     private final SplittableRandom chance;
     final Map<String, Workload> workloads = new HashMap<>();
@@ -54,15 +54,16 @@
     long newsLost;
     long requests;
 
-    public StandInFleet(Turner turner, Day day, Places places, Origin origin, Witness witness, ListWord list, long seed)
+    public StandInFleet(
+            LoopThread loopThread, Day day, Places places, Origin origin, Witness witness, ListWord list, long seed)
             throws IOException {
-        this.turner = turner;
+        this.loopThread = loopThread;
         this.day = day;
         this.places = places;
         this.origin = origin;
         this.witness = witness;
         this.list = list;
-        this.weather = new Weather(day.troubles);
+        this.troubles = new TroubleSchedule(day.troubles);
         this.watch = new Watch(day.runners);
         this.chance = new SplittableRandom(seed);
         for (Job job : day.jobs) {
@@ -79,8 +80,10 @@
                     links.put(
                             new Pair(i, j),
                             new Links(
-                                    new Way(turner, places.runner(i, j), places.behind(i, j), true, chance.split()),
-                                    new Way(turner, places.back(i, j), places.dispatcher(j), false, chance.split()),
+                                    new LinkRelay(
+                                            loopThread, places.runner(i, j), places.behind(i, j), true, chance.split()),
+                                    new LinkRelay(
+                                            loopThread, places.back(i, j), places.dispatcher(j), false, chance.split()),
                                     pool(places.back(i, j))));
                 }
             }
@@ -92,7 +95,7 @@
     }
 
     private Pool pool(InetSocketAddress at) {
-        return new Pool(turner.loop, turner.sockets, at, NewsCall.LIMIT, Duration.ofSeconds(2));
+        return new Pool(loopThread.loop, loopThread.sockets, at, NewsCall.LIMIT, Duration.ofSeconds(2));
     }
 
     /** Where a runner itself listens for a dispatcher: behind their way, if something befalls that. */
@@ -118,8 +121,8 @@
     /** The day began at this time: its troubles come by it. */
     public void begin(Duration at) {
         start = at;
-        for (Weather.Turn turn : weather.turns()) {
-            turner.loop.after(turn.at().plus(start).minus(origin.now()), () -> act(turn));
+        for (TroubleSchedule.Turn turn : troubles.turns()) {
+            loopThread.loop.after(turn.at().plus(start).minus(origin.now()), () -> act(turn));
         }
         sample();
     }
@@ -143,11 +146,11 @@
             box.model.advance(origin.now());
             watch.sample(origin.now(), box.number, box.model.held(), box.model.isUp() && !box.silent);
         }
-        turner.loop.after(SAMPLE, this::sample);
+        loopThread.loop.after(SAMPLE, this::sample);
     }
 
     private void passes(Pair pair, Links own, Duration at) {
-        Passage next = weather.way(pair.runner, pair.dispatcher, at);
+        Passage next = troubles.way(pair.runner, pair.dispatcher, at);
         if (!next.equals(own.there.passage())) {
             own.there.set(next);
             own.back.set(next);
@@ -169,7 +172,7 @@
         }
     }
 
-    private void act(Weather.Turn turn) {
+    private void act(TroubleSchedule.Turn turn) {
         Trouble trouble = turn.trouble();
         switch (turn.act()) {
             case CUT -> {
@@ -190,7 +193,7 @@
                 links.forEach((pair, own) -> passes(pair, own, turn.at()));
                 tellDisturbed();
                 for (int j = 0; j < day.dispatchers; j++) {
-                    list.way(j, weather.listWay(j, turn.at()));
+                    list.way(j, troubles.listWay(j, turn.at()));
                 }
             }
             default -> trouble.runners().forEach(i -> boxes.get(i).act(turn.act(), turn.at()));
--- a/rig/src/main/java/saltdale/rig/standin/Telling.java
+++ b/rig/src/main/java/saltdale/rig/standin/Telling.java
@@ -67,7 +67,7 @@
             waiting.addLast(call);
         }
         // Out of order: held a little, so that there is another to pass it.
-        fleet.turner.loop.after(box.has(Kind.SHUFFLED_NEWS) && !passes ? HELD : Duration.ZERO, this::next);
+        fleet.loopThread.loop.after(box.has(Kind.SHUFFLED_NEWS) && !passes ? HELD : Duration.ZERO, this::next);
     }
 
     private void next() {
@@ -80,13 +80,13 @@
             return;
         }
         if (box.gates.get(work.from).isMuted()) {
-            fleet.turner.loop.after(PAUSE, this::next); // the link is cut: until it is back
+            fleet.loopThread.loop.after(PAUSE, this::next); // the link is cut: until it is back
             return;
         }
         busy = true;
         // Out of the queue: guards against another that passes it meanwhile and would be dropped in its place.
         sending = sending == null ? waiting.poll() : sending;
-        new NewsCall(fleet.turner, fleet.callBack(box.number, work.from), sending, this::told).begin();
+        new NewsCall(fleet.loopThread, fleet.callBack(box.number, work.from), sending, this::told).begin();
     }
 
     private void told(boolean heard) {
@@ -97,7 +97,7 @@
             sending = null;
             next();
         } else {
-            fleet.turner.loop.after(PAUSE, this::next);
+            fleet.loopThread.loop.after(PAUSE, this::next);
         }
     }
 }
--- a/rig/src/main/java/saltdale/rig/ways/Way.java
+++ b/rig/src/main/java/saltdale/rig/ways/LinkRelay.java
@@ -11,7 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import saltdale.rig.fleet.Passage;
-import saltdale.rig.standin.Turner;
+import saltdale.rig.standin.LoopThread;
 import saltdale.transport.Connection;
 import saltdale.transport.Timer;
 
@@ -20,27 +20,32 @@
  * with the sender's kernel, as on a network that loses packets, and comes when the way is whole again. Used on
  * the loop; what it holds is bounded.
  */
-public final class Way {
+public final class LinkRelay {
     private static final Duration CONNECT_LIMIT = Duration.ofSeconds(2);
     private static final Duration STEP = Duration.ofMillis(20); // of a slow way
     private static final int MOST_HELD = 1 << 18; // bytes a lane, then the sender waits
 
-    private final Turner turner;
+    private final LoopThread loopThread;
     private final InetSocketAddress behind;
     private final boolean outward;
     private final SplittableRandom chance;
-    private final Mouth mouth;
-    private final Set<Strand> strands = new LinkedHashSet<>();
+    private final SwitchableListener mouth;
+    private final Set<RelayedConnection> strands = new LinkedHashSet<>();
     private Passage passage = Passage.FREE;
 
     /** {@code outward}: whether who connects is the dispatcher, so that its bytes go to the runner. */
-    public Way(Turner turner, InetSocketAddress at, InetSocketAddress behind, boolean outward, SplittableRandom chance)
+    public LinkRelay(
+            LoopThread loopThread,
+            InetSocketAddress at,
+            InetSocketAddress behind,
+            boolean outward,
+            SplittableRandom chance)
             throws IOException {
-        this.turner = turner;
+        this.loopThread = loopThread;
         this.behind = behind;
         this.outward = outward;
         this.chance = chance;
-        mouth = new Mouth(turner, at, (connection, full) -> new Strand(connection));
+        mouth = new SwitchableListener(loopThread, at, (connection, full) -> new RelayedConnection(connection));
     }
 
     public Passage passage() {
@@ -52,26 +57,26 @@
         passage = next;
         if (next.reset()) {
             mouth.shut();
-            List.copyOf(strands).forEach(Strand::reset);
+            List.copyOf(strands).forEach(RelayedConnection::reset);
         } else {
             mouth.open();
             mouth.silent(next.isSilent());
-            List.copyOf(strands).forEach(Strand::renew);
+            List.copyOf(strands).forEach(RelayedConnection::renew);
         }
     }
 
     /** One connection and the one behind it. */
-    private final class Strand {
+    private final class RelayedConnection {
         private final Connection near;
         private final Connection far;
         private final Lane there;
         private final Lane back;
 
-        Strand(Connection near) {
+        RelayedConnection(Connection near) {
             this.near = near;
             there = new Lane(outward);
             back = new Lane(!outward);
-            far = Connection.dial(turner.loop, turner.sockets, behind, CONNECT_LIMIT, back);
+            far = Connection.dial(loopThread.loop, loopThread.sockets, behind, CONNECT_LIMIT, back);
             if (far == null) {
                 near.owner(there);
                 near.reset();
@@ -132,7 +137,7 @@
                 ByteBuffer copy =
                         ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
                 double late = passage.late() * (1 + passage.jitter() * chance.nextDouble());
-                Duration due = turner.loop.now().plusNanos((long) (late * 1e9));
+                Duration due = loopThread.loop.now().plusNanos((long) (late * 1e9));
                 lastDue = due.compareTo(lastDue) > 0 ? due : lastDue; // in order, as TCP has it
                 parts.add(new Part(lastDue, copy));
                 held += copy.remaining();
@@ -143,7 +148,7 @@
             public void ended(String cause) {
                 over = true;
                 if (this == back && !opened) { // nobody is there: what connected is told so
-                    Strand.this.reset();
+                    RelayedConnection.this.reset();
                     return;
                 }
                 pump();
@@ -161,11 +166,11 @@
                     timer.cancel();
                     timer = null;
                 }
-                Duration now = turner.loop.now();
+                Duration now = loopThread.loop.now();
                 while (!isCut() && !parts.isEmpty()) {
                     Part next = parts.peek();
                     if (next.due.compareTo(now) > 0) {
-                        timer = turner.loop.after(next.due.minus(now), this::pump);
+                        timer = loopThread.loop.after(next.due.minus(now), this::pump);
                         return;
                     } else if (passage.pace() > 0) {
                         trickle(next);
@@ -175,7 +180,7 @@
                     send(next.bytes);
                 }
                 if (parts.isEmpty() && over) {
-                    strands.remove(Strand.this);
+                    strands.remove(RelayedConnection.this);
                     if (this == there && !back.opened) {
                         to.close(); // it has gone before the one behind was reached
                     } else {
@@ -193,7 +198,7 @@
                     parts.poll();
                 }
                 send(ByteBuffer.wrap(some));
-                timer = turner.loop.after(Duration.ofNanos((long) (gap * 1e9)), this::renew);
+                timer = loopThread.loop.after(Duration.ofNanos((long) (gap * 1e9)), this::renew);
             }
 
             private void send(ByteBuffer bytes) {
--- a/rig/src/main/java/saltdale/rig/ways/Mouth.java
+++ b/rig/src/main/java/saltdale/rig/ways/SwitchableListener.java
@@ -7,31 +7,31 @@
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import saltdale.rig.standin.Turner;
+import saltdale.rig.standin.LoopThread;
 import saltdale.transport.Listener;
 
 /** An address that can take connections in, refuse them, or say nothing at all. Used on the loop. */
-public final class Mouth {
-    private static final Logger LOG = LoggerFactory.getLogger(Mouth.class);
+public final class SwitchableListener {
+    private static final Logger LOG = LoggerFactory.getLogger(SwitchableListener.class);
     // small, so that a machine that is cut off can be told by a full one
     private static final int BACKLOG = 8;
 
-    private final Turner turner;
+    private final LoopThread loopThread;
     private final InetSocketAddress at;
     private final Listener.Taker taker;
     private final List<SocketChannel> plugs = new ArrayList<>();
     private Listener listener;
     private boolean silent;
 
-    public Mouth(Turner turner, InetSocketAddress at, Listener.Taker taker) throws IOException {
-        this.turner = turner;
+    public SwitchableListener(LoopThread loopThread, InetSocketAddress at, Listener.Taker taker) throws IOException {
+        this.loopThread = loopThread;
         this.at = at;
         this.taker = taker;
         listen();
     }
 
     private void listen() throws IOException {
-        listener = new Listener(turner.loop, turner.sockets, at, BACKLOG, taker);
+        listener = new Listener(loopThread.loop, loopThread.sockets, at, BACKLOG, taker);
     }
 
     public boolean isShut() {
--- a/rig/src/test/java/saltdale/rig/load/GeneratorTest.java
+++ b/rig/src/test/java/saltdale/rig/load/GeneratorTest.java
@@ -11,9 +11,9 @@
 import saltdale.rig.judge.Witness;
 import saltdale.rig.plan.Day;
 import saltdale.rig.plan.Sheet;
+import saltdale.rig.standin.LoopThread;
 import saltdale.rig.standin.Origin;
 import saltdale.rig.standin.Places;
-import saltdale.rig.standin.Turner;
 
 class GeneratorTest {
     @Test
@@ -23,19 +23,26 @@
                 "day",
                 "length = \"400ms\"\nwarm_up = \"0s\"\n[load]\nrate = 100\n"
                         + "[[workload]]\nname = \"w\"\npatience = \"100ms\"\n"));
-        try (Turner turner = new Turner("clients")) {
-            turner.start();
+        try (LoopThread loopThread = new LoopThread("clients")) {
+            loopThread.start();
             Origin origin = new Origin();
             Generator generator = new Generator(
-                    turner, day, List.of(new Places(9).dispatcher(0)), origin, Witness.NOBODY, 1, "t", origin.now());
-            turner.inside(() -> {
+                    loopThread,
+                    day,
+                    List.of(new Places(9).dispatcher(0)),
+                    origin,
+                    Witness.NOBODY,
+                    1,
+                    "t",
+                    origin.now());
+            loopThread.inside(() -> {
                 generator.begin(new Arrivals(day.traffic, day.jobs, day.length, 1));
                 while (origin.now().compareTo(Duration.ofMillis(500)) < 0) {
                     Thread.onSpinWait(); // another program has its core until all has been due
                 }
             });
             while (!generator.isOver()) {
-                turner.inside(() -> {});
+                loopThread.inside(() -> {});
             }
             assertNotNull(generator.isVoid());
             assertTrue(generator.isVoid().contains("fell behind"), generator.isVoid());
--- a/rig/src/test/java/saltdale/rig/platform/live/LiveTest.java
+++ b/rig/src/test/java/saltdale/rig/platform/live/LiveTest.java
@@ -33,8 +33,8 @@
 import saltdale.rig.platform.Site;
 import saltdale.rig.simulate.Timeline;
 import saltdale.rig.standin.Exchange;
+import saltdale.rig.standin.LoopThread;
 import saltdale.rig.standin.Origin;
-import saltdale.rig.standin.Turner;
 import saltdale.transport.Address;
 import saltdale.transport.Connection;
 import saltdale.transport.Listener;
@@ -47,15 +47,15 @@
     private final Route route = site.routes().get(2); // to press-1
     private final Origin origin = new Origin();
     private final Timeline starts = new Timeline();
-    private Turner turner;
+    private LoopThread loopThread;
     private Platform platform;
     private String identifier;
     private String address;
 
     @BeforeEach
     void turns() throws IOException {
-        turner = new Turner("test");
-        turner.start();
+        loopThread = new LoopThread("test");
+        loopThread.start();
     }
 
     @AfterEach
@@ -63,19 +63,19 @@
         if (platform != null) {
             // Its address is free for the next test once the loop has waited again.
             CompletableFuture<Void> round = new CompletableFuture<>();
-            turner.inside(() -> {
+            loopThread.inside(() -> {
                 platform.crash("w-north", Duration.ZERO);
-                turner.loop.soon(() -> round.complete(null));
+                loopThread.loop.soon(() -> round.complete(null));
             });
             round.orTimeout(10, TimeUnit.SECONDS).join();
         }
-        turner.close();
+        loopThread.close();
     }
 
     private void runner(Faults.Kind fault) {
         Faults faults = new Faults(fault == null ? Map.of() : Map.of(fault, 1.0), 1);
         faults.on(true);
-        turner.inside(() -> {
+        loopThread.inside(() -> {
             platform = new Platform(
                     site,
                     new Clock() {
@@ -89,7 +89,7 @@
                             starts.after(span, what);
                         }
                     },
-                    new Runners(turner, origin, judge, faults, 1),
+                    new Runners(loopThread, origin, judge, faults, 1),
                     1);
             judge.offered(site.routes());
             ObjectNode begun = platform.begin(null, "press-1", "w-north", "n").body();
@@ -101,10 +101,10 @@
 
     private CompletableFuture<HttpCall.Answer> call(String id, String more) {
         CompletableFuture<HttpCall.Answer> answer = new CompletableFuture<>();
-        turner.inside(() -> {
+        loopThread.inside(() -> {
             judge.sent(origin.now(), id, route, "GET /press1/x ", "p");
             HttpCall.send(
-                    turner,
+                    loopThread,
                     Address.parse(address),
                     "GET",
                     "/press1/x",
@@ -120,11 +120,11 @@
     void aRunnerRunsOneRequestAndTurnsAwayWhatIsOverOrForAnother() {
         runner(null);
         Instance instance = platform.alive().get(0);
-        turner.inside(() -> instance.admit("b", null, null));
+        loopThread.inside(() -> instance.admit("b", null, null));
         HttpCall.Answer full = call("a", "").join();
         assertThat(full.status(), is(503));
         assertThat(full.head().header("X-Saltdale-Not-Executed"), notNullValue());
-        turner.inside(instance::worked);
+        loopThread.inside(instance::worked);
         HttpCall.Answer whole =
                 call("a", "X-Saltdale-Expected-Runner: " + identifier + "\r\n").join();
         assertThat(whole.status(), is(200));
@@ -133,7 +133,7 @@
         assertThat(whole.body(), equalTo(Judge.body(seal)));
         assertThat(call("c", "X-Saltdale-Expected-Runner: i-other\r\n").join().status(), is(421));
         assertThat(call("d", "X-Saltdale-Deadline-Remaining: 1\r\n").join().status(), is(504));
-        turner.inside(() -> {
+        loopThread.inside(() -> {
             judge.answered(origin.now(), "a", 200, seal, "a", whole.body());
             platform.stop(null, identifier);
         });
@@ -148,7 +148,7 @@
     void aSpoiltAnswerIsNoAnswer(Faults.Kind kind) {
         runner(kind);
         assertThat(call("a", "").join(), nullValue());
-        turner.inside(() -> judge.garbage(origin.now(), "a")); // as the runner broke it off
+        loopThread.inside(() -> judge.garbage(origin.now(), "a")); // as the runner broke it off
         assertThat(judge.told().toString(), judge.broken(), is(0));
     }
 
@@ -161,20 +161,21 @@
         control(controlNodes.get(1), calls, 307, "Location: http://" + last + "/elsewhere\r\n");
         control(controlNodes.get(2), calls, 200, "");
         CompletableFuture<HttpCall.Answer> answer = new CompletableFuture<>();
-        turner.inside(() -> new Operator(turner, site).change("Replace", 0, site.replacement(1), answer::complete));
+        loopThread.inside(
+                () -> new Operator(loopThread, site).change("Replace", 0, site.replacement(1), answer::complete));
         assertThat(answer.orTimeout(10, TimeUnit.SECONDS).join().status(), is(200));
-        turner.inside(() -> {}); // guards against reading what the loop has not written yet
+        loopThread.inside(() -> {}); // guards against reading what the loop has not written yet
         assertThat(
                 calls,
                 equalTo(List.of("503 /Configuration.Replace 0", "307 /Configuration.Replace 0", "200 /elsewhere 0")));
     }
 
     private void control(Machine controlNode, List<String> calls, int status, String headers) {
-        turner.inside(() -> {
+        loopThread.inside(() -> {
             try {
                 new Listener(
-                        turner.loop,
-                        turner.sockets,
+                        loopThread.loop,
+                        loopThread.sockets,
                         Address.parse(controlNode.at(Machine.CONTROL)),
                         (connection, full) -> new Control(connection, calls, status, headers));
             } catch (IOException e) {
--- a/rig/src/test/java/saltdale/rig/standin/StandInFleetTest.java
+++ b/rig/src/test/java/saltdale/rig/standin/StandInFleetTest.java
@@ -40,7 +40,7 @@
 
     private final BlockingQueue<String> news = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> disturbances = new LinkedBlockingQueue<>();
-    private Turner turner;
+    private LoopThread loopThread;
     private Places places;
     private Socket call;
     private ServerSocket dispatcher;
@@ -58,23 +58,23 @@
                 ? DAY
                 : DAY + "[[trouble]]\nkind = \"" + kind + "\"\nlength = \"" + length + "\"\nrunners = [0]\n" + more;
         Day day = new Day(Sheet.of("day", text));
-        turner = new Turner("test");
+        loopThread = new LoopThread("test");
         Origin origin = new Origin();
-        ListKeeper list = new ListKeeper(turner, day, places, origin, Witness.NOBODY);
-        StandInFleet fleet = new StandInFleet(turner, day, places, origin, recordingDisturbances(), list, 1);
-        turner.start();
+        RunnerListServer list = new RunnerListServer(loopThread, day, places, origin, Witness.NOBODY);
+        StandInFleet fleet = new StandInFleet(loopThread, day, places, origin, recordingDisturbances(), list, 1);
+        loopThread.start();
         InetSocketAddress at = places.dispatcher(0);
         dispatcher = new ServerSocket(at.getPort(), 50, at.getAddress());
         Thread thread = new Thread(this::hear);
         thread.setDaemon(true);
         thread.start();
-        turner.inside(() -> fleet.begin(origin.now()));
+        loopThread.inside(() -> fleet.begin(origin.now()));
         // What begins with the day stands in the loop's timers before this one, and has closed two turns after it.
         CompletableFuture<Void> begun = new CompletableFuture<>();
-        turner.inside(() -> turner.loop.after(Duration.ofMillis(20), () -> begun.complete(null)));
+        loopThread.inside(() -> loopThread.loop.after(Duration.ofMillis(20), () -> begun.complete(null)));
         begun.orTimeout(10, TimeUnit.SECONDS).join();
         for (int i = 0; i < 4; i++) {
-            turner.inside(() -> {});
+            loopThread.inside(() -> {});
         }
     }
 
@@ -158,7 +158,7 @@
             call.close();
         }
         dispatcher.close();
-        turner.close();
+        loopThread.close();
     }
 
     @Test
--- a/rig/src/test/java/saltdale/rig/ways/WayTest.java
+++ b/rig/src/test/java/saltdale/rig/ways/LinkRelayTest.java
@@ -19,14 +19,14 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import saltdale.rig.fleet.Passage;
-import saltdale.rig.standin.Turner;
+import saltdale.rig.standin.LoopThread;
 
 /** A way between a socket and an echo: what passes in each state, and what comes after it. */
 @Timeout(20)
-class WayTest {
-    private Turner turner;
+class LinkRelayTest {
+    private LoopThread loopThread;
     private ServerSocket behind;
-    private Way way;
+    private LinkRelay way;
     private InetSocketAddress at;
     private Socket near;
     private Socket far;
@@ -37,9 +37,10 @@
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             at = (InetSocketAddress) free.getLocalSocketAddress();
         }
-        turner = new Turner("way");
-        way = new Way(turner, at, (InetSocketAddress) behind.getLocalSocketAddress(), true, new SplittableRandom(1));
-        turner.start();
+        loopThread = new LoopThread("way");
+        way = new LinkRelay(
+                loopThread, at, (InetSocketAddress) behind.getLocalSocketAddress(), true, new SplittableRandom(1));
+        loopThread.start();
         near = new Socket(at.getAddress(), at.getPort());
         far = behind.accept();
         near.setSoTimeout(5000);
@@ -51,11 +52,11 @@
         near.close();
         far.close();
         behind.close();
-        turner.close();
+        loopThread.close();
     }
 
     private void set(boolean there, boolean back, double late, double pace) {
-        turner.inside(() -> way.set(new Passage(false, there, back, late, 0, pace)));
+        loopThread.inside(() -> way.set(new Passage(false, there, back, late, 0, pace)));
     }
 
     private static void passes(Socket from, Socket to, String text) throws IOException {
@@ -101,7 +102,7 @@
 
     @Test
     void resetEndsWhatIsOpenRefusesWhatComesAndIsOverAgain() throws IOException {
-        turner.inside(() -> way.set(new Passage(true, true, true, 0, 0, 0)));
+        loopThread.inside(() -> way.set(new Passage(true, true, true, 0, 0, 0)));
         assertThrows(SocketException.class, () -> near.getInputStream().read());
         assertThrows(SocketException.class, () -> new Socket(at.getAddress(), at.getPort()).close());
         set(false, false, 0, 0);
--- a/tools/src/main/java/saltdale/tools/Ceiling.java
+++ b/tools/src/main/java/saltdale/tools/Ceiling.java
@@ -16,9 +16,9 @@
 import saltdale.rig.load.Generator;
 import saltdale.rig.plan.Day;
 import saltdale.rig.plan.Sheet;
+import saltdale.rig.standin.LoopThread;
 import saltdale.rig.standin.Origin;
 import saltdale.rig.standin.Places;
-import saltdale.rig.standin.Turner;
 import saltdale.transport.Connection;
 import saltdale.transport.Listener;
 
@@ -51,8 +51,8 @@
                 "length = \"4s\"\nwarm_up = \"2s\"\n[load]\nrate = " + rate + "\n[[workload]]\nname = \"w\"\n"));
         Origin origin = new Origin();
         Places places = new Places(7411);
-        try (Turner server = new Turner("stand-in");
-                Turner clients = new Turner("clients")) {
+        try (LoopThread server = new LoopThread("stand-in");
+                LoopThread clients = new LoopThread("clients")) {
             Listener listener = new Listener(
                     server.loop,
                     server.sockets,
--- a/tools/src/main/java/saltdale/tools/Cost.java
+++ b/tools/src/main/java/saltdale/tools/Cost.java
@@ -109,27 +109,35 @@
         Path counts = out.resolve("system-calls-" + version.name() + "-" + rate + ".txt");
         Files.createDirectories(out);
         Process[] watching = new Process[1];
-        Run.onSockets(day, version, "", 0, Run.asks(day, Path.of(".")), out.resolve("watched"), core, (share, crew) -> {
-            if (share > 0.4 && watching[0] == null) {
-                try {
-                    watching[0] = new ProcessBuilder(
-                                    "timeout",
-                                    "-s",
-                                    "INT",
-                                    String.valueOf(WATCHED_S),
-                                    "strace",
-                                    "-c",
-                                    "-f",
-                                    "-o",
-                                    counts.toString(),
-                                    "-p",
-                                    String.valueOf(crew.pid(0)))
-                            .start();
-                } catch (IOException e) {
-                    throw new UncheckedIOException("strace can't be started: " + e.getMessage(), e);
-                }
-            }
-        });
+        Run.onSockets(
+                day,
+                version,
+                "",
+                0,
+                Run.asks(day, Path.of(".")),
+                out.resolve("watched"),
+                core,
+                (share, dispatchers) -> {
+                    if (share > 0.4 && watching[0] == null) {
+                        try {
+                            watching[0] = new ProcessBuilder(
+                                            "timeout",
+                                            "-s",
+                                            "INT",
+                                            String.valueOf(WATCHED_S),
+                                            "strace",
+                                            "-c",
+                                            "-f",
+                                            "-o",
+                                            counts.toString(),
+                                            "-p",
+                                            String.valueOf(dispatchers.pid(0)))
+                                    .start();
+                        } catch (IOException e) {
+                            throw new UncheckedIOException("strace can't be started: " + e.getMessage(), e);
+                        }
+                    }
+                });
         try {
             watching[0].waitFor();
         } catch (InterruptedException e) {
@@ -168,8 +176,8 @@
         Day day = day(rate, repeat);
         Path folder = out.resolve(version.name() + "-" + rate + "-" + repeat);
         Files.createDirectories(folder);
-        Outcome outcome =
-                Run.onSockets(day, version, "", repeat, Run.asks(day, Path.of(".")), folder, core, (share, crew) -> {});
+        Outcome outcome = Run.onSockets(
+                day, version, "", repeat, Run.asks(day, Path.of(".")), folder, core, (share, dispatchers) -> {});
         Map<String, Double> f = outcome.figures();
         System.out.printf(
                 Locale.ROOT,
--- a/tools/src/main/java/saltdale/tools/Load.java
+++ b/tools/src/main/java/saltdale/tools/Load.java
@@ -14,8 +14,8 @@
 import saltdale.rig.judge.Witness;
 import saltdale.rig.load.Generator;
 import saltdale.rig.plan.Day;
+import saltdale.rig.standin.LoopThread;
 import saltdale.rig.standin.Origin;
-import saltdale.rig.standin.Turner;
 
 @Command(
         name = "load",
@@ -39,19 +39,19 @@
         List<InetSocketAddress> addresses = new ArrayList<>();
         to.forEach(each -> addresses.add(StandInNodes.loopback("--to", each)));
         Origin origin = new Origin();
-        try (Turner turner = new Turner("clients")) {
-            turner.start();
+        try (LoopThread loopThread = new LoopThread("clients")) {
+            loopThread.start();
             Duration start = origin.now();
             Generator generator = new Generator(
-                    turner, day, addresses, origin, Witness.NOBODY, day.seed + 3, "l" + origin.unixMillis, start);
-            turner.inside(
+                    loopThread, day, addresses, origin, Witness.NOBODY, day.seed + 3, "l" + origin.unixMillis, start);
+            loopThread.inside(
                     () -> generator.begin(Run.asks(day, file.toAbsolutePath().getParent(), start)));
             Duration last =
                     start.plus(day.length).plus(day.orders.longestPatience()).plusSeconds(5);
             while (origin.now().compareTo(last) < 0 && !generator.isOver()) {
                 Thread.sleep(50);
             }
-            turner.inside(() -> generator
+            loopThread.inside(() -> generator
                     .tally()
                     .figures()
                     .forEach((name, value) -> System.out.printf(Locale.ROOT, "%-34s %.6g%n", name, value)));
--- a/tools/src/main/java/saltdale/tools/StandIn.java
+++ b/tools/src/main/java/saltdale/tools/StandIn.java
@@ -8,17 +8,17 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import saltdale.rig.experiment.Crew;
+import saltdale.rig.experiment.DispatcherProcesses;
 import saltdale.rig.fleet.Passage;
-import saltdale.rig.fleet.Weather;
+import saltdale.rig.fleet.TroubleSchedule;
 import saltdale.rig.judge.Witness;
 import saltdale.rig.plan.Day;
-import saltdale.rig.standin.ListKeeper;
 import saltdale.rig.standin.ListWord;
+import saltdale.rig.standin.LoopThread;
 import saltdale.rig.standin.Origin;
 import saltdale.rig.standin.Places;
+import saltdale.rig.standin.RunnerListServer;
 import saltdale.rig.standin.StandInFleet;
-import saltdale.rig.standin.Turner;
 
 @Command(
         name = "stand-in",
@@ -61,22 +61,24 @@
         Places places = new Places(port);
         Witness nobody = Witness.NOBODY;
         Files.createDirectories(out);
-        try (Turner turner = new Turner("stand-in")) {
-            ListWord list = part == Part.runners ? new Unheard() : new ListKeeper(turner, day, places, origin, nobody);
+        try (LoopThread loopThread = new LoopThread("stand-in")) {
+            ListWord list = part == Part.runners
+                    ? new Unheard()
+                    : new RunnerListServer(loopThread, day, places, origin, nobody);
             StandInFleet fleet = part == Part.discovery
                     ? null
-                    : new StandInFleet(turner, day, places, origin, nobody, list, day.seed);
-            turner.start();
-            turner.inside(() -> {
+                    : new StandInFleet(loopThread, day, places, origin, nobody, list, day.seed);
+            loopThread.start();
+            loopThread.inside(() -> {
                 if (fleet != null) {
                     fleet.begin(origin.now());
                 } else {
-                    tell(turner, day, origin, list);
+                    tell(loopThread, day, origin, list);
                 }
             });
             for (int i = 0; i < day.dispatchers; i++) {
                 Path config = out.resolve("config-" + i + ".json");
-                Files.writeString(config, Crew.configuration(day, i));
+                Files.writeString(config, DispatcherProcesses.configuration(day, i));
                 System.out.println("EDGE_NAME=d" + i + " EDGE_LISTEN=" + Places.text(places.dispatcher(i))
                         + " EDGE_DISCOVERY=" + Places.text(places.list(i)) + " EDGE_CONFIG=" + config
                         + " ./saltdale serve");
@@ -89,19 +91,19 @@
     }
 
     /** Without runners of its own, the list tells what the day's troubles would make it tell. */
-    private static void tell(Turner turner, Day day, Origin origin, ListWord list) {
-        for (Weather.Turn turn : new Weather(day.troubles).turns()) {
-            boolean silent = turn.act() == Weather.Act.CRASH || turn.act() == Weather.Act.VANISH;
+    private static void tell(LoopThread loopThread, Day day, Origin origin, ListWord list) {
+        for (TroubleSchedule.Turn turn : new TroubleSchedule(day.troubles).turns()) {
+            boolean silent = turn.act() == TroubleSchedule.Act.CRASH || turn.act() == TroubleSchedule.Act.VANISH;
             Witness.Health health = switch (turn.act()) {
                 case CRASH, VANISH, REMOVE -> Witness.Health.GONE;
                 case DRAIN, HAND_BACK -> Witness.Health.DRAINING;
                 case START -> Witness.Health.UP;
                 default -> null;
             };
-            if (turn.act() == Weather.Act.MUTE || turn.act() == Weather.Act.UNMUTE) {
-                turner.loop.after(turn.at(), () -> list.mute(turn.act() == Weather.Act.MUTE));
+            if (turn.act() == TroubleSchedule.Act.MUTE || turn.act() == TroubleSchedule.Act.UNMUTE) {
+                loopThread.loop.after(turn.at(), () -> list.mute(turn.act() == TroubleSchedule.Act.MUTE));
             } else if (health != null) {
-                turner.loop.after(
+                loopThread.loop.after(
                         turn.at().plus(silent ? day.silentNotice : day.notice),
                         () -> turn.trouble()
                                 .runners()
--- a/tools/src/test/java/saltdale/tools/FaultsTest.java
+++ b/tools/src/test/java/saltdale/tools/FaultsTest.java
@@ -75,7 +75,7 @@
                 Run.asks(day, folder),
                 folder,
                 null,
-                (share, crew) -> {});
+                (share, dispatchers) -> {});
         assertEquals(List.<Breach>of(), outcome.breaches());
         assertEquals(0, outcome.figures().get("dispatchers_died"));
         return outcome.figures();
--- a/tools/src/test/java/saltdale/tools/OverloadTest.java
+++ b/tools/src/test/java/saltdale/tools/OverloadTest.java
@@ -96,7 +96,7 @@
                 Run.asks(day, folder),
                 folder,
                 null,
-                (share, crew) -> {});
+                (share, dispatchers) -> {});
         assertEquals(List.<Breach>of(), outcome.breaches());
         Map<String, Double> figures = outcome.figures();
         assertEquals(0, figures.get("dispatchers_died"));
