Requests that an owner's silence drove to another zone come back once it is replaced or goes on

Cause: a request whose owner does not answer asks another zone's, and was marked for good: it took no way back. That owner has no instances, and the scaler starts none there while the first zone has some; so it waited to its deadline, 4 to 8 s, though the first zone had a new owner after 2 s.

Now the mark holds the life of the owner and the time: with another owner, or once it was passed by for half a heartbeat interval, the request asks all zones again, when members change and when it is told that it still waits (each third). An own queue is not gone through and changed at a time: asked again in a later turn (ConcurrentModificationException in ProxyClusterTest, found by it).

Test: ProxyClusterTest.whoAsksFromOtherZonesIsServedOnceTheOwnerIsReplacedOrGoesOn, both ways: red before (503 for 200), green now. Control, proxy and node: 199 tests run, green.

--- a/proxy/src/main/java/saltdale/proxy/Request.java
+++ b/proxy/src/main/java/saltdale/proxy/Request.java
@@ -1,12 +1,17 @@
 package saltdale.proxy;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import saltdale.control.Configuration;
 import saltdale.control.Member;
 
 /** One request of a client, from when it was read to its one final answer. */
 public final class Request {
+    /** An owner that did not answer, by the life of the member, and when that was found. */
+    record SilentOwner(String life, long at) {}
+
     public final String id;
     public final Configuration.Route route;
     public final String service;
@@ -18,7 +23,7 @@
     final int priority; // the lowest first
     final long targetAt; // when its answer is late
     final Set<String> avoidedInstances = new HashSet<>(); // instances that turned it away or broke off
-    final Set<String> unreachedZones = new HashSet<>(); // zones whose owners did not answer
+    final Map<String, SilentOwner> silentOwners = new HashMap<>(); // by zone: those that did not answer it
     ExecutionStatus status = ExecutionStatus.NOT_RUN;
     int attempts;
     int possibleRuns; // attempts of which nothing proves that they did not run
--- a/proxy/src/main/java/saltdale/proxy/SlotRequester.java
+++ b/proxy/src/main/java/saltdale/proxy/SlotRequester.java
@@ -73,7 +73,7 @@
         }
         number(request);
         boolean away = !owner.zone().equals(cluster.zone());
-        boolean reachesAll = request.unreachedZones.isEmpty();
+        boolean reachesAll = request.silentOwners.isEmpty();
         boolean counts = request.attempts == 0 && reachesAll && !away || away && !reachesAll;
         request.hops = reachesAll ? 0 : SlotAllocator.MOST_HOPS;
         send(request, counts);
@@ -138,7 +138,7 @@
     }
 
     private boolean isUsable(Member owner, Request request) {
-        if (owner == null || request.unreachedZones.contains(owner.zone())) {
+        if (owner == null || request.silentOwners.containsKey(owner.zone())) {
             return false;
         }
         return cluster.isSelf(owner)
@@ -168,6 +168,14 @@
         }
     }
 
+    private void askAgainAfter(long nanos, Request request, long number) {
+        environment.after(nanos, () -> {
+            if (request.slotNumber == number) {
+                askAgain(request);
+            }
+        });
+    }
+
     /** After this proxy stood still the slots that it asked for may have been granted and taken back. */
     void askAllAgain() {
         List.copyOf(asking.values()).forEach(this::askAgain);
@@ -178,11 +186,33 @@
             if (!cluster.isSelf(request.owner)) {
                 silentUntil.put(request.owner.life(), environment.now() + heartbeat / 2);
             }
-            request.unreachedZones.add(request.owner.zone());
+            request.silentOwners.put(request.owner.zone(), silent(request.owner));
             askAgain(request);
         }
     }
 
+    private Request.SilentOwner silent(Member owner) {
+        return new Request.SilentOwner(owner == null ? "" : owner.life(), environment.now());
+    }
+
+    /**
+     * Whether an owner that did not answer this request may answer it now: another owns the service there by now, or it
+     * was passed by for long enough. The request then asks all zones again. Guards against a request that waits, where
+     * no instance is to come, for those of an owner that has long been replaced or goes on.
+     */
+    private boolean reachesMore(Request request) {
+        return request.silentOwners.entrySet().removeIf(entry -> {
+            Member owner = cluster.owner(request.service, entry.getKey());
+            Request.SilentOwner silent = entry.getValue();
+            if (owner == null) {
+                return false;
+            }
+            boolean passedBy = environment.now() - silent.at() < heartbeat / 2
+                    || silentUntil.getOrDefault(owner.life(), 0L) > environment.now();
+            return !owner.life().equals(silent.life()) || !passedBy;
+        });
+    }
+
     /** A connection to another process has ended: what was asked there is asked elsewhere. */
     void unreachable(String host) {
         for (Request request : List.copyOf(asking.values())) {
@@ -196,7 +226,8 @@
     void ownersChanged() {
         for (Request request : List.copyOf(asking.values())) {
             Member owner = cluster.owner(request.service, request.owner.zone());
-            if (owner == null || !owner.life().equals(request.owner.life())) {
+            boolean isReplaced = owner == null || !owner.life().equals(request.owner.life());
+            if (reachesMore(request) || isReplaced) {
                 askAgain(request);
             }
         }
@@ -235,6 +266,9 @@
         }
         request.answerTimer.run();
         request.answerTimer = environment.after(heartbeat, () -> unanswered(request, number));
+        if (reachesMore(request)) {
+            askAgainAfter(0, request, number); // not now: its owner may be this proxy, going through what waits
+        }
     }
 
     @Override
@@ -244,8 +278,8 @@
             return;
         }
         Member there = cluster.owner(request.service, zone);
-        if (there == null || request.unreachedZones.contains(zone)) {
-            request.unreachedZones.add(zone);
+        if (there == null || request.silentOwners.containsKey(zone)) {
+            request.silentOwners.putIfAbsent(zone, silent(there));
             askAgain(request);
             return;
         }
@@ -269,12 +303,8 @@
     public void notOwned(long number) {
         Request request = asking.get(number);
         if (request != null) {
-            request.unreachedZones.add(cluster.zone());
-            environment.after(NOT_OWNED_PAUSE, () -> {
-                if (request.slotNumber == number) {
-                    askAgain(request);
-                }
-            });
+            request.silentOwners.put(cluster.zone(), silent(cluster.owner(request.service, cluster.zone())));
+            askAgainAfter(NOT_OWNED_PAUSE, request, number);
         }
     }
 }
--- a/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
@@ -18,6 +18,7 @@
 import static saltdale.proxy.SimOperator.serving;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -29,6 +30,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import saltdale.control.ConfigurationSnapshot;
 import saltdale.control.ConfigurationTree;
+import saltdale.control.Environment;
 import saltdale.control.Instance;
 import saltdale.control.Member;
 import saltdale.control.ServiceOwnership;
@@ -426,6 +428,46 @@
         }
     }
 
+    /** All instances are in one zone, whose owner goes or stands still: those who ask from other zones do not wait on. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whoAsksFromOtherZonesIsServedOnceTheOwnerIsReplacedOrGoesOn(boolean goesOn) {
+        for (int seed = 0; seed < 10; seed++) {
+            SimWorld world = serving(seed, 3, 6);
+            SimMachine asks = world.proxies.get(seed % 6);
+            List<SimPlatform.OutgoingCall> calls = new ArrayList<>();
+            callOften(world, asks, calls, 10);
+            world.run(2500);
+            List<String> zones = world.platform.live("fn").stream()
+                    .map(instance -> instance.worker.zone)
+                    .distinct()
+                    .toList();
+            assertThat("seed " + seed, zones, is(List.of(asks.zone)));
+            SimMachine far = world.proxies.stream()
+                    .filter(proxy -> !proxy.zone.equals(asks.zone))
+                    .findFirst()
+                    .orElseThrow();
+            SimMachine owner = owner(world, asks.zone);
+            if (goesOn) {
+                owner.freeze();
+                world.at(Environment.millis(1300), owner::thaw);
+            } else {
+                owner.powerOff();
+            }
+            calls.clear();
+            callOften(world, far, calls, 20);
+            world.run(6500);
+            calls.forEach(call -> assertThat(call.answers, is(List.of(200))));
+        }
+    }
+
+    /** A call of the function each 100 ms, so many times, each with 4 s to be answered. */
+    private static void callOften(SimWorld world, SimMachine at, List<SimPlatform.OutgoingCall> calls, int times) {
+        for (int i = 0; i < times; i++) {
+            world.at(Environment.millis(100 * i), () -> calls.add(world.platform.call(at, "h.example", "/b/1", 4000)));
+        }
+    }
+
     private static SimMachine owner(SimWorld world, String zone) {
         List<Member> members = world.proxies.stream()
                 .map(proxy -> new Member(proxy.host, "n-" + proxy.host, proxy.zone, proxy.host, false))
