--- a/control/src/main/java/saltdale/control/Configuration.java
+++ b/control/src/main/java/saltdale/control/Configuration.java
@@ -23,7 +23,7 @@
             List<String> services,
             List<Double> weights) {}
 
-    /** What is known of the instances of a service; {@code bootMs} and {@code memoryMb} are 0 where it is no function. */
+    /** What is known of a service's instances; {@code bootMs} and {@code memoryMb} are 0 where it is no function. */
     public record Service(String name, int connectionLimit, int memoryMb, long bootMs, int maxConcurrency) {
         public boolean isFunction() {
             return memoryMb > 0;
--- a/control/src/main/java/saltdale/control/InstanceListReader.java
+++ b/control/src/main/java/saltdale/control/InstanceListReader.java
@@ -6,7 +6,7 @@
 import java.util.Set;
 import saltdale.control.message.InstanceMessage.InstanceUpdates;
 
-/** Reads the platform's list of instances, page by page, within a control node's part of the rate it may be asked at. */
+/** Reads the platform's list of instances, page by page, within a control node's part of the platform's rate. */
 final class InstanceListReader {
     /** Of the platform's rate: what all control nodes together use for whole lists. */
     private static final double SHARE_OF_RATE = 0.5;
--- a/control/src/main/java/saltdale/control/Platform.java
+++ b/control/src/main/java/saltdale/control/Platform.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
-/** The platform that runs workers and instances. Answers are null where none came; they come in the role's own thread. */
+/** The platform that runs workers and instances. Answers are null where none came; they come in the loop's thread. */
 public interface Platform {
     /** An answer: its status and, where there was one, its body. */
     record Answer(int status, Map<String, Object> body) {}
--- a/control/src/main/java/saltdale/control/ServiceOwnership.java
+++ b/control/src/main/java/saltdale/control/ServiceOwnership.java
@@ -3,8 +3,8 @@
 import java.util.Collection;
 
 /**
- * Which member of a zone owns a service, by rendezvous hashing: alike at all who know the same members, and few services
- * move with one of them.
+ * Which member of a zone owns a service, by rendezvous hashing: alike at all who know the same members, and few
+ * services move with one of them.
  */
 public final class ServiceOwnership {
     private ServiceOwnership() {}
--- a/control/src/main/java/saltdale/control/VoterChanges.java
+++ b/control/src/main/java/saltdale/control/VoterChanges.java
@@ -114,9 +114,9 @@
     }
 
     /**
-     * As many vote as the tolerated losses need; more only if a pair has been spare for a while. Guards against successors
-     * that come before those whose place they take are known to be gone: voters that never return would stay in the
-     * majority to be had.
+     * As many vote as the tolerated losses need; more only if a pair has been spare for a while. Guards against
+     * successors that come before those whose place they take are known to be gone: voters that never return would
+     * stay in the majority to be had.
      */
     private boolean mayGrow(List<Voter> voters, List<PeerContacts.Peer> candidates) {
         if (voters.size() + 2 <= settings.toleratedLosses().votersForMachines()) {
@@ -128,8 +128,8 @@
     }
 
     /**
-     * Of more voters than needed, two that are gone and have no successor vote no longer. Not where a zone or region may
-     * be lost: its machines come back, and must vote when the next one goes.
+     * Of more voters than needed, two that are gone and have no successor vote no longer. Not where a zone or region
+     * may be lost: its machines come back, and must vote when the next one goes.
      */
     private void dropPair(List<Voter> voters, boolean leaving) {
         List<Voter> gone =
--- a/node/src/main/java/saltdale/node/ClassArchiveTraining.java
+++ b/node/src/main/java/saltdale/node/ClassArchiveTraining.java
@@ -17,9 +17,9 @@
 import java.util.stream.Stream;
 
 /**
- * Runs one control node and one proxy in this process, on loopback, beside a stand-in of the platform and its instances,
- * and carries some requests. A JVM told to write a class-data archive at its end so writes one of all classes that both
- * roles use, and processes that map it start in less processor time. Used while building only.
+ * Runs one control node and one proxy in this process, on loopback, beside a stand-in of the platform and its
+ * instances, and carries some requests. A JVM told to write a class-data archive at its end so writes one of all
+ * classes that both roles use, and processes that map it start in less processor time. Used while building only.
  */
 final class ClassArchiveTraining {
     private static final String CONTROL_HOST = "127.0.0.1";
--- a/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
@@ -428,7 +428,7 @@
         }
     }
 
-    /** All instances are in one zone, whose owner goes or stands still: those who ask from other zones do not wait on. */
+    /** All instances are in one zone, whose owner goes or stands still: who asks from another zone does not wait on. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void whoAsksFromOtherZonesIsServedOnceTheOwnerIsReplacedOrGoesOn(boolean goesOn) {
--- a/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
+++ b/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
@@ -157,7 +157,7 @@
         }
     }
 
-    /** Tells the witness between whom bytes may be held up from now on, by a link or by cut zones, and where no longer. */
+    /** Tells the witness between whom bytes may be held up from now on, by a link or cut zones, and where no longer. */
     private void tellDisturbed() {
         for (int runner = 0; runner < day.runners; runner++) {
             for (int dispatcher = 0; dispatcher < day.dispatchers; dispatcher++) {
