Sight on a proxy's way to its control node: counters at /metrics, notes with their cause

Cause: the notes could not tell whether a proxy asked nodes that are gone, nodes without a quorum, or began its session again and again. Change: counters by process (Counter, Counters), served at /metrics; notes of grants without a quorum, of the quorum at control nodes, of news that did not come, and of each 404. No logic changed.

--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -345,8 +345,11 @@
             membersChanged();
         }
         if (had && !hasMajority()) {
+            environment.counters().count(Counter.QUORUM_LOSSES);
+            environment.note("the quorum is lost");
             subscriptions.tellQuorumLost();
         } else if (!had && hasMajority()) {
+            environment.note("there is a quorum");
             publish();
         }
         if (!proposing && register.basis() != null) {
--- a/control/src/main/java/saltdale/control/Environment.java
+++ b/control/src/main/java/saltdale/control/Environment.java
@@ -27,6 +27,9 @@
     /** Notes what is worth reading after something went wrong. */
     void note(String what);
 
+    /** What this process counts. */
+    Counters counters();
+
     static long millis(long ms) {
         return ms * 1_000_000;
     }
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -132,6 +132,8 @@
             case "POST /Configuration.Amend" ->
                 controlNode.change(true, head.single("X-Saltdale-Based-On-Version"), body, reply -> tell(visit, reply));
             case "GET /Configuration.Read" -> controlNode.read(reply -> tell(visit, reply));
+            case "GET /metrics" ->
+                visit.answer(200, TEXT, environment.counters().text());
             case "GET /readiness" -> visit.answer(controlNode.hasMajority() ? 200 : 503, "", NOTHING);
             default -> visit.answer(404, "", "no such call");
         }
--- a/node/src/main/java/saltdale/node/EventLoopEnvironment.java
+++ b/node/src/main/java/saltdale/node/EventLoopEnvironment.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.Consumer;
+import saltdale.control.Counters;
 import saltdale.control.Environment;
 import saltdale.control.message.Message;
 import saltdale.transport.Address;
@@ -35,6 +36,7 @@
             new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << 40);
     private final Disk disk;
     private final ExecutorService writer;
+    private final Counters counters = new Counters();
 
     EventLoopEnvironment(Settings settings, Disk disk, PeerConnections.Reader reader) throws IOException {
         loop = new Loop();
@@ -111,6 +113,11 @@
         ring.note(what);
     }
 
+    @Override
+    public Counters counters() {
+        return counters;
+    }
+
     static InetSocketAddress address(String text, String key) throws Settings.Wrong {
         InetSocketAddress at = Address.parse(text);
         if (at == null) {
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import saltdale.control.Configuration;
+import saltdale.control.Counter;
 import saltdale.control.MalformedMessage;
 import saltdale.control.message.Message;
 import saltdale.protocol.Head;
@@ -143,6 +144,8 @@
         Configuration.Route route =
                 configuration.route(colon < 0 ? hostname : hostname.substring(0, colon), head.path());
         if (route == null) {
+            environment.counters().count(Counter.ROUTES_DENIED);
+            environment.note("404 for " + hostname + head.path() + " by configuration " + configuration.revision());
             visit.answer(404, "", "no such route");
         } else if (id == null || id.isEmpty()) {
             visit.answer(400, "", "X-Saltdale-Attempt-Id is missing or stands twice");
@@ -219,7 +222,12 @@
 
         @Override
         public void requested(Visit visit, Head head, byte[] body) {
-            visit.answer(!head.path().equals("/readiness") ? 404 : proxy.isReady() ? 200 : 503, "", "");
+            switch (head.path()) {
+                case "/readiness" -> visit.answer(proxy.isReady() ? 200 : 503, "", "");
+                case "/metrics" ->
+                    visit.answer(200, TEXT, environment.counters().text());
+                default -> visit.answer(404, "", "");
+            }
         }
 
         @Override
--- a/node/src/main/java/saltdale/node/RequestHandler.java
+++ b/node/src/main/java/saltdale/node/RequestHandler.java
@@ -6,6 +6,9 @@
 
 /** Whose connections are of an environment's loop; what is asked is answered whether its caller stays or not. */
 abstract class RequestHandler implements Visit.Host {
+    /** Header of a plain text, the figures of {@code /metrics} for instance. */
+    static final String TEXT = "Content-Type: text/plain\r\n";
+
     /** Set before anybody can connect. */
     EventLoopEnvironment environment;
 
--- a/node/src/test/java/saltdale/node/ControlRecordsTest.java
+++ b/node/src/test/java/saltdale/node/ControlRecordsTest.java
@@ -22,6 +22,7 @@
 import saltdale.control.Ballot;
 import saltdale.control.ControlNode;
 import saltdale.control.ControlNodeSettings;
+import saltdale.control.Counters;
 import saltdale.control.Environment;
 import saltdale.control.Platform;
 import saltdale.control.ReplicatedState;
@@ -88,6 +89,11 @@
 
         @Override
         public void note(String what) {}
+
+        @Override
+        public Counters counters() {
+            return new Counters();
+        }
     }
 
     private ControlNode node(RecordStore store) throws Exception {
--- a/proxy/src/main/java/saltdale/proxy/ControlSession.java
+++ b/proxy/src/main/java/saltdale/proxy/ControlSession.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import saltdale.control.Counter;
 import saltdale.control.Environment;
 import saltdale.control.Instance;
 import saltdale.control.MalformedMessage;
@@ -93,14 +94,14 @@
     }
 
     void begin() {
-        move();
+        move("it begins");
         turn();
     }
 
     private void turn() {
         long now = environment.now();
         if (now - heardAt > proxySettings.heartbeat() * 2 / 3) {
-            move();
+            move("silent for " + (now - heardAt) / 1_000_000 + " ms");
         }
         // Until the first grant has come it asks more often: a control node may start later than we do.
         if (!granted || now - renewedAt >= proxySettings.heartbeat() / 4) {
@@ -112,13 +113,16 @@
         environment.after(proxySettings.heartbeat() / 8, this::turn);
     }
 
-    /** Another control node, another session. */
-    private void move() {
+    /** Another control node, another session; {@code cause}: for the log. */
+    private void move(String cause) {
         List<String> all = new ArrayList<>(controlNodes);
         all.remove(controlNode);
         if (!all.isEmpty()) {
+            String left = controlNode;
             controlNode = all.get(environment.chance().nextInt(all.size()));
-            environment.note("goes to control node " + controlNode);
+            environment.note("goes to control node " + controlNode + ", left " + left + ": " + cause + "; knows "
+                    + controlNodes + ", lease " + (hasLease() ? "held" : "over"));
+            environment.counters().count(Counter.CONTROL_NODE_CHANGES);
         }
         alone = 0;
         resume();
@@ -132,6 +136,7 @@
         fetches = false;
         heardAt = environment.now();
         sentAt.clear();
+        environment.counters().count(Counter.SESSIONS_BEGUN);
         reader.begins();
     }
 
@@ -165,7 +170,7 @@
         if (message instanceof QuorumLost) {
             // The control node has just lost its majority: another may know of newer versions.
             if (from.equals(controlNode)) {
-                move();
+                move("it has lost its quorum");
                 renew();
             }
         } else if (message instanceof LeaseGrant grant) {
@@ -266,8 +271,10 @@
         }
         if (!grant.hasQuorum()) {
             alone++;
+            environment.counters().count(Counter.GRANTS_WITHOUT_QUORUM);
+            environment.note("control node " + from + " has no quorum");
             if (alone > 1) { // it may not know what is in force
-                move();
+                move("it has no quorum");
                 renew();
             }
             return;
@@ -278,6 +285,7 @@
         leaseUntil = Math.max(leaseUntil, sent + grant.validMillis() * 1_000_000);
         controlNodes.addAll(grant.controlHosts());
         if (grant.session().equals(session) && grant.newsSent() != news) {
+            environment.note(grant.newsSent() + " news were sent, " + news + " came");
             resume();
             renew();
         }
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import saltdale.control.ControlNode;
 import saltdale.control.ControlNodeSettings;
+import saltdale.control.Counters;
 import saltdale.control.Environment;
 import saltdale.control.MalformedMessage;
 import saltdale.control.ToleratedLosses;
@@ -172,6 +173,7 @@
     /** One life of a process. */
     final class Process implements Environment {
         final SimMachine machine = SimMachine.this;
+        final Counters counters = new Counters();
         ControlNode controlNode;
         Proxy proxy;
         boolean dead;
@@ -262,6 +264,11 @@
             sync();
         }
 
+        @Override
+        public Counters counters() {
+            return counters;
+        }
+
         @Override
         public void note(String what) {
             if (Boolean.getBoolean("sim.notes")) {
