--- /dev/null
+++ b/proxy/src/test/java/saltdale/proxy/ControlNodeReplacementTest.java
@@ -0,0 +1,94 @@
+package saltdale.proxy;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static saltdale.proxy.SimOperator.config;
+import static saltdale.proxy.SimOperator.insists;
+import static saltdale.proxy.SimOperator.serving;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The incident CONFIG of issue 52: control nodes are replaced one after the other, each by a new one at another address,
+ * and proxies in touch have what was acknowledged in force in time all the while. Who cannot know what is in force
+ * denies no route.
+ */
+class ControlNodeReplacementTest {
+    private static final int ROUNDS = 8;
+    private static final long GRACE = 6000;
+
+    /** Replaces the oldest control node; every other time as planned, its successor first. */
+    private static void replaceOldest(SimWorld world, int round) {
+        SimMachine old = world.controlNodes.get(0);
+        List<String> seeds = world.controlNodes.stream()
+                .skip(1)
+                .limit(3)
+                .map(each -> each.host)
+                .toList();
+        SimMachine next = world.controlNode("10.0.1." + round, seeds, false);
+        if (round % 2 == 0) {
+            old.wipe();
+            remove(world, old);
+            world.run(500);
+            next.start();
+        } else {
+            next.start();
+            world.run(1500);
+            old.terminate(GRACE, () -> remove(world, old));
+            world.until(GRACE + 100, () -> !world.controlNodes.contains(old));
+        }
+    }
+
+    private static void remove(SimWorld world, SimMachine gone) {
+        world.controlNodes.remove(gone);
+        world.machines.remove(gone.host);
+    }
+
+    @Test
+    @Tag("known-red")
+    void proxiesInTouchHaveTheNewestWhileControlNodesAreReplaced() {
+        List<String> faults = new ArrayList<>();
+        for (int seed = 0; seed < 8; seed++) {
+            SimWorld world = serving(seed, seed % 4 == 3 ? 5 : 3, 4);
+            ContactChecks checks = new ContactChecks(world);
+            checks.begin();
+            for (int round = 0; round < ROUNDS; round++) {
+                replaceOldest(world, round);
+                world.run(4500 + world.chance.nextInt(3000));
+            }
+            checks.end();
+            assertThat(checks.acknowledged.lastEntry().getValue(), greaterThan(50L));
+            for (String fault : world.faults) {
+                faults.add("seed " + seed + ", " + fault);
+            }
+        }
+        assertThat(faults, is(empty()));
+    }
+
+    @Test
+    @Tag("known-red")
+    void whoCannotKnowWhatIsInForceDeniesNoRoute() {
+        for (int seed = 0; seed < 4; seed++) {
+            SimWorld world = serving(seed, 3, 4);
+            SimMachine proxy = world.proxies.get(0);
+            assertThat(world.platform.call(proxy, "h.example", "/x0/1", 3000).answers, contains(404));
+            world.controlNodes.forEach(each -> world.cut(each, proxy));
+            assertTrue(insists(world, 1, config(2, 1), 5000)); // adds the route
+            world.run(4000);
+            SimPlatform.OutgoingCall asked = world.platform.call(proxy, "h.example", "/x0/1", 3000);
+            assertThat("seed " + seed, asked.answers, contains(503));
+            world.cuts.clear();
+            world.run(2000);
+            SimPlatform.OutgoingCall again = world.platform.call(proxy, "h.example", "/x0/1", 3000);
+            assertTrue(world.until(3000, () -> !again.answers.isEmpty()));
+            assertThat("seed " + seed, again.answers, contains(200));
+        }
+    }
+}
