A proxy asks others while its control node is silent, none twice before all; 404 only by fresh knowledge

Cause: a proxy drew its next control node with replacement from all addresses ever told of. Those of nodes that were gone stayed, each draw of one cost 0.95 s of silence, and nothing bounded how many followed one another; meanwhile it answered 404 by what it had. Change: ControlNodeDirectory (what a quorum tells replaces what was told before), ControlNodeSearch (two asked at a time, none twice before all others, an answer that it serves before a proxy goes there; a fellow proxy asked where all are silent); a control node that leaves as planned tells its proxies; a connection that ends makes them look at once. RouteDecision: no route is denied by a configuration whose age may exceed config_apply_ms; 503 with Retry-After instead. ControlSession split (SessionNews), lease times in one place.

--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import saltdale.control.message.BallotMessage;
+import saltdale.control.message.ContactMessage.ContactProbe;
+import saltdale.control.message.ContactMessage.ContactReply;
 import saltdale.control.message.HeartbeatMessage.Heartbeat;
 import saltdale.control.message.HeartbeatMessage.HeartbeatAck;
 import saltdale.control.message.HeartbeatMessage.PeerIdentity;
@@ -15,9 +17,11 @@
 import saltdale.control.message.InstanceMessage.InstanceUpdates;
 import saltdale.control.message.InstanceMessage.StartIntents;
 import saltdale.control.message.Message;
+import saltdale.control.message.SessionMessage.ControlNodeLeaves;
 import saltdale.control.message.SessionMessage.LeaseGrant;
 import saltdale.control.message.SessionMessage.LeaseOver;
 import saltdale.control.message.SessionMessage.LeaseRenewal;
+import saltdale.control.message.SessionMessage.QuorumLost;
 import saltdale.control.message.SessionMessage.SnapshotRequest;
 
 /**
@@ -224,6 +228,8 @@
             peers.acknowledged(ack);
         } else if (message instanceof LeaseRenewal renewal) {
             renewed(fromHost, renewal);
+        } else if (message instanceof ContactProbe probe) {
+            environment.send(fromHost, new ContactReply(probe.number(), hasMajority() && !ending, controlHosts()));
         } else if (message instanceof SnapshotRequest request) {
             if (hasMajority()) { // else it may be old
                 subscriptions.requested(request);
@@ -347,7 +353,7 @@
         if (had && !hasMajority()) {
             environment.counters().count(Counter.QUORUM_LOSSES);
             environment.note("the quorum is lost");
-            subscriptions.tellQuorumLost();
+            subscriptions.tellAll(new QuorumLost());
         } else if (!had && hasMajority()) {
             environment.note("there is a quorum");
             publish();
@@ -396,6 +402,7 @@
      */
     public void end(long within, Runnable done) {
         ending = true;
+        subscriptions.tellAll(new ControlNodeLeaves());
         sendHeartbeats();
         environment.after(within, () -> leave(done));
         election.resign(answer -> {
--- a/control/src/main/java/saltdale/control/ControlNodeSettings.java
+++ b/control/src/main/java/saltdale/control/ControlNodeSettings.java
@@ -14,24 +14,18 @@
         long acknowledge,
         long drain,
         Platform.Rates rates) {
-    /** A control node that heard of no majority for so long answers nothing, and a duty's holder does nothing. */
+    /** See {@link LeaseTimes#quorumLease}. */
     long lease() {
-        return heartbeat + heartbeat / 4;
+        return LeaseTimes.quorumLease(heartbeat);
     }
 
-    /**
-     * A dispatcher may act as a member for so long after a majority could have heard of it; control nodes count a
-     * little longer.
-     */
+    /** See {@link LeaseTimes#memberLease}. */
     long memberLease() {
-        return heartbeat + heartbeat / 2;
+        return LeaseTimes.memberLease(heartbeat);
     }
 
-    /**
-     * A control node unheard for so long has lost its duties; longer than the lease, however late its last word
-     * came.
-     */
+    /** See {@link LeaseTimes#vacancy}. */
     long vacancy() {
-        return lease() + heartbeat / 2;
+        return LeaseTimes.vacancy(heartbeat);
     }
 }
--- a/control/src/main/java/saltdale/control/Subscriptions.java
+++ b/control/src/main/java/saltdale/control/Subscriptions.java
@@ -7,13 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import saltdale.control.message.SessionMessage;
 import saltdale.control.message.SessionMessage.ConfigurationChange;
 import saltdale.control.message.SessionMessage.ConfigurationOffer;
 import saltdale.control.message.SessionMessage.InstancesNews;
 import saltdale.control.message.SessionMessage.LeaseRenewal;
 import saltdale.control.message.SessionMessage.MembersChange;
 import saltdale.control.message.SessionMessage.News;
-import saltdale.control.message.SessionMessage.QuorumLost;
 import saltdale.control.message.SessionMessage.SnapshotPart;
 import saltdale.control.message.SessionMessage.SnapshotRequest;
 
@@ -125,9 +125,9 @@
         subscribers.remove(life);
     }
 
-    /** Tells all that this control node may not know the newest any more. */
-    void tellQuorumLost() {
-        subscribers.values().forEach(subscriber -> environment.send(subscriber.host, new QuorumLost()));
+    /** Sends this to all: that this control node may not know the newest any more, or that it ends. */
+    void tellAll(SessionMessage message) {
+        subscribers.values().forEach(subscriber -> environment.send(subscriber.host, message));
     }
 
     /** Sends each what has changed for it. */
--- a/control/src/main/java/saltdale/control/message/Message.java
+++ b/control/src/main/java/saltdale/control/message/Message.java
@@ -4,7 +4,7 @@
 
 /** A message between two processes of the platform; {@link MessageCodec} writes and reads it. */
 public sealed interface Message
-        permits BallotMessage, HeartbeatMessage, SessionMessage, InstanceMessage, SlotMessage, Hello {
+        permits BallotMessage, HeartbeatMessage, SessionMessage, ContactMessage, InstanceMessage, SlotMessage, Hello {
     /** The kind, by which the reader knows the fields. */
     MessageKind kind();
 
--- a/control/src/main/java/saltdale/control/message/SessionMessage.java
+++ b/control/src/main/java/saltdale/control/message/SessionMessage.java
@@ -107,6 +107,23 @@
         }
     }
 
+    /** The control node is about to end, as planned: its proxies are to go on at another one. */
+    record ControlNodeLeaves() implements SessionMessage {
+        @Override
+        public MessageKind kind() {
+            return MessageKind.CONTROL_NODE_LEAVES;
+        }
+
+        @Override
+        public List<Object> fields() {
+            return List.of();
+        }
+
+        static ControlNodeLeaves read(FieldReader fields) throws MalformedMessage {
+            return new ControlNodeLeaves();
+        }
+    }
+
     /** What has changed of the configuration, see {@link saltdale.control.ConfigurationTree}. */
     record ConfigurationChange(
             String session,
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import saltdale.control.Configuration;
-import saltdale.control.Counter;
 import saltdale.control.MalformedMessage;
 import saltdale.control.message.Message;
 import saltdale.protocol.Head;
@@ -16,6 +15,7 @@
 import saltdale.proxy.Proxy;
 import saltdale.proxy.ProxySettings;
 import saltdale.proxy.Request;
+import saltdale.proxy.RouteDecision;
 import saltdale.proxy.Transport;
 import saltdale.serving.Visit;
 import saltdale.transport.Address;
@@ -30,6 +30,7 @@
     private static final Duration DIAL = Duration.ofMillis(300);
     private static final Duration RESTS = Duration.ofSeconds(4);
     private static final int MOST_DIGITS = 9;
+    private static final String COME_BACK = "Retry-After: 0.3\r\n";
 
     private final Settings settings;
     private final Proxy proxy;
@@ -51,6 +52,7 @@
                         settings.zone,
                         settings.seeds,
                         settings.heartbeat,
+                        settings.configApply,
                         settings.retryRatio,
                         settings.retryWindow,
                         settings.retrySlack),
@@ -128,32 +130,34 @@
 
     @Override
     public void requested(Visit visit, Head head, byte[] body) {
-        Configuration configuration = proxy.configuration();
-        if (configuration == null) {
-            visit.answer(503, "Retry-After: 0.3\r\n", "no configuration yet");
+        if (!proxy.knowsConfiguration()) {
+            visit.answer(503, COME_BACK, "no configuration yet");
             return;
         }
-        String id = head.single("X-Saltdale-Attempt-Id");
-        String left = head.single("X-Saltdale-Deadline-Remaining");
         String hostname = head.single("Host");
         if (hostname == null) {
             visit.answer(400, "", "Host is missing or stands twice");
             return;
         }
         int colon = hostname.indexOf(':');
-        Configuration.Route route =
-                configuration.route(colon < 0 ? hostname : hostname.substring(0, colon), head.path());
-        if (route == null) {
-            environment.counters().count(Counter.ROUTES_DENIED);
-            environment.note("404 for " + hostname + head.path() + " by configuration " + configuration.revision());
+        RouteDecision decision = proxy.route(colon < 0 ? hostname : hostname.substring(0, colon), head.path());
+        if (decision instanceof RouteDecision.Found found) {
+            routed(visit, head, body, found.route());
+        } else if (decision instanceof RouteDecision.Denied) {
+            environment.note("404 for " + hostname + head.path() + " by configuration "
+                    + proxy.configuration().revision());
             visit.answer(404, "", "no such route");
-        } else if (id == null || id.isEmpty()) {
+        } else {
+            visit.answer(503, COME_BACK, "no such route is known, and the configuration may be old");
+        }
+    }
+
+    private void routed(Visit visit, Head head, byte[] body, Configuration.Route route) {
+        String id = head.single("X-Saltdale-Attempt-Id");
+        String left = head.single("X-Saltdale-Deadline-Remaining");
+        if (id == null || id.isEmpty()) {
             visit.answer(400, "", "X-Saltdale-Attempt-Id is missing or stands twice");
-        } else if (left != null
-                        && (left.isEmpty()
-                                || left.length() > MOST_DIGITS
-                                || !left.chars().allMatch(Character::isDigit))
-                || left == null && head.header("X-Saltdale-Deadline-Remaining") != null) {
+        } else if (left == null ? head.header("X-Saltdale-Deadline-Remaining") != null : !isMillis(left)) {
             visit.answer(400, "", "X-Saltdale-Deadline-Remaining is malformed");
         } else {
             long millis = left == null ? route.timeoutMs() : Long.parseLong(left);
@@ -166,6 +170,10 @@
         }
     }
 
+    private static boolean isMillis(String text) {
+        return !text.isEmpty() && text.length() <= MOST_DIGITS && text.chars().allMatch(Character::isDigit);
+    }
+
     @Override
     public void abandoned(Visit visit) {
         if (visit.held instanceof Request request) {
@@ -224,12 +232,17 @@
         public void requested(Visit visit, Head head, byte[] body) {
             switch (head.path()) {
                 case "/readiness" -> visit.answer(proxy.isReady() ? 200 : 503, "", "");
-                case "/metrics" ->
-                    visit.answer(200, TEXT, environment.counters().text());
+                case "/metrics" -> visit.answer(200, TEXT, figures());
                 default -> visit.answer(404, "", "");
             }
         }
 
+        private String figures() {
+            return environment.counters().text()
+                    + "configuration_revision " + proxy.revision() + '\n'
+                    + "configuration_age_ms " + proxy.configurationAge() / 1_000_000 + '\n';
+        }
+
         @Override
         public HttpParser.Limits limits() {
             return new HttpParser.Limits(HttpParser.MOST_HEAD, 0);
--- a/node/src/main/java/saltdale/node/Settings.java
+++ b/node/src/main/java/saltdale/node/Settings.java
@@ -40,6 +40,7 @@
     final long heartbeat;
     final long acknowledge;
     final long drain;
+    final long configApply;
     final long grace;
     final double retryRatio;
     final long retryWindow;
@@ -82,6 +83,7 @@
         Fields bounds = from.has("bounds") ? from.object("bounds") : Fields.of(java.util.Map.of());
         acknowledge = millis(bounds, "acknowledge_ms", 5000);
         drain = millis(bounds, "drain_ms", 3000);
+        configApply = millis(bounds, "config_apply_ms", 3000);
         grace = (long) (bounds.number("grace_s", 6) * 1e9);
         retryRatio = bounds.number("retry_budget_ratio", 0.2);
         retryWindow = (long) (bounds.number("retry_window_s", 10) * 1e9);
--- a/proxy/src/main/java/saltdale/proxy/ClusterView.java
+++ b/proxy/src/main/java/saltdale/proxy/ClusterView.java
@@ -67,6 +67,11 @@
         }
     }
 
+    /** Whether a configuration may have been acknowledged that should be in force by now and is not known here. */
+    boolean configurationMayBeOld() {
+        return environment.now() - session.configurationKnownAt() > settings.configApply();
+    }
+
     Collection<Member> members() {
         return members;
     }
--- a/proxy/src/main/java/saltdale/proxy/ControlSession.java
+++ b/proxy/src/main/java/saltdale/proxy/ControlSession.java
@@ -1,33 +1,31 @@
 package saltdale.proxy;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.function.Supplier;
 import saltdale.control.Counter;
 import saltdale.control.Environment;
 import saltdale.control.Instance;
+import saltdale.control.LeaseTimes;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
+import saltdale.control.message.ContactMessage;
+import saltdale.control.message.ContactMessage.ContactProbe;
+import saltdale.control.message.ContactMessage.ContactReply;
 import saltdale.control.message.SessionMessage;
-import saltdale.control.message.SessionMessage.ConfigurationChange;
-import saltdale.control.message.SessionMessage.ConfigurationOffer;
-import saltdale.control.message.SessionMessage.InstancesNews;
+import saltdale.control.message.SessionMessage.ControlNodeLeaves;
 import saltdale.control.message.SessionMessage.LeaseGrant;
 import saltdale.control.message.SessionMessage.LeaseOver;
 import saltdale.control.message.SessionMessage.LeaseRenewal;
-import saltdale.control.message.SessionMessage.MembersChange;
 import saltdale.control.message.SessionMessage.News;
 import saltdale.control.message.SessionMessage.QuorumLost;
 import saltdale.control.message.SessionMessage.SnapshotPart;
-import saltdale.control.message.SessionMessage.SnapshotRequest;
 
 /**
- * A proxy's tie to the core: it renews its lease at one control node and takes its news there, and goes on to
- * another when
- * that one is silent or has lost the majority.
+ * A proxy's tie to the control plane: it renews its lease at one control node and takes its news there. While that one
+ * is silent others are asked already ({@link ControlNodeSearch}), so that it goes to one that serves as soon as it has
+ * to; at once where its own has lost the quorum or says that it leaves.
  */
 final class ControlSession {
     /** What control nodes tell, in the order in which they sent it. */
@@ -48,32 +46,40 @@
         void over();
     }
 
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     private final Environment environment;
-    private final ProxySettings proxySettings;
+    private final ProxySettings settings;
     private final Reader reader;
-    private final ConfigurationReplica configuration = new ConfigurationReplica();
-    private final MembersReplica members = new MembersReplica();
-    private final Set<String> controlNodes = new LinkedHashSet<>();
-    private final Map<Long, Long> sentAt = new LinkedHashMap<>();
+    private final ControlNodeDirectory directory;
+    private final ControlNodeSearch search;
+    private final SessionNews news;
+    private final Map<Long, Long> sentAt = new LinkedHashMap<>(); // renewals, by count
     private String life;
-    private String controlNode;
+    private String controlNode; // null before the first one is found
     private String session = "";
     private long count;
-    private long news; // of this session, so many came
     private boolean granted; // in this session
-    private boolean fetches; // the parts of a snapshot
-    private long fetchedAt; // when the last part was asked for
-    private long heardAt;
+    private boolean withoutQuorum; // the control node, by its last word
+    private boolean nodeLeaves; // the control node is about to end
+    private boolean disconnected; // the connection to it has ended, and it was not heard since
+    private long disconnectedAt;
+    private long heardAt; // when it last served us
+    private long answeredAt; // when it last answered, with or without a quorum
     private long renewedAt;
-    private long leaseUntil = Long.MIN_VALUE / 2; // counted from when that was sent which a control node answered
-    private int alone; // so often in a row it had no majority
+    private long leaseUntil = NEVER; // counted from when that was sent which a control node answered
+    private long configurationKnownAt = NEVER; // all that was acknowledged before is in force here
     private boolean leaving;
 
-    ControlSession(Environment environment, ProxySettings proxySettings, Reader reader) {
+    /** {@code fellowProxies}: hosts of the other proxies, as far as they are known. */
+    ControlSession(
+            Environment environment, ProxySettings settings, Reader reader, Supplier<List<String>> fellowProxies) {
         this.environment = environment;
-        this.proxySettings = proxySettings;
+        this.settings = settings;
         this.reader = reader;
-        controlNodes.addAll(proxySettings.seeds());
+        directory = new ControlNodeDirectory(settings.seeds());
+        search = new ControlNodeSearch(environment, directory, fellowProxies);
+        news = new SessionNews(environment, reader, message -> environment.send(controlNode, message));
         life = fresh();
     }
 
@@ -85,6 +91,7 @@
         return life;
     }
 
+    /** The control node that is asked now; null before the first one is found. */
     String controlNode() {
         return controlNode;
     }
@@ -93,53 +100,144 @@
         return environment.now() < leaseUntil;
     }
 
+    /**
+     * The moment before which every acknowledged configuration is in force here, or a later one; on the clock of
+     * {@link Environment#now}.
+     */
+    long configurationKnownAt() {
+        return configurationKnownAt;
+    }
+
     void begin() {
-        move("it begins");
         turn();
     }
 
+    // Which control node.
+
+    /** The silence after which others are asked: longer than renewals and their answers take. */
+    private long askOthersAfter() {
+        return settings.heartbeat() * 5 / 12;
+    }
+
+    /** The silence after which a control node is left for another one. */
+    private long leaveAfter() {
+        return settings.heartbeat() * 2 / 3;
+    }
+
+    private long turnEvery() {
+        return settings.heartbeat() / 8;
+    }
+
+    private long renewEvery() {
+        return settings.heartbeat() / 4;
+    }
+
     private void turn() {
+        environment.after(turnEvery(), this::turn);
         long now = environment.now();
-        if (now - heardAt > proxySettings.heartbeat() * 2 / 3) {
-            move("silent for " + (now - heardAt) / 1_000_000 + " ms");
+        if (mustLeave(now) || now - heardAt > askOthersAfter()) {
+            search.ask(controlNode);
+        } else if (search.isOn()) {
+            search.end();
         }
-        // Until the first grant has come it asks more often: a control node may start later than we do.
-        if (!granted || now - renewedAt >= proxySettings.heartbeat() / 4) {
+        leaveIfDue();
+        // Until the first grant has come it asks more often: the question may be lost.
+        if (controlNode != null && (!granted || now - renewedAt >= renewEvery())) {
             renew();
         }
-        if (fetches && now - fetchedAt >= proxySettings.heartbeat() / 4) {
-            fetch(); // what was asked for, or the answer, is lost
-        }
-        environment.after(proxySettings.heartbeat() / 8, this::turn);
+        news.fetchAgainAfter(renewEvery());
     }
 
-    /** Another control node, another session; {@code cause}: for the log. */
-    private void move(String cause) {
-        List<String> all = new ArrayList<>(controlNodes);
-        all.remove(controlNode);
-        if (!all.isEmpty()) {
-            String left = controlNode;
-            controlNode = all.get(environment.chance().nextInt(all.size()));
-            environment.note("goes to control node " + controlNode + ", left " + left + ": " + cause + "; knows "
-                    + controlNodes + ", lease " + (hasLease() ? "held" : "over"));
-            environment.counters().count(Counter.CONTROL_NODE_CHANGES);
+    /** Whether the control node, if there is one, is to be left for any that serves. */
+    private boolean mustLeave(long now) {
+        return controlNode == null
+                || withoutQuorum
+                || nodeLeaves
+                || disconnected && now - disconnectedAt >= turnEvery()
+                || now - heardAt > leaveAfter();
+    }
+
+    /** Goes to a control node that serves; where none does, from one that is silent to one that answers. */
+    private void leaveIfDue() {
+        long now = environment.now();
+        if (!mustLeave(now)) {
+            return;
+        }
+        String next = search.serving();
+        if (next != null) {
+            search.end();
+        } else if (controlNode == null || now - answeredAt > leaveAfter()) {
+            next = search.notServing();
         }
-        alone = 0;
+        if (next != null) {
+            attach(next);
+        }
+    }
+
+    private void attach(String next) {
+        environment.note("goes to control node " + next + ", left " + controlNode + ": " + cause() + "; knows "
+                + directory.all() + ", lease " + (hasLease() ? "held" : "over"));
+        environment.counters().count(Counter.CONTROL_NODE_CHANGES);
+        controlNode = next;
+        search.taken(next);
+        withoutQuorum = false;
+        nodeLeaves = false;
+        disconnected = false;
+        answeredAt = environment.now();
         resume();
+        renew();
+    }
+
+    private String cause() {
+        return controlNode == null
+                ? "it begins"
+                : nodeLeaves
+                        ? "it leaves"
+                        : withoutQuorum
+                                ? "it has no quorum"
+                                : "silent for " + (environment.now() - heardAt) / 1_000_000 + " ms";
+    }
+
+    /** A connection to this host has ended; a process that was killed is found out by that. */
+    void unreachable(String host) {
+        if (host.equals(controlNode) && !disconnected) {
+            environment.counters().count(Counter.CONTROL_CONNECTIONS_LOST);
+            disconnected = true;
+            disconnectedAt = environment.now();
+            search.ask(controlNode);
+            renew(); // it may be well: connections are reset for other reasons too
+        }
     }
 
+    /** Takes a question of a proxy that looks for a control node, or an answer to our own. */
+    void message(String from, ContactMessage message) {
+        if (message instanceof ContactProbe probe) {
+            environment.send(from, new ContactReply(probe.number(), false, directory.known()));
+        } else if (message instanceof ContactReply reply) {
+            search.answered(from, reply);
+            leaveIfDue();
+        }
+    }
+
+    // The session and its lease.
+
     /** A new session: the control node is told what we have, and tells what differs from that. */
     private void resume() {
         session = fresh();
-        news = 0;
+        news.begin(session, life);
         granted = false;
-        fetches = false;
         heardAt = environment.now();
         sentAt.clear();
         environment.counters().count(Counter.SESSIONS_BEGUN);
         reader.begins();
     }
 
+    /** A new session at the same control node, since this one has a fault. */
+    private void beginAgain() {
+        resume();
+        renew();
+    }
+
     private void renew() {
         if (controlNode == null) {
             return;
@@ -147,16 +245,16 @@
         long now = environment.now();
         renewedAt = now;
         sentAt.put(++count, now);
-        sentAt.values().removeIf(at -> now - at > 4 * proxySettings.heartbeat());
+        sentAt.values().removeIf(at -> now - at > 4 * settings.heartbeat());
         environment.send(
                 controlNode,
                 new LeaseRenewal(
-                        new Member(life, proxySettings.name(), proxySettings.zone(), proxySettings.host(), leaving),
+                        new Member(life, settings.name(), settings.zone(), settings.host(), leaving),
                         count,
                         session,
-                        configuration.revision(),
-                        granted ? "" : configuration.digest(),
-                        granted ? "" : members.digest()));
+                        news.revision(),
+                        granted ? "" : news.configurationDigest(),
+                        granted ? "" : news.membersDigest()));
     }
 
     /** Tells at once that nothing new is to come here. */
@@ -167,127 +265,87 @@
 
     /** Takes a message of a control node. */
     void message(String from, SessionMessage message) throws MalformedMessage {
+        if (!from.equals(controlNode)) {
+            return; // of one that was left
+        }
         if (message instanceof QuorumLost) {
-            // The control node has just lost its majority: another may know of newer versions.
-            if (from.equals(controlNode)) {
-                move("it has lost its quorum");
-                renew();
-            }
+            unfit(true, nodeLeaves);
+        } else if (message instanceof ControlNodeLeaves) {
+            unfit(withoutQuorum, true);
         } else if (message instanceof LeaseGrant grant) {
-            granted(from, grant);
+            granted(grant);
         } else if (message instanceof LeaseOver over) {
-            if (sentAt.remove(over.count()) != null && from.equals(controlNode)) {
+            if (sentAt.remove(over.count()) != null) {
                 over();
             }
-        } else if (message instanceof News news && news.session().equals(session) && from.equals(controlNode)) {
-            told(news);
+        } else if (message instanceof News told && told.session().equals(session)) {
+            told(told);
         } else if (message instanceof SnapshotPart part
-                && fetches
-                && part.session().equals(session)
-                && from.equals(controlNode)) {
-            fetched(part);
+                && news.isFetching()
+                && part.session().equals(session)) {
+            heardAt = environment.now();
+            news.take(part);
         }
     }
 
-    private void told(News message) throws MalformedMessage {
-        if (message.number() != news + 1) {
-            begin("news " + message.number() + " came after " + news);
-            return;
-        }
-        news++;
-        try {
-            take(message);
-        } catch (MalformedMessage e) {
-            begin("news " + message.number() + " cannot be taken");
-            throw e;
-        }
+    private void unfit(boolean lostQuorum, boolean leaves) {
+        withoutQuorum = lostQuorum;
+        nodeLeaves = leaves;
+        search.ask(controlNode);
+        leaveIfDue();
     }
 
-    private void take(News message) throws MalformedMessage {
-        if (message instanceof ConfigurationChange change) {
-            changed(change);
-        } else if (message instanceof ConfigurationOffer) {
-            fetches = true;
-            fetch();
-        } else if (message instanceof MembersChange change) {
-            if (members.change(change)) {
-                reader.members(members.all());
-            } else {
-                begin("the members told have another digest");
+    private void told(News message) throws MalformedMessage {
+        boolean fits = false;
+        try {
+            fits = news.take(message);
+        } finally {
+            if (!fits) {
+                beginAgain();
             }
-        } else if (message instanceof InstancesNews told) {
-            reader.instances(told.instances());
-        }
-    }
-
-    /** A new session at the same control node, since this one has a fault. */
-    private void begin(String fault) {
-        environment.note(fault);
-        resume();
-        renew();
-    }
-
-    private void changed(ConfigurationChange change) throws MalformedMessage {
-        switch (configuration.change(change)) {
-            case TAKEN -> reader.configuration(configuration.tree().whole());
-            case REFUSED ->
-                begin("the change to configuration " + change.revision() + " does not fit " + configuration.revision());
-            default -> {}
-        }
-    }
-
-    /** Asks for the next part of a snapshot; one at a time, so that other messages go between them. */
-    private void fetch() {
-        fetchedAt = environment.now();
-        environment.send(
-                controlNode,
-                new SnapshotRequest(life, session, configuration.snapshotDigest(), configuration.snapshotOffset()));
-    }
-
-    private void fetched(SnapshotPart part) throws MalformedMessage {
-        heardAt = environment.now();
-        int before = configuration.snapshotOffset();
-        if (configuration.part(part)) {
-            fetches = false;
-            reader.configuration(configuration.tree().whole());
-        } else if (configuration.snapshotOffset() != before) {
-            fetch();
         }
     }
 
     private void over() {
         life = fresh();
-        leaseUntil = Long.MIN_VALUE / 2;
+        leaseUntil = NEVER;
         environment.note("the lease is over; a new life: " + life);
         reader.over();
-        resume();
-        renew();
+        beginAgain();
     }
 
-    private void granted(String from, LeaseGrant grant) {
+    private void granted(LeaseGrant grant) {
         Long sent = sentAt.remove(grant.count());
-        if (!from.equals(controlNode) || sent == null) {
+        if (sent == null) {
             return;
         }
+        answeredAt = environment.now();
+        disconnected = false;
         if (!grant.hasQuorum()) {
-            alone++;
             environment.counters().count(Counter.GRANTS_WITHOUT_QUORUM);
-            environment.note("control node " + from + " has no quorum");
-            if (alone > 1) { // it may not know what is in force
-                move("it has no quorum");
-                renew();
-            }
+            environment.note("control node " + controlNode + " has no quorum");
+            directory.hinted(grant.controlHosts());
+            unfit(true, nodeLeaves);
             return;
         }
-        alone = 0;
-        heardAt = environment.now();
-        granted |= grant.session().equals(session);
-        leaseUntil = Math.max(leaseUntil, sent + grant.validMillis() * 1_000_000);
-        controlNodes.addAll(grant.controlHosts());
-        if (grant.session().equals(session) && grant.newsSent() != news) {
-            environment.note(grant.newsSent() + " news were sent, " + news + " came");
-            resume();
-            renew();
+        withoutQuorum = false;
+        heardAt = answeredAt;
+        directory.told(grant.controlHosts());
+        long until = sent + grant.validMillis() * 1_000_000;
+        leaseUntil = Math.max(leaseUntil, until);
+        if (grant.session().equals(session)) {
+            granted = true;
+            grantedInStep(grant, until);
+        }
+    }
+
+    private void grantedInStep(LeaseGrant grant, long until) {
+        if (!news.hasAll(grant.newsSent())) {
+            environment.note(grant.newsSent() + " news were sent, " + news.count() + " came");
+            beginAgain();
+        } else if (!news.isFetching()) {
+            // The control node knew, when it answered, all that was chosen before its last contact with a majority.
+            configurationKnownAt = Math.max(configurationKnownAt, until - LeaseTimes.memberLease(settings.heartbeat()));
         }
     }
 }
--- a/proxy/src/main/java/saltdale/proxy/Proxy.java
+++ b/proxy/src/main/java/saltdale/proxy/Proxy.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Map;
 import saltdale.control.Configuration;
+import saltdale.control.Counter;
 import saltdale.control.Environment;
 import saltdale.control.Instance;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
+import saltdale.control.message.ContactMessage;
 import saltdale.control.message.Message;
 import saltdale.control.message.SessionMessage;
 import saltdale.control.message.SlotMessage;
@@ -46,10 +48,17 @@
         requests = new RequestLifecycle(environment, settings, cluster, ownedServices, transport);
         slotRequester = requests.slotRequester();
         ownedServices.ownAnswers(slotRequester);
-        controlSession = new ControlSession(environment, settings, new NewsReader());
+        controlSession = new ControlSession(environment, settings, new NewsReader(), this::fellowProxies);
         cluster.session(controlSession);
     }
 
+    private List<String> fellowProxies() {
+        return cluster.members().stream()
+                .map(Member::host)
+                .filter(host -> !host.equals(settings.host()))
+                .toList();
+    }
+
     public void begin() {
         controlSession.begin();
         turn();
@@ -80,11 +89,24 @@
         return cluster.configuration() != null;
     }
 
+    /** The revision of the configuration in force; -1 before the first one is known. */
+    public long revision() {
+        return cluster.revision();
+    }
+
     /** The configuration in force; null before the first one is known. */
     public Configuration configuration() {
         return cluster.configuration();
     }
 
+    /**
+     * How long ago, in nanoseconds, all that was acknowledged before was known to be in force here; very long where
+     * that was never known.
+     */
+    public long configurationAge() {
+        return environment.now() - controlSession.configurationKnownAt();
+    }
+
     /** Requests that have no final answer yet. */
     public int open() {
         return requests.open();
@@ -105,6 +127,26 @@
 
     // Requests.
 
+    /**
+     * Which route a request takes. None is denied by a configuration that may be old: an acknowledged one may have it.
+     */
+    public RouteDecision route(String hostname, String path) {
+        Configuration configuration = cluster.configuration();
+        Configuration.Route route = configuration == null ? null : configuration.route(hostname, path);
+        boolean mayBeOld = cluster.configurationMayBeOld();
+        if (route != null) {
+            if (mayBeOld) {
+                environment.counters().count(Counter.ROUTED_WITHOUT_CONTACT);
+            }
+            return new RouteDecision.Found(route);
+        } else if (configuration == null || mayBeOld) {
+            environment.counters().count(Counter.ROUTES_UNDECIDED);
+            return new RouteDecision.Undecided();
+        }
+        environment.counters().count(Counter.ROUTES_DENIED);
+        return new RouteDecision.Denied();
+    }
+
     /** Takes a request in; {@code leftNanos} is how long its client waits, {@code peer} where it comes from. */
     public Request arrived(String id, Configuration.Route route, long leftNanos, String peer, Object clientContext) {
         return requests.arrived(id, route, leftNanos, peer, clientContext);
@@ -128,6 +170,7 @@
     /** A connection to another process has ended: what was asked there is asked elsewhere. */
     public void unreachable(String host) {
         slotRequester.unreachable(host);
+        controlSession.unreachable(host);
     }
 
     // News of the control plane.
@@ -189,6 +232,8 @@
             slotMessage(from, slot);
         } else if (message instanceof SessionMessage session) {
             controlSession.message(from, session);
+        } else if (message instanceof ContactMessage contact) {
+            controlSession.message(from, contact);
         } else {
             throw new MalformedMessage("message " + message.kind() + " is not for a proxy");
         }
--- /dev/null
+++ b/proxy/src/test/java/saltdale/proxy/ControlNodeSearchTest.java
@@ -0,0 +1,92 @@
+package saltdale.proxy;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.nullValue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import saltdale.control.message.ContactMessage.ContactProbe;
+import saltdale.control.message.ContactMessage.ContactReply;
+
+/** In which order control nodes are asked, and which of their answers count. */
+class ControlNodeSearchTest {
+    private final SimWorld world = new SimWorld(7);
+    private final List<String> asked = new ArrayList<>();
+    private final List<Long> numbers = new ArrayList<>();
+    private final ControlNodeDirectory directory = new ControlNodeDirectory(List.of("s-1", "s-2", "s-3"));
+    private final ControlNodeSearch search =
+            new ControlNodeSearch(world.proxy("10.1.0.1", "z-a").new Process(), directory, () -> List.of("fellow"));
+
+    ControlNodeSearchTest() {
+        world.wire = (from, to, message) -> {
+            asked.add(to);
+            numbers.add(((ContactProbe) message).number());
+        };
+    }
+
+    private static List<String> hosts(String prefix, int count) {
+        return IntStream.range(0, count).mapToObj(i -> prefix + i).toList();
+    }
+
+    @Test
+    void nobodyIsAskedAgainBeforeAllOthersWere() {
+        directory.told(hosts("old-", 5));
+        directory.told(hosts("new-", 5));
+        for (int round = 0; round < 4; round++) {
+            Set<String> inRound = new HashSet<>();
+            int from = asked.size();
+            for (int turn = 0; turn < 6; turn++) { // 12 others than our own
+                search.ask("new-0");
+            }
+            asked.subList(from, asked.size()).stream()
+                    .filter(host -> !host.equals("fellow"))
+                    .forEach(host -> assertThat(host + " twice", inRound.add(host)));
+            assertThat(inRound, hasSize(12));
+            assertThat(inRound, not(hasItem("new-0")));
+        }
+        List<String> first = asked.subList(0, 4);
+        assertThat(first.toString(), first.stream().allMatch(host -> host.startsWith("new-")));
+        assertThat("after a silent round", asked, hasItem("fellow"));
+    }
+
+    @Test
+    void whatAQuorumTellsReplacesWhatItToldBefore() {
+        for (int i = 0; i < 50; i++) {
+            directory.told(hosts("v" + i + "-", 3));
+        }
+        assertThat(directory.known(), contains("v49-0", "v49-1", "v49-2"));
+        assertThat(directory.all().subList(0, 3), is(directory.known()));
+        assertThat(directory.all().size(), lessThanOrEqualTo(3 + 3 + 8));
+        directory.hinted(List.of("v49-1", "s-2", "fresh"));
+        assertThat(directory.all(), hasItem("fresh"));
+        assertThat(new HashSet<>(directory.all()), hasSize(directory.all().size()));
+    }
+
+    @Test
+    void anAnswerToAnEarlierSearchOrOfAStrangerDoesNotCount() {
+        search.ask(null);
+        String host = asked.get(0);
+        long number = numbers.get(0);
+        search.end();
+        search.ask(null);
+        search.answered(host, new ContactReply(number, true, List.of()));
+        search.answered("fellow", new ContactReply(numbers.get(2), true, List.of("told-1")));
+        assertThat(search.serving(), nullValue());
+        assertThat(directory.all(), hasItem("told-1"));
+        search.answered(asked.get(2), new ContactReply(numbers.get(2), false, List.of()));
+        assertThat(search.serving(), nullValue());
+        assertThat(search.notServing(), is(asked.get(2)));
+        search.answered(asked.get(3), new ContactReply(numbers.get(3), true, List.of()));
+        assertThat(search.serving(), is(asked.get(3)));
+    }
+}
