--- a/experiments/platform/troubles.py
+++ b/experiments/platform/troubles.py
@@ -71,6 +71,8 @@
     'kind = "power_off_all", down_s = 0.7, how = "timed"',
     'kind = "wipe_after_ack", down_s = 0.5, how = "timed"',
     'kind = "kill_all", down_s = 0.5, how = "timed"',
+    'kind = "wipe_after_ack", down_s = 1.5, how = "oldest"',
+    'kind = "wipe_after_ack", down_s = 1.0, how = "taken"',
 ]
 
 # Variants of the same that only the mixes draw.
@@ -81,6 +83,10 @@
         'count = 1, for_s = 5, how = "oldest meet"',
         'count = 1, for_s = 5, how = "lure"',
         'count = 1, for_s = 12, how = "all leader race hard"',
+        'count = 1, for_s = 4, how = "behind"',
+        'for_s = 6, how = "split"',
+        'for_s = 6, how = "split meet"',
+        'count = 1, for_s = 5, how = "relieve"',
     ],
     "replace_core": ['x = 1.0, how = "oldest"', 'x = 1.5, how = "planned oldest"', 'x = 1.0, how = "leader drain"'],
     "after_ack_wipe": ['for_s = 1.0, how = "oldest"'],
