Invariants that the code checks, counts and writes out; tests of simulated clusters fail by them

Cause: what the incident broke was seen from outside only. Change: seven invariants (Invariant), checked where each could break, counted in Counters, told at /metrics, written out with the log ring; a simulated process reports them as faults, so that every cluster test has them on. InvariantsTest shows wrong variants caught.

--- a/control/src/main/java/saltdale/control/ConfigurationService.java
+++ b/control/src/main/java/saltdale/control/ConfigurationService.java
@@ -54,7 +54,8 @@
             current = version(state.textKey(), text);
             history.add(ConfigurationTree.of(current.tree()));
         } catch (InvalidConfiguration | MalformedMessage e) {
-            environment.note("revision " + state.revision() + " cannot be read: " + e.getMessage());
+            environment.check(
+                    Invariant.CHOSEN_IS_VALID, false, () -> "revision " + state.revision() + ": " + e.getMessage());
         }
     }
 
@@ -79,7 +80,8 @@
         if (base < 0) {
             answer.accept(new Reply(400, "X-Saltdale-Based-On-Version is missing or no number", null));
         } else {
-            propose(new ConfigurationOrder(amends, base, body), answer);
+            ConfigurationOrder order = new ConfigurationOrder(amends, base, body);
+            propose(order, reply -> answer.accept(checked(order, reply)));
         }
     }
 
@@ -90,6 +92,17 @@
                 reply -> answer.accept(reply == null ? UNSETTLED : (Reply) reply));
     }
 
+    private Reply checked(ConfigurationOrder order, Reply reply) {
+        ReplicatedState chosen = register.chosen();
+        boolean holdsIt = chosen != null
+                && chosen.recentChanges().find(order.base(), order.digest()) == RecentChanges.Finding.TAKEN;
+        environment.check(
+                Invariant.ACKNOWLEDGED_IS_CHOSEN,
+                reply.status() != TAKEN.status() || holdsIt,
+                () -> "the order on " + order.base() + ", the newest state known to be chosen is " + chosen);
+        return reply;
+    }
+
     /**
      * What an order comes to on top of this state. Whether it was taken before is looked up first: no later check, of
      * its base or its content, may refuse an order that was taken. The proposer gives the answer once the state is
--- a/control/src/main/java/saltdale/control/Environment.java
+++ b/control/src/main/java/saltdale/control/Environment.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import saltdale.control.message.Message;
 
 /**
@@ -30,6 +31,17 @@
     /** What this process counts. */
     Counters counters();
 
+    /** An invariant does not hold: it is written out, with what led to it; tests fail by it. */
+    void violated(Invariant invariant, String detail);
+
+    /** Counts and reports a violation unless this holds. */
+    default void check(Invariant invariant, boolean holds, Supplier<String> detail) {
+        if (!holds) {
+            counters().violated(invariant);
+            violated(invariant, detail.get());
+        }
+    }
+
     static long millis(long ms) {
         return ms * 1_000_000;
     }
--- a/control/src/main/java/saltdale/control/ReplicatedRegister.java
+++ b/control/src/main/java/saltdale/control/ReplicatedRegister.java
@@ -147,6 +147,12 @@
         if (chosen != null && state.version() <= chosen.version()) {
             return;
         }
+        ReplicatedState before = chosen;
+        environment.check(
+                Invariant.REVISION_RISES,
+                before == null || state.revision() >= before.revision(),
+                () -> "version " + state.version() + " has revision " + state.revision() + ", version "
+                        + before.version() + " has " + before.revision());
         chosen = state;
         text = state.textKey().isEmpty() ? null : newText;
         proposer.knows(state, text, true);
--- a/control/src/main/java/saltdale/control/Subscriptions.java
+++ b/control/src/main/java/saltdale/control/Subscriptions.java
@@ -108,6 +108,7 @@
         boolean continues = snapshot.digest().equals(request.digest()) && request.offset() < bytes.length;
         int offset = continues ? request.offset() : 0;
         int end = Math.min(bytes.length, offset + PART);
+        checkQuorum("a snapshot");
         environment.send(
                 to.host,
                 new SnapshotPart(
@@ -228,7 +229,15 @@
         return owner.equals(who.member.life());
     }
 
-    private void tell(Subscriber to, Numbered news) {
-        environment.send(to.host, news.of(++to.sent));
+    private void tell(Subscriber to, Numbered numbered) {
+        News news = numbered.of(++to.sent);
+        if (!(news instanceof InstancesNews)) {
+            checkQuorum(news.kind().name());
+        }
+        environment.send(to.host, news);
+    }
+
+    private void checkQuorum(String what) {
+        environment.check(Invariant.NEWS_WITH_QUORUM, isCurrent.getAsBoolean(), () -> "tells " + what + " without one");
     }
 }
--- a/node/src/main/java/saltdale/node/EventLoopEnvironment.java
+++ b/node/src/main/java/saltdale/node/EventLoopEnvironment.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import saltdale.control.Counters;
 import saltdale.control.Environment;
+import saltdale.control.Invariant;
 import saltdale.control.message.Message;
 import saltdale.transport.Address;
 import saltdale.transport.Loop;
@@ -118,6 +119,11 @@
         return counters;
     }
 
+    @Override
+    public void violated(Invariant invariant, String detail) {
+        ring.wrong("invariant " + invariant + " does not hold: " + detail);
+    }
+
     static InetSocketAddress address(String text, String key) throws Settings.Wrong {
         InetSocketAddress at = Address.parse(text);
         if (at == null) {
--- a/node/src/test/java/saltdale/node/ControlRecordsTest.java
+++ b/node/src/test/java/saltdale/node/ControlRecordsTest.java
@@ -24,6 +24,7 @@
 import saltdale.control.ControlNodeSettings;
 import saltdale.control.Counters;
 import saltdale.control.Environment;
+import saltdale.control.Invariant;
 import saltdale.control.Platform;
 import saltdale.control.ReplicatedState;
 import saltdale.control.ToleratedLosses;
@@ -94,6 +95,11 @@
         public Counters counters() {
             return new Counters();
         }
+
+        @Override
+        public void violated(Invariant invariant, String detail) {
+            throw new AssertionError(invariant + ": " + detail);
+        }
     }
 
     private ControlNode node(RecordStore store) throws Exception {
--- a/proxy/src/main/java/saltdale/proxy/ClusterView.java
+++ b/proxy/src/main/java/saltdale/proxy/ClusterView.java
@@ -8,6 +8,7 @@
 import saltdale.control.Environment;
 import saltdale.control.Fields;
 import saltdale.control.InvalidConfiguration;
+import saltdale.control.Invariant;
 import saltdale.control.Member;
 import saltdale.control.ServiceOwnership;
 
@@ -60,7 +61,10 @@
     void configuration(Map<String, Object> tree) {
         try {
             Configuration next = new Configuration(new Fields(tree));
-            configuration = next.revision() > revision() ? next : configuration;
+            long before = revision();
+            configuration = next.revision() > before ? next : configuration;
+            environment.check(
+                    Invariant.NO_STEP_BACK, revision() >= before, () -> "from " + before + " to " + revision());
             environment.note("configuration " + configuration.revision() + " in force");
         } catch (InvalidConfiguration e) {
             environment.note("a configuration cannot be read: " + e.getMessage());
--- a/proxy/src/main/java/saltdale/proxy/ControlSession.java
+++ b/proxy/src/main/java/saltdale/proxy/ControlSession.java
@@ -7,6 +7,7 @@
 import saltdale.control.Counter;
 import saltdale.control.Environment;
 import saltdale.control.Instance;
+import saltdale.control.Invariant;
 import saltdale.control.LeaseTimes;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
@@ -67,8 +68,10 @@
     private long heardAt; // when it last served us
     private long answeredAt; // when it last answered, with or without a quorum
     private long renewedAt;
+    private long turnedAt;
     private long leaseUntil = NEVER; // counted from when that was sent which a control node answered
     private long configurationKnownAt = NEVER; // all that was acknowledged before is in force here
+    private long servedAt = NEVER; // when the last grant with a quorum came
     private boolean leaving;
 
     /** {@code fellowProxies}: hosts of the other proxies, as far as they are known. */
@@ -108,6 +111,11 @@
         return configurationKnownAt;
     }
 
+    /** When a control node with a quorum granted the lease the last time. */
+    long servedAt() {
+        return servedAt;
+    }
+
     void begin() {
         turn();
     }
@@ -135,6 +143,7 @@
     private void turn() {
         environment.after(turnEvery(), this::turn);
         long now = environment.now();
+        checkStay(now);
         if (mustLeave(now) || now - heardAt > askOthersAfter()) {
             search.ask(controlNode);
         } else if (search.isOn()) {
@@ -148,6 +157,17 @@
         news.fetchAgainAfter(renewEvery());
     }
 
+    /** After a standstill of our own, what has come meanwhile has not been looked at yet. */
+    private void checkStay(long now) {
+        boolean stoodStill = now - turnedAt > 2 * turnEvery();
+        boolean overdue = controlNode != null && now - heardAt > leaveAfter() + 2 * turnEvery();
+        turnedAt = now;
+        environment.check(
+                Invariant.SERVING_NODE_TAKEN,
+                stoodStill || !overdue || search.serving() == null,
+                () -> search.serving() + " serves, " + controlNode + " is silent");
+    }
+
     /** Whether the control node, if there is one, is to be left for any that serves. */
     private boolean mustLeave(long now) {
         return controlNode == null
@@ -330,6 +350,7 @@
         }
         withoutQuorum = false;
         heardAt = answeredAt;
+        servedAt = answeredAt;
         directory.told(grant.controlHosts());
         long until = sent + grant.validMillis() * 1_000_000;
         leaseUntil = Math.max(leaseUntil, until);
--- a/proxy/src/main/java/saltdale/proxy/Proxy.java
+++ b/proxy/src/main/java/saltdale/proxy/Proxy.java
@@ -8,6 +8,7 @@
 import saltdale.control.Counter;
 import saltdale.control.Environment;
 import saltdale.control.Instance;
+import saltdale.control.Invariant;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
 import saltdale.control.message.ContactMessage;
@@ -144,6 +145,10 @@
             return new RouteDecision.Undecided();
         }
         environment.counters().count(Counter.ROUTES_DENIED);
+        environment.check(
+                Invariant.DENIED_IN_CONTACT,
+                environment.now() - controlSession.servedAt() <= settings.configApply(),
+                () -> path + " by revision " + cluster.revision());
         return new RouteDecision.Denied();
     }
 
--- /dev/null
+++ b/proxy/src/test/java/saltdale/proxy/InvariantsTest.java
@@ -0,0 +1,74 @@
+package saltdale.proxy;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static saltdale.proxy.SimOperator.config;
+import static saltdale.proxy.SimOperator.replace;
+import static saltdale.proxy.SimOperator.serving;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import saltdale.control.Counters;
+import saltdale.control.Invariant;
+import saltdale.control.MalformedMessage;
+import saltdale.control.ReplicatedState;
+import saltdale.control.WrongOrders;
+import saltdale.control.message.BallotMessage.Chosen;
+
+/** The invariants that the code itself checks see wrong variants, and count what they see. */
+class InvariantsTest {
+    private static void assertViolated(SimWorld world, SimMachine at, Invariant invariant) {
+        Counters counters = at.process.counters();
+        assertThat(counters.violations(invariant), greaterThan(0L));
+        assertThat(counters.text(), containsString(invariant.label() + " " + counters.violations(invariant)));
+        assertThat(world.faults.toString(), containsString(invariant.name()));
+    }
+
+    @Test
+    void anAcknowledgementBeforeTheChoiceIsSeen() {
+        SimWorld world = serving(1, 3, 2);
+        SimMachine at = world.controlNodes.get(0);
+        at.kill();
+        world.controlNodeFactory = WrongOrders.ACKNOWLEDGES_BEFORE_CHOSEN::node;
+        at.start();
+        world.run(3000);
+        assertThat(world.faults, is(empty()));
+        replace(world, at, 1, config(2));
+        assertViolated(world, at, Invariant.ACKNOWLEDGED_IS_CHOSEN);
+    }
+
+    /** A state that is told as chosen, on top of the newest one. */
+    private static void tells(SimWorld world, SimMachine to, long revision, String text) throws MalformedMessage {
+        ReplicatedState newest = world.newest;
+        ReplicatedState next = new ReplicatedState(
+                newest.version() + 1,
+                newest.before(),
+                newest.voters(),
+                newest.duties(),
+                revision,
+                "another",
+                newest.recentChanges());
+        to.process.take("10.0.0.9", new Chosen(next, text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Test
+    void aRevisionThatFallsIsSeen() throws MalformedMessage {
+        SimWorld world = serving(2, 3, 2);
+        replace(world, world.controlNodes.get(0), 1, config(9));
+        world.run(1000);
+        SimMachine at = world.controlNodes.get(1);
+        tells(world, at, 3, config(3));
+        assertViolated(world, at, Invariant.REVISION_RISES);
+    }
+
+    @Test
+    void anInvalidConfigurationThatIsChosenIsSeen() throws MalformedMessage {
+        SimWorld world = serving(3, 3, 2);
+        SimMachine at = world.controlNodes.get(1);
+        tells(world, at, 3, config(3).replace("\"timeout_ms\":5000", "\"timeout_ms\":0"));
+        assertViolated(world, at, Invariant.CHOSEN_IS_VALID);
+    }
+}
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -10,6 +10,7 @@
 import saltdale.control.ControlNodeSettings;
 import saltdale.control.Counters;
 import saltdale.control.Environment;
+import saltdale.control.Invariant;
 import saltdale.control.MalformedMessage;
 import saltdale.control.ToleratedLosses;
 import saltdale.control.message.Message;
@@ -277,6 +278,12 @@
             return counters;
         }
 
+        @Override
+        public void violated(Invariant invariant, String detail) {
+            world.faults.add(
+                    host + " at " + (world.now() / 1_000_000 - 1_000_000) + " ms: " + invariant + ", " + detail);
+        }
+
         @Override
         public void note(String what) {
             if (Boolean.getBoolean("sim.notes")) {
