Soak of real processes under troubles that overlap; seeds read again at SIGHUP and without contact

Change: saltdale platform soak: real processes and sockets, kills, pauses, ends, cuts (a failpoint, LinkFaults, by environment variable), lost disks, replaced nodes, two or three at a time, two operators who race and lose half of the answers; invariants on; SoakTest is the short form. SeedWatch reads the seeds again.

--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -396,6 +396,11 @@
                 () -> register.proposeFirst(change, nodeSettings.heartbeat(), done -> proposing = false));
     }
 
+    /** The settings, read again, name these control nodes. */
+    public void seeds(List<String> hosts) {
+        peers.seeds(hosts);
+    }
+
     /**
      * Ends in order: others may take over its duties at once. While another control node can take its place among the
      * voters, this one goes on voting until that has been agreed, but no longer than {@code within}.
--- a/control/src/main/java/saltdale/control/PeerContacts.java
+++ b/control/src/main/java/saltdale/control/PeerContacts.java
@@ -66,6 +66,7 @@
     private final PeerIdentity own;
     private final ReplicatedRegister register;
     private final Map<String, Peer> peers = new LinkedHashMap<>(); // by host
+    private List<String> seeds = List.of();
     private long heartbeats;
     private boolean hadQuorum;
     private long quorumSince;
@@ -76,7 +77,13 @@
         this.own = own;
         this.register = register;
         quorumSince = environment.now();
-        settings.seeds().stream().filter(host -> !host.equals(own.host())).forEach(this::peer);
+        seeds(settings.seeds());
+    }
+
+    /** The settings name these control nodes now; none of them is forgotten. */
+    void seeds(List<String> hosts) {
+        seeds = List.copyOf(hosts);
+        seeds.stream().filter(host -> !host.equals(own.host())).forEach(this::peer);
     }
 
     Collection<Peer> all() {
@@ -121,9 +128,7 @@
                 && basis.quorums().stream()
                         .flatMap(List::stream)
                         .anyMatch(v -> v.host().equals(peer.host));
-        return !votes
-                && !settings.seeds().contains(peer.host)
-                && now - peer.heardAt > FORGOTTEN_AFTER * settings.heartbeat();
+        return !votes && !seeds.contains(peer.host) && now - peer.heardAt > FORGOTTEN_AFTER * settings.heartbeat();
     }
 
     /** Takes note of another's heartbeat and acknowledges it. */
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -27,6 +27,7 @@
 
     private final Settings settings;
     private final ControlNode controlNode;
+    private final SeedWatch seedWatch;
     private boolean ending;
 
     ControlProcess(Settings settings) throws IOException, Settings.Wrong {
@@ -68,6 +69,7 @@
             }
         }
         controlNode = made;
+        seedWatch = new SeedWatch(environment, settings, controlNode::hasMajority, controlNode::seeds);
         if (settings.control != null) {
             new Listener(
                     environment.loop,
@@ -91,6 +93,7 @@
     @Override
     public void run() throws IOException {
         controlNode.begin();
+        seedWatch.begin();
         environment.noteTraffic(Duration.ofSeconds(10));
         environment.loop.run(() -> {});
     }
@@ -107,6 +110,11 @@
         });
     }
 
+    @Override
+    public void reload() {
+        environment.loop.fromOutside(seedWatch::read);
+    }
+
     // Other processes.
 
     @Override
--- a/node/src/main/java/saltdale/node/Main.java
+++ b/node/src/main/java/saltdale/node/Main.java
@@ -53,8 +53,7 @@
             for (String signal : new String[] {"TERM", "INT"}) {
                 Signal.handle(new Signal(signal), which -> process.end());
             }
-            // What may change while a process runs (the seeds) is learnt from the core itself: nothing is read again.
-            Signal.handle(new Signal("HUP"), which -> {});
+            Signal.handle(new Signal("HUP"), which -> process.reload());
             process.run();
             return 0;
         } catch (Settings.Wrong e) {
--- a/node/src/main/java/saltdale/node/NodeProcess.java
+++ b/node/src/main/java/saltdale/node/NodeProcess.java
@@ -9,4 +9,7 @@
 
     /** Told to end, by a signal: it does so in order, on its own loop. */
     void end();
+
+    /** Told to read its settings again, by a signal: of those that may change while it runs. */
+    void reload();
 }
--- a/node/src/main/java/saltdale/node/PeerConnections.java
+++ b/node/src/main/java/saltdale/node/PeerConnections.java
@@ -40,6 +40,7 @@
     private final int port;
     private final Duration patience;
     private final Reader reader;
+    private final LinkFaults linkFaults;
     private final Map<String, Out> outs = new HashMap<>();
     /** By kind of message: how many were sent, and their bytes. */
     final Map<MessageKind, long[]> sent = new EnumMap<>(MessageKind.class);
@@ -53,6 +54,7 @@
         this.port = port;
         this.patience = patience;
         this.reader = reader;
+        linkFaults = LinkFaults.ofEnvironment(() -> loop.clock().toMillis());
         new Listener(loop, sockets, new InetSocketAddress(host, port), (connection, full) -> new In(connection));
     }
 
@@ -65,6 +67,9 @@
         long[] count = sent.computeIfAbsent(message.kind(), kind -> new long[2]);
         count[0]++;
         count[1] += frame.remaining();
+        if (linkFaults.dropsTo(to)) {
+            return;
+        }
         outs.computeIfAbsent(to, Out::new).send(frame, message.expectsReply());
     }
 
@@ -197,7 +202,9 @@
         private void whole(int header, byte[] sent) {
             try {
                 Message message = MessageCodec.decode(Frame.body(header, sent));
-                if (from != null) {
+                if (from != null && linkFaults.dropsFrom(from)) {
+                    return;
+                } else if (from != null) {
                     heard(from);
                     take(from, message);
                 } else if (message instanceof Hello hello) {
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -38,6 +38,7 @@
     private final Map<Attempt, UpstreamExchange> exchanges = new HashMap<>();
     private final Set<Visit> visits = new LinkedHashSet<>();
     private final Listener listener;
+    private final SeedWatch seedWatch;
     private HttpParser.Limits limits = new HttpParser.Limits(16_384, 262_144);
     private boolean ending;
 
@@ -57,6 +58,8 @@
                         settings.retryWindow,
                         settings.retrySlack),
                 this);
+        seedWatch = new SeedWatch(
+                environment, settings, () -> proxy.configurationAge() <= settings.configApply, proxy::seeds);
         if (settings.front == null || settings.readiness == null) {
             throw new Settings.Wrong("listen_addresses: a proxy needs front and readiness");
         }
@@ -75,6 +78,7 @@
     @Override
     public void run() throws IOException {
         proxy.begin();
+        seedWatch.begin();
         environment.noteTraffic(Duration.ofSeconds(10));
         environment.loop.run(() -> {});
     }
@@ -96,6 +100,11 @@
         });
     }
 
+    @Override
+    public void reload() {
+        environment.loop.fromOutside(seedWatch::read);
+    }
+
     private void close() {
         listener.finish();
         closeIdle();
--- a/node/src/main/java/saltdale/node/Settings.java
+++ b/node/src/main/java/saltdale/node/Settings.java
@@ -48,7 +48,10 @@
     final String platform;
     final Platform.Rates rates;
 
-    private Settings(Fields from) throws MalformedMessage {
+    private final String path; // of the file
+
+    private Settings(String path, Fields from) throws MalformedMessage {
+        this.path = path;
         name = from.text("node_name");
         host = from.text("ip_address");
         zone = from.text("zone");
@@ -109,12 +112,17 @@
         return (long) (value * 1e6);
     }
 
+    /** What the file says now. */
+    Settings readAgain() throws Wrong {
+        return read(path);
+    }
+
     static Settings read(String path) throws Wrong {
         if (path == null) {
             throw new Wrong(VARIABLE + " is not set: it names the settings file");
         }
         try {
-            return new Settings(new Fields(Trees.fromJson(Files.readAllBytes(Path.of(path)))));
+            return new Settings(path, new Fields(Trees.fromJson(Files.readAllBytes(Path.of(path)))));
         } catch (IOException e) {
             throw new Wrong(path + ": cannot be read: " + e.getMessage());
         } catch (MalformedMessage e) {
--- a/node/src/test/java/saltdale/node/SettingsTest.java
+++ b/node/src/test/java/saltdale/node/SettingsTest.java
@@ -41,6 +41,30 @@
         assertThat(settings.rates.listsPerSecond(), is(26.0));
     }
 
+    @Test
+    void theFileIsReadAgain() throws Exception {
+        Settings settings = read(WHOLE);
+        read(WHOLE.replace("10.2.0.27", "10.2.0.99"));
+        assertThat(settings.readAgain().seeds, contains("10.1.0.6", "10.2.0.99"));
+        read("{");
+        assertThat(assertThrows(Settings.Wrong.class, settings::readAgain).getMessage(), containsString("local.json"));
+    }
+
+    @Test
+    void linkFaultsDropWhatTheirFileNames() throws Exception {
+        long[] millis = new long[1];
+        Path file = folder.resolve("faults");
+        LinkFaults faults = LinkFaults.of(file.toString(), () -> millis[0]);
+        assertThat(faults.dropsTo("10.0.0.1"), is(false));
+        Files.writeString(file, "to 10.0.0.1\nfrom 10.0.0.2\n");
+        assertThat("read again only after a while", faults.dropsTo("10.0.0.1"), is(false));
+        millis[0] += 20;
+        assertThat(faults.dropsTo("10.0.0.1"), is(true));
+        assertThat(faults.dropsFrom("10.0.0.1"), is(false));
+        assertThat(faults.dropsFrom("10.0.0.2"), is(true));
+        assertThat(LinkFaults.of(null, () -> 0).dropsTo("10.0.0.1"), is(false));
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
--- a/proxy/src/main/java/saltdale/proxy/ControlNodeDirectory.java
+++ b/proxy/src/main/java/saltdale/proxy/ControlNodeDirectory.java
@@ -16,7 +16,7 @@
     /** So many are kept that no quorum tells of any more; they are asked last. */
     private static final int MOST_OTHERS = 8;
 
-    private final List<String> seeds;
+    private List<String> seeds;
     private List<String> current = List.of();
     private final Set<String> others = new LinkedHashSet<>(); // the newest last
 
@@ -24,6 +24,14 @@
         this.seeds = List.copyOf(seeds);
     }
 
+    /** The settings name others now; those that they named before are asked last. */
+    void seeds(List<String> hosts) {
+        List<String> before = seeds;
+        seeds = List.copyOf(hosts);
+        before.forEach(this::remember);
+        others.removeAll(seeds);
+    }
+
     /** A control node with a quorum says that these are all. */
     void told(List<String> hosts) {
         if (hosts.equals(current)) {
--- a/proxy/src/main/java/saltdale/proxy/ControlSession.java
+++ b/proxy/src/main/java/saltdale/proxy/ControlSession.java
@@ -116,6 +116,11 @@
         return servedAt;
     }
 
+    /** The settings name these control nodes now. */
+    void seeds(List<String> hosts) {
+        directory.seeds(hosts);
+    }
+
     void begin() {
         turn();
     }
--- a/proxy/src/main/java/saltdale/proxy/Proxy.java
+++ b/proxy/src/main/java/saltdale/proxy/Proxy.java
@@ -113,6 +113,11 @@
         return requests.open();
     }
 
+    /** The settings, read again, name these control nodes. */
+    public void seeds(List<String> hosts) {
+        controlSession.seeds(hosts);
+    }
+
     /** Nothing new is to come; what is here is carried on. What still waits for a slot after so long is refused. */
     public void end(long waits) {
         ending = true;
--- a/proxy/src/test/java/saltdale/proxy/ControlNodeReplacementTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ControlNodeReplacementTest.java
@@ -93,6 +93,25 @@
         }
     }
 
+    /** The same with no other proxy to ask: the settings, read again, name control nodes that are there. */
+    @Test
+    void whoHasNobodyToAskFindsItsWayBackByItsSettings() {
+        SimWorld world = serving(1, 3, 1);
+        SimMachine proxy = world.proxies.get(0);
+        for (int round = 0; round < 3; round++) {
+            world.controlNodes.forEach(each -> world.cut(each, proxy));
+            replaceOldest(world, round);
+            world.controlNodes.forEach(each -> world.cut(each, proxy));
+            world.run(6000);
+        }
+        world.cuts.clear();
+        assertTrue(insists(world, 1, config(2), 5000));
+        world.run(5000);
+        assertThat("knows nobody", proxy.proxy().revision(), is(1L));
+        proxy.proxy().seeds(world.controlNodes.stream().map(each -> each.host).toList());
+        assertTrue(world.until(1000, () -> proxy.proxy().revision() == 2));
+    }
+
     /** How old the configuration of a proxy may become while its control node is lost in this way, in milliseconds. */
     private static long oldest(int seed, Consumer<SimMachine> loss) {
         SimWorld world = serving(seed, 3, 4);
--- a/proxy/src/test/java/saltdale/proxy/ControlNodeSearchTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ControlNodeSearchTest.java
@@ -67,6 +67,8 @@
         assertThat(directory.known(), contains("v49-0", "v49-1", "v49-2"));
         assertThat(directory.all().subList(0, 3), is(directory.known()));
         assertThat(directory.all().size(), lessThanOrEqualTo(3 + 3 + 8));
+        directory.seeds(List.of("s-4"));
+        assertThat(directory.all().get(3), is("s-4"));
         directory.hinted(List.of("v49-1", "s-2", "fresh"));
         assertThat(directory.all(), hasItem("fresh"));
         assertThat(new HashSet<>(directory.all()), hasSize(directory.all().size()));
--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/platform/live/PlainHttp.java
@@ -0,0 +1,62 @@
+package saltdale.rig.platform.live;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+
+/** One HTTP call on a connection of its own, waited for; for the soak, which needs no more. */
+final class PlainHttp {
+    /** What came; {@code status} is 0 where no whole answer came in time. */
+    record Answer(int status, String body) {
+        static final Answer NONE = new Answer(0, "");
+    }
+
+    private PlainHttp() {}
+
+    /** {@code headers}: whole lines. */
+    static Answer call(String ip, int port, String method, String path, String headers, String body, Duration limit) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        String head = method + " " + path + " HTTP/1.1\r\n" + headers + "Content-Length: " + bytes.length
+                + "\r\nConnection: close\r\n\r\n";
+        long end = System.nanoTime() + limit.toNanos();
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(ip, port), (int) limit.toMillis());
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(bytes);
+            return parsed(readAll(socket, end));
+        } catch (IOException e) {
+            return Answer.NONE;
+        }
+    }
+
+    private static String readAll(Socket socket, long end) throws IOException {
+        InputStream in = socket.getInputStream();
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        byte[] part = new byte[8192];
+        while (true) {
+            long left = (end - System.nanoTime()) / 1_000_000;
+            if (left <= 0) {
+                throw new SocketTimeoutException("no whole answer in time");
+            }
+            socket.setSoTimeout((int) left);
+            int count = in.read(part);
+            if (count < 0) {
+                return all.toString(StandardCharsets.UTF_8);
+            }
+            all.write(part, 0, count);
+        }
+    }
+
+    private static Answer parsed(String text) {
+        int end = text.indexOf("\r\n\r\n");
+        if (end < 0 || !text.startsWith("HTTP/1.1 ")) {
+            return Answer.NONE;
+        }
+        return new Answer(Integer.parseInt(text.substring(9, 12)), text.substring(end + 4));
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/saltdale/rig/platform/live/SoakCluster.java
@@ -0,0 +1,260 @@
+package saltdale.rig.platform.live;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import saltdale.rig.platform.Machine;
+import saltdale.rig.platform.Site;
+
+/**
+ * The machines of a soak: real processes that can be killed, paused, told to end, started again, cut from each other,
+ * and, as control nodes, lose their disk or give their place to a new one at another address. One thread changes them;
+ * others may ask which there are.
+ */
+final class SoakCluster implements AutoCloseable {
+    private static final List<String> FLAGS =
+            List.of("-Xmx128m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+    private static final Set<String> PASSED_ON = Set.of("PATH", "HOME", "JAVA_HOME", "LANG");
+    private static final int FIRST_SUCCESSOR = 120; // last figure of the addresses of new control nodes
+    private static final int SEEDS = 3;
+
+    private final Site site;
+    private final List<String> program; // arguments of java that name the program
+    private final Path folder;
+    private final List<Machine> proxies;
+    private final List<Machine> controlNodes;
+    private final int toleratedLosses;
+    private final Map<Machine, Process> running = new HashMap<>();
+    private final Set<Machine> expectedToEnd = new HashSet<>();
+    private final Map<String, Set<String>> cuts = new HashMap<>(); // lines of the fault file, by machine
+    private final Thread atExit = new Thread(() -> running.values().forEach(Process::destroyForcibly), "end of soak");
+    private int successors;
+
+    SoakCluster(Site site, List<String> program, Path folder) {
+        this.site = site;
+        this.program = program;
+        this.folder = folder.toAbsolutePath();
+        proxies = site.proxies();
+        controlNodes = new CopyOnWriteArrayList<>(site.controlNodes());
+        toleratedLosses = (controlNodes.size() - 1) / 2;
+        Runtime.getRuntime().addShutdownHook(atExit);
+    }
+
+    List<Machine> proxies() {
+        return proxies;
+    }
+
+    List<Machine> controlNodes() {
+        return List.copyOf(controlNodes);
+    }
+
+    boolean isRunning(Machine machine) {
+        Process process = running.get(machine);
+        return process != null && process.isAlive();
+    }
+
+    void startAll() throws IOException {
+        for (Machine machine :
+                Stream.concat(controlNodes.stream(), proxies.stream()).toList()) {
+            wipe(machine);
+            start(machine, true);
+        }
+    }
+
+    /** Starts it again, with the seeds of this moment, unless it runs. */
+    void start(Machine machine) throws IOException {
+        if (!isRunning(machine)) {
+            start(machine, false);
+        }
+    }
+
+    private void start(Machine machine, boolean firstStart) throws IOException {
+        Path own = folder.resolve(machine.name());
+        Files.createDirectories(own.resolve("data"));
+        Path settings = Files.writeString(
+                own.resolve("local.json"), settings(machine, firstStart, own).toPrettyString());
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(FLAGS);
+        command.addAll(program);
+        command.addAll(List.of(machine.role(), "--trace"));
+        ProcessBuilder builder = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(
+                        ProcessBuilder.Redirect.appendTo(own.resolve("log").toFile()));
+        builder.environment().keySet().retainAll(PASSED_ON);
+        builder.environment().put("SALTDALE_BOOT", settings.toString());
+        builder.environment().put("SALTDALE_LINK_FAULTS", faults(machine.name()).toString());
+        running.put(machine, builder.start());
+        expectedToEnd.remove(machine);
+    }
+
+    private ObjectNode settings(Machine machine, boolean firstStart, Path own) {
+        String data = machine.isPilot() ? null : own.resolve("data").toString();
+        ObjectNode settings = site.settings(machine, firstStart, data);
+        ArrayNode seeds = settings.putArray("seed_nodes");
+        controlNodes.stream().limit(SEEDS).forEach(each -> seeds.add(each.at(Machine.CONTROL)));
+        settings.putObject("tolerated_losses").put("machines", toleratedLosses);
+        return settings;
+    }
+
+    void kill(Machine machine) {
+        Process process = running.remove(machine);
+        if (process != null) {
+            process.destroyForcibly();
+            join(process, 5000);
+        }
+    }
+
+    /** SIGTERM; returns at once. */
+    void terminate(Machine machine) {
+        Process process = running.get(machine);
+        if (process != null) {
+            expectedToEnd.add(machine);
+            process.destroy();
+        }
+    }
+
+    /** Waits for the end of one that was told to; kills it after this time, and returns whether that was needed. */
+    boolean awaitEnd(Machine machine, long millis) {
+        if (!expectedToEnd.contains(machine)) {
+            return false; // it was killed meanwhile, and may have begun anew
+        }
+        Process process = running.remove(machine);
+        if (process == null || join(process, millis)) {
+            return false;
+        }
+        process.destroyForcibly();
+        join(process, 5000);
+        return true;
+    }
+
+    private static boolean join(Process process, long millis) {
+        try {
+            return process.waitFor(millis, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    void pause(Machine machine) throws IOException {
+        signal(machine, "STOP");
+    }
+
+    void resume(Machine machine) throws IOException {
+        signal(machine, "CONT");
+    }
+
+    private void signal(Machine machine, String name) throws IOException {
+        Process process = running.get(machine);
+        if (process != null && process.isAlive()) {
+            join(new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start(), 1000);
+        }
+    }
+
+    /** Removes its disk; it must not be running. */
+    void wipe(Machine machine) throws IOException {
+        Path data = folder.resolve(machine.name()).resolve("data");
+        if (Files.isDirectory(data)) {
+            try (Stream<Path> files = Files.walk(data)) {
+                for (Path each : files.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(each);
+                }
+            }
+        }
+    }
+
+    /** A new control node at an address of its own, in the zone of this one, not yet started. */
+    Machine successorOf(Machine old) {
+        int number = FIRST_SUCCESSOR + successors++;
+        String ip = old.ip().substring(0, old.ip().lastIndexOf('.') + 1) + number;
+        return new Machine("core-" + old.zone() + "-" + number, old.role(), old.zone(), ip);
+    }
+
+    /** From now on this one is among the control nodes that seeds are taken from. */
+    void add(Machine machine) {
+        controlNodes.add(machine);
+    }
+
+    /** It is gone for good. */
+    void remove(Machine machine) {
+        controlNodes.remove(machine);
+    }
+
+    // Cuts.
+
+    /** Messages between them are lost, in one direction or both. */
+    void cut(Machine a, Machine b, boolean oneWay) throws IOException {
+        fault(a, "to " + b.ip());
+        fault(b, "from " + a.ip());
+        if (!oneWay) {
+            fault(b, "to " + a.ip());
+            fault(a, "from " + b.ip());
+        }
+    }
+
+    /** All cuts are over. */
+    void healAll() throws IOException {
+        for (Map.Entry<String, Set<String>> each : cuts.entrySet()) {
+            each.getValue().clear();
+            write(each.getKey());
+        }
+    }
+
+    private void fault(Machine at, String line) throws IOException {
+        if (cuts.computeIfAbsent(at.name(), name -> new HashSet<>()).add(line)) {
+            write(at.name());
+        }
+    }
+
+    private void write(String machine) throws IOException {
+        Path written = Files.write(folder.resolve(machine + ".faults.new"), cuts.get(machine));
+        Files.move(written, faults(machine), StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    private Path faults(String machine) {
+        return folder.resolve(machine + ".faults");
+    }
+
+    // What the processes say.
+
+    /** Processes that ended though nobody told them to. */
+    List<String> endedByThemselves() {
+        return running.entrySet().stream()
+                .filter(each -> !each.getValue().isAlive() && !expectedToEnd.contains(each.getKey()))
+                .map(each -> each.getKey().name() + " with " + each.getValue().exitValue())
+                .toList();
+    }
+
+    Path log(Machine machine) {
+        return folder.resolve(machine.name()).resolve("log");
+    }
+
+    @Override
+    public void close() {
+        for (Process process : running.values()) {
+            process.destroyForcibly();
+            join(process, 5000);
+        }
+        running.clear();
+        try {
+            Runtime.getRuntime().removeShutdownHook(atExit);
+        } catch (IllegalStateException e) {
+            // it is on its way
+        }
+    }
+}
--- a/tools/src/main/java/saltdale/tools/Platform.java
+++ b/tools/src/main/java/saltdale/tools/Platform.java
@@ -3,6 +3,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
@@ -14,6 +15,7 @@
 import saltdale.rig.platform.Site;
 import saltdale.rig.platform.live.Faults;
 import saltdale.rig.platform.live.Processes;
+import saltdale.rig.platform.live.Soak;
 import saltdale.rig.platform.live.StandIn;
 import saltdale.rig.platform.live.Trial;
 
@@ -21,7 +23,7 @@
         name = "platform",
         mixinStandardHelpOptions = true,
         description = "The platform front and function scaler, on loopback against a stand-in of the platform.",
-        subcommands = {Platform.TryOut.class, Platform.Standing.class, Platform.Settings.class})
+        subcommands = {Platform.TryOut.class, Platform.SoakRun.class, Platform.Standing.class, Platform.Settings.class})
 final class Platform implements Callable<Integer> {
     @Override
     public Integer call() {
@@ -137,6 +139,42 @@
         }
     }
 
+    @Command(
+            name = "soak",
+            mixinStandardHelpOptions = true,
+            description = "Real processes under troubles that overlap, operators at work all the while; many seeds.")
+    static final class SoakRun implements Callable<Integer> {
+        @Mixin
+        private Size size;
+
+        @Mixin
+        private Build build;
+
+        @Option(names = "--seeds", defaultValue = "1", description = "How many are played (default: ${DEFAULT-VALUE}).")
+        private int seeds;
+
+        @Option(names = "--seed", defaultValue = "1", description = "The first one (default: ${DEFAULT-VALUE}).")
+        private long seed;
+
+        @Option(names = "--bouts", defaultValue = "5", description = "Of troubles, a seed (default: ${DEFAULT-VALUE}).")
+        private int bouts;
+
+        @Override
+        public Integer call() throws Exception {
+            if (seeds < 1 || bouts < 1) {
+                throw new Misread("--seeds and --bouts: wanted over 0");
+            }
+            List<String> program = List.of("-jar", build.jar().toAbsolutePath().toString());
+            int failed = 0;
+            for (long each = seed; each < seed + seeds; each++) {
+                Path folder = build.out.resolve("seed-" + each);
+                failed += Soak.play(size.site(), program, folder, bouts, each, System.out) ? 0 : 1;
+            }
+            System.out.println(seeds + " seeds, " + failed + " failed");
+            return failed == 0 ? 0 : 1;
+        }
+    }
+
     @Command(
             name = "stand-in",
             mixinStandardHelpOptions = true,
--- /dev/null
+++ b/tools/src/test/java/saltdale/tools/SoakTest.java
@@ -0,0 +1,35 @@
+package saltdale.tools;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import saltdale.rig.platform.Site;
+import saltdale.rig.platform.live.Soak;
+
+/**
+ * The short form of {@code saltdale platform soak}: real processes of the platform on real sockets, under troubles that
+ * overlap, judged by invariants alone.
+ */
+@Timeout(150)
+class SoakTest {
+    private static final int NET = 171; // 127.171 and 127.172, used by nothing else
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void nothingAcknowledgedIsLostOrLate() throws Exception {
+        List<String> program = List.of("-cp", System.getProperty("java.class.path"), "saltdale.node.Main");
+        ByteArrayOutputStream told = new ByteArrayOutputStream();
+        PrintStream out = new PrintStream(told, true, StandardCharsets.UTF_8);
+        boolean passed = Soak.play(Site.small(NET, 2, 3), program, folder, 1, 1, out);
+        assertTrue(passed, told.toString(StandardCharsets.UTF_8));
+    }
+}
