--- a/node/src/test/java/saltdale/node/SettingsTest.java
+++ b/node/src/test/java/saltdale/node/SettingsTest.java
@@ -46,7 +46,7 @@
         Settings settings = read(WHOLE);
         read(WHOLE.replace("10.2.0.27", "10.2.0.99"));
         assertThat(settings.readAgain().seeds, contains("10.1.0.6", "10.2.0.99"));
-        read("{");
+        Files.writeString(folder.resolve("local.json"), "{");
         assertThat(assertThrows(Settings.Wrong.class, settings::readAgain).getMessage(), containsString("local.json"));
     }
 
