--- a/proxy/src/test/java/saltdale/proxy/OverlappingTroublesTest.java
+++ b/proxy/src/test/java/saltdale/proxy/OverlappingTroublesTest.java
@@ -15,8 +15,8 @@
 
 /**
  * Troubles of control nodes and proxies that overlap in time, under an operator who changes the configuration all the
- * while; control nodes are replaced again and again. At the end a disk is lost, and at the same moment all machines lose
- * power, proxies too. The simulated kin of the soak of real processes.
+ * while; control nodes are replaced again and again. At the end disks are lost, and at the same moment all machines
+ * lose power, proxies too. The simulated kin of the soak of real processes.
  */
 class OverlappingTroublesTest {
     private static final long LENGTH_MS = 60_000;
@@ -146,12 +146,14 @@
                     node -> next.start());
         }
 
-        /** A disk is lost, and all machines lose power at the same moment, those that do not count too. */
+        /** As many disks as tolerated are lost, and all machines lose power at the same moment, those that do not count too. */
         private void closing() {
-            SimMachine lost = any(world.controlNodes);
+            int first = world.chance.nextInt(world.controlNodes.size());
             world.controlNodes.forEach(SimMachine::powerOff);
             world.proxies.forEach(SimMachine::powerOff);
-            lost.wipe();
+            for (int i = 0; i < world.toleratedLosses; i++) {
+                world.controlNodes.get((first + i) % world.controlNodes.size()).wipe();
+            }
             world.run(1200);
             world.controlNodes.forEach(SimMachine::start);
             world.proxies.forEach(SimMachine::start);
