--- a/rig/src/main/java/saltdale/rig/platform/Machine.java
+++ b/rig/src/main/java/saltdale/rig/platform/Machine.java
@@ -6,7 +6,7 @@
     public static final int READINESS = 8246;
     public static final int CONTROL = 8248;
 
-    public boolean isPilot() {
+    public boolean isProxy() {
         return role.equals("proxy");
     }
 
--- a/rig/src/main/java/saltdale/rig/platform/Site.java
+++ b/rig/src/main/java/saltdale/rig/platform/Site.java
@@ -40,7 +40,7 @@
                 || controlNodes < 1
                 || Math.max(proxies, controlNodes) > 3 * MOST_OF_A_ZONE) {
             throw new IllegalArgumentException(
-                    "no such site: net " + net + ", " + proxies + " proxies, " + controlNodes + " keepers");
+                    "no such site: net " + net + ", " + proxies + " proxies, " + controlNodes + " control nodes");
         }
         List<Machine> machines = new ArrayList<>();
         add(machines, net, "proxy", "frontend", proxies, 1);
@@ -115,11 +115,11 @@
     }
 
     public List<Machine> proxies() {
-        return machines.stream().filter(Machine::isPilot).toList();
+        return machines.stream().filter(Machine::isProxy).toList();
     }
 
     public List<Machine> controlNodes() {
-        return machines.stream().filter(machine -> !machine.isPilot()).toList();
+        return machines.stream().filter(machine -> !machine.isProxy()).toList();
     }
 
     /** Where the platform is called. */
@@ -193,13 +193,13 @@
                 .objectNode()
                 .put("node_name", machine.name())
                 .put("role", machine.role())
-                .put("machine_class", machine.isPilot() ? "frontend" : "core");
-        root.putArray("serves").add(machine.isPilot() ? "frontend" : "control_plane");
+                .put("machine_class", machine.isProxy() ? "frontend" : "core");
+        root.putArray("serves").add(machine.isProxy() ? "frontend" : "control_plane");
         root.put("ip_address", machine.ip()).put("zone", machine.zone()).put("region", REGION);
         ObjectNode zones = root.putObject("zones");
         ZONES.forEach(zone -> zones.put(zone, REGION));
         ObjectNode listen = root.putObject("listen_addresses");
-        if (machine.isPilot()) {
+        if (machine.isProxy()) {
             listen.put("front", machine.at(Machine.FRONT)).put("readiness", machine.at(Machine.READINESS));
         } else {
             listen.put("control", machine.at(Machine.CONTROL));
@@ -207,14 +207,14 @@
         root.putArray("internal_port_range").add(7400).add(7415);
         ArrayNode seeds = root.putArray("seed_nodes");
         controlNodes().stream().limit(3).forEach(controlNode -> seeds.add(controlNode.at(Machine.CONTROL)));
-        root.put("first_start", firstStart).put("loss_counted", !machine.isPilot());
+        root.put("first_start", firstStart).put("loss_counted", !machine.isProxy());
         root.putObject("limits")
-                .put("cpu_share", machine.isPilot() ? 0.75 : 1.8)
+                .put("cpu_share", machine.isProxy() ? 0.75 : 1.8)
                 .put("cores", 1)
                 .put("memory_mb", 430)
                 .put("file_descriptors", 4096)
                 .put("link_speed_mbps", 1000.0)
-                .put("disk_mb", machine.isPilot() ? 0 : 128);
+                .put("disk_mb", machine.isProxy() ? 0 : 128);
         root.put("data_directory", data)
                 .put("discovery_source", "platform")
                 .put("entry_point", "virtual_address")
--- a/rig/src/main/java/saltdale/rig/platform/live/Processes.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Processes.java
@@ -63,7 +63,7 @@
                 site.settings(
                                 machine,
                                 firstStart,
-                                machine.isPilot() ? null : own.resolve("data").toString())
+                                machine.isProxy() ? null : own.resolve("data").toString())
                         .toPrettyString());
         return file;
     }
--- a/rig/src/main/java/saltdale/rig/platform/live/SoakCluster.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/SoakCluster.java
@@ -103,7 +103,7 @@
     }
 
     private ObjectNode settings(Machine machine, boolean firstStart, Path own) {
-        String data = machine.isPilot() ? null : own.resolve("data").toString();
+        String data = machine.isProxy() ? null : own.resolve("data").toString();
         ObjectNode settings = site.settings(machine, firstStart, data);
         ArrayNode seeds = settings.putArray("seed_nodes");
         controlNodes.stream().limit(SEEDS).forEach(each -> seeds.add(each.at(Machine.CONTROL)));
