--- a/proxy/src/test/java/saltdale/proxy/OverlappingTroublesTest.java
+++ b/proxy/src/test/java/saltdale/proxy/OverlappingTroublesTest.java
@@ -146,7 +146,7 @@
                     node -> next.start());
         }
 
-        /** As many disks as tolerated are lost, and at the same moment all machines lose power, also those that do not count. */
+        /** As many disks as tolerated are lost while all machines lose power, also those that do not count. */
         private void closing() {
             int first = world.chance.nextInt(world.controlNodes.size());
             world.controlNodes.forEach(SimMachine::powerOff);
