--- a/proxy/src/test/java/saltdale/proxy/AgreementTest.java
+++ b/proxy/src/test/java/saltdale/proxy/AgreementTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.nullValue;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -346,4 +347,28 @@
         }
         assertThat("enough came through to tell", acknowledged, greaterThanOrEqualTo(4 * seeds));
     }
+
+    /** Ballots of all control nodes, one each 25 ms at any of them: none waits for pauses of others. */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 5})
+    void ballotsOfAllControlNodesDoNotHoldEachOtherUp(int controlNodes) {
+        for (int seed = 0; seed < 5; seed++) {
+            SimWorld world = SimOperator.serving(seed, controlNodes, 1);
+            List<Long> took = new ArrayList<>();
+            for (int i = 0; i < 300; i++) {
+                SimMachine at = world.controlNodes.get(world.chance.nextInt(controlNodes));
+                long asked = world.now();
+                at.controlNode().read(reply -> {
+                    if (reply.status() == 200) {
+                        took.add((world.now() - asked) / 1_000_000);
+                    }
+                });
+                world.run(13 + world.chance.nextInt(25));
+            }
+            world.run(4000);
+            assertThat("seed " + seed + ", all are answered", took, hasSize(300));
+            long late = took.stream().filter(each -> each > 100).count();
+            assertThat("seed " + seed + ", answered after 100 ms", late, lessThanOrEqualTo(3L));
+        }
+    }
 }
