--- a/rig/src/main/java/saltdale/rig/experiment/DispatcherProcesses.java
+++ b/rig/src/main/java/saltdale/rig/experiment/DispatcherProcesses.java
@@ -24,8 +24,8 @@
 import saltdale.rig.judge.Witness;
 import saltdale.rig.plan.Day;
 import saltdale.rig.plan.Make;
+import saltdale.rig.standin.LoopbackAddresses;
 import saltdale.rig.standin.Origin;
-import saltdale.rig.standin.Places;
 
 /** The dispatchers of a run: child processes of one build, each with its configuration and its log. */
 public final class DispatcherProcesses implements AutoCloseable {
@@ -45,7 +45,7 @@
 
     private final Day day;
     private final Version version;
-    private final Places places;
+    private final LoopbackAddresses places;
     private final Path folder;
     private final Origin origin;
     private final Witness witness;
@@ -57,7 +57,13 @@
 
     /** {@code cpus}: the cores that they share, as taskset names them; null for all. */
     public DispatcherProcesses(
-            Day day, Version version, Places places, Path folder, Origin origin, Witness witness, String cpus) {
+            Day day,
+            Version version,
+            LoopbackAddresses places,
+            Path folder,
+            Origin origin,
+            Witness witness,
+            String cpus) {
         this.day = day;
         this.version = version;
         this.places = places;
@@ -128,9 +134,9 @@
                         "EDGE_NAME",
                         "d" + i,
                         "EDGE_LISTEN",
-                        Places.text(places.dispatcher(i)),
+                        LoopbackAddresses.text(places.dispatcher(i)),
                         "EDGE_DISCOVERY",
-                        Places.text(places.list(i)),
+                        LoopbackAddresses.text(places.list(i)),
                         "EDGE_CONFIG",
                         folder.resolve("config-" + i + ".json").toString()));
         members.get(i).process = builder.start();
--- a/rig/src/main/java/saltdale/rig/experiment/Experiment.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Experiment.java
@@ -19,7 +19,7 @@
 import saltdale.rig.plan.Misread;
 import saltdale.rig.plan.Sheet;
 import saltdale.rig.report.Report;
-import saltdale.rig.simulate.PlainMind;
+import saltdale.rig.simulate.BaselineDispatcher;
 import saltdale.rig.simulate.Simulation;
 
 /**
@@ -118,7 +118,8 @@
         }
         Simulation.Minds minds = version.choice() == null
                 ? null
-                : (orders, door, chance) -> new PlainMind(orders, door, chance, version.choice(), PlainMind.Slip.NONE);
+                : (orders, door, chance) ->
+                        new BaselineDispatcher(orders, door, chance, version.choice(), BaselineDispatcher.Slip.NONE);
         return Run.simulated(day, version.name(), point.name, repeat, Run.asks(day, beside()), minds);
     }
 
--- a/rig/src/main/java/saltdale/rig/experiment/Run.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Run.java
@@ -20,11 +20,11 @@
 import saltdale.rig.load.Overloads;
 import saltdale.rig.load.Trace;
 import saltdale.rig.plan.Day;
-import saltdale.rig.simulate.ModuleMind;
+import saltdale.rig.simulate.ModuleDispatcher;
 import saltdale.rig.simulate.Simulation;
 import saltdale.rig.standin.LoopThread;
+import saltdale.rig.standin.LoopbackAddresses;
 import saltdale.rig.standin.Origin;
-import saltdale.rig.standin.Places;
 import saltdale.rig.standin.RunnerListServer;
 import saltdale.rig.standin.StandInFleet;
 
@@ -56,7 +56,7 @@
 
     public static Outcome simulated(
             Day day, String version, String point, int repeat, Iterator<Ask> asks, Simulation.Minds minds) {
-        Simulation sim = new Simulation(day, minds == null ? ModuleMind::new : minds, asks).run();
+        Simulation sim = new Simulation(day, minds == null ? ModuleDispatcher::new : minds, asks).run();
         Judge judge = sim.judge();
         Map<String, Double> figures =
                 Outcome.figures(sim.tally(), judge.broken(), judge.asked(), judge.answered(), judge.dispatches());
@@ -92,13 +92,14 @@
             String cpus,
             Progress progress)
             throws IOException {
-        if (day.dispatchers > Places.MOST_DISPATCHERS) {
-            throw new IOException("on sockets a day has at most " + Places.MOST_DISPATCHERS + " dispatchers");
+        if (day.dispatchers > LoopbackAddresses.MOST_DISPATCHERS) {
+            throw new IOException(
+                    "on sockets a day has at most " + LoopbackAddresses.MOST_DISPATCHERS + " dispatchers");
         }
         Files.createDirectories(folder);
         Notes notes = new Notes();
         Origin origin = new Origin();
-        Places places = new Places(freePort());
+        LoopbackAddresses places = new LoopbackAddresses(freePort());
         AtomicReference<StandInFleet> fleet = new AtomicReference<>();
         try (LoopThread runners = new LoopThread("runners");
                 LoopThread clients = new LoopThread("clients")) {
--- a/rig/src/main/java/saltdale/rig/experiment/Version.java
+++ b/rig/src/main/java/saltdale/rig/experiment/Version.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import saltdale.rig.plan.Misread;
 import saltdale.rig.plan.Sheet;
-import saltdale.rig.simulate.PlainMind;
+import saltdale.rig.simulate.BaselineDispatcher;
 
 /**
  * A build of the dispatcher that is played.
@@ -15,7 +15,8 @@
  * @param choice in simulated time, the baseline that decides; null for the module
  * @param levels whether it meets overloads as the day's table says; else as if there was none
  */
-public record Version(String name, List<String> flags, List<String> program, PlainMind.Choice choice, boolean levels) {
+public record Version(
+        String name, List<String> flags, List<String> program, BaselineDispatcher.Choice choice, boolean levels) {
     public Version(String name, List<String> flags, List<String> program) {
         this(name, flags, program, null, true);
     }
@@ -35,7 +36,8 @@
     /** One that is played in simulated time: this build's module, or a baseline. */
     static Version simulated(Sheet row) {
         String name = name(row);
-        PlainMind.Choice choice = row.has("baseline") ? row.word("baseline", PlainMind.Choice.RANDOM) : null;
+        BaselineDispatcher.Choice choice =
+                row.has("baseline") ? row.word("baseline", BaselineDispatcher.Choice.RANDOM) : null;
         return new Version(name, List.of(), List.of(), choice, row.flag("levels", true));
     }
 
--- a/rig/src/main/java/saltdale/rig/load/Generator.java
+++ b/rig/src/main/java/saltdale/rig/load/Generator.java
@@ -16,8 +16,8 @@
 import saltdale.rig.judge.Witness.Final;
 import saltdale.rig.plan.Day;
 import saltdale.rig.standin.LoopThread;
+import saltdale.rig.standin.LoopbackAddresses;
 import saltdale.rig.standin.Origin;
-import saltdale.rig.standin.Places;
 import saltdale.rig.standin.StandInFleet;
 import saltdale.transport.Connection;
 import saltdale.transport.Pool;
@@ -259,7 +259,7 @@
             Duration patience = ask.job().workload().patience;
             connection.send(ByteBuffer.wrap(("POST /" + ask.job().name() + "/" + ask.number()
                             + " HTTP/1.1\r\nHost: "
-                            + Places.text(addresses[dispatcher]) + "\r\nRequest-Id: " + id
+                            + LoopbackAddresses.text(addresses[dispatcher]) + "\r\nRequest-Id: " + id
                             + "\r\nRequest-Timeout-Ms: "
                             + patience.toMillis() + "\r\nIdempotency-Key: " + run + "-" + ask.number() + "\r\n"
                             + (day.traffic.marks() && customer.tries > 1 ? "Client-Retry: 1\r\n" : "")
--- a/rig/src/main/java/saltdale/rig/platform/live/HttpCall.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/HttpCall.java
@@ -8,7 +8,7 @@
 import saltdale.protocol.Head;
 import saltdale.protocol.HttpParser;
 import saltdale.rig.standin.LoopThread;
-import saltdale.rig.standin.Places;
+import saltdale.rig.standin.LoopbackAddresses;
 import saltdale.transport.Connection;
 import saltdale.transport.Timer;
 
@@ -47,8 +47,8 @@
         }
         call.limit = loopThread.loop.after(limit, () -> call.over(null));
         call.connection.send(
-                ByteBuffer.wrap((method + " " + target + " HTTP/1.1\r\nHost: " + Places.text(at) + "\r\n" + headers
-                                + "Content-Length: " + body.length + "\r\nConnection: close\r\n\r\n")
+                ByteBuffer.wrap((method + " " + target + " HTTP/1.1\r\nHost: " + LoopbackAddresses.text(at) + "\r\n"
+                                + headers + "Content-Length: " + body.length + "\r\nConnection: close\r\n\r\n")
                         .getBytes(StandardCharsets.US_ASCII)),
                 ByteBuffer.wrap(body));
     }
--- a/rig/src/main/java/saltdale/rig/simulate/PlainMind.java
+++ b/rig/src/main/java/saltdale/rig/simulate/BaselineDispatcher.java
@@ -22,7 +22,7 @@
  * A simple dispatcher that keeps the rules: a baseline to measure against. With a slip it breaks one of them
  * on purpose, in one way: so the judge is proven. Nothing of this decides in a real dispatcher.
  */
-public final class PlainMind implements Mind {
+public final class BaselineDispatcher implements SimulatedDispatcher {
     /** How the next runner is chosen. */
     public enum Choice {
         RANDOM,
@@ -67,7 +67,7 @@
     private final List<Runnable> wishes = new ArrayList<>();
     private int turn;
 
-    public PlainMind(StandingOrders orders, Door door, SplittableRandom chance, Choice choice, Slip slip) {
+    public BaselineDispatcher(StandingOrders orders, Door door, SplittableRandom chance, Choice choice, Slip slip) {
         this.orders = orders;
         this.door = door;
         this.chance = chance;
--- a/rig/src/main/java/saltdale/rig/simulate/ModuleMind.java
+++ b/rig/src/main/java/saltdale/rig/simulate/ModuleDispatcher.java
@@ -14,10 +14,10 @@
 import saltdale.model.StandingOrders;
 
 /** The decision module itself. */
-public class ModuleMind implements Mind {
+public class ModuleDispatcher implements SimulatedDispatcher {
     private final Dispatcher module;
 
-    public ModuleMind(StandingOrders orders, Door door, SplittableRandom chance) {
+    public ModuleDispatcher(StandingOrders orders, Door door, SplittableRandom chance) {
         module = new Dispatcher(orders, door, chance);
     }
 
--- a/rig/src/main/java/saltdale/rig/simulate/Node.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Node.java
@@ -29,7 +29,7 @@
     final int number;
     private final SplittableRandom chance;
     private final StandingOrders orders;
-    private Mind mind;
+    private SimulatedDispatcher mind;
     /** Counts its lives: what was set for an earlier one is not for this one. */
     private int life;
 
--- a/rig/src/main/java/saltdale/rig/simulate/OverloadProof.java
+++ b/rig/src/main/java/saltdale/rig/simulate/OverloadProof.java
@@ -181,7 +181,8 @@
         }
     }
 
-    private static Mind mind(Slip slip, StandingOrders orders, Door door, SplittableRandom chance, Seen seen) {
+    private static SimulatedDispatcher mind(
+            Slip slip, StandingOrders orders, Door door, SplittableRandom chance, Seen seen) {
         StandingOrders told = orders;
         switch (slip) {
             case SHEDS_THE_DEAREST_FIRST -> told.workloads.get(0).importance = 0.01;
@@ -192,15 +193,17 @@
         seen.slip = slip;
         Door watched = new Watched(door, seen);
         if (slip == Slip.REPEATS_UNBOUNDED) {
-            return new PlainMind(told, watched, chance, PlainMind.Choice.LEAST_OUT, PlainMind.Slip.NONE);
+            return new BaselineDispatcher(
+                    told, watched, chance, BaselineDispatcher.Choice.LEAST_OUT, BaselineDispatcher.Slip.NONE);
         } else if (slip == Slip.SHEDS_WHAT_MAY_HAVE_RUN) {
-            return new PlainMind(told, watched, chance, PlainMind.Choice.LEAST_OUT, PlainMind.Slip.SHEDS_WHAT_RAN);
+            return new BaselineDispatcher(
+                    told, watched, chance, BaselineDispatcher.Choice.LEAST_OUT, BaselineDispatcher.Slip.SHEDS_WHAT_RAN);
         }
         return new Counted(told, watched, chance, seen);
     }
 
     /** The module; how often its level changes is counted, second by second. */
-    private static final class Counted extends ModuleMind {
+    private static final class Counted extends ModuleDispatcher {
         private final Seen seen;
         private long second;
         private long before;
--- a/rig/src/main/java/saltdale/rig/simulate/Proof.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Proof.java
@@ -9,8 +9,8 @@
 import saltdale.rig.load.Arrivals;
 import saltdale.rig.plan.Day;
 import saltdale.rig.plan.Sheet;
-import saltdale.rig.simulate.PlainMind.Choice;
-import saltdale.rig.simulate.PlainMind.Slip;
+import saltdale.rig.simulate.BaselineDispatcher.Choice;
+import saltdale.rig.simulate.BaselineDispatcher.Slip;
 
 /**
  * Proves the judge: small dispatchers, each wrong in one way, on a day that brings out all of them, and a
@@ -122,9 +122,9 @@
             cases.add(play(
                     slip.name().toLowerCase().replace('_', ' '),
                     CAUGHT.get(slip),
-                    (orders, door, chance) -> new PlainMind(orders, door, chance, Choice.LEAST_OUT, slip)));
+                    (orders, door, chance) -> new BaselineDispatcher(orders, door, chance, Choice.LEAST_OUT, slip)));
         }
-        cases.add(play("the decision module", null, ModuleMind::new));
+        cases.add(play("the decision module", null, ModuleDispatcher::new));
         return cases;
     }
 
--- a/rig/src/main/java/saltdale/rig/simulate/Mind.java
+++ b/rig/src/main/java/saltdale/rig/simulate/SimulatedDispatcher.java
@@ -10,7 +10,7 @@
 import saltdale.model.Sighting;
 
 /** What decides for one simulated dispatcher; it acts through its Door, and only in settle. */
-public interface Mind {
+public interface SimulatedDispatcher {
     void began(Duration now);
 
     void listed(Duration now, List<Sighting> sightings, boolean whole, boolean cached);
--- a/rig/src/main/java/saltdale/rig/simulate/Simulation.java
+++ b/rig/src/main/java/saltdale/rig/simulate/Simulation.java
@@ -27,7 +27,7 @@
 public final class Simulation {
     /** Makes what decides for a dispatcher. */
     public interface Minds {
-        Mind of(StandingOrders orders, Door door, SplittableRandom chance);
+        SimulatedDispatcher of(StandingOrders orders, Door door, SplittableRandom chance);
     }
 
     private static final Duration FRONT_NOTICES = Duration.ofSeconds(1);
--- a/rig/src/main/java/saltdale/rig/standin/Telling.java
+++ b/rig/src/main/java/saltdale/rig/standin/JobReports.java
@@ -11,32 +11,32 @@
 import saltdale.rig.plan.Trouble.Kind;
 
 /** What a runner tells of a job: in order, each until it is answered. */
-final class Telling {
+final class JobReports {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MOST_TRIES = 10;
     private static final Duration HELD = Duration.ofMillis(250);
     private static final Duration PAUSE = Duration.ofMillis(100);
 
     private final StandInFleet fleet;
-    private final Box box;
+    private final StandInRunner runner;
     private final Work work;
     private final Deque<byte[]> waiting = new ArrayDeque<>();
     private byte[] sending; // what is told just now, or to be told again
     private boolean busy;
     private int tries;
 
-    Telling(Box box, Work work) {
-        this.fleet = box.fleet;
-        this.box = box;
+    JobReports(StandInRunner runner, Work work) {
+        this.fleet = runner.fleet;
+        this.runner = runner;
         this.work = work;
     }
 
     void add(String state, double share, String result) {
-        if (box.has(Kind.NO_NEWS)) {
+        if (runner.has(Kind.NO_NEWS)) {
             return;
         }
         ObjectNode object = JSON.createObjectNode();
-        object.put("id", work.id).put("from", "r" + box.number).put("state", state);
+        object.put("id", work.id).put("from", "r" + runner.number).put("state", state);
         if (share >= 0) {
             object.put("share", share);
         }
@@ -44,49 +44,50 @@
             object.put("result", result);
         }
         if (!state.equals("started") && !state.equals("running")) {
-            LoadReport r = box.model.report(fleet.origin.now());
+            LoadReport r = runner.model.report(fleet.origin.now());
             object.putObject("load")
                     .put("concurrent", r.inFlight())
                     .put("depth", r.queue())
                     .put("x0", r.freeSlots());
         }
         byte[] body = object.toString().getBytes(StandardCharsets.UTF_8);
-        byte[] head = ("POST /_jobs/news HTTP/1.1\r\nHost: " + Places.text(fleet.places.dispatcher(work.from))
+        byte[] head = ("POST /_jobs/news HTTP/1.1\r\nHost: "
+                        + LoopbackAddresses.text(fleet.places.dispatcher(work.from))
                         + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n")
                 .getBytes(StandardCharsets.US_ASCII);
         byte[] call = new byte[head.length + body.length];
         System.arraycopy(head, 0, call, 0, head.length);
         System.arraycopy(body, 0, call, head.length, body.length);
-        boolean passes = box.has(Kind.SHUFFLED_NEWS) && !waiting.isEmpty();
+        boolean passes = runner.has(Kind.SHUFFLED_NEWS) && !waiting.isEmpty();
         if (passes) {
             waiting.addFirst(call);
         } else {
             waiting.addLast(call);
         }
-        if (box.has(Kind.TWICE_NEWS)) {
+        if (runner.has(Kind.TWICE_NEWS)) {
             waiting.addLast(call);
         }
         // Out of order: held a little, so that there is another to pass it.
-        fleet.loopThread.loop.after(box.has(Kind.SHUFFLED_NEWS) && !passes ? HELD : Duration.ZERO, this::next);
+        fleet.loopThread.loop.after(runner.has(Kind.SHUFFLED_NEWS) && !passes ? HELD : Duration.ZERO, this::next);
     }
 
     private void next() {
         if (busy || sending == null && waiting.isEmpty()) {
             return;
         }
-        if (box.silent) {
+        if (runner.silent) {
             sending = null;
             waiting.clear();
             return;
         }
-        if (box.gates.get(work.from).isMuted()) {
+        if (runner.endpoints.get(work.from).isMuted()) {
             fleet.loopThread.loop.after(PAUSE, this::next); // the link is cut: until it is back
             return;
         }
         busy = true;
         // Out of the queue: guards against another that passes it meanwhile and would be dropped in its place.
         sending = sending == null ? waiting.poll() : sending;
-        new NewsCall(fleet.loopThread, fleet.callBack(box.number, work.from), sending, this::told).begin();
+        new NewsCall(fleet.loopThread, fleet.callBack(runner.number, work.from), sending, this::told).begin();
     }
 
     private void told(boolean heard) {
--- a/rig/src/main/java/saltdale/rig/standin/Places.java
+++ b/rig/src/main/java/saltdale/rig/standin/LoopbackAddresses.java
@@ -8,13 +8,13 @@
  * Who listens where: all on loopback, each runner and the list at an address of its own for each dispatcher,
  * so that a runner knows by the address who has sent it a job.
  */
-public final class Places {
+public final class LoopbackAddresses {
     /** So many dispatchers have room in the third figure of an address. */
     public static final int MOST_DISPATCHERS = 250;
 
     private final int port;
 
-    public Places(int port) {
+    public LoopbackAddresses(int port) {
         this.port = port;
     }
 
--- a/rig/src/main/java/saltdale/rig/standin/Gate.java
+++ b/rig/src/main/java/saltdale/rig/standin/RunnerEndpoint.java
@@ -7,44 +7,44 @@
 import saltdale.rig.ways.SwitchableListener;
 
 /** Where one dispatcher reaches one runner. */
-final class Gate {
-    final Box box;
+final class RunnerEndpoint {
+    final StandInRunner runner;
     final int dispatcher;
-    private final SwitchableListener mouth;
+    private final SwitchableListener listener;
     final Set<Served> open = new HashSet<>();
 
-    Gate(Box box, int dispatcher) throws IOException {
-        this.box = box;
+    RunnerEndpoint(StandInRunner runner, int dispatcher) throws IOException {
+        this.runner = runner;
         this.dispatcher = dispatcher;
-        mouth = new SwitchableListener(
-                box.fleet.loopThread,
-                box.fleet.gateAt(box.number, dispatcher),
+        listener = new SwitchableListener(
+                runner.fleet.loopThread,
+                runner.fleet.endpointAt(runner.number, dispatcher),
                 (connection, full) -> open.add(new Served(this, connection)));
     }
 
     boolean isMuted() {
-        return mouth.isSilent();
+        return listener.isSilent();
     }
 
     /** Falls silent or speaks again, as the machine and the links are by now. */
     void set() {
-        boolean mute = box.silent || box.fleet.isCut(box.number, dispatcher);
-        if (mute != mouth.isSilent() && !mouth.isShut()) {
-            mouth.silent(mute);
+        boolean mute = runner.silent || runner.fleet.isCut(runner.number, dispatcher);
+        if (mute != listener.isSilent() && !listener.isShut()) {
+            listener.silent(mute);
             open.forEach(each -> each.reading(!mute));
         }
     }
 
     /** The process has died: its connections end, and new ones are refused. */
     void shut() {
-        mouth.shut();
+        listener.shut();
         dropAll();
     }
 
     /** It is back: what was open through its silence is reset, and it listens again if it had ceased to. */
     void renew() {
         dropAll();
-        mouth.open();
+        listener.open();
         set();
     }
 
--- a/rig/src/main/java/saltdale/rig/standin/RunnerListServer.java
+++ b/rig/src/main/java/saltdale/rig/standin/RunnerListServer.java
@@ -42,7 +42,7 @@
 
     private final LoopThread loopThread;
     private final Day day;
-    private final Places places;
+    private final LoopbackAddresses places;
     private final Origin origin;
     private final Witness witness;
     private final List<Entry> entries = new ArrayList<>();
@@ -52,7 +52,7 @@
     private long version = 1;
     private boolean mute;
 
-    public RunnerListServer(LoopThread loopThread, Day day, Places places, Origin origin, Witness witness)
+    public RunnerListServer(LoopThread loopThread, Day day, LoopbackAddresses places, Origin origin, Witness witness)
             throws IOException {
         this.loopThread = loopThread;
         this.day = day;
@@ -136,7 +136,7 @@
             }
             hosts.addObject()
                     .put("host", "r" + i)
-                    .put("dial", Places.text(places.runner(i, dispatcher)))
+                    .put("dial", LoopbackAddresses.text(places.runner(i, dispatcher)))
                     .put("site", day.zone(i))
                     .put("class", day.make(i).name())
                     .put("block", day.cell(i))
--- a/rig/src/main/java/saltdale/rig/standin/Served.java
+++ b/rig/src/main/java/saltdale/rig/standin/Served.java
@@ -15,15 +15,15 @@
 /** A connection from a dispatcher. */
 final class Served extends Exchange {
     private final StandInFleet fleet;
-    private final Gate gate;
-    private final Box box;
+    private final RunnerEndpoint endpoint;
+    private final StandInRunner runner;
     private Work unanswered;
 
-    Served(Gate gate, Connection connection) {
-        super(connection, gate.box.fleet.origin);
-        this.fleet = gate.box.fleet;
-        this.gate = gate;
-        this.box = gate.box;
+    Served(RunnerEndpoint endpoint, Connection connection) {
+        super(connection, endpoint.runner.fleet.origin);
+        this.fleet = endpoint.runner.fleet;
+        this.endpoint = endpoint;
+        this.runner = endpoint.runner;
     }
 
     void reading(boolean wanted) {
@@ -36,11 +36,11 @@
 
     @Override
     public void ended(String cause) {
-        gate.open.remove(this);
+        endpoint.open.remove(this);
         if (unanswered != null) { // closed before the 202: given up
-            box.model.takeBack(fleet.origin.now(), unanswered.id, gate.dispatcher);
-            fleet.witness.over(fleet.origin.now(), unanswered.id, box.number);
-            box.schedule();
+            runner.model.takeBack(fleet.origin.now(), unanswered.id, endpoint.dispatcher);
+            fleet.witness.over(fleet.origin.now(), unanswered.id, runner.number);
+            runner.schedule();
         }
     }
 
@@ -52,9 +52,9 @@
             job(head, first);
         } else if (head.method().equals("DELETE") && path.startsWith("/jobs/")) {
             String id = path.substring("/jobs/".length());
-            box.model.takeBack(fleet.origin.now(), id, gate.dispatcher);
-            fleet.witness.over(fleet.origin.now(), id, box.number);
-            box.schedule();
+            runner.model.takeBack(fleet.origin.now(), id, endpoint.dispatcher);
+            fleet.witness.over(fleet.origin.now(), id, runner.number);
+            runner.schedule();
             say(answer(204, "", ""));
         } else if (path.equals("/alive") && fleet.day.orders.probes) {
             say(answer(200, "", ""));
@@ -66,9 +66,9 @@
     }
 
     private LoadReport report() {
-        LoadReport report = box.model.report(fleet.origin.now());
-        box.schedule();
-        fleet.watch.told(box.number, report);
+        LoadReport report = runner.model.report(fleet.origin.now());
+        runner.schedule();
+        fleet.watch.told(runner.number, report);
         return report;
     }
 
@@ -88,36 +88,36 @@
                 workload.repeat == Workload.Repeat.PURE ? null : head.single("Idempotency-Key"),
                 workload,
                 Long.parseLong(size) / 1e6,
-                gate.dispatcher);
-        fleet.witness.reached(first, now, id, box.number, gate.dispatcher, work.size);
-        if (!box.model.isUp()) {
+                endpoint.dispatcher);
+        fleet.witness.reached(first, now, id, runner.number, endpoint.dispatcher, work.size);
+        if (!runner.model.isUp()) {
             drop();
             return;
         }
         unanswered = work;
-        RunnerModel.Offer offer = box.model.offer(now, work);
+        RunnerModel.Offer offer = runner.model.offer(now, work);
         switch (offer) {
             case TAKEN -> {
-                if (box.has(Kind.EARLY_NEWS)) {
+                if (runner.has(Kind.EARLY_NEWS)) {
                     fleet.loopThread.loop.after(Duration.ofMillis(20), () -> say(answer(202, "", "")));
                 } else {
                     say(answer(202, "", ""));
                 }
             }
             case FULL, DRAINING -> {
-                fleet.witness.unstarted(now, id, box.number);
+                fleet.witness.unstarted(now, id, runner.number);
                 say(answer(503, "Not-Started: 1\r\n" + header(), ""));
             }
             case ERROR -> {
-                fleet.witness.over(now, id, box.number);
+                fleet.witness.over(now, id, runner.number);
                 say(answer(500, header(), ""));
             }
             case FELL -> {
-                fleet.witness.over(now, id, box.number);
-                box.gates.forEach(Gate::shut);
+                fleet.witness.over(now, id, runner.number);
+                runner.endpoints.forEach(RunnerEndpoint::shut);
             }
         }
-        box.schedule();
+        runner.schedule();
     }
 
     private String header() {
@@ -132,19 +132,19 @@
 
     /** Sends an answer, as whole as the wire lets it be. */
     private void say(byte[] answer) {
-        if (gate.isMuted()) {
+        if (endpoint.isMuted()) {
             return;
         }
-        Trouble cut = box.wire(Kind.CUT_ANSWERS);
-        Trouble drip = box.wire(Kind.DRIP_ANSWERS);
+        Trouble cut = runner.wire(Kind.CUT_ANSWERS);
+        Trouble drip = runner.wire(Kind.DRIP_ANSWERS);
         if (cut != null && cut.size() < answer.length) {
             Work lost = unanswered;
             unanswered = null;
             connection.send(ByteBuffer.wrap(answer, 0, (int) cut.size()));
             connection.finish();
-            gate.open.remove(this);
+            endpoint.open.remove(this);
             if (lost != null) {
-                fleet.witness.over(fleet.origin.now(), lost.id, box.number); // as the dispatcher sees it
+                fleet.witness.over(fleet.origin.now(), lost.id, runner.number); // as the dispatcher sees it
             }
         } else if (drip != null) {
             drip(answer, 0, Duration.ofNanos((long) (drip.size() * 1e6)));
--- a/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
+++ b/rig/src/main/java/saltdale/rig/standin/StandInFleet.java
@@ -37,7 +37,7 @@
 
     final LoopThread loopThread;
     final Day day;
-    final Places places;
+    final LoopbackAddresses places;
     final Origin origin;
     final Witness witness;
     final ListWord list;
@@ -45,7 +45,7 @@
     final Watch watch;
     private final SplittableRandom chance;
     final Map<String, Workload> workloads = new HashMap<>();
-    private final List<Box> boxes = new ArrayList<>();
+    private final List<StandInRunner> runners = new ArrayList<>();
     private final List<Pool> callBacks = new ArrayList<>();
     private final Map<Pair, Links> links = new LinkedHashMap<>();
     private final Set<Pair> disturbed = new HashSet<>();
@@ -55,7 +55,13 @@
     long requests;
 
     public StandInFleet(
-            LoopThread loopThread, Day day, Places places, Origin origin, Witness witness, ListWord list, long seed)
+            LoopThread loopThread,
+            Day day,
+            LoopbackAddresses places,
+            Origin origin,
+            Witness witness,
+            ListWord list,
+            long seed)
             throws IOException {
         this.loopThread = loopThread;
         this.day = day;
@@ -90,7 +96,7 @@
         }
         List<Receipts.Shared> receipts = Receipts.of(day);
         for (int i = 0; i < day.runners; i++) {
-            boxes.add(new Box(this, i, receipts.get(i), chance.split()));
+            runners.add(new StandInRunner(this, i, receipts.get(i), chance.split()));
         }
     }
 
@@ -99,7 +105,7 @@
     }
 
     /** Where a runner itself listens for a dispatcher: behind their way, if something befalls that. */
-    InetSocketAddress gateAt(int runner, int dispatcher) {
+    InetSocketAddress endpointAt(int runner, int dispatcher) {
         return links.containsKey(new Pair(runner, dispatcher))
                 ? places.behind(runner, dispatcher)
                 : places.runner(runner, dispatcher);
@@ -142,9 +148,9 @@
     }
 
     private void sample() {
-        for (Box box : boxes) {
-            box.model.advance(origin.now());
-            watch.sample(origin.now(), box.number, box.model.held(), box.model.isUp() && !box.silent);
+        for (StandInRunner runner : runners) {
+            runner.model.advance(origin.now());
+            watch.sample(origin.now(), runner.number, runner.model.held(), runner.model.isUp() && !runner.silent);
         }
         loopThread.loop.after(SAMPLE, this::sample);
     }
@@ -178,12 +184,12 @@
             case CUT -> {
                 cutZone = (int) trouble.size();
                 tellDisturbed();
-                boxes.forEach(Box::gates);
+                runners.forEach(StandInRunner::endpoints);
             }
             case HEAL -> {
                 cutZone = -1;
                 tellDisturbed();
-                boxes.forEach(Box::gates);
+                runners.forEach(StandInRunner::endpoints);
             }
             case MUTE -> list.mute(true);
             case UNMUTE -> list.mute(false);
@@ -196,7 +202,7 @@
                     list.way(j, troubles.listWay(j, turn.at()));
                 }
             }
-            default -> trouble.runners().forEach(i -> boxes.get(i).act(turn.act(), turn.at()));
+            default -> trouble.runners().forEach(i -> runners.get(i).act(turn.act(), turn.at()));
         }
     }
 }
--- a/rig/src/main/java/saltdale/rig/standin/Box.java
+++ b/rig/src/main/java/saltdale/rig/standin/StandInRunner.java
@@ -19,17 +19,18 @@
 import saltdale.transport.Timer;
 
 /** A runner: its model, and what it tells. */
-final class Box implements RunnerModel.Told {
+final class StandInRunner implements RunnerModel.Told {
     final StandInFleet fleet;
     final int number;
     final RunnerModel model;
-    final List<Gate> gates = new ArrayList<>();
-    final Map<Work, Telling> tellings = new HashMap<>();
+    final List<RunnerEndpoint> endpoints = new ArrayList<>();
+    final Map<Work, JobReports> reports = new HashMap<>();
     boolean silent;
     private Timer wake;
     private Duration wakeAt;
 
-    Box(StandInFleet fleet, int number, Receipts.Shared receipts, SplittableRandom chance) throws IOException {
+    StandInRunner(StandInFleet fleet, int number, Receipts.Shared receipts, SplittableRandom chance)
+            throws IOException {
         this.fleet = fleet;
         this.number = number;
         model = new RunnerModel(
@@ -41,12 +42,12 @@
                 chance,
                 this);
         for (int j = 0; j < fleet.day.dispatchers; j++) {
-            gates.add(new Gate(this, j));
+            endpoints.add(new RunnerEndpoint(this, j));
         }
     }
 
-    void gates() {
-        gates.forEach(Gate::set);
+    void endpoints() {
+        endpoints.forEach(RunnerEndpoint::set);
     }
 
     void schedule() {
@@ -79,15 +80,15 @@
             // follow.
             case CONDITION -> model.condition(now, fleet.troubles.condition(number, at));
             case CRASH -> {
-                gates.forEach(Gate::shut);
+                endpoints.forEach(RunnerEndpoint::shut);
                 model.stop(now);
                 lists(Health.GONE, fleet.day.silentNotice);
             }
             case VANISH -> {
                 silent = true;
                 fleet.witness.silent(now, number);
-                gates();
-                tellings.clear();
+                endpoints();
+                reports.clear();
                 model.stop(now);
                 lists(Health.GONE, fleet.day.silentNotice);
             }
@@ -96,7 +97,7 @@
                 lists(Health.DRAINING, fleet.day.notice);
             }
             case REMOVE -> {
-                gates.forEach(Gate::shut);
+                endpoints.forEach(RunnerEndpoint::shut);
                 model.stop(now);
                 lists(Health.GONE, fleet.day.notice);
             }
@@ -104,7 +105,7 @@
                 silent = false;
                 model.start(now);
                 fleet.witness.started(now, number, model.make);
-                gates.forEach(Gate::renew);
+                endpoints.forEach(RunnerEndpoint::renew);
                 lists(Health.UP, fleet.day.notice);
             }
             default -> {}
@@ -171,10 +172,10 @@
                         (how == End.SHED ? End.RETURNED : how).name().toLowerCase(Locale.ROOT),
                         -1,
                         how == End.DONE ? result : null);
-        tellings.remove(work);
+        reports.remove(work);
     }
 
-    private Telling telling(Work work) {
-        return tellings.computeIfAbsent(work, w -> new Telling(this, w));
+    private JobReports telling(Work work) {
+        return reports.computeIfAbsent(work, w -> new JobReports(this, w));
     }
 }
--- a/rig/src/test/java/saltdale/rig/load/GeneratorTest.java
+++ b/rig/src/test/java/saltdale/rig/load/GeneratorTest.java
@@ -12,8 +12,8 @@
 import saltdale.rig.plan.Day;
 import saltdale.rig.plan.Sheet;
 import saltdale.rig.standin.LoopThread;
+import saltdale.rig.standin.LoopbackAddresses;
 import saltdale.rig.standin.Origin;
-import saltdale.rig.standin.Places;
 
 class GeneratorTest {
     @Test
@@ -29,7 +29,7 @@
             Generator generator = new Generator(
                     loopThread,
                     day,
-                    List.of(new Places(9).dispatcher(0)),
+                    List.of(new LoopbackAddresses(9).dispatcher(0)),
                     origin,
                     Witness.NOBODY,
                     1,
--- a/rig/src/test/java/saltdale/rig/simulate/SimulationTest.java
+++ b/rig/src/test/java/saltdale/rig/simulate/SimulationTest.java
@@ -28,7 +28,8 @@
 
     private static Simulation play(String text) {
         Day day = new Day(Sheet.of("day", text));
-        return new Simulation(day, ModuleMind::new, new Arrivals(day.traffic, day.jobs, day.length, day.seed)).run();
+        return new Simulation(day, ModuleDispatcher::new, new Arrivals(day.traffic, day.jobs, day.length, day.seed))
+                .run();
     }
 
     private static String trouble(String kind, String more) {
@@ -137,8 +138,8 @@
         Day read = new Day(Sheet.of("day", day));
         Simulation random = new Simulation(
                         read,
-                        (orders, door, chance) ->
-                                new PlainMind(orders, door, chance, PlainMind.Choice.RANDOM, PlainMind.Slip.NONE),
+                        (orders, door, chance) -> new BaselineDispatcher(
+                                orders, door, chance, BaselineDispatcher.Choice.RANDOM, BaselineDispatcher.Slip.NONE),
                         new Arrivals(read.traffic, read.jobs, read.length, read.seed))
                 .run();
         double module = play(day).tally().service();
--- a/rig/src/test/java/saltdale/rig/standin/StandInFleetTest.java
+++ b/rig/src/test/java/saltdale/rig/standin/StandInFleetTest.java
@@ -41,7 +41,7 @@
     private final BlockingQueue<String> news = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> disturbances = new LinkedBlockingQueue<>();
     private LoopThread loopThread;
-    private Places places;
+    private LoopbackAddresses places;
     private Socket call;
     private ServerSocket dispatcher;
 
@@ -52,7 +52,7 @@
 
     private void fleet(String kind, String length, String more) throws IOException {
         try (ServerSocket free = new ServerSocket(0)) {
-            places = new Places(free.getLocalPort());
+            places = new LoopbackAddresses(free.getLocalPort());
         }
         String text = kind == null
                 ? DAY
--- a/tools/src/main/java/saltdale/tools/Ceiling.java
+++ b/tools/src/main/java/saltdale/tools/Ceiling.java
@@ -17,8 +17,8 @@
 import saltdale.rig.plan.Day;
 import saltdale.rig.plan.Sheet;
 import saltdale.rig.standin.LoopThread;
+import saltdale.rig.standin.LoopbackAddresses;
 import saltdale.rig.standin.Origin;
-import saltdale.rig.standin.Places;
 import saltdale.transport.Connection;
 import saltdale.transport.Listener;
 
@@ -50,7 +50,7 @@
                 "ceiling",
                 "length = \"4s\"\nwarm_up = \"2s\"\n[load]\nrate = " + rate + "\n[[workload]]\nname = \"w\"\n"));
         Origin origin = new Origin();
-        Places places = new Places(7411);
+        LoopbackAddresses places = new LoopbackAddresses(7411);
         try (LoopThread server = new LoopThread("stand-in");
                 LoopThread clients = new LoopThread("clients")) {
             Listener listener = new Listener(
--- a/tools/src/main/java/saltdale/tools/Simulate.java
+++ b/tools/src/main/java/saltdale/tools/Simulate.java
@@ -12,7 +12,7 @@
 import saltdale.rig.plan.Day;
 import saltdale.rig.plan.Misread;
 import saltdale.rig.plan.Sheet;
-import saltdale.rig.simulate.PlainMind;
+import saltdale.rig.simulate.BaselineDispatcher;
 import saltdale.rig.simulate.Simulation;
 
 @Command(
@@ -42,8 +42,9 @@
         day.mustBeSimulated(sheet.file());
         Simulation.Minds minds = null;
         if (baseline != null) {
-            PlainMind.Choice choice = choice(baseline);
-            minds = (orders, door, chance) -> new PlainMind(orders, door, chance, choice, PlainMind.Slip.NONE);
+            BaselineDispatcher.Choice choice = choice(baseline);
+            minds = (orders, door, chance) ->
+                    new BaselineDispatcher(orders, door, chance, choice, BaselineDispatcher.Slip.NONE);
         }
         long began = System.nanoTime();
         Path beside = file.toAbsolutePath().getParent();
@@ -70,8 +71,8 @@
         return text.equals("true") || text.equals("false") ? (Object) Boolean.parseBoolean(text) : text;
     }
 
-    private static PlainMind.Choice choice(String name) {
-        for (PlainMind.Choice each : PlainMind.Choice.values()) {
+    private static BaselineDispatcher.Choice choice(String name) {
+        for (BaselineDispatcher.Choice each : BaselineDispatcher.Choice.values()) {
             if (each.name().toLowerCase(Locale.ROOT).replace('_', '-').equals(name)) {
                 return each;
             }
--- a/tools/src/main/java/saltdale/tools/StandIn.java
+++ b/tools/src/main/java/saltdale/tools/StandIn.java
@@ -15,8 +15,8 @@
 import saltdale.rig.plan.Day;
 import saltdale.rig.standin.ListWord;
 import saltdale.rig.standin.LoopThread;
+import saltdale.rig.standin.LoopbackAddresses;
 import saltdale.rig.standin.Origin;
-import saltdale.rig.standin.Places;
 import saltdale.rig.standin.RunnerListServer;
 import saltdale.rig.standin.StandInFleet;
 
@@ -58,7 +58,7 @@
         Day day = Day.read(file);
         Duration span = StandInNodes.span("--for", length);
         Origin origin = new Origin();
-        Places places = new Places(port);
+        LoopbackAddresses places = new LoopbackAddresses(port);
         Witness nobody = Witness.NOBODY;
         Files.createDirectories(out);
         try (LoopThread loopThread = new LoopThread("stand-in")) {
@@ -79,8 +79,8 @@
             for (int i = 0; i < day.dispatchers; i++) {
                 Path config = out.resolve("config-" + i + ".json");
                 Files.writeString(config, DispatcherProcesses.configuration(day, i));
-                System.out.println("EDGE_NAME=d" + i + " EDGE_LISTEN=" + Places.text(places.dispatcher(i))
-                        + " EDGE_DISCOVERY=" + Places.text(places.list(i)) + " EDGE_CONFIG=" + config
+                System.out.println("EDGE_NAME=d" + i + " EDGE_LISTEN=" + LoopbackAddresses.text(places.dispatcher(i))
+                        + " EDGE_DISCOVERY=" + LoopbackAddresses.text(places.list(i)) + " EDGE_CONFIG=" + config
                         + " ./saltdale serve");
             }
             Thread.sleep(span.toMillis());
--- a/tools/src/main/java/saltdale/tools/StandInNodes.java
+++ b/tools/src/main/java/saltdale/tools/StandInNodes.java
@@ -9,7 +9,7 @@
 import saltdale.nodes.standin.NodeServer;
 import saltdale.rig.plan.Misread;
 import saltdale.rig.plan.Sheet;
-import saltdale.rig.standin.Places;
+import saltdale.rig.standin.LoopbackAddresses;
 import saltdale.transport.Address;
 import saltdale.transport.Loop;
 import saltdale.transport.Sockets;
@@ -61,7 +61,7 @@
         for (int i = 0; i < servers; i++) {
             InetSocketAddress at = new InetSocketAddress(first.getAddress(), first.getPort() + i);
             server.listen(at);
-            System.out.println("nodes at " + Places.text(at));
+            System.out.println("nodes at " + LoopbackAddresses.text(at));
         }
         loop.after(span("--for", length), loop::stop);
         loop.run(() -> {});
