Soak: a parameter that nobody read is gone

Found on rereading the whole change. The successor of a replaced control node was handed around and never used.

--- a/rig/src/main/java/saltdale/rig/platform/live/Soak.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Soak.java
@@ -147,7 +147,6 @@
         Machine machine = of.get(chance.nextInt(of.size()));
         Machine other =
                 cluster.controlNodes().get(chance.nextInt(cluster.controlNodes().size()));
-        Machine[] successor = new Machine[1];
         boolean[] struck = new boolean[1];
         steps.add(new Step(from, () -> {
             struck[0] = contact.isFree(machine.name()); // one trouble of a machine at a time
@@ -155,19 +154,19 @@
                 troubles.merge(trouble, 1, Integer::sum);
                 note(trouble + " " + machine.name());
                 contact.begins(machine.name(), !trouble.ofProxy());
-                strike(trouble, machine, other, successor);
+                strike(trouble, machine, other);
             }
         }));
         steps.add(new Step(to, () -> {
             if (struck[0]) {
-                heal(trouble, machine, other, successor);
+                heal(trouble, machine, other);
                 contact.ends(machine.name(), !trouble.ofProxy());
                 note("over: " + trouble + " " + machine.name());
             }
         }));
     }
 
-    private void strike(SoakTrouble trouble, Machine machine, Machine other, Machine[] successor) throws IOException {
+    private void strike(SoakTrouble trouble, Machine machine, Machine other) throws IOException {
         switch (trouble) {
             case PROXY_KILLED, CONTROL_KILLED, CONTROL_WIPED, CONTROL_REPLACED -> cluster.kill(machine);
             case PROXY_PAUSED, CONTROL_PAUSED -> cluster.pause(machine);
@@ -183,11 +182,11 @@
             }
             case ALL_CONTROL_NODES_KILLED -> cluster.controlNodes().forEach(cluster::kill);
             case HALVES_CUT -> cutHalves();
-            case CONTROL_REPLACED_AS_PLANNED -> successor[0] = startSuccessor(machine);
+            case CONTROL_REPLACED_AS_PLANNED -> startSuccessor(machine);
         }
     }
 
-    private void heal(SoakTrouble trouble, Machine machine, Machine other, Machine[] successor) throws IOException {
+    private void heal(SoakTrouble trouble, Machine machine, Machine other) throws IOException {
         switch (trouble) {
             case PROXY_KILLED, CONTROL_KILLED -> cluster.start(machine);
             case PROXY_PAUSED, CONTROL_PAUSED -> cluster.resume(machine);
@@ -220,11 +219,10 @@
         }
     }
 
-    private Machine startSuccessor(Machine old) throws IOException {
+    private void startSuccessor(Machine old) throws IOException {
         Machine successor = cluster.successorOf(old);
         cluster.start(successor);
         cluster.add(successor);
-        return successor;
     }
 
     private void startControlNodes() throws IOException {
