Proxy: a request that was sent in part may have been executed

Cause: UpstreamExchange.isUnsent took "the last byte never left" as proof that no instance had begun; an instance may begin at the head. It decides the second send and, through Transport.abandon, 503 or 504 at the deadline and at the end of the process. Now only "no byte left and nothing came back" is proof.

Evidence: each failed attempt now logs its outcome and how much was written; on the old code: "attempt failed: long-3 at i-1: UNSENT, PARTLY_WRITTEN", and 30 ms later the second run. Ruled out: a second send by the client (one try), a late reset on a reused connection (it was new).

Related paths: deadline, abandon and end of process mended with it; a connection that never came up needs the same proof; daemon is right by its own protocol ("breaks before the request's last byte is written: never").

--- a/net/src/main/java/saltdale/transport/SendProgress.java
+++ b/net/src/main/java/saltdale/transport/SendProgress.java
@@ -11,7 +11,10 @@
     /** The peer has confirmed that it accepted the message. */
     ACCEPTED;
 
-    /** Returns true if the peer cannot have received the whole message. */
+    /**
+     * Returns true if the peer cannot have received the whole message. It may still have acted on a part of it, unless
+     * the protocol forbids that.
+     */
     public boolean isIncomplete() {
         return this == UNSENT || this == PARTLY_WRITTEN;
     }
--- a/node/src/main/java/saltdale/node/PooledConnections.java
+++ b/node/src/main/java/saltdale/node/PooledConnections.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import saltdale.transport.Connection;
 import saltdale.transport.ConnectionPool;
+import saltdale.transport.SendProgress;
 
 /** The TCP connections to one instance, kept in a {@link ConnectionPool}. */
 final class PooledConnections implements UpstreamConnections {
@@ -25,8 +26,8 @@
         }
 
         @Override
-        public boolean isWritten() {
-            return !connection.sendProgress().isIncomplete();
+        public SendProgress sendProgress() {
+            return connection.sendProgress();
         }
 
         @Override
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -291,6 +291,7 @@
                 new UpstreamExchange(attempt, connectionsTo(attempt.instanceId, attempt.address), (ended, outcome) -> {
                     if (outcome != Attempt.Outcome.ANSWERED) {
                         exchanges.remove(attempt);
+                        logFailedAttempt(ended, outcome);
                     }
                     proxy.attemptEnded(attempt, outcome);
                 });
@@ -302,6 +303,12 @@
         }
     }
 
+    private void logFailedAttempt(UpstreamExchange exchange, Attempt.Outcome outcome) {
+        Attempt attempt = exchange.attempt;
+        environment.log("attempt failed: " + attempt.request.id + " at " + attempt.instanceId + ": " + outcome + ", "
+                + exchange.sendProgress());
+    }
+
     @Override
     public boolean abandon(Attempt attempt) {
         UpstreamExchange exchange = exchanges.remove(attempt);
--- a/node/src/main/java/saltdale/node/UpstreamConnection.java
+++ b/node/src/main/java/saltdale/node/UpstreamConnection.java
@@ -1,5 +1,7 @@
 package saltdale.node;
 
+import saltdale.transport.SendProgress;
+
 /** A connection to an instance during one exchange. */
 interface UpstreamConnection {
     /** Returns whether the connection carried an attempt before this one. */
@@ -8,11 +10,8 @@
     /** Sends the head and the body of a request. */
     void send(byte[] head, byte[] body);
 
-    /**
-     * Returns whether the kernel has accepted the last byte of the request; otherwise the instance cannot have received
-     * the whole request.
-     */
-    boolean isWritten();
+    /** Returns how much of the request the kernel has accepted, which is what the instance may have received. */
+    SendProgress sendProgress();
 
     /** Closes the connection; its handler is not called any more. */
     void close();
--- a/node/src/main/java/saltdale/node/UpstreamExchange.java
+++ b/node/src/main/java/saltdale/node/UpstreamExchange.java
@@ -8,6 +8,7 @@
 import saltdale.protocol.HttpWriter;
 import saltdale.proxy.Attempt;
 import saltdale.transport.Connection;
+import saltdale.transport.SendProgress;
 
 /**
  * One attempt on its connection: sends the request to the instance and checks that the received bytes are the complete
@@ -70,6 +71,11 @@
         return true;
     }
 
+    /** Returns how much of the request the kernel has accepted. */
+    SendProgress sendProgress() {
+        return connection.sendProgress();
+    }
+
     @Override
     public void received(ByteBuffer bytes) {
         bytesReceived = true;
@@ -132,7 +138,7 @@
                 && foreignAnswers == 0
                 && parser.isBodyDelimited()
                 && answer.keepsAlive()
-                && connection.isWritten();
+                && connection.sendProgress() == SendProgress.WRITTEN;
         if (refusal != null) {
             finish(refusal, reusable && !lacksAttemptId(answer));
         } else if (isForwardable(answer)) {
@@ -165,24 +171,25 @@
 
     @Override
     public void disconnected(String cause) {
-        if (cause.startsWith("not connected")) {
-            finish(Attempt.Outcome.NOT_CONNECTED, false);
+        if (!isUnsent()) {
+            finish(Attempt.Outcome.BROKEN, false);
         } else {
-            finish(isUnsent() ? Attempt.Outcome.UNSENT : Attempt.Outcome.BROKEN, false);
+            boolean connected = !cause.startsWith("not connected");
+            finish(connected ? Attempt.Outcome.UNSENT : Attempt.Outcome.NOT_CONNECTED, false);
         }
     }
 
     /**
-     * Returns whether the instance cannot have read the whole request, because its last byte was never sent and
-     * nothing was received.
+     * Returns whether the instance cannot have begun to execute the request, because no byte of it was sent. An
+     * instance may begin before it has read the whole request.
      */
     boolean isUnsent() {
-        return !connection.isWritten() && !bytesReceived;
+        return connection.sendProgress() == SendProgress.UNSENT && !bytesReceived;
     }
 
     /**
-     * Closes the connection without reporting an outcome. Returns whether the instance cannot have read the whole
-     * request.
+     * Closes the connection without reporting an outcome. Returns whether the instance cannot have begun to execute
+     * the request and never will.
      */
     boolean abandon() {
         finished = true;
--- a/node/src/test/java/saltdale/node/EndToEndTest.java
+++ b/node/src/test/java/saltdale/node/EndToEndTest.java
@@ -21,6 +21,7 @@
 import saltdale.control.message.SlotMessage.SlotReturn;
 import saltdale.protocol.Head;
 import saltdale.proxy.Attempt;
+import saltdale.transport.SendProgress;
 
 /**
  * Checks that no answer reaches the wrong client and that a request that is not idempotent is executed at most once,
@@ -66,6 +67,18 @@
                     }
                 };
             }
+        },
+        COUNTS_PARTLY_WRITTEN_AS_UNSENT {
+            @Override
+            UpstreamExchange create(
+                    Attempt attempt, UpstreamConnections connections, UpstreamExchange.OutcomeListener listener) {
+                return new UpstreamExchange(attempt, connections, listener) {
+                    @Override
+                    boolean isUnsent() {
+                        return super.isUnsent() || sendProgress() == SendProgress.PARTLY_WRITTEN;
+                    }
+                };
+            }
         };
 
         abstract UpstreamExchange create(
--- a/node/src/test/java/saltdale/node/UpstreamExchangeTest.java
+++ b/node/src/test/java/saltdale/node/UpstreamExchangeTest.java
@@ -22,11 +22,13 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import saltdale.protocol.HttpParser;
 import saltdale.proxy.Attempt;
 import saltdale.proxy.Attempts;
 import saltdale.transport.ConnectionPool;
 import saltdale.transport.EventLoop;
+import saltdale.transport.SendProgress;
 import saltdale.transport.SocketBudget;
 
 /**
@@ -39,6 +41,8 @@
             + "X-Saltdale-Deadline-Remaining: 900\r\nX-Saltdale-Expected-Runner: i-9\r\nConnection: x-drop\r\nX-Drop: 1\r\n"
             + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
 
+    private static final int MORE_THAN_KERNEL_BUFFERS = 64 << 20;
+
     private String receivedRequest; // by the instance
     private UpstreamExchange exchange;
 
@@ -128,6 +132,41 @@
         }
     }
 
+    /**
+     * Guards against a second execution of a request whose body was sent in part: the instance may have begun work on
+     * it, whether its connection fails or this proxy gives the request up.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void partlyWrittenRequestMayHaveBeenExecuted(boolean connectionFails) throws Exception {
+        try (ServerSocket instance = new ServerSocket()) {
+            instance.setReceiveBufferSize(8192);
+            instance.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            EventLoop loop = new EventLoop();
+            List<Attempt.Outcome> outcomes = new ArrayList<>();
+            exchange = new UpstreamExchange(
+                    Attempts.of("me", "127.0.0.1:1"),
+                    connections(loop, instance),
+                    (e, outcome) -> outcomes.add(outcome));
+            HttpParser parser = new HttpParser(HttpParser.Kind.REQUEST);
+            parser.parse(ByteBuffer.wrap(REQUEST.getBytes(StandardCharsets.ISO_8859_1)));
+            exchange.start(parser.head(), new byte[MORE_THAN_KERNEL_BUFFERS], 700);
+            while (exchange.sendProgress() != SendProgress.PARTLY_WRITTEN) {
+                loop.runOnce(() -> {});
+            }
+            Socket accepted = instance.accept();
+            if (!connectionFails) {
+                assertThat("not executed", exchange.abandon(), is(false));
+                return;
+            }
+            accepted.close(); // with unread bytes: a reset
+            while (outcomes.isEmpty()) {
+                loop.runOnce(() -> {});
+            }
+            assertThat(outcomes, is(List.of(Attempt.Outcome.BROKEN)));
+        }
+    }
+
     /** Answers requests on one connection with these answers, then closes it. Returns the last request. */
     private static String serve(ServerSocket instance, String... answers) {
         try (Socket socket = instance.accept()) {
--- a/proxy/src/main/java/saltdale/proxy/Attempt.java
+++ b/proxy/src/main/java/saltdale/proxy/Attempt.java
@@ -15,9 +15,12 @@
         MISDIRECTED,
         /** No connection could be established. */
         NOT_CONNECTED,
-        /** The connection was reset or closed before the last byte was sent, and nothing was received. */
+        /** The connection was reset or closed before the first byte was sent, and nothing was received. */
         UNSENT,
-        /** The whole request was sent, and then the connection failed or the answer was incomplete or malformed. */
+        /**
+         * The request was sent, perhaps only in part, and then the connection failed or the answer was incomplete or
+         * malformed.
+         */
         BROKEN,
         /** This proxy closed the connection. */
         ABANDONED;
--- a/proxy/src/main/java/saltdale/proxy/ExecutionStatus.java
+++ b/proxy/src/main/java/saltdale/proxy/ExecutionStatus.java
@@ -4,7 +4,7 @@
 public enum ExecutionStatus {
     /** No instance has started to execute it, and none will. */
     NOT_EXECUTED,
-    /** It was sent, and it is unknown whether it was executed. */
+    /** It was sent, perhaps only in part, and it is unknown whether it was executed. */
     POSSIBLY_EXECUTED,
     /** The answer of an instance shows that it was executed. */
     EXECUTED;
--- a/proxy/src/main/java/saltdale/proxy/Transport.java
+++ b/proxy/src/main/java/saltdale/proxy/Transport.java
@@ -6,8 +6,8 @@
     void send(Attempt attempt);
 
     /**
-     * Closes the connection of an attempt without any further report. Returns whether the instance cannot have read
-     * the whole request.
+     * Closes the connection of an attempt without any further report. Returns whether the instance cannot have begun
+     * to execute the request and never will.
      */
     boolean abandon(Attempt attempt);
 
