Control: an order is checked in the form in which it is passed on

Cause: orders were checked as a tree read from JSON and passed on as JSON text and as CBOR, which has no form for half a pair. The exception came after the ballot on every control node, in ConfigurationService.onChosen, and the history never got that version or a later one that kept the name.

Evidence: traced run on the old code: every control node logs "chosen state 3: configuration revision 9", then IllegalStateException from SetDigest.plus; the proxies log nothing after "configuration 7 is in force". Ruled out by that: that the proxies refuse it, or lose their sessions.

An agreed version that cannot be read, whatever the exception, is noted: members and instances are published, later versions follow, and proxies are offered it, so that they know they lack it and do not deny. Texts agreed on by an earlier release apply, repaired.

Found on related paths, mended by the same: a weight of 1e400 was valid at the proposer and invalid elsewhere; 30 levels of nesting were taken and could not be sent as a change.

--- a/control/src/main/java/saltdale/control/ConfigurationCodec.java
+++ b/control/src/main/java/saltdale/control/ConfigurationCodec.java
@@ -19,14 +19,29 @@
     /** Parses a configuration. */
     static Map<String, Object> read(byte[] text) throws InvalidConfiguration {
         try {
-            Map<String, Object> tree = Trees.fromJson(text);
-            tree.replaceAll((name, value) -> normalizeNumbers(value));
-            return tree;
+            return normalized(Trees.fromJson(text));
         } catch (MalformedMessage e) {
             throw new InvalidConfiguration("not a complete JSON document: " + e.getMessage());
         }
     }
 
+    /**
+     * Parses a configuration that was agreed on. Earlier releases accepted texts with half of a surrogate pair; such a
+     * version must not hold up those after it, so the half is replaced here.
+     */
+    static Map<String, Object> readAgreed(byte[] text) throws InvalidConfiguration {
+        try {
+            return normalized(Trees.fromJsonWithRepairs(text));
+        } catch (MalformedMessage e) {
+            throw new InvalidConfiguration("the agreed text cannot be read: " + e.getMessage());
+        }
+    }
+
+    private static Map<String, Object> normalized(Map<String, Object> tree) {
+        tree.replaceAll((name, value) -> normalizeNumbers(value));
+        return tree;
+    }
+
     /**
      * Converts floating-point numbers without a fraction to integers, in place, whatever type the JSON parser
      * chose for them.
--- a/control/src/main/java/saltdale/control/ConfigurationHistory.java
+++ b/control/src/main/java/saltdale/control/ConfigurationHistory.java
@@ -24,6 +24,7 @@
 
     private final Map<String, ConfigurationSnapshot> snapshots = new LinkedHashMap<>(); // by digest
     private ConfigurationTree newest;
+    private long unreadableRevision = -1; // the newest version that could not be read
     private ConfigurationSnapshot latestSnapshot;
 
     /** Adds the next configuration; unchanged items are shared with the previous one. */
@@ -35,6 +36,21 @@
         removeOldest(trees, MAX_TREES);
     }
 
+    /** Notes that a version was agreed on that cannot be read here, and so cannot be sent to proxies. */
+    void markUnreadable(long revision) {
+        unreadableRevision = Math.max(unreadableRevision, revision);
+    }
+
+    /** Whether a newer version than the newest one held here was agreed on. */
+    boolean isOutdated() {
+        return newestAgreedRevision() > (newest == null ? -1 : newest.revision());
+    }
+
+    /** The revision of the newest version that was agreed on, as far as it is known here; -1 if there is none. */
+    long newestAgreedRevision() {
+        return Math.max(unreadableRevision, newest == null ? -1 : newest.revision());
+    }
+
     /** The newest configuration; {@code null} if there is none yet. */
     ConfigurationTree newest() {
         return newest;
--- a/control/src/main/java/saltdale/control/ConfigurationService.java
+++ b/control/src/main/java/saltdale/control/ConfigurationService.java
@@ -53,22 +53,24 @@
             return;
         }
         try {
-            current = versionFor(state.textKey(), text);
-            history.add(ConfigurationTree.of(current.tree()));
-        } catch (InvalidConfiguration | MalformedMessage e) {
-            environment.check(
-                    Invariant.CHOSEN_IS_VALID, false, () -> "revision " + state.revision() + ": " + e.getMessage());
+            ConfigurationVersion version = versionFor(state.textKey(), text);
+            history.add(version.tree());
+            current = version;
+        } catch (InvalidConfiguration | MalformedMessage | RuntimeException e) {
+            // Whatever is wrong with a version that is already agreed on, it must not stop what follows it.
+            history.markUnreadable(state.revision());
+            environment.check(Invariant.CHOSEN_IS_VALID, false, () -> "revision " + state.revision() + ": " + e);
         }
     }
 
     /** The version with this key; its text is parsed only if it is not at hand already. */
-    private ConfigurationVersion versionFor(String key, byte[] text) throws InvalidConfiguration {
+    ConfigurationVersion versionFor(String key, byte[] text) throws InvalidConfiguration {
         if (current != null && current.key().equals(key)) {
             return current;
         } else if (proposed != null && proposed.key().equals(key)) {
             return proposed;
         }
-        return ConfigurationVersion.read(key, text);
+        return ConfigurationVersion.readAgreed(key, text);
     }
 
     /** Replaces the whole configuration, or amends it; {@code basedOn} is the revision that the change is based on. */
--- a/control/src/main/java/saltdale/control/ConfigurationUpdate.java
+++ b/control/src/main/java/saltdale/control/ConfigurationUpdate.java
@@ -50,7 +50,7 @@
         String key = newest == null ? "" : newest.key();
         if (result == null || !key.equals(resultBaseKey)) {
             tree = tree == null ? ConfigurationCodec.read(body) : tree;
-            Map<String, Object> present = newest == null ? Map.of() : newest.tree();
+            Map<String, Object> present = newest == null ? Map.of() : newest.document();
             result = ConfigurationVersion.of(isAmendment ? ConfigurationCodec.amend(present, new Fields(tree)) : tree);
             resultBaseKey = key;
         }
--- a/control/src/main/java/saltdale/control/Subscriptions.java
+++ b/control/src/main/java/saltdale/control/Subscriptions.java
@@ -100,8 +100,11 @@
     void onSnapshotRequest(SnapshotRequest request) {
         Subscriber subscriber = subscribers.get(request.incarnation());
         boolean isKnownSession = subscriber != null && subscriber.session.equals(request.session());
-        // Without a majority no outdated data is sent; the proxy requests it again, here or elsewhere.
-        if (!isKnownSession || configurations.newest() == null || !isCurrent.getAsBoolean()) {
+        // No outdated data is sent; the proxy requests it again, here or elsewhere.
+        if (!isKnownSession
+                || configurations.newest() == null
+                || configurations.isOutdated()
+                || !isCurrent.getAsBoolean()) {
             return;
         }
         ConfigurationSnapshot snapshot = configurations.snapshot(request.digest());
@@ -147,8 +150,8 @@
     }
 
     private void publish(Subscriber subscriber) {
-        if (configurations.newest() == null) {
-            return;
+        if (configurations.newestAgreedRevision() < 0) {
+            return; // before the first configuration there is nothing to serve
         }
         // Without a majority no outdated data is sent. Instances are: the platform itself reports those.
         if (isCurrent.getAsBoolean()) {
@@ -164,17 +167,24 @@
     }
 
     private void publishConfiguration(Subscriber subscriber) {
+        if (subscriber.fetchingSnapshot) {
+            return;
+        } else if (configurations.isOutdated()) {
+            // Until a version that can be sent is agreed on, the proxy must know that it lacks the newest one.
+            offerSnapshot(subscriber, configurations.newestAgreedRevision());
+            return;
+        }
         ConfigurationTree newest = configurations.newest();
-        boolean isUpToDate = subscriber.revision == newest.revision() && subscriber.digest.equals(newest.digest());
-        if (isUpToDate || subscriber.fetchingSnapshot || subscriber.revision > newest.revision()) {
+        boolean isUpToDate =
+                newest == null || subscriber.revision == newest.revision() && subscriber.digest.equals(newest.digest());
+        if (isUpToDate || subscriber.revision > newest.revision()) {
             return;
         }
         long base = subscriber.revision;
         String baseDigest = subscriber.digest;
         Map<String, Object> change = configurations.changeSince(base, baseDigest);
         if (change == null) {
-            subscriber.fetchingSnapshot = true;
-            sendNews(subscriber, number -> new ConfigurationOffer(subscriber.session, number, newest.revision()));
+            offerSnapshot(subscriber, newest.revision());
             return;
         }
         subscriber.revision = newest.revision();
@@ -185,6 +195,11 @@
                         subscriber.session, number, base, baseDigest, subscriber.revision, subscriber.digest, change));
     }
 
+    private void offerSnapshot(Subscriber subscriber, long revision) {
+        subscriber.fetchingSnapshot = true;
+        sendNews(subscriber, number -> new ConfigurationOffer(subscriber.session, number, revision));
+    }
+
     private void publishMembers(Subscriber subscriber, MembershipTable.View present) {
         Map<String, Member> before =
                 subscriber.knownMembers == null ? Map.of() : subscriber.knownMembers.byIncarnation();
--- a/control/src/main/java/saltdale/control/Trees.java
+++ b/control/src/main/java/saltdale/control/Trees.java
@@ -17,7 +17,11 @@
  * and JSON.
  */
 public final class Trees {
-    private static final int MAX_DEPTH = 32;
+    private static final int MAX_CBOR_DEPTH = 32;
+    /** Lower than that of CBOR: what arrives as JSON is passed on inside messages, some levels deeper. */
+    private static final int MAX_JSON_DEPTH = 24;
+
+    private static final char REPLACEMENT_CHARACTER = '\ufffd';
 
     private Trees() {}
 
@@ -42,19 +46,31 @@
     /** Parses a CBOR object. */
     @SuppressWarnings("unchecked")
     public static Map<String, Object> fromCbor(byte[] bytes) throws MalformedMessage {
-        return (Map<String, Object>) decode(Cbor.FACTORY, bytes, JsonToken.START_OBJECT, "object");
+        return (Map<String, Object>)
+                decode(Cbor.FACTORY, bytes, JsonToken.START_OBJECT, "object", new Reader(MAX_CBOR_DEPTH, false));
     }
 
     /** Parses a CBOR array, the outer form of messages between processes. */
     @SuppressWarnings("unchecked")
     public static List<Object> listFromCbor(byte[] bytes) throws MalformedMessage {
-        return (List<Object>) decode(Cbor.FACTORY, bytes, JsonToken.START_ARRAY, "array");
+        return (List<Object>)
+                decode(Cbor.FACTORY, bytes, JsonToken.START_ARRAY, "array", new Reader(MAX_CBOR_DEPTH, false));
     }
 
     /** Parses a JSON object. */
-    @SuppressWarnings("unchecked")
     public static Map<String, Object> fromJson(byte[] bytes) throws MalformedMessage {
-        return (Map<String, Object>) decode(Json.FACTORY, bytes, JsonToken.START_OBJECT, "object");
+        return fromJson(bytes, false);
+    }
+
+    /** Parses a JSON object in which each unpaired surrogate is replaced by the replacement character. */
+    static Map<String, Object> fromJsonWithRepairs(byte[] bytes) throws MalformedMessage {
+        return fromJson(bytes, true);
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Object> fromJson(byte[] bytes, boolean repairs) throws MalformedMessage {
+        return (Map<String, Object>)
+                decode(Json.FACTORY, bytes, JsonToken.START_OBJECT, "object", new Reader(MAX_JSON_DEPTH, repairs));
     }
 
     private static byte[] encode(JsonFactory factory, Object tree) {
@@ -100,13 +116,13 @@
         }
     }
 
-    private static Object decode(JsonFactory factory, byte[] bytes, JsonToken firstToken, String kind)
+    private static Object decode(JsonFactory factory, byte[] bytes, JsonToken firstToken, String kind, Reader reader)
             throws MalformedMessage {
         try (JsonParser parser = factory.createParser(bytes)) {
             if (parser.nextToken() != firstToken) {
                 throw new MalformedMessage("not an " + kind);
             }
-            Object tree = readValue(parser, 0);
+            Object tree = reader.value(parser, 0);
             if (parser.nextToken() != null) {
                 throw new MalformedMessage("unexpected data after the " + kind);
             }
@@ -116,56 +132,84 @@
         }
     }
 
-    private static Object readValue(JsonParser parser, int depth) throws IOException, MalformedMessage {
-        if (depth > MAX_DEPTH) {
-            throw new MalformedMessage("nested too deeply");
-        }
-        JsonToken token = parser.currentToken();
-        if (token == null) {
-            throw new MalformedMessage("truncated");
-        }
-        switch (token) {
-            case START_OBJECT -> {
-                Map<String, Object> map = new LinkedHashMap<>();
-                while (parser.nextToken() == JsonToken.FIELD_NAME) {
-                    String name = parser.currentName();
-                    parser.nextToken();
-                    if (map.containsKey(name)) {
-                        throw new MalformedMessage("duplicate name: " + name);
-                    }
-                    map.put(name, readValue(parser, depth + 1));
-                }
-                if (parser.currentToken() != JsonToken.END_OBJECT) {
-                    throw new MalformedMessage("truncated");
-                }
-                return map;
-            }
-            case START_ARRAY -> {
-                List<Object> list = new ArrayList<>();
-                while (parser.nextToken() != JsonToken.END_ARRAY) {
-                    list.add(readValue(parser, depth + 1));
-                }
-                return list;
+    /**
+     * Reads trees that can be written again in either form. With {@code repairs}, unpaired surrogates are replaced
+     * rather than rejected.
+     */
+    private record Reader(int maxDepth, boolean repairs) {
+        Object value(JsonParser parser, int depth) throws IOException, MalformedMessage {
+            if (depth > maxDepth) {
+                throw new MalformedMessage("nested too deeply");
             }
-            case VALUE_STRING -> {
-                return parser.getText();
+            JsonToken token = parser.currentToken();
+            if (token == null) {
+                throw new MalformedMessage("truncated");
             }
-            case VALUE_NUMBER_INT -> {
-                return parser.getLongValue();
+            return switch (token) {
+                case START_OBJECT -> map(parser, depth);
+                case START_ARRAY -> list(parser, depth);
+                case VALUE_STRING -> text(parser.getText());
+                case VALUE_NUMBER_INT -> parser.getLongValue();
+                case VALUE_NUMBER_FLOAT -> finite(parser.getDoubleValue());
+                case VALUE_TRUE, VALUE_FALSE -> token == JsonToken.VALUE_TRUE;
+                case VALUE_EMBEDDED_OBJECT -> parser.getBinaryValue();
+                case VALUE_NULL -> null;
+                default -> throw new MalformedMessage("unsupported value");
+            };
+        }
+
+        private Map<String, Object> map(JsonParser parser, int depth) throws IOException, MalformedMessage {
+            Map<String, Object> map = new LinkedHashMap<>();
+            while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                String name = text(parser.currentName());
+                parser.nextToken();
+                if (map.containsKey(name)) {
+                    throw new MalformedMessage("duplicate name: " + name);
+                }
+                map.put(name, value(parser, depth + 1));
             }
-            case VALUE_NUMBER_FLOAT -> {
-                return parser.getDoubleValue();
+            if (parser.currentToken() != JsonToken.END_OBJECT) {
+                throw new MalformedMessage("truncated");
             }
-            case VALUE_TRUE, VALUE_FALSE -> {
-                return token == JsonToken.VALUE_TRUE;
+            return map;
+        }
+
+        private List<Object> list(JsonParser parser, int depth) throws IOException, MalformedMessage {
+            List<Object> list = new ArrayList<>();
+            while (parser.nextToken() != JsonToken.END_ARRAY) {
+                list.add(value(parser, depth + 1));
             }
-            case VALUE_EMBEDDED_OBJECT -> {
-                return parser.getBinaryValue();
+            return list;
+        }
+
+        /** JSON has no form for infinity, which a number of too large an exponent is read as. */
+        private static Double finite(double number) throws MalformedMessage {
+            if (!Double.isFinite(number)) {
+                throw new MalformedMessage("a number is out of range");
             }
-            case VALUE_NULL -> {
-                return null;
+            return number;
+        }
+
+        /** JSON can escape half of a surrogate pair, UTF-8 and CBOR have no form for it. */
+        private String text(String text) throws MalformedMessage {
+            StringBuilder repaired = null;
+            for (int i = 0; i < text.length(); i++) {
+                char unit = text.charAt(i);
+                if (!Character.isSurrogate(unit)) {
+                    continue;
+                }
+                boolean startsPair = i + 1 < text.length() && Character.isSurrogatePair(unit, text.charAt(i + 1));
+                boolean endsPair = i > 0 && Character.isSurrogatePair(text.charAt(i - 1), unit);
+                if (startsPair || endsPair) {
+                    continue;
+                } else if (repairs) {
+                    repaired = repaired == null ? new StringBuilder(text) : repaired;
+                    repaired.setCharAt(i, REPLACEMENT_CHARACTER);
+                } else {
+                    throw new MalformedMessage("a text contains half of a surrogate pair");
+                }
             }
-            default -> throw new MalformedMessage("unsupported value");
+            return repaired == null ? text : repaired.toString();
         }
     }
 }
