Control: an amendment may name a list that the configuration lacks

Cause, two: Fields.list returned an immutable list for a missing field, to which ConfigurationCodec.amend adds; and an exception in a change left the proposer in the middle of the ballot, with everything behind it waiting for 3 s.

Change: Fields.list returns a copy that may be changed in either case. A change that cannot be computed ends its ballot at once, is answered as not decided (503), and is counted and written out as the violation CHANGE_COMPUTED with the place of the exception. Ruled out: waiting behind another call or a lost majority; the tests fail with UnsupportedOperationException from amend.

--- a/control/src/main/java/saltdale/control/ConfigurationService.java
+++ b/control/src/main/java/saltdale/control/ConfigurationService.java
@@ -19,7 +19,8 @@
     private static final byte[] EMPTY_CONFIGURATION =
             "{\"revision\":0,\"routes\":[],\"services\":[]}".getBytes(StandardCharsets.UTF_8);
     private static final Reply APPLIED = new Reply(200, "taken", null);
-    private static final Reply NO_MAJORITY = new Reply(503, "no majority of the control nodes answered in time", null);
+    private static final Reply UNDECIDED =
+            new Reply(503, "not decided: no majority answered in time, or the call failed here", null);
 
     private final Environment environment;
     private final ControlNodeSettings settings;
@@ -59,7 +60,10 @@
         } catch (InvalidConfiguration | MalformedMessage | RuntimeException e) {
             // Whatever is wrong with a version that is already agreed on, it must not stop what follows it.
             history.markUnreadable(state.revision());
-            environment.check(Invariant.CHOSEN_IS_VALID, false, () -> "revision " + state.revision() + ": " + e);
+            environment.check(
+                    Invariant.CHOSEN_IS_VALID,
+                    false,
+                    () -> "revision " + state.revision() + ": " + Environment.describe(e));
         }
     }
 
@@ -96,7 +100,7 @@
         register.propose(
                 (newest, text) -> applyUpdate(update, newest, text),
                 timeLimit(),
-                reply -> answer.accept(reply == null ? NO_MAJORITY : (Reply) reply));
+                reply -> answer.accept(reply == null ? UNDECIDED : (Reply) reply));
     }
 
     /** Checks that an update that is reported as applied is part of the newest chosen state. */
@@ -152,7 +156,7 @@
                 (newest, text) ->
                         Proposer.ChangeResult.unchanged(new Reply(200, "", text == null ? EMPTY_CONFIGURATION : text)),
                 timeLimit(),
-                reply -> answer.accept(reply == null ? NO_MAJORITY : (Reply) reply));
+                reply -> answer.accept(reply == null ? UNDECIDED : (Reply) reply));
     }
 
     /** The time limit of a ballot. A node without a majority answers early, so that the caller turns to another one. */
--- a/control/src/main/java/saltdale/control/Environment.java
+++ b/control/src/main/java/saltdale/control/Environment.java
@@ -1,5 +1,6 @@
 package saltdale.control;
 
+import java.util.Arrays;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -46,6 +47,11 @@
         }
     }
 
+    /** Describes an unexpected exception with the innermost places that it passed through, for a violation's detail. */
+    static String describe(Exception e) {
+        return e + " " + Arrays.stream(e.getStackTrace()).limit(6).toList();
+    }
+
     /** Converts milliseconds to nanoseconds. */
     static long millisToNanos(long millis) {
         return millis * 1_000_000;
--- a/control/src/main/java/saltdale/control/Fields.java
+++ b/control/src/main/java/saltdale/control/Fields.java
@@ -110,11 +110,11 @@
         throw new MalformedMessage(name + " is not an object");
     }
 
-    /** A list field; empty if it is missing. */
+    /** A copy of a list field, which the caller may change; empty if the field is missing. */
     public List<Object> list(String name) throws MalformedMessage {
         Object value = map.get(name);
         if (value == null) {
-            return List.of();
+            return new ArrayList<>();
         } else if (value instanceof List<?> list) {
             return new ArrayList<>(list);
         }
--- a/control/src/main/java/saltdale/control/Invariant.java
+++ b/control/src/main/java/saltdale/control/Invariant.java
@@ -13,6 +13,8 @@
     REVISION_RISES,
     /** A chosen configuration can be parsed and is valid. */
     CHOSEN_IS_VALID,
+    /** A change of the replicated state has a result or is rejected, but does not end with an unexpected exception. */
+    CHANGE_COMPUTED,
     /** A control node sends proxies the configuration and the members only while it has a quorum. */
     NEWS_WITH_QUORUM,
     /** The configuration in force at a proxy is never replaced by an older one. */
--- a/control/src/main/java/saltdale/control/Proposer.java
+++ b/control/src/main/java/saltdale/control/Proposer.java
@@ -106,8 +106,8 @@
     }
 
     /**
-     * Queues a change. The result is {@code null} if no majority could be reached in time; the change may then take
-     * effect later, or not at all.
+     * Queues a change. The result is {@code null} if no majority could be reached in time, or if the change could not be
+     * computed; the change may then take effect later, or not at all.
      */
     void propose(Change change, long timeoutNanos, Consumer<Object> onResult) {
         queue.add(new QueuedChange(change, environment.now() + timeoutNanos, onResult));
@@ -286,7 +286,15 @@
                                     .filter(v -> newestBallot.equals(promises.get(v.id())))
                                     .count()
                             > set.size() / 2);
-            ChangeResult result = current.change.apply(newestState, newestText);
+            ChangeResult result;
+            try {
+                result = current.change.apply(newestState, newestText);
+            } catch (RuntimeException e) {
+                // A change that cannot be computed must not hold up those that wait behind it.
+                environment.check(Invariant.CHANGE_COMPUTED, false, () -> Environment.describe(e));
+                finish(null);
+                return;
+            }
             answer = result.answer();
             if (result.next() == null && isChosen) {
                 chosenListener.onChosen(newestBallot, newestState, newestText);
--- a/proxy/src/test/java/saltdale/control/FaultyOrderHandling.java
+++ b/proxy/src/test/java/saltdale/control/FaultyOrderHandling.java
@@ -41,6 +41,25 @@
         }
     },
 
+    /** Fails with an exception that nobody declared when it applies the order that makes revision 2. */
+    THROWS_ON_REVISION_2 {
+        @Override
+        ConfigurationService.Factory service() {
+            return (environment, settings, register, peers) ->
+                    new ConfigurationService(environment, settings, register, peers) {
+                        @Override
+                        Proposer.ChangeResult applyUpdate(
+                                ConfigurationUpdate order, ReplicatedState newest, byte[] text) {
+                            Proposer.ChangeResult result = super.applyUpdate(order, newest, text);
+                            if (result.next() != null && result.next().revision() == 2) {
+                                throw new IllegalStateException("a fault of the test");
+                            }
+                            return result;
+                        }
+                    };
+        }
+    },
+
     /** Validates the content of an order before it checks whether the order was already applied. */
     CHECKS_CONTENT_FIRST {
         @Override
--- a/proxy/src/test/java/saltdale/proxy/ConfigurationOrdersTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ConfigurationOrdersTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import saltdale.control.ControlNode;
 import saltdale.control.FaultyOrderHandling;
 import saltdale.control.RememberedOrders;
@@ -93,6 +94,7 @@
             case ACKNOWLEDGES_BEFORE_CHOSEN -> "acknowledged but not chosen";
             case REFUSES_BEFORE_CHOSEN -> "refused with 412 on top of the newest revision";
             case CHECKS_CONTENT_FIRST -> "refused with 400 although it was applied";
+            case THROWS_ON_REVISION_2 -> "CHANGE_COMPUTED";
             case FORGETS_AFTER_64 -> "refused with 412 although it was applied";
         };
     }
@@ -347,4 +349,45 @@
                 .mapToInt(record -> record.getKey().length() + record.getValue().length)
                 .sum();
     }
+
+    private static final String SERVICES_ONLY = "{\"revision\":1,\"services\":[{\"name\":\"fn\",\"memory_mb\":128}]}";
+
+    /**
+     * Guards against an order on a list that the configuration lacks: it was never answered and held up all other calls
+     * at its control node.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "\"set_items\":{\"routes\":[ROUTE]}",
+                "\"set_items\":{\"tenants\":[{\"name\":\"t\"}]}",
+                "\"remove_names\":{\"routes\":[\"r-1\"]}",
+                "\"remove_names\":{\"routes\":[\"r-1\"]},\"set_items\":{\"routes\":[ROUTE]}"
+            })
+    void amendmentOfAMissingListIsAcknowledged(String lists) {
+        SimWorld world = world(7, 3, ControlNode::new);
+        assertTrue(SimOperator.replaceUntilAcknowledged(world, 0, SERVICES_ONLY, 5000));
+        String route = SimOperator.route("r-2", "/c/", "idempotent", "fn");
+        String body = "{\"revision\":2," + lists.replace("ROUTE", route) + "}";
+        SimMachine node = world.controlNodes.get(1);
+        assertThat(SimOperator.change(world, node, true, "1", body), is(200));
+        assertThat(SimOperator.read(world, node).contains("r-2"), is(lists.contains("ROUTE")));
+        assertThat(world.violations, is(empty()));
+    }
+
+    /** Guards against one call whose handling fails and holds up those behind it until its time limit. */
+    @Test
+    void failingOrderHoldsUpNoOther() {
+        SimWorld world = world(8, 3, FaultyOrderHandling.THROWS_ON_REVISION_2::node);
+        assertTrue(SimOperator.replaceUntilAcknowledged(world, 0, SimOperator.config(1), 5000));
+        SimMachine node = world.controlNodes.get(0);
+        List<Integer> failing = new ArrayList<>();
+        SimOperator.replace(node, 1, SimOperator.config(2), reply -> failing.add(reply.status()));
+        long startedAt = world.now();
+        assertThat(SimOperator.replace(world, node, 1, SimOperator.config(3)), is(200));
+        assertThat((world.now() - startedAt) / 1_000_000, is(lessThanOrEqualTo(1000L)));
+        assertThat(failing, is(List.of(503)));
+        world.violations.removeIf(violation -> violation.contains("CHANGE_COMPUTED"));
+        assertThat(world.violations, is(empty()));
+    }
 }
