Net: a connection writes through one direct buffer of the loop

Cause: Connection.write passed all queued heap buffers to the channel; the JDK copies each whole into a direct buffer and keeps it for the thread. Now at most 64 KiB at a time go through one buffer that the loop's connections share. Ruled out: the reading side (one shared buffer).

Tests, before: TransportTest.largeMessageTakesLittleDirectMemory, "grew by"; after: green, and partsOfAllSizesArriveInOrder.

--- a/net/src/main/java/saltdale/transport/Connection.java
+++ b/net/src/main/java/saltdale/transport/Connection.java
@@ -275,9 +275,9 @@
             return;
         }
         try {
-            writtenBytes += channel.write(outgoing.toArray(new ByteBuffer[0]));
-            while (!outgoing.isEmpty() && !outgoing.peek().hasRemaining()) {
-                outgoing.poll();
+            boolean accepted = true;
+            while (accepted && !outgoing.isEmpty()) {
+                accepted = writeBlock();
             }
         } catch (IOException e) {
             // Bytes that have already arrived can still be read. The handler is notified in a later iteration of the
@@ -291,6 +291,41 @@
         shutdownOutputIfFlushed();
     }
 
+    /**
+     * Writes queued bytes, as many as fit into the write buffer. The channel itself would copy all that is queued to
+     * direct memory at once, however large it is. Returns whether the kernel has accepted the whole block.
+     */
+    private boolean writeBlock() throws IOException {
+        ByteBuffer block = loop.writeBuffer.clear();
+        for (ByteBuffer part : outgoing) {
+            int count = Math.min(part.remaining(), block.remaining());
+            block.put(part.slice(part.position(), count));
+            if (!block.hasRemaining()) {
+                break;
+            }
+        }
+        int blockBytes = block.flip().remaining();
+        int written = blockBytes == 0 ? 0 : channel.write(block);
+        writtenBytes += written;
+        removeFromQueue(written);
+        return written == blockBytes;
+    }
+
+    /** Removes this number of bytes from the start of the queue, and the parts that are empty then. */
+    private void removeFromQueue(int count) {
+        int remaining = count;
+        while (!outgoing.isEmpty()) {
+            ByteBuffer part = outgoing.peek();
+            int taken = Math.min(remaining, part.remaining());
+            part.position(part.position() + taken);
+            remaining -= taken;
+            if (part.hasRemaining()) {
+                return;
+            }
+            outgoing.poll();
+        }
+    }
+
     private void shutdownOutputIfFlushed() {
         if (!closing || !outgoing.isEmpty()) {
             return;
--- a/net/src/main/java/saltdale/transport/EventLoop.java
+++ b/net/src/main/java/saltdale/transport/EventLoop.java
@@ -41,6 +41,8 @@
     private final Queue<Runnable> externalTasks = new ConcurrentLinkedQueue<>();
     /** Shared by all connections: the bytes of one read must be consumed before the next read. */
     final ByteBuffer readBuffer = ByteBuffer.allocateDirect(1 << 16);
+    /** Shared by all connections: holds the bytes of one write. */
+    final ByteBuffer writeBuffer = ByteBuffer.allocateDirect(1 << 16);
 
     private long nowNanos;
     private long lastReadyNanos; // when a channel was last ready
--- a/net/src/test/java/saltdale/transport/TransportTest.java
+++ b/net/src/test/java/saltdale/transport/TransportTest.java
@@ -1,5 +1,6 @@
 package saltdale.transport;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotSame;
@@ -8,6 +9,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -16,6 +20,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.function.BooleanSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -137,6 +142,50 @@
         assertTrue(connection.sendProgress().isIncomplete());
     }
 
+    /** Guards against a process that ends on large bodies: direct memory must not grow with what is queued. */
+    @Test
+    void largeMessageTakesLittleDirectMemory() throws IOException {
+        BufferPoolMXBean direct = ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
+                .filter(pool -> pool.getName().equals("direct"))
+                .findAny()
+                .orElseThrow();
+        Connection connection = newPool(LONG_TIMEOUT).acquire(recordingHandler);
+        runUntil(() -> events.contains("opened"));
+        long bytesBefore = direct.getMemoryUsed();
+        connection.send(bytes(64 << 20));
+        assertTrue(direct.getMemoryUsed() - bytesBefore < 8 << 20, "grew by " + (direct.getMemoryUsed() - bytesBefore));
+    }
+
+    @Test
+    void partsOfAllSizesArriveInOrder() throws IOException {
+        Connection connection = newPool(LONG_TIMEOUT).acquire(recordingHandler);
+        byte[] sent = new byte[3_000_000];
+        new Random(1).nextBytes(sent);
+        int[] partSizes = {0, 1, 65_535, 0, 65_536, 65_537, 200_000, 7, sent.length};
+        int offset = 0;
+        connection.beginMessage();
+        for (int size : partSizes) {
+            int length = Math.min(size, sent.length - offset);
+            connection.send(ByteBuffer.wrap(sent, offset, length), ByteBuffer.allocate(0));
+            offset += length;
+        }
+        ByteBuffer arrived = ByteBuffer.allocate(sent.length);
+        runUntil(() -> events.contains("opened"));
+        try (SocketChannel peer = server.accept()) {
+            peer.configureBlocking(false);
+            runUntil(() -> {
+                try {
+                    peer.read(arrived);
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+                return !arrived.hasRemaining();
+            });
+        }
+        assertArrayEquals(sent, arrived.array());
+        assertEquals(SendProgress.WRITTEN, connection.sendProgress());
+    }
+
     // Connection pools
 
     @Test
