Net: changed limits apply to connections that clients keep

Cause: ServerConnection took the limits when the request before had arrived, and the timeouts when their timer started. Now the limits are taken at the first byte of a request, and a timer whose timeout was raised meanwhile runs on: an idle connection was closed, and an arriving request got 408, by the old value. A lowered timeout ends the wait at the old one, as before.

--- a/net/src/main/java/saltdale/serving/ServerConnection.java
+++ b/net/src/main/java/saltdale/serving/ServerConnection.java
@@ -36,7 +36,7 @@
         /** Returns whether the connection is to be closed after a response with this status. */
         boolean closesAfter(int status);
 
-        /** Returns the limits for the next request; called before each one. */
+        /** Returns the limits for a request; called when its first byte has arrived. */
         HttpParser.Limits requestLimits();
 
         /**
@@ -73,6 +73,7 @@
     private boolean newClient = true; // no request has been accepted on this connection yet
     private int consecutiveRejections;
     private Timer timer; // for the request that is arriving, or for the idle time between two requests
+    private Duration timerStartedAt; // on the clock of the loop
     private boolean idleTimerRunning;
     /** The handler's object for the request being served, or null if none is. */
     public Object currentRequest;
@@ -83,8 +84,7 @@
         this.connection = connection;
         this.overLimit = overLimit;
         connection.setHandler(this);
-        parser.setLimits(handler.requestLimits());
-        timer = handler.loop().schedule(handler.requestTimeout(), this::onRequestTimeout);
+        startTimer(handler.requestTimeout(), this::onRequestTimeout);
         handler.socketBudget().markIdle(SocketBudget.IdleRank.NEW_CLIENT, closeAction);
     }
 
@@ -144,20 +144,36 @@
                             closeAction);
             if (timer == null && handler.idleTimeout() != null) {
                 idleTimerRunning = true;
-                timer = handler.loop().schedule(handler.idleTimeout(), this::onIdleTimeout);
+                startTimer(handler.idleTimeout(), this::onIdleTimeout);
             }
         }
     }
 
+    private void startTimer(Duration timeout, Runnable onTimeout) {
+        timerStartedAt = handler.loop().now();
+        timer = handler.loop().schedule(timeout, onTimeout);
+    }
+
+    /** Continues the running timer if its timeout has been raised since it was started. Returns whether it has. */
+    private boolean extendTimer(Duration timeout, Runnable onTimeout) {
+        Duration remaining = timeout.minus(handler.loop().now().minus(timerStartedAt));
+        boolean raised = !remaining.isNegative() && !remaining.isZero();
+        timer = raised ? handler.loop().schedule(remaining, onTimeout) : null;
+        return raised;
+    }
+
     private void onIdleTimeout() {
-        idleTimerRunning = false;
-        timer = null;
-        closeIfNotServing();
+        if (!extendTimer(handler.idleTimeout(), this::onIdleTimeout)) {
+            idleTimerRunning = false;
+            closeIfNotServing();
+        }
     }
 
     /** Prevents clients from occupying a connection without a request, or with one that never ends. */
     private void onRequestTimeout() {
-        timer = null;
+        if (extendTimer(handler.requestTimeout(), this::onRequestTimeout)) {
+            return;
+        }
         handler.requestRejected(true);
         if (parser.isAtStart()) {
             closeIfNotServing();
@@ -189,8 +205,11 @@
             timer.cancel();
             timer = null;
         }
+        if (parser.isAtStart()) {
+            parser.setLimits(handler.requestLimits());
+        }
         if (timer == null) {
-            timer = handler.loop().schedule(handler.requestTimeout(), this::onRequestTimeout);
+            startTimer(handler.requestTimeout(), this::onRequestTimeout);
             if (!newClient) {
                 handler.socketBudget().markBusy(closeAction);
             }
@@ -204,7 +223,6 @@
             keepsAlive = head.keepsAlive() && head.isHttp11();
             byte[] body = parser.body();
             parser.startNextMessage();
-            parser.setLimits(handler.requestLimits());
             continueSent = false;
             handler.handleRequest(this, head, body);
         } else if (parser.head() != null && parser.head().expectsContinue() && !continueSent) {
--- /dev/null
+++ b/net/src/test/java/saltdale/serving/ServerConnectionTest.java
@@ -0,0 +1,187 @@
+package saltdale.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import saltdale.protocol.Head;
+import saltdale.protocol.HttpParser;
+import saltdale.transport.EventLoop;
+import saltdale.transport.Listener;
+import saltdale.transport.SocketBudget;
+
+/** Limits that change while a client keeps its connection apply to its next request. */
+@Timeout(20)
+class ServerConnectionTest {
+    private static final Duration LONG = Duration.ofSeconds(30);
+    private static final Duration SHORT = Duration.ofMillis(300);
+
+    private final SettableHandler handler = new SettableHandler();
+    private Listener listener;
+    private SocketChannel client;
+
+    /** Answers each request with 200; its limits can be set. */
+    private static final class SettableHandler implements ServerConnection.Handler {
+        private final EventLoop loop;
+        private final SocketBudget sockets;
+        HttpParser.Limits limits = new HttpParser.Limits(1000, 10);
+        Duration requestTimeout = LONG;
+        Duration idleTimeout = LONG;
+
+        SettableHandler() {
+            try {
+                loop = new EventLoop();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+            sockets = new SocketBudget(loop, 16);
+        }
+
+        @Override
+        public EventLoop loop() {
+            return loop;
+        }
+
+        @Override
+        public SocketBudget socketBudget() {
+            return sockets;
+        }
+
+        @Override
+        public void handleRequest(ServerConnection connection, Head head, byte[] body) {
+            connection.respond(200, "", "");
+        }
+
+        @Override
+        public void connectionClosed(ServerConnection connection) {}
+
+        @Override
+        public void requestAborted(ServerConnection connection) {}
+
+        @Override
+        public boolean closesAfter(int status) {
+            return false;
+        }
+
+        @Override
+        public HttpParser.Limits requestLimits() {
+            return limits;
+        }
+
+        @Override
+        public Duration requestTimeout() {
+            return requestTimeout;
+        }
+
+        @Override
+        public Duration idleTimeout() {
+            return idleTimeout;
+        }
+    }
+
+    @BeforeEach
+    void connect() throws IOException {
+        listener = new Listener(
+                handler.loop,
+                handler.sockets,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                (connection, overLimit) -> new ServerConnection(handler, connection, overLimit));
+        client = SocketChannel.open(listener.localAddress());
+        client.configureBlocking(false);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        client.close();
+        listener.close();
+    }
+
+    private void send(String text) throws IOException {
+        client.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
+    }
+
+    /** Sends a request with a body of this size; returns the status of the response. */
+    private int request(int bodyBytes) throws IOException {
+        send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + bodyBytes + "\r\n\r\n" + "x".repeat(bodyBytes));
+        return readStatus();
+    }
+
+    /** Returns the status of the next response, or 0 if the connection was closed without one. */
+    private int readStatus() throws IOException {
+        ByteBuffer received = ByteBuffer.allocate(4096);
+        while (true) {
+            runOnce();
+            if (client.read(received) < 0) {
+                return 0;
+            } else if (received.position() >= 12) {
+                return Integer.parseInt(new String(received.array(), 9, 3, StandardCharsets.ISO_8859_1));
+            }
+        }
+    }
+
+    private void runOnce() throws IOException {
+        handler.loop.schedule(Duration.ofMillis(2), () -> {});
+        handler.loop.runOnce(() -> {});
+    }
+
+    private void runFor(Duration duration) throws IOException {
+        Duration end = handler.loop.elapsed().plus(duration);
+        while (handler.loop.elapsed().compareTo(end) < 0) {
+            runOnce();
+        }
+    }
+
+    /** Guards against 413 by a limit that was raised while the connection was idle. */
+    @Test
+    void raisedBodyLimitAppliesToTheNextRequest() throws IOException {
+        assertEquals(200, request(10));
+        handler.limits = new HttpParser.Limits(1000, 20);
+        assertEquals(200, request(20));
+    }
+
+    @Test
+    void loweredBodyLimitAppliesToTheNextRequest() throws IOException {
+        assertEquals(200, request(10));
+        handler.limits = new HttpParser.Limits(1000, 5);
+        assertEquals(413, request(10));
+    }
+
+    /** Guards against the close of a connection by an idle timeout that was raised meanwhile. */
+    @Test
+    void raisedIdleTimeoutAppliesToAnIdleConnection() throws IOException {
+        handler.idleTimeout = SHORT;
+        assertEquals(200, request(1));
+        handler.idleTimeout = LONG;
+        runFor(SHORT.multipliedBy(2));
+        assertEquals(200, request(1));
+        handler.idleTimeout = SHORT;
+        assertEquals(200, request(1));
+        assertEquals(0, readStatus());
+    }
+
+    /** Guards against 408 by a request timeout that was raised while the request arrives. */
+    @Test
+    void raisedRequestTimeoutAppliesToAnArrivingRequest() throws IOException {
+        handler.requestTimeout = SHORT;
+        assertEquals(200, request(1));
+        send("POST /a HTTP/1.1\r\nHost: h\r\nContent-");
+        runFor(SHORT.dividedBy(3));
+        handler.requestTimeout = SHORT.multipliedBy(4);
+        runFor(SHORT.multipliedBy(2));
+        send("Length: 0\r\n\r\n");
+        assertEquals(200, readStatus());
+        send("POST /a HTTP/1.1\r\n");
+        assertEquals(408, readStatus());
+        assertTrue(handler.sockets.openCount() <= 1);
+    }
+}
