Control: a service with a boot time or target latency of 0 is started

Cause: Scaler.recentMaximum dropped the count that it had just put in, which expires after a hold time of 0; the exception lost the plan and, since InstanceLifecycle.runPeriodically scheduled its next run last, all later ones. Expired counts now go first, and the periodic run and the heartbeat schedule the next one first. On a related path: with target_latency_ms 0 the assumed run time was 0 and no instance was started for any demand.

--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -217,8 +217,8 @@
     // Heartbeats.
 
     private void heartbeat() {
+        environment.schedule(nodeSettings.heartbeatNanos() / 3, this::heartbeat); // even if this one fails
         sendHeartbeats();
-        environment.schedule(nodeSettings.heartbeatNanos() / 3, this::heartbeat);
     }
 
     private void sendHeartbeats() {
--- a/control/src/main/java/saltdale/control/DesiredInstanceCounts.java
+++ b/control/src/main/java/saltdale/control/DesiredInstanceCounts.java
@@ -22,6 +22,8 @@
     private static final double LOW_LOAD_SLOTS = 0.05;
     /** Weight of a report without requests, so that it is not ignored altogether. */
     private static final double MIN_WEIGHT = 0.01;
+    /** Run time assumed for a service that has not run yet and whose routes have no target latency. */
+    private static final double MIN_ASSUMED_RUN_SECONDS = 0.001;
 
     /** The load of a zone in slots: busy on average, busy now, and needed to clear the waiting requests. */
     private static final class ZoneLoad {
@@ -88,7 +90,7 @@
             weights += demand.runSeconds() > 0 ? weight : 0;
             sum += demand.runSeconds() * weight;
         }
-        return weights == 0 ? targetSeconds / 4 : sum / weights;
+        return weights == 0 ? Math.max(MIN_ASSUMED_RUN_SECONDS, targetSeconds / 4) : sum / weights;
     }
 
     private Map<String, ZoneLoad> loads(List<Demand> demands, Set<String> occupiedZones, double runSeconds) {
--- a/control/src/main/java/saltdale/control/InstanceLifecycle.java
+++ b/control/src/main/java/saltdale/control/InstanceLifecycle.java
@@ -103,8 +103,8 @@
     }
 
     private void runPeriodically() {
+        environment.schedule(nodeSettings.heartbeatNanos() / 12, this::runPeriodically); // even if this run fails
         reconcile();
-        environment.schedule(nodeSettings.heartbeatNanos() / 12, this::runPeriodically);
     }
 
     private void reconcile() {
--- a/control/src/main/java/saltdale/control/Scaler.java
+++ b/control/src/main/java/saltdale/control/Scaler.java
@@ -169,8 +169,8 @@
     /** Records the desired count and returns the highest one recorded within the hold time. */
     private int recentMaximum(ServiceZone serviceZone, int desired, long now, long holdNanos) {
         TreeMap<Integer, Long> counts = recentCounts.computeIfAbsent(serviceZone, k -> new TreeMap<>());
-        counts.put(desired, now + holdNanos);
         counts.values().removeIf(expiresAt -> expiresAt <= now);
+        counts.put(desired, now + holdNanos);
         return counts.lastKey();
     }
 
--- a/control/src/test/java/saltdale/control/ScalerTest.java
+++ b/control/src/test/java/saltdale/control/ScalerTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 
 import java.nio.charset.StandardCharsets;
@@ -12,6 +13,8 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class ScalerTest {
     private static final int SERVICES = 700;
@@ -23,12 +26,16 @@
     private final Map<String, List<Demand>> demands = new HashMap<>();
 
     private static Configuration configuration(int services) throws Exception {
+        return configuration(services, 500, "");
+    }
+
+    private static Configuration configuration(int services, int bootMs, String routes) throws Exception {
         List<String> texts = new ArrayList<>();
         for (int i = 0; i < services; i++) {
             texts.add("{\"name\":\"s" + i + "\",\"health_path\":null,\"connection_limit\":9,\"protocol\":\"h1\","
-                    + "\"memory_mb\":128,\"boot_ms\":500,\"max_concurrency\":1}");
+                    + "\"memory_mb\":128,\"boot_ms\":" + bootMs + ",\"max_concurrency\":1}");
         }
-        String text = "{\"revision\":1,\"routes\":[],\"services\":[" + String.join(",", texts) + "]}";
+        String text = "{\"revision\":1,\"routes\":[" + routes + "],\"services\":[" + String.join(",", texts) + "]}";
         return new Configuration(new Fields(Trees.fromJson(text.getBytes(StandardCharsets.UTF_8))));
     }
 
@@ -77,4 +84,16 @@
             assertThat(plannedStarts(scaler, configuration, full), is(empty()));
         }
     }
+
+    /** Guards against a plan that fails, or starts nothing, for a service with a boot time or target latency of 0. */
+    @ParameterizedTest
+    @CsvSource({"0,1000", "0,0", "1,0", "500,0"})
+    void startsAServiceThatBootsAtOnceOrHasNoTarget(int bootMs, int targetMs) throws Exception {
+        String route = "{\"name\":\"r\",\"hostname\":\"h\",\"path_prefix\":\"/\",\"timeout_ms\":1,\"service\":\"s0\","
+                + "\"target_latency_ms\":" + targetMs + "}";
+        // Too little memory for an instance without demand, which would hide that none is started for the demand.
+        List<Worker> workers = List.of(new Worker("a1", "a", true, 900, 900));
+        addWaitingRequests("s0", "a", 1);
+        assertThat(plannedStarts(new Scaler(0, 0), configuration(1, bootMs, route), workers), hasItem("s0 on a1"));
+    }
 }
--- a/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
@@ -480,4 +480,19 @@
         String host = ServiceOwnership.ownerOf("fn", zone, members).host();
         return world.machines.get(host);
     }
+
+    /** Guards against a plan that fails for a service with a boot time of 0, and is then never made again. */
+    @Test
+    void serviceWithABootTimeOfZeroIsServed() {
+        SimWorld world = servingCluster(12, 3, 3);
+        String body = config(2).replace("\"boot_ms\":500", "\"boot_ms\":0");
+        assertThat(replace(world, world.controlNodes.get(0), 1, body), is(200));
+        world.run(1000);
+        for (int i = 0; i < 3; i++) {
+            SimPlatform.OutgoingCall call = world.platform.call(world.proxies.get(i), "h.example", "/a/1", 3000);
+            world.run(4000);
+            assertThat(call.answers, is(List.of(200)));
+        }
+        assertThat(world.violations, is(empty()));
+    }
 }
