Control: an instance that starts slowly is waited for, and known when listed

Cause: InstanceTable took an instance for gone if the platform's list did not show it within 8 heartbeat intervals, for good. Now the time is three boot times of its service if that is longer, and an instance that a list requested after that shows is known again. Ruled out: restoring by any list; lists lag, so one requested before may still show an instance that ended.

Tests, before: ProxyClusterTest.slowlyStartedInstancesAreUsedAndStopped 2 of 2 red (503); after: green, with one start where 12 s are announced.

--- a/control/src/main/java/saltdale/control/InstanceListReader.java
+++ b/control/src/main/java/saltdale/control/InstanceListReader.java
@@ -123,7 +123,8 @@
     }
 
     private void apply(List<Instance> list, long requestedAt) {
-        List<Instance> changed = controlNode.instances().applyPlatformList(list, requestedAt, environment.now());
+        List<Instance> changed =
+                controlNode.instances().applyPlatformList(list, requestedAt, environment.now(), this::bootNanos);
         if (!changed.isEmpty()) {
             sendUnavailable(changed);
             controlNode.publish();
@@ -131,6 +132,14 @@
         }
     }
 
+    /** The usual boot time of a service's instances; 0 if the configuration does not tell it. */
+    private long bootNanos(String service) {
+        Configuration configuration = controlNode.configuration();
+        Configuration.Service known =
+                configuration == null ? null : configuration.services().get(service);
+        return known == null ? 0 : Environment.millisToNanos(known.bootMs());
+    }
+
     /**
      * Sends the instances that must not get new requests to the other control nodes, since these may be unable to reach
      * the platform themselves.
--- a/control/src/main/java/saltdale/control/InstanceTable.java
+++ b/control/src/main/java/saltdale/control/InstanceTable.java
@@ -9,10 +9,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 
 /**
  * The known instances, merged from the platform's list, from the platform's responses to starts, and from updates of
- * other control nodes. For each identifier the latest phase wins, so merging copies in any order has the same result.
+ * other control nodes. For each identifier the latest phase wins, so merging copies in any order has the same result;
+ * but an instance that was taken for gone is known again once the platform lists it.
  */
 final class InstanceTable {
     private static final class Entry {
@@ -22,9 +24,12 @@
         long changeNumber;
     }
 
+    /** How many times the usual boot time a started instance may take to appear in the platform's list. */
+    private static final int LISTING_TIMEOUT_BOOT_TIMES = 3;
+
     /** Gone instances are remembered for this long, so that a late update does not bring them back. */
     private final long goneRetentionNanos;
-    /** How long a started instance may take to appear in the platform's list. */
+    /** How long a started instance may take at least to appear in the platform's list. */
     private final long listingTimeoutNanos;
 
     private final Map<String, Entry> entries = new LinkedHashMap<>();
@@ -84,31 +89,51 @@
         } else if (copy.phase().compareTo(entry.instance.phase()) <= 0) {
             return false;
         }
+        replace(entry, copy, now);
+        return true;
+    }
+
+    private void replace(Entry entry, Instance copy, long now) {
         entry.instance = copy;
         entry.phaseSince = now;
         byChangeNumber.remove(entry.changeNumber);
         entry.changeNumber = ++changeNumber;
         byChangeNumber.put(changeNumber, entry);
+    }
+
+    /**
+     * Takes over a listed instance that had been taken for gone before the list was requested: it took longer to start
+     * than expected. Returns whether it was.
+     */
+    private boolean restore(Instance listed, long requestedAt, long now) {
+        Entry entry = entries.get(listed.id());
+        if (entry.instance.phase() != Instance.Phase.GONE || entry.phaseSince >= requestedAt) {
+            return false;
+        }
+        replace(entry, listed, now);
         return true;
     }
 
     /**
      * Merges the platform's complete list, requested at {@code requestedAt}, and marks the instances that it no longer
-     * shows as gone. Returns the changed instances.
+     * shows, or has not shown in time, as gone. Returns the changed instances.
+     *
+     * @param bootNanos the usual boot time of a service
      */
-    List<Instance> applyPlatformList(List<Instance> list, long requestedAt, long now) {
+    List<Instance> applyPlatformList(
+            List<Instance> list, long requestedAt, long now, ToLongFunction<String> bootNanos) {
         List<Instance> changed = new ArrayList<>();
         Set<String> listedIds = new HashSet<>();
         for (Instance each : list) {
             listedIds.add(each.id());
-            if (merge(each, now)) {
+            if (merge(each, now) || restore(each, requestedAt, now)) {
                 changed.add(each);
             }
             entries.get(each.id()).listed = true;
         }
         for (Entry entry : List.copyOf(entries.values())) {
             Instance known = entry.instance;
-            boolean shouldBeListed = entry.listed || now - entry.phaseSince > listingTimeoutNanos;
+            boolean shouldBeListed = entry.listed || now - entry.phaseSince > listingTimeout(known, bootNanos);
             if (known.phase() != Instance.Phase.GONE
                     && !listedIds.contains(known.id())
                     && shouldBeListed
@@ -126,4 +151,8 @@
         }
         return changed;
     }
+
+    private long listingTimeout(Instance instance, ToLongFunction<String> bootNanos) {
+        return Math.max(listingTimeoutNanos, LISTING_TIMEOUT_BOOT_TIMES * bootNanos.applyAsLong(instance.service()));
+    }
 }
--- a/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ProxyClusterTest.java
@@ -495,4 +495,29 @@
         }
         assertThat(world.violations, is(empty()));
     }
+
+    /**
+     * Guards against instances that start slowly and are taken for gone: none was ever used or stopped. An instance
+     * that the configuration announces as slow is waited for, and no other one is started in its place.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {500, 12_000})
+    void slowlyStartedInstancesAreUsedAndStopped(int configuredBootMs) {
+        SimWorld world = servingCluster(11, 3, 3);
+        world.platform.bootMs = 12_000;
+        String body = config(2).replace("\"boot_ms\":500", "\"boot_ms\":" + configuredBootMs);
+        assertThat(replace(world, world.controlNodes.get(0), 1, body), is(200));
+        load(world, 5, 40_000, () -> "/a/1");
+        world.run(36_000);
+        SimPlatform.OutgoingCall call = world.platform.call(world.proxies.get(0), "h.example", "/a/1", 3000);
+        world.run(4000);
+        assertThat(call.answers, is(List.of(200)));
+        if (configuredBootMs == 12_000) {
+            assertThat(world.platform.instances.size(), is(1));
+        }
+        assertThat(replace(world, world.controlNodes.get(0), 2, config(3)), is(200));
+        world.run(40_000);
+        assertThat(world.platform.liveInstances("fn"), is(empty()));
+        assertThat(world.violations, is(empty()));
+    }
 }
