Control: a configuration is 4 MiB at most, and kept once

Cause: the API took 8 MB, and nothing bounded the result of amendments, while a node holds text, tree and encodings several times in 192 MB of heap. Now an order over 4 MiB gets 413 and a result over 4 MiB 400; the version in force shares its items with those before it. Orders, not results, are read back before the ballot: a result is made of parts that were.

--- a/control/src/main/java/saltdale/control/ConfigurationCodec.java
+++ b/control/src/main/java/saltdale/control/ConfigurationCodec.java
@@ -11,15 +11,21 @@
  * Reads, amends and writes the configuration text that operators send. Items keep all the fields that they came with,
  * known or not.
  */
-final class ConfigurationCodec {
+public final class ConfigurationCodec {
+    /** The largest size of a configuration, in bytes of JSON. A control node holds several versions in memory. */
+    public static final int MAX_TEXT_BYTES = 4 << 20;
+
     private static final int TEXT_DIGEST_BYTES = 12;
 
     private ConfigurationCodec() {}
 
-    /** Parses a configuration. */
-    static Map<String, Object> read(byte[] text) throws InvalidConfiguration {
+    /**
+     * Parses a configuration or an amendment that an operator sends. The result is what other nodes will read once it
+     * has been written again.
+     */
+    static Map<String, Object> readOrder(byte[] text) throws InvalidConfiguration {
         try {
-            return normalized(Trees.fromJson(text));
+            return normalized(Trees.fromJson(write(normalized(Trees.fromJson(text)))));
         } catch (MalformedMessage e) {
             throw new InvalidConfiguration("not a complete JSON document: " + e.getMessage());
         }
--- a/control/src/main/java/saltdale/control/ConfigurationService.java
+++ b/control/src/main/java/saltdale/control/ConfigurationService.java
@@ -56,7 +56,7 @@
         try {
             ConfigurationVersion version = versionFor(state.textKey(), text);
             history.add(version.tree());
-            current = version;
+            current = version.withTree(history.newest());
         } catch (InvalidConfiguration | MalformedMessage | RuntimeException e) {
             // Whatever is wrong with a version that is already agreed on, it must not stop what follows it.
             history.markUnreadable(state.revision());
--- a/control/src/main/java/saltdale/control/ConfigurationUpdate.java
+++ b/control/src/main/java/saltdale/control/ConfigurationUpdate.java
@@ -49,8 +49,9 @@
     ConfigurationVersion applyTo(ConfigurationVersion newest) throws InvalidConfiguration {
         String key = newest == null ? "" : newest.key();
         if (result == null || !key.equals(resultBaseKey)) {
-            tree = tree == null ? ConfigurationCodec.read(body) : tree;
-            Map<String, Object> present = newest == null ? Map.of() : newest.document();
+            tree = tree == null ? ConfigurationCodec.readOrder(body) : tree;
+            Map<String, Object> present =
+                    newest == null ? Map.of() : newest.tree().toMap();
             result = ConfigurationVersion.of(isAmendment ? ConfigurationCodec.amend(present, new Fields(tree)) : tree);
             resultBaseKey = key;
         }
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import saltdale.control.ConfigurationCodec;
 import saltdale.control.ControlNode;
 import saltdale.control.ControlNodeSettings;
 import saltdale.control.MalformedMessage;
@@ -17,7 +18,6 @@
 
 /** The process of a control node: its record store, its connections to other processes, and the API for operators. */
 final class ControlProcess extends RequestHandler implements NodeProcess, PeerConnections.MessageHandler {
-    private static final int MAX_BODY_BYTES = 8 << 20; // of a configuration
 
     /**
      * The time that a request may take to arrive, in acknowledgement timeouts. An operator turns to another control
@@ -182,7 +182,7 @@
 
     @Override
     public HttpParser.Limits requestLimits() {
-        return new HttpParser.Limits(HttpParser.MAX_HEAD_BYTES, MAX_BODY_BYTES);
+        return new HttpParser.Limits(HttpParser.MAX_HEAD_BYTES, ConfigurationCodec.MAX_TEXT_BYTES);
     }
 
     @Override
--- a/proxy/src/test/java/saltdale/proxy/InputTest.java
+++ b/proxy/src/test/java/saltdale/proxy/InputTest.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import saltdale.control.ConfigurationCodec;
 import saltdale.control.MalformedMessage;
 import saltdale.control.Member;
 import saltdale.control.Trees;
@@ -133,6 +134,23 @@
         assertThat(read(world, node), not(containsString("/b/")));
     }
 
+    /** Guards against an end of the control nodes by amendments of a configuration that grows without a limit. */
+    @Test
+    void amendmentThatMakesTheConfigurationTooLargeIsRejected() {
+        SimWorld world = new SimWorld(1).withNodes(3, 0).startAll();
+        SimMachine node = world.controlNodes.get(0);
+        assertTrue(replaceUntilAcknowledged(world, 0, config(1), 5000));
+        String third = "x".repeat(ConfigurationCodec.MAX_TEXT_BYTES / 3);
+        for (int i = 2; i <= 4; i++) {
+            String item =
+                    route("r-" + i, "/c" + i + "/", "idempotent", "fn").replace("{", "{\"note\":\"" + third + "\",");
+            String body = "{\"revision\":" + i + ",\"set_items\":{\"routes\":[" + item + "]}}";
+            assertThat(change(world, node, true, Long.toString(i - 1), body), is(i < 4 ? 200 : 400));
+        }
+        assertThat(world.newestChosen.revision(), is(3L));
+        assertThat(world.violations, is(empty()));
+    }
+
     @Test
     void configurationIsReadBackUnchanged() throws Exception {
         SimWorld world = new SimWorld(4).withNodes(3, 0).startAll();
