Proxy: what is kept of used instances is bounded

Both now keep the entries used most recently (4,096 and 8,192); a pool that is dropped too early is made again, and its connections in use end by their own idle timeout.

Test: RecentlyUsedTest; EndToEndTest, ProxyClusterTest and UpstreamExchangeTest green.

--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -14,6 +14,7 @@
 import saltdale.proxy.Attempt;
 import saltdale.proxy.Proxy;
 import saltdale.proxy.ProxySettings;
+import saltdale.proxy.RecentlyUsed;
 import saltdale.proxy.Request;
 import saltdale.proxy.RouteDecision;
 import saltdale.proxy.Transport;
@@ -30,11 +31,15 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(4);
     private static final int MAX_MILLIS_DIGITS = 9;
+    private static final int MAX_INSTANCES = 4096; // with connections; there are hardly more file descriptors
     private static final String RETRY_AFTER_HEADER = "Retry-After: 0.3\r\n";
 
     private final Settings settings;
     private final Proxy proxy;
-    private final Map<String, PooledConnections> connectionsByInstance = new HashMap<>();
+    /** By identifier. Most instances belong to owners that do not tell us when they are gone. */
+    private final RecentlyUsed<String, PooledConnections> connectionsByInstance =
+            new RecentlyUsed<>(MAX_INSTANCES, PooledConnections::closeIdle);
+
     private final Map<Attempt, UpstreamExchange> exchanges = new HashMap<>();
     private final Set<ServerConnection> clientConnections = new LinkedHashSet<>();
     private final Listener listener;
@@ -274,7 +279,7 @@
     // Exchanges with instances.
 
     private PooledConnections connectionsTo(String instanceId, String address) {
-        return connectionsByInstance.computeIfAbsent(
+        return connectionsByInstance.use(
                 instanceId,
                 id -> new PooledConnections(new ConnectionPool(
                         environment.loop, environment.sockets, Address.parse(address), CONNECT_TIMEOUT, IDLE_TIMEOUT)));
--- a/proxy/src/main/java/saltdale/proxy/RequestLifecycle.java
+++ b/proxy/src/main/java/saltdale/proxy/RequestLifecycle.java
@@ -22,6 +22,7 @@
     private static final int NESTED_PRIORITY = -1; // of requests that instances make while they hold a slot
     private static final int MAX_ATTEMPTS = 6; // of a request, including those that instances turned away
     private static final long NOT_EXECUTED_RETRY_AFTER_MILLIS = 100;
+    private static final int MAX_INSTANCE_HOSTS = 8192; // a multiple of the instances that run at a time
 
     private final Environment environment;
     private final ClusterView cluster;
@@ -30,7 +31,8 @@
     private final RetryBudget retryBudget;
     private final SlotRequester slotRequester;
     private final Set<Attempt> attempts = new HashSet<>(); // in progress
-    private final Set<String> instanceHosts = new HashSet<>(); // requests from these hosts are nested
+    /** Requests from these hosts are nested. Most instances belong to owners that do not tell us when they are gone. */
+    private final RecentlyUsed<String, String> instanceHosts = new RecentlyUsed<>(MAX_INSTANCE_HOSTS, host -> {});
 
     RequestLifecycle(
             Environment environment,
@@ -58,7 +60,7 @@
 
     /** Remembers the host of an instance, to recognise nested requests. */
     void addInstanceHost(Instance instance) {
-        instanceHosts.add(host(instance));
+        instanceHosts.use(host(instance), host -> host);
     }
 
     private static String host(Instance instance) {
