--- a/control/src/main/java/saltdale/control/Proposer.java
+++ b/control/src/main/java/saltdale/control/Proposer.java
@@ -106,8 +106,8 @@
     }
 
     /**
-     * Queues a change. The result is {@code null} if no majority could be reached in time, or if the change could not be
-     * computed; the change may then take effect later, or not at all.
+     * Queues a change. The result is {@code null} if no majority could be reached in time, or if the change could not
+     * be computed; the change may then take effect later, or not at all.
      */
     void propose(Change change, long timeoutNanos, Consumer<Object> onResult) {
         queue.add(new QueuedChange(change, environment.now() + timeoutNanos, onResult));
--- a/proxy/src/test/java/saltdale/control/AgreedText.java
+++ b/proxy/src/test/java/saltdale/control/AgreedText.java
@@ -3,7 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
-/** Control nodes that find revision 2 agreed on in a form that this release would not have accepted from an operator. */
+/** Control nodes that find revision 2 agreed on in a form that this release would not have taken from an operator. */
 public enum AgreedText {
     /** The text ends in the middle. */
     TRUNCATED {
