Soak: clients on kept connections, series of faults, SIGHUP

The soak had an observer and operators, but no clients. Now four clients a proxy use the connection that they have until the process is gone, whatever its readiness; the stand-in's judge checks TWICE, MIXED, REFUSED, UNASKED and ROUTE for them and for the observer's probes, and a request that ends without an answer at a proxy without an unplanned fault is LOST. Faults of a machine follow each other in series that overlap with those of others, and SIGHUP is one.

--- a/rig/src/main/java/saltdale/rig/platform/Judge.java
+++ b/rig/src/main/java/saltdale/rig/platform/Judge.java
@@ -271,6 +271,12 @@
         }
     }
 
+    /** How many runs of this attempt runners have begun. */
+    public int runCount(String attemptId) {
+        Try sentTry = tries.get(attemptId);
+        return sentTry == null ? 0 : sentTry.runs;
+    }
+
     /** Announces that the runner will break its answer off, or send bytes that are no answer. */
     public void expectBrokenAnswer(String attemptId) {
         Try sentTry = tries.get(attemptId);
--- a/rig/src/main/java/saltdale/rig/platform/live/Soak.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Soak.java
@@ -18,7 +18,8 @@
 
 /**
  * A soak test of real processes on real sockets. Two operators change the configuration all the time and lose
- * answers, two or three faults overlap in each bout, and an observer checks the proxies in contact. At the end one
+ * answers, clients use the connections that they have until the process is gone, two or three series of faults and
+ * signals overlap in each bout, and an observer checks the proxies in contact. At the end one
  * control node loses its disk at the moment at which all other machines, proxies included, are killed.
  */
 public final class Soak {
@@ -29,6 +30,8 @@
     private static final int MAX_START_OFFSET_MILLIS = 1_500;
     private static final int MIN_FAULT_MILLIS = 200;
     private static final int MAX_FAULT_MILLIS = 5_000;
+    private static final double SERIES_SHARE = 0.5; // of the faults are followed by another one of the same machine
+    private static final int MAX_SERIES_PAUSE_MILLIS = 400;
     private static final double DISK_LOSS_SHARE = 0.4; // of the bouts begin with the loss of a disk
 
     /** An action at a set time of a bout. */
@@ -40,8 +43,10 @@
 
     private final SoakCluster cluster;
     private final SoakContact contact;
+    private final SoakContact unplannedFaults; // by which machines are in contact but for planned work
     private final SoakChanges changes;
     private final SoakObserver observer;
+    private final SoakClients clients;
     private final List<SoakOperator> operators;
     private final List<String> failures = new CopyOnWriteArrayList<>();
     private final Map<SoakFault, Integer> faultCounts = new EnumMap<>(SoakFault.class);
@@ -49,14 +54,17 @@
     private final PrintStream out;
     private final List<Thread> threads = new ArrayList<>();
 
-    private Soak(SoakCluster cluster, Deployment deployment, long seed, PrintStream out) {
+    private Soak(SoakCluster cluster, PlatformStandIn standIn, long seed, PrintStream out) {
         this.cluster = cluster;
+        Deployment deployment = standIn.deployment;
         this.out = out;
         random = new SplittableRandom(seed);
         contact = new SoakContact(deployment.bounds().contact());
         changes = new SoakChanges(deployment, failures);
-        observer =
-                new SoakObserver(cluster, changes, contact, deployment.bounds().configApply(), failures);
+        unplannedFaults = new SoakContact(deployment.bounds().contact());
+        clients = new SoakClients(standIn, unplannedFaults, failures, seed);
+        observer = new SoakObserver(
+                cluster, changes, contact, deployment.bounds().configApply(), failures, clients::recordProbe);
         operators = List.of(
                 new SoakOperator(cluster, changes, "a", random.nextLong()),
                 new SoakOperator(cluster, changes, "b", random.nextLong()));
@@ -73,7 +81,7 @@
             throws IOException, InterruptedException {
         try (PlatformStandIn standIn = new PlatformStandIn(deployment, new RunnerFaults(Map.of(), seed), seed, null);
                 SoakCluster cluster = new SoakCluster(deployment, program, folder)) {
-            Soak soak = new Soak(cluster, standIn.deployment, seed, out);
+            Soak soak = new Soak(cluster, standIn, seed, out);
             try {
                 soak.runBouts(bouts);
             } finally {
@@ -91,6 +99,7 @@
             return;
         }
         startThread(observer);
+        clients.start();
         for (int i = 0; i < bouts && failures.isEmpty(); i++) {
             runBout();
             Thread.sleep(QUIET_PERIOD.toMillis());
@@ -109,6 +118,7 @@
 
     private void stopThreads() throws InterruptedException {
         operators.forEach(SoakOperator::stop);
+        clients.stop();
         observer.stop();
         for (Thread thread : threads) {
             thread.join(STARTUP_LIMIT.toMillis());
@@ -129,11 +139,24 @@
                     : SoakFault.draw(random, loss || random.nextInt(3) == 0);
             long startMillis = random.nextInt(MAX_START_OFFSET_MILLIS);
             long endMillis = startMillis + MIN_FAULT_MILLIS + random.nextInt(MAX_FAULT_MILLIS);
-            plan(steps, fault, startMillis, endMillis);
+            Machine machine = plan(steps, fault, startMillis, endMillis);
+            if (!fault.losesDisk()) {
+                planSeries(steps, machine, fault.targetsProxy(), endMillis);
+            }
         }
         execute(steps);
     }
 
+    /** Plans further faults of a machine, each soon after the end of the one before. */
+    private void planSeries(List<Step> steps, Machine machine, boolean targetsProxy, long firstEndMillis) {
+        long endMillis = firstEndMillis;
+        while (random.nextDouble() < SERIES_SHARE) {
+            long startMillis = endMillis + random.nextInt(MAX_SERIES_PAUSE_MILLIS);
+            endMillis = startMillis + MIN_FAULT_MILLIS + random.nextInt(MAX_FAULT_MILLIS / 2);
+            plan(steps, SoakFault.draw(random, targetsProxy), machine, startMillis, endMillis);
+        }
+    }
+
     private void execute(List<Step> steps) throws IOException, InterruptedException {
         long begun = System.nanoTime();
         steps.sort(Comparator.comparingLong(Step::atMillis));
@@ -146,9 +169,15 @@
         }
     }
 
-    private void plan(List<Step> steps, SoakFault fault, long startMillis, long endMillis) {
+    /** Plans a fault of a random machine, which is returned. */
+    private Machine plan(List<Step> steps, SoakFault fault, long startMillis, long endMillis) {
         List<Machine> candidates = fault.targetsProxy() ? cluster.proxies() : cluster.controlNodes();
         Machine machine = candidates.get(random.nextInt(candidates.size()));
+        plan(steps, fault, machine, startMillis, endMillis);
+        return machine;
+    }
+
+    private void plan(List<Step> steps, SoakFault fault, Machine machine, long startMillis, long endMillis) {
         Machine other =
                 cluster.controlNodes().get(random.nextInt(cluster.controlNodes().size()));
         boolean[] applied = new boolean[1];
@@ -158,6 +187,9 @@
                 faultCounts.merge(fault, 1, Integer::sum);
                 report(fault + " " + machine.name());
                 contact.begin(machine.name(), !fault.targetsProxy());
+                if (!fault.isPlanned()) {
+                    unplannedFaults.begin(machine.name(), !fault.targetsProxy());
+                }
                 apply(fault, machine, other);
             }
         }));
@@ -165,6 +197,9 @@
             if (applied[0]) {
                 undo(fault, machine, other);
                 contact.end(machine.name(), !fault.targetsProxy());
+                if (!fault.isPlanned()) {
+                    unplannedFaults.end(machine.name(), !fault.targetsProxy());
+                }
                 report("ended: " + fault + " " + machine.name());
             }
         }));
@@ -175,6 +210,7 @@
             case PROXY_KILLED, CONTROL_KILLED, CONTROL_WIPED, CONTROL_REPLACED -> cluster.kill(machine);
             case PROXY_PAUSED, CONTROL_PAUSED -> cluster.pause(machine);
             case PROXY_TERMINATED, CONTROL_TERMINATED -> cluster.terminate(machine);
+            case PROXY_RELOADED, CONTROL_RELOADED -> cluster.reload(machine);
             case PROXY_CUT, CONTROL_CUT -> cutFromControlNodes(machine, false);
             case PROXY_CUT_FROM_ONE -> cluster.cut(machine, other, false);
             case CONTROL_CUT_ONE_WAY -> cutFromControlNodes(machine, true);
@@ -194,6 +230,7 @@
         switch (fault) {
             case PROXY_KILLED, CONTROL_KILLED -> cluster.start(machine);
             case PROXY_PAUSED, CONTROL_PAUSED -> cluster.resume(machine);
+            case PROXY_RELOADED, CONTROL_RELOADED -> cluster.reload(machine);
             case PROXY_TERMINATED, CONTROL_TERMINATED -> {
                 awaitEnd(machine);
                 cluster.start(machine);
@@ -266,11 +303,13 @@
         List<Machine> all = new ArrayList<>(controlNodes);
         all.addAll(cluster.proxies());
         all.forEach(each -> contact.begin(each.name(), true));
+        all.forEach(each -> unplannedFaults.begin(each.name(), true));
         all.forEach(cluster::kill);
         cluster.wipe(diskLoser);
         for (Machine each : all) {
             cluster.start(each);
             contact.end(each.name(), true);
+            unplannedFaults.end(each.name(), true);
         }
         long minRevision = changes.newestAcknowledged();
         if (!waitUntil(STARTUP_LIMIT, () -> allProxiesHave(minRevision))) {
@@ -352,7 +391,8 @@
         failures.forEach(each -> out.println("  fault: " + each));
         int count = faultCounts.values().stream().mapToInt(Integer::intValue).sum();
         out.println((failures.isEmpty() ? "passed" : "FAILED") + ": seed " + seed + ", " + count + " troubles "
-                + faultCounts + ", " + changes.summary() + ", " + observer.checks() + " looks at proxies in touch");
+                + faultCounts + ", " + changes.summary() + ", " + observer.checks() + " looks at proxies in touch, "
+                + clients.summary());
         return failures.isEmpty();
     }
 }
--- a/rig/src/main/java/saltdale/rig/platform/live/SoakChanges.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/SoakChanges.java
@@ -60,19 +60,24 @@
         List<Route> routes = new ArrayList<>(deployment.routes());
         long last = revision / REVISIONS_PER_ROUTE;
         for (long bucket = Math.max(0, last - SOAK_ROUTES + 1); bucket <= last; bucket++) {
-            routes.add(new Route(
-                    "r-soak-" + bucket,
-                    "soak.example",
-                    path(bucket * REVISIONS_PER_ROUTE),
-                    true,
-                    "press-1",
-                    Duration.ofSeconds(1),
-                    Duration.ofSeconds(5),
-                    0));
+            routes.add(route(bucket * REVISIONS_PER_ROUTE));
         }
         return routes;
     }
 
+    /** The route with the prefix {@link #path} of this revision. */
+    static Route route(long revision) {
+        return new Route(
+                "r-soak-" + revision / REVISIONS_PER_ROUTE,
+                "soak.example",
+                path(revision),
+                true,
+                "press-1",
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(5),
+                0);
+    }
+
     /**
      * The path prefix of a route that is part of every configuration from this revision on, until newer routes
      * have replaced it after {@link #SOAK_ROUTES} buckets of revisions.
--- a/rig/src/main/java/saltdale/rig/platform/live/SoakCluster.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/SoakCluster.java
@@ -162,6 +162,11 @@
         signal(machine, "CONT");
     }
 
+    /** Sends SIGHUP. */
+    void reload(Machine machine) throws IOException {
+        signal(machine, "HUP");
+    }
+
     private void signal(Machine machine, String name) throws IOException {
         Process process = running.get(machine);
         if (process != null && process.isAlive()) {
--- a/rig/src/main/java/saltdale/rig/platform/live/SoakFault.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/SoakFault.java
@@ -7,6 +7,8 @@
     PROXY_KILLED(Target.PROXY),
     PROXY_PAUSED(Target.PROXY),
     PROXY_TERMINATED(Target.PROXY),
+    /** By SIGHUP. */
+    PROXY_RELOADED(Target.PROXY),
     /** From all control nodes. */
     PROXY_CUT(Target.PROXY),
     /** From one control node. */
@@ -14,6 +16,8 @@
     CONTROL_KILLED(Target.CORE),
     CONTROL_PAUSED(Target.CORE),
     CONTROL_TERMINATED(Target.CORE),
+    /** By SIGHUP. */
+    CONTROL_RELOADED(Target.CORE),
     /** From the other control nodes; proxies still reach it. */
     CONTROL_CUT(Target.CORE),
     CONTROL_CUT_ONE_WAY(Target.CORE),
@@ -44,6 +48,11 @@
         return target == Target.PROXY;
     }
 
+    /** Whether a proxy with this fault must still answer every request that it has read. */
+    boolean isPlanned() {
+        return this == PROXY_TERMINATED || this == PROXY_RELOADED || this == CONTROL_RELOADED;
+    }
+
     boolean losesDisk() {
         return target == Target.DISK;
     }
--- a/rig/src/main/java/saltdale/rig/platform/live/SoakObserver.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/SoakObserver.java
@@ -7,12 +7,18 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentSkipListSet;
 import saltdale.rig.platform.Machine;
+import saltdale.rig.platform.Route;
 
 /**
  * Polls all processes of a soak. No invariant may be violated; a proxy in contact has to have in force what was
  * acknowledged {@code config_apply_ms} ago, and may not deny a route of it.
  */
 final class SoakObserver implements Runnable {
+    /** Is told of each request that the observer is about to send to a runner. */
+    interface ProbeRecorder {
+        void record(String attemptId, Route route, String request, Machine proxy);
+    }
+
     private static final Duration CALL_LIMIT = Duration.ofSeconds(2);
     private static final long PAUSE_MILLIS = 100;
     private static final String VIOLATION_PREFIX = "invariant_violations_";
@@ -22,15 +28,23 @@
     private final SoakContact contact;
     private final long applyNanos;
     private final List<String> failures;
+    private final ProbeRecorder probes;
     private final Set<String> reportedViolations = new ConcurrentSkipListSet<>(); // each is reported once
     private volatile int checks;
     private volatile boolean stopped;
 
-    SoakObserver(SoakCluster cluster, SoakChanges changes, SoakContact contact, Duration apply, List<String> failures) {
+    SoakObserver(
+            SoakCluster cluster,
+            SoakChanges changes,
+            SoakContact contact,
+            Duration apply,
+            List<String> failures,
+            ProbeRecorder probes) {
         this.cluster = cluster;
         this.changes = changes;
         this.contact = contact;
         this.failures = failures;
+        this.probes = probes;
         applyNanos = apply.toNanos();
     }
 
@@ -82,14 +96,11 @@
         long dueRevision = changes.newestBy(System.nanoTime() - applyNanos);
         boolean wasInContact = contact.isInContact(proxy.name());
         Map<String, Long> metrics = readMetrics(proxy, Machine.READINESS_PORT);
+        String target = SoakChanges.path(dueRevision) + "x";
+        String attemptId = "soak-" + System.nanoTime();
+        probes.record(attemptId, SoakChanges.route(dueRevision), "GET " + target + " ", proxy);
         BlockingHttp.Answer route = BlockingHttp.call(
-                proxy.ip(),
-                Machine.FRONT_PORT,
-                "GET",
-                SoakChanges.path(dueRevision) + "x",
-                probeHeaders(),
-                "",
-                CALL_LIMIT);
+                proxy.ip(), Machine.FRONT_PORT, "GET", target, probeHeaders(attemptId), "", CALL_LIMIT);
         if (!wasInContact || !contact.isInContact(proxy.name()) || dueRevision == 0) {
             return;
         }
@@ -107,8 +118,8 @@
         }
     }
 
-    private static String probeHeaders() {
-        return "Host: soak.example\r\nX-Saltdale-Attempt-Id: soak-" + System.nanoTime()
+    private static String probeHeaders(String attemptId) {
+        return "Host: soak.example\r\nX-Saltdale-Attempt-Id: " + attemptId
                 + "\r\nX-Saltdale-Deadline-Remaining: 600\r\n";
     }
 }
