EndToEndTest: faulty variants as factories, without repeated signatures

The fourth variant repeated the signature that the three before had. Each constant now holds its factory; what it overrides is as before. EndToEndTest green (7 tests).

--- a/node/src/test/java/saltdale/node/EndToEndTest.java
+++ b/node/src/test/java/saltdale/node/EndToEndTest.java
@@ -20,7 +20,6 @@
 import saltdale.control.message.SlotMessage.SlotRequest;
 import saltdale.control.message.SlotMessage.SlotReturn;
 import saltdale.protocol.Head;
-import saltdale.proxy.Attempt;
 import saltdale.transport.SendProgress;
 
 /**
@@ -32,57 +31,39 @@
 
     /** Faulty variants of the exchange; the checks must detect each of them. */
     enum FaultyVariant {
-        TAKES_REFUSAL_WITHOUT_ID {
-            @Override
-            UpstreamExchange create(
-                    Attempt attempt, UpstreamConnections connections, UpstreamExchange.OutcomeListener listener) {
-                return new UpstreamExchange(attempt, connections, listener) {
+        TAKES_REFUSAL_WITHOUT_ID(
+                (attempt, connections, listener) -> new UpstreamExchange(attempt, connections, listener) {
                     @Override
                     boolean belongsToAttempt(Head answer) {
                         return super.belongsToAttempt(answer) || isRefusal(answer) && lacksAttemptId(answer);
                     }
-                };
-            }
-        },
-        TAKES_ANY_ANSWER {
+                }),
+        TAKES_ANY_ANSWER((attempt, connections, listener) -> new UpstreamExchange(attempt, connections, listener) {
             @Override
-            UpstreamExchange create(
-                    Attempt attempt, UpstreamConnections connections, UpstreamExchange.OutcomeListener listener) {
-                return new UpstreamExchange(attempt, connections, listener) {
-                    @Override
-                    boolean belongsToAttempt(Head answer) {
-                        return true;
-                    }
-                };
+            boolean belongsToAttempt(Head answer) {
+                return true;
             }
-        },
-        COUNTS_RESET_AS_UNSENT {
-            @Override
-            UpstreamExchange create(
-                    Attempt attempt, UpstreamConnections connections, UpstreamExchange.OutcomeListener listener) {
-                return new UpstreamExchange(attempt, connections, listener) {
+        }),
+        COUNTS_RESET_AS_UNSENT(
+                (attempt, connections, listener) -> new UpstreamExchange(attempt, connections, listener) {
                     @Override
                     boolean isUnsent() {
                         return true;
                     }
-                };
-            }
-        },
-        COUNTS_PARTLY_WRITTEN_AS_UNSENT {
-            @Override
-            UpstreamExchange create(
-                    Attempt attempt, UpstreamConnections connections, UpstreamExchange.OutcomeListener listener) {
-                return new UpstreamExchange(attempt, connections, listener) {
+                }),
+        COUNTS_PARTLY_WRITTEN_AS_UNSENT(
+                (attempt, connections, listener) -> new UpstreamExchange(attempt, connections, listener) {
                     @Override
                     boolean isUnsent() {
                         return super.isUnsent() || sendProgress() == SendProgress.PARTLY_WRITTEN;
                     }
-                };
-            }
-        };
+                });
+
+        private final EndToEndModel.Exchanges exchanges;
 
-        abstract UpstreamExchange create(
-                Attempt attempt, UpstreamConnections connections, UpstreamExchange.OutcomeListener listener);
+        FaultyVariant(EndToEndModel.Exchanges exchanges) {
+            this.exchanges = exchanges;
+        }
     }
 
     /** Runs a simulation with faults of all kinds. */
@@ -135,7 +116,7 @@
     void faultyVariantIsDetected(FaultyVariant variant) {
         List<String> violations = new ArrayList<>();
         for (int seed = 0; seed < 10 && violations.isEmpty(); seed++) {
-            violations.addAll(runWithFaults(seed, variant::create).violations);
+            violations.addAll(runWithFaults(seed, variant.exchanges).violations);
         }
         assertThat(violations, is(not(empty())));
     }
