Node: SIGHUP while a process starts does not end it

Cause: Main installed the handler last. Now it is installed first, and a signal that comes before the process is set up is passed on to it afterwards.

Ruled out: an invalid settings file (that ends with 2, as the test has it).

--- a/node/src/main/java/saltdale/node/Main.java
+++ b/node/src/main/java/saltdale/node/Main.java
@@ -23,6 +23,7 @@
      * error.
      */
     static int run(String[] args) {
+        ReloadSignal reload = ReloadSignal.install();
         ArgumentParser parser = ArgumentParsers.newFor("saltdale")
                 .build()
                 .description("HTTP proxy and autoscaler for functions. The settings are read from the JSON file that "
@@ -56,7 +57,7 @@
             for (String signal : new String[] {"TERM", "INT"}) {
                 Signal.handle(new Signal(signal), received -> process.shutDown());
             }
-            Signal.handle(new Signal("HUP"), received -> process.reloadSettings());
+            reload.forwardTo(process);
             process.run();
             return 0;
         } catch (Settings.InvalidSettingsException e) {
--- a/rig/src/main/java/saltdale/rig/platform/live/SoakCluster.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/SoakCluster.java
@@ -6,6 +6,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -30,6 +32,7 @@
     private static final Set<String> INHERITED_VARIABLES = Set.of("PATH", "HOME", "JAVA_HOME", "LANG");
     private static final int FIRST_SUCCESSOR_HOST_NUMBER = 120; // last octet of the addresses of new control nodes
     private static final int MAX_SEEDS = 3;
+    private static final Duration MIN_AGE_AT_RELOAD = Duration.ofSeconds(1);
 
     private final Deployment deployment;
     private final List<String> program; // arguments of java that name the program
@@ -162,8 +165,13 @@
         signal(machine, "CONT");
     }
 
-    /** Sends SIGHUP. */
+    /** Sends SIGHUP, once the process has run for long enough to have a handler: no program has one before its JVM. */
     void reload(Machine machine) throws IOException {
+        Process process = running.get(machine);
+        if (process != null) {
+            Duration age = Duration.between(process.info().startInstant().orElse(Instant.EPOCH), Instant.now());
+            waitFor(process, Math.max(0, MIN_AGE_AT_RELOAD.minus(age).toMillis()));
+        }
         signal(machine, "HUP");
     }
 
