Rig: a paused dispatcher may answer before its resume is recorded

The dispatcher answers its backlog some 50 ms after the signal; an answer before the record was judged although its deadline had passed during the pause, which excuses it. Now the resume is recorded with the times before and after the command, and excuses from the first on.

Ruled out: accepting late after the stall (4,096 sockets, backlog 1,024 of 4,096) and a stall of the client (one request only). The check is as strict: equal times give the old result (JudgeTest's cases). Test, before: JudgeTest.answersRightAfterAResumeAreExcused, ANSWERED_LATE=1; after: green.

--- a/rig/src/main/java/saltdale/rig/experiment/DispatcherProcesses.java
+++ b/rig/src/main/java/saltdale/rig/experiment/DispatcherProcesses.java
@@ -203,12 +203,13 @@
         signal("STOP", indexes);
     }
 
-    /** Resumes paused processes with SIGCONT. */
+    /** Resumes paused processes with SIGCONT; they may answer before the command that sends the signal has ended. */
     public void resume(List<Integer> indexes) {
+        Duration earliest = origin.now();
         signal("CONT", indexes);
         indexes.forEach(i -> {
             dispatchers.get(i).paused = false;
-            observer.dispatcherResumed(origin.now(), i);
+            observer.dispatcherResumed(earliest, origin.now(), i);
         });
     }
 
--- a/rig/src/main/java/saltdale/rig/judge/EventObserver.java
+++ b/rig/src/main/java/saltdale/rig/judge/EventObserver.java
@@ -33,8 +33,8 @@
     /** The process of this dispatcher was paused: until it resumes, it can't act or receive anything. */
     default void dispatcherPaused(Duration at, int dispatcher) {}
 
-    /** The paused dispatcher runs again. */
-    default void dispatcherResumed(Duration at, int dispatcher) {}
+    /** The paused dispatcher runs again since some moment between these two times. */
+    default void dispatcherResumed(Duration earliest, Duration latest, int dispatcher) {}
 
     /** A disturbance of the link between these two has begun, or ended if {@code clear}. */
     default void linkChanged(Duration at, int runner, int dispatcher, boolean clear) {}
--- a/rig/src/main/java/saltdale/rig/judge/EventRecorder.java
+++ b/rig/src/main/java/saltdale/rig/judge/EventRecorder.java
@@ -63,8 +63,8 @@
     }
 
     @Override
-    public void dispatcherResumed(Duration at, int dispatcher) {
-        record(at, observer -> observer.dispatcherResumed(at, dispatcher));
+    public void dispatcherResumed(Duration earliest, Duration latest, int dispatcher) {
+        record(earliest, observer -> observer.dispatcherResumed(earliest, latest, dispatcher));
     }
 
     @Override
--- a/rig/src/main/java/saltdale/rig/judge/Judge.java
+++ b/rig/src/main/java/saltdale/rig/judge/Judge.java
@@ -285,19 +285,19 @@
      * read them in time. List entries sent during the pause count as received now.
      */
     @Override
-    public void dispatcherResumed(Duration at, int dispatcher) {
+    public void dispatcherResumed(Duration earliest, Duration latest, int dispatcher) {
         Duration pausedAt = pausedSince.remove(dispatcher);
         if (pausedAt == null) {
             return;
         }
-        Duration pauseLength = at.minus(pausedAt);
-        Duration until = at.plus(pauseLength.compareTo(MAX_CATCH_UP) < 0 ? pauseLength : MAX_CATCH_UP);
+        Duration pauseLength = latest.minus(pausedAt);
+        Duration until = latest.plus(pauseLength.compareTo(MAX_CATCH_UP) < 0 ? pauseLength : MAX_CATCH_UP);
         for (JudgedRequest request : requests.values()) {
             if (request.dispatcher == dispatcher && !request.answered && request.deadline.compareTo(until) <= 0) {
                 request.excused = true;
             }
         }
-        lastResumedAt = at;
+        lastResumedAt = latest;
         deferredListEntries.remove(dispatcher).forEach(Runnable::run);
     }
 
--- a/rig/src/main/java/saltdale/rig/platform/live/SoakClients.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/SoakClients.java
@@ -103,7 +103,8 @@
         private String attemptId; // of the request that waits for its answer; null if none does
         private Duration sentAt;
         private boolean wasInContact; // when the request was sent
-        private Timer timeout;
+        private Timer timeout; // of the request that waits for its answer
+        private Timer pause; // until the next request
 
         Client(Machine proxy) {
             this.proxy = proxy;
@@ -126,6 +127,9 @@
 
         private void reconnectLater() {
             connection = null;
+            if (pause != null) {
+                pause.cancel();
+            }
             standIn.loopThread.loop.schedule(RECONNECT_DELAY, this::connect);
         }
 
@@ -185,7 +189,8 @@
                     parser.body());
             attemptId = null;
             if (head.keepsAlive()) {
-                standIn.loopThread.loop.schedule(Duration.ofMillis(random.nextInt(MAX_PAUSE_MILLIS)), this::send);
+                Duration length = Duration.ofMillis(random.nextInt(MAX_PAUSE_MILLIS));
+                pause = standIn.loopThread.loop.schedule(length, this::send);
             } else {
                 end();
             }
--- a/rig/src/test/java/saltdale/rig/judge/JudgeTest.java
+++ b/rig/src/test/java/saltdale/rig/judge/JudgeTest.java
@@ -47,16 +47,28 @@
         sendRequest(0, "a");
         judge.dispatcherPaused(ms(500), 0);
         sendRequest(600, "b");
-        judge.dispatcherResumed(ms(3000), 0);
+        judge.dispatcherResumed(ms(3000), ms(3000), 0);
         sendRequest(3000, "c");
         assertViolations(Map.of(Violation.Kind.LOST, 1L));
     }
 
+    /** Guards against a late answer reported of a dispatcher that answers before its resume is recorded. */
+    @Test
+    void answersRightAfterAResumeAreExcused() {
+        EventRecorder recorder = new EventRecorder();
+        sendRequest(0, "a");
+        recorder.dispatcherPaused(ms(500), 0);
+        recorder.answerReceived(ms(3010), "a", EventObserver.FinalAnswer.SHED, null);
+        recorder.dispatcherResumed(ms(3000), ms(3050), 0);
+        recorder.replayTo(judge);
+        assertViolations(Map.of());
+    }
+
     @Test
     void listEntriesSentDuringAPauseCountFromItsEnd() {
         judge.dispatcherPaused(ms(0), 0);
         judge.listEntryReceived(ms(100), 0, 1, EventObserver.ListedHealth.DRAINING, null);
-        judge.dispatcherResumed(ms(3000), 0);
+        judge.dispatcherResumed(ms(3000), ms(3000), 0);
         sendRequest(3100, "a");
         receiveAttempt(3200, "a", 1);
         judge.answerReceived(ms(3300), "a", EventObserver.FinalAnswer.SHED, null);
