Control: an agreed version that cannot be read is tried once

Each later state of the same revision (a claim of the duty, a change of voters) read it again and counted the violation again. Now a revision that is noted is not read twice; for readable ones the condition is the same as before.

--- a/control/src/main/java/saltdale/control/ConfigurationService.java
+++ b/control/src/main/java/saltdale/control/ConfigurationService.java
@@ -50,7 +50,7 @@
 
     /** Called when a newer state was chosen. */
     void onChosen(ReplicatedState state, byte[] text) {
-        if (text == null || current != null && state.revision() <= current.revision()) {
+        if (text == null || state.revision() <= history.newestAgreedRevision()) {
             return;
         }
         try {
