Control: agreed texts are read to the depth that earlier releases took

A text of 25 to 32 levels that an earlier release agreed on would have counted as unreadable. A condition in Subscriptions that cannot hold goes. ConfigurationDeliveryTest and six others green.

--- a/control/src/main/java/saltdale/control/Subscriptions.java
+++ b/control/src/main/java/saltdale/control/Subscriptions.java
@@ -175,8 +175,7 @@
             return;
         }
         ConfigurationTree newest = configurations.newest();
-        boolean isUpToDate =
-                newest == null || subscriber.revision == newest.revision() && subscriber.digest.equals(newest.digest());
+        boolean isUpToDate = subscriber.revision == newest.revision() && subscriber.digest.equals(newest.digest());
         if (isUpToDate || subscriber.revision > newest.revision()) {
             return;
         }
--- a/control/src/main/java/saltdale/control/Trees.java
+++ b/control/src/main/java/saltdale/control/Trees.java
@@ -59,18 +59,20 @@
 
     /** Parses a JSON object. */
     public static Map<String, Object> fromJson(byte[] bytes) throws MalformedMessage {
-        return fromJson(bytes, false);
+        return fromJson(bytes, new Reader(MAX_JSON_DEPTH, false));
     }
 
-    /** Parses a JSON object in which each unpaired surrogate is replaced by the replacement character. */
+    /**
+     * Parses a JSON object that an earlier release has accepted, in which each unpaired surrogate is replaced by the
+     * replacement character.
+     */
     static Map<String, Object> fromJsonWithRepairs(byte[] bytes) throws MalformedMessage {
-        return fromJson(bytes, true);
+        return fromJson(bytes, new Reader(MAX_CBOR_DEPTH, true));
     }
 
     @SuppressWarnings("unchecked")
-    private static Map<String, Object> fromJson(byte[] bytes, boolean repairs) throws MalformedMessage {
-        return (Map<String, Object>)
-                decode(Json.FACTORY, bytes, JsonToken.START_OBJECT, "object", new Reader(MAX_JSON_DEPTH, repairs));
+    private static Map<String, Object> fromJson(byte[] bytes, Reader reader) throws MalformedMessage {
+        return (Map<String, Object>) decode(Json.FACTORY, bytes, JsonToken.START_OBJECT, "object", reader);
     }
 
     private static byte[] encode(JsonFactory factory, Object tree) {
