--- a/rig/src/main/java/saltdale/rig/platform/live/SoakChanges.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/SoakChanges.java
@@ -20,7 +20,9 @@
     record Change(long base, long revision, String body, boolean isValid) {}
 
     private static final int REVISIONS_PER_ROUTE = 20; // consecutive revisions that add the same route
-    private static final int SOAK_ROUTES = 4; // the most recent of these routes that a configuration contains
+    /** How many of these routes a configuration contains: those of more revisions than are made during a probe. */
+    private static final int SOAK_ROUTES = 10;
+
     private static final int MAX_REVISION_STEP = 3; // revisions need not be consecutive
 
     private final Deployment deployment;
