Net: an Error in one task of the event loop ends that task alone

What callers saw: a process of either role, or the dispatcher, ended with all that it served when one task threw an Error.

Cause: EventLoop.runGuarded contained RuntimeException and IOException only.

Change: what a task throws ends that task and, if it has one, its channel. Errors of the virtual machine other than StackOverflowError leave the loop and end the process at once. The rule stands at EventLoop. A contained failure is told to a listener; processes of the platform count it as the violation TASK_COMPLETED. Errors of the thread that writes to the disk were lost together with the write; they count as a failed write now and are passed to the loop.

Tests: stackOverflowEndsOnlyItsOwnTask and outOfMemoryErrorLeavesTheLoop; the first one's error left runOnce before. exceptionCount is renamed, since it counts errors too.

--- a/control/src/main/java/saltdale/control/Environment.java
+++ b/control/src/main/java/saltdale/control/Environment.java
@@ -30,6 +30,12 @@
      */
     void persist(Map<String, byte[]> records, Consumer<Boolean> onComplete);
 
+    /**
+     * Runs a task whose failure must not affect what comes after it: what it throws is logged and counted as a violation
+     * of {@link Invariant#TASK_COMPLETED}. Errors that end the process, such as {@link OutOfMemoryError}, are thrown on.
+     */
+    void runGuarded(Runnable task);
+
     /** Writes a message to the log that is read after a failure. */
     void log(String message);
 
@@ -47,9 +53,9 @@
         }
     }
 
-    /** Describes an unexpected exception with the innermost places that it passed through, for a violation's detail. */
-    static String describe(Exception e) {
-        return e + " " + Arrays.stream(e.getStackTrace()).limit(6).toList();
+    /** Describes an unexpected failure with the innermost places that it passed through, for a violation's detail. */
+    static String describe(Throwable cause) {
+        return cause + " " + Arrays.stream(cause.getStackTrace()).limit(6).toList();
     }
 
     /** Converts milliseconds to nanoseconds. */
--- a/control/src/main/java/saltdale/control/Invariant.java
+++ b/control/src/main/java/saltdale/control/Invariant.java
@@ -15,6 +15,8 @@
     CHOSEN_IS_VALID,
     /** A change of the replicated state has a result or is rejected, but does not end with an unexpected exception. */
     CHANGE_COMPUTED,
+    /** A task, a message or a callback is handled to its end, without an exception or error that nobody expected. */
+    TASK_COMPLETED,
     /** A control node sends proxies the configuration and the members only while it has a quorum. */
     NEWS_WITH_QUORUM,
     /** The configuration in force at a proxy is never replaced by an older one. */
--- a/daemon/src/main/java/saltdale/routing/Router.java
+++ b/daemon/src/main/java/saltdale/routing/Router.java
@@ -170,7 +170,7 @@
     /** Returns the metrics, one line each: the name and the value. */
     public String metrics() {
         AdmissionControl admission = dispatcher.admissionControl();
-        return counters.lines(pendingById.size(), sockets.openCount(), loop.exceptionCount())
+        return counters.lines(pendingById.size(), sockets.openCount(), loop.failureCount())
                 + (admission == null
                         ? ""
                         : "overload_level " + admission.level() + "\noverload_level_changes " + admission.changeCount()
--- a/net/src/main/java/saltdale/transport/Connection.java
+++ b/net/src/main/java/saltdale/transport/Connection.java
@@ -234,7 +234,7 @@
     }
 
     @Override
-    public void onFailure(Exception cause) {
+    public void onFailure(Throwable cause) {
         closeAndNotify("failed: " + cause);
     }
 
--- a/net/src/main/java/saltdale/transport/EventLoop.java
+++ b/net/src/main/java/saltdale/transport/EventLoop.java
@@ -15,6 +15,12 @@
 /**
  * A single-threaded event loop. Each iteration waits for ready channels and due timers, dispatches all ready channels,
  * runs deferred tasks and due timers, and finally runs the end-of-iteration task once.
+ *
+ * <p>What a task throws ends that task alone: it is logged and counted, its channel is closed if it has one, and the
+ * loop goes on. This holds for every exception and for every error but those of a virtual machine that can no longer be
+ * relied on, such as {@link OutOfMemoryError}; these leave {@link #run}, which ends the process at once, so that it is
+ * replaced instead of going on with parts of its work undone. {@link StackOverflowError} is contained: the stack is
+ * free again once the task has ended.
  */
 public final class EventLoop {
     /** Handles the events of a registered channel. */
@@ -22,8 +28,14 @@
         /** The channel is ready for at least one of the operations of its key. */
         void onReady(SelectionKey key) throws IOException;
 
-        /** A task of this handler threw an exception; only this handler's channel is to be closed. */
-        void onFailure(Exception cause);
+        /** A task of this handler failed; only this handler's channel is to be closed. */
+        void onFailure(Throwable cause);
+    }
+
+    /** Is told of each failure that was contained, other than an I/O error of a channel. */
+    public interface FailureListener {
+        /** A task ended with this exception or error; {@code cause} has been logged. */
+        void taskFailed(Throwable cause);
     }
 
     private static final Logger LOG = Logger.getLogger(EventLoop.class.getName());
@@ -48,7 +60,8 @@
     private long lastReadyNanos; // when a channel was last ready
     private long stallNanos;
     private boolean running = true;
-    private long exceptionCount;
+    private long failureCount;
+    private FailureListener failureListener = cause -> {};
 
     /** Creates an event loop with its own selector; it does nothing until {@link #run} or {@link #runOnce}. */
     public EventLoop() throws IOException {
@@ -73,9 +86,14 @@
         return Duration.ofNanos(System.nanoTime() - originNanos);
     }
 
-    /** Returns how many tasks have thrown an exception; each one affected only its own channel or task. */
-    public long exceptionCount() {
-        return exceptionCount;
+    /** Returns how many tasks have failed; each failure affected only its own channel or task. */
+    public long failureCount() {
+        return failureCount;
+    }
+
+    /** Sets the listener that is told of contained failures. */
+    public void setFailureListener(FailureListener listener) {
+        failureListener = listener;
     }
 
     /** Schedules a task to run once the delay has passed since the start of the current iteration. */
@@ -83,7 +101,7 @@
         return timers.add(nowNanos + Math.max(0, delay.toNanos()), task);
     }
 
-    /** Runs the task in the next iteration; an exception is reported to the handler. */
+    /** Runs the task in the next iteration; a failure is reported to the handler. */
     void defer(ChannelHandler handler, Runnable task) {
         deferredTasks.add(() -> runGuarded(handler, task::run));
     }
@@ -187,23 +205,29 @@
     private void runGuarded(ChannelHandler handler, Task task) {
         try {
             task.run();
-        } catch (IOException | RuntimeException e) {
-            recordException(e);
+        } catch (IOException | RuntimeException | Error e) {
+            recordFailure(e);
             runGuarded(() -> handler.onFailure(e));
         }
     }
 
-    /** Runs the task; an exception is logged and counted and does not affect anything else. */
+    /** Runs the task; what it throws is contained, as described at this class. */
     public void runGuarded(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
-            recordException(e);
+        } catch (RuntimeException | Error e) {
+            recordFailure(e);
         }
     }
 
-    private void recordException(Exception e) {
-        exceptionCount++;
-        LOG.log(Level.SEVERE, "uncaught exception in a task of the event loop", e);
+    private void recordFailure(Throwable cause) {
+        if (cause instanceof VirtualMachineError fatal && !(cause instanceof StackOverflowError)) {
+            throw fatal;
+        }
+        failureCount++;
+        LOG.log(Level.SEVERE, "uncaught exception in a task of the event loop", cause);
+        if (!(cause instanceof IOException)) {
+            failureListener.taskFailed(cause);
+        }
     }
 }
--- a/net/src/main/java/saltdale/transport/Listener.java
+++ b/net/src/main/java/saltdale/transport/Listener.java
@@ -72,7 +72,7 @@
 
     /** Pauses accepting after a failure (such as a lack of descriptors), so that it is not retried in a tight loop. */
     @Override
-    public void onFailure(Exception cause) {
+    public void onFailure(Throwable cause) {
         pauseBriefly();
     }
 
--- a/net/src/test/java/saltdale/transport/TransportTest.java
+++ b/net/src/test/java/saltdale/transport/TransportTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotSame;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -317,7 +318,7 @@
         loop.schedule(Duration.ofMillis(1), () -> {
             throw new IllegalStateException("for the test");
         });
-        runUntil(() -> loop.exceptionCount() == 2);
+        runUntil(() -> loop.failureCount() == 2);
         assertFalse(connection.isOpen());
         assertEquals(1, events.size());
         runUntil(() -> loop.isRunning());
@@ -332,4 +333,32 @@
             assertNull(Address.parse(text), text);
         }
     }
+
+    private static int recurse(int depth) {
+        return recurse(depth + 1) + 1;
+    }
+
+    /** Guards against one task whose recursion is too deep and ends the process with all that it serves. */
+    @Test
+    void stackOverflowEndsOnlyItsOwnTask() throws IOException {
+        LOG.setLevel(Level.OFF); // hides the stack trace of the expected error
+        List<Throwable> failures = new ArrayList<>();
+        loop.setFailureListener(failures::add);
+        loop.defer(() -> recurse(0));
+        loop.execute(() -> events.add("next task"));
+        loop.runOnce(() -> events.add("end of iteration"));
+        assertEquals(List.of("next task", "end of iteration"), events);
+        assertEquals(1, loop.failureCount());
+        assertSame(StackOverflowError.class, failures.get(0).getClass());
+    }
+
+    /** Guards against a process that goes on without memory: nothing that it has begun would be completed. */
+    @Test
+    void outOfMemoryErrorLeavesTheLoop() {
+        OutOfMemoryError error = new OutOfMemoryError("for the test");
+        loop.defer(() -> {
+            throw error;
+        });
+        assertSame(error, assertThrows(OutOfMemoryError.class, () -> loop.run(() -> {})));
+    }
 }
--- a/node/src/main/java/saltdale/node/EventLoopEnvironment.java
+++ b/node/src/main/java/saltdale/node/EventLoopEnvironment.java
@@ -43,6 +43,7 @@
     EventLoopEnvironment(Settings settings, Disk disk, PeerConnections.MessageHandler messageHandler)
             throws IOException {
         loop = new EventLoop();
+        loop.setFailureListener(cause -> check(Invariant.TASK_COMPLETED, false, () -> Environment.describe(cause)));
         logRing = new LogRing(() -> loop.elapsed().toMillis());
         sockets = new SocketBudget(loop, Math.max(64, settings.maxFileDescriptors - RESERVED_FILE_DESCRIPTORS));
         peerConnections = new PeerConnections(
@@ -102,20 +103,31 @@
     @Override
     public void persist(Map<String, byte[]> records, Consumer<Boolean> onComplete) {
         diskWriter.execute(() -> {
-            boolean written;
-            try {
-                disk.write(records);
-                written = true;
-            } catch (Exception e) {
-                written = false;
-                logRing.add(
-                        "write to disk failed: " + e.getMessage() + (e.getCause() == null ? "" : ", " + e.getCause()));
-            }
-            boolean success = written;
-            loop.execute(() -> onComplete.accept(success));
+            boolean written = tryWrite(records);
+            loop.execute(() -> onComplete.accept(written));
         });
     }
 
+    private boolean tryWrite(Map<String, byte[]> records) {
+        try {
+            disk.write(records);
+            return true;
+        } catch (Exception e) {
+            logRing.add("write to disk failed: " + e.getMessage() + (e.getCause() == null ? "" : ", " + e.getCause()));
+        } catch (Error e) {
+            // The event loop decides whether the process can go on; here the error would only end this thread.
+            loop.execute(() -> {
+                throw e;
+            });
+        }
+        return false;
+    }
+
+    @Override
+    public void runGuarded(Runnable task) {
+        loop.runGuarded(task);
+    }
+
     @Override
     public void log(String message) {
         logRing.add(message);
--- a/node/src/test/java/saltdale/node/ControlRecordsTest.java
+++ b/node/src/test/java/saltdale/node/ControlRecordsTest.java
@@ -88,6 +88,11 @@
             }
         }
 
+        @Override
+        public void runGuarded(Runnable task) {
+            task.run();
+        }
+
         @Override
         public void log(String message) {}
 
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -281,6 +281,15 @@
             sync();
         }
 
+        @Override
+        public void runGuarded(Runnable task) {
+            try {
+                task.run();
+            } catch (RuntimeException | StackOverflowError e) {
+                check(Invariant.TASK_COMPLETED, false, () -> Environment.describe(e));
+            }
+        }
+
         @Override
         public Counters counters() {
             return counters;
