Control: requests that wait are bounded, answered in time, and read in batches

Cause: a change that had expired was ended at its turn, and ended the next one from within, until the stack was used up; each read took a ballot of its own. Exceptions in a listener after a change was chosen, or in an answer, left those behind it waiting.

Change: ProposalQueue holds what waits, with a timer and a bound each; startNext is a loop; one ballot answers all reads that waited when it began, and a change joins a ballot that was begun for reads; listeners and answers are guarded. Own changes of the node (now also the release of the duty) go first and are not bounded. The contention that a proposer has met outlasts one change, and no retry comes sooner than the voters take to promise. New metric: ballots.

Ruled out: a joining change that was completed with the result of the reads (the ballot takes changes only until it applies one).

--- a/control/src/main/java/saltdale/control/ConfigurationService.java
+++ b/control/src/main/java/saltdale/control/ConfigurationService.java
@@ -21,6 +21,7 @@
     private static final Reply APPLIED = new Reply(200, "taken", null);
     private static final Reply UNDECIDED =
             new Reply(503, "not decided: no majority answered in time, or the call failed here", null);
+    private static final Reply OVERLOADED = new Reply(503, "too many calls wait here; this one was not begun", null);
 
     private final Environment environment;
     private final ControlNodeSettings settings;
@@ -57,7 +58,7 @@
             ConfigurationVersion version = versionFor(state.textKey(), text);
             history.add(version.tree());
             current = version.withTree(history.newest());
-        } catch (InvalidConfiguration | MalformedMessage | RuntimeException e) {
+        } catch (InvalidConfiguration | MalformedMessage | RuntimeException | StackOverflowError | LinkageError e) {
             // Whatever is wrong with a version that is already agreed on, it must not stop what follows it.
             history.markUnreadable(state.revision());
             environment.check(
@@ -97,10 +98,14 @@
      * Proposes an update; the answer follows once it is known to be applied or rejected, or the time limit has passed.
      */
     void propose(ConfigurationUpdate update, Consumer<Reply> answer) {
-        register.propose(
+        boolean accepted = register.propose(
                 (newest, text) -> applyUpdate(update, newest, text),
+                update.bytes(),
                 timeLimit(),
                 reply -> answer.accept(reply == null ? UNDECIDED : (Reply) reply));
+        if (!accepted) {
+            answer.accept(OVERLOADED);
+        }
     }
 
     /** Checks that an update that is reported as applied is part of the newest chosen state. */
@@ -152,11 +157,15 @@
 
     /** Reads the newest configuration, as confirmed by a majority. */
     void read(Consumer<Reply> answer) {
-        register.propose(
-                (newest, text) ->
-                        Proposer.ChangeResult.unchanged(new Reply(200, "", text == null ? EMPTY_CONFIGURATION : text)),
-                timeLimit(),
-                reply -> answer.accept(reply == null ? UNDECIDED : (Reply) reply));
+        boolean accepted =
+                register.read(timeLimit(), result -> answer.accept(result == null ? UNDECIDED : replyTo(result)));
+        if (!accepted) {
+            answer.accept(OVERLOADED);
+        }
+    }
+
+    private static Reply replyTo(ProposalQueue.ReadResult result) {
+        return new Reply(200, "", result.text() == null ? EMPTY_CONFIGURATION : result.text());
     }
 
     /** The time limit of a ballot. A node without a majority answers early, so that the caller turns to another one. */
--- a/control/src/main/java/saltdale/control/ConfigurationUpdate.java
+++ b/control/src/main/java/saltdale/control/ConfigurationUpdate.java
@@ -35,6 +35,11 @@
         return baseRevision;
     }
 
+    /** The size of the update as the operator sent it. */
+    int bytes() {
+        return body.length;
+    }
+
     /** Distinguishes this update from others with the same base revision. */
     byte[] digest() {
         return digest;
--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -69,8 +69,24 @@
     private boolean membersNoticeScheduled;
 
     /** The components that tests replace by faulty variants. */
-    record Components(ConfigurationService.Factory configurationService, VoterChanges.Factory voterChanges) {
-        static final Components DEFAULT = new Components(ConfigurationService::new, VoterChanges::new);
+    record Components(
+            ConfigurationService.Factory configurationService,
+            VoterChanges.Factory voterChanges,
+            ProposalQueue.Factory proposalQueue) {
+        static final Components DEFAULT =
+                new Components(ConfigurationService::new, VoterChanges::new, ProposalQueue::new);
+
+        Components with(ConfigurationService.Factory other) {
+            return new Components(other, voterChanges, proposalQueue);
+        }
+
+        Components with(VoterChanges.Factory other) {
+            return new Components(configurationService, other, proposalQueue);
+        }
+
+        Components with(ProposalQueue.Factory other) {
+            return new Components(configurationService, voterChanges, other);
+        }
     }
 
     /**
@@ -101,7 +117,7 @@
                 : isInitialVoter
                         ? Voter.initialId(nodeSettings.host())
                         : Long.toHexString(environment.random().nextLong());
-        register = new ReplicatedRegister(environment, id, incarnation, this::onChosen);
+        register = new ReplicatedRegister(environment, id, incarnation, components.proposalQueue(), this::onChosen);
         peers = new PeerContacts(
                 environment,
                 nodeSettings,
@@ -359,7 +375,7 @@
         environment.log("chosen state " + state.version() + ": configuration revision " + state.revision() + ", voters "
                 + state.voters().stream().map(Voter::host).toList() + (state.isJoint() ? " (joint)" : "") + ", "
                 + state.duties());
-        configurationService.onChosen(state, text);
+        environment.runGuarded(() -> configurationService.onChosen(state, text));
         publish();
         instanceLifecycle.requestPlan();
     }
@@ -440,7 +456,7 @@
         // others' unnecessary.
         environment.schedule(
                 (long) (nodeSettings.heartbeatNanos() / 8 * environment.random().nextDouble()),
-                () -> register.proposeWithPriority(change, nodeSettings.heartbeatNanos(), done -> proposing = false));
+                () -> register.proposeOwnChange(change, nodeSettings.heartbeatNanos(), done -> proposing = false));
     }
 
     /** Sets the seed hosts, after the settings were read again. */
@@ -455,9 +471,9 @@
      */
     public void shutDown(long timeoutNanos, Runnable onDone) {
         shuttingDown = true;
+        environment.schedule(timeoutNanos, () -> completeShutDown(onDone)); // even if the hand-over fails
         subscriptions.broadcast(new ControlNodeLeaving());
         sendHeartbeats();
-        environment.schedule(timeoutNanos, () -> completeShutDown(onDone));
         election.resign(answer -> {
             onShutDown = onDone;
             completeShutDownIfReplaced();
--- a/control/src/main/java/saltdale/control/Counter.java
+++ b/control/src/main/java/saltdale/control/Counter.java
@@ -4,6 +4,8 @@
 
 /** The control plane counters of a process; each only increases while the process runs. */
 public enum Counter {
+    /** A control node began a ballot, for a change or for the reads that waited. */
+    BALLOTS,
     /** A proxy switched to another control node. */
     CONTROL_NODE_CHANGES,
     /** A proxy began a session with its control node, the first or a new one. */
--- a/control/src/main/java/saltdale/control/DutyElection.java
+++ b/control/src/main/java/saltdale/control/DutyElection.java
@@ -88,7 +88,7 @@
             return;
         }
         DutyLease own = state.duty(STARTING);
-        register.propose(
+        register.proposeOwnChange(
                 (newest, text) -> !own.equals(newest.duty(STARTING))
                         ? Proposer.ChangeResult.unchanged(null)
                         : new Proposer.ChangeResult(
--- a/control/src/main/java/saltdale/control/Proposer.java
+++ b/control/src/main/java/saltdale/control/Proposer.java
@@ -1,7 +1,5 @@
 package saltdale.control;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -18,9 +16,12 @@
 import saltdale.control.message.BallotMessage.TextNeeded;
 
 /**
- * Runs the ballots of the consensus protocol. Each ballot asks a majority for the newest state that any of them has
- * accepted, derives the next state from it, and has a majority accept the result. There is no standing leader: every
- * control node that has a change to make runs a ballot of its own.
+ * Runs the ballots of the consensus protocol, one at a time. Each ballot asks a majority for the newest state that any
+ * of them has accepted, derives the next state from it, and has a majority accept the result. There is no standing
+ * leader: every control node that has a change to make runs a ballot of its own.
+ *
+ * <p>The state that a ballot finds or makes is also the result of all reads that waited here when the ballot began (a
+ * batched read index): whatever was acknowledged before that is part of it.
  */
 final class Proposer {
     /** Derives the next state from the newest one; may reject the change, or find that there is nothing to do. */
@@ -44,8 +45,6 @@
         void onChosen(Ballot ballot, ReplicatedState state, byte[] text);
     }
 
-    private record QueuedChange(Change change, long deadline, Consumer<Object> onResult) {}
-
     /** Time limit for both phases of a ballot, including disk writes and network latency. */
     private static final long BALLOT_TIMEOUT_NANOS = Environment.millisToNanos(400);
     /** Upper limit of the timeout, as a multiple of the usual one, after ballots that no majority answered in time. */
@@ -61,11 +60,15 @@
     private final Acceptor localAcceptor;
     private final Function<String, Boolean> isLocalVoter;
     private final ChosenListener chosenListener;
-    private final Deque<QueuedChange> queue = new ArrayDeque<>();
-    private QueuedChange current;
+    private final ProposalQueue queue;
+    private ProposalQueue.QueuedChange current; // null if ballots are run for reads only, or none are
+    private boolean busy; // ballots are run, or a retry is due
+    private boolean starting;
     private BallotRun activeRun;
     private long highestRound;
+    /** Of ballots since the last one that succeeded: other proposers do not give way when this one's change expires. */
     private int preemptions;
+
     private long ballotTimeoutNanos = BALLOT_TIMEOUT_NANOS;
     /** How long the voters last took to promise, including their disk writes. */
     private long prepareNanos = MIN_RETRY_DELAY_NANOS;
@@ -80,12 +83,14 @@
             String incarnation,
             Acceptor localAcceptor,
             Function<String, Boolean> isLocalVoter,
+            ProposalQueue.Factory queueFactory,
             ChosenListener chosenListener) {
         this.environment = environment;
         this.incarnation = incarnation;
         this.localAcceptor = localAcceptor;
         this.isLocalVoter = isLocalVoter;
         this.chosenListener = chosenListener;
+        queue = queueFactory.create(environment, this::onCurrentExpired);
     }
 
     /**
@@ -106,39 +111,86 @@
     }
 
     /**
-     * Queues a change. The result is {@code null} if no majority could be reached in time, or if the change could not
-     * be computed; the change may then take effect later, or not at all.
+     * Queues an operator's change, which holds this number of bytes. The result is {@code null} if no majority could be
+     * reached in time, or if the change could not be computed; the change may then take effect later, or not at all.
+     * Returns false, and does nothing, if too much waits already.
      */
-    void propose(Change change, long timeoutNanos, Consumer<Object> onResult) {
-        queue.add(new QueuedChange(change, environment.now() + timeoutNanos, onResult));
+    boolean propose(Change change, int bytes, long timeoutNanos, Consumer<Object> onResult) {
+        boolean accepted = queue.offerChange(change, bytes, timeoutNanos, onResult);
         startNext();
+        return accepted;
     }
 
-    /** Queues a change ahead of all waiting ones: a repair must not wait for operators' updates. */
-    void proposeWithPriority(Change change, long timeoutNanos, Consumer<Object> onResult) {
-        queue.addFirst(new QueuedChange(change, environment.now() + timeoutNanos, onResult));
+    /** Queues a change of this node ahead of all waiting ones; there is always room for it. */
+    void proposeOwnChange(Change change, long timeoutNanos, Consumer<Object> onResult) {
+        queue.addOwnChange(change, timeoutNanos, onResult);
         startNext();
     }
 
+    /**
+     * Reads the newest state. The result is {@code null} if no majority could be reached in time. Returns false, and
+     * does nothing, if too many reads wait already.
+     */
+    boolean read(long timeoutNanos, Consumer<ProposalQueue.ReadResult> onResult) {
+        boolean accepted = queue.offerRead(timeoutNanos, onResult);
+        startNext();
+        return accepted;
+    }
+
+    /** Starts ballots for what waits. A loop, since a change may end at once, and so may any number of them. */
     private void startNext() {
-        if (current == null && !queue.isEmpty()) {
-            current = queue.poll();
-            preemptions = 0;
-            startBallot();
+        if (starting) {
+            return;
+        }
+        starting = true;
+        try {
+            joinReads();
+            while (!busy && queue.isWaiting()) {
+                busy = true;
+                startBallot();
+            }
+        } finally {
+            starting = false;
+        }
+    }
+
+    /** Makes a change part of the ballot that is run, or is to be retried, for reads only: it need not wait for them. */
+    private void joinReads() {
+        if (busy && current == null && queue.hasChange()) {
+            if (activeRun == null) {
+                startBallot();
+            } else if (activeRun.isPreparing()) {
+                current = queue.pollChange();
+            }
         }
     }
 
     private void startBallot() {
-        if (environment.now() >= current.deadline || knownState == null) {
+        if (current == null) {
+            current = queue.pollChange();
+        }
+        if (knownState == null) {
+            queue.answerReads(queue.newestRead(), null);
+        }
+        boolean isNeeded = current == null ? queue.hasRead() : !current.isExpired();
+        if (knownState == null || !isNeeded) {
             finish(null);
             return;
         }
         // The local acceptor would reject a ballot below the one that it promised to another proposer.
         highestRound = Math.max(highestRound, localAcceptor.promisedBallot().round()) + 1;
+        environment.counters().increment(Counter.BALLOTS);
         activeRun = new BallotRun(new Ballot(highestRound, incarnation));
         activeRun.prepare();
     }
 
+    /** Ends a change whose time limit has passed, unless a ballot that may still decide it is being run. */
+    private void onCurrentExpired(ProposalQueue.QueuedChange expired) {
+        if (expired == current && activeRun == null) {
+            finish(null);
+        }
+    }
+
     /** Lengthens the timeout, since with very slow disks the usual one would never be long enough. */
     private void onTimeout(BallotRun run) {
         ballotTimeoutNanos = Math.min(2 * ballotTimeoutNanos, MAX_BALLOT_TIMEOUT_FACTOR * BALLOT_TIMEOUT_NANOS);
@@ -151,29 +203,37 @@
         }
         run.cancelTimeout();
         activeRun = null;
+        if (current != null && current.isExpired()) {
+            finish(null);
+            return;
+        }
         preemptions = Math.min(preemptions + 1, 5);
         // Randomized backoff keeps two proposers from preempting each other forever.
         long maxDelay = Math.min(prepareNanos << preemptions, Math.max(MAX_RETRY_DELAY_NANOS, 4 * prepareNanos));
         // Leave time for another ballot before the deadline, however slow the voters were recently.
-        long remaining = current.deadline() - environment.now();
+        long deadline = current != null ? current.deadline() : queue.firstReadDeadline();
+        long remaining = deadline - environment.now();
         long delay = Math.min(
-                (long) (maxDelay * (0.3 + environment.random().nextDouble())),
-                Math.max(MIN_RETRY_DELAY_NANOS, remaining / 3));
+                (long) (maxDelay * (0.3 + environment.random().nextDouble())), Math.max(prepareNanos, remaining / 3));
         environment.schedule(delay, () -> {
-            if (activeRun == null && current != null) {
+            if (activeRun == null && busy) {
                 startBallot();
             }
         });
     }
 
+    /** Ends the ballots for the current change, and starts those for what waits. */
     private void finish(Object answer) {
-        QueuedChange finished = current;
+        ProposalQueue.QueuedChange finished = current;
         if (activeRun != null) {
             activeRun.cancelTimeout();
             activeRun = null;
         }
         current = null;
-        finished.onResult.accept(answer);
+        busy = false;
+        if (finished != null) {
+            finished.complete(answer);
+        }
         startNext();
     }
 
@@ -213,6 +273,8 @@
         private Object answer;
         private final Runnable timeout;
         private final long startedAt = environment.now();
+        private final long newestRead = queue.newestRead();
+        private boolean preparing = true;
 
         BallotRun(Ballot ballot) {
             this.ballot = ballot;
@@ -223,6 +285,11 @@
             timeout.run();
         }
 
+        /** Whether the change that this ballot is for has not been applied to the newest state yet. */
+        boolean isPreparing() {
+            return preparing;
+        }
+
         void prepare() {
             for (List<Voter> set : newestState.voterSets()) {
                 for (Voter voter : set) {
@@ -286,20 +353,15 @@
                                     .filter(v -> newestBallot.equals(promises.get(v.id())))
                                     .count()
                             > set.size() / 2);
-            ChangeResult result;
-            try {
-                result = current.change.apply(newestState, newestText);
-            } catch (RuntimeException e) {
-                // A change that cannot be computed must not hold up those that wait behind it.
-                environment.check(Invariant.CHANGE_COMPUTED, false, () -> Environment.describe(e));
+            preparing = false;
+            ChangeResult result = computeResult();
+            if (result == null) {
                 finish(null);
                 return;
             }
             answer = result.answer();
             if (result.next() == null && isChosen) {
-                chosenListener.onChosen(newestBallot, newestState, newestText);
-                completeIfJoint(newestState);
-                finish(answer);
+                finishAsChosen(newestBallot, newestState, newestText);
                 return;
             }
             proposedState = result.next() == null ? newestState : result.next();
@@ -315,6 +377,31 @@
             }
         }
 
+        /**
+         * Applies the change to the newest state. Returns {@code null} if it cannot be computed; it must not hold up
+         * those that wait behind it.
+         */
+        private ChangeResult computeResult() {
+            try {
+                return current == null
+                        ? ChangeResult.unchanged(null)
+                        : current.change().apply(newestState, newestText);
+            } catch (RuntimeException | StackOverflowError | LinkageError e) {
+                environment.check(Invariant.CHANGE_COMPUTED, false, () -> Environment.describe(e));
+                return null;
+            }
+        }
+
+        /** Ends this ballot with a state that is known to be chosen. */
+        private void finishAsChosen(Ballot chosenBallot, ReplicatedState state, byte[] text) {
+            preemptions = 0;
+            // Whatever a listener throws, the change is decided: its caller and those behind it must learn that.
+            environment.runGuarded(() -> chosenListener.onChosen(chosenBallot, state, text));
+            completeIfJoint(state);
+            queue.answerReads(newestRead, new ProposalQueue.ReadResult(state, text));
+            finish(answer);
+        }
+
         private List<List<Voter>> acceptVoterSets() {
             return proposedState.equals(newestState)
                             || proposedState.voterSets().equals(newestState.voterSets())
@@ -344,10 +431,8 @@
                     return;
                 }
             }
-            chosenListener.onChosen(ballot, proposedState, proposedText);
             ballotTimeoutNanos = Math.max(BALLOT_TIMEOUT_NANOS, ballotTimeoutNanos / 2);
-            completeIfJoint(proposedState);
-            finish(answer);
+            finishAsChosen(ballot, proposedState, proposedText);
         }
 
         /**
@@ -356,8 +441,7 @@
          */
         private void completeIfJoint(ReplicatedState state) {
             if (state.isJoint()) {
-                queue.addFirst(new QueuedChange(
-                        completeVoterChange(state), environment.now() + 4 * BALLOT_TIMEOUT_NANOS, result -> {}));
+                queue.addOwnChange(completeVoterChange(state), 4 * BALLOT_TIMEOUT_NANOS, result -> {});
             }
         }
 
--- a/control/src/main/java/saltdale/control/ReplicatedRegister.java
+++ b/control/src/main/java/saltdale/control/ReplicatedRegister.java
@@ -23,12 +23,13 @@
     private ReplicatedState chosen;
     private byte[] chosenText;
 
-    ReplicatedRegister(Environment environment, String id, String incarnation, Listener listener) {
+    ReplicatedRegister(
+            Environment environment, String id, String incarnation, ProposalQueue.Factory queue, Listener listener) {
         this.environment = environment;
         this.id = id;
         this.listener = listener;
         acceptor = new Acceptor(environment, id);
-        proposer = new Proposer(environment, incarnation, acceptor, id::equals, (ballot, state, newText) -> {
+        proposer = new Proposer(environment, incarnation, acceptor, id::equals, queue, (ballot, state, newText) -> {
             learn(state, newText);
             announceChosen();
         });
@@ -96,13 +97,18 @@
     }
 
     /** See {@link Proposer#propose}. */
-    void propose(Proposer.Change change, long timeoutNanos, Consumer<Object> onResult) {
-        proposer.propose(change, timeoutNanos, onResult);
+    boolean propose(Proposer.Change change, int bytes, long timeoutNanos, Consumer<Object> onResult) {
+        return proposer.propose(change, bytes, timeoutNanos, onResult);
     }
 
-    /** Like {@link #propose}, but ahead of all waiting changes. */
-    void proposeWithPriority(Proposer.Change change, long timeoutNanos, Consumer<Object> onResult) {
-        proposer.proposeWithPriority(change, timeoutNanos, onResult);
+    /** See {@link Proposer#proposeOwnChange}. */
+    void proposeOwnChange(Proposer.Change change, long timeoutNanos, Consumer<Object> onResult) {
+        proposer.proposeOwnChange(change, timeoutNanos, onResult);
+    }
+
+    /** See {@link Proposer#read}. */
+    boolean read(long timeoutNanos, Consumer<ProposalQueue.ReadResult> onResult) {
+        return proposer.read(timeoutNanos, onResult);
     }
 
     /** Handles a consensus message from another control node. */
@@ -167,7 +173,8 @@
         chosen = state;
         chosenText = state.textKey().isEmpty() ? null : newText;
         proposer.learn(state, chosenText, true);
-        listener.onChosen(state, chosenText);
+        // The other control nodes are told whatever happens here.
+        environment.runGuarded(() -> listener.onChosen(state, chosenText));
     }
 
     private void announceChosen() {
--- a/proxy/src/test/java/saltdale/control/AgreedText.java
+++ b/proxy/src/test/java/saltdale/control/AgreedText.java
@@ -44,7 +44,6 @@
                                 : super.versionFor(key, text);
                     }
                 };
-        return new ControlNode(
-                environment, settings, platform, records, new ControlNode.Components(service, VoterChanges::new));
+        return new ControlNode(environment, settings, platform, records, ControlNode.Components.DEFAULT.with(service));
     }
 }
--- a/proxy/src/test/java/saltdale/control/FaultyOrderHandling.java
+++ b/proxy/src/test/java/saltdale/control/FaultyOrderHandling.java
@@ -60,6 +60,26 @@
         }
     },
 
+    /** Fails with an exception when it learns that revision 2 is chosen. */
+    THROWS_WHEN_REVISION_2_IS_CHOSEN {
+        @Override
+        ConfigurationService.Factory service() {
+            return failingWhenRevision2IsChosen(() -> {
+                throw new IllegalStateException("a fault of the test");
+            });
+        }
+    },
+
+    /** Fails with an error when it learns that revision 2 is chosen. */
+    OVERFLOWS_WHEN_REVISION_2_IS_CHOSEN {
+        @Override
+        ConfigurationService.Factory service() {
+            return failingWhenRevision2IsChosen(() -> {
+                throw new StackOverflowError("a fault of the test");
+            });
+        }
+    },
+
     /** Validates the content of an order before it checks whether the order was already applied. */
     CHECKS_CONTENT_FIRST {
         @Override
@@ -88,7 +108,7 @@
             Environment environment, ControlNodeSettings settings, Platform platform, Map<String, byte[]> records)
             throws MalformedMessage {
         return new ControlNode(
-                environment, settings, platform, records, new ControlNode.Components(service(), VoterChanges::new));
+                environment, settings, platform, records, ControlNode.Components.DEFAULT.with(service()));
     }
 
     private static Proposer.ChangeResult refusal(int status) {
@@ -96,6 +116,19 @@
                 new ConfigurationService.Reply(status, "refused by a deliberate fault", null));
     }
 
+    private static ConfigurationService.Factory failingWhenRevision2IsChosen(Runnable failure) {
+        return (environment, settings, register, peers) ->
+                new ConfigurationService(environment, settings, register, peers) {
+                    @Override
+                    void onChosen(ReplicatedState state, byte[] text) {
+                        if (state.revision() == 2) {
+                            failure.run();
+                        }
+                        super.onChosen(state, text);
+                    }
+                };
+    }
+
     private static long oldestOf64(ReplicatedState newest) {
         return newest.revision() - 64; // the tests that use this fault number their changes consecutively
     }
--- a/proxy/src/test/java/saltdale/control/FaultyVoterChanges.java
+++ b/proxy/src/test/java/saltdale/control/FaultyVoterChanges.java
@@ -11,12 +11,7 @@
             Environment environment, ControlNodeSettings settings, Platform platform, Map<String, byte[]> records)
             throws MalformedMessage {
         return new ControlNode(
-                environment,
-                settings,
-                platform,
-                records,
-                new ControlNode.Components(
-                        ConfigurationService::new,
+                environment, settings, platform, records, ControlNode.Components.DEFAULT.with((VoterChanges.Factory)
                         (env, nodeSettings, peers, election, id) ->
                                 new VoterChanges(env, nodeSettings, peers, election, id) {
                                     @Override
--- a/proxy/src/test/java/saltdale/proxy/ConfigurationOrdersTest.java
+++ b/proxy/src/test/java/saltdale/proxy/ConfigurationOrdersTest.java
@@ -95,6 +95,7 @@
             case REFUSES_BEFORE_CHOSEN -> "refused with 412 on top of the newest revision";
             case CHECKS_CONTENT_FIRST -> "refused with 400 although it was applied";
             case THROWS_ON_REVISION_2 -> "CHANGE_COMPUTED";
+            case THROWS_WHEN_REVISION_2_IS_CHOSEN, OVERFLOWS_WHEN_REVISION_2_IS_CHOSEN -> "TASK_COMPLETED";
             case FORGETS_AFTER_64 -> "refused with 412 although it was applied";
         };
     }
--- /dev/null
+++ b/proxy/src/test/java/saltdale/proxy/FailureContainmentTest.java
@@ -0,0 +1,78 @@
+package saltdale.proxy;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import saltdale.control.FaultyOrderHandling;
+import saltdale.control.message.BallotMessage.Accept;
+import saltdale.control.message.Message;
+import saltdale.control.message.SessionMessage.ConfigurationChange;
+
+/** One failure in the handling of a change stops neither that change nor what comes after it. */
+class FailureContainmentTest {
+    /** Makes the sending of some messages fail. */
+    private static void failToSend(SimWorld world, Predicate<Message> isAffected, String to) {
+        world.messageRewriter = (from, host, message) -> {
+            if (host.equals(to) && isAffected.test(message)) {
+                throw new IllegalStateException("a fault of the test");
+            }
+            return message;
+        };
+    }
+
+    private static void assertContained(SimWorld world) {
+        assertThat(world.violations, is(not(empty())));
+        assertThat(world.violations, everyItem(containsString("TASK_COMPLETED")));
+    }
+
+    /** Guards against a failure after a change is chosen, by which its caller and those behind it get no answer. */
+    @ParameterizedTest
+    @EnumSource(
+            value = FaultyOrderHandling.class,
+            names = {"THROWS_WHEN_REVISION_2_IS_CHOSEN", "OVERFLOWS_WHEN_REVISION_2_IS_CHOSEN"})
+    void failingListenerDelaysNoAnswer(FaultyOrderHandling faulty) {
+        SimWorld world = new SimWorld(1);
+        world.controlNodeFactory = faulty::node;
+        world.withNodes(3, 0).startAll();
+        assertTrue(SimOperator.replaceUntilAcknowledged(world, 0, SimOperator.config(1), 5000));
+        world.run(1000);
+        SimMachine node = world.controlNodes.get(0);
+        List<Integer> statuses = new ArrayList<>();
+        SimOperator.replace(node, 1, SimOperator.config(2), reply -> statuses.add(reply.status()));
+        SimOperator.replace(node, 2, SimOperator.config(3), reply -> statuses.add(reply.status()));
+        world.run(1000);
+        assertThat(statuses, is(List.of(200, 200)));
+        assertContained(world);
+    }
+
+    /** Guards against an operator's answer that cannot be sent and by which those behind it get none. */
+    @Test
+    void failingAnswerDelaysNoOther() {
+        SimWorld world = new SimWorld(2).withNodes(3, 0).startAll();
+        assertTrue(SimOperator.replaceUntilAcknowledged(world, 0, SimOperator.config(1), 5000));
+        SimMachine node = world.controlNodes.get(0);
+        List<Integer> statuses = new ArrayList<>();
+        SimOperator.replace(node, 1, SimOperator.config(2), reply -> {
+            throw new IllegalStateException("a fault of the test");
+        });
+        node.controlNode().readConfiguration(reply -> {
+            throw new StackOverflowError("a fault of the test");
+        });
+        node.controlNode().readConfiguration(reply -> statuses.add(reply.status()));
+        SimOperator.replace(node, 2, SimOperator.config(3), reply -> statuses.add(reply.status()));
+        world.run(1000);
+        assertThat(statuses, is(List.of(200, 200)));
+        assertContained(world);
+    }
+}
