Control: a reply that fails does not stop an acceptor for good

What callers would see: a control node whose acceptor replied once with an exception never votes again until it is restarted; with one more node lost the core takes no order, although one loss is tolerated. Found by reading, brought about in a test; met by nobody.

Cause: Acceptor.write ran the replies between diskBusy = true and diskBusy = false; the local reply goes through the proposer, which may send, apply and publish. Records that cannot be encoded had the same effect.

Change: each reply is guarded, and the records are made before the write counts as begun.

Test: failingReplyDoesNotStopAnAcceptor, red before (the exception left the disk's callback).

--- a/control/src/main/java/saltdale/control/Acceptor.java
+++ b/control/src/main/java/saltdale/control/Acceptor.java
@@ -165,12 +165,12 @@
      * a slow disk.
      */
     private void write() {
-        diskBusy = true;
-        List<Runnable> replies = List.copyOf(pendingReplies);
-        pendingReplies.clear();
         String key = acceptedState == null ? "" : acceptedState.textKey();
         Map<String, byte[]> records = recordsToWrite(key);
         long generation = textGeneration;
+        List<Runnable> replies = List.copyOf(pendingReplies);
+        pendingReplies.clear();
+        diskBusy = true;
         environment.persist(records, succeeded -> {
             if (succeeded && generation == textGeneration) {
                 syncedTextKey = key;
@@ -178,7 +178,8 @@
             }
             if (succeeded) {
                 initialRecords.clear(); // they are on disk now
-                replies.forEach(Runnable::run);
+                // A reply that fails must not keep the other ones, or the next write, from being made.
+                replies.forEach(environment::runGuarded);
             }
             diskBusy = false;
             if (!pendingReplies.isEmpty()) {
--- a/proxy/src/test/java/saltdale/proxy/FailureContainmentTest.java
+++ b/proxy/src/test/java/saltdale/proxy/FailureContainmentTest.java
@@ -75,4 +75,23 @@
         assertThat(statuses, is(List.of(200, 200)));
         assertContained(world);
     }
+
+    /** Guards against a failure in an acceptor's reply, after which it never wrote a vote again. */
+    @Test
+    void failingReplyDoesNotStopAnAcceptor() {
+        SimWorld world = new SimWorld(3).withNodes(3, 0).startAll();
+        assertTrue(SimOperator.replaceUntilAcknowledged(world, 0, SimOperator.config(1), 5000));
+        world.run(2000);
+        SimMachine node = world.controlNodes.get(0);
+        world.controlNodes.get(2).powerOff(); // so that the votes of the other two are needed
+        node.syncNanos = 100_000_000; // so that its own promise, once written, is the last one that its ballot needs
+        failToSend(world, Accept.class::isInstance, world.controlNodes.get(1).host);
+        SimOperator.replace(node, 1, SimOperator.config(2), reply -> {});
+        world.runUntil(1000, () -> !world.violations.isEmpty());
+        failToSend(world, message -> false, "");
+        world.run(4000);
+        long base = AgreementTest.revision(SimOperator.read(world, world.controlNodes.get(1)));
+        assertThat(SimOperator.replace(world, node, base, SimOperator.config(3)), is(200));
+        assertContained(world);
+    }
 }
