Control, node: a failure with one proxy, message or periodic run stops no other

What callers would see: proxies without the newest configuration, or without a lease, because the news of another proxy cannot be sent; messages lost with the connection of one that cannot be handled; a list of instances that is never read again. Found by reading, brought about in tests; met by nobody.

Cause: publication went through the proxies without a guard, and renewals through the publication; a failure in a message was one of its connection, which was closed with the messages behind it; three periodic tasks were scheduled again at their end only.

Change: each proxy's news and each message are guarded; periodic tasks are scheduled first.

The seeds in the settings and the closing of idle connections: by reading.

--- a/control/src/main/java/saltdale/control/InstanceListReader.java
+++ b/control/src/main/java/saltdale/control/InstanceListReader.java
@@ -57,16 +57,17 @@
             environment.schedule(lastPageRequestAt + pageIntervalNanos() - now, this::read);
             return;
         }
+        double minIntervalSeconds = controlNode.voterCount()
+                * (pageCount + 1)
+                / (AVERAGE_RATE_SHARE * nodeSettings.rates().listCallsPerSecond());
+        environment.schedule(
+                Math.max(nodeSettings.heartbeatNanos() / 2, (long) (minIntervalSeconds * 1e9)),
+                this::read); // even if this call fails
         // Lists of many pages must not overlap, but a page whose response never came must not block the next list.
         if (!reading || now - lastPageRequestAt > PAGE_TIMEOUT_HEARTBEATS * nodeSettings.heartbeatNanos()) {
             reading = true;
             requestPage(null, new ArrayList<>(), 1, now);
         }
-        double minIntervalSeconds = controlNode.voterCount()
-                * (pageCount + 1)
-                / (AVERAGE_RATE_SHARE * nodeSettings.rates().listCallsPerSecond());
-        environment.schedule(
-                Math.max(nodeSettings.heartbeatNanos() / 2, (long) (minIntervalSeconds * 1e9)), this::read);
     }
 
     private long pageIntervalNanos() {
--- a/control/src/main/java/saltdale/control/Subscriptions.java
+++ b/control/src/main/java/saltdale/control/Subscriptions.java
@@ -149,7 +149,12 @@
         subscribers.values().forEach(this::publish);
     }
 
+    /** Sends a proxy what has changed for it; a failure must not keep the others, or its lease, waiting. */
     private void publish(Subscriber subscriber) {
+        environment.runGuarded(() -> publishNews(subscriber));
+    }
+
+    private void publishNews(Subscriber subscriber) {
         if (configurations.newestAgreedRevision() < 0) {
             return; // before the first configuration there is nothing to serve
         }
--- a/node/src/main/java/saltdale/node/PeerConnections.java
+++ b/node/src/main/java/saltdale/node/PeerConnections.java
@@ -81,8 +81,8 @@
      * control node has file descriptors only for its own proxies.
      */
     private void closeIdle() {
+        loop.schedule(IDLE_TIMEOUT.dividedBy(2), this::closeIdle); // even if this run fails
         outgoingByHost.values().removeIf(OutgoingConnection::closeIfIdle);
-        loop.schedule(IDLE_TIMEOUT.dividedBy(2), this::closeIdle);
     }
 
     /** Sends a message to a host; the message may be lost. */
@@ -101,12 +101,15 @@
         outgoingByHost.computeIfAbsent(to, OutgoingConnection::new).send(frame, message.expectsReply());
     }
 
+    /** Passes on a message. One whose handling fails must not take the connection and the messages behind it along. */
     private void deliver(String from, Message message) {
-        try {
-            messageHandler.handleMessage(from, message);
-        } catch (MalformedMessage e) {
-            LOG.log(System.Logger.Level.WARNING, "message from " + from + " is malformed: " + e.getMessage());
-        }
+        loop.runGuarded(() -> {
+            try {
+                messageHandler.handleMessage(from, message);
+            } catch (MalformedMessage e) {
+                LOG.log(System.Logger.Level.WARNING, "message from " + from + " is malformed: " + e.getMessage());
+            }
+        });
     }
 
     /** The host is alive: its missing reply no longer counts as overdue. */
--- a/node/src/main/java/saltdale/node/SeedWatch.java
+++ b/node/src/main/java/saltdale/node/SeedWatch.java
@@ -33,10 +33,10 @@
     /** Starts the periodic check for contact; must be called on the event loop. */
     void start() {
         environment.loop.schedule(CHECK_INTERVAL, () -> {
+            start(); // even if this check fails
             if (!isInContact.getAsBoolean()) {
                 reload();
             }
-            start();
         });
     }
 
--- a/proxy/src/test/java/saltdale/proxy/FailureContainmentTest.java
+++ b/proxy/src/test/java/saltdale/proxy/FailureContainmentTest.java
@@ -4,17 +4,22 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import saltdale.control.ControlNode;
 import saltdale.control.FaultyOrderHandling;
+import saltdale.control.Platform;
 import saltdale.control.message.BallotMessage.Accept;
 import saltdale.control.message.Message;
 import saltdale.control.message.SessionMessage.ConfigurationChange;
@@ -94,4 +99,69 @@
         assertThat(SimOperator.replace(world, node, base, SimOperator.config(3)), is(200));
         assertContained(world);
     }
+
+    /** Guards against a proxy that cannot be sent its news and by which the others get none. */
+    @Test
+    void failingPublicationDelaysNoOther() {
+        SimWorld world = SimOperator.servingCluster(4, 3, 3);
+        failToSend(world, ConfigurationChange.class::isInstance, world.proxies.get(0).host);
+        assertTrue(SimOperator.replaceUntilAcknowledged(world, 1, SimOperator.config(2), 5000));
+        world.run(3000);
+        for (SimMachine proxy : world.proxies.subList(1, 3)) {
+            assertThat(proxy.proxy().revision(), is(2L));
+        }
+        failToSend(world, message -> false, "");
+        world.run(3000);
+        assertThat(world.proxies.get(0).proxy().revision(), is(2L));
+        assertContained(world);
+    }
+
+    /** A platform whose third list of instances fails before it is requested. */
+    private static final class FailingPlatform implements Platform {
+        private final Platform platform;
+        int lists;
+
+        FailingPlatform(Platform platform) {
+            this.platform = platform;
+        }
+
+        @Override
+        public void listInstances(String token, Consumer<Response> response) {
+            if (++lists == 3) {
+                throw new IllegalStateException("a fault of the test");
+            }
+            platform.listInstances(token, response);
+        }
+
+        @Override
+        public void listWorkers(Consumer<Response> response) {
+            platform.listWorkers(response);
+        }
+
+        @Override
+        public void startInstance(
+                String holder, long fence, String service, String worker, String nonce, Consumer<Response> response) {
+            platform.startInstance(holder, fence, service, worker, nonce, response);
+        }
+
+        @Override
+        public void stopInstance(String holder, long fence, String id, Consumer<Response> response) {
+            platform.stopInstance(holder, fence, id, response);
+        }
+    }
+
+    /** Guards against a list of instances that is never read again after one call has failed. */
+    @Test
+    void failingListCallIsRepeated() {
+        SimWorld world = new SimWorld(5);
+        List<FailingPlatform> platforms = new ArrayList<>();
+        world.controlNodeFactory = (environment, settings, platform, records) -> {
+            platforms.add(new FailingPlatform(platform));
+            return new ControlNode(environment, settings, platforms.get(0), records);
+        };
+        world.withNodes(1, 0).startAll();
+        assertThrows(IllegalStateException.class, () -> world.run(5000));
+        world.run(5000);
+        assertThat(platforms.get(0).lists, is(greaterThan(4)));
+    }
 }
