Net, node: what clients and peers leave waiting is bounded over all connections

What callers would see: a process that ends with OutOfMemoryError when many clients send bodies at the same time, send ahead, or do not read their responses, or when a peer stands still with its connection up.

Cause: each connection had a bound, all of them together had none; responses and messages to a peer whose connection is up had none at all.

Change: a budget of bytes for the bodies of requests (an eighth of the heap in a control node, a quarter in a proxy): 503 with Retry-After and a close when it is used up. A client's next request is served once it has left at most 64 KiB unread; beside a request that is served at most 16 KB more are read. Messages to a peer are dropped over 8 MiB in any case. The dispatcher has no budget (its handler keeps the default) but the other two bounds.

Tests: three in ServerConnectionTest and one in PeerConnectionsTest, red without the change.

--- a/net/src/main/java/saltdale/protocol/HttpParser.java
+++ b/net/src/main/java/saltdale/protocol/HttpParser.java
@@ -139,6 +139,15 @@
         return bodyBytes == body.length ? body : Arrays.copyOf(body, bodyBytes);
     }
 
+    /**
+     * Returns how many bytes the buffered body takes as far as that is known: its length if the head states it, and
+     * otherwise what has arrived, with the rest of the current chunk.
+     */
+    public long bodyBytesKnown() {
+        boolean isInBody = state == State.FIXED_LENGTH_BODY || state == State.CHUNK_DATA;
+        return sink != null ? 0 : bodyBytes + (isInBody ? remainingBytes : 0);
+    }
+
     /** Returns why the message was rejected. */
     public String errorMessage() {
         return errorMessage;
--- a/net/src/main/java/saltdale/serving/ServerConnection.java
+++ b/net/src/main/java/saltdale/serving/ServerConnection.java
@@ -53,12 +53,32 @@
             return null;
         }
 
+        /**
+         * Returns the budget of which the body of a request takes its bytes until it is answered. A request for which
+         * too few are left is answered with 503, and its connection is closed.
+         */
+        default ByteBudget requestBytes() {
+            return ByteBudget.UNLIMITED;
+        }
+
+        /** Returns the header line of a 503 that says when to retry, or an empty string. */
+        default String retryAfterHeader() {
+            return "";
+        }
+
         /** A request was malformed or took too long to arrive. */
         default void requestRejected(boolean timedOut) {}
     }
 
     private static final byte[] EMPTY_BODY = new byte[0];
     private static final ByteBuffer EMPTY_BUFFER = ByteBuffer.allocate(0);
+    /**
+     * How many bytes of further requests are read while one is served, or its response waits for the client; a head, as
+     * a rule. The others wait in the kernel.
+     */
+    private static final int MAX_PIPELINED_BYTES = HttpParser.MAX_HEAD_BYTES;
+    /** The next request of a client is served once it has left no more than this many bytes of responses unread. */
+    private static final int MAX_UNSENT_BYTES = 64 * 1024;
 
     private final Handler handler;
     private final Connection connection;
@@ -75,6 +95,8 @@
     private Timer timer; // for the request that is arriving, or for the idle time between two requests
     private Duration timerStartedAt; // on the clock of the loop
     private boolean idleTimerRunning;
+    private long heldBytes; // of the request budget
+    private boolean throttled; // nothing is read for a moment after a rejected request
     /** The handler's object for the request being served, or null if none is. */
     public Object currentRequest;
 
@@ -120,23 +142,43 @@
     public void received(ByteBuffer bytes) {
         ByteBuffer joined = ByteBuffer.allocate(unparsed.remaining() + bytes.remaining());
         unparsed = joined.put(unparsed).put(bytes).flip();
-        if (serving && unparsed.remaining() > HttpParser.MAX_REQUEST_BODY_BYTES) {
-            connection.setReadEnabled(false);
-        }
         processInput();
     }
 
+    @Override
+    public void flushed() {
+        processInput();
+    }
+
+    /** Returns how many bytes were received and are not parsed yet. */
+    int unparsedBytes() {
+        return unparsed.remaining();
+    }
+
+    /** Reads on unless the client is ahead by enough: its bytes are better kept by the kernel, which limits them. */
+    private void updateReading() {
+        boolean canServe = !serving && !isBehindInReading();
+        connection.setReadEnabled(!throttled && (canServe || unparsed.remaining() < MAX_PIPELINED_BYTES));
+        connection.setMaxReadBytes(canServe ? Integer.MAX_VALUE : MAX_PIPELINED_BYTES);
+    }
+
+    /** Returns whether the client leaves its responses unread. */
+    private boolean isBehindInReading() {
+        return connection.unsentBytes() > MAX_UNSENT_BYTES;
+    }
+
     /** Parses received bytes, one request at a time. This is a loop so that pipelined requests do not recurse. */
     private void processInput() {
         if (parsing) {
             return;
         }
         parsing = true;
-        while (!serving && unparsed.hasRemaining()) {
+        while (!serving && unparsed.hasRemaining() && !isBehindInReading()) {
             parse();
         }
         unparsed = unparsed.hasRemaining() ? unparsed : EMPTY_BUFFER;
         parsing = false;
+        updateReading();
         if (isIdle()) {
             handler.socketBudget()
                     .markIdle(
@@ -184,9 +226,29 @@
 
     private void reject(int status, String message) {
         handler.requestRejected(false);
+        refuse(status, "", message);
+    }
+
+    /** Answers a request that has not arrived completely, and closes the connection. */
+    private void refuse(int status, String more, String message) {
         keepsAlive = false;
         startServing();
-        respond(status, "", message);
+        respond(status, more, message);
+    }
+
+    /** Takes the bytes of the arriving body from the budget; returns whether there were enough. */
+    private boolean holdBody() {
+        long missing = parser.bodyBytesKnown() - heldBytes;
+        if (missing > 0 && !handler.requestBytes().tryAcquire(missing)) {
+            return false;
+        }
+        heldBytes += Math.max(0, missing);
+        return true;
+    }
+
+    private void releaseBody() {
+        handler.requestBytes().release(heldBytes);
+        heldBytes = 0;
     }
 
     /** Called when a request is complete, or is about to be rejected before it is. */
@@ -217,6 +279,8 @@
         parser.parse(unparsed);
         if (parser.isMalformed()) {
             reject(parser.errorStatus(), parser.errorMessage());
+        } else if (!holdBody()) {
+            refuse(503, handler.retryAfterHeader(), "too many requests are being received");
         } else if (parser.isComplete()) {
             startServing();
             Head head = parser.head();
@@ -256,6 +320,7 @@
 
     private void sendResponse(byte[] head, byte[] body, int status, boolean close) {
         currentRequest = null;
+        releaseBody();
         boolean rejected = status >= 400 && status < 500;
         connection.send(ByteBuffer.wrap(head), ByteBuffer.wrap(body));
         if (close) {
@@ -266,12 +331,15 @@
         serving = false;
         newClient &= status >= 400;
         consecutiveRejections = rejected ? Math.min(consecutiveRejections + 1, 7) : 0;
-        connection.setReadEnabled(!rejected);
+        throttled = rejected;
         if (rejected) { // slows down a client that repeats a rejected request as fast as it can send it
-            handler.loop()
-                    .schedule(Duration.ofMillis(5L << consecutiveRejections), () -> connection.setReadEnabled(true));
+            handler.loop().schedule(Duration.ofMillis(5L << consecutiveRejections), () -> {
+                throttled = false;
+                updateReading();
+            });
         }
         processInput();
+        updateReading();
     }
 
     private void releaseAndNotify() {
@@ -280,6 +348,7 @@
             timer = null;
         }
         handler.socketBudget().markBusy(closeAction);
+        releaseBody();
         handler.connectionClosed(this);
     }
 
--- a/net/src/main/java/saltdale/transport/Connection.java
+++ b/net/src/main/java/saltdale/transport/Connection.java
@@ -20,6 +20,9 @@
         /** Bytes have arrived. Those that the handler leaves in the buffer are discarded. */
         void received(ByteBuffer bytes);
 
+        /** Bytes that had to wait for the peer to read have all been written. */
+        default void flushed() {}
+
         /** The connection failed or the peer closed it; it is already closed on this side. */
         void disconnected(String cause);
     }
@@ -37,6 +40,7 @@
     private Handler handler;
     private boolean connecting;
     private boolean readEnabled = true;
+    private int maxReadBytes = Integer.MAX_VALUE;
     private boolean closing;
     private boolean closed;
     private long queuedBytes;
@@ -133,6 +137,11 @@
         return outgoing.isEmpty();
     }
 
+    /** Returns how many queued bytes the kernel has not accepted yet. */
+    public long unsentBytes() {
+        return queuedBytes - writtenBytes;
+    }
+
     /** Returns whether the connection has carried another message before the current one. */
     public boolean isReused() {
         return messageStartOffset > 0;
@@ -158,6 +167,11 @@
         updateInterestOps();
     }
 
+    /** Limits the number of bytes that are read, and passed to the handler, at once. */
+    public void setMaxReadBytes(int count) {
+        maxReadBytes = count;
+    }
+
     /**
      * Returns whether an idle connection can be used again. If the peer has closed it or has sent unsolicited bytes,
      * it is closed and the result is false. This prevents writing a request to a connection that the peer closed while
@@ -227,6 +241,7 @@
         }
         if (!closed && ready.isWritable()) {
             write();
+            notifyIfFlushed();
         }
         if (!closed && ready.isReadable()) {
             read();
@@ -253,11 +268,17 @@
         write();
     }
 
+    private void notifyIfFlushed() {
+        if (!closed && !closing && outgoing.isEmpty()) {
+            handler.flushed();
+        }
+    }
+
     private void read() {
         int count;
         ByteBuffer bytes = loop.readBuffer;
         try {
-            bytes.clear();
+            bytes.clear().limit(Math.min(maxReadBytes, bytes.capacity()));
             count = channel.read(bytes);
         } catch (IOException e) {
             closeAndNotify(String.valueOf(e.getMessage()));
--- a/net/src/test/java/saltdale/serving/ServerConnectionTest.java
+++ b/net/src/test/java/saltdale/serving/ServerConnectionTest.java
@@ -20,7 +20,10 @@
 import saltdale.transport.Listener;
 import saltdale.transport.SocketBudget;
 
-/** Limits that change while a client keeps its connection apply to its next request. */
+/**
+ * Limits that change while a client keeps its connection apply to its next request, and what clients leave waiting is
+ * bounded.
+ */
 @Timeout(20)
 class ServerConnectionTest {
     private static final Duration LONG = Duration.ofSeconds(30);
@@ -37,6 +40,11 @@
         HttpParser.Limits limits = new HttpParser.Limits(1000, 10);
         Duration requestTimeout = LONG;
         Duration idleTimeout = LONG;
+        ByteBudget requestBytes = ByteBudget.UNLIMITED;
+        boolean answers = true;
+        String responseBody = "";
+        int requests;
+        ServerConnection connection; // that of the last request
 
         SettableHandler() {
             try {
@@ -59,7 +67,16 @@
 
         @Override
         public void handleRequest(ServerConnection connection, Head head, byte[] body) {
-            connection.respond(200, "", "");
+            requests++;
+            this.connection = connection;
+            if (answers) {
+                connection.respond(200, "", responseBody);
+            }
+        }
+
+        @Override
+        public ByteBudget requestBytes() {
+            return requestBytes;
         }
 
         @Override
@@ -184,4 +201,64 @@
         assertEquals(408, readStatus());
         assertTrue(handler.sockets.openCount() <= 1);
     }
+
+    private static String head(int bodyBytes) {
+        return "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + bodyBytes + "\r\n\r\n";
+    }
+
+    /** Guards against bodies that arrive, or whose requests are served, at the same time and use up the heap. */
+    @Test
+    void bodiesOverTheBudgetAreRefused() throws IOException {
+        handler.limits = new HttpParser.Limits(1000, 100);
+        handler.requestBytes = new ByteBudget(150);
+        send(head(100) + "x");
+        runFor(SHORT.dividedBy(6));
+        assertEquals(100, handler.requestBytes.used());
+        SocketChannel first = client;
+        client = SocketChannel.open(listener.localAddress());
+        client.configureBlocking(false);
+        send(head(51));
+        assertEquals(503, readStatus());
+        client.close();
+        client = first;
+        send("x".repeat(99));
+        assertEquals(200, readStatus());
+        assertEquals(0, handler.requestBytes.used());
+        send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n50\r\n");
+        runFor(SHORT.dividedBy(6));
+        assertEquals(0x50, handler.requestBytes.used());
+        client.close();
+        runFor(SHORT.dividedBy(6));
+        assertEquals(0, handler.requestBytes.used());
+    }
+
+    /** Guards against a client that sends requests without reading the responses, which then use up the heap. */
+    @Test
+    void requestsAreServedAsTheirResponsesAreRead() throws IOException {
+        int requests = 200;
+        handler.responseBody = "x".repeat(1 << 20);
+        send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n".repeat(requests));
+        runFor(SHORT);
+        assertTrue(handler.requests < requests / 4, "served " + handler.requests);
+        ByteBuffer received = ByteBuffer.allocate(1 << 20);
+        for (long bytes = 0; bytes < (long) requests << 20; ) {
+            runOnce();
+            bytes += Math.max(0, client.read(received.clear()));
+        }
+        assertEquals(requests, handler.requests);
+    }
+
+    /** Guards against a client that sends far ahead while its request is served. */
+    @Test
+    void requestsThatFollowAServedOneWaitInTheKernel() throws IOException {
+        handler.answers = false;
+        send(head(0) + head(10).repeat(2000));
+        runFor(SHORT);
+        assertEquals(1, handler.requests);
+        int waiting = handler.connection.unparsedBytes();
+        assertTrue(waiting <= 64 * 1024 + 2 * HttpParser.MAX_HEAD_BYTES, "waiting: " + waiting);
+        send(head(10).repeat(2000));
+        runFor(SHORT);
+        assertEquals(waiting, handler.connection.unparsedBytes());
+    }
 }
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -11,6 +11,7 @@
 import saltdale.control.message.Message;
 import saltdale.protocol.Head;
 import saltdale.protocol.HttpParser;
+import saltdale.serving.ByteBudget;
 import saltdale.serving.ServerConnection;
 import saltdale.storage.RecordStore;
 import saltdale.storage.RecordStoreException;
@@ -26,11 +27,14 @@
     private static final int REQUEST_TIMEOUT_FACTOR = 4;
 
     private static final int HANDOVER_TENTHS = 7; // of the shutdown grace, for a successor to replace this node
+    private static final int REQUEST_HEAP_DIVISOR = 8; // the share of the heap that orders may take until answered
+    private static final String RETRY_AFTER_HEADER = "Retry-After: 0.2\r\n";
     private static final byte[] EMPTY_BODY = new byte[0];
 
     private final Settings settings;
     private final ControlNode controlNode;
     private final SeedWatch seedWatch;
+    private final ByteBudget requestBytes = new ByteBudget(Runtime.getRuntime().maxMemory() / REQUEST_HEAP_DIVISOR);
     private boolean shuttingDown;
 
     ControlProcess(Settings settings) throws IOException, Settings.InvalidSettingsException {
@@ -171,7 +175,7 @@
             connection.respond(200, "", EMPTY_BODY);
         } else {
             environment.log("rejected a call: " + reply.status() + " " + reply.reason());
-            connection.respond(reply.status(), reply.status() == 503 ? "Retry-After: 0.2\r\n" : "", reply.reason());
+            connection.respond(reply.status(), reply.status() == 503 ? RETRY_AFTER_HEADER : "", reply.reason());
         }
     }
 
@@ -185,6 +189,16 @@
         return new HttpParser.Limits(HttpParser.MAX_HEAD_BYTES, ConfigurationCodec.MAX_TEXT_BYTES);
     }
 
+    @Override
+    public ByteBudget requestBytes() {
+        return requestBytes;
+    }
+
+    @Override
+    public String retryAfterHeader() {
+        return RETRY_AFTER_HEADER;
+    }
+
     @Override
     public Duration requestTimeout() {
         return Duration.ofNanos(REQUEST_TIMEOUT_FACTOR * settings.acknowledgeTimeoutNanos);
--- a/node/src/main/java/saltdale/node/PeerConnections.java
+++ b/node/src/main/java/saltdale/node/PeerConnections.java
@@ -34,7 +34,7 @@
     }
 
     private static final System.Logger LOG = System.getLogger(PeerConnections.class.getName());
-    private static final int MAX_QUEUED_BYTES = 8 << 20; // for a host to which the connection is not yet established
+    private static final int MAX_UNSENT_BYTES = 8 << 20; // for a host that does not read, or is not connected yet
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30); // after the last message sent
 
@@ -101,6 +101,12 @@
         outgoingByHost.computeIfAbsent(to, OutgoingConnection::new).send(frame, message.expectsReply());
     }
 
+    /** Returns how many bytes wait until a host reads them, or is connected. */
+    long unsentBytes(String to) {
+        OutgoingConnection outgoing = outgoingByHost.get(to);
+        return outgoing == null || outgoing.connection == null ? 0 : outgoing.connection.unsentBytes();
+    }
+
     /** Passes on a message. One whose handling fails must not take the connection and the messages behind it along. */
     private void deliver(String from, Message message) {
         loop.runGuarded(() -> {
@@ -127,8 +133,6 @@
         private Duration awaitingReplySince;
         private Duration connectStartedAt;
         private Duration lastSentAt = loop.now();
-        private long queuedBytes;
-        private boolean established;
 
         OutgoingConnection(String to) {
             this.to = to;
@@ -151,20 +155,18 @@
                     return; // the last attempt to connect was less than 100 ms ago
                 }
                 connectStartedAt = now;
-                established = false;
-                queuedBytes = 0;
                 awaitingReplySince = null;
                 connection = Connection.connect(loop, sockets, new InetSocketAddress(to, port), CONNECT_TIMEOUT, this);
                 if (connection == null) {
                     return;
                 }
-                write(Frame.encode(MessageCodec.encode(new Hello(host))));
+                connection.send(Frame.encode(MessageCodec.encode(new Hello(host))));
             }
-            if (!established && queuedBytes > MAX_QUEUED_BYTES) {
+            if (connection.unsentBytes() > MAX_UNSENT_BYTES) {
                 return;
             }
             awaitingReplySince = expectsReply && awaitingReplySince == null ? now : awaitingReplySince;
-            write(frame);
+            connection.send(frame);
         }
 
         /** Closes the connection and returns true if no message was sent for {@link #IDLE_TIMEOUT}. */
@@ -177,16 +179,6 @@
             return idle;
         }
 
-        private void write(ByteBuffer frame) {
-            queuedBytes += frame.remaining();
-            connection.send(frame);
-        }
-
-        @Override
-        public void opened() {
-            established = true;
-        }
-
         @Override
         public void received(ByteBuffer bytes) {
             // The peer sends its messages over a connection of its own.
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -18,6 +18,7 @@
 import saltdale.proxy.Request;
 import saltdale.proxy.RouteDecision;
 import saltdale.proxy.Transport;
+import saltdale.serving.ByteBudget;
 import saltdale.serving.ServerConnection;
 import saltdale.transport.Address;
 import saltdale.transport.ConnectionPool;
@@ -32,6 +33,7 @@
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(4);
     private static final int MAX_MILLIS_DIGITS = 9;
     private static final int MAX_INSTANCES = 4096; // with connections; there are hardly more file descriptors
+    private static final int REQUEST_HEAP_DIVISOR = 4; // the share of the heap that bodies of requests may take
     private static final String RETRY_AFTER_HEADER = "Retry-After: 0.3\r\n";
 
     private final Settings settings;
@@ -44,6 +46,7 @@
     private final Set<ServerConnection> clientConnections = new LinkedHashSet<>();
     private final Listener listener;
     private final SeedWatch seedWatch;
+    private final ByteBudget requestBytes = new ByteBudget(Runtime.getRuntime().maxMemory() / REQUEST_HEAP_DIVISOR);
     private HttpParser.Limits currentLimits = new HttpParser.Limits(16_384, 262_144);
     private boolean shuttingDown;
 
@@ -225,6 +228,16 @@
         return currentLimits;
     }
 
+    @Override
+    public ByteBudget requestBytes() {
+        return requestBytes;
+    }
+
+    @Override
+    public String retryAfterHeader() {
+        return RETRY_AFTER_HEADER;
+    }
+
     @Override
     public Duration requestTimeout() {
         return Duration.ofMillis(
--- a/node/src/test/java/saltdale/node/PeerConnectionsTest.java
+++ b/node/src/test/java/saltdale/node/PeerConnectionsTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -9,6 +10,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.function.BooleanSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -77,4 +79,23 @@
         assertThat(received, is(List.of("next")));
         assertThat(loop.failureCount(), is(1L));
     }
+
+    /** Guards against a peer that stands still with its connection up: its messages used up the heap. */
+    @Test
+    void messagesToAPeerThatDoesNotReadAreDropped() throws IOException {
+        PeerConnections sender = peer(SENDER);
+        int messages = 300;
+        String text = new Random(1)
+                .ints(1 << 18, 'a', 'z')
+                .collect(StringBuilder::new, StringBuilder::appendCodePoint, StringBuilder::append)
+                .toString();
+        try (ServerSocket silent = new ServerSocket(port, 1, InetAddress.getByName(RECEIVER))) {
+            sender.send(RECEIVER, new Fetch("first"));
+            runUntil(() -> sender.unsentBytes(RECEIVER) == 0);
+            for (int i = 0; i < messages; i++) {
+                sender.send(RECEIVER, new Fetch(text));
+            }
+            assertThat(sender.unsentBytes(RECEIVER), is(lessThan(10L << 20)));
+        }
+    }
 }
