--- a/rig/src/main/java/saltdale/rig/platform/Bounds.java
+++ b/rig/src/main/java/saltdale/rig/platform/Bounds.java
@@ -6,11 +6,18 @@
 
 /** The numeric bounds of the contracts in force, as the nodes get them in their settings and the judge applies them. */
 public record Bounds(
-        Duration addressReuse, Duration contact, Duration drain, Duration grace, Duration configApply, int limitSlack) {
+        Duration addressReuse,
+        Duration contact,
+        Duration acknowledge,
+        Duration drain,
+        Duration grace,
+        Duration configApply,
+        int limitSlack) {
     /** The bounds that every deployment of the rig uses. */
     public static final Bounds DEFAULTS = new Bounds(
             Duration.ofSeconds(2),
             Duration.ofSeconds(4),
+            Duration.ofSeconds(5),
             Duration.ofSeconds(3),
             Duration.ofSeconds(6),
             Duration.ofSeconds(3),
@@ -22,7 +29,7 @@
                 .put("seed_lag_s", 3)
                 .put("address_reuse_s", addressReuse.toSeconds())
                 .put("contact_ms", contact.toMillis())
-                .put("acknowledge_ms", 5000)
+                .put("acknowledge_ms", acknowledge.toMillis())
                 .put("catch_up_s", 4)
                 .put("drain_ms", drain.toMillis())
                 .put("grace_s", grace.toSeconds())
--- a/rig/src/main/java/saltdale/rig/platform/live/Soak.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Soak.java
@@ -19,7 +19,7 @@
 /**
  * A soak test of real processes on real sockets. Two operators change the configuration all the time and lose
  * answers, clients use the connections that they have until the process is gone, two or three series of faults and
- * signals overlap in each bout, and an observer checks the proxies in contact. At the end one
+ * signals overlap in each bout, one control node gets many reads at once, and an observer checks the proxies in contact. At the end one
  * control node loses its disk at the moment at which all other machines, proxies included, are killed.
  */
 public final class Soak {
@@ -34,6 +34,9 @@
     private static final int MAX_SERIES_PAUSE_MILLIS = 400;
     private static final double DISK_LOSS_SHARE = 0.4; // of the bouts begin with the loss of a disk
 
+    /** The number of reads that wait at one control node at once, unless another factor is set. */
+    private static final int FLOOD_READS = 1000;
+
     /** An action at a set time of a bout. */
     private interface Action {
         void run() throws IOException;
@@ -53,12 +56,18 @@
     private final SplittableRandom random;
     private final PrintStream out;
     private final List<Thread> threads = new ArrayList<>();
+    private final Duration acknowledgeLimit;
+    private final int floodReads;
+    private final SplittableRandom floodRandom;
 
-    private Soak(SoakCluster cluster, PlatformStandIn standIn, long seed, PrintStream out) {
+    private Soak(SoakCluster cluster, PlatformStandIn standIn, double floodFactor, long seed, PrintStream out) {
         this.cluster = cluster;
         Deployment deployment = standIn.deployment;
         this.out = out;
         random = new SplittableRandom(seed);
+        floodRandom = new SplittableRandom(~seed);
+        floodReads = (int) (FLOOD_READS * floodFactor);
+        acknowledgeLimit = deployment.bounds().acknowledge();
         contact = new SoakContact(deployment.bounds().contact());
         changes = new SoakChanges(deployment, failures);
         unplannedFaults = new SoakContact(deployment.bounds().contact());
@@ -75,13 +84,20 @@
      *
      * @param program the arguments of {@code java} that name the program
      * @param folder the folder of settings, disks and logs
+     * @param floodFactor the number of reads that wait at one control node at once in each bout, in thousands
      */
     public static boolean run(
-            Deployment deployment, List<String> program, Path folder, int bouts, long seed, PrintStream out)
+            Deployment deployment,
+            List<String> program,
+            Path folder,
+            int bouts,
+            double floodFactor,
+            long seed,
+            PrintStream out)
             throws IOException, InterruptedException {
         try (PlatformStandIn standIn = new PlatformStandIn(deployment, new RunnerFaults(Map.of(), seed), seed, null);
                 SoakCluster cluster = new SoakCluster(deployment, program, folder)) {
-            Soak soak = new Soak(cluster, standIn, seed, out);
+            Soak soak = new Soak(cluster, standIn, floodFactor, seed, out);
             try {
                 soak.runBouts(bouts);
             } finally {
@@ -144,7 +160,31 @@
                 planSeries(steps, machine, fault.targetsProxy(), endMillis);
             }
         }
+        Thread flood = startFlood(steps);
         execute(steps);
+        flood.join(STARTUP_LIMIT.toMillis());
+    }
+
+    /** Sends many reads to a control node, right after one of the steps. */
+    private Thread startFlood(List<Step> steps) {
+        List<Machine> controlNodes = cluster.controlNodes();
+        Machine machine = controlNodes.get(floodRandom.nextInt(controlNodes.size()));
+        long delayMillis = steps.get(floodRandom.nextInt(steps.size())).atMillis();
+        SoakFlood flood = new SoakFlood(machine, floodReads, acknowledgeLimit, contact, changes, failures);
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        Thread.sleep(delayMillis);
+                        report(floodReads + " reads at once at " + machine.name());
+                        flood.run();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                },
+                "flood");
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
     }
 
     /** Plans further faults of a machine, each soon after the end of the one before. */
--- a/rig/src/main/java/saltdale/rig/platform/live/SoakContact.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/SoakContact.java
@@ -55,6 +55,11 @@
         return activeFaults.getOrDefault(machine, 0) == 0;
     }
 
+    /** Whether the machine has had no fault since this moment, by {@link System#nanoTime}. */
+    synchronized boolean isUndisturbedSince(String machine, long sinceNanos) {
+        return isUndisturbed(machine, System.nanoTime(), System.nanoTime() - sinceNanos);
+    }
+
     /** Whether the machine is in contact now. */
     synchronized boolean isInContact(String machine) {
         long now = System.nanoTime();
--- a/tools/src/main/java/saltdale/tools/Platform.java
+++ b/tools/src/main/java/saltdale/tools/Platform.java
@@ -163,6 +163,7 @@
             description = "Runs real processes under overlapping faults and configuration changes, for many seeds.")
     static final class SoakCommand implements Callable<Integer> {
         private static final int MAX_SEEDS = 50;
+        private static final int MAX_FLOOD = 10; // thousands of connections; of more, few are accepted
 
         @Mixin
         private Size size;
@@ -185,16 +186,26 @@
                 description = "Rounds of faults per seed (default: ${DEFAULT-VALUE}).")
         private int bouts;
 
+        @Option(
+                names = "--flood",
+                paramLabel = "FACTOR",
+                defaultValue = "1",
+                description = "Thousands of reads that wait at one control node at once, in each round (default: "
+                        + "${DEFAULT-VALUE}).")
+        private double flood;
+
         @Override
         public Integer call() throws Exception {
             if (seeds < 1 || seeds > MAX_SEEDS || bouts < 1) {
                 throw new InvalidInputException("--seeds: expected 1 to " + MAX_SEEDS + "; --bouts: expected over 0");
+            } else if (!(flood >= 0 && flood <= MAX_FLOOD)) {
+                throw new InvalidInputException("--flood: expected 0 to " + MAX_FLOOD);
             }
             List<String> program = List.of("-jar", build.jar().toAbsolutePath().toString());
             int failed = 0;
             for (int i = 0; i < seeds; i++) {
                 Path folder = build.out.resolve("seed-" + (seed + i));
-                boolean passed = Soak.run(size.deployment(2 * i), program, folder, bouts, seed + i, System.out);
+                boolean passed = Soak.run(size.deployment(2 * i), program, folder, bouts, flood, seed + i, System.out);
                 failed += passed ? 0 : 1;
             }
             System.out.println(seeds + " seeds, " + failed + " failed");
--- a/tools/src/test/java/saltdale/tools/SoakTest.java
+++ b/tools/src/test/java/saltdale/tools/SoakTest.java
@@ -29,7 +29,7 @@
         List<String> program = List.of("-cp", System.getProperty("java.class.path"), "saltdale.node.Main");
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         PrintStream out = new PrintStream(output, true, StandardCharsets.UTF_8);
-        boolean passed = Soak.run(Deployment.small(NET, 2, 3), program, folder, 1, 1, out);
+        boolean passed = Soak.run(Deployment.small(NET, 2, 3), program, folder, 1, 1, 1, out);
         assertTrue(passed, output.toString(StandardCharsets.UTF_8));
     }
 }
