--- a/control/src/main/java/saltdale/control/Acceptor.java
+++ b/control/src/main/java/saltdale/control/Acceptor.java
@@ -23,6 +23,11 @@
 final class Acceptor {
     static final String VOTE_RECORD = "acceptor";
     static final String TEXT_RECORD_PREFIX = "text:";
+    /**
+     * The most replies that wait for a disk that hangs. Beyond them no reply is made, as if it were lost: the ballots that
+     * it would be for have ended long since.
+     */
+    private static final int MAX_PENDING_REPLIES = 1024;
 
     private final Environment environment;
     private final String id;
@@ -154,7 +159,9 @@
      * failure, and never if the write fails.
      */
     private void persist(Runnable onSynced) {
-        pendingReplies.add(onSynced);
+        if (pendingReplies.size() < MAX_PENDING_REPLIES) {
+            pendingReplies.add(onSynced);
+        }
         if (!diskBusy) {
             write();
         }
--- a/net/src/main/java/saltdale/transport/Connection.java
+++ b/net/src/main/java/saltdale/transport/Connection.java
@@ -154,6 +154,7 @@
         }
         for (ByteBuffer part : parts) {
             queuedBytes += part.remaining();
+            sockets.addUnsentBytes(part.remaining());
             outgoing.add(part);
         }
         if (!connecting) {
@@ -221,7 +222,7 @@
         if (!closed) {
             closed = true;
             connecting = false;
-            outgoing.clear();
+            dropOutgoing();
             if (timeout != null) {
                 timeout.cancel(); // a pending timer would keep the closed connection in memory
             }
@@ -304,7 +305,7 @@
             // Bytes that have already arrived can still be read. The handler is notified in a later iteration of the
             // event loop, not from within send().
             String cause = String.valueOf(e.getMessage());
-            outgoing.clear();
+            dropOutgoing();
             loop.defer(this, () -> closeAndNotify(cause));
             return;
         }
@@ -339,6 +340,7 @@
             ByteBuffer part = outgoing.peek();
             int taken = Math.min(remaining, part.remaining());
             part.position(part.position() + taken);
+            sockets.addUnsentBytes(-taken);
             remaining -= taken;
             if (part.hasRemaining()) {
                 return;
@@ -347,6 +349,11 @@
         }
     }
 
+    private void dropOutgoing() {
+        outgoing.forEach(part -> sockets.addUnsentBytes(-part.remaining()));
+        outgoing.clear();
+    }
+
     private void shutdownOutputIfFlushed() {
         if (!closing || !outgoing.isEmpty()) {
             return;
--- a/net/src/main/java/saltdale/transport/SocketBudget.java
+++ b/net/src/main/java/saltdale/transport/SocketBudget.java
@@ -34,6 +34,7 @@
     private final EventLoop loop;
     private int limit;
     private int openCount;
+    private long unsentBytes;
     private final Map<IdleRank, Map<Runnable, Duration>> idleSince = new EnumMap<>(IdleRank.class);
     private Runnable releaseListener = () -> {};
 
@@ -56,6 +57,15 @@
         return openCount;
     }
 
+    /** Returns how many bytes all connections together hold until their peers read them. */
+    public long unsentBytes() {
+        return unsentBytes;
+    }
+
+    void addUnsentBytes(long count) {
+        unsentBytes += count;
+    }
+
     /** Marks a connection as idle from now on; {@code close} closes it and identifies it. */
     public void markIdle(IdleRank rank, Runnable close) {
         markBusy(close);
--- a/node/src/main/java/saltdale/node/OutgoingCall.java
+++ b/node/src/main/java/saltdale/node/OutgoingCall.java
@@ -64,15 +64,21 @@
         }
         finished = true;
         timeoutTimer.cancel();
-        if (connection != null) {
-            if (response != null
-                    && response.isBodyDelimited()
-                    && response.head().keepsAlive()) {
-                pool.release(connection);
-            } else {
-                connection.close();
-            }
+        try {
+            endConnection(response);
+        } finally {
+            onResponse.accept(response); // whoever waits for it makes no other call meanwhile
+        }
+    }
+
+    private void endConnection(HttpParser response) {
+        if (connection == null) {
+            return;
+        }
+        if (response != null && response.isBodyDelimited() && response.head().keepsAlive()) {
+            pool.release(connection);
+        } else {
+            connection.close();
         }
-        onResponse.accept(response);
     }
 }
--- a/node/src/main/java/saltdale/node/PooledConnections.java
+++ b/node/src/main/java/saltdale/node/PooledConnections.java
@@ -30,6 +30,11 @@
             return connection.sendProgress();
         }
 
+        @Override
+        public void setReadEnabled(boolean enabled) {
+            connection.setReadEnabled(enabled);
+        }
+
         @Override
         public void close() {
             connection.close();
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -34,6 +34,7 @@
     private static final int MAX_MILLIS_DIGITS = 9;
     private static final int MAX_INSTANCES = 4096; // with connections; there are hardly more file descriptors
     private static final int REQUEST_HEAP_DIVISOR = 4; // the share of the heap that bodies of requests may take
+    private static final int ANSWER_HEAP_DIVISOR = 4; // the share of the heap that answers may take
     private static final String RETRY_AFTER_HEADER = "Retry-After: 0.3\r\n";
 
     private final Settings settings;
@@ -47,12 +48,15 @@
     private final Listener listener;
     private final SeedWatch seedWatch;
     private final ByteBudget requestBytes = new ByteBudget(Runtime.getRuntime().maxMemory() / REQUEST_HEAP_DIVISOR);
+    private final AnswerMemory answerMemory;
     private HttpParser.Limits currentLimits = new HttpParser.Limits(16_384, 262_144);
     private boolean shuttingDown;
 
     ProxyProcess(Settings settings) throws IOException, Settings.InvalidSettingsException {
         this.settings = settings;
         environment = new EventLoopEnvironment(settings, null, this);
+        answerMemory = new AnswerMemory(
+                environment.loop, environment.sockets, Runtime.getRuntime().maxMemory() / ANSWER_HEAP_DIVISOR);
         proxy = new Proxy(
                 environment,
                 new ProxySettings(
@@ -305,22 +309,48 @@
             environment.loop.defer(() -> proxy.attemptEnded(attempt, Attempt.Outcome.NOT_CONNECTED));
             return;
         }
-        UpstreamExchange exchange =
-                new UpstreamExchange(attempt, connectionsTo(attempt.instanceId, attempt.address), (ended, outcome) -> {
-                    if (outcome != Attempt.Outcome.ANSWERED) {
-                        exchanges.remove(attempt);
-                        logFailedAttempt(ended, outcome);
-                    }
-                    proxy.attemptEnded(attempt, outcome);
-                });
+        UpstreamExchange exchange = new UpstreamExchange(
+                attempt, connectionsTo(attempt.instanceId, attempt.address), new AttemptListener(attempt));
         exchanges.put(attempt, exchange);
         long remainingMillis = Math.max(1, (attempt.deadline - environment.now()) / 1_000_000);
         if (!exchange.start(client.head, client.body, remainingMillis)) {
-            exchanges.remove(attempt);
+            removeExchange(attempt);
             environment.loop.defer(() -> proxy.attemptEnded(attempt, Attempt.Outcome.NOT_CONNECTED));
         }
     }
 
+    /** Ends what is kept of an exchange; returns it, or null if there is none. */
+    private UpstreamExchange removeExchange(Attempt attempt) {
+        UpstreamExchange exchange = exchanges.remove(attempt);
+        if (exchange != null) {
+            answerMemory.release(exchange);
+        }
+        return exchange;
+    }
+
+    /** Passes the result of an exchange on; an answer is kept until it is delivered. */
+    private final class AttemptListener implements UpstreamExchange.OutcomeListener {
+        private final Attempt attempt;
+
+        AttemptListener(Attempt attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public void exchangeEnded(UpstreamExchange exchange, Attempt.Outcome outcome) {
+            if (outcome != Attempt.Outcome.ANSWERED) {
+                removeExchange(attempt);
+                logFailedAttempt(exchange, outcome);
+            }
+            proxy.attemptEnded(attempt, outcome);
+        }
+
+        @Override
+        public boolean mayReadOn(UpstreamExchange exchange) {
+            return answerMemory.mayReadOn(exchange);
+        }
+    }
+
     private void logFailedAttempt(UpstreamExchange exchange, Attempt.Outcome outcome) {
         Attempt attempt = exchange.attempt;
         environment.log("attempt failed: " + attempt.request.id + " at " + attempt.instanceId + ": " + outcome + ", "
@@ -329,13 +359,13 @@
 
     @Override
     public boolean abandon(Attempt attempt) {
-        UpstreamExchange exchange = exchanges.remove(attempt);
+        UpstreamExchange exchange = removeExchange(attempt);
         return exchange == null || exchange.abandon(); // null if no socket was available
     }
 
     @Override
     public void deliverAnswer(Attempt attempt) {
-        UpstreamExchange exchange = exchanges.remove(attempt);
+        UpstreamExchange exchange = removeExchange(attempt);
         ((ClientRequest) attempt.request.clientContext)
                 .connection.forwardResponse(exchange.answerHead, exchange.answerBody);
     }
--- a/node/src/main/java/saltdale/node/UpstreamConnection.java
+++ b/node/src/main/java/saltdale/node/UpstreamConnection.java
@@ -13,6 +13,9 @@
     /** Returns how much of the request the kernel has accepted, which is what the instance may have received. */
     SendProgress sendProgress();
 
+    /** Enables or disables reading; while it is disabled, bytes of the instance stay in the kernel. */
+    default void setReadEnabled(boolean enabled) {}
+
     /** Closes the connection; its handler is not called any more. */
     void close();
 }
--- a/node/src/main/java/saltdale/node/UpstreamExchange.java
+++ b/node/src/main/java/saltdale/node/UpstreamExchange.java
@@ -19,6 +19,14 @@
     interface OutcomeListener {
         /** The exchange has ended; not called after {@link UpstreamExchange#abandon}. */
         void exchangeEnded(UpstreamExchange exchange, Attempt.Outcome outcome);
+
+        /**
+         * Part of an answer has arrived. Returns whether the rest may be read now; if not, it is read after
+         * {@link UpstreamExchange#resumeReading}.
+         */
+        default boolean mayReadOn(UpstreamExchange exchange) {
+            return true;
+        }
     }
 
     private static final Set<String> REMOVED_HEADERS = HttpWriter.union(
@@ -86,6 +94,7 @@
             } else if (isHeadRequest && parser.head() != null && hasAttemptId(parser.head())) {
                 handleAnswer(false);
             } else if (!parser.isComplete()) {
+                connection.setReadEnabled(listener.mayReadOn(this));
                 return;
             } else if (belongsToAttempt(parser.head())) {
                 handleAnswer(!bytes.hasRemaining());
@@ -99,6 +108,18 @@
         }
     }
 
+    /** Returns how many bytes the answer takes, as far as that is known. */
+    long answerBytesKnown() {
+        return parser.bodyBytesKnown();
+    }
+
+    /** Reads the rest of the answer. */
+    void resumeReading() {
+        if (!finished) {
+            connection.setReadEnabled(true);
+        }
+    }
+
     /**
      * Returns whether an answer belongs to this attempt, which it does if it carries the id of the attempt. A refusal
      * without an id is accepted only on a connection that carried no attempt before; on a reused connection it may be a
