--- a/control/src/main/java/saltdale/control/Acceptor.java
+++ b/control/src/main/java/saltdale/control/Acceptor.java
@@ -24,8 +24,8 @@
     static final String VOTE_RECORD = "acceptor";
     static final String TEXT_RECORD_PREFIX = "text:";
     /**
-     * The most replies that wait for a disk that hangs. Beyond them no reply is made, as if it were lost: the ballots that
-     * it would be for have ended long since.
+     * The most replies that wait for a disk that hangs. Beyond them no reply is made, as if it were lost: the ballots
+     * that it would be for have ended long since.
      */
     private static final int MAX_PENDING_REPLIES = 1024;
 
--- a/control/src/main/java/saltdale/control/Environment.java
+++ b/control/src/main/java/saltdale/control/Environment.java
@@ -31,8 +31,9 @@
     void persist(Map<String, byte[]> records, Consumer<Boolean> onComplete);
 
     /**
-     * Runs a task whose failure must not affect what comes after it: what it throws is logged and counted as a violation
-     * of {@link Invariant#TASK_COMPLETED}. Errors that end the process, such as {@link OutOfMemoryError}, are thrown on.
+     * Runs a task whose failure must not affect what comes after it: what it throws is logged and counted as a
+     * violation of {@link Invariant#TASK_COMPLETED}. Errors that end the process, such as {@link OutOfMemoryError}, are
+     * thrown on.
      */
     void runGuarded(Runnable task);
 
--- a/control/src/main/java/saltdale/control/Proposer.java
+++ b/control/src/main/java/saltdale/control/Proposer.java
@@ -154,7 +154,7 @@
         }
     }
 
-    /** Makes a change part of the ballot that is run, or is to be retried, for reads only: it need not wait for them. */
+    /** Makes a change part of a ballot that is run, or is to be retried, for reads only: it need not wait for them. */
     private void joinReads() {
         if (busy && current == null && queue.hasChange()) {
             if (activeRun == null) {
--- a/rig/src/main/java/saltdale/rig/platform/live/Soak.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/Soak.java
@@ -19,8 +19,9 @@
 /**
  * A soak test of real processes on real sockets. Two operators change the configuration all the time and lose
  * answers, clients use the connections that they have until the process is gone, two or three series of faults and
- * signals overlap in each bout, one control node gets many reads at once, and an observer checks the proxies in contact. At the end one
- * control node loses its disk at the moment at which all other machines, proxies included, are killed.
+ * signals overlap in each bout, one control node gets many reads at once, and an observer checks the proxies in
+ * contact. At the end one control node loses its disk at the moment at which all other machines, proxies included, are
+ * killed.
  */
 public final class Soak {
     private static final Duration STARTUP_LIMIT = Duration.ofSeconds(20);
