Proxy, control: one service, request or start that fails stops no other

Found by reading.

Cause: periodic work and loops over requests, services and starts without a guard for each.

Change: each is guarded; the periodic work is scheduled first, as is the end of a proxy.

Tests: failureAfterAPauseDoesNotEndThePeriodicWork (red before), failingServiceDoesNotAffectOthers.

--- a/control/src/main/java/saltdale/control/ControlNode.java
+++ b/control/src/main/java/saltdale/control/ControlNode.java
@@ -412,7 +412,7 @@
         if (hadQuorum && !hasMajority()) {
             environment.counters().increment(Counter.QUORUM_LOSSES);
             environment.log("lost the quorum");
-            subscriptions.broadcast(new QuorumLost());
+            environment.runGuarded(() -> subscriptions.broadcast(new QuorumLost()));
         } else if (!hadQuorum && hasMajority()) {
             environment.log("has a quorum");
             publish();
--- a/control/src/main/java/saltdale/control/InstanceLifecycle.java
+++ b/control/src/main/java/saltdale/control/InstanceLifecycle.java
@@ -116,7 +116,7 @@
         // A new duty holder repeats the requests of the previous one, and so learns their results.
         if (fence != controlNode.fence()) {
             fence = controlNode.fence();
-            scaler = new Scaler(nodeSettings.heartbeatNanos() * 7 / 2, now);
+            scaler = new Scaler(nodeSettings.heartbeatNanos() * 7 / 2, now, environment::runGuarded);
             pendingStarts.values().forEach(start -> start.inFlight = false);
             workers.expire();
             controlNode.instances().all().stream()
@@ -125,7 +125,7 @@
         }
         if (now - lastAnnouncementAt > nodeSettings.heartbeatNanos()) {
             lastAnnouncementAt = now;
-            announcePending();
+            environment.runGuarded(this::announcePending);
         }
         listReader.forgetUnknown();
         leavingSince
@@ -136,22 +136,22 @@
         pendingStarts
                 .values()
                 .removeIf(start -> !start.inFlight && now - start.updatedAt > 20 * nodeSettings.heartbeatNanos());
-        workers.refresh(now, controlNode.configuration() != null);
+        environment.runGuarded(() -> workers.refresh(now, controlNode.configuration() != null));
         for (PendingStart start : List.copyOf(pendingStarts.values())) {
             if (!start.inFlight
                     && (start.attempts == 0 || now - start.updatedAt > nodeSettings.heartbeatNanos() / 4)
                     && tryAcquireDutyCall(now)) {
-                requestStart(start, now);
+                environment.runGuarded(() -> requestStart(start, now));
             }
         }
         if (controlNode.configuration() != null && !workers.all().isEmpty()) {
-            plan(now);
+            environment.runGuarded(() -> plan(now));
         }
         for (Map.Entry<String, Long> each : List.copyOf(leavingSince.entrySet())) {
             // By then the proxies have learned that the instance must get no more requests.
             if (now - each.getValue() > nodeSettings.heartbeatNanos() / 2 && tryAcquireDutyCall(now)) {
                 leavingSince.put(each.getKey(), now);
-                requestStop(each.getKey());
+                environment.runGuarded(() -> requestStop(each.getKey()));
             }
         }
     }
--- a/control/src/main/java/saltdale/control/Scaler.java
+++ b/control/src/main/java/saltdale/control/Scaler.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 
 /**
  * Decides which instances to start, on which workers, and which to stop. It scales up by the requests that wait, and
@@ -60,14 +61,17 @@
     private final long initialNoStopNanos;
 
     private final long startedAt;
+    private final Consumer<Runnable> guard;
 
     /** Instance counts that were desired recently, each with the time at which it expires. */
     private final Map<ServiceZone, TreeMap<Integer, Long>> recentCounts = new HashMap<>();
 
     private FunctionIndex functions;
 
-    Scaler(long initialNoStopNanos, long startedAt) {
+    /** {@code guard} runs the planning of each service, and contains its failures. */
+    Scaler(long initialNoStopNanos, long startedAt, Consumer<Runnable> guard) {
         this.initialNoStopNanos = initialNoStopNanos;
+        this.guard = guard;
         this.startedAt = startedAt;
     }
 
@@ -82,15 +86,43 @@
         if (functions == null || functions.configuration != configuration) {
             functions = new FunctionIndex(configuration);
         }
-        Plan plan = new Plan(new ArrayList<>(), new ArrayList<>());
-        double warmMb = WARM_MEMORY_SHARE
-                * workers.stream().mapToDouble(w -> w.memoryMb).sum();
-        for (Configuration.Service service : functions.byName) {
+        PlanRun run = new PlanRun(now, demand, instances, workers, pendingStarts);
+        // A service that cannot be planned must not keep the others from being started and stopped.
+        functions.byName.forEach(service -> guard.accept(() -> run.planService(service)));
+        return run.plan;
+    }
+
+    /** One run of the planning, with what it is based on. */
+    private final class PlanRun {
+        final Plan plan = new Plan(new ArrayList<>(), new ArrayList<>());
+        private final long now;
+        private final Map<String, List<Demand>> demand;
+        private final InstanceTable instances;
+        private final List<Worker> workers;
+        private final PendingStarts pendingStarts;
+        private double warmMb; // that may still be used to keep services warm
+
+        PlanRun(
+                long now,
+                Map<String, List<Demand>> demand,
+                InstanceTable instances,
+                List<Worker> workers,
+                PendingStarts pendingStarts) {
+            this.now = now;
+            this.demand = demand;
+            this.instances = instances;
+            this.workers = workers;
+            this.pendingStarts = pendingStarts;
+            warmMb = WARM_MEMORY_SHARE
+                    * workers.stream().mapToDouble(w -> w.memoryMb).sum();
+        }
+
+        void planService(Configuration.Service service) {
             List<Demand> demands = demand.getOrDefault(service.name(), List.of());
             double target = functions.targetSeconds(service);
             boolean bootExceedsTarget = service.bootMs() / 1000.0 > target;
             if (!bootExceedsTarget && demands.isEmpty() && !instances.hasInstancesOf(service.name())) {
-                continue; // the common case: most functions are idle most of the time
+                return; // the common case: most functions are idle most of the time
             }
             List<Instance> live = instances.ofService(service.name()).stream()
                     .filter(instance -> instance.phase().compareTo(Instance.Phase.LEAVING) < 0)
@@ -106,7 +138,6 @@
             }
             reconcile(now, service, holdNanos, desired, live, instances, workers, pendingStarts, plan);
         }
-        return plan;
     }
 
     private static void keepOneWarm(
--- a/control/src/test/java/saltdale/control/ScalerTest.java
+++ b/control/src/test/java/saltdale/control/ScalerTest.java
@@ -8,6 +8,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -58,10 +59,11 @@
         addWaitingRequests("s0", "a", 2);
         pendingStarts.add("s0", "b", "b1"); // a pending start in another zone does not count here
         assertThat(
-                plannedStarts(new Scaler(0, 0), configuration(2), workers), containsInAnyOrder("s0 on a1", "s0 on a2"));
+                plannedStarts(new Scaler(0, 0, Runnable::run), configuration(2), workers),
+                containsInAnyOrder("s0 on a1", "s0 on a2"));
         pendingStarts.add("s0", "a", "a1");
         pendingStarts.add("s0", "a", "a2");
-        assertThat(plannedStarts(new Scaler(0, 0), configuration(2), workers), is(empty()));
+        assertThat(plannedStarts(new Scaler(0, 0, Runnable::run), configuration(2), workers), is(empty()));
     }
 
     /**
@@ -79,7 +81,7 @@
         for (int i = 0; i < PENDING_STARTS; i++) {
             pendingStarts.add("s" + i % SERVICES, "a", "a1");
         }
-        Scaler scaler = new Scaler(0, 0);
+        Scaler scaler = new Scaler(0, 0, Runnable::run);
         for (int i = 0; i < PLANS; i++) {
             assertThat(plannedStarts(scaler, configuration, full), is(empty()));
         }
@@ -94,6 +96,26 @@
         // Too little memory for an instance without demand, which would hide that none is started for the demand.
         List<Worker> workers = List.of(new Worker("a1", "a", true, 900, 900));
         addWaitingRequests("s0", "a", 1);
-        assertThat(plannedStarts(new Scaler(0, 0), configuration(1, bootMs, route), workers), hasItem("s0 on a1"));
+        assertThat(
+                plannedStarts(new Scaler(0, 0, Runnable::run), configuration(1, bootMs, route), workers),
+                hasItem("s0 on a1"));
+    }
+
+    /** Guards against a service that cannot be planned and by which nothing is started any more. */
+    @Test
+    void failingServiceDoesNotAffectOthers() throws Exception {
+        List<Worker> workers = List.of(new Worker("a1", "a", true, 900, 900));
+        demands.put("s0", Arrays.asList((Demand) null));
+        addWaitingRequests("s1", "a", 1);
+        List<Exception> failures = new ArrayList<>();
+        Scaler scaler = new Scaler(0, 0, task -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                failures.add(e);
+            }
+        });
+        assertThat(plannedStarts(scaler, configuration(2), workers), hasItem("s1 on a1"));
+        assertThat(failures.size(), is(1));
     }
 }
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -102,13 +102,13 @@
         environment.loop.execute(() -> {
             if (!shuttingDown) {
                 shuttingDown = true;
-                proxy.shutDown(settings.shutdownGraceNanos / 3);
+                environment.runGuarded(() -> proxy.shutDown(settings.shutdownGraceNanos / 3));
                 // New connections still arrive until the load balancer has found this proxy not ready twice.
                 environment.loop.schedule(Duration.ofMillis(2300), this::stopAccepting);
                 environment.loop.schedule(Duration.ofNanos(settings.shutdownGraceNanos * 5 / 6), () -> {
-                    proxy.failOpenRequests();
                     environment.loop.schedule(
                             Duration.ofNanos(settings.shutdownGraceNanos / 20), environment.loop::stop);
+                    proxy.failOpenRequests(); // whatever it throws, the process ends
                 });
             }
         });
@@ -129,7 +129,7 @@
         clientConnections.stream()
                 .filter(connection -> connection.isIdle() && connection.isFlushed())
                 .toList()
-                .forEach(ServerConnection::closeIfNotServing);
+                .forEach(connection -> environment.runGuarded(connection::closeIfNotServing));
         if (clientConnections.isEmpty() && proxy.openRequests() == 0 && environment.sockets.closingCount() == 0) {
             environment.loop.stop();
         } else {
--- a/proxy/src/main/java/saltdale/proxy/ControlSession.java
+++ b/proxy/src/main/java/saltdale/proxy/ControlSession.java
@@ -118,7 +118,7 @@
 
     private void tick() {
         environment.schedule(selector.tickNanos(), this::tick);
-        selector.tick();
+        environment.runGuarded(selector::tick);
         // Until the first grant of a session, renewals are sent at every tick, since messages may be lost.
         if (!granted || environment.now() - renewedAt >= renewalIntervalNanos()) {
             renewLease();
--- a/proxy/src/main/java/saltdale/proxy/OwnedServices.java
+++ b/proxy/src/main/java/saltdale/proxy/OwnedServices.java
@@ -245,15 +245,18 @@
     /** Expires what is overdue, confirms queued claims and reports the demand; called periodically. */
     void tick() {
         long now = environment.now();
-        allocators.values().forEach(allocator -> {
-            allocator.expire(now);
-            bootingInstances.startTests(allocator);
-        });
+        // A service whose slots cannot be managed must not affect the others.
+        for (SlotAllocator allocator : allocators.values()) {
+            environment.runGuarded(() -> {
+                allocator.expire(now);
+                bootingInstances.startTests(allocator);
+            });
+        }
         allocators.values().removeIf(SlotAllocator::isIdle);
         pendingGrants.values().removeIf(grant -> grant.expiresAt <= now);
         recentlyReleasedUntil.values().removeIf(until -> until <= now);
         for (SlotAllocator allocator : allocators.values()) {
-            allocator.repeatQueued(now, heartbeatNanos / 3);
+            environment.runGuarded(() -> allocator.repeatQueued(now, heartbeatNanos / 3));
         }
         reportDemand();
     }
--- a/proxy/src/main/java/saltdale/proxy/Proxy.java
+++ b/proxy/src/main/java/saltdale/proxy/Proxy.java
@@ -69,8 +69,8 @@
     }
 
     private void tick() {
-        detectPause();
-        environment.schedule(settings.heartbeatNanos() / 6, this::tick);
+        environment.schedule(settings.heartbeatNanos() / 6, this::tick); // even if this run fails
+        environment.runGuarded(this::detectPause);
         ownedServices.tick();
     }
 
--- a/proxy/src/main/java/saltdale/proxy/SlotRequester.java
+++ b/proxy/src/main/java/saltdale/proxy/SlotRequester.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import saltdale.control.Environment;
 import saltdale.control.Instance;
 import saltdale.control.Member;
@@ -57,7 +58,7 @@
     /** Rejects all requests that wait for a slot, and from now on every request that would have to wait. */
     void rejectQueued() {
         rejectsQueued = true;
-        List.copyOf(pending.values()).forEach(this::rejectQueued);
+        forEachPending(this::rejectQueued);
     }
 
     private void rejectQueued(Request request) {
@@ -186,7 +187,14 @@
 
     /** Repeats all slot requests after a pause of this process: slots may have been granted and expired meanwhile. */
     void requestAllAgain() {
-        List.copyOf(pending.values()).forEach(this::requestAgain);
+        forEachPending(this::requestAgain);
+    }
+
+    /** Does this for each request that waits; a failure with one of them must not affect the others. */
+    private void forEachPending(Consumer<Request> action) {
+        for (Request request : List.copyOf(pending.values())) {
+            environment.runGuarded(() -> action.accept(request));
+        }
     }
 
     private void replyTimedOut(Request request, long number) {
@@ -223,22 +231,22 @@
 
     /** Moves slot requests to other owners, since the connection to this host was lost. */
     void connectionLost(String host) {
-        for (Request request : List.copyOf(pending.values())) {
+        forEachPending(request -> {
             if (request.slotOwner.host().equals(host) && !cluster.isSelf(request.slotOwner)) {
                 replyTimedOut(request, request.slotNumber);
             }
-        }
+        });
     }
 
     /** Repeats slot requests whose owner has been replaced by the current members. */
     void ownersChanged() {
-        for (Request request : List.copyOf(pending.values())) {
+        forEachPending(request -> {
             Member owner = cluster.owner(request.service, request.slotOwner.zone());
             boolean isReplaced = owner == null || !owner.incarnation().equals(request.slotOwner.incarnation());
             if (forgetOldUnresponsiveOwners(request) || isReplaced) {
                 requestAgain(request);
             }
-        }
+        });
     }
 
     /** Forgets the state of former members. */
--- a/proxy/src/test/java/saltdale/proxy/FailureContainmentTest.java
+++ b/proxy/src/test/java/saltdale/proxy/FailureContainmentTest.java
@@ -11,7 +11,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
@@ -23,6 +25,8 @@
 import saltdale.control.message.BallotMessage.Accept;
 import saltdale.control.message.Message;
 import saltdale.control.message.SessionMessage.ConfigurationChange;
+import saltdale.control.message.SlotMessage.SlotCancel;
+import saltdale.control.message.SlotMessage.SlotRequest;
 
 /** One failure in the handling of a change stops neither that change nor what comes after it. */
 class FailureContainmentTest {
@@ -164,4 +168,38 @@
         world.run(5000);
         assertThat(platforms.get(0).lists, is(greaterThan(4)));
     }
+
+    /** Guards against a proxy that, after one failure when it goes on from a pause, does no periodic work any more. */
+    @Test
+    void failureAfterAPauseDoesNotEndThePeriodicWork() {
+        SimWorld world = SimOperator.servingCluster(6, 3, 6);
+        Map<String, Integer> cancelsFrom = new HashMap<>();
+        world.sendObserver = (from, to, message) -> {
+            if (message instanceof SlotRequest && cancelsFrom.putIfAbsent(from, 0) == null) {
+                world.schedule(0, world.machines.get(from)::freeze); // with requests that wait for the owner
+            }
+        };
+        world.messageRewriter = (from, to, message) -> {
+            if (message instanceof SlotCancel
+                    && cancelsFrom.containsKey(from)
+                    && cancelsFrom.merge(from, 1, Integer::sum) == 1) {
+                throw new IllegalStateException("a fault of the test");
+            }
+            return message;
+        };
+        for (SimMachine proxy : world.proxies) {
+            for (int i = 0; i < 3; i++) {
+                world.platform.call(proxy, "h.example", "/a/1", 20_000);
+            }
+        }
+        world.run(3000);
+        world.proxies.stream().filter(proxy -> proxy.frozen).forEach(SimMachine::thaw);
+        world.run(500);
+        for (String host : cancelsFrom.keySet()) {
+            assertThat("requests made again by " + host, cancelsFrom.get(host), is(greaterThan(1)));
+        }
+        world.run(20_000);
+        world.platform.calls.forEach(call -> assertThat("answers", call.answers.size(), is(1)));
+        assertContained(world);
+    }
 }
