Control: news are not sent if the quorum is lost while they are made

The check stood before the news were made; a process that stands still in between sent them all the same. What they say was chosen, so no proxy got anything wrong; a proxy could take this node for one with a quorum for a moment longer.

Change: checked again when they are sent; what a proxy has been sent is recorded only then.

Test: newsAreNotSentIfTheQuorumIsLostWhileTheyAreMade, red before.

Beside it: the soak judges its many reads only at machines in contact.

--- a/control/src/main/java/saltdale/control/Subscriptions.java
+++ b/control/src/main/java/saltdale/control/Subscriptions.java
@@ -112,6 +112,9 @@
         boolean continues = snapshot.digest().equals(request.digest()) && request.offset() < bytes.length;
         int offset = continues ? request.offset() : 0;
         int end = Math.min(bytes.length, offset + SNAPSHOT_PART_BYTES);
+        if (!isCurrent.getAsBoolean()) {
+            return; // the quorum was lost while the snapshot was made
+        }
         checkQuorum("a snapshot");
         environment.send(
                 subscriber.host,
@@ -191,23 +194,24 @@
             offerSnapshot(subscriber, newest.revision());
             return;
         }
-        subscriber.revision = newest.revision();
-        subscriber.digest = newest.digest();
-        sendNews(
+        boolean sent = sendNews(
                 subscriber,
                 number -> new ConfigurationChange(
-                        subscriber.session, number, base, baseDigest, subscriber.revision, subscriber.digest, change));
+                        subscriber.session, number, base, baseDigest, newest.revision(), newest.digest(), change));
+        if (sent) {
+            subscriber.revision = newest.revision();
+            subscriber.digest = newest.digest();
+        }
     }
 
     private void offerSnapshot(Subscriber subscriber, long revision) {
-        subscriber.fetchingSnapshot = true;
-        sendNews(subscriber, number -> new ConfigurationOffer(subscriber.session, number, revision));
+        subscriber.fetchingSnapshot =
+                sendNews(subscriber, number -> new ConfigurationOffer(subscriber.session, number, revision));
     }
 
     private void publishMembers(Subscriber subscriber, MembershipTable.View present) {
         Map<String, Member> before =
                 subscriber.knownMembers == null ? Map.of() : subscriber.knownMembers.byIncarnation();
-        subscriber.knownMembers = present;
         List<Member> changed = present.byIncarnation().values().stream()
                 .filter(member -> !member.equals(before.get(member.incarnation())))
                 .toList();
@@ -215,11 +219,13 @@
                 .filter(incarnation -> !present.byIncarnation().containsKey(incarnation))
                 .toList();
         boolean isComplete = before.isEmpty();
-        if (isComplete || !changed.isEmpty() || !gone.isEmpty()) {
-            sendNews(
-                    subscriber,
-                    number ->
-                            new MembersChange(subscriber.session, number, isComplete, changed, gone, present.digest()));
+        boolean isNews = isComplete || !changed.isEmpty() || !gone.isEmpty();
+        if (!isNews
+                || sendNews(
+                        subscriber,
+                        number -> new MembersChange(
+                                subscriber.session, number, isComplete, changed, gone, present.digest()))) {
+            subscriber.knownMembers = present;
         }
     }
 
@@ -264,12 +270,22 @@
         return owner.equals(subscriber.member.incarnation());
     }
 
-    private void sendNews(Subscriber subscriber, NewsFactory newsFactory) {
-        SessionUpdate news = newsFactory.create(++subscriber.newsSent);
-        if (!(news instanceof InstancesChange)) {
+    /**
+     * Sends news, unless they need a quorum and it was lost while they were made, which takes long if the process is
+     * stopped meanwhile. Returns whether they were sent; if not, they are made again once there is a quorum.
+     */
+    private boolean sendNews(Subscriber subscriber, NewsFactory newsFactory) {
+        SessionUpdate news = newsFactory.create(subscriber.newsSent + 1);
+        boolean needsQuorum = !(news instanceof InstancesChange);
+        if (needsQuorum && !isCurrent.getAsBoolean()) {
+            return false;
+        }
+        subscriber.newsSent++;
+        if (needsQuorum) {
             checkQuorum(news.kind().name());
         }
         environment.send(subscriber.host, news);
+        return true;
     }
 
     private void checkQuorum(String subject) {
--- a/rig/src/main/java/saltdale/rig/platform/live/SoakContact.java
+++ b/rig/src/main/java/saltdale/rig/platform/live/SoakContact.java
@@ -55,9 +55,11 @@
         return activeFaults.getOrDefault(machine, 0) == 0;
     }
 
-    /** Whether the machine has had no fault since this moment, by {@link System#nanoTime}. */
-    synchronized boolean isUndisturbedSince(String machine, long sinceNanos) {
-        return isUndisturbed(machine, System.nanoTime(), System.nanoTime() - sinceNanos);
+    /** Whether the machine has been in contact from this moment on, by {@link System#nanoTime}. */
+    synchronized boolean wasInContactSince(String machine, long sinceNanos) {
+        long now = System.nanoTime();
+        long span = now - sinceNanos + contactNanos;
+        return isUndisturbed(machine, now, span) && isUndisturbed(CORE, now, span);
     }
 
     /** Whether the machine is in contact now. */
