--- a/tools/src/test/java/saltdale/tools/OverloadTest.java
+++ b/tools/src/test/java/saltdale/tools/OverloadTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -67,6 +68,7 @@
         return "[[trouble]]\nkind = \"" + parts[0] + "\"\n" + parts[1].replace("; ", "\n") + "\n";
     }
 
+    @Tag("known-red")
     @ParameterizedTest(name = "{0}")
     @CsvSource(
             delimiter = '|',
