Net: a refused client that is still sending gets its response

Cause: closing gracefully enables reading so that the close is no reset; the bound on bytes sent ahead, set after that, disabled or slowed it again.

Change: the connection ignores it once it is closing (one call sets both, setReading).

--- a/net/src/main/java/saltdale/serving/ServerConnection.java
+++ b/net/src/main/java/saltdale/serving/ServerConnection.java
@@ -158,8 +158,9 @@
     /** Reads on unless the client is ahead by enough: its bytes are better kept by the kernel, which limits them. */
     private void updateReading() {
         boolean canServe = !serving && !isBehindInReading();
-        connection.setReadEnabled(!throttled && (canServe || unparsed.remaining() < MAX_PIPELINED_BYTES));
-        connection.setMaxReadBytes(canServe ? Integer.MAX_VALUE : MAX_PIPELINED_BYTES);
+        connection.setReading(
+                !throttled && (canServe || unparsed.remaining() < MAX_PIPELINED_BYTES),
+                canServe ? Integer.MAX_VALUE : MAX_PIPELINED_BYTES);
     }
 
     /** Returns whether the client leaves its responses unread. */
@@ -339,7 +340,6 @@
             });
         }
         processInput();
-        updateReading();
     }
 
     private void releaseAndNotify() {
--- a/net/src/main/java/saltdale/transport/Connection.java
+++ b/net/src/main/java/saltdale/transport/Connection.java
@@ -162,15 +162,22 @@
         }
     }
 
-    /** Enables or disables reading; while it is disabled, bytes of the peer stay in the kernel. */
-    public void setReadEnabled(boolean enabled) {
-        readEnabled = enabled;
-        updateInterestOps();
+    /**
+     * Enables or disables reading, of at most {@code maxBytes} at once; what is not read stays in the kernel. Ignored
+     * once the connection is closing: with bytes left unread the close would be a reset, and the peer could lose the
+     * last response.
+     */
+    public void setReading(boolean enabled, int maxBytes) {
+        if (!closing) {
+            readEnabled = enabled;
+            maxReadBytes = maxBytes;
+            updateInterestOps();
+        }
     }
 
-    /** Limits the number of bytes that are read, and passed to the handler, at once. */
-    public void setMaxReadBytes(int count) {
-        maxReadBytes = count;
+    /** Enables or disables reading of any number of bytes; see {@link #setReading}. */
+    public void setReadEnabled(boolean enabled) {
+        setReading(enabled, Integer.MAX_VALUE);
     }
 
     /**
@@ -203,6 +210,7 @@
         sockets.markIdle(SocketBudget.IdleRank.CLOSING, closeAction);
         timeout = loop.schedule(LINGER_TIME.multipliedBy(10), this::close); // for a peer that never reads
         readEnabled = true;
+        maxReadBytes = Integer.MAX_VALUE;
         updateInterestOps();
         shutdownOutputIfFlushed();
     }
--- a/net/src/test/java/saltdale/serving/ServerConnectionTest.java
+++ b/net/src/test/java/saltdale/serving/ServerConnectionTest.java
@@ -261,4 +261,18 @@
         runFor(SHORT);
         assertEquals(waiting, handler.connection.unparsedBytes());
     }
+
+    /** Guards against a client that is still sending when its request is refused, and loses the response by a reset. */
+    @Test
+    void refusedClientThatIsStillSendingGetsTheResponse() throws IOException {
+        ByteBuffer body = ByteBuffer.allocate(16 << 20); // more than the kernel buffers
+        send(head(body.remaining()));
+        Duration end = handler.loop.elapsed().plus(SHORT.multipliedBy(2));
+        while (body.hasRemaining() && handler.loop.elapsed().compareTo(end) < 0) {
+            client.write(body);
+            runOnce();
+        }
+        assertEquals(0, body.remaining());
+        assertEquals(413, readStatus());
+    }
 }
