Node, tests: the budget of requests stands once; one case of OverloadTest is known-red, not ten

Cause: the review of the whole change found the same two overrides in ControlProcess and ProxyProcess, a flag in ProposalQueue that nothing could set twice, 25 lines of a platform that only passes calls on in FailureContainmentTest, and a tag that passed over nine cases of OverloadTest which nobody has seen fail.

Change: RequestHandler holds the budget; the flag is gone; the platform is a dynamic proxy; the case "all clients back at one moment" is a method of its own with the tag, with the same scenario and the same assertions, the other nine run again. Behaviour, bounds and assertions are as before.

--- a/control/src/main/java/saltdale/control/ProposalQueue.java
+++ b/control/src/main/java/saltdale/control/ProposalQueue.java
@@ -28,7 +28,6 @@
         private final long deadline;
         private final Consumer<Object> onResult;
         private final Runnable cancelExpiry;
-        private boolean completed;
 
         private QueuedChange(Proposer.Change change, int bytes, long timeoutNanos, Consumer<Object> onResult) {
             this.change = change;
@@ -50,14 +49,11 @@
             return environment.now() >= deadline;
         }
 
-        /** Reports the result, {@code null} if it is undecided; further calls have no effect. */
+        /** Reports the result, {@code null} if it is undecided; called once. */
         void complete(Object result) {
-            if (!completed) {
-                completed = true;
-                cancelExpiry.run();
-                heldBytes -= bytes;
-                environment.runGuarded(() -> onResult.accept(result));
-            }
+            cancelExpiry.run();
+            heldBytes -= bytes;
+            environment.runGuarded(() -> onResult.accept(result));
         }
     }
 
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -11,7 +11,6 @@
 import saltdale.control.message.Message;
 import saltdale.protocol.Head;
 import saltdale.protocol.HttpParser;
-import saltdale.serving.ByteBudget;
 import saltdale.serving.ServerConnection;
 import saltdale.storage.RecordStore;
 import saltdale.storage.RecordStoreException;
@@ -34,10 +33,10 @@
     private final Settings settings;
     private final ControlNode controlNode;
     private final SeedWatch seedWatch;
-    private final ByteBudget requestBytes = new ByteBudget(Runtime.getRuntime().maxMemory() / REQUEST_HEAP_DIVISOR);
     private boolean shuttingDown;
 
     ControlProcess(Settings settings) throws IOException, Settings.InvalidSettingsException {
+        super(REQUEST_HEAP_DIVISOR, RETRY_AFTER_HEADER);
         this.settings = settings;
         Map<String, byte[]> records = new HashMap<>();
         RecordStore recordStore = null;
@@ -189,16 +188,6 @@
         return new HttpParser.Limits(HttpParser.MAX_HEAD_BYTES, ConfigurationCodec.MAX_TEXT_BYTES);
     }
 
-    @Override
-    public ByteBudget requestBytes() {
-        return requestBytes;
-    }
-
-    @Override
-    public String retryAfterHeader() {
-        return RETRY_AFTER_HEADER;
-    }
-
     @Override
     public Duration requestTimeout() {
         return Duration.ofNanos(REQUEST_TIMEOUT_FACTOR * settings.acknowledgeTimeoutNanos);
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -18,7 +18,6 @@
 import saltdale.proxy.Request;
 import saltdale.proxy.RouteDecision;
 import saltdale.proxy.Transport;
-import saltdale.serving.ByteBudget;
 import saltdale.serving.ServerConnection;
 import saltdale.transport.Address;
 import saltdale.transport.ConnectionPool;
@@ -47,12 +46,12 @@
     private final Set<ServerConnection> clientConnections = new LinkedHashSet<>();
     private final Listener listener;
     private final SeedWatch seedWatch;
-    private final ByteBudget requestBytes = new ByteBudget(Runtime.getRuntime().maxMemory() / REQUEST_HEAP_DIVISOR);
     private final AnswerMemory answerMemory;
     private HttpParser.Limits currentLimits = new HttpParser.Limits(16_384, 262_144);
     private boolean shuttingDown;
 
     ProxyProcess(Settings settings) throws IOException, Settings.InvalidSettingsException {
+        super(REQUEST_HEAP_DIVISOR, RETRY_AFTER_HEADER);
         this.settings = settings;
         environment = new EventLoopEnvironment(settings, null, this);
         answerMemory = new AnswerMemory(
@@ -232,16 +231,6 @@
         return currentLimits;
     }
 
-    @Override
-    public ByteBudget requestBytes() {
-        return requestBytes;
-    }
-
-    @Override
-    public String retryAfterHeader() {
-        return RETRY_AFTER_HEADER;
-    }
-
     @Override
     public Duration requestTimeout() {
         return Duration.ofMillis(
@@ -263,6 +252,7 @@
         private final Proxy proxy;
 
         ReadinessHandler(EventLoopEnvironment environment, Proxy proxy) {
+            super(REQUEST_HEAP_DIVISOR, RETRY_AFTER_HEADER);
             this.environment = environment;
             this.proxy = proxy;
         }
--- a/node/src/main/java/saltdale/node/RequestHandler.java
+++ b/node/src/main/java/saltdale/node/RequestHandler.java
@@ -1,5 +1,6 @@
 package saltdale.node;
 
+import saltdale.serving.ByteBudget;
 import saltdale.serving.ServerConnection;
 import saltdale.transport.EventLoop;
 import saltdale.transport.SocketBudget;
@@ -12,9 +13,31 @@
     /** The header of plain-text responses such as those of {@code /metrics}. */
     static final String PLAIN_TEXT_HEADER = "Content-Type: text/plain\r\n";
 
+    private final ByteBudget requestBytes;
+    private final String retryAfterHeader;
+
     /** Set before the first connection is accepted. */
     EventLoopEnvironment environment;
 
+    /**
+     * Creates a handler whose requests may take this part of the heap until they are answered; those beyond it are
+     * answered with 503 and {@code retryAfterHeader}.
+     */
+    RequestHandler(int heapDivisor, String retryAfterHeader) {
+        requestBytes = new ByteBudget(Runtime.getRuntime().maxMemory() / heapDivisor);
+        this.retryAfterHeader = retryAfterHeader;
+    }
+
+    @Override
+    public ByteBudget requestBytes() {
+        return requestBytes;
+    }
+
+    @Override
+    public String retryAfterHeader() {
+        return retryAfterHeader;
+    }
+
     @Override
     public EventLoop loop() {
         return environment.loop;
--- a/proxy/src/test/java/saltdale/proxy/FailureContainmentTest.java
+++ b/proxy/src/test/java/saltdale/proxy/FailureContainmentTest.java
@@ -10,11 +10,11 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -120,53 +120,25 @@
         assertContained(world);
     }
 
-    /** A platform whose third list of instances fails before it is requested. */
-    private static final class FailingPlatform implements Platform {
-        private final Platform platform;
-        int lists;
-
-        FailingPlatform(Platform platform) {
-            this.platform = platform;
-        }
-
-        @Override
-        public void listInstances(String token, Consumer<Response> response) {
-            if (++lists == 3) {
-                throw new IllegalStateException("a fault of the test");
-            }
-            platform.listInstances(token, response);
-        }
-
-        @Override
-        public void listWorkers(Consumer<Response> response) {
-            platform.listWorkers(response);
-        }
-
-        @Override
-        public void startInstance(
-                String holder, long fence, String service, String worker, String nonce, Consumer<Response> response) {
-            platform.startInstance(holder, fence, service, worker, nonce, response);
-        }
-
-        @Override
-        public void stopInstance(String holder, long fence, String id, Consumer<Response> response) {
-            platform.stopInstance(holder, fence, id, response);
-        }
-    }
-
     /** Guards against a list of instances that is never read again after one call has failed. */
     @Test
     void failingListCallIsRepeated() {
         SimWorld world = new SimWorld(5);
-        List<FailingPlatform> platforms = new ArrayList<>();
+        int[] lists = new int[1];
         world.controlNodeFactory = (environment, settings, platform, records) -> {
-            platforms.add(new FailingPlatform(platform));
-            return new ControlNode(environment, settings, platforms.get(0), records);
+            Platform failing = (Platform) Proxy.newProxyInstance(
+                    Platform.class.getClassLoader(), new Class<?>[] {Platform.class}, (proxy, method, arguments) -> {
+                        if (method.getName().equals("listInstances") && ++lists[0] == 3) {
+                            throw new IllegalStateException("a fault of the test");
+                        }
+                        return method.invoke(platform, arguments);
+                    });
+            return new ControlNode(environment, settings, failing, records);
         };
         world.withNodes(1, 0).startAll();
         assertThrows(IllegalStateException.class, () -> world.run(5000));
         world.run(5000);
-        assertThat(platforms.get(0).lists, is(greaterThan(4)));
+        assertThat(lists[0], is(greaterThan(4)));
     }
 
     /** Guards against a proxy that, after one failure when it goes on from a pause, does no periodic work any more. */
--- a/tools/src/test/java/saltdale/tools/OverloadTest.java
+++ b/tools/src/test/java/saltdale/tools/OverloadTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -68,7 +69,6 @@
         return "[[trouble]]\nkind = \"" + parts[0] + "\"\n" + parts[1].replace("; ", "\n") + "\n";
     }
 
-    @Tag("known-red")
     @ParameterizedTest(name = "{0}")
     @CsvSource(
             delimiter = '|',
@@ -77,7 +77,6 @@
                 "half cut from half of the runners      | 1.5 | receipted | way-silent; at = '2s'; length = '3s'; zone = 'a'; dispatchers = [0, 2]",
                 "reports that are 5 s old               | 1.8 | receipted | late-reports; at = '0s'; length = '6s'; part = 1.0; size = 5",
                 "capacity that swings by half           | 1.0 | receipted | slow; at = '1s'; length = '2s'; part = 1.0; size = 2 & slow; at = '4s'; length = '1s'; part = 1.0; size = 2",
-                "all clients back at one moment         | 1.8 | receipted | dispatcher-kill; at = '2s'; length = '1s'; part = 1.0",
                 "one zone slow, a price for crossing    | 1.2 | receipted | slow; at = '1s'; length = '4s'; runners = [0, 2, 4, 6]; size = 3 & zone-cut; at = '3s'; length = '1s'; size = 0",
                 "effectful work in a crash              | 1.8 | effectful | crash; at = '2s'; length = '2s'; part = 0.3",
                 "a runner that takes a byte a second    | 1.8 | receipted | way-slow; at = '1s'; length = '4s'; runners = [1]; size = 1",
@@ -85,6 +84,20 @@
                 "seven in ten killed in the peak        | 1.8 | receipted | dispatcher-kill; at = '2s'; length = '2s'; part = 0.7",
             })
     void keepsTheRulesUnderOverload(String name, String load, String repeat, String troubles) throws IOException {
+        checkDay(name, load, repeat, troubles);
+    }
+
+    @Tag("known-red")
+    @Test
+    void keepsTheRulesWhenAllClientsReturnAtOnce() throws IOException {
+        checkDay(
+                "all clients back at one moment",
+                "1.8",
+                "receipted",
+                "dispatcher-kill; at = '2s'; length = '1s'; part = 1.0");
+    }
+
+    private void checkDay(String name, String load, String repeat, String troubles) throws IOException {
         StringBuilder text = new StringBuilder(DAY.formatted(load, repeat));
         for (String each : troubles.replace('\'', '"').split(" & ")) {
             text.append(trouble(each));
