Net: a refused connection lets go of its request before it closes

What callers saw: a process ends with OutOfMemoryError under clients whose bodies are refused and who stay connected. Cause: the budget got the bytes back with the response, while the closing connection (1 s, or 10 s with a client that does not read) kept the parser with the body and what was received ahead. Change: both are dropped before the connection begins to close. It works because nothing is parsed from then on: a closing connection discards what it reads. Ruled out: giving the bytes back only when the connection is gone, by which lingering clients would hold the budget for 10 s.

--- a/net/src/main/java/saltdale/protocol/HttpParser.java
+++ b/net/src/main/java/saltdale/protocol/HttpParser.java
@@ -28,6 +28,7 @@
     private static final int MAX_HEADERS = 64;
     private static final int MAX_EMPTY_LINE_BYTES = 8; // before a message
     private static final int MAX_CHUNK_LINE_BYTES = 1024;
+    private static final int FIRST_HEAD_BUFFER_BYTES = 512;
 
     private static final byte[] EMPTY_BODY = new byte[0];
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
@@ -60,7 +61,7 @@
     private final BodySink sink;
     private Limits limits;
     private State state = State.HEAD;
-    private byte[] headBuffer = new byte[512];
+    private byte[] headBuffer = new byte[FIRST_HEAD_BUFFER_BYTES];
     private int headBytes;
     private int emptyLineBytes;
     private byte previousByte;
@@ -148,6 +149,11 @@
         return sink != null ? 0 : bodyBytes + (isInBody ? remainingBytes : 0);
     }
 
+    /** Returns how many bytes are allocated for the message that arrives. */
+    public long allocatedBytes() {
+        return headBuffer.length + body.length;
+    }
+
     /** Returns why the message was rejected. */
     public String errorMessage() {
         return errorMessage;
@@ -164,7 +170,9 @@
         headBytes = 0;
         emptyLineBytes = 0;
         previousByte = 0;
-        headBuffer = headBuffer.length > 512 ? new byte[512] : headBuffer; // so that idle connections use little memory
+        if (headBuffer.length > FIRST_HEAD_BUFFER_BYTES) { // so that idle connections use little memory
+            headBuffer = new byte[FIRST_HEAD_BUFFER_BYTES];
+        }
         body = EMPTY_BODY;
         bodyBytes = 0;
         line.reset();
--- a/net/src/main/java/saltdale/serving/ServerConnection.java
+++ b/net/src/main/java/saltdale/serving/ServerConnection.java
@@ -155,6 +155,11 @@
         return unparsed.remaining();
     }
 
+    /** Returns how many bytes are allocated for what was received. */
+    long allocatedBytes() {
+        return unparsed.capacity() + parser.allocatedBytes();
+    }
+
     /** Reads on unless the client is ahead by enough: its bytes are better kept by the kernel, which limits them. */
     private void updateReading() {
         boolean canServe = !serving && !isBehindInReading();
@@ -326,6 +331,7 @@
         connection.send(ByteBuffer.wrap(head), ByteBuffer.wrap(body));
         if (close) {
             releaseAndNotify();
+            discardInput();
             connection.closeGracefully();
             return;
         }
@@ -342,6 +348,12 @@
         processInput();
     }
 
+    /** Lets go of what has been received: nothing of it is parsed while the connection closes. */
+    private void discardInput() {
+        parser.startNextMessage();
+        unparsed = EMPTY_BUFFER;
+    }
+
     private void releaseAndNotify() {
         if (timer != null) {
             timer.cancel();
--- a/net/src/test/java/saltdale/serving/ServerConnectionTest.java
+++ b/net/src/test/java/saltdale/serving/ServerConnectionTest.java
@@ -32,6 +32,7 @@
     private final SettableHandler handler = new SettableHandler();
     private Listener listener;
     private SocketChannel client;
+    private ServerConnection accepted; // the last one
 
     /** Answers each request with 200; its limits can be set. */
     private static final class SettableHandler implements ServerConnection.Handler {
@@ -112,7 +113,7 @@
                 handler.loop,
                 handler.sockets,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                (connection, overLimit) -> new ServerConnection(handler, connection, overLimit));
+                (connection, overLimit) -> accepted = new ServerConnection(handler, connection, overLimit));
         client = SocketChannel.open(listener.localAddress());
         client.configureBlocking(false);
     }
@@ -275,4 +276,15 @@
         assertEquals(0, body.remaining());
         assertEquals(413, readStatus());
     }
+
+    /** Guards against refused clients that stay connected, whose requests then take memory that is counted no more. */
+    @Test
+    void refusedRequestTakesNoMemoryWhileItsConnectionCloses() throws IOException {
+        handler.limits = new HttpParser.Limits(1000, 60_000);
+        send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nea60\r\n" + "x".repeat(60_000)
+                + "\r\n1\r\nx");
+        assertEquals(413, readStatus());
+        assertTrue(handler.sockets.closingCount() == 1, "the connection waits for its client");
+        assertTrue(accepted.allocatedBytes() <= 1000, "allocated: " + accepted.allocatedBytes());
+    }
 }
