Net: the budget is asked before a body takes memory, and for all of it

What callers saw: a proxy ends with OutOfMemoryError under 2,800 bodies just short of their length or as many in large chunks, a control node under 400 chunked orders of legal size. Cause: the parser allocated up to 64 KB with the head, before the budget was asked, and doubled arrays of which only the filled part was counted. Evidence: 66.6 KB of live heap for each connection that had announced a length and sent nothing of it; 142.1 KB for one with 66 KB in chunks. Change: HttpParser asks a MemoryGrant before each array. A body of known length is granted whole, as before, and its array grows up to that length; one in chunks is granted the array it gets. It works because no array of a body exists that was not granted. Ruled out: a list of pieces in place of one array; it would copy each body once more at its end.

--- a/net/src/main/java/saltdale/protocol/HttpParser.java
+++ b/net/src/main/java/saltdale/protocol/HttpParser.java
@@ -29,6 +29,8 @@
     private static final int MAX_EMPTY_LINE_BYTES = 8; // before a message
     private static final int MAX_CHUNK_LINE_BYTES = 1024;
     private static final int FIRST_HEAD_BUFFER_BYTES = 512;
+    private static final int FIRST_FIXED_BODY_BYTES = 64 * 1024;
+    private static final int FIRST_CHUNKED_BODY_BYTES = 512;
 
     private static final byte[] EMPTY_BODY = new byte[0];
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
@@ -57,9 +59,21 @@
     /** The limits for the parts of a message that are buffered. */
     public record Limits(int maxHeadBytes, int maxBodyBytes) {}
 
+    /** Decides whether a message may take more memory. It is asked before the memory is allocated. */
+    public interface MemoryGrant {
+        /** Grants memory for messages of any size. */
+        MemoryGrant UNLIMITED = bodyBytes -> true;
+
+        /**
+         * Returns whether the body may take {@code bodyBytes} in all. If not, the message is rejected with status 503.
+         */
+        boolean tryHold(long bodyBytes);
+    }
+
     private final Kind kind;
     private final BodySink sink;
     private Limits limits;
+    private MemoryGrant memoryGrant = MemoryGrant.UNLIMITED;
     private State state = State.HEAD;
     private byte[] headBuffer = new byte[FIRST_HEAD_BUFFER_BYTES];
     private int headBytes;
@@ -92,6 +106,11 @@
         limits = next;
     }
 
+    /** Sets what decides about the memory of this message and the next ones. */
+    public void setMemoryGrant(MemoryGrant grant) {
+        memoryGrant = grant;
+    }
+
     /** Parses input until the message is complete or malformed; bytes after its end stay in the buffer. */
     public void parse(ByteBuffer bytes) {
         while (state != State.COMPLETE && state != State.MALFORMED && bytes.hasRemaining()) {
@@ -142,11 +161,11 @@
 
     /**
      * Returns how many bytes the buffered body takes as far as that is known: its length if the head states it, and
-     * otherwise what has arrived, with the rest of the current chunk.
+     * otherwise what is allocated for what has arrived, with the rest of the current chunk.
      */
     public long bodyBytesKnown() {
         boolean isInBody = state == State.FIXED_LENGTH_BODY || state == State.CHUNK_DATA;
-        return sink != null ? 0 : bodyBytes + (isInBody ? remainingBytes : 0);
+        return sink != null ? 0 : Math.max(body.length, bodyBytes + (isInBody ? remainingBytes : 0));
     }
 
     /** Returns how many bytes are allocated for the message that arrives. */
@@ -296,39 +315,66 @@
         } else {
             remainingBytes = length == null || withoutBody ? 0 : Long.parseLong(length);
             state = remainingBytes == 0 ? State.COMPLETE : State.FIXED_LENGTH_BODY;
-            if (!rejectIfBodyTooLong(remainingBytes) && sink == null) {
-                // A larger buffer is allocated only as the bytes arrive.
-                body = new byte[(int) Math.min(remainingBytes, Math.min(limits.maxBodyBytes, MAX_REQUEST_BODY_BYTES))];
-            }
+            rejectIfBodyTooLong(remainingBytes);
         }
     }
 
     // Body
 
+    /** Rejects the message if further bytes of its body exceed its limit, or if their memory is not granted. */
     private boolean rejectIfBodyTooLong(long additionalBytes) {
-        if (sink == null && bodyBytes + additionalBytes > limits.maxBodyBytes) {
+        if (sink != null) {
+            return false;
+        } else if (bodyBytes + additionalBytes > limits.maxBodyBytes) {
             reject(413, "body is too long");
             return true;
         }
+        return rejectUnlessGranted(bodyBytes + additionalBytes);
+    }
+
+    private boolean rejectUnlessGranted(long neededBodyBytes) {
+        if (neededBodyBytes > body.length && !memoryGrant.tryHold(neededBodyBytes)) {
+            reject(503, "too much is being received");
+            return true;
+        }
         return false;
     }
 
+    /**
+     * Makes room for further bytes of the body. Larger arrays are allocated only as the bytes arrive, and none is larger
+     * than the body can become. Returns false if the message was rejected.
+     */
+    private boolean ensureBodyCapacity(int additionalBytes) {
+        int needed = bodyBytes + additionalBytes;
+        if (needed <= body.length) {
+            return true;
+        }
+        boolean isLengthKnown = state == State.FIXED_LENGTH_BODY;
+        long largest = isLengthKnown ? bodyBytes + remainingBytes : limits.maxBodyBytes;
+        int first = isLengthKnown ? FIRST_FIXED_BODY_BYTES : FIRST_CHUNKED_BODY_BYTES;
+        int capacity = (int) Math.max(needed, Math.min(largest, Math.max(2L * body.length, first)));
+        if (!isLengthKnown && rejectUnlessGranted(capacity)) {
+            return false;
+        }
+        body = Arrays.copyOf(body, capacity);
+        return true;
+    }
+
     private void readBody(ByteBuffer bytes) {
         int size = (int)
                 (state == State.BODY_UNTIL_CLOSE ? bytes.remaining() : Math.min(remainingBytes, bytes.remaining()));
         if (rejectIfBodyTooLong(size)) {
             return;
         }
-        ByteBuffer part = bytes.slice(bytes.position(), size);
-        bytes.position(bytes.position() + size);
         if (sink != null) {
+            ByteBuffer part = bytes.slice(bytes.position(), size);
+            bytes.position(bytes.position() + size);
             sink.bodyPart(part);
-        } else {
-            if (bodyBytes + size > body.length) {
-                body = Arrays.copyOf(body, Math.max(bodyBytes + size, 2 * body.length));
-            }
-            part.get(body, bodyBytes, size);
+        } else if (ensureBodyCapacity(size)) {
+            bytes.get(body, bodyBytes, size);
             bodyBytes += size;
+        } else {
+            return;
         }
         if (state != State.BODY_UNTIL_CLOSE) {
             remainingBytes -= size;
--- a/net/src/main/java/saltdale/serving/ServerConnection.java
+++ b/net/src/main/java/saltdale/serving/ServerConnection.java
@@ -106,6 +106,7 @@
         this.connection = connection;
         this.overLimit = overLimit;
         connection.setHandler(this);
+        parser.setMemoryGrant(this::tryHoldBody);
         startTimer(handler.requestTimeout(), this::onRequestTimeout);
         handler.socketBudget().markIdle(SocketBudget.IdleRank.NEW_CLIENT, closeAction);
     }
@@ -242,9 +243,9 @@
         respond(status, more, message);
     }
 
-    /** Takes the bytes of the arriving body from the budget; returns whether there were enough. */
-    private boolean holdBody() {
-        long missing = parser.bodyBytesKnown() - heldBytes;
+    /** Takes the memory of the arriving body from the budget; returns whether there was enough. */
+    private boolean tryHoldBody(long bodyBytes) {
+        long missing = bodyBytes - heldBytes;
         if (missing > 0 && !handler.requestBytes().tryAcquire(missing)) {
             return false;
         }
@@ -252,6 +253,12 @@
         return true;
     }
 
+    /** Gives back what the array of a complete body has beyond its length: the handler gets an array of that length. */
+    private void releaseSpareBytes(int bodyBytes) {
+        handler.requestBytes().release(heldBytes - bodyBytes);
+        heldBytes = bodyBytes;
+    }
+
     private void releaseBody() {
         handler.requestBytes().release(heldBytes);
         heldBytes = 0;
@@ -283,15 +290,16 @@
             }
         }
         parser.parse(unparsed);
-        if (parser.isMalformed()) {
+        if (parser.isMalformed() && parser.errorStatus() == 503) {
+            refuse(503, handler.retryAfterHeader(), parser.errorMessage());
+        } else if (parser.isMalformed()) {
             reject(parser.errorStatus(), parser.errorMessage());
-        } else if (!holdBody()) {
-            refuse(503, handler.retryAfterHeader(), "too many requests are being received");
         } else if (parser.isComplete()) {
             startServing();
             Head head = parser.head();
             keepsAlive = head.keepsAlive() && head.isHttp11();
             byte[] body = parser.body();
+            releaseSpareBytes(body.length);
             parser.startNextMessage();
             continueSent = false;
             handler.handleRequest(this, head, body);
--- a/net/src/test/java/saltdale/protocol/HttpParserTest.java
+++ b/net/src/test/java/saltdale/protocol/HttpParserTest.java
@@ -141,6 +141,23 @@
         assertEquals(431, errorStatus("POST /w HTTP/1.1\r\nA: " + "x".repeat(HttpParser.MAX_HEAD_BYTES)));
     }
 
+    /** Guards against memory that is taken before it is granted. */
+    @Test
+    void bodyIsRejectedBeforeItsMemoryIsAllocated() {
+        String chunked = "POST /w HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for (String request : List.of(
+                "POST /w HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + "x".repeat(60_000),
+                chunked + "ea60\r\n" + "x".repeat(60_000),
+                chunked + "1f4\r\n".concat("x".repeat(500) + "\r\n").repeat(100))) {
+            HttpParser parser = new HttpParser(HttpParser.Kind.REQUEST);
+            long empty = parser.allocatedBytes();
+            parser.setMemoryGrant(bodyBytes -> bodyBytes <= 10_000);
+            parser.parse(bytes(request));
+            assertEquals(503, parser.errorStatus());
+            assertTrue(parser.allocatedBytes() <= empty + 10_000, "allocated: " + parser.allocatedBytes());
+        }
+    }
+
     @Test
     void bodyPassedToASinkIsUnlimited() {
         List<String> lines = new ArrayList<>();
--- a/net/src/test/java/saltdale/serving/ServerConnectionTest.java
+++ b/net/src/test/java/saltdale/serving/ServerConnectionTest.java
@@ -287,4 +287,23 @@
         assertTrue(handler.sockets.closingCount() == 1, "the connection waits for its client");
         assertTrue(accepted.allocatedBytes() <= 1000, "allocated: " + accepted.allocatedBytes());
     }
+
+    /** Guards against bodies for which memory is allocated before the budget is asked, or more than it was asked for. */
+    @Test
+    void bodyTakesNoMoreMemoryThanTheBudgetGranted() throws IOException {
+        handler.limits = new HttpParser.Limits(1000, 60_000);
+        handler.requestBytes = new ByteBudget(10_000);
+        send(head(60_000) + "x".repeat(8000));
+        assertEquals(503, readStatus());
+        assertTrue(accepted.allocatedBytes() <= 1000, "allocated: " + accepted.allocatedBytes());
+        client = SocketChannel.open(listener.localAddress());
+        client.configureBlocking(false);
+        send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int sent = 0; sent < 9; sent++) {
+            send("3e8\r\n" + "x".repeat(1000) + "\r\n");
+            runFor(Duration.ofMillis(5));
+            long counted = 1000 + handler.requestBytes.used(); // with the first part of the buffer for the head
+            assertTrue(accepted.allocatedBytes() <= counted, accepted.allocatedBytes() + " of " + counted);
+        }
+    }
 }
