Net: heads and requests sent ahead are counted

What callers saw: a proxy ends with OutOfMemoryError under heads of legal size with unfinished bodies, or requests sent ahead of a served one. Cause: neither was counted, a head was held three times, and up to 64 KB that came with a request were kept while it was served. Change: the parser drops the buffer of a parsed head, and asks for the memory of heads as for that of bodies; ServerConnection counts what follows a request; 4 KB of both are free for each connection, so that ordinary requests do not depend on the budget for their heads. Reads take 16 KB at most. Both faults stand in one commit since one count serves them. Ruled out: refusing the served request for what follows it; it was read whole.

Tests, before: headsOverTheBudgetAreRefused red (0 counted), requestsSentAheadAreDroppedWithoutMemoryForThem red (49,560 bytes).

--- a/net/src/main/java/saltdale/protocol/Head.java
+++ b/net/src/main/java/saltdale/protocol/Head.java
@@ -9,6 +9,8 @@
     /** A header line: its name and value, and the range of the line within the received bytes. */
     record HeaderLine(String name, String value, int start, int end) {}
 
+    private static final int HEADER_LINE_BYTES = 160; // the objects of one header line, without its characters
+
     /** The parts of the start line. Requests: method, target and version; responses: version, status and reason. */
     private final String startLinePart1;
 
@@ -24,6 +26,11 @@
         this.startLinePart3 = startLinePart3;
     }
 
+    /** Returns about how much memory this head takes: its bytes, as received and as strings, and their objects. */
+    public long memoryBytes() {
+        return 2L * rawBytes.length + (long) HEADER_LINE_BYTES * headers.size();
+    }
+
     /** Returns the method of a request. */
     public String method() {
         return startLinePart1;
--- a/net/src/main/java/saltdale/protocol/HttpParser.java
+++ b/net/src/main/java/saltdale/protocol/HttpParser.java
@@ -62,12 +62,13 @@
     /** Decides whether a message may take more memory. It is asked before the memory is allocated. */
     public interface MemoryGrant {
         /** Grants memory for messages of any size. */
-        MemoryGrant UNLIMITED = bodyBytes -> true;
+        MemoryGrant UNLIMITED = (headBytes, bodyBytes) -> true;
 
         /**
-         * Returns whether the body may take {@code bodyBytes} in all. If not, the message is rejected with status 503.
+         * Returns whether the head may take {@code headBytes} and the body {@code bodyBytes} in all. If not, the message
+         * is rejected with status 503.
          */
-        boolean tryHold(long bodyBytes);
+        boolean tryHold(long headBytes, long bodyBytes);
     }
 
     private final Kind kind;
@@ -189,9 +190,7 @@
         headBytes = 0;
         emptyLineBytes = 0;
         previousByte = 0;
-        if (headBuffer.length > FIRST_HEAD_BUFFER_BYTES) { // so that idle connections use little memory
-            headBuffer = new byte[FIRST_HEAD_BUFFER_BYTES];
-        }
+        resetHeadBuffer();
         body = EMPTY_BODY;
         bodyBytes = 0;
         line.reset();
@@ -200,6 +199,21 @@
         head = null;
     }
 
+    /** Lets go of a large buffer, so that connections with a body to come, or idle ones, use little memory. */
+    private void resetHeadBuffer() {
+        if (headBuffer.length > FIRST_HEAD_BUFFER_BYTES) {
+            headBuffer = new byte[FIRST_HEAD_BUFFER_BYTES];
+        }
+    }
+
+    private boolean tryHold(long neededHeadBytes, long neededBodyBytes) {
+        if (memoryGrant.tryHold(neededHeadBytes, neededBodyBytes)) {
+            return true;
+        }
+        reject(503, "too much is being received");
+        return false;
+    }
+
     private void reject(int status, String message) {
         state = State.MALFORMED;
         errorStatus = status;
@@ -229,8 +243,8 @@
                 reject(431, "head is too long");
                 return;
             }
-            if (headBytes == headBuffer.length) {
-                headBuffer = Arrays.copyOf(headBuffer, 2 * headBytes);
+            if (headBytes == headBuffer.length && !growHeadBuffer()) {
+                return;
             }
             headBuffer[headBytes++] = b;
             if (b == '\n'
@@ -244,8 +258,18 @@
         }
     }
 
+    private boolean growHeadBuffer() {
+        int capacity = Math.min(2 * headBuffer.length, limits.maxHeadBytes);
+        if (!tryHold(capacity, 0)) {
+            return false;
+        }
+        headBuffer = Arrays.copyOf(headBuffer, capacity);
+        return true;
+    }
+
     private void parseHead() {
         byte[] raw = Arrays.copyOf(headBuffer, headBytes);
+        resetHeadBuffer();
         int end = lineEnd(raw, 0);
         String[] parts = decode(raw, 0, end).split(" ", kind == Kind.REQUEST ? -1 : 3);
         if (kind == Kind.REQUEST) {
@@ -264,7 +288,7 @@
             return;
         }
         Head parsed = new Head(raw, parts[0], parts[1], parts.length > 2 ? parts[2] : "");
-        for (int start = end + 2; start < headBytes - 2; start = end + 2) {
+        for (int start = end + 2; start < raw.length - 2; start = end + 2) {
             end = lineEnd(raw, start);
             String header = decode(raw, start, end);
             int colon = header.indexOf(':');
@@ -315,8 +339,8 @@
         } else {
             remainingBytes = length == null || withoutBody ? 0 : Long.parseLong(length);
             state = remainingBytes == 0 ? State.COMPLETE : State.FIXED_LENGTH_BODY;
-            rejectIfBodyTooLong(remainingBytes);
         }
+        rejectIfBodyTooLong(state == State.FIXED_LENGTH_BODY ? remainingBytes : 0);
     }
 
     // Body
@@ -329,15 +353,7 @@
             reject(413, "body is too long");
             return true;
         }
-        return rejectUnlessGranted(bodyBytes + additionalBytes);
-    }
-
-    private boolean rejectUnlessGranted(long neededBodyBytes) {
-        if (neededBodyBytes > body.length && !memoryGrant.tryHold(neededBodyBytes)) {
-            reject(503, "too much is being received");
-            return true;
-        }
-        return false;
+        return !tryHold(head.memoryBytes(), Math.max(body.length, bodyBytes + additionalBytes));
     }
 
     /**
@@ -353,7 +369,7 @@
         long largest = isLengthKnown ? bodyBytes + remainingBytes : limits.maxBodyBytes;
         int first = isLengthKnown ? FIRST_FIXED_BODY_BYTES : FIRST_CHUNKED_BODY_BYTES;
         int capacity = (int) Math.max(needed, Math.min(largest, Math.max(2L * body.length, first)));
-        if (!isLengthKnown && rejectUnlessGranted(capacity)) {
+        if (!isLengthKnown && !tryHold(head.memoryBytes(), capacity)) {
             return false;
         }
         body = Arrays.copyOf(body, capacity);
@@ -363,7 +379,7 @@
     private void readBody(ByteBuffer bytes) {
         int size = (int)
                 (state == State.BODY_UNTIL_CLOSE ? bytes.remaining() : Math.min(remainingBytes, bytes.remaining()));
-        if (rejectIfBodyTooLong(size)) {
+        if (state == State.BODY_UNTIL_CLOSE && rejectIfBodyTooLong(size)) {
             return;
         }
         if (sink != null) {
--- a/net/src/main/java/saltdale/serving/ServerConnection.java
+++ b/net/src/main/java/saltdale/serving/ServerConnection.java
@@ -77,6 +77,13 @@
      * a rule. The others wait in the kernel.
      */
     private static final int MAX_PIPELINED_BYTES = HttpParser.MAX_HEAD_BYTES;
+    /** The most bytes that are read at once. What of them follows a request has to wait until that is answered. */
+    private static final int MAX_READ_BYTES = 16 * 1024;
+    /**
+     * What each connection may hold of heads and of further requests without taking it from the budget; the head of an
+     * ordinary request, as a rule.
+     */
+    private static final int UNCOUNTED_BYTES = 4 * 1024;
     /** The next request of a client is served once it has left no more than this many bytes of responses unread. */
     private static final int MAX_UNSENT_BYTES = 64 * 1024;
 
@@ -95,6 +102,8 @@
     private Timer timer; // for the request that is arriving, or for the idle time between two requests
     private Duration timerStartedAt; // on the clock of the loop
     private boolean idleTimerRunning;
+    private long headBytes; // that the request takes; see hold
+    private long bodyBytes; // that the request takes
     private long heldBytes; // of the request budget
     private boolean throttled; // nothing is read for a moment after a rejected request
     /** The handler's object for the request being served, or null if none is. */
@@ -106,9 +115,10 @@
         this.connection = connection;
         this.overLimit = overLimit;
         connection.setHandler(this);
-        parser.setMemoryGrant(this::tryHoldBody);
+        parser.setMemoryGrant((head, body) -> hold(head, body, 0));
         startTimer(handler.requestTimeout(), this::onRequestTimeout);
         handler.socketBudget().markIdle(SocketBudget.IdleRank.NEW_CLIENT, closeAction);
+        updateReading();
     }
 
     /** Returns the numeric IP address of the client, or null if it is no longer known. */
@@ -166,7 +176,7 @@
         boolean canServe = !serving && !isBehindInReading();
         connection.setReading(
                 !throttled && (canServe || unparsed.remaining() < MAX_PIPELINED_BYTES),
-                canServe ? Integer.MAX_VALUE : MAX_PIPELINED_BYTES);
+                canServe ? MAX_READ_BYTES : MAX_PIPELINED_BYTES);
     }
 
     /** Returns whether the client leaves its responses unread. */
@@ -183,7 +193,7 @@
         while (!serving && unparsed.hasRemaining() && !isBehindInReading()) {
             parse();
         }
-        unparsed = unparsed.hasRemaining() ? unparsed : EMPTY_BUFFER;
+        keepUnparsed();
         parsing = false;
         updateReading();
         if (isIdle()) {
@@ -243,25 +253,49 @@
         respond(status, more, message);
     }
 
-    /** Takes the memory of the arriving body from the budget; returns whether there was enough. */
-    private boolean tryHoldBody(long bodyBytes) {
-        long missing = bodyBytes - heldBytes;
+    /**
+     * Takes from the budget, or gives back to it, what the request and the bytes that follow it take from now on. Returns
+     * false, and changes nothing, if too little is left.
+     */
+    private boolean hold(long head, long body, long following) {
+        long missing = Math.max(0, head + following - UNCOUNTED_BYTES) + body - heldBytes;
         if (missing > 0 && !handler.requestBytes().tryAcquire(missing)) {
             return false;
+        } else if (missing < 0) {
+            handler.requestBytes().release(-missing);
         }
-        heldBytes += Math.max(0, missing);
+        heldBytes += missing;
+        headBytes = head;
+        bodyBytes = body;
         return true;
     }
 
-    /** Gives back what the array of a complete body has beyond its length: the handler gets an array of that length. */
-    private void releaseSpareBytes(int bodyBytes) {
-        handler.requestBytes().release(heldBytes - bodyBytes);
-        heldBytes = bodyBytes;
+    /** Keeps the bytes that follow the request being served, if there is memory for them. */
+    private void keepUnparsed() {
+        int following = unparsed.remaining();
+        if (following == 0) {
+            unparsed = EMPTY_BUFFER;
+        } else if (following < unparsed.capacity()) {
+            unparsed = ByteBuffer.allocate(following).put(unparsed).flip();
+        }
+        if (hold(headBytes, bodyBytes, following)) {
+            return;
+        }
+        // None of these requests was begun: the client can send them again once the connection is closed.
+        unparsed = EMPTY_BUFFER;
+        keepsAlive = false;
+        if (!serving) {
+            startServing(); // nothing more is parsed
+            releaseAndNotify();
+            connection.closeGracefully();
+        }
     }
 
-    private void releaseBody() {
+    private void releaseMemory() {
         handler.requestBytes().release(heldBytes);
         heldBytes = 0;
+        headBytes = 0;
+        bodyBytes = 0;
     }
 
     /** Called when a request is complete, or is about to be rejected before it is. */
@@ -299,7 +333,7 @@
             Head head = parser.head();
             keepsAlive = head.keepsAlive() && head.isHttp11();
             byte[] body = parser.body();
-            releaseSpareBytes(body.length);
+            bodyBytes = body.length;
             parser.startNextMessage();
             continueSent = false;
             handler.handleRequest(this, head, body);
@@ -334,7 +368,7 @@
 
     private void sendResponse(byte[] head, byte[] body, int status, boolean close) {
         currentRequest = null;
-        releaseBody();
+        releaseMemory();
         boolean rejected = status >= 400 && status < 500;
         connection.send(ByteBuffer.wrap(head), ByteBuffer.wrap(body));
         if (close) {
@@ -368,7 +402,7 @@
             timer = null;
         }
         handler.socketBudget().markBusy(closeAction);
-        releaseBody();
+        releaseMemory();
         handler.connectionClosed(this);
     }
 
--- a/net/src/test/java/saltdale/protocol/HttpParserTest.java
+++ b/net/src/test/java/saltdale/protocol/HttpParserTest.java
@@ -151,7 +151,7 @@
                 chunked + "1f4\r\n".concat("x".repeat(500) + "\r\n").repeat(100))) {
             HttpParser parser = new HttpParser(HttpParser.Kind.REQUEST);
             long empty = parser.allocatedBytes();
-            parser.setMemoryGrant(bodyBytes -> bodyBytes <= 10_000);
+            parser.setMemoryGrant((headBytes, bodyBytes) -> bodyBytes <= 10_000);
             parser.parse(bytes(request));
             assertEquals(503, parser.errorStatus());
             assertTrue(parser.allocatedBytes() <= empty + 10_000, "allocated: " + parser.allocatedBytes());
--- a/net/src/test/java/saltdale/serving/ServerConnectionTest.java
+++ b/net/src/test/java/saltdale/serving/ServerConnectionTest.java
@@ -306,4 +306,44 @@
             assertTrue(accepted.allocatedBytes() <= counted, accepted.allocatedBytes() + " of " + counted);
         }
     }
+
+    /** Guards against large heads, which take memory until their requests are answered. */
+    @Test
+    void headsOverTheBudgetAreRefused() throws IOException {
+        handler.limits = new HttpParser.Limits(20_000, 10);
+        handler.requestBytes = new ByteBudget(40_000);
+        handler.answers = false;
+        String filler = ("X-Filler: " + "f".repeat(500) + "\r\n").repeat(30);
+        send("POST /a HTTP/1.1\r\n" + filler + "\r\n");
+        runFor(SHORT.dividedBy(6));
+        assertEquals(1, handler.requests);
+        assertTrue(handler.requestBytes.used() >= filler.length(), "used: " + handler.requestBytes.used());
+        SocketChannel first = client;
+        client = SocketChannel.open(listener.localAddress());
+        client.configureBlocking(false);
+        send("POST /a HTTP/1.1\r\n" + filler);
+        assertEquals(503, readStatus());
+        client.close();
+        client = first;
+        handler.connection.respond(200, "", "");
+        assertEquals(200, readStatus());
+        assertEquals(0, handler.requestBytes.used());
+    }
+
+    /** Guards against further requests that clients send ahead, which take memory while the first one is served. */
+    @Test
+    void requestsSentAheadAreDroppedWithoutMemoryForThem() throws IOException {
+        handler.answers = false;
+        handler.requestBytes = new ByteBudget(1000);
+        send(head(0) + head(10).repeat(1000));
+        runFor(SHORT.dividedBy(3));
+        assertEquals(1, handler.requests);
+        assertTrue(handler.connection.allocatedBytes() <= 4096 + 1000, "" + handler.connection.allocatedBytes());
+        handler.connection.respond(200, "", "");
+        assertEquals(200, readStatus());
+        runFor(SHORT.dividedBy(3));
+        assertEquals(1, handler.requests);
+        assertEquals(-1, client.read(ByteBuffer.allocate(4096)));
+        assertEquals(0, handler.requestBytes.used());
+    }
 }
