--- a/tools/src/test/java/saltdale/tools/ClientCrowdTest.java
+++ b/tools/src/test/java/saltdale/tools/ClientCrowdTest.java
@@ -231,7 +231,6 @@
         }
     }
 
-    @Tag("known-red")
     @ParameterizedTest
     @EnumSource
     void controlNodeOutlivesTheCrowd(ControlCrowd crowd) throws Exception {
