Net: the line of a chunk is read without an object

What callers saw: under bodies in chunks of one byte a proxy answers nobody, nor for 30 s after the clients have left. Cause: each line became an array, two strings and two matches of patterns, for any byte of a body. Change: size, space and extension are told apart byte by byte; a carriage return inside the line is rejected. It works because a chunk costs some comparisons now and nothing for the collector. Ruled out: a least size of chunks; a single request in chunks of one byte is inside the limits.

Tests, before: chunksOfOneByteAllocateNothing red (19,330,736 bytes allocated, 480,000 allowed), lineOfAChunkIsReadStrictly red (accepted "2;a\rb").

--- a/net/src/main/java/saltdale/protocol/HttpParser.java
+++ b/net/src/main/java/saltdale/protocol/HttpParser.java
@@ -28,6 +28,7 @@
     private static final int MAX_HEADERS = 64;
     private static final int MAX_EMPTY_LINE_BYTES = 8; // before a message
     private static final int MAX_CHUNK_LINE_BYTES = 1024;
+    private static final int MAX_CHUNK_SIZE_DIGITS = 8;
     private static final int FIRST_HEAD_BUFFER_BYTES = 512;
     private static final int FIRST_FIXED_BODY_BYTES = 64 * 1024;
     private static final int FIRST_CHUNKED_BODY_BYTES = 512;
@@ -36,7 +37,6 @@
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
     private static final Pattern STATUS = Pattern.compile("[1-5]\\d\\d");
     private static final Pattern LENGTH = Pattern.compile("\\d{1,18}");
-    private static final Pattern CHUNK_LENGTH = Pattern.compile("[0-9a-fA-F]{1,8}");
 
     private enum State {
         HEAD,
@@ -50,6 +50,13 @@
         MALFORMED
     }
 
+    /** The parts of the line with the size of a chunk, in their order. */
+    private enum ChunkLinePart {
+        SIZE,
+        SPACE,
+        EXTENSION
+    }
+
     /** Receives the parts of a body that is not buffered. */
     public interface BodySink {
         /** Consumes the next part of the body; the buffer is only valid during the call. */
@@ -82,7 +89,10 @@
     private byte previousByte;
     private byte[] body = EMPTY_BODY;
     private int bodyBytes;
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream(0);
+    private ChunkLinePart chunkLinePart;
+    private int chunkLineBytes;
+    private int chunkSizeDigits;
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream(0); // of the trailer
     private int trailerBytes;
     private long remainingBytes;
     private Head head;
@@ -118,7 +128,9 @@
             switch (state) {
                 case HEAD -> readHead(bytes);
                 case FIXED_LENGTH_BODY, CHUNK_DATA, BODY_UNTIL_CLOSE -> readBody(bytes);
-                default -> readLine(bytes);
+                case CHUNK_SIZE -> readChunkSize(bytes);
+                case CHUNK_END -> readChunkEnd(bytes);
+                default -> readTrailerLine(bytes);
             }
         }
     }
@@ -332,7 +344,7 @@
         head = parsed;
         boolean withoutBody = kind == Kind.ANSWER && (parsed.status() == 204 || parsed.status() == 304);
         if (coding != null && !withoutBody) {
-            state = State.CHUNK_SIZE;
+            startChunk();
         } else if (length == null && kind == Kind.ANSWER && !withoutBody) {
             state = State.BODY_UNTIL_CLOSE;
             bodyUntilClose = true;
@@ -396,12 +408,81 @@
             remainingBytes -= size;
             if (remainingBytes == 0) {
                 state = state == State.FIXED_LENGTH_BODY ? State.COMPLETE : State.CHUNK_END;
+                previousByte = 0;
+            }
+        }
+    }
+
+    /** Reads the line with the size of a chunk. Chunks may be of one byte, so nothing is allocated for a line. */
+    private void readChunkSize(ByteBuffer bytes) {
+        while (bytes.hasRemaining()) {
+            byte b = bytes.get();
+            if (previousByte == '\r' ? b != '\n' : b == '\n') {
+                reject(400, "malformed line in the chunked body");
+                return;
+            } else if (b == '\n') {
+                endChunkSize();
+                return;
+            } else if (++chunkLineBytes > MAX_CHUNK_LINE_BYTES) {
+                reject(400, "line in the chunked body is too long");
+                return;
+            } else if (b != '\r' && !acceptInChunkSize(b)) {
+                reject(400, "malformed chunk size");
+                return;
+            }
+            previousByte = b;
+        }
+    }
+
+    /** Takes a byte of the line; returns false if it does not belong there. */
+    private boolean acceptInChunkSize(byte b) {
+        int digit = Character.digit(b, 16);
+        if (chunkLinePart == ChunkLinePart.SIZE && digit >= 0 && chunkSizeDigits < MAX_CHUNK_SIZE_DIGITS) {
+            remainingBytes = 16 * remainingBytes + digit;
+            chunkSizeDigits++;
+        } else if (chunkLinePart == ChunkLinePart.EXTENSION || b == ';') {
+            chunkLinePart = ChunkLinePart.EXTENSION;
+        } else if (b == ' ' || b == '\t') {
+            chunkLinePart = ChunkLinePart.SPACE;
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void endChunkSize() {
+        if (chunkSizeDigits == 0) {
+            reject(400, "malformed chunk size");
+            return;
+        }
+        state = remainingBytes == 0 ? State.TRAILER : State.CHUNK_DATA;
+        rejectIfBodyTooLong(remainingBytes);
+    }
+
+    private void startChunk() {
+        state = State.CHUNK_SIZE;
+        chunkLinePart = ChunkLinePart.SIZE;
+        chunkLineBytes = 0;
+        chunkSizeDigits = 0;
+        remainingBytes = 0;
+        previousByte = 0;
+    }
+
+    /** Reads the line end after a chunk. */
+    private void readChunkEnd(ByteBuffer bytes) {
+        while (bytes.hasRemaining() && state == State.CHUNK_END) {
+            byte b = bytes.get();
+            if (b != (previousByte == '\r' ? '\n' : '\r')) {
+                reject(400, "chunk is longer than its size");
+            } else if (b == '\n') {
+                startChunk();
             }
+            previousByte = b == '\r' ? b : 0;
         }
     }
 
-    /** Reads the line with the size of a chunk, the line end after a chunk, or a trailer line. */
-    private void readLine(ByteBuffer bytes) {
+    /** Reads a trailer line. */
+    private void readTrailerLine(ByteBuffer bytes) {
         while (bytes.hasRemaining()) {
             byte b = bytes.get();
             if (b == '\n') {
@@ -410,41 +491,24 @@
                 if (raw.length == 0 || raw[raw.length - 1] != '\r') {
                     reject(400, "malformed line in the chunked body");
                 } else {
-                    handleLine(decode(raw, 0, raw.length - 1));
+                    endTrailerLine(raw.length - 1);
                 }
                 return;
             }
             line.write(b);
-            if (line.size() > (state == State.CHUNK_END ? 1 : MAX_CHUNK_LINE_BYTES)) {
+            if (line.size() > MAX_CHUNK_LINE_BYTES) {
                 reject(400, "line in the chunked body is too long");
                 return;
             }
         }
     }
 
-    private void handleLine(String text) {
-        if (state == State.CHUNK_END) {
-            state = State.CHUNK_SIZE;
-            if (!text.isEmpty()) {
-                reject(400, "chunk is longer than its size");
-            }
-        } else if (state == State.TRAILER) {
-            trailerBytes += text.length();
-            if (trailerBytes > MAX_HEAD_BYTES) {
-                reject(431, "trailer is too long");
-            } else if (text.isEmpty()) {
-                state = State.COMPLETE;
-            }
-        } else {
-            int extension = text.indexOf(';');
-            String size = (extension < 0 ? text : text.substring(0, extension)).stripTrailing();
-            if (!CHUNK_LENGTH.matcher(size).matches()) {
-                reject(400, "malformed chunk size");
-                return;
-            }
-            remainingBytes = Long.parseLong(size, 16);
-            state = remainingBytes == 0 ? State.TRAILER : State.CHUNK_DATA;
-            rejectIfBodyTooLong(remainingBytes);
+    private void endTrailerLine(int length) {
+        trailerBytes += length;
+        if (trailerBytes > MAX_HEAD_BYTES) {
+            reject(431, "trailer is too long");
+        } else if (length == 0) {
+            state = State.COMPLETE;
         }
     }
 
--- a/net/src/test/java/saltdale/protocol/HttpParserTest.java
+++ b/net/src/test/java/saltdale/protocol/HttpParserTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -158,6 +160,45 @@
         }
     }
 
+    /** Guards against chunks of one byte that cost many times the work of their bytes. */
+    @Test
+    void chunksOfOneByteAllocateNothing() {
+        int count = 60_000;
+        HttpParser parser = parse(HttpParser.Kind.REQUEST, "POST /w HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        ByteBuffer chunks = bytes("1\r\nx\r\n".repeat(count));
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long before = threads.getThreadAllocatedBytes(Thread.currentThread().getId());
+        parser.parse(chunks);
+        long allocated = threads.getThreadAllocatedBytes(Thread.currentThread().getId()) - before;
+        parser.parse(bytes("0\r\n\r\n"));
+        assertEquals(count, parser.body().length);
+        assertTrue(
+                allocated < 8L * count,
+                "allocated " + allocated + " bytes, of which the body took up to twice " + count);
+    }
+
+    @Test
+    void lineOfAChunkIsReadStrictly() {
+        String start = "POST /w HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for (String accepted : List.of("2 ;x=y\r\nab\r\n0\r\n\r\n", "00000002\t\r\nab\r\n000;\r\n\r\n")) {
+            assertTrue(parse(HttpParser.Kind.REQUEST, start, accepted).isComplete(), accepted);
+        }
+        for (String rejected : List.of(
+                " 2\r\n",
+                "2 2\r\n",
+                ";2\r\n",
+                " \r\n",
+                "2;a\rb\r\n",
+                "2\r\r\n",
+                "2\n",
+                "\u00b2\r\n",
+                "2\r\nab\n",
+                "2\r\nab\r\r")) {
+            assertEquals(400, errorStatus(start + rejected), rejected);
+        }
+        assertEquals(400, errorStatus(start + "2;" + "x".repeat(1100)));
+    }
+
     @Test
     void bodyPassedToASinkIsUnlimited() {
         List<String> lines = new ArrayList<>();
