Net: a connection has 8 of its requests handled in a turn

What callers would see: everyone waits while the requests of one client that are answered at once (metrics, unknown routes) are handled, 500 in the test, thousands with the least requests. Cause: no bound on the loop over what was received. Change: after 8 the rest waits for the next iteration; nothing is read meanwhile beyond what may wait anyway. Ruled out: handling one; an ordinary client that sends a few ahead would pay an iteration each.

Test, before: requestsOfOneTurnAreBounded red, 500 in one iteration.

--- a/net/src/main/java/saltdale/serving/ServerConnection.java
+++ b/net/src/main/java/saltdale/serving/ServerConnection.java
@@ -77,6 +77,8 @@
      * a rule. The others wait in the kernel.
      */
     private static final int MAX_PIPELINED_BYTES = HttpParser.MAX_HEAD_BYTES;
+    /** How many requests of a connection are handled at once, before other connections have their turn. */
+    private static final int MAX_REQUESTS_PER_TURN = 8;
     /** The most bytes that are read at once. What of them follows a request has to wait until that is answered. */
     private static final int MAX_READ_BYTES = 16 * 1024;
     /**
@@ -94,6 +96,7 @@
     private final Runnable closeAction = this::closeIfNotServing;
     private ByteBuffer unparsed = EMPTY_BUFFER; // received bytes that are not parsed yet
     private boolean parsing;
+    private boolean turnEnded; // the rest of the input is parsed in the next iteration of the event loop
     private boolean serving;
     private boolean keepsAlive;
     private boolean continueSent; // for the current request
@@ -144,6 +147,7 @@
     /** Closes the connection unless a request is being served. A request that has partly arrived is discarded. */
     public void closeIfNotServing() {
         if (!serving) {
+            discardInput();
             releaseAndNotify();
             connection.close();
         }
@@ -173,7 +177,7 @@
 
     /** Reads on unless the client is ahead by enough: its bytes are better kept by the kernel, which limits them. */
     private void updateReading() {
-        boolean canServe = !serving && !isBehindInReading();
+        boolean canServe = !serving && !turnEnded && !isBehindInReading();
         connection.setReading(
                 !throttled && (canServe || unparsed.remaining() < MAX_PIPELINED_BYTES),
                 canServe ? MAX_READ_BYTES : MAX_PIPELINED_BYTES);
@@ -184,13 +188,21 @@
         return connection.unsentBytes() > MAX_UNSENT_BYTES;
     }
 
-    /** Parses received bytes, one request at a time. This is a loop so that pipelined requests do not recurse. */
+    /**
+     * Parses received bytes, one request at a time. This is a loop so that pipelined requests do not recurse; it ends
+     * after some requests, and goes on in the next iteration of the event loop.
+     */
     private void processInput() {
-        if (parsing) {
+        if (parsing || turnEnded) {
             return;
         }
         parsing = true;
-        while (!serving && unparsed.hasRemaining() && !isBehindInReading()) {
+        for (int requests = 0; canParse(); requests++) {
+            if (requests == MAX_REQUESTS_PER_TURN) {
+                turnEnded = true;
+                handler.loop().defer(this::startTurn);
+                break;
+            }
             parse();
         }
         keepUnparsed();
@@ -208,6 +220,15 @@
         }
     }
 
+    private boolean canParse() {
+        return !serving && unparsed.hasRemaining() && !isBehindInReading();
+    }
+
+    private void startTurn() {
+        turnEnded = false;
+        processInput();
+    }
+
     private void startTimer(Duration timeout, Runnable onTimeout) {
         timerStartedAt = handler.loop().now();
         timer = handler.loop().schedule(timeout, onTimeout);
@@ -408,6 +429,7 @@
 
     @Override
     public void disconnected(String cause) {
+        discardInput();
         releaseAndNotify();
         if (currentRequest != null) {
             handler.requestAborted(this);
--- a/net/src/test/java/saltdale/serving/ServerConnectionTest.java
+++ b/net/src/test/java/saltdale/serving/ServerConnectionTest.java
@@ -346,4 +346,17 @@
         assertEquals(-1, client.read(ByteBuffer.allocate(4096)));
         assertEquals(0, handler.requestBytes.used());
     }
+
+    /** Guards against a client that holds the event loop with requests that are answered at once. */
+    @Test
+    void requestsOfOneTurnAreBounded() throws IOException {
+        int requests = 500;
+        send("GET / HTTP/1.1\r\n\r\n".repeat(requests));
+        while (handler.requests < requests) {
+            int before = handler.requests;
+            runOnce();
+            assertTrue(handler.requests - before <= 16, "in one iteration: " + (handler.requests - before));
+            client.read(ByteBuffer.allocate(1 << 16));
+        }
+    }
 }
