Node: answers that clients do not read take room

What callers would see: clients that ask for large answers and do not read them fill a proxy's heap. Cause: AnswerMemory let an answer through whenever no other was being received; one that had gone to a client that does not read was counted as unread and as received no more. Change: that exception ends at half of the bound of unread bytes; without room, the client that has read nothing for longest, 1 s at least, loses its connection. A control node closes clients that have read nothing for 15 s: each may hold a text of 4 MiB that is in force no more (by reading, no test). Ruled out: no exception at all; an answer larger than the bound would never be read.

Test, before: answersThatClientsDoNotReadTakeRoom red (answered).

--- a/net/src/main/java/saltdale/transport/Connection.java
+++ b/net/src/main/java/saltdale/transport/Connection.java
@@ -36,6 +36,8 @@
     private SelectionKey key;
     private Timer timeout; // of connecting, later of closing
     private final Runnable closeAction = this::close;
+    private final Runnable closeNotReading = () -> closeAndNotify("the peer does not read");
+    private boolean accepted;
     private final Deque<ByteBuffer> outgoing = new ArrayDeque<>();
     private Handler handler;
     private boolean connecting;
@@ -56,6 +58,7 @@
     /** Wraps an accepted channel. The handler must be set within the same iteration of the event loop. */
     static Connection accepted(EventLoop loop, SocketBudget sockets, SocketChannel channel) throws IOException {
         Connection connection = new Connection(loop, sockets, channel);
+        connection.accepted = true;
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         connection.key = loop.register(channel, SelectionKey.OP_READ, connection);
         return connection;
@@ -338,9 +341,19 @@
         int written = blockBytes == 0 ? 0 : channel.write(block);
         writtenBytes += written;
         removeFromQueue(written);
+        markUnread(written);
         return written == blockBytes;
     }
 
+    /** Tells the budget whether a client has yet to read what it was sent. */
+    private void markUnread(int written) {
+        if (accepted && !outgoing.isEmpty()) {
+            sockets.markUnread(closeNotReading, written > 0);
+        } else if (accepted) {
+            sockets.markRead(closeNotReading);
+        }
+    }
+
     /** Removes this number of bytes from the start of the queue, and the parts that are empty then. */
     private void removeFromQueue(int count) {
         int remaining = count;
@@ -360,6 +373,7 @@
     private void dropOutgoing() {
         outgoing.forEach(part -> sockets.addUnsentBytes(-part.remaining()));
         outgoing.clear();
+        sockets.markRead(closeNotReading);
     }
 
     private void shutdownOutputIfFlushed() {
--- a/net/src/main/java/saltdale/transport/SocketBudget.java
+++ b/net/src/main/java/saltdale/transport/SocketBudget.java
@@ -35,6 +35,9 @@
     private int limit;
     private int openCount;
     private long unsentBytes;
+    /** Clients that have yet to read responses, with the time since which they have read nothing; the longest first. */
+    private final Map<Runnable, Duration> notReadingSince = new LinkedHashMap<>();
+
     private final Map<IdleRank, Map<Runnable, Duration>> idleSince = new EnumMap<>(IdleRank.class);
     private Runnable releaseListener = () -> {};
 
@@ -66,6 +69,36 @@
         unsentBytes += count;
     }
 
+    /** A client has yet to read a response; {@code progressed} if it has read part of it just now. */
+    void markUnread(Runnable close, boolean progressed) {
+        if (progressed) {
+            notReadingSince.remove(close);
+        }
+        notReadingSince.putIfAbsent(close, loop.now());
+    }
+
+    /** A client has read all responses, or is gone. */
+    void markRead(Runnable close) {
+        notReadingSince.remove(close);
+    }
+
+    /**
+     * Closes the connection of the client that has read nothing of its response for longest, if that is
+     * {@code minTime} at least. Returns whether there was one.
+     */
+    public boolean closeLongestNotReading(Duration minTime) {
+        if (notReadingSince.isEmpty()) {
+            return false;
+        }
+        Map.Entry<Runnable, Duration> first =
+                notReadingSince.entrySet().iterator().next();
+        if (loop.now().minus(first.getValue()).compareTo(minTime) < 0) {
+            return false;
+        }
+        first.getKey().run();
+        return true;
+    }
+
     /** Marks a connection as idle from now on; {@code close} closes it and identifies it. */
     public void markIdle(IdleRank rank, Runnable close) {
         markBusy(close);
--- a/node/src/main/java/saltdale/node/AnswerMemory.java
+++ b/node/src/main/java/saltdale/node/AnswerMemory.java
@@ -11,10 +11,13 @@
 
 /**
  * Bounds the memory that answers take together: those that arrive from instances and those that clients have yet to
- * read. An answer for which there is no room is not read on until there is, or until its request ends.
+ * read. An answer for which there is no room is not read on until there is, or until its request ends. Clients that read
+ * nothing meanwhile lose their connections.
  */
 final class AnswerMemory {
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(10);
+    /** A client that reads nothing for this long may lose its connection if there is no room for other answers. */
+    private static final Duration MAX_TIME_WITHOUT_READING = Duration.ofSeconds(1);
 
     private final EventLoop loop;
     private final SocketBudget sockets;
@@ -42,11 +45,12 @@
         return false;
     }
 
-    /** Returns whether there was room. One answer is always let through, however large. */
+    /** Returns whether there was room. The only answer is let through however large, unless clients leave many unread. */
     private boolean tryHold(UpstreamExchange exchange) {
         long known = exchange.answerBytesKnown();
         long missing = known - heldByExchange.getOrDefault(exchange, 0L);
-        if (missing > 0 && !heldByExchange.isEmpty() && heldBytes + missing + sockets.unsentBytes() > limitBytes) {
+        boolean isOnlyAnswer = heldByExchange.isEmpty() && sockets.unsentBytes() <= limitBytes / 2;
+        if (missing > 0 && !isOnlyAnswer && heldBytes + missing + sockets.unsentBytes() > limitBytes) {
             return false;
         }
         heldBytes += missing;
@@ -58,6 +62,7 @@
         for (Iterator<UpstreamExchange> each = paused.iterator(); each.hasNext(); ) {
             UpstreamExchange exchange = each.next();
             if (!tryHold(exchange)) {
+                sockets.closeLongestNotReading(MAX_TIME_WITHOUT_READING);
                 break;
             }
             each.remove();
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -29,6 +29,10 @@
     private static final int REQUEST_HEAP_DIVISOR = 8; // the share of the heap that orders may take until answered
     private static final String RETRY_AFTER_HEADER = "Retry-After: 0.2\r\n";
     private static final byte[] EMPTY_BODY = new byte[0];
+    /** A client that reads nothing of a response for this long loses its connection, which holds a configuration. */
+    private static final Duration MAX_TIME_WITHOUT_READING = Duration.ofSeconds(15);
+
+    private static final Duration READING_CHECK_INTERVAL = Duration.ofSeconds(1);
 
     private final Settings settings;
     private final ControlNode controlNode;
@@ -105,10 +109,19 @@
     public void run() throws IOException {
         controlNode.start();
         seedWatch.start();
+        closeClientsThatDoNotRead();
         environment.logTraffic(Duration.ofSeconds(10));
         environment.loop.run(() -> {});
     }
 
+    private void closeClientsThatDoNotRead() {
+        environment.loop.schedule(READING_CHECK_INTERVAL, this::closeClientsThatDoNotRead);
+        boolean closed = true;
+        while (closed) {
+            closed = environment.sockets.closeLongestNotReading(MAX_TIME_WITHOUT_READING);
+        }
+    }
+
     /** Hands over the duties and the place among the voters, then stops. */
     @Override
     public void shutDown() {
--- a/node/src/test/java/saltdale/node/AnswerMemoryTest.java
+++ b/node/src/test/java/saltdale/node/AnswerMemoryTest.java
@@ -21,8 +21,10 @@
 import saltdale.protocol.HttpParser;
 import saltdale.proxy.Attempt;
 import saltdale.proxy.Attempts;
+import saltdale.transport.Connection;
 import saltdale.transport.ConnectionPool;
 import saltdale.transport.EventLoop;
+import saltdale.transport.Listener;
 import saltdale.transport.SocketBudget;
 
 @Timeout(20)
@@ -98,6 +100,50 @@
         }
     }
 
+    /** Guards against clients that do not read: each let one more answer through, since no other was being received. */
+    @Test
+    void answersThatClientsDoNotReadTakeRoom() throws IOException {
+        EventLoop loop = new EventLoop();
+        SocketBudget sockets = new SocketBudget(loop, 64);
+        AnswerMemory memory = new AnswerMemory(loop, sockets, ROOM_FOR * ANSWER_BYTES);
+        List<String> disconnected = new ArrayList<>();
+        Listener listener = new Listener(
+                loop, sockets, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), (connection, overLimit) -> {
+                    connection.setHandler(new Connection.Handler() {
+                        @Override
+                        public void received(ByteBuffer bytes) {
+                            connection.send(ByteBuffer.allocate(16 << 20)); // more than the kernel takes
+                        }
+
+                        @Override
+                        public void disconnected(String cause) {
+                            disconnected.add(cause);
+                        }
+                    });
+                });
+        try (ServerSocket instance = new ServerSocket(0, ANSWERS, InetAddress.getLoopbackAddress());
+                Socket client = new Socket()) {
+            Thread acceptor = new Thread(() -> acceptAll(instance));
+            acceptor.setDaemon(true);
+            acceptor.start();
+            client.connect(listener.localAddress());
+            client.getOutputStream().write(1);
+            runUntil(loop, () -> sockets.unsentBytes() > 0, Duration.ofSeconds(5));
+            PooledConnections connections = new PooledConnections(new ConnectionPool(
+                    loop,
+                    sockets,
+                    (InetSocketAddress) instance.getLocalSocketAddress(),
+                    Duration.ofSeconds(5),
+                    Duration.ofSeconds(5)));
+            start(connections, memory);
+            runUntil(loop, () -> !answered.isEmpty(), Duration.ofMillis(500));
+            assertThat("answered without room", answered.size(), is(0));
+            runUntil(loop, () -> !answered.isEmpty(), Duration.ofSeconds(10));
+            assertThat(answered.size(), is(1));
+            assertThat(disconnected, is(List.of("the peer does not read")));
+        }
+    }
+
     private void start(PooledConnections connections, AnswerMemory memory) {
         HttpParser parser = new HttpParser(HttpParser.Kind.REQUEST);
         parser.parse(ByteBuffer.wrap("GET /a HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII)));
