Net, node: large requests leave room for a small one of each connection

What callers saw: with the budget held by large bodies that do not end, every request with a body gets 503. Cause: one budget, first come, first served. Change: a request that holds over 2 KB may not take the last 2 KB for each connection of the process. It works because small requests together cannot need more than that reserve. The budgets of requests and answers of a proxy shrink from a quarter to a sixth of the heap: with heads counted, the sum at the limit of connections would have been some 105 MB of 128 MB. Ruled out: refusing the oldest large body for a new small one; it would punish slow clients inside the limits.

Test: largeBodiesLeaveRoomForSmallRequests, 503 without the reserve.

--- a/net/src/main/java/saltdale/serving/ServerConnection.java
+++ b/net/src/main/java/saltdale/serving/ServerConnection.java
@@ -277,13 +277,14 @@
      * false, and changes nothing, if too little is left.
      */
     private boolean hold(long head, long body, long following) {
-        long missing = Math.max(0, head + following - UNCOUNTED_BYTES) + body - heldBytes;
-        if (missing > 0 && !handler.requestBytes().tryAcquire(missing)) {
+        long needed = Math.max(0, head + following - UNCOUNTED_BYTES) + body;
+        long missing = needed - heldBytes;
+        if (missing > 0 && !handler.requestBytes().tryAcquire(missing, needed)) {
             return false;
         } else if (missing < 0) {
             handler.requestBytes().release(-missing);
         }
-        heldBytes += missing;
+        heldBytes = needed;
         headBytes = head;
         bodyBytes = body;
         return true;
--- a/net/src/test/java/saltdale/serving/ServerConnectionTest.java
+++ b/net/src/test/java/saltdale/serving/ServerConnectionTest.java
@@ -11,6 +11,8 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -308,6 +310,26 @@
         }
     }
 
+    /** Guards against clients with large bodies that leave no room for the requests of others. */
+    @Test
+    void largeBodiesLeaveRoomForSmallRequests() throws IOException {
+        handler.limits = new HttpParser.Limits(1000, 60_000);
+        handler.requestBytes = new ByteBudget(60_000, 10_000);
+        List<SocketChannel> others = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            send(head(20_000) + "x".repeat(19_999));
+            runFor(SHORT.dividedBy(6));
+            others.add(client);
+            client = SocketChannel.open(listener.localAddress());
+            client.configureBlocking(false);
+        }
+        assertEquals(40_000, handler.requestBytes.used());
+        assertEquals(200, request(2000));
+        for (SocketChannel other : others) {
+            other.close();
+        }
+    }
+
     /** Guards against large heads, which take memory until their requests are answered. */
     @Test
     void headsOverTheBudgetAreRefused() throws IOException {
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -40,7 +40,7 @@
     private boolean shuttingDown;
 
     ControlProcess(Settings settings) throws IOException, Settings.InvalidSettingsException {
-        super(REQUEST_HEAP_DIVISOR, RETRY_AFTER_HEADER);
+        super(REQUEST_HEAP_DIVISOR, settings.maxFileDescriptors, RETRY_AFTER_HEADER);
         this.settings = settings;
         Map<String, byte[]> records = new HashMap<>();
         RecordStore recordStore = null;
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -32,8 +32,8 @@
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(4);
     private static final int MAX_MILLIS_DIGITS = 9;
     private static final int MAX_INSTANCES = 4096; // with connections; there are hardly more file descriptors
-    private static final int REQUEST_HEAP_DIVISOR = 4; // the share of the heap that bodies of requests may take
-    private static final int ANSWER_HEAP_DIVISOR = 4; // the share of the heap that answers may take
+    private static final int REQUEST_HEAP_DIVISOR = 6; // the share of the heap that requests may take
+    private static final int ANSWER_HEAP_DIVISOR = 6; // the share of the heap that answers may take
     private static final String RETRY_AFTER_HEADER = "Retry-After: 0.3\r\n";
 
     private final Settings settings;
@@ -51,7 +51,7 @@
     private boolean shuttingDown;
 
     ProxyProcess(Settings settings) throws IOException, Settings.InvalidSettingsException {
-        super(REQUEST_HEAP_DIVISOR, RETRY_AFTER_HEADER);
+        super(REQUEST_HEAP_DIVISOR, settings.maxFileDescriptors, RETRY_AFTER_HEADER);
         this.settings = settings;
         environment = new EventLoopEnvironment(settings, null, this);
         answerMemory = new AnswerMemory(
@@ -252,7 +252,7 @@
         private final Proxy proxy;
 
         ReadinessHandler(EventLoopEnvironment environment, Proxy proxy) {
-            super(REQUEST_HEAP_DIVISOR, RETRY_AFTER_HEADER);
+            super(REQUEST_HEAP_DIVISOR, 0, RETRY_AFTER_HEADER);
             this.environment = environment;
             this.proxy = proxy;
         }
--- a/node/src/main/java/saltdale/node/RequestHandler.java
+++ b/node/src/main/java/saltdale/node/RequestHandler.java
@@ -21,10 +21,13 @@
 
     /**
      * Creates a handler whose requests may take this part of the heap until they are answered; those beyond it are
-     * answered with 503 and {@code retryAfterHeader}.
+     * answered with 503 and {@code retryAfterHeader}. Large requests leave room for a small one of each connection, of
+     * which there are {@code maxConnections} at most.
      */
-    RequestHandler(int heapDivisor, String retryAfterHeader) {
-        requestBytes = new ByteBudget(Runtime.getRuntime().maxMemory() / heapDivisor);
+    RequestHandler(int heapDivisor, int maxConnections, String retryAfterHeader) {
+        long limit = Runtime.getRuntime().maxMemory() / heapDivisor;
+        long reserve = Math.min(limit / 2, (long) maxConnections * ByteBudget.SMALL_REQUEST_BYTES);
+        requestBytes = new ByteBudget(limit, reserve);
         this.retryAfterHeader = retryAfterHeader;
     }
 
