--- a/node/src/main/java/saltdale/node/LogRing.java
+++ b/node/src/main/java/saltdale/node/LogRing.java
@@ -8,6 +8,7 @@
 final class LogRing {
     private static final System.Logger LOG = System.getLogger(LogRing.class.getName());
     private static final int MAX_ENTRIES = 256;
+    private static final int MAX_ENTRY_CHARACTERS = 1000; // entries contain names and paths that clients send
 
     private static volatile boolean tracing;
     private final Deque<String> entries = new ArrayDeque<>();
@@ -31,7 +32,11 @@
         if (entries.size() == MAX_ENTRIES) {
             entries.poll();
         }
-        entries.add(clockMillis.getAsLong() + " ms " + message);
+        entries.add(clockMillis.getAsLong() + " ms " + abbreviated(message));
+    }
+
+    private static String abbreviated(String message) {
+        return message.length() <= MAX_ENTRY_CHARACTERS ? message : message.substring(0, MAX_ENTRY_CHARACTERS) + "...";
     }
 
     /** Writes an error and the entries that led to it to the system log. */
