Node: metrics of what connections hold, and of what was refused

The readiness port of a proxy had a budget for each connection; it shares that of the front now. Test: ClientCrowdTest.metricsTellWhatIsHeldAndRefused, red before (no such metric).

--- a/net/src/main/java/saltdale/transport/SocketBudget.java
+++ b/net/src/main/java/saltdale/transport/SocketBudget.java
@@ -35,6 +35,7 @@
     private int limit;
     private int openCount;
     private long unsentBytes;
+    private long closedForNotReading;
     /** Clients that have yet to read responses, with the time since which they have read nothing; the longest first. */
     private final Map<Runnable, Duration> notReadingSince = new LinkedHashMap<>();
 
@@ -96,9 +97,15 @@
             return false;
         }
         first.getKey().run();
+        closedForNotReading++;
         return true;
     }
 
+    /** Returns how many connections were closed because their clients read nothing of their responses. */
+    public long closedForNotReading() {
+        return closedForNotReading;
+    }
+
     /** Marks a connection as idle from now on; {@code close} closes it and identifies it. */
     public void markIdle(IdleRank rank, Runnable close) {
         markBusy(close);
--- a/node/src/main/java/saltdale/node/AnswerMemory.java
+++ b/node/src/main/java/saltdale/node/AnswerMemory.java
@@ -33,6 +33,16 @@
         this.limitBytes = limitBytes;
     }
 
+    /** Returns how many bytes are held of answers that arrive or have arrived, and were not passed on yet. */
+    long heldBytes() {
+        return heldBytes;
+    }
+
+    /** Returns the bound of these bytes, together with those that clients have yet to read. */
+    long limitBytes() {
+        return limitBytes;
+    }
+
     /** Returns whether there is room for what is known of the answer; if not, the exchange is resumed later. */
     boolean mayReadOn(UpstreamExchange exchange) {
         if (tryHold(exchange)) {
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -40,7 +40,7 @@
     private boolean shuttingDown;
 
     ControlProcess(Settings settings) throws IOException, Settings.InvalidSettingsException {
-        super(REQUEST_HEAP_DIVISOR, settings.maxFileDescriptors, RETRY_AFTER_HEADER);
+        super(budgetFromHeap(REQUEST_HEAP_DIVISOR, settings.maxFileDescriptors), RETRY_AFTER_HEADER);
         this.settings = settings;
         Map<String, byte[]> records = new HashMap<>();
         RecordStore recordStore = null;
@@ -174,7 +174,7 @@
             case "GET /Configuration.Read" -> controlNode.readConfiguration(reply -> sendReply(connection, reply));
             case "GET /metrics" ->
                 connection.respond(
-                        200, PLAIN_TEXT_HEADER, environment.counters().toText());
+                        200, PLAIN_TEXT_HEADER, environment.counters().toText() + connectionMetrics());
             case "GET /readiness" -> connection.respond(controlNode.hasMajority() ? 200 : 503, "", EMPTY_BODY);
             default -> connection.respond(404, "", "no such call");
         }
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -51,7 +51,7 @@
     private boolean shuttingDown;
 
     ProxyProcess(Settings settings) throws IOException, Settings.InvalidSettingsException {
-        super(REQUEST_HEAP_DIVISOR, settings.maxFileDescriptors, RETRY_AFTER_HEADER);
+        super(budgetFromHeap(REQUEST_HEAP_DIVISOR, settings.maxFileDescriptors), RETRY_AFTER_HEADER);
         this.settings = settings;
         environment = new EventLoopEnvironment(settings, null, this);
         answerMemory = new AnswerMemory(
@@ -79,12 +79,12 @@
                 environment.sockets,
                 EventLoopEnvironment.parseAddress(settings.frontAddress, "listen_addresses.front"),
                 (accepted, overLimit) -> clientConnections.add(new ServerConnection(this, accepted, overLimit)));
+        ReadinessHandler readinessHandler = new ReadinessHandler();
         new Listener(
                 environment.loop,
                 environment.sockets,
                 EventLoopEnvironment.parseAddress(settings.readinessAddress, "listen_addresses.readiness"),
-                (accepted, overLimit) ->
-                        new ServerConnection(new ReadinessHandler(environment, proxy), accepted, overLimit));
+                (accepted, overLimit) -> new ServerConnection(readinessHandler, accepted, overLimit));
     }
 
     @Override
@@ -248,13 +248,10 @@
     }
 
     /** Answers whether this proxy accepts new connections, and serves its metrics. */
-    private static final class ReadinessHandler extends RequestHandler {
-        private final Proxy proxy;
-
-        ReadinessHandler(EventLoopEnvironment environment, Proxy proxy) {
-            super(REQUEST_HEAP_DIVISOR, 0, RETRY_AFTER_HEADER);
-            this.environment = environment;
-            this.proxy = proxy;
+    private final class ReadinessHandler extends RequestHandler {
+        ReadinessHandler() {
+            super(ProxyProcess.this.requestBytes(), RETRY_AFTER_HEADER);
+            environment = ProxyProcess.this.environment;
         }
 
         @Override
@@ -268,6 +265,9 @@
 
         private String metricsText() {
             return environment.counters().toText()
+                    + ProxyProcess.this.connectionMetrics()
+                    + "answers_held_bytes " + answerMemory.heldBytes() + '\n'
+                    + "answers_held_bytes_limit " + answerMemory.limitBytes() + '\n'
                     + "configuration_revision " + proxy.revision() + '\n'
                     + "configuration_age_ms " + proxy.configurationAge() / 1_000_000 + '\n';
         }
--- a/node/src/main/java/saltdale/node/RequestHandler.java
+++ b/node/src/main/java/saltdale/node/RequestHandler.java
@@ -15,20 +15,52 @@
 
     private final ByteBudget requestBytes;
     private final String retryAfterHeader;
+    private long rejectedRequests;
+    private long timedOutRequests;
 
     /** Set before the first connection is accepted. */
     EventLoopEnvironment environment;
 
     /**
-     * Creates a handler whose requests may take this part of the heap until they are answered; those beyond it are
-     * answered with 503 and {@code retryAfterHeader}. Large requests leave room for a small one of each connection, of
-     * which there are {@code maxConnections} at most.
+     * Creates a handler whose requests take memory from this budget until they are answered. Those for which too little
+     * is left are answered with 503 and {@code retryAfterHeader}.
      */
-    RequestHandler(int heapDivisor, int maxConnections, String retryAfterHeader) {
+    RequestHandler(ByteBudget requestBytes, String retryAfterHeader) {
+        this.requestBytes = requestBytes;
+        this.retryAfterHeader = retryAfterHeader;
+    }
+
+    /**
+     * Returns a budget of this part of the heap. Large requests leave room for a small one of each connection, of which
+     * there are {@code maxConnections} at most.
+     */
+    static ByteBudget budgetFromHeap(int heapDivisor, int maxConnections) {
         long limit = Runtime.getRuntime().maxMemory() / heapDivisor;
         long reserve = Math.min(limit / 2, (long) maxConnections * ByteBudget.SMALL_REQUEST_BYTES);
-        requestBytes = new ByteBudget(limit, reserve);
-        this.retryAfterHeader = retryAfterHeader;
+        return new ByteBudget(limit, reserve);
+    }
+
+    @Override
+    public void requestRejected(boolean timedOut) {
+        if (timedOut) {
+            timedOutRequests++;
+        } else {
+            rejectedRequests++;
+        }
+    }
+
+    /** Returns what the connections of this process hold and what was refused, as metrics, one a line. */
+    String connectionMetrics() {
+        SocketBudget sockets = environment.sockets;
+        return "connections_open " + sockets.openCount() + '\n'
+                + "connections_closing " + sockets.closingCount() + '\n'
+                + "connections_closed_for_not_reading " + sockets.closedForNotReading() + '\n'
+                + "requests_held_bytes " + requestBytes.used() + '\n'
+                + "requests_held_bytes_limit " + requestBytes.limit() + '\n'
+                + "requests_refused_for_memory " + requestBytes.refusals() + '\n'
+                + "requests_rejected " + rejectedRequests + '\n'
+                + "requests_timed_out " + timedOutRequests + '\n'
+                + "responses_unread_bytes " + sockets.unsentBytes() + '\n';
     }
 
     @Override
--- a/tools/src/test/java/saltdale/tools/ClientCrowdTest.java
+++ b/tools/src/test/java/saltdale/tools/ClientCrowdTest.java
@@ -1,6 +1,7 @@
 package saltdale.tools;
 
 import static org.junit.jupiter.api.Assertions.assertAll;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -250,4 +251,32 @@
             check(cluster, cluster.controlNode(), Machine.CONTROL_PORT, 4, script, CONTROL_LIMITS);
         }
     }
+
+    /** Operators see at each process what connections hold, and what was refused. */
+    @Test
+    void metricsTellWhatIsHeldAndRefused() throws Exception {
+        try (CrowdedCluster cluster = startCluster()) {
+            checkMetrics(
+                    cluster, cluster.proxy(), Machine.FRONT_PORT, ProxyCrowd.WHOLE_BODIES_SHORT_OF_THEIR_END.script());
+            checkMetrics(
+                    cluster,
+                    cluster.controlNode(),
+                    Machine.CONTROL_PORT,
+                    ControlCrowd.WHOLE_ORDERS_SHORT_OF_THEIR_END.script());
+        }
+    }
+
+    private static void checkMetrics(CrowdedCluster cluster, Machine machine, int port, ClientCrowd.Script script)
+            throws IOException {
+        assertEquals(0, cluster.metric(machine, "requests_held_bytes"));
+        assertEquals(0, cluster.metric(machine, "requests_refused_for_memory"));
+        try (ClientCrowd crowd = new ClientCrowd(cluster.address(machine, port), 50, script)) {
+            crowd.send(Duration.ofMillis(200), CROWD_LIMIT);
+            long held = cluster.metric(machine, "requests_held_bytes");
+            long limit = cluster.metric(machine, "requests_held_bytes_limit");
+            assertTrue(held > 0 && held <= limit, held + " of " + limit);
+            assertTrue(cluster.metric(machine, "requests_refused_for_memory") > 0);
+            assertTrue(cluster.metric(machine, "connections_open") > 0);
+        }
+    }
 }
--- a/tools/src/test/java/saltdale/tools/CrowdedCluster.java
+++ b/tools/src/test/java/saltdale/tools/CrowdedCluster.java
@@ -168,6 +168,21 @@
         }
     }
 
+    /** The value of a metric of the machine's process. */
+    long metric(Machine machine, String name) throws IOException {
+        int port = machine.isProxy() ? Machine.READINESS_PORT : Machine.CONTROL_PORT;
+        try (Socket socket = new Socket(machine.ip(), port)) {
+            String request = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            String text = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            return text.lines()
+                    .filter(line -> line.startsWith(name + " "))
+                    .mapToLong(line -> Long.parseLong(line.substring(name.length() + 1)))
+                    .findFirst()
+                    .orElseThrow(() -> new IOException("no metric " + name + " in " + text));
+        }
+    }
+
     /** The peak of the memory that the process had at once, in megabytes. */
     long peakMegabytes(Machine machine) throws IOException {
         for (String line : Files.readAllLines(processFolder(machine).resolve("status"))) {
