Net: clients have their turn after all others, and for a limited time

What callers saw: with thousands of sending clients an ordinary request waits for the turns of all of them several times, and so do heartbeats and timers. Change: channels of clients are dispatched after all others, for 20 ms an iteration and 200 ms after a stall, in the order in which they became ready. It works because no client is dispatched twice before another one that is ready, and nothing but a client waits for clients. Ruled out: smaller reads; each costs a system call, for ordinary bodies too.

Test, before: clientsHoldUpOthersForALimitedTime red.

--- a/net/src/main/java/saltdale/serving/ServerConnection.java
+++ b/net/src/main/java/saltdale/serving/ServerConnection.java
@@ -116,6 +116,7 @@
         this.connection = connection;
         this.overLimit = overLimit;
         connection.setHandler(this);
+        connection.setClient();
         parser.setMemoryGrant((head, body) -> hold(head, body, 0));
         startTimer(handler.requestTimeout(), this::onRequestTimeout);
         handler.socketBudget().markIdle(SocketBudget.IdleRank.NEW_CLIENT, closeAction);
--- a/net/src/main/java/saltdale/transport/Connection.java
+++ b/net/src/main/java/saltdale/transport/Connection.java
@@ -38,6 +38,7 @@
     private final Runnable closeAction = this::close;
     private final Runnable closeNotReading = () -> closeAndNotify("the peer does not read");
     private boolean accepted;
+    private boolean client;
     private final Deque<ByteBuffer> outgoing = new ArrayDeque<>();
     private Handler handler;
     private boolean connecting;
@@ -107,6 +108,16 @@
         handler = next;
     }
 
+    /** Marks the peer as a client: its input may wait for that of others; see {@link EventLoop}. */
+    public void setClient() {
+        client = true;
+    }
+
+    @Override
+    public boolean isClient() {
+        return client;
+    }
+
     /** Returns the numeric IP address of the peer, or null if it is no longer known. */
     public String peerAddress() {
         try {
--- a/net/src/main/java/saltdale/transport/EventLoop.java
+++ b/net/src/main/java/saltdale/transport/EventLoop.java
@@ -7,14 +7,18 @@
 import java.nio.channels.Selector;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
- * A single-threaded event loop. Each iteration waits for ready channels and due timers, dispatches all ready channels,
- * runs deferred tasks and due timers, and finally runs the end-of-iteration task once.
+ * A single-threaded event loop. Each iteration waits for ready channels and due timers, dispatches ready channels, runs
+ * deferred tasks and due timers, and finally runs the end-of-iteration task once. Channels of clients are dispatched
+ * after all others and for a limited time; those that are left have their turn in the next iterations, before any of
+ * them has another one. So clients delay neither timers nor the messages of other processes for long.
  *
  * <p>What a task throws ends that task alone: it is logged and counted, its channel is closed if it has one, and the
  * loop goes on. This holds for every exception and for every error but those of a virtual machine that can no longer be
@@ -30,6 +34,11 @@
 
         /** A task of this handler failed; only this handler's channel is to be closed. */
         void onFailure(Throwable cause);
+
+        /** Returns whether this is the channel of a client, which may be dispatched in a later iteration. */
+        default boolean isClient() {
+            return false;
+        }
     }
 
     /** Is told of each failure that was contained, other than an I/O error of a channel. */
@@ -46,11 +55,17 @@
     // If an iteration starts later than this after the end of its wait, the process was stalled.
     private static final long STALL_THRESHOLD_NANOS = 50_000_000;
     private static final int MAX_CATCH_UP_SELECTS = 32;
+    /** For how long the channels of clients are dispatched in one iteration, or at once after a stall. */
+    private static final long MAX_CLIENT_NANOS = 20_000_000;
+
+    private static final long MAX_CLIENT_CATCH_UP_NANOS = 200_000_000;
+    private static final int CLIENTS_PER_CLOCK_READ = 8;
     private final Selector selector;
     private final long originNanos = System.nanoTime();
     private final TimerQueue timers = new TimerQueue();
     private final Queue<Runnable> deferredTasks = new ArrayDeque<>();
     private final Queue<Runnable> externalTasks = new ConcurrentLinkedQueue<>();
+    private final Set<SelectionKey> readyClients = new LinkedHashSet<>(); // in the order of their turns
     /** Shared by all connections: the bytes of one read must be consumed before the next read. */
     final ByteBuffer readBuffer = ByteBuffer.allocateDirect(1 << 16);
     /** Shared by all connections: holds the bytes of one write. */
@@ -151,6 +166,7 @@
         for (int i = 0; stallNanos > 0 && i < MAX_CATCH_UP_SELECTS && selector.selectNow() > 0; i++) {
             dispatchReadyChannels();
         }
+        dispatchReadyClients(stallNanos > 0 ? MAX_CLIENT_CATCH_UP_NANOS : MAX_CLIENT_NANOS);
         for (int i = deferredTasks.size(); i > 0; i--) {
             runGuarded(deferredTasks.poll());
         }
@@ -163,19 +179,40 @@
         runGuarded(iterationEnd);
     }
 
+    /** Dispatches all ready channels but those of clients, which are given a turn. */
     private void dispatchReadyChannels() {
         lastReadyNanos = selector.selectedKeys().isEmpty() ? lastReadyNanos : nowNanos;
         for (SelectionKey key : selector.selectedKeys()) {
-            ChannelHandler handler = (ChannelHandler) key.attachment();
-            runGuarded(handler, () -> {
-                if (key.isValid()) {
-                    handler.onReady(key);
-                }
-            });
+            if (((ChannelHandler) key.attachment()).isClient()) {
+                readyClients.add(key);
+            } else {
+                dispatch(key);
+            }
         }
         selector.selectedKeys().clear();
     }
 
+    private void dispatchReadyClients(long maxNanos) {
+        long endNanos = System.nanoTime() + maxNanos;
+        for (int count = 1; !readyClients.isEmpty(); count++) {
+            SelectionKey key = readyClients.iterator().next();
+            readyClients.remove(key);
+            dispatch(key);
+            if (count % CLIENTS_PER_CLOCK_READ == 0 && System.nanoTime() - endNanos > 0) {
+                return;
+            }
+        }
+    }
+
+    private void dispatch(SelectionKey key) {
+        ChannelHandler handler = (ChannelHandler) key.attachment();
+        runGuarded(handler, () -> {
+            if (key.isValid()) {
+                handler.onReady(key);
+            }
+        });
+    }
+
     /**
      * Waits for ready channels until the next timer is due. Returns the latest time at which the wait should have
      * ended, or Long.MAX_VALUE if it was unlimited.
@@ -186,7 +223,7 @@
         if (startNanos - lastReadyNanos < ACTIVE_PERIOD_NANOS) {
             waitNanos = Math.min(waitNanos, MAX_ACTIVE_WAIT_NANOS);
         }
-        if (!deferredTasks.isEmpty() || waitNanos <= 0) {
+        if (!deferredTasks.isEmpty() || !readyClients.isEmpty() || waitNanos <= 0) {
             waitNanos = 0;
             selector.selectNow();
         } else {
--- a/net/src/test/java/saltdale/transport/TransportTest.java
+++ b/net/src/test/java/saltdale/transport/TransportTest.java
@@ -20,6 +20,7 @@
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import java.util.function.BooleanSupplier;
@@ -92,6 +93,57 @@
         return ByteBuffer.allocate(count);
     }
 
+    // Clients that are ready at the same time
+
+    /** Guards against crowds of clients that hold up the messages of other processes, and timers. */
+    @Test
+    void clientsHoldUpOthersForALimitedTime() throws IOException {
+        int clients = 12;
+        long nanosPerClient = 30_000_000;
+        List<SocketChannel> peers = new ArrayList<>();
+        ConnectionPool pool = newPool(LONG_TIMEOUT);
+        for (int i = 0; i <= clients; i++) {
+            String name = i == 0 ? "process" : "client";
+            Connection connection = pool.acquire(new Connection.Handler() {
+                @Override
+                public void opened() {
+                    events.add("opened");
+                }
+
+                @Override
+                public void received(ByteBuffer bytes) {
+                    events.add(name);
+                    for (long start = System.nanoTime(); System.nanoTime() - start < nanosPerClient; ) {
+                        Thread.onSpinWait(); // works for its client
+                    }
+                }
+
+                @Override
+                public void disconnected(String cause) {}
+            });
+            if (i > 0) {
+                connection.setClient();
+            }
+            int expected = i + 1;
+            runUntil(() -> Collections.frequency(events, "opened") == expected);
+            peers.add(server.accept());
+        }
+        events.clear();
+        for (SocketChannel peer : peers) {
+            peer.write(bytes(10));
+        }
+        loop.runOnce(() -> events.add("end of the iteration"));
+        assertEquals("process", events.get(0));
+        assertTrue(events.indexOf("end of the iteration") < clients, events.toString());
+        while (Collections.frequency(events, "client") < clients) {
+            loop.runOnce(() -> {});
+        }
+        assertEquals(clients + 2, events.size(), "each once: " + events);
+        for (SocketChannel peer : peers) {
+            peer.close();
+        }
+    }
+
     // Stalls of the process
 
     @Test
