Net, node: what the kernel keeps for each client is bounded

What callers would see: a machine runs out of memory by bytes that clients sent and the process has not read, or that clients do not read, which are in no heap. Cause: the kernel's buffers grow to 6 MB and 4 MB a connection. Change: the listeners of proxies and control nodes set 32 KB and 64 KB (doubled by the kernel); a system that refuses the option goes on without. Ruled out: setting the buffer only once a write is short; on loopback the first write alone leaves 2.8 MB.

Test, before: kernelKeepsLittleOfClients red (2,807,808 bytes kept).

--- a/net/src/main/java/saltdale/transport/Listener.java
+++ b/net/src/main/java/saltdale/transport/Listener.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketOption;
 import java.net.StandardSocketOptions;
+import java.nio.channels.NetworkChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -21,6 +23,9 @@
 
     private static final int BACKLOG = 1024;
     private static final Duration ACCEPT_PAUSE = Duration.ofMillis(100);
+    // The kernel takes up to twice as many bytes.
+    private static final int LIMITED_RECEIVE_BUFFER_BYTES = 32 * 1024;
+    private static final int LIMITED_SEND_BUFFER_BYTES = 64 * 1024;
 
     private final EventLoop loop;
     private final SocketBudget sockets;
@@ -28,6 +33,7 @@
     private final SelectionKey key;
     private final AcceptHandler acceptHandler;
     private boolean paused;
+    private boolean limitsKernelBuffers;
 
     /** Listens on {@code address} with the default backlog. */
     public Listener(EventLoop loop, SocketBudget sockets, InetSocketAddress address, AcceptHandler acceptHandler)
@@ -61,6 +67,9 @@
                 sockets.acquireForRejection();
             }
             try {
+                if (limitsKernelBuffers) { // that for input is inherited
+                    trySetOption(accepted, StandardSocketOptions.SO_SNDBUF, LIMITED_SEND_BUFFER_BYTES);
+                }
                 acceptHandler.accepted(Connection.accepted(loop, sockets, accepted), overLimit);
             } catch (IOException e) {
                 sockets.release(); // the connection ended before it could be registered
@@ -111,6 +120,24 @@
         }
     }
 
+    /**
+     * Bounds what the kernel keeps of each connection that is accepted from now on, while this process or its peer does
+     * not read: thousands of clients could otherwise take more memory than the machine has.
+     */
+    public void limitKernelBuffers() {
+        limitsKernelBuffers = true;
+        trySetOption(channel, StandardSocketOptions.SO_RCVBUF, LIMITED_RECEIVE_BUFFER_BYTES);
+    }
+
+    /** Sets an option without which the channel works as well. */
+    private static <T> void trySetOption(NetworkChannel channel, SocketOption<T> option, T value) {
+        try {
+            channel.setOption(option, value);
+        } catch (IOException e) {
+            // the kernel decides about its buffers
+        }
+    }
+
     /** Stops listening; accepted connections stay open. */
     public void close() throws IOException {
         key.cancel();
--- a/net/src/test/java/saltdale/transport/TransportTest.java
+++ b/net/src/test/java/saltdale/transport/TransportTest.java
@@ -15,6 +15,7 @@
 import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -144,6 +145,38 @@
         }
     }
 
+    /** Guards against clients whose bytes fill the memory of the machine while the process does not read them. */
+    @Test
+    void kernelKeepsLittleOfClients() throws IOException {
+        List<Connection> accepted = new ArrayList<>();
+        Listener listener = new Listener(
+                loop, sockets, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), (connection, full) -> {
+                    connection.setHandler(recordingHandler);
+                    connection.setClient();
+                    connection.setReadEnabled(false);
+                    accepted.add(connection);
+                });
+        listener.limitKernelBuffers();
+        try (SocketChannel client = SocketChannel.open()) {
+            client.setOption(StandardSocketOptions.SO_SNDBUF, 4096);
+            client.setOption(StandardSocketOptions.SO_RCVBUF, 4096);
+            client.connect(listener.localAddress());
+            client.configureBlocking(false);
+            runUntil(() -> !accepted.isEmpty());
+            long sent = 0;
+            for (int i = 0; i < 200; i++) {
+                sent += client.write(bytes(1 << 16));
+            }
+            assertTrue(sent <= 2 * 32 * 1024 + 16 * 1024, "sent: " + sent);
+            int large = 16 << 20;
+            accepted.get(0).send(bytes(large));
+            loop.runOnce(() -> {});
+            long kept = large - accepted.get(0).unsentBytes();
+            assertTrue(kept <= 2 * 64 * 1024 + 16 * 1024, "kept: " + kept);
+        }
+        listener.close();
+    }
+
     // Stalls of the process
 
     @Test
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -81,11 +81,12 @@
         controlNode = created;
         seedWatch = new SeedWatch(environment, settings, controlNode::hasMajority, controlNode::setSeeds);
         if (settings.controlAddress != null) {
-            new Listener(
+            Listener listener = new Listener(
                     environment.loop,
                     environment.sockets,
                     EventLoopEnvironment.parseAddress(settings.controlAddress, "listen_addresses.control"),
                     (connection, overLimit) -> new ServerConnection(this, connection, overLimit));
+            listener.limitKernelBuffers();
         }
     }
 
--- a/node/src/main/java/saltdale/node/ProxyProcess.java
+++ b/node/src/main/java/saltdale/node/ProxyProcess.java
@@ -79,12 +79,14 @@
                 environment.sockets,
                 EventLoopEnvironment.parseAddress(settings.frontAddress, "listen_addresses.front"),
                 (accepted, overLimit) -> clientConnections.add(new ServerConnection(this, accepted, overLimit)));
+        listener.limitKernelBuffers();
         ReadinessHandler readinessHandler = new ReadinessHandler();
-        new Listener(
+        Listener readinessListener = new Listener(
                 environment.loop,
                 environment.sockets,
                 EventLoopEnvironment.parseAddress(settings.readinessAddress, "listen_addresses.readiness"),
                 (accepted, overLimit) -> new ServerConnection(readinessHandler, accepted, overLimit));
+        readinessListener.limitKernelBuffers();
     }
 
     @Override
