--- a/control/src/main/java/saltdale/control/ConfigurationCodec.java
+++ b/control/src/main/java/saltdale/control/ConfigurationCodec.java
@@ -16,8 +16,8 @@
     public static final int MAX_TEXT_BYTES = 4 << 20;
 
     /**
-     * The most values of a configuration or an order: one for each ten bytes of the largest. Values that say something take more bytes than
-     * that, and a text of empty objects would take twenty times its size as a tree.
+     * The most values of a configuration or an order: one for each ten bytes of the largest. Values that say something
+     * take more bytes than that, and a text of empty objects would take twenty times its size as a tree.
      */
     public static final int MAX_VALUES = MAX_TEXT_BYTES / 10;
 
--- a/net/src/main/java/saltdale/protocol/HttpParser.java
+++ b/net/src/main/java/saltdale/protocol/HttpParser.java
@@ -72,8 +72,8 @@
         MemoryGrant UNLIMITED = (headBytes, bodyBytes) -> true;
 
         /**
-         * Returns whether the head may take {@code headBytes} and the body {@code bodyBytes} in all. If not, the message
-         * is rejected with status 503.
+         * Returns whether the head may take {@code headBytes} and the body {@code bodyBytes} in all. If not, the
+         * message is rejected with status 503.
          */
         boolean tryHold(long headBytes, long bodyBytes);
     }
@@ -369,8 +369,8 @@
     }
 
     /**
-     * Makes room for further bytes of the body. Larger arrays are allocated only as the bytes arrive, and none is larger
-     * than the body can become. Returns false if the message was rejected.
+     * Makes room for further bytes of the body. Larger arrays are allocated only as the bytes arrive, and none is
+     * larger than the body can become. Returns false if the message was rejected.
      */
     private boolean ensureBodyCapacity(int additionalBytes) {
         int needed = bodyBytes + additionalBytes;
--- a/net/src/main/java/saltdale/serving/ServerConnection.java
+++ b/net/src/main/java/saltdale/serving/ServerConnection.java
@@ -274,8 +274,8 @@
     }
 
     /**
-     * Takes from the budget, or gives back to it, what the request and the bytes that follow it take from now on. Returns
-     * false, and changes nothing, if too little is left.
+     * Takes from the budget, or gives back to it, what the request and the bytes that follow it take from now on.
+     * Returns false, and changes nothing, if too little is left.
      */
     private boolean hold(long head, long body, long following) {
         long needed = Math.max(0, head + following - UNCOUNTED_BYTES) + body;
--- a/net/src/test/java/saltdale/serving/ServerConnectionTest.java
+++ b/net/src/test/java/saltdale/serving/ServerConnectionTest.java
@@ -291,7 +291,7 @@
         assertTrue(accepted.allocatedBytes() <= 1000, "allocated: " + accepted.allocatedBytes());
     }
 
-    /** Guards against bodies for which memory is allocated before the budget is asked, or more than it was asked for. */
+    /** Guards against bodies whose memory is allocated before the budget is asked, or more than it was asked for. */
     @Test
     void bodyTakesNoMoreMemoryThanTheBudgetGranted() throws IOException {
         handler.limits = new HttpParser.Limits(1000, 60_000);
--- a/node/src/main/java/saltdale/node/AnswerMemory.java
+++ b/node/src/main/java/saltdale/node/AnswerMemory.java
@@ -11,8 +11,8 @@
 
 /**
  * Bounds the memory that answers take together: those that arrive from instances and those that clients have yet to
- * read. An answer for which there is no room is not read on until there is, or until its request ends. Clients that read
- * nothing meanwhile lose their connections.
+ * read. An answer for which there is no room is not read on until there is, or until its request ends. Clients that
+ * read nothing meanwhile lose their connections.
  */
 final class AnswerMemory {
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(10);
@@ -55,7 +55,7 @@
         return false;
     }
 
-    /** Returns whether there was room. The only answer is let through however large, unless clients leave many unread. */
+    /** Returns whether there was room. The only answer is let through however large, unless many are left unread. */
     private boolean tryHold(UpstreamExchange exchange) {
         long known = exchange.answerBytesKnown();
         long missing = known - heldByExchange.getOrDefault(exchange, 0L);
--- a/tools/src/test/java/saltdale/tools/ClientCrowdTest.java
+++ b/tools/src/test/java/saltdale/tools/ClientCrowdTest.java
@@ -22,9 +22,9 @@
  * connected: no process ends, each keeps to the memory and the file descriptors of its machine, and an ordinary request
  * is served while the crowd is connected and after it has left.
  *
- * <p>The limits are those of the deployments, scaled down. A proxy there has 128 MB of heap for some 3,100 clients, here
- * 32 MB for some 600. What a process needs beside its heap is the same: a proxy's machine there has 330 MB, which leaves
- * 202 MB, a control node's 426 MB beside 192 MB, which leaves 234 MB.
+ * <p>The limits are those of the deployments, scaled down. A proxy there has 128 MB of heap for some 3,100 clients,
+ * here 32 MB for some 600. What a process needs beside its heap is the same: a proxy's machine there has 330 MB, which
+ * leaves 202 MB, a control node's 426 MB beside 192 MB, which leaves 234 MB.
  */
 @Timeout(90)
 class ClientCrowdTest {
