Net: after a stall the input of clients is read to its end again

Change: the rounds after a stall include clients while their 200 ms last.

Test, before: closeByAClientDuringAStallIsNoticedBeforeTimers red (no "ended" before the timer).

--- a/net/src/main/java/saltdale/transport/EventLoop.java
+++ b/net/src/main/java/saltdale/transport/EventLoop.java
@@ -55,7 +55,7 @@
     // If an iteration starts later than this after the end of its wait, the process was stalled.
     private static final long STALL_THRESHOLD_NANOS = 50_000_000;
     private static final int MAX_CATCH_UP_SELECTS = 32;
-    /** For how long the channels of clients are dispatched in one iteration, or at once after a stall. */
+    /** For how long the channels of clients are dispatched in one iteration, and in one after a stall. */
     private static final long MAX_CLIENT_NANOS = 20_000_000;
 
     private static final long MAX_CLIENT_CATCH_UP_NANOS = 200_000_000;
@@ -161,12 +161,14 @@
         nowNanos = System.nanoTime() - originNanos;
         stallNanos = nowNanos - latestWakeupNanos > STALL_THRESHOLD_NANOS ? nowNanos - previousNanos : 0;
         dispatchReadyChannels();
+        long clientsEndNanos = System.nanoTime() + (stallNanos > 0 ? MAX_CLIENT_CATCH_UP_NANOS : MAX_CLIENT_NANOS);
+        dispatchReadyClients(clientsEndNanos);
         // After a stall, reads all pending input before any timer or decision. Otherwise the loop would take its own
         // stall for silence of its peers, and would serve clients that have disconnected in the meantime.
         for (int i = 0; stallNanos > 0 && i < MAX_CATCH_UP_SELECTS && selector.selectNow() > 0; i++) {
             dispatchReadyChannels();
+            dispatchReadyClients(clientsEndNanos);
         }
-        dispatchReadyClients(stallNanos > 0 ? MAX_CLIENT_CATCH_UP_NANOS : MAX_CLIENT_NANOS);
         for (int i = deferredTasks.size(); i > 0; i--) {
             runGuarded(deferredTasks.poll());
         }
@@ -192,14 +194,12 @@
         selector.selectedKeys().clear();
     }
 
-    private void dispatchReadyClients(long maxNanos) {
-        long endNanos = System.nanoTime() + maxNanos;
-        for (int count = 1; !readyClients.isEmpty(); count++) {
-            SelectionKey key = readyClients.iterator().next();
-            readyClients.remove(key);
-            dispatch(key);
-            if (count % CLIENTS_PER_CLOCK_READ == 0 && System.nanoTime() - endNanos > 0) {
-                return;
+    private void dispatchReadyClients(long endNanos) {
+        while (!readyClients.isEmpty() && System.nanoTime() - endNanos < 0) {
+            for (int i = 0; i < CLIENTS_PER_CLOCK_READ && !readyClients.isEmpty(); i++) {
+                SelectionKey key = readyClients.iterator().next();
+                readyClients.remove(key);
+                dispatch(key);
             }
         }
     }
--- a/net/src/test/java/saltdale/transport/TransportTest.java
+++ b/net/src/test/java/saltdale/transport/TransportTest.java
@@ -179,6 +179,23 @@
 
     // Stalls of the process
 
+    /** Guards against service for clients that have disconnected while the process was stalled. */
+    @Test
+    void closeByAClientDuringAStallIsNoticedBeforeTimers() throws IOException {
+        newPool(LONG_TIMEOUT).acquire(recordingHandler).setClient();
+        runUntil(() -> events.contains("opened"));
+        try (SocketChannel peer = server.accept()) {
+            loop.schedule(Duration.ofMillis(20), () -> events.add("timer"));
+            peer.write(bytes(10));
+        }
+        for (long startNanos = System.nanoTime(); System.nanoTime() - startNanos < 300_000_000; ) {
+            Thread.onSpinWait(); // stands in for a stopped process: the loop makes no progress
+        }
+        events.clear();
+        loop.runOnce(() -> {});
+        assertEquals(List.of("received", "ended", "timer"), events);
+    }
+
     @Test
     void inputDuringAStallIsReadBeforeTimersAndTheEndOfTheIteration() throws IOException {
         newPool(LONG_TIMEOUT).acquire(recordingHandler);
