Net: a closed connection does not become idle

Cause: a request is processed to its end without its client; the reply then marked the closed connection as idle, where it stayed until sockets ran out. Change: input of a closed connection is not processed. Ruled out: not answering at all in ControlProcess; every handler would need that check.

Test, before: nothingIsKeptOfAClientThatLeavesBeforeItsResponse red (one idle connection, no socket).

--- a/net/src/main/java/saltdale/serving/ServerConnection.java
+++ b/net/src/main/java/saltdale/serving/ServerConnection.java
@@ -192,7 +192,7 @@
      * after some requests, and goes on in the next iteration of the event loop.
      */
     private void processInput() {
-        if (parsing || turnEnded) {
+        if (parsing || turnEnded || !connection.isOpen()) {
             return;
         }
         parsing = true;
--- a/net/src/main/java/saltdale/transport/SocketBudget.java
+++ b/net/src/main/java/saltdale/transport/SocketBudget.java
@@ -122,6 +122,11 @@
         return idleSince.get(IdleRank.CLOSING).size();
     }
 
+    /** Returns how many connections are idle and may be closed when sockets run out. */
+    public int idleCount() {
+        return idleSince.values().stream().mapToInt(Map::size).sum();
+    }
+
     void setReleaseListener(Runnable listener) {
         releaseListener = listener;
     }
--- a/net/src/test/java/saltdale/serving/ServerConnectionTest.java
+++ b/net/src/test/java/saltdale/serving/ServerConnectionTest.java
@@ -399,4 +399,21 @@
         }
         assertTrue(handler.requests < requests, "the kernel took all responses");
     }
+
+    /** Guards against connections that are kept, as idle ones, after they were closed. */
+    @Test
+    void nothingIsKeptOfAClientThatLeavesBeforeItsResponse() throws IOException {
+        handler.answers = false;
+        handler.idleTimeout = null;
+        send(head(0) + head(0));
+        runFor(SHORT.dividedBy(6));
+        assertEquals(1, handler.requests);
+        client.close();
+        runFor(SHORT.dividedBy(6));
+        assertEquals(0, handler.sockets.openCount());
+        handler.connection.respond(200, "", "x");
+        runFor(SHORT.dividedBy(6));
+        assertEquals(0, handler.sockets.idleCount());
+        assertEquals(1, handler.requests);
+    }
 }
