--- a/review/support/src/Deployment.java
+++ b/review/support/src/Deployment.java
@@ -30,6 +30,7 @@
     private final int firstPort;
     private final Map<String, Process> processes = new TreeMap<>(); // by name
     final Platform platform;
+    private boolean ended;
 
     Deployment(Path root, Path folder, Record record, Setup setup) throws IOException {
         this.root = root;
@@ -109,6 +110,9 @@
 
     /** Starts a process, for the first time or again. */
     synchronized void start(String name) throws IOException {
+        if (ended) {
+            return;
+        }
         boolean isProxy = name.startsWith("frontend");
         String host = host(name);
         String zone = name.split("-")[1];
@@ -158,13 +162,25 @@
         return processes.get(name);
     }
 
+    /** Sends a signal to a process: KILL, STOP, CONT, TERM or HUP. */
+    void signal(String name, String signal) throws IOException, InterruptedException {
+        record.log("signal " + signal + " to " + name);
+        new ProcessBuilder("kill", "-" + signal, Long.toString(process(name).pid())).start().waitFor();
+    }
+
     /** What the processes of this name have written to standard output and standard error. */
     String output(String name) throws IOException {
         return Files.readString(folder.resolve(name + ".log"));
     }
 
+    /** Whether its processes were ended; they are not started again. */
+    synchronized boolean isEnded() {
+        return ended;
+    }
+
     synchronized void endProcesses() {
-        processes.values().forEach(Process::destroyForcibly);
+        ended = true;
+        processes.values().forEach(Process::destroyForcibly); // SIGKILL, which ends a stopped process too
         for (Process process : processes.values()) {
             try {
                 process.waitFor(5, TimeUnit.SECONDS);
--- a/review/support/src/Operator.java
+++ b/review/support/src/Operator.java
@@ -44,6 +44,37 @@
         return 0;
     }
 
+    /** Sends a configuration once, to the control process of a zone; returns the status, or 0 without an answer. */
+    int replaceOnce(int zone, int basedOn, String json) {
+        return replaceOnce(deployment.controlAddress(zone), basedOn, json);
+    }
+
+    /** Reads the configuration once, at the control process of a zone; null without a 200. */
+    String read(int zone, int timeoutMs) {
+        InetSocketAddress address = deployment.controlAddress(zone);
+        try {
+            HttpURLConnection call = (HttpURLConnection) URI.create("http://"
+                            + address.getAddress().getHostAddress() + ":" + address.getPort()
+                            + "/Configuration.Read")
+                    .toURL()
+                    .openConnection();
+            call.setConnectTimeout(1000);
+            call.setReadTimeout(timeoutMs);
+            return call.getResponseCode() == 200
+                    ? new String(call.getInputStream().readAllBytes(), StandardCharsets.UTF_8)
+                    : null;
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    /** The revision of a configuration that was read; -1 if there is none. */
+    static int revision(String json) {
+        java.util.regex.Matcher matcher = java.util.regex.Pattern.compile("\"revision\"\\s*:\\s*([0-9]+)")
+                .matcher(json == null ? "" : json);
+        return matcher.find() ? Integer.parseInt(matcher.group(1)) : -1;
+    }
+
     private static int replaceOnce(InetSocketAddress address, int basedOn, String json) {
         byte[] body = json.getBytes(StandardCharsets.UTF_8);
         String url = "http://" + address.getAddress().getHostAddress() + ":" + address.getPort()
