--- a/review/5/src/ChangedWeights.java
+++ b/review/5/src/ChangedWeights.java
@@ -10,7 +10,7 @@
  */
 final class ChangedWeights {
     private static final int ROUTES = 2118; // the 718 services of the large deployment, and one big_config of 1400
-    private static final int PARTS = 12; // the services that each route is split over
+    private static final int PARTS = 16; // the services that each route is split over
     private static final int GAP_MS = 80; // between two changes, once the first is acknowledged
     private static final double LENGTH_S = 105;
     private static final int CHANGES = 200; // at most
