--- a/review/5/src/ChangedWeights.java
+++ b/review/5/src/ChangedWeights.java
@@ -11,9 +11,9 @@
 final class ChangedWeights {
     private static final int ROUTES = 2118; // the 718 services of the large deployment, and one big_config of 1400
     private static final int PARTS = 16; // the services that each route is split over
-    private static final int GAP_MS = 80; // between two changes, once the first is acknowledged
+    private static final double INTERVAL_S = 0.5; // from one change to the next, at least: some 200 in a day of 92 s
     private static final double LENGTH_S = 105;
-    private static final int CHANGES = 200; // at most
+    private static final int CHANGES = 60; // at most
     private static final int ENDS = 3; // the rule: on half of the core, processes end by themselves three times
 
     private ChangedWeights() {}
@@ -88,7 +88,7 @@
             record.log(String.format(
                     "operator: version %d: %s after %.2f s",
                     trouble ? revision : 2, status == 200 ? "acknowledged" : "no answer", record.seconds() - sentAt));
-            Thread.sleep(GAP_MS);
+            pause((long) Math.max(0, 1000 * (sentAt + INTERVAL_S - record.seconds())));
         }
         record.log("changes acknowledged: " + acknowledged + ", without an answer for 5 s: " + unanswered
                 + "; ends of processes of the core: " + ends);
--- a/review/6/src/RefusedThoughInForce.java
+++ b/review/6/src/RefusedThoughInForce.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.Socket;
 import java.util.Random;
 
 /**
@@ -16,6 +17,8 @@
     private static final int C = 2;
     private static final double LENGTH_S = 95;
     private static final int ROUNDS = 12; // at most
+    private static final int SILENCE_MS = 1000; // after which an operator's call moves on, by the pages
+    private static final int PAUSE_MS = 100; // before the first move to another dispatcher
 
     private final Deployment deployment;
     private final Record record;
@@ -116,8 +119,22 @@
     }
 
     private void readAt(int zone) {
-        String read = operator.read(zone, 5000);
-        record.log("operator: read at " + "abc".charAt(zone) + ": version " + Operator.revision(read));
+        String read = operator.read(zone, SILENCE_MS);
+        record.log("operator: read at " + "abc".charAt(zone) + ": "
+                + (read == null ? "no answer within a second" : "version " + Operator.revision(read)));
+    }
+
+    /** Waits until a takes connections; no call is made. */
+    private boolean awaitListening() throws InterruptedException {
+        for (int attempt = 0; attempt < 100; attempt++) {
+            try (Socket socket = new Socket()) {
+                socket.connect(deployment.controlAddress(A), 500);
+                return true;
+            } catch (IOException e) {
+                Thread.sleep(20);
+            }
+        }
+        return false;
     }
 
     private int changes() throws Exception {
@@ -128,14 +145,11 @@
         // Two changes in a row, at a. The second one's answer is lost.
         String first = configuration(revision + 2);
         String second = configuration(revision + 5);
-        double until = record.seconds() + 2;
-        int status = 0;
-        while (status != 200 && record.seconds() < until) {
-            status = operator.replaceOnce(A, revision, first);
-            if (status != 200) {
-                Thread.sleep(20);
-            }
+        if (trouble && !awaitListening()) {
+            record.log("a does not listen in time");
+            return -1;
         }
+        int status = operator.replaceOnce(A, revision, first);
         record.log("operator: " + revision + " -> " + (revision + 2) + " at a: " + status);
         if (status != 200) {
             return -1;
@@ -146,6 +160,7 @@
         if (status != 200) {
             return -1;
         }
+        Thread.sleep(PAUSE_MS); // then another dispatcher
         int[] again = {-1};
         Thread resend = new Thread(() -> again[0] = operator.replaceOnce(B, revision + 2, second));
         resend.start();
