--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -170,8 +170,13 @@
         frozen = process != null;
     }
 
-    /** Resumes the process; timers and messages that came due in the meantime are delivered now. */
+    /**
+     * Resumes the process if it is still frozen; timers and messages that came due in the meantime are delivered now.
+     */
     void thaw() {
+        if (!frozen) { // it has ended meanwhile
+            return;
+        }
         frozen = false;
         List<Runnable> due = List.copyOf(deferred);
         deferred.clear();
