Control: an order is not refused by a ballot that is older than it

Cause: orders join a ballot begun for reads. Its promises may be older than the order, and if they agree on a state, an order that leaves it as it is (412, 400) ended with them alone.

Change: the result of a change that came after its ballot began counts once a majority has accepted it at this ballot, also if it is the state as it was. Own changes and changes of voters take the same way. The rule for each kind of answer: docs/control-safety.md, section 8.

--- a/control/src/main/java/saltdale/control/Environment.java
+++ b/control/src/main/java/saltdale/control/Environment.java
@@ -46,6 +46,12 @@
     /** Reports the violation of an invariant, with the details that led to it; tests fail on it. */
     void reportViolation(Invariant invariant, String detail);
 
+    /**
+     * A read or a change that was queued at {@code queuedAt} is answered from this state, which must not be older than
+     * any that was known to be chosen anywhere at that time. Only a simulation, which sees all nodes, can check that.
+     */
+    default void onAnsweredFrom(ReplicatedState state, long queuedAt) {}
+
     /** Counts and reports a violation unless {@code holds}. */
     default void check(Invariant invariant, boolean holds, Supplier<String> detail) {
         if (!holds) {
--- a/control/src/main/java/saltdale/control/ProposalQueue.java
+++ b/control/src/main/java/saltdale/control/ProposalQueue.java
@@ -23,6 +23,8 @@
 
     /** A change that waits, or for which ballots are run. */
     final class QueuedChange {
+        private final long number = ++changeCount;
+        private final long queuedAt = environment.now();
         private final Proposer.Change change;
         private final int bytes;
         private final long deadline;
@@ -37,6 +39,15 @@
             cancelExpiry = environment.schedule(timeoutNanos, () -> expire(this));
         }
 
+        /** The position of this change among all that were ever queued here. */
+        long number() {
+            return number;
+        }
+
+        long queuedAt() {
+            return queuedAt;
+        }
+
         Proposer.Change change() {
             return change;
         }
@@ -60,7 +71,8 @@
     /** The state that a read returns: one that was chosen after the read began. */
     record ReadResult(ReplicatedState state, byte[] text) {}
 
-    private record QueuedRead(long number, long deadline, Consumer<ReadResult> onResult, Runnable cancelExpiry) {}
+    private record QueuedRead(
+            long number, long queuedAt, long deadline, Consumer<ReadResult> onResult, Runnable cancelExpiry) {}
 
     /**
      * The most operators' changes that may wait. Each needs a ballot of its own with two disk writes, so no more could
@@ -86,6 +98,7 @@
     private final Map<Long, QueuedRead> reads = new LinkedHashMap<>(); // by number
     private final Deque<Runnable> readAnswers = new ArrayDeque<>(); // of reads that have a result
     private long heldBytes; // of changes that wait, or for which ballots are run
+    private long changeCount;
     private long readCount;
 
     /** {@code onCurrentExpired} is told of a change whose time limit passes after it was polled. */
@@ -111,6 +124,11 @@
         return true;
     }
 
+    /** The number of the newest change. */
+    long newestChange() {
+        return changeCount;
+    }
+
     /** Removes and returns the next change; {@code null} if none waits. */
     QueuedChange pollChange() {
         if (!ownChanges.isEmpty()) {
@@ -140,7 +158,8 @@
         }
         long number = ++readCount;
         Runnable cancelExpiry = environment.schedule(timeoutNanos, () -> expireRead(number));
-        reads.put(number, new QueuedRead(number, environment.now() + timeoutNanos, onResult, cancelExpiry));
+        long now = environment.now();
+        reads.put(number, new QueuedRead(number, now, now + timeoutNanos, onResult, cancelExpiry));
         return true;
     }
 
@@ -175,6 +194,9 @@
         for (QueuedRead read : answered) {
             reads.remove(read.number());
             read.cancelExpiry().run();
+            if (result != null) {
+                environment.onAnsweredFrom(result.state(), read.queuedAt());
+            }
             readAnswers.add(() -> read.onResult().accept(result));
         }
         if (!answered.isEmpty() && readAnswers.size() == answered.size()) {
--- a/control/src/main/java/saltdale/control/Proposer.java
+++ b/control/src/main/java/saltdale/control/Proposer.java
@@ -154,7 +154,10 @@
         }
     }
 
-    /** Makes a change part of a ballot that is run, or is to be retried, for reads only: it need not wait for them. */
+    /**
+     * Makes a change part of a ballot that is run, or is to be retried, for reads only: it need not wait for them. Its
+     * result then needs the votes of a majority, whatever it is; see {@link BallotRun#isChangeNewerThanBallot}.
+     */
     private void joinReads() {
         if (busy && current == null && queue.hasChange()) {
             if (activeRun == null) {
@@ -274,6 +277,7 @@
         private final Runnable timeout;
         private final long startedAt = environment.now();
         private final long newestRead = queue.newestRead();
+        private final long newestChange = queue.newestChange();
         private boolean preparing = true;
 
         BallotRun(Ballot ballot) {
@@ -360,7 +364,7 @@
                 return;
             }
             answer = result.answer();
-            if (result.next() == null && isChosen) {
+            if (result.next() == null && isChosen && !isChangeNewerThanBallot()) {
                 finishAsChosen(newestBallot, newestState, newestText);
                 return;
             }
@@ -377,6 +381,15 @@
             }
         }
 
+        /**
+         * Returns whether the change joined this ballot after it had begun. The promises may then be older than states
+         * that were chosen before the change arrived, so that even a result that leaves the state as it is counts only
+         * once a majority has accepted it: none of them has promised a later ballot by then.
+         */
+        private boolean isChangeNewerThanBallot() {
+            return current != null && current.number() > newestChange;
+        }
+
         /**
          * Applies the change to the newest state. Returns {@code null} if it cannot be computed; it must not hold up
          * those that wait behind it.
@@ -399,6 +412,9 @@
             environment.runGuarded(() -> chosenListener.onChosen(chosenBallot, state, text));
             completeIfJoint(state);
             queue.answerReads(newestRead, new ProposalQueue.ReadResult(state, text));
+            if (current != null) {
+                environment.onAnsweredFrom(state, current.queuedAt());
+            }
             finish(answer);
         }
 
--- a/proxy/src/test/java/saltdale/control/FaultyReads.java
+++ b/proxy/src/test/java/saltdale/control/FaultyReads.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
-/** Control nodes with a deliberate fault in the reads of the configuration, which the tests must detect. */
+/** Control nodes that answer from a state that is too old, which the tests must detect. */
 public final class FaultyReads {
     private FaultyReads() {}
 
@@ -16,6 +16,26 @@
                         LateReads::new));
     }
 
+    /** A change is decided by the ballot that it joins, whatever is promised to that, as if it had been there before. */
+    public static ControlNode changesDecidedByABallotThatBeganBefore(
+            Environment environment, ControlNodeSettings settings, Platform platform, Map<String, byte[]> records)
+            throws MalformedMessage {
+        return new ControlNode(
+                environment, settings, platform, records, ControlNode.Components.DEFAULT.with((ProposalQueue.Factory)
+                        LateChanges::new));
+    }
+
+    private static final class LateChanges extends ProposalQueue {
+        LateChanges(Environment environment, Consumer<QueuedChange> onCurrentExpired) {
+            super(environment, onCurrentExpired);
+        }
+
+        @Override
+        long newestChange() {
+            return Long.MAX_VALUE;
+        }
+    }
+
     private static final class LateReads extends ProposalQueue {
         LateReads(Environment environment, Consumer<QueuedChange> onCurrentExpired) {
             super(environment, onCurrentExpired);
--- a/proxy/src/test/java/saltdale/proxy/SimMachine.java
+++ b/proxy/src/test/java/saltdale/proxy/SimMachine.java
@@ -12,6 +12,7 @@
 import saltdale.control.Environment;
 import saltdale.control.Invariant;
 import saltdale.control.MalformedMessage;
+import saltdale.control.ReplicatedState;
 import saltdale.control.ToleratedLosses;
 import saltdale.control.message.Message;
 
@@ -306,6 +307,13 @@
                     host + " at " + (world.now() / 1_000_000 - 1_000_000) + " ms: " + invariant + ", " + detail);
         }
 
+        @Override
+        public void onAnsweredFrom(ReplicatedState state, long queuedAt) {
+            if (!leasesByWallClock) {
+                world.checkAnsweredFrom(host, state, queuedAt);
+            }
+        }
+
         @Override
         public void log(String text) {
             if (Boolean.getBoolean("sim.notes")) {
--- a/proxy/src/test/java/saltdale/proxy/SimWorld.java
+++ b/proxy/src/test/java/saltdale/proxy/SimWorld.java
@@ -6,9 +6,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -53,6 +55,7 @@
     final List<SimMachine> proxies = new ArrayList<>();
     final Set<String> cutLinks = new HashSet<>(); // "from>to"
     final Map<Long, ReplicatedState> chosenByVersion = new HashMap<>(); // announced chosen states, by version
+    private final NavigableMap<Long, Long> newestVersionByTime = new TreeMap<>(); // of the announced chosen states
     final List<String> violations = new ArrayList<>(); // of what must always hold
     /** Gets each message that is sent. */
     Consumer<Message> messageObserver = message -> {};
@@ -286,6 +289,16 @@
         }
         if (newestChosen == null || state.version() > newestChosen.version()) {
             newestChosen = state;
+            newestVersionByTime.put(now, state.version());
+        }
+    }
+
+    /** Checks that a read or a change is not answered from a state older than the newest one when it was queued. */
+    void checkAnsweredFrom(String host, ReplicatedState state, long queuedAt) {
+        Map.Entry<Long, Long> newest = newestVersionByTime.lowerEntry(queuedAt);
+        if (newest != null && newest.getValue() > state.version()) {
+            violations.add(host + " at " + (now / 1_000_000 - 1_000_000) + " ms: answered from version "
+                    + state.version() + " though " + newest.getValue() + " was chosen before");
         }
     }
 
--- a/proxy/src/test/java/saltdale/proxy/WaitingRequestsTest.java
+++ b/proxy/src/test/java/saltdale/proxy/WaitingRequestsTest.java
@@ -1,8 +1,10 @@
 package saltdale.proxy;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -13,7 +15,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import saltdale.control.ControlNode;
 import saltdale.control.Counter;
 import saltdale.control.FaultyReads;
@@ -138,38 +143,81 @@
     }
 
     /**
-     * A read that arrives while a ballot collects its promises, after another node has acknowledged an order that these
-     * promises do not contain. Returns the revision that it was answered with.
+     * A node whose ballot, begun for a read, collects promises that do not contain the two orders that another node has
+     * acknowledged meanwhile.
      */
-    private static long readDuringABallot(SimWorld.ControlNodeFactory factory) {
-        SimWorld world = new SimWorld(4);
-        world.controlNodeFactory = factory;
-        world.withNodes(3, 0).startAll();
-        assertTrue(SimOperator.replaceUntilAcknowledged(world, 0, SimOperator.config(1), 5000));
-        world.run(2000);
-        SimMachine reader = world.controlNodes.get(0);
-        List<Runnable> heldPromises = new ArrayList<>();
-        world.messageRewriter = (from, to, message) -> {
-            if (to.equals(reader.host) && message instanceof Promise) {
-                heldPromises.add(() -> world.send(from, to, message));
-                return null;
-            }
-            return message;
-        };
-        reader.controlNode().readConfiguration(reply -> {});
-        assertTrue(world.runUntil(200, () -> heldPromises.size() == 2));
-        assertThat(SimOperator.replace(world, world.controlNodes.get(1), 1, SimOperator.config(2)), is(200));
-        List<String> read = new ArrayList<>();
-        reader.controlNode().readConfiguration(reply -> read.add(new String(reply.body(), StandardCharsets.UTF_8)));
-        world.messageRewriter = (from, to, message) -> message;
-        heldPromises.forEach(Runnable::run);
-        assertTrue(world.runUntil(5000, () -> !read.isEmpty()));
-        return AgreementTest.revision(read.get(0));
+    private static final class HeldBallot {
+        final SimWorld world = new SimWorld(4);
+        final SimMachine node;
+        private final List<Runnable> heldPromises = new ArrayList<>();
+
+        HeldBallot(SimWorld.ControlNodeFactory factory) {
+            world.controlNodeFactory = factory;
+            world.withNodes(3, 0).startAll();
+            assertTrue(SimOperator.replaceUntilAcknowledged(world, 0, SimOperator.config(1), 5000));
+            world.run(2000);
+            node = world.controlNodes.get(0);
+            world.messageRewriter = (from, to, message) -> {
+                if (to.equals(node.host) && message instanceof Promise) {
+                    heldPromises.add(() -> world.send(from, to, message));
+                    return null;
+                }
+                return message;
+            };
+            node.controlNode().readConfiguration(reply -> {});
+            assertTrue(world.runUntil(200, () -> heldPromises.size() == 2));
+            SimMachine other = world.controlNodes.get(1);
+            assertThat(SimOperator.replace(world, other, 1, SimOperator.config(2)), is(200));
+            assertThat(SimOperator.replace(world, other, 2, SimOperator.config(3)), is(200));
+        }
+
+        /** Sends a request to the node, and then releases the promises; returns the answer. */
+        ControlNode.Reply answerTo(Consumer<Consumer<ControlNode.Reply>> request) {
+            List<ControlNode.Reply> replies = new ArrayList<>();
+            request.accept(replies::add);
+            world.messageRewriter = (from, to, message) -> message;
+            heldPromises.forEach(Runnable::run);
+            assertTrue(world.runUntil(5000, () -> !replies.isEmpty()));
+            return replies.get(0);
+        }
+
+        long revisionRead() {
+            ControlNode.Reply reply = answerTo(node.controlNode()::readConfiguration);
+            return AgreementTest.revision(new String(reply.body(), StandardCharsets.UTF_8));
+        }
+
+        int statusOf(long base, long revision) {
+            return answerTo(onReply -> SimOperator.replace(node, base, SimOperator.config(revision), onReply))
+                    .status();
+        }
     }
 
     @Test
     void readIsNotAnsweredByABallotThatBeganBeforeIt() {
-        assertThat(readDuringABallot(ControlNode::new), is(2L));
-        assertThat("wrong variant", readDuringABallot(FaultyReads::answeredByABallotThatBeganBefore), is(1L));
+        HeldBallot ballot = new HeldBallot(ControlNode::new);
+        assertThat(ballot.revisionRead(), is(3L));
+        assertThat(ballot.world.violations, is(empty()));
+        HeldBallot wrong = new HeldBallot(FaultyReads::answeredByABallotThatBeganBefore);
+        assertThat("wrong variant", wrong.revisionRead(), is(1L));
+        assertThat(wrong.world.violations, hasItem(containsString("answered from version")));
+    }
+
+    /**
+     * Guards against an order that is refused, although it is in force or is based on the newest revision, by a ballot
+     * that began before it.
+     */
+    @ParameterizedTest
+    @CsvSource({"2, 3, 200", "3, 4, 200", "1, 4, 412", "3, 2, 400"})
+    void orderIsNotRefusedByABallotThatBeganBeforeIt(long base, long revision, int status) {
+        HeldBallot ballot = new HeldBallot(ControlNode::new);
+        assertThat(ballot.statusOf(base, revision), is(status));
+        assertThat(ballot.world.violations, is(empty()));
+    }
+
+    @Test
+    void refusalByABallotThatBeganBeforeTheOrderIsDetected() {
+        HeldBallot wrong = new HeldBallot(FaultyReads::changesDecidedByABallotThatBeganBefore);
+        assertThat("wrong variant", wrong.statusOf(2, 3), is(412));
+        assertThat(wrong.world.violations, hasItem(containsString("answered from version")));
     }
 }
