Control: a change that older promises cannot decide gets a ballot of its own at once

The old state was accepted again at the read's ballot; the voters had promised more and refused, and the back-off takes its measure from the ballot that had waited for a frozen process.

Change: if older promises say that there is nothing to do for a change, or if the voter of this node has promised a later ballot, another ballot is begun at once; the first answers its reads.

WaitingRequestsTest: the answer within 300 ms of simulated time.

--- a/control/src/main/java/saltdale/control/Proposer.java
+++ b/control/src/main/java/saltdale/control/Proposer.java
@@ -155,8 +155,8 @@
     }
 
     /**
-     * Makes a change part of a ballot that is run, or is to be retried, for reads only: it need not wait for them. Its
-     * result then needs the votes of a majority, whatever it is; see {@link BallotRun#isChangeNewerThanBallot}.
+     * Makes a change part of a ballot that is run, or is to be retried, for reads only: it need not wait for them. What
+     * it may be told by that ballot is limited, see {@link BallotRun#isChangeNewerThanBallot}.
      */
     private void joinReads() {
         if (busy && current == null && queue.hasChange()) {
@@ -364,7 +364,10 @@
                 return;
             }
             answer = result.answer();
-            if (result.next() == null && isChosen && !isChangeNewerThanBallot()) {
+            if (isChangeNewerThanBallot() && (result.next() == null || isPreempted())) {
+                runAnotherBallot(isChosen);
+                return;
+            } else if (result.next() == null && isChosen) {
                 finishAsChosen(newestBallot, newestState, newestText);
                 return;
             }
@@ -383,13 +386,28 @@
 
         /**
          * Returns whether the change joined this ballot after it had begun. The promises may then be older than states
-         * that were chosen before the change arrived, so that even a result that leaves the state as it is counts only
-         * once a majority has accepted it: none of them has promised a later ballot by then.
+         * that were chosen before the change arrived, so that they cannot show that there is nothing to do for it. A
+         * state that it makes is safe: those that have promised a later ballot do not accept it.
          */
         private boolean isChangeNewerThanBallot() {
             return current != null && current.number() > newestChange;
         }
 
+        /** Returns whether the voter at this node has promised a later ballot, and would not accept this one's state. */
+        private boolean isPreempted() {
+            return localAcceptor.promisedBallot().compareTo(ballot) > 0;
+        }
+
+        /** Begins a ballot that is newer than the change; this one answers the reads that it was begun for. */
+        private void runAnotherBallot(boolean isChosen) {
+            cancelTimeout();
+            activeRun = null;
+            if (isChosen) {
+                reportChosen(newestBallot, newestState, newestText);
+            }
+            startBallot();
+        }
+
         /**
          * Applies the change to the newest state. Returns {@code null} if it cannot be computed; it must not hold up
          * those that wait behind it.
@@ -407,15 +425,19 @@
 
         /** Ends this ballot with a state that is known to be chosen. */
         private void finishAsChosen(Ballot chosenBallot, ReplicatedState state, byte[] text) {
+            reportChosen(chosenBallot, state, text);
+            if (current != null) {
+                environment.onAnsweredFrom(state, current.queuedAt());
+            }
+            finish(answer);
+        }
+
+        private void reportChosen(Ballot chosenBallot, ReplicatedState state, byte[] text) {
             preemptions = 0;
             // Whatever a listener throws, the change is decided: its caller and those behind it must learn that.
             environment.runGuarded(() -> chosenListener.onChosen(chosenBallot, state, text));
             completeIfJoint(state);
             queue.answerReads(newestRead, new ProposalQueue.ReadResult(state, text));
-            if (current != null) {
-                environment.onAnsweredFrom(state, current.queuedAt());
-            }
-            finish(answer);
         }
 
         private List<List<Voter>> acceptVoterSets() {
--- a/proxy/src/test/java/saltdale/proxy/WaitingRequestsTest.java
+++ b/proxy/src/test/java/saltdale/proxy/WaitingRequestsTest.java
@@ -177,7 +177,7 @@
             request.accept(replies::add);
             world.messageRewriter = (from, to, message) -> message;
             heldPromises.forEach(Runnable::run);
-            assertTrue(world.runUntil(5000, () -> !replies.isEmpty()));
+            assertTrue(world.runUntil(300, () -> !replies.isEmpty()), "answered in time");
             return replies.get(0);
         }
 
