Control, node: one version of the configuration is kept whole, and what waits is counted in bytes

Near 4 MiB a few versions fill the heap, since each was up to nine times its text.

The heap is as it was.

--- a/control/src/main/java/saltdale/control/ConfigurationCodec.java
+++ b/control/src/main/java/saltdale/control/ConfigurationCodec.java
@@ -31,7 +31,7 @@
      */
     static Map<String, Object> readOrder(byte[] text) throws InvalidConfiguration {
         try {
-            return normalized(Trees.fromJson(write(normalized(Trees.fromJson(text, MAX_VALUES)))));
+            return Trees.fromJson(write(Trees.fromJson(text, MAX_VALUES)), MAX_VALUES);
         } catch (MalformedMessage e) {
             throw new InvalidConfiguration("not a complete JSON document: " + e.getMessage());
         }
@@ -43,33 +43,12 @@
      */
     static Map<String, Object> readAgreed(byte[] text) throws InvalidConfiguration {
         try {
-            return normalized(Trees.fromJsonWithRepairs(text));
+            return Trees.fromJsonWithRepairs(text);
         } catch (MalformedMessage e) {
             throw new InvalidConfiguration("the agreed text cannot be read: " + e.getMessage());
         }
     }
 
-    private static Map<String, Object> normalized(Map<String, Object> tree) {
-        tree.replaceAll((name, value) -> normalizeNumbers(value));
-        return tree;
-    }
-
-    /**
-     * Converts floating-point numbers without a fraction to integers, in place, whatever type the JSON parser
-     * chose for them.
-     */
-    @SuppressWarnings("unchecked")
-    private static Object normalizeNumbers(Object tree) {
-        if (tree instanceof Map<?, ?> map) {
-            ((Map<String, Object>) map).replaceAll((name, value) -> normalizeNumbers(value));
-        } else if (tree instanceof List<?> list) {
-            ((List<Object>) list).replaceAll(ConfigurationCodec::normalizeNumbers);
-        } else if (tree instanceof Double value) {
-            return value == Math.rint(value) && Math.abs(value) < 1e15 ? (Object) value.longValue() : (Object) value;
-        }
-        return tree;
-    }
-
     /** Writes a configuration as JSON. */
     static byte[] write(Map<String, Object> tree) {
         return Trees.toJson(tree);
--- a/control/src/main/java/saltdale/control/ConfigurationHistory.java
+++ b/control/src/main/java/saltdale/control/ConfigurationHistory.java
@@ -1,39 +1,61 @@
 package saltdale.control;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
- * The newest configuration and the ones shortly before it, so that a proxy can be sent the changes since the one that
- * it has. A proxy that has none of them fetches a snapshot, which is rebuilt only when too much has changed since the
- * last one.
+ * The newest configuration, and the names of what has changed shortly before it, so that a proxy can be sent the
+ * changes since the configuration that it has. A proxy that has an older one fetches a snapshot, which is rebuilt only
+ * when too much has changed since the last one. Only the newest configuration is kept whole: what is held does not grow
+ * with the number of changes.
  */
 final class ConfigurationHistory {
-    private static final int MAX_TREES = 64;
+    /** One change: the configuration that it led from, and the names of what changed. */
+    private record Step(long baseRevision, String baseDigest, ConfigurationDifference difference) {}
+
+    private static final int MAX_STEPS = 64;
+    private static final long MAX_NAME_BYTES = 1 << 20; // of all steps
     private static final int MAX_SNAPSHOTS = 2; // the one being fetched, and the next one
     /**
      * A change is replaced by a snapshot, which is compressed, if its size times this exceeds that
      * of the configuration.
      */
     private static final int CHANGE_SIZE_FACTOR = 8;
+    /**
+     * A larger change is replaced by a snapshot: changes wait for each proxy that does not read, parts of a snapshot
+     * are sent one at a time, on request.
+     */
+    private static final int MAX_CHANGE_BYTES = 128 << 10;
 
-    private final Map<Long, ConfigurationTree> trees = new LinkedHashMap<>(); // by revision
-    /** The changes to the newest configuration, by base revision. */
-    private final Map<Long, Map<String, Object>> changes = new HashMap<>();
+    private final Deque<Step> steps = new ArrayDeque<>(); // oldest first
+    private long nameBytes; // of all steps
+    /** The changes to the newest configuration, by base revision; empty where a snapshot is needed. */
+    private final Map<Long, Optional<Map<String, Object>>> changes = new HashMap<>();
 
     private final Map<String, ConfigurationSnapshot> snapshots = new LinkedHashMap<>(); // by digest
     private ConfigurationTree newest;
     private long unreadableRevision = -1; // the newest version that could not be read
     private ConfigurationSnapshot latestSnapshot;
 
-    /** Adds the next configuration; unchanged items are shared with the previous one. */
-    void add(ConfigurationTree next) throws MalformedMessage {
-        ConfigurationTree shared = newest == null ? next : newest.withChange(newest.changeTo(next));
-        newest = shared.digest().equals(next.digest()) ? shared : next;
+    /** Adds the next configuration. */
+    void add(ConfigurationTree next) {
+        if (newest != null) {
+            addStep(new Step(newest.revision(), newest.digest(), newest.differenceTo(next)));
+        }
+        newest = next;
         changes.clear();
-        trees.put(newest.revision(), newest);
-        removeOldest(trees, MAX_TREES);
+    }
+
+    private void addStep(Step step) {
+        steps.addLast(step);
+        nameBytes += step.difference().memoryBytes();
+        while (steps.size() > MAX_STEPS || nameBytes > MAX_NAME_BYTES && !steps.isEmpty()) {
+            nameBytes -= steps.removeFirst().difference().memoryBytes();
+        }
     }
 
     /** Notes that a version was agreed on that cannot be read here, and so cannot be sent to proxies. */
@@ -61,15 +83,31 @@
      * much has changed.
      */
     Map<String, Object> changeSince(long revision, String digest) {
-        ConfigurationTree base = trees.get(revision);
-        if (base == null || !base.digest().equals(digest)) {
-            return null;
+        boolean isNewest = revision == newest.revision() && newest.digest().equals(digest);
+        boolean isKnown = steps.stream()
+                .anyMatch(step ->
+                        step.baseRevision() == revision && step.baseDigest().equals(digest));
+        return isNewest || isKnown
+                ? changes.computeIfAbsent(revision, this::changeSince).orElse(null)
+                : null;
+    }
+
+    private Optional<Map<String, Object>> changeSince(long revision) {
+        ConfigurationDifference difference = new ConfigurationDifference();
+        steps.stream()
+                .filter(step -> step.baseRevision() >= revision)
+                .forEach(step -> difference.addAll(step.difference()));
+        if (isTooLarge(difference.size())) {
+            return Optional.empty();
         }
-        Map<String, Object> change = changes.computeIfAbsent(revision, r -> base.changeTo(newest));
-        return ConfigurationTree.changeSize(change) * CHANGE_SIZE_FACTOR > newest.size()
-                        && newest.size() > CHANGE_SIZE_FACTOR * 4
-                ? null
-                : change;
+        Map<String, Object> change = newest.changeFor(difference);
+        return isTooLarge(ConfigurationTree.changeSize(change)) || Trees.toCbor(change).length > MAX_CHANGE_BYTES
+                ? Optional.empty()
+                : Optional.of(change);
+    }
+
+    private boolean isTooLarge(int changeSize) {
+        return changeSize * CHANGE_SIZE_FACTOR > newest.size() && newest.size() > CHANGE_SIZE_FACTOR * 4;
     }
 
     /**
@@ -81,22 +119,15 @@
         if (requested != null) {
             return requested;
         }
-        boolean leadsToNewest = latestSnapshot != null
-                && changeSince(
-                                latestSnapshot.tree().revision(),
-                                latestSnapshot.tree().digest())
-                        != null;
+        boolean leadsToNewest =
+                latestSnapshot != null && changeSince(latestSnapshot.revision(), latestSnapshot.treeDigest()) != null;
         if (!leadsToNewest) {
             latestSnapshot = ConfigurationSnapshot.of(newest);
             snapshots.put(latestSnapshot.digest(), latestSnapshot);
-            removeOldest(snapshots, MAX_SNAPSHOTS);
+            if (snapshots.size() > MAX_SNAPSHOTS) {
+                snapshots.remove(snapshots.keySet().iterator().next());
+            }
         }
         return latestSnapshot;
     }
-
-    private static void removeOldest(Map<?, ?> map, int maxEntries) {
-        if (map.size() > maxEntries) {
-            map.remove(map.keySet().iterator().next());
-        }
-    }
 }
--- a/control/src/main/java/saltdale/control/ConfigurationService.java
+++ b/control/src/main/java/saltdale/control/ConfigurationService.java
@@ -57,8 +57,8 @@
         try {
             ConfigurationVersion version = versionFor(state.textKey(), text);
             history.add(version.tree());
-            current = version.withTree(history.newest());
-        } catch (InvalidConfiguration | MalformedMessage | RuntimeException | StackOverflowError | LinkageError e) {
+            current = version;
+        } catch (InvalidConfiguration | RuntimeException | StackOverflowError | LinkageError e) {
             // Whatever is wrong with a version that is already agreed on, it must not stop what follows it.
             history.markUnreadable(state.revision());
             environment.check(
@@ -99,10 +99,10 @@
      */
     void propose(ConfigurationUpdate update, Consumer<Reply> answer) {
         boolean accepted = register.propose(
-                (newest, text) -> applyUpdate(update, newest, text),
-                update.bytes(),
-                timeLimit(),
-                reply -> answer.accept(reply == null ? UNDECIDED : (Reply) reply));
+                (newest, text) -> applyUpdate(update, newest, text), update.bytes(), timeLimit(), reply -> {
+                    proposed = null; // if it is chosen later all the same, it is read from its text
+                    answer.accept(reply == null ? UNDECIDED : (Reply) reply);
+                });
         if (!accepted) {
             answer.accept(OVERLOADED);
         }
--- a/control/src/main/java/saltdale/control/ConfigurationSnapshot.java
+++ b/control/src/main/java/saltdale/control/ConfigurationSnapshot.java
@@ -1,36 +1,31 @@
 package saltdale.control;
 
+import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
-import java.util.zip.DataFormatException;
-import java.util.zip.Deflater;
-import java.util.zip.Inflater;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
 
 /**
- * A whole configuration, compressed, which a proxy without a known base fetches part by part; the digest is that of the
- * compressed bytes.
+ * A whole configuration, compressed, which a proxy without a known base fetches part by part. {@code digest} is that of
+ * the compressed bytes, {@code revision} and {@code treeDigest} are those of the configuration.
  */
-public record ConfigurationSnapshot(ConfigurationTree tree, String digest, byte[] bytes) {
+public record ConfigurationSnapshot(long revision, String treeDigest, String digest, byte[] bytes) {
     /** The largest size of an uncompressed configuration, in bytes. */
     public static final int MAX_UNPACKED_BYTES = 64 << 20;
 
-    private static final int BLOCK_BYTES = 16_384;
-
     /** Compresses a configuration. */
     public static ConfigurationSnapshot of(ConfigurationTree tree) {
-        Deflater deflater = new Deflater();
-        try {
-            deflater.setInput(Trees.toCbor(tree.toMap()));
-            deflater.finish();
-            ByteArrayOutputStream out = new ByteArrayOutputStream(BLOCK_BYTES);
-            byte[] block = new byte[BLOCK_BYTES];
-            while (!deflater.finished()) {
-                out.write(block, 0, deflater.deflate(block));
-            }
-            byte[] bytes = out.toByteArray();
-            return new ConfigurationSnapshot(tree, ConfigurationCodec.textDigest(bytes), bytes);
-        } finally {
-            deflater.end();
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (OutputStream compressed = new DeflaterOutputStream(out)) {
+            Trees.writeCbor(tree.toMap(), compressed);
+        } catch (IOException e) {
+            throw new IllegalStateException("the configuration cannot be compressed", e);
         }
+        byte[] bytes = out.toByteArray();
+        return new ConfigurationSnapshot(tree.revision(), tree.digest(), ConfigurationCodec.textDigest(bytes), bytes);
     }
 
     /** Decompresses a configuration, after checking the digest. */
@@ -38,23 +33,46 @@
         if (!ConfigurationCodec.textDigest(bytes).equals(digest)) {
             throw new MalformedMessage("configuration snapshot: digest mismatch");
         }
-        Inflater inflater = new Inflater();
-        try {
-            inflater.setInput(bytes);
-            ByteArrayOutputStream out = new ByteArrayOutputStream(bytes.length * 8);
-            byte[] block = new byte[BLOCK_BYTES];
-            while (!inflater.finished()) {
-                int count = inflater.inflate(block);
-                if (count == 0 && !inflater.finished() || out.size() + count > MAX_UNPACKED_BYTES) {
-                    throw new MalformedMessage("configuration snapshot: truncated or too large");
-                }
-                out.write(block, 0, count);
-            }
-            return ConfigurationTree.of(Trees.fromCbor(out.toByteArray()));
-        } catch (DataFormatException e) {
+        try (InputStream unpacked = new LimitedStream(new InflaterInputStream(new ByteArrayInputStream(bytes)))) {
+            return ConfigurationTree.of(Trees.fromCbor(unpacked));
+        } catch (IOException e) {
             throw new MalformedMessage("configuration snapshot: " + e.getMessage());
-        } finally {
-            inflater.end();
+        }
+    }
+
+    /** Ends with an exception after {@link #MAX_UNPACKED_BYTES}. */
+    private static final class LimitedStream extends InputStream {
+        private final InputStream in;
+        private long count;
+
+        LimitedStream(InputStream in) {
+            this.in = in;
+        }
+
+        @Override
+        public int read() throws IOException {
+            int value = in.read();
+            count(value < 0 ? 0 : 1);
+            return value;
+        }
+
+        @Override
+        public int read(byte[] buffer, int offset, int length) throws IOException {
+            int read = in.read(buffer, offset, length);
+            count(Math.max(0, read));
+            return read;
+        }
+
+        private void count(int bytes) throws IOException {
+            count += bytes;
+            if (count > MAX_UNPACKED_BYTES) {
+                throw new IOException("too large");
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            in.close();
         }
     }
 }
--- a/control/src/main/java/saltdale/control/ConfigurationTree.java
+++ b/control/src/main/java/saltdale/control/ConfigurationTree.java
@@ -97,35 +97,70 @@
 
     /** The change that turns this configuration into {@code next}. */
     public Map<String, Object> changeTo(ConfigurationTree next) {
-        List<Object> dropped = new ArrayList<>();
-        fields.keySet().stream().filter(name -> !next.fields.containsKey(name)).forEach(dropped::add);
-        lists.keySet().stream().filter(name -> !next.lists.containsKey(name)).forEach(dropped::add);
-        Map<String, Object> set = new LinkedHashMap<>();
+        return next.changeFor(differenceTo(next));
+    }
+
+    /** The names of what differs in {@code next}. */
+    ConfigurationDifference differenceTo(ConfigurationTree next) {
+        ConfigurationDifference difference = new ConfigurationDifference();
+        fields.keySet().stream().filter(name -> !next.fields.containsKey(name)).forEach(difference::addReplaced);
+        lists.keySet().stream().filter(name -> !next.lists.containsKey(name)).forEach(difference::addReplaced);
         next.fields.forEach((name, value) -> {
             if (!fields.containsKey(name) || !Objects.equals(fields.get(name), value)) {
-                set.put(name, value);
+                difference.addChangedField(name);
             }
         });
+        next.lists.forEach((list, nextItems) -> {
+            Map<String, Object> present = lists.get(list);
+            if (present == null) {
+                difference.addReplaced(list);
+                return;
+            }
+            nextItems.forEach((name, item) -> {
+                if (!item.equals(present.get(name))) {
+                    difference.addChangedItem(list, name);
+                }
+            });
+            present.keySet().stream()
+                    .filter(name -> !nextItems.containsKey(name))
+                    .forEach(name -> difference.addChangedItem(list, name));
+        });
+        return difference;
+    }
+
+    /** The change that turns a configuration that differs in no more than this into this one. */
+    Map<String, Object> changeFor(ConfigurationDifference difference) {
+        Map<String, Object> set = new LinkedHashMap<>();
         Map<String, Object> items = new LinkedHashMap<>();
         Map<String, Object> removed = new LinkedHashMap<>();
-        next.lists.forEach((name, nextItems) -> {
-            Map<String, Object> present = lists.getOrDefault(name, Map.of());
-            List<Object> changed = nextItems.entrySet().stream()
-                    .filter(item -> !item.getValue().equals(present.get(item.getKey())))
-                    .map(Map.Entry::getValue)
-                    .toList();
-            if (!changed.isEmpty() || !lists.containsKey(name)) {
-                items.put(name, changed);
-            }
-            List<String> removedNames = present.keySet().stream()
-                    .filter(item -> !nextItems.containsKey(item))
-                    .toList();
-            if (!removedNames.isEmpty()) {
-                removed.put(name, removedNames);
+        for (String name : difference.replaced()) {
+            if (lists.containsKey(name)) {
+                items.put(name, new ArrayList<>(lists.get(name).values()));
+            } else if (fields.containsKey(name)) {
+                set.put(name, fields.get(name));
+            }
+        }
+        difference.changedFields().stream()
+                .filter(fields::containsKey)
+                .forEach(name -> set.put(name, fields.get(name)));
+        difference.changedItems().forEach((list, names) -> {
+            Map<String, Object> present = lists.get(list);
+            if (present == null || difference.replaced().contains(list)) {
+                return;
+            }
+            List<Object> changed =
+                    names.stream().map(present::get).filter(Objects::nonNull).toList();
+            List<String> gone =
+                    names.stream().filter(name -> !present.containsKey(name)).toList();
+            if (!changed.isEmpty()) {
+                items.put(list, changed);
+            }
+            if (!gone.isEmpty()) {
+                removed.put(list, gone);
             }
         });
         Map<String, Object> change = new LinkedHashMap<>();
-        change.put(DROPPED, dropped);
+        change.put(DROPPED, new ArrayList<>(difference.replaced()));
         change.put(SET, set);
         change.put(REMOVED, removed);
         change.put(ITEMS, items);
--- a/control/src/main/java/saltdale/control/ConfigurationVersion.java
+++ b/control/src/main/java/saltdale/control/ConfigurationVersion.java
@@ -30,11 +30,6 @@
         return new ConfigurationVersion(key, text, ConfigurationTree.of(document), configuration);
     }
 
-    /** This version with an equal tree, which shares memory with those of earlier versions. */
-    ConfigurationVersion withTree(ConfigurationTree equalTree) {
-        return new ConfigurationVersion(key, text, equalTree, configuration);
-    }
-
     long revision() {
         return configuration.revision();
     }
--- a/control/src/main/java/saltdale/control/Proposer.java
+++ b/control/src/main/java/saltdale/control/Proposer.java
@@ -393,7 +393,7 @@
             return current != null && current.number() > newestChange;
         }
 
-        /** Returns whether the voter at this node has promised a later ballot, and would not accept this one's state. */
+        /** Returns whether the voter at this node has promised a later ballot, and would refuse to accept this one. */
         private boolean isPreempted() {
             return localAcceptor.promisedBallot().compareTo(ballot) > 0;
         }
--- a/control/src/main/java/saltdale/control/Subscriptions.java
+++ b/control/src/main/java/saltdale/control/Subscriptions.java
@@ -126,8 +126,8 @@
                         Arrays.copyOfRange(bytes, offset, end)));
         if (end == bytes.length && subscriber.fetchingSnapshot) {
             subscriber.fetchingSnapshot = false;
-            subscriber.revision = snapshot.tree().revision();
-            subscriber.digest = snapshot.tree().digest();
+            subscriber.revision = snapshot.revision();
+            subscriber.digest = snapshot.treeDigest();
             publish(subscriber);
         }
     }
--- a/control/src/main/java/saltdale/control/Trees.java
+++ b/control/src/main/java/saltdale/control/Trees.java
@@ -5,19 +5,25 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
  * Converts trees of maps, lists, strings, numbers, byte arrays and booleans to and from CBOR (used between processes)
- * and JSON.
+ * and JSON. Trees that are read must not be changed.
  */
 public final class Trees {
     private static final int MAX_CBOR_DEPTH = 32;
+    /** Smaller messages are not kept, so that saving memory is not worth the time. */
+    private static final int MIN_COMPACT_MESSAGE_BYTES = 4 << 10;
     /** Lower than that of CBOR: what arrives as JSON is passed on inside messages, some levels deeper. */
     private static final int MAX_JSON_DEPTH = 24;
 
@@ -43,44 +49,64 @@
         return encode(Json.FACTORY, tree);
     }
 
+    /** Writes a tree as CBOR, without holding the whole encoding in memory. */
+    static void writeCbor(Object tree, OutputStream out) throws IOException {
+        try (JsonGenerator generator = Cbor.FACTORY.createGenerator(out)) {
+            write(generator, tree);
+        }
+    }
+
     /** Parses a CBOR object. */
-    @SuppressWarnings("unchecked")
     public static Map<String, Object> fromCbor(byte[] bytes) throws MalformedMessage {
-        return (Map<String, Object>)
-                decode(Cbor.FACTORY, bytes, JsonToken.START_OBJECT, "object", new Reader(MAX_CBOR_DEPTH, false));
+        return fromCbor(new ByteArrayInputStream(bytes));
+    }
+
+    /** Parses a CBOR object, up to the end of the stream. */
+    @SuppressWarnings("unchecked")
+    static Map<String, Object> fromCbor(InputStream in) throws MalformedMessage {
+        return (Map<String, Object>) decode(
+                () -> Cbor.FACTORY.createParser(in), JsonToken.START_OBJECT, "object", new Reader(MAX_CBOR_DEPTH));
     }
 
     /** Parses a CBOR array, the outer form of messages between processes. */
     @SuppressWarnings("unchecked")
     public static List<Object> listFromCbor(byte[] bytes) throws MalformedMessage {
-        return (List<Object>)
-                decode(Cbor.FACTORY, bytes, JsonToken.START_ARRAY, "array", new Reader(MAX_CBOR_DEPTH, false));
+        Reader reader = new Reader(MAX_CBOR_DEPTH);
+        reader.compacts = bytes.length >= MIN_COMPACT_MESSAGE_BYTES;
+        return (List<Object>) decode(() -> Cbor.FACTORY.createParser(bytes), JsonToken.START_ARRAY, "array", reader);
     }
 
     /** Parses a JSON object. */
     public static Map<String, Object> fromJson(byte[] bytes) throws MalformedMessage {
-        return fromJson(bytes, new Reader(MAX_JSON_DEPTH, false));
+        return fromJson(bytes, new Reader(MAX_JSON_DEPTH));
     }
 
     /**
-     * Parses a JSON object of at most {@code maxValues} values: objects, lists and what they hold. Their objects take
-     * memory beyond that of the text, some 120 bytes each at most.
+     * Parses a JSON object of at most {@code maxValues} values: objects, lists and what they hold, which take memory
+     * beyond that of the text. Numbers without a fraction are integers in the result, however they are written.
      */
     static Map<String, Object> fromJson(byte[] bytes, int maxValues) throws MalformedMessage {
-        return fromJson(bytes, new Reader(MAX_JSON_DEPTH, false, maxValues));
+        Reader reader = new Reader(MAX_JSON_DEPTH);
+        reader.maxValues = maxValues;
+        reader.normalizesNumbers = true;
+        return fromJson(bytes, reader);
     }
 
     /**
      * Parses a JSON object that an earlier release has accepted, in which each unpaired surrogate is replaced by the
-     * replacement character.
+     * replacement character. Numbers without a fraction are integers in the result.
      */
     static Map<String, Object> fromJsonWithRepairs(byte[] bytes) throws MalformedMessage {
-        return fromJson(bytes, new Reader(MAX_CBOR_DEPTH, true));
+        Reader reader = new Reader(MAX_CBOR_DEPTH);
+        reader.repairs = true;
+        reader.normalizesNumbers = true;
+        return fromJson(bytes, reader);
     }
 
     @SuppressWarnings("unchecked")
     private static Map<String, Object> fromJson(byte[] bytes, Reader reader) throws MalformedMessage {
-        return (Map<String, Object>) decode(Json.FACTORY, bytes, JsonToken.START_OBJECT, "object", reader);
+        return (Map<String, Object>)
+                decode(() -> Json.FACTORY.createParser(bytes), JsonToken.START_OBJECT, "object", reader);
     }
 
     /** Returns how many values a tree consists of: objects, lists and what they hold. */
@@ -141,9 +167,13 @@
         }
     }
 
-    private static Object decode(JsonFactory factory, byte[] bytes, JsonToken firstToken, String kind, Reader reader)
+    private interface ParserFactory {
+        JsonParser create() throws IOException;
+    }
+
+    private static Object decode(ParserFactory factory, JsonToken firstToken, String kind, Reader reader)
             throws MalformedMessage {
-        try (JsonParser parser = factory.createParser(bytes)) {
+        try (JsonParser parser = factory.create()) {
             if (parser.nextToken() != firstToken) {
                 throw new MalformedMessage("not an " + kind);
             }
@@ -157,24 +187,23 @@
         }
     }
 
-    /**
-     * Reads trees that can be written again in either form. With {@code repairs}, unpaired surrogates are replaced
-     * rather than rejected.
-     */
+    /** Reads trees that can be written again in either form. */
     private static final class Reader {
+        private static final int MAX_SHARED_VALUES = 4096;
+        private static final int MAX_SHARED_TEXT_CHARACTERS = 64;
+        private static final double MAX_NORMALIZED_NUMBER = 1e15; // all integers below it are exact
+
         private final int maxDepth;
-        private final boolean repairs;
-        private final int maxValues;
+        private final FieldMap.Names names = new FieldMap.Names();
+        private final Map<Object, Object> sharedValues = new HashMap<>();
+        private boolean compacts = true; // values that occur again are kept once, and maps take little memory
+        private boolean repairs; // unpaired surrogates are replaced rather than rejected
+        private boolean normalizesNumbers; // numbers without a fraction become integers
+        private int maxValues = Integer.MAX_VALUE;
         private int valueCount;
 
-        Reader(int maxDepth, boolean repairs) {
-            this(maxDepth, repairs, Integer.MAX_VALUE);
-        }
-
-        Reader(int maxDepth, boolean repairs, int maxValues) {
+        Reader(int maxDepth) {
             this.maxDepth = maxDepth;
-            this.repairs = repairs;
-            this.maxValues = maxValues;
         }
 
         Object value(JsonParser parser, int depth) throws IOException, MalformedMessage {
@@ -190,9 +219,9 @@
             return switch (token) {
                 case START_OBJECT -> map(parser, depth);
                 case START_ARRAY -> list(parser, depth);
-                case VALUE_STRING -> text(parser.getText());
-                case VALUE_NUMBER_INT -> parser.getLongValue();
-                case VALUE_NUMBER_FLOAT -> finite(parser.getDoubleValue());
+                case VALUE_STRING -> shared(text(parser.getText()));
+                case VALUE_NUMBER_INT -> shared(parser.getLongValue());
+                case VALUE_NUMBER_FLOAT -> shared(number(finite(parser.getDoubleValue())));
                 case VALUE_TRUE, VALUE_FALSE -> token == JsonToken.VALUE_TRUE;
                 case VALUE_EMBEDDED_OBJECT -> parser.getBinaryValue();
                 case VALUE_NULL -> null;
@@ -213,19 +242,37 @@
             if (parser.currentToken() != JsonToken.END_OBJECT) {
                 throw new MalformedMessage("truncated");
             }
-            return map;
+            return compacts ? FieldMap.of(map, names) : map;
         }
 
         private List<Object> list(JsonParser parser, int depth) throws IOException, MalformedMessage {
-            List<Object> list = new ArrayList<>();
+            ArrayList<Object> list = new ArrayList<>();
             while (parser.nextToken() != JsonToken.END_ARRAY) {
                 list.add(value(parser, depth + 1));
             }
+            list.trimToSize();
             return list;
         }
 
+        /** Returns an equal value that occurred before, if there is one. */
+        private Object shared(Object value) {
+            if (!compacts || value instanceof String text && text.length() > MAX_SHARED_TEXT_CHARACTERS) {
+                return value;
+            }
+            Object known = sharedValues.get(value);
+            if (known == null && sharedValues.size() < MAX_SHARED_VALUES) {
+                sharedValues.put(value, value);
+            }
+            return known == null ? value : known;
+        }
+
+        private Object number(double number) {
+            boolean isInteger = number == Math.rint(number) && Math.abs(number) < MAX_NORMALIZED_NUMBER;
+            return normalizesNumbers && isInteger ? (Object) (long) number : (Object) number;
+        }
+
         /** JSON has no form for infinity, which a number of too large an exponent is read as. */
-        private static Double finite(double number) throws MalformedMessage {
+        private static double finite(double number) throws MalformedMessage {
             if (!Double.isFinite(number)) {
                 throw new MalformedMessage("a number is out of range");
             }
--- a/node/src/main/java/saltdale/node/EventLoopEnvironment.java
+++ b/node/src/main/java/saltdale/node/EventLoopEnvironment.java
@@ -28,6 +28,7 @@
         void write(Map<String, byte[]> records) throws Exception;
     }
 
+    private static final int UNSENT_HEAP_DIVISOR = 8; // the share of the heap that may wait for other processes
     private static final int RESERVED_FILE_DESCRIPTORS = 260; // 200 kept by the platform; jars, logs, disk
 
     final EventLoop loop;
@@ -52,6 +53,7 @@
                 settings.host,
                 settings.internalPort,
                 Duration.ofNanos(settings.heartbeatNanos * 2 / 3),
+                Runtime.getRuntime().maxMemory() / UNSENT_HEAP_DIVISOR,
                 messageHandler);
         this.disk = disk;
         diskWriter = disk == null
--- a/node/src/main/java/saltdale/node/PeerConnections.java
+++ b/node/src/main/java/saltdale/node/PeerConnections.java
@@ -35,6 +35,11 @@
 
     private static final System.Logger LOG = System.getLogger(PeerConnections.class.getName());
     private static final int MAX_UNSENT_BYTES = 8 << 20; // for a host that does not read, or is not connected yet
+    /** Smaller messages are sent however much waits for all hosts together. */
+    private static final int SMALL_MESSAGE_BYTES = 4 << 10;
+
+    private static final int FIRST_BUFFER_BYTES = 512;
+    private static final int LARGE_BUFFER_BYTES = 64 << 10;
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30); // after the last message sent
 
@@ -45,13 +50,15 @@
     private final Duration replyTimeout;
     private final MessageHandler messageHandler;
     private final LinkFaults linkFaults;
+    private final long maxUnsentBytes;
     private final Map<String, OutgoingConnection> outgoingByHost = new HashMap<>();
     /** The number of messages sent and their bytes, by kind. */
     final Map<MessageKind, long[]> sentByKind = new EnumMap<>(MessageKind.class);
 
     /**
      * Listens for the connections of other processes. The connection to a host that owes a reply and has sent nothing
-     * for longer than {@code replyTimeout} is replaced by a new one when the next message is sent to that host.
+     * for longer than {@code replyTimeout} is replaced by a new one when the next message is sent to that host. At most
+     * {@code maxUnsentBytes} wait for all hosts together.
      */
     PeerConnections(
             EventLoop loop,
@@ -59,6 +66,7 @@
             String host,
             int port,
             Duration replyTimeout,
+            long maxUnsentBytes,
             MessageHandler messageHandler)
             throws IOException {
         this.loop = loop;
@@ -66,6 +74,7 @@
         this.host = host;
         this.port = port;
         this.replyTimeout = replyTimeout;
+        this.maxUnsentBytes = maxUnsentBytes;
         this.messageHandler = messageHandler;
         linkFaults = LinkFaults.fromEnvironment(() -> loop.elapsed().toMillis());
         new Listener(
@@ -95,12 +104,22 @@
         long[] count = sentByKind.computeIfAbsent(message.kind(), kind -> new long[2]);
         count[0]++;
         count[1] += frame.remaining();
-        if (linkFaults.dropsTo(to)) {
+        if (linkFaults.dropsTo(to) || exceedsUnsentLimit(frame.remaining())) {
             return;
         }
         outgoingByHost.computeIfAbsent(to, OutgoingConnection::new).send(frame, message.expectsReply());
     }
 
+    /** Returns whether a large message would make too much wait for the hosts that do not read. */
+    private boolean exceedsUnsentLimit(int bytes) {
+        return bytes > SMALL_MESSAGE_BYTES && totalUnsentBytes() + bytes > maxUnsentBytes;
+    }
+
+    /** Returns how many bytes wait for all hosts together. */
+    long totalUnsentBytes() {
+        return outgoingByHost.keySet().stream().mapToLong(this::unsentBytes).sum();
+    }
+
     /** Returns how many bytes wait until a host reads them, or is connected. */
     long unsentBytes(String to) {
         OutgoingConnection outgoing = outgoingByHost.get(to);
@@ -200,7 +219,7 @@
     private final class IncomingConnection implements Connection.Handler {
         private final Connection connection;
         private String from;
-        private byte[] buffer = new byte[512];
+        private byte[] buffer = new byte[FIRST_BUFFER_BYTES];
         private int bufferedBytes;
 
         IncomingConnection(Connection connection) {
@@ -234,8 +253,8 @@
             }
             System.arraycopy(buffer, offset, buffer, 0, bufferedBytes - offset);
             bufferedBytes -= offset;
-            if (bufferedBytes == 0 && buffer.length > 65_536) {
-                buffer = new byte[512];
+            if (buffer.length > LARGE_BUFFER_BYTES && bufferedBytes <= FIRST_BUFFER_BYTES) {
+                buffer = Arrays.copyOf(buffer, FIRST_BUFFER_BYTES);
             }
         }
 
--- a/node/src/test/java/saltdale/node/PeerConnectionsTest.java
+++ b/node/src/test/java/saltdale/node/PeerConnectionsTest.java
@@ -1,6 +1,7 @@
 package saltdale.node;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
@@ -27,6 +28,8 @@
 class PeerConnectionsTest {
     private static final String SENDER = "127.0.0.31";
     private static final String RECEIVER = "127.0.0.32";
+    private static final String SILENT = "127.0.0.4"; // and a digit
+    private static final long MAX_UNSENT_BYTES = 20 << 20;
     private static final Logger LOG = Logger.getLogger(EventLoop.class.getName());
 
     private final List<String> received = new ArrayList<>();
@@ -58,7 +61,8 @@
                 lost.add(to);
             }
         };
-        return new PeerConnections(loop, new SocketBudget(loop, 16), host, port, Duration.ofSeconds(30), handler);
+        return new PeerConnections(
+                loop, new SocketBudget(loop, 16), host, port, Duration.ofSeconds(30), MAX_UNSENT_BYTES, handler);
     }
 
     private void runUntil(BooleanSupplier condition) throws IOException {
@@ -85,10 +89,7 @@
     void messagesToAPeerThatDoesNotReadAreDropped() throws IOException {
         PeerConnections sender = peer(SENDER);
         int messages = 300;
-        String text = new Random(1)
-                .ints(1 << 18, 'a', 'z')
-                .collect(StringBuilder::new, StringBuilder::appendCodePoint, StringBuilder::append)
-                .toString();
+        String text = incompressibleText();
         try (ServerSocket silent = new ServerSocket(port, 1, InetAddress.getByName(RECEIVER))) {
             sender.send(RECEIVER, new Fetch("first"));
             runUntil(() -> sender.unsentBytes(RECEIVER) == 0);
@@ -98,4 +99,37 @@
             assertThat(sender.unsentBytes(RECEIVER), is(lessThan(10L << 20)));
         }
     }
+
+    private static String incompressibleText() {
+        return new Random(1)
+                .ints(1 << 18, 'a', 'z')
+                .collect(StringBuilder::new, StringBuilder::appendCodePoint, StringBuilder::append)
+                .toString();
+    }
+
+    /** Guards against many peers that stand still: what waits for all of them together was not bounded. */
+    @Test
+    void largeMessagesToManyPeersThatDoNotReadAreDropped() throws IOException {
+        PeerConnections sender = peer(SENDER);
+        String text = incompressibleText();
+        List<ServerSocket> silent = new ArrayList<>();
+        try {
+            for (int i = 0; i < 5; i++) {
+                silent.add(new ServerSocket(port, 1, InetAddress.getByName(SILENT + i)));
+                sender.send(SILENT + i, new Fetch("first"));
+            }
+            runUntil(() -> sender.totalUnsentBytes() == 0);
+            for (int i = 0; i < 300; i++) {
+                sender.send(SILENT + i % 5, new Fetch(text));
+            }
+            assertThat(sender.totalUnsentBytes(), is(lessThan(MAX_UNSENT_BYTES)));
+            long before = sender.totalUnsentBytes();
+            sender.send(SILENT + 0, new Fetch("small"));
+            assertThat("small messages are sent", sender.totalUnsentBytes(), is(greaterThan(before)));
+        } finally {
+            for (ServerSocket each : silent) {
+                each.close();
+            }
+        }
+    }
 }
--- a/proxy/src/test/java/saltdale/control/FaultyReads.java
+++ b/proxy/src/test/java/saltdale/control/FaultyReads.java
@@ -16,7 +16,7 @@
                         LateReads::new));
     }
 
-    /** A change is decided by the ballot that it joins, whatever is promised to that, as if it had been there before. */
+    /** A change is decided by the ballot that it joins, whatever that is promised, as if it had been there before. */
     public static ControlNode changesDecidedByABallotThatBeganBefore(
             Environment environment, ControlNodeSettings settings, Platform platform, Map<String, byte[]> records)
             throws MalformedMessage {
--- a/tools/src/test/java/saltdale/tools/CrowdedCluster.java
+++ b/tools/src/test/java/saltdale/tools/CrowdedCluster.java
@@ -117,10 +117,31 @@
                         controlNode(), Machine.CONTROL_PORT, "GET", "/Configuration.Read", "Host: core\r\n", ""));
     }
 
+    /** The configuration that the cluster serves. */
+    ObjectNode ordinaryConfiguration(int revision) {
+        return deployment.replacement(revision);
+    }
+
+    /** How the processes have ended that have, and the last line of each; an empty string if none has. */
+    String ends() throws IOException {
+        StringBuilder ends = new StringBuilder();
+        for (Machine machine : List.of(controlNode(), proxy())) {
+            if (!process(machine).isAlive()) {
+                String[] lines = log(machine).strip().split("\n");
+                ends.append(machine.name()).append(": ").append(lines[lines.length - 1]);
+            }
+        }
+        return ends.toString();
+    }
+
     /** Sends an operator's order of an ordinary size until it is taken; returns whether it was. */
     boolean awaitOrder(int basedOn, Duration limit) throws InterruptedException {
+        return awaitOrder(basedOn, deployment.replacement(basedOn + 1).toString(), limit);
+    }
+
+    /** Sends an operator's order until it is taken; returns whether it was. */
+    boolean awaitOrder(int basedOn, String body, Duration limit) throws InterruptedException {
         String headers = "Host: core\r\nX-Saltdale-Based-On-Version: " + basedOn + "\r\n";
-        String body = deployment.replacement(basedOn + 1).toString();
         return await(
                 limit,
                 () -> isServed(controlNode(), Machine.CONTROL_PORT, "POST", "/Configuration.Replace", headers, body));
