Node: versions of the configuration that clients read slowly are bounded in bytes

Clients that read slowly, each of another version, were bounded by their number alone; the limit of 15 s holds only for those that read nothing.

Now an eighth of the heap, or one version; beyond it the readers of the oldest version are closed. Responses with one version share its text, so that many readers of the newest one are not affected.

--- a/net/src/main/java/saltdale/serving/ServerConnection.java
+++ b/net/src/main/java/saltdale/serving/ServerConnection.java
@@ -153,6 +153,15 @@
         }
     }
 
+    /** Closes the connection at once if its last response has not been written yet; the rest of that is lost. */
+    public void closeUnlessFlushed() {
+        if (!isFlushed()) {
+            discardInput();
+            releaseAndNotify();
+            connection.close();
+        }
+    }
+
     @Override
     public void received(ByteBuffer bytes) {
         ByteBuffer joined = ByteBuffer.allocate(unparsed.remaining() + bytes.remaining());
--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -27,6 +27,7 @@
 
     private static final int HANDOVER_TENTHS = 7; // of the shutdown grace, for a successor to replace this node
     private static final int REQUEST_HEAP_DIVISOR = 8; // the share of the heap that orders may take until answered
+    private static final int UNREAD_HEAP_DIVISOR = 8; // the same of versions that clients have yet to read
     private static final String RETRY_AFTER_HEADER = "Retry-After: 0.2\r\n";
     private static final byte[] EMPTY_BODY = new byte[0];
     /** A client that reads nothing of a response for this long loses its connection, which holds a configuration. */
@@ -37,6 +38,8 @@
     private final Settings settings;
     private final ControlNode controlNode;
     private final SeedWatch seedWatch;
+    private final UnreadConfigurations unreadConfigurations =
+            new UnreadConfigurations(Runtime.getRuntime().maxMemory() / UNREAD_HEAP_DIVISOR);
     private boolean shuttingDown;
 
     ControlProcess(Settings settings) throws IOException, Settings.InvalidSettingsException {
@@ -175,7 +178,12 @@
             case "GET /Configuration.Read" -> controlNode.readConfiguration(reply -> sendReply(connection, reply));
             case "GET /metrics" ->
                 connection.respond(
-                        200, PLAIN_TEXT_HEADER, environment.counters().toText() + connectionMetrics());
+                        200,
+                        PLAIN_TEXT_HEADER,
+                        environment.counters().toText()
+                                + connectionMetrics()
+                                + "configurations_unread_bytes " + unreadConfigurations.heldBytes() + '\n'
+                                + "configurations_unread_closed " + unreadConfigurations.closedReaders() + '\n');
             case "GET /readiness" -> connection.respond(controlNode.hasMajority() ? 200 : 503, "", EMPTY_BODY);
             default -> connection.respond(404, "", "no such call");
         }
@@ -184,6 +192,7 @@
     private void sendReply(ServerConnection connection, ControlNode.Reply reply) {
         if (reply.body() != null) {
             connection.respond(reply.status(), "Content-Type: application/json\r\n", reply.body());
+            unreadConfigurations.sent(connection, reply.body());
         } else if (reply.status() == 200) {
             connection.respond(200, "", EMPTY_BODY);
         } else {
@@ -192,6 +201,11 @@
         }
     }
 
+    @Override
+    public void connectionClosed(ServerConnection connection) {
+        unreadConfigurations.closed(connection);
+    }
+
     @Override
     public boolean closesAfter(int status) {
         return shuttingDown;
--- a/tools/src/test/java/saltdale/tools/LargeConfigurationsTest.java
+++ b/tools/src/test/java/saltdale/tools/LargeConfigurationsTest.java
@@ -6,8 +6,13 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -20,10 +25,13 @@
  */
 @Timeout(300) // bounds the test on a slow machine
 class LargeConfigurationsTest {
-    private static final int FIRST_NET = 217; // each shape uses two of 127.217 to 127.230, which nothing else uses
+    private static final int FIRST_NET = 217; // each shape uses two of 127.217 to 127.232, which nothing else uses
     private static final CrowdedCluster.Limits PROXY_LIMITS = new CrowdedCluster.Limits(128, 330, 4100);
     private static final CrowdedCluster.Limits CONTROL_LIMITS = new CrowdedCluster.Limits(192, 426, 4100);
     private static final int CHANGES = 16;
+    private static final int SLOWLY_READ_VERSIONS = 55; // together more than the heap of a control node
+    private static final int BYTES_READ_AT_ONCE = 8192;
+    private static final String READ_REQUEST = "GET /Configuration.Read HTTP/1.1\r\nHost: core\r\n\r\n";
     private static final int FIRST_INDEX = 1_000_000; // all have the same number of digits
     private static final int LARGEST_BYTES = 4 << 20;
     private static final Duration SERVICE_LIMIT = Duration.ofSeconds(30); // bounds the test, not the service
@@ -149,4 +157,33 @@
             }
         }
     }
+
+    /** Guards against clients that hardly read the configurations that they asked for, each of another version. */
+    @Test
+    void noProcessEndsWhenEachVersionHasAClientThatReadsItSlowly() throws IOException, InterruptedException {
+        int net = FIRST_NET + 2 * Shape.values().length;
+        List<Socket> clients = new ArrayList<>();
+        try (CrowdedCluster cluster = new CrowdedCluster(net, folder, PROXY_LIMITS, CONTROL_LIMITS)) {
+            assertTrue(cluster.awaitService(SERVICE_LIMIT), "service");
+            for (int revision = 1; revision <= SLOWLY_READ_VERSIONS; revision++) {
+                String text = Shape.LONG_TEXTS.configuration(cluster.ordinaryConfiguration(revision + 1), revision + 1);
+                boolean acknowledged = cluster.awaitOrder(revision, text, SERVICE_LIMIT);
+                assertEquals("", cluster.ends(), "version " + revision);
+                assertTrue(acknowledged, "version " + revision);
+                for (Socket each : clients) {
+                    each.getInputStream().skip(Math.min(each.getInputStream().available(), BYTES_READ_AT_ONCE));
+                }
+                Socket client = new Socket();
+                clients.add(client);
+                client.setReceiveBufferSize(2 * BYTES_READ_AT_ONCE);
+                client.connect(cluster.address(cluster.controlNode(), Machine.CONTROL_PORT));
+                client.getOutputStream().write(READ_REQUEST.getBytes(StandardCharsets.US_ASCII));
+            }
+            assertTrue(cluster.awaitConfigurationRead(SERVICE_LIMIT), "read afterwards, " + cluster.ends());
+        } finally {
+            for (Socket each : clients) {
+                each.close();
+            }
+        }
+    }
 }
