Node: nothing is kept of clients that have read the configuration

Found when the change was reread, in: a client that asks for its connection to be closed was noted after the notice of its close, and stayed until another version was read.

Change: a response that is written at once is not noted, and those that have been read or closed are let go of each second, in the check that closes clients that read nothing.

Test: noProcessEndsWhenEachVersionHasAClientThatReadsItSlowly also awaits that nothing is kept for readers that are done (configurations_unread_bytes 0): red before, green now. No other check changed.

--- a/node/src/main/java/saltdale/node/ControlProcess.java
+++ b/node/src/main/java/saltdale/node/ControlProcess.java
@@ -118,8 +118,10 @@
         environment.loop.run(() -> {});
     }
 
+    /** Closes clients that read nothing, and lets go of those that have read all. */
     private void closeClientsThatDoNotRead() {
         environment.loop.schedule(READING_CHECK_INTERVAL, this::closeClientsThatDoNotRead);
+        unreadConfigurations.removeReadVersions();
         boolean closed = true;
         while (closed) {
             closed = environment.sockets.closeLongestNotReading(MAX_TIME_WITHOUT_READING);
--- a/node/src/main/java/saltdale/node/UnreadConfigurations.java
+++ b/node/src/main/java/saltdale/node/UnreadConfigurations.java
@@ -26,6 +26,9 @@
 
     /** Notes that a text was sent; called after the response. */
     void sent(ServerConnection connection, byte[] text) {
+        if (connection.isFlushed()) {
+            return;
+        }
         if (versions.isEmpty() || versions.getLast().text() != text) {
             removeReadVersions();
             versions.addLast(new SentVersion(text, new LinkedHashSet<>()));
@@ -36,7 +39,8 @@
         }
     }
 
-    private void removeReadVersions() {
+    /** Lets go of the connections that have been read to their ends, or are closed; called from time to time. */
+    void removeReadVersions() {
         versions.forEach(version -> version.readers().removeIf(ServerConnection::isFlushed));
         versions.removeIf(version -> version.readers().isEmpty());
     }
--- a/tools/src/test/java/saltdale/tools/CrowdedCluster.java
+++ b/tools/src/test/java/saltdale/tools/CrowdedCluster.java
@@ -166,6 +166,17 @@
                 == 200;
     }
 
+    /** Waits until a metric has this value; returns whether it has. */
+    boolean awaitMetric(Machine machine, String name, long value, Duration limit) throws InterruptedException {
+        return await(limit, () -> {
+            try {
+                return metric(machine, name) == value;
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
     /** The value of a metric of the machine's process. */
     long metric(Machine machine, String name) throws IOException {
         int port = machine.isProxy() ? Machine.READINESS_PORT : Machine.CONTROL_PORT;
--- a/tools/src/test/java/saltdale/tools/LargeConfigurationsTest.java
+++ b/tools/src/test/java/saltdale/tools/LargeConfigurationsTest.java
@@ -180,6 +180,12 @@
                 client.getOutputStream().write(READ_REQUEST.getBytes(StandardCharsets.US_ASCII));
             }
             assertTrue(cluster.awaitConfigurationRead(SERVICE_LIMIT), "read afterwards, " + cluster.ends());
+            for (Socket each : clients) {
+                each.close();
+            }
+            boolean released =
+                    cluster.awaitMetric(cluster.controlNode(), "configurations_unread_bytes", 0, SERVICE_LIMIT);
+            assertTrue(released, "nothing is kept for readers that are done");
         } finally {
             for (Socket each : clients) {
                 each.close();
